--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,6 +45,7 @@
 	ask        bool
 	askEvery   Time
 	rough      bool
+	closes     bool // idle connections to caches cost more than they save
 	chance     uint64
 
 	now      Time
@@ -65,7 +66,9 @@
 	queued   int
 	fetches  map[uint64]int // by key: the exchange whose fetch is out; emptied as fetches end
 	waiters  map[uint64]int // by key: the first that waits for it; emptied with the fetch
-	limit    float64        // own tries in flight at the origin
+	limit    float64        // own tries in flight at the origin; under one, they come with pauses
+	least    float64        // the limit's floor
+	originAt Time           // no try there before
 	atOrigin int
 	tight    bool    // the origin's limit is all but down, for the log
 	fetch    float64 // mean time of its answers
@@ -89,10 +92,13 @@
 		share: 1 / float64(max(t.Proxies, 1)), aside: t.Aside, mayCancel: t.MayCancel,
 		maxTries: max(t.MaxTries, 1), tick: max(t.Tick, 1), cold: t.Cold, coldFrom: t.ColdFrom,
 		pushed: t.FallMultiple, pushedFor: max(t.Fall, 1), beyondPart: t.BeyondShare, ask: t.Ask,
-		askEvery: max(t.AskEvery, second), rough: t.RoughWeights, chance: seed, now: now, limit: 4,
+		askEvery: max(t.AskEvery, second), rough: t.RoughWeights, chance: seed, now: now,
 		fetches: map[uint64]int{}, waiters: map[uint64]int{}, wakeAt: math.MaxInt64, askAt: math.MaxInt64,
 		rateAt: now, room: 8, spare: 5,
 	}
+	// one connection open from each proxy to each cache, against a new one for each exchange: with many
+	// proxies the first costs more, and fills what connections a cache accepts
+	b.closes = t.Connection*float64(t.Proxies)/100 > t.Handshake
 	if t.RetryAfter {
 		b.comeBack = t.MaxRetryAfter
 	}
@@ -111,6 +117,7 @@
 	}
 	shortest = max(shortest, b.tick)
 	b.hush, b.originAim = shortest, shortest/2
+	b.limit, b.least = min(4, max(16*b.share, 1)), min(1, 4*b.share)
 	b.took, b.fetch = float64(shortest), float64(shortest)/4
 	for _, a := range t.Allowance {
 		b.allowance = append(b.allowance, a*b.share)
@@ -256,6 +263,9 @@
 	if a.Ended && x.live {
 		b.close(a.Cx)
 	}
+	if n.out == 0 && b.closes && !n.Origin {
+		b.say(Decision{Act: Close, Node: a.Node})
+	}
 	if x.live {
 		b.todo = append(b.todo, a.Cx)
 	}
@@ -329,6 +339,9 @@
 	if len(b.due.at) > 0 {
 		next = min(next, b.due.at[0].due)
 	}
+	if b.queued > 0 && b.originAt > b.now {
+		next = min(next, b.originAt)
+	}
 	if next < b.wakeAt {
 		b.wakeAt = next
 		b.say(Decision{Act: Wake, After: max(next-b.now, 1)})
@@ -567,13 +580,13 @@
 }
 
 func (b *Instance) originRoom() bool {
-	return len(b.origins) > 0 && b.atOrigin < int(b.limit)
+	return len(b.origins) > 0 && b.atOrigin < max(int(b.limit), 1) && b.now >= b.originAt
 }
 
 // hopeless holds when the queue for the origin is too long for an answer in time.
 func (b *Instance) hopeless() bool {
 	wait := Time((1 + float64(b.queued)/b.limit) * b.fetch)
-	return b.now+wait > b.hand.good
+	return max(b.now, b.originAt)+wait > b.hand.good
 }
 
 func (b *Instance) enqueue() {
@@ -759,15 +772,15 @@
 func (b *Instance) judge(x *exchange, n *node, a Answer) {
 	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
 	late := a.Ending == Silent || a.Ending == Completed && a.Took > b.routes[x.Route].patience*3/4
-	if n.Origin && a.Ending == Completed {
+	if n.Origin && (a.Ending == Completed || a.Ending == Silent && float64(a.Took) > b.fetch) {
 		b.fetch += (float64(a.Took) - b.fetch) / 16
 	}
 	switch {
 	case n.Origin && a.Ending == Completed && a.Took <= b.originAim:
-		b.limit = min(b.limit+1/b.limit, 256)
+		b.limit = min(b.limit+min(b.limit, 1/b.limit), 256)
 	case n.Origin && (a.Ending == NoRoom || a.Took > 2*b.originAim):
 		if b.now-b.cutAt > b.originAim {
-			b.limit = max(b.limit*0.7, 1)
+			b.limit = max(b.limit*0.7, b.least)
 			b.cutAt = b.now
 		}
 	case n.Origin || x.missed || a.Ending == Silent && n.down:
@@ -786,6 +799,10 @@
 		b.took += off / 32
 		b.strays += (math.Abs(off) - b.strays) / 32
 	}
+	if n.Origin && b.limit < 1 {
+		// of many proxies, one try of each at a time is more than a loaded origin answers
+		b.originAt = b.now + Time((1/b.limit-1)*float64(b.originAim))
+	}
 	if tight := b.limit < 2 || b.tight && b.limit < 4; tight != b.tight {
 		b.tight = tight
 		b.log("origin tight %v: %.1f at a time, answers take %.0f ms, %d wait", tight, b.limit, b.fetch/10,
--- a/brain/types.go
+++ b/brain/types.go
@@ -49,6 +49,7 @@
 	Cold, Fall             Time
 	ColdFrom, FallMultiple float64
 	RoughWeights           bool
+	Connection, Handshake  float64 // fees: a hundred connections open at each cache; one opened for each exchange
 }
 
 // Listing is one line of the node list.
@@ -106,6 +107,7 @@
 	Error
 	Wake
 	Follow
+	Close // idle connections to a node
 	Log
 )
 
--- a/simwire/boot.go
+++ b/simwire/boot.go
@@ -118,6 +118,8 @@
 		Fall:          c.time(need, "rules", "fall"),
 		ColdFrom:      c.number(need, "rules", "cold-from"),
 		FallMultiple:  c.number(need, "rules", "fall-multiple"),
+		Connection:    c.number(may, "fees", "connection"),
+		Handshake:     c.number(may, "fees", "handshake"),
 		RoughWeights:  c.text(may, "weights") == "rough" || c.text(may, "weights") == "nominal",
 	}
 	shapes := c.list(need, "shapes")
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -413,6 +413,9 @@
 		case brain.Follow:
 			h.begin("follow", who)
 			h.out.WriteString(",true")
+		case brain.Close:
+			h.begin("close", who)
+			h.str(p.names[d.Node])
 		case brain.Log:
 			h.begin("say-log", who)
 			h.str(d.Text)
