--- a/brain/brain.go
+++ b/brain/brain.go
@@ -777,10 +777,16 @@
 	}
 	switch {
 	case n.Origin && a.Ending == Completed && a.Took <= b.originAim:
-		b.limit = min(b.limit+min(b.limit, 1/b.limit), 256)
+		if float64(b.atOrigin+1) > b.limit/2 {
+			b.limit = min(b.limit+min(b.limit, 1/b.limit), 256)
+		}
 	case n.Origin && (a.Ending == NoRoom || a.Took > 2*b.originAim):
 		if b.now-b.cutAt > b.originAim {
-			b.limit = max(b.limit*0.7, b.least)
+			part := 0.7
+			if b.limit <= 1 {
+				part = 0.4
+			}
+			b.limit = max(b.limit*part, b.least)
 			b.cutAt = b.now
 		}
 	case n.Origin || x.missed || a.Ending == Silent && n.down:
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -20,7 +20,7 @@
 //	MS each FROM-TO ROUTE [left=MS] [write] [repeat]    one exchange for each index, keys alike to it
 //	MS end CX ENDING [took=MS] [over]        the last try of CX ended
 //	MS left CX | wake | failed | streaming CX
-//	> send CX NODE | cancel CX | shed CX | error CX | follow | log WORD    exactly these, in order
+//	> send CX NODE | close NODE | cancel CX | shed CX | error CX | follow | log WORD    exactly these, in order
 //	> count ACT [NODE] OP N                  how many came of one line
 //
 // NODE is a name, $X (bound at its first use, no cache twice) or any. Wakes are left out; logs unless asked for.
@@ -179,6 +179,10 @@
 			t.Cold = ms(v)
 		case "allowance":
 			t.Allowance = []float64{num(v), num(v)}
+		case "connection":
+			t.Connection = num(v)
+		case "handshake":
+			t.Handshake = num(v)
 		case "beyond":
 			t.BeyondShare = num(v)
 		default:
@@ -251,6 +255,8 @@
 			p.got = append(p.got, fmt.Sprintf("error %d", d.Cx))
 		case brain.Follow:
 			p.got = append(p.got, "follow")
+		case brain.Close:
+			p.got = append(p.got, "close "+p.names[d.Node])
 		case brain.Log:
 			p.logs = append(p.logs, d.Text)
 		}
@@ -293,9 +299,12 @@
 	}
 	g := strings.Fields(p.got[0])
 	p.got = p.got[1:]
-	ok := len(g) == len(w) && g[0] == w[0] && (len(w) < 2 || g[1] == w[1])
-	if ok && len(w) == 3 {
-		ok = p.match(w[2], g[2])
+	last := len(w) - 1
+	ok := len(g) == len(w) && g[0] == w[0] && (len(w) < 3 || g[1] == w[1])
+	if ok && (len(w) == 3 || w[0] == "close") {
+		ok = p.match(w[last], g[last])
+	} else if ok {
+		ok = g[last] == w[last]
 	}
 	if !ok {
 		p.fail("came %q, not %q", g, w)
