A node's lateness is remembered as long as two meetings with it

Cause: one of 230 proxies meets a cache once in 15 s, and had forgotten that it jams after 2 s; a single late answer counted half.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -80,6 +80,7 @@
 	lastCome Time    // last answer of any cache
 	took     float64 // mean time of the caches' answers, and how far they stray from it
 	strays   float64
+	rate     float64 // the caches' answers a second, lately
 	rateAt   Time
 	wakeAt   Time
 	askAt    Time
@@ -146,7 +147,7 @@
 		}
 		if n.Name == "" || l.Since > n.Since {
 			// a process that started anew owes nothing to the old one's record, and is cold
-			n.down, n.rest, n.answers, n.rate, n.slow, n.faults = false, 0, 0, 0, 0, 0
+			n.down, n.rest, n.answers, n.slow, n.faults = false, 0, 0, 0, 0
 			// some proxies may send one at once, the others save up for it: all of them would be too many
 			n.budget, n.budgetAt = b.draw()*min(1, 3*b.share)+0.5, now
 		}
@@ -291,7 +292,6 @@
 	{idle, func(b *Instance) bool { return len(b.due.at) > 0 && b.due.at[0].due <= b.now }, (*Instance).takeDue},
 	{idle, func(b *Instance) bool { return b.queued > 0 && b.originRoom() }, (*Instance).takeQueued},
 	{idle, func(b *Instance) bool { return b.askAt <= b.now }, (*Instance).askAgain},
-	{idle, func(b *Instance) bool { return b.now-b.rateAt >= second }, (*Instance).countRates},
 	// Nothing is owed, or nothing can be done yet.
 	{held, func(b *Instance) bool { return !b.hand.live || b.hand.streaming }, (*Instance).letGo},
 	{held, (*Instance).timeUp, (*Instance).giveUp},
@@ -718,7 +718,7 @@
 // crowded holds for a node whose latest answers took most of the time that the exchange in hand has left; the
 // next clockwise serves it if that one is twice as quick.
 func (b *Instance) crowded(n *node) bool {
-	return n.slow > 0.5*float64(b.hand.good-b.now) && b.now-n.slowAt < 3*b.hush
+	return n.slow > 0.5*float64(b.hand.good-b.now) && b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
 }
 
 // coldFull holds for a fresh node with as much in flight as its answers so far allow, or whose part of the
@@ -734,22 +734,30 @@
 	}
 	part := b.coldFrom + (1-b.coldFrom)*float64(max(age, 0))/float64(b.cold)
 	// a node that serves one at a time does one in the time that answers take: no node can do less
-	rate := max(0.5*b.pushed*part*b.warmRate(), b.share*part*float64(second)/max(b.took, 1))
+	rate := max(0.5*b.pushed*part*b.count(0)/float64(max(b.caches, 1)), b.share*part*float64(second)/max(b.took, 1))
 	n.budget += rate * float64(b.now-n.budgetAt) / float64(second)
 	n.budget = min(n.budget, 1+rate*float64(b.pushedFor)/float64(second)/4)
 	n.budgetAt = b.now
 	return n.budget < 1
 }
 
-// warmRate is the mean of this proxy's answers a second over the caches on the ring.
-func (b *Instance) warmRate() float64 {
-	sum := 0.0
-	for i := range b.nodes {
-		if n := &b.nodes[i]; n.Ready && !n.Origin {
-			sum += n.rate
-		}
-	}
-	return sum / float64(max(b.caches, 1))
+// count lets the rate of the caches' answers fade, and adds to it; half is gone in seven seconds.
+func (b *Instance) count(more float64) float64 {
+	b.rate = b.rate*math.Exp2(float64(b.rateAt-b.now)/float64(7*second)) + more/10
+	b.rateAt = b.now
+	return b.rate
+}
+
+// slows notes what a node's answer took: the longer since the last, the more it tells.
+func (b *Instance) slows(n *node, took, part float64) {
+	part = min(max(part, float64(b.now-n.slowAt)/float64(3*b.hush)), 1)
+	n.slow += (took - n.slow) * part
+	n.slowAt = b.now
+}
+
+// meetings is the mean time between two of this proxy's answers from one cache.
+func (b *Instance) meetings() Time {
+	return Time(float64(second) * float64(b.caches) / max(b.count(0), 1))
 }
 
 // sick holds for a node that is passed over: it failed to connect or went silent, and its next try is not
@@ -792,15 +800,13 @@
 	case n.Origin || x.missed || a.Ending == Silent && n.down:
 		// the origin's, or a silent node's: no sign that the caches have too much to do
 	case late || a.Ending == Fault && b.faults > 0.1 || a.Ending == NoRoom && x.legs >= 3:
-		n.slow += (float64(max(a.Took, b.hush/2)) - n.slow) / 2
-		n.slowAt = b.now
+		b.slows(n, float64(max(a.Took, b.hush/2)), 0.5)
 		b.room = max(min(b.room, 4*float64(b.flying)+8)*0.98, 2, float64(b.caches)*b.share)
 	case a.Ending == Completed:
 		if float64(b.flying) > b.room/2 {
 			b.room += max(b.room*0.002, 0.02)
 		}
-		n.slow += (float64(a.Took) - n.slow) / 4
-		n.slowAt = b.now
+		b.slows(n, float64(a.Took), 0.25)
 		off := float64(a.Took) - b.took
 		b.took += off / 32
 		b.strays += (math.Abs(off) - b.strays) / 32
@@ -819,7 +825,7 @@
 		b.lastCome = b.now
 		if a.Ending != NoRoom {
 			n.answers++
-			n.rate += 0.1 // a fifth of a second's worth, decayed once a second
+			b.count(1)
 		}
 		if n.down && a.Ending != Fault {
 			n.down, n.rest = false, 0
@@ -846,16 +852,6 @@
 	}
 }
 
-// countRates lets the rates of answers fade; once a second.
-func (b *Instance) countRates() {
-	for b.now-b.rateAt >= second {
-		b.rateAt += second
-		for i := range b.nodes {
-			b.nodes[i].rate *= 0.9
-		}
-	}
-}
-
 func (b *Instance) askAgain() {
 	b.askAt = math.MaxInt64
 	b.say(Decision{Act: Follow})
--- a/brain/state.go
+++ b/brain/state.go
@@ -23,7 +23,6 @@
 	slow     float64 // what its latest answers took
 	slowAt   Time
 	faults   float64 // share of its answers that are failures, lately
-	rate     float64 // own answers a second, lately
 	points   []point
 	seen     int // stamp of the last walk that met it
 }
