--- a/brain/brain.go
+++ b/brain/brain.go
@@ -147,7 +147,7 @@
 		}
 		if n.Name == "" || l.Since > n.Since {
 			// a process that started anew owes nothing to the old one's record, and is cold
-			n.down, n.rest, n.answers, n.slow, n.faults = false, 0, 0, 0, 0
+			n.down, n.rest, n.answers, n.slow, n.faults, n.refused = false, 0, 0, 0, 0, 0
 			// some proxies may send one at once, the others save up for it: all of them would be too many
 			n.budget, n.budgetAt = b.draw()*min(1, 3*b.share)+0.5, now
 		}
@@ -690,7 +690,7 @@
 		}
 		n.seen = b.walk
 		left--
-		over := owner && n.out >= 2 && float64(n.out) > bound
+		over := owner && n.out >= 2 && float64(n.out) > bound || b.refuses(n)
 		owner = false
 		switch {
 		case slices.Contains(b.hand.tried, at) || !b.inGroup(at) || b.coldFull(n):
@@ -721,6 +721,16 @@
 	return n.slow > 0.5*float64(b.hand.good-b.now) && b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
 }
 
+// refuses holds by chance for a node that turned this proxy's latest tries away as full, as often as it did: a
+// hot key spreads clockwise over as many nodes as it takes, without a try in vain at each.
+func (b *Instance) refuses(n *node) bool {
+	if n.refused < 0.05 {
+		return false
+	}
+	age := float64(b.now-n.triedAt) / float64(max(second, b.meetings()))
+	return b.draw() < n.refused*math.Exp2(-age)
+}
+
 // coldFull holds for a fresh node with as much in flight as its answers so far allow, or whose part of the
 // budget is used up. The budget is what the rule lets all proxies send, cut to this proxy's part, with the
 // capacity taken to be no more than what a warm node bears for this proxy.
@@ -778,6 +788,12 @@
 
 // judge learns of a node's health from the end of a try.
 func (b *Instance) judge(x *exchange, n *node, a Answer) {
+	refused := 0.0
+	if a.Ending == NoRoom {
+		refused = 1
+	}
+	n.refused += (refused - n.refused) / 4
+	n.triedAt = b.now
 	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
 	late := a.Ending == Silent || a.Ending == Completed && a.Took > b.routes[x.Route].patience*3/4
 	if n.Origin && (a.Ending == Completed || a.Ending == Silent && float64(a.Took) > b.fetch) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -22,6 +22,8 @@
 	budgetAt Time
 	slow     float64 // what its latest answers took
 	slowAt   Time
+	refused  float64 // share of own tries that it turned away as full, lately
+	triedAt  Time    // end of the last
 	faults   float64 // share of its answers that are failures, lately
 	points   []point
 	seen     int // stamp of the last walk that met it
