--- a/brain/brain.go
+++ b/brain/brain.go
@@ -77,6 +77,7 @@
 	spare    float64 // repeats after failures that may be sent
 	full     bool    // whether work is turned away, for the log
 	faults   float64 // share of the caches' answers that are failures, lately
+	refused  float64 // share of own tries that caches turned away as full, lately
 	lastCome Time    // last answer of any cache
 	took     float64 // mean time of the caches' answers, and how far they stray from it
 	strays   float64
@@ -721,14 +722,14 @@
 	return n.slow > 0.5*float64(b.hand.good-b.now) && b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
 }
 
-// refuses holds by chance for a node that turned this proxy's latest tries away as full, as often as it did: a
-// hot key spreads clockwise over as many nodes as it takes, without a try in vain at each.
+// refuses holds by chance for a node that turned this proxy's latest tries away as full, more often than the
+// others did: a hot key spreads clockwise over as many nodes as it takes, without a try in vain at each.
 func (b *Instance) refuses(n *node) bool {
-	if n.refused < 0.05 {
+	if n.refused <= b.refused {
 		return false
 	}
 	age := float64(b.now-n.triedAt) / float64(max(second, b.meetings()))
-	return b.draw() < n.refused*math.Exp2(-age)
+	return b.draw() < n.refused*math.Exp2(-age)-b.refused/2
 }
 
 // coldFull holds for a fresh node with as much in flight as its answers so far allow, or whose part of the
@@ -792,7 +793,8 @@
 	if a.Ending == NoRoom {
 		refused = 1
 	}
-	n.refused += (refused - n.refused) / 4
+	b.refused += (refused - b.refused) / 64
+	n.refused += (refused - n.refused) * min(max(1.0/8, float64(b.now-n.triedAt)/float64(second)), 1)
 	n.triedAt = b.now
 	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
 	late := a.Ending == Silent || a.Ending == Completed && a.Took > b.routes[x.Route].patience*3/4
