A cold node's budget kept by lot, not one send saved by each of many proxies

Cause: each of 110 proxies could save up one send for each cold node, and a drained hot owner turned them all to its successor at once: 4.6 times what it could do.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -149,8 +149,7 @@
 		if n.Name == "" || l.Since > n.Since {
 			// a process that started anew owes nothing to the old one's record, and is cold
 			n.down, n.rest, n.answers, n.slow, n.faults, n.refused = false, 0, 0, 0, 0, 0
-			// some proxies may send one at once, the others save up for it: all of them would be too many
-			n.budget, n.budgetAt = b.draw()*min(1, 3*b.share)+0.5, now
+			n.budget, n.budgetAt = 0, now
 		}
 		l.Since = max(l.Since, n.Since)
 		if n.Name != l.Name || n.Weight != l.Weight {
@@ -655,7 +654,6 @@
 		b.atOrigin++
 	} else {
 		b.flying++
-		n.budget--
 	}
 	if x.ran {
 		b.spare--
@@ -747,9 +745,14 @@
 	// a node that serves one at a time does one in the time that answers take: no node can do less
 	rate := max(0.5*b.pushed*part*b.count(0)/float64(max(b.caches, 1)), b.share*part*float64(second)/max(b.took, 1))
 	n.budget += rate * float64(b.now-n.budgetAt) / float64(second)
-	n.budget = min(n.budget, 1+rate*float64(b.pushedFor)/float64(second)/4)
+	// what a window of the rule has room for, saved up by all proxies, may come at one time; one from each of
+	// many would be too much, so that a part of a send is one by chance
+	window := rate * float64(b.pushedFor) / float64(second)
+	n.budget = min(n.budget, 1.5*window, 1+window/4)
 	n.budgetAt = b.now
-	return n.budget < 1
+	lot := min(n.budget, 1)
+	n.budget -= lot
+	return b.draw() >= lot
 }
 
 // count lets the rate of the caches' answers fade, and adds to it; half is gone in seven seconds.
