--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,7 +14,6 @@
 	"fmt"
 	"math"
 	"slices"
-	"strconv"
 )
 
 const (
@@ -133,9 +132,14 @@
 func (b *Instance) Nodes(now Time, whole, first bool, lines []Listing) []Decision {
 	b.begin(now)
 	if whole {
+		b.walk++
+		for _, l := range lines {
+			if l.Node < len(b.nodes) {
+				b.nodes[l.Node].seen = b.walk
+			}
+		}
 		for i := range b.nodes {
-			kept := slices.ContainsFunc(lines, func(l Listing) bool { return l.Node == i })
-			b.nodes[i].Ready = b.nodes[i].Ready && kept
+			b.nodes[i].Ready = b.nodes[i].Ready && b.nodes[i].seen == b.walk
 		}
 	}
 	for _, l := range lines {
@@ -152,9 +156,6 @@
 			n.budget, n.budgetAt = 0, now
 		}
 		l.Since = max(l.Since, n.Since)
-		if n.Name != l.Name || n.Weight != l.Weight {
-			n.points = n.points[:0]
-		}
 		n.Listing = l
 	}
 	b.rebuild()
@@ -878,11 +879,12 @@
 	b.say(Decision{Act: Follow})
 }
 
-// rebuild lays out the ring: each ready cache by its points. Points depend on nothing but name and weight, so
-// that a join or leave moves only that server's arcs.
+// rebuild brings the ring up to date: each ready cache by its points. Points depend on nothing but name and weight,
+// so that a join or leave moves only that server's arcs; what stays is not sorted anew, which hundreds of nodes
+// that come one by one made dear.
 func (b *Instance) rebuild() {
-	before := b.caches
-	b.ring, b.origins, b.caches = b.ring[:0], b.origins[:0], 0
+	before, leaves := b.caches, false
+	b.origins, b.caches = b.origins[:0], 0
 	sum, many := 0.0, 0.0
 	for i := range b.nodes {
 		if n := &b.nodes[i]; n.Ready && !n.Origin {
@@ -893,26 +895,30 @@
 		// the power of two next to the mean: the same at every proxy, whatever its list
 		b.weightOf = math.Exp2(math.Round(math.Log2(sum / many)))
 	}
+	var fresh []point
 	for i := range b.nodes {
 		n := &b.nodes[i]
-		if !n.Ready {
-			continue
-		}
-		if n.Origin {
+		spots := 0
+		switch {
+		case !n.Ready:
+		case n.Origin:
 			b.origins = append(b.origins, i)
-			continue
+		case b.rough && n.Weight > 0:
+			spots = max(int(math.Round(ringSpots*n.Weight/b.weightOf)), 1)
+		default:
+			spots = ringSpots
 		}
-		b.caches++
-		if len(n.points) == 0 {
-			spots := ringSpots
-			if b.rough && n.Weight > 0 {
-				spots = max(int(math.Round(ringSpots*n.Weight/b.weightOf)), 1)
-			}
+		if spots > 0 {
+			b.caches++
+		}
+		if n.moved = spots != n.spots; n.moved {
+			leaves = leaves || n.spots > 0
+			n.spots = spots
+			fresh = slices.Grow(fresh, spots)
 			for v := range spots {
-				n.points = append(n.points, point{hash(n.Name + "#" + strconv.Itoa(v)), int32(i)})
+				fresh = append(fresh, point{spot(n.Name, v), int32(i)})
 			}
 		}
-		b.ring = append(b.ring, n.points...)
 	}
 	switch {
 	case b.caches == 0:
@@ -921,7 +927,9 @@
 	default:
 		b.room *= float64(b.caches) / float64(before) // more caches, more room
 	}
-	slices.SortFunc(b.ring, func(p, q point) int {
-		return cmp.Or(cmp.Compare(p.at, q.at), cmp.Compare(p.node, q.node))
-	})
+	if leaves {
+		b.ring = slices.DeleteFunc(b.ring, func(p point) bool { return b.nodes[p.node].moved })
+	}
+	slices.SortFunc(fresh, point.compare)
+	b.merge(fresh)
 }
--- a/brain/hash.go
+++ b/brain/hash.go
@@ -1,10 +1,17 @@
 package brain
 
-// hash is FNV-1a, mixed well: alone it spreads similar names badly.
-func hash(s string) uint64 {
+import "strconv"
+
+// spot is the place on the ring of a name's point: FNV-1a of name "#" index, mixed well, since alone it spreads
+// similar names badly.
+func spot(name string, index int) uint64 {
+	var digits [20]byte
 	h := uint64(14695981039346656037)
-	for i := range len(s) {
-		h = (h ^ uint64(s[i])) * 1099511628211
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * 1099511628211
+	}
+	for _, c := range strconv.AppendInt(append(digits[:0], '#'), int64(index), 10) {
+		h = (h ^ uint64(c)) * 1099511628211
 	}
 	return mix(h)
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -25,13 +25,9 @@
 	refused  float64 // share of own tries that it turned away as full, lately
 	triedAt  Time    // end of the last
 	faults   float64 // share of its answers that are failures, lately
-	points   []point
-	seen     int // stamp of the last walk that met it
-}
-
-type point struct {
-	at   uint64
-	node int32
+	spots    int     // points on the ring
+	moved    bool    // by the latest list, on to the ring or off it
+	seen     int     // stamp of the last walk that met it
 }
 
 // exchange is one client request while an answer is owed or tries are out. Slots are reused.
