--- a/brain/brain.go
+++ b/brain/brain.go
@@ -77,6 +77,7 @@
 	full     bool    // whether work is turned away, for the log
 	faults   float64 // share of the caches' answers that are failures, lately
 	refused  float64 // share of own tries that caches turned away as full, lately
+	endAt    Time    // end of the last of them
 	lastCome Time    // last answer of any cache
 	took     float64 // mean time of the caches' answers, and how far they stray from it
 	strays   float64
@@ -95,7 +96,7 @@
 		pushed: t.FallMultiple, pushedFor: max(t.Fall, 1), beyondPart: t.BeyondShare, ask: t.Ask,
 		askEvery: max(t.AskEvery, second), rough: t.RoughWeights, chance: seed, now: now,
 		fetches: map[uint64]int{}, waiters: map[uint64]int{}, wakeAt: math.MaxInt64, askAt: math.MaxInt64,
-		rateAt: now, room: 8, spare: 5,
+		rateAt: now, endAt: now, room: 8, spare: 5,
 	}
 	// one connection open from each proxy to each cache, against a new one for each exchange: with many
 	// proxies the first costs more, and fills what connections a cache accepts
@@ -259,6 +260,7 @@
 	if a.Ending == Lacking {
 		x.missed = true
 	}
+	x.bounced = a.Ending == NoRoom && !n.Origin
 	if x.leads && n.Origin {
 		b.landed(x)
 	}
@@ -304,6 +306,7 @@
 	// Overload: turned away by chance, the cheaper ones more often.
 	{held, func(b *Instance) bool { return b.hand.fresh }, (*Instance).drawLots},
 	{held, func(b *Instance) bool { return b.hand.turned }, (*Instance).giveUp},
+	{held, (*Instance).inVain, (*Instance).giveUp},
 	// One fetch for a key: others wait for it a while, then ask the cache.
 	{held, (*Instance).mayJoin, (*Instance).join},
 	// Misses and writes go to the origin, within its limit.
@@ -501,11 +504,24 @@
 		b.full = full > 1
 		b.log("overload %v: %d in flight, room for %.0f", b.full, b.flying, b.room)
 	}
-	if x.turned = full > 0.9 && b.draw() < 4*(full-0.9)*(1.7-w); !x.turned {
+	// nodes that turn away at once leave nothing in flight to tell by
+	much := max(4*(full-0.9), min(2*b.refused-1, 0.9))
+	if x.turned = much > 0 && b.draw() < much*(1.7-w); !x.turned {
 		b.spare = min(b.spare+0.1, 10)
 	}
 }
 
+// inVain turns away by chance what a cache had no room for, once over half of the tries end like that: going on
+// from one full node to the next costs a busy fleet more than what it still serves.
+func (b *Instance) inVain() bool {
+	x := b.hand
+	if !x.bounced {
+		return false
+	}
+	x.bounced = false
+	return b.draw() < 2*b.refused-1
+}
+
 // spend counts an arrival against its tenant's share and tells whether it lies beyond.
 func (b *Instance) spend(tenant int) bool {
 	if tenant < 0 || tenant >= len(b.spent) {
@@ -724,11 +740,11 @@
 // refuses holds by chance for a node that turned this proxy's latest tries away as full, more often than the
 // others did: a hot key spreads clockwise over as many nodes as it takes, without a try in vain at each.
 func (b *Instance) refuses(n *node) bool {
-	if n.refused <= b.refused {
+	if n.refused <= b.refused/4 {
 		return false
 	}
 	age := float64(b.now-n.triedAt) / float64(max(second, b.meetings()))
-	return b.draw() < n.refused*math.Exp2(-age)-b.refused/2
+	return b.draw() < n.refused*math.Exp2(-age)-b.refused/4
 }
 
 // coldFull holds for a fresh node with as much in flight as its answers so far allow, or whose part of the
@@ -763,10 +779,14 @@
 	return b.rate
 }
 
-// slows notes what a node's answer took: the longer since the last, the more it tells.
-func (b *Instance) slows(n *node, took, part float64) {
-	part = min(max(part, float64(b.now-n.slowAt)/float64(3*b.hush)), 1)
-	n.slow += (took - n.slow) * part
+// weight is what a sight counts in a mean: the longer since the last one, the more.
+func weight(least float64, gap, span Time) float64 {
+	return min(max(least, float64(gap)/float64(span)), 1)
+}
+
+// slows notes what a node's answer took.
+func (b *Instance) slows(n *node, took, least float64) {
+	n.slow += (took - n.slow) * weight(least, b.now-n.slowAt, 3*b.hush)
 	n.slowAt = b.now
 }
 
@@ -797,8 +817,11 @@
 	if a.Ending == NoRoom {
 		refused = 1
 	}
-	b.refused += (refused - b.refused) / 64
-	n.refused += (refused - n.refused) * min(max(1.0/8, float64(b.now-n.triedAt)/float64(second)), 1)
+	if !n.Origin {
+		b.refused += (refused - b.refused) * min(weight(1.0/64, b.now-b.endAt, 4*second), 0.25)
+		b.endAt = b.now
+	}
+	n.refused += (refused - n.refused) * weight(1.0/8, b.now-n.triedAt, second)
 	n.triedAt = b.now
 	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
 	late := a.Ending == Silent || a.Ending == Completed && a.Took > b.routes[x.Route].patience*3/4
