--- a/brain/brain.go
+++ b/brain/brain.go
@@ -802,7 +802,8 @@
 }
 
 func (b *Instance) fell(n *node) {
-	n.rest = min(max(2*n.rest, b.hush), 4*b.hush)
+	// as long as it may be until this proxy would ask it anyway, or each try is a trial
+	n.rest = min(max(2*n.rest, b.hush, b.meetings()), 4*max(b.hush, b.meetings()))
 	n.retryAt = b.now + n.rest
 	if !n.down {
 		n.down = true
