A rare sight tells all only after ten seconds, a full answer after three

Cause: at few proxies the pauses between sights of a node made single late or full answers count whole.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -786,7 +786,7 @@
 
 // slows notes what a node's answer took.
 func (b *Instance) slows(n *node, took, least float64) {
-	n.slow += (took - n.slow) * weight(least, b.now-n.slowAt, 3*b.hush)
+	n.slow += (took - n.slow) * weight(least, b.now-n.slowAt, 10*second)
 	n.slowAt = b.now
 }
 
@@ -822,7 +822,7 @@
 		b.refused += (refused - b.refused) * min(weight(1.0/64, b.now-b.endAt, 4*second), 0.25)
 		b.endAt = b.now
 	}
-	n.refused += (refused - n.refused) * weight(1.0/8, b.now-n.triedAt, second)
+	n.refused += (refused - n.refused) * weight(1.0/8, b.now-n.triedAt, 3*second)
 	n.triedAt = b.now
 	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
 	late := a.Ending == Silent || a.Ending == Completed && a.Took > b.routes[x.Route].patience*3/4
