--- a/brain/brain.go
+++ b/brain/brain.go
@@ -734,7 +734,8 @@
 // crowded holds for a node whose latest answers took most of the time that the exchange in hand has left; the
 // next clockwise serves it if that one is twice as quick.
 func (b *Instance) crowded(n *node) bool {
-	return n.slow > 0.5*float64(b.hand.good-b.now) && b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
+	most := 0.5 - 0.15*weight(0, b.meetings(), 10*second) // sooner, where it is seldom met
+	return n.slow > most*float64(b.hand.good-b.now) && b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
 }
 
 // refuses holds by chance for a node that turned this proxy's latest tries away as full, more often than the
