--- a/brain/brain.go
+++ b/brain/brain.go
@@ -81,8 +81,9 @@
 	lastCome Time    // last answer of any cache
 	took     float64 // mean time of the caches' answers, and how far they stray from it
 	strays   float64
-	rate     float64 // the caches' answers a second, lately
+	answered float64 // the caches' answers, those of long ago faded
 	rateAt   Time
+	began    Time
 	wakeAt   Time
 	askAt    Time
 	out      []Decision
@@ -96,7 +97,7 @@
 		pushed: t.FallMultiple, pushedFor: max(t.Fall, 1), beyondPart: t.BeyondShare, ask: t.Ask,
 		askEvery: max(t.AskEvery, second), rough: t.RoughWeights, chance: seed, now: now,
 		fetches: map[uint64]int{}, waiters: map[uint64]int{}, wakeAt: math.MaxInt64, askAt: math.MaxInt64,
-		rateAt: now, endAt: now, room: 8, spare: 5,
+		rateAt: now, began: now, endAt: now, room: 8, spare: 5,
 	}
 	// one connection open from each proxy to each cache, against a new one for each exchange: with many
 	// proxies the first costs more, and fills what connections a cache accepts
@@ -773,13 +774,16 @@
 	return b.draw() >= lot
 }
 
-// count lets the rate of the caches' answers fade, and adds to it; half is gone in seven seconds.
+// count adds to the rate of the caches' answers, which fades: half is gone in seven seconds. What there was no time
+// yet to count is made up for.
 func (b *Instance) count(more float64) float64 {
-	b.rate = b.rate*math.Exp2(float64(b.rateAt-b.now)/float64(7*second)) + more/10
+	b.answered = b.answered*fade(b.now-b.rateAt) + more
 	b.rateAt = b.now
-	return b.rate
+	return b.answered * 0.1 / max(1-fade(b.now-b.began), 0.01)
 }
 
+func fade(gone Time) float64 { return math.Exp2(-float64(gone) / float64(7*second)) }
+
 // weight is what a sight counts in a mean: the longer since the last one, the more.
 func weight(least float64, gap, span Time) float64 {
 	return min(max(least, float64(gap)/float64(span)), 1)
