--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,8 +5,8 @@
 // out; it may reuse an exchange's index once that has its final answer and all its upstream tries have
 // ended. No I/O in here.
 //
-// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Left, Woken. It is not frozen: probes, load
-// reports and cost hints have no call yet, since no decision uses them.
+// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Left, Woken. It is not frozen: probes,
+// load reports and cost hints have no call yet, since no decision uses them.
 package brain
 
 import (
@@ -22,73 +22,6 @@
 	overMean  = 2.0 // the pass-over bound, in own means (the design's figure)
 )
 
-// Instance decides for one proxy.
-type Instance struct {
-	routes     []route
-	share      float64 // 1/proxies
-	aside      bool
-	mayCancel  bool
-	maxTries   int
-	comeBack   Time // longest advice to clients, 0: none
-	tick       Time
-	hush       Time // silence that tells a node is sick
-	originAim  Time // the origin's answers should take no longer
-	cold       Time
-	coldFrom   float64
-	pushed     float64 // multiple of its capacity that fells a cold node
-	pushedFor  Time
-	beyondPart float64
-	allowance  []float64 // by tenant, a second, this proxy's share
-	spent      []float64 // by tenant, decays with time
-	spentAt    []Time
-	ask        bool
-	askEvery   Time
-	rough      bool
-	closes     bool // idle connections to caches cost more than they save
-	chance     uint64
-
-	now      Time
-	xs       []exchange
-	nodes    []node
-	ring     []point
-	caches   int // on the ring
-	origins  []int
-	flying   int // own tries in flight to caches on the ring
-	weightOf float64
-	walk     int
-	due      dues
-	todo     []int // exchanges to look at, emptied by each call
-	hand     *exchange
-	at       int // index of hand
-	pick     int // node chosen for it, -1: none
-	queue    [2][]int
-	queued   int
-	fetches  map[uint64]int // by key: the exchange whose fetch is out; emptied as fetches end
-	waiters  map[uint64]int // by key: the first that waits for it; emptied with the fetch
-	limit    float64        // own tries in flight at the origin; under one, they come with pauses
-	least    float64        // the limit's floor
-	originAt Time           // no try there before
-	atOrigin int
-	tight    bool    // the origin's limit is all but down, for the log
-	fetch    float64 // mean time of its answers
-	cutAt    Time
-	room     float64 // own tries in flight that the caches answer in time
-	spare    float64 // repeats after failures that may be sent
-	full     bool    // whether work is turned away, for the log
-	faults   float64 // share of the caches' answers that are failures, lately
-	refused  float64 // share of own tries that caches turned away as full, lately
-	endAt    Time    // end of the last of them
-	lastCome Time    // last answer of any cache
-	took     float64 // mean time of the caches' answers, and how far they stray from it
-	strays   float64
-	answered float64 // the caches' answers, those of long ago faded
-	rateAt   Time
-	began    Time
-	wakeAt   Time
-	askAt    Time
-	out      []Decision
-}
-
 // New returns an instance that knows no nodes yet.
 func New(now Time, t Terms, seed uint64) *Instance {
 	b := &Instance{
@@ -167,7 +100,8 @@
 	return b.settle()
 }
 
-// ListFailed reports that asking for the list failed; it is asked for again, well within the term for asking.
+// ListFailed reports that asking for the list failed; it is asked for again, well within the term for
+// asking.
 func (b *Instance) ListFailed(now Time) []Decision {
 	b.begin(now)
 	if b.ask {
@@ -277,8 +211,8 @@
 	return b.settle()
 }
 
-// rule is one line of the logic: the first whose condition holds is carried out, until none does. Those that
-// are held see to the exchange in hand, the others choose what to look at.
+// rule is one line of the logic: the first whose condition holds is carried out, until none does. Those
+// that are held see to the exchange in hand, the others choose what to look at.
 type rule struct {
 	held bool
 	when func(b *Instance) bool
@@ -505,15 +439,13 @@
 		b.full = full > 1
 		b.log("overload %v: %d in flight, room for %.0f", b.full, b.flying, b.room)
 	}
-	// nodes that turn away at once leave nothing in flight to tell by
-	much := max(4*(full-0.9), min(2*b.refused-1, 0.9))
-	if x.turned = much > 0 && b.draw() < much*(1.7-w); !x.turned {
+	if x.turned = full > 0.9 && b.draw() < 4*(full-0.9)*(1.7-w); !x.turned {
 		b.spare = min(b.spare+0.1, 10)
 	}
 }
 
-// inVain turns away by chance what a cache had no room for, once over half of the tries end like that: going on
-// from one full node to the next costs a busy fleet more than what it still serves.
+// inVain turns away by chance what a cache had no room for, once over half of the tries end like that:
+// going on from one full node to the next costs a busy fleet more than what it still serves.
 func (b *Instance) inVain() bool {
 	x := b.hand
 	if !x.bounced {
@@ -732,21 +664,22 @@
 	}
 }
 
-// crowded holds for a node whose latest answers took most of the time that the exchange in hand has left; the
-// next clockwise serves it if that one is twice as quick.
+// crowded holds for a node whose latest answers took most of the time that the exchange in hand has left;
+// the next clockwise serves it if that one is twice as quick.
 func (b *Instance) crowded(n *node) bool {
 	most := 0.5 - 0.15*weight(0, b.meetings(), 10*second) // sooner, where it is seldom met
 	return n.slow > most*float64(b.hand.good-b.now) && b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
 }
 
-// refuses holds by chance for a node that turned this proxy's latest tries away as full, more often than the
-// others did: a hot key spreads clockwise over as many nodes as it takes, without a try in vain at each.
+// refuses holds by chance for a node that turned over a third of this proxy's latest tries away as full,
+// always for one that turned away nearly all: a hot key spreads clockwise over as many nodes as it takes,
+// without a try in vain at each. It fades, so that the node is asked again.
 func (b *Instance) refuses(n *node) bool {
-	if n.refused <= b.refused/4 {
+	if n.refused < 0.35 {
 		return false
 	}
 	age := float64(b.now-n.triedAt) / float64(max(second, b.meetings()))
-	return b.draw() < n.refused*math.Exp2(-age)-b.refused/4
+	return b.draw() < 2*n.refused*math.Exp2(-age)-0.7
 }
 
 // coldFull holds for a fresh node with as much in flight as its answers so far allow, or whose part of the
@@ -762,7 +695,8 @@
 	}
 	part := b.coldFrom + (1-b.coldFrom)*float64(max(age, 0))/float64(b.cold)
 	// a node that serves one at a time does one in the time that answers take: no node can do less
-	rate := max(0.5*b.pushed*part*b.count(0)/float64(max(b.caches, 1)), b.share*part*float64(second)/max(b.took, 1))
+	warm := b.count(0) / float64(max(b.caches, 1))
+	rate := max(0.5*b.pushed*part*warm, b.share*part*float64(second)/max(b.took, 1))
 	n.budget += rate * float64(b.now-n.budgetAt) / float64(second)
 	// what a window of the rule has room for, saved up by all proxies, may come at one time; one from each of
 	// many would be too much, so that a part of a send is one by chance
@@ -774,8 +708,8 @@
 	return b.draw() >= lot
 }
 
-// count adds to the rate of the caches' answers, which fades: half is gone in seven seconds. What there was no time
-// yet to count is made up for.
+// count adds to the rate of the caches' answers, which fades: half is gone in seven seconds. What there
+// was no time yet to count is made up for.
 func (b *Instance) count(more float64) float64 {
 	b.answered = b.answered*fade(b.now-b.rateAt) + more
 	b.rateAt = b.now
@@ -908,9 +842,9 @@
 	b.say(Decision{Act: Follow})
 }
 
-// rebuild brings the ring up to date: each ready cache by its points. Points depend on nothing but name and weight,
-// so that a join or leave moves only that server's arcs; what stays is not sorted anew, which hundreds of nodes
-// that come one by one made dear.
+// rebuild brings the ring up to date: each ready cache by its points. Points depend on nothing but name
+// and weight, so that a join or leave moves only that server's arcs; what stays is not sorted anew, which
+// hundreds of nodes that come one by one made dear.
 func (b *Instance) rebuild() {
 	before, leaves := b.caches, false
 	b.origins, b.caches = b.origins[:0], 0
--- a/brain/state.go
+++ b/brain/state.go
@@ -1,5 +1,72 @@
 package brain
 
+// Instance decides for one proxy.
+type Instance struct {
+	routes     []route
+	share      float64 // 1/proxies
+	aside      bool
+	mayCancel  bool
+	maxTries   int
+	comeBack   Time // longest advice to clients, 0: none
+	tick       Time
+	hush       Time // silence that tells a node is sick
+	originAim  Time // the origin's answers should take no longer
+	cold       Time
+	coldFrom   float64
+	pushed     float64 // multiple of its capacity that fells a cold node
+	pushedFor  Time
+	beyondPart float64
+	allowance  []float64 // by tenant, a second, this proxy's share
+	spent      []float64 // by tenant, decays with time
+	spentAt    []Time
+	ask        bool
+	askEvery   Time
+	rough      bool
+	closes     bool // idle connections to caches cost more than they save
+	chance     uint64
+
+	now      Time
+	xs       []exchange
+	nodes    []node
+	ring     []point
+	caches   int // on the ring
+	origins  []int
+	flying   int // own tries in flight to caches on the ring
+	weightOf float64
+	walk     int
+	due      dues
+	todo     []int // exchanges to look at, emptied by each call
+	hand     *exchange
+	at       int // index of hand
+	pick     int // node chosen for it, -1: none
+	queue    [2][]int
+	queued   int
+	fetches  map[uint64]int // by key: the exchange whose fetch is out; emptied as fetches end
+	waiters  map[uint64]int // by key: the first that waits for it; emptied with the fetch
+	limit    float64        // own tries in flight at the origin; under one, they come with pauses
+	least    float64        // the limit's floor
+	originAt Time           // no try there before
+	atOrigin int
+	tight    bool    // the origin's limit is all but down, for the log
+	fetch    float64 // mean time of its answers
+	cutAt    Time
+	room     float64 // own tries in flight that the caches answer in time
+	spare    float64 // repeats after failures that may be sent
+	full     bool    // whether work is turned away, for the log
+	faults   float64 // share of the caches' answers that are failures, lately
+	refused  float64 // share of own tries that caches turned away as full, lately
+	endAt    Time    // end of the last of them
+	lastCome Time    // last answer of any cache
+	took     float64 // mean time of the caches' answers, and how far they stray from it
+	strays   float64
+	answered float64 // the caches' answers, those of long ago faded
+	rateAt   Time
+	began    Time
+	wakeAt   Time
+	askAt    Time
+	out      []Decision
+}
+
 // route holds the figures that decisions use of one class.
 type route struct {
 	Route
