--- a/brain/brain.go
+++ b/brain/brain.go
@@ -53,7 +53,7 @@
 	}
 	shortest = max(shortest, b.tick)
 	b.hush, b.originAim = shortest, shortest/2
-	b.limit, b.least = min(4, max(16*b.share, 1)), min(1, 4*b.share)
+	b.limit, b.least = min(4, max(16*b.share, 1)), min(1, 8*b.share)
 	b.took, b.fetch = float64(shortest), float64(shortest)/4
 	for _, a := range t.Allowance {
 		b.allowance = append(b.allowance, a*b.share)
@@ -765,7 +765,7 @@
 	n.triedAt = b.now
 	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
 	late := a.Ending == Silent || a.Ending == Completed && a.Took > b.routes[x.Route].patience*3/4
-	if n.Origin && (a.Ending == Completed || a.Ending == Silent && float64(a.Took) > b.fetch) {
+	if n.Origin && a.Ending == Completed {
 		b.fetch += (float64(a.Took) - b.fetch) / 16
 	}
 	switch {
