--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -18,6 +18,7 @@
 //	MS list [whole] NAME[:draining|:gone|:since=MS|:weight=W|:zone=N] ...   origins are named o1, o2 ...
 //	MS arrive CX ROUTE [key=N] [left=MS] [write] [repeat] [tenant=N]
 //	MS each FROM-TO ROUTE [left=MS] [write] [repeat]    one exchange for each index, keys alike to it
+//	MS rounds N FROM-TO ROUTE every=MS took=MS    all of them arrive, are sent and completed, N times
 //	MS end CX ENDING [took=MS] [over]        the last try of CX ended
 //	MS left CX | wake | failed | streaming CX
 //	> send CX NODE | close NODE | cancel CX | shed CX | error CX | follow | log WORD    exactly these, in order
@@ -123,10 +124,24 @@
 	case "arrive":
 		p.arrive(now, int(num(w[2])), w[3], m)
 	case "each":
-		from, to, _ := strings.Cut(w[2], "-")
-		for cx := int(num(from)); cx <= int(num(to)); cx++ {
+		for cx, to := span(w[2]); cx <= to; cx++ {
 			p.arrive(now, cx, w[3], m)
 		}
+	case "rounds":
+		took := ms(m["took"])
+		from, to := span(w[3])
+		for range int(num(w[2])) {
+			for cx := from; cx <= to; cx++ {
+				p.arrive(now, cx, w[4], m)
+			}
+			if n := len(p.got); n != to-from+1 || strings.Contains(strings.Join(p.got, " "), "shed") {
+				p.fail("not all were sent: %q", p.got)
+			}
+			for cx := from; cx <= to; cx++ {
+				p.take(p.mind.Returned(now+took, brain.Answer{Cx: cx, Node: p.last[cx].Node, Took: took, Ended: true}))
+			}
+			now, p.got = now+ms(m["every"]), nil
+		}
 	case "end":
 		for cx, to := span(w[2]); cx <= to; cx++ {
 			p.take(p.mind.Returned(now, brain.Answer{Cx: cx, Node: p.last[cx].Node, Ending: endings[w[3]],
