--- a/brain/brain.go
+++ b/brain/brain.go
@@ -53,6 +53,7 @@
 	}
 	shortest = max(shortest, b.tick)
 	b.hush, b.originAim = shortest, shortest/2
+	// all proxies' limits begin at sixteen tries, and come down to eight, but that few proxies keep one each
 	b.limit, b.least = min(4, max(16*b.share, 1)), min(1, 8*b.share)
 	b.took, b.fetch = float64(shortest), float64(shortest)/4
 	for _, a := range t.Allowance {
@@ -770,14 +771,14 @@
 	}
 	switch {
 	case n.Origin && a.Ending == Completed && a.Took <= b.originAim:
-		if float64(b.atOrigin+1) > b.limit/2 {
+		if float64(b.atOrigin+1) > b.limit/2 { // what was never used was never tried
 			b.limit = min(b.limit+min(b.limit, 1/b.limit), 256)
 		}
 	case n.Origin && (a.Ending == NoRoom || a.Took > 2*b.originAim):
 		if b.now-b.cutAt > b.originAim {
 			part := 0.7
 			if b.limit <= 1 {
-				part = 0.4
+				part = 0.4 // with pauses between tries there are few sights to fall by
 			}
 			b.limit = max(b.limit*part, b.least)
 			b.cutAt = b.now
