--- /dev/null
+++ b/cmd/woodproxy/main.go
@@ -0,0 +1,72 @@
+// Woodproxy routes exchanges to a fleet of cache servers.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+
+	"woodproxy/internal/run"
+)
+
+type place struct {
+	Config    string `env:"GW_CONFIG" help:"The configuration, a JSON file." placeholder:"FILE"`
+	Name      string `env:"GW_NAME" help:"This proxy's name, before the one in the file."`
+	Listen    string `env:"GW_LISTEN" help:"Where clients connect, before the one in the file."`
+	Discovery string `env:"GW_DISCOVERY" help:"Where the list comes from, before the one in the file."`
+}
+
+func (p *place) read() (*run.Place, error) { return run.Read(p.Config, p.Name, p.Listen, p.Discovery) }
+
+type serve struct{ place }
+
+func (s *serve) Run() error {
+	p, err := s.read()
+	if err != nil {
+		return err
+	}
+	log, err := zap.NewProduction()
+	if err != nil {
+		return err
+	}
+	return run.Serve(p, log)
+}
+
+type check struct{ place }
+
+func (c *check) Run() error {
+	p, err := c.read()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: good; %d routes, %d tenants, %d proxies\n", c.Config, len(p.Book.Routes), len(p.Book.Tenants),
+		p.Book.Terms.Proxies)
+	return nil
+}
+
+type version struct{}
+
+func (*version) Run() error {
+	text := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		text = info.Main.Version + " " + info.GoVersion
+	}
+	fmt.Println("woodproxy", text)
+	return nil
+}
+
+func main() {
+	var cli struct {
+		Serve   serve   `cmd:"" help:"Serve clients until told to stop."`
+		Check   check   `cmd:"" help:"Say whether a configuration is good."`
+		Version version `cmd:"" help:"Print the version."`
+	}
+	ctx := kong.Parse(&cli, kong.Name("woodproxy"), kong.Description("A router for fleets of cache servers."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "woodproxy:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/fleet/door.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodproxy/internal/wire"
+)
+
+// Door lets clients in and knows their connections.
+type Door struct {
+	ln      *net.TCPListener
+	mind    *Mind
+	ready   chan struct{} // closed when clients may be told that they are served
+	most    int           // connections at once
+	count   *Counters
+	log     *zap.Logger
+	mu      sync.Mutex
+	clients map[*client]struct{} // emptied as connections end
+	fewer   *sync.Cond           // one has ended
+}
+
+// NewDoor lets clients in on ln, at most so many at once.
+func NewDoor(ln *net.TCPListener, mind *Mind, most int, count *Counters, log *zap.Logger) *Door {
+	d := &Door{ln: ln, mind: mind, most: most, ready: make(chan struct{}), count: count, log: log,
+		clients: map[*client]struct{}{}}
+	d.fewer = sync.NewCond(&d.mu)
+	return d
+}
+
+// Open tells clients that they are served.
+func (d *Door) Open() { close(d.ready) }
+
+// Run lets clients in until the listener's deadline has passed.
+func (d *Door) Run() {
+	for {
+		d.makeRoom()
+		conn, err := d.ln.Accept()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			d.log.Warn("accept", zap.Error(err))
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		c := &client{door: d, conn: conn, in: bufio.NewReaderSize(conn, 4<<10), used: time.Now(),
+			nudge: make(chan struct{}, 1)}
+		d.count.Clients.Add(1)
+		d.count.ClientsOpen.Add(1)
+		d.mu.Lock()
+		d.clients[c] = struct{}{}
+		d.mu.Unlock()
+		go c.run()
+	}
+}
+
+// makeRoom retires the client that has been idle longest once nine tenths of the places are taken, and lets
+// nobody in while all are.
+func (d *Door) makeRoom() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.clients) < d.most*9/10 {
+		return
+	}
+	var oldest *client
+	var since time.Time
+	for c := range d.clients {
+		if at, idle := c.idleSince(); idle && (oldest == nil || at.Before(since)) {
+			oldest, since = c, at
+		}
+	}
+	if oldest != nil {
+		oldest.retire()
+	}
+	for len(d.clients) >= d.most {
+		d.fewer.Wait()
+	}
+}
+
+func (d *Door) forget(c *client) {
+	d.count.ClientsOpen.Add(-1)
+	d.mu.Lock()
+	delete(d.clients, c)
+	d.mu.Unlock()
+	d.fewer.Broadcast()
+}
+
+// Close lets in who has come by now and nobody more, ends each connection once nothing is owed on it, and
+// returns when all have ended or the time is up.
+func (d *Door) Close(until time.Time) {
+	d.ln.SetDeadline(time.Now().Add(20 * time.Millisecond))
+	time.Sleep(30 * time.Millisecond)
+	d.ln.Close()
+	late := time.AfterFunc(time.Until(until), d.fewer.Broadcast)
+	defer late.Stop()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.clients {
+		c.retire()
+	}
+	for len(d.clients) > 0 && time.Now().Before(until) {
+		d.fewer.Wait()
+	}
+}
+
+// aside answers a command that is no exchange.
+func (d *Door) aside(cmd *wire.Command) (head, body []byte) {
+	switch {
+	case cmd.Is("PING"):
+		<-d.ready
+		return []byte("+PONG\r\n"), nil
+	case cmd.Is("CLIENT"), cmd.Is("SELECT"):
+		return []byte("+OK\r\n"), nil
+	case cmd.Is("INFO"):
+		body = []byte(d.count.String())
+		return wire.AppendLength(nil, '$', len(body)), body
+	}
+	return []byte("-ERR unknown command\r\n"), nil
+}
--- /dev/null
+++ b/internal/fleet/link.go
@@ -0,0 +1,201 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodproxy/brain"
+	"woodproxy/internal/wire"
+)
+
+// link is one connection to a peer and its goroutine, which alone reads and writes there.
+type link struct {
+	peer   *peer
+	addr   string
+	in     *bufio.Reader
+	head   []byte
+	gather net.Buffers
+
+	mu     sync.Mutex // for what follows, by which others wake it
+	conn   net.Conn
+	quit   context.CancelFunc // ends the dialling
+	handed *try               // to be carried next
+}
+
+// give hands over a try to a connection that is idle. Both steps are one, or a late wake would hit the try.
+func (l *link) give(t *try) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.handed = t
+	l.conn.SetReadDeadline(longAgo)
+}
+
+// wake interrupts whatever the connection's goroutine waits for; it then looks what is wanted of it. An idle
+// one that was handed nothing closes.
+func (l *link) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.quit != nil {
+		l.quit()
+	}
+	if l.conn != nil {
+		l.conn.SetDeadline(longAgo)
+	}
+}
+
+// take returns the try that was handed over, if any.
+func (l *link) take() *try {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.handed
+	l.handed = nil
+	return t
+}
+
+// run carries tries, beginning with t, until the connection ends.
+func (l *link) run(t *try) {
+	p := l.peer
+	for again := true; again && t != nil; {
+		ending, value, err := brain.Cut, []byte(nil), error(nil)
+		again = false
+		guarded(p.log, p.mind.count, func() { ending, value, again, err = l.carry(t) })
+		if errors.Is(err, wire.ErrBytes) {
+			p.mind.count.BadPeer.Add(1)
+			p.log.Warn("connection ended", zap.Error(err))
+		}
+		if !again && l.conn != nil {
+			l.conn.Close()
+		}
+		carried := t
+		p.box.post(func() { p.ended(l, carried, ending, value, again) })
+		if again {
+			t = l.wait()
+		}
+	}
+	if l.conn != nil {
+		l.conn.Close()
+	}
+	p.box.post(func() { p.gone(l) })
+}
+
+// wait stays until a try is handed over; nil means that the connection has ended or stood idle too long.
+func (l *link) wait() *try {
+	l.mu.Lock()
+	t := l.handed
+	l.handed = nil
+	if t == nil {
+		l.conn.SetReadDeadline(time.Now().Add(span(l.peer.mind.book.Idle * 2 / 3)))
+	}
+	l.mu.Unlock()
+	if t != nil {
+		return t
+	}
+	if _, err := l.in.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
+		return l.take()
+	}
+	return nil // closed by the other side, which has nothing to say
+}
+
+// carry sees one try through: connect if need be, write it, read its answer.
+func (l *link) carry(t *try) (ending brain.Ending, value []byte, again bool, err error) {
+	m := l.peer.mind
+	until := time.Now().Add(span(t.sent + t.wait - m.clock.Now()))
+	if l.conn == nil {
+		if err := l.dial(t, until); err != nil {
+			if t.undone.Load() {
+				return brain.Undone, nil, false, err
+			}
+			return brain.Unreachable, nil, false, err
+		}
+	}
+	l.conn.SetDeadline(until)
+	if t.undone.Load() { // called off before the deadline above was set
+		return brain.Undone, nil, false, nil
+	}
+	if err := l.write(t); err != nil {
+		return l.came(t, &wire.Halt{Far: wire.Writing, Err: err})
+	}
+	if l.peer.origin {
+		ending, value, again, err = wire.ReadFetched(l.in)
+	} else {
+		ending, value, err = wire.ReadAnswer(l.in)
+		again = true
+	}
+	if err != nil {
+		return l.came(t, err)
+	}
+	return ending, value, again, nil
+}
+
+// came tells from how far a try had come what its end means.
+func (l *link) came(t *try, err error) (brain.Ending, []byte, bool, error) {
+	var halt *wire.Halt
+	switch ran := errors.As(err, &halt) && halt.Ran(); {
+	case t.undone.Load():
+		return brain.Undone, nil, false, err
+	case !ran:
+		return brain.Unreachable, nil, false, err
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return brain.Silent, nil, false, err
+	case errors.Is(err, wire.ErrBytes):
+		return brain.Fault, nil, false, err
+	}
+	return brain.Cut, nil, false, err
+}
+
+func (l *link) dial(t *try, until time.Time) error {
+	ctx, quit := context.WithDeadline(context.Background(), until)
+	defer quit()
+	l.mu.Lock()
+	l.quit = quit
+	l.mu.Unlock()
+	if t.undone.Load() { // before there was a dialling to end
+		quit()
+	}
+	d := net.Dialer{Timeout: span(l.peer.mind.book.Terms.ConnectTimeout), KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp", l.addr)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quit = nil
+	if err != nil {
+		return &wire.Halt{Far: wire.Dialing, Err: err}
+	}
+	l.conn = conn
+	l.in = bufio.NewReaderSize(conn, 4<<10)
+	return nil
+}
+
+// write sends a try whole: its head and value gathered into one write.
+func (l *link) write(t *try) error {
+	c, m := t.turn, l.peer.mind
+	size := -1
+	if c.value != nil {
+		size = len(c.value)
+	}
+	if l.peer.origin {
+		l.head = wire.AppendFetch(l.head[:0], l.addr, c.key, c.id, c.facts, size)
+	} else {
+		left := max(int(t.sent+t.wait-m.clock.Now())/10, 1)
+		facts := wire.AppendFacts(nil, c.facts, left)
+		l.head = wire.AppendCommand(l.head[:0], c.name, c.key, c.id, facts, size)
+	}
+	l.gather = append(l.gather[:0], l.head)
+	if size > 0 {
+		l.gather = append(l.gather, c.value)
+	}
+	if size >= 0 && !l.peer.origin {
+		l.gather = append(l.gather, crlf)
+	}
+	g := l.gather
+	_, err := g.WriteTo(l.conn)
+	return err
+}
+
+var crlf = []byte("\r\n")
--- /dev/null
+++ b/internal/fleet/mind.go
@@ -0,0 +1,228 @@
+package fleet
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodproxy/brain"
+	"woodproxy/internal/terms"
+	"woodproxy/internal/wire"
+)
+
+// MaxHeld is how many exchanges may be without an answer, and how many tries may be out; it bounds mailboxes.
+const MaxHeld = 1024
+
+// Mind is the module's actor. It turns calls from clients, peers and the list into calls on the module, and
+// the module's decisions into calls on them.
+type Mind struct {
+	box    mailbox
+	brain  *brain.Instance
+	book   *terms.Book
+	clock  Clock
+	wake   *time.Timer
+	slots  []slot // as many as were ever held at once
+	free   []int
+	peers  []*peer // by the module's index of the node; as many as the list ever named
+	byName map[string]int
+	links  *budget
+	count  *Counters
+	log    *zap.Logger
+}
+
+// slot is where an exchange lives while it has no answer, or tries of it are out.
+type slot struct {
+	turn *turn
+	legs []*try
+	out  int
+	over bool // it has its final answer, or nobody waits for one
+}
+
+// NewMind returns a module's actor that knows no nodes; sockets is how many it may have open to peers.
+func NewMind(book *terms.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Mind {
+	return &Mind{box: make(mailbox, 4*MaxHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
+		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, links: newBudget(sockets),
+		count: count, log: log}
+}
+
+// Run carries out calls for as long as the program lives.
+func (m *Mind) Run() {
+	for {
+		select {
+		case call := <-m.box:
+			guarded(m.log, m.count, call)
+		case <-m.wake.C:
+			guarded(m.log, m.count, func() { m.act(m.brain.Woken(m.clock.Now())) })
+		}
+	}
+}
+
+// nodes takes the list, whole or only what changed; first means that it is what this proxy last had.
+func (m *Mind) nodes(whole, first bool, list []wire.Target) {
+	m.count.Lists.Add(1)
+	lines := make([]brain.Listing, 0, len(list))
+	for _, t := range list {
+		n, ok := m.byName[t.Name]
+		origin := m.book.Origin != "" && t.Kind == m.book.Origin
+		if !ok {
+			n = len(m.peers)
+			m.byName[t.Name] = n
+			m.peers = append(m.peers, newPeer(m, n, t.Name, origin))
+		}
+		if p := m.peers[n]; t.Address != "" {
+			p.box.offer(func() { p.moved(t.Address) })
+		}
+		zone, ok := m.book.Zones[t.Zone]
+		if !ok {
+			zone = -1
+		}
+		lines = append(lines, brain.Listing{Node: n, Name: t.Name, Origin: origin, Ready: t.Ready,
+			Since: brain.Time(t.Since) * 10, Weight: t.Weight, Zone: zone, Cell: t.Cell})
+	}
+	m.act(m.brain.Nodes(m.clock.Now(), whole, first, lines))
+}
+
+// arrive takes an exchange that a client's connection has read whole.
+func (m *Mind) arrive(t *turn) {
+	route, ok := m.book.Routes[t.route]
+	if !ok {
+		t.answer(m.count, errored, nil, 0)
+		return
+	}
+	e := brain.Exchange{Route: route, Tenant: -1, Keyed: true, Write: t.value != nil, Repeat: t.repeat,
+		Remaining: brain.Time(t.wait) * 10}
+	if n, ok := m.book.Tenants[t.tenant]; ok {
+		e.Tenant = n
+	}
+	h := fnv.New64a()
+	h.Write(t.key)
+	e.Key = h.Sum64()
+	cx := len(m.slots)
+	if n := len(m.free); n > 0 {
+		cx, m.free = m.free[n-1], m.free[:n-1]
+	} else {
+		m.slots = append(m.slots, slot{})
+	}
+	m.slots[cx].turn = t
+	t.cx, t.taken = cx, true
+	now := m.clock.Now()
+	e.Remaining -= now - t.came
+	m.act(m.brain.Arrive(now, cx, e))
+}
+
+// left hears that the client of an exchange has gone.
+func (m *Mind) left(t *turn) {
+	if !t.taken || m.slots[t.cx].turn != t || m.slots[t.cx].over {
+		return
+	}
+	m.count.Left.Add(1)
+	m.count.Held.Add(-1)
+	ds := m.brain.Left(m.clock.Now(), t.cx)
+	m.slots[t.cx].over = true
+	m.act(ds)
+	m.clear(t.cx)
+}
+
+// ended hears how a try came out.
+func (m *Mind) ended(t *try, ending brain.Ending, value []byte) {
+	s := &m.slots[t.cx]
+	s.out--
+	m.count.ended(ending)
+	if ending == brain.Completed && !s.over {
+		m.finish(t.cx, completed, value, 0)
+	}
+	now := m.clock.Now()
+	m.act(m.brain.Returned(now, brain.Answer{Cx: t.cx, Node: t.node, Ending: ending, Took: now - t.sent,
+		Ended: s.over}))
+	m.clear(t.cx)
+}
+
+func (c *Counters) ended(e brain.Ending) {
+	switch e {
+	case brain.Completed:
+		c.EndCompleted.Add(1)
+	case brain.Lacking:
+		c.EndLacking.Add(1)
+	case brain.NoRoom:
+		c.EndNoRoom.Add(1)
+	case brain.Fault:
+		c.EndFault.Add(1)
+	case brain.Silent:
+		c.EndSilent.Add(1)
+	case brain.Unreachable:
+		c.EndUnreachable.Add(1)
+	case brain.Cut:
+		c.EndCut.Add(1)
+	case brain.Undone:
+		c.EndUndone.Add(1)
+	case brain.NeverSent:
+		c.EndUnsent.Add(1)
+	}
+}
+
+// finish gives an exchange its one final answer.
+func (m *Mind) finish(cx int, a final, value []byte, after brain.Time) {
+	if s := &m.slots[cx]; !s.over {
+		s.over = true
+		s.turn.answer(m.count, a, value, int(math.Ceil(float64(after)/10)))
+	}
+}
+
+// clear gives an index back once nothing more can come for it.
+func (m *Mind) clear(cx int) {
+	if s := &m.slots[cx]; s.over && s.out == 0 && s.turn != nil {
+		*s = slot{legs: s.legs[:0]}
+		m.free = append(m.free, cx)
+	}
+}
+
+// makeRoom closes idle connections to all peers, when one lacks a socket.
+func (m *Mind) makeRoom() {
+	for _, p := range m.peers {
+		p.box.offer(p.closeIdle)
+	}
+}
+
+// act carries out the module's decisions, in order.
+func (m *Mind) act(ds []brain.Decision) {
+	var unsent []*try
+	for i := range ds {
+		switch d := &ds[i]; d.Act {
+		case brain.Send:
+			s := &m.slots[d.Cx]
+			t := &try{turn: s.turn, cx: d.Cx, node: d.Node, sent: m.clock.Now(), wait: d.After}
+			s.legs = append(s.legs, t)
+			s.out++
+			m.count.Tries.Add(1)
+			if p := m.peers[d.Node]; !p.box.offer(func() { p.send(t) }) {
+				unsent = append(unsent, t)
+			}
+		case brain.Cancel:
+			t := m.slots[d.Cx].legs[d.Leg]
+			m.count.Cancelled.Add(1)
+			p := m.peers[t.node]
+			p.box.offer(func() { p.cancel(t) }) // where it finds no room, the try's own time-out ends it
+		case brain.Shed:
+			m.finish(d.Cx, shed, nil, d.After)
+		case brain.Error:
+			m.finish(d.Cx, errored, nil, 0)
+		case brain.Wake:
+			m.wake.Reset(span(d.After))
+		case brain.Close:
+			p := m.peers[d.Node]
+			p.box.offer(p.closeIdle)
+		case brain.Log:
+			m.log.Info(d.Text)
+		}
+	}
+	for i := range ds {
+		if ds[i].Act == brain.Shed || ds[i].Act == brain.Error {
+			m.clear(ds[i].Cx)
+		}
+	}
+	for _, t := range unsent {
+		m.ended(t, brain.NeverSent, nil)
+	}
+}
--- /dev/null
+++ b/internal/fleet/peer.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodproxy/brain"
+)
+
+// try is one upstream try on its way: made by the module's actor, handed to a peer's, then to a connection.
+type try struct {
+	turn   *turn
+	cx     int
+	node   int
+	sent   brain.Time
+	wait   brain.Time // its time-out, from sent
+	undone atomic.Bool
+	link   *link // the connection that has it; only the peer's actor looks
+}
+
+// budget is the number of sockets that may be open to all peers together.
+type budget struct{ left atomic.Int64 }
+
+func newBudget(n int) *budget {
+	b := &budget{}
+	b.left.Store(int64(n))
+	return b
+}
+
+func (b *budget) take() bool {
+	if b.left.Add(-1) >= 0 {
+		return true
+	}
+	b.left.Add(1)
+	return false
+}
+
+func (b *budget) give() { b.left.Add(1) }
+
+// peer is the actor of one cache or the origin: it owns the connections there and hands tries to them, one at a
+// time each. Answers on a connection come in order, so that a try behind another would wait for it.
+type peer struct {
+	box    mailbox
+	mind   *Mind
+	node   int
+	name   string
+	origin bool
+	addr   string
+	idle   []*link // the last one used comes last
+	queue  []*try  // wait for a connection, for want of sockets; emptied as others end, or as they time out
+	asked  bool    // to look again soon whether there are sockets
+	log    *zap.Logger
+}
+
+func newPeer(m *Mind, node int, name string, origin bool) *peer {
+	p := &peer{box: make(mailbox, 3*MaxHeld), mind: m, node: node, name: name, origin: origin,
+		log: m.log.With(zap.String("peer", name))}
+	go func() {
+		for call := range p.box {
+			guarded(p.log, m.count, call)
+		}
+	}()
+	return p
+}
+
+// moved takes the peer's address; connections to another one are not used again.
+func (p *peer) moved(addr string) {
+	if p.addr != addr {
+		p.closeIdle()
+		p.addr = addr
+	}
+}
+
+// send hands a try to an idle connection or opens one; for want of sockets it waits.
+func (p *peer) send(t *try) {
+	if n := len(p.idle); n > 0 {
+		t.link = p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		t.link.give(t)
+		return
+	}
+	if !p.mind.links.take() {
+		p.queue = append(p.queue, t)
+		if !p.asked {
+			p.asked = true
+			p.mind.box.post(p.mind.makeRoom)
+			time.AfterFunc(10*time.Millisecond, func() { p.box.post(p.sendQueued) })
+		}
+		return
+	}
+	p.mind.count.Dials.Add(1)
+	p.mind.count.UpstreamOpen.Add(1)
+	t.link = &link{peer: p, addr: p.addr}
+	go t.link.run(t)
+}
+
+// sendQueued looks again whether there are sockets for those that wait.
+func (p *peer) sendQueued() {
+	p.asked = false
+	for range len(p.queue) {
+		if t := p.next(); t != nil {
+			p.send(t)
+		}
+	}
+}
+
+// cancel gives up a try, wherever it is.
+func (p *peer) cancel(t *try) {
+	t.undone.Store(true)
+	if t.link != nil {
+		t.link.wake()
+	}
+}
+
+// ended hears from a connection how its try came out; with again, the connection can carry another.
+func (p *peer) ended(l *link, t *try, ending brain.Ending, value []byte, again bool) {
+	t.link = nil
+	p.mind.box.post(func() { p.mind.ended(t, ending, value) })
+	if !again {
+		return
+	}
+	if l.addr != p.addr {
+		l.wake()
+		return
+	}
+	p.idle = append(p.idle, l)
+	if t := p.next(); t != nil {
+		p.send(t)
+	}
+}
+
+// gone hears that a connection has ended. A try that it was handed and had not begun goes to another.
+func (p *peer) gone(l *link) {
+	p.mind.links.give()
+	p.mind.count.UpstreamOpen.Add(-1)
+	if i := slices.Index(p.idle, l); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
+	}
+	if t := l.take(); t != nil {
+		p.send(t)
+	}
+	if t := p.next(); t != nil {
+		p.send(t)
+	}
+}
+
+// next takes the first that waits and has time left; the others end as what never was sent.
+func (p *peer) next() *try {
+	for len(p.queue) > 0 {
+		t := p.queue[0]
+		p.queue = p.queue[1:]
+		if !t.undone.Load() && p.mind.clock.Now() < t.sent+t.wait {
+			return t
+		}
+		p.mind.box.post(func() { p.mind.ended(t, brain.NeverSent, nil) })
+	}
+	return nil
+}
+
+func (p *peer) closeIdle() {
+	for _, l := range p.idle {
+		l.wake()
+	}
+	p.idle = p.idle[:0]
+}
--- /dev/null
+++ b/internal/fleet/turn.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"strconv"
+
+	"woodproxy/brain"
+	"woodproxy/internal/wire"
+)
+
+// final is one of the three final answers.
+type final uint8
+
+const (
+	completed final = iota
+	shed
+	errored
+)
+
+// turn is one command's place among the answers of its connection, which come in order. What the command said
+// is a copy, since the reader's buffer goes on.
+type turn struct {
+	client               *client
+	name, key, id, facts []byte
+	value                []byte // nil: none
+	route, tenant        string
+	wait                 int // how long the client waits, in milliseconds
+	repeat               bool
+	came                 brain.Time // with its last byte
+
+	cx    int // only the module's actor looks at these two
+	taken bool
+
+	ready bool // under the client's lock, with what is to be written
+	head  []byte
+	body  []byte
+}
+
+var shedPlain = []byte("-BUSY\r\n")
+var erroredPlain = []byte("-ERR failed upstream\r\n")
+
+// answer words the one final answer of an exchange; a completed one carries the value as it came.
+func (t *turn) answer(count *Counters, a final, value []byte, after int) {
+	count.Held.Add(-1)
+	switch a {
+	case completed:
+		count.Completed.Add(1)
+		t.say(wire.AppendLength(nil, '$', len(value)), value)
+	case shed:
+		count.Shed.Add(1)
+		head := shedPlain
+		if after > 0 {
+			head = append(strconv.AppendInt([]byte("-BUSY "), int64(after), 10), '\r', '\n')
+		}
+		t.say(head, nil)
+	case errored:
+		count.Errored.Add(1)
+		t.say(erroredPlain, nil)
+	}
+}
+
+// say makes a turn ready; if it is the next to be written, its connection is woken.
+func (t *turn) say(head, body []byte) {
+	c := t.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.head, t.body, t.ready = head, body, true
+	if len(c.turns) > 0 && c.turns[0] == t {
+		c.conn.SetReadDeadline(longAgo)
+		select {
+		case c.nudge <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/run/config.go
@@ -0,0 +1,109 @@
+// Package run starts the proxy and stops it.
+package run
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"woodproxy/internal/terms"
+)
+
+// Place is what a proxy is told of itself at its start.
+type Place struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Known                   *fastjson.Value
+	Book                    *terms.Book
+}
+
+// Read takes the configuration file; what is given besides it as name, listen and discovery goes before it.
+func Read(file, name, listen, discovery string) (*Place, error) {
+	if file == "" {
+		return nil, errors.New("configuration: no file named")
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	v, err := fastjson.ParseBytes(text)
+	if err != nil || v.Type() != fastjson.TypeObject {
+		return nil, fmt.Errorf("configuration: %s: not a JSON object", file)
+	}
+	p := &Place{Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
+	word := func(key, given string) string {
+		s := v.Get(key)
+		switch {
+		case given != "":
+			return given
+		case s == nil:
+			err = errors.Join(err, fmt.Errorf("configuration: %s: missing", key))
+		case s.Type() != fastjson.TypeString || len(s.GetStringBytes()) == 0:
+			err = errors.Join(err, fmt.Errorf("configuration: %s: mistyped", key))
+		}
+		return string(s.GetStringBytes())
+	}
+	number := func(key string, usual float64) float64 {
+		s := v.Get("limits", key)
+		if s == nil || s.Type() == fastjson.TypeNull {
+			return usual
+		}
+		n, bad := s.Float64()
+		if bad != nil || !(n > 0 && n < 1e9) {
+			err = errors.Join(err, fmt.Errorf("configuration: limits.%s: mistyped or out of its range", key))
+		}
+		return n
+	}
+	p.Name, p.Listen, p.Discovery = word("name", name), word("listen", listen), word("discovery", discovery)
+	p.Cores = number("cores", p.Cores)
+	p.MemoryMB = int(number("memory_mb", float64(p.MemoryMB)))
+	p.Sockets = int(number("sockets", float64(p.Sockets)))
+	if p.Seed, err = seed(v.Get("seed"), err); err != nil {
+		return nil, first(err)
+	}
+	for key, addr := range map[string]string{"listen": p.Listen, "discovery": p.Discovery} {
+		if _, _, bad := net.SplitHostPort(addr); bad != nil {
+			return nil, fmt.Errorf("configuration: %s: no address and port: %q", key, addr)
+		}
+	}
+	if p.Sockets < 64 {
+		return nil, fmt.Errorf("configuration: limits.sockets: fewer than 64")
+	}
+	s := v.Get("settings")
+	if s == nil || s.Type() != fastjson.TypeObject {
+		return nil, errors.New("configuration: settings: missing or mistyped")
+	}
+	if p.Book, err = terms.Read(s); err != nil {
+		return nil, fmt.Errorf("configuration: settings: %w", err)
+	}
+	return p, nil
+}
+
+// seed reads the start of chance, which is hexadecimal.
+func seed(v *fastjson.Value, err error) (uint64, error) {
+	if err != nil {
+		return 0, err
+	}
+	if v == nil {
+		return 0, errors.New("configuration: seed: missing")
+	}
+	n, bad := strconv.ParseUint(string(v.GetStringBytes()), 16, 64)
+	if bad != nil {
+		return 0, errors.New("configuration: seed: mistyped")
+	}
+	return n, nil
+}
+
+// first keeps to one line: the first thing found wrong.
+func first(err error) error {
+	if many, ok := err.(interface{ Unwrap() []error }); ok {
+		return first(many.Unwrap()[0])
+	}
+	return err
+}
--- /dev/null
+++ b/internal/run/serve.go
@@ -0,0 +1,75 @@
+package run
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodproxy/internal/fleet"
+)
+
+const (
+	spareSockets = 32                     // standard streams, listener, watch, the library's own
+	waitForList  = time.Second            // clients are served from the old list when no other has come by then
+	stillComing  = 450 * time.Millisecond // after the signal to stop, while others learn of it
+)
+
+// Serve runs the proxy until it is told to stop.
+func Serve(p *Place, log *zap.Logger) error {
+	runtime.GOMAXPROCS(max(int(math.Ceil(p.Cores)), 1))
+	debug.SetMemoryLimit(int64(p.MemoryMB) << 20 * 7 / 10)
+	count := &fleet.Counters{}
+	links := (p.Sockets - spareSockets) * 2 / 5
+	mind := fleet.NewMind(p.Book, p.Seed, fleet.NewClock(), links, count, log)
+	list, err := fleet.NewList(p.Discovery, p.Known, mind, count, log)
+	if err != nil {
+		return fmt.Errorf("configuration: known: %w", err)
+	}
+	ln, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return fmt.Errorf("configuration: listen: %w", err)
+	}
+	door := fleet.NewDoor(ln.(*net.TCPListener), mind, p.Sockets-spareSockets-links, count, log)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go mind.Run()
+	go list.Run()
+	go door.Run()
+	log.Info("started", zap.String("name", p.Name), zap.String("listen", p.Listen), zap.Int("sockets", p.Sockets))
+	select {
+	case <-list.First():
+	case <-time.After(waitForList):
+		log.Warn("discovery is silent; serving from the list last known")
+	}
+	door.Open()
+	for s := range signals {
+		if s == syscall.SIGUSR1 {
+			log.Info("counters", counters(count)...)
+			continue
+		}
+		break
+	}
+	log.Info("stopping")
+	time.Sleep(stillComing)
+	door.Close(time.Now().Add(time.Duration(p.Book.Longest) * 100 * time.Microsecond))
+	log.Info("stopped", counters(count)...)
+	return nil
+}
+
+func counters(c *fleet.Counters) []zap.Field {
+	var all []zap.Field
+	for l := range strings.Lines(c.String()) {
+		name, value, _ := strings.Cut(strings.TrimSpace(l), " ")
+		all = append(all, zap.String(name, value))
+	}
+	return all
+}
--- /dev/null
+++ b/internal/terms/terms.go
@@ -0,0 +1,183 @@
+// Package terms reads the settings object, which the simulator and the proxy's configuration share, into the
+// figures that the module starts from and the names that its small indices stand for.
+package terms
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	"woodproxy/brain"
+)
+
+// Book is what the settings say: the module's terms, the names behind its indices, and what the proxy needs
+// of connections.
+type Book struct {
+	Terms    brain.Terms
+	Routes   map[string]int
+	Tenants  map[string]int
+	Zones    map[string]int
+	Origin   string     // kind name of the origin, "" where there is none
+	Idle     brain.Time // a connection that has stood idle this long is closed by the other side
+	Longest  brain.Time // overall timeout of the most patient route
+	Streams  int        // tries that a connection carries at once
+	Locality string     // zone of this proxy
+}
+
+// chart reads the object by path and keeps the first thing found wrong.
+type chart struct {
+	root *fastjson.Value
+	err  *error
+}
+
+func (c chart) fail(path []string, what string) {
+	if *c.err == nil {
+		*c.err = fmt.Errorf("setup %s: %s", strings.Join(path, "."), what)
+	}
+}
+
+// get returns nil where the value is absent or null; that is wrong where it is needed.
+func (c chart) get(needed bool, path []string) *fastjson.Value {
+	v := c.root.Get(path...)
+	if v != nil && v.Type() != fastjson.TypeNull {
+		return v
+	}
+	if needed {
+		c.fail(path, "missing")
+	}
+	return nil
+}
+
+func (c chart) number(needed bool, path ...string) float64 {
+	v := c.get(needed, path)
+	if v == nil {
+		return 0
+	}
+	n, err := v.Float64()
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+		c.fail(path, "mistyped")
+	}
+	return n
+}
+
+func (c chart) time(needed bool, path ...string) brain.Time {
+	return Tenths(c.number(needed, path...))
+}
+
+func (c chart) text(needed bool, path ...string) string {
+	v := c.get(needed, path)
+	if v == nil {
+		return ""
+	}
+	s, err := v.StringBytes()
+	if err != nil {
+		c.fail(path, "mistyped")
+	}
+	return string(s)
+}
+
+func (c chart) flag(path ...string) bool {
+	v := c.get(may, path)
+	if v == nil {
+		return false
+	}
+	on, err := v.Bool()
+	if err != nil {
+		c.fail(path, "mistyped")
+	}
+	return on
+}
+
+func (c chart) list(needed bool, path ...string) []*fastjson.Value {
+	v := c.get(needed, path)
+	if v == nil {
+		return nil
+	}
+	a, err := v.Array()
+	if err != nil {
+		c.fail(path, "mistyped")
+	}
+	return a
+}
+
+const (
+	need = true
+	may  = false
+)
+
+var effects = map[string]brain.Effect{
+	"pure": brain.Retriable, "token": brain.Deduped, "side_effect": brain.NonRetriable,
+}
+
+var groups = map[string]brain.Group{
+	"": brain.GroupAll, "all": brain.GroupAll, "zone": brain.GroupZone, "cell": brain.GroupCell,
+}
+
+// Read takes the settings object. Keys that it does not know are skipped.
+func Read(v *fastjson.Value) (*Book, error) {
+	var err error
+	c := chart{v, &err}
+	p := &Book{Routes: map[string]int{}, Tenants: map[string]int{}, Zones: map[string]int{},
+		Idle: c.time(may, "limits", "conn-idle"), Streams: int(c.number(may, "limits", "multiplex")),
+		Locality: c.text(may, "locality")}
+	p.Terms = brain.Terms{
+		Proxies:        int(c.number(need, "replicas-of-me")),
+		BeyondShare:    c.number(may, "beyond-share-value"),
+		Punctual:       c.number(may, "goal", "punctual") > 0,
+		Aside:          c.text(may, "family-info", "mode") == "aside",
+		MayCancel:      c.flag("limits", "may-cancel"),
+		MaxTries:       int(c.number(need, "limits", "max-upstream-tries")),
+		RetryAfter:     c.flag("limits", "retry-after"),
+		MaxRetryAfter:  c.time(may, "limits", "max-retry-after"),
+		Tick:           c.time(need, "tick"),
+		ConnectTimeout: c.time(may, "limits", "connect-timeout"),
+		Ask:            c.text(may, "membership-mode") == "ask",
+		AskEvery:       c.time(may, "rules", "ask-every"),
+		Cold:           c.time(need, "rules", "cold"),
+		Fall:           c.time(need, "rules", "fall"),
+		ColdFrom:       c.number(need, "rules", "cold-from"),
+		FallMultiple:   c.number(need, "rules", "fall-multiple"),
+		Connection:     c.number(may, "fees", "connection"),
+		Handshake:      c.number(may, "fees", "handshake"),
+		RoughWeights:   c.text(may, "weights") == "rough" || c.text(may, "weights") == "nominal",
+	}
+	shapes := c.list(need, "shapes")
+	if v.Get("family-info") != nil {
+		if k := int(c.number(may, "family-info", "origin-kind")); p.Terms.Aside && k >= 0 && k < len(shapes) {
+			p.Origin = string(shapes[k].GetStringBytes())
+		}
+	}
+	for i, z := range c.list(may, "zones") {
+		p.Zones[string(z.GetStringBytes())] = i
+	}
+	for i, v := range c.list(may, "tenants") {
+		c := chart{v, &err}
+		p.Tenants[c.text(need, "name")] = i
+		p.Terms.Allowance = append(p.Terms.Allowance, c.number(may, "allowance-per-s"))
+	}
+	for i, v := range c.list(need, "routes") {
+		c := chart{v, &err}
+		r := brain.Route{Objective: c.time(need, "latency-objective"), Overall: c.time(need, "overall-timeout"),
+			Value: c.number(need, "value"), Overdue: c.number(may, "overdue-value"),
+			Window: c.time(may, "dedup-window")}
+		effect, group := c.text(need, "effect"), c.text(may, "group")
+		var ok bool
+		if r.Effect, ok = effects[effect]; !ok {
+			c.fail([]string{"effect"}, "out of its range")
+		}
+		if r.Group, ok = groups[group]; !ok {
+			c.fail([]string{"group"}, "out of its range")
+		}
+		p.Longest = max(p.Longest, r.Overall)
+		p.Routes[c.text(need, "name")] = i
+		p.Terms.Routes = append(p.Terms.Routes, r)
+	}
+	return p, err
+}
+
+// Tenths turns milliseconds into the module's time.
+func Tenths(ms float64) brain.Time {
+	return brain.Time(math.Round(min(max(ms, -1e14), 1e14) * 10))
+}
--- /dev/null
+++ b/internal/wire/targets.go
@@ -0,0 +1,107 @@
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+)
+
+// Target is one line of discovery's list.
+type Target struct {
+	Name, Address, Zone, Kind string
+	Cell                      int
+	Ready                     bool // neither leaving nor left
+	Weight                    float64
+	Since                     int64 // when it last started, Unix milliseconds; 0: long ago
+}
+
+// maxList is how long one line of a watch may be.
+const maxList = 4 << 20
+
+// ParseTargets reads a list, whole or only what changed.
+func ParseTargets(v *fastjson.Value) (index int64, whole bool, list []Target, err error) {
+	if v.Type() != fastjson.TypeObject {
+		return 0, false, nil, bad("a list that is no object")
+	}
+	if n := v.Get("index"); n == nil || n.Type() != fastjson.TypeNumber {
+		return 0, false, nil, bad("list: index: missing or mistyped")
+	}
+	index, whole = v.GetInt64("index"), v.GetBool("snapshot")
+	rows := v.Get("endpoints")
+	if rows == nil || rows.Type() != fastjson.TypeArray {
+		return 0, false, nil, bad("list: endpoints: missing or mistyped")
+	}
+	for _, row := range rows.GetArray() {
+		t := Target{Name: string(row.GetStringBytes("name")), Address: string(row.GetStringBytes("address")),
+			Zone: string(row.GetStringBytes("zone")), Kind: string(row.GetStringBytes("type")),
+			Cell: row.GetInt("group"), Weight: row.GetFloat64("weight"), Since: row.GetInt64("since_ms")}
+		if f := row.GetFloat64("since_ms"); t.Since == 0 && f > 0 {
+			t.Since = int64(math.Ceil(f))
+		}
+		status := string(row.GetStringBytes("status"))
+		t.Ready = status == "active"
+		switch {
+		case t.Name == "":
+			return 0, false, nil, bad("list: name: missing or mistyped")
+		case status != "active" && status != "leaving" && status != "left":
+			return 0, false, nil, bad("list: " + t.Name + ": status: out of its range")
+		case t.Ready && t.Address == "":
+			return 0, false, nil, bad("list: " + t.Name + ": address: missing or mistyped")
+		}
+		list = append(list, t)
+	}
+	return index, whole, list, nil
+}
+
+// AppendWatch writes the request for a watch of what changes after a version of the list.
+func AppendWatch(b []byte, host string, since int64) []byte {
+	b = strconv.AppendInt(append(b, "GET /api/targets?follow=1&since="...), since, 10)
+	return append(append(append(b, " HTTP/1.1\r\nHost: "...), host...), "\r\n\r\n"...)
+}
+
+// Watch reads what a watch sends, a line at a time.
+type Watch struct {
+	lines *bufio.Reader
+	long  []byte
+}
+
+// ReadWatch takes the head of the answer to a request for a watch.
+func ReadWatch(r *bufio.Reader) (*Watch, error) {
+	h, err := readHead(r)
+	switch {
+	case err != nil:
+		return nil, err
+	case h.status != 200:
+		return nil, fmt.Errorf("discovery answers %d", h.status)
+	case !h.chunked:
+		return nil, bad("a watch that is not chunked")
+	}
+	return &Watch{lines: bufio.NewReaderSize(&Chunks{in: r}, 4<<10)}, nil
+}
+
+// Next returns the next line without its end; it is empty while nothing changes.
+func (w *Watch) Next() ([]byte, error) {
+	w.long = w.long[:0]
+	for {
+		part, err := w.lines.ReadSlice('\n')
+		w.long = append(w.long, part...)
+		switch {
+		case err == nil:
+			for len(w.long) > 0 && (w.long[len(w.long)-1] == '\n' || w.long[len(w.long)-1] == '\r') {
+				w.long = w.long[:len(w.long)-1]
+			}
+			return w.long, nil
+		case errors.Is(err, io.EOF) && len(w.long) > 0:
+			return nil, io.ErrUnexpectedEOF
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		case len(w.long) > maxList:
+			return nil, bad("a list that does not end")
+		}
+	}
+}
--- a/simwire/fields.go
+++ b/simwire/fields.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fastjson"
 
 	"woodproxy/brain"
+	"woodproxy/internal/terms"
 )
 
 const (
@@ -51,7 +52,7 @@
 }
 
 func (f *fields) time(i int, field string, needed bool) brain.Time {
-	return tenths(f.number(i, field, needed))
+	return terms.Tenths(f.number(i, field, needed))
 }
 
 // count reads a small whole number that is not negative.
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -7,12 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"strconv"
 
 	"github.com/valyala/fastjson"
 
 	"woodproxy/brain"
+	"woodproxy/internal/terms"
 )
 
 // maxLists is how many numbered lists the wire has.
@@ -27,18 +27,15 @@
 
 // proxy is one instance with its door: wire names on one side, small indices on the other.
 type proxy struct {
-	mind    *brain.Instance
-	routes  map[string]int
-	tenants map[string]int
-	zones   map[string]int
-	origin  string         // kind name of the origin, "" where there is none
-	nodes   map[string]int // emptied when the instance starts anew
-	names   []string
-	trays   map[string]int // emptied as exchanges end
-	slots   []tray
-	free    []int
-	mark    int64 // number of the timer that counts
-	told    bool  // has had a list
+	mind  *brain.Instance
+	book  *terms.Book
+	nodes map[string]int // emptied when the instance starts anew
+	names []string
+	trays map[string]int // emptied as exchanges end
+	slots []tray
+	free  []int
+	mark  int64 // number of the timer that counts
+	told  bool  // has had a list
 }
 
 type host struct {
@@ -230,11 +227,11 @@
 			p.nodes[l.name] = n
 			p.names = append(p.names, l.name)
 		}
-		zone, ok := p.zones[l.zone]
+		zone, ok := p.book.Zones[l.zone]
 		if !ok {
 			zone = -1
 		}
-		lines = append(lines, brain.Listing{Node: n, Name: l.name, Origin: p.origin != "" && l.kind == p.origin,
+		lines = append(lines, brain.Listing{Node: n, Name: l.name, Origin: p.book.Origin != "" && l.kind == p.book.Origin,
 			Ready: l.state == "SERVING", Since: l.since, Weight: l.weight, Zone: zone, Cell: l.cell})
 	}
 	first := !p.told
@@ -249,14 +246,14 @@
 	e := brain.Exchange{Tenant: -1, Remaining: f.time(5, "remaining", need), Repeat: f.flag(7, "retry"),
 		Write: f.flag(8, "mutates")}
 	if team := f.at(4); team != nil && team.Type() == fastjson.TypeString {
-		if t, ok := p.tenants[string(team.GetStringBytes())]; ok {
+		if t, ok := p.book.Tenants[string(team.GetStringBytes())]; ok {
 			e.Tenant = t
 		}
 	} else if team != nil && team.Type() != fastjson.TypeNumber {
 		f.fail("team", "mistyped")
 	}
 	kind := f.text(6, "kind", need)
-	route, ok := p.routes[kind]
+	route, ok := p.book.Routes[kind]
 	if f.err == nil && !ok {
 		f.fail("kind", "not in the settings")
 	}
@@ -461,8 +458,3 @@
 	h.out.WriteString(s)
 	h.out.WriteByte('"')
 }
-
-// tenths turns wire milliseconds into the module's time.
-func tenths(ms float64) brain.Time {
-	return brain.Time(math.Round(min(max(ms, -1e14), 1e14) * 10))
-}
