Socket scenarios: one runner, stand-ins on loopback; places for exchanges by memory

The runner that brain/scenario_test.go held is now internal/scenario, shared by both kinds of scenario.

--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
 
 	"woodproxy/brain"
+	"woodproxy/internal/scenario"
 )
 
 // A scenario is a text file of lines:
@@ -26,29 +24,11 @@
 //
 // NODE is a name, $X (bound at its first use, no cache twice) or any. Wakes are left out; logs unless asked for.
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("scenarios/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scenarios", err)
-	}
-	for _, f := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
-			text, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			p := &play{t: t, routes: map[string]int{}, nodes: map[string]int{}, bound: map[string]string{},
-				last: map[int]brain.Decision{}}
-			p.terms = brain.Terms{Proxies: 1, MaxTries: 5, Tick: 50, Cold: 100000, Fall: 30000, ColdFrom: 0.25,
-				FallMultiple: 3, Aside: true}
-			for i, line := range strings.Split(string(text), "\n") {
-				p.line = i + 1
-				if w := strings.Fields(line); len(w) > 0 && w[0][0] != '#' {
-					p.step(w)
-				}
-			}
-			p.settle()
-		})
-	}
+	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
+		return &play{t: t, routes: map[string]int{}, nodes: map[string]int{}, bound: map[string]string{},
+			last: map[int]brain.Decision{}, terms: brain.Terms{Proxies: 1, MaxTries: 5, Tick: 50, Cold: 100000,
+				Fall: 30000, ColdFrom: 0.25, FallMultiple: 3, Aside: true}}
+	})
 }
 
 type play struct {
@@ -71,37 +51,17 @@
 	p.t.Errorf("line %d: %s", p.line, fmt.Sprintf(format, args...))
 }
 
-// words splits WORD=VALUE pairs; bare words map to "1".
-func words(w []string) map[string]string {
-	m := map[string]string{}
-	for _, s := range w {
-		k, v, ok := strings.Cut(s, "=")
-		if !ok {
-			v = "1"
-		}
-		m[k] = v
-	}
-	return m
-}
-
-func num(s string) float64 {
-	f, err := strconv.ParseFloat(s, 64)
-	if err != nil && s != "" {
-		panic("not a number in a scenario: " + s)
-	}
-	return f
-}
-
-func ms(s string) brain.Time { return brain.Time(num(s) * 10) }
+func ms(s string) brain.Time { return brain.Time(scenario.Num(s) * 10) }
 
-func (p *play) step(w []string) {
+func (p *play) Step(line int, w []string) {
+	p.line = line
 	switch w[0] {
 	case "terms":
-		p.setTerms(words(w[1:]))
+		p.setTerms(scenario.Words(w[1:]))
 		return
 	case "route":
-		m := words(w[2:])
-		r := brain.Route{Objective: ms(m["objective"]), Overall: ms(m["overall"]), Value: num(m["value"]),
+		m := scenario.Words(w[2:])
+		r := brain.Route{Objective: ms(m["objective"]), Overall: ms(m["overall"]), Value: scenario.Num(m["value"]),
 			Window: ms(m["window"]), Effect: map[string]brain.Effect{"deduped": brain.Deduped,
 				"non-retriable": brain.NonRetriable}[m["effect"]],
 			Group: map[string]brain.Group{"zone": brain.GroupZone, "cell": brain.GroupCell}[m["group"]]}
@@ -117,12 +77,12 @@
 	if p.mind == nil {
 		p.mind = brain.New(now, p.terms, 1)
 	}
-	m := words(w[2:])
+	m := scenario.Words(w[2:])
 	switch w[1] {
 	case "list":
 		p.list(now, w[2:])
 	case "arrive":
-		p.arrive(now, int(num(w[2])), w[3], m)
+		p.arrive(now, int(scenario.Num(w[2])), w[3], m)
 	case "each":
 		for cx, to := span(w[2]); cx <= to; cx++ {
 			p.arrive(now, cx, w[3], m)
@@ -130,7 +90,7 @@
 	case "rounds":
 		took := ms(m["took"])
 		from, to := span(w[3])
-		for range int(num(w[2])) {
+		for range int(scenario.Num(w[2])) {
 			for cx := from; cx <= to; cx++ {
 				p.arrive(now, cx, w[4], m)
 			}
@@ -148,9 +108,9 @@
 				Took: ms(m["took"]), Ended: m["over"] != ""}))
 		}
 	case "left":
-		p.take(p.mind.Left(now, int(num(w[2]))))
+		p.take(p.mind.Left(now, int(scenario.Num(w[2]))))
 	case "streaming":
-		p.take(p.mind.Streaming(now, int(num(w[2]))))
+		p.take(p.mind.Streaming(now, int(scenario.Num(w[2]))))
 	case "wake":
 		p.take(p.mind.Woken(now))
 	case "failed":
@@ -165,7 +125,7 @@
 	if !ok {
 		to = from
 	}
-	return int(num(from)), int(num(to))
+	return int(scenario.Num(from)), int(scenario.Num(to))
 }
 
 var endings = map[string]brain.Ending{"completed": brain.Completed, "fault": brain.Fault, "no-room": brain.NoRoom,
@@ -177,9 +137,9 @@
 	for k, v := range m {
 		switch k {
 		case "proxies":
-			t.Proxies = int(num(v))
+			t.Proxies = int(scenario.Num(v))
 		case "tries":
-			t.MaxTries = int(num(v))
+			t.MaxTries = int(scenario.Num(v))
 		case "cancel":
 			t.MayCancel = true
 		case "ask":
@@ -193,13 +153,13 @@
 		case "cold":
 			t.Cold = ms(v)
 		case "allowance":
-			t.Allowance = []float64{num(v), num(v)}
+			t.Allowance = []float64{scenario.Num(v), scenario.Num(v)}
 		case "connection":
-			t.Connection = num(v)
+			t.Connection = scenario.Num(v)
 		case "handshake":
-			t.Handshake = num(v)
+			t.Handshake = scenario.Num(v)
 		case "beyond":
-			t.BeyondShare = num(v)
+			t.BeyondShare = scenario.Num(v)
 		default:
 			p.fail("unknown term %q", k)
 		}
@@ -216,7 +176,7 @@
 			continue
 		}
 		parts := strings.Split(s, ":")
-		m := words(parts[1:])
+		m := scenario.Words(parts[1:])
 		n, ok := p.nodes[parts[0]]
 		if !ok {
 			n = len(p.names)
@@ -224,9 +184,9 @@
 			p.names = append(p.names, parts[0])
 		}
 		l := brain.Listing{Node: n, Name: parts[0], Origin: parts[0][0] == 'o', Since: ms(m["since"]), Weight: 1,
-			Ready: m["draining"] == "" && m["gone"] == "", Zone: int(num(m["zone"]))}
+			Ready: m["draining"] == "" && m["gone"] == "", Zone: int(scenario.Num(m["zone"]))}
 		if m["weight"] != "" {
-			l.Weight = num(m["weight"])
+			l.Weight = scenario.Num(m["weight"])
 		}
 		lines = append(lines, l)
 	}
@@ -242,13 +202,13 @@
 	e := brain.Exchange{Route: r, Tenant: -1, Key: uint64(cx), Keyed: true, Write: m["write"] != "",
 		Repeat: m["repeat"] != "", Remaining: p.terms.Routes[r].Overall}
 	if m["key"] != "" {
-		e.Key = uint64(num(m["key"]))
+		e.Key = uint64(scenario.Num(m["key"]))
 	}
 	if m["left"] != "" {
 		e.Remaining = ms(m["left"])
 	}
 	if m["tenant"] != "" {
-		e.Tenant = int(num(m["tenant"]))
+		e.Tenant = int(scenario.Num(m["tenant"]))
 	}
 	p.take(p.mind.Arrive(now, cx, e))
 }
@@ -278,6 +238,9 @@
 	}
 }
 
+// End checks what the last line left.
+func (p *play) End() { p.settle() }
+
 // settle checks that nothing came that no line asked for.
 func (p *play) settle() {
 	if len(p.got) > 0 && !p.asked {
@@ -302,8 +265,8 @@
 				n++
 			}
 		}
-		op, want := w[len(w)-2], int(num(w[len(w)-1]))
-		if ok := map[string]bool{"=": n == want, "<=": n <= want, ">=": n >= want}[op]; !ok {
+		op, want := w[len(w)-2], int(scenario.Num(w[len(w)-1]))
+		if !scenario.Holds(n, op, want) {
 			p.fail("%s came %d times, not %s %d; all: %q", act, n, op, want, p.got)
 		}
 		return
--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -2,14 +2,20 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
 
 	"woodproxy/internal/run"
+	"woodproxy/internal/wire"
 )
 
 type place struct {
@@ -32,7 +38,10 @@
 	if err != nil {
 		return err
 	}
-	return run.Serve(p, log)
+	run.Limit(p)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	return run.Serve(p, log, signals)
 }
 
 type check struct{ place }
@@ -47,6 +56,28 @@
 	return nil
 }
 
+type counters struct {
+	Address string `arg:"" help:"Where the proxy listens."`
+}
+
+func (c *counters) Run() error {
+	conn, err := net.DialTimeout("tcp", c.Address, time.Second)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(time.Second))
+	if _, err := conn.Write(wire.AppendPlain(nil, "INFO")); err != nil {
+		return err
+	}
+	text, err := wire.ReadBulk(bufio.NewReader(conn))
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(text)
+	return err
+}
+
 type version struct{}
 
 func (*version) Run() error {
@@ -60,9 +91,10 @@
 
 func main() {
 	var cli struct {
-		Serve   serve   `cmd:"" help:"Serve clients until told to stop."`
-		Check   check   `cmd:"" help:"Say whether a configuration is good."`
-		Version version `cmd:"" help:"Print the version."`
+		Serve    serve    `cmd:"" help:"Serve clients until told to stop."`
+		Check    check    `cmd:"" help:"Say whether a configuration is good."`
+		Counters counters `cmd:"" help:"Print what a running proxy has counted since its start."`
+		Version  version  `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("woodproxy"), kong.Description("A router for fleets of cache servers."))
 	if err := ctx.Run(); err != nil {
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	maxTurns  = 64              // commands of one connection that may be without an answer
-	maxUnread = 2 * time.Second // how long a client may take to accept an answer
+	maxTurns  = 64               // commands of one connection that may be without an answer
+	maxHalf   = 10 * time.Second // how long a client may be silent within a command
+	maxUnread = 2 * time.Second  // how long a client may take to accept an answer
 )
 
 // client is one client's connection and its goroutine, which alone reads and writes there. Whoever has an
@@ -24,17 +25,23 @@
 	door *Door
 	conn net.Conn
 	in   *bufio.Reader
-	turn *turn // a write whose value is being read
-	got  int   // bytes of that value and of its line end so far
+	skip int       // bytes of a value for which there was no place, still to come
+	half time.Time // when last read, if a command has come in part
+	turn *turn     // a write whose value is being read
+	got  int       // bytes of that value and of its line end so far
 
 	mu    sync.Mutex
 	turns []*turn // in the order of their commands
 	quits bool    // to be closed once nothing is owed
+	seen  bool    // its goroutine knows
 	used  time.Time
 	nudge chan struct{} // the first turn has become ready
 }
 
-var errQuit = errors.New("closed between commands")
+var (
+	errQuit = errors.New("closed between commands")
+	errHalf = errors.New("silent within a command")
+)
 
 // run serves the connection until its end.
 func (c *client) run() {
@@ -51,8 +58,12 @@
 	c.turns = nil
 	c.mu.Unlock()
 	for _, t := range owed {
+		t.giveBack(d.count)
 		d.mind.box.post(func() { d.mind.left(t) })
 	}
+	if c.turn != nil {
+		c.turn.giveBack(d.count)
+	}
 	d.forget(c)
 }
 
@@ -64,14 +75,26 @@
 		if err := c.read(); err != nil {
 			return err
 		}
-		if err := c.fill(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		began := c.half
+		err := c.fill()
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
+		if !began.IsZero() && time.Since(began) >= maxHalf {
+			return errHalf
+		}
 	}
 }
 
 // fill waits for more bytes than there are, or to be woken.
 func (c *client) fill() error {
+	if !c.half.IsZero() {
+		c.mu.Lock()
+		if c.quits == c.seen && (len(c.turns) == 0 || !c.turns[0].ready) { // or a wake would be undone
+			c.conn.SetReadDeadline(c.half.Add(maxHalf))
+		}
+		c.mu.Unlock()
+	}
 	if c.turn != nil {
 		n, err := c.in.Read(c.turn.value[c.got:cap(c.turn.value)])
 		c.got += n
@@ -95,7 +118,7 @@
 	done := c.turns[:ready:ready]
 	c.turns = c.turns[ready:]
 	quit := c.quits && len(c.turns) == 0 && c.turn == nil && c.in.Buffered() == 0
-	c.used = time.Now()
+	c.used, c.seen = time.Now(), c.quits
 	c.mu.Unlock()
 	if ready > 0 {
 		out := make(net.Buffers, 0, 3*ready)
@@ -105,7 +128,11 @@
 			}
 		}
 		c.conn.SetWriteDeadline(time.Now().Add(maxUnread))
-		if _, err := out.WriteTo(c.conn); err != nil {
+		_, err := out.WriteTo(c.conn)
+		for _, t := range done {
+			t.giveBack(c.door.count)
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -118,9 +145,18 @@
 // read takes the commands that have come whole.
 func (c *client) read() error {
 	for {
+		c.half = time.Time{}
+		if c.skip > 0 {
+			n, _ := c.in.Discard(min(c.skip, c.in.Buffered()))
+			if c.skip -= n; c.skip > 0 {
+				c.half = time.Now()
+				return nil
+			}
+		}
 		if c.turn != nil {
 			t := c.turn
 			if c.got < cap(t.value) {
+				c.half = time.Now()
 				return nil
 			}
 			n := c.got - 2
@@ -134,6 +170,9 @@
 		b, _ := c.in.Peek(c.in.Buffered())
 		cmd, n, err := wire.ParseCommand(b)
 		if errors.Is(err, wire.ErrShort) {
+			if len(b) > 0 {
+				c.half = time.Now()
+			}
 			return nil
 		}
 		if err != nil {
@@ -142,6 +181,8 @@
 		t := c.begin(&cmd)
 		c.in.Discard(n)
 		switch {
+		case cmd.Value >= 0 && t == nil:
+			c.skip = cmd.Value + 2
 		case cmd.Value >= 0:
 			t.value, c.turn, c.got = make([]byte, 0, cmd.Value+2), t, 0
 		case t != nil:
@@ -172,13 +213,23 @@
 		t.say(c.door.aside(cmd))
 		return nil
 	}
+	d := c.door
+	d.count.Exchanges.Add(1)
+	if d.count.Held.Add(1) > d.places {
+		d.count.Held.Add(-1)
+		d.count.Crowded.Add(1)
+		t := &turn{client: c}
+		c.queue(t)
+		t.answer(d.count, shed, nil, int(d.mind.book.Terms.MaxRetryAfter/10))
+		return nil
+	}
 	all := make([]byte, 0, len(cmd.Name)+len(cmd.Key)+len(cmd.ID)+len(cmd.Facts))
 	keep := func(b []byte) []byte {
 		n := len(all)
 		all = append(all, b...)
 		return all[n:len(all):len(all)]
 	}
-	return &turn{client: c, name: keep(cmd.Name), key: keep(cmd.Key), id: keep(cmd.ID), facts: keep(cmd.Facts)}
+	return &turn{client: c, holds: true, name: keep(cmd.Name), key: keep(cmd.Key), id: keep(cmd.ID), facts: keep(cmd.Facts)}
 }
 
 func (c *client) queue(t *turn) {
@@ -199,12 +250,6 @@
 	}
 	t.route, t.tenant, t.wait, t.repeat = string(facts.Route), string(facts.Tenant), facts.Wait, facts.Repeat
 	t.came = d.mind.clock.Now()
-	d.count.Exchanges.Add(1)
-	if d.count.Held.Add(1) > MaxHeld {
-		d.count.Crowded.Add(1)
-		t.answer(d.count, shed, nil, 0)
-		return
-	}
 	d.mind.box.post(func() { d.mind.arrive(t) })
 }
 
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -19,6 +19,7 @@
 	mind    *Mind
 	ready   chan struct{} // closed when clients may be told that they are served
 	most    int           // connections at once
+	places  int64         // exchanges that may be held at once: their values are what fills the memory
 	count   *Counters
 	log     *zap.Logger
 	mu      sync.Mutex
@@ -26,9 +27,11 @@
 	fewer   *sync.Cond           // one has ended
 }
 
-// NewDoor lets clients in on ln, at most so many at once.
-func NewDoor(ln *net.TCPListener, mind *Mind, most int, count *Counters, log *zap.Logger) *Door {
-	d := &Door{ln: ln, mind: mind, most: most, ready: make(chan struct{}), count: count, log: log,
+// NewDoor lets clients in on ln, at most so many at once, and holds no more exchanges than half of the memory has
+// room for when each comes with a value and gets another.
+func NewDoor(ln *net.TCPListener, mind *Mind, most, memoryMB int, count *Counters, log *zap.Logger) *Door {
+	places := min(int64(memoryMB)<<20/2/(2*wire.MaxValue), mostHeld)
+	d := &Door{ln: ln, mind: mind, most: most, places: places, ready: make(chan struct{}), count: count, log: log,
 		clients: map[*client]struct{}{}}
 	d.fewer = sync.NewCond(&d.mu)
 	return d
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	hushOfWatch = 5 * time.Second // a watch says something every two seconds
+	hushOfWatch = 3 * time.Second // a watch says something every two seconds
 	dialOfWatch = time.Second
 	pauseWatch  = 200 * time.Millisecond
 )
@@ -39,7 +39,9 @@
 			return nil, err
 		}
 	}
-	mind.box.post(func() { mind.nodes(true, true, list) })
+	if len(list) > 0 {
+		mind.box.post(func() { mind.nodes(true, true, list) })
+	}
 	return l, nil
 }
 
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -12,8 +12,8 @@
 	"woodproxy/internal/wire"
 )
 
-// MaxHeld is how many exchanges may be without an answer, and how many tries may be out; it bounds mailboxes.
-const MaxHeld = 1024
+// mostHeld is how many exchanges may be held at most, whatever the memory; it bounds mailboxes.
+const mostHeld = 1024
 
 // Mind is the module's actor. It turns calls from clients, peers and the list into calls on the module, and
 // the module's decisions into calls on them.
@@ -42,7 +42,7 @@
 
 // NewMind returns a module's actor that knows no nodes; sockets is how many it may have open to peers.
 func NewMind(book *terms.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Mind {
-	return &Mind{box: make(mailbox, 4*MaxHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
+	return &Mind{box: make(mailbox, 4*mostHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
 		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, links: newBudget(sockets),
 		count: count, log: log}
 }
@@ -62,6 +62,7 @@
 // nodes takes the list, whole or only what changed; first means that it is what this proxy last had.
 func (m *Mind) nodes(whole, first bool, list []wire.Target) {
 	m.count.Lists.Add(1)
+	first = first || len(m.peers) == 0 // with none known before, nothing tells who is new
 	lines := make([]brain.Listing, 0, len(list))
 	for _, t := range list {
 		n, ok := m.byName[t.Name]
@@ -71,8 +72,8 @@
 			m.byName[t.Name] = n
 			m.peers = append(m.peers, newPeer(m, n, t.Name, origin))
 		}
-		if p := m.peers[n]; t.Address != "" {
-			p.box.offer(func() { p.moved(t.Address) })
+		if t.Address != "" {
+			m.peers[n].addr.Store(&t.Address)
 		}
 		zone, ok := m.book.Zones[t.Zone]
 		if !ok {
@@ -118,7 +119,6 @@
 		return
 	}
 	m.count.Left.Add(1)
-	m.count.Held.Add(-1)
 	ds := m.brain.Left(m.clock.Now(), t.cx)
 	m.slots[t.cx].over = true
 	m.act(ds)
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -48,15 +48,15 @@
 	node   int
 	name   string
 	origin bool
-	addr   string
-	idle   []*link // the last one used comes last
-	queue  []*try  // wait for a connection, for want of sockets; emptied as others end, or as they time out
-	asked  bool    // to look again soon whether there are sockets
+	addr   atomic.Pointer[string] // the module's actor sets it
+	idle   []*link                // the last one used comes last
+	queue  []*try                 // wait for a connection, for want of sockets; emptied as others end, or as they time out
+	asked  bool                   // to look again soon whether there are sockets
 	log    *zap.Logger
 }
 
 func newPeer(m *Mind, node int, name string, origin bool) *peer {
-	p := &peer{box: make(mailbox, 3*MaxHeld), mind: m, node: node, name: name, origin: origin,
+	p := &peer{box: make(mailbox, 3*mostHeld), mind: m, node: node, name: name, origin: origin,
 		log: m.log.With(zap.String("peer", name))}
 	go func() {
 		for call := range p.box {
@@ -66,21 +66,18 @@
 	return p
 }
 
-// moved takes the peer's address; connections to another one are not used again.
-func (p *peer) moved(addr string) {
-	if p.addr != addr {
-		p.closeIdle()
-		p.addr = addr
-	}
-}
-
 // send hands a try to an idle connection or opens one; for want of sockets it waits.
 func (p *peer) send(t *try) {
-	if n := len(p.idle); n > 0 {
-		t.link = p.idle[n-1]
+	addr := *p.addr.Load()
+	for n := len(p.idle); n > 0; n = len(p.idle) {
+		l := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		t.link.give(t)
-		return
+		if l.addr == addr {
+			t.link = l
+			l.give(t)
+			return
+		}
+		l.wake() // it leads to where the peer was
 	}
 	if !p.mind.links.take() {
 		p.queue = append(p.queue, t)
@@ -93,7 +90,7 @@
 	}
 	p.mind.count.Dials.Add(1)
 	p.mind.count.UpstreamOpen.Add(1)
-	t.link = &link{peer: p, addr: p.addr}
+	t.link = &link{peer: p, addr: addr}
 	go t.link.run(t)
 }
 
@@ -122,10 +119,6 @@
 	if !again {
 		return
 	}
-	if l.addr != p.addr {
-		l.wake()
-		return
-	}
 	p.idle = append(p.idle, l)
 	if t := p.next(); t != nil {
 		p.send(t)
--- a/internal/fleet/turn.go
+++ b/internal/fleet/turn.go
@@ -25,6 +25,7 @@
 	route, tenant        string
 	wait                 int // how long the client waits, in milliseconds
 	repeat               bool
+	holds                bool       // a place, until its answer is written or its client gone
 	came                 brain.Time // with its last byte
 
 	cx    int // only the module's actor looks at these two
@@ -40,7 +41,6 @@
 
 // answer words the one final answer of an exchange; a completed one carries the value as it came.
 func (t *turn) answer(count *Counters, a final, value []byte, after int) {
-	count.Held.Add(-1)
 	switch a {
 	case completed:
 		count.Completed.Add(1)
@@ -72,3 +72,11 @@
 		}
 	}
 }
+
+// giveBack frees the place of an exchange whose answer is written or whose client has gone.
+func (t *turn) giveBack(count *Counters) {
+	if t.holds {
+		t.holds = false
+		count.Held.Add(-1)
+	}
+}
--- /dev/null
+++ b/internal/run/config_test.go
@@ -0,0 +1,53 @@
+package run
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// A bad configuration is one line that names what is wrong.
+func TestBadConfigurations(t *testing.T) {
+	good := `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","limits":{"cores":1.5},` +
+		`"settings":` + settings + `,"new":1}`
+	file := filepath.Join(t.TempDir(), "config.json")
+	read := func(text string) error {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Read(file, "", "", "")
+		return err
+	}
+	if err := read(good); err != nil {
+		t.Fatal(err)
+	}
+	for change, want := range map[string]string{
+		`"name":"n1",>`:                       "name: missing",
+		`"listen":"127.0.0.1:1">"listen":7`:   "listen: mistyped",
+		`127.0.0.1:2>nowhere`:                 "discovery: no address",
+		`"seed":"8c1f">"seed":"xyz"`:          "seed: mistyped",
+		`"cores":1.5>"cores":"many"`:          "limits.cores: mistyped",
+		`"cores":1.5>"sockets":9`:             "limits.sockets",
+		`"settings">"sittings"`:               "settings: missing",
+		`"value":5,"effect":"pure">"value":5`: "effect: missing",
+		`"effect":"pure">"effect":"maybe"`:    "effect: out of its range",
+		`"tick":5>"tick":"five"`:              "tick: mistyped",
+		`{"name":"n1">{"name":`:               "not a JSON object",
+		`"replicas-of-me":1,>`:                "replicas-of-me: missing",
+	} {
+		from, to, _ := strings.Cut(change, ">")
+		text := strings.Replace(good, from, to, 1)
+		err := read(text)
+		if text == good || err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", change, err)
+		}
+	}
+	if _, err := Read("", "", "", ""); err == nil {
+		t.Error("no file is taken")
+	}
+	read(good)
+	if p, err := Read(file, "n2", "127.0.0.1:3", ""); err != nil || p.Name != "n2" || p.Listen != "127.0.0.1:3" {
+		t.Errorf("what is given besides the file does not go before it: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/run/scenario_test.go
@@ -0,0 +1,531 @@
+package run
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+
+	"woodproxy/internal/scenario"
+)
+
+// A scenario plays one proxy on loopback sockets, among stand-ins:
+//
+//	limits WORD=N ...                        memory_mb, sockets; before start
+//	node NAME HABIT [slow=MS] [size=N]       starts a cache or (o1) the origin, or changes its habit
+//	list NAME[:leaving|:left] ...            what discovery says: the first is whole, others are changes
+//	discovery up|silent|cut|garbled          cut ends the watches that are out
+//	start [known=NAME,NAME]                  a known node is one that node has started, or is nowhere
+//	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
+//	CLIENT gets value [from=NAME] | busy | error | pong | closed | nothing [times=N]    the next answers
+//	expect NAME|COUNTER OP N                 tries that a node took whole, or a counter; within two seconds
+//	pause MS | stop | stopped
+//
+// Habits of a cache: hit miss busy fails silent garbled cuts halves once (closes after each answer) nowhere
+// (refuses connections); of the origin: hit chunked busy fails silent garbled cuts.
+func TestScenarios(t *testing.T) {
+	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
+		t.Parallel()
+		return &stage{t: t, nodes: map[string]*standIn{}, clients: map[string]*caller{}, index: 1,
+			limits: map[string]string{}, signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	})
+}
+
+type stage struct {
+	t         *testing.T
+	line      int
+	limits    map[string]string
+	nodes     map[string]*standIn
+	clients   map[string]*caller
+	index     int
+	mu        sync.Mutex
+	lists     []string // what a watch is told, by version
+	mood      string   // of discovery
+	changed   chan struct{}
+	discovery net.Listener
+	watches   []net.Conn
+	addr      string
+	signals   chan os.Signal
+	ended     chan error
+	tries     int
+}
+
+func (s *stage) fail(format string, args ...any) {
+	s.t.Helper()
+	s.t.Errorf("line %d: %s", s.line, fmt.Sprintf(format, args...))
+}
+
+func (s *stage) Step(line int, w []string) {
+	s.line = line
+	m := scenario.Words(w[1:])
+	switch w[0] {
+	case "limits":
+		s.limits = m
+	case "node":
+		n := s.nodes[w[1]]
+		if n == nil {
+			n = newStandIn(s.t, w[1])
+			s.nodes[w[1]] = n
+		}
+		n.set(w[2], m)
+	case "list":
+		s.say(w[1:])
+	case "discovery":
+		s.mu.Lock()
+		s.mood = w[1]
+		for _, c := range s.watches {
+			if w[1] == "cut" || w[1] == "garbled" {
+				c.Close()
+			}
+		}
+		s.mu.Unlock()
+	case "start":
+		s.start(m["known"])
+	case "pause":
+		time.Sleep(time.Duration(scenario.Num(w[1])) * time.Millisecond)
+	case "expect":
+		s.expect(w[1], w[2], int(scenario.Num(w[3])))
+	case "stop":
+		s.signals <- syscall.SIGTERM
+	case "stopped":
+		select {
+		case <-s.ended:
+			s.signals = nil
+		case <-time.After(3 * time.Second):
+			s.fail("still running")
+		}
+	default:
+		c := s.clients[w[0]]
+		if c == nil {
+			conn, err := net.Dial("tcp", s.addr)
+			if err != nil {
+				s.fail("%v", err)
+				return
+			}
+			c = &caller{conn: conn, in: bufio.NewReader(conn), name: w[0]}
+			s.clients[w[0]] = c
+		}
+		if err := c.step(w[1:], m); err != nil {
+			s.fail("%v", err)
+		}
+	}
+}
+
+func (s *stage) End() {
+	for _, c := range s.clients {
+		c.conn.Close()
+	}
+	if s.signals == nil || s.addr == "" {
+		return
+	}
+	s.signals <- syscall.SIGTERM
+	if err := <-s.ended; err != nil {
+		s.fail("%v", err)
+	}
+}
+
+// target is a line of the list, in discovery's form.
+func (s *stage) target(word string) string {
+	name, status, _ := strings.Cut(word, ":")
+	if status == "" {
+		status = "active"
+	}
+	kind, addr := "std", "127.0.0.1:1"
+	if name[0] == 'o' {
+		kind = "origin"
+	}
+	if n := s.nodes[name]; n != nil {
+		addr = n.addr
+	}
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":%q,"group":1,"status":%q,"weight":1,"since_ms":0}`,
+		name, addr, kind, status)
+}
+
+func (s *stage) say(words []string) {
+	var rows []string
+	for _, w := range words {
+		rows = append(rows, s.target(w))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index++
+	s.lists = append(s.lists, fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`, s.index, len(s.lists) == 0,
+		strings.Join(rows, ",")))
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+// follow answers a watch.
+func (s *stage) follow(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+	at := max(since-1, 0) // lists are numbered from 2
+	for {
+		s.mu.Lock()
+		mood, changed := s.mood, s.changed
+		news := s.lists[min(at, len(s.lists)):]
+		s.mu.Unlock()
+		switch mood {
+		case "silent":
+			<-r.Context().Done()
+			return
+		case "cut", "garbled":
+			if mood == "garbled" {
+				io.WriteString(w, "{]\n")
+			}
+			return
+		}
+		for _, l := range news {
+			io.WriteString(w, l+"\n")
+		}
+		at += len(news)
+		io.WriteString(w, "\n")
+		w.(http.Flusher).Flush()
+		select {
+		case <-changed:
+		case <-time.After(500 * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *stage) start(known string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(s.follow), ConnState: func(c net.Conn, st http.ConnState) {
+		if st == http.StateNew {
+			s.mu.Lock()
+			s.watches = append(s.watches, c)
+			s.mu.Unlock()
+		}
+	}}
+	go server.Serve(ln)
+	s.t.Cleanup(func() { server.Close() })
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.addr = free.Addr().String()
+	free.Close()
+	list := "null"
+	if known != "" {
+		var rows []string
+		for _, n := range strings.Split(known, ",") {
+			rows = append(rows, s.target(n))
+		}
+		list = `{"index":1,"snapshot":true,"endpoints":[` + strings.Join(rows, ",") + `]}`
+	}
+	sizes := []string{}
+	for k, v := range s.limits {
+		sizes = append(sizes, fmt.Sprintf("%q:%s", k, v))
+	}
+	file := filepath.Join(s.t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{%s},"known":%s,"settings":%s}`,
+		s.addr, ln.Addr(), strings.Join(sizes, ","), list, settings)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	p, err := Read(file, "", "", "")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	go func() { s.ended <- Serve(p, zaptest.NewLogger(s.t, zaptest.Level(zap.ErrorLevel)), s.signals) }()
+	for range 100 { // until it listens
+		if c, err := net.Dial("tcp", s.addr); err == nil {
+			c.Close()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.t.Fatal("the proxy does not listen")
+}
+
+const settings = `{"replicas-of-me":1,"limits":{"max-upstream-tries":3,"may-cancel":true,"conn-idle":15000,
+"connect-timeout":250,"retry-after":true,"max-retry-after":1000},"tick":5,"shapes":["std","origin"],
+"rules":{"cold":8000,"fall":3000,"cold-from":0.3,"fall-multiple":3},"family-info":{"mode":"aside","origin-kind":1},
+"routes":[{"name":"read","latency-objective":600,"overall-timeout":1200,"value":5,"effect":"pure"},
+{"name":"put","latency-objective":600,"overall-timeout":1200,"value":5,"effect":"token","group":"all","dedup-window":6000}]}`
+
+func (s *stage) expect(what, op string, want int) {
+	var got int
+	for range 200 {
+		if n := s.nodes[what]; n != nil {
+			got = int(n.took.Load())
+		} else if c, err := net.Dial("tcp", s.addr); err == nil {
+			fmt.Fprint(c, "*1\r\n$4\r\nINFO\r\n")
+			_, text, err := readAnswer(bufio.NewReader(c))
+			c.Close()
+			_, after, ok := strings.Cut("\n"+text, "\n"+what+" ")
+			if err != nil || !ok {
+				s.fail("no counter %s in %q (%v)", what, text, err)
+				return
+			}
+			word, _, _ := strings.Cut(after, "\n")
+			got = int(scenario.Num(word))
+		}
+		if scenario.Holds(got, op, want) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.fail("%s is %d, not %s %d", what, got, op, want)
+}
+
+// caller is a client.
+type caller struct {
+	conn net.Conn
+	in   *bufio.Reader
+	name string
+	sent int
+	got  int // answers so far; the ids count along
+}
+
+func (c *caller) step(w []string, m map[string]string) error {
+	c.conn.SetDeadline(time.Now().Add(3 * time.Second))
+	switch w[0] {
+	case "get", "set":
+		wait := m["wait"]
+		if wait == "" {
+			wait = "1200"
+		}
+		for i := range max(int(scenario.Num(m["times"])), 1) {
+			c.sent++
+			words := []string{"KV.GET", fmt.Sprint(w[1], i), fmt.Sprint(c.name, c.sent), "c=read,t=x,d=" + wait}
+			if w[0] == "set" {
+				words[0], words[3] = "KV.SET", "c=put,t=x,d="+wait+",k=mark"
+				words = append(words, strings.Repeat("v", int(scenario.Num(m["size"]))))
+			}
+			if err := c.write(words); err != nil {
+				return err
+			}
+		}
+	case "ping":
+		for range max(int(scenario.Num(m["times"])), 1) {
+			c.sent++
+			if err := c.write([]string{"PING"}); err != nil {
+				return err
+			}
+		}
+	case "raw":
+		_, err := io.WriteString(c.conn, strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace(strings.Join(w[1:], " ")))
+		return err
+	case "leaves":
+		return c.conn.Close()
+	case "gets":
+		for range max(int(scenario.Num(m["times"])), 1) {
+			if err := c.gets(w[1], m); err != nil {
+				return err
+			}
+		}
+	default:
+		return fmt.Errorf("unknown word %q", w[0])
+	}
+	return nil
+}
+
+func (c *caller) write(words []string) error {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "*%d\r\n", len(words))
+	for _, w := range words {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(w), w)
+	}
+	_, err := c.conn.Write(b.Bytes())
+	return err
+}
+
+func (c *caller) gets(want string, m map[string]string) error {
+	if want == "nothing" {
+		c.conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if b, err := c.in.Peek(1); err == nil || len(b) > 0 {
+			return fmt.Errorf("something came: %q", b)
+		}
+		return nil
+	}
+	head, body, err := readAnswer(c.in)
+	if want == "closed" {
+		if err == nil {
+			return fmt.Errorf("came %q", head)
+		}
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	c.got++
+	kind := "error"
+	switch {
+	case head[0] == '$':
+		kind = "value"
+		// what counts is that it was made for this exchange, and by whom
+		if from, id, _ := strings.Cut(strings.TrimRight(body, "."), ":"); id != fmt.Sprint(c.name, c.got) ||
+			m["from"] != "" && m["from"] != from {
+			return fmt.Errorf("a value of %q, not for %s%d", body, c.name, c.got)
+		}
+	case head == "+PONG":
+		kind = "pong"
+	case strings.HasPrefix(head, "-BUSY "):
+		if n, err := strconv.Atoi(head[6:]); err != nil || n < 1 || n > 1000 {
+			return fmt.Errorf("odd advice %q", head)
+		}
+		kind = "busy"
+	}
+	if kind != want {
+		return fmt.Errorf("came %q, not %s", head, want)
+	}
+	return nil
+}
+
+func readAnswer(r *bufio.Reader) (head, body string, err error) {
+	if head, err = r.ReadString('\n'); err != nil {
+		return "", "", err
+	}
+	head = strings.TrimRight(head, "\r\n")
+	if head[0] == '$' {
+		n, _ := strconv.Atoi(head[1:])
+		b := make([]byte, n+2)
+		_, err = io.ReadFull(r, b)
+		body = string(b[:n])
+	}
+	return head, body, err
+}
+
+// standIn is a cache or the origin.
+type standIn struct {
+	name, addr string
+	mu         sync.Mutex
+	habit      string
+	slow       time.Duration
+	size       int
+	took       atomic.Int64
+	ln         net.Listener
+}
+
+func newStandIn(t *testing.T, name string) *standIn {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &standIn{name: name, addr: ln.Addr().String(), ln: ln}
+	if name[0] == 'o' {
+		server := &http.Server{Handler: n}
+		go server.Serve(ln)
+		t.Cleanup(func() { server.Close() })
+		return n
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go n.serve(c)
+		}
+	}()
+	t.Cleanup(func() { ln.Close() })
+	return n
+}
+
+func (n *standIn) set(habit string, m map[string]string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.habit, n.slow = habit, time.Duration(scenario.Num(m["slow"]))*time.Millisecond
+	n.size = int(scenario.Num(m["size"]))
+	if habit == "nowhere" {
+		n.ln.Close()
+	}
+}
+
+// next is how the next try is met, and the value that is made for it.
+func (n *standIn) next(id string) (string, string) {
+	n.took.Add(1)
+	n.mu.Lock()
+	habit, slow, size := n.habit, n.slow, n.size
+	n.mu.Unlock()
+	time.Sleep(slow)
+	value := n.name + ":" + id
+	return habit, value + strings.Repeat(".", max(size-len(value), 0))
+}
+
+func (n *standIn) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		head, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		words := make([]string, int(scenario.Num(strings.TrimSpace(head[1:]))))
+		for i := range words {
+			if _, words[i], err = readAnswer(r); err != nil {
+				return
+			}
+		}
+		habit, value := n.next(words[2])
+		switch habit {
+		case "hit", "once":
+			fmt.Fprintf(c, "*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(value), value)
+		case "miss":
+			fmt.Fprint(c, "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n")
+		case "busy":
+			fmt.Fprint(c, "-BUSY\r\n")
+		case "fails":
+			fmt.Fprint(c, "-ERR failed\r\n")
+		case "garbled":
+			fmt.Fprint(c, "?!\r\n")
+		case "halves":
+			fmt.Fprintf(c, "*3\r\n$%d\r\n%s", len(value), value[:len(value)/2])
+		}
+		if habit == "once" || habit == "cuts" || habit == "halves" {
+			return
+		}
+	}
+}
+
+// ServeHTTP is the origin's.
+func (n *standIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || r.Method == "PUT" && strings.Trim(string(body), "v") != "" {
+		return
+	}
+	habit, value := n.next(r.Header.Get("X-Correlation-Id"))
+	switch habit {
+	case "hit":
+		io.WriteString(w, value)
+	case "chunked":
+		io.WriteString(w, value[:2])
+		w.(http.Flusher).Flush()
+		io.WriteString(w, value[2:])
+	case "busy":
+		w.Header().Set("X-Unprocessed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case "fails":
+		w.WriteHeader(http.StatusInternalServerError)
+	case "silent":
+		<-r.Context().Done()
+	default:
+		c, _, _ := w.(http.Hijacker).Hijack()
+		if habit == "garbled" {
+			fmt.Fprint(c, "SMTP 1\r\n\r\n")
+		}
+		c.Close()
+	}
+}
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -5,9 +5,9 @@
 	"math"
 	"net"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -23,10 +23,14 @@
 	stillComing  = 450 * time.Millisecond // after the signal to stop, while others learn of it
 )
 
-// Serve runs the proxy until it is told to stop.
-func Serve(p *Place, log *zap.Logger) error {
+// Limit has the program keep to its cores and leave a third of its memory free, or rather collect more often.
+func Limit(p *Place) {
 	runtime.GOMAXPROCS(max(int(math.Ceil(p.Cores)), 1))
-	debug.SetMemoryLimit(int64(p.MemoryMB) << 20 * 7 / 10)
+	debug.SetMemoryLimit(int64(p.MemoryMB) << 20 * 2 / 3)
+}
+
+// Serve runs the proxy until a signal tells it to stop; SIGUSR1 has it print its counters.
+func Serve(p *Place, log *zap.Logger, signals <-chan os.Signal) error {
 	count := &fleet.Counters{}
 	links := (p.Sockets - spareSockets) * 2 / 5
 	mind := fleet.NewMind(p.Book, p.Seed, fleet.NewClock(), links, count, log)
@@ -38,9 +42,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: listen: %w", err)
 	}
-	door := fleet.NewDoor(ln.(*net.TCPListener), mind, p.Sockets-spareSockets-links, count, log)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	door := fleet.NewDoor(ln.(*net.TCPListener), mind, p.Sockets-spareSockets-links, p.MemoryMB, count, log)
 	go mind.Run()
 	go list.Run()
 	go door.Run()
@@ -51,16 +53,13 @@
 		log.Warn("discovery is silent; serving from the list last known")
 	}
 	door.Open()
-	for s := range signals {
-		if s == syscall.SIGUSR1 {
-			log.Info("counters", counters(count)...)
-			continue
-		}
-		break
+	for <-signals == syscall.SIGUSR1 {
+		log.Info("counters", counters(count)...)
 	}
 	log.Info("stopping")
 	time.Sleep(stillComing)
-	door.Close(time.Now().Add(time.Duration(p.Book.Longest) * 100 * time.Microsecond))
+	// whatever is held has its answer by then, since the module gives it before the overall timeout
+	door.Close(time.Now().Add(time.Duration(p.Book.Longest)*100*time.Microsecond + time.Second))
 	log.Info("stopped", counters(count)...)
 	return nil
 }
@@ -69,7 +68,8 @@
 	var all []zap.Field
 	for l := range strings.Lines(c.String()) {
 		name, value, _ := strings.Cut(strings.TrimSpace(l), " ")
-		all = append(all, zap.String(name, value))
+		n, _ := strconv.Atoi(value)
+		all = append(all, zap.Int(name, n))
 	}
 	return all
 }
--- a/internal/wire/answer.go
+++ b/internal/wire/answer.go
@@ -37,7 +37,7 @@
 	}
 	var value []byte
 	for i := range parts {
-		part, err := bulk(r)
+		part, err := ReadBulk(r)
 		if err != nil {
 			return 0, nil, &Halt{Reading, err}
 		}
@@ -51,8 +51,8 @@
 	return brain.Completed, value, nil
 }
 
-// bulk reads one element, nil where it is null. Elements of other simple kinds are passed over as empty ones.
-func bulk(r *bufio.Reader) ([]byte, error) {
+// ReadBulk reads one element, nil where it is null. Elements of other simple kinds are passed over as empty ones.
+func ReadBulk(r *bufio.Reader) ([]byte, error) {
 	head, err := line(r)
 	if err != nil {
 		return nil, err
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -133,6 +133,15 @@
 	return b
 }
 
+// AppendPlain writes a command that is no exchange.
+func AppendPlain(b []byte, words ...string) []byte {
+	b = AppendLength(b, '*', len(words))
+	for _, w := range words {
+		b = append(append(AppendLength(b, '$', len(w)), w...), '\r', '\n')
+	}
+	return b
+}
+
 // AppendLength writes a mark and a number with its line end.
 func AppendLength(b []byte, mark byte, n int) []byte {
 	b = strconv.AppendInt(append(b, mark), int64(n), 10)
