--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	maxTurns  = 64               // commands of one connection that may be without an answer
-	maxHalf   = 10 * time.Second // how long a client may be silent within a command
-	maxUnread = 2 * time.Second  // how long a client may take to accept an answer
+	maxTurns  = 64              // commands of one connection that may be without an answer
+	maxHalf   = 5 * time.Second // how long a client may be silent within a command
+	maxUnread = 2 * time.Second // how long a client may take to accept an answer
 )
 
 // client is one client's connection and its goroutine, which alone reads and writes there. Whoever has an
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -67,8 +68,7 @@
 		again = false
 		guarded(p.log, p.mind.count, func() { ending, value, again, err = l.carry(t) })
 		if errors.Is(err, wire.ErrBytes) {
-			p.mind.count.BadPeer.Add(1)
-			p.log.Warn("connection ended", zap.Error(err))
+			l.distrust(err)
 		}
 		if !again && l.conn != nil {
 			l.conn.Close()
@@ -85,6 +85,12 @@
 	p.box.post(func() { p.gone(l) })
 }
 
+// distrust tells of a connection that is ended for what came on it.
+func (l *link) distrust(err error) {
+	l.peer.mind.count.BadPeer.Add(1)
+	l.peer.log.Warn("connection ended", zap.Error(err))
+}
+
 // wait stays until a try is handed over; nil means that the connection has ended or stood idle too long.
 func (l *link) wait() *try {
 	l.mu.Lock()
@@ -97,10 +103,14 @@
 	if t != nil {
 		return t
 	}
-	if _, err := l.in.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
+	b, err := l.in.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return l.take()
 	}
-	return nil // closed by the other side, which has nothing to say
+	if len(b) > 0 {
+		l.distrust(fmt.Errorf("%w: unasked for: %q", wire.ErrBytes, b))
+	}
+	return nil // or closed by the other side
 }
 
 // carry sees one try through: connect if need be, write it, read its answer.
@@ -116,8 +126,11 @@
 		}
 	}
 	l.conn.SetDeadline(until)
-	if t.undone.Load() { // called off before the deadline above was set
+	switch {
+	case t.undone.Load(): // called off before the deadline above was set
 		return brain.Undone, nil, false, nil
+	case !l.peer.ready.Load(): // it drains or is gone since the module chose it; nothing new goes there
+		return brain.NeverSent, nil, false, nil
 	}
 	if err := l.write(t); err != nil {
 		return l.came(t, &wire.Halt{Far: wire.Writing, Err: err})
@@ -131,6 +144,10 @@
 	if err != nil {
 		return l.came(t, err)
 	}
+	if n := l.in.Buffered(); again && n > 0 { // it would pass for the answer to the next
+		l.distrust(fmt.Errorf("%w: %d unasked for", wire.ErrBytes, n))
+		again = false
+	}
 	return ending, value, again, nil
 }
 
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -64,6 +64,11 @@
 	m.count.Lists.Add(1)
 	first = first || len(m.peers) == 0 // with none known before, nothing tells who is new
 	lines := make([]brain.Listing, 0, len(list))
+	if whole {
+		for _, p := range m.peers {
+			p.ready.Store(false)
+		}
+	}
 	for _, t := range list {
 		n, ok := m.byName[t.Name]
 		origin := m.book.Origin != "" && t.Kind == m.book.Origin
@@ -71,10 +76,12 @@
 			n = len(m.peers)
 			m.byName[t.Name] = n
 			m.peers = append(m.peers, newPeer(m, n, t.Name, origin))
+			m.log.Info("new on the list", zap.Int("node", n), zap.String("peer", t.Name), zap.String("at", t.Address))
 		}
 		if t.Address != "" {
 			m.peers[n].addr.Store(&t.Address)
 		}
+		m.peers[n].ready.Store(t.Ready)
 		zone, ok := m.book.Zones[t.Zone]
 		if !ok {
 			zone = -1
@@ -210,6 +217,7 @@
 			m.finish(d.Cx, errored, nil, 0)
 		case brain.Wake:
 			m.wake.Reset(span(d.After))
+		case brain.Follow: // the list's actor does from the start, and again by itself when a watch fails
 		case brain.Close:
 			p := m.peers[d.Node]
 			p.box.offer(p.closeIdle)
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -48,7 +48,8 @@
 	node   int
 	name   string
 	origin bool
-	addr   atomic.Pointer[string] // the module's actor sets it
+	addr   atomic.Pointer[string] // the module's actor sets these two, as the list has them
+	ready  atomic.Bool            // neither draining nor gone
 	idle   []*link                // the last one used comes last
 	queue  []*try                 // wait for a connection, for want of sockets; emptied as others end, or as they time out
 	asked  bool                   // to look again soon whether there are sockets
@@ -145,7 +146,7 @@
 	for len(p.queue) > 0 {
 		t := p.queue[0]
 		p.queue = p.queue[1:]
-		if !t.undone.Load() && p.mind.clock.Now() < t.sent+t.wait {
+		if !t.undone.Load() && p.ready.Load() && p.mind.clock.Now() < t.sent+t.wait {
 			return t
 		}
 		p.mind.box.post(func() { p.mind.ended(t, brain.NeverSent, nil) })
