The list's actor has a mailbox and follows when the module says, where it must be asked for

The module's Follow was passed over: the watch ran from the start at every deployment. Ends of tries are counted in one array by ending.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -244,7 +244,7 @@
 	c.queue(t)
 	facts, err := wire.ParseFacts(t.facts)
 	if err != nil {
-		d.log.Warn("command refused", zap.Error(err), zap.ByteString("facts", t.facts))
+		d.log.Warn("facts not understood", zap.Error(err), zap.ByteString("facts", t.facts))
 		t.say([]byte("-ERR bad facts\r\n"), nil)
 		return
 	}
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -2,34 +2,52 @@
 
 import (
 	"fmt"
-	"reflect"
 	"strings"
 	"sync/atomic"
+
+	"woodproxy/brain"
 )
 
 // Counters count what the proxy takes in, sends and answers since its start.
 type Counters struct {
-	Clients, ClientsOpen         atomic.Int64 // connections, in all and now
-	Exchanges, Held, Crowded     atomic.Int64 // taken; without an answer now; shed at the door for want of places
-	Completed, Shed, Errored     atomic.Int64 // final answers
-	Left                         atomic.Int64 // clients gone before their answer
-	Tries, Cancelled             atomic.Int64 // upstream tries, and those called off
-	EndCompleted, EndLacking     atomic.Int64 // how tries ended
-	EndNoRoom, EndFault          atomic.Int64
-	EndSilent, EndUnreachable    atomic.Int64
-	EndCut, EndUndone, EndUnsent atomic.Int64
-	Dials, UpstreamOpen          atomic.Int64 // connections to peers, in all and now
-	Lists, Watches               atomic.Int64 // changes of the list; watches begun
-	BadClient, BadPeer           atomic.Int64 // connections ended for bad bytes
-	Panics                       atomic.Int64
+	Clients, ClientsOpen     atomic.Int64 // connections, in all and now
+	Exchanges, Held, Crowded atomic.Int64 // taken; with a place now; shed for want of one
+	Completed, Shed, Errored atomic.Int64 // final answers
+	Left                     atomic.Int64 // clients gone before their answer
+	Tries, Cancelled         atomic.Int64 // upstream tries, and those called off
+	Ends                     [brain.Lacking + 1]atomic.Int64
+	Dials, UpstreamOpen      atomic.Int64 // connections to peers, in all and now
+	Lists, Watches           atomic.Int64 // lists and changes from discovery; watches answered
+	BadClient, BadPeer       atomic.Int64 // connections ended for bad bytes
+	Panics                   atomic.Int64
 }
 
-// String prints each counter with its name, a line each, in the order above.
+// endings names how tries end, in the module's order.
+var endings = [brain.Lacking + 1]string{"EndCompleted", "EndFault", "EndNoRoom", "EndSilent", "EndUnreachable",
+	"EndCut", "EndUndone", "EndUnsent", "EndLacking"}
+
+// Each calls f with each counter's name and value.
+func (c *Counters) Each(f func(name string, value int64)) {
+	for _, n := range []struct {
+		name string
+		at   *atomic.Int64
+	}{
+		{"Clients", &c.Clients}, {"ClientsOpen", &c.ClientsOpen}, {"Exchanges", &c.Exchanges}, {"Held", &c.Held},
+		{"Crowded", &c.Crowded}, {"Completed", &c.Completed}, {"Shed", &c.Shed}, {"Errored", &c.Errored},
+		{"Left", &c.Left}, {"Tries", &c.Tries}, {"Cancelled", &c.Cancelled}, {"Dials", &c.Dials},
+		{"UpstreamOpen", &c.UpstreamOpen}, {"Lists", &c.Lists}, {"Watches", &c.Watches},
+		{"BadClient", &c.BadClient}, {"BadPeer", &c.BadPeer}, {"Panics", &c.Panics},
+	} {
+		f(n.name, n.at.Load())
+	}
+	for i := range c.Ends {
+		f(endings[i], c.Ends[i].Load())
+	}
+}
+
+// String prints each counter with its name, a line each.
 func (c *Counters) String() string {
 	var s strings.Builder
-	v := reflect.ValueOf(c).Elem()
-	for i := range v.NumField() {
-		fmt.Fprintf(&s, "%s %d\n", v.Type().Field(i).Name, v.Field(i).Addr().Interface().(*atomic.Int64).Load())
-	}
+	c.Each(func(name string, value int64) { fmt.Fprintf(&s, "%s %d\n", name, value) })
 	return s.String()
 }
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -18,20 +18,23 @@
 	pauseWatch  = 200 * time.Millisecond
 )
 
-// List is the actor of the list: it watches discovery and tells the module's actor.
+// List is the actor of the list: it has discovery watched and tells the module's actor what changes.
 type List struct {
+	box   mailbox
 	addr  string
-	index int64
 	mind  *Mind
+	index int64         // of what the module has been told
+	out   bool          // a watch is out
 	first chan struct{} // closed when discovery has spoken
-	told  bool
+	told  bool          // it has
+	quiet string        // why the last watch ended, so that a spell of the same trouble is one line
 	count *Counters
 	log   *zap.Logger
 }
 
 // NewList hands the list that this proxy last had, which may be nil, to the module's actor.
 func NewList(addr string, known *fastjson.Value, mind *Mind, count *Counters, log *zap.Logger) (*List, error) {
-	l := &List{addr: addr, mind: mind, first: make(chan struct{}), count: count, log: log}
+	l := &List{box: make(mailbox, 64), addr: addr, mind: mind, first: make(chan struct{}), count: count, log: log}
 	var list []wire.Target
 	if known != nil && known.Type() != fastjson.TypeNull {
 		var err error
@@ -39,35 +42,62 @@
 			return nil, err
 		}
 	}
-	if len(list) > 0 {
-		mind.box.post(func() { mind.nodes(true, true, list) })
-	}
+	mind.list = l
+	mind.box.post(func() { mind.nodes(true, true, list) })
 	return l, nil
 }
 
 // First is closed when discovery has spoken.
 func (l *List) First() <-chan struct{} { return l.first }
 
-// Run watches for as long as the program lives, and anew after each end of a watch.
+// Run carries out calls for as long as the program lives.
 func (l *List) Run() {
-	for quiet := ""; ; time.Sleep(pauseWatch) {
+	if !l.mind.book.Terms.Ask { // else the module says when
+		l.follow()
+	}
+	for call := range l.box {
+		guarded(l.log, l.count, call)
+	}
+}
+
+// follow begins a watch, unless one is out.
+func (l *List) follow() {
+	if l.out {
+		return
+	}
+	l.out = true
+	since := l.index
+	go func() {
 		var err error
-		guarded(l.log, l.count, func() { err = l.watch() })
-		if errors.Is(err, wire.ErrBytes) {
-			l.index = 0 // the whole list, since what it said is in doubt
-			l.count.BadPeer.Add(1)
-		}
-		if text := errText(err); text != quiet { // one line for a spell of the same trouble
-			l.log.Warn("watch of the list ended", zap.Error(err), zap.Int64("index", l.index))
-			quiet = text
-		}
+		guarded(l.log, l.count, func() { err = l.watch(since) })
+		l.box.post(func() { l.ended(err) })
+	}()
+}
+
+// ended hears that a watch is over. Where the list comes by itself another is begun soon; where it is to be asked
+// for, the module says when.
+func (l *List) ended(err error) {
+	l.out = false
+	if errors.Is(err, wire.ErrBytes) {
+		l.index = 0 // the whole list, since what it said is in doubt
+		l.count.BadPeer.Add(1)
+	}
+	if text := errText(err); text != l.quiet {
+		l.log.Warn("watch of the list ended", zap.Error(err), zap.Int64("index", l.index))
+		l.quiet = text
 	}
+	if l.mind.book.Terms.Ask {
+		l.mind.box.post(l.mind.listFailed)
+		return
+	}
+	time.AfterFunc(pauseWatch, func() { l.box.post(l.follow) })
 }
 
+// errText words an error without addresses and ports, which differ each time.
 func errText(err error) string {
-	var net *net.OpError
-	if errors.As(err, &net) {
-		return net.Op + ": " + net.Err.Error()
+	var op *net.OpError
+	if errors.As(err, &op) {
+		return op.Op + ": " + op.Err.Error()
 	}
 	if err == nil {
 		return ""
@@ -75,15 +105,31 @@
 	return err.Error()
 }
 
-// watch follows the list until the connection ends.
-func (l *List) watch() error {
+// news passes on what changed.
+func (l *List) news(index int64, whole bool, list []wire.Target) {
+	l.index = index
+	l.count.Lists.Add(1)
+	l.mind.box.post(func() { l.mind.nodes(whole, false, list) })
+}
+
+// spoke hears that discovery has said something.
+func (l *List) spoke() {
+	l.quiet = ""
+	if !l.told {
+		l.told = true
+		close(l.first)
+	}
+}
+
+// watch is the goroutine of one connection to discovery; it reads until that ends.
+func (l *List) watch(since int64) error {
 	conn, err := net.DialTimeout("tcp", l.addr, dialOfWatch)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(hushOfWatch))
-	if _, err := conn.Write(wire.AppendWatch(nil, l.addr, l.index)); err != nil {
+	if _, err := conn.Write(wire.AppendWatch(nil, l.addr, since)); err != nil {
 		return err
 	}
 	w, err := wire.ReadWatch(bufio.NewReaderSize(conn, 4<<10))
@@ -98,27 +144,17 @@
 		if err != nil {
 			return err
 		}
-		if len(line) == 0 {
-			l.spoke()
-			continue
-		}
-		v, err := parse.ParseBytes(line)
-		if err != nil {
-			return errors.Join(wire.ErrBytes, err)
-		}
-		index, whole, list, err := wire.ParseTargets(v)
-		if err != nil {
-			return err
+		if len(line) > 0 {
+			v, err := parse.ParseBytes(line)
+			if err != nil {
+				return errors.Join(wire.ErrBytes, err)
+			}
+			index, whole, list, err := wire.ParseTargets(v)
+			if err != nil {
+				return err
+			}
+			l.box.post(func() { l.news(index, whole, list) })
 		}
-		l.index = index
-		l.mind.box.post(func() { l.mind.nodes(whole, false, list) })
-		l.spoke()
-	}
-}
-
-func (l *List) spoke() {
-	if !l.told {
-		l.told = true
-		close(l.first)
+		l.box.post(l.spoke)
 	}
 }
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -28,6 +28,7 @@
 	peers  []*peer // by the module's index of the node; as many as the list ever named
 	byName map[string]int
 	links  *budget
+	list   *List
 	count  *Counters
 	log    *zap.Logger
 }
@@ -61,7 +62,6 @@
 
 // nodes takes the list, whole or only what changed; first means that it is what this proxy last had.
 func (m *Mind) nodes(whole, first bool, list []wire.Target) {
-	m.count.Lists.Add(1)
 	first = first || len(m.peers) == 0 // with none known before, nothing tells who is new
 	lines := make([]brain.Listing, 0, len(list))
 	if whole {
@@ -92,6 +92,9 @@
 	m.act(m.brain.Nodes(m.clock.Now(), whole, first, lines))
 }
 
+// listFailed hears that a list that the module asked for does not come.
+func (m *Mind) listFailed() { m.act(m.brain.ListFailed(m.clock.Now())) }
+
 // arrive takes an exchange that a client's connection has read whole.
 func (m *Mind) arrive(t *turn) {
 	route, ok := m.book.Routes[t.route]
@@ -136,7 +139,7 @@
 func (m *Mind) ended(t *try, ending brain.Ending, value []byte) {
 	s := &m.slots[t.cx]
 	s.out--
-	m.count.ended(ending)
+	m.count.Ends[ending].Add(1)
 	if ending == brain.Completed && !s.over {
 		m.finish(t.cx, completed, value, 0)
 	}
@@ -146,29 +149,6 @@
 	m.clear(t.cx)
 }
 
-func (c *Counters) ended(e brain.Ending) {
-	switch e {
-	case brain.Completed:
-		c.EndCompleted.Add(1)
-	case brain.Lacking:
-		c.EndLacking.Add(1)
-	case brain.NoRoom:
-		c.EndNoRoom.Add(1)
-	case brain.Fault:
-		c.EndFault.Add(1)
-	case brain.Silent:
-		c.EndSilent.Add(1)
-	case brain.Unreachable:
-		c.EndUnreachable.Add(1)
-	case brain.Cut:
-		c.EndCut.Add(1)
-	case brain.Undone:
-		c.EndUndone.Add(1)
-	case brain.NeverSent:
-		c.EndUnsent.Add(1)
-	}
-}
-
 // finish gives an exchange its one final answer.
 func (m *Mind) finish(cx int, a final, value []byte, after brain.Time) {
 	if s := &m.slots[cx]; !s.over {
@@ -217,7 +197,8 @@
 			m.finish(d.Cx, errored, nil, 0)
 		case brain.Wake:
 			m.wake.Reset(span(d.After))
-		case brain.Follow: // the list's actor does from the start, and again by itself when a watch fails
+		case brain.Follow:
+			m.list.box.offer(m.list.follow)
 		case brain.Close:
 			p := m.peers[d.Node]
 			p.box.offer(p.closeIdle)
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -29,7 +29,7 @@
 //	node NAME HABIT [slow=MS] [size=N]       starts a cache or (o1) the origin, or changes its habit
 //	list NAME[:leaving|:left] ...            what discovery says: the first is whole, others are changes
 //	discovery up|silent|cut|garbled          cut ends the watches that are out
-//	start [known=NAME,NAME]                  a known node is one that node has started, or is nowhere
+//	start [ask] [known=NAME,NAME]            ask: the list is to be asked for; a known node is one that node has started, or is nowhere
 //	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
 //	CLIENT gets value [from=NAME] | busy | error | pong | closed | nothing [times=N]    the next answers
 //	expect NAME|COUNTER OP N                 tries that a node took whole, or a counter; within two seconds
@@ -94,7 +94,7 @@
 		}
 		s.mu.Unlock()
 	case "start":
-		s.start(m["known"])
+		s.start(m["known"], m["ask"] != "")
 	case "pause":
 		time.Sleep(time.Duration(scenario.Num(w[1])) * time.Millisecond)
 	case "expect":
@@ -205,7 +205,7 @@
 	}
 }
 
-func (s *stage) start(known string) {
+func (s *stage) start(known string, ask bool) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		s.t.Fatal(err)
@@ -237,6 +237,10 @@
 	for k, v := range s.limits {
 		sizes = append(sizes, fmt.Sprintf("%q:%s", k, v))
 	}
+	settings := settings
+	if ask {
+		settings = strings.Replace(settings, "{", `{"membership-mode":"ask",`, 1)
+	}
 	file := filepath.Join(s.t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{%s},"known":%s,"settings":%s}`,
 		s.addr, ln.Addr(), strings.Join(sizes, ","), list, settings)
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -7,8 +7,6 @@
 	"os"
 	"runtime"
 	"runtime/debug"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -66,10 +64,6 @@
 
 func counters(c *fleet.Counters) []zap.Field {
 	var all []zap.Field
-	for l := range strings.Lines(c.String()) {
-		name, value, _ := strings.Cut(strings.TrimSpace(l), " ")
-		n, _ := strconv.Atoi(value)
-		all = append(all, zap.Int(name, n))
-	}
+	c.Each(func(name string, value int64) { all = append(all, zap.Int64(name, value)) })
 	return all
 }
