--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -75,6 +75,10 @@
 		if err := c.read(); err != nil {
 			return err
 		}
+		if c.crowded() { // no more is read until an answer has gone out, or the buffer would run over
+			<-c.nudge
+			continue
+		}
 		began := c.half
 		err := c.fill()
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -142,9 +146,9 @@
 	return nil
 }
 
-// read takes the commands that have come whole.
+// read takes the commands that have come whole, as many as there may be.
 func (c *client) read() error {
-	for {
+	for !c.crowded() {
 		c.half = time.Time{}
 		if c.skip > 0 {
 			n, _ := c.in.Discard(min(c.skip, c.in.Buffered()))
@@ -188,21 +192,15 @@
 		case t != nil:
 			c.ask(t)
 		}
-		if c.crowded() {
-			return nil
-		}
 	}
+	return nil
 }
 
-// crowded waits while as many commands as a connection may have are without an answer.
+// crowded tells whether as many commands as a connection may have are without an answer.
 func (c *client) crowded() bool {
 	c.mu.Lock()
-	n := len(c.turns)
-	c.mu.Unlock()
-	if n >= maxTurns {
-		<-c.nudge
-	}
-	return n >= maxTurns
+	defer c.mu.Unlock()
+	return len(c.turns) >= maxTurns
 }
 
 // begin makes a turn of a command and answers at once what is no exchange, for which it returns nil.
@@ -243,6 +241,9 @@
 	d := c.door
 	c.queue(t)
 	facts, err := wire.ParseFacts(t.facts)
+	if err == nil {
+		err = wire.Plain(t.id, t.facts) // they become HTTP headers, which a line end in them would add to
+	}
 	if err != nil {
 		d.log.Warn("facts not understood", zap.Error(err), zap.ByteString("facts", t.facts))
 		t.say([]byte("-ERR bad facts\r\n"), nil)
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -33,7 +33,7 @@
 //	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
 //	CLIENT gets value [from=NAME] | busy | error | pong | closed | nothing [times=N]    the next answers
 //	expect NAME|COUNTER OP N                 tries that a node took whole, or a counter; within two seconds
-//	pause MS | stop | stopped
+//	pause MS | stop | running | stopped
 //
 // Habits of a cache: hit miss busy fails silent garbled cuts halves once (closes after each answer) twice
 // (answers each try two times) nowhere (refuses connections); of the origin: hit chunked busy fails silent garbled cuts.
@@ -101,6 +101,10 @@
 		s.expect(w[1], w[2], int(scenario.Num(w[3])))
 	case "stop":
 		s.signals <- syscall.SIGTERM
+	case "running":
+		if len(s.ended) > 0 {
+			s.fail("has ended")
+		}
 	case "stopped":
 		select {
 		case <-s.ended:
--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -41,6 +41,18 @@
 	return f, nil
 }
 
+// Plain finds fault with words that hold anything but printable characters.
+func Plain(words ...[]byte) error {
+	for _, w := range words {
+		for _, c := range w {
+			if c < ' ' || c == 0x7f {
+				return bad("a word with control characters")
+			}
+		}
+	}
+	return nil
+}
+
 // AppendFacts writes a list as it came, but for d, which tells how long this proxy waits.
 func AppendFacts(b []byte, list []byte, wait int) []byte {
 	for rest := string(list); ; b = append(b, ',') {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -186,3 +186,29 @@
 		t.Error(err)
 	}
 }
+
+// Whatever comes, nothing panics, no more is taken than came, and what is understood is understood again.
+func FuzzBytes(f *testing.F) {
+	f.Add("*4\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$7\r\nc=x,d=5\r\n")
+	f.Add("*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\r\n0\r\n\r\n")
+	f.Add("HTTP/1.1 200 OK\r\n:\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		c, n, err := ParseCommand([]byte(text))
+		if err == nil && (n < 1 || n > len(text)) {
+			t.Errorf("%q: took %d", text, n)
+		}
+		if err == nil && c.Is("KV.GET") {
+			again := AppendCommand(nil, c.Name, c.Key, c.ID, c.Facts, -1)
+			if d, _, err := ParseCommand(again); err != nil || string(d.Facts) != string(c.Facts) || string(d.Key) != string(c.Key) {
+				t.Errorf("%q: written as %q", text, again)
+			}
+		}
+		if _, err := ParseFacts(c.Facts); err == nil {
+			if _, err := ParseFacts(AppendFacts(nil, c.Facts, 7)); err != nil {
+				t.Errorf("%q: facts not understood again: %v", c.Facts, err)
+			}
+		}
+		readEither(text)
+	})
+}
