--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -96,8 +96,10 @@
 	l.mu.Lock()
 	t := l.handed
 	l.handed = nil
-	if t == nil {
-		l.conn.SetReadDeadline(time.Now().Add(span(l.peer.mind.book.Idle * 2 / 3)))
+	if idle := span(l.peer.mind.book.Idle * 2 / 3); t == nil && idle > 0 {
+		l.conn.SetReadDeadline(time.Now().Add(idle))
+	} else if t == nil { // not told: the other side closes it
+		l.conn.SetReadDeadline(time.Time{})
 	}
 	l.mu.Unlock()
 	if t != nil {
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -25,7 +25,7 @@
 
 // A scenario plays one proxy on loopback sockets, among stand-ins:
 //
-//	limits WORD=N ...                        memory_mb, sockets; before start
+//	limits WORD=N ...                        memory_mb, sockets, idle (of a connection, MS); before start
 //	node NAME HABIT [slow=MS] [size=N]       starts a cache or (o1) the origin, or changes its habit
 //	list NAME[:leaving|:left] ...            what discovery says: the first is whole, others are changes
 //	discovery up|silent|cut|garbled          cut ends the watches that are out
@@ -242,6 +242,10 @@
 		sizes = append(sizes, fmt.Sprintf("%q:%s", k, v))
 	}
 	settings := settings
+	if idle := s.limits["idle"]; idle != "" {
+		settings = strings.Replace(settings, `"conn-idle":15000`, `"conn-idle":`+idle, 1)
+		delete(s.limits, "idle")
+	}
 	if ask {
 		settings = strings.Replace(settings, "{", `{"membership-mode":"ask",`, 1)
 	}
