--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -33,6 +33,7 @@
 //	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
 //	CLIENT gets value [from=NAME] | busy | error | pong | closed | nothing [times=N]    the next answers
 //	expect NAME|COUNTER OP N                 tries that a node took whole, or a counter; within two seconds
+//	crowd N                                  so many clients come, hear pong and stay
 //	pause MS | stop | running | stopped
 //
 // Habits of a cache: hit miss busy fails silent garbled cuts halves once (closes after each answer) twice
@@ -101,6 +102,12 @@
 		s.expect(w[1], w[2], int(scenario.Num(w[3])))
 	case "stop":
 		s.signals <- syscall.SIGTERM
+	case "crowd":
+		for i := range int(scenario.Num(w[1])) {
+			name := fmt.Sprint("crowd", i)
+			s.Step(line, []string{name, "ping"})
+			s.Step(line, []string{name, "gets", "pong"})
+		}
 	case "running":
 		if len(s.ended) > 0 {
 			s.fail("has ended")
