What has ended holds no value any more

Found by reading: a free index kept its last tries, and with them a value of up to 64 KiB, until its next use; a connection's line of turns and a peer's line of tries kept what had been taken off their fronts (fleet/mind.go clear, client.go flush, peer.go next). Places bound the memory as if they did not. Ruled out: net.Buffers, which lets go of what it has written by itself. TestEndedHoldsNothing fails on the old code for the first two.

--- a/internal/fleet/actor_test.go
+++ b/internal/fleet/actor_test.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"testing"
 
 	"go.uber.org/zap"
@@ -9,21 +12,45 @@
 	"woodproxy/internal/terms"
 )
 
+func newTestMind() *Mind {
+	book := &terms.Book{Terms: brain.Terms{Routes: []brain.Route{{Objective: 6000, Overall: 12000, Value: 1}}}}
+	return NewMind(book, 1, NewClock(), 1, &Counters{}, zap.NewNop())
+}
+
 // A panic in one call is counted and ends there: the actor goes on with the next.
 func TestPanicStops(t *testing.T) {
-	count := &Counters{}
-	book := &terms.Book{Terms: brain.Terms{Routes: []brain.Route{{Objective: 6000, Overall: 12000, Value: 1}}}}
-	m := NewMind(book, 1, NewClock(), 1, count, zap.NewNop())
+	m := newTestMind()
 	go m.Run()
 	done := make(chan struct{})
 	m.box.post(func() { panic("odd") })
 	m.box.post(func() { close(done) })
 	<-done
-	if n := count.Panics.Load(); n != 1 {
+	if n := m.count.Panics.Load(); n != 1 {
 		t.Errorf("%d panics counted", n)
 	}
 }
 
+// What has ended holds no value any more: places are counted as if it did not, and 64 KiB for each index
+// and each turn would be more than the memory.
+func TestEndedHoldsNothing(t *testing.T) {
+	m := newTestMind()
+	s := slot{turn: &turn{}, legs: []*try{{turn: &turn{value: make([]byte, 9)}}}, over: true}
+	m.slots = append(m.slots, s)
+	m.clear(0)
+	if s.legs[0] != nil || len(m.free) != 1 {
+		t.Error("a free index holds its last try")
+	}
+
+	near, far := net.Pipe()
+	go io.Copy(io.Discard, far)
+	c := &client{door: &Door{count: m.count}, conn: near, in: bufio.NewReader(near)}
+	c.turns = []*turn{{ready: true, head: crlf}, {client: c}}
+	line := c.turns
+	if err := c.flush(); err != nil || len(c.turns) != 1 || line[1] != nil {
+		t.Errorf("a client's line holds a turn that is written: %v", err)
+	}
+}
+
 // The clock counts tenths of a millisecond of Unix time, as the list's starting times do.
 func TestClock(t *testing.T) {
 	c := NewClock()
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,8 +120,8 @@
 	for ready < len(c.turns) && c.turns[ready].ready {
 		ready++
 	}
-	done := c.turns[:ready:ready]
-	c.turns = c.turns[ready:]
+	done := slices.Clone(c.turns[:ready])
+	c.turns = slices.Delete(c.turns, 0, ready) // and with them what they hold
 	quit := c.quits && len(c.turns) == 0 && c.turn == nil && c.in.Buffered() == 0
 	c.used, c.seen = time.Now(), c.quits
 	c.mu.Unlock()
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -160,6 +160,7 @@
 // clear gives an index back once nothing more can come for it.
 func (m *Mind) clear(cx int) {
 	if s := &m.slots[cx]; s.over && s.out == 0 && s.turn != nil {
+		clear(s.legs) // or the index would hold the exchange's value until its next use
 		*s = slot{legs: s.legs[:0]}
 		m.free = append(m.free, cx)
 	}
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -145,7 +145,7 @@
 func (p *peer) next() *try {
 	for len(p.queue) > 0 {
 		t := p.queue[0]
-		p.queue = p.queue[1:]
+		p.queue = slices.Delete(p.queue, 0, 1)
 		if !t.undone.Load() && p.ready.Load() && p.mind.clock.Now() < t.sent+t.wait {
 			return t
 		}
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -47,22 +47,20 @@
 }
 
 type stage struct {
-	t         *testing.T
-	line      int
-	limits    map[string]string
-	nodes     map[string]*standIn
-	clients   map[string]*caller
-	index     int
-	mu        sync.Mutex
-	lists     []string // what a watch is told, by version
-	mood      string   // of discovery
-	changed   chan struct{}
-	discovery net.Listener
-	watches   []net.Conn
-	addr      string
-	signals   chan os.Signal
-	ended     chan error
-	tries     int
+	t       *testing.T
+	line    int
+	limits  map[string]string
+	nodes   map[string]*standIn
+	clients map[string]*caller
+	index   int
+	mu      sync.Mutex
+	lists   []string // what a watch is told, by version
+	mood    string   // of discovery
+	changed chan struct{}
+	watches []net.Conn
+	addr    string
+	signals chan os.Signal
+	ended   chan error
 }
 
 func (s *stage) fail(format string, args ...any) {
