Who finds no place is told when to come back only where the settings allow it

fleet/client.go begin gave max-retry-after whatever retry-after said. The runner's settings step takes the place of two special words.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -219,7 +219,7 @@
 		d.count.Crowded.Add(1)
 		t := &turn{client: c}
 		c.queue(t)
-		t.answer(d.count, shed, nil, int(d.mind.book.Terms.MaxRetryAfter/10))
+		t.answer(d.count, shed, nil, d.comeBack)
 		return nil
 	}
 	all := make([]byte, 0, len(cmd.Name)+len(cmd.Key)+len(cmd.ID)+len(cmd.Facts))
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -15,16 +15,17 @@
 
 // Door lets clients in and knows their connections.
 type Door struct {
-	ln      *net.TCPListener
-	mind    *Mind
-	ready   chan struct{} // closed when clients may be told that they are served
-	most    int           // connections at once
-	places  int64         // exchanges that may be held at once: their values are what fills the memory
-	count   *Counters
-	log     *zap.Logger
-	mu      sync.Mutex
-	clients map[*client]struct{} // emptied as connections end
-	fewer   *sync.Cond           // one has ended
+	ln       *net.TCPListener
+	mind     *Mind
+	ready    chan struct{} // closed when clients may be told that they are served
+	most     int           // connections at once
+	places   int64         // exchanges that may be held at once: their values are what fills the memory
+	comeBack int           // what is told to who finds no place, in milliseconds; 0: nothing
+	count    *Counters
+	log      *zap.Logger
+	mu       sync.Mutex
+	clients  map[*client]struct{} // emptied as connections end
+	fewer    *sync.Cond           // one has ended
 }
 
 // NewDoor lets clients in on ln, at most so many at once, and holds no more exchanges than half of the memory has
@@ -34,6 +35,9 @@
 	d := &Door{ln: ln, mind: mind, most: most, places: places, ready: make(chan struct{}), count: count, log: log,
 		clients: map[*client]struct{}{}}
 	d.fewer = sync.NewCond(&d.mu)
+	if t := &mind.book.Terms; t.RetryAfter {
+		d.comeBack = int(t.MaxRetryAfter / 10)
+	}
 	return d
 }
 
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -25,13 +25,14 @@
 
 // A scenario plays one proxy on loopback sockets, among stand-ins:
 //
-//	limits WORD=N ...                        memory_mb, sockets, idle (of a connection, MS); before start
+//	limits WORD=N ...                        memory_mb, sockets; before start
+//	settings OLD NEW                         puts one text in the place of another in the settings; before start
 //	node NAME HABIT [slow=MS] [size=N]       starts a cache or (o1) the origin, or changes its habit
 //	list NAME[:leaving|:left] ...            what discovery says: the first is whole, others are changes
 //	discovery up|silent|cut|garbled          cut ends the watches that are out
-//	start [ask] [known=NAME,NAME]            ask: the list is to be asked for; a known node is one that node has started, or is nowhere
+//	start [known=NAME,NAME]                  a known node is one that node has started, or is nowhere
 //	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
-//	CLIENT gets value [from=NAME] | busy | error | pong | closed | nothing [times=N]    the next answers
+//	CLIENT gets value [from=NAME] | busy | busy-at-will | error | pong | closed | nothing [times=N]    the next answers
 //	expect NAME|COUNTER OP N                 tries that a node took whole, or a counter; within two seconds
 //	crowd N                                  so many clients come, hear pong and stay
 //	pause MS | stop | running | stopped
@@ -42,25 +43,26 @@
 	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
 		t.Parallel()
 		return &stage{t: t, nodes: map[string]*standIn{}, clients: map[string]*caller{}, index: 1,
-			limits: map[string]string{}, signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
+			limits: map[string]string{}, settings: settings, signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	})
 }
 
 type stage struct {
-	t       *testing.T
-	line    int
-	limits  map[string]string
-	nodes   map[string]*standIn
-	clients map[string]*caller
-	index   int
-	mu      sync.Mutex
-	lists   []string // what a watch is told, by version
-	mood    string   // of discovery
-	changed chan struct{}
-	watches []net.Conn
-	addr    string
-	signals chan os.Signal
-	ended   chan error
+	t        *testing.T
+	line     int
+	limits   map[string]string
+	settings string
+	nodes    map[string]*standIn
+	clients  map[string]*caller
+	index    int
+	mu       sync.Mutex
+	lists    []string // what a watch is told, by version
+	mood     string   // of discovery
+	changed  chan struct{}
+	watches  []net.Conn
+	addr     string
+	signals  chan os.Signal
+	ended    chan error
 }
 
 func (s *stage) fail(format string, args ...any) {
@@ -93,7 +95,12 @@
 		}
 		s.mu.Unlock()
 	case "start":
-		s.start(m["known"], m["ask"] != "")
+		s.start(m["known"])
+	case "settings":
+		if !strings.Contains(s.settings, w[1]) {
+			s.fail("the settings lack %s", w[1])
+		}
+		s.settings = strings.Replace(s.settings, w[1], w[2], 1)
 	case "pause":
 		time.Sleep(time.Duration(scenario.Num(w[1])) * time.Millisecond)
 	case "expect":
@@ -214,7 +221,7 @@
 	}
 }
 
-func (s *stage) start(known string, ask bool) {
+func (s *stage) start(known string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		s.t.Fatal(err)
@@ -246,17 +253,9 @@
 	for k, v := range s.limits {
 		sizes = append(sizes, fmt.Sprintf("%q:%s", k, v))
 	}
-	settings := settings
-	if idle := s.limits["idle"]; idle != "" {
-		settings = strings.Replace(settings, `"conn-idle":15000`, `"conn-idle":`+idle, 1)
-		delete(s.limits, "idle")
-	}
-	if ask {
-		settings = strings.Replace(settings, "{", `{"membership-mode":"ask",`, 1)
-	}
 	file := filepath.Join(s.t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{%s},"known":%s,"settings":%s}`,
-		s.addr, ln.Addr(), strings.Join(sizes, ","), list, settings)
+		s.addr, ln.Addr(), strings.Join(sizes, ","), list, s.settings)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -398,6 +397,8 @@
 		}
 	case head == "+PONG":
 		kind = "pong"
+	case head == "-BUSY":
+		kind = "busy-at-will" // when to come back is not told
 	case strings.HasPrefix(head, "-BUSY "):
 		if n, err := strconv.Atoi(head[6:]); err != nil || n < 1 || n > 1000 {
 			return fmt.Errorf("odd advice %q", head)
