--- a/internal/fleet/actor_test.go
+++ b/internal/fleet/actor_test.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// A second answer that lies behind the first would pass for the answer to the next try: no such is carried.
+func TestSecondAnswer(t *testing.T) {
+	m := newTestMind()
+	near, far := net.Pipe()
+	go func() {
+		far.Read(make([]byte, 1000))
+		far.Write([]byte("*1\r\n$3\r\none\r\n*1\r\n$3\r\ntwo\r\n"))
+	}()
+	l := &link{peer: newPeer(m, 0, "c1", false), conn: near, in: bufio.NewReader(near)}
+	l.peer.ready.Store(true)
+	ending, value, again, err := l.carry(&try{turn: &turn{}, sent: m.clock.Now(), wait: second})
+	if ending != brain.Completed || string(value) != "one" || again || err != nil || m.count.BadPeer.Load() != 1 {
+		t.Errorf("ending %d, %q, again %v: %v", ending, value, again, err)
+	}
+}
+
 // The clock counts tenths of a millisecond of Unix time, as the list's starting times do.
 func TestClock(t *testing.T) {
 	c := NewClock()
