SIGHUP reads the configuration anew and moves the watch of discovery

Checked: main.go's signal.Notify did not name SIGHUP, so the runtime's default ended the program; had it been named, serve.go's loop would have taken it for a stop. GW_DISCOVERY would have gone before the file's new address.

--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -40,8 +40,10 @@
 	}
 	run.Limit(p)
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	return run.Serve(p, log, signals)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	// the environment is that of the start; where discovery is by now, only the file can tell
+	again := func() (*run.Place, error) { return run.Read(s.Config, s.Name, s.Listen, "") }
+	return run.Serve(p, again, log, signals)
 }
 
 type check struct{ place }
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -214,7 +214,7 @@
 	}
 	d := c.door
 	d.count.Exchanges.Add(1)
-	if d.count.Held.Add(1) > d.places {
+	if d.count.Held.Add(1) > d.places.Load() {
 		d.count.Held.Add(-1)
 		d.count.Crowded.Add(1)
 		t := &turn{client: c}
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,7 +20,7 @@
 	mind     *Mind
 	ready    chan struct{} // closed when clients may be told that they are served
 	most     int           // connections at once
-	places   int64         // exchanges that may be held at once: their values are what fills the memory
+	places   atomic.Int64  // exchanges that may be held at once: their values are what fills the memory
 	comeBack int           // what is told to who finds no place, in milliseconds; 0: nothing
 	count    *Counters
 	log      *zap.Logger
@@ -31,9 +32,9 @@
 // NewDoor lets clients in on ln, at most so many at once, and holds no more exchanges than half of the memory has
 // room for when each comes with a value and gets another.
 func NewDoor(ln *net.TCPListener, mind *Mind, most, memoryMB int, count *Counters, log *zap.Logger) *Door {
-	places := min(int64(memoryMB)<<20/2/(2*wire.MaxValue), mostHeld)
-	d := &Door{ln: ln, mind: mind, most: most, places: places, ready: make(chan struct{}), count: count, log: log,
+	d := &Door{ln: ln, mind: mind, most: most, ready: make(chan struct{}), count: count, log: log,
 		clients: map[*client]struct{}{}}
+	d.Remember(memoryMB)
 	d.fewer = sync.NewCond(&d.mu)
 	if t := &mind.book.Terms; t.RetryAfter {
 		d.comeBack = int(t.MaxRetryAfter / 10)
@@ -41,6 +42,11 @@
 	return d
 }
 
+// Remember sets how much memory there is.
+func (d *Door) Remember(memoryMB int) {
+	d.places.Store(min(int64(memoryMB)<<20/2/(2*wire.MaxValue), mostHeld))
+}
+
 // Open tells clients that they are served.
 func (d *Door) Open() { close(d.ready) }
 
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"time"
@@ -20,16 +21,26 @@
 
 // List is the actor of the list: it has discovery watched and tells the module's actor what changes.
 type List struct {
-	box   mailbox
+	box    mailbox
+	addr   string
+	mind   *Mind
+	index  int64         // of what the module has been told
+	now    *watch        // the watch that is out, nil: none
+	before *watch        // that of the address before, until the one in its place has spoken
+	first  chan struct{} // closed when discovery has spoken
+	told   bool          // it has
+	quiet  string        // why the last watch ended, so that a spell of the same trouble is one line
+	count  *Counters
+	log    *zap.Logger
+}
+
+// watch is one connection to discovery and its goroutine.
+type watch struct {
+	list  *List
 	addr  string
-	mind  *Mind
-	index int64         // of what the module has been told
-	out   bool          // a watch is out
-	first chan struct{} // closed when discovery has spoken
-	told  bool          // it has
-	quiet string        // why the last watch ended, so that a spell of the same trouble is one line
-	count *Counters
-	log   *zap.Logger
+	since int64
+	ctx   context.Context
+	end   context.CancelFunc
 }
 
 // NewList hands the list that this proxy last had, which may be nil, to the module's actor.
@@ -60,24 +71,52 @@
 	}
 }
 
+// Move has the list watched at another address. The watch at the old one counts until the new one has spoken, so
+// that a discovery that is slow to come up, or a mistaken address, loses nothing that is still told.
+func (l *List) Move(addr string) { l.box.post(func() { l.move(addr) }) }
+
+func (l *List) move(addr string) {
+	if addr == l.addr {
+		return
+	}
+	l.log.Info("discovery moves", zap.String("from", l.addr), zap.String("to", addr), zap.Int64("index", l.index))
+	l.addr, l.quiet = addr, ""
+	l.index = 0 // whether both count their versions alike is not known
+	if l.before == nil {
+		l.before = l.now
+	} else if l.now != nil { // which never spoke
+		l.now.end()
+	}
+	l.now = nil
+	l.follow()
+}
+
 // follow begins a watch, unless one is out.
 func (l *List) follow() {
-	if l.out {
+	if l.now != nil {
 		return
 	}
-	l.out = true
-	since := l.index
+	w := &watch{list: l, addr: l.addr, since: l.index}
+	w.ctx, w.end = context.WithCancel(context.Background())
+	l.now = w
 	go func() {
+		defer w.end()
 		var err error
-		guarded(l.log, l.count, func() { err = l.watch(since) })
-		l.box.post(func() { l.ended(err) })
+		guarded(l.log, l.count, func() { err = w.run() })
+		l.box.post(func() { l.ended(w, err) })
 	}()
 }
 
 // ended hears that a watch is over. Where the list comes by itself another is begun soon; where it is to be asked
 // for, the module says when.
-func (l *List) ended(err error) {
-	l.out = false
+func (l *List) ended(w *watch, err error) {
+	if w == l.before {
+		l.before = nil
+	}
+	if w != l.now {
+		return
+	}
+	l.now = nil
 	if errors.Is(err, wire.ErrBytes) {
 		l.index = 0 // the whole list, since what it said is in doubt
 		l.count.BadPeer.Add(1)
@@ -106,33 +145,49 @@
 }
 
 // news passes on what changed.
-func (l *List) news(index int64, whole bool, list []wire.Target) {
-	l.index = index
+func (l *List) news(w *watch, index int64, whole bool, list []wire.Target) {
+	switch w {
+	case l.now:
+		l.index = index
+	case l.before:
+	default:
+		return // it was told to end
+	}
 	l.count.Lists.Add(1)
 	l.mind.box.post(func() { l.mind.nodes(whole, false, list) })
 }
 
 // spoke hears that discovery has said something.
-func (l *List) spoke() {
+func (l *List) spoke(w *watch) {
+	if w != l.now {
+		return
+	}
 	l.quiet = ""
+	if l.before != nil {
+		l.before.end()
+		l.before = nil
+	}
 	if !l.told {
 		l.told = true
 		close(l.first)
 	}
 }
 
-// watch is the goroutine of one connection to discovery; it reads until that ends.
-func (l *List) watch(since int64) error {
-	conn, err := net.DialTimeout("tcp", l.addr, dialOfWatch)
+// run reads until the connection ends.
+func (w *watch) run() error {
+	l := w.list
+	d := net.Dialer{Timeout: dialOfWatch}
+	conn, err := d.DialContext(w.ctx, "tcp", w.addr)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
+	defer context.AfterFunc(w.ctx, func() { conn.Close() })()
 	conn.SetDeadline(time.Now().Add(hushOfWatch))
-	if _, err := conn.Write(wire.AppendWatch(nil, l.addr, since)); err != nil {
+	if _, err := conn.Write(wire.AppendWatch(nil, w.addr, w.since)); err != nil {
 		return err
 	}
-	w, err := wire.ReadWatch(bufio.NewReaderSize(conn, 4<<10))
+	r, err := wire.ReadWatch(bufio.NewReaderSize(conn, 4<<10))
 	if err != nil {
 		return err
 	}
@@ -140,7 +195,7 @@
 	var parse fastjson.Parser
 	for {
 		conn.SetDeadline(time.Now().Add(hushOfWatch))
-		line, err := w.Next()
+		line, err := r.Next()
 		if err != nil {
 			return err
 		}
@@ -153,8 +208,8 @@
 			if err != nil {
 				return err
 			}
-			l.box.post(func() { l.news(index, whole, list) })
+			l.box.post(func() { l.news(w, index, whole, list) })
 		}
-		l.box.post(l.spoke)
+		l.box.post(func() { l.spoke(w) })
 	}
 }
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -30,6 +30,8 @@
 //	node NAME HABIT [slow=MS] [size=N]       starts a cache or (o1) the origin, or changes its habit
 //	list NAME[:leaving|:left] ...            what discovery says: the first is whole, others are changes
 //	discovery up|silent|cut|garbled          cut ends the watches that are out
+//	reload moved|bad                         a new configuration file and SIGHUP: discovery has moved, or it can't be read
+//	old gone                                 discovery's old address ends the watches that are out there
 //	start [known=NAME,NAME]                  a known node is one that node has started, or is nowhere
 //	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
 //	CLIENT gets value [from=NAME] | busy | busy-at-will | error | pong | closed | nothing [times=N]    the next answers
@@ -61,6 +63,11 @@
 	changed  chan struct{}
 	watches  []net.Conn
 	addr     string
+	file     string // of the configuration, and what is in it
+	text     string
+	watched  string // discovery's address
+	old      *http.Server
+	now      *http.Server
 	signals  chan os.Signal
 	ended    chan error
 }
@@ -96,6 +103,23 @@
 		s.mu.Unlock()
 	case "start":
 		s.start(m["known"])
+	case "reload":
+		if w[1] == "moved" {
+			from := s.watched
+			s.old = s.now
+			s.now, s.watched = s.discovery()
+			s.text = strings.Replace(s.text, from, s.watched, 1)
+		}
+		text := s.text
+		if w[1] == "bad" {
+			text = text[:len(text)/2]
+		}
+		if err := os.WriteFile(s.file, []byte(text), 0o600); err != nil {
+			s.t.Fatal(err)
+		}
+		s.signals <- syscall.SIGHUP
+	case "old":
+		s.old.Close()
 	case "settings":
 		if !strings.Contains(s.settings, w[1]) {
 			s.fail("the settings lack %s", w[1])
@@ -221,7 +245,8 @@
 	}
 }
 
-func (s *stage) start(known string) {
+// discovery starts at an address of its own.
+func (s *stage) discovery() (*http.Server, string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		s.t.Fatal(err)
@@ -235,6 +260,11 @@
 	}}
 	go server.Serve(ln)
 	s.t.Cleanup(func() { server.Close() })
+	return server, ln.Addr().String()
+}
+
+func (s *stage) start(known string) {
+	s.now, s.watched = s.discovery()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		s.t.Fatal(err)
@@ -253,17 +283,18 @@
 	for k, v := range s.limits {
 		sizes = append(sizes, fmt.Sprintf("%q:%s", k, v))
 	}
-	file := filepath.Join(s.t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{%s},"known":%s,"settings":%s}`,
-		s.addr, ln.Addr(), strings.Join(sizes, ","), list, s.settings)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	s.file = filepath.Join(s.t.TempDir(), "config.json")
+	s.text = fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{%s},"known":%s,"settings":%s}`,
+		s.addr, s.watched, strings.Join(sizes, ","), list, s.settings)
+	if err := os.WriteFile(s.file, []byte(s.text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	p, err := Read(file, "", "", "")
+	read := func() (*Place, error) { return Read(s.file, "", "", "") }
+	p, err := read()
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	go func() { s.ended <- Serve(p, zaptest.NewLogger(s.t, zaptest.Level(zap.ErrorLevel)), s.signals) }()
+	go func() { s.ended <- Serve(p, read, zaptest.NewLogger(s.t, zaptest.Level(zap.ErrorLevel)), s.signals) }()
 	for range 100 { // until it listens
 		if c, err := net.Dial("tcp", s.addr); err == nil {
 			c.Close()
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"os"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -27,8 +28,9 @@
 	debug.SetMemoryLimit(int64(p.MemoryMB) << 20 * 2 / 3)
 }
 
-// Serve runs the proxy until a signal tells it to stop; SIGUSR1 has it print its counters.
-func Serve(p *Place, log *zap.Logger, signals <-chan os.Signal) error {
+// Serve runs the proxy until a signal tells it to stop. SIGUSR1 has it print its counters, SIGHUP take what again
+// reads.
+func Serve(p *Place, again func() (*Place, error), log *zap.Logger, signals <-chan os.Signal) error {
 	count := &fleet.Counters{}
 	links := (p.Sockets - spareSockets) * 2 / 5
 	mind := fleet.NewMind(p.Book, p.Seed, fleet.NewClock(), links, count, log)
@@ -51,8 +53,20 @@
 		log.Warn("discovery is silent; serving from the list last known")
 	}
 	door.Open()
-	for <-signals == syscall.SIGUSR1 {
-		log.Info("counters", counters(count)...)
+	for on := true; on; {
+		switch <-signals {
+		case syscall.SIGUSR1:
+			log.Info("counters", counters(count)...)
+		case syscall.SIGHUP: // for which a program that does not ask ends
+			if q, err := again(); err != nil {
+				log.Error("configuration read anew is bad; the old terms stand", zap.Error(err))
+			} else {
+				take(p, q, list, door, log)
+				p = q
+			}
+		default:
+			on = false
+		}
 	}
 	log.Info("stopping")
 	time.Sleep(stillComing)
@@ -62,6 +76,20 @@
 	return nil
 }
 
+// take carries out what a configuration read anew asks for. What is settled with the start stays as it is, and the
+// log says so.
+func take(old, p *Place, list *fleet.List, door *fleet.Door, log *zap.Logger) {
+	log.Info("configuration read anew", zap.String("discovery", p.Discovery), zap.Float64("cores", p.Cores),
+		zap.Int("memory_mb", p.MemoryMB))
+	if p.Name != old.Name || p.Listen != old.Listen || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) {
+		log.Warn("name, listen, sockets and settings stand until the next start")
+		p.Name, p.Listen, p.Sockets, p.Book = old.Name, old.Listen, old.Sockets, old.Book
+	}
+	Limit(p)
+	door.Remember(p.MemoryMB)
+	list.Move(p.Discovery)
+}
+
 func counters(c *fleet.Counters) []zap.Field {
 	var all []zap.Field
 	c.Each(func(name string, value int64) { all = append(all, zap.Int64(name, value)) })
