One long origin answer among quick ones no longer cuts the origin's limit

Checked: every end of a try at the origin, by a trace. Ruled out: spoilt answers (16 of 510, quick ones), silence (3). 34 of 352 answers were past double the half objective (188 ms), nearly all of writes (hold, confirm), while the mean was 97 ms and reads took 40 to 80. Each cut the limit by three tenths: brain.go, judge, 'a.Took > 2*b.originAim'. Now a completed long answer cuts only while the mean is past the half objective; silence and refusal cut as before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -774,7 +774,9 @@
 		if float64(b.atOrigin+1) > b.limit/2 { // what was never used was never tried
 			b.limit = min(b.limit+min(b.limit, 1/b.limit), 256)
 		}
-	case n.Origin && (a.Ending == NoRoom || a.Took > 2*b.originAim):
+	case n.Origin && (a.Ending == NoRoom || a.Took > 2*b.originAim &&
+		(a.Ending != Completed || b.fetch > float64(b.originAim))):
+		// one long answer among quick ones tells of the work in it, a write's above all, not of a loaded origin
 		if b.now-b.cutAt > b.originAim {
 			part := 0.7
 			if b.limit <= 1 {
