Nodes slow by themselves no longer lower the room for all; called-off tries count as late

Checked by a trace of every end of a try: four of 12 nodes took 113 to 180 ms where the mean was 65, on old and new connections alike (so neither sockets nor the proxy), and each late answer cut the room by 2%, the others' quick ones adding 0.2%. Half of the tries that ran out of time ended as 'called off', since the module's wake and the try's own time-out are due together, and those told the module nothing (brain.go, judge: 'late'); nor did late misses. Now a called-off try or a miss past three quarters of its objective is late too, and lateness lowers the room only where the node is under twice the mean.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -765,7 +765,9 @@
 	n.refused += (refused - n.refused) * weight(1.0/8, b.now-n.triedAt, 3*second)
 	n.triedAt = b.now
 	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
-	late := a.Ending == Silent || a.Ending == Completed && a.Took > b.routes[x.Route].patience*3/4
+	// a try called off when its time was up was no less late than one whose own time-out came first
+	late := a.Ending == Silent || (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone) &&
+		a.Took > b.routes[x.Route].patience*3/4
 	if n.Origin && a.Ending == Completed {
 		b.fetch += (float64(a.Took) - b.fetch) / 16
 	}
@@ -785,11 +787,14 @@
 			b.limit = max(b.limit*part, b.least)
 			b.cutAt = b.now
 		}
-	case n.Origin || x.missed || a.Ending == Silent && n.down:
+	case n.Origin || x.missed || (a.Ending == Silent || a.Ending == Undone) && n.down:
 		// the origin's, or a silent node's: no sign that the caches have too much to do
 	case late || a.Ending == Fault && b.faults > 0.1 || a.Ending == NoRoom && x.legs >= 3:
 		b.slows(n, float64(max(a.Took, b.hush/2)), 0.5)
-		b.room = max(min(b.room, 4*float64(b.flying)+8)*0.98, 2, float64(b.caches)*b.share)
+		if a.Ending == NoRoom || a.Ending == Fault || n.slow < 2*b.took {
+			// a few nodes that are late among quick ones are passed by; they do not tell of too much work for all
+			b.room = max(min(b.room, 4*float64(b.flying)+8)*0.98, 2, float64(b.caches)*b.share)
+		}
 	case a.Ending == Completed:
 		if float64(b.flying) > b.room/2 {
 			b.room += max(b.room*0.002, 0.02)
