Taken ids, mute and half-way clients have a prompt end; nothing is written to a stale connection

Checked by a trace of every end of a try: these five had the id of an exchange that was open with another key, and ended as -ERR within a millisecond; they used up the budget of repeats and counted against five nodes. Ruled out: failing nodes. Lines at fault: mind.go, arrive, which took any id; client.go, maxHalf of 5 s counted anew with each byte, no limit for a client that asks nothing, and run, which dropped what was owed on bad bytes; door.go, makeRoom, which closed those served before those that say nothing; link.go, carry, which wrote without a look at what had come since the last answer. A first try kept newcomers waiting while nobody idle for two seconds was to be found: 21 requests never taken up; dropped. Scenarios: mute, owed-first, taken-id, crowd-mute, bad-client, half-a-command-silent; fleet.TestStale.

--- a/internal/fleet/actor_test.go
+++ b/internal/fleet/actor_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -67,6 +68,44 @@
 	}
 }
 
+// What comes behind a good answer only after its connection was handed the next try is not taken for the answer to
+// that, and one that the other side has closed by then is not written to: each time there is a new connection.
+func TestStale(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	sent := make(chan func(), 3)
+	go func() {
+		for _, value := range []string{"one", "two", "six"} {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 4096))
+			answer := "*1\r\n$3\r\n" + value + "\r\n"
+			io.WriteString(c, answer)
+			if value == "one" {
+				sent <- func() { io.WriteString(c, answer) }
+			} else {
+				sent <- func() { c.Close() }
+			}
+		}
+	}()
+	m := newTestMind()
+	l := &link{peer: newPeer(m, 0, "c1", false), addr: ln.Addr().String()}
+	l.peer.ready.Store(true)
+	for _, want := range []string{"one", "two", "six"} {
+		ending, value, again, err := l.carry(&try{turn: &turn{}, sent: m.clock.Now(), wait: second})
+		if ending != brain.Completed || string(value) != want || !again || err != nil {
+			t.Errorf("ending %d, %q, again %v: %v", ending, value, again, err)
+		}
+		(<-sent)()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // The clock counts tenths of a millisecond of Unix time, as the list's starting times do.
 func TestClock(t *testing.T) {
 	c := NewClock()
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -15,44 +16,54 @@
 )
 
 const (
-	maxTurns  = 64              // commands of one connection that may be without an answer
-	maxHalf   = 5 * time.Second // how long a client may be silent within a command
-	maxUnread = 2 * time.Second // how long a client may take to accept an answer
+	maxTurns  = 64                     // commands of one connection that may be without an answer
+	maxSilent = 2 * time.Second        // how long a client may take to its first command
+	maxHalf   = 2 * time.Second        // how long a command may take from its first byte to its last
+	maxIdle   = 20 * time.Second       // how long a client may ask nothing more
+	maxUnread = 2 * time.Second        // how long a client may take to accept an answer
+	lastWords = 200 * time.Millisecond // for what a client still sends that has been told why its connection ends
+	lastBytes = 256 << 10
 )
 
 // client is one client's connection and its goroutine, which alone reads and writes there. Whoever has an
 // answer for it marks it ready and wakes the reading by its deadline.
 type client struct {
-	door *Door
-	conn net.Conn
-	in   *bufio.Reader
-	skip int       // bytes of a value for which there was no place, still to come
-	half time.Time // when last read, if a command has come in part
-	turn *turn     // a write whose value is being read
-	got  int       // bytes of that value and of its line end so far
+	door  *Door
+	conn  net.Conn
+	in    *bufio.Reader
+	born  time.Time
+	heard bool      // a whole command has come
+	skip  int       // bytes of a value for which there was no place, still to come
+	half  time.Time // when its first byte came, if a command has come in part
+	turn  *turn     // a write whose value is being read
+	got   int       // bytes of that value and of its line end so far
 
 	mu    sync.Mutex
 	turns []*turn // in the order of their commands
 	quits bool    // to be closed once nothing is owed
 	seen  bool    // its goroutine knows
+	spoke bool    // something was owed before
 	used  time.Time
 	nudge chan struct{} // the first turn has become ready
 }
 
 var (
-	errQuit = errors.New("closed between commands")
-	errHalf = errors.New("silent within a command")
+	errQuit   = errors.New("closed between commands")
+	errHalf   = errors.New("a command that did not come whole in time")
+	errSilent = errors.New("no command in time")
 )
 
 // run serves the connection until its end.
 func (c *client) run() {
 	d := c.door
 	var err error
-	guarded(d.log, d.count, func() { err = c.serve() })
-	if errors.Is(err, wire.ErrBytes) {
-		d.count.BadClient.Add(1)
-		d.log.Warn("client's connection ended", zap.Error(err), zap.Stringer("from", c.conn.RemoteAddr()))
-	}
+	guarded(d.log, d.count, func() {
+		if err = c.serve(); errors.Is(err, wire.ErrBytes) || errors.Is(err, errHalf) {
+			d.count.BadClient.Add(1)
+			d.log.Warn("client's connection ended", zap.Error(err), zap.Stringer("from", c.conn.RemoteAddr()))
+			c.dismiss(err)
+		}
+	})
 	c.conn.Close()
 	c.mu.Lock()
 	owed := c.turns
@@ -80,26 +91,79 @@
 			<-c.nudge
 			continue
 		}
-		began := c.half
-		err := c.fill()
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		if err := c.fill(); errors.Is(err, os.ErrDeadlineExceeded) {
+			err = c.late()
+			if err != nil {
+				return err
+			}
+		} else if err != nil {
 			return err
 		}
-		if !began.IsZero() && time.Since(began) >= maxHalf {
-			return errHalf
+	}
+}
+
+// until tells how long more bytes are waited for, and what it means when none have come by then; a zero time is for
+// ever, as long as answers are owed.
+func (c *client) until(owes bool) (time.Time, error) {
+	switch {
+	case !c.half.IsZero():
+		return c.half.Add(maxHalf), errHalf
+	case owes:
+		return time.Time{}, nil
+	case !c.heard:
+		return c.born.Add(maxSilent), errSilent
+	}
+	return c.used.Add(maxIdle), errQuit
+}
+
+// late tells why the connection is to end, if its time is up; else it was woken for another reason.
+func (c *client) late() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at, err := c.until(len(c.turns) > 0); err != nil && !time.Now().Before(at) {
+		return err
+	}
+	return nil
+}
+
+// dismiss tells a client why its connection ends, after the answers that it is owed; what it still sends is passed over
+// for a moment, or the answers would be lost to a reset.
+func (c *client) dismiss(why error) {
+	if c.turn != nil {
+		c.turn.giveBack(c.door.count)
+		c.turn = nil
+	}
+	t := &turn{client: c}
+	c.queue(t)
+	t.say([]byte("-ERR "+why.Error()+"\r\n"), nil)
+	for c.owes() {
+		if err := c.flush(); err != nil && err != errQuit {
+			return
+		}
+		if c.owes() {
+			<-c.nudge
 		}
 	}
+	if half, ok := c.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.conn.SetReadDeadline(time.Now().Add(lastWords))
+		io.CopyN(io.Discard, c.conn, lastBytes)
+	}
+}
+
+func (c *client) owes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.turns) > 0
 }
 
 // fill waits for more bytes than there are, or to be woken.
 func (c *client) fill() error {
-	if !c.half.IsZero() {
-		c.mu.Lock()
-		if c.quits == c.seen && (len(c.turns) == 0 || !c.turns[0].ready) { // or a wake would be undone
-			c.conn.SetReadDeadline(c.half.Add(maxHalf))
-		}
-		c.mu.Unlock()
+	c.mu.Lock()
+	if c.quits == c.seen && (len(c.turns) == 0 || !c.turns[0].ready) { // or a wake would be undone
+		at, _ := c.until(len(c.turns) > 0)
+		c.conn.SetReadDeadline(at)
 	}
+	c.mu.Unlock()
 	if c.turn != nil {
 		n, err := c.in.Read(c.turn.value[c.got:cap(c.turn.value)])
 		c.got += n
@@ -115,7 +179,6 @@
 // flush writes the answers whose turn it is, gathered into one write.
 func (c *client) flush() error {
 	c.mu.Lock()
-	c.conn.SetReadDeadline(time.Time{})
 	ready := 0
 	for ready < len(c.turns) && c.turns[ready].ready {
 		ready++
@@ -141,34 +204,41 @@
 			return err
 		}
 	}
-	if quit {
+	if quit && !unread(c.conn) { // else a request has come meanwhile, and is answered first
 		return errQuit
 	}
 	return nil
 }
 
+// partly notes that a command has come in part.
+func (c *client) partly() {
+	if c.half.IsZero() {
+		c.half = time.Now()
+	}
+}
+
 // read takes the commands that have come whole, as many as there may be.
 func (c *client) read() error {
 	for !c.crowded() {
-		c.half = time.Time{}
 		if c.skip > 0 {
 			n, _ := c.in.Discard(min(c.skip, c.in.Buffered()))
 			if c.skip -= n; c.skip > 0 {
-				c.half = time.Now()
+				c.partly()
 				return nil
 			}
+			c.half = time.Time{}
 		}
 		if c.turn != nil {
 			t := c.turn
 			if c.got < cap(t.value) {
-				c.half = time.Now()
+				c.partly()
 				return nil
 			}
 			n := c.got - 2
 			if t.value[:c.got][n] != '\r' || t.value[:c.got][n+1] != '\n' {
 				return wire.ErrBytes
 			}
-			t.value, c.turn = t.value[:n:n], nil
+			t.value, c.turn, c.half = t.value[:n:n], nil, time.Time{}
 			c.ask(t)
 			continue
 		}
@@ -176,7 +246,7 @@
 		cmd, n, err := wire.ParseCommand(b)
 		if errors.Is(err, wire.ErrShort) {
 			if len(b) > 0 {
-				c.half = time.Now()
+				c.partly()
 			}
 			return nil
 		}
@@ -185,6 +255,10 @@
 		}
 		t := c.begin(&cmd)
 		c.in.Discard(n)
+		c.heard = true
+		if cmd.Value < 0 {
+			c.half = time.Time{}
+		}
 		switch {
 		case cmd.Value >= 0 && t == nil:
 			c.skip = cmd.Value + 2
@@ -234,7 +308,7 @@
 func (c *client) queue(t *turn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.turns = append(c.turns, t)
+	c.turns, c.spoke = append(c.turns, t), true
 }
 
 // ask puts an exchange that has come whole to the module.
@@ -245,6 +319,9 @@
 	if err == nil {
 		err = wire.Plain(t.id, t.facts) // they become HTTP headers, which a line end in them would add to
 	}
+	if len(t.id) == 0 || len(t.key) == 0 {
+		err = wire.ErrBytes // servers turn such a one away, each of them
+	}
 	if err != nil {
 		d.log.Warn("facts not understood", zap.Error(err), zap.ByteString("facts", t.facts))
 		t.say([]byte("-ERR bad facts\r\n"), nil)
@@ -263,9 +340,10 @@
 	c.conn.SetReadDeadline(longAgo)
 }
 
-// idleSince tells since when nothing has been owed.
-func (c *client) idleSince() (time.Time, bool) {
+// idleSince tells since when nothing has been owed, whether anything ever was, whether the connection can be done
+// without, and whether it is about to go.
+func (c *client) idleSince() (since time.Time, spoke, free, goes bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, len(c.turns) == 0 && !c.quits
+	return c.used, c.spoke, len(c.turns) == 0 && !c.quits, c.quits
 }
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -19,6 +19,7 @@
 	Dials, UpstreamOpen      atomic.Int64 // connections to peers, in all and now
 	Lists, Watches           atomic.Int64 // lists and changes from discovery; watches answered
 	BadClient, BadPeer       atomic.Int64 // connections ended for bad bytes
+	Taken                    atomic.Int64 // exchanges with the id of another that is open
 	Panics                   atomic.Int64
 }
 
@@ -36,7 +37,7 @@
 		{"Crowded", &c.Crowded}, {"Completed", &c.Completed}, {"Shed", &c.Shed}, {"Errored", &c.Errored},
 		{"Left", &c.Left}, {"Tries", &c.Tries}, {"Cancelled", &c.Cancelled}, {"Dials", &c.Dials},
 		{"UpstreamOpen", &c.UpstreamOpen}, {"Lists", &c.Lists}, {"Watches", &c.Watches},
-		{"BadClient", &c.BadClient}, {"BadPeer", &c.BadPeer}, {"Panics", &c.Panics},
+		{"BadClient", &c.BadClient}, {"BadPeer", &c.BadPeer}, {"Taken", &c.Taken}, {"Panics", &c.Panics},
 	} {
 		f(n.name, n.at.Load())
 	}
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -14,6 +14,9 @@
 	"woodproxy/internal/wire"
 )
 
+// slowStart is how long a newcomer may take before it counts as one that asks nothing.
+const slowStart = 100 * time.Millisecond
+
 // Door lets clients in and knows their connections.
 type Door struct {
 	ln       *net.TCPListener
@@ -63,8 +66,9 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		c := &client{door: d, conn: conn, in: bufio.NewReaderSize(conn, 4<<10), used: time.Now(),
-			nudge: make(chan struct{}, 1)}
+		c := &client{door: d, conn: conn, in: bufio.NewReaderSize(conn, 4<<10), nudge: make(chan struct{}, 1),
+			born: time.Now()}
+		c.used = c.born
 		d.count.Clients.Add(1)
 		d.count.ClientsOpen.Add(1)
 		d.mu.Lock()
@@ -74,27 +78,51 @@
 	}
 }
 
-// makeRoom retires the client that has been idle longest once nine tenths of the places are taken, and lets
-// nobody in while all are.
+// makeRoom retires a client once nine tenths of the places are taken, and lets nobody in while all are.
 func (d *Door) makeRoom() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.clients) < d.most*9/10 {
-		return
+	for len(d.clients) >= d.most*9/10 {
+		if c := d.spare(time.Now()); c != nil {
+			c.retire()
+		}
+		if len(d.clients) < d.most {
+			return
+		}
+		d.fewer.Wait() // for one that goes; somebody does, since each command and answer has its time
 	}
-	var oldest *client
-	var since time.Time
+}
+
+// spare chooses who can be done without, if enough are not on their way out already: of those that have asked nothing
+// yet the first that came, once it has had time to or a crowd of its kind waits with it; else the one that has been idle
+// longest. So a crowd that says nothing pushes out itself, not those that are served.
+func (d *Door) spare(now time.Time) *client {
+	var mute, idle *client
+	var muteAt, idleAt time.Time
+	mutes, stay := 0, 0
 	for c := range d.clients {
-		if at, idle := c.idleSince(); idle && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
+		at, spoke, free, goes := c.idleSince()
+		if !goes {
+			stay++
+		}
+		if !spoke && !goes {
+			mutes++
+		}
+		switch {
+		case !free:
+		case !spoke && (mute == nil || at.Before(muteAt)):
+			mute, muteAt = c, at
+		case spoke && (idle == nil || at.Before(idleAt)):
+			idle, idleAt = c, at
 		}
 	}
-	if oldest != nil {
-		oldest.retire()
-	}
-	for len(d.clients) >= d.most {
-		d.fewer.Wait()
+	switch {
+	case stay < d.most*9/10:
+		return nil
+	case mute != nil && (idle == nil || now.Sub(muteAt) >= slowStart || mutes >= d.most/8):
+		return mute
 	}
+	return idle
 }
 
 func (d *Door) forget(c *client) {
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -119,7 +119,8 @@
 func (l *link) carry(t *try) (ending brain.Ending, value []byte, again bool, err error) {
 	m := l.peer.mind
 	until := time.Now().Add(span(t.sent + t.wait - m.clock.Now()))
-	if l.conn == nil {
+	fresh := l.conn == nil
+	if fresh {
 		if err := l.dial(t, until); err != nil {
 			if t.undone.Load() {
 				return brain.Undone, nil, false, err
@@ -131,6 +132,12 @@
 	switch {
 	case t.undone.Load(): // called off before the deadline above was set
 		return brain.Undone, nil, false, nil
+	case !fresh && l.stale(): // closed meanwhile, or bytes came that would pass for the answer; nothing was sent yet
+		l.conn.Close()
+		l.mu.Lock()
+		l.conn = nil
+		l.mu.Unlock()
+		return l.carry(t)
 	case !l.peer.ready.Load(): // it drains or is gone since the module chose it; nothing new goes there
 		return brain.NeverSent, nil, false, nil
 	}
@@ -153,6 +160,16 @@
 	return ending, value, again, nil
 }
 
+// stale tells whether there is something to read, or an end, on a connection on which nothing is asked. What comes
+// behind a good answer may come after its connection was handed the next try, whose deadline hides it from wait.
+func (l *link) stale() bool {
+	if l.in.Buffered() > 0 || unread(l.conn) {
+		l.distrust(fmt.Errorf("%w: unasked for", wire.ErrBytes))
+		return true
+	}
+	return over(l.conn)
+}
+
 // came tells from how far a try had come what its end means.
 func (l *link) came(t *try, err error) (brain.Ending, []byte, bool, error) {
 	var halt *wire.Halt
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -27,6 +27,7 @@
 	free   []int
 	peers  []*peer // by the module's index of the node; as many as the list ever named
 	byName map[string]int
+	ids    map[string]struct{} // of exchanges that have an index; emptied with them
 	links  *budget
 	list   *List
 	count  *Counters
@@ -44,7 +45,7 @@
 // NewMind returns a module's actor that knows no nodes; sockets is how many it may have open to peers.
 func NewMind(book *terms.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Mind {
 	return &Mind{box: make(mailbox, 4*mostHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
-		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, links: newBudget(sockets),
+		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, ids: map[string]struct{}{}, links: newBudget(sockets),
 		count: count, log: log}
 }
 
@@ -102,8 +103,15 @@
 		t.answer(m.count, errored, nil, 0)
 		return
 	}
+	if _, taken := m.ids[string(t.id)]; taken {
+		// servers would take it for the open one, or turn it away one after the other
+		m.count.Taken.Add(1)
+		t.answer(m.count, errored, nil, 0)
+		return
+	}
+	m.ids[string(t.id)] = struct{}{}
 	e := brain.Exchange{Route: route, Tenant: -1, Keyed: true, Write: t.value != nil, Repeat: t.repeat,
-		Remaining: brain.Time(t.wait) * 10}
+		Remaining: min(brain.Time(t.wait)*10, m.book.Terms.Routes[route].Overall)} // nothing is held for longer
 	if n, ok := m.book.Tenants[t.tenant]; ok {
 		e.Tenant = n
 	}
@@ -160,6 +168,7 @@
 // clear gives an index back once nothing more can come for it.
 func (m *Mind) clear(cx int) {
 	if s := &m.slots[cx]; s.over && s.out == 0 && s.turn != nil {
+		delete(m.ids, string(s.turn.id))
 		clear(s.legs) // or the index would hold the exchange's value until its next use
 		*s = slot{legs: s.legs[:0]}
 		m.free = append(m.free, cx)
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -36,7 +36,7 @@
 //	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
 //	CLIENT gets value [from=NAME] | busy | busy-at-will | error | pong | closed | nothing [times=N]    the next answers
 //	expect NAME|COUNTER OP N                 tries that a node took whole, or a counter; within two seconds
-//	crowd N                                  so many clients come, hear pong and stay
+//	crowd N | mutes N                        so many clients come, hear pong and stay; or come and say nothing
 //	pause MS | stop | running | stopped
 //
 // Habits of a cache: hit miss busy fails silent garbled cuts halves once (closes after each answer) twice
@@ -137,6 +137,10 @@
 			s.Step(line, []string{name, "ping"})
 			s.Step(line, []string{name, "gets", "pong"})
 		}
+	case "mutes":
+		for i := range int(scenario.Num(w[1])) {
+			s.Step(line, []string{fmt.Sprint("mute", i), "raw"})
+		}
 	case "running":
 		if len(s.ended) > 0 {
 			s.fail("has ended")
