Nodes long gone are forgotten, and their indices used again

Seen by reading: mind.go kept a peer (an actor with a mailbox of 24 KB) and a name for each node ever listed, brain.go a node. In four and a half minutes of churn that grows without end. A node's index is now another's once that has been gone for longer than the longest overall timeout with none of our tries there; exchanges live no longer, since what a client says it waits is held to its route's overall timeout. Tests: fleet.TestChurn; scenario successor.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -83,6 +83,9 @@
 			b.nodes = append(b.nodes, node{})
 		}
 		n := &b.nodes[l.Node]
+		if n.Name != l.Name {
+			*n = node{} // another's, long gone: what was known of that one says nothing of this
+		}
 		if l.Since == 0 && n.Name == "" && !first {
 			l.Since = now // newly seen: as good as just started
 		}
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -13,7 +13,7 @@
 //
 //	terms WORD=VALUE ...                     what the instance is told; a bare word switches on
 //	route NAME WORD=VALUE ...                before the first line that has a time
-//	MS list [whole] NAME[:draining|:gone|:since=MS|:weight=W|:zone=N] ...   origins are named o1, o2 ...
+//	MS list [whole] NAME[:draining|:gone|:since=MS|:weight=W|:zone=N|:at=NAME] ...   origins are named o1, o2 ...; at: has the index of one long gone
 //	MS arrive CX ROUTE [key=N] [left=MS] [write] [repeat] [tenant=N]
 //	MS each FROM-TO ROUTE [left=MS] [write] [repeat]    one exchange for each index, keys alike to it
 //	MS rounds N FROM-TO ROUTE every=MS took=MS    all of them arrive, are sent and completed, N times
@@ -179,9 +179,13 @@
 		m := scenario.Words(parts[1:])
 		n, ok := p.nodes[parts[0]]
 		if !ok {
-			n = len(p.names)
+			if n, ok = p.nodes[m["at"]]; ok {
+				p.names[n] = parts[0]
+			} else {
+				n = len(p.names)
+				p.names = append(p.names, parts[0])
+			}
 			p.nodes[parts[0]] = n
-			p.names = append(p.names, parts[0])
 		}
 		l := brain.Listing{Node: n, Name: parts[0], Origin: parts[0][0] == 'o', Since: ms(m["since"]), Weight: 1,
 			Ready: m["draining"] == "" && m["gone"] == "", Zone: int(scenario.Num(m["zone"]))}
--- a/brain/state.go
+++ b/brain/state.go
@@ -76,7 +76,7 @@
 	votes    int     // for usual, 1000 at most
 }
 
-// node is what this proxy knows of one server. Nodes are as many as the list has ever named.
+// node is what this proxy knows of one server. Nodes are as many as were listed at a time, or had not long gone.
 type node struct {
 	Listing
 	out      int  // own tries in flight
--- a/brain/types.go
+++ b/brain/types.go
@@ -54,7 +54,7 @@
 
 // Listing is one line of the node list.
 type Listing struct {
-	Node   int    // small index, given once for each name
+	Node   int    // small index; another's once that has been gone for longer than any exchange lives
 	Name   string // hashed on to the ring, never read
 	Origin bool
 	Ready  bool // neither draining nor gone
--- a/internal/fleet/actor_test.go
+++ b/internal/fleet/actor_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"woodproxy/brain"
 	"woodproxy/internal/terms"
+	"woodproxy/internal/wire"
 )
 
 func newTestMind() *Mind {
@@ -101,11 +104,44 @@
 		if ending != brain.Completed || string(value) != want || !again || err != nil {
 			t.Errorf("ending %d, %q, again %v: %v", ending, value, again, err)
 		}
-		(<-sent)()
+		select {
+		case behind := <-sent:
+			behind()
+		case <-time.After(time.Second):
+			t.Fatal("no new connection")
+		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// Nodes that are replaced all day by others under new names leave nothing behind: neither places nor goroutines.
+func TestChurn(t *testing.T) {
+	m := newTestMind()
+	m.book.Longest = 30
+	row := func(i int) wire.Target {
+		return wire.Target{Name: fmt.Sprint("c", i), Address: "127.0.0.1:1", Ready: true}
+	}
+	m.nodes(true, true, []wire.Target{row(0), row(1)})
+	before := runtime.NumGoroutine()
+	for i := 2; i < 60; i++ {
+		gone := row(i - 2)
+		gone.Ready, gone.Gone = false, true
+		m.nodes(false, false, []wire.Target{gone, row(i)})
+		time.Sleep(4 * time.Millisecond)
+	}
+	if len(m.byName) > 5 || len(m.peers) > 5 {
+		t.Errorf("%d names, %d places", len(m.byName), len(m.peers))
+	}
+	if n := runtime.NumGoroutine(); n > before+5 {
+		t.Errorf("%d goroutines, %d before", n, before)
+	}
+	m.nodes(true, false, []wire.Target{row(58), row(59)}) // whole: what it does not name has gone
+	m.nodes(false, false, []wire.Target{row(58)})
+	if m.peers[m.byName["c59"]].since != 0 || m.peers[m.byName["c58"]].since != 0 {
+		t.Error("a node that is listed counts as gone")
+	}
+}
+
 // The clock counts tenths of a millisecond of Unix time, as the list's starting times do.
 func TestClock(t *testing.T) {
 	c := NewClock()
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -25,8 +25,9 @@
 	wake   *time.Timer
 	slots  []slot // as many as were ever held at once
 	free   []int
-	peers  []*peer // by the module's index of the node; as many as the list ever named
-	byName map[string]int
+	peers  []*peer             // by the module's index of the node, nil where that is free; as many as were listed at a time
+	spots  []int               // free indices of nodes
+	byName map[string]int      // emptied as nodes that have gone are forgotten
 	ids    map[string]struct{} // of exchanges that have an index; emptied with them
 	links  *budget
 	list   *List
@@ -65,24 +66,40 @@
 func (m *Mind) nodes(whole, first bool, list []wire.Target) {
 	first = first || len(m.peers) == 0 // with none known before, nothing tells who is new
 	lines := make([]brain.Listing, 0, len(list))
+	now := m.clock.Now()
+	m.forgetGone(now)
 	if whole {
 		for _, p := range m.peers {
-			p.ready.Store(false)
+			if p != nil {
+				p.ready.Store(false)
+				p.left(now)
+			}
 		}
 	}
 	for _, t := range list {
 		n, ok := m.byName[t.Name]
 		origin := m.book.Origin != "" && t.Kind == m.book.Origin
 		if !ok {
-			n = len(m.peers)
+			if t.Gone {
+				continue // and was never known
+			}
+			if k := len(m.spots); k > 0 {
+				n, m.spots = m.spots[k-1], m.spots[:k-1]
+			} else {
+				n = len(m.peers)
+				m.peers = append(m.peers, nil)
+			}
 			m.byName[t.Name] = n
-			m.peers = append(m.peers, newPeer(m, n, t.Name, origin))
+			m.peers[n] = newPeer(m, n, t.Name, origin)
 			m.log.Info("new on the list", zap.Int("node", n), zap.String("peer", t.Name), zap.String("at", t.Address))
 		}
 		if t.Address != "" {
 			m.peers[n].addr.Store(&t.Address)
 		}
 		m.peers[n].ready.Store(t.Ready)
+		if m.peers[n].since = 0; t.Gone {
+			m.peers[n].left(now)
+		}
 		zone, ok := m.book.Zones[t.Zone]
 		if !ok {
 			zone = -1
@@ -90,7 +107,20 @@
 		lines = append(lines, brain.Listing{Node: n, Name: t.Name, Origin: origin, Ready: t.Ready,
 			Since: brain.Time(t.Since) * 10, Weight: t.Weight, Zone: zone, Cell: t.Cell})
 	}
-	m.act(m.brain.Nodes(m.clock.Now(), whole, first, lines))
+	m.act(m.brain.Nodes(now, whole, first, lines))
+}
+
+// forgetGone frees the indices of nodes that have been gone for longer than any exchange lives, so that none is left
+// that was sent there. All day nodes are replaced by others under new names.
+func (m *Mind) forgetGone(now brain.Time) {
+	for n, p := range m.peers {
+		if p != nil && p.since > 0 && now-p.since > m.book.Longest && p.out == 0 {
+			delete(m.byName, p.name)
+			m.peers[n] = nil
+			m.spots = append(m.spots, n)
+			p.box.post(p.end)
+		}
+	}
 }
 
 // listFailed hears that a list that the module asked for does not come.
@@ -147,6 +177,7 @@
 func (m *Mind) ended(t *try, ending brain.Ending, value []byte) {
 	s := &m.slots[t.cx]
 	s.out--
+	m.peers[t.node].out--
 	m.count.Ends[ending].Add(1)
 	if ending == brain.Completed && !s.over {
 		m.finish(t.cx, completed, value, 0)
@@ -178,7 +209,9 @@
 // makeRoom closes idle connections to all peers, when one lacks a socket.
 func (m *Mind) makeRoom() {
 	for _, p := range m.peers {
-		p.box.offer(p.closeIdle)
+		if p != nil {
+			p.box.offer(p.closeIdle)
+		}
 	}
 }
 
@@ -192,8 +225,10 @@
 			t := &try{turn: s.turn, cx: d.Cx, node: d.Node, sent: m.clock.Now(), wait: d.After}
 			s.legs = append(s.legs, t)
 			s.out++
+			p := m.peers[d.Node]
+			p.out++
 			m.count.Tries.Add(1)
-			if p := m.peers[d.Node]; !p.box.offer(func() { p.send(t) }) {
+			if !p.box.offer(func() { p.send(t) }) {
 				unsent = append(unsent, t)
 			}
 		case brain.Cancel:
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -50,6 +50,10 @@
 	origin bool
 	addr   atomic.Pointer[string] // the module's actor sets these two, as the list has them
 	ready  atomic.Bool            // neither draining nor gone
+	since  brain.Time             // when it left the list, 0: it is there; only the module's actor looks at these two
+	out    int                    // tries
+	open   int                    // connections, those that are being made included
+	ends   bool                   // as soon as none is open
 	idle   []*link                // the last one used comes last
 	queue  []*try                 // wait for a connection, for want of sockets; emptied as others end, or as they time out
 	asked  bool                   // to look again soon whether there are sockets
@@ -62,11 +66,27 @@
 	go func() {
 		for call := range p.box {
 			guarded(p.log, m.count, call)
+			if p.ends && p.open == 0 {
+				return
+			}
 		}
 	}()
 	return p
 }
 
+// left notes that the node is not listed any more.
+func (p *peer) left(now brain.Time) {
+	if p.since == 0 {
+		p.since = now
+	}
+}
+
+// end lets the actor go with its last connection; nothing is sent to it any more.
+func (p *peer) end() {
+	p.ends = true
+	p.closeIdle()
+}
+
 // send hands a try to an idle connection or opens one; for want of sockets it waits.
 func (p *peer) send(t *try) {
 	addr := *p.addr.Load()
@@ -89,6 +109,7 @@
 		}
 		return
 	}
+	p.open++
 	p.mind.count.Dials.Add(1)
 	p.mind.count.UpstreamOpen.Add(1)
 	t.link = &link{peer: p, addr: addr}
@@ -128,6 +149,7 @@
 
 // gone hears that a connection has ended. A try that it was handed and had not begun goes to another.
 func (p *peer) gone(l *link) {
+	p.open--
 	p.mind.links.give()
 	p.mind.count.UpstreamOpen.Add(-1)
 	if i := slices.Index(p.idle, l); i >= 0 {
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -16,6 +16,7 @@
 	Name, Address, Zone, Kind string
 	Cell                      int
 	Ready                     bool // neither leaving nor left
+	Gone                      bool // left
 	Weight                    float64
 	Since                     int64 // when it last started, Unix milliseconds; 0: long ago
 }
@@ -44,7 +45,7 @@
 			t.Since = int64(math.Ceil(f))
 		}
 		status := string(row.GetStringBytes("status"))
-		t.Ready = status == "active"
+		t.Ready, t.Gone = status == "active", status == "left"
 		switch {
 		case t.Name == "":
 			return 0, false, nil, bad("list: name: missing or mistyped")
