Values longer than clients may write are passed on; places are counted by the bytes held

At fault: wire.MaxValue held for answers (answer.go ReadBulk, http.go body), so that each such key was fetched from the origin again and again. Answers may now have 1 MB, read as they come; a newcomer is shed once the values held take up a quarter of the memory; places are an eighth of it at 32 KB each.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -43,6 +43,7 @@
 	quits bool    // to be closed once nothing is owed
 	seen  bool    // its goroutine knows
 	spoke bool    // something was owed before
+	gone  bool    // nothing can be answered any more
 	used  time.Time
 	nudge chan struct{} // the first turn has become ready
 }
@@ -67,7 +68,7 @@
 	c.conn.Close()
 	c.mu.Lock()
 	owed := c.turns
-	c.turns = nil
+	c.turns, c.gone = nil, true
 	c.mu.Unlock()
 	for _, t := range owed {
 		t.giveBack(d.count)
@@ -264,6 +265,8 @@
 			c.skip = cmd.Value + 2
 		case cmd.Value >= 0:
 			t.value, c.turn, c.got = make([]byte, 0, cmd.Value+2), t, 0
+			t.bytes = int64(cmd.Value)
+			c.door.count.Bytes.Add(t.bytes)
 		case t != nil:
 			c.ask(t)
 		}
@@ -288,7 +291,7 @@
 	}
 	d := c.door
 	d.count.Exchanges.Add(1)
-	if d.count.Held.Add(1) > d.places.Load() {
+	if d.count.Held.Add(1) > d.places.Load() || d.count.Bytes.Load() > d.bytes.Load() {
 		d.count.Held.Add(-1)
 		d.count.Crowded.Add(1)
 		t := &turn{client: c}
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -12,6 +12,7 @@
 type Counters struct {
 	Clients, ClientsOpen     atomic.Int64 // connections, in all and now
 	Exchanges, Held, Crowded atomic.Int64 // taken; with a place now; shed for want of one
+	Bytes                    atomic.Int64 // of values that are held now, for servers and for clients
 	Completed, Shed, Errored atomic.Int64 // final answers
 	Left                     atomic.Int64 // clients gone before their answer
 	Tries, Cancelled         atomic.Int64 // upstream tries, and those called off
@@ -34,7 +35,7 @@
 		at   *atomic.Int64
 	}{
 		{"Clients", &c.Clients}, {"ClientsOpen", &c.ClientsOpen}, {"Exchanges", &c.Exchanges}, {"Held", &c.Held},
-		{"Crowded", &c.Crowded}, {"Completed", &c.Completed}, {"Shed", &c.Shed}, {"Errored", &c.Errored},
+		{"Crowded", &c.Crowded}, {"Bytes", &c.Bytes}, {"Completed", &c.Completed}, {"Shed", &c.Shed}, {"Errored", &c.Errored},
 		{"Left", &c.Left}, {"Tries", &c.Tries}, {"Cancelled", &c.Cancelled}, {"Dials", &c.Dials},
 		{"UpstreamOpen", &c.UpstreamOpen}, {"Lists", &c.Lists}, {"Watches", &c.Watches},
 		{"BadClient", &c.BadClient}, {"BadPeer", &c.BadPeer}, {"Taken", &c.Taken}, {"Panics", &c.Panics},
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -14,6 +14,9 @@
 	"woodproxy/internal/wire"
 )
 
+// bare is what an exchange takes up without its values, its share of a connection's buffers included.
+const bare = 32 << 10
+
 // slowStart is how long a newcomer may take before it counts as one that asks nothing.
 const slowStart = 100 * time.Millisecond
 
@@ -23,7 +26,8 @@
 	mind     *Mind
 	ready    chan struct{} // closed when clients may be told that they are served
 	most     int           // connections at once
-	places   atomic.Int64  // exchanges that may be held at once: their values are what fills the memory
+	places   atomic.Int64  // exchanges that may be held at once, without their values
+	bytes    atomic.Int64  // of values, with which nobody more is taken
 	comeBack int           // what is told to who finds no place, in milliseconds; 0: nothing
 	count    *Counters
 	log      *zap.Logger
@@ -32,8 +36,7 @@
 	fewer    *sync.Cond           // one has ended
 }
 
-// NewDoor lets clients in on ln, at most so many at once, and holds no more exchanges than half of the memory has
-// room for when each comes with a value and gets another.
+// NewDoor lets clients in on ln, at most so many at once, and holds no more exchanges than the memory has room for.
 func NewDoor(ln *net.TCPListener, mind *Mind, most, memoryMB int, count *Counters, log *zap.Logger) *Door {
 	d := &Door{ln: ln, mind: mind, most: most, ready: make(chan struct{}), count: count, log: log,
 		clients: map[*client]struct{}{}}
@@ -45,9 +48,11 @@
 	return d
 }
 
-// Remember sets how much memory there is.
+// Remember sets how much memory there is: an eighth of it is for exchanges, a quarter for their values, as long as
+// they are. To count each at its largest would leave few places in little memory.
 func (d *Door) Remember(memoryMB int) {
-	d.places.Store(min(int64(memoryMB)<<20/2/(2*wire.MaxValue), mostHeld))
+	d.places.Store(min(int64(memoryMB)<<20/8/bare, mostHeld))
+	d.bytes.Store(int64(memoryMB) << 20 / 4)
 }
 
 // Open tells clients that they are served.
--- a/internal/fleet/turn.go
+++ b/internal/fleet/turn.go
@@ -25,6 +25,7 @@
 	route, tenant        string
 	wait                 int // how long the client waits, in milliseconds
 	repeat               bool
+	bytes                int64      // of its values, as they are counted
 	holds                bool       // a place, until its answer is written or its client gone
 	came                 brain.Time // with its last byte
 
@@ -63,7 +64,14 @@
 	c := t.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.gone {
+		return
+	}
 	t.head, t.body, t.ready = head, body, true
+	if t.holds { // a place, by which its bytes are given back
+		t.bytes += int64(len(body))
+		c.door.count.Bytes.Add(int64(len(body)))
+	}
 	if len(c.turns) > 0 && c.turns[0] == t {
 		c.conn.SetReadDeadline(longAgo)
 		select {
@@ -78,5 +86,6 @@
 	if t.holds {
 		t.holds = false
 		count.Held.Add(-1)
+		count.Bytes.Add(-t.bytes)
 	}
 }
--- a/internal/wire/answer.go
+++ b/internal/wire/answer.go
@@ -61,14 +61,14 @@
 		return []byte{}, nil
 	}
 	long, ok := decimal(head[1:], len(head)-1)
-	if head[0] != '$' || !ok || long < -1 || long > MaxValue {
+	if head[0] != '$' || !ok || long < -1 || long > MaxAnswer {
 		return nil, bad("an element that is no bulk string of a fitting length")
 	}
 	if long < 0 {
 		return nil, nil
 	}
-	b := make([]byte, long+2)
-	if _, err := io.ReadFull(r, b); err != nil {
+	b, err := whole(r, long+2)
+	if err != nil {
 		return nil, err
 	}
 	if b[long] != '\r' || b[long+1] != '\n' {
@@ -77,6 +77,24 @@
 	return b[:long:long], nil
 }
 
+// whole reads n bytes. What is said to be long gets its room as it comes, so that saying so alone takes up none.
+func whole(r *bufio.Reader, n int) ([]byte, error) {
+	b := make([]byte, 0, min(n, MaxValue+2))
+	for len(b) < n {
+		if len(b) == cap(b) {
+			b = append(make([]byte, 0, min(4*cap(b), n)), b...)
+		}
+		k, err := r.Read(b[len(b):cap(b)])
+		if b = b[:len(b)+k]; err != nil && len(b) < n {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
 // line reads a line that fits the buffer, without its end; it is never empty and stands until the next read.
 func line(r *bufio.Reader) ([]byte, error) {
 	b, err := r.ReadSlice('\n')
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -101,17 +101,15 @@
 	switch {
 	case h.chunked:
 		in = &Chunks{in: r}
-	case h.long > MaxValue:
+	case h.long > MaxAnswer:
 		return nil, bad("a body of " + strconv.Itoa(h.long) + " bytes")
 	case h.long >= 0:
-		b := make([]byte, h.long)
-		_, err := io.ReadFull(r, b)
-		return b, err
+		return whole(r, h.long)
 	default:
 		h.closes = true
 	}
-	b, err := io.ReadAll(io.LimitReader(in, MaxValue+1))
-	if err == nil && len(b) > MaxValue {
+	b, err := io.ReadAll(io.LimitReader(in, MaxAnswer+1))
+	if err == nil && len(b) > MaxAnswer {
 		err = bad("a body that does not end")
 	}
 	return b, err
