A silent try at an origin that answers others no longer cuts its limit

Ruled out: a loaded origin, long values (mended before). brain.go, judge: each silent one cut the limit by three tenths. It now does so only while the mean is past half the objective or the origin has answered nothing since the try was sent.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -780,8 +780,9 @@
 			b.limit = min(b.limit+min(b.limit, 1/b.limit), 256)
 		}
 	case n.Origin && (a.Ending == NoRoom || a.Took > 2*b.originAim &&
-		(a.Ending != Completed || b.fetch > float64(b.originAim))):
-		// one long answer among quick ones tells of the work in it, a write's above all, not of a loaded origin
+		(b.fetch > float64(b.originAim) || a.Ending != Completed && n.quiet <= x.sent)):
+		// one long answer among quick ones tells of the work in it, a write's above all, not of a loaded origin, and
+		// one that never comes while others do, of its connection
 		if b.now-b.cutAt > b.originAim {
 			part := 0.7
 			if b.limit <= 1 {
@@ -816,8 +817,10 @@
 		b.log("origin tight %v: %.1f at a time, answers take %.0f ms, %d wait", tight, b.limit, b.fetch/10,
 			b.queued)
 	}
-	if alive && !n.Origin {
+	if alive {
 		n.quiet = b.now
+	}
+	if alive && !n.Origin {
 		b.lastCome = b.now
 		if a.Ending != NoRoom {
 			n.answers++
