Repeats after a reset do not count against the budget of repeats

Checked by a trace: 346 of 4800 tries end as reset before an answer, on connections that stood idle for 150 ms and more a third of them, at once. Ruled out: failing nodes, overload (the lot turned 12 away). brain.go, mayRepeat: such a repeat was counted as one that keeps failures up. It no longer is; tries are bounded as ever.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -200,6 +200,7 @@
 		x.missed = true
 	}
 	x.bounced = a.Ending == NoRoom && !n.Origin
+	x.cut = a.Ending == Cut
 	if x.leads && n.Origin {
 		b.landed(x)
 	}
@@ -366,10 +367,11 @@
 func (b *Instance) timeUp() bool { return b.now >= min(b.hand.good, b.hand.deadline-b.tick) }
 
 // mayRepeat tells whether an exchange that may have run can be sent once more: no more than a tenth of what
-// is let in, or repeats keep up what caused the failures.
+// is let in, or repeats keep up what caused the failures. A connection that was reset is no such cause: where
+// servers drop many that have stood idle, each of them costs no more than the next try.
 func (b *Instance) mayRepeat() bool {
 	r := &b.routes[b.hand.Route]
-	if b.spare < 1 {
+	if b.spare < 1 && !b.hand.cut {
 		return false
 	}
 	return r.Effect == Retriable || r.Effect == Deduped && b.now < b.hand.ranAt+r.Window
@@ -609,7 +611,7 @@
 	} else {
 		b.flying++
 	}
-	if x.ran {
+	if x.ran && !x.cut {
 		b.spare--
 	}
 	if n.down {
--- a/brain/state.go
+++ b/brain/state.go
@@ -105,6 +105,7 @@
 	fresh     bool // no lots drawn yet
 	turned    bool // turned away by them
 	bounced   bool // by a cache that had no room
+	cut       bool // its last try's connection broke
 	missed    bool // a cache lacked the key
 	joined    bool // has waited for another's fetch
 	leads     bool // its fetch is the one that others wait for
