--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,6 +46,7 @@
 	}
 	for _, r := range t.Routes {
 		f := route{Route: r, patience: r.Objective - 2*b.tick, worth: r.Value / max(dearest, 1e-9)}
+		f.aim = f.patience
 		if r.Overdue > 0 && !t.Punctual {
 			f.patience = r.Overall
 		}
@@ -127,6 +128,7 @@
 	x.deadline = now + e.Remaining
 	x.good = now + r.patience
 	x.good -= b.since(r, &e)
+	x.aim = x.good - r.patience + r.aim
 	x.good = min(x.good, x.deadline-b.tick)
 	x.missed = e.Write && b.aside
 	x.beyond = b.spend(e.Tenant)
@@ -674,7 +676,7 @@
 // the next clockwise serves it if that one is twice as quick.
 func (b *Instance) crowded(n *node) bool {
 	most := 0.5 - 0.15*weight(0, b.meetings(), 10*second) // sooner, where it is seldom met
-	return n.slow > most*float64(b.hand.good-b.now) && b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
+	return n.slow > most*float64(min(b.hand.good, b.hand.aim)-b.now) && b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
 }
 
 // refuses holds by chance for a node that turned over a third of this proxy's latest tries away as full,
@@ -772,7 +774,7 @@
 	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
 	// a try called off when its time was up was no less late than one whose own time-out came first
 	late := a.Ending == Silent || (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone) &&
-		a.Took > b.routes[x.Route].patience*3/4
+		a.Took > b.routes[x.Route].aim*3/4
 	if n.Origin && a.Ending == Completed {
 		b.fetch += (float64(a.Took) - b.fetch) / 16
 	}
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -62,7 +62,7 @@
 	case "route":
 		m := scenario.Words(w[2:])
 		r := brain.Route{Objective: ms(m["objective"]), Overall: ms(m["overall"]), Value: scenario.Num(m["value"]),
-			Window: ms(m["window"]), Effect: map[string]brain.Effect{"deduped": brain.Deduped,
+			Overdue: scenario.Num(m["overdue"]), Window: ms(m["window"]), Effect: map[string]brain.Effect{"deduped": brain.Deduped,
 				"non-retriable": brain.NonRetriable}[m["effect"]],
 			Group: map[string]brain.Group{"zone": brain.GroupZone, "cell": brain.GroupCell}[m["group"]]}
 		p.routes[w[1]] = len(p.terms.Routes)
--- a/brain/state.go
+++ b/brain/state.go
@@ -71,6 +71,7 @@
 type route struct {
 	Route
 	patience Time    // how long an answer is worth waiting for
+	aim      Time    // how long it is worth its whole value
 	worth    float64 // value as a share of the dearest route's
 	usual    Time    // what clients give a first try, by majority
 	votes    int     // for usual, 1000 at most
@@ -116,6 +117,7 @@
 	ranNode   int
 	deadline  Time // the final answer's last moment
 	good      Time // an answer after this is worth nothing
+	aim       Time // one after this is worth less
 	due       Time // next look
 	place     int  // in the heap, -1: none
 	legs      int  // tries sent
