--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,7 +5,7 @@
 // out; it may reuse an exchange's index once that has its final answer and all its upstream tries have
 // ended. No I/O in here.
 //
-// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Left, Woken. It is not frozen: probes,
+// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Left, Woken. It is not frozen: probes,
 // load reports and cost hints have no call yet, since no decision uses them.
 package brain
 
@@ -18,6 +18,7 @@
 
 const (
 	second    = Time(10000)
+	mostTold  = 32  // peers that hear of one sight, however many there are
 	ringSpots = 160 // points of a node of usual weight (the design's figure)
 	overMean  = 2.0 // the pass-over bound, in own means (the design's figure)
 )
@@ -30,7 +31,7 @@
 		pushed: t.FallMultiple, pushedFor: max(t.Fall, 1), beyondPart: t.BeyondShare, ask: t.Ask,
 		askEvery: max(t.AskEvery, second), rough: t.RoughWeights, chance: seed, now: now,
 		fetches: map[uint64]int{}, waiters: map[uint64]int{}, wakeAt: math.MaxInt64, askAt: math.MaxInt64,
-		rateAt: now, began: now, endAt: now, room: 8, spare: 5,
+		peers: t.Peers, me: t.Me, rateAt: now, began: now, endAt: now, room: 8, spare: 5,
 	}
 	// one connection open from each proxy to each cache, against a new one for each exchange: with many
 	// proxies the first costs more, and fills what connections a cache accepts
@@ -93,7 +94,7 @@
 		if n.Name == "" || l.Since > n.Since {
 			// a process that started anew owes nothing to the old one's record, and is cold
 			n.down, n.rest, n.answers, n.slow, n.faults, n.refused = false, 0, 0, 0, 0, 0
-			n.budget, n.budgetAt = 0, now
+			n.budget, n.budgetAt, n.doubt, n.metAt = 0, now, 0, now-b.hush-1
 		}
 		l.Since = max(l.Since, n.Since)
 		n.Listing = l
@@ -166,6 +167,25 @@
 	return b.settle()
 }
 
+// Heard takes what another proxy tells of a node: that it went silent there, or answers again. Messages may be late or
+// lost and their sender mistaken: silence is believed step by step, never beside an answer that came here since, and
+// fades; an answer ends it.
+func (b *Instance) Heard(now Time, at int, answers bool) []Decision {
+	b.begin(now)
+	if at >= 0 && at < len(b.nodes) && !b.nodes[at].Origin {
+		n := &b.nodes[at]
+		n.spread = now
+		if answers {
+			n.doubt = 0
+		} else if now-n.metAt > b.hush {
+			n.doubt = b.doubt(n)
+			n.doubt += (1 - n.doubt) * 0.4
+			n.doubtAt = now
+		}
+	}
+	return b.settle()
+}
+
 // Left reports that the client went away; nothing is owed any more.
 func (b *Instance) Left(now Time, cx int) []Decision {
 	b.begin(now)
@@ -651,7 +671,7 @@
 		owner = false
 		switch {
 		case slices.Contains(b.hand.tried, at) || !b.inGroup(at) || b.coldFull(n):
-		case b.sick(n) || over:
+		case b.sick(n) || over || n.doubt > 0 && b.draw() < b.doubt(n):
 			if sick == nowhere {
 				sick = at // better than none
 			}
@@ -737,6 +757,27 @@
 	n.slowAt = b.now
 }
 
+// doubt is how far this proxy believes that a node is silent, on hearsay: it is passed by that chance. Half of it is
+// gone in twelve times the shortest objective.
+func (b *Instance) doubt(n *node) float64 {
+	return n.doubt * math.Exp2(-float64(b.now-n.doubtAt)/float64(12*b.hush))
+}
+
+// tell lets some peers know that a node went silent or answers, unless that went round a moment ago. Each receiver is
+// paid for; what they hear of it is theirs to tell only once they have seen it too.
+func (b *Instance) tell(n *node, answers bool) {
+	if b.peers == 0 || b.now-n.spread < b.hush/2 {
+		return
+	}
+	n.spread = b.now
+	at := int(b.draw() * float64(b.peers+1))
+	for range min(b.peers+1, mostTold) {
+		if at = (at + max((b.peers+1)/mostTold, 1)) % (b.peers + 1); at != b.me {
+			b.say(Decision{Act: Tell, Node: n.Node, Peer: at, Answers: answers})
+		}
+	}
+}
+
 // meetings is the mean time between two of this proxy's answers from one cache.
 func (b *Instance) meetings() Time {
 	return Time(float64(second) * float64(b.caches) / max(b.count(0), 1))
@@ -752,6 +793,7 @@
 	// as long as it may be until this proxy would ask it anyway, or each try is a trial
 	n.rest = min(max(2*n.rest, b.hush, b.meetings()), 4*max(b.hush, b.meetings()))
 	n.retryAt = b.now + n.rest
+	b.tell(n, false)
 	if !n.down {
 		n.down = true
 		b.log("node %d passed over: %d out, silent %d ms, %.0f%% failed", n.Node, n.out, (b.now-n.quiet)/10,
@@ -776,7 +818,9 @@
 	late := a.Ending == Silent || (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone) &&
 		a.Took > b.routes[x.Route].aim*3/4
 	if n.Origin && a.Ending == Completed {
-		b.fetch += (float64(a.Took) - b.fetch) / 16
+		// with many proxies one asks the origin once in a second or two, and would learn of a jam when it is over
+		b.fetch += (float64(a.Took) - b.fetch) * weight(1.0/16, b.now-b.fetchAt, 4*second)
+		b.fetchAt = b.now
 	}
 	switch {
 	case n.Origin && a.Ending == Completed && a.Took <= b.originAim:
@@ -822,7 +866,11 @@
 			b.queued)
 	}
 	if alive {
-		n.quiet = b.now
+		n.quiet, n.metAt = b.now, b.now
+		if n.doubt > 0 {
+			n.doubt = 0
+			b.tell(n, true)
+		}
 	}
 	if alive && !n.Origin {
 		b.lastCome = b.now
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -19,7 +19,8 @@
 //	MS rounds N FROM-TO ROUTE every=MS took=MS    all of them arrive, are sent and completed, N times
 //	MS end CX ENDING [took=MS] [over]        the last try of CX ended
 //	MS left CX | wake | failed | streaming CX
-//	> send CX NODE | close NODE | cancel CX | shed CX | error CX | follow | log WORD    exactly these, in order
+//	MS heard NODE silent|answers             from a peer
+//	> send CX NODE | close NODE | tell PEER NODE silent|answers | cancel CX | shed CX | error CX | follow | log WORD    exactly these, in order
 //	> count ACT [NODE] OP N                  how many came of one line
 //
 // NODE is a name, $X (bound at its first use, no cache twice) or any. Wakes are left out; logs unless asked for.
@@ -107,6 +108,12 @@
 			p.take(p.mind.Returned(now, brain.Answer{Cx: cx, Node: p.last[cx].Node, Ending: endings[w[3]],
 				Took: ms(m["took"]), Ended: m["over"] != ""}))
 		}
+	case "heard":
+		n, ok := p.nodes[p.name(w[2])]
+		if !ok {
+			n = len(p.names) // no such node
+		}
+		p.take(p.mind.Heard(now, n, w[3] == "answers"))
 	case "left":
 		p.take(p.mind.Left(now, int(scenario.Num(w[2]))))
 	case "streaming":
@@ -138,6 +145,8 @@
 		switch k {
 		case "proxies":
 			t.Proxies = int(scenario.Num(v))
+		case "peers":
+			t.Peers = int(scenario.Num(v))
 		case "tries":
 			t.MaxTries = int(scenario.Num(v))
 		case "cancel":
@@ -236,6 +245,9 @@
 			p.got = append(p.got, "follow")
 		case brain.Close:
 			p.got = append(p.got, "close "+p.names[d.Node])
+		case brain.Tell:
+			p.got = append(p.got, fmt.Sprintf("tell %d %s %s", d.Peer, p.names[d.Node],
+				map[bool]string{true: "answers", false: "silent"}[d.Answers]))
 		case brain.Log:
 			p.logs = append(p.logs, d.Text)
 		}
--- a/brain/state.go
+++ b/brain/state.go
@@ -19,6 +19,8 @@
 	allowance  []float64 // by tenant, a second, this proxy's share
 	spent      []float64 // by tenant, decays with time
 	spentAt    []Time
+	me         int // its number among them
+	peers      int // proxies that may be told something
 	ask        bool
 	askEvery   Time
 	rough      bool
@@ -49,6 +51,7 @@
 	atOrigin int
 	tight    bool    // the origin's limit is all but down, for the log
 	fetch    float64 // mean time of its answers
+	fetchAt  Time    // when the last of them came
 	cutAt    Time
 	room     float64 // own tries in flight that the caches answer in time
 	spare    float64 // repeats after failures that may be sent
@@ -90,6 +93,10 @@
 	budgetAt Time
 	slow     float64 // what its latest answers took
 	slowAt   Time
+	metAt    Time    // its latest answer
+	spread   Time    // when peers last heard or told of it
+	doubt    float64 // how far it is believed silent on hearsay, and since when
+	doubtAt  Time
 	refused  float64 // share of own tries that it turned away as full, lately
 	triedAt  Time    // end of the last
 	faults   float64 // share of its answers that are failures, lately
--- a/brain/types.go
+++ b/brain/types.go
@@ -33,6 +33,8 @@
 // Terms is what an instance is told at its start. New derives its figures from it and keeps none of it.
 type Terms struct {
 	Proxies                int // proxies that share the nodes, this one included
+	Me                     int // this one's number
+	Peers                  int // those of them that may be told something, 0: none
 	Routes                 []Route
 	Allowance              []float64 // by tenant: exchanges a second within its share, all proxies together
 	BeyondShare            float64
@@ -108,15 +110,18 @@
 	Wake
 	Follow
 	Close // idle connections to a node
+	Tell  // peers that a node went silent or answers
 	Log
 )
 
 // Decision is one thing for the caller to do, in order.
 type Decision struct {
-	Act   Act
-	Cx    int
-	Node  int
-	Leg   int
-	After Time // Send: the try's time-out; Shed: when to come back; Wake: from now
-	Text  string
+	Act     Act
+	Cx      int
+	Node    int
+	Leg     int
+	After   Time // Send: the try's time-out; Shed: when to come back; Wake: from now
+	Peer    int  // Tell: its number
+	Text    string
+	Answers bool // Tell: the node answers again, else it went silent
 }
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -143,6 +143,9 @@
 		Handshake:      c.number(may, "fees", "handshake"),
 		RoughWeights:   c.text(may, "weights") == "rough" || c.text(may, "weights") == "nominal",
 	}
+	if c.flag("limits", "may-tell") {
+		p.Terms.Me, p.Terms.Peers = int(c.number(need, "me")), p.Terms.Proxies-1
+	}
 	shapes := c.list(need, "shapes")
 	if v.Get("family-info") != nil {
 		if k := int(c.number(may, "family-info", "origin-kind")); p.Terms.Aside && k >= 0 && k < len(shapes) {
--- a/simwire/boot.go
+++ b/simwire/boot.go
@@ -33,6 +33,6 @@
 		return nil
 	}
 	h.proxies[who] = &proxy{book: book, mind: brain.New(h.now, book.Terms, salt), nodes: map[string]int{},
-		trays: map[string]int{}}
+		codes: map[string]int{}, trays: map[string]int{}}
 	return nil
 }
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -6,8 +6,10 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/valyala/fastjson"
 
@@ -30,6 +32,7 @@
 	mind  *brain.Instance
 	book  *terms.Book
 	nodes map[string]int // emptied when the instance starts anew
+	codes map[string]int // what peers call them; emptied with it
 	names []string
 	trays map[string]int // emptied as exchanges end
 	slots []tray
@@ -225,6 +228,7 @@
 		if !ok {
 			n = len(p.names)
 			p.nodes[l.name] = n
+			p.codes[code(l.name)] = n
 			p.names = append(p.names, l.name)
 		}
 		zone, ok := p.book.Zones[l.zone]
@@ -359,9 +363,16 @@
 }
 
 func (h *host) fromPeer(p *proxy, f *fields, _ int) []brain.Decision {
-	f.count(1, "author", need)
-	f.text(2, "payload", need)
-	return nil
+	text := f.at(2)
+	if text == nil {
+		return nil
+	}
+	name, answers := strings.CutSuffix(string(text.GetStringBytes()), "+")
+	n, known := p.codes[name]
+	if !known {
+		return nil // no text, garbled, or of a node that was never on this proxy's list
+	}
+	return p.mind.Heard(h.now, n, answers)
 }
 
 func (h *host) powerOff(p *proxy, f *fields, who int) []brain.Decision {
@@ -369,6 +380,13 @@
 	return nil
 }
 
+// code is what peers call a node: few bytes, since each receiver is paid for by the byte.
+func code(name string) string {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return strconv.FormatUint(uint64(h.Sum32()), 36)
+}
+
 // clear gives an exchange's index back once nothing more can come for it.
 func (p *proxy) clear(cx int) {
 	s := &p.slots[cx]
@@ -413,6 +431,14 @@
 		case brain.Close:
 			h.begin("close", who)
 			h.str(p.names[d.Node])
+		case brain.Tell:
+			h.begin("publish", who)
+			h.int(int64(d.Peer))
+			name := code(p.names[d.Node])
+			if d.Answers {
+				name += "+"
+			}
+			h.str(name)
 		case brain.Log:
 			h.begin("say-log", who)
 			h.str(d.Text)
--- a/simwire/serve_test.go
+++ b/simwire/serve_test.go
@@ -49,6 +49,31 @@
 	}
 }
 
+// What peers tell of a listed node is heard; what is empty, too long, garbled or of no node here is passed over.
+func TestPeers(t *testing.T) {
+	two := strings.NewReplacer(`"replicas-of-me":1`, `"replicas-of-me":2,"me":0`, `"may-cancel"`, `"may-tell":true,"may-cancel"`,
+		`"z","c1"]`, `"z","c1"],["std","SERVING",0,null,1,"z","c2"]`).Replace(opening)
+	order := `["order",1,"t/1",null,null,null,500,"read",false,false,7]` + "\n"
+	owner := func(told string) string {
+		var out bytes.Buffer
+		in := batch("") + batch(two) + batch(strings.Repeat(told, 20)+order)
+		if err := Serve(strings.NewReader(in), &out); err != nil {
+			t.Fatal(err)
+		}
+		_, after, _ := strings.Cut(out.String(), `["try",1,"t/1",495.0,"`)
+		return after[:2]
+	}
+	first := owner("")
+	for _, odd := range []string{`""`, `"?!"`, `null`, `7`, `["x"]`, `"` + strings.Repeat("z", 300) + `"`, `"` + code("c9") + `"`} {
+		if got := owner(`["from-peer",1,2,` + odd + "]\n"); got != first {
+			t.Errorf("%s moved a key from %s to %s", odd, first, got)
+		}
+	}
+	if got := owner(`["from-peer",1,2,"` + code(first) + "\"]\n"); got == first {
+		t.Errorf("a key stays on %s, which is told of as silent", got)
+	}
+}
+
 // Malformed input ends the run with one line that names the line, the message and the field.
 func TestMalformed(t *testing.T) {
 	for _, c := range []struct{ in, want string }{
