--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,8 +5,8 @@
 // out; it may reuse an exchange's index once that has its final answer and all its upstream tries have
 // ended. No I/O in here.
 //
-// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Left, Woken. It is not frozen: probes,
-// load reports and cost hints have no call yet, since no decision uses them.
+// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Left, Woken. It is not frozen:
+// probes, load reports and cost hints have no call yet, since no decision uses them.
 package brain
 
 import (
@@ -167,9 +167,9 @@
 	return b.settle()
 }
 
-// Heard takes what another proxy tells of a node: that it went silent there, or answers again. Messages may be late or
-// lost and their sender mistaken: silence is believed step by step, never beside an answer that came here since, and
-// fades; an answer ends it.
+// Heard takes what another proxy tells of a node: that it went silent there, or answers again. Messages may
+// be late or lost and their sender mistaken: silence is believed step by step, never beside an answer that
+// came here since, and fades; an answer ends it.
 func (b *Instance) Heard(now Time, at int, answers bool) []Decision {
 	b.begin(now)
 	if at >= 0 && at < len(b.nodes) && !b.nodes[at].Origin {
@@ -696,7 +696,8 @@
 // the next clockwise serves it if that one is twice as quick.
 func (b *Instance) crowded(n *node) bool {
 	most := 0.5 - 0.15*weight(0, b.meetings(), 10*second) // sooner, where it is seldom met
-	return n.slow > most*float64(min(b.hand.good, b.hand.aim)-b.now) && b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
+	return n.slow > most*float64(min(b.hand.good, b.hand.aim)-b.now) &&
+		b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
 }
 
 // refuses holds by chance for a node that turned over a third of this proxy's latest tries away as full,
@@ -744,6 +745,17 @@
 	return b.answered * 0.1 / max(1-fade(b.now-b.began), 0.01)
 }
 
+// cut is the part of the room that an answer which tells of too much work takes: the fewer answers there are,
+// the more each takes, or a burst is over before a proxy of little traffic has cut any. So only where peers
+// tell of silent nodes: where none do, each proxy meets every jam for the first time, and its few answers
+// tell of that.
+func (b *Instance) cut() float64 {
+	if b.peers == 0 {
+		return 0.02
+	}
+	return min(max(0.8/max(b.count(0), 1), 0.02), 0.3)
+}
+
 func fade(gone Time) float64 { return math.Exp2(-float64(gone) / float64(7*second)) }
 
 // weight is what a sight counts in a mean: the longer since the last one, the more.
@@ -757,14 +769,14 @@
 	n.slowAt = b.now
 }
 
-// doubt is how far this proxy believes that a node is silent, on hearsay: it is passed by that chance. Half of it is
-// gone in twelve times the shortest objective.
+// doubt is how far this proxy believes that a node is silent, on hearsay: it is passed by that chance. Half
+// of it is gone in twelve times the shortest objective.
 func (b *Instance) doubt(n *node) float64 {
 	return n.doubt * math.Exp2(-float64(b.now-n.doubtAt)/float64(12*b.hush))
 }
 
-// tell lets some peers know that a node went silent or answers, unless that went round a moment ago. Each receiver is
-// paid for; what they hear of it is theirs to tell only once they have seen it too.
+// tell lets some peers know that a node went silent or answers, unless that went round a moment ago. Each
+// receiver is paid for; what they hear of it is theirs to tell only once they have seen it too.
 func (b *Instance) tell(n *node, answers bool) {
 	if b.peers == 0 || b.now-n.spread < b.hush/2 {
 		return
@@ -822,6 +834,14 @@
 		b.fetch += (float64(a.Took) - b.fetch) * weight(1.0/16, b.now-b.fetchAt, 4*second)
 		b.fetchAt = b.now
 	}
+	if !n.Origin && !x.missed && !((a.Ending == Silent || a.Ending == Undone) && n.down) {
+		bad := 0.0
+		if late {
+			bad = 1
+		}
+		b.lates += (bad - b.lates) * weight(1.0/64, b.now-b.latesAt, 10*second)
+		b.latesAt = b.now
+	}
 	switch {
 	case n.Origin && a.Ending == Completed && a.Took <= b.originAim:
 		if float64(b.atOrigin+1) > b.limit/2 { // what was never used was never tried
@@ -829,8 +849,8 @@
 		}
 	case n.Origin && (a.Ending == NoRoom || a.Took > 2*b.originAim &&
 		(b.fetch > float64(b.originAim) || a.Ending != Completed && n.quiet <= x.sent)):
-		// one long answer among quick ones tells of the work in it, a write's above all, not of a loaded origin, and
-		// one that never comes while others do, of its connection
+		// one long answer among quick ones tells of the work in it, a write's above all, not of a loaded origin,
+		// and one that never comes while others do, of its connection
 		if b.now-b.cutAt > b.originAim {
 			part := 0.7
 			if b.limit <= 1 {
@@ -843,9 +863,10 @@
 		// the origin's, or a silent node's: no sign that the caches have too much to do
 	case late || a.Ending == Fault && b.faults > 0.1 || a.Ending == NoRoom && x.legs >= 3:
 		b.slows(n, float64(max(a.Took, b.hush/2)), 0.5)
-		if a.Ending == NoRoom || a.Ending == Fault || n.slow < 2*b.took {
-			// a few nodes that are late among quick ones are passed by; they do not tell of too much work for all
-			b.room = max(min(b.room, 4*float64(b.flying)+8)*0.98, 2, float64(b.caches)*b.share)
+		if a.Ending == NoRoom || a.Ending == Fault || n.slow < 2*b.took || b.lates > 0.2 {
+			// a few nodes that are late among quick ones are passed by; they do not tell of too much work for all, but
+			// a fifth of all answers do, though mean and lateness drift apart when late tries end unanswered
+			b.room = max(min(b.room, 4*float64(b.flying)+8)*(1-b.cut()), 2, float64(b.caches)*b.share)
 		}
 	case a.Ending == Completed:
 		if float64(b.flying) > b.room/2 {
--- a/brain/state.go
+++ b/brain/state.go
@@ -56,6 +56,8 @@
 	room     float64 // own tries in flight that the caches answer in time
 	spare    float64 // repeats after failures that may be sent
 	full     bool    // whether work is turned away, for the log
+	lates    float64 // share of the caches' answers that are late, lately, and when the last came
+	latesAt  Time
 	faults   float64 // share of the caches' answers that are failures, lately
 	refused  float64 // share of own tries that caches turned away as full, lately
 	endAt    Time    // end of the last of them
