Watching: settings to come are asked beside those in force, differences counted by kind

Before they switch, operators want to see what the settings of the new shape would decide otherwise. Counters: WatchSame, WatchNode, WatchHeld, WatchGivenUp, WatchKept, WatchAnswer, WatchTold. Peers speak no protocol on sockets: may-tell is accepted with a warning and nothing is told. Module decisions unchanged: went is split from send.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -619,7 +619,15 @@
 
 // send starts an upstream try; its time-out is what is left of the time worth waiting.
 func (b *Instance) send(to int) {
-	x, n := b.hand, &b.nodes[to]
+	x := b.hand
+	b.went(x, to)
+	b.say(Decision{Act: Send, Cx: b.at, Node: to, After: max(min(x.good, x.deadline-b.tick)-b.now, b.tick)})
+	b.waitOn()
+}
+
+// went notes that a try is out.
+func (b *Instance) went(x *exchange, to int) {
+	n := &b.nodes[to]
 	if n.out == 0 {
 		n.quiet = b.now
 	}
@@ -639,8 +647,6 @@
 	if n.down {
 		n.retryAt = b.now + n.rest
 	}
-	b.say(Decision{Act: Send, Cx: b.at, Node: to, After: max(min(x.good, x.deadline-b.tick)-b.now, b.tick)})
-	b.waitOn()
 }
 
 // look walks clockwise from the key's hash to the first server that may have the exchange.
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -22,6 +22,9 @@
 	BadClient, BadPeer       atomic.Int64 // connections ended for bad bytes
 	Taken                    atomic.Int64 // exchanges with the id of another that is open
 	Panics                   atomic.Int64
+	// where watched terms would have: decided alike; chosen another node; held what was sent or the other way round;
+	// given up what was not; not given up what was; given it the other final answer; told peers of a node
+	WatchSame, WatchNode, WatchHeld, WatchGivenUp, WatchKept, WatchAnswer, WatchTold atomic.Int64
 }
 
 // endings names how tries end, in the module's order.
@@ -39,6 +42,9 @@
 		{"Left", &c.Left}, {"Tries", &c.Tries}, {"Cancelled", &c.Cancelled}, {"Dials", &c.Dials},
 		{"UpstreamOpen", &c.UpstreamOpen}, {"Lists", &c.Lists}, {"Watches", &c.Watches},
 		{"BadClient", &c.BadClient}, {"BadPeer", &c.BadPeer}, {"Taken", &c.Taken}, {"Panics", &c.Panics},
+		{"WatchSame", &c.WatchSame}, {"WatchNode", &c.WatchNode}, {"WatchHeld", &c.WatchHeld},
+		{"WatchGivenUp", &c.WatchGivenUp}, {"WatchKept", &c.WatchKept}, {"WatchAnswer", &c.WatchAnswer},
+		{"WatchTold", &c.WatchTold},
 	} {
 		f(n.name, n.at.Load())
 	}
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -23,7 +23,9 @@
 	book   *terms.Book
 	clock  Clock
 	wake   *time.Timer
-	slots  []slot // as many as were ever held at once
+	wakes  brain.Time // when it fires, 0: nothing is asked for
+	watch  *onlooker  // nil: nothing watches
+	slots  []slot     // as many as were ever held at once
 	free   []int
 	peers  []*peer             // by the module's index of the node, nil where that is free; as many as were listed at a time
 	spots  []int               // free indices of nodes
@@ -57,7 +59,9 @@
 		case call := <-m.box:
 			guarded(m.log, m.count, call)
 		case <-m.wake.C:
-			guarded(m.log, m.count, func() { m.act(m.brain.Woken(m.clock.Now())) })
+			guarded(m.log, m.count, m.woken)
+		case <-m.due():
+			guarded(m.log, m.count, m.watchWoken)
 		}
 	}
 }
@@ -107,7 +111,7 @@
 		lines = append(lines, brain.Listing{Node: n, Name: t.Name, Origin: origin, Ready: t.Ready,
 			Since: brain.Time(t.Since) * 10, Weight: t.Weight, Zone: zone, Cell: t.Cell})
 	}
-	m.act(m.brain.Nodes(now, whole, first, lines))
+	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Nodes(now, whole, first, lines) }))
 }
 
 // forgetGone frees the indices of nodes that have been gone for longer than any exchange lives, so that none is left
@@ -124,7 +128,10 @@
 }
 
 // listFailed hears that a list that the module asked for does not come.
-func (m *Mind) listFailed() { m.act(m.brain.ListFailed(m.clock.Now())) }
+func (m *Mind) listFailed() {
+	now := m.clock.Now()
+	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.ListFailed(now) }))
+}
 
 // arrive takes an exchange that a client's connection has read whole.
 func (m *Mind) arrive(t *turn) {
@@ -158,7 +165,7 @@
 	t.cx, t.taken = cx, true
 	now := m.clock.Now()
 	e.Remaining -= now - t.came
-	m.act(m.brain.Arrive(now, cx, e))
+	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Arrive(now, cx, e) }))
 }
 
 // left hears that the client of an exchange has gone.
@@ -167,7 +174,8 @@
 		return
 	}
 	m.count.Left.Add(1)
-	ds := m.brain.Left(m.clock.Now(), t.cx)
+	now := m.clock.Now()
+	ds := m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Left(now, t.cx) })
 	m.slots[t.cx].over = true
 	m.act(ds)
 	m.clear(t.cx)
@@ -183,8 +191,8 @@
 		m.finish(t.cx, completed, value, 0)
 	}
 	now := m.clock.Now()
-	m.act(m.brain.Returned(now, brain.Answer{Cx: t.cx, Node: t.node, Ending: ending, Took: now - t.sent,
-		Ended: s.over}))
+	a := brain.Answer{Cx: t.cx, Node: t.node, Ending: ending, Took: now - t.sent, Ended: s.over}
+	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Returned(now, a) }))
 	m.clear(t.cx)
 }
 
@@ -241,9 +249,11 @@
 		case brain.Error:
 			m.finish(d.Cx, errored, nil, 0)
 		case brain.Wake:
+			m.wakes = m.clock.Now() + d.After
 			m.wake.Reset(span(d.After))
 		case brain.Follow:
 			m.list.box.offer(m.list.follow)
+		case brain.Tell: // peers speak no protocol on sockets yet
 		case brain.Close:
 			p := m.peers[d.Node]
 			p.box.offer(p.closeIdle)
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"strconv"
@@ -21,6 +22,8 @@
 	MemoryMB, Sockets       int
 	Known                   *fastjson.Value
 	Book                    *terms.Book
+	Untold                  bool        // peers might be told things, if there were a protocol
+	Watch                   *terms.Book // terms that are only watched, nil: none
 }
 
 // Read takes the configuration file; what is given besides it as name, listen and discovery goes before it.
@@ -82,9 +85,53 @@
 	if p.Book, err = terms.Read(s); err != nil {
 		return nil, fmt.Errorf("configuration: settings: %w", err)
 	}
+	// peers speak no protocol on sockets yet: nothing is told, whatever is allowed
+	p.Untold, p.Book.Terms.Peers = p.Book.Terms.Peers > 0, 0
+	if p.Watch, err = watched(v, p.Book); err != nil {
+		return nil, fmt.Errorf("configuration: watch: %w", err)
+	}
 	return p, nil
 }
 
+// watched reads the settings with what watch puts in their place. Routes, tenants, zones and kinds have to be the same
+// ones in the same order, since the same exchanges are put to both.
+func watched(v *fastjson.Value, book *terms.Book) (*terms.Book, error) {
+	over := v.Get("watch")
+	switch {
+	case over == nil || over.Type() == fastjson.TypeNull:
+		return nil, nil
+	case over.Type() != fastjson.TypeObject:
+		return nil, errors.New("mistyped")
+	}
+	s := v.Get("settings")
+	lay(s, over)
+	w, err := terms.Read(s)
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range []struct {
+		name string
+		same bool
+	}{{"routes", maps.Equal(w.Routes, book.Routes)}, {"tenants", maps.Equal(w.Tenants, book.Tenants)},
+		{"zones", maps.Equal(w.Zones, book.Zones)}, {"family-info.origin-kind", w.Origin == book.Origin}} {
+		if !f.same {
+			return nil, fmt.Errorf("setup %s: not those of the settings", f.name)
+		}
+	}
+	return w, nil
+}
+
+// lay puts what is named in one object over another; objects in both are laid over each other.
+func lay(under, over *fastjson.Value) {
+	over.GetObject().Visit(func(key []byte, v *fastjson.Value) {
+		if u := under.Get(string(key)); u != nil && u.Type() == fastjson.TypeObject && v.Type() == fastjson.TypeObject {
+			lay(u, v)
+			return
+		}
+		under.Set(string(key), v)
+	})
+}
+
 // seed reads the start of chance, which is hexadecimal.
 func seed(v *fastjson.Value, err error) (uint64, error) {
 	if err != nil {
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -27,6 +27,7 @@
 //
 //	limits WORD=N ...                        memory_mb, sockets; before start
 //	settings OLD NEW                         puts one text in the place of another in the settings; before start
+//	watch JSON                               settings that are only watched; before start
 //	node NAME HABIT [slow=MS] [size=N]       starts a cache or (o1) the origin, or changes its habit
 //	list NAME[:leaving|:left] ...            what discovery says: the first is whole, others are changes
 //	discovery up|silent|cut|garbled          cut ends the watches that are out
@@ -45,7 +46,7 @@
 	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
 		t.Parallel()
 		return &stage{t: t, nodes: map[string]*standIn{}, clients: map[string]*caller{}, index: 1,
-			limits: map[string]string{}, settings: settings, signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
+			limits: map[string]string{}, settings: settings, watch: "null", signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	})
 }
 
@@ -54,6 +55,7 @@
 	line     int
 	limits   map[string]string
 	settings string
+	watch    string
 	nodes    map[string]*standIn
 	clients  map[string]*caller
 	index    int
@@ -125,6 +127,8 @@
 			s.fail("the settings lack %s", w[1])
 		}
 		s.settings = strings.Replace(s.settings, w[1], w[2], 1)
+	case "watch":
+		s.watch = w[1]
 	case "pause":
 		time.Sleep(time.Duration(scenario.Num(w[1])) * time.Millisecond)
 	case "expect":
@@ -288,8 +292,8 @@
 		sizes = append(sizes, fmt.Sprintf("%q:%s", k, v))
 	}
 	s.file = filepath.Join(s.t.TempDir(), "config.json")
-	s.text = fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{%s},"known":%s,"settings":%s}`,
-		s.addr, s.watched, strings.Join(sizes, ","), list, s.settings)
+	s.text = fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{%s},"known":%s,"settings":%s,"watch":%s}`,
+		s.addr, s.watched, strings.Join(sizes, ","), list, s.settings, s.watch)
 	if err := os.WriteFile(s.file, []byte(s.text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -34,6 +34,13 @@
 	count := &fleet.Counters{}
 	links := (p.Sockets - spareSockets) * 2 / 5
 	mind := fleet.NewMind(p.Book, p.Seed, fleet.NewClock(), links, count, log)
+	if p.Untold {
+		log.Warn("limits.may-tell: peers speak no protocol on sockets yet; nothing is told")
+	}
+	if p.Watch != nil {
+		mind.Watch(p.Watch, p.Seed)
+		log.Info("watching other settings; what they would decide otherwise is counted and not done")
+	}
 	list, err := fleet.NewList(p.Discovery, p.Known, mind, count, log)
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
@@ -81,9 +88,10 @@
 func take(old, p *Place, list *fleet.List, door *fleet.Door, log *zap.Logger) {
 	log.Info("configuration read anew", zap.String("discovery", p.Discovery), zap.Float64("cores", p.Cores),
 		zap.Int("memory_mb", p.MemoryMB))
-	if p.Name != old.Name || p.Listen != old.Listen || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) {
-		log.Warn("name, listen, sockets and settings stand until the next start")
-		p.Name, p.Listen, p.Sockets, p.Book = old.Name, old.Listen, old.Sockets, old.Book
+	if p.Name != old.Name || p.Listen != old.Listen || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) ||
+		!reflect.DeepEqual(p.Watch, old.Watch) {
+		log.Warn("name, listen, sockets, settings and watch stand until the next start")
+		p.Name, p.Listen, p.Sockets, p.Book, p.Watch = old.Name, old.Listen, old.Sockets, old.Book, old.Watch
 	}
 	Limit(p)
 	door.Remember(p.MemoryMB)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -62,6 +62,15 @@
 	return n
 }
 
+// whole reads a whole number within a range.
+func (c chart) whole(least, most int, path ...string) int {
+	n := c.number(need, path...)
+	if n != math.Trunc(n) || n < float64(least) || n > float64(most) {
+		c.fail(path, "out of its range")
+	}
+	return int(n)
+}
+
 func (c chart) time(needed bool, path ...string) brain.Time {
 	return Tenths(c.number(needed, path...))
 }
@@ -123,12 +132,12 @@
 		Idle: c.time(may, "limits", "conn-idle"), Streams: int(c.number(may, "limits", "multiplex")),
 		Locality: c.text(may, "locality")}
 	p.Terms = brain.Terms{
-		Proxies:        int(c.number(need, "replicas-of-me")),
+		Proxies:        c.whole(1, 1e6, "replicas-of-me"),
 		BeyondShare:    c.number(may, "beyond-share-value"),
 		Punctual:       c.number(may, "goal", "punctual") > 0,
 		Aside:          c.text(may, "family-info", "mode") == "aside",
 		MayCancel:      c.flag("limits", "may-cancel"),
-		MaxTries:       int(c.number(need, "limits", "max-upstream-tries")),
+		MaxTries:       c.whole(1, 1e6, "limits", "max-upstream-tries"),
 		RetryAfter:     c.flag("limits", "retry-after"),
 		MaxRetryAfter:  c.time(may, "limits", "max-retry-after"),
 		Tick:           c.time(need, "tick"),
@@ -143,8 +152,12 @@
 		Handshake:      c.number(may, "fees", "handshake"),
 		RoughWeights:   c.text(may, "weights") == "rough" || c.text(may, "weights") == "nominal",
 	}
-	if c.flag("limits", "may-tell") {
-		p.Terms.Me, p.Terms.Peers = int(c.number(need, "me")), p.Terms.Proxies-1
+	tell := c.flag("limits", "may-tell")
+	if tell || c.get(may, []string{"me"}) != nil {
+		p.Terms.Me = c.whole(0, p.Terms.Proxies-1, "me")
+	}
+	if tell {
+		p.Terms.Peers = p.Terms.Proxies - 1
 	}
 	shapes := c.list(need, "shapes")
 	if v.Get("family-info") != nil {
@@ -165,6 +178,9 @@
 		r := brain.Route{Objective: c.time(need, "latency-objective"), Overall: c.time(need, "overall-timeout"),
 			Value: c.number(need, "value"), Overdue: c.number(may, "overdue-value"),
 			Window: c.time(may, "dedup-window")}
+		if r.Overdue < 0 || r.Overdue > 1 {
+			c.fail([]string{"overdue-value"}, "out of its range")
+		}
 		effect, group := c.text(need, "effect"), c.text(may, "group")
 		var ok bool
 		if r.Effect, ok = effects[effect]; !ok {
