--- a/brain/brain.go
+++ b/brain/brain.go
@@ -57,6 +57,9 @@
 	b.hush, b.originAim = shortest, shortest/2
 	// all proxies' limits begin at sixteen tries, and come down to eight, but that few proxies keep one each
 	b.limit, b.least = min(4, max(16*b.share, 1)), min(1, 8*b.share)
+	b.lean = b.limit / 2
+	// a key that is passed on misses there: the dearer a fetch, the later
+	b.crowd = min(0.3+t.Fetch, 0.5)
 	b.took, b.fetch = float64(shortest), float64(shortest)/4
 	for _, a := range t.Allowance {
 		b.allowance = append(b.allowance, a*b.share)
@@ -701,7 +704,7 @@
 // crowded holds for a node whose latest answers took most of the time that the exchange in hand has left;
 // the next clockwise serves it if that one is twice as quick.
 func (b *Instance) crowded(n *node) bool {
-	most := 0.5 - 0.15*weight(0, b.meetings(), 10*second) // sooner, where it is seldom met
+	most := b.crowd - 0.15*weight(0, b.meetings(), 10*second) // sooner, where it is seldom met
 	return n.slow > most*float64(min(b.hand.good, b.hand.aim)-b.now) &&
 		b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
 }
@@ -887,7 +890,7 @@
 		// of many proxies, one try of each at a time is more than a loaded origin answers
 		b.originAt = b.now + Time((1/b.limit-1)*float64(b.originAim))
 	}
-	if tight := b.limit < 2 || b.tight && b.limit < 4; tight != b.tight {
+	if tight := b.limit < b.lean || b.tight && b.limit < 2*b.lean; tight != b.tight {
 		b.tight = tight
 		b.log("origin tight %v: %.1f at a time, answers take %.0f ms, %d wait", tight, b.limit, b.fetch/10,
 			b.queued)
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -20,7 +20,7 @@
 //	MS end CX ENDING [took=MS] [over]        the last try of CX ended
 //	MS left CX | wake | failed | streaming CX
 //	MS heard NODE silent|answers             from a peer
-//	> send CX NODE | close NODE | tell PEER NODE silent|answers | cancel CX | shed CX | error CX | follow | log WORD    exactly these, in order
+//	> send CX NODE | close NODE | tell PEER NODE silent|answers | cancel CX | shed CX | error CX | follow | log WORD | no-log WORD    exactly these, in order
 //	> count ACT [NODE] OP N                  how many came of one line
 //
 // NODE is a name, $X (bound at its first use, no cache twice) or any. Wakes are left out; logs unless asked for.
@@ -167,6 +167,8 @@
 			t.Connection = scenario.Num(v)
 		case "handshake":
 			t.Handshake = scenario.Num(v)
+		case "fetch":
+			t.Fetch = scenario.Num(v)
 		case "beyond":
 			t.BeyondShare = scenario.Num(v)
 		default:
@@ -266,9 +268,9 @@
 }
 
 func (p *play) expect(w []string) {
-	if w[0] == "log" {
-		if !strings.Contains(strings.Join(p.logs, "\n"), strings.Join(w[1:], " ")) {
-			p.fail("log lines %q lack %q", p.logs, w[1:])
+	if w[0] == "log" || w[0] == "no-log" {
+		if (w[0] == "log") != strings.Contains(strings.Join(p.logs, "\n"), strings.Join(w[1:], " ")) {
+			p.fail("log lines %q: %s %q", p.logs, w[0], w[1:])
 		}
 		return
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -24,7 +24,8 @@
 	ask        bool
 	askEvery   Time
 	rough      bool
-	closes     bool // idle connections to caches cost more than they save
+	crowd      float64 // part of the time there is that a crowded owner's answers take
+	closes     bool    // idle connections to caches cost more than they save
 	chance     uint64
 
 	now      Time
@@ -49,6 +50,7 @@
 	least    float64        // the limit's floor
 	originAt Time           // no try there before
 	atOrigin int
+	lean     float64 // half of what the limit begins at
 	tight    bool    // the origin's limit is all but down, for the log
 	fetch    float64 // mean time of its answers
 	fetchAt  Time    // when the last of them came
--- a/brain/types.go
+++ b/brain/types.go
@@ -51,6 +51,7 @@
 	Cold, Fall             Time
 	ColdFrom, FallMultiple float64
 	RoughWeights           bool
+	Fetch                  float64 // fee for a fetch from the origin, in values of an exchange
 	Connection, Handshake  float64 // fees: a hundred connections open at each cache; one opened for each exchange
 }
 
--- a/internal/run/config_test.go
+++ b/internal/run/config_test.go
@@ -41,6 +41,8 @@
 		`"tick":5>"tick":5,"me":"x"`:                                      "me: mistyped",
 		`"tick":5>"tick":5,"me":1`:                                        "me: out of its range",
 		`"value":5,>"value":5,"overdue-value":1.5,`:                       "overdue-value: out of its range",
+		`"tick":5>"tick":5,"fees":{"origin":-1}`:                          "fees.origin: out of its range",
+		`"tick":5>"tick":5,"fees":{"origin":"x"}`:                         "fees.origin: mistyped",
 		`"new":1>"watch":7`:                                               "watch: mistyped",
 		`"new":1>"watch":{"tick":"x"}`:                                    "watch: setup tick: mistyped",
 		`"new":1>"watch":{"replicas-of-me":3,"limits":{"may-tell":true}}`: "watch: setup me: missing",
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -148,6 +148,7 @@
 		Fall:           c.time(need, "rules", "fall"),
 		ColdFrom:       c.number(need, "rules", "cold-from"),
 		FallMultiple:   c.number(need, "rules", "fall-multiple"),
+		Fetch:          c.number(may, "fees", "origin"),
 		Connection:     c.number(may, "fees", "connection"),
 		Handshake:      c.number(may, "fees", "handshake"),
 		RoughWeights:   c.text(may, "weights") == "rough" || c.text(may, "weights") == "nominal",
@@ -159,6 +160,9 @@
 	if tell {
 		p.Terms.Peers = p.Terms.Proxies - 1
 	}
+	if p.Terms.Fetch < 0 {
+		c.fail([]string{"fees", "origin"}, "out of its range")
+	}
 	shapes := c.list(need, "shapes")
 	if v.Get("family-info") != nil {
 		if k := int(c.number(may, "family-info", "origin-kind")); p.Terms.Aside && k >= 0 && k < len(shapes) {
