--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,11 +31,8 @@
 		pushed: t.FallMultiple, pushedFor: max(t.Fall, 1), beyondPart: t.BeyondShare, ask: t.Ask,
 		askEvery: max(t.AskEvery, second), rough: t.RoughWeights, chance: seed, now: now,
 		fetches: map[uint64]int{}, waiters: map[uint64]int{}, wakeAt: math.MaxInt64, askAt: math.MaxInt64,
-		peers: t.Peers, me: t.Me, rateAt: now, began: now, endAt: now, room: 8, spare: 5,
+		peers: t.Peers, me: t.Me, rateAt: now, began: now, room: 8, spare: 5,
 	}
-	// one connection open from each proxy to each cache, against a new one for each exchange: with many
-	// proxies the first costs more, and fills what connections a cache accepts
-	b.closes = t.Connection*float64(t.Proxies)/100 > t.Handshake
 	if t.RetryAfter {
 		b.comeBack = t.MaxRetryAfter
 	}
@@ -224,7 +221,6 @@
 	if a.Ending == Lacking {
 		x.missed = true
 	}
-	x.bounced = a.Ending == NoRoom && !n.Origin
 	x.cut = a.Ending == Cut
 	if x.leads && n.Origin {
 		b.landed(x)
@@ -232,9 +228,6 @@
 	if a.Ended && x.live {
 		b.close(a.Cx)
 	}
-	if n.out == 0 && b.closes && !n.Origin {
-		b.say(Decision{Act: Close, Node: a.Node})
-	}
 	if x.live {
 		b.todo = append(b.todo, a.Cx)
 	}
@@ -271,7 +264,6 @@
 	// Overload: turned away by chance, the cheaper ones more often.
 	{held, func(b *Instance) bool { return b.hand.fresh }, (*Instance).drawLots},
 	{held, func(b *Instance) bool { return b.hand.turned }, (*Instance).giveUp},
-	{held, (*Instance).inVain, (*Instance).giveUp},
 	// One fetch for a key: others wait for it a while, then ask the cache.
 	{held, (*Instance).mayJoin, (*Instance).join},
 	// Misses and writes go to the origin, within its limit.
@@ -475,17 +467,6 @@
 	}
 }
 
-// inVain turns away by chance what a cache had no room for, once over half of the tries end like that:
-// going on from one full node to the next costs a busy fleet more than what it still serves.
-func (b *Instance) inVain() bool {
-	x := b.hand
-	if !x.bounced {
-		return false
-	}
-	x.bounced = false
-	return b.draw() < 2*b.refused-1
-}
-
 // spend counts an arrival against its tenant's share and tells whether it lies beyond.
 func (b *Instance) spend(tenant int) bool {
 	if tenant < 0 || tenant >= len(b.spent) {
@@ -828,10 +809,6 @@
 	if a.Ending == NoRoom {
 		refused = 1
 	}
-	if !n.Origin {
-		b.refused += (refused - b.refused) * min(weight(1.0/64, b.now-b.endAt, 4*second), 0.25)
-		b.endAt = b.now
-	}
 	n.refused += (refused - n.refused) * weight(1.0/8, b.now-n.triedAt, 3*second)
 	n.triedAt = b.now
 	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -20,7 +20,7 @@
 //	MS end CX ENDING [took=MS] [over]        the last try of CX ended
 //	MS left CX | wake | failed | streaming CX
 //	MS heard NODE silent|answers             from a peer
-//	> send CX NODE | close NODE | tell PEER NODE silent|answers | cancel CX | shed CX | error CX | follow | log WORD | no-log WORD    exactly these, in order
+//	> send CX NODE | tell PEER NODE silent|answers | cancel CX | shed CX | error CX | follow | log WORD | no-log WORD    exactly these, in order
 //	> count ACT [NODE] OP N                  how many came of one line
 //
 // NODE is a name, $X (bound at its first use, no cache twice) or any. Wakes are left out; logs unless asked for.
@@ -163,10 +163,6 @@
 			t.Cold = ms(v)
 		case "allowance":
 			t.Allowance = []float64{scenario.Num(v), scenario.Num(v)}
-		case "connection":
-			t.Connection = scenario.Num(v)
-		case "handshake":
-			t.Handshake = scenario.Num(v)
 		case "fetch":
 			t.Fetch = scenario.Num(v)
 		case "beyond":
@@ -245,8 +241,6 @@
 			p.got = append(p.got, fmt.Sprintf("error %d", d.Cx))
 		case brain.Follow:
 			p.got = append(p.got, "follow")
-		case brain.Close:
-			p.got = append(p.got, "close "+p.names[d.Node])
 		case brain.Tell:
 			p.got = append(p.got, fmt.Sprintf("tell %d %s %s", d.Peer, p.names[d.Node],
 				map[bool]string{true: "answers", false: "silent"}[d.Answers]))
@@ -297,7 +291,7 @@
 	p.got = p.got[1:]
 	last := len(w) - 1
 	ok := len(g) == len(w) && g[0] == w[0] && (len(w) < 3 || g[1] == w[1])
-	if ok && (len(w) == 3 || w[0] == "close") {
+	if ok && len(w) == 3 {
 		ok = p.match(w[last], g[last])
 	} else if ok {
 		ok = g[last] == w[last]
--- a/brain/state.go
+++ b/brain/state.go
@@ -25,7 +25,6 @@
 	askEvery   Time
 	rough      bool
 	crowd      float64 // part of the time there is that a crowded owner's answers take
-	closes     bool    // idle connections to caches cost more than they save
 	chance     uint64
 
 	now      Time
@@ -61,8 +60,6 @@
 	lates    float64 // share of the caches' answers that are late, lately, and when the last came
 	latesAt  Time
 	faults   float64 // share of the caches' answers that are failures, lately
-	refused  float64 // share of own tries that caches turned away as full, lately
-	endAt    Time    // end of the last of them
 	lastCome Time    // last answer of any cache
 	took     float64 // mean time of the caches' answers, and how far they stray from it
 	strays   float64
@@ -116,7 +113,6 @@
 	streaming bool
 	fresh     bool // no lots drawn yet
 	turned    bool // turned away by them
-	bounced   bool // by a cache that had no room
 	cut       bool // its last try's connection broke
 	missed    bool // a cache lacked the key
 	joined    bool // has waited for another's fetch
--- a/brain/types.go
+++ b/brain/types.go
@@ -52,7 +52,6 @@
 	ColdFrom, FallMultiple float64
 	RoughWeights           bool
 	Fetch                  float64 // fee for a fetch from the origin, in values of an exchange
-	Connection, Handshake  float64 // fees: a hundred connections open at each cache; one opened for each exchange
 }
 
 // Listing is one line of the node list.
@@ -110,8 +109,7 @@
 	Error
 	Wake
 	Follow
-	Close // idle connections to a node
-	Tell  // peers that a node went silent or answers
+	Tell // peers that a node went silent or answers
 	Log
 )
 
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -254,9 +254,6 @@
 		case brain.Follow:
 			m.list.box.offer(m.list.follow)
 		case brain.Tell: // peers speak no protocol on sockets yet
-		case brain.Close:
-			p := m.peers[d.Node]
-			p.box.offer(p.closeIdle)
 		case brain.Log:
 			m.log.Info(d.Text)
 		}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -149,8 +149,6 @@
 		ColdFrom:       c.number(need, "rules", "cold-from"),
 		FallMultiple:   c.number(need, "rules", "fall-multiple"),
 		Fetch:          c.number(may, "fees", "origin"),
-		Connection:     c.number(may, "fees", "connection"),
-		Handshake:      c.number(may, "fees", "handshake"),
 		RoughWeights:   c.text(may, "weights") == "rough" || c.text(may, "weights") == "nominal",
 	}
 	tell := c.flag("limits", "may-tell")
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -428,9 +428,6 @@
 		case brain.Follow:
 			h.begin("follow", who)
 			h.out.WriteString(",true")
-		case brain.Close:
-			h.begin("close", who)
-			h.str(p.names[d.Node])
 		case brain.Tell:
 			h.begin("publish", who)
 			h.int(int64(d.Peer))
