--- a/brain/watch.go
+++ b/brain/watch.go
@@ -29,3 +29,6 @@
 	b.now = now
 	b.went(&b.xs[cx], node)
 }
+
+// Out is how many tries are out, as far as the instance knows.
+func (b *Instance) Out() int { return b.flying + b.atOrigin }
--- a/internal/fleet/actor_test.go
+++ b/internal/fleet/actor_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -151,3 +153,108 @@
 }
 
 const second = 10000
+
+// What goes wrong in watching ends the watching: the module's own decision stands.
+func TestWatchingEndsAlone(t *testing.T) {
+	m := newTestMind()
+	m.watch = &onlooker{} // with no module to ask
+	ds := m.decide(1, func(b *brain.Instance) []brain.Decision {
+		return b.Arrive(1, 0, brain.Exchange{Tenant: -1, Remaining: 12000})
+	})
+	if len(ds) == 0 || ds[0].Act != brain.Shed || m.watch != nil {
+		t.Errorf("%v decided, still watching: %v", ds, m.watch != nil)
+	}
+}
+
+// Thousands of exchanges with all endings, put to a module and to one that watches: under the same terms they never
+// differ, and under others the one that watches keeps its books, as far as it can tell what becomes of each try.
+func TestWatchKeepsUp(t *testing.T) {
+	under := func(change func(*brain.Terms)) *Counters {
+		mine := brain.Terms{Routes: []brain.Route{{Objective: 2000, Overall: 6000, Value: 1}}, Proxies: 4, MaxTries: 3,
+			Tick: 10, Aside: true, Cold: 50000, ColdFrom: 0.3, Fall: 20000, FallMultiple: 3, MayCancel: true}
+		other := mine
+		other.Routes = append([]brain.Route{}, mine.Routes...)
+		change(&other)
+		m := newTestMind()
+		m.brain = brain.New(0, mine, 1)
+		m.Watch(&terms.Book{Terms: other}, 1)
+		m.watch.mind = brain.New(0, other, 1)
+		chance := rand.New(rand.NewPCG(1, 2))
+		type out struct {
+			cx, node int
+			sent     brain.Time
+			ends     brain.Time
+			ending   brain.Ending
+		}
+		var tries []out
+		over := make([]bool, 8000) // an index each, so that none is reused too soon
+		wake := brain.Time(0)
+		take := func(now brain.Time, ds []brain.Decision) {
+			for _, d := range ds {
+				switch d.Act {
+				case brain.Send:
+					o := out{d.Cx, d.Node, now, now + min(d.After, brain.Time(chance.IntN(2500))), brain.Ending(chance.IntN(9))}
+					tries = append(tries, o)
+				case brain.Shed, brain.Error:
+					over[d.Cx] = true
+				case brain.Wake:
+					wake = now + d.After
+				}
+			}
+		}
+		var list []brain.Listing
+		for i, name := range []string{"a", "b", "c", "d", "e", "o"} {
+			list = append(list, brain.Listing{Node: i, Name: name, Origin: name == "o", Ready: true, Weight: 1})
+		}
+		take(0, m.decide(0, func(b *brain.Instance) []brain.Decision { return b.Nodes(0, true, true, list) }))
+		cx := 0
+		for now := brain.Time(10); cx < len(over) || len(tries) > 0; now += 10 {
+			if wake != 0 && now >= wake || m.watch.wakes != 0 && now >= m.watch.wakes {
+				var ds []brain.Decision
+				if wake != 0 && now >= wake {
+					wake = 0
+					ds = m.brain.Woken(now)
+				}
+				m.watched(func(w *onlooker) { w.woken(now, ds) })
+				take(now, ds)
+			}
+			for i := 0; i < len(tries); i++ {
+				o := tries[i]
+				if o.ends > now {
+					continue
+				}
+				tries = slices.Delete(tries, i, i+1)
+				i--
+				over[o.cx] = over[o.cx] || o.ending == brain.Completed
+				a := brain.Answer{Cx: o.cx, Node: o.node, Ending: o.ending, Took: now - o.sent, Ended: over[o.cx]}
+				take(now, m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Returned(now, a) }))
+			}
+			for n := chance.IntN(3); n > 0 && cx < len(over); n-- {
+				e := brain.Exchange{Tenant: -1, Remaining: 6000, Key: chance.Uint64N(50), Keyed: true, Write: chance.IntN(9) == 0}
+				take(now, m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Arrive(now, cx, e) }))
+				cx++
+			}
+		}
+		if m.watch == nil || m.watch.mind.Out() != 0 {
+			t.Fatal("the one that watches fell, or counts tries that are not out")
+		}
+		return m.count
+	}
+	differ := func(c *Counters) int64 {
+		return c.WatchNode.Load() + c.WatchHeld.Load() + c.WatchGivenUp.Load() + c.WatchKept.Load() + c.WatchAnswer.Load()
+	}
+	if c := under(func(*brain.Terms) {}); differ(c) != 0 || c.WatchSame.Load() < 8000 {
+		t.Errorf("under the same terms: %s", c)
+	}
+	for name, change := range map[string]func(*brain.Terms){
+		"many proxies": func(o *brain.Terms) { o.Proxies, o.Peers, o.Me = 400, 399, 7 },
+		"one try":      func(o *brain.Terms) { o.MaxTries = 1 },
+		"late earns":   func(o *brain.Terms) { o.Routes[0].Overdue = 0.5 },
+		"short":        func(o *brain.Terms) { o.Routes[0].Objective = 500 },
+		"deduped":      func(o *brain.Terms) { o.Routes[0].Effect, o.Routes[0].Window = brain.Deduped, 500 },
+	} {
+		if c := under(change); differ(c) == 0 || differ(c) > 8000 {
+			t.Errorf("%s: %s", name, c)
+		}
+	}
+}
