--- a/brain/brain.go
+++ b/brain/brain.go
@@ -685,7 +685,8 @@
 // crowded holds for a node whose latest answers took most of the time that the exchange in hand has left;
 // the next clockwise serves it if that one is twice as quick.
 func (b *Instance) crowded(n *node) bool {
-	most := b.crowd - 0.15*weight(0, b.meetings(), 10*second) // sooner, where it is seldom met
+	// sooner, where it is seldom met, but not so soon that chance passes keys on
+	most := max(b.crowd-0.15*weight(0, b.meetings(), 10*second), 0.3)
 	return n.slow > most*float64(min(b.hand.good, b.hand.aim)-b.now) &&
 		b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
 }
