Watching: wake-ups within a millisecond are one; check tells of peers and of watched settings

The module's timer is set a moment after the watcher's, so that under the same settings the watcher could be woken up to a tenth of a millisecond earlier and a give-up at its time be counted as a difference (watchWoken, onlooker.go). No decision changes.

--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -55,6 +55,12 @@
 	}
 	fmt.Printf("%s: good; %d routes, %d tenants, %d proxies\n", c.Config, len(p.Book.Routes), len(p.Book.Tenants),
 		p.Book.Terms.Proxies)
+	if p.Untold {
+		fmt.Println("limits.may-tell: peers speak no protocol on sockets yet; nothing is told")
+	}
+	if p.Watch != nil {
+		fmt.Println("other settings are watched")
+	}
 	return nil
 }
 
--- a/internal/fleet/onlooker.go
+++ b/internal/fleet/onlooker.go
@@ -7,6 +7,9 @@
 	"woodproxy/internal/terms"
 )
 
+// aboutTo is how near two wake-ups are to be one: their timers are set one after the other.
+const aboutTo = brain.Time(10)
+
 // onlooker asks a second instance of the module, under the terms to come, what it would do with all that comes to the
 // first, counts by kind where it would do otherwise, and then tells it what was done. Nothing that it decides is
 // carried out. An exchange is compared until the first difference on it; what comes of it after that is only learnt
@@ -60,7 +63,7 @@
 // watchWoken wakes the instance that watches, unless the module is about to be woken itself: both are then asked at
 // one time, or what they agree on would look like a difference.
 func (m *Mind) watchWoken() {
-	if now := m.clock.Now(); m.wakes == 0 || now < m.wakes {
+	if now := m.clock.Now(); m.wakes == 0 || now+aboutTo < m.wakes {
 		m.watched(func(w *onlooker) { w.woken(now, nil) })
 	}
 }
