--- a/brain/brain.go
+++ b/brain/brain.go
@@ -850,9 +850,10 @@
 		// the origin's, or a silent node's: no sign that the caches have too much to do
 	case late || a.Ending == Fault && b.faults > 0.1 || a.Ending == NoRoom && x.legs >= 3:
 		b.slows(n, float64(max(a.Took, b.hush/2)), 0.5)
-		if a.Ending == NoRoom || a.Ending == Fault || n.slow < 2*b.took || b.lates > 0.2 {
+		if a.Ending == NoRoom || a.Ending == Fault || n.slow < 2*b.took || b.peers > 0 && b.lates > 0.2 {
 			// a few nodes that are late among quick ones are passed by; they do not tell of too much work for all, but
-			// a fifth of all answers do, though mean and lateness drift apart when late tries end unanswered
+			// a fifth of all answers do, though mean and lateness drift apart when late tries end unanswered. Where
+			// peers tell nothing a fifth may come of resets and jams that each proxy meets for itself
 			b.room = max(min(b.room, 4*float64(b.flying)+8)*(1-b.cut()), 2, float64(b.caches)*b.share)
 		}
 	case a.Ending == Completed:
