--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -23,9 +23,13 @@
 	Name      string `env:"GW_NAME" help:"This proxy's name, before the one in the file."`
 	Listen    string `env:"GW_LISTEN" help:"Where clients connect, before the one in the file."`
 	Discovery string `env:"GW_DISCOVERY" help:"Where the list comes from, before the one in the file."`
+	// only for operators
+	Management string `env:"GW_MANAGEMENT" help:"Where operators call, before the one in the file."`
 }
 
-func (p *place) read() (*run.Place, error) { return run.Read(p.Config, p.Name, p.Listen, p.Discovery) }
+func (p *place) read() (*run.Place, error) {
+	return run.Read(p.Config, run.Place{Name: p.Name, Listen: p.Listen, Discovery: p.Discovery, Management: p.Management})
+}
 
 type serve struct{ place }
 
@@ -42,7 +46,9 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	// the environment is that of the start; where discovery is by now, only the file can tell
-	again := func() (*run.Place, error) { return run.Read(s.Config, s.Name, s.Listen, "") }
+	again := func() (*run.Place, error) {
+		return run.Read(s.Config, run.Place{Name: s.Name, Listen: s.Listen, Management: s.Management})
+	}
 	return run.Serve(p, again, log, signals)
 }
 
@@ -53,6 +59,13 @@
 	if err != nil {
 		return err
 	}
+	if p.Management != "" { // a start would fail on it
+		ln, err := net.Listen("tcp", p.Management)
+		if err != nil {
+			return fmt.Errorf("configuration: management: %w", err)
+		}
+		ln.Close()
+	}
 	fmt.Printf("%s: good; %d routes, %d tenants, %d proxies\n", c.Config, len(p.Book.Routes), len(p.Book.Tenants),
 		p.Book.Terms.Proxies)
 	if p.Untold {
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,123 @@
+// Package control answers the calls of operators at an address of their own. It keeps away from what exchanges use: no
+// call waits for an actor, and its connections are few, whoever comes.
+package control
+
+import (
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Service is what operators see of the proxy and do with it. None of its methods may wait.
+type Service interface {
+	Ready() (yes bool, why string) // whether this process can serve
+	OutOfService() (changed bool)  // send clients away
+	InService() (changed bool)
+}
+
+const (
+	mostConns = 16              // at once; one more, and the one that has said nothing whole for longest goes
+	callTime  = 2 * time.Second // from the first byte of a call's head to the end of its answer
+	mostHead  = 4 << 10         // net/http reads a little more than it is told
+)
+
+// Server is the listener for operators and the connections there.
+type Server struct {
+	http *http.Server
+	gate *gate
+}
+
+// Listen binds the address.
+func Listen(addr string, of Service) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	g := &gate{Listener: ln, open: map[*conn]uint64{}}
+	h := &http.Server{Handler: handler(of), ReadTimeout: callTime, ReadHeaderTimeout: callTime, WriteTimeout: 2 * callTime,
+		MaxHeaderBytes: mostHead, ErrorLog: stdlog.New(io.Discard, "", 0)} // no line for each garbled head
+	h.SetKeepAlivesEnabled(false) // one call to a connection
+	return &Server{h, g}, nil
+}
+
+// Run answers calls until Close.
+func (s *Server) Run() { s.http.Serve(s.gate) }
+
+// Close ends the listener and the connections.
+func (s *Server) Close() { s.http.Close() }
+
+func handler(of Service) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control/ready", func(w http.ResponseWriter, r *http.Request) {
+		yes, why := of.Ready()
+		if !yes {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		fmt.Fprintln(w, why)
+	})
+	change := func(path, done, was string, call func() bool) {
+		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+			if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, mostHead)); err != nil {
+				http.Error(w, "the call takes no body", http.StatusRequestEntityTooLarge)
+				return
+			}
+			if call() {
+				fmt.Fprintln(w, done)
+			} else {
+				fmt.Fprintln(w, was)
+			}
+		})
+	}
+	change("/control/out-of-service", "out of service from now on", "was out of service already", of.OutOfService)
+	change("/control/in-service", "in service again", "was in service already", of.InService)
+	return mux
+}
+
+// gate bounds the connections: callers that connect and finish no call push out each other, not the next caller.
+type gate struct {
+	net.Listener
+	mu   sync.Mutex
+	open map[*conn]uint64 // in the order they came; emptied as they end
+	came uint64
+}
+
+type conn struct {
+	net.Conn
+	gate *gate
+	once sync.Once
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	in, err := g.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: in, gate: g}
+	g.mu.Lock()
+	var out *conn
+	for o, at := range g.open {
+		if len(g.open) >= mostConns && (out == nil || at < g.open[out]) {
+			out = o
+		}
+	}
+	g.came++
+	g.open[c] = g.came
+	g.mu.Unlock()
+	if out != nil { // a whole call is answered in far less than it takes so many others to come
+		out.Close()
+	}
+	return c, nil
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		c.gate.mu.Lock()
+		delete(c.gate.open, c)
+		c.gate.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	maxTurns  = 64                     // commands of one connection that may be without an answer
-	maxSilent = 2 * time.Second        // how long a client may take to its first command
-	maxHalf   = 2 * time.Second        // how long a command may take from its first byte to its last
-	maxIdle   = 20 * time.Second       // how long a client may ask nothing more
-	maxUnread = 2 * time.Second        // how long a client may take to accept an answer
-	lastWords = 200 * time.Millisecond // for what a client still sends that has been told why its connection ends
+	maxTurns  = 64                      // commands of one connection that may be without an answer
+	maxSilent = 2500 * time.Millisecond // how long a client may take to its first command
+	maxHalf   = 2500 * time.Millisecond // how long a command may take from its first byte to its last
+	maxIdle   = 20 * time.Second        // how long a client may ask nothing more
+	maxUnread = 2 * time.Second         // how long a client may take to accept an answer
+	lastWords = 200 * time.Millisecond  // for what a client still sends that has been told why its connection ends
 	lastBytes = 256 << 10
 )
 
@@ -40,14 +40,25 @@
 
 	mu    sync.Mutex
 	turns []*turn // in the order of their commands
-	quits bool    // to be closed once nothing is owed
-	seen  bool    // its goroutine knows
+	quits parting // how it is to end, if it is
+	seen  parting // what its goroutine knows of that
 	spoke bool    // something was owed before
+	asked bool    // and it was an exchange
 	gone  bool    // nothing can be answered any more
 	used  time.Time
 	nudge chan struct{} // the first turn has become ready
 }
 
+// parting is how far a connection is on its way out.
+type parting uint8
+
+const (
+	stays   parting = iota
+	yields          // closed behind its next answer: no request can cross that
+	retires         // closed once nothing is owed
+	shuts           // takes no further command either
+)
+
 var (
 	errQuit   = errors.New("closed between commands")
 	errHalf   = errors.New("a command that did not come whole in time")
@@ -88,6 +99,14 @@
 		if err := c.read(); err != nil {
 			return err
 		}
+		if c.seen == shuts {
+			if !c.owes() {
+				c.linger() // what it has sent by now goes unread, and it asks again elsewhere
+				return errQuit
+			}
+			<-c.nudge
+			continue
+		}
 		if c.crowded() { // no more is read until an answer has gone out, or the buffer would run over
 			<-c.nudge
 			continue
@@ -145,6 +164,12 @@
 			<-c.nudge
 		}
 	}
+	c.linger()
+}
+
+// linger ends the sending and passes over what still comes for a moment: to close on unread bytes resets the
+// connection, and what was written last may be lost with that.
+func (c *client) linger() {
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
 		c.conn.SetReadDeadline(time.Now().Add(lastWords))
 		io.CopyN(io.Discard, c.conn, lastBytes)
@@ -186,7 +211,11 @@
 	}
 	done := slices.Clone(c.turns[:ready])
 	c.turns = slices.Delete(c.turns, 0, ready) // and with them what they hold
-	quit := c.quits && len(c.turns) == 0 && c.turn == nil && c.in.Buffered() == 0
+	quit := c.quits >= retires
+	for _, t := range done {
+		quit = quit || c.quits == yields && t.exchange // behind an exchange, that is: PING asks how it stands
+	}
+	quit = quit && len(c.turns) == 0 && c.turn == nil && c.in.Buffered() == 0
 	c.used, c.seen = time.Now(), c.quits
 	c.mu.Unlock()
 	if ready > 0 {
@@ -220,7 +249,7 @@
 
 // read takes the commands that have come whole, as many as there may be.
 func (c *client) read() error {
-	for !c.crowded() {
+	for c.seen != shuts && !c.crowded() {
 		if c.skip > 0 {
 			n, _ := c.in.Discard(min(c.skip, c.in.Buffered()))
 			if c.skip -= n; c.skip > 0 {
@@ -294,7 +323,7 @@
 	if d.count.Held.Add(1) > d.places.Load() || d.count.Bytes.Load() > d.bytes.Load() {
 		d.count.Held.Add(-1)
 		d.count.Crowded.Add(1)
-		t := &turn{client: c}
+		t := &turn{client: c, exchange: true}
 		c.queue(t)
 		t.answer(d.count, shed, nil, d.comeBack)
 		return nil
@@ -305,13 +334,13 @@
 		all = append(all, b...)
 		return all[n:len(all):len(all)]
 	}
-	return &turn{client: c, holds: true, name: keep(cmd.Name), key: keep(cmd.Key), id: keep(cmd.ID), facts: keep(cmd.Facts)}
+	return &turn{client: c, exchange: true, holds: true, name: keep(cmd.Name), key: keep(cmd.Key), id: keep(cmd.ID), facts: keep(cmd.Facts)}
 }
 
 func (c *client) queue(t *turn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.turns, c.spoke = append(c.turns, t), true
+	c.turns, c.spoke, c.asked = append(c.turns, t), true, c.asked || t.exchange
 }
 
 // ask puts an exchange that has come whole to the module.
@@ -335,12 +364,24 @@
 	d.mind.box.post(func() { d.mind.arrive(t) })
 }
 
-// retire closes the connection as soon as nothing is owed on it.
-func (c *client) retire() {
+// part has the connection end, sooner if it was to end already.
+func (c *client) part(how parting) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.quits = true
+	if how <= c.quits {
+		return
+	}
+	c.quits = how
 	c.conn.SetReadDeadline(longAgo)
+	c.wake()
+}
+
+// wake has the goroutine look again where it waits for an answer to become ready.
+func (c *client) wake() {
+	select {
+	case c.nudge <- struct{}{}:
+	default:
+	}
 }
 
 // idleSince tells since when nothing has been owed, whether anything ever was, whether the connection can be done
@@ -348,5 +389,13 @@
 func (c *client) idleSince() (since time.Time, spoke, free, goes bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, c.spoke, len(c.turns) == 0 && !c.quits, c.quits
+	return c.used, c.spoke, len(c.turns) == 0 && c.quits < retires, c.quits >= retires
+}
+
+// drains tells since when nothing has been owed, whether the connection can be done without, and whether it has ever
+// carried an exchange.
+func (c *client) drains() (since time.Time, free, asked bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used, len(c.turns) == 0, c.asked
 }
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -17,6 +17,9 @@
 // bare is what an exchange takes up without its values, its share of a connection's buffers included.
 const bare = 32 << 10
 
+// lastIn is for how long who waits to be let in is let in yet, once the door closes.
+const lastIn = 20 * time.Millisecond
+
 // slowStart is how long a newcomer may take before it counts as one that asks nothing.
 const slowStart = 100 * time.Millisecond
 
@@ -31,7 +34,12 @@
 	comeBack int           // what is told to who finds no place, in milliseconds; 0: nothing
 	count    *Counters
 	log      *zap.Logger
+	out      atomic.Bool // of service: clients are sent away
 	mu       sync.Mutex
+	drain    *time.Timer          // its next step, nil: none is to come
+	step     int                  // of the drain that is on, in steps
+	parting  parting              // what a newcomer is told of its end
+	closing  bool                 // for good
 	clients  map[*client]struct{} // emptied as connections end
 	fewer    *sync.Cond           // one has ended
 }
@@ -78,6 +86,7 @@
 		d.count.ClientsOpen.Add(1)
 		d.mu.Lock()
 		d.clients[c] = struct{}{}
+		c.quits = d.parting
 		d.mu.Unlock()
 		go c.run()
 	}
@@ -89,7 +98,7 @@
 	defer d.mu.Unlock()
 	for len(d.clients) >= d.most*9/10 {
 		if c := d.spare(time.Now()); c != nil {
-			c.retire()
+			c.part(retires)
 		}
 		if len(d.clients) < d.most {
 			return
@@ -138,19 +147,26 @@
 	d.fewer.Broadcast()
 }
 
+// Yield closes each connection behind its next answer from now on.
+func (d *Door) Yield() { d.partAll(yields) }
+
 // Close lets in who has come by now and nobody more, ends each connection once nothing is owed on it, and
-// returns when all have ended or the time is up.
+// returns when all have ended or the time is up. One that never falls idle is served for a while; then what it has sent
+// and nobody read is left for it to ask elsewhere.
 func (d *Door) Close(until time.Time) {
-	d.ln.SetDeadline(time.Now().Add(20 * time.Millisecond))
-	time.Sleep(30 * time.Millisecond)
+	d.ln.SetDeadline(time.Now().Add(lastIn))
+	time.Sleep(lastIn + 10*time.Millisecond)
 	d.ln.Close()
-	late := time.AfterFunc(time.Until(until), d.fewer.Broadcast)
-	defer late.Stop()
+	d.partAll(yields)
+	for _, step := range []struct {
+		how parting
+		at  time.Duration
+	}{{retires, 100 * time.Millisecond}, {shuts, 300 * time.Millisecond}} {
+		defer time.AfterFunc(step.at, func() { d.partAll(step.how) }).Stop()
+	}
+	defer time.AfterFunc(time.Until(until), d.fewer.Broadcast).Stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for c := range d.clients {
-		c.retire()
-	}
 	for len(d.clients) > 0 && time.Now().Before(until) {
 		d.fewer.Wait()
 	}
@@ -161,6 +177,9 @@
 	switch {
 	case cmd.Is("PING"):
 		<-d.ready
+		if d.out.Load() {
+			return []byte("-ERR out of service\r\n"), nil
+		}
 		return []byte("+PONG\r\n"), nil
 	case cmd.Is("CLIENT"), cmd.Is("SELECT"):
 		return []byte("+OK\r\n"), nil
--- a/internal/fleet/turn.go
+++ b/internal/fleet/turn.go
@@ -20,6 +20,7 @@
 // is a copy, since the reader's buffer goes on.
 type turn struct {
 	client               *client
+	exchange             bool // no PING or the like
 	name, key, id, facts []byte
 	value                []byte // nil: none
 	route, tenant        string
@@ -74,10 +75,7 @@
 	}
 	if len(c.turns) > 0 && c.turns[0] == t {
 		c.conn.SetReadDeadline(longAgo)
-		select {
-		case c.nudge <- struct{}{}:
-		default:
-		}
+		c.wake()
 	}
 }
 
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -17,6 +17,7 @@
 // Place is what a proxy is told of itself at its start.
 type Place struct {
 	Name, Listen, Discovery string
+	Management              string // where operators call, "": nowhere
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
@@ -26,8 +27,9 @@
 	Watch                   *terms.Book // terms that are only watched, nil: none
 }
 
-// Read takes the configuration file; what is given besides it as name, listen and discovery goes before it.
-func Read(file, name, listen, discovery string) (*Place, error) {
+// Read takes the configuration file; what the other place names of name, listen,
+// discovery and management goes before it.
+func Read(file string, over Place) (*Place, error) {
 	if file == "" {
 		return nil, errors.New("configuration: no file named")
 	}
@@ -63,18 +65,29 @@
 		}
 		return n
 	}
-	p.Name, p.Listen, p.Discovery = word("name", name), word("listen", listen), word("discovery", discovery)
+	p.Name, p.Listen, p.Discovery = word("name", over.Name), word("listen", over.Listen),
+		word("discovery", over.Discovery)
+	if s := v.Get("management"); over.Management != "" || s != nil && s.Type() != fastjson.TypeNull {
+		p.Management = word("management", over.Management)
+	}
 	p.Cores = number("cores", p.Cores)
 	p.MemoryMB = int(number("memory_mb", float64(p.MemoryMB)))
 	p.Sockets = int(number("sockets", float64(p.Sockets)))
 	if p.Seed, err = seed(v.Get("seed"), err); err != nil {
 		return nil, first(err)
 	}
-	for key, addr := range map[string]string{"listen": p.Listen, "discovery": p.Discovery} {
-		if _, _, bad := net.SplitHostPort(addr); bad != nil {
-			return nil, fmt.Errorf("configuration: %s: no address and port: %q", key, addr)
+	for _, a := range [...]struct{ key, addr string }{{"listen", p.Listen}, {"discovery", p.Discovery},
+		{"management", p.Management}} {
+		if a.key == "management" && a.addr == "" {
+			continue
+		}
+		if _, port, bad := net.SplitHostPort(a.addr); bad != nil || port == "" {
+			return nil, fmt.Errorf("configuration: %s: no address and port: %q", a.key, a.addr)
 		}
 	}
+	if p.Management == p.Listen {
+		return nil, fmt.Errorf("configuration: management: the address of listen: %q", p.Management)
+	}
 	if p.Sockets < 64 {
 		return nil, fmt.Errorf("configuration: limits.sockets: fewer than 64")
 	}
--- a/internal/run/config_test.go
+++ b/internal/run/config_test.go
@@ -16,7 +16,7 @@
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		_, err := Read(file, "", "", "")
+		_, err := Read(file, Place{})
 		return err
 	}
 	if err := read(good); err != nil {
@@ -26,6 +26,9 @@
 		`"name":"n1",>`:                                                   "name: missing",
 		`"listen":"127.0.0.1:1">"listen":7`:                               "listen: mistyped",
 		`127.0.0.1:2>nowhere`:                                             "discovery: no address",
+		`"new":1>"management":7`:                                          "management: mistyped",
+		`"new":1>"management":"here"`:                                     "management: no address",
+		`"new":1>"management":"127.0.0.1:1"`:                              "management: the address of listen",
 		`"seed":"8c1f">"seed":"xyz"`:                                      "seed: mistyped",
 		`"cores":1.5>"cores":"many"`:                                      "limits.cores: mistyped",
 		`"cores":1.5>"sockets":9`:                                         "limits.sockets",
@@ -55,11 +58,14 @@
 			t.Errorf("%s: %v", change, err)
 		}
 	}
-	if _, err := Read("", "", "", ""); err == nil {
+	if _, err := Read("", Place{}); err == nil {
 		t.Error("no file is taken")
 	}
+	if err := read(strings.Replace(good, `"new":1`, `"management":"127.0.0.1:9"`, 1)); err != nil {
+		t.Error(err)
+	}
 	read(good)
-	if p, err := Read(file, "n2", "127.0.0.1:3", ""); err != nil || p.Name != "n2" || p.Listen != "127.0.0.1:3" {
+	if p, err := Read(file, Place{Name: "n2", Listen: "127.0.0.1:3"}); err != nil || p.Name != "n2" || p.Listen != "127.0.0.1:3" {
 		t.Errorf("what is given besides the file does not go before it: %v", err)
 	}
 }
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -33,6 +33,8 @@
 //	discovery up|silent|cut|garbled          cut ends the watches that are out
 //	reload moved|bad                         a new configuration file and SIGHUP: discovery has moved, or it can't be read
 //	old gone                                 discovery's old address ends the watches that are out there
+//	call METHOD PATH STATUS [with=N|garbage] an operator's call, with a body of N bytes or garbage for a head
+//	ringers N                                so many connect where operators call, and finish no call
 //	start [known=NAME,NAME]                  a known node is one that node has started, or is nowhere
 //	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
 //	CLIENT gets value [from=NAME] | busy | busy-at-will | error | pong | closed | nothing [times=N]    the next answers
@@ -45,11 +47,15 @@
 func TestScenarios(t *testing.T) {
 	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
 		t.Parallel()
-		return &stage{t: t, nodes: map[string]*standIn{}, clients: map[string]*caller{}, index: 1,
-			limits: map[string]string{}, settings: settings, watch: "null", signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
+		return newStage(t)
 	})
 }
 
+func newStage(t *testing.T) *stage {
+	return &stage{t: t, nodes: map[string]*standIn{}, clients: map[string]*caller{}, index: 1,
+		limits: map[string]string{}, settings: settings, watch: "null", signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
+}
+
 type stage struct {
 	t        *testing.T
 	line     int
@@ -65,6 +71,8 @@
 	changed  chan struct{}
 	watches  []net.Conn
 	addr     string
+	calls    string // where operators call
+	ringers  []net.Conn
 	file     string // of the configuration, and what is in it
 	text     string
 	watched  string // discovery's address
@@ -122,6 +130,18 @@
 		s.signals <- syscall.SIGHUP
 	case "old":
 		s.old.Close()
+	case "call":
+		s.call(w[1], w[2], w[3], m["with"])
+	case "ringers":
+		for i := range int(scenario.Num(w[1])) {
+			c, err := net.Dial("tcp", s.calls)
+			if err != nil {
+				s.fail("%v", err)
+				return
+			}
+			s.ringers = append(s.ringers, c)
+			io.WriteString(c, "POST /control/out-of-service HTTP/1.1\r\nHost"[:i%40])
+		}
 	case "settings":
 		if !strings.Contains(s.settings, w[1]) {
 			s.fail("the settings lack %s", w[1])
@@ -173,7 +193,31 @@
 	}
 }
 
+// call plays an operator, who waits for a second at most.
+func (s *stage) call(method, path, want, with string) {
+	c, err := net.DialTimeout("tcp", s.calls, time.Second)
+	if err != nil {
+		s.fail("%v", err)
+		return
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	if with == "garbage" {
+		io.WriteString(c, "\x00\x01 what\r\n\r\n")
+	} else {
+		n := int(scenario.Num(with))
+		fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: here\r\nContent-Length: %d\r\n\r\n%s", method, path, n, strings.Repeat("x", n))
+	}
+	head, err := bufio.NewReader(c).ReadString('\n')
+	if w := strings.Fields(head); len(w) < 2 || w[1] != want {
+		s.fail("%s %s: %q (%v), not %s", method, path, head, err, want)
+	}
+}
+
 func (s *stage) End() {
+	for _, c := range s.ringers {
+		c.Close()
+	}
 	for _, c := range s.clients {
 		c.conn.Close()
 	}
@@ -278,7 +322,13 @@
 		s.t.Fatal(err)
 	}
 	s.addr = free.Addr().String()
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.calls = other.Addr().String()
 	free.Close()
+	other.Close()
 	list := "null"
 	if known != "" {
 		var rows []string
@@ -292,12 +342,12 @@
 		sizes = append(sizes, fmt.Sprintf("%q:%s", k, v))
 	}
 	s.file = filepath.Join(s.t.TempDir(), "config.json")
-	s.text = fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{%s},"known":%s,"settings":%s,"watch":%s}`,
-		s.addr, s.watched, strings.Join(sizes, ","), list, s.settings, s.watch)
+	s.text = fmt.Sprintf(`{"name":"n1","listen":%q,"management":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{%s},"known":%s,"settings":%s,"watch":%s}`,
+		s.addr, s.calls, s.watched, strings.Join(sizes, ","), list, s.settings, s.watch)
 	if err := os.WriteFile(s.file, []byte(s.text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	read := func() (*Place, error) { return Read(s.file, "", "", "") }
+	read := func() (*Place, error) { return Read(s.file, Place{}) }
 	p, err := read()
 	if err != nil {
 		s.t.Fatal(err)
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -8,11 +8,13 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"woodproxy/internal/control"
 	"woodproxy/internal/fleet"
 )
 
@@ -50,6 +52,15 @@
 		return fmt.Errorf("configuration: listen: %w", err)
 	}
 	door := fleet.NewDoor(ln.(*net.TCPListener), mind, p.Sockets-spareSockets-links, p.MemoryMB, count, log)
+	service := &service{Door: door}
+	if p.Management != "" {
+		operators, err := control.Listen(p.Management, service)
+		if err != nil {
+			return fmt.Errorf("configuration: management: %w", err)
+		}
+		defer operators.Close()
+		go operators.Run()
+	}
 	go mind.Run()
 	go list.Run()
 	go door.Run()
@@ -76,22 +87,43 @@
 		}
 	}
 	log.Info("stopping")
-	time.Sleep(stillComing)
+	service.stopping.Store(true)
+	time.Sleep(stillComing / 2)
+	door.Yield()
+	time.Sleep(stillComing / 2)
 	// whatever is held has its answer by then, since the module gives it before the overall timeout
 	door.Close(time.Now().Add(time.Duration(p.Book.Longest)*100*time.Microsecond + time.Second))
 	log.Info("stopped", counters(count)...)
 	return nil
 }
 
+// service is what operators see of the proxy.
+type service struct {
+	*fleet.Door
+	stopping atomic.Bool
+}
+
+// Ready tells whether this process can serve; a drain takes nothing from that.
+func (s *service) Ready() (bool, string) {
+	switch {
+	case s.stopping.Load():
+		return false, "stopping"
+	case !s.Opened():
+		return false, "starting"
+	}
+	return true, "ready"
+}
+
 // take carries out what a configuration read anew asks for. What is settled with the start stays as it is, and the
 // log says so.
 func take(old, p *Place, list *fleet.List, door *fleet.Door, log *zap.Logger) {
 	log.Info("configuration read anew", zap.String("discovery", p.Discovery), zap.Float64("cores", p.Cores),
 		zap.Int("memory_mb", p.MemoryMB))
-	if p.Name != old.Name || p.Listen != old.Listen || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) ||
+	if p.Name != old.Name || p.Listen != old.Listen || p.Management != old.Management || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) ||
 		!reflect.DeepEqual(p.Watch, old.Watch) {
-		log.Warn("name, listen, sockets, settings and watch stand until the next start")
-		p.Name, p.Listen, p.Sockets, p.Book, p.Watch = old.Name, old.Listen, old.Sockets, old.Book, old.Watch
+		log.Warn("name, listen, management, sockets, settings and watch stand until the next start")
+		p.Name, p.Listen, p.Management = old.Name, old.Listen, old.Management
+		p.Sockets, p.Book, p.Watch = old.Sockets, old.Book, old.Watch
 	}
 	Limit(p)
 	door.Remember(p.MemoryMB)
