--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -19,16 +19,17 @@
 )
 
 type place struct {
-	Config    string `env:"GW_CONFIG" help:"The configuration, a JSON file." placeholder:"FILE"`
-	Name      string `env:"GW_NAME" help:"This proxy's name, before the one in the file."`
-	Listen    string `env:"GW_LISTEN" help:"Where clients connect, before the one in the file."`
-	Discovery string `env:"GW_DISCOVERY" help:"Where the list comes from, before the one in the file."`
-	// only for operators
+	Config     string `env:"GW_CONFIG" help:"The configuration, a JSON file." placeholder:"FILE"`
+	Name       string `env:"GW_NAME" help:"This proxy's name, before the one in the file."`
+	Listen     string `env:"GW_LISTEN" help:"Where clients connect, before the one in the file."`
+	Discovery  string `env:"GW_DISCOVERY" help:"Where the list comes from, before the one in the file."`
 	Management string `env:"GW_MANAGEMENT" help:"Where operators call, before the one in the file."`
+	Shared     string `env:"TMPDIR" help:"A directory that a process shares with the one that replaces it."`
 }
 
 func (p *place) read() (*run.Place, error) {
-	return run.Read(p.Config, run.Place{Name: p.Name, Listen: p.Listen, Discovery: p.Discovery, Management: p.Management})
+	return run.Read(p.Config, run.Place{Name: p.Name, Listen: p.Listen, Discovery: p.Discovery, Management: p.Management,
+		Own: true, Shared: p.Shared})
 }
 
 type serve struct{ place }
@@ -42,12 +43,12 @@
 	if err != nil {
 		return err
 	}
-	run.Limit(p)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	// the environment is that of the start; where discovery is by now, only the file can tell
 	again := func() (*run.Place, error) {
-		return run.Read(s.Config, run.Place{Name: s.Name, Listen: s.Listen, Management: s.Management})
+		return run.Read(s.Config, run.Place{Name: s.Name, Listen: s.Listen, Management: s.Management,
+			Own: true, Shared: s.Shared})
 	}
 	return run.Serve(p, again, log, signals)
 }
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -28,7 +28,8 @@
 	ln       *net.TCPListener
 	mind     *Mind
 	ready    chan struct{} // closed when clients may be told that they are served
-	most     int           // connections at once
+	most     int           // connections at once, under mu
+	paused   bool          // another process lets clients in
 	places   atomic.Int64  // exchanges that may be held at once, without their values
 	bytes    atomic.Int64  // of values, with which nobody more is taken
 	comeBack int           // what is told to who finds no place, in milliseconds; 0: nothing
@@ -40,6 +41,7 @@
 	step     int                  // of the drain that is on, in steps
 	parting  parting              // what a newcomer is told of its end
 	closing  bool                 // for good
+	shut     bool                 // nobody is let in
 	clients  map[*client]struct{} // emptied as connections end
 	fewer    *sync.Cond           // one has ended
 }
@@ -69,10 +71,15 @@
 // Run lets clients in until the listener's deadline has passed.
 func (d *Door) Run() {
 	for {
-		d.makeRoom()
+		if !d.makeRoom() {
+			return
+		}
 		conn, err := d.ln.Accept()
 		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
+		case errors.Is(err, os.ErrDeadlineExceeded): // paused, or about to close
+			time.Sleep(lastIn / 4)
+			continue
+		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil:
 			d.log.Warn("accept", zap.Error(err))
@@ -92,19 +99,50 @@
 	}
 }
 
-// makeRoom retires a client once nine tenths of the places are taken, and lets nobody in while all are.
-func (d *Door) makeRoom() {
+// makeRoom retires a client once nine tenths of the places are taken, and lets nobody in while all are, or while the
+// door is paused. It returns false when the door has closed.
+func (d *Door) makeRoom() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for len(d.clients) >= d.most*9/10 {
-		if c := d.spare(time.Now()); c != nil {
-			c.part(retires)
-		}
-		if len(d.clients) < d.most {
-			return
+	for !d.shut && (d.paused || len(d.clients) >= d.most*9/10) {
+		if !d.paused {
+			if c := d.spare(time.Now()); c != nil {
+				c.part(retires)
+			}
+			if len(d.clients) < d.most {
+				break
+			}
 		}
 		d.fewer.Wait() // for one that goes; somebody does, since each command and answer has its time
 	}
+	return !d.shut
+}
+
+// Pause leaves who comes to another process that has the listener too, or no longer.
+func (d *Door) Pause(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.paused = on; on && !d.shut {
+		d.ln.SetDeadline(longAgo)
+	} else if !d.shut {
+		d.ln.SetDeadline(time.Time{})
+	}
+	d.fewer.Broadcast()
+}
+
+// Allow sets how many connections there may be at once. Where more are open, those that can be done without are closed.
+func (d *Door) Allow(most int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.most = most
+	for range d.clients {
+		c := d.spare(time.Now())
+		if c == nil {
+			break
+		}
+		c.part(retires)
+	}
+	d.fewer.Broadcast()
 }
 
 // spare chooses who can be done without, if enough are not on their way out already: of those that have asked nothing
@@ -150,20 +188,24 @@
 // Yield closes each connection behind its next answer from now on.
 func (d *Door) Yield() { d.partAll(yields) }
 
-// Close lets in who has come by now and nobody more, ends each connection once nothing is owed on it, and
-// returns when all have ended or the time is up. One that never falls idle is served for a while; then what it has sent
-// and nobody read is left for it to ask elsewhere.
-func (d *Door) Close(until time.Time) {
-	d.ln.SetDeadline(time.Now().Add(lastIn))
-	time.Sleep(lastIn + 10*time.Millisecond)
-	d.ln.Close()
-	d.partAll(yields)
-	for _, step := range []struct {
-		how parting
-		at  time.Duration
-	}{{retires, 100 * time.Millisecond}, {shuts, 300 * time.Millisecond}} {
-		defer time.AfterFunc(step.at, func() { d.partAll(step.how) }).Stop()
+// Close lets nobody in any more, ends each connection once nothing is owed on it, and returns when all have ended or the
+// time is up. Where no other process has the listener, who waits there is let in before. After spans of time each
+// connection on which nothing is owed is closed, and then no further command is taken: what was sent and not read by
+// then is left for the client to ask elsewhere.
+func (d *Door) Close(until time.Time, alone bool, retire, shut time.Duration) {
+	began := time.Now()
+	if alone {
+		d.ln.SetDeadline(began.Add(lastIn))
+		time.Sleep(lastIn + 10*time.Millisecond)
 	}
+	d.mu.Lock()
+	d.shut = true
+	d.ln.Close()
+	d.fewer.Broadcast()
+	d.mu.Unlock()
+	d.Yield()
+	defer time.AfterFunc(time.Until(began.Add(retire)), func() { d.partAll(retires) }).Stop()
+	defer time.AfterFunc(time.Until(began.Add(shut)), func() { d.partAll(shuts) }).Stop()
 	defer time.AfterFunc(time.Until(until), d.fewer.Broadcast).Stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -97,6 +97,15 @@
 			m.peers[n] = newPeer(m, n, t.Name, origin)
 			m.log.Info("new on the list", zap.Int("node", n), zap.String("peer", t.Name), zap.String("at", t.Address))
 		}
+		if !ok && !first && t.Since == 0 {
+			t.Since = int64(now / 10) // the module takes it to have just started, and so does who is told of it by us
+		} else if ok {
+			t.Since = max(t.Since, m.peers[n].listed.Since)
+		}
+		if t.Address == "" && ok {
+			t.Address = m.peers[n].listed.Address
+		}
+		m.peers[n].listed = t
 		if t.Address != "" {
 			m.peers[n].addr.Store(&t.Address)
 		}
@@ -127,6 +136,36 @@
 	}
 }
 
+// Targets returns the list as the module has it, or nothing if it is too busy to tell in time.
+func (m *Mind) Targets() []wire.Target {
+	told := make(chan []wire.Target, 1)
+	if !m.box.offer(func() {
+		var list []wire.Target
+		for _, p := range m.peers {
+			if p != nil && p.since == 0 {
+				list = append(list, p.listed)
+			}
+		}
+		told <- list
+	}) {
+		return nil
+	}
+	select {
+	case list := <-told:
+		return list
+	case <-time.After(span(3000)):
+		return nil
+	}
+}
+
+// Links changes how many connections there may be to peers; idle ones are closed where there may be fewer.
+func (m *Mind) Links(by int) {
+	m.links.grow(by)
+	if by < 0 {
+		m.box.post(m.makeRoom)
+	}
+}
+
 // listFailed hears that a list that the module asked for does not come.
 func (m *Mind) listFailed() {
 	now := m.clock.Now()
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"woodproxy/brain"
+	"woodproxy/internal/wire"
 )
 
 // try is one upstream try on its way: made by the module's actor, handed to a peer's, then to a connection.
@@ -40,6 +41,9 @@
 
 func (b *budget) give() { b.left.Add(1) }
 
+// grow changes how many there may be; where fewer may be than are open, none is opened until enough have ended.
+func (b *budget) grow(by int) { b.left.Add(int64(by)) }
+
 // peer is the actor of one cache or the origin: it owns the connections there and hands tries to them, one at a
 // time each. Answers on a connection come in order, so that a try behind another would wait for it.
 type peer struct {
@@ -50,6 +54,7 @@
 	origin bool
 	addr   atomic.Pointer[string] // the module's actor sets these two, as the list has them
 	ready  atomic.Bool            // neither draining nor gone
+	listed wire.Target            // as the list has it; a newcomer's start is when it came; only the module's actor looks
 	since  brain.Time             // when it left the list, 0: it is there; only the module's actor looks at these two
 	out    int                    // tries
 	open   int                    // connections, those that are being made included
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -18,6 +18,8 @@
 type Place struct {
 	Name, Listen, Discovery string
 	Management              string // where operators call, "": nowhere
+	Own                     bool   // the process serves this proxy alone, and is kept to its memory and cores
+	Shared                  string // directory in which the process that replaces this one is met, "": none
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
@@ -28,7 +30,8 @@
 }
 
 // Read takes the configuration file; what the other place names of name, listen,
-// discovery and management goes before it.
+// discovery and management goes before it, and the
+// process's own affairs are its alone.
 func Read(file string, over Place) (*Place, error) {
 	if file == "" {
 		return nil, errors.New("configuration: no file named")
@@ -41,7 +44,7 @@
 	if err != nil || v.Type() != fastjson.TypeObject {
 		return nil, fmt.Errorf("configuration: %s: not a JSON object", file)
 	}
-	p := &Place{Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
+	p := &Place{Own: over.Own, Shared: over.Shared, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
 	word := func(key, given string) string {
 		s := v.Get(key)
 		switch {
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -35,6 +35,7 @@
 //	old gone                                 discovery's old address ends the watches that are out there
 //	call METHOD PATH STATUS [with=N|garbage] an operator's call, with a body of N bytes or garbage for a head
 //	ringers N                                so many connect where operators call, and finish no call
+//	replace                                  a second process beside the first, which is told to stop once the second is ready
 //	start [known=NAME,NAME]                  a known node is one that node has started, or is nowhere
 //	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
 //	CLIENT gets value [from=NAME] | busy | busy-at-will | error | pong | closed | nothing [times=N]    the next answers
@@ -51,14 +52,19 @@
 	})
 }
 
+// stages counts them: each has a loopback address of its own, or a port that one gave up may be another's next.
+var stages atomic.Int64
+
 func newStage(t *testing.T) *stage {
-	return &stage{t: t, nodes: map[string]*standIn{}, clients: map[string]*caller{}, index: 1,
+	n := stages.Add(1)
+	return &stage{t: t, ip: fmt.Sprintf("127.9.%d.%d", n/250, n%250+1), nodes: map[string]*standIn{}, clients: map[string]*caller{}, index: 1,
 		limits: map[string]string{}, settings: settings, watch: "null", signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
 }
 
 type stage struct {
 	t        *testing.T
 	line     int
+	ip       string
 	limits   map[string]string
 	settings string
 	watch    string
@@ -72,6 +78,7 @@
 	watches  []net.Conn
 	addr     string
 	calls    string // where operators call
+	shared   string // where a process meets the one that replaces it
 	ringers  []net.Conn
 	file     string // of the configuration, and what is in it
 	text     string
@@ -96,7 +103,7 @@
 	case "node":
 		n := s.nodes[w[1]]
 		if n == nil {
-			n = newStandIn(s.t, w[1])
+			n = newStandIn(s.t, s.ip, w[1])
 			s.nodes[w[1]] = n
 		}
 		n.set(w[2], m)
@@ -130,6 +137,8 @@
 		s.signals <- syscall.SIGHUP
 	case "old":
 		s.old.Close()
+	case "replace":
+		s.replace()
 	case "call":
 		s.call(w[1], w[2], w[3], m["with"])
 	case "ringers":
@@ -195,10 +204,21 @@
 
 // call plays an operator, who waits for a second at most.
 func (s *stage) call(method, path, want, with string) {
+	for range 200 { // it starts, and is ready after a second at the latest
+		if path != "/control/ready" || want != "200" || s.status(method, path, with) == want {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := s.status(method, path, with); got != want {
+		s.fail("%s %s: %s, not %s", method, path, got, want)
+	}
+}
+
+func (s *stage) status(method, path, with string) string {
 	c, err := net.DialTimeout("tcp", s.calls, time.Second)
 	if err != nil {
-		s.fail("%v", err)
-		return
+		return err.Error()
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(time.Second))
@@ -209,9 +229,10 @@
 		fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: here\r\nContent-Length: %d\r\n\r\n%s", method, path, n, strings.Repeat("x", n))
 	}
 	head, err := bufio.NewReader(c).ReadString('\n')
-	if w := strings.Fields(head); len(w) < 2 || w[1] != want {
-		s.fail("%s %s: %q (%v), not %s", method, path, head, err, want)
+	if w := strings.Fields(head); len(w) > 1 {
+		return w[1]
 	}
+	return fmt.Sprintf("%q (%v)", head, err)
 }
 
 func (s *stage) End() {
@@ -236,7 +257,7 @@
 	if status == "" {
 		status = "active"
 	}
-	kind, addr := "std", "127.0.0.1:1"
+	kind, addr := "std", s.ip+":1"
 	if name[0] == 'o' {
 		kind = "origin"
 	}
@@ -299,7 +320,7 @@
 
 // discovery starts at an address of its own.
 func (s *stage) discovery() (*http.Server, string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", s.ip+":0")
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -317,18 +338,7 @@
 
 func (s *stage) start(known string) {
 	s.now, s.watched = s.discovery()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.addr = free.Addr().String()
-	other, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.calls = other.Addr().String()
-	free.Close()
-	other.Close()
+	s.addr, s.calls, s.shared = freeAddr(s.t, s.ip), freeAddr(s.t, s.ip), s.t.TempDir()
 	list := "null"
 	if known != "" {
 		var rows []string
@@ -347,15 +357,13 @@
 	if err := os.WriteFile(s.file, []byte(s.text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	read := func() (*Place, error) { return Read(s.file, Place{}) }
-	p, err := read()
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	go func() { s.ended <- Serve(p, read, zaptest.NewLogger(s.t, zaptest.Level(zap.ErrorLevel)), s.signals) }()
+	s.run()
 	for range 100 { // until it listens
 		if c, err := net.Dial("tcp", s.addr); err == nil {
 			c.Close()
+			if s.mood == "" { // until the list has come, or the first exchange would find no node
+				s.call("GET", "/control/ready", "200", "")
+			}
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -363,6 +371,50 @@
 	s.t.Fatal("the proxy does not listen")
 }
 
+// run starts a process.
+func (s *stage) run() {
+	read := func() (*Place, error) { return Read(s.file, Place{Management: s.calls, Shared: s.shared}) }
+	p, err := read()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	go func(ended chan<- error, signals <-chan os.Signal) {
+		ended <- Serve(p, read, zaptest.NewLogger(s.t, zaptest.Level(zap.ErrorLevel)), signals)
+	}(s.ended, s.signals)
+}
+
+func (s *stage) replace() {
+	ended, signals := s.ended, s.signals
+	s.ended, s.signals, s.calls = make(chan error, 1), make(chan os.Signal, 1), freeAddr(s.t, s.ip)
+	s.run()
+	for range 100 {
+		if c, err := net.Dial("tcp", s.calls); err == nil {
+			c.Close()
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.call("GET", "/control/ready", "200", "")
+	signals <- syscall.SIGTERM
+	select {
+	case err := <-ended:
+		if err != nil {
+			s.fail("%v", err)
+		}
+	case <-time.After(3 * time.Second):
+		s.fail("still running")
+	}
+}
+
+func freeAddr(t *testing.T, ip string) string {
+	ln, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 const settings = `{"replicas-of-me":1,"limits":{"max-upstream-tries":3,"may-cancel":true,"conn-idle":15000,
 "connect-timeout":250,"retry-after":true,"max-retry-after":1000},"tick":5,"shapes":["std","origin"],
 "rules":{"cold":8000,"fall":3000,"cold-from":0.3,"fall-multiple":3},"family-info":{"mode":"aside","origin-kind":1},
@@ -371,6 +423,7 @@
 
 func (s *stage) expect(what, op string, want int) {
 	var got int
+	var last string
 	for range 200 {
 		if n := s.nodes[what]; n != nil {
 			got = int(n.took.Load())
@@ -378,6 +431,7 @@
 			fmt.Fprint(c, "*1\r\n$4\r\nINFO\r\n")
 			_, text, err := readAnswer(bufio.NewReader(c))
 			c.Close()
+			last = text
 			_, after, ok := strings.Cut("\n"+text, "\n"+what+" ")
 			if err != nil || !ok {
 				s.fail("no counter %s in %q (%v)", what, text, err)
@@ -391,7 +445,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	s.fail("%s is %d, not %s %d", what, got, op, want)
+	s.fail("%s is %d, not %s %d; %s", what, got, op, want, strings.ReplaceAll(last, "\n", " "))
 }
 
 // caller is a client.
@@ -525,8 +579,8 @@
 	ln         net.Listener
 }
 
-func newStandIn(t *testing.T, name string) *standIn {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func newStandIn(t *testing.T, ip, name string) *standIn {
+	ln, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"net"
 	"os"
 	"reflect"
 	"runtime"
@@ -12,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/valyala/fastjson"
 	"go.uber.org/zap"
 
 	"woodproxy/internal/control"
@@ -19,23 +19,26 @@
 )
 
 const (
-	spareSockets = 32                     // standard streams, listener, watch, the library's own
-	waitForList  = time.Second            // clients are served from the old list when no other has come by then
-	stillComing  = 450 * time.Millisecond // after the signal to stop, while others learn of it
+	waitForList = time.Second            // clients are served from the old list when no other has come by then
+	stillComing = 450 * time.Millisecond // after the signal to stop, while others learn of it
 )
 
-// Limit has the program keep to its cores and leave a third of its memory free, or rather collect more often.
-func Limit(p *Place) {
-	runtime.GOMAXPROCS(max(int(math.Ceil(p.Cores)), 1))
-	debug.SetMemoryLimit(int64(p.MemoryMB) << 20 * 2 / 3)
+// limit has the program keep to its cores and leave a third of its memory free, or rather collect more often.
+func limit(cores float64, memoryMB int) {
+	runtime.GOMAXPROCS(max(int(math.Ceil(cores)), 1))
+	debug.SetMemoryLimit(int64(memoryMB) << 20 * 2 / 3)
 }
 
 // Serve runs the proxy until a signal tells it to stop. SIGUSR1 has it print its counters, SIGHUP take what again
 // reads.
 func Serve(p *Place, again func() (*Place, error), log *zap.Logger, signals <-chan os.Signal) error {
+	ln, before, err := enter(p, log)
+	if err != nil {
+		return err
+	}
 	count := &fleet.Counters{}
-	links := (p.Sockets - spareSockets) * 2 / 5
-	mind := fleet.NewMind(p.Book, p.Seed, fleet.NewClock(), links, count, log)
+	share := shareOut(p.Sockets)
+	mind := fleet.NewMind(p.Book, p.Seed, fleet.NewClock(), share.links, count, log)
 	if p.Untold {
 		log.Warn("limits.may-tell: peers speak no protocol on sockets yet; nothing is told")
 	}
@@ -43,15 +46,17 @@
 		mind.Watch(p.Watch, p.Seed)
 		log.Info("watching other settings; what they would decide otherwise is counted and not done")
 	}
-	list, err := fleet.NewList(p.Discovery, p.Known, mind, count, log)
-	if err != nil {
-		return fmt.Errorf("configuration: known: %w", err)
+	known, wait := p.Known, waitForList
+	if before != nil && before.List != nil {
+		if v, err := fastjson.ParseBytes(before.List); err == nil {
+			known, wait = v, 0 // it is as new as the list can be
+		}
 	}
-	ln, err := net.Listen("tcp", p.Listen)
+	list, err := fleet.NewList(p.Discovery, known, mind, count, log)
 	if err != nil {
-		return fmt.Errorf("configuration: listen: %w", err)
+		return fmt.Errorf("configuration: known: %w", err)
 	}
-	door := fleet.NewDoor(ln.(*net.TCPListener), mind, p.Sockets-spareSockets-links, p.MemoryMB, count, log)
+	door := fleet.NewDoor(ln, mind, share.clients, p.MemoryMB, count, log)
 	service := &service{Door: door}
 	if p.Management != "" {
 		operators, err := control.Listen(p.Management, service)
@@ -61,16 +66,31 @@
 		defer operators.Close()
 		go operators.Run()
 	}
+	room := &allowance{share: share, door: door, mind: mind, own: p.Own, cores: p.Cores, memoryMB: p.MemoryMB}
+	room.set(func(r *allowance) { r.before = before != nil })
+	estate := leave(p, ln, mind, room, log)
 	go mind.Run()
 	go list.Run()
 	go door.Run()
-	log.Info("started", zap.String("name", p.Name), zap.String("listen", p.Listen), zap.Int("sockets", p.Sockets))
+	log.Info("started", zap.String("name", p.Name), zap.String("listen", p.Listen), zap.Int("sockets", p.Sockets),
+		zap.Bool("replaces", before != nil))
 	select {
 	case <-list.First():
-	case <-time.After(waitForList):
-		log.Warn("discovery is silent; serving from the list last known")
+	case <-time.After(wait):
+		if wait > 0 {
+			log.Warn("discovery is silent; serving from the list last known")
+		}
 	}
 	door.Open()
+	if before != nil {
+		go func() {
+			if err := before.Serving(); err == nil {
+				before.Wait()
+			}
+			room.set(func(r *allowance) { r.before = false })
+			log.Info("the process before has gone")
+		}()
+	}
 	for on := true; on; {
 		switch <-signals {
 		case syscall.SIGUSR1:
@@ -79,20 +99,27 @@
 			if q, err := again(); err != nil {
 				log.Error("configuration read anew is bad; the old terms stand", zap.Error(err))
 			} else {
-				take(p, q, list, door, log)
+				take(p, q, list, room, log)
 				p = q
 			}
 		default:
 			on = false
 		}
 	}
-	log.Info("stopping")
+	alone := estate.Heirs() == 0
+	log.Info("stopping", zap.Bool("replaced", !alone))
 	service.stopping.Store(true)
-	time.Sleep(stillComing / 2)
-	door.Yield()
-	time.Sleep(stillComing / 2)
+	retire, shut := 400*time.Millisecond, 800*time.Millisecond
+	if alone {
+		time.Sleep(stillComing / 2)
+		door.Yield()
+		time.Sleep(stillComing / 2)
+		retire, shut = 100*time.Millisecond, 300*time.Millisecond
+	}
 	// whatever is held has its answer by then, since the module gives it before the overall timeout
-	door.Close(time.Now().Add(time.Duration(p.Book.Longest)*100*time.Microsecond + time.Second))
+	until := time.Now().Add(time.Duration(p.Book.Longest)*100*time.Microsecond + time.Second)
+	door.Close(until, alone, retire, shut)
+	estate.Close()
 	log.Info("stopped", counters(count)...)
 	return nil
 }
@@ -116,7 +143,7 @@
 
 // take carries out what a configuration read anew asks for. What is settled with the start stays as it is, and the
 // log says so.
-func take(old, p *Place, list *fleet.List, door *fleet.Door, log *zap.Logger) {
+func take(old, p *Place, list *fleet.List, room *allowance, log *zap.Logger) {
 	log.Info("configuration read anew", zap.String("discovery", p.Discovery), zap.Float64("cores", p.Cores),
 		zap.Int("memory_mb", p.MemoryMB))
 	if p.Name != old.Name || p.Listen != old.Listen || p.Management != old.Management || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) ||
@@ -125,8 +152,7 @@
 		p.Name, p.Listen, p.Management = old.Name, old.Listen, old.Management
 		p.Sockets, p.Book, p.Watch = old.Sockets, old.Book, old.Watch
 	}
-	Limit(p)
-	door.Remember(p.MemoryMB)
+	room.set(func(r *allowance) { r.cores, r.memoryMB = p.Cores, p.MemoryMB })
 	list.Move(p.Discovery)
 }
 
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -59,6 +59,35 @@
 	return index, whole, list, nil
 }
 
+// AppendTargets writes a list in the form in which it is read.
+func AppendTargets(b []byte, list []Target) []byte {
+	var a fastjson.Arena
+	rows := a.NewArray()
+	for i, t := range list {
+		row := a.NewObject()
+		for _, w := range [...][2]string{{"name", t.Name}, {"address", t.Address}, {"zone", t.Zone}, {"type", t.Kind}} {
+			row.Set(w[0], a.NewString(w[1]))
+		}
+		status := "active"
+		switch {
+		case t.Gone:
+			status = "left"
+		case !t.Ready:
+			status = "leaving"
+		}
+		row.Set("status", a.NewString(status))
+		row.Set("group", a.NewNumberInt(t.Cell))
+		row.Set("weight", a.NewNumberFloat64(t.Weight))
+		row.Set("since_ms", a.NewNumberString(strconv.FormatInt(t.Since, 10)))
+		rows.SetArrayItem(i, row)
+	}
+	all := a.NewObject()
+	all.Set("index", a.NewNumberInt(0)) // each who watches asks for the whole list first
+	all.Set("snapshot", a.NewTrue())
+	all.Set("endpoints", rows)
+	return all.MarshalTo(b)
+}
+
 // AppendWatch writes the request for a watch of what changes after a version of the list.
 func AppendWatch(b []byte, host string, since int64) []byte {
 	b = strconv.AppendInt(append(b, "GET /api/targets?follow=1&since="...), since, 10)
