--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -20,7 +20,7 @@
 	maxSilent = 2500 * time.Millisecond // how long a client may take to its first command
 	maxHalf   = 2500 * time.Millisecond // how long a command may take from its first byte to its last
 	maxIdle   = 20 * time.Second        // how long a client may ask nothing more
-	maxUnread = 2 * time.Second         // how long a client may take to accept an answer
+	maxUnread = maxStill                // how long a client may take to accept a part of an answer
 	lastWords = 200 * time.Millisecond  // for what a client still sends that has been told why its connection ends
 	lastBytes = 256 << 10
 )
@@ -44,6 +44,7 @@
 	seen  parting // what its goroutine knows of that
 	spoke bool    // something was owed before
 	asked bool    // and it was an exchange
+	spent bool    // an exchange was answered since it was last looked whether to end
 	gone  bool    // nothing can be answered any more
 	used  time.Time
 	nudge chan struct{} // the first turn has become ready
@@ -82,11 +83,11 @@
 	c.turns, c.gone = nil, true
 	c.mu.Unlock()
 	for _, t := range owed {
-		t.giveBack(d.count)
+		t.giveBack(d)
 		d.mind.box.post(func() { d.mind.left(t) })
 	}
 	if c.turn != nil {
-		c.turn.giveBack(d.count)
+		c.turn.giveBack(d)
 	}
 	d.forget(c)
 }
@@ -150,7 +151,7 @@
 // for a moment, or the answers would be lost to a reset.
 func (c *client) dismiss(why error) {
 	if c.turn != nil {
-		c.turn.giveBack(c.door.count)
+		c.turn.giveBack(c.door)
 		c.turn = nil
 	}
 	t := &turn{client: c}
@@ -202,44 +203,57 @@
 	return err
 }
 
-// flush writes the answers whose turn it is, gathered into one write.
+// flush writes the answers whose turn it is, those up to a value that comes piece by piece gathered into one write.
 func (c *client) flush() error {
-	c.mu.Lock()
-	ready := 0
-	for ready < len(c.turns) && c.turns[ready].ready {
-		ready++
-	}
-	done := slices.Clone(c.turns[:ready])
-	c.turns = slices.Delete(c.turns, 0, ready) // and with them what they hold
-	quit := c.quits >= retires
-	for _, t := range done {
-		quit = quit || c.quits == yields && t.exchange // behind an exchange, that is: PING asks how it stands
-	}
-	quit = quit && len(c.turns) == 0 && c.turn == nil && c.in.Buffered() == 0
-	c.used, c.seen = time.Now(), c.quits
-	c.mu.Unlock()
-	if ready > 0 {
-		out := make(net.Buffers, 0, 3*ready)
-		for _, t := range done {
-			if out = append(out, t.head); t.body != nil {
-				out = append(out, t.body, crlf)
-			}
+	for {
+		c.mu.Lock()
+		ready := 0
+		var f *flow
+		for ready < len(c.turns) && c.turns[ready].ready && f == nil {
+			f = c.turns[ready].flow
+			ready++
 		}
-		c.conn.SetWriteDeadline(time.Now().Add(maxUnread))
-		_, err := out.WriteTo(c.conn)
-		for _, t := range done {
-			t.giveBack(c.door.count)
+		done := slices.Clone(c.turns[:ready])
+		c.mu.Unlock()
+		if ready == 0 {
+			break
 		}
-		if err != nil {
-			return err
+		if err := c.write(done, f); err != nil {
+			return err // what is owed yet is given back with the connection
+		}
+		c.mu.Lock()
+		c.turns = slices.Delete(c.turns, 0, ready) // and with them what they hold
+		c.spent = c.spent || slices.ContainsFunc(done, func(t *turn) bool { return t.exchange })
+		c.mu.Unlock()
+		for _, t := range done {
+			t.giveBack(c.door)
 		}
 	}
+	c.mu.Lock()
+	// behind an exchange, that is: PING asks how it stands
+	quit := (c.quits >= retires || c.quits == yields && c.spent) && len(c.turns) == 0 && c.turn == nil && c.in.Buffered() == 0
+	c.used, c.seen, c.spent = time.Now(), c.quits, false
+	c.mu.Unlock()
 	if quit && !unread(c.conn) { // else a request has come meanwhile, and is answered first
 		return errQuit
 	}
 	return nil
 }
 
+func (c *client) write(done []*turn, f *flow) error {
+	out := make(net.Buffers, 0, 3*len(done))
+	for _, t := range done {
+		if out = append(out, t.head); t.body != nil {
+			out = append(out, t.body, crlf)
+		}
+	}
+	c.conn.SetWriteDeadline(time.Now().Add(maxUnread))
+	if _, err := out.WriteTo(c.conn); err != nil || f == nil {
+		return err
+	}
+	return c.pass(f)
+}
+
 // partly notes that a command has come in part.
 func (c *client) partly() {
 	if c.half.IsZero() {
@@ -294,8 +308,8 @@
 			c.skip = cmd.Value + 2
 		case cmd.Value >= 0:
 			t.value, c.turn, c.got = make([]byte, 0, cmd.Value+2), t, 0
-			t.bytes = int64(cmd.Value)
-			c.door.count.Bytes.Add(t.bytes)
+			t.bytes = cmd.Value
+			c.door.mind.memory.force(t.bytes)
 		case t != nil:
 			c.ask(t)
 		}
@@ -320,7 +334,7 @@
 	}
 	d := c.door
 	d.count.Exchanges.Add(1)
-	if d.count.Held.Add(1) > d.places.Load() || d.count.Bytes.Load() > d.bytes.Load() {
+	if d.count.Held.Add(1) > d.places.Load() || d.mind.memory.left.Load() <= 0 {
 		d.count.Held.Add(-1)
 		d.count.Crowded.Add(1)
 		t := &turn{client: c, exchange: true}
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -12,7 +12,8 @@
 type Counters struct {
 	Clients, ClientsOpen     atomic.Int64 // connections, in all and now
 	Exchanges, Held, Crowded atomic.Int64 // taken; with a place now; shed for want of one
-	Bytes                    atomic.Int64 // of values that are held now, for servers and for clients
+	Bytes, Passing           atomic.Int64 // of values that are held now, for servers and for clients; that pass through
+	Flows, Broken            atomic.Int64 // values that were passed on piece by piece, and that broke off amid that
 	Completed, Shed, Errored atomic.Int64 // final answers
 	Left                     atomic.Int64 // clients gone before their answer
 	Tries, Cancelled         atomic.Int64 // upstream tries, and those called off
@@ -39,7 +40,8 @@
 		at   *atomic.Int64
 	}{
 		{"Clients", &c.Clients}, {"ClientsOpen", &c.ClientsOpen}, {"Exchanges", &c.Exchanges}, {"Held", &c.Held},
-		{"Crowded", &c.Crowded}, {"Bytes", &c.Bytes}, {"Completed", &c.Completed}, {"Shed", &c.Shed}, {"Errored", &c.Errored},
+		{"Crowded", &c.Crowded}, {"Bytes", &c.Bytes},
+		{"Passing", &c.Passing}, {"Flows", &c.Flows}, {"Broken", &c.Broken}, {"Completed", &c.Completed}, {"Shed", &c.Shed}, {"Errored", &c.Errored},
 		{"Left", &c.Left}, {"Tries", &c.Tries}, {"Cancelled", &c.Cancelled}, {"Dials", &c.Dials},
 		{"UpstreamOpen", &c.UpstreamOpen}, {"Lists", &c.Lists}, {"Watches", &c.Watches},
 		{"BadClient", &c.BadClient}, {"BadPeer", &c.BadPeer}, {"Taken", &c.Taken}, {"Drains", &c.Drains}, {"Panics", &c.Panics},
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -31,7 +31,7 @@
 	most     int           // connections at once, under mu
 	paused   bool          // another process lets clients in
 	places   atomic.Int64  // exchanges that may be held at once, without their values
-	bytes    atomic.Int64  // of values, with which nobody more is taken
+	memoryMB int           // as far as it has been shared out
 	comeBack int           // what is told to who finds no place, in milliseconds; 0: nothing
 	count    *Counters
 	log      *zap.Logger
@@ -59,10 +59,13 @@
 }
 
 // Remember sets how much memory there is: an eighth of it is for exchanges, a quarter for their values, as long as
-// they are. To count each at its largest would leave few places in little memory.
+// they are, and an eighth for values that pass through. To count each at its largest would leave few places in little
+// memory.
 func (d *Door) Remember(memoryMB int) {
 	d.places.Store(min(int64(memoryMB)<<20/8/bare, mostHeld))
-	d.bytes.Store(int64(memoryMB) << 20 / 4)
+	d.mind.memory.grow((memoryMB - d.memoryMB) << 20 / 4)
+	d.mind.flows.grow((memoryMB - d.memoryMB) << 20 / 8)
+	d.memoryMB = memoryMB
 }
 
 // Open tells clients that they are served.
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -70,6 +70,10 @@
 		if errors.Is(err, wire.ErrBytes) {
 			l.distrust(err)
 		}
+		if err != nil && t.begun && !errors.Is(err, errDropped) { // the client's connection ends amid the value
+			p.mind.count.Broken.Add(1)
+			p.log.Warn("a value broke off", zap.Error(err))
+		}
 		if !again && l.conn != nil {
 			l.conn.Close()
 		}
@@ -144,20 +148,46 @@
 	if err := l.write(t); err != nil {
 		return l.came(t, &wire.Halt{Far: wire.Writing, Err: err})
 	}
+	read := wire.ReadAnswer
 	if l.peer.origin {
-		ending, value, again, err = wire.ReadFetched(l.in)
-	} else {
-		ending, value, err = wire.ReadAnswer(l.in)
-		again = true
+		read = wire.ReadFetched
+	}
+	a, err := read(l.in)
+	if err == nil && a.Ending == brain.Completed {
+		value, err = l.value(t, &a, until)
 	}
 	if err != nil {
+		if value != nil {
+			m.memory.give(len(value))
+		}
 		return l.came(t, err)
 	}
-	if n := l.in.Buffered(); again && n > 0 { // it would pass for the answer to the next
+	if n := l.in.Buffered(); a.Again && n > 0 { // it would pass for the answer to the next
 		l.distrust(fmt.Errorf("%w: %d unasked for", wire.ErrBytes, n))
-		again = false
+		a.Again = false
+	}
+	return a.Ending, value, a.Again, nil
+}
+
+// value takes a completed try's value: whole if it is short and there is room for it, else piece by piece, in which case
+// the exchange has its answer with the first of them and nothing is returned.
+func (l *link) value(t *try, a *wire.Answer, until time.Time) ([]byte, error) {
+	m := l.peer.mind
+	if _, ok := a.Whole(); ok || a.Long <= wire.MaxValue && m.memory.take(a.Long) {
+		if ok {
+			m.memory.force(a.Long)
+		}
+		b, err := a.Value(l.in)
+		if err != nil {
+			m.memory.give(a.Long)
+			return nil, err
+		}
+		return b, a.Tail(l.in)
+	}
+	if err := l.flow(t, a, until); err != nil {
+		return nil, err
 	}
-	return ending, value, again, nil
+	return nil, a.Tail(l.in)
 }
 
 // stale tells whether there is something to read, or an end, on a connection on which nothing is asked. What comes
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -32,6 +32,8 @@
 	byName map[string]int      // emptied as nodes that have gone are forgotten
 	ids    map[string]struct{} // of exchanges that have an index; emptied with them
 	links  *budget
+	memory *budget // bytes of values that are held
+	flows  *budget // bytes of values that pass through
 	list   *List
 	count  *Counters
 	log    *zap.Logger
@@ -48,7 +50,8 @@
 // NewMind returns a module's actor that knows no nodes; sockets is how many it may have open to peers.
 func NewMind(book *terms.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Mind {
 	return &Mind{box: make(mailbox, 4*mostHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
-		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, ids: map[string]struct{}{}, links: newBudget(sockets),
+		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, ids: map[string]struct{}{}, links: newBudget(sockets, &count.UpstreamOpen),
+		memory: newBudget(0, &count.Bytes), flows: newBudget(0, &count.Passing),
 		count: count, log: log}
 }
 
@@ -221,13 +224,21 @@
 }
 
 // ended hears how a try came out.
-func (m *Mind) ended(t *try, ending brain.Ending, value []byte) {
+func (m *Mind) ended(t *try, ending brain.Ending, value []byte, f *flow) {
 	s := &m.slots[t.cx]
 	s.out--
 	m.peers[t.node].out--
 	m.count.Ends[ending].Add(1)
-	if ending == brain.Completed && !s.over {
+	switch {
+	case ending == brain.Completed && !s.over && f != nil:
+		s.over = true
+		s.turn.pass(m.count, f)
+	case ending == brain.Completed && !s.over:
 		m.finish(t.cx, completed, value, 0)
+	case f != nil:
+		f.drop()
+	default:
+		m.memory.give(len(value)) // nobody waits for it
 	}
 	now := m.clock.Now()
 	a := brain.Answer{Cx: t.cx, Node: t.node, Ending: ending, Took: now - t.sent, Ended: s.over}
@@ -303,6 +314,6 @@
 		}
 	}
 	for _, t := range unsent {
-		m.ended(t, brain.NeverSent, nil)
+		m.ended(t, brain.NeverSent, nil, nil)
 	}
 }
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -19,27 +19,42 @@
 	sent   brain.Time
 	wait   brain.Time // its time-out, from sent
 	undone atomic.Bool
+	begun  bool  // its answer is with the client, piece by piece: it has ended for the module
 	link   *link // the connection that has it; only the peer's actor looks
 }
 
-// budget is the number of sockets that may be open to all peers together.
-type budget struct{ left atomic.Int64 }
+// budget is what there may be of something, such as sockets that are open to all peers together, or bytes of values.
+type budget struct {
+	left atomic.Int64
+	used *atomic.Int64 // the counter that shows it
+}
 
-func newBudget(n int) *budget {
-	b := &budget{}
+func newBudget(n int, used *atomic.Int64) *budget {
+	b := &budget{used: used}
 	b.left.Store(int64(n))
 	return b
 }
 
-func (b *budget) take() bool {
-	if b.left.Add(-1) >= 0 {
+// take tells whether there was enough left.
+func (b *budget) take(n int) bool {
+	if b.left.Add(int64(-n)) >= 0 {
+		b.used.Add(int64(n))
 		return true
 	}
-	b.left.Add(1)
+	b.left.Add(int64(n))
 	return false
 }
 
-func (b *budget) give() { b.left.Add(1) }
+// force takes what is there already.
+func (b *budget) force(n int) {
+	b.left.Add(int64(-n))
+	b.used.Add(int64(n))
+}
+
+func (b *budget) give(n int) {
+	b.left.Add(int64(n))
+	b.used.Add(int64(-n))
+}
 
 // grow changes how many there may be; where fewer may be than are open, none is opened until enough have ended.
 func (b *budget) grow(by int) { b.left.Add(int64(by)) }
@@ -105,7 +120,7 @@
 		}
 		l.wake() // it leads to where the peer was
 	}
-	if !p.mind.links.take() {
+	if !p.mind.links.take(1) {
 		p.queue = append(p.queue, t)
 		if !p.asked {
 			p.asked = true
@@ -116,7 +131,6 @@
 	}
 	p.open++
 	p.mind.count.Dials.Add(1)
-	p.mind.count.UpstreamOpen.Add(1)
 	t.link = &link{peer: p, addr: addr}
 	go t.link.run(t)
 }
@@ -142,7 +156,9 @@
 // ended hears from a connection how its try came out; with again, the connection can carry another.
 func (p *peer) ended(l *link, t *try, ending brain.Ending, value []byte, again bool) {
 	t.link = nil
-	p.mind.box.post(func() { p.mind.ended(t, ending, value) })
+	if !t.begun {
+		p.mind.box.post(func() { p.mind.ended(t, ending, value, nil) })
+	}
 	if !again {
 		return
 	}
@@ -155,8 +171,7 @@
 // gone hears that a connection has ended. A try that it was handed and had not begun goes to another.
 func (p *peer) gone(l *link) {
 	p.open--
-	p.mind.links.give()
-	p.mind.count.UpstreamOpen.Add(-1)
+	p.mind.links.give(1)
 	if i := slices.Index(p.idle, l); i >= 0 {
 		p.idle = slices.Delete(p.idle, i, i+1)
 	}
@@ -176,7 +191,7 @@
 		if !t.undone.Load() && p.ready.Load() && p.mind.clock.Now() < t.sent+t.wait {
 			return t
 		}
-		p.mind.box.post(func() { p.mind.ended(t, brain.NeverSent, nil) })
+		p.mind.box.post(func() { p.mind.ended(t, brain.NeverSent, nil, nil) })
 	}
 	return nil
 }
--- a/internal/fleet/turn.go
+++ b/internal/fleet/turn.go
@@ -26,7 +26,7 @@
 	route, tenant        string
 	wait                 int // how long the client waits, in milliseconds
 	repeat               bool
-	bytes                int64      // of its values, as they are counted
+	bytes                int        // of its values, as they are counted
 	holds                bool       // a place, until its answer is written or its client gone
 	came                 brain.Time // with its last byte
 
@@ -36,6 +36,7 @@
 	ready bool // under the client's lock, with what is to be written
 	head  []byte
 	body  []byte
+	flow  *flow // in the place of the body, which comes piece by piece
 }
 
 var shedPlain = []byte("-BUSY\r\n")
@@ -60,18 +61,30 @@
 	}
 }
 
-// say makes a turn ready; if it is the next to be written, its connection is woken.
+// pass words the answer of a completed exchange whose value comes piece by piece.
+func (t *turn) pass(count *Counters, f *flow) {
+	count.Completed.Add(1)
+	count.Flows.Add(1)
+	t.flow = f
+	t.say(wire.AppendLength(nil, '$', f.long), nil)
+}
+
+// say makes a turn ready; if it is the next to be written, its connection is woken. The bytes of a body are counted
+// already, and given back with the turn.
 func (t *turn) say(head, body []byte) {
 	c := t.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.gone {
+		if t.flow != nil {
+			t.flow.drop()
+		}
+		c.door.mind.memory.give(len(body))
 		return
 	}
 	t.head, t.body, t.ready = head, body, true
 	if t.holds { // a place, by which its bytes are given back
-		t.bytes += int64(len(body))
-		c.door.count.Bytes.Add(int64(len(body)))
+		t.bytes += len(body)
 	}
 	if len(c.turns) > 0 && c.turns[0] == t {
 		c.conn.SetReadDeadline(longAgo)
@@ -80,10 +93,13 @@
 }
 
 // giveBack frees the place of an exchange whose answer is written or whose client has gone.
-func (t *turn) giveBack(count *Counters) {
+func (t *turn) giveBack(d *Door) {
+	if t.flow != nil {
+		t.flow.drop()
+	}
 	if t.holds {
 		t.holds = false
-		count.Held.Add(-1)
-		count.Bytes.Add(-t.bytes)
+		d.count.Held.Add(-1)
+		d.mind.memory.give(t.bytes)
 	}
 }
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -39,12 +39,14 @@
 //	start [known=NAME,NAME]                  a known node is one that node has started, or is nowhere
 //	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
 //	CLIENT gets value [from=NAME] | busy | busy-at-will | error | pong | closed | nothing [times=N]    the next answers
+//	CLIENT gets begun within=MS                  the first byte of the next answer, which is left there
 //	expect NAME|COUNTER OP N                 tries that a node took whole, or a counter; within two seconds
 //	crowd N | mutes N                        so many clients come, hear pong and stay; or come and say nothing
 //	pause MS | stop | running | stopped
 //
 // Habits of a cache: hit miss busy fails silent garbled cuts halves once (closes after each answer) twice
-// (answers each try two times) nowhere (refuses connections); of the origin: hit chunked busy fails silent garbled cuts.
+// (answers each try two times) nowhere (refuses connections) endless (a value without its line end) drips (half of its
+// answer at once and half after its slowness); of the origin: hit chunked busy fails silent garbled cuts.
 func TestScenarios(t *testing.T) {
 	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
 		t.Parallel()
@@ -511,6 +513,11 @@
 }
 
 func (c *caller) gets(want string, m map[string]string) error {
+	if want == "begun" {
+		c.conn.SetReadDeadline(time.Now().Add(time.Duration(scenario.Num(m["within"])) * time.Millisecond))
+		_, err := c.in.Peek(1000)
+		return err
+	}
 	if want == "nothing" {
 		c.conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
 		if b, err := c.in.Peek(1); err == nil || len(b) > 0 {
@@ -621,7 +628,9 @@
 	n.mu.Lock()
 	habit, slow, size := n.habit, n.slow, n.size
 	n.mu.Unlock()
-	time.Sleep(slow)
+	if habit != "drips" {
+		time.Sleep(slow)
+	}
 	value := n.name + ":" + id
 	return habit, value + strings.Repeat(".", max(size-len(value), 0))
 }
@@ -656,6 +665,15 @@
 			fmt.Fprint(c, "-ERR failed\r\n")
 		case "garbled":
 			fmt.Fprint(c, "?!\r\n")
+		case "endless":
+			fmt.Fprintf(c, "*1\r\n$%d\r\n%s..", len(value), value)
+		case "drips":
+			fmt.Fprintf(c, "*1\r\n$%d\r\n%s", len(value), value[:len(value)/2])
+			n.mu.Lock()
+			slow := n.slow
+			n.mu.Unlock()
+			time.Sleep(slow)
+			io.WriteString(c, value[len(value)/2:]+"\r\n")
 		case "halves":
 			fmt.Fprintf(c, "*3\r\n$%d\r\n%s", len(value), value[:len(value)/2])
 		}
@@ -674,6 +692,7 @@
 	habit, value := n.next(r.Header.Get("X-Correlation-Id"))
 	switch habit {
 	case "hit":
+		w.Header().Set("Content-Length", strconv.Itoa(len(value)))
 		io.WriteString(w, value)
 	case "chunked":
 		io.WriteString(w, value[:2])
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -5,11 +5,12 @@
 	"strconv"
 )
 
-// MaxValue is the longest value that a client may send; MaxAnswer the longest that is passed on to one. Servers keep
-// more than what clients write, and to refuse it would have each such key fetched again and again.
+// MaxValue is the longest value that a client may send, and that is read whole before it is passed on; MaxAnswer the
+// longest that is passed on to a client at all. Servers keep more than what clients write, and to refuse it would have
+// each such key fetched again and again.
 const (
 	MaxValue  = 64 << 10
-	MaxAnswer = 1 << 20
+	MaxAnswer = 4 << 20
 )
 
 const (
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -13,6 +13,9 @@
 // maxHead is how long a whole HTTP head may be.
 const maxHead = 16 << 10
 
+// maxUntold is how long a body may be whose length is not told: clients must be told it, so that it is read whole.
+const maxUntold = 1 << 20
+
 // head is what is read of an HTTP answer's head.
 type head struct {
 	status   int
@@ -95,21 +98,16 @@
 	return nil
 }
 
-// body reads all of an answer's body, which may be as long as a value.
+// body reads all of a body that does not tell its length.
 func (h *head) body(r *bufio.Reader) ([]byte, error) {
 	var in io.Reader = r
-	switch {
-	case h.chunked:
+	if h.chunked {
 		in = &Chunks{in: r}
-	case h.long > MaxAnswer:
-		return nil, bad("a body of " + strconv.Itoa(h.long) + " bytes")
-	case h.long >= 0:
-		return whole(r, h.long)
-	default:
+	} else {
 		h.closes = true
 	}
-	b, err := io.ReadAll(io.LimitReader(in, MaxAnswer+1))
-	if err == nil && len(b) > MaxAnswer {
+	b, err := io.ReadAll(io.LimitReader(in, maxUntold+1))
+	if err == nil && len(b) > maxUntold {
 		err = bad("a body that does not end")
 	}
 	return b, err
@@ -206,25 +204,41 @@
 	return append(b, "\r\n\r\n"...)
 }
 
-// ReadFetched reads the origin's answer to one try: how the try ended, the value of a completed one, and
-// whether the connection may carry another.
-func ReadFetched(r *bufio.Reader) (brain.Ending, []byte, bool, error) {
+// ReadFetched reads the origin's answer to one try up to its value, or whole where its length is not told.
+func ReadFetched(r *bufio.Reader) (Answer, error) {
 	if _, err := r.Peek(1); err != nil {
-		return 0, nil, false, &Halt{Waiting, err}
+		return Answer{}, &Halt{Waiting, err}
 	}
-	h, err := readHead(r)
+	a, err := fetched(r)
 	if err != nil {
-		return 0, nil, false, &Halt{Reading, err}
+		return Answer{}, &Halt{Reading, err}
 	}
-	value, err := h.body(r)
+	return a, nil
+}
+
+func fetched(r *bufio.Reader) (Answer, error) {
+	h, err := readHead(r)
 	if err != nil {
-		return 0, nil, false, &Halt{Reading, err}
+		return Answer{}, err
 	}
+	a := Answer{Ending: brain.Fault, Long: h.long}
 	switch {
 	case h.status == 200:
-		return brain.Completed, value, !h.closes, nil
+		a.Ending = brain.Completed
 	case (h.status == 503 || h.status == 504) && h.notBegun:
-		return brain.NoRoom, nil, !h.closes, nil
+		a.Ending = brain.NoRoom
+	}
+	switch {
+	case h.chunked || h.long < 0:
+		a.body, err = h.body(r)
+	case h.long > MaxAnswer:
+		err = bad("a body of " + strconv.Itoa(h.long) + " bytes")
+	case a.Ending != brain.Completed:
+		_, err = whole(r, h.long)
+	}
+	a.Again = !h.closes
+	if a.body != nil {
+		a.Long = len(a.body)
 	}
-	return brain.Fault, nil, !h.closes, nil
+	return a, err
 }
