--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,7 +20,7 @@
 }
 
 const (
-	mostConns = 16              // at once; one more, and the one that has said nothing whole for longest goes
+	mostConns = 8               // at once; one more, and the one that has said nothing whole for longest goes
 	callTime  = 2 * time.Second // from the first byte of a call's head to the end of its answer
 	mostHead  = 4 << 10         // net/http reads a little more than it is told
 )
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -23,6 +23,7 @@
 	maxUnread = maxStill                // how long a client may take to accept a part of an answer
 	lastWords = 200 * time.Millisecond  // for what a client still sends that has been told why its connection ends
 	lastBytes = 256 << 10
+	leastRate = 128 << 10 // bytes a second of a long value, below which it is not waited for
 )
 
 // client is one client's connection and its goroutine, which alone reads and writes there. Whoever has an
@@ -37,6 +38,7 @@
 	half  time.Time // when its first byte came, if a command has come in part
 	turn  *turn     // a write whose value is being read
 	got   int       // bytes of that value and of its line end so far
+	slow  time.Time // until when it may go on
 
 	mu    sync.Mutex
 	turns []*turn // in the order of their commands
@@ -46,6 +48,7 @@
 	asked bool    // and it was an exchange
 	spent bool    // an exchange was answered since it was last looked whether to end
 	gone  bool    // nothing can be answered any more
+	midst bool    // a command has come in part
 	used  time.Time
 	nudge chan struct{} // the first turn has become ready
 }
@@ -102,7 +105,9 @@
 		}
 		if c.seen == shuts {
 			if !c.owes() {
-				c.linger() // what it has sent by now goes unread, and it asks again elsewhere
+				if c.spoke { // what it has sent by now goes unread, and it asks again elsewhere
+					c.linger()
+				}
 				return errQuit
 			}
 			<-c.nudge
@@ -194,6 +199,9 @@
 	if c.turn != nil {
 		n, err := c.in.Read(c.turn.value[c.got:cap(c.turn.value)])
 		c.got += n
+		if now := time.Now(); n > 0 && cap(c.turn.value) > wire.MaxValue+2 && now.Before(c.slow) {
+			c.half = now // a long one may take its time, as long as it goes on
+		}
 		return err
 	}
 	_, err := c.in.Peek(c.in.Buffered() + 1)
@@ -232,6 +240,7 @@
 	c.mu.Lock()
 	// behind an exchange, that is: PING asks how it stands
 	quit := (c.quits >= retires || c.quits == yields && c.spent) && len(c.turns) == 0 && c.turn == nil && c.in.Buffered() == 0
+	c.midst = c.turn != nil || c.skip > 0 || c.in.Buffered() > 0
 	c.used, c.seen, c.spent = time.Now(), c.quits, false
 	c.mu.Unlock()
 	if quit && !unread(c.conn) { // else a request has come meanwhile, and is answered first
@@ -306,10 +315,15 @@
 		switch {
 		case cmd.Value >= 0 && t == nil:
 			c.skip = cmd.Value + 2
+		case cmd.Value > wire.MaxValue && !c.door.longRoom(cmd.Value):
+			c.skip = cmd.Value + 2
+			t.giveBack(c.door)
+			c.refuse()
 		case cmd.Value >= 0:
 			t.value, c.turn, c.got = make([]byte, 0, cmd.Value+2), t, 0
 			t.bytes = cmd.Value
 			c.door.mind.memory.force(t.bytes)
+			c.slow = time.Now().Add(maxHalf + time.Duration(cmd.Value)*time.Second/leastRate)
 		case t != nil:
 			c.ask(t)
 		}
@@ -336,10 +350,7 @@
 	d.count.Exchanges.Add(1)
 	if d.count.Held.Add(1) > d.places.Load() || d.mind.memory.left.Load() <= 0 {
 		d.count.Held.Add(-1)
-		d.count.Crowded.Add(1)
-		t := &turn{client: c, exchange: true}
-		c.queue(t)
-		t.answer(d.count, shed, nil, d.comeBack)
+		c.refuse()
 		return nil
 	}
 	all := make([]byte, 0, len(cmd.Name)+len(cmd.Key)+len(cmd.ID)+len(cmd.Facts))
@@ -351,6 +362,14 @@
 	return &turn{client: c, exchange: true, holds: true, name: keep(cmd.Name), key: keep(cmd.Key), id: keep(cmd.ID), facts: keep(cmd.Facts)}
 }
 
+// refuse sheds an exchange for which there is no room.
+func (c *client) refuse() {
+	c.door.count.Crowded.Add(1)
+	t := &turn{client: c, exchange: true}
+	c.queue(t)
+	t.answer(c.door.count, shed, nil, c.door.comeBack)
+}
+
 func (c *client) queue(t *turn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -398,12 +417,19 @@
 	}
 }
 
-// idleSince tells since when nothing has been owed, whether anything ever was, whether the connection can be done
-// without, and whether it is about to go.
-func (c *client) idleSince() (since time.Time, spoke, free, goes bool) {
+// standing is what the door looks at when it needs a place.
+type standing struct {
+	since        time.Time // of the last answer or byte
+	spoke, midst bool
+	free, goes   bool // can be done without; is about to go
+}
+
+func (c *client) stands() standing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, c.spoke, len(c.turns) == 0 && c.quits < retires, c.quits >= retires
+	// one that was to end between commands and is half way through one may still be cut off
+	return standing{c.used, c.spoke, c.midst, len(c.turns) == 0 && (c.quits < retires || c.midst && c.quits < shuts),
+		c.quits >= retires && !c.midst || c.quits == shuts}
 }
 
 // drains tells since when nothing has been owed, whether the connection can be done without, and whether it has ever
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -23,15 +23,20 @@
 // slowStart is how long a newcomer may take before it counts as one that asks nothing.
 const slowStart = 100 * time.Millisecond
 
+// slowWriting is how long a client may stop half way through a command before those go that ask all the time.
+const slowWriting = time.Second
+
 // Door lets clients in and knows their connections.
 type Door struct {
 	ln       *net.TCPListener
 	mind     *Mind
 	ready    chan struct{} // closed when clients may be told that they are served
 	most     int           // connections at once, under mu
+	theirs   int           // how many of them clients may be left that have been served, under mu
 	paused   bool          // another process lets clients in
 	places   atomic.Int64  // exchanges that may be held at once, without their values
 	memoryMB int           // as far as it has been shared out
+	keep     atomic.Int64  // bytes of values that long writes leave to others
 	comeBack int           // what is told to who finds no place, in milliseconds; 0: nothing
 	count    *Counters
 	log      *zap.Logger
@@ -46,9 +51,9 @@
 	fewer    *sync.Cond           // one has ended
 }
 
-// NewDoor lets clients in on ln, at most so many at once, and holds no more exchanges than the memory has room for.
-func NewDoor(ln *net.TCPListener, mind *Mind, most, memoryMB int, count *Counters, log *zap.Logger) *Door {
-	d := &Door{ln: ln, mind: mind, most: most, ready: make(chan struct{}), count: count, log: log,
+// NewDoor lets clients in on ln once it is told how many, and holds no more exchanges than the memory has room for.
+func NewDoor(ln *net.TCPListener, mind *Mind, memoryMB int, count *Counters, log *zap.Logger) *Door {
+	d := &Door{ln: ln, mind: mind, ready: make(chan struct{}), count: count, log: log,
 		clients: map[*client]struct{}{}}
 	d.Remember(memoryMB)
 	d.fewer = sync.NewCond(&d.mu)
@@ -66,8 +71,13 @@
 	d.mind.memory.grow((memoryMB - d.memoryMB) << 20 / 4)
 	d.mind.flows.grow((memoryMB - d.memoryMB) << 20 / 8)
 	d.memoryMB = memoryMB
+	d.keep.Store(int64(memoryMB) << 20 / 8)
 }
 
+// longRoom tells whether a long value may be written: half of what there is for values stays for the others, or a few
+// such writes would have everybody else shed.
+func (d *Door) longRoom(n int) bool { return d.mind.memory.left.Load()-int64(n) >= d.keep.Load() }
+
 // Open tells clients that they are served.
 func (d *Door) Open() { close(d.ready) }
 
@@ -107,10 +117,12 @@
 func (d *Door) makeRoom() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for !d.shut && (d.paused || len(d.clients) >= d.most*9/10) {
+	for !d.shut {
 		if !d.paused {
-			if c := d.spare(time.Now()); c != nil {
-				c.part(retires)
+			if len(d.clients) >= min(d.most*9/10, d.theirs) {
+				if c, how := d.spare(time.Now()); c != nil {
+					c.part(how)
+				}
 			}
 			if len(d.clients) < d.most {
 				break
@@ -133,51 +145,72 @@
 	d.fewer.Broadcast()
 }
 
-// Allow sets how many connections there may be at once. Where more are open, those that can be done without are closed.
-func (d *Door) Allow(most int) {
+// Allow sets how many connections there may be at once, and how many of them to clients that were served. Where more are
+// open, those that can be done without are closed.
+func (d *Door) Allow(most, theirs int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.most = most
+	d.most, d.theirs = most, theirs
 	for range d.clients {
-		c := d.spare(time.Now())
+		c, how := d.spare(time.Now())
 		if c == nil {
 			break
 		}
-		c.part(retires)
+		c.part(how)
 	}
 	d.fewer.Broadcast()
 }
 
-// spare chooses who can be done without, if enough are not on their way out already: of those that have asked nothing
-// yet the first that came, once it has had time to or a crowd of its kind waits with it; else the one that has been idle
-// longest. So a crowd that says nothing pushes out itself, not those that are served.
-func (d *Door) spare(now time.Time) *client {
-	var mute, idle *client
-	var muteAt, idleAt time.Time
-	mutes, stay := 0, 0
+// spare chooses who can be done without, and how it goes, if enough are not on their way out already. First comes who has
+// asked nothing yet, of them the first that came, once it has had time to or a crowd of its kind waits with it; then who has
+// been idle longest, which costs a client no more than a new connection; then who stopped half way through a command, since
+// some take their time. So crowds that say nothing, ask once and stay, or stop half way push out themselves, not those that
+// are served.
+func (d *Door) spare(now time.Time) (*client, parting) {
+	const mute, idle, half = 0, 1, 2
+	var first [3]*client
+	var since [3]time.Time
+	mutes, stay, served := 0, 0, 0
 	for c := range d.clients {
-		at, spoke, free, goes := c.idleSince()
-		if !goes {
-			stay++
+		s := c.stands()
+		kind := idle
+		switch {
+		case s.midst:
+			kind = half
+		case !s.spoke:
+			kind = mute
 		}
-		if !spoke && !goes {
-			mutes++
+		if !s.goes {
+			stay++
+			switch {
+			case kind == mute:
+				mutes++
+			case s.spoke:
+				served++
+			}
 		}
-		switch {
-		case !free:
-		case !spoke && (mute == nil || at.Before(muteAt)):
-			mute, muteAt = c, at
-		case spoke && (idle == nil || at.Before(idleAt)):
-			idle, idleAt = c, at
+		if s.free && (first[kind] == nil || s.since.Before(since[kind])) {
+			first[kind], since[kind] = c, s.since
 		}
 	}
-	switch {
-	case stay < d.most*9/10:
-		return nil
-	case mute != nil && (idle == nil || now.Sub(muteAt) >= slowStart || mutes >= d.most/8):
-		return mute
+	if c := first[idle]; c != nil && served >= d.theirs && now.Sub(since[idle]) >= slowStart {
+		return c, retires
+	}
+	if stay < d.most*9/10 {
+		return nil, stays
 	}
-	return idle
+	for _, r := range [...]struct {
+		kind  int
+		least time.Duration
+		how   parting
+	}{{mute, slowWriting, retires}, {idle, slowStart, retires}, {half, slowWriting, shuts}, {half, slowStart, shuts},
+		{idle, 0, retires}, {mute, 0, retires}, {half, 0, shuts}} {
+		c := first[r.kind]
+		if c != nil && (now.Sub(since[r.kind]) >= r.least || r.kind == mute && mutes >= d.most/4) {
+			return c, r.how
+		}
+	}
+	return nil, stays
 }
 
 func (d *Door) forget(c *client) {
@@ -188,14 +221,14 @@
 	d.fewer.Broadcast()
 }
 
-// Yield closes each connection behind its next answer from now on.
-func (d *Door) Yield() { d.partAll(yields) }
+// Leaving is when, after the door has closed, connections are closed behind their next answer, when those on which
+// nothing is owed, and when no further command is taken: what was sent and not read by then is left for the client to
+// ask elsewhere.
+type Leaving struct{ Yield, Retire, Shut time.Duration }
 
-// Close lets nobody in any more, ends each connection once nothing is owed on it, and returns when all have ended or the
-// time is up. Where no other process has the listener, who waits there is let in before. After spans of time each
-// connection on which nothing is owed is closed, and then no further command is taken: what was sent and not read by
-// then is left for the client to ask elsewhere.
-func (d *Door) Close(until time.Time, alone bool, retire, shut time.Duration) {
+// Close lets nobody in any more, ends the connections, and returns when all have ended or the time is up. Where no other
+// process has the listener, who waits there is let in before.
+func (d *Door) Close(until time.Time, alone bool, after Leaving) {
 	began := time.Now()
 	if alone {
 		d.ln.SetDeadline(began.Add(lastIn))
@@ -206,9 +239,12 @@
 	d.ln.Close()
 	d.fewer.Broadcast()
 	d.mu.Unlock()
-	d.Yield()
-	defer time.AfterFunc(time.Until(began.Add(retire)), func() { d.partAll(retires) }).Stop()
-	defer time.AfterFunc(time.Until(began.Add(shut)), func() { d.partAll(shuts) }).Stop()
+	for _, step := range [...]struct {
+		at  time.Duration
+		how parting
+	}{{after.Yield, yields}, {after.Retire, retires}, {after.Shut, shuts}} {
+		defer time.AfterFunc(time.Until(began.Add(step.at)), func() { d.partAll(step.how) }).Stop()
+	}
 	defer time.AfterFunc(time.Until(until), d.fewer.Broadcast).Stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -31,6 +31,7 @@
 	spots  []int               // free indices of nodes
 	byName map[string]int      // emptied as nodes that have gone are forgotten
 	ids    map[string]struct{} // of exchanges that have an index; emptied with them
+	until  brain.Time          // the process ends then, 0: nobody knows when
 	links  *budget
 	memory *budget // bytes of values that are held
 	flows  *budget // bytes of values that pass through
@@ -161,6 +162,12 @@
 	}
 }
 
+// Until has what comes from now on answered within a span of time, since the process is to end.
+func (m *Mind) Until(span time.Duration) {
+	until := m.clock.Now() + brain.Time(span/(100*time.Microsecond))
+	m.box.post(func() { m.until = until })
+}
+
 // Links changes how many connections there may be to peers; idle ones are closed where there may be fewer.
 func (m *Mind) Links(by int) {
 	m.links.grow(by)
@@ -207,6 +214,9 @@
 	t.cx, t.taken = cx, true
 	now := m.clock.Now()
 	e.Remaining -= now - t.came
+	if m.until != 0 {
+		e.Remaining = min(e.Remaining, m.until-now)
+	}
 	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Arrive(now, cx, e) }))
 }
 
--- a/internal/run/replace.go
+++ b/internal/run/replace.go
@@ -16,7 +16,7 @@
 )
 
 // spareSockets are for standard streams, listeners, watch, operators, handing over, the library's own.
-const spareSockets = 32
+const spareSockets = 24
 
 // reusePort is SO_REUSEPORT, which syscall lacks: a second process may listen where one does.
 const reusePort = 15
@@ -64,12 +64,14 @@
 	return estate
 }
 
-// share is how many sockets there are for what.
-type share struct{ links, clients int }
+// share is how many sockets there are for what: connections to peers, and to clients; and of these, how many may be kept
+// that were served. Clients hold a third of the descriptors for requests at most; those that ask once and keep their
+// connection take up that third, and with it full nobody asks anything more, though the proxy has places left.
+type share struct{ links, clients, served int }
 
 func shareOut(sockets int) share {
 	links := (sockets - spareSockets) * 2 / 5
-	return share{links, sockets - spareSockets - links}
+	return share{links, sockets - spareSockets - links, sockets / 4}
 }
 
 // allowance is what this process may take up. Two that run at one time count as one: the new one begins with half of the
@@ -91,7 +93,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	change(r)
-	clients, fewer, mb := r.share.clients, 0, r.memoryMB
+	clients, served, fewer, mb := r.share.clients, r.share.served, 0, r.memoryMB
 	if r.before || r.heirs {
 		clients, fewer, mb = max((clients-spareSockets)/3, clients/4), (r.share.links+1)/2, mb/2
 	}
@@ -102,7 +104,7 @@
 		r.mind.Links(r.fewer - fewer)
 		r.fewer = fewer
 	}
-	r.door.Allow(clients)
+	r.door.Allow(clients, min(served, clients))
 	r.door.Remember(mb)
 	if r.own {
 		limit(r.cores, mb)
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -21,6 +21,15 @@
 const (
 	waitForList = time.Second            // clients are served from the old list when no other has come by then
 	stillComing = 450 * time.Millisecond // after the signal to stop, while others learn of it
+	// what comes after that signal is answered by then; it is killed later than that
+	answered   = 3400 * time.Millisecond
+	lastAnswer = 5 * time.Second // for what had come before, where it is not killed
+)
+
+// Clients go on using connections that stay open, and lack ours if we are not replaced: so they are served for a while.
+var (
+	aloneLeaving    = fleet.Leaving{Yield: 500 * time.Millisecond, Retire: 800 * time.Millisecond, Shut: time.Second}
+	replacedLeaving = fleet.Leaving{Yield: 0, Retire: 400 * time.Millisecond, Shut: 800 * time.Millisecond}
 )
 
 // limit has the program keep to its cores and leave a third of its memory free, or rather collect more often.
@@ -56,7 +65,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
-	door := fleet.NewDoor(ln, mind, share.clients, p.MemoryMB, count, log)
+	door := fleet.NewDoor(ln, mind, p.MemoryMB, count, log)
 	service := &service{Door: door}
 	if p.Management != "" {
 		operators, err := control.Listen(p.Management, service)
@@ -109,16 +118,13 @@
 	alone := estate.Heirs() == 0
 	log.Info("stopping", zap.Bool("replaced", !alone))
 	service.stopping.Store(true)
-	retire, shut := 400*time.Millisecond, 800*time.Millisecond
+	mind.Until(answered)
+	until, leaving := time.Now().Add(lastAnswer), replacedLeaving
 	if alone {
-		time.Sleep(stillComing / 2)
-		door.Yield()
-		time.Sleep(stillComing / 2)
-		retire, shut = 100*time.Millisecond, 300*time.Millisecond
+		time.Sleep(stillComing)
+		leaving = aloneLeaving
 	}
-	// whatever is held has its answer by then, since the module gives it before the overall timeout
-	until := time.Now().Add(time.Duration(p.Book.Longest)*100*time.Microsecond + time.Second)
-	door.Close(until, alone, retire, shut)
+	door.Close(until, alone, leaving)
 	estate.Close()
 	log.Info("stopped", counters(count)...)
 	return nil
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -5,12 +5,12 @@
 	"strconv"
 )
 
-// MaxValue is the longest value that a client may send, and that is read whole before it is passed on; MaxAnswer the
-// longest that is passed on to a client at all. Servers keep more than what clients write, and to refuse it would have
-// each such key fetched again and again.
+// MaxValue is the longest value that is read whole before it is passed on to a client, MaxAnswer the longest that is
+// passed on at all, and MaxWrite the longest that a client may write.
 const (
 	MaxValue  = 64 << 10
 	MaxAnswer = 4 << 20
+	MaxWrite  = 4 << 20
 )
 
 const (
@@ -44,7 +44,7 @@
 			return c, 0, err
 		}
 		if i == 4 && words == 5 && c.Is("KV.SET") {
-			if long < 0 || long > MaxValue {
+			if long < 0 || long > MaxWrite {
 				return c, 0, bad("a value of " + strconv.Itoa(long) + " bytes")
 			}
 			c.Value = long
