--- /dev/null
+++ b/cmd/woodlab/main.go
@@ -0,0 +1,145 @@
+// Woodlab plays days of a deployment on loopback among stand-ins, with real proxies, and experiments on top of them.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"woodproxy/internal/emu"
+	"woodproxy/internal/lab"
+)
+
+type check struct {
+	Files []string `arg:"" help:"Days or experiments."`
+}
+
+func (c *check) Run(context.Context) error {
+	for _, f := range c.Files {
+		d, err := emu.ReadDay(f)
+		if err == nil {
+			fmt.Printf("%s: good; %d requests under seed 1\n", f, len(d.Draw(1).Requests))
+			continue
+		}
+		x, other := lab.ReadExperiment(f)
+		if other != nil {
+			if lab.IsExperiment(f) {
+				err = other
+			}
+			return err
+		}
+		fmt.Printf("%s: good; %d days are to be played\n", f, len(x.Order()))
+	}
+	return nil
+}
+
+type play struct {
+	Day     string   `arg:"" help:"The day's file."`
+	Seed    uint64   `default:"1" help:"Who asks what when, and which trouble hits whom."`
+	Program []string `default:"bin/woodproxy,serve" help:"The proxy, with its words."`
+	Dir     string   `default:"found/day" help:"Where configurations and logs are kept; it must not exist or be empty."`
+}
+
+var errBroken = errors.New("a rule was broken")
+
+func (p *play) Run(ctx context.Context) error {
+	d, err := emu.ReadDay(p.Day)
+	if err != nil {
+		return err
+	}
+	if err := lab.Fresh(p.Dir); err != nil {
+		return err
+	}
+	r, err := emu.Play(ctx, d.Draw(p.Seed), emu.Options{Start: emu.Program(p.Program...), Dir: p.Dir})
+	if err != nil {
+		return err
+	}
+	fmt.Print(lab.Sum(r))
+	for _, b := range r.Breaches {
+		fmt.Println(b)
+	}
+	if len(r.Breaches) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+type experiment struct {
+	File string `arg:"" help:"The experiment's file."`
+	Out  string `required:"" help:"The table to write."`
+	Dir  string `default:"found/experiment" help:"Where configurations and logs are kept."`
+}
+
+func (e *experiment) Run(ctx context.Context) error {
+	x, err := lab.ReadExperiment(e.File)
+	if err != nil {
+		return err
+	}
+	if err := lab.Fresh(e.Dir); err != nil {
+		return err
+	}
+	table, err := x.Run(ctx, e.Dir, func(line string) { fmt.Println(line) })
+	if err != nil {
+		return err
+	}
+	return table.Write(e.Out)
+}
+
+type compare struct {
+	Table  string `arg:"" help:"A table that an experiment wrote."`
+	Figure string `default:"p99_ms" help:"The column to compare."`
+	Base   string `help:"The variant that others are compared with; the first one where it is not given."`
+}
+
+func (c *compare) Run(context.Context) error {
+	t, err := lab.ReadTable(c.Table)
+	if err != nil {
+		return err
+	}
+	lines, err := t.Compare(c.Figure, c.Base)
+	if err != nil {
+		return err
+	}
+	for _, l := range lines {
+		fmt.Println(l)
+	}
+	return nil
+}
+
+type chart struct {
+	Table  string `arg:"" help:"A table that an experiment wrote."`
+	Figure string `default:"p99_ms" help:"The column to draw."`
+	Out    string `required:"" help:"The picture to write, .svg or .png."`
+}
+
+func (c *chart) Run(context.Context) error {
+	t, err := lab.ReadTable(c.Table)
+	if err != nil {
+		return err
+	}
+	return t.Chart(c.Figure, c.Out)
+}
+
+func main() {
+	var cli struct {
+		Check      check      `cmd:"" help:"Say whether days or experiments are good."`
+		Play       play       `cmd:"" help:"Play a day and check the rules."`
+		Experiment experiment `cmd:"" help:"Play days x seeds x variants and keep a table."`
+		Compare    compare    `cmd:"" help:"Say by how much variants differ."`
+		Chart      chart      `cmd:"" help:"Draw a column of a table."`
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	k := kong.Parse(&cli, kong.Name("woodlab"), kong.Description("Plays days of a deployment on loopback, with real proxies."))
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "woodlab:", err)
+		stop()
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/emu/day.go
@@ -0,0 +1,257 @@
+// Package emu plays days of a deployment on loopback: stand-ins for caches, the origin, discovery and clients, among
+// which real proxies serve, and the rules checked from what the stand-ins saw. It shares no code with the proxy.
+package emu
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Day is what a day's file says.
+type Day struct {
+	Name    string    `toml:"name"`
+	Length  float64   `toml:"length_s"`
+	Proxies int       `toml:"proxies"`
+	Fleet   Fleet     `toml:"fleet"`
+	Origin  Server    `toml:"origin"`
+	Keys    Keys      `toml:"keys"`
+	Load    Load      `toml:"load"`
+	Routes  []Route   `toml:"route"`
+	Trouble []Trouble `toml:"trouble"`
+	Limits  Limits    `toml:"limits"`
+}
+
+// Server is what a machine can do.
+type Server struct {
+	Cores   int     `toml:"cores"`
+	Service float64 `toml:"service_ms"`
+	Queue   int     `toml:"queue"`
+	Thrash  float64 `toml:"thrash"`
+}
+
+// Fleet is the caches.
+type Fleet struct {
+	Nodes    int      `toml:"nodes"`
+	Zones    []string `toml:"zones"`
+	Cross    float64  `toml:"cross_ms"`
+	Cold     float64  `toml:"cold_s"`
+	ColdFrom float64  `toml:"cold_from"`
+	Server
+}
+
+// Keys is what is asked for.
+type Keys struct {
+	Count int     `toml:"count"`
+	Zipf  float64 `toml:"zipf"`
+	Warm  float64 `toml:"warm"`
+	Size  int     `toml:"size"` // of values, in bytes
+}
+
+// Load is how often.
+type Load struct {
+	Rate      float64 `toml:"rate"`
+	Steps     []Step  `toml:"steps"`
+	Impatient float64 `toml:"impatient"`
+}
+
+// Step changes the rate from a time on.
+type Step struct {
+	At    float64 `toml:"at_s"`
+	Times float64 `toml:"times"`
+}
+
+// Route is a class of requests.
+type Route struct {
+	Name      string  `toml:"name"`
+	Share     float64 `toml:"share"`
+	Objective float64 `toml:"objective_ms"`
+	Overall   float64 `toml:"overall_ms"`
+	Value     float64 `toml:"value"`
+	Write     bool    `toml:"write"`
+	Dedup     float64 `toml:"dedup_ms"` // for how long the origin drops a write's repeats, 0: it does not
+}
+
+// Limits bind each proxy.
+type Limits struct {
+	Cores    float64 `toml:"cores"`
+	MemoryMB int     `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"`
+}
+
+// Trouble is something that goes wrong for a time.
+type Trouble struct {
+	Kind  string  `toml:"kind"`
+	At    float64 `toml:"at_s"`
+	For   float64 `toml:"for_s"`
+	Nodes int     `toml:"nodes"`
+	Times float64 `toml:"times"`
+	Part  float64 `toml:"part"`
+	Rate  float64 `toml:"rate"`
+	Leave float64 `toml:"leave_ms"`
+}
+
+// of each kind: which figures it needs.
+var kinds = map[string]struct{ nodes, times, part, rate bool }{
+	"silent": {nodes: true}, "slow": {nodes: true, times: true}, "failing": {nodes: true, part: true},
+	"cold": {nodes: true}, "replace": {nodes: true}, "reset": {nodes: true, part: true}, "garbled": {nodes: true, part: true},
+	"stale": {}, "deaf": {}, "origin-slow": {times: true}, "kill": {nodes: true}, "restart": {nodes: true},
+	"bad-clients": {rate: true}, "slow-clients": {nodes: true},
+}
+
+// ofProxies are the troubles that befall proxies or come of clients.
+var ofProxies = map[string]bool{"kill": true, "restart": true}
+
+// ReadDay reads and checks a day's file. An error is one line that names the file, and the line or key.
+func ReadDay(file string) (*Day, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("day: %w", err)
+	}
+	d, err := ParseDay(text)
+	if err != nil {
+		return nil, fmt.Errorf("day: %s: %w", file, err)
+	}
+	return d, nil
+}
+
+// ParseDay reads and checks a day.
+func ParseDay(text []byte) (*Day, error) {
+	d := &Day{Limits: Limits{Cores: 1, MemoryMB: 128, Sockets: 1024}}
+	if err := Strict(text, d); err != nil {
+		return nil, err
+	}
+	return d, d.Check()
+}
+
+// Strict reads TOML; what is unknown or mistyped is an error of one line that names its line and key.
+func Strict(text []byte, into any) error {
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
+	var unknown *toml.StrictMissingError
+	var mistyped *toml.DecodeError
+	switch {
+	case errors.As(err, &unknown):
+		line, _ := unknown.Errors[0].Position()
+		return fmt.Errorf("line %d: %s: unknown", line, keyOf(unknown.Errors[0].Key()))
+	case errors.As(err, &mistyped):
+		line, _ := mistyped.Position()
+		return fmt.Errorf("line %d: %s: %s", line, keyOf(mistyped.Key()), mistyped.Error())
+	}
+	return err
+}
+
+func keyOf(key toml.Key) string {
+	s := ""
+	for i, k := range key {
+		if i > 0 {
+			s += "."
+		}
+		s += k
+	}
+	return s
+}
+
+// Check finds the first fault of a day.
+func (d *Day) Check() error {
+	var err error
+	within := func(key string, v, least, most float64) {
+		if err == nil && !(v >= least && v <= most) { // which holds for no number as well
+			err = fmt.Errorf("%s: %v: not from %v to %v", key, v, least, most)
+		}
+	}
+	if d.Name == "" {
+		return errors.New("name: missing")
+	}
+	within("length_s", d.Length, 0.5, 3600)
+	within("proxies", float64(d.Proxies), 1, 64)
+	within("fleet.nodes", float64(d.Fleet.Nodes), 1, 200)
+	within("fleet.cross_ms", d.Fleet.Cross, 0, 1000)
+	within("fleet.cold_s", d.Fleet.Cold, 0, 600)
+	within("fleet.cold_from", d.Fleet.ColdFrom, 0.01, 1)
+	within("keys.count", float64(d.Keys.Count), 1, 1e6)
+	within("keys.zipf", d.Keys.Zipf, 1.001, 5)
+	within("keys.warm", d.Keys.Warm, 0, 1)
+	within("keys.size", float64(d.Keys.Size), 0, 4<<20)
+	within("load.rate", d.Load.Rate, 0.1, 20000)
+	within("load.impatient", d.Load.Impatient, 0, 1)
+	within("limits.cores", d.Limits.Cores, 0.01, 64)
+	within("limits.memory_mb", float64(d.Limits.MemoryMB), 8, 1<<16)
+	within("limits.sockets", float64(d.Limits.Sockets), 64, 1<<20)
+	for _, s := range []struct {
+		key string
+		Server
+	}{{"fleet", d.Fleet.Server}, {"origin", d.Origin}} {
+		within(s.key+".cores", float64(s.Cores), 1, 1024)
+		within(s.key+".service_ms", s.Service, 0.01, 60000)
+		within(s.key+".queue", float64(s.Queue), 0, 1e6)
+		within(s.key+".thrash", s.Thrash, 0, 10)
+	}
+	for i, s := range d.Load.Steps {
+		within(fmt.Sprintf("load.steps[%d].at_s", i), s.At, 0, d.Length)
+		within(fmt.Sprintf("load.steps[%d].times", i), s.Times, 0, 100)
+		if err == nil && i > 0 && s.At <= d.Load.Steps[i-1].At {
+			err = fmt.Errorf("load.steps[%d].at_s: not after the one before", i)
+		}
+	}
+	if err == nil && len(d.Routes) == 0 {
+		err = errors.New("route: missing")
+	}
+	sum, names := 0.0, map[string]bool{}
+	for i, r := range d.Routes {
+		key := fmt.Sprintf("route[%d].", i)
+		within(key+"share", r.Share, 0, 1)
+		within(key+"overall_ms", r.Overall, 10, 60000)
+		within(key+"objective_ms", r.Objective, 10, r.Overall)
+		within(key+"value", r.Value, 0, 1e6)
+		within(key+"dedup_ms", r.Dedup, 0, 600000)
+		if err == nil && r.Dedup > 0 && !r.Write {
+			err = fmt.Errorf("%sdedup_ms: a read needs none", key)
+		}
+		if err == nil && (r.Name == "" || names[r.Name]) {
+			err = fmt.Errorf("%sname: missing or doubled", key)
+		}
+		sum, names[r.Name] = sum+r.Share, true
+	}
+	if err == nil && math.Abs(sum-1) > 0.001 {
+		err = fmt.Errorf("route: shares are %v together, not 1", sum)
+	}
+	for i, t := range d.Trouble {
+		key := fmt.Sprintf("trouble[%d].", i)
+		k, ok := kinds[t.Kind]
+		if err == nil && !ok {
+			err = fmt.Errorf("%skind: %q: unknown", key, t.Kind)
+		}
+		within(key+"at_s", t.At, 0, d.Length)
+		within(key+"for_s", t.For, 0, d.Length-t.At)
+		most := d.Fleet.Nodes
+		if ofProxies[t.Kind] {
+			most = d.Proxies
+		}
+		if t.Kind == "slow-clients" {
+			most = 500
+		}
+		for _, f := range []struct {
+			key         string
+			v           float64
+			needed      bool
+			least, most float64
+		}{{"nodes", float64(t.Nodes), k.nodes, 1, float64(most)}, {"times", t.Times, k.times, 1, 1000},
+			{"part", t.Part, k.part, 0.001, 1}, {"rate", t.Rate, k.rate, 0.1, 1000}} {
+			if f.needed {
+				within(key+f.key, f.v, f.least, f.most)
+			} else if err == nil && f.v != 0 {
+				err = fmt.Errorf("%s%s: %s takes none", key, f.key, t.Kind)
+			}
+		}
+		within(key+"leave_ms", t.Leave, 0, 60000)
+	}
+	return err
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/emu/discovery.go
@@ -0,0 +1,163 @@
+package emu
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Row is a line of the list as one proxy is told it.
+type Row struct {
+	Name, Address, Zone, Kind, Status string
+	Since                             int64 // Unix milliseconds
+}
+
+func (r Row) String() string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":1,"status":%q,"weight":1,"since_ms":%d}`,
+		r.Name, r.Address, r.Zone, r.Kind, r.Status, r.Since)
+}
+
+// Mood is how discovery meets who watches: "" well, silent, cut or garbled.
+type Mood string
+
+// Discovery is a stand-in for the agent on one proxy's machine.
+type Discovery struct {
+	Proxy int
+	log   *Log
+
+	mu      sync.Mutex
+	index   int
+	news    [][]Row // by version, the first whole
+	mood    Mood
+	stale   bool
+	held    [][]Row // what is not told yet
+	changed chan struct{}
+	conns   []net.Conn
+	server  *http.Server
+}
+
+// NewDiscovery starts one that knows no list yet. Versions are counted from 2.
+func NewDiscovery(proxy int, log *Log) *Discovery {
+	return &Discovery{Proxy: proxy, log: log, changed: make(chan struct{})}
+}
+
+// Listen serves at a new address of the loopback address given; it may do so at several.
+func (d *Discovery) Listen(ip string) (*http.Server, string, error) {
+	ln, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return nil, "", err
+	}
+	s := &http.Server{Handler: http.HandlerFunc(d.follow), ConnState: func(c net.Conn, st http.ConnState) {
+		if st == http.StateNew {
+			d.mu.Lock()
+			d.conns = append(d.conns, c)
+			d.mu.Unlock()
+		}
+	}}
+	go s.Serve(ln)
+	return s, ln.Addr().String(), nil
+}
+
+// Say tells changes; the first are the whole list.
+func (d *Discovery) Say(rows ...Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stale {
+		d.held = append(d.held, rows)
+		return
+	}
+	d.say(rows)
+}
+
+func (d *Discovery) say(rows []Row) {
+	d.news = append(d.news, rows)
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Stale holds back changes until it is switched off again.
+func (d *Discovery) Stale(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stale = on
+	if !on {
+		for _, rows := range d.held {
+			d.say(rows)
+		}
+		d.held = nil
+	}
+}
+
+// Feel changes the mood; one that is cut or garbled ends the watches that are out.
+func (d *Discovery) Feel(mood Mood) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mood = mood
+	if mood == "cut" || mood == "garbled" {
+		for _, c := range d.conns {
+			c.Close()
+		}
+		d.conns = nil
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Mood tells how it feels.
+func (d *Discovery) Mood() Mood {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mood
+}
+
+func (d *Discovery) follow(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+	at := max(since-1, 0)
+	for {
+		d.mu.Lock()
+		mood, changed := d.mood, d.changed
+		news := d.news[min(at, len(d.news)):]
+		d.mu.Unlock()
+		switch mood {
+		case "silent":
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return
+			}
+		case "cut", "garbled":
+			if mood == "garbled" {
+				io.WriteString(w, "{]\n")
+			}
+			return
+		}
+		for _, rows := range news {
+			at++
+			words := make([]string, len(rows))
+			for i, row := range rows {
+				words[i] = row.String()
+			}
+			fmt.Fprintf(w, `{"index":%d,"snapshot":%v,"endpoints":[%s]}`+"\n", at+1, at == 1, strings.Join(words, ","))
+		}
+		io.WriteString(w, "\n")
+		if w.(http.Flusher).Flush(); r.Context().Err() == nil {
+			for _, rows := range news {
+				for _, row := range rows {
+					d.log.See(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
+				}
+			}
+		}
+		select {
+		case <-changed:
+		case <-time.After(500 * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/emu/log.go
@@ -0,0 +1,71 @@
+package emu
+
+import (
+	"sync"
+	"time"
+)
+
+// What the stand-ins see.
+const (
+	Asked    = "asked"    // a client wrote a request whole
+	Answered = "answered" // a client has a final answer: Note tells which, Made whom its value was made for
+	Closed   = "closed"   // the connection ended under a request
+	Went     = "went"     // the client left
+	Took     = "took"     // a node has a try whole
+	Ran      = "ran"      // the origin carried out a write, whose mark is Note
+	Told     = "told"     // discovery wrote to a proxy what has become of a node: Note is its status
+	Began    = "began"    // a node starts: its capacity at first is Figure, in commands a second when warm
+	Ended    = "ended"    // a proxy's process ended: Note tells how
+	Late     = "late"     // the load itself: a request went out so late, Figure in milliseconds
+)
+
+// Seen is one thing seen.
+type Seen struct {
+	At     time.Duration
+	What   string
+	ID     string // of the request
+	Proxy  int    // -1: none
+	Node   string
+	Note   string
+	Made   string
+	Figure float64
+}
+
+// Log keeps what is seen on a day.
+type Log struct {
+	mu    sync.Mutex
+	start time.Time
+	all   []Seen
+}
+
+// NewLog begins a day's.
+func NewLog() *Log { return &Log{start: time.Now()} }
+
+// See notes something.
+func (l *Log) See(s Seen) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.At = time.Since(l.start)
+	l.all = append(l.all, s)
+}
+
+// All returns what was seen, in order.
+func (l *Log) All() []Seen {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Seen(nil), l.all...)
+}
+
+// Of returns what was seen of one request.
+func Of(all []Seen, id string) []Seen {
+	var path []Seen
+	for _, s := range all {
+		if s.ID == id {
+			path = append(path, s)
+		}
+	}
+	return path
+}
--- /dev/null
+++ b/internal/emu/rules.go
@@ -0,0 +1,201 @@
+package emu
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// The rules that every day is checked by. Each check looks only at what stand-ins saw.
+const (
+	LostRule    = "one final answer" // each request taken has one before its overall timeout, and nothing after
+	ForeignRule = "its own value"    // a value was made for the request that is answered with it
+	EffectRule  = "no effect twice"  // a write is carried out once
+	DrainRule   = "drains kept"      // nothing new goes to a node so long after its proxy was told
+	ColdRule    = "no cold node pushed over"
+	CrashRule   = "no crash"
+)
+
+// What the rules allow.
+const (
+	Slack        = 50 * time.Millisecond
+	DrainGrace   = 300 * time.Millisecond
+	FallFor      = time.Second // a cold node may be sent FallMultiple times what it can do for this long
+	FallMultiple = 3.0
+)
+
+// Breach is a rule that was broken, with what was seen of the request, if it is one's.
+type Breach struct {
+	Rule string
+	At   time.Duration
+	ID   string
+	Text string
+	Path []Seen
+}
+
+func (b Breach) String() string {
+	s := fmt.Sprintf("%s: %.3f s: %s", b.Rule, b.At.Seconds(), b.Text)
+	for _, p := range b.Path {
+		s += fmt.Sprintf("\n    %.4f s %s proxy %d %s %s", p.At.Seconds(), p.What, p.Proxy, p.Node, p.Note)
+	}
+	return s
+}
+
+// Check goes through a day, in the order of what was seen.
+func Check(d *Day, requests []Request, all []Seen) []Breach {
+	c := checker{day: d, routes: map[string]Route{}, asked: map[string]Seen{}, answers: map[string]int{}, over: map[string]bool{},
+		ran: map[string]int{}, told: map[spot]time.Duration{}, began: map[string]Seen{}, took: map[string][]time.Duration{},
+		pushed: map[string]bool{}, ended: map[int][]time.Duration{}}
+	for _, r := range requests {
+		c.routes[r.ID] = d.Routes[r.Route]
+	}
+	for _, s := range all {
+		c.see(s)
+	}
+	c.close()
+	sort.SliceStable(c.found, func(i, j int) bool { return c.found[i].At < c.found[j].At })
+	for i := range c.found {
+		if id := c.found[i].ID; id != "" {
+			c.found[i].Path = Of(all, id)
+		}
+	}
+	return c.found
+}
+
+type spot struct {
+	proxy int
+	node  string
+}
+
+type checker struct {
+	day     *Day
+	routes  map[string]Route
+	asked   map[string]Seen // the last time each was asked
+	answers map[string]int
+	over    map[string]bool // left, or closed on and asked again
+	ran     map[string]int
+	told    map[spot]time.Duration // since when a node drains, for a proxy
+	began   map[string]Seen        // nodes, when they started cold
+	took    map[string][]time.Duration
+	pushed  map[string]bool
+	ended   map[int][]time.Duration // when processes were killed
+	last    time.Duration
+	found   []Breach
+}
+
+func (c *checker) broke(rule string, s Seen, format string, args ...any) {
+	c.found = append(c.found, Breach{Rule: rule, At: s.At, ID: s.ID, Text: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) see(s Seen) {
+	c.last = s.At
+	switch s.What {
+	case Asked:
+		c.asked[s.ID] = s
+		delete(c.over, s.ID)
+	case Answered:
+		c.answered(s)
+	case Went:
+		c.over[s.ID] = true
+	case Closed:
+		if !c.over[s.ID] && c.answers[s.ID] == 0 && s.Note != "reused" && !c.killed(s.Proxy, s.At) {
+			c.over[s.ID] = true // told once
+			c.broke(LostRule, s, "proxy %d ended the connection under request %s", s.Proxy, s.ID)
+		}
+	case Took:
+		c.taken(s)
+	case Ran:
+		what := s.Note
+		if what == "" {
+			what = s.ID
+		}
+		if c.ran[what]++; c.ran[what] > 1 {
+			c.broke(EffectRule, s, "write %s was carried out %d times", what, c.ran[what])
+		}
+	case Told:
+		at := spot{s.Proxy, s.Node}
+		if _, drains := c.told[at]; s.Note == "active" {
+			delete(c.told, at)
+		} else if !drains {
+			c.told[at] = s.At
+		}
+	case Began:
+		c.began[s.Node] = s
+		c.took[s.Node] = nil
+	case Ended:
+		if s.Note == "crashed" {
+			c.broke(CrashRule, s, "proxy %d crashed", s.Proxy)
+		}
+		if s.Note == "killed" { // one that was told to end has to answer first
+			c.ended[s.Proxy] = append(c.ended[s.Proxy], s.At)
+		}
+	}
+}
+
+func (c *checker) answered(s Seen) {
+	if c.answers[s.ID]++; c.answers[s.ID] > 1 {
+		c.broke(LostRule, s, "request %s was answered %d times", s.ID, c.answers[s.ID])
+		return
+	}
+	asked, ok := c.asked[s.ID]
+	if !ok {
+		c.broke(LostRule, s, "request %s was answered and never asked", s.ID)
+		return
+	}
+	if took, most := s.At-asked.At, millis(c.routes[s.ID].Overall)+Slack; took > most {
+		c.broke(LostRule, s, "request %s was answered after %v, later than %v", s.ID, took, most)
+	}
+	if s.Note == "completed" && s.Made != s.ID {
+		c.broke(ForeignRule, s, "request %s was answered with a value made for %q", s.ID, s.Made)
+	}
+}
+
+func (c *checker) taken(s Seen) {
+	if since, drains := c.told[spot{s.Proxy, s.Node}]; drains && s.At > since+DrainGrace+Slack {
+		c.broke(DrainRule, s, "node %s took request %s from proxy %d %v after that was told", s.Node, s.ID, s.Proxy, s.At-since)
+	}
+	b, cold := c.began[s.Node]
+	if !cold || c.pushed[s.Node] || s.At > b.At+seconds(c.day.Fleet.Cold) {
+		return
+	}
+	times := append(c.took[s.Node], s.At)
+	for times[0] < s.At-FallFor {
+		times = times[1:]
+	}
+	c.took[s.Node] = times
+	part := c.day.Fleet.ColdFrom
+	if cold := seconds(c.day.Fleet.Cold); cold > 0 {
+		part += (1 - part) * float64(s.At-b.At) / float64(cold)
+	}
+	if most := FallMultiple * part * b.Figure * FallFor.Seconds(); float64(len(times)) > most {
+		c.pushed[s.Node] = true
+		c.broke(ColdRule, Seen{At: s.At}, "node %s, cold for %v, took %d commands in %v; %.0f are allowed", s.Node, s.At-b.At,
+			len(times), FallFor, most)
+	}
+}
+
+// killed tells whether a proxy's process ended about a time, with which what it held is lost.
+func (c *checker) killed(proxy int, at time.Duration) bool {
+	for _, e := range c.ended[proxy] {
+		if at >= e-time.Second && at <= e+time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// close looks for what never was answered, of that which had its time.
+func (c *checker) close() {
+	for id, s := range c.asked {
+		if c.answers[id] > 0 || c.over[id] || c.last < s.At+millis(c.routes[id].Overall)+Slack {
+			continue
+		}
+		lost := true
+		for _, e := range c.ended[s.Proxy] {
+			lost = lost && (e < s.At-time.Second || e > s.At+millis(c.routes[id].Overall)+Slack)
+		}
+		if lost {
+			c.broke(LostRule, s, "request %s never was answered by proxy %d", id, s.Proxy)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment.go
@@ -0,0 +1,195 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strings"
+
+	"woodproxy/internal/emu"
+)
+
+// Experiment is what an experiment's file says: each variant plays each day under each seed, as many rounds as stated, in
+// an order drawn anew for each round, so that what drifts on the machine befalls all alike.
+type Experiment struct {
+	Kind     string    `toml:"experiment"` // its name; marks the file as an experiment
+	Days     []string  `toml:"days"`       // files, from where the experiment's lies
+	Seeds    []uint64  `toml:"seeds"`
+	Rounds   int       `toml:"rounds"`
+	Variants []Variant `toml:"variant"`
+
+	days []*emu.Day
+}
+
+// Variant is a program, with settings put over the day's, and figures of the day itself changed.
+type Variant struct {
+	Name     string         `toml:"name"`
+	Program  []string       `toml:"program"`
+	Settings map[string]any `toml:"settings"` // by path, steps apart by dots
+	Rate     float64        `toml:"rate"`     // requests a second, 0: the day's
+	Proxies  int            `toml:"proxies"`  // 0: the day's
+	Zipf     float64        `toml:"zipf"`     // 0: the day's
+	Cores    float64        `toml:"cores"`    // of a proxy, 0: the day's
+}
+
+// IsExperiment tells an experiment's file from a day's.
+func IsExperiment(file string) bool {
+	text, err := os.ReadFile(file)
+	return err == nil && (bytes.HasPrefix(text, []byte("experiment")) || bytes.Contains(text, []byte("\nexperiment")))
+}
+
+// ReadExperiment reads and checks one, with its days.
+func ReadExperiment(file string) (*Experiment, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	x := &Experiment{Rounds: 1}
+	if err := emu.Strict(text, x); err != nil {
+		return nil, fmt.Errorf("experiment: %s: %w", file, err)
+	}
+	if err := x.check(filepath.Dir(file)); err != nil {
+		return nil, fmt.Errorf("experiment: %s: %w", file, err)
+	}
+	return x, nil
+}
+
+func (x *Experiment) check(dir string) error {
+	switch {
+	case x.Kind == "":
+		return errors.New("experiment: missing")
+	case len(x.Days) == 0:
+		return errors.New("days: missing")
+	case len(x.Seeds) == 0:
+		return errors.New("seeds: missing")
+	case len(x.Variants) == 0:
+		return errors.New("variant: missing")
+	case x.Rounds < 1 || x.Rounds > 1000:
+		return fmt.Errorf("rounds: %d: not from 1 to 1000", x.Rounds)
+	}
+	seeds := map[uint64]bool{}
+	for i, s := range x.Seeds {
+		if seeds[s] {
+			return fmt.Errorf("seeds[%d]: %d: doubled", i, s)
+		}
+		seeds[s] = true
+	}
+	names := map[string]bool{}
+	for i, v := range x.Variants {
+		if v.Name == "" || names[v.Name] {
+			return fmt.Errorf("variant[%d].name: missing or doubled", i)
+		}
+		names[v.Name] = true
+	}
+	for _, f := range x.Days {
+		d, err := emu.ReadDay(filepath.Join(dir, f))
+		if err != nil {
+			return err
+		}
+		for _, v := range x.Variants {
+			if err := v.on(d).Check(); err != nil {
+				return fmt.Errorf("variant %s: %s: %w", v.Name, f, err)
+			}
+		}
+		x.days = append(x.days, d)
+	}
+	return nil
+}
+
+// on is the day as a variant has it.
+func (v Variant) on(d *emu.Day) *emu.Day {
+	c := *d
+	if v.Rate > 0 {
+		c.Load.Rate = v.Rate
+	}
+	if v.Proxies > 0 {
+		c.Proxies = v.Proxies
+	}
+	if v.Zipf > 0 {
+		c.Keys.Zipf = v.Zipf
+	}
+	if v.Cores > 0 {
+		c.Limits.Cores = v.Cores
+	}
+	return &c
+}
+
+// Play is one day to be played.
+type Play struct {
+	Day, Variant int
+	Seed         uint64
+	Round        int
+}
+
+// Order is that in which the days are played; an experiment always has the same one.
+func (x *Experiment) Order() []Play {
+	var all []Play
+	chance := rand.New(rand.NewPCG(1, uint64(len(x.Variants))))
+	for round := range x.Rounds {
+		var some []Play
+		for d := range x.Days {
+			for v := range x.Variants {
+				for _, s := range x.Seeds {
+					some = append(some, Play{d, v, s, round})
+				}
+			}
+		}
+		chance.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+		all = append(all, some...)
+	}
+	return all
+}
+
+// Run plays all days; say is told of each. A day on which the load itself ran late is played once more, and does not
+// count if that is late too.
+func (x *Experiment) Run(ctx context.Context, dir string, say func(string)) (*Table, error) {
+	t := &Table{About: append([]string{"experiment=" + x.Kind, fmt.Sprintf("cores=%d", runtime.NumCPU())}, version()...)}
+	order := x.Order()
+	for i, p := range order {
+		v := x.Variants[p.Variant]
+		words := v.Program
+		if len(words) == 0 {
+			words = []string{"bin/woodproxy", "serve"}
+		}
+		var r *emu.Report
+		for try := range 2 {
+			var err error
+			at := filepath.Join(dir, fmt.Sprintf("%03d-%d-%s", i, try, strings.ReplaceAll(v.Name, "/", "_")))
+			if err = Fresh(at); err != nil {
+				return nil, err
+			}
+			r, err = emu.Play(ctx, v.on(x.days[p.Day]).Draw(p.Seed), emu.Options{Start: emu.Program(words...), Dir: at, Overrides: v.Settings})
+			if err != nil {
+				return nil, err
+			}
+			if r.Ran {
+				break
+			}
+		}
+		s := Of(r)
+		row := Row{Day: x.days[p.Day].Name, Variant: v.Name, Seed: p.Seed, Round: p.Round, Counts: r.Ran, Figures: s.figures()}
+		t.Rows = append(t.Rows, row)
+		say(fmt.Sprintf("%d of %d: %s, %s, seed %d: worth %.4f, p99 %.1f ms, %d breaches, counts %v", i+1, len(order), row.Day, row.Variant,
+			row.Seed, s.Worth, s.P99, s.Breaches, r.Ran))
+	}
+	return t, nil
+}
+
+// version is the commit that this program was built from.
+func version() []string {
+	var out []string
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" || s.Key == "vcs.modified" {
+				out = append(out, s.Key+"="+s.Value)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/sum.go
@@ -0,0 +1,104 @@
+// Package lab measures: it plays days of the emulator by experiments, keeps what came of them in tables, and says by how
+// much variants differ.
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"strings"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"woodproxy/internal/emu"
+)
+
+// Sums is what is kept of a played day.
+type Sums struct {
+	Requests                                        int
+	Completed, InTime, Shed, Errored, Lost, Refused float64 // parts of those that clients waited for
+	Worth                                           float64 // part of the value that was earned, in time
+	P50, P90, P99, Max                              float64 // latency of completed ones, from when they were due, in milliseconds
+	Tries                                           float64 // commands that nodes took, a request
+	CPU                                             float64 // of all proxies, microseconds a request; 0 where it is not known
+	LateMS                                          float64
+	Breaches                                        int
+	BadMute                                         int
+}
+
+// Of sums up a day.
+func Of(r *emu.Report) Sums {
+	s := Sums{LateMS: r.LateMS, Breaches: len(r.Breaches), BadMute: r.BadMute, CPU: r.CPU}
+	h := hdrhistogram.New(1, 120_000_000, 3) // microseconds
+	waited, worth, all := 0.0, 0.0, 0.0
+	d := r.Plan.Day
+	for _, q := range r.Results {
+		route := d.Routes[q.Request.Route]
+		if q.Outcome == emu.Left {
+			continue
+		}
+		waited++
+		all += route.Value
+		switch q.Outcome {
+		case emu.Completed:
+			s.Completed++
+			h.RecordValue(max(q.Latency.Microseconds(), 1))
+			if q.Latency.Seconds()*1000 <= route.Objective {
+				s.InTime++
+				worth += route.Value
+			}
+		case emu.Shed:
+			s.Shed++
+		case emu.Errored:
+			s.Errored++
+		case emu.Lost:
+			s.Lost++
+		case emu.Refused:
+			s.Refused++
+		}
+	}
+	for _, f := range []*float64{&s.Completed, &s.InTime, &s.Shed, &s.Errored, &s.Lost, &s.Refused} {
+		*f /= max(waited, 1)
+	}
+	s.Requests, s.Worth = len(r.Results), worth/max(all, 1e-9)
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	s.P50, s.P90, s.P99, s.Max = ms(50), ms(90), ms(99), float64(h.Max())/1000
+	took := 0.0
+	for _, e := range r.Seen {
+		if e.What == emu.Took {
+			took++
+		}
+	}
+	s.Tries = took / max(float64(s.Requests), 1)
+	return s
+}
+
+// Sum words a day's figures.
+func Sum(r *emu.Report) string {
+	s := Of(r)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s, seed %d: %d requests; completed %.1f%% (in time %.1f%%), shed %.1f%%, errored %.1f%%, lost %.1f%%, refused %.1f%%\n",
+		r.Plan.Day.Name, r.Plan.Seed, s.Requests, 100*s.Completed, 100*s.InTime, 100*s.Shed, 100*s.Errored, 100*s.Lost, 100*s.Refused)
+	fmt.Fprintf(&b, "worth %.4f; latency from when it was due, ms: p50 %.1f, p90 %.1f, p99 %.1f, most %.1f; %.2f tries and %.0f us of CPU a request\n",
+		s.Worth, s.P50, s.P90, s.P99, s.Max, s.Tries, s.CPU)
+	if !r.Ran {
+		fmt.Fprintf(&b, "the load itself ran late, by up to %.1f ms: the figures do not count\n", s.LateMS)
+	}
+	if s.BadMute > 0 {
+		fmt.Fprintf(&b, "%d bad clients had neither an error nor a close\n", s.BadMute)
+	}
+	return b.String()
+}
+
+// Fresh makes a directory that has nothing in it.
+func Fresh(dir string) error {
+	entries, err := os.ReadDir(dir)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	if len(entries) > 0 {
+		return fmt.Errorf("%s: not empty", dir)
+	}
+	return os.MkdirAll(dir, 0o700)
+}
