Laboratory: experiments, tables, comparisons and charts; one set of stand-ins; watches spread

After the release 31 of 36 proxies have lost their watch, and discovery answers each call 503 from 15.8 s on until the end, whatever the rate of calls: 258 refused under pauses of up to 1.6 s. What they know is the list from before the release, of which half has gone. Kept, since thousands of calls for nothing cost others: pauses of a fifth of a second doubling to 0.8 s, by chance (TestWatchesSpread, discovery-full).

--- a/cmd/woodlab/main.go
+++ b/cmd/woodlab/main.go
@@ -125,12 +125,21 @@
 	return t.Chart(c.Figure, c.Out)
 }
 
+// null answers every request at once, with no fleet behind it: what is measured on it is the load's own cost and the way
+// to a process and back.
+type null struct {
+	Listen string `env:"GW_LISTEN" required:"" help:"Where clients connect."`
+}
+
+func (n *null) Run(ctx context.Context) error { return emu.Null(ctx, n.Listen) }
+
 func main() {
 	var cli struct {
 		Check      check      `cmd:"" help:"Say whether days or experiments are good."`
 		Play       play       `cmd:"" help:"Play a day and check the rules."`
 		Experiment experiment `cmd:"" help:"Play days x seeds x variants and keep a table."`
 		Compare    compare    `cmd:"" help:"Say by how much variants differ."`
+		Null       null       `cmd:"" help:"Answer every request at once, to measure what the load itself costs."`
 		Chart      chart      `cmd:"" help:"Draw a column of a table."`
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- a/internal/emu/clients.go
+++ b/internal/emu/clients.go
@@ -74,6 +74,26 @@
 	}
 }
 
+// hold opens the connections that clients hold all day.
+func (c *clients) hold() error {
+	for n, addr := range c.addrs {
+		for range c.plan.Day.Load.Connections {
+			conn, err := net.DialTimeout("tcp", addr, time.Second)
+			if err != nil {
+				return err
+			}
+			l := &line{conn: conn, in: bufio.NewReaderSize(conn, 2<<10)}
+			conn.SetDeadline(time.Now().Add(2 * time.Second))
+			conn.Write(Command("PING"))
+			if _, _, err := Answer(l.in); err != nil {
+				return fmt.Errorf("a client is not let in: %w", err)
+			}
+			c.idle[n] = append(c.idle[n], l)
+		}
+	}
+	return nil
+}
+
 // close ends the connections once all have their outcome.
 func (c *clients) close() {
 	c.all.Wait()
@@ -136,7 +156,12 @@
 			break
 		}
 		l := c.idle[n][k-1]
-		c.idle[n] = c.idle[n][:k-1]
+		if c.plan.Day.Load.Connections > 0 { // in turn, else the last one used
+			l = c.idle[n][0]
+			c.idle[n] = c.idle[n][1:]
+		} else {
+			c.idle[n] = c.idle[n][:k-1]
+		}
 		c.mu.Unlock()
 		l.conn.SetReadDeadline(time.Now().Add(100 * time.Microsecond))
 		_, err := l.in.Peek(1)
--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -58,6 +58,8 @@
 	Rate      float64 `toml:"rate"`
 	Steps     []Step  `toml:"steps"`
 	Impatient float64 `toml:"impatient"`
+	// clients of each proxy that hold a connection all day and ask in turn, 0: connections are made as they are needed
+	Connections int `toml:"connections"`
 }
 
 // Step changes the rate from a time on.
@@ -179,6 +181,7 @@
 	within("keys.size", float64(d.Keys.Size), 0, 4<<20)
 	within("load.rate", d.Load.Rate, 0.1, 20000)
 	within("load.impatient", d.Load.Impatient, 0, 1)
+	within("load.connections", float64(d.Load.Connections), 0, 20000)
 	within("limits.cores", d.Limits.Cores, 0.01, 64)
 	within("limits.memory_mb", float64(d.Limits.MemoryMB), 8, 1<<16)
 	within("limits.sockets", float64(d.Limits.Sockets), 64, 1<<20)
--- a/internal/emu/discovery.go
+++ b/internal/emu/discovery.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,12 +23,13 @@
 		r.Name, r.Address, r.Zone, r.Kind, r.Status, r.Since)
 }
 
-// Mood is how discovery meets who watches: "" well, silent, cut or garbled.
+// Mood is how discovery meets who watches: "" well, silent, cut, garbled, or full (turns each away).
 type Mood string
 
 // Discovery is a stand-in for the agent on one proxy's machine.
 type Discovery struct {
 	Proxy int
+	Calls atomic.Int64 // watches that were asked for
 	log   *Log
 
 	mu      sync.Mutex
@@ -117,6 +119,7 @@
 
 func (d *Discovery) follow(w http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+	d.Calls.Add(1)
 	at := max(since-1, 0)
 	for {
 		d.mu.Lock()
@@ -125,12 +128,11 @@
 		d.mu.Unlock()
 		switch mood {
 		case "silent":
-			select {
-			case <-changed:
-				continue
-			case <-r.Context().Done():
-				return
-			}
+			<-r.Context().Done() // a watch that fell silent stays so
+			return
+		case "full":
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		case "cut", "garbled":
 			if mood == "garbled" {
 				io.WriteString(w, "{]\n")
--- /dev/null
+++ b/internal/emu/null.go
@@ -0,0 +1,52 @@
+package emu
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+)
+
+// Null stands in for a proxy: it answers every request at once, from nowhere.
+func Null(ctx context.Context, addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, func() { ln.Close() })()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return nil // told to end
+		}
+		go func() {
+			defer c.Close()
+			for r := bufio.NewReader(c); ; {
+				head, err := r.ReadString('\n')
+				if err != nil {
+					return
+				}
+				count, err := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(head, "*")))
+				if err != nil || count < 1 || count > 16 {
+					return
+				}
+				words := make([]string, max(count, 3))
+				for i := range count {
+					if _, words[i], err = Answer(r); err != nil {
+						return
+					}
+				}
+				text := "+PONG\r\n"
+				if words[0] != "PING" {
+					v := value("null", words[2], 0)
+					text = fmt.Sprintf("$%d\r\n%s\r\n", len(v), v)
+				}
+				if _, err := c.Write([]byte(text)); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -93,6 +93,9 @@
 	if err := p.begin(ctx); err != nil {
 		return nil, err
 	}
+	if err := p.clients.hold(); err != nil {
+		return nil, err
+	}
 	start := time.Now()
 	whole, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/fleet/actor_test.go
+++ b/internal/fleet/actor_test.go
@@ -308,3 +308,29 @@
 		t.Error("read on for nobody")
 	}
 }
+
+// Watches that end at once, at many proxies, are not begun anew at once, and each that fails waits longer.
+func TestWatchesSpread(t *testing.T) {
+	var firsts []time.Duration
+	for seed := range uint64(40) {
+		l, err := NewList("", nil, newTestMind(), seed, &Counters{}, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		firsts = append(firsts, l.pause())
+		sum := time.Duration(0)
+		for range 20 {
+			last := l.pause()
+			if sum += last; last > 3*longestWait/2 {
+				t.Errorf("a pause of %v", last)
+			}
+		}
+		if sum < 12*longestWait {
+			t.Errorf("twenty pauses of %v together", sum)
+		}
+	}
+	slices.Sort(firsts)
+	if firsts[0] < pauseWatch/2 || firsts[30]-firsts[10] < pauseWatch/4 {
+		t.Errorf("pauses from %v to %v", firsts[0], firsts[39])
+	}
+}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -16,7 +17,8 @@
 const (
 	hushOfWatch = 3 * time.Second // a watch says something every two seconds
 	dialOfWatch = time.Second
-	pauseWatch  = 200 * time.Millisecond
+	pauseWatch  = 200 * time.Millisecond // before a watch is begun anew, about, and twice as long each time it fails
+	longestWait = 800 * time.Millisecond
 )
 
 // List is the actor of the list: it has discovery watched and tells the module's actor what changes.
@@ -29,7 +31,9 @@
 	before *watch        // that of the address before, until the one in its place has spoken
 	first  chan struct{} // closed when discovery has spoken
 	told   bool          // it has
-	quiet  string        // why the last watch ended, so that a spell of the same trouble is one line
+	failed int           // watches in a row that said nothing
+	chance *rand.Rand
+	quiet  string // why the last watch ended, so that a spell of the same trouble is one line
 	count  *Counters
 	log    *zap.Logger
 }
@@ -44,8 +48,9 @@
 }
 
 // NewList hands the list that this proxy last had, which may be nil, to the module's actor.
-func NewList(addr string, known *fastjson.Value, mind *Mind, count *Counters, log *zap.Logger) (*List, error) {
-	l := &List{box: make(mailbox, 64), addr: addr, mind: mind, first: make(chan struct{}), count: count, log: log}
+func NewList(addr string, known *fastjson.Value, mind *Mind, seed uint64, count *Counters, log *zap.Logger) (*List, error) {
+	l := &List{box: make(mailbox, 64), addr: addr, mind: mind, first: make(chan struct{}),
+		chance: rand.New(rand.NewPCG(seed, 1)), count: count, log: log}
 	var list []wire.Target
 	if known != nil && known.Type() != fastjson.TypeNull {
 		var err error
@@ -129,7 +134,15 @@
 		l.mind.box.post(l.mind.listFailed)
 		return
 	}
-	time.AfterFunc(pauseWatch, func() { l.box.post(l.follow) })
+	time.AfterFunc(l.pause(), func() { l.box.post(l.follow) })
+}
+
+// pause is how long until a watch is begun anew: by chance, and longer each time, so that proxies whose watches all end at
+// once, or that all start at once, do not keep a discovery that turns them away from answering any.
+func (l *List) pause() time.Duration {
+	long := min(pauseWatch<<min(l.failed, 8), longestWait)
+	l.failed++
+	return long/2 + time.Duration(l.chance.Int64N(int64(long)))
 }
 
 // errText words an error without addresses and ports, which differ each time.
@@ -162,7 +175,7 @@
 	if w != l.now {
 		return
 	}
-	l.quiet = ""
+	l.quiet, l.failed = "", 0
 	if l.before != nil {
 		l.before.end()
 		l.before = nil
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -31,11 +31,12 @@
 type Variant struct {
 	Name     string         `toml:"name"`
 	Program  []string       `toml:"program"`
-	Settings map[string]any `toml:"settings"` // by path, steps apart by dots
-	Rate     float64        `toml:"rate"`     // requests a second, 0: the day's
-	Proxies  int            `toml:"proxies"`  // 0: the day's
-	Zipf     float64        `toml:"zipf"`     // 0: the day's
-	Cores    float64        `toml:"cores"`    // of a proxy, 0: the day's
+	Settings map[string]any `toml:"settings"`    // by path, steps apart by dots
+	Rate     float64        `toml:"rate"`        // requests a second, 0: the day's
+	Proxies  int            `toml:"proxies"`     // 0: the day's
+	Zipf     float64        `toml:"zipf"`        // 0: the day's
+	Cores    float64        `toml:"cores"`       // of a proxy, 0: the day's
+	Clients  int            `toml:"connections"` // that clients hold, 0: the day's
 }
 
 // IsExperiment tells an experiment's file from a day's.
@@ -117,6 +118,9 @@
 	if v.Cores > 0 {
 		c.Limits.Cores = v.Cores
 	}
+	if v.Clients > 0 {
+		c.Load.Connections = v.Clients
+	}
 	return &c
 }
 
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -65,7 +65,7 @@
 	for _, r := range t.Rows {
 		line := []string{r.Day, r.Variant, strconv.FormatUint(r.Seed, 10), strconv.Itoa(r.Round), strconv.FormatBool(r.Counts)}
 		for _, name := range figures {
-			line = append(line, strconv.FormatFloat(r.Figures[name], 'g', 8, 64))
+			line = append(line, strconv.FormatFloat(r.Figures[name], 'g', -1, 64))
 		}
 		w.Write(line)
 	}
--- a/internal/run/drain_test.go
+++ b/internal/run/drain_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"woodproxy/internal/emu"
 )
 
 // Clients that always have more to ask, several commands ahead, are sent away within four seconds of the call, each
@@ -42,7 +44,7 @@
 			defer all.Done()
 			in := bufio.NewReader(conn)
 			for i := 0; ; i++ {
-				head, body, err := readAnswer(in)
+				head, body, err := emu.Answer(in)
 				if err != nil {
 					return
 				}
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -20,6 +19,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
 
+	"woodproxy/internal/emu"
 	"woodproxy/internal/scenario"
 )
 
@@ -30,7 +30,7 @@
 //	watch JSON                               settings that are only watched; before start
 //	node NAME HABIT [slow=MS] [size=N]       starts a cache or (o1) the origin, or changes its habit
 //	list NAME[:leaving|:left] ...            what discovery says: the first is whole, others are changes
-//	discovery up|silent|cut|garbled          cut ends the watches that are out
+//	discovery up|silent|cut|garbled|full     full turns watches away, cut ends the watches that are out
 //	reload moved|bad                         a new configuration file and SIGHUP: discovery has moved, or it can't be read
 //	old gone                                 discovery's old address ends the watches that are out there
 //	call METHOD PATH STATUS [with=N|garbage] an operator's call, with a body of N bytes or garbage for a head
@@ -40,13 +40,11 @@
 //	CLIENT get KEY [wait=MS] [times=N] | set KEY [size=N] [wait=MS] | ping [times=N] | raw TEXT | leaves
 //	CLIENT gets value [from=NAME] | busy | busy-at-will | error | pong | closed | nothing [times=N]    the next answers
 //	CLIENT gets begun within=MS                  the first byte of the next answer, which is left there
-//	expect NAME|COUNTER OP N                 tries that a node took whole, or a counter; within two seconds
+//	expect NAME|COUNTER|calls OP N           tries that a node took whole, a counter, or watches asked for; within two seconds
 //	crowd N [from=N] | mutes N                        so many clients come, hear pong and stay; or come and say nothing
 //	pause MS | stop | running | stopped
 //
-// Habits of a cache: hit miss busy fails silent garbled cuts halves once (closes after each answer) twice
-// (answers each try two times) nowhere (refuses connections) endless (a value without its line end) drips (half of its
-// answer at once and half after its slowness); of the origin: hit chunked busy fails silent garbled cuts.
+// Stand-ins are the emulator's, and so are their habits.
 func TestScenarios(t *testing.T) {
 	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
 		t.Parallel()
@@ -59,7 +57,7 @@
 
 func newStage(t *testing.T) *stage {
 	n := stages.Add(1)
-	return &stage{t: t, ip: fmt.Sprintf("127.9.%d.%d", n/250, n%250+1), nodes: map[string]*standIn{}, clients: map[string]*caller{}, index: 1,
+	return &stage{t: t, ip: fmt.Sprintf("127.9.%d.%d", n/250, n%250+1), nodes: map[string]*emu.Node{}, clients: map[string]*caller{}, lists: emu.NewDiscovery(0, nil),
 		limits: map[string]string{}, settings: settings, watch: "null", signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
 }
 
@@ -70,14 +68,9 @@
 	limits   map[string]string
 	settings string
 	watch    string
-	nodes    map[string]*standIn
+	nodes    map[string]*emu.Node
 	clients  map[string]*caller
-	index    int
-	mu       sync.Mutex
-	lists    []string // what a watch is told, by version
-	mood     string   // of discovery
-	changed  chan struct{}
-	watches  []net.Conn
+	lists    *emu.Discovery
 	addr     string
 	calls    string // where operators call
 	shared   string // where a process meets the one that replaces it
@@ -105,21 +98,18 @@
 	case "node":
 		n := s.nodes[w[1]]
 		if n == nil {
-			n = newStandIn(s.t, s.ip, w[1])
+			var err error
+			if n, err = emu.NewNode(s.ip, w[1], w[1][0] == 'o', 1, nil); err != nil {
+				s.t.Fatal(err)
+			}
+			s.t.Cleanup(n.Stop)
 			s.nodes[w[1]] = n
 		}
-		n.set(w[2], m)
+		n.Set(emu.Habit(w[2]), 1, time.Duration(scenario.Num(m["slow"]))*time.Millisecond, int(scenario.Num(m["size"])))
 	case "list":
 		s.say(w[1:])
 	case "discovery":
-		s.mu.Lock()
-		s.mood = w[1]
-		for _, c := range s.watches {
-			if w[1] == "cut" || w[1] == "garbled" {
-				c.Close()
-			}
-		}
-		s.mu.Unlock()
+		s.lists.Feel(emu.Mood(strings.Replace(w[1], "up", "", 1)))
 	case "start":
 		s.start(m["known"])
 	case "reload":
@@ -253,89 +243,38 @@
 	}
 }
 
-// target is a line of the list, in discovery's form.
-func (s *stage) target(word string) string {
+// target is a line of the list.
+func (s *stage) target(word string) emu.Row {
 	name, status, _ := strings.Cut(word, ":")
 	if status == "" {
 		status = "active"
 	}
-	kind, addr := "std", s.ip+":1"
+	row := emu.Row{Name: name, Address: s.ip + ":1", Zone: "a", Kind: "std", Status: status}
 	if name[0] == 'o' {
-		kind = "origin"
+		row.Kind = "origin"
 	}
 	if n := s.nodes[name]; n != nil {
-		addr = n.addr
+		row.Address = n.Addr(0)
 	}
-	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":%q,"group":1,"status":%q,"weight":1,"since_ms":0}`,
-		name, addr, kind, status)
+	return row
 }
 
 func (s *stage) say(words []string) {
-	var rows []string
+	var rows []emu.Row
 	for _, w := range words {
 		rows = append(rows, s.target(w))
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.index++
-	s.lists = append(s.lists, fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`, s.index, len(s.lists) == 0,
-		strings.Join(rows, ",")))
-	if s.changed != nil {
-		close(s.changed)
-	}
-	s.changed = make(chan struct{})
-}
-
-// follow answers a watch.
-func (s *stage) follow(w http.ResponseWriter, r *http.Request) {
-	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
-	at := max(since-1, 0) // lists are numbered from 2
-	for {
-		s.mu.Lock()
-		mood, changed := s.mood, s.changed
-		news := s.lists[min(at, len(s.lists)):]
-		s.mu.Unlock()
-		switch mood {
-		case "silent":
-			<-r.Context().Done()
-			return
-		case "cut", "garbled":
-			if mood == "garbled" {
-				io.WriteString(w, "{]\n")
-			}
-			return
-		}
-		for _, l := range news {
-			io.WriteString(w, l+"\n")
-		}
-		at += len(news)
-		io.WriteString(w, "\n")
-		w.(http.Flusher).Flush()
-		select {
-		case <-changed:
-		case <-time.After(500 * time.Millisecond):
-		case <-r.Context().Done():
-			return
-		}
-	}
+	s.lists.Say(rows...)
 }
 
 // discovery starts at an address of its own.
 func (s *stage) discovery() (*http.Server, string) {
-	ln, err := net.Listen("tcp", s.ip+":0")
+	server, addr, err := s.lists.Listen(s.ip)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(s.follow), ConnState: func(c net.Conn, st http.ConnState) {
-		if st == http.StateNew {
-			s.mu.Lock()
-			s.watches = append(s.watches, c)
-			s.mu.Unlock()
-		}
-	}}
-	go server.Serve(ln)
 	s.t.Cleanup(func() { server.Close() })
-	return server, ln.Addr().String()
+	return server, addr
 }
 
 func (s *stage) start(known string) {
@@ -345,7 +284,7 @@
 	if known != "" {
 		var rows []string
 		for _, n := range strings.Split(known, ",") {
-			rows = append(rows, s.target(n))
+			rows = append(rows, s.target(n).String())
 		}
 		list = `{"index":1,"snapshot":true,"endpoints":[` + strings.Join(rows, ",") + `]}`
 	}
@@ -363,7 +302,7 @@
 	for range 100 { // until it listens
 		if c, err := net.Dial("tcp", s.addr); err == nil {
 			c.Close()
-			if s.mood == "" { // until the list has come, or the first exchange would find no node
+			if s.lists.Mood() == "" { // until the list has come, or the first exchange would find no node
 				s.call("GET", "/control/ready", "200", "")
 			}
 			return
@@ -428,10 +367,12 @@
 	var last string
 	for range 200 {
 		if n := s.nodes[what]; n != nil {
-			got = int(n.took.Load())
+			got = int(n.Taken.Load())
+		} else if what == "calls" {
+			got = int(s.lists.Calls.Load())
 		} else if c, err := net.Dial("tcp", s.addr); err == nil {
 			fmt.Fprint(c, "*1\r\n$4\r\nINFO\r\n")
-			_, text, err := readAnswer(bufio.NewReader(c))
+			_, text, err := emu.Answer(bufio.NewReader(c))
 			c.Close()
 			last = text
 			_, after, ok := strings.Cut("\n"+text, "\n"+what+" ")
@@ -525,7 +466,7 @@
 		}
 		return nil
 	}
-	head, body, err := readAnswer(c.in)
+	head, body, err := emu.Answer(c.in)
 	if want == "closed" {
 		if err == nil {
 			return fmt.Errorf("came %q", head)
@@ -560,156 +501,3 @@
 	}
 	return nil
 }
-
-func readAnswer(r *bufio.Reader) (head, body string, err error) {
-	if head, err = r.ReadString('\n'); err != nil {
-		return "", "", err
-	}
-	head = strings.TrimRight(head, "\r\n")
-	if head[0] == '$' {
-		n, _ := strconv.Atoi(head[1:])
-		b := make([]byte, n+2)
-		_, err = io.ReadFull(r, b)
-		body = string(b[:n])
-	}
-	return head, body, err
-}
-
-// standIn is a cache or the origin.
-type standIn struct {
-	name, addr string
-	mu         sync.Mutex
-	habit      string
-	slow       time.Duration
-	size       int
-	took       atomic.Int64
-	ln         net.Listener
-}
-
-func newStandIn(t *testing.T, ip, name string) *standIn {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	n := &standIn{name: name, addr: ln.Addr().String(), ln: ln}
-	if name[0] == 'o' {
-		server := &http.Server{Handler: n}
-		go server.Serve(ln)
-		t.Cleanup(func() { server.Close() })
-		return n
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-			go n.serve(c)
-		}
-	}()
-	t.Cleanup(func() { ln.Close() })
-	return n
-}
-
-func (n *standIn) set(habit string, m map[string]string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.habit, n.slow = habit, time.Duration(scenario.Num(m["slow"]))*time.Millisecond
-	n.size = int(scenario.Num(m["size"]))
-	if habit == "nowhere" {
-		n.ln.Close()
-	}
-}
-
-// next is how the next try is met, and the value that is made for it.
-func (n *standIn) next(id string) (string, string) {
-	n.took.Add(1)
-	n.mu.Lock()
-	habit, slow, size := n.habit, n.slow, n.size
-	n.mu.Unlock()
-	if habit != "drips" {
-		time.Sleep(slow)
-	}
-	value := n.name + ":" + id
-	return habit, value + strings.Repeat(".", max(size-len(value), 0))
-}
-
-func (n *standIn) serve(c net.Conn) {
-	defer c.Close()
-	r := bufio.NewReader(c)
-	for {
-		head, err := r.ReadString('\n')
-		if err != nil {
-			return
-		}
-		words := make([]string, int(scenario.Num(strings.TrimSpace(head[1:]))))
-		for i := range words {
-			if _, words[i], err = readAnswer(r); err != nil {
-				return
-			}
-		}
-		habit, value := n.next(words[2])
-		switch habit {
-		case "hit", "once", "twice":
-			answer := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(value), value)
-			if habit == "twice" {
-				answer += answer
-			}
-			io.WriteString(c, answer)
-		case "miss":
-			fmt.Fprint(c, "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n")
-		case "busy":
-			fmt.Fprint(c, "-BUSY\r\n")
-		case "fails":
-			fmt.Fprint(c, "-ERR failed\r\n")
-		case "garbled":
-			fmt.Fprint(c, "?!\r\n")
-		case "endless":
-			fmt.Fprintf(c, "*1\r\n$%d\r\n%s..", len(value), value)
-		case "drips":
-			fmt.Fprintf(c, "*1\r\n$%d\r\n%s", len(value), value[:len(value)/2])
-			n.mu.Lock()
-			slow := n.slow
-			n.mu.Unlock()
-			time.Sleep(slow)
-			io.WriteString(c, value[len(value)/2:]+"\r\n")
-		case "halves":
-			fmt.Fprintf(c, "*3\r\n$%d\r\n%s", len(value), value[:len(value)/2])
-		}
-		if habit == "once" || habit == "cuts" || habit == "halves" {
-			return
-		}
-	}
-}
-
-// ServeHTTP is the origin's.
-func (n *standIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil || r.Method == "PUT" && strings.Trim(string(body), "v") != "" {
-		return
-	}
-	habit, value := n.next(r.Header.Get("X-Correlation-Id"))
-	switch habit {
-	case "hit":
-		w.Header().Set("Content-Length", strconv.Itoa(len(value)))
-		io.WriteString(w, value)
-	case "chunked":
-		io.WriteString(w, value[:2])
-		w.(http.Flusher).Flush()
-		io.WriteString(w, value[2:])
-	case "busy":
-		w.Header().Set("X-Unprocessed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case "fails":
-		w.WriteHeader(http.StatusInternalServerError)
-	case "silent":
-		<-r.Context().Done()
-	default:
-		c, _, _ := w.(http.Hijacker).Hijack()
-		if habit == "garbled" {
-			fmt.Fprint(c, "SMTP 1\r\n\r\n")
-		}
-		c.Close()
-	}
-}
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -61,7 +61,7 @@
 			known, wait = v, 0 // it is as new as the list can be
 		}
 	}
-	list, err := fleet.NewList(p.Discovery, known, mind, count, log)
+	list, err := fleet.NewList(p.Discovery, known, mind, p.Seed, count, log)
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
