--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -140,16 +140,10 @@
 				go func() {
 					defer c.Close()
 					for r := bufio.NewReader(c); ; {
-						head, err := r.ReadString('\n')
+						words, err := emu.ReadCommand(r)
 						if err != nil {
 							return
 						}
-						words := make([]string, 5)
-						for i := range int(head[1] - '0') {
-							if _, words[i], err = emu.Answer(r); err != nil {
-								return
-							}
-						}
 						if words[0] == "PING" {
 							io.WriteString(c, "+PONG\r\n")
 							continue
--- a/internal/emu/node.go
+++ b/internal/emu/node.go
@@ -183,6 +183,25 @@
 	return b
 }
 
+// ReadCommand reads a command's words, five at least, of which the last may be missing and empty.
+func ReadCommand(r *bufio.Reader) ([]string, error) {
+	head, err := r.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	count, err := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(head, "*")))
+	if err != nil || count < 1 || count > 16 {
+		return nil, errEnds
+	}
+	words := make([]string, max(count, 5))
+	for i := range count {
+		if _, words[i], err = Answer(r); err != nil {
+			return nil, err
+		}
+	}
+	return words, nil
+}
+
 var errEnds = errors.New("the connection ends with the answer")
 
 // meets draws how the next command is met.
@@ -219,20 +238,10 @@
 }
 
 func (n *Node) command(c net.Conn, r *bufio.Reader, proxy int) error {
-	head, err := r.ReadString('\n')
+	words, err := ReadCommand(r)
 	if err != nil {
 		return err
 	}
-	count, err := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(head, "*")))
-	if err != nil || count < 1 || count > 16 {
-		return errEnds
-	}
-	words := make([]string, max(count, 4))
-	for i := range count {
-		if _, words[i], err = Answer(r); err != nil {
-			return err
-		}
-	}
 	id, fact := words[2], words[3]
 	n.world.Log.See(Seen{What: Took, ID: id, Proxy: proxy, Node: n.Name, Note: mark(fact)})
 	habit, slow, size := n.meets(id)
--- a/internal/emu/null.go
+++ b/internal/emu/null.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"net"
-	"strconv"
-	"strings"
 )
 
 // Null stands in for a proxy: it answers every request at once, from nowhere.
@@ -24,20 +22,10 @@
 		go func() {
 			defer c.Close()
 			for r := bufio.NewReader(c); ; {
-				head, err := r.ReadString('\n')
+				words, err := ReadCommand(r)
 				if err != nil {
 					return
 				}
-				count, err := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(head, "*")))
-				if err != nil || count < 1 || count > 16 {
-					return
-				}
-				words := make([]string, max(count, 3))
-				for i := range count {
-					if _, words[i], err = Answer(r); err != nil {
-						return
-					}
-				}
 				text := "+PONG\r\n"
 				if words[0] != "PING" {
 					v := value("null", words[2], 0)
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -83,8 +83,8 @@
 	}
 	names := map[string]bool{}
 	for i, v := range x.Variants {
-		if v.Name == "" || names[v.Name] {
-			return fmt.Errorf("variant[%d].name: missing or doubled", i)
+		if v.Name == "" || names[v.Name] || strings.ContainsAny(v.Name, "|\t\n/") {
+			return fmt.Errorf("variant[%d].name: missing, doubled or with a sign that tables and folders need", i)
 		}
 		names[v.Name] = true
 	}
@@ -153,7 +153,12 @@
 // Run plays all days; say is told of each. A day on which the load itself ran late is played once more, and does not
 // count if that is late too.
 func (x *Experiment) Run(ctx context.Context, dir string, say func(string)) (*Table, error) {
-	t := &Table{About: append([]string{"experiment=" + x.Kind, fmt.Sprintf("cores=%d", runtime.NumCPU())}, version()...)}
+	var names []string
+	for _, v := range x.Variants {
+		names = append(names, v.Name)
+	}
+	t := &Table{About: append([]string{"experiment=" + x.Kind, fmt.Sprintf("cores=%d", runtime.NumCPU()),
+		"variants=" + strings.Join(names, "|")}, version()...)}
 	order := x.Order()
 	for i, p := range order {
 		v := x.Variants[p.Variant]
@@ -164,7 +169,7 @@
 		var r *emu.Report
 		for try := range 2 {
 			var err error
-			at := filepath.Join(dir, fmt.Sprintf("%03d-%d-%s", i, try, strings.ReplaceAll(v.Name, "/", "_")))
+			at := filepath.Join(dir, fmt.Sprintf("%03d-%d-%s", i, try, v.Name))
 			if err = Fresh(at); err != nil {
 				return nil, err
 			}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -45,6 +45,14 @@
 	if again, _ := tab.Compare("p99_ms", ""); !reflect.DeepEqual(got, again) {
 		t.Error("the same table says something else")
 	}
+	tab.About = append(tab.About, "variants=more|base|same")
+	if got := tab.Variants(); !reflect.DeepEqual(got, []string{"more", "base", "same"}) {
+		t.Errorf("variants %v, not in the experiment's order", got)
+	}
+	if back, _ := tab.Compare("p99_ms", ""); back[0].Variant != "base" || back[0].Most > -1.9 {
+		t.Error(back)
+	}
+	tab.About = tab.About[:2]
 	tab.Rows = tab.Rows[:6]
 	if few, _ := tab.Compare("p99_ms", ""); !strings.Contains(few[0].String(), "too few") {
 		t.Error(few)
@@ -151,6 +159,7 @@
 		`rounds = 2>rounds = 0`:            "rounds: 0",
 		`rounds = 2>turns = 2`:             "line 4: turns: unknown",
 		`name = "b">name = "a"`:            "variant[1].name",
+		`name = "b">name = "b|c"`:          "variant[1].name",
 		`rate = 20.0>rate = 1e9`:           "variant b: day.toml: load.rate",
 		`"day.toml">"night.toml"`:          "night.toml",
 	} {
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -118,9 +118,14 @@
 	return t, nil
 }
 
-// Variants are named in the order in which they stand.
+// Variants are named in the experiment's order, since days are played in another one.
 func (t *Table) Variants() []string {
 	var names []string
+	for _, a := range t.About {
+		if list, ok := strings.CutPrefix(a, "variants="); ok {
+			names = strings.Split(list, "|")
+		}
+	}
 	for _, r := range t.Rows {
 		if !slices.Contains(names, r.Variant) {
 			names = append(names, r.Variant)
@@ -263,5 +268,6 @@
 		p.Legend.Add(day, line, scatter)
 	}
 	p.Legend.Top = true
+	p.Y.Max += (p.Y.Max - p.Y.Min) / 8 // room for the legend
 	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, file)
 }
