Emulator: nodes that die amid answers, held connections, nothing left when broken off

A proxy told to end could be noted as crashed once its next process had begun (seen in one run of TestDays beside other work): what an end is noted as belongs to the process now. Six pairs are the fewest from which a difference is told.

--- a/cmd/woodlab/main.go
+++ b/cmd/woodlab/main.go
@@ -84,6 +84,9 @@
 		return err
 	}
 	table, err := x.Run(ctx, e.Dir, func(line string) { fmt.Println(line) })
+	if ctx.Err() != nil {
+		os.RemoveAll(e.Dir)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -101,7 +101,7 @@
 // of each kind: which figures it needs.
 var kinds = map[string]struct{ nodes, times, part, rate bool }{
 	"silent": {nodes: true}, "slow": {nodes: true, times: true}, "failing": {nodes: true, part: true},
-	"cold": {nodes: true}, "replace": {nodes: true}, "reset": {nodes: true, part: true}, "garbled": {nodes: true, part: true},
+	"cold": {nodes: true}, "replace": {nodes: true}, "reset": {nodes: true, part: true}, "garbled": {nodes: true, part: true}, "halves": {nodes: true, part: true},
 	"stale": {}, "deaf": {}, "origin-slow": {times: true}, "kill": {nodes: true}, "restart": {nodes: true},
 	"bad-clients": {rate: true}, "slow-clients": {nodes: true},
 }
--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -100,6 +100,7 @@
 	for _, b := range []string{
 		`kind = "silent", at_s = 0.5, for_s = 1.0, nodes = 1`, `kind = "replace", at_s = 1.0, for_s = 0.5, nodes = 1, leave_ms = 600.0`,
 		`kind = "reset", at_s = 0.5, for_s = 2.0, nodes = 1, part = 0.2`, `kind = "garbled", at_s = 1.0, for_s = 1.0, nodes = 1, part = 0.2`,
+		`kind = "halves", at_s = 2.5, for_s = 1.0, nodes = 1, part = 0.2`,
 		`kind = "failing", at_s = 1.5, for_s = 0.5, nodes = 1, part = 0.5`, `kind = "slow", at_s = 2.0, for_s = 1.0, nodes = 1, times = 5.0`,
 		`kind = "cold", at_s = 2.5, for_s = 0.0, nodes = 1`, `kind = "stale", at_s = 2.0, for_s = 0.5`, `kind = "deaf", at_s = 3.0, for_s = 0.5`,
 		`kind = "origin-slow", at_s = 0.5, for_s = 1.0, times = 3.0`, `kind = "restart", at_s = 1.0, for_s = 0.0, nodes = 1`,
@@ -123,7 +124,7 @@
 }
 
 // liar is a proxy that answers each request as it is told to.
-func liar(answer func(id string, n int, write bool) (string, bool)) emu.Start {
+func liar(answer func(id string, n int, write bool) (string, bool), conns ...*atomic.Int64) emu.Start {
 	return func(s emu.Site) (emu.Proxy, error) {
 		ln, err := net.Listen("tcp", s.Listen)
 		if err != nil {
@@ -137,6 +138,9 @@
 				if err != nil {
 					return
 				}
+				for _, n := range conns {
+					n.Add(1)
+				}
 				go func() {
 					defer c.Close()
 					for r := bufio.NewReader(c); ; {
@@ -333,9 +337,10 @@
 	t.Parallel()
 	ctx, cancel := context.WithCancel(context.Background())
 	var alive atomic.Int64
+	dir := filepath.Join(t.TempDir(), "day")
 	began := time.Now()
 	time.AfterFunc(time.Second, cancel)
-	_, err := emu.Play(ctx, day(t, strings.Replace(plain, "length_s = 2.0", "length_s = 60.0", 1)).Draw(1), emu.Options{Dir: t.TempDir(),
+	_, err := emu.Play(ctx, day(t, strings.Replace(plain, "length_s = 2.0", "length_s = 60.0", 1)).Draw(1), emu.Options{Dir: dir,
 		Start: func(s emu.Site) (emu.Proxy, error) {
 			p, err := start(s)
 			if err == nil {
@@ -350,6 +355,9 @@
 	if !errors.Is(err, context.Canceled) || time.Since(began) > 8*time.Second {
 		t.Errorf("%v after %v", err, time.Since(began))
 	}
+	if _, err := os.Stat(dir); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("files are left: %v", err)
+	}
 	for range 100 {
 		if alive.Load() == 0 {
 			return
@@ -359,6 +367,34 @@
 	t.Errorf("%d proxies left", alive.Load())
 }
 
+// A day that needs more descriptors than may be open is not begun.
+func TestDescriptors(t *testing.T) {
+	d := day(t, strings.Replace(plain, "rate = 150.0", "rate = 1.0, connections = 20000", 1))
+	d.Proxies = 1 << 16
+	dir := filepath.Join(t.TempDir(), "day")
+	_, err := emu.Play(context.Background(), d.Draw(1), emu.Options{Dir: dir, Start: start})
+	if err == nil || !strings.Contains(err.Error(), "load.connections") {
+		t.Error(err)
+	}
+	if _, err := os.Stat(dir); err == nil {
+		t.Error("something was begun")
+	}
+}
+
+// Clients that hold connections ask on them in turn.
+func TestConnections(t *testing.T) {
+	t.Parallel()
+	text := strings.NewReplacer("rate = 150.0", "rate = 100.0, connections = 40", "length_s = 2.0", "length_s = 1.0", "proxies = 2", "proxies = 1").Replace(plain)
+	var conns, asked atomic.Int64
+	r := play(t, text, liar(func(id string, n int, _ bool) (string, bool) {
+		asked.Add(1)
+		return good(id), true
+	}, &conns))
+	if conns.Load() < 40 || conns.Load() > 50 || len(r.Breaches) > 0 || asked.Load() < 60 {
+		t.Errorf("%d connections, %d asked, %v", conns.Load(), asked.Load(), r.Breaches)
+	}
+}
+
 // A bad day is one line that names the file, and the line or key; nothing is started.
 func TestBadDays(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "day.toml")
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -75,8 +75,14 @@
 type member struct {
 	mu   sync.Mutex
 	site Site
-	now  Proxy
-	ends string // what its end is to be noted as, "": it crashed
+	now  *life
+}
+
+// life is one process of a proxy's. What its end is to be noted as is its own, or one that was told to end could pass for
+// crashed once the next has begun.
+type life struct {
+	Proxy
+	ends string // "": it crashed; under the member's mu
 }
 
 // Play plays a drawn day. Whatever happens, no process is left when it returns.
@@ -86,7 +92,15 @@
 	}
 	log := NewLog()
 	p := &player{plan: plan, o: o, log: log, world: newWorld(plan.Day, log)}
-	defer p.stop()
+	defer func() {
+		p.stop()
+		if ctx.Err() != nil {
+			os.RemoveAll(o.Dir) // what was broken off leaves nothing
+		}
+	}()
+	if err := plan.Day.fits(); err != nil {
+		return nil, err
+	}
 	if err := p.prepare(); err != nil {
 		return nil, err
 	}
@@ -122,6 +136,18 @@
 	return p.report(), nil
 }
 
+// fits tells whether the machine has the descriptors for a day: a client's connection takes one here, and one in its proxy.
+func (d *Day) fits() error {
+	var most syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &most); err != nil {
+		return err
+	}
+	if need := uint64(d.Proxies*(d.Load.Connections+d.Fleet.Nodes) + 256); need > most.Cur {
+		return fmt.Errorf("load.connections: %d descriptors are needed, and %d may be open", need, most.Cur)
+	}
+	return nil
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -324,8 +350,9 @@
 	if err != nil {
 		return err
 	}
+	mine := &life{Proxy: now}
 	m.mu.Lock()
-	m.now, m.ends = now, ""
+	m.now = mine
 	m.mu.Unlock()
 	p.ends.Add(1)
 	go func() {
@@ -336,7 +363,7 @@
 			p.cpu.Add(int64(c.CPU()))
 		}
 		m.mu.Lock()
-		note := m.ends
+		note := mine.ends
 		m.mu.Unlock()
 		if note == "" {
 			note = "crashed"
@@ -372,7 +399,9 @@
 	m := p.proxies[i]
 	m.mu.Lock()
 	now := m.now
-	m.ends = note
+	if now != nil && now.ends == "" {
+		now.ends = note
+	}
 	m.mu.Unlock()
 	if now == nil {
 		return
@@ -414,9 +443,9 @@
 		return
 	}
 	long := seconds(b.For)
-	habit := map[string]Habit{"silent": "silent", "failing": "fails", "reset": "cuts", "garbled": "garbled"}[b.Kind]
+	habit := map[string]Habit{"silent": "silent", "failing": "fails", "reset": "cuts", "garbled": "garbled", "halves": "halves"}[b.Kind]
 	switch b.Kind {
-	case "silent", "failing", "reset", "garbled":
+	case "silent", "failing", "reset", "garbled", "halves":
 		part := b.Part
 		if part == 0 {
 			part = 1
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -53,7 +53,7 @@
 		t.Error(back)
 	}
 	tab.About = tab.About[:2]
-	tab.Rows = tab.Rows[:6]
+	tab.Rows = tab.Rows[:15]
 	if few, _ := tab.Compare("p99_ms", ""); !strings.Contains(few[0].String(), "too few") {
 		t.Error(few)
 	}
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -148,11 +148,14 @@
 	BaseMean          float64
 }
 
+// fewestPairs is how many it takes to tell a sign by nineteen in twenty, if all have the same.
+const fewestPairs = 6
+
 // Seen tells whether the interval leaves no doubt of the sign.
 func (d Difference) Seen() bool { return d.Least > 0 || d.Most < 0 }
 
 func (d Difference) String() string {
-	if d.Pairs < 3 {
+	if d.Pairs < fewestPairs {
 		return fmt.Sprintf("%s against %s: %d pairs, too few to say", d.Variant, d.Base, d.Pairs)
 	}
 	verdict := "no difference seen"
