--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
@@ -157,8 +158,8 @@
 	for _, v := range x.Variants {
 		names = append(names, v.Name)
 	}
-	t := &Table{About: append([]string{"experiment=" + x.Kind, fmt.Sprintf("cores=%d", runtime.NumCPU()),
-		"variants=" + strings.Join(names, "|")}, version()...)}
+	t := &Table{About: []string{"experiment=" + x.Kind, fmt.Sprintf("cores=%d", runtime.NumCPU()),
+		"variants=" + strings.Join(names, "|"), version()}}
 	order := x.Order()
 	for i, p := range order {
 		v := x.Variants[p.Variant]
@@ -190,15 +191,26 @@
 	return t, nil
 }
 
-// version is the commit that this program was built from.
-func version() []string {
-	var out []string
+// version names the commit that programs were built from: what this program was stamped with, else that of the folder that it
+// runs in.
+func version() string {
 	if info, ok := debug.ReadBuildInfo(); ok {
+		commit, modified := "", ""
 		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" || s.Key == "vcs.modified" {
-				out = append(out, s.Key+"="+s.Value)
+			switch {
+			case s.Key == "vcs.revision":
+				commit = s.Value
+			case s.Key == "vcs.modified" && s.Value == "true":
+				modified = "+"
 			}
 		}
+		if commit != "" {
+			return "commit=" + commit + modified
+		}
+	}
+	out, err := exec.Command("git", "describe", "--always", "--abbrev=40", "--dirty=+", "--exclude=*").Output()
+	if err != nil {
+		return "commit=unknown"
 	}
-	return out
+	return "commit=" + strings.TrimSpace(string(out))
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -150,6 +150,14 @@
 	}
 }
 
+// A table says which commit produced it, in one word.
+func TestVersion(t *testing.T) {
+	v := version()
+	if name, commit, ok := strings.Cut(v, "="); !ok || name != "commit" || commit == "" || strings.ContainsAny(v, " \t\n") {
+		t.Errorf("%q", v)
+	}
+}
+
 // A bad experiment is one line that names what is wrong.
 func TestBadExperiments(t *testing.T) {
 	for change, want := range map[string]string{
