A list handed over that can't be read is passed over with one line, and no failed start

Found on rereading: run/serve.go took the other process's list for the configuration's, so that a garbled one ended the start with 'configuration: known'. TestForeignList fails without the change.

--- a/internal/run/replace_test.go
+++ b/internal/run/replace_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"woodproxy/internal/emu"
 	"woodproxy/internal/handover"
 )
@@ -147,3 +149,31 @@
 	}
 	s.End()
 }
+
+// A list that can't be read is not taken over; the process starts without it.
+func TestForeignList(t *testing.T) {
+	t.Parallel()
+	for _, list := range []string{`{"index":"x","endpoints":[]}`, `{"index":1,"endpoints":[{"name":""}]}`, `7`} {
+		s := newStage(t)
+		for i, line := range []string{"node c1 hit", "node o1 hit", "list c1 o1"} {
+			s.Step(i+1, strings.Fields(line))
+		}
+		s.ready("")
+		ln, err := net.Listen("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := handover.New(s.shared, s.addr, ln.(*net.TCPListener), func() []byte { return []byte(list) }, func(int, int) {}, zap.NewNop())
+		if err := before.Open(); err != nil {
+			t.Fatal(err)
+		}
+		s.run()
+		s.call("GET", "/control/ready", "200", "")
+		ln.Close() // its queue is the new one's
+		for i, line := range []string{"a get k", "a gets value"} {
+			s.Step(i+20, strings.Fields(line))
+		}
+		s.End()
+		before.Close()
+	}
+}
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -277,7 +277,8 @@
 	return server, addr
 }
 
-func (s *stage) start(known string) {
+// ready settles where a proxy is to be, and what it is told.
+func (s *stage) ready(known string) {
 	s.now, s.watched = s.discovery()
 	s.addr, s.calls, s.shared = freeAddr(s.t, s.ip), freeAddr(s.t, s.ip), s.t.TempDir()
 	list := "null"
@@ -298,6 +299,10 @@
 	if err := os.WriteFile(s.file, []byte(s.text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
+}
+
+func (s *stage) start(known string) {
+	s.ready(known)
 	s.run()
 	for range 100 { // until it listens
 		if c, err := net.Dial("tcp", s.addr); err == nil {
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -16,6 +16,7 @@
 
 	"woodproxy/internal/control"
 	"woodproxy/internal/fleet"
+	"woodproxy/internal/wire"
 )
 
 const (
@@ -57,7 +58,13 @@
 	}
 	known, wait := p.Known, waitForList
 	if before != nil && before.List != nil {
-		if v, err := fastjson.ParseBytes(before.List); err == nil {
+		v, err := fastjson.ParseBytes(before.List)
+		if err == nil {
+			_, _, _, err = wire.ParseTargets(v)
+		}
+		if err != nil {
+			log.Warn("list not taken over", zap.Error(err))
+		} else {
 			known, wait = v, 0 // it is as new as the list can be
 		}
 	}
