Emulator and laboratory reread: discovery's servers are closed, twins made one, dead fields out

Read once more as a whole. Nodes that a trouble hits are taken once, under the lock under which others replace them; they were read without it. One check for a killed proxy serves both uses, one function opens a client's connection, one words its facts. Comparing keeps the base's figures only; woodlab check asks first which kind of file it has. Fields and an option that nothing used are gone.

The proxy: two comments only.

--- a/cmd/woodlab/main.go
+++ b/cmd/woodlab/main.go
@@ -21,19 +21,19 @@
 
 func (c *check) Run(context.Context) error {
 	for _, f := range c.Files {
-		d, err := emu.ReadDay(f)
-		if err == nil {
-			fmt.Printf("%s: good; %d requests under seed 1\n", f, len(d.Draw(1).Requests))
+		if lab.IsExperiment(f) {
+			x, err := lab.ReadExperiment(f)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%s: good; %d days are to be played\n", f, len(x.Order()))
 			continue
 		}
-		x, other := lab.ReadExperiment(f)
-		if other != nil {
-			if lab.IsExperiment(f) {
-				err = other
-			}
+		d, err := emu.ReadDay(f)
+		if err != nil {
 			return err
 		}
-		fmt.Printf("%s: good; %d days are to be played\n", f, len(x.Order()))
+		fmt.Printf("%s: good; %d requests under seed 1\n", f, len(d.Draw(1).Requests))
 	}
 	return nil
 }
--- a/internal/emu/clients.go
+++ b/internal/emu/clients.go
@@ -54,7 +54,18 @@
 	asked string // the request on it last
 }
 
-// late is when the load itself ran late.
+func newLine(addr string) (*line, error) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &line{conn: conn, in: bufio.NewReaderSize(conn, 2<<10)}, nil
+}
+
+// facts are what a client says of a request, but for its mark.
+func (r Route) facts() string { return fmt.Sprintf("c=%s,t=all,d=%d", r.Name, int(r.Overall)) }
+
+// lateBy is when the load itself ran late.
 const lateBy = 5 * time.Millisecond
 
 func (c *clients) run(ctx context.Context, start time.Time) {
@@ -78,13 +89,12 @@
 func (c *clients) hold() error {
 	for n, addr := range c.addrs {
 		for range c.plan.Day.Load.Connections {
-			conn, err := net.DialTimeout("tcp", addr, time.Second)
+			l, err := newLine(addr)
 			if err != nil {
 				return err
 			}
-			l := &line{conn: conn, in: bufio.NewReaderSize(conn, 2<<10)}
-			conn.SetDeadline(time.Now().Add(2 * time.Second))
-			conn.Write(Command("PING"))
+			l.conn.SetDeadline(time.Now().Add(2 * time.Second))
+			l.conn.Write(Command("PING"))
 			if _, _, err := Answer(l.in); err != nil {
 				return fmt.Errorf("a client is not let in: %w", err)
 			}
@@ -173,22 +183,17 @@
 		}
 		l.conn.Close()
 	}
-	conn, err := net.DialTimeout("tcp", c.addrs[n], time.Second)
-	if err != nil {
-		return nil, false, err
-	}
-	return &line{conn: conn, in: bufio.NewReaderSize(conn, 2<<10)}, false, nil
+	l, err := newLine(c.addrs[n])
+	return l, false, err
 }
 
 var errClosed = errors.New("closed")
 
 func (c *clients) on(l *line, n int, r Request, reused bool) (Outcome, error) {
-	d := c.plan.Day
-	route := d.Routes[r.Route]
-	facts := fmt.Sprintf("c=%s,t=all,d=%d", route.Name, int(route.Overall))
-	words := []string{"KV.GET", r.Key, r.ID, facts}
+	route := c.plan.Day.Routes[r.Route]
+	words := []string{"KV.GET", r.Key, r.ID, route.facts()}
 	if route.Write {
-		words = []string{"KV.SET", r.Key, r.ID, facts, "vvvvvvvv"}
+		words = []string{"KV.SET", r.Key, r.ID, route.facts(), "vvvvvvvv"}
 		if route.Dedup > 0 {
 			words[3] += ",k=w" + r.ID
 		}
@@ -270,7 +275,7 @@
 	defer conn.Close()
 	context.AfterFunc(ctx, func() { conn.Close() })
 	for i := range 64 {
-		conn.Write(Command("KV.GET", key(uint64(i)), fmt.Sprint(id, "-", i), fmt.Sprintf("c=%s,t=all,d=%d", route.Name, int(route.Overall))))
+		conn.Write(Command("KV.GET", key(uint64(i)), fmt.Sprint(id, "-", i), route.facts()))
 	}
 	for b := make([]byte, 16); ; time.Sleep(100 * time.Millisecond) {
 		if _, err := conn.Read(b); err != nil {
--- a/internal/emu/discovery.go
+++ b/internal/emu/discovery.go
@@ -33,14 +33,13 @@
 	log   *Log
 
 	mu      sync.Mutex
-	index   int
 	news    [][]Row // by version, the first whole
 	mood    Mood
 	stale   bool
 	held    [][]Row // what is not told yet
 	changed chan struct{}
 	conns   []net.Conn
-	server  *http.Server
+	servers []*http.Server
 }
 
 // NewDiscovery starts one that knows no list yet. Versions are counted from 2.
@@ -61,10 +60,23 @@
 			d.mu.Unlock()
 		}
 	}}
+	d.mu.Lock()
+	d.servers = append(d.servers, s)
+	d.mu.Unlock()
 	go s.Serve(ln)
 	return s, ln.Addr().String(), nil
 }
 
+// Close ends it wherever it listens.
+func (d *Discovery) Close() {
+	d.mu.Lock()
+	servers := d.servers
+	d.mu.Unlock()
+	for _, s := range servers {
+		s.Close()
+	}
+}
+
 // Say tells changes; the first are the whole list.
 func (d *Discovery) Say(rows ...Row) {
 	d.mu.Lock()
--- a/internal/emu/node.go
+++ b/internal/emu/node.go
@@ -31,18 +31,17 @@
 	Origin bool
 	Taken  atomic.Int64 // commands that came whole
 
-	mu      sync.Mutex
-	habit   Habit
-	part    float64 // of commands that the habit meets; the others are served
-	slow    time.Duration
-	size    int
-	lines   []net.Listener
-	addrs   []string
-	conns   map[net.Conn]struct{}
-	dead    bool
-	work    *work
-	world   *World
-	answers *http.Server
+	mu    sync.Mutex
+	habit Habit
+	part  float64 // of commands that the habit meets; the others are served
+	slow  time.Duration
+	size  int
+	lines []net.Listener
+	addrs []string
+	conns map[net.Conn]struct{}
+	dead  bool
+	work  *work
+	world *World
 }
 
 // NewNode starts a node with an address for each proxy, on the given loopback address.
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -37,7 +37,6 @@
 	Dir       string // for files and logs, kept
 	IP        string // loopback address of the proxies, 127.0.0.1 where it is empty
 	Overrides map[string]any
-	At        func(proxy int) Start // another program for some of the proxies, nil: the same for all
 }
 
 // Report is what came of a day.
@@ -50,7 +49,6 @@
 	Ran      bool    // the load ran in time: latenesses over 5 ms are fewer than one in two hundred
 	CPU      float64 // of all proxies, microseconds a request; 0 where they are no processes
 	BadMute  int     // bad clients that were owed an error or a close and had neither
-	Dir      string
 }
 
 type player struct {
@@ -342,11 +340,7 @@
 // start starts a proxy and waits until it serves.
 func (p *player) start(ctx context.Context, i int) error {
 	m := p.proxies[i]
-	with := p.o.Start
-	if p.o.At != nil {
-		with = p.o.At(i)
-	}
-	now, err := with(m.site)
+	now, err := p.o.Start(m.site)
 	if err != nil {
 		return err
 	}
@@ -430,6 +424,9 @@
 		}()
 	}
 	all.Wait()
+	for _, f := range p.found {
+		f.Close()
+	}
 	for _, n := range append(p.nodes, p.origin) {
 		if n != nil {
 			n.Stop()
@@ -437,6 +434,17 @@
 	}
 }
 
+// hit is the nodes that stand, as a trouble begins, in the places that it hits: others may be replaced meanwhile.
+func (p *player) hit(b Blow) []*Node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var hit []*Node
+	for _, i := range b.Hits {
+		hit = append(hit, p.nodes[i])
+	}
+	return hit
+}
+
 // strike lets a trouble come and pass.
 func (p *player) strike(ctx context.Context, b Blow, start time.Time) {
 	if !sleep(ctx, time.Until(start.Add(seconds(b.At)))) {
@@ -450,22 +458,20 @@
 		if part == 0 {
 			part = 1
 		}
-		for _, i := range b.Hits {
-			p.nodes[i].Set(habit, part, 0, 0)
+		hit := p.hit(b)
+		for _, n := range hit {
+			n.Set(habit, part, 0, 0)
 		}
 		sleep(ctx, long)
-		for _, i := range b.Hits {
-			p.nodes[i].Set("", 1, 0, 0)
+		for _, n := range hit {
+			n.Set("", 1, 0, 0)
 		}
 	case "slow", "origin-slow":
+		hit := []*Node{p.origin}
+		if b.Kind == "slow" {
+			hit = p.hit(b)
+		}
 		set := func(times float64) {
-			hit := []*Node{p.origin}
-			if b.Kind == "slow" {
-				hit = hit[:0]
-				for _, i := range b.Hits {
-					hit = append(hit, p.nodes[i])
-				}
-			}
 			for _, n := range hit {
 				n.work.mu.Lock()
 				n.work.times = times
@@ -476,8 +482,7 @@
 		sleep(ctx, long)
 		set(1)
 	case "cold":
-		for _, i := range b.Hits {
-			n := p.nodes[i]
+		for _, n := range p.hit(b) {
 			n.Stop()
 			if !sleep(ctx, 200*time.Millisecond) || n.Restart() != nil {
 				return
@@ -486,8 +491,7 @@
 			p.say(n, "active")
 		}
 	case "replace":
-		for _, i := range b.Hits {
-			old := p.nodes[i]
+		for k, old := range p.hit(b) {
 			p.say(old, "leaving")
 			if !sleep(ctx, max(millis(b.Leave), 500*time.Millisecond)) {
 				return
@@ -503,7 +507,7 @@
 				return
 			}
 			p.mu.Lock()
-			p.nodes[i] = n
+			p.nodes[b.Hits[k]] = n
 			p.mu.Unlock()
 			p.say(n, "active")
 			if !sleep(ctx, long/time.Duration(len(b.Hits))) {
@@ -569,7 +573,7 @@
 func (p *player) report() *Report {
 	all := p.log.All()
 	r := &Report{Plan: p.plan, Results: p.clients.results, Seen: all, Breaches: Check(p.plan.Day, p.plan.Requests, all),
-		BadMute: int(p.badMute.Load()), Dir: p.o.Dir}
+		BadMute: int(p.badMute.Load())}
 	r.CPU = float64(p.cpu.Load()) / 1000 / float64(max(len(p.plan.Requests), 1))
 	late := 0
 	for _, s := range all {
--- a/internal/emu/rules.go
+++ b/internal/emu/rules.go
@@ -98,7 +98,7 @@
 	case Went:
 		c.over[s.ID] = true
 	case Closed:
-		if !c.over[s.ID] && c.answers[s.ID] == 0 && s.Note != "reused" && !c.killed(s.Proxy, s.At) {
+		if !c.over[s.ID] && c.answers[s.ID] == 0 && s.Note != "reused" && !c.killed(s.Proxy, s.At-time.Second, s.At+time.Second) {
 			c.over[s.ID] = true // told once
 			c.broke(LostRule, s, "proxy %d ended the connection under request %s", s.Proxy, s.ID)
 		}
@@ -174,10 +174,10 @@
 	}
 }
 
-// killed tells whether a proxy's process ended about a time, with which what it held is lost.
-func (c *checker) killed(proxy int, at time.Duration) bool {
+// killed tells whether a proxy's process was killed within a span, with which what it held is lost.
+func (c *checker) killed(proxy int, from, to time.Duration) bool {
 	for _, e := range c.ended[proxy] {
-		if at >= e-time.Second && at <= e+time.Second {
+		if e >= from && e <= to {
 			return true
 		}
 	}
@@ -187,14 +187,8 @@
 // close looks for what never was answered, of that which had its time.
 func (c *checker) close() {
 	for id, s := range c.asked {
-		if c.answers[id] > 0 || c.over[id] || c.last < s.At+millis(c.routes[id].Overall)+Slack {
-			continue
-		}
-		lost := true
-		for _, e := range c.ended[s.Proxy] {
-			lost = lost && (e < s.At-time.Second || e > s.At+millis(c.routes[id].Overall)+Slack)
-		}
-		if lost {
+		end := s.At + millis(c.routes[id].Overall) + Slack
+		if c.answers[id] == 0 && !c.over[id] && c.last >= end && !c.killed(s.Proxy, s.At-time.Second, end) {
 			c.broke(LostRule, s, "request %s never was answered by proxy %d", id, s.Proxy)
 		}
 	}
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -81,7 +81,7 @@
 // Open tells clients that they are served.
 func (d *Door) Open() { close(d.ready) }
 
-// Run lets clients in until the listener's deadline has passed.
+// Run lets clients in until the door has closed.
 func (d *Door) Run() {
 	for {
 		if !d.makeRoom() {
@@ -112,7 +112,7 @@
 	}
 }
 
-// makeRoom retires a client once nine tenths of the places are taken, and lets nobody in while all are, or while the
+// makeRoom has a client go once nine tenths of the places are taken, or as many are kept that were served, and lets nobody in while all are, or while the
 // door is paused. It returns false when the door has closed.
 func (d *Door) makeRoom() bool {
 	d.mu.Lock()
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -179,13 +179,10 @@
 	if !slices.Contains(names, base) {
 		return nil, fmt.Errorf("table: no variant %q", base)
 	}
-	at := map[string]map[pairKey]float64{}
+	at := map[pairKey]float64{} // the base's
 	for _, r := range t.Rows {
-		if r.Counts {
-			if at[r.Variant] == nil {
-				at[r.Variant] = map[pairKey]float64{}
-			}
-			at[r.Variant][pairKey{r.Day, r.Seed, r.Round}] = r.Figures[figure]
+		if r.Counts && r.Variant == base {
+			at[pairKey{r.Day, r.Seed, r.Round}] = r.Figures[figure]
 		}
 	}
 	var out []Difference
@@ -196,7 +193,7 @@
 		var diffs, bases []float64
 		for _, r := range t.Rows { // in the rows' order, and not the map's
 			k := pairKey{r.Day, r.Seed, r.Round}
-			if b, ok := at[base][k]; ok && r.Variant == v && r.Counts {
+			if b, ok := at[k]; ok && r.Variant == v && r.Counts {
 				diffs, bases = append(diffs, r.Figures[figure]-b), append(bases, b)
 			}
 		}
