Tests hold on a busy machine: drains waits for what is seen, not for 200 ms

internal/run failed at drains line 13 (EndUnsent 0) when the machine took over 200 ms between the first try and the list: by then the slow nodes had answered, and no try waited for a socket. A pause of 300 ms before the list fails the old scenario in the same words on an idle machine. Not it: sockets given back late, or exchanges given up, since all 22 were held and 16 connections open.

--- a/internal/emu/node.go
+++ b/internal/emu/node.go
@@ -21,7 +21,8 @@
 //
 // Of a cache: hit miss busy fails silent garbled cuts halves once (closes after each answer) twice (answers each command two
 // times) nowhere (refuses connections) endless (a value without its line end) drips (half of its answer at once and half
-// after its slowness); of the origin: hit chunked busy fails silent garbled cuts.
+// after its slowness) holds (answers nothing until its habit is another, and then as that says); of the origin: hit chunked
+// busy fails silent garbled cuts.
 type Habit string
 
 // Node is a stand-in for a cache (RESP2) or the origin (HTTP/1.1). It has an address for each proxy, so that it is known
@@ -33,7 +34,8 @@
 
 	mu    sync.Mutex
 	habit Habit
-	part  float64 // of commands that the habit meets; the others are served
+	other chan struct{} // closed when the habit changes
+	part  float64       // of commands that the habit meets; the others are served
 	slow  time.Duration
 	size  int
 	lines []net.Listener
@@ -46,7 +48,8 @@
 
 // NewNode starts a node with an address for each proxy, on the given loopback address.
 func NewNode(ip, name string, origin bool, proxies int, log *Log) (*Node, error) {
-	n := &Node{Name: name, Origin: origin, conns: map[net.Conn]struct{}{}, part: 1, world: &World{Log: log}}
+	n := &Node{Name: name, Origin: origin, conns: map[net.Conn]struct{}{}, part: 1, other: make(chan struct{}),
+		world: &World{Log: log}}
 	for range proxies {
 		ln, err := net.Listen("tcp", ip+":0")
 		if err != nil {
@@ -67,6 +70,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.habit, n.part, n.slow, n.size = habit, part, slow, size
+	close(n.other)
+	n.other = make(chan struct{})
 	if habit == "nowhere" {
 		for _, ln := range n.lines {
 			ln.Close()
@@ -79,6 +84,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.dead = true
+	close(n.other) // none is held any longer
+	n.other = make(chan struct{})
 	for _, ln := range n.lines {
 		ln.Close()
 	}
@@ -208,6 +215,12 @@
 	n.Taken.Add(1)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	for n.habit == "holds" && !n.dead {
+		other := n.other
+		n.mu.Unlock()
+		<-other
+		n.mu.Lock()
+	}
 	habit = n.habit
 	if n.part < 1 && draw(id, n.Name) >= n.part {
 		habit = ""
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -170,8 +170,10 @@
 			if err != nil {
 				return
 			}
-			c.Read(make([]byte, 4096))
-			answer(c.(*net.UnixConn))
+			go func() { // or one that is silent for long would keep the next from its answer
+				c.Read(make([]byte, 4096))
+				answer(c.(*net.UnixConn))
+			}()
 		}
 	}()
 	with := func(text string, hold time.Duration) func(c *net.UnixConn) {
