Replication's decisions: rows, digests, catch-up, shares; fleets on simulated links

Need: proxies are to share the list, silent nodes and shares of the fleet's limits (docs/replication.md weighs the ways). replica/ decides and does no I/O; internal/links plays fleets of it with losses, cuts, deaths and pauses. Nothing uses it yet.

--- /dev/null
+++ b/internal/links/links_test.go
@@ -0,0 +1,201 @@
+package links
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"woodproxy/replica"
+)
+
+const second = replica.Second
+
+func usual(n int) Terms {
+	return Terms{Proxies: n, Loss: 0.05, Double: 0.05, Late: 3, Floor: 0.25, Hold: 2 * second, ClockSkew: 60 * second}
+}
+
+func node(key string, index int64, rank uint8) replica.Row {
+	return replica.Row{Key: key, Epoch: index, Rank: rank, Body: []byte(fmt.Sprint(key, index, rank))}
+}
+
+func (w *World) tell(i int, rows ...replica.Row) {
+	w.Do(i, func(p *Proxy, now replica.Time) []replica.Decision { return p.Listed(now, rows) })
+}
+
+// never checks, after each step, that the sum of shares is kept.
+func (w *World) never(t *testing.T) func() {
+	return func() {
+		if sum := w.Sum(); sum > 1+1e-9 && !t.Failed() {
+			t.Errorf("at %.2f s shares are %.4f together", float64(w.Now)/float64(second), sum)
+			for _, p := range w.Proxies {
+				t.Logf("n%d alive %v share %.4f %v", p.Number, p.Alive, p.Shares, p.Members())
+			}
+		}
+	}
+}
+
+func (w *World) all(t *testing.T, what string) {
+	t.Helper()
+	first := -1
+	for i, p := range w.Proxies {
+		if !p.Alive {
+			continue
+		}
+		if first < 0 {
+			first = i
+		}
+		if !w.Agree(first, i) || p.Behind() {
+			t.Errorf("%s: n%d holds other nodes than n%d, behind %v", what, i, first, p.Behind())
+			return
+		}
+	}
+}
+
+// Both halves of a cut fleet change the same row; one stands still for half a minute; seven in ten die and come back;
+// three in ten datagrams are lost all the time. Shares are kept in every step, and in the end all hold the same.
+func TestFleetUnderFaults(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			terms := usual(20)
+			terms.Loss = 0.3
+			w := New(terms, seed)
+			never := w.never(t)
+			w.Run(12*second, never)
+			for i, p := range w.Proxies {
+				if p.Shares < 0.999/20 {
+					t.Fatalf("n%d has a share of %.4f in a calm fleet", i, p.Shares)
+				}
+			}
+			w.tell(0, node("c1", 5, replica.Active), node("c2", 5, replica.Active))
+			w.Run(3*second, never)
+			w.all(t, "calm")
+			w.Cut = func(a, b int) bool { return (a < 8) != (b < 8) }
+			w.Proxies[9].Still = true
+			w.tell(0, node("c1", 6, replica.Leaving))
+			w.tell(12, node("c1", 6, replica.Active), node("c2", 7, replica.Left))
+			w.Run(20*second, never)
+			if w.Agree(0, 12) {
+				t.Error("a cut fleet agrees: nothing was cut")
+			}
+			if got := w.Proxies[3].Rows["c1"].Rank; got != replica.Leaving {
+				t.Errorf("c1 is %d on its side", got)
+			}
+			w.Cut = nil
+			w.Run(10*second, never)
+			w.Proxies[9].Still = false
+			w.Run(8*second, never)
+			w.all(t, "healed")
+			for i, p := range w.Proxies {
+				if r := p.Rows["c1"]; i != 0 && (r.Rank != replica.Leaving || r.Epoch != 6) {
+					t.Errorf("n%d: a drain told on one side does not bind: %+v", i, r)
+				}
+			}
+			for i := 6; i < 20; i++ {
+				w.Die(i)
+			}
+			w.Run(20*second, never)
+			for i := range 6 {
+				if got := w.Proxies[i].Shares; got < 0.8/6 {
+					t.Errorf("n%d keeps a share of %.4f with seven in ten gone", i, got)
+				}
+			}
+			for i := 6; i < 20; i++ {
+				w.Start(i)
+			}
+			w.Run(20*second, never)
+			w.all(t, "back")
+			for i, p := range w.Proxies {
+				if p.Shares < 0.999/20 {
+					t.Errorf("n%d has a share of %.4f after all came back", i, p.Shares)
+				}
+			}
+		})
+	}
+}
+
+// Faults drawn at random, one over the other: cuts one way and both, deaths, returns, standing still. Whatever comes, the
+// sum of shares is kept, and what is left agrees once the links are whole.
+func TestShareKept(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			chance := rand.New(rand.NewPCG(seed, 77))
+			w := New(usual(3+chance.IntN(8)), seed)
+			n := len(w.Proxies)
+			never := w.never(t)
+			index := int64(2)
+			for range 40 {
+				switch i, j := chance.IntN(n), chance.IntN(n); chance.IntN(7) {
+				case 0:
+					w.Die(i)
+				case 1, 2:
+					if !w.Proxies[i].Alive {
+						w.Start(i)
+					}
+				case 3:
+					w.Proxies[i].Still = !w.Proxies[i].Still
+				case 4:
+					both := chance.IntN(2) == 0
+					w.Cut = func(a, b int) bool {
+						return (a == i || a == j) && b != i && b != j || both && a != i && a != j && (b == i || b == j)
+					}
+				case 5:
+					w.Cut = nil
+				case 6:
+					index++
+					if w.Proxies[i].Alive && !w.Proxies[i].Still {
+						w.tell(i, node(fmt.Sprint("c", chance.IntN(3)), index, uint8(chance.IntN(3))))
+					}
+				}
+				w.Run(replica.Time(chance.Int64N(int64(6*second))), never)
+			}
+			w.Cut = nil
+			for i := range w.Proxies {
+				if w.Proxies[i].Still = false; !w.Proxies[i].Alive {
+					w.Start(i)
+				}
+			}
+			w.Run(25*second, never)
+			w.all(t, "in the end")
+			if sum := w.Sum(); sum < 0.999 {
+				t.Errorf("shares are %.4f together in the end", sum)
+			}
+		})
+	}
+}
+
+// The checks fire: a fleet whose operators state fewer proxies than there are takes more than all.
+func TestShareCheckFires(t *testing.T) {
+	terms := usual(6)
+	terms.Stated = 1
+	w, over := New(terms, 1), false
+	w.Run(second/2, func() { over = over || w.Sum() > 1+1e-9 })
+	if !over {
+		t.Error("six that each believe to be the only one keep to one share")
+	}
+}
+
+// One change reaches all of a large fleet, in a number of rounds that grows as its logarithm.
+func TestSpreads(t *testing.T) {
+	for _, n := range []int{100, 1000} {
+		w := New(Terms{Proxies: n, Loss: 0.05, Late: 1, Hold: second, Floor: 0.25, Quiet: true}, 3)
+		w.tell(0, node("c1", 5, replica.Leaving))
+		took := replica.Time(-1)
+		from := w.Now
+		w.Run(3*second, func() {
+			have := 1
+			for _, p := range w.Proxies[1:] {
+				if p.Rows["c1"].Epoch == 5 {
+					have++
+				}
+			}
+			if have >= n*99/100 && took < 0 {
+				took = w.Now - from
+			}
+		})
+		if took < 0 || took > 15*second/10 {
+			t.Errorf("%d proxies: 99 of 100 know after %d", n, took)
+		}
+	}
+}
--- /dev/null
+++ b/replica/types.go
@@ -0,0 +1,131 @@
+package replica
+
+import (
+	"bytes"
+	"cmp"
+)
+
+// Time counts tenths of a millisecond on the caller's own clock, which others' clocks have nothing to do with; spans use
+// it too.
+type Time int64
+
+// Second is one in the module's time.
+const Second = Time(10000)
+
+// Kind tells what a row is about. Rows of a kind that this version does not know are carried on unread.
+type Kind uint8
+
+const (
+	Pulse Kind = 1 // of a proxy, by itself: it is up, where it is met, what it asks for, how it sees the others
+	Sight Kind = 2 // of a node, by a proxy: it went silent there (Rank 1) or answers again (Rank 0)
+	Node  Kind = 3 // of a node, by no one proxy: discovery's line of it. Epoch is discovery's index, Rank strictness
+	Gone  Kind = 4 // of a proxy, by no one: its incarnation (Epoch) has ended, as a refused connection or itself told
+)
+
+// Strictness of a Node row.
+const (
+	Active  = 0
+	Leaving = 1
+	Left    = 2
+)
+
+// Row is one piece of state. Key, kind and writer say which one it is; epoch, rank, count and body which copy.
+type Row struct {
+	Kind   Kind
+	Key    string // node or proxy that it is about
+	Writer string // who alone may write it; "": whoever is told
+	Epoch  int64  // of a writer's own row: the writer's incarnation
+	Rank   uint8
+	Count  int64 // of a writer's own row: how many it wrote
+	Age    Time  // since it was written, by the clocks of all who held it
+	Life   Time  // it lapses at that age; 0: it does not
+	Body   []byte
+}
+
+// compare orders copies of one row. It looks at no clock, and no two copies that differ are equal, so that all who have
+// had the same copies, in whatever order, hold the same one.
+func (r *Row) compare(o *Row) int {
+	return cmp.Or(cmp.Compare(r.Epoch, o.Epoch), cmp.Compare(r.Rank, o.Rank), cmp.Compare(r.Count, o.Count),
+		bytes.Compare(r.Body, o.Body))
+}
+
+// Bounds of a row, in bytes; a larger one is refused.
+const (
+	MostName = 128
+	MostBody = 1024
+)
+
+// fits tells whether a row may be held at all.
+func (r *Row) fits() bool {
+	return r.Kind > 0 && len(r.Key) > 0 && len(r.Key) <= MostName && len(r.Writer) <= MostName && len(r.Body) <= MostBody &&
+		r.Age >= 0 && r.Life >= 0 && (r.Life == 0 || r.Age < r.Life)
+}
+
+// Head tells which copy of a row somebody holds, by hashes.
+type Head struct{ ID, Copy uint64 }
+
+// Buckets is into how many parts rows are dealt for digests.
+const Buckets = 64
+
+// Sums is a digest: for each bucket, its rows' hashes together.
+type Sums [Buckets]uint64
+
+// Pulsed is what the body of a Pulse row says.
+type Pulsed struct {
+	Address string  // where its peers meet it
+	Demand  float64 // exchanges a second that its clients ask for
+	View    uint64  // hash of who it takes to be gone, and of how many there are
+	Behind  bool    // it is catching up
+}
+
+// Terms is what an instance is told at its start.
+type Terms struct {
+	Me          string
+	Incarnation int64
+	Proxies     int     // that share the nodes, by the operators' word, this one included
+	Address     string  // where peers meet this one
+	Hold        Time    // a share of one that is gone is taken over after so long
+	Floor       float64 // part of an even share that nobody takes over, so that who comes back unseen may use it
+	SightLife   Time    // what is heard of a silent node is worth nothing after that
+}
+
+// Act names what a Decision asks the caller to do.
+type Act uint8
+
+const (
+	Spread   Act = iota // Rows, one, to some peers at a time until all have it
+	Digest              // to To: Sums
+	Heads               // to To: Heads, of the buckets in Which
+	Rows                // to To: Rows
+	Want                // to To: IDs
+	Busy                // to To: ask another
+	Same                // to To: nothing differs
+	Probe               // whether something listens at Address, for To's incarnation Epoch; Refused tells if nothing does
+	Changed             // a row that another wrote now says something else here: Rows, one
+	SetShare            // Share, of what all proxies may do together
+	Log                 // Text
+)
+
+// Decision is one thing for the caller to do, in order.
+type Decision struct {
+	Act     Act
+	To      string
+	Address string
+	Epoch   int64
+	Rows    []Row
+	Heads   []Head
+	IDs     []uint64
+	Which   uint64 // a bit for each bucket
+	Sums    Sums
+	Share   float64
+	Text    string
+}
+
+// Member is what is shown of a proxy.
+type Member struct {
+	Name        string
+	Incarnation int64
+	State       string // "here", "silent", "gone", "unknown"
+	Lag         Time   // since its latest pulse was written
+	Pulsed
+}
