The module takes its share of the fleet's limits as it changes

Need: shares follow who is there, not a fixed replicas-of-me. Share scales the origin's limit, its floor and tenants' allowances, so that the sum over all proxies stays; nothing calls it yet.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,7 +5,7 @@
 // out; it may reuse an exchange's index once that has its final answer and all its upstream tries have
 // ended. No I/O in here.
 //
-// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Left, Woken. It is not frozen:
+// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Share, Left, Woken. It is not frozen:
 // probes, load reports and cost hints have no call yet, since no decision uses them.
 package brain
 
@@ -186,6 +186,19 @@
 	return b.settle()
 }
 
+// Share takes the part of what all proxies may do together that this one may from now on; it begins as an even one. What
+// has been learnt of the origin's limit goes with it, so that the sum over all stays where it was.
+func (b *Instance) Share(now Time, part float64) []Decision {
+	b.begin(now)
+	by := part / b.share
+	b.share, b.least, b.lean = part, min(1, 8*part), min(4, max(16*part, 1))/2
+	b.limit = min(max(b.limit*by, b.least), 256)
+	for i := range b.allowance {
+		b.allowance[i] *= by
+	}
+	return b.settle()
+}
+
 // Left reports that the client went away; nothing is owed any more.
 func (b *Instance) Left(now Time, cx int) []Decision {
 	b.begin(now)
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -20,6 +20,7 @@
 //	MS end CX ENDING [took=MS] [over]        the last try of CX ended
 //	MS left CX | wake | failed | streaming CX
 //	MS heard NODE silent|answers             from a peer
+//	MS share PART                            of what all proxies may do
 //	> send CX NODE | tell PEER NODE silent|answers | cancel CX | shed CX | error CX | follow | log WORD | no-log WORD    exactly these, in order
 //	> count ACT [NODE] OP N                  how many came of one line
 //
@@ -114,6 +115,8 @@
 			n = len(p.names) // no such node
 		}
 		p.take(p.mind.Heard(now, n, w[3] == "answers"))
+	case "share":
+		p.take(p.mind.Share(now, scenario.Num(w[2])))
 	case "left":
 		p.take(p.mind.Left(now, int(scenario.Num(w[2]))))
 	case "streaming":
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -19,7 +19,11 @@
 }
 
 func (w *World) tell(i int, rows ...replica.Row) {
-	w.Do(i, func(p *Proxy, now replica.Time) []replica.Decision { return p.Listed(now, rows) })
+	for _, r := range rows {
+		w.Do(i, func(p *Proxy, now replica.Time) []replica.Decision {
+			return p.Listed(now, false, r.Epoch, []replica.Row{r})
+		})
+	}
 }
 
 // never checks, after each step, that the sum of shares is kept.
--- a/replica/instance.go
+++ b/replica/instance.go
@@ -131,16 +131,32 @@
 // Yield has another process of this name speak for it: it is being replaced.
 func (r *Instance) Yield(on bool) { r.quiet = on }
 
-// Listed takes discovery's lines of nodes, as rows of kind Node: what discovery tells is everybody's.
-func (r *Instance) Listed(now Time, rows []Row) []Decision {
+// Listed takes discovery's lines of nodes at one index of the list, the whole list or what changed: what discovery tells
+// is everybody's. A line that is held already as it stands is not written anew, or each proxy that starts would have all of
+// them go round; a node that a whole list lacks has left.
+func (r *Instance) Listed(now Time, whole bool, index int64, lines []Row) []Decision {
 	r.begin(now)
-	for i := range rows {
-		row := rows[i]
-		row.Kind, row.Writer = Node, ""
+	listed := make(map[string]bool, len(lines))
+	for _, row := range lines {
+		row.Kind, row.Writer, row.Epoch, row.Age = Node, "", index, 0
 		if row.Rank == Left {
 			row.Life = leftLife
 		}
-		r.merge(row, "", true)
+		listed[row.Key] = true
+		if h := r.rows[idOf(&row)]; h == nil || h.Rank != row.Rank || h.Count != row.Count {
+			r.merge(row, "", true)
+		}
+	}
+	if whole {
+		var left []Row
+		r.Each(Node, func(row Row) {
+			if !listed[row.Key] && row.Rank != Left && row.Epoch < index {
+				left = append(left, Row{Kind: Node, Key: row.Key, Epoch: index, Rank: Left, Count: row.Count, Life: leftLife})
+			}
+		})
+		for _, row := range left {
+			r.merge(row, "", true)
+		}
 	}
 	return r.out
 }
@@ -295,7 +311,7 @@
 		}
 		which |= 1 << i
 		for _, h := range b.rows {
-			heads = append(heads, Head{h.id, h.copy})
+			heads = append(heads, Head{ID: h.id, Copy: h.copy})
 		}
 	}
 	switch {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -109,7 +109,7 @@
 		names := [][]string{{"a", "b", "c"}, {"a", "c", "b"}, {"b", "a", "c"}, {"b", "c", "a"}, {"c", "a", "b"}, {"c", "b", "a"}}[order]
 		for i, n := range names {
 			for k := range 30 {
-				all[n].Listed(0, []Row{{Key: fmt.Sprint("c", k%(20+i)), Epoch: int64(i + k), Body: []byte(n)}})
+				all[n].Listed(0, false, int64(i+k), []Row{{Key: fmt.Sprint("c", k%(20+i)), Count: int64(k), Body: []byte(n)}})
 			}
 		}
 		var deliver func(from string, ds []Decision)
@@ -141,12 +141,12 @@
 func TestCatchUpCost(t *testing.T) {
 	rows := make([]Row, 2000)
 	for i := range rows {
-		rows[i] = Row{Key: fmt.Sprint("c", i), Epoch: 1}
+		rows[i] = Row{Key: fmt.Sprint("c", i)}
 	}
 	a, b := newOne("a", 2), newOne("b", 2)
-	a.Listed(0, rows)
-	b.Listed(0, rows)
-	a.Listed(0, []Row{{Key: "c7", Epoch: 2}})
+	a.Listed(0, true, 1, rows)
+	b.Listed(0, true, 1, rows)
+	a.Listed(0, false, 2, []Row{{Key: "c7", Rank: Leaving}})
 	heads := acts(a.Digest(0, "b", b.Sums()), Heads)[0]
 	if n := len(heads.Heads); n > 100 {
 		t.Errorf("%d heads for one row", n)
@@ -160,7 +160,7 @@
 // Few are helped at a time; who is turned away asks another at once.
 func TestFewHelped(t *testing.T) {
 	a := newOne("a", 9)
-	a.Listed(0, []Row{{Key: "c1", Epoch: 1}})
+	a.Listed(0, true, 1, []Row{{Key: "c1"}})
 	served, busy := 0, 0
 	for range 10 {
 		ds := a.Digest(0, "b", Sums{})
@@ -295,6 +295,23 @@
 	}
 }
 
+// A whole list says nothing new of what is held as it stands, and that what it lacks has left; an older one says neither.
+func TestWholeList(t *testing.T) {
+	a := newOne("a", 1)
+	a.Listed(0, true, 5, []Row{{Key: "c1"}, {Key: "c2"}})
+	if ds := acts(a.Listed(0, true, 9, []Row{{Key: "c1"}, {Key: "c2"}}), Spread); len(ds) != 0 {
+		t.Errorf("%+v", ds)
+	}
+	a.Listed(0, true, 4, []Row{{Key: "c1"}})
+	if r, _ := a.holds("c2"); r.Rank != Active {
+		t.Errorf("an older list lets c2 go: %+v", r)
+	}
+	a.Listed(0, true, 10, []Row{{Key: "c1"}})
+	if r, _ := a.holds("c2"); r.Rank != Left || r.Epoch != 10 {
+		t.Errorf("c2 has not left: %+v", r)
+	}
+}
+
 // All is bounded: rows, members, and what one message holds.
 func TestBounds(t *testing.T) {
 	a := newOne("a", 1)
--- a/replica/types.go
+++ b/replica/types.go
@@ -31,15 +31,15 @@
 
 // Row is one piece of state. Key, kind and writer say which one it is; epoch, rank, count and body which copy.
 type Row struct {
-	Kind   Kind
-	Key    string // node or proxy that it is about
-	Writer string // who alone may write it; "": whoever is told
-	Epoch  int64  // of a writer's own row: the writer's incarnation
-	Rank   uint8
-	Count  int64 // of a writer's own row: how many it wrote
-	Age    Time  // since it was written, by the clocks of all who held it
-	Life   Time  // it lapses at that age; 0: it does not
-	Body   []byte
+	Kind   Kind   `msgpack:"k"`
+	Key    string `msgpack:"n"`           // node or proxy that it is about
+	Writer string `msgpack:"w,omitempty"` // who alone may write it; "": whoever is told
+	Epoch  int64  `msgpack:"e"`           // of a writer's own row: the writer's incarnation
+	Rank   uint8  `msgpack:"r,omitempty"`
+	Count  int64  `msgpack:"c,omitempty"` // of a writer's own row: how many it wrote
+	Age    Time   `msgpack:"a,omitempty"` // since it was written, by the clocks of all who held it
+	Life   Time   `msgpack:"l,omitempty"` // it lapses at that age; 0: it does not
+	Body   []byte `msgpack:"b,omitempty"`
 }
 
 // compare orders copies of one row. It looks at no clock, and no two copies that differ are equal, so that all who have
@@ -62,7 +62,10 @@
 }
 
 // Head tells which copy of a row somebody holds, by hashes.
-type Head struct{ ID, Copy uint64 }
+type Head struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	ID, Copy uint64
+}
 
 // Buckets is into how many parts rows are dealt for digests.
 const Buckets = 64
@@ -72,10 +75,10 @@
 
 // Pulsed is what the body of a Pulse row says.
 type Pulsed struct {
-	Address string  // where its peers meet it
-	Demand  float64 // exchanges a second that its clients ask for
-	View    uint64  // hash of who it takes to be gone, and of how many there are
-	Behind  bool    // it is catching up
+	Address string  `msgpack:"a"` // where its peers meet it
+	Demand  float64 `msgpack:"d"` // exchanges a second that its clients ask for
+	View    uint64  `msgpack:"v"` // hash of whom it knows, as which incarnation, and who is gone
+	Behind  bool    `msgpack:"b"` // it is catching up
 }
 
 // Terms is what an instance is told at its start.
