Proxies talk: members by memberlist, rows by gossip and digests; off unless a file of peers is named

Need: state that matters is to be shared where proxies may talk (docs/replication.md). internal/talk carries what replica/ decides; the list takes peers' lines where their discovery is further than this proxy's own, Tell and Heard are real on sockets, and the module's share follows who is known to have ended.

--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -3,11 +3,15 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -24,12 +28,14 @@
 	Listen     string `env:"GW_LISTEN" help:"Where clients connect, before the one in the file."`
 	Discovery  string `env:"GW_DISCOVERY" help:"Where the list comes from, before the one in the file."`
 	Management string `env:"GW_MANAGEMENT" help:"Where operators call, before the one in the file."`
+	Peers      string `env:"GW_PEERS" help:"A file by which proxies talk with one another; without it they do not." placeholder:"FILE"`
+	PeersAt    string `env:"GW_PEERS_LISTEN" name:"peers-listen" help:"Where peers meet this proxy, before the one in that file."`
 	Shared     string `env:"TMPDIR" help:"A directory that a process shares with the one that replaces it."`
 }
 
 func (p *place) read() (*run.Place, error) {
 	return run.Read(p.Config, run.Place{Name: p.Name, Listen: p.Listen, Discovery: p.Discovery, Management: p.Management,
-		Own: true, Shared: p.Shared})
+		Own: true, Shared: p.Shared, Peers: p.Peers, PeersListen: p.PeersAt})
 }
 
 type serve struct{ place }
@@ -48,7 +54,7 @@
 	// the environment is that of the start; where discovery is by now, only the file can tell
 	again := func() (*run.Place, error) {
 		return run.Read(s.Config, run.Place{Name: s.Name, Listen: s.Listen, Management: s.Management,
-			Own: true, Shared: s.Shared})
+			Own: true, Shared: s.Shared, Peers: s.Peers, PeersListen: s.PeersAt})
 	}
 	return run.Serve(p, again, log, signals)
 }
@@ -67,10 +73,16 @@
 		}
 		ln.Close()
 	}
+	if p.Talk != nil {
+		if err := p.Talk.Free(); err != nil {
+			return err
+		}
+		fmt.Printf("%s: good; cluster %s, %d seeds\n", c.Peers, p.Talk.Cluster, len(p.Talk.Seeds))
+	}
 	fmt.Printf("%s: good; %d routes, %d tenants, %d proxies\n", c.Config, len(p.Book.Routes), len(p.Book.Tenants),
 		p.Book.Terms.Proxies)
 	if p.Untold {
-		fmt.Println("limits.may-tell: peers speak no protocol on sockets yet; nothing is told")
+		fmt.Println("limits.may-tell: no file of peers is named; nothing is told")
 	}
 	if p.Watch != nil {
 		fmt.Println("other settings are watched")
@@ -100,6 +112,28 @@
 	return err
 }
 
+type peers struct {
+	Address string `arg:"" help:"The proxy's management address."`
+}
+
+func (p *peers) Run() error {
+	c := http.Client{Timeout: 2 * time.Second}
+	r, err := c.Get("http://" + p.Address + "/control/peers")
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(r.Body, 4<<20))
+	if err == nil && r.StatusCode != http.StatusOK {
+		err = errors.New(strings.TrimSpace(string(text)))
+	}
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(text)
+	return err
+}
+
 type version struct{}
 
 func (*version) Run() error {
@@ -116,6 +150,7 @@
 		Serve    serve    `cmd:"" help:"Serve clients until told to stop."`
 		Check    check    `cmd:"" help:"Say whether a configuration is good."`
 		Counters counters `cmd:"" help:"Print what a running proxy has counted since its start."`
+		Peers    peers    `cmd:"" help:"Print how a running proxy stands with its peers."`
 		Version  version  `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("woodproxy"), kong.Description("A router for fleets of cache servers."))
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	Ready() (yes bool, why string) // whether this process can serve
 	OutOfService() (changed bool)  // send clients away
 	InService() (changed bool)
+	Peers() string // how it stands with its peers, "": it has none
 }
 
 const (
@@ -59,6 +60,14 @@
 		}
 		fmt.Fprintln(w, why)
 	})
+	mux.HandleFunc("GET /control/peers", func(w http.ResponseWriter, r *http.Request) {
+		text := of.Peers()
+		if text == "" {
+			http.Error(w, "no file of peers is named", http.StatusNotFound)
+			return
+		}
+		io.WriteString(w, text)
+	})
 	change := func(path, done, was string, call func() bool) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 			if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, mostHead)); err != nil {
--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -3,14 +3,13 @@
 package emu
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math"
 	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"woodproxy/internal/strict"
 )
 
 // Day is what a day's file says.
@@ -125,39 +124,12 @@
 // ParseDay reads and checks a day.
 func ParseDay(text []byte) (*Day, error) {
 	d := &Day{Limits: Limits{Cores: 1, MemoryMB: 128, Sockets: 1024}}
-	if err := Strict(text, d); err != nil {
+	if err := strict.TOML(text, d); err != nil {
 		return nil, err
 	}
 	return d, d.Check()
 }
 
-// Strict reads TOML; what is unknown or mistyped is an error of one line that names its line and key.
-func Strict(text []byte, into any) error {
-	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
-	var unknown *toml.StrictMissingError
-	var mistyped *toml.DecodeError
-	switch {
-	case errors.As(err, &unknown):
-		line, _ := unknown.Errors[0].Position()
-		return fmt.Errorf("line %d: %s: unknown", line, keyOf(unknown.Errors[0].Key()))
-	case errors.As(err, &mistyped):
-		line, _ := mistyped.Position()
-		return fmt.Errorf("line %d: %s: %s", line, keyOf(mistyped.Key()), mistyped.Error())
-	}
-	return err
-}
-
-func keyOf(key toml.Key) string {
-	s := ""
-	for i, k := range key {
-		if i > 0 {
-			s += "."
-		}
-		s += k
-	}
-	return s
-}
-
 // Check finds the first fault of a day.
 func (d *Day) Check() error {
 	var err error
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -36,6 +36,7 @@
 	quiet  string // why the last watch ended, so that a spell of the same trouble is one line
 	count  *Counters
 	log    *zap.Logger
+	shared *shared // with peers, nil: there are none
 }
 
 // watch is one connection to discovery and its goroutine.
@@ -167,6 +168,12 @@
 		return // it was told to end
 	}
 	l.count.Lists.Add(1)
+	if l.shared != nil {
+		if w == l.now {
+			l.shared.tell(index, whole, list)
+		}
+		list = l.shared.with(index, whole, list)
+	}
 	l.mind.box.post(func() { l.mind.nodes(whole, false, list) })
 }
 
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -36,6 +36,7 @@
 	memory *budget // bytes of values that are held
 	flows  *budget // bytes of values that pass through
 	list   *List
+	tells  func(node string, answers bool) // peers, nil: there are none
 	count  *Counters
 	log    *zap.Logger
 }
@@ -106,7 +107,7 @@
 		} else if ok {
 			t.Since = max(t.Since, m.peers[n].listed.Since)
 		}
-		if t.Address == "" && ok {
+		if (t.Address == "" || t.Elsewhere) && ok && m.peers[n].listed.Address != "" {
 			t.Address = m.peers[n].listed.Address
 		}
 		m.peers[n].listed = t
@@ -313,7 +314,10 @@
 			m.wake.Reset(span(d.After))
 		case brain.Follow:
 			m.list.box.offer(m.list.follow)
-		case brain.Tell: // peers speak no protocol on sockets yet
+		case brain.Tell:
+			if m.tells != nil {
+				m.tells(m.peers[d.Node].name, d.Answers)
+			}
 		case brain.Log:
 			m.log.Info(d.Text)
 		}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -14,6 +14,7 @@
 	"strings"
 
 	"woodproxy/internal/emu"
+	"woodproxy/internal/strict"
 )
 
 // Experiment is what an experiment's file says: each variant plays each day under each seed, as many rounds as stated, in
@@ -53,7 +54,7 @@
 		return nil, fmt.Errorf("experiment: %w", err)
 	}
 	x := &Experiment{Rounds: 1}
-	if err := emu.Strict(text, x); err != nil {
+	if err := strict.TOML(text, x); err != nil {
 		return nil, fmt.Errorf("experiment: %s: %w", file, err)
 	}
 	if err := x.check(filepath.Dir(file)); err != nil {
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"woodproxy/internal/talk"
 	"woodproxy/internal/terms"
 )
 
@@ -25,7 +26,9 @@
 	MemoryMB, Sockets       int
 	Known                   *fastjson.Value
 	Book                    *terms.Book
-	Untold                  bool        // peers might be told things, if there were a protocol
+	Untold                  bool   // peers might be told things, and no file of peers is named
+	Peers, PeersListen      string // the file of peers, "": none; where they meet this proxy, before what the file says
+	Talk                    *talk.Config
 	Watch                   *terms.Book // terms that are only watched, nil: none
 }
 
@@ -44,7 +47,7 @@
 	if err != nil || v.Type() != fastjson.TypeObject {
 		return nil, fmt.Errorf("configuration: %s: not a JSON object", file)
 	}
-	p := &Place{Own: over.Own, Shared: over.Shared, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
+	p := &Place{Own: over.Own, Shared: over.Shared, Peers: over.Peers, PeersListen: over.PeersListen, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
 	word := func(key, given string) string {
 		s := v.Get(key)
 		switch {
@@ -101,8 +104,19 @@
 	if p.Book, err = terms.Read(s); err != nil {
 		return nil, fmt.Errorf("configuration: settings: %w", err)
 	}
-	// peers speak no protocol on sockets yet: nothing is told, whatever is allowed
 	p.Untold, p.Book.Terms.Peers = p.Book.Terms.Peers > 0, 0
+	if p.Peers != "" {
+		if p.Talk, err = talk.Read(p.Peers, p.PeersListen); err != nil {
+			return nil, err
+		}
+		for _, a := range [...]string{p.Listen, p.Management, p.Discovery} {
+			if a == p.Talk.Listen {
+				return nil, fmt.Errorf("peers: %s: listen: the address of another listener: %q", p.Peers, a)
+			}
+		}
+		// the module tells one number, which stands for all
+		p.Untold, p.Book.Terms.Peers, p.Book.Terms.Me = false, 1, 0
+	}
 	if p.Watch, err = watched(v, p.Book); err != nil {
 		return nil, fmt.Errorf("configuration: watch: %w", err)
 	}
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -50,7 +50,7 @@
 	share := shareOut(p.Sockets)
 	mind := fleet.NewMind(p.Book, p.Seed, fleet.NewClock(), share.links, count, log)
 	if p.Untold {
-		log.Warn("limits.may-tell: peers speak no protocol on sockets yet; nothing is told")
+		log.Warn("limits.may-tell: no file of peers is named; nothing is told")
 	}
 	if p.Watch != nil {
 		mind.Watch(p.Watch, p.Seed)
@@ -72,8 +72,13 @@
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
+	peers := &peers{place: p, mind: mind, list: list, count: count, log: log}
+	if p.Talk != nil {
+		list.Share(peers.listed)
+		mind.Tells(peers.tell)
+	}
 	door := fleet.NewDoor(ln, mind, p.MemoryMB, count, log)
-	service := &service{Door: door}
+	service := &service{Door: door, peers: peers}
 	if p.Management != "" {
 		operators, err := control.Listen(p.Management, service)
 		if err != nil {
@@ -84,6 +89,11 @@
 	}
 	room := &allowance{share: share, door: door, mind: mind, own: p.Own, cores: p.Cores, memoryMB: p.MemoryMB}
 	room.set(func(r *allowance) { r.before = before != nil })
+	if before == nil { // else its address is free once that process has gone
+		if err := peers.start(); err != nil {
+			return err
+		}
+	}
 	estate := leave(p, ln, mind, room, log)
 	go mind.Run()
 	go list.Run()
@@ -105,6 +115,9 @@
 			}
 			room.set(func(r *allowance) { r.before = false })
 			log.Info("the process before has gone")
+			if err := peers.start(); err != nil {
+				log.Error("peers are not met", zap.Error(err))
+			}
 		}()
 	}
 	for on := true; on; {
@@ -125,6 +138,7 @@
 	alone := estate.Heirs() == 0
 	log.Info("stopping", zap.Bool("replaced", !alone))
 	service.stopping.Store(true)
+	peers.stop(!alone)
 	mind.Until(answered)
 	until, leaving := time.Now().Add(lastAnswer), replacedLeaving
 	if alone {
@@ -140,9 +154,13 @@
 // service is what operators see of the proxy.
 type service struct {
 	*fleet.Door
+	peers    *peers
 	stopping atomic.Bool
 }
 
+// Peers words how the proxy stands with its peers, "": it has none.
+func (s *service) Peers() string { return s.peers.words() }
+
 // Ready tells whether this process can serve; a drain takes nothing from that.
 func (s *service) Ready() (bool, string) {
 	switch {
@@ -151,6 +169,9 @@
 	case !s.Opened():
 		return false, "starting"
 	}
+	if s.peers.behind() {
+		return true, "ready; catching up with peers"
+	}
 	return true, "ready"
 }
 
@@ -160,10 +181,10 @@
 	log.Info("configuration read anew", zap.String("discovery", p.Discovery), zap.Float64("cores", p.Cores),
 		zap.Int("memory_mb", p.MemoryMB))
 	if p.Name != old.Name || p.Listen != old.Listen || p.Management != old.Management || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) ||
-		!reflect.DeepEqual(p.Watch, old.Watch) {
-		log.Warn("name, listen, management, sockets, settings and watch stand until the next start")
+		!reflect.DeepEqual(p.Watch, old.Watch) || !reflect.DeepEqual(p.Talk, old.Talk) {
+		log.Warn("name, listen, management, sockets, settings, watch and peers stand until the next start")
 		p.Name, p.Listen, p.Management = old.Name, old.Listen, old.Management
-		p.Sockets, p.Book, p.Watch = old.Sockets, old.Book, old.Watch
+		p.Sockets, p.Book, p.Watch, p.Talk = old.Sockets, old.Book, old.Watch, old.Talk
 	}
 	room.set(func(r *allowance) { r.cores, r.memoryMB = p.Cores, p.MemoryMB })
 	list.Move(p.Discovery)
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -19,6 +19,7 @@
 	Gone                      bool // left
 	Weight                    float64
 	Since                     int64 // when it last started, Unix milliseconds; 0: long ago
+	Elsewhere                 bool  `msgpack:"-"` // another proxy told of it, who may reach it at another address
 }
 
 // maxList is how long one line of a watch may be.
--- a/replica/instance.go
+++ b/replica/instance.go
@@ -424,7 +424,7 @@
 // tell that from a link that is cut.
 func (r *Instance) Refused(now Time, name string, incarnation int64) []Decision {
 	r.begin(now)
-	if m := r.byName[name]; m != nil && m.incarnation == incarnation && !r.here(m) {
+	if m := r.byName[name]; m != nil && m.incarnation == incarnation {
 		r.merge(Row{Kind: Gone, Key: name, Epoch: incarnation, Life: goneLife}, "", true)
 	}
 	return r.out
@@ -560,7 +560,7 @@
 			m.gone = gone
 			r.log("proxy %s gone %v: %d of %d are gone", m.name, gone, r.gone(), r.fleet())
 		}
-		if m.name != r.Me && m.pulse != nil && !r.here(m) && end == nil && r.now-m.probed >= 2*Second {
+		if m.name != r.Me && m.pulse != nil && !r.ended(m) && r.now-m.pulse.born > 2*r.every() && r.now-m.probed >= Second {
 			m.probed = r.now
 			r.say(Decision{Act: Probe, To: m.name, Address: m.said.Address, Epoch: m.incarnation})
 		}
@@ -580,10 +580,11 @@
 		!r.ended(m)
 }
 
-// ended tells whether the incarnation that a proxy's latest pulse is of is known to have ended.
+// ended tells whether the incarnation that a proxy's latest pulse is of is known to have ended. A pulse of it that comes late
+// changes nothing: a process that is wrongly said to have ended goes on as another incarnation.
 func (r *Instance) ended(m *member) bool {
 	end := r.rows[idOf(&Row{Kind: Gone, Key: m.name})]
-	return end != nil && m.pulse != nil && end.Epoch >= m.pulse.Epoch && end.had >= m.pulse.had
+	return end != nil && m.pulse != nil && end.Epoch >= m.pulse.Epoch
 }
 
 // Members lists all proxies that are known, by name.
