Rig: links between processes that are cut, one way, lossy; pauses, mass kills, zones lost and cut

Need: what proxies share is to be proven with several processes and faults between them. Proxies meet each other at relays with loopback addresses of their own; stand-ins' connections go over the same links. New troubles: part, one-way, lossy, pause, mass-kill, zone-cut, zone-lost, deaf and stale for some. New rule: shares kept, from what running proxies say.

--- a/internal/emu/clients.go
+++ b/internal/emu/clients.go
@@ -38,6 +38,7 @@
 type clients struct {
 	plan  *Plan
 	log   *Log
+	world *World
 	up    []*atomic.Bool // proxies that clients are sent to
 	addrs []string
 
@@ -204,6 +205,7 @@
 		patience = r.Leaves
 	}
 	l.conn.SetDeadline(time.Now().Add(patience))
+	c.world.asks(r.ID, n)
 	c.log.See(Seen{What: Asked, ID: r.ID, Proxy: n})
 	_, err := l.conn.Write(Command(words...))
 	if err == nil {
--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"time"
 
 	"woodproxy/internal/strict"
@@ -24,6 +25,14 @@
 	Routes  []Route   `toml:"route"`
 	Trouble []Trouble `toml:"trouble"`
 	Limits  Limits    `toml:"limits"`
+	Peers   Peers     `toml:"peers"`
+}
+
+// Peers is how the proxies talk with one another.
+type Peers struct {
+	Talk  bool    `toml:"talk"`
+	Hold  float64 `toml:"hold_s"`
+	Floor float64 `toml:"floor"`
 }
 
 // Server is what a machine can do.
@@ -95,18 +104,27 @@
 	Part  float64 `toml:"part"`
 	Rate  float64 `toml:"rate"`
 	Leave float64 `toml:"leave_ms"`
+	// of troubles that hit many processes
+	Zone   string  `toml:"zone"`
+	Spread float64 `toml:"spread_s"` // over which those that were killed start again
+	Reset  bool    `toml:"reset"`    // streams under a cut are reset when it heals, else they go on
+	Dead   bool    `toml:"dead"`     // a lost zone refuses, as processes that died, else it is silent, as machines that vanished
+	Cold   bool    `toml:"cold"`     // its nodes come back empty
 }
 
 // of each kind: which figures it needs.
-var kinds = map[string]struct{ nodes, times, part, rate bool }{
+var kinds = map[string]struct{ nodes, times, part, rate, zone, some bool }{
 	"silent": {nodes: true}, "slow": {nodes: true, times: true}, "failing": {nodes: true, part: true},
 	"cold": {nodes: true}, "replace": {nodes: true}, "reset": {nodes: true, part: true}, "garbled": {nodes: true, part: true}, "halves": {nodes: true, part: true},
-	"stale": {}, "deaf": {}, "origin-slow": {times: true}, "kill": {nodes: true}, "restart": {nodes: true},
+	"stale": {some: true}, "deaf": {some: true}, "origin-slow": {times: true}, "kill": {nodes: true}, "restart": {nodes: true},
 	"bad-clients": {rate: true}, "slow-clients": {nodes: true},
+	"part": {nodes: true}, "one-way": {nodes: true}, "lossy": {part: true}, "pause": {nodes: true}, "mass-kill": {nodes: true},
+	"zone-cut": {zone: true}, "zone-lost": {zone: true},
 }
 
 // ofProxies are the troubles that befall proxies or come of clients.
-var ofProxies = map[string]bool{"kill": true, "restart": true}
+var ofProxies = map[string]bool{"kill": true, "restart": true, "part": true, "one-way": true, "pause": true, "mass-kill": true,
+	"deaf": true, "stale": true}
 
 // ReadDay reads and checks a day's file. An error is one line that names the file, and the line or key.
 func ReadDay(file string) (*Day, error) {
@@ -154,6 +172,8 @@
 	within("load.rate", d.Load.Rate, 0.1, 20000)
 	within("load.impatient", d.Load.Impatient, 0, 1)
 	within("load.connections", float64(d.Load.Connections), 0, 20000)
+	within("peers.hold_s", d.Peers.Hold, 0, 600)
+	within("peers.floor", d.Peers.Floor, 0, 1)
 	within("limits.cores", d.Limits.Cores, 0.01, 64)
 	within("limits.memory_mb", float64(d.Limits.MemoryMB), 8, 1<<16)
 	within("limits.sockets", float64(d.Limits.Sockets), 64, 1<<20)
@@ -217,13 +237,23 @@
 			least, most float64
 		}{{"nodes", float64(t.Nodes), k.nodes, 1, float64(most)}, {"times", t.Times, k.times, 1, 1000},
 			{"part", t.Part, k.part, 0.001, 1}, {"rate", t.Rate, k.rate, 0.1, 1000}} {
-			if f.needed {
+			if f.needed || f.key == "nodes" && k.some && f.v != 0 {
 				within(key+f.key, f.v, f.least, f.most)
 			} else if err == nil && f.v != 0 {
 				err = fmt.Errorf("%s%s: %s takes none", key, f.key, t.Kind)
 			}
 		}
 		within(key+"leave_ms", t.Leave, 0, 60000)
+		within(key+"spread_s", t.Spread, 0, d.Length)
+		if err == nil && k.zone != (t.Zone != "") {
+			err = fmt.Errorf("%szone: missing, or %s takes none", key, t.Kind)
+		}
+		if err == nil && k.zone && !slices.Contains(d.Fleet.Zones, t.Zone) {
+			err = fmt.Errorf("%szone: %q: none of fleet.zones", key, t.Zone)
+		}
+		if err == nil && !d.Peers.Talk && (t.Kind == "part" || t.Kind == "one-way" || t.Kind == "lossy") {
+			err = fmt.Errorf("%skind: %s: proxies do not talk (peers.talk)", key, t.Kind)
+		}
 	}
 	return err
 }
--- a/internal/emu/log.go
+++ b/internal/emu/log.go
@@ -16,6 +16,8 @@
 	Told     = "told"     // discovery wrote to a proxy what has become of a node: Note is its status
 	Began    = "began"    // a node starts: its capacity at first is Figure, in commands a second when warm
 	Ended    = "ended"    // a proxy's process ended: Note tells how
+	Shared   = "shared"   // a proxy says that its share of the fleet's limits is Figure, and Note what it holds of nodes
+	Paused   = "paused"   // a proxy's process is stopped where it stands, or goes on: Note "goes on"
 	Late     = "late"     // the load itself: a request went out so late, Figure in milliseconds
 )
 
--- /dev/null
+++ b/internal/emu/many.go
@@ -0,0 +1,245 @@
+package emu
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Troubles that stand between processes, or befall many at one moment.
+
+// nets counts days with peers that this process plays: each has addresses of its own.
+var nets struct {
+	sync.Mutex
+	n int
+}
+
+// meet settles where a proxy's peers meet it: at a relay, which has an address of its own, as the proxy has.
+func (p *player) meet(i int, m *member) error {
+	if i == 0 {
+		nets.Lock()
+		nets.n++
+		p.net = fmt.Sprintf("127.%d.%d.", 100+nets.n%100, os.Getpid()%250)
+		nets.Unlock()
+		p.names = map[string]string{}
+	}
+	own, met := fmt.Sprint(p.net, i+1), fmt.Sprint(p.net, i+101)
+	listen, err := freePort(own)
+	if err != nil {
+		return err
+	}
+	at, err := freePort(met)
+	if err != nil {
+		return err
+	}
+	p.names[own] = proxyName(i)
+	r, err := newRelay(p.ways, proxyName(i), at, listen, p.names)
+	if err != nil {
+		return err
+	}
+	p.relays = append(p.relays, r)
+	var seeds []string
+	for _, r := range p.relays[:min(3, len(p.relays))] {
+		seeds = append(seeds, fmt.Sprintf("%q", r.at))
+	}
+	talk := p.plan.Day.Peers
+	text := fmt.Sprintf("cluster = \"day\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n", listen, at, strings.Join(seeds, ", "))
+	if talk.Hold > 0 {
+		text += fmt.Sprintf("hold_s = %v\n", talk.Hold)
+	}
+	if talk.Floor > 0 {
+		text += fmt.Sprintf("floor = %v\n", talk.Floor)
+	}
+	if m.site.Management, err = freePort(own); err != nil {
+		return err
+	}
+	m.site.Peers = filepath.Join(m.site.Dir, "peers.toml")
+	return os.WriteFile(m.site.Peers, []byte(text), 0o600)
+}
+
+// asks is how often proxies are asked how they stand with their peers.
+const asks = 200 * time.Millisecond
+
+// ask asks each proxy, for as long as the day lasts, what its share is, and what it holds.
+func (p *player) ask(ctx context.Context) {
+	var all sync.WaitGroup
+	for i, m := range p.proxies {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+			for sleep(ctx, asks) {
+				if !p.clients.up[i].Load() {
+					continue
+				}
+				r, err := c.Get("http://" + m.site.Management + "/control/peers")
+				if err != nil {
+					continue
+				}
+				text, err := io.ReadAll(r.Body)
+				r.Body.Close()
+				if s, ok := standing(string(text)); err == nil && ok && p.clients.up[i].Load() {
+					s.Proxy = i
+					p.log.See(s)
+				}
+			}
+		}()
+	}
+	all.Wait()
+}
+
+// standing reads what a proxy says of its peers.
+func standing(text string) (s Seen, ok bool) {
+	s.What = Shared
+	for _, line := range strings.Split(text, "\n") {
+		if _, rest, found := strings.Cut(line, "; behind "); found {
+			var behind, share string
+			if _, err := fmt.Sscanf(rest, "%s share %s", &behind, &share); err != nil {
+				return s, false
+			}
+			s.Made = strings.TrimSuffix(behind, ",")
+			s.Figure, ok = number(share)
+		}
+		if rest, found := strings.CutPrefix(line, "rows node "); found {
+			s.Note = rest
+		}
+	}
+	return s, ok
+}
+
+func number(s string) (float64, bool) {
+	f, err := strconv.ParseFloat(s, 64)
+	return f, err == nil
+}
+
+// sides tells which names are on the hit side of a trouble: proxies, and where a zone is hit its nodes.
+func (p *player) sides(b Blow) map[string]bool {
+	hit := map[string]bool{}
+	for _, i := range b.Hits {
+		hit[proxyName(i)] = true
+	}
+	if b.Zone != "" {
+		p.world.mu.Lock()
+		defer p.world.mu.Unlock()
+		for name, zone := range p.world.zones {
+			if zone == b.Zone {
+				hit[name] = true
+			}
+		}
+	}
+	return hit
+}
+
+// cutOf is what a trouble does to links. Those to the origin and to a proxy's own discovery are never hit.
+func (p *player) cutOf(b Blow) cut {
+	hit := p.sides(b)
+	between := func(name string) bool {
+		return strings.HasPrefix(name, "n") || b.Zone != "" && strings.HasPrefix(name, "c")
+	}
+	c := cut{loss: 1, reset: b.Reset}
+	switch b.Kind {
+	case "one-way":
+		c.hits = func(from, to string) bool { return hit[from] && !hit[to] && (to == "" || between(to)) }
+	case "lossy":
+		c.loss, c.twice, c.slow = min(b.Part, 0.99), b.Part/3, 60*time.Millisecond
+		c.hits = func(from, to string) bool { return strings.HasPrefix(from, "n") && strings.HasPrefix(to, "n") }
+	default:
+		c.hits = func(from, to string) bool {
+			return hit[from] != hit[to] && (from == "" || between(from)) && (to == "" || between(to))
+		}
+	}
+	return c
+}
+
+// pause stops processes where they stand, and has them go on.
+func (p *player) pause(ctx context.Context, hits []int, long time.Duration) {
+	signal := func(s syscall.Signal, note string) {
+		for _, i := range hits {
+			m := p.proxies[i]
+			m.mu.Lock()
+			now := m.now
+			m.mu.Unlock()
+			if s == syscall.SIGCONT {
+				p.log.See(Seen{What: Paused, Proxy: i, Note: note})
+			}
+			now.Signal(s)
+			if s == syscall.SIGSTOP {
+				p.log.See(Seen{What: Paused, Proxy: i, Note: note})
+			}
+			p.clients.up[i].Store(s == syscall.SIGCONT)
+		}
+	}
+	signal(syscall.SIGSTOP, "stands")
+	sleep(ctx, long)
+	signal(syscall.SIGCONT, "goes on")
+}
+
+// massKill kills proxies at one moment; after a while then is done, and each starts again, spread over a span.
+func (p *player) massKill(ctx context.Context, hits []int, after, spread time.Duration, then func()) {
+	var all sync.WaitGroup
+	for _, i := range hits {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			p.end(i, nil, "killed")
+		}()
+	}
+	all.Wait()
+	if !sleep(ctx, after) {
+		return
+	}
+	then()
+	for k, i := range hits {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if sleep(ctx, spread*time.Duration(k)/time.Duration(len(hits))) {
+				p.start(ctx, i)
+			}
+		}()
+	}
+	all.Wait()
+}
+
+// loseZone takes a zone's proxies and nodes away. Where it is not dead it is silent: machines that vanished refuse nothing.
+func (p *player) loseZone(ctx context.Context, b Blow, long time.Duration) {
+	var nodes []*Node
+	hit := p.sides(b)
+	p.mu.Lock()
+	for _, n := range p.nodes {
+		if hit[n.Name] {
+			nodes = append(nodes, n)
+		}
+	}
+	p.mu.Unlock()
+	end := func() {}
+	if !b.Dead {
+		end = p.ways.begin(cut{loss: 1, reset: true, hits: func(from, to string) bool {
+			return hit[from] && to != "origin" || hit[to] && from != "origin"
+		}})
+	} else {
+		for _, n := range nodes {
+			n.Stop()
+		}
+	}
+	p.massKill(ctx, b.Hits, long, seconds(b.Spread), func() {
+		end()
+		for _, n := range nodes {
+			if b.Dead && n.Restart() != nil {
+				return
+			}
+			if b.Dead || b.Cold {
+				p.starts(n, time.Now())
+				p.say(n, "active")
+			}
+		}
+	})
+}
--- a/internal/emu/node.go
+++ b/internal/emu/node.go
@@ -131,17 +131,17 @@
 					c.Close()
 					return
 				}
-				go n.serve(c, proxy)
+				go n.serve(c, n.world.ways.over(c, n.Name, proxyName(proxy)), proxy)
 			}
 		}()
 	}
 }
 
-func (n *Node) serve(c net.Conn, proxy int) {
+func (n *Node) serve(raw, c net.Conn, proxy int) {
 	defer func() {
 		c.Close()
 		n.mu.Lock()
-		delete(n.conns, c)
+		delete(n.conns, raw)
 		n.mu.Unlock()
 	}()
 	r := bufio.NewReader(c)
@@ -255,6 +255,7 @@
 		return err
 	}
 	id, fact := words[2], words[3]
+	proxy = n.world.whose(id, proxy)
 	n.world.Log.See(Seen{What: Took, ID: id, Proxy: proxy, Node: n.Name, Note: mark(fact)})
 	habit, slow, size := n.meets(id)
 	v := value(n.Name, id, size)
@@ -321,6 +322,7 @@
 		return err
 	}
 	id, k := q.Header.Get("X-Correlation-Id"), mark(q.Header.Get("X-Facts"))
+	proxy = n.world.whose(id, proxy)
 	write := q.Method == http.MethodPut
 	if write && strings.Trim(string(body), "v") != "" {
 		return errEnds // the value is not what clients write
--- a/internal/emu/plan.go
+++ b/internal/emu/plan.go
@@ -62,7 +62,16 @@
 		if ofProxies[t.Kind] {
 			of = d.Proxies
 		}
-		if t.Kind != "slow-clients" {
+		switch {
+		case t.Zone != "": // its proxies; zones are dealt out to proxies in turn
+			for i := range d.Proxies {
+				if d.Fleet.Zones[i%len(d.Fleet.Zones)] == t.Zone {
+					b.Hits = append(b.Hits, i)
+				}
+			}
+		case (t.Kind == "deaf" || t.Kind == "stale") && t.Nodes == 0: // all of them
+			b.Hits = whom.Perm(of)
+		case t.Kind != "slow-clients":
 			b.Hits = whom.Perm(of)[:min(t.Nodes, of)]
 		}
 		p.Blows = append(p.Blows, b)
--- a/internal/emu/rules.go
+++ b/internal/emu/rules.go
@@ -14,6 +14,7 @@
 	DrainRule   = "drains kept"      // nothing new goes to a node so long after its proxy was told
 	ColdRule    = "no cold node pushed over"
 	CrashRule   = "no crash"
+	ShareRule   = "shares kept" // what running proxies say they may use of the fleet's limits is one together, or less
 )
 
 // What the rules allow.
@@ -45,7 +46,7 @@
 func Check(d *Day, requests []Request, all []Seen) []Breach {
 	c := checker{day: d, routes: map[string]Route{}, asked: map[string]Seen{}, answers: map[string]int{}, over: map[string]bool{},
 		ran: map[string]int{}, told: map[spot]time.Duration{}, began: map[string]Seen{}, took: map[string][]time.Duration{},
-		pushed: map[string]bool{}, ended: map[int][]time.Duration{}}
+		pushed: map[string]bool{}, ended: map[int][]time.Duration{}, paused: map[int][]time.Duration{}, shares: map[int][]Seen{}}
 	for _, r := range requests {
 		c.routes[r.ID] = d.Routes[r.Route]
 	}
@@ -68,19 +69,22 @@
 }
 
 type checker struct {
-	day     *Day
-	routes  map[string]Route
-	asked   map[string]Seen // the last time each was asked
-	answers map[string]int
-	over    map[string]bool // left, or closed on and asked again
-	ran     map[string]int
-	told    map[spot]time.Duration // since when a node drains, for a proxy
-	began   map[string]Seen        // nodes, when they started cold
-	took    map[string][]time.Duration
-	pushed  map[string]bool
-	ended   map[int][]time.Duration // when processes were killed
-	last    time.Duration
-	found   []Breach
+	day      *Day
+	routes   map[string]Route
+	asked    map[string]Seen // the last time each was asked
+	answers  map[string]int
+	over     map[string]bool // left, or closed on and asked again
+	ran      map[string]int
+	told     map[spot]time.Duration // since when a node drains, for a proxy
+	began    map[string]Seen        // nodes, when they started cold
+	took     map[string][]time.Duration
+	pushed   map[string]bool
+	ended    map[int][]time.Duration // when processes were killed
+	shares   map[int][]Seen          // by proxy that runs, of the last second
+	overdone bool                    // they were over, and that was told
+	paused   map[int][]time.Duration // when processes were stopped where they stood, and went on, in turn
+	last     time.Duration
+	found    []Breach
 }
 
 func (c *checker) broke(rule string, s Seen, format string, args ...any) {
@@ -122,7 +126,12 @@
 	case Began:
 		c.began[s.Node] = s
 		c.took[s.Node] = nil
+	case Shared:
+		c.shared(s)
+	case Paused:
+		c.paused[s.Proxy] = append(c.paused[s.Proxy], s.At)
 	case Ended:
+		delete(c.shares, s.Proxy)
 		if s.Note == "crashed" {
 			c.broke(CrashRule, s, "proxy %d crashed", s.Proxy)
 		}
@@ -142,7 +151,7 @@
 		c.broke(LostRule, s, "request %s was answered and never asked", s.ID)
 		return
 	}
-	if took, most := s.At-asked.At, millis(c.routes[s.ID].Overall)+Slack; took > most {
+	if took, most := s.At-asked.At, millis(c.routes[s.ID].Overall)+Slack; took > most && !c.stood(s.Proxy, asked.At, s.At) {
 		c.broke(LostRule, s, "request %s was answered after %v, later than %v", s.ID, took, most)
 	}
 	if s.Note == "completed" && s.Made != s.ID {
@@ -151,7 +160,11 @@
 }
 
 func (c *checker) taken(s Seen) {
-	if since, drains := c.told[spot{s.Proxy, s.Node}]; drains && s.At > since+DrainGrace+Slack {
+	since, drains := c.told[spot{s.Proxy, s.Node}]
+	if p := c.paused[s.Proxy]; drains && len(p) > 0 {
+		since = max(since, p[len(p)-1]) // it was told as it stood, and reads that when it goes on
+	}
+	if drains && s.At > since+DrainGrace+Slack {
 		c.broke(DrainRule, s, "node %s took request %s from proxy %d %v after that was told", s.Node, s.ID, s.Proxy, s.At-since)
 	}
 	b, cold := c.began[s.Node]
@@ -174,6 +187,39 @@
 	}
 }
 
+// shared adds up shares, the least that each said within the second before: they are asked one after the other, and one that
+// falls makes room for another that grows.
+func (c *checker) shared(s Seen) {
+	last := append(c.shares[s.Proxy], s)
+	for last[0].At < s.At-time.Second {
+		last = last[1:]
+	}
+	c.shares[s.Proxy] = last
+	sum := 0.0
+	for _, all := range c.shares {
+		least := 1.0
+		for _, s := range all {
+			least = min(least, s.Figure)
+		}
+		sum += least
+	}
+	if sum > 1.001 && !c.overdone {
+		c.overdone = true
+		c.broke(ShareRule, Seen{At: s.At}, "%d proxies say that they may use %.3f of the fleet's limits", len(c.shares), sum)
+	}
+}
+
+// stood tells whether a proxy's process was stopped where it stood within a span: it could answer nothing then.
+func (c *checker) stood(proxy int, from, to time.Duration) bool {
+	p := c.paused[proxy]
+	for i := 0; i < len(p); i += 2 {
+		if p[i] <= to && (i+1 == len(p) || p[i+1] >= from) {
+			return true
+		}
+	}
+	return false
+}
+
 // killed tells whether a proxy's process was killed within a span, with which what it held is lost.
 func (c *checker) killed(proxy int, from, to time.Duration) bool {
 	for _, e := range c.ended[proxy] {
@@ -188,7 +234,7 @@
 func (c *checker) close() {
 	for id, s := range c.asked {
 		end := s.At + millis(c.routes[id].Overall) + Slack
-		if c.answers[id] == 0 && !c.over[id] && c.last >= end && !c.killed(s.Proxy, s.At-time.Second, end) {
+		if c.answers[id] == 0 && !c.over[id] && c.last >= end && !c.killed(s.Proxy, s.At-time.Second, end) && !c.stood(s.Proxy, s.At, end) {
 			c.broke(LostRule, s, "request %s never was answered by proxy %d", id, s.Proxy)
 		}
 	}
--- a/internal/emu/world.go
+++ b/internal/emu/world.go
@@ -1,6 +1,7 @@
 package emu
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -9,6 +10,7 @@
 type World struct {
 	Log  *Log
 	size int
+	ways *Ways // nil: nothing stands between processes
 
 	mu     sync.Mutex
 	day    *Day
@@ -17,11 +19,30 @@
 	lacked map[string][]string        // by request, the caches that missed; emptied as the origin answers
 	ran    map[string]time.Time       // by mark, when the origin last carried it out
 	writes map[string]Route           // by request
+	asked  map[string]int             // by request, the proxy that a client asked last
 }
 
 func newWorld(day *Day, log *Log) *World {
 	return &World{Log: log, size: day.Keys.Size, day: day, zones: map[string]string{}, keeps: map[string]map[string]bool{},
-		lacked: map[string][]string{}, ran: map[string]time.Time{}, writes: map[string]Route{}}
+		lacked: map[string][]string{}, ran: map[string]time.Time{}, writes: map[string]Route{}, asked: map[string]int{}}
+}
+
+func proxyName(i int) string { return fmt.Sprintf("n%d", i) }
+
+// asks notes whom a client asks, whose tells it: a proxy that has an address from another can't be told by the address.
+func (w *World) asks(id string, proxy int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asked[id] = proxy
+}
+
+func (w *World) whose(id string, otherwise int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p, ok := w.asked[id]; ok {
+		return p
+	}
+	return otherwise
 }
 
 // far waits for as long as the way between a proxy and a node takes more than usual.
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -307,6 +307,7 @@
 			t.changed(&d.Rows[0])
 		case replica.SetShare:
 			t.proxy.Share(d.Share)
+			t.show()
 		case replica.Log:
 			t.log.Info("peers: " + d.Text)
 		}
