--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -112,6 +112,11 @@
 	Cold   bool    `toml:"cold"`     // its nodes come back empty
 }
 
+// NeedsTalk tells whether a trouble stands between proxies alone, or tells something to one.
+func (t Trouble) NeedsTalk() bool {
+	return t.Kind == "part" || t.Kind == "one-way" || t.Kind == "lossy" || t.Kind == "whisper"
+}
+
 // of each kind: which figures it needs.
 var kinds = map[string]struct{ nodes, times, part, rate, zone, some bool }{
 	"silent": {nodes: true}, "slow": {nodes: true, times: true}, "failing": {nodes: true, part: true},
@@ -119,7 +124,7 @@
 	"stale": {some: true}, "deaf": {some: true}, "origin-slow": {times: true}, "kill": {nodes: true}, "restart": {nodes: true},
 	"bad-clients": {rate: true}, "slow-clients": {nodes: true},
 	"part": {nodes: true}, "one-way": {nodes: true}, "lossy": {part: true}, "pause": {nodes: true}, "mass-kill": {nodes: true},
-	"zone-cut": {zone: true}, "zone-lost": {zone: true},
+	"zone-cut": {zone: true}, "zone-lost": {zone: true}, "whisper": {nodes: true},
 }
 
 // ofProxies are the troubles that befall proxies or come of clients.
@@ -227,7 +232,7 @@
 		if ofProxies[t.Kind] {
 			most = d.Proxies
 		}
-		if t.Kind == "slow-clients" {
+		if t.Kind == "slow-clients" || t.Kind == "whisper" {
 			most = 500
 		}
 		for _, f := range []struct {
@@ -251,7 +256,7 @@
 		if err == nil && k.zone && !slices.Contains(d.Fleet.Zones, t.Zone) {
 			err = fmt.Errorf("%szone: %q: none of fleet.zones", key, t.Zone)
 		}
-		if err == nil && !d.Peers.Talk && (t.Kind == "part" || t.Kind == "one-way" || t.Kind == "lossy") {
+		if err == nil && !d.Peers.Talk && t.NeedsTalk() {
 			err = fmt.Errorf("%skind: %s: proxies do not talk (peers.talk)", key, t.Kind)
 		}
 	}
--- a/internal/emu/log.go
+++ b/internal/emu/log.go
@@ -23,14 +23,15 @@
 
 // Seen is one thing seen.
 type Seen struct {
-	At     time.Duration
-	What   string
-	ID     string // of the request
-	Proxy  int    // -1: none
-	Node   string
-	Note   string
-	Made   string
-	Figure float64
+	At             time.Duration
+	What           string
+	ID             string // of the request
+	Proxy          int    // -1: none
+	Node           string
+	Note           string
+	Made           string
+	Figure         float64
+	Bytes, Packets int64 // of the talk with peers, since the process began
 }
 
 // Log keeps what is seen on a day.
--- a/internal/emu/many.go
+++ b/internal/emu/many.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -96,6 +98,121 @@
 	all.Wait()
 }
 
+// whisper is a node of which one proxy alone was told.
+type whisper struct {
+	node  string
+	proxy int
+	at    time.Time
+}
+
+// whisper adds nodes, cold ones that are in nobody's way, and tells each to one proxy alone, over a span; all are told at the end.
+func (p *player) whisper(ctx context.Context, nodes int, long time.Duration) {
+	var added []*Node
+	for k := range nodes {
+		p.mu.Lock()
+		name := fmt.Sprintf("c%d", p.next)
+		p.next++
+		p.mu.Unlock()
+		n, err := p.node(name, false, time.Now())
+		if err != nil {
+			return
+		}
+		added = append(added, n)
+		to := (k*7 + 3) % len(p.found)
+		for k := range p.found {
+			to = (to + k) % len(p.found)
+			if p.clients.up[to].Load() && p.found[to].Mood() == "" {
+				break
+			}
+		}
+		// all the others' discoveries count this version too, and hold it back
+		for i, f := range p.found {
+			if i != to {
+				f.Stale(true)
+			}
+			f.Say(p.row(n, i, "active"))
+		}
+		p.mu.Lock()
+		p.whispers = append(p.whispers, whisper{name, to, time.Now()})
+		p.mu.Unlock()
+		if !sleep(ctx, long/time.Duration(nodes)) {
+			return
+		}
+	}
+	p.mu.Lock()
+	p.nodes = append(p.nodes, added...)
+	p.mu.Unlock()
+	for _, f := range p.found {
+		f.Stale(false)
+	}
+}
+
+// heard reads in the proxies' logs when each learnt what, and in what they said what that cost.
+func (p *player) heard(r *Report) {
+	type line struct {
+		At   float64 `json:"ts"`
+		Msg  string  `json:"msg"`
+		Peer string  `json:"peer"`
+	}
+	if !p.plan.Day.Peers.Talk {
+		return
+	}
+	first := map[string]map[int]float64{}
+	for i, m := range p.proxies {
+		text, err := os.ReadFile(filepath.Join(m.site.Dir, "log"))
+		if err != nil {
+			continue
+		}
+		began := 0.0
+		for _, raw := range strings.Split(string(text), "\n") {
+			var l line
+			if json.Unmarshal([]byte(raw), &l) != nil {
+				continue
+			}
+			switch {
+			case l.Msg == "started" || strings.HasPrefix(l.Msg, "peers: stood still"):
+				began = l.At
+			case strings.HasPrefix(l.Msg, "peers: caught up") && began > 0:
+				r.CatchUps = append(r.CatchUps, seconds(l.At-began))
+				began = 0
+			case l.Msg == "new on the list":
+				if first[l.Peer] == nil {
+					first[l.Peer] = map[int]float64{}
+				}
+				if _, ok := first[l.Peer][i]; !ok {
+					first[l.Peer][i] = l.At
+				}
+			}
+		}
+	}
+	for _, w := range p.whispers {
+		for i := range p.proxies {
+			at, ok := first[w.node][i]
+			if ok && i != w.proxy {
+				r.Whispers = append(r.Whispers, seconds(at-float64(w.at.UnixMicro())/1e6))
+			} else if !ok {
+				r.Unheard++
+			}
+		}
+	}
+	slices.Sort(r.Whispers)
+	slices.Sort(r.CatchUps)
+	sum, packets, spans := 0.0, 0.0, 0.0
+	last := map[int]Seen{}
+	for _, s := range r.Seen {
+		if s.What != Shared {
+			continue
+		}
+		if l, ok := last[s.Proxy]; ok && s.Bytes >= l.Bytes { // else a process has begun anew
+			sum, packets, spans = sum+float64(s.Bytes-l.Bytes), packets+float64(s.Packets-l.Packets), spans+(s.At-l.At).Seconds()
+		}
+		last[s.Proxy] = s
+	}
+	if spans > 0 {
+		r.PeerBytes, r.PeerPackets = sum/spans, packets/spans
+	}
+}
+
 // standing reads what a proxy says of its peers.
 func standing(text string) (s Seen, ok bool) {
 	s.What = Shared
@@ -108,6 +225,12 @@
 			s.Made = strings.TrimSuffix(behind, ",")
 			s.Figure, ok = number(share)
 		}
+		if strings.HasPrefix(line, "packets ") {
+			var streams, in, out int64
+			if _, err := fmt.Sscanf(line, "packets %d streams %d bytes-in %d bytes-out %d", &s.Packets, &streams, &in, &out); err == nil {
+				s.Bytes = in + out
+			}
+		}
 		if rest, found := strings.CutPrefix(line, "rows node "); found {
 			s.Note = rest
 		}
--- a/internal/emu/plan.go
+++ b/internal/emu/plan.go
@@ -71,7 +71,7 @@
 			}
 		case (t.Kind == "deaf" || t.Kind == "stale") && t.Nodes == 0: // all of them
 			b.Hits = whom.Perm(of)
-		case t.Kind != "slow-clients":
+		case t.Kind != "slow-clients" && t.Kind != "whisper":
 			b.Hits = whom.Perm(of)[:min(t.Nodes, of)]
 		}
 		p.Blows = append(p.Blows, b)
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -50,27 +50,33 @@
 	LateMS   float64 // the most by which the load itself ran late
 	Ran      bool    // the load ran in time: latenesses over 5 ms are fewer than one in two hundred
 	CPU      float64 // of all proxies, microseconds a request; 0 where they are no processes
-	BadMute  int     // bad clients that were owed an error or a close and had neither
+	// of each node that one proxy alone was told of, how long until each other proxy had it on its list
+	Whispers               []time.Duration
+	Unheard                int             // proxies that never had such a node
+	PeerBytes, PeerPackets float64         // a second and proxy, that talk took in and gave out; that came in
+	CatchUps               []time.Duration // from the start or the going on of a process that had peers until it said that it caught up
+	BadMute                int             // bad clients that were owed an error or a close and had neither
 }
 
 type player struct {
-	plan    *Plan
-	o       Options
-	log     *Log
-	world   *World
-	origin  *Node
-	nodes   []*Node
-	found   []*Discovery
-	finds   []string
-	clients *clients
-	proxies []*member
-	badMute atomic.Int64
-	cpu     atomic.Int64 // of processes that have ended
-	ends    sync.WaitGroup
-	ways    *Ways
-	net     string            // beginning of the proxies' addresses among each other
-	names   map[string]string // of proxies, by these
-	relays  []*relay          // where proxies meet each other, none where they do not talk
+	plan     *Plan
+	o        Options
+	log      *Log
+	world    *World
+	origin   *Node
+	nodes    []*Node
+	found    []*Discovery
+	finds    []string
+	clients  *clients
+	proxies  []*member
+	badMute  atomic.Int64
+	cpu      atomic.Int64 // of processes that have ended
+	ends     sync.WaitGroup
+	ways     *Ways
+	whispers []whisper
+	net      string            // beginning of the proxies' addresses among each other
+	names    map[string]string // of proxies, by these
+	relays   []*relay          // where proxies meet each other, none where they do not talk
 
 	mu   sync.Mutex
 	next int // number of the next node
@@ -584,6 +590,8 @@
 	case "part", "one-way", "lossy", "zone-cut":
 		defer p.ways.begin(p.cutOf(b))()
 		sleep(ctx, long)
+	case "whisper":
+		p.whisper(ctx, b.Nodes, long)
 	case "pause":
 		p.pause(ctx, b.Hits, long)
 	case "mass-kill":
@@ -634,6 +642,7 @@
 	all := p.log.All()
 	r := &Report{Plan: p.plan, Results: p.clients.results, Seen: all, Breaches: Check(p.plan.Day, p.plan.Requests, all),
 		BadMute: int(p.badMute.Load())}
+	p.heard(r)
 	r.CPU = float64(p.cpu.Load()) / 1000 / float64(max(len(p.plan.Requests), 1))
 	late := 0
 	for _, s := range all {
--- /dev/null
+++ b/internal/fleet/shared_test.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"testing"
+
+	"woodproxy/internal/wire"
+)
+
+// What peers tell of nodes stands where it is further than what this proxy's discovery told, and no drain that this one was
+// told is undone by it.
+func TestPeersLines(t *testing.T) {
+	active := func(name string, since int64) wire.Target {
+		return wire.Target{Name: name, Address: "here:" + name, Ready: true, Since: since}
+	}
+	draining := wire.Target{Name: "c1"}
+	s := &shared{new: map[string]heard{}, over: map[string]heard{}, drain: map[string]bool{}}
+	state := func(list []wire.Target) map[string]wire.Target {
+		m := map[string]wire.Target{}
+		for _, t := range list {
+			m[t.Name] = t
+		}
+		return m
+	}
+	s.over["c1"] = heard{9, wire.Target{Name: "c1"}}
+	s.over["c3"] = heard{9, wire.Target{Name: "c3", Address: "there:c3", Ready: true}}
+	s.over["c4"] = heard{9, wire.Target{Name: "c4", Gone: true}}
+	got := state(s.with(5, true, []wire.Target{active("c1", 0), active("c2", 0), active("c4", 0)}))
+	if got["c1"].Ready || got["c1"].Address != "here:c1" {
+		t.Errorf("an older list undoes a drain that peers know of: %+v", got["c1"])
+	}
+	if !got["c3"].Ready || got["c3"].Address != "there:c3" || !got["c4"].Gone {
+		t.Errorf("an older list hides what peers know: %+v", got)
+	}
+	s.with(6, false, []wire.Target{draining})
+	s.over["c1"] = heard{12, active("c1", 0)}
+	if !s.drain["c1"] {
+		t.Error("a drain told here is forgotten")
+	}
+	if got := state(s.with(12, false, []wire.Target{active("c2", 7)})); got["c2"].Since != 7 || len(s.over) != 0 {
+		t.Errorf("%+v, left over %v", got, s.over)
+	}
+	if s.with(13, false, []wire.Target{active("c1", 8)}); s.drain["c1"] {
+		t.Error("a node that this proxy's discovery calls active drains on")
+	}
+}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 
 	"woodproxy/internal/emu"
@@ -39,6 +40,7 @@
 	Zipf     float64        `toml:"zipf"`        // 0: the day's
 	Cores    float64        `toml:"cores"`       // of a proxy, 0: the day's
 	Clients  int            `toml:"connections"` // that clients hold, 0: the day's
+	Talk     *bool          `toml:"talk"`        // whether proxies talk with one another
 }
 
 // IsExperiment tells an experiment's file from a day's.
@@ -123,6 +125,12 @@
 	if v.Clients > 0 {
 		c.Load.Connections = v.Clients
 	}
+	if v.Talk != nil {
+		c.Peers.Talk = *v.Talk
+		if !c.Peers.Talk { // what stands between them alone does not come
+			c.Trouble = slices.DeleteFunc(slices.Clone(c.Trouble), func(t emu.Trouble) bool { return t.NeedsTalk() })
+		}
+	}
 	return &c
 }
 
--- a/internal/lab/sum.go
+++ b/internal/lab/sum.go
@@ -8,6 +8,7 @@
 	"io/fs"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -25,6 +26,10 @@
 	LateMS                                          float64
 	Breaches                                        int
 	BadMute                                         int
+	// of the talk among proxies, 0 where there is none
+	HeardP50, HeardP99, CaughtP50, CaughtMax float64 // ms until a proxy had what one other was told; until one that came back had caught up
+	Unheard                                  int     // proxies that never had it
+	PeerBytes, PeerPackets                   float64 // a second and proxy, in and out; in
 }
 
 // Of sums up a day.
@@ -70,6 +75,15 @@
 			took++
 		}
 	}
+	at := func(all []time.Duration, part float64) float64 {
+		if len(all) == 0 {
+			return 0
+		}
+		return float64(all[min(int(part*float64(len(all))), len(all)-1)].Microseconds()) / 1000
+	}
+	s.HeardP50, s.HeardP99, s.Unheard = at(r.Whispers, 0.5), at(r.Whispers, 0.99), r.Unheard
+	s.CaughtP50, s.CaughtMax = at(r.CatchUps, 0.5), at(r.CatchUps, 1)
+	s.PeerBytes, s.PeerPackets = r.PeerBytes, r.PeerPackets
 	s.Tries = took / max(float64(s.Requests), 1)
 	return s
 }
@@ -82,6 +96,14 @@
 		r.Plan.Day.Name, r.Plan.Seed, s.Requests, 100*s.Completed, 100*s.InTime, 100*s.Shed, 100*s.Errored, 100*s.Lost, 100*s.Refused)
 	fmt.Fprintf(&b, "worth %.4f; latency from when it was due, ms: p50 %.1f, p90 %.1f, p99 %.1f, most %.1f; %.2f tries and %.0f us of CPU a request\n",
 		s.Worth, s.P50, s.P90, s.P99, s.Max, s.Tries, s.CPU)
+	if r.Plan.Day.Peers.Talk {
+		fmt.Fprintf(&b, "talk: %.0f bytes and %.0f packets a second and proxy; caught up after p50 %.0f ms, most %.0f (%d times)\n", s.PeerBytes,
+			s.PeerPackets, s.CaughtP50, s.CaughtMax, len(r.CatchUps))
+		if len(r.Whispers) > 0 || r.Unheard > 0 {
+			fmt.Fprintf(&b, "what one proxy was told the others had after p50 %.0f ms, p99 %.0f (%d), and %d never\n", s.HeardP50, s.HeardP99,
+				len(r.Whispers), r.Unheard)
+		}
+	}
 	if !r.Ran {
 		fmt.Fprintf(&b, "the load itself ran late, by up to %.1f ms: the figures do not count\n", s.LateMS)
 	}
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -30,6 +30,7 @@
 	Hold      replica.Time
 	Quiet     bool // none tells that it is up
 	ClockSkew replica.Time
+	Demand    func(proxy int, at replica.Time) float64 // exchanges a second; nil: none
 }
 
 // Proxy is one of the fleet.
@@ -38,6 +39,7 @@
 	Number int
 	Alive  bool
 	Still  bool // stopped, with what comes kept for it
+	stood  bool
 	Shares float64
 	Bytes  int // it sent, about
 	starts int64
@@ -222,15 +224,25 @@
 			}
 		}
 		for _, p := range w.Proxies {
+			if p.Still {
+				p.stood = true
+			}
 			if !p.Alive || p.Still {
 				continue
 			}
+			if p.stood { // timers come first
+				p.stood = false
+				w.carry(p, p.Tick(w.Now+p.skew))
+			}
 			for len(p.inbox) > 0 {
 				l := p.inbox[0]
 				p.inbox = p.inbox[1:]
 				w.carry(p, l.give(p))
 			}
 			if w.step%2 == 0 {
+				if w.Demand != nil {
+					p.Instance.Demand(w.Demand(p.Number, w.Now))
+				}
 				w.carry(p, p.Tick(w.Now+p.skew))
 			}
 			if w.step%gossip == 0 {
@@ -274,7 +286,7 @@
 func (w *World) Sum() float64 {
 	sum := 0.0
 	for _, p := range w.Proxies {
-		if p.Alive {
+		if p.Alive && !p.Still {
 			sum += p.Shares
 		}
 	}
--- a/replica/instance.go
+++ b/replica/instance.go
@@ -21,14 +21,14 @@
 	mostHeads   = 8192 // in one answer to a digest: what is left differs at the next
 	mostSent    = 64   // rows in one message
 	mostAsked   = 8192
-	helped      = 4           // digests that differ are answered so many times in a helpTime
-	helpTime    = Second / 2  //
-	patience    = Second / 4  // for a helper's answer
-	aloneFor    = 2 * Second  // behind for so long with nobody here, it goes on with what it has
-	behindFor   = 5 * Second  // and so long with somebody
-	pulseLeast  = Second      // between pulses of one proxy
-	pulseEach   = Second / 50 // and so much more for each proxy, so that no more than fifty a second come in
-	gap         = 2 * Second  // between ticks: the process stood still, and is behind
+	helped      = 4            // digests that differ are answered so many times in a helpTime
+	helpTime    = Second / 2   //
+	patience    = Second / 4   // for a helper's answer
+	aloneFor    = 2 * Second   // behind for so long with nobody here, it goes on with what it has
+	behindFor   = 5 * Second   // and so long with somebody
+	pulseLeast  = Second       // between pulses of one proxy
+	pulseEach   = Second / 100 // and so much more for each proxy, so that no more than a hundred a second come in
+	gap         = 2 * Second   // between ticks: the process stood still, and is behind
 	leftLife    = 3600 * Second
 	goneLife    = 1800 * Second
 )
@@ -48,7 +48,8 @@
 	behind   bool
 	asked    string // the helper
 	askedAt  Time
-	headed   bool            // that one has said what it holds
+	headed   bool // that one has said what it holds
+	began    Time
 	behindAt Time            // since when
 	wanted   map[uint64]bool // rows that a helper was asked for; emptied as they come, or as it is given up
 	helps    int
@@ -56,10 +57,14 @@
 	views    [16]uint64 // the latest hashes of how this incarnation saw the fleet
 	settled  bool       // all who are not gone know of this incarnation: the full share may be used
 	share    float64
+	pulses   [16]stamp       // own ones, the latest first
+	lent     []loan          // by this one; emptied as they end
+	borrowed map[string]loan // by lender; emptied as they end
 	tickAt   Time
 	sweepAt  Time
 	namedAt  Time
-	quiet    bool // another process carries on this name
+	said     float64 // the base share that the log last told of
+	quiet    bool    // another process carries on this name
 	chance   *rand.Rand
 	out      []Decision
 }
@@ -88,8 +93,8 @@
 
 // New returns an instance that holds nothing and is behind until somebody or nobody helps it.
 func New(now Time, t Terms, seed uint64) *Instance {
-	r := &Instance{Terms: t, now: now, rows: map[uint64]*held{}, byName: map[string]*member{}, wanted: map[uint64]bool{},
-		behind: true, behindAt: now, askedAt: now - patience, chance: rand.New(rand.NewPCG(seed, 3)), tickAt: now, namedAt: now - 1000*Second,
+	r := &Instance{Terms: t, now: now, rows: map[uint64]*held{}, byName: map[string]*member{}, wanted: map[uint64]bool{}, borrowed: map[string]loan{},
+		behind: true, behindAt: now, askedAt: now - patience, chance: rand.New(rand.NewPCG(seed, 3)), tickAt: now, began: now, namedAt: now - 1000*Second,
 		pulsedAt: now - 1000*Second}
 	r.member(t.Me) // or a view without this one could pass for one of its own
 	r.share = r.least()
@@ -292,12 +297,13 @@
 		return
 	}
 	var said Pulsed
-	if err := msgpack.Unmarshal(h.Body, &said); err != nil {
+	if err := msgpack.Unmarshal(h.Body, &said); err != nil || !(said.Demand >= 0 && said.Demand < 1e9 && said.Base >= 0 && said.Base <= 1) {
 		r.Dropped++
 		return
 	}
 	m.knows = m.knows && h.Epoch == m.incarnation || said.View != 0 && slices.Contains(r.views[:], said.View)
 	m.pulse, m.said, m.incarnation = h, said, h.Epoch
+	r.borrow(m)
 }
 
 // Digest takes a peer's digest: what differs is answered, unless too many were helped lately.
@@ -487,10 +493,16 @@
 // pulse says that this proxy is up.
 func (r *Instance) pulse() {
 	r.pulsedAt = r.now
-	body, err := msgpack.Marshal(&Pulsed{Address: r.Address, Demand: r.demand, View: r.view(), Behind: r.behind})
+	said := Pulsed{Address: r.Address, Demand: r.demand, View: r.view(), Behind: r.behind, Base: r.base(), Loans: r.lend()}
+	if r.base() < r.lentOut() {
+		said.View = 1 // what is out would be used twice: nobody may take this one's word that there is room until it is back
+	}
+	body, err := msgpack.Marshal(&said)
 	if err != nil {
 		panic(err) // a struct of plain fields
 	}
+	copy(r.pulses[1:], r.pulses[:len(r.pulses)-1])
+	r.pulses[0] = stamp{r.count + 1, r.Incarnation, r.now}
 	r.own(Row{Kind: Pulse, Key: r.Me, Life: 10 * r.every(), Body: body})
 	if n := len(r.members); n > 1 && !r.behind { // one digest a pulse finds what gossip has lost
 		if m := r.members[r.chance.IntN(n)]; r.here(m) && m.name != r.Me {
@@ -555,7 +567,7 @@
 		if end != nil && m.pulse == nil && m.incarnation == 0 {
 			m.incarnation = end.Epoch // never met, and known to have been
 		}
-		gone := end != nil && end.Epoch >= m.incarnation && !r.here(m) && m.name != r.Me && r.now-end.had >= r.Hold
+		gone := end != nil && end.Epoch >= m.incarnation && !r.here(m) && m.name != r.Me && r.now-end.had >= max(r.Hold, r.loanSpan()) // in which what it had lent ends
 		if gone != m.gone {
 			m.gone = gone
 			r.log("proxy %s gone %v: %d of %d are gone", m.name, gone, r.gone(), r.fleet())
--- a/replica/types.go
+++ b/replica/types.go
@@ -55,10 +55,13 @@
 	MostBody = 1024
 )
 
+// mostEpoch leaves room to count on from whatever comes.
+const mostEpoch = 1 << 60
+
 // fits tells whether a row may be held at all.
 func (r *Row) fits() bool {
 	return r.Kind > 0 && len(r.Key) > 0 && len(r.Key) <= MostName && len(r.Writer) <= MostName && len(r.Body) <= MostBody &&
-		r.Age >= 0 && r.Life >= 0 && (r.Life == 0 || r.Age < r.Life)
+		r.Epoch < mostEpoch && r.Age >= 0 && r.Life >= 0 && (r.Life == 0 || r.Age < r.Life)
 }
 
 // Head tells which copy of a row somebody holds, by hashes.
@@ -79,6 +82,16 @@
 	Demand  float64 `msgpack:"d"` // exchanges a second that its clients ask for
 	View    uint64  `msgpack:"v"` // hash of whom it knows, as which incarnation, and who is gone
 	Behind  bool    `msgpack:"b"` // it is catching up
+	Base    float64 `msgpack:"s"` // its share before what is lent
+	Loans   []Loan  `msgpack:"l,omitempty"`
+}
+
+// Loan is a part of the writer's share that another may use for LoanSpan from when that one wrote a pulse, which is named by
+// its count: both count from a moment on their own clocks, and the borrower's comes first.
+type Loan struct {
+	To    string  `msgpack:"t"`
+	Part  float64 `msgpack:"p"`
+	Count int64   `msgpack:"c"`
 }
 
 // Terms is what an instance is told at its start.
