--- a/cmd/woodlab/main.go
+++ b/cmd/woodlab/main.go
@@ -13,6 +13,8 @@
 
 	"woodproxy/internal/emu"
 	"woodproxy/internal/lab"
+	"woodproxy/internal/links"
+	"woodproxy/replica"
 )
 
 type check struct {
@@ -136,6 +138,36 @@
 
 func (n *null) Run(ctx context.Context) error { return emu.Null(ctx, n.Listen) }
 
+// spread plays one change through fleets on simulated links.
+type spread struct {
+	Sizes []int   `default:"60,300,1000,10000" help:"How many proxies."`
+	Loss  float64 `default:"0.05" help:"Part of datagrams that get lost."`
+	Seed  uint64  `default:"1"`
+}
+
+func (s *spread) Run(context.Context) error {
+	fmt.Println("proxies\tp50_ms\tp99_ms\tlast_ms\tnever\tbytes_a_proxy")
+	for _, n := range s.Sizes {
+		if n < 2 || n > 100000 || !(s.Loss >= 0 && s.Loss < 1) {
+			return fmt.Errorf("sizes or loss: %d, %v: out of range", n, s.Loss)
+		}
+		w := links.New(links.Terms{Proxies: n, Loss: s.Loss, Late: 1, Hold: replica.Second, Floor: 0.25, Quiet: true}, s.Seed)
+		took := w.Spread(4 * replica.Second)
+		at := func(part float64) replica.Time {
+			if k := int(part * float64(n-1)); k < len(took) {
+				return took[k] / 10
+			}
+			return -1
+		}
+		sent := 0
+		for _, p := range w.Proxies {
+			sent += p.Bytes
+		}
+		fmt.Printf("%d\t%d\t%d\t%d\t%d\t%d\n", n, at(0.5), at(0.99), took[len(took)-1]/10, n-1-len(took), sent/n)
+	}
+	return nil
+}
+
 func main() {
 	var cli struct {
 		Check      check      `cmd:"" help:"Say whether days or experiments are good."`
@@ -143,6 +175,7 @@
 		Experiment experiment `cmd:"" help:"Play days x seeds x variants and keep a table."`
 		Compare    compare    `cmd:"" help:"Say by how much variants differ."`
 		Null       null       `cmd:"" help:"Answer every request at once, to measure what the load itself costs."`
+		Spread     spread     `cmd:"" help:"Play one change through simulated fleets of proxies, and say how long it takes."`
 		Chart      chart      `cmd:"" help:"Draw a column of a table."`
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- a/internal/emu/discovery.go
+++ b/internal/emu/discovery.go
@@ -132,7 +132,7 @@
 func (d *Discovery) follow(w http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
 	d.Calls.Add(1)
-	at := max(since-1, 0)
+	at, begun := max(since-1, 0), false
 	for {
 		d.mu.Lock()
 		mood, changed := d.mood, d.changed
@@ -143,7 +143,9 @@
 			<-r.Context().Done() // a watch that fell silent stays so
 			return
 		case "full":
-			w.WriteHeader(http.StatusServiceUnavailable)
+			if !begun { // a watch that is out ends
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
 			return
 		case "cut", "garbled":
 			if mood == "garbled" {
@@ -159,6 +161,7 @@
 			}
 			fmt.Fprintf(w, `{"index":%d,"snapshot":%v,"endpoints":[%s]}`+"\n", at+1, at == 1, strings.Join(words, ","))
 		}
+		begun = true
 		io.WriteString(w, "\n")
 		if w.(http.Flusher).Flush(); r.Context().Err() == nil {
 			for _, rows := range news {
--- a/internal/emu/many.go
+++ b/internal/emu/many.go
@@ -127,9 +127,7 @@
 		}
 		// all the others' discoveries count this version too, and hold it back
 		for i, f := range p.found {
-			if i != to {
-				f.Stale(true)
-			}
+			f.Stale(i != to)
 			f.Say(p.row(n, i, "active"))
 		}
 		p.mu.Lock()
@@ -188,6 +186,9 @@
 	for _, w := range p.whispers {
 		for i := range p.proxies {
 			at, ok := first[w.node][i]
+			if p.stood(r.Seen, i, w.at, at) {
+				continue // it could hear nothing
+			}
 			if ok && i != w.proxy {
 				r.Whispers = append(r.Whispers, seconds(at-float64(w.at.UnixMicro())/1e6))
 			} else if !ok {
@@ -213,6 +214,22 @@
 	}
 }
 
+// stood tells whether a proxy's process was stopped where it stood between a moment and another, which is a log's.
+func (p *player) stood(all []Seen, i int, from time.Time, to float64) bool {
+	began, stopped := from.Sub(p.log.start), time.Duration(-1)
+	until := seconds(to - float64(p.log.start.UnixMicro())/1e6)
+	for _, s := range all {
+		if s.What == Paused && s.Proxy == i {
+			if s.Note != "goes on" {
+				stopped = s.At
+			} else if stopped <= until && s.At >= began {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // standing reads what a proxy says of its peers.
 func standing(text string) (s Seen, ok bool) {
 	s.What = Shared
--- a/internal/emu/plan.go
+++ b/internal/emu/plan.go
@@ -69,7 +69,7 @@
 					b.Hits = append(b.Hits, i)
 				}
 			}
-		case (t.Kind == "deaf" || t.Kind == "stale") && t.Nodes == 0: // all of them
+		case kinds[t.Kind].some && t.Nodes == 0: // all of them
 			b.Hits = whom.Perm(of)
 		case t.Kind != "slow-clients" && t.Kind != "whisper":
 			b.Hits = whom.Perm(of)[:min(t.Nodes, of)]
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -282,6 +282,25 @@
 	}
 }
 
+// Spread has one proxy told of a node, and returns after how long each other had it, in order; those that never had it are
+// lacking.
+func (w *World) Spread(span replica.Time) (took []replica.Time) {
+	row := replica.Row{Key: "c1", Rank: replica.Leaving}
+	w.Do(0, func(p *Proxy, now replica.Time) []replica.Decision {
+		return p.Listed(now, false, 5, []replica.Row{row})
+	})
+	from, had := w.Now, make([]bool, len(w.Proxies))
+	w.Run(span, func() {
+		for i, p := range w.Proxies[1:] {
+			if !had[i] && p.Rows["c1"].Epoch == 5 {
+				had[i] = true
+				took = append(took, w.Now-from)
+			}
+		}
+	})
+	return took
+}
+
 // Sum is what all that run use of the fleet's limits.
 func (w *World) Sum() float64 {
 	sum := 0.0
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -54,6 +54,7 @@
 	in      *replica.Instance
 	members *memberlist.Memberlist
 	queue   *memberlist.TransmitLimitedQueue
+	pulses  *memberlist.TransmitLimitedQueue // rows that the next one makes up for where they get lost
 	proxy   Proxy
 	log     *zap.Logger
 	base    time.Time
@@ -67,6 +68,7 @@
 	ended   chan struct{}
 	demand  int64
 	demands time.Time
+	rate    float64 // that clients ask at, the mean of some ten seconds
 }
 
 // Shown is what operators see.
@@ -112,7 +114,9 @@
 	k.TCPTimeout, k.PushPullInterval, k.RetransmitMult = time.Second, 15*time.Second, 3
 	k.EnableCompression, k.UDPBufferSize, k.HandoffQueueDepth = false, 1400, 1024
 	k.Delegate = t
-	t.queue = &memberlist.TransmitLimitedQueue{NumNodes: func() int { return int(t.near.Load()) }, RetransmitMult: 3}
+	near := func() int { return int(t.near.Load()) }
+	t.queue = &memberlist.TransmitLimitedQueue{NumNodes: near, RetransmitMult: 3}
+	t.pulses = &memberlist.TransmitLimitedQueue{NumNodes: near, RetransmitMult: 2}
 	if t.members, err = memberlist.Create(k); err != nil {
 		k.Transport.Shutdown()
 		return nil, fmt.Errorf("peers: %w", err)
@@ -154,7 +158,8 @@
 		}
 		if since := time.Since(t.demands); since >= time.Second {
 			asked := t.proxy.Demand()
-			t.in.Demand(float64(asked-t.demand) / since.Seconds())
+			t.rate += (float64(asked-t.demand)/since.Seconds() - t.rate) * min(since.Seconds()/10, 1)
+			t.in.Demand(t.rate)
 			t.demand, t.demands = asked, time.Now()
 		}
 		t.carry(t.in.Tick(t.now()))
@@ -293,7 +298,11 @@
 		switch d.Act {
 		case replica.Spread:
 			row := &d.Rows[0]
-			t.queue.QueueBroadcast(&rumour{fmt.Sprint(row.Kind, "\x00", row.Key, "\x00", row.Writer), m.encode()})
+			queue := t.queue
+			if row.Kind == replica.Pulse {
+				queue = t.pulses
+			}
+			queue.QueueBroadcast(&rumour{fmt.Sprint(row.Kind, "\x00", row.Key, "\x00", row.Writer), m.encode()})
 		case replica.Digest:
 			m.Sums = d.Sums[:]
 			t.send(d.To, m, false)
@@ -420,7 +429,11 @@
 
 // GetBroadcasts hands the library what is to be spread.
 func (t *Talker) GetBroadcasts(overhead, limit int) [][]byte {
-	return t.queue.GetBroadcasts(overhead, limit)
+	all := t.queue.GetBroadcasts(overhead, limit)
+	for _, b := range all {
+		limit -= len(b) + overhead
+	}
+	return append(all, t.pulses.GetBroadcasts(overhead, limit)...)
 }
 
 // LocalState is empty: what was missed is asked for by digests.
--- a/replica/instance.go
+++ b/replica/instance.go
@@ -130,7 +130,8 @@
 // Share is what this proxy may use of the fleet's limits.
 func (r *Instance) Share() float64 { return r.share }
 
-// Demand takes how many exchanges a second this proxy's clients ask for.
+// Demand takes how many exchanges a second this proxy's clients ask for, lately: what comes by chance within seconds moves no
+// shares.
 func (r *Instance) Demand(perSecond float64) { r.demand = perSecond }
 
 // Yield has another process of this name speak for it: it is being replaced.
@@ -423,7 +424,9 @@
 	r.behind, r.asked, r.headed = false, "", false
 	clear(r.wanted)
 	r.log("caught up, %s: %d rows of %d proxies", how, len(r.rows), len(r.members))
-	r.pulse()
+	if !r.quiet {
+		r.pulse()
+	}
 }
 
 // Refused hears that nothing listens any more where a proxy's incarnation did: its process has ended. Silence would not
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -246,6 +246,20 @@
 	}
 }
 
+// A process that another of its name speaks for says nothing of itself, not when it has caught up either.
+func TestYields(t *testing.T) {
+	a := newOne("a", 1)
+	a.Yield(true)
+	for now := Time(0); now < 5*Second; now += Second / 10 {
+		if ds := acts(a.Tick(now), Spread); len(ds) > 0 {
+			t.Fatalf("%+v", ds[0].Rows)
+		}
+	}
+	if a.Behind() {
+		t.Error("it is behind yet")
+	}
+}
+
 // Silence takes nothing from anybody; the end of a process that is known of does, after the hold; whoever comes back under
 // the same name has it back.
 func TestGone(t *testing.T) {
--- a/replica/share.go
+++ b/replica/share.go
@@ -122,7 +122,8 @@
 	loanPulses = 4    // a loan is for so many pulses' time
 	mostLoans  = 6    // in a pulse
 	keeps      = 0.5  // part of its share that nobody lends
-	worthwhile = 0.02 // of an even share; less is not lent
+	worthwhile = 0.02 // of an even share; less is not lent to one
+	idle       = 0.25 // of its share; where less is to spare it may be chance, and nothing is lent
 )
 
 // loanSpan is how long a loan lasts. All who count by it know the same proxies, or the lender's share has not settled.
@@ -159,7 +160,7 @@
 	}
 	base, total := r.base(), 0.0
 	spare := base - max(keeps*base, r.demand/max(sum, 1e-9))
-	if spare < worthwhile*base || sum < 1 {
+	if spare < idle*base || sum < 1 {
 		return nil
 	}
 	lacks := func(m *member) float64 {
