Links by name; zones cut and lost, and a process replaced among peers, as tests of processes

Need: every way between two processes is to be cut by name, one way or slowed, discovery's too. zone-cut and zone-lost had been played by nobody: now four processes with and without talk keep every rule under them. Replaced among peers: the new process has its whole share back after four pulses, and the other one never takes it for gone. That runs as processes: within one, the old one's claim stays open.

--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"math"
 	"os"
+	"path"
 	"slices"
+	"strings"
 	"time"
 
 	"woodproxy/internal/strict"
@@ -110,6 +112,11 @@
 	Reset  bool    `toml:"reset"`    // streams under a cut are reset when it heals, else they go on
 	Dead   bool    `toml:"dead"`     // a lost zone refuses, as processes that died, else it is silent, as machines that vanished
 	Cold   bool    `toml:"cold"`     // its nodes come back empty
+	// of links by name: n0 and on are proxies, c0 and on nodes, d0 and on the proxies' discoveries; * stands for any text
+	From   []string `toml:"from"`
+	To     []string `toml:"to"`
+	OneWay bool     `toml:"one_way"`
+	Slow   float64  `toml:"slow_ms"`
 }
 
 // NeedsTalk tells whether a trouble stands between proxies alone, or tells something to one.
@@ -124,9 +131,12 @@
 	"stale": {some: true}, "deaf": {some: true}, "refusing": {some: true}, "origin-slow": {times: true}, "kill": {nodes: true}, "restart": {nodes: true},
 	"bad-clients": {rate: true}, "slow-clients": {nodes: true},
 	"part": {nodes: true}, "one-way": {nodes: true}, "lossy": {part: true}, "pause": {nodes: true}, "mass-kill": {nodes: true},
-	"zone-cut": {zone: true}, "zone-lost": {zone: true}, "whisper": {nodes: true},
+	"zone-cut": {zone: true}, "zone-lost": {zone: true}, "whisper": {nodes: true}, "link": {part: true},
 }
 
+// least part of a trouble that has one; a link may be slow alone.
+var least = map[string]float64{"failing": 0.001, "reset": 0.001, "garbled": 0.001, "halves": 0.001, "lossy": 0.001}
+
 // ofProxies are the troubles that befall proxies or come of clients.
 var ofProxies = map[string]bool{"kill": true, "restart": true, "part": true, "one-way": true, "pause": true, "mass-kill": true,
 	"deaf": true, "stale": true, "refusing": true}
@@ -241,7 +251,7 @@
 			needed      bool
 			least, most float64
 		}{{"nodes", float64(t.Nodes), k.nodes, 1, float64(most)}, {"times", t.Times, k.times, 1, 1000},
-			{"part", t.Part, k.part, 0.001, 1}, {"rate", t.Rate, k.rate, 0.1, 1000}} {
+			{"part", t.Part, k.part, least[t.Kind], 1}, {"rate", t.Rate, k.rate, 0.1, 1000}} {
 			if f.needed || f.key == "nodes" && k.some && f.v != 0 {
 				within(key+f.key, f.v, f.least, f.most)
 			} else if err == nil && f.v != 0 {
@@ -249,6 +259,15 @@
 			}
 		}
 		within(key+"leave_ms", t.Leave, 0, 60000)
+		within(key+"slow_ms", t.Slow, 0, 10000)
+		if err == nil && (t.Kind == "link") != (len(t.From) > 0 && len(t.To) > 0) {
+			err = fmt.Errorf("%sfrom, to: missing, or %s takes none", key, t.Kind)
+		}
+		for _, name := range append(slices.Clone(t.From), t.To...) {
+			if _, bad := path.Match(name, "n0"); err == nil && (bad != nil || !strings.ContainsAny(name[:min(len(name), 1)], "ncdo*")) {
+				err = fmt.Errorf("%sfrom, to: %q: no name of a process", key, name)
+			}
+		}
 		within(key+"spread_s", t.Spread, 0, d.Length)
 		if err == nil && k.zone != (t.Zone != "") {
 			err = fmt.Errorf("%szone: missing, or %s takes none", key, t.Kind)
--- a/internal/emu/discovery.go
+++ b/internal/emu/discovery.go
@@ -31,6 +31,7 @@
 	Proxy int
 	Calls atomic.Int64 // watches that were asked for
 	log   *Log
+	ways  *Ways // nil: nothing stands between it and its proxy
 
 	mu      sync.Mutex
 	news    [][]Row // by version, the first whole
@@ -53,6 +54,9 @@
 	if err != nil {
 		return nil, "", err
 	}
+	if d.ways != nil {
+		ln = waysListener{ln, d.ways, fmt.Sprint("d", d.Proxy), proxyName(d.Proxy)}
+	}
 	s := &http.Server{Handler: http.HandlerFunc(d.follow), ConnState: func(c net.Conn, st http.ConnState) {
 		if st == http.StateNew {
 			d.mu.Lock()
--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"woodproxy/internal/emu"
 )
@@ -20,6 +26,39 @@
 	return emu.Program(file, "serve")
 }
 
+// A zone whose proxies and nodes can't reach the others, one that is lost and comes back cold, links that are cut one way and
+// slow: with processes that talk and with such that do not no rule is broken, and most is served.
+func TestZonesAndLinks(t *testing.T) {
+	t.Parallel()
+	text := strings.NewReplacer(`"plain"`, `"zones"`, "length_s = 2.0", "length_s = 10.0", "nodes = 3", "nodes = 6", "rate = 150.0", "rate = 90.0").Replace(plain)
+	for _, b := range []string{
+		`kind = "zone-cut"; at_s = 0.5; for_s = 2.0; zone = "b"; reset = true`, `kind = "zone-lost"; at_s = 3.5; for_s = 1.5; zone = "a"; cold = true; spread_s = 0.5`,
+		`kind = "link"; at_s = 6.5; for_s = 1.0; part = 1.0; from = ["n0"]; to = ["c1", "d0"]; one_way = true`,
+		`kind = "link"; at_s = 6.0; for_s = 3.0; part = 0.0; slow_ms = 30.0; from = ["n*"]; to = ["c*"]`,
+	} {
+		text += "[[trouble]]\n" + strings.ReplaceAll(b, "; ", "\n") + "\n"
+	}
+	start := program(t)
+	for _, talk := range []string{"proxies = 4\npeers = { talk = true, hold_s = 1.0 }", "proxies = 4"} {
+		r, err := emu.Play(context.Background(), day(t, strings.Replace(text, "proxies = 2", talk, 1)).Draw(1), emu.Options{Start: start, Dir: t.TempDir()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range r.Breaches {
+			t.Error(b)
+		}
+		slow := 0
+		for _, q := range r.Results {
+			if q.Outcome == emu.Completed && q.Request.At > 7500*time.Millisecond && q.Request.At < 8900*time.Millisecond && q.Latency > 30*time.Millisecond {
+				slow++
+			}
+		}
+		if o := outcomes(r); float64(o[emu.Completed]) < 0.7*float64(len(r.Plan.Requests)) || float64(o[emu.Completed]) > 0.999*float64(len(r.Plan.Requests)) || slow < 50 {
+			t.Errorf("%d asked, %v, %d slow", len(r.Plan.Requests), o, slow)
+		}
+	}
+}
+
 // Six processes that talk, with a part cut off, datagrams lost, two deaf to discovery, one that stands still and two that are
 // killed at once: no rule is broken, shares are kept, and in the end all hold the same nodes.
 func TestPeersUnderFaults(t *testing.T) {
@@ -67,3 +106,76 @@
 		t.Errorf("%d say that they have %.3f of the limits together", len(last), sum)
 	}
 }
+
+// A process that replaces one that talks takes the talk up at the same address once that one has gone, as the same member:
+// nobody takes it for gone, and its share comes back.
+func TestReplacedAmongPeers(t *testing.T) {
+	t.Parallel()
+	start, dir := program(t), t.TempDir()
+	lists := emu.NewDiscovery(0, nil)
+	_, found, err := lists.Listen("127.0.0.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lists.Close()
+	lists.Say(emu.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
+	ip := fmt.Sprintf("127.60.%d.", os.Getpid()%250)
+	process := func(name, ip, management string) emu.Proxy {
+		t.Helper()
+		s := emu.Site{Name: name, Listen: ip + ":6379", Discovery: found, Dir: filepath.Join(dir, name), Config: filepath.Join(dir, name, management+".json"),
+			Peers: filepath.Join(dir, name, "peers.toml")}
+		os.MkdirAll(filepath.Join(s.Dir, "tmp"), 0o700)
+		os.WriteFile(s.Peers, []byte(fmt.Sprintf("cluster = \"c\"\nlisten = \"%s:7946\"\nseeds = [\"%s:7946\", \"%s:7946\"]\nhold_s = 1.0\n", ip, ip[:len(ip)-1]+"1", ip[:len(ip)-1]+"2")), 0o600)
+		os.WriteFile(s.Config, []byte(fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"management":%q,"seed":"8c1f30d27a5be964","settings":{"replicas-of-me":2,
+			"tick":5,"shapes":["cache","origin"],"limits":{"max-upstream-tries":4,"may-cancel":true,"conn-idle":15000,"connect-timeout":250},
+			"rules":{"cold":1000,"fall":1000,"cold-from":0.5,"fall-multiple":3},"family-info":{"mode":"aside","origin-kind":1},
+			"routes":[{"name":"read","latency-objective":500,"overall-timeout":1000,"value":1,"effect":"pure"}]}}`, name, s.Listen, found, management)), 0o600)
+		p, err := start(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			p.Kill()
+			<-p.Done()
+		})
+		return p
+	}
+	say := func(address, path string) string {
+		c := http.Client{Timeout: time.Second}
+		r, err := c.Get("http://" + address + path)
+		if err != nil {
+			return err.Error()
+		}
+		defer r.Body.Close()
+		text, _ := io.ReadAll(r.Body)
+		return fmt.Sprint(r.StatusCode, " ", string(text))
+	}
+	await := func(what, address, path string, has ...string) {
+		t.Helper()
+		text := ""
+		for range 300 {
+			text = say(address, path)
+			all := true
+			for _, h := range has {
+				all = all && strings.Contains(text, h)
+			}
+			if all {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Fatalf("%s: never: %s", what, text)
+	}
+	process("a", ip+"1", ip+"1:6380")
+	old := process("b", ip+"2", ip+"2:6380")
+	await("both settle", ip+"1:6380", "/control/peers", "share 0.5000", "proxy b here")
+	await("both settle", ip+"2:6380", "/control/peers", "share 0.5000")
+	process("b", ip+"2", ip+"2:6381")
+	await("the new one is ready", ip+"2:6381", "/control/ready", "200")
+	old.Signal(syscall.SIGTERM)
+	<-old.Done()
+	await("it talks, with its whole share", ip+"2:6381", "/control/peers", "share 0.5000", "proxy a here", "proxy b here")
+	if text := say(ip+"1:6380", "/control/peers"); !strings.Contains(text, "share 0.5000") || !strings.Contains(text, "proxy b here") || strings.Contains(text, "rows gone") {
+		t.Errorf("the other one saw it go: %s", text)
+	}
+}
--- a/internal/emu/many.go
+++ b/internal/emu/many.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -278,7 +279,8 @@
 	return hit
 }
 
-// cutOf is what a trouble does to links. Those to the origin and to a proxy's own discovery are never hit.
+// cutOf is what a trouble does to links. Those to the origin and to a proxy's own discovery are hit by
+// name only.
 func (p *player) cutOf(b Blow) cut {
 	hit := p.sides(b)
 	between := func(name string) bool {
@@ -288,6 +290,11 @@
 	switch b.Kind {
 	case "one-way":
 		c.hits = func(from, to string) bool { return hit[from] && !hit[to] && (to == "" || between(to)) }
+	case "link":
+		c.loss, c.twice, c.slow = b.Part, min(b.Part, 1-b.Part)/3, millis(b.Slow)
+		c.hits = func(from, to string) bool {
+			return oneOf(b.From, from) && oneOf(b.To, to) || !b.OneWay && oneOf(b.To, from) && oneOf(b.From, to)
+		}
 	case "lossy":
 		c.loss, c.twice, c.slow = min(b.Part, 0.99), b.Part/3, 60*time.Millisecond
 		c.hits = func(from, to string) bool { return strings.HasPrefix(from, "n") && strings.HasPrefix(to, "n") }
@@ -299,6 +306,16 @@
 	return c
 }
 
+// oneOf tells whether one of the patterns is a name's; "" is anybody's.
+func oneOf(patterns []string, name string) bool {
+	for _, p := range patterns {
+		if ok, _ := path.Match(p, name); ok || name == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // pause stops processes where they stand, and has them go on.
 func (p *player) pause(ctx context.Context, hits []int, long time.Duration) {
 	signal := func(s syscall.Signal, note string) {
--- a/internal/emu/plan.go
+++ b/internal/emu/plan.go
@@ -71,7 +71,7 @@
 			}
 		case kinds[t.Kind].some && t.Nodes == 0: // all of them
 			b.Hits = whom.Perm(of)
-		case t.Kind != "slow-clients" && t.Kind != "whisper":
+		case t.Kind != "slow-clients" && t.Kind != "whisper" && t.Kind != "link":
 			b.Hits = whom.Perm(of)[:min(t.Nodes, of)]
 		}
 		p.Blows = append(p.Blows, b)
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -204,6 +204,7 @@
 	}
 	for i := range d.Proxies {
 		f := NewDiscovery(i, p.log)
+		f.ways = p.ways
 		_, addr, err := f.Listen("127.0.0.1")
 		if err != nil {
 			return err
@@ -589,7 +590,7 @@
 		for _, i := range b.Hits {
 			p.found[i].Feel("")
 		}
-	case "part", "one-way", "lossy", "zone-cut":
+	case "part", "one-way", "lossy", "zone-cut", "link":
 		defer p.ways.begin(p.cutOf(b))()
 		sleep(ctx, long)
 	case "whisper":
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -63,7 +63,11 @@
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			t.Parallel()
-			terms := usual(20)
+			n := 20
+			if large, err := strconv.Atoi(os.Getenv("WOODPROXY_FLEET")); err == nil { // outside CI
+				n = large
+			}
+			terms := usual(n)
 			terms.Loss = 0.3
 			w := New(terms, seed)
 			never := w.never(t)
