An older line from peers that says otherwise is answered with what discovery says by now

Need: a line that lags (a drain since taken back, a node since gone) went round as news to those whose discovery tells nothing, and who knew better said nothing, since what it held was as its discovery says. The list tells it again at its own index.

--- a/internal/fleet/shared.go
+++ b/internal/fleet/shared.go
@@ -23,13 +23,18 @@
 	mu  sync.Mutex
 	new map[string]heard // came and not looked at; emptied by the list's actor
 
-	over  map[string]heard // by node, of a later index than this proxy's discovery; emptied as that one gets there
-	drain map[string]bool  // nodes that this proxy's own discovery said are leaving or left; emptied by its whole lists
+	over map[string]heard       // by node, of a later index than this proxy's discovery; emptied as that one gets there
+	own  map[string]wire.Target // as this proxy's discovery told, those that left included; emptied by its whole lists
+	all  bool                   // it has told a whole list
+}
+
+func newShared(tell func(index int64, whole bool, list []wire.Target)) *shared {
+	return &shared{tell: tell, new: map[string]heard{}, over: map[string]heard{}, own: map[string]wire.Target{}}
 }
 
 // Share has the list told to peers as discovery tells it. It is called before Run.
 func (l *List) Share(tell func(index int64, whole bool, list []wire.Target)) {
-	l.shared = &shared{tell: tell, new: map[string]heard{}, over: map[string]heard{}, drain: map[string]bool{}}
+	l.shared = newShared(tell)
 }
 
 // Hear takes a node's line from a peer. It does not wait: the list waits for those who call.
@@ -54,17 +59,9 @@
 	clear(s.new)
 	s.mu.Unlock()
 	slices.SortFunc(came, func(a, b heard) int { return cmp.Compare(a.Name, b.Name) })
-	var list []wire.Target
-	for _, h := range came {
-		if h.index <= l.index {
-			continue // this proxy's discovery has said as much, or more
-		}
-		s.over[h.Name] = h
-		if s.drain[h.Name] && !h.Gone {
-			continue
-		}
-		h.Elsewhere = true
-		list = append(list, h.Target)
+	list, again := s.sort(l.index, came)
+	if len(again) > 0 {
+		s.tell(l.index, false, again)
 	}
 	if len(list) > 0 {
 		l.count.PeerLists.Add(1)
@@ -72,10 +69,33 @@
 	}
 }
 
+// sort tells what is news of that which came from peers, and what is to be told them again: an older line that says otherwise
+// than this proxy's discovery does by now goes round, and those that discovery tells nothing would keep to it.
+func (s *shared) sort(index int64, came []heard) (list, again []wire.Target) {
+	for _, h := range came {
+		own, known := s.own[h.Name]
+		switch {
+		case h.index > index:
+			s.over[h.Name] = h
+			if !known || own.Ready || h.Gone { // a drain that was told here stands
+				h.Elsewhere = true
+				list = append(list, h.Target)
+			}
+		case h.index == index:
+		case known && (own.Ready != h.Ready || own.Gone != h.Gone || own.Since != h.Since):
+			again = append(again, own)
+		case !known && s.all && !h.Gone:
+			again = append(again, wire.Target{Name: h.Name, Gone: true})
+		}
+	}
+	return list, again
+}
+
 // with lays what peers know better over what this proxy's discovery has told at an index.
 func (s *shared) with(index int64, whole bool, list []wire.Target) []wire.Target {
 	if whole {
-		clear(s.drain)
+		s.all = true
+		clear(s.own)
 	}
 	for name, h := range s.over {
 		if h.index <= index {
@@ -87,9 +107,10 @@
 	for i := range all {
 		t := &all[i]
 		listed[t.Name] = true
-		if delete(s.drain, t.Name); !t.Ready {
-			s.drain[t.Name] = true
-		} else if h, ok := s.over[t.Name]; ok {
+		if s.own[t.Name] = *t; !t.Ready {
+			continue
+		}
+		if h, ok := s.over[t.Name]; ok {
 			at := t.Address // another proxy may reach it elsewhere
 			if *t = h.Target; at != "" {
 				t.Address = at
--- a/internal/fleet/shared_test.go
+++ b/internal/fleet/shared_test.go
@@ -13,7 +13,7 @@
 		return wire.Target{Name: name, Address: "here:" + name, Ready: true, Since: since}
 	}
 	draining := wire.Target{Name: "c1"}
-	s := &shared{new: map[string]heard{}, over: map[string]heard{}, drain: map[string]bool{}}
+	s := newShared(nil)
 	state := func(list []wire.Target) map[string]wire.Target {
 		m := map[string]wire.Target{}
 		for _, t := range list {
@@ -32,14 +32,19 @@
 		t.Errorf("an older list hides what peers know: %+v", got)
 	}
 	s.with(6, false, []wire.Target{draining})
-	s.over["c1"] = heard{12, active("c1", 0)}
-	if !s.drain["c1"] {
-		t.Error("a drain told here is forgotten")
+	if list, again := s.sort(6, []heard{{12, active("c1", 0)}, {12, active("c2", 7)}}); len(list) != 1 || list[0].Name != "c2" || len(again) > 0 {
+		t.Errorf("a drain told here is undone: %+v, told again %+v", list, again)
 	}
 	if got := state(s.with(12, false, []wire.Target{active("c2", 7)})); got["c2"].Since != 7 || len(s.over) != 0 {
 		t.Errorf("%+v, left over %v", got, s.over)
 	}
-	if s.with(13, false, []wire.Target{active("c1", 8)}); s.drain["c1"] {
-		t.Error("a node that this proxy's discovery calls active drains on")
+	s.with(13, false, []wire.Target{active("c1", 8)})
+	if list, _ := s.sort(13, []heard{{14, active("c1", 9)}}); len(list) != 1 {
+		t.Error("a node that this proxy's discovery calls active again drains on")
+	}
+	// an older line that says otherwise is answered with what this proxy's discovery says by now
+	list, again := s.sort(13, []heard{{9, draining}, {9, active("c9", 0)}, {9, active("c2", 7)}})
+	if len(list) > 0 || len(again) != 2 || !again[0].Ready || again[0].Name != "c1" || !again[1].Gone || again[1].Name != "c9" {
+		t.Errorf("%+v is news, %+v told again", list, again)
 	}
 }
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -49,6 +49,7 @@
 	Counters
 	c       *Config
 	me      string
+	from    net.IP
 	box     chan func()
 	calls   chan func() // streams out
 	in      *replica.Instance
@@ -93,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Talker{c: c, me: me, box: make(chan func(), 1024), calls: make(chan func(), 64), proxy: proxy, log: lg, base: time.Now(),
+	t := &Talker{c: c, me: me, from: net.ParseIP(host), box: make(chan func(), 1024), calls: make(chan func(), 64), proxy: proxy, log: lg, base: time.Now(),
 		quit: make(chan struct{}), ended: make(chan struct{}), demands: time.Now()}
 	incarnation := t.base.UnixMilli()
 	t.in = replica.New(0, replica.Terms{Me: me, Incarnation: incarnation, Proxies: proxies, Address: c.Advertise,
@@ -104,7 +105,7 @@
 		return nil, fmt.Errorf("peers: listen: %w", err)
 	}
 	k := memberlist.DefaultLANConfig()
-	k.Name, k.Label, k.Transport, k.Logger = fmt.Sprintf("%s/%d", me, incarnation), c.Cluster, newTransport(inner, net.ParseIP(host), &t.Counters), logger
+	k.Name, k.Label, k.Transport, k.Logger = fmt.Sprintf("%s/%d", me, incarnation), c.Cluster, newTransport(inner, t.from, &t.Counters), logger
 	k.BindAddr, k.BindPort = host, port
 	at, atPort, _ := net.SplitHostPort(c.Advertise)
 	k.AdvertiseAddr = at
@@ -374,16 +375,14 @@
 
 // probe looks whether anything listens where a proxy was met; only a refusal tells something.
 func (t *Talker) probe(name, at string, incarnation int64) {
-	if address("", at) != nil || t.probes.Add(1) > mostProbes {
-		if address("", at) == nil {
-			t.probes.Add(-1)
-		}
+	if address("", at) != nil || t.probes.Load() >= mostProbes {
 		return
 	}
+	t.probes.Add(1)
 	t.Probes.Add(1)
 	go func() {
 		defer t.probes.Add(-1)
-		d := net.Dialer{Timeout: probeTime, LocalAddr: &net.TCPAddr{IP: net.ParseIP(strings.TrimSuffix(t.c.Listen, t.c.Listen[strings.LastIndex(t.c.Listen, ":"):]))}}
+		d := net.Dialer{Timeout: probeTime, LocalAddr: &net.TCPAddr{IP: t.from}}
 		c, err := d.Dial("tcp", at)
 		if err == nil {
 			c.Close()
