--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -168,14 +168,14 @@
 	}
 	process("a", ip+"1", ip+"1:6380")
 	old := process("b", ip+"2", ip+"2:6380")
-	await("both settle", ip+"1:6380", "/control/peers", "share 0.5000", "proxy b here")
-	await("both settle", ip+"2:6380", "/control/peers", "share 0.5000")
+	await("both settle", ip+"1:6380", "/control/peers", "share 0.500000", "proxy b here")
+	await("both settle", ip+"2:6380", "/control/peers", "share 0.500000")
 	process("b", ip+"2", ip+"2:6381")
 	await("the new one is ready", ip+"2:6381", "/control/ready", "200")
 	old.Signal(syscall.SIGTERM)
 	<-old.Done()
-	await("it talks, with its whole share", ip+"2:6381", "/control/peers", "share 0.5000", "proxy a here", "proxy b here")
-	if text := say(ip+"1:6380", "/control/peers"); !strings.Contains(text, "share 0.5000") || !strings.Contains(text, "proxy b here") || strings.Contains(text, "rows gone") {
+	await("it talks, with its whole share", ip+"2:6381", "/control/peers", "share 0.500000", "proxy a here", "proxy b here")
+	if text := say(ip+"1:6380", "/control/peers"); !strings.Contains(text, "share 0.500000") || !strings.Contains(text, "proxy b here") || strings.Contains(text, "rows gone") {
 		t.Errorf("the other one saw it go: %s", text)
 	}
 }
--- a/internal/emu/many.go
+++ b/internal/emu/many.go
@@ -61,8 +61,10 @@
 	if talk.Floor > 0 {
 		text += fmt.Sprintf("floor = %v\n", talk.Floor)
 	}
-	if m.site.Management, err = freePort(own); err != nil {
-		return err
+	for m.site.Management = listen; m.site.Management == listen; {
+		if m.site.Management, err = freePort(own); err != nil {
+			return err
+		}
 	}
 	m.site.Peers = filepath.Join(m.site.Dir, "peers.toml")
 	return os.WriteFile(m.site.Peers, []byte(text), 0o600)
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -280,13 +280,23 @@
 func (p *player) begin(ctx context.Context) error {
 	d := p.plan.Day
 	p.clients = &clients{plan: p.plan, log: p.log, world: p.world, idle: make([][]*line, d.Proxies)}
+	var taken []net.Listener
+	release := func() {
+		for _, ln := range taken {
+			ln.Close()
+		}
+		taken = nil
+	}
+	defer release()
 	for i := range d.Proxies {
 		ln, err := net.Listen("tcp", p.o.IP+":0")
 		if err != nil {
 			return err
 		}
+		// held until all have theirs: a port that is free again may be the next one's, and two that share it are each dealt a
+		// part of the other's clients
+		taken = append(taken, ln)
 		addr := ln.Addr().String()
-		ln.Close()
 		dir, err := filepath.Abs(filepath.Join(p.o.Dir, fmt.Sprintf("proxy%d", i)))
 		if err != nil {
 			return err
@@ -311,6 +321,7 @@
 		p.proxies = append(p.proxies, m)
 		p.clients.up, p.clients.addrs = append(p.clients.up, &atomic.Bool{}), append(p.clients.addrs, addr)
 	}
+	release()
 	var all sync.WaitGroup
 	var failed atomic.Pointer[error]
 	few := make(chan struct{}, 8) // at a time
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -91,7 +91,7 @@
 	}
 	s := t.Shown()
 	var b strings.Builder
-	fmt.Fprintf(&b, "cluster %s, at %s; behind %v, share %.4f\n", p.place.Talk.Cluster, p.place.Talk.Advertise, s.Behind, s.Share)
+	fmt.Fprintf(&b, "cluster %s, at %s; behind %v, share %.6f\n", p.place.Talk.Cluster, p.place.Talk.Advertise, s.Behind, s.Share)
 	fmt.Fprintf(&b, "packets %d streams %d bytes-in %d bytes-out %d dropped %d bad %d refused %d probes %d\n", t.Packets.Load(), t.Streams.Load(),
 		t.BytesIn.Load(), t.BytesOut.Load(), t.Dropped.Load(), t.Bad.Load(), s.Refused, t.Probes.Load())
 	for k := range 256 {
