--- a/internal/emu/many.go
+++ b/internal/emu/many.go
@@ -124,11 +124,7 @@
 func (p *player) whisper(ctx context.Context, nodes int, long time.Duration) {
 	var added []*Node
 	for k := range nodes {
-		p.mu.Lock()
-		name := fmt.Sprintf("c%d", p.next)
-		p.next++
-		p.mu.Unlock()
-		n, err := p.node(name, false, time.Now())
+		n, err := p.another()
 		if err != nil {
 			return
 		}
@@ -146,7 +142,7 @@
 			f.Say(p.row(n, i, "active"))
 		}
 		p.mu.Lock()
-		p.whispers = append(p.whispers, whisper{name, to, time.Now()})
+		p.whispers = append(p.whispers, whisper{n.Name, to, time.Now()})
 		p.mu.Unlock()
 		if !sleep(ctx, long/time.Duration(nodes)) {
 			return
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -243,6 +243,15 @@
 	return n, nil
 }
 
+// another starts a cache under a new name, cold.
+func (p *player) another() (*Node, error) {
+	p.mu.Lock()
+	name := fmt.Sprintf("c%d", p.next)
+	p.next++
+	p.mu.Unlock()
+	return p.node(name, false, time.Now())
+}
+
 func (p *player) starts(n *Node, since time.Time) {
 	n.work.mu.Lock()
 	n.work.since = since
@@ -571,11 +580,7 @@
 			}
 			p.say(old, "left")
 			old.Stop()
-			p.mu.Lock()
-			name := fmt.Sprintf("c%d", p.next)
-			p.next++
-			p.mu.Unlock()
-			n, err := p.node(name, false, time.Now())
+			n, err := p.another()
 			if err != nil {
 				return
 			}
