--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -71,52 +71,54 @@
 			terms.Loss = 0.3
 			w := New(terms, seed)
 			never := w.never(t)
-			w.Run(12*second, never)
+			long := func(span replica.Time) replica.Time { return span * replica.Time(100+n) / 100 } // pulses come as rarely
+			few := n * 3 / 10
+			w.Run(long(12*second), never)
 			for i, p := range w.Proxies {
-				if p.Shares < 0.999/20 {
+				if p.Shares < 0.999/float64(n) {
 					t.Fatalf("n%d has a share of %.4f in a calm fleet", i, p.Shares)
 				}
 			}
 			w.tell(0, node("c1", 5, replica.Active), node("c2", 5, replica.Active))
-			w.Run(3*second, never)
+			w.Run(long(3*second), never)
 			w.all(t, "calm")
-			w.Cut = func(a, b int) bool { return (a < 8) != (b < 8) }
+			w.Cut = func(a, b int) bool { return (a < n*2/5) != (b < n*2/5) }
 			w.Proxies[9].Still = true
 			w.tell(0, node("c1", 6, replica.Leaving))
-			w.tell(12, node("c1", 6, replica.Active), node("c2", 7, replica.Left))
-			w.Run(20*second, never)
-			if w.Agree(0, 12) {
+			w.tell(n*3/5, node("c1", 6, replica.Active), node("c2", 7, replica.Left))
+			w.Run(long(20*second), never)
+			if w.Agree(0, n*3/5) {
 				t.Error("a cut fleet agrees: nothing was cut")
 			}
 			if got := w.Proxies[3].Rows["c1"].Rank; got != replica.Leaving {
 				t.Errorf("c1 is %d on its side", got)
 			}
 			w.Cut = nil
-			w.Run(10*second, never)
+			w.Run(long(10*second), never)
 			w.Proxies[9].Still = false
-			w.Run(8*second, never)
+			w.Run(long(8*second), never)
 			w.all(t, "healed")
 			for i, p := range w.Proxies {
 				if r := p.Rows["c1"]; i != 0 && (r.Rank != replica.Leaving || r.Epoch != 6) {
 					t.Errorf("n%d: a drain told on one side does not bind: %+v", i, r)
 				}
 			}
-			for i := 6; i < 20; i++ {
+			for i := few; i < n; i++ {
 				w.Die(i)
 			}
-			w.Run(20*second, never)
-			for i := range 6 {
-				if got := w.Proxies[i].Shares; got < 0.8/6 {
+			w.Run(long(20*second), never)
+			for i := range few {
+				if got := w.Proxies[i].Shares; got < 0.8/float64(few) {
 					t.Errorf("n%d keeps a share of %.4f with seven in ten gone", i, got)
 				}
 			}
-			for i := 6; i < 20; i++ {
+			for i := few; i < n; i++ {
 				w.Start(i)
 			}
-			w.Run(20*second, never)
+			w.Run(long(20*second), never)
 			w.all(t, "back")
 			for i, p := range w.Proxies {
-				if p.Shares < 0.999/20 {
+				if p.Shares < 0.999/float64(n) {
 					t.Errorf("n%d has a share of %.4f after all came back", i, p.Shares)
 				}
 			}
