Emulator: a connection that ends before its process is seen to have ended is a killed one's

Ends and stops are read first now. The talk looks at the time before it takes what came while the process stood still; goodbye to peers no longer holds up the steps of a stop.

--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -245,7 +245,13 @@
 		"cold":                 {many(12, 0), ""},
 		"pushed over":          {many(40, 0), emu.ColdRule},
 		"warm":                 {many(200, 2001), ""},
-		"crashed":              {[]emu.Seen{seen(0, emu.Ended, "", "", "crashed")}, emu.CrashRule},
+		"closed, killed":       {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Closed, "a", "", ""), seen(10, emu.Ended, "", "", "killed")}, ""},
+		"closed, told to end":  {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Closed, "a", "", ""), seen(10, emu.Ended, "", "", "stopped")}, emu.LostRule},
+		"drained, stood still": {[]emu.Seen{seen(0, emu.Paused, "", "", "stands"), seen(9, emu.Told, "", "c1", "leaving"), seen(900, emu.Paused, "", "", "goes on"),
+			seen(1100, emu.Took, "", "c1", "")}, ""},
+		"drained, stood still before": {[]emu.Seen{seen(0, emu.Paused, "", "", "stands"), seen(9, emu.Paused, "", "", "goes on"), seen(10, emu.Told, "", "c1", "leaving"),
+			seen(400, emu.Took, "", "c1", "")}, emu.DrainRule},
+		"crashed": {[]emu.Seen{seen(0, emu.Ended, "", "", "crashed")}, emu.CrashRule},
 	} {
 		found := emu.Check(d, requests, c.trace)
 		if c.rule == "" && len(found) > 0 || c.rule != "" && (len(found) != 1 || found[0].Rule != c.rule) {
--- a/internal/emu/rules.go
+++ b/internal/emu/rules.go
@@ -50,6 +50,14 @@
 	for _, r := range requests {
 		c.routes[r.ID] = d.Routes[r.Route]
 	}
+	for _, s := range all { // first, since connections end before it is seen that their process has
+		switch {
+		case s.What == Paused:
+			c.paused[s.Proxy] = append(c.paused[s.Proxy], s.At)
+		case s.What == Ended && s.Note == "killed": // one that was told to end has to answer first
+			c.ended[s.Proxy] = append(c.ended[s.Proxy], s.At)
+		}
+	}
 	for _, s := range all {
 		c.see(s)
 	}
@@ -128,16 +136,11 @@
 		c.took[s.Node] = nil
 	case Shared:
 		c.shared(s)
-	case Paused:
-		c.paused[s.Proxy] = append(c.paused[s.Proxy], s.At)
 	case Ended:
 		delete(c.shares, s.Proxy)
 		if s.Note == "crashed" {
 			c.broke(CrashRule, s, "proxy %d crashed", s.Proxy)
 		}
-		if s.Note == "killed" { // one that was told to end has to answer first
-			c.ended[s.Proxy] = append(c.ended[s.Proxy], s.At)
-		}
 	}
 }
 
@@ -161,8 +164,12 @@
 
 func (c *checker) taken(s Seen) {
 	since, drains := c.told[spot{s.Proxy, s.Node}]
-	if p := c.paused[s.Proxy]; drains && len(p) > 0 {
-		since = max(since, p[len(p)-1]) // it was told as it stood, and reads that when it goes on
+	if p := c.paused[s.Proxy]; drains {
+		for i := 0; i+1 < len(p); i += 2 { // what it is told as it stands it reads when it goes on
+			if since >= p[i]-DrainGrace && since <= p[i+1] {
+				since = max(since, p[i+1])
+			}
+		}
 	}
 	if drains && s.At > since+DrainGrace+Slack {
 		c.broke(DrainRule, s, "node %s took request %s from proxy %d %v after that was told", s.Node, s.ID, s.Proxy, s.At-since)
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -138,7 +138,11 @@
 	alone := estate.Heirs() == 0
 	log.Info("stopping", zap.Bool("replaced", !alone))
 	service.stopping.Store(true)
-	peers.stop(!alone)
+	saidGoodbye := make(chan struct{})
+	go func() { // which waits for what is on its way to peers
+		peers.stop(!alone)
+		close(saidGoodbye)
+	}()
 	mind.Until(answered)
 	until, leaving := time.Now().Add(lastAnswer), replacedLeaving
 	if alone {
@@ -147,6 +151,7 @@
 	}
 	door.Close(until, alone, leaving)
 	estate.Close()
+	<-saidGoodbye
 	log.Info("stopped", counters(count)...)
 	return nil
 }
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -147,15 +147,20 @@
 	defer close(t.ended)
 	ticks := time.NewTicker(tick)
 	defer ticks.Stop()
-	lastJoin := time.Time{}
+	lastJoin, lastTick := time.Time{}, time.Now()
 	for n := 0; ; n++ {
 		select {
 		case <-t.quit:
 			return
 		case call := <-t.box:
+			if time.Since(lastTick) > 10*tick { // the process stood still: it has to know that before it takes what came meanwhile
+				lastTick = time.Now()
+				t.carry(t.in.Tick(t.now()))
+			}
 			call()
 			continue
 		case <-ticks.C:
+			lastTick = time.Now()
 		}
 		if since := time.Since(t.demands); since >= time.Second {
 			asked := t.proxy.Demand()
@@ -350,7 +355,8 @@
 func (t *Talker) send(to string, m *message, reliably bool) {
 	var at *memberlist.Node
 	for _, n := range t.members.Members() {
-		if name, rest, _ := strings.Cut(n.Name, "/"); name == to && (at == nil || rest > at.Name[len(to)+1:]) {
+		k := strings.LastIndexByte(n.Name, '/') // a proxy's own name may hold one
+		if k >= 0 && n.Name[:k] == to && (at == nil || n.Name[k:] > at.Name[k:]) {
 			at = n
 		}
 	}
--- a/internal/talk/talk_test.go
+++ b/internal/talk/talk_test.go
@@ -91,7 +91,7 @@
 func TestTalk(t *testing.T) {
 	t.Parallel()
 	ip := func(n int) string { return fmt.Sprintf("127.40.%d.%d", os.Getpid()%250, n) }
-	a, ha := talker(t, "one", "a", ip(1))
+	a, ha := talker(t, "one", "zone/a", ip(1)) // a name may hold what the library's names are made with
 	b, hb := talker(t, "one", "b", ip(2), ip(1)+":7946")
 	c, hc := talker(t, "two", "c", ip(3), ip(1)+":7946")
 	for i := range 20 { // noise, to both kinds of sockets
