--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -237,3 +237,30 @@
 		}
 	}
 }
+
+// A large fleet, outside CI: it is cut in two while both sides are told of one node, and heals; a tenth dies meanwhile.
+func TestLargeFleet(t *testing.T) {
+	n, err := strconv.Atoi(os.Getenv("WOODPROXY_LARGE"))
+	if err != nil {
+		t.Skip("WOODPROXY_LARGE says how many")
+	}
+	w := New(usual(n), 1)
+	never := w.never(t)
+	long := func(span replica.Time) replica.Time { return span * replica.Time(100+n) / 100 }
+	w.tell(0, node("c1", 5, replica.Active))
+	w.Run(long(2*second), never)
+	w.Cut = func(a, b int) bool { return (a < n/3) != (b < n/3) }
+	w.tell(0, node("c1", 6, replica.Leaving))
+	w.tell(n-1, node("c1", 6, replica.Active), node("c2", 7, replica.Left))
+	for i := n / 2; i < n*6/10; i++ {
+		w.Die(i)
+	}
+	w.Run(4*second, never)
+	if w.Agree(0, n-1) {
+		t.Error("a cut fleet agrees: nothing was cut")
+	}
+	w.Cut = nil
+	w.Run(long(3*second), never)
+	w.all(t, "healed")
+	t.Logf("%d proxies, shares %.3f together in the end", n, w.Sum())
+}
