--- a/replica/instance.go
+++ b/replica/instance.go
@@ -541,7 +541,9 @@
 	if r.askedAt = r.now; len(best) == 0 {
 		best = any
 	}
-	if len(best) > 0 {
+	if len(best) == 0 {
+		r.askedAt = r.now - patience + 1 // nobody was asked: again at the next tick
+	} else {
 		r.asked = best[r.chance.IntN(len(best))].name
 		clear(r.wanted)
 		r.say(Decision{Act: Digest, To: r.asked, Sums: r.Sums()})
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -416,3 +416,16 @@
 		t.Error("its share is never taken over")
 	}
 }
+
+// One that starts and meets nobody asks the first that it meets at its next tick, and does not wait for an answer that nobody
+// was asked for.
+func TestAsksAtOnce(t *testing.T) {
+	a, b := newOne("a", 2), newOne("b", 2)
+	a.Tick(0)
+	for _, d := range acts(b.Tick(0), Spread) {
+		a.Rows(Second/20, "b", d.Rows)
+	}
+	if ds := acts(a.Tick(Second/10), Digest); len(ds) != 1 || ds[0].To != "b" {
+		t.Errorf("%+v", ds)
+	}
+}
