--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -77,10 +77,7 @@
 	Behind  bool
 	Share   float64
 	Members []replica.Member
-	Kinds   map[replica.Kind]struct {
-		Rows int
-		Sum  uint64
-	}
+	Kinds   map[replica.Kind]replica.Held
 	Refused int64
 }
 
--- a/replica/instance.go
+++ b/replica/instance.go
@@ -21,8 +21,9 @@
 	mostHeads   = 8192 // in one answer to a digest: what is left differs at the next
 	mostSent    = 64   // rows in one message
 	mostAsked   = 8192
-	helped      = 4            // digests that differ are answered so many times in a helpTime
-	helpTime    = Second / 2   //
+	helped      = 4 // digests that differ are answered so many times in a helpTime
+	helpTime    = Second / 2
+	longAgo     = 1000 * Second
 	patience    = Second / 4   // for a helper's answer
 	aloneFor    = 2 * Second   // behind for so long with nobody here, it goes on with what it has
 	behindFor   = 5 * Second   // and so long with somebody
@@ -94,8 +95,8 @@
 // New returns an instance that holds nothing and is behind until somebody or nobody helps it.
 func New(now Time, t Terms, seed uint64) *Instance {
 	r := &Instance{Terms: t, now: now, rows: map[uint64]*held{}, byName: map[string]*member{}, wanted: map[uint64]bool{}, borrowed: map[string]loan{},
-		behind: true, behindAt: now, askedAt: now - patience, chance: rand.New(rand.NewPCG(seed, 3)), tickAt: now, began: now, namedAt: now - 1000*Second,
-		pulsedAt: now - 1000*Second}
+		behind: true, behindAt: now, askedAt: now - patience, chance: rand.New(rand.NewPCG(seed, 3)), tickAt: now, began: now, namedAt: now - longAgo,
+		pulsedAt: now - longAgo}
 	r.member(t.Me) // or a view without this one could pass for one of its own
 	r.share = r.least()
 	return r
@@ -266,7 +267,7 @@
 			m.knows = false
 		}
 		clear(r.views[:])
-		r.pulsedAt = r.now - 1000*Second
+		r.pulsedAt = r.now - longAgo
 	}
 	return true
 }
@@ -568,7 +569,7 @@
 		})
 	}
 	r.members = slices.DeleteFunc(r.members, func(m *member) bool {
-		end := r.rows[idOf(&Row{Kind: Gone, Key: m.name})]
+		end := r.end(m)
 		if end != nil && m.pulse == nil && m.incarnation == 0 {
 			m.incarnation = end.Epoch // never met, and known to have been
 		}
@@ -597,10 +598,13 @@
 		!r.ended(m)
 }
 
+// end is the row that tells of the end of one of a proxy's processes, nil: none is held.
+func (r *Instance) end(m *member) *held { return r.rows[idOf(&Row{Kind: Gone, Key: m.name})] }
+
 // ended tells whether the incarnation that a proxy's latest pulse is of is known to have ended. A pulse of it that comes late
 // changes nothing: a process that is wrongly said to have ended goes on as another incarnation.
 func (r *Instance) ended(m *member) bool {
-	end := r.rows[idOf(&Row{Kind: Gone, Key: m.name})]
+	end := r.end(m)
 	return end != nil && m.pulse != nil && end.Epoch >= m.pulse.Epoch
 }
 
@@ -626,14 +630,8 @@
 }
 
 // Kinds counts the rows that are held, and their digest, by kind.
-func (r *Instance) Kinds() map[Kind]struct {
-	Rows int
-	Sum  uint64
-} {
-	all := map[Kind]struct {
-		Rows int
-		Sum  uint64
-	}{}
+func (r *Instance) Kinds() map[Kind]Held {
+	all := map[Kind]Held{}
 	for _, h := range r.rows {
 		k := all[h.Kind]
 		k.Rows, k.Sum = k.Rows+1, k.Sum^h.mixed()
--- a/replica/types.go
+++ b/replica/types.go
@@ -137,6 +137,12 @@
 	Text    string
 }
 
+// Held is what is shown of the rows of one kind.
+type Held struct {
+	Rows int
+	Sum  uint64
+}
+
 // Member is what is shown of a proxy.
 type Member struct {
 	Name        string
