The module passes a part of a zone's keys on, and calls off what is out there

Need: a zone that is gone is met node by node by each proxy alone. One call, Bar, has a node's keys pass it by in whole or part, the same keys at every proxy; the room goes along; what is out there is called off once, where the route lets it be sent elsewhere. Nobody calls it yet. Points stay on the ring.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,8 +5,8 @@
 // out; it may reuse an exchange's index once that has its final answer and all its upstream tries have
 // ended. No I/O in here.
 //
-// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Share, Left, Woken. It is not frozen:
-// probes, load reports and cost hints have no call yet, since no decision uses them.
+// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Share, Bar, Left, Woken. It is not
+// frozen: probes, load reports and cost hints have no call yet, since no decision uses them.
 package brain
 
 import (
@@ -31,13 +31,10 @@
 		pushed: t.FallMultiple, pushedFor: max(t.Fall, 1), beyondPart: t.BeyondShare, ask: t.Ask,
 		askEvery: max(t.AskEvery, second), rough: t.RoughWeights, chance: seed, now: now,
 		fetches: map[uint64]int{}, waiters: map[uint64]int{}, wakeAt: math.MaxInt64, askAt: math.MaxInt64,
-		peers: t.Peers, me: t.Me, rateAt: now, began: now, room: 8, spare: 5,
+		peers: t.Peers, me: t.Me, comeBack: t.MaxRetryAfter * Time(one(t.RetryAfter)), rateAt: now, began: now,
+		room: 8, spare: 5,
 	}
-	if t.RetryAfter {
-		b.comeBack = t.MaxRetryAfter
-	}
-	dearest := 0.0
-	shortest := 60 * second
+	dearest, shortest := 0.0, 60*second
 	for _, r := range t.Routes {
 		dearest = max(dearest, r.Value)
 		shortest = min(shortest, r.Objective)
@@ -61,8 +58,7 @@
 	for _, a := range t.Allowance {
 		b.allowance = append(b.allowance, a*b.share)
 	}
-	b.spent = make([]float64, len(t.Allowance))
-	b.spentAt = make([]Time, len(t.Allowance))
+	b.spent, b.spentAt = make([]float64, len(t.Allowance)), make([]Time, len(t.Allowance))
 	return b
 }
 
@@ -186,8 +182,8 @@
 	return b.settle()
 }
 
-// Share takes the part of what all proxies may do together that this one may from now on; it begins as an even one. What
-// has been learnt of the origin's limit goes with it, so that the sum over all stays where it was.
+// Share takes the part of what all proxies may do together that this one may from now on; it begins as an
+// even one. What has been learnt of the origin's limit goes with it, so that the sum over all stays.
 func (b *Instance) Share(now Time, part float64) []Decision {
 	b.begin(now)
 	by := part / b.share
@@ -199,6 +195,20 @@
 	return b.settle()
 }
 
+// Bar has a part of the keys pass a node by, the same keys at every proxy, since its zone is left: none of
+// their tries goes there, the room is that of the others, and what is out there is called off if off says so.
+func (b *Instance) Bar(now Time, at int, part float64, off bool) []Decision {
+	b.begin(now)
+	b.nodes[at].part, b.nodes[at].off = part, off
+	for cx := range b.xs {
+		if x := &b.xs[cx]; off && x.live && x.out > 0 && x.node == at {
+			b.todo = append(b.todo, cx)
+		}
+	}
+	b.rebuild()
+	return b.settle()
+}
+
 // Left reports that the client went away; nothing is owed any more.
 func (b *Instance) Left(now Time, cx int) []Decision {
 	b.begin(now)
@@ -255,10 +265,7 @@
 	do   func(b *Instance)
 }
 
-const (
-	idle = false
-	held = true
-)
+const idle, held = false, true
 
 var rules = []rule{
 	// Choosing what to look at.
@@ -269,6 +276,7 @@
 	// Nothing is owed, or nothing can be done yet.
 	{held, func(b *Instance) bool { return !b.hand.live || b.hand.streaming }, (*Instance).letGo},
 	{held, (*Instance).timeUp, (*Instance).giveUp},
+	{held, (*Instance).leavesZone, (*Instance).callOff},
 	{held, func(b *Instance) bool { return b.hand.out > 0 && b.fallsSilent() }, (*Instance).passOver},
 	{held, func(b *Instance) bool { return b.hand.out > 0 }, (*Instance).waitOn},
 	// What may not or need not be sent again.
@@ -291,14 +299,9 @@
 	{held, func(b *Instance) bool { return true }, (*Instance).giveUp},
 }
 
-const (
-	unknown = -1
-	nowhere = -2
-)
+const unknown, nowhere = -1, -2
 
-func (b *Instance) begin(now Time) {
-	b.now, b.out = now, b.out[:0]
-}
+func (b *Instance) begin(now Time) { b.now, b.out = now, b.out[:0] }
 
 // settle goes through the rules until none fires, then sees to the one wake that is out.
 func (b *Instance) settle() []Decision {
@@ -391,6 +394,25 @@
 	return n.quiet <= b.hand.sent && b.now-b.hand.sent >= b.long()
 }
 
+// barred holds for a node that the key in hand passes by, since its zone is left in whole or in part.
+func (b *Instance) barred(n *node) bool {
+	return n.part > 0 && float64(mix(mix(b.hand.Key))>>40) < n.part*(1<<24)
+}
+
+// leavesZone holds for a try that is out in a zone that is left, or overdue in one that returns, if the route
+// lets it be sent elsewhere: a deduped one's repeat that leaves its group would be carried out.
+func (b *Instance) leavesZone() bool {
+	x := b.hand
+	n, r := &b.nodes[max(x.node, 0)], &b.routes[x.Route]
+	return x.out > 0 && n.off && !x.off && b.mayCancel && (b.barred(n) || b.overdue(n)) && (r.Effect ==
+		Retriable || r.Effect == Deduped && r.Group == GroupAll && b.now < x.sent+r.Window)
+}
+
+func (b *Instance) callOff() {
+	b.hand.off = true // once for a try; no sign of too much work, so that its repeat is not of those bounded
+	b.say(Decision{Act: Cancel, Cx: b.at, Leg: b.hand.legs - 1})
+}
+
 func (b *Instance) passOver() { b.fell(&b.nodes[b.hand.node]) }
 
 // timeUp holds when an answer would come too late to be worth anything, or the overall timeout is upon us.
@@ -401,7 +423,7 @@
 // servers drop many that have stood idle, each of them costs no more than the next try.
 func (b *Instance) mayRepeat() bool {
 	r := &b.routes[b.hand.Route]
-	if b.spare < 1 && !b.hand.cut {
+	if b.spare < 1 && !b.hand.cut && !b.hand.off {
 		return false
 	}
 	return r.Effect == Retriable || r.Effect == Deduped && b.now < b.hand.ranAt+r.Window
@@ -568,10 +590,7 @@
 	x := b.hand
 	x.queued = true
 	b.queued++
-	i := 1
-	if x.Write {
-		i = 0
-	}
+	i := 1 - int(one(x.Write)) // writes first
 	b.queue[i] = append(b.queue[i], b.at)
 	b.lead(x)
 	b.remind(b.at, min(x.good, x.deadline-b.tick))
@@ -638,9 +657,10 @@
 	} else {
 		b.flying++
 	}
-	if x.ran && !x.cut {
+	if x.ran && !x.cut && !x.off {
 		b.spare--
 	}
+	x.off = false
 	if n.down {
 		n.retryAt = b.now + n.rest
 	}
@@ -673,7 +693,7 @@
 		over := owner && n.out >= 2 && float64(n.out) > bound || b.refuses(n)
 		owner = false
 		switch {
-		case slices.Contains(b.hand.tried, at) || !b.inGroup(at) || b.coldFull(n):
+		case slices.Contains(b.hand.tried, at) || !b.inGroup(at) || b.barred(n) || b.coldFull(n):
 		case b.sick(n) || over || n.doubt > 0 && b.draw() < b.doubt(n):
 			if sick == nowhere {
 				sick = at // better than none
@@ -760,6 +780,13 @@
 	return min(max(0.8/max(b.count(0), 1), 0.02), 0.3)
 }
 
+func one(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 func fade(gone Time) float64 { return math.Exp2(-float64(gone) / float64(7*second)) }
 
 // weight is what a sight counts in a mean: the longer since the last one, the more.
@@ -819,11 +846,7 @@
 
 // judge learns of a node's health from the end of a try.
 func (b *Instance) judge(x *exchange, n *node, a Answer) {
-	refused := 0.0
-	if a.Ending == NoRoom {
-		refused = 1
-	}
-	n.refused += (refused - n.refused) * weight(1.0/8, b.now-n.triedAt, 3*second)
+	n.refused += (one(a.Ending == NoRoom) - n.refused) * weight(1.0/8, b.now-n.triedAt, 3*second)
 	n.triedAt = b.now
 	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
 	// a try called off when its time was up was no less late than one whose own time-out came first
@@ -835,11 +858,7 @@
 		b.fetchAt = b.now
 	}
 	if !n.Origin && !x.missed && !((a.Ending == Silent || a.Ending == Undone) && n.down) {
-		bad := 0.0
-		if late {
-			bad = 1
-		}
-		b.lates += (bad - b.lates) * weight(1.0/64, b.now-b.latesAt, 10*second)
+		b.lates += (one(late) - b.lates) * weight(1.0/64, b.now-b.latesAt, 10*second)
 		b.latesAt = b.now
 	}
 	switch {
@@ -906,10 +925,7 @@
 		}
 	}
 	if alive && a.Ending != NoRoom && !n.Origin {
-		bad := 0.0
-		if a.Ending == Fault {
-			bad = 1
-		}
+		bad := one(a.Ending == Fault)
 		n.faults += (bad - n.faults) / 8
 		b.faults += (bad - b.faults) / 64
 		if bad == 1 && n.faults > 0.4 && n.faults > 2*b.faults {
@@ -917,12 +933,10 @@
 			b.fell(n)
 		}
 	}
-	if a.Ending == Unreachable && !n.Origin {
+	if a.Ending == Unreachable && !n.Origin || (a.Ending == Silent || a.Ending == Undone) && n.down &&
+		n.quiet <= x.sent && b.now >= n.retryAt { // the latter is a trial in vain
 		b.fell(n)
 	}
-	if (a.Ending == Silent || a.Ending == Undone) && n.down && n.quiet <= x.sent && b.now >= n.retryAt {
-		b.fell(n) // a trial in vain
-	}
 }
 
 func (b *Instance) askAgain() {
@@ -934,8 +948,8 @@
 // and weight, so that a join or leave moves only that server's arcs; what stays is not sorted anew, which
 // hundreds of nodes that come one by one made dear.
 func (b *Instance) rebuild() {
-	before, leaves := b.caches, false
-	b.origins, b.caches = b.origins[:0], 0
+	before, leaves := b.open, false
+	b.origins, b.caches, b.open = b.origins[:0], 0, 0
 	sum, many := 0.0, 0.0
 	for i := range b.nodes {
 		if n := &b.nodes[i]; n.Ready && !n.Origin {
@@ -960,7 +974,7 @@
 			spots = ringSpots
 		}
 		if spots > 0 {
-			b.caches++
+			b.caches, b.open = b.caches+1, b.open+1-n.part
 		}
 		if n.moved = spots != n.spots; n.moved {
 			leaves = leaves || n.spots > 0
@@ -972,11 +986,11 @@
 		}
 	}
 	switch {
-	case b.caches == 0:
+	case b.open == 0:
 	case before == 0:
 		b.room = max(8*float64(b.caches)*b.share, 8) // to begin with: eight at each cache, of all proxies
 	default:
-		b.room *= float64(b.caches) / float64(before) // more caches, more room
+		b.room *= b.open / before // more caches, more room
 	}
 	if leaves {
 		b.ring = slices.DeleteFunc(b.ring, func(p point) bool { return b.nodes[p.node].moved })
--- a/brain/state.go
+++ b/brain/state.go
@@ -31,7 +31,8 @@
 	xs       []exchange
 	nodes    []node
 	ring     []point
-	caches   int // on the ring
+	caches   int     // on the ring
+	open     float64 // of these, but for the parts that keys pass by
 	origins  []int
 	flying   int // own tries in flight to caches on the ring
 	weightOf float64
@@ -84,12 +85,14 @@
 // node is what this proxy knows of one server. Nodes are as many as were listed at a time, or had not long gone.
 type node struct {
 	Listing
-	out      int  // own tries in flight
-	quiet    Time // no answer since then, with tries out
-	down     bool // passed over until an answer comes
-	retryAt  Time // when a node that is down may have one try
-	rest     Time // how long it is left alone after the next failure
-	answers  int  // since it was cold
+	out      int     // own tries in flight
+	quiet    Time    // no answer since then, with tries out
+	down     bool    // passed over until an answer comes
+	part     float64 // of the keys that pass it by, since its zone is left
+	off      bool    // for its silence: what is out there is called off
+	retryAt  Time    // when a node that is down may have one try
+	rest     Time    // how long it is left alone after the next failure
+	answers  int     // since it was cold
 	budget   float64
 	budgetAt Time
 	slow     float64 // what its latest answers took
@@ -114,6 +117,7 @@
 	fresh     bool // no lots drawn yet
 	turned    bool // turned away by them
 	cut       bool // its last try's connection broke
+	off       bool // its last try was called off, as its zone is left
 	missed    bool // a cache lacked the key
 	joined    bool // has waited for another's fetch
 	leads     bool // its fetch is the one that others wait for
