--- a/brain/watch.go
+++ b/brain/watch.go
@@ -30,5 +30,8 @@
 	b.went(&b.xs[cx], node)
 }
 
+// Load is how many tries are out at caches, and how many those answer in time.
+func (b *Instance) Load() (flying int, room float64) { return b.flying, b.room }
+
 // Out is how many tries are out, as far as the instance knows.
 func (b *Instance) Out() int { return b.flying + b.atOrigin }
--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -30,12 +32,13 @@
 	Management string `env:"GW_MANAGEMENT" help:"Where operators call, before the one in the file."`
 	Peers      string `env:"GW_PEERS" help:"A file by which proxies talk with one another; without it they do not." placeholder:"FILE"`
 	PeersAt    string `env:"GW_PEERS_LISTEN" name:"peers-listen" help:"Where peers meet this proxy, before the one in that file."`
+	Zones      string `env:"GW_ZONES" help:"A file by which whole zones are left and returned to; without it they are not." placeholder:"FILE"`
 	Shared     string `env:"TMPDIR" help:"A directory that a process shares with the one that replaces it."`
 }
 
 func (p *place) read() (*run.Place, error) {
 	return run.Read(p.Config, run.Place{Name: p.Name, Listen: p.Listen, Discovery: p.Discovery, Management: p.Management,
-		Own: true, Shared: p.Shared, Peers: p.Peers, PeersListen: p.PeersAt})
+		Own: true, Shared: p.Shared, Peers: p.Peers, PeersListen: p.PeersAt, ZonesFile: p.Zones})
 }
 
 type serve struct{ place }
@@ -54,7 +57,7 @@
 	// the environment is that of the start; where discovery is by now, only the file can tell
 	again := func() (*run.Place, error) {
 		return run.Read(s.Config, run.Place{Name: s.Name, Listen: s.Listen, Management: s.Management,
-			Own: true, Shared: s.Shared, Peers: s.Peers, PeersListen: s.PeersAt})
+			Own: true, Shared: s.Shared, Peers: s.Peers, PeersListen: s.PeersAt, ZonesFile: s.Zones})
 	}
 	return run.Serve(p, again, log, signals)
 }
@@ -79,6 +82,9 @@
 		}
 		fmt.Printf("%s: good; cluster %s, %d seeds\n", c.Peers, p.Talk.Cluster, len(p.Talk.Seeds))
 	}
+	if p.Zones != nil {
+		fmt.Printf("%s: good; this proxy stands in %q, %d regions\n", c.Zones, p.Zones.Zone, len(p.Zones.Regions))
+	}
 	fmt.Printf("%s: good; %d routes, %d tenants, %d proxies\n", c.Config, len(p.Book.Routes), len(p.Book.Tenants),
 		p.Book.Terms.Proxies)
 	if p.Untold {
@@ -117,8 +123,17 @@
 }
 
 func (p *peers) Run() error {
+	return call(http.MethodGet, p.Address, "/control/peers")
+}
+
+// call makes an operator's call and prints the answer.
+func call(method, address, path string) error {
+	q, err := http.NewRequest(method, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
 	c := http.Client{Timeout: 2 * time.Second}
-	r, err := c.Get("http://" + p.Address + "/control/peers")
+	r, err := c.Do(q)
 	if err != nil {
 		return err
 	}
@@ -134,6 +149,31 @@
 	return err
 }
 
+type zonesCall struct {
+	Address string `arg:"" help:"The proxy's management address."`
+	Zone    string `arg:"" optional:"" help:"A zone or region to order something of; without it all are shown."`
+	Want    string `arg:"" optional:"" enum:"in,out,hold,auto," default:"" help:"in, out, hold as it is, or auto: what the evidence says."`
+	Epoch   int64  `default:"-1" help:"The number of the order that this one is to replace, 0: there is none; nothing changes if another stands."`
+	Force   string `help:"\"leave no zone\": also if no zone would be left in."`
+}
+
+func (z *zonesCall) Run() error {
+	if z.Zone == "" {
+		return call(http.MethodGet, z.Address, "/control/zones")
+	}
+	if z.Want == "" {
+		return errors.New("zones: in, out, hold or auto: missing")
+	}
+	words := url.Values{}
+	if z.Epoch >= 0 {
+		words.Set("epoch", strconv.FormatInt(z.Epoch, 10))
+	}
+	if z.Force != "" {
+		words.Set("force", z.Force)
+	}
+	return call(http.MethodPost, z.Address, "/control/zones/"+url.PathEscape(z.Zone)+"/"+z.Want+"?"+words.Encode())
+}
+
 type version struct{}
 
 func (*version) Run() error {
@@ -147,11 +187,12 @@
 
 func main() {
 	var cli struct {
-		Serve    serve    `cmd:"" help:"Serve clients until told to stop."`
-		Check    check    `cmd:"" help:"Say whether a configuration is good."`
-		Counters counters `cmd:"" help:"Print what a running proxy has counted since its start."`
-		Peers    peers    `cmd:"" help:"Print how a running proxy stands with its peers."`
-		Version  version  `cmd:"" help:"Print the version."`
+		Serve    serve     `cmd:"" help:"Serve clients until told to stop."`
+		Check    check     `cmd:"" help:"Say whether a configuration is good."`
+		Counters counters  `cmd:"" help:"Print what a running proxy has counted since its start."`
+		Peers    peers     `cmd:"" help:"Print how a running proxy stands with its peers."`
+		Zones    zonesCall `cmd:"" help:"Print how zones stand with a running proxy and its peers, or order one in, out or held."`
+		Version  version   `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("woodproxy"), kong.Description("A router for fleets of cache servers."))
 	if err := ctx.Run(); err != nil {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -8,6 +8,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -18,8 +19,15 @@
 	OutOfService() (changed bool)  // send clients away
 	InService() (changed bool)
 	Peers() string // how it stands with its peers, "": it has none
+	Zones() string // how the zones stand, "": they are not judged
+	// an order on a zone or region: in, out, hold or auto, to replace the one of that epoch, below zero: whichever stands.
+	// An error tells why nothing has changed
+	Command(name, want string, epoch int64, force bool) (string, error)
 }
 
+// forced is what has to be said for an order that leaves no zone in.
+const forced = "leave no zone"
+
 const (
 	mostConns = 8               // at once; one more, and the one that has said nothing whole for longest goes
 	callTime  = 2 * time.Second // from the first byte of a call's head to the end of its answer
@@ -68,6 +76,35 @@
 		}
 		io.WriteString(w, text)
 	})
+	mux.HandleFunc("GET /control/zones", func(w http.ResponseWriter, r *http.Request) {
+		text := of.Zones()
+		if text == "" {
+			http.Error(w, "no file of zones is named", http.StatusNotFound)
+			return
+		}
+		io.WriteString(w, text)
+	})
+	mux.HandleFunc("POST /control/zones/{zone}/{want}", func(w http.ResponseWriter, r *http.Request) {
+		epoch, force := int64(-1), r.URL.Query().Get("force") == forced
+		if s := r.URL.Query().Get("epoch"); s != "" {
+			n, err := strconv.ParseInt(s, 10, 64)
+			if err != nil || n < 0 {
+				http.Error(w, fmt.Sprintf("epoch: %q: no number of an order", s), http.StatusBadRequest)
+				return
+			}
+			epoch = n
+		}
+		if s := r.URL.Query().Get("force"); s != "" && !force {
+			http.Error(w, fmt.Sprintf("force: %q: it takes the words %q", s, forced), http.StatusBadRequest)
+			return
+		}
+		text, err := of.Command(r.PathValue("zone"), r.PathValue("want"), epoch, force)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		io.WriteString(w, text)
+	})
 	change := func(path, done, was string, call func() bool) {
 		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 			if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, mostHead)); err != nil {
--- a/internal/emu/clients.go
+++ b/internal/emu/clients.go
@@ -43,6 +43,7 @@
 	addrs []string
 
 	mu      sync.Mutex
+	start   time.Time // of the day
 	idle    [][]*line
 	results []Result
 	all     sync.WaitGroup
@@ -70,6 +71,7 @@
 const lateBy = 5 * time.Millisecond
 
 func (c *clients) run(ctx context.Context, start time.Time) {
+	c.start = start
 	for _, r := range c.plan.Requests {
 		wait := time.NewTimer(time.Until(start.Add(r.At)))
 		select {
--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -28,6 +28,13 @@
 	Trouble []Trouble `toml:"trouble"`
 	Limits  Limits    `toml:"limits"`
 	Peers   Peers     `toml:"peers"`
+	Zones   Zones     `toml:"zones"`
+}
+
+// Zones is how the proxies judge whole zones.
+type Zones struct {
+	Judged  string              `toml:"judged"` // "": not; "alone": by each proxy; "fleet"; "told": by operators, who know at once
+	Regions map[string][]string `toml:"regions"`
 }
 
 // Peers is how the proxies talk with one another.
@@ -131,7 +138,7 @@
 	"stale": {some: true}, "deaf": {some: true}, "refusing": {some: true}, "origin-slow": {times: true}, "kill": {nodes: true}, "restart": {nodes: true},
 	"bad-clients": {rate: true}, "slow-clients": {nodes: true},
 	"part": {nodes: true}, "one-way": {nodes: true}, "lossy": {part: true}, "pause": {nodes: true}, "mass-kill": {nodes: true},
-	"zone-cut": {zone: true}, "zone-lost": {zone: true}, "whisper": {nodes: true}, "link": {part: true},
+	"zone-cut": {zone: true}, "zone-lost": {zone: true}, "zone-grey": {zone: true, times: true, part: true}, "whisper": {nodes: true}, "link": {part: true},
 }
 
 // least part of a trouble that has one; a link may be slow alone.
@@ -187,6 +194,12 @@
 	within("load.rate", d.Load.Rate, 0.1, 20000)
 	within("load.impatient", d.Load.Impatient, 0, 1)
 	within("load.connections", float64(d.Load.Connections), 0, 20000)
+	if j := d.Zones.Judged; err == nil && j != "" && (j != "alone" && j != "fleet" && j != "told" || len(d.Fleet.Zones) < 2) {
+		err = fmt.Errorf("zones.judged: %q: not alone, fleet or told, or there are no zones", j)
+	}
+	if err == nil && (d.Zones.Judged == "fleet" || d.Zones.Judged == "told") && !d.Peers.Talk {
+		err = fmt.Errorf("zones.judged: %s: proxies do not talk (peers.talk)", d.Zones.Judged)
+	}
 	within("peers.hold_s", d.Peers.Hold, 0, 600)
 	within("peers.floor", d.Peers.Floor, 0, 1)
 	within("limits.cores", d.Limits.Cores, 0.01, 64)
--- a/internal/emu/many.go
+++ b/internal/emu/many.go
@@ -397,8 +397,10 @@
 			n.Stop()
 		}
 	}
+	p.struck(b, true)
 	p.massKill(ctx, b.Hits, long, seconds(b.Spread), func() {
 		end()
+		p.struck(b, false)
 		for _, n := range nodes {
 			if b.Dead && n.Restart() != nil {
 				return
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -20,6 +20,7 @@
 	Config                  string // the file that says all of this
 	Management              string // where operators call, "": nowhere
 	Peers                   string // the file by which it talks with others, "": it does not
+	Zones                   string // the file by which it judges zones, "": it does not
 	Dir                     string // for its log and what it keeps
 }
 
@@ -55,7 +56,10 @@
 	Unheard                int             // proxies that never had such a node
 	PeerBytes, PeerPackets float64         // a second and proxy, that talk took in and gave out; that came in
 	CatchUps               []time.Duration // from the start or the going on of a process that had peers until it said that it caught up
-	BadMute                int             // bad clients that were owed an error or a close and had neither
+	Zones                  []ZoneHit
+	Convicted              int     // verdicts of out on zones that nothing had hit
+	ColdPeak               float64 // the most that any node took while it was cold, against what it bears
+	BadMute                int     // bad clients that were owed an error or a close and had neither
 }
 
 type player struct {
@@ -74,6 +78,7 @@
 	ends     sync.WaitGroup
 	ways     *Ways
 	whispers []whisper
+	hits     []hit
 	net      string            // beginning of the proxies' addresses among each other
 	names    map[string]string // of proxies, by these
 	relays   []*relay          // where proxies meet each other, none where they do not talk
@@ -320,6 +325,9 @@
 				return err
 			}
 		}
+		if err := p.quarter(m); err != nil {
+			return err
+		}
 		text, err := json.Marshal(p.config(i, m.site))
 		if err != nil {
 			return err
@@ -378,7 +386,7 @@
 			"fall-multiple": FallMultiple},
 		"family-info": map[string]any{"mode": "aside", "origin-kind": 1}, "routes": routes}
 	if len(d.Fleet.Zones) > 0 {
-		settings["localities"] = d.Fleet.Zones
+		settings["zones"], settings["locality"] = d.Fleet.Zones, d.Fleet.Zones[i%len(d.Fleet.Zones)]
 	}
 	for k, v := range p.o.Overrides {
 		lay(settings, k, v)
@@ -610,8 +618,13 @@
 			p.found[i].Feel("")
 		}
 	case "part", "one-way", "lossy", "zone-cut", "link":
-		defer p.ways.begin(p.cutOf(b))()
+		end := p.ways.begin(p.cutOf(b))
+		p.struck(b, true)
 		sleep(ctx, long)
+		end()
+		p.struck(b, false)
+	case "zone-grey":
+		p.greyZone(ctx, b, long)
 	case "whisper":
 		p.whisper(ctx, b.Nodes, long)
 	case "pause":
@@ -662,9 +675,10 @@
 
 func (p *player) report() *Report {
 	all := p.log.All()
-	r := &Report{Plan: p.plan, Results: p.clients.results, Seen: all, Breaches: Check(p.plan.Day, p.plan.Requests, all),
-		BadMute: int(p.badMute.Load())}
+	r := &Report{Plan: p.plan, Results: p.clients.results, Seen: all, BadMute: int(p.badMute.Load())}
+	r.Breaches, r.ColdPeak = check(p.plan.Day, p.plan.Requests, all)
 	p.heard(r)
+	p.judged(r)
 	r.CPU = float64(p.cpu.Load()) / 1000 / float64(max(len(p.plan.Requests), 1))
 	late := 0
 	for _, s := range all {
@@ -690,6 +704,9 @@
 		if s.Peers != "" {
 			c.Env = append(c.Env, "GW_PEERS="+s.Peers)
 		}
+		if s.Zones != "" {
+			c.Env = append(c.Env, "GW_ZONES="+s.Zones)
+		}
 		c.Stdout, c.Stderr = log, log
 		if err := c.Start(); err != nil {
 			log.Close()
--- /dev/null
+++ b/internal/emu/quarters.go
@@ -0,0 +1,228 @@
+package emu
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// What befalls whole zones, and how proxies judge it.
+
+// ZoneHit is what became of a zone that was hit. Times are from the hit, and from its end.
+type ZoneHit struct {
+	Zone          string
+	At, For       time.Duration
+	First, Last   time.Duration // until the first and the last proxy outside had left it; 0: none had
+	Kept          int           // proxies outside that never left it
+	Back          time.Duration // until the last proxy served all of its keys there; 0: it was not seen
+	WorthAt       float64       // part of the value earned of what was asked in the first five seconds,
+	WorthBack     float64       // and in the ten seconds after its end
+	CompletedBack float64       // the same, of requests completed in time
+}
+
+// hit is when a zone was hit, by the wall clock.
+type hit struct {
+	zone     string
+	from, to time.Time // zero: to the end of the day
+	inside   map[int]bool
+	harmless bool // what hits it is no reason to leave it
+}
+
+// quarter writes a proxy's file of zones.
+func (p *player) quarter(m *member) error {
+	d := p.plan.Day
+	if d.Zones.Judged == "" {
+		return nil
+	}
+	m.site.Zones = filepath.Join(m.site.Dir, "zones.toml")
+	text := ""
+	if d.Zones.Judged == "told" {
+		text = "alone = false\ntogether = false\n"
+	} else if d.Zones.Judged == "alone" {
+		text = "together = false\n"
+	}
+	for name, zones := range d.Zones.Regions {
+		text += fmt.Sprintf("[[region]]\nname = %q\nzones = [\"%s\"]\n", name, strings.Join(zones, "\", \""))
+	}
+	return os.WriteFile(m.site.Zones, []byte(text), 0o600)
+}
+
+// struck notes that a zone is hit, or that it is over. Operators who are told order it out and in at once, by way of every
+// proxy that they reach.
+func (p *player) struck(b Blow, on bool) {
+	if b.Zone == "" {
+		return
+	}
+	p.mu.Lock()
+	if on {
+		h := hit{zone: b.Zone, from: time.Now(), inside: map[int]bool{}, harmless: b.Kind == "zone-grey"}
+		for _, i := range b.Hits {
+			h.inside[i] = true
+		}
+		p.hits = append(p.hits, h)
+	} else {
+		for i := range p.hits {
+			if p.hits[i].zone == b.Zone && p.hits[i].to.IsZero() {
+				p.hits[i].to = time.Now()
+			}
+		}
+	}
+	p.mu.Unlock()
+	if p.plan.Day.Zones.Judged != "told" || b.Kind == "zone-grey" {
+		return
+	}
+	want := "auto"
+	if on {
+		want = "out"
+	}
+	var all sync.WaitGroup
+	for i, m := range p.proxies {
+		if slices.Contains(b.Hits, i) {
+			continue
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c := http.Client{Timeout: time.Second}
+			if r, err := c.Post("http://"+m.site.Management+"/control/zones/"+url.PathEscape(b.Zone)+"/"+want, "", nil); err == nil {
+				r.Body.Close()
+			}
+		}()
+	}
+	all.Wait()
+}
+
+// greyZone has a third of a zone's nodes be slow, and a part of all its answers be failures.
+func (p *player) greyZone(ctx context.Context, b Blow, long time.Duration) {
+	var nodes []*Node
+	in := p.sides(Blow{Trouble: Trouble{Zone: b.Zone}})
+	p.mu.Lock()
+	for _, n := range p.nodes {
+		if in[n.Name] {
+			nodes = append(nodes, n)
+		}
+	}
+	p.mu.Unlock()
+	set := func(times, part float64) {
+		for k, n := range nodes {
+			if k%3 == 0 {
+				n.work.mu.Lock()
+				n.work.times = times
+				n.work.mu.Unlock()
+			}
+			if part > 0 {
+				n.Set("fails", part, 0, 0)
+			} else {
+				n.Set("", 1, 0, 0)
+			}
+		}
+	}
+	p.struck(b, true)
+	set(b.Times, b.Part)
+	sleep(ctx, long)
+	set(1, 0)
+	p.struck(b, false)
+}
+
+// judged reads in the proxies' logs when each left a zone that was hit, and returned to it.
+func (p *player) judged(r *Report) {
+	type turn struct {
+		proxy int
+		zone  string
+		at    time.Time
+		open  float64
+	}
+	var turns []turn
+	for i, m := range p.proxies {
+		text, err := os.ReadFile(filepath.Join(m.site.Dir, "log"))
+		if err != nil {
+			continue
+		}
+		for _, raw := range strings.Split(string(text), "\n") {
+			var l struct {
+				At  float64 `json:"ts"`
+				Msg string  `json:"msg"`
+			}
+			if json.Unmarshal([]byte(raw), &l) != nil || !strings.HasPrefix(l.Msg, "zones: zone ") {
+				continue
+			}
+			at := time.UnixMicro(int64(l.At * 1e6))
+			zone, rest, _ := strings.Cut(strings.TrimPrefix(l.Msg, "zones: zone "), ": ")
+			var open float64
+			if n, err := fmt.Sscanf(rest, "%f of its keys are served there", &open); n == 1 && err == nil {
+				turns = append(turns, turn{i, zone, at, open})
+			}
+			if strings.HasPrefix(rest, "out (") && strings.Contains(rest, " from in,") || strings.HasPrefix(rest, "leaving (") {
+				right := false
+				for _, h := range p.hits {
+					over := h.to.IsZero() || at.Before(h.to.Add(2*time.Second))
+					right = right || h.zone == zone && !h.harmless && at.After(h.from) && over
+				}
+				if !right {
+					r.Convicted++
+				}
+			}
+		}
+	}
+	for _, h := range p.hits {
+		z := ZoneHit{Zone: h.zone, At: h.from.Sub(p.log.start)}
+		to := h.to
+		if to.IsZero() {
+			to = p.log.start.Add(seconds(p.plan.Day.Length))
+		}
+		z.For = to.Sub(h.from)
+		left, open := map[int]bool{}, map[int]float64{}
+		for _, t := range turns { // of one proxy in order
+			if t.zone != h.zone || h.inside[t.proxy] || t.at.Before(h.from) {
+				continue
+			}
+			if t.open == 0 && !left[t.proxy] && t.at.Before(to) {
+				left[t.proxy] = true
+				took := t.at.Sub(h.from)
+				if z.First == 0 || took < z.First {
+					z.First = took
+				}
+				z.Last = max(z.Last, took)
+			}
+			if open[t.proxy] = t.open; t.open == 1 && t.at.After(to) {
+				z.Back = max(z.Back, t.at.Sub(to))
+			}
+		}
+		for i := range p.proxies {
+			if !h.inside[i] && !left[i] {
+				z.Kept++
+			}
+			if f, ok := open[i]; ok && f < 1 {
+				z.Back = 0 // one has not come to the end
+			}
+		}
+		start := p.clients.start
+		z.WorthAt, _ = p.worth(h.from.Sub(start), h.from.Add(5*time.Second).Sub(start))
+		z.WorthBack, z.CompletedBack = p.worth(to.Sub(start), to.Add(10*time.Second).Sub(start))
+		r.Zones = append(r.Zones, z)
+	}
+}
+
+// worth is the part of the value, and of the requests, that was earned in time of what was asked within a span of the day.
+func (p *player) worth(from, to time.Duration) (value, inTime float64) {
+	all, many := 0.0, 0.0
+	for _, q := range p.clients.results {
+		route := p.plan.Day.Routes[q.Request.Route]
+		if q.Request.At < from || q.Request.At >= to || q.Outcome == Left {
+			continue
+		}
+		all, many = all+route.Value, many+1
+		if q.Outcome == Completed && q.Latency <= millis(route.Objective) {
+			value, inTime = value+route.Value, inTime+1
+		}
+	}
+	return value / max(all, 1e-9), inTime / max(many, 1)
+}
--- a/internal/emu/rules.go
+++ b/internal/emu/rules.go
@@ -44,6 +44,11 @@
 
 // Check goes through a day, in the order of what was seen.
 func Check(d *Day, requests []Request, all []Seen) []Breach {
+	found, _ := check(d, requests, all)
+	return found
+}
+
+func check(d *Day, requests []Request, all []Seen) ([]Breach, float64) {
 	c := checker{day: d, routes: map[string]Route{}, asked: map[string]Seen{}, answers: map[string]int{}, over: map[string]bool{},
 		ran: map[string]int{}, told: map[spot]time.Duration{}, began: map[string]Seen{}, took: map[string][]time.Duration{},
 		pushed: map[string]bool{}, ended: map[int][]time.Duration{}, paused: map[int][]time.Duration{}, shares: map[int][]Seen{}}
@@ -68,7 +73,7 @@
 			c.found[i].Path = Of(all, id)
 		}
 	}
-	return c.found
+	return c.found, c.cold
 }
 
 type spot struct {
@@ -92,6 +97,7 @@
 	overdone bool                    // they were over, and that was told
 	paused   map[int][]time.Duration // when processes were stopped where they stood, and went on, in turn
 	last     time.Duration
+	cold     float64 // the most that any node took while it was cold, against what it bears
 	found    []Breach
 }
 
@@ -187,7 +193,8 @@
 	if cold := seconds(c.day.Fleet.Cold); cold > 0 {
 		part += (1 - part) * float64(s.At-b.At) / float64(cold)
 	}
-	if most := FallMultiple * part * b.Figure * FallFor.Seconds(); float64(len(times)) > most {
+	most := FallMultiple * part * b.Figure * FallFor.Seconds()
+	if c.cold = max(c.cold, float64(len(times))/most); float64(len(times)) > most {
 		c.pushed[s.Node] = true
 		c.broke(ColdRule, Seen{At: s.At}, "node %s, cold for %v, took %d commands in %v; %.0f are allowed", s.Node, s.At-b.At,
 			len(times), FallFor, most)
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -37,6 +37,7 @@
 	flows  *budget // bytes of values that pass through
 	list   *List
 	tells  func(node string, answers bool) // peers, nil: there are none
+	zones  *quarters                       // nil: zones are not judged
 	count  *Counters
 	log    *zap.Logger
 }
@@ -65,6 +66,8 @@
 			guarded(m.log, m.count, call)
 		case <-m.wake.C:
 			guarded(m.log, m.count, m.woken)
+		case <-m.zoneDue():
+			guarded(m.log, m.count, m.zonesLook)
 		case <-m.due():
 			guarded(m.log, m.count, m.watchWoken)
 		}
@@ -126,6 +129,7 @@
 			Since: brain.Time(t.Since) * 10, Weight: t.Weight, Zone: zone, Cell: t.Cell})
 	}
 	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Nodes(now, whole, first, lines) }))
+	m.zoneList()
 }
 
 // forgetGone frees the indices of nodes that have been gone for longer than any exchange lives, so that none is left
@@ -253,6 +257,7 @@
 	}
 	now := m.clock.Now()
 	a := brain.Answer{Cx: t.cx, Node: t.node, Ending: ending, Took: now - t.sent, Ended: s.over}
+	m.zoneEnded(t.node, ending, a.Took)
 	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Returned(now, a) }))
 	m.clear(t.cx)
 }
@@ -297,6 +302,7 @@
 			p := m.peers[d.Node]
 			p.out++
 			m.count.Tries.Add(1)
+			m.zoneSent(d.Node)
 			if !p.box.offer(func() { p.send(t) }) {
 				unsent = append(unsent, t)
 			}
--- /dev/null
+++ b/internal/fleet/zones.go
@@ -0,0 +1,160 @@
+package fleet
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodproxy/brain"
+	"woodproxy/zones"
+)
+
+const zoneTick = 100 * time.Millisecond
+
+// quarters is what the module's actor has of the zones; nobody else looks but at what is shown.
+type quarters struct {
+	in    *zones.Instance
+	timer *time.Timer
+	armed bool
+	due   <-chan time.Time
+	tell  func(zone string, v zones.Voice, life zones.Time) // peers; it may not wait. nil: there are none
+	quick brain.Time                                        // an answer that takes longer is late
+	shown atomic.Pointer[[]zones.Shown]
+	at    brain.Time // when that was
+}
+
+// Zones has whole zones left and returned to. It is called before Run.
+func (m *Mind) Zones(t zones.Terms, tell func(zone string, v zones.Voice, life zones.Time)) {
+	q := &quarters{in: zones.New(zones.Time(m.clock.Now()), t), timer: time.NewTimer(time.Hour), tell: tell, quick: brain.Time(t.Shortest)}
+	q.due = q.timer.C
+	q.shown.Store(&[]zones.Shown{})
+	m.zones = q
+}
+
+// zoneDue is nil where zones are not judged.
+func (m *Mind) zoneDue() <-chan time.Time {
+	if m.zones == nil {
+		return nil
+	}
+	return m.zones.due
+}
+
+// zonesLook gives the zones their tick.
+func (m *Mind) zonesLook() {
+	q := m.zones
+	q.armed = false
+	flying, room := m.brain.Load()
+	q.in.Load(float64(flying), room)
+	m.zoned(q.in.Tick(zones.Time(m.clock.Now())))
+}
+
+// arm sees that there is a next tick, where there is something to look at.
+func (q *quarters) arm() {
+	if !q.armed && q.in.Busy() {
+		q.armed = true
+		q.timer.Reset(zoneTick)
+	}
+}
+
+// zoneList tells the zones of the caches that are on the ring.
+func (m *Mind) zoneList() {
+	q := m.zones
+	if q == nil {
+		return
+	}
+	var all []zones.Node
+	for n, p := range m.peers {
+		if p != nil && !p.origin && p.listed.Ready && p.since == 0 {
+			all = append(all, zones.Node{Index: n, Name: p.name, Zone: p.listed.Zone, Since: zones.Time(p.listed.Since) * 10})
+		}
+	}
+	q.at = 0
+	m.zoned(q.in.Nodes(zones.Time(m.clock.Now()), all))
+	if missing := q.in.Missing(); missing != "" && len(all) > 0 {
+		m.log.Warn("zones: no node has a zone that the file names", zap.String("zone", missing))
+	}
+}
+
+// zoned carries out what the zones decide.
+func (m *Mind) zoned(ds []zones.Decision) {
+	q, now := m.zones, m.clock.Now()
+	for i := range ds {
+		switch d := &ds[i]; d.Act {
+		case zones.Bar:
+			m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Bar(now, d.Node, d.Part, d.Off) }))
+		case zones.Speak:
+			if q.tell != nil {
+				q.tell(d.Zone, d.Voice, d.Life)
+			}
+		case zones.Log:
+			m.log.Info("zones: " + d.Text)
+		}
+	}
+	if len(ds) > 0 || now-q.at > 3000 {
+		q.at = now
+		shown := q.in.Shown(zones.Time(now))
+		q.shown.Store(&shown)
+	}
+	q.arm()
+}
+
+// zoneSent and zoneEnded note tries at caches.
+func (m *Mind) zoneSent(n int) {
+	if m.zones != nil && !m.peers[n].origin {
+		m.zones.in.Sent(zones.Time(m.clock.Now()), n)
+	}
+}
+
+func (m *Mind) zoneEnded(n int, ending brain.Ending, took brain.Time) {
+	q := m.zones
+	if q == nil {
+		return
+	}
+	now := zones.Time(m.clock.Now())
+	if m.peers[n].origin {
+		if ending != brain.NeverSent && ending != brain.Undone {
+			q.in.Origin(now, ending != brain.Completed || took > q.quick)
+		}
+		return
+	}
+	how := zones.Answered
+	switch {
+	case ending == brain.Silent || ending == brain.Unreachable || ending == brain.Cut:
+		how = zones.Nothing
+	case ending == brain.Undone:
+		how = zones.Undone
+	case ending == brain.NeverSent:
+		how = zones.Unknown
+	case ending == brain.Fault || ending == brain.NoRoom || took > q.quick:
+		how = zones.Late
+	}
+	q.in.Ended(now, n, how, zones.Time(took))
+	q.arm()
+}
+
+// ZoneFleet takes who the proxies are; ZoneVoice what one says of a zone, ZoneOrder an operator's word.
+func (m *Mind) ZoneFleet(all []zones.Proxy, behind bool) {
+	m.box.post(func() {
+		m.zones.in.Fleet(zones.Time(m.clock.Now()), all, behind)
+		m.zones.arm()
+	})
+}
+
+// ZoneVoice takes what a peer says of a zone, and how long ago it did.
+func (m *Mind) ZoneVoice(from, of string, v zones.Voice, age, life zones.Time) {
+	m.box.post(func() { m.zoned(m.zones.in.Voice(zones.Time(m.clock.Now()), from, of, v, age, life)) })
+}
+
+// ZoneOrder takes an operator's word on a zone. It tells whether there was room for that, and does not wait.
+func (m *Mind) ZoneOrder(d zones.Order) bool {
+	return m.box.offer(func() { m.zoned(m.zones.in.Order(zones.Time(m.clock.Now()), d)) })
+}
+
+// ZonesShown is how the zones stood a moment ago; nothing where they are not judged.
+func (m *Mind) ZonesShown() []zones.Shown {
+	if m.zones == nil {
+		return nil
+	}
+	return *m.zones.shown.Load()
+}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -41,6 +41,7 @@
 	Cores    float64        `toml:"cores"`       // of a proxy, 0: the day's
 	Clients  int            `toml:"connections"` // that clients hold, 0: the day's
 	Talk     *bool          `toml:"talk"`        // whether proxies talk with one another
+	Judged   *string        `toml:"judged"`      // how they judge zones
 }
 
 // IsExperiment tells an experiment's file from a day's.
@@ -125,6 +126,9 @@
 	if v.Clients > 0 {
 		c.Load.Connections = v.Clients
 	}
+	if v.Judged != nil {
+		c.Zones.Judged = *v.Judged
+	}
 	if v.Talk != nil {
 		c.Peers.Talk = *v.Talk
 		if !c.Peers.Talk { // what stands between them alone does not come
--- a/internal/lab/sum.go
+++ b/internal/lab/sum.go
@@ -30,6 +30,11 @@
 	HeardP50, HeardP99, CaughtP50, CaughtMax float64 // ms until a proxy had what one other was told; until one that came back had caught up
 	Unheard                                  int     // proxies that never had it
 	PeerBytes, PeerPackets                   float64 // a second and proxy, in and out; in
+	// of zones that were hit: ms until the first and last proxy had left, and until all served all of its keys again, the most
+	// and the mean; proxies that never left; worth in the first five seconds, and in the ten after its end, the means
+	LeftFirst, LeftLast, ZoneBack, WorthHit, WorthBack float64
+	NeverLeft, Convicted                               int
+	ColdPeak                                           float64 // the most any node took cold, against what it bears
 }
 
 // Of sums up a day.
@@ -84,6 +89,13 @@
 	s.HeardP50, s.HeardP99, s.Unheard = at(r.Whispers, 0.5), at(r.Whispers, 0.99), r.Unheard
 	s.CaughtP50, s.CaughtMax = at(r.CatchUps, 0.5), at(r.CatchUps, 1)
 	s.PeerBytes, s.PeerPackets = r.PeerBytes, r.PeerPackets
+	for _, z := range r.Zones {
+		s.LeftFirst, s.LeftLast = max(s.LeftFirst, z.First.Seconds()*1000), max(s.LeftLast, z.Last.Seconds()*1000)
+		s.ZoneBack = max(s.ZoneBack, z.Back.Seconds()*1000)
+		n := float64(len(r.Zones))
+		s.WorthHit, s.WorthBack, s.NeverLeft = s.WorthHit+z.WorthAt/n, s.WorthBack+z.WorthBack/n, s.NeverLeft+z.Kept
+	}
+	s.Convicted, s.ColdPeak = r.Convicted, r.ColdPeak
 	s.Tries = took / max(float64(s.Requests), 1)
 	return s
 }
@@ -104,6 +116,14 @@
 				len(r.Whispers), r.Unheard)
 		}
 	}
+	for _, z := range r.Zones {
+		fmt.Fprintf(&b, "zone %s, hit at %.1f s for %.1f: left after %.0f to %.0f ms, %d never; all of it again %.0f ms after its end; worth %.3f in the first 5 s, %.3f in the 10 s after its end\n",
+			z.Zone, z.At.Seconds(), z.For.Seconds(), z.First.Seconds()*1000, z.Last.Seconds()*1000, z.Kept, z.Back.Seconds()*1000, z.WorthAt, z.WorthBack)
+	}
+	if r.Plan.Day.Zones.Judged != "" {
+		fmt.Fprintf(&b, "zones judged %s: %d verdicts on zones that nothing had hit; the most a cold node took is %.2f of what it bears\n", r.Plan.Day.Zones.Judged,
+			r.Convicted, r.ColdPeak)
+	}
 	if !r.Ran {
 		fmt.Fprintf(&b, "the load itself ran late, by up to %.1f ms: the figures do not count\n", s.LateMS)
 	}
--- a/internal/links/zones_test.go
+++ b/internal/links/zones_test.go
@@ -30,7 +30,9 @@
 		links.ZoneTerms{Names: []string{"a", "b", "c"}, Each: 4, Rate: 12, Change: change}, seed)
 	z := &zoned{Zoned: w, t: t, differs: make([]replica.Time, 3), side: func(int) int { return 0 }, left: map[string]int{}}
 	if os.Getenv("WOODPROXY_LOGS") != "" {
-		w.Told = func(i int, text string) { t.Logf("%.2f n%d %s", float64(w.Now-1000*replica.Second)/float64(replica.Second), i, text) }
+		w.Told = func(i int, text string) {
+			t.Logf("%.2f n%d %s", float64(w.Now-1000*replica.Second)/float64(replica.Second), i, text)
+		}
 	}
 	w.Play(8*replica.Second+replica.Time(proxies)*replica.Second/20, z.check)
 	return z
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -13,6 +13,7 @@
 
 	"woodproxy/internal/talk"
 	"woodproxy/internal/terms"
+	"woodproxy/zones"
 )
 
 // Place is what a proxy is told of itself at its start.
@@ -29,6 +30,8 @@
 	Untold                  bool   // peers might be told things, and no file of peers is named
 	Peers, PeersListen      string // the file of peers, "": none; where they meet this proxy, before what the file says
 	Talk                    *talk.Config
+	ZonesFile               string // by which whole zones are left, "": they are not
+	Zones                   *zones.Terms
 	Watch                   *terms.Book // terms that are only watched, nil: none
 }
 
@@ -47,7 +50,7 @@
 	if err != nil || v.Type() != fastjson.TypeObject {
 		return nil, fmt.Errorf("configuration: %s: not a JSON object", file)
 	}
-	p := &Place{Own: over.Own, Shared: over.Shared, Peers: over.Peers, PeersListen: over.PeersListen, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
+	p := &Place{Own: over.Own, Shared: over.Shared, Peers: over.Peers, PeersListen: over.PeersListen, ZonesFile: over.ZonesFile, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
 	word := func(key, given string) string {
 		s := v.Get(key)
 		switch {
@@ -117,6 +120,11 @@
 		// the module tells one number, which stands for all
 		p.Untold, p.Book.Terms.Peers, p.Book.Terms.Me = false, 1, 0
 	}
+	if p.ZonesFile != "" {
+		if p.Zones, err = readZones(p.ZonesFile, p.Name, p.Book); err != nil {
+			return nil, err
+		}
+	}
 	if p.Watch, err = watched(v, p.Book); err != nil {
 		return nil, fmt.Errorf("configuration: watch: %w", err)
 	}
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -38,7 +38,7 @@
 	for _, r := range terms.Routes {
 		shortest = min(shortest, replica.Time(r.Objective))
 	}
-	t, err := talk.Start(p.place.Talk, p.place.Name, max(terms.Proxies, 1), sightsFor*shortest, p.place.Seed, p, p.log)
+	t, err := talk.Start(p.place.Talk, p.place.Name, p.place.Zone(), max(terms.Proxies, 1), sightsFor*shortest, p.place.Seed, p, p.log)
 	if err != nil {
 		return err
 	}
@@ -81,7 +81,8 @@
 	return t != nil && t.Shown().Behind
 }
 
-var kinds = map[replica.Kind]string{replica.Pulse: "pulse", replica.Sight: "sight", replica.Node: "node", replica.Gone: "gone"}
+var kinds = map[replica.Kind]string{replica.Pulse: "pulse", replica.Sight: "sight", replica.Node: "node", replica.Gone: "gone",
+	replica.Voice: "voice", replica.Order: "order"}
 
 // words is the answer to the call for peers.
 func (p *peers) words() string {
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -77,6 +77,9 @@
 		list.Share(peers.listed)
 		mind.Tells(peers.tell)
 	}
+	if p.Zones != nil {
+		mind.Zones(*p.Zones, peers.speak)
+	}
 	door := fleet.NewDoor(ln, mind, p.MemoryMB, count, log)
 	service := &service{Door: door, peers: peers}
 	if p.Management != "" {
@@ -186,10 +189,10 @@
 	log.Info("configuration read anew", zap.String("discovery", p.Discovery), zap.Float64("cores", p.Cores),
 		zap.Int("memory_mb", p.MemoryMB))
 	if p.Name != old.Name || p.Listen != old.Listen || p.Management != old.Management || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) ||
-		!reflect.DeepEqual(p.Watch, old.Watch) || !reflect.DeepEqual(p.Talk, old.Talk) {
-		log.Warn("name, listen, management, sockets, settings, watch and peers stand until the next start")
+		!reflect.DeepEqual(p.Watch, old.Watch) || !reflect.DeepEqual(p.Talk, old.Talk) || !reflect.DeepEqual(p.Zones, old.Zones) {
+		log.Warn("name, listen, management, sockets, settings, watch, peers and zones stand until the next start")
 		p.Name, p.Listen, p.Management = old.Name, old.Listen, old.Management
-		p.Sockets, p.Book, p.Watch, p.Talk = old.Sockets, old.Book, old.Watch, old.Talk
+		p.Sockets, p.Book, p.Watch, p.Talk, p.Zones = old.Sockets, old.Book, old.Watch, old.Talk, old.Zones
 	}
 	room.set(func(r *allowance) { r.cores, r.memoryMB = p.Cores, p.MemoryMB })
 	list.Move(p.Discovery)
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -28,6 +28,7 @@
 	senders    = 4
 	rejoin     = time.Second
 	shownEvery = 5  // ticks
+	fleetEvery = 2  // ticks
 	quietly    = 20 // seconds between two lines of the library's troubles
 )
 
@@ -37,6 +38,9 @@
 	Heard(node string, answers bool) // a peer found a node silent, or answering
 	Share(part float64)              // of what all proxies may do together
 	Demand() int64                   // exchanges that clients asked for, since the start
+	Fleet(all []replica.Member, behind bool)
+	Voice(row *replica.Row) // what a peer says of a zone
+	Order(row *replica.Row) // what operators order of one
 }
 
 // Counters count what goes over.
@@ -82,7 +86,7 @@
 }
 
 // Start binds the address and begins to talk.
-func Start(c *Config, me string, proxies int, sightLife replica.Time, seed uint64, proxy Proxy, lg *zap.Logger) (*Talker, error) {
+func Start(c *Config, me, zone string, proxies int, sightLife replica.Time, seed uint64, proxy Proxy, lg *zap.Logger) (*Talker, error) {
 	host, portText, err := net.SplitHostPort(c.Listen)
 	if err != nil {
 		return nil, err
@@ -94,7 +98,7 @@
 	t := &Talker{c: c, me: me, from: net.ParseIP(host), box: make(chan func(), 1024), calls: make(chan func(), 64), proxy: proxy, log: lg, base: time.Now(),
 		quit: make(chan struct{}), ended: make(chan struct{}), demands: time.Now()}
 	incarnation := t.base.UnixMilli()
-	t.in = replica.New(0, replica.Terms{Me: me, Incarnation: incarnation, Proxies: proxies, Address: c.Advertise,
+	t.in = replica.New(0, replica.Terms{Me: me, Incarnation: incarnation, Proxies: proxies, Address: c.Advertise, Zone: zone,
 		Hold: replica.Time(c.Hold * float64(replica.Second)), Floor: c.Floor, SightLife: sightLife}, seed)
 	logger := log.New(&lines{t: t}, "", 0)
 	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port, Logger: logger})
@@ -173,6 +177,9 @@
 		if n%shownEvery == 0 {
 			t.show()
 		}
+		if n%fleetEvery == 0 {
+			t.proxy.Fleet(t.in.Members(), t.in.Behind())
+		}
 	}
 }
 
@@ -275,6 +282,14 @@
 	t.offer(func() { t.carry(t.in.Saw(t.now(), node, answers)) })
 }
 
+// Speak has peers hear a row of this proxy's own, Put one that is nobody's. Neither waits.
+func (t *Talker) Speak(kind replica.Kind, key string, life replica.Time, body []byte) {
+	t.offer(func() { t.carry(t.in.Speak(t.now(), kind, key, life, body)) })
+}
+
+// Put has peers hear a row that is nobody's own.
+func (t *Talker) Put(row replica.Row) { t.offer(func() { t.carry(t.in.Put(t.now(), row)) }) }
+
 // Yield has the process that replaces this one speak for it.
 func (t *Talker) Yield(on bool) { t.post(func() { t.in.Yield(on) }) }
 
@@ -330,6 +345,10 @@
 
 func (t *Talker) changed(row *replica.Row) {
 	switch row.Kind {
+	case replica.Voice:
+		t.proxy.Voice(row)
+	case replica.Order:
+		t.proxy.Order(row)
 	case replica.Sight:
 		t.proxy.Heard(row.Key, row.Rank == 0)
 	case replica.Node:
--- a/internal/talk/talk_test.go
+++ b/internal/talk/talk_test.go
@@ -61,12 +61,15 @@
 func (h *hearer) Heard(node string, answers bool) { h.sights <- fmt.Sprint(node, " ", answers) }
 func (h *hearer) Share(part float64)              { h.share.Store(part) }
 func (h *hearer) Demand() int64                   { return 0 }
+func (h *hearer) Fleet([]replica.Member, bool)    {}
+func (h *hearer) Voice(*replica.Row)              {}
+func (h *hearer) Order(*replica.Row)              {}
 
 func talker(t *testing.T, cluster, name, ip string, seeds ...string) (*Talker, *hearer) {
 	t.Helper()
 	h := &hearer{nodes: make(chan wire.Target, 99), sights: make(chan string, 99)}
 	at := ip + ":7946"
-	k, err := Start(&Config{Cluster: cluster, Listen: at, Advertise: at, Seeds: seeds, Hold: 1, Floor: 0.25}, name, 2, 10*replica.Second, 1,
+	k, err := Start(&Config{Cluster: cluster, Listen: at, Advertise: at, Seeds: seeds, Hold: 1, Floor: 0.25}, name, "", 2, 10*replica.Second, 1,
 		h, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
--- a/zones/instance.go
+++ b/zones/instance.go
@@ -261,9 +261,11 @@
 			o.rates.late++
 		}
 		n.waits, n.ill, n.well, o.good, o.run, o.ill = now, false, now, now, 0, o.ill[:0]
-	case Nothing:
-		o.rates.lost++
-		if !n.ill {
+	case Undone, Nothing:
+		if how == Undone && !n.ill && took < z.overdue() {
+			break // its client had gone, or it had no time left: that tells nothing
+		}
+		if o.rates.lost++; !n.ill {
 			z.unanswered(n, now)
 		}
 	}
@@ -272,6 +274,11 @@
 	}
 }
 
+// overdue is the time after which a try looks unanswered: what answers take and four times how far they stray.
+func (z *Instance) overdue() Time {
+	return min(max(Time(z.took+4*z.strays)+Second/100, z.Shortest/8), z.Shortest)
+}
+
 // unanswered counts a try that nobody answers.
 func (z *Instance) unanswered(n *node, now Time) {
 	o := n.zone
@@ -300,6 +307,9 @@
 // Fleet takes who there is, this proxy included, and whether it still catches up with them.
 func (z *Instance) Fleet(now Time, all []Proxy, behind bool) {
 	z.begin(now)
+	if z.Apart {
+		return
+	}
 	z.fleet, z.behind = all, behind
 	clear(z.here)
 	for _, p := range all {
@@ -351,7 +361,7 @@
 	z.begin(now)
 	gap := z.now - z.tickAt
 	z.tickAt = z.now
-	overdue := min(max(Time(z.took+4*z.strays)+Second/100, z.Shortest/8), z.Shortest)
+	overdue := z.overdue()
 	for _, n := range z.nodes {
 		if n != nil && gap > stood && n.waits > 0 {
 			n.waits += gap // answers may lie unread
@@ -924,8 +934,8 @@
 }
 
 // Zones names the zones that a name stands for: its own, or those of a region.
-func (z *Instance) Zones(name string) []string {
-	for _, r := range z.Regions {
+func (t *Terms) Zones(name string) []string {
+	for _, r := range t.Regions {
 		if r.Name == name {
 			return r.Zones
 		}
@@ -933,20 +943,21 @@
 	return []string{name}
 }
 
-// Check tells what is wrong with an order, "": nothing. An epoch that is not zero has to be that of the order that stands.
-func (z *Instance) Check(names []string, want Want, epoch int64, force bool) string {
+// Check tells what is wrong with an order, "": nothing. An epoch that is not negative has to be that of the order that stands
+// for each of the zones, 0: none.
+func Check(shown []Shown, names []string, want Want, epoch int64, force bool) string {
 	stays := false
-	for _, o := range z.zones {
-		ordered := o.order != nil && o.order.Want == KeepOut
-		stays = stays || o.nodes > 0 && !slices.Contains(names, o.name) && !ordered && z.opens(o) > 0
+	for i := range shown {
+		s := &shown[i]
+		stays = stays || s.Nodes > 0 && !slices.Contains(names, s.Name) && s.Open > 0 && s.Ordered().Want != KeepOut
 	}
 	for _, name := range names {
-		i := slices.IndexFunc(z.zones, func(o *zone) bool { return o.name == name })
+		i := slices.IndexFunc(shown, func(s Shown) bool { return s.Name == name })
 		if i < 0 {
 			return fmt.Sprintf("zone %q: no node has it", name)
 		}
-		if o := z.zones[i]; epoch != 0 && (o.order == nil || o.order.Epoch != epoch) {
-			return fmt.Sprintf("zone %q: order %d is not the one that stands, which is %d", name, epoch, z.Ordered(name))
+		if now := shown[i].Ordered().Epoch; epoch >= 0 && now != epoch {
+			return fmt.Sprintf("zone %q: order %d does not stand, but %d", name, epoch, now)
 		}
 	}
 	if want == KeepOut && !stays && !force {
@@ -955,14 +966,12 @@
 	return ""
 }
 
-// Ordered is the epoch of the order that stands for a zone, 0: there was none.
-func (z *Instance) Ordered(name string) int64 {
-	for _, o := range z.zones {
-		if o.name == name && o.order != nil {
-			return o.order.Epoch
-		}
+// Ordered is the order that stands; where there is none it is of epoch 0.
+func (s *Shown) Ordered() Order {
+	if s.Order == nil {
+		return Order{Zone: s.Name}
 	}
-	return 0
+	return *s.Order
 }
 
 // Busy tells whether ticks have something to look at: where no peers are, nothing comes of them on a calm day.
@@ -978,11 +987,15 @@
 // Shown lists how all zones stand, by name.
 func (z *Instance) Shown(now Time) []Shown {
 	all := make([]Shown, 0, len(z.zones))
+	z.now = max(now, z.now)
 	for _, o := range z.zones {
-		z.now = max(now, z.now)
 		s := Shown{Name: o.name, Nodes: o.nodes, Open: o.told, Stand: o.stand, Alone: o.alone.State != In, Own: z.own(o) && o.stand.State != In,
-			Order: o.order, Against: o.tally.against, For: o.tally.fors, AgainstZones: len(o.tally.from), Watched: o.watched,
+			Against: o.tally.against, For: o.tally.fors, AgainstZones: len(o.tally.from), Watched: o.watched,
 			Held: z.now - o.since, Fine: o.tally.fine, Late: o.tally.late, Lost: o.tally.lost}
+		if o.order != nil {
+			copy := *o.order
+			s.Order = &copy
+		}
 		all = append(all, s)
 	}
 	return all
--- a/zones/types.go
+++ b/zones/types.go
@@ -25,6 +25,7 @@
 	Step     Time    // between two steps of its return
 	Cold     Time    // a node that starts is cold for so long
 	ColdFrom float64 // and bears this part of its work at first
+	Apart    bool    // nobody is heard
 	Alone    bool    // without peers, or cut off from most, judge on own evidence
 }
 
@@ -50,7 +51,8 @@
 	Answered Ending = iota // in time
 	Late                   // too late, or a failure: somebody is there all the same
 	Nothing                // silence, a refusal, a connection that broke
-	Unknown                // called off early or never sent
+	Undone                 // called off, which tells something if it was overdue
+	Unknown                // never sent
 )
 
 // Word is what a proxy says of a zone by its own tries.
