--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -107,75 +107,167 @@
 	}
 }
 
-// A process that replaces one that talks takes the talk up at the same address once that one has gone, as the same member:
-// nobody takes it for gone, and its share comes back.
-func TestReplacedAmongPeers(t *testing.T) {
-	t.Parallel()
-	start, dir := program(t), t.TempDir()
+// peers are processes started by hand that meet each other, on addresses of their own.
+type peers struct {
+	t     *testing.T
+	start emu.Start
+	dir   string
+	ip    string
+	found string
+}
+
+func meet(t *testing.T, net int, rows ...emu.Row) *peers {
+	t.Helper()
 	lists := emu.NewDiscovery(0, nil)
 	_, found, err := lists.Listen("127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer lists.Close()
-	lists.Say(emu.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
-	ip := fmt.Sprintf("127.60.%d.", os.Getpid()%250)
-	process := func(name, ip, management string) emu.Proxy {
-		t.Helper()
-		s := emu.Site{Name: name, Listen: ip + ":6379", Discovery: found, Dir: filepath.Join(dir, name), Config: filepath.Join(dir, name, management+".json"),
-			Peers: filepath.Join(dir, name, "peers.toml")}
-		os.MkdirAll(filepath.Join(s.Dir, "tmp"), 0o700)
-		os.WriteFile(s.Peers, []byte(fmt.Sprintf("cluster = \"c\"\nlisten = \"%s:7946\"\nseeds = [\"%s:7946\", \"%s:7946\"]\nhold_s = 1.0\n", ip, ip[:len(ip)-1]+"1", ip[:len(ip)-1]+"2")), 0o600)
-		os.WriteFile(s.Config, []byte(fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"management":%q,"seed":"8c1f30d27a5be964","settings":{"replicas-of-me":2,
-			"tick":5,"shapes":["cache","origin"],"limits":{"max-upstream-tries":4,"may-cancel":true,"conn-idle":15000,"connect-timeout":250},
-			"rules":{"cold":1000,"fall":1000,"cold-from":0.5,"fall-multiple":3},"family-info":{"mode":"aside","origin-kind":1},
-			"routes":[{"name":"read","latency-objective":500,"overall-timeout":1000,"value":1,"effect":"pure"}]}}`, name, s.Listen, found, management)), 0o600)
-		p, err := start(s)
-		if err != nil {
-			t.Fatal(err)
+	t.Cleanup(func() { lists.Close() })
+	lists.Say(rows...)
+	return &peers{t, program(t), t.TempDir(), fmt.Sprintf("127.%d.%d.", net, os.Getpid()%250), found}
+}
+
+func (p *peers) process(name, ip, management string) emu.Proxy {
+	p.t.Helper()
+	s := emu.Site{Name: name, Listen: ip + ":6379", Discovery: p.found, Dir: filepath.Join(p.dir, name), Config: filepath.Join(p.dir, name, management+".json"),
+		Peers: filepath.Join(p.dir, name, "peers.toml"), Zones: filepath.Join(p.dir, name, "zones.toml")}
+	os.MkdirAll(filepath.Join(s.Dir, "tmp"), 0o700)
+	os.WriteFile(s.Zones, []byte("[[region]]\nname = \"east\"\nzones = [\"x\", \"y\"]\n"), 0o600)
+	os.WriteFile(s.Peers, []byte(fmt.Sprintf("cluster = \"c\"\nlisten = \"%s:7946\"\nseeds = [\"%s:7946\", \"%s:7946\"]\nhold_s = 1.0\n", ip, ip[:len(ip)-1]+"1", ip[:len(ip)-1]+"2")), 0o600)
+	os.WriteFile(s.Config, []byte(fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"management":%q,"seed":"8c1f30d27a5be964","settings":{"replicas-of-me":2,
+		"tick":5,"shapes":["cache","origin"],"limits":{"max-upstream-tries":4,"may-cancel":true,"conn-idle":15000,"connect-timeout":250},
+		"rules":{"cold":1000,"fall":1000,"cold-from":0.5,"fall-multiple":3},"family-info":{"mode":"aside","origin-kind":1},
+		"routes":[{"name":"read","latency-objective":500,"overall-timeout":1000,"value":1,"effect":"pure"}]}}`, name, s.Listen, p.found, management)), 0o600)
+	x, err := p.start(s)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() {
+		x.Kill()
+		<-x.Done()
+	})
+	return x
+}
+
+func say(method, address, path string) string {
+	q, err := http.NewRequest(method, "http://"+address+path, nil)
+	if err != nil {
+		return err.Error()
+	}
+	c := http.Client{Timeout: time.Second}
+	r, err := c.Do(q)
+	if err != nil {
+		return err.Error()
+	}
+	defer r.Body.Close()
+	text, _ := io.ReadAll(r.Body)
+	return fmt.Sprint(r.StatusCode, " ", string(text))
+}
+
+func (p *peers) await(what, address, path string, has ...string) {
+	p.t.Helper()
+	text := ""
+	for range 300 {
+		text = say(http.MethodGet, address, path)
+		all := true
+		for _, h := range has {
+			all = all && strings.Contains(text, h)
 		}
-		t.Cleanup(func() {
-			p.Kill()
-			<-p.Done()
-		})
-		return p
-	}
-	say := func(address, path string) string {
-		c := http.Client{Timeout: time.Second}
-		r, err := c.Get("http://" + address + path)
-		if err != nil {
-			return err.Error()
+		if all {
+			return
 		}
-		defer r.Body.Close()
-		text, _ := io.ReadAll(r.Body)
-		return fmt.Sprint(r.StatusCode, " ", string(text))
+		time.Sleep(50 * time.Millisecond)
 	}
-	await := func(what, address, path string, has ...string) {
-		t.Helper()
-		text := ""
-		for range 300 {
-			text = say(address, path)
-			all := true
-			for _, h := range has {
-				all = all && strings.Contains(text, h)
-			}
-			if all {
-				return
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-		t.Fatalf("%s: never: %s", what, text)
-	}
-	process("a", ip+"1", ip+"1:6380")
-	old := process("b", ip+"2", ip+"2:6380")
-	await("both settle", ip+"1:6380", "/control/peers", "share 0.500000", "proxy b here")
-	await("both settle", ip+"2:6380", "/control/peers", "share 0.500000")
-	process("b", ip+"2", ip+"2:6381")
-	await("the new one is ready", ip+"2:6381", "/control/ready", "200")
+	p.t.Fatalf("%s: never: %s", what, text)
+}
+
+// A process that replaces one that talks takes the talk up at the same address once that one has gone, as the same member:
+// nobody takes it for gone, and its share comes back.
+func TestReplacedAmongPeers(t *testing.T) {
+	t.Parallel()
+	p := meet(t, 60, emu.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
+	ip := p.ip
+	p.process("a", ip+"1", ip+"1:6380")
+	old := p.process("b", ip+"2", ip+"2:6380")
+	p.await("both settle", ip+"1:6380", "/control/peers", "share 0.500000", "proxy b here")
+	p.await("both settle", ip+"2:6380", "/control/peers", "share 0.500000")
+	p.process("b", ip+"2", ip+"2:6381")
+	p.await("the new one is ready", ip+"2:6381", "/control/ready", "200")
 	old.Signal(syscall.SIGTERM)
 	<-old.Done()
-	await("it talks, with its whole share", ip+"2:6381", "/control/peers", "share 0.500000", "proxy a here", "proxy b here")
-	if text := say(ip+"1:6380", "/control/peers"); !strings.Contains(text, "share 0.500000") || !strings.Contains(text, "proxy b here") || strings.Contains(text, "rows gone") {
+	p.await("it talks, with its whole share", ip+"2:6381", "/control/peers", "share 0.500000", "proxy a here", "proxy b here")
+	if text := say(http.MethodGet, ip+"1:6380", "/control/peers"); !strings.Contains(text, "share 0.500000") || !strings.Contains(text, "proxy b here") || strings.Contains(text, "rows gone") {
 		t.Errorf("the other one saw it go: %s", text)
 	}
 }
+
+// An operator's order holds at all proxies, outlives the one that took it, and reaches one that starts later; what is wrong
+// with one is said, and changes nothing.
+func TestZonesOrdered(t *testing.T) {
+	t.Parallel()
+	row := func(name, zone string) emu.Row {
+		return emu.Row{Name: name, Address: "127.0.0.1:1", Kind: "cache", Status: "active", Zone: zone}
+	}
+	p := meet(t, 61, row("c1", "x"), row("c2", "y"), row("c3", "z"))
+	a, b := p.ip+"1:6380", p.ip+"2:6380"
+	first := p.process("a", p.ip+"1", a)
+	p.process("b", p.ip+"2", b)
+	p.await("they meet", a, "/control/peers", "proxy b here")
+	p.await("they meet", b, "/control/peers", "proxy a here")
+	p.await("zones are known", a, "/control/zones", "zone x in", "zone y in", "zone z in")
+	p.await("zones are known", b, "/control/zones", "zone z in")
+	order := func(at, path, want string) {
+		t.Helper()
+		if got := say(http.MethodPost, at, "/control/zones/"+path); !strings.Contains(got, want) {
+			t.Errorf("%s: %q, not %q", path, got, want)
+		}
+	}
+	order(a, "q/out", `409 zone "q": no node has it`)
+	order(a, "x/away", `409 "away": none of in, out, hold, auto`)
+	order(a, "x/out?epoch=x", `400 epoch: "x"`)
+	order(a, "x/out?epoch=3", `409 zone "x": order 3 does not stand, but 0`)
+	order(a, "east/out?epoch=0", "200 zone x: out, order 1")
+	p.await("the other has it", b, "/control/zones", "zone x in epoch 0 step 0 flaps 0 open 0.000", "ordered out by way of a, order 1", "zone z in epoch 0 step 0 flaps 0 open 1.000")
+	order(b, "z/out", `409 zone "z": no other zone would be left in`)
+	order(b, "z/out?force=yes", `400 force: "yes"`)
+	first.Kill()
+	<-first.Done()
+	order(b, "y/in?epoch=1", "200 zone y: in, order 2")
+	p.process("a", p.ip+"1", a)
+	p.await("one that starts has them", a, "/control/zones", "open 0.000 nodes 1", "ordered out by way of a, order 1", "ordered in by way of b, order 2")
+}
+
+// Six processes over three zones. One vanishes with its proxies and returns cold, one is cut off from the others, and one is
+// slow in part and fails in part: the first two are left by all who do not stand there, the third by none, all return, and
+// no rule is broken.
+func TestZonesLeft(t *testing.T) {
+	t.Parallel()
+	text := strings.NewReplacer(`"plain"`, `"quarters"`, "length_s = 2.0", "length_s = 25.0", "nodes = 3", "nodes = 6", `zones = ["a", "b"]`, `zones = ["a", "b", "c"]`,
+		"proxies = 2", "proxies = 6\npeers = { talk = true, hold_s = 1.0 }\nzones = { judged = \"fleet\" }", "rate = 150.0", "rate = 120.0").Replace(plain)
+	for _, b := range []string{
+		`kind = "zone-lost", at_s = 1.0, for_s = 3.0, zone = "b", cold = true, spread_s = 0.3`,
+		`kind = "zone-cut", at_s = 12.5, for_s = 3.0, zone = "c"`, `kind = "zone-grey", at_s = 13.0, for_s = 5.0, zone = "a", times = 10.0, part = 0.2`,
+	} {
+		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
+	}
+	r, err := emu.Play(context.Background(), day(t, text).Draw(1), emu.Options{Start: program(t), Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range r.Breaches {
+		t.Error(b)
+	}
+	if len(r.Zones) != 3 || r.Convicted > 0 {
+		t.Fatalf("%+v; %d convicted that nothing had hit", r.Zones, r.Convicted)
+	}
+	for i, z := range r.Zones {
+		left := z.Kept == 0 && z.Last < 3*time.Second && z.Back > 0
+		if left != (i < 2) {
+			t.Errorf("%+v", z)
+		}
+	}
+	if o := outcomes(r); float64(o[emu.Completed]) < 0.9*float64(len(r.Plan.Requests)) {
+		t.Errorf("%d asked, %v", len(r.Plan.Requests), o)
+	}
+}
--- /dev/null
+++ b/zones/zones_test.go
@@ -0,0 +1,255 @@
+package zones_test
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"woodproxy/internal/scenario"
+	"woodproxy/zones"
+)
+
+// A scenario is a text file of lines. This proxy is a1, in zone a:
+//
+//	terms WORD=VALUE ...                 apart, alone=no, region=NAME:ZONE,ZONE, zone=NAME
+//	MS nodes ZONE:N ... [cold=MS]        N nodes in each; those of a later line that has cold started then
+//	MS fleet ZONE:N ... [away=NAME,...] [gone=NAME,...] [behind]     proxies a1, a2 ...
+//	MS try ZONE N answered|late|nothing|undone [took=MS] [nodes=K]    N tries, sent so long before, on the first K nodes in turn
+//	MS sent ZONE N                       N tries that nothing is heard of
+//	MS say ZONE NAME,... for|against|none [ill=K] [well=K] [fine=N] [late=N] [lost=N] [load=FLYING/ROOM] [origin=PART] [ago=MS]
+//	      [stand=EPOCH:STATE[:STEP[:FLAPS]]] [plan=...]
+//	MS order ZONE in|out|hold|auto EPOCH [force]
+//	MS ticks                             on to here, ten a second
+//	> ZONE STATE [open=PART] [epoch=N] [flaps=N] [step=N] [kept=K] [alone] [barred=N]
+//	> spoke ZONE for|against|none [plan=STATE] | log WORDS | wrong ORDER... : WORDS
+func TestScenarios(t *testing.T) {
+	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
+		return &play{t: t, bars: map[int]zones.Decision{}, spoke: map[string]zones.Voice{}, terms: zones.Terms{Me: "a1", Zone: "a", Shortest: 5000, Quiet: 3000,
+			Voices: 0.2, Settle: 2000, Hold: 20000, MostHold: 160000, Step: 10000, Cold: 50000, ColdFrom: 0.2, Alone: true}}
+	})
+}
+
+type play struct {
+	t     *testing.T
+	line  int
+	terms zones.Terms
+	in    *zones.Instance
+	now   zones.Time
+	nodes []zones.Node
+	bars  map[int]zones.Decision
+	spoke map[string]zones.Voice
+	logs  []string
+}
+
+func (p *play) fail(format string, args ...any) {
+	p.t.Helper()
+	p.t.Errorf("line %d: %s", p.line, fmt.Sprintf(format, args...))
+}
+
+func ms(s string) zones.Time { return zones.Time(scenario.Num(s) * 10) }
+
+func (p *play) do(ds []zones.Decision) {
+	for _, d := range ds {
+		switch d.Act {
+		case zones.Bar:
+			p.bars[d.Node] = d
+		case zones.Speak:
+			p.spoke[d.Zone] = d.Voice
+		case zones.Log:
+			p.logs = append(p.logs, d.Text)
+		}
+	}
+}
+
+var states = map[string]zones.State{"in": zones.In, "returning": zones.Returning, "leaving": zones.Leaving, "out": zones.Out}
+var words = map[string]zones.Word{"for": zones.For, "against": zones.Against, "none": zones.None}
+
+func stand(s string) *zones.Stand {
+	if s == "" {
+		return nil
+	}
+	f := append(strings.Split(s, ":"), "0", "0")
+	return &zones.Stand{Epoch: int64(scenario.Num(f[0])), State: states[f[1]], Step: int(scenario.Num(f[2])), Flaps: int(scenario.Num(f[3]))}
+}
+
+func (p *play) Step(line int, w []string) {
+	p.line = line
+	m := scenario.Words(w[1:])
+	switch w[0] {
+	case "terms":
+		for k, v := range m {
+			switch k {
+			case "apart":
+				p.terms.Apart = true
+			case "alone":
+				p.terms.Alone = false
+			case "zone":
+				p.terms.Zone = v
+			case "region":
+				name, of, _ := strings.Cut(v, ":")
+				p.terms.Regions = append(p.terms.Regions, zones.Region{Name: name, Zones: strings.Split(of, ",")})
+			}
+		}
+		return
+	case ">":
+		p.expect(w[1:], m)
+		return
+	}
+	if p.in == nil {
+		p.now = 10000 * zones.Second
+		p.in = zones.New(p.now, p.terms)
+	}
+	for at := 10000*zones.Second + ms(w[0]); p.now < at; {
+		p.now = min(p.now+zones.Second/10, at)
+		p.do(p.in.Tick(p.now))
+	}
+	names := func(k string) (all []string) {
+		if m[k] != "" {
+			all = strings.Split(m[k], ",")
+		}
+		return all
+	}
+	switch w[1] {
+	case "ticks":
+	case "nodes":
+		since := zones.Time(0)
+		if m["cold"] != "" {
+			since = p.now - ms(m["cold"])
+		}
+		had := len(p.nodes)
+		for _, f := range w[2:] {
+			zone, n, ok := strings.Cut(f, ":")
+			for range int(scenario.Num(map[bool]string{true: n, false: "0"}[ok])) {
+				p.nodes = append(p.nodes, zones.Node{Index: len(p.nodes), Name: fmt.Sprint("c", len(p.nodes)), Zone: zone, Since: since})
+			}
+		}
+		if had == len(p.nodes) { // all started anew
+			for i := range p.nodes {
+				p.nodes[i].Since = since
+			}
+		}
+		p.do(p.in.Nodes(p.now, p.nodes))
+	case "fleet":
+		var all []zones.Proxy
+		for _, f := range w[2:] {
+			zone, n, ok := strings.Cut(f, ":")
+			for i := range int(scenario.Num(map[bool]string{true: n, false: "0"}[ok])) {
+				name := fmt.Sprint(zone, i+1)
+				x := zones.Proxy{Name: name, Zone: zone, Here: true}
+				for _, a := range names("away") {
+					x.Here = x.Here && a != name && a != zone
+				}
+				for _, g := range names("gone") {
+					x.Gone = x.Gone || g == name || g == zone
+				}
+				x.Here = x.Here && !x.Gone
+				all = append(all, x)
+			}
+		}
+		p.in.Fleet(p.now, all, m["behind"] != "")
+	case "try", "sent":
+		var of []int
+		for _, n := range p.nodes {
+			if n.Zone == w[2] && (m["nodes"] == "" || len(of) < int(scenario.Num(m["nodes"]))) {
+				of = append(of, n.Index)
+			}
+		}
+		took := zones.Time(50)
+		if m["took"] != "" {
+			took = ms(m["took"])
+		}
+		for i := range int(scenario.Num(w[3])) {
+			at := of[i%len(of)]
+			p.in.Sent(p.now, at)
+			if w[1] == "try" {
+				p.in.Ended(p.now, at, map[string]zones.Ending{"answered": zones.Answered, "late": zones.Late, "nothing": zones.Nothing, "undone": zones.Undone}[w[4]], took)
+			}
+		}
+	case "say":
+		v := zones.Voice{Word: words[w[4]], Fine: float32(scenario.Num("0" + m["fine"])), Late: float32(scenario.Num("0" + m["late"])),
+			Lost: float32(scenario.Num("0" + m["lost"])), Origin: float32(scenario.Num("0" + m["origin"])), Plan: stand(m["plan"])}
+		if v.Word != zones.For {
+			v.Ago = zones.Second
+		}
+		if s := stand(m["stand"]); s != nil {
+			v.Stand = *s
+		}
+		if f, r, ok := strings.Cut(m["load"], "/"); ok {
+			v.Flying, v.Room = float32(scenario.Num(f)), float32(scenario.Num(r))
+		}
+		k := 0
+		for _, n := range p.nodes {
+			if n.Zone != w[2] {
+				continue
+			}
+			if k++; k <= int(scenario.Num("0"+m["ill"])) {
+				v.Ill = append(v.Ill, zones.Hash(n.Name))
+			} else if k <= int(scenario.Num("0"+m["ill"]))+int(scenario.Num("0"+m["well"])) {
+				v.Well = append(v.Well, zones.Hash(n.Name))
+			}
+		}
+		for _, name := range strings.Split(w[3], ",") {
+			p.do(p.in.Voice(p.now, name, w[2], v, 0, 5*zones.Second))
+		}
+	case "order":
+		p.do(p.in.Order(p.now, zones.Order{Zone: w[2], Want: zones.Wants[w[3]], Epoch: int64(scenario.Num(w[4])), By: "b1", Force: m["force"] != ""}))
+	default:
+		p.fail("unknown word %q", w[1])
+	}
+}
+
+func (p *play) expect(w []string, m map[string]string) {
+	switch w[0] {
+	case "log":
+		if !strings.Contains(strings.Join(p.logs, "\n"), strings.Join(w[1:], " ")) {
+			p.fail("log lines %q: no %q", p.logs, w[1:])
+		}
+		return
+	case "spoke":
+		v, ok := p.spoke[w[1]]
+		if !ok || v.Word != words[w[2]] || (m["plan"] != "") != (v.Plan != nil) || v.Plan != nil && v.Plan.State != states[m["plan"]] {
+			p.fail("of %s it spoke %+v, plan %+v (%v)", w[1], v, v.Plan, ok)
+		}
+		delete(p.spoke, w[1])
+		return
+	case "wrong":
+		i := strings.Index(strings.Join(w, " "), " : ")
+		f, want := strings.Fields(strings.Join(w, " ")[:i]), strings.Join(w, " ")[i+3:]
+		epoch := int64(-1)
+		if m["epoch"] != "" {
+			epoch = int64(scenario.Num(m["epoch"]))
+		}
+		if got := zones.Check(p.in.Shown(p.now), p.terms.Zones(f[1]), zones.Wants[f[2]], epoch, m["force"] != ""); want == "nothing" && got != "" || want != "nothing" && !strings.Contains(got, want) {
+			p.fail("%q: %q, not %q", f, got, want)
+		}
+		return
+	}
+	for _, s := range p.in.Shown(p.now) {
+		if s.Name != w[0] {
+			continue
+		}
+		barred := 0
+		for _, n := range p.nodes {
+			if n.Zone == s.Name && p.bars[n.Index].Part > 0 {
+				barred++
+			}
+		}
+		got := map[string]string{"open": fmt.Sprintf("%.3f", s.Open), "epoch": fmt.Sprint(s.Stand.Epoch), "flaps": fmt.Sprint(s.Stand.Flaps), "step": fmt.Sprint(s.Stand.Step),
+			"kept": fmt.Sprint(len(s.Stand.Kept)), "barred": fmt.Sprint(barred)}
+		bad := s.Stand.State.String() != w[1] || s.Alone != (m["alone"] != "")
+		for k, v := range scenario.Words(w[2:]) {
+			if g, ok := got[k]; k != "alone" && (!ok || math.Abs(scenario.Num(g)-scenario.Num(v)) > 0.001) {
+				bad = true
+			}
+		}
+		if bad {
+			p.fail("%s: %v %v, alone %v; wanted %v; %q", s.Name, s.Stand.State, got, s.Alone, w, p.logs)
+		}
+		return
+	}
+	p.fail("no zone %q", w[0])
+}
+
+// End is the end of a scenario.
+func (p *play) End() {}
