Verdicts count proxies, not what they say they saw; idle connections are let go with a zone

Cause found on rereading: sums of what voices report let one lying proxy hold a zone out for good (its tries lost, its origin late), or have it left in part. Now each proxy weighs one: who tried, had answers in time, lost, was late; room by majority. Plans that keep other nodes count as the same plan.

--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -83,6 +83,9 @@
 		switch d := &ds[i]; d.Act {
 		case zones.Bar:
 			m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Bar(now, d.Node, d.Part, d.Off) }))
+			if p := m.peers[d.Node]; d.Part == 1 && p != nil {
+				p.box.offer(p.closeIdle) // nothing is sent there for a while
+			}
 		case zones.Speak:
 			if q.tell != nil {
 				q.tell(d.Zone, d.Voice, d.Life)
--- a/internal/run/zones.go
+++ b/internal/run/zones.go
@@ -223,8 +223,11 @@
 		case z.Own:
 			how += " for others"
 		}
-		fmt.Fprintf(&b, "zone %s %s epoch %d step %d flaps %d open %.3f nodes %d for %d s; %d against from %d zones, %d for; since then %.0f in time, %.0f late, %.0f unanswered",
-			z.Name, how, z.Stand.Epoch, z.Stand.Step, z.Stand.Flaps, z.Open, z.Nodes, z.Held/zones.Second, z.Against, z.AgainstZones, z.For, z.Fine, z.Late, z.Lost)
+		fmt.Fprintf(&b, "zone %s %s epoch %d step %d flaps %d open %.3f nodes %d for %d s; %d against from %d zones, %d for; of %d that tried it since %d in time, %d late, %d unanswered",
+			z.Name, how, z.Stand.Epoch, z.Stand.Step, z.Stand.Flaps, z.Open, z.Nodes, z.Held/zones.Second, z.Against, z.AgainstZones, z.For, z.Tried, z.Fine, z.Late, z.Lost)
+		if n := len(z.By); n > 0 {
+			fmt.Fprintf(&b, "; against: %s", strings.Join(z.By[:min(n, 8)], " "))
+		}
 		if z.Alone {
 			b.WriteString("; passed by alone")
 		}
--- a/zones/instance.go
+++ b/zones/instance.go
@@ -28,6 +28,7 @@
 	keepsOn   = 10 * Second    // a verdict that has become in is told for so long
 	plenty    = 3              // words against for each that is for a zone
 	travel    = Second / 2     // that a word takes to get round at most
+	some      = 0.4            // of a try, by now, in what a proxy counts
 )
 
 // steps are the parts of its keys that a zone has back, one after the other: first a few trials for the whole fleet together.
@@ -125,17 +126,17 @@
 	return &h.Stand
 }
 
-// tally is what the voices on a zone come to.
+// tally is what the voices on a zone come to. Proxies are counted, not what they say they saw, so that one that says too much
+// weighs no more than one.
 type tally struct {
-	against, fors    int
-	losers           int      // who had tries unanswered, by those that act on the same stand
-	inTime           Time     // the latest answer that any had in time
-	by               []string // who speaks against it
-	from             []string // the zones that these stand in
-	ill, well        []uint32
-	fine, late, lost float64 // by those that act on the same stand
-	origin           float64 // the worst that any says of it
-	flying, room     float64
+	against, fors int
+	inTime        Time     // the latest answer that any had in time
+	by            []string // who speaks against it
+	from          []string // the zones that these stand in
+	ill, well     []uint32
+	// of those that act on the same stand: who has tried, had answers in time, had a quarter or more unanswered, too late, and
+	// from the origin too late
+	tried, fine, losers, slow, origin int
 }
 
 // New returns an instance that knows no nodes.
@@ -347,13 +348,16 @@
 		s.Flaps <= 64
 }
 
-// compare orders stands: the later epoch first, then the stricter.
+// compare orders stands: the later epoch first, then the stricter, and so that no two that differ are equal.
 func (s *Stand) compare(o *Stand) int {
 	if o == nil {
 		return 1
 	}
-	return cmp.Or(cmp.Compare(s.Epoch, o.Epoch), cmp.Compare(s.State, o.State), -cmp.Compare(s.Step, o.Step), cmp.Compare(s.Flaps, o.Flaps),
-		-slices.Compare(s.Kept, o.Kept))
+	return cmp.Or(s.order(o), cmp.Compare(s.Flaps, o.Flaps), -slices.Compare(s.Kept, o.Kept))
+}
+
+func (s *Stand) order(o *Stand) int {
+	return cmp.Or(cmp.Compare(s.Epoch, o.Epoch), cmp.Compare(s.State, o.State), -cmp.Compare(s.Step, o.Step))
 }
 
 // Tick looks what time has brought. It is called some ten times a second.
@@ -404,12 +408,12 @@
 	t := &o.tally
 	*t = tally{inTime: o.inTime, by: t.by[:0], from: t.from[:0], ill: t.ill[:0], well: t.well[:0]}
 	one := func(name, zone string, at Time, v *Voice) {
-		t.flying, t.room, t.origin = t.flying+float64(v.Flying), t.room+float64(v.Room), max(t.origin, float64(v.Origin))
 		if v.Stand.compare(&o.stand) == 0 {
-			t.fine, t.late, t.lost = t.fine+float64(v.Fine), t.late+float64(v.Late), t.lost+float64(v.Lost)
-			if v.Lost >= 0.4 {
-				t.losers++
-			}
+			t.tried += yes(v.Fine+v.Late+v.Lost >= some)
+			t.fine += yes(v.Fine >= some && v.Fine > v.Late+v.Lost)
+			t.losers += yes(v.Lost >= some && v.Lost > (v.Fine+v.Late)/3)
+			t.slow += yes(v.Late >= some && v.Late > v.Fine/3)
+			t.origin += yes(v.Origin > 0.3)
 		}
 		if zone == o.name {
 			return
@@ -442,6 +446,13 @@
 	slices.Sort(t.well)
 }
 
+func yes(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 func union(a, b []uint32) []uint32 {
 	for _, h := range b {
 		if !slices.Contains(a, h) {
@@ -618,7 +629,7 @@
 func (z *Instance) move(o *zone, s Stand, why string) {
 	found := 1
 	for _, h := range o.voices {
-		if _, here := z.here[h.name]; here && h.far().compare(&s) >= 0 {
+		if _, here := z.here[h.name]; here && h.far().order(&s) >= 0 {
 			found++
 		}
 	}
@@ -639,8 +650,8 @@
 	if s.State >= Leaving {
 		o.lastOut = z.now
 	}
-	z.log("zone %s: %v (epoch %d, step %d, flaps %d) from %v, %s: %d against from %d zones, %d for; %.0f in flight, room %.0f", o.name, s.State, s.Epoch,
-		s.Step, s.Flaps, was.State, why, o.tally.against, len(o.tally.from), o.tally.fors, o.tally.flying, o.tally.room)
+	z.log("zone %s: %v (epoch %d, step %d, flaps %d) from %v, %s: %d against from %d zones, %d for; %d tried, %d in time, %d unanswered, %d late; %.0f in flight, room %.0f", o.name, s.State, s.Epoch,
+		s.Step, s.Flaps, was.State, why, o.tally.against, len(o.tally.from), o.tally.fors, o.tally.tried, o.tally.fine, o.tally.losers, o.tally.slow, z.flying, z.room)
 }
 
 func (z *Instance) flapsOver(o *zone) bool {
@@ -657,7 +668,8 @@
 	return false
 }
 
-// fits tells whether the zones that stay have room for all that is in flight, cold nodes counted by what they bear.
+// fits tells whether the zones that stay have room for all that is in flight, cold nodes counted by what they bear, as most
+// proxies find by their own.
 func (z *Instance) fits(o *zone) bool {
 	stay, all := 0.0, 0.0
 	for _, n := range z.nodes {
@@ -669,7 +681,14 @@
 			stay += z.opens(n.zone) * z.bearsCold(n)
 		}
 	}
-	return o.tally.flying <= o.tally.room*stay/max(all, 1)
+	part := stay / max(all, 1)
+	fit, many := yes(z.flying <= z.room*part), 1
+	for _, h := range o.voices {
+		if _, here := z.here[h.name]; here && z.now-h.at <= fresh {
+			fit, many = fit+yes(float64(h.Flying) <= float64(h.Room)*part), many+1
+		}
+	}
+	return 2*fit > many
 }
 
 // bearsCold is the part of its work that a node bears by now.
@@ -707,10 +726,12 @@
 	z.move(o, Stand{Epoch: o.stand.Epoch + 1, State: Returning, Flaps: o.stand.Flaps}, "a few trials of all proxies together")
 }
 
-// troubled: of the tries since this step a quarter went unanswered, and not to one proxy alone.
+// few is how many of those who tried may find something else than the others.
+func (t *tally) few() int { return max(1, t.tried/4) }
+
+// troubled: since this step tries went unanswered, to more than a few of those who tried, and not to one proxy alone.
 func (z *Instance) troubled(o *zone) bool {
-	t := &o.tally
-	return o.stand.State == Returning && t.losers >= min(2, len(z.here)-1) && t.lost > (t.fine+t.late)/3
+	return o.stand.State == Returning && o.tally.losers >= min(2, len(z.here)-1) && 4*o.tally.losers > o.tally.tried
 }
 
 func (z *Instance) outAgain(o *zone) {
@@ -718,24 +739,22 @@
 	if o.stand.Step > 0 {
 		s.Flaps = min(s.Flaps+1, 16)
 	}
-	z.move(o, s, fmt.Sprintf("%.0f of %.0f tries unanswered", o.tally.lost, o.tally.fine+o.tally.late+o.tally.lost))
+	z.move(o, s, "tries go unanswered")
 }
 
-// strained: half of the answers come too late, since a while.
+// strained: half of those who tried have late answers, since a while.
 func (z *Instance) strained(o *zone) bool {
-	t := &o.tally
-	return o.stand.Step > 0 && z.now-o.since >= z.Step && t.fine+t.late >= 3 && t.late > t.fine
+	return o.stand.Step > 0 && z.now-o.since >= z.Step && o.tally.slow >= 2 && 2*o.tally.slow > o.tally.tried
 }
 
 func (z *Instance) back(o *zone) {
-	z.move(o, Stand{Epoch: o.stand.Epoch + 1, State: Returning, Step: o.stand.Step - 1, Flaps: o.stand.Flaps},
-		fmt.Sprintf("%.0f of %.0f answers late", o.tally.late, o.tally.fine+o.tally.late))
+	z.move(o, Stand{Epoch: o.stand.Epoch + 1, State: Returning, Step: o.stand.Step - 1, Flaps: o.stand.Flaps}, "answers come late")
 }
 
 // bears: a step's time is over, the zone's nodes and the origin answer in time, and nodes that start cold bear the next step.
 func (z *Instance) bears(o *zone) bool {
 	t, long := &o.tally, z.now-o.since
-	if long < z.Step || t.lost > 0.1*(t.fine+t.late) || t.late > 0.25*t.fine || t.origin > 0.3 {
+	if long < z.Step || t.losers >= min(2, len(z.here)-1) || t.slow > t.few() || t.origin > t.few() {
 		return false
 	}
 	next := 1.0
@@ -761,7 +780,7 @@
 	if s.Step >= len(steps) {
 		s.State, s.Step = In, 0
 	}
-	z.move(o, s, fmt.Sprintf("%.0f of %.0f tries in time", o.tally.fine, o.tally.fine+o.tally.late+o.tally.lost))
+	z.move(o, s, "answers come in time")
 }
 
 // deserted: of this proxy's own tries three, at two nodes or more, went unanswered, nothing has come from there for twice
@@ -991,7 +1010,7 @@
 	for _, o := range z.zones {
 		s := Shown{Name: o.name, Nodes: o.nodes, Open: o.told, Stand: o.stand, Alone: o.alone.State != In, Own: z.own(o) && o.stand.State != In,
 			Against: o.tally.against, For: o.tally.fors, AgainstZones: len(o.tally.from), Watched: o.watched,
-			Held: z.now - o.since, Fine: o.tally.fine, Late: o.tally.late, Lost: o.tally.lost}
+			Held: z.now - o.since, By: slices.Clone(o.tally.by), Tried: o.tally.tried, Fine: o.tally.fine, Late: o.tally.slow, Lost: o.tally.losers}
 		if o.order != nil {
 			copy := *o.order
 			s.Order = &copy
--- a/zones/types.go
+++ b/zones/types.go
@@ -150,16 +150,18 @@
 
 // Shown is how a zone stands, for operators.
 type Shown struct {
-	Name             string
-	Nodes            int
-	Open             float64 // part of its keys that are served there
-	Stand            Stand
-	Alone            bool // judged by this proxy alone
-	Own              bool // left by others; this proxy stands in it and gets answers
-	Order            *Order
-	Against, For     int
-	AgainstZones     int
-	Watched          bool
-	Held             Time // how long it has stood so
-	Fine, Late, Lost float64
+	Name         string
+	Nodes        int
+	Open         float64 // part of its keys that are served there
+	Stand        Stand
+	Alone        bool // judged by this proxy alone
+	Own          bool // left by others; this proxy stands in it and gets answers
+	Order        *Order
+	Against, For int
+	AgainstZones int
+	By           []string // who speaks against it
+	Watched      bool
+	Held         Time // how long it has stood so
+	// proxies that tried it under this stand; had answers in time, had tries unanswered, had answers too late
+	Tried, Fine, Lost, Late int
 }
--- a/zones/zones_test.go
+++ b/zones/zones_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 
@@ -18,8 +19,9 @@
 //	MS try ZONE N answered|late|nothing|undone [took=MS] [nodes=K]    N tries, sent so long before, on the first K nodes in turn
 //	MS sent ZONE N                       N tries that nothing is heard of
 //	MS say ZONE NAME,... for|against|none [ill=K] [well=K] [fine=N] [late=N] [lost=N] [load=FLYING/ROOM] [origin=PART] [ago=MS]
-//	      [stand=EPOCH:STATE[:STEP[:FLAPS]]] [plan=...]
+//	      [stand=EPOCH:STATE[:STEP[:FLAPS]]] [plan=...] [kept: the plan keeps those that are well]
 //	MS order ZONE in|out|hold|auto EPOCH [force]
+//	MS load FLYING ROOM                  its own
 //	MS ticks                             on to here, ten a second
 //	> ZONE STATE [open=PART] [epoch=N] [flaps=N] [step=N] [kept=K] [alone] [barred=N]
 //	> spoke ZONE for|against|none [plan=STATE] | log WORDS | wrong ORDER... : WORDS
@@ -189,9 +191,15 @@
 				v.Well = append(v.Well, zones.Hash(n.Name))
 			}
 		}
+		if m["kept"] != "" {
+			slices.Sort(v.Well)
+			v.Plan.Kept, v.Well = v.Well, nil
+		}
 		for _, name := range strings.Split(w[3], ",") {
 			p.do(p.in.Voice(p.now, name, w[2], v, 0, 5*zones.Second))
 		}
+	case "load":
+		p.in.Load(scenario.Num(w[2]), scenario.Num(w[3]))
 	case "order":
 		p.do(p.in.Order(p.now, zones.Order{Zone: w[2], Want: zones.Wants[w[3]], Epoch: int64(scenario.Num(w[4])), By: "b1", Force: m["force"] != ""}))
 	default:
