--- a/internal/run/config_test.go
+++ b/internal/run/config_test.go
@@ -69,3 +69,45 @@
 		t.Errorf("what is given besides the file does not go before it: %v", err)
 	}
 }
+
+// A bad file of zones is one line that names the file and the key.
+func TestBadZones(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "zones.toml")
+	config := filepath.Join(t.TempDir(), "config.json")
+	os.WriteFile(config, []byte(`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","settings":`+
+		strings.Replace(settings, `"tick"`, `"zones":["a","b","c"],"locality":"a","tick"`, 1)+`}`), 0o600)
+	read := func(text string) (*Place, error) {
+		os.WriteFile(file, []byte(text), 0o600)
+		return Read(config, Place{ZonesFile: file})
+	}
+	region := func(name, zones string) string {
+		return "[[region]]\nname = \"" + name + "\"\nzones = [" + zones + "]\n"
+	}
+	p, err := read("voices = 0.3\n" + region("east", `"b", "c"`))
+	if err != nil || p.Zones.Zone != "a" || p.Zones.Me != "n1" || p.Zones.Voices != 0.3 || len(p.Zones.Regions) != 1 {
+		t.Fatalf("%+v %v", p, err)
+	}
+	for text, want := range map[string]string{
+		"voice = 0.2\n":                                         "voice: unknown",
+		"voices = 1.5\n":                                        "voices: 1.5",
+		"quiet_ms = 1.0\n":                                      "quiet_ms: 1:",
+		"settle_ms = -1.0\n":                                    "settle_ms: -1",
+		"hold_ms = 5000.0\nmost_hold_ms = 100.0\n":              "most_hold_ms: 100",
+		"step_ms = \"x\"\n":                                     "step_ms",
+		"zones = [\"a\", \"a\"]\n":                              `zones: "a": missing, too long or doubled`,
+		"zones = [\"a\", \"q\"]\n":                              `zones: "q": none of the settings'`,
+		"zones = [\"b\", \"c\"]\n":                              `zone: "a": none of those`,
+		region("a", `"b", "c"`):                                 `region[0].name: "a"`,
+		region("east", `"b", "c"`) + region("east", `"a", "b"`): `region[1].name: "east"`,
+		region("east", `"b", "c"`) + region("west", `"a", "b"`): `region[1].zones: "b": is in east`,
+		region("east", `"b", "q"`):                              `region[0].zones: "q"`,
+		region("east", `"b"`):                                   "fewer than two",
+	} {
+		if _, err := read(text); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), file) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if _, err := Read(config, Place{ZonesFile: file + "x"}); err == nil {
+		t.Error("a file that is missing")
+	}
+}
--- a/zones/instance.go
+++ b/zones/instance.go
@@ -948,6 +948,13 @@
 	if d.Want != was {
 		z.log("zone %s: ordered %v by way of %s (order %d, before %v)", o.name, d.Want, d.By, d.Epoch, was)
 	}
+	if was == KeepOut && d.Want == Auto && o.stand.State == In { // its nodes may have been restarted: all at once would push them over
+		if len(z.here) > 1 {
+			z.take(o, Stand{Epoch: o.stand.Epoch + 1, State: Returning, Flaps: o.stand.Flaps}, "no longer ordered out")
+		} else {
+			z.turn(o, Returning, 1)
+		}
+	}
 	z.apply()
 	return z.out
 }
--- a/zones/zones_test.go
+++ b/zones/zones_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"woodproxy/internal/scenario"
 	"woodproxy/zones"
 )
@@ -261,3 +263,31 @@
 
 // End is the end of a scenario.
 func (p *play) End() {}
+
+// Whatever peers say is refused or taken without a fault, and no one voice moves a zone.
+func FuzzVoice(f *testing.F) {
+	good, err := msgpack.Marshal(&zones.Voice{Zone: "b", Word: zones.Against, Ill: []uint32{1, 2}, Plan: &zones.Stand{Epoch: 3, State: zones.Leaving, Kept: []uint32{1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add("b1", "b", good)
+	f.Add("a1", "", []byte{0x80})
+	f.Fuzz(func(t *testing.T, from, of string, body []byte) {
+		var v zones.Voice
+		if msgpack.Unmarshal(body, &v) != nil {
+			return
+		}
+		z := zones.New(0, zones.Terms{Me: "a1", Zone: "a", Shortest: 5000, Quiet: 3000, Voices: 0.2, Settle: 2000, Hold: 20000, MostHold: 160000, Step: 10000, Alone: true})
+		z.Nodes(1, []zones.Node{{Index: 0, Name: "c0", Zone: "a"}, {Index: 1, Name: "c1", Zone: "b"}})
+		z.Fleet(2, []zones.Proxy{{Name: "a1", Zone: "a", Here: true}, {Name: "b1", Zone: "b", Here: true}, {Name: "b2", Zone: "b", Here: true}}, false)
+		for now := zones.Time(3); now < 3*zones.Second; now += zones.Second / 10 {
+			z.Voice(now, from, of, v, 0, 5*zones.Second)
+			z.Tick(now)
+		}
+		for _, s := range z.Shown(4 * zones.Second) {
+			if s.Stand.State != zones.In || s.Open != 1 {
+				t.Errorf("%+v", s)
+			}
+		}
+	})
+}
