--- a/internal/links/zones_test.go
+++ b/internal/links/zones_test.go
@@ -159,6 +159,7 @@
 			}
 			return z.Open(i, 0) < 0.1 && z.Open(i, 1) < 0.1
 		})
+		z.Play(6*replica.Second, z.check) // by then the others count as silent
 		for i := range z.Proxies {
 			if side(i) == 1 && (z.Stand(i, 0).Epoch+z.Stand(i, 1).Epoch > 0 || z.Open(i, 2) != 1) {
 				t.Errorf("n%d, cut off, convicts: %+v, %+v, own open %v", i, z.Stand(i, 0), z.Stand(i, 1), z.Open(i, 2))
@@ -180,6 +181,31 @@
 	})
 }
 
+// A zone whose nodes only its own proxies reach, while all talk with each other: the others leave it, and those within go on.
+func TestZoneUnreached(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		z := newZoned(t, size(24), seed, nil)
+		for _, n := range z.Nodes {
+			if n.Zone == 2 {
+				n.Answer = func(i int) (replica.Time, zones.Ending) {
+					if i%3 != 2 {
+						return replica.Second / 2, zones.Nothing
+					}
+					return replica.Second / 300, zones.Answered
+				}
+			}
+		}
+		z.until(2*replica.Second, "left", func(i int) bool { return i%3 == 2 || z.Open(i, 2) == 0 })
+		z.Play(4*replica.Second, z.check)
+		for i := range z.Proxies {
+			if open := z.Open(i, 2); i%3 == 2 && open != 1 || i%3 != 2 && open > 0.1 {
+				t.Errorf("n%d: %v of its keys are served there", i, open)
+			}
+		}
+		z.agreed()
+	})
+}
+
 // What is no loss of a zone convicts none: a calm day, one lost for 300 ms, a third of the nodes silent, one answer in five
 // failing or a third late, every node jammed, half of two zones; and a proxy that lies, in words, in verdicts, or both.
 func TestZonesKept(t *testing.T) {
@@ -232,6 +258,13 @@
 				n.Answer = func(int) (replica.Time, zones.Ending) { return replica.Second * 2 / 5, zones.Late }
 			}
 		},
+		"late zone": func(z *zoned) {
+			for _, n := range z.Nodes {
+				if n.Zone == 1 {
+					n.Answer = func(int) (replica.Time, zones.Ending) { return replica.Second * 9 / 20, zones.Late }
+				}
+			}
+		},
 		"liar": func(z *zoned) {
 			z.Lies[0] = func(v *zones.Voice) {
 				v.Word, v.Run, v.Ill = zones.Against, 99, []uint32{1, 2, 3, 4, 5, 6}
