--- a/zones/instance.go
+++ b/zones/instance.go
@@ -26,6 +26,7 @@
 	stood     = Second / 4     // between ticks: the process stood still, and what looks overdue may not be
 	flapsFor  = 60 * Second    // a zone that was in for so long has its flaps forgotten
 	keepsOn   = 10 * Second    // a verdict that has become in is told for so long
+	mostNeed  = 16             // however large the fleet, so many are enough
 	plenty    = 3              // words against for each that is for a zone
 	travel    = Second / 2     // that a word takes to get round at most
 	some      = 0.4            // of a try, by now, in what a proxy counts
@@ -596,7 +597,9 @@
 }
 
 // need is how many proxies it takes to move the fleet.
-func (z *Instance) need(here int) int { return max(2, int(math.Ceil(z.Voices*float64(here)))) }
+func (z *Instance) need(here int) int {
+	return min(max(2, int(math.Ceil(z.Voices*float64(here)))), mostNeed)
+}
 
 // backed returns the latest stand that two other proxies act on, or enough of them plan, or that one acts on where only that
 // one is here, if it is later than this one's own. One proxy alone, lying or broken, moves nobody.
@@ -923,9 +926,12 @@
 		return
 	}
 	n := Time(len(z.fleet))
-	soon, later := Second/10+n*Second/500, Second/2+n*Second/200
-	gap := z.now - o.saidAt
-	if changed := v.Word != o.said.Word || v.Stand.compare(&o.said.Stand) != 0 || (v.Plan == nil) != (o.said.Plan == nil) || len(v.Ill) > len(o.said.Ill); gap < soon || gap < later && !changed {
+	gap, later := z.now-o.saidAt, Second/2+n*Second/200
+	switch {
+	case gap >= later:
+	case (v.Stand.compare(&o.said.Stand) != 0 || (v.Plan == nil) != (o.said.Plan == nil)) && gap >= Second/10+n*Second/5000: // few, and all wait for it
+	case (v.Word != o.said.Word || len(v.Ill) > len(o.said.Ill)) && gap >= Second/10+n*Second/500:
+	default:
 		return
 	}
 	o.said, o.saidAt = v, z.now
