--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -453,3 +453,33 @@
 		t.Error("a day that is missing")
 	}
 }
+
+// Two troubles that kill the same proxies and start them again leave one process of each, and the day ends.
+func TestKilledTwice(t *testing.T) {
+	t.Parallel()
+	var runs [2]atomic.Int64
+	once := func(s emu.Site) (emu.Proxy, error) {
+		p, err := start(s)
+		if err != nil {
+			return nil, err
+		}
+		n := &runs[s.Name[1]-'0']
+		if n.Add(1) > 1 {
+			t.Errorf("two processes of %s", s.Name)
+		}
+		done := make(chan error, 1)
+		go func() {
+			done <- <-p.Done()
+			n.Add(-1)
+			close(done)
+		}()
+		return inside{p.(inside).signals, done}, nil
+	}
+	kill := func(at string) string {
+		return "[[trouble]]\nkind = \"mass-kill\"\nat_s = " + at + "\nfor_s = 0.5\nnodes = 2\nspread_s = 0.1\n"
+	}
+	r := play(t, strings.Replace(plain, "length_s = 2.0", "length_s = 14.0", 1)+kill("0.3")+kill("0.4"), once)
+	if runs[0].Load()+runs[1].Load() > 0 || len(r.Results) == 0 {
+		t.Errorf("%d and %d processes are left", runs[0].Load(), runs[1].Load())
+	}
+}
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -91,13 +91,15 @@
 	mu   sync.Mutex
 	site Site
 	now  *life
+	runs bool // a process of it is there, or is being started
 }
 
 // life is one process of a proxy's. What its end is to be noted as is its own, or one that was told to end could pass for
 // crashed once the next has begun.
 type life struct {
 	Proxy
-	ends string // "": it crashed; under the member's mu
+	ends string        // "": it crashed; under the member's mu
+	gone chan struct{} // closed once its end is noted, and another may be started
 }
 
 // Play plays a drawn day. Whatever happens, no process is left when it returns.
@@ -419,6 +421,14 @@
 // start starts a proxy and waits until it serves.
 func (p *player) start(ctx context.Context, i int) error {
 	m := p.proxies[i]
+	// two troubles may kill one proxy, and each starts it again: the first process would never be told to end, and the day not end
+	m.mu.Lock()
+	twice := m.runs
+	m.runs = true
+	m.mu.Unlock()
+	if twice {
+		return nil
+	}
 	now, err := p.o.Start(m.site)
 	if err != nil {
 		return err
@@ -428,7 +438,7 @@
 			return err
 		}
 	}
-	mine := &life{Proxy: now}
+	mine := &life{Proxy: now, gone: make(chan struct{})}
 	m.mu.Lock()
 	m.now = mine
 	m.mu.Unlock()
@@ -445,7 +455,9 @@
 		}
 		m.mu.Lock()
 		note := mine.ends
+		m.runs = false
 		m.mu.Unlock()
+		close(mine.gone)
 		if note == "" {
 			note = "crashed"
 		}
@@ -499,6 +511,7 @@
 		now.Kill()
 		<-now.Done()
 	}
+	<-now.gone
 }
 
 func (p *player) stop() {
