No node known: the rule on zones looks at a try's node only where a try is out

Cause: with an empty list the rule on zones that are left took the node of a try never sent, by an index that no node had; the call ended in a panic and its exchange went unanswered until its client gave up.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -276,7 +276,7 @@
 	// Nothing is owed, or nothing can be done yet.
 	{held, func(b *Instance) bool { return !b.hand.live || b.hand.streaming }, (*Instance).letGo},
 	{held, (*Instance).timeUp, (*Instance).giveUp},
-	{held, (*Instance).leavesZone, (*Instance).callOff},
+	{held, func(b *Instance) bool { return b.hand.out > 0 && b.leavesZone() }, (*Instance).callOff},
 	{held, func(b *Instance) bool { return b.hand.out > 0 && b.fallsSilent() }, (*Instance).passOver},
 	{held, func(b *Instance) bool { return b.hand.out > 0 }, (*Instance).waitOn},
 	// What may not or need not be sent again.
@@ -403,8 +403,8 @@
 // lets it be sent elsewhere: a deduped one's repeat that leaves its group would be carried out.
 func (b *Instance) leavesZone() bool {
 	x := b.hand
-	n, r := &b.nodes[max(x.node, 0)], &b.routes[x.Route]
-	return x.out > 0 && n.off && !x.off && b.mayCancel && (b.barred(n) || b.overdue(n)) && (r.Effect ==
+	n, r := &b.nodes[x.node], &b.routes[x.Route]
+	return n.off && !x.off && b.mayCancel && (b.barred(n) || b.overdue(n)) && (r.Effect ==
 		Retriable || r.Effect == Deduped && r.Group == GroupAll && b.now < x.sent+r.Window)
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -68,22 +68,18 @@
 		}
 		fmt.Fprintln(w, why)
 	})
-	mux.HandleFunc("GET /control/peers", func(w http.ResponseWriter, r *http.Request) {
-		text := of.Peers()
-		if text == "" {
-			http.Error(w, "no file of peers is named", http.StatusNotFound)
-			return
-		}
-		io.WriteString(w, text)
-	})
-	mux.HandleFunc("GET /control/zones", func(w http.ResponseWriter, r *http.Request) {
-		text := of.Zones()
-		if text == "" {
-			http.Error(w, "no file of zones is named", http.StatusNotFound)
-			return
-		}
-		io.WriteString(w, text)
-	})
+	show := func(path, none string, words func() string) {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+			text := words()
+			if text == "" {
+				http.Error(w, none, http.StatusNotFound)
+				return
+			}
+			io.WriteString(w, text)
+		})
+	}
+	show("/control/peers", "no file of peers is named", of.Peers)
+	show("/control/zones", "no file of zones is named", of.Zones)
 	mux.HandleFunc("POST /control/zones/{zone}/{want}", func(w http.ResponseWriter, r *http.Request) {
 		epoch, force := int64(-1), r.URL.Query().Get("force") == forced
 		if s := r.URL.Query().Get("epoch"); s != "" {
