Zones reread: one tally's own voice, one loop over speakers, one next stand, orders as values

Each tick made this proxy's voice twice, with a walk over all nodes; the same loop over who is here stood in four places, the next stand in seven; an order was kept by pointer, copied and asked for nil in five. Unread fields of the simulated fleets are gone. An order of no number is now passed over; none was ever made.

--- a/internal/links/zones.go
+++ b/internal/links/zones.go
@@ -17,8 +17,6 @@
 	Minds []*zones.Instance
 	Parts []map[int]float64 // by proxy and node, the part of keys that pass it by
 	Lost  int               // tries that nobody answered
-	Tries int
-	Took  map[int]int // by node, tries of the last second
 	tries map[int][]pending
 	Lies  map[int]func(v *zones.Voice) // proxies that tell what is not so
 	Told  func(proxy int, text string)
@@ -26,10 +24,9 @@
 
 // ZoneTerms of such a fleet.
 type ZoneTerms struct {
-	Names  []string
-	Each   int     // nodes a zone
-	Rate   float64 // tries a second and proxy
-	Change func(t *zones.Terms)
+	Names []string
+	Each  int     // nodes a zone
+	Rate  float64 // tries a second and proxy
 }
 
 // ZoneNode is a cache.
@@ -65,9 +62,6 @@
 func (z *Zoned) Begin(i int) {
 	t := zones.Terms{Me: Name(i), Zone: z.ZoneOf(i), Shortest: zones.Second / 2, Quiet: 3 * zones.Second / 10, Voices: 0.2, Settle: zones.Second / 5,
 		Hold: 2 * zones.Second, MostHold: 60 * zones.Second, Step: zones.Second, Cold: 3 * zones.Second, ColdFrom: 0.4, Alone: true}
-	if z.Change != nil {
-		z.Change(&t)
-	}
 	z.Minds[i] = zones.New(zones.Time(z.Now), t)
 	z.Parts[i] = map[int]float64{}
 	z.List(i)
@@ -161,7 +155,7 @@
 	if f := z.Nodes[k].Answer; f != nil {
 		took, ending = f(i)
 	}
-	if z.Tries++; ending == zones.Nothing {
+	if ending == zones.Nothing {
 		z.Lost++
 	}
 	z.Minds[i].Sent(zones.Time(z.Now), k)
@@ -195,21 +189,16 @@
 }
 
 // Open is the part of a zone's keys that a proxy serves there.
-func (z *Zoned) Open(i, zone int) float64 {
-	for _, s := range z.Minds[i].Shown(zones.Time(z.Now)) {
-		if s.Name == z.Names[zone] {
-			return s.Open
-		}
-	}
-	return 1
-}
+func (z *Zoned) Open(i, zone int) float64 { return z.shown(i, zone).Open }
 
 // Stand is how a proxy sees a zone.
-func (z *Zoned) Stand(i, zone int) zones.Stand {
+func (z *Zoned) Stand(i, zone int) zones.Stand { return z.shown(i, zone).Stand }
+
+func (z *Zoned) shown(i, zone int) zones.Shown {
 	for _, s := range z.Minds[i].Shown(zones.Time(z.Now)) {
 		if s.Name == z.Names[zone] {
-			return s.Stand
+			return s
 		}
 	}
-	return zones.Stand{}
+	return zones.Shown{Open: 1}
 }
--- a/internal/links/zones_test.go
+++ b/internal/links/zones_test.go
@@ -24,10 +24,10 @@
 	cold    int
 }
 
-func newZoned(t *testing.T, proxies int, seed uint64, change func(*zones.Terms)) *zoned {
+func newZoned(t *testing.T, proxies int, seed uint64) *zoned {
 	t.Helper()
 	w := links.NewZoned(links.Terms{Proxies: proxies, Loss: 0.05, Double: 0.02, Late: 2, Floor: 0.25, Hold: replica.Second, ClockSkew: 60 * replica.Second},
-		links.ZoneTerms{Names: []string{"a", "b", "c"}, Each: 4, Rate: 12, Change: change}, seed)
+		links.ZoneTerms{Names: []string{"a", "b", "c"}, Each: 4, Rate: 12}, seed)
 	z := &zoned{Zoned: w, t: t, differs: make([]replica.Time, 3), side: func(int) int { return 0 }, left: map[string]int{}}
 	if os.Getenv("WOODPROXY_LOGS") != "" {
 		w.Told = func(i int, text string) {
@@ -118,7 +118,7 @@
 // until it is back, few of all proxies together; then it returns by steps.
 func TestZoneDies(t *testing.T) {
 	seeds(t, func(t *testing.T, seed uint64) {
-		z := newZoned(t, size(24), seed, nil)
+		z := newZoned(t, size(24), seed)
 		z.Dies(2, true)
 		first, last := z.until(3*replica.Second, "left", func(i int) bool { return z.Open(i, 2) == 0 })
 		if last > 3*replica.Second/2+replica.Time(len(z.Proxies)/100)*replica.Second/5 || last-first > replica.Second/2 {
@@ -140,7 +140,7 @@
 // their own, convict nobody, and take the newer epoch when it heals.
 func TestZoneCut(t *testing.T) {
 	seeds(t, func(t *testing.T, seed uint64) {
-		z := newZoned(t, size(24), seed, nil)
+		z := newZoned(t, size(24), seed)
 		side := func(i int) int { return (i % 3) / 2 }
 		z.Cut = func(from, to int) bool { return side(from) != side(to) }
 		for _, n := range z.Nodes {
@@ -184,7 +184,7 @@
 // A zone whose nodes only its own proxies reach, while all talk with each other: the others leave it, and those within go on.
 func TestZoneUnreached(t *testing.T) {
 	seeds(t, func(t *testing.T, seed uint64) {
-		z := newZoned(t, size(24), seed, nil)
+		z := newZoned(t, size(24), seed)
 		for _, n := range z.Nodes {
 			if n.Zone == 2 {
 				n.Answer = func(i int) (replica.Time, zones.Ending) {
@@ -277,7 +277,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			seeds(t, func(t *testing.T, seed uint64) {
-				z := newZoned(t, size(24), seed, nil)
+				z := newZoned(t, size(24), seed)
 				hit(z)
 				z.Play(8*replica.Second, z.check)
 				if len(z.left) > 0 {
--- a/internal/run/zones.go
+++ b/internal/run/zones.go
@@ -187,7 +187,7 @@
 	var said strings.Builder
 	for _, z := range names {
 		i := slices.IndexFunc(shown, func(s zones.Shown) bool { return s.Name == z })
-		o := zones.Order{Zone: z, Want: w, Epoch: shown[i].Ordered().Epoch + 1, By: s.peers.place.Name, Force: force}
+		o := zones.Order{Zone: z, Want: w, Epoch: shown[i].Order.Epoch + 1, By: s.peers.place.Name, Force: force}
 		if !s.peers.mind.ZoneOrder(o) {
 			return "", fmt.Errorf("zone %q: too busy to take it; nothing has changed there", z)
 		}
@@ -231,7 +231,7 @@
 		if z.Alone {
 			b.WriteString("; passed by alone")
 		}
-		if o := z.Ordered(); o.Epoch > 0 {
+		if o := z.Order; o.Epoch > 0 {
 			fmt.Fprintf(&b, "; ordered %v by way of %s, order %d", o.Want, o.By, o.Epoch)
 		}
 		b.WriteByte('\n')
--- a/zones/instance.go
+++ b/zones/instance.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"math"
 	"slices"
 	"strings"
@@ -26,6 +27,7 @@
 	stood     = Second / 4     // between ticks: the process stood still, and what looks overdue may not be
 	flapsFor  = 60 * Second    // a zone that was in for so long has its flaps forgotten
 	keepsOn   = 10 * Second    // a verdict that has become in is told for so long
+	mostFlaps = 16             // are counted
 	mostNeed  = 16             // however large the fleet, so many are enough
 	plenty    = 3              // words against for each that is for a zone
 	travel    = Second / 2     // that a word takes to get round at most
@@ -97,11 +99,12 @@
 	lastOut Time
 	alone   Stand // by own evidence
 	aloneAt Time
-	order   *Order
-	suspect Time // since when enough speak against it, 0: they do not
-	witness Time // since when another zone is known to have answered after that, 0: none has
-	doubt   Time // since when its trials fail, 0: they do not
+	order   Order // of epoch 0: there was none
+	suspect Time  // since when enough speak against it, 0: they do not
+	witness Time  // since when another zone is known to have answered after that, 0: none has
+	doubt   Time  // since when its trials fail, 0: they do not
 	plan    *Stand
+	own     Voice // as the tally counts it
 	said    Voice
 	saidAt  Time
 	watched bool
@@ -205,7 +208,7 @@
 		}
 	}
 	z.zones = slices.DeleteFunc(z.zones, func(o *zone) bool {
-		return o.nodes == 0 && o.stand.State == In && o.order == nil && len(o.voices) == 0
+		return o.nodes == 0 && o.stand.State == In && o.order.Epoch == 0 && len(o.voices) == 0
 	})
 	z.apply()
 	return z.out
@@ -436,17 +439,28 @@
 		}
 	}
 	o.voices = slices.DeleteFunc(o.voices, func(h *heard) bool { return z.now-h.at > h.life })
-	for _, h := range o.voices {
-		if zone, here := z.here[h.name]; here && z.now-h.at <= fresh {
-			one(h.name, zone, h.at, &h.Voice)
+	for h := range z.speakers(o) {
+		if z.now-h.at <= fresh {
+			one(h.name, z.here[h.name], h.at, &h.Voice)
 		}
 	}
-	own := z.voice(o)
-	one(z.Me, z.Zone, z.now, &own)
+	o.own = z.voice(o)
+	one(z.Me, z.Zone, z.now, &o.own)
 	t.well = slices.DeleteFunc(t.well, func(h uint32) bool { return slices.Contains(t.ill, h) })
 	slices.Sort(t.well)
 }
 
+// speakers are those who are here, by name.
+func (z *Instance) speakers(o *zone) iter.Seq[*heard] {
+	return func(yield func(*heard) bool) {
+		for _, h := range o.voices {
+			if _, here := z.here[h.name]; here && !yield(h) {
+				return
+			}
+		}
+	}
+}
+
 func yes(is bool) int {
 	if is {
 		return 1
@@ -575,7 +589,7 @@
 	{func(z *Instance, o *zone) bool { return o.stand.State == Returning && z.bears(o) }, (*Instance).next},
 }
 
-func isHeld(_ *Instance, o *zone) bool { return o.order != nil && o.order.Want == Held }
+func isHeld(_ *Instance, o *zone) bool { return o.order.Want == Held }
 
 func (z *Instance) follow(o *zone) { z.take(o, *z.backed(o), "as others do") }
 
@@ -605,10 +619,8 @@
 // one is here, if it is later than this one's own. One proxy alone, lying or broken, moves nobody.
 func (z *Instance) backed(o *zone) *Stand {
 	acts, plans := z.acts[:0], z.plans[:0]
-	for _, h := range o.voices {
-		if _, here := z.here[h.name]; here && z.now-h.at <= h.life {
-			acts, plans = append(acts, &h.Voice.Stand), append(plans, h.far())
-		}
+	for h := range z.speakers(o) {
+		acts, plans = append(acts, &h.Voice.Stand), append(plans, h.far())
 	}
 	z.acts, z.plans = acts, plans
 	late := func(a, b *Stand) int { return b.compare(a) }
@@ -631,10 +643,8 @@
 // What one or two alone find, by words that reached them late, would have them stand apart from all others.
 func (z *Instance) move(o *zone, s Stand, why string) {
 	found := 1
-	for _, h := range o.voices {
-		if _, here := z.here[h.name]; here && h.far().order(&s) >= 0 {
-			found++
-		}
+	for h := range z.speakers(o) {
+		found += yes(h.far().order(&s) >= 0)
 	}
 	if found >= min(z.need(o.outside.here), len(z.here)) {
 		z.take(o, s, why)
@@ -661,6 +671,15 @@
 	return o.stand.Flaps > 0 && o.stand.State == In && z.now-o.lastOut >= flapsFor
 }
 
+// after is the stand that follows the one by which the zone is judged; flaps counts one more where it says so.
+func (o *zone) after(state State, step int, flaps bool) Stand {
+	s := Stand{Epoch: o.stand.Epoch + 1, State: state, Step: step, Flaps: o.stand.Flaps}
+	if flaps {
+		s.Flaps = min(s.Flaps+1, mostFlaps)
+	}
+	return s
+}
+
 // spared tells whether another zone stays, and at least one of its nodes: all are never left.
 func (z *Instance) spared(o *zone) bool {
 	for _, p := range z.zones {
@@ -686,8 +705,8 @@
 	}
 	part := stay / max(all, 1)
 	fit, many := yes(z.flying <= z.room*part), 1
-	for _, h := range o.voices {
-		if _, here := z.here[h.name]; here && z.now-h.at <= fresh {
+	for h := range z.speakers(o) {
+		if z.now-h.at <= fresh {
 			fit, many = fit+yes(float64(h.Flying) <= float64(h.Room)*part), many+1
 		}
 	}
@@ -703,10 +722,8 @@
 }
 
 func (z *Instance) leave(o *zone) {
-	s := Stand{Epoch: o.stand.Epoch + 1, State: Out, Flaps: o.stand.Flaps}
-	if o.stand.Step > 0 || o.stand.State == In && z.now-o.lastOut < flapsFor { // where trials find it gone still it does not flap
-		s.Flaps = min(s.Flaps+1, 16)
-	}
+	// where trials find it gone still it does not flap
+	s := o.after(Out, 0, o.stand.Step > 0 || o.stand.State == In && z.now-o.lastOut < flapsFor)
 	why := "the others have room"
 	if !z.fits(o) {
 		why = "the others have no room for all of it: cheap work is turned away"
@@ -719,14 +736,14 @@
 }
 
 func (z *Instance) leaveWhole(o *zone) {
-	z.move(o, Stand{Epoch: o.stand.Epoch + 1, State: Out, Flaps: o.stand.Flaps}, "the others have room by now")
+	z.move(o, o.after(Out, 0, false), "the others have room by now")
 }
 
 // hold is how long a zone that is out is left alone: longer, the oftener it flaps.
-func (z *Instance) hold(s *Stand) Time { return min(z.Hold<<min(s.Flaps, 16), z.MostHold) }
+func (z *Instance) hold(s *Stand) Time { return min(z.Hold<<min(s.Flaps, mostFlaps), z.MostHold) }
 
 func (z *Instance) tryAgain(o *zone) {
-	z.move(o, Stand{Epoch: o.stand.Epoch + 1, State: Returning, Flaps: o.stand.Flaps}, "a few trials of all proxies together")
+	z.move(o, o.after(Returning, 0, false), "a few trials of all proxies together")
 }
 
 // few is how many of those who tried may find something else than the others.
@@ -738,11 +755,7 @@
 }
 
 func (z *Instance) outAgain(o *zone) {
-	s := Stand{Epoch: o.stand.Epoch + 1, State: Out, Flaps: o.stand.Flaps}
-	if o.stand.Step > 0 {
-		s.Flaps = min(s.Flaps+1, 16)
-	}
-	z.move(o, s, "tries go unanswered")
+	z.move(o, o.after(Out, 0, o.stand.Step > 0), "tries go unanswered")
 }
 
 // strained: half of those who tried have late answers, since a while.
@@ -751,7 +764,7 @@
 }
 
 func (z *Instance) back(o *zone) {
-	z.move(o, Stand{Epoch: o.stand.Epoch + 1, State: Returning, Step: o.stand.Step - 1, Flaps: o.stand.Flaps}, "answers come late")
+	z.move(o, o.after(Returning, o.stand.Step-1, false), "answers come late")
 }
 
 // bears: a step's time is over, the zone's nodes and the origin answer in time, and nodes that start cold bear the next step.
@@ -779,7 +792,7 @@
 }
 
 func (z *Instance) next(o *zone) {
-	s := Stand{Epoch: o.stand.Epoch + 1, State: Returning, Step: o.stand.Step + 1, Flaps: o.stand.Flaps}
+	s := o.after(Returning, o.stand.Step+1, false)
 	if s.Step >= len(steps) {
 		s.State, s.Step = In, 0
 	}
@@ -800,7 +813,7 @@
 
 func (z *Instance) desert(o *zone) {
 	if o.alone.State == Returning && o.alone.Step > 1 || z.now-o.aloneAt < flapsFor && o.aloneAt > 0 && o.alone.State == In {
-		o.alone.Flaps = min(o.alone.Flaps+1, 16)
+		o.alone.Flaps = min(o.alone.Flaps+1, mostFlaps)
 	} else if o.alone.State == In {
 		o.alone.Flaps = 0
 	}
@@ -846,9 +859,9 @@
 // opens is the part of a zone's keys that is served there. A proxy that stands in a zone and gets answers there goes on.
 func (z *Instance) opens(o *zone) float64 {
 	switch {
-	case o.order != nil && o.order.Want == KeepOut:
+	case o.order.Want == KeepOut:
 		return 0
-	case o.order != nil && o.order.Want == KeepIn, z.own(o):
+	case o.order.Want == KeepIn, z.own(o):
 		return 1
 	}
 	return min(o.stand.open(), o.alone.open())
@@ -868,7 +881,7 @@
 	}
 	for _, o := range z.zones {
 		open := z.opens(o)
-		if left && !(o.order != nil && o.order.Want == KeepOut && o.order.Force) {
+		if left && !(o.order.Want == KeepOut && o.order.Force) {
 			open = 1 // all are never left: what says that all are gone is wrong
 		}
 		if open != o.told && o.nodes > 0 {
@@ -886,7 +899,7 @@
 			if slices.Contains(n.zone.stand.Kept, n.hash) && n.zone.stand.State == Leaving {
 				part = 0
 			}
-			off = part > 0 && (n.zone.order == nil || n.zone.order.Want != KeepOut)
+			off = part > 0 && n.zone.order.Want != KeepOut
 		}
 		if part != n.part || off != n.off {
 			n.part, n.off = part, off
@@ -900,7 +913,7 @@
 	o.rates.fade(z.now)
 	z.origin.fade(z.now)
 	v := Voice{Zone: z.Zone, Word: z.word(o), Ago: z.now - o.good, Run: o.run, Fine: float32(o.rates.fine), Late: float32(o.rates.late), Lost: float32(o.rates.lost),
-		Flying: float32(z.flying), Room: float32(z.room), Stand: o.stand, Plan: o.plan}
+		Flying: float32(z.flying), Room: float32(z.room), Stand: o.stand}
 	if all := z.origin.fine + z.origin.late; all >= 1 {
 		v.Origin = float32(z.origin.late / all)
 	}
@@ -920,7 +933,8 @@
 // speak tells peers of a zone while there is something to say: a change at once, within bounds that follow from how many
 // proxies there are, the rest now and then.
 func (z *Instance) speak(o *zone) {
-	v := z.voice(o)
+	v := o.own
+	v.Plan = o.plan // which the tally led to
 	o.watched = v.Word == Against || o.tally.against > 0 || o.stand.State != In || o.plan != nil
 	if len(z.here) < 2 || !(o.watched || o.stand.Epoch > 0 && z.now-o.since < keepsOn) {
 		return
@@ -942,21 +956,18 @@
 func (z *Instance) Order(now Time, d Order) []Decision {
 	z.begin(now)
 	o := z.find(d.Zone)
-	if o == nil || d.Want > KeepOut || o.order != nil && cmp.Or(cmp.Compare(d.Epoch, o.order.Epoch), cmp.Compare(d.Want, o.order.Want)) <= 0 {
+	if o == nil || d.Want > KeepOut || d.Epoch < 1 || cmp.Or(cmp.Compare(d.Epoch, o.order.Epoch), cmp.Compare(d.Want, o.order.Want)) <= 0 {
 		return z.out
 	}
-	was := Auto
-	if o.order != nil {
-		was = o.order.Want
-	}
+	was := o.order.Want
 	d.Zone, d.By = o.name, strings.Clone(d.By)
-	o.order, o.suspect, o.witness = &d, 0, 0
+	o.order, o.suspect, o.witness = d, 0, 0
 	if d.Want != was {
 		z.log("zone %s: ordered %v by way of %s (order %d, before %v)", o.name, d.Want, d.By, d.Epoch, was)
 	}
 	if was == KeepOut && d.Want == Auto && o.stand.State == In { // its nodes may have been restarted: all at once would push them over
 		if len(z.here) > 1 {
-			z.take(o, Stand{Epoch: o.stand.Epoch + 1, State: Returning, Flaps: o.stand.Flaps}, "no longer ordered out")
+			z.take(o, o.after(Returning, 0, false), "no longer ordered out")
 		} else {
 			z.turn(o, Returning, 1)
 		}
@@ -981,14 +992,14 @@
 	stays := false
 	for i := range shown {
 		s := &shown[i]
-		stays = stays || s.Nodes > 0 && !slices.Contains(names, s.Name) && s.Open > 0 && s.Ordered().Want != KeepOut
+		stays = stays || s.Nodes > 0 && !slices.Contains(names, s.Name) && s.Open > 0 && s.Order.Want != KeepOut
 	}
 	for _, name := range names {
 		i := slices.IndexFunc(shown, func(s Shown) bool { return s.Name == name })
 		if i < 0 {
 			return fmt.Sprintf("zone %q: no node has it", name)
 		}
-		if now := shown[i].Ordered().Epoch; epoch >= 0 && now != epoch {
+		if now := shown[i].Order.Epoch; epoch >= 0 && now != epoch {
 			return fmt.Sprintf("zone %q: order %d does not stand, but %d", name, epoch, now)
 		}
 	}
@@ -998,14 +1009,6 @@
 	return ""
 }
 
-// Ordered is the order that stands; where there is none it is of epoch 0.
-func (s *Shown) Ordered() Order {
-	if s.Order == nil {
-		return Order{Zone: s.Name}
-	}
-	return *s.Order
-}
-
 // Busy tells whether ticks have something to look at: where no peers are, nothing comes of them on a calm day.
 func (z *Instance) Busy() bool {
 	for _, o := range z.zones {
@@ -1022,12 +1025,8 @@
 	z.now = max(now, z.now)
 	for _, o := range z.zones {
 		s := Shown{Name: o.name, Nodes: o.nodes, Open: o.told, Stand: o.stand, Alone: o.alone.State != In, Own: z.own(o) && o.stand.State != In,
-			Against: o.tally.against, For: o.tally.fors, AgainstZones: len(o.tally.from), Watched: o.watched,
+			Order: o.order, Against: o.tally.against, For: o.tally.fors, AgainstZones: len(o.tally.from), Watched: o.watched,
 			Held: z.now - o.since, By: slices.Clone(o.tally.by), Tried: o.tally.tried, Fine: o.tally.fine, Late: o.tally.slow, Lost: o.tally.losers}
-		if o.order != nil {
-			copy := *o.order
-			s.Order = &copy
-		}
 		all = append(all, s)
 	}
 	return all
--- a/zones/types.go
+++ b/zones/types.go
@@ -154,9 +154,9 @@
 	Nodes        int
 	Open         float64 // part of its keys that are served there
 	Stand        Stand
-	Alone        bool // judged by this proxy alone
-	Own          bool // left by others; this proxy stands in it and gets answers
-	Order        *Order
+	Alone        bool  // judged by this proxy alone
+	Own          bool  // left by others; this proxy stands in it and gets answers
+	Order        Order // of epoch 0: there was none
 	Against, For int
 	AgainstZones int
 	By           []string // who speaks against it
