--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -1,7 +1,6 @@
 package emu_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -26,6 +25,16 @@
 	return emu.Program(file, "serve")
 }
 
+// kept plays a day, on which no rule may be broken.
+func kept(t *testing.T, text string, with emu.Start) *emu.Report {
+	t.Helper()
+	r := play(t, text, with)
+	for _, b := range r.Breaches {
+		t.Error(b)
+	}
+	return r
+}
+
 // A zone whose proxies and nodes can't reach the others, one that is lost and comes back cold, links that are cut one way and
 // slow: with processes that talk and with such that do not no rule is broken, and most is served.
 func TestZonesAndLinks(t *testing.T) {
@@ -40,13 +49,7 @@
 	}
 	start := program(t)
 	for _, talk := range []string{"proxies = 4\npeers = { talk = true, hold_s = 1.0 }", "proxies = 4"} {
-		r, err := emu.Play(context.Background(), day(t, strings.Replace(text, "proxies = 2", talk, 1)).Draw(1), emu.Options{Start: start, Dir: t.TempDir()})
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, b := range r.Breaches {
-			t.Error(b)
-		}
+		r := kept(t, strings.Replace(text, "proxies = 2", talk, 1), start)
 		slow := 0
 		for _, q := range r.Results {
 			if q.Outcome == emu.Completed && q.Request.At > 7500*time.Millisecond && q.Request.At < 8900*time.Millisecond && q.Latency > 30*time.Millisecond {
@@ -72,13 +75,7 @@
 	} {
 		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
 	}
-	r, err := emu.Play(context.Background(), day(t, text).Draw(1), emu.Options{Start: program(t), Dir: t.TempDir()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, b := range r.Breaches {
-		t.Error(b)
-	}
+	r := kept(t, text, program(t))
 	if o := outcomes(r); float64(o[emu.Completed]) < 0.8*float64(len(r.Plan.Requests)) {
 		t.Errorf("%d asked, %v", len(r.Plan.Requests), o)
 	}
@@ -251,13 +248,7 @@
 	} {
 		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
 	}
-	r, err := emu.Play(context.Background(), day(t, text).Draw(1), emu.Options{Start: program(t), Dir: t.TempDir()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, b := range r.Breaches {
-		t.Error(b)
-	}
+	r := kept(t, text, program(t))
 	if len(r.Zones) != 3 || r.Convicted > 0 {
 		t.Fatalf("%+v; %d convicted that nothing had hit", r.Zones, r.Convicted)
 	}
--- a/internal/emu/many.go
+++ b/internal/emu/many.go
@@ -156,44 +156,51 @@
 	}
 }
 
-// heard reads in the proxies' logs when each learnt what, and in what they said what that cost.
-func (p *player) heard(r *Report) {
-	type line struct {
-		At   float64 `json:"ts"`
-		Msg  string  `json:"msg"`
-		Peer string  `json:"peer"`
-	}
-	if !p.plan.Day.Peers.Talk {
-		return
-	}
-	first := map[string]map[int]float64{}
+// logLine is what is read of a line of a proxy's log.
+type logLine struct {
+	At   float64 `json:"ts"` // Unix seconds
+	Msg  string  `json:"msg"`
+	Peer string  `json:"peer"`
+}
+
+// logged calls f with each line of each proxy's log that can be read, in order.
+func (p *player) logged(f func(proxy int, l logLine)) {
 	for i, m := range p.proxies {
 		text, err := os.ReadFile(filepath.Join(m.site.Dir, "log"))
 		if err != nil {
 			continue
 		}
-		began := 0.0
 		for _, raw := range strings.Split(string(text), "\n") {
-			var l line
-			if json.Unmarshal([]byte(raw), &l) != nil {
-				continue
-			}
-			switch {
-			case l.Msg == "started" || strings.HasPrefix(l.Msg, "peers: stood still"):
-				began = l.At
-			case strings.HasPrefix(l.Msg, "peers: caught up") && began > 0:
-				r.CatchUps = append(r.CatchUps, seconds(l.At-began))
-				began = 0
-			case l.Msg == "new on the list":
-				if first[l.Peer] == nil {
-					first[l.Peer] = map[int]float64{}
-				}
-				if _, ok := first[l.Peer][i]; !ok {
-					first[l.Peer][i] = l.At
-				}
+			var l logLine
+			if json.Unmarshal([]byte(raw), &l) == nil {
+				f(i, l)
 			}
 		}
 	}
+}
+
+// heard reads in the proxies' logs when each learnt what, and in what they said what that cost.
+func (p *player) heard(r *Report) {
+	if !p.plan.Day.Peers.Talk {
+		return
+	}
+	first, began := map[string]map[int]float64{}, map[int]float64{}
+	p.logged(func(i int, l logLine) {
+		switch {
+		case l.Msg == "started" || strings.HasPrefix(l.Msg, "peers: stood still"):
+			began[i] = l.At
+		case strings.HasPrefix(l.Msg, "peers: caught up") && began[i] > 0:
+			r.CatchUps = append(r.CatchUps, seconds(l.At-began[i]))
+			began[i] = 0
+		case l.Msg == "new on the list":
+			if first[l.Peer] == nil {
+				first[l.Peer] = map[int]float64{}
+			}
+			if _, ok := first[l.Peer][i]; !ok {
+				first[l.Peer][i] = l.At
+			}
+		}
+	})
 	for _, w := range p.whispers {
 		for i := range p.proxies {
 			at, ok := first[w.node][i]
@@ -376,17 +383,22 @@
 	all.Wait()
 }
 
-// loseZone takes a zone's proxies and nodes away. Where it is not dead it is silent: machines that vanished refuse nothing.
-func (p *player) loseZone(ctx context.Context, b Blow, long time.Duration) {
-	var nodes []*Node
-	hit := p.sides(b)
+// within is the nodes that stand in a zone.
+func (p *player) within(zone string) (nodes []*Node) {
+	in := p.sides(Blow{Trouble: Trouble{Zone: zone}})
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, n := range p.nodes {
-		if hit[n.Name] {
+		if in[n.Name] {
 			nodes = append(nodes, n)
 		}
 	}
-	p.mu.Unlock()
+	return nodes
+}
+
+// loseZone takes a zone's proxies and nodes away. Where it is not dead it is silent: machines that vanished refuse nothing.
+func (p *player) loseZone(ctx context.Context, b Blow, long time.Duration) {
+	nodes, hit := p.within(b.Zone), p.sides(b)
 	end := func() {}
 	if !b.Dead {
 		end = p.ways.begin(cut{loss: 1, reset: true, hits: func(from, to string) bool {
--- a/internal/emu/node.go
+++ b/internal/emu/node.go
@@ -375,6 +375,13 @@
 	return &work{Server: s, cold: cold, coldFrom: coldFrom, times: 1, cores: make(chan struct{}, s.Cores)}
 }
 
+// slower has it take so many times as long as usual.
+func (w *work) slower(times float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.times = times
+}
+
 var errFull = errors.New("the queue is full")
 
 // speed is the part of its usual speed that a node has.
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -576,9 +576,7 @@
 		}
 		set := func(times float64) {
 			for _, n := range hit {
-				n.work.mu.Lock()
-				n.work.times = times
-				n.work.mu.Unlock()
+				n.work.slower(times)
 			}
 		}
 		set(b.Times)
--- a/internal/emu/quarters.go
+++ b/internal/emu/quarters.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -18,14 +17,13 @@
 
 // ZoneHit is what became of a zone that was hit. Times are from the hit, and from its end.
 type ZoneHit struct {
-	Zone          string
-	At, For       time.Duration
-	First, Last   time.Duration // until the first and the last proxy outside had left it; 0: none had
-	Kept          int           // proxies outside that never left it
-	Back          time.Duration // until the last proxy served all of its keys there; 0: it was not seen
-	WorthAt       float64       // part of the value earned of what was asked in the first five seconds,
-	WorthBack     float64       // and in the ten seconds after its end
-	CompletedBack float64       // the same, of requests completed in time
+	Zone        string
+	At, For     time.Duration
+	First, Last time.Duration // until the first and the last proxy outside had left it; 0: none had
+	Kept        int           // proxies outside that never left it
+	Back        time.Duration // until the last proxy served all of its keys there; 0: it was not seen
+	WorthAt     float64       // part of the value earned of what was asked in the first five seconds,
+	WorthBack   float64       // and in the ten seconds after its end
 }
 
 // hit is when a zone was hit, by the wall clock.
@@ -102,21 +100,11 @@
 
 // greyZone has a third of a zone's nodes be slow, and a part of all its answers be failures.
 func (p *player) greyZone(ctx context.Context, b Blow, long time.Duration) {
-	var nodes []*Node
-	in := p.sides(Blow{Trouble: Trouble{Zone: b.Zone}})
-	p.mu.Lock()
-	for _, n := range p.nodes {
-		if in[n.Name] {
-			nodes = append(nodes, n)
-		}
-	}
-	p.mu.Unlock()
+	nodes := p.within(b.Zone)
 	set := func(times, part float64) {
 		for k, n := range nodes {
 			if k%3 == 0 {
-				n.work.mu.Lock()
-				n.work.times = times
-				n.work.mu.Unlock()
+				n.work.slower(times)
 			}
 			if part > 0 {
 				n.Set("fails", part, 0, 0)
@@ -141,37 +129,28 @@
 		open  float64
 	}
 	var turns []turn
-	for i, m := range p.proxies {
-		text, err := os.ReadFile(filepath.Join(m.site.Dir, "log"))
-		if err != nil {
-			continue
+	p.logged(func(i int, l logLine) {
+		said, ok := strings.CutPrefix(l.Msg, "zones: zone ")
+		if !ok {
+			return
 		}
-		for _, raw := range strings.Split(string(text), "\n") {
-			var l struct {
-				At  float64 `json:"ts"`
-				Msg string  `json:"msg"`
-			}
-			if json.Unmarshal([]byte(raw), &l) != nil || !strings.HasPrefix(l.Msg, "zones: zone ") {
-				continue
-			}
-			at := time.UnixMicro(int64(l.At * 1e6))
-			zone, rest, _ := strings.Cut(strings.TrimPrefix(l.Msg, "zones: zone "), ": ")
-			var open float64
-			if n, err := fmt.Sscanf(rest, "%f of its keys are served there", &open); n == 1 && err == nil {
-				turns = append(turns, turn{i, zone, at, open})
+		at := time.UnixMicro(int64(l.At * 1e6))
+		zone, rest, _ := strings.Cut(said, ": ")
+		var open float64
+		if n, err := fmt.Sscanf(rest, "%f of its keys are served there", &open); n == 1 && err == nil {
+			turns = append(turns, turn{i, zone, at, open})
+		}
+		if strings.HasPrefix(rest, "out (") && strings.Contains(rest, " from in,") || strings.HasPrefix(rest, "leaving (") {
+			right := false
+			for _, h := range p.hits {
+				over := h.to.IsZero() || at.Before(h.to.Add(2*time.Second))
+				right = right || h.zone == zone && !h.harmless && at.After(h.from) && over
 			}
-			if strings.HasPrefix(rest, "out (") && strings.Contains(rest, " from in,") || strings.HasPrefix(rest, "leaving (") {
-				right := false
-				for _, h := range p.hits {
-					over := h.to.IsZero() || at.Before(h.to.Add(2*time.Second))
-					right = right || h.zone == zone && !h.harmless && at.After(h.from) && over
-				}
-				if !right {
-					r.Convicted++
-				}
+			if !right {
+				r.Convicted++
 			}
 		}
-	}
+	})
 	for _, h := range p.hits {
 		z := ZoneHit{Zone: h.zone, At: h.from.Sub(p.log.start)}
 		to := h.to
@@ -205,24 +184,23 @@
 			}
 		}
 		start := p.clients.start
-		z.WorthAt, _ = p.worth(h.from.Sub(start), h.from.Add(5*time.Second).Sub(start))
-		z.WorthBack, z.CompletedBack = p.worth(to.Sub(start), to.Add(10*time.Second).Sub(start))
+		z.WorthAt = p.worth(h.from.Sub(start), h.from.Add(5*time.Second).Sub(start))
+		z.WorthBack = p.worth(to.Sub(start), to.Add(10*time.Second).Sub(start))
 		r.Zones = append(r.Zones, z)
 	}
 }
 
-// worth is the part of the value, and of the requests, that was earned in time of what was asked within a span of the day.
-func (p *player) worth(from, to time.Duration) (value, inTime float64) {
-	all, many := 0.0, 0.0
+// worth is the part of the value that was earned in time of what was asked within a span of the day.
+func (p *player) worth(from, to time.Duration) float64 {
+	value, all := 0.0, 0.0
 	for _, q := range p.clients.results {
 		route := p.plan.Day.Routes[q.Request.Route]
 		if q.Request.At < from || q.Request.At >= to || q.Outcome == Left {
 			continue
 		}
-		all, many = all+route.Value, many+1
-		if q.Outcome == Completed && q.Latency <= millis(route.Objective) {
-			value, inTime = value+route.Value, inTime+1
+		if all += route.Value; q.Outcome == Completed && q.Latency <= millis(route.Objective) {
+			value += route.Value
 		}
 	}
-	return value / max(all, 1e-9), inTime / max(many, 1)
+	return value / max(all, 1e-9)
 }
