A busy zone is not passed by: a proxy that judges alone knocks at two of its nodes first

Cause: `deserted` in zones/instance.go took tries that ran to their time for a sign of nobody. Change: a connection that comes up says that somebody is there; a zone in doubt is knocked at, two nodes in twice quiet_ms, early enough that a lost zone is left no later; counters ZonesPassed and ZonesHasty; the log says what convicted. The rig: no connection comes up over a link that is cut (it did, as the kernel took it), and Hasty counts zones passed by alone that nothing had hit.

--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -262,3 +262,21 @@
 		t.Errorf("%d asked, %v", len(r.Plan.Requests), o)
 	}
 }
+
+// A zone whose only node answers later than anybody waits, as in a burst: somebody is there, and no proxy passes the zone by. Then
+// it is cut off from most, so that no connection comes up: those who are cut off do.
+func TestZoneBusy(t *testing.T) {
+	t.Parallel()
+	text := strings.NewReplacer(`"plain"`, `"busy"`, "length_s = 2.0", "length_s = 10.0", `zones = ["a", "b"]`, `zones = ["a", "b", "c"]`, "rate = 150.0", "rate = 90.0",
+		"proxies = 2", "proxies = 3\nzones = { judged = \"alone\" }").Replace(plain)
+	for _, b := range []string{`kind = "zone-grey", at_s = 0.5, for_s = 3.0, zone = "a", times = 500.0`, `kind = "zone-cut", at_s = 4.5, for_s = 4.0, zone = "b"`} {
+		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
+	}
+	r := kept(t, text, program(t))
+	if r.Hasty > 0 || len(r.Zones) != 2 {
+		t.Fatalf("%+v; %d passed by that nothing had hit", r.Zones, r.Hasty)
+	}
+	if busy, cut := r.Zones[0], r.Zones[1]; busy.First > 0 || cut.First == 0 {
+		t.Errorf("busy: %+v; cut off: %+v", busy, cut)
+	}
+}
--- a/internal/emu/node.go
+++ b/internal/emu/node.go
@@ -110,9 +110,20 @@
 	n.dead = false
 	n.mu.Unlock()
 	n.open()
+	n.join(n.world)
 	return nil
 }
 
+// join has a node's connections go over the links of a world.
+func (n *Node) join(w *World) {
+	n.mu.Lock()
+	n.world = w
+	n.mu.Unlock()
+	for proxy, ln := range n.lines {
+		w.ways.guard(ln, n.Name, proxyName(proxy))
+	}
+}
+
 func (n *Node) open() {
 	for proxy, ln := range n.lines {
 		go func() {
@@ -122,6 +133,12 @@
 					return
 				}
 				n.mu.Lock()
+				ways := n.world.ways
+				n.mu.Unlock()
+				if ways.stranger(c, n.Name, proxyName(proxy)) {
+					continue
+				}
+				n.mu.Lock()
 				dead := n.dead
 				if !dead {
 					n.conns[c] = struct{}{}
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -58,6 +58,7 @@
 	CatchUps               []time.Duration // from the start or the going on of a process that had peers until it said that it caught up
 	Zones                  []ZoneHit
 	Convicted              int     // verdicts of out on zones that nothing had hit
+	Hasty                  int     // zones that one proxy passed by alone, and that nothing had hit
 	ColdPeak               float64 // the most that any node took while it was cold, against what it bears
 	BadMute                int     // bad clients that were owed an error or a close and had neither
 }
@@ -233,9 +234,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.mu.Lock()
-	n.world = p.world
-	n.mu.Unlock()
+	n.join(p.world)
 	if origin {
 		n.work = newWork(d.Origin, 0, 1)
 	} else {
--- a/internal/emu/quarters.go
+++ b/internal/emu/quarters.go
@@ -136,17 +136,15 @@
 		}
 		at := time.UnixMicro(int64(l.At * 1e6))
 		zone, rest, _ := strings.Cut(said, ": ")
+		if strings.HasPrefix(rest, "passed by this proxy alone") && !p.cutOff(i, zone, at) {
+			r.Hasty++
+		}
 		var open float64
 		if n, err := fmt.Sscanf(rest, "%f of its keys are served there", &open); n == 1 && err == nil {
 			turns = append(turns, turn{i, zone, at, open})
 		}
 		if strings.HasPrefix(rest, "out (") && strings.Contains(rest, " from in,") || strings.HasPrefix(rest, "leaving (") {
-			right := false
-			for _, h := range p.hits {
-				over := h.to.IsZero() || at.Before(h.to.Add(2*time.Second))
-				right = right || h.zone == zone && !h.harmless && at.After(h.from) && over
-			}
-			if !right {
+			if !slices.ContainsFunc(p.hits, func(h hit) bool { return h.zone == zone && h.may(at) }) {
 				r.Convicted++
 			}
 		}
@@ -190,6 +188,16 @@
 	}
 }
 
+// may tells whether a verdict at that moment may come of the hit.
+func (h *hit) may(at time.Time) bool {
+	return !h.harmless && at.After(h.from) && (h.to.IsZero() || at.Before(h.to.Add(2*time.Second)))
+}
+
+// cutOff tells whether a proxy may find a zone gone at that moment: something had hit the zone, or the proxy's own.
+func (p *player) cutOff(proxy int, zone string, at time.Time) bool {
+	return slices.ContainsFunc(p.hits, func(h hit) bool { return h.may(at) && (h.zone == zone || h.inside[proxy]) })
+}
+
 // worth is the part of the value that was earned in time of what was asked within a span of the day.
 func (p *player) worth(from, to time.Duration) float64 {
 	value, all := 0.0, 0.0
--- a/internal/emu/ways.go
+++ b/internal/emu/ways.go
@@ -19,6 +19,7 @@
 	next    int
 	changed chan struct{}
 	chance  *rand.Rand
+	gates   gates // taken before mu
 }
 
 // cut is a trouble of links, for as long as it lasts.
@@ -37,16 +38,18 @@
 // begin has a trouble hit links until it is ended.
 func (w *Ways) begin(c cut) (end func()) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.next++
 	k := w.next
 	w.cuts[k] = c
 	w.change()
+	w.mu.Unlock()
+	w.turnAll()
 	return func() {
 		w.mu.Lock()
-		defer w.mu.Unlock()
 		delete(w.cuts, k)
 		w.change()
+		w.mu.Unlock()
+		w.turnAll()
 	}
 }
 
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -24,6 +24,7 @@
 	Taken                    atomic.Int64 // exchanges with the id of another that is open
 	Drains                   atomic.Int64 // calls that sent clients away
 	PeerLists, PeerSights    atomic.Int64 // changes of the list, and nodes gone silent or answering, that peers told of
+	ZonesPassed, ZonesHasty  atomic.Int64 // zones passed by on own tries alone, and those of them that answered the first trials
 	Panics                   atomic.Int64
 	// where watched terms would have: decided alike; chosen another node; held what was sent or the other way round;
 	// given up what was not; not given up what was; given it the other final answer; told peers of a node
@@ -46,7 +47,7 @@
 		{"Left", &c.Left}, {"Tries", &c.Tries}, {"Cancelled", &c.Cancelled}, {"Dials", &c.Dials},
 		{"UpstreamOpen", &c.UpstreamOpen}, {"Lists", &c.Lists}, {"Watches", &c.Watches},
 		{"BadClient", &c.BadClient}, {"BadPeer", &c.BadPeer}, {"Taken", &c.Taken}, {"Drains", &c.Drains},
-		{"PeerLists", &c.PeerLists}, {"PeerSights", &c.PeerSights}, {"Panics", &c.Panics},
+		{"PeerLists", &c.PeerLists}, {"PeerSights", &c.PeerSights}, {"ZonesPassed", &c.ZonesPassed}, {"ZonesHasty", &c.ZonesHasty}, {"Panics", &c.Panics},
 		{"WatchSame", &c.WatchSame}, {"WatchNode", &c.WatchNode}, {"WatchHeld", &c.WatchHeld},
 		{"WatchGivenUp", &c.WatchGivenUp}, {"WatchKept", &c.WatchKept}, {"WatchAnswer", &c.WatchAnswer},
 		{"WatchTold", &c.WatchTold},
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -89,6 +89,20 @@
 	p.box.post(func() { p.gone(l) })
 }
 
+// knock sees whether a connection comes up, and keeps it for a try to come.
+func (l *link) knock() {
+	p := l.peer
+	err := error(&wire.Halt{})
+	guarded(p.log, p.mind.count, func() { err = l.dial(&try{}, time.Now().Add(span(p.mind.zones.quick))) })
+	p.mind.box.post(func() { p.mind.zoneDialled(p.node, err == nil) })
+	if err != nil {
+		p.box.post(func() { p.gone(l) })
+		return
+	}
+	p.box.post(func() { p.rest(l) })
+	l.run(l.wait())
+}
+
 // distrust tells of a connection that is ended for what came on it.
 func (l *link) distrust(err error) {
 	l.peer.mind.count.BadPeer.Add(1)
@@ -131,6 +145,9 @@
 			}
 			return brain.Unreachable, nil, false, err
 		}
+		if m.zones != nil && !l.peer.origin {
+			m.box.post(func() { m.zoneDialled(l.peer.node, true) })
+		}
 	}
 	l.conn.SetDeadline(until)
 	switch {
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -135,6 +135,15 @@
 	go t.link.run(t)
 }
 
+// knock opens a connection to see whether one comes up, if there is a socket.
+func (p *peer) knock() {
+	if p.ready.Load() && p.mind.links.take(1) {
+		p.open++
+		p.mind.count.Dials.Add(1)
+		go (&link{peer: p, addr: *p.addr.Load()}).knock()
+	}
+}
+
 // sendQueued looks again whether there are sockets for those that wait.
 func (p *peer) sendQueued() {
 	p.asked = false
@@ -159,9 +168,13 @@
 	if !t.begun {
 		p.mind.box.post(func() { p.mind.ended(t, ending, value, nil) })
 	}
-	if !again {
-		return
+	if again {
+		p.rest(l)
 	}
+}
+
+// rest takes a connection that can carry a try.
+func (p *peer) rest(l *link) {
 	p.idle = append(p.idle, l)
 	if t := p.next(); t != nil {
 		p.send(t)
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -90,12 +90,19 @@
 			if q.tell != nil {
 				q.tell(d.Zone, d.Voice, d.Life)
 			}
+		case zones.Knock:
+			if p := m.peers[d.Node]; p != nil {
+				p.box.offer(p.knock)
+			}
 		case zones.Log:
 			m.log.Info("zones: " + d.Text)
 		}
 	}
 	if len(ds) > 0 || now-q.at > 3000 {
 		q.at = now
+		alone := q.in.Judged()
+		m.count.ZonesPassed.Store(int64(alone.Passed))
+		m.count.ZonesHasty.Store(int64(alone.Hasty))
 		shown := q.in.Shown(zones.Time(now))
 		q.shown.Store(&shown)
 	}
@@ -123,7 +130,9 @@
 	}
 	how := zones.Answered
 	switch {
-	case ending == brain.Silent || ending == brain.Unreachable || ending == brain.Cut:
+	case ending == brain.Unreachable:
+		how = zones.Shut
+	case ending == brain.Silent || ending == brain.Cut:
 		how = zones.Nothing
 	case ending == brain.Undone:
 		how = zones.Undone
@@ -136,6 +145,17 @@
 	q.arm()
 }
 
+// zoneDialled hears whether a new connection to a cache came up.
+func (m *Mind) zoneDialled(n int, up bool) {
+	switch {
+	case m.zones == nil || m.peers[n] == nil || m.peers[n].origin:
+	case up:
+		m.zones.in.Reached(n)
+	default:
+		m.zones.in.Refused(n)
+	}
+}
+
 // ZoneFleet takes who the proxies are; ZoneVoice what one says of a zone, ZoneOrder an operator's word.
 func (m *Mind) ZoneFleet(all []zones.Proxy, behind bool) {
 	m.box.post(func() {
--- a/internal/lab/sum.go
+++ b/internal/lab/sum.go
@@ -121,8 +121,8 @@
 			z.Zone, z.At.Seconds(), z.For.Seconds(), z.First.Seconds()*1000, z.Last.Seconds()*1000, z.Kept, z.Back.Seconds()*1000, z.WorthAt, z.WorthBack)
 	}
 	if r.Plan.Day.Zones.Judged != "" {
-		fmt.Fprintf(&b, "zones judged %s: %d verdicts on zones that nothing had hit; the most a cold node took is %.2f of what it bears\n", r.Plan.Day.Zones.Judged,
-			r.Convicted, r.ColdPeak)
+		fmt.Fprintf(&b, "zones judged %s: %d verdicts on zones that nothing had hit, and %d passed by alone; the most a cold node took is %.2f of what it bears\n", r.Plan.Day.Zones.Judged,
+			r.Convicted, r.Hasty, r.ColdPeak)
 	}
 	if !r.Ran {
 		fmt.Fprintf(&b, "the load itself ran late, by up to %.1f ms: the figures do not count\n", s.LateMS)
--- a/internal/links/zones.go
+++ b/internal/links/zones.go
@@ -155,7 +155,7 @@
 	if f := z.Nodes[k].Answer; f != nil {
 		took, ending = f(i)
 	}
-	if ending == zones.Nothing {
+	if ending == zones.Nothing || ending == zones.Shut {
 		z.Lost++
 	}
 	z.Minds[i].Sent(zones.Time(z.Now), k)
--- a/internal/links/zones_test.go
+++ b/internal/links/zones_test.go
@@ -147,7 +147,7 @@
 			inside := n.Zone / 2
 			n.Answer = func(i int) (replica.Time, zones.Ending) {
 				if side(i) != inside {
-					return replica.Second / 2, zones.Nothing
+					return replica.Second / 2, zones.Shut // none of the old connections, and no new one
 				}
 				return replica.Second / 300, zones.Answered
 			}
--- a/zones/instance.go
+++ b/zones/instance.go
@@ -19,6 +19,7 @@
 const (
 	mostZones = 64 // what is listed beyond is judged node by node, as ever
 	mostNamed = 6  // nodes in a voice
+	mostShut  = 2  // different nodes with which no connection comes up, for a proxy that judges alone
 	mostKept  = 16 // nodes that stay when a zone is left in part
 	mostCover = 8  // different nodes that must be silent, where a zone has twice as many or more
 	longAgo   = 1000 * Second
@@ -52,6 +53,7 @@
 	origin rates
 	flying float64
 	room   float64
+	judged Alone
 	acts   []*Stand // of the zone in hand
 	plans  []*Stand
 	out    []Decision
@@ -90,6 +92,7 @@
 	first   Time // the first of these since that answer
 	run     int  // how many
 	ill     []uint32
+	shut    []uint32 // nodes with which no connection came up, since one did or an answer came
 	rates   rates
 	voices  []*heard // by proxy; emptied as they lapse
 	outside survey
@@ -99,6 +102,8 @@
 	lastOut Time
 	alone   Stand // by own evidence
 	aloneAt Time
+	knocked Time  // at its nodes, last
+	proven  bool  // trials have found it gone still, since this proxy passed it by alone
 	order   Order // of epoch 0: there was none
 	suspect Time  // since when enough speak against it, 0: they do not
 	witness Time  // since when another zone is known to have answered after that, 0: none has
@@ -168,7 +173,7 @@
 	if name == "" || len(z.zones) >= mostZones {
 		return nil
 	}
-	o := &zone{name: name, good: z.now - longAgo, inTime: z.now - longAgo, bad: z.now - longAgo, lastOut: z.now - longAgo, saidAt: z.now - longAgo, since: z.now,
+	o := &zone{name: name, good: z.now - longAgo, inTime: z.now - longAgo, bad: z.now - longAgo, lastOut: z.now - longAgo, knocked: z.now - longAgo, saidAt: z.now - longAgo, since: z.now,
 		told: 1}
 	for r := range z.Regions {
 		if slices.Contains(z.Regions[r].Zones, name) {
@@ -265,8 +270,11 @@
 		} else {
 			o.rates.late++
 		}
-		n.waits, n.ill, n.well, o.good, o.run, o.ill = now, false, now, now, 0, o.ill[:0]
-	case Undone, Nothing:
+		n.waits, n.ill, n.well, o.good, o.run, o.ill, o.shut = now, false, now, now, 0, o.ill[:0], o.shut[:0]
+	case Undone, Nothing, Shut:
+		if how == Shut {
+			z.Refused(at)
+		}
 		if how == Undone && !n.ill && took < z.overdue() {
 			break // its client had gone, or it had no time left: that tells nothing
 		}
@@ -279,6 +287,20 @@
 	}
 }
 
+// Reached notes that a new connection to a cache came up. Somebody is there, however long answers take.
+func (z *Instance) Reached(at int) {
+	if n := z.node(at); n != nil && n.zone != nil {
+		n.zone.shut = n.zone.shut[:0]
+	}
+}
+
+// Refused notes that none came up at a cache.
+func (z *Instance) Refused(at int) {
+	if n := z.node(at); n != nil && n.zone != nil && len(n.zone.shut) < mostShut && !slices.Contains(n.zone.shut, n.hash) {
+		n.zone.shut = append(n.zone.shut, n.hash)
+	}
+}
+
 // overdue is the time after which a try looks unanswered: what answers take and four times how far they stray.
 func (z *Instance) overdue() Time {
 	return min(max(Time(z.took+4*z.strays)+Second/100, z.Shortest/8), z.Shortest)
@@ -377,7 +399,7 @@
 	}
 	if gap > Second { // what was seen before is of then
 		for _, o := range z.zones {
-			o.run, o.ill, o.suspect, o.witness = 0, o.ill[:0], 0, 0
+			o.run, o.ill, o.shut, o.suspect, o.witness = 0, o.ill[:0], o.shut[:0], 0, 0
 		}
 	}
 	for _, n := range z.nodes {
@@ -391,11 +413,33 @@
 	}
 	z.apply()
 	for _, o := range z.zones {
+		if z.wonders(o) {
+			z.knock(o)
+		}
 		z.speak(o)
 	}
 	return z.out
 }
 
+// wonders: tries go unanswered in a zone and nothing has come, yet it is not known whether its nodes are there: open connections
+// tell of no loss, and in a burst no answer comes in time.
+func (z *Instance) wonders(o *zone) bool {
+	return z.Alone && o.alone.State == In && o.stand.State == In && o.run >= 2 && len(o.shut) < min(o.nodes, mostShut) && z.now-o.good >= z.Quiet &&
+		z.now-o.bad < lately && z.now-o.knocked >= 2*z.Quiet
+}
+
+// knock has connections made to two of the nodes that answered nothing.
+func (z *Instance) knock(o *zone) {
+	o.knocked = z.now
+	left := mostShut - len(o.shut)
+	for k, n := range z.nodes {
+		if left > 0 && n != nil && n.zone == o && slices.Contains(o.ill, n.hash) && !slices.Contains(o.shut, n.hash) {
+			left--
+			z.say(Decision{Act: Knock, Node: k})
+		}
+	}
+}
+
 // word is what this proxy has to say of a zone.
 func (z *Instance) word(o *zone) Word {
 	switch {
@@ -800,14 +844,15 @@
 }
 
 // deserted: of this proxy's own tries three, at two nodes or more, went unanswered, nothing has come from there for twice
-// as long as a voice needs, and another zone answers. Where others are here and do not see it so, it takes twice as much:
-// its own way there may be cut.
+// as long as a voice needs, no new connection comes up at two of its nodes, and another zone answers. Where others are here
+// and do not see it so, it takes twice as much: its own way there may be cut. What connects and answers late is busy, and a
+// proxy of little traffic would else pass by whole zones in a burst.
 func (z *Instance) deserted(o *zone) bool {
 	times := 1
 	if z.quorate(o) {
 		times = 2
 	}
-	return z.Alone && o.nodes > 0 && o.run >= 3*times && len(o.ill) >= min(o.nodes/2+1, 3) && z.now-o.good >= 2*Time(times)*z.Quiet &&
+	return z.Alone && o.nodes > 0 && o.run >= 3*times && len(o.ill) >= min(o.nodes/2+1, 3) && len(o.shut) >= min(o.nodes, mostShut) && z.now-o.good >= 2*Time(times)*z.Quiet &&
 		z.now-o.bad < lately && z.othersAnswer(o, o.first) && z.spared(o)
 }
 
@@ -817,14 +862,17 @@
 	} else if o.alone.State == In {
 		o.alone.Flaps = 0
 	}
+	if o.proven = o.alone.State == Returning; !o.proven {
+		z.judged.Passed++
+	}
+	z.log("zone %s: passed by this proxy alone, %d tries unanswered in %.1f s, on %d nodes, no connection at %d; %d of %d proxies are here", o.name,
+		o.run, float64(z.now-o.good)/float64(Second), len(o.ill), len(o.shut), len(z.here), len(z.fleet))
 	z.turn(o, Out, 0)
-	z.log("zone %s: passed by this proxy alone, %d tries unanswered in %.1f s, on %d nodes; %d of %d proxies are here", o.name, o.run,
-		float64(z.now-o.good)/float64(Second), len(o.ill), len(z.here), len(z.fleet))
 }
 
 func (z *Instance) turn(o *zone, s State, step int) {
 	o.alone.State, o.alone.Step, o.aloneAt = s, step, z.now
-	o.rates, o.run, o.ill = rates{at: z.now}, 0, o.ill[:0]
+	o.rates, o.run, o.ill, o.shut = rates{at: z.now}, 0, o.ill[:0], o.shut[:0]
 }
 
 func (z *Instance) tryAlone(o *zone) { z.turn(o, Returning, 1) } // its few tries would else take too long
@@ -843,9 +891,17 @@
 		return
 	}
 	z.turn(o, In, 0)
-	z.log("zone %s: served by this proxy as before", o.name)
+	if o.proven {
+		z.log("zone %s: served by this proxy as before", o.name)
+		return
+	}
+	z.judged.Hasty++
+	z.log("zone %s: served by this proxy as before; its first trials were answered", o.name)
 }
 
+// Judged counts what this proxy judged alone, since its start.
+func (z *Instance) Judged() Alone { return z.judged }
+
 func (s *Stand) open() float64 {
 	switch s.State {
 	case In:
--- a/zones/types.go
+++ b/zones/types.go
@@ -50,9 +50,10 @@
 const (
 	Answered Ending = iota // in time
 	Late                   // too late, or a failure: somebody is there all the same
-	Nothing                // silence, a refusal, a connection that broke
+	Nothing                // silence, or a connection that broke
 	Undone                 // called off, which tells something if it was overdue
 	Unknown                // never sent
+	Shut                   // no connection came up, or it was refused
 )
 
 // Word is what a proxy says of a zone by its own tries.
@@ -134,6 +135,7 @@
 	Bar   Act = iota // Node: Part of its keys pass it by from now on; with Off what is out there is called off
 	Speak            // Voice, of Zone, to peers; it is worth nothing after Life
 	Log              // Text
+	Knock            // Node: see whether a new connection there comes up, and tell by Reached or Refused
 )
 
 // Decision is one thing for the caller to do, in order.
@@ -148,6 +150,12 @@
 	Text  string
 }
 
+// Alone counts what one proxy judged by its own tries alone.
+type Alone struct {
+	Passed int // zones that it passed by
+	Hasty  int // of these, those that answered its first trials: gone for less than Terms.Hold, or never
+}
+
 // Shown is how a zone stands, for operators.
 type Shown struct {
 	Name         string
--- a/zones/zones_test.go
+++ b/zones/zones_test.go
@@ -18,7 +18,7 @@
 //	terms WORD=VALUE ...                 apart, alone=no, region=NAME:ZONE,ZONE, zone=NAME
 //	MS nodes ZONE:N ... [cold=MS]        N nodes in each; those of a later line that has cold started then
 //	MS fleet ZONE:N ... [away=NAME,...] [gone=NAME,...] [behind]     proxies a1, a2 ...
-//	MS try ZONE N answered|late|nothing|undone [took=MS] [nodes=K]    N tries, sent so long before, on the first K nodes in turn
+//	MS try ZONE N answered|late|nothing|undone|shut|reached [took=MS] [nodes=K]    N tries, sent so long before, on the first K nodes in turn
 //	MS sent ZONE N                       N tries that nothing is heard of
 //	MS say ZONE NAME,... for|against|none [ill=K] [well=K] [fine=N] [late=N] [lost=N] [load=FLYING/ROOM] [origin=PART] [ago=MS]
 //	      [stand=EPOCH:STATE[:STEP[:FLAPS]]] [plan=...] [kept: the plan keeps those that are well]
@@ -26,6 +26,7 @@
 //	MS load FLYING ROOM                  its own
 //	MS ticks                             on to here, ten a second
 //	> ZONE STATE [open=PART] [epoch=N] [flaps=N] [step=N] [kept=K] [alone] [barred=N]
+//	> knocked N                          so many connections were asked for since the last such line
 //	> spoke ZONE for|against|none [plan=STATE] | log WORDS | wrong ORDER... : WORDS
 func TestScenarios(t *testing.T) {
 	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
@@ -44,6 +45,7 @@
 	bars  map[int]zones.Decision
 	spoke map[string]zones.Voice
 	logs  []string
+	knock int
 }
 
 func (p *play) fail(format string, args ...any) {
@@ -60,6 +62,8 @@
 			p.bars[d.Node] = d
 		case zones.Speak:
 			p.spoke[d.Zone] = d.Voice
+		case zones.Knock:
+			p.knock++
 		case zones.Log:
 			p.logs = append(p.logs, d.Text)
 		}
@@ -165,9 +169,13 @@
 		}
 		for i := range int(scenario.Num(w[3])) {
 			at := of[i%len(of)]
+			if w[1] == "try" && w[4] == "reached" {
+				p.in.Reached(at)
+				continue
+			}
 			p.in.Sent(p.now, at)
 			if w[1] == "try" {
-				p.in.Ended(p.now, at, map[string]zones.Ending{"answered": zones.Answered, "late": zones.Late, "nothing": zones.Nothing, "undone": zones.Undone}[w[4]], took)
+				p.in.Ended(p.now, at, map[string]zones.Ending{"answered": zones.Answered, "late": zones.Late, "nothing": zones.Nothing, "undone": zones.Undone, "shut": zones.Shut}[w[4]], took)
 			}
 		}
 	case "say":
@@ -216,6 +224,12 @@
 			p.fail("log lines %q: no %q", p.logs, w[1:])
 		}
 		return
+	case "knocked":
+		if p.knock != int(scenario.Num(w[1])) {
+			p.fail("knocked at %d nodes, not %s", p.knock, w[1])
+		}
+		p.knock = 0
+		return
 	case "spoke":
 		v, ok := p.spoke[w[1]]
 		if !ok || v.Word != words[w[2]] || (m["plan"] != "") != (v.Plan != nil) || v.Plan != nil && v.Plan.State != states[m["plan"]] {
