--- a/zones/alone.go
+++ b/zones/alone.go
@@ -7,8 +7,8 @@
 // wonders: tries go unanswered in a zone and nothing has come, yet it is not known whether its nodes are there: open connections
 // tell of no loss, and in a burst no answer comes in time.
 func (z *Instance) wonders(o *zone) bool {
-	return z.Alone && o.alone.State == In && o.stand.State == In && o.run >= 2 && len(o.shut) < min(o.nodes, mostShut) && z.now-o.good >= z.Quiet &&
-		z.now-o.bad < lately && z.now-o.knocked >= 2*z.Quiet
+	return z.Alone && o.stand.State == In && len(o.shut) < min(o.nodes, mostShut) && z.now-o.bad < lately && z.now-o.knocked >= 2*z.Quiet &&
+		(o.alone.State == In && o.run >= 2 && z.now-o.good >= z.Quiet || o.alone.State == Returning && o.run >= 1)
 }
 
 // knock has connections made to two of the nodes that answered nothing.
@@ -57,8 +57,9 @@
 
 func (z *Instance) tryAlone(o *zone) { z.turn(o, Returning, 1) } // its few tries would else take too long
 
+// inVain: trials go unanswered and no connection comes up; one of few tries is soon lost to something else.
 func (z *Instance) inVain(o *zone) bool {
-	return o.run >= 1 && o.bad >= o.aloneAt && o.rates.lost+1 > (o.rates.fine+o.rates.late)/3
+	return o.run >= 1 && o.bad >= o.aloneAt && len(o.shut) > 0 && o.rates.lost+1 > (o.rates.fine+o.rates.late)/3
 }
 
 func (z *Instance) wellAlone(o *zone) bool {
