The list's clock: a call that says nothing at once is broken; a third one fits into six seconds

Need: what a silent watch missed counts as told after 6 s, and 4 s after SIGHUP. Cause: list.go gave the first word of a call the same 3 s as a watch that is out, so that a watch that fell silent and one lost call in its place took 6.2 s and more. Change: the agent is on the same machine and answers at once: 1.2 s for a call's first word. Begun anew by chance as before. Test: discovery-silent-again.txt, which fails with 3 s (the change came after 7 s).

--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -14,8 +14,12 @@
 	"woodproxy/internal/wire"
 )
 
+// The list's clock. Silence means that a call is broken, and it is made anew. What it missed counts as told six seconds after it
+// fell silent, whether or not it came, and four seconds after SIGHUP; so a watch that falls silent and the first call made in its
+// place, silent as well, leave time for one more.
 const (
-	hushOfWatch = 3 * time.Second // a watch says something every two seconds
+	hushOfWatch = 3 * time.Second         // a watch that is out says something every two seconds
+	hushOfCall  = 1200 * time.Millisecond // the agent is on this machine and answers a call at once, or is not there
 	dialOfWatch = time.Second
 	pauseWatch  = 200 * time.Millisecond // before a watch is begun anew, about, and twice as long each time it fails
 	longestWait = 800 * time.Millisecond
@@ -203,7 +207,7 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(w.ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(hushOfWatch))
+	conn.SetDeadline(time.Now().Add(hushOfCall))
 	if _, err := conn.Write(wire.AppendWatch(nil, w.addr, w.since)); err != nil {
 		return err
 	}
@@ -214,11 +218,11 @@
 	l.count.Watches.Add(1)
 	var parse fastjson.Parser
 	for {
-		conn.SetDeadline(time.Now().Add(hushOfWatch))
 		line, err := r.Next()
 		if err != nil {
 			return err
 		}
+		conn.SetDeadline(time.Now().Add(hushOfWatch))
 		if len(line) > 0 {
 			v, err := parse.ParseBytes(line)
 			if err != nil {
