Reads that a cache is late with are copied to the origin while that is quick and has room

The origin answered in 50 ms at the median and 140 at nine in ten all the time, where reads have 260. Ruled out: refused connections (none), the origin (quick), lots (28 sheds), lists. Change: a retriable read that has waited for longer than nearly all answers take gets a second try, at the origin, if its mean says that it still answers in time, it has room and nobody waits, within the budget of repeats.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,10 +27,11 @@
 func New(now Time, t Terms, seed uint64) *Instance {
 	b := &Instance{
 		share: 1 / float64(max(t.Proxies, 1)), aside: t.Aside, mayCancel: t.MayCancel,
+		parallel: t.Parallel && t.Aside,
 		maxTries: max(t.MaxTries, 1), tick: max(t.Tick, 1), cold: t.Cold, coldFrom: t.ColdFrom,
 		pushed: t.FallMultiple, pushedFor: max(t.Fall, 1), beyondPart: t.BeyondShare, ask: t.Ask,
 		askEvery: max(t.AskEvery, second), rough: t.RoughWeights, chance: seed, now: now,
-		fetches: map[uint64]int{}, waiters: map[uint64]int{}, wakeAt: math.MaxInt64, askAt: math.MaxInt64,
+		fetches: map[uint64]int{}, waiters: map[uint64][]int{}, wakeAt: math.MaxInt64, askAt: math.MaxInt64,
 		peers: t.Peers, me: t.Me, comeBack: t.MaxRetryAfter * Time(one(t.RetryAfter)), rateAt: now, began: now,
 		room: 8, spare: 5,
 	}
@@ -119,7 +120,7 @@
 		b.xs = append(b.xs, exchange{place: -1})
 	}
 	x := &b.xs[cx]
-	*x = exchange{Exchange: e, live: true, fresh: true, place: -1, node: -1, ranNode: -1, next: -1,
+	*x = exchange{Exchange: e, live: true, fresh: true, place: -1, node: -1, ranNode: -1,
 		tried: x.tried[:0]}
 	r := &b.routes[e.Route]
 	x.deadline = now + e.Remaining
@@ -229,7 +230,9 @@
 func (b *Instance) Returned(now Time, a Answer) []Decision {
 	b.begin(now)
 	x, n := &b.xs[a.Cx], &b.nodes[a.Node]
-	x.out--
+	if x.out--; x.out == 1 && a.Node == x.node {
+		x.node, x.leg = x.twin, x.leg-1 // the copy has ended, and the first try goes on
+	}
 	n.out--
 	if n.Origin {
 		b.atOrigin--
@@ -274,10 +277,14 @@
 	{idle, func(b *Instance) bool { return b.queued > 0 && b.originRoom() }, (*Instance).takeQueued},
 	{idle, func(b *Instance) bool { return b.askAt <= b.now }, (*Instance).askAgain},
 	// Nothing is owed, or nothing can be done yet.
-	{held, func(b *Instance) bool { return !b.hand.live || b.hand.streaming }, (*Instance).letGo},
+	{held, func(b *Instance) bool { return !b.hand.live || b.hand.streaming },
+		func(b *Instance) { b.hand = nil }},
 	{held, (*Instance).timeUp, (*Instance).giveUp},
 	{held, func(b *Instance) bool { return b.hand.out > 0 && b.leavesZone() }, (*Instance).callOff},
-	{held, func(b *Instance) bool { return b.hand.out > 0 && b.fallsSilent() }, (*Instance).passOver},
+	{held, func(b *Instance) bool { return b.hand.out > 0 && b.fallsSilent() },
+		func(b *Instance) { b.fell(&b.nodes[b.hand.node]) }},
+	{held, func(b *Instance) bool { return b.hand.out == 1 && b.mayCopy() },
+		func(b *Instance) { b.spare--; b.send(b.quietest()) }},
 	{held, func(b *Instance) bool { return b.hand.out > 0 }, (*Instance).waitOn},
 	// What may not or need not be sent again.
 	{held, func(b *Instance) bool { return b.hand.legs >= b.maxTries }, (*Instance).giveUp},
@@ -294,8 +301,10 @@
 	{held, func(b *Instance) bool { return b.hand.missed }, (*Instance).enqueue},
 	// The ring.
 	{held, func(b *Instance) bool { return b.pick == unknown }, (*Instance).look},
-	{held, func(b *Instance) bool { return b.pick >= 0 }, (*Instance).toCache},
-	{held, func(b *Instance) bool { return b.hand.legs == 0 && len(b.origins) > 0 }, (*Instance).noCache},
+	{held, func(b *Instance) bool { return b.pick >= 0 }, func(b *Instance) { b.send(b.pick) }},
+	// What no cache may have is left to the origin: none is on the ring, or all just started.
+	{held, func(b *Instance) bool { return b.hand.legs == 0 && len(b.origins) > 0 },
+		func(b *Instance) { b.hand.missed = true }},
 	{held, func(b *Instance) bool { return true }, (*Instance).giveUp},
 }
 
@@ -361,26 +370,36 @@
 	}
 }
 
-func (b *Instance) letGo() { b.hand = nil }
-
 // waitOn leaves an exchange whose try is out, until that is no longer worth waiting for.
 func (b *Instance) waitOn() {
 	x := b.hand
 	at := min(x.good, x.deadline-b.tick)
 	if !b.nodes[x.node].Origin {
-		// look whether it is overdue, and again if nothing could be told then, for want of other answers
-		long := b.long()
-		if at = min(at, x.sent+long); at <= b.now {
-			at = min(x.good, x.deadline-b.tick, b.now+long)
+		// look whether it may be copied, whether it is overdue, and again if nothing could be told then
+		for _, late := range [...]Time{x.sent + b.long(2), x.sent + b.long(4), b.now + b.long(4)} {
+			if late > b.now {
+				at = min(at, late)
+				break
+			}
 		}
 	}
 	b.remind(b.at, at)
 	b.hand = nil
 }
 
-// long is the time after which a cache's answer is overdue: the caches' mean and four times their straying,
-// and never past the shortest objective.
-func (b *Instance) long() Time { return min(Time(b.took+4*b.strays)+b.tick, b.hush) }
+// long is the time after which a cache's answer is missed: the caches' mean and so many times their straying,
+// nearly all at two and overdue at four, and never past the shortest objective.
+func (b *Instance) long(times float64) Time { return min(Time(b.took+times*b.strays)+b.tick, b.hush) }
+
+// mayCopy holds for a read that a cache has not answered in the time that nearly all take, while the origin
+// has room and would still answer in time: with little traffic each proxy meets each silent or jammed node
+// for the first time, and loses a request by that.
+func (b *Instance) mayCopy() bool {
+	x := b.hand
+	return b.parallel && x.Keyed && !x.Write && !x.missed && !b.nodes[x.node].Origin && x.legs < b.maxTries &&
+		b.routes[x.Route].Effect == Retriable && b.spare >= 1 && b.now >= x.sent+b.long(2) &&
+		b.now+Time(b.fetch) < x.good && b.queued == 0 && b.originRoom()
+}
 
 // fallsSilent holds when a cache has answered nothing since the try in hand was sent, for as long as an
 // answer may take, while another cache has answered: a node that takes work and does none, or is cut off.
@@ -391,7 +410,7 @@
 }
 
 func (b *Instance) overdue(n *node) bool {
-	return n.quiet <= b.hand.sent && b.now-b.hand.sent >= b.long()
+	return n.quiet <= b.hand.sent && b.now-b.hand.sent >= b.long(4)
 }
 
 // barred holds for a node that the key in hand passes by, since its zone is left in whole or in part.
@@ -410,11 +429,9 @@
 
 func (b *Instance) callOff() {
 	b.hand.off = true // once for a try; no sign of too much work, so that its repeat is not of those bounded
-	b.say(Decision{Act: Cancel, Cx: b.at, Leg: b.hand.legs - 1})
+	b.say(Decision{Act: Cancel, Cx: b.at, Leg: b.hand.leg})
 }
 
-func (b *Instance) passOver() { b.fell(&b.nodes[b.hand.node]) }
-
 // timeUp holds when an answer would come too late to be worth anything, or the overall timeout is upon us.
 func (b *Instance) timeUp() bool { return b.now >= min(b.hand.good, b.hand.deadline-b.tick) }
 
@@ -453,8 +470,8 @@
 	} else {
 		b.say(Decision{Act: Shed, Cx: b.at, After: b.advice()})
 	}
-	if x.out > 0 && b.mayCancel {
-		b.say(Decision{Act: Cancel, Cx: b.at, Leg: x.legs - 1})
+	for leg := x.leg; leg > x.leg-x.out && b.mayCancel; leg-- {
+		b.say(Decision{Act: Cancel, Cx: b.at, Leg: leg})
 	}
 	b.close(b.at)
 	b.hand = nil
@@ -530,11 +547,7 @@
 func (b *Instance) join() {
 	x := b.hand
 	x.joined, x.waits = true, true
-	x.next = -1
-	if w, ok := b.waiters[x.Key]; ok {
-		x.next = w
-	}
-	b.waiters[x.Key] = b.at
+	b.waiters[x.Key] = append(b.waiters[x.Key], b.at)
 	b.remind(b.at, min(b.now+(x.good-b.now)/2, x.deadline-b.tick))
 	b.hand = nil
 }
@@ -542,38 +555,22 @@
 func (b *Instance) unwait(cx int) {
 	x := &b.xs[cx]
 	x.waits = false
-	at := b.waiters[x.Key]
-	if at == cx {
-		if x.next < 0 {
-			delete(b.waiters, x.Key)
-		} else {
-			b.waiters[x.Key] = x.next
-		}
-		return
-	}
-	for b.xs[at].next != cx {
-		at = b.xs[at].next
-	}
-	b.xs[at].next = x.next
+	w := b.waiters[x.Key]
+	b.waiters[x.Key] = slices.DeleteFunc(w, func(at int) bool { return at == cx })
 }
 
-// noCache leaves to the origin what no cache may have: none on the ring, or all just started.
-func (b *Instance) noCache() { b.hand.missed = true }
-
 // landed lets those go on that waited for a fetch; they ask the cache, which now holds the answer.
 func (b *Instance) landed(x *exchange) {
 	x.leads = false
 	delete(b.fetches, x.Key)
-	w, ok := b.waiters[x.Key]
-	delete(b.waiters, x.Key)
-	for ok && w >= 0 {
+	for _, w := range slices.Backward(b.waiters[x.Key]) {
 		o := &b.xs[w]
 		o.waits, o.missed = false, false
 		o.tried = o.tried[:0]
 		b.forget(w)
 		b.todo = append(b.todo, w)
-		w = o.next
 	}
+	delete(b.waiters, x.Key)
 }
 
 func (b *Instance) originRoom() bool {
@@ -614,13 +611,19 @@
 	}
 }
 
-func (b *Instance) toOrigin() {
+// quietest is the origin with the fewest own tries out, -1: none may have the exchange in hand.
+func (b *Instance) quietest() int {
 	best := -1
 	for _, o := range b.origins {
 		if b.inGroup(o) && (best < 0 || b.nodes[o].out < b.nodes[best].out) {
 			best = o
 		}
 	}
+	return best
+}
+
+func (b *Instance) toOrigin() {
+	best := b.quietest()
 	if best < 0 {
 		b.giveUp()
 		return
@@ -631,8 +634,6 @@
 	b.send(best)
 }
 
-func (b *Instance) toCache() { b.send(b.pick) }
-
 // send starts an upstream try; its time-out is what is left of the time worth waiting.
 func (b *Instance) send(to int) {
 	x := b.hand
@@ -649,6 +650,7 @@
 	}
 	n.out++
 	x.out++
+	x.leg, x.twin = x.legs, x.node
 	x.legs++
 	x.node, x.sent = to, b.now
 	x.tried = append(x.tried, to)
@@ -893,9 +895,9 @@
 			b.room += max(b.room*0.002, 0.02)
 		}
 		b.slows(n, float64(a.Took), 0.25)
-		off := float64(a.Took) - b.took
-		b.took += off / 32
-		b.strays += (math.Abs(off) - b.strays) / 32
+		b.timed = min(b.timed+1, 32) // the first ones count for more: with little traffic 32 take seconds
+		b.took += (float64(a.Took) - b.took) / b.timed
+		b.strays += (math.Abs(float64(a.Took)-b.took) - b.strays) / max(b.timed, 4)
 	}
 	if n.Origin && b.limit < 1 {
 		// of many proxies, one try of each at a time is more than a loaded origin answers
@@ -918,21 +920,17 @@
 		if a.Ending != NoRoom {
 			n.answers++
 			b.count(1)
+			bad := one(a.Ending == Fault)
+			n.faults += (bad - n.faults) / 8
+			b.faults += (bad - b.faults) / 64
 		}
-		if n.down && a.Ending != Fault {
+		if a.Ending == Fault && n.faults > 0.4 && n.faults > 2*b.faults {
+			b.fell(n) // it fails much of its work, and the others do not
+		} else if n.down && a.Ending != Fault {
 			n.down, n.rest = false, 0
 			b.log("node %d answers again", n.Node)
 		}
 	}
-	if alive && a.Ending != NoRoom && !n.Origin {
-		bad := one(a.Ending == Fault)
-		n.faults += (bad - n.faults) / 8
-		b.faults += (bad - b.faults) / 64
-		if bad == 1 && n.faults > 0.4 && n.faults > 2*b.faults {
-			// it fails much of its work, and the others do not
-			b.fell(n)
-		}
-	}
 	if a.Ending == Unreachable && !n.Origin || (a.Ending == Silent || a.Ending == Undone) && n.down &&
 		n.quiet <= x.sent && b.now >= n.retryAt { // the latter is a trial in vain
 		b.fell(n)
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -17,7 +17,7 @@
 //	MS arrive CX ROUTE [key=N] [left=MS] [write] [repeat] [tenant=N]
 //	MS each FROM-TO ROUTE [left=MS] [write] [repeat]    one exchange for each index, keys alike to it
 //	MS rounds N FROM-TO ROUTE every=MS took=MS    all of them arrive, are sent and completed, N times
-//	MS end CX ENDING [took=MS] [over]        the last try of CX ended
+//	MS end CX ENDING [took=MS] [over] [at=NODE]    the last try of CX ended, or that which is out at a node
 //	MS left CX | wake | failed | streaming CX
 //	MS heard NODE silent|answers             from a peer
 //	MS bar NODE PART [off]                   its zone is left; what is out there is called off
@@ -107,7 +107,11 @@
 		}
 	case "end":
 		for cx, to := span(w[2]); cx <= to; cx++ {
-			p.take(p.mind.Returned(now, brain.Answer{Cx: cx, Node: p.last[cx].Node, Ending: endings[w[3]],
+			at := p.last[cx].Node
+			if m["at"] != "" {
+				at = p.nodes[p.name(m["at"])]
+			}
+			p.take(p.mind.Returned(now, brain.Answer{Cx: cx, Node: at, Ending: endings[w[3]],
 				Took: ms(m["took"]), Ended: m["over"] != ""}))
 		}
 	case "heard":
@@ -157,6 +161,8 @@
 			t.MaxTries = int(scenario.Num(v))
 		case "cancel":
 			t.MayCancel = true
+		case "parallel":
+			t.Parallel = true
 		case "ask":
 			t.Ask, t.AskEvery = true, ms(v)
 		case "through":
--- a/brain/state.go
+++ b/brain/state.go
@@ -6,6 +6,7 @@
 	share      float64 // 1/proxies
 	aside      bool
 	mayCancel  bool
+	parallel   bool // two tries of an exchange may be out at once
 	maxTries   int
 	comeBack   Time // longest advice to clients, 0: none
 	tick       Time
@@ -44,11 +45,11 @@
 	pick     int // node chosen for it, -1: none
 	queue    [2][]int
 	queued   int
-	fetches  map[uint64]int // by key: the exchange whose fetch is out; emptied as fetches end
-	waiters  map[uint64]int // by key: the first that waits for it; emptied with the fetch
-	limit    float64        // own tries in flight at the origin; under one, they come with pauses
-	least    float64        // the limit's floor
-	originAt Time           // no try there before
+	fetches  map[uint64]int   // by key: the exchange whose fetch is out; emptied as fetches end
+	waiters  map[uint64][]int // by key: those that wait for it; emptied with the fetch
+	limit    float64          // own tries in flight at the origin; under one, they come with pauses
+	least    float64          // the limit's floor
+	originAt Time             // no try there before
 	atOrigin int
 	lean     float64 // half of what the limit begins at
 	tight    bool    // the origin's limit is all but down, for the log
@@ -64,6 +65,7 @@
 	lastCome Time    // last answer of any cache
 	took     float64 // mean time of the caches' answers, and how far they stray from it
 	strays   float64
+	timed    float64 // answers that these are of, 32 at most
 	answered float64 // the caches' answers, those of long ago faded
 	rateAt   Time
 	began    Time
@@ -133,9 +135,10 @@
 	place     int  // in the heap, -1: none
 	legs      int  // tries sent
 	out       int  // tries in flight
-	node      int  // of the last try
+	node      int  // of the last try that is out, or was,
+	leg       int  // its number,
+	twin      int  // and the node of the one before it
 	sent      Time
 	beyond    bool
 	tried     []int
-	next      int // of those that wait for the same fetch
 }
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -137,6 +137,7 @@
 		Punctual:       c.number(may, "goal", "punctual") > 0,
 		Aside:          c.text(may, "family-info", "mode") == "aside",
 		MayCancel:      c.flag("limits", "may-cancel"),
+		Parallel:       c.flag("limits", "parallel-tries"),
 		MaxTries:       c.whole(1, 1e6, "limits", "max-upstream-tries"),
 		RetryAfter:     c.flag("limits", "retry-after"),
 		MaxRetryAfter:  c.time(may, "limits", "max-retry-after"),
