The rig's rules get the operators' clocks: silence, agents that are ahead, cold nodes by N + 3 sqrt N + 3

Need: the emulator counted a change as told when it was written, so that a watch that fell silent could hide a drain for ever, and a cold node's fall without the allowance for chance or for those who had not been told. Change: what discovery has to tell counts as told after 6 s unless it was overtaken, and what an agent has counts from a process's first moment; troubles hush (watches that are out fall silent) and agent-ahead; a cold node falls beyond N + 3 sqrt N + 3, and that breaks the rule where over two thirds came from proxies that knew. Tests: TestListClock (hush and agent-ahead keep the rule, a discovery that is deaf for nine seconds breaks it).

--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -135,7 +135,7 @@
 var kinds = map[string]struct{ nodes, times, part, rate, zone, some bool }{
 	"silent": {nodes: true}, "slow": {nodes: true, times: true}, "failing": {nodes: true, part: true},
 	"cold": {nodes: true}, "replace": {nodes: true}, "reset": {nodes: true, part: true}, "garbled": {nodes: true, part: true}, "halves": {nodes: true, part: true},
-	"stale": {some: true}, "deaf": {some: true}, "refusing": {some: true}, "origin-slow": {times: true}, "kill": {nodes: true}, "restart": {nodes: true},
+	"stale": {some: true}, "deaf": {some: true}, "hush": {some: true}, "agent-ahead": {nodes: true}, "refusing": {some: true}, "origin-slow": {times: true}, "kill": {nodes: true}, "restart": {nodes: true},
 	"bad-clients": {rate: true}, "slow-clients": {nodes: true},
 	"part": {nodes: true}, "one-way": {nodes: true}, "lossy": {part: true}, "pause": {nodes: true}, "mass-kill": {nodes: true},
 	"zone-cut": {zone: true}, "zone-lost": {zone: true}, "zone-grey": {zone: true, times: true, part: true}, "whisper": {nodes: true}, "link": {part: true},
@@ -146,7 +146,7 @@
 
 // ofProxies are the troubles that befall proxies or come of clients.
 var ofProxies = map[string]bool{"kill": true, "restart": true, "part": true, "one-way": true, "pause": true, "mass-kill": true,
-	"deaf": true, "stale": true, "refusing": true}
+	"deaf": true, "stale": true, "refusing": true, "hush": true, "agent-ahead": true}
 
 // ReadDay reads and checks a day's file. An error is one line that names the file, and the line or key.
 func ReadDay(file string) (*Day, error) {
--- a/internal/emu/discovery.go
+++ b/internal/emu/discovery.go
@@ -36,6 +36,7 @@
 	mu      sync.Mutex
 	news    [][]Row // by version, the first whole
 	mood    Mood
+	hushed  int // how often those watches that were out have fallen silent
 	stale   bool
 	held    [][]Row // what is not told yet
 	changed chan struct{}
@@ -94,6 +95,57 @@
 
 func (d *Discovery) say(rows []Row) {
 	d.news = append(d.news, rows)
+	if d.log != nil && len(d.news) > 1 {
+		time.AfterFunc(ToldAfter, func() { d.due(rows) })
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// due notes what counts as told by now, though nobody may have heard it, unless it was overtaken.
+func (d *Discovery) due(rows []Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, row := range rows {
+		if last := d.last(row.Name); last != nil && *last == row {
+			d.log.See(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
+		}
+	}
+}
+
+// last is a node's latest line.
+func (d *Discovery) last(name string) *Row {
+	for i := len(d.news) - 1; i >= 0; i-- {
+		for k := range d.news[i] {
+			if d.news[i][k].Name == name {
+				return &d.news[i][k]
+			}
+		}
+	}
+	return nil
+}
+
+// Ahead notes what the agent has already as a process starts: it counts as told from that process's first moment, whether or not a
+// watch is open.
+func (d *Discovery) Ahead() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	seen := map[string]bool{}
+	for i := len(d.news) - 1; i >= 0; i-- {
+		for _, row := range d.news[i] {
+			if !seen[row.Name] && row.Status != "active" {
+				d.log.See(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
+			}
+			seen[row.Name] = true
+		}
+	}
+}
+
+// Hush has the watches that are out fall silent and stay open; those begun from now on speak.
+func (d *Discovery) Hush() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hushed++
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -137,9 +189,15 @@
 	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
 	d.Calls.Add(1)
 	at, begun := max(since-1, 0), false
+	d.mu.Lock()
+	hushed := d.hushed
+	d.mu.Unlock()
 	for {
 		d.mu.Lock()
 		mood, changed := d.mood, d.changed
+		if d.hushed > hushed {
+			mood = "silent"
+		}
 		news := d.news[min(at, len(d.news)):]
 		d.mu.Unlock()
 		switch mood {
--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -280,3 +280,27 @@
 		t.Errorf("busy: %+v; cut off: %+v", busy, cut)
 	}
 }
+
+// The list's clock: a watch that falls silent is broken, and what it misses counts as told six seconds later; an agent may have a
+// change before its proxy starts. Whom discovery tells nothing at all breaks the rule, which shows that it is looked at.
+func TestListClock(t *testing.T) {
+	t.Parallel()
+	text := strings.Replace(plain, "length_s = 2.0", "length_s = 10.0", 1)
+	play := func(name string, blows ...string) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			day := text
+			for _, b := range blows {
+				day += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
+			}
+			got := rules(play(t, day, program(t)))
+			if fires := got[emu.DrainRule] > 0; fires != (name == "deaf") || len(got) > 1 {
+				t.Errorf("%v", got)
+			}
+		})
+	}
+	leaves := `kind = "replace", at_s = 0.8, for_s = 0.1, nodes = 1, leave_ms = 9500.0`
+	play("hush", `kind = "hush", at_s = 0.5, for_s = 0.0`, leaves)
+	play("deaf", `kind = "deaf", at_s = 0.5, for_s = 9.0`, leaves)
+	play("agent-ahead", `kind = "agent-ahead", at_s = 1.0, for_s = 3.0, nodes = 1`)
+}
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -428,6 +428,7 @@
 	if twice {
 		return nil
 	}
+	p.found[i].Ahead()
 	now, err := p.o.Start(m.site)
 	if err != nil {
 		return err
@@ -618,6 +619,25 @@
 		for _, i := range b.Hits {
 			p.found[i].Stale(false)
 		}
+	case "hush":
+		for _, i := range b.Hits {
+			p.found[i].Hush()
+		}
+	case "agent-ahead":
+		p.mu.Lock()
+		n := p.nodes[b.Hits[0]%len(p.nodes)]
+		p.mu.Unlock()
+		for _, i := range b.Hits {
+			p.end(i, nil, "killed")
+		}
+		p.say(n, "leaving")
+		for _, i := range b.Hits {
+			if ctx.Err() != nil || p.start(ctx, i) != nil {
+				return
+			}
+		}
+		sleep(ctx, long)
+		p.say(n, "active")
 	case "deaf", "refusing":
 		mood := map[string]Mood{"deaf": "silent", "refusing": "full"}[b.Kind]
 		for _, i := range b.Hits {
--- a/internal/emu/rules.go
+++ b/internal/emu/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"time"
 )
@@ -21,8 +22,9 @@
 const (
 	Slack        = 50 * time.Millisecond
 	DrainGrace   = 300 * time.Millisecond
-	FallFor      = time.Second // a cold node may be sent FallMultiple times what it can do for this long
-	FallMultiple = 3.0
+	FallFor      = time.Second     // a cold node may be sent FallMultiple times what it can do for this long: N; it falls beyond
+	FallMultiple = 3.0             // N + 3 sqrt N + 3, and that is a proxy's fault if two thirds came from such as knew of its start
+	ToldAfter    = 6 * time.Second // what discovery has to tell counts as told then, whether or not it came
 )
 
 // Breach is a rule that was broken, with what was seen of the request, if it is one's.
@@ -50,7 +52,7 @@
 
 func check(d *Day, requests []Request, all []Seen) ([]Breach, float64) {
 	c := checker{day: d, routes: map[string]Route{}, asked: map[string]Seen{}, answers: map[string]int{}, over: map[string]bool{},
-		ran: map[string]int{}, told: map[spot]time.Duration{}, began: map[string]Seen{}, took: map[string][]time.Duration{},
+		ran: map[string]int{}, told: map[spot]time.Duration{}, began: map[string]Seen{}, took: map[string][]sent{}, starts: map[spot]bool{},
 		pushed: map[string]bool{}, ended: map[int][]time.Duration{}, paused: map[int][]time.Duration{}, shares: map[int][]Seen{}}
 	for _, r := range requests {
 		c.routes[r.ID] = d.Routes[r.Route]
@@ -76,6 +78,11 @@
 	return c.found, c.cold
 }
 
+type sent struct {
+	at    time.Duration
+	knows bool // its proxy had been told of the node's start
+}
+
 type spot struct {
 	proxy int
 	node  string
@@ -90,7 +97,8 @@
 	ran      map[string]int
 	told     map[spot]time.Duration // since when a node drains, for a proxy
 	began    map[string]Seen        // nodes, when they started cold
-	took     map[string][]time.Duration
+	took     map[string][]sent      // by node, of the last FallFor
+	starts   map[spot]bool          // a node's latest start is known to a proxy
 	pushed   map[string]bool
 	ended    map[int][]time.Duration // when processes were killed
 	shares   map[int][]Seen          // by proxy that runs, of the last second
@@ -134,12 +142,18 @@
 		at := spot{s.Proxy, s.Node}
 		if _, drains := c.told[at]; s.Note == "active" {
 			delete(c.told, at)
+			c.starts[at] = true
 		} else if !drains {
 			c.told[at] = s.At
 		}
 	case Began:
 		c.began[s.Node] = s
 		c.took[s.Node] = nil
+		for at := range c.starts {
+			if at.node == s.Node {
+				delete(c.starts, at)
+			}
+		}
 	case Shared:
 		c.shared(s)
 	case Ended:
@@ -184,20 +198,30 @@
 	if !cold || c.pushed[s.Node] || s.At > b.At+seconds(c.day.Fleet.Cold) {
 		return
 	}
-	times := append(c.took[s.Node], s.At)
-	for times[0] < s.At-FallFor {
-		times = times[1:]
+	all := append(c.took[s.Node], sent{s.At, c.starts[spot{s.Proxy, s.Node}]})
+	for all[0].at < s.At-FallFor {
+		all = all[1:]
 	}
-	c.took[s.Node] = times
+	c.took[s.Node] = all
 	part := c.day.Fleet.ColdFrom
 	if cold := seconds(c.day.Fleet.Cold); cold > 0 {
 		part += (1 - part) * float64(s.At-b.At) / float64(cold)
 	}
-	most := FallMultiple * part * b.Figure * FallFor.Seconds()
-	if c.cold = max(c.cold, float64(len(times))/most); float64(len(times)) > most {
-		c.pushed[s.Node] = true
-		c.broke(ColdRule, Seen{At: s.At}, "node %s, cold for %v, took %d commands in %v; %.0f are allowed", s.Node, s.At-b.At,
-			len(times), FallFor, most)
+	mean := FallMultiple * part * b.Figure * FallFor.Seconds()
+	most := mean + 3*math.Sqrt(mean) + 3
+	if c.cold = max(c.cold, float64(len(all))/most); float64(len(all)) <= most {
+		return
+	}
+	c.pushed[s.Node] = true // it lies there, and what comes after that tells nothing
+	knew := 0
+	for _, s := range all {
+		if s.knows {
+			knew++
+		}
+	}
+	if 3*knew > 2*len(all) {
+		c.broke(ColdRule, Seen{At: s.At}, "node %s, cold for %v, took %d commands in %v, %d of them from proxies that knew; %.0f are allowed", s.Node,
+			s.At-b.At, len(all), FallFor, knew, most)
 	}
 }
 
