Lists may come indented: a watch reads an object over as many lines as it takes

Change: lines are gathered while an object stands open; an empty line amid one, which says that nothing changes, is bad bytes as before. Test: TestWatchIndented, which fails before (the first line came alone).

--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -95,10 +96,31 @@
 	return append(append(append(b, " HTTP/1.1\r\nHost: "...), host...), "\r\n\r\n"...)
 }
 
-// Watch reads what a watch sends, a line at a time.
+// Watch reads what a watch sends, a line at a time, or an object over several lines where it comes indented.
 type Watch struct {
-	lines *bufio.Reader
-	long  []byte
+	lines  *bufio.Reader
+	long   []byte
+	depth  int // of the object that has begun, 0: none has, or it has ended
+	quoted bool
+	bare   bool // the byte behind a backslash comes next
+}
+
+// nest follows how deep an object stands open.
+func (w *Watch) nest(part []byte) {
+	for _, c := range part {
+		switch {
+		case w.bare:
+			w.bare = false
+		case w.quoted:
+			w.quoted, w.bare = c != '"', c == '\\'
+		case c == '"':
+			w.quoted = true
+		case c == '{' || c == '[':
+			w.depth++
+		case c == '}' || c == ']':
+			w.depth--
+		}
+	}
 }
 
 // ReadWatch takes the head of the answer to a request for a watch.
@@ -115,13 +137,17 @@
 	return &Watch{lines: bufio.NewReaderSize(&Chunks{in: r}, 4<<10)}, nil
 }
 
-// Next returns the next line without its end; it is empty while nothing changes.
+// Next returns the next object, or line, without its end; it is empty while nothing changes.
 func (w *Watch) Next() ([]byte, error) {
-	w.long = w.long[:0]
+	w.long, w.depth, w.quoted, w.bare = w.long[:0], 0, false, false
 	for {
 		part, err := w.lines.ReadSlice('\n')
+		w.nest(part)
 		w.long = append(w.long, part...)
 		switch {
+		case err == nil && w.depth > 0 && len(bytes.TrimRight(part, "\r\n")) == 0:
+			return nil, bad("a list that breaks off") // by the line that says that nothing changes
+		case err == nil && w.depth > 0 && len(w.long) <= maxList:
 		case err == nil:
 			for len(w.long) > 0 && (w.long[len(w.long)-1] == '\n' || w.long[len(w.long)-1] == '\r') {
 				w.long = w.long[:len(w.long)-1]
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -210,6 +210,27 @@
 	}
 }
 
+// A list may come indented, in a watch as well; one that breaks off is no list.
+func TestWatchIndented(t *testing.T) {
+	read := func(body string) *Watch {
+		w, err := ReadWatch(bufio.NewReader(strings.NewReader(fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return w
+	}
+	list := "{\r\n  \"index\": 41,\n  \"endpoints\": [\n    {\"name\": \"a } \\\" {\"}\n  ]\n}"
+	w := read(list + "\n\n" + `{"index":42}` + "\n")
+	for _, want := range []string{list, "", `{"index":42}`} {
+		if line, err := w.Next(); err != nil || string(line) != want {
+			t.Errorf("%q: %v", line, err)
+		}
+	}
+	if line, err := read("{\n\"index\":\n\n").Next(); !errors.Is(err, ErrBytes) {
+		t.Errorf("%q: %v", line, err)
+	}
+}
+
 // Whatever comes, nothing panics, no more is taken than came, and what is understood is understood again.
 func FuzzBytes(f *testing.F) {
 	f.Add("*4\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$7\r\nc=x,d=5\r\n")
