A limit at the origin that fell by silence is had back by half with the first answer that is not late

Change: brain.go keeps the limit of when the origin last answered; the first answer within the time that counts as late gives half back.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -189,7 +189,7 @@
 	b.begin(now)
 	by := part / b.share
 	b.share, b.least, b.lean = part, min(1, 8*part), min(4, max(16*part, 1))/2
-	b.limit = min(max(b.limit*by, b.least), 256)
+	b.limit, b.held = min(max(b.limit*by, b.least), 256), b.held*by
 	for i := range b.allowance {
 		b.allowance[i] *= by
 	}
@@ -858,6 +858,7 @@
 		// with many proxies one asks the origin once in a second or two, and would learn of a jam when it is over
 		b.fetch += (float64(a.Took) - b.fetch) * weight(1.0/16, b.now-b.fetchAt, 4*second)
 		b.fetchAt = b.now
+		b.limit = max(b.limit, b.held/2*one(a.Took <= 2*b.originAim)) // silence tells of the way there
 	}
 	if !n.Origin && !x.missed && !((a.Ending == Silent || a.Ending == Undone) && n.down) {
 		b.lates += (one(late) - b.lates) * weight(1.0/64, b.now-b.latesAt, 10*second)
@@ -899,6 +900,7 @@
 		b.took += (float64(a.Took) - b.took) / b.timed
 		b.strays += (math.Abs(float64(a.Took)-b.took) - b.strays) / max(b.timed, 4)
 	}
+	b.held += (b.limit - b.held) * one(n.Origin && a.Ending == Completed)
 	if n.Origin && b.limit < 1 {
 		// of many proxies, one try of each at a time is more than a loaded origin answers
 		b.originAt = b.now + Time((1/b.limit-1)*float64(b.originAim))
--- a/brain/state.go
+++ b/brain/state.go
@@ -49,6 +49,7 @@
 	waiters  map[uint64][]int // by key: those that wait for it; emptied with the fetch
 	limit    float64          // own tries in flight at the origin; under one, they come with pauses
 	least    float64          // the limit's floor
+	held     float64          // the limit when the origin last answered
 	originAt Time             // no try there before
 	atOrigin int
 	lean     float64 // half of what the limit begins at
