The list's clock: a call that says nothing is made anew at once, so that one is always out

Ruled out: the module (no send to a node that its list did not have), proxies that started anew (the first at 11.14 s, before the kills). Change: after silence the next call is out at once, each waiting 0.9 to 1.5 s by chance; pauses stay for calls that are refused.

--- a/internal/emu/discovery.go
+++ b/internal/emu/discovery.go
@@ -23,7 +23,8 @@
 		r.Name, r.Address, r.Zone, r.Kind, r.Status, r.Since)
 }
 
-// Mood is how discovery meets who watches: "" well, silent, cut, garbled, or full (turns each away).
+// Mood is how discovery meets who watches: "" well, silent (for good to those who ask meanwhile), down (until it is well again),
+// cut, garbled, or full (turns each away).
 type Mood string
 
 // Discovery is a stand-in for the agent on one proxy's machine.
@@ -204,6 +205,13 @@
 		case "silent":
 			<-r.Context().Done() // a watch that fell silent stays so
 			return
+		case "down":
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return
+			}
 		case "full":
 			if !begun { // a watch that is out ends
 				w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"os"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -14,12 +15,13 @@
 	"woodproxy/internal/wire"
 )
 
-// The list's clock. Silence means that a call is broken, and it is made anew. What it missed counts as told six seconds after it
-// fell silent, whether or not it came, and four seconds after SIGHUP; so a watch that falls silent and the first call made in its
-// place, silent as well, leave time for one more.
+// The list's clock. Silence means that a call is broken, and it is made anew at once. What it missed counts as told six seconds
+// after it fell silent, whether or not it came, and four seconds after SIGHUP; so a watch that falls silent and the first call made
+// in its place, silent as well, leave time for more. What the agent has counts from when it has it, outage or not: so there is
+// always a call out that it can answer as soon as it speaks again, and nobody pauses between silent ones.
 const (
 	hushOfWatch = 3 * time.Second         // a watch that is out says something every two seconds
-	hushOfCall  = 1200 * time.Millisecond // the agent is on this machine and answers a call at once, or is not there
+	hushOfCall  = 1200 * time.Millisecond // about; the agent is on this machine and answers a call at once, or is not there
 	dialOfWatch = time.Second
 	pauseWatch  = 200 * time.Millisecond // before a watch is begun anew, about, and twice as long each time it fails
 	longestWait = 800 * time.Millisecond
@@ -48,6 +50,7 @@
 	list  *List
 	addr  string
 	since int64
+	hush  time.Duration // until its first word; not the same at all proxies, whose calls may all have fallen silent at once
 	ctx   context.Context
 	end   context.CancelFunc
 }
@@ -106,7 +109,7 @@
 	if l.now != nil {
 		return
 	}
-	w := &watch{list: l, addr: l.addr, since: l.index}
+	w := &watch{list: l, addr: l.addr, since: l.index, hush: hushOfCall*3/4 + time.Duration(l.chance.Int64N(int64(hushOfCall)/2))}
 	w.ctx, w.end = context.WithCancel(context.Background())
 	l.now = w
 	go func() {
@@ -139,9 +142,16 @@
 		l.mind.box.post(l.mind.listFailed)
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errDial) {
+		l.follow() // who is silent is not kept from answering by one more call, as who turns calls away is
+		return
+	}
 	time.AfterFunc(l.pause(), func() { l.box.post(l.follow) })
 }
 
+// errDial marks a connection to discovery that never came up.
+var errDial = errors.New("discovery is not met")
+
 // pause is how long until a watch is begun anew: by chance, and longer each time, so that proxies whose watches all end at
 // once, or that all start at once, do not keep a discovery that turns them away from answering any.
 func (l *List) pause() time.Duration {
@@ -203,11 +213,11 @@
 	d := net.Dialer{Timeout: dialOfWatch}
 	conn, err := d.DialContext(w.ctx, "tcp", w.addr)
 	if err != nil {
-		return err
+		return errors.Join(errDial, err)
 	}
 	defer conn.Close()
 	defer context.AfterFunc(w.ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(hushOfCall))
+	conn.SetDeadline(time.Now().Add(w.hush))
 	if _, err := conn.Write(wire.AppendWatch(nil, w.addr, w.since)); err != nil {
 		return err
 	}
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -30,7 +30,7 @@
 //	watch JSON                               settings that are only watched; before start
 //	node NAME HABIT [slow=MS] [size=N]       starts a cache or (o1) the origin, or changes its habit
 //	list NAME[:leaving|:left] ...            what discovery says: the first is whole, others are changes
-//	discovery up|silent|cut|garbled|full     full turns watches away, cut ends the watches that are out
+//	discovery up|silent|down|cut|garbled|full     down goes on when it is up, silent stays so for those who asked meanwhile; full turns watches away, cut ends the watches that are out
 //	reload moved|bad                         a new configuration file and SIGHUP: discovery has moved, or it can't be read
 //	old gone                                 discovery's old address ends the watches that are out there
 //	call METHOD PATH STATUS [with=N|garbage] an operator's call, with a body of N bytes or garbage for a head
