--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,13 +49,12 @@
 		b.routes = append(b.routes, f)
 	}
 	shortest = max(shortest, b.tick)
-	b.hush, b.originAim = shortest, shortest/2
+	b.hush, b.originAim, b.took, b.fetch = shortest, shortest/2, float64(shortest), float64(shortest)/4
 	// all proxies' limits begin at sixteen tries, and come down to eight, but that few proxies keep one each
 	b.limit, b.least = min(4, max(16*b.share, 1)), min(1, 8*b.share)
 	b.lean = b.limit / 2
 	// a key that is passed on misses there: the dearer a fetch, the later
 	b.crowd = min(0.3+t.Fetch, 0.5)
-	b.took, b.fetch = float64(shortest), float64(shortest)/4
 	for _, a := range t.Allowance {
 		b.allowance = append(b.allowance, a*b.share)
 	}
@@ -275,7 +274,8 @@
 	{idle, func(b *Instance) bool { return len(b.todo) > 0 }, (*Instance).takeNext},
 	{idle, func(b *Instance) bool { return len(b.due.at) > 0 && b.due.at[0].due <= b.now }, (*Instance).takeDue},
 	{idle, func(b *Instance) bool { return b.queued > 0 && b.originRoom() }, (*Instance).takeQueued},
-	{idle, func(b *Instance) bool { return b.askAt <= b.now }, (*Instance).askAgain},
+	{idle, func(b *Instance) bool { return b.askAt <= b.now },
+		func(b *Instance) { b.askAt = math.MaxInt64; b.say(Decision{Act: Follow}) }},
 	// Nothing is owed, or nothing can be done yet.
 	{held, func(b *Instance) bool { return !b.hand.live || b.hand.streaming },
 		func(b *Instance) { b.hand = nil }},
@@ -376,7 +376,7 @@
 	at := min(x.good, x.deadline-b.tick)
 	if !b.nodes[x.node].Origin {
 		// look whether it may be copied, whether it is overdue, and again if nothing could be told then
-		for _, late := range [...]Time{x.sent + b.long(2), x.sent + b.long(4), b.now + b.long(4)} {
+		for _, late := range [...]Time{b.copyAt(x), x.sent + b.long(4), b.now + b.long(4)} {
 			if late > b.now {
 				at = min(at, late)
 				break
@@ -397,10 +397,15 @@
 func (b *Instance) mayCopy() bool {
 	x := b.hand
 	return b.parallel && x.Keyed && !x.Write && !x.missed && !b.nodes[x.node].Origin && x.legs < b.maxTries &&
-		b.routes[x.Route].Effect == Retriable && b.spare >= 1 && b.now >= x.sent+b.long(2) &&
+		b.routes[x.Route].Effect == Retriable && b.spare >= 1 && b.now >= b.copyAt(x) &&
 		b.now+Time(b.fetch) < x.good && b.queued == 0 && b.originRoom()
 }
 
+// copyAt is when nearly all answers have come, or sooner where the origin's would come too late after that.
+func (b *Instance) copyAt(x *exchange) Time {
+	return x.sent + min(b.long(2), max(b.long(1), x.good-x.sent-Time(b.fetch)-b.tick))
+}
+
 // fallsSilent holds when a cache has answered nothing since the try in hand was sent, for as long as an
 // answer may take, while another cache has answered: a node that takes work and does none, or is cut off.
 func (b *Instance) fallsSilent() bool {
@@ -939,11 +944,6 @@
 	}
 }
 
-func (b *Instance) askAgain() {
-	b.askAt = math.MaxInt64
-	b.say(Decision{Act: Follow})
-}
-
 // rebuild brings the ring up to date: each ready cache by its points. Points depend on nothing but name
 // and weight, so that a join or leave moves only that server's arcs; what stays is not sorted anew, which
 // hundreds of nodes that come one by one made dear.
