--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -101,6 +101,7 @@
 	Cores    float64 `toml:"cores"`
 	MemoryMB int     `toml:"memory_mb"`
 	Sockets  int     `toml:"sockets"`
+	Parallel bool    `toml:"parallel"` // two tries of a request may be out at once
 }
 
 // Trouble is something that goes wrong for a time.
--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -108,7 +108,8 @@
 	} {
 		trouble += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
 	}
-	for text, least := range map[string]float64{plain: 0.97, trouble: 0.5} {
+	copies := strings.Replace(strings.Replace(trouble, `"trouble"`, `"copies"`, 1), "proxies = 2", "proxies = 2\nlimits = { parallel = true }", 1)
+	for text, least := range map[string]float64{plain: 0.97, trouble: 0.5, copies: 0.5} {
 		t.Run(day(t, text).Name, func(t *testing.T) {
 			t.Parallel()
 			r := play(t, text, start)
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -382,7 +382,7 @@
 	}
 	settings := map[string]any{"replicas-of-me": d.Proxies, "me": i, "tick": 5, "shapes": []string{"cache", "origin"},
 		"limits": map[string]any{"max-upstream-tries": 4, "may-cancel": true, "conn-idle": 15000, "connect-timeout": 250,
-			"retry-after": true, "max-retry-after": 1000},
+			"retry-after": true, "max-retry-after": 1000, "parallel-tries": d.Limits.Parallel},
 		"rules": map[string]any{"cold": d.Fleet.Cold * 1000, "fall": float64(FallFor.Milliseconds()), "cold-from": d.Fleet.ColdFrom,
 			"fall-multiple": FallMultiple},
 		"family-info": map[string]any{"mode": "aside", "origin-kind": 1}, "routes": routes}
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -16,7 +16,7 @@
 	Flows, Broken            atomic.Int64 // values that were passed on piece by piece, and that broke off amid that
 	Completed, Shed, Errored atomic.Int64 // final answers
 	Left                     atomic.Int64 // clients gone before their answer
-	Tries, Cancelled         atomic.Int64 // upstream tries, and those called off
+	Tries, Cancelled, Copies atomic.Int64 // upstream tries, those called off, and those sent while another of their exchange was out
 	Ends                     [brain.Lacking + 1]atomic.Int64
 	Dials, UpstreamOpen      atomic.Int64 // connections to peers, in all and now
 	Lists, Watches           atomic.Int64 // lists and changes from discovery; watches answered
@@ -44,7 +44,7 @@
 		{"Clients", &c.Clients}, {"ClientsOpen", &c.ClientsOpen}, {"Exchanges", &c.Exchanges}, {"Held", &c.Held},
 		{"Crowded", &c.Crowded}, {"Bytes", &c.Bytes},
 		{"Passing", &c.Passing}, {"Flows", &c.Flows}, {"Broken", &c.Broken}, {"Completed", &c.Completed}, {"Shed", &c.Shed}, {"Errored", &c.Errored},
-		{"Left", &c.Left}, {"Tries", &c.Tries}, {"Cancelled", &c.Cancelled}, {"Dials", &c.Dials},
+		{"Left", &c.Left}, {"Tries", &c.Tries}, {"Cancelled", &c.Cancelled}, {"Copies", &c.Copies}, {"Dials", &c.Dials},
 		{"UpstreamOpen", &c.UpstreamOpen}, {"Lists", &c.Lists}, {"Watches", &c.Watches},
 		{"BadClient", &c.BadClient}, {"BadPeer", &c.BadPeer}, {"Taken", &c.Taken}, {"Drains", &c.Drains},
 		{"PeerLists", &c.PeerLists}, {"PeerSights", &c.PeerSights}, {"ZonesPassed", &c.ZonesPassed}, {"ZonesHasty", &c.ZonesHasty}, {"Panics", &c.Panics},
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -298,7 +298,9 @@
 			s := &m.slots[d.Cx]
 			t := &try{turn: s.turn, cx: d.Cx, node: d.Node, sent: m.clock.Now(), wait: d.After}
 			s.legs = append(s.legs, t)
-			s.out++
+			if s.out++; s.out > 1 {
+				m.count.Copies.Add(1)
+			}
 			p := m.peers[d.Node]
 			p.out++
 			m.count.Tries.Add(1)
