--- a/brain/watch.go
+++ b/brain/watch.go
@@ -16,6 +16,7 @@
 	n.out--
 	x.out--
 	x.legs--
+	x.node, x.leg = x.twin, x.leg-1 // of a copy: the first try stands
 	x.tried = x.tried[:len(x.tried)-1]
 	if n.Origin {
 		b.atOrigin--
--- a/internal/emu/rules.go
+++ b/internal/emu/rules.go
@@ -105,7 +105,7 @@
 	overdone bool                    // they were over, and that was told
 	paused   map[int][]time.Duration // when processes were stopped where they stood, and went on, in turn
 	last     time.Duration
-	cold     float64 // the most that any node took while it was cold, against what it bears
+	cold     float64 // the most that any node took while it was cold, against what fells it
 	found    []Breach
 }
 
--- a/internal/lab/sum.go
+++ b/internal/lab/sum.go
@@ -34,7 +34,7 @@
 	// and the mean; proxies that never left; worth in the first five seconds, and in the ten after its end, the means
 	LeftFirst, LeftLast, ZoneBack, WorthHit, WorthBack float64
 	NeverLeft, Convicted                               int
-	ColdPeak                                           float64 // the most any node took cold, against what it bears
+	ColdPeak                                           float64 // the most any node took cold, against what fells it
 }
 
 // Of sums up a day.
@@ -121,8 +121,11 @@
 			z.Zone, z.At.Seconds(), z.For.Seconds(), z.First.Seconds()*1000, z.Last.Seconds()*1000, z.Kept, z.Back.Seconds()*1000, z.WorthAt, z.WorthBack)
 	}
 	if r.Plan.Day.Zones.Judged != "" {
-		fmt.Fprintf(&b, "zones judged %s: %d verdicts on zones that nothing had hit, and %d passed by alone; the most a cold node took is %.2f of what it bears\n", r.Plan.Day.Zones.Judged,
-			r.Convicted, r.Hasty, r.ColdPeak)
+		fmt.Fprintf(&b, "zones judged %s: %d verdicts on zones that nothing had hit, and %d passed by alone\n", r.Plan.Day.Zones.Judged,
+			r.Convicted, r.Hasty)
+	}
+	if r.ColdPeak > 0 {
+		fmt.Fprintf(&b, "the most a cold node took in a second, of all proxies, is %.2f of what fells it\n", r.ColdPeak)
 	}
 	if !r.Ran {
 		fmt.Fprintf(&b, "the load itself ran late, by up to %.1f ms: the figures do not count\n", s.LateMS)
