--- a/internal/emu/discovery.go
+++ b/internal/emu/discovery.go
@@ -107,23 +107,28 @@
 func (d *Discovery) due(rows []Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.latest()
 	for _, row := range rows {
-		if last := d.last(row.Name); last != nil && *last == row {
-			d.log.See(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
+		if now[row.Name] == row {
+			d.told(row)
 		}
 	}
 }
 
-// last is a node's latest line.
-func (d *Discovery) last(name string) *Row {
-	for i := len(d.news) - 1; i >= 0; i-- {
-		for k := range d.news[i] {
-			if d.news[i][k].Name == name {
-				return &d.news[i][k]
-			}
+// latest is each node's line as it stands.
+func (d *Discovery) latest() map[string]Row {
+	now := map[string]Row{}
+	for _, rows := range d.news {
+		for _, row := range rows {
+			now[row.Name] = row
 		}
 	}
-	return nil
+	return now
+}
+
+// told notes that its proxy knows a line, or counts as knowing it.
+func (d *Discovery) told(row Row) {
+	d.log.See(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
 }
 
 // Ahead notes what the agent has already as a process starts: it counts as told from that process's first moment, whether or not a
@@ -131,13 +136,9 @@
 func (d *Discovery) Ahead() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	seen := map[string]bool{}
-	for i := len(d.news) - 1; i >= 0; i-- {
-		for _, row := range d.news[i] {
-			if !seen[row.Name] && row.Status != "active" {
-				d.log.See(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
-			}
-			seen[row.Name] = true
+	for _, row := range d.latest() {
+		if row.Status != "active" {
+			d.told(row)
 		}
 	}
 }
@@ -236,7 +237,7 @@
 		if w.(http.Flusher).Flush(); r.Context().Err() == nil {
 			for _, rows := range news {
 				for _, row := range rows {
-					d.log.See(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
+					d.told(row)
 				}
 			}
 		}
