A process that is replaced talks until its heir may begin, and says last that it has one

With SIGTERM it stopped talking at once, then served its clients for 0.8 s more, and only then could its heir begin: two pulses' time (2.04 s with two proxies) from its last pulse was nearly used up on an idle machine, and on a busy one peers knocked, were refused, and wrote it off. Ruled out: the heir's own start (it pulses with its first tick), the share (it stayed at a half, since what is gone is held for four pulses).

Now the old process says goodbye to its peers after its clients, and its last pulse says that an heir follows; who is refused there waits for six pulses' time.

--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -142,10 +142,13 @@
 	log.Info("stopping", zap.Bool("replaced", !alone))
 	service.stopping.Store(true)
 	saidGoodbye := make(chan struct{})
-	go func() { // which waits for what is on its way to peers
+	goodbye := func() { // which waits for what is on its way to peers
 		peers.stop(!alone)
 		close(saidGoodbye)
-	}()
+	}
+	if alone {
+		go goodbye()
+	}
 	mind.Until(answered)
 	until, leaving := time.Now().Add(lastAnswer), replacedLeaving
 	if alone {
@@ -153,6 +156,9 @@
 		leaving = aloneLeaving
 	}
 	door.Close(until, alone, leaving)
+	if !alone { // until the heir may begin, or the name would be silent for as long as clients are served
+		goodbye()
+	}
 	estate.Close()
 	<-saidGoodbye
 	log.Info("stopped", counters(count)...)
--- a/replica/instance.go
+++ b/replica/instance.go
@@ -457,10 +457,12 @@
 	return r.out
 }
 
-// Leave says that this process ends, and nobody replaces it.
+// Leave says that this process ends: that it is gone, or where another carries on its name, that this one has an heir.
 func (r *Instance) Leave(now Time) []Decision {
 	r.begin(now)
-	if !r.quiet {
+	if r.quiet {
+		r.pulse()
+	} else {
 		r.quiet = true
 		r.merge(Row{Kind: Gone, Key: r.Me, Epoch: r.Incarnation, Life: goneLife}, "", true)
 	}
@@ -514,7 +516,7 @@
 // pulse says that this proxy is up.
 func (r *Instance) pulse() {
 	r.pulsedAt = r.now
-	said := Pulsed{Address: r.Address, Zone: r.Zone, Demand: r.demand, View: r.view(), Behind: r.behind, Base: r.base(), Loans: r.lend()}
+	said := Pulsed{Address: r.Address, Zone: r.Zone, Demand: r.demand, View: r.view(), Behind: r.behind, Base: r.base(), Loans: r.lend(), Heir: r.quiet}
 	if r.base() < r.lentOut() {
 		said.View = 1 // what is out would be used twice: nobody may take this one's word that there is room until it is back
 	}
@@ -595,7 +597,7 @@
 			m.gone = gone
 			r.log("proxy %s gone %v: %d of %d are gone", m.name, gone, r.gone(), r.fleet())
 		}
-		if m.name != r.Me && m.pulse != nil && !r.ended(m) && r.now-m.pulse.born > 2*r.every() && r.now-m.probed >= Second {
+		if m.name != r.Me && m.pulse != nil && !r.ended(m) && r.now-m.pulse.born > r.trust(m) && r.now-m.probed >= Second {
 			m.probed = r.now
 			r.say(Decision{Act: Probe, To: m.name, Address: m.said.Address, Epoch: m.incarnation})
 		}
@@ -609,9 +611,18 @@
 	r.settle()
 }
 
+// trust is for how long a proxy's latest pulse is taken for its being there. One that has an heir is refused at for as long as
+// the heir takes to begin, and its name is not gone.
+func (r *Instance) trust(m *member) Time {
+	if m.said.Heir {
+		return 6 * r.every()
+	}
+	return 2 * r.every()
+}
+
 // here tells whether a proxy's pulse still comes, by whatever way.
 func (r *Instance) here(m *member) bool {
-	return m.name == r.Me || m.pulse != nil && r.now-m.pulse.born < 3*r.every()+Second/2 &&
+	return m.name == r.Me || m.pulse != nil && r.now-m.pulse.born < r.trust(m)+r.every()+Second/2 &&
 		!r.ended(m)
 }
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -260,6 +260,27 @@
 	}
 }
 
+// One that is replaced says so last. Its heir takes a while to begin, on a busy machine over two pulses, and nothing listens in
+// between: that is no end. With no heir it is, and is looked into.
+func TestHeir(t *testing.T) {
+	for _, heir := range []bool{true, false} {
+		a, b := newOne("a", 2), newOne("b", 2)
+		a.Rows(0, "b", acts(b.Tick(0), Spread)[0].Rows)
+		if b.Yield(heir); heir {
+			a.Rows(Second, "b", acts(b.Leave(Second), Spread)[0].Rows)
+		}
+		probed := Time(0)
+		for now := Second; now < 9*Second && probed == 0; now += Second / 10 {
+			if len(acts(a.Tick(now), Probe)) > 0 {
+				probed = now
+			}
+		}
+		if late := probed > 7*Second; probed == 0 || late != heir {
+			t.Errorf("heir %v: looked into at %v", heir, probed)
+		}
+	}
+}
+
 // Silence takes nothing from anybody; the end of a process that is known of does, after the hold; whoever comes back under
 // the same name has it back.
 func TestGone(t *testing.T) {
--- a/replica/types.go
+++ b/replica/types.go
@@ -87,6 +87,7 @@
 	Behind  bool    `msgpack:"b"` // it is catching up
 	Base    float64 `msgpack:"s"` // its share before what is lent
 	Loans   []Loan  `msgpack:"l,omitempty"`
+	Heir    bool    `msgpack:"h,omitempty"` // this process ends, and the one that replaces it carries on its name
 }
 
 // Loan is a part of the writer's share that another may use for LoanSpan from when that one wrote a pulse, which is named by
