--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,8 +5,7 @@
 // out; it may reuse an exchange's index once that has its final answer and all its upstream tries have
 // ended. No I/O in here.
 //
-// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Share, Bar, Left, Woken. It is not
-// frozen: probes, load reports and cost hints have no call yet, since no decision uses them.
+// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Share, Bar, Rest, Left, Woken.
 package brain
 
 import (
@@ -123,8 +122,7 @@
 		tried: x.tried[:0]}
 	r := &b.routes[e.Route]
 	x.deadline = now + e.Remaining
-	x.good = now + r.patience
-	x.good -= b.since(r, &e)
+	x.good = now + r.patience - b.since(r, &e)
 	x.aim = x.good - r.patience + r.aim
 	x.good = min(x.good, x.deadline-b.tick)
 	x.missed = e.Write && b.aside
@@ -209,6 +207,13 @@
 	return b.settle()
 }
 
+// Rest has a node's next trial, if it is passed over, be no sooner than at a time: all proxies take turns.
+func (b *Instance) Rest(now Time, at int, until Time) []Decision {
+	b.begin(now)
+	b.nodes[at].retryAt = until
+	return b.settle()
+}
+
 // Left reports that the client went away; nothing is owed any more.
 func (b *Instance) Left(now Time, cx int) []Decision {
 	b.begin(now)
@@ -344,9 +349,8 @@
 func (b *Instance) take(cx int) { b.hand, b.at, b.pick = &b.xs[cx], cx, unknown }
 
 func (b *Instance) takeNext() {
-	cx := b.todo[0]
+	b.take(b.todo[0])
 	b.todo = slices.Delete(b.todo, 0, 1)
-	b.take(cx)
 }
 
 func (b *Instance) takeDue() {
@@ -560,8 +564,7 @@
 func (b *Instance) unwait(cx int) {
 	x := &b.xs[cx]
 	x.waits = false
-	w := b.waiters[x.Key]
-	b.waiters[x.Key] = slices.DeleteFunc(w, func(at int) bool { return at == cx })
+	b.waiters[x.Key] = slices.DeleteFunc(b.waiters[x.Key], func(at int) bool { return at == cx })
 }
 
 // landed lets those go on that waited for a fetch; they ask the cache, which now holds the answer.
@@ -584,8 +587,7 @@
 
 // hopeless holds when the queue for the origin is too long for an answer in time.
 func (b *Instance) hopeless() bool {
-	wait := Time((1 + float64(b.queued)/b.limit) * b.fetch)
-	return max(b.now, b.originAt)+wait > b.hand.good
+	return max(b.now, b.originAt)+Time((1+float64(b.queued)/b.limit)*b.fetch) > b.hand.good
 }
 
 func (b *Instance) enqueue() {
@@ -688,7 +690,6 @@
 	b.walk++
 	sick, crowd := nowhere, nowhere
 	bound := max(overMean*float64(b.flying)/float64(b.caches)+1, 1)
-	owner := true
 	for left, step := b.caches, 0; left > 0 && step < len(b.ring); step++ {
 		at := int(b.ring[(i+step)%len(b.ring)].node)
 		n := &b.nodes[at]
@@ -697,8 +698,7 @@
 		}
 		n.seen = b.walk
 		left--
-		over := owner && n.out >= 2 && float64(n.out) > bound || b.refuses(n)
-		owner = false
+		over := step == 0 && n.out >= 2 && float64(n.out) > bound || b.refuses(n)
 		switch {
 		case slices.Contains(b.hand.tried, at) || !b.inGroup(at) || b.barred(n) || b.coldFull(n):
 		case b.sick(n) || over || n.doubt > 0 && b.draw() < b.doubt(n):
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -21,6 +21,7 @@
 //	MS left CX | wake | failed | streaming CX
 //	MS heard NODE silent|answers             from a peer
 //	MS bar NODE PART [off]                   its zone is left; what is out there is called off
+//	MS rest NODE MS                          its next trial is no sooner than at that time
 //	MS share PART                            of what all proxies may do
 //	> send CX NODE | tell PEER NODE silent|answers | cancel CX | shed CX | error CX | follow | log WORD | no-log WORD    exactly these, in order
 //	> count ACT [NODE] OP N                  how many came of one line
@@ -122,6 +123,8 @@
 		p.take(p.mind.Heard(now, n, w[3] == "answers"))
 	case "bar":
 		p.take(p.mind.Bar(now, p.nodes[p.name(w[2])], scenario.Num(w[3]), len(w) > 4))
+	case "rest":
+		p.take(p.mind.Rest(now, p.nodes[p.name(w[2])], ms(w[3])))
 	case "share":
 		p.take(p.mind.Share(now, scenario.Num(w[2])))
 	case "left":
--- a/brain/watch.go
+++ b/brain/watch.go
@@ -34,5 +34,8 @@
 // Load is how many tries are out at caches, and how many those answer in time.
 func (b *Instance) Load() (flying int, room float64) { return b.flying, b.room }
 
+// Passed tells whether a node is passed over until it answers.
+func (b *Instance) Passed(at int) bool { return at < len(b.nodes) && b.nodes[at].down }
+
 // Out is how many tries are out, as far as the instance knows.
 func (b *Instance) Out() int { return b.flying + b.atOrigin }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -3,6 +3,7 @@
 package control
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	stdlog "log"
@@ -20,6 +21,8 @@
 	InService() (changed bool)
 	Peers() string // how it stands with its peers, "": it has none
 	Zones() string // how the zones stand, "": they are not judged
+	Turns() any    // how what goes by turns stands, to be told as JSON, nil: nothing does
+	Metrics() http.Handler
 	// an order on a zone or region: in, out, hold or auto, to replace the one of that epoch, below zero: whichever stands.
 	// An error tells why nothing has changed
 	Command(name, want string, epoch int64, force bool) (string, error)
@@ -80,6 +83,16 @@
 	}
 	show("/control/peers", "no file of peers is named", of.Peers)
 	show("/control/zones", "no file of zones is named", of.Zones)
+	mux.HandleFunc("GET /control/turns", func(w http.ResponseWriter, r *http.Request) {
+		stands := of.Turns()
+		if stands == nil {
+			http.Error(w, "no file of turns is named", http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(stands)
+	})
+	mux.Handle("GET /metrics", of.Metrics())
 	mux.HandleFunc("POST /control/zones/{zone}/{want}", func(w http.ResponseWriter, r *http.Request) {
 		epoch, force := int64(-1), r.URL.Query().Get("force") == forced
 		if s := r.URL.Query().Get("epoch"); s != "" {
--- /dev/null
+++ b/internal/fleet/duties.go
@@ -0,0 +1,199 @@
+package fleet
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodproxy/brain"
+	"woodproxy/turns"
+)
+
+const dutyTick = 100 * time.Millisecond
+
+// Duties is the actor of what proxies do by turns. It is none of the module's loop: that one offers it what it found and waits for
+// nothing, and it posts to the module, to the list and to peers what follows.
+type Duties struct {
+	box   mailbox
+	in    *turns.Instance
+	clock Clock
+	mind  *Mind
+	list  *List
+	tell  func(k turns.Kind, key string, s turns.Said, life turns.Time) // peers; it may not wait
+	shown atomic.Pointer[turns.Figures]
+	count *Counters
+	log   *zap.Logger
+}
+
+// NewDuties returns the actor, by which the module's and the list's take turns with other proxies'. It is called before they run.
+func NewDuties(t turns.Terms, mind *Mind, list *List, tell func(k turns.Kind, key string, s turns.Said, life turns.Time), log *zap.Logger) *Duties {
+	d := &Duties{box: make(mailbox, 1024), in: turns.New(turns.Time(mind.clock.Now()), t), clock: mind.clock, mind: mind, list: list, tell: tell,
+		count: mind.count, log: log}
+	d.shown.Store(&turns.Figures{})
+	mind.duties, list.duties = d, d
+	return d
+}
+
+// Run carries out calls for as long as the program lives.
+func (d *Duties) Run() {
+	ticks := time.NewTicker(dutyTick)
+	for {
+		select {
+		case call := <-d.box:
+			guarded(d.log, d.count, call)
+		case <-ticks.C:
+			d.mind.box.offer(d.mind.dutyLook)
+			guarded(d.log, d.count, func() { d.act(d.in.Tick(d.now())) })
+			f := d.in.Shown()
+			d.shown.Store(&f)
+		}
+	}
+}
+
+func (d *Duties) now() turns.Time { return turns.Time(d.clock.Now()) }
+
+// Shown is how it stood a moment ago.
+func (d *Duties) Shown() turns.Figures { return *d.shown.Load() }
+
+// Fleet takes who the proxies are.
+func (d *Duties) Fleet(all []turns.Proxy, behind bool) {
+	d.box.offer(func() { d.act(d.in.Fleet(d.now(), all, behind)) })
+}
+
+// Heard takes what another proxy says.
+func (d *Duties) Heard(from string, k turns.Kind, key string, s turns.Said, age turns.Time) {
+	d.box.offer(func() { d.act(d.in.Heard(d.now(), from, k, key, s, age)) })
+}
+
+func (d *Duties) act(ds []turns.Decision) {
+	for i := range ds {
+		switch x := ds[i]; x.Act {
+		case turns.Rest:
+			d.mind.box.post(func() { d.mind.rest(x.Node, brain.Time(x.Until)) })
+		case turns.Keep:
+			d.mind.box.post(func() { d.mind.keep(x.Node, x.On) })
+		case turns.Watch:
+			d.list.box.post(func() { d.list.duty(x.On) })
+		case turns.Say:
+			d.tell(x.Kind, x.Key, x.Said, x.Life)
+		case turns.Log:
+			d.log.Info("turns: " + x.Text)
+		}
+	}
+}
+
+// What follows runs on the module's actor.
+
+// dutyNodes tells which caches are listed.
+func (m *Mind) dutyNodes() {
+	if m.duties == nil {
+		return
+	}
+	var names []string
+	for _, p := range m.peers {
+		if p != nil && !p.origin && p.listed.Ready && p.since == 0 {
+			names = append(names, p.name)
+		}
+	}
+	d := m.duties
+	d.box.offer(func() { d.act(d.in.Nodes(d.now(), names)) })
+}
+
+// dutyLook tells which nodes are passed over by now, and what is in flight where.
+func (m *Mind) dutyLook() {
+	d := m.duties
+	type seen struct {
+		name   string
+		passed bool
+		out    int
+	}
+	var all []seen
+	for n, p := range m.peers {
+		if p != nil && !p.origin && p.since == 0 {
+			passed := m.brain.Passed(n)
+			if passed != p.passed || p.out > 0 {
+				all = append(all, seen{p.name, passed, p.out})
+			}
+			p.passed = passed
+		}
+	}
+	if len(all) > 0 {
+		d.box.offer(func() {
+			for _, s := range all {
+				d.in.InFlight(s.name, s.out)
+				d.act(d.in.Passed(d.now(), s.name, s.passed))
+			}
+		})
+	}
+}
+
+// dutySent notes that a try goes to a node, which is a trial if that is passed over.
+func (m *Mind) dutySent(n int) {
+	if d := m.duties; d != nil && !m.peers[n].origin && m.brain.Passed(n) {
+		name := m.peers[n].name
+		d.box.offer(func() {
+			d.act(d.in.Passed(d.now(), name, true))
+			d.act(d.in.Tried(d.now(), name))
+		})
+	}
+}
+
+// dutyEnded notes that a try at a node that was passed over has come to nothing, or that the node answers.
+func (m *Mind) dutyEnded(n int, passed bool) {
+	if d := m.duties; d != nil && passed {
+		name, still := m.peers[n].name, m.brain.Passed(n)
+		m.peers[n].passed = still
+		d.box.offer(func() {
+			if still {
+				d.act(d.in.Failed(d.now(), name))
+			} else {
+				d.act(d.in.Passed(d.now(), name, false))
+			}
+		})
+	}
+}
+
+// rest has a node's next trial be at a time.
+func (m *Mind) rest(node string, until brain.Time) {
+	if n, ok := m.byName[node]; ok {
+		now := m.clock.Now()
+		m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Rest(now, n, until) }))
+	}
+}
+
+// keep has idle connections to a node be kept for as long as they may, or closed soon.
+func (m *Mind) keep(node string, on bool) {
+	if n, ok := m.byName[node]; ok {
+		m.peers[n].drops.Store(!on)
+		if !on {
+			m.peers[n].box.offer(m.peers[n].closeIdle)
+		}
+	}
+}
+
+// duty has discovery be watched, or left to others: what it had told of by then is as old as what they tell.
+func (l *List) duty(on bool) {
+	if l.off = !on; on {
+		l.follow()
+		return
+	}
+	for _, w := range []*watch{l.now, l.before} {
+		if w != nil {
+			w.end()
+		}
+	}
+	l.now, l.before = nil, nil
+	l.watching(false)
+	if l.shared != nil {
+		clear(l.shared.own)
+		l.shared.all = false
+	}
+}
+
+// watching tells whether the watch lives.
+func (l *List) watching(live bool) {
+	if d := l.duties; d != nil {
+		d.box.offer(func() { d.act(d.in.Watching(d.now(), live)) })
+	}
+}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -16,6 +16,9 @@
 	"woodproxy/internal/wire"
 )
 
+// dropAfter is for how long a connection may stand idle where other proxies keep theirs.
+const dropAfter = time.Second
+
 // link is one connection to a peer and its goroutine, which alone reads and writes there.
 type link struct {
 	peer   *peer
@@ -114,7 +117,11 @@
 	l.mu.Lock()
 	t := l.handed
 	l.handed = nil
-	if idle := span(l.peer.mind.book.Idle * 2 / 3); t == nil && idle > 0 {
+	idle := span(l.peer.mind.book.Idle * 2 / 3)
+	if d := l.peer.mind.duties; d != nil && l.peer.drops.Load() && (idle == 0 || idle > dropAfter) {
+		idle = dropAfter
+	}
+	if t == nil && idle > 0 {
 		l.conn.SetReadDeadline(time.Now().Add(idle))
 	} else if t == nil { // not told: the other side closes it
 		l.conn.SetReadDeadline(time.Time{})
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -43,6 +43,8 @@
 	count  *Counters
 	log    *zap.Logger
 	shared *shared // with peers, nil: there are none
+	duties *Duties // nil: each watches for itself
+	off    bool    // others watch for this one
 }
 
 // watch is one connection to discovery and its goroutine.
@@ -106,7 +108,7 @@
 
 // follow begins a watch, unless one is out.
 func (l *List) follow() {
-	if l.now != nil {
+	if l.now != nil || l.off {
 		return
 	}
 	w := &watch{list: l, addr: l.addr, since: l.index, hush: hushOfCall*3/4 + time.Duration(l.chance.Int64N(int64(hushOfCall)/2))}
@@ -130,6 +132,7 @@
 		return
 	}
 	l.now = nil
+	l.watching(false)
 	if errors.Is(err, wire.ErrBytes) {
 		l.index = 0 // the whole list, since what it said is in doubt
 		l.count.BadPeer.Add(1)
@@ -197,6 +200,7 @@
 		return
 	}
 	l.quiet, l.failed = "", 0
+	l.watching(true)
 	if l.before != nil {
 		l.before.end()
 		l.before = nil
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -38,6 +38,7 @@
 	list   *List
 	tells  func(node string, answers bool) // peers, nil: there are none
 	zones  *quarters                       // nil: zones are not judged
+	duties *Duties                         // nil: nothing goes by turns
 	count  *Counters
 	log    *zap.Logger
 }
@@ -130,6 +131,7 @@
 	}
 	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Nodes(now, whole, first, lines) }))
 	m.zoneList()
+	m.dutyNodes()
 }
 
 // forgetGone frees the indices of nodes that have been gone for longer than any exchange lives, so that none is left
@@ -258,7 +260,9 @@
 	now := m.clock.Now()
 	a := brain.Answer{Cx: t.cx, Node: t.node, Ending: ending, Took: now - t.sent, Ended: s.over}
 	m.zoneEnded(t.node, ending, a.Took)
+	passed := m.brain.Passed(t.node)
 	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Returned(now, a) }))
+	m.dutyEnded(t.node, passed)
 	m.clear(t.cx)
 }
 
@@ -305,6 +309,7 @@
 			p.out++
 			m.count.Tries.Add(1)
 			m.zoneSent(d.Node)
+			m.dutySent(d.Node)
 			if !p.box.offer(func() { p.send(t) }) {
 				unsent = append(unsent, t)
 			}
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -69,6 +69,8 @@
 	origin bool
 	addr   atomic.Pointer[string] // the module's actor sets these two, as the list has them
 	ready  atomic.Bool            // neither draining nor gone
+	drops  atomic.Bool            // idle connections are closed soon, since others keep theirs; the module's actor sets it too
+	passed bool                   // over, as was last told; only the module's actor looks
 	listed wire.Target            // as the list has it; a newcomer's start is when it came; only the module's actor looks
 	since  brain.Time             // when it left the list, 0: it is there; only the module's actor looks at these two
 	out    int                    // tries
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -19,13 +19,14 @@
 
 // peers is this proxy's talk with others; it may begin after the proxy does, or never.
 type peers struct {
-	place *Place
-	mind  *fleet.Mind
-	list  *fleet.List
-	count *fleet.Counters
-	log   *zap.Logger
-	now   atomic.Pointer[talk.Talker]
-	index atomic.Int64 // of the list, as discovery last told
+	place  *Place
+	mind   *fleet.Mind
+	list   *fleet.List
+	count  *fleet.Counters
+	log    *zap.Logger
+	now    atomic.Pointer[talk.Talker]
+	index  atomic.Int64  // of the list, as discovery last told
+	duties *fleet.Duties // nil: nothing goes by turns
 }
 
 // start begins to talk, where a file of peers is named.
@@ -82,7 +83,7 @@
 }
 
 var kinds = map[replica.Kind]string{replica.Pulse: "pulse", replica.Sight: "sight", replica.Node: "node", replica.Gone: "gone",
-	replica.Voice: "voice", replica.Order: "order"}
+	replica.Voice: "voice", replica.Order: "order", replica.Trial: "trial", replica.Beat: "beat", replica.Load: "load"}
 
 // words is the answer to the call for peers.
 func (p *peers) words() string {
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -77,11 +77,15 @@
 		list.Share(peers.listed)
 		mind.Tells(peers.tell)
 	}
+	if p.Turns != nil {
+		peers.duties = fleet.NewDuties(*p.Turns, mind, list, peers.sayTurn, log)
+		go peers.duties.Run()
+	}
 	if p.Zones != nil {
 		mind.Zones(*p.Zones, peers.speak)
 	}
 	door := fleet.NewDoor(ln, mind, p.MemoryMB, count, log)
-	service := &service{Door: door, peers: peers}
+	service := &service{Door: door, peers: peers, count: count}
 	if p.Management != "" {
 		operators, err := control.Listen(p.Management, service)
 		if err != nil {
@@ -169,6 +173,7 @@
 type service struct {
 	*fleet.Door
 	peers    *peers
+	count    *fleet.Counters
 	stopping atomic.Bool
 }
 
@@ -195,10 +200,11 @@
 	log.Info("configuration read anew", zap.String("discovery", p.Discovery), zap.Float64("cores", p.Cores),
 		zap.Int("memory_mb", p.MemoryMB))
 	if p.Name != old.Name || p.Listen != old.Listen || p.Management != old.Management || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) ||
-		!reflect.DeepEqual(p.Watch, old.Watch) || !reflect.DeepEqual(p.Talk, old.Talk) || !reflect.DeepEqual(p.Zones, old.Zones) {
-		log.Warn("name, listen, management, sockets, settings, watch, peers and zones stand until the next start")
+		!reflect.DeepEqual(p.Watch, old.Watch) || !reflect.DeepEqual(p.Talk, old.Talk) || !reflect.DeepEqual(p.Zones, old.Zones) ||
+		!reflect.DeepEqual(p.Turns, old.Turns) {
+		log.Warn("name, listen, management, sockets, settings, watch, peers, zones and turns stand until the next start")
 		p.Name, p.Listen, p.Management = old.Name, old.Listen, old.Management
-		p.Sockets, p.Book, p.Watch, p.Talk, p.Zones = old.Sockets, old.Book, old.Watch, old.Talk, old.Zones
+		p.Sockets, p.Book, p.Watch, p.Talk, p.Zones, p.Turns = old.Sockets, old.Book, old.Watch, old.Talk, old.Zones, old.Turns
 	}
 	room.set(func(r *allowance) { r.cores, r.memoryMB = p.Cores, p.MemoryMB })
 	list.Move(p.Discovery)
--- a/internal/run/zones.go
+++ b/internal/run/zones.go
@@ -128,8 +128,21 @@
 	return p.Book.Locality
 }
 
-// Fleet and what follows is what the talk tells that concerns zones.
+// Row takes what a peer says.
+func (p *peers) Row(row *replica.Row) {
+	switch row.Kind {
+	case replica.Voice:
+		p.voice(row)
+	case replica.Order:
+		p.order(row)
+	case replica.Trial, replica.Beat, replica.Load:
+		p.turn(row)
+	}
+}
+
+// Fleet takes who the proxies are.
 func (p *peers) Fleet(all []replica.Member, behind bool) {
+	p.dutyFleet(all, behind)
 	if p.place.Zones == nil || p.place.Zones.Apart {
 		return
 	}
@@ -140,7 +153,7 @@
 	p.mind.ZoneFleet(fleet, behind)
 }
 
-func (p *peers) Voice(row *replica.Row) {
+func (p *peers) voice(row *replica.Row) {
 	var v zones.Voice
 	if p.place.Zones == nil || p.place.Zones.Apart || msgpack.Unmarshal(row.Body, &v) != nil {
 		return
@@ -148,7 +161,7 @@
 	p.mind.ZoneVoice(row.Writer, row.Key, v, zones.Time(row.Age), zones.Time(row.Life))
 }
 
-func (p *peers) Order(row *replica.Row) {
+func (p *peers) order(row *replica.Row) {
 	if p.place.Zones != nil {
 		p.mind.ZoneOrder(zones.Order{Zone: row.Key, Want: zones.Want(row.Rank), Epoch: row.Epoch, By: string(row.Body[:min(len(row.Body), 128)]),
 			Force: row.Count != 0})
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -39,8 +39,7 @@
 	Share(part float64)              // of what all proxies may do together
 	Demand() int64                   // exchanges that clients asked for, since the start
 	Fleet(all []replica.Member, behind bool)
-	Voice(row *replica.Row) // what a peer says of a zone
-	Order(row *replica.Row) // what operators order of one
+	Row(row *replica.Row) // what a peer says, of the kinds that this package does not read
 }
 
 // Counters count what goes over.
@@ -319,7 +318,7 @@
 		case replica.Spread:
 			row := &d.Rows[0]
 			queue := t.queue
-			if row.Kind == replica.Pulse {
+			if row.Kind == replica.Pulse || row.Kind == replica.Beat || row.Kind == replica.Load {
 				queue = t.pulses
 			}
 			queue.QueueBroadcast(&rumour{fmt.Sprint(row.Kind, "\x00", row.Key, "\x00", row.Writer), m.encode()})
@@ -345,10 +344,9 @@
 
 func (t *Talker) changed(row *replica.Row) {
 	switch row.Kind {
-	case replica.Voice:
-		t.proxy.Voice(row)
-	case replica.Order:
-		t.proxy.Order(row)
+	default:
+		t.proxy.Row(row)
+	case replica.Pulse, replica.Gone:
 	case replica.Sight:
 		t.proxy.Heard(row.Key, row.Rank == 0)
 	case replica.Node:
--- a/internal/talk/talk_test.go
+++ b/internal/talk/talk_test.go
@@ -62,8 +62,7 @@
 func (h *hearer) Share(part float64)              { h.share.Store(part) }
 func (h *hearer) Demand() int64                   { return 0 }
 func (h *hearer) Fleet([]replica.Member, bool)    {}
-func (h *hearer) Voice(*replica.Row)              {}
-func (h *hearer) Order(*replica.Row)              {}
+func (h *hearer) Row(*replica.Row)                {}
 
 func talker(t *testing.T, cluster, name, ip string, seeds ...string) (*Talker, *hearer) {
 	t.Helper()
--- a/replica/types.go
+++ b/replica/types.go
@@ -22,6 +22,9 @@
 	Gone  Kind = 4 // of a proxy, by no one: its incarnation (Epoch) has ended, as a refused connection or itself told
 	Voice Kind = 5 // of a zone, by a proxy: what its tries there came to, and the verdict that it acts on
 	Order Kind = 6 // of a zone, by no one: what operators order. Epoch counts orders, Rank is how strict it is
+	Trial Kind = 7 // of a node, by a proxy: it tried it, which none had let through for a while, and what came of that
+	Beat  Kind = 8 // of a proxy, by itself: its watch of discovery lives
+	Load  Kind = 9 // of a proxy, by itself: what it has in flight, by node
 )
 
 // Strictness of a Node row.
--- a/turns/instance.go
+++ b/turns/instance.go
@@ -200,6 +200,9 @@
 		}
 		n.last = max(n.last, at)
 	case Silent:
+		if !had(n.recent, who) { // that it went out was not heard
+			t.took(n, who, at, Out)
+		}
 		for _, w := range n.found {
 			n.wrong = append(n.wrong, turn{w, t.now})
 		}
