--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -29,6 +29,7 @@
 	Limits  Limits    `toml:"limits"`
 	Peers   Peers     `toml:"peers"`
 	Zones   Zones     `toml:"zones"`
+	Turns   Turns     `toml:"turns"`
 }
 
 // Zones is how the proxies judge whole zones.
@@ -201,6 +202,11 @@
 	if err == nil && (d.Zones.Judged == "fleet" || d.Zones.Judged == "told") && !d.Peers.Talk {
 		err = fmt.Errorf("zones.judged: %s: proxies do not talk (peers.talk)", d.Zones.Judged)
 	}
+	if err == nil && d.Turns.On && !d.Peers.Talk {
+		err = errors.New("turns.on: proxies do not talk (peers.talk)")
+	}
+	within("turns.watchers", float64(d.Turns.Watchers), 0, 64)
+	within("turns.keepers", float64(d.Turns.Keepers), 0, 64)
 	within("peers.hold_s", d.Peers.Hold, 0, 600)
 	within("peers.floor", d.Peers.Floor, 0, 1)
 	within("limits.cores", d.Limits.Cores, 0.01, 64)
--- a/internal/emu/discovery.go
+++ b/internal/emu/discovery.go
@@ -29,10 +29,11 @@
 
 // Discovery is a stand-in for the agent on one proxy's machine.
 type Discovery struct {
-	Proxy int
-	Calls atomic.Int64 // watches that were asked for
-	log   *Log
-	ways  *Ways // nil: nothing stands between it and its proxy
+	Proxy   int
+	Calls   atomic.Int64 // watches that were asked for
+	Watches atomic.Int64 // that are open
+	log     *Log
+	ways    *Ways // nil: nothing stands between it and its proxy
 
 	mu      sync.Mutex
 	news    [][]Row // by version, the first whole
@@ -190,6 +191,8 @@
 func (d *Discovery) follow(w http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
 	d.Calls.Add(1)
+	d.Watches.Add(1)
+	defer d.Watches.Add(-1)
 	at, begun := max(since-1, 0), false
 	d.mu.Lock()
 	hushed := d.hushed
--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -304,3 +304,35 @@
 	play("deaf", `kind = "deaf", at_s = 0.5, for_s = 9.0`, leaves)
 	play("agent-ahead", `kind = "agent-ahead", at_s = 1.0, for_s = 3.0, nodes = 1`)
 }
+
+// Processes that take turns, with watchers killed, cut off and hushed while nodes are replaced, and a node that is silent: all keep
+// the rules, few ask discovery, and fewer try the silent node than where each does all for itself.
+func TestTurns(t *testing.T) {
+	t.Parallel()
+	text := strings.NewReplacer(`"plain"`, `"turns"`, "length_s = 2.0", "length_s = 18.0", "nodes = 3", "nodes = 4", "proxies = 2",
+		"proxies = 8\npeers = { talk = true, hold_s = 1.0 }\nturns = { on = true, watchers = 2, keepers = 2 }", "rate = 150.0", "rate = 160.0").Replace(plain)
+	for _, b := range []string{
+		`kind = "silent", at_s = 0.5, for_s = 6.0, nodes = 1`, `kind = "mass-kill", at_s = 7.0, for_s = 1.0, nodes = 4`,
+		`kind = "replace", at_s = 7.3, for_s = 0.5, nodes = 1, leave_ms = 4000.0`, `kind = "part", at_s = 12.0, for_s = 3.0, nodes = 3`,
+		`kind = "replace", at_s = 12.3, for_s = 0.5, nodes = 1, leave_ms = 4500.0`, `kind = "hush", at_s = 12.1, for_s = 0.0`,
+	} {
+		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
+	}
+	start, reports := program(t), make([]*emu.Report, 2)
+	t.Run("days", func(t *testing.T) {
+		for i, on := range []string{"on = true", "on = false"} {
+			t.Run(on, func(t *testing.T) {
+				t.Parallel()
+				reports[i] = kept(t, strings.Replace(text, "on = true", on, 1), start)
+			})
+		}
+	})
+	r, alone := reports[0], reports[1]
+	if o := outcomes(r); float64(o[emu.Completed]) < 0.85*float64(len(r.Plan.Requests)) {
+		t.Errorf("%d asked, %v", len(r.Plan.Requests), o)
+	}
+	if r.Together.Watches > 0.75*alone.Together.Watches || alone.Together.Watches < 6 || r.Together.Watches < 1 {
+		t.Errorf("watches open at a time: %.1f, and %.1f where each watches", r.Together.Watches, alone.Together.Watches)
+	}
+	t.Logf("by turns %+v, each for itself %+v", r.Together, alone.Together)
+}
--- a/internal/emu/node.go
+++ b/internal/emu/node.go
@@ -62,6 +62,13 @@
 	return n, nil
 }
 
+// Open is how many connections it has.
+func (n *Node) Open() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.conns)
+}
+
 // Addr is where a proxy finds the node.
 func (n *Node) Addr(proxy int) string { return n.addrs[proxy] }
 
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	Config                  string // the file that says all of this
 	Management              string // where operators call, "": nowhere
 	Peers                   string // the file by which it talks with others, "": it does not
+	Turns                   string // the file by which it takes turns with others, "": it does not
 	Zones                   string // the file by which it judges zones, "": it does not
 	Dir                     string // for its log and what it keeps
 }
@@ -60,7 +60,8 @@
 	Convicted              int     // verdicts of out on zones that nothing had hit
 	Hasty                  int     // zones that one proxy passed by alone, and that nothing had hit
 	ColdPeak               float64 // the most that any node took while it was cold, against what it bears
-	BadMute                int     // bad clients that were owed an error or a close and had neither
+	Together               Together
+	BadMute                int // bad clients that were owed an error or a close and had neither
 }
 
 type player struct {
@@ -80,6 +81,7 @@
 	ways     *Ways
 	whispers []whisper
 	hits     []hit
+	taking   taking
 	net      string            // beginning of the proxies' addresses among each other
 	names    map[string]string // of proxies, by these
 	relays   []*relay          // where proxies meet each other, none where they do not talk
@@ -140,6 +142,11 @@
 			p.strike(whole, b, start)
 		}()
 	}
+	troubles.Add(1)
+	go func() {
+		defer troubles.Done()
+		p.look(whole)
+	}()
 	if plan.Day.Peers.Talk {
 		troubles.Add(1)
 		go func() {
@@ -329,6 +336,9 @@
 		if err := p.quarter(m); err != nil {
 			return err
 		}
+		if err := p.turn(m); err != nil {
+			return err
+		}
 		text, err := json.Marshal(p.config(i, m.site))
 		if err != nil {
 			return err
@@ -417,103 +427,6 @@
 	in[path] = v
 }
 
-// start starts a proxy and waits until it serves.
-func (p *player) start(ctx context.Context, i int) error {
-	m := p.proxies[i]
-	// two troubles may kill one proxy, and each starts it again: the first process would never be told to end, and the day not end
-	m.mu.Lock()
-	twice := m.runs
-	m.runs = true
-	m.mu.Unlock()
-	if twice {
-		return nil
-	}
-	p.found[i].Ahead()
-	now, err := p.o.Start(m.site)
-	if err != nil {
-		return err
-	}
-	if p.relays != nil {
-		if err := p.relays[i].open(); err != nil {
-			return err
-		}
-	}
-	mine := &life{Proxy: now, gone: make(chan struct{})}
-	m.mu.Lock()
-	m.now = mine
-	m.mu.Unlock()
-	p.ends.Add(1)
-	go func() {
-		defer p.ends.Done()
-		<-now.Done()
-		p.clients.up[i].Store(false)
-		if p.relays != nil && !p.ways.any(proxyName(i)) { // over a link that is cut nobody hears a refusal
-			p.relays[i].close()
-		}
-		if c, ok := now.(interface{ CPU() time.Duration }); ok {
-			p.cpu.Add(int64(c.CPU()))
-		}
-		m.mu.Lock()
-		note := mine.ends
-		m.runs = false
-		m.mu.Unlock()
-		close(mine.gone)
-		if note == "" {
-			note = "crashed"
-		}
-		p.log.See(Seen{What: Ended, Proxy: i, Note: note})
-	}()
-	for range 500 {
-		if conn, err := net.DialTimeout("tcp", m.site.Listen, time.Second); err == nil {
-			conn.SetDeadline(time.Now().Add(2 * time.Second))
-			conn.Write(Command("PING"))
-			b := make([]byte, 5)
-			_, err := conn.Read(b)
-			conn.Close()
-			if err == nil && string(b) == "+PONG" {
-				p.clients.up[i].Store(true)
-				return nil
-			}
-		}
-		select {
-		case <-now.Done():
-			return fmt.Errorf("proxy %d ended at its start; its log is in %s", i, m.site.Dir)
-		default:
-		}
-		if !sleep(ctx, 10*time.Millisecond) {
-			return ctx.Err()
-		}
-	}
-	return fmt.Errorf("proxy %d does not serve", i)
-}
-
-// end ends a proxy by a signal, or kills it, and waits.
-func (p *player) end(i int, s os.Signal, note string) {
-	m := p.proxies[i]
-	m.mu.Lock()
-	now := m.now
-	if now != nil && now.ends == "" {
-		now.ends = note
-	}
-	m.mu.Unlock()
-	if now == nil {
-		return
-	}
-	p.clients.up[i].Store(false) // the front learns of it at once
-	if s == nil {
-		now.Kill()
-	} else {
-		now.Signal(s)
-	}
-	select {
-	case <-now.Done():
-	case <-time.After(6 * time.Second):
-		now.Kill()
-		<-now.Done()
-	}
-	<-now.gone
-}
-
 func (p *player) stop() {
 	var all sync.WaitGroup
 	for i := range p.proxies {
@@ -537,178 +450,13 @@
 	}
 }
 
-// hit is the nodes that stand, as a trouble begins, in the places that it hits: others may be replaced meanwhile.
-func (p *player) hit(b Blow) []*Node {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var hit []*Node
-	for _, i := range b.Hits {
-		hit = append(hit, p.nodes[i])
-	}
-	return hit
-}
-
-// strike lets a trouble come and pass.
-func (p *player) strike(ctx context.Context, b Blow, start time.Time) {
-	if !sleep(ctx, time.Until(start.Add(seconds(b.At)))) {
-		return
-	}
-	long := seconds(b.For)
-	habit := map[string]Habit{"silent": "silent", "failing": "fails", "reset": "cuts", "garbled": "garbled", "halves": "halves"}[b.Kind]
-	switch b.Kind {
-	case "silent", "failing", "reset", "garbled", "halves":
-		part := b.Part
-		if part == 0 {
-			part = 1
-		}
-		hit := p.hit(b)
-		for _, n := range hit {
-			n.Set(habit, part, 0, 0)
-		}
-		sleep(ctx, long)
-		for _, n := range hit {
-			n.Set("", 1, 0, 0)
-		}
-	case "slow", "origin-slow":
-		hit := []*Node{p.origin}
-		if b.Kind == "slow" {
-			hit = p.hit(b)
-		}
-		set := func(times float64) {
-			for _, n := range hit {
-				n.work.slower(times)
-			}
-		}
-		set(b.Times)
-		sleep(ctx, long)
-		set(1)
-	case "cold":
-		for _, n := range p.hit(b) {
-			n.Stop()
-			if !sleep(ctx, 200*time.Millisecond) || n.Restart() != nil {
-				return
-			}
-			p.starts(n, time.Now())
-			p.say(n, "active")
-		}
-	case "replace":
-		for k, old := range p.hit(b) {
-			p.say(old, "leaving")
-			if !sleep(ctx, max(millis(b.Leave), 500*time.Millisecond)) {
-				return
-			}
-			p.say(old, "left")
-			old.Stop()
-			n, err := p.another()
-			if err != nil {
-				return
-			}
-			p.mu.Lock()
-			p.nodes[b.Hits[k]] = n
-			p.mu.Unlock()
-			p.say(n, "active")
-			if !sleep(ctx, long/time.Duration(len(b.Hits))) {
-				return
-			}
-		}
-	case "stale":
-		for _, i := range b.Hits {
-			p.found[i].Stale(true)
-		}
-		sleep(ctx, long)
-		for _, i := range b.Hits {
-			p.found[i].Stale(false)
-		}
-	case "hush":
-		for _, i := range b.Hits {
-			p.found[i].Hush()
-		}
-	case "agent-ahead":
-		p.mu.Lock()
-		n := p.nodes[b.Hits[0]%len(p.nodes)]
-		p.mu.Unlock()
-		for _, i := range b.Hits {
-			p.end(i, nil, "killed")
-		}
-		p.say(n, "leaving")
-		for _, i := range b.Hits {
-			if ctx.Err() != nil || p.start(ctx, i) != nil {
-				return
-			}
-		}
-		sleep(ctx, long)
-		p.say(n, "active")
-	case "deaf", "refusing":
-		mood := map[string]Mood{"deaf": "silent", "refusing": "full"}[b.Kind]
-		for _, i := range b.Hits {
-			p.found[i].Feel(mood)
-		}
-		sleep(ctx, long)
-		for _, i := range b.Hits {
-			p.found[i].Feel("")
-		}
-	case "part", "one-way", "lossy", "zone-cut", "link":
-		end := p.ways.begin(p.cutOf(b))
-		p.struck(b, true)
-		sleep(ctx, long)
-		end()
-		p.struck(b, false)
-	case "zone-grey":
-		p.greyZone(ctx, b, long)
-	case "whisper":
-		p.whisper(ctx, b.Nodes, long)
-	case "pause":
-		p.pause(ctx, b.Hits, long)
-	case "mass-kill":
-		p.massKill(ctx, b.Hits, max(long, 500*time.Millisecond), seconds(b.Spread), func() {})
-	case "zone-lost":
-		p.loseZone(ctx, b, long)
-	case "kill", "restart":
-		for _, i := range b.Hits {
-			if b.Kind == "kill" {
-				p.end(i, nil, "killed")
-				sleep(ctx, 500*time.Millisecond)
-			} else {
-				p.end(i, syscall.SIGTERM, "stopped")
-			}
-			if ctx.Err() != nil || p.start(ctx, i) != nil {
-				return
-			}
-		}
-	case "bad-clients":
-		var all sync.WaitGroup
-		for i := 0; time.Since(start) < seconds(b.At)+long && ctx.Err() == nil; i++ {
-			all.Add(1)
-			go func() {
-				defer all.Done()
-				if !bad(p.clients.addrs[i%len(p.clients.addrs)], i) {
-					p.badMute.Add(1)
-				}
-			}()
-			sleep(ctx, seconds(1/b.Rate))
-		}
-		all.Wait()
-	case "slow-clients":
-		during, end := context.WithTimeout(ctx, long)
-		defer end()
-		var all sync.WaitGroup
-		for i := range b.Nodes {
-			all.Add(1)
-			go func() {
-				defer all.Done()
-				slow(during, p.clients.addrs[i%len(p.clients.addrs)], fmt.Sprint("slow", i), p.plan.Day.Routes[0])
-			}()
-		}
-		all.Wait()
-	}
-}
-
 func (p *player) report() *Report {
 	all := p.log.All()
 	r := &Report{Plan: p.plan, Results: p.clients.results, Seen: all, BadMute: int(p.badMute.Load())}
 	r.Breaches, r.ColdPeak = check(p.plan.Day, p.plan.Requests, all)
 	p.heard(r)
 	p.judged(r)
+	r.Together = p.together(all)
 	r.CPU = float64(p.cpu.Load()) / 1000 / float64(max(len(p.plan.Requests), 1))
 	late := 0
 	for _, s := range all {
@@ -720,51 +468,3 @@
 	r.Ran = late*200 <= len(p.plan.Requests)
 	return r
 }
-
-// Program starts a program as a process for each proxy, whose log is kept in its directory.
-func Program(words ...string) Start {
-	return func(s Site) (Proxy, error) {
-		log, err := os.OpenFile(filepath.Join(s.Dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		if err != nil {
-			return nil, err
-		}
-		c := exec.Command(words[0], words[1:]...)
-		c.Env = append(os.Environ(), "GW_CONFIG="+s.Config, "GW_NAME="+s.Name, "GW_LISTEN="+s.Listen, "GW_DISCOVERY="+s.Discovery,
-			"TMPDIR="+filepath.Join(s.Dir, "tmp"))
-		if s.Peers != "" {
-			c.Env = append(c.Env, "GW_PEERS="+s.Peers)
-		}
-		if s.Zones != "" {
-			c.Env = append(c.Env, "GW_ZONES="+s.Zones)
-		}
-		c.Stdout, c.Stderr = log, log
-		if err := c.Start(); err != nil {
-			log.Close()
-			return nil, err
-		}
-		done := make(chan error, 1)
-		go func() {
-			done <- c.Wait()
-			log.Close()
-			close(done)
-		}()
-		return process{c, done}, nil
-	}
-}
-
-type process struct {
-	c    *exec.Cmd
-	done chan error
-}
-
-func (p process) Signal(s os.Signal) { p.c.Process.Signal(s) }
-func (p process) Kill()              { p.c.Process.Kill() }
-func (p process) Done() <-chan error { return p.done }
-
-// CPU is what the process took, once it has ended.
-func (p process) CPU() time.Duration {
-	if s := p.c.ProcessState; s != nil {
-		return s.UserTime() + s.SystemTime()
-	}
-	return 0
-}
--- /dev/null
+++ b/internal/emu/process.go
@@ -0,0 +1,161 @@
+package emu
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+)
+
+// The proxies' processes.
+
+// start starts a proxy and waits until it serves.
+func (p *player) start(ctx context.Context, i int) error {
+	m := p.proxies[i]
+	// two troubles may kill one proxy, and each starts it again: the first process would never be told to end, and the day not end
+	m.mu.Lock()
+	twice := m.runs
+	m.runs = true
+	m.mu.Unlock()
+	if twice {
+		return nil
+	}
+	p.found[i].Ahead()
+	now, err := p.o.Start(m.site)
+	if err != nil {
+		return err
+	}
+	if p.relays != nil {
+		if err := p.relays[i].open(); err != nil {
+			return err
+		}
+	}
+	mine := &life{Proxy: now, gone: make(chan struct{})}
+	m.mu.Lock()
+	m.now = mine
+	m.mu.Unlock()
+	p.ends.Add(1)
+	go func() {
+		defer p.ends.Done()
+		<-now.Done()
+		p.clients.up[i].Store(false)
+		if p.relays != nil && !p.ways.any(proxyName(i)) { // over a link that is cut nobody hears a refusal
+			p.relays[i].close()
+		}
+		if c, ok := now.(interface{ CPU() time.Duration }); ok {
+			p.cpu.Add(int64(c.CPU()))
+		}
+		m.mu.Lock()
+		note := mine.ends
+		m.runs = false
+		m.mu.Unlock()
+		close(mine.gone)
+		if note == "" {
+			note = "crashed"
+		}
+		p.log.See(Seen{What: Ended, Proxy: i, Note: note})
+	}()
+	for range 500 {
+		if conn, err := net.DialTimeout("tcp", m.site.Listen, time.Second); err == nil {
+			conn.SetDeadline(time.Now().Add(2 * time.Second))
+			conn.Write(Command("PING"))
+			b := make([]byte, 5)
+			_, err := conn.Read(b)
+			conn.Close()
+			if err == nil && string(b) == "+PONG" {
+				p.clients.up[i].Store(true)
+				return nil
+			}
+		}
+		select {
+		case <-now.Done():
+			return fmt.Errorf("proxy %d ended at its start; its log is in %s", i, m.site.Dir)
+		default:
+		}
+		if !sleep(ctx, 10*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	return fmt.Errorf("proxy %d does not serve", i)
+}
+
+// end ends a proxy by a signal, or kills it, and waits.
+func (p *player) end(i int, s os.Signal, note string) {
+	m := p.proxies[i]
+	m.mu.Lock()
+	now := m.now
+	if now != nil && now.ends == "" {
+		now.ends = note
+	}
+	m.mu.Unlock()
+	if now == nil {
+		return
+	}
+	p.clients.up[i].Store(false) // the front learns of it at once
+	if s == nil {
+		now.Kill()
+	} else {
+		now.Signal(s)
+	}
+	select {
+	case <-now.Done():
+	case <-time.After(6 * time.Second):
+		now.Kill()
+		<-now.Done()
+	}
+	<-now.gone
+}
+
+// Program starts a program as a process for each proxy, whose log is kept in its directory.
+func Program(words ...string) Start {
+	return func(s Site) (Proxy, error) {
+		log, err := os.OpenFile(filepath.Join(s.Dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		c := exec.Command(words[0], words[1:]...)
+		c.Env = append(os.Environ(), "GW_CONFIG="+s.Config, "GW_NAME="+s.Name, "GW_LISTEN="+s.Listen, "GW_DISCOVERY="+s.Discovery,
+			"TMPDIR="+filepath.Join(s.Dir, "tmp"))
+		if s.Peers != "" {
+			c.Env = append(c.Env, "GW_PEERS="+s.Peers)
+		}
+		if s.Turns != "" {
+			c.Env = append(c.Env, "GW_TURNS="+s.Turns)
+		}
+		if s.Zones != "" {
+			c.Env = append(c.Env, "GW_ZONES="+s.Zones)
+		}
+		c.Stdout, c.Stderr = log, log
+		if err := c.Start(); err != nil {
+			log.Close()
+			return nil, err
+		}
+		done := make(chan error, 1)
+		go func() {
+			done <- c.Wait()
+			log.Close()
+			close(done)
+		}()
+		return process{c, done}, nil
+	}
+}
+
+type process struct {
+	c    *exec.Cmd
+	done chan error
+}
+
+func (p process) Signal(s os.Signal) { p.c.Process.Signal(s) }
+func (p process) Kill()              { p.c.Process.Kill() }
+func (p process) Done() <-chan error { return p.done }
+
+// CPU is what the process took, once it has ended.
+func (p process) CPU() time.Duration {
+	if s := p.c.ProcessState; s != nil {
+		return s.UserTime() + s.SystemTime()
+	}
+	return 0
+}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -42,6 +42,7 @@
 	Clients  int            `toml:"connections"` // that clients hold, 0: the day's
 	Talk     *bool          `toml:"talk"`        // whether proxies talk with one another
 	Judged   *string        `toml:"judged"`      // how they judge zones
+	Turns    *bool          `toml:"turns"`       // whether they take turns
 }
 
 // IsExperiment tells an experiment's file from a day's.
@@ -129,6 +130,9 @@
 	if v.Judged != nil {
 		c.Zones.Judged = *v.Judged
 	}
+	if v.Turns != nil {
+		c.Turns.On = *v.Turns
+	}
 	if v.Talk != nil {
 		c.Peers.Talk = *v.Talk
 		if !c.Peers.Talk { // what stands between them alone does not come
--- a/internal/lab/sum.go
+++ b/internal/lab/sum.go
@@ -35,6 +35,7 @@
 	LeftFirst, LeftLast, ZoneBack, WorthHit, WorthBack float64
 	NeverLeft, Convicted                               int
 	ColdPeak                                           float64 // the most any node took cold, against what fells it
+	emu.Together
 }
 
 // Of sums up a day.
@@ -95,7 +96,7 @@
 		n := float64(len(r.Zones))
 		s.WorthHit, s.WorthBack, s.NeverLeft = s.WorthHit+z.WorthAt/n, s.WorthBack+z.WorthBack/n, s.NeverLeft+z.Kept
 	}
-	s.Convicted, s.ColdPeak = r.Convicted, r.ColdPeak
+	s.Convicted, s.ColdPeak, s.Together = r.Convicted, r.ColdPeak, r.Together
 	s.Tries = took / max(float64(s.Requests), 1)
 	return s
 }
@@ -116,6 +117,8 @@
 				len(r.Whispers), r.Unheard)
 		}
 	}
+	fmt.Fprintf(&b, "together: a silent node took %.2f a second, discovery %.1f watches at a time and %.2f calls a second, a cache held %.1f connections, %d at most\n",
+		s.Trials, s.Watches, s.Calls, s.Conns, s.Most)
 	for _, z := range r.Zones {
 		fmt.Fprintf(&b, "zone %s, hit at %.1f s for %.1f: left after %.0f to %.0f ms, %d never; all of it again %.0f ms after its end; worth %.3f in the first 5 s, %.3f in the 10 s after its end\n",
 			z.Zone, z.At.Seconds(), z.For.Seconds(), z.First.Seconds()*1000, z.Last.Seconds()*1000, z.Kept, z.Back.Seconds()*1000, z.WorthAt, z.WorthBack)
