--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -34,12 +34,13 @@
 	PeersAt    string `env:"GW_PEERS_LISTEN" name:"peers-listen" help:"Where peers meet this proxy, before the one in that file."`
 	Zones      string `env:"GW_ZONES" help:"A file by which whole zones are left and returned to; without it they are not." placeholder:"FILE"`
 	Turns      string `env:"GW_TURNS" help:"A file by which proxies that talk take turns; without it each does all for itself." placeholder:"FILE"`
+	Moves      string `env:"GW_MOVES" help:"A file by which moves of shards are planned at the management address; without it they are not." placeholder:"FILE"`
 	Shared     string `env:"TMPDIR" help:"A directory that a process shares with the one that replaces it."`
 }
 
 func (p *place) read() (*run.Place, error) {
 	return run.Read(p.Config, run.Place{Name: p.Name, Listen: p.Listen, Discovery: p.Discovery, Management: p.Management,
-		Own: true, Shared: p.Shared, Peers: p.Peers, PeersListen: p.PeersAt, ZonesFile: p.Zones, TurnsFile: p.Turns})
+		Own: true, Shared: p.Shared, Peers: p.Peers, PeersListen: p.PeersAt, ZonesFile: p.Zones, MovesFile: p.Moves, TurnsFile: p.Turns})
 }
 
 type serve struct{ place }
@@ -58,7 +59,7 @@
 	// the environment is that of the start; where discovery is by now, only the file can tell
 	again := func() (*run.Place, error) {
 		return run.Read(s.Config, run.Place{Name: s.Name, Listen: s.Listen, Management: s.Management,
-			Own: true, Shared: s.Shared, Peers: s.Peers, PeersListen: s.PeersAt, ZonesFile: s.Zones, TurnsFile: s.Turns})
+			Own: true, Shared: s.Shared, Peers: s.Peers, PeersListen: s.PeersAt, ZonesFile: s.Zones, MovesFile: s.Moves, TurnsFile: s.Turns})
 	}
 	return run.Serve(p, again, log, signals)
 }
@@ -86,6 +87,9 @@
 	if p.Zones != nil {
 		fmt.Printf("%s: good; this proxy stands in %q, %d regions\n", c.Zones, p.Zones.Zone, len(p.Zones.Regions))
 	}
+	if p.Moves != nil {
+		fmt.Printf("%s: good; slack %v, %d moves at a node, %d in all\n", c.Moves, p.Moves.Slack, p.Moves.PerNode, p.Moves.InAll)
+	}
 	if p.Turns != nil {
 		fmt.Printf("%s: good; %d watchers, %d keepers\n", c.Turns, p.Turns.Watchers, p.Turns.Keepers)
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -23,18 +24,30 @@
 	Zones() string // how the zones stand, "": they are not judged
 	Turns() any    // how what goes by turns stands, to be told as JSON, nil: nothing does
 	Metrics() http.Handler
+	// Plan plans moves of shards by an inventory; nil and no error: nothing is planned here. It may take a second, beside
+	// what the proxy does
+	Plan(inventory io.Reader) (any, error)
 	// an order on a zone or region: in, out, hold or auto, to replace the one of that epoch, below zero: whichever stands.
 	// An error tells why nothing has changed
 	Command(name, want string, epoch int64, force bool) (string, error)
 }
 
+// wrong is how an error is told: its type, a sentence that says what to do, and its figures.
+type wrong struct {
+	Type  string `json:"type"`
+	Error string `json:"error"`
+	Found error  `json:"found,omitempty"`
+}
+
 // forced is what has to be said for an order that leaves no zone in.
 const forced = "leave no zone"
 
 const (
-	mostConns = 8               // at once; one more, and the one that has said nothing whole for longest goes
-	callTime  = 2 * time.Second // from the first byte of a call's head to the end of its answer
-	mostHead  = 4 << 10         // net/http reads a little more than it is told
+	mostConns     = 8               // at once; one more, and the one that has said nothing whole for longest goes
+	callTime      = 2 * time.Second // from the first byte of a call's head to the end of its answer
+	mostInventory = 4 << 20
+	planTime      = 10 * time.Second
+	mostHead      = 4 << 10 // net/http reads a little more than it is told
 )
 
 // Server is the listener for operators and the connections there.
@@ -92,6 +105,23 @@
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(stands)
 	})
+	mux.HandleFunc("POST /control/moves/plan", func(w http.ResponseWriter, r *http.Request) {
+		c := http.NewResponseController(w) // which takes longer than other calls
+		c.SetReadDeadline(time.Now().Add(planTime))
+		c.SetWriteDeadline(time.Now().Add(2 * planTime))
+		plan, err := of.Plan(http.MaxBytesReader(w, r.Body, mostInventory))
+		w.Header().Set("Content-Type", "application/json")
+		switch {
+		case err != nil:
+			w.WriteHeader(http.StatusConflict)
+			json.NewEncoder(w).Encode(wrong{strings.TrimPrefix(fmt.Sprintf("%T", err), "*"), err.Error(), err})
+		case plan == nil:
+			w.WriteHeader(http.StatusNotFound)
+			json.NewEncoder(w).Encode(wrong{"", "no file of moves is named", nil})
+		default:
+			json.NewEncoder(w).Encode(plan)
+		}
+	})
 	mux.Handle("GET /metrics", of.Metrics())
 	mux.HandleFunc("POST /control/zones/{zone}/{want}", func(w http.ResponseWriter, r *http.Request) {
 		epoch, force := int64(-1), r.URL.Query().Get("force") == forced
--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -128,9 +128,12 @@
 func (p *peers) process(name, ip, management string) emu.Proxy {
 	p.t.Helper()
 	s := emu.Site{Name: name, Listen: ip + ":6379", Discovery: p.found, Dir: filepath.Join(p.dir, name), Config: filepath.Join(p.dir, name, management+".json"),
-		Peers: filepath.Join(p.dir, name, "peers.toml"), Zones: filepath.Join(p.dir, name, "zones.toml")}
+		Peers: filepath.Join(p.dir, name, "peers.toml"), Zones: filepath.Join(p.dir, name, "zones.toml"),
+		Turns: filepath.Join(p.dir, name, "turns.toml"), Moves: filepath.Join(p.dir, name, "moves.toml")}
 	os.MkdirAll(filepath.Join(s.Dir, "tmp"), 0o700)
 	os.WriteFile(s.Zones, []byte("[[region]]\nname = \"east\"\nzones = [\"x\", \"y\"]\n"), 0o600)
+	os.WriteFile(s.Turns, []byte("watchers = 2\nkeepers = 2\n"), 0o600)
+	os.WriteFile(s.Moves, []byte("slack = 0.5\n"), 0o600)
 	os.WriteFile(s.Peers, []byte(fmt.Sprintf("cluster = \"c\"\nlisten = \"%s:7946\"\nseeds = [\"%s:7946\", \"%s:7946\"]\nhold_s = 1.0\n", ip, ip[:len(ip)-1]+"1", ip[:len(ip)-1]+"2")), 0o600)
 	os.WriteFile(s.Config, []byte(fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"management":%q,"seed":"8c1f30d27a5be964","settings":{"replicas-of-me":2,
 		"tick":5,"shapes":["cache","origin"],"limits":{"max-upstream-tries":4,"may-cancel":true,"conn-idle":15000,"connect-timeout":250},
@@ -147,8 +150,8 @@
 	return x
 }
 
-func say(method, address, path string) string {
-	q, err := http.NewRequest(method, "http://"+address+path, nil)
+func say(method, address, path string, body ...string) string {
+	q, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(strings.Join(body, "")))
 	if err != nil {
 		return err.Error()
 	}
@@ -336,3 +339,28 @@
 	}
 	t.Logf("by turns %+v, each for itself %+v", r.Together, alone.Together)
 }
+
+// Operators see how what goes by turns stands, take metrics, and have moves planned; what can't be is told by its type, with figures.
+func TestManaged(t *testing.T) {
+	t.Parallel()
+	p := meet(t, 62, emu.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
+	a, b := p.ip+"1:6380", p.ip+"2:6380"
+	p.process("a", p.ip+"1", a)
+	p.process("b", p.ip+"2", b)
+	p.await("both share duties", a, "/control/turns", `"here":2,"watchers":2,"duty":true`, `"kept":1,"nodes":1`)
+	p.await("metrics", b, "/metrics", "woodproxy_exchanges_total 0", "woodproxy_turns_here 2", "woodproxy_peers_share 0.5", "woodproxy_clients_open ")
+	plan := func(inventory string, want ...string) {
+		t.Helper()
+		got := say(http.MethodPost, a, "/control/moves/plan", inventory)
+		for _, w := range want {
+			if !strings.Contains(got, w) {
+				t.Errorf("%s: %q, not %q", inventory, got, w)
+			}
+		}
+	}
+	nodes := `"nodes":[{"name":"x","room_bytes":10},{"name":"y","room_bytes":10},{"name":"z","room_bytes":8}]`
+	plan(`{`+nodes+`,"shards":[{"id":1,"bytes":8,"on":"x","want":"y"},{"id":2,"bytes":8,"on":"y","want":"x"}]}`, "200 ", `"bytes":24,"least":16,"through":1,"exact":true`)
+	plan(`{`+nodes+`,"shards":[{"id":1,"bytes":11,"on":"x"}]}`, "409 ", `"type":"moves.ShardError"`, `"Largest":10`)
+	plan(`{"nodes":[],"shard":[]}`, "409 ", `"type":"moves.InventoryError"`, `unknown field`)
+	plan(`{]`, "409 ", "no JSON")
+}
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -19,6 +19,7 @@
 	Config                  string // the file that says all of this
 	Management              string // where operators call, "": nowhere
 	Peers                   string // the file by which it talks with others, "": it does not
+	Moves                   string // the file by which it plans moves, "": it does not
 	Turns                   string // the file by which it takes turns with others, "": it does not
 	Zones                   string // the file by which it judges zones, "": it does not
 	Dir                     string // for its log and what it keeps
--- a/internal/emu/process.go
+++ b/internal/emu/process.go
@@ -122,6 +122,9 @@
 		if s.Peers != "" {
 			c.Env = append(c.Env, "GW_PEERS="+s.Peers)
 		}
+		if s.Moves != "" {
+			c.Env = append(c.Env, "GW_MOVES="+s.Moves)
+		}
 		if s.Turns != "" {
 			c.Env = append(c.Env, "GW_TURNS="+s.Turns)
 		}
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -13,6 +13,7 @@
 
 	"woodproxy/internal/talk"
 	"woodproxy/internal/terms"
+	"woodproxy/moves"
 	"woodproxy/turns"
 	"woodproxy/zones"
 )
@@ -33,6 +34,8 @@
 	Talk                    *talk.Config
 	ZonesFile               string // by which whole zones are left, "": they are not
 	Zones                   *zones.Terms
+	MovesFile               string // by which moves of shards are planned, "": they are not
+	Moves                   *moves.Terms
 	TurnsFile               string // by which proxies take turns, "": they do not
 	Turns                   *turns.Terms
 	Watch                   *terms.Book // terms that are only watched, nil: none
@@ -53,7 +56,7 @@
 	if err != nil || v.Type() != fastjson.TypeObject {
 		return nil, fmt.Errorf("configuration: %s: not a JSON object", file)
 	}
-	p := &Place{Own: over.Own, Shared: over.Shared, Peers: over.Peers, PeersListen: over.PeersListen, ZonesFile: over.ZonesFile, TurnsFile: over.TurnsFile, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
+	p := &Place{Own: over.Own, Shared: over.Shared, Peers: over.Peers, PeersListen: over.PeersListen, ZonesFile: over.ZonesFile, MovesFile: over.MovesFile, TurnsFile: over.TurnsFile, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
 	word := func(key, given string) string {
 		s := v.Get(key)
 		switch {
@@ -128,6 +131,11 @@
 			return nil, err
 		}
 	}
+	if p.MovesFile != "" {
+		if p.Moves, err = readMoves(p.MovesFile); err != nil {
+			return nil, err
+		}
+	}
 	if p.TurnsFile != "" {
 		if p.Talk == nil {
 			return nil, fmt.Errorf("turns: %w", &turns.AloneError{File: p.TurnsFile})
--- /dev/null
+++ b/internal/run/moves.go
@@ -0,0 +1,85 @@
+package run
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+
+	"woodproxy/internal/strict"
+	"woodproxy/moves"
+)
+
+// movesFile is what the file of moves says.
+type movesFile struct {
+	Slack   float64 `toml:"slack"`
+	PerNode int     `toml:"moves_per_node"`
+	InAll   int     `toml:"moves_in_all"`
+}
+
+// readMoves reads the file of moves. An error is one line that names what is wrong.
+func readMoves(file string) (*moves.Terms, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("moves: %w", err)
+	}
+	f := &movesFile{Slack: 0.1, PerNode: 2, InAll: 32}
+	if err := strict.TOML(text, f); err != nil {
+		return nil, fmt.Errorf("moves: %s: %w", file, err)
+	}
+	t := &moves.Terms{Slack: f.Slack, PerNode: f.PerNode, InAll: f.InAll, Exact: 1 << 14, Breathe: runtime.Gosched}
+	if err := t.Check(); err != nil {
+		return nil, fmt.Errorf("moves: %s: %w", file, err)
+	}
+	return t, nil
+}
+
+// planners is how many plans may be made at a time; further calls are told so at once.
+const planners = 1
+
+// BusyError tells that as many plans are being made as may be.
+type BusyError struct{ Most int }
+
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("%d plan is being made already; ask again once it is done", e.Most)
+}
+
+// Plan plans moves of an inventory, in JSON, and answers in JSON. An error that the planner found is of one of its types.
+func (s *service) Plan(inventory io.Reader) (any, error) {
+	t := s.peers.place.Moves
+	if t == nil {
+		return nil, nil
+	}
+	select {
+	case s.planning <- struct{}{}:
+		defer func() { <-s.planning }()
+	default:
+		return nil, &BusyError{planners}
+	}
+	in := json.NewDecoder(inventory)
+	in.DisallowUnknownFields()
+	var inv moves.Inventory
+	if err := in.Decode(&inv); err != nil {
+		return nil, &moves.InventoryError{Where: "inventory", What: oneLine(err)}
+	}
+	if len(inv.Nodes) > mostPlanned || len(inv.Shards) > mostShards {
+		return nil, &moves.InventoryError{Where: "inventory", What: fmt.Sprintf("%d nodes and %d shards, over %d and %d", len(inv.Nodes), len(inv.Shards), mostPlanned, mostShards)}
+	}
+	return moves.Make(&inv, *t)
+}
+
+// What an inventory may have: its memory is this process's, and so is the time that its plan takes.
+const (
+	mostPlanned = 500
+	mostShards  = 16384
+)
+
+func oneLine(err error) string {
+	var at *json.SyntaxError
+	if errors.As(err, &at) {
+		return fmt.Sprintf("no JSON after %d bytes", at.Offset)
+	}
+	return err.Error()
+}
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -85,7 +85,7 @@
 		mind.Zones(*p.Zones, peers.speak)
 	}
 	door := fleet.NewDoor(ln, mind, p.MemoryMB, count, log)
-	service := &service{Door: door, peers: peers, count: count}
+	service := &service{Door: door, peers: peers, count: count, planning: make(chan struct{}, planners)}
 	if p.Management != "" {
 		operators, err := control.Listen(p.Management, service)
 		if err != nil {
@@ -175,6 +175,7 @@
 	peers    *peers
 	count    *fleet.Counters
 	stopping atomic.Bool
+	planning chan struct{} // has a place for each plan that is being made
 }
 
 // Peers words how the proxy stands with its peers, "": it has none.
@@ -201,10 +202,10 @@
 		zap.Int("memory_mb", p.MemoryMB))
 	if p.Name != old.Name || p.Listen != old.Listen || p.Management != old.Management || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) ||
 		!reflect.DeepEqual(p.Watch, old.Watch) || !reflect.DeepEqual(p.Talk, old.Talk) || !reflect.DeepEqual(p.Zones, old.Zones) ||
-		!reflect.DeepEqual(p.Turns, old.Turns) {
-		log.Warn("name, listen, management, sockets, settings, watch, peers, zones and turns stand until the next start")
+		!reflect.DeepEqual(p.Turns, old.Turns) || p.MovesFile != old.MovesFile {
+		log.Warn("name, listen, management, sockets, settings, watch, peers, zones, turns and moves stand until the next start")
 		p.Name, p.Listen, p.Management = old.Name, old.Listen, old.Management
-		p.Sockets, p.Book, p.Watch, p.Talk, p.Zones, p.Turns = old.Sockets, old.Book, old.Watch, old.Talk, old.Zones, old.Turns
+		p.Sockets, p.Book, p.Watch, p.Talk, p.Zones, p.Turns, p.Moves = old.Sockets, old.Book, old.Watch, old.Talk, old.Zones, old.Turns, old.Moves
 	}
 	room.set(func(r *allowance) { r.cores, r.memoryMB = p.Cores, p.MemoryMB })
 	list.Move(p.Discovery)
--- a/moves/moves_test.go
+++ b/moves/moves_test.go
@@ -80,8 +80,11 @@
 		if at == "" || nodes[at].Leaves || s.Want != "" && at != s.Want || len(s.Zones) > 0 && !slices.Contains(s.Zones, nodes[at].Zone) {
 			return fmt.Sprintf("shard %d ends at %q", s.ID, at)
 		}
+		if s.Apart == "" {
+			continue
+		}
 		for _, o := range inv.Shards {
-			if s.Apart != "" && o.Apart == s.Apart && o.ID != s.ID && nodes[on[o.ID]].Zone == nodes[at].Zone {
+			if o.Apart == s.Apart && o.ID != s.ID && nodes[on[o.ID]].Zone == nodes[at].Zone {
 				return fmt.Sprintf("shards %d and %d end in one zone", s.ID, o.ID)
 			}
 		}
@@ -399,7 +402,7 @@
 	}
 	sizes := []size{{60, 1200, 0.10, 0.08, 1.05}, {60, 1200, 0.03, 0.025, 1.2}}
 	if os.Getenv("WOODPROXY_MOVES") != "" {
-		sizes = append(sizes, size{200, 4096, 0.10, 0.08, 1.05}, size{200, 4096, 0.03, 0.025, 1.2}, size{200, 4096, 0.01, 0.008, 2}, size{1000, 65536, 0.10, 0.08, 1.05})
+		sizes = append(sizes, size{200, 4096, 0.10, 0.08, 1.05}, size{200, 4096, 0.03, 0.025, 1.2}, size{200, 4096, 0.01, 0.008, 2}, size{500, 16384, 0.10, 0.08, 1.05}, size{500, 16384, 0.03, 0.025, 1.2}, size{1000, 65536, 0.10, 0.08, 1.05})
 	}
 	for _, c := range sizes {
 		for _, wants := range []bool{false, true} {
@@ -407,6 +410,7 @@
 			terms := Terms{Slack: c.slack, PerNode: 2, InAll: 64}
 			began := time.Now()
 			p, err := Make(inv, terms)
+			took := time.Since(began)
 			if err != nil {
 				if !typed(err) || c.spare >= 0.1 {
 					t.Errorf("%d nodes, %v to spare, wants %v: %v", c.nodes, c.spare, wants, err)
@@ -418,7 +422,7 @@
 				t.Errorf("%s", what)
 			}
 			t.Logf("%d nodes, %d shards, %v to spare, wants %v: %.4f of the bound, %d steps, %d aside, %v", c.nodes, c.shards, c.spare, wants,
-				float64(p.Bytes)/float64(p.Least), len(p.Steps), p.Through, time.Since(began))
+				float64(p.Bytes)/float64(p.Least), len(p.Steps), p.Through, took)
 			if float64(p.Bytes) > c.over*float64(p.Least) {
 				t.Errorf("%d bytes, %d at least", p.Bytes, p.Least)
 			}
@@ -466,3 +470,55 @@
 		}
 	}
 }
+
+// Every node is full to a byte, and all shards change places: with one shard's room elsewhere it goes, a few bytes over the fewest; with
+// none it is refused, and says what would help.
+func TestFullToAByte(t *testing.T) {
+	for _, spare := range []int64{7, 6} {
+		inv := &Inventory{}
+		for n := range 20 {
+			inv.Nodes = append(inv.Nodes, Node{Name: fmt.Sprint("c", n), Room: 70})
+			for k := range 10 {
+				inv.Shards = append(inv.Shards, Shard{ID: n*10 + k, Bytes: 7, On: fmt.Sprint("c", n), Want: fmt.Sprint("c", (n+1+k%4)%20)})
+			}
+		}
+		inv.Nodes = append(inv.Nodes, Node{Name: "free", Room: spare})
+		terms := Terms{PerNode: 2, InAll: 32}
+		p, err := Make(inv, terms)
+		var stuck *StuckError
+		if spare < 7 {
+			if !errors.As(err, &stuck) || stuck.Shards != 200 || stuck.Lacks[0].Bytes != 7 {
+				t.Errorf("%v", err)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if what := wrong(inv, terms, p); what != "" || p.Bytes > p.Least*6/5 {
+			t.Errorf("%s; %d bytes, %d at least, %d aside", what, p.Bytes, p.Least, p.Through)
+		}
+		t.Logf("%d bytes, %d at least, %d aside, %d steps", p.Bytes, p.Least, p.Through, len(p.Steps))
+	}
+}
+
+// Baselines of our own beside the plan: the target's moves all at once put nodes over their rooms, by size alone it takes more steps
+// or more bytes.
+func TestBaselines(t *testing.T) {
+	inv := large(60, 1200, 0.03, true, 2)
+	load, room, most := map[string]int64{}, inv.Nodes[0].Room, int64(0)
+	for _, s := range inv.Shards {
+		load[s.On] += s.Bytes
+		if s.Want != s.On {
+			load[s.Want] += s.Bytes
+		}
+	}
+	for _, l := range load {
+		most = max(most, l)
+	}
+	if p, err := Make(inv, Terms{PerNode: 2, InAll: 64}); err != nil || most <= room {
+		t.Errorf("%v; at once the fullest node has %d of %d", err, most, room)
+	} else {
+		t.Logf("at once the fullest node has %.2f of its room; planned never over 1, in %d steps", float64(most)/float64(room), len(p.Steps))
+	}
+}
