--- /dev/null
+++ b/missing/instance.go
@@ -0,0 +1,345 @@
+package missing
+
+import "fmt"
+
+// Terms is what an instance is told at its start.
+type Terms struct {
+	Me      string
+	Entries int
+	Believe Time // an entry lives so long after the origin's word
+	Grace   Time // for what a writer says it wrote and nobody passed on yet
+	Grow    int  // own entries a second at most, lest an origin that says so of all keys for a moment fills the table
+}
+
+// RangeError tells of a figure that is out of its range.
+type RangeError struct {
+	Key                string
+	Value, Least, Most float64
+}
+
+func (e *RangeError) Error() string {
+	return fmt.Sprintf("%s: %v: not from %v to %v; give it a figure within, or leave the line out for the usual one", e.Key, e.Value, e.Least, e.Most)
+}
+
+// AloneError tells that nobody would hear of writes.
+type AloneError struct {
+	File    string
+	Proxies int
+}
+
+func (e *AloneError) Error() string {
+	return fmt.Sprintf("%s: %d proxies may write, and they do not talk; name a file of peers as well (--peers FILE), or leave the file of missing keys out", e.File, e.Proxies)
+}
+
+// Check tells whether terms can be kept to.
+func (t *Terms) Check() error {
+	for _, f := range []RangeError{{"entries", float64(t.Entries), 1, 1 << 22}, {"believe_s", float64(t.Believe) / float64(Second), 0.5, 600},
+		{"grace_ms", float64(t.Grace) / 10, 100, 60000}, {"grow_per_s", float64(t.Grow), 1, 1e6}} {
+		if !(f.Value >= f.Least && f.Value <= f.Most) {
+			return &f
+		}
+	}
+	return nil
+}
+
+const (
+	mostBatch = 100         // keys in one word to others
+	slots     = 64          // words of each kind that each proxy's peers hold of it; a later one takes the place of the one so many before
+	batchFor  = Second / 20 // what comes within is told together
+	renewed   = Second / 2  // how long Fleet's word is good for
+	transit   = Second / 2  // that a word is on its way at most, between those who hold it
+	settles   = Second      // in which what lies unread after a process stood still is read
+)
+
+// Proxy is one that may write.
+type Proxy struct {
+	Name  string
+	Here  bool  // heard of within the stated term
+	Gone  bool  // its process is known to have ended
+	Wrote int64 // so many words on writes it has sent out, as its latest pulse says, of this incarnation
+	Epoch int64 // its incarnation
+}
+
+// Word is what goes round: keys that were written, or that are missing.
+type Word struct {
+	Seq    int64    `msgpack:"q,omitempty"` // of a writer's words, from 1 on
+	Hashes []uint64 `msgpack:"h"`
+}
+
+// Act names what a Decision asks the caller to do.
+type Act uint8
+
+const (
+	SayWrote  Act = iota // Word to all, in a slot
+	SayAbsent            // the same
+	Log                  // Text
+)
+
+// Decision is one thing for the caller to do, in order.
+type Decision struct {
+	Act  Act
+	Slot int
+	Word Word
+	Text string
+}
+
+// Figures are for operators.
+type Figures struct {
+	Believes bool  `json:"believes"` // entries are believed by now
+	Waits    int   `json:"waits"`    // proxies of which words on writes are missing by now
+	Cleared  int64 `json:"cleared"`  // times that all was forgotten
+	Told     int64 `json:"told"`     // entries that others told of
+	Refused  int64 `json:"refused"`  // of these, such that were not believed
+	Grown    int64 `json:"grown"`    // own entries that were over the stated growth
+	Hits     int64 `json:"hits"`
+	Put      int64 `json:"put"`
+	Full     int64 `json:"full"`
+	Room     int   `json:"room"`
+}
+
+// Instance decides for one proxy.
+type Instance struct {
+	Terms
+	*Table
+	shown   Figures
+	now     Time
+	writers map[string]*writer // proxies that were ever heard; emptied as they are forgotten by Fleet
+	seq     int64              // own words on writes that went out
+	wrote   []uint64           // not told yet
+	absent  []uint64
+	told    int // own words on what is missing
+	saidAt  Time
+	behind  bool
+	deaf    Time // others' words on what is missing are passed over until then
+	tokens  float64
+	grownAt Time
+	was     bool
+	out     []Decision
+}
+
+// writer is what is known of the words of one proxy on its writes.
+type writer struct {
+	epoch int64
+	have  int64          // all up to this one came
+	ahead map[int64]bool // beyond it; as many as slots
+	away  bool           // it was not heard for a while, and what it wrote meanwhile has not come
+	said  int64          // as many as its pulses say
+	since Time           // some of these have been lacking since then, 0: none is
+	seen  bool
+}
+
+// New returns an instance and its table, which believes nothing yet.
+func New(now Time, t Terms) *Instance {
+	return &Instance{Terms: t, Table: NewTable(t.Entries, t.Believe), now: now, writers: map[string]*writer{}, saidAt: now, tokens: float64(t.Grow), grownAt: now}
+}
+
+func (x *Instance) begin(now Time) { x.now, x.out = max(now, x.now), x.out[:0] }
+
+func (x *Instance) log(format string, args ...any) {
+	x.out = append(x.out, Decision{Act: Log, Text: fmt.Sprintf(format, args...)})
+}
+
+// Sent is how many words on writes have gone out, for this proxy's pulse. The word itself is given out first.
+func (x *Instance) Sent() int64 { return x.seq }
+
+// Wrote hears that this proxy has taken a write on, which the table knows of already.
+func (x *Instance) Wrote(now Time, hash uint64) []Decision {
+	x.begin(now)
+	x.wrote = append(x.wrote, hash)
+	if len(x.wrote) >= mostBatch {
+		x.tell()
+	}
+	return x.out
+}
+
+// Learned takes the origin's word that it has no such key, with the ticket of the look-up.
+func (x *Instance) Learned(now Time, hash uint64, k Ticket) []Decision {
+	x.begin(now)
+	x.tokens = min(x.tokens+float64(x.now-x.grownAt)/float64(Second)*float64(x.Grow), float64(x.Grow))
+	if x.grownAt = x.now; x.tokens < 1 {
+		x.shown.Grown++
+	} else if x.Table.Absent(hash, k, x.now) {
+		x.tokens--
+		if len(x.absent) < 4*mostBatch {
+			x.absent = append(x.absent, hash)
+		}
+	}
+	return x.out
+}
+
+// tell gives out what was written, and then what is missing.
+func (x *Instance) tell() {
+	for len(x.wrote) > 0 {
+		n := min(len(x.wrote), mostBatch)
+		x.seq++
+		x.out = append(x.out, Decision{Act: SayWrote, Slot: int(x.seq % slots), Word: Word{Seq: x.seq, Hashes: append([]uint64(nil), x.wrote[:n]...)}})
+		x.wrote = x.wrote[n:]
+	}
+	for n := min(len(x.absent), mostBatch); n > 0; n = 0 {
+		x.told++
+		x.out = append(x.out, Decision{Act: SayAbsent, Slot: x.told % slots, Word: Word{Hashes: append([]uint64(nil), x.absent[:n]...)}})
+		x.absent = x.absent[n:]
+	}
+	x.saidAt = x.now
+}
+
+// HeardWrote takes a word of another proxy's on what it wrote.
+func (x *Instance) HeardWrote(now Time, from string, epoch int64, w Word) []Decision {
+	x.begin(now)
+	if w.Seq < 1 || len(w.Hashes) > mostBatch || from == x.Me {
+		x.shown.Refused++
+		return x.out
+	}
+	for _, h := range w.Hashes {
+		x.Table.Wrote(h, x.now)
+	}
+	p := x.writer(from)
+	if epoch != p.epoch {
+		if epoch < p.epoch {
+			return x.out // an earlier process's; its keys are out
+		}
+		x.anew(p, epoch)
+	}
+	if w.Seq > p.have && len(p.ahead) < 4*slots {
+		p.ahead[w.Seq] = true
+	}
+	for p.ahead[p.have+1] {
+		p.have++
+		delete(p.ahead, p.have)
+	}
+	return x.out
+}
+
+func (x *Instance) writer(name string) *writer {
+	p := x.writers[name]
+	if p == nil {
+		p = &writer{ahead: map[int64]bool{}}
+		x.writers[name] = p
+	}
+	return p
+}
+
+// anew begins the count of a process that was not known.
+func (x *Instance) anew(p *writer, epoch int64) {
+	*p = writer{epoch: epoch, ahead: map[int64]bool{}}
+}
+
+// HeardAbsent takes a word of another's on what the origin lacks, and how long ago it was said.
+func (x *Instance) HeardAbsent(now Time, from string, w Word, age Time) []Decision {
+	x.begin(now)
+	if len(w.Hashes) > mostBatch || age < 0 || from == x.Me || x.now < x.deaf {
+		x.shown.Refused++
+		return x.out
+	}
+	for _, h := range w.Hashes {
+		// it was found out within the batch's time before it was said, and ages do not count the time on the way
+		if x.Table.Told(h, x.now-age-batchFor-transit, x.now) {
+			x.shown.Told++
+		} else {
+			x.shown.Refused++
+		}
+	}
+	return x.out
+}
+
+// Fleet takes all proxies that may write, and whether this one still catches up with them. It is called several times a second.
+// Entries are believed only while all that are not gone are here, and what each says it wrote has come, or has not been
+// lacking for longer than Terms.Grace; after that all is forgotten.
+func (x *Instance) Fleet(now Time, all []Proxy, stated int, behind bool) []Decision {
+	x.begin(now)
+	believes := !behind && len(all) >= stated
+	x.shown.Waits = 0
+	known := make(map[string]bool, len(all))
+	forget := ""
+	for i := range all {
+		q := &all[i]
+		known[q.Name] = true
+		if q.Name == x.Me {
+			continue
+		}
+		if q.Gone {
+			continue
+		}
+		believes = believes && q.Here
+		p := x.writer(q.Name)
+		p.away = p.away || !q.Here
+		switch {
+		case q.Epoch > p.epoch && p.seen: // a new process: what the one before wrote last may not have come
+			x.anew(p, q.Epoch)
+			forget = q.Name + " has begun anew"
+		case q.Epoch > p.epoch:
+			x.anew(p, q.Epoch)
+		}
+		if p.said = max(p.said, q.Wrote); !p.seen { // what it wrote before it was met is older than all that is held here
+			p.seen, p.have = true, max(p.have, p.said)
+			forget = "met " + q.Name
+		}
+		if p.have >= p.said {
+			p.since, p.away = 0, p.away && !q.Here
+			continue
+		}
+		believes = believes && !p.away
+		if x.shown.Waits++; p.since == 0 {
+			p.since = max(x.now, 1)
+		} else if x.now-p.since >= x.Grace {
+			forget = fmt.Sprintf("%d of %s's words on writes never came", p.said-p.have, q.Name)
+			p.have, p.since, p.away = p.said, 0, false
+			clear(p.ahead)
+		}
+	}
+	for name := range x.writers {
+		if !known[name] {
+			delete(x.writers, name)
+		}
+	}
+	if behind && !x.behind { // it stood still, and what came meanwhile lies unread: how old that is nobody knows
+		forget = "stood still, or started"
+		x.deaf = x.now + settles
+	}
+	x.behind = behind
+	if forget != "" {
+		x.forget(forget)
+	}
+	if x.shown.Believes = believes; believes != x.was {
+		x.was = believes
+		x.log("missing keys believed %v: %d proxies, %d lacking words", believes, len(all), x.shown.Waits)
+	}
+	if believes {
+		x.Table.Believe(x.now + renewed)
+	} else {
+		x.Table.Believe(0)
+	}
+	return x.out
+}
+
+// forget clears the table: which keys were written since is not known.
+func (x *Instance) forget(why string) {
+	x.Table.Clear(x.now)
+	x.absent = x.absent[:0]
+	if x.shown.Cleared++; x.shown.Cleared&(x.shown.Cleared-1) == 0 { // now and then
+		x.log("missing keys forgotten: %s (%d times by now)", why, x.shown.Cleared)
+	}
+}
+
+// Forget is an operator's word.
+func (x *Instance) Forget(now Time) []Decision {
+	x.begin(now)
+	x.forget("an operator's word")
+	return x.out
+}
+
+// Tick looks what time has brought. It is called some twenty times a second.
+func (x *Instance) Tick(now Time) []Decision {
+	x.begin(now)
+	if (len(x.wrote) > 0 || len(x.absent) > 0) && x.now-x.saidAt >= batchFor {
+		x.tell()
+	}
+	return x.out
+}
+
+// Shown is the figures by now.
+func (x *Instance) Shown() Figures {
+	f := x.shown
+	f.Hits, f.Put, f.Full, f.Room = x.Table.Hits.Load(), x.Table.Put.Load(), x.Table.Full.Load(), x.Table.Room()
+	return f
+}
--- a/turns/subset_test.go
+++ b/turns/subset_test.go
@@ -137,3 +137,17 @@
 		t.Errorf("at the mean one moves %.2f times its part", mean)
 	}
 }
+
+func BenchmarkDeal(b *testing.B) {
+	c, subjects := newCrew(fleetOf(300, 3)), subjectsOf(200)
+	for b.Loop() {
+		c.deal(subjects, 4)
+	}
+}
+
+func BenchmarkRank(b *testing.B) {
+	c := newCrew(fleetOf(300, 3))
+	for b.Loop() {
+		c.rank(77, "n7")
+	}
+}
