--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,6 +23,8 @@
 	Peers() string // how it stands with its peers, "": it has none
 	Zones() string // how the zones stand, "": they are not judged
 	Turns() any    // how what goes by turns stands, to be told as JSON, nil: nothing does
+	Missing() any  // how what is known of missing keys stands, nil: nothing is
+	Forget() error // forgets all of it
 	Metrics() http.Handler
 	// Plan plans moves of shards by an inventory; nil and no error: nothing is planned here. It may take a second, beside
 	// what the proxy does
@@ -96,14 +98,25 @@
 	}
 	show("/control/peers", "no file of peers is named", of.Peers)
 	show("/control/zones", "no file of zones is named", of.Zones)
-	mux.HandleFunc("GET /control/turns", func(w http.ResponseWriter, r *http.Request) {
-		stands := of.Turns()
-		if stands == nil {
-			http.Error(w, "no file of turns is named", http.StatusNotFound)
+	figures := func(path, none string, stands func() any) {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+			all := stands()
+			if all == nil {
+				http.Error(w, none, http.StatusNotFound)
+				return
+			}
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(all)
+		})
+	}
+	figures("/control/turns", "no file of turns is named", of.Turns)
+	figures("/control/missing", "no file of missing keys is named", of.Missing)
+	mux.HandleFunc("POST /control/missing/forget", func(w http.ResponseWriter, r *http.Request) {
+		if err := of.Forget(); err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(w).Encode(stands)
+		fmt.Fprintln(w, "forgotten here")
 	})
 	mux.HandleFunc("POST /control/moves/plan", func(w http.ResponseWriter, r *http.Request) {
 		c := http.NewResponseController(w) // which takes longer than other calls
--- a/internal/emu/clients.go
+++ b/internal/emu/clients.go
@@ -240,7 +240,9 @@
 	switch {
 	case head[0] == '$':
 		outcome = Completed
-		_, seen.Made = MadeFor(body)
+		if _, seen.Made = MadeFor(body); head == "$-1" {
+			seen.Node = none
+		}
 	case head == "-BUSY" || strings.HasPrefix(head, "-BUSY "):
 		outcome = Shed
 	}
--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -30,6 +30,13 @@
 	Peers   Peers     `toml:"peers"`
 	Zones   Zones     `toml:"zones"`
 	Turns   Turns     `toml:"turns"`
+	Missing Missing   `toml:"missing"`
+}
+
+// Missing is keys that the origin lacks until they are written, and whether proxies remember them.
+type Missing struct {
+	Part float64 `toml:"part"`
+	On   bool    `toml:"on"`
 }
 
 // Zones is how the proxies judge whole zones.
@@ -205,6 +212,10 @@
 	if err == nil && d.Turns.On && !d.Peers.Talk {
 		err = errors.New("turns.on: proxies do not talk (peers.talk)")
 	}
+	if err == nil && d.Missing.On && !d.Peers.Talk && d.Proxies > 1 {
+		err = errors.New("missing.on: proxies do not talk (peers.talk)")
+	}
+	within("missing.part", d.Missing.Part, 0, 1)
 	within("turns.watchers", float64(d.Turns.Watchers), 0, 64)
 	within("turns.keepers", float64(d.Turns.Keepers), 0, 64)
 	within("peers.hold_s", d.Peers.Hold, 0, 600)
--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -254,7 +254,10 @@
 			seen(1100, emu.Took, "", "c1", "")}, ""},
 		"drained, stood still before": {[]emu.Seen{seen(0, emu.Paused, "", "", "stands"), seen(9, emu.Paused, "", "", "goes on"), seen(10, emu.Told, "", "c1", "leaving"),
 			seen(400, emu.Took, "", "c1", "")}, emu.DrainRule},
-		"crashed": {[]emu.Seen{seen(0, emu.Ended, "", "", "crashed")}, emu.CrashRule},
+		"missing soon after":    {[]emu.Seen{seen(1, emu.Ran, "w", "o", "k1"), seen(100, emu.Asked, "a", "", ""), seen(109, emu.Answered, "a", "none", "completed")}, ""},
+		"missing long after":    {[]emu.Seen{seen(1, emu.Ran, "w", "o", "k1"), seen(9000, emu.Asked, "a", "", ""), seen(9009, emu.Answered, "a", "none", "completed")}, emu.StaleRule},
+		"missing, always there": {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Answered, "a", "none", "completed")}, emu.StaleRule},
+		"crashed":               {[]emu.Seen{seen(0, emu.Ended, "", "", "crashed")}, emu.CrashRule},
 	} {
 		found := emu.Check(d, requests, c.trace)
 		if c.rule == "" && len(found) > 0 || c.rule != "" && (len(found) != 1 || found[0].Rule != c.rule) {
--- a/internal/emu/log.go
+++ b/internal/emu/log.go
@@ -13,6 +13,7 @@
 	Went     = "went"     // the client left
 	Took     = "took"     // a node has a try whole
 	Ran      = "ran"      // the origin carried out a write, whose mark is Note
+	Lacked   = "lacked"   // the origin has no key Note, and says so
 	Told     = "told"     // discovery wrote to a proxy what has become of a node: Note is its status
 	Began    = "began"    // a node starts: its capacity at first is Figure, in commands a second when warm
 	Ended    = "ended"    // a proxy's process ended: Note tells how
--- a/internal/emu/node.go
+++ b/internal/emu/node.go
@@ -355,7 +355,9 @@
 	habit, slow, size := n.meets(id)
 	v := value(n.Name, id, size)
 	if habit == "" {
-		if err := n.world.fetched(n, proxy, id, strings.TrimPrefix(q.URL.Path, "/"), k, write); err != nil {
+		if err := n.world.fetched(n, proxy, id, strings.TrimPrefix(q.URL.Path, "/"), k, write); errors.Is(err, errAbsent) {
+			habit = "absent"
+		} else if err != nil {
 			habit = "busy"
 		} else {
 			habit, v = "hit", value(n.Name, id, n.world.size)
@@ -366,6 +368,8 @@
 	switch habit {
 	case "hit":
 		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(v), v)
+	case "absent":
+		_, err = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 	case "chunked":
 		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", v[:2], len(v)-2, v[2:])
 	case "busy":
--- a/internal/emu/rules.go
+++ b/internal/emu/rules.go
@@ -15,7 +15,8 @@
 	DrainRule   = "drains kept"      // nothing new goes to a node so long after its proxy was told
 	ColdRule    = "no cold node pushed over"
 	CrashRule   = "no crash"
-	ShareRule   = "shares kept" // what running proxies say they may use of the fleet's limits is one together, or less
+	StaleRule   = "no key missing past its time" // that was there when the request came, for longer than it may be called missing
+	ShareRule   = "shares kept"                  // what running proxies say they may use of the fleet's limits is one together, or less
 )
 
 // What the rules allow.
@@ -46,16 +47,15 @@
 
 // Check goes through a day, in the order of what was seen.
 func Check(d *Day, requests []Request, all []Seen) []Breach {
-	found, _ := check(d, requests, all)
-	return found
+	return check(d, requests, all).found
 }
 
-func check(d *Day, requests []Request, all []Seen) ([]Breach, float64) {
-	c := checker{day: d, routes: map[string]Route{}, asked: map[string]Seen{}, answers: map[string]int{}, over: map[string]bool{},
+func check(d *Day, requests []Request, all []Seen) *checker {
+	c := &checker{day: d, routes: map[string]Route{}, keys: map[string]string{}, made: map[string]time.Duration{}, asked: map[string]Seen{}, answers: map[string]int{}, over: map[string]bool{},
 		ran: map[string]int{}, told: map[spot]time.Duration{}, began: map[string]Seen{}, took: map[string][]sent{}, starts: map[spot]bool{},
 		pushed: map[string]bool{}, ended: map[int][]time.Duration{}, paused: map[int][]time.Duration{}, shares: map[int][]Seen{}}
 	for _, r := range requests {
-		c.routes[r.ID] = d.Routes[r.Route]
+		c.routes[r.ID], c.keys[r.ID] = d.Routes[r.Route], r.Key
 	}
 	for _, s := range all { // first, since connections end before it is seen that their process has
 		switch {
@@ -75,7 +75,7 @@
 			c.found[i].Path = Of(all, id)
 		}
 	}
-	return c.found, c.cold
+	return c
 }
 
 type sent struct {
@@ -91,7 +91,10 @@
 type checker struct {
 	day      *Day
 	routes   map[string]Route
-	asked    map[string]Seen // the last time each was asked
+	keys     map[string]string        // by request
+	made     map[string]time.Duration // keys, when they were first written
+	stale    time.Duration            // the longest that one was called missing after that
+	asked    map[string]Seen          // the last time each was asked
 	answers  map[string]int
 	over     map[string]bool // left, or closed on and asked again
 	ran      map[string]int
@@ -131,6 +134,9 @@
 	case Took:
 		c.taken(s)
 	case Ran:
+		if _, ok := c.made[c.keys[s.ID]]; !ok {
+			c.made[c.keys[s.ID]] = s.At
+		}
 		what := s.Note
 		if what == "" {
 			what = s.ID
@@ -177,6 +183,18 @@
 	if took, most := s.At-asked.At, millis(c.routes[s.ID].Overall)+Slack; took > most && !c.stood(s.Proxy, asked.At, s.At) {
 		c.broke(LostRule, s, "request %s was answered after %v, later than %v", s.ID, took, most)
 	}
+	if s.Node == none && s.Note == "completed" {
+		key := c.keys[s.ID]
+		written, ok := c.made[key]
+		if !ok && draw("missing", key) >= c.day.Missing.Part {
+			c.broke(StaleRule, s, "key %s of request %s was always there, and is called missing", key, s.ID)
+		} else if late := asked.At - written; ok && late > 0 {
+			if c.stale = max(c.stale, late); late > c.day.believed() && !c.stood(s.Proxy, written, s.At) {
+				c.broke(StaleRule, s, "key %s of request %s is called missing %v after it was written, over %v", key, s.ID, late, c.day.believed())
+			}
+		}
+		return
+	}
 	if s.Note == "completed" && s.Made != s.ID {
 		c.broke(ForeignRule, s, "request %s was answered with a value made for %q", s.ID, s.Made)
 	}
--- a/internal/emu/world.go
+++ b/internal/emu/world.go
@@ -1,6 +1,7 @@
 package emu
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -20,11 +21,12 @@
 	ran    map[string]time.Time       // by mark, when the origin last carried it out
 	writes map[string]Route           // by request
 	asked  map[string]int             // by request, the proxy that a client asked last
+	made   map[string]bool            // keys that the origin lacked and that were written
 }
 
 func newWorld(day *Day, log *Log) *World {
 	return &World{Log: log, size: day.Keys.Size, day: day, zones: map[string]string{}, keeps: map[string]map[string]bool{},
-		lacked: map[string][]string{}, ran: map[string]time.Time{}, writes: map[string]Route{}, asked: map[string]int{}}
+		lacked: map[string][]string{}, ran: map[string]time.Time{}, writes: map[string]Route{}, asked: map[string]int{}, made: map[string]bool{}}
 }
 
 func proxyName(i int) string { return fmt.Sprintf("n%d", i) }
@@ -86,6 +88,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !write && w.lacks(key) {
+		w.Log.See(Seen{What: Lacked, ID: id, Proxy: proxy, Node: n.Name, Note: key})
+		return errAbsent
+	}
 	if !write {
 		for _, name := range w.lacked[id] {
 			if k := w.keeps[name]; k != nil {
@@ -102,12 +108,20 @@
 		}
 		w.Log.See(Seen{What: Ran, ID: id, Proxy: proxy, Node: n.Name, Note: mark})
 	}
+	w.made[key] = true
 	for _, k := range w.keeps {
 		delete(k, key)
 	}
 	return nil
 }
 
+var errAbsent = errors.New("the origin has no such key")
+
+// lacks tells whether the origin has no such key by now.
+func (w *World) lacks(key string) bool {
+	return w.day.Missing.Part > 0 && !w.made[key] && draw("missing", key) < w.day.Missing.Part
+}
+
 // empties has a node keep nothing, or only what it is given.
 func (w *World) empties(name string, keys map[string]bool) {
 	w.mu.Lock()
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -394,6 +394,10 @@
 	}
 	t.route, t.tenant, t.wait, t.repeat = string(facts.Route), string(facts.Tenant), facts.Wait, facts.Repeat
 	t.came = d.mind.clock.Now()
+	if d.mind.absent.knows(t) {
+		t.answer(d.mind.count, absent, nil, 0)
+		return
+	}
 	d.mind.box.post(func() { d.mind.arrive(t) })
 }
 
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -15,6 +15,7 @@
 	Bytes, Passing           atomic.Int64 // of values that are held now, for servers and for clients; that pass through
 	Flows, Broken            atomic.Int64 // values that were passed on piece by piece, and that broke off amid that
 	Completed, Shed, Errored atomic.Int64 // final answers
+	Absent                   atomic.Int64 // of the completed ones, such that the origin has no such key
 	Left                     atomic.Int64 // clients gone before their answer
 	Tries, Cancelled, Copies atomic.Int64 // upstream tries, those called off, and those sent while another of their exchange was out
 	Ends                     [brain.Lacking + 1]atomic.Int64
@@ -43,7 +44,7 @@
 	}{
 		{"Clients", &c.Clients}, {"ClientsOpen", &c.ClientsOpen}, {"Exchanges", &c.Exchanges}, {"Held", &c.Held},
 		{"Crowded", &c.Crowded}, {"Bytes", &c.Bytes},
-		{"Passing", &c.Passing}, {"Flows", &c.Flows}, {"Broken", &c.Broken}, {"Completed", &c.Completed}, {"Shed", &c.Shed}, {"Errored", &c.Errored},
+		{"Passing", &c.Passing}, {"Flows", &c.Flows}, {"Broken", &c.Broken}, {"Completed", &c.Completed}, {"Shed", &c.Shed}, {"Errored", &c.Errored}, {"Absent", &c.Absent},
 		{"Left", &c.Left}, {"Tries", &c.Tries}, {"Cancelled", &c.Cancelled}, {"Copies", &c.Copies}, {"Dials", &c.Dials},
 		{"UpstreamOpen", &c.UpstreamOpen}, {"Lists", &c.Lists}, {"Watches", &c.Watches},
 		{"BadClient", &c.BadClient}, {"BadPeer", &c.BadPeer}, {"Taken", &c.Taken}, {"Drains", &c.Drains},
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -177,6 +177,9 @@
 		read = wire.ReadFetched
 	}
 	a, err := read(l.in)
+	if t.absent = err == nil && a.Absent && m.absent != nil && t.turn.value == nil; t.absent {
+		return brain.Completed, nil, a.Again && l.in.Buffered() == 0, nil
+	}
 	if err == nil && a.Ending == brain.Completed {
 		value, err = l.value(t, &a, until)
 	}
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -38,6 +38,7 @@
 	list   *List
 	tells  func(node string, answers bool) // peers, nil: there are none
 	zones  *quarters                       // nil: zones are not judged
+	absent *Absent                         // nil: no keys are known to be missing
 	duties *Duties                         // nil: nothing goes by turns
 	count  *Counters
 	log    *zap.Logger
@@ -247,6 +248,9 @@
 	m.peers[t.node].out--
 	m.count.Ends[ending].Add(1)
 	switch {
+	case ending == brain.Completed && !s.over && t.absent:
+		m.finish(t.cx, absent, nil, 0)
+		m.absent.learned(t)
 	case ending == brain.Completed && !s.over && f != nil:
 		s.over = true
 		s.turn.pass(m.count, f)
@@ -302,6 +306,9 @@
 			s := &m.slots[d.Cx]
 			t := &try{turn: s.turn, cx: d.Cx, node: d.Node, sent: m.clock.Now(), wait: d.After}
 			s.legs = append(s.legs, t)
+			if m.peers[d.Node].origin {
+				m.absent.begin(t)
+			}
 			if s.out++; s.out > 1 {
 				m.count.Copies.Add(1)
 			}
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -9,6 +9,7 @@
 
 	"woodproxy/brain"
 	"woodproxy/internal/wire"
+	"woodproxy/missing"
 )
 
 // try is one upstream try on its way: made by the module's actor, handed to a peer's, then to a connection.
@@ -19,8 +20,10 @@
 	sent   brain.Time
 	wait   brain.Time // its time-out, from sent
 	undone atomic.Bool
-	begun  bool  // its answer is with the client, piece by piece: it has ended for the module
-	link   *link // the connection that has it; only the peer's actor looks
+	ticket missing.Ticket // of a look-up at the origin
+	absent bool           // which said that it has no such key
+	begun  bool           // its answer is with the client, piece by piece: it has ended for the module
+	link   *link          // the connection that has it; only the peer's actor looks
 }
 
 // budget is what there may be of something, such as sockets that are open to all peers together, or bytes of values.
--- a/internal/fleet/turn.go
+++ b/internal/fleet/turn.go
@@ -7,13 +7,14 @@
 	"woodproxy/internal/wire"
 )
 
-// final is one of the three final answers.
+// final is one of the final answers.
 type final uint8
 
 const (
 	completed final = iota
 	shed
 	errored
+	absent // completed, and the origin has no such key
 )
 
 // turn is one command's place among the answers of its connection, which come in order. What the command said
@@ -39,6 +40,7 @@
 	flow  *flow // in the place of the body, which comes piece by piece
 }
 
+var nullPlain = []byte("$-1\r\n")
 var shedPlain = []byte("-BUSY\r\n")
 var erroredPlain = []byte("-ERR failed upstream\r\n")
 
@@ -48,6 +50,10 @@
 	case completed:
 		count.Completed.Add(1)
 		t.say(wire.AppendLength(nil, '$', len(value)), value)
+	case absent:
+		count.Completed.Add(1)
+		count.Absent.Add(1)
+		t.say(nullPlain, nil)
 	case shed:
 		count.Shed.Add(1)
 		head := shedPlain
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -42,6 +42,7 @@
 	Clients  int            `toml:"connections"` // that clients hold, 0: the day's
 	Talk     *bool          `toml:"talk"`        // whether proxies talk with one another
 	Judged   *string        `toml:"judged"`      // how they judge zones
+	Missing  *bool          `toml:"missing"`     // whether they remember keys that the origin lacks
 	Turns    *bool          `toml:"turns"`       // whether they take turns
 }
 
@@ -130,6 +131,9 @@
 	if v.Judged != nil {
 		c.Zones.Judged = *v.Judged
 	}
+	if v.Missing != nil {
+		c.Missing.On = *v.Missing
+	}
 	if v.Turns != nil {
 		c.Turns.On = *v.Turns
 	}
--- a/internal/lab/sum.go
+++ b/internal/lab/sum.go
@@ -36,6 +36,7 @@
 	NeverLeft, Convicted                               int
 	ColdPeak                                           float64 // the most any node took cold, against what fells it
 	emu.Together
+	AbsentAsked, AbsentSaid, StaleMS float64 // missing keys that the origin was asked for, and clients heard of, a second; called missing after a write
 }
 
 // Of sums up a day.
@@ -97,6 +98,7 @@
 		s.WorthHit, s.WorthBack, s.NeverLeft = s.WorthHit+z.WorthAt/n, s.WorthBack+z.WorthBack/n, s.NeverLeft+z.Kept
 	}
 	s.Convicted, s.ColdPeak, s.Together = r.Convicted, r.ColdPeak, r.Together
+	s.AbsentAsked, s.AbsentSaid, s.StaleMS = r.AbsentAsked, r.AbsentSaid, r.Stale.Seconds()*1000
 	s.Tries = took / max(float64(s.Requests), 1)
 	return s
 }
@@ -127,6 +129,10 @@
 		fmt.Fprintf(&b, "zones judged %s: %d verdicts on zones that nothing had hit, and %d passed by alone\n", r.Plan.Day.Zones.Judged,
 			r.Convicted, r.Hasty)
 	}
+	if r.AbsentSaid > 0 {
+		fmt.Fprintf(&b, "missing keys: the origin was asked for %.1f a second, clients heard of %.1f; one was called missing %.0f ms after it was written at most\n",
+			r.AbsentAsked, r.AbsentSaid, r.Stale.Seconds()*1000)
+	}
 	if r.ColdPeak > 0 {
 		fmt.Fprintf(&b, "the most a cold node took in a second, of all proxies, is %.2f of what fells it\n", r.ColdPeak)
 	}
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -13,6 +13,7 @@
 
 	"woodproxy/internal/talk"
 	"woodproxy/internal/terms"
+	"woodproxy/missing"
 	"woodproxy/moves"
 	"woodproxy/turns"
 	"woodproxy/zones"
@@ -34,6 +35,8 @@
 	Talk                    *talk.Config
 	ZonesFile               string // by which whole zones are left, "": they are not
 	Zones                   *zones.Terms
+	MissingFile             string // by which keys are known to be missing, "": they are not
+	Missing                 *missing.Terms
 	MovesFile               string // by which moves of shards are planned, "": they are not
 	Moves                   *moves.Terms
 	TurnsFile               string // by which proxies take turns, "": they do not
@@ -56,7 +59,7 @@
 	if err != nil || v.Type() != fastjson.TypeObject {
 		return nil, fmt.Errorf("configuration: %s: not a JSON object", file)
 	}
-	p := &Place{Own: over.Own, Shared: over.Shared, Peers: over.Peers, PeersListen: over.PeersListen, ZonesFile: over.ZonesFile, MovesFile: over.MovesFile, TurnsFile: over.TurnsFile, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
+	p := &Place{Own: over.Own, Shared: over.Shared, Peers: over.Peers, PeersListen: over.PeersListen, ZonesFile: over.ZonesFile, MissingFile: over.MissingFile, MovesFile: over.MovesFile, TurnsFile: over.TurnsFile, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
 	word := func(key, given string) string {
 		s := v.Get(key)
 		switch {
@@ -131,6 +134,11 @@
 			return nil, err
 		}
 	}
+	if p.MissingFile != "" {
+		if p.Missing, err = readMissing(p.MissingFile, p.Name, p.Talk != nil, p.Book); err != nil {
+			return nil, err
+		}
+	}
 	if p.MovesFile != "" {
 		if p.Moves, err = readMoves(p.MovesFile); err != nil {
 			return nil, err
--- a/internal/run/config_test.go
+++ b/internal/run/config_test.go
@@ -1,10 +1,15 @@
 package run
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"woodproxy/missing"
+	"woodproxy/moves"
+	"woodproxy/turns"
 )
 
 // A bad configuration is one line that names what is wrong.
@@ -111,3 +116,45 @@
 		t.Error("a file that is missing")
 	}
 }
+
+// Bad files of turns, moves and missing keys are errors of their modules' types, in one line that names file and key.
+func TestBadParts(t *testing.T) {
+	dir := t.TempDir()
+	config, file, talk := filepath.Join(dir, "config.json"), filepath.Join(dir, "part.toml"), filepath.Join(dir, "peers.toml")
+	os.WriteFile(config, []byte(`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","settings":`+
+		strings.Replace(settings, `"replicas-of-me":1`, `"replicas-of-me":3`, 1)+`}`), 0o600)
+	os.WriteFile(talk, []byte("cluster = \"c\"\nlisten = \"127.0.0.1:7946\"\n"), 0o600)
+	var outTurns *turns.RangeError
+	var order *turns.OrderError
+	var alone *turns.AloneError
+	var outMoves *moves.RangeError
+	var outMissing *missing.RangeError
+	var aloneMissing *missing.AloneError
+	for _, c := range []struct {
+		over Place
+		text string
+		as   any
+		want string
+	}{
+		{Place{TurnsFile: file, Peers: talk}, "watchers = 1\n", &outTurns, "watchers: 1"},
+		{Place{TurnsFile: file, Peers: talk}, "beat_ms = 900.0\n", &order, "patience_ms: 1500"},
+		{Place{TurnsFile: file, Peers: talk}, "watcher = 2\n", nil, "watcher: unknown"},
+		{Place{TurnsFile: file}, "", &alone, "--peers FILE"},
+		{Place{MovesFile: file}, "slack = -0.5\n", &outMoves, "slack: -0.5"},
+		{Place{MovesFile: file}, "room = 1\n", nil, "room: unknown"},
+		{Place{MissingFile: file, Peers: talk}, "entries = 0\n", &outMissing, "entries: 0"},
+		{Place{MissingFile: file, Peers: talk}, "believe_s = 0.6\n", &outMissing, "believe_s: 0.6"},
+		{Place{MissingFile: file}, "", &aloneMissing, "3 proxies may write"},
+	} {
+		os.WriteFile(file, []byte(c.text), 0o600)
+		_, err := Read(config, c.over)
+		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), file) || strings.Contains(err.Error(), "\n") || c.as != nil && !errors.As(err, c.as) {
+			t.Errorf("%q: %v", c.text, err)
+		}
+	}
+	for _, over := range []Place{{TurnsFile: "../../deploy/turns.toml", Peers: talk}, {MovesFile: "../../deploy/moves.toml"}, {MissingFile: "../../deploy/missing.toml", Peers: talk}} {
+		if p, err := Read(config, over); err != nil || p.Turns == nil && p.Moves == nil && p.Missing == nil {
+			t.Errorf("%+v: %v", over, err)
+		}
+	}
+}
--- a/internal/run/metrics.go
+++ b/internal/run/metrics.go
@@ -53,6 +53,17 @@
 			give("woodproxy_turns_"+c.name+"_total", c.help, prometheus.CounterValue, float64(c.v))
 		}
 	}
+	if a := m.peers.absent; a != nil {
+		f := a.Shown()
+		believes := 0.0
+		if f.Believes {
+			believes = 1
+		}
+		give("woodproxy_missing_believed", "Whether missing keys are believed by now.", prometheus.GaugeValue, believes)
+		give("woodproxy_missing_hits_total", "Look-ups answered by what is known to be missing.", prometheus.CounterValue, float64(f.Hits))
+		give("woodproxy_missing_put_total", "Missing keys that were taken.", prometheus.CounterValue, float64(f.Put))
+		give("woodproxy_missing_cleared_total", "Times that all was forgotten.", prometheus.CounterValue, float64(f.Cleared))
+	}
 	if t := m.peers.now.Load(); t != nil {
 		s := t.Shown()
 		give("woodproxy_peers_share", "Part of what all proxies may do together that this one may.", prometheus.GaugeValue, s.Share)
--- /dev/null
+++ b/internal/run/missing.go
@@ -0,0 +1,117 @@
+package run
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"woodproxy/internal/strict"
+	"woodproxy/internal/terms"
+	"woodproxy/missing"
+	"woodproxy/replica"
+)
+
+// missingFile is what the file of missing keys says.
+type missingFile struct {
+	Entries int     `toml:"entries"`
+	Believe float64 `toml:"believe_s"`
+	Grace   float64 `toml:"grace_ms"`
+	Grow    int     `toml:"grow_per_s"`
+}
+
+// readMissing reads the file of missing keys. An error is one line that names what is wrong and what to do.
+func readMissing(file, name string, talks bool, book *terms.Book) (*missing.Terms, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("missing: %w", err)
+	}
+	f := &missingFile{Entries: 1 << 16, Believe: 10, Grace: 2000, Grow: 2000}
+	if err := strict.TOML(text, f); err != nil {
+		return nil, fmt.Errorf("missing: %s: %w", file, err)
+	}
+	t := &missing.Terms{Me: name, Entries: f.Entries, Believe: missing.Time(terms.Tenths(f.Believe * 1000)), Grace: missing.Time(terms.Tenths(f.Grace)), Grow: f.Grow}
+	if err := t.Check(); err != nil {
+		return nil, fmt.Errorf("missing: %s: %w", file, err)
+	}
+	// a write may be carried out until its overall timeout, and what the origin says of its key before that is not held
+	if least := 2 * float64(book.Longest) / float64(missing.Second); f.Believe < least {
+		return nil, fmt.Errorf("missing: %s: %w", file, &missing.RangeError{Key: "believe_s", Value: f.Believe, Least: least, Most: 600})
+	}
+	if n := book.Terms.Proxies; !talks && n > 1 {
+		return nil, fmt.Errorf("missing: %w", &missing.AloneError{File: file, Proxies: n})
+	}
+	return t, nil
+}
+
+// sayMissing has peers hear what this proxy wrote, or what the origin lacks.
+func (p *peers) sayMissing(d *missing.Decision) {
+	t := p.now.Load()
+	if t == nil {
+		return
+	}
+	body, err := msgpack.Marshal(&d.Word)
+	if err != nil {
+		return
+	}
+	kind := replica.Wrote
+	if d.Act == missing.SayAbsent {
+		kind = replica.Absent
+	}
+	t.Speak(kind, fmt.Sprint("s", d.Slot), replica.Time(p.place.Missing.Believe), body)
+}
+
+// word takes what another proxy says of keys.
+func (p *peers) word(row *replica.Row) {
+	var w missing.Word
+	if p.absent == nil || msgpack.Unmarshal(row.Body, &w) != nil {
+		return
+	}
+	if row.Kind == replica.Wrote {
+		p.absent.HeardWrote(row.Writer, row.Epoch, w)
+	} else {
+		p.absent.HeardAbsent(row.Writer, w, missing.Time(row.Age))
+	}
+}
+
+// writers tells who may write.
+func (p *peers) writers(all []replica.Member, behind bool) {
+	if p.absent == nil {
+		return
+	}
+	fleet := make([]missing.Proxy, 0, len(all))
+	for _, m := range all {
+		fleet = append(fleet, missing.Proxy{Name: m.Name, Here: m.State == "here", Gone: m.State == "gone", Wrote: m.Wrote, Epoch: m.Incarnation})
+	}
+	p.absent.Fleet(fleet, max(p.place.Book.Terms.Proxies, 1), behind)
+}
+
+// Writes is how many words on writes this proxy has sent out, for its pulse.
+func (p *peers) Writes() int64 {
+	if p.absent == nil {
+		return 0
+	}
+	return p.absent.Sent()
+}
+
+// Missing is how it stands, nil: no keys are known to be missing here.
+func (s *service) Missing() any {
+	if s.peers.absent == nil {
+		return nil
+	}
+	return s.peers.absent.Shown()
+}
+
+var errMissingOff = errors.New("no file of missing keys is named")
+
+// Forget has all missing keys be forgotten here and, as they lapse, elsewhere.
+func (s *service) Forget() error {
+	switch {
+	case s.peers.absent == nil:
+		return errMissingOff
+	case !s.peers.absent.Forget():
+		return errors.New("too busy to take it; ask again")
+	}
+	return nil
+}
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -26,6 +26,7 @@
 	log    *zap.Logger
 	now    atomic.Pointer[talk.Talker]
 	index  atomic.Int64  // of the list, as discovery last told
+	absent *fleet.Absent // nil: no keys are known to be missing
 	duties *fleet.Duties // nil: nothing goes by turns
 }
 
@@ -83,7 +84,7 @@
 }
 
 var kinds = map[replica.Kind]string{replica.Pulse: "pulse", replica.Sight: "sight", replica.Node: "node", replica.Gone: "gone",
-	replica.Voice: "voice", replica.Order: "order", replica.Trial: "trial", replica.Beat: "beat", replica.Load: "load"}
+	replica.Voice: "voice", replica.Order: "order", replica.Trial: "trial", replica.Beat: "beat", replica.Load: "load", replica.Wrote: "wrote", replica.Absent: "absent"}
 
 // words is the answer to the call for peers.
 func (p *peers) words() string {
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -77,6 +77,14 @@
 		list.Share(peers.listed)
 		mind.Tells(peers.tell)
 	}
+	if p.Missing != nil {
+		say := peers.sayMissing
+		if p.Talk == nil {
+			say = nil
+		}
+		peers.absent = fleet.NewAbsent(*p.Missing, mind, say, log)
+		go peers.absent.Run()
+	}
 	if p.Turns != nil {
 		peers.duties = fleet.NewDuties(*p.Turns, mind, list, peers.sayTurn, log)
 		go peers.duties.Run()
@@ -150,7 +158,8 @@
 		peers.stop(!alone)
 		close(saidGoodbye)
 	}
-	if alone {
+	early := alone && p.Missing == nil // else others have to hear what is still written
+	if early {
 		go goodbye()
 	}
 	mind.Until(answered)
@@ -160,7 +169,7 @@
 		leaving = aloneLeaving
 	}
 	door.Close(until, alone, leaving)
-	if !alone { // until the heir may begin, or the name would be silent for as long as clients are served
+	if !early { // until the heir may begin, or the name would be silent for as long as clients are served
 		goodbye()
 	}
 	estate.Close()
@@ -202,10 +211,10 @@
 		zap.Int("memory_mb", p.MemoryMB))
 	if p.Name != old.Name || p.Listen != old.Listen || p.Management != old.Management || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) ||
 		!reflect.DeepEqual(p.Watch, old.Watch) || !reflect.DeepEqual(p.Talk, old.Talk) || !reflect.DeepEqual(p.Zones, old.Zones) ||
-		!reflect.DeepEqual(p.Turns, old.Turns) || p.MovesFile != old.MovesFile {
-		log.Warn("name, listen, management, sockets, settings, watch, peers, zones, turns and moves stand until the next start")
+		!reflect.DeepEqual(p.Turns, old.Turns) || !reflect.DeepEqual(p.Missing, old.Missing) || p.MovesFile != old.MovesFile {
+		log.Warn("name, listen, management, sockets, settings, watch, peers, zones, turns, moves and missing keys stand until the next start")
 		p.Name, p.Listen, p.Management = old.Name, old.Listen, old.Management
-		p.Sockets, p.Book, p.Watch, p.Talk, p.Zones, p.Turns, p.Moves = old.Sockets, old.Book, old.Watch, old.Talk, old.Zones, old.Turns, old.Moves
+		p.Sockets, p.Book, p.Watch, p.Talk, p.Zones, p.Turns, p.Moves, p.Missing = old.Sockets, old.Book, old.Watch, old.Talk, old.Zones, old.Turns, old.Moves, old.Missing
 	}
 	room.set(func(r *allowance) { r.cores, r.memoryMB = p.Cores, p.MemoryMB })
 	list.Move(p.Discovery)
--- a/internal/run/zones.go
+++ b/internal/run/zones.go
@@ -137,12 +137,15 @@
 		p.order(row)
 	case replica.Trial, replica.Beat, replica.Load:
 		p.turn(row)
+	case replica.Wrote, replica.Absent:
+		p.word(row)
 	}
 }
 
 // Fleet takes who the proxies are.
 func (p *peers) Fleet(all []replica.Member, behind bool) {
 	p.dutyFleet(all, behind)
+	p.writers(all, behind)
 	if p.place.Zones == nil || p.place.Zones.Apart {
 		return
 	}
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -38,6 +38,7 @@
 	Heard(node string, answers bool) // a peer found a node silent, or answering
 	Share(part float64)              // of what all proxies may do together
 	Demand() int64                   // exchanges that clients asked for, since the start
+	Writes() int64                   // words on writes that were spoken, since the start
 	Fleet(all []replica.Member, behind bool)
 	Row(row *replica.Row) // what a peer says, of the kinds that this package does not read
 }
@@ -168,6 +169,7 @@
 			t.in.Demand(t.rate)
 			t.demand, t.demands = asked, time.Now()
 		}
+		t.in.Writes(t.proxy.Writes())
 		t.carry(t.in.Tick(t.now()))
 		if time.Since(lastJoin) >= rejoin {
 			lastJoin = time.Now()
--- a/internal/talk/talk_test.go
+++ b/internal/talk/talk_test.go
@@ -61,6 +61,7 @@
 func (h *hearer) Heard(node string, answers bool) { h.sights <- fmt.Sprint(node, " ", answers) }
 func (h *hearer) Share(part float64)              { h.share.Store(part) }
 func (h *hearer) Demand() int64                   { return 0 }
+func (h *hearer) Writes() int64                   { return 0 }
 func (h *hearer) Fleet([]replica.Member, bool)    {}
 func (h *hearer) Row(*replica.Row)                {}
 
--- a/internal/wire/answer.go
+++ b/internal/wire/answer.go
@@ -14,6 +14,7 @@
 type Answer struct {
 	Ending brain.Ending
 	Long   int  // of the value
+	Absent bool // the origin has no such key; a fault to who does not know what to do with that
 	Again  bool // the connection may carry another try afterwards
 	behind int  // elements behind the value
 	bulk   bool // the value has a line end
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -225,6 +225,8 @@
 	switch {
 	case h.status == 200:
 		a.Ending = brain.Completed
+	case h.status == 404:
+		a.Absent = true
 	case (h.status == 503 || h.status == 504) && h.notBegun:
 		a.Ending = brain.NoRoom
 	}
--- a/missing/instance.go
+++ b/missing/instance.go
@@ -122,6 +122,7 @@
 	epoch int64
 	have  int64          // all up to this one came
 	ahead map[int64]bool // beyond it; as many as slots
+	gone  Time           // its process was first known to have ended then, 0: it is not
 	away  bool           // it was not heard for a while, and what it wrote meanwhile has not come
 	said  int64          // as many as its pulses say
 	since Time           // some of these have been lacking since then, 0: none is
@@ -242,6 +243,9 @@
 	return x.out
 }
 
+// Lost hears that a write could not be told: its word counts as sent, so that others find out that they lack it.
+func (x *Instance) Lost() { x.seq++ }
+
 // Fleet takes all proxies that may write, and whether this one still catches up with them. It is called several times a second.
 // Entries are believed only while all that are not gone are here, and what each says it wrote has come, or has not been
 // lacking for longer than Terms.Grace; after that all is forgotten.
@@ -257,11 +261,17 @@
 		if q.Name == x.Me {
 			continue
 		}
-		if q.Gone {
+		p := x.writer(q.Name)
+		if q.Gone { // what it wrote last may not have come, and may be carried out yet
+			if p.gone == 0 {
+				p.gone = max(x.now, 1)
+				forget = q.Name + " has ended"
+			}
+			believes = believes && x.now-p.gone >= x.Grace
 			continue
 		}
+		p.gone = 0
 		believes = believes && q.Here
-		p := x.writer(q.Name)
 		p.away = p.away || !q.Here
 		switch {
 		case q.Epoch > p.epoch && p.seen: // a new process: what the one before wrote last may not have come
--- a/replica/instance.go
+++ b/replica/instance.go
@@ -46,6 +46,7 @@
 	count    int64 // own rows written
 	pulsedAt Time
 	demand   float64
+	writes   int64
 	behind   bool
 	asked    string // the helper
 	askedAt  Time
@@ -135,6 +136,9 @@
 // shares.
 func (r *Instance) Demand(perSecond float64) { r.demand = perSecond }
 
+// Writes takes how many words on writes have gone out.
+func (r *Instance) Writes(n int64) { r.writes = n }
+
 // Yield has another process of this name speak for it: it is being replaced.
 func (r *Instance) Yield(on bool) { r.quiet = on }
 
@@ -516,7 +520,7 @@
 // pulse says that this proxy is up.
 func (r *Instance) pulse() {
 	r.pulsedAt = r.now
-	said := Pulsed{Address: r.Address, Zone: r.Zone, Demand: r.demand, View: r.view(), Behind: r.behind, Base: r.base(), Loans: r.lend(), Heir: r.quiet}
+	said := Pulsed{Address: r.Address, Zone: r.Zone, Demand: r.demand, View: r.view(), Behind: r.behind, Base: r.base(), Loans: r.lend(), Wrote: r.writes, Heir: r.quiet}
 	if r.base() < r.lentOut() {
 		said.View = 1 // what is out would be used twice: nobody may take this one's word that there is room until it is back
 	}
--- a/replica/types.go
+++ b/replica/types.go
@@ -16,15 +16,17 @@
 type Kind uint8
 
 const (
-	Pulse Kind = 1 // of a proxy, by itself: it is up, where it is met, what it asks for, how it sees the others
-	Sight Kind = 2 // of a node, by a proxy: it went silent there (Rank 1) or answers again (Rank 0)
-	Node  Kind = 3 // of a node, by no one proxy: discovery's line of it. Epoch is discovery's index, Rank strictness
-	Gone  Kind = 4 // of a proxy, by no one: its incarnation (Epoch) has ended, as a refused connection or itself told
-	Voice Kind = 5 // of a zone, by a proxy: what its tries there came to, and the verdict that it acts on
-	Order Kind = 6 // of a zone, by no one: what operators order. Epoch counts orders, Rank is how strict it is
-	Trial Kind = 7 // of a node, by a proxy: it tried it, which none had let through for a while, and what came of that
-	Beat  Kind = 8 // of a proxy, by itself: its watch of discovery lives
-	Load  Kind = 9 // of a proxy, by itself: what it has in flight, by node
+	Pulse  Kind = 1  // of a proxy, by itself: it is up, where it is met, what it asks for, how it sees the others
+	Sight  Kind = 2  // of a node, by a proxy: it went silent there (Rank 1) or answers again (Rank 0)
+	Node   Kind = 3  // of a node, by no one proxy: discovery's line of it. Epoch is discovery's index, Rank strictness
+	Gone   Kind = 4  // of a proxy, by no one: its incarnation (Epoch) has ended, as a refused connection or itself told
+	Voice  Kind = 5  // of a zone, by a proxy: what its tries there came to, and the verdict that it acts on
+	Order  Kind = 6  // of a zone, by no one: what operators order. Epoch counts orders, Rank is how strict it is
+	Trial  Kind = 7  // of a node, by a proxy: it tried it, which none had let through for a while, and what came of that
+	Beat   Kind = 8  // of a proxy, by itself: its watch of discovery lives
+	Load   Kind = 9  // of a proxy, by itself: what it has in flight, by node
+	Wrote  Kind = 10 // of a slot, by a proxy: keys that it wrote
+	Absent Kind = 11 // of a slot, by a proxy: keys that the origin lacks
 )
 
 // Strictness of a Node row.
@@ -90,6 +92,7 @@
 	Behind  bool    `msgpack:"b"` // it is catching up
 	Base    float64 `msgpack:"s"` // its share before what is lent
 	Loans   []Loan  `msgpack:"l,omitempty"`
+	Wrote   int64   `msgpack:"o,omitempty"` // words on its writes that it has sent out
 	Heir    bool    `msgpack:"h,omitempty"` // this process ends, and the one that replaces it carries on its name
 }
 
