--- a/missing/missing_test.go
+++ b/missing/missing_test.go
@@ -342,15 +342,16 @@
 // With one proxy of those stated never met, or one that is not here, nothing is believed.
 func TestNotAllHere(t *testing.T) {
 	x := New(0, Terms{Me: "n1", Entries: 2048, Believe: 100 * Second, Grace: Second, Grow: 50})
-	me, other := Proxy{Name: "n1", Here: true}, Proxy{Name: "n2", Here: true, Epoch: 1}
+	now, me, other := Time(0), Proxy{Name: "n1", Here: true}, Proxy{Name: "n2", Here: true, Epoch: 1}
 	for _, c := range []struct {
 		all    []Proxy
 		behind bool
 		want   bool
 	}{{[]Proxy{me}, false, false}, {[]Proxy{me, other}, false, true}, {[]Proxy{me, {Name: "n2", Epoch: 1}}, false, false}, {[]Proxy{me, other}, true, false},
 		{[]Proxy{me, {Name: "n2", Gone: true, Epoch: 1}}, false, true}} {
-		x.Fleet(Second, c.all, 2, c.behind)
-		if x.Fleet(3*Second, c.all, 2, c.behind); x.Shown().Believes != c.want { // what one that has ended wrote last has had its time
+		now += 3 * Second
+		x.Fleet(now, c.all, 2, c.behind)
+		if x.Fleet(now+2*Second, c.all, 2, c.behind); x.Shown().Believes != c.want { // what one that has ended wrote last has had its time
 			t.Errorf("%+v: %v", c, x.Shown().Believes)
 		}
 	}
