--- a/turns/instance.go
+++ b/turns/instance.go
@@ -121,6 +121,9 @@
 		if t.nodes[name] == nil && len(t.nodes) < mostNodes {
 			t.nodes[name] = &node{name: name, hash: xxhash.Sum64String(name), keeps: true}
 			t.changed = true
+			if t.Keepers > 0 { // it may have been here before, and another's to keep
+				t.say(Decision{Act: Keep, Node: name, On: true})
+			}
 		}
 	}
 	for name := range t.nodes {
--- a/turns/instance_test.go
+++ b/turns/instance_test.go
@@ -395,3 +395,34 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A node that leaves and comes back is kept by its keepers, whatever they had been told before.
+func TestKeptAgain(t *testing.T) {
+	x := New(0, usual)
+	x.Me = "n3"
+	x.Fleet(0, fleetOf(60, 3), false)
+	told, now := map[string]bool{}, Time(0)
+	take := func(ds []Decision) {
+		for _, d := range ds {
+			if d.Act == Keep {
+				told[d.Node] = d.On
+			}
+		}
+	}
+	names := []string{"c0", "c1", "c2", "c3", "c4", "c5", "c6", "c7"}
+	for _, all := range [][]string{names, names[:2], names} {
+		take(x.Nodes(now, all))
+		now += Second
+		take(x.Tick(now))
+	}
+	kept := 0
+	for _, n := range names {
+		if told[n] != x.nodes[n].keeps {
+			t.Errorf("%s: told %v", n, told[n])
+		}
+		kept += yes(told[n])
+	}
+	if kept == len(names) || kept != x.Shown().Kept {
+		t.Errorf("%d kept, %d shown", kept, x.Shown().Kept)
+	}
+}
