--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -34,6 +34,7 @@
 	PeersAt    string `env:"GW_PEERS_LISTEN" name:"peers-listen" help:"Where peers meet this proxy, before the one in that file."`
 	Zones      string `env:"GW_ZONES" help:"A file by which whole zones are left and returned to; without it they are not." placeholder:"FILE"`
 	Turns      string `env:"GW_TURNS" help:"A file by which proxies that talk take turns; without it each does all for itself." placeholder:"FILE"`
+	State      string `env:"GW_STATE" help:"A directory of its own where the proxy keeps the list and its peers for its next start; without it nothing." placeholder:"DIR"`
 	Missing    string `env:"GW_MISSING" help:"A file by which keys are remembered that the origin lacks; without it they are not." placeholder:"FILE"`
 	Moves      string `env:"GW_MOVES" help:"A file by which moves of shards are planned at the management address; without it they are not." placeholder:"FILE"`
 	Shared     string `env:"TMPDIR" help:"A directory that a process shares with the one that replaces it."`
@@ -41,7 +42,7 @@
 
 func (p *place) read() (*run.Place, error) {
 	return run.Read(p.Config, run.Place{Name: p.Name, Listen: p.Listen, Discovery: p.Discovery, Management: p.Management,
-		Own: true, Shared: p.Shared, Peers: p.Peers, PeersListen: p.PeersAt, ZonesFile: p.Zones, MissingFile: p.Missing, MovesFile: p.Moves, TurnsFile: p.Turns})
+		Own: true, Shared: p.Shared, Peers: p.Peers, PeersListen: p.PeersAt, ZonesFile: p.Zones, StateDir: p.State, MissingFile: p.Missing, MovesFile: p.Moves, TurnsFile: p.Turns})
 }
 
 type serve struct{ place }
@@ -60,7 +61,7 @@
 	// the environment is that of the start; where discovery is by now, only the file can tell
 	again := func() (*run.Place, error) {
 		return run.Read(s.Config, run.Place{Name: s.Name, Listen: s.Listen, Management: s.Management,
-			Own: true, Shared: s.Shared, Peers: s.Peers, PeersListen: s.PeersAt, ZonesFile: s.Zones, MissingFile: s.Missing, MovesFile: s.Moves, TurnsFile: s.Turns})
+			Own: true, Shared: s.Shared, Peers: s.Peers, PeersListen: s.PeersAt, ZonesFile: s.Zones, StateDir: s.State, MissingFile: s.Missing, MovesFile: s.Moves, TurnsFile: s.Turns})
 	}
 	return run.Serve(p, again, log, signals)
 }
@@ -88,6 +89,9 @@
 	if p.Zones != nil {
 		fmt.Printf("%s: good; this proxy stands in %q, %d regions\n", c.Zones, p.Zones.Zone, len(p.Zones.Regions))
 	}
+	if p.State != nil {
+		fmt.Printf("%s: good; what this proxy knows is kept there\n", c.State)
+	}
 	if p.Missing != nil {
 		fmt.Printf("%s: good; room for %d keys, each for %v s\n", c.Missing, p.Missing.Entries, float64(p.Missing.Believe)/1e4)
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,6 +23,7 @@
 	Peers() string // how it stands with its peers, "": it has none
 	Zones() string // how the zones stand, "": they are not judged
 	Turns() any    // how what goes by turns stands, to be told as JSON, nil: nothing does
+	Recovery() any // how the proxy comes back, nil: it goes through no stages
 	Missing() any  // how what is known of missing keys stands, nil: nothing is
 	Forget() error // forgets all of it
 	Metrics() http.Handler
@@ -110,6 +111,7 @@
 		})
 	}
 	figures("/control/turns", "no file of turns is named", of.Turns)
+	figures("/control/recovery", "neither state nor peers are named", of.Recovery)
 	figures("/control/missing", "no file of missing keys is named", of.Missing)
 	mux.HandleFunc("POST /control/missing/forget", func(w http.ResponseWriter, r *http.Request) {
 		if err := of.Forget(); err != nil {
--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -31,6 +31,7 @@
 	Zones   Zones     `toml:"zones"`
 	Turns   Turns     `toml:"turns"`
 	Missing Missing   `toml:"missing"`
+	State   bool      `toml:"state"` // proxies keep what they know on a disk
 }
 
 // Missing is keys that the origin lacks until they are written, and whether proxies remember them.
--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -129,10 +129,11 @@
 	p.t.Helper()
 	s := emu.Site{Name: name, Listen: ip + ":6379", Discovery: p.found, Dir: filepath.Join(p.dir, name), Config: filepath.Join(p.dir, name, management+".json"),
 		Peers: filepath.Join(p.dir, name, "peers.toml"), Zones: filepath.Join(p.dir, name, "zones.toml"),
-		Turns: filepath.Join(p.dir, name, "turns.toml"), Moves: filepath.Join(p.dir, name, "moves.toml"), Missing: filepath.Join(p.dir, name, "missing.toml")}
+		Turns: filepath.Join(p.dir, name, "turns.toml"), Moves: filepath.Join(p.dir, name, "moves.toml"), Missing: filepath.Join(p.dir, name, "missing.toml"), State: filepath.Join(p.dir, name, "state")}
 	os.MkdirAll(filepath.Join(s.Dir, "tmp"), 0o700)
 	os.WriteFile(s.Zones, []byte("[[region]]\nname = \"east\"\nzones = [\"x\", \"y\"]\n"), 0o600)
 	os.WriteFile(s.Turns, []byte("watchers = 2\nkeepers = 2\n"), 0o600)
+	os.MkdirAll(s.State, 0o700)
 	os.WriteFile(s.Missing, []byte("entries = 4096\n"), 0o600)
 	os.WriteFile(s.Moves, []byte("slack = 0.5\n"), 0o600)
 	os.WriteFile(s.Peers, []byte(fmt.Sprintf("cluster = \"c\"\nlisten = \"%s:7946\"\nseeds = [\"%s:7946\", \"%s:7946\"]\nhold_s = 1.0\n", ip, ip[:len(ip)-1]+"1", ip[:len(ip)-1]+"2")), 0o600)
@@ -392,3 +393,61 @@
 	}
 	t.Logf("%.1f said, %.1f asked, %v after the write at most", r.AbsentSaid, r.AbsentAsked, r.Stale)
 }
+
+// Four of six are killed while discovery turns most away. With what they kept on their disks they serve as before; with nothing they
+// have no list. A disk that was damaged meanwhile is told, put aside, and does no harm.
+func TestComesBack(t *testing.T) {
+	t.Parallel()
+	text := strings.NewReplacer(`"plain"`, `"back"`, "length_s = 2.0", "length_s = 12.0", "proxies = 2", "proxies = 6\nstate = true", "rate = 150.0", "rate = 90.0").Replace(plain)
+	for _, b := range []string{`kind = "refusing", at_s = 3.5, for_s = 8.0`, `kind = "mass-kill", at_s = 4.0, for_s = 0.5, nodes = 4, spread_s = 0.5`} {
+		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
+	}
+	start, reports := program(t), make([]*emu.Report, 2)
+	t.Run("days", func(t *testing.T) {
+		for i, on := range []string{"state = true", "state = false"} {
+			t.Run(on, func(t *testing.T) {
+				t.Parallel()
+				reports[i] = kept(t, strings.Replace(text, "state = true", on, 1), start)
+			})
+		}
+	})
+	with, without := reports[0].Returns[0], reports[1].Returns[0]
+	if with.Killed != 4 || with.Full > 4*time.Second || with.Between < 0.5 || without.Full < 6*time.Second {
+		t.Errorf("with what was kept %+v, without %+v", with, without)
+	}
+}
+
+// What was stored is weighed at the start, damaged or not, and operators see which stage the proxy is in.
+func TestStored(t *testing.T) {
+	t.Parallel()
+	p := meet(t, 63, emu.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
+	a := p.ip + "1:6380"
+	dir := filepath.Join(p.dir, "a", "state")
+	os.MkdirAll(dir, 0o700)
+	file := filepath.Join(dir, "woodproxy.state")
+	x := p.process("a", p.ip+"1", a)
+	p.await("it begins", a, "/control/recovery", `"stored":"nothing"`)
+	for _, c := range []struct {
+		spoil func(b []byte) []byte
+		want  string
+	}{{func(b []byte) []byte { return b }, "at index 2, after the configuration's 0"}, {func(b []byte) []byte { return b[:len(b)/2] }, "unreadable, and put aside"},
+		{func(b []byte) []byte { return b }, "stored"}} {
+		for range 100 { // until it has kept something
+			if _, err := os.Stat(file); err == nil {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		x.Kill()
+		<-x.Done()
+		b, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		os.WriteFile(file, c.spoil(b), 0o600)
+		x = p.process("a", p.ip+"1", a)
+		p.await("what was stored", a, "/control/recovery", c.want)
+	}
+	p.await("its stages end", a, "/control/ready", "200 ready\n")
+	p.await("it is full", a, "/control/recovery", `"stage":"full"`)
+}
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -19,6 +19,7 @@
 	Config                  string // the file that says all of this
 	Management              string // where operators call, "": nowhere
 	Peers                   string // the file by which it talks with others, "": it does not
+	State                   string // the directory where it keeps what it knows, "": nowhere
 	Missing                 string // the file by which it remembers missing keys, "": it does not
 	Moves                   string // the file by which it plans moves, "": it does not
 	Turns                   string // the file by which it takes turns with others, "": it does not
@@ -63,8 +64,9 @@
 	Hasty                  int     // zones that one proxy passed by alone, and that nothing had hit
 	ColdPeak               float64 // the most that any node took while it was cold, against what it bears
 	Together               Together
-	AbsentAsked            float64       // look-ups of keys that the origin lacked, a second, there,
-	AbsentSaid             float64       // and answers that it has none, a second, to clients
+	AbsentAsked            float64 // look-ups of keys that the origin lacked, a second, there,
+	AbsentSaid             float64 // and answers that it has none, a second, to clients
+	Returns                []Return
 	Stale                  time.Duration // the longest for which a key was called missing after it was written
 	BadMute                int           // bad clients that were owed an error or a close and had neither
 }
@@ -344,6 +346,12 @@
 		if err := p.turn(m); err != nil {
 			return err
 		}
+		if d.State {
+			m.site.State = filepath.Join(dir, "state")
+			if err := os.MkdirAll(m.site.State, 0o700); err != nil {
+				return err
+			}
+		}
 		if d.Missing.On {
 			m.site.Missing = filepath.Join(dir, "missing.toml")
 			if err := os.WriteFile(m.site.Missing, []byte("entries = 4096\n"), 0o600); err != nil {
@@ -467,6 +475,7 @@
 	c := check(p.plan.Day, p.plan.Requests, all)
 	r.Breaches, r.ColdPeak, r.Stale = c.found, c.cold, c.stale
 	p.lacking(r, all)
+	r.Returns = p.returned()
 	p.heard(r)
 	p.judged(r)
 	r.Together = p.together(all)
--- a/internal/emu/process.go
+++ b/internal/emu/process.go
@@ -122,6 +122,9 @@
 		if s.Peers != "" {
 			c.Env = append(c.Env, "GW_PEERS="+s.Peers)
 		}
+		if s.State != "" {
+			c.Env = append(c.Env, "GW_STATE="+s.State)
+		}
 		if s.Missing != "" {
 			c.Env = append(c.Env, "GW_MISSING="+s.Missing)
 		}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -42,9 +43,10 @@
 	quiet  string // why the last watch ended, so that a spell of the same trouble is one line
 	count  *Counters
 	log    *zap.Logger
-	shared *shared // with peers, nil: there are none
-	duties *Duties // nil: each watches for itself
-	off    bool    // others watch for this one
+	shared *shared      // with peers, nil: there are none
+	duties *Duties      // nil: each watches for itself
+	off    bool         // others watch for this one
+	latest atomic.Int64 // the index that discovery last told of, or a peer if that was later
 }
 
 // watch is one connection to discovery and its goroutine.
@@ -185,6 +187,7 @@
 		return // it was told to end
 	}
 	l.count.Lists.Add(1)
+	l.reached(index)
 	if l.shared != nil {
 		if w == l.now {
 			l.shared.tell(index, whole, list)
@@ -194,6 +197,16 @@
 	l.mind.box.post(func() { l.mind.nodes(whole, false, list) })
 }
 
+// reached notes an index up to which discovery or a peer has told.
+func (l *List) reached(index int64) {
+	if index > l.latest.Load() {
+		l.latest.Store(index) // the list's actor alone does
+	}
+}
+
+// Version is the index up to which discovery or peers have told since the start, 0: neither has.
+func (l *List) Version() int64 { return l.latest.Load() }
+
 // spoke hears that discovery has said something.
 func (l *List) spoke(w *watch) {
 	if w != l.now {
--- a/internal/fleet/shared.go
+++ b/internal/fleet/shared.go
@@ -64,6 +64,9 @@
 		s.tell(l.index, false, again)
 	}
 	if len(list) > 0 {
+		for _, h := range came {
+			l.reached(h.index)
+		}
 		l.count.PeerLists.Add(1)
 		l.mind.box.post(func() { l.mind.nodes(false, false, list) })
 	}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -42,6 +42,7 @@
 	Clients  int            `toml:"connections"` // that clients hold, 0: the day's
 	Talk     *bool          `toml:"talk"`        // whether proxies talk with one another
 	Judged   *string        `toml:"judged"`      // how they judge zones
+	State    *bool          `toml:"state"`       // whether they keep what they know on a disk
 	Missing  *bool          `toml:"missing"`     // whether they remember keys that the origin lacks
 	Turns    *bool          `toml:"turns"`       // whether they take turns
 }
@@ -131,6 +132,9 @@
 	if v.Judged != nil {
 		c.Zones.Judged = *v.Judged
 	}
+	if v.State != nil {
+		c.State = *v.State
+	}
 	if v.Missing != nil {
 		c.Missing.On = *v.Missing
 	}
--- a/internal/lab/sum.go
+++ b/internal/lab/sum.go
@@ -36,6 +36,7 @@
 	NeverLeft, Convicted                               int
 	ColdPeak                                           float64 // the most any node took cold, against what fells it
 	emu.Together
+	FullS                            float64 // after the last kill, until in-time service stayed over 95% of what it was before; the most
 	AbsentAsked, AbsentSaid, StaleMS float64 // missing keys that the origin was asked for, and clients heard of, a second; called missing after a write
 }
 
@@ -98,6 +99,9 @@
 		s.WorthHit, s.WorthBack, s.NeverLeft = s.WorthHit+z.WorthAt/n, s.WorthBack+z.WorthBack/n, s.NeverLeft+z.Kept
 	}
 	s.Convicted, s.ColdPeak, s.Together = r.Convicted, r.ColdPeak, r.Together
+	for _, x := range r.Returns {
+		s.FullS = max(s.FullS, x.Full.Seconds())
+	}
 	s.AbsentAsked, s.AbsentSaid, s.StaleMS = r.AbsentAsked, r.AbsentSaid, r.Stale.Seconds()*1000
 	s.Tries = took / max(float64(s.Requests), 1)
 	return s
@@ -129,6 +133,10 @@
 		fmt.Fprintf(&b, "zones judged %s: %d verdicts on zones that nothing had hit, and %d passed by alone\n", r.Plan.Day.Zones.Judged,
 			r.Convicted, r.Hasty)
 	}
+	for _, x := range r.Returns {
+		fmt.Fprintf(&b, "%d proxies killed at %.1f s: full service again after %.0f s, %.0f s after the last start; before %.3f in time, %.3f in the time between\n", x.Killed,
+			x.At.Seconds(), x.Full.Seconds(), max(x.Full-x.Started, 0).Seconds(), x.Before, x.Between)
+	}
 	if r.AbsentSaid > 0 {
 		fmt.Fprintf(&b, "missing keys: the origin was asked for %.1f a second, clients heard of %.1f; one was called missing %.0f ms after it was written at most\n",
 			r.AbsentAsked, r.AbsentSaid, r.Stale.Seconds()*1000)
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -41,7 +41,7 @@
 	"heard_p50_ms", "heard_p99_ms", "unheard", "caught_p50_ms", "caught_max_ms", "peer_bytes", "peer_packets",
 	"left_first_ms", "left_last_ms", "zone_back_ms", "worth_hit", "worth_back", "never_left", "convicted", "cold_peak",
 	"silent_tries", "watches", "list_calls", "cache_conns", "cache_conns_max",
-	"absent_asked", "absent_said", "stale_ms"}
+	"absent_asked", "absent_said", "stale_ms", "full_s"}
 
 const oldest = 17 // columns of the first tables
 
@@ -50,7 +50,7 @@
 		s.Tries, s.CPU, s.LateMS, float64(s.Breaches), float64(s.BadMute),
 		s.HeardP50, s.HeardP99, float64(s.Unheard), s.CaughtP50, s.CaughtMax, s.PeerBytes, s.PeerPackets,
 		s.LeftFirst, s.LeftLast, s.ZoneBack, s.WorthHit, s.WorthBack, float64(s.NeverLeft), float64(s.Convicted), s.ColdPeak,
-		s.Trials, s.Watches, s.Calls, s.Conns, float64(s.Most), s.AbsentAsked, s.AbsentSaid, s.StaleMS}
+		s.Trials, s.Watches, s.Calls, s.Conns, float64(s.Most), s.AbsentAsked, s.AbsentSaid, s.StaleMS, s.FullS}
 	m := map[string]float64{}
 	for i, f := range figures {
 		m[f] = v[i]
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"woodproxy/internal/state"
 	"woodproxy/internal/talk"
 	"woodproxy/internal/terms"
 	"woodproxy/missing"
@@ -35,6 +36,8 @@
 	Talk                    *talk.Config
 	ZonesFile               string // by which whole zones are left, "": they are not
 	Zones                   *zones.Terms
+	StateDir                string // where it keeps what it knows for its next start, "": nowhere
+	State                   *state.Store
 	MissingFile             string // by which keys are known to be missing, "": they are not
 	Missing                 *missing.Terms
 	MovesFile               string // by which moves of shards are planned, "": they are not
@@ -59,7 +62,7 @@
 	if err != nil || v.Type() != fastjson.TypeObject {
 		return nil, fmt.Errorf("configuration: %s: not a JSON object", file)
 	}
-	p := &Place{Own: over.Own, Shared: over.Shared, Peers: over.Peers, PeersListen: over.PeersListen, ZonesFile: over.ZonesFile, MissingFile: over.MissingFile, MovesFile: over.MovesFile, TurnsFile: over.TurnsFile, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
+	p := &Place{Own: over.Own, Shared: over.Shared, Peers: over.Peers, PeersListen: over.PeersListen, ZonesFile: over.ZonesFile, StateDir: over.StateDir, MissingFile: over.MissingFile, MovesFile: over.MovesFile, TurnsFile: over.TurnsFile, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
 	word := func(key, given string) string {
 		s := v.Get(key)
 		switch {
@@ -134,6 +137,11 @@
 			return nil, err
 		}
 	}
+	if p.StateDir != "" {
+		if p.State, err = state.Open(p.StateDir, p.Name); err != nil {
+			return nil, err
+		}
+	}
 	if p.MissingFile != "" {
 		if p.Missing, err = readMissing(p.MissingFile, p.Name, p.Talk != nil, p.Book); err != nil {
 			return nil, err
--- a/internal/run/metrics.go
+++ b/internal/run/metrics.go
@@ -15,6 +15,7 @@
 type metrics struct {
 	count *fleet.Counters
 	peers *peers
+	back  *returning
 }
 
 // gauges are those of the counters that go down as well.
@@ -53,6 +54,11 @@
 			give("woodproxy_turns_"+c.name+"_total", c.help, prometheus.CounterValue, float64(c.v))
 		}
 	}
+	if m.back != nil {
+		f := m.back.shown()
+		give("woodproxy_recovery_full_seconds", "Time from the start until the proxy was full, 0: it is not yet.", prometheus.GaugeValue, float64(f.FullMS)/1000)
+		give("woodproxy_recovery_drained", "Nodes left alone by what was stored.", prometheus.GaugeValue, float64(f.Drained))
+	}
 	if a := m.peers.absent; a != nil {
 		f := a.Shown()
 		believes := 0.0
@@ -86,6 +92,6 @@
 // Metrics answers the call for metrics, in the Prometheus text format.
 func (s *service) Metrics() http.Handler {
 	all := prometheus.NewPedanticRegistry()
-	all.MustRegister(metrics{s.count, s.peers})
+	all.MustRegister(metrics{s.count, s.peers, s.back})
 	return promhttp.HandlerFor(all, promhttp.HandlerOpts{MaxRequestsInFlight: 2})
 }
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -17,6 +17,7 @@
 	"woodproxy/internal/control"
 	"woodproxy/internal/fleet"
 	"woodproxy/internal/wire"
+	"woodproxy/recovery"
 )
 
 const (
@@ -56,7 +57,11 @@
 		mind.Watch(p.Watch, p.Seed)
 		log.Info("watching other settings; what they would decide otherwise is counted and not done")
 	}
-	known, wait := p.Known, waitForList
+	known, stored, drained, err := restore(p, log)
+	if err != nil {
+		return err
+	}
+	wait := waitForList
 	if before != nil && before.List != nil {
 		v, err := fastjson.ParseBytes(before.List)
 		if err == nil {
@@ -94,6 +99,10 @@
 	}
 	door := fleet.NewDoor(ln, mind, p.MemoryMB, count, log)
 	service := &service{Door: door, peers: peers, count: count, planning: make(chan struct{}, planners)}
+	if p.State != nil || p.Talk != nil {
+		service.back = &returning{store: p.State, place: p, peers: peers, mind: mind, list: list, count: count, log: log, clock: fleet.NewClock(), quit: make(chan struct{}), ended: make(chan struct{})}
+		service.back.in = recovery.New(service.back.now(), recovery.Usual(p.Talk != nil), stored, drained)
+	}
 	if p.Management != "" {
 		operators, err := control.Listen(p.Management, service)
 		if err != nil {
@@ -112,6 +121,10 @@
 	estate := leave(p, ln, mind, room, log)
 	go mind.Run()
 	go list.Run()
+	if service.back != nil {
+		go service.back.run()
+		defer service.back.stop()
+	}
 	go door.Run()
 	log.Info("started", zap.String("name", p.Name), zap.String("listen", p.Listen), zap.Int("sockets", p.Sockets),
 		zap.Bool("replaces", before != nil))
@@ -183,6 +196,7 @@
 	*fleet.Door
 	peers    *peers
 	count    *fleet.Counters
+	back     *returning // nil: it goes through no stages
 	stopping atomic.Bool
 	planning chan struct{} // has a place for each plan that is being made
 }
@@ -201,6 +215,11 @@
 	if s.peers.behind() {
 		return true, "ready; catching up with peers"
 	}
+	if s.back != nil {
+		if f := s.back.shown(); f.Stage != recovery.Full.String() {
+			return true, "ready; " + f.Stage + ", since " + f.Why
+		}
+	}
 	return true, "ready"
 }
 
