--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -71,6 +71,8 @@
 		switch x := ds[i]; x.Act {
 		case turns.Rest:
 			d.mind.box.post(func() { d.mind.rest(x.Node, brain.Time(x.Until)) })
+		case turns.Doubt:
+			d.mind.Heard(x.Node, !x.On)
 		case turns.Keep:
 			d.mind.box.post(func() { d.mind.keep(x.Node, x.On) })
 		case turns.Watch:
--- a/turns/instance.go
+++ b/turns/instance.go
@@ -54,6 +54,7 @@
 	last   Time     // the latest trial that counts, or when it was first passed over
 	recent []turn   // who had one lately; both emptied as time goes by
 	found  []string // who says that it answers, since somebody last said that it does not; two at most
+	silent []turn   // others that found it silent lately
 	wrong  []turn   // who said so lately when it did not
 	until  Time     // told to the caller
 	keeps  bool
@@ -151,7 +152,7 @@
 		if t.now-n.last > recently*t.Rest { // nobody has tried it: this one's own finding is as good as a trial
 			n.last, n.found = t.now, n.found[:0]
 		}
-		t.rest(n)
+		t.tell(n, Silent)
 	} else if n.last+recently*t.Rest > t.now { // others wait for that word
 		t.tell(n, Answers)
 	}
@@ -218,6 +219,21 @@
 	return true
 }
 
+// doubt has this proxy take a hint about a node that it has not passed over itself: two others at least have to find it silent, and
+// one that says so again within eight rests says nothing new.
+func (t *Instance) doubt(n *node, who string, at Time, how Outcome) {
+	n.silent = t.lately(n.silent)
+	switch {
+	case how == Answers && len(n.silent) > 0:
+		n.silent = n.silent[:0]
+		t.say(Decision{Act: Doubt, Node: n.name})
+	case how == Silent && !had(n.silent, who) && len(n.silent) < mostRecent:
+		if n.silent = append(n.silent, turn{who, at}); len(n.silent) >= 2 && !n.passed {
+			t.say(Decision{Act: Doubt, Node: n.name, On: true})
+		}
+	}
+}
+
 func (t *Instance) lately(all []turn) []turn {
 	return slices.DeleteFunc(all, func(r turn) bool { return t.now-r.at > recently*t.Rest })
 }
@@ -269,6 +285,7 @@
 		if t.took(n, from, t.now-age, s.How) && n.passed {
 			t.rest(n)
 		}
+		t.doubt(n, from, t.now-age, s.How)
 	case Beat:
 		if age <= t.Patience {
 			t.beats[from] = t.now - age
--- a/turns/types.go
+++ b/turns/types.go
@@ -72,6 +72,7 @@
 const (
 	Rest  Act = iota // Node: if it is passed over, this proxy tries it no sooner than Until, and then at once
 	Watch            // On: watch discovery, or leave that to others
+	Doubt            // Node: others find it silent (On), or answering; a hint, as hearsay is
 	Keep             // Node, On: keep idle connections there, or close them soon
 	Say              // Kind, Key, Said to all proxies; it is worth nothing after Life
 	Sum              // Node: the others have Figure in flight there
