--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -35,6 +35,24 @@
 	return r
 }
 
+// both plays a day at the same time as it is, and with one word of it for another.
+func both(t *testing.T, text, is, other string) (*emu.Report, *emu.Report) {
+	t.Helper()
+	start, reports := program(t), make([]*emu.Report, 2)
+	t.Run("days", func(t *testing.T) {
+		for i, w := range []string{is, other} {
+			t.Run(w, func(t *testing.T) {
+				t.Parallel()
+				reports[i] = kept(t, strings.Replace(text, is, w, 1), start)
+			})
+		}
+	})
+	if reports[0] == nil || reports[1] == nil {
+		t.Fatal("not played")
+	}
+	return reports[0], reports[1]
+}
+
 // A zone whose proxies and nodes can't reach the others, one that is lost and comes back cold, links that are cut one way and
 // slow: with processes that talk and with such that do not no rule is broken, and most is served.
 func TestZonesAndLinks(t *testing.T) {
@@ -323,16 +341,7 @@
 	} {
 		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
 	}
-	start, reports := program(t), make([]*emu.Report, 2)
-	t.Run("days", func(t *testing.T) {
-		for i, on := range []string{"on = true", "on = false"} {
-			t.Run(on, func(t *testing.T) {
-				t.Parallel()
-				reports[i] = kept(t, strings.Replace(text, "on = true", on, 1), start)
-			})
-		}
-	})
-	r, alone := reports[0], reports[1]
+	r, alone := both(t, text, "on = true", "on = false")
 	if o := outcomes(r); float64(o[emu.Completed]) < 0.85*float64(len(r.Plan.Requests)) {
 		t.Errorf("%d asked, %v", len(r.Plan.Requests), o)
 	}
@@ -402,16 +411,8 @@
 	for _, b := range []string{`kind = "refusing", at_s = 3.5, for_s = 8.0`, `kind = "mass-kill", at_s = 4.0, for_s = 0.5, nodes = 4, spread_s = 0.5`} {
 		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
 	}
-	start, reports := program(t), make([]*emu.Report, 2)
-	t.Run("days", func(t *testing.T) {
-		for i, on := range []string{"state = true", "state = false"} {
-			t.Run(on, func(t *testing.T) {
-				t.Parallel()
-				reports[i] = kept(t, strings.Replace(text, "state = true", on, 1), start)
-			})
-		}
-	})
-	with, without := reports[0].Returns[0], reports[1].Returns[0]
+	disk, none := both(t, text, "state = true", "state = false")
+	with, without := disk.Returns[0], none.Returns[0]
 	if with.Killed != 4 || with.Full > 4*time.Second || with.Between < 0.5 || without.Full < 6*time.Second {
 		t.Errorf("with what was kept %+v, without %+v", with, without)
 	}
--- a/internal/emu/process.go
+++ b/internal/emu/process.go
@@ -119,23 +119,10 @@
 		c := exec.Command(words[0], words[1:]...)
 		c.Env = append(os.Environ(), "GW_CONFIG="+s.Config, "GW_NAME="+s.Name, "GW_LISTEN="+s.Listen, "GW_DISCOVERY="+s.Discovery,
 			"TMPDIR="+filepath.Join(s.Dir, "tmp"))
-		if s.Peers != "" {
-			c.Env = append(c.Env, "GW_PEERS="+s.Peers)
-		}
-		if s.State != "" {
-			c.Env = append(c.Env, "GW_STATE="+s.State)
-		}
-		if s.Missing != "" {
-			c.Env = append(c.Env, "GW_MISSING="+s.Missing)
-		}
-		if s.Moves != "" {
-			c.Env = append(c.Env, "GW_MOVES="+s.Moves)
-		}
-		if s.Turns != "" {
-			c.Env = append(c.Env, "GW_TURNS="+s.Turns)
-		}
-		if s.Zones != "" {
-			c.Env = append(c.Env, "GW_ZONES="+s.Zones)
+		for _, f := range [...][2]string{{"PEERS", s.Peers}, {"STATE", s.State}, {"MISSING", s.Missing}, {"MOVES", s.Moves}, {"TURNS", s.Turns}, {"ZONES", s.Zones}} {
+			if f[1] != "" {
+				c.Env = append(c.Env, "GW_"+f[0]+"="+f[1])
+			}
 		}
 		c.Stdout, c.Stderr = log, log
 		if err := c.Start(); err != nil {
--- a/missing/instance.go
+++ b/missing/instance.go
@@ -1,6 +1,10 @@
 package missing
 
-import "fmt"
+import (
+	"fmt"
+
+	"woodproxy/internal/bounds"
+)
 
 // Terms is what an instance is told at its start.
 type Terms struct {
@@ -12,14 +16,7 @@
 }
 
 // RangeError tells of a figure that is out of its range.
-type RangeError struct {
-	Key                string
-	Value, Least, Most float64
-}
-
-func (e *RangeError) Error() string {
-	return fmt.Sprintf("%s: %v: not from %v to %v; give it a figure within, or leave the line out for the usual one", e.Key, e.Value, e.Least, e.Most)
-}
+type RangeError = bounds.RangeError
 
 // AloneError tells that nobody would hear of writes.
 type AloneError struct {
@@ -33,13 +30,8 @@
 
 // Check tells whether terms can be kept to.
 func (t *Terms) Check() error {
-	for _, f := range []RangeError{{"entries", float64(t.Entries), 1, 1 << 22}, {"believe_s", float64(t.Believe) / float64(Second), 0.5, 600},
-		{"grace_ms", float64(t.Grace) / 10, 100, 60000}, {"grow_per_s", float64(t.Grow), 1, 1e6}} {
-		if !(f.Value >= f.Least && f.Value <= f.Most) {
-			return &f
-		}
-	}
-	return nil
+	return bounds.Check(bounds.Range("entries", float64(t.Entries), 1, 1<<22), bounds.Range("believe_s", float64(t.Believe)/float64(Second), 0.5, 600),
+		bounds.Range("grace_ms", float64(t.Grace)/10, 100, 60000), bounds.Range("grow_per_s", float64(t.Grow), 1, 1e6))
 }
 
 const (
--- a/moves/types.go
+++ b/moves/types.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"strings"
+	"woodproxy/internal/bounds"
 )
 
 // Shards is into how many parts the key space is dealt, by the first bits of a key's mixed hash.
@@ -52,23 +53,11 @@
 }
 
 // RangeError tells of a figure that is out of its range.
-type RangeError struct {
-	Key                string
-	Value, Least, Most float64
-}
-
-func (e *RangeError) Error() string {
-	return fmt.Sprintf("%s: %v: not from %v to %v; give it a figure within, or leave the line out for the usual one", e.Key, e.Value, e.Least, e.Most)
-}
+type RangeError = bounds.RangeError
 
 // Check tells whether terms can be kept to.
 func (t *Terms) Check() error {
-	for _, f := range []RangeError{{"slack", t.Slack, 0, 1}, {"moves_per_node", float64(t.PerNode), 1, 64}, {"moves_in_all", float64(t.InAll), 1, 1024}} {
-		if !(f.Value >= f.Least && f.Value <= f.Most) {
-			return &f
-		}
-	}
-	return nil
+	return bounds.Check(bounds.Range("slack", t.Slack, 0, 1), bounds.Range("moves_per_node", float64(t.PerNode), 1, 64), bounds.Range("moves_in_all", float64(t.InAll), 1, 1024))
 }
 
 // Move is one of a step.
--- a/turns/instance.go
+++ b/turns/instance.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"woodproxy/internal/bounds"
 )
 
 const (
@@ -75,14 +77,13 @@
 // Check tells whether terms can be kept to; proxies is how many the operators say there are.
 func (t *Terms) Check() error {
 	ms := func(t Time) float64 { return float64(t) / 10 }
-	for _, f := range []RangeError{{"watchers", float64(t.Watchers), 0, 64}, {"keepers", float64(t.Keepers), 0, 64}, {"trial_ms", ms(t.Rest), 50, 60000},
-		{"turn_ms", ms(t.Step), 20, 10000}, {"beat_ms", ms(t.Beat), 100, 2000}, {"patience_ms", ms(t.Patience), 200, 4000}, {"fade_ms", ms(t.Fade), 500, 60000}} {
-		if !(f.Value >= f.Least && f.Value <= f.Most) {
-			return &f
-		}
+	if err := bounds.Check(bounds.Range("watchers", float64(t.Watchers), 0, 64), bounds.Range("keepers", float64(t.Keepers), 0, 64), bounds.Range("trial_ms", ms(t.Rest), 50, 60000),
+		bounds.Range("turn_ms", ms(t.Step), 20, 10000), bounds.Range("beat_ms", ms(t.Beat), 100, 2000), bounds.Range("patience_ms", ms(t.Patience), 200, 4000),
+		bounds.Range("fade_ms", ms(t.Fade), 500, 60000)); err != nil {
+		return err
 	}
 	if t.Watchers == 1 { // with its death nobody would be told anything for a while
-		return &RangeError{"watchers", 1, 2, 64}
+		return bounds.Check(bounds.Range("watchers", 1, 2, 64))
 	}
 	if t.Patience < 2*t.Beat {
 		return &OrderError{"beat_ms", "patience_ms", ms(t.Beat), ms(t.Patience), 2}
--- a/turns/types.go
+++ b/turns/types.go
@@ -6,7 +6,11 @@
 // next call reuses. Same inputs, same output. No I/O in here.
 package turns
 
-import "fmt"
+import (
+	"fmt"
+
+	"woodproxy/internal/bounds"
+)
 
 // Time counts tenths of a millisecond on the caller's own clock; spans use it too.
 type Time int64
@@ -94,14 +98,7 @@
 }
 
 // RangeError tells of a figure that is out of its range.
-type RangeError struct {
-	Key                string
-	Value, Least, Most float64
-}
-
-func (e *RangeError) Error() string {
-	return fmt.Sprintf("%s: %v: not from %v to %v; give it a figure within, or leave the line out for the usual one", e.Key, e.Value, e.Least, e.Most)
-}
+type RangeError = bounds.RangeError
 
 // OrderError tells of two spans of which the second has to be the longer one by a factor.
 type OrderError struct {
