--- a/turns/instance_test.go
+++ b/turns/instance_test.go
@@ -463,3 +463,49 @@
 		t.Errorf("%d kept, %d shown", kept, x.Shown().Kept)
 	}
 }
+
+// A fleet of 8 becomes 300 and 8 again within a minute, in steps, and seven in ten die at once on the way: somebody watches all the time
+// but for the stated span, few do as soon as it rests, and no proxy has more than its part of the nodes to keep.
+func TestGrowsAndShrinks(t *testing.T) {
+	r := newRig(300, usual, 8)
+	for i, o := range r.all {
+		o.up = i < 8
+	}
+	r.fleet()
+	r.watched = r.now
+	now := r.now
+	check := func(what string) {
+		t.Helper()
+		here, most, sum := 0, 0, 0
+		for _, o := range r.all {
+			if o.up {
+				k := 0
+				for _, n := range o.order {
+					k += yes(n.keeps)
+				}
+				here, most, sum = here+1, max(most, k), sum+k
+			}
+		}
+		if sum < 2*min(usual.Keepers, here) {
+			t.Errorf("%s: %d here, two nodes are kept %d times", what, here, sum)
+		}
+		if got := r.watching(); got < min(here, usual.Watchers) || got > 3*usual.Watchers {
+			t.Errorf("%s: %d here, %d watch", what, here, got)
+		}
+	}
+	for _, size := range []int{8, 40, 120, 300, 90, 300, 60, 8} {
+		for i, o := range r.all {
+			was := o.up
+			if o.up = i < size; o.up && !was { // a new process
+				r.all[i] = r.begin(i, usual)
+			}
+		}
+		r.run(Second) // before anybody is told
+		r.fleet()
+		r.run(6 * Second)
+		check(fmt.Sprint(size))
+	}
+	if span := r.now - now; r.most > 4*Second || span > 61*Second {
+		t.Errorf("nobody watches for %.2f s, of %.1f s", float64(r.most)/float64(Second), float64(span)/float64(Second))
+	}
+}
