--- a/internal/fleet/absent.go
+++ b/internal/fleet/absent.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"woodproxy/internal/terms"
 	"woodproxy/missing"
 )
 
@@ -19,6 +20,7 @@
 	in    *missing.Instance
 	table *missing.Table
 	clock Clock
+	book  *terms.Book
 	say   func(d *missing.Decision) // to peers; it may not wait. nil: there are none
 	lost  atomic.Bool               // a write found no room in the mailbox
 	sent  atomic.Int64
@@ -30,7 +32,7 @@
 // NewAbsent returns the actor, by which the module's answers what it knows to be missing. It is called before that runs.
 func NewAbsent(t missing.Terms, mind *Mind, say func(d *missing.Decision), log *zap.Logger) *Absent {
 	in := missing.New(missing.Time(mind.clock.Now()), t)
-	a := &Absent{box: make(mailbox, 1024), in: in, table: in.Table, clock: mind.clock, say: say, count: mind.count, log: log}
+	a := &Absent{box: make(mailbox, 1024), in: in, table: in.Table, clock: mind.clock, book: mind.book, say: say, count: mind.count, log: log}
 	a.shown.Store(&missing.Figures{})
 	mind.absent = a
 	return a
@@ -126,5 +128,9 @@
 // learned takes the origin's word that it has no such key.
 func (a *Absent) learned(t *try) {
 	h, k := xxhash.Sum64(t.turn.key), t.ticket
-	a.box.offer(func() { a.act(a.in.Learned(a.now(), h, k)) })
+	tenant, ok := a.book.Tenants[t.turn.tenant]
+	if !ok {
+		tenant = -1
+	}
+	a.box.offer(func() { a.act(a.in.Learned(a.now(), h, k, tenant)) })
 }
--- a/internal/run/missing.go
+++ b/internal/run/missing.go
@@ -31,7 +31,7 @@
 	if err := strict.TOML(text, f); err != nil {
 		return nil, fmt.Errorf("missing: %s: %w", file, err)
 	}
-	t := &missing.Terms{Me: name, Entries: f.Entries, Believe: missing.Time(terms.Tenths(f.Believe * 1000)), Grace: missing.Time(terms.Tenths(f.Grace)), Grow: f.Grow}
+	t := &missing.Terms{Me: name, Entries: f.Entries, Believe: missing.Time(terms.Tenths(f.Believe * 1000)), Grace: missing.Time(terms.Tenths(f.Grace)), Grow: f.Grow, Tenants: len(book.Tenants)}
 	if err := t.Check(); err != nil {
 		return nil, fmt.Errorf("missing: %s: %w", file, err)
 	}
--- a/missing/instance.go
+++ b/missing/instance.go
@@ -13,6 +13,7 @@
 	Believe Time // an entry lives so long after the origin's word
 	Grace   Time // for what a writer says it wrote and nobody passed on yet
 	Grow    int  // own entries a second at most, lest an origin that says so of all keys for a moment fills the table
+	Tenants int  // whose exchanges share that evenly, so that none takes over more than its part; 0: there are none
 }
 
 // RangeError tells of a figure that is out of its range.
@@ -102,9 +103,8 @@
 	told    int // own words on what is missing
 	saidAt  Time
 	behind  bool
-	deaf    Time // others' words on what is missing are passed over until then
-	tokens  float64
-	grownAt Time
+	deaf    Time   // others' words on what is missing are passed over until then
+	parts   []part // of Grow, one for each tenant and one for who is none
 	was     bool
 	out     []Decision
 }
@@ -121,9 +121,19 @@
 	seen  bool
 }
 
+// part is what one tenant may take of the table's growth.
+type part struct {
+	tokens float64
+	at     Time
+}
+
 // New returns an instance and its table, which believes nothing yet.
 func New(now Time, t Terms) *Instance {
-	return &Instance{Terms: t, Table: NewTable(t.Entries, t.Believe), now: now, writers: map[string]*writer{}, saidAt: now, tokens: float64(t.Grow), grownAt: now}
+	x := &Instance{Terms: t, Table: NewTable(t.Entries, t.Believe), now: now, writers: map[string]*writer{}, saidAt: now, parts: make([]part, t.Tenants+1)}
+	for i := range x.parts {
+		x.parts[i] = part{x.most(), now}
+	}
+	return x
 }
 
 func (x *Instance) begin(now Time) { x.now, x.out = max(now, x.now), x.out[:0] }
@@ -145,14 +155,21 @@
 	return x.out
 }
 
-// Learned takes the origin's word that it has no such key, with the ticket of the look-up.
-func (x *Instance) Learned(now Time, hash uint64, k Ticket) []Decision {
+// most is how many entries a tenant's exchanges may add in a second.
+func (x *Instance) most() float64 { return max(float64(x.Grow)/float64(max(x.Tenants, 1)), 1) }
+
+// Learned takes the origin's word that it has no such key, with the ticket of the look-up, which was for a tenant, or for none: -1.
+func (x *Instance) Learned(now Time, hash uint64, k Ticket, tenant int) []Decision {
 	x.begin(now)
-	x.tokens = min(x.tokens+float64(x.now-x.grownAt)/float64(Second)*float64(x.Grow), float64(x.Grow))
-	if x.grownAt = x.now; x.tokens < 1 {
+	p := &x.parts[0]
+	if tenant >= 0 && tenant < x.Tenants {
+		p = &x.parts[tenant+1]
+	}
+	p.tokens = min(p.tokens+float64(x.now-p.at)/float64(Second)*x.most(), x.most())
+	if p.at = x.now; p.tokens < 1 {
 		x.shown.Grown++
 	} else if x.Table.Absent(hash, k, x.now) {
-		x.tokens--
+		p.tokens--
 		if len(x.absent) < 4*mostBatch {
 			x.absent = append(x.absent, hash)
 		}
