--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -102,20 +102,19 @@
 	d.box.offer(func() { d.act(d.in.Nodes(d.now(), names)) })
 }
 
-// dutyLook tells which nodes are passed over by now, and what is in flight where.
+// dutyLook tells which nodes are passed over by now.
 func (m *Mind) dutyLook() {
 	d := m.duties
 	type seen struct {
 		name   string
 		passed bool
-		out    int
 	}
 	var all []seen
 	for n, p := range m.peers {
 		if p != nil && !p.origin && p.since == 0 {
 			passed := m.brain.Passed(n)
-			if passed != p.passed || p.out > 0 {
-				all = append(all, seen{p.name, passed, p.out})
+			if passed != p.passed {
+				all = append(all, seen{p.name, passed})
 			}
 			p.passed = passed
 		}
@@ -123,7 +122,6 @@
 	if len(all) > 0 {
 		d.box.offer(func() {
 			for _, s := range all {
-				d.in.InFlight(s.name, s.out)
 				d.act(d.in.Passed(d.now(), s.name, s.passed))
 			}
 		})
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -84,7 +84,7 @@
 }
 
 var kinds = map[replica.Kind]string{replica.Pulse: "pulse", replica.Sight: "sight", replica.Node: "node", replica.Gone: "gone",
-	replica.Voice: "voice", replica.Order: "order", replica.Trial: "trial", replica.Beat: "beat", replica.Load: "load", replica.Wrote: "wrote", replica.Absent: "absent"}
+	replica.Voice: "voice", replica.Order: "order", replica.Trial: "trial", replica.Beat: "beat", replica.Wrote: "wrote", replica.Absent: "absent"}
 
 // words is the answer to the call for peers.
 func (p *peers) words() string {
--- a/internal/run/turns.go
+++ b/internal/run/turns.go
@@ -39,7 +39,7 @@
 		return nil, fmt.Errorf("turns: %s: %w", file, err)
 	}
 	t := &turns.Terms{Me: name, Watchers: f.Watchers, Keepers: f.Keepers, Trials: f.Trials, Rest: turns.Time(terms.Tenths(f.Rest)),
-		Step: turns.Time(terms.Tenths(f.Step)), Beat: turns.Time(terms.Tenths(f.Beat)), Patience: turns.Time(terms.Tenths(f.Patience)), Fade: 2 * turns.Second}
+		Step: turns.Time(terms.Tenths(f.Step)), Beat: turns.Time(terms.Tenths(f.Beat)), Patience: turns.Time(terms.Tenths(f.Patience))}
 	if err := t.Check(); err != nil {
 		return nil, fmt.Errorf("turns: %s: %w", file, err)
 	}
@@ -47,7 +47,7 @@
 }
 
 // turnKinds are the rows by which what the module says goes round.
-var turnKinds = [...]replica.Kind{turns.Trial: replica.Trial, turns.Beat: replica.Beat, turns.Load: replica.Load}
+var turnKinds = [...]replica.Kind{turns.Trial: replica.Trial, turns.Beat: replica.Beat}
 
 // turn takes what another proxy says of what goes by turns.
 func (p *peers) turn(row *replica.Row) {
--- a/internal/run/zones.go
+++ b/internal/run/zones.go
@@ -135,7 +135,7 @@
 		p.voice(row)
 	case replica.Order:
 		p.order(row)
-	case replica.Trial, replica.Beat, replica.Load:
+	case replica.Trial, replica.Beat:
 		p.turn(row)
 	case replica.Wrote, replica.Absent:
 		p.word(row)
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -320,7 +320,7 @@
 		case replica.Spread:
 			row := &d.Rows[0]
 			queue := t.queue
-			if row.Kind == replica.Pulse || row.Kind == replica.Beat || row.Kind == replica.Load {
+			if row.Kind == replica.Pulse || row.Kind == replica.Beat {
 				queue = t.pulses
 			}
 			queue.QueueBroadcast(&rumour{fmt.Sprint(row.Kind, "\x00", row.Key, "\x00", row.Writer), m.encode()})
--- a/replica/types.go
+++ b/replica/types.go
@@ -24,9 +24,8 @@
 	Order  Kind = 6  // of a zone, by no one: what operators order. Epoch counts orders, Rank is how strict it is
 	Trial  Kind = 7  // of a node, by a proxy: it tried it, which none had let through for a while, and what came of that
 	Beat   Kind = 8  // of a proxy, by itself: its watch of discovery lives
-	Load   Kind = 9  // of a proxy, by itself: what it has in flight, by node
-	Wrote  Kind = 10 // of a slot, by a proxy: keys that it wrote
-	Absent Kind = 11 // of a slot, by a proxy: keys that the origin lacks
+	Wrote  Kind = 9  // of a slot, by a proxy: keys that it wrote
+	Absent Kind = 10 // of a slot, by a proxy: keys that the origin lacks
 )
 
 // Strictness of a Node row.
--- a/turns/instance.go
+++ b/turns/instance.go
@@ -14,13 +14,10 @@
 const (
 	mostNodes  = 1024 // that turns are taken about; what is listed beyond is every proxy's own affair
 	mostRecent = 8    // proxies that have had their turn lately, and whose word alone puts off nobody
-	mostPieces = 96   // of load in what one proxy says
-	mostOut    = 16   // in flight at one node, that one proxy is believed to have
 	mostJump   = 1 << 20
 	recently   = 8 // rests
 	longAgo    = 1000 * Second
 	lookEvery  = Second / 5 // between two dealings of what the fleet's changes bring
-	loadEvery  = Second / 2 // between two words on load
 )
 
 // listed is the subject of the watch of discovery.
@@ -42,9 +39,6 @@
 	beatAt  Time
 	changed bool // fleet or nodes, since duties were last dealt out
 	dealtAt Time
-	loads   map[string]*load // by proxy; emptied as they fade
-	own     []Piece
-	loadAt  Time
 	out     []Decision
 }
 
@@ -60,8 +54,6 @@
 	wrong  []turn   // who said so lately when it did not
 	until  Time     // told to the caller
 	keeps  bool
-	others float64 // in flight there, as told
-	sum    float64
 }
 
 type turn struct {
@@ -69,17 +61,11 @@
 	at  Time
 }
 
-type load struct {
-	pieces []Piece
-	at     Time
-}
-
 // Check tells whether terms can be kept to; proxies is how many the operators say there are.
 func (t *Terms) Check() error {
 	ms := func(t Time) float64 { return float64(t) / 10 }
 	if err := bounds.Check(bounds.Range("watchers", float64(t.Watchers), 0, 64), bounds.Range("keepers", float64(t.Keepers), 0, 64), bounds.Range("trial_ms", ms(t.Rest), 50, 60000),
-		bounds.Range("turn_ms", ms(t.Step), 20, 10000), bounds.Range("beat_ms", ms(t.Beat), 100, 2000), bounds.Range("patience_ms", ms(t.Patience), 200, 4000),
-		bounds.Range("fade_ms", ms(t.Fade), 500, 60000)); err != nil {
+		bounds.Range("turn_ms", ms(t.Step), 20, 10000), bounds.Range("beat_ms", ms(t.Beat), 100, 2000), bounds.Range("patience_ms", ms(t.Patience), 200, 4000)); err != nil {
 		return err
 	}
 	if t.Watchers == 1 { // with its death nobody would be told anything for a while
@@ -93,8 +79,8 @@
 
 // New returns an instance that knows nobody and no nodes: until it does, every duty is its own.
 func New(now Time, t Terms) *Instance {
-	return &Instance{Terms: t, now: now, crew: newCrew(nil), nodes: map[string]*node{}, beats: map[string]Time{}, loads: map[string]*load{}, duty: true,
-		since: now, beatAt: now - longAgo, dealtAt: now - longAgo, loadAt: now, behind: true}
+	return &Instance{Terms: t, now: now, crew: newCrew(nil), nodes: map[string]*node{}, beats: map[string]Time{}, duty: true,
+		since: now, beatAt: now - longAgo, dealtAt: now - longAgo, behind: true}
 }
 
 func (t *Instance) begin(now Time) { t.now, t.out = max(now, t.now), t.out[:0] }
@@ -291,12 +277,6 @@
 		if age <= t.Patience {
 			t.beats[from] = t.now - age
 		}
-	case Load:
-		if !t.Signals || len(s.Loads) > mostPieces || age > t.Fade {
-			t.shown.Refused++
-			return t.out
-		}
-		t.loads[from] = &load{s.Loads, t.now - age}
 	}
 	return t.out
 }
@@ -308,13 +288,6 @@
 	return t.out
 }
 
-// InFlight takes how many tries this proxy has in flight at a node.
-func (t *Instance) InFlight(name string, out int) {
-	if n := t.nodes[name]; n != nil && out > 0 && t.Signals && len(t.own) < mostPieces {
-		t.own = append(t.own, Piece{Node: uint32(n.hash), Out: uint8(min(out, 255))})
-	}
-}
-
 // rule is one line of what is gone through at each tick, until none fires.
 type rule struct {
 	when func(t *Instance) bool
@@ -326,7 +299,6 @@
 	{func(t *Instance) bool { return t.Watchers > 0 && t.live && t.duty && t.now-t.beatAt >= t.Beat }, (*Instance).beat},
 	{func(t *Instance) bool { return (t.since > 0) != t.short() }, (*Instance).count},
 	{func(t *Instance) bool { return t.duty != t.watches() }, (*Instance).watch},
-	{func(t *Instance) bool { return t.Signals && t.now-t.loadAt >= loadEvery }, (*Instance).load},
 }
 
 // Tick looks what time has brought. It is called some ten times a second.
@@ -431,32 +403,6 @@
 	t.say(Decision{Act: Watch, On: t.duty})
 }
 
-// load says what this proxy has in flight and adds up what the others said. No one is believed to have more than so many at
-// one node: one that lies moves a sum by as much.
-func (t *Instance) load() {
-	t.loadAt = t.now
-	if len(t.own) > 0 {
-		t.say(Decision{Act: Say, Kind: Load, Key: t.Me, Said: Said{Loads: slices.Clone(t.own)}, Life: t.Fade})
-		t.own = t.own[:0]
-	}
-	by := make(map[uint32]float64, len(t.nodes))
-	for name, l := range t.loads {
-		if t.now-l.at > t.Fade || !t.crew.has(name) {
-			delete(t.loads, name)
-			continue
-		}
-		for _, p := range l.pieces {
-			by[p.Node] += float64(min(p.Out, mostOut))
-		}
-	}
-	for _, n := range t.order {
-		if n.others = by[uint32(n.hash)]; n.others != n.sum {
-			n.sum = n.others
-			t.say(Decision{Act: Sum, Node: n.name, Figure: n.sum})
-		}
-	}
-}
-
 // Shown is the figures by now.
 func (t *Instance) Shown() Figures {
 	f := t.shown
--- a/turns/types.go
+++ b/turns/types.go
@@ -1,5 +1,5 @@
 // Package turns decides which proxies of a fleet do what need not be done by all, and whose turn it is: trials of nodes that went
-// silent, the watch of discovery, connections that are kept idle; and adds up what proxies say of nodes' load. What a node or
+// silent, the watch of discovery, connections that are kept idle. What a node or
 // discovery gets from all together then does not grow with the fleet. Nobody is elected: who sees the same fleet comes to the same
 // result, and views that differ for a while do a thing twice, never not at all. One Instance decides for one proxy. Each method
 // reports one thing that happened, with the caller's clock, and returns the decisions that follow, in order, in a slice that the
@@ -24,12 +24,10 @@
 	Watchers int  // proxies that watch discovery for all, 0: each watches for itself
 	Keepers  int  // proxies that keep idle connections to a node, 0: all do
 	Trials   bool // nodes that went silent are tried by turns
-	Signals  bool // proxies say what they have in flight, by node
 	Rest     Time // between two trials of a node, by all together
 	Step     Time // twice as many may act when nothing has been heard for so long
 	Beat     Time // between two words of a watcher that its watch lives
 	Patience Time // it is believed for so long
-	Fade     Time // what a proxy says of loads counts for so long
 }
 
 // Proxy is one of the fleet, as replication knows it.
@@ -44,7 +42,6 @@
 const (
 	Trial Kind = iota // of a node, by who tried it
 	Beat              // by a watcher, that its watch lives
-	Load              // by a proxy, what it has in flight
 )
 
 // Outcome of a trial.
@@ -60,14 +57,6 @@
 type Said struct {
 	Round int64   `msgpack:"r,omitempty"` // of a trial: turns are dealt out anew each round
 	How   Outcome `msgpack:"h,omitempty"`
-	Loads []Piece `msgpack:"l,omitempty"`
-}
-
-// Piece is what one proxy has in flight at one node.
-type Piece struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Node     uint32   // a hash of its name
-	Out      uint8
 }
 
 // Act names what a Decision asks the caller to do.
@@ -79,22 +68,20 @@
 	Doubt            // Node: others find it silent (On), or answering; a hint, as hearsay is
 	Keep             // Node, On: keep idle connections there, or close them soon
 	Say              // Kind, Key, Said to all proxies; it is worth nothing after Life
-	Sum              // Node: the others have Figure in flight there
 	Log              // Text
 )
 
 // Decision is one thing for the caller to do, in order.
 type Decision struct {
-	Act    Act
-	Node   string
-	Until  Time
-	On     bool
-	Kind   Kind
-	Key    string
-	Said   Said
-	Life   Time
-	Figure float64
-	Text   string
+	Act   Act
+	Node  string
+	Until Time
+	On    bool
+	Kind  Kind
+	Key   string
+	Said  Said
+	Life  Time
+	Text  string
 }
 
 // RangeError tells of a figure that is out of its range.
