--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -24,6 +24,7 @@
 	shown atomic.Pointer[turns.Figures]
 	count *Counters
 	log   *zap.Logger
+	stale bool // the list's latest change found no room; only the module's actor looks
 }
 
 // NewDuties returns the actor, by which the module's and the list's take turns with other proxies'. It is called before they run.
@@ -99,33 +100,24 @@
 		}
 	}
 	d := m.duties
-	d.box.offer(func() { d.act(d.in.Nodes(d.now(), names)) })
+	d.stale = !d.box.offer(func() { d.act(d.in.Nodes(d.now(), names)) }) // then at the next look
 }
 
 // dutyLook tells which nodes are passed over by now.
 func (m *Mind) dutyLook() {
 	d := m.duties
-	type seen struct {
-		name   string
-		passed bool
+	if d.stale {
+		m.dutyNodes()
 	}
-	var all []seen
 	for n, p := range m.peers {
-		if p != nil && !p.origin && p.since == 0 {
-			passed := m.brain.Passed(n)
-			if passed != p.passed {
-				all = append(all, seen{p.name, passed})
-			}
+		if p == nil || p.origin || p.since != 0 || p.passed == m.brain.Passed(n) {
+			continue
+		}
+		name, passed := p.name, !p.passed
+		if d.box.offer(func() { d.act(d.in.Passed(d.now(), name, passed)) }) {
 			p.passed = passed
 		}
 	}
-	if len(all) > 0 {
-		d.box.offer(func() {
-			for _, s := range all {
-				d.act(d.in.Passed(d.now(), s.name, s.passed))
-			}
-		})
-	}
 }
 
 // dutySent notes that a try goes to a node, which is a trial if that is passed over.
@@ -143,14 +135,16 @@
 func (m *Mind) dutyEnded(n int, passed bool) {
 	if d := m.duties; d != nil && passed {
 		name, still := m.peers[n].name, m.brain.Passed(n)
-		m.peers[n].passed = still
-		d.box.offer(func() {
+		told := d.box.offer(func() {
 			if still {
 				d.act(d.in.Failed(d.now(), name))
 			} else {
 				d.act(d.in.Passed(d.now(), name, false))
 			}
 		})
+		if told && !still {
+			m.peers[n].passed = false
+		}
 	}
 }
 
