--- a/missing/table.go
+++ b/missing/table.go
@@ -29,6 +29,7 @@
 	hash    uint64 // 0: free
 	at      Time   // of the origin's word, or of the write
 	written bool
+	once    bool // nobody has asked for it here since that word: it may be one of a scan, and pushes out none that was
 }
 
 type bucket struct {
@@ -41,7 +42,6 @@
 type group struct {
 	sync.Mutex
 	buckets []bucket
-	first   []uint32 // hashes that were missing once, by their place
 	_       [64]byte // groups share no line of the processor's cache
 }
 
@@ -54,7 +54,7 @@
 	epoch   atomic.Uint64
 	Hits    atomic.Int64 // look-ups that were answered
 	Put     atomic.Int64 // entries taken
-	Full    atomic.Int64 // entries that pushed out another that was believed
+	Full    atomic.Int64 // entries that found no place
 }
 
 // NewTable returns one with room for so many entries, 2,048 at least; an entry is believed for so long.
@@ -66,7 +66,7 @@
 	}
 	t.mask = uint64(per - 1)
 	for i := range t.groups {
-		t.groups[i].buckets, t.groups[i].first = make([]bucket, per), make([]uint32, per*ways)
+		t.groups[i].buckets = make([]bucket, per)
 	}
 	return t
 }
@@ -94,7 +94,9 @@
 	found := false
 	for i := range b.entries {
 		if e := &b.entries[i]; e.hash == hash {
-			found = !e.written && now-e.at < t.believe && now >= e.at
+			if found = !e.written && now-e.at < t.believe && now >= e.at; found {
+				e.once = false
+			}
 			break
 		}
 	}
@@ -120,8 +122,7 @@
 	return k
 }
 
-// Absent takes the origin's word that it has no such key. It is held from the second time on that a key is found missing, so that
-// a scan of keys that never come again pushes nothing out; and not at all if a write of this or, rarely, another key passed since
+// Absent takes the origin's word that it has no such key. It is not held if a write of this or, rarely, another key passed since
 // the ticket, or one of this key is known that is no older than an entry lives: the origin may carry it out after it looked. It tells whether the word is worth telling others.
 func (t *Table) Absent(hash uint64, k Ticket, now Time) bool {
 	hash = keep(hash)
@@ -131,12 +132,7 @@
 	if k.epoch != t.epoch.Load() || k.writes != b.writes || b.written(hash, now-t.believe) {
 		return false
 	}
-	f := &g.first[hash>>20%uint64(len(g.first))]
-	if mark := uint32(hash) | 1; *f != mark {
-		*f = mark
-		return false
-	}
-	return t.put(b, entry{hash: hash, at: now}, now)
+	return t.put(b, entry{hash: hash, at: now, once: true}, now)
 }
 
 // Told takes a peer's word that the origin had no such key at a time, with the same exceptions.
@@ -148,7 +144,7 @@
 	if at <= b.floor || b.written(hash, now-t.believe) {
 		return false
 	}
-	return t.put(b, entry{hash: hash, at: at}, now)
+	return t.put(b, entry{hash: hash, at: at, once: true}, now)
 }
 
 // Wrote takes a write of a key: by now nobody may call it missing, and no look-up that is out may.
@@ -175,9 +171,10 @@
 	return false
 }
 
-// put holds an entry in the place of the same key's, of a free or a lapsed one, or of the oldest.
+// put holds an entry in the place of the same key's, of a free or a lapsed one, or of the oldest that nobody has asked for; a write
+// finds one in any case.
 func (t *Table) put(b *bucket, e entry, now Time) bool {
-	at, oldest := -1, -1
+	at, oldest, idle := -1, -1, -1
 	for i := range b.entries {
 		o := &b.entries[i]
 		switch {
@@ -185,6 +182,7 @@
 			if !e.written && !o.written && o.at >= e.at {
 				return false // what is held is as new
 			}
+			e.once = e.once && (o.once || o.written)
 			at = i
 		case at >= 0 && b.entries[at].hash == e.hash:
 		case o.hash == 0 || now-o.at >= t.believe:
@@ -193,12 +191,19 @@
 		if oldest < 0 || o.at < b.entries[oldest].at {
 			oldest = i
 		}
+		if o.once && (idle < 0 || o.at < b.entries[idle].at) {
+			idle = i
+		}
 	}
 	if at < 0 {
-		if at = oldest; b.entries[at].written {
-			b.lost = max(b.lost, b.entries[at].at)
-		} else {
+		if at = idle; at < 0 && !e.written {
 			t.Full.Add(1)
+			return false
+		} else if at < 0 {
+			at = oldest
+		}
+		if b.entries[at].written {
+			b.lost = max(b.lost, b.entries[at].at)
 		}
 	}
 	b.entries[at] = e
@@ -226,7 +231,6 @@
 			}
 			b.floor = now
 		}
-		clear(g.first)
 		g.Unlock()
 	}
 }
