--- a/moves/plan.go
+++ b/moves/plan.go
@@ -158,10 +158,10 @@
 
 // fits looks whether each shard fits somewhere, what wants a node fits there, and all together fit.
 func (b *board) fits(total int64) error {
-	room, lacks := int64(0), []Lack(nil)
+	room, stay, lacks := int64(0), int64(0), []Lack(nil)
 	for i := range b.nodes {
 		if n := &b.nodes[i]; !n.Leaves {
-			room += n.Room
+			room, stay = room+n.Room, stay+1
 			if b.wanted[i] > n.Room {
 				lacks = append(lacks, Lack{n.Name, b.wanted[i] - n.Room})
 			}
@@ -182,7 +182,7 @@
 		if len(lacks) == 0 { // wherever they would go: by even parts
 			for i := range b.nodes {
 				if n := &b.nodes[i]; !n.Leaves {
-					lacks = append(lacks, Lack{n.Name, (total - room) / int64(len(b.nodes))})
+					lacks = append(lacks, Lack{n.Name, (total - room + stay - 1) / stay})
 				}
 			}
 		}
