--- a/internal/run/recovery.go
+++ b/internal/run/recovery.go
@@ -75,7 +75,7 @@
 			return nil, "", 0, fmt.Errorf("configuration: known: %w", err)
 		}
 	}
-	use := recovery.Believe(recovery.Stored{List: recovery.List{Index: old.Index, Lines: lines(rows)}, Cluster: old.Cluster, At: old.At},
+	use := recovery.Believe(recovery.Stored{List: recovery.List{Index: old.Index, Lines: lines(rows)}, At: old.At},
 		recovery.List{Index: index, Lines: lines(has)}, time.Now(), stateLapse)
 	if p.Talk != nil { // who they were; some of them may be there
 		for _, a := range old.Peers[:min(len(old.Peers), mostSeeds)] {
--- a/moves/order.go
+++ b/moves/order.go
@@ -9,12 +9,11 @@
 // state is what has come of an order so far.
 type state struct {
 	*board
-	on    []int
-	load  []int64
-	todo  []int // shards that are not where they are to be, the largest first
-	plan  *Plan
-	goal  []int
-	stuck int // steps in a row that only made room
+	on   []int
+	load []int64
+	todo []int // shards that are not where they are to be, the largest first
+	plan *Plan
+	goal []int
 }
 
 // order brings each shard where it is to be: in each step as many moves as there is room for, those first that leave a node which
--- a/recovery/belief.go
+++ b/recovery/belief.go
@@ -29,8 +29,7 @@
 // Stored is what was stored, and when by the clock of then.
 type Stored struct {
 	List
-	Cluster string // what it is of: a snapshot of another fleet tells nothing
-	At      time.Time
+	At time.Time
 }
 
 // ClusterError tells of a snapshot that another fleet's proxy wrote.
@@ -54,7 +53,6 @@
 func Believe(s Stored, configured List, now time.Time, lapse time.Duration) Use {
 	age := now.Sub(s.At)
 	u := Use{}
-	other := configured.Lines
 	switch {
 	case age < 0:
 		u.Why = fmt.Sprintf("stored %v from now by this clock: its drains alone count", -age)
@@ -74,7 +72,7 @@
 			strict[l.Name] = l.Status
 		}
 	}
-	for _, l := range other {
+	for _, l := range configured.Lines {
 		if strict[l.Name] > l.Status {
 			u.Drained = append(u.Drained, l.Name)
 		}
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -46,7 +46,6 @@
 type Figures struct {
 	Stage   string `json:"stage"`
 	Why     string `json:"why"`      // it is in this one
-	Since   Time   `json:"-"`        // when that began
 	ForMS   int64  `json:"for_ms"`   // so long ago
 	FullMS  int64  `json:"full_ms"`  // from the start until it was full, 0: it is not yet
 	Stored  string `json:"stored"`   // what became of what was stored
@@ -168,6 +167,6 @@
 // Shown is how it stands.
 func (r *Instance) Shown(now Time) Figures {
 	f := r.shown
-	f.Stage, f.Since, f.ForMS = r.stage.String(), r.since, int64(now-r.since)/10
+	f.Stage, f.ForMS = r.stage.String(), int64(now-r.since)/10
 	return f
 }
--- a/turns/instance.go
+++ b/turns/instance.go
@@ -255,7 +255,7 @@
 // Heard takes what another proxy says, and how long ago it said so.
 func (t *Instance) Heard(now Time, from string, k Kind, key string, s Said, age Time) []Decision {
 	t.begin(now)
-	if from == t.Me || age < 0 || !t.crew.has(from) {
+	if from == t.Me || age < 0 || !t.crew.in[from] {
 		return t.out
 	}
 	switch k {
@@ -371,7 +371,7 @@
 			continue
 		}
 		t.shown.Watchers++
-		before += yes(t.crew.first(listed, name, t.Me))
+		before += yes(first(listed, name, t.Me))
 	}
 	return before < t.Watchers
 }
--- a/turns/subset.go
+++ b/turns/subset.go
@@ -20,11 +20,11 @@
 	hash  []uint64
 	zone  []int // number of the zone that each stands in
 	zones int
-	in    map[string]uint64 // hashes by name
+	in    map[string]bool // by name
 }
 
 func newCrew(all []Proxy) *crew {
-	c := &crew{in: map[string]uint64{}}
+	c := &crew{in: map[string]bool{}}
 	seen := map[string]int{}
 	for _, p := range all {
 		if !p.Here {
@@ -36,23 +36,18 @@
 			seen[p.Zone] = z
 		}
 		h := xxhash.Sum64String(p.Name)
-		c.names, c.hash, c.zone, c.in[p.Name] = append(c.names, p.Name), append(c.hash, h), append(c.zone, z), h
+		c.names, c.hash, c.zone, c.in[p.Name] = append(c.names, p.Name), append(c.hash, h), append(c.zone, z), true
 	}
 	c.zones = len(seen)
 	return c
 }
 
-func (c *crew) has(name string) bool {
-	_, ok := c.in[name]
-	return ok
-}
-
 // score of a proxy for a subject: each subject has its own order, highest first, and one proxy more or less changes nothing about
 // the others'.
 func score(subject, hash uint64) uint64 { return mix(subject ^ mix(hash)) }
 
 // first tells whether one proxy comes before another in the order for a subject.
-func (c *crew) first(subject uint64, one, other string) bool {
+func first(subject uint64, one, other string) bool {
 	x, y := score(subject, xxhash.Sum64String(one)), score(subject, xxhash.Sum64String(other))
 	return x > y || x == y && one < other
 }
--- a/turns/types.go
+++ b/turns/types.go
@@ -107,17 +107,16 @@
 
 // Figures are a proxy's, for operators.
 type Figures struct {
-	Here     int    `json:"here"`     // proxies that duties are dealt out to
-	Watchers int    `json:"watchers"` // that said lately that their watch lives
-	Duty     bool   `json:"duty"`     // this one is to watch
-	Watches  bool   `json:"watches"`
-	Kept     int    `json:"kept"`   // nodes to which this one keeps idle connections
-	Nodes    int    `json:"nodes"`  // that are listed
-	Passed   int    `json:"passed"` // of these, passed over here
-	Trials   int64  `json:"trials"` // by this one, since its start,
-	Told     int64  `json:"told"`   // by others, that were heard of
-	Twice    int64  `json:"twice"`  // of these, such that came while one was out
-	Refused  int64  `json:"refused"`
-	Moved    int64  `json:"moved"` // nodes whose idle connections became this one's duty, or another's
-	Text     string `json:"-"`
+	Here     int   `json:"here"`     // proxies that duties are dealt out to
+	Watchers int   `json:"watchers"` // that said lately that their watch lives
+	Duty     bool  `json:"duty"`     // this one is to watch
+	Watches  bool  `json:"watches"`
+	Kept     int   `json:"kept"`   // nodes to which this one keeps idle connections
+	Nodes    int   `json:"nodes"`  // that are listed
+	Passed   int   `json:"passed"` // of these, passed over here
+	Trials   int64 `json:"trials"` // by this one, since its start,
+	Told     int64 `json:"told"`   // by others, that were heard of
+	Twice    int64 `json:"twice"`  // of these, such that came while one was out
+	Refused  int64 `json:"refused"`
+	Moved    int64 `json:"moved"` // nodes whose idle connections became this one's duty, or another's
 }
