A request that is over begins nowhere: tries that wait for connections end unsent

Cause: a try waits for a connection that comes up late (internal/fleet/link.go, carry and dial) or for a socket (peer.go, next), and nothing told it that its exchange had ended meanwhile. Only tries that the module calls off were stopped: not those of a client that left (brain.go, Left calls nothing off, so that fetches run on), nor the first try of a late read whose copy was answered. Ruled out: further tries decided after the end (the module closes the exchange first).

Change: an exchange's end, by its final answer or its client, is noted where the try looks last before it writes. What has begun runs on as before; what has not ends as never sent, and its connection serves the next.

Tests hold connections back by a dialer of their own; without the look before the write two of three fail every time, the third guards the queue for sockets by two looks, of which either is enough.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -86,6 +86,7 @@
 	c.turns, c.gone = nil, true
 	c.mu.Unlock()
 	for _, t := range owed {
+		t.over.Store(true)
 		t.giveBack(d)
 		d.mind.box.post(func() { d.mind.left(t) })
 	}
--- /dev/null
+++ b/internal/fleet/ending_test.go
@@ -0,0 +1,278 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodproxy/brain"
+	"woodproxy/internal/terms"
+	"woodproxy/internal/wire"
+)
+
+// What is still owed, or must not be done any more, in the instant in which something ends. The order of events is
+// forced: connections to nodes come up when the test lets them, and nodes answer when it says so.
+
+// holding is a dialer whose connections come up when let.
+type holding struct {
+	net.Dialer
+	mu   sync.Mutex
+	held map[string]chan struct{} // by address: closed when connections there may come up
+}
+
+func (h *holding) hold(addr string) (release func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	until := make(chan struct{})
+	h.held[addr] = until
+	return sync.OnceFunc(func() {
+		h.mu.Lock()
+		delete(h.held, addr)
+		h.mu.Unlock()
+		close(until)
+	})
+}
+
+// DialContext goes on after its time as a connection does that comes up just then.
+func (h *holding) DialContext(_ context.Context, network, addr string) (net.Conn, error) {
+	h.mu.Lock()
+	until := h.held[addr]
+	h.mu.Unlock()
+	if until != nil {
+		<-until
+	}
+	return h.Dialer.Dial(network, addr)
+}
+
+// command is what a node was asked.
+type command struct {
+	id, facts string
+	conn      net.Conn
+}
+
+// standIn is a node that passes on what it is asked and answers nothing by itself.
+type standIn struct {
+	addr  string
+	asked chan command
+}
+
+func listen(t *testing.T, serve func(net.Conn)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func newCache(t *testing.T) *standIn {
+	n := &standIn{asked: make(chan command, 1000)}
+	n.addr = listen(t, func(c net.Conn) {
+		defer c.Close()
+		in := bufio.NewReaderSize(c, 8<<10)
+		for {
+			if _, err := in.Peek(in.Buffered() + 1); err != nil {
+				return
+			}
+			b, _ := in.Peek(in.Buffered())
+			cmd, took, err := wire.ParseCommand(b)
+			if err != nil {
+				continue
+			}
+			n.asked <- command{string(cmd.ID), string(cmd.Facts), c}
+			if cmd.Value >= 0 {
+				took += cmd.Value + 2
+			}
+			in.Discard(took)
+		}
+	})
+	return n
+}
+
+func newOrigin(t *testing.T) *standIn {
+	n := &standIn{asked: make(chan command, 1000)}
+	n.addr = listen(t, func(c net.Conn) {
+		defer c.Close()
+		in := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			n.asked <- command{r.Header.Get("X-Correlation-Id"), r.Header.Get("X-Facts"), c}
+		}
+	})
+	return n
+}
+
+// next is the next command that the node was asked.
+func (n *standIn) next(t *testing.T) command {
+	t.Helper()
+	select {
+	case c := <-n.asked:
+		return c
+	case <-time.After(5 * time.Second):
+		t.Fatal("the node is asked nothing")
+	}
+	return command{}
+}
+
+func (c command) answers(value string) {
+	fmt.Fprintf(c.conn, "*1\r\n$%d\r\n%s\r\n", len(value), value)
+}
+
+// rig is a proxy without discovery, on real connections.
+type rig struct {
+	t     *testing.T
+	door  *Door
+	mind  *Mind
+	dials *holding
+	ln    *net.TCPListener
+}
+
+func newRig(t *testing.T, sockets int, change func(*brain.Terms), nodes ...*standIn) *rig {
+	t.Helper()
+	book := &terms.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: brain.Terms{Proxies: 1, MaxTries: 3,
+		Tick: 50, Aside: true, Fall: 20000, FallMultiple: 3, Cold: 1, ColdFrom: 0.3,
+		Routes: []brain.Route{{Objective: 300000, Overall: 600000, Value: 1}, {Objective: 300000, Overall: 600000, Value: 1}}}}
+	change(&book.Terms)
+	for _, r := range book.Terms.Routes {
+		book.Longest = max(book.Longest, r.Overall)
+	}
+	r := &rig{t: t, mind: NewMind(book, 1, NewClock(), sockets, &Counters{}, zap.NewNop()),
+		dials: &holding{held: map[string]chan struct{}{}}}
+	r.mind.dialer = r.dials
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.ln = ln.(*net.TCPListener)
+	r.door = NewDoor(r.ln, r.mind, 64, r.mind.count, zap.NewNop())
+	r.door.Allow(100, 100)
+	r.door.Open()
+	var list []wire.Target
+	for i, n := range nodes {
+		row := wire.Target{Name: fmt.Sprint("c", i), Address: n.addr, Kind: "std", Ready: true, Weight: 1}
+		if i == len(nodes)-1 {
+			row.Name, row.Kind = "o1", "origin"
+		}
+		list = append(list, row)
+	}
+	r.mind.box.post(func() { r.mind.nodes(true, true, list) })
+	go r.mind.Run()
+	go r.door.Run()
+	t.Cleanup(func() { ln.Close() })
+	return r
+}
+
+func (r *rig) dial() net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.ln.Addr().String())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c
+}
+
+// read asks for a key.
+func read(key, id string, wait int) string {
+	facts := fmt.Sprint("c=read,t=x,d=", wait)
+	return string(wire.AppendCommand(nil, []byte("KV.GET"), []byte(key), []byte(id), []byte(facts), -1))
+}
+
+// settles waits until something holds, which it does soon if it ever does.
+func (r *rig) settles(what string, holds func() bool) {
+	r.t.Helper()
+	for range 400 {
+		if holds() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.t.Fatal(what)
+}
+
+// same leaves the terms as they are.
+func same(*brain.Terms) {}
+
+// A client leaves while the connection that its request waits for comes up: nothing of it is sent on, whether or not
+// tries may be called off, and the connection serves the next.
+func TestLeftWhileDialling(t *testing.T) {
+	for _, may := range []bool{false, true} {
+		cache, origin := newCache(t), newOrigin(t)
+		r := newRig(t, 10, func(terms *brain.Terms) { terms.MayCancel = may }, cache, origin)
+		release := r.dials.hold(cache.addr)
+		c := r.dial()
+		io.WriteString(c, read("k", "left", 60000))
+		r.settles("no connection is made", func() bool { return r.mind.count.Dials.Load() == 1 })
+		c.Close()
+		r.settles("nobody noticed that the client left", func() bool { return r.mind.count.Left.Load() == 1 })
+		release()
+		io.WriteString(r.dial(), read("k", "stays", 60000))
+		if got := cache.next(t); got.id != "stays" {
+			t.Errorf("%s was sent on after its client had gone", got.id)
+		}
+	}
+}
+
+// A copy of a late read is answered by the origin while the connection for the first try still comes up: the first is
+// not begun after the final answer.
+func TestAnsweredWhileDialling(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	r := newRig(t, 10, func(terms *brain.Terms) {
+		terms.Parallel = true
+		terms.Routes[1].Objective, terms.Routes[1].Overall = 1000, 2000 // by which an answer is late after 0.1 s
+	}, cache, origin)
+	release := r.dials.hold(cache.addr)
+	c := r.dial()
+	io.WriteString(c, read("k", "copied", 60000))
+	copied := origin.next(t)
+	io.WriteString(copied.conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue")
+	if line, err := bufio.NewReader(c).ReadString('\n'); line != "$5\r\n" {
+		t.Fatalf("%q, %v", line, err)
+	}
+	release()
+	io.WriteString(c, read("k", "next", 60000))
+	if got := cache.next(t); got.id != "next" {
+		t.Errorf("%s was sent on after its final answer", got.id)
+	}
+}
+
+// A request waits for a socket when its client leaves: the socket, once free, carries none of it.
+func TestLeftWhileQueued(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	r := newRig(t, 1, same, cache, origin)
+	first, c := r.dial(), r.dial()
+	io.WriteString(first, read("k", "first", 60000))
+	busy := cache.next(t)
+	io.WriteString(c, read("k", "left", 60000))
+	r.settles("the second is not tried", func() bool { return r.mind.count.Tries.Load() == 2 })
+	c.Close()
+	r.settles("nobody noticed that the client left", func() bool { return r.mind.count.Left.Load() == 1 })
+	busy.answers("value")
+	io.WriteString(r.dial(), read("k", "stays", 60000))
+	if got := cache.next(t); got.id != "stays" {
+		t.Errorf("%s was sent on after its client had gone", got.id)
+	}
+}
+
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -166,6 +166,8 @@
 		l.conn = nil
 		l.mu.Unlock()
 		return l.carry(t)
+	case t.turn.over.Load(): // while it waited for its connection, which the next may have
+		return brain.NeverSent, nil, true, nil
 	case !l.peer.ready.Load(): // it drains or is gone since the module chose it; nothing new goes there
 		return brain.NeverSent, nil, false, nil
 	}
@@ -252,8 +254,7 @@
 	if t.undone.Load() { // before there was a dialling to end
 		quit()
 	}
-	d := net.Dialer{Timeout: span(l.peer.mind.book.Terms.ConnectTimeout), KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", l.addr)
+	conn, err := l.peer.mind.dialer.DialContext(ctx, "tcp", l.addr)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.quit = nil
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"context"
 	"hash/fnv"
 	"math"
+	"net"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +34,7 @@
 	byName map[string]int      // emptied as nodes that have gone are forgotten
 	ids    map[string]struct{} // of exchanges that have an index; emptied with them
 	until  brain.Time          // the process ends then, 0: nobody knows when
+	dialer dialer              // to peers
 	links  *budget
 	memory *budget // bytes of values that are held
 	flows  *budget // bytes of values that pass through
@@ -52,10 +55,23 @@
 	over bool // it has its final answer, or nobody waits for one
 }
 
+// end notes that nothing is owed any more. Tries that are out but not yet written must not be: they may wait for a
+// connection that comes up late, and cancelling may not be allowed.
+func (s *slot) end() {
+	s.over = true
+	s.turn.over.Store(true)
+}
+
+// dialer makes connections; tests have one that holds them back.
+type dialer interface {
+	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
 // NewMind returns a module's actor that knows no nodes; sockets is how many it may have open to peers.
 func NewMind(book *terms.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Mind {
 	return &Mind{box: make(mailbox, 4*mostHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
 		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, ids: map[string]struct{}{}, links: newBudget(sockets, &count.UpstreamOpen),
+		dialer: &net.Dialer{Timeout: span(book.Terms.ConnectTimeout), KeepAlive: -1},
 		memory: newBudget(0, &count.Bytes), flows: newBudget(0, &count.Passing),
 		count: count, log: log}
 }
@@ -236,7 +252,7 @@
 	m.count.Left.Add(1)
 	now := m.clock.Now()
 	ds := m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Left(now, t.cx) })
-	m.slots[t.cx].over = true
+	m.slots[t.cx].end()
 	m.act(ds)
 	m.clear(t.cx)
 }
@@ -252,7 +268,7 @@
 		m.finish(t.cx, absent, nil, 0)
 		m.absent.learned(t)
 	case ending == brain.Completed && !s.over && f != nil:
-		s.over = true
+		s.end()
 		s.turn.pass(m.count, f)
 	case ending == brain.Completed && !s.over:
 		m.finish(t.cx, completed, value, 0)
@@ -273,7 +289,7 @@
 // finish gives an exchange its one final answer.
 func (m *Mind) finish(cx int, a final, value []byte, after brain.Time) {
 	if s := &m.slots[cx]; !s.over {
-		s.over = true
+		s.end()
 		s.turn.answer(m.count, a, value, int(math.Ceil(float64(after)/10)))
 	}
 }
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -114,6 +114,10 @@
 
 // send hands a try to an idle connection or opens one; for want of sockets it waits.
 func (p *peer) send(t *try) {
+	if t.turn.over.Load() {
+		p.neverSent(t)
+		return
+	}
 	addr := *p.addr.Load()
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		l := p.idle[n-1]
@@ -206,14 +210,18 @@
 	for len(p.queue) > 0 {
 		t := p.queue[0]
 		p.queue = slices.Delete(p.queue, 0, 1)
-		if !t.undone.Load() && p.ready.Load() && p.mind.clock.Now() < t.sent+t.wait {
+		if !t.undone.Load() && !t.turn.over.Load() && p.ready.Load() && p.mind.clock.Now() < t.sent+t.wait {
 			return t
 		}
-		p.mind.box.post(func() { p.mind.ended(t, brain.NeverSent, nil, nil) })
+		p.neverSent(t)
 	}
 	return nil
 }
 
+func (p *peer) neverSent(t *try) {
+	p.mind.box.post(func() { p.mind.ended(t, brain.NeverSent, nil, nil) })
+}
+
 func (p *peer) closeIdle() {
 	for _, l := range p.idle {
 		l.wake()
--- a/internal/fleet/turn.go
+++ b/internal/fleet/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 
 	"woodproxy/brain"
 	"woodproxy/internal/wire"
@@ -33,6 +34,7 @@
 
 	cx    int // only the module's actor looks at these two
 	taken bool
+	over  atomic.Bool // it has its final answer, or its client has gone: no try of it begins any more
 
 	ready bool // under the client's lock, with what is to be written
 	head  []byte
