The origin is told how long its answer is waited for, not what the client once had

Further tries are nearly all fetches after a miss.

Cause: link.go, write, passed on X-Facts as the client wrote them; caches were told what is left.

The test fails without it.

--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -276,3 +276,19 @@
 	}
 }
 
+// Caches and the origin are told how long the proxy will wait, not what the client said when it asked.
+func TestToldWhatIsLeft(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	r := newRig(t, 10, same, cache, origin)
+	io.WriteString(r.dial(), read("k", "missed", 5000))
+	at := cache.next(t)
+	const late = 300
+	time.Sleep(late * time.Millisecond)
+	io.WriteString(at.conn, "*1\r\n$-1\r\n")
+	at = origin.next(t)
+	f, err := wire.ParseFacts([]byte(at.facts))
+	if err != nil || f.Wait > 5000-late || f.Wait < 1000 || string(f.Tenant) != "x" || at.id != "missed" {
+		t.Errorf("%q of %s: %v", at.facts, at.id, err)
+	}
+}
+
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -273,11 +273,11 @@
 	if c.value != nil {
 		size = len(c.value)
 	}
+	// caches and the origin alike are told how long an answer is waited for, not what the client once had
+	facts := wire.AppendFacts(nil, c.facts, max(int(t.sent+t.wait-m.clock.Now())/10, 1))
 	if l.peer.origin {
-		l.head = wire.AppendFetch(l.head[:0], l.addr, c.key, c.id, c.facts, size)
+		l.head = wire.AppendFetch(l.head[:0], l.addr, c.key, c.id, facts, size)
 	} else {
-		left := max(int(t.sent+t.wait-m.clock.Now())/10, 1)
-		facts := wire.AppendFacts(nil, c.facts, left)
 		l.head = wire.AppendCommand(l.head[:0], c.name, c.key, c.id, facts, size)
 	}
 	l.gather = append(l.gather[:0], l.head)
