A client that leaves is noticed where its connection's goroutine does not read

Found by reading, shown by a test on real connections with each of the three orders: a client with 64 commands outstanding and a full buffer, one whose connection was told to end and is owed an answer, one that is passed a long value that has stopped half way. Its close lies behind bytes that nobody reads; what it asked behind that was begun for up to six seconds.

Two of the cases fail without the look in await, the third without that in pass. golang.org/x/sys becomes a direct requirement.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -23,7 +23,8 @@
 	maxUnread = maxStill                // how long a client may take to accept a part of an answer
 	lastWords = 200 * time.Millisecond  // for what a client still sends that has been told why its connection ends
 	lastBytes = 256 << 10
-	leastRate = 128 << 10 // bytes a second of a long value, below which it is not waited for
+	lookLeft  = 40 * time.Millisecond // between looks whether a client has left, where nothing is read
+	leastRate = 128 << 10             // bytes a second of a long value, below which it is not waited for
 )
 
 // client is one client's connection and its goroutine, which alone reads and writes there. Whoever has an
@@ -67,6 +68,7 @@
 	errQuit   = errors.New("closed between commands")
 	errHalf   = errors.New("a command that did not come whole in time")
 	errSilent = errors.New("no command in time")
+	errLeft   = errors.New("the client has closed")
 )
 
 // run serves the connection until its end.
@@ -111,11 +113,15 @@
 				}
 				return errQuit
 			}
-			<-c.nudge
+			if err := c.await(); err != nil {
+				return err
+			}
 			continue
 		}
 		if c.crowded() { // no more is read until an answer has gone out, or the buffer would run over
-			<-c.nudge
+			if err := c.await(); err != nil {
+				return err
+			}
 			continue
 		}
 		if err := c.fill(); errors.Is(err, os.ErrDeadlineExceeded) {
@@ -167,8 +173,8 @@
 		if err := c.flush(); err != nil && err != errQuit {
 			return
 		}
-		if c.owes() {
-			<-c.nudge
+		if c.owes() && c.await() != nil {
+			return
 		}
 	}
 	c.linger()
@@ -183,6 +189,26 @@
 	}
 }
 
+// await waits for the next answer where no bytes are read, which would tell that the client has left: what it asked
+// and is not begun is not to begin then.
+func (c *client) await() error { return c.stay(c.nudge) }
+
+// stay waits for one of the events, or until the client has left.
+func (c *client) stay(events <-chan struct{}) error {
+	look := time.NewTicker(lookLeft)
+	defer look.Stop()
+	for {
+		select {
+		case <-events:
+			return nil
+		case <-look.C:
+			if hungUp(c.conn) {
+				return errLeft
+			}
+		}
+	}
+}
+
 func (c *client) owes() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -292,3 +293,52 @@
 	}
 }
 
+// A client leaves while its connection's goroutine does not read: it has as many commands outstanding as it may and a
+// full buffer, it was told to end and is owed answers, or it is served a value that has stopped half way. All that it is
+// owed is given up at once, what was not shed before.
+func TestLeftUnread(t *testing.T) {
+	var crowd string
+	for i := range 300 {
+		crowd += read("k", fmt.Sprint("id", i), 60000)
+	}
+	for name, begin := range map[string]func(r *rig, c net.Conn, cache *standIn) int64{
+		"outstanding": func(r *rig, c net.Conn, _ *standIn) int64 {
+			r.dials.hold(r.mind.peers[0].listed.Address)
+			go io.WriteString(c, crowd)
+			return maxTurns
+		},
+		"told to end": func(r *rig, c net.Conn, _ *standIn) int64 {
+			r.dials.hold(r.mind.peers[0].listed.Address)
+			io.WriteString(c, read("k", "owed", 60000))
+			r.settles("no connection is made", func() bool { return r.mind.count.Dials.Load() == 1 })
+			r.door.partAll(shuts)
+			io.WriteString(c, read("k", "unread", 60000))
+			return 1
+		},
+		"value stopped": func(r *rig, c net.Conn, cache *standIn) int64 {
+			io.WriteString(c, read("k", "long", 60000))
+			at := cache.next(r.t)
+			fmt.Fprintf(at.conn, "*1\r\n$%d\r\n%s", 4*wire.MaxValue, strings.Repeat("v", wire.MaxValue))
+			if _, err := io.CopyN(io.Discard, c, wire.MaxValue/2); err != nil {
+				r.t.Fatal(err)
+			}
+			r.dials.hold(r.mind.peers[0].listed.Address)
+			io.WriteString(c, read("k", "behind", 60000)+"*")
+			return 0
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cache, origin := newCache(t), newOrigin(t)
+			r := newRig(t, 100, same, cache, origin)
+			r.settles("no list", func() bool { return len(r.mind.Targets()) == 2 })
+			c := r.dial()
+			owed := begin(r, c, cache)
+			r.settles("not taken", func() bool { return r.mind.count.Exchanges.Load() >= owed })
+			c.Close()
+			r.settles(fmt.Sprintf("%d left", r.mind.count.Left.Load()), func() bool {
+				return r.mind.count.Left.Load()+r.mind.count.Shed.Load() == owed && r.mind.count.ClientsOpen.Load() == 0
+			})
+		})
+	}
+}
+
--- a/internal/fleet/flow.go
+++ b/internal/fleet/flow.go
@@ -109,7 +109,22 @@
 // pass writes a flow to the client.
 func (c *client) pass(f *flow) error {
 	defer f.drop()
-	for p := range f.full {
+	look := time.NewTicker(lookLeft)
+	defer look.Stop()
+	for {
+		var p []byte
+		var on bool
+		select {
+		case p, on = <-f.full:
+		case <-look.C: // others may wait behind this one
+			if hungUp(c.conn) {
+				return errLeft
+			}
+			continue
+		}
+		if !on {
+			break
+		}
 		c.conn.SetWriteDeadline(time.Now().Add(maxUnread))
 		if _, err := c.conn.Write(p); err != nil {
 			return err
--- a/internal/fleet/peek.go
+++ b/internal/fleet/peek.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // peek looks at what has come on a connection without taking it, and without waiting whatever its deadline.
@@ -30,3 +32,18 @@
 	n, err := peek(conn)
 	return n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR
 }
+
+// hungUp tells whether the other side has ended the connection, whatever it sent before that is still unread.
+func hungUp(conn net.Conn) bool {
+	gone := false
+	if raw, ok := conn.(syscall.Conn); ok {
+		if c, e := raw.SyscallConn(); e == nil {
+			c.Control(func(fd uintptr) {
+				p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+				n, err := unix.Poll(p, 0)
+				gone = err == nil && n > 0
+			})
+		}
+	}
+	return gone || over(conn)
+}
