A connection told to close in the instant in which it falls idle does so

Found by a test for another fault: a peer's actor closes idle connections by a deadline of long ago (closeIdle, makeRoom), and a connection that had just reported its answer set its idle time over that: it stayed open, in nobody's list, with a socket that others waited for, until two thirds of the idle time had passed. It is noted now under the same lock. The test fails without that.

--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -342,3 +342,26 @@
 	}
 }
 
+// A connection is told to close in the instant between its last answer and its rest: it does, where it would else keep a
+// socket that others wait for until its idle time is over.
+func TestClosedAsItFallsIdle(t *testing.T) {
+	m := newTestMind()
+	cache := newCache(t)
+	conn, err := net.Dial("tcp", cache.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &link{peer: newPeer(m, 0, "c1", false), conn: conn, in: bufio.NewReader(conn)}
+	l.peer.idle = []*link{l}
+	l.peer.closeIdle()
+	ended := make(chan *try, 1)
+	go func() { ended <- l.wait() }()
+	select {
+	case got := <-ended:
+		if got != nil {
+			t.Error("a try from nowhere")
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("stays open")
+	}
+}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -31,6 +31,7 @@
 	conn   net.Conn
 	quit   context.CancelFunc // ends the dialling
 	handed *try               // to be carried next
+	closes bool               // it is to close once it carries nothing
 }
 
 // give hands over a try to a connection that is idle. Both steps are one, or a late wake would hit the try.
@@ -54,6 +55,14 @@
 	}
 }
 
+// close ends a connection that is idle, or just falls so.
+func (l *link) close() {
+	l.mu.Lock()
+	l.closes = true
+	l.mu.Unlock()
+	l.wake()
+}
+
 // take returns the try that was handed over, if any.
 func (l *link) take() *try {
 	l.mu.Lock()
@@ -121,9 +130,14 @@
 	if d := l.peer.mind.duties; d != nil && l.peer.drops.Load() && (idle == 0 || idle > dropAfter) {
 		idle = dropAfter
 	}
-	if t == nil && idle > 0 {
+	switch {
+	case t != nil:
+	case l.closes: // told before this one waited, and a deadline set now would undo that
+		l.mu.Unlock()
+		return nil
+	case idle > 0:
 		l.conn.SetReadDeadline(time.Now().Add(idle))
-	} else if t == nil { // not told: the other side closes it
+	default: // not told: the other side closes it
 		l.conn.SetReadDeadline(time.Time{})
 	}
 	l.mu.Unlock()
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -127,7 +127,7 @@
 			l.give(t)
 			return
 		}
-		l.wake() // it leads to where the peer was
+		l.close() // it leads to where the peer was
 	}
 	if !p.mind.links.take(1) {
 		p.queue = append(p.queue, t)
@@ -224,7 +224,7 @@
 
 func (p *peer) closeIdle() {
 	for _, l := range p.idle {
-		l.wake()
+		l.close()
 	}
 	p.idle = p.idle[:0]
 }
