What is owed when a process ends is answered before it may be killed, whatever the settings' times

Cause: internal/run/serve.go fitted the steps of an exit to one deployment: answered after 3.4 s, no command taken after 1.45 s. A process is killed the longest overall timeout, three seconds at most, and 0.7 s after SIGTERM, which is 1.4 s where that timeout is 0.7. And what had come before the signal kept its whole time (6 s at kart-tromso), since Mind.Until bound only what came later.

Change: the time by which all is answered comes from the settings' longest overall timeout, the steps of connections keep their times where there is room and shrink in proportion where not, and the module is told (Until), which brings forward what it has out.

--- a/brain/dues.go
+++ b/brain/dues.go
@@ -18,6 +18,18 @@
 	heap.Fix(&b.due, x.place)
 }
 
+// Until has all that is owed given up on by a time at the latest, since the process ends then.
+func (b *Instance) Until(now, until Time) []Decision {
+	b.begin(now)
+	for cx := range b.xs {
+		if x := &b.xs[cx]; x.live && x.place >= 0 && x.deadline > until {
+			x.deadline, x.good = until, min(x.good, until-b.tick)
+			b.remind(cx, min(x.due, x.good))
+		}
+	}
+	return b.settle()
+}
+
 func (b *Instance) forget(cx int) {
 	if p := b.xs[cx].place; p >= 0 {
 		heap.Remove(&b.due, p)
--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -365,3 +365,17 @@
 		t.Error("stays open")
 	}
 }
+
+// What clients wait for longer than the process lives is answered before it ends.
+func TestOwedWhenTheProcessEnds(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	r := newRig(t, 10, same, cache, origin)
+	c := r.dial()
+	io.WriteString(c, read("k", "long", 60000))
+	cache.next(t)
+	r.mind.Until(200 * time.Millisecond)
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	if line, err := bufio.NewReader(c).ReadString('\n'); !strings.HasPrefix(line, "-BUSY") {
+		t.Errorf("%q, %v", line, err)
+	}
+}
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -186,10 +186,14 @@
 	}
 }
 
-// Until has what comes from now on answered within a span of time, since the process is to end.
+// Until has all that is owed, and what comes from now on, answered within a span of time, since the process is to end.
 func (m *Mind) Until(span time.Duration) {
 	until := m.clock.Now() + brain.Time(span/(100*time.Microsecond))
-	m.box.post(func() { m.until = until })
+	m.box.post(func() {
+		m.until = until
+		now := m.clock.Now()
+		m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Until(now, until) }))
+	})
 }
 
 // Links changes how many connections there may be to peers; idle ones are closed where there may be fewer.
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fastjson"
 	"go.uber.org/zap"
 
+	"woodproxy/brain"
 	"woodproxy/internal/control"
 	"woodproxy/internal/fleet"
 	"woodproxy/internal/wire"
@@ -23,16 +24,28 @@
 const (
 	waitForList = time.Second            // clients are served from the old list when no other has come by then
 	stillComing = 450 * time.Millisecond // after the signal to stop, while others learn of it
-	// what comes after that signal is answered by then; it is killed later than that
-	answered   = 3400 * time.Millisecond
-	lastAnswer = 5 * time.Second // for what had come before, where it is not killed
+	// Who ends a process kills it no sooner than the longest overall timeout, three seconds at most, and 0.7 s more after
+	// that signal; all is answered a little before.
+	longestWaited = 3 * time.Second
+	beforeKill    = 400 * time.Millisecond
+	lastAnswer    = 1500 * time.Millisecond // for what is still being written then, where it is not killed
 )
 
-// Clients go on using connections that stay open, and lack ours if we are not replaced: so they are served for a while.
-var (
-	aloneLeaving    = fleet.Leaving{Yield: 500 * time.Millisecond, Retire: 800 * time.Millisecond, Shut: time.Second}
-	replacedLeaving = fleet.Leaving{Yield: 0, Retire: 400 * time.Millisecond, Shut: 800 * time.Millisecond}
-)
+// answered is how long after the signal to stop all has its answer.
+func answered(longest brain.Time) time.Duration {
+	return min(time.Duration(longest)*100*time.Microsecond, longestWaited) + beforeKill
+}
+
+// leaving is how connections end once nobody is let in any more. Clients go on using those that stay open, and lack ours if we
+// are not replaced: so they are served for a while, as long as there is time for it.
+func leaving(alone bool, left time.Duration) fleet.Leaving {
+	l := fleet.Leaving{Yield: 0, Retire: 400 * time.Millisecond, Shut: 800 * time.Millisecond}
+	if alone {
+		l = fleet.Leaving{Yield: 500 * time.Millisecond, Retire: 800 * time.Millisecond, Shut: time.Second}
+	}
+	l.Yield, l.Retire, l.Shut = min(l.Yield, left*2/5), min(l.Retire, left*3/5), min(l.Shut, left*4/5)
+	return l
+}
 
 // limit has the program keep to its cores and leave a third of its memory free, or rather collect more often.
 func limit(cores float64, memoryMB int) {
@@ -175,13 +188,14 @@
 	if early {
 		go goodbye()
 	}
-	mind.Until(answered)
-	until, leaving := time.Now().Add(lastAnswer), replacedLeaving
+	left := answered(p.Book.Longest)
+	mind.Until(left)
+	until := time.Now().Add(left + lastAnswer)
 	if alone {
 		time.Sleep(stillComing)
-		leaving = aloneLeaving
+		left -= stillComing
 	}
-	door.Close(until, alone, leaving)
+	door.Close(until, alone, leaving(alone, left))
 	if !early { // until the heir may begin, or the name would be silent for as long as clients are served
 		goodbye()
 	}
