Clients' connections end by halves, and a door closes once all who were accepted are among its clients

- A connection that Accept had returned and that was not yet among the door's clients when Close found none: Close waits for Run's end now.
Who waits in the listener's queue when the time is up is let in; a deadline that had passed kept Accept from looking.
- A request that comes between a connection's last look for bytes and its close met a reset, which may take the last answer with it: a connection that has carried anything ends its sending first and passes over what comes (linger), whether it yields, retires, is shut, idle too long or closed for room.
What comes then is read by nobody and never sent on.
Nothing that the process does after that cuts the lingering short.
- Commands that were read and not begun, as 64 were outstanding, went unanswered when no further one was to be taken: what was read is answered, and no more is read.
- A client that asks PING before any are served and leaves is noticed, as what it asked before that waits.

Accept errors (no descriptors) are one line a spell where they were 200 a second.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -80,6 +80,8 @@
 			d.count.BadClient.Add(1)
 			d.log.Warn("client's connection ended", zap.Error(err), zap.Stringer("from", c.conn.RemoteAddr()))
 			c.dismiss(err)
+		} else if errors.Is(err, errQuit) && c.spoke { // a request may come just now: it goes unread, and is asked again elsewhere
+			c.linger()
 		}
 	})
 	c.conn.Close()
@@ -106,11 +108,8 @@
 		if err := c.read(); err != nil {
 			return err
 		}
-		if c.seen == shuts {
+		if c.seen == shuts { // no more is read; what was read is answered
 			if !c.owes() {
-				if c.spoke { // what it has sent by now goes unread, and it asks again elsewhere
-					c.linger()
-				}
 				return errQuit
 			}
 			if err := c.await(); err != nil {
@@ -183,6 +182,9 @@
 // linger ends the sending and passes over what still comes for a moment: to close on unread bytes resets the
 // connection, and what was written last may be lost with that.
 func (c *client) linger() {
+	c.mu.Lock()
+	c.quits = shuts // nobody wakes it from now on
+	c.mu.Unlock()
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
 		c.conn.SetReadDeadline(time.Now().Add(lastWords))
 		io.CopyN(io.Discard, c.conn, lastBytes)
@@ -299,7 +301,7 @@
 
 // read takes the commands that have come whole, as many as there may be.
 func (c *client) read() error {
-	for c.seen != shuts && !c.crowded() {
+	for !c.crowded() {
 		if c.skip > 0 {
 			n, _ := c.in.Discard(min(c.skip, c.in.Buffered()))
 			if c.skip -= n; c.skip > 0 {
@@ -370,6 +372,9 @@
 	if !cmd.Is("KV.GET") && !cmd.Is("KV.SET") {
 		t := &turn{client: c}
 		c.queue(t)
+		if cmd.Is("PING") && c.stay(c.door.ready) != nil { // until clients are served
+			return nil // has left, as the next reading tells
+		}
 		t.say(c.door.aside(cmd))
 		return nil
 	}
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -17,8 +17,14 @@
 // bare is what an exchange takes up without its values, its share of a connection's buffers included.
 const bare = 32 << 10
 
-// lastIn is for how long who waits to be let in is let in yet, once the door closes.
-const lastIn = 20 * time.Millisecond
+// lastLook is how long the last look takes that finds nobody who waits to be let in, once the door closes.
+const lastLook = time.Millisecond
+
+// listener is where clients come; tests have one that holds them between two steps.
+type listener interface {
+	net.Listener
+	SetDeadline(time.Time) error
+}
 
 // slowStart is how long a newcomer may take before it counts as one that asks nothing.
 const slowStart = 100 * time.Millisecond
@@ -28,7 +34,7 @@
 
 // Door lets clients in and knows their connections.
 type Door struct {
-	ln       *net.TCPListener
+	ln       listener
 	mind     *Mind
 	ready    chan struct{} // closed when clients may be told that they are served
 	most     int           // connections at once, under mu
@@ -40,20 +46,22 @@
 	comeBack int           // what is told to who finds no place, in milliseconds; 0: nothing
 	count    *Counters
 	log      *zap.Logger
-	out      atomic.Bool // of service: clients are sent away
+	ran      chan struct{} // closed when nobody is let in any more, and all who were are among the clients
+	out      atomic.Bool   // of service: clients are sent away
 	mu       sync.Mutex
 	drain    *time.Timer          // its next step, nil: none is to come
 	step     int                  // of the drain that is on, in steps
 	parting  parting              // what a newcomer is told of its end
 	closing  bool                 // for good
 	shut     bool                 // nobody is let in
+	alone    bool                 // no other process has the listener; set before that
 	clients  map[*client]struct{} // emptied as connections end
 	fewer    *sync.Cond           // one has ended
 }
 
 // NewDoor lets clients in on ln once it is told how many, and holds no more exchanges than the memory has room for.
-func NewDoor(ln *net.TCPListener, mind *Mind, memoryMB int, count *Counters, log *zap.Logger) *Door {
-	d := &Door{ln: ln, mind: mind, ready: make(chan struct{}), count: count, log: log,
+func NewDoor(ln listener, mind *Mind, memoryMB int, count *Counters, log *zap.Logger) *Door {
+	d := &Door{ln: ln, mind: mind, ready: make(chan struct{}), ran: make(chan struct{}), count: count, log: log,
 		clients: map[*client]struct{}{}}
 	d.Remember(memoryMB)
 	d.fewer = sync.NewCond(&d.mu)
@@ -83,33 +91,55 @@
 
 // Run lets clients in until the door has closed.
 func (d *Door) Run() {
-	for {
-		if !d.makeRoom() {
-			return
-		}
+	defer close(d.ran)
+	failed := "" // so that a spell of the same trouble is one line
+	for d.makeRoom() {
 		conn, err := d.ln.Accept()
 		switch {
+		case err == nil:
+			d.letIn(conn)
+			failed = ""
 		case errors.Is(err, os.ErrDeadlineExceeded): // paused, or about to close
-			time.Sleep(lastIn / 4)
-			continue
+			time.Sleep(lookAgain / 2)
 		case errors.Is(err, net.ErrClosed):
 			return
-		case err != nil:
-			d.log.Warn("accept", zap.Error(err))
+		default: // for want of descriptors, as a rule: who waits is let in once there are some
+			if text := errText(err); text != failed {
+				d.log.Warn("accept", zap.Error(err))
+				failed = text
+			}
 			time.Sleep(5 * time.Millisecond)
-			continue
 		}
-		c := &client{door: d, conn: conn, in: bufio.NewReaderSize(conn, 4<<10), nudge: make(chan struct{}, 1),
-			born: time.Now()}
-		c.used = c.born
-		d.count.Clients.Add(1)
-		d.count.ClientsOpen.Add(1)
-		d.mu.Lock()
-		d.clients[c] = struct{}{}
-		c.quits = d.parting
-		d.mu.Unlock()
-		go c.run()
 	}
+	for d.hasPlace() { // who waited when the time was up is let in, or would be cut off with the listener
+		d.ln.SetDeadline(time.Now().Add(lastLook))
+		conn, err := d.ln.Accept()
+		if err != nil {
+			break
+		}
+		d.letIn(conn)
+	}
+	d.ln.Close()
+}
+
+// hasPlace tells whether one more can be let in by who alone has the listener.
+func (d *Door) hasPlace() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.alone && len(d.clients) < d.most
+}
+
+func (d *Door) letIn(conn net.Conn) {
+	c := &client{door: d, conn: conn, in: bufio.NewReaderSize(conn, 4<<10), nudge: make(chan struct{}, 1),
+		born: time.Now()}
+	c.used = c.born
+	d.count.Clients.Add(1)
+	d.count.ClientsOpen.Add(1)
+	d.mu.Lock()
+	d.clients[c] = struct{}{}
+	c.quits = d.parting
+	d.mu.Unlock()
+	go c.run()
 }
 
 // makeRoom has a client go once nine tenths of the places are taken, or as many are kept that were served, and lets nobody in while all are, or while the
@@ -230,13 +260,9 @@
 // process has the listener, who waits there is let in before.
 func (d *Door) Close(until time.Time, alone bool, after Leaving) {
 	began := time.Now()
-	if alone {
-		d.ln.SetDeadline(began.Add(lastIn))
-		time.Sleep(lastIn + 10*time.Millisecond)
-	}
 	d.mu.Lock()
-	d.shut = true
-	d.ln.Close()
+	d.shut, d.alone = true, alone
+	d.ln.SetDeadline(longAgo) // who is accepted just then is served yet
 	d.fewer.Broadcast()
 	d.mu.Unlock()
 	for _, step := range [...]struct {
@@ -246,6 +272,10 @@
 		defer time.AfterFunc(time.Until(began.Add(step.at)), func() { d.partAll(step.how) }).Stop()
 	}
 	defer time.AfterFunc(time.Until(until), d.fewer.Broadcast).Stop()
+	select { // or one that is let in just now would be missed
+	case <-d.ran:
+	case <-time.After(time.Until(until)):
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(d.clients) > 0 && time.Now().Before(until) {
@@ -257,7 +287,6 @@
 func (d *Door) aside(cmd *wire.Command) (head, body []byte) {
 	switch {
 	case cmd.Is("PING"):
-		<-d.ready
 		if d.out.Load() {
 			return []byte("-ERR out of service\r\n"), nil
 		}
