Tries that are half written when their request ends stop there; no repeat begins after its window

Found by reading, each forced by a test on real connections that fails every time without it:

- A client leaves, or has its final answer, while a long value is half written to a node that reads slowly: a try begins with its last byte, which came long after.
The writing is stopped, and the try ends as never sent, which says nothing of the node.
- A deduped write's repeat is decided within its window and waits for a connection that comes up late: nodes no longer know the first by then, and it would be carried out twice.
It is not begun later than the window after the first try was sent.

--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -557,6 +557,64 @@
 	}
 }
 
+// A client leaves while its value is half written to a node that reads slowly: the node never gets the rest.
+func TestLeftHalfWritten(t *testing.T) {
+	const size = 4 << 20
+	begins, reads, got := make(chan struct{}), make(chan struct{}), make(chan int64, 1)
+	origin := &standIn{addr: listen(t, func(c net.Conn) {
+		defer c.Close()
+		c.(*net.TCPConn).SetReadBuffer(16 << 10)
+		io.CopyN(io.Discard, c, 1)
+		close(begins)
+		<-reads
+		n, _ := io.Copy(io.Discard, c)
+		got <- n + 1
+	})}
+	r := newRig(t, 10, same, newCache(t), origin)
+	c := r.dial()
+	io.WriteString(c, string(wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte("long"), []byte("c=put,t=x,d=60000,k=1"), size)))
+	io.WriteString(c, strings.Repeat("v", size)+"\r\n")
+	<-begins
+	c.Close()
+	r.settles("the try is not stopped", func() bool { return r.mind.count.UpstreamOpen.Load() == 0 })
+	close(reads)
+	select {
+	case n := <-got:
+		if n >= size {
+			t.Errorf("%d bytes came, the whole command", n)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the connection stays, half a command on it")
+	}
+}
+
+// The repeat of a deduped write waits for its connection until nodes no longer know the first: it is not begun then, and
+// the client is answered.
+func TestRepeatAfterItsWindow(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	const window = 300
+	r := newRig(t, 10, func(terms *brain.Terms) {
+		terms.Routes[1].Effect, terms.Routes[1].Window = brain.Deduped, window*10
+	}, cache, origin)
+	c := r.dial()
+	io.WriteString(c, string(wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte("once"), []byte("c=put,t=x,d=60000,k=1"), 1))+"v\r\n")
+	first := origin.next(t)
+	release := r.dials.hold(origin.addr)
+	first.conn.(*net.TCPConn).SetLinger(0)
+	first.conn.Close()
+	r.settles("no repeat", func() bool { return r.mind.count.Tries.Load() == 2 })
+	time.Sleep((window + 20) * time.Millisecond)
+	release()
+	if line, err := bufio.NewReader(c).ReadString('\n'); len(line) < 5 || line[0] != '-' {
+		t.Errorf("%q, %v", line, err)
+	}
+	select {
+	case again := <-origin.asked:
+		t.Errorf("%s was asked again after its window", again.id)
+	default:
+	}
+}
+
 // What clients wait for longer than the process lives is answered before it ends.
 func TestOwedWhenTheProcessEnds(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -31,6 +31,7 @@
 	conn   net.Conn
 	quit   context.CancelFunc // ends the dialling
 	handed *try               // to be carried next
+	writes *try               // that is being written
 	closes bool               // it is to close once it carries nothing
 }
 
@@ -182,10 +183,15 @@
 		return l.carry(t)
 	case t.turn.over.Load(): // while it waited for its connection, which the next may have
 		return brain.NeverSent, nil, true, nil
+	case t.before > 0 && m.clock.Now() >= t.before:
+		return brain.NeverSent, nil, true, nil
 	case !l.peer.ready.Load(): // it drains or is gone since the module chose it; nothing new goes there
 		return brain.NeverSent, nil, false, nil
 	}
 	if err := l.write(t); err != nil {
+		if t.turn.over.Load() {
+			return brain.NeverSent, nil, false, nil
+		}
 		return l.came(t, &wire.Halt{Far: wire.Writing, Err: err})
 	}
 	read := wire.ReadAnswer
@@ -301,9 +307,27 @@
 	if size >= 0 && !l.peer.origin {
 		l.gather = append(l.gather, crlf)
 	}
+	l.mu.Lock()
+	l.writes = t
+	if c.over.Load() {
+		l.conn.SetWriteDeadline(longAgo)
+	}
+	l.mu.Unlock()
 	g := l.gather
 	_, err := g.WriteTo(l.conn)
+	l.mu.Lock()
+	l.writes = nil
+	l.mu.Unlock()
 	return err
 }
 
+// drop stops the writing of a try whose exchange is over: nobody begins what does not come whole.
+func (l *link) drop(t *try) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.writes == t {
+		l.conn.SetWriteDeadline(longAgo)
+	}
+}
+
 var crlf = []byte("\r\n")
--- a/internal/fleet/mind.go
+++ b/internal/fleet/mind.go
@@ -52,14 +52,23 @@
 	turn *turn
 	legs []*try
 	out  int
-	over bool // it has its final answer, or nobody waits for one
+	over bool       // it has its final answer, or nobody waits for one
+	ran  brain.Time // when the first try was sent that may have been carried out, 0: none
 }
 
 // end notes that nothing is owed any more. Tries that are out but not yet written must not be: they may wait for a
 // connection that comes up late, and cancelling may not be allowed.
-func (s *slot) end() {
+func (m *Mind) end(s *slot) {
 	s.over = true
 	s.turn.over.Store(true)
+	if s.out == 0 {
+		return
+	}
+	for _, t := range s.legs {
+		if p := m.peers[t.node]; p != nil {
+			p.box.offer(func() { p.drop(t) })
+		}
+	}
 }
 
 // dialer makes connections; tests have one that holds them back.
@@ -256,7 +265,7 @@
 	m.count.Left.Add(1)
 	now := m.clock.Now()
 	ds := m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Left(now, t.cx) })
-	m.slots[t.cx].end()
+	m.end(&m.slots[t.cx])
 	m.act(ds)
 	m.clear(t.cx)
 }
@@ -267,12 +276,18 @@
 	s.out--
 	m.peers[t.node].out--
 	m.count.Ends[ending].Add(1)
+	switch ending {
+	case brain.Completed, brain.Fault, brain.Silent, brain.Cut, brain.Undone:
+		if s.ran == 0 {
+			s.ran = t.sent
+		}
+	}
 	switch {
 	case ending == brain.Completed && !s.over && t.absent:
 		m.finish(t.cx, absent, nil, 0)
 		m.absent.learned(t)
 	case ending == brain.Completed && !s.over && f != nil:
-		s.end()
+		m.end(s)
 		s.turn.pass(m.count, f)
 	case ending == brain.Completed && !s.over:
 		m.finish(t.cx, completed, value, 0)
@@ -293,7 +308,7 @@
 // finish gives an exchange its one final answer.
 func (m *Mind) finish(cx int, a final, value []byte, after brain.Time) {
 	if s := &m.slots[cx]; !s.over {
-		s.end()
+		m.end(s)
 		s.turn.answer(m.count, a, value, int(math.Ceil(float64(after)/10)))
 	}
 }
@@ -325,6 +340,11 @@
 		case brain.Send:
 			s := &m.slots[d.Cx]
 			t := &try{turn: s.turn, cx: d.Cx, node: d.Node, sent: m.clock.Now(), wait: d.After}
+			if s.ran > 0 {
+				if r := &m.book.Terms.Routes[m.book.Routes[s.turn.route]]; r.Effect == brain.Deduped {
+					t.before = s.ran + r.Window // later, the repeat would be carried out as well
+				}
+			}
 			s.legs = append(s.legs, t)
 			if m.peers[d.Node].origin {
 				m.absent.begin(t)
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -19,6 +19,7 @@
 	node   int
 	sent   brain.Time
 	wait   brain.Time // its time-out, from sent
+	before brain.Time // to be begun by then or not at all, 0: there is no such time
 	undone atomic.Bool
 	ticket missing.Ticket // of a look-up at the origin
 	absent bool           // which said that it has no such key
@@ -163,6 +164,13 @@
 	}
 }
 
+// drop hears that a try's exchange is over; one that is written whole runs on.
+func (p *peer) drop(t *try) {
+	if t.link != nil {
+		t.link.drop(t)
+	}
+}
+
 // cancel gives up a try, wherever it is.
 func (p *peer) cancel(t *try) {
 	t.undone.Store(true)
