A list that is asked for: silence is followed by a call at once, as where it is pushed

Found by reading: hush 3 s, a pause of 1 s by the module, a silent call of up to 1.5 s and its pause come to 6.5 s, and what was missed counts as told after 6 s. Where lists are pushed the call in a silent one's place is made at once; that went by a branch behind the one for asked-for lists (internal/fleet/list.go, ended). Refused calls wait for the module as before. The test's third call comes after 4.5 s without the change, after 3 s at most with it.

--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -641,3 +641,33 @@
 	c.Close()
 	r.settles("nobody noticed that the client left", func() bool { return r.mind.count.Left.Load() == 1 })
 }
+
+// A watch that says nothing is followed by a call at once, also where the list is to be asked for: with a pause behind it a
+// second silent call would leave no time for a third before what was missed counts as told.
+func TestSilentWatchIsFollowedAtOnce(t *testing.T) {
+	for _, ask := range []bool{false, true} {
+		calls := make(chan struct{}, 10)
+		addr := listen(t, func(c net.Conn) {
+			calls <- struct{}{}
+			io.Copy(io.Discard, c) // and says nothing
+		})
+		r := newRig(t, 10, func(terms *brain.Terms) { terms.Ask, terms.AskEvery = ask, 100000 }, newCache(t), newOrigin(t))
+		list, err := NewList(addr, nil, r.mind, 1, r.mind.count, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go list.Run()
+		began := time.Now()
+		for range 3 {
+			select {
+			case <-calls:
+			case <-time.After(10 * time.Second):
+				t.Fatal("no call")
+			}
+		}
+		// two that were silent, the first as any call, since no watch had spoken
+		if took := time.Since(began); took > 2*hushOfCall*5/4+500*time.Millisecond {
+			t.Errorf("asked for: %v: the third call came after %v", ask, took)
+		}
+	}
+}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -143,14 +143,14 @@
 		l.log.Warn("watch of the list ended", zap.Error(err), zap.Int64("index", l.index))
 		l.quiet = text
 	}
-	if l.mind.book.Terms.Ask {
-		l.mind.box.post(l.mind.listFailed)
-		return
-	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errDial) {
 		l.follow() // who is silent is not kept from answering by one more call, as who turns calls away is
 		return
 	}
+	if l.mind.book.Terms.Ask {
+		l.mind.box.post(l.mind.listFailed)
+		return
+	}
 	time.AfterFunc(l.pause(), func() { l.box.post(l.follow) })
 }
 
