Settings that nothing can be served by are refused: no routes, times of nought, doubled names, odd list modes

An overall timeout or objective of nought, a negative value, window or allowance, two routes of one name, no route, a list mode that is neither push nor ask: one line that names the field. It names the entry too (routes[0].effect), so that two tests of literal lines expect the longer ones; for watched settings without any route the first thing wrong is now that there are none.

--- a/internal/run/config_test.go
+++ b/internal/run/config_test.go
@@ -40,6 +40,16 @@
 		`"settings">"sittings"`:                                           "settings: missing",
 		`"value":5,"effect":"pure">"value":5`:                             "effect: missing",
 		`"effect":"pure">"effect":"maybe"`:                                "effect: out of its range",
+		`"effect":"pure">"effect":7`:                                      "routes[0].effect: mistyped",
+		`"latency-objective":600,>`:                                       "routes[0].latency-objective: missing",
+		`"latency-objective":600>"latency-objective":0`:                   "routes[0].latency-objective: out of its range",
+		`"overall-timeout":1200>"overall-timeout":0`:                      "routes[0].overall-timeout: out of its range",
+		`"value":5>"value":-1`:                                            "routes[0].value: out of its range",
+		`"dedup-window":6000>"dedup-window":-6000`:                        "routes[1].dedup-window: out of its range",
+		`{"name":"put">{"name":"read"`:                                    "routes[1].name: doubled",
+		`"tick":5>"tick":5,"membership-mode":"guess"`:                     "membership-mode: out of its range",
+		`"tick":5>"tick":5,"tenants":[{"name":"t","allowance-per-s":-3}]`: "tenants[0].allowance-per-s: out of its range",
+		`"may-cancel":true>"may-cancel":"maybe"`:                          "limits.may-cancel: mistyped",
 		`"tick":5>"tick":"five"`:                                          "tick: mistyped",
 		`{"name":"n1">{"name":`:                                           "not a JSON object",
 		`"replicas-of-me":1,>`:                                            "replicas-of-me: missing",
@@ -54,7 +64,7 @@
 		`"new":1>"watch":7`:                                               "watch: mistyped",
 		`"new":1>"watch":{"tick":"x"}`:                                    "watch: setup tick: mistyped",
 		`"new":1>"watch":{"replicas-of-me":3,"limits":{"may-tell":true}}`: "watch: setup me: missing",
-		`"new":1>"watch":{"routes":[]}`:                                   "watch: setup routes: not those",
+		`"new":1>"watch":{"routes":[]}`:                                   "watch: setup routes: none",
 	} {
 		from, to, _ := strings.Cut(change, ">")
 		text := strings.Replace(good, from, to, 1)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -30,11 +30,12 @@
 type chart struct {
 	root *fastjson.Value
 	err  *error
+	in   string // the list and place that it is an entry of, with a dot behind
 }
 
 func (c chart) fail(path []string, what string) {
 	if *c.err == nil {
-		*c.err = fmt.Errorf("setup %s: %s", strings.Join(path, "."), what)
+		*c.err = fmt.Errorf("setup %s%s: %s", c.in, strings.Join(path, "."), what)
 	}
 }
 
@@ -71,6 +72,24 @@
 	return int(n)
 }
 
+// span reads a time that nothing can be served without.
+func (c chart) span(path ...string) brain.Time {
+	t := c.time(need, path...)
+	if t <= 0 {
+		c.fail(path, "out of its range")
+	}
+	return t
+}
+
+// least reads a number that is not negative.
+func (c chart) least(needed bool, path ...string) float64 {
+	n := c.number(needed, path...)
+	if n < 0 {
+		c.fail(path, "out of its range")
+	}
+	return n
+}
+
 func (c chart) time(needed bool, path ...string) brain.Time {
 	return Tenths(c.number(needed, path...))
 }
@@ -127,7 +146,7 @@
 // Read takes the settings object. Keys that it does not know are skipped.
 func Read(v *fastjson.Value) (*Book, error) {
 	var err error
-	c := chart{v, &err}
+	c := chart{root: v, err: &err}
 	p := &Book{Routes: map[string]int{}, Tenants: map[string]int{}, Zones: map[string]int{},
 		Idle: c.time(may, "limits", "conn-idle"), Streams: int(c.number(may, "limits", "multiplex")),
 		Locality: c.text(may, "locality")}
@@ -152,6 +171,9 @@
 		Fetch:          c.number(may, "fees", "origin"),
 		RoughWeights:   c.text(may, "weights") == "rough" || c.text(may, "weights") == "nominal",
 	}
+	if m := c.text(may, "membership-mode"); m != "" && m != "ask" && m != "push" {
+		c.fail([]string{"membership-mode"}, "out of its range")
+	}
 	tell := c.flag("limits", "may-tell")
 	if tell || c.get(may, []string{"me"}) != nil {
 		p.Terms.Me = c.whole(0, p.Terms.Proxies-1, "me")
@@ -172,15 +194,19 @@
 		p.Zones[string(z.GetStringBytes())] = i
 	}
 	for i, v := range c.list(may, "tenants") {
-		c := chart{v, &err}
+		c := chart{v, &err, fmt.Sprintf("tenants[%d].", i)}
 		p.Tenants[c.text(need, "name")] = i
-		p.Terms.Allowance = append(p.Terms.Allowance, c.number(may, "allowance-per-s"))
+		p.Terms.Allowance = append(p.Terms.Allowance, c.least(may, "allowance-per-s"))
+	}
+	routes := c.list(need, "routes")
+	if len(routes) == 0 {
+		c.fail([]string{"routes"}, "none")
 	}
-	for i, v := range c.list(need, "routes") {
-		c := chart{v, &err}
-		r := brain.Route{Objective: c.time(need, "latency-objective"), Overall: c.time(need, "overall-timeout"),
-			Value: c.number(need, "value"), Overdue: c.number(may, "overdue-value"),
-			Window: c.time(may, "dedup-window")}
+	for i, v := range routes {
+		c := chart{v, &err, fmt.Sprintf("routes[%d].", i)}
+		r := brain.Route{Objective: c.span("latency-objective"), Overall: c.span("overall-timeout"),
+			Value: c.least(need, "value"), Overdue: c.number(may, "overdue-value"),
+			Window: Tenths(c.least(may, "dedup-window"))}
 		if r.Overdue < 0 || r.Overdue > 1 {
 			c.fail([]string{"overdue-value"}, "out of its range")
 		}
@@ -193,7 +219,11 @@
 			c.fail([]string{"group"}, "out of its range")
 		}
 		p.Longest = max(p.Longest, r.Overall)
-		p.Routes[c.text(need, "name")] = i
+		name := c.text(need, "name")
+		if _, doubled := p.Routes[name]; doubled {
+			c.fail([]string{"name"}, "doubled")
+		}
+		p.Routes[name] = i
 		p.Terms.Routes = append(p.Terms.Routes, r)
 	}
 	return p, err
--- a/simwire/serve_test.go
+++ b/simwire/serve_test.go
@@ -86,7 +86,7 @@
 		{batch("[\"power-off\",1]\n"), "line 2: power-off: who: instance 1 is not running"},
 		{batch("[\"boot\",1,2,{}]\n"), "line 2: boot: setup replicas-of-me: missing"},
 		{batch("[\"boot\",1,2," + strings.Replace(setup, `"pure"`, `"odd"`, 1) + "]\n"),
-			"line 2: boot: setup effect: out of its range"},
+			"line 2: boot: setup routes[0].effect: out of its range"},
 		{batch(opening + "[\"fleet\",1,1,5,\"FULL\"]\n"), "line 5: fleet: bank: unknown list number"},
 		{batch(opening + "[\"fleet\",1,1,3,\"HALF\"]\n"), "line 5: fleet: mode: out of its range"},
 		{batch("[\"register\",16,[]]\n"), "line 2: register: bank: out of range"},
