--- a/internal/emu/rules.go
+++ b/internal/emu/rules.go
@@ -24,7 +24,7 @@
 	Slack        = 50 * time.Millisecond
 	DrainGrace   = 300 * time.Millisecond
 	FallFor      = time.Second     // a cold node may be sent FallMultiple times what it can do for this long: N; it falls beyond
-	FallMultiple = 3.0             // N + 3 sqrt N + 3, and that is a proxy's fault if two thirds came from such as knew of its start
+	FallMultiple = 3.0             // N + 2 sqrt N + 2, and that is a proxy's fault if two thirds came from such as knew of its start
 	ToldAfter    = 6 * time.Second // what discovery has to tell counts as told then, whether or not it came
 )
 
@@ -226,7 +226,7 @@
 		part += (1 - part) * float64(s.At-b.At) / float64(cold)
 	}
 	mean := FallMultiple * part * b.Figure * FallFor.Seconds()
-	most := mean + 3*math.Sqrt(mean) + 3
+	most := mean + 2*math.Sqrt(mean) + 2
 	if c.cold = max(c.cold, float64(len(all))/most); float64(len(all)) <= most {
 		return
 	}
