--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -383,10 +385,14 @@
 	*net.TCPListener
 	accepted chan struct{} // nil: goes on at once
 	goOn     chan struct{}
-	ending   func() // before a connection ends its sending or itself, once
+	ending   func()       // before a connection ends its sending or itself, once
+	fails    atomic.Int64 // how often it fails yet for want of descriptors
 }
 
 func (s *stepping) Accept() (net.Conn, error) {
+	if s.fails.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
 	c, err := s.TCPListener.Accept()
 	if err == nil && s.accepted != nil {
 		s.accepted <- struct{}{}
@@ -671,3 +677,40 @@
 		}
 	}
 }
+
+// An answer over HTTP that tells no length ends with its connection; a reset is no end, and what came before it is no value.
+func TestResetIsNoEnd(t *testing.T) {
+	for reset, want := range map[bool]string{false: "$4\r\n", true: "-"} {
+		origin := newOrigin(t)
+		r := newRig(t, 10, func(terms *brain.Terms) { terms.Routes[1].Effect = brain.NonRetriable }, newCache(t), origin)
+		c := r.dial()
+		io.WriteString(c, string(wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte("put"), []byte("c=put,t=x,d=60000"), 1))+"v\r\n")
+		at := origin.next(t)
+		io.WriteString(at.conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		time.Sleep(20 * time.Millisecond) // what was written comes before the reset
+		if reset {
+			at.conn.(*net.TCPConn).SetLinger(0)
+		}
+		at.conn.Close()
+		if line, err := bufio.NewReader(c).ReadString('\n'); !strings.HasPrefix(line, want) {
+			t.Errorf("reset %v: %q, %v", reset, line, err)
+		}
+		if n := len(origin.asked); n > 0 {
+			t.Error("a write that may have run was sent again")
+		}
+	}
+}
+
+// No descriptor is left for a while, and accepting fails: who waited is let in once there is one.
+func TestAcceptFailsForAWhile(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	step := &stepping{}
+	step.fails.Store(20)
+	r := newSteppingRig(t, step, 10, same, cache, origin)
+	c := r.dial()
+	io.WriteString(c, read("k", "waits", 60000))
+	cache.next(t).answers("value")
+	if line, err := bufio.NewReader(c).ReadString('\n'); line != "$5\r\n" || step.fails.Load() >= 0 {
+		t.Errorf("%q, %v", line, err)
+	}
+}
