A connection that said nothing ends by halves too; two settings that nothing read are no longer read

rules.answer-slack's place in the module's terms and limits.multiplex's in the book: tries go one at a time on a connection, so that the number has no say, and answers are given before the slack begins. The test forces the first request into the close after 2.5 s of silence; it met a reset before.

--- a/brain/types.go
+++ b/brain/types.go
@@ -44,7 +44,7 @@
 	MaxTries               int
 	RetryAfter             bool
 	MaxRetryAfter          Time
-	Tick, Slack            Time
+	Tick                   Time
 	ConnectTimeout         Time
 	Ask                    bool // the list comes only when asked for
 	AskEvery               Time
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -80,7 +80,7 @@
 			d.count.BadClient.Add(1)
 			d.log.Warn("client's connection ended", zap.Error(err), zap.Stringer("from", c.conn.RemoteAddr()))
 			c.dismiss(err)
-		} else if errors.Is(err, errQuit) && c.spoke { // a request may come just now: it goes unread, and is asked again elsewhere
+		} else if errors.Is(err, errQuit) && c.spoke || errors.Is(err, errSilent) { // a request may come just now: it goes unread, and is asked again elsewhere
 			c.linger()
 		}
 	})
--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -527,6 +527,25 @@
 	}
 }
 
+// The first request arrives as its connection is ended for having said nothing so far: the same holds.
+func TestAskedAtLast(t *testing.T) {
+	t.Parallel()
+	cache, origin := newCache(t), newOrigin(t)
+	var c net.Conn
+	step := &stepping{ending: func() {
+		io.WriteString(c, read("k", "crosses", 60000))
+		time.Sleep(20 * time.Millisecond) // it has come
+	}}
+	r := newSteppingRig(t, step, 10, same, cache, origin)
+	c = r.dial()
+	if got, err := io.ReadAll(c); err != nil || len(got) > 0 {
+		t.Errorf("%q, %v", got, err)
+	}
+	if len(cache.asked) > 0 {
+		t.Error("what was read after the end was sent on")
+	}
+}
+
 // Commands that were read before the connection is told to take no more are answered, however many are before them.
 func TestReadBeforeShut(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -22,7 +22,6 @@
 	Origin   string     // kind name of the origin, "" where there is none
 	Idle     brain.Time // a connection that has stood idle this long is closed by the other side
 	Longest  brain.Time // overall timeout of the most patient route
-	Streams  int        // tries that a connection carries at once
 	Locality string     // zone of this proxy
 }
 
@@ -148,7 +147,7 @@
 	var err error
 	c := chart{root: v, err: &err}
 	p := &Book{Routes: map[string]int{}, Tenants: map[string]int{}, Zones: map[string]int{},
-		Idle: c.time(may, "limits", "conn-idle"), Streams: int(c.number(may, "limits", "multiplex")),
+		Idle:     c.time(may, "limits", "conn-idle"),
 		Locality: c.text(may, "locality")}
 	p.Terms = brain.Terms{
 		Proxies:        c.whole(1, 1e6, "replicas-of-me"),
