--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -733,3 +733,19 @@
 		t.Errorf("%q, %v", line, err)
 	}
 }
+
+// A client leaves while answers are written that it does not read: what it asked behind them is given up at once.
+func TestLeftAsAnswersAreWritten(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	r := newRig(t, 100, same, cache, origin)
+	r.settles("no list", func() bool { return len(r.mind.Targets()) == 2 })
+	c := r.dial()
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	io.WriteString(c, read("k", "long", 60000))
+	fmt.Fprintf(cache.next(t).conn, "*1\r\n$%d\r\n%s\r\n", wire.MaxAnswer, strings.Repeat("v", wire.MaxAnswer))
+	r.dials.hold(cache.addr)
+	io.WriteString(c, read("k", "behind", 60000))
+	r.settles("nothing is written", func() bool { n, _ := peek(c); return n > 0 })
+	c.Close()
+	r.settles("still open", func() bool { return r.mind.count.ClientsOpen.Load() == 0 })
+}
