--- a/internal/fleet/absent.go
+++ b/internal/fleet/absent.go
@@ -30,11 +30,11 @@
 }
 
 // NewAbsent returns the actor, by which the module's answers what it knows to be missing. It is called before that runs.
-func NewAbsent(t missing.Terms, mind *Mind, say func(d *missing.Decision), log *zap.Logger) *Absent {
-	in := missing.New(missing.Time(mind.clock.Now()), t)
-	a := &Absent{box: make(mailbox, 1024), in: in, table: in.Table, clock: mind.clock, book: mind.book, say: say, count: mind.count, log: log}
+func NewAbsent(t missing.Terms, router *Router, say func(d *missing.Decision), log *zap.Logger) *Absent {
+	in := missing.New(missing.Time(router.clock.Now()), t)
+	a := &Absent{box: make(mailbox, 1024), in: in, table: in.Table, clock: router.clock, book: router.book, say: say, count: router.count, log: log}
 	a.shown.Store(&missing.Figures{})
-	mind.absent = a
+	router.absent = a
 	return a
 }
 
--- a/internal/fleet/actor_test.go
+++ b/internal/fleet/actor_test.go
@@ -20,16 +20,16 @@
 	"woodproxy/internal/wire"
 )
 
-func newTestMind() *Mind {
+func newTestRouter() *Router {
 	book := &terms.Book{Terms: brain.Terms{Routes: []brain.Route{{Objective: 6000, Overall: 12000, Value: 1}}}}
-	m := NewMind(book, 1, NewClock(), 1, &Counters{}, zap.NewNop())
+	m := NewRouter(book, 1, NewClock(), 1, &Counters{}, zap.NewNop())
 	m.memory.grow(1 << 20)
 	return m
 }
 
 // A panic in one call is counted and ends there: the actor goes on with the next.
 func TestPanicStops(t *testing.T) {
-	m := newTestMind()
+	m := newTestRouter()
 	go m.Run()
 	done := make(chan struct{})
 	m.box.post(func() { panic("odd") })
@@ -43,7 +43,7 @@
 // What has ended holds no value any more: places are counted as if it did not, and 64 KiB for each index
 // and each turn would be more than the memory.
 func TestEndedHoldsNothing(t *testing.T) {
-	m := newTestMind()
+	m := newTestRouter()
 	s := slot{turn: &turn{}, legs: []*try{{turn: &turn{value: make([]byte, 9)}}}, over: true}
 	m.slots = append(m.slots, s)
 	m.clear(0)
@@ -53,7 +53,7 @@
 
 	near, far := net.Pipe()
 	go io.Copy(io.Discard, far)
-	c := &client{door: &Door{count: m.count, mind: m}, conn: near, in: bufio.NewReader(near)}
+	c := &client{door: &Door{count: m.count, router: m}, conn: near, in: bufio.NewReader(near)}
 	c.turns = []*turn{{ready: true, head: crlf}, {client: c}}
 	line := c.turns
 	if err := c.flush(); err != nil || len(c.turns) != 1 || line[1] != nil {
@@ -63,7 +63,7 @@
 
 // A second answer that lies behind the first would pass for the answer to the next try: no such is carried.
 func TestSecondAnswer(t *testing.T) {
-	m := newTestMind()
+	m := newTestRouter()
 	near, far := net.Pipe()
 	go func() {
 		far.Read(make([]byte, 1000))
@@ -102,7 +102,7 @@
 			}
 		}
 	}()
-	m := newTestMind()
+	m := newTestRouter()
 	l := &link{peer: newPeer(m, 0, "c1", false), addr: ln.Addr().String()}
 	l.peer.ready.Store(true)
 	for _, want := range []string{"one", "two", "six"} {
@@ -122,7 +122,7 @@
 
 // Nodes that are replaced all day by others under new names leave nothing behind: neither places nor goroutines.
 func TestChurn(t *testing.T) {
-	m := newTestMind()
+	m := newTestRouter()
 	m.book.Longest = 30
 	row := func(i int) wire.Target {
 		return wire.Target{Name: fmt.Sprint("c", i), Address: "127.0.0.1:1", Ready: true}
@@ -160,7 +160,7 @@
 
 // What goes wrong in watching ends the watching: the module's own decision stands.
 func TestWatchingEndsAlone(t *testing.T) {
-	m := newTestMind()
+	m := newTestRouter()
 	m.watch = &onlooker{} // with no module to ask
 	ds := m.decide(1, func(b *brain.Instance) []brain.Decision {
 		return b.Arrive(1, 0, brain.Exchange{Tenant: -1, Remaining: 12000})
@@ -179,10 +179,10 @@
 		other := mine
 		other.Routes = append([]brain.Route{}, mine.Routes...)
 		change(&other)
-		m := newTestMind()
+		m := newTestRouter()
 		m.brain = brain.New(0, mine, 1)
 		m.Watch(&terms.Book{Terms: other}, 1)
-		m.watch.mind = brain.New(0, other, 1)
+		m.watch.instance = brain.New(0, other, 1)
 		chance := rand.New(rand.NewPCG(1, 2))
 		type out struct {
 			cx, node int
@@ -239,7 +239,7 @@
 				cx++
 			}
 		}
-		if m.watch == nil || m.watch.mind.Out() != 0 {
+		if m.watch == nil || m.watch.instance.Out() != 0 {
 			t.Fatal("the one that watches fell, or counts tries that are not out")
 		}
 		return m.count
@@ -265,7 +265,7 @@
 
 // No more is read of a value than the client takes and two pieces hold, and once nobody takes it no more is read at all.
 func TestFlowKeepsPace(t *testing.T) {
-	m := newTestMind()
+	m := newTestRouter()
 	near, far := net.Pipe()
 	defer far.Close()
 	const long = 1 << 20
@@ -313,7 +313,7 @@
 func TestWatchesSpread(t *testing.T) {
 	var firsts []time.Duration
 	for seed := range uint64(40) {
-		l, err := NewList("", nil, newTestMind(), seed, &Counters{}, zap.NewNop())
+		l, err := NewList("", nil, newTestRouter(), seed, &Counters{}, zap.NewNop())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -92,7 +92,7 @@
 	for _, t := range owed {
 		t.over.Store(true)
 		t.giveBack(d)
-		d.mind.box.post(func() { d.mind.left(t) })
+		d.router.box.post(func() { d.router.left(t) })
 	}
 	if c.turn != nil {
 		c.turn.giveBack(d)
@@ -351,7 +351,7 @@
 		case cmd.Value >= 0:
 			t.value, c.turn, c.got = make([]byte, 0, cmd.Value+2), t, 0
 			t.bytes = cmd.Value
-			c.door.mind.memory.force(t.bytes)
+			c.door.router.memory.force(t.bytes)
 			c.slow = time.Now().Add(maxHalf + time.Duration(cmd.Value)*time.Second/leastRate)
 		case t != nil:
 			c.ask(t)
@@ -380,7 +380,7 @@
 	}
 	d := c.door
 	d.count.Exchanges.Add(1)
-	if d.count.Held.Add(1) > d.places.Load() || d.mind.memory.left.Load() <= 0 {
+	if d.count.Held.Add(1) > d.places.Load() || d.router.memory.left.Load() <= 0 {
 		d.count.Held.Add(-1)
 		c.refuse()
 		return nil
@@ -425,12 +425,12 @@
 		return
 	}
 	t.route, t.tenant, t.wait, t.repeat = string(facts.Route), string(facts.Tenant), facts.Wait, facts.Repeat
-	t.came = d.mind.clock.Now()
-	if d.mind.absent.knows(t) {
-		t.answer(d.mind.count, absent, nil, 0)
+	t.came = d.router.clock.Now()
+	if d.router.absent.knows(t) {
+		t.answer(d.router.count, absent, nil, 0)
 		return
 	}
-	d.mind.box.post(func() { d.mind.arrive(t) })
+	d.router.box.post(func() { d.router.arrive(t) })
 }
 
 // part has the connection end, sooner if it was to end already.
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -35,7 +35,7 @@
 // Door lets clients in and knows their connections.
 type Door struct {
 	ln       listener
-	mind     *Mind
+	router   *Router
 	ready    chan struct{} // closed when clients may be told that they are served
 	most     int           // connections at once, under mu
 	theirs   int           // how many of them clients may be left that have been served, under mu
@@ -60,12 +60,12 @@
 }
 
 // NewDoor lets clients in on ln once it is told how many, and holds no more exchanges than the memory has room for.
-func NewDoor(ln listener, mind *Mind, memoryMB int, count *Counters, log *zap.Logger) *Door {
-	d := &Door{ln: ln, mind: mind, ready: make(chan struct{}), ran: make(chan struct{}), count: count, log: log,
+func NewDoor(ln listener, router *Router, memoryMB int, count *Counters, log *zap.Logger) *Door {
+	d := &Door{ln: ln, router: router, ready: make(chan struct{}), ran: make(chan struct{}), count: count, log: log,
 		clients: map[*client]struct{}{}}
 	d.Remember(memoryMB)
 	d.fewer = sync.NewCond(&d.mu)
-	if t := &mind.book.Terms; t.RetryAfter {
+	if t := &router.book.Terms; t.RetryAfter {
 		d.comeBack = int(t.MaxRetryAfter / 10)
 	}
 	return d
@@ -76,15 +76,15 @@
 // memory.
 func (d *Door) Remember(memoryMB int) {
 	d.places.Store(min(int64(memoryMB)<<20/8/bare, mostHeld))
-	d.mind.memory.grow((memoryMB - d.memoryMB) << 20 / 4)
-	d.mind.flows.grow((memoryMB - d.memoryMB) << 20 / 8)
+	d.router.memory.grow((memoryMB - d.memoryMB) << 20 / 4)
+	d.router.flows.grow((memoryMB - d.memoryMB) << 20 / 8)
 	d.memoryMB = memoryMB
 	d.keep.Store(int64(memoryMB) << 20 / 8)
 }
 
 // longRoom tells whether a long value may be written: half of what there is for values stays for the others, or a few
 // such writes would have everybody else shed.
-func (d *Door) longRoom(n int) bool { return d.mind.memory.left.Load()-int64(n) >= d.keep.Load() }
+func (d *Door) longRoom(n int) bool { return d.router.memory.left.Load()-int64(n) >= d.keep.Load() }
 
 // Open tells clients that they are served.
 func (d *Door) Open() { close(d.ready) }
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -15,24 +15,24 @@
 // Duties is the actor of what proxies do by turns. It is none of the module's loop: that one offers it what it found and waits for
 // nothing, and it posts to the module, to the list and to peers what follows.
 type Duties struct {
-	box   mailbox
-	in    *turns.Instance
-	clock Clock
-	mind  *Mind
-	list  *List
-	tell  func(k turns.Kind, key string, s turns.Said, life turns.Time) // peers; it may not wait
-	shown atomic.Pointer[turns.Figures]
-	count *Counters
-	log   *zap.Logger
-	stale bool // the list's latest change found no room; only the module's actor looks
+	box    mailbox
+	in     *turns.Instance
+	clock  Clock
+	router *Router
+	list   *List
+	tell   func(k turns.Kind, key string, s turns.Said, life turns.Time) // peers; it may not wait
+	shown  atomic.Pointer[turns.Figures]
+	count  *Counters
+	log    *zap.Logger
+	stale  bool // the list's latest change found no room; only the module's actor looks
 }
 
 // NewDuties returns the actor, by which the module's and the list's take turns with other proxies'. It is called before they run.
-func NewDuties(t turns.Terms, mind *Mind, list *List, tell func(k turns.Kind, key string, s turns.Said, life turns.Time), log *zap.Logger) *Duties {
-	d := &Duties{box: make(mailbox, 1024), in: turns.New(turns.Time(mind.clock.Now()), t), clock: mind.clock, mind: mind, list: list, tell: tell,
-		count: mind.count, log: log}
+func NewDuties(t turns.Terms, router *Router, list *List, tell func(k turns.Kind, key string, s turns.Said, life turns.Time), log *zap.Logger) *Duties {
+	d := &Duties{box: make(mailbox, 1024), in: turns.New(turns.Time(router.clock.Now()), t), clock: router.clock, router: router, list: list, tell: tell,
+		count: router.count, log: log}
 	d.shown.Store(&turns.Figures{})
-	mind.duties, list.duties = d, d
+	router.duties, list.duties = d, d
 	return d
 }
 
@@ -44,7 +44,7 @@
 		case call := <-d.box:
 			guarded(d.log, d.count, call)
 		case <-ticks.C:
-			d.mind.box.offer(d.mind.dutyLook)
+			d.router.box.offer(d.router.dutyLook)
 			guarded(d.log, d.count, func() { d.act(d.in.Tick(d.now())) })
 			f := d.in.Shown()
 			d.shown.Store(&f)
@@ -71,11 +71,11 @@
 	for i := range ds {
 		switch x := ds[i]; x.Act {
 		case turns.Rest:
-			d.mind.box.post(func() { d.mind.rest(x.Node, brain.Time(x.Until)) })
+			d.router.box.post(func() { d.router.rest(x.Node, brain.Time(x.Until)) })
 		case turns.Doubt:
-			d.mind.Heard(x.Node, !x.On)
+			d.router.Heard(x.Node, !x.On)
 		case turns.Keep:
-			d.mind.box.post(func() { d.mind.keep(x.Node, x.On) })
+			d.router.box.post(func() { d.router.keep(x.Node, x.On) })
 		case turns.Watch:
 			d.list.box.post(func() { d.list.duty(x.On) })
 		case turns.Say:
@@ -89,7 +89,7 @@
 // What follows runs on the module's actor.
 
 // dutyNodes tells which caches are listed.
-func (m *Mind) dutyNodes() {
+func (m *Router) dutyNodes() {
 	if m.duties == nil {
 		return
 	}
@@ -104,7 +104,7 @@
 }
 
 // dutyLook tells which nodes are passed over by now.
-func (m *Mind) dutyLook() {
+func (m *Router) dutyLook() {
 	d := m.duties
 	if d.stale {
 		m.dutyNodes()
@@ -121,7 +121,7 @@
 }
 
 // dutySent notes that a try goes to a node, which is a trial if that is passed over.
-func (m *Mind) dutySent(n int) {
+func (m *Router) dutySent(n int) {
 	if d := m.duties; d != nil && !m.peers[n].origin && m.brain.Passed(n) {
 		name := m.peers[n].name
 		d.box.offer(func() {
@@ -132,7 +132,7 @@
 }
 
 // dutyEnded notes that a try at a node that was passed over has come to nothing, or that the node answers.
-func (m *Mind) dutyEnded(n int, passed bool) {
+func (m *Router) dutyEnded(n int, passed bool) {
 	if d := m.duties; d != nil && passed {
 		name, still := m.peers[n].name, m.brain.Passed(n)
 		told := d.box.offer(func() {
@@ -149,7 +149,7 @@
 }
 
 // rest has a node's next trial be at a time.
-func (m *Mind) rest(node string, until brain.Time) {
+func (m *Router) rest(node string, until brain.Time) {
 	if n, ok := m.byName[node]; ok {
 		now := m.clock.Now()
 		m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Rest(now, n, until) }))
@@ -157,7 +157,7 @@
 }
 
 // keep has idle connections to a node be kept for as long as they may, or closed soon.
-func (m *Mind) keep(node string, on bool) {
+func (m *Router) keep(node string, on bool) {
 	if n, ok := m.byName[node]; ok {
 		m.peers[n].drops.Store(!on)
 		if !on {
--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -148,11 +148,11 @@
 
 // rig is a proxy without discovery, on real connections.
 type rig struct {
-	t     *testing.T
-	door  *Door
-	mind  *Mind
-	dials *holding
-	ln    *net.TCPListener
+	t      *testing.T
+	door   *Door
+	router *Router
+	dials  *holding
+	ln     *net.TCPListener
 }
 
 func newRig(t *testing.T, sockets int, change func(*brain.Terms), nodes ...*standIn) *rig {
@@ -169,16 +169,16 @@
 	for _, r := range book.Terms.Routes {
 		book.Longest = max(book.Longest, r.Overall)
 	}
-	r := &rig{t: t, mind: NewMind(book, 1, NewClock(), sockets, &Counters{}, zap.NewNop()),
+	r := &rig{t: t, router: NewRouter(book, 1, NewClock(), sockets, &Counters{}, zap.NewNop()),
 		dials: &holding{held: map[string]chan struct{}{}}}
-	r.mind.dialer = r.dials
+	r.router.dialer = r.dials
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	r.ln = ln.(*net.TCPListener)
 	step.TCPListener = r.ln
-	r.door = NewDoor(step, r.mind, 64, r.mind.count, zap.NewNop())
+	r.door = NewDoor(step, r.router, 64, r.router.count, zap.NewNop())
 	r.door.Allow(100, 100)
 	r.door.Open()
 	var list []wire.Target
@@ -189,8 +189,8 @@
 		}
 		list = append(list, row)
 	}
-	r.mind.box.post(func() { r.mind.nodes(true, true, list) })
-	go r.mind.Run()
+	r.router.box.post(func() { r.router.nodes(true, true, list) })
+	go r.router.Run()
 	go r.door.Run()
 	t.Cleanup(func() { ln.Close() })
 	return r
@@ -237,9 +237,9 @@
 		release := r.dials.hold(cache.addr)
 		c := r.dial()
 		io.WriteString(c, read("k", "left", 60000))
-		r.settles("no connection is made", func() bool { return r.mind.count.Dials.Load() == 1 })
+		r.settles("no connection is made", func() bool { return r.router.count.Dials.Load() == 1 })
 		c.Close()
-		r.settles("nobody noticed that the client left", func() bool { return r.mind.count.Left.Load() == 1 })
+		r.settles("nobody noticed that the client left", func() bool { return r.router.count.Left.Load() == 1 })
 		release()
 		io.WriteString(r.dial(), read("k", "stays", 60000))
 		if got := cache.next(t); got.id != "stays" {
@@ -279,9 +279,9 @@
 	io.WriteString(first, read("k", "first", 60000))
 	busy := cache.next(t)
 	io.WriteString(c, read("k", "left", 60000))
-	r.settles("the second is not tried", func() bool { return r.mind.count.Tries.Load() == 2 })
+	r.settles("the second is not tried", func() bool { return r.router.count.Tries.Load() == 2 })
 	c.Close()
-	r.settles("nobody noticed that the client left", func() bool { return r.mind.count.Left.Load() == 1 })
+	r.settles("nobody noticed that the client left", func() bool { return r.router.count.Left.Load() == 1 })
 	busy.answers("value")
 	io.WriteString(r.dial(), read("k", "stays", 60000))
 	if got := cache.next(t); got.id != "stays" {
@@ -315,14 +315,14 @@
 	}
 	for name, begin := range map[string]func(r *rig, c net.Conn, cache *standIn) int64{
 		"outstanding": func(r *rig, c net.Conn, _ *standIn) int64 {
-			r.dials.hold(r.mind.peers[0].listed.Address)
+			r.dials.hold(r.router.peers[0].listed.Address)
 			go io.WriteString(c, crowd)
 			return maxTurns
 		},
 		"told to end": func(r *rig, c net.Conn, _ *standIn) int64 {
-			r.dials.hold(r.mind.peers[0].listed.Address)
+			r.dials.hold(r.router.peers[0].listed.Address)
 			io.WriteString(c, read("k", "owed", 60000))
-			r.settles("no connection is made", func() bool { return r.mind.count.Dials.Load() == 1 })
+			r.settles("no connection is made", func() bool { return r.router.count.Dials.Load() == 1 })
 			r.door.partAll(shuts)
 			io.WriteString(c, read("k", "unread", 60000))
 			return 1
@@ -334,7 +334,7 @@
 			if _, err := io.CopyN(io.Discard, c, wire.MaxValue/2); err != nil {
 				r.t.Fatal(err)
 			}
-			r.dials.hold(r.mind.peers[0].listed.Address)
+			r.dials.hold(r.router.peers[0].listed.Address)
 			io.WriteString(c, read("k", "behind", 60000)+"*")
 			return 0
 		},
@@ -342,14 +342,14 @@
 		t.Run(name, func(t *testing.T) {
 			cache, origin := newCache(t), newOrigin(t)
 			r := newRig(t, 100, same, cache, origin)
-			r.settles("no list", func() bool { return len(r.mind.Targets()) == 2 })
+			r.settles("no list", func() bool { return len(r.router.Targets()) == 2 })
 			c := r.dial()
 			owed := begin(r, c, cache)
-			r.settles("not taken", func() bool { return r.mind.count.Exchanges.Load() >= owed })
+			r.settles("not taken", func() bool { return r.router.count.Exchanges.Load() >= owed })
 			c.Close()
 			r.settles("not all that was taken was given up", func() bool {
-				return r.mind.count.Left.Load()+r.mind.count.Shed.Load()+r.mind.count.Completed.Load() == r.mind.count.Exchanges.Load() &&
-					r.mind.count.ClientsOpen.Load() == 0
+				return r.router.count.Left.Load()+r.router.count.Shed.Load()+r.router.count.Completed.Load() == r.router.count.Exchanges.Load() &&
+					r.router.count.ClientsOpen.Load() == 0
 			})
 		})
 	}
@@ -358,7 +358,7 @@
 // A connection is told to close in the instant between its last answer and its rest: it does, where it would else keep a
 // socket that others wait for until its idle time is over.
 func TestClosedAsItFallsIdle(t *testing.T) {
-	m := newTestMind()
+	m := newTestRouter()
 	cache := newCache(t)
 	conn, err := net.Dial("tcp", cache.addr)
 	if err != nil {
@@ -491,7 +491,7 @@
 		"retires": func(r *rig) { r.door.partAll(retires) },
 		"shuts":   func(r *rig) { r.door.partAll(shuts) },
 		"no room": func(r *rig) {
-			r.settles("not idle", func() bool { r.door.Allow(1, 0); return r.mind.count.ClientsOpen.Load() == 0 })
+			r.settles("not idle", func() bool { r.door.Allow(1, 0); return r.router.count.ClientsOpen.Load() == 0 })
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -519,8 +519,8 @@
 			if got, err := io.ReadAll(in); err != nil || string(got) != "$5\r\nvalue\r\n" {
 				t.Errorf("%q, %v", got, err)
 			}
-			r.settles("still open", func() bool { return r.mind.count.ClientsOpen.Load() == 0 })
-			if n := len(cache.asked); n > 0 || r.mind.count.Exchanges.Load() > 2 {
+			r.settles("still open", func() bool { return r.router.count.ClientsOpen.Load() == 0 })
+			if n := len(cache.asked); n > 0 || r.router.count.Exchanges.Load() > 2 {
 				t.Error("what was read after the end was sent on")
 			}
 		})
@@ -550,7 +550,7 @@
 func TestReadBeforeShut(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
 	r := newRig(t, 100, same, cache, origin)
-	r.settles("no list", func() bool { return len(r.mind.Targets()) == 2 })
+	r.settles("no list", func() bool { return len(r.router.Targets()) == 2 })
 	c := r.dial()
 	var text string
 	const asked = maxTurns + 6
@@ -559,7 +559,7 @@
 	}
 	release := r.dials.hold(cache.addr)
 	io.WriteString(c, text)
-	r.settles("not taken", func() bool { return r.mind.count.Exchanges.Load() == maxTurns })
+	r.settles("not taken", func() bool { return r.router.count.Exchanges.Load() == maxTurns })
 	r.door.partAll(shuts)
 	release()
 	go func() {
@@ -601,7 +601,7 @@
 	io.WriteString(c, strings.Repeat("v", size)+"\r\n")
 	<-begins
 	c.Close()
-	r.settles("the try is not stopped", func() bool { return r.mind.count.UpstreamOpen.Load() == 0 })
+	r.settles("the try is not stopped", func() bool { return r.router.count.UpstreamOpen.Load() == 0 })
 	close(reads)
 	select {
 	case n := <-got:
@@ -627,7 +627,7 @@
 	release := r.dials.hold(origin.addr)
 	first.conn.(*net.TCPConn).SetLinger(0)
 	first.conn.Close()
-	r.settles("no repeat", func() bool { return r.mind.count.Tries.Load() == 2 })
+	r.settles("no repeat", func() bool { return r.router.count.Tries.Load() == 2 })
 	time.Sleep((window + 20) * time.Millisecond)
 	release()
 	if line, err := bufio.NewReader(c).ReadString('\n'); len(line) < 5 || line[0] != '-' {
@@ -647,7 +647,7 @@
 	c := r.dial()
 	io.WriteString(c, read("k", "long", 60000))
 	cache.next(t)
-	r.mind.Until(200 * time.Millisecond)
+	r.router.Until(200 * time.Millisecond)
 	c.SetDeadline(time.Now().Add(2 * time.Second))
 	if line, err := bufio.NewReader(c).ReadString('\n'); !strings.HasPrefix(line, "-BUSY") {
 		t.Errorf("%q, %v", line, err)
@@ -662,9 +662,9 @@
 	r.dials.hold(cache.addr)
 	c := r.dial()
 	io.WriteString(c, read("k", "left", 60000)+string(wire.AppendPlain(nil, "PING"))+"*")
-	r.settles("no connection is made", func() bool { return r.mind.count.Dials.Load() == 1 })
+	r.settles("no connection is made", func() bool { return r.router.count.Dials.Load() == 1 })
 	c.Close()
-	r.settles("nobody noticed that the client left", func() bool { return r.mind.count.Left.Load() == 1 })
+	r.settles("nobody noticed that the client left", func() bool { return r.router.count.Left.Load() == 1 })
 }
 
 // A watch that says nothing is followed by a call at once, also where the list is to be asked for: with a pause behind it a
@@ -677,7 +677,7 @@
 			io.Copy(io.Discard, c) // and says nothing
 		})
 		r := newRig(t, 10, func(terms *brain.Terms) { terms.Ask, terms.AskEvery = ask, 100000 }, newCache(t), newOrigin(t))
-		list, err := NewList(addr, nil, r.mind, 1, r.mind.count, zap.NewNop())
+		list, err := NewList(addr, nil, r.router, 1, r.router.count, zap.NewNop())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -738,7 +738,7 @@
 func TestLeftAsAnswersAreWritten(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
 	r := newRig(t, 100, same, cache, origin)
-	r.settles("no list", func() bool { return len(r.mind.Targets()) == 2 })
+	r.settles("no list", func() bool { return len(r.router.Targets()) == 2 })
 	c := r.dial()
 	c.(*net.TCPConn).SetReadBuffer(4 << 10)
 	io.WriteString(c, read("k", "long", 60000))
@@ -747,5 +747,5 @@
 	io.WriteString(c, read("k", "behind", 60000))
 	r.settles("nothing is written", func() bool { n, _ := peek(c); return n > 0 })
 	c.Close()
-	r.settles("still open", func() bool { return r.mind.count.ClientsOpen.Load() == 0 })
+	r.settles("still open", func() bool { return r.router.count.ClientsOpen.Load() == 0 })
 }
--- a/internal/fleet/flow.go
+++ b/internal/fleet/flow.go
@@ -46,7 +46,7 @@
 // what breaks off then is the client's to see, whose connection ends amid the value. The last byte waits until the peer
 // has ended the value as it should, so that a length that does not fit is seen as well.
 func (l *link) flow(t *try, a *wire.Answer, until time.Time) error {
-	m := l.peer.mind
+	m := l.peer.router
 	for !m.flows.take(flowSize) { // the answer waits where it is
 		if t.undone.Load() || time.Now().After(until) {
 			return &wire.Halt{Far: wire.Reading, Err: errors.New("no room for a value that passes through")}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -79,12 +79,12 @@
 	for again := true; again && t != nil; {
 		ending, value, err := brain.Cut, []byte(nil), error(nil)
 		again = false
-		guarded(p.log, p.mind.count, func() { ending, value, again, err = l.carry(t) })
+		guarded(p.log, p.router.count, func() { ending, value, again, err = l.carry(t) })
 		if errors.Is(err, wire.ErrBytes) {
 			l.distrust(err)
 		}
 		if err != nil && t.begun && !errors.Is(err, errDropped) { // the client's connection ends amid the value
-			p.mind.count.Broken.Add(1)
+			p.router.count.Broken.Add(1)
 			p.log.Warn("a value broke off", zap.Error(err))
 		}
 		if !again && l.conn != nil {
@@ -106,8 +106,8 @@
 func (l *link) knock() {
 	p := l.peer
 	err := error(&wire.Halt{})
-	guarded(p.log, p.mind.count, func() { err = l.dial(&try{}, time.Now().Add(span(p.mind.zones.quick))) })
-	p.mind.box.post(func() { p.mind.zoneDialled(p.node, err == nil) })
+	guarded(p.log, p.router.count, func() { err = l.dial(&try{}, time.Now().Add(span(p.router.zones.quick))) })
+	p.router.box.post(func() { p.router.zoneDialled(p.node, err == nil) })
 	if err != nil {
 		p.box.post(func() { p.gone(l) })
 		return
@@ -118,7 +118,7 @@
 
 // distrust tells of a connection that is ended for what came on it.
 func (l *link) distrust(err error) {
-	l.peer.mind.count.BadPeer.Add(1)
+	l.peer.router.count.BadPeer.Add(1)
 	l.peer.log.Warn("connection ended", zap.Error(err))
 }
 
@@ -127,8 +127,8 @@
 	l.mu.Lock()
 	t := l.handed
 	l.handed = nil
-	idle := span(l.peer.mind.book.Idle * 2 / 3)
-	if d := l.peer.mind.duties; d != nil && l.peer.drops.Load() && (idle == 0 || idle > dropAfter) {
+	idle := span(l.peer.router.book.Idle * 2 / 3)
+	if d := l.peer.router.duties; d != nil && l.peer.drops.Load() && (idle == 0 || idle > dropAfter) {
 		idle = dropAfter
 	}
 	switch {
@@ -157,7 +157,7 @@
 
 // carry sees one try through: connect if need be, write it, read its answer.
 func (l *link) carry(t *try) (ending brain.Ending, value []byte, again bool, err error) {
-	m := l.peer.mind
+	m := l.peer.router
 	until := time.Now().Add(span(t.sent + t.wait - m.clock.Now()))
 	fresh := l.conn == nil
 	if fresh {
@@ -221,7 +221,7 @@
 // value takes a completed try's value: whole if it is short and there is room for it, else piece by piece, in which case
 // the exchange has its answer with the first of them and nothing is returned.
 func (l *link) value(t *try, a *wire.Answer, until time.Time) ([]byte, error) {
-	m := l.peer.mind
+	m := l.peer.router
 	if _, ok := a.Whole(); ok || a.Long <= wire.MaxValue && m.memory.take(a.Long) {
 		if ok {
 			m.memory.force(a.Long)
@@ -274,7 +274,7 @@
 	if t.undone.Load() { // before there was a dialling to end
 		quit()
 	}
-	conn, err := l.peer.mind.dialer.DialContext(ctx, "tcp", l.addr)
+	conn, err := l.peer.router.dialer.DialContext(ctx, "tcp", l.addr)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.quit = nil
@@ -288,7 +288,7 @@
 
 // write sends a try whole: its head and value gathered into one write.
 func (l *link) write(t *try) error {
-	c, m := t.turn, l.peer.mind
+	c, m := t.turn, l.peer.router
 	size := -1
 	if c.value != nil {
 		size = len(c.value)
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -32,7 +32,7 @@
 type List struct {
 	box    mailbox
 	addr   string
-	mind   *Mind
+	router *Router
 	index  int64         // of what the module has been told
 	now    *watch        // the watch that is out, nil: none
 	before *watch        // that of the address before, until the one in its place has spoken
@@ -60,8 +60,8 @@
 }
 
 // NewList hands the list that this proxy last had, which may be nil, to the module's actor.
-func NewList(addr string, known *fastjson.Value, mind *Mind, seed uint64, count *Counters, log *zap.Logger) (*List, error) {
-	l := &List{box: make(mailbox, 64), addr: addr, mind: mind, first: make(chan struct{}),
+func NewList(addr string, known *fastjson.Value, router *Router, seed uint64, count *Counters, log *zap.Logger) (*List, error) {
+	l := &List{box: make(mailbox, 64), addr: addr, router: router, first: make(chan struct{}),
 		chance: rand.New(rand.NewPCG(seed, 1)), count: count, log: log}
 	var list []wire.Target
 	if known != nil && known.Type() != fastjson.TypeNull {
@@ -70,8 +70,8 @@
 			return nil, err
 		}
 	}
-	mind.list = l
-	mind.box.post(func() { mind.nodes(true, true, list) })
+	router.list = l
+	router.box.post(func() { router.nodes(true, true, list) })
 	return l, nil
 }
 
@@ -80,7 +80,7 @@
 
 // Run carries out calls for as long as the program lives.
 func (l *List) Run() {
-	if !l.mind.book.Terms.Ask { // else the module says when
+	if !l.router.book.Terms.Ask { // else the module says when
 		l.follow()
 	}
 	for call := range l.box {
@@ -147,8 +147,8 @@
 		l.follow() // who is silent is not kept from answering by one more call, as who turns calls away is
 		return
 	}
-	if l.mind.book.Terms.Ask {
-		l.mind.box.post(l.mind.listFailed)
+	if l.router.book.Terms.Ask {
+		l.router.box.post(l.router.listFailed)
 		return
 	}
 	time.AfterFunc(l.pause(), func() { l.box.post(l.follow) })
@@ -194,7 +194,7 @@
 		}
 		list = l.shared.with(index, whole, list)
 	}
-	l.mind.box.post(func() { l.mind.nodes(whole, false, list) })
+	l.router.box.post(func() { l.router.nodes(whole, false, list) })
 }
 
 // reached notes an index up to which discovery or a peer has told.
--- a/internal/fleet/onlooker.go
+++ b/internal/fleet/onlooker.go
@@ -15,28 +15,28 @@
 // carried out. An exchange is compared until the first difference on it; what comes of it after that is only learnt
 // from, so that one difference is counted once.
 type onlooker struct {
-	mind  *brain.Instance
-	wakes brain.Time // when it wants to be woken, 0: not at all
-	timer *time.Timer
-	did   map[int]*brain.Decision // by exchange, of the call in hand
-	count *Counters
+	instance *brain.Instance
+	wakes    brain.Time // when it wants to be woken, 0: not at all
+	timer    *time.Timer
+	did      map[int]*brain.Decision // by exchange, of the call in hand
+	count    *Counters
 }
 
 // Watch has the module's decisions compared with those under other terms. It is called before Run.
-func (m *Mind) Watch(book *terms.Book, seed uint64) {
-	m.watch = &onlooker{mind: brain.New(m.clock.Now(), book.Terms, seed), timer: time.NewTimer(time.Hour),
+func (m *Router) Watch(book *terms.Book, seed uint64) {
+	m.watch = &onlooker{instance: brain.New(m.clock.Now(), book.Terms, seed), timer: time.NewTimer(time.Hour),
 		did: map[int]*brain.Decision{}, count: m.count}
 }
 
 // decide puts a call to the module and, where there is one, to the instance that watches.
-func (m *Mind) decide(now brain.Time, call func(b *brain.Instance) []brain.Decision) []brain.Decision {
+func (m *Router) decide(now brain.Time, call func(b *brain.Instance) []brain.Decision) []brain.Decision {
 	ds := call(m.brain)
-	m.watched(func(w *onlooker) { w.compare(now, ds, call(w.mind)) })
+	m.watched(func(w *onlooker) { w.compare(now, ds, call(w.instance)) })
 	return ds
 }
 
 // watched keeps what goes wrong in watching from the proxy's work: then it is over.
-func (m *Mind) watched(call func(w *onlooker)) {
+func (m *Router) watched(call func(w *onlooker)) {
 	if m.watch == nil {
 		return
 	}
@@ -52,7 +52,7 @@
 }
 
 // woken carries out the wake-up that the module asked for; the instance that watches has its own times.
-func (m *Mind) woken() {
+func (m *Router) woken() {
 	now := m.clock.Now()
 	m.wakes = 0
 	ds := m.brain.Woken(now)
@@ -62,14 +62,14 @@
 
 // watchWoken wakes the instance that watches, unless the module is about to be woken itself: both are then asked at
 // one time, or what they agree on would look like a difference.
-func (m *Mind) watchWoken() {
+func (m *Router) watchWoken() {
 	if now := m.clock.Now(); m.wakes == 0 || now+aboutTo < m.wakes {
 		m.watched(func(w *onlooker) { w.woken(now, nil) })
 	}
 }
 
 // due is nil where nothing watches.
-func (m *Mind) due() <-chan time.Time {
+func (m *Router) due() <-chan time.Time {
 	if m.watch == nil {
 		return nil
 	}
@@ -80,7 +80,7 @@
 	var would []brain.Decision
 	if w.wakes != 0 && now >= w.wakes {
 		w.wakes = 0
-		would = w.mind.Woken(now)
+		would = w.instance.Woken(now)
 	}
 	w.compare(now, ds, would)
 }
@@ -107,10 +107,10 @@
 	for i := range did { // in order, and not in the map's
 		if d := w.did[did[i].Cx]; d != nil {
 			delete(w.did, d.Cx)
-			if w.mind.Has(d.Cx) {
+			if w.instance.Has(d.Cx) {
 				w.one(now, nil, d)
 			} else if d.Act == brain.Send {
-				w.mind.Went(now, d.Cx, d.Node)
+				w.instance.Went(now, d.Cx, d.Node)
 			}
 		}
 	}
@@ -138,15 +138,15 @@
 	cx := 0
 	if would != nil {
 		if cx = would.Cx; would.Act == brain.Send {
-			w.mind.Unsent(cx)
+			w.instance.Unsent(cx)
 		}
 	} else {
 		cx = did.Cx
 	}
-	if w.mind.Has(cx) {
-		w.mind.Yield(cx)
+	if w.instance.Has(cx) {
+		w.instance.Yield(cx)
 	}
 	if did != nil && did.Act == brain.Send {
-		w.mind.Went(now, cx, did.Node)
+		w.instance.Went(now, cx, did.Node)
 	}
 }
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -67,7 +67,7 @@
 // time each. Answers on a connection come in order, so that a try behind another would wait for it.
 type peer struct {
 	box    mailbox
-	mind   *Mind
+	router *Router
 	node   int
 	name   string
 	origin bool
@@ -86,8 +86,8 @@
 	log    *zap.Logger
 }
 
-func newPeer(m *Mind, node int, name string, origin bool) *peer {
-	p := &peer{box: make(mailbox, 3*mostHeld), mind: m, node: node, name: name, origin: origin,
+func newPeer(m *Router, node int, name string, origin bool) *peer {
+	p := &peer{box: make(mailbox, 3*mostHeld), router: m, node: node, name: name, origin: origin,
 		log: m.log.With(zap.String("peer", name))}
 	go func() {
 		for call := range p.box {
@@ -130,26 +130,26 @@
 		}
 		l.close() // it leads to where the peer was
 	}
-	if !p.mind.links.take(1) {
+	if !p.router.links.take(1) {
 		p.queue = append(p.queue, t)
 		if !p.asked {
 			p.asked = true
-			p.mind.box.post(p.mind.makeRoom)
+			p.router.box.post(p.router.makeRoom)
 			time.AfterFunc(10*time.Millisecond, func() { p.box.post(p.sendQueued) })
 		}
 		return
 	}
 	p.open++
-	p.mind.count.Dials.Add(1)
+	p.router.count.Dials.Add(1)
 	t.link = &link{peer: p, addr: addr}
 	go t.link.run(t)
 }
 
 // knock opens a connection to see whether one comes up, if there is a socket.
 func (p *peer) knock() {
-	if p.ready.Load() && p.mind.links.take(1) {
+	if p.ready.Load() && p.router.links.take(1) {
 		p.open++
-		p.mind.count.Dials.Add(1)
+		p.router.count.Dials.Add(1)
 		go (&link{peer: p, addr: *p.addr.Load()}).knock()
 	}
 }
@@ -183,7 +183,7 @@
 func (p *peer) ended(l *link, t *try, ending brain.Ending, value []byte, again bool) {
 	t.link = nil
 	if !t.begun {
-		p.mind.box.post(func() { p.mind.ended(t, ending, value, nil) })
+		p.router.box.post(func() { p.router.ended(t, ending, value, nil) })
 	}
 	if again {
 		p.rest(l)
@@ -201,7 +201,7 @@
 // gone hears that a connection has ended. A try that it was handed and had not begun goes to another.
 func (p *peer) gone(l *link) {
 	p.open--
-	p.mind.links.give(1)
+	p.router.links.give(1)
 	if i := slices.Index(p.idle, l); i >= 0 {
 		p.idle = slices.Delete(p.idle, i, i+1)
 	}
@@ -218,7 +218,7 @@
 	for len(p.queue) > 0 {
 		t := p.queue[0]
 		p.queue = slices.Delete(p.queue, 0, 1)
-		if !t.undone.Load() && !t.turn.over.Load() && p.ready.Load() && p.mind.clock.Now() < t.sent+t.wait {
+		if !t.undone.Load() && !t.turn.over.Load() && p.ready.Load() && p.router.clock.Now() < t.sent+t.wait {
 			return t
 		}
 		p.neverSent(t)
@@ -227,7 +227,7 @@
 }
 
 func (p *peer) neverSent(t *try) {
-	p.mind.box.post(func() { p.mind.ended(t, brain.NeverSent, nil, nil) })
+	p.router.box.post(func() { p.router.ended(t, brain.NeverSent, nil, nil) })
 }
 
 func (p *peer) closeIdle() {
--- a/internal/fleet/mind.go
+++ b/internal/fleet/router.go
@@ -17,9 +17,9 @@
 // mostHeld is how many exchanges may be held at most, whatever the memory; it bounds mailboxes.
 const mostHeld = 1024
 
-// Mind is the module's actor. It turns calls from clients, peers and the list into calls on the module, and
+// Router is the module's actor. It turns calls from clients, peers and the list into calls on the module, and
 // the module's decisions into calls on them.
-type Mind struct {
+type Router struct {
 	box    mailbox
 	brain  *brain.Instance
 	book   *terms.Book
@@ -58,7 +58,7 @@
 
 // end notes that nothing is owed any more. Tries that are out but not yet written must not be: they may wait for a
 // connection that comes up late, and cancelling may not be allowed.
-func (m *Mind) end(s *slot) {
+func (m *Router) end(s *slot) {
 	s.over = true
 	s.turn.over.Store(true)
 	if s.out == 0 {
@@ -76,9 +76,9 @@
 	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
-// NewMind returns a module's actor that knows no nodes; sockets is how many it may have open to peers.
-func NewMind(book *terms.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Mind {
-	return &Mind{box: make(mailbox, 4*mostHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
+// NewRouter returns a module's actor that knows no nodes; sockets is how many it may have open to peers.
+func NewRouter(book *terms.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Router {
+	return &Router{box: make(mailbox, 4*mostHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
 		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, ids: map[string]struct{}{}, links: newBudget(sockets, &count.UpstreamOpen),
 		dialer: &net.Dialer{Timeout: span(book.Terms.ConnectTimeout), KeepAlive: -1},
 		memory: newBudget(0, &count.Bytes), flows: newBudget(0, &count.Passing),
@@ -86,7 +86,7 @@
 }
 
 // Run carries out calls for as long as the program lives.
-func (m *Mind) Run() {
+func (m *Router) Run() {
 	for {
 		select {
 		case call := <-m.box:
@@ -102,7 +102,7 @@
 }
 
 // nodes takes the list, whole or only what changed; first means that it is what this proxy last had.
-func (m *Mind) nodes(whole, first bool, list []wire.Target) {
+func (m *Router) nodes(whole, first bool, list []wire.Target) {
 	first = first || len(m.peers) == 0 // with none known before, nothing tells who is new
 	lines := make([]brain.Listing, 0, len(list))
 	now := m.clock.Now()
@@ -162,7 +162,7 @@
 
 // forgetGone frees the indices of nodes that have been gone for longer than any exchange lives, so that none is left
 // that was sent there. All day nodes are replaced by others under new names.
-func (m *Mind) forgetGone(now brain.Time) {
+func (m *Router) forgetGone(now brain.Time) {
 	for n, p := range m.peers {
 		if p != nil && p.since > 0 && now-p.since > m.book.Longest && p.out == 0 {
 			delete(m.byName, p.name)
@@ -174,7 +174,7 @@
 }
 
 // Targets returns the list as the module has it, or nothing if it is too busy to tell in time.
-func (m *Mind) Targets() []wire.Target {
+func (m *Router) Targets() []wire.Target {
 	told := make(chan []wire.Target, 1)
 	if !m.box.offer(func() {
 		var list []wire.Target
@@ -196,7 +196,7 @@
 }
 
 // Until has all that is owed, and what comes from now on, answered within a span of time, since the process is to end.
-func (m *Mind) Until(span time.Duration) {
+func (m *Router) Until(span time.Duration) {
 	until := m.clock.Now() + brain.Time(span/(100*time.Microsecond))
 	m.box.post(func() {
 		m.until = until
@@ -206,7 +206,7 @@
 }
 
 // Links changes how many connections there may be to peers; idle ones are closed where there may be fewer.
-func (m *Mind) Links(by int) {
+func (m *Router) Links(by int) {
 	m.links.grow(by)
 	if by < 0 {
 		m.box.post(m.makeRoom)
@@ -214,13 +214,13 @@
 }
 
 // listFailed hears that a list that the module asked for does not come.
-func (m *Mind) listFailed() {
+func (m *Router) listFailed() {
 	now := m.clock.Now()
 	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.ListFailed(now) }))
 }
 
 // arrive takes an exchange that a client's connection has read whole.
-func (m *Mind) arrive(t *turn) {
+func (m *Router) arrive(t *turn) {
 	route, ok := m.book.Routes[t.route]
 	if !ok {
 		t.answer(m.count, errored, nil, 0)
@@ -258,7 +258,7 @@
 }
 
 // left hears that the client of an exchange has gone.
-func (m *Mind) left(t *turn) {
+func (m *Router) left(t *turn) {
 	if !t.taken || m.slots[t.cx].turn != t || m.slots[t.cx].over {
 		return
 	}
@@ -271,7 +271,7 @@
 }
 
 // ended hears how a try came out.
-func (m *Mind) ended(t *try, ending brain.Ending, value []byte, f *flow) {
+func (m *Router) ended(t *try, ending brain.Ending, value []byte, f *flow) {
 	s := &m.slots[t.cx]
 	s.out--
 	m.peers[t.node].out--
@@ -306,7 +306,7 @@
 }
 
 // finish gives an exchange its one final answer.
-func (m *Mind) finish(cx int, a final, value []byte, after brain.Time) {
+func (m *Router) finish(cx int, a final, value []byte, after brain.Time) {
 	if s := &m.slots[cx]; !s.over {
 		m.end(s)
 		s.turn.answer(m.count, a, value, int(math.Ceil(float64(after)/10)))
@@ -314,7 +314,7 @@
 }
 
 // clear gives an index back once nothing more can come for it.
-func (m *Mind) clear(cx int) {
+func (m *Router) clear(cx int) {
 	if s := &m.slots[cx]; s.over && s.out == 0 && s.turn != nil {
 		delete(m.ids, string(s.turn.id))
 		clear(s.legs) // or the index would hold the exchange's value until its next use
@@ -324,7 +324,7 @@
 }
 
 // makeRoom closes idle connections to all peers, when one lacks a socket.
-func (m *Mind) makeRoom() {
+func (m *Router) makeRoom() {
 	for _, p := range m.peers {
 		if p != nil {
 			p.box.offer(p.closeIdle)
@@ -333,7 +333,7 @@
 }
 
 // act carries out the module's decisions, in order.
-func (m *Mind) act(ds []brain.Decision) {
+func (m *Router) act(ds []brain.Decision) {
 	var unsent []*try
 	for i := range ds {
 		switch d := &ds[i]; d.Act {
--- a/internal/fleet/shared.go
+++ b/internal/fleet/shared.go
@@ -68,7 +68,7 @@
 			l.reached(h.index)
 		}
 		l.count.PeerLists.Add(1)
-		l.mind.box.post(func() { l.mind.nodes(false, false, list) })
+		l.router.box.post(func() { l.router.nodes(false, false, list) })
 	}
 }
 
@@ -134,10 +134,10 @@
 }
 
 // Tells has what the module tells peers given to a function, which may not wait. It is called before Run.
-func (m *Mind) Tells(tell func(node string, answers bool)) { m.tells = tell }
+func (m *Router) Tells(tell func(node string, answers bool)) { m.tells = tell }
 
 // Heard takes what a peer found of a node.
-func (m *Mind) Heard(node string, answers bool) {
+func (m *Router) Heard(node string, answers bool) {
 	m.box.post(func() {
 		if n, ok := m.byName[node]; ok {
 			m.count.PeerSights.Add(1)
@@ -148,7 +148,7 @@
 }
 
 // Share takes the part of what all proxies may do together that this one may from now on.
-func (m *Mind) Share(part float64) {
+func (m *Router) Share(part float64) {
 	m.box.post(func() {
 		now := m.clock.Now()
 		m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Share(now, part) }))
--- a/internal/fleet/turn.go
+++ b/internal/fleet/turn.go
@@ -87,7 +87,7 @@
 		if t.flow != nil {
 			t.flow.drop()
 		}
-		c.door.mind.memory.give(len(body))
+		c.door.router.memory.give(len(body))
 		return
 	}
 	t.head, t.body, t.ready = head, body, true
@@ -108,6 +108,6 @@
 	if t.holds {
 		t.holds = false
 		d.count.Held.Add(-1)
-		d.mind.memory.give(t.bytes)
+		d.router.memory.give(t.bytes)
 	}
 }
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -25,7 +25,7 @@
 }
 
 // Zones has whole zones left and returned to. It is called before Run.
-func (m *Mind) Zones(t zones.Terms, tell func(zone string, v zones.Voice, life zones.Time)) {
+func (m *Router) Zones(t zones.Terms, tell func(zone string, v zones.Voice, life zones.Time)) {
 	q := &quarters{in: zones.New(zones.Time(m.clock.Now()), t), timer: time.NewTimer(time.Hour), tell: tell, quick: brain.Time(t.Shortest)}
 	q.due = q.timer.C
 	q.shown.Store(&[]zones.Shown{})
@@ -33,7 +33,7 @@
 }
 
 // zoneDue is nil where zones are not judged.
-func (m *Mind) zoneDue() <-chan time.Time {
+func (m *Router) zoneDue() <-chan time.Time {
 	if m.zones == nil {
 		return nil
 	}
@@ -41,7 +41,7 @@
 }
 
 // zonesLook gives the zones their tick.
-func (m *Mind) zonesLook() {
+func (m *Router) zonesLook() {
 	q := m.zones
 	q.armed = false
 	flying, room := m.brain.Load()
@@ -58,7 +58,7 @@
 }
 
 // zoneList tells the zones of the caches that are on the ring.
-func (m *Mind) zoneList() {
+func (m *Router) zoneList() {
 	q := m.zones
 	if q == nil {
 		return
@@ -77,7 +77,7 @@
 }
 
 // zoned carries out what the zones decide.
-func (m *Mind) zoned(ds []zones.Decision) {
+func (m *Router) zoned(ds []zones.Decision) {
 	q, now := m.zones, m.clock.Now()
 	for i := range ds {
 		switch d := &ds[i]; d.Act {
@@ -110,13 +110,13 @@
 }
 
 // zoneSent and zoneEnded note tries at caches.
-func (m *Mind) zoneSent(n int) {
+func (m *Router) zoneSent(n int) {
 	if m.zones != nil && !m.peers[n].origin {
 		m.zones.in.Sent(zones.Time(m.clock.Now()), n)
 	}
 }
 
-func (m *Mind) zoneEnded(n int, ending brain.Ending, took brain.Time) {
+func (m *Router) zoneEnded(n int, ending brain.Ending, took brain.Time) {
 	q := m.zones
 	if q == nil {
 		return
@@ -146,7 +146,7 @@
 }
 
 // zoneDialled hears whether a new connection to a cache came up.
-func (m *Mind) zoneDialled(n int, up bool) {
+func (m *Router) zoneDialled(n int, up bool) {
 	switch {
 	case m.zones == nil || m.peers[n] == nil || m.peers[n].origin:
 	case up:
@@ -157,7 +157,7 @@
 }
 
 // ZoneFleet takes who the proxies are; ZoneVoice what one says of a zone, ZoneOrder an operator's word.
-func (m *Mind) ZoneFleet(all []zones.Proxy, behind bool) {
+func (m *Router) ZoneFleet(all []zones.Proxy, behind bool) {
 	m.box.post(func() {
 		m.zones.in.Fleet(zones.Time(m.clock.Now()), all, behind)
 		m.zones.arm()
@@ -165,17 +165,17 @@
 }
 
 // ZoneVoice takes what a peer says of a zone, and how long ago it did.
-func (m *Mind) ZoneVoice(from, of string, v zones.Voice, age, life zones.Time) {
+func (m *Router) ZoneVoice(from, of string, v zones.Voice, age, life zones.Time) {
 	m.box.post(func() { m.zoned(m.zones.in.Voice(zones.Time(m.clock.Now()), from, of, v, age, life)) })
 }
 
 // ZoneOrder takes an operator's word on a zone. It tells whether there was room for that, and does not wait.
-func (m *Mind) ZoneOrder(d zones.Order) bool {
+func (m *Router) ZoneOrder(d zones.Order) bool {
 	return m.box.offer(func() { m.zoned(m.zones.in.Order(zones.Time(m.clock.Now()), d)) })
 }
 
 // ZonesShown is how the zones stood a moment ago; nothing where they are not judged.
-func (m *Mind) ZonesShown() []zones.Shown {
+func (m *Router) ZonesShown() []zones.Shown {
 	if m.zones == nil {
 		return nil
 	}
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -20,7 +20,7 @@
 // peers is this proxy's talk with others; it may begin after the proxy does, or never.
 type peers struct {
 	place  *Place
-	mind   *fleet.Mind
+	router *fleet.Router
 	list   *fleet.List
 	count  *fleet.Counters
 	log    *zap.Logger
@@ -44,10 +44,10 @@
 	if err != nil {
 		return err
 	}
-	p.mind.Share(p.place.Talk.Floor / float64(max(terms.Proxies, 1)))
+	p.router.Share(p.place.Talk.Floor / float64(max(terms.Proxies, 1)))
 	p.now.Store(t)
 	if index := p.index.Load(); index > 0 { // discovery has told before the talk began
-		t.Listed(index, true, p.mind.Targets())
+		t.Listed(index, true, p.router.Targets())
 	}
 	return nil
 }
@@ -61,8 +61,8 @@
 
 // Hear and what follows is what the talk tells of.
 func (p *peers) Hear(index int64, t wire.Target) { p.list.Hear(index, t) }
-func (p *peers) Heard(node string, answers bool) { p.mind.Heard(node, answers) }
-func (p *peers) Share(part float64)              { p.mind.Share(part) }
+func (p *peers) Heard(node string, answers bool) { p.router.Heard(node, answers) }
+func (p *peers) Share(part float64)              { p.router.Share(part) }
 func (p *peers) Demand() int64                   { return p.count.Exchanges.Load() }
 
 func (p *peers) listed(index int64, whole bool, list []wire.Target) {
--- a/internal/run/recovery.go
+++ b/internal/run/recovery.go
@@ -26,16 +26,16 @@
 
 // returning is how the proxy comes back, and what it keeps for the next time.
 type returning struct {
-	store *state.Store // nil: nothing is kept
-	place *Place
-	peers *peers
-	mind  *fleet.Mind
-	list  *fleet.List
-	count *fleet.Counters
-	log   *zap.Logger
-	clock fleet.Clock
-	quit  chan struct{}
-	ended chan struct{}
+	store  *state.Store // nil: nothing is kept
+	place  *Place
+	peers  *peers
+	router *fleet.Router
+	list   *fleet.List
+	count  *fleet.Counters
+	log    *zap.Logger
+	clock  fleet.Clock
+	quit   chan struct{}
+	ended  chan struct{}
 
 	mu sync.Mutex
 	in *recovery.Instance
@@ -184,7 +184,7 @@
 // snapshot is what is worth keeping, nil: there is nothing yet, or nobody has time to tell.
 func (r *returning) snapshot() *state.Snapshot {
 	index := r.list.Version()
-	list := r.mind.Targets()
+	list := r.router.Targets()
 	if index == 0 || len(list) == 0 {
 		return nil
 	}
--- a/internal/run/replace.go
+++ b/internal/run/replace.go
@@ -45,9 +45,9 @@
 }
 
 // leave lets a later process take the listener. Where there is no directory to meet in, none can.
-func leave(p *Place, ln *net.TCPListener, mind *fleet.Mind, room *allowance, log *zap.Logger) *handover.Estate {
+func leave(p *Place, ln *net.TCPListener, router *fleet.Router, room *allowance, log *zap.Logger) *handover.Estate {
 	list := func() []byte {
-		if list := mind.Targets(); list != nil {
+		if list := router.Targets(); list != nil {
 			return wire.AppendTargets(nil, list)
 		}
 		return []byte("null")
@@ -79,7 +79,7 @@
 type allowance struct {
 	share    share
 	door     *fleet.Door
-	mind     *fleet.Mind
+	router   *fleet.Router
 	own      bool
 	mu       sync.Mutex
 	cores    float64
@@ -101,7 +101,7 @@
 		clients *= 2
 	}
 	if fewer != r.fewer {
-		r.mind.Links(r.fewer - fewer)
+		r.router.Links(r.fewer - fewer)
 		r.fewer = fewer
 	}
 	r.door.Allow(clients, min(served, clients))
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -62,12 +62,12 @@
 	}
 	count := &fleet.Counters{}
 	share := shareOut(p.Sockets)
-	mind := fleet.NewMind(p.Book, p.Seed, fleet.NewClock(), share.links, count, log)
+	router := fleet.NewRouter(p.Book, p.Seed, fleet.NewClock(), share.links, count, log)
 	if p.Untold {
 		log.Warn("limits.may-tell: no file of peers is named; nothing is told")
 	}
 	if p.Watch != nil {
-		mind.Watch(p.Watch, p.Seed)
+		router.Watch(p.Watch, p.Seed)
 		log.Info("watching other settings; what they would decide otherwise is counted and not done")
 	}
 	known, stored, drained, err := restore(p, log)
@@ -86,34 +86,34 @@
 			known, wait = v, 0 // it is as new as the list can be
 		}
 	}
-	list, err := fleet.NewList(p.Discovery, known, mind, p.Seed, count, log)
+	list, err := fleet.NewList(p.Discovery, known, router, p.Seed, count, log)
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
-	peers := &peers{place: p, mind: mind, list: list, count: count, log: log}
+	peers := &peers{place: p, router: router, list: list, count: count, log: log}
 	if p.Talk != nil {
 		list.Share(peers.listed)
-		mind.Tells(peers.tell)
+		router.Tells(peers.tell)
 	}
 	if p.Missing != nil {
 		say := peers.sayMissing
 		if p.Talk == nil {
 			say = nil
 		}
-		peers.absent = fleet.NewAbsent(*p.Missing, mind, say, log)
+		peers.absent = fleet.NewAbsent(*p.Missing, router, say, log)
 		go peers.absent.Run()
 	}
 	if p.Turns != nil {
-		peers.duties = fleet.NewDuties(*p.Turns, mind, list, peers.sayTurn, log)
+		peers.duties = fleet.NewDuties(*p.Turns, router, list, peers.sayTurn, log)
 		go peers.duties.Run()
 	}
 	if p.Zones != nil {
-		mind.Zones(*p.Zones, peers.speak)
+		router.Zones(*p.Zones, peers.speak)
 	}
-	door := fleet.NewDoor(ln, mind, p.MemoryMB, count, log)
+	door := fleet.NewDoor(ln, router, p.MemoryMB, count, log)
 	service := &service{Door: door, peers: peers, count: count, planning: make(chan struct{}, planners)}
 	if p.State != nil || p.Talk != nil {
-		service.back = &returning{store: p.State, place: p, peers: peers, mind: mind, list: list, count: count, log: log, clock: fleet.NewClock(), quit: make(chan struct{}), ended: make(chan struct{})}
+		service.back = &returning{store: p.State, place: p, peers: peers, router: router, list: list, count: count, log: log, clock: fleet.NewClock(), quit: make(chan struct{}), ended: make(chan struct{})}
 		service.back.in = recovery.New(service.back.now(), recovery.Usual(p.Talk != nil), stored, drained)
 	}
 	if p.Management != "" {
@@ -124,15 +124,15 @@
 		defer operators.Close()
 		go operators.Run()
 	}
-	room := &allowance{share: share, door: door, mind: mind, own: p.Own, cores: p.Cores, memoryMB: p.MemoryMB}
+	room := &allowance{share: share, door: door, router: router, own: p.Own, cores: p.Cores, memoryMB: p.MemoryMB}
 	room.set(func(r *allowance) { r.before = before != nil })
 	if before == nil { // else its address is free once that process has gone
 		if err := peers.start(); err != nil {
 			return err
 		}
 	}
-	estate := leave(p, ln, mind, room, log)
-	go mind.Run()
+	estate := leave(p, ln, router, room, log)
+	go router.Run()
 	go list.Run()
 	if service.back != nil {
 		go service.back.run()
@@ -189,7 +189,7 @@
 		go goodbye()
 	}
 	left := answered(p.Book.Longest)
-	mind.Until(left)
+	router.Until(left)
 	until := time.Now().Add(left + lastAnswer)
 	if alone {
 		time.Sleep(stillComing)
--- a/internal/run/zones.go
+++ b/internal/run/zones.go
@@ -153,7 +153,7 @@
 	for _, m := range all {
 		fleet = append(fleet, zones.Proxy{Name: m.Name, Zone: m.Zone, Here: m.State == "here", Gone: m.State == "gone"})
 	}
-	p.mind.ZoneFleet(fleet, behind)
+	p.router.ZoneFleet(fleet, behind)
 }
 
 func (p *peers) voice(row *replica.Row) {
@@ -161,12 +161,12 @@
 	if p.place.Zones == nil || p.place.Zones.Apart || msgpack.Unmarshal(row.Body, &v) != nil {
 		return
 	}
-	p.mind.ZoneVoice(row.Writer, row.Key, v, zones.Time(row.Age), zones.Time(row.Life))
+	p.router.ZoneVoice(row.Writer, row.Key, v, zones.Time(row.Age), zones.Time(row.Life))
 }
 
 func (p *peers) order(row *replica.Row) {
 	if p.place.Zones != nil {
-		p.mind.ZoneOrder(zones.Order{Zone: row.Key, Want: zones.Want(row.Rank), Epoch: row.Epoch, By: string(row.Body[:min(len(row.Body), 128)]),
+		p.router.ZoneOrder(zones.Order{Zone: row.Key, Want: zones.Want(row.Rank), Epoch: row.Epoch, By: string(row.Body[:min(len(row.Body), 128)]),
 			Force: row.Count != 0})
 	}
 }
@@ -196,7 +196,7 @@
 	if !ok {
 		return "", fmt.Errorf("%q: none of in, out, hold, auto", want)
 	}
-	shown, names := s.peers.mind.ZonesShown(), terms.Zones(name)
+	shown, names := s.peers.router.ZonesShown(), terms.Zones(name)
 	if wrong := zones.Check(shown, names, w, epoch, force); wrong != "" {
 		return "", errors.New(wrong)
 	}
@@ -204,7 +204,7 @@
 	for _, z := range names {
 		i := slices.IndexFunc(shown, func(s zones.Shown) bool { return s.Name == z })
 		o := zones.Order{Zone: z, Want: w, Epoch: shown[i].Order.Epoch + 1, By: s.peers.place.Name, Force: force}
-		if !s.peers.mind.ZoneOrder(o) {
+		if !s.peers.router.ZoneOrder(o) {
 			return "", fmt.Errorf("zone %q: too busy to take it; nothing has changed there", z)
 		}
 		row := replica.Row{Kind: replica.Order, Key: z, Epoch: o.Epoch, Rank: uint8(w), Body: []byte(o.By)}
@@ -231,7 +231,7 @@
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "this proxy stands in %q; %d regions\n", terms.Zone, len(terms.Regions))
-	for _, z := range s.peers.mind.ZonesShown() {
+	for _, z := range s.peers.router.ZonesShown() {
 		how := z.Stand.State.String()
 		switch {
 		case z.Stand.State == zones.In && z.Watched:
