Names: a client's command in progress is a request, those of a connection are pending; no change of behaviour

It was a turn, which is also what proxies take (turns/). The write whose value is being read is the upload; fleet/turn.go is fleet/request.go.

--- a/internal/fleet/absent.go
+++ b/internal/fleet/absent.go
@@ -103,7 +103,7 @@
 }
 
 // knows tells whether an exchange can be answered that its key is missing; a write's key no longer is.
-func (a *Absent) knows(t *turn) bool {
+func (a *Absent) knows(t *request) bool {
 	if a == nil {
 		return false
 	}
@@ -120,15 +120,15 @@
 
 // begin notes that the origin is about to be asked.
 func (a *Absent) begin(t *try) {
-	if a != nil && t.turn.value == nil {
-		t.ticket = a.table.Begin(xxhash.Sum64(t.turn.key))
+	if a != nil && t.request.value == nil {
+		t.ticket = a.table.Begin(xxhash.Sum64(t.request.key))
 	}
 }
 
 // learned takes the origin's word that it has no such key.
 func (a *Absent) learned(t *try) {
-	h, k := xxhash.Sum64(t.turn.key), t.ticket
-	tenant, ok := a.book.Tenants[t.turn.tenant]
+	h, k := xxhash.Sum64(t.request.key), t.ticket
+	tenant, ok := a.book.Tenants[t.request.tenant]
 	if !ok {
 		tenant = -1
 	}
--- a/internal/fleet/actor_test.go
+++ b/internal/fleet/actor_test.go
@@ -41,10 +41,10 @@
 }
 
 // What has ended holds no value any more: places are counted as if it did not, and 64 KiB for each index
-// and each turn would be more than the memory.
+// and each request would be more than the memory.
 func TestEndedHoldsNothing(t *testing.T) {
 	m := newTestRouter()
-	s := slot{turn: &turn{}, legs: []*try{{turn: &turn{value: make([]byte, 9)}}}, over: true}
+	s := slot{request: &request{}, legs: []*try{{request: &request{value: make([]byte, 9)}}}, over: true}
 	m.slots = append(m.slots, s)
 	m.clear(0)
 	if s.legs[0] != nil || len(m.free) != 1 {
@@ -54,10 +54,10 @@
 	near, far := net.Pipe()
 	go io.Copy(io.Discard, far)
 	c := &client{door: &Door{count: m.count, router: m}, conn: near, in: bufio.NewReader(near)}
-	c.turns = []*turn{{ready: true, head: crlf}, {client: c}}
-	line := c.turns
-	if err := c.flush(); err != nil || len(c.turns) != 1 || line[1] != nil {
-		t.Errorf("a client's line holds a turn that is written: %v", err)
+	c.pending = []*request{{ready: true, head: crlf}, {client: c}}
+	line := c.pending
+	if err := c.flush(); err != nil || len(c.pending) != 1 || line[1] != nil {
+		t.Errorf("a client's line holds a request that is written: %v", err)
 	}
 }
 
@@ -71,7 +71,7 @@
 	}()
 	l := &link{peer: newPeer(m, 0, "c1", false), conn: near, in: bufio.NewReader(near)}
 	l.peer.ready.Store(true)
-	ending, value, again, err := l.carry(&try{turn: &turn{}, sent: m.clock.Now(), wait: second})
+	ending, value, again, err := l.carry(&try{request: &request{}, sent: m.clock.Now(), wait: second})
 	if ending != brain.Completed || string(value) != "one" || again || err != nil || m.count.BadPeer.Load() != 1 {
 		t.Errorf("ending %d, %q, again %v: %v", ending, value, again, err)
 	}
@@ -106,7 +106,7 @@
 	l := &link{peer: newPeer(m, 0, "c1", false), addr: ln.Addr().String()}
 	l.peer.ready.Store(true)
 	for _, want := range []string{"one", "two", "six"} {
-		ending, value, again, err := l.carry(&try{turn: &turn{}, sent: m.clock.Now(), wait: second})
+		ending, value, again, err := l.carry(&try{request: &request{}, sent: m.clock.Now(), wait: second})
 		if ending != brain.Completed || string(value) != want || !again || err != nil {
 			t.Errorf("ending %d, %q, again %v: %v", ending, value, again, err)
 		}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -16,42 +16,42 @@
 )
 
 const (
-	maxTurns  = 64                      // commands of one connection that may be without an answer
-	maxSilent = 2500 * time.Millisecond // how long a client may take to its first command
-	maxHalf   = 2500 * time.Millisecond // how long a command may take from its first byte to its last
-	maxIdle   = 20 * time.Second        // how long a client may ask nothing more
-	maxUnread = maxStill                // how long a client may take to accept a part of an answer
-	lastWords = 200 * time.Millisecond  // for what a client still sends that has been told why its connection ends
-	lastBytes = 256 << 10
-	lookLeft  = 40 * time.Millisecond // between looks whether a client has left, where nothing is read
-	leastRate = 128 << 10             // bytes a second of a long value, below which it is not waited for
+	maxPending = 64                      // commands of one connection that may be without an answer
+	maxSilent  = 2500 * time.Millisecond // how long a client may take to its first command
+	maxHalf    = 2500 * time.Millisecond // how long a command may take from its first byte to its last
+	maxIdle    = 20 * time.Second        // how long a client may ask nothing more
+	maxUnread  = maxStill                // how long a client may take to accept a part of an answer
+	lastWords  = 200 * time.Millisecond  // for what a client still sends that has been told why its connection ends
+	lastBytes  = 256 << 10
+	lookLeft   = 40 * time.Millisecond // between looks whether a client has left, where nothing is read
+	leastRate  = 128 << 10             // bytes a second of a long value, below which it is not waited for
 )
 
 // client is one client's connection and its goroutine, which alone reads and writes there. Whoever has an
 // answer for it marks it ready and wakes the reading by its deadline.
 type client struct {
-	door  *Door
-	conn  net.Conn
-	in    *bufio.Reader
-	born  time.Time
-	heard bool      // a whole command has come
-	skip  int       // bytes of a value for which there was no place, still to come
-	half  time.Time // when its first byte came, if a command has come in part
-	turn  *turn     // a write whose value is being read
-	got   int       // bytes of that value and of its line end so far
-	slow  time.Time // until when it may go on
-
-	mu    sync.Mutex
-	turns []*turn // in the order of their commands
-	quits parting // how it is to end, if it is
-	seen  parting // what its goroutine knows of that
-	spoke bool    // something was owed before
-	asked bool    // and it was an exchange
-	spent bool    // an exchange was answered since it was last looked whether to end
-	gone  bool    // nothing can be answered any more
-	midst bool    // a command has come in part
-	used  time.Time
-	nudge chan struct{} // the first turn has become ready
+	door   *Door
+	conn   net.Conn
+	in     *bufio.Reader
+	born   time.Time
+	heard  bool      // a whole command has come
+	skip   int       // bytes of a value for which there was no place, still to come
+	half   time.Time // when its first byte came, if a command has come in part
+	upload *request  // a write whose value is being read
+	got    int       // bytes of that value and of its line end so far
+	slow   time.Time // until when it may go on
+
+	mu      sync.Mutex
+	pending []*request // in the order of their commands
+	quits   parting    // how it is to end, if it is
+	seen    parting    // what its goroutine knows of that
+	spoke   bool       // something was owed before
+	asked   bool       // and it was an exchange
+	spent   bool       // an exchange was answered since it was last looked whether to end
+	gone    bool       // nothing can be answered any more
+	midst   bool       // a command has come in part
+	used    time.Time
+	nudge   chan struct{} // the first request has become ready
 }
 
 // parting is how far a connection is on its way out.
@@ -86,16 +86,16 @@
 	})
 	c.conn.Close()
 	c.mu.Lock()
-	owed := c.turns
-	c.turns, c.gone = nil, true
+	owed := c.pending
+	c.pending, c.gone = nil, true
 	c.mu.Unlock()
 	for _, t := range owed {
 		t.over.Store(true)
 		t.giveBack(d)
 		d.router.box.post(func() { d.router.left(t) })
 	}
-	if c.turn != nil {
-		c.turn.giveBack(d)
+	if c.upload != nil {
+		c.upload.giveBack(d)
 	}
 	d.forget(c)
 }
@@ -152,7 +152,7 @@
 func (c *client) late() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at, err := c.until(len(c.turns) > 0); err != nil && !time.Now().Before(at) {
+	if at, err := c.until(len(c.pending) > 0); err != nil && !time.Now().Before(at) {
 		return err
 	}
 	return nil
@@ -161,11 +161,11 @@
 // dismiss tells a client why its connection ends, after the answers that it is owed; what it still sends is passed over
 // for a moment, or the answers would be lost to a reset.
 func (c *client) dismiss(why error) {
-	if c.turn != nil {
-		c.turn.giveBack(c.door)
-		c.turn = nil
+	if c.upload != nil {
+		c.upload.giveBack(c.door)
+		c.upload = nil
 	}
-	t := &turn{client: c}
+	t := &request{client: c}
 	c.queue(t)
 	t.say([]byte("-ERR "+why.Error()+"\r\n"), nil)
 	for c.owes() {
@@ -214,21 +214,21 @@
 func (c *client) owes() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.turns) > 0
+	return len(c.pending) > 0
 }
 
 // fill waits for more bytes than there are, or to be woken.
 func (c *client) fill() error {
 	c.mu.Lock()
-	if c.quits == c.seen && (len(c.turns) == 0 || !c.turns[0].ready) { // or a wake would be undone
-		at, _ := c.until(len(c.turns) > 0)
+	if c.quits == c.seen && (len(c.pending) == 0 || !c.pending[0].ready) { // or a wake would be undone
+		at, _ := c.until(len(c.pending) > 0)
 		c.conn.SetReadDeadline(at)
 	}
 	c.mu.Unlock()
-	if c.turn != nil {
-		n, err := c.in.Read(c.turn.value[c.got:cap(c.turn.value)])
+	if c.upload != nil {
+		n, err := c.in.Read(c.upload.value[c.got:cap(c.upload.value)])
 		c.got += n
-		if now := time.Now(); n > 0 && cap(c.turn.value) > wire.MaxValue+2 && now.Before(c.slow) {
+		if now := time.Now(); n > 0 && cap(c.upload.value) > wire.MaxValue+2 && now.Before(c.slow) {
 			c.half = now // a long one may take its time, as long as it goes on
 		}
 		return err
@@ -246,11 +246,11 @@
 		c.mu.Lock()
 		ready := 0
 		var f *flow
-		for ready < len(c.turns) && c.turns[ready].ready && f == nil {
-			f = c.turns[ready].flow
+		for ready < len(c.pending) && c.pending[ready].ready && f == nil {
+			f = c.pending[ready].flow
 			ready++
 		}
-		done := slices.Clone(c.turns[:ready])
+		done := slices.Clone(c.pending[:ready])
 		c.mu.Unlock()
 		if ready == 0 {
 			break
@@ -259,8 +259,8 @@
 			return err // what is owed yet is given back with the connection
 		}
 		c.mu.Lock()
-		c.turns = slices.Delete(c.turns, 0, ready) // and with them what they hold
-		c.spent = c.spent || slices.ContainsFunc(done, func(t *turn) bool { return t.exchange })
+		c.pending = slices.Delete(c.pending, 0, ready) // and with them what they hold
+		c.spent = c.spent || slices.ContainsFunc(done, func(t *request) bool { return t.exchange })
 		c.mu.Unlock()
 		for _, t := range done {
 			t.giveBack(c.door)
@@ -268,8 +268,8 @@
 	}
 	c.mu.Lock()
 	// behind an exchange, that is: PING asks how it stands
-	quit := (c.quits >= retires || c.quits == yields && c.spent) && len(c.turns) == 0 && c.turn == nil && c.in.Buffered() == 0
-	c.midst = c.turn != nil || c.skip > 0 || c.in.Buffered() > 0
+	quit := (c.quits >= retires || c.quits == yields && c.spent) && len(c.pending) == 0 && c.upload == nil && c.in.Buffered() == 0
+	c.midst = c.upload != nil || c.skip > 0 || c.in.Buffered() > 0
 	c.used, c.seen, c.spent = time.Now(), c.quits, false
 	c.mu.Unlock()
 	if quit && !unread(c.conn) { // else a request has come meanwhile, and is answered first
@@ -278,7 +278,7 @@
 	return nil
 }
 
-func (c *client) write(done []*turn, f *flow) error {
+func (c *client) write(done []*request, f *flow) error {
 	out := make(net.Buffers, 0, 3*len(done))
 	for _, t := range done {
 		if out = append(out, t.head); t.body != nil {
@@ -310,8 +310,8 @@
 			}
 			c.half = time.Time{}
 		}
-		if c.turn != nil {
-			t := c.turn
+		if c.upload != nil {
+			t := c.upload
 			if c.got < cap(t.value) {
 				c.partly()
 				return nil
@@ -320,7 +320,7 @@
 			if t.value[:c.got][n] != '\r' || t.value[:c.got][n+1] != '\n' {
 				return wire.ErrBytes
 			}
-			t.value, c.turn, c.half = t.value[:n:n], nil, time.Time{}
+			t.value, c.upload, c.half = t.value[:n:n], nil, time.Time{}
 			c.ask(t)
 			continue
 		}
@@ -349,7 +349,7 @@
 			t.giveBack(c.door)
 			c.refuse()
 		case cmd.Value >= 0:
-			t.value, c.turn, c.got = make([]byte, 0, cmd.Value+2), t, 0
+			t.value, c.upload, c.got = make([]byte, 0, cmd.Value+2), t, 0
 			t.bytes = cmd.Value
 			c.door.router.memory.force(t.bytes)
 			c.slow = time.Now().Add(maxHalf + time.Duration(cmd.Value)*time.Second/leastRate)
@@ -364,13 +364,13 @@
 func (c *client) crowded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.turns) >= maxTurns
+	return len(c.pending) >= maxPending
 }
 
-// begin makes a turn of a command and answers at once what is no exchange, for which it returns nil.
-func (c *client) begin(cmd *wire.Command) *turn {
+// begin makes a request of a command and answers at once what is no exchange, for which it returns nil.
+func (c *client) begin(cmd *wire.Command) *request {
 	if !cmd.Is("KV.GET") && !cmd.Is("KV.SET") {
-		t := &turn{client: c}
+		t := &request{client: c}
 		c.queue(t)
 		if cmd.Is("PING") && c.stay(c.door.ready) != nil { // until clients are served
 			return nil // has left, as the next reading tells
@@ -391,25 +391,25 @@
 		all = append(all, b...)
 		return all[n:len(all):len(all)]
 	}
-	return &turn{client: c, exchange: true, holds: true, name: keep(cmd.Name), key: keep(cmd.Key), id: keep(cmd.ID), facts: keep(cmd.Facts)}
+	return &request{client: c, exchange: true, holds: true, name: keep(cmd.Name), key: keep(cmd.Key), id: keep(cmd.ID), facts: keep(cmd.Facts)}
 }
 
 // refuse sheds an exchange for which there is no room.
 func (c *client) refuse() {
 	c.door.count.Crowded.Add(1)
-	t := &turn{client: c, exchange: true}
+	t := &request{client: c, exchange: true}
 	c.queue(t)
 	t.answer(c.door.count, shed, nil, c.door.comeBack)
 }
 
-func (c *client) queue(t *turn) {
+func (c *client) queue(t *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.turns, c.spoke, c.asked = append(c.turns, t), true, c.asked || t.exchange
+	c.pending, c.spoke, c.asked = append(c.pending, t), true, c.asked || t.exchange
 }
 
 // ask puts an exchange that has come whole to the module.
-func (c *client) ask(t *turn) {
+func (c *client) ask(t *request) {
 	d := c.door
 	c.queue(t)
 	facts, err := wire.ParseFacts(t.facts)
@@ -464,7 +464,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// one that was to end between commands and is half way through one may still be cut off
-	return standing{c.used, c.spoke, c.midst, len(c.turns) == 0 && (c.quits < retires || c.midst && c.quits < shuts),
+	return standing{c.used, c.spoke, c.midst, len(c.pending) == 0 && (c.quits < retires || c.midst && c.quits < shuts),
 		c.quits >= retires && !c.midst || c.quits == shuts}
 }
 
@@ -473,5 +473,5 @@
 func (c *client) drains() (since time.Time, free, asked bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, len(c.turns) == 0, c.asked
+	return c.used, len(c.pending) == 0, c.asked
 }
--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -317,7 +317,7 @@
 		"outstanding": func(r *rig, c net.Conn, _ *standIn) int64 {
 			r.dials.hold(r.router.peers[0].listed.Address)
 			go io.WriteString(c, crowd)
-			return maxTurns
+			return maxPending
 		},
 		"told to end": func(r *rig, c net.Conn, _ *standIn) int64 {
 			r.dials.hold(r.router.peers[0].listed.Address)
@@ -553,13 +553,13 @@
 	r.settles("no list", func() bool { return len(r.router.Targets()) == 2 })
 	c := r.dial()
 	var text string
-	const asked = maxTurns + 6
+	const asked = maxPending + 6
 	for i := range asked {
 		text += read("k", fmt.Sprint("id", i), 60000)
 	}
 	release := r.dials.hold(cache.addr)
 	io.WriteString(c, text)
-	r.settles("not taken", func() bool { return r.router.count.Exchanges.Load() == maxTurns })
+	r.settles("not taken", func() bool { return r.router.count.Exchanges.Load() == maxPending })
 	r.door.partAll(shuts)
 	release()
 	go func() {
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -181,7 +181,7 @@
 		l.conn = nil
 		l.mu.Unlock()
 		return l.carry(t)
-	case t.turn.over.Load(): // while it waited for its connection, which the next may have
+	case t.request.over.Load(): // while it waited for its connection, which the next may have
 		return brain.NeverSent, nil, true, nil
 	case t.before > 0 && m.clock.Now() >= t.before:
 		return brain.NeverSent, nil, true, nil
@@ -189,7 +189,7 @@
 		return brain.NeverSent, nil, false, nil
 	}
 	if err := l.write(t); err != nil {
-		if t.turn.over.Load() {
+		if t.request.over.Load() {
 			return brain.NeverSent, nil, false, nil
 		}
 		return l.came(t, &wire.Halt{Far: wire.Writing, Err: err})
@@ -199,7 +199,7 @@
 		read = wire.ReadFetched
 	}
 	a, err := read(l.in)
-	if t.absent = err == nil && a.Absent && m.absent != nil && t.turn.value == nil; t.absent {
+	if t.absent = err == nil && a.Absent && m.absent != nil && t.request.value == nil; t.absent {
 		return brain.Completed, nil, a.Again && l.in.Buffered() == 0, nil
 	}
 	if err == nil && a.Ending == brain.Completed {
@@ -288,7 +288,7 @@
 
 // write sends a try whole: its head and value gathered into one write.
 func (l *link) write(t *try) error {
-	c, m := t.turn, l.peer.router
+	c, m := t.request, l.peer.router
 	size := -1
 	if c.value != nil {
 		size = len(c.value)
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -14,17 +14,17 @@
 
 // try is one upstream try on its way: made by the module's actor, handed to a peer's, then to a connection.
 type try struct {
-	turn   *turn
-	cx     int
-	node   int
-	sent   brain.Time
-	wait   brain.Time // its time-out, from sent
-	before brain.Time // to be begun by then or not at all, 0: there is no such time
-	undone atomic.Bool
-	ticket missing.Ticket // of a look-up at the origin
-	absent bool           // which said that it has no such key
-	begun  bool           // its answer is with the client, piece by piece: it has ended for the module
-	link   *link          // the connection that has it; only the peer's actor looks
+	request *request
+	cx      int
+	node    int
+	sent    brain.Time
+	wait    brain.Time // its time-out, from sent
+	before  brain.Time // to be begun by then or not at all, 0: there is no such time
+	undone  atomic.Bool
+	ticket  missing.Ticket // of a look-up at the origin
+	absent  bool           // which said that it has no such key
+	begun   bool           // its answer is with the client, piece by piece: it has ended for the module
+	link    *link          // the connection that has it; only the peer's actor looks
 }
 
 // budget is what there may be of something, such as sockets that are open to all peers together, or bytes of values.
@@ -115,7 +115,7 @@
 
 // send hands a try to an idle connection or opens one; for want of sockets it waits.
 func (p *peer) send(t *try) {
-	if t.turn.over.Load() {
+	if t.request.over.Load() {
 		p.neverSent(t)
 		return
 	}
@@ -218,7 +218,7 @@
 	for len(p.queue) > 0 {
 		t := p.queue[0]
 		p.queue = slices.Delete(p.queue, 0, 1)
-		if !t.undone.Load() && !t.turn.over.Load() && p.ready.Load() && p.router.clock.Now() < t.sent+t.wait {
+		if !t.undone.Load() && !t.request.over.Load() && p.ready.Load() && p.router.clock.Now() < t.sent+t.wait {
 			return t
 		}
 		p.neverSent(t)
--- a/internal/fleet/turn.go
+++ b/internal/fleet/request.go
@@ -18,9 +18,9 @@
 	absent // completed, and the origin has no such key
 )
 
-// turn is one command's place among the answers of its connection, which come in order. What the command said
+// request is one command's place among the answers of its connection, which come in order. What the command said
 // is a copy, since the reader's buffer goes on.
-type turn struct {
+type request struct {
 	client               *client
 	exchange             bool // no PING or the like
 	name, key, id, facts []byte
@@ -47,7 +47,7 @@
 var erroredPlain = []byte("-ERR failed upstream\r\n")
 
 // answer words the one final answer of an exchange; a completed one carries the value as it came.
-func (t *turn) answer(count *Counters, a final, value []byte, after int) {
+func (t *request) answer(count *Counters, a final, value []byte, after int) {
 	switch a {
 	case completed:
 		count.Completed.Add(1)
@@ -70,16 +70,16 @@
 }
 
 // pass words the answer of a completed exchange whose value comes piece by piece.
-func (t *turn) pass(count *Counters, f *flow) {
+func (t *request) pass(count *Counters, f *flow) {
 	count.Completed.Add(1)
 	count.Flows.Add(1)
 	t.flow = f
 	t.say(wire.AppendLength(nil, '$', f.long), nil)
 }
 
-// say makes a turn ready; if it is the next to be written, its connection is woken. The bytes of a body are counted
-// already, and given back with the turn.
-func (t *turn) say(head, body []byte) {
+// say makes a request ready; if it is the next to be written, its connection is woken. The bytes of a body are counted
+// already, and given back with the request.
+func (t *request) say(head, body []byte) {
 	c := t.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -94,14 +94,14 @@
 	if t.holds { // a place, by which its bytes are given back
 		t.bytes += len(body)
 	}
-	if len(c.turns) > 0 && c.turns[0] == t {
+	if len(c.pending) > 0 && c.pending[0] == t {
 		c.conn.SetReadDeadline(longAgo)
 		c.wake()
 	}
 }
 
 // giveBack frees the place of an exchange whose answer is written or whose client has gone.
-func (t *turn) giveBack(d *Door) {
+func (t *request) giveBack(d *Door) {
 	if t.flow != nil {
 		t.flow.drop()
 	}
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -49,18 +49,18 @@
 
 // slot is where an exchange lives while it has no answer, or tries of it are out.
 type slot struct {
-	turn *turn
-	legs []*try
-	out  int
-	over bool       // it has its final answer, or nobody waits for one
-	ran  brain.Time // when the first try was sent that may have been carried out, 0: none
+	request *request
+	legs    []*try
+	out     int
+	over    bool       // it has its final answer, or nobody waits for one
+	ran     brain.Time // when the first try was sent that may have been carried out, 0: none
 }
 
 // end notes that nothing is owed any more. Tries that are out but not yet written must not be: they may wait for a
 // connection that comes up late, and cancelling may not be allowed.
 func (m *Router) end(s *slot) {
 	s.over = true
-	s.turn.over.Store(true)
+	s.request.over.Store(true)
 	if s.out == 0 {
 		return
 	}
@@ -220,7 +220,7 @@
 }
 
 // arrive takes an exchange that a client's connection has read whole.
-func (m *Router) arrive(t *turn) {
+func (m *Router) arrive(t *request) {
 	route, ok := m.book.Routes[t.route]
 	if !ok {
 		t.answer(m.count, errored, nil, 0)
@@ -247,7 +247,7 @@
 	} else {
 		m.slots = append(m.slots, slot{})
 	}
-	m.slots[cx].turn = t
+	m.slots[cx].request = t
 	t.cx, t.taken = cx, true
 	now := m.clock.Now()
 	e.Remaining -= now - t.came
@@ -258,8 +258,8 @@
 }
 
 // left hears that the client of an exchange has gone.
-func (m *Router) left(t *turn) {
-	if !t.taken || m.slots[t.cx].turn != t || m.slots[t.cx].over {
+func (m *Router) left(t *request) {
+	if !t.taken || m.slots[t.cx].request != t || m.slots[t.cx].over {
 		return
 	}
 	m.count.Left.Add(1)
@@ -288,7 +288,7 @@
 		m.absent.learned(t)
 	case ending == brain.Completed && !s.over && f != nil:
 		m.end(s)
-		s.turn.pass(m.count, f)
+		s.request.pass(m.count, f)
 	case ending == brain.Completed && !s.over:
 		m.finish(t.cx, completed, value, 0)
 	case f != nil:
@@ -309,14 +309,14 @@
 func (m *Router) finish(cx int, a final, value []byte, after brain.Time) {
 	if s := &m.slots[cx]; !s.over {
 		m.end(s)
-		s.turn.answer(m.count, a, value, int(math.Ceil(float64(after)/10)))
+		s.request.answer(m.count, a, value, int(math.Ceil(float64(after)/10)))
 	}
 }
 
 // clear gives an index back once nothing more can come for it.
 func (m *Router) clear(cx int) {
-	if s := &m.slots[cx]; s.over && s.out == 0 && s.turn != nil {
-		delete(m.ids, string(s.turn.id))
+	if s := &m.slots[cx]; s.over && s.out == 0 && s.request != nil {
+		delete(m.ids, string(s.request.id))
 		clear(s.legs) // or the index would hold the exchange's value until its next use
 		*s = slot{legs: s.legs[:0]}
 		m.free = append(m.free, cx)
@@ -339,9 +339,9 @@
 		switch d := &ds[i]; d.Act {
 		case brain.Send:
 			s := &m.slots[d.Cx]
-			t := &try{turn: s.turn, cx: d.Cx, node: d.Node, sent: m.clock.Now(), wait: d.After}
+			t := &try{request: s.request, cx: d.Cx, node: d.Node, sent: m.clock.Now(), wait: d.After}
 			if s.ran > 0 {
-				if r := &m.book.Terms.Routes[m.book.Routes[s.turn.route]]; r.Effect == brain.Deduped {
+				if r := &m.book.Terms.Routes[m.book.Routes[s.request.route]]; r.Effect == brain.Deduped {
 					t.before = s.ran + r.Window // later, the repeat would be carried out as well
 				}
 			}
