--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -197,6 +197,11 @@
 
 // stay waits for one of the events, or until the client has left.
 func (c *client) stay(events <-chan struct{}) error {
+	select {
+	case <-events:
+		return nil
+	default:
+	}
 	look := time.NewTicker(lookLeft)
 	defer look.Stop()
 	for {
