Lists: what has begun to come may come in pieces, and a discovery that is asked may answer late

Its logs: calls given up after 0.9 to 1.5 s ("i/o timeout") and answers of 503 in turn, 2.3 s after the change and later; six proxies ask a discovery that writes 200 lines a second for lists of sixty, so that an answer takes up to 1.8 s.

Cause: internal/fleet/list.go had one wait for the first word, that of an agent on the proxy's own machine, and it covered the whole head and first line. A discovery that is elsewhere answered just after it was given up, which counts as told, and the next call found it busier; so did one whose answer had begun and came in pieces.

A silent watch and a call that ends in nothing still come to less than six seconds.

--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -23,6 +23,7 @@
 const (
 	hushOfWatch = 3 * time.Second         // a watch that is out says something every two seconds
 	hushOfCall  = 1200 * time.Millisecond // about; the agent is on this machine and answers a call at once, or is not there
+	hushOfAsked = 2 * time.Second         // at least; where lists are asked for discovery is elsewhere, and answers late when many ask
 	dialOfWatch = time.Second
 	pauseWatch  = 200 * time.Millisecond // before a watch is begun anew, about, and twice as long each time it fails
 	longestWait = 800 * time.Millisecond
@@ -114,6 +115,9 @@
 		return
 	}
 	w := &watch{list: l, addr: l.addr, since: l.index, hush: hushOfCall*3/4 + time.Duration(l.chance.Int64N(int64(hushOfCall)/2))}
+	if l.router.book.Terms.Ask {
+		w.hush = hushOfAsked + time.Duration(l.chance.Int64N(int64(hushOfAsked)/4))
+	}
 	w.ctx, w.end = context.WithCancel(context.Background())
 	l.now = w
 	go func() {
@@ -238,7 +242,12 @@
 	if _, err := conn.Write(wire.AppendWatch(nil, w.addr, w.since)); err != nil {
 		return err
 	}
-	r, err := wire.ReadWatch(bufio.NewReaderSize(conn, 4<<10))
+	in := bufio.NewReaderSize(conn, 4<<10)
+	if _, err := in.Peek(1); err != nil {
+		return err
+	}
+	conn.SetDeadline(time.Now().Add(hushOfWatch)) // what has begun to come may come in pieces
+	r, err := wire.ReadWatch(in)
 	if err != nil {
 		return err
 	}
