--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -483,6 +483,18 @@
 	}
 }
 
+// newCrossing is a proxy and a client that asks once more in the instant in which its connection ends.
+func newCrossing(t *testing.T, nodes ...*standIn) (*rig, net.Conn) {
+	t.Helper()
+	var c net.Conn
+	r := newSteppingRig(t, &stepping{ending: func() {
+		io.WriteString(c, read("k", "crosses", 60000))
+		time.Sleep(20 * time.Millisecond) // it has come
+	}}, 10, same, nodes...)
+	c = r.dial()
+	return r, c
+}
+
 // A request arrives between a connection's last look for bytes and its end, whatever ends it: the client sees an end and no
 // reset, so that nothing is lost of what it was sent before, and nothing of the request is sent on.
 func TestAskedAsItCloses(t *testing.T) {
@@ -496,13 +508,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache, origin := newCache(t), newOrigin(t)
-			var c net.Conn
-			step := &stepping{ending: func() {
-				io.WriteString(c, read("k", "crosses", 60000))
-				time.Sleep(20 * time.Millisecond) // it has come
-			}}
-			r := newSteppingRig(t, step, 10, same, cache, origin)
-			c = r.dial()
+			r, c := newCrossing(t, cache, origin)
 			in := bufio.NewReader(c)
 			ask := func(id string) {
 				io.WriteString(c, read("k", id, 60000))
@@ -531,13 +537,7 @@
 func TestAskedAtLast(t *testing.T) {
 	t.Parallel()
 	cache, origin := newCache(t), newOrigin(t)
-	var c net.Conn
-	step := &stepping{ending: func() {
-		io.WriteString(c, read("k", "crosses", 60000))
-		time.Sleep(20 * time.Millisecond) // it has come
-	}}
-	r := newSteppingRig(t, step, 10, same, cache, origin)
-	c = r.dial()
+	_, c := newCrossing(t, cache, origin)
 	if got, err := io.ReadAll(c); err != nil || len(got) > 0 {
 		t.Errorf("%q, %v", got, err)
 	}
