--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -486,12 +486,13 @@
 // newCrossing is a proxy and a client that asks once more in the instant in which its connection ends.
 func newCrossing(t *testing.T, nodes ...*standIn) (*rig, net.Conn) {
 	t.Helper()
-	var c net.Conn
+	client := make(chan net.Conn, 1)
 	r := newSteppingRig(t, &stepping{ending: func() {
-		io.WriteString(c, read("k", "crosses", 60000))
+		io.WriteString(<-client, read("k", "crosses", 60000))
 		time.Sleep(20 * time.Millisecond) // it has come
 	}}, 10, same, nodes...)
-	c = r.dial()
+	c := r.dial()
+	client <- c
 	return r, c
 }
 
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -71,8 +71,10 @@
 			return nil, err
 		}
 	}
-	router.list = l
-	router.box.post(func() { router.nodes(true, true, list) })
+	router.box.post(func() {
+		router.list = l
+		router.nodes(true, true, list)
+	})
 	return l, nil
 }
 
