--- a/brain/dues.go
+++ b/brain/dues.go
@@ -51,14 +51,17 @@
 func (d *dues) Less(i, j int) bool {
 	return cmp.Or(cmp.Compare(d.at[i].due, d.at[j].due), cmp.Compare(d.at[i].cx, d.at[j].cx)) < 0
 }
+
 func (d *dues) Swap(i, j int) {
 	d.at[i], d.at[j] = d.at[j], d.at[i]
 	d.b.xs[d.at[i].cx].place, d.b.xs[d.at[j].cx].place = i, j
 }
+
 func (d *dues) Push(v any) {
 	d.at = append(d.at, v.(entry))
 	d.b.xs[v.(entry).cx].place = len(d.at) - 1
 }
+
 func (d *dues) Pop() any {
 	e := d.at[len(d.at)-1]
 	d.at = d.at[:len(d.at)-1]
--- a/brain/scenario_test.go
+++ b/brain/scenario_test.go
@@ -29,9 +29,13 @@
 // NODE is a name, $X (bound at its first use, no cache twice) or any. Wakes are left out; logs unless asked for.
 func TestScenarios(t *testing.T) {
 	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
-		return &play{t: t, routes: map[string]int{}, nodes: map[string]int{}, bound: map[string]string{},
-			last: map[int]brain.Decision{}, terms: brain.Terms{Proxies: 1, MaxTries: 5, Tick: 50, Cold: 100000,
-				Fall: 30000, ColdFrom: 0.25, FallMultiple: 3, Aside: true}}
+		return &play{
+			t: t, routes: map[string]int{}, nodes: map[string]int{}, bound: map[string]string{},
+			last: map[int]brain.Decision{}, terms: brain.Terms{
+				Proxies: 1, MaxTries: 5, Tick: 50, Cold: 100000,
+				Fall: 30000, ColdFrom: 0.25, FallMultiple: 3, Aside: true,
+			},
+		}
 	})
 }
 
@@ -65,10 +69,14 @@
 		return
 	case "route":
 		m := scenario.Words(w[2:])
-		r := brain.Route{Objective: ms(m["objective"]), Overall: ms(m["overall"]), Value: scenario.Num(m["value"]),
-			Overdue: scenario.Num(m["overdue"]), Window: ms(m["window"]), Effect: map[string]brain.Effect{"deduped": brain.Deduped,
-				"non-retriable": brain.NonRetriable}[m["effect"]],
-			Group: map[string]brain.Group{"zone": brain.GroupZone, "cell": brain.GroupCell}[m["group"]]}
+		r := brain.Route{
+			Objective: ms(m["objective"]), Overall: ms(m["overall"]), Value: scenario.Num(m["value"]),
+			Overdue: scenario.Num(m["overdue"]), Window: ms(m["window"]), Effect: map[string]brain.Effect{
+				"deduped":       brain.Deduped,
+				"non-retriable": brain.NonRetriable,
+			}[m["effect"]],
+			Group: map[string]brain.Group{"zone": brain.GroupZone, "cell": brain.GroupCell}[m["group"]],
+		}
 		p.routes[w[1]] = len(p.terms.Routes)
 		p.terms.Routes = append(p.terms.Routes, r)
 		return
@@ -112,8 +120,10 @@
 			if m["at"] != "" {
 				at = p.nodes[p.name(m["at"])]
 			}
-			p.take(p.mind.Returned(now, brain.Answer{Cx: cx, Node: at, Ending: endings[w[3]],
-				Took: ms(m["took"]), Ended: m["over"] != ""}))
+			p.take(p.mind.Returned(now, brain.Answer{
+				Cx: cx, Node: at, Ending: endings[w[3]],
+				Took: ms(m["took"]), Ended: m["over"] != "",
+			}))
 		}
 	case "heard":
 		n, ok := p.nodes[p.name(w[2])]
@@ -148,9 +158,11 @@
 	return int(scenario.Num(from)), int(scenario.Num(to))
 }
 
-var endings = map[string]brain.Ending{"completed": brain.Completed, "fault": brain.Fault, "no-room": brain.NoRoom,
+var endings = map[string]brain.Ending{
+	"completed": brain.Completed, "fault": brain.Fault, "no-room": brain.NoRoom,
 	"silent": brain.Silent, "unreachable": brain.Unreachable, "cut": brain.Cut, "undone": brain.Undone,
-	"never-sent": brain.NeverSent, "lacking": brain.Lacking}
+	"never-sent": brain.NeverSent, "lacking": brain.Lacking,
+}
 
 func (p *play) setTerms(m map[string]string) {
 	t := &p.terms
@@ -209,8 +221,10 @@
 			}
 			p.nodes[parts[0]] = n
 		}
-		l := brain.Listing{Node: n, Name: parts[0], Origin: parts[0][0] == 'o', Since: ms(m["since"]), Weight: 1,
-			Ready: m["draining"] == "" && m["gone"] == "", Zone: int(scenario.Num(m["zone"]))}
+		l := brain.Listing{
+			Node: n, Name: parts[0], Origin: parts[0][0] == 'o', Since: ms(m["since"]), Weight: 1,
+			Ready: m["draining"] == "" && m["gone"] == "", Zone: int(scenario.Num(m["zone"])),
+		}
 		if m["weight"] != "" {
 			l.Weight = scenario.Num(m["weight"])
 		}
@@ -225,8 +239,10 @@
 		p.fail("no route %q", route)
 		return
 	}
-	e := brain.Exchange{Route: r, Tenant: -1, Key: uint64(cx), Keyed: true, Write: m["write"] != "",
-		Repeat: m["repeat"] != "", Remaining: p.terms.Routes[r].Overall}
+	e := brain.Exchange{
+		Route: r, Tenant: -1, Key: uint64(cx), Keyed: true, Write: m["write"] != "",
+		Repeat: m["repeat"] != "", Remaining: p.terms.Routes[r].Overall,
+	}
 	if m["key"] != "" {
 		e.Key = uint64(scenario.Num(m["key"]))
 	}
--- a/cmd/woodlab/main.go
+++ b/cmd/woodlab/main.go
@@ -9,12 +9,12 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/alecthomas/kong"
-
 	"woodproxy/internal/emu"
 	"woodproxy/internal/lab"
 	"woodproxy/internal/links"
 	"woodproxy/replica"
+
+	"github.com/alecthomas/kong"
 )
 
 type check struct {
--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -17,11 +17,11 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-	"go.uber.org/zap"
-
 	"woodproxy/internal/run"
 	"woodproxy/internal/wire"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
 )
 
 type place struct {
@@ -41,8 +41,10 @@
 }
 
 func (p *place) read() (*run.Place, error) {
-	return run.Read(p.Config, run.Place{Name: p.Name, Listen: p.Listen, Discovery: p.Discovery, Management: p.Management,
-		Own: true, Shared: p.Shared, Peers: p.Peers, PeersListen: p.PeersAt, ZonesFile: p.Zones, StateDir: p.State, MissingFile: p.Missing, MovesFile: p.Moves, TurnsFile: p.Turns})
+	return run.Read(p.Config, run.Place{
+		Name: p.Name, Listen: p.Listen, Discovery: p.Discovery, Management: p.Management,
+		Own: true, Shared: p.Shared, Peers: p.Peers, PeersListen: p.PeersAt, ZonesFile: p.Zones, StateDir: p.State, MissingFile: p.Missing, MovesFile: p.Moves, TurnsFile: p.Turns,
+	})
 }
 
 type serve struct{ place }
@@ -60,8 +62,10 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	// the environment is that of the start; where discovery is by now, only the file can tell
 	again := func() (*run.Place, error) {
-		return run.Read(s.Config, run.Place{Name: s.Name, Listen: s.Listen, Management: s.Management,
-			Own: true, Shared: s.Shared, Peers: s.Peers, PeersListen: s.PeersAt, ZonesFile: s.Zones, StateDir: s.State, MissingFile: s.Missing, MovesFile: s.Moves, TurnsFile: s.Turns})
+		return run.Read(s.Config, run.Place{
+			Name: s.Name, Listen: s.Listen, Management: s.Management,
+			Own: true, Shared: s.Shared, Peers: s.Peers, PeersListen: s.PeersAt, ZonesFile: s.Zones, StateDir: s.State, MissingFile: s.Missing, MovesFile: s.Moves, TurnsFile: s.Turns,
+		})
 	}
 	return run.Serve(p, again, log, signals)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -66,8 +66,10 @@
 		return nil, err
 	}
 	g := &gate{Listener: ln, open: map[*conn]uint64{}}
-	h := &http.Server{Handler: handler(of), ReadTimeout: callTime, ReadHeaderTimeout: callTime, WriteTimeout: 2 * callTime,
-		MaxHeaderBytes: mostHead, ErrorLog: stdlog.New(io.Discard, "", 0)} // no line for each garbled head
+	h := &http.Server{
+		Handler: handler(of), ReadTimeout: callTime, ReadHeaderTimeout: callTime, WriteTimeout: 2 * callTime,
+		MaxHeaderBytes: mostHead, ErrorLog: stdlog.New(io.Discard, "", 0),
+	} // no line for each garbled head
 	h.SetKeepAlivesEnabled(false) // one call to a connection
 	return &Server{h, g}, nil
 }
--- a/internal/emu/clients.go
+++ b/internal/emu/clients.go
@@ -255,9 +255,11 @@
 }
 
 // spoilt is what bad clients send.
-var spoilt = []string{"GET / HTTP/1.1\r\n\r\n", "*4\r\n$6\r\nKV.GET\r\n$-5\r\n", "*1\r\n$99999999\r\n", "\x00\x01\x02\r\n",
+var spoilt = []string{
+	"GET / HTTP/1.1\r\n\r\n", "*4\r\n$6\r\nKV.GET\r\n$-5\r\n", "*1\r\n$99999999\r\n", "\x00\x01\x02\r\n",
 	"*5\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$7\r\nc=x,d=5\r\n$999999999\r\n", "*4\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n$0\r\n\r\n$7\r\nc=x,d=5\r\n",
-	"*4\r\n$6\r\nKV."}
+	"*4\r\n$6\r\nKV.",
+}
 
 // bad is one such client; it tells whether it was answered with an error or closed on within three seconds.
 func bad(addr string, i int) bool {
--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -155,8 +155,10 @@
 var least = map[string]float64{"failing": 0.001, "reset": 0.001, "garbled": 0.001, "halves": 0.001, "lossy": 0.001}
 
 // ofProxies are the troubles that befall proxies or come of clients.
-var ofProxies = map[string]bool{"kill": true, "restart": true, "part": true, "one-way": true, "pause": true, "mass-kill": true,
-	"deaf": true, "stale": true, "refusing": true, "hush": true, "agent-ahead": true}
+var ofProxies = map[string]bool{
+	"kill": true, "restart": true, "part": true, "one-way": true, "pause": true, "mass-kill": true,
+	"deaf": true, "stale": true, "refusing": true, "hush": true, "agent-ahead": true,
+}
 
 // ReadDay reads and checks a day's file. An error is one line that names the file, and the line or key.
 func ReadDay(file string) (*Day, error) {
@@ -282,8 +284,12 @@
 			v           float64
 			needed      bool
 			least, most float64
-		}{{"nodes", float64(t.Nodes), k.nodes, 1, float64(most)}, {"times", t.Times, k.times, 1, 1000},
-			{"part", t.Part, k.part, least[t.Kind], 1}, {"rate", t.Rate, k.rate, 0.1, 1000}} {
+		}{
+			{"nodes", float64(t.Nodes), k.nodes, 1, float64(most)},
+			{"times", t.Times, k.times, 1, 1000},
+			{"part", t.Part, k.part, least[t.Kind], 1},
+			{"rate", t.Rate, k.rate, 0.1, 1000},
+		} {
 			if f.needed || f.key == "nodes" && k.some && f.v != 0 {
 				within(key+f.key, f.v, f.least, f.most)
 			} else if err == nil && f.v != 0 {
--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -16,10 +16,10 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/internal/emu"
 	"woodproxy/internal/run"
+
+	"go.uber.org/zap"
 )
 
 // inside is a proxy in this process.
@@ -251,10 +251,14 @@
 		"warm":                 {many(200, 2001), ""},
 		"closed, killed":       {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Closed, "a", "", ""), seen(10, emu.Ended, "", "", "killed")}, ""},
 		"closed, told to end":  {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Closed, "a", "", ""), seen(10, emu.Ended, "", "", "stopped")}, emu.LostRule},
-		"drained, stood still": {[]emu.Seen{seen(0, emu.Paused, "", "", "stands"), seen(9, emu.Told, "", "c1", "leaving"), seen(900, emu.Paused, "", "", "goes on"),
-			seen(1100, emu.Took, "", "c1", "")}, ""},
-		"drained, stood still before": {[]emu.Seen{seen(0, emu.Paused, "", "", "stands"), seen(9, emu.Paused, "", "", "goes on"), seen(10, emu.Told, "", "c1", "leaving"),
-			seen(400, emu.Took, "", "c1", "")}, emu.DrainRule},
+		"drained, stood still": {[]emu.Seen{
+			seen(0, emu.Paused, "", "", "stands"), seen(9, emu.Told, "", "c1", "leaving"), seen(900, emu.Paused, "", "", "goes on"),
+			seen(1100, emu.Took, "", "c1", ""),
+		}, ""},
+		"drained, stood still before": {[]emu.Seen{
+			seen(0, emu.Paused, "", "", "stands"), seen(9, emu.Paused, "", "", "goes on"), seen(10, emu.Told, "", "c1", "leaving"),
+			seen(400, emu.Took, "", "c1", ""),
+		}, emu.DrainRule},
 		"missing soon after":    {[]emu.Seen{seen(1, emu.Ran, "w", "o", "k1"), seen(100, emu.Asked, "a", "", ""), seen(109, emu.Answered, "a", "none", "completed")}, ""},
 		"missing long after":    {[]emu.Seen{seen(1, emu.Ran, "w", "o", "k1"), seen(9000, emu.Asked, "a", "", ""), seen(9009, emu.Answered, "a", "none", "completed")}, emu.StaleRule},
 		"missing, always there": {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Answered, "a", "none", "completed")}, emu.StaleRule},
@@ -315,7 +319,8 @@
 func TestCrash(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
-	r, err := emu.Play(context.Background(), day(t, strings.Replace(plain, "proxies = 2", "proxies = 1", 1)).Draw(1), emu.Options{Dir: dir,
+	r, err := emu.Play(context.Background(), day(t, strings.Replace(plain, "proxies = 2", "proxies = 1", 1)).Draw(1), emu.Options{
+		Dir: dir,
 		Start: func(s emu.Site) (emu.Proxy, error) {
 			p, err := start(s)
 			if err != nil {
@@ -329,7 +334,8 @@
 				}()
 			}
 			return p, err
-		}})
+		},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -353,7 +359,8 @@
 	dir := filepath.Join(t.TempDir(), "day")
 	began := time.Now()
 	time.AfterFunc(time.Second, cancel)
-	_, err := emu.Play(ctx, day(t, strings.Replace(plain, "length_s = 2.0", "length_s = 60.0", 1)).Draw(1), emu.Options{Dir: dir,
+	_, err := emu.Play(ctx, day(t, strings.Replace(plain, "length_s = 2.0", "length_s = 60.0", 1)).Draw(1), emu.Options{
+		Dir: dir,
 		Start: func(s emu.Site) (emu.Proxy, error) {
 			p, err := start(s)
 			if err == nil {
@@ -364,7 +371,8 @@
 				}()
 			}
 			return p, err
-		}})
+		},
+	})
 	if !errors.Is(err, context.Canceled) || time.Since(began) > 8*time.Second {
 		t.Errorf("%v after %v", err, time.Since(began))
 	}
--- a/internal/emu/fleet_test.go
+++ b/internal/emu/fleet_test.go
@@ -145,9 +145,11 @@
 
 func (p *peers) process(name, ip, management string) emu.Proxy {
 	p.t.Helper()
-	s := emu.Site{Name: name, Listen: ip + ":6379", Discovery: p.found, Dir: filepath.Join(p.dir, name), Config: filepath.Join(p.dir, name, management+".json"),
+	s := emu.Site{
+		Name: name, Listen: ip + ":6379", Discovery: p.found, Dir: filepath.Join(p.dir, name), Config: filepath.Join(p.dir, name, management+".json"),
 		Peers: filepath.Join(p.dir, name, "peers.toml"), Zones: filepath.Join(p.dir, name, "zones.toml"),
-		Turns: filepath.Join(p.dir, name, "turns.toml"), Moves: filepath.Join(p.dir, name, "moves.toml"), Missing: filepath.Join(p.dir, name, "missing.toml"), State: filepath.Join(p.dir, name, "state")}
+		Turns: filepath.Join(p.dir, name, "turns.toml"), Moves: filepath.Join(p.dir, name, "moves.toml"), Missing: filepath.Join(p.dir, name, "missing.toml"), State: filepath.Join(p.dir, name, "state"),
+	}
 	os.MkdirAll(filepath.Join(s.Dir, "tmp"), 0o700)
 	os.WriteFile(s.Zones, []byte("[[region]]\nname = \"east\"\nzones = [\"x\", \"y\"]\n"), 0o600)
 	os.WriteFile(s.Turns, []byte("watchers = 2\nkeepers = 2\n"), 0o600)
@@ -431,8 +433,11 @@
 	for _, c := range []struct {
 		spoil func(b []byte) []byte
 		want  string
-	}{{func(b []byte) []byte { return b }, "at index 2, after the configuration's 0"}, {func(b []byte) []byte { return b[:len(b)/2] }, "unreadable, and put aside"},
-		{func(b []byte) []byte { return b }, "stored"}} {
+	}{
+		{func(b []byte) []byte { return b }, "at index 2, after the configuration's 0"},
+		{func(b []byte) []byte { return b[:len(b)/2] }, "unreadable, and put aside"},
+		{func(b []byte) []byte { return b }, "stored"},
+	} {
 		for range 100 { // until it has kept something
 			if _, err := os.Stat(file); err == nil {
 				break
--- a/internal/emu/node.go
+++ b/internal/emu/node.go
@@ -48,8 +48,10 @@
 
 // NewNode starts a node with an address for each proxy, on the given loopback address.
 func NewNode(ip, name string, origin bool, proxies int, log *Log) (*Node, error) {
-	n := &Node{Name: name, Origin: origin, conns: map[net.Conn]struct{}{}, part: 1, other: make(chan struct{}),
-		world: &World{Log: log}}
+	n := &Node{
+		Name: name, Origin: origin, conns: map[net.Conn]struct{}{}, part: 1, other: make(chan struct{}),
+		world: &World{Log: log},
+	}
 	for range proxies {
 		ln, err := net.Listen("tcp", ip+":0")
 		if err != nil {
--- a/internal/emu/plan.go
+++ b/internal/emu/plan.go
@@ -48,8 +48,10 @@
 			continue
 		}
 		n := len(p.Requests)
-		r := Request{At: seconds(at), ID: fmt.Sprintf("%08x%08x", uint32(seed), n), Key: key(zipf.Uint64()),
-			Route: d.drawRoute(chance.Float64()), Proxy: chance.IntN(d.Proxies)}
+		r := Request{
+			At: seconds(at), ID: fmt.Sprintf("%08x%08x", uint32(seed), n), Key: key(zipf.Uint64()),
+			Route: d.drawRoute(chance.Float64()), Proxy: chance.IntN(d.Proxies),
+		}
 		if chance.Float64() < d.Load.Impatient {
 			r.Leaves = millis(d.Routes[r.Route].Overall / 4)
 		}
--- a/internal/emu/play.go
+++ b/internal/emu/play.go
@@ -333,8 +333,10 @@
 		if err := os.MkdirAll(filepath.Join(dir, "tmp"), 0o700); err != nil {
 			return err
 		}
-		m := &member{site: Site{Name: fmt.Sprintf("n%d", i), Listen: addr, Discovery: p.finds[i],
-			Config: filepath.Join(dir, "config.json"), Dir: dir}}
+		m := &member{site: Site{
+			Name: fmt.Sprintf("n%d", i), Listen: addr, Discovery: p.finds[i],
+			Config: filepath.Join(dir, "config.json"), Dir: dir,
+		}}
 		if d.Peers.Talk {
 			if err := p.meet(i, m); err != nil {
 				return err
@@ -400,8 +402,10 @@
 	d := p.plan.Day
 	var routes []any
 	for _, r := range d.Routes {
-		route := map[string]any{"name": r.Name, "latency-objective": r.Objective, "overall-timeout": r.Overall, "value": r.Value,
-			"effect": "pure"}
+		route := map[string]any{
+			"name": r.Name, "latency-objective": r.Objective, "overall-timeout": r.Overall, "value": r.Value,
+			"effect": "pure",
+		}
 		if r.Write {
 			if route["effect"] = "side_effect"; r.Dedup > 0 {
 				route["effect"], route["group"], route["dedup-window"] = "token", "all", r.Dedup
@@ -409,21 +413,29 @@
 		}
 		routes = append(routes, route)
 	}
-	settings := map[string]any{"replicas-of-me": d.Proxies, "me": i, "tick": 5, "shapes": []string{"cache", "origin"},
-		"limits": map[string]any{"max-upstream-tries": 4, "may-cancel": true, "conn-idle": 15000, "connect-timeout": 250,
-			"retry-after": true, "max-retry-after": 1000, "parallel-tries": d.Limits.Parallel},
-		"rules": map[string]any{"cold": d.Fleet.Cold * 1000, "fall": float64(FallFor.Milliseconds()), "cold-from": d.Fleet.ColdFrom,
-			"fall-multiple": FallMultiple},
-		"family-info": map[string]any{"mode": "aside", "origin-kind": 1}, "routes": routes}
+	settings := map[string]any{
+		"replicas-of-me": d.Proxies, "me": i, "tick": 5, "shapes": []string{"cache", "origin"},
+		"limits": map[string]any{
+			"max-upstream-tries": 4, "may-cancel": true, "conn-idle": 15000, "connect-timeout": 250,
+			"retry-after": true, "max-retry-after": 1000, "parallel-tries": d.Limits.Parallel,
+		},
+		"rules": map[string]any{
+			"cold": d.Fleet.Cold * 1000, "fall": float64(FallFor.Milliseconds()), "cold-from": d.Fleet.ColdFrom,
+			"fall-multiple": FallMultiple,
+		},
+		"family-info": map[string]any{"mode": "aside", "origin-kind": 1}, "routes": routes,
+	}
 	if len(d.Fleet.Zones) > 0 {
 		settings["zones"], settings["locality"] = d.Fleet.Zones, d.Fleet.Zones[i%len(d.Fleet.Zones)]
 	}
 	for k, v := range p.o.Overrides {
 		lay(settings, k, v)
 	}
-	all := map[string]any{"name": s.Name, "listen": s.Listen, "discovery": s.Discovery,
+	all := map[string]any{
+		"name": s.Name, "listen": s.Listen, "discovery": s.Discovery,
 		"seed": fmt.Sprintf("%016x", p.plan.Seed*1000003+uint64(i)), "known": nil, "settings": settings,
-		"limits": map[string]any{"cores": d.Limits.Cores, "memory_mb": d.Limits.MemoryMB, "sockets": d.Limits.Sockets}}
+		"limits": map[string]any{"cores": d.Limits.Cores, "memory_mb": d.Limits.MemoryMB, "sockets": d.Limits.Sockets},
+	}
 	if s.Management != "" {
 		all["management"] = s.Management
 	}
--- a/internal/emu/rules.go
+++ b/internal/emu/rules.go
@@ -51,9 +51,11 @@
 }
 
 func check(d *Day, requests []Request, all []Seen) *checker {
-	c := &checker{day: d, routes: map[string]Route{}, keys: map[string]string{}, made: map[string]time.Duration{}, asked: map[string]Seen{}, answers: map[string]int{}, over: map[string]bool{},
+	c := &checker{
+		day: d, routes: map[string]Route{}, keys: map[string]string{}, made: map[string]time.Duration{}, asked: map[string]Seen{}, answers: map[string]int{}, over: map[string]bool{},
 		ran: map[string]int{}, told: map[spot]time.Duration{}, began: map[string]Seen{}, took: map[string][]sent{}, starts: map[spot]bool{},
-		pushed: map[string]bool{}, ended: map[int][]time.Duration{}, paused: map[int][]time.Duration{}, shares: map[int][]Seen{}}
+		pushed: map[string]bool{}, ended: map[int][]time.Duration{}, paused: map[int][]time.Duration{}, shares: map[int][]Seen{},
+	}
 	for _, r := range requests {
 		c.routes[r.ID], c.keys[r.ID] = d.Routes[r.Route], r.Key
 	}
--- a/internal/emu/world.go
+++ b/internal/emu/world.go
@@ -25,8 +25,10 @@
 }
 
 func newWorld(day *Day, log *Log) *World {
-	return &World{Log: log, size: day.Keys.Size, day: day, zones: map[string]string{}, keeps: map[string]map[string]bool{},
-		lacked: map[string][]string{}, ran: map[string]time.Time{}, writes: map[string]Route{}, asked: map[string]int{}, made: map[string]bool{}}
+	return &World{
+		Log: log, size: day.Keys.Size, day: day, zones: map[string]string{}, keeps: map[string]map[string]bool{},
+		lacked: map[string][]string{}, ran: map[string]time.Time{}, writes: map[string]Route{}, asked: map[string]int{}, made: map[string]bool{},
+	}
 }
 
 func proxyName(i int) string { return fmt.Sprintf("n%d", i) }
--- a/internal/fleet/absent.go
+++ b/internal/fleet/absent.go
@@ -4,11 +4,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"go.uber.org/zap"
-
 	"woodproxy/internal/terms"
 	"woodproxy/missing"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 )
 
 const absentTick = 25 * time.Millisecond
--- a/internal/fleet/actor.go
+++ b/internal/fleet/actor.go
@@ -9,9 +9,9 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/brain"
+
+	"go.uber.org/zap"
 )
 
 // mailbox holds calls that an actor has still to carry out.
--- a/internal/fleet/actor_test.go
+++ b/internal/fleet/actor_test.go
@@ -13,11 +13,11 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/brain"
 	"woodproxy/internal/terms"
 	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
 )
 
 func newTestRouter() *Router {
@@ -174,8 +174,10 @@
 // differ, and under others the one that watches keeps its books, as far as it can tell what becomes of each try.
 func TestWatchKeepsUp(t *testing.T) {
 	under := func(change func(*brain.Terms)) *Counters {
-		mine := brain.Terms{Routes: []brain.Route{{Objective: 2000, Overall: 6000, Value: 1}}, Proxies: 4, MaxTries: 3,
-			Tick: 10, Aside: true, Cold: 50000, ColdFrom: 0.3, Fall: 20000, FallMultiple: 3, MayCancel: true}
+		mine := brain.Terms{
+			Routes: []brain.Route{{Objective: 2000, Overall: 6000, Value: 1}}, Proxies: 4, MaxTries: 3,
+			Tick: 10, Aside: true, Cold: 50000, ColdFrom: 0.3, Fall: 20000, FallMultiple: 3, MayCancel: true,
+		}
 		other := mine
 		other.Routes = append([]brain.Route{}, mine.Routes...)
 		change(&other)
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -469,8 +469,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// one that was to end between commands and is half way through one may still be cut off
-	return standing{c.used, c.spoke, c.midst, len(c.pending) == 0 && (c.quits < retires || c.midst && c.quits < shuts),
-		c.quits >= retires && !c.midst || c.quits == shuts}
+	return standing{
+		c.used, c.spoke, c.midst, len(c.pending) == 0 && (c.quits < retires || c.midst && c.quits < shuts),
+		c.quits >= retires && !c.midst || c.quits == shuts,
+	}
 }
 
 // drains tells since when nothing has been owed, whether the connection can be done without, and whether it has ever
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -33,8 +33,10 @@
 }
 
 // endings names how tries end, in the module's order.
-var endings = [brain.Lacking + 1]string{"EndCompleted", "EndFault", "EndNoRoom", "EndSilent", "EndUnreachable",
-	"EndCut", "EndUndone", "EndUnsent", "EndLacking"}
+var endings = [brain.Lacking + 1]string{
+	"EndCompleted", "EndFault", "EndNoRoom", "EndSilent", "EndUnreachable",
+	"EndCut", "EndUndone", "EndUnsent", "EndLacking",
+}
 
 // Each calls f with each counter's name and value.
 func (c *Counters) Each(f func(name string, value int64)) {
@@ -42,15 +44,42 @@
 		name string
 		at   *atomic.Int64
 	}{
-		{"Clients", &c.Clients}, {"ClientsOpen", &c.ClientsOpen}, {"Exchanges", &c.Exchanges}, {"Held", &c.Held},
-		{"Crowded", &c.Crowded}, {"Bytes", &c.Bytes},
-		{"Passing", &c.Passing}, {"Flows", &c.Flows}, {"Broken", &c.Broken}, {"Completed", &c.Completed}, {"Shed", &c.Shed}, {"Errored", &c.Errored}, {"Absent", &c.Absent},
-		{"Left", &c.Left}, {"Tries", &c.Tries}, {"Cancelled", &c.Cancelled}, {"Copies", &c.Copies}, {"Dials", &c.Dials},
-		{"UpstreamOpen", &c.UpstreamOpen}, {"Lists", &c.Lists}, {"Watches", &c.Watches},
-		{"BadClient", &c.BadClient}, {"BadPeer", &c.BadPeer}, {"Taken", &c.Taken}, {"Drains", &c.Drains},
-		{"PeerLists", &c.PeerLists}, {"PeerSights", &c.PeerSights}, {"ZonesPassed", &c.ZonesPassed}, {"ZonesHasty", &c.ZonesHasty}, {"Panics", &c.Panics},
-		{"WatchSame", &c.WatchSame}, {"WatchNode", &c.WatchNode}, {"WatchHeld", &c.WatchHeld},
-		{"WatchGivenUp", &c.WatchGivenUp}, {"WatchKept", &c.WatchKept}, {"WatchAnswer", &c.WatchAnswer},
+		{"Clients", &c.Clients},
+		{"ClientsOpen", &c.ClientsOpen},
+		{"Exchanges", &c.Exchanges},
+		{"Held", &c.Held},
+		{"Crowded", &c.Crowded},
+		{"Bytes", &c.Bytes},
+		{"Passing", &c.Passing},
+		{"Flows", &c.Flows},
+		{"Broken", &c.Broken},
+		{"Completed", &c.Completed},
+		{"Shed", &c.Shed},
+		{"Errored", &c.Errored},
+		{"Absent", &c.Absent},
+		{"Left", &c.Left},
+		{"Tries", &c.Tries},
+		{"Cancelled", &c.Cancelled},
+		{"Copies", &c.Copies},
+		{"Dials", &c.Dials},
+		{"UpstreamOpen", &c.UpstreamOpen},
+		{"Lists", &c.Lists},
+		{"Watches", &c.Watches},
+		{"BadClient", &c.BadClient},
+		{"BadPeer", &c.BadPeer},
+		{"Taken", &c.Taken},
+		{"Drains", &c.Drains},
+		{"PeerLists", &c.PeerLists},
+		{"PeerSights", &c.PeerSights},
+		{"ZonesPassed", &c.ZonesPassed},
+		{"ZonesHasty", &c.ZonesHasty},
+		{"Panics", &c.Panics},
+		{"WatchSame", &c.WatchSame},
+		{"WatchNode", &c.WatchNode},
+		{"WatchHeld", &c.WatchHeld},
+		{"WatchGivenUp", &c.WatchGivenUp},
+		{"WatchKept", &c.WatchKept},
+		{"WatchAnswer", &c.WatchAnswer},
 		{"WatchTold", &c.WatchTold},
 	} {
 		f(n.name, n.at.Load())
--- a/internal/fleet/door.go
+++ b/internal/fleet/door.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
 )
 
 // bare is what an exchange takes up without its values, its share of a connection's buffers included.
@@ -61,8 +61,10 @@
 
 // NewDoor lets clients in on ln once it is told how many, and holds no more exchanges than the memory has room for.
 func NewDoor(ln listener, router *Router, memoryMB int, count *Counters, log *zap.Logger) *Door {
-	d := &Door{ln: ln, router: router, ready: make(chan struct{}), ran: make(chan struct{}), count: count, log: log,
-		clients: map[*client]struct{}{}}
+	d := &Door{
+		ln: ln, router: router, ready: make(chan struct{}), ran: make(chan struct{}), count: count, log: log,
+		clients: map[*client]struct{}{},
+	}
 	d.Remember(memoryMB)
 	d.fewer = sync.NewCond(&d.mu)
 	if t := &router.book.Terms; t.RetryAfter {
@@ -130,8 +132,10 @@
 }
 
 func (d *Door) letIn(conn net.Conn) {
-	c := &client{door: d, conn: conn, in: bufio.NewReaderSize(conn, 4<<10), nudge: make(chan struct{}, 1),
-		born: time.Now()}
+	c := &client{
+		door: d, conn: conn, in: bufio.NewReaderSize(conn, 4<<10), nudge: make(chan struct{}, 1),
+		born: time.Now(),
+	}
 	c.used = c.born
 	d.count.Clients.Add(1)
 	d.count.ClientsOpen.Add(1)
@@ -233,8 +237,15 @@
 		kind  int
 		least time.Duration
 		how   parting
-	}{{mute, slowWriting, retires}, {idle, slowStart, retires}, {half, slowWriting, shuts}, {half, slowStart, shuts},
-		{idle, 0, retires}, {mute, 0, retires}, {half, 0, shuts}} {
+	}{
+		{mute, slowWriting, retires},
+		{idle, slowStart, retires},
+		{half, slowWriting, shuts},
+		{half, slowStart, shuts},
+		{idle, 0, retires},
+		{mute, 0, retires},
+		{half, 0, shuts},
+	} {
 		c := first[r.kind]
 		if c != nil && (now.Sub(since[r.kind]) >= r.least || r.kind == mute && mutes >= d.most/4) {
 			return c, r.how
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -4,10 +4,10 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/brain"
 	"woodproxy/turns"
+
+	"go.uber.org/zap"
 )
 
 const dutyTick = 100 * time.Millisecond
@@ -29,8 +29,10 @@
 
 // NewDuties returns the actor, by which the module's and the list's take turns with other proxies'. It is called before they run.
 func NewDuties(t turns.Terms, router *Router, list *List, tell func(k turns.Kind, key string, s turns.Said, life turns.Time), log *zap.Logger) *Duties {
-	d := &Duties{box: make(mailbox, 1024), in: turns.New(turns.Time(router.clock.Now()), t), clock: router.clock, router: router, list: list, tell: tell,
-		count: router.count, log: log}
+	d := &Duties{
+		box: make(mailbox, 1024), in: turns.New(turns.Time(router.clock.Now()), t), clock: router.clock, router: router, list: list, tell: tell,
+		count: router.count, log: log,
+	}
 	d.shown.Store(&turns.Figures{})
 	router.duties, list.duties = d, d
 	return d
--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -14,11 +14,11 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/brain"
 	"woodproxy/internal/terms"
 	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
 )
 
 // What is still owed, or must not be done any more, in the instant in which something ends. The order of events is
@@ -162,15 +162,19 @@
 
 func newSteppingRig(t *testing.T, step *stepping, sockets int, change func(*brain.Terms), nodes ...*standIn) *rig {
 	t.Helper()
-	book := &terms.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: brain.Terms{Proxies: 1, MaxTries: 3,
+	book := &terms.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: brain.Terms{
+		Proxies: 1, MaxTries: 3,
 		Tick: 50, Aside: true, Fall: 20000, FallMultiple: 3, Cold: 1, ColdFrom: 0.3,
-		Routes: []brain.Route{{Objective: 300000, Overall: 600000, Value: 1}, {Objective: 300000, Overall: 600000, Value: 1}}}}
+		Routes: []brain.Route{{Objective: 300000, Overall: 600000, Value: 1}, {Objective: 300000, Overall: 600000, Value: 1}},
+	}}
 	change(&book.Terms)
 	for _, r := range book.Terms.Routes {
 		book.Longest = max(book.Longest, r.Overall)
 	}
-	r := &rig{t: t, router: NewRouter(book, 1, NewClock(), sockets, &Counters{}, zap.NewNop()),
-		dials: &holding{held: map[string]chan struct{}{}}}
+	r := &rig{
+		t: t, router: NewRouter(book, 1, NewClock(), sockets, &Counters{}, zap.NewNop()),
+		dials: &holding{held: map[string]chan struct{}{}},
+	}
 	r.router.dialer = r.dials
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/fleet/flow.go
+++ b/internal/fleet/flow.go
@@ -39,8 +39,10 @@
 // drop tells the reading side that nobody takes any more.
 func (f *flow) drop() { f.once.Do(func() { close(f.gone) }) }
 
-var errBroken = errors.New("a value broke off")
-var errDropped = errors.New("nobody takes the value")
+var (
+	errBroken  = errors.New("a value broke off")
+	errDropped = errors.New("nobody takes the value")
+)
 
 // flow hands a value on, piece by piece. From the first piece on the try has ended for the module, and there is no other:
 // what breaks off then is the client's to see, whose connection ends amid the value. The last byte waits until the peer
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/brain"
 	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
 )
 
 // dropAfter is for how long a connection may stand idle where other proxies keep theirs.
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -10,10 +10,10 @@
 	"sync/atomic"
 	"time"
 
+	"woodproxy/internal/wire"
+
 	"github.com/valyala/fastjson"
 	"go.uber.org/zap"
-
-	"woodproxy/internal/wire"
 )
 
 // The list's clock. Silence means that a call is broken, and it is made anew at once. What it missed counts as told six seconds
@@ -62,8 +62,10 @@
 
 // NewList hands the list that this proxy last had, which may be nil, to the module's actor.
 func NewList(addr string, known *fastjson.Value, router *Router, seed uint64, count *Counters, log *zap.Logger) (*List, error) {
-	l := &List{box: make(mailbox, 64), addr: addr, router: router, first: make(chan struct{}),
-		chance: rand.New(rand.NewPCG(seed, 1)), count: count, log: log}
+	l := &List{
+		box: make(mailbox, 64), addr: addr, router: router, first: make(chan struct{}),
+		chance: rand.New(rand.NewPCG(seed, 1)), count: count, log: log,
+	}
 	var list []wire.Target
 	if known != nil && known.Type() != fastjson.TypeNull {
 		var err error
--- a/internal/fleet/onlooker.go
+++ b/internal/fleet/onlooker.go
@@ -24,8 +24,10 @@
 
 // Watch has the module's decisions compared with those under other terms. It is called before Run.
 func (m *Router) Watch(book *terms.Book, seed uint64) {
-	m.watch = &onlooker{instance: brain.New(m.clock.Now(), book.Terms, seed), timer: time.NewTimer(time.Hour),
-		did: map[int]*brain.Decision{}, count: m.count}
+	m.watch = &onlooker{
+		instance: brain.New(m.clock.Now(), book.Terms, seed), timer: time.NewTimer(time.Hour),
+		did: map[int]*brain.Decision{}, count: m.count,
+	}
 }
 
 // decide puts a call to the module and, where there is one, to the instance that watches.
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -5,11 +5,11 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/brain"
 	"woodproxy/internal/wire"
 	"woodproxy/missing"
+
+	"go.uber.org/zap"
 )
 
 // try is one upstream try on its way: made by the module's actor, handed to a peer's, then to a connection.
@@ -87,8 +87,10 @@
 }
 
 func newPeer(m *Router, node int, name string, origin bool) *peer {
-	p := &peer{box: make(mailbox, 3*mostHeld), router: m, node: node, name: name, origin: origin,
-		log: m.log.With(zap.String("peer", name))}
+	p := &peer{
+		box: make(mailbox, 3*mostHeld), router: m, node: node, name: name, origin: origin,
+		log: m.log.With(zap.String("peer", name)),
+	}
 	go func() {
 		for call := range p.box {
 			guarded(p.log, m.count, call)
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -42,9 +42,11 @@
 	flow  *flow // in the place of the body, which comes piece by piece
 }
 
-var nullPlain = []byte("$-1\r\n")
-var shedPlain = []byte("-BUSY\r\n")
-var erroredPlain = []byte("-ERR failed upstream\r\n")
+var (
+	nullPlain    = []byte("$-1\r\n")
+	shedPlain    = []byte("-BUSY\r\n")
+	erroredPlain = []byte("-ERR failed upstream\r\n")
+)
 
 // answer words the one final answer of an exchange; a completed one carries the value as it came.
 func (t *request) answer(count *Counters, a final, value []byte, after int) {
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -7,11 +7,11 @@
 	"net"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/brain"
 	"woodproxy/internal/terms"
 	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
 )
 
 // mostHeld is how many exchanges may be held at most, whatever the memory; it bounds mailboxes.
@@ -78,11 +78,13 @@
 
 // NewRouter returns a module's actor that knows no nodes; sockets is how many it may have open to peers.
 func NewRouter(book *terms.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Router {
-	return &Router{box: make(mailbox, 4*mostHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
+	return &Router{
+		box: make(mailbox, 4*mostHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
 		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, ids: map[string]struct{}{}, links: newBudget(sockets, &count.UpstreamOpen),
 		dialer: &net.Dialer{Timeout: span(book.Terms.ConnectTimeout), KeepAlive: -1},
 		memory: newBudget(0, &count.Bytes), flows: newBudget(0, &count.Passing),
-		count: count, log: log}
+		count: count, log: log,
+	}
 }
 
 // Run carries out calls for as long as the program lives.
@@ -152,8 +154,10 @@
 		if !ok {
 			zone = -1
 		}
-		lines = append(lines, brain.Listing{Node: n, Name: t.Name, Origin: origin, Ready: t.Ready,
-			Since: brain.Time(t.Since) * 10, Weight: t.Weight, Zone: zone, Cell: t.Cell})
+		lines = append(lines, brain.Listing{
+			Node: n, Name: t.Name, Origin: origin, Ready: t.Ready,
+			Since: brain.Time(t.Since) * 10, Weight: t.Weight, Zone: zone, Cell: t.Cell,
+		})
 	}
 	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Nodes(now, whole, first, lines) }))
 	m.zoneList()
@@ -233,8 +237,10 @@
 		return
 	}
 	m.ids[string(t.id)] = struct{}{}
-	e := brain.Exchange{Route: route, Tenant: -1, Keyed: true, Write: t.value != nil, Repeat: t.repeat,
-		Remaining: min(brain.Time(t.wait)*10, m.book.Terms.Routes[route].Overall)} // nothing is held for longer
+	e := brain.Exchange{
+		Route: route, Tenant: -1, Keyed: true, Write: t.value != nil, Repeat: t.repeat,
+		Remaining: min(brain.Time(t.wait)*10, m.book.Terms.Routes[route].Overall),
+	} // nothing is held for longer
 	if n, ok := m.book.Tenants[t.tenant]; ok {
 		e.Tenant = n
 	}
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -4,10 +4,10 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/brain"
 	"woodproxy/zones"
+
+	"go.uber.org/zap"
 )
 
 const zoneTick = 100 * time.Millisecond
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -143,8 +143,10 @@
 	dir := t.TempDir()
 	ln := listen(t)
 	estate(t, dir, ln, "null")
-	for _, text := range []string{"GET / HTTP/1.1\r\n\r\n", `{"woodproxy_handover":2,"listen":"` + addr + `"}` + "\n",
-		`{"woodproxy_handover":1,"listen":"10.0.0.5:6379"}` + "\n", strings.Repeat("x", 9000), ""} {
+	for _, text := range []string{
+		"GET / HTTP/1.1\r\n\r\n", `{"woodproxy_handover":2,"listen":"` + addr + `"}` + "\n",
+		`{"woodproxy_handover":1,"listen":"10.0.0.5:6379"}` + "\n", strings.Repeat("x", 9000), "",
+	} {
 		c, err := net.Dial("unix", filepath.Join(dir, name(addr)))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -183,8 +183,10 @@
 	for _, v := range x.Variants {
 		names = append(names, v.Name)
 	}
-	t := &Table{About: []string{"experiment=" + x.Kind, fmt.Sprintf("cores=%d", runtime.NumCPU()),
-		"variants=" + strings.Join(names, "|"), version()}}
+	t := &Table{About: []string{
+		"experiment=" + x.Kind, fmt.Sprintf("cores=%d", runtime.NumCPU()),
+		"variants=" + strings.Join(names, "|"), version(),
+	}}
 	order := x.Order()
 	for i, p := range order {
 		v := x.Variants[p.Variant]
--- a/internal/lab/sum.go
+++ b/internal/lab/sum.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"woodproxy/internal/emu"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Sums is what is kept of a played day.
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -36,21 +36,25 @@
 }
 
 // figures are the columns, in order. New ones are added behind, and lacking in tables that are older.
-var figures = []string{"requests", "completed", "in_time", "shed", "errored", "lost", "refused", "worth", "p50_ms", "p90_ms", "p99_ms",
+var figures = []string{
+	"requests", "completed", "in_time", "shed", "errored", "lost", "refused", "worth", "p50_ms", "p90_ms", "p99_ms",
 	"max_ms", "tries", "cpu_us", "late_ms", "breaches", "bad_mute",
 	"heard_p50_ms", "heard_p99_ms", "unheard", "caught_p50_ms", "caught_max_ms", "peer_bytes", "peer_packets",
 	"left_first_ms", "left_last_ms", "zone_back_ms", "worth_hit", "worth_back", "never_left", "convicted", "cold_peak",
 	"silent_tries", "watches", "list_calls", "cache_conns", "cache_conns_max",
-	"absent_asked", "absent_said", "stale_ms", "full_s"}
+	"absent_asked", "absent_said", "stale_ms", "full_s",
+}
 
 const oldest = 17 // columns of the first tables
 
 func (s Sums) figures() map[string]float64 {
-	v := []float64{float64(s.Requests), s.Completed, s.InTime, s.Shed, s.Errored, s.Lost, s.Refused, s.Worth, s.P50, s.P90, s.P99, s.Max,
+	v := []float64{
+		float64(s.Requests), s.Completed, s.InTime, s.Shed, s.Errored, s.Lost, s.Refused, s.Worth, s.P50, s.P90, s.P99, s.Max,
 		s.Tries, s.CPU, s.LateMS, float64(s.Breaches), float64(s.BadMute),
 		s.HeardP50, s.HeardP99, float64(s.Unheard), s.CaughtP50, s.CaughtMax, s.PeerBytes, s.PeerPackets,
 		s.LeftFirst, s.LeftLast, s.ZoneBack, s.WorthHit, s.WorthBack, float64(s.NeverLeft), float64(s.Convicted), s.ColdPeak,
-		s.Trials, s.Watches, s.Calls, s.Conns, float64(s.Most), s.AbsentAsked, s.AbsentSaid, s.StaleMS, s.FullS}
+		s.Trials, s.Watches, s.Calls, s.Conns, float64(s.Most), s.AbsentAsked, s.AbsentSaid, s.StaleMS, s.FullS,
+	}
 	m := map[string]float64{}
 	for i, f := range figures {
 		m[f] = v[i]
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -105,8 +105,10 @@
 	if w.ZoneOf != nil {
 		zone = w.ZoneOf(i)
 	}
-	p.Instance = replica.New(w.Now+p.skew, replica.Terms{Me: Name(i), Zone: zone, Incarnation: p.starts, Proxies: w.Stated, Address: fmt.Sprint(i),
-		Hold: w.Hold, Floor: w.Floor, SightLife: 10 * replica.Second}, w.chance.Uint64())
+	p.Instance = replica.New(w.Now+p.skew, replica.Terms{
+		Me: Name(i), Zone: zone, Incarnation: p.starts, Proxies: w.Stated, Address: fmt.Sprint(i),
+		Hold: w.Hold, Floor: w.Floor, SightLife: 10 * replica.Second,
+	}, w.chance.Uint64())
 	p.Yield(w.Quiet)
 	p.Alive, p.Still, p.queue, p.inbox, p.Rows = true, false, nil, nil, map[string]replica.Row{}
 	p.Shares = p.Instance.Share()
--- a/internal/links/zones.go
+++ b/internal/links/zones.go
@@ -3,10 +3,10 @@
 import (
 	"slices"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"woodproxy/replica"
 	"woodproxy/zones"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Zoned is a fleet in zones: proxies, and caches that proxies try as chance has it.
@@ -60,8 +60,10 @@
 
 // Begin has a proxy's zones judged anew, as after a start.
 func (z *Zoned) Begin(i int) {
-	t := zones.Terms{Me: Name(i), Zone: z.ZoneOf(i), Shortest: zones.Second / 2, Quiet: 3 * zones.Second / 10, Voices: 0.2, Settle: zones.Second / 5,
-		Hold: 2 * zones.Second, MostHold: 60 * zones.Second, Step: zones.Second, Cold: 3 * zones.Second, ColdFrom: 0.4, Alone: true}
+	t := zones.Terms{
+		Me: Name(i), Zone: z.ZoneOf(i), Shortest: zones.Second / 2, Quiet: 3 * zones.Second / 10, Voices: 0.2, Settle: zones.Second / 5,
+		Hold: 2 * zones.Second, MostHold: 60 * zones.Second, Step: zones.Second, Cold: 3 * zones.Second, ColdFrom: 0.4, Alone: true,
+	}
 	z.Minds[i] = zones.New(zones.Time(z.Now), t)
 	z.Parts[i] = map[int]float64{}
 	z.List(i)
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -9,8 +9,6 @@
 	"os"
 	"strconv"
 
-	"github.com/valyala/fastjson"
-
 	"woodproxy/internal/state"
 	"woodproxy/internal/talk"
 	"woodproxy/internal/terms"
@@ -18,6 +16,8 @@
 	"woodproxy/moves"
 	"woodproxy/turns"
 	"woodproxy/zones"
+
+	"github.com/valyala/fastjson"
 )
 
 // Place is what a proxy is told of itself at its start.
@@ -97,8 +97,11 @@
 	if p.Seed, err = seed(v.Get("seed"), err); err != nil {
 		return nil, first(err)
 	}
-	for _, a := range [...]struct{ key, addr string }{{"listen", p.Listen}, {"discovery", p.Discovery},
-		{"management", p.Management}} {
+	for _, a := range [...]struct{ key, addr string }{
+		{"listen", p.Listen},
+		{"discovery", p.Discovery},
+		{"management", p.Management},
+	} {
 		if a.key == "management" && a.addr == "" {
 			continue
 		}
@@ -185,8 +188,12 @@
 	for _, f := range []struct {
 		name string
 		same bool
-	}{{"routes", maps.Equal(w.Routes, book.Routes)}, {"tenants", maps.Equal(w.Tenants, book.Tenants)},
-		{"zones", maps.Equal(w.Zones, book.Zones)}, {"family-info.origin-kind", w.Origin == book.Origin}} {
+	}{
+		{"routes", maps.Equal(w.Routes, book.Routes)},
+		{"tenants", maps.Equal(w.Tenants, book.Tenants)},
+		{"zones", maps.Equal(w.Zones, book.Zones)},
+		{"family-info.origin-kind", w.Origin == book.Origin},
+	} {
 		if !f.same {
 			return nil, fmt.Errorf("setup %s: not those of the settings", f.name)
 		}
--- a/internal/run/metrics.go
+++ b/internal/run/metrics.go
@@ -5,10 +5,10 @@
 	"strings"
 	"unicode"
 
+	"woodproxy/internal/fleet"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-
-	"woodproxy/internal/fleet"
 )
 
 // metrics collects, when it is asked, the counters that there are and how what goes by turns stands.
@@ -41,16 +41,24 @@
 		for _, g := range []struct {
 			name, help string
 			v          int
-		}{{"here", "Proxies that duties are dealt out to.", f.Here}, {"watchers", "Proxies that said lately that their watch of discovery lives.", f.Watchers},
-			{"kept_nodes", "Nodes to which this proxy keeps idle connections.", f.Kept}, {"passed_nodes", "Nodes that this proxy passes over.", f.Passed}} {
+		}{
+			{"here", "Proxies that duties are dealt out to.", f.Here},
+			{"watchers", "Proxies that said lately that their watch of discovery lives.", f.Watchers},
+			{"kept_nodes", "Nodes to which this proxy keeps idle connections.", f.Kept},
+			{"passed_nodes", "Nodes that this proxy passes over.", f.Passed},
+		} {
 			give("woodproxy_turns_"+g.name, g.help, prometheus.GaugeValue, float64(g.v))
 		}
 		for _, c := range []struct {
 			name, help string
 			v          int64
-		}{{"trials", "Trials of silent nodes by this proxy.", f.Trials}, {"told", "Trials by others that were heard of.", f.Told},
-			{"twice", "Of these, such that came while one was out.", f.Twice}, {"refused", "Words of others that were out of their bounds.", f.Refused},
-			{"moved", "Nodes whose idle connections became this proxy's duty, or another's.", f.Moved}} {
+		}{
+			{"trials", "Trials of silent nodes by this proxy.", f.Trials},
+			{"told", "Trials by others that were heard of.", f.Told},
+			{"twice", "Of these, such that came while one was out.", f.Twice},
+			{"refused", "Words of others that were out of their bounds.", f.Refused},
+			{"moved", "Nodes whose idle connections became this proxy's duty, or another's.", f.Moved},
+		} {
 			give("woodproxy_turns_"+c.name+"_total", c.help, prometheus.CounterValue, float64(c.v))
 		}
 	}
--- a/internal/run/missing.go
+++ b/internal/run/missing.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"os"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"woodproxy/internal/strict"
 	"woodproxy/internal/terms"
 	"woodproxy/missing"
 	"woodproxy/replica"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // missingFile is what the file of missing keys says.
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -5,12 +5,12 @@
 	"strings"
 	"sync/atomic"
 
-	"go.uber.org/zap"
-
 	"woodproxy/internal/fleet"
 	"woodproxy/internal/talk"
 	"woodproxy/internal/wire"
 	"woodproxy/replica"
+
+	"go.uber.org/zap"
 )
 
 // sightsFor is for how many of the shortest objectives a silent node is worth telling of: the module forgets hearsay
@@ -83,8 +83,10 @@
 	return t != nil && t.Shown().Behind
 }
 
-var kinds = map[replica.Kind]string{replica.Pulse: "pulse", replica.Sight: "sight", replica.Node: "node", replica.Gone: "gone",
-	replica.Voice: "voice", replica.Order: "order", replica.Trial: "trial", replica.Beat: "beat", replica.Wrote: "wrote", replica.Absent: "absent"}
+var kinds = map[replica.Kind]string{
+	replica.Pulse: "pulse", replica.Sight: "sight", replica.Node: "node", replica.Gone: "gone",
+	replica.Voice: "voice", replica.Order: "order", replica.Trial: "trial", replica.Beat: "beat", replica.Wrote: "wrote", replica.Absent: "absent",
+}
 
 // words is the answer to the call for peers.
 func (p *peers) words() string {
--- a/internal/run/recovery.go
+++ b/internal/run/recovery.go
@@ -7,14 +7,14 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/valyala/fastjson"
-	"go.uber.org/zap"
-
 	"woodproxy/internal/fleet"
 	"woodproxy/internal/state"
 	"woodproxy/internal/wire"
 	"woodproxy/recovery"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fastjson"
+	"go.uber.org/zap"
 )
 
 const (
--- a/internal/run/replace.go
+++ b/internal/run/replace.go
@@ -8,11 +8,11 @@
 	"sync"
 	"syscall"
 
-	"go.uber.org/zap"
-
 	"woodproxy/internal/fleet"
 	"woodproxy/internal/handover"
 	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
 )
 
 // spareSockets are for standard streams, listeners, watch, operators, handing over, the library's own.
--- a/internal/run/replace_test.go
+++ b/internal/run/replace_test.go
@@ -13,10 +13,10 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"woodproxy/internal/emu"
 	"woodproxy/internal/handover"
+
+	"go.uber.org/zap"
 )
 
 func started(t *testing.T, more ...string) *stage {
@@ -105,9 +105,11 @@
 func TestReplacedKnows(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
-	for i, line := range []string{"node c1 hit", "node c2 hit", "node o1 hit", "list c1 c2 o1", "start known=c1,c2,o1",
+	for i, line := range []string{
+		"node c1 hit", "node c2 hit", "node o1 hit", "list c1 c2 o1", "start known=c1,c2,o1",
 		"list c2:leaving", "pause 100", "discovery cut", "discovery silent",
-		"replace", "b get k times=5", "b gets value from=c1 times=5", "expect c2 = 0"} {
+		"replace", "b get k times=5", "b gets value from=c1 times=5", "expect c2 = 0",
+	} {
 		s.Step(i+1, strings.Fields(line))
 	}
 	s.End()
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -16,11 +16,11 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zaptest"
-
 	"woodproxy/internal/emu"
 	"woodproxy/internal/scenario"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
 )
 
 // A scenario plays one proxy on loopback sockets, among stand-ins:
@@ -57,8 +57,10 @@
 
 func newStage(t *testing.T) *stage {
 	n := stages.Add(1)
-	return &stage{t: t, ip: fmt.Sprintf("127.9.%d.%d", n/250, n%250+1), nodes: map[string]*emu.Node{}, clients: map[string]*caller{}, lists: emu.NewDiscovery(0, nil),
-		limits: map[string]string{}, settings: settings, watch: "null", signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	return &stage{
+		t: t, ip: fmt.Sprintf("127.9.%d.%d", n/250, n%250+1), nodes: map[string]*emu.Node{}, clients: map[string]*caller{}, lists: emu.NewDiscovery(0, nil),
+		limits: map[string]string{}, settings: settings, watch: "null", signals: make(chan os.Signal, 1), ended: make(chan error, 1),
+	}
 }
 
 type stage struct {
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -11,14 +11,14 @@
 	"syscall"
 	"time"
 
-	"github.com/valyala/fastjson"
-	"go.uber.org/zap"
-
 	"woodproxy/brain"
 	"woodproxy/internal/control"
 	"woodproxy/internal/fleet"
 	"woodproxy/internal/wire"
 	"woodproxy/recovery"
+
+	"github.com/valyala/fastjson"
+	"go.uber.org/zap"
 )
 
 const (
--- a/internal/run/turns.go
+++ b/internal/run/turns.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"os"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"woodproxy/internal/strict"
 	"woodproxy/internal/terms"
 	"woodproxy/replica"
 	"woodproxy/turns"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // turnsFile is what the file of turns says. Times are in milliseconds.
@@ -38,8 +38,10 @@
 	if err := strict.TOML(text, f); err != nil {
 		return nil, fmt.Errorf("turns: %s: %w", file, err)
 	}
-	t := &turns.Terms{Me: name, Watchers: f.Watchers, Keepers: f.Keepers, Trials: f.Trials, Rest: turns.Time(terms.Tenths(f.Rest)),
-		Step: turns.Time(terms.Tenths(f.Step)), Beat: turns.Time(terms.Tenths(f.Beat)), Patience: turns.Time(terms.Tenths(f.Patience))}
+	t := &turns.Terms{
+		Me: name, Watchers: f.Watchers, Keepers: f.Keepers, Trials: f.Trials, Rest: turns.Time(terms.Tenths(f.Rest)),
+		Step: turns.Time(terms.Tenths(f.Step)), Beat: turns.Time(terms.Tenths(f.Beat)), Patience: turns.Time(terms.Tenths(f.Patience)),
+	}
 	if err := t.Check(); err != nil {
 		return nil, fmt.Errorf("turns: %s: %w", file, err)
 	}
--- a/internal/run/zones.go
+++ b/internal/run/zones.go
@@ -7,13 +7,13 @@
 	"slices"
 	"strings"
 
-	"github.com/vmihailenco/msgpack/v5"
-	"go.uber.org/zap"
-
 	"woodproxy/internal/strict"
 	"woodproxy/internal/terms"
 	"woodproxy/replica"
 	"woodproxy/zones"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
 )
 
 // zonesFile is what the file of zones says. Times are in milliseconds.
@@ -62,8 +62,14 @@
 	for _, n := range []struct {
 		key            string
 		v, least, most float64
-	}{{"quiet_ms", f.Quiet, 50, 60000}, {"voices", f.Voices, 0.01, 1}, {"settle_ms", f.Settle, 0, 60000}, {"hold_ms", f.Hold, 100, 3600000},
-		{"most_hold_ms", f.MostHold, f.Hold, 3600000}, {"step_ms", f.Step, 100, 3600000}} {
+	}{
+		{"quiet_ms", f.Quiet, 50, 60000},
+		{"voices", f.Voices, 0.01, 1},
+		{"settle_ms", f.Settle, 0, 60000},
+		{"hold_ms", f.Hold, 100, 3600000},
+		{"most_hold_ms", f.MostHold, f.Hold, 3600000},
+		{"step_ms", f.Step, 100, 3600000},
+	} {
 		if !(n.v >= n.least && n.v <= n.most) {
 			return nil, fmt.Errorf("%s: %v: not from %v to %v", n.key, n.v, n.least, n.most)
 		}
@@ -87,9 +93,11 @@
 		}
 		seen[z] = true
 	}
-	t := &zones.Terms{Me: name, Zone: book.Locality, Shortest: shortest, Quiet: tenths(f.Quiet), Voices: f.Voices, Settle: tenths(f.Settle),
+	t := &zones.Terms{
+		Me: name, Zone: book.Locality, Shortest: shortest, Quiet: tenths(f.Quiet), Voices: f.Voices, Settle: tenths(f.Settle),
 		Hold: tenths(f.Hold), MostHold: tenths(f.MostHold), Step: tenths(f.Step), Cold: zones.Time(book.Terms.Cold), ColdFrom: book.Terms.ColdFrom,
-		Alone: f.Alone, Apart: !f.Together}
+		Alone: f.Alone, Apart: !f.Together,
+	}
 	if t.Zone == "" {
 		t.Zone = f.Zone
 	}
@@ -166,8 +174,10 @@
 
 func (p *peers) order(row *replica.Row) {
 	if p.place.Zones != nil {
-		p.router.ZoneOrder(zones.Order{Zone: row.Key, Want: zones.Want(row.Rank), Epoch: row.Epoch, By: string(row.Body[:min(len(row.Body), 128)]),
-			Force: row.Count != 0})
+		p.router.ZoneOrder(zones.Order{
+			Zone: row.Key, Want: zones.Want(row.Rank), Epoch: row.Epoch, By: string(row.Body[:min(len(row.Body), 128)]),
+			Force: row.Count != 0,
+		})
 	}
 }
 
--- a/internal/talk/message.go
+++ b/internal/talk/message.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"woodproxy/replica"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // message is what goes from proxy to proxy. What a version does not know of it is passed over.
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -13,12 +13,12 @@
 	"syscall"
 	"time"
 
+	"woodproxy/internal/wire"
+	"woodproxy/replica"
+
 	"github.com/hashicorp/memberlist"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
-
-	"woodproxy/internal/wire"
-	"woodproxy/replica"
 )
 
 const (
@@ -95,11 +95,15 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Talker{c: c, me: me, from: net.ParseIP(host), box: make(chan func(), 1024), calls: make(chan func(), 64), proxy: proxy, log: lg, base: time.Now(),
-		quit: make(chan struct{}), ended: make(chan struct{}), demands: time.Now()}
+	t := &Talker{
+		c: c, me: me, from: net.ParseIP(host), box: make(chan func(), 1024), calls: make(chan func(), 64), proxy: proxy, log: lg, base: time.Now(),
+		quit: make(chan struct{}), ended: make(chan struct{}), demands: time.Now(),
+	}
 	incarnation := t.base.UnixMilli()
-	t.in = replica.New(0, replica.Terms{Me: me, Incarnation: incarnation, Proxies: proxies, Address: c.Advertise, Zone: zone,
-		Hold: replica.Time(c.Hold * float64(replica.Second)), Floor: c.Floor, SightLife: sightLife}, seed)
+	t.in = replica.New(0, replica.Terms{
+		Me: me, Incarnation: incarnation, Proxies: proxies, Address: c.Advertise, Zone: zone,
+		Hold: replica.Time(c.Hold * float64(replica.Second)), Floor: c.Floor, SightLife: sightLife,
+	}, seed)
 	logger := log.New(&lines{t: t}, "", 0)
 	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port, Logger: logger})
 	if err != nil {
--- a/internal/talk/talk_test.go
+++ b/internal/talk/talk_test.go
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-	"go.uber.org/zap"
-
 	"woodproxy/internal/wire"
 	"woodproxy/replica"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
 )
 
 // A bad file of peers is one line that names the file, and the key.
--- a/internal/talk/transport.go
+++ b/internal/talk/transport.go
@@ -32,8 +32,10 @@
 }
 
 func newTransport(inner *memberlist.NetTransport, from net.IP, count *Counters) *transport {
-	t := &transport{NetTransport: inner, from: from, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), count: count,
-		quit: make(chan struct{})}
+	t := &transport{
+		NetTransport: inner, from: from, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), count: count,
+		quit: make(chan struct{}),
+	}
 	t.all.Add(1)
 	go t.run()
 	return t
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -7,9 +7,9 @@
 	"math"
 	"strings"
 
-	"github.com/valyala/fastjson"
-
 	"woodproxy/brain"
+
+	"github.com/valyala/fastjson"
 )
 
 // Book is what the settings say: the module's terms, the names behind its indices, and what the proxy needs
@@ -146,9 +146,11 @@
 func Read(v *fastjson.Value) (*Book, error) {
 	var err error
 	c := chart{root: v, err: &err}
-	p := &Book{Routes: map[string]int{}, Tenants: map[string]int{}, Zones: map[string]int{},
+	p := &Book{
+		Routes: map[string]int{}, Tenants: map[string]int{}, Zones: map[string]int{},
 		Idle:     c.time(may, "limits", "conn-idle"),
-		Locality: c.text(may, "locality")}
+		Locality: c.text(may, "locality"),
+	}
 	p.Terms = brain.Terms{
 		Proxies:        c.whole(1, 1e6, "replicas-of-me"),
 		BeyondShare:    c.number(may, "beyond-share-value"),
@@ -203,9 +205,11 @@
 	}
 	for i, v := range routes {
 		c := chart{v, &err, fmt.Sprintf("routes[%d].", i)}
-		r := brain.Route{Objective: c.span("latency-objective"), Overall: c.span("overall-timeout"),
+		r := brain.Route{
+			Objective: c.span("latency-objective"), Overall: c.span("overall-timeout"),
 			Value: c.least(need, "value"), Overdue: c.number(may, "overdue-value"),
-			Window: Tenths(c.least(may, "dedup-window"))}
+			Window: Tenths(c.least(may, "dedup-window")),
+		}
 		if r.Overdue < 0 || r.Overdue > 1 {
 			c.fail([]string{"overdue-value"}, "out of its range")
 		}
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -40,9 +40,11 @@
 		return 0, false, nil, bad("list: endpoints: missing or mistyped")
 	}
 	for _, row := range rows.GetArray() {
-		t := Target{Name: string(row.GetStringBytes("name")), Address: string(row.GetStringBytes("address")),
+		t := Target{
+			Name: string(row.GetStringBytes("name")), Address: string(row.GetStringBytes("address")),
 			Zone: string(row.GetStringBytes("zone")), Kind: string(row.GetStringBytes("type")),
-			Cell: row.GetInt("group"), Weight: row.GetFloat64("weight"), Since: row.GetInt64("since_ms")}
+			Cell: row.GetInt("group"), Weight: row.GetFloat64("weight"), Since: row.GetInt64("since_ms"),
+		}
 		if f := row.GetFloat64("since_ms"); t.Since == 0 && f > 0 {
 			t.Since = int64(math.Ceil(f))
 		}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"testing/iotest"
 
-	"github.com/valyala/fastjson"
-
 	"woodproxy/brain"
+
+	"github.com/valyala/fastjson"
 )
 
 // However a command is cut, it is asked for more until it is whole, and then read as if it had come in one.
@@ -184,8 +184,10 @@
 		list[0] != (Target{Name: "c1", Address: "h:1", Zone: "a", Kind: "m2", Cell: 3, Ready: true, Weight: 1.5, Since: 7}) {
 		t.Errorf("%d %v %v: %v", index, whole, list, err)
 	}
-	for _, bad := range []string{`[]`, `{}`, `{"index":"1","endpoints":[]}`, `{"index":1}`, `{"index":1,"endpoints":[{}]}`,
-		`{"index":1,"endpoints":[{"name":"c","status":"odd"}]}`, `{"index":1,"endpoints":[{"name":"c","status":"active"}]}`} {
+	for _, bad := range []string{
+		`[]`, `{}`, `{"index":"1","endpoints":[]}`, `{"index":1}`, `{"index":1,"endpoints":[{}]}`,
+		`{"index":1,"endpoints":[{"name":"c","status":"odd"}]}`, `{"index":1,"endpoints":[{"name":"c","status":"active"}]}`,
+	} {
 		if _, _, _, err := read(bad); !errors.Is(err, ErrBytes) {
 			t.Errorf("%s: %v", bad, err)
 		}
--- a/missing/missing_test.go
+++ b/missing/missing_test.go
@@ -119,8 +119,10 @@
 	g := &rig{now: 1000 * Second, r: rand.New(rand.NewPCG(seed, 1)), post: map[Time][]func(){}, exists: map[int]Time{}}
 	for i := range n {
 		x := New(g.now, Terms{Me: fmt.Sprint("n", i), Entries: 2048, Believe: 10 * Second, Grace: 2 * Second, Grow: 1000})
-		g.all = append(g.all, &one{Instance: x, slots: map[string]func(*one, Time){}, said: map[string]Time{}, pulses: map[string]Time{}, wrote: map[string]int64{},
-			epochs: map[string]int64{}, epoch: 1})
+		g.all = append(g.all, &one{
+			Instance: x, slots: map[string]func(*one, Time){}, said: map[string]Time{}, pulses: map[string]Time{}, wrote: map[string]int64{},
+			epochs: map[string]int64{}, epoch: 1,
+		})
 	}
 	return g
 }
@@ -355,8 +357,13 @@
 		all    []Proxy
 		behind bool
 		want   bool
-	}{{[]Proxy{me}, false, false}, {[]Proxy{me, other}, false, true}, {[]Proxy{me, {Name: "n2", Epoch: 1}}, false, false}, {[]Proxy{me, other}, true, false},
-		{[]Proxy{me, {Name: "n2", Gone: true, Epoch: 1}}, false, true}} {
+	}{
+		{[]Proxy{me}, false, false},
+		{[]Proxy{me, other}, false, true},
+		{[]Proxy{me, {Name: "n2", Epoch: 1}}, false, false},
+		{[]Proxy{me, other}, true, false},
+		{[]Proxy{me, {Name: "n2", Gone: true, Epoch: 1}}, false, true},
+	} {
 		now += 3 * Second
 		x.Fleet(now, c.all, 2, c.behind)
 		now += x.Terms.Believe/2 + Second
--- a/moves/moves_test.go
+++ b/moves/moves_test.go
@@ -268,8 +268,10 @@
 
 // A planted fault is found: a plan that leaves out that a copy is on both nodes while it goes, or moves more than it says.
 func TestWrongFires(t *testing.T) {
-	inv := &Inventory{Nodes: []Node{{Name: "a", Room: 10}, {Name: "b", Room: 10}},
-		Shards: []Shard{{ID: 1, Bytes: 8, On: "a", Want: "b"}, {ID: 2, Bytes: 8, On: "b", Want: "a"}}}
+	inv := &Inventory{
+		Nodes:  []Node{{Name: "a", Room: 10}, {Name: "b", Room: 10}},
+		Shards: []Shard{{ID: 1, Bytes: 8, On: "a", Want: "b"}, {ID: 2, Bytes: 8, On: "b", Want: "a"}},
+	}
 	swap := &Plan{Steps: [][]Move{{{1, "a", "b", 8}, {2, "b", "a", 8}}}, Bytes: 16, Least: 16}
 	if wrong(inv, usual, swap) == "" {
 		t.Error("an exchange of two without room passes")
--- a/moves/types.go
+++ b/moves/types.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"strings"
+
 	"woodproxy/internal/bounds"
 )
 
--- a/replica/instance.go
+++ b/replica/instance.go
@@ -95,9 +95,11 @@
 
 // New returns an instance that holds nothing and is behind until somebody or nobody helps it.
 func New(now Time, t Terms, seed uint64) *Instance {
-	r := &Instance{Terms: t, now: now, rows: map[uint64]*held{}, byName: map[string]*member{}, wanted: map[uint64]bool{}, borrowed: map[string]loan{},
+	r := &Instance{
+		Terms: t, now: now, rows: map[uint64]*held{}, byName: map[string]*member{}, wanted: map[uint64]bool{}, borrowed: map[string]loan{},
 		behind: true, behindAt: now, askedAt: now - patience, chance: rand.New(rand.NewPCG(seed, 3)), tickAt: now, began: now, namedAt: now - longAgo,
-		pulsedAt: now - longAgo}
+		pulsedAt: now - longAgo,
+	}
 	r.member(t.Me) // or a view without this one could pass for one of its own
 	r.share = r.least()
 	return r
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -178,9 +178,15 @@
 	if len(acts(ds, Spread)) != 1 || a.Kinds()[77].Rows != 1 {
 		t.Errorf("%+v", ds)
 	}
-	for _, r := range []Row{{Kind: 77, Key: strings.Repeat("k", MostName+1)}, {Kind: 77, Key: "k", Body: make([]byte, MostBody+1)},
-		{Key: "k"}, {Kind: 77}, {Kind: 77, Key: "k", Age: -1}, {Kind: 77, Key: "k", Life: 5, Age: 5},
-		{Kind: Gone, Key: "a", Epoch: 1<<63 - 1}} {
+	for _, r := range []Row{
+		{Kind: 77, Key: strings.Repeat("k", MostName+1)},
+		{Kind: 77, Key: "k", Body: make([]byte, MostBody+1)},
+		{Key: "k"},
+		{Kind: 77},
+		{Kind: 77, Key: "k", Age: -1},
+		{Kind: 77, Key: "k", Life: 5, Age: 5},
+		{Kind: Gone, Key: "a", Epoch: 1<<63 - 1},
+	} {
 		a.Rows(0, "b", []Row{r})
 	}
 	if a.Dropped != 7 || a.Kinds()[77].Rows != 1 {
--- a/simwire/boot.go
+++ b/simwire/boot.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 
-	"github.com/valyala/fastjson"
-
 	"woodproxy/brain"
 	"woodproxy/internal/terms"
+
+	"github.com/valyala/fastjson"
 )
 
 // boot starts an instance from its settings, under which it knows nothing of an earlier one.
@@ -32,7 +32,9 @@
 	if f.err != nil {
 		return nil
 	}
-	h.proxies[who] = &proxy{book: book, mind: brain.New(h.now, book.Terms, salt), nodes: map[string]int{},
-		codes: map[string]int{}, trays: map[string]int{}}
+	h.proxies[who] = &proxy{
+		book: book, mind: brain.New(h.now, book.Terms, salt), nodes: map[string]int{},
+		codes: map[string]int{}, trays: map[string]int{},
+	}
 	return nil
 }
--- a/simwire/fields.go
+++ b/simwire/fields.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"math"
 
-	"github.com/valyala/fastjson"
-
 	"woodproxy/brain"
 	"woodproxy/internal/terms"
+
+	"github.com/valyala/fastjson"
 )
 
 const (
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -11,10 +11,10 @@
 	"strconv"
 	"strings"
 
-	"github.com/valyala/fastjson"
-
 	"woodproxy/brain"
 	"woodproxy/internal/terms"
+
+	"github.com/valyala/fastjson"
 )
 
 // maxLists is how many numbered lists the wire has.
@@ -187,9 +187,11 @@
 			return f.err
 		}
 		e := fields{name: "register", vals: cells}
-		l := listed{kind: e.text(0, "generation-hw", may), state: e.text(1, "readiness", need),
+		l := listed{
+			kind: e.text(0, "generation-hw", may), state: e.text(1, "readiness", need),
 			cell: e.count(2, "stripe", may), since: e.time(3, "up-since", may), weight: e.number(4, "capacity-hint", may),
-			zone: e.text(5, "zone", may), name: e.text(6, "node", need)}
+			zone: e.text(5, "zone", may), name: e.text(6, "node", need),
+		}
 		if e.err == nil && l.state != "SERVING" && l.state != "DRAINING" && l.state != "DELETED" {
 			e.fail("readiness", "out of its range")
 		}
@@ -235,8 +237,10 @@
 		if !ok {
 			zone = -1
 		}
-		lines = append(lines, brain.Listing{Node: n, Name: l.name, Origin: p.book.Origin != "" && l.kind == p.book.Origin,
-			Ready: l.state == "SERVING", Since: l.since, Weight: l.weight, Zone: zone, Cell: l.cell})
+		lines = append(lines, brain.Listing{
+			Node: n, Name: l.name, Origin: p.book.Origin != "" && l.kind == p.book.Origin,
+			Ready: l.state == "SERVING", Since: l.since, Weight: l.weight, Zone: zone, Cell: l.cell,
+		})
 	}
 	first := !p.told
 	p.told = true
@@ -247,8 +251,10 @@
 	id := f.text(1, "txn", need)
 	f.number(2, "size", may)
 	f.number(3, "predicted", may)
-	e := brain.Exchange{Tenant: -1, Remaining: f.time(5, "remaining", need), Repeat: f.flag(7, "retry"),
-		Write: f.flag(8, "mutates")}
+	e := brain.Exchange{
+		Tenant: -1, Remaining: f.time(5, "remaining", need), Repeat: f.flag(7, "retry"),
+		Write: f.flag(8, "mutates"),
+	}
 	if team := f.at(4); team != nil && team.Type() == fastjson.TypeString {
 		if t, ok := p.book.Tenants[string(team.GetStringBytes())]; ok {
 			e.Tenant = t
--- a/turns/instance.go
+++ b/turns/instance.go
@@ -6,9 +6,9 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"woodproxy/internal/bounds"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -80,8 +80,10 @@
 
 // New returns an instance that knows nobody and no nodes: until it does, every duty is its own.
 func New(now Time, t Terms) *Instance {
-	return &Instance{Terms: t, now: now, crew: newCrew(nil), nodes: map[string]*node{}, beats: map[string]Time{}, duty: true,
-		since: now, beatAt: now - longAgo, dealtAt: now - longAgo, behind: true}
+	return &Instance{
+		Terms: t, now: now, crew: newCrew(nil), nodes: map[string]*node{}, beats: map[string]Time{}, duty: true,
+		since: now, beatAt: now - longAgo, dealtAt: now - longAgo, behind: true,
+	}
 }
 
 func (t *Instance) begin(now Time) { t.now, t.out = max(now, t.now), t.out[:0] }
--- a/turns/instance_test.go
+++ b/turns/instance_test.go
@@ -367,8 +367,10 @@
 	if err := usual.Check(); err != nil {
 		t.Error(err)
 	}
-	for key, change := range map[string]func(t *Terms){"watchers": func(t *Terms) { t.Watchers = 1 }, "keepers": func(t *Terms) { t.Keepers = -1 },
-		"trial_ms": func(t *Terms) { t.Rest = 1 }, "turn_ms": func(t *Terms) { t.Step = 0 }} {
+	for key, change := range map[string]func(t *Terms){
+		"watchers": func(t *Terms) { t.Watchers = 1 }, "keepers": func(t *Terms) { t.Keepers = -1 },
+		"trial_ms": func(t *Terms) { t.Rest = 1 }, "turn_ms": func(t *Terms) { t.Step = 0 },
+	} {
 		terms := usual
 		change(&terms)
 		var out *RangeError
--- a/zones/instance.go
+++ b/zones/instance.go
@@ -115,8 +115,10 @@
 
 // New returns an instance that knows no nodes.
 func New(now Time, t Terms) *Instance {
-	return &Instance{Terms: t, now: now, tickAt: now, here: map[string]string{}, took: float64(t.Shortest) / 8,
-		strays: float64(t.Shortest) / 16}
+	return &Instance{
+		Terms: t, now: now, tickAt: now, here: map[string]string{}, took: float64(t.Shortest) / 8,
+		strays: float64(t.Shortest) / 16,
+	}
 }
 
 // Hash is how a node is named in what goes round.
@@ -138,8 +140,10 @@
 	if name == "" || len(z.zones) >= mostZones {
 		return nil
 	}
-	o := &zone{name: name, good: z.now - longAgo, inTime: z.now - longAgo, bad: z.now - longAgo, lastOut: z.now - longAgo, knocked: z.now - longAgo, saidAt: z.now - longAgo, since: z.now,
-		told: 1}
+	o := &zone{
+		name: name, good: z.now - longAgo, inTime: z.now - longAgo, bad: z.now - longAgo, lastOut: z.now - longAgo, knocked: z.now - longAgo, saidAt: z.now - longAgo, since: z.now,
+		told: 1,
+	}
 	for r := range z.Regions {
 		if slices.Contains(z.Regions[r].Zones, name) {
 			o.region = &z.Regions[r]
--- a/zones/orders.go
+++ b/zones/orders.go
@@ -71,9 +71,11 @@
 	all := make([]Shown, 0, len(z.zones))
 	z.now = max(now, z.now)
 	for _, o := range z.zones {
-		s := Shown{Name: o.name, Nodes: o.nodes, Open: o.told, Stand: o.stand, Alone: o.alone.State != In, Own: z.own(o) && o.stand.State != In,
+		s := Shown{
+			Name: o.name, Nodes: o.nodes, Open: o.told, Stand: o.stand, Alone: o.alone.State != In, Own: z.own(o) && o.stand.State != In,
 			Order: o.order, Against: o.tally.against, For: o.tally.fors, AgainstZones: len(o.tally.from), Watched: o.watched,
-			Held: z.now - o.since, By: slices.Clone(o.tally.by), Tried: o.tally.tried, Fine: o.tally.fine, Late: o.tally.slow, Lost: o.tally.losers}
+			Held: z.now - o.since, By: slices.Clone(o.tally.by), Tried: o.tally.tried, Fine: o.tally.fine, Late: o.tally.slow, Lost: o.tally.losers,
+		}
 		all = append(all, s)
 	}
 	return all
--- a/zones/voices.go
+++ b/zones/voices.go
@@ -208,8 +208,10 @@
 func (z *Instance) voice(o *zone) Voice {
 	o.rates.fade(z.now)
 	z.origin.fade(z.now)
-	v := Voice{Zone: z.Zone, Word: z.word(o), Ago: z.now - o.good, Run: o.run, Fine: float32(o.rates.fine), Late: float32(o.rates.late), Lost: float32(o.rates.lost),
-		Flying: float32(z.flying), Room: float32(z.room), Stand: o.stand}
+	v := Voice{
+		Zone: z.Zone, Word: z.word(o), Ago: z.now - o.good, Run: o.run, Fine: float32(o.rates.fine), Late: float32(o.rates.late), Lost: float32(o.rates.lost),
+		Flying: float32(z.flying), Room: float32(z.room), Stand: o.stand,
+	}
 	if all := z.origin.fine + z.origin.late; all >= 1 {
 		v.Origin = float32(z.origin.late / all)
 	}
--- a/zones/zones_test.go
+++ b/zones/zones_test.go
@@ -7,10 +7,10 @@
 	"strings"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"woodproxy/internal/scenario"
 	"woodproxy/zones"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // A scenario is a text file of lines. This proxy is a1, in zone a:
@@ -30,8 +30,10 @@
 //	> spoke ZONE for|against|none [plan=STATE] | log WORDS | wrong ORDER... : WORDS
 func TestScenarios(t *testing.T) {
 	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
-		return &play{t: t, bars: map[int]zones.Decision{}, spoke: map[string]zones.Voice{}, terms: zones.Terms{Me: "a1", Zone: "a", Shortest: 5000, Quiet: 3000,
-			Voices: 0.2, Settle: 2000, Hold: 20000, MostHold: 160000, Step: 10000, Cold: 50000, ColdFrom: 0.2, Alone: true}}
+		return &play{t: t, bars: map[int]zones.Decision{}, spoke: map[string]zones.Voice{}, terms: zones.Terms{
+			Me: "a1", Zone: "a", Shortest: 5000, Quiet: 3000,
+			Voices: 0.2, Settle: 2000, Hold: 20000, MostHold: 160000, Step: 10000, Cold: 50000, ColdFrom: 0.2, Alone: true,
+		}}
 	})
 }
 
@@ -70,8 +72,10 @@
 	}
 }
 
-var states = map[string]zones.State{"in": zones.In, "returning": zones.Returning, "leaving": zones.Leaving, "out": zones.Out}
-var words = map[string]zones.Word{"for": zones.For, "against": zones.Against, "none": zones.None}
+var (
+	states = map[string]zones.State{"in": zones.In, "returning": zones.Returning, "leaving": zones.Leaving, "out": zones.Out}
+	words  = map[string]zones.Word{"for": zones.For, "against": zones.Against, "none": zones.None}
+)
 
 func stand(s string) *zones.Stand {
 	if s == "" {
@@ -179,8 +183,10 @@
 			}
 		}
 	case "say":
-		v := zones.Voice{Word: words[w[4]], Fine: float32(scenario.Num("0" + m["fine"])), Late: float32(scenario.Num("0" + m["late"])),
-			Lost: float32(scenario.Num("0" + m["lost"])), Origin: float32(scenario.Num("0" + m["origin"])), Plan: stand(m["plan"])}
+		v := zones.Voice{
+			Word: words[w[4]], Fine: float32(scenario.Num("0" + m["fine"])), Late: float32(scenario.Num("0" + m["late"])),
+			Lost: float32(scenario.Num("0" + m["lost"])), Origin: float32(scenario.Num("0" + m["origin"])), Plan: stand(m["plan"]),
+		}
 		if v.Word != zones.For {
 			v.Ago = zones.Second
 		}
@@ -259,8 +265,10 @@
 				barred++
 			}
 		}
-		got := map[string]string{"open": fmt.Sprintf("%.3f", s.Open), "epoch": fmt.Sprint(s.Stand.Epoch), "flaps": fmt.Sprint(s.Stand.Flaps), "step": fmt.Sprint(s.Stand.Step),
-			"kept": fmt.Sprint(len(s.Stand.Kept)), "barred": fmt.Sprint(barred)}
+		got := map[string]string{
+			"open": fmt.Sprintf("%.3f", s.Open), "epoch": fmt.Sprint(s.Stand.Epoch), "flaps": fmt.Sprint(s.Stand.Flaps), "step": fmt.Sprint(s.Stand.Step),
+			"kept": fmt.Sprint(len(s.Stand.Kept)), "barred": fmt.Sprint(barred),
+		}
 		bad := s.Stand.State.String() != w[1] || s.Alone != (m["alone"] != "")
 		for k, v := range scenario.Words(w[2:]) {
 			if g, ok := got[k]; k != "alone" && (!ok || math.Abs(scenario.Num(g)-scenario.Num(v)) > 0.001) {
