Golden tests pin the encoding of replica's rows, their kinds and their hashes

A large renaming is ahead, in which nothing that goes on the wire may change unseen.

Pinned: the msgpack bytes of Row, Head (an array) and Pulsed with its Loans, with every field set and with the fields left out that may be; the bytes decode to the same values, also with a field that this version does not know. The numbers of row kinds and of the acts that are sent, ranks of nodes, the unit of time, the bounds. As literal numbers: IDs and copies of rows, digest sums, the hash of the fleet's view. The tests use exported identifiers only.

--- /dev/null
+++ b/replica/wire_golden_test.go
@@ -0,0 +1,242 @@
+package replica_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"woodproxy/replica"
+)
+
+// TestGoldenRows pins the encoding of a row, of the body of a pulse and of what digests are answered with.
+func TestGoldenRows(t *testing.T) {
+	checkGolden(t, "rows.golden", []goldenCase{
+		{name: "row-full", full: true, value: &replica.Row{Kind: replica.Node, Key: "node-1", Writer: "proxy-a", Epoch: 1700000000000,
+			Rank: replica.Left, Count: 70000, Age: 15000, Life: 36000000, Body: []byte{0x81, 0xa1, 'z', 0x01}}},
+		{name: "row-empty", value: &replica.Row{Kind: replica.Gone, Key: "proxy-b", Epoch: 7}},
+		{name: "row-negative-epoch", value: &replica.Row{Kind: replica.Sight, Key: "node-2", Epoch: -1}},
+		{name: "head", full: true, value: &replica.Head{ID: 0x0102030405060708, Copy: 0xf1f2f3f4f5f6f7f8}},
+		{name: "head-zero", value: &replica.Head{}},
+		{name: "pulse-full", full: true, value: &replica.Pulsed{Address: "192.0.2.1:7946", Zone: "zone-1", Demand: 1234.5,
+			View: 0xfedcba9876543210, Behind: true, Base: 0.25, Wrote: 4321, Heir: true,
+			Loans: []replica.Loan{{To: "proxy-b", Part: 0.125, Count: 17}, {To: "proxy-c", Part: 0.0625, Count: 70000}}}},
+		{name: "pulse-empty", value: &replica.Pulsed{}},
+	})
+}
+
+// TestRowKindNumbers pins the number that each kind of row has on the wire.
+func TestRowKindNumbers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		got  replica.Kind
+		want uint8
+	}{
+		{"pulse", replica.Pulse, 1},
+		{"sight", replica.Sight, 2},
+		{"node", replica.Node, 3},
+		{"gone", replica.Gone, 4},
+		{"voice", replica.Voice, 5},
+		{"order", replica.Order, 6},
+		{"trial", replica.Trial, 7},
+		{"beat", replica.Beat, 8},
+		{"wrote", replica.Wrote, 9},
+		{"absent", replica.Absent, 10},
+	} {
+		if uint8(c.got) != c.want {
+			t.Errorf("kind %s: %d, want %d", c.name, c.got, c.want)
+		}
+	}
+}
+
+// TestMessageTypeNumbers pins the number that each act which is sent to a peer has in a message.
+func TestMessageTypeNumbers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		got  replica.Act
+		want uint8
+	}{
+		{"spread", replica.Spread, 0},
+		{"digest", replica.Digest, 1},
+		{"heads", replica.Heads, 2},
+		{"rows", replica.Rows, 3},
+		{"want", replica.Want, 4},
+		{"busy", replica.Busy, 5},
+		{"same", replica.Same, 6},
+	} {
+		if uint8(c.got) != c.want {
+			t.Errorf("act %s: %d, want %d", c.name, c.got, c.want)
+		}
+	}
+}
+
+// TestWireConstants pins the ranks of a node's row, the unit of ages, and the bounds that all peers have to agree on.
+func TestWireConstants(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		got, want int64
+	}{
+		{"rank of an active node", replica.Active, 0},
+		{"rank of a leaving node", replica.Leaving, 1},
+		{"rank of a node that has left", replica.Left, 2},
+		{"units of time in a second", int64(replica.Second), 10000},
+		{"buckets of a digest", replica.Buckets, 64},
+		{"longest name", replica.MostName, 128},
+		{"longest body", replica.MostBody, 1024},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, c.got, c.want)
+		}
+	}
+}
+
+// newInstance returns an instance that holds nothing.
+func newInstance() *replica.Instance {
+	return replica.New(0, replica.Terms{Me: "proxy-a", Incarnation: 1700000000000, Proxies: 3, Address: "192.0.2.1:7946", Zone: "zone-1",
+		Hold: replica.Second, Floor: 0.25, SightLife: 10 * replica.Second}, 1)
+}
+
+// TestRowHashes pins the hashes by which peers compare what they hold: the ID of a row, the hash of its copy, and what both
+// add to the digest.
+func TestRowHashes(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		row           replica.Row
+		id, copy, sum uint64
+	}{
+		{"own row", replica.Row{Kind: replica.Voice, Key: "zone-1", Writer: "proxy-b", Epoch: 1700000000000, Rank: 1, Count: 42, Body: []byte("body")},
+			0x6c4794fbc077f633, 0xd57460454c946dff, 0x793a35c910418bd0},
+		{"row without a writer", replica.Row{Kind: replica.Node, Key: "node-1", Epoch: 7, Rank: 2, Count: -3},
+			0x62cc639c9394768a, 0x52b66f5e05ef379f, 0x5bc25998bb93a6cd},
+		{"age and life are not hashed", replica.Row{Kind: replica.Node, Key: "node-1", Epoch: 7, Rank: 2, Count: -3, Age: 5, Life: 900},
+			0x62cc639c9394768a, 0x52b66f5e05ef379f, 0x5bc25998bb93a6cd},
+		{"other kind", replica.Row{Kind: replica.Order, Key: "node-1", Epoch: 7, Rank: 2, Count: -3},
+			0x0bea878a2a5b0746, 0x52b66f5e05ef379f, 0xe1afa60560d6b721},
+		{"kind above 127", replica.Row{Kind: 200, Key: "node-1", Epoch: 7, Rank: 2, Count: -3},
+			0x2187d20f3fa0f211, 0x52b66f5e05ef379f, 0x328abea990b120fa},
+		{"negative epoch", replica.Row{Kind: replica.Gone, Key: "proxy-c", Epoch: -1},
+			0x9dc84bed8f08082e, 0xe6dd06ec53a24941, 0xf7be418f9d48ba87},
+	} {
+		instance := newInstance()
+		instance.Rows(0, "proxy-b", []replica.Row{c.row})
+		head, sum := onlyHead(t, instance)
+		if head.ID != c.id || head.Copy != c.copy || sum != c.sum {
+			t.Errorf("%s: ID %#016x copy %#016x sum %#016x, want %#016x %#016x %#016x", c.name, head.ID, head.Copy, sum, c.id, c.copy, c.sum)
+		}
+		if held := instance.Kinds()[c.row.Kind]; held.Rows != 1 || held.Sum != c.sum {
+			t.Errorf("%s: digest of the kind %+v, want %#016x", c.name, held, c.sum)
+		}
+	}
+}
+
+// onlyHead returns the head of the only row that an instance holds, and that row's part in the digest, which has to stand
+// in the bucket that the lowest bits of the row's ID name.
+func onlyHead(t *testing.T, instance *replica.Instance) (replica.Head, uint64) {
+	t.Helper()
+	decisions := instance.Digest(0, "proxy-b", otherSums(instance))
+	if len(decisions) != 1 || decisions[0].Act != replica.Heads || len(decisions[0].Heads) != 1 {
+		t.Fatalf("answer to a digest: %+v", decisions)
+	}
+	head := decisions[0].Heads[0]
+	sums := instance.Sums()
+	for i, sum := range sums {
+		if (sum != 0) != (uint64(i) == head.ID%64) {
+			t.Errorf("bucket %d has sum %#x with ID %#x", i, sum, head.ID)
+		}
+	}
+	return head, sums[head.ID%64]
+}
+
+// otherSums is a digest that differs from an instance's in each bucket.
+func otherSums(instance *replica.Instance) replica.Sums {
+	sums := instance.Sums()
+	for i := range sums {
+		sums[i] = ^sums[i]
+	}
+	return sums
+}
+
+// TestDigestSums pins the digest of several rows, of which two share a bucket.
+func TestDigestSums(t *testing.T) {
+	instance := newInstance()
+	var rows []replica.Row
+	for n := range 16 {
+		rows = append(rows, replica.Row{Kind: replica.Node, Key: fmt.Sprint("node-", n), Epoch: 7, Count: 1})
+	}
+	instance.Rows(0, "proxy-b", rows)
+	want := replica.Sums{
+		2:  0x494761b02840bf72,
+		5:  0x28742252832f5df1,
+		10: 0xa1ac9acd981bb1ca,
+		15: 0x8aa8e54c01abf363,
+		19: 0xccac1e77df1d15d7,
+		23: 0x60ff02668ad216c0,
+		28: 0x870c59ee97342254,
+		35: 0xd7acb823e55b3f07,
+		41: 0x2fbc44ff185a1845,
+		44: 0x5f4cb24d90d67d84,
+		46: 0xd38bab26393a055e,
+		58: 0x717e3165d4a5c11a,
+		60: 0x46e0fff83f132034,
+		61: 0xa911778c038e3e19,
+		63: 0x9ffa37487c1b00b3,
+	}
+	if got := instance.Sums(); got != want {
+		for i, sum := range got {
+			if sum != want[i] {
+				t.Errorf("bucket %d: %#016x, want %#016x", i, sum, want[i])
+			}
+		}
+	}
+}
+
+// TestViewHash pins the hash of the fleet that a pulse tells.
+func TestViewHash(t *testing.T) {
+	known := []replica.Row{
+		pulseRow(t, "proxy-b", 1700000000001),
+		pulseRow(t, "proxy-c", 1700000000002),
+	}
+	gone := replica.Row{Kind: replica.Gone, Key: "proxy-c", Epoch: 1700000000002}
+	for _, c := range []struct {
+		name string
+		rows []replica.Row
+		want uint64
+	}{
+		{"alone", nil, 0x1c4c4c49df960e31},
+		{"three proxies", known, 0xbbc7b895a9bf29c3},
+		{"one is gone", append(known, gone), 0x78160c6d5104bfa7},
+	} {
+		instance := newInstance()
+		instance.Rows(0, "proxy-b", c.rows)
+		if got := lastPulse(t, instance, 20*replica.Second).View; got != c.want {
+			t.Errorf("%s: %#016x, want %#016x", c.name, got, c.want)
+		}
+	}
+}
+
+// pulseRow is a pulse of another proxy, which does not lapse.
+func pulseRow(t *testing.T, name string, incarnation int64) replica.Row {
+	t.Helper()
+	body, err := msgpack.Marshal(&replica.Pulsed{Address: "192.0.2.2:7946", Base: 0.25})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return replica.Row{Kind: replica.Pulse, Key: name, Writer: name, Epoch: incarnation, Count: 1, Body: body}
+}
+
+// lastPulse lets time pass and returns what the instance's latest pulse then says.
+func lastPulse(t *testing.T, instance *replica.Instance, span replica.Time) (latest replica.Pulsed) {
+	t.Helper()
+	for now := replica.Time(0); now <= span; now += replica.Second / 10 {
+		for _, d := range instance.Tick(now) {
+			if d.Act != replica.Spread || d.Rows[0].Kind != replica.Pulse || d.Rows[0].Writer != "proxy-a" {
+				continue
+			}
+			latest = replica.Pulsed{}
+			if err := msgpack.Unmarshal(d.Rows[0].Body, &latest); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return latest
+}
