--- /dev/null
+++ b/internal/wire/wire_golden_test.go
@@ -0,0 +1,36 @@
+package wire_test
+
+import (
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"woodproxy/internal/wire"
+)
+
+// TestGoldenTargets pins the encoding of a node of discovery's list, the body of a row of kind Node. Its fields have no
+// tags: they go by their names in Go, which therefore can't be changed without one.
+func TestGoldenTargets(t *testing.T) {
+	checkGolden(t, "targets.golden", []goldenCase{
+		{name: "target-full", full: true, value: &wire.Target{Name: "node-1", Address: "192.0.2.1:11211", Zone: "zone-1", Kind: "cache", Cell: 3,
+			Ready: true, Gone: true, Weight: 1.5, Since: 1700000000000}},
+		{name: "target-empty", value: &wire.Target{}},
+	})
+}
+
+// TestTargetElsewhereStaysLocal checks that where a target was heard of is not sent.
+func TestTargetElsewhereStaysLocal(t *testing.T) {
+	encoded, plain := encodeTarget(t, wire.Target{Name: "node-1", Elsewhere: true}), encodeTarget(t, wire.Target{Name: "node-1"})
+	if string(encoded) != string(plain) {
+		t.Errorf("encoded as %x, want %x", encoded, plain)
+	}
+}
+
+func encodeTarget(t *testing.T, target wire.Target) []byte {
+	t.Helper()
+	encoded, err := msgpack.Marshal(&target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
