--- /dev/null
+++ b/internal/talk/wire_golden_test.go
@@ -0,0 +1,203 @@
+package talk
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"woodproxy/replica"
+)
+
+// The tests of the wire format reach the package's unexported codec by these three alone.
+type gossipMessage = message
+
+func encodeGossip(m *gossipMessage) []byte                { return m.encode() }
+func decodeGossip(encoded []byte) (*gossipMessage, error) { return decode(encoded) }
+
+// wireVersion is the version that messages carry.
+const wireVersion = 1
+
+// sender is who the golden messages are from.
+const sender = "proxy-a"
+
+// messageCase is a message that the golden file pins the encoding of.
+type messageCase struct {
+	name    string
+	message gossipMessage
+}
+
+// messageCases has each type of message with all that it carries, and one with every field.
+func messageCases() []messageCase {
+	rows := goldenRows()
+	heads := []replica.Head{{ID: 0x0102030405060708, Copy: 0xf1f2f3f4f5f6f7f8}, {ID: 1, Copy: 2}}
+	ids := []uint64{0x0102030405060708, 3, 0}
+	return []messageCase{
+		{"spread", gossipMessage{From: sender, Act: replica.Spread, Rows: rows[:1]}},
+		{"digest", gossipMessage{From: sender, Act: replica.Digest, Sums: goldenSums()}},
+		{"heads", gossipMessage{From: sender, Act: replica.Heads, Which: 0x8000000000000005, Heads: heads}},
+		{"rows", gossipMessage{From: sender, Act: replica.Rows, Rows: rows}},
+		{"want", gossipMessage{From: sender, Act: replica.Want, IDs: ids}},
+		{"busy", gossipMessage{From: sender, Act: replica.Busy}},
+		{"same", gossipMessage{From: sender, Act: replica.Same}},
+		{"every-field", gossipMessage{From: sender, Act: replica.Same, Rows: rows, Heads: heads, IDs: ids, Which: 5, Sums: goldenSums()}},
+	}
+}
+
+// goldenRows has a row with every field, and one of each kind.
+func goldenRows() []replica.Row {
+	rows := []replica.Row{{Kind: replica.Voice, Key: "zone-1", Writer: sender, Epoch: 1700000000000, Rank: 1, Count: 70000, Age: 15000,
+		Life: 36000000, Body: []byte{0x81, 0xa1, 'z', 0x01}}}
+	for kind := replica.Pulse; kind <= replica.Absent; kind++ {
+		rows = append(rows, replica.Row{Kind: kind, Key: "key", Epoch: int64(kind) + 100})
+	}
+	return rows
+}
+
+func goldenSums() []uint64 {
+	sums := make([]uint64, 64)
+	for i := range sums {
+		sums[i] = uint64(i) * 0x0101010101010101
+	}
+	return sums
+}
+
+// TestGossipMessageEncoding pins the encoding of each type of message, and that the golden bytes decode to its values.
+func TestGossipMessageEncoding(t *testing.T) {
+	cases := messageCases()
+	var encodings []encoding
+	for i := range cases {
+		encodings = append(encodings, encoding{cases[i].name, encodeGossip(&cases[i].message)})
+	}
+	for i, golden := range compareGolden(t, "messages.golden", encodings) {
+		want := cases[i].message
+		want.Version = wireVersion
+		got, err := decodeGossip(golden)
+		if err != nil {
+			t.Errorf("%s: %v", cases[i].name, err)
+		} else if !reflect.DeepEqual(*got, want) {
+			t.Errorf("%s: decoded as\n%+v, want\n%+v", cases[i].name, *got, want)
+		}
+	}
+}
+
+// TestGossipMessageFields fails when a field is added to messages that the golden file does not pin.
+func TestGossipMessageFields(t *testing.T) {
+	cases := messageCases()
+	all := cases[len(cases)-1].message
+	encodeGossip(&all) // sets the version
+	v := reflect.ValueOf(all)
+	for i := range v.NumField() {
+		if v.Field(i).IsZero() {
+			t.Errorf("%s: not set", v.Type().Field(i).Name)
+		}
+	}
+}
+
+// fields is a message as another version may write it.
+type fields map[string]any
+
+// encodeFields encodes a valid message with some fields replaced, added, or where they are nil left out.
+func encodeFields(t *testing.T, changes fields) []byte {
+	t.Helper()
+	all := fields{"v": wireVersion, "f": sender, "t": 3}
+	for name, value := range changes {
+		all[name] = value
+		if value == nil {
+			delete(all, name)
+		}
+	}
+	encoded, err := msgpack.Marshal(map[string]any(all))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+// repeated is a list of n equal values.
+func repeated(n int, value any) []any {
+	list := make([]any, n)
+	for i := range list {
+		list[i] = value
+	}
+	return list
+}
+
+var (
+	plainRow  = map[string]any{"k": 3, "n": "node-1", "e": 4}
+	plainHead = []any{1, 2}
+)
+
+// TestGossipMessageAccepted checks what is read: up to the bounds, and what later versions may send.
+func TestGossipMessageAccepted(t *testing.T) {
+	for name, encoded := range map[string][]byte{
+		"least":               encodeFields(t, nil),
+		"without an act":      encodeFields(t, fields{"t": nil}),
+		"later version":       encodeFields(t, fields{"v": 9}),
+		"act of a later one":  encodeFields(t, fields{"t": 200}),
+		"unknown field":       encodeFields(t, fields{"later": []any{1, map[string]any{"nested": "value"}}}),
+		"longest sender":      encodeFields(t, fields{"f": strings.Repeat("x", 128)}),
+		"most rows":           encodeFields(t, fields{"r": repeated(256, plainRow)}),
+		"most heads":          encodeFields(t, fields{"h": repeated(16384, plainHead)}),
+		"most IDs":            encodeFields(t, fields{"i": repeated(16384, 1)}),
+		"sums of all buckets": encodeFields(t, fields{"s": repeated(64, 1)}),
+		"longest":             messageOfLength(t, 1<<20),
+	} {
+		if _, err := decodeGossip(encoded); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// TestGossipMessageUnknownFields checks that unknown fields of a message and of its rows change nothing else in them.
+func TestGossipMessageUnknownFields(t *testing.T) {
+	row := map[string]any{"k": 77, "n": "node-1", "e": 4, "later": true}
+	got, err := decodeGossip(encodeFields(t, fields{"v": 9, "later": []any{1}, "r": []any{row}, "w": 5}))
+	want := gossipMessage{Version: 9, From: sender, Act: replica.Rows, Rows: []replica.Row{{Kind: 77, Key: "node-1", Epoch: 4}}, Which: 5}
+	if err != nil || !reflect.DeepEqual(*got, want) {
+		t.Errorf("%+v %v, want %+v", got, err, want)
+	}
+}
+
+// TestGossipMessageRefused checks what is not read.
+func TestGossipMessageRefused(t *testing.T) {
+	valid := encodeFields(t, nil)
+	for name, encoded := range map[string][]byte{
+		"empty":                nil,
+		"no msgpack":           {0xc1},
+		"no map":               {0x01},
+		"cut off":              valid[:len(valid)-1],
+		"no version":           encodeFields(t, fields{"v": nil}),
+		"version zero":         encodeFields(t, fields{"v": 0}),
+		"negative version":     encodeFields(t, fields{"v": -1}),
+		"version of text":      encodeFields(t, fields{"v": "1"}),
+		"no sender":            encodeFields(t, fields{"f": nil}),
+		"empty sender":         encodeFields(t, fields{"f": ""}),
+		"too long a sender":    encodeFields(t, fields{"f": strings.Repeat("x", 129)}),
+		"too many rows":        encodeFields(t, fields{"r": repeated(257, plainRow)}),
+		"too many heads":       encodeFields(t, fields{"h": repeated(16385, plainHead)}),
+		"too many IDs":         encodeFields(t, fields{"i": repeated(16385, 1)}),
+		"too few sums":         encodeFields(t, fields{"s": repeated(63, 1)}),
+		"too many sums":        encodeFields(t, fields{"s": repeated(65, 1)}),
+		"a head that is a map": encodeFields(t, fields{"h": []any{map[string]any{"ID": "x"}}}),
+		"too long":             messageOfLength(t, 1<<20+1),
+	} {
+		if got, err := decodeGossip(encoded); err == nil {
+			t.Errorf("%s: read as %+v", name, got)
+		}
+	}
+}
+
+// messageOfLength is a message that is valid but for its length.
+func messageOfLength(t *testing.T, length int) []byte {
+	t.Helper()
+	const padding = 1 << 19 // of a length that is encoded in as many bytes as that of the final one
+	short := encodeFields(t, fields{"pad": bytes.Repeat([]byte{0}, padding)})
+	encoded := encodeFields(t, fields{"pad": bytes.Repeat([]byte{0}, padding+length-len(short))})
+	if len(encoded) != length {
+		t.Fatalf("%d bytes, want %d", len(encoded), length)
+	}
+	return encoded
+}
