--- a/internal/run/zones.go
+++ b/internal/run/zones.go
@@ -198,15 +198,15 @@
 // Command takes an operator's order on a zone or region; epoch is that of the order which it is to replace, below zero:
 // whichever stands. An error says why nothing has changed.
 func (s *service) Command(name, want string, epoch int64, force bool) (string, error) {
-	terms := s.peers.place.Zones
-	if terms == nil {
+	config := s.peers.place.Zones
+	if config == nil {
 		return "", errOff
 	}
 	w, ok := zones.Wants[want]
 	if !ok {
 		return "", fmt.Errorf("%q: none of in, out, hold, auto", want)
 	}
-	shown, names := s.peers.router.ZonesShown(), terms.Zones(name)
+	shown, names := s.peers.router.ZonesShown(), config.Zones(name)
 	if wrong := zones.Check(shown, names, w, epoch, force); wrong != "" {
 		return "", errors.New(wrong)
 	}
@@ -235,12 +235,12 @@
 
 // Zones words how the zones stand, "": they are not judged.
 func (s *service) Zones() string {
-	terms := s.peers.place.Zones
-	if terms == nil {
+	config := s.peers.place.Zones
+	if config == nil {
 		return ""
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "this proxy stands in %q; %d regions\n", terms.Zone, len(terms.Regions))
+	fmt.Fprintf(&b, "this proxy stands in %q; %d regions\n", config.Zone, len(config.Regions))
 	for _, z := range s.peers.router.ZonesShown() {
 		how := z.Stand.State.String()
 		switch {
--- a/internal/talk/frames_golden_test.go
+++ b/internal/talk/frames_golden_test.go
@@ -14,12 +14,12 @@
 	"testing"
 	"time"
 
+	"woodproxy/internal/wire"
+	"woodproxy/replica"
+
 	"github.com/hashicorp/memberlist"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
-
-	"woodproxy/internal/wire"
-	"woodproxy/replica"
 )
 
 // Frames of the membership library, in which messages go.
