simwire: golden sessions pin the simulator's wire and the decisions behind it

Cause: before a large renaming, no change of the wire or of a decision may go unseen.

Pinned: four sessions from fixed seeds, generated by the test itself, which reacts to each reply (pushed list with an aside cache and origins; list to be asked for with peers; deduped and non-retriable routes with tenants; parallel tries and cancels). They hold each kind of message, each ending and each list mode, which a coverage test checks. Golden files are rewritten by -update only, and a missing one fails.

--- /dev/null
+++ b/simwire/session_golden_test.go
@@ -0,0 +1,115 @@
+package simwire_test
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"woodproxy/simwire"
+)
+
+// Texts of log lines are for people and may change; that a line is logged may not.
+var logText = regexp.MustCompile(`(?m)^(\["say-log",\d+,).*$`)
+
+func blankLogTexts(output []byte) []byte { return logText.ReplaceAll(output, []byte(`$1""]`)) }
+
+func inputFile(shape *sessionShape) string  { return "session_" + shape.name + ".in" }
+func outputFile(shape *sessionShape) string { return "session_" + shape.name + ".out" }
+
+// TestSessionGenerated generates each session anew, with the code's own replies, and compares both directions with
+// what was recorded.
+func TestSessionGenerated(t *testing.T) {
+	for i := range sessionShapes {
+		shape := &sessionShapes[i]
+		t.Run(shape.name, func(t *testing.T) {
+			input, output := generateSession(t, shape)
+			compareGolden(t, outputFile(shape), blankLogTexts(output))
+			compareGolden(t, inputFile(shape), input)
+		})
+	}
+}
+
+// TestSessionReplayed replays the recorded inputs, whose outputs must be the recorded ones.
+func TestSessionReplayed(t *testing.T) {
+	for i := range sessionShapes {
+		shape := &sessionShapes[i]
+		t.Run(shape.name, func(t *testing.T) {
+			input := readGolden(t, filepath.Join("testdata", inputFile(shape)))
+			var output bytes.Buffer
+			if err := simwire.Serve(bytes.NewReader(input), &output); err != nil {
+				t.Fatal(err)
+			}
+			compareGolden(t, outputFile(shape), blankLogTexts(output.Bytes()))
+		})
+	}
+}
+
+// TestSessionCoverage checks that the recorded sessions hold each kind of message and each value of the enumerated
+// fields, so that none of them falls out of a newly recorded one.
+func TestSessionCoverage(t *testing.T) {
+	var inputs, outputs strings.Builder
+	for i := range sessionShapes {
+		inputs.Write(readGolden(t, filepath.Join("testdata", inputFile(&sessionShapes[i]))))
+		outputs.Write(readGolden(t, filepath.Join("testdata", outputFile(&sessionShapes[i]))))
+	}
+	for _, kind := range []string{"mark", "go", "register", "boot", "fleet", "order", "started", "client-left",
+		"timeout-fired", "returned", "sampled", "from-peer", "power-off"} {
+		if !strings.Contains(inputs.String(), "\n[\""+kind+"\"") {
+			t.Errorf("no %s among the inputs", kind)
+		}
+	}
+	for _, value := range []string{"pass", "fault", "no_room", "too_slow", "no_route", "cut", "undone", "stale_send",
+		"none_here", "INCREMENTAL", "FULL", "SAVED", "FAILED", "SERVING", "DRAINING", "DELETED"} {
+		if !strings.Contains(inputs.String(), `,"`+value+`"`) {
+			t.Errorf("no %s among the inputs", value)
+		}
+	}
+	for _, kind := range []string{"eor", "try", "abort-attempt", "busy", "finish-error", "wake-me", "follow", "publish",
+		"say-log"} {
+		if !strings.Contains(outputs.String(), "\n[\""+kind+"\"") {
+			t.Errorf("no %s among the outputs", kind)
+		}
+	}
+	if !regexp.MustCompile(`"publish",\d+,\d+,"\w+\+"`).MatchString(outputs.String()) {
+		t.Error("no peer is told that a node answers again")
+	}
+}
+
+// TestSimhostBinary replays a session and a malformed input through the command.
+func TestSimhostBinary(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "simhost")
+	if text, err := exec.Command("go", "build", "-o", binary, "../cmd/simhost").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, text)
+	}
+	for i := range sessionShapes {
+		shape := &sessionShapes[i]
+		input, err := os.Open(filepath.Join("testdata", inputFile(shape)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer input.Close()
+		command := exec.Command(binary)
+		command.Stdin = input
+		output, err := command.Output()
+		if err != nil {
+			t.Fatalf("%s: %v", shape.name, err)
+		}
+		want := readGolden(t, filepath.Join("testdata", outputFile(shape)))
+		if !bytes.Equal(blankLogTexts(output), want) {
+			t.Errorf("%s: the command's output differs from the recorded one", shape.name)
+		}
+	}
+	var stdout, stderr bytes.Buffer
+	command := exec.Command(binary)
+	command.Stdin, command.Stdout, command.Stderr = strings.NewReader("nonsense\n"), &stdout, &stderr
+	if err := command.Run(); err == nil || command.ProcessState.ExitCode() != 1 {
+		t.Errorf("malformed input: %v, want exit code 1", err)
+	}
+	if stdout.Len() > 0 || stderr.String() != "simhost: line 1: not JSON\n" {
+		t.Errorf("malformed input: stdout %q, stderr %q", stdout.String(), stderr.String())
+	}
+}
--- /dev/null
+++ b/simwire/session_replies_test.go
@@ -0,0 +1,178 @@
+package simwire_test
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// takeReply records the reply to the last batch and does what its lines ask for.
+func (g *sessionGenerator) takeReply() {
+	g.t.Helper()
+	text := g.reply.String()
+	g.reply.Reset()
+	g.output.WriteString(text)
+	for line := range strings.Lines(text) {
+		var values []any
+		if err := json.Unmarshal([]byte(line), &values); err != nil {
+			g.t.Fatalf("output line %q: %v", line, err)
+		}
+		g.carryOut(line, values)
+	}
+}
+
+func (g *sessionGenerator) carryOut(line string, values []any) {
+	g.t.Helper()
+	kind, _ := values[0].(string)
+	if kind == "eor" {
+		return
+	}
+	who := int(values[1].(float64))
+	switch kind {
+	case "try":
+		g.startAttempt(g.request(line, who, values[2]), microseconds(values[3]), values[4].(string))
+	case "abort-attempt":
+		g.cancelAttempt(who, values[2], int(values[3].(float64)))
+	case "busy":
+		g.refuse(g.request(line, who, values[2]), microseconds(values[3]))
+	case "finish-error":
+		g.request(line, who, values[2]).finished = true
+	case "wake-me":
+		g.timers = append(g.timers, timer{who, g.clock + microseconds(values[2]), values[3]})
+	case "follow":
+		g.callList(who)
+	case "publish":
+		g.publish(who, g.shape.firstWho+int(values[2].(float64)), values[3])
+	case "say-log":
+	default:
+		g.t.Fatalf("output line of unknown kind: %s", line)
+	}
+}
+
+// request finds the request that an output line names; it must have been open when the batch began.
+func (g *sessionGenerator) request(line string, who int, id any) *clientRequest {
+	g.t.Helper()
+	for _, r := range g.requests {
+		if r.who == who && r.id == id {
+			return r
+		}
+	}
+	g.t.Fatalf("output line names no open request: %s", line)
+	return nil
+}
+
+func (g *sessionGenerator) startAttempt(r *clientRequest, timeout int64, name string) {
+	a := &upstreamAttempt{request: r, node: name, leg: r.attempts, sent: g.clock}
+	r.attempts++
+	g.attempts = append(g.attempts, a)
+	n := g.node(name)
+	a.ending = g.pickEnding(r, n)
+	a.endsAt = g.clock + g.pickDuration(a.ending, n)
+	if g.random.percent(60) {
+		a.sum = map[string]any{"queue": g.random.below(9), "x0": 0.25}
+	}
+	if a.ending == "pass" || a.ending == "none_here" {
+		a.info = []any{nil, 1, 2, 3}[g.random.below(4)]
+	}
+	if r.route.stream && (a.ending == "pass" || a.ending == "cut") {
+		a.startsAt = g.clock + (a.endsAt-g.clock)/2
+	}
+	if limit := min(g.clock+timeout, r.deadline); a.startsAt == 0 && a.endsAt > limit {
+		a.endsAt, a.ending = limit+g.random.between(0, 32)*250, "too_slow" // some reach the instance late
+	}
+}
+
+func (g *sessionGenerator) node(name string) *fleetNode {
+	g.t.Helper()
+	for _, n := range g.fleet {
+		if n.name == name {
+			return n
+		}
+	}
+	g.t.Fatalf("an attempt at node %q, which was in no list", name)
+	return nil
+}
+
+// pickEnding draws how an attempt ends, by the state the node is in.
+func (g *sessionGenerator) pickEnding(r *clientRequest, n *fleetNode) string {
+	if r.finished {
+		return "stale_send"
+	}
+	lucky := g.random.percent(15)
+	switch {
+	case n.mood == silent:
+		return "too_slow"
+	case n.mood == unreachable && !lucky:
+		return "no_route"
+	case n.mood == refusing && !lucky:
+		return "no_room"
+	case n.mood == faulty && !lucky:
+		return "fault"
+	}
+	if g.shape.aside && n.kind != "origin" && g.random.percent(35) {
+		return "none_here"
+	}
+	rare := []string{"fault", "no_room", "too_slow", "no_route", "cut", "cut", "stale_send"}
+	if k := g.random.below(80); k < len(rare) {
+		return rare[k]
+	}
+	return "pass"
+}
+
+func (g *sessionGenerator) pickDuration(ending string, n *fleetNode) int64 {
+	switch {
+	case ending == "too_slow":
+		return 1000 * millisecond // cut to the time-out
+	case ending == "stale_send":
+		return 250
+	case ending == "no_room", ending == "no_route":
+		return g.random.between(4, 40) * 250
+	case n.mood == slow:
+		return g.random.between(70, 160) * millisecond
+	case n.kind == "origin":
+		return g.random.between(40, 240) * 250
+	}
+	return g.random.between(12, 100) * 250
+}
+
+// cancelAttempt ends an attempt as undone, unless another outcome is on the way or its stream has started.
+func (g *sessionGenerator) cancelAttempt(who int, id any, leg int) {
+	for _, a := range g.attempts {
+		if a.request.who != who || a.request.id != id || a.leg != leg || a.started {
+			continue
+		}
+		if g.random.percent(15) {
+			continue
+		}
+		a.ending, a.endsAt, a.startsAt, a.info = "undone", g.clock+750, 0, nil
+	}
+}
+
+func (g *sessionGenerator) refuse(r *clientRequest, retryIn int64) {
+	if r.finished {
+		return
+	}
+	r.finished = true
+	if g.random.percent(40) {
+		g.repeats = append(g.repeats, repeat{g.clock + retryIn + 10*millisecond, r})
+	}
+}
+
+func (g *sessionGenerator) callList(who int) {
+	if !g.shape.ask {
+		g.t.Fatal("a call for the list where it is pushed")
+	}
+	mode := "FULL"
+	if g.random.percent(40) {
+		mode = "FAILED"
+	}
+	g.lists = append(g.lists, listReply{who, g.clock + 15*millisecond, mode})
+}
+
+// publish delivers most messages to a peer; some are lost.
+func (g *sessionGenerator) publish(from, to int, payload any) {
+	if !g.running[to] || g.random.percent(20) {
+		return
+	}
+	dueAt := g.clock + g.random.between(3, 30)*millisecond
+	g.messages = append(g.messages, peerMessage{to, from - g.shape.firstWho, dueAt, payload})
+}
