--- /dev/null
+++ b/simwire/repeat_group_golden_test.go
@@ -0,0 +1,43 @@
+package simwire_test
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"strings"
+	"testing"
+
+	"woodproxy/simwire"
+)
+
+var tryLine = regexp.MustCompile(`\["try",1,"(t\d+)",[\d.]+,"(\w+)"\]`)
+
+// TestRepeatGroupGolden pins to which nodes deduped requests are sent again when their connections were cut: the nodes'
+// zones and cells cross, so that each group leaves other nodes.
+func TestRepeatGroupGolden(t *testing.T) {
+	const nodes = `["register",3,[["std","SERVING",0,null,1,"z","c1"],["std","SERVING",1,null,1,"z","c2"],` +
+		`["std","SERVING",0,null,1,"y","c3"],["std","SERVING",1,null,1,"y","c4"]]]`
+	var table bytes.Buffer
+	for _, group := range []string{"all", "zone", "cell"} {
+		settings := strings.NewReplacer(`"group":"all"`, `"group":"`+group+`"`, `"effect":"pure"`, `"effect":"token"`,
+			`"zones":["z"]`, `"zones":["z","y"]`).Replace(validSetup)
+		first := oneBatch(nodes + "\n" + `["boot",1,99,` + settings + "]\n" + `["fleet",1,1,3,"SAVED"]` + "\n" + orders(8, "null"))
+		var reply, output bytes.Buffer
+		if err := simwire.Serve(strings.NewReader(first), &reply); err != nil {
+			t.Fatal(err)
+		}
+		tries := tryLine.FindAllStringSubmatch(reply.String(), -1)
+		if len(tries) != 8 {
+			t.Fatalf("%d tries, want 8:\n%s", len(tries), reply.String())
+		}
+		var ends strings.Builder
+		for _, try := range tries {
+			fmt.Fprintf(&ends, `["returned",1,%q,%q,0,null,4,"cut",false,null]`+"\n", try[1], try[2])
+		}
+		if err := simwire.Serve(strings.NewReader(first+oneBatch(ends.String())), &output); err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&table, "# %s\n%s", group, blankLogTexts(output.Bytes()))
+	}
+	compareGolden(t, "repeat_groups.golden", table.Bytes())
+}
