internal/wire: golden bytes and values for the client and cache protocol

Cause: before a large renaming, no byte of the protocol may change unseen.

Pinned: the bytes of cache commands, origin requests and discovery requests with each optional part set and unset; what is read of commands, facts, cache answers, origin answers by status and header, lists of targets and watches; lists of targets as written and read back; the texts of errors and whether an attempt may have run.

--- /dev/null
+++ b/internal/wire/protocol_golden_test.go
@@ -0,0 +1,457 @@
+package wire_test
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fastjson"
+
+	"woodproxy/brain"
+	"woodproxy/internal/wire"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files in testdata from what the code does now")
+
+// compareGolden compares got with a file in testdata, or rewrites that file where -update is given.
+func compareGolden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if *update {
+		if err := os.MkdirAll("testdata", 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	content, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		t.Fatalf("golden file %s is missing; run the test with -update to record it", path)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	gotLines, wantLines := strings.Split(got, "\n"), strings.Split(string(content), "\n")
+	for i := range min(len(gotLines), len(wantLines)) {
+		if gotLines[i] != wantLines[i] {
+			t.Errorf("%s:%d differs\ngot  %s\nwant %s", path, i+1, gotLines[i], wantLines[i])
+		}
+	}
+	if len(gotLines) != len(wantLines) {
+		t.Errorf("%s: got %d lines, want %d", path, len(gotLines), len(wantLines))
+	}
+}
+
+// golden collects lines of "what = result", with bytes quoted.
+type golden struct{ strings.Builder }
+
+func (g *golden) section(name string) { fmt.Fprintf(g, "# %s\n", name) }
+
+func (g *golden) bytes(what string, b []byte) { fmt.Fprintf(g, "%s = %q\n", what, b) }
+
+func (g *golden) value(what, format string, args ...any) {
+	fmt.Fprintf(g, "%s = %s\n", what, fmt.Sprintf(format, args...))
+}
+
+// shorten keeps long inputs out of the golden file.
+func shorten(text string) string {
+	if len(text) <= 400 {
+		return fmt.Sprintf("%q", text)
+	}
+	return fmt.Sprintf("%q and so on, %d bytes", text[:40], len(text))
+}
+
+// endingNames are independent of the constants' values and of their names.
+var endingNames = map[brain.Ending]string{
+	brain.Completed: "completed", brain.Fault: "fault", brain.NoRoom: "no room", brain.Silent: "silent",
+	brain.Unreachable: "unreachable", brain.Cut: "cut", brain.Undone: "undone", brain.NeverSent: "never sent",
+	brain.Lacking: "lacking",
+}
+
+// errorText adds to an error's text how far the attempt had come, and whether it may have run.
+func errorText(err error) string {
+	var halt *wire.Halt
+	text := fmt.Sprintf("error %q", err.Error())
+	if errors.Is(err, wire.ErrBytes) {
+		text += ", protocol error"
+	}
+	if errors.Is(err, wire.ErrShort) {
+		text += ", incomplete"
+	}
+	if errors.As(err, &halt) {
+		text += fmt.Sprintf(", while %s, may have run %v", halt.Far, halt.Ran())
+	}
+	return text
+}
+
+// parts are one choice of the optional words of a command.
+type parts struct {
+	name           string
+	key, id, facts string
+	value          int // length, -1: none
+}
+
+// optionalParts are commands with every optional part set and unset.
+var optionalParts = []parts{
+	{name: "all set", key: "k1", id: "id-7", facts: "c=put,t=acme,d=480,r=1", value: 3},
+	{name: "no value", key: "k1", id: "id-7", facts: "c=read,t=acme,d=480", value: -1},
+	{name: "empty value", key: "k1", id: "id-7", facts: "c=put,d=480", value: 0},
+	{name: "longest value", key: "k1", id: "id-7", facts: "c=put,d=480", value: wire.MaxWrite},
+	{name: "no key", id: "id-7", facts: "c=read,d=480", value: -1},
+	{name: "no id", key: "k1", facts: "c=read,d=480", value: -1},
+	{name: "no facts", key: "k1", id: "id-7", value: -1},
+	{name: "nothing set", value: -1},
+	{name: "bytes of all kinds", key: "aZ09-_.~ /?%&+\x00\x7f\r\né", id: "ü 1", facts: "c=x y,d=1", value: -1},
+}
+
+// TestRequestBytesGolden pins each byte that is written to caches, to the origin and to discovery.
+func TestRequestBytesGolden(t *testing.T) {
+	var g golden
+	g.section("cache command")
+	for _, p := range optionalParts {
+		name := "KV.GET"
+		if p.value >= 0 {
+			name = "KV.SET"
+		}
+		g.bytes(p.name, wire.AppendCommand([]byte(">"), []byte(name), []byte(p.key), []byte(p.id), []byte(p.facts), p.value))
+	}
+	g.section("other command")
+	for _, words := range [][]string{nil, {"PING"}, {"HELLO", "2"}, {"", "a b", "é\r\n"}} {
+		g.bytes(fmt.Sprintf("%q", words), wire.AppendPlain([]byte(">"), words...))
+	}
+	g.section("length line")
+	for _, n := range []int{-1, 0, 1, 1234567} {
+		g.bytes(fmt.Sprintf("$ %d", n), wire.AppendLength([]byte(">"), '$', n))
+		g.bytes(fmt.Sprintf("* %d", n), wire.AppendLength(nil, '*', n))
+		g.bytes(fmt.Sprintf(": %d", n), wire.AppendLength(nil, ':', n))
+	}
+	g.section("origin request")
+	for _, p := range optionalParts {
+		g.bytes(p.name, wire.AppendFetch([]byte(">"), "origin:8080", []byte(p.key), []byte(p.id), []byte(p.facts), p.value))
+	}
+	g.bytes("no host", wire.AppendFetch(nil, "", []byte("k"), []byte("i"), []byte("f"), -1))
+	var every []byte
+	for c := range 256 {
+		every = append(every, byte(c))
+	}
+	g.bytes("key of every byte", wire.AppendFetch(nil, "h", every, nil, nil, -1))
+	g.section("discovery request")
+	for _, since := range []int64{0, 41, -1, 1 << 62} {
+		g.bytes(fmt.Sprint("since ", since), wire.AppendWatch([]byte(">"), "discovery:9090", since))
+	}
+	g.bytes("no host", wire.AppendWatch(nil, "", 0))
+	g.section("facts with another wait")
+	for _, list := range []string{"", "d=480", "c=read,d=480", "c=put,t=acme,d=480,size=9,k=5c0f,r=1", "c=read", "d=1,d=2",
+		"dd=1,c=x", "c=d=1,d=12.75", ",,", "odd,d=5,"} {
+		g.bytes(fmt.Sprintf("%q", list), wire.AppendFacts([]byte(">"), []byte(list), 77))
+	}
+	g.bytes("nothing left to wait", wire.AppendFacts(nil, []byte("c=x,d=480"), 0))
+	g.section("limits")
+	g.value("longest value read whole", "%d", wire.MaxValue)
+	g.value("longest answer", "%d", wire.MaxAnswer)
+	g.value("longest write", "%d", wire.MaxWrite)
+	compareGolden(t, "requests.golden", g.String())
+}
+
+// TestCommandParseGolden pins what is read of clients' commands, and the text for each malformed one.
+func TestCommandParseGolden(t *testing.T) {
+	var g golden
+	for _, text := range []string{
+		"*1\r\n$4\r\nPING\r\n", "*1\r\n$0\r\n\r\n", "*2\r\n$5\r\nHELLO\r\n$1\r\n2\r\n",
+		"*4\r\n$6\r\nkv.get\r\n$2\r\nk1\r\n$3\r\nid1\r\n$12\r\nc=read,d=480\r\n*1\r\n",
+		"*4\r\n$6\r\nKV.GET\r\n$0\r\n\r\n$0\r\n\r\n$0\r\n\r\n",
+		"*5\r\n$6\r\nKV.SET\r\n$2\r\nk1\r\n$3\r\nid1\r\n$11\r\nc=put,d=480\r\n$3\r\nabc\r\n",
+		"*5\r\n$6\r\nKV.SET\r\n$2\r\nk1\r\n$3\r\nid1\r\n$11\r\nc=put,d=480\r\n$4194304\r\n",
+		"*5\r\n$6\r\nKv.SeT\r\n$2\r\nk1\r\n$3\r\nid1\r\n$11\r\nc=put,d=480\r\n$0\r\n",
+		"*5\r\n$6\r\nKV.DEL\r\n$1\r\na\r\n$1\r\nb\r\n$1\r\nc\r\n$1\r\nd\r\n",
+		"*16\r\n" + strings.Repeat("$1\r\nw\r\n", 16),
+		"*2\r\n$4\r\nECHO\r\n$1024\r\n" + strings.Repeat("w", 1024) + "\r\n",
+
+		"", "*", "*1", "*1\r", "*1\r\n", "*1\r\n$4\r\nPIN", "*1\r\n$4\r\nPING\r", "*99999999999999",
+		"PING\r\n", "$1\r\n", "*0\r\n", "*17\r\n", "*-1\r\n", "*1\n$4\r\n", "*1x\r\n", "*\r\n", "*-\r\n", "*1234567890\r\n",
+		"*99999999999999999999", "*1\r\n:4\r\n", "*1\r\n$-1\r\n", "*1\r\n$1025\r\n", "*1\r\n$4\r\nPINGxx",
+		"*2\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n", "*1\r\n$6\r\nKV.SET\r\n",
+		"*4\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nf\r\n",
+		"*6\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nf\r\n$1\r\nv\r\n$1\r\nw\r\n",
+		"*5\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nf\r\n$4194305\r\n",
+		"*5\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nf\r\n$-1\r\n",
+	} {
+		c, n, err := wire.ParseCommand([]byte(text))
+		if err != nil {
+			g.value(shorten(text), "%s", errorText(err))
+			continue
+		}
+		g.value(shorten(text), "took %d: name %q, key %q, id %q, facts %q, value of %d; is KV.GET %v, is KV.SET %v", n,
+			c.Name, c.Key, c.ID, c.Facts, c.Value, c.Is("KV.GET"), c.Is("KV.SET"))
+	}
+	compareGolden(t, "commands.golden", g.String())
+}
+
+// TestFactsParseGolden pins what is read of a command's facts, and the text for each malformed list.
+func TestFactsParseGolden(t *testing.T) {
+	var g golden
+	for _, list := range []string{
+		"c=read,d=480", "c=put,t=acme,d=480,size=9,k=5c0f,r=1", "d=12.75,c=x", "d=0,c=", "c=x,d=5,r=0", "c=x,d=5,r=true",
+		"c=x,d=5,t=", "c=a,c=b,d=1,d=2", "c=x=y,d=5", "C=x,D=5,c=y,d=6", "c=x,d=999999999", "c=x,d=5.", "c=x,d=5.y", "=,c=x,d=1",
+		"", "c=x", "d=5", "c=x,d=", "c=x,d=-5", "c=x,d=5x", "c=x,d=5,odd", "c=x,d=5,", "c=x,d=1234567890", "c=x,d= 5",
+	} {
+		f, err := wire.ParseFacts([]byte(list))
+		if err != nil {
+			g.value(fmt.Sprintf("%q", list), "%s", errorText(err))
+			continue
+		}
+		g.value(fmt.Sprintf("%q", list), "route %q, tenant %q (given %v), wait %d, repeat %v", f.Route, f.Tenant, f.Tenant != nil,
+			f.Wait, f.Repeat)
+	}
+	g.section("printable words")
+	for _, word := range []string{"", "plain ~", "é", "\x1f", "\x7f", "a\r", "\x00", "\t"} {
+		text := "accepted"
+		if err := wire.Plain([]byte("first"), []byte(word)); err != nil {
+			text = errorText(err)
+		}
+		g.value(fmt.Sprintf("%q", word), "%s", text)
+	}
+	compareGolden(t, "facts.golden", g.String())
+}
+
+// readAnswer reads one answer whole and tells all that can be told of it.
+func readAnswer(read func(*bufio.Reader) (wire.Answer, error), text string) string {
+	r := bufio.NewReader(strings.NewReader(text))
+	a, err := read(r)
+	if err != nil {
+		return errorText(err)
+	}
+	body, whole := a.Whole()
+	told := fmt.Sprintf("%s, value of %d, absent %v, again %v, read whole %v", endingNames[a.Ending], a.Long, a.Absent,
+		a.Again, whole)
+	if whole {
+		told += ", " + shorten(string(body))
+	}
+	if a.Ending == brain.Completed {
+		value, err := a.Value(r)
+		if err == nil {
+			told += ", value " + shorten(string(value))
+			err = a.Tail(r)
+		}
+		if err != nil {
+			return told + "; then " + errorText(err)
+		}
+	}
+	rest, _ := io.ReadAll(r)
+	return told + fmt.Sprintf(", %q left", rest)
+}
+
+// TestCacheAnswerGolden pins how each answer of a cache is read.
+func TestCacheAnswerGolden(t *testing.T) {
+	var g golden
+	for _, text := range []string{
+		"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$7\r\nqueue=3\r\n+next", "*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", "*1\r\n$1\r\nv\r\n",
+		"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", "*1\r\n$-1\r\n", "*1\r\n+OK\r\n", "*2\r\n:7\r\n+fine\r\n",
+		"*8\r\n$1\r\nv\r\n" + strings.Repeat("$1\r\nx\r\n", 7), "*2\r\n$1\r\nv\r\n:3\r\n",
+		"*1\r\n$70000\r\n" + strings.Repeat("v", 70000) + "\r\n",
+		"-BUSY\r\n", "-BUSY too many\r\n", "-BUSYBODY\r\n", "-ERR failed\r\n", "-busy\r\n", "-MOVED 1\r\n",
+		"", "*", "*1\r\n", "*1\r\n$1\r\n", "*1\r\n$1\r\nv", "*2\r\n$1\r\nv\r\n", "*2\r\n$-1\r\n", "-ERR", "-SYNTAX what\r\n",
+		"+OK\r\n", "\r\n\r\n", ":1\r\n", "$1\r\nv\r\n", "*0\r\n", "*9\r\n", "*x\r\n", "*-1\r\n", "*1\r\n$4194305\r\n", "*1\r\n$-2\r\n",
+		"*1\r\n$1\r\nvxx", "*1\r\n*1\r\n", "*2\r\n$1\r\nv\r\n$65537\r\n", "*2\r\n$1\r\nv\r\n-ERR\r\n", "*1\n$1\r\n",
+		"*" + strings.Repeat("1", 5000),
+	} {
+		g.value(shorten(text), "%s", readAnswer(wire.ReadAnswer, text))
+	}
+	g.section("end behind a value read piece by piece")
+	for _, end := range []string{"\r\n", "\n\n", "\r", ""} {
+		r := bufio.NewReader(strings.NewReader("*1\r\n$1\r\nv" + end))
+		a, err := wire.ReadAnswer(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := r.Discard(1); err != nil {
+			t.Fatal(err)
+		}
+		text := "accepted"
+		if err := a.End(r); err != nil {
+			text = errorText(err)
+		}
+		g.value(fmt.Sprintf("%q", end), "%s", text)
+	}
+	g.section("single element")
+	for _, text := range []string{"$5\r\nvalue\r\n", "$0\r\n\r\n", "$-1\r\n", "+OK\r\n", ":3\r\n", "-ERR\r\n", "*1\r\n", "$1\r\nvxx", ""} {
+		b, err := wire.ReadBulk(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			g.value(fmt.Sprintf("%q", text), "%s", errorText(err))
+			continue
+		}
+		g.value(fmt.Sprintf("%q", text), "%q, null %v", b, b == nil)
+	}
+	compareGolden(t, "cache_answers.golden", g.String())
+}
+
+// TestOriginAnswerGolden pins how each answer of the origin is read, by its status and headers.
+func TestOriginAnswerGolden(t *testing.T) {
+	var g golden
+	record := func(text string) {
+		g.value(shorten(text), "%s", readAnswer(wire.ReadFetched, text))
+	}
+	for _, status := range []string{"200 OK", "201 Created", "204 No Content", "206 Part", "301 Moved", "304 Not Modified",
+		"400 Bad", "404 Not Found", "410 Gone", "429 Slow Down", "500 Error", "502 Bad", "503 Busy", "504 Late"} {
+		record("HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok")
+		record("HTTP/1.1 " + status + "\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2", "HTTP/1.1 200 OK\r\ncontent-length:2 ", "HTTP/1.0 200 OK\r\nContent-Length: 2",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nconnection: Close",
+		"HTTP/1.0 200 OK\r\nContent-Length: 2\r\nConnection: keep-alive", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: upgrade",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2", "HTTP/1.1 200 OK", "HTTP/1.0 200 OK",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Backend-Load: q=1\r\nX-Correlation-Id: id", "HTTP/1.1 200\r\nContent-Length: 2",
+		"HTTP/1.1 503 No\r\nx-unprocessed: 1\r\nContent-Length: 2", "HTTP/1.1 503 No\r\nX-Unprocessed: 0\r\nContent-Length: 2",
+		"HTTP/1.1 503 No\r\nX-Unprocessed: true\r\nContent-Length: 2",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2",
+		"HTTP/1.1 100 Continue\r\nX-Unprocessed: 1\r\n\r\nHTTP/1.1 503 No\r\nContent-Length: 2",
+		"HTTP/2 200 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 099 OK", "HTTP/1.1 200 OK\r\nno colon", "NOHTTP 200 OK and more",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5x", "HTTP/1.1 200 OK\r\nContent-Length: -5", "HTTP/1.1 200 OK\r\nContent-Length: ",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6", "HTTP/1.1 200 OK\r\nContent-Length: 4194305",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip", "HTTP/1.1 200 OK\r\nContent-Length: 3",
+		"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 5000),
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 4000) + "C: d",
+	} {
+		record(head + "\r\n\r\nok")
+	}
+	for _, chunks := range []string{"2\r\nok\r\n0\r\n\r\n", "1;x=1\r\no\r\n1\r\nk\r\n0\r\nTrailer: 1\r\n\r\nnext", "0\r\n\r\n",
+		"A\r\n0123456789\r\n0\r\n\r\n", "2\r\nok", "2\r\nokxx", "x\r\n", "-1\r\n", "80000000\r\n", "2\r\nok\r\n0\r\n", ""} {
+		record("HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n" + chunks)
+	}
+	for _, text := range []string{"", "H", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("v", 1<<20+1), "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("v", 1<<20)} {
+		record(text)
+	}
+	compareGolden(t, "origin_answers.golden", g.String())
+}
+
+// TestTargetsWriteGolden pins the list of targets as it is written, and what is read back of it.
+func TestTargetsWriteGolden(t *testing.T) {
+	var g golden
+	full := wire.Target{Name: "c1", Address: "10.0.0.1:6379", Zone: "a", Kind: "m2", Cell: 3, Ready: true, Weight: 1.5,
+		Since: 1700000000123}
+	leaving, left, minimal, escaped := full, full, wire.Target{Name: "c2", Address: "h:1", Ready: true}, full
+	leaving.Ready = false
+	left.Ready, left.Gone = false, true
+	escaped.Name, escaped.Zone, escaped.Kind = "c \"1\"\\\n", "é", "<m&2>"
+	elsewhere := full
+	elsewhere.Elsewhere = true
+	for _, c := range []struct {
+		name string
+		list []wire.Target
+	}{
+		{"empty", nil}, {"all set", []wire.Target{full}}, {"leaving", []wire.Target{leaving}}, {"left", []wire.Target{left}},
+		{"left, though ready", []wire.Target{{Name: "c", Ready: true, Gone: true}}}, {"nothing optional", []wire.Target{minimal}},
+		{"characters that need escapes", []wire.Target{escaped}}, {"told by another proxy", []wire.Target{elsewhere}},
+		{"fractional, negative and large numbers", []wire.Target{{Name: "c", Weight: 0.1, Cell: -4, Since: 1 << 62}, {Name: "d", Weight: 1e21}}},
+		{"several", []wire.Target{full, leaving, left, minimal}},
+	} {
+		text := wire.AppendTargets([]byte(">"), c.list)
+		g.bytes(c.name, text)
+		g.value(c.name+", read back", "%s", readTargets(string(text[1:])))
+	}
+	compareGolden(t, "targets_written.golden", g.String())
+}
+
+func readTargets(text string) string {
+	v, err := fastjson.Parse(text)
+	if err != nil {
+		return "not JSON"
+	}
+	index, whole, list, err := wire.ParseTargets(v)
+	if err != nil {
+		return errorText(err)
+	}
+	told := fmt.Sprintf("index %d, whole %v", index, whole)
+	for _, n := range list {
+		told += fmt.Sprintf("; name %q, address %q, zone %q, kind %q, cell %d, ready %v, gone %v, weight %v, since %d, elsewhere %v",
+			n.Name, n.Address, n.Zone, n.Kind, n.Cell, n.Ready, n.Gone, n.Weight, n.Since, n.Elsewhere)
+	}
+	return told
+}
+
+// TestTargetsParseGolden pins what is read of discovery's lists, with each field set, unset and mistyped.
+func TestTargetsParseGolden(t *testing.T) {
+	const whole = `{"index":41,"snapshot":true,"endpoints":[{"name":"c1","address":"h:1","zone":"a","type":"m2","group":3,` +
+		`"status":"active","weight":1.5,"since_ms":7}]}`
+	var g golden
+	for _, text := range []string{
+		whole, `{"index":0,"endpoints":[]}`, `{"index":1,"snapshot":false,"new":[1],"endpoints":[{"name":"c","status":"left","new":1}]}`,
+		`{"index":1,"snapshot":"yes","endpoints":[]}`, `{"index":1.5,"endpoints":[]}`,
+		`[]`, `7`, `{}`, `{"index":"1","endpoints":[]}`, `{"index":null,"endpoints":[]}`, `{"index":1}`, `{"index":1,"endpoints":{}}`,
+		`{"index":1,"endpoints":[{}]}`, `{"index":1,"endpoints":[7]}`,
+	} {
+		g.value(text, "%s", readTargets(text))
+	}
+	for _, change := range [][2]string{
+		{`"name":"c1",`, ``}, {`"name":"c1"`, `"name":""`}, {`"name":"c1"`, `"name":7`}, {`"address":"h:1",`, ``},
+		{`"address":"h:1"`, `"address":7`}, {`"zone":"a",`, ``}, {`"zone":"a"`, `"zone":7`}, {`"type":"m2",`, ``},
+		{`"type":"m2"`, `"type":null`}, {`"group":3,`, ``}, {`"group":3`, `"group":null`}, {`"group":3`, `"group":"3"`},
+		{`"group":3`, `"group":2.5`}, {`"status":"active",`, ``}, {`"active"`, `"leaving"`}, {`"active"`, `"left"`}, {`"active"`, `"odd"`},
+		{`"active"`, `7`}, {`"weight":1.5,`, ``}, {`"weight":1.5`, `"weight":"x"`}, {`"weight":1.5`, `"weight":-2`}, {`,"since_ms":7`, ``},
+		{`"since_ms":7`, `"since_ms":7.25`}, {`"since_ms":7`, `"since_ms":1.7e12`}, {`"since_ms":7`, `"since_ms":-7`},
+		{`"since_ms":7`, `"since_ms":"7"`}, {`"snapshot":true,`, ``}, {`"index":41,`, ``},
+	} {
+		changed := strings.Replace(whole, change[0], change[1], 1)
+		if changed == whole {
+			t.Fatalf("%s is not in the whole list", change[0])
+		}
+		g.value(change[0]+" -> "+change[1], "%s", readTargets(changed))
+	}
+	compareGolden(t, "targets_parsed.golden", g.String())
+}
+
+// TestDiscoveryWatchGolden pins how the answer to a request for a watch is read.
+func TestDiscoveryWatchGolden(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	chunk := func(body string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(body), body) }
+	var g golden
+	for _, text := range []string{
+		chunked + chunk("{\"index\":1}\n") + chunk("\n") + chunk("{\"index\":2}\r\n") + chunk("0\r\n\r\n"),
+		chunked + chunk("{\n \"a\": [\n  \"} \\\" {\"\n ]\n}\n"), chunked + chunk("{\"index\"") + chunk(":1}\n"),
+		chunked + chunk("{\"index\":1}\n") + "0\r\n\r\n", chunked + chunk("{\n\n"), chunked + chunk("{\"index\":1}"),
+		chunked + chunk("{\n \"index\":1\n") + "0\r\n\r\n", chunked,
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n", "",
+	} {
+		g.value(shorten(text), "%s", readWatch(text))
+	}
+	compareGolden(t, "watch.golden", g.String())
+}
+
+func readWatch(text string) string {
+	w, err := wire.ReadWatch(bufio.NewReader(strings.NewReader(text)))
+	if err != nil {
+		return errorText(err)
+	}
+	var lines bytes.Buffer
+	for {
+		line, err := w.Next()
+		if err != nil {
+			return lines.String() + errorText(err)
+		}
+		fmt.Fprintf(&lines, "%q, ", line)
+	}
+}
+
+// TestAttemptErrorGolden pins the texts of errors and which of them mean that an attempt may have run.
+func TestAttemptErrorGolden(t *testing.T) {
+	var g golden
+	for _, far := range []wire.Far{wire.Dialing, wire.Writing, wire.Waiting, wire.Reading} {
+		g.value(far.String(), "%d, %s", far, errorText(&wire.Halt{Far: far, Err: io.ErrUnexpectedEOF}))
+	}
+	g.value("incomplete", "%v", wire.ErrShort)
+	g.value("protocol error", "%v", wire.ErrBytes)
+	compareGolden(t, "attempt_errors.golden", g.String())
+}
