--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -237,7 +237,7 @@
 func TestLeftWhileDialling(t *testing.T) {
 	for _, may := range []bool{false, true} {
 		cache, origin := newCache(t), newOrigin(t)
-		r := newRig(t, 10, func(terms *brain.Terms) { terms.MayCancel = may }, cache, origin)
+		r := newRig(t, 10, func(config *brain.Terms) { config.MayCancel = may }, cache, origin)
 		release := r.dials.hold(cache.addr)
 		c := r.dial()
 		io.WriteString(c, read("k", "left", 60000))
@@ -256,9 +256,9 @@
 // not begun after the final answer.
 func TestAnsweredWhileDialling(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	r := newRig(t, 10, func(terms *brain.Terms) {
-		terms.Parallel = true
-		terms.Routes[1].Objective, terms.Routes[1].Overall = 1000, 2000 // by which an answer is late after 0.1 s
+	r := newRig(t, 10, func(config *brain.Terms) {
+		config.Parallel = true
+		config.Routes[1].Objective, config.Routes[1].Overall = 1000, 2000 // by which an answer is late after 0.1 s
 	}, cache, origin)
 	release := r.dials.hold(cache.addr)
 	c := r.dial()
@@ -623,8 +623,8 @@
 func TestRepeatAfterItsWindow(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
 	const window = 300
-	r := newRig(t, 10, func(terms *brain.Terms) {
-		terms.Routes[1].Effect, terms.Routes[1].Window = brain.Deduped, window*10
+	r := newRig(t, 10, func(config *brain.Terms) {
+		config.Routes[1].Effect, config.Routes[1].Window = brain.Deduped, window*10
 	}, cache, origin)
 	c := r.dial()
 	io.WriteString(c, string(wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte("once"), []byte("c=put,t=x,d=60000,k=1"), 1))+"v\r\n")
@@ -681,7 +681,7 @@
 			calls <- struct{}{}
 			io.Copy(io.Discard, c) // and says nothing
 		})
-		r := newRig(t, 10, func(terms *brain.Terms) { terms.Ask, terms.AskEvery = ask, 100000 }, newCache(t), newOrigin(t))
+		r := newRig(t, 10, func(config *brain.Terms) { config.Ask, config.AskEvery = ask, 100000 }, newCache(t), newOrigin(t))
 		list, err := NewList(addr, nil, r.router, 1, r.router.count, zap.NewNop())
 		if err != nil {
 			t.Fatal(err)
@@ -710,7 +710,7 @@
 func TestResetIsNoEnd(t *testing.T) {
 	for reset, want := range map[bool]string{false: "$4\r\n", true: "-"} {
 		origin := newOrigin(t)
-		r := newRig(t, 10, func(terms *brain.Terms) { terms.Routes[1].Effect = brain.NonRetriable }, newCache(t), origin)
+		r := newRig(t, 10, func(config *brain.Terms) { config.Routes[1].Effect = brain.NonRetriable }, newCache(t), origin)
 		c := r.dial()
 		io.WriteString(c, string(wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte("put"), []byte("c=put,t=x,d=60000"), 1))+"v\r\n")
 		at := origin.next(t)
@@ -779,7 +779,7 @@
 				io.WriteString(conn, text[c.first:])
 				io.Copy(io.Discard, conn)
 			})
-			r := newRig(t, 10, func(terms *brain.Terms) { terms.Ask, terms.AskEvery = c.ask, 100000 }, newCache(t), newOrigin(t))
+			r := newRig(t, 10, func(config *brain.Terms) { config.Ask, config.AskEvery = c.ask, 100000 }, newCache(t), newOrigin(t))
 			l, err := NewList(addr, nil, r.router, 1, r.router.count, zap.NewNop())
 			if err != nil {
 				t.Fatal(err)
--- a/internal/run/config_test.go
+++ b/internal/run/config_test.go
@@ -15,7 +15,7 @@
 // A bad configuration is one line that names what is wrong.
 func TestBadConfigurations(t *testing.T) {
 	good := `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","limits":{"cores":1.5},` +
-		`"settings":` + settings + `,"new":1}`
+		`"settings":` + settingsJSON + `,"new":1}`
 	file := filepath.Join(t.TempDir(), "config.json")
 	read := func(text string) error {
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
@@ -90,7 +90,7 @@
 	file := filepath.Join(t.TempDir(), "zones.toml")
 	config := filepath.Join(t.TempDir(), "config.json")
 	os.WriteFile(config, []byte(`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","settings":`+
-		strings.Replace(settings, `"tick"`, `"zones":["a","b","c"],"locality":"a","tick"`, 1)+`}`), 0o600)
+		strings.Replace(settingsJSON, `"tick"`, `"zones":["a","b","c"],"locality":"a","tick"`, 1)+`}`), 0o600)
 	read := func(text string) (*Place, error) {
 		os.WriteFile(file, []byte(text), 0o600)
 		return Read(config, Place{ZonesFile: file})
@@ -132,7 +132,7 @@
 	dir := t.TempDir()
 	config, file, talk := filepath.Join(dir, "config.json"), filepath.Join(dir, "part.toml"), filepath.Join(dir, "peers.toml")
 	os.WriteFile(config, []byte(`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","settings":`+
-		strings.Replace(settings, `"replicas-of-me":1`, `"replicas-of-me":3`, 1)+`}`), 0o600)
+		strings.Replace(settingsJSON, `"replicas-of-me":1`, `"replicas-of-me":3`, 1)+`}`), 0o600)
 	os.WriteFile(talk, []byte("cluster = \"c\"\nlisten = \"127.0.0.1:7946\"\n"), 0o600)
 	var outTurns *turns.RangeError
 	var order *turns.OrderError
--- a/internal/run/scenario_test.go
+++ b/internal/run/scenario_test.go
@@ -59,7 +59,7 @@
 	n := stages.Add(1)
 	return &stage{
 		t: t, ip: fmt.Sprintf("127.9.%d.%d", n/250, n%250+1), nodes: map[string]*emu.Node{}, clients: map[string]*caller{}, lists: emu.NewDiscovery(0, nil),
-		limits: map[string]string{}, settings: settings, watch: "null", signals: make(chan os.Signal, 1), ended: make(chan error, 1),
+		limits: map[string]string{}, settings: settingsJSON, watch: "null", signals: make(chan os.Signal, 1), ended: make(chan error, 1),
 	}
 }
 
@@ -363,7 +363,7 @@
 	return ln.Addr().String()
 }
 
-const settings = `{"replicas-of-me":1,"limits":{"max-upstream-tries":3,"may-cancel":true,"conn-idle":15000,
+const settingsJSON = `{"replicas-of-me":1,"limits":{"max-upstream-tries":3,"may-cancel":true,"conn-idle":15000,
 "connect-timeout":250,"retry-after":true,"max-retry-after":1000},"tick":5,"shapes":["std","origin"],
 "rules":{"cold":8000,"fall":3000,"cold-from":0.3,"fall-multiple":3},"family-info":{"mode":"aside","origin-kind":1},
 "routes":[{"name":"read","latency-objective":600,"overall-timeout":1200,"value":5,"effect":"pure"},
--- a/internal/wire/protocol_golden_test.go
+++ b/internal/wire/protocol_golden_test.go
@@ -13,10 +13,10 @@
 	"strings"
 	"testing"
 
-	"github.com/valyala/fastjson"
-
 	"woodproxy/brain"
 	"woodproxy/internal/wire"
+
+	"github.com/valyala/fastjson"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files in testdata from what the code does now")
@@ -151,8 +151,10 @@
 	}
 	g.bytes("no host", wire.AppendWatch(nil, "", 0))
 	g.section("facts with another wait")
-	for _, list := range []string{"", "d=480", "c=read,d=480", "c=put,t=acme,d=480,size=9,k=5c0f,r=1", "c=read", "d=1,d=2",
-		"dd=1,c=x", "c=d=1,d=12.75", ",,", "odd,d=5,"} {
+	for _, list := range []string{
+		"", "d=480", "c=read,d=480", "c=put,t=acme,d=480,size=9,k=5c0f,r=1", "c=read", "d=1,d=2",
+		"dd=1,c=x", "c=d=1,d=12.75", ",,", "odd,d=5,",
+	} {
 		g.bytes(fmt.Sprintf("%q", list), wire.AppendFacts([]byte(">"), []byte(list), 77))
 	}
 	g.bytes("nothing left to wait", wire.AppendFacts(nil, []byte("c=x,d=480"), 0))
@@ -301,8 +303,10 @@
 	record := func(text string) {
 		g.value(shorten(text), "%s", readAnswer(wire.ReadFetched, text))
 	}
-	for _, status := range []string{"200 OK", "201 Created", "204 No Content", "206 Part", "301 Moved", "304 Not Modified",
-		"400 Bad", "404 Not Found", "410 Gone", "429 Slow Down", "500 Error", "502 Bad", "503 Busy", "504 Late"} {
+	for _, status := range []string{
+		"200 OK", "201 Created", "204 No Content", "206 Part", "301 Moved", "304 Not Modified",
+		"400 Bad", "404 Not Found", "410 Gone", "429 Slow Down", "500 Error", "502 Bad", "503 Busy", "504 Late",
+	} {
 		record("HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok")
 		record("HTTP/1.1 " + status + "\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -325,12 +329,16 @@
 	} {
 		record(head + "\r\n\r\nok")
 	}
-	for _, chunks := range []string{"2\r\nok\r\n0\r\n\r\n", "1;x=1\r\no\r\n1\r\nk\r\n0\r\nTrailer: 1\r\n\r\nnext", "0\r\n\r\n",
-		"A\r\n0123456789\r\n0\r\n\r\n", "2\r\nok", "2\r\nokxx", "x\r\n", "-1\r\n", "80000000\r\n", "2\r\nok\r\n0\r\n", ""} {
+	for _, chunks := range []string{
+		"2\r\nok\r\n0\r\n\r\n", "1;x=1\r\no\r\n1\r\nk\r\n0\r\nTrailer: 1\r\n\r\nnext", "0\r\n\r\n",
+		"A\r\n0123456789\r\n0\r\n\r\n", "2\r\nok", "2\r\nokxx", "x\r\n", "-1\r\n", "80000000\r\n", "2\r\nok\r\n0\r\n", "",
+	} {
 		record("HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n" + chunks)
 	}
-	for _, text := range []string{"", "H", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
-		"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("v", 1<<20+1), "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("v", 1<<20)} {
+	for _, text := range []string{
+		"", "H", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("v", 1<<20+1), "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("v", 1<<20),
+	} {
 		record(text)
 	}
 	compareGolden(t, "origin_answers.golden", g.String())
@@ -339,8 +347,10 @@
 // TestTargetsWriteGolden pins the list of targets as it is written, and what is read back of it.
 func TestTargetsWriteGolden(t *testing.T) {
 	var g golden
-	full := wire.Target{Name: "c1", Address: "10.0.0.1:6379", Zone: "a", Kind: "m2", Cell: 3, Ready: true, Weight: 1.5,
-		Since: 1700000000123}
+	full := wire.Target{
+		Name: "c1", Address: "10.0.0.1:6379", Zone: "a", Kind: "m2", Cell: 3, Ready: true, Weight: 1.5,
+		Since: 1700000000123,
+	}
 	leaving, left, minimal, escaped := full, full, wire.Target{Name: "c2", Address: "h:1", Ready: true}, full
 	leaving.Ready = false
 	left.Ready, left.Gone = false, true
@@ -351,9 +361,14 @@
 		name string
 		list []wire.Target
 	}{
-		{"empty", nil}, {"all set", []wire.Target{full}}, {"leaving", []wire.Target{leaving}}, {"left", []wire.Target{left}},
-		{"left, though ready", []wire.Target{{Name: "c", Ready: true, Gone: true}}}, {"nothing optional", []wire.Target{minimal}},
-		{"characters that need escapes", []wire.Target{escaped}}, {"told by another proxy", []wire.Target{elsewhere}},
+		{"empty", nil},
+		{"all set", []wire.Target{full}},
+		{"leaving", []wire.Target{leaving}},
+		{"left", []wire.Target{left}},
+		{"left, though ready", []wire.Target{{Name: "c", Ready: true, Gone: true}}},
+		{"nothing optional", []wire.Target{minimal}},
+		{"characters that need escapes", []wire.Target{escaped}},
+		{"told by another proxy", []wire.Target{elsewhere}},
 		{"fractional, negative and large numbers", []wire.Target{{Name: "c", Weight: 0.1, Cell: -4, Since: 1 << 62}, {Name: "d", Weight: 1e21}}},
 		{"several", []wire.Target{full, leaving, left, minimal}},
 	} {
@@ -395,13 +410,34 @@
 		g.value(text, "%s", readTargets(text))
 	}
 	for _, change := range [][2]string{
-		{`"name":"c1",`, ``}, {`"name":"c1"`, `"name":""`}, {`"name":"c1"`, `"name":7`}, {`"address":"h:1",`, ``},
-		{`"address":"h:1"`, `"address":7`}, {`"zone":"a",`, ``}, {`"zone":"a"`, `"zone":7`}, {`"type":"m2",`, ``},
-		{`"type":"m2"`, `"type":null`}, {`"group":3,`, ``}, {`"group":3`, `"group":null`}, {`"group":3`, `"group":"3"`},
-		{`"group":3`, `"group":2.5`}, {`"status":"active",`, ``}, {`"active"`, `"leaving"`}, {`"active"`, `"left"`}, {`"active"`, `"odd"`},
-		{`"active"`, `7`}, {`"weight":1.5,`, ``}, {`"weight":1.5`, `"weight":"x"`}, {`"weight":1.5`, `"weight":-2`}, {`,"since_ms":7`, ``},
-		{`"since_ms":7`, `"since_ms":7.25`}, {`"since_ms":7`, `"since_ms":1.7e12`}, {`"since_ms":7`, `"since_ms":-7`},
-		{`"since_ms":7`, `"since_ms":"7"`}, {`"snapshot":true,`, ``}, {`"index":41,`, ``},
+		{`"name":"c1",`, ``},
+		{`"name":"c1"`, `"name":""`},
+		{`"name":"c1"`, `"name":7`},
+		{`"address":"h:1",`, ``},
+		{`"address":"h:1"`, `"address":7`},
+		{`"zone":"a",`, ``},
+		{`"zone":"a"`, `"zone":7`},
+		{`"type":"m2",`, ``},
+		{`"type":"m2"`, `"type":null`},
+		{`"group":3,`, ``},
+		{`"group":3`, `"group":null`},
+		{`"group":3`, `"group":"3"`},
+		{`"group":3`, `"group":2.5`},
+		{`"status":"active",`, ``},
+		{`"active"`, `"leaving"`},
+		{`"active"`, `"left"`},
+		{`"active"`, `"odd"`},
+		{`"active"`, `7`},
+		{`"weight":1.5,`, ``},
+		{`"weight":1.5`, `"weight":"x"`},
+		{`"weight":1.5`, `"weight":-2`},
+		{`,"since_ms":7`, ``},
+		{`"since_ms":7`, `"since_ms":7.25`},
+		{`"since_ms":7`, `"since_ms":1.7e12`},
+		{`"since_ms":7`, `"since_ms":-7`},
+		{`"since_ms":7`, `"since_ms":"7"`},
+		{`"snapshot":true,`, ``},
+		{`"index":41,`, ``},
 	} {
 		changed := strings.Replace(whole, change[0], change[1], 1)
 		if changed == whole {
--- a/simwire/session_golden_test.go
+++ b/simwire/session_golden_test.go
@@ -56,20 +56,26 @@
 		inputs.Write(readGolden(t, filepath.Join("testdata", inputFile(&sessionShapes[i]))))
 		outputs.Write(readGolden(t, filepath.Join("testdata", outputFile(&sessionShapes[i]))))
 	}
-	for _, kind := range []string{"mark", "go", "register", "boot", "fleet", "order", "started", "client-left",
-		"timeout-fired", "returned", "sampled", "from-peer", "power-off"} {
+	for _, kind := range []string{
+		"mark", "go", "register", "boot", "fleet", "order", "started", "client-left",
+		"timeout-fired", "returned", "sampled", "from-peer", "power-off",
+	} {
 		if !strings.Contains(inputs.String(), "\n[\""+kind+"\"") {
 			t.Errorf("no %s among the inputs", kind)
 		}
 	}
-	for _, value := range []string{"pass", "fault", "no_room", "too_slow", "no_route", "cut", "undone", "stale_send",
-		"none_here", "INCREMENTAL", "FULL", "SAVED", "FAILED", "SERVING", "DRAINING", "DELETED"} {
+	for _, value := range []string{
+		"pass", "fault", "no_room", "too_slow", "no_route", "cut", "undone", "stale_send",
+		"none_here", "INCREMENTAL", "FULL", "SAVED", "FAILED", "SERVING", "DRAINING", "DELETED",
+	} {
 		if !strings.Contains(inputs.String(), `,"`+value+`"`) {
 			t.Errorf("no %s among the inputs", value)
 		}
 	}
-	for _, kind := range []string{"eor", "try", "abort-attempt", "busy", "finish-error", "wake-me", "follow", "publish",
-		"say-log"} {
+	for _, kind := range []string{
+		"eor", "try", "abort-attempt", "busy", "finish-error", "wake-me", "follow", "publish",
+		"say-log",
+	} {
 		if !strings.Contains(outputs.String(), "\n[\""+kind+"\"") {
 			t.Errorf("no %s among the outputs", kind)
 		}
