--- a/internal/wire/protocol_golden_test.go
+++ b/internal/wire/protocol_golden_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"io/fs"
@@ -19,10 +18,8 @@
 	"github.com/valyala/fastjson"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files in testdata from what the code does now")
-
-// compareGolden compares got with a file in testdata, or rewrites that file where -update is given.
-func compareGolden(t *testing.T, name, got string) {
+// compareGoldenText compares got with a file in testdata, or rewrites that file where -update is given.
+func compareGoldenText(t *testing.T, name, got string) {
 	t.Helper()
 	path := filepath.Join("testdata", name)
 	if *update {
@@ -162,7 +159,7 @@
 	g.value("longest value read whole", "%d", wire.MaxValue)
 	g.value("longest answer", "%d", wire.MaxAnswer)
 	g.value("longest write", "%d", wire.MaxWrite)
-	compareGolden(t, "requests.golden", g.String())
+	compareGoldenText(t, "requests.golden", g.String())
 }
 
 // TestCommandParseGolden pins what is read of clients' commands, and the text for each malformed one.
@@ -196,7 +193,7 @@
 		g.value(shorten(text), "took %d: name %q, key %q, id %q, facts %q, value of %d; is KV.GET %v, is KV.SET %v", n,
 			c.Name, c.Key, c.ID, c.Facts, c.Value, c.Is("KV.GET"), c.Is("KV.SET"))
 	}
-	compareGolden(t, "commands.golden", g.String())
+	compareGoldenText(t, "commands.golden", g.String())
 }
 
 // TestFactsParseGolden pins what is read of a command's facts, and the text for each malformed list.
@@ -223,7 +220,7 @@
 		}
 		g.value(fmt.Sprintf("%q", word), "%s", text)
 	}
-	compareGolden(t, "facts.golden", g.String())
+	compareGoldenText(t, "facts.golden", g.String())
 }
 
 // readAnswer reads one answer whole and tells all that can be told of it.
@@ -294,7 +291,7 @@
 		}
 		g.value(fmt.Sprintf("%q", text), "%q, null %v", b, b == nil)
 	}
-	compareGolden(t, "cache_answers.golden", g.String())
+	compareGoldenText(t, "cache_answers.golden", g.String())
 }
 
 // TestOriginAnswerGolden pins how each answer of the origin is read, by its status and headers.
@@ -341,7 +338,7 @@
 	} {
 		record(text)
 	}
-	compareGolden(t, "origin_answers.golden", g.String())
+	compareGoldenText(t, "origin_answers.golden", g.String())
 }
 
 // TestTargetsWriteGolden pins the list of targets as it is written, and what is read back of it.
@@ -376,7 +373,7 @@
 		g.bytes(c.name, text)
 		g.value(c.name+", read back", "%s", readTargets(string(text[1:])))
 	}
-	compareGolden(t, "targets_written.golden", g.String())
+	compareGoldenText(t, "targets_written.golden", g.String())
 }
 
 func readTargets(text string) string {
@@ -445,7 +442,7 @@
 		}
 		g.value(change[0]+" -> "+change[1], "%s", readTargets(changed))
 	}
-	compareGolden(t, "targets_parsed.golden", g.String())
+	compareGoldenText(t, "targets_parsed.golden", g.String())
 }
 
 // TestDiscoveryWatchGolden pins how the answer to a request for a watch is read.
@@ -463,7 +460,7 @@
 	} {
 		g.value(shorten(text), "%s", readWatch(text))
 	}
-	compareGolden(t, "watch.golden", g.String())
+	compareGoldenText(t, "watch.golden", g.String())
 }
 
 func readWatch(text string) string {
@@ -489,5 +486,5 @@
 	}
 	g.value("incomplete", "%v", wire.ErrShort)
 	g.value("protocol error", "%v", wire.ErrBytes)
-	compareGolden(t, "attempt_errors.golden", g.String())
+	compareGoldenText(t, "attempt_errors.golden", g.String())
 }
