Names on the wire stand in tags and methods, so that Go names are free to change

Two formats were made from Go names: the body of a listed node's row (msgpack of wire.Target without tags) and errors of POST /control/moves/plan (the type's name by %T, the fields' names).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	stdlog "log"
@@ -42,6 +43,16 @@
 	Found error  `json:"found,omitempty"`
 }
 
+// typeName returns the name by which callers know an error's type. Errors of the planner state it themselves, since it must
+// not change with the place of their Go type.
+func typeName(err error) string {
+	var named interface{ TypeName() string }
+	if errors.As(err, &named) {
+		return named.TypeName()
+	}
+	return strings.TrimPrefix(fmt.Sprintf("%T", err), "*")
+}
+
 // forced is what has to be said for an order that leaves no zone in.
 const forced = "leave no zone"
 
@@ -131,7 +142,7 @@
 		switch {
 		case err != nil:
 			w.WriteHeader(http.StatusConflict)
-			json.NewEncoder(w).Encode(wrong{strings.TrimPrefix(fmt.Sprintf("%T", err), "*"), err.Error(), err})
+			json.NewEncoder(w).Encode(wrong{typeName(err), err.Error(), err})
 		case plan == nil:
 			w.WriteHeader(http.StatusNotFound)
 			json.NewEncoder(w).Encode(wrong{"", "no file of moves is named", nil})
--- a/internal/run/moves.go
+++ b/internal/run/moves.go
@@ -40,7 +40,12 @@
 const planners = 1
 
 // BusyError tells that as many plans are being made as may be.
-type BusyError struct{ Most int }
+type BusyError struct {
+	Most int `json:"Most"`
+}
+
+// TypeName is how operators' callers know the error.
+func (e *BusyError) TypeName() string { return "run.BusyError" }
 
 func (e *BusyError) Error() string {
 	return fmt.Sprintf("%d plan is being made already; ask again once it is done", e.Most)
--- a/internal/wire/targets.go
+++ b/internal/wire/targets.go
@@ -12,15 +12,18 @@
 	"github.com/valyala/fastjson"
 )
 
-// Target is one line of discovery's list.
+// Target is one line of discovery's list. Its encoding is the body of a replicated row, so that the tags stay as they are.
 type Target struct {
-	Name, Address, Zone, Kind string
-	Cell                      int
-	Ready                     bool // neither leaving nor left
-	Gone                      bool // left
-	Weight                    float64
-	Since                     int64 // when it last started, Unix milliseconds; 0: long ago
-	Elsewhere                 bool  `msgpack:"-"` // another proxy told of it, who may reach it at another address
+	Name      string  `msgpack:"Name"`
+	Address   string  `msgpack:"Address"`
+	Zone      string  `msgpack:"Zone"`
+	Kind      string  `msgpack:"Kind"`
+	Cell      int     `msgpack:"Cell"`
+	Ready     bool    `msgpack:"Ready"` // neither leaving nor left
+	Gone      bool    `msgpack:"Gone"`  // left
+	Weight    float64 `msgpack:"Weight"`
+	Since     int64   `msgpack:"Since"` // when it last started, Unix milliseconds; 0: long ago
+	Elsewhere bool    `msgpack:"-"`     // another proxy told of it, who may reach it at another address
 }
 
 // maxList is how long one line of a watch may be.
--- a/moves/types.go
+++ b/moves/types.go
@@ -79,7 +79,13 @@
 }
 
 // InventoryError tells what in an inventory can't be.
-type InventoryError struct{ Where, What string }
+type InventoryError struct {
+	Where string `json:"Where"`
+	What  string `json:"What"`
+}
+
+// TypeName is how operators' callers know the error.
+func (e *InventoryError) TypeName() string { return "moves.InventoryError" }
 
 func (e *InventoryError) Error() string {
 	return fmt.Sprintf("%s: %s; mend the inventory, nothing was planned", e.Where, e.What)
@@ -105,23 +111,29 @@
 
 // RoomError tells that no placement fits.
 type RoomError struct {
-	Lacks  []Lack // where the target has them, or if it names none, where they would go
-	Needed int64  // bytes of all shards,
-	Room   int64  // and of all nodes that stay
+	Lacks  []Lack `json:"Lacks"`  // where the target has them, or if it names none, where they would go
+	Needed int64  `json:"Needed"` // bytes of all shards,
+	Room   int64  `json:"Room"`   // and of all nodes that stay
 }
 
+// TypeName is how operators' callers know the error.
+func (e *RoomError) TypeName() string { return "moves.RoomError" }
+
 func (e *RoomError) Error() string {
 	return fmt.Sprintf("room: shards have %d bytes, nodes that stay room for %d; lacking: %s; give these so much more, or add a node", e.Needed, e.Room, words(e.Lacks))
 }
 
 // ShardError tells of a shard that no node may have, or that may not go where it has to.
 type ShardError struct {
-	Shard   int
-	Bytes   int64
-	Largest int64 // the most room that any node has which it may be on
-	Pinned  bool
+	Shard   int   `json:"Shard"`
+	Bytes   int64 `json:"Bytes"`
+	Largest int64 `json:"Largest"` // the most room that any node has which it may be on
+	Pinned  bool  `json:"Pinned"`
 }
 
+// TypeName is how operators' callers know the error.
+func (e *ShardError) TypeName() string { return "moves.ShardError" }
+
 func (e *ShardError) Error() string {
 	if e.Pinned {
 		return fmt.Sprintf("shard %d: pinned to a node that it has to leave; take the pin off, or keep that node", e.Shard)
@@ -131,10 +143,13 @@
 
 // BalanceError tells that loads can't be as even as stated.
 type BalanceError struct {
-	Stated float64
-	Needed float64 // with which a plan was found, 0: none was up to twice the even part
+	Stated float64 `json:"Stated"`
+	Needed float64 `json:"Needed"` // with which a plan was found, 0: none was up to twice the even part
 }
 
+// TypeName is how operators' callers know the error.
+func (e *BalanceError) TypeName() string { return "moves.BalanceError" }
+
 func (e *BalanceError) Error() string {
 	if e.Needed > 0 {
 		return fmt.Sprintf("slack: %v: loads can't be so even; with %.3f they can", e.Stated, e.Needed)
@@ -144,10 +159,13 @@
 
 // StuckError tells that there is a placement and no way to it.
 type StuckError struct {
-	Shards int    // that could not get to where they are to be
-	Lacks  []Lack // the least that would let one of them in, by node
+	Shards int    `json:"Shards"` // that could not get to where they are to be
+	Lacks  []Lack `json:"Lacks"`  // the least that would let one of them in, by node
 }
 
+// TypeName is how operators' callers know the error.
+func (e *StuckError) TypeName() string { return "moves.StuckError" }
+
 func (e *StuckError) Error() string {
 	return fmt.Sprintf("order: %d shards can't go on, since none has room to go first; lacking: %s; so much more at one of these, or at any other node for the time of the moves, helps", e.Shards, words(e.Lacks))
 }
