Tests: golden values of every key of the settings object, its defaults and errors

Cause: fields will be renamed, and the tests so far checked that bad settings fail, not that each key reaches its value.

Pinned: every key at an unusual value, listed under labels that follow the file's keys; the required keys alone; each key left out in turn, so that two keys can't trade places unseen; the words of enumerations, null, doubled and unknown keys; 37 bad inputs with the whole text of the error.

Changes planted and seen to fail: every string in terms.go that names a key, a word or an error changed, one at a time (93); the value of parallel-tries read from may-cancel; the least max-upstream-tries lowered.

--- /dev/null
+++ b/internal/terms/format_golden_test.go
@@ -0,0 +1,200 @@
+package terms
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fastjson"
+
+	"woodproxy/brain"
+)
+
+// The settings' words for the module's enumerations.
+var (
+	effectWords = map[brain.Effect]string{brain.Retriable: "pure", brain.Deduped: "token", brain.NonRetriable: "side_effect"}
+	groupWords  = map[brain.Group]string{brain.GroupAll: "all", brain.GroupZone: "zone", brain.GroupCell: "cell"}
+)
+
+// readSettings reads a settings object from its JSON text.
+func readSettings(text string) (*Book, error) {
+	object, err := fastjson.Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("test input: %w", err)
+	}
+	return Read(object)
+}
+
+// describeSettings lists what was read under the names of the file's keys, or the error.
+func describeSettings(text string) string {
+	book, err := readSettings(text)
+	if err != nil {
+		return fmt.Sprintf("error: %v\n", err)
+	}
+	return formatSettings(book)
+}
+
+// formatSettings lists the settings, one a line. The labels are those of the file, whatever the fields are called.
+func formatSettings(book *Book) string {
+	var text strings.Builder
+	line := func(label string, value any) { fmt.Fprintf(&text, "%s = %v\n", label, value) }
+	terms := &book.Terms
+	line("replicas-of-me", terms.Proxies)
+	line("me", terms.Me)
+	line("limits.may-tell, peers told", terms.Peers)
+	line("beyond-share-value", terms.BeyondShare)
+	line("locality", book.Locality)
+	line("membership-mode is ask", terms.Ask)
+	line("weights are rough", terms.RoughWeights)
+	line("tick", milliseconds(terms.Tick))
+	line("goal.punctual", terms.Punctual)
+	line("family-info.mode is aside", terms.Aside)
+	line("family-info.origin-kind, name of the shape", book.Origin)
+	line("limits.conn-idle", milliseconds(book.Idle))
+	line("limits.connect-timeout", milliseconds(terms.ConnectTimeout))
+	line("limits.may-cancel", terms.MayCancel)
+	line("limits.parallel-tries", terms.Parallel)
+	line("limits.max-upstream-tries", terms.MaxTries)
+	line("limits.retry-after", terms.RetryAfter)
+	line("limits.max-retry-after", milliseconds(terms.MaxRetryAfter))
+	line("rules.ask-every", milliseconds(terms.AskEvery))
+	line("rules.cold", milliseconds(terms.Cold))
+	line("rules.fall", milliseconds(terms.Fall))
+	line("rules.cold-from", terms.ColdFrom)
+	line("rules.fall-multiple", terms.FallMultiple)
+	line("fees.origin", terms.Fetch)
+	line("zones", namesByIndex(book.Zones))
+	line("tenants, names", namesByIndex(book.Tenants))
+	line("tenants, allowance-per-s", terms.Allowance)
+	line("routes, names", namesByIndex(book.Routes))
+	for i, route := range terms.Routes {
+		label := func(key string) string { return fmt.Sprintf("routes[%d].%s", i, key) }
+		line(label("latency-objective"), milliseconds(route.Objective))
+		line(label("overall-timeout"), milliseconds(route.Overall))
+		line(label("value"), route.Value)
+		line(label("overdue-value"), route.Overdue)
+		line(label("dedup-window"), milliseconds(route.Window))
+		line(label("effect"), effectWords[route.Effect])
+		line(label("group"), groupWords[route.Group])
+	}
+	line("longest overall-timeout", milliseconds(book.Longest))
+	return text.String()
+}
+
+// milliseconds turns the module's time, which counts tenths, into the file's.
+func milliseconds(t brain.Time) string { return fmt.Sprintf("%v ms", float64(t)/10) }
+
+// namesByIndex lists names in the order of their indices.
+func namesByIndex(indices map[string]int) []string {
+	var entries []string
+	for name, index := range indices {
+		entries = append(entries, fmt.Sprintf("%d:%s", index, name))
+	}
+	slices.Sort(entries)
+	return entries
+}
+
+func TestSettingsEveryKey(t *testing.T) {
+	checkGolden(t, "settings_every_key.golden", describeSettings(readTestdata(t, "settings_every_key.json")))
+}
+
+func TestSettingsDefaults(t *testing.T) {
+	checkGolden(t, "settings_defaults.golden", describeSettings(readTestdata(t, "settings_required_keys.json")))
+}
+
+// Each key alone is read into the value of its name, and a key that is needed is missed by its name.
+func TestSettingsEachKeyLeftOut(t *testing.T) {
+	for _, name := range []string{"settings_every_key", "settings_required_keys"} {
+		checkGolden(t, name+"_left_out.golden", leaveOutEachKey(readTestdata(t, name+".json"), describeSettings))
+	}
+}
+
+// What changes in the settings when a value takes another of its words, is null, or stands twice.
+func TestSettingsVariants(t *testing.T) {
+	every := readTestdata(t, "settings_every_key.json")
+	var report strings.Builder
+	for _, change := range []struct{ from, to string }{
+		{`"membership-mode": "ask"`, `"membership-mode": "push"`},
+		{`"membership-mode": "ask"`, `"membership-mode": ""`},
+		{`"weights": "rough"`, `"weights": "nominal"`},
+		{`"weights": "rough"`, `"weights": "exact"`},
+		{`"mode": "aside"`, `"mode": "through"`},
+		{`"origin-kind": 2`, `"origin-kind": 0`},
+		{`"origin-kind": 2`, `"origin-kind": 3`},
+		{`"origin-kind": 2`, `"origin-kind": -1`},
+		{`"punctual": 2`, `"punctual": 0`},
+		{`"group": "cell"`, `"group": ""`},
+		{`"group": "cell"`, `"group": null`},
+		{`"may-cancel": true`, `"may-cancel": null`},
+		{`"may-cancel": true`, `"may-cancel": false`},
+		{`"tick": 7.3`, `"tick": 7.34`},
+		{`"tick": 7.3`, `"tick": 7.36`},
+		{`"tick": 7.3`, `"tick": 0`},
+		{`"tick": 7.3`, `"tick": 7.3, "tick": 9.9`},
+		{`"tick": 7.3`, `"tick": 7.3, "not-known": 1`},
+	} {
+		text := strings.Replace(every, change.from, change.to, 1)
+		if text == every {
+			t.Errorf("%s is not in the file", change.from)
+		}
+		fmt.Fprintf(&report, "%s instead of %s:\n%s", change.to, change.from, changedLines(describeSettings(text), describeSettings(every)))
+	}
+	checkGolden(t, "settings_variants.golden", report.String())
+}
+
+func TestSettingsBadInputs(t *testing.T) {
+	every := readTestdata(t, "settings_every_key.json")
+	for _, c := range []struct{ from, to, want string }{
+		{`"replicas-of-me": 7`, `"replicas-of-me": 0`, "setup replicas-of-me: out of its range"},
+		{`"replicas-of-me": 7`, `"replicas-of-me": 7.5`, "setup replicas-of-me: out of its range"},
+		{`"replicas-of-me": 7`, `"replicas-of-me": 1000001`, "setup replicas-of-me: out of its range"},
+		{`"replicas-of-me": 7`, `"replicas-of-me": "7"`, "setup replicas-of-me: mistyped"},
+		{`"replicas-of-me": 7`, `"replicas-of-me": null`, "setup replicas-of-me: missing"},
+		{`"me": 5`, `"me": 7`, "setup me: out of its range"},
+		{`"me": 5`, `"me": null`, "setup me: missing"},
+		{`"me": 5`, `"me": "five"`, "setup me: mistyped"},
+		{`"beyond-share-value": 0.37`, `"beyond-share-value": []`, "setup beyond-share-value: mistyped"},
+		{`"locality": "south"`, `"locality": 3`, "setup locality: mistyped"},
+		{`"membership-mode": "ask"`, `"membership-mode": "guess"`, "setup membership-mode: out of its range"},
+		{`"weights": "rough"`, `"weights": true`, "setup weights: mistyped"},
+		{`"tick": 7.3`, `"tick": "7.3"`, "setup tick: mistyped"},
+		{`"punctual": 2`, `"punctual": true`, "setup goal.punctual: mistyped"},
+		{`"mode": "aside"`, `"mode": 1`, "setup family-info.mode: mistyped"},
+		{`"origin-kind": 2`, `"origin-kind": "store"`, "setup family-info.origin-kind: mistyped"},
+		{`"conn-idle": 12345.6`, `"conn-idle": "long"`, "setup limits.conn-idle: mistyped"},
+		{`"may-cancel": true`, `"may-cancel": 1`, "setup limits.may-cancel: mistyped"},
+		{`"may-tell": true`, `"may-tell": "true"`, "setup limits.may-tell: mistyped"},
+		{`"parallel-tries": true`, `"parallel-tries": {}`, "setup limits.parallel-tries: mistyped"},
+		{`"max-upstream-tries": 11`, `"max-upstream-tries": 0`, "setup limits.max-upstream-tries: out of its range"},
+		{`"retry-after": true`, `"retry-after": 0`, "setup limits.retry-after: mistyped"},
+		{`"cold": 8765.1`, `"cold": false`, "setup rules.cold: mistyped"},
+		{`"origin": 0.66`, `"origin": -0.66`, "setup fees.origin: out of its range"},
+		{`"shapes": ["small", "large", "store"]`, `"shapes": "small"`, "setup shapes: mistyped"},
+		{`"zones": ["north", "south", "west"]`, `"zones": {}`, "setup zones: mistyped"},
+		{`"name": "shop"`, `"name": 7`, "setup tenants[0].name: mistyped"},
+		{`"allowance-per-s": 83.25`, `"allowance-per-s": -1`, "setup tenants[1].allowance-per-s: out of its range"},
+		{`"name": "put"`, `"name": "read"`, "setup routes[1].name: doubled"},
+		{`"latency-objective": 622.2`, `"latency-objective": 0`, "setup routes[1].latency-objective: out of its range"},
+		{`"overall-timeout": 1444.4`, `"overall-timeout": -1`, "setup routes[2].overall-timeout: out of its range"},
+		{`"value": 6.5`, `"value": -6.5`, "setup routes[1].value: out of its range"},
+		{`"overdue-value": 0.33`, `"overdue-value": 1.01`, "setup routes[2].overdue-value: out of its range"},
+		{`"dedup-window": 6789.1`, `"dedup-window": -0.1`, "setup routes[1].dedup-window: out of its range"},
+		{`"effect": "side_effect"`, `"effect": "side-effect"`, "setup routes[2].effect: out of its range"},
+		{`"group": "cell"`, `"group": "rack"`, "setup routes[2].group: out of its range"},
+		{`"routes": [`, `"routes": [], "left-out": [`, "setup routes: none"},
+	} {
+		text := strings.Replace(every, c.from, c.to, 1)
+		if text == every {
+			t.Errorf("%s is not in the file", c.from)
+		}
+		_, err := readSettings(text)
+		if err == nil {
+			err = errors.New("no error")
+		}
+		if err.Error() != c.want {
+			t.Errorf("%s: %q, want %q", c.to, err, c.want)
+		}
+	}
+}
