Tests: golden values of every key of the configuration, its defaults and errors

Cause: fields will be renamed, and the tests so far checked parts of error texts and few values.

Pinned: name, listen, discovery, management, seed, limits.*, known, settings and watch at unusual values; the required keys alone; each key left out in turn; what is given beside the file; null, doubled and unknown keys; me with and without a file of peers; 32 bad inputs with the whole text of the error. All keys of the settings object are pinned in internal/terms.

--- /dev/null
+++ b/internal/run/config_golden_test.go
@@ -0,0 +1,203 @@
+package run
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"woodproxy/internal/terms"
+)
+
+// placeFiles are the texts of the files that a proxy is configured by. A file whose text is empty is not named.
+type placeFiles struct {
+	config, peers, zones, turns, moves, missing string
+}
+
+// readPlace writes the files into a directory and reads the configuration with them. Errors are stable
+// ones.
+func readPlace(t *testing.T, files placeFiles, over Place) (*Place, error) {
+	t.Helper()
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		t.Helper()
+		if text == "" {
+			return ""
+		}
+		file := filepath.Join(dir, name)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	over.Peers = write("peers.toml", files.peers)
+	over.ZonesFile = write("zones.toml", files.zones)
+	over.TurnsFile = write("turns.toml", files.turns)
+	over.MovesFile = write("moves.toml", files.moves)
+	over.MissingFile = write("missing.toml", files.missing)
+	place, err := Read(write("config.json", files.config), over)
+	if err != nil {
+		return nil, errors.New(stableError(err, dir))
+	}
+	return place, nil
+}
+
+// formatConfig lists what was read of the configuration under the names of the file's keys. All keys of the settings
+// object are listed by the tests of the package that reads it.
+func formatConfig(place *Place) string {
+	var text strings.Builder
+	line := func(label string, value any) { fmt.Fprintf(&text, "%s = %v\n", label, value) }
+	line("name", place.Name)
+	line("listen", place.Listen)
+	line("discovery", place.Discovery)
+	line("management", place.Management)
+	line("seed", fmt.Sprintf("%016x", place.Seed))
+	line("limits.cores", place.Cores)
+	line("limits.memory_mb", place.MemoryMB)
+	line("limits.sockets", place.Sockets)
+	known := "not stated"
+	if place.Known != nil {
+		known = place.Known.String()
+	}
+	line("known", known)
+	listSettings := func(label string, book *terms.Book) {
+		if book == nil {
+			line(label, "not stated")
+			return
+		}
+		line(label+".replicas-of-me", book.Terms.Proxies)
+		line(label+".tick", fmt.Sprintf("%v ms", float64(book.Terms.Tick)/10))
+		line(label+".limits.max-upstream-tries", book.Terms.MaxTries)
+		line(label+".limits.conn-idle", fmt.Sprintf("%v ms", float64(book.Idle)/10))
+		line(label+".limits.may-tell, peers told", book.Terms.Peers)
+		line(label+".me", book.Terms.Me)
+		line(label+".rules.cold", fmt.Sprintf("%v ms", float64(book.Terms.Cold)/10))
+		line(label+".rules.fall", fmt.Sprintf("%v ms", float64(book.Terms.Fall)/10))
+		line(label+".routes", len(book.Terms.Routes))
+	}
+	listSettings("settings", place.Book)
+	listSettings("watch", place.Watch)
+	line("peers might be told and no file of peers is named", place.Untold)
+	return text.String()
+}
+
+// describeConfig lists what was read of a configuration, or the error.
+func describeConfig(t *testing.T, files placeFiles, over Place) string {
+	t.Helper()
+	place, err := readPlace(t, files, over)
+	if err != nil {
+		return fmt.Sprintf("error: %v\n", err)
+	}
+	return formatConfig(place)
+}
+
+func TestConfigEveryKey(t *testing.T) {
+	every := readTestdata(t, "config_every_key.json")
+	describe := func(text string) string { return describeConfig(t, placeFiles{config: text}, Place{}) }
+	checkGolden(t, "config_every_key.golden", describe(every))
+	checkGolden(t, "config_every_key_left_out.golden", leaveOutEachKey(every, describe))
+}
+
+func TestConfigDefaults(t *testing.T) {
+	required := readTestdata(t, "config_required_keys.json")
+	checkGolden(t, "config_defaults.golden", describeConfig(t, placeFiles{config: required}, Place{}))
+}
+
+// What is given beside the file goes before what it says.
+func TestConfigOverrides(t *testing.T) {
+	files := placeFiles{config: readTestdata(t, "config_every_key.json")}
+	over := Place{Name: "proxy-32", Listen: "127.0.0.41:1", Discovery: "127.0.0.42:2", Management: "127.0.0.43:3"}
+	checkGolden(t, "config_overrides.golden", changedLines(describeConfig(t, files, over), describeConfig(t, files, Place{})))
+}
+
+// What changes in the configuration when a value is null, stands twice or is not known, or a file of peers is named.
+func TestConfigVariants(t *testing.T) {
+	every := readTestdata(t, "config_every_key.json")
+	base := describeConfig(t, placeFiles{config: every}, Place{})
+	var report strings.Builder
+	for _, change := range []struct{ from, to string }{
+		{`"management": "127.0.0.33:6433"`, `"management": null`},
+		{`"cores": 2.75`, `"cores": null`},
+		{`"sockets": 1234`, `"sockets": 64.9`},
+		{`"name": "proxy-31"`, `"name": "proxy-31", "name": "proxy-32"`},
+		{`"name": "proxy-31"`, `"name": "proxy-31", "not-known": 1`},
+		{`"seed": "deadbeefcafef00d"`, `"seed": "0"`},
+		{`"watch": {"tick":9.1`, `"watch": null, "left-out": {"tick":9.1`},
+		{`"tick":7.3`, `"tick":7.3,"me":6`},
+		{`"conn-idle":12345.6`, `"conn-idle":12345.6,"may-tell":true},"me":6,"left-out":{"a":1`},
+	} {
+		text := replaceIn(t, every, change.from, change.to)
+		fmt.Fprintf(&report, "%s instead of %s:\n%s", change.to, change.from,
+			changedLines(describeConfig(t, placeFiles{config: text}, Place{}), base))
+	}
+	text := replaceIn(t, every, `"tick":7.3`, `"tick":7.3,"me":6`)
+	files := placeFiles{config: text, peers: readTestdata(t, "peers.toml")}
+	fmt.Fprintf(&report, "\"me\":6 with a file of peers:\n%s", changedLines(describeConfig(t, files, Place{}), base))
+	checkGolden(t, "config_variants.golden", report.String())
+}
+
+// replaceIn replaces the first occurrence of a part that has to be there.
+func replaceIn(t *testing.T, text, from, to string) string {
+	t.Helper()
+	if !strings.Contains(text, from) {
+		t.Fatalf("%s is not in the text", from)
+	}
+	return strings.Replace(text, from, to, 1)
+}
+
+// expectError compares an error with its whole text.
+func expectError(t *testing.T, what string, err error, want string) {
+	t.Helper()
+	if err == nil {
+		err = errors.New("no error")
+	}
+	if err.Error() != want {
+		t.Errorf("%s: %q, want %q", what, err, want)
+	}
+}
+
+func TestConfigBadInputs(t *testing.T) {
+	every := readTestdata(t, "config_every_key.json")
+	for _, c := range []struct{ from, to, want string }{
+		{every, "{", "configuration: config.json: not a JSON object"},
+		{every, "[]", "configuration: config.json: not a JSON object"},
+		{`"name": "proxy-31"`, `"name": ""`, "configuration: name: mistyped"},
+		{`"name": "proxy-31"`, `"name": 31`, "configuration: name: mistyped"},
+		{`"name": "proxy-31"`, `"title": "proxy-31"`, "configuration: name: missing"},
+		{`"listen": "127.0.0.31:6431"`, `"listen": 6431`, "configuration: listen: mistyped"},
+		{`127.0.0.31:6431`, `127.0.0.31`, `configuration: listen: no address and port: "127.0.0.31"`},
+		{`127.0.0.31:6431`, `127.0.0.31:`, `configuration: listen: no address and port: "127.0.0.31:"`},
+		{`"discovery": "127.0.0.32:6432"`, `"discovery": {}`, "configuration: discovery: mistyped"},
+		{`127.0.0.32:6432`, `nowhere`, `configuration: discovery: no address and port: "nowhere"`},
+		{`"management": "127.0.0.33:6433"`, `"management": true`, "configuration: management: mistyped"},
+		{`127.0.0.33:6433`, `here`, `configuration: management: no address and port: "here"`},
+		{`127.0.0.33:6433`, `127.0.0.31:6431`, `configuration: management: the address of listen: "127.0.0.31:6431"`},
+		{`"seed": "deadbeefcafef00d"`, `"seed": 7`, "configuration: seed: mistyped"},
+		{`deadbeefcafef00d`, `xyz`, "configuration: seed: mistyped"},
+		{`deadbeefcafef00d`, `1deadbeefcafef00d`, "configuration: seed: mistyped"},
+		{`"cores": 2.75`, `"cores": "2.75"`, "configuration: limits.cores: mistyped or out of its range"},
+		{`"cores": 2.75`, `"cores": 0`, "configuration: limits.cores: mistyped or out of its range"},
+		{`"memory_mb": 317`, `"memory_mb": -1`, "configuration: limits.memory_mb: mistyped or out of its range"},
+		{`"memory_mb": 317`, `"memory_mb": 1e9`, "configuration: limits.memory_mb: mistyped or out of its range"},
+		{`"sockets": 1234`, `"sockets": []`, "configuration: limits.sockets: mistyped or out of its range"},
+		{`"sockets": 1234`, `"sockets": 63`, "configuration: limits.sockets: fewer than 64"},
+		{`"settings": {`, `"settings": [], "left-out": {`, "configuration: settings: missing or mistyped"},
+		{`"tick":7.3`, `"tick":"7.3"`, "configuration: settings: setup tick: mistyped"},
+		{`"watch": {`, `"watch": 7, "left-out": {`, "configuration: watch: mistyped"},
+		{`"tick":9.1`, `"tick":"9.1"`, "configuration: watch: setup tick: mistyped"},
+		{`"tick":9.1`, `"tenants":[]`, "configuration: watch: setup tenants: not those of the settings"},
+		{`"tick":9.1`, `"zones":["south","north"]`, "configuration: watch: setup zones: not those of the settings"},
+		{`"tick":9.1`, `"family-info":{"origin-kind":0}`, "configuration: watch: setup family-info.origin-kind: not those of the settings"},
+		{`"tick":9.1`, `"routes":[{"name":"get","latency-objective":1,"overall-timeout":1,"value":1,"effect":"pure"}]`,
+			"configuration: watch: setup routes: not those of the settings"},
+	} {
+		_, err := readPlace(t, placeFiles{config: replaceIn(t, every, c.from, c.to)}, Place{})
+		expectError(t, c.to, err, c.want)
+	}
+	_, err := Read("", Place{})
+	expectError(t, "no file", err, "configuration: no file named")
+	_, err = Read("testdata/absent.json", Place{})
+	expectError(t, "a file that is not there", err, "configuration: open testdata/absent.json: no such file or directory")
+}
