--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,7 +5,7 @@
 // out; it may reuse an exchange's index once that has its final answer and all its upstream tries have
 // ended. No I/O in here.
 //
-// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Share, Bar, Rest, Until, Left, Woken.
+// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Share, Bar, Rest, Until, Left, Woken
 package brain
 
 import (
--- /dev/null
+++ b/internal/run/api_golden_test.go
@@ -0,0 +1,275 @@
+package run_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"woodproxy/internal/control"
+	"woodproxy/internal/run"
+	"woodproxy/moves"
+)
+
+// fixedService answers each operators' call with fixed values.
+type fixedService struct {
+	ready    bool
+	reason   string
+	changed  bool
+	peers    string
+	zones    string
+	turns    any
+	recovery any
+	missing  any
+	forget   error
+	plan     any
+	planErr  error
+	command  error
+}
+
+func (s *fixedService) Ready() (bool, string) { return s.ready, s.reason }
+func (s *fixedService) OutOfService() bool    { return s.changed }
+func (s *fixedService) InService() bool       { return s.changed }
+func (s *fixedService) Peers() string         { return s.peers }
+func (s *fixedService) Zones() string         { return s.zones }
+func (s *fixedService) Turns() any            { return s.turns }
+func (s *fixedService) Recovery() any         { return s.recovery }
+func (s *fixedService) Missing() any          { return s.missing }
+func (s *fixedService) Forget() error         { return s.forget }
+
+func (s *fixedService) Metrics() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "metrics of the service\n") })
+}
+
+func (s *fixedService) Plan(inventory io.Reader) (any, error) {
+	if _, err := io.Copy(io.Discard, inventory); err != nil {
+		return nil, err
+	}
+	return s.plan, s.planErr
+}
+
+// Command shows its arguments, as the path and the query were read.
+func (s *fixedService) Command(name, want string, epoch int64, force bool) (string, error) {
+	if s.command != nil {
+		return "", s.command
+	}
+	return fmt.Sprintf("name %q, want %q, epoch %d, force %v\n", name, want, epoch, force), nil
+}
+
+// serve starts the operators' listener and returns its address.
+func serve(t *testing.T, service control.Service) string {
+	t.Helper()
+	addr := freeAddress(t)
+	server, err := control.Listen(addr, service)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Run()
+	t.Cleanup(server.Close)
+	return addr
+}
+
+// freeAddress is on a loopback address that no other test uses.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.10.7.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+var dateLine = regexp.MustCompile(`(?m)^Date: .*$`)
+
+// exchange sends a request as it is and returns the whole response, its date masked. Where the server leaves a part of the request
+// unread, it resets the connection a while behind its response.
+func exchange(t *testing.T, addr, request string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	go io.WriteString(conn, request)
+	response, err := io.ReadAll(conn)
+	if err != nil && !(errors.Is(err, syscall.ECONNRESET) && len(response) > 0) {
+		t.Fatalf("%.60q: %v", request, err)
+	}
+	text := strings.ReplaceAll(string(response), "\r\n", "\n")
+	return dateLine.ReplaceAllString(text, "Date: (masked)")
+}
+
+// apiRequest is an HTTP/1.1 request with a body.
+func apiRequest(method, target, body string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: proxy\r\nContent-Length: %d\r\n\r\n%s", method, target, len(body), body)
+}
+
+// apiCase is one call and the state of the service that it meets.
+type apiCase struct {
+	name    string
+	service fixedService
+	method  string
+	target  string
+	body    string
+}
+
+var fixedFigures = map[string]any{"a": 1, "b": "<&>"}
+
+const mostInventory = 4 << 20
+
+var apiCases = []apiCase{
+	{"ready", fixedService{ready: true, reason: "ready"}, "GET", "/control/ready", ""},
+	{"not ready", fixedService{reason: "starting"}, "GET", "/control/ready", ""},
+	{"ready by HEAD", fixedService{ready: true, reason: "ready"}, "HEAD", "/control/ready", ""},
+	{"ready by the wrong method", fixedService{}, "POST", "/control/ready", ""},
+	{"peers", fixedService{peers: "cluster c\n"}, "GET", "/control/peers", ""},
+	{"no peers", fixedService{}, "GET", "/control/peers", ""},
+	{"peers by the wrong method", fixedService{}, "POST", "/control/peers", ""},
+	{"zones", fixedService{zones: "this proxy stands in \"a\"\n"}, "GET", "/control/zones", ""},
+	{"no zones", fixedService{}, "GET", "/control/zones", ""},
+	{"zones by the wrong method", fixedService{}, "DELETE", "/control/zones", ""},
+	{"turns", fixedService{turns: fixedFigures}, "GET", "/control/turns", ""},
+	{"no turns", fixedService{}, "GET", "/control/turns", ""},
+	{"turns by the wrong method", fixedService{}, "POST", "/control/turns", ""},
+	{"recovery", fixedService{recovery: fixedFigures}, "GET", "/control/recovery", ""},
+	{"no recovery", fixedService{}, "GET", "/control/recovery", ""},
+	{"recovery by the wrong method", fixedService{}, "POST", "/control/recovery", ""},
+	{"missing", fixedService{missing: fixedFigures}, "GET", "/control/missing", ""},
+	{"no missing", fixedService{}, "GET", "/control/missing", ""},
+	{"missing by the wrong method", fixedService{}, "POST", "/control/missing", ""},
+	{"forget", fixedService{}, "POST", "/control/missing/forget", ""},
+	{"forget refused", fixedService{forget: errors.New("too busy to take it; ask again")}, "POST", "/control/missing/forget", ""},
+	{"forget by the wrong method", fixedService{}, "GET", "/control/missing/forget", ""},
+	{"plan", fixedService{plan: fixedFigures}, "POST", "/control/moves/plan", "{}"},
+	{"no plan", fixedService{}, "POST", "/control/moves/plan", "{}"},
+	{"plan of the largest inventory", fixedService{plan: fixedFigures}, "POST", "/control/moves/plan", strings.Repeat(" ", mostInventory)},
+	{"plan of an oversize inventory", fixedService{plan: fixedFigures}, "POST", "/control/moves/plan", strings.Repeat(" ", mostInventory+1)},
+	{"plan by the wrong method", fixedService{}, "GET", "/control/moves/plan", ""},
+	{"metrics", fixedService{}, "GET", "/metrics", ""},
+	{"metrics by the wrong method", fixedService{}, "POST", "/metrics", ""},
+	{"order", fixedService{}, "POST", "/control/zones/east/out", ""},
+	{"order of a zone with odd characters", fixedService{}, "POST", "/control/zones/a%2Fb%20c/hold", ""},
+	{"order with an epoch", fixedService{}, "POST", "/control/zones/a/in?epoch=7", ""},
+	{"order with epoch zero", fixedService{}, "POST", "/control/zones/a/in?epoch=0", ""},
+	{"order with a negative epoch", fixedService{}, "POST", "/control/zones/a/in?epoch=-1", ""},
+	{"order with a bad epoch", fixedService{}, "POST", "/control/zones/a/in?epoch=x", ""},
+	{"order with force", fixedService{}, "POST", "/control/zones/a/out?force=leave+no+zone", ""},
+	{"order with bad force", fixedService{}, "POST", "/control/zones/a/out?force=yes", ""},
+	{"order with epoch and force", fixedService{}, "POST", "/control/zones/a/out?epoch=3&force=leave%20no%20zone", ""},
+	{"order refused", fixedService{command: errors.New("zone \"q\": no node has it")}, "POST", "/control/zones/q/out", ""},
+	{"order by the wrong method", fixedService{}, "GET", "/control/zones/a/out", ""},
+	{"order without what is wanted", fixedService{}, "POST", "/control/zones/a", ""},
+	{"out of service", fixedService{changed: true}, "POST", "/control/out-of-service", ""},
+	{"out of service already", fixedService{}, "POST", "/control/out-of-service", ""},
+	{"out of service by the wrong method", fixedService{}, "GET", "/control/out-of-service", ""},
+	{"out of service with the largest body", fixedService{changed: true}, "POST", "/control/out-of-service", strings.Repeat("x", 4096)},
+	{"out of service with an oversize body", fixedService{changed: true}, "POST", "/control/out-of-service", strings.Repeat("x", 4097)},
+	{"in service", fixedService{changed: true}, "POST", "/control/in-service", ""},
+	{"in service already", fixedService{}, "POST", "/control/in-service", ""},
+	{"in service by the wrong method", fixedService{}, "GET", "/control/in-service", ""},
+	{"in service with an oversize body", fixedService{changed: true}, "POST", "/control/in-service", strings.Repeat("x", 4097)},
+	{"unknown path", fixedService{}, "GET", "/control/unknown", ""},
+	{"root", fixedService{}, "GET", "/", ""},
+	{"trailing slash", fixedService{ready: true, reason: "ready"}, "GET", "/control/ready/", ""},
+}
+
+// Each operators' call has the status, headers and body that it has today.
+func TestControlAPIGolden(t *testing.T) {
+	var all strings.Builder
+	for i := range apiCases {
+		c := &apiCases[i]
+		addr := serve(t, &c.service)
+		response := exchange(t, addr, apiRequest(c.method, c.target, c.body))
+		fmt.Fprintf(&all, "=== %s\n%s %s (body of %d bytes)\n--- response\n%s\n", c.name, c.method, c.target, len(c.body), response)
+	}
+	addr := serve(t, &fixedService{})
+	fmt.Fprintf(&all, "=== malformed head\n--- response\n%s\n", exchange(t, addr, "\x00\x01 what\r\n\r\n"))
+	longHead := "GET /control/ready HTTP/1.1\r\nHost: proxy\r\nX-Long: " + strings.Repeat("x", 16<<10) + "\r\n\r\n"
+	fmt.Fprintf(&all, "=== oversize head\n--- response\n%s\n", exchange(t, addr, longHead))
+	checkGolden(t, "control_api.golden", all.String())
+}
+
+// planError is an error of a plan, and the JSON object that operators get for it.
+type planError struct {
+	err  error
+	want string
+}
+
+// The type is made from the name of the error's Go type with its package, and the figures from the names of its exported fields.
+// Operators' programs match on both, so that each is spelled out here, whatever the Go identifiers are.
+var planErrors = []planError{
+	{
+		&moves.InventoryError{Where: "nodes[1]", What: "name \"a\" is missing or doubled"},
+		`{"type":"moves.InventoryError",` +
+			`"error":"nodes[1]: name \"a\" is missing or doubled; mend the inventory, nothing was planned",` +
+			`"found":{"Where":"nodes[1]","What":"name \"a\" is missing or doubled"}}`,
+	},
+	{
+		&moves.RoomError{Lacks: []moves.Lack{{Node: "a", Bytes: 2}, {Node: "b", Bytes: 3}}, Needed: 12, Room: 10},
+		`{"type":"moves.RoomError",` +
+			`"error":"room: shards have 12 bytes, nodes that stay room for 10; lacking: a 2 bytes, b 3 bytes; give these so much more, or add a node",` +
+			`"found":{"Lacks":[{"node":"a","bytes":2},{"node":"b","bytes":3}],"Needed":12,"Room":10}}`,
+	},
+	{
+		&moves.ShardError{Shard: 7, Bytes: 11, Largest: 10},
+		`{"type":"moves.ShardError",` +
+			`"error":"shard 7: of 11 bytes, and no node that it may be on has room for more than 10; give one as much, or let it into another zone",` +
+			`"found":{"Shard":7,"Bytes":11,"Largest":10,"Pinned":false}}`,
+	},
+	{
+		&moves.ShardError{Shard: 7, Bytes: 11, Pinned: true},
+		`{"type":"moves.ShardError",` +
+			`"error":"shard 7: pinned to a node that it has to leave; take the pin off, or keep that node",` +
+			`"found":{"Shard":7,"Bytes":11,"Largest":0,"Pinned":true}}`,
+	},
+	{
+		&moves.BalanceError{Stated: 0.1, Needed: 0.25},
+		`{"type":"moves.BalanceError",` +
+			`"error":"slack: 0.1: loads can't be so even; with 0.250 they can",` +
+			`"found":{"Stated":0.1,"Needed":0.25}}`,
+	},
+	{
+		&moves.BalanceError{Stated: 0.1},
+		`{"type":"moves.BalanceError",` +
+			`"error":"slack: 0.1: loads can't be so even, nor with 1; take off pins or zones, or give nodes other weights",` +
+			`"found":{"Stated":0.1,"Needed":0}}`,
+	},
+	{
+		&moves.StuckError{Shards: 2, Lacks: []moves.Lack{{Node: "a", Bytes: 6}}},
+		`{"type":"moves.StuckError",` +
+			`"error":"order: 2 shards can't go on, since none has room to go first; lacking: a 6 bytes; so much more at one of these, or at any other node for the time of the moves, helps",` +
+			`"found":{"Shards":2,"Lacks":[{"node":"a","bytes":6}]}}`,
+	},
+	{
+		&run.BusyError{Most: 1},
+		`{"type":"run.BusyError",` +
+			`"error":"1 plan is being made already; ask again once it is done",` +
+			`"found":{"Most":1}}`,
+	},
+	{
+		errors.New("of another type"),
+		`{"type":"errors.errorString","error":"of another type","found":{}}`,
+	},
+}
+
+func TestPlanErrorsOnTheWire(t *testing.T) {
+	for _, c := range planErrors {
+		addr := serve(t, &fixedService{planErr: c.err})
+		response := exchange(t, addr, apiRequest("POST", "/control/moves/plan", "{}"))
+		head, body, _ := strings.Cut(response, "\n\n")
+		if !strings.HasPrefix(head, "HTTP/1.1 409 Conflict\n") || !strings.Contains(head, "\nContent-Type: application/json\n") {
+			t.Errorf("%T: head %q", c.err, head)
+		}
+		if body != c.want+"\n" {
+			t.Errorf("%T:\ngot:  %swant: %s", c.err, body, c.want)
+		}
+	}
+}
--- a/internal/run/config_golden_test.go
+++ b/internal/run/config_golden_test.go
@@ -1,4 +1,4 @@
-package run
+package run_test
 
 import (
 	"errors"
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"woodproxy/internal/run"
 	"woodproxy/internal/terms"
 )
 
@@ -18,7 +19,7 @@
 
 // readPlace writes the files into a directory and reads the configuration with them. Errors are stable
 // ones.
-func readPlace(t *testing.T, files placeFiles, over Place) (*Place, error) {
+func readPlace(t *testing.T, files placeFiles, over run.Place) (*run.Place, error) {
 	t.Helper()
 	dir := t.TempDir()
 	write := func(name, text string) string {
@@ -37,7 +38,7 @@
 	over.TurnsFile = write("turns.toml", files.turns)
 	over.MovesFile = write("moves.toml", files.moves)
 	over.MissingFile = write("missing.toml", files.missing)
-	place, err := Read(write("config.json", files.config), over)
+	place, err := run.Read(write("config.json", files.config), over)
 	if err != nil {
 		return nil, errors.New(stableError(err, dir))
 	}
@@ -46,7 +47,7 @@
 
 // formatConfig lists what was read of the configuration under the names of the file's keys. All keys of the settings
 // object are listed by the tests of the package that reads it.
-func formatConfig(place *Place) string {
+func formatConfig(place *run.Place) string {
 	var text strings.Builder
 	line := func(label string, value any) { fmt.Fprintf(&text, "%s = %v\n", label, value) }
 	line("name", place.Name)
@@ -84,7 +85,7 @@
 }
 
 // describeConfig lists what was read of a configuration, or the error.
-func describeConfig(t *testing.T, files placeFiles, over Place) string {
+func describeConfig(t *testing.T, files placeFiles, over run.Place) string {
 	t.Helper()
 	place, err := readPlace(t, files, over)
 	if err != nil {
@@ -95,27 +96,27 @@
 
 func TestConfigEveryKey(t *testing.T) {
 	every := readTestdata(t, "config_every_key.json")
-	describe := func(text string) string { return describeConfig(t, placeFiles{config: text}, Place{}) }
+	describe := func(text string) string { return describeConfig(t, placeFiles{config: text}, run.Place{}) }
 	checkGolden(t, "config_every_key.golden", describe(every))
 	checkGolden(t, "config_every_key_left_out.golden", leaveOutEachKey(every, describe))
 }
 
 func TestConfigDefaults(t *testing.T) {
 	required := readTestdata(t, "config_required_keys.json")
-	checkGolden(t, "config_defaults.golden", describeConfig(t, placeFiles{config: required}, Place{}))
+	checkGolden(t, "config_defaults.golden", describeConfig(t, placeFiles{config: required}, run.Place{}))
 }
 
 // What is given beside the file goes before what it says.
 func TestConfigOverrides(t *testing.T) {
 	files := placeFiles{config: readTestdata(t, "config_every_key.json")}
-	over := Place{Name: "proxy-32", Listen: "127.0.0.41:1", Discovery: "127.0.0.42:2", Management: "127.0.0.43:3"}
-	checkGolden(t, "config_overrides.golden", changedLines(describeConfig(t, files, over), describeConfig(t, files, Place{})))
+	over := run.Place{Name: "proxy-32", Listen: "127.0.0.41:1", Discovery: "127.0.0.42:2", Management: "127.0.0.43:3"}
+	checkGolden(t, "config_overrides.golden", changedLines(describeConfig(t, files, over), describeConfig(t, files, run.Place{})))
 }
 
 // What changes in the configuration when a value is null, stands twice or is not known, or a file of peers is named.
 func TestConfigVariants(t *testing.T) {
 	every := readTestdata(t, "config_every_key.json")
-	base := describeConfig(t, placeFiles{config: every}, Place{})
+	base := describeConfig(t, placeFiles{config: every}, run.Place{})
 	var report strings.Builder
 	for _, change := range []struct{ from, to string }{
 		{`"management": "127.0.0.33:6433"`, `"management": null`},
@@ -130,11 +131,11 @@
 	} {
 		text := replaceIn(t, every, change.from, change.to)
 		fmt.Fprintf(&report, "%s instead of %s:\n%s", change.to, change.from,
-			changedLines(describeConfig(t, placeFiles{config: text}, Place{}), base))
+			changedLines(describeConfig(t, placeFiles{config: text}, run.Place{}), base))
 	}
 	text := replaceIn(t, every, `"tick":7.3`, `"tick":7.3,"me":6`)
 	files := placeFiles{config: text, peers: readTestdata(t, "peers.toml")}
-	fmt.Fprintf(&report, "\"me\":6 with a file of peers:\n%s", changedLines(describeConfig(t, files, Place{}), base))
+	fmt.Fprintf(&report, "\"me\":6 with a file of peers:\n%s", changedLines(describeConfig(t, files, run.Place{}), base))
 	checkGolden(t, "config_variants.golden", report.String())
 }
 
@@ -195,11 +196,11 @@
 			"configuration: watch: setup routes: not those of the settings",
 		},
 	} {
-		_, err := readPlace(t, placeFiles{config: replaceIn(t, every, c.from, c.to)}, Place{})
+		_, err := readPlace(t, placeFiles{config: replaceIn(t, every, c.from, c.to)}, run.Place{})
 		expectError(t, c.to, err, c.want)
 	}
-	_, err := Read("", Place{})
+	_, err := run.Read("", run.Place{})
 	expectError(t, "no file", err, "configuration: no file named")
-	_, err = Read("testdata/absent.json", Place{})
+	_, err = run.Read("testdata/absent.json", run.Place{})
 	expectError(t, "a file that is not there", err, "configuration: open testdata/absent.json: no such file or directory")
 }
--- /dev/null
+++ b/internal/run/figures_golden_test.go
@@ -0,0 +1,137 @@
+package run_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"woodproxy/internal/fleet"
+	"woodproxy/missing"
+	"woodproxy/moves"
+	"woodproxy/recovery"
+	"woodproxy/turns"
+	"woodproxy/zones"
+)
+
+// fill sets each exported field to a value of its own, so that no field is left out of the JSON and no two look alike.
+func fill(t *testing.T, v reflect.Value, count *int) {
+	t.Helper()
+	*count++
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(t, v.Field(i), count)
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		for i := range v.Len() {
+			fill(t, v.Index(i), count)
+		}
+	case reflect.String:
+		v.SetString(fmt.Sprint("text-", *count))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int, reflect.Int64:
+		v.SetInt(int64(*count))
+	case reflect.Float64:
+		v.SetFloat(float64(*count) + 0.5)
+	default:
+		t.Fatalf("no value for a field of kind %v", v.Kind())
+	}
+}
+
+func encode(t *testing.T, value any) string {
+	t.Helper()
+	text, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// The JSON of what operators are shown has the keys that it has today, in their order.
+func TestFiguresJSONGolden(t *testing.T) {
+	var all strings.Builder
+	for _, c := range []struct {
+		name  string
+		value any // a pointer to a zero value
+	}{
+		{"GET /control/turns", &turns.Figures{}},
+		{"GET /control/recovery", &recovery.Figures{}},
+		{"GET /control/missing", &missing.Figures{}},
+		{"POST /control/moves/plan, response", &moves.Plan{}},
+		{"POST /control/moves/plan, request", &moves.Inventory{}},
+	} {
+		fmt.Fprintf(&all, "=== %s\nempty:  %s\n", c.name, encode(t, c.value))
+		count := 0
+		fill(t, reflect.ValueOf(c.value).Elem(), &count)
+		fmt.Fprintf(&all, "filled: %s\n", encode(t, c.value))
+	}
+	checkGolden(t, "figures.golden", all.String())
+}
+
+// fullInventory has every key that an inventory may have.
+const fullInventory = `{"nodes":[{"name":"a","zone":"x","room_bytes":10,"weight":1.5,"leaves":true}],` +
+	`"shards":[{"id":1,"bytes":2,"on":"a","want":"b","pin":true,"zones":["x","y"],"apart":"g"}]}`
+
+func TestInventoryJSON(t *testing.T) {
+	in := json.NewDecoder(strings.NewReader(fullInventory))
+	in.DisallowUnknownFields()
+	var inventory moves.Inventory
+	if err := in.Decode(&inventory); err != nil {
+		t.Fatal(err)
+	}
+	requireFilled(t, "inventory", reflect.ValueOf(inventory))
+	if got := encode(t, inventory); got != fullInventory {
+		t.Errorf("got:  %s\nwant: %s", got, fullInventory)
+	}
+}
+
+// requireFilled fails on each field that is still empty: it would be one that no key of the JSON text sets.
+func requireFilled(t *testing.T, path string, v reflect.Value) {
+	t.Helper()
+	if v.IsZero() {
+		t.Errorf("%s: empty", path)
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			requireFilled(t, path+"."+v.Type().Field(i).Name, v.Field(i))
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			requireFilled(t, path, v.Index(i))
+		}
+	}
+}
+
+// The counters have the names that they have today, in their order: INFO, the log and the metrics show them.
+func TestCounterNamesGolden(t *testing.T) {
+	counters := &fleet.Counters{}
+	checkGolden(t, "counters.golden", counters.String())
+	var listed strings.Builder
+	counters.Each(func(name string, value int64) { fmt.Fprintf(&listed, "%s %d\n", name, value) })
+	if listed.String() != counters.String() {
+		t.Errorf("Each lists %q, String %q", listed.String(), counters.String())
+	}
+}
+
+// The words for stages, states and orders are shown to operators and taken from them.
+func TestStateWordsGolden(t *testing.T) {
+	var all strings.Builder
+	for s := recovery.Stage(0); s < 4; s++ {
+		fmt.Fprintf(&all, "stage %d %s\n", s, s)
+	}
+	for s := zones.State(0); s < 4; s++ {
+		fmt.Fprintf(&all, "zone state %d %s\n", s, s)
+	}
+	for w := zones.Want(0); w < 4; w++ {
+		fmt.Fprintf(&all, "order %d %s\n", w, w)
+		if zones.Wants[w.String()] != w {
+			t.Errorf("order %v is not read by its own name", w)
+		}
+	}
+	checkGolden(t, "state_words.golden", all.String())
+}
--- a/internal/run/golden_test.go
+++ b/internal/run/golden_test.go
@@ -1,94 +1,48 @@
-package run
+package run_test
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"path/filepath"
-	"regexp"
-	"slices"
 	"strings"
 	"testing"
 )
 
-var update = flag.Bool("update", false, "write the golden files of this package anew")
+var update = flag.Bool("update", false, "rewrite the golden files with what the code gives today")
 
-// readTestdata returns the content of a file in testdata.
-func readTestdata(t *testing.T, name string) string {
-	t.Helper()
-	text, err := os.ReadFile(filepath.Join("testdata", name))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(text)
-}
-
-// checkGolden compares a text with the golden file of that name in testdata. With -update it writes the file instead.
+// checkGolden compares a text with the golden file of that name. A missing file is a failure: only -update writes one.
 func checkGolden(t *testing.T, name, got string) {
 	t.Helper()
+	file := filepath.Join("testdata", name)
 	if *update {
-		if err := os.WriteFile(filepath.Join("testdata", name), []byte(got), 0o644); err != nil {
+		if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
 			t.Fatal(err)
 		}
-		return
 	}
-	if want := readTestdata(t, name); got != want {
-		t.Errorf("testdata/%s differs\ngot:\n%s\nwant:\n%s", name, got, want)
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatalf("golden file: %v (-update writes it)", err)
 	}
-}
-
-// changedLines returns the lines of a text that the base text lacks, indented.
-func changedLines(text, base string) string {
-	baseLines := strings.Split(base, "\n")
-	var changed strings.Builder
-	for line := range strings.Lines(text) {
-		if !slices.Contains(baseLines, strings.TrimSuffix(line, "\n")) {
-			changed.WriteString("\t" + line)
-		}
+	if got != string(want) {
+		t.Errorf("%s differs from today's output\n%s", file, firstDifference(got, string(want)))
 	}
-	return changed.String()
 }
 
-// leaveOutEachLine drops each "key = value" line of a TOML text in turn and tells what that changes in what is read.
-func leaveOutEachLine(text string, read func(text string) string) string {
-	base := read(text)
-	lines := strings.SplitAfter(text, "\n")
-	var report strings.Builder
-	for i, line := range lines {
-		key, _, isKey := strings.Cut(line, " = ")
-		if !isKey {
-			continue
+// firstDifference shows the first line in which two texts differ.
+func firstDifference(got, want string) string {
+	gotLines, wantLines := strings.Split(got, "\n"), strings.Split(want, "\n")
+	line := func(all []string, i int) string {
+		if i < len(all) {
+			return all[i]
 		}
-		rest := slices.Delete(slices.Clone(lines), i, i+1)
-		fmt.Fprintf(&report, "without %s (line %d):\n%s", key, i+1, changedLines(read(strings.Join(rest, "")), base))
+		return "(end)"
 	}
-	return report.String()
-}
-
-// leaveOutEachKey takes a JSON text with one key a line, gives each key in turn a name that nothing reads, and tells what
-// that changes in what is read.
-func leaveOutEachKey(text string, read func(text string) string) string {
-	base := read(text)
-	lines := strings.SplitAfter(text, "\n")
-	var report strings.Builder
-	for i, line := range lines {
-		quoted, _, isKey := strings.Cut(strings.TrimSpace(line), ": ")
-		if !isKey {
-			continue
-		}
-		renamed := slices.Clone(lines)
-		renamed[i] = strings.Replace(line, quoted, `"left-out"`, 1)
-		fmt.Fprintf(&report, "without %s (line %d):\n%s", quoted, i+1, changedLines(read(strings.Join(renamed, "")), base))
+	i := 0
+	for i < len(gotLines) && i < len(wantLines) && gotLines[i] == wantLines[i] {
+		i++
 	}
-	return report.String()
-}
-
-// fieldName is the name of a Go struct field that the TOML library puts into its errors. It is no part of the file's
-// format, and changes when the field is renamed.
-var fieldName = regexp.MustCompile(`struct field \S+ of type`)
-
-// stableError is an error's text without the directory of the files that it names and without names of struct fields.
-func stableError(err error, dir string) string {
-	text := strings.ReplaceAll(err.Error(), dir+"/", "")
-	return fieldName.ReplaceAllString(text, "struct field FIELD of type")
+	return "got:  " + line(gotLines, i) + "\nwant: " + line(wantLines, i)
 }
