--- a/brain/hash.go
+++ b/balancer/hash.go
@@ -1,4 +1,4 @@
-package brain
+package balancer
 
 import "strconv"
 
--- a/brain/ring.go
+++ b/balancer/ring.go
@@ -1,4 +1,4 @@
-package brain
+package balancer
 
 // point is one place of a node on the ring.
 type point struct {
--- a/brain/scenario_test.go
+++ b/balancer/scenario_test.go
@@ -1,11 +1,11 @@
-package brain_test
+package balancer_test
 
 import (
 	"fmt"
 	"strings"
 	"testing"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/scenario"
 )
 
@@ -31,7 +31,7 @@
 	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
 		return &play{
 			t: t, routes: map[string]int{}, nodes: map[string]int{}, bound: map[string]string{},
-			last: map[int]brain.Decision{}, terms: brain.Terms{
+			last: map[int]balancer.Decision{}, terms: balancer.Terms{
 				Proxies: 1, MaxTries: 5, Tick: 50, Cold: 100000,
 				Fall: 30000, ColdFrom: 0.25, FallMultiple: 3, Aside: true,
 			},
@@ -42,13 +42,13 @@
 type play struct {
 	t      *testing.T
 	line   int
-	terms  brain.Terms
+	terms  balancer.Terms
 	routes map[string]int
-	mind   *brain.Instance
+	mind   *balancer.Instance
 	nodes  map[string]int
 	names  []string
 	bound  map[string]string
-	last   map[int]brain.Decision // last send of each exchange
+	last   map[int]balancer.Decision // last send of each exchange
 	got    []string
 	logs   []string
 	asked  bool
@@ -59,7 +59,7 @@
 	p.t.Errorf("line %d: %s", p.line, fmt.Sprintf(format, args...))
 }
 
-func ms(s string) brain.Time { return brain.Time(scenario.Num(s) * 10) }
+func ms(s string) balancer.Time { return balancer.Time(scenario.Num(s) * 10) }
 
 func (p *play) Step(line int, w []string) {
 	p.line = line
@@ -69,13 +69,13 @@
 		return
 	case "route":
 		m := scenario.Words(w[2:])
-		r := brain.Route{
+		r := balancer.Route{
 			Objective: ms(m["objective"]), Overall: ms(m["overall"]), Value: scenario.Num(m["value"]),
-			Overdue: scenario.Num(m["overdue"]), Window: ms(m["window"]), Effect: map[string]brain.Effect{
-				"deduped":       brain.Deduped,
-				"non-retriable": brain.NonRetriable,
+			Overdue: scenario.Num(m["overdue"]), Window: ms(m["window"]), Effect: map[string]balancer.Effect{
+				"deduped":       balancer.Deduped,
+				"non-retriable": balancer.NonRetriable,
 			}[m["effect"]],
-			Group: map[string]brain.Group{"zone": brain.GroupZone, "cell": brain.GroupCell}[m["group"]],
+			Group: map[string]balancer.Group{"zone": balancer.GroupZone, "cell": balancer.GroupCell}[m["group"]],
 		}
 		p.routes[w[1]] = len(p.terms.Routes)
 		p.terms.Routes = append(p.terms.Routes, r)
@@ -87,7 +87,7 @@
 	p.settle()
 	now := ms(w[0])
 	if p.mind == nil {
-		p.mind = brain.New(now, p.terms, 1)
+		p.mind = balancer.New(now, p.terms, 1)
 	}
 	m := scenario.Words(w[2:])
 	switch w[1] {
@@ -110,7 +110,7 @@
 				p.fail("not all were sent: %q", p.got)
 			}
 			for cx := from; cx <= to; cx++ {
-				p.take(p.mind.Returned(now+took, brain.Answer{Cx: cx, Node: p.last[cx].Node, Took: took, Ended: true}))
+				p.take(p.mind.Returned(now+took, balancer.Answer{Cx: cx, Node: p.last[cx].Node, Took: took, Ended: true}))
 			}
 			now, p.got = now+ms(m["every"]), nil
 		}
@@ -120,7 +120,7 @@
 			if m["at"] != "" {
 				at = p.nodes[p.name(m["at"])]
 			}
-			p.take(p.mind.Returned(now, brain.Answer{
+			p.take(p.mind.Returned(now, balancer.Answer{
 				Cx: cx, Node: at, Ending: endings[w[3]],
 				Took: ms(m["took"]), Ended: m["over"] != "",
 			}))
@@ -158,10 +158,10 @@
 	return int(scenario.Num(from)), int(scenario.Num(to))
 }
 
-var endings = map[string]brain.Ending{
-	"completed": brain.Completed, "fault": brain.Fault, "no-room": brain.NoRoom,
-	"silent": brain.Silent, "unreachable": brain.Unreachable, "cut": brain.Cut, "undone": brain.Undone,
-	"never-sent": brain.NeverSent, "lacking": brain.Lacking,
+var endings = map[string]balancer.Ending{
+	"completed": balancer.Completed, "fault": balancer.Fault, "no-room": balancer.NoRoom,
+	"silent": balancer.Silent, "unreachable": balancer.Unreachable, "cut": balancer.Cut, "undone": balancer.Undone,
+	"never-sent": balancer.NeverSent, "lacking": balancer.Lacking,
 }
 
 func (p *play) setTerms(m map[string]string) {
@@ -200,10 +200,10 @@
 	}
 }
 
-func (p *play) list(now brain.Time, w []string) {
+func (p *play) list(now balancer.Time, w []string) {
 	first := len(p.names) == 0
 	whole := first
-	var lines []brain.Listing
+	var lines []balancer.Listing
 	for _, s := range w {
 		if s == "whole" {
 			whole = true
@@ -221,7 +221,7 @@
 			}
 			p.nodes[parts[0]] = n
 		}
-		l := brain.Listing{
+		l := balancer.Listing{
 			Node: n, Name: parts[0], Origin: parts[0][0] == 'o', Since: ms(m["since"]), Weight: 1,
 			Ready: m["draining"] == "" && m["gone"] == "", Zone: int(scenario.Num(m["zone"])),
 		}
@@ -233,13 +233,13 @@
 	p.take(p.mind.Nodes(now, whole, first, lines))
 }
 
-func (p *play) arrive(now brain.Time, cx int, route string, m map[string]string) {
+func (p *play) arrive(now balancer.Time, cx int, route string, m map[string]string) {
 	r, ok := p.routes[route]
 	if !ok {
 		p.fail("no route %q", route)
 		return
 	}
-	e := brain.Exchange{
+	e := balancer.Exchange{
 		Route: r, Tenant: -1, Key: uint64(cx), Keyed: true, Write: m["write"] != "",
 		Repeat: m["repeat"] != "", Remaining: p.terms.Routes[r].Overall,
 	}
@@ -255,27 +255,27 @@
 	p.take(p.mind.Arrive(now, cx, e))
 }
 
-func (p *play) take(ds []brain.Decision) {
+func (p *play) take(ds []balancer.Decision) {
 	for _, d := range ds {
 		switch d.Act {
-		case brain.Send:
+		case balancer.Send:
 			p.last[d.Cx] = d
 			p.got = append(p.got, fmt.Sprintf("send %d %s", d.Cx, p.names[d.Node]))
-		case brain.Cancel:
+		case balancer.Cancel:
 			p.got = append(p.got, fmt.Sprintf("cancel %d", d.Cx))
-		case brain.Shed:
+		case balancer.Shed:
 			p.got = append(p.got, fmt.Sprintf("shed %d", d.Cx))
 			if p.terms.RetryAfter && (d.After <= 0 || d.After > p.terms.MaxRetryAfter) {
 				p.fail("shed with advice to come back in %d", d.After)
 			}
-		case brain.Error:
+		case balancer.Error:
 			p.got = append(p.got, fmt.Sprintf("error %d", d.Cx))
-		case brain.Follow:
+		case balancer.Follow:
 			p.got = append(p.got, "follow")
-		case brain.Tell:
+		case balancer.Tell:
 			p.got = append(p.got, fmt.Sprintf("tell %d %s %s", d.Peer, p.names[d.Node],
 				map[bool]string{true: "answers", false: "silent"}[d.Answers]))
-		case brain.Log:
+		case balancer.Log:
 			p.logs = append(p.logs, d.Text)
 		}
 	}
--- a/brain/state.go
+++ b/balancer/state.go
@@ -1,4 +1,4 @@
-package brain
+package balancer
 
 // Instance decides for one proxy.
 type Instance struct {
--- a/brain/types.go
+++ b/balancer/types.go
@@ -1,4 +1,4 @@
-package brain
+package balancer
 
 // Time counts tenths of a millisecond on the caller's clock; spans use it too.
 type Time int64
--- a/brain/watch.go
+++ b/balancer/watch.go
@@ -1,4 +1,4 @@
-package brain
+package balancer
 
 // What an instance needs that only watches: it is given all that another one is given, decides, and is then told what
 // the other did. Nothing here decides.
--- a/internal/fleet/actor.go
+++ b/internal/fleet/actor.go
@@ -9,7 +9,7 @@
 import (
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 
 	"go.uber.org/zap"
 )
@@ -48,12 +48,12 @@
 func NewClock() Clock { return Clock{time.Now()} }
 
 // Now returns tenths of a millisecond of Unix time; it never goes back.
-func (c Clock) Now() brain.Time {
-	return brain.Time((c.base.UnixMicro() + time.Since(c.base).Microseconds()) / 100)
+func (c Clock) Now() balancer.Time {
+	return balancer.Time((c.base.UnixMicro() + time.Since(c.base).Microseconds()) / 100)
 }
 
 // span turns the module's time into the library's.
-func span(t brain.Time) time.Duration { return time.Duration(t) * 100 * time.Microsecond }
+func span(t balancer.Time) time.Duration { return time.Duration(t) * 100 * time.Microsecond }
 
 // long ago, as a deadline, wakes a connection that is being read.
 var longAgo = time.Unix(1, 0)
--- a/internal/fleet/actor_test.go
+++ b/internal/fleet/actor_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/terms"
 	"woodproxy/internal/wire"
 
@@ -21,7 +21,7 @@
 )
 
 func newTestRouter() *Router {
-	book := &terms.Book{Terms: brain.Terms{Routes: []brain.Route{{Objective: 6000, Overall: 12000, Value: 1}}}}
+	book := &terms.Book{Terms: balancer.Terms{Routes: []balancer.Route{{Objective: 6000, Overall: 12000, Value: 1}}}}
 	m := NewRouter(book, 1, NewClock(), 1, &Counters{}, zap.NewNop())
 	m.memory.grow(1 << 20)
 	return m
@@ -72,7 +72,7 @@
 	l := &link{peer: newPeer(m, 0, "c1", false), conn: near, in: bufio.NewReader(near)}
 	l.peer.ready.Store(true)
 	ending, value, again, err := l.carry(&try{request: &request{}, sent: m.clock.Now(), wait: second})
-	if ending != brain.Completed || string(value) != "one" || again || err != nil || m.count.BadPeer.Load() != 1 {
+	if ending != balancer.Completed || string(value) != "one" || again || err != nil || m.count.BadPeer.Load() != 1 {
 		t.Errorf("ending %d, %q, again %v: %v", ending, value, again, err)
 	}
 }
@@ -107,7 +107,7 @@
 	l.peer.ready.Store(true)
 	for _, want := range []string{"one", "two", "six"} {
 		ending, value, again, err := l.carry(&try{request: &request{}, sent: m.clock.Now(), wait: second})
-		if ending != brain.Completed || string(value) != want || !again || err != nil {
+		if ending != balancer.Completed || string(value) != want || !again || err != nil {
 			t.Errorf("ending %d, %q, again %v: %v", ending, value, again, err)
 		}
 		select {
@@ -151,7 +151,7 @@
 // The clock counts tenths of a millisecond of Unix time, as the list's starting times do.
 func TestClock(t *testing.T) {
 	c := NewClock()
-	if got, want := c.Now(), brain.Time(c.base.UnixMilli()*10); got < want || got > want+second {
+	if got, want := c.Now(), balancer.Time(c.base.UnixMilli()*10); got < want || got > want+second {
 		t.Errorf("%d at %d", got, want)
 	}
 }
@@ -162,10 +162,10 @@
 func TestWatchingEndsAlone(t *testing.T) {
 	m := newTestRouter()
 	m.watch = &onlooker{} // with no module to ask
-	ds := m.decide(1, func(b *brain.Instance) []brain.Decision {
-		return b.Arrive(1, 0, brain.Exchange{Tenant: -1, Remaining: 12000})
+	ds := m.decide(1, func(b *balancer.Instance) []balancer.Decision {
+		return b.Arrive(1, 0, balancer.Exchange{Tenant: -1, Remaining: 12000})
 	})
-	if len(ds) == 0 || ds[0].Act != brain.Shed || m.watch != nil {
+	if len(ds) == 0 || ds[0].Act != balancer.Shed || m.watch != nil {
 		t.Errorf("%v decided, still watching: %v", ds, m.watch != nil)
 	}
 }
@@ -173,50 +173,50 @@
 // Thousands of exchanges with all endings, put to a module and to one that watches: under the same terms they never
 // differ, and under others the one that watches keeps its books, as far as it can tell what becomes of each try.
 func TestWatchKeepsUp(t *testing.T) {
-	under := func(change func(*brain.Terms)) *Counters {
-		mine := brain.Terms{
-			Routes: []brain.Route{{Objective: 2000, Overall: 6000, Value: 1}}, Proxies: 4, MaxTries: 3,
+	under := func(change func(*balancer.Terms)) *Counters {
+		mine := balancer.Terms{
+			Routes: []balancer.Route{{Objective: 2000, Overall: 6000, Value: 1}}, Proxies: 4, MaxTries: 3,
 			Tick: 10, Aside: true, Cold: 50000, ColdFrom: 0.3, Fall: 20000, FallMultiple: 3, MayCancel: true,
 		}
 		other := mine
-		other.Routes = append([]brain.Route{}, mine.Routes...)
+		other.Routes = append([]balancer.Route{}, mine.Routes...)
 		change(&other)
 		m := newTestRouter()
-		m.brain = brain.New(0, mine, 1)
+		m.brain = balancer.New(0, mine, 1)
 		m.Watch(&terms.Book{Terms: other}, 1)
-		m.watch.instance = brain.New(0, other, 1)
+		m.watch.instance = balancer.New(0, other, 1)
 		chance := rand.New(rand.NewPCG(1, 2))
 		type out struct {
 			cx, node int
-			sent     brain.Time
-			ends     brain.Time
-			ending   brain.Ending
+			sent     balancer.Time
+			ends     balancer.Time
+			ending   balancer.Ending
 		}
 		var tries []out
 		over := make([]bool, 8000) // an index each, so that none is reused too soon
-		wake := brain.Time(0)
-		take := func(now brain.Time, ds []brain.Decision) {
+		wake := balancer.Time(0)
+		take := func(now balancer.Time, ds []balancer.Decision) {
 			for _, d := range ds {
 				switch d.Act {
-				case brain.Send:
-					o := out{d.Cx, d.Node, now, now + min(d.After, brain.Time(chance.IntN(2500))), brain.Ending(chance.IntN(9))}
+				case balancer.Send:
+					o := out{d.Cx, d.Node, now, now + min(d.After, balancer.Time(chance.IntN(2500))), balancer.Ending(chance.IntN(9))}
 					tries = append(tries, o)
-				case brain.Shed, brain.Error:
+				case balancer.Shed, balancer.Error:
 					over[d.Cx] = true
-				case brain.Wake:
+				case balancer.Wake:
 					wake = now + d.After
 				}
 			}
 		}
-		var list []brain.Listing
+		var list []balancer.Listing
 		for i, name := range []string{"a", "b", "c", "d", "e", "o"} {
-			list = append(list, brain.Listing{Node: i, Name: name, Origin: name == "o", Ready: true, Weight: 1})
+			list = append(list, balancer.Listing{Node: i, Name: name, Origin: name == "o", Ready: true, Weight: 1})
 		}
-		take(0, m.decide(0, func(b *brain.Instance) []brain.Decision { return b.Nodes(0, true, true, list) }))
+		take(0, m.decide(0, func(b *balancer.Instance) []balancer.Decision { return b.Nodes(0, true, true, list) }))
 		cx := 0
-		for now := brain.Time(10); cx < len(over) || len(tries) > 0; now += 10 {
+		for now := balancer.Time(10); cx < len(over) || len(tries) > 0; now += 10 {
 			if wake != 0 && now >= wake || m.watch.wakes != 0 && now >= m.watch.wakes {
-				var ds []brain.Decision
+				var ds []balancer.Decision
 				if wake != 0 && now >= wake {
 					wake = 0
 					ds = m.brain.Woken(now)
@@ -231,13 +231,13 @@
 				}
 				tries = slices.Delete(tries, i, i+1)
 				i--
-				over[o.cx] = over[o.cx] || o.ending == brain.Completed
-				a := brain.Answer{Cx: o.cx, Node: o.node, Ending: o.ending, Took: now - o.sent, Ended: over[o.cx]}
-				take(now, m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Returned(now, a) }))
+				over[o.cx] = over[o.cx] || o.ending == balancer.Completed
+				a := balancer.Answer{Cx: o.cx, Node: o.node, Ending: o.ending, Took: now - o.sent, Ended: over[o.cx]}
+				take(now, m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Returned(now, a) }))
 			}
 			for n := chance.IntN(3); n > 0 && cx < len(over); n-- {
-				e := brain.Exchange{Tenant: -1, Remaining: 6000, Key: chance.Uint64N(50), Keyed: true, Write: chance.IntN(9) == 0}
-				take(now, m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Arrive(now, cx, e) }))
+				e := balancer.Exchange{Tenant: -1, Remaining: 6000, Key: chance.Uint64N(50), Keyed: true, Write: chance.IntN(9) == 0}
+				take(now, m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Arrive(now, cx, e) }))
 				cx++
 			}
 		}
@@ -249,15 +249,15 @@
 	differ := func(c *Counters) int64 {
 		return c.WatchNode.Load() + c.WatchHeld.Load() + c.WatchGivenUp.Load() + c.WatchKept.Load() + c.WatchAnswer.Load()
 	}
-	if c := under(func(*brain.Terms) {}); differ(c) != 0 || c.WatchSame.Load() < 8000 {
+	if c := under(func(*balancer.Terms) {}); differ(c) != 0 || c.WatchSame.Load() < 8000 {
 		t.Errorf("under the same terms: %s", c)
 	}
-	for name, change := range map[string]func(*brain.Terms){
-		"many proxies": func(o *brain.Terms) { o.Proxies, o.Peers, o.Me = 400, 399, 7 },
-		"one try":      func(o *brain.Terms) { o.MaxTries = 1 },
-		"late earns":   func(o *brain.Terms) { o.Routes[0].Overdue = 0.5 },
-		"short":        func(o *brain.Terms) { o.Routes[0].Objective = 500 },
-		"deduped":      func(o *brain.Terms) { o.Routes[0].Effect, o.Routes[0].Window = brain.Deduped, 500 },
+	for name, change := range map[string]func(*balancer.Terms){
+		"many proxies": func(o *balancer.Terms) { o.Proxies, o.Peers, o.Me = 400, 399, 7 },
+		"one try":      func(o *balancer.Terms) { o.MaxTries = 1 },
+		"late earns":   func(o *balancer.Terms) { o.Routes[0].Overdue = 0.5 },
+		"short":        func(o *balancer.Terms) { o.Routes[0].Objective = 500 },
+		"deduped":      func(o *balancer.Terms) { o.Routes[0].Effect, o.Routes[0].Window = balancer.Deduped, 500 },
 	} {
 		if c := under(change); differ(c) == 0 || differ(c) > 8000 {
 			t.Errorf("%s: %s", name, c)
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -5,7 +5,7 @@
 	"strings"
 	"sync/atomic"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 )
 
 // Counters count what the proxy takes in, sends and answers since its start.
@@ -18,7 +18,7 @@
 	Absent                   atomic.Int64 // of the completed ones, such that the origin has no such key
 	Left                     atomic.Int64 // clients gone before their answer
 	Tries, Cancelled, Copies atomic.Int64 // upstream tries, those called off, and those sent while another of their exchange was out
-	Ends                     [brain.Lacking + 1]atomic.Int64
+	Ends                     [balancer.Lacking + 1]atomic.Int64
 	Dials, UpstreamOpen      atomic.Int64 // connections to peers, in all and now
 	Lists, Watches           atomic.Int64 // lists and changes from discovery; watches answered
 	BadClient, BadPeer       atomic.Int64 // connections ended for bad bytes
@@ -33,7 +33,7 @@
 }
 
 // endings names how tries end, in the module's order.
-var endings = [brain.Lacking + 1]string{
+var endings = [balancer.Lacking + 1]string{
 	"EndCompleted", "EndFault", "EndNoRoom", "EndSilent", "EndUnreachable",
 	"EndCut", "EndUndone", "EndUnsent", "EndLacking",
 }
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -4,7 +4,7 @@
 	"sync/atomic"
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/turns"
 
 	"go.uber.org/zap"
@@ -73,7 +73,7 @@
 	for i := range ds {
 		switch x := ds[i]; x.Act {
 		case turns.Rest:
-			d.router.box.post(func() { d.router.rest(x.Node, brain.Time(x.Until)) })
+			d.router.box.post(func() { d.router.rest(x.Node, balancer.Time(x.Until)) })
 		case turns.Doubt:
 			d.router.Heard(x.Node, !x.On)
 		case turns.Keep:
@@ -151,10 +151,10 @@
 }
 
 // rest has a node's next trial be at a time.
-func (m *Router) rest(node string, until brain.Time) {
+func (m *Router) rest(node string, until balancer.Time) {
 	if n, ok := m.byName[node]; ok {
 		now := m.clock.Now()
-		m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Rest(now, n, until) }))
+		m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Rest(now, n, until) }))
 	}
 }
 
--- a/internal/fleet/ending_test.go
+++ b/internal/fleet/ending_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/terms"
 	"woodproxy/internal/wire"
 
@@ -155,17 +155,17 @@
 	ln     *net.TCPListener
 }
 
-func newRig(t *testing.T, sockets int, change func(*brain.Terms), nodes ...*standIn) *rig {
+func newRig(t *testing.T, sockets int, change func(*balancer.Terms), nodes ...*standIn) *rig {
 	t.Helper()
 	return newSteppingRig(t, &stepping{}, sockets, change, nodes...)
 }
 
-func newSteppingRig(t *testing.T, step *stepping, sockets int, change func(*brain.Terms), nodes ...*standIn) *rig {
+func newSteppingRig(t *testing.T, step *stepping, sockets int, change func(*balancer.Terms), nodes ...*standIn) *rig {
 	t.Helper()
-	book := &terms.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: brain.Terms{
+	book := &terms.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: balancer.Terms{
 		Proxies: 1, MaxTries: 3,
 		Tick: 50, Aside: true, Fall: 20000, FallMultiple: 3, Cold: 1, ColdFrom: 0.3,
-		Routes: []brain.Route{{Objective: 300000, Overall: 600000, Value: 1}, {Objective: 300000, Overall: 600000, Value: 1}},
+		Routes: []balancer.Route{{Objective: 300000, Overall: 600000, Value: 1}, {Objective: 300000, Overall: 600000, Value: 1}},
 	}}
 	change(&book.Terms)
 	for _, r := range book.Terms.Routes {
@@ -230,14 +230,14 @@
 }
 
 // same leaves the terms as they are.
-func same(*brain.Terms) {}
+func same(*balancer.Terms) {}
 
 // A client leaves while the connection that its request waits for comes up: nothing of it is sent on, whether or not
 // tries may be called off, and the connection serves the next.
 func TestLeftWhileDialling(t *testing.T) {
 	for _, may := range []bool{false, true} {
 		cache, origin := newCache(t), newOrigin(t)
-		r := newRig(t, 10, func(config *brain.Terms) { config.MayCancel = may }, cache, origin)
+		r := newRig(t, 10, func(config *balancer.Terms) { config.MayCancel = may }, cache, origin)
 		release := r.dials.hold(cache.addr)
 		c := r.dial()
 		io.WriteString(c, read("k", "left", 60000))
@@ -256,7 +256,7 @@
 // not begun after the final answer.
 func TestAnsweredWhileDialling(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	r := newRig(t, 10, func(config *brain.Terms) {
+	r := newRig(t, 10, func(config *balancer.Terms) {
 		config.Parallel = true
 		config.Routes[1].Objective, config.Routes[1].Overall = 1000, 2000 // by which an answer is late after 0.1 s
 	}, cache, origin)
@@ -623,8 +623,8 @@
 func TestRepeatAfterItsWindow(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
 	const window = 300
-	r := newRig(t, 10, func(config *brain.Terms) {
-		config.Routes[1].Effect, config.Routes[1].Window = brain.Deduped, window*10
+	r := newRig(t, 10, func(config *balancer.Terms) {
+		config.Routes[1].Effect, config.Routes[1].Window = balancer.Deduped, window*10
 	}, cache, origin)
 	c := r.dial()
 	io.WriteString(c, string(wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte("once"), []byte("c=put,t=x,d=60000,k=1"), 1))+"v\r\n")
@@ -681,7 +681,7 @@
 			calls <- struct{}{}
 			io.Copy(io.Discard, c) // and says nothing
 		})
-		r := newRig(t, 10, func(config *brain.Terms) { config.Ask, config.AskEvery = ask, 100000 }, newCache(t), newOrigin(t))
+		r := newRig(t, 10, func(config *balancer.Terms) { config.Ask, config.AskEvery = ask, 100000 }, newCache(t), newOrigin(t))
 		list, err := NewList(addr, nil, r.router, 1, r.router.count, zap.NewNop())
 		if err != nil {
 			t.Fatal(err)
@@ -710,7 +710,7 @@
 func TestResetIsNoEnd(t *testing.T) {
 	for reset, want := range map[bool]string{false: "$4\r\n", true: "-"} {
 		origin := newOrigin(t)
-		r := newRig(t, 10, func(config *brain.Terms) { config.Routes[1].Effect = brain.NonRetriable }, newCache(t), origin)
+		r := newRig(t, 10, func(config *balancer.Terms) { config.Routes[1].Effect = balancer.NonRetriable }, newCache(t), origin)
 		c := r.dial()
 		io.WriteString(c, string(wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte("put"), []byte("c=put,t=x,d=60000"), 1))+"v\r\n")
 		at := origin.next(t)
@@ -779,7 +779,7 @@
 				io.WriteString(conn, text[c.first:])
 				io.Copy(io.Discard, conn)
 			})
-			r := newRig(t, 10, func(config *brain.Terms) { config.Ask, config.AskEvery = c.ask, 100000 }, newCache(t), newOrigin(t))
+			r := newRig(t, 10, func(config *balancer.Terms) { config.Ask, config.AskEvery = c.ask, 100000 }, newCache(t), newOrigin(t))
 			l, err := NewList(addr, nil, r.router, 1, r.router.count, zap.NewNop())
 			if err != nil {
 				t.Fatal(err)
--- a/internal/fleet/flow.go
+++ b/internal/fleet/flow.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/wire"
 )
 
@@ -61,7 +61,7 @@
 	}
 	f := newFlow(a.Long)
 	t.begun = true
-	m.box.post(func() { m.ended(t, brain.Completed, nil, f) })
+	m.box.post(func() { m.ended(t, balancer.Completed, nil, f) })
 	f.err = l.pour(f, a)
 	close(f.full)
 	return f.err
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
@@ -77,7 +77,7 @@
 func (l *link) run(t *try) {
 	p := l.peer
 	for again := true; again && t != nil; {
-		ending, value, err := brain.Cut, []byte(nil), error(nil)
+		ending, value, err := balancer.Cut, []byte(nil), error(nil)
 		again = false
 		guarded(p.log, p.router.count, func() { ending, value, again, err = l.carry(t) })
 		if errors.Is(err, wire.ErrBytes) {
@@ -156,16 +156,16 @@
 }
 
 // carry sees one try through: connect if need be, write it, read its answer.
-func (l *link) carry(t *try) (ending brain.Ending, value []byte, again bool, err error) {
+func (l *link) carry(t *try) (ending balancer.Ending, value []byte, again bool, err error) {
 	m := l.peer.router
 	until := time.Now().Add(span(t.sent + t.wait - m.clock.Now()))
 	fresh := l.conn == nil
 	if fresh {
 		if err := l.dial(t, until); err != nil {
 			if t.undone.Load() {
-				return brain.Undone, nil, false, err
+				return balancer.Undone, nil, false, err
 			}
-			return brain.Unreachable, nil, false, err
+			return balancer.Unreachable, nil, false, err
 		}
 		if m.zones != nil && !l.peer.origin {
 			m.box.post(func() { m.zoneDialled(l.peer.node, true) })
@@ -174,7 +174,7 @@
 	l.conn.SetDeadline(until)
 	switch {
 	case t.undone.Load(): // called off before the deadline above was set
-		return brain.Undone, nil, false, nil
+		return balancer.Undone, nil, false, nil
 	case !fresh && l.stale(): // closed meanwhile, or bytes came that would pass for the answer; nothing was sent yet
 		l.conn.Close()
 		l.mu.Lock()
@@ -182,15 +182,15 @@
 		l.mu.Unlock()
 		return l.carry(t)
 	case t.request.over.Load(): // while it waited for its connection, which the next may have
-		return brain.NeverSent, nil, true, nil
+		return balancer.NeverSent, nil, true, nil
 	case t.before > 0 && m.clock.Now() >= t.before:
-		return brain.NeverSent, nil, true, nil
+		return balancer.NeverSent, nil, true, nil
 	case !l.peer.ready.Load(): // it drains or is gone since the module chose it; nothing new goes there
-		return brain.NeverSent, nil, false, nil
+		return balancer.NeverSent, nil, false, nil
 	}
 	if err := l.write(t); err != nil {
 		if t.request.over.Load() {
-			return brain.NeverSent, nil, false, nil
+			return balancer.NeverSent, nil, false, nil
 		}
 		return l.came(t, &wire.Halt{Far: wire.Writing, Err: err})
 	}
@@ -200,9 +200,9 @@
 	}
 	a, err := read(l.in)
 	if t.absent = err == nil && a.Absent && m.absent != nil && t.request.value == nil; t.absent {
-		return brain.Completed, nil, a.Again && l.in.Buffered() == 0, nil
+		return balancer.Completed, nil, a.Again && l.in.Buffered() == 0, nil
 	}
-	if err == nil && a.Ending == brain.Completed {
+	if err == nil && a.Ending == balancer.Completed {
 		value, err = l.value(t, &a, until)
 	}
 	if err != nil {
@@ -250,19 +250,19 @@
 }
 
 // came tells from how far a try had come what its end means.
-func (l *link) came(t *try, err error) (brain.Ending, []byte, bool, error) {
+func (l *link) came(t *try, err error) (balancer.Ending, []byte, bool, error) {
 	var halt *wire.Halt
 	switch ran := errors.As(err, &halt) && halt.Ran(); {
 	case t.undone.Load():
-		return brain.Undone, nil, false, err
+		return balancer.Undone, nil, false, err
 	case !ran:
-		return brain.Unreachable, nil, false, err
+		return balancer.Unreachable, nil, false, err
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return brain.Silent, nil, false, err
+		return balancer.Silent, nil, false, err
 	case errors.Is(err, wire.ErrBytes):
-		return brain.Fault, nil, false, err
+		return balancer.Fault, nil, false, err
 	}
-	return brain.Cut, nil, false, err
+	return balancer.Cut, nil, false, err
 }
 
 func (l *link) dial(t *try, until time.Time) error {
--- a/internal/fleet/onlooker.go
+++ b/internal/fleet/onlooker.go
@@ -3,35 +3,35 @@
 import (
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/terms"
 )
 
 // aboutTo is how near two wake-ups are to be one: their timers are set one after the other.
-const aboutTo = brain.Time(10)
+const aboutTo = balancer.Time(10)
 
 // onlooker asks a second instance of the module, under the terms to come, what it would do with all that comes to the
 // first, counts by kind where it would do otherwise, and then tells it what was done. Nothing that it decides is
 // carried out. An exchange is compared until the first difference on it; what comes of it after that is only learnt
 // from, so that one difference is counted once.
 type onlooker struct {
-	instance *brain.Instance
-	wakes    brain.Time // when it wants to be woken, 0: not at all
+	instance *balancer.Instance
+	wakes    balancer.Time // when it wants to be woken, 0: not at all
 	timer    *time.Timer
-	did      map[int]*brain.Decision // by exchange, of the call in hand
+	did      map[int]*balancer.Decision // by exchange, of the call in hand
 	count    *Counters
 }
 
 // Watch has the module's decisions compared with those under other terms. It is called before Run.
 func (m *Router) Watch(book *terms.Book, seed uint64) {
 	m.watch = &onlooker{
-		instance: brain.New(m.clock.Now(), book.Terms, seed), timer: time.NewTimer(time.Hour),
-		did: map[int]*brain.Decision{}, count: m.count,
+		instance: balancer.New(m.clock.Now(), book.Terms, seed), timer: time.NewTimer(time.Hour),
+		did: map[int]*balancer.Decision{}, count: m.count,
 	}
 }
 
 // decide puts a call to the module and, where there is one, to the instance that watches.
-func (m *Router) decide(now brain.Time, call func(b *brain.Instance) []brain.Decision) []brain.Decision {
+func (m *Router) decide(now balancer.Time, call func(b *balancer.Instance) []balancer.Decision) []balancer.Decision {
 	ds := call(m.brain)
 	m.watched(func(w *onlooker) { w.compare(now, ds, call(w.instance)) })
 	return ds
@@ -78,8 +78,8 @@
 	return m.watch.timer.C
 }
 
-func (w *onlooker) woken(now brain.Time, ds []brain.Decision) {
-	var would []brain.Decision
+func (w *onlooker) woken(now balancer.Time, ds []balancer.Decision) {
+	var would []balancer.Decision
 	if w.wakes != 0 && now >= w.wakes {
 		w.wakes = 0
 		would = w.instance.Woken(now)
@@ -88,20 +88,20 @@
 }
 
 // compare counts what the module did against what the instance that watches would have done, and sets that right.
-func (w *onlooker) compare(now brain.Time, did, would []brain.Decision) {
+func (w *onlooker) compare(now balancer.Time, did, would []balancer.Decision) {
 	for i := range did {
-		if ends(did[i]) || did[i].Act == brain.Send {
+		if ends(did[i]) || did[i].Act == balancer.Send {
 			w.did[did[i].Cx] = &did[i]
 		}
 	}
 	for i := range would {
 		switch d := &would[i]; d.Act {
-		case brain.Wake:
+		case balancer.Wake:
 			w.wakes = now + d.After
 			w.timer.Reset(span(d.After))
-		case brain.Tell:
+		case balancer.Tell:
 			w.count.WatchTold.Add(1)
-		case brain.Send, brain.Shed, brain.Error:
+		case balancer.Send, balancer.Shed, balancer.Error:
 			w.one(now, d, w.did[d.Cx])
 			delete(w.did, d.Cx)
 		}
@@ -111,24 +111,24 @@
 			delete(w.did, d.Cx)
 			if w.instance.Has(d.Cx) {
 				w.one(now, nil, d)
-			} else if d.Act == brain.Send {
+			} else if d.Act == balancer.Send {
 				w.instance.Went(now, d.Cx, d.Node)
 			}
 		}
 	}
 }
 
-func ends(d brain.Decision) bool { return d.Act == brain.Shed || d.Act == brain.Error }
+func ends(d balancer.Decision) bool { return d.Act == balancer.Shed || d.Act == balancer.Error }
 
 // one compares the decisions on one exchange; nil means that it is held.
-func (w *onlooker) one(now brain.Time, would, did *brain.Decision) {
+func (w *onlooker) one(now balancer.Time, would, did *balancer.Decision) {
 	switch {
 	case would != nil && did != nil && would.Act == did.Act && (ends(*did) || would.Node == did.Node):
 		w.count.WatchSame.Add(1)
 		return
-	case would == nil && ends(*did), would != nil && did != nil && would.Act == brain.Send && ends(*did):
+	case would == nil && ends(*did), would != nil && did != nil && would.Act == balancer.Send && ends(*did):
 		w.count.WatchKept.Add(1)
-	case would != nil && ends(*would) && (did == nil || did.Act == brain.Send):
+	case would != nil && ends(*would) && (did == nil || did.Act == balancer.Send):
 		w.count.WatchGivenUp.Add(1)
 	case would == nil || did == nil:
 		w.count.WatchHeld.Add(1)
@@ -139,7 +139,7 @@
 	}
 	cx := 0
 	if would != nil {
-		if cx = would.Cx; would.Act == brain.Send {
+		if cx = would.Cx; would.Act == balancer.Send {
 			w.instance.Unsent(cx)
 		}
 	} else {
@@ -148,7 +148,7 @@
 	if w.instance.Has(cx) {
 		w.instance.Yield(cx)
 	}
-	if did != nil && did.Act == brain.Send {
+	if did != nil && did.Act == balancer.Send {
 		w.instance.Went(now, cx, did.Node)
 	}
 }
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/wire"
 	"woodproxy/missing"
 
@@ -17,9 +17,9 @@
 	request *request
 	cx      int
 	node    int
-	sent    brain.Time
-	wait    brain.Time // its time-out, from sent
-	before  brain.Time // to be begun by then or not at all, 0: there is no such time
+	sent    balancer.Time
+	wait    balancer.Time // its time-out, from sent
+	before  balancer.Time // to be begun by then or not at all, 0: there is no such time
 	undone  atomic.Bool
 	ticket  missing.Ticket // of a look-up at the origin
 	absent  bool           // which said that it has no such key
@@ -76,7 +76,7 @@
 	drops  atomic.Bool            // idle connections are closed soon, since others keep theirs; the module's actor sets it too
 	passed bool                   // over, as was last told; only the module's actor looks
 	listed wire.Target            // as the list has it; a newcomer's start is when it came; only the module's actor looks
-	since  brain.Time             // when it left the list, 0: it is there; only the module's actor looks at these two
+	since  balancer.Time          // when it left the list, 0: it is there; only the module's actor looks at these two
 	out    int                    // tries
 	open   int                    // connections, those that are being made included
 	ends   bool                   // as soon as none is open
@@ -103,7 +103,7 @@
 }
 
 // left notes that the node is not listed any more.
-func (p *peer) left(now brain.Time) {
+func (p *peer) left(now balancer.Time) {
 	if p.since == 0 {
 		p.since = now
 	}
@@ -182,7 +182,7 @@
 }
 
 // ended hears from a connection how its try came out; with again, the connection can carry another.
-func (p *peer) ended(l *link, t *try, ending brain.Ending, value []byte, again bool) {
+func (p *peer) ended(l *link, t *try, ending balancer.Ending, value []byte, again bool) {
 	t.link = nil
 	if !t.begun {
 		p.router.box.post(func() { p.router.ended(t, ending, value, nil) })
@@ -229,7 +229,7 @@
 }
 
 func (p *peer) neverSent(t *try) {
-	p.router.box.post(func() { p.router.ended(t, brain.NeverSent, nil, nil) })
+	p.router.box.post(func() { p.router.ended(t, balancer.NeverSent, nil, nil) })
 }
 
 func (p *peer) closeIdle() {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"sync/atomic"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/wire"
 )
 
@@ -28,9 +28,9 @@
 	route, tenant        string
 	wait                 int // how long the client waits, in milliseconds
 	repeat               bool
-	bytes                int        // of its values, as they are counted
-	holds                bool       // a place, until its answer is written or its client gone
-	came                 brain.Time // with its last byte
+	bytes                int           // of its values, as they are counted
+	holds                bool          // a place, until its answer is written or its client gone
+	came                 balancer.Time // with its last byte
 
 	cx    int // only the module's actor looks at these two
 	taken bool
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -7,7 +7,7 @@
 	"net"
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/terms"
 	"woodproxy/internal/wire"
 
@@ -21,19 +21,19 @@
 // the module's decisions into calls on them.
 type Router struct {
 	box    mailbox
-	brain  *brain.Instance
+	brain  *balancer.Instance
 	book   *terms.Book
 	clock  Clock
 	wake   *time.Timer
-	wakes  brain.Time // when it fires, 0: nothing is asked for
-	watch  *onlooker  // nil: nothing watches
-	slots  []slot     // as many as were ever held at once
+	wakes  balancer.Time // when it fires, 0: nothing is asked for
+	watch  *onlooker     // nil: nothing watches
+	slots  []slot        // as many as were ever held at once
 	free   []int
 	peers  []*peer             // by the module's index of the node, nil where that is free; as many as were listed at a time
 	spots  []int               // free indices of nodes
 	byName map[string]int      // emptied as nodes that have gone are forgotten
 	ids    map[string]struct{} // of exchanges that have an index; emptied with them
-	until  brain.Time          // the process ends then, 0: nobody knows when
+	until  balancer.Time       // the process ends then, 0: nobody knows when
 	dialer dialer              // to peers
 	links  *budget
 	memory *budget // bytes of values that are held
@@ -52,8 +52,8 @@
 	request *request
 	legs    []*try
 	out     int
-	over    bool       // it has its final answer, or nobody waits for one
-	ran     brain.Time // when the first try was sent that may have been carried out, 0: none
+	over    bool          // it has its final answer, or nobody waits for one
+	ran     balancer.Time // when the first try was sent that may have been carried out, 0: none
 }
 
 // end notes that nothing is owed any more. Tries that are out but not yet written must not be: they may wait for a
@@ -79,7 +79,7 @@
 // NewRouter returns a module's actor that knows no nodes; sockets is how many it may have open to peers.
 func NewRouter(book *terms.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Router {
 	return &Router{
-		box: make(mailbox, 4*mostHeld), brain: brain.New(clock.Now(), book.Terms, seed), book: book,
+		box: make(mailbox, 4*mostHeld), brain: balancer.New(clock.Now(), book.Terms, seed), book: book,
 		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, ids: map[string]struct{}{}, links: newBudget(sockets, &count.UpstreamOpen),
 		dialer: &net.Dialer{Timeout: span(book.Terms.ConnectTimeout), KeepAlive: -1},
 		memory: newBudget(0, &count.Bytes), flows: newBudget(0, &count.Passing),
@@ -106,7 +106,7 @@
 // nodes takes the list, whole or only what changed; first means that it is what this proxy last had.
 func (m *Router) nodes(whole, first bool, list []wire.Target) {
 	first = first || len(m.peers) == 0 // with none known before, nothing tells who is new
-	lines := make([]brain.Listing, 0, len(list))
+	lines := make([]balancer.Listing, 0, len(list))
 	now := m.clock.Now()
 	m.forgetGone(now)
 	if whole {
@@ -154,19 +154,19 @@
 		if !ok {
 			zone = -1
 		}
-		lines = append(lines, brain.Listing{
+		lines = append(lines, balancer.Listing{
 			Node: n, Name: t.Name, Origin: origin, Ready: t.Ready,
-			Since: brain.Time(t.Since) * 10, Weight: t.Weight, Zone: zone, Cell: t.Cell,
+			Since: balancer.Time(t.Since) * 10, Weight: t.Weight, Zone: zone, Cell: t.Cell,
 		})
 	}
-	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Nodes(now, whole, first, lines) }))
+	m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Nodes(now, whole, first, lines) }))
 	m.zoneList()
 	m.dutyNodes()
 }
 
 // forgetGone frees the indices of nodes that have been gone for longer than any exchange lives, so that none is left
 // that was sent there. All day nodes are replaced by others under new names.
-func (m *Router) forgetGone(now brain.Time) {
+func (m *Router) forgetGone(now balancer.Time) {
 	for n, p := range m.peers {
 		if p != nil && p.since > 0 && now-p.since > m.book.Longest && p.out == 0 {
 			delete(m.byName, p.name)
@@ -201,11 +201,11 @@
 
 // Until has all that is owed, and what comes from now on, answered within a span of time, since the process is to end.
 func (m *Router) Until(span time.Duration) {
-	until := m.clock.Now() + brain.Time(span/(100*time.Microsecond))
+	until := m.clock.Now() + balancer.Time(span/(100*time.Microsecond))
 	m.box.post(func() {
 		m.until = until
 		now := m.clock.Now()
-		m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Until(now, until) }))
+		m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Until(now, until) }))
 	})
 }
 
@@ -220,7 +220,7 @@
 // listFailed hears that a list that the module asked for does not come.
 func (m *Router) listFailed() {
 	now := m.clock.Now()
-	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.ListFailed(now) }))
+	m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.ListFailed(now) }))
 }
 
 // arrive takes an exchange that a client's connection has read whole.
@@ -237,9 +237,9 @@
 		return
 	}
 	m.ids[string(t.id)] = struct{}{}
-	e := brain.Exchange{
+	e := balancer.Exchange{
 		Route: route, Tenant: -1, Keyed: true, Write: t.value != nil, Repeat: t.repeat,
-		Remaining: min(brain.Time(t.wait)*10, m.book.Terms.Routes[route].Overall),
+		Remaining: min(balancer.Time(t.wait)*10, m.book.Terms.Routes[route].Overall),
 	} // nothing is held for longer
 	if n, ok := m.book.Tenants[t.tenant]; ok {
 		e.Tenant = n
@@ -260,7 +260,7 @@
 	if m.until != 0 {
 		e.Remaining = min(e.Remaining, m.until-now)
 	}
-	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Arrive(now, cx, e) }))
+	m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Arrive(now, cx, e) }))
 }
 
 // left hears that the client of an exchange has gone.
@@ -270,32 +270,32 @@
 	}
 	m.count.Left.Add(1)
 	now := m.clock.Now()
-	ds := m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Left(now, t.cx) })
+	ds := m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Left(now, t.cx) })
 	m.end(&m.slots[t.cx])
 	m.act(ds)
 	m.clear(t.cx)
 }
 
 // ended hears how a try came out.
-func (m *Router) ended(t *try, ending brain.Ending, value []byte, f *flow) {
+func (m *Router) ended(t *try, ending balancer.Ending, value []byte, f *flow) {
 	s := &m.slots[t.cx]
 	s.out--
 	m.peers[t.node].out--
 	m.count.Ends[ending].Add(1)
 	switch ending {
-	case brain.Completed, brain.Fault, brain.Silent, brain.Cut, brain.Undone:
+	case balancer.Completed, balancer.Fault, balancer.Silent, balancer.Cut, balancer.Undone:
 		if s.ran == 0 {
 			s.ran = t.sent
 		}
 	}
 	switch {
-	case ending == brain.Completed && !s.over && t.absent:
+	case ending == balancer.Completed && !s.over && t.absent:
 		m.finish(t.cx, absent, nil, 0)
 		m.absent.learned(t)
-	case ending == brain.Completed && !s.over && f != nil:
+	case ending == balancer.Completed && !s.over && f != nil:
 		m.end(s)
 		s.request.pass(m.count, f)
-	case ending == brain.Completed && !s.over:
+	case ending == balancer.Completed && !s.over:
 		m.finish(t.cx, completed, value, 0)
 	case f != nil:
 		f.drop()
@@ -303,16 +303,16 @@
 		m.memory.give(len(value)) // nobody waits for it
 	}
 	now := m.clock.Now()
-	a := brain.Answer{Cx: t.cx, Node: t.node, Ending: ending, Took: now - t.sent, Ended: s.over}
+	a := balancer.Answer{Cx: t.cx, Node: t.node, Ending: ending, Took: now - t.sent, Ended: s.over}
 	m.zoneEnded(t.node, ending, a.Took)
 	passed := m.brain.Passed(t.node)
-	m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Returned(now, a) }))
+	m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Returned(now, a) }))
 	m.dutyEnded(t.node, passed)
 	m.clear(t.cx)
 }
 
 // finish gives an exchange its one final answer.
-func (m *Router) finish(cx int, a final, value []byte, after brain.Time) {
+func (m *Router) finish(cx int, a final, value []byte, after balancer.Time) {
 	if s := &m.slots[cx]; !s.over {
 		m.end(s)
 		s.request.answer(m.count, a, value, int(math.Ceil(float64(after)/10)))
@@ -339,15 +339,15 @@
 }
 
 // act carries out the module's decisions, in order.
-func (m *Router) act(ds []brain.Decision) {
+func (m *Router) act(ds []balancer.Decision) {
 	var unsent []*try
 	for i := range ds {
 		switch d := &ds[i]; d.Act {
-		case brain.Send:
+		case balancer.Send:
 			s := &m.slots[d.Cx]
 			t := &try{request: s.request, cx: d.Cx, node: d.Node, sent: m.clock.Now(), wait: d.After}
 			if s.ran > 0 {
-				if r := &m.book.Terms.Routes[m.book.Routes[s.request.route]]; r.Effect == brain.Deduped {
+				if r := &m.book.Terms.Routes[m.book.Routes[s.request.route]]; r.Effect == balancer.Deduped {
 					t.before = s.ran + r.Window // later, the repeat would be carried out as well
 				}
 			}
@@ -366,34 +366,34 @@
 			if !p.box.offer(func() { p.send(t) }) {
 				unsent = append(unsent, t)
 			}
-		case brain.Cancel:
+		case balancer.Cancel:
 			t := m.slots[d.Cx].legs[d.Leg]
 			m.count.Cancelled.Add(1)
 			p := m.peers[t.node]
 			p.box.offer(func() { p.cancel(t) }) // where it finds no room, the try's own time-out ends it
-		case brain.Shed:
+		case balancer.Shed:
 			m.finish(d.Cx, shed, nil, d.After)
-		case brain.Error:
+		case balancer.Error:
 			m.finish(d.Cx, errored, nil, 0)
-		case brain.Wake:
+		case balancer.Wake:
 			m.wakes = m.clock.Now() + d.After
 			m.wake.Reset(span(d.After))
-		case brain.Follow:
+		case balancer.Follow:
 			m.list.box.offer(m.list.follow)
-		case brain.Tell:
+		case balancer.Tell:
 			if m.tells != nil {
 				m.tells(m.peers[d.Node].name, d.Answers)
 			}
-		case brain.Log:
+		case balancer.Log:
 			m.log.Info(d.Text)
 		}
 	}
 	for i := range ds {
-		if ds[i].Act == brain.Shed || ds[i].Act == brain.Error {
+		if ds[i].Act == balancer.Shed || ds[i].Act == balancer.Error {
 			m.clear(ds[i].Cx)
 		}
 	}
 	for _, t := range unsent {
-		m.ended(t, brain.NeverSent, nil, nil)
+		m.ended(t, balancer.NeverSent, nil, nil)
 	}
 }
--- a/internal/fleet/shared.go
+++ b/internal/fleet/shared.go
@@ -5,7 +5,7 @@
 	"slices"
 	"sync"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/wire"
 )
 
@@ -142,7 +142,7 @@
 		if n, ok := m.byName[node]; ok {
 			m.count.PeerSights.Add(1)
 			now := m.clock.Now()
-			m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Heard(now, n, answers) }))
+			m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Heard(now, n, answers) }))
 		}
 	})
 }
@@ -151,6 +151,6 @@
 func (m *Router) Share(part float64) {
 	m.box.post(func() {
 		now := m.clock.Now()
-		m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Share(now, part) }))
+		m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Share(now, part) }))
 	})
 }
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -4,7 +4,7 @@
 	"sync/atomic"
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/zones"
 
 	"go.uber.org/zap"
@@ -19,14 +19,14 @@
 	armed bool
 	due   <-chan time.Time
 	tell  func(zone string, v zones.Voice, life zones.Time) // peers; it may not wait. nil: there are none
-	quick brain.Time                                        // an answer that takes longer is late
+	quick balancer.Time                                     // an answer that takes longer is late
 	shown atomic.Pointer[[]zones.Shown]
-	at    brain.Time // when that was
+	at    balancer.Time // when that was
 }
 
 // Zones has whole zones left and returned to. It is called before Run.
 func (m *Router) Zones(t zones.Terms, tell func(zone string, v zones.Voice, life zones.Time)) {
-	q := &quarters{in: zones.New(zones.Time(m.clock.Now()), t), timer: time.NewTimer(time.Hour), tell: tell, quick: brain.Time(t.Shortest)}
+	q := &quarters{in: zones.New(zones.Time(m.clock.Now()), t), timer: time.NewTimer(time.Hour), tell: tell, quick: balancer.Time(t.Shortest)}
 	q.due = q.timer.C
 	q.shown.Store(&[]zones.Shown{})
 	m.zones = q
@@ -82,7 +82,7 @@
 	for i := range ds {
 		switch d := &ds[i]; d.Act {
 		case zones.Bar:
-			m.act(m.decide(now, func(b *brain.Instance) []brain.Decision { return b.Bar(now, d.Node, d.Part, d.Off) }))
+			m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Bar(now, d.Node, d.Part, d.Off) }))
 			if p := m.peers[d.Node]; d.Part == 1 && p != nil {
 				p.box.offer(p.closeIdle) // nothing is sent there for a while
 			}
@@ -116,29 +116,29 @@
 	}
 }
 
-func (m *Router) zoneEnded(n int, ending brain.Ending, took brain.Time) {
+func (m *Router) zoneEnded(n int, ending balancer.Ending, took balancer.Time) {
 	q := m.zones
 	if q == nil {
 		return
 	}
 	now := zones.Time(m.clock.Now())
 	if m.peers[n].origin {
-		if ending != brain.NeverSent && ending != brain.Undone {
-			q.in.Origin(now, ending != brain.Completed || took > q.quick)
+		if ending != balancer.NeverSent && ending != balancer.Undone {
+			q.in.Origin(now, ending != balancer.Completed || took > q.quick)
 		}
 		return
 	}
 	how := zones.Answered
 	switch {
-	case ending == brain.Unreachable:
+	case ending == balancer.Unreachable:
 		how = zones.Shut
-	case ending == brain.Silent || ending == brain.Cut:
+	case ending == balancer.Silent || ending == balancer.Cut:
 		how = zones.Nothing
-	case ending == brain.Undone:
+	case ending == balancer.Undone:
 		how = zones.Undone
-	case ending == brain.NeverSent:
+	case ending == balancer.NeverSent:
 		how = zones.Unknown
-	case ending == brain.Fault || ending == brain.NoRoom || took > q.quick:
+	case ending == balancer.Fault || ending == balancer.NoRoom || took > q.quick:
 		how = zones.Late
 	}
 	q.in.Ended(now, n, how, zones.Time(took))
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/control"
 	"woodproxy/internal/fleet"
 	"woodproxy/internal/wire"
@@ -32,7 +32,7 @@
 )
 
 // answered is how long after the signal to stop all has its answer.
-func answered(longest brain.Time) time.Duration {
+func answered(longest balancer.Time) time.Duration {
 	return min(time.Duration(longest)*100*time.Microsecond, longestWaited) + beforeKill
 }
 
--- a/internal/run/stop_test.go
+++ b/internal/run/stop_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/emu"
 )
 
@@ -59,7 +59,7 @@
 
 // However long clients wait at most, connections go step by step and all is answered before the process may be killed.
 func TestLeavingSteps(t *testing.T) {
-	for _, longest := range []brain.Time{1, 1000, 8000, 30000, 600000} {
+	for _, longest := range []balancer.Time{1, 1000, 8000, 30000, 600000} {
 		left := answered(longest)
 		if kill := min(time.Duration(longest)*100*time.Microsecond, 3*time.Second) + 700*time.Millisecond; left > kill-200*time.Millisecond {
 			t.Errorf("%d: answered after %v, killed after %v", longest, left, kill)
--- a/internal/terms/format_golden_test.go
+++ b/internal/terms/format_golden_test.go
@@ -7,15 +7,15 @@
 	"strings"
 	"testing"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 
 	"github.com/valyala/fastjson"
 )
 
 // The settings' words for the module's enumerations.
 var (
-	effectWords = map[brain.Effect]string{brain.Retriable: "pure", brain.Deduped: "token", brain.NonRetriable: "side_effect"}
-	groupWords  = map[brain.Group]string{brain.GroupAll: "all", brain.GroupZone: "zone", brain.GroupCell: "cell"}
+	effectWords = map[balancer.Effect]string{balancer.Retriable: "pure", balancer.Deduped: "token", balancer.NonRetriable: "side_effect"}
+	groupWords  = map[balancer.Group]string{balancer.GroupAll: "all", balancer.GroupZone: "zone", balancer.GroupCell: "cell"}
 )
 
 // readSettings reads a settings object from its JSON text.
@@ -84,7 +84,7 @@
 }
 
 // milliseconds turns the module's time, which counts tenths, into the file's.
-func milliseconds(t brain.Time) string { return fmt.Sprintf("%v ms", float64(t)/10) }
+func milliseconds(t balancer.Time) string { return fmt.Sprintf("%v ms", float64(t)/10) }
 
 // namesByIndex lists names in the order of their indices.
 func namesByIndex(indices map[string]int) []string {
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -7,7 +7,7 @@
 	"math"
 	"strings"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 
 	"github.com/valyala/fastjson"
 )
@@ -15,14 +15,14 @@
 // Book is what the settings say: the module's terms, the names behind its indices, and what the proxy needs
 // of connections.
 type Book struct {
-	Terms    brain.Terms
+	Terms    balancer.Terms
 	Routes   map[string]int
 	Tenants  map[string]int
 	Zones    map[string]int
-	Origin   string     // kind name of the origin, "" where there is none
-	Idle     brain.Time // a connection that has stood idle this long is closed by the other side
-	Longest  brain.Time // overall timeout of the most patient route
-	Locality string     // zone of this proxy
+	Origin   string        // kind name of the origin, "" where there is none
+	Idle     balancer.Time // a connection that has stood idle this long is closed by the other side
+	Longest  balancer.Time // overall timeout of the most patient route
+	Locality string        // zone of this proxy
 }
 
 // chart reads the object by path and keeps the first thing found wrong.
@@ -72,7 +72,7 @@
 }
 
 // span reads a time that nothing can be served without.
-func (c chart) span(path ...string) brain.Time {
+func (c chart) span(path ...string) balancer.Time {
 	t := c.time(need, path...)
 	if t <= 0 {
 		c.fail(path, "out of its range")
@@ -89,7 +89,7 @@
 	return n
 }
 
-func (c chart) time(needed bool, path ...string) brain.Time {
+func (c chart) time(needed bool, path ...string) balancer.Time {
 	return Tenths(c.number(needed, path...))
 }
 
@@ -134,12 +134,12 @@
 	may  = false
 )
 
-var effects = map[string]brain.Effect{
-	"pure": brain.Retriable, "token": brain.Deduped, "side_effect": brain.NonRetriable,
+var effects = map[string]balancer.Effect{
+	"pure": balancer.Retriable, "token": balancer.Deduped, "side_effect": balancer.NonRetriable,
 }
 
-var groups = map[string]brain.Group{
-	"": brain.GroupAll, "all": brain.GroupAll, "zone": brain.GroupZone, "cell": brain.GroupCell,
+var groups = map[string]balancer.Group{
+	"": balancer.GroupAll, "all": balancer.GroupAll, "zone": balancer.GroupZone, "cell": balancer.GroupCell,
 }
 
 // Read takes the settings object. Keys that it does not know are skipped.
@@ -151,7 +151,7 @@
 		Idle:     c.time(may, "limits", "conn-idle"),
 		Locality: c.text(may, "locality"),
 	}
-	p.Terms = brain.Terms{
+	p.Terms = balancer.Terms{
 		Proxies:        c.whole(1, 1e6, "replicas-of-me"),
 		BeyondShare:    c.number(may, "beyond-share-value"),
 		Punctual:       c.number(may, "goal", "punctual") > 0,
@@ -205,7 +205,7 @@
 	}
 	for i, v := range routes {
 		c := chart{v, &err, fmt.Sprintf("routes[%d].", i)}
-		r := brain.Route{
+		r := balancer.Route{
 			Objective: c.span("latency-objective"), Overall: c.span("overall-timeout"),
 			Value: c.least(need, "value"), Overdue: c.number(may, "overdue-value"),
 			Window: Tenths(c.least(may, "dedup-window")),
@@ -233,6 +233,6 @@
 }
 
 // Tenths turns milliseconds into the module's time.
-func Tenths(ms float64) brain.Time {
-	return brain.Time(math.Round(min(max(ms, -1e14), 1e14) * 10))
+func Tenths(ms float64) balancer.Time {
+	return balancer.Time(math.Round(min(max(ms, -1e14), 1e14) * 10))
 }
--- a/internal/wire/answer.go
+++ b/internal/wire/answer.go
@@ -6,13 +6,13 @@
 	"errors"
 	"io"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 )
 
 // Answer is read in steps: its head tells how the try ended and how long the value of a completed one is, then the value
 // follows, then what belongs behind it.
 type Answer struct {
-	Ending brain.Ending
+	Ending balancer.Ending
 	Long   int  // of the value
 	Absent bool // the origin has no such key; a fault to who does not know what to do with that
 	Again  bool // the connection may carry another try afterwards
@@ -44,12 +44,12 @@
 	switch head[0] {
 	case '-':
 		if bytes.Equal(head, []byte("-BUSY")) || bytes.HasPrefix(head, []byte("-BUSY ")) {
-			return Answer{Ending: brain.NoRoom, Again: true}, nil
+			return Answer{Ending: balancer.NoRoom, Again: true}, nil
 		}
 		if bytes.HasPrefix(head, []byte("-SYNTAX")) {
 			return Answer{}, bad("our command is not understood")
 		}
-		return Answer{Ending: brain.Fault, Again: true}, nil
+		return Answer{Ending: balancer.Fault, Again: true}, nil
 	case '*':
 	default:
 		return Answer{}, bad("an answer that is no array")
@@ -58,7 +58,7 @@
 	if !ok || parts < 1 || parts > 8 {
 		return Answer{}, bad("an array of odd length")
 	}
-	a := Answer{Ending: brain.Completed, Again: true, behind: parts - 1, bulk: true}
+	a := Answer{Ending: balancer.Completed, Again: true, behind: parts - 1, bulk: true}
 	if a.Long, err = length(r, MaxAnswer); err != nil {
 		return Answer{}, err
 	}
@@ -66,7 +66,7 @@
 	case a.Long == simple:
 		a.body = []byte{}
 	case a.Long < 0:
-		a.Ending, a.Long = brain.Lacking, 0
+		a.Ending, a.Long = balancer.Lacking, 0
 		return a, a.Tail(r)
 	}
 	return a, nil
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -7,7 +7,7 @@
 	"io"
 	"strconv"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 )
 
 // maxHead is how long a whole HTTP head may be.
@@ -221,21 +221,21 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	a := Answer{Ending: brain.Fault, Long: h.long}
+	a := Answer{Ending: balancer.Fault, Long: h.long}
 	switch {
 	case h.status == 200:
-		a.Ending = brain.Completed
+		a.Ending = balancer.Completed
 	case h.status == 404:
 		a.Absent = true
 	case (h.status == 503 || h.status == 504) && h.notBegun:
-		a.Ending = brain.NoRoom
+		a.Ending = balancer.NoRoom
 	}
 	switch {
 	case h.chunked || h.long < 0:
 		a.body, err = h.body(r)
 	case h.long > MaxAnswer:
 		err = bad("a body of " + strconv.Itoa(h.long) + " bytes")
-	case a.Ending != brain.Completed:
+	case a.Ending != balancer.Completed:
 		_, err = whole(r, h.long)
 	}
 	a.Again = !h.closes
--- a/internal/wire/protocol_golden_test.go
+++ b/internal/wire/protocol_golden_test.go
@@ -12,7 +12,7 @@
 	"strings"
 	"testing"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/wire"
 
 	"github.com/valyala/fastjson"
@@ -69,10 +69,10 @@
 }
 
 // endingNames are independent of the constants' values and of their names.
-var endingNames = map[brain.Ending]string{
-	brain.Completed: "completed", brain.Fault: "fault", brain.NoRoom: "no room", brain.Silent: "silent",
-	brain.Unreachable: "unreachable", brain.Cut: "cut", brain.Undone: "undone", brain.NeverSent: "never sent",
-	brain.Lacking: "lacking",
+var endingNames = map[balancer.Ending]string{
+	balancer.Completed: "completed", balancer.Fault: "fault", balancer.NoRoom: "no room", balancer.Silent: "silent",
+	balancer.Unreachable: "unreachable", balancer.Cut: "cut", balancer.Undone: "undone", balancer.NeverSent: "never sent",
+	balancer.Lacking: "lacking",
 }
 
 // errorText adds to an error's text how far the attempt had come, and whether it may have run.
@@ -236,7 +236,7 @@
 	if whole {
 		told += ", " + shorten(string(body))
 	}
-	if a.Ending == brain.Completed {
+	if a.Ending == balancer.Completed {
 		value, err := a.Value(r)
 		if err == nil {
 			told += ", value " + shorten(string(value))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"testing/iotest"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 
 	"github.com/valyala/fastjson"
 )
@@ -75,29 +75,29 @@
 // Each answer of a cache or the origin, whole: how the try ended, and the value. HTTP answers begin with H.
 func TestAnswers(t *testing.T) {
 	for text, want := range map[string]struct {
-		ending brain.Ending
+		ending balancer.Ending
 		value  string
 		again  bool
 	}{
-		"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$7\r\nqueue=3\r\n": {brain.Completed, "value", true},
-		"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n":                      {brain.Completed, "", true},
-		"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n":                  {brain.Lacking, "", true},
-		"*1\r\n$1\r\nv\r\n":                                   {brain.Completed, "v", true},
-		"-BUSY\r\n":                                           {brain.NoRoom, "", true},
-		"-BUSY too many connections\r\n":                      {brain.NoRoom, "", true},
-		"-BUSYBODY\r\n":                                       {brain.Fault, "", true},
-		"-ERR failed\r\n":                                     {brain.Fault, "", true},
-		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Backend-Load: q=1\r\n\r\nvalue":                          {brain.Completed, "value", true},
-		"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n3\r\nval\r\n2;x=1\r\nue\r\n0\r\nT: 1\r\n\r\n": {brain.Completed, "value", true},
-		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n":    {brain.Completed, "", false},
-		"HTTP/1.0 200 OK\r\n\r\nvalue":                                       {brain.Completed, "value", false},
-		"HTTP/1.1 503 No\r\nx-unprocessed: 1\r\nContent-Length: 2\r\n\r\nno": {brain.NoRoom, "", true},
-		"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n":   {brain.NoRoom, "", true},
-		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n":                       {brain.Fault, "", true},
-		"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n":   {brain.Fault, "", true},
+		"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$7\r\nqueue=3\r\n": {balancer.Completed, "value", true},
+		"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n":                      {balancer.Completed, "", true},
+		"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n":                  {balancer.Lacking, "", true},
+		"*1\r\n$1\r\nv\r\n":                                   {balancer.Completed, "v", true},
+		"-BUSY\r\n":                                           {balancer.NoRoom, "", true},
+		"-BUSY too many connections\r\n":                      {balancer.NoRoom, "", true},
+		"-BUSYBODY\r\n":                                       {balancer.Fault, "", true},
+		"-ERR failed\r\n":                                     {balancer.Fault, "", true},
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Backend-Load: q=1\r\n\r\nvalue":                          {balancer.Completed, "value", true},
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n3\r\nval\r\n2;x=1\r\nue\r\n0\r\nT: 1\r\n\r\n": {balancer.Completed, "value", true},
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n":    {balancer.Completed, "", false},
+		"HTTP/1.0 200 OK\r\n\r\nvalue":                                       {balancer.Completed, "value", false},
+		"HTTP/1.1 503 No\r\nx-unprocessed: 1\r\nContent-Length: 2\r\n\r\nno": {balancer.NoRoom, "", true},
+		"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n":   {balancer.NoRoom, "", true},
+		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n":                       {balancer.Fault, "", true},
+		"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n":   {balancer.Fault, "", true},
 	} {
 		ending, value, again, err := readEither(text)
-		if err != nil || ending != want.ending || ending == brain.Completed && string(value) != want.value ||
+		if err != nil || ending != want.ending || ending == balancer.Completed && string(value) != want.value ||
 			again != want.again {
 			t.Errorf("%q: ending %d, %q, again %v: %v", text, ending, value, again, err)
 		}
@@ -115,14 +115,14 @@
 	}
 }
 
-func readEither(text string) (brain.Ending, []byte, bool, error) {
+func readEither(text string) (balancer.Ending, []byte, bool, error) {
 	r := bufio.NewReader(iotest.OneByteReader(strings.NewReader(text)))
 	read := ReadAnswer
 	if strings.HasPrefix(text, "H") {
 		read = ReadFetched
 	}
 	a, err := read(r)
-	if err != nil || a.Ending != brain.Completed {
+	if err != nil || a.Ending != balancer.Completed {
 		return a.Ending, nil, a.Again, err
 	}
 	value, err := a.Value(r)
@@ -140,7 +140,7 @@
 		fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long),
 		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + long,
 	} {
-		if ending, value, _, err := readEither(text); ending != brain.Completed || string(value) != long || err != nil {
+		if ending, value, _, err := readEither(text); ending != balancer.Completed || string(value) != long || err != nil {
 			t.Errorf("%.40q: ending %d, %d bytes: %v", text, ending, len(value), err)
 		}
 	}
--- a/simwire/boot.go
+++ b/simwire/boot.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/terms"
 
 	"github.com/valyala/fastjson"
 )
 
 // boot starts an instance from its settings, under which it knows nothing of an earlier one.
-func (h *host) boot(_ *proxy, f *fields, who int) []brain.Decision {
+func (h *host) boot(_ *proxy, f *fields, who int) []balancer.Decision {
 	seed := f.number(1, "salt", need)
 	salt := uint64(0)
 	if f.err == nil {
@@ -33,7 +33,7 @@
 		return nil
 	}
 	h.proxies[who] = &proxy{
-		book: book, mind: brain.New(h.now, book.Terms, salt), nodes: map[string]int{},
+		book: book, mind: balancer.New(h.now, book.Terms, salt), nodes: map[string]int{},
 		codes: map[string]int{}, trays: map[string]int{},
 	}
 	return nil
--- a/simwire/fields.go
+++ b/simwire/fields.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/terms"
 
 	"github.com/valyala/fastjson"
@@ -51,7 +51,7 @@
 	return n
 }
 
-func (f *fields) time(i int, field string, needed bool) brain.Time {
+func (f *fields) time(i int, field string, needed bool) balancer.Time {
 	return terms.Tenths(f.number(i, field, needed))
 }
 
--- a/simwire/serve.go
+++ b/simwire/serve.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"strings"
 
-	"woodproxy/brain"
+	"woodproxy/balancer"
 	"woodproxy/internal/terms"
 
 	"github.com/valyala/fastjson"
@@ -29,7 +29,7 @@
 
 // proxy is one instance with its door: wire names on one side, small indices on the other.
 type proxy struct {
-	mind  *brain.Instance
+	mind  *balancer.Instance
 	book  *terms.Book
 	nodes map[string]int // emptied when the instance starts anew
 	codes map[string]int // what peers call them; emptied with it
@@ -47,7 +47,7 @@
 	line    int
 	long    []byte
 	parse   fastjson.Parser
-	now     brain.Time
+	now     balancer.Time
 	proxies map[int]*proxy
 	lists   [maxLists][]listed
 	filled  [maxLists]bool
@@ -58,7 +58,7 @@
 // listed is one line of a numbered list, still in wire names.
 type listed struct {
 	kind, name, zone, state string
-	since                   brain.Time
+	since                   balancer.Time
 	weight                  float64
 	cell                    int
 }
@@ -164,7 +164,7 @@
 	return nil
 }
 
-var handlers = map[string]func(*host, *proxy, *fields, int) []brain.Decision{
+var handlers = map[string]func(*host, *proxy, *fields, int) []balancer.Decision{
 	"boot": (*host).boot, "fleet": (*host).fleet, "order": (*host).order, "started": (*host).started,
 	"client-left": (*host).left, "timeout-fired": (*host).fired, "returned": (*host).returned,
 	"sampled": (*host).sampled, "from-peer": (*host).fromPeer, "power-off": (*host).powerOff,
@@ -207,7 +207,7 @@
 	return nil
 }
 
-func (h *host) fleet(p *proxy, f *fields, _ int) []brain.Decision {
+func (h *host) fleet(p *proxy, f *fields, _ int) []balancer.Decision {
 	f.number(1, "index", may)
 	mode := f.text(3, "mode", need)
 	if mode == "FAILED" && f.err == nil {
@@ -224,7 +224,7 @@
 		f.fail("bank", "unknown list number")
 		return nil
 	}
-	lines := make([]brain.Listing, 0, len(h.lists[bank]))
+	lines := make([]balancer.Listing, 0, len(h.lists[bank]))
 	for _, l := range h.lists[bank] {
 		n, ok := p.nodes[l.name]
 		if !ok {
@@ -237,7 +237,7 @@
 		if !ok {
 			zone = -1
 		}
-		lines = append(lines, brain.Listing{
+		lines = append(lines, balancer.Listing{
 			Node: n, Name: l.name, Origin: p.book.Origin != "" && l.kind == p.book.Origin,
 			Ready: l.state == "SERVING", Since: l.since, Weight: l.weight, Zone: zone, Cell: l.cell,
 		})
@@ -247,11 +247,11 @@
 	return p.mind.Nodes(h.now, mode != "INCREMENTAL", first || mode == "SAVED", lines)
 }
 
-func (h *host) order(p *proxy, f *fields, _ int) []brain.Decision {
+func (h *host) order(p *proxy, f *fields, _ int) []balancer.Decision {
 	id := f.text(1, "txn", need)
 	f.number(2, "size", may)
 	f.number(3, "predicted", may)
-	e := brain.Exchange{
+	e := balancer.Exchange{
 		Tenant: -1, Remaining: f.time(5, "remaining", need), Repeat: f.flag(7, "retry"),
 		Write: f.flag(8, "mutates"),
 	}
@@ -292,7 +292,7 @@
 	return p.mind.Arrive(h.now, cx, e)
 }
 
-func (h *host) started(p *proxy, f *fields, _ int) []brain.Decision {
+func (h *host) started(p *proxy, f *fields, _ int) []balancer.Decision {
 	id := f.text(1, "txn", need)
 	f.count(2, "leg", need)
 	f.text(3, "node", need)
@@ -304,7 +304,7 @@
 	return p.mind.Streaming(h.now, cx)
 }
 
-func (h *host) left(p *proxy, f *fields, _ int) []brain.Decision {
+func (h *host) left(p *proxy, f *fields, _ int) []balancer.Decision {
 	id := f.text(1, "txn", need)
 	cx, ok := p.trays[id]
 	if f.err != nil || !ok {
@@ -316,7 +316,7 @@
 	return ds
 }
 
-func (h *host) fired(p *proxy, f *fields, _ int) []brain.Decision {
+func (h *host) fired(p *proxy, f *fields, _ int) []balancer.Decision {
 	mark := f.whole(1, "mark")
 	if f.err != nil || mark != p.mark {
 		return nil
@@ -324,13 +324,13 @@
 	return p.mind.Woken(h.now)
 }
 
-var endings = map[string]brain.Ending{
-	"pass": brain.Completed, "fault": brain.Fault, "no_room": brain.NoRoom, "too_slow": brain.Silent,
-	"no_route": brain.Unreachable, "cut": brain.Cut, "undone": brain.Undone, "stale_send": brain.NeverSent,
-	"none_here": brain.Lacking,
+var endings = map[string]balancer.Ending{
+	"pass": balancer.Completed, "fault": balancer.Fault, "no_room": balancer.NoRoom, "too_slow": balancer.Silent,
+	"no_route": balancer.Unreachable, "cut": balancer.Cut, "undone": balancer.Undone, "stale_send": balancer.NeverSent,
+	"none_here": balancer.Lacking,
 }
 
-func (h *host) returned(p *proxy, f *fields, _ int) []brain.Decision {
+func (h *host) returned(p *proxy, f *fields, _ int) []balancer.Decision {
 	id := f.text(1, "txn", need)
 	node := f.text(2, "node", need)
 	f.count(3, "leg", need)
@@ -355,12 +355,12 @@
 	if ended {
 		p.slots[cx].over = true
 	}
-	ds := p.mind.Returned(h.now, brain.Answer{Cx: cx, Node: n, Ending: ending, Took: took, Ended: ended})
+	ds := p.mind.Returned(h.now, balancer.Answer{Cx: cx, Node: n, Ending: ending, Took: took, Ended: ended})
 	p.clear(cx)
 	return ds
 }
 
-func (h *host) sampled(p *proxy, f *fields, _ int) []brain.Decision {
+func (h *host) sampled(p *proxy, f *fields, _ int) []balancer.Decision {
 	f.text(1, "node", need)
 	f.number(2, "elapsed", may)
 	f.text(3, "ending", need)
@@ -368,7 +368,7 @@
 	return nil
 }
 
-func (h *host) fromPeer(p *proxy, f *fields, _ int) []brain.Decision {
+func (h *host) fromPeer(p *proxy, f *fields, _ int) []balancer.Decision {
 	text := f.at(2)
 	if text == nil {
 		return nil
@@ -381,7 +381,7 @@
 	return p.mind.Heard(h.now, n, answers)
 }
 
-func (h *host) powerOff(p *proxy, f *fields, who int) []brain.Decision {
+func (h *host) powerOff(p *proxy, f *fields, who int) []balancer.Decision {
 	delete(h.proxies, who)
 	return nil
 }
@@ -403,38 +403,38 @@
 	}
 }
 
-func (h *host) encode(who int, p *proxy, ds []brain.Decision) {
+func (h *host) encode(who int, p *proxy, ds []balancer.Decision) {
 	for i := range ds {
 		d := &ds[i]
 		switch d.Act {
-		case brain.Send:
+		case balancer.Send:
 			h.begin("try", who)
 			h.str(p.slots[d.Cx].id)
 			h.ms(d.After)
 			h.str(p.names[d.Node])
 			p.slots[d.Cx].out++
-		case brain.Cancel:
+		case balancer.Cancel:
 			h.begin("abort-attempt", who)
 			h.str(p.slots[d.Cx].id)
 			h.int(int64(d.Leg))
-		case brain.Shed:
+		case balancer.Shed:
 			h.begin("busy", who)
 			h.str(p.slots[d.Cx].id)
 			h.ms(d.After)
 			p.slots[d.Cx].over = true
-		case brain.Error:
+		case balancer.Error:
 			h.begin("finish-error", who)
 			h.str(p.slots[d.Cx].id)
 			p.slots[d.Cx].over = true
-		case brain.Wake:
+		case balancer.Wake:
 			p.mark++
 			h.begin("wake-me", who)
 			h.ms(d.After)
 			h.int(p.mark)
-		case brain.Follow:
+		case balancer.Follow:
 			h.begin("follow", who)
 			h.out.WriteString(",true")
-		case brain.Tell:
+		case balancer.Tell:
 			h.begin("publish", who)
 			h.int(int64(d.Peer))
 			name := code(p.names[d.Node])
@@ -442,14 +442,14 @@
 				name += "+"
 			}
 			h.str(name)
-		case brain.Log:
+		case balancer.Log:
 			h.begin("say-log", who)
 			h.str(d.Text)
 		}
 		h.out.WriteString("]\n")
 	}
 	for i := range ds {
-		if ds[i].Act == brain.Shed || ds[i].Act == brain.Error {
+		if ds[i].Act == balancer.Shed || ds[i].Act == balancer.Error {
 			p.clear(ds[i].Cx)
 		}
 	}
@@ -468,7 +468,7 @@
 	h.out.Write(h.num)
 }
 
-func (h *host) ms(t brain.Time) {
+func (h *host) ms(t balancer.Time) {
 	h.out.WriteByte(',')
 	h.num = strconv.AppendFloat(h.num[:0], float64(t)/10, 'f', 1, 64)
 	h.out.Write(h.num)
