--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -21,7 +21,7 @@
 	"woodproxy/missing"
 	"woodproxy/replica"
 	"woodproxy/turns"
-	"woodproxy/zones"
+	"woodproxy/zonehealth"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
@@ -312,7 +312,7 @@
 	s.Tell("cache-a", false)
 	s.Listed(42, false, []wire.Target{{Name: "cache-a", Address: "127.0.0.1:1", Zone: "a", Ready: true}})
 	s.Put(replica.Row{Kind: replica.Gone, Key: "beta", Epoch: 1}) // long before this process of beta
-	s.speak(replica.Voice, "b", &zones.Voice{Zone: "b"})
+	s.speak(replica.Voice, "b", &zonehealth.Voice{Zone: "b"})
 	s.speak(replica.Trial, "cache-a", &turns.Said{Round: 1})
 	s.speak(replica.Beat, "beta", &turns.Said{For: 5 * turns.Second})
 	s.speak(replica.Wrote, "s0", &missing.Word{})
@@ -403,7 +403,7 @@
 	zone("a region ordered auto", "zone c ", "order 2")
 	fmt.Fprintf(&all, "=== woodproxy zones ADDRESS c hold --epoch=2\n%s", p.run(t, "zones", p.management, "c", "hold", "--epoch=2"))
 	zone("held", "zone c ", "ordered hold")
-	peer.speak(replica.Voice, "c", &zones.Voice{Zone: "b", Word: zones.Against, Run: 3, Lost: 3})
+	peer.speak(replica.Voice, "c", &zonehealth.Voice{Zone: "b", Word: zonehealth.Against, Run: 3, Lost: 3})
 	zone("spoken against", "zone c ", "against: beta")
 	checkGolden(t, "process_zones.golden", all.String())
 }
@@ -476,7 +476,7 @@
 	askSteadily(t, p)
 	peer := startPeer(t, p)
 	p.meets(t)
-	left := &zones.Voice{Zone: "b", Stand: zones.Stand{Epoch: 5, State: zones.Out}}
+	left := &zonehealth.Voice{Zone: "b", Stand: zonehealth.Stand{Epoch: 5, State: zonehealth.Out}}
 	for zone, words := range map[string]string{"a": "out for others", "c": "out"} {
 		p.until(t, "GET", "/control/zones", func(r response) bool {
 			peer.speak(replica.Voice, zone, left)
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"woodproxy/balancer"
-	"woodproxy/zones"
+	"woodproxy/zonehealth"
 
 	"go.uber.org/zap"
 )
@@ -14,21 +14,21 @@
 
 // quarters is what the module's actor has of the zones; nobody else looks but at what is shown.
 type quarters struct {
-	in    *zones.Instance
+	in    *zonehealth.Instance
 	timer *time.Timer
 	armed bool
 	due   <-chan time.Time
-	tell  func(zone string, v zones.Voice, life zones.Time) // peers; it may not wait. nil: there are none
-	quick balancer.Time                                     // an answer that takes longer is late
-	shown atomic.Pointer[[]zones.Shown]
+	tell  func(zone string, v zonehealth.Voice, life zonehealth.Time) // peers; it may not wait. nil: there are none
+	quick balancer.Time                                               // an answer that takes longer is late
+	shown atomic.Pointer[[]zonehealth.Shown]
 	at    balancer.Time // when that was
 }
 
 // Zones has whole zones left and returned to. It is called before Run.
-func (m *Router) Zones(t zones.Terms, tell func(zone string, v zones.Voice, life zones.Time)) {
-	q := &quarters{in: zones.New(zones.Time(m.clock.Now()), t), timer: time.NewTimer(time.Hour), tell: tell, quick: balancer.Time(t.Shortest)}
+func (m *Router) Zones(t zonehealth.Terms, tell func(zone string, v zonehealth.Voice, life zonehealth.Time)) {
+	q := &quarters{in: zonehealth.New(zonehealth.Time(m.clock.Now()), t), timer: time.NewTimer(time.Hour), tell: tell, quick: balancer.Time(t.Shortest)}
 	q.due = q.timer.C
-	q.shown.Store(&[]zones.Shown{})
+	q.shown.Store(&[]zonehealth.Shown{})
 	m.zones = q
 }
 
@@ -46,7 +46,7 @@
 	q.armed = false
 	flying, room := m.brain.Load()
 	q.in.Load(float64(flying), room)
-	m.zoned(q.in.Tick(zones.Time(m.clock.Now())))
+	m.zoned(q.in.Tick(zonehealth.Time(m.clock.Now())))
 }
 
 // arm sees that there is a next tick, where there is something to look at.
@@ -63,38 +63,38 @@
 	if q == nil {
 		return
 	}
-	var all []zones.Node
+	var all []zonehealth.Node
 	for n, p := range m.peers {
 		if p != nil && !p.origin && p.listed.Ready && p.since == 0 {
-			all = append(all, zones.Node{Index: n, Name: p.name, Zone: p.listed.Zone, Since: zones.Time(p.listed.Since) * 10})
+			all = append(all, zonehealth.Node{Index: n, Name: p.name, Zone: p.listed.Zone, Since: zonehealth.Time(p.listed.Since) * 10})
 		}
 	}
 	q.at = 0
-	m.zoned(q.in.Nodes(zones.Time(m.clock.Now()), all))
+	m.zoned(q.in.Nodes(zonehealth.Time(m.clock.Now()), all))
 	if missing := q.in.Missing(); missing != "" && len(all) > 0 {
 		m.log.Warn("zones: no node has a zone that the file names", zap.String("zone", missing))
 	}
 }
 
 // zoned carries out what the zones decide.
-func (m *Router) zoned(ds []zones.Decision) {
+func (m *Router) zoned(ds []zonehealth.Decision) {
 	q, now := m.zones, m.clock.Now()
 	for i := range ds {
 		switch d := &ds[i]; d.Act {
-		case zones.Bar:
+		case zonehealth.Bar:
 			m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Bar(now, d.Node, d.Part, d.Off) }))
 			if p := m.peers[d.Node]; d.Part == 1 && p != nil {
 				p.box.offer(p.closeIdle) // nothing is sent there for a while
 			}
-		case zones.Speak:
+		case zonehealth.Speak:
 			if q.tell != nil {
 				q.tell(d.Zone, d.Voice, d.Life)
 			}
-		case zones.Knock:
+		case zonehealth.Knock:
 			if p := m.peers[d.Node]; p != nil {
 				p.box.offer(p.knock)
 			}
-		case zones.Log:
+		case zonehealth.Log:
 			m.log.Info("zones: " + d.Text)
 		}
 	}
@@ -103,7 +103,7 @@
 		alone := q.in.Judged()
 		m.count.ZonesPassed.Store(int64(alone.Passed))
 		m.count.ZonesHasty.Store(int64(alone.Hasty))
-		shown := q.in.Shown(zones.Time(now))
+		shown := q.in.Shown(zonehealth.Time(now))
 		q.shown.Store(&shown)
 	}
 	q.arm()
@@ -112,7 +112,7 @@
 // zoneSent and zoneEnded note tries at caches.
 func (m *Router) zoneSent(n int) {
 	if m.zones != nil && !m.peers[n].origin {
-		m.zones.in.Sent(zones.Time(m.clock.Now()), n)
+		m.zones.in.Sent(zonehealth.Time(m.clock.Now()), n)
 	}
 }
 
@@ -121,27 +121,27 @@
 	if q == nil {
 		return
 	}
-	now := zones.Time(m.clock.Now())
+	now := zonehealth.Time(m.clock.Now())
 	if m.peers[n].origin {
 		if ending != balancer.NeverSent && ending != balancer.Undone {
 			q.in.Origin(now, ending != balancer.Completed || took > q.quick)
 		}
 		return
 	}
-	how := zones.Answered
+	how := zonehealth.Answered
 	switch {
 	case ending == balancer.Unreachable:
-		how = zones.Shut
+		how = zonehealth.Shut
 	case ending == balancer.Silent || ending == balancer.Cut:
-		how = zones.Nothing
+		how = zonehealth.Nothing
 	case ending == balancer.Undone:
-		how = zones.Undone
+		how = zonehealth.Undone
 	case ending == balancer.NeverSent:
-		how = zones.Unknown
+		how = zonehealth.Unknown
 	case ending == balancer.Fault || ending == balancer.NoRoom || took > q.quick:
-		how = zones.Late
+		how = zonehealth.Late
 	}
-	q.in.Ended(now, n, how, zones.Time(took))
+	q.in.Ended(now, n, how, zonehealth.Time(took))
 	q.arm()
 }
 
@@ -157,25 +157,25 @@
 }
 
 // ZoneFleet takes who the proxies are; ZoneVoice what one says of a zone, ZoneOrder an operator's word.
-func (m *Router) ZoneFleet(all []zones.Proxy, behind bool) {
+func (m *Router) ZoneFleet(all []zonehealth.Proxy, behind bool) {
 	m.box.post(func() {
-		m.zones.in.Fleet(zones.Time(m.clock.Now()), all, behind)
+		m.zones.in.Fleet(zonehealth.Time(m.clock.Now()), all, behind)
 		m.zones.arm()
 	})
 }
 
 // ZoneVoice takes what a peer says of a zone, and how long ago it did.
-func (m *Router) ZoneVoice(from, of string, v zones.Voice, age, life zones.Time) {
-	m.box.post(func() { m.zoned(m.zones.in.Voice(zones.Time(m.clock.Now()), from, of, v, age, life)) })
+func (m *Router) ZoneVoice(from, of string, v zonehealth.Voice, age, life zonehealth.Time) {
+	m.box.post(func() { m.zoned(m.zones.in.Voice(zonehealth.Time(m.clock.Now()), from, of, v, age, life)) })
 }
 
 // ZoneOrder takes an operator's word on a zone. It tells whether there was room for that, and does not wait.
-func (m *Router) ZoneOrder(d zones.Order) bool {
-	return m.box.offer(func() { m.zoned(m.zones.in.Order(zones.Time(m.clock.Now()), d)) })
+func (m *Router) ZoneOrder(d zonehealth.Order) bool {
+	return m.box.offer(func() { m.zoned(m.zones.in.Order(zonehealth.Time(m.clock.Now()), d)) })
 }
 
 // ZonesShown is how the zones stood a moment ago; nothing where they are not judged.
-func (m *Router) ZonesShown() []zones.Shown {
+func (m *Router) ZonesShown() []zonehealth.Shown {
 	if m.zones == nil {
 		return nil
 	}
--- a/internal/links/zones.go
+++ b/internal/links/zones.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"woodproxy/replica"
-	"woodproxy/zones"
+	"woodproxy/zonehealth"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -14,11 +14,11 @@
 	*World
 	ZoneTerms
 	Nodes []*ZoneNode
-	Minds []*zones.Instance
+	Minds []*zonehealth.Instance
 	Parts []map[int]float64 // by proxy and node, the part of keys that pass it by
 	Lost  int               // tries that nobody answered
 	tries map[int][]pending
-	Lies  map[int]func(v *zones.Voice) // proxies that tell what is not so
+	Lies  map[int]func(v *zonehealth.Voice) // proxies that tell what is not so
 	Told  func(proxy int, text string)
 }
 
@@ -32,19 +32,19 @@
 // ZoneNode is a cache.
 type ZoneNode struct {
 	Zone   int
-	Answer func(proxy int) (took replica.Time, ending zones.Ending) // nil: in three milliseconds
+	Answer func(proxy int) (took replica.Time, ending zonehealth.Ending) // nil: in three milliseconds
 }
 
 type pending struct {
 	proxy, node int
 	sent        replica.Time
-	ending      zones.Ending
-	life        *zones.Instance
+	ending      zonehealth.Ending
+	life        *zonehealth.Instance
 }
 
 // NewZoned starts a fleet whose proxies stand in the zones in turn.
 func NewZoned(t Terms, zt ZoneTerms, seed uint64) *Zoned {
-	z := &Zoned{ZoneTerms: zt, tries: map[int][]pending{}, Lies: map[int]func(*zones.Voice){}}
+	z := &Zoned{ZoneTerms: zt, tries: map[int][]pending{}, Lies: map[int]func(*zonehealth.Voice){}}
 	t.ZoneOf = func(i int) string { return zt.Names[i%len(zt.Names)] }
 	z.World = New(t, seed)
 	for k := range zt.Each * len(zt.Names) {
@@ -60,42 +60,42 @@
 
 // Begin has a proxy's zones judged anew, as after a start.
 func (z *Zoned) Begin(i int) {
-	t := zones.Terms{
-		Me: Name(i), Zone: z.ZoneOf(i), Shortest: zones.Second / 2, Quiet: 3 * zones.Second / 10, Voices: 0.2, Settle: zones.Second / 5,
-		Hold: 2 * zones.Second, MostHold: 60 * zones.Second, Step: zones.Second, Cold: 3 * zones.Second, ColdFrom: 0.4, Alone: true,
+	t := zonehealth.Terms{
+		Me: Name(i), Zone: z.ZoneOf(i), Shortest: zonehealth.Second / 2, Quiet: 3 * zonehealth.Second / 10, Voices: 0.2, Settle: zonehealth.Second / 5,
+		Hold: 2 * zonehealth.Second, MostHold: 60 * zonehealth.Second, Step: zonehealth.Second, Cold: 3 * zonehealth.Second, ColdFrom: 0.4, Alone: true,
 	}
-	z.Minds[i] = zones.New(zones.Time(z.Now), t)
+	z.Minds[i] = zonehealth.New(zonehealth.Time(z.Now), t)
 	z.Parts[i] = map[int]float64{}
 	z.List(i)
 }
 
 // List tells a proxy of all nodes.
 func (z *Zoned) List(i int) {
-	var all []zones.Node
+	var all []zonehealth.Node
 	for k, n := range z.Nodes {
-		all = append(all, zones.Node{Index: k, Name: "c" + Name(k), Zone: z.Names[n.Zone]})
+		all = append(all, zonehealth.Node{Index: k, Name: "c" + Name(k), Zone: z.Names[n.Zone]})
 	}
-	z.done(i, z.Minds[i].Nodes(zones.Time(z.Now), all))
+	z.done(i, z.Minds[i].Nodes(zonehealth.Time(z.Now), all))
 }
 
 func (z *Zoned) hear(i int, row replica.Row) {
-	var v zones.Voice
+	var v zonehealth.Voice
 	if row.Kind == replica.Voice && msgpack.Unmarshal(row.Body, &v) == nil {
-		z.done(i, z.Minds[i].Voice(zones.Time(z.Now), row.Writer, row.Key, v, zones.Time(row.Age), zones.Time(row.Life)))
+		z.done(i, z.Minds[i].Voice(zonehealth.Time(z.Now), row.Writer, row.Key, v, zonehealth.Time(row.Age), zonehealth.Time(row.Life)))
 	}
 }
 
-func (z *Zoned) done(i int, ds []zones.Decision) {
+func (z *Zoned) done(i int, ds []zonehealth.Decision) {
 	for _, d := range slices.Clone(ds) {
 		switch d.Act {
-		case zones.Bar:
+		case zonehealth.Bar:
 			z.Parts[i][d.Node] = d.Part
-		case zones.Speak:
+		case zonehealth.Speak:
 			if lie := z.Lies[i]; lie != nil {
 				lie(&d.Voice)
 			}
 			z.Speak(i, d.Zone, d.Voice, d.Life)
-		case zones.Log:
+		case zonehealth.Log:
 			if z.Told != nil {
 				z.Told(i, d.Text)
 			}
@@ -104,7 +104,7 @@
 }
 
 // Speak has a proxy say something.
-func (z *Zoned) Speak(i int, of string, v zones.Voice, life zones.Time) {
+func (z *Zoned) Speak(i int, of string, v zonehealth.Voice, life zonehealth.Time) {
 	body, err := msgpack.Marshal(&v)
 	if err != nil {
 		panic(err)
@@ -121,7 +121,7 @@
 		delete(z.tries, z.step)
 		for _, t := range came {
 			if p := z.Proxies[t.proxy]; p.Alive && z.Minds[t.proxy] == t.life {
-				t.life.Ended(zones.Time(z.Now), t.node, t.ending, zones.Time(z.Now-t.sent))
+				t.life.Ended(zonehealth.Time(z.Now), t.node, t.ending, zonehealth.Time(z.Now-t.sent))
 			}
 		}
 		for i, p := range z.Proxies {
@@ -133,12 +133,12 @@
 			}
 			if z.step%2 == 0 {
 				m := z.Minds[i]
-				var fleet []zones.Proxy
+				var fleet []zonehealth.Proxy
 				for _, o := range p.Members() {
-					fleet = append(fleet, zones.Proxy{Name: o.Name, Zone: o.Zone, Here: o.State == "here", Gone: o.State == "gone"})
+					fleet = append(fleet, zonehealth.Proxy{Name: o.Name, Zone: o.Zone, Here: o.State == "here", Gone: o.State == "gone"})
 				}
-				m.Fleet(zones.Time(z.Now), fleet, p.Behind())
-				z.done(i, m.Tick(zones.Time(z.Now)))
+				m.Fleet(zonehealth.Time(z.Now), fleet, p.Behind())
+				z.done(i, m.Tick(zonehealth.Time(z.Now)))
 			}
 		}
 		if check != nil {
@@ -153,20 +153,20 @@
 	for n := 0; n < len(z.Nodes) && part < z.Parts[i][k]; n++ {
 		k = (k + 1) % len(z.Nodes)
 	}
-	took, ending := replica.Second/300, zones.Answered
+	took, ending := replica.Second/300, zonehealth.Answered
 	if f := z.Nodes[k].Answer; f != nil {
 		took, ending = f(i)
 	}
-	if ending == zones.Nothing || ending == zones.Shut {
+	if ending == zonehealth.Nothing || ending == zonehealth.Shut {
 		z.Lost++
 	}
-	z.Minds[i].Sent(zones.Time(z.Now), k)
+	z.Minds[i].Sent(zonehealth.Time(z.Now), k)
 	at := z.step + max(1, int(took/Step))
 	z.tries[at] = append(z.tries[at], pending{i, k, z.Now, ending, z.Minds[i]})
 }
 
 // Silent is how a node meets tries that nobody answers.
-func Silent(int) (replica.Time, zones.Ending) { return replica.Second / 2, zones.Nothing }
+func Silent(int) (replica.Time, zonehealth.Ending) { return replica.Second / 2, zonehealth.Nothing }
 
 // Dies has a zone's nodes and proxies vanish, or come back.
 func (z *Zoned) Dies(zone int, dead bool) {
@@ -194,13 +194,13 @@
 func (z *Zoned) Open(i, zone int) float64 { return z.shown(i, zone).Open }
 
 // Stand is how a proxy sees a zone.
-func (z *Zoned) Stand(i, zone int) zones.Stand { return z.shown(i, zone).Stand }
+func (z *Zoned) Stand(i, zone int) zonehealth.Stand { return z.shown(i, zone).Stand }
 
-func (z *Zoned) shown(i, zone int) zones.Shown {
-	for _, s := range z.Minds[i].Shown(zones.Time(z.Now)) {
+func (z *Zoned) shown(i, zone int) zonehealth.Shown {
+	for _, s := range z.Minds[i].Shown(zonehealth.Time(z.Now)) {
 		if s.Name == z.Names[zone] {
 			return s
 		}
 	}
-	return zones.Shown{Open: 1}
+	return zonehealth.Shown{Open: 1}
 }
--- a/internal/links/zones_test.go
+++ b/internal/links/zones_test.go
@@ -8,7 +8,7 @@
 
 	"woodproxy/internal/links"
 	"woodproxy/replica"
-	"woodproxy/zones"
+	"woodproxy/zonehealth"
 )
 
 // within is how long two proxies that reach each other may act on different verdicts.
@@ -41,13 +41,13 @@
 // check looks in each step that no two proxies that reach each other differ for long.
 func (z *zoned) check() {
 	for zone := range z.differs {
-		first, same := map[int]zones.Stand{}, true
+		first, same := map[int]zonehealth.Stand{}, true
 		for i, p := range z.Proxies {
 			if !p.Alive || p.Still || p.Behind() {
 				continue
 			}
 			s := z.Stand(i, zone)
-			if s.State >= zones.Leaving {
+			if s.State >= zonehealth.Leaving {
 				z.left[z.Names[zone]]++
 			}
 			if f, ok := first[z.side(i)]; !ok {
@@ -145,11 +145,11 @@
 		z.Cut = func(from, to int) bool { return side(from) != side(to) }
 		for _, n := range z.Nodes {
 			inside := n.Zone / 2
-			n.Answer = func(i int) (replica.Time, zones.Ending) {
+			n.Answer = func(i int) (replica.Time, zonehealth.Ending) {
 				if side(i) != inside {
-					return replica.Second / 2, zones.Shut // none of the old connections, and no new one
+					return replica.Second / 2, zonehealth.Shut // none of the old connections, and no new one
 				}
-				return replica.Second / 300, zones.Answered
+				return replica.Second / 300, zonehealth.Answered
 			}
 		}
 		z.side = side
@@ -187,11 +187,11 @@
 		z := newZoned(t, size(24), seed)
 		for _, n := range z.Nodes {
 			if n.Zone == 2 {
-				n.Answer = func(i int) (replica.Time, zones.Ending) {
+				n.Answer = func(i int) (replica.Time, zonehealth.Ending) {
 					if i%3 != 2 {
-						return replica.Second / 2, zones.Nothing
+						return replica.Second / 2, zonehealth.Nothing
 					}
-					return replica.Second / 300, zones.Answered
+					return replica.Second / 300, zonehealth.Answered
 				}
 			}
 		}
@@ -209,13 +209,13 @@
 // What is no loss of a zone convicts none: a calm day, one lost for 300 ms, a third of the nodes silent, one answer in five
 // failing or a third late, every node jammed, half of two zones; and a proxy that lies, in words, in verdicts, or both.
 func TestZonesKept(t *testing.T) {
-	silentHalf := func(part float64) func(i int) (replica.Time, zones.Ending) {
+	silentHalf := func(part float64) func(i int) (replica.Time, zonehealth.Ending) {
 		n := 0
-		return func(int) (replica.Time, zones.Ending) {
+		return func(int) (replica.Time, zonehealth.Ending) {
 			if n++; float64(n%20) < part*20 {
-				return replica.Second / 2, zones.Nothing
+				return replica.Second / 2, zonehealth.Nothing
 			}
-			return replica.Second / 300, zones.Answered
+			return replica.Second / 300, zonehealth.Answered
 		}
 	}
 	for name, hit := range map[string]func(z *zoned){
@@ -255,23 +255,23 @@
 		},
 		"late": func(z *zoned) {
 			for _, n := range z.Nodes {
-				n.Answer = func(int) (replica.Time, zones.Ending) { return replica.Second * 2 / 5, zones.Late }
+				n.Answer = func(int) (replica.Time, zonehealth.Ending) { return replica.Second * 2 / 5, zonehealth.Late }
 			}
 		},
 		"late zone": func(z *zoned) {
 			for _, n := range z.Nodes {
 				if n.Zone == 1 {
-					n.Answer = func(int) (replica.Time, zones.Ending) { return replica.Second * 2 / 5, zones.Late }
+					n.Answer = func(int) (replica.Time, zonehealth.Ending) { return replica.Second * 2 / 5, zonehealth.Late }
 				}
 			}
 		},
 		"liar": func(z *zoned) {
-			z.Lies[0] = func(v *zones.Voice) {
-				v.Word, v.Run, v.Ill = zones.Against, 99, []uint32{1, 2, 3, 4, 5, 6}
-				v.Stand, v.Plan = zones.Stand{Epoch: 1 << 40, State: zones.Out}, &zones.Stand{Epoch: 1 << 41, State: zones.Out}
+			z.Lies[0] = func(v *zonehealth.Voice) {
+				v.Word, v.Run, v.Ill = zonehealth.Against, 99, []uint32{1, 2, 3, 4, 5, 6}
+				v.Stand, v.Plan = zonehealth.Stand{Epoch: 1 << 40, State: zonehealth.Out}, &zonehealth.Stand{Epoch: 1 << 41, State: zonehealth.Out}
 			}
 			for _, of := range z.Names {
-				z.Speak(0, of, zones.Voice{Zone: "a", Word: zones.Against, Ill: []uint32{1, 2, 3, 4}, Stand: zones.Stand{Epoch: 99, State: zones.Out}}, 60*zones.Second)
+				z.Speak(0, of, zonehealth.Voice{Zone: "a", Word: zonehealth.Against, Ill: []uint32{1, 2, 3, 4}, Stand: zonehealth.Stand{Epoch: 99, State: zonehealth.Out}}, 60*zonehealth.Second)
 			}
 		},
 	} {
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -15,7 +15,7 @@
 	"woodproxy/missing"
 	"woodproxy/moves"
 	"woodproxy/turns"
-	"woodproxy/zones"
+	"woodproxy/zonehealth"
 
 	"github.com/valyala/fastjson"
 )
@@ -35,7 +35,7 @@
 	Peers, PeersListen      string // the file of peers, "": none; where they meet this proxy, before what the file says
 	Talk                    *talk.Config
 	ZonesFile               string // by which whole zones are left, "": they are not
-	Zones                   *zones.Terms
+	Zones                   *zonehealth.Terms
 	StateDir                string // where it keeps what it knows for its next start, "": nowhere
 	State                   *state.Store
 	MissingFile             string // by which keys are known to be missing, "": they are not
--- a/internal/run/figures_golden_test.go
+++ b/internal/run/figures_golden_test.go
@@ -12,7 +12,7 @@
 	"woodproxy/moves"
 	"woodproxy/recovery"
 	"woodproxy/turns"
-	"woodproxy/zones"
+	"woodproxy/zonehealth"
 )
 
 // fill sets each exported field to a value of its own, so that no field is left out of the JSON and no two look alike.
@@ -124,12 +124,12 @@
 	for s := recovery.Stage(0); s < 4; s++ {
 		fmt.Fprintf(&all, "stage %d %s\n", s, s)
 	}
-	for s := zones.State(0); s < 4; s++ {
+	for s := zonehealth.State(0); s < 4; s++ {
 		fmt.Fprintf(&all, "zone state %d %s\n", s, s)
 	}
-	for w := zones.Want(0); w < 4; w++ {
+	for w := zonehealth.Want(0); w < 4; w++ {
 		fmt.Fprintf(&all, "order %d %s\n", w, w)
-		if zones.Wants[w.String()] != w {
+		if zonehealth.Wants[w.String()] != w {
 			t.Errorf("order %v is not read by its own name", w)
 		}
 	}
--- a/internal/run/toml_golden_test.go
+++ b/internal/run/toml_golden_test.go
@@ -10,7 +10,7 @@
 	"woodproxy/internal/run"
 	"woodproxy/missing"
 	"woodproxy/turns"
-	"woodproxy/zones"
+	"woodproxy/zonehealth"
 )
 
 const noKeys = "# all keys are left out\n"
@@ -96,7 +96,7 @@
 	},
 }
 
-func zoneMilliseconds(span zones.Time) float64 { return float64(span) / 10 }
+func zoneMilliseconds(span zonehealth.Time) float64 { return float64(span) / 10 }
 
 // read lists what was read of a file with the text, or the error.
 func (f *tomlFile) read(t *testing.T, text string) string {
--- a/internal/run/zones.go
+++ b/internal/run/zones.go
@@ -10,7 +10,7 @@
 	"woodproxy/internal/strict"
 	"woodproxy/internal/terms"
 	"woodproxy/replica"
-	"woodproxy/zones"
+	"woodproxy/zonehealth"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
@@ -35,7 +35,7 @@
 }
 
 // readZones reads the file of zones. An error is one line that names what is wrong.
-func readZones(file, name string, book *terms.Book) (*zones.Terms, error) {
+func readZones(file, name string, book *terms.Book) (*zonehealth.Terms, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("zones: %w", err)
@@ -51,10 +51,10 @@
 	return t, nil
 }
 
-func (f *zonesFile) terms(name string, book *terms.Book) (*zones.Terms, error) {
-	shortest := zones.Time(60 * zones.Second)
+func (f *zonesFile) terms(name string, book *terms.Book) (*zonehealth.Terms, error) {
+	shortest := zonehealth.Time(60 * zonehealth.Second)
 	for _, r := range book.Terms.Routes {
-		shortest = min(shortest, zones.Time(r.Objective))
+		shortest = min(shortest, zonehealth.Time(r.Objective))
 	}
 	if f.Quiet == 0 {
 		f.Quiet = max(float64(shortest)/10*0.6, 50)
@@ -93,9 +93,9 @@
 		}
 		seen[z] = true
 	}
-	t := &zones.Terms{
+	t := &zonehealth.Terms{
 		Me: name, Zone: book.Locality, Shortest: shortest, Quiet: tenths(f.Quiet), Voices: f.Voices, Settle: tenths(f.Settle),
-		Hold: tenths(f.Hold), MostHold: tenths(f.MostHold), Step: tenths(f.Step), Cold: zones.Time(book.Terms.Cold), ColdFrom: book.Terms.ColdFrom,
+		Hold: tenths(f.Hold), MostHold: tenths(f.MostHold), Step: tenths(f.Step), Cold: zonehealth.Time(book.Terms.Cold), ColdFrom: book.Terms.ColdFrom,
 		Alone: f.Alone, Apart: !f.Together,
 	}
 	if t.Zone == "" {
@@ -121,12 +121,12 @@
 				return nil, fmt.Errorf("region[%d].zones: %q: no node may have it", i, z)
 			}
 		}
-		t.Regions = append(t.Regions, zones.Region{Name: r.Name, Zones: r.Zones})
+		t.Regions = append(t.Regions, zonehealth.Region{Name: r.Name, Zones: r.Zones})
 	}
 	return t, nil
 }
 
-func tenths(ms float64) zones.Time { return zones.Time(terms.Tenths(ms)) }
+func tenths(ms float64) zonehealth.Time { return zonehealth.Time(terms.Tenths(ms)) }
 
 // Zone is that in which the proxy stands, "": not known.
 func (p *Place) Zone() string {
@@ -157,32 +157,32 @@
 	if p.place.Zones == nil || p.place.Zones.Apart {
 		return
 	}
-	fleet := make([]zones.Proxy, 0, len(all))
+	fleet := make([]zonehealth.Proxy, 0, len(all))
 	for _, m := range all {
-		fleet = append(fleet, zones.Proxy{Name: m.Name, Zone: m.Zone, Here: m.State == "here", Gone: m.State == "gone"})
+		fleet = append(fleet, zonehealth.Proxy{Name: m.Name, Zone: m.Zone, Here: m.State == "here", Gone: m.State == "gone"})
 	}
 	p.router.ZoneFleet(fleet, behind)
 }
 
 func (p *peers) voice(row *replica.Row) {
-	var v zones.Voice
+	var v zonehealth.Voice
 	if p.place.Zones == nil || p.place.Zones.Apart || msgpack.Unmarshal(row.Body, &v) != nil {
 		return
 	}
-	p.router.ZoneVoice(row.Writer, row.Key, v, zones.Time(row.Age), zones.Time(row.Life))
+	p.router.ZoneVoice(row.Writer, row.Key, v, zonehealth.Time(row.Age), zonehealth.Time(row.Life))
 }
 
 func (p *peers) order(row *replica.Row) {
 	if p.place.Zones != nil {
-		p.router.ZoneOrder(zones.Order{
-			Zone: row.Key, Want: zones.Want(row.Rank), Epoch: row.Epoch, By: string(row.Body[:min(len(row.Body), 128)]),
+		p.router.ZoneOrder(zonehealth.Order{
+			Zone: row.Key, Want: zonehealth.Want(row.Rank), Epoch: row.Epoch, By: string(row.Body[:min(len(row.Body), 128)]),
 			Force: row.Count != 0,
 		})
 	}
 }
 
 // speak has peers hear what this proxy says of a zone.
-func (p *peers) speak(of string, v zones.Voice, life zones.Time) {
+func (p *peers) speak(of string, v zonehealth.Voice, life zonehealth.Time) {
 	if t := p.now.Load(); t != nil {
 		if body, err := msgpack.Marshal(&v); err == nil {
 			t.Speak(replica.Voice, of, replica.Time(life), body)
@@ -202,18 +202,18 @@
 	if config == nil {
 		return "", errOff
 	}
-	w, ok := zones.Wants[want]
+	w, ok := zonehealth.Wants[want]
 	if !ok {
 		return "", fmt.Errorf("%q: none of in, out, hold, auto", want)
 	}
 	shown, names := s.peers.router.ZonesShown(), config.Zones(name)
-	if wrong := zones.Check(shown, names, w, epoch, force); wrong != "" {
+	if wrong := zonehealth.Check(shown, names, w, epoch, force); wrong != "" {
 		return "", errors.New(wrong)
 	}
 	var said strings.Builder
 	for _, z := range names {
-		i := slices.IndexFunc(shown, func(s zones.Shown) bool { return s.Name == z })
-		o := zones.Order{Zone: z, Want: w, Epoch: shown[i].Order.Epoch + 1, By: s.peers.place.Name, Force: force}
+		i := slices.IndexFunc(shown, func(s zonehealth.Shown) bool { return s.Name == z })
+		o := zonehealth.Order{Zone: z, Want: w, Epoch: shown[i].Order.Epoch + 1, By: s.peers.place.Name, Force: force}
 		if !s.peers.router.ZoneOrder(o) {
 			return "", fmt.Errorf("zone %q: too busy to take it; nothing has changed there", z)
 		}
@@ -221,7 +221,7 @@
 		if force {
 			row.Count = 1
 		}
-		if w == zones.Auto {
+		if w == zonehealth.Auto {
 			row.Life = autoLife
 		}
 		if t := s.peers.now.Load(); t != nil {
@@ -244,13 +244,13 @@
 	for _, z := range s.peers.router.ZonesShown() {
 		how := z.Stand.State.String()
 		switch {
-		case z.Stand.State == zones.In && z.Watched:
+		case z.Stand.State == zonehealth.In && z.Watched:
 			how = "watched"
 		case z.Own:
 			how += " for others"
 		}
 		fmt.Fprintf(&b, "zone %s %s epoch %d step %d flaps %d open %.3f nodes %d for %d s; %d against from %d zones, %d for; of %d that tried it since %d in time, %d late, %d unanswered",
-			z.Name, how, z.Stand.Epoch, z.Stand.Step, z.Stand.Flaps, z.Open, z.Nodes, z.Held/zones.Second, z.Against, z.AgainstZones, z.For, z.Tried, z.Fine, z.Late, z.Lost)
+			z.Name, how, z.Stand.Epoch, z.Stand.Step, z.Stand.Flaps, z.Open, z.Nodes, z.Held/zonehealth.Second, z.Against, z.AgainstZones, z.For, z.Tried, z.Fine, z.Late, z.Lost)
 		if n := len(z.By); n > 0 {
 			fmt.Fprintf(&b, "; against: %s", strings.Join(z.By[:min(n, 8)], " "))
 		}
--- a/zones/golden_msgpack_test.go
+++ b/zonehealth/golden_msgpack_test.go
@@ -1,4 +1,4 @@
-package zones_test
+package zonehealth_test
 
 import (
 	"reflect"
--- a/zones/instance.go
+++ b/zonehealth/instance.go
@@ -1,9 +1,9 @@
-// Package zones decides when a whole zone is left by all proxies of a fleet, and how it returns. Each proxy's tries give it
+// Package zonehealth decides when a whole zone is left by all proxies of a fleet, and how it returns. Each proxy's tries give it
 // a word on each zone, for or against; words go round among proxies, and enough of them, from proxies that are most of
 // those outside the zone, make a verdict with an epoch. One Instance decides for one proxy; without peers it judges by its
 // own tries, more slowly. Each method reports one thing that happened, with the caller's clock, and returns the decisions
 // that follow, in order, in a slice that the next call reuses. Same inputs, same output. No I/O in here.
-package zones
+package zonehealth
 
 import (
 	"cmp"
--- a/zones/types.go
+++ b/zonehealth/types.go
@@ -1,4 +1,4 @@
-package zones
+package zonehealth
 
 // Time counts tenths of a millisecond on the caller's own clock; spans use it too.
 type Time int64
--- a/zones/voices.go
+++ b/zonehealth/voices.go
@@ -1,4 +1,4 @@
-package zones
+package zonehealth
 
 import (
 	"iter"
--- a/zones/zones_test.go
+++ b/zonehealth/zones_test.go
@@ -1,4 +1,4 @@
-package zones_test
+package zonehealth_test
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"testing"
 
 	"woodproxy/internal/scenario"
-	"woodproxy/zones"
+	"woodproxy/zonehealth"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -30,7 +30,7 @@
 //	> spoke ZONE for|against|none [plan=STATE] | log WORDS | wrong ORDER... : WORDS
 func TestScenarios(t *testing.T) {
 	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
-		return &play{t: t, bars: map[int]zones.Decision{}, spoke: map[string]zones.Voice{}, terms: zones.Terms{
+		return &play{t: t, bars: map[int]zonehealth.Decision{}, spoke: map[string]zonehealth.Voice{}, terms: zonehealth.Terms{
 			Me: "a1", Zone: "a", Shortest: 5000, Quiet: 3000,
 			Voices: 0.2, Settle: 2000, Hold: 20000, MostHold: 160000, Step: 10000, Cold: 50000, ColdFrom: 0.2, Alone: true,
 		}}
@@ -40,12 +40,12 @@
 type play struct {
 	t     *testing.T
 	line  int
-	terms zones.Terms
-	in    *zones.Instance
-	now   zones.Time
-	nodes []zones.Node
-	bars  map[int]zones.Decision
-	spoke map[string]zones.Voice
+	terms zonehealth.Terms
+	in    *zonehealth.Instance
+	now   zonehealth.Time
+	nodes []zonehealth.Node
+	bars  map[int]zonehealth.Decision
+	spoke map[string]zonehealth.Voice
 	logs  []string
 	knock int
 }
@@ -55,34 +55,34 @@
 	p.t.Errorf("line %d: %s", p.line, fmt.Sprintf(format, args...))
 }
 
-func ms(s string) zones.Time { return zones.Time(scenario.Num(s) * 10) }
+func ms(s string) zonehealth.Time { return zonehealth.Time(scenario.Num(s) * 10) }
 
-func (p *play) do(ds []zones.Decision) {
+func (p *play) do(ds []zonehealth.Decision) {
 	for _, d := range ds {
 		switch d.Act {
-		case zones.Bar:
+		case zonehealth.Bar:
 			p.bars[d.Node] = d
-		case zones.Speak:
+		case zonehealth.Speak:
 			p.spoke[d.Zone] = d.Voice
-		case zones.Knock:
+		case zonehealth.Knock:
 			p.knock++
-		case zones.Log:
+		case zonehealth.Log:
 			p.logs = append(p.logs, d.Text)
 		}
 	}
 }
 
 var (
-	states = map[string]zones.State{"in": zones.In, "returning": zones.Returning, "leaving": zones.Leaving, "out": zones.Out}
-	words  = map[string]zones.Word{"for": zones.For, "against": zones.Against, "none": zones.None}
+	states = map[string]zonehealth.State{"in": zonehealth.In, "returning": zonehealth.Returning, "leaving": zonehealth.Leaving, "out": zonehealth.Out}
+	words  = map[string]zonehealth.Word{"for": zonehealth.For, "against": zonehealth.Against, "none": zonehealth.None}
 )
 
-func stand(s string) *zones.Stand {
+func stand(s string) *zonehealth.Stand {
 	if s == "" {
 		return nil
 	}
 	f := append(strings.Split(s, ":"), "0", "0")
-	return &zones.Stand{Epoch: int64(scenario.Num(f[0])), State: states[f[1]], Step: int(scenario.Num(f[2])), Flaps: int(scenario.Num(f[3]))}
+	return &zonehealth.Stand{Epoch: int64(scenario.Num(f[0])), State: states[f[1]], Step: int(scenario.Num(f[2])), Flaps: int(scenario.Num(f[3]))}
 }
 
 func (p *play) Step(line int, w []string) {
@@ -100,7 +100,7 @@
 				p.terms.Zone = v
 			case "region":
 				name, of, _ := strings.Cut(v, ":")
-				p.terms.Regions = append(p.terms.Regions, zones.Region{Name: name, Zones: strings.Split(of, ",")})
+				p.terms.Regions = append(p.terms.Regions, zonehealth.Region{Name: name, Zones: strings.Split(of, ",")})
 			}
 		}
 		return
@@ -109,11 +109,11 @@
 		return
 	}
 	if p.in == nil {
-		p.now = 10000 * zones.Second
-		p.in = zones.New(p.now, p.terms)
+		p.now = 10000 * zonehealth.Second
+		p.in = zonehealth.New(p.now, p.terms)
 	}
-	for at := 10000*zones.Second + ms(w[0]); p.now < at; {
-		p.now = min(p.now+zones.Second/10, at)
+	for at := 10000*zonehealth.Second + ms(w[0]); p.now < at; {
+		p.now = min(p.now+zonehealth.Second/10, at)
 		p.do(p.in.Tick(p.now))
 	}
 	names := func(k string) (all []string) {
@@ -125,7 +125,7 @@
 	switch w[1] {
 	case "ticks":
 	case "nodes":
-		since := zones.Time(0)
+		since := zonehealth.Time(0)
 		if m["cold"] != "" {
 			since = p.now - ms(m["cold"])
 		}
@@ -133,7 +133,7 @@
 		for _, f := range w[2:] {
 			zone, n, ok := strings.Cut(f, ":")
 			for range int(scenario.Num(map[bool]string{true: n, false: "0"}[ok])) {
-				p.nodes = append(p.nodes, zones.Node{Index: len(p.nodes), Name: fmt.Sprint("c", len(p.nodes)), Zone: zone, Since: since})
+				p.nodes = append(p.nodes, zonehealth.Node{Index: len(p.nodes), Name: fmt.Sprint("c", len(p.nodes)), Zone: zone, Since: since})
 			}
 		}
 		if had == len(p.nodes) { // all started anew
@@ -143,12 +143,12 @@
 		}
 		p.do(p.in.Nodes(p.now, p.nodes))
 	case "fleet":
-		var all []zones.Proxy
+		var all []zonehealth.Proxy
 		for _, f := range w[2:] {
 			zone, n, ok := strings.Cut(f, ":")
 			for i := range int(scenario.Num(map[bool]string{true: n, false: "0"}[ok])) {
 				name := fmt.Sprint(zone, i+1)
-				x := zones.Proxy{Name: name, Zone: zone, Here: true}
+				x := zonehealth.Proxy{Name: name, Zone: zone, Here: true}
 				for _, a := range names("away") {
 					x.Here = x.Here && a != name && a != zone
 				}
@@ -167,7 +167,7 @@
 				of = append(of, n.Index)
 			}
 		}
-		took := zones.Time(50)
+		took := zonehealth.Time(50)
 		if m["took"] != "" {
 			took = ms(m["took"])
 		}
@@ -179,16 +179,16 @@
 			}
 			p.in.Sent(p.now, at)
 			if w[1] == "try" {
-				p.in.Ended(p.now, at, map[string]zones.Ending{"answered": zones.Answered, "late": zones.Late, "nothing": zones.Nothing, "undone": zones.Undone, "shut": zones.Shut}[w[4]], took)
+				p.in.Ended(p.now, at, map[string]zonehealth.Ending{"answered": zonehealth.Answered, "late": zonehealth.Late, "nothing": zonehealth.Nothing, "undone": zonehealth.Undone, "shut": zonehealth.Shut}[w[4]], took)
 			}
 		}
 	case "say":
-		v := zones.Voice{
+		v := zonehealth.Voice{
 			Word: words[w[4]], Fine: float32(scenario.Num("0" + m["fine"])), Late: float32(scenario.Num("0" + m["late"])),
 			Lost: float32(scenario.Num("0" + m["lost"])), Origin: float32(scenario.Num("0" + m["origin"])), Plan: stand(m["plan"]),
 		}
-		if v.Word != zones.For {
-			v.Ago = zones.Second
+		if v.Word != zonehealth.For {
+			v.Ago = zonehealth.Second
 		}
 		if s := stand(m["stand"]); s != nil {
 			v.Stand = *s
@@ -202,9 +202,9 @@
 				continue
 			}
 			if k++; k <= int(scenario.Num("0"+m["ill"])) {
-				v.Ill = append(v.Ill, zones.Hash(n.Name))
+				v.Ill = append(v.Ill, zonehealth.Hash(n.Name))
 			} else if k <= int(scenario.Num("0"+m["ill"]))+int(scenario.Num("0"+m["well"])) {
-				v.Well = append(v.Well, zones.Hash(n.Name))
+				v.Well = append(v.Well, zonehealth.Hash(n.Name))
 			}
 		}
 		if m["kept"] != "" {
@@ -212,12 +212,12 @@
 			v.Plan.Kept, v.Well = v.Well, nil
 		}
 		for _, name := range strings.Split(w[3], ",") {
-			p.do(p.in.Voice(p.now, name, w[2], v, 0, 5*zones.Second))
+			p.do(p.in.Voice(p.now, name, w[2], v, 0, 5*zonehealth.Second))
 		}
 	case "load":
 		p.in.Load(scenario.Num(w[2]), scenario.Num(w[3]))
 	case "order":
-		p.do(p.in.Order(p.now, zones.Order{Zone: w[2], Want: zones.Wants[w[3]], Epoch: int64(scenario.Num(w[4])), By: "b1", Force: m["force"] != ""}))
+		p.do(p.in.Order(p.now, zonehealth.Order{Zone: w[2], Want: zonehealth.Wants[w[3]], Epoch: int64(scenario.Num(w[4])), By: "b1", Force: m["force"] != ""}))
 	default:
 		p.fail("unknown word %q", w[1])
 	}
@@ -250,7 +250,7 @@
 		if m["epoch"] != "" {
 			epoch = int64(scenario.Num(m["epoch"]))
 		}
-		if got := zones.Check(p.in.Shown(p.now), p.terms.Zones(f[1]), zones.Wants[f[2]], epoch, m["force"] != ""); want == "nothing" && got != "" || want != "nothing" && !strings.Contains(got, want) {
+		if got := zonehealth.Check(p.in.Shown(p.now), p.terms.Zones(f[1]), zonehealth.Wants[f[2]], epoch, m["force"] != ""); want == "nothing" && got != "" || want != "nothing" && !strings.Contains(got, want) {
 			p.fail("%q: %q, not %q", f, got, want)
 		}
 		return
@@ -288,26 +288,26 @@
 
 // Whatever peers say is refused or taken without a fault, and no one voice moves a zone.
 func FuzzVoice(f *testing.F) {
-	good, err := msgpack.Marshal(&zones.Voice{Zone: "b", Word: zones.Against, Ill: []uint32{1, 2}, Plan: &zones.Stand{Epoch: 3, State: zones.Leaving, Kept: []uint32{1}}})
+	good, err := msgpack.Marshal(&zonehealth.Voice{Zone: "b", Word: zonehealth.Against, Ill: []uint32{1, 2}, Plan: &zonehealth.Stand{Epoch: 3, State: zonehealth.Leaving, Kept: []uint32{1}}})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add("b1", "b", good)
 	f.Add("a1", "", []byte{0x80})
 	f.Fuzz(func(t *testing.T, from, of string, body []byte) {
-		var v zones.Voice
+		var v zonehealth.Voice
 		if msgpack.Unmarshal(body, &v) != nil {
 			return
 		}
-		z := zones.New(0, zones.Terms{Me: "a1", Zone: "a", Shortest: 5000, Quiet: 3000, Voices: 0.2, Settle: 2000, Hold: 20000, MostHold: 160000, Step: 10000, Alone: true})
-		z.Nodes(1, []zones.Node{{Index: 0, Name: "c0", Zone: "a"}, {Index: 1, Name: "c1", Zone: "b"}})
-		z.Fleet(2, []zones.Proxy{{Name: "a1", Zone: "a", Here: true}, {Name: "b1", Zone: "b", Here: true}, {Name: "b2", Zone: "b", Here: true}}, false)
-		for now := zones.Time(3); now < 3*zones.Second; now += zones.Second / 10 {
-			z.Voice(now, from, of, v, 0, 5*zones.Second)
+		z := zonehealth.New(0, zonehealth.Terms{Me: "a1", Zone: "a", Shortest: 5000, Quiet: 3000, Voices: 0.2, Settle: 2000, Hold: 20000, MostHold: 160000, Step: 10000, Alone: true})
+		z.Nodes(1, []zonehealth.Node{{Index: 0, Name: "c0", Zone: "a"}, {Index: 1, Name: "c1", Zone: "b"}})
+		z.Fleet(2, []zonehealth.Proxy{{Name: "a1", Zone: "a", Here: true}, {Name: "b1", Zone: "b", Here: true}, {Name: "b2", Zone: "b", Here: true}}, false)
+		for now := zonehealth.Time(3); now < 3*zonehealth.Second; now += zonehealth.Second / 10 {
+			z.Voice(now, from, of, v, 0, 5*zonehealth.Second)
 			z.Tick(now)
 		}
-		for _, s := range z.Shown(4 * zones.Second) {
-			if s.Stand.State != zones.In || s.Open != 1 {
+		for _, s := range z.Shown(4 * zonehealth.Second) {
+			if s.Stand.State != zonehealth.In || s.Open != 1 {
 				t.Errorf("%+v", s)
 			}
 		}
