--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -15,12 +15,12 @@
 	"testing"
 	"time"
 
+	"woodproxy/duties"
 	"woodproxy/internal/emu"
 	"woodproxy/internal/talk"
 	"woodproxy/internal/wire"
 	"woodproxy/missing"
 	"woodproxy/replica"
-	"woodproxy/turns"
 	"woodproxy/zonehealth"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -313,8 +313,8 @@
 	s.Listed(42, false, []wire.Target{{Name: "cache-a", Address: "127.0.0.1:1", Zone: "a", Ready: true}})
 	s.Put(replica.Row{Kind: replica.Gone, Key: "beta", Epoch: 1}) // long before this process of beta
 	s.speak(replica.Voice, "b", &zonehealth.Voice{Zone: "b"})
-	s.speak(replica.Trial, "cache-a", &turns.Said{Round: 1})
-	s.speak(replica.Beat, "beta", &turns.Said{For: 5 * turns.Second})
+	s.speak(replica.Trial, "cache-a", &duties.Said{Round: 1})
+	s.speak(replica.Beat, "beta", &duties.Said{For: 5 * duties.Second})
 	s.speak(replica.Wrote, "s0", &missing.Word{})
 	s.speak(replica.Absent, "s0", &missing.Word{})
 	s.speak(unknownKind, "thing", &struct{}{})
--- a/turns/golden_msgpack_test.go
+++ b/duties/golden_msgpack_test.go
@@ -1,4 +1,4 @@
-package turns_test
+package duties_test
 
 import (
 	"reflect"
--- a/turns/instance_test.go
+++ b/duties/instance_test.go
@@ -1,4 +1,4 @@
-package turns
+package duties
 
 import (
 	"errors"
--- a/turns/types.go
+++ b/duties/types.go
@@ -1,10 +1,10 @@
-// Package turns decides which proxies of a fleet do what need not be done by all, and whose turn it is: trials of nodes that went
+// Package duties decides which proxies of a fleet do what need not be done by all, and whose turn it is: trials of nodes that went
 // silent, the watch of discovery, connections that are kept idle. What a node or
 // discovery gets from all together then does not grow with the fleet. Nobody is elected: who sees the same fleet comes to the same
 // result, and views that differ for a while do a thing twice, never not at all. One Instance decides for one proxy. Each method
 // reports one thing that happened, with the caller's clock, and returns the decisions that follow, in order, in a slice that the
 // next call reuses. Same inputs, same output. No I/O in here.
-package turns
+package duties
 
 import (
 	"fmt"
--- /dev/null
+++ b/duties/wire_golden_test.go
@@ -0,0 +1,37 @@
+package duties_test
+
+import (
+	"testing"
+
+	"woodproxy/duties"
+)
+
+// TestGoldenSaid pins the encoding of what a proxy says of trials and watches, the body of rows of kinds Trial and Beat.
+func TestGoldenSaid(t *testing.T) {
+	checkGolden(t, "said.golden", []goldenCase{
+		{name: "said-full", full: true, value: &duties.Said{Round: 70000, How: duties.Answers, For: 25000}},
+		{name: "trial-begins", value: &duties.Said{Round: 3, How: duties.Out}},
+		{name: "trial-fails", value: &duties.Said{Round: 3, How: duties.Silent}},
+		{name: "beat", value: &duties.Said{For: 25000}},
+		{name: "said-empty", value: &duties.Said{}},
+	})
+}
+
+// TestWireNumbers pins the numbers that go on the wire, and those by which the caller picks the kind of a row.
+func TestWireNumbers(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		got, want int64
+	}{
+		{"kind trial", int64(duties.Trial), 0},
+		{"kind beat", int64(duties.Beat), 1},
+		{"outcome out", int64(duties.Out), 0},
+		{"outcome silent", int64(duties.Silent), 1},
+		{"outcome answers", int64(duties.Answers), 2},
+		{"units of time in a second", int64(duties.Second), 10000},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, c.got, c.want)
+		}
+	}
+}
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"woodproxy/balancer"
-	"woodproxy/turns"
+	"woodproxy/duties"
 
 	"go.uber.org/zap"
 )
@@ -16,24 +16,24 @@
 // nothing, and it posts to the module, to the list and to peers what follows.
 type Duties struct {
 	box    mailbox
-	in     *turns.Instance
+	in     *duties.Instance
 	clock  Clock
 	router *Router
 	list   *List
-	tell   func(k turns.Kind, key string, s turns.Said, life turns.Time) // peers; it may not wait
-	shown  atomic.Pointer[turns.Figures]
+	tell   func(k duties.Kind, key string, s duties.Said, life duties.Time) // peers; it may not wait
+	shown  atomic.Pointer[duties.Figures]
 	count  *Counters
 	log    *zap.Logger
 	stale  bool // the list's latest change found no room; only the module's actor looks
 }
 
 // NewDuties returns the actor, by which the module's and the list's take turns with other proxies'. It is called before they run.
-func NewDuties(t turns.Terms, router *Router, list *List, tell func(k turns.Kind, key string, s turns.Said, life turns.Time), log *zap.Logger) *Duties {
+func NewDuties(t duties.Terms, router *Router, list *List, tell func(k duties.Kind, key string, s duties.Said, life duties.Time), log *zap.Logger) *Duties {
 	d := &Duties{
-		box: make(mailbox, 1024), in: turns.New(turns.Time(router.clock.Now()), t), clock: router.clock, router: router, list: list, tell: tell,
+		box: make(mailbox, 1024), in: duties.New(duties.Time(router.clock.Now()), t), clock: router.clock, router: router, list: list, tell: tell,
 		count: router.count, log: log,
 	}
-	d.shown.Store(&turns.Figures{})
+	d.shown.Store(&duties.Figures{})
 	router.duties, list.duties = d, d
 	return d
 }
@@ -54,35 +54,35 @@
 	}
 }
 
-func (d *Duties) now() turns.Time { return turns.Time(d.clock.Now()) }
+func (d *Duties) now() duties.Time { return duties.Time(d.clock.Now()) }
 
 // Shown is how it stood a moment ago.
-func (d *Duties) Shown() turns.Figures { return *d.shown.Load() }
+func (d *Duties) Shown() duties.Figures { return *d.shown.Load() }
 
 // Fleet takes who the proxies are.
-func (d *Duties) Fleet(all []turns.Proxy, behind bool) {
+func (d *Duties) Fleet(all []duties.Proxy, behind bool) {
 	d.box.offer(func() { d.act(d.in.Fleet(d.now(), all, behind)) })
 }
 
 // Heard takes what another proxy says.
-func (d *Duties) Heard(from string, k turns.Kind, key string, s turns.Said, age turns.Time) {
+func (d *Duties) Heard(from string, k duties.Kind, key string, s duties.Said, age duties.Time) {
 	d.box.offer(func() { d.act(d.in.Heard(d.now(), from, k, key, s, age)) })
 }
 
-func (d *Duties) act(ds []turns.Decision) {
+func (d *Duties) act(ds []duties.Decision) {
 	for i := range ds {
 		switch x := ds[i]; x.Act {
-		case turns.Rest:
+		case duties.Rest:
 			d.router.box.post(func() { d.router.rest(x.Node, balancer.Time(x.Until)) })
-		case turns.Doubt:
+		case duties.Doubt:
 			d.router.Heard(x.Node, !x.On)
-		case turns.Keep:
+		case duties.Keep:
 			d.router.box.post(func() { d.router.keep(x.Node, x.On) })
-		case turns.Watch:
+		case duties.Watch:
 			d.list.box.post(func() { d.list.duty(x.On) })
-		case turns.Say:
+		case duties.Say:
 			d.tell(x.Kind, x.Key, x.Said, x.Life)
-		case turns.Log:
+		case duties.Log:
 			d.log.Info("turns: " + x.Text)
 		}
 	}
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -9,12 +9,12 @@
 	"os"
 	"strconv"
 
+	"woodproxy/duties"
 	"woodproxy/internal/state"
 	"woodproxy/internal/talk"
 	"woodproxy/internal/terms"
 	"woodproxy/missing"
 	"woodproxy/moves"
-	"woodproxy/turns"
 	"woodproxy/zonehealth"
 
 	"github.com/valyala/fastjson"
@@ -43,7 +43,7 @@
 	MovesFile               string // by which moves of shards are planned, "": they are not
 	Moves                   *moves.Terms
 	TurnsFile               string // by which proxies take turns, "": they do not
-	Turns                   *turns.Terms
+	Turns                   *duties.Terms
 	Watch                   *terms.Book // terms that are only watched, nil: none
 }
 
@@ -157,7 +157,7 @@
 	}
 	if p.TurnsFile != "" {
 		if p.Talk == nil {
-			return nil, fmt.Errorf("turns: %w", &turns.AloneError{File: p.TurnsFile})
+			return nil, fmt.Errorf("turns: %w", &duties.AloneError{File: p.TurnsFile})
 		}
 		if p.Turns, err = readTurns(p.TurnsFile, p.Name, p.Book); err != nil {
 			return nil, err
--- a/internal/run/config_test.go
+++ b/internal/run/config_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"testing"
 
+	"woodproxy/duties"
 	"woodproxy/missing"
 	"woodproxy/moves"
-	"woodproxy/turns"
 )
 
 // A bad configuration is one line that names what is wrong.
@@ -134,9 +134,9 @@
 	os.WriteFile(config, []byte(`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","settings":`+
 		strings.Replace(settingsJSON, `"replicas-of-me":1`, `"replicas-of-me":3`, 1)+`}`), 0o600)
 	os.WriteFile(talk, []byte("cluster = \"c\"\nlisten = \"127.0.0.1:7946\"\n"), 0o600)
-	var outTurns *turns.RangeError
-	var order *turns.OrderError
-	var alone *turns.AloneError
+	var outTurns *duties.RangeError
+	var order *duties.OrderError
+	var alone *duties.AloneError
 	var outMoves *moves.RangeError
 	var outMissing *missing.RangeError
 	var aloneMissing *missing.AloneError
--- a/internal/run/figures_golden_test.go
+++ b/internal/run/figures_golden_test.go
@@ -7,11 +7,11 @@
 	"strings"
 	"testing"
 
+	"woodproxy/duties"
 	"woodproxy/internal/fleet"
 	"woodproxy/missing"
 	"woodproxy/moves"
 	"woodproxy/recovery"
-	"woodproxy/turns"
 	"woodproxy/zonehealth"
 )
 
@@ -58,7 +58,7 @@
 		name  string
 		value any // a pointer to a zero value
 	}{
-		{"GET /control/turns", &turns.Figures{}},
+		{"GET /control/turns", &duties.Figures{}},
 		{"GET /control/recovery", &recovery.Figures{}},
 		{"GET /control/missing", &missing.Figures{}},
 		{"POST /control/moves/plan, response", &moves.Plan{}},
--- a/internal/run/toml_golden_test.go
+++ b/internal/run/toml_golden_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"testing"
 
+	"woodproxy/duties"
 	"woodproxy/internal/run"
 	"woodproxy/missing"
-	"woodproxy/turns"
 	"woodproxy/zonehealth"
 )
 
@@ -57,7 +57,7 @@
 		return placeFiles{config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), turns: text}
 	},
 	describe: func(place *run.Place, line func(label string, v any)) {
-		milliseconds := func(span turns.Time) float64 { return float64(span) / 10 }
+		milliseconds := func(span duties.Time) float64 { return float64(span) / 10 }
 		line("watchers", place.Turns.Watchers)
 		line("keepers", place.Turns.Keepers)
 		line("trials", place.Turns.Trials)
--- a/internal/run/turns.go
+++ b/internal/run/turns.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"os"
 
+	"woodproxy/duties"
 	"woodproxy/internal/strict"
 	"woodproxy/internal/terms"
 	"woodproxy/replica"
-	"woodproxy/turns"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -25,22 +25,22 @@
 
 // readTurns reads the file of turns. An error is one line that names what is wrong and what to do; it wraps one of the module's types
 // where that found it.
-func readTurns(file, name string, book *terms.Book) (*turns.Terms, error) {
+func readTurns(file, name string, book *terms.Book) (*duties.Terms, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("turns: %w", err)
 	}
-	shortest := turns.Time(60 * turns.Second)
+	shortest := duties.Time(60 * duties.Second)
 	for _, r := range book.Terms.Routes {
-		shortest = min(shortest, turns.Time(r.Objective))
+		shortest = min(shortest, duties.Time(r.Objective))
 	}
 	f := &turnsFile{Watchers: 0, Keepers: 0, Trials: true, Rest: max(float64(shortest)/10, 50), Step: 200, Beat: 700, Patience: 2500}
 	if err := strict.TOML(text, f); err != nil {
 		return nil, fmt.Errorf("turns: %s: %w", file, err)
 	}
-	t := &turns.Terms{
-		Me: name, Watchers: f.Watchers, Keepers: f.Keepers, Trials: f.Trials, Rest: turns.Time(terms.Tenths(f.Rest)),
-		Step: turns.Time(terms.Tenths(f.Step)), Beat: turns.Time(terms.Tenths(f.Beat)), Patience: turns.Time(terms.Tenths(f.Patience)),
+	t := &duties.Terms{
+		Me: name, Watchers: f.Watchers, Keepers: f.Keepers, Trials: f.Trials, Rest: duties.Time(terms.Tenths(f.Rest)),
+		Step: duties.Time(terms.Tenths(f.Step)), Beat: duties.Time(terms.Tenths(f.Beat)), Patience: duties.Time(terms.Tenths(f.Patience)),
 	}
 	if err := t.Check(); err != nil {
 		return nil, fmt.Errorf("turns: %s: %w", file, err)
@@ -49,17 +49,17 @@
 }
 
 // turnKinds are the rows by which what the module says goes round.
-var turnKinds = [...]replica.Kind{turns.Trial: replica.Trial, turns.Beat: replica.Beat}
+var turnKinds = [...]replica.Kind{duties.Trial: replica.Trial, duties.Beat: replica.Beat}
 
 // turn takes what another proxy says of what goes by turns.
 func (p *peers) turn(row *replica.Row) {
-	var s turns.Said
+	var s duties.Said
 	if p.duties == nil || msgpack.Unmarshal(row.Body, &s) != nil {
 		return
 	}
 	for k, kind := range turnKinds {
 		if kind == row.Kind {
-			p.duties.Heard(row.Writer, turns.Kind(k), row.Key, s, turns.Time(row.Age))
+			p.duties.Heard(row.Writer, duties.Kind(k), row.Key, s, duties.Time(row.Age))
 		}
 	}
 }
@@ -69,15 +69,15 @@
 	if p.duties == nil {
 		return
 	}
-	fleet := make([]turns.Proxy, 0, len(all))
+	fleet := make([]duties.Proxy, 0, len(all))
 	for _, m := range all {
-		fleet = append(fleet, turns.Proxy{Name: m.Name, Zone: m.Zone, Here: m.State == "here"})
+		fleet = append(fleet, duties.Proxy{Name: m.Name, Zone: m.Zone, Here: m.State == "here"})
 	}
 	p.duties.Fleet(fleet, behind)
 }
 
 // sayTurn has peers hear what this proxy says.
-func (p *peers) sayTurn(k turns.Kind, key string, s turns.Said, life turns.Time) {
+func (p *peers) sayTurn(k duties.Kind, key string, s duties.Said, life duties.Time) {
 	if t := p.now.Load(); t != nil {
 		if body, err := msgpack.Marshal(&s); err == nil {
 			t.Speak(turnKinds[k], key, replica.Time(life), body)
