--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -14,7 +14,7 @@
 	"woodproxy/internal/talk"
 	"woodproxy/internal/terms"
 	"woodproxy/missing"
-	"woodproxy/moves"
+	"woodproxy/rebalance"
 	"woodproxy/zonehealth"
 
 	"github.com/valyala/fastjson"
@@ -41,7 +41,7 @@
 	MissingFile             string // by which keys are known to be missing, "": they are not
 	Missing                 *missing.Terms
 	MovesFile               string // by which moves of shards are planned, "": they are not
-	Moves                   *moves.Terms
+	Moves                   *rebalance.Terms
 	TurnsFile               string // by which proxies take turns, "": they do not
 	Turns                   *duties.Terms
 	Watch                   *terms.Book // terms that are only watched, nil: none
--- a/internal/run/config_test.go
+++ b/internal/run/config_test.go
@@ -9,7 +9,7 @@
 
 	"woodproxy/duties"
 	"woodproxy/missing"
-	"woodproxy/moves"
+	"woodproxy/rebalance"
 )
 
 // A bad configuration is one line that names what is wrong.
@@ -137,7 +137,7 @@
 	var outTurns *duties.RangeError
 	var order *duties.OrderError
 	var alone *duties.AloneError
-	var outMoves *moves.RangeError
+	var outMoves *rebalance.RangeError
 	var outMissing *missing.RangeError
 	var aloneMissing *missing.AloneError
 	for _, c := range []struct {
--- a/internal/run/figures_golden_test.go
+++ b/internal/run/figures_golden_test.go
@@ -10,7 +10,7 @@
 	"woodproxy/duties"
 	"woodproxy/internal/fleet"
 	"woodproxy/missing"
-	"woodproxy/moves"
+	"woodproxy/rebalance"
 	"woodproxy/recovery"
 	"woodproxy/zonehealth"
 )
@@ -61,8 +61,8 @@
 		{"GET /control/turns", &duties.Figures{}},
 		{"GET /control/recovery", &recovery.Figures{}},
 		{"GET /control/missing", &missing.Figures{}},
-		{"POST /control/moves/plan, response", &moves.Plan{}},
-		{"POST /control/moves/plan, request", &moves.Inventory{}},
+		{"POST /control/moves/plan, response", &rebalance.Plan{}},
+		{"POST /control/moves/plan, request", &rebalance.Inventory{}},
 	} {
 		fmt.Fprintf(&all, "=== %s\nempty:  %s\n", c.name, encode(t, c.value))
 		count := 0
@@ -79,7 +79,7 @@
 func TestInventoryJSON(t *testing.T) {
 	in := json.NewDecoder(strings.NewReader(fullInventory))
 	in.DisallowUnknownFields()
-	var inventory moves.Inventory
+	var inventory rebalance.Inventory
 	if err := in.Decode(&inventory); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/run/moves.go
+++ b/internal/run/moves.go
@@ -9,7 +9,7 @@
 	"runtime"
 
 	"woodproxy/internal/strict"
-	"woodproxy/moves"
+	"woodproxy/rebalance"
 )
 
 // movesFile is what the file of moves says.
@@ -20,7 +20,7 @@
 }
 
 // readMoves reads the file of moves. An error is one line that names what is wrong.
-func readMoves(file string) (*moves.Terms, error) {
+func readMoves(file string) (*rebalance.Terms, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("moves: %w", err)
@@ -29,7 +29,7 @@
 	if err := strict.TOML(text, f); err != nil {
 		return nil, fmt.Errorf("moves: %s: %w", file, err)
 	}
-	t := &moves.Terms{Slack: f.Slack, PerNode: f.PerNode, InAll: f.InAll, Exact: 1 << 14, Breathe: runtime.Gosched}
+	t := &rebalance.Terms{Slack: f.Slack, PerNode: f.PerNode, InAll: f.InAll, Exact: 1 << 14, Breathe: runtime.Gosched}
 	if err := t.Check(); err != nil {
 		return nil, fmt.Errorf("moves: %s: %w", file, err)
 	}
@@ -65,14 +65,14 @@
 	}
 	in := json.NewDecoder(inventory)
 	in.DisallowUnknownFields()
-	var inv moves.Inventory
+	var inv rebalance.Inventory
 	if err := in.Decode(&inv); err != nil {
-		return nil, &moves.InventoryError{Where: "inventory", What: oneLine(err)}
+		return nil, &rebalance.InventoryError{Where: "inventory", What: oneLine(err)}
 	}
 	if len(inv.Nodes) > mostPlanned || len(inv.Shards) > mostShards {
-		return nil, &moves.InventoryError{Where: "inventory", What: fmt.Sprintf("%d nodes and %d shards, over %d and %d", len(inv.Nodes), len(inv.Shards), mostPlanned, mostShards)}
+		return nil, &rebalance.InventoryError{Where: "inventory", What: fmt.Sprintf("%d nodes and %d shards, over %d and %d", len(inv.Nodes), len(inv.Shards), mostPlanned, mostShards)}
 	}
-	return moves.Make(&inv, *t)
+	return rebalance.Make(&inv, *t)
 }
 
 // What an inventory may have: its memory is this process's, and so is the time that its plan takes.
--- a/moves/plan.go
+++ b/rebalance/plan.go
@@ -1,4 +1,4 @@
-package moves
+package rebalance
 
 import (
 	"cmp"
--- a/moves/types.go
+++ b/rebalance/types.go
@@ -1,9 +1,9 @@
-// Package moves plans how shards go from node to node: where each is to be in the end, and in which order, so that at no step is any
+// Package rebalance plans how shards go from node to node: where each is to be in the end, and in which order, so that at no step is any
 // node over its room, the copies that are on their way included; then so that loads are as even as stated; then with the fewest
 // bytes moved; then in the fewest steps. A shard is a fixed part of the key space, a node's room what it has for values, and a byte
 // moved one that the origin reads again. What can't be done is an error of a type of its own, never a plan met by half. Same
 // inputs, same plan. No I/O in here.
-package moves
+package rebalance
 
 import (
 	"fmt"
