--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -19,7 +19,7 @@
 	"woodproxy/internal/emu"
 	"woodproxy/internal/talk"
 	"woodproxy/internal/wire"
-	"woodproxy/missing"
+	"woodproxy/negativecache"
 	"woodproxy/replica"
 	"woodproxy/zonehealth"
 
@@ -315,8 +315,8 @@
 	s.speak(replica.Voice, "b", &zonehealth.Voice{Zone: "b"})
 	s.speak(replica.Trial, "cache-a", &duties.Said{Round: 1})
 	s.speak(replica.Beat, "beta", &duties.Said{For: 5 * duties.Second})
-	s.speak(replica.Wrote, "s0", &missing.Word{})
-	s.speak(replica.Absent, "s0", &missing.Word{})
+	s.speak(replica.Wrote, "s0", &negativecache.Word{})
+	s.speak(replica.Absent, "s0", &negativecache.Word{})
 	s.speak(unknownKind, "thing", &struct{}{})
 }
 
--- a/internal/fleet/absent.go
+++ b/internal/fleet/absent.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"woodproxy/internal/terms"
-	"woodproxy/missing"
+	"woodproxy/negativecache"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -17,23 +17,23 @@
 // there by themselves, under the table's locks alone; what is told to other proxies, and what of theirs is believed, goes by it.
 type Absent struct {
 	box   mailbox
-	in    *missing.Instance
-	table *missing.Table
+	in    *negativecache.Instance
+	table *negativecache.Table
 	clock Clock
 	book  *terms.Book
-	say   func(d *missing.Decision) // to peers; it may not wait. nil: there are none
-	lost  atomic.Bool               // a write found no room in the mailbox
+	say   func(d *negativecache.Decision) // to peers; it may not wait. nil: there are none
+	lost  atomic.Bool                     // a write found no room in the mailbox
 	sent  atomic.Int64
-	shown atomic.Pointer[missing.Figures]
+	shown atomic.Pointer[negativecache.Figures]
 	count *Counters
 	log   *zap.Logger
 }
 
 // NewAbsent returns the actor, by which the module's answers what it knows to be missing. It is called before that runs.
-func NewAbsent(t missing.Terms, router *Router, say func(d *missing.Decision), log *zap.Logger) *Absent {
-	in := missing.New(missing.Time(router.clock.Now()), t)
+func NewAbsent(t negativecache.Terms, router *Router, say func(d *negativecache.Decision), log *zap.Logger) *Absent {
+	in := negativecache.New(negativecache.Time(router.clock.Now()), t)
 	a := &Absent{box: make(mailbox, 1024), in: in, table: in.Table, clock: router.clock, book: router.book, say: say, count: router.count, log: log}
-	a.shown.Store(&missing.Figures{})
+	a.shown.Store(&negativecache.Figures{})
 	router.absent = a
 	return a
 }
@@ -60,11 +60,11 @@
 	a.shown.Store(&f)
 }
 
-func (a *Absent) now() missing.Time { return missing.Time(a.clock.Now()) }
+func (a *Absent) now() negativecache.Time { return negativecache.Time(a.clock.Now()) }
 
-func (a *Absent) act(ds []missing.Decision) {
+func (a *Absent) act(ds []negativecache.Decision) {
 	for i := range ds {
-		if d := &ds[i]; d.Act == missing.Log {
+		if d := &ds[i]; d.Act == negativecache.Log {
 			a.log.Info("missing: " + d.Text)
 		} else if a.say != nil {
 			a.say(d)
@@ -77,15 +77,15 @@
 func (a *Absent) Sent() int64 { return a.sent.Load() }
 
 // Shown is how it stood a moment ago.
-func (a *Absent) Shown() missing.Figures { return *a.shown.Load() }
+func (a *Absent) Shown() negativecache.Figures { return *a.shown.Load() }
 
 // Fleet takes who may write, of so many that operators state.
-func (a *Absent) Fleet(all []missing.Proxy, stated int, behind bool) {
+func (a *Absent) Fleet(all []negativecache.Proxy, stated int, behind bool) {
 	a.box.offer(func() { a.act(a.in.Fleet(a.now(), all, stated, behind)) })
 }
 
 // HeardWrote and HeardAbsent take what other proxies say. The table has what was written at once.
-func (a *Absent) HeardWrote(from string, epoch int64, w missing.Word) {
+func (a *Absent) HeardWrote(from string, epoch int64, w negativecache.Word) {
 	now := a.now()
 	for _, h := range w.Hashes[:min(len(w.Hashes), 1024)] {
 		a.table.Wrote(h, now)
@@ -93,7 +93,7 @@
 	a.box.offer(func() { a.act(a.in.HeardWrote(a.now(), from, epoch, w)) }) // where there is no room it is missed, and found out
 }
 
-func (a *Absent) HeardAbsent(from string, w missing.Word, age missing.Time) {
+func (a *Absent) HeardAbsent(from string, w negativecache.Word, age negativecache.Time) {
 	a.box.offer(func() { a.act(a.in.HeardAbsent(a.now(), from, w, age)) })
 }
 
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -7,7 +7,7 @@
 
 	"woodproxy/balancer"
 	"woodproxy/internal/wire"
-	"woodproxy/missing"
+	"woodproxy/negativecache"
 
 	"go.uber.org/zap"
 )
@@ -21,10 +21,10 @@
 	wait    balancer.Time // its time-out, from sent
 	before  balancer.Time // to be begun by then or not at all, 0: there is no such time
 	undone  atomic.Bool
-	ticket  missing.Ticket // of a look-up at the origin
-	absent  bool           // which said that it has no such key
-	begun   bool           // its answer is with the client, piece by piece: it has ended for the module
-	link    *link          // the connection that has it; only the peer's actor looks
+	ticket  negativecache.Ticket // of a look-up at the origin
+	absent  bool                 // which said that it has no such key
+	begun   bool                 // its answer is with the client, piece by piece: it has ended for the module
+	link    *link                // the connection that has it; only the peer's actor looks
 }
 
 // budget is what there may be of something, such as sockets that are open to all peers together, or bytes of values.
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -13,7 +13,7 @@
 	"woodproxy/internal/state"
 	"woodproxy/internal/talk"
 	"woodproxy/internal/terms"
-	"woodproxy/missing"
+	"woodproxy/negativecache"
 	"woodproxy/rebalance"
 	"woodproxy/zonehealth"
 
@@ -39,7 +39,7 @@
 	StateDir                string // where it keeps what it knows for its next start, "": nowhere
 	State                   *state.Store
 	MissingFile             string // by which keys are known to be missing, "": they are not
-	Missing                 *missing.Terms
+	Missing                 *negativecache.Terms
 	MovesFile               string // by which moves of shards are planned, "": they are not
 	Moves                   *rebalance.Terms
 	TurnsFile               string // by which proxies take turns, "": they do not
--- a/internal/run/config_test.go
+++ b/internal/run/config_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"woodproxy/duties"
-	"woodproxy/missing"
+	"woodproxy/negativecache"
 	"woodproxy/rebalance"
 )
 
@@ -138,8 +138,8 @@
 	var order *duties.OrderError
 	var alone *duties.AloneError
 	var outMoves *rebalance.RangeError
-	var outMissing *missing.RangeError
-	var aloneMissing *missing.AloneError
+	var outMissing *negativecache.RangeError
+	var aloneMissing *negativecache.AloneError
 	for _, c := range []struct {
 		over Place
 		text string
--- a/internal/run/figures_golden_test.go
+++ b/internal/run/figures_golden_test.go
@@ -9,7 +9,7 @@
 
 	"woodproxy/duties"
 	"woodproxy/internal/fleet"
-	"woodproxy/missing"
+	"woodproxy/negativecache"
 	"woodproxy/rebalance"
 	"woodproxy/recovery"
 	"woodproxy/zonehealth"
@@ -60,7 +60,7 @@
 	}{
 		{"GET /control/turns", &duties.Figures{}},
 		{"GET /control/recovery", &recovery.Figures{}},
-		{"GET /control/missing", &missing.Figures{}},
+		{"GET /control/missing", &negativecache.Figures{}},
 		{"POST /control/moves/plan, response", &rebalance.Plan{}},
 		{"POST /control/moves/plan, request", &rebalance.Inventory{}},
 	} {
--- a/internal/run/missing.go
+++ b/internal/run/missing.go
@@ -7,7 +7,7 @@
 
 	"woodproxy/internal/strict"
 	"woodproxy/internal/terms"
-	"woodproxy/missing"
+	"woodproxy/negativecache"
 	"woodproxy/replica"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -22,7 +22,7 @@
 }
 
 // readMissing reads the file of missing keys. An error is one line that names what is wrong and what to do.
-func readMissing(file, name string, talks bool, book *terms.Book) (*missing.Terms, error) {
+func readMissing(file, name string, talks bool, book *terms.Book) (*negativecache.Terms, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("missing: %w", err)
@@ -31,22 +31,22 @@
 	if err := strict.TOML(text, f); err != nil {
 		return nil, fmt.Errorf("missing: %s: %w", file, err)
 	}
-	t := &missing.Terms{Me: name, Entries: f.Entries, Believe: missing.Time(terms.Tenths(f.Believe * 1000)), Grace: missing.Time(terms.Tenths(f.Grace)), Grow: f.Grow, Tenants: len(book.Tenants)}
+	t := &negativecache.Terms{Me: name, Entries: f.Entries, Believe: negativecache.Time(terms.Tenths(f.Believe * 1000)), Grace: negativecache.Time(terms.Tenths(f.Grace)), Grow: f.Grow, Tenants: len(book.Tenants)}
 	if err := t.Check(); err != nil {
 		return nil, fmt.Errorf("missing: %s: %w", file, err)
 	}
 	// a write may be carried out until its overall timeout, and what the origin says of its key before that is not held
-	if least := 2 * float64(book.Longest) / float64(missing.Second); f.Believe < least {
-		return nil, fmt.Errorf("missing: %s: %w", file, &missing.RangeError{Key: "believe_s", Value: f.Believe, Least: least, Most: 600})
+	if least := 2 * float64(book.Longest) / float64(negativecache.Second); f.Believe < least {
+		return nil, fmt.Errorf("missing: %s: %w", file, &negativecache.RangeError{Key: "believe_s", Value: f.Believe, Least: least, Most: 600})
 	}
 	if n := book.Terms.Proxies; !talks && n > 1 {
-		return nil, fmt.Errorf("missing: %w", &missing.AloneError{File: file, Proxies: n})
+		return nil, fmt.Errorf("missing: %w", &negativecache.AloneError{File: file, Proxies: n})
 	}
 	return t, nil
 }
 
 // sayMissing has peers hear what this proxy wrote, or what the origin lacks.
-func (p *peers) sayMissing(d *missing.Decision) {
+func (p *peers) sayMissing(d *negativecache.Decision) {
 	t := p.now.Load()
 	if t == nil {
 		return
@@ -56,7 +56,7 @@
 		return
 	}
 	kind := replica.Wrote
-	if d.Act == missing.SayAbsent {
+	if d.Act == negativecache.SayAbsent {
 		kind = replica.Absent
 	}
 	t.Speak(kind, fmt.Sprint("s", d.Slot), replica.Time(p.place.Missing.Believe), body)
@@ -64,14 +64,14 @@
 
 // word takes what another proxy says of keys.
 func (p *peers) word(row *replica.Row) {
-	var w missing.Word
+	var w negativecache.Word
 	if p.absent == nil || msgpack.Unmarshal(row.Body, &w) != nil {
 		return
 	}
 	if row.Kind == replica.Wrote {
 		p.absent.HeardWrote(row.Writer, row.Epoch, w)
 	} else {
-		p.absent.HeardAbsent(row.Writer, w, missing.Time(row.Age))
+		p.absent.HeardAbsent(row.Writer, w, negativecache.Time(row.Age))
 	}
 }
 
@@ -80,9 +80,9 @@
 	if p.absent == nil {
 		return
 	}
-	fleet := make([]missing.Proxy, 0, len(all))
+	fleet := make([]negativecache.Proxy, 0, len(all))
 	for _, m := range all {
-		fleet = append(fleet, missing.Proxy{Name: m.Name, Here: m.State == "here", Gone: m.State == "gone", Wrote: m.Wrote, Epoch: m.Incarnation})
+		fleet = append(fleet, negativecache.Proxy{Name: m.Name, Here: m.State == "here", Gone: m.State == "gone", Wrote: m.Wrote, Epoch: m.Incarnation})
 	}
 	p.absent.Fleet(fleet, max(p.place.Book.Terms.Proxies, 1), behind)
 }
--- a/internal/run/toml_golden_test.go
+++ b/internal/run/toml_golden_test.go
@@ -9,7 +9,7 @@
 
 	"woodproxy/duties"
 	"woodproxy/internal/run"
-	"woodproxy/missing"
+	"woodproxy/negativecache"
 	"woodproxy/zonehealth"
 )
 
@@ -88,8 +88,8 @@
 	},
 	describe: func(place *run.Place, line func(label string, v any)) {
 		line("entries", place.Missing.Entries)
-		line("believe_s", float64(place.Missing.Believe)/float64(missing.Second))
-		line("grace_ms", float64(place.Missing.Grace)/float64(missing.Second)*1000)
+		line("believe_s", float64(place.Missing.Believe)/float64(negativecache.Second))
+		line("grace_ms", float64(place.Missing.Grace)/float64(negativecache.Second)*1000)
 		line("grow_per_s", place.Missing.Grow)
 		line("name, of the configuration", place.Missing.Me)
 		line("tenants, of the settings", place.Missing.Tenants)
--- a/missing/golden_test.go
+++ b/negativecache/golden_test.go
@@ -1,4 +1,4 @@
-package missing_test
+package negativecache_test
 
 import (
 	"encoding/hex"
--- a/missing/missing_test.go
+++ b/negativecache/missing_test.go
@@ -1,4 +1,4 @@
-package missing
+package negativecache
 
 import (
 	"errors"
--- a/missing/table.go
+++ b/negativecache/table.go
@@ -1,11 +1,11 @@
-// Package missing decides for which keys a proxy may say by itself that the origin has none, by what it and its peers heard from the
+// Package negativecache decides for which keys a proxy may say by itself that the origin has none, by what it and its peers heard from the
 // origin. A Table answers look-ups and takes writes on whatever goroutine they come; an Instance (one goroutine's) decides what of
 // what peers say is believed, and what is told to them. An entry is believed for a stated time after the origin's word, only while
 // all proxies that may write are heard, and never past a write that this proxy knows of. Same inputs, same output. No I/O in here.
 //
 // Locks: each bucket group of a Table has one, under which nothing is called and no other is taken; the counters are atomic. An
 // Instance has none.
-package missing
+package negativecache
 
 import (
 	"sync"
