--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"os"
 
-	"woodproxy/simwire"
+	"woodproxy/internal/simadapter"
 )
 
 func main() {
-	if err := simwire.Serve(os.Stdin, os.Stdout); err != nil {
+	if err := simadapter.Serve(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "simhost:", err)
 		os.Exit(1)
 	}
--- a/simwire/fields.go
+++ b/internal/simadapter/fields.go
@@ -1,4 +1,4 @@
-package simwire
+package simadapter
 
 import (
 	"fmt"
--- a/simwire/golden_test.go
+++ b/internal/simadapter/golden_test.go
@@ -1,4 +1,4 @@
-package simwire_test
+package simadapter_test
 
 import (
 	"bytes"
--- a/simwire/malformed_golden_test.go
+++ b/internal/simadapter/malformed_golden_test.go
@@ -1,4 +1,4 @@
-package simwire_test
+package simadapter_test
 
 import (
 	"bytes"
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"woodproxy/simwire"
+	"woodproxy/internal/simadapter"
 )
 
 const (
@@ -145,7 +145,7 @@
 	record := func(shown, input string) {
 		t.Helper()
 		var output bytes.Buffer
-		err := simwire.Serve(strings.NewReader(input), &output)
+		err := simadapter.Serve(strings.NewReader(input), &output)
 		if err == nil {
 			t.Errorf("%s: served without an error", shown)
 			return
@@ -232,7 +232,7 @@
 	var table bytes.Buffer
 	for _, c := range lenientInputs {
 		var output bytes.Buffer
-		if err := simwire.Serve(strings.NewReader(c.input), &output); err != nil {
+		if err := simadapter.Serve(strings.NewReader(c.input), &output); err != nil {
 			t.Errorf("%s: %v", c.name, err)
 		}
 		fmt.Fprintf(&table, "# %s\n%s", c.name, blankLogTexts(output.Bytes()))
--- a/simwire/repeat_group_golden_test.go
+++ b/internal/simadapter/repeat_group_golden_test.go
@@ -1,4 +1,4 @@
-package simwire_test
+package simadapter_test
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"woodproxy/simwire"
+	"woodproxy/internal/simadapter"
 )
 
 var tryLine = regexp.MustCompile(`\["try",1,"(t\d+)",[\d.]+,"(\w+)"\]`)
@@ -23,7 +23,7 @@
 			`"zones":["z"]`, `"zones":["z","y"]`).Replace(validSetup)
 		first := oneBatch(nodes + "\n" + `["boot",1,99,` + settings + "]\n" + `["fleet",1,1,3,"SAVED"]` + "\n" + orders(8, "null"))
 		var reply, output bytes.Buffer
-		if err := simwire.Serve(strings.NewReader(first), &reply); err != nil {
+		if err := simadapter.Serve(strings.NewReader(first), &reply); err != nil {
 			t.Fatal(err)
 		}
 		tries := tryLine.FindAllStringSubmatch(reply.String(), -1)
@@ -34,7 +34,7 @@
 		for _, try := range tries {
 			fmt.Fprintf(&ends, `["returned",1,%q,%q,0,null,4,"cut",false,null]`+"\n", try[1], try[2])
 		}
-		if err := simwire.Serve(strings.NewReader(first+oneBatch(ends.String())), &output); err != nil {
+		if err := simadapter.Serve(strings.NewReader(first+oneBatch(ends.String())), &output); err != nil {
 			t.Fatal(err)
 		}
 		fmt.Fprintf(&table, "# %s\n%s", group, blankLogTexts(output.Bytes()))
--- a/simwire/serve.go
+++ b/internal/simadapter/serve.go
@@ -1,6 +1,6 @@
-// Package simwire speaks the simulator's wire: it decodes its lines into calls on the decision module's
+// Package simadapter speaks the simulator's wire: it decodes its lines into calls on the decision module's
 // instances and encodes their decisions. It decides nothing.
-package simwire
+package simadapter
 
 import (
 	"bufio"
--- a/simwire/session_generator_test.go
+++ b/internal/simadapter/session_generator_test.go
@@ -1,4 +1,4 @@
-package simwire_test
+package simadapter_test
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"woodproxy/simwire"
+	"woodproxy/internal/simadapter"
 )
 
 const (
@@ -149,7 +149,7 @@
 	t.Helper()
 	g := &sessionGenerator{t: t, shape: shape, random: random{shape.seed}, clock: firstClock, running: map[int]bool{}}
 	g.makeFleet()
-	if err := simwire.Serve(g, &g.reply); err != nil {
+	if err := simadapter.Serve(g, &g.reply); err != nil {
 		t.Fatalf("%s: %v", shape.name, err)
 	}
 	return g.input.Bytes(), g.output.Bytes()
--- a/simwire/session_golden_test.go
+++ b/internal/simadapter/session_golden_test.go
@@ -1,4 +1,4 @@
-package simwire_test
+package simadapter_test
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"woodproxy/simwire"
+	"woodproxy/internal/simadapter"
 )
 
 // Texts of log lines are for people and may change; that a line is logged may not.
@@ -40,7 +40,7 @@
 		t.Run(shape.name, func(t *testing.T) {
 			input := readGolden(t, filepath.Join("testdata", inputFile(shape)))
 			var output bytes.Buffer
-			if err := simwire.Serve(bytes.NewReader(input), &output); err != nil {
+			if err := simadapter.Serve(bytes.NewReader(input), &output); err != nil {
 				t.Fatal(err)
 			}
 			compareGolden(t, outputFile(shape), blankLogTexts(output.Bytes()))
