--- a/internal/fleet/actor.go
+++ b/internal/proxy/actor.go
@@ -1,10 +1,10 @@
-// Package fleet keeps in memory what the proxy knows while it runs: the module's actor, one actor for each
+// Package proxy keeps in memory what the proxy knows while it runs: the module's actor, one actor for each
 // peer (a cache or the origin), one for the list, and the clients' connections. Actors share nothing but the
 // calls in each other's mailboxes.
 //
 // Who may wait for whom: connections wait for peers and the module, the duties for the list and the module, peers and the
 // list wait for the module, and the module waits for nobody, so that no ring of full mailboxes can form.
-package fleet
+package proxy
 
 import (
 	"time"
--- a/internal/fleet/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -1,4 +1,4 @@
-package fleet
+package proxy
 
 import (
 	"bufio"
--- a/internal/run/figures_golden_test.go
+++ b/internal/run/figures_golden_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"woodproxy/duties"
-	"woodproxy/internal/fleet"
+	"woodproxy/internal/proxy"
 	"woodproxy/negativecache"
 	"woodproxy/rebalance"
 	"woodproxy/recovery"
@@ -109,7 +109,7 @@
 
 // The counters have the names that they have today, in their order: INFO, the log and the metrics show them.
 func TestCounterNamesGolden(t *testing.T) {
-	counters := &fleet.Counters{}
+	counters := &proxy.Counters{}
 	checkGolden(t, "counters.golden", counters.String())
 	var listed strings.Builder
 	counters.Each(func(name string, value int64) { fmt.Fprintf(&listed, "%s %d\n", name, value) })
--- a/internal/run/metrics.go
+++ b/internal/run/metrics.go
@@ -5,7 +5,7 @@
 	"strings"
 	"unicode"
 
-	"woodproxy/internal/fleet"
+	"woodproxy/internal/proxy"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -13,7 +13,7 @@
 
 // metrics collects, when it is asked, the counters that there are and how what goes by turns stands.
 type metrics struct {
-	count *fleet.Counters
+	count *proxy.Counters
 	peers *peers
 	back  *returning
 }
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -5,7 +5,7 @@
 	"strings"
 	"sync/atomic"
 
-	"woodproxy/internal/fleet"
+	"woodproxy/internal/proxy"
 	"woodproxy/internal/talk"
 	"woodproxy/internal/wire"
 	"woodproxy/replica"
@@ -20,14 +20,14 @@
 // peers is this proxy's talk with others; it may begin after the proxy does, or never.
 type peers struct {
 	place  *Place
-	router *fleet.Router
-	list   *fleet.List
-	count  *fleet.Counters
+	router *proxy.Router
+	list   *proxy.List
+	count  *proxy.Counters
 	log    *zap.Logger
 	now    atomic.Pointer[talk.Talker]
 	index  atomic.Int64  // of the list, as discovery last told
-	absent *fleet.Absent // nil: no keys are known to be missing
-	duties *fleet.Duties // nil: nothing goes by turns
+	absent *proxy.Absent // nil: no keys are known to be missing
+	duties *proxy.Duties // nil: nothing goes by turns
 }
 
 // start begins to talk, where a file of peers is named.
--- a/internal/run/recovery.go
+++ b/internal/run/recovery.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"woodproxy/internal/fleet"
+	"woodproxy/internal/proxy"
 	"woodproxy/internal/state"
 	"woodproxy/internal/wire"
 	"woodproxy/recovery"
@@ -29,11 +29,11 @@
 	store  *state.Store // nil: nothing is kept
 	place  *Place
 	peers  *peers
-	router *fleet.Router
-	list   *fleet.List
-	count  *fleet.Counters
+	router *proxy.Router
+	list   *proxy.List
+	count  *proxy.Counters
 	log    *zap.Logger
-	clock  fleet.Clock
+	clock  proxy.Clock
 	quit   chan struct{}
 	ended  chan struct{}
 
--- a/internal/run/replace.go
+++ b/internal/run/replace.go
@@ -8,8 +8,8 @@
 	"sync"
 	"syscall"
 
-	"woodproxy/internal/fleet"
 	"woodproxy/internal/handover"
+	"woodproxy/internal/proxy"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
@@ -45,7 +45,7 @@
 }
 
 // leave lets a later process take the listener. Where there is no directory to meet in, none can.
-func leave(p *Place, ln *net.TCPListener, router *fleet.Router, room *allowance, log *zap.Logger) *handover.Estate {
+func leave(p *Place, ln *net.TCPListener, router *proxy.Router, room *allowance, log *zap.Logger) *handover.Estate {
 	list := func() []byte {
 		if list := router.Targets(); list != nil {
 			return wire.AppendTargets(nil, list)
@@ -78,8 +78,8 @@
 // connections to peers and two thirds of those to clients, the old one keeps the rest, and each has half of the memory.
 type allowance struct {
 	share    share
-	door     *fleet.Door
-	router   *fleet.Router
+	door     *proxy.Door
+	router   *proxy.Router
 	own      bool
 	mu       sync.Mutex
 	cores    float64
--- a/internal/run/serve.go
+++ b/internal/run/serve.go
@@ -13,7 +13,7 @@
 
 	"woodproxy/balancer"
 	"woodproxy/internal/control"
-	"woodproxy/internal/fleet"
+	"woodproxy/internal/proxy"
 	"woodproxy/internal/wire"
 	"woodproxy/recovery"
 
@@ -38,10 +38,10 @@
 
 // leaving is how connections end once nobody is let in any more. Clients go on using those that stay open, and lack ours if we
 // are not replaced: so they are served for a while, as long as there is time for it.
-func leaving(alone bool, left time.Duration) fleet.Leaving {
-	l := fleet.Leaving{Yield: 0, Retire: 400 * time.Millisecond, Shut: 800 * time.Millisecond}
+func leaving(alone bool, left time.Duration) proxy.Leaving {
+	l := proxy.Leaving{Yield: 0, Retire: 400 * time.Millisecond, Shut: 800 * time.Millisecond}
 	if alone {
-		l = fleet.Leaving{Yield: 500 * time.Millisecond, Retire: 800 * time.Millisecond, Shut: time.Second}
+		l = proxy.Leaving{Yield: 500 * time.Millisecond, Retire: 800 * time.Millisecond, Shut: time.Second}
 	}
 	l.Yield, l.Retire, l.Shut = min(l.Yield, left*2/5), min(l.Retire, left*3/5), min(l.Shut, left*4/5)
 	return l
@@ -60,9 +60,9 @@
 	if err != nil {
 		return err
 	}
-	count := &fleet.Counters{}
+	count := &proxy.Counters{}
 	share := shareOut(p.Sockets)
-	router := fleet.NewRouter(p.Book, p.Seed, fleet.NewClock(), share.links, count, log)
+	router := proxy.NewRouter(p.Book, p.Seed, proxy.NewClock(), share.links, count, log)
 	if p.Untold {
 		log.Warn("limits.may-tell: no file of peers is named; nothing is told")
 	}
@@ -86,7 +86,7 @@
 			known, wait = v, 0 // it is as new as the list can be
 		}
 	}
-	list, err := fleet.NewList(p.Discovery, known, router, p.Seed, count, log)
+	list, err := proxy.NewList(p.Discovery, known, router, p.Seed, count, log)
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
@@ -100,20 +100,20 @@
 		if p.Talk == nil {
 			say = nil
 		}
-		peers.absent = fleet.NewAbsent(*p.Missing, router, say, log)
+		peers.absent = proxy.NewAbsent(*p.Missing, router, say, log)
 		go peers.absent.Run()
 	}
 	if p.Turns != nil {
-		peers.duties = fleet.NewDuties(*p.Turns, router, list, peers.sayTurn, log)
+		peers.duties = proxy.NewDuties(*p.Turns, router, list, peers.sayTurn, log)
 		go peers.duties.Run()
 	}
 	if p.Zones != nil {
 		router.Zones(*p.Zones, peers.speak)
 	}
-	door := fleet.NewDoor(ln, router, p.MemoryMB, count, log)
+	door := proxy.NewDoor(ln, router, p.MemoryMB, count, log)
 	service := &service{Door: door, peers: peers, count: count, planning: make(chan struct{}, planners)}
 	if p.State != nil || p.Talk != nil {
-		service.back = &returning{store: p.State, place: p, peers: peers, router: router, list: list, count: count, log: log, clock: fleet.NewClock(), quit: make(chan struct{}), ended: make(chan struct{})}
+		service.back = &returning{store: p.State, place: p, peers: peers, router: router, list: list, count: count, log: log, clock: proxy.NewClock(), quit: make(chan struct{}), ended: make(chan struct{})}
 		service.back.in = recovery.New(service.back.now(), recovery.Usual(p.Talk != nil), stored, drained)
 	}
 	if p.Management != "" {
@@ -207,9 +207,9 @@
 
 // service is what operators see of the proxy.
 type service struct {
-	*fleet.Door
+	*proxy.Door
 	peers    *peers
-	count    *fleet.Counters
+	count    *proxy.Counters
 	back     *returning // nil: it goes through no stages
 	stopping atomic.Bool
 	planning chan struct{} // has a place for each plan that is being made
@@ -239,7 +239,7 @@
 
 // take carries out what a configuration read anew asks for. What is settled with the start stays as it is, and the
 // log says so.
-func take(old, p *Place, list *fleet.List, room *allowance, log *zap.Logger) {
+func take(old, p *Place, list *proxy.List, room *allowance, log *zap.Logger) {
 	log.Info("configuration read anew", zap.String("discovery", p.Discovery), zap.Float64("cores", p.Cores),
 		zap.Int("memory_mb", p.MemoryMB))
 	if p.Name != old.Name || p.Listen != old.Listen || p.Management != old.Management || p.Sockets != old.Sockets || !reflect.DeepEqual(p.Book, old.Book) ||
@@ -253,7 +253,7 @@
 	list.Move(p.Discovery)
 }
 
-func counters(c *fleet.Counters) []zap.Field {
+func counters(c *proxy.Counters) []zap.Field {
 	var all []zap.Field
 	c.Each(func(name string, value int64) { all = append(all, zap.Int64(name, value)) })
 	return all
