--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -17,7 +17,7 @@
 
 	"woodproxy/duties"
 	"woodproxy/internal/emu"
-	"woodproxy/internal/talk"
+	"woodproxy/internal/gossip"
 	"woodproxy/internal/wire"
 	"woodproxy/negativecache"
 	"woodproxy/replica"
@@ -273,7 +273,7 @@
 
 // standIn is a peer that says what a test has it say.
 type standIn struct {
-	*talk.Talker
+	*gossip.Talker
 	t     *testing.T
 	leave func() // says goodbye, once
 }
@@ -282,8 +282,8 @@
 func startPeer(t *testing.T, p *proxyProcess) standIn {
 	t.Helper()
 	addr := freeAddress(t)
-	config := &talk.Config{Cluster: "c", Listen: addr, Advertise: addr, Seeds: []string{p.peers}, Hold: 3, Floor: 0.25}
-	talker, err := talk.Start(config, "beta", "b", 2, 60*replica.Second, 1, silentListener{}, zap.NewNop())
+	config := &gossip.Config{Cluster: "c", Listen: addr, Advertise: addr, Seeds: []string{p.peers}, Hold: 3, Floor: 0.25}
+	talker, err := gossip.Start(config, "beta", "b", 2, 60*replica.Second, 1, silentListener{}, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/talk/message.go
+++ b/internal/gossip/message.go
@@ -1,4 +1,4 @@
-package talk
+package gossip
 
 import (
 	"errors"
--- a/internal/talk/talk.go
+++ b/internal/gossip/talk.go
@@ -1,6 +1,6 @@
-// Package talk carries what the replication module decides to other proxies and back: members by hashicorp/memberlist,
+// Package gossip carries what the replication module decides to other proxies and back: members by hashicorp/memberlist,
 // rows by its gossip and its streams. Nothing of the proxy waits for it; it may wait for them.
-package talk
+package gossip
 
 import (
 	"errors"
--- a/internal/run/config.go
+++ b/internal/run/config.go
@@ -10,8 +10,8 @@
 	"strconv"
 
 	"woodproxy/duties"
+	"woodproxy/internal/gossip"
 	"woodproxy/internal/state"
-	"woodproxy/internal/talk"
 	"woodproxy/internal/terms"
 	"woodproxy/negativecache"
 	"woodproxy/rebalance"
@@ -33,7 +33,7 @@
 	Book                    *terms.Book
 	Untold                  bool   // peers might be told things, and no file of peers is named
 	Peers, PeersListen      string // the file of peers, "": none; where they meet this proxy, before what the file says
-	Talk                    *talk.Config
+	Talk                    *gossip.Config
 	ZonesFile               string // by which whole zones are left, "": they are not
 	Zones                   *zonehealth.Terms
 	StateDir                string // where it keeps what it knows for its next start, "": nowhere
@@ -124,7 +124,7 @@
 	}
 	p.Untold, p.Book.Terms.Peers = p.Book.Terms.Peers > 0, 0
 	if p.Peers != "" {
-		if p.Talk, err = talk.Read(p.Peers, p.PeersListen); err != nil {
+		if p.Talk, err = gossip.Read(p.Peers, p.PeersListen); err != nil {
 			return nil, err
 		}
 		for _, a := range [...]string{p.Listen, p.Management, p.Discovery} {
--- a/internal/run/peers.go
+++ b/internal/run/peers.go
@@ -5,8 +5,8 @@
 	"strings"
 	"sync/atomic"
 
+	"woodproxy/internal/gossip"
 	"woodproxy/internal/proxy"
-	"woodproxy/internal/talk"
 	"woodproxy/internal/wire"
 	"woodproxy/replica"
 
@@ -24,7 +24,7 @@
 	list   *proxy.List
 	count  *proxy.Counters
 	log    *zap.Logger
-	now    atomic.Pointer[talk.Talker]
+	now    atomic.Pointer[gossip.Talker]
 	index  atomic.Int64  // of the list, as discovery last told
 	absent *proxy.Absent // nil: no keys are known to be missing
 	duties *proxy.Duties // nil: nothing goes by turns
@@ -40,7 +40,7 @@
 	for _, r := range terms.Routes {
 		shortest = min(shortest, replica.Time(r.Objective))
 	}
-	t, err := talk.Start(p.place.Talk, p.place.Name, p.place.Zone(), max(terms.Proxies, 1), sightsFor*shortest, p.place.Seed, p, p.log)
+	t, err := gossip.Start(p.place.Talk, p.place.Name, p.place.Zone(), max(terms.Proxies, 1), sightsFor*shortest, p.place.Seed, p, p.log)
 	if err != nil {
 		return err
 	}
