--- a/cmd/woodproxy/main.go
+++ b/cmd/woodproxy/main.go
@@ -17,7 +17,7 @@
 	"syscall"
 	"time"
 
-	"woodproxy/internal/run"
+	"woodproxy/internal/server"
 	"woodproxy/internal/wire"
 
 	"github.com/alecthomas/kong"
@@ -40,8 +40,8 @@
 	Shared     string `env:"TMPDIR" help:"A directory that a process shares with the one that replaces it."`
 }
 
-func (p *place) read() (*run.Place, error) {
-	return run.Read(p.Config, run.Place{
+func (p *place) read() (*server.Place, error) {
+	return server.Read(p.Config, server.Place{
 		Name: p.Name, Listen: p.Listen, Discovery: p.Discovery, Management: p.Management,
 		Own: true, Shared: p.Shared, Peers: p.Peers, PeersListen: p.PeersAt, ZonesFile: p.Zones, StateDir: p.State, MissingFile: p.Missing, MovesFile: p.Moves, TurnsFile: p.Turns,
 	})
@@ -61,13 +61,13 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	// the environment is that of the start; where discovery is by now, only the file can tell
-	again := func() (*run.Place, error) {
-		return run.Read(s.Config, run.Place{
+	again := func() (*server.Place, error) {
+		return server.Read(s.Config, server.Place{
 			Name: s.Name, Listen: s.Listen, Management: s.Management,
 			Own: true, Shared: s.Shared, Peers: s.Peers, PeersListen: s.PeersAt, ZonesFile: s.Zones, StateDir: s.State, MissingFile: s.Missing, MovesFile: s.Moves, TurnsFile: s.Turns,
 		})
 	}
-	return run.Serve(p, again, log, signals)
+	return server.Serve(p, again, log, signals)
 }
 
 type check struct{ place }
--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"woodproxy/internal/emu"
-	"woodproxy/internal/run"
+	"woodproxy/internal/server"
 
 	"go.uber.org/zap"
 )
@@ -33,14 +33,16 @@
 func (i inside) Done() <-chan error { return i.done }
 
 func start(s emu.Site) (emu.Proxy, error) {
-	read := func() (*run.Place, error) { return run.Read(s.Config, run.Place{Shared: filepath.Join(s.Dir, "tmp")}) }
+	read := func() (*server.Place, error) {
+		return server.Read(s.Config, server.Place{Shared: filepath.Join(s.Dir, "tmp")})
+	}
 	p, err := read()
 	if err != nil {
 		return nil, err
 	}
 	i := inside{make(chan os.Signal, 4), make(chan error, 1)}
 	go func() {
-		i.done <- run.Serve(p, read, zap.NewNop(), i.signals)
+		i.done <- server.Serve(p, read, zap.NewNop(), i.signals)
 		close(i.done)
 	}()
 	return i, nil
--- a/internal/run/api_golden_test.go
+++ b/internal/server/api_golden_test.go
@@ -1,4 +1,4 @@
-package run_test
+package server_test
 
 import (
 	"errors"
@@ -13,7 +13,7 @@
 	"time"
 
 	"woodproxy/internal/control"
-	"woodproxy/internal/run"
+	"woodproxy/internal/server"
 	"woodproxy/rebalance"
 )
 
@@ -249,7 +249,7 @@
 			`"found":{"Shards":2,"Lacks":[{"node":"a","bytes":6}]}}`,
 	},
 	{
-		&run.BusyError{Most: 1},
+		&server.BusyError{Most: 1},
 		`{"type":"run.BusyError",` +
 			`"error":"1 plan is being made already; ask again once it is done",` +
 			`"found":{"Most":1}}`,
--- a/internal/run/config.go
+++ b/internal/server/config.go
@@ -1,5 +1,5 @@
-// Package run starts the proxy and stops it.
-package run
+// Package server starts the proxy and stops it.
+package server
 
 import (
 	"errors"
--- a/internal/run/config_golden_test.go
+++ b/internal/server/config_golden_test.go
@@ -1,4 +1,4 @@
-package run_test
+package server_test
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"woodproxy/internal/run"
+	"woodproxy/internal/server"
 	"woodproxy/internal/terms"
 )
 
@@ -19,7 +19,7 @@
 
 // readPlace writes the files into a directory and reads the configuration with them. Errors are stable
 // ones.
-func readPlace(t *testing.T, files placeFiles, over run.Place) (*run.Place, error) {
+func readPlace(t *testing.T, files placeFiles, over server.Place) (*server.Place, error) {
 	t.Helper()
 	dir := t.TempDir()
 	write := func(name, text string) string {
@@ -38,7 +38,7 @@
 	over.TurnsFile = write("turns.toml", files.turns)
 	over.MovesFile = write("moves.toml", files.moves)
 	over.MissingFile = write("missing.toml", files.missing)
-	place, err := run.Read(write("config.json", files.config), over)
+	place, err := server.Read(write("config.json", files.config), over)
 	if err != nil {
 		return nil, errors.New(stableError(err, dir))
 	}
@@ -47,7 +47,7 @@
 
 // formatConfig lists what was read of the configuration under the names of the file's keys. All keys of the settings
 // object are listed by the tests of the package that reads it.
-func formatConfig(place *run.Place) string {
+func formatConfig(place *server.Place) string {
 	var text strings.Builder
 	line := func(label string, value any) { fmt.Fprintf(&text, "%s = %v\n", label, value) }
 	line("name", place.Name)
@@ -85,7 +85,7 @@
 }
 
 // describeConfig lists what was read of a configuration, or the error.
-func describeConfig(t *testing.T, files placeFiles, over run.Place) string {
+func describeConfig(t *testing.T, files placeFiles, over server.Place) string {
 	t.Helper()
 	place, err := readPlace(t, files, over)
 	if err != nil {
@@ -96,27 +96,27 @@
 
 func TestConfigEveryKey(t *testing.T) {
 	every := readTestdata(t, "config_every_key.json")
-	describe := func(text string) string { return describeConfig(t, placeFiles{config: text}, run.Place{}) }
+	describe := func(text string) string { return describeConfig(t, placeFiles{config: text}, server.Place{}) }
 	checkGolden(t, "config_every_key.golden", describe(every))
 	checkGolden(t, "config_every_key_left_out.golden", leaveOutEachKey(every, describe))
 }
 
 func TestConfigDefaults(t *testing.T) {
 	required := readTestdata(t, "config_required_keys.json")
-	checkGolden(t, "config_defaults.golden", describeConfig(t, placeFiles{config: required}, run.Place{}))
+	checkGolden(t, "config_defaults.golden", describeConfig(t, placeFiles{config: required}, server.Place{}))
 }
 
 // What is given beside the file goes before what it says.
 func TestConfigOverrides(t *testing.T) {
 	files := placeFiles{config: readTestdata(t, "config_every_key.json")}
-	over := run.Place{Name: "proxy-32", Listen: "127.0.0.41:1", Discovery: "127.0.0.42:2", Management: "127.0.0.43:3"}
-	checkGolden(t, "config_overrides.golden", changedLines(describeConfig(t, files, over), describeConfig(t, files, run.Place{})))
+	over := server.Place{Name: "proxy-32", Listen: "127.0.0.41:1", Discovery: "127.0.0.42:2", Management: "127.0.0.43:3"}
+	checkGolden(t, "config_overrides.golden", changedLines(describeConfig(t, files, over), describeConfig(t, files, server.Place{})))
 }
 
 // What changes in the configuration when a value is null, stands twice or is not known, or a file of peers is named.
 func TestConfigVariants(t *testing.T) {
 	every := readTestdata(t, "config_every_key.json")
-	base := describeConfig(t, placeFiles{config: every}, run.Place{})
+	base := describeConfig(t, placeFiles{config: every}, server.Place{})
 	var report strings.Builder
 	for _, change := range []struct{ from, to string }{
 		{`"management": "127.0.0.33:6433"`, `"management": null`},
@@ -131,11 +131,11 @@
 	} {
 		text := replaceIn(t, every, change.from, change.to)
 		fmt.Fprintf(&report, "%s instead of %s:\n%s", change.to, change.from,
-			changedLines(describeConfig(t, placeFiles{config: text}, run.Place{}), base))
+			changedLines(describeConfig(t, placeFiles{config: text}, server.Place{}), base))
 	}
 	text := replaceIn(t, every, `"tick":7.3`, `"tick":7.3,"me":6`)
 	files := placeFiles{config: text, peers: readTestdata(t, "peers.toml")}
-	fmt.Fprintf(&report, "\"me\":6 with a file of peers:\n%s", changedLines(describeConfig(t, files, run.Place{}), base))
+	fmt.Fprintf(&report, "\"me\":6 with a file of peers:\n%s", changedLines(describeConfig(t, files, server.Place{}), base))
 	checkGolden(t, "config_variants.golden", report.String())
 }
 
@@ -196,11 +196,11 @@
 			"configuration: watch: setup routes: not those of the settings",
 		},
 	} {
-		_, err := readPlace(t, placeFiles{config: replaceIn(t, every, c.from, c.to)}, run.Place{})
+		_, err := readPlace(t, placeFiles{config: replaceIn(t, every, c.from, c.to)}, server.Place{})
 		expectError(t, c.to, err, c.want)
 	}
-	_, err := run.Read("", run.Place{})
+	_, err := server.Read("", server.Place{})
 	expectError(t, "no file", err, "configuration: no file named")
-	_, err = run.Read("testdata/absent.json", run.Place{})
+	_, err = server.Read("testdata/absent.json", server.Place{})
 	expectError(t, "a file that is not there", err, "configuration: open testdata/absent.json: no such file or directory")
 }
--- a/internal/run/crowd_test.go
+++ b/internal/server/crowd_test.go
@@ -1,4 +1,4 @@
-package run
+package server
 
 import (
 	"bufio"
--- a/internal/run/golden_test.go
+++ b/internal/server/golden_test.go
@@ -1,4 +1,4 @@
-package run_test
+package server_test
 
 import (
 	"flag"
--- a/internal/run/toml_golden_test.go
+++ b/internal/server/toml_golden_test.go
@@ -1,4 +1,4 @@
-package run_test
+package server_test
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 	"testing"
 
 	"woodproxy/duties"
-	"woodproxy/internal/run"
+	"woodproxy/internal/server"
 	"woodproxy/negativecache"
 	"woodproxy/zonehealth"
 )
@@ -17,9 +17,9 @@
 
 // tomlFile is one kind of TOML file beside the configuration, for the tests that all kinds have in common.
 type tomlFile struct {
-	name     string                                                 // of the kind: testdata has name_every_key.toml, deploy has name.toml
-	files    func(t *testing.T, text string) placeFiles             // the files of a proxy that is configured by the text as well
-	describe func(place *run.Place, line func(label string, v any)) // lists what was read under the names of the file's keys
+	name     string                                                    // of the kind: testdata has name_every_key.toml, deploy has name.toml
+	files    func(t *testing.T, text string) placeFiles                // the files of a proxy that is configured by the text as well
+	describe func(place *server.Place, line func(label string, v any)) // lists what was read under the names of the file's keys
 }
 
 var tomlFiles = []tomlFile{zonesTOML, turnsTOML, movesTOML, missingTOML}
@@ -29,7 +29,7 @@
 	files: func(t *testing.T, text string) placeFiles {
 		return placeFiles{config: readTestdata(t, "config_for_toml_files.json"), zones: text}
 	},
-	describe: func(place *run.Place, line func(label string, v any)) {
+	describe: func(place *server.Place, line func(label string, v any)) {
 		z := place.Zones
 		line("zone", z.Zone)
 		line("quiet_ms", zoneMilliseconds(z.Quiet))
@@ -56,7 +56,7 @@
 	files: func(t *testing.T, text string) placeFiles {
 		return placeFiles{config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), turns: text}
 	},
-	describe: func(place *run.Place, line func(label string, v any)) {
+	describe: func(place *server.Place, line func(label string, v any)) {
 		milliseconds := func(span duties.Time) float64 { return float64(span) / 10 }
 		line("watchers", place.Turns.Watchers)
 		line("keepers", place.Turns.Keepers)
@@ -74,7 +74,7 @@
 	files: func(t *testing.T, text string) placeFiles {
 		return placeFiles{config: readTestdata(t, "config_for_toml_files.json"), moves: text}
 	},
-	describe: func(place *run.Place, line func(label string, v any)) {
+	describe: func(place *server.Place, line func(label string, v any)) {
 		line("slack", place.Moves.Slack)
 		line("moves_per_node", place.Moves.PerNode)
 		line("moves_in_all", place.Moves.InAll)
@@ -86,7 +86,7 @@
 	files: func(t *testing.T, text string) placeFiles {
 		return placeFiles{config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), missing: text}
 	},
-	describe: func(place *run.Place, line func(label string, v any)) {
+	describe: func(place *server.Place, line func(label string, v any)) {
 		line("entries", place.Missing.Entries)
 		line("believe_s", float64(place.Missing.Believe)/float64(negativecache.Second))
 		line("grace_ms", float64(place.Missing.Grace)/float64(negativecache.Second)*1000)
@@ -101,7 +101,7 @@
 // read lists what was read of a file with the text, or the error.
 func (f *tomlFile) read(t *testing.T, text string) string {
 	t.Helper()
-	place, err := readPlace(t, f.files(t, text), run.Place{})
+	place, err := readPlace(t, f.files(t, text), server.Place{})
 	if err != nil {
 		return fmt.Sprintf("error: %v\n", err)
 	}
@@ -140,7 +140,7 @@
 func TestZonesFileLocality(t *testing.T) {
 	files := zonesTOML.files(t, readTestdata(t, "zones_every_key.toml"))
 	files.config = replaceIn(t, files.config, `"tick":5`, `"tick":5,"locality":"north"`)
-	place, err := readPlace(t, files, run.Place{})
+	place, err := readPlace(t, files, server.Place{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -156,7 +156,7 @@
 	t.Helper()
 	every := readTestdata(t, f.name+"_every_key.toml")
 	for _, c := range cases {
-		_, err := readPlace(t, f.files(t, replaceIn(t, every, c.from, c.to)), run.Place{})
+		_, err := readPlace(t, f.files(t, replaceIn(t, every, c.from, c.to)), server.Place{})
 		expectError(t, f.name+": "+c.to, err, c.want)
 	}
 }
@@ -209,7 +209,7 @@
 	})
 	files := turnsTOML.files(t, noKeys)
 	files.peers = ""
-	_, err := readPlace(t, files, run.Place{})
+	_, err := readPlace(t, files, server.Place{})
 	expectError(t, "turns without peers", err,
 		"turns: turns.toml: proxies do not talk; name a file of peers as well (--peers FILE), or leave the file of turns out")
 }
@@ -240,7 +240,7 @@
 	})
 	files := missingTOML.files(t, noKeys)
 	files.peers = ""
-	_, err := readPlace(t, files, run.Place{})
+	_, err := readPlace(t, files, server.Place{})
 	expectError(t, "missing keys without peers", err, "missing: missing.toml: 7 proxies may write, and they do not talk; "+
 		"name a file of peers as well (--peers FILE), or leave the file of missing keys out")
 }
@@ -249,10 +249,10 @@
 func TestPeersFileOfConfigBadInputs(t *testing.T) {
 	config, peers := readTestdata(t, "config_every_key.json"), readTestdata(t, "peers.toml")
 	for _, address := range []string{"127.0.0.31:6431", "127.0.0.32:6432", "127.0.0.33:6433"} {
-		_, err := readPlace(t, placeFiles{config: config, peers: replaceIn(t, peers, "127.0.0.3:7001", address)}, run.Place{})
+		_, err := readPlace(t, placeFiles{config: config, peers: replaceIn(t, peers, "127.0.0.3:7001", address)}, server.Place{})
 		expectError(t, address, err, `peers: peers.toml: listen: the address of another listener: "`+address+`"`)
 	}
-	_, err := readPlace(t, placeFiles{config: config, peers: replaceIn(t, peers, "cluster", "fleet")}, run.Place{})
+	_, err := readPlace(t, placeFiles{config: config, peers: replaceIn(t, peers, "cluster", "fleet")}, server.Place{})
 	expectError(t, "unknown key", err, "peers: peers.toml: line 1: fleet: unknown")
 }
 
@@ -261,15 +261,15 @@
 	const config, absent = "testdata/config_for_toml_files.json", "testdata/absent.toml"
 	for _, c := range []struct {
 		name string
-		over run.Place
+		over server.Place
 	}{
-		{"peers", run.Place{Peers: absent}},
-		{"zones", run.Place{ZonesFile: absent}},
-		{"turns", run.Place{TurnsFile: absent, Peers: "testdata/peers.toml"}},
-		{"moves", run.Place{MovesFile: absent}},
-		{"missing", run.Place{MissingFile: absent, Peers: "testdata/peers.toml"}},
+		{"peers", server.Place{Peers: absent}},
+		{"zones", server.Place{ZonesFile: absent}},
+		{"turns", server.Place{TurnsFile: absent, Peers: "testdata/peers.toml"}},
+		{"moves", server.Place{MovesFile: absent}},
+		{"missing", server.Place{MissingFile: absent, Peers: "testdata/peers.toml"}},
 	} {
-		_, err := run.Read(config, c.over)
+		_, err := server.Read(config, c.over)
 		expectError(t, c.name, err, c.name+": open testdata/absent.toml: no such file or directory")
 		if !errors.Is(err, os.ErrNotExist) {
 			t.Errorf("%s: not an error of a file that does not exist", c.name)
