--- a/internal/handover/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"flag"
--- a/internal/handover/handover.go
+++ b/internal/hotrestart/handover.go
@@ -1,7 +1,7 @@
-// Package handover passes the clients' listener and the list from a running process to the one that replaces it, over a
+// Package hotrestart passes the clients' listener and the list from a running process to the one that replaces it, over a
 // Unix socket in a directory that both share. The connection stays open for as long as both run, and its end tells each
 // that the other has gone.
-package handover
+package hotrestart
 
 import (
 	"bufio"
--- a/internal/server/replace.go
+++ b/internal/server/replace.go
@@ -8,7 +8,7 @@
 	"sync"
 	"syscall"
 
-	"woodproxy/internal/handover"
+	"woodproxy/internal/hotrestart"
 	"woodproxy/internal/proxy"
 	"woodproxy/internal/wire"
 
@@ -23,14 +23,14 @@
 
 // enter takes the listener of the process that this one replaces, if there is one, or listens itself. A process that
 // can't be asked may still be there: both listen then, and each is dealt a part of those who come.
-func enter(p *Place, log *zap.Logger) (*net.TCPListener, *handover.Before, error) {
+func enter(p *Place, log *zap.Logger) (*net.TCPListener, *hotrestart.Before, error) {
 	if p.Shared != "" {
-		before, err := handover.Claim(p.Shared, p.Listen)
+		before, err := hotrestart.Claim(p.Shared, p.Listen)
 		if err == nil {
 			log.Info("listener taken over", zap.Int("list", len(before.List)))
 			return before.Listener, before, nil
 		}
-		if !errors.Is(err, handover.ErrNobody) {
+		if !errors.Is(err, hotrestart.ErrNobody) {
 			log.Warn("listener not taken over", zap.Error(err))
 		}
 	}
@@ -45,14 +45,14 @@
 }
 
 // leave lets a later process take the listener. Where there is no directory to meet in, none can.
-func leave(p *Place, ln *net.TCPListener, router *proxy.Router, room *allowance, log *zap.Logger) *handover.Estate {
+func leave(p *Place, ln *net.TCPListener, router *proxy.Router, room *allowance, log *zap.Logger) *hotrestart.Estate {
 	list := func() []byte {
 		if list := router.Targets(); list != nil {
 			return wire.AppendTargets(nil, list)
 		}
 		return []byte("null")
 	}
-	estate := handover.New(p.Shared, p.Listen, ln, list, func(heirs, serving int) {
+	estate := hotrestart.New(p.Shared, p.Listen, ln, list, func(heirs, serving int) {
 		room.set(func(r *allowance) { r.heirs = heirs > 0 })
 		room.door.Pause(serving > 0)
 	}, log)
--- a/internal/server/replace_test.go
+++ b/internal/server/replace_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"woodproxy/internal/emu"
-	"woodproxy/internal/handover"
+	"woodproxy/internal/hotrestart"
 
 	"go.uber.org/zap"
 )
@@ -119,7 +119,7 @@
 func TestHeirDies(t *testing.T) {
 	t.Parallel()
 	s := started(t)
-	heir, err := handover.Claim(s.shared, s.addr)
+	heir, err := hotrestart.Claim(s.shared, s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -165,7 +165,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		before := handover.New(s.shared, s.addr, ln.(*net.TCPListener), func() []byte { return []byte(list) }, func(int, int) {}, zap.NewNop())
+		before := hotrestart.New(s.shared, s.addr, ln.(*net.TCPListener), func() []byte { return []byte(list) }, func(int, int) {}, zap.NewNop())
 		if err := before.Open(); err != nil {
 			t.Fatal(err)
 		}
