--- a/internal/control/control.go
+++ b/internal/admin/control.go
@@ -1,6 +1,6 @@
-// Package control answers the calls of operators at an address of their own. It keeps away from what exchanges use: no
+// Package admin answers the calls of operators at an address of their own. It keeps away from what exchanges use: no
 // call waits for an actor, and its connections are few, whoever comes.
-package control
+package admin
 
 import (
 	"encoding/json"
--- a/internal/server/api_golden_test.go
+++ b/internal/server/api_golden_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"woodproxy/internal/control"
+	"woodproxy/internal/admin"
 	"woodproxy/internal/server"
 	"woodproxy/rebalance"
 )
@@ -63,10 +63,10 @@
 }
 
 // serve starts the operators' listener and returns its address.
-func serve(t *testing.T, service control.Service) string {
+func serve(t *testing.T, service admin.Service) string {
 	t.Helper()
 	addr := freeAddress(t)
-	server, err := control.Listen(addr, service)
+	server, err := admin.Listen(addr, service)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/server/serve.go
+++ b/internal/server/serve.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"woodproxy/balancer"
-	"woodproxy/internal/control"
+	"woodproxy/internal/admin"
 	"woodproxy/internal/proxy"
 	"woodproxy/internal/wire"
 	"woodproxy/recovery"
@@ -117,7 +117,7 @@
 		service.back.in = recovery.New(service.back.now(), recovery.Usual(p.Talk != nil), stored, drained)
 	}
 	if p.Management != "" {
-		operators, err := control.Listen(p.Management, service)
+		operators, err := admin.Listen(p.Management, service)
 		if err != nil {
 			return fmt.Errorf("configuration: management: %w", err)
 		}
