--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -11,7 +11,7 @@
 
 	"woodproxy/duties"
 	"woodproxy/internal/gossip"
-	"woodproxy/internal/state"
+	"woodproxy/internal/snapshot"
 	"woodproxy/internal/terms"
 	"woodproxy/negativecache"
 	"woodproxy/rebalance"
@@ -37,7 +37,7 @@
 	ZonesFile               string // by which whole zones are left, "": they are not
 	Zones                   *zonehealth.Terms
 	StateDir                string // where it keeps what it knows for its next start, "": nowhere
-	State                   *state.Store
+	State                   *snapshot.Store
 	MissingFile             string // by which keys are known to be missing, "": they are not
 	Missing                 *negativecache.Terms
 	MovesFile               string // by which moves of shards are planned, "": they are not
@@ -141,7 +141,7 @@
 		}
 	}
 	if p.StateDir != "" {
-		if p.State, err = state.Open(p.StateDir, p.Name); err != nil {
+		if p.State, err = snapshot.Open(p.StateDir, p.Name); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"woodproxy/internal/proxy"
-	"woodproxy/internal/state"
+	"woodproxy/internal/snapshot"
 	"woodproxy/internal/wire"
 	"woodproxy/recovery"
 
@@ -26,7 +26,7 @@
 
 // returning is how the proxy comes back, and what it keeps for the next time.
 type returning struct {
-	store  *state.Store // nil: nothing is kept
+	store  *snapshot.Store // nil: nothing is kept
 	place  *Place
 	peers  *peers
 	router *proxy.Router
@@ -47,7 +47,7 @@
 		return p.Known, "", 0, nil
 	}
 	old, err := p.State.Load()
-	var torn *state.TornError
+	var torn *snapshot.TornError
 	if errors.As(err, &torn) {
 		log.Warn("state: " + torn.Error())
 		return p.Known, "unreadable, and put aside", 0, p.State.Aside()
@@ -182,13 +182,13 @@
 }
 
 // snapshot is what is worth keeping, nil: there is nothing yet, or nobody has time to tell.
-func (r *returning) snapshot() *state.Snapshot {
+func (r *returning) snapshot() *snapshot.Snapshot {
 	index := r.list.Version()
 	list := r.router.Targets()
 	if index == 0 || len(list) == 0 {
 		return nil
 	}
-	all := &state.Snapshot{Cluster: r.place.cluster(), At: time.Now(), Index: index, List: wire.AppendTargets(nil, list)}
+	all := &snapshot.Snapshot{Cluster: r.place.cluster(), At: time.Now(), Index: index, List: wire.AppendTargets(nil, list)}
 	if t := r.peers.now.Load(); t != nil {
 		for _, m := range t.Shown().Members {
 			if m.Address != "" && m.State != "gone" && m.Name != r.place.Name && len(all.Peers) < mostSeeds {
--- a/internal/state/golden_test.go
+++ b/internal/snapshot/golden_test.go
@@ -1,4 +1,4 @@
-package state_test
+package snapshot_test
 
 import (
 	"encoding/hex"
--- a/internal/state/state.go
+++ b/internal/snapshot/state.go
@@ -1,6 +1,6 @@
-// Package state keeps what a proxy knows in a file, whole or not at all: written beside the old one and put in its place, with a
+// Package snapshot keeps what a proxy knows in a file, whole or not at all: written beside the old one and put in its place, with a
 // checksum, so that what is read is what was written or nothing. Nothing of the proxy waits for it.
-package state
+package snapshot
 
 import (
 	"encoding/binary"
--- a/internal/state/state_test.go
+++ b/internal/snapshot/state_test.go
@@ -1,4 +1,4 @@
-package state
+package snapshot
 
 import (
 	"bytes"
--- a/internal/state/wire_golden_test.go
+++ b/internal/snapshot/wire_golden_test.go
@@ -1,4 +1,4 @@
-package state_test
+package snapshot_test
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"woodproxy/internal/state"
+	"woodproxy/internal/snapshot"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -30,8 +30,8 @@
 const owner = "proxy-a"
 
 // snapshots are what the golden file holds, by name.
-func snapshots() map[string]state.Snapshot {
-	return map[string]state.Snapshot{
+func snapshots() map[string]snapshot.Snapshot {
+	return map[string]snapshot.Snapshot{
 		"full": {
 			Owner: owner, Cluster: "cluster-1", At: time.Unix(1700000000, 123456789), Index: 70000,
 			List:  []byte(`{"index":0,"snapshot":true,"endpoints":[{"name":"node-1","address":"192.0.2.1:11211","status":"active"}]}`),
@@ -99,7 +99,7 @@
 		{"too long", withBody(make([]byte, maxLength-bodyAt+1)), "over 16777216 bytes"},
 	} {
 		got, err := load(t, c.file)
-		var torn *state.TornError
+		var torn *snapshot.TornError
 		if got != nil || !errors.As(err, &torn) || !strings.Contains(torn.What, c.want) {
 			t.Errorf("%s: %+v %v, want %q", c.name, got, err, c.want)
 		}
@@ -130,9 +130,9 @@
 	}
 }
 
-func open(t *testing.T, dir string) *state.Store {
+func open(t *testing.T, dir string) *snapshot.Store {
 	t.Helper()
-	store, err := state.Open(dir, owner)
+	store, err := snapshot.Open(dir, owner)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -140,7 +140,7 @@
 }
 
 // saved is the only file that Save leaves in its directory.
-func saved(t *testing.T, snapshot state.Snapshot) []byte {
+func saved(t *testing.T, snapshot snapshot.Snapshot) []byte {
 	t.Helper()
 	dir := t.TempDir()
 	if err := open(t, dir).Save(&snapshot); err != nil {
@@ -158,7 +158,7 @@
 }
 
 // load has a store read a file of these bytes.
-func load(t *testing.T, file []byte) (*state.Snapshot, error) {
+func load(t *testing.T, file []byte) (*snapshot.Snapshot, error) {
 	t.Helper()
 	dir := t.TempDir()
 	store := open(t, dir)
