--- a/internal/proxy/absent.go
+++ b/internal/proxy/absent.go
@@ -4,7 +4,7 @@
 	"sync/atomic"
 	"time"
 
-	"woodproxy/internal/terms"
+	"woodproxy/internal/settings"
 	"woodproxy/negativecache"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,7 +20,7 @@
 	in    *negativecache.Instance
 	table *negativecache.Table
 	clock Clock
-	book  *terms.Book
+	book  *settings.Book
 	say   func(d *negativecache.Decision) // to peers; it may not wait. nil: there are none
 	lost  atomic.Bool                     // a write found no room in the mailbox
 	sent  atomic.Int64
--- a/internal/proxy/actor_test.go
+++ b/internal/proxy/actor_test.go
@@ -14,14 +14,14 @@
 	"time"
 
 	"woodproxy/balancer"
-	"woodproxy/internal/terms"
+	"woodproxy/internal/settings"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
 )
 
 func newTestRouter() *Router {
-	book := &terms.Book{Terms: balancer.Terms{Routes: []balancer.Route{{Objective: 6000, Overall: 12000, Value: 1}}}}
+	book := &settings.Book{Terms: balancer.Terms{Routes: []balancer.Route{{Objective: 6000, Overall: 12000, Value: 1}}}}
 	m := NewRouter(book, 1, NewClock(), 1, &Counters{}, zap.NewNop())
 	m.memory.grow(1 << 20)
 	return m
@@ -183,7 +183,7 @@
 		change(&other)
 		m := newTestRouter()
 		m.brain = balancer.New(0, mine, 1)
-		m.Watch(&terms.Book{Terms: other}, 1)
+		m.Watch(&settings.Book{Terms: other}, 1)
 		m.watch.instance = balancer.New(0, other, 1)
 		chance := rand.New(rand.NewPCG(1, 2))
 		type out struct {
--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/ending_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"woodproxy/balancer"
-	"woodproxy/internal/terms"
+	"woodproxy/internal/settings"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
@@ -162,7 +162,7 @@
 
 func newSteppingRig(t *testing.T, step *stepping, sockets int, change func(*balancer.Terms), nodes ...*standIn) *rig {
 	t.Helper()
-	book := &terms.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: balancer.Terms{
+	book := &settings.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: balancer.Terms{
 		Proxies: 1, MaxTries: 3,
 		Tick: 50, Aside: true, Fall: 20000, FallMultiple: 3, Cold: 1, ColdFrom: 0.3,
 		Routes: []balancer.Route{{Objective: 300000, Overall: 600000, Value: 1}, {Objective: 300000, Overall: 600000, Value: 1}},
--- a/internal/proxy/onlooker.go
+++ b/internal/proxy/onlooker.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"woodproxy/balancer"
-	"woodproxy/internal/terms"
+	"woodproxy/internal/settings"
 )
 
 // aboutTo is how near two wake-ups are to be one: their timers are set one after the other.
@@ -23,7 +23,7 @@
 }
 
 // Watch has the module's decisions compared with those under other terms. It is called before Run.
-func (m *Router) Watch(book *terms.Book, seed uint64) {
+func (m *Router) Watch(book *settings.Book, seed uint64) {
 	m.watch = &onlooker{
 		instance: balancer.New(m.clock.Now(), book.Terms, seed), timer: time.NewTimer(time.Hour),
 		did: map[int]*balancer.Decision{}, count: m.count,
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"woodproxy/balancer"
-	"woodproxy/internal/terms"
+	"woodproxy/internal/settings"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
@@ -22,7 +22,7 @@
 type Router struct {
 	box    mailbox
 	brain  *balancer.Instance
-	book   *terms.Book
+	book   *settings.Book
 	clock  Clock
 	wake   *time.Timer
 	wakes  balancer.Time // when it fires, 0: nothing is asked for
@@ -77,7 +77,7 @@
 }
 
 // NewRouter returns a module's actor that knows no nodes; sockets is how many it may have open to peers.
-func NewRouter(book *terms.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Router {
+func NewRouter(book *settings.Book, seed uint64, clock Clock, sockets int, count *Counters, log *zap.Logger) *Router {
 	return &Router{
 		box: make(mailbox, 4*mostHeld), brain: balancer.New(clock.Now(), book.Terms, seed), book: book,
 		clock: clock, wake: time.NewTimer(time.Hour), byName: map[string]int{}, ids: map[string]struct{}{}, links: newBudget(sockets, &count.UpstreamOpen),
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -11,8 +11,8 @@
 
 	"woodproxy/duties"
 	"woodproxy/internal/gossip"
+	"woodproxy/internal/settings"
 	"woodproxy/internal/snapshot"
-	"woodproxy/internal/terms"
 	"woodproxy/negativecache"
 	"woodproxy/rebalance"
 	"woodproxy/zonehealth"
@@ -30,7 +30,7 @@
 	Cores                   float64
 	MemoryMB, Sockets       int
 	Known                   *fastjson.Value
-	Book                    *terms.Book
+	Book                    *settings.Book
 	Untold                  bool   // peers might be told things, and no file of peers is named
 	Peers, PeersListen      string // the file of peers, "": none; where they meet this proxy, before what the file says
 	Talk                    *gossip.Config
@@ -44,7 +44,7 @@
 	Moves                   *rebalance.Terms
 	TurnsFile               string // by which proxies take turns, "": they do not
 	Turns                   *duties.Terms
-	Watch                   *terms.Book // terms that are only watched, nil: none
+	Watch                   *settings.Book // terms that are only watched, nil: none
 }
 
 // Read takes the configuration file; what the other place names of name, listen,
@@ -119,7 +119,7 @@
 	if s == nil || s.Type() != fastjson.TypeObject {
 		return nil, errors.New("configuration: settings: missing or mistyped")
 	}
-	if p.Book, err = terms.Read(s); err != nil {
+	if p.Book, err = settings.Read(s); err != nil {
 		return nil, fmt.Errorf("configuration: settings: %w", err)
 	}
 	p.Untold, p.Book.Terms.Peers = p.Book.Terms.Peers > 0, 0
@@ -171,7 +171,7 @@
 
 // watched reads the settings with what watch puts in their place. Routes, tenants, zones and kinds have to be the same
 // ones in the same order, since the same exchanges are put to both.
-func watched(v *fastjson.Value, book *terms.Book) (*terms.Book, error) {
+func watched(v *fastjson.Value, book *settings.Book) (*settings.Book, error) {
 	over := v.Get("watch")
 	switch {
 	case over == nil || over.Type() == fastjson.TypeNull:
@@ -181,7 +181,7 @@
 	}
 	s := v.Get("settings")
 	lay(s, over)
-	w, err := terms.Read(s)
+	w, err := settings.Read(s)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/server/config_golden_test.go
+++ b/internal/server/config_golden_test.go
@@ -9,7 +9,7 @@
 	"testing"
 
 	"woodproxy/internal/server"
-	"woodproxy/internal/terms"
+	"woodproxy/internal/settings"
 )
 
 // placeFiles are the texts of the files that a proxy is configured by. A file whose text is empty is not named.
@@ -63,7 +63,7 @@
 		known = place.Known.String()
 	}
 	line("known", known)
-	listSettings := func(label string, book *terms.Book) {
+	listSettings := func(label string, book *settings.Book) {
 		if book == nil {
 			line(label, "not stated")
 			return
--- a/internal/server/missing.go
+++ b/internal/server/missing.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"os"
 
+	"woodproxy/internal/settings"
 	"woodproxy/internal/strict"
-	"woodproxy/internal/terms"
 	"woodproxy/negativecache"
 	"woodproxy/replica"
 
@@ -22,7 +22,7 @@
 }
 
 // readMissing reads the file of missing keys. An error is one line that names what is wrong and what to do.
-func readMissing(file, name string, talks bool, book *terms.Book) (*negativecache.Terms, error) {
+func readMissing(file, name string, talks bool, book *settings.Book) (*negativecache.Terms, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("missing: %w", err)
@@ -31,7 +31,7 @@
 	if err := strict.TOML(text, f); err != nil {
 		return nil, fmt.Errorf("missing: %s: %w", file, err)
 	}
-	t := &negativecache.Terms{Me: name, Entries: f.Entries, Believe: negativecache.Time(terms.Tenths(f.Believe * 1000)), Grace: negativecache.Time(terms.Tenths(f.Grace)), Grow: f.Grow, Tenants: len(book.Tenants)}
+	t := &negativecache.Terms{Me: name, Entries: f.Entries, Believe: negativecache.Time(settings.Tenths(f.Believe * 1000)), Grace: negativecache.Time(settings.Tenths(f.Grace)), Grow: f.Grow, Tenants: len(book.Tenants)}
 	if err := t.Check(); err != nil {
 		return nil, fmt.Errorf("missing: %s: %w", file, err)
 	}
--- a/internal/server/turns.go
+++ b/internal/server/turns.go
@@ -5,8 +5,8 @@
 	"os"
 
 	"woodproxy/duties"
+	"woodproxy/internal/settings"
 	"woodproxy/internal/strict"
-	"woodproxy/internal/terms"
 	"woodproxy/replica"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -25,7 +25,7 @@
 
 // readTurns reads the file of turns. An error is one line that names what is wrong and what to do; it wraps one of the module's types
 // where that found it.
-func readTurns(file, name string, book *terms.Book) (*duties.Terms, error) {
+func readTurns(file, name string, book *settings.Book) (*duties.Terms, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("turns: %w", err)
@@ -39,8 +39,8 @@
 		return nil, fmt.Errorf("turns: %s: %w", file, err)
 	}
 	t := &duties.Terms{
-		Me: name, Watchers: f.Watchers, Keepers: f.Keepers, Trials: f.Trials, Rest: duties.Time(terms.Tenths(f.Rest)),
-		Step: duties.Time(terms.Tenths(f.Step)), Beat: duties.Time(terms.Tenths(f.Beat)), Patience: duties.Time(terms.Tenths(f.Patience)),
+		Me: name, Watchers: f.Watchers, Keepers: f.Keepers, Trials: f.Trials, Rest: duties.Time(settings.Tenths(f.Rest)),
+		Step: duties.Time(settings.Tenths(f.Step)), Beat: duties.Time(settings.Tenths(f.Beat)), Patience: duties.Time(settings.Tenths(f.Patience)),
 	}
 	if err := t.Check(); err != nil {
 		return nil, fmt.Errorf("turns: %s: %w", file, err)
--- a/internal/server/zones.go
+++ b/internal/server/zones.go
@@ -7,8 +7,8 @@
 	"slices"
 	"strings"
 
+	"woodproxy/internal/settings"
 	"woodproxy/internal/strict"
-	"woodproxy/internal/terms"
 	"woodproxy/replica"
 	"woodproxy/zonehealth"
 
@@ -35,7 +35,7 @@
 }
 
 // readZones reads the file of zones. An error is one line that names what is wrong.
-func readZones(file, name string, book *terms.Book) (*zonehealth.Terms, error) {
+func readZones(file, name string, book *settings.Book) (*zonehealth.Terms, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("zones: %w", err)
@@ -51,7 +51,7 @@
 	return t, nil
 }
 
-func (f *zonesFile) terms(name string, book *terms.Book) (*zonehealth.Terms, error) {
+func (f *zonesFile) terms(name string, book *settings.Book) (*zonehealth.Terms, error) {
 	shortest := zonehealth.Time(60 * zonehealth.Second)
 	for _, r := range book.Terms.Routes {
 		shortest = min(shortest, zonehealth.Time(r.Objective))
@@ -126,7 +126,7 @@
 	return t, nil
 }
 
-func tenths(ms float64) zonehealth.Time { return zonehealth.Time(terms.Tenths(ms)) }
+func tenths(ms float64) zonehealth.Time { return zonehealth.Time(settings.Tenths(ms)) }
 
 // Zone is that in which the proxy stands, "": not known.
 func (p *Place) Zone() string {
--- a/internal/terms/format_golden_test.go
+++ b/internal/settings/format_golden_test.go
@@ -1,4 +1,4 @@
-package terms
+package settings
 
 import (
 	"errors"
--- a/internal/terms/terms.go
+++ b/internal/settings/terms.go
@@ -1,6 +1,6 @@
-// Package terms reads the settings object, which the simulator and the proxy's configuration share, into the
+// Package settings reads the settings object, which the simulator and the proxy's configuration share, into the
 // figures that the module starts from and the names that its small indices stand for.
-package terms
+package settings
 
 import (
 	"fmt"
--- a/internal/simadapter/boot.go
+++ b/internal/simadapter/boot.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"woodproxy/balancer"
-	"woodproxy/internal/terms"
+	"woodproxy/internal/settings"
 
 	"github.com/valyala/fastjson"
 )
@@ -25,7 +25,7 @@
 		f.fail("setup", "missing or mistyped")
 		return nil
 	}
-	book, err := terms.Read(v)
+	book, err := settings.Read(v)
 	if err != nil && f.err == nil {
 		f.err = fmt.Errorf("boot: %w", err)
 	}
--- a/internal/simadapter/fields.go
+++ b/internal/simadapter/fields.go
@@ -5,7 +5,7 @@
 	"math"
 
 	"woodproxy/balancer"
-	"woodproxy/internal/terms"
+	"woodproxy/internal/settings"
 
 	"github.com/valyala/fastjson"
 )
@@ -52,7 +52,7 @@
 }
 
 func (f *fields) time(i int, field string, needed bool) balancer.Time {
-	return terms.Tenths(f.number(i, field, needed))
+	return settings.Tenths(f.number(i, field, needed))
 }
 
 // count reads a small whole number that is not negative.
--- a/internal/simadapter/serve.go
+++ b/internal/simadapter/serve.go
@@ -12,7 +12,7 @@
 	"strings"
 
 	"woodproxy/balancer"
-	"woodproxy/internal/terms"
+	"woodproxy/internal/settings"
 
 	"github.com/valyala/fastjson"
 )
@@ -30,7 +30,7 @@
 // proxy is one instance with its door: wire names on one side, small indices on the other.
 type proxy struct {
 	mind  *balancer.Instance
-	book  *terms.Book
+	book  *settings.Book
 	nodes map[string]int // emptied when the instance starts anew
 	codes map[string]int // what peers call them; emptied with it
 	names []string
