--- a/internal/strict/strict.go
+++ b/internal/configfile/strict.go
@@ -1,5 +1,5 @@
-// Package strict reads TOML in which everything has to be known.
-package strict
+// Package configfile reads TOML in which everything has to be known.
+package configfile
 
 import (
 	"bytes"
--- a/internal/emu/day.go
+++ b/internal/emu/day.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"woodproxy/internal/strict"
+	"woodproxy/internal/configfile"
 )
 
 // Day is what a day's file says.
@@ -176,7 +176,7 @@
 // ParseDay reads and checks a day.
 func ParseDay(text []byte) (*Day, error) {
 	d := &Day{Limits: Limits{Cores: 1, MemoryMB: 128, Sockets: 1024}}
-	if err := strict.TOML(text, d); err != nil {
+	if err := configfile.TOML(text, d); err != nil {
 		return nil, err
 	}
 	return d, d.Check()
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -7,7 +7,7 @@
 	"os"
 	"strconv"
 
-	"woodproxy/internal/strict"
+	"woodproxy/internal/configfile"
 )
 
 // Config is what the file of peers says.
@@ -29,7 +29,7 @@
 		return nil, fmt.Errorf("peers: %w", err)
 	}
 	c := &Config{Hold: 3, Floor: 0.25}
-	if err := strict.TOML(text, c); err != nil {
+	if err := configfile.TOML(text, c); err != nil {
 		return nil, fmt.Errorf("peers: %s: %w", file, err)
 	}
 	if listen != "" {
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -14,8 +14,8 @@
 	"slices"
 	"strings"
 
+	"woodproxy/internal/configfile"
 	"woodproxy/internal/emu"
-	"woodproxy/internal/strict"
 )
 
 // Experiment is what an experiment's file says: each variant plays each day under each seed, as many rounds as stated, in
@@ -60,7 +60,7 @@
 		return nil, fmt.Errorf("experiment: %w", err)
 	}
 	x := &Experiment{Rounds: 1}
-	if err := strict.TOML(text, x); err != nil {
+	if err := configfile.TOML(text, x); err != nil {
 		return nil, fmt.Errorf("experiment: %s: %w", file, err)
 	}
 	if err := x.check(filepath.Dir(file)); err != nil {
--- a/internal/server/missing.go
+++ b/internal/server/missing.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"os"
 
+	"woodproxy/internal/configfile"
 	"woodproxy/internal/settings"
-	"woodproxy/internal/strict"
 	"woodproxy/negativecache"
 	"woodproxy/replica"
 
@@ -28,7 +28,7 @@
 		return nil, fmt.Errorf("missing: %w", err)
 	}
 	f := &missingFile{Entries: 1 << 16, Believe: 10, Grace: 2000, Grow: 2000}
-	if err := strict.TOML(text, f); err != nil {
+	if err := configfile.TOML(text, f); err != nil {
 		return nil, fmt.Errorf("missing: %s: %w", file, err)
 	}
 	t := &negativecache.Terms{Me: name, Entries: f.Entries, Believe: negativecache.Time(settings.Tenths(f.Believe * 1000)), Grace: negativecache.Time(settings.Tenths(f.Grace)), Grow: f.Grow, Tenants: len(book.Tenants)}
--- a/internal/server/moves.go
+++ b/internal/server/moves.go
@@ -8,7 +8,7 @@
 	"os"
 	"runtime"
 
-	"woodproxy/internal/strict"
+	"woodproxy/internal/configfile"
 	"woodproxy/rebalance"
 )
 
@@ -26,7 +26,7 @@
 		return nil, fmt.Errorf("moves: %w", err)
 	}
 	f := &movesFile{Slack: 0.1, PerNode: 2, InAll: 32}
-	if err := strict.TOML(text, f); err != nil {
+	if err := configfile.TOML(text, f); err != nil {
 		return nil, fmt.Errorf("moves: %s: %w", file, err)
 	}
 	t := &rebalance.Terms{Slack: f.Slack, PerNode: f.PerNode, InAll: f.InAll, Exact: 1 << 14, Breathe: runtime.Gosched}
--- a/internal/server/turns.go
+++ b/internal/server/turns.go
@@ -5,8 +5,8 @@
 	"os"
 
 	"woodproxy/duties"
+	"woodproxy/internal/configfile"
 	"woodproxy/internal/settings"
-	"woodproxy/internal/strict"
 	"woodproxy/replica"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -35,7 +35,7 @@
 		shortest = min(shortest, duties.Time(r.Objective))
 	}
 	f := &turnsFile{Watchers: 0, Keepers: 0, Trials: true, Rest: max(float64(shortest)/10, 50), Step: 200, Beat: 700, Patience: 2500}
-	if err := strict.TOML(text, f); err != nil {
+	if err := configfile.TOML(text, f); err != nil {
 		return nil, fmt.Errorf("turns: %s: %w", file, err)
 	}
 	t := &duties.Terms{
--- a/internal/server/zones.go
+++ b/internal/server/zones.go
@@ -7,8 +7,8 @@
 	"slices"
 	"strings"
 
+	"woodproxy/internal/configfile"
 	"woodproxy/internal/settings"
-	"woodproxy/internal/strict"
 	"woodproxy/replica"
 	"woodproxy/zonehealth"
 
@@ -41,7 +41,7 @@
 		return nil, fmt.Errorf("zones: %w", err)
 	}
 	f := &zonesFile{Voices: 0.2, Settle: 200, Hold: 2000, MostHold: 60000, Step: 1000, Alone: true, Together: true}
-	if err := strict.TOML(text, f); err != nil {
+	if err := configfile.TOML(text, f); err != nil {
 		return nil, fmt.Errorf("zones: %s: %w", file, err)
 	}
 	t, err := f.terms(name, book)
