--- a/duties/instance.go
+++ b/duties/instance.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"woodproxy/internal/bounds"
+	"woodproxy/internal/configfile"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -65,12 +65,12 @@
 // Check tells whether terms can be kept to.
 func (t *Terms) Check() error {
 	ms := func(t Time) float64 { return float64(t) / 10 }
-	if err := bounds.Check(bounds.Range("watchers", float64(t.Watchers), 0, 64), bounds.Range("keepers", float64(t.Keepers), 0, 64), bounds.Range("trial_ms", ms(t.Rest), 50, 60000),
-		bounds.Range("turn_ms", ms(t.Step), 20, 10000), bounds.Range("beat_ms", ms(t.Beat), 100, 2000), bounds.Range("patience_ms", ms(t.Patience), 200, 4000)); err != nil {
+	if err := configfile.Check(configfile.Range("watchers", float64(t.Watchers), 0, 64), configfile.Range("keepers", float64(t.Keepers), 0, 64), configfile.Range("trial_ms", ms(t.Rest), 50, 60000),
+		configfile.Range("turn_ms", ms(t.Step), 20, 10000), configfile.Range("beat_ms", ms(t.Beat), 100, 2000), configfile.Range("patience_ms", ms(t.Patience), 200, 4000)); err != nil {
 		return err
 	}
 	if t.Watchers == 1 { // with its death nobody would be told anything for a while
-		return bounds.Check(bounds.Range("watchers", 1, 2, 64))
+		return configfile.Check(configfile.Range("watchers", 1, 2, 64))
 	}
 	if t.Patience < 2*t.Beat {
 		return &OrderError{"beat_ms", "patience_ms", ms(t.Beat), ms(t.Patience), 2}
--- a/duties/types.go
+++ b/duties/types.go
@@ -9,7 +9,7 @@
 import (
 	"fmt"
 
-	"woodproxy/internal/bounds"
+	"woodproxy/internal/configfile"
 )
 
 // Time counts tenths of a millisecond on the caller's own clock; spans use it too.
@@ -86,7 +86,7 @@
 }
 
 // RangeError tells of a figure that is out of its range.
-type RangeError = bounds.RangeError
+type RangeError = configfile.RangeError
 
 // OrderError tells of two spans of which the second has to be the longer one by a factor.
 type OrderError struct {
--- a/internal/bounds/bounds.go
+++ b/internal/configfile/bounds.go
@@ -1,5 +1,5 @@
-// Package bounds checks figures of files against their ranges.
-package bounds
+// Package configfile checks figures of files against their ranges.
+package configfile
 
 import "fmt"
 
--- a/negativecache/instance.go
+++ b/negativecache/instance.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"woodproxy/internal/bounds"
+	"woodproxy/internal/configfile"
 )
 
 // Terms is what an instance is told at its start.
@@ -17,7 +17,7 @@
 }
 
 // RangeError tells of a figure that is out of its range.
-type RangeError = bounds.RangeError
+type RangeError = configfile.RangeError
 
 // AloneError tells that nobody would hear of writes.
 type AloneError struct {
@@ -31,8 +31,8 @@
 
 // Check tells whether terms can be kept to.
 func (t *Terms) Check() error {
-	return bounds.Check(bounds.Range("entries", float64(t.Entries), 1, 1<<22), bounds.Range("believe_s", float64(t.Believe)/float64(Second), 0.5, 600),
-		bounds.Range("grace_ms", float64(t.Grace)/10, 100, 60000), bounds.Range("grow_per_s", float64(t.Grow), 1, 1e6))
+	return configfile.Check(configfile.Range("entries", float64(t.Entries), 1, 1<<22), configfile.Range("believe_s", float64(t.Believe)/float64(Second), 0.5, 600),
+		configfile.Range("grace_ms", float64(t.Grace)/10, 100, 60000), configfile.Range("grow_per_s", float64(t.Grow), 1, 1e6))
 }
 
 const (
--- a/rebalance/types.go
+++ b/rebalance/types.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"strings"
 
-	"woodproxy/internal/bounds"
+	"woodproxy/internal/configfile"
 )
 
 // Shards is into how many parts the key space is dealt, by the first bits of a key's mixed hash.
@@ -54,11 +54,11 @@
 }
 
 // RangeError tells of a figure that is out of its range.
-type RangeError = bounds.RangeError
+type RangeError = configfile.RangeError
 
 // Check tells whether terms can be kept to.
 func (t *Terms) Check() error {
-	return bounds.Check(bounds.Range("slack", t.Slack, 0, 1), bounds.Range("moves_per_node", float64(t.PerNode), 1, 64), bounds.Range("moves_in_all", float64(t.InAll), 1, 1024))
+	return configfile.Check(configfile.Range("slack", t.Slack, 0, 1), configfile.Range("moves_per_node", float64(t.PerNode), 1, 64), configfile.Range("moves_in_all", float64(t.InAll), 1, 1024))
 }
 
 // Move is one of a step.
