--- a/cmd/woodlab/main.go
+++ b/cmd/woodlab/main.go
@@ -11,7 +11,7 @@
 
 	"woodproxy/internal/emu"
 	"woodproxy/internal/lab"
-	"woodproxy/internal/links"
+	"woodproxy/internal/simnet"
 	"woodproxy/replica"
 
 	"github.com/alecthomas/kong"
@@ -151,7 +151,7 @@
 		if n < 2 || n > 100000 || !(s.Loss >= 0 && s.Loss < 1) {
 			return fmt.Errorf("sizes or loss: %d, %v: out of range", n, s.Loss)
 		}
-		w := links.New(links.Terms{Proxies: n, Loss: s.Loss, Late: 1, Hold: replica.Second, Floor: 0.25, Quiet: true}, s.Seed)
+		w := simnet.New(simnet.Terms{Proxies: n, Loss: s.Loss, Late: 1, Hold: replica.Second, Floor: 0.25, Quiet: true}, s.Seed)
 		took := w.Spread(4 * replica.Second)
 		at := func(part float64) replica.Time {
 			if k := int(part * float64(n-1)); k < len(took) {
--- a/internal/links/links.go
+++ b/internal/simnet/links.go
@@ -1,7 +1,7 @@
-// Package links plays many instances of the replication module on simulated links, in simulated time: datagrams that are
+// Package simnet plays many instances of the replication module on simulated links, in simulated time: datagrams that are
 // lost, doubled and late, cuts one way and both, processes that stand still, die and come back. The same seed plays the
 // same again.
-package links
+package simnet
 
 import (
 	"fmt"
--- a/internal/links/links_test.go
+++ b/internal/simnet/links_test.go
@@ -1,4 +1,4 @@
-package links
+package simnet
 
 import (
 	"fmt"
--- a/internal/links/zones_test.go
+++ b/internal/simnet/zones_test.go
@@ -1,4 +1,4 @@
-package links_test
+package simnet_test
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"strconv"
 	"testing"
 
-	"woodproxy/internal/links"
+	"woodproxy/internal/simnet"
 	"woodproxy/replica"
 	"woodproxy/zonehealth"
 )
@@ -15,7 +15,7 @@
 const within = replica.Second
 
 type zoned struct {
-	*links.Zoned
+	*simnet.Zoned
 	t       *testing.T
 	differs []replica.Time // by zone, since when verdicts differ among proxies of one side
 	worst   replica.Time
@@ -26,8 +26,8 @@
 
 func newZoned(t *testing.T, proxies int, seed uint64) *zoned {
 	t.Helper()
-	w := links.NewZoned(links.Terms{Proxies: proxies, Loss: 0.05, Double: 0.02, Late: 2, Floor: 0.25, Hold: replica.Second, ClockSkew: 60 * replica.Second},
-		links.ZoneTerms{Names: []string{"a", "b", "c"}, Each: 4, Rate: 12}, seed)
+	w := simnet.NewZoned(simnet.Terms{Proxies: proxies, Loss: 0.05, Double: 0.02, Late: 2, Floor: 0.25, Hold: replica.Second, ClockSkew: 60 * replica.Second},
+		simnet.ZoneTerms{Names: []string{"a", "b", "c"}, Each: 4, Rate: 12}, seed)
 	z := &zoned{Zoned: w, t: t, differs: make([]replica.Time, 3), side: func(int) int { return 0 }, left: map[string]int{}}
 	if os.Getenv("WOODPROXY_LOGS") != "" {
 		w.Told = func(i int, text string) {
@@ -68,7 +68,7 @@
 	z.t.Helper()
 	from, had := z.Now, map[int]bool{}
 	for z.Now-from < most {
-		z.Play(links.Step, z.check)
+		z.Play(simnet.Step, z.check)
 		all := true
 		for i, p := range z.Proxies {
 			if p.Alive && !had[i] {
@@ -172,7 +172,7 @@
 		z.side = func(i int) int { return i * side(i) } // those who heal hear of verdicts by and by
 		z.Play(3*replica.Second, z.check)
 		z.side = func(int) int { return 0 }
-		z.Play(links.Step, nil)
+		z.Play(simnet.Step, nil)
 		for zone := range z.differs {
 			z.differs[zone] = z.Now
 		}
@@ -230,7 +230,7 @@
 		"third": func(z *zoned) {
 			for k, n := range z.Nodes {
 				if k%3 == 0 && k < 3 || k == 5 {
-					n.Answer = links.Silent
+					n.Answer = simnet.Silent
 				}
 			}
 		},
@@ -244,13 +244,13 @@
 		"half of two": func(z *zoned) {
 			for k, n := range z.Nodes {
 				if n.Zone < 2 && k < 6 {
-					n.Answer = links.Silent
+					n.Answer = simnet.Silent
 				}
 			}
 		},
 		"jammed": func(z *zoned) {
 			for _, n := range z.Nodes {
-				n.Answer = links.Silent
+				n.Answer = simnet.Silent
 			}
 		},
 		"late": func(z *zoned) {
