--- a/cmd/woodlab/main.go
+++ b/cmd/woodlab/main.go
@@ -9,7 +9,7 @@
 	"os/signal"
 	"syscall"
 
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 	"woodproxy/internal/lab"
 	"woodproxy/internal/simnet"
 	"woodproxy/replica"
@@ -31,7 +31,7 @@
 			fmt.Printf("%s: good; %d days are to be played\n", f, len(x.Order()))
 			continue
 		}
-		d, err := emu.ReadDay(f)
+		d, err := emulator.ReadDay(f)
 		if err != nil {
 			return err
 		}
@@ -50,14 +50,14 @@
 var errBroken = errors.New("a rule was broken")
 
 func (p *play) Run(ctx context.Context) error {
-	d, err := emu.ReadDay(p.Day)
+	d, err := emulator.ReadDay(p.Day)
 	if err != nil {
 		return err
 	}
 	if err := lab.Fresh(p.Dir); err != nil {
 		return err
 	}
-	r, err := emu.Play(ctx, d.Draw(p.Seed), emu.Options{Start: emu.Program(p.Program...), Dir: p.Dir})
+	r, err := emulator.Play(ctx, d.Draw(p.Seed), emulator.Options{Start: emulator.Program(p.Program...), Dir: p.Dir})
 	if err != nil {
 		return err
 	}
@@ -136,7 +136,7 @@
 	Listen string `env:"GW_LISTEN" required:"" help:"Where clients connect."`
 }
 
-func (n *null) Run(ctx context.Context) error { return emu.Null(ctx, n.Listen) }
+func (n *null) Run(ctx context.Context) error { return emulator.Null(ctx, n.Listen) }
 
 // spread plays one change through fleets on simulated links.
 type spread struct {
--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"woodproxy/duties"
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 	"woodproxy/internal/gossip"
 	"woodproxy/internal/wire"
 	"woodproxy/negativecache"
@@ -430,14 +430,14 @@
 }
 
 // serveZones starts stand-ins for the nodes of zones a and b, and returns those of zone b.
-func serveZones(t *testing.T, nodes []listedNode) (zoneB []*emu.Node) {
+func serveZones(t *testing.T, nodes []listedNode) (zoneB []*emulator.Node) {
 	t.Helper()
 	for i := range nodes {
 		n := &nodes[i]
 		if n.zone == "c" {
 			continue
 		}
-		node, err := emu.NewNode("127.10.9.3", n.name, n.kind == "origin", 1, nil)
+		node, err := emulator.NewNode("127.10.9.3", n.name, n.kind == "origin", 1, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/emu/day.go
+++ b/internal/emulator/day.go
@@ -1,6 +1,6 @@
-// Package emu plays days of a deployment on loopback: stand-ins for caches, the origin, discovery and clients, among
+// Package emulator plays days of a deployment on loopback: stand-ins for caches, the origin, discovery and clients, among
 // which real proxies serve, and the rules checked from what the stand-ins saw. It shares no code with the proxy.
-package emu
+package emulator
 
 import (
 	"errors"
--- a/internal/emu/emu_test.go
+++ b/internal/emulator/emu_test.go
@@ -1,4 +1,4 @@
-package emu_test
+package emulator_test
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 	"woodproxy/internal/server"
 
 	"go.uber.org/zap"
@@ -32,7 +32,7 @@
 func (i inside) Kill()              { i.signals <- syscall.SIGTERM }
 func (i inside) Done() <-chan error { return i.done }
 
-func start(s emu.Site) (emu.Proxy, error) {
+func start(s emulator.Site) (emulator.Proxy, error) {
 	read := func() (*server.Place, error) {
 		return server.Read(s.Config, server.Place{Shared: filepath.Join(s.Dir, "tmp")})
 	}
@@ -48,9 +48,9 @@
 	return i, nil
 }
 
-func day(t *testing.T, text string) *emu.Day {
+func day(t *testing.T, text string) *emulator.Day {
 	t.Helper()
-	d, err := emu.ParseDay([]byte(text))
+	d, err := emulator.ParseDay([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,24 +70,24 @@
 ]
 `
 
-func play(t *testing.T, text string, with emu.Start) *emu.Report {
+func play(t *testing.T, text string, with emulator.Start) *emulator.Report {
 	t.Helper()
-	r, err := emu.Play(context.Background(), day(t, text).Draw(1), emu.Options{Start: with, Dir: t.TempDir()})
+	r, err := emulator.Play(context.Background(), day(t, text).Draw(1), emulator.Options{Start: with, Dir: t.TempDir()})
 	if err != nil {
 		t.Fatal(err)
 	}
 	return r
 }
 
-func outcomes(r *emu.Report) map[emu.Outcome]int {
-	m := map[emu.Outcome]int{}
+func outcomes(r *emulator.Report) map[emulator.Outcome]int {
+	m := map[emulator.Outcome]int{}
 	for _, q := range r.Results {
 		m[q.Outcome]++
 	}
 	return m
 }
 
-func rules(r *emu.Report) map[string]int {
+func rules(r *emulator.Report) map[string]int {
 	m := map[string]int{}
 	for _, b := range r.Breaches {
 		m[b.Rule]++
@@ -119,7 +119,7 @@
 				t.Error(b)
 			}
 			o := outcomes(r)
-			if n := len(r.Plan.Requests); len(r.Results) != n || float64(o[emu.Completed]) < least*float64(n) || o[emu.Lost] > 0 || r.BadMute > 0 {
+			if n := len(r.Plan.Requests); len(r.Results) != n || float64(o[emulator.Completed]) < least*float64(n) || o[emulator.Lost] > 0 || r.BadMute > 0 {
 				t.Errorf("%d asked, %v, %d bad clients without an end", n, o, r.BadMute)
 			}
 		})
@@ -127,8 +127,8 @@
 }
 
 // liar is a proxy that answers each request as it is told to.
-func liar(answer func(id string, n int, write bool) (string, bool), conns ...*atomic.Int64) emu.Start {
-	return func(s emu.Site) (emu.Proxy, error) {
+func liar(answer func(id string, n int, write bool) (string, bool), conns ...*atomic.Int64) emulator.Start {
+	return func(s emulator.Site) (emulator.Proxy, error) {
 		ln, err := net.Listen("tcp", s.Listen)
 		if err != nil {
 			return nil, err
@@ -147,7 +147,7 @@
 				go func() {
 					defer c.Close()
 					for r := bufio.NewReader(c); ; {
-						words, err := emu.ReadCommand(r)
+						words, err := emulator.ReadCommand(r)
 						if err != nil {
 							return
 						}
@@ -186,14 +186,14 @@
 	}{
 		"keeps":     {func(id string, n int, _ bool) (string, bool) { return good(id), true }, ""},
 		"sheds":     {func(id string, n int, _ bool) (string, bool) { return "-BUSY 10\r\n", true }, ""},
-		"twice":     {func(id string, n int, _ bool) (string, bool) { return good(id) + good(id), true }, emu.LostRule},
-		"another's": {func(id string, n int, _ bool) (string, bool) { return good("x" + id), true }, emu.ForeignRule},
-		"closes":    {func(id string, n int, _ bool) (string, bool) { return "", n%3 > 0 }, emu.LostRule},
+		"twice":     {func(id string, n int, _ bool) (string, bool) { return good(id) + good(id), true }, emulator.LostRule},
+		"another's": {func(id string, n int, _ bool) (string, bool) { return good("x" + id), true }, emulator.ForeignRule},
+		"closes":    {func(id string, n int, _ bool) (string, bool) { return "", n%3 > 0 }, emulator.LostRule},
 		"late": {func(id string, n int, _ bool) (string, bool) {
 			time.Sleep(1200 * time.Millisecond)
 			return good(id), true
-		}, emu.LostRule},
-		"breaks off": {func(id string, n int, _ bool) (string, bool) { return "$99\r\nc0:", false }, emu.LostRule},
+		}, emulator.LostRule},
+		"breaks off": {func(id string, n int, _ bool) (string, bool) { return "$99\r\nc0:", false }, emulator.LostRule},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -213,60 +213,60 @@
 func TestRulesFire(t *testing.T) {
 	d := day(t, plain)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-	requests := []emu.Request{{ID: "a"}, {ID: "w", Route: 1}}
-	seen := func(at int, what, id, node, note string) emu.Seen {
-		return emu.Seen{At: ms(at), What: what, ID: id, Node: node, Note: note, Made: id, Proxy: 0}
+	requests := []emulator.Request{{ID: "a"}, {ID: "w", Route: 1}}
+	seen := func(at int, what, id, node, note string) emulator.Seen {
+		return emulator.Seen{At: ms(at), What: what, ID: id, Node: node, Note: note, Made: id, Proxy: 0}
 	}
-	many := func(n, from int) []emu.Seen {
-		s := []emu.Seen{{At: 0, What: emu.Began, Node: "c9", Proxy: -1, Figure: 10}}
+	many := func(n, from int) []emulator.Seen {
+		s := []emulator.Seen{{At: 0, What: emulator.Began, Node: "c9", Proxy: -1, Figure: 10}}
 		for i := range n {
-			s = append(s, seen(from+i, emu.Took, "", "c9", ""))
+			s = append(s, seen(from+i, emulator.Took, "", "c9", ""))
 		}
 		return s
 	}
 	for name, c := range map[string]struct {
-		trace []emu.Seen
+		trace []emulator.Seen
 		rule  string
 	}{
-		"answered":             {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Answered, "a", "", "completed")}, ""},
-		"never answered":       {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(1100, emu.Took, "", "c1", "")}, emu.LostRule},
-		"not yet answered":     {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(1000, emu.Took, "", "c1", "")}, ""},
-		"left":                 {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Went, "a", "", ""), seen(1100, emu.Took, "", "c1", "")}, ""},
-		"closed on":            {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Closed, "a", "", "")}, emu.LostRule},
-		"closed on, its old":   {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Closed, "a", "", "reused"), seen(10, emu.Asked, "a", "", ""), seen(19, emu.Answered, "a", "", "shed")}, ""},
-		"closed on, killed":    {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Ended, "", "", "killed"), seen(9, emu.Closed, "a", "", "")}, ""},
-		"closed on, told":      {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Ended, "", "", "stopped"), seen(9, emu.Closed, "a", "", "")}, emu.LostRule},
-		"late":                 {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(1051, emu.Answered, "a", "", "shed")}, emu.LostRule},
-		"twice":                {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Answered, "a", "", "shed"), seen(10, emu.Answered, "a", "", "shed")}, emu.LostRule},
-		"never asked":          {[]emu.Seen{seen(9, emu.Answered, "a", "", "shed")}, emu.LostRule},
-		"ran once":             {[]emu.Seen{seen(1, emu.Ran, "w", "o", "k1"), seen(2, emu.Ran, "w", "o", "k2")}, ""},
-		"ran twice":            {[]emu.Seen{seen(1, emu.Ran, "w", "o", "k1"), seen(2, emu.Ran, "w", "o", "k1")}, emu.EffectRule},
-		"ran twice, unmarked":  {[]emu.Seen{seen(1, emu.Ran, "w", "o", ""), seen(2, emu.Ran, "w", "o", "")}, emu.EffectRule},
-		"drained":              {[]emu.Seen{seen(0, emu.Told, "", "c1", "leaving"), seen(349, emu.Took, "", "c1", ""), seen(360, emu.Took, "", "c2", "")}, ""},
-		"sent to one draining": {[]emu.Seen{seen(0, emu.Told, "", "c1", "leaving"), seen(200, emu.Told, "", "c1", "left"), seen(360, emu.Took, "", "c1", "")}, emu.DrainRule},
-		"drained and back":     {[]emu.Seen{seen(0, emu.Told, "", "c1", "leaving"), seen(200, emu.Told, "", "c1", "active"), seen(600, emu.Took, "", "c1", "")}, ""},
+		"answered":             {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Answered, "a", "", "completed")}, ""},
+		"never answered":       {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(1100, emulator.Took, "", "c1", "")}, emulator.LostRule},
+		"not yet answered":     {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(1000, emulator.Took, "", "c1", "")}, ""},
+		"left":                 {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Went, "a", "", ""), seen(1100, emulator.Took, "", "c1", "")}, ""},
+		"closed on":            {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Closed, "a", "", "")}, emulator.LostRule},
+		"closed on, its old":   {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Closed, "a", "", "reused"), seen(10, emulator.Asked, "a", "", ""), seen(19, emulator.Answered, "a", "", "shed")}, ""},
+		"closed on, killed":    {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Ended, "", "", "killed"), seen(9, emulator.Closed, "a", "", "")}, ""},
+		"closed on, told":      {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Ended, "", "", "stopped"), seen(9, emulator.Closed, "a", "", "")}, emulator.LostRule},
+		"late":                 {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(1051, emulator.Answered, "a", "", "shed")}, emulator.LostRule},
+		"twice":                {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Answered, "a", "", "shed"), seen(10, emulator.Answered, "a", "", "shed")}, emulator.LostRule},
+		"never asked":          {[]emulator.Seen{seen(9, emulator.Answered, "a", "", "shed")}, emulator.LostRule},
+		"ran once":             {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", "k1"), seen(2, emulator.Ran, "w", "o", "k2")}, ""},
+		"ran twice":            {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", "k1"), seen(2, emulator.Ran, "w", "o", "k1")}, emulator.EffectRule},
+		"ran twice, unmarked":  {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", ""), seen(2, emulator.Ran, "w", "o", "")}, emulator.EffectRule},
+		"drained":              {[]emulator.Seen{seen(0, emulator.Told, "", "c1", "leaving"), seen(349, emulator.Took, "", "c1", ""), seen(360, emulator.Took, "", "c2", "")}, ""},
+		"sent to one draining": {[]emulator.Seen{seen(0, emulator.Told, "", "c1", "leaving"), seen(200, emulator.Told, "", "c1", "left"), seen(360, emulator.Took, "", "c1", "")}, emulator.DrainRule},
+		"drained and back":     {[]emulator.Seen{seen(0, emulator.Told, "", "c1", "leaving"), seen(200, emulator.Told, "", "c1", "active"), seen(600, emulator.Took, "", "c1", "")}, ""},
 		"cold":                 {many(12, 0), ""},
-		"pushed over":          {append(many(0, 0), append([]emu.Seen{seen(0, emu.Told, "", "c9", "active")}, many(40, 0)[1:]...)...), emu.ColdRule},
+		"pushed over":          {append(many(0, 0), append([]emulator.Seen{seen(0, emulator.Told, "", "c9", "active")}, many(40, 0)[1:]...)...), emulator.ColdRule},
 		"not told of it":       {many(40, 0), ""},
-		"as chance has it":     {append(many(0, 0), append([]emu.Seen{seen(0, emu.Told, "", "c9", "active")}, many(21, 0)[1:]...)...), ""},
-		"more than by chance":  {append(many(0, 0), append([]emu.Seen{seen(0, emu.Told, "", "c9", "active")}, many(22, 0)[1:]...)...), emu.ColdRule},
+		"as chance has it":     {append(many(0, 0), append([]emulator.Seen{seen(0, emulator.Told, "", "c9", "active")}, many(21, 0)[1:]...)...), ""},
+		"more than by chance":  {append(many(0, 0), append([]emulator.Seen{seen(0, emulator.Told, "", "c9", "active")}, many(22, 0)[1:]...)...), emulator.ColdRule},
 		"warm":                 {many(200, 2001), ""},
-		"closed, killed":       {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Closed, "a", "", ""), seen(10, emu.Ended, "", "", "killed")}, ""},
-		"closed, told to end":  {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Closed, "a", "", ""), seen(10, emu.Ended, "", "", "stopped")}, emu.LostRule},
-		"drained, stood still": {[]emu.Seen{
-			seen(0, emu.Paused, "", "", "stands"), seen(9, emu.Told, "", "c1", "leaving"), seen(900, emu.Paused, "", "", "goes on"),
-			seen(1100, emu.Took, "", "c1", ""),
+		"closed, killed":       {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Closed, "a", "", ""), seen(10, emulator.Ended, "", "", "killed")}, ""},
+		"closed, told to end":  {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Closed, "a", "", ""), seen(10, emulator.Ended, "", "", "stopped")}, emulator.LostRule},
+		"drained, stood still": {[]emulator.Seen{
+			seen(0, emulator.Paused, "", "", "stands"), seen(9, emulator.Told, "", "c1", "leaving"), seen(900, emulator.Paused, "", "", "goes on"),
+			seen(1100, emulator.Took, "", "c1", ""),
 		}, ""},
-		"drained, stood still before": {[]emu.Seen{
-			seen(0, emu.Paused, "", "", "stands"), seen(9, emu.Paused, "", "", "goes on"), seen(10, emu.Told, "", "c1", "leaving"),
-			seen(400, emu.Took, "", "c1", ""),
-		}, emu.DrainRule},
-		"missing soon after":    {[]emu.Seen{seen(1, emu.Ran, "w", "o", "k1"), seen(100, emu.Asked, "a", "", ""), seen(109, emu.Answered, "a", "none", "completed")}, ""},
-		"missing long after":    {[]emu.Seen{seen(1, emu.Ran, "w", "o", "k1"), seen(9000, emu.Asked, "a", "", ""), seen(9009, emu.Answered, "a", "none", "completed")}, emu.StaleRule},
-		"missing, always there": {[]emu.Seen{seen(0, emu.Asked, "a", "", ""), seen(9, emu.Answered, "a", "none", "completed")}, emu.StaleRule},
-		"crashed":               {[]emu.Seen{seen(0, emu.Ended, "", "", "crashed")}, emu.CrashRule},
+		"drained, stood still before": {[]emulator.Seen{
+			seen(0, emulator.Paused, "", "", "stands"), seen(9, emulator.Paused, "", "", "goes on"), seen(10, emulator.Told, "", "c1", "leaving"),
+			seen(400, emulator.Took, "", "c1", ""),
+		}, emulator.DrainRule},
+		"missing soon after":    {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", "k1"), seen(100, emulator.Asked, "a", "", ""), seen(109, emulator.Answered, "a", "none", "completed")}, ""},
+		"missing long after":    {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", "k1"), seen(9000, emulator.Asked, "a", "", ""), seen(9009, emulator.Answered, "a", "none", "completed")}, emulator.StaleRule},
+		"missing, always there": {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Answered, "a", "none", "completed")}, emulator.StaleRule},
+		"crashed":               {[]emulator.Seen{seen(0, emulator.Ended, "", "", "crashed")}, emulator.CrashRule},
 	} {
-		found := emu.Check(d, requests, c.trace)
+		found := emulator.Check(d, requests, c.trace)
 		if c.rule == "" && len(found) > 0 || c.rule != "" && (len(found) != 1 || found[0].Rule != c.rule) {
 			t.Errorf("%s: %v, not %q", name, found, c.rule)
 		}
@@ -321,14 +321,14 @@
 func TestCrash(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
-	r, err := emu.Play(context.Background(), day(t, strings.Replace(plain, "proxies = 2", "proxies = 1", 1)).Draw(1), emu.Options{
+	r, err := emulator.Play(context.Background(), day(t, strings.Replace(plain, "proxies = 2", "proxies = 1", 1)).Draw(1), emulator.Options{
 		Dir: dir,
-		Start: func(s emu.Site) (emu.Proxy, error) {
+		Start: func(s emulator.Site) (emulator.Proxy, error) {
 			p, err := start(s)
 			if err != nil {
 				return nil, err
 			}
-			script, err := emu.Program("/bin/sh", "-c", "echo it dies; sleep 0.5; exit 3")(s)
+			script, err := emulator.Program("/bin/sh", "-c", "echo it dies; sleep 0.5; exit 3")(s)
 			if err == nil {
 				go func() { // the two are one: it serves until its process has ended
 					<-script.Done()
@@ -341,13 +341,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if rules(r)[emu.CrashRule] != 1 {
+	if rules(r)[emulator.CrashRule] != 1 {
 		t.Error(rules(r))
 	}
 	if text, err := os.ReadFile(filepath.Join(dir, "proxy0", "log")); err != nil || string(text) != "it dies\n" {
 		t.Errorf("log %q: %v", text, err)
 	}
-	_, err = emu.Play(context.Background(), day(t, plain).Draw(1), emu.Options{Dir: t.TempDir(), Start: emu.Program("/bin/false")})
+	_, err = emulator.Play(context.Background(), day(t, plain).Draw(1), emulator.Options{Dir: t.TempDir(), Start: emulator.Program("/bin/false")})
 	if err == nil || !strings.Contains(err.Error(), "ended at its start") {
 		t.Error(err)
 	}
@@ -361,9 +361,9 @@
 	dir := filepath.Join(t.TempDir(), "day")
 	began := time.Now()
 	time.AfterFunc(time.Second, cancel)
-	_, err := emu.Play(ctx, day(t, strings.Replace(plain, "length_s = 2.0", "length_s = 60.0", 1)).Draw(1), emu.Options{
+	_, err := emulator.Play(ctx, day(t, strings.Replace(plain, "length_s = 2.0", "length_s = 60.0", 1)).Draw(1), emulator.Options{
 		Dir: dir,
-		Start: func(s emu.Site) (emu.Proxy, error) {
+		Start: func(s emulator.Site) (emulator.Proxy, error) {
 			p, err := start(s)
 			if err == nil {
 				alive.Add(1)
@@ -395,7 +395,7 @@
 	d := day(t, strings.Replace(plain, "rate = 150.0", "rate = 1.0, connections = 20000", 1))
 	d.Proxies = 1 << 16
 	dir := filepath.Join(t.TempDir(), "day")
-	_, err := emu.Play(context.Background(), d.Draw(1), emu.Options{Dir: dir, Start: start})
+	_, err := emulator.Play(context.Background(), d.Draw(1), emulator.Options{Dir: dir, Start: start})
 	if err == nil || !strings.Contains(err.Error(), "load.connections") {
 		t.Error(err)
 	}
@@ -461,12 +461,12 @@
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		_, err := emu.ReadDay(file)
+		_, err := emulator.ReadDay(file)
 		if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), file) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", change, err)
 		}
 	}
-	if _, err := emu.ReadDay(file + "x"); err == nil {
+	if _, err := emulator.ReadDay(file + "x"); err == nil {
 		t.Error("a day that is missing")
 	}
 }
@@ -475,7 +475,7 @@
 func TestKilledTwice(t *testing.T) {
 	t.Parallel()
 	var runs [2]atomic.Int64
-	once := func(s emu.Site) (emu.Proxy, error) {
+	once := func(s emulator.Site) (emulator.Proxy, error) {
 		p, err := start(s)
 		if err != nil {
 			return nil, err
--- a/internal/emu/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -1,4 +1,4 @@
-package emu_test
+package emulator_test
 
 import (
 	"fmt"
@@ -12,21 +12,21 @@
 	"testing"
 	"time"
 
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 )
 
 // program builds the proxy, whose processes are played.
-func program(t *testing.T) emu.Start {
+func program(t *testing.T) emulator.Start {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "woodproxy")
 	if text, err := exec.Command("go", "build", "-o", file, "woodproxy/cmd/woodproxy").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, text)
 	}
-	return emu.Program(file, "serve")
+	return emulator.Program(file, "serve")
 }
 
 // kept plays a day, on which no rule may be broken.
-func kept(t *testing.T, text string, with emu.Start) *emu.Report {
+func kept(t *testing.T, text string, with emulator.Start) *emulator.Report {
 	t.Helper()
 	r := play(t, text, with)
 	for _, b := range r.Breaches {
@@ -36,9 +36,9 @@
 }
 
 // both plays a day at the same time as it is, and with one word of it for another.
-func both(t *testing.T, text, is, other string) (*emu.Report, *emu.Report) {
+func both(t *testing.T, text, is, other string) (*emulator.Report, *emulator.Report) {
 	t.Helper()
-	start, reports := program(t), make([]*emu.Report, 2)
+	start, reports := program(t), make([]*emulator.Report, 2)
 	t.Run("days", func(t *testing.T) {
 		for i, w := range []string{is, other} {
 			t.Run(w, func(t *testing.T) {
@@ -70,11 +70,11 @@
 		r := kept(t, strings.Replace(text, "proxies = 2", talk, 1), start)
 		slow := 0
 		for _, q := range r.Results {
-			if q.Outcome == emu.Completed && q.Request.At > 7500*time.Millisecond && q.Request.At < 8900*time.Millisecond && q.Latency > 30*time.Millisecond {
+			if q.Outcome == emulator.Completed && q.Request.At > 7500*time.Millisecond && q.Request.At < 8900*time.Millisecond && q.Latency > 30*time.Millisecond {
 				slow++
 			}
 		}
-		if o := outcomes(r); float64(o[emu.Completed]) < 0.7*float64(len(r.Plan.Requests)) || float64(o[emu.Completed]) > 0.999*float64(len(r.Plan.Requests)) || slow < 50 {
+		if o := outcomes(r); float64(o[emulator.Completed]) < 0.7*float64(len(r.Plan.Requests)) || float64(o[emulator.Completed]) > 0.999*float64(len(r.Plan.Requests)) || slow < 50 {
 			t.Errorf("%d asked, %v, %d slow", len(r.Plan.Requests), o, slow)
 		}
 	}
@@ -94,16 +94,16 @@
 		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
 	}
 	r := kept(t, text, program(t))
-	if o := outcomes(r); float64(o[emu.Completed]) < 0.8*float64(len(r.Plan.Requests)) {
+	if o := outcomes(r); float64(o[emulator.Completed]) < 0.8*float64(len(r.Plan.Requests)) {
 		t.Errorf("%d asked, %v", len(r.Plan.Requests), o)
 	}
-	last, paused, least := map[int]emu.Seen{}, 0, 1.0
+	last, paused, least := map[int]emulator.Seen{}, 0, 1.0
 	for _, s := range r.Seen {
 		switch s.What {
-		case emu.Shared:
+		case emulator.Shared:
 			last[s.Proxy] = s
 			least = min(least, s.Figure)
-		case emu.Paused:
+		case emulator.Paused:
 			paused++
 		}
 	}
@@ -125,15 +125,15 @@
 // peers are processes started by hand that meet each other, on addresses of their own.
 type peers struct {
 	t     *testing.T
-	start emu.Start
+	start emulator.Start
 	dir   string
 	ip    string
 	found string
 }
 
-func meet(t *testing.T, net int, rows ...emu.Row) *peers {
+func meet(t *testing.T, net int, rows ...emulator.Row) *peers {
 	t.Helper()
-	lists := emu.NewDiscovery(0, nil)
+	lists := emulator.NewDiscovery(0, nil)
 	_, found, err := lists.Listen("127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
@@ -143,9 +143,9 @@
 	return &peers{t, program(t), t.TempDir(), fmt.Sprintf("127.%d.%d.", net, os.Getpid()%250), found}
 }
 
-func (p *peers) process(name, ip, management string) emu.Proxy {
+func (p *peers) process(name, ip, management string) emulator.Proxy {
 	p.t.Helper()
-	s := emu.Site{
+	s := emulator.Site{
 		Name: name, Listen: ip + ":6379", Discovery: p.found, Dir: filepath.Join(p.dir, name), Config: filepath.Join(p.dir, name, management+".json"),
 		Peers: filepath.Join(p.dir, name, "peers.toml"), Zones: filepath.Join(p.dir, name, "zones.toml"),
 		Turns: filepath.Join(p.dir, name, "turns.toml"), Moves: filepath.Join(p.dir, name, "moves.toml"), Missing: filepath.Join(p.dir, name, "missing.toml"), State: filepath.Join(p.dir, name, "state"),
@@ -208,7 +208,7 @@
 // nobody takes it for gone, and its share comes back.
 func TestReplacedAmongPeers(t *testing.T) {
 	t.Parallel()
-	p := meet(t, 60, emu.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
+	p := meet(t, 60, emulator.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
 	ip := p.ip
 	p.process("a", ip+"1", ip+"1:6380")
 	old := p.process("b", ip+"2", ip+"2:6380")
@@ -228,8 +228,8 @@
 // with one is said, and changes nothing.
 func TestZonesOrdered(t *testing.T) {
 	t.Parallel()
-	row := func(name, zone string) emu.Row {
-		return emu.Row{Name: name, Address: "127.0.0.1:1", Kind: "cache", Status: "active", Zone: zone}
+	row := func(name, zone string) emulator.Row {
+		return emulator.Row{Name: name, Address: "127.0.0.1:1", Kind: "cache", Status: "active", Zone: zone}
 	}
 	p := meet(t, 61, row("c1", "x"), row("c2", "y"), row("c3", "z"))
 	a, b := p.ip+"1:6380", p.ip+"2:6380"
@@ -283,7 +283,7 @@
 			t.Errorf("%+v", z)
 		}
 	}
-	if o := outcomes(r); float64(o[emu.Completed]) < 0.9*float64(len(r.Plan.Requests)) {
+	if o := outcomes(r); float64(o[emulator.Completed]) < 0.9*float64(len(r.Plan.Requests)) {
 		t.Errorf("%d asked, %v", len(r.Plan.Requests), o)
 	}
 }
@@ -319,7 +319,7 @@
 				day += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
 			}
 			got := rules(play(t, day, program(t)))
-			if fires := got[emu.DrainRule] > 0; fires != (name == "deaf") || len(got) > 1 {
+			if fires := got[emulator.DrainRule] > 0; fires != (name == "deaf") || len(got) > 1 {
 				t.Errorf("%v", got)
 			}
 		})
@@ -344,7 +344,7 @@
 		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
 	}
 	r, alone := both(t, text, "on = true", "on = false")
-	if o := outcomes(r); float64(o[emu.Completed]) < 0.85*float64(len(r.Plan.Requests)) {
+	if o := outcomes(r); float64(o[emulator.Completed]) < 0.85*float64(len(r.Plan.Requests)) {
 		t.Errorf("%d asked, %v", len(r.Plan.Requests), o)
 	}
 	if r.Together.Watches > 0.75*alone.Together.Watches || alone.Together.Watches < 6 || r.Together.Watches < 1 {
@@ -356,7 +356,7 @@
 // Operators see how what goes by turns stands, take metrics, and have moves planned; what can't be is told by its type, with figures.
 func TestManaged(t *testing.T) {
 	t.Parallel()
-	p := meet(t, 62, emu.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
+	p := meet(t, 62, emulator.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
 	a, b := p.ip+"1:6380", p.ip+"2:6380"
 	p.process("a", p.ip+"1", a)
 	p.process("b", p.ip+"2", b)
@@ -396,7 +396,7 @@
 		text += "[[trouble]]\n" + strings.ReplaceAll(b, ", ", "\n") + "\n"
 	}
 	r := kept(t, text, program(t))
-	if o := outcomes(r); float64(o[emu.Completed]) < 0.85*float64(len(r.Plan.Requests)) {
+	if o := outcomes(r); float64(o[emulator.Completed]) < 0.85*float64(len(r.Plan.Requests)) {
 		t.Errorf("%d asked, %v", len(r.Plan.Requests), o)
 	}
 	if r.AbsentSaid < 20 || r.AbsentAsked > 0.95*r.AbsentSaid {
@@ -423,7 +423,7 @@
 // What was stored is weighed at the start, damaged or not, and operators see which stage the proxy is in.
 func TestStored(t *testing.T) {
 	t.Parallel()
-	p := meet(t, 63, emu.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
+	p := meet(t, 63, emulator.Row{Name: "c1", Address: "127.0.0.1:1", Kind: "cache", Status: "active"})
 	a := p.ip + "1:6380"
 	dir := filepath.Join(p.dir, "a", "state")
 	os.MkdirAll(dir, 0o700)
--- a/internal/emu/strike.go
+++ b/internal/emulator/strike.go
@@ -1,4 +1,4 @@
-package emu
+package emulator
 
 import (
 	"context"
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -15,7 +15,7 @@
 	"strings"
 
 	"woodproxy/internal/configfile"
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 )
 
 // Experiment is what an experiment's file says: each variant plays each day under each seed, as many rounds as stated, in
@@ -27,7 +27,7 @@
 	Rounds   int       `toml:"rounds"`
 	Variants []Variant `toml:"variant"`
 
-	days []*emu.Day
+	days []*emulator.Day
 }
 
 // Variant is a program, with settings put over the day's, and figures of the day itself changed.
@@ -97,7 +97,7 @@
 		names[v.Name] = true
 	}
 	for _, f := range x.Days {
-		d, err := emu.ReadDay(filepath.Join(dir, f))
+		d, err := emulator.ReadDay(filepath.Join(dir, f))
 		if err != nil {
 			return err
 		}
@@ -112,7 +112,7 @@
 }
 
 // on is the day as a variant has it.
-func (v Variant) on(d *emu.Day) *emu.Day {
+func (v Variant) on(d *emulator.Day) *emulator.Day {
 	c := *d
 	if v.Rate > 0 {
 		c.Load.Rate = v.Rate
@@ -144,7 +144,7 @@
 	if v.Talk != nil {
 		c.Peers.Talk = *v.Talk
 		if !c.Peers.Talk { // what stands between them alone does not come
-			c.Trouble = slices.DeleteFunc(slices.Clone(c.Trouble), func(t emu.Trouble) bool { return t.NeedsTalk() })
+			c.Trouble = slices.DeleteFunc(slices.Clone(c.Trouble), func(t emulator.Trouble) bool { return t.NeedsTalk() })
 		}
 	}
 	return &c
@@ -194,14 +194,14 @@
 		if len(words) == 0 {
 			words = []string{"bin/woodproxy", "serve"}
 		}
-		var r *emu.Report
+		var r *emulator.Report
 		for try := range 2 {
 			var err error
 			at := filepath.Join(dir, fmt.Sprintf("%03d-%d-%s", i, try, v.Name))
 			if err = Fresh(at); err != nil {
 				return nil, err
 			}
-			r, err = emu.Play(ctx, v.on(x.days[p.Day]).Draw(p.Seed), emu.Options{Start: emu.Program(words...), Dir: at, Overrides: v.Settings})
+			r, err = emulator.Play(ctx, v.on(x.days[p.Day]).Draw(p.Seed), emulator.Options{Start: emulator.Program(words...), Dir: at, Overrides: v.Settings})
 			if err != nil {
 				return nil, err
 			}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 )
 
 func table() *Table {
@@ -181,16 +181,16 @@
 
 // A day's figures count what clients waited for, by its worth, from when it was due.
 func TestSums(t *testing.T) {
-	d, err := emu.ParseDay([]byte(day))
+	d, err := emulator.ParseDay([]byte(day))
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &emu.Report{Plan: &emu.Plan{Day: d}, Seen: []emu.Seen{{What: emu.Took}, {What: emu.Took}, {What: emu.Asked}}}
+	r := &emulator.Report{Plan: &emulator.Plan{Day: d}, Seen: []emulator.Seen{{What: emulator.Took}, {What: emulator.Took}, {What: emulator.Asked}}}
 	for _, q := range []struct {
-		o  emu.Outcome
+		o  emulator.Outcome
 		ms int
-	}{{emu.Completed, 50}, {emu.Completed, 150}, {emu.Shed, 1}, {emu.Lost, 700}, {emu.Left, 9}} {
-		r.Results = append(r.Results, emu.Result{Outcome: q.o, Latency: time.Duration(q.ms) * time.Millisecond})
+	}{{emulator.Completed, 50}, {emulator.Completed, 150}, {emulator.Shed, 1}, {emulator.Lost, 700}, {emulator.Left, 9}} {
+		r.Results = append(r.Results, emulator.Result{Outcome: q.o, Latency: time.Duration(q.ms) * time.Millisecond})
 	}
 	s := Of(r)
 	if s.Completed != 0.5 || s.InTime != 0.25 || s.Shed != 0.25 || s.Lost != 0.25 || s.Worth != 0.25 || s.Tries != 0.4 ||
--- a/internal/lab/sum.go
+++ b/internal/lab/sum.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
@@ -35,39 +35,39 @@
 	LeftFirst, LeftLast, ZoneBack, WorthHit, WorthBack float64
 	NeverLeft, Convicted                               int
 	ColdPeak                                           float64 // the most any node took cold, against what fells it
-	emu.Together
+	emulator.Together
 	FullS                            float64 // after the last kill, until in-time service stayed over 95% of what it was before; the most
 	AbsentAsked, AbsentSaid, StaleMS float64 // missing keys that the origin was asked for, and clients heard of, a second; called missing after a write
 }
 
 // Of sums up a day.
-func Of(r *emu.Report) Sums {
+func Of(r *emulator.Report) Sums {
 	s := Sums{LateMS: r.LateMS, Breaches: len(r.Breaches), BadMute: r.BadMute, CPU: r.CPU}
 	h := hdrhistogram.New(1, 120_000_000, 3) // microseconds
 	waited, worth, all := 0.0, 0.0, 0.0
 	d := r.Plan.Day
 	for _, q := range r.Results {
 		route := d.Routes[q.Request.Route]
-		if q.Outcome == emu.Left {
+		if q.Outcome == emulator.Left {
 			continue
 		}
 		waited++
 		all += route.Value
 		switch q.Outcome {
-		case emu.Completed:
+		case emulator.Completed:
 			s.Completed++
 			h.RecordValue(max(q.Latency.Microseconds(), 1))
 			if q.Latency.Seconds()*1000 <= route.Objective {
 				s.InTime++
 				worth += route.Value
 			}
-		case emu.Shed:
+		case emulator.Shed:
 			s.Shed++
-		case emu.Errored:
+		case emulator.Errored:
 			s.Errored++
-		case emu.Lost:
+		case emulator.Lost:
 			s.Lost++
-		case emu.Refused:
+		case emulator.Refused:
 			s.Refused++
 		}
 	}
@@ -79,7 +79,7 @@
 	s.P50, s.P90, s.P99, s.Max = ms(50), ms(90), ms(99), float64(h.Max())/1000
 	took := 0.0
 	for _, e := range r.Seen {
-		if e.What == emu.Took {
+		if e.What == emulator.Took {
 			took++
 		}
 	}
@@ -108,7 +108,7 @@
 }
 
 // Sum words a day's figures.
-func Sum(r *emu.Report) string {
+func Sum(r *emulator.Report) string {
 	s := Of(r)
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s, seed %d: %d requests; completed %.1f%% (in time %.1f%%), shed %.1f%%, errored %.1f%%, lost %.1f%%, refused %.1f%%\n",
--- a/internal/server/crowd_test.go
+++ b/internal/server/crowd_test.go
@@ -11,14 +11,14 @@
 	"testing"
 	"time"
 
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 )
 
 // ask has one exchange on a connection.
 func ask(conn net.Conn, in *bufio.Reader, id string) (string, error) {
 	conn.SetDeadline(time.Now().Add(3 * time.Second))
 	fmt.Fprintf(conn, "*4\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n$%d\r\n%s\r\n$17\r\nc=read,t=x,d=1200\r\n", len(id), id)
-	_, body, err := emu.Answer(in)
+	_, body, err := emulator.Answer(in)
 	return body, err
 }
 
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 )
 
 // Clients that always have more to ask, several commands ahead, are sent away within four seconds of the call, each
@@ -44,7 +44,7 @@
 			defer all.Done()
 			in := bufio.NewReader(conn)
 			for i := 0; ; i++ {
-				head, body, err := emu.Answer(in)
+				head, body, err := emulator.Answer(in)
 				if err != nil {
 					return
 				}
--- a/internal/server/replace_test.go
+++ b/internal/server/replace_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 	"woodproxy/internal/hotrestart"
 
 	"go.uber.org/zap"
@@ -64,7 +64,7 @@
 				id := fmt.Sprintf("n%d-%d", n, i)
 				asked.Add(1)
 				fmt.Fprintf(conn, "*4\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n$%d\r\n%s\r\n$17\r\nc=read,t=x,d=1200\r\n", len(id), id)
-				head, body, err := emu.Answer(in)
+				head, body, err := emulator.Answer(in)
 				switch {
 				case err != nil:
 					crossed.Add(1)
--- a/internal/server/scenario_test.go
+++ b/internal/server/scenario_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 	"woodproxy/internal/scenario"
 
 	"go.uber.org/zap"
@@ -58,7 +58,7 @@
 func newStage(t *testing.T) *stage {
 	n := stages.Add(1)
 	return &stage{
-		t: t, ip: fmt.Sprintf("127.9.%d.%d", n/250, n%250+1), nodes: map[string]*emu.Node{}, clients: map[string]*caller{}, lists: emu.NewDiscovery(0, nil),
+		t: t, ip: fmt.Sprintf("127.9.%d.%d", n/250, n%250+1), nodes: map[string]*emulator.Node{}, clients: map[string]*caller{}, lists: emulator.NewDiscovery(0, nil),
 		limits: map[string]string{}, settings: settingsJSON, watch: "null", signals: make(chan os.Signal, 1), ended: make(chan error, 1),
 	}
 }
@@ -70,9 +70,9 @@
 	limits   map[string]string
 	settings string
 	watch    string
-	nodes    map[string]*emu.Node
+	nodes    map[string]*emulator.Node
 	clients  map[string]*caller
-	lists    *emu.Discovery
+	lists    *emulator.Discovery
 	addr     string
 	calls    string // where operators call
 	shared   string // where a process meets the one that replaces it
@@ -101,17 +101,17 @@
 		n := s.nodes[w[1]]
 		if n == nil {
 			var err error
-			if n, err = emu.NewNode(s.ip, w[1], w[1][0] == 'o', 1, nil); err != nil {
+			if n, err = emulator.NewNode(s.ip, w[1], w[1][0] == 'o', 1, nil); err != nil {
 				s.t.Fatal(err)
 			}
 			s.t.Cleanup(n.Stop)
 			s.nodes[w[1]] = n
 		}
-		n.Set(emu.Habit(w[2]), 1, time.Duration(scenario.Num(m["slow"]))*time.Millisecond, int(scenario.Num(m["size"])))
+		n.Set(emulator.Habit(w[2]), 1, time.Duration(scenario.Num(m["slow"]))*time.Millisecond, int(scenario.Num(m["size"])))
 	case "list":
 		s.say(w[1:])
 	case "discovery":
-		s.lists.Feel(emu.Mood(strings.Replace(w[1], "up", "", 1)))
+		s.lists.Feel(emulator.Mood(strings.Replace(w[1], "up", "", 1)))
 	case "start":
 		s.start(m["known"])
 	case "reload":
@@ -246,12 +246,12 @@
 }
 
 // target is a line of the list.
-func (s *stage) target(word string) emu.Row {
+func (s *stage) target(word string) emulator.Row {
 	name, status, _ := strings.Cut(word, ":")
 	if status == "" {
 		status = "active"
 	}
-	row := emu.Row{Name: name, Address: s.ip + ":1", Zone: "a", Kind: "std", Status: status}
+	row := emulator.Row{Name: name, Address: s.ip + ":1", Zone: "a", Kind: "std", Status: status}
 	if name[0] == 'o' {
 		row.Kind = "origin"
 	}
@@ -262,7 +262,7 @@
 }
 
 func (s *stage) say(words []string) {
-	var rows []emu.Row
+	var rows []emulator.Row
 	for _, w := range words {
 		rows = append(rows, s.target(w))
 	}
@@ -379,7 +379,7 @@
 			got = int(s.lists.Calls.Load())
 		} else if c, err := net.Dial("tcp", s.addr); err == nil {
 			fmt.Fprint(c, "*1\r\n$4\r\nINFO\r\n")
-			_, text, err := emu.Answer(bufio.NewReader(c))
+			_, text, err := emulator.Answer(bufio.NewReader(c))
 			c.Close()
 			last = text
 			_, after, ok := strings.Cut("\n"+text, "\n"+what+" ")
@@ -473,7 +473,7 @@
 		}
 		return nil
 	}
-	head, body, err := emu.Answer(c.in)
+	head, body, err := emulator.Answer(c.in)
 	if want == "closed" {
 		if err == nil {
 			return fmt.Errorf("came %q", head)
--- a/internal/server/stop_test.go
+++ b/internal/server/stop_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"woodproxy/balancer"
-	"woodproxy/internal/emu"
+	"woodproxy/internal/emulator"
 )
 
 // A process is killed 0.7 s and the longest overall timeout after it was told to stop: with short ones nothing that it took
@@ -42,7 +42,7 @@
 	}()
 	in, answers := bufio.NewReader(conn), 0
 	for {
-		if _, _, err := emu.Answer(in); err != nil {
+		if _, _, err := emulator.Answer(in); err != nil {
 			break // an end behind a whole answer
 		}
 		answers++
