--- a/cmd/woodlab/main.go
+++ b/cmd/woodlab/main.go
@@ -10,7 +10,7 @@
 	"syscall"
 
 	"woodproxy/internal/emulator"
-	"woodproxy/internal/lab"
+	"woodproxy/internal/experiment"
 	"woodproxy/internal/simnet"
 	"woodproxy/replica"
 
@@ -23,8 +23,8 @@
 
 func (c *check) Run(context.Context) error {
 	for _, f := range c.Files {
-		if lab.IsExperiment(f) {
-			x, err := lab.ReadExperiment(f)
+		if experiment.IsExperiment(f) {
+			x, err := experiment.ReadExperiment(f)
 			if err != nil {
 				return err
 			}
@@ -54,14 +54,14 @@
 	if err != nil {
 		return err
 	}
-	if err := lab.Fresh(p.Dir); err != nil {
+	if err := experiment.Fresh(p.Dir); err != nil {
 		return err
 	}
 	r, err := emulator.Play(ctx, d.Draw(p.Seed), emulator.Options{Start: emulator.Program(p.Program...), Dir: p.Dir})
 	if err != nil {
 		return err
 	}
-	fmt.Print(lab.Sum(r))
+	fmt.Print(experiment.Sum(r))
 	for _, b := range r.Breaches {
 		fmt.Println(b)
 	}
@@ -78,11 +78,11 @@
 }
 
 func (e *experimentCommand) Run(ctx context.Context) error {
-	x, err := lab.ReadExperiment(e.File)
+	x, err := experiment.ReadExperiment(e.File)
 	if err != nil {
 		return err
 	}
-	if err := lab.Fresh(e.Dir); err != nil {
+	if err := experiment.Fresh(e.Dir); err != nil {
 		return err
 	}
 	table, err := x.Run(ctx, e.Dir, func(line string) { fmt.Println(line) })
@@ -102,7 +102,7 @@
 }
 
 func (c *compare) Run(context.Context) error {
-	t, err := lab.ReadTable(c.Table)
+	t, err := experiment.ReadTable(c.Table)
 	if err != nil {
 		return err
 	}
@@ -123,7 +123,7 @@
 }
 
 func (c *chart) Run(context.Context) error {
-	t, err := lab.ReadTable(c.Table)
+	t, err := experiment.ReadTable(c.Table)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/sum.go
+++ b/internal/experiment/sum.go
@@ -1,6 +1,6 @@
-// Package lab measures: it plays days of the emulator by experiments, keeps what came of them in tables, and says by how
+// Package experiment measures: it plays days of the emulator by experiments, keeps what came of them in tables, and says by how
 // much variants differ.
-package lab
+package experiment
 
 import (
 	"errors"
--- a/internal/lab/table.go
+++ b/internal/experiment/table.go
@@ -1,4 +1,4 @@
-package lab
+package experiment
 
 import (
 	"encoding/csv"
