--- a/balancer/scenario_test.go
+++ b/balancer/scenario_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"woodproxy/balancer"
-	"woodproxy/internal/scenario"
+	"woodproxy/internal/testscript"
 )
 
 // A scenario is a text file of lines:
@@ -28,7 +28,7 @@
 //
 // NODE is a name, $X (bound at its first use, no cache twice) or any. Wakes are left out; logs unless asked for.
 func TestScenarios(t *testing.T) {
-	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
+	testscript.Play(t, "scenarios/*.txt", func(t *testing.T) testscript.Stage {
 		return &play{
 			t: t, routes: map[string]int{}, nodes: map[string]int{}, bound: map[string]string{},
 			last: map[int]balancer.Decision{}, terms: balancer.Terms{
@@ -59,19 +59,19 @@
 	p.t.Errorf("line %d: %s", p.line, fmt.Sprintf(format, args...))
 }
 
-func ms(s string) balancer.Time { return balancer.Time(scenario.Num(s) * 10) }
+func ms(s string) balancer.Time { return balancer.Time(testscript.Num(s) * 10) }
 
 func (p *play) Step(line int, w []string) {
 	p.line = line
 	switch w[0] {
 	case "terms":
-		p.setTerms(scenario.Words(w[1:]))
+		p.setTerms(testscript.Words(w[1:]))
 		return
 	case "route":
-		m := scenario.Words(w[2:])
+		m := testscript.Words(w[2:])
 		r := balancer.Route{
-			Objective: ms(m["objective"]), Overall: ms(m["overall"]), Value: scenario.Num(m["value"]),
-			Overdue: scenario.Num(m["overdue"]), Window: ms(m["window"]), Effect: map[string]balancer.Effect{
+			Objective: ms(m["objective"]), Overall: ms(m["overall"]), Value: testscript.Num(m["value"]),
+			Overdue: testscript.Num(m["overdue"]), Window: ms(m["window"]), Effect: map[string]balancer.Effect{
 				"deduped":       balancer.Deduped,
 				"non-retriable": balancer.NonRetriable,
 			}[m["effect"]],
@@ -89,12 +89,12 @@
 	if p.mind == nil {
 		p.mind = balancer.New(now, p.terms, 1)
 	}
-	m := scenario.Words(w[2:])
+	m := testscript.Words(w[2:])
 	switch w[1] {
 	case "list":
 		p.list(now, w[2:])
 	case "arrive":
-		p.arrive(now, int(scenario.Num(w[2])), w[3], m)
+		p.arrive(now, int(testscript.Num(w[2])), w[3], m)
 	case "each":
 		for cx, to := span(w[2]); cx <= to; cx++ {
 			p.arrive(now, cx, w[3], m)
@@ -102,7 +102,7 @@
 	case "rounds":
 		took := ms(m["took"])
 		from, to := span(w[3])
-		for range int(scenario.Num(w[2])) {
+		for range int(testscript.Num(w[2])) {
 			for cx := from; cx <= to; cx++ {
 				p.arrive(now, cx, w[4], m)
 			}
@@ -132,15 +132,15 @@
 		}
 		p.take(p.mind.Heard(now, n, w[3] == "answers"))
 	case "bar":
-		p.take(p.mind.Bar(now, p.nodes[p.name(w[2])], scenario.Num(w[3]), len(w) > 4))
+		p.take(p.mind.Bar(now, p.nodes[p.name(w[2])], testscript.Num(w[3]), len(w) > 4))
 	case "rest":
 		p.take(p.mind.Rest(now, p.nodes[p.name(w[2])], ms(w[3])))
 	case "share":
-		p.take(p.mind.Share(now, scenario.Num(w[2])))
+		p.take(p.mind.Share(now, testscript.Num(w[2])))
 	case "left":
-		p.take(p.mind.Left(now, int(scenario.Num(w[2]))))
+		p.take(p.mind.Left(now, int(testscript.Num(w[2]))))
 	case "streaming":
-		p.take(p.mind.Streaming(now, int(scenario.Num(w[2]))))
+		p.take(p.mind.Streaming(now, int(testscript.Num(w[2]))))
 	case "wake":
 		p.take(p.mind.Woken(now))
 	case "failed":
@@ -155,7 +155,7 @@
 	if !ok {
 		to = from
 	}
-	return int(scenario.Num(from)), int(scenario.Num(to))
+	return int(testscript.Num(from)), int(testscript.Num(to))
 }
 
 var endings = map[string]balancer.Ending{
@@ -169,11 +169,11 @@
 	for k, v := range m {
 		switch k {
 		case "proxies":
-			t.Proxies = int(scenario.Num(v))
+			t.Proxies = int(testscript.Num(v))
 		case "peers":
-			t.Peers = int(scenario.Num(v))
+			t.Peers = int(testscript.Num(v))
 		case "tries":
-			t.MaxTries = int(scenario.Num(v))
+			t.MaxTries = int(testscript.Num(v))
 		case "cancel":
 			t.MayCancel = true
 		case "parallel":
@@ -189,11 +189,11 @@
 		case "cold":
 			t.Cold = ms(v)
 		case "allowance":
-			t.Allowance = []float64{scenario.Num(v), scenario.Num(v)}
+			t.Allowance = []float64{testscript.Num(v), testscript.Num(v)}
 		case "fetch":
-			t.Fetch = scenario.Num(v)
+			t.Fetch = testscript.Num(v)
 		case "beyond":
-			t.BeyondShare = scenario.Num(v)
+			t.BeyondShare = testscript.Num(v)
 		default:
 			p.fail("unknown term %q", k)
 		}
@@ -210,7 +210,7 @@
 			continue
 		}
 		parts := strings.Split(s, ":")
-		m := scenario.Words(parts[1:])
+		m := testscript.Words(parts[1:])
 		n, ok := p.nodes[parts[0]]
 		if !ok {
 			if n, ok = p.nodes[m["at"]]; ok {
@@ -223,10 +223,10 @@
 		}
 		l := balancer.Listing{
 			Node: n, Name: parts[0], Origin: parts[0][0] == 'o', Since: ms(m["since"]), Weight: 1,
-			Ready: m["draining"] == "" && m["gone"] == "", Zone: int(scenario.Num(m["zone"])),
+			Ready: m["draining"] == "" && m["gone"] == "", Zone: int(testscript.Num(m["zone"])),
 		}
 		if m["weight"] != "" {
-			l.Weight = scenario.Num(m["weight"])
+			l.Weight = testscript.Num(m["weight"])
 		}
 		lines = append(lines, l)
 	}
@@ -244,13 +244,13 @@
 		Repeat: m["repeat"] != "", Remaining: p.terms.Routes[r].Overall,
 	}
 	if m["key"] != "" {
-		e.Key = uint64(scenario.Num(m["key"]))
+		e.Key = uint64(testscript.Num(m["key"]))
 	}
 	if m["left"] != "" {
 		e.Remaining = ms(m["left"])
 	}
 	if m["tenant"] != "" {
-		e.Tenant = int(scenario.Num(m["tenant"]))
+		e.Tenant = int(testscript.Num(m["tenant"]))
 	}
 	p.take(p.mind.Arrive(now, cx, e))
 }
@@ -308,8 +308,8 @@
 				n++
 			}
 		}
-		op, want := w[len(w)-2], int(scenario.Num(w[len(w)-1]))
-		if !scenario.Holds(n, op, want) {
+		op, want := w[len(w)-2], int(testscript.Num(w[len(w)-1]))
+		if !testscript.Holds(n, op, want) {
 			p.fail("%s came %d times, not %s %d; all: %q", act, n, op, want, p.got)
 		}
 		return
--- a/internal/server/scenario_test.go
+++ b/internal/server/scenario_test.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"woodproxy/internal/emulator"
-	"woodproxy/internal/scenario"
+	"woodproxy/internal/testscript"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
@@ -46,7 +46,7 @@
 //
 // Stand-ins are the emulator's, and so are their habits.
 func TestScenarios(t *testing.T) {
-	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
+	testscript.Play(t, "scenarios/*.txt", func(t *testing.T) testscript.Stage {
 		t.Parallel()
 		return newStage(t)
 	})
@@ -93,7 +93,7 @@
 
 func (s *stage) Step(line int, w []string) {
 	s.line = line
-	m := scenario.Words(w[1:])
+	m := testscript.Words(w[1:])
 	switch w[0] {
 	case "limits":
 		s.limits = m
@@ -107,7 +107,7 @@
 			s.t.Cleanup(n.Stop)
 			s.nodes[w[1]] = n
 		}
-		n.Set(emulator.Habit(w[2]), 1, time.Duration(scenario.Num(m["slow"]))*time.Millisecond, int(scenario.Num(m["size"])))
+		n.Set(emulator.Habit(w[2]), 1, time.Duration(testscript.Num(m["slow"]))*time.Millisecond, int(testscript.Num(m["size"])))
 	case "list":
 		s.say(w[1:])
 	case "discovery":
@@ -136,7 +136,7 @@
 	case "call":
 		s.call(w[1], w[2], w[3], m["with"])
 	case "ringers":
-		for i := range int(scenario.Num(w[1])) {
+		for i := range int(testscript.Num(w[1])) {
 			c, err := net.Dial("tcp", s.calls)
 			if err != nil {
 				s.fail("%v", err)
@@ -153,19 +153,19 @@
 	case "watch":
 		s.watch = w[1]
 	case "pause":
-		time.Sleep(time.Duration(scenario.Num(w[1])) * time.Millisecond)
+		time.Sleep(time.Duration(testscript.Num(w[1])) * time.Millisecond)
 	case "expect":
-		s.expect(w[1], w[2], int(scenario.Num(w[3])))
+		s.expect(w[1], w[2], int(testscript.Num(w[3])))
 	case "stop":
 		s.signals <- syscall.SIGTERM
 	case "crowd":
-		for i := range int(scenario.Num(w[1])) {
-			name := fmt.Sprint("crowd", i+int(scenario.Num(m["from"])))
+		for i := range int(testscript.Num(w[1])) {
+			name := fmt.Sprint("crowd", i+int(testscript.Num(m["from"])))
 			s.Step(line, []string{name, "ping"})
 			s.Step(line, []string{name, "gets", "pong"})
 		}
 	case "mutes":
-		for i := range int(scenario.Num(w[1])) {
+		for i := range int(testscript.Num(w[1])) {
 			s.Step(line, []string{fmt.Sprint("mute", i), "raw"})
 		}
 	case "running":
@@ -219,7 +219,7 @@
 	if with == "garbage" {
 		io.WriteString(c, "\x00\x01 what\r\n\r\n")
 	} else {
-		n := int(scenario.Num(with))
+		n := int(testscript.Num(with))
 		fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: here\r\nContent-Length: %d\r\n\r\n%s", method, path, n, strings.Repeat("x", n))
 	}
 	head, err := bufio.NewReader(c).ReadString('\n')
@@ -388,9 +388,9 @@
 				return
 			}
 			word, _, _ := strings.Cut(after, "\n")
-			got = int(scenario.Num(word))
+			got = int(testscript.Num(word))
 		}
-		if scenario.Holds(got, op, want) {
+		if testscript.Holds(got, op, want) {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -415,19 +415,19 @@
 		if wait == "" {
 			wait = "1200"
 		}
-		for i := range max(int(scenario.Num(m["times"])), 1) {
+		for i := range max(int(testscript.Num(m["times"])), 1) {
 			c.sent++
 			words := []string{"KV.GET", fmt.Sprint(w[1], i), fmt.Sprint(c.name, c.sent), "c=read,t=x,d=" + wait}
 			if w[0] == "set" {
 				words[0], words[3] = "KV.SET", "c=put,t=x,d="+wait+",k=mark"
-				words = append(words, strings.Repeat("v", int(scenario.Num(m["size"]))))
+				words = append(words, strings.Repeat("v", int(testscript.Num(m["size"]))))
 			}
 			if err := c.write(words); err != nil {
 				return err
 			}
 		}
 	case "ping":
-		for range max(int(scenario.Num(m["times"])), 1) {
+		for range max(int(testscript.Num(m["times"])), 1) {
 			c.sent++
 			if err := c.write([]string{"PING"}); err != nil {
 				return err
@@ -439,7 +439,7 @@
 	case "leaves":
 		return c.conn.Close()
 	case "gets":
-		for range max(int(scenario.Num(m["times"])), 1) {
+		for range max(int(testscript.Num(m["times"])), 1) {
 			if err := c.gets(w[1], m); err != nil {
 				return err
 			}
@@ -462,7 +462,7 @@
 
 func (c *caller) gets(want string, m map[string]string) error {
 	if want == "begun" {
-		c.conn.SetReadDeadline(time.Now().Add(time.Duration(scenario.Num(m["within"])) * time.Millisecond))
+		c.conn.SetReadDeadline(time.Now().Add(time.Duration(testscript.Num(m["within"])) * time.Millisecond))
 		_, err := c.in.Peek(1000)
 		return err
 	}
--- a/internal/scenario/scenario.go
+++ b/internal/testscript/scenario.go
@@ -1,6 +1,6 @@
-// Package scenario plays the project's scenarios in tests: small text files of a step a line, words apart by
+// Package testscript plays the project's scenarios in tests: small text files of a step a line, words apart by
 // blanks. Lines that begin with # are comments.
-package scenario
+package testscript
 
 import (
 	"os"
--- a/zonehealth/zones_test.go
+++ b/zonehealth/zones_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"woodproxy/internal/scenario"
+	"woodproxy/internal/testscript"
 	"woodproxy/zonehealth"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -29,7 +29,7 @@
 //	> knocked N                          so many connections were asked for since the last such line
 //	> spoke ZONE for|against|none [plan=STATE] | log WORDS | wrong ORDER... : WORDS
 func TestScenarios(t *testing.T) {
-	scenario.Play(t, "scenarios/*.txt", func(t *testing.T) scenario.Stage {
+	testscript.Play(t, "scenarios/*.txt", func(t *testing.T) testscript.Stage {
 		return &play{t: t, bars: map[int]zonehealth.Decision{}, spoke: map[string]zonehealth.Voice{}, terms: zonehealth.Terms{
 			Me: "a1", Zone: "a", Shortest: 5000, Quiet: 3000,
 			Voices: 0.2, Settle: 2000, Hold: 20000, MostHold: 160000, Step: 10000, Cold: 50000, ColdFrom: 0.2, Alone: true,
@@ -55,7 +55,7 @@
 	p.t.Errorf("line %d: %s", p.line, fmt.Sprintf(format, args...))
 }
 
-func ms(s string) zonehealth.Time { return zonehealth.Time(scenario.Num(s) * 10) }
+func ms(s string) zonehealth.Time { return zonehealth.Time(testscript.Num(s) * 10) }
 
 func (p *play) do(ds []zonehealth.Decision) {
 	for _, d := range ds {
@@ -82,12 +82,12 @@
 		return nil
 	}
 	f := append(strings.Split(s, ":"), "0", "0")
-	return &zonehealth.Stand{Epoch: int64(scenario.Num(f[0])), State: states[f[1]], Step: int(scenario.Num(f[2])), Flaps: int(scenario.Num(f[3]))}
+	return &zonehealth.Stand{Epoch: int64(testscript.Num(f[0])), State: states[f[1]], Step: int(testscript.Num(f[2])), Flaps: int(testscript.Num(f[3]))}
 }
 
 func (p *play) Step(line int, w []string) {
 	p.line = line
-	m := scenario.Words(w[1:])
+	m := testscript.Words(w[1:])
 	switch w[0] {
 	case "terms":
 		for k, v := range m {
@@ -132,7 +132,7 @@
 		had := len(p.nodes)
 		for _, f := range w[2:] {
 			zone, n, ok := strings.Cut(f, ":")
-			for range int(scenario.Num(map[bool]string{true: n, false: "0"}[ok])) {
+			for range int(testscript.Num(map[bool]string{true: n, false: "0"}[ok])) {
 				p.nodes = append(p.nodes, zonehealth.Node{Index: len(p.nodes), Name: fmt.Sprint("c", len(p.nodes)), Zone: zone, Since: since})
 			}
 		}
@@ -146,7 +146,7 @@
 		var all []zonehealth.Proxy
 		for _, f := range w[2:] {
 			zone, n, ok := strings.Cut(f, ":")
-			for i := range int(scenario.Num(map[bool]string{true: n, false: "0"}[ok])) {
+			for i := range int(testscript.Num(map[bool]string{true: n, false: "0"}[ok])) {
 				name := fmt.Sprint(zone, i+1)
 				x := zonehealth.Proxy{Name: name, Zone: zone, Here: true}
 				for _, a := range names("away") {
@@ -163,7 +163,7 @@
 	case "try", "sent":
 		var of []int
 		for _, n := range p.nodes {
-			if n.Zone == w[2] && (m["nodes"] == "" || len(of) < int(scenario.Num(m["nodes"]))) {
+			if n.Zone == w[2] && (m["nodes"] == "" || len(of) < int(testscript.Num(m["nodes"]))) {
 				of = append(of, n.Index)
 			}
 		}
@@ -171,7 +171,7 @@
 		if m["took"] != "" {
 			took = ms(m["took"])
 		}
-		for i := range int(scenario.Num(w[3])) {
+		for i := range int(testscript.Num(w[3])) {
 			at := of[i%len(of)]
 			if w[1] == "try" && w[4] == "reached" {
 				p.in.Reached(at)
@@ -184,8 +184,8 @@
 		}
 	case "say":
 		v := zonehealth.Voice{
-			Word: words[w[4]], Fine: float32(scenario.Num("0" + m["fine"])), Late: float32(scenario.Num("0" + m["late"])),
-			Lost: float32(scenario.Num("0" + m["lost"])), Origin: float32(scenario.Num("0" + m["origin"])), Plan: stand(m["plan"]),
+			Word: words[w[4]], Fine: float32(testscript.Num("0" + m["fine"])), Late: float32(testscript.Num("0" + m["late"])),
+			Lost: float32(testscript.Num("0" + m["lost"])), Origin: float32(testscript.Num("0" + m["origin"])), Plan: stand(m["plan"]),
 		}
 		if v.Word != zonehealth.For {
 			v.Ago = zonehealth.Second
@@ -194,16 +194,16 @@
 			v.Stand = *s
 		}
 		if f, r, ok := strings.Cut(m["load"], "/"); ok {
-			v.Flying, v.Room = float32(scenario.Num(f)), float32(scenario.Num(r))
+			v.Flying, v.Room = float32(testscript.Num(f)), float32(testscript.Num(r))
 		}
 		k := 0
 		for _, n := range p.nodes {
 			if n.Zone != w[2] {
 				continue
 			}
-			if k++; k <= int(scenario.Num("0"+m["ill"])) {
+			if k++; k <= int(testscript.Num("0"+m["ill"])) {
 				v.Ill = append(v.Ill, zonehealth.Hash(n.Name))
-			} else if k <= int(scenario.Num("0"+m["ill"]))+int(scenario.Num("0"+m["well"])) {
+			} else if k <= int(testscript.Num("0"+m["ill"]))+int(testscript.Num("0"+m["well"])) {
 				v.Well = append(v.Well, zonehealth.Hash(n.Name))
 			}
 		}
@@ -215,9 +215,9 @@
 			p.do(p.in.Voice(p.now, name, w[2], v, 0, 5*zonehealth.Second))
 		}
 	case "load":
-		p.in.Load(scenario.Num(w[2]), scenario.Num(w[3]))
+		p.in.Load(testscript.Num(w[2]), testscript.Num(w[3]))
 	case "order":
-		p.do(p.in.Order(p.now, zonehealth.Order{Zone: w[2], Want: zonehealth.Wants[w[3]], Epoch: int64(scenario.Num(w[4])), By: "b1", Force: m["force"] != ""}))
+		p.do(p.in.Order(p.now, zonehealth.Order{Zone: w[2], Want: zonehealth.Wants[w[3]], Epoch: int64(testscript.Num(w[4])), By: "b1", Force: m["force"] != ""}))
 	default:
 		p.fail("unknown word %q", w[1])
 	}
@@ -231,7 +231,7 @@
 		}
 		return
 	case "knocked":
-		if p.knock != int(scenario.Num(w[1])) {
+		if p.knock != int(testscript.Num(w[1])) {
 			p.fail("knocked at %d nodes, not %s", p.knock, w[1])
 		}
 		p.knock = 0
@@ -248,7 +248,7 @@
 		f, want := strings.Fields(strings.Join(w, " ")[:i]), strings.Join(w, " ")[i+3:]
 		epoch := int64(-1)
 		if m["epoch"] != "" {
-			epoch = int64(scenario.Num(m["epoch"]))
+			epoch = int64(testscript.Num(m["epoch"]))
 		}
 		if got := zonehealth.Check(p.in.Shown(p.now), p.terms.Zones(f[1]), zonehealth.Wants[f[2]], epoch, m["force"] != ""); want == "nothing" && got != "" || want != "nothing" && !strings.Contains(got, want) {
 			p.fail("%q: %q, not %q", f, got, want)
@@ -270,8 +270,8 @@
 			"kept": fmt.Sprint(len(s.Stand.Kept)), "barred": fmt.Sprint(barred),
 		}
 		bad := s.Stand.State.String() != w[1] || s.Alone != (m["alone"] != "")
-		for k, v := range scenario.Words(w[2:]) {
-			if g, ok := got[k]; k != "alone" && (!ok || math.Abs(scenario.Num(g)-scenario.Num(v)) > 0.001) {
+		for k, v := range testscript.Words(w[2:]) {
+			if g, ok := got[k]; k != "alone" && (!ok || math.Abs(testscript.Num(g)-testscript.Num(v)) > 0.001) {
 				bad = true
 			}
 		}
