--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -1,4 +1,4 @@
-// Woodlab plays days of a deployment on loopback among stand-ins, with real proxies, and experiments on top of them.
+// Emulator plays days of a deployment on loopback among stand-ins, with real proxies, and experiments on top of them.
 package main
 
 import (
@@ -180,10 +180,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	k := kong.Parse(&cli, kong.Name("woodlab"), kong.Description("Plays days of a deployment on loopback, with real proxies."))
+	k := kong.Parse(&cli, kong.Name("emulator"), kong.Description("Plays days of a deployment on loopback, with real proxies."))
 	k.BindTo(ctx, (*context.Context)(nil))
 	if err := k.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "woodlab:", err)
+		fmt.Fprintln(os.Stderr, "emulator:", err)
 		stop()
 		os.Exit(1)
 	}
--- a/cmd/woodproxy/cli_golden_test.go
+++ b/cmd/woodproxy/cli_golden_test.go
@@ -126,7 +126,7 @@
 		"woodproxy help":     testProxyHelp,
 		"woodproxy commands": testProxyCommands,
 		"woodproxy version":  testProxyVersion,
-		"woodlab":            testLab,
+		"emulator":           testLab,
 		"simhost":            testSimulatorHost,
 	} {
 		t.Run(name, func(t *testing.T) { test(t, programs) })
@@ -210,37 +210,37 @@
 }
 
 var labCommands = []command{
-	{program: "woodlab"},
-	{program: "woodlab", args: []string{"--help"}},
-	{program: "woodlab", args: []string{"check", "--help"}},
-	{program: "woodlab", args: []string{"play", "--help"}},
-	{program: "woodlab", args: []string{"experiment", "--help"}},
-	{program: "woodlab", args: []string{"compare", "--help"}},
-	{program: "woodlab", args: []string{"null", "--help"}},
-	{program: "woodlab", args: []string{"spread", "--help"}},
-	{program: "woodlab", args: []string{"chart", "--help"}},
-	{program: "woodlab", args: []string{"unknown"}},
-	{program: "woodlab", args: []string{"check"}},
-	{program: "woodlab", args: []string{"check", "none.toml"}},
-	{program: "woodlab", args: []string{"check", "bad.toml"}},
-	{program: "woodlab", args: []string{"play"}},
-	{program: "woodlab", args: []string{"play", "none.toml"}},
-	{program: "woodlab", args: []string{"play", "bad.toml"}},
-	{program: "woodlab", args: []string{"experiment", "none.toml"}},
-	{program: "woodlab", args: []string{"experiment", "none.toml", "--out=table.tsv"}},
-	{program: "woodlab", args: []string{"compare", "none.tsv"}},
-	{program: "woodlab", args: []string{"chart", "none.tsv", "--out=chart.svg"}},
-	{program: "woodlab", args: []string{"null"}},
-	{program: "woodlab", args: []string{"null", "--listen=here"}},
-	{program: "woodlab", args: []string{"null"}, environment: []string{"GW_LISTEN=here"}},
-	{program: "woodlab", args: []string{"spread", "--sizes=1"}},
-	{program: "woodlab", args: []string{"spread", "--sizes=10", "--loss=1"}},
+	{program: "emulator"},
+	{program: "emulator", args: []string{"--help"}},
+	{program: "emulator", args: []string{"check", "--help"}},
+	{program: "emulator", args: []string{"play", "--help"}},
+	{program: "emulator", args: []string{"experiment", "--help"}},
+	{program: "emulator", args: []string{"compare", "--help"}},
+	{program: "emulator", args: []string{"null", "--help"}},
+	{program: "emulator", args: []string{"spread", "--help"}},
+	{program: "emulator", args: []string{"chart", "--help"}},
+	{program: "emulator", args: []string{"unknown"}},
+	{program: "emulator", args: []string{"check"}},
+	{program: "emulator", args: []string{"check", "none.toml"}},
+	{program: "emulator", args: []string{"check", "bad.toml"}},
+	{program: "emulator", args: []string{"play"}},
+	{program: "emulator", args: []string{"play", "none.toml"}},
+	{program: "emulator", args: []string{"play", "bad.toml"}},
+	{program: "emulator", args: []string{"experiment", "none.toml"}},
+	{program: "emulator", args: []string{"experiment", "none.toml", "--out=table.tsv"}},
+	{program: "emulator", args: []string{"compare", "none.tsv"}},
+	{program: "emulator", args: []string{"chart", "none.tsv", "--out=chart.svg"}},
+	{program: "emulator", args: []string{"null"}},
+	{program: "emulator", args: []string{"null", "--listen=here"}},
+	{program: "emulator", args: []string{"null"}, environment: []string{"GW_LISTEN=here"}},
+	{program: "emulator", args: []string{"spread", "--sizes=1"}},
+	{program: "emulator", args: []string{"spread", "--sizes=10", "--loss=1"}},
 }
 
 func testLab(t *testing.T, programs string) {
 	dir := t.TempDir()
 	writeFile(t, dir, "bad.toml", "unknown_key = 1\n")
-	checkGolden(t, "woodlab.golden", outputs(t, programs, dir, labCommands))
+	checkGolden(t, "emulator.golden", outputs(t, programs, dir, labCommands))
 }
 
 // testSimulatorHost pins the exit code and the one line that names line, message and field of malformed input.
--- a/internal/simadapter/session_golden_test.go
+++ b/internal/simadapter/session_golden_test.go
@@ -88,7 +88,7 @@
 // TestSimhostBinary replays a session and a malformed input through the command.
 func TestSimhostBinary(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "simhost")
-	if text, err := exec.Command("go", "build", "-o", binary, "../cmd/simhost").CombinedOutput(); err != nil {
+	if text, err := exec.Command("go", "build", "-o", binary, "woodproxy/cmd/simhost").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, text)
 	}
 	for i := range sessionShapes {
