Golden JSON of a move, a node, a shard and a lack by themselves

So that an omitempty that is lost or added shows at the zero value too. Planted changes of tags, paths, counter and metric names and help texts were seen to fail the pins of the operators' interface.

--- a/internal/server/figures_golden_test.go
+++ b/internal/server/figures_golden_test.go
@@ -63,6 +63,10 @@
 		{"GET /control/missing", &negativecache.Figures{}},
 		{"POST /control/moves/plan, response", &rebalance.Plan{}},
 		{"POST /control/moves/plan, request", &rebalance.Inventory{}},
+		{"a move of a plan", &rebalance.Move{}},
+		{"a node of an inventory", &rebalance.Node{}},
+		{"a shard of an inventory", &rebalance.Shard{}},
+		{"what a node lacks, in an error", &rebalance.Lack{}},
 	} {
 		fmt.Fprintf(&all, "=== %s\nempty:  %s\n", c.name, encode(t, c.value))
 		count := 0
