cmd/woodproxy: a file a command, whole names, errors looked at; linted from now on

The flags' struct was called place, its reading stood twice (start and SIGHUP differ by discovery alone), check was one function of forty lines.

--- /dev/null
+++ b/cmd/woodproxy/check.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"fmt"
+	"net"
+
+	"woodproxy/internal/server"
+)
+
+// checkCommand is `woodproxy check`.
+type checkCommand struct{ configOptions }
+
+// Run reads the configuration and every file that it names, tries the addresses that a start would bind beside the
+// clients' one, and prints a line for each file that is good.
+func (c *checkCommand) Run() error {
+	config, err := c.read()
+	if err != nil {
+		return err
+	}
+	if err := checkManagementAddress(config.Management); err != nil {
+		return err
+	}
+	if config.Talk != nil {
+		if err := config.Talk.Free(); err != nil {
+			return err
+		}
+	}
+	c.printOptionalFiles(config)
+	c.printConfiguration(config)
+	return nil
+}
+
+// checkManagementAddress binds the address for a moment, since a start would fail where it is taken.
+func checkManagementAddress(address string) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("configuration: management: %w", err)
+	}
+	return listener.Close()
+}
+
+func (c *checkCommand) printOptionalFiles(config *server.Place) {
+	if peers := config.Talk; peers != nil {
+		fmt.Printf("%s: good; cluster %s, %d seeds\n", c.Peers, peers.Cluster, len(peers.Seeds))
+	}
+	if zones := config.Zones; zones != nil {
+		fmt.Printf("%s: good; this proxy stands in %q, %d regions\n", c.Zones, zones.Zone, len(zones.Regions))
+	}
+	if config.State != nil {
+		fmt.Printf("%s: good; what this proxy knows is kept there\n", c.State)
+	}
+	if missing := config.Missing; missing != nil {
+		seconds := float64(missing.Believe) / 1e4
+		fmt.Printf("%s: good; room for %d keys, each for %v s\n", c.Missing, missing.Entries, seconds)
+	}
+	if moves := config.Moves; moves != nil {
+		fmt.Printf("%s: good; slack %v, %d moves at a node, %d in all\n", c.Moves, moves.Slack, moves.PerNode, moves.InAll)
+	}
+	if turns := config.Turns; turns != nil {
+		fmt.Printf("%s: good; %d watchers, %d keepers\n", c.Turns, turns.Watchers, turns.Keepers)
+	}
+}
+
+func (c *checkCommand) printConfiguration(config *server.Place) {
+	book := config.Book
+	fmt.Printf("%s: good; %d routes, %d tenants, %d proxies\n",
+		c.Config, len(book.Routes), len(book.Tenants), book.Terms.Proxies)
+	if config.Untold {
+		fmt.Println("limits.may-tell: no file of peers is named; nothing is told")
+	}
+	if config.Watch != nil {
+		fmt.Println("other settings are watched")
+	}
+}
--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -101,8 +101,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		p.command.Process.Kill()
-		p.command.Wait()
+		_ = p.command.Process.Kill() // it may have ended by itself
+		_ = p.command.Wait()         // killed, it always ends with an error
 		if t.Failed() {
 			t.Logf("the proxy's log:\n%s", p.log)
 		}
@@ -116,7 +116,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
 
@@ -147,7 +147,7 @@
 	if err != nil {
 		return response{}, err
 	}
-	defer answer.Body.Close()
+	defer func() { _ = answer.Body.Close() }()
 	text, err := io.ReadAll(answer.Body)
 	return response{answer.StatusCode, answer.Header.Get("Content-Type"), string(text)}, err
 }
@@ -324,7 +324,7 @@
 func TestProcessGolden(t *testing.T) {
 	program := filepath.Join(buildPrograms(t), "woodproxy")
 	p := startProxy(t, program, knownList(fleetNodes()), allParts(t))
-	starting := p.until(t, "GET", "/control/ready", func(r response) bool { return true })
+	starting := p.until(t, "GET", "/control/ready", func(response) bool { return true })
 	if want := (response{503, plainText, "starting\n"}); starting != want {
 		t.Errorf("at the start: %v", starting)
 	}
@@ -415,8 +415,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { conn.Close() })
-	go io.Copy(io.Discard, conn)
+	t.Cleanup(func() { _ = conn.Close() })
+	go func() { _, _ = io.Copy(io.Discard, conn) }() // ends with the connection
 	go func() {
 		for i := 0; ; i++ {
 			key := fmt.Sprint("key-", i)
@@ -544,8 +544,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
-	io.WriteString(conn, "POST /control/moves/plan HTTP/1.1\r\nHost: proxy\r\nContent-Length: 100\r\n\r\n{")
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, "POST /control/moves/plan HTTP/1.1\r\nHost: proxy\r\nContent-Length: 100\r\n\r\n{"); err != nil {
+		t.Fatal(err)
+	}
 	return p.until(t, "POST", "/control/moves/plan", func(r response) bool { return strings.Contains(r.body, "BusyError") })
 }
 
@@ -567,7 +569,7 @@
 	}
 }
 
-var readyText = regexp.MustCompile(`\Aready(; catching up with peers|; (alone|catching up|warming), since [^\n]+)?\n\z`)
+var readyText = regexp.MustCompile(`^ready(; catching up with peers|; (alone|catching up|warming), since [^\n]+)?\n$`)
 
 // A proxy without any of its parts says of each call that there is nothing to show.
 func TestProcessWithoutPartsGolden(t *testing.T) {
@@ -607,7 +609,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	dir := t.TempDir()
 	writeFile(t, dir, "config.json", strings.Replace(cliConfig, "127.0.0.1:1", "127.10.9.2:1", 1))
 	command := exec.Command(program, "serve", "--config="+filepath.Join(dir, "config.json"), "--listen="+freeAddress(t), "--management="+listener.Addr().String())
