--- a/cmd/woodproxy/cli_golden_test.go
+++ b/cmd/woodproxy/cli_golden_test.go
@@ -88,9 +88,9 @@
 // A proxy of this configuration is started by none of the command line's cases; only checks read it.
 const cliConfig = `{"name":"alpha","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","settings":` + cliSettings + `}`
 
-// partFiles are the files that the flags name, by flag.
+// partFiles are the files that the flags name, by flag. ADDRESS stands for a free one.
 var partFiles = map[string]string{
-	"peers":   "cluster = \"c\"\nlisten = \"127.10.8.1:27946\"\nseeds = [\"127.10.8.2:27946\"]\n",
+	"peers":   "cluster = \"c\"\nlisten = \"ADDRESS\"\nseeds = [\"127.10.8.2:27946\"]\n",
 	"zones":   "[[region]]\nname = \"east\"\nzones = [\"b\", \"c\"]\n",
 	"turns":   "watchers = 8\nkeepers = 4\n",
 	"missing": "entries = 65536\n",
@@ -104,7 +104,7 @@
 		t.Fatal(err)
 	}
 	for name, text := range partFiles {
-		writeFile(t, dir, name+".toml", text)
+		writeFile(t, dir, name+".toml", strings.Replace(text, "ADDRESS", freeAddress(t), 1))
 	}
 	return []string{"--peers=peers.toml", "--zones=zones.toml", "--turns=turns.toml", "--missing=missing.toml", "--moves=moves.toml", "--state=state"}
 }
@@ -166,7 +166,7 @@
 		proxy("check", "--config=good.json", "--listen=here"),
 		proxy("check", "--config=good.json", "--discovery=here"),
 		proxy("check", "--config=good.json", "--management=127.0.0.1:1"),
-		proxy(append([]string{"check", "--config=good.json", "--management=127.10.8.1:27947"}, parts...)...),
+		proxy(append([]string{"check", "--config=good.json", "--management=127.0.0.1:0"}, parts...)...),
 		proxy("check", "--config=good.json", "--peers=peers.toml", "--peers-listen=nowhere"),
 		proxy("check", "--config=good.json", "--turns=turns.toml"),
 		proxy("check", "--config=good.json", "--missing=missing.toml"),
