gossip: document and validate the peers file step by step; lint the package

The fields of Config carried remarks such as "the share of one that has ended is taken over after so long"; they now give unit, range and default. Bounds and defaults are named constants, check and address are validate, validateAddresses, validateRange and validateAddress, and Free closes both sockets and returns the errors.

No change of behaviour; texts of errors are as they were. Run: go test ./internal/gossip.

--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -10,96 +10,138 @@
 	"woodproxy/internal/configfile"
 )
 
-// Config is what the file of peers says.
+// Defaults and bounds of the peers file.
+const (
+	defaultHoldSeconds = 3
+	minHoldSeconds     = 0.5
+	maxHoldSeconds     = 600
+
+	defaultFloor = 0.25
+	minFloor     = 0.01
+	maxFloor     = 1
+
+	maxClusterLength = 100 // bytes
+	maxSeeds         = 64
+	maxPort          = 65535
+)
+
+// Config is the content of the peers file. All addresses are IP addresses with a port; host names are not resolved.
 type Config struct {
-	Cluster   string   `toml:"cluster"`   // its name: proxies of another are not heard
-	Listen    string   `toml:"listen"`    // address and port, TCP and UDP
-	Advertise string   `toml:"advertise"` // where peers meet this one, if not there
-	Seeds     []string `toml:"seeds"`     // addresses of some that are likely to be up
-	Hold      float64  `toml:"hold_s"`    // the share of one that has ended is taken over after so long
-	Floor     float64  `toml:"floor"`     // part of an even share that nobody takes over
-	List      *bool    `toml:"list"`      // whether nodes go round: all discoveries number one list alike. Yes, where it is not said
+	// Cluster is the name of the cluster, of 1 to 100 bytes. Packets and streams with another name are dropped.
+	Cluster string `toml:"cluster"`
+	// Listen is the address that is bound for TCP and UDP.
+	Listen string `toml:"listen"`
+	// Advertise is the address at which peers reach this proxy. Default: Listen.
+	Advertise string `toml:"advertise"`
+	// Seeds are addresses of proxies through which the cluster is joined, at most 64.
+	Seeds []string `toml:"seeds"`
+	// Hold is the delay, in seconds, after which the quota of a departed proxy is taken over. 0.5 to 600, default 3.
+	Hold float64 `toml:"hold_s"`
+	// Floor is the fraction of an even quota share that other proxies never take over. 0.01 to 1, default 0.25.
+	Floor float64 `toml:"floor"`
+	// List tells whether endpoint lists are exchanged with peers, which requires that the discovery services of all proxies
+	// number the versions of the list alike. Default, nil: true.
+	List *bool `toml:"list"`
 }
 
-// Read reads the file of peers; listen, where it is not empty, goes before what the file says, since all else may be the
-// same at every proxy. An error is one line that names what is wrong.
+// Read reads and validates the peers file. A listen address that is not empty overrides the one in the file, so that all
+// proxies can have the same file. The error is a single line that names the file and the key.
 func Read(file, listen string) (*Config, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
-	c := &Config{Hold: 3, Floor: 0.25}
-	if err := configfile.TOML(text, c); err != nil {
+	config := &Config{Hold: defaultHoldSeconds, Floor: defaultFloor}
+	if err := configfile.TOML(text, config); err != nil {
 		return nil, fmt.Errorf("peers: %s: %w", file, err)
 	}
 	if listen != "" {
-		c.Listen = listen
+		config.Listen = listen
 	}
-	if c.Advertise == "" {
-		c.Advertise = c.Listen
+	if config.Advertise == "" {
+		config.Advertise = config.Listen
 	}
-	if err := c.check(); err != nil {
+	if err := config.validate(); err != nil {
 		return nil, fmt.Errorf("peers: %s: %w", file, err)
 	}
-	return c, nil
+	return config, nil
 }
 
-func (c *Config) check() error {
-	if c.Cluster == "" || len(c.Cluster) > 100 {
+// validate returns an error for the first key, in the order of the file's documentation, that is out of its range.
+func (c *Config) validate() error {
+	if c.Cluster == "" || len(c.Cluster) > maxClusterLength {
 		return errors.New("cluster: missing or too long")
 	}
+	if err := c.validateAddresses(); err != nil {
+		return err
+	}
+	if err := validateRange("hold_s", c.Hold, minHoldSeconds, maxHoldSeconds); err != nil {
+		return err
+	}
+	return validateRange("floor", c.Floor, minFloor, maxFloor)
+}
+
+func (c *Config) validateAddresses() error {
 	if c.Listen == "" {
 		return errors.New("listen: missing")
 	}
-	if err := address("listen", c.Listen); err != nil {
+	if err := validateAddress("listen", c.Listen); err != nil {
 		return err
 	}
-	if err := address("advertise", c.Advertise); err != nil {
+	if err := validateAddress("advertise", c.Advertise); err != nil {
 		return err
 	}
-	if len(c.Seeds) > 64 {
-		return errors.New("seeds: more than 64")
+	if len(c.Seeds) > maxSeeds {
+		return fmt.Errorf("seeds: more than %d", maxSeeds)
 	}
-	for _, s := range c.Seeds {
-		if err := address("seeds", s); err != nil {
+	for _, seed := range c.Seeds {
+		if err := validateAddress("seeds", seed); err != nil {
 			return err
 		}
 	}
-	if !(c.Hold >= 0.5 && c.Hold <= 600) {
-		return fmt.Errorf("hold_s: %v: not from 0.5 to 600", c.Hold)
-	}
-	if !(c.Floor >= 0.01 && c.Floor <= 1) {
-		return fmt.Errorf("floor: %v: not from 0.01 to 1", c.Floor)
-	}
 	return nil
 }
 
-// address takes an IP address that others can reach, and a port: no name is looked up.
-func address(key, s string) error {
-	host, port, err := net.SplitHostPort(s)
+// validateRange returns an error if the value is not in the range from lowest to highest, both included. NaN is in no range.
+func validateRange(key string, value, lowest, highest float64) error {
+	if value >= lowest && value <= highest {
+		return nil
+	}
+	return fmt.Errorf("%s: %v: not from %v to %v", key, value, lowest, highest)
+}
+
+// validateAddress returns an error that starts with the key if the address is not a port and a unicast IP address.
+func validateAddress(key, address string) error {
+	host, port, err := net.SplitHostPort(address)
 	if err != nil {
-		return fmt.Errorf("%s: no address and port: %q", key, s)
+		return fmt.Errorf("%s: no address and port: %q", key, address)
 	}
-	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
-		return fmt.Errorf("%s: no port: %q", key, s)
+	if number, err := strconv.Atoi(port); err != nil || number < 1 || number > maxPort {
+		return fmt.Errorf("%s: no port: %q", key, address)
 	}
 	ip := net.ParseIP(host)
 	if ip == nil || ip.IsUnspecified() || ip.IsMulticast() {
-		return fmt.Errorf("%s: no address that peers can reach: %q", key, s)
+		return fmt.Errorf("%s: no address that peers can reach: %q", key, address)
 	}
 	return nil
 }
 
-// Free tells whether the address that the file names can be bound.
+// isReachable tells whether an address received from a peer can be dialed.
+func isReachable(address string) bool { return validateAddress("", address) == nil }
+
+// sharesEndpoints tells whether endpoint lists are exchanged with peers.
+func (c *Config) sharesEndpoints() bool { return c.List == nil || *c.List }
+
+// Free returns an error if the listen address can't be bound for TCP and UDP. Nothing stays bound.
 func (c *Config) Free() error {
-	ln, err := net.Listen("tcp", c.Listen)
+	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("peers: listen: %w", err)
 	}
-	defer ln.Close()
-	u, err := net.ListenPacket("udp", c.Listen)
+	conn, err := net.ListenPacket("udp", c.Listen)
 	if err != nil {
+		_ = listener.Close() // the error of the UDP socket is the one to report
 		return fmt.Errorf("peers: listen: %w", err)
 	}
-	return u.Close()
+	return errors.Join(listener.Close(), conn.Close())
 }
--- a/internal/gossip/talk.go
+++ b/internal/gossip/talk.go
@@ -1,5 +1,3 @@
-// Package gossip carries what the replication module decides to other proxies and back: members by hashicorp/memberlist,
-// rows by its gossip and its streams. Nothing of the proxy waits for it; it may wait for them.
 package gossip
 
 import (
@@ -205,7 +203,7 @@
 	for _, m := range t.in.Members() {
 		// one that is heard of may be unknown to the library all the same: others tell a process that starts anew at their old
 		// one's address whatever goes round, and it could answer nobody
-		if m.State != "gone" && m.Address != "" && address("", m.Address) == nil && !known[m.Address] {
+		if m.State != "gone" && m.Address != "" && isReachable(m.Address) && !known[m.Address] {
 			known[m.Address] = true
 			lost = append(lost, m.Address)
 		}
@@ -262,7 +260,7 @@
 
 // Listed takes what this proxy's discovery told.
 func (t *Talker) Listed(index int64, whole bool, list []wire.Target) {
-	if t.c.List != nil && !*t.c.List {
+	if !t.c.sharesEndpoints() {
 		return
 	}
 	rows := make([]replica.Row, 0, len(list))
@@ -356,7 +354,7 @@
 	case replica.Sight:
 		t.proxy.Heard(row.Key, row.Rank == 0)
 	case replica.Node:
-		if t.c.List != nil && !*t.c.List {
+		if !t.c.sharesEndpoints() {
 			return
 		}
 		n := wire.Target{Name: row.Key, Gone: row.Rank == replica.Left}
@@ -403,7 +401,7 @@
 
 // probe looks whether anything listens where a proxy was met; only a refusal tells something.
 func (t *Talker) probe(name, at string, incarnation int64) {
-	if address("", at) != nil || t.probes.Load() >= mostProbes {
+	if !isReachable(at) || t.probes.Load() >= mostProbes {
 		return
 	}
 	t.probes.Add(1)
