--- a/internal/gossip/frames_golden_test.go
+++ b/internal/gossip/frames_golden_test.go
@@ -91,21 +91,21 @@
 	talker.Tell("node-1", false)
 	eventually(t, "a row comes in a packet", func() bool {
 		return recorded.hasPacket(t, func(m *gossipMessage) bool {
-			return m.Act == replica.Spread && len(m.Rows) == 1 && m.Rows[0].Kind == replica.Sight && m.Rows[0].Key == "node-1"
+			return m.Type == replica.Spread && len(m.Rows) == 1 && m.Rows[0].Kind == replica.Sight && m.Rows[0].Key == "node-1"
 		})
 	})
 	talker.Listed(7, true, []wire.Target{{Name: "node-2", Address: "192.0.2.1:11211", Ready: true, Since: 5}})
 	eventually(t, "a node of discovery's list comes in a packet", func() bool {
 		return recorded.hasPacket(t, func(m *gossipMessage) bool {
-			return m.Act == replica.Spread && isListedNode(&m.Rows[0])
+			return m.Type == replica.Spread && isListedNode(&m.Rows[0])
 		})
 	})
-	digest := encodeGossip(&gossipMessage{From: "peer", Act: replica.Digest, Sums: foreignSums()})
+	digest := encodeGossip(&gossipMessage{Sender: "peer", Type: replica.Digest, Digests: foreignSums()})
 	if err := peer.SendReliable(node, digest); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "a digest is answered on a stream", func() bool {
-		return recorded.hasStream(t, func(m *gossipMessage) bool { return m.Act == replica.Heads && len(m.Heads) > 0 && m.Which != 0 })
+		return recorded.hasStream(t, func(m *gossipMessage) bool { return m.Type == replica.Heads && len(m.Versions) > 0 && m.Buckets != 0 })
 	})
 }
 
@@ -308,8 +308,8 @@
 	if err != nil {
 		t.Fatalf("%x: %v", encoded, err)
 	}
-	if m.From != sender || m.Version != wireVersion || !bytes.Equal(encodeGossip(m), encoded) {
-		t.Errorf("message %x: version %d from %q", encoded, m.Version, m.From)
+	if m.Sender != sender || m.Version != wireVersion || !bytes.Equal(encodeGossip(m), encoded) {
+		t.Errorf("message %x: version %d from %q", encoded, m.Version, m.Sender)
 	}
 	return m
 }
--- a/internal/gossip/talk.go
+++ b/internal/gossip/talk.go
@@ -317,7 +317,7 @@
 func (t *Talker) carry(ds []replica.Decision) {
 	for i := range ds {
 		d := &ds[i]
-		m := &message{From: t.me, Act: d.Act, Rows: d.Rows, Heads: d.Heads, IDs: d.IDs, Which: d.Which}
+		m := &message{Sender: t.me, Type: d.Act, Rows: d.Rows, Versions: d.Heads, RowIDs: d.IDs, Buckets: d.Which}
 		switch d.Act {
 		case replica.Spread:
 			row := &d.Rows[0]
@@ -327,7 +327,7 @@
 			}
 			queue.QueueBroadcast(&rumour{fmt.Sprint(row.Kind, "\x00", row.Key, "\x00", row.Writer), m.encode()})
 		case replica.Digest:
-			m.Sums = d.Sums[:]
+			m.Digests = d.Sums[:]
 			t.send(d.To, m, false)
 		case replica.Busy, replica.Same:
 			t.send(d.To, m, false)
@@ -423,7 +423,7 @@
 
 // NotifyMsg takes a message from a peer.
 func (t *Talker) NotifyMsg(b []byte) {
-	m, err := decode(b)
+	m, err := decodeMessage(b)
 	if err != nil {
 		if t.Bad.Add(1)%1000 == 1 {
 			t.log.Warn("peers: a message that can't be read is passed over", zap.Int("bytes", len(b)))
@@ -431,21 +431,21 @@
 		return
 	}
 	t.offer(func() {
-		switch m.Act {
+		switch m.Type {
 		case replica.Spread, replica.Rows:
-			t.carry(t.in.Rows(t.now(), m.From, m.Rows))
+			t.carry(t.in.Rows(t.now(), m.Sender, m.Rows))
 		case replica.Digest:
-			if len(m.Sums) == replica.Buckets {
-				t.carry(t.in.Digest(t.now(), m.From, replica.Sums(m.Sums)))
+			if len(m.Digests) == replica.Buckets {
+				t.carry(t.in.Digest(t.now(), m.Sender, replica.Sums(m.Digests)))
 			}
 		case replica.Heads:
-			t.carry(t.in.Heads(t.now(), m.From, m.Which, m.Heads))
+			t.carry(t.in.Heads(t.now(), m.Sender, m.Buckets, m.Versions))
 		case replica.Want:
-			t.carry(t.in.Want(t.now(), m.From, m.IDs))
+			t.carry(t.in.Want(t.now(), m.Sender, m.RowIDs))
 		case replica.Busy:
-			t.carry(t.in.Busy(t.now(), m.From))
+			t.carry(t.in.Busy(t.now(), m.Sender))
 		case replica.Same:
-			t.carry(t.in.Same(t.now(), m.From))
+			t.carry(t.in.Same(t.now(), m.Sender))
 		default: // a later version's
 			t.Bad.Add(1)
 		}
--- a/internal/gossip/talk_test.go
+++ b/internal/gossip/talk_test.go
@@ -103,7 +103,7 @@
 			t.Fatal(err)
 		}
 		u.Write([]byte(strings.Repeat("\xff\x00garbled", i*300)))
-		u.Write((&message{From: "x", Act: replica.Rows}).encode()[:i%9+1])
+		u.Write((&message{Sender: "x", Type: replica.Rows}).encode()[:i%9+1])
 		u.Close()
 		s, err := net.Dial("tcp", ip(1)+":7946")
 		if err != nil {
@@ -140,12 +140,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m, err := decode(later)
+	m, err := decodeMessage(later)
 	if err != nil || len(m.Rows) != 1 || m.Rows[0].Key != "c1" || m.Rows[0].Epoch != 4 {
 		t.Errorf("%+v %v", m, err)
 	}
-	for _, b := range [][]byte{nil, {0xc1}, (&message{From: "x", Sums: make([]uint64, 3)}).encode(), (&message{}).encode(), make([]byte, longest+1)} {
-		if m, err := decode(b); err == nil {
+	for _, b := range [][]byte{nil, {0xc1}, (&message{Sender: "x", Digests: make([]uint64, 3)}).encode(), (&message{}).encode(), make([]byte, maxMessageLength+1)} {
+		if m, err := decodeMessage(b); err == nil {
 			t.Errorf("%d bytes are read: %+v", len(b), m)
 		}
 	}
@@ -153,28 +153,28 @@
 
 // A message that claims to hold more than it does is refused without making room for that.
 func TestClaims(t *testing.T) {
-	claim := append((&message{From: "x", Rows: make([]replica.Row, 1)}).encode()[:12], 0xdd, 0x7f, 0xff, 0xff, 0xff)
-	if n := testing.AllocsPerRun(10, func() { decode(claim) }); n > 200 {
+	claim := append((&message{Sender: "x", Rows: make([]replica.Row, 1)}).encode()[:12], 0xdd, 0x7f, 0xff, 0xff, 0xff)
+	if n := testing.AllocsPerRun(10, func() { decodeMessage(claim) }); n > 200 {
 		t.Errorf("%v allocations", n)
 	}
 }
 
 // Whatever peers send is read whole or refused, and what is read can be merged.
 func FuzzDecode(f *testing.F) {
-	f.Add((&message{From: "x", Act: replica.Rows, Rows: []replica.Row{{Kind: replica.Pulse, Key: "x", Writer: "x", Body: []byte{0x81}}}}).encode())
-	f.Add((&message{From: "x", Act: replica.Digest, Sums: make([]uint64, replica.Buckets)}).encode())
-	f.Add((&message{From: "x", Act: replica.Heads, Which: 3, Heads: []replica.Head{{ID: 1, Copy: 2}}}).encode())
+	f.Add((&message{Sender: "x", Type: replica.Rows, Rows: []replica.Row{{Kind: replica.Pulse, Key: "x", Writer: "x", Body: []byte{0x81}}}}).encode())
+	f.Add((&message{Sender: "x", Type: replica.Digest, Digests: make([]uint64, replica.Buckets)}).encode())
+	f.Add((&message{Sender: "x", Type: replica.Heads, Buckets: 3, Versions: []replica.Head{{ID: 1, Copy: 2}}}).encode())
 	f.Fuzz(func(t *testing.T, b []byte) {
-		m, err := decode(b)
+		m, err := decodeMessage(b)
 		if err != nil {
 			return
 		}
 		r := replica.New(0, replica.Terms{Me: "a", Incarnation: 1, Proxies: 2, Hold: 1, Floor: 0.25}, 1)
-		r.Rows(1, m.From, m.Rows)
-		r.Heads(2, m.From, m.Which, m.Heads)
-		r.Want(3, m.From, m.IDs)
+		r.Rows(1, m.Sender, m.Rows)
+		r.Heads(2, m.Sender, m.Buckets, m.Versions)
+		r.Want(3, m.Sender, m.RowIDs)
 		r.Tick(replica.Second)
-		if again, err := decode(m.encode()); err != nil || len(again.Rows) != len(m.Rows) {
+		if again, err := decodeMessage(m.encode()); err != nil || len(again.Rows) != len(m.Rows) {
 			t.Errorf("what was read can't be written: %v", err)
 		}
 	})
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -1,7 +1,9 @@
 package gossip
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,138 +13,163 @@
 	"golang.org/x/time/rate"
 )
 
+// Limits on what peers may send.
 const (
-	mostStreams   = 32      // connections from peers at one time
-	mostStream    = 4 << 20 // bytes read from one
-	packetsSecond = 4000
+	maxIncomingStreams  = 32
+	maxStreamLength     = 4 << 20 // bytes read from one connection
+	maxPacketsPerSecond = 4000    // also the burst
 )
 
-// transport is the library's, with bounds on what comes in, and with the proxy's own address as the source of what goes
-// out.
+// errStreamTooLong is returned by reads from a connection after maxStreamLength bytes.
+var errStreamTooLong = errors.New("stream exceeds the limit on its length")
+
+// transport is memberlist's transport with limits on incoming traffic, with counters, and with the listen address as the
+// source of outgoing connections. Shutdown ends its goroutine and all outgoing connections.
 type transport struct {
 	*memberlist.NetTransport
-	from    net.IP
-	packets chan *memberlist.Packet
-	streams chan net.Conn
-	open    atomic.Int64
-	count   *Counters
-	quit    chan struct{}
-	once    sync.Once
-	all     sync.WaitGroup
+	source   net.IP
+	counters *Counters
+
+	packets     chan *memberlist.Packet
+	streams     chan net.Conn
+	openStreams atomic.Int64 // incoming ones
+
+	ctx       context.Context // ends with Shutdown
+	cancel    context.CancelFunc
+	forwarder sync.WaitGroup
 }
 
-func newTransport(inner *memberlist.NetTransport, from net.IP, count *Counters) *transport {
+func newTransport(inner *memberlist.NetTransport, source net.IP, counters *Counters) *transport {
+	ctx, cancel := context.WithCancel(context.Background())
 	t := &transport{
-		NetTransport: inner, from: from, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), count: count,
-		quit: make(chan struct{}),
+		NetTransport: inner,
+		source:       source,
+		counters:     counters,
+		packets:      make(chan *memberlist.Packet),
+		streams:      make(chan net.Conn),
+		ctx:          ctx,
+		cancel:       cancel,
 	}
-	t.all.Add(1)
-	go t.run()
+	t.forwarder.Go(t.forward)
 	return t
 }
 
-// run passes on what comes, as far as the bounds allow.
-func (t *transport) run() {
-	defer t.all.Done()
-	few := rate.NewLimiter(packetsSecond, packetsSecond)
+// forward passes incoming packets and streams on to memberlist, within the limits, until Shutdown.
+func (t *transport) forward() {
+	limiter := rate.NewLimiter(maxPacketsPerSecond, maxPacketsPerSecond)
 	for {
 		select {
-		case p := <-t.NetTransport.PacketCh():
-			t.count.Packets.Add(1)
-			t.count.BytesIn.Add(int64(len(p.Buf)))
-			if !few.Allow() {
-				t.count.Dropped.Add(1)
-				continue
-			}
-			select {
-			case t.packets <- p:
-			case <-t.quit:
-				return
-			}
-		case c := <-t.NetTransport.StreamCh():
-			if t.open.Add(1) > mostStreams {
-				t.open.Add(-1)
-				t.count.Dropped.Add(1)
-				c.Close()
-				continue
-			}
-			t.count.Streams.Add(1)
-			select {
-			case t.streams <- &stream{Conn: c, of: t, left: mostStream}:
-			case <-t.quit:
-				c.Close()
-				return
-			}
-		case <-t.quit:
+		case packet := <-t.NetTransport.PacketCh():
+			t.forwardPacket(packet, limiter)
+		case conn := <-t.NetTransport.StreamCh():
+			t.forwardStream(conn)
+		case <-t.ctx.Done():
 			return
 		}
 	}
 }
 
+func (t *transport) forwardPacket(packet *memberlist.Packet, limiter *rate.Limiter) {
+	t.counters.Packets.Add(1)
+	t.counters.BytesIn.Add(int64(len(packet.Buf)))
+	if !limiter.Allow() {
+		t.counters.Dropped.Add(1)
+		return
+	}
+	select {
+	case t.packets <- packet:
+	case <-t.ctx.Done():
+	}
+}
+
+func (t *transport) forwardStream(conn net.Conn) {
+	if t.openStreams.Add(1) > maxIncomingStreams {
+		t.openStreams.Add(-1)
+		t.counters.Dropped.Add(1)
+		_ = conn.Close() // nothing was written that a failure could lose
+		return
+	}
+	t.counters.Streams.Add(1)
+	release := func() { t.openStreams.Add(-1) }
+	select {
+	case t.streams <- newStream(conn, t.counters, release):
+	case <-t.ctx.Done():
+		_ = conn.Close() // as above
+	}
+}
+
+// PacketCh and the methods up to DialAddressTimeout are those of memberlist.NodeAwareTransport.
 func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
-func (t *transport) StreamCh() <-chan net.Conn           { return t.streams }
 
-func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
-	t.count.BytesOut.Add(int64(len(b)))
-	return t.NetTransport.WriteTo(b, addr)
+func (t *transport) StreamCh() <-chan net.Conn { return t.streams }
+
+func (t *transport) WriteTo(packet []byte, address string) (time.Time, error) {
+	t.counters.BytesOut.Add(int64(len(packet)))
+	return t.NetTransport.WriteTo(packet, address)
 }
 
-func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
-	return t.WriteTo(b, a.Addr)
+func (t *transport) WriteToAddress(packet []byte, address memberlist.Address) (time.Time, error) {
+	return t.WriteTo(packet, address.Addr)
 }
 
-func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: t.from}}
-	c, err := d.Dial("tcp", addr)
+func (t *transport) DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: t.source}}
+	conn, err := dialer.DialContext(t.ctx, "tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, err // not wrapped: memberlist looks at the type of the error, without errors.As
 	}
-	return &stream{Conn: c, of: t, left: mostStream, ours: true}, nil
+	stopWatching := context.AfterFunc(t.ctx, func() {
+		_ = conn.Close() // unblocks reads and writes; what was not sent is lost with the process
+	})
+	return newStream(conn, t.counters, func() { stopWatching() }), nil
 }
 
-func (t *transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	return t.DialTimeout(a.Addr, timeout)
+func (t *transport) DialAddressTimeout(address memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return t.DialTimeout(address.Addr, timeout)
 }
 
+// Shutdown closes the sockets and all outgoing connections, and waits for the goroutine of the transport. It may be called
+// more than once.
 func (t *transport) Shutdown() error {
 	err := t.NetTransport.Shutdown()
-	t.once.Do(func() { close(t.quit) })
-	t.all.Wait()
-	return err
+	t.cancel()
+	t.forwarder.Wait()
+	if err != nil {
+		return fmt.Errorf("gossip transport: %w", err)
+	}
+	return nil
 }
 
-var errLong = errors.New("a peer that sends without end")
-
-// stream bounds what is read from a connection.
+// stream is a connection that counts its bytes and limits how many are read.
 type stream struct {
 	net.Conn
-	of   *transport
-	left int
-	ours bool
-	once sync.Once
+	counters    *Counters
+	unreadBytes int       // that may still be read
+	release     func()    // called once, when the stream is closed
+	releaseOnce sync.Once // memberlist may close a connection twice
+}
+
+func newStream(conn net.Conn, counters *Counters, release func()) *stream {
+	return &stream{Conn: conn, counters: counters, unreadBytes: maxStreamLength, release: release}
 }
 
-func (s *stream) Read(b []byte) (int, error) {
-	if s.left <= 0 {
-		return 0, errLong
+func (s *stream) Read(buffer []byte) (int, error) {
+	if s.unreadBytes <= 0 {
+		return 0, errStreamTooLong
 	}
-	n, err := s.Conn.Read(b[:min(len(b), s.left)])
-	s.left -= n
-	s.of.count.BytesIn.Add(int64(n))
+	n, err := s.Conn.Read(buffer[:min(len(buffer), s.unreadBytes)])
+	s.unreadBytes -= n
+	s.counters.BytesIn.Add(int64(n))
 	return n, err
 }
 
-func (s *stream) Write(b []byte) (int, error) {
-	n, err := s.Conn.Write(b)
-	s.of.count.BytesOut.Add(int64(n))
+func (s *stream) Write(content []byte) (int, error) {
+	n, err := s.Conn.Write(content)
+	s.counters.BytesOut.Add(int64(n))
 	return n, err
 }
 
 func (s *stream) Close() error {
-	s.once.Do(func() {
-		if !s.ours {
-			s.of.open.Add(-1)
-		}
-	})
+	s.releaseOnce.Do(s.release)
 	return s.Conn.Close()
 }
--- a/internal/gossip/wire_golden_test.go
+++ b/internal/gossip/wire_golden_test.go
@@ -15,7 +15,7 @@
 type gossipMessage = message
 
 func encodeGossip(m *gossipMessage) []byte                { return m.encode() }
-func decodeGossip(encoded []byte) (*gossipMessage, error) { return decode(encoded) }
+func decodeGossip(encoded []byte) (*gossipMessage, error) { return decodeMessage(encoded) }
 
 // wireVersion is the version that messages carry.
 const wireVersion = 1
@@ -35,14 +35,14 @@
 	heads := []replica.Head{{ID: 0x0102030405060708, Copy: 0xf1f2f3f4f5f6f7f8}, {ID: 1, Copy: 2}}
 	ids := []uint64{0x0102030405060708, 3, 0}
 	return []messageCase{
-		{"spread", gossipMessage{From: sender, Act: replica.Spread, Rows: rows[:1]}},
-		{"digest", gossipMessage{From: sender, Act: replica.Digest, Sums: goldenSums()}},
-		{"heads", gossipMessage{From: sender, Act: replica.Heads, Which: 0x8000000000000005, Heads: heads}},
-		{"rows", gossipMessage{From: sender, Act: replica.Rows, Rows: rows}},
-		{"want", gossipMessage{From: sender, Act: replica.Want, IDs: ids}},
-		{"busy", gossipMessage{From: sender, Act: replica.Busy}},
-		{"same", gossipMessage{From: sender, Act: replica.Same}},
-		{"every-field", gossipMessage{From: sender, Act: replica.Same, Rows: rows, Heads: heads, IDs: ids, Which: 5, Sums: goldenSums()}},
+		{"spread", gossipMessage{Sender: sender, Type: replica.Spread, Rows: rows[:1]}},
+		{"digest", gossipMessage{Sender: sender, Type: replica.Digest, Digests: goldenSums()}},
+		{"heads", gossipMessage{Sender: sender, Type: replica.Heads, Buckets: 0x8000000000000005, Versions: heads}},
+		{"rows", gossipMessage{Sender: sender, Type: replica.Rows, Rows: rows}},
+		{"want", gossipMessage{Sender: sender, Type: replica.Want, RowIDs: ids}},
+		{"busy", gossipMessage{Sender: sender, Type: replica.Busy}},
+		{"same", gossipMessage{Sender: sender, Type: replica.Same}},
+		{"every-field", gossipMessage{Sender: sender, Type: replica.Same, Rows: rows, Versions: heads, RowIDs: ids, Buckets: 5, Digests: goldenSums()}},
 	}
 }
 
@@ -157,7 +157,7 @@
 func TestGossipMessageUnknownFields(t *testing.T) {
 	row := map[string]any{"k": 77, "n": "node-1", "e": 4, "later": true}
 	got, err := decodeGossip(encodeFields(t, fields{"v": 9, "later": []any{1}, "r": []any{row}, "w": 5}))
-	want := gossipMessage{Version: 9, From: sender, Act: replica.Rows, Rows: []replica.Row{{Kind: 77, Key: "node-1", Epoch: 4}}, Which: 5}
+	want := gossipMessage{Version: 9, Sender: sender, Type: replica.Rows, Rows: []replica.Row{{Kind: 77, Key: "node-1", Epoch: 4}}, Buckets: 5}
 	if err != nil || !reflect.DeepEqual(*got, want) {
 		t.Errorf("%+v %v, want %+v", got, err, want)
 	}
