gossip: split the talker by concern; its goroutines are waited for

talk.go held settings of the library, the event loop, join, broadcast, sending, connect probes, the library's callbacks and its log in one type of 24 fields. Each is a file and a type now: agent.go (the public calls), eventloop.go with the mailbox, decisions.go, endpoints.go, broadcast.go, sender.go, joiner.go, prober.go, ratemeter.go, memberlist.go, delegate.go, librarylog.go, status.go. send's bare bool is a delivery mode, the channel of functions for streams one of typed messages. Sender workers, join attempts and connect probes end with Close, which waits for them; it may be called twice.

No other change of behaviour. Run: go test and go test -race of the package, go build ./...

--- a/internal/gossip/doc.go
+++ b/internal/gossip/doc.go
@@ -15,7 +15,7 @@
 //
 // # Concurrency
 //
-// Methods of Talker may be called from any goroutine, except that Close is called once and no Proxy callback may call Close.
+// Methods of Talker may be called from any goroutine, except that no Proxy callback may call Close, Listed or Yield.
 // Each method says whether it waits for space in the mailbox or drops the call. The Proxy callbacks are called from the event
 // loop and must not wait for the Talker. Close ends all goroutines and waits for them.
 package gossip
--- /dev/null
+++ b/internal/gossip/endpoints.go
@@ -0,0 +1,63 @@
+package gossip
+
+import (
+	"errors"
+	"fmt"
+
+	"woodproxy/internal/wire"
+	"woodproxy/replica"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// errInvalidEndpoint tells that the body of an endpoint row contradicts itself or the row.
+var errInvalidEndpoint = errors.New("invalid endpoint row")
+
+// endpointRows returns the rows for endpoints of this proxy's discovery service, without those that can't be encoded.
+func (a *Talker) endpointRows(endpoints []wire.Target) []replica.Row {
+	rows := make([]replica.Row, 0, len(endpoints))
+	for i := range endpoints {
+		row, err := encodeEndpoint(&endpoints[i])
+		if err != nil {
+			a.Dropped.Add(1)
+			continue
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func encodeEndpoint(endpoint *wire.Target) (replica.Row, error) {
+	body, err := msgpack.Marshal(endpoint)
+	if err != nil {
+		return replica.Row{}, fmt.Errorf("encoding endpoint %q: %w", endpoint.Name, err)
+	}
+	return replica.Row{Key: endpoint.Name, Rank: endpointRank(endpoint), Count: endpoint.Since, Body: body}, nil
+}
+
+// endpointRank returns how strictly an endpoint is excluded; of two rows at the same index the stricter one wins.
+func endpointRank(endpoint *wire.Target) uint8 {
+	switch {
+	case endpoint.Ready:
+		return replica.Active
+	case endpoint.Gone:
+		return replica.Left
+	default:
+		return replica.Leaving
+	}
+}
+
+// decodeEndpoint returns the endpoint of a row. A row without a body is of an endpoint that a complete list lacked.
+func decodeEndpoint(row *replica.Row) (wire.Target, error) {
+	endpoint := wire.Target{Name: row.Key}
+	if len(row.Body) > 0 {
+		if err := msgpack.Unmarshal(row.Body, &endpoint); err != nil {
+			return wire.Target{}, fmt.Errorf("decoding endpoint %q: %w", row.Key, err)
+		}
+		if endpoint.Name != row.Key || endpoint.Ready && endpoint.Address == "" {
+			return wire.Target{}, fmt.Errorf("%w: %q", errInvalidEndpoint, row.Key)
+		}
+	}
+	endpoint.Ready, endpoint.Gone = row.Rank == replica.Active, row.Rank >= replica.Left
+	return endpoint, nil
+}
--- a/internal/gossip/frames_golden_test.go
+++ b/internal/gossip/frames_golden_test.go
@@ -37,12 +37,12 @@
 
 // TestNodeMetaAndLocalStateEmpty pins that nothing but user messages goes over: no metadata and no state of nodes.
 func TestNodeMetaAndLocalStateEmpty(t *testing.T) {
-	var talker Talker
-	if meta := talker.NodeMeta(512); len(meta) != 0 {
+	var callbacks delegate
+	if meta := callbacks.NodeMeta(512); len(meta) != 0 {
 		t.Errorf("node metadata %x", meta)
 	}
 	for _, join := range []bool{false, true} {
-		if state := talker.LocalState(join); len(state) != 0 {
+		if state := callbacks.LocalState(join); len(state) != 0 {
 			t.Errorf("local state %x", state)
 		}
 	}
@@ -65,7 +65,7 @@
 		send(t, c.network, ip, labelHeader+c.frame)
 		select {
 		case row := <-proxy.rows:
-			if row.Kind != replica.Voice || row.Key != "zone-1" || row.Writer != sender || row.Count != 70000 {
+			if row.Kind != replica.Voice || row.Key != "zone-1" || row.Writer != goldenSender || row.Count != 70000 {
 				t.Errorf("%s: %+v", c.name, row)
 			}
 		case <-time.After(5 * time.Second):
@@ -79,7 +79,7 @@
 func TestGossipFramesOutgoing(t *testing.T) {
 	t.Parallel()
 	ip := loopback(10)
-	talker := startTalker(t, sender, ip, &recordingProxy{rows: make(chan replica.Row, 16)})
+	talker := startTalker(t, goldenSender, ip, &recordingProxy{rows: make(chan replica.Row, 16)})
 	peer, recorded := startPeer(t, loopback(11))
 	if _, err := peer.Join([]string{ip + ":7946"}); err != nil {
 		t.Fatal(err)
@@ -308,7 +308,7 @@
 	if err != nil {
 		t.Fatalf("%x: %v", encoded, err)
 	}
-	if m.Sender != sender || m.Version != wireVersion || !bytes.Equal(encodeGossip(m), encoded) {
+	if m.Sender != goldenSender || m.Version != wireVersion || !bytes.Equal(encodeGossip(m), encoded) {
 		t.Errorf("message %x: version %d from %q", encoded, m.Version, m.Sender)
 	}
 	return m
--- a/internal/gossip/wire_golden_test.go
+++ b/internal/gossip/wire_golden_test.go
@@ -20,8 +20,8 @@
 // wireVersion is the version that messages carry.
 const wireVersion = 1
 
-// sender is who the golden messages are from.
-const sender = "proxy-a"
+// goldenSender is the name of the proxy that sends the golden messages.
+const goldenSender = "proxy-a"
 
 // messageCase is a message that the golden file pins the encoding of.
 type messageCase struct {
@@ -35,21 +35,21 @@
 	heads := []replica.Head{{ID: 0x0102030405060708, Copy: 0xf1f2f3f4f5f6f7f8}, {ID: 1, Copy: 2}}
 	ids := []uint64{0x0102030405060708, 3, 0}
 	return []messageCase{
-		{"spread", gossipMessage{Sender: sender, Type: replica.Spread, Rows: rows[:1]}},
-		{"digest", gossipMessage{Sender: sender, Type: replica.Digest, Digests: goldenSums()}},
-		{"heads", gossipMessage{Sender: sender, Type: replica.Heads, Buckets: 0x8000000000000005, Versions: heads}},
-		{"rows", gossipMessage{Sender: sender, Type: replica.Rows, Rows: rows}},
-		{"want", gossipMessage{Sender: sender, Type: replica.Want, RowIDs: ids}},
-		{"busy", gossipMessage{Sender: sender, Type: replica.Busy}},
-		{"same", gossipMessage{Sender: sender, Type: replica.Same}},
-		{"every-field", gossipMessage{Sender: sender, Type: replica.Same, Rows: rows, Versions: heads, RowIDs: ids, Buckets: 5, Digests: goldenSums()}},
+		{"spread", gossipMessage{Sender: goldenSender, Type: replica.Spread, Rows: rows[:1]}},
+		{"digest", gossipMessage{Sender: goldenSender, Type: replica.Digest, Digests: goldenSums()}},
+		{"heads", gossipMessage{Sender: goldenSender, Type: replica.Heads, Buckets: 0x8000000000000005, Versions: heads}},
+		{"rows", gossipMessage{Sender: goldenSender, Type: replica.Rows, Rows: rows}},
+		{"want", gossipMessage{Sender: goldenSender, Type: replica.Want, RowIDs: ids}},
+		{"busy", gossipMessage{Sender: goldenSender, Type: replica.Busy}},
+		{"same", gossipMessage{Sender: goldenSender, Type: replica.Same}},
+		{"every-field", gossipMessage{Sender: goldenSender, Type: replica.Same, Rows: rows, Versions: heads, RowIDs: ids, Buckets: 5, Digests: goldenSums()}},
 	}
 }
 
 // goldenRows has a row with every field, and one of each kind.
 func goldenRows() []replica.Row {
 	rows := []replica.Row{{
-		Kind: replica.Voice, Key: "zone-1", Writer: sender, Epoch: 1700000000000, Rank: 1, Count: 70000, Age: 15000,
+		Kind: replica.Voice, Key: "zone-1", Writer: goldenSender, Epoch: 1700000000000, Rank: 1, Count: 70000, Age: 15000,
 		Life: 36000000, Body: []byte{0x81, 0xa1, 'z', 0x01},
 	}}
 	for kind := replica.Pulse; kind <= replica.Absent; kind++ {
@@ -104,7 +104,7 @@
 // encodeFields encodes a valid message with some fields replaced, added, or where they are nil left out.
 func encodeFields(t *testing.T, changes fields) []byte {
 	t.Helper()
-	all := fields{"v": wireVersion, "f": sender, "t": 3}
+	all := fields{"v": wireVersion, "f": goldenSender, "t": 3}
 	for name, value := range changes {
 		all[name] = value
 		if value == nil {
@@ -157,7 +157,7 @@
 func TestGossipMessageUnknownFields(t *testing.T) {
 	row := map[string]any{"k": 77, "n": "node-1", "e": 4, "later": true}
 	got, err := decodeGossip(encodeFields(t, fields{"v": 9, "later": []any{1}, "r": []any{row}, "w": 5}))
-	want := gossipMessage{Version: 9, Sender: sender, Type: replica.Rows, Rows: []replica.Row{{Kind: 77, Key: "node-1", Epoch: 4}}, Buckets: 5}
+	want := gossipMessage{Version: 9, Sender: goldenSender, Type: replica.Rows, Rows: []replica.Row{{Kind: 77, Key: "node-1", Epoch: 4}}, Buckets: 5}
 	if err != nil || !reflect.DeepEqual(*got, want) {
 		t.Errorf("%+v %v, want %+v", got, err, want)
 	}
