gossip: tests by the file they test, with named cases

Stricter: rejected messages have to be errMalformedMessage, errors of the tests' own sockets and files fail the test. Golden files are as they were.

--- a/internal/gossip/agent.go
+++ b/internal/gossip/agent.go
@@ -22,7 +22,8 @@
 // Proxy receives what the agent learns from peers and tells it about this proxy's load. All methods are called from the
 // agent's event loop, which may be kept waiting; they must not wait for the agent in turn.
 type Proxy interface {
-	// Hear reports an endpoint that the discovery service of a peer listed, changed or removed at that index of its list.
+	// Hear reports an endpoint that the discovery service of a peer listed, changed or removed at that index of its
+	// list.
 	Hear(index int64, endpoint wire.Target)
 	// Heard reports that a peer found an endpoint unresponsive, or responsive again.
 	Heard(endpoint string, responsive bool)
@@ -34,7 +35,7 @@
 	Writes() int64
 	// Fleet reports all known proxies, some times a second, and whether this proxy still catches up with their state.
 	Fleet(proxies []replica.Member, catchingUp bool)
-	// Row reports a new or changed row of a kind that this package does not interpret. The row must not be kept.
+	// Row reports a new or changed row of a kind that this package does not interpret. It is valid during the call.
 	Row(row *replica.Row)
 }
 
@@ -66,11 +67,12 @@
 	background sync.WaitGroup // the event loop, the sender's workers, join attempts and connect probes
 }
 
-// Start binds the listen address and starts the agent of the proxy of that name. Proxies is the configured number of proxies
-// in the cluster, this one included; sightLife is how long a peer's report on an endpoint's health stays valid; seed makes
-// the choice of peers reproducible. The error is a single line that names the failed step.
+// Start binds the listen address and starts the agent of the proxy of that name. Proxies is the configured number of
+// proxies in the cluster, this one included; sightLife is how long a peer's report on an endpoint's health stays
+// valid; seed makes the choice of peers reproducible. The error is a single line that names the failed step.
 func Start(
-	config *Config, name, zone string, proxies int, sightLife replica.Time, seed uint64, proxy Proxy, logger *zap.Logger,
+	config *Config, name, zone string, proxies int, sightLife replica.Time, seed uint64,
+	proxy Proxy, logger *zap.Logger,
 ) (*Talker, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	startedAt := time.Now()
@@ -134,8 +136,9 @@
 	return replica.Time(time.Since(a.startedAt) / storeTimeUnit)
 }
 
-// Listed publishes endpoints of this proxy's discovery service at that index of its list: the complete list, or those that
-// changed. It waits for space in the mailbox. It does nothing if the peers file turns the exchange of endpoint lists off.
+// Listed publishes endpoints of this proxy's discovery service at that index of its list: the complete list, or those
+// that changed. It waits for space in the mailbox. It does nothing if the peers file turns the exchange of endpoint
+// lists off.
 func (a *Talker) Listed(index int64, complete bool, endpoints []wire.Target) {
 	if !a.config.sharesEndpoints() {
 		return
@@ -165,8 +168,8 @@
 	a.mailbox.post(func() { a.store.Yield(replaced) })
 }
 
-// Close announces the departure of this process, closes the sockets, ends all goroutines and waits for them. Calls after the
-// first have no effect.
+// Close announces the departure of this process, closes the sockets, ends all goroutines and waits for them. Calls
+// after the first have no effect.
 func (a *Talker) Close() {
 	announced := make(chan struct{})
 	a.mailbox.post(func() {
--- /dev/null
+++ b/internal/gossip/agent_test.go
@@ -0,0 +1,112 @@
+package gossip
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"woodproxy/internal/wire"
+	"woodproxy/replica"
+)
+
+// Two agents of one cluster exchange endpoints and health reports and divide the quota, while one of another cluster
+// gets nothing and malformed, truncated and oversized traffic is dropped.
+func TestAgentsOfOneClusterExchangeState(t *testing.T) {
+	t.Parallel()
+	firstIP := loopbackIP(21)
+	seed := withTestPort(firstIP)
+	firstProxy, secondProxy, foreignProxy := newRecordingProxy(), newRecordingProxy(), newRecordingProxy()
+	first := startAgent(t, "one", "zone/a", firstIP, firstProxy) // with the separator of node names
+	second := startAgent(t, "one", "b", loopbackIP(22), secondProxy, seed)
+	foreign := startAgent(t, "two", "c", loopbackIP(23), foreignProxy, seed)
+	for i := range 20 {
+		sendMalformedPackets(t, seed, i)
+		sendMalformedStream(t, seed, i)
+	}
+
+	first.Listed(7, true, []wire.Target{
+		{Name: "c1", Address: "1.2.3.4:5", Ready: true, Weight: 2, Zone: "z"},
+		{Name: "c2"},
+	})
+	second.Tell("c1", false)
+	eventually(t, "endpoints and health reports arrive", func() bool {
+		return len(secondProxy.endpoints) >= 2 && len(firstProxy.healthReports) >= 1
+	})
+	checkReceivedEndpoints(t, secondProxy)
+	if len(firstProxy.healthReports) > 0 {
+		if report := <-firstProxy.healthReports; report != (healthReport{"c1", false}) {
+			t.Errorf("health report %+v", report)
+		}
+	}
+	eventually(t, "each proxy has half the quota", func() bool {
+		return firstProxy.share.Load() == 0.5 && secondProxy.share.Load() == 0.5
+	})
+	members, received := len(foreign.Shown().Members), len(foreignProxy.endpoints)
+	if members != 1 || received+len(foreignProxy.healthReports) > 0 {
+		t.Errorf("the agent of another cluster has %d members and received %d endpoints", members, received)
+	}
+	if first.Bad.Load() == 0 {
+		t.Error("malformed traffic was not counted")
+	}
+}
+
+// checkReceivedEndpoints checks the first two endpoints that the proxy received, as far as it did.
+func checkReceivedEndpoints(t *testing.T, proxy *recordingProxy) {
+	t.Helper()
+	for range min(len(proxy.endpoints), 2) {
+		endpoint := <-proxy.endpoints
+		switch endpoint.Name {
+		case "c1":
+			if endpoint.Weight != 2 || !endpoint.Ready || endpoint.Zone != "z" {
+				t.Errorf("endpoint %+v", endpoint)
+			}
+		case "c2":
+			if endpoint.Ready || endpoint.Gone {
+				t.Errorf("endpoint %+v", endpoint)
+			}
+		}
+	}
+}
+
+// sendMalformedPackets sends a packet of bytes in no format, whose length grows with i, and a truncated message.
+func sendMalformedPackets(t *testing.T, address string, i int) {
+	t.Helper()
+	conn, err := net.Dial("udp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, strings.Repeat("\xff\x00garbled", i*300)); err != nil {
+		t.Fatal(err)
+	}
+	truncated := (&message{Sender: "x", Type: replica.Rows}).encode()[:i%9+1]
+	if _, err := conn.Write(truncated); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// sendMalformedStream opens a stream with the cluster's label and sends i messages with lengths that are too large.
+func sendMalformedStream(t *testing.T, address string, i int) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The agent may close the connection at any time, so that writing and closing may fail.
+	_, _ = io.WriteString(conn, strings.Repeat("\xf4\x03one\x06\xff\xff\xff\xff", i))
+	_ = conn.Close()
+}
+
+// Close ends the goroutines of an agent, and may be called again.
+func TestCloseMayBeCalledTwice(t *testing.T) {
+	t.Parallel()
+	agent := startAgent(t, "one", "a", loopbackIP(24), newRecordingProxy(), withTestPort(loopbackIP(25)))
+	agent.Close()
+	agent.Close()
+	if agent.ctx.Err() == nil {
+		t.Error("the agent is not closed")
+	}
+}
--- a/internal/gossip/broadcast.go
+++ b/internal/gossip/broadcast.go
@@ -14,8 +14,8 @@
 	heartbeatRetransmits = 2 // the next heartbeat makes up for one that was lost
 )
 
-// broadcastQueues hold rows for all proxies until memberlist has sent them often enough. Heartbeats have a queue of their
-// own, which is served last, so that they never delay other rows. Safe for concurrent use.
+// broadcastQueues hold rows for all proxies until memberlist has sent them often enough. Heartbeats have a queue of
+// their own, which is served last, so that they never delay other rows. Safe for concurrent use.
 type broadcastQueues struct {
 	rows       *memberlist.TransmitLimitedQueue
 	heartbeats *memberlist.TransmitLimitedQueue
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -39,13 +39,13 @@
 	Hold float64 `toml:"hold_s"`
 	// Floor is the fraction of an even quota share that other proxies never take over. 0.01 to 1, default 0.25.
 	Floor float64 `toml:"floor"`
-	// List tells whether endpoint lists are exchanged with peers, which requires that the discovery services of all proxies
-	// number the versions of the list alike. Default, nil: true.
+	// List tells whether endpoint lists are exchanged with peers, which requires that the discovery services of all
+	// proxies number the versions of the list alike. Default, nil: true.
 	List *bool `toml:"list"`
 }
 
-// Read reads and validates the peers file. A listen address that is not empty overrides the one in the file, so that all
-// proxies can have the same file. The error is a single line that names the file and the key.
+// Read reads and validates the peers file. A listen address that is not empty overrides the one in the file, so that
+// all proxies can have the same file. The error is a single line that names the file and the key.
 func Read(file, listen string) (*Config, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -102,7 +102,8 @@
 	return nil
 }
 
-// validateRange returns an error if the value is not in the range from lowest to highest, both included. NaN is in no range.
+// validateRange returns an error if the value is not in the range from lowest to highest, both included. NaN is in no
+// range.
 func validateRange(key string, value, lowest, highest float64) error {
 	if value >= lowest && value <= highest {
 		return nil
--- /dev/null
+++ b/internal/gossip/config_test.go
@@ -0,0 +1,63 @@
+package gossip
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const validPeersFile = `cluster = "c"
+listen = "127.0.0.1:7946"
+seeds = ["127.0.0.1:7946"]
+`
+
+// writePeersFile returns the path of a peers file with that text.
+func writePeersFile(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "peers.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// The error for an invalid file is one line that names the file and the key.
+func TestReadNamesFileAndKey(t *testing.T) {
+	replace := func(from, to string) string { return strings.Replace(validPeersFile, from, to, 1) }
+	for _, test := range []struct{ name, text, want string }{
+		{"unknown key", validPeersFile + "held_s = 1.0\n", "held_s: unknown"},
+		{"number of wrong type", validPeersFile + "hold_s = \"x\"\n", "hold_s"},
+		{"number too small", validPeersFile + "hold_s = 0.0\n", "hold_s: 0"},
+		{"number too large", validPeersFile + "floor = 1.5\n", "floor: 1.5"},
+		{"cluster empty", replace(`"c"`, `""`), "cluster: missing"},
+		{"listen missing", replace("listen", "# listen"), "listen: missing"},
+		{"listen unspecified", replace("127.0.0.1:7946", "0.0.0.0:7946"), "listen: no address that peers can reach"},
+		{"listen without port", replace("127.0.0.1:7946", "127.0.0.1"), "listen: no address and port"},
+		{"listen at port zero", replace("127.0.0.1:7946", "127.0.0.1:0"), "listen: no port"},
+		{"advertised host name", validPeersFile + "advertise = \"here:1\"\n", "advertise: no address"},
+		{"seed host name", replace(`["127.0.0.1:7946"]`, `["x:1"]`), "seeds: no address"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			file := writePeersFile(t, test.text)
+			_, err := Read(file, "")
+			if err == nil || !strings.Contains(err.Error(), test.want) || !strings.Contains(err.Error(), file) ||
+				strings.Contains(err.Error(), "\n") {
+				t.Errorf("%v, want one line with %q and %q", err, file, test.want)
+			}
+		})
+	}
+}
+
+func TestReadListenOverride(t *testing.T) {
+	config, err := Read(writePeersFile(t, validPeersFile), "127.0.0.9:1")
+	if err != nil || config.Listen != "127.0.0.9:1" || config.Advertise != config.Listen {
+		t.Errorf("%+v %v", config, err)
+	}
+}
+
+func TestReadMissingFile(t *testing.T) {
+	if _, err := Read(writePeersFile(t, validPeersFile)+"x", ""); err == nil {
+		t.Error("no error for a file that does not exist")
+	}
+}
--- a/internal/gossip/decisions.go
+++ b/internal/gossip/decisions.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// newMessage returns the message that a decision asks to send. It shares the decision's slices and has to be encoded before
-// the store is called again.
+// newMessage returns the message that a decision asks to send. It shares the decision's slices and has to be encoded
+// before the store is called again.
 func (a *Talker) newMessage(decision *replica.Decision) *message {
 	m := &message{
 		Sender:   a.name,
--- a/internal/gossip/frames_golden_test.go
+++ b/internal/gossip/frames_golden_test.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"fmt"
 	"io"
 	"log"
 	"net"
-	"os"
 	"path/filepath"
 	"regexp"
 	"sync"
@@ -19,23 +17,22 @@
 
 	"github.com/hashicorp/memberlist"
 	"github.com/vmihailenco/msgpack/v5"
-	"go.uber.org/zap"
 )
 
-// Frames of the membership library, in which messages go.
+// Frames of memberlist, in which messages are sent.
 const (
 	goldenCluster = "golden"
 	labelHeader   = "\xf4\x06golden" // before each packet and stream
 	frameCompound = 7                // count, lengths of two bytes each, frames
 	frameUser     = 8                // message
 	frameChecksum = 12               // CRC of four bytes, frame
-	frameLast     = 12               // of those that may come; the compressed and encrypted ones may not
+	frameLast     = 12               // the highest type; compressed and encrypted frames are not allowed
 	frameCompress = 9
 	frameEncrypt  = 10
 	lengthField   = "UserMsgLen" // the one field of the map that follows frameUser on a stream
 )
 
-// TestNodeMetaAndLocalStateEmpty pins that nothing but user messages goes over: no metadata and no state of nodes.
+// TestNodeMetaAndLocalStateEmpty pins that memberlist carries user messages alone: no metadata and no state of nodes.
 func TestNodeMetaAndLocalStateEmpty(t *testing.T) {
 	var callbacks delegate
 	if meta := callbacks.NodeMeta(512); len(meta) != 0 {
@@ -48,121 +45,105 @@
 	}
 }
 
-// TestGossipFramesIncoming checks that the golden message is heard in each frame that it may come in.
+// TestGossipFramesIncoming checks that the golden message is received in each of the frames that it may come in.
 func TestGossipFramesIncoming(t *testing.T) {
 	t.Parallel()
 	message := goldenMessage(t, "spread")
 	length := string(binary.BigEndian.AppendUint16(nil, uint16(len(message))))
 	longer := string(binary.BigEndian.AppendUint16(nil, uint16(len(message)+1)))
-	for i, c := range []struct{ name, network, frame string }{
+	for i, test := range []struct{ name, network, frame string }{
 		{"packet", "udp", "\x08" + message},
 		{"compound packet", "udp", "\x07\x01" + longer + "\x08" + message},
 		{"stream", "tcp", "\x08\x81\xaaUserMsgLen\xcd" + length + message},
 	} {
-		ip := loopback(i + 1)
-		proxy := &recordingProxy{rows: make(chan replica.Row, 16)}
-		startTalker(t, "receiver", ip, proxy)
-		send(t, c.network, ip, labelHeader+c.frame)
-		select {
-		case row := <-proxy.rows:
-			if row.Kind != replica.Voice || row.Key != "zone-1" || row.Writer != goldenSender || row.Count != 70000 {
-				t.Errorf("%s: %+v", c.name, row)
+		t.Run(test.name, func(t *testing.T) {
+			ip := loopbackIP(i + 1)
+			proxy := newRecordingProxy()
+			startAgent(t, goldenCluster, "receiver", ip, proxy)
+			send(t, test.network, ip, labelHeader+test.frame)
+			select {
+			case row := <-proxy.rows:
+				if row.Kind != replica.Voice || row.Key != "zone-1" ||
+					row.Writer != goldenSender || row.Count != 70000 {
+					t.Errorf("received row %+v", row)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("the message was not received")
 			}
-		case <-time.After(5 * time.Second):
-			t.Errorf("%s: not heard", c.name)
-		}
+		})
 	}
 }
 
-// TestGossipFramesOutgoing checks the frames in which a peer gets messages, and the names of nodes by which they find
-// each other.
+// TestGossipFramesOutgoing checks the frames in which messages are sent, and the node name by which peers find a proxy.
 func TestGossipFramesOutgoing(t *testing.T) {
 	t.Parallel()
-	ip := loopback(10)
-	talker := startTalker(t, goldenSender, ip, &recordingProxy{rows: make(chan replica.Row, 16)})
-	peer, recorded := startPeer(t, loopback(11))
-	if _, err := peer.Join([]string{ip + ":7946"}); err != nil {
+	ip := loopbackIP(10)
+	agent := startAgent(t, goldenCluster, goldenSender, ip, newRecordingProxy())
+	peer, recorded := startPeer(t, loopbackIP(11))
+	if _, err := peer.Join([]string{withTestPort(ip)}); err != nil {
 		t.Fatal(err)
 	}
 	node := nodeAt(t, peer, ip)
 	if !regexp.MustCompile(`^proxy-a/[0-9]{13}$`).MatchString(node.Name) || len(node.Meta) != 0 {
 		t.Errorf("node %q with metadata %x", node.Name, node.Meta)
 	}
-	talker.Tell("node-1", false)
-	eventually(t, "a row comes in a packet", func() bool {
+	agent.Tell("node-1", false)
+	eventually(t, "a health report arrives in a packet", func() bool {
 		return recorded.hasPacket(t, func(m *gossipMessage) bool {
-			return m.Type == replica.Spread && len(m.Rows) == 1 && m.Rows[0].Kind == replica.Sight && m.Rows[0].Key == "node-1"
+			return m.Type == replica.Spread && len(m.Rows) == 1 &&
+				m.Rows[0].Kind == replica.Sight && m.Rows[0].Key == "node-1"
 		})
 	})
-	talker.Listed(7, true, []wire.Target{{Name: "node-2", Address: "192.0.2.1:11211", Ready: true, Since: 5}})
-	eventually(t, "a node of discovery's list comes in a packet", func() bool {
+	agent.Listed(7, true, []wire.Target{
+		{Name: "node-2", Address: "192.0.2.1:11211", Ready: true, Since: 5},
+	})
+	eventually(t, "an endpoint arrives in a packet", func() bool {
 		return recorded.hasPacket(t, func(m *gossipMessage) bool {
-			return m.Type == replica.Spread && isListedNode(&m.Rows[0])
+			return m.Type == replica.Spread && isPublishedEndpoint(&m.Rows[0])
 		})
 	})
-	digest := encodeGossip(&gossipMessage{Sender: "peer", Type: replica.Digest, Digests: foreignSums()})
+	digest := encodeGossip(&gossipMessage{Sender: "peer", Type: replica.Digest, Digests: foreignDigests()})
 	if err := peer.SendReliable(node, digest); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "a digest is answered on a stream", func() bool {
-		return recorded.hasStream(t, func(m *gossipMessage) bool { return m.Type == replica.Heads && len(m.Versions) > 0 && m.Buckets != 0 })
+		return recorded.hasStream(t, func(m *gossipMessage) bool {
+			return m.Type == replica.Heads && len(m.Versions) > 0 && m.Buckets != 0
+		})
 	})
 }
 
-// isListedNode tells whether a row is what is sent of the node that the test lists.
-func isListedNode(row *replica.Row) bool {
-	return row.Kind == replica.Node && row.Key == "node-2" && row.Writer == "" && row.Epoch == 7 && row.Rank == 0 && row.Count == 5 &&
-		len(row.Body) > 0
+// isPublishedEndpoint tells whether a row is the one for the endpoint that the test publishes.
+func isPublishedEndpoint(row *replica.Row) bool {
+	return row.Kind == replica.Node && row.Key == "node-2" && row.Writer == "" &&
+		row.Epoch == 7 && row.Rank == 0 && row.Count == 5 && len(row.Body) > 0
 }
 
-// foreignSums is a digest that differs from that of anybody.
-func foreignSums() []uint64 {
-	sums := make([]uint64, 64)
-	for i := range sums {
-		sums[i] = ^uint64(i)
-	}
-	return sums
-}
-
-// loopback is an address that no other test, and no other run at the same time, listens at.
-func loopback(n int) string { return fmt.Sprintf("127.41.%d.%d", os.Getpid()%250, n) }
-
-// recordingProxy keeps the rows that it is told of.
-type recordingProxy struct{ rows chan replica.Row }
-
-func (p *recordingProxy) Hear(int64, wire.Target)      {}
-func (p *recordingProxy) Heard(string, bool)           {}
-func (p *recordingProxy) Share(float64)                {}
-func (p *recordingProxy) Demand() int64                { return 0 }
-func (p *recordingProxy) Writes() int64                { return 0 }
-func (p *recordingProxy) Fleet([]replica.Member, bool) {}
-func (p *recordingProxy) Row(row *replica.Row)         { p.rows <- *row }
-
-func startTalker(t *testing.T, name, ip string, proxy Proxy) *Talker {
-	t.Helper()
-	address := ip + ":7946"
-	config := &Config{Cluster: goldenCluster, Listen: address, Advertise: address, Hold: 1, Floor: 0.25}
-	talker, err := Start(config, name, "", 2, 10*replica.Second, 1, proxy, zap.NewNop())
-	if err != nil {
-		t.Fatal(err)
+// foreignDigests returns bucket digests that differ from those of any store.
+func foreignDigests() []uint64 {
+	digests := make([]uint64, 64)
+	for i := range digests {
+		digests[i] = ^uint64(i)
 	}
-	t.Cleanup(talker.Close)
-	return talker
+	return digests
 }
 
+// send sends a frame to an agent, from a socket of no member.
 func send(t *testing.T, network, ip, frame string) {
 	t.Helper()
-	conn, err := net.Dial(network, ip+":7946")
+	conn, err := net.Dial(network, withTestPort(ip))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
 	if _, err := io.WriteString(conn, frame); err != nil {
 		t.Fatal(err)
 	}
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
 }
 
-// goldenMessage is the bytes of one case of the golden file of messages.
+// goldenMessage returns the bytes of one case of the golden file of messages.
 func goldenMessage(t *testing.T, name string) string {
 	t.Helper()
 	for _, e := range readGolden(t, filepath.Join("testdata", "messages.golden")) {
@@ -174,26 +155,40 @@
 	return ""
 }
 
-// startPeer starts a member of the cluster that records what comes to it.
+// startPeer starts a member of the cluster that records what it receives.
 func startPeer(t *testing.T, ip string) (*memberlist.Memberlist, *recordingTransport) {
 	t.Helper()
 	logger := log.New(io.Discard, "", 0)
-	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{ip}, BindPort: 7946, Logger: logger})
+	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{
+		BindAddrs: []string{ip},
+		BindPort:  testPort,
+		Logger:    logger,
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	recorded := &recordingTransport{NetTransport: inner, packetCh: make(chan *memberlist.Packet), streamCh: make(chan net.Conn), done: make(chan struct{})}
-	go recorded.run()
+	recorded := &recordingTransport{
+		NetTransport: inner,
+		packetCh:     make(chan *memberlist.Packet),
+		streamCh:     make(chan net.Conn),
+		done:         make(chan struct{}),
+	}
+	var forwarder sync.WaitGroup
+	forwarder.Go(recorded.run)
 	config := memberlist.DefaultLANConfig()
 	config.Name, config.Label, config.Transport, config.Logger = "peer/1", goldenCluster, recorded, logger
-	config.BindAddr, config.BindPort, config.AdvertiseAddr, config.AdvertisePort = ip, 7946, ip, 7946
+	config.BindAddr, config.BindPort = ip, testPort
+	config.AdvertiseAddr, config.AdvertisePort = ip, testPort
 	peer, err := memberlist.Create(config)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		peer.Shutdown()
+		if err := peer.Shutdown(); err != nil {
+			t.Error(err)
+		}
 		close(recorded.done)
+		forwarder.Wait()
 	})
 	return peer, recorded
 }
@@ -209,14 +204,14 @@
 	return nil
 }
 
-// recordingTransport keeps the raw bytes of what comes in.
+// recordingTransport records the raw bytes of incoming packets and streams.
 type recordingTransport struct {
 	*memberlist.NetTransport
 	packetCh chan *memberlist.Packet
 	streamCh chan net.Conn
 	done     chan struct{}
 
-	mu      sync.Mutex
+	mu      sync.Mutex // guards what follows
 	packets [][]byte
 	streams []*recordingConn
 }
@@ -252,10 +247,10 @@
 	}
 }
 
-// recordingConn keeps what is read from a connection.
+// recordingConn records what is read from a connection.
 type recordingConn struct {
 	net.Conn
-	mu  sync.Mutex
+	mu  sync.Mutex // guards all
 	all []byte
 }
 
@@ -273,7 +268,7 @@
 	return bytes.Clone(c.all)
 }
 
-// hasPacket tells whether a message that matches came in a packet so far.
+// hasPacket tells whether a packet with a matching message has arrived.
 func (r *recordingTransport) hasPacket(t *testing.T, matches func(*gossipMessage) bool) bool {
 	t.Helper()
 	r.mu.Lock()
@@ -288,7 +283,7 @@
 	return false
 }
 
-// hasStream tells whether a message that matches came whole on a stream so far.
+// hasStream tells whether a complete matching message has arrived on a stream.
 func (r *recordingTransport) hasStream(t *testing.T, matches func(*gossipMessage) bool) bool {
 	t.Helper()
 	r.mu.Lock()
@@ -301,7 +296,7 @@
 	return false
 }
 
-// decodeSent decodes a message that was sent, which has to be from the proxy under test and encoded as it would be anew.
+// decodeSent decodes a message that the agent under test sent, and checks its sender, version and encoding.
 func decodeSent(t *testing.T, encoded []byte) *gossipMessage {
 	t.Helper()
 	m, err := decodeGossip(encoded)
@@ -314,7 +309,7 @@
 	return m
 }
 
-// messagesOfPacket takes the frames off the user messages of a packet.
+// messagesOfPacket returns the user messages of a packet without their frames.
 func messagesOfPacket(t *testing.T, packet []byte) [][]byte {
 	t.Helper()
 	frame, labelled := bytes.CutPrefix(packet, []byte(labelHeader))
@@ -324,7 +319,7 @@
 	return messagesOfFrame(t, frame)
 }
 
-func messagesOfFrame(t *testing.T, frame []byte) (messages [][]byte) {
+func messagesOfFrame(t *testing.T, frame []byte) [][]byte {
 	t.Helper()
 	switch frame[0] {
 	case frameUser:
@@ -334,6 +329,7 @@
 	case frameCompound:
 		count := int(frame[1])
 		lengths, rest := frame[2:2+2*count], frame[2+2*count:]
+		var messages [][]byte
 		for i := range count {
 			length := binary.BigEndian.Uint16(lengths[2*i:])
 			messages = append(messages, messagesOfFrame(t, rest[:length])...)
@@ -346,10 +342,11 @@
 	if frame[0] > frameLast {
 		t.Fatalf("an unknown frame: %x", frame)
 	}
-	return nil // the library's own
+	return nil // a frame of memberlist's own
 }
 
-// messageOfStream takes the frame off a user message, nil: another frame, or the message is not whole yet.
+// messageOfStream returns the user message of a stream without its frame, or nil if the frame is of another type or
+// not yet complete.
 func messageOfStream(stream []byte) []byte {
 	frame, ok := bytes.CutPrefix(stream, append([]byte(labelHeader), frameUser))
 	if !ok {
--- a/internal/gossip/golden_text_test.go
+++ b/internal/gossip/golden_text_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// changedLines returns the lines of a text that the base text lacks, indented.
+// changedLines returns, indented, the lines of a text that are not in the base text.
 func changedLines(text, base string) string {
 	baseLines := strings.Split(base, "\n")
 	var changed strings.Builder
@@ -46,7 +46,7 @@
 	return changed.String()
 }
 
-// leaveOutEachLine drops each "key = value" line of a TOML text in turn and tells what that changes in what is read.
+// leaveOutEachLine drops each "key = value" line of a TOML text in turn and reports what changes in the result of read.
 func leaveOutEachLine(text string, read func(text string) string) string {
 	base := read(text)
 	lines := strings.SplitAfter(text, "\n")
@@ -62,11 +62,11 @@
 	return report.String()
 }
 
-// fieldName is the name of a Go struct field that the TOML library puts into its errors. It is no part of the file's
-// format, and changes when the field is renamed.
+// fieldName matches the name of a Go struct field in errors of the TOML library. It is no part of the file's format and
+// changes when the field is renamed.
 var fieldName = regexp.MustCompile(`struct field \S+ of type`)
 
-// stableError is an error's text without the directory of the files that it names and without names of struct fields.
+// stableError returns an error's text without directories of files and without names of struct fields.
 func stableError(err error, dir string) string {
 	text := strings.ReplaceAll(err.Error(), dir+"/", "")
 	return fieldName.ReplaceAllString(text, "struct field FIELD of type")
--- /dev/null
+++ b/internal/gossip/helpers_test.go
@@ -0,0 +1,90 @@
+package gossip
+
+import (
+	"fmt"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"woodproxy/internal/wire"
+	"woodproxy/replica"
+
+	"go.uber.org/zap"
+)
+
+const testPort = 7946
+
+// loopbackIP returns an address at which no other test, and no other run at the same time, listens. The number is 1
+// to 254.
+func loopbackIP(number int) string { return fmt.Sprintf("127.41.%d.%d", os.Getpid()%250, number) }
+
+// withTestPort returns the socket address of an agent under test.
+func withTestPort(ip string) string { return fmt.Sprintf("%s:%d", ip, testPort) }
+
+// startAgent starts an agent of a cluster of two, which is closed when the test ends.
+func startAgent(t *testing.T, cluster, name, ip string, proxy Proxy, seeds ...string) *Talker {
+	t.Helper()
+	address := withTestPort(ip)
+	config := &Config{
+		Cluster:   cluster,
+		Listen:    address,
+		Advertise: address,
+		Seeds:     seeds,
+		Hold:      1,
+		Floor:     0.25,
+	}
+	agent, err := Start(config, name, "", 2, 10*replica.Second, 1, proxy, zap.NewNop())
+	if err != nil {
+		t.Fatalf("starting agent %s: %v", name, err)
+	}
+	t.Cleanup(agent.Close)
+	return agent
+}
+
+// eventually fails the test if the condition does not hold within six seconds.
+func eventually(t *testing.T, description string, condition func() bool) {
+	t.Helper()
+	for range 150 {
+		if condition() {
+			return
+		}
+		time.Sleep(40 * time.Millisecond)
+	}
+	t.Error("never: " + description)
+}
+
+// healthReport is what a peer found out about an endpoint.
+type healthReport struct {
+	endpoint   string
+	responsive bool
+}
+
+// recordingProxy records what the agent reports.
+type recordingProxy struct {
+	endpoints     chan wire.Target
+	healthReports chan healthReport
+	rows          chan replica.Row
+	share         atomic.Value // latest, a float64; none at first
+}
+
+func newRecordingProxy() *recordingProxy {
+	const capacity = 99 // more than any test has reports
+	return &recordingProxy{
+		endpoints:     make(chan wire.Target, capacity),
+		healthReports: make(chan healthReport, capacity),
+		rows:          make(chan replica.Row, capacity),
+	}
+}
+
+func (p *recordingProxy) Hear(_ int64, endpoint wire.Target) { p.endpoints <- endpoint }
+
+func (p *recordingProxy) Heard(endpoint string, responsive bool) {
+	p.healthReports <- healthReport{endpoint, responsive}
+}
+
+func (p *recordingProxy) Share(fraction float64)       { p.share.Store(fraction) }
+func (p *recordingProxy) Demand() int64                { return 0 }
+func (p *recordingProxy) Writes() int64                { return 0 }
+func (p *recordingProxy) Fleet([]replica.Member, bool) {}
+func (p *recordingProxy) Row(row *replica.Row)         { p.rows <- *row }
--- a/internal/gossip/joiner.go
+++ b/internal/gossip/joiner.go
@@ -19,8 +19,9 @@
 	departedState    = "gone"
 )
 
-// joiner joins the cluster and later rejoins proxies that memberlist has lost or never met: without that a network partition
-// that has healed would not be noticed once both sides have forgotten each other. Its methods are called from the event loop.
+// joiner joins the cluster and later rejoins proxies that memberlist has lost or never met: without that a network
+// partition that has healed would not be noticed once both sides have forgotten each other. Its methods are called
+// from the event loop.
 type joiner struct {
 	config      *Config
 	logger      *zap.Logger
@@ -37,8 +38,8 @@
 // due tells whether it is time for the next check.
 func (j *joiner) due() bool { return time.Since(j.lastCheck) >= joinInterval }
 
-// check starts an attempt to join some of the seeds and known proxies that are not among memberlist's members, if there are
-// any and the previous attempt has ended.
+// check starts an attempt to join some of the seeds and known proxies that are not among memberlist's members, if
+// there are any and the previous attempt has ended.
 func (j *joiner) check(ctx context.Context, iteration int, proxies []replica.Member) {
 	j.lastCheck = time.Now()
 	missing := j.missingAddresses(proxies)
@@ -72,8 +73,8 @@
 		}
 	}
 	for i := range proxies {
-		// A proxy that others gossip about may still be unknown to memberlist: a process that restarts gets the gossip that is
-		// sent to its predecessor's address, and could answer nobody.
+		// A proxy that others gossip about may still be unknown to memberlist: a process that restarts gets the
+		// gossip that is sent to its predecessor's address, and could answer nobody.
 		proxy := &proxies[i]
 		if proxy.State != departedState && isReachable(proxy.Address) && known.add(proxy.Address) {
 			missing = append(missing, proxy.Address)
--- a/internal/gossip/librarylog.go
+++ b/internal/gossip/librarylog.go
@@ -11,8 +11,8 @@
 // libraryLogInterval is the shortest time between two log lines of memberlist's errors: a peer can cause many.
 const libraryLogInterval = 20 * time.Second
 
-// libraryLog is the output of memberlist's logger. It counts errors and warnings, logs one of them now and then, and drops
-// all other lines. The logger serializes the calls of Write.
+// libraryLog is the output of memberlist's logger. It counts errors and warnings, logs one of them now and then, and
+// drops all other lines. The logger serializes the calls of Write.
 type libraryLog struct {
 	logger     *zap.Logger
 	faults     *atomic.Int64
--- a/internal/gossip/memberlist.go
+++ b/internal/gossip/memberlist.go
@@ -73,8 +73,8 @@
 	return members, nil
 }
 
-// memberlistOptions returns the options that are the same for all proxies: faster than the defaults for a local network, as
-// quotas follow the membership.
+// memberlistOptions returns the options that are the same for all proxies: faster than the defaults for a local
+// network, as quotas follow the membership.
 func memberlistOptions() *memberlist.Config {
 	options := memberlist.DefaultLANConfig()
 	options.GossipInterval = 100 * time.Millisecond
@@ -92,7 +92,8 @@
 	return options
 }
 
-// nodeName returns the name of a process of a proxy in memberlist. The incarnation makes it differ from its predecessors'.
+// nodeName returns the name of a process of a proxy in memberlist. The incarnation makes it differ from its
+// predecessors'.
 func nodeName(proxy string, incarnation int64) string {
 	return fmt.Sprintf("%s/%d", proxy, incarnation)
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -20,8 +20,8 @@
 // errMalformedMessage is wrapped by every error of decodeMessage.
 var errMalformedMessage = errors.New("malformed message")
 
-// message is what one proxy sends to others, as a msgpack map. Unknown fields are ignored, so that later versions can add
-// some. Which fields are used follows from the type.
+// message is what one proxy sends to others, as a msgpack map. Unknown fields are ignored, so that later versions can
+// add some. Which fields are used follows from the type.
 type message struct {
 	Version  int            `msgpack:"v"`
 	Sender   string         `msgpack:"f"` // name of the proxy
@@ -43,11 +43,11 @@
 	return encoded
 }
 
-// decodeMessage returns the message or an error that wraps errMalformedMessage, never a part of a message. What it allocates
-// is bounded by the bytes that are there and not by the lengths that they claim.
+// decodeMessage returns the message or an error that wraps errMalformedMessage, never a part of a message. What it
+// allocates is bounded by the bytes that are there and not by the lengths that they claim.
 func decodeMessage(encoded []byte) (*message, error) {
 	if len(encoded) > maxMessageLength {
-		return nil, fmt.Errorf("%w: %d bytes, at most %d are accepted", errMalformedMessage, len(encoded), maxMessageLength)
+		return nil, fmt.Errorf("%w: %d bytes", errMalformedMessage, len(encoded))
 	}
 	m := &message{}
 	if err := msgpack.Unmarshal(encoded, m); err != nil {
--- /dev/null
+++ b/internal/gossip/message_golden_test.go
@@ -0,0 +1,220 @@
+package gossip
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+
+	"woodproxy/replica"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// The tests of the wire format use the package's unexported codec by these three names alone.
+type gossipMessage = message
+
+func encodeGossip(m *gossipMessage) []byte                { return m.encode() }
+func decodeGossip(encoded []byte) (*gossipMessage, error) { return decodeMessage(encoded) }
+
+// wireVersion is the version that messages carry.
+const wireVersion = 1
+
+// goldenSender is the name of the proxy that sends the golden messages.
+const goldenSender = "proxy-a"
+
+// messageCase is a message whose encoding the golden file pins.
+type messageCase struct {
+	name    string
+	message gossipMessage
+}
+
+// messageCases returns a message of each type with all its fields, and one with every field.
+func messageCases() []messageCase {
+	rows := goldenRows()
+	versions := []replica.Head{{ID: 0x0102030405060708, Copy: 0xf1f2f3f4f5f6f7f8}, {ID: 1, Copy: 2}}
+	ids := []uint64{0x0102030405060708, 3, 0}
+	return []messageCase{
+		{"spread", gossipMessage{Sender: goldenSender, Type: replica.Spread, Rows: rows[:1]}},
+		{"digest", gossipMessage{Sender: goldenSender, Type: replica.Digest, Digests: goldenDigests()}},
+		{"heads", gossipMessage{
+			Sender: goldenSender, Type: replica.Heads, Buckets: 0x8000000000000005, Versions: versions,
+		}},
+		{"rows", gossipMessage{Sender: goldenSender, Type: replica.Rows, Rows: rows}},
+		{"want", gossipMessage{Sender: goldenSender, Type: replica.Want, RowIDs: ids}},
+		{"busy", gossipMessage{Sender: goldenSender, Type: replica.Busy}},
+		{"same", gossipMessage{Sender: goldenSender, Type: replica.Same}},
+		{"every-field", gossipMessage{
+			Sender: goldenSender, Type: replica.Same, Rows: rows, Versions: versions, RowIDs: ids, Buckets: 5,
+			Digests: goldenDigests(),
+		}},
+	}
+}
+
+// goldenRows returns a row with every field, and one of each kind.
+func goldenRows() []replica.Row {
+	rows := []replica.Row{{
+		Kind: replica.Voice, Key: "zone-1", Writer: goldenSender, Epoch: 1700000000000, Rank: 1, Count: 70000,
+		Age: 15000, Life: 36000000, Body: []byte{0x81, 0xa1, 'z', 0x01},
+	}}
+	for kind := replica.Pulse; kind <= replica.Absent; kind++ {
+		rows = append(rows, replica.Row{Kind: kind, Key: "key", Epoch: int64(kind) + 100})
+	}
+	return rows
+}
+
+func goldenDigests() []uint64 {
+	digests := make([]uint64, 64)
+	for i := range digests {
+		digests[i] = uint64(i) * 0x0101010101010101
+	}
+	return digests
+}
+
+// TestGossipMessageEncoding pins the encoding of each type of message, and that the golden bytes decode to its values.
+func TestGossipMessageEncoding(t *testing.T) {
+	cases := messageCases()
+	var encodings []encoding
+	for i := range cases {
+		encodings = append(encodings, encoding{cases[i].name, encodeGossip(&cases[i].message)})
+	}
+	for i, golden := range compareGolden(t, "messages.golden", encodings) {
+		t.Run(cases[i].name, func(t *testing.T) {
+			want := cases[i].message
+			want.Version = wireVersion
+			got, err := decodeGossip(golden)
+			if err != nil {
+				t.Errorf("decoding: %v", err)
+			} else if !reflect.DeepEqual(*got, want) {
+				t.Errorf("decoded as\n%+v, want\n%+v", *got, want)
+			}
+		})
+	}
+}
+
+// TestGossipMessageFields fails when a field is added to messages that the golden file does not pin.
+func TestGossipMessageFields(t *testing.T) {
+	cases := messageCases()
+	all := cases[len(cases)-1].message
+	encodeGossip(&all) // sets the version
+	v := reflect.ValueOf(all)
+	for i := range v.NumField() {
+		if v.Field(i).IsZero() {
+			t.Errorf("%s: not set", v.Type().Field(i).Name)
+		}
+	}
+}
+
+// fields is a message as another version may write it.
+type fields map[string]any
+
+// encodeFields encodes a valid message with some fields replaced, added, or where they are nil left out.
+func encodeFields(t *testing.T, changes fields) []byte {
+	t.Helper()
+	all := fields{"v": wireVersion, "f": goldenSender, "t": 3}
+	for name, value := range changes {
+		all[name] = value
+		if value == nil {
+			delete(all, name)
+		}
+	}
+	encoded, err := msgpack.Marshal(map[string]any(all))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+// repeated returns a list of n equal values.
+func repeated(n int, value any) []any {
+	list := make([]any, n)
+	for i := range list {
+		list[i] = value
+	}
+	return list
+}
+
+var (
+	plainRow     = map[string]any{"k": 3, "n": "node-1", "e": 4}
+	plainVersion = []any{1, 2}
+)
+
+// TestGossipMessageAccepted checks that messages up to the bounds, and those of later versions, are decoded.
+func TestGossipMessageAccepted(t *testing.T) {
+	for name, encoded := range map[string][]byte{
+		"minimal":                 encodeFields(t, nil),
+		"without a type":          encodeFields(t, fields{"t": nil}),
+		"later version":           encodeFields(t, fields{"v": 9}),
+		"type of a later version": encodeFields(t, fields{"t": 200}),
+		"unknown field":           encodeFields(t, fields{"later": []any{1, map[string]any{"nested": "value"}}}),
+		"longest sender":          encodeFields(t, fields{"f": strings.Repeat("x", 128)}),
+		"most rows":               encodeFields(t, fields{"r": repeated(256, plainRow)}),
+		"most row versions":       encodeFields(t, fields{"h": repeated(16384, plainVersion)}),
+		"most row IDs":            encodeFields(t, fields{"i": repeated(16384, 1)}),
+		"digests of all buckets":  encodeFields(t, fields{"s": repeated(64, 1)}),
+		"longest":                 messageOfLength(t, 1<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, err := decodeGossip(encoded); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestGossipMessageUnknownFields checks that unknown fields of a message and of its rows change nothing else in them.
+func TestGossipMessageUnknownFields(t *testing.T) {
+	row := map[string]any{"k": 77, "n": "node-1", "e": 4, "later": true}
+	got, err := decodeGossip(encodeFields(t, fields{"v": 9, "later": []any{1}, "r": []any{row}, "w": 5}))
+	want := gossipMessage{
+		Version: 9, Sender: goldenSender, Type: replica.Rows,
+		Rows: []replica.Row{{Kind: 77, Key: "node-1", Epoch: 4}}, Buckets: 5,
+	}
+	if err != nil || !reflect.DeepEqual(*got, want) {
+		t.Errorf("%+v %v, want %+v", got, err, want)
+	}
+}
+
+// TestGossipMessageRejected checks what is malformed.
+func TestGossipMessageRejected(t *testing.T) {
+	valid := encodeFields(t, nil)
+	for name, encoded := range map[string][]byte{
+		"empty":                 nil,
+		"no msgpack":            {0xc1},
+		"not a map":             {0x01},
+		"truncated":             valid[:len(valid)-1],
+		"no version":            encodeFields(t, fields{"v": nil}),
+		"version zero":          encodeFields(t, fields{"v": 0}),
+		"negative version":      encodeFields(t, fields{"v": -1}),
+		"version as text":       encodeFields(t, fields{"v": "1"}),
+		"no sender":             encodeFields(t, fields{"f": nil}),
+		"empty sender":          encodeFields(t, fields{"f": ""}),
+		"sender too long":       encodeFields(t, fields{"f": strings.Repeat("x", 129)}),
+		"too many rows":         encodeFields(t, fields{"r": repeated(257, plainRow)}),
+		"too many row versions": encodeFields(t, fields{"h": repeated(16385, plainVersion)}),
+		"too many row IDs":      encodeFields(t, fields{"i": repeated(16385, 1)}),
+		"too few digests":       encodeFields(t, fields{"s": repeated(63, 1)}),
+		"too many digests":      encodeFields(t, fields{"s": repeated(65, 1)}),
+		"row version as a map":  encodeFields(t, fields{"h": []any{map[string]any{"ID": "x"}}}),
+		"too long":              messageOfLength(t, 1<<20+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got, err := decodeGossip(encoded); !errors.Is(err, errMalformedMessage) {
+				t.Errorf("decoded as %+v, error %v", got, err)
+			}
+		})
+	}
+}
+
+// messageOfLength returns a message of that length that is valid in all other respects.
+func messageOfLength(t *testing.T, length int) []byte {
+	t.Helper()
+	const padding = 1 << 19 // its length is encoded in as many bytes as that of the final one
+	short := encodeFields(t, fields{"pad": bytes.Repeat([]byte{0}, padding)})
+	encoded := encodeFields(t, fields{"pad": bytes.Repeat([]byte{0}, padding+length-len(short))})
+	if len(encoded) != length {
+		t.Fatalf("%d bytes, want %d", len(encoded), length)
+	}
+	return encoded
+}
--- a/internal/gossip/prober.go
+++ b/internal/gossip/prober.go
@@ -23,9 +23,9 @@
 	background *sync.WaitGroup
 }
 
-// probe connects to the address and calls refused, in another goroutine, if the connection is refused: the process has ended.
-// Any other failure tells nothing, as the network may be at fault. A probe beyond maxConnectProbes is left out. The method
-// itself is called from the event loop.
+// probe connects to the address and calls refused, in another goroutine, if the connection is refused: the process
+// has ended. Any other failure tells nothing, as the network may be at fault. A probe beyond maxConnectProbes is left
+// out. The method itself is called from the event loop.
 func (p *prober) probe(ctx context.Context, address string, refused func()) {
 	if !isReachable(address) || p.running.Load() >= maxConnectProbes {
 		return
--- a/internal/gossip/ratemeter.go
+++ b/internal/gossip/ratemeter.go
@@ -14,7 +14,8 @@
 	perSecond float64
 }
 
-// sample takes the total after the time that has elapsed since the latest sample, and returns the new average per second.
+// sample takes the total after the time that has elapsed since the latest sample, and returns the new average per
+// second.
 func (m *rateMeter) sample(total int64, elapsed time.Duration) float64 {
 	current := float64(total-m.total) / elapsed.Seconds()
 	weight := min(elapsed.Seconds()/demandTimeConstant.Seconds(), 1)
--- a/internal/gossip/sender.go
+++ b/internal/gossip/sender.go
@@ -9,8 +9,11 @@
 
 const (
 	senderWorkers       = 4
-	senderQueueCapacity = 64   // messages
-	maxPacketMessage    = 1200 // bytes; a longer message goes on a stream, since packets must fit into an Ethernet frame
+	senderQueueCapacity = 64 // messages
+
+	// maxPacketMessage is the length in bytes from which a message goes on a stream: packets must fit into an Ethernet
+	// frame.
+	maxPacketMessage = 1200
 )
 
 // delivery tells how a message to one proxy is sent.
@@ -38,8 +41,8 @@
 	return &sender{members: members, dropped: dropped, queue: make(chan streamMessage, senderQueueCapacity)}
 }
 
-// send sends a message to the latest process of a proxy, or drops it if none is a member or the queue is full. It does not
-// wait.
+// send sends a message to the latest process of a proxy, or drops it if none is a member or the queue is full. It
+// does not wait.
 func (s *sender) send(proxy string, m *message, how delivery) {
 	node := latestNode(s.members.Members(), proxy)
 	if node == nil {
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -12,7 +12,7 @@
 	Streams  atomic.Int64 // accepted TCP connections
 	BytesIn  atomic.Int64 // of packets and streams
 	BytesOut atomic.Int64 // of packets and streams
-	Dropped  atomic.Int64 // packets, connections, messages and calls that were dropped for lack of space or could not be sent
+	Dropped  atomic.Int64 // traffic and calls without space in a queue, and messages that could not be sent
 	Bad      atomic.Int64 // malformed or unknown messages and rows, and errors and warnings of memberlist
 	Probes   atomic.Int64 // connect probes
 }
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -23,8 +23,8 @@
 // errStreamTooLong is returned by reads from a connection after maxStreamLength bytes.
 var errStreamTooLong = errors.New("stream exceeds the limit on its length")
 
-// transport is memberlist's transport with limits on incoming traffic, with counters, and with the listen address as the
-// source of outgoing connections. Shutdown ends its goroutine and all outgoing connections.
+// transport is memberlist's transport with limits on incoming traffic, with counters, and with the listen address as
+// the source of outgoing connections. Shutdown ends its goroutine and all outgoing connections.
 type transport struct {
 	*memberlist.NetTransport
 	source   net.IP
@@ -128,8 +128,8 @@
 	return t.DialTimeout(address.Addr, timeout)
 }
 
-// Shutdown closes the sockets and all outgoing connections, and waits for the goroutine of the transport. It may be called
-// more than once.
+// Shutdown closes the sockets and all outgoing connections, and waits for the goroutine of the transport. It may be
+// called more than once.
 func (t *transport) Shutdown() error {
 	err := t.NetTransport.Shutdown()
 	t.cancel()
