gossip: the callbacks of the embedding program are a handler in code and tests

The field, parameters and test types that hold the callbacks were called proxy, like the peers beside them. No change of behaviour. Run: go test ./internal/gossip.

--- a/internal/gossip/agent.go
+++ b/internal/gossip/agent.go
@@ -43,11 +43,11 @@
 type Talker struct {
 	Counters
 
-	config *Config
-	name   string // of this proxy
-	proxy  Proxy
-	logger *zap.Logger
-	status atomic.Pointer[Shown]
+	config  *Config
+	name    string // of this proxy
+	handler Proxy
+	logger  *zap.Logger
+	status  atomic.Pointer[Shown]
 
 	// Used by the event loop alone.
 	store     *replica.Instance
@@ -68,18 +68,18 @@
 }
 
 // Start binds the listen address and starts the agent of the proxy of that name. Proxies is the configured number of
-// proxies in the cluster, this one included; sightLife is how long a peer's report on an endpoint's health stays
+// proxies in the cluster, this one included; healthReportTTL is how long a peer's report on an endpoint's health stays
 // valid; seed makes the choice of peers reproducible. The error is a single line that names the failed step.
 func Start(
-	config *Config, name, zone string, proxies int, sightLife replica.Time, seed uint64,
-	proxy Proxy, logger *zap.Logger,
+	config *Config, name, zone string, proxies int, healthReportTTL replica.Time, seed uint64,
+	handler Proxy, logger *zap.Logger,
 ) (*Talker, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	startedAt := time.Now()
 	a := &Talker{
 		config:    config,
 		name:      name,
-		proxy:     proxy,
+		handler:   handler,
 		logger:    logger,
 		startedAt: startedAt,
 		demand:    rateMeter{sampledAt: startedAt},
@@ -95,7 +95,7 @@
 		Zone:        zone,
 		Hold:        replica.Time(config.Hold * float64(replica.Second)),
 		Floor:       config.Floor,
-		SightLife:   sightLife,
+		SightLife:   healthReportTTL,
 	}, seed)
 	a.mailbox = newMailbox(ctx.Done(), &a.Dropped)
 	a.broadcasts = newBroadcastQueues(func() int { return int(a.memberCount.Load()) })
--- a/internal/gossip/agent_test.go
+++ b/internal/gossip/agent_test.go
@@ -16,10 +16,10 @@
 	t.Parallel()
 	firstIP := loopbackIP(21)
 	seed := withTestPort(firstIP)
-	firstProxy, secondProxy, foreignProxy := newRecordingProxy(), newRecordingProxy(), newRecordingProxy()
-	first := startAgent(t, "one", "zone/a", firstIP, firstProxy) // with the separator of node names
-	second := startAgent(t, "one", "b", loopbackIP(22), secondProxy, seed)
-	foreign := startAgent(t, "two", "c", loopbackIP(23), foreignProxy, seed)
+	firstHandler, secondHandler, foreignHandler := newRecordingHandler(), newRecordingHandler(), newRecordingHandler()
+	first := startAgent(t, "one", "zone/a", firstIP, firstHandler) // with the separator of node names
+	second := startAgent(t, "one", "b", loopbackIP(22), secondHandler, seed)
+	foreign := startAgent(t, "two", "c", loopbackIP(23), foreignHandler, seed)
 	for i := range 20 {
 		sendMalformedPackets(t, seed, i)
 		sendMalformedStream(t, seed, i)
@@ -31,19 +31,19 @@
 	})
 	second.Tell("c1", false)
 	eventually(t, "endpoints and health reports arrive", func() bool {
-		return len(secondProxy.endpoints) >= 2 && len(firstProxy.healthReports) >= 1
+		return len(secondHandler.endpoints) >= 2 && len(firstHandler.healthReports) >= 1
 	})
-	checkReceivedEndpoints(t, secondProxy)
-	if len(firstProxy.healthReports) > 0 {
-		if report := <-firstProxy.healthReports; report != (healthReport{"c1", false}) {
+	checkReceivedEndpoints(t, secondHandler)
+	if len(firstHandler.healthReports) > 0 {
+		if report := <-firstHandler.healthReports; report != (healthReport{"c1", false}) {
 			t.Errorf("health report %+v", report)
 		}
 	}
 	eventually(t, "each proxy has half the quota", func() bool {
-		return firstProxy.share.Load() == 0.5 && secondProxy.share.Load() == 0.5
+		return firstHandler.share.Load() == 0.5 && secondHandler.share.Load() == 0.5
 	})
-	members, received := len(foreign.Shown().Members), len(foreignProxy.endpoints)
-	if members != 1 || received+len(foreignProxy.healthReports) > 0 {
+	members, received := len(foreign.Shown().Members), len(foreignHandler.endpoints)
+	if members != 1 || received+len(foreignHandler.healthReports) > 0 {
 		t.Errorf("the agent of another cluster has %d members and received %d endpoints", members, received)
 	}
 	if first.Bad.Load() == 0 {
@@ -51,11 +51,11 @@
 	}
 }
 
-// checkReceivedEndpoints checks the first two endpoints that the proxy received, as far as it did.
-func checkReceivedEndpoints(t *testing.T, proxy *recordingProxy) {
+// checkReceivedEndpoints checks the first two endpoints that the handler received, as far as it did.
+func checkReceivedEndpoints(t *testing.T, handler *recordingHandler) {
 	t.Helper()
-	for range min(len(proxy.endpoints), 2) {
-		endpoint := <-proxy.endpoints
+	for range min(len(handler.endpoints), 2) {
+		endpoint := <-handler.endpoints
 		switch endpoint.Name {
 		case "c1":
 			if endpoint.Weight != 2 || !endpoint.Ready || endpoint.Zone != "z" {
@@ -103,7 +103,7 @@
 // Close ends the goroutines of an agent, and may be called again.
 func TestCloseMayBeCalledTwice(t *testing.T) {
 	t.Parallel()
-	agent := startAgent(t, "one", "a", loopbackIP(24), newRecordingProxy(), withTestPort(loopbackIP(25)))
+	agent := startAgent(t, "one", "a", loopbackIP(24), newRecordingHandler(), withTestPort(loopbackIP(25)))
 	agent.Close()
 	agent.Close()
 	if agent.ctx.Err() == nil {
--- a/internal/gossip/decisions.go
+++ b/internal/gossip/decisions.go
@@ -22,7 +22,7 @@
 	case replica.Changed:
 		a.rowChanged(&decision.Rows[0])
 	case replica.SetShare:
-		a.proxy.Share(decision.Share)
+		a.handler.Share(decision.Share)
 		a.updateStatus()
 	case replica.Log:
 		a.logger.Info("peers: " + decision.Text)
@@ -59,11 +59,11 @@
 	switch row.Kind {
 	case replica.Pulse, replica.Gone: // of interest to the store alone
 	case replica.Sight:
-		a.proxy.Heard(row.Key, row.Rank == 0)
+		a.handler.Heard(row.Key, row.Rank == 0)
 	case replica.Node:
 		a.endpointChanged(row)
 	default:
-		a.proxy.Row(row)
+		a.handler.Row(row)
 	}
 }
 
@@ -76,7 +76,7 @@
 		a.Bad.Add(1)
 		return
 	}
-	a.proxy.Hear(row.Epoch, endpoint)
+	a.handler.Hear(row.Epoch, endpoint)
 }
 
 // receive takes a message from a peer. It is called from the event loop.
--- a/internal/gossip/doc.go
+++ b/internal/gossip/doc.go
@@ -12,11 +12,11 @@
 //   - messages to one proxy are sent as a packet or, if they are long or have to arrive, on a TCP stream by a sender
 //     worker;
 //   - connect probes, which find out whether the process of a silent proxy has ended, run in goroutines of their own;
-//   - changed rows are handed to the Proxy, the callbacks of the program that embeds this package.
+//   - changed rows are handed to the Proxy, the handler of the program that embeds this package.
 //
 // # Concurrency
 //
-// Methods of Talker may be called from any goroutine, except that no Proxy callback may call Close, Listed or Yield.
-// Each method says whether it waits for space in the mailbox or drops the call. The Proxy callbacks are called from
-// the event loop and must not wait for the Talker. Close ends all goroutines and waits for them.
+// Methods of Talker may be called from any goroutine, except that no method of the Proxy may call Close, Listed or
+// Yield. Each method says whether it waits for space in the mailbox or drops the call. The methods of the Proxy are
+// called from the event loop and must not wait for the Talker. Close ends all goroutines and waits for them.
 package gossip
--- a/internal/gossip/eventloop.go
+++ b/internal/gossip/eventloop.go
@@ -77,14 +77,14 @@
 		a.updateStatus()
 	}
 	if iteration%membersInterval == 0 {
-		a.proxy.Fleet(a.store.Members(), a.store.Behind())
+		a.handler.Fleet(a.store.Members(), a.store.Behind())
 	}
 }
 
 // reportLoad passes this proxy's load on to the store, from where peers get it.
 func (a *Talker) reportLoad() {
 	if elapsed := time.Since(a.demand.sampledAt); elapsed >= demandSampleInterval {
-		a.store.Demand(a.demand.sample(a.proxy.Demand(), elapsed))
+		a.store.Demand(a.demand.sample(a.handler.Demand(), elapsed))
 	}
-	a.store.Writes(a.proxy.Writes())
+	a.store.Writes(a.handler.Writes())
 }
--- a/internal/gossip/frames_golden_test.go
+++ b/internal/gossip/frames_golden_test.go
@@ -58,11 +58,11 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			ip := loopbackIP(i + 1)
-			proxy := newRecordingProxy()
-			startAgent(t, goldenCluster, "receiver", ip, proxy)
+			handler := newRecordingHandler()
+			startAgent(t, goldenCluster, "receiver", ip, handler)
 			send(t, test.network, ip, labelHeader+test.frame)
 			select {
-			case row := <-proxy.rows:
+			case row := <-handler.rows:
 				if row.Kind != replica.Voice || row.Key != "zone-1" ||
 					row.Writer != goldenSender || row.Count != 70000 {
 					t.Errorf("received row %+v", row)
@@ -78,7 +78,7 @@
 func TestGossipFramesOutgoing(t *testing.T) {
 	t.Parallel()
 	ip := loopbackIP(10)
-	agent := startAgent(t, goldenCluster, goldenSender, ip, newRecordingProxy())
+	agent := startAgent(t, goldenCluster, goldenSender, ip, newRecordingHandler())
 	peer, recorded := startPeer(t, loopbackIP(11))
 	if _, err := peer.Join([]string{withTestPort(ip)}); err != nil {
 		t.Fatal(err)
--- a/internal/gossip/helpers_test.go
+++ b/internal/gossip/helpers_test.go
@@ -23,7 +23,7 @@
 func withTestPort(ip string) string { return fmt.Sprintf("%s:%d", ip, testPort) }
 
 // startAgent starts an agent of a cluster of two, which is closed when the test ends.
-func startAgent(t *testing.T, cluster, name, ip string, proxy Proxy, seeds ...string) *Talker {
+func startAgent(t *testing.T, cluster, name, ip string, handler Proxy, seeds ...string) *Talker {
 	t.Helper()
 	address := withTestPort(ip)
 	config := &Config{
@@ -34,7 +34,7 @@
 		Hold:      1,
 		Floor:     0.25,
 	}
-	agent, err := Start(config, name, "", 2, 10*replica.Second, 1, proxy, zap.NewNop())
+	agent, err := Start(config, name, "", 2, 10*replica.Second, 1, handler, zap.NewNop())
 	if err != nil {
 		t.Fatalf("starting agent %s: %v", name, err)
 	}
@@ -60,31 +60,31 @@
 	responsive bool
 }
 
-// recordingProxy records what the agent reports.
-type recordingProxy struct {
+// recordingHandler records what the agent reports.
+type recordingHandler struct {
 	endpoints     chan wire.Target
 	healthReports chan healthReport
 	rows          chan replica.Row
 	share         atomic.Value // latest, a float64; none at first
 }
 
-func newRecordingProxy() *recordingProxy {
+func newRecordingHandler() *recordingHandler {
 	const capacity = 99 // more than any test has reports
-	return &recordingProxy{
+	return &recordingHandler{
 		endpoints:     make(chan wire.Target, capacity),
 		healthReports: make(chan healthReport, capacity),
 		rows:          make(chan replica.Row, capacity),
 	}
 }
 
-func (p *recordingProxy) Hear(_ int64, endpoint wire.Target) { p.endpoints <- endpoint }
+func (h *recordingHandler) Hear(_ int64, endpoint wire.Target) { h.endpoints <- endpoint }
 
-func (p *recordingProxy) Heard(endpoint string, responsive bool) {
-	p.healthReports <- healthReport{endpoint, responsive}
+func (h *recordingHandler) Heard(endpoint string, responsive bool) {
+	h.healthReports <- healthReport{endpoint, responsive}
 }
 
-func (p *recordingProxy) Share(fraction float64)       { p.share.Store(fraction) }
-func (p *recordingProxy) Demand() int64                { return 0 }
-func (p *recordingProxy) Writes() int64                { return 0 }
-func (p *recordingProxy) Fleet([]replica.Member, bool) {}
-func (p *recordingProxy) Row(row *replica.Row)         { p.rows <- *row }
+func (h *recordingHandler) Share(fraction float64)       { h.share.Store(fraction) }
+func (h *recordingHandler) Demand() int64                { return 0 }
+func (h *recordingHandler) Writes() int64                { return 0 }
+func (h *recordingHandler) Fleet([]replica.Member, bool) {}
+func (h *recordingHandler) Row(row *replica.Row)         { h.rows <- *row }
