--- a/internal/gossip/agent_test.go
+++ b/internal/gossip/agent_test.go
@@ -110,3 +110,24 @@
 		t.Error("the agent is not closed")
 	}
 }
+
+// Close ends a join attempt that waits for a seed which accepts connections but never answers, and waits for its
+// goroutine.
+func TestCloseWaitsForJoinAttempt(t *testing.T) {
+	t.Parallel()
+	seed, err := net.Listen("tcp", withTestPort(loopbackIP(26)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { closeListener(t, seed) })
+	agent := startAgent(t, "one", "a", loopbackIP(27), newRecordingHandler(), seed.Addr().String())
+	conn, err := seed.Accept() // an attempt has begun
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() }) // the agent has closed its side
+	agent.Close()
+	if agent.joiner.attempting.Load() {
+		t.Error("the join attempt has not ended")
+	}
+}
