--- /dev/null
+++ b/internal/gossip/agent_test.go
@@ -0,0 +1,133 @@
+package gossip
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"woodproxy/internal/wire"
+	"woodproxy/replica"
+)
+
+// Two agents of one cluster exchange endpoints and health reports and divide the quota, while one of another cluster
+// gets nothing and malformed, truncated and oversized traffic is dropped.
+func TestAgentsOfOneClusterExchangeState(t *testing.T) {
+	t.Parallel()
+	firstIP := loopbackIP(21)
+	seed := withTestPort(firstIP)
+	firstHandler, secondHandler, foreignHandler := newRecordingHandler(), newRecordingHandler(), newRecordingHandler()
+	first := startAgent(t, "one", "zone/a", firstIP, firstHandler) // with the separator of node names
+	second := startAgent(t, "one", "b", loopbackIP(22), secondHandler, seed)
+	foreign := startAgent(t, "two", "c", loopbackIP(23), foreignHandler, seed)
+	for i := range 20 {
+		sendMalformedPackets(t, seed, i)
+		sendMalformedStream(t, seed, i)
+	}
+
+	first.Listed(7, true, []wire.Target{
+		{Name: "c1", Address: "1.2.3.4:5", Ready: true, Weight: 2, Zone: "z"},
+		{Name: "c2"},
+	})
+	second.Tell("c1", false)
+	eventually(t, "endpoints and health reports arrive", func() bool {
+		return len(secondHandler.endpoints) >= 2 && len(firstHandler.healthReports) >= 1
+	})
+	checkReceivedEndpoints(t, secondHandler)
+	if len(firstHandler.healthReports) > 0 {
+		if report := <-firstHandler.healthReports; report != (healthReport{"c1", false}) {
+			t.Errorf("health report %+v", report)
+		}
+	}
+	eventually(t, "each proxy has half the quota", func() bool {
+		return firstHandler.share.Load() == 0.5 && secondHandler.share.Load() == 0.5
+	})
+	members, received := len(foreign.Shown().Members), len(foreignHandler.endpoints)
+	if members != 1 || received+len(foreignHandler.healthReports) > 0 {
+		t.Errorf("the agent of another cluster has %d members and received %d endpoints", members, received)
+	}
+	if first.Bad.Load() == 0 {
+		t.Error("malformed traffic was not counted")
+	}
+}
+
+// checkReceivedEndpoints checks the first two endpoints that the handler received, as far as it did.
+func checkReceivedEndpoints(t *testing.T, handler *recordingHandler) {
+	t.Helper()
+	for range min(len(handler.endpoints), 2) {
+		endpoint := <-handler.endpoints
+		switch endpoint.Name {
+		case "c1":
+			if endpoint.Weight != 2 || !endpoint.Ready || endpoint.Zone != "z" {
+				t.Errorf("endpoint %+v", endpoint)
+			}
+		case "c2":
+			if endpoint.Ready || endpoint.Gone {
+				t.Errorf("endpoint %+v", endpoint)
+			}
+		}
+	}
+}
+
+// sendMalformedPackets sends a packet of bytes in no format, whose length grows with i, and a truncated message.
+func sendMalformedPackets(t *testing.T, address string, i int) {
+	t.Helper()
+	conn, err := net.Dial("udp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, strings.Repeat("\xff\x00garbled", i*300)); err != nil {
+		t.Fatal(err)
+	}
+	truncated := (&message{Sender: "x", Type: replica.Rows}).encode()[:i%9+1]
+	if _, err := conn.Write(truncated); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// sendMalformedStream opens a stream with the cluster's label and sends i messages with lengths that are too large.
+func sendMalformedStream(t *testing.T, address string, i int) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The agent may close the connection at any time, so that writing and closing may fail.
+	_, _ = io.WriteString(conn, strings.Repeat("\xf4\x03one\x06\xff\xff\xff\xff", i))
+	_ = conn.Close()
+}
+
+// Close ends the goroutines of an agent, and may be called again.
+func TestCloseMayBeCalledTwice(t *testing.T) {
+	t.Parallel()
+	agent := startAgent(t, "one", "a", loopbackIP(24), newRecordingHandler(), withTestPort(loopbackIP(25)))
+	agent.Close()
+	agent.Close()
+	if agent.ctx.Err() == nil {
+		t.Error("the agent is not closed")
+	}
+}
+
+// Close ends a join attempt that waits for a seed which accepts connections but never answers, and waits for its
+// goroutine.
+func TestCloseWaitsForJoinAttempt(t *testing.T) {
+	t.Parallel()
+	seed, err := net.Listen("tcp", withTestPort(loopbackIP(26)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { closeListener(t, seed) })
+	agent := startAgent(t, "one", "a", loopbackIP(27), newRecordingHandler(), seed.Addr().String())
+	conn, err := seed.Accept() // an attempt has begun
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() }) // the agent has closed its side
+	agent.Close()
+	if agent.joiner.attempting.Load() {
+		t.Error("the join attempt has not ended")
+	}
+}
