server: read the configuration in named steps; one reader for the TOML files beside it

Read was one function of 115 lines with closures that collected errors; the files of zones, turns, moves and missing keys each repeated the same scaffold (read, strict decoding, check, wrapping).

The checks keep their order and texts. The check of a zone health file is four steps. Place.Known, which no other package uses, is KnownEndpoints; every field of Place is documented with its unit.

No change of behaviour. Run: go build ./..., go vet, the configuration and TOML tests of the package, with their golden files as they were.

--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -4,10 +4,7 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"net"
-	"os"
-	"strconv"
 
 	"woodproxy/duties"
 	"woodproxy/internal/gossip"
@@ -20,217 +17,210 @@
 	"github.com/valyala/fastjson"
 )
 
-// Place is what a proxy is told of itself at its start.
+const (
+	defaultCores    = 1
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	minSockets      = 64
+)
+
+// Place is the configuration of one proxy process. Read returns one that is checked; it is not changed once Serve
+// has it, but for the gossip seeds that are restored from the state file.
 type Place struct {
-	Name, Listen, Discovery string
-	Management              string // where operators call, "": nowhere
-	Own                     bool   // the process serves this proxy alone, and is kept to its memory and cores
-	Shared                  string // directory in which the process that replaces this one is met, "": none
-	Seed                    uint64
-	Cores                   float64
-	MemoryMB, Sockets       int
-	Known                   *fastjson.Value
-	Book                    *settings.Book
-	Untold                  bool   // peers might be told things, and no file of peers is named
-	Peers, PeersListen      string // the file of peers, "": none; where they meet this proxy, before what the file says
-	Talk                    *gossip.Config
-	ZonesFile               string // by which whole zones are left, "": they are not
-	Zones                   *zonehealth.Terms
-	StateDir                string // where it keeps what it knows for its next start, "": nowhere
-	State                   *snapshot.Store
-	MissingFile             string // by which keys are known to be missing, "": they are not
-	Missing                 *negativecache.Terms
-	MovesFile               string // by which moves of shards are planned, "": they are not
-	Moves                   *rebalance.Terms
-	TurnsFile               string // by which proxies take turns, "": they do not
-	Turns                   *duties.Terms
-	Watch                   *settings.Book // terms that are only watched, nil: none
+	Name       string // of this proxy, unique in the fleet
+	Listen     string // host:port for clients
+	Discovery  string // host:port of the discovery service
+	Management string // host:port of the admin API; empty: there is none
+
+	Own    bool   // the process runs this proxy only, so that limits of memory and cores apply to the Go runtime
+	Shared string // directory of the hot-restart socket; empty: there is no hot restart
+
+	Seed     uint64  // of the random number generators
+	Cores    float64 // CPU limit, above 0
+	MemoryMB int     // memory limit in MiB
+	Sockets  int     // limit of open file descriptors, at least 64
+
+	KnownEndpoints *fastjson.Value // endpoint list to start with, in discovery's format; nil or null: none
+	Book           *settings.Book
+	Watch          *settings.Book // evaluated by the shadow balancer only; nil: there is none
+	Untold         bool           // settings allow notifications between proxies, but no gossip file is named
+
+	Peers       string // gossip file; empty: no gossip
+	PeersListen string // host:port for gossip, overrides the gossip file
+	Talk        *gossip.Config
+
+	ZonesFile string // zone health file; empty: zones are not evacuated
+	Zones     *zonehealth.Terms
+
+	StateDir string // directory of the state file; empty: no state is stored
+	State    *snapshot.Store
+
+	MissingFile string // negative cache file; empty: there is no negative cache
+	Missing     *negativecache.Terms
+
+	MovesFile string // rebalance file; empty: no migrations are planned
+	Moves     *rebalance.Terms
+
+	TurnsFile string // duties file; empty: each proxy performs all duties itself
+	Turns     *duties.Terms
 }
 
-// Read takes the configuration file; what the other place names of name, listen,
-// discovery and management goes before it, and the
-// process's own affairs are its alone.
-func Read(file string, over Place) (*Place, error) {
-	if file == "" {
-		return nil, errors.New("configuration: no file named")
-	}
-	text, err := os.ReadFile(file)
+// Read reads and checks the configuration file and all files that overrides names. Name, Listen, Discovery and
+// Management of overrides replace what the file says; Own, Shared, StateDir and the names of the other files come
+// from overrides alone. An error is one line that names the file or key at fault.
+func Read(file string, overrides Place) (*Place, error) {
+	document, err := parseConfigFile(file)
 	if err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
-	}
-	v, err := fastjson.ParseBytes(text)
-	if err != nil || v.Type() != fastjson.TypeObject {
-		return nil, fmt.Errorf("configuration: %s: not a JSON object", file)
-	}
-	p := &Place{Own: over.Own, Shared: over.Shared, Peers: over.Peers, PeersListen: over.PeersListen, ZonesFile: over.ZonesFile, StateDir: over.StateDir, MissingFile: over.MissingFile, MovesFile: over.MovesFile, TurnsFile: over.TurnsFile, Cores: 1, MemoryMB: 192, Sockets: 1024, Known: v.Get("known")}
-	word := func(key, given string) string {
-		s := v.Get(key)
-		switch {
-		case given != "":
-			return given
-		case s == nil:
-			err = errors.Join(err, fmt.Errorf("configuration: %s: missing", key))
-		case s.Type() != fastjson.TypeString || len(s.GetStringBytes()) == 0:
-			err = errors.Join(err, fmt.Errorf("configuration: %s: mistyped", key))
-		}
-		return string(s.GetStringBytes())
+		return nil, err
 	}
-	number := func(key string, usual float64) float64 {
-		s := v.Get("limits", key)
-		if s == nil || s.Type() == fastjson.TypeNull {
-			return usual
-		}
-		n, bad := s.Float64()
-		if bad != nil || !(n > 0 && n < 1e9) {
-			err = errors.Join(err, fmt.Errorf("configuration: limits.%s: mistyped or out of its range", key))
-		}
-		return n
-	}
-	p.Name, p.Listen, p.Discovery = word("name", over.Name), word("listen", over.Listen),
-		word("discovery", over.Discovery)
-	if s := v.Get("management"); over.Management != "" || s != nil && s.Type() != fastjson.TypeNull {
-		p.Management = word("management", over.Management)
-	}
-	p.Cores = number("cores", p.Cores)
-	p.MemoryMB = int(number("memory_mb", float64(p.MemoryMB)))
-	p.Sockets = int(number("sockets", float64(p.Sockets)))
-	if p.Seed, err = seed(v.Get("seed"), err); err != nil {
-		return nil, first(err)
-	}
-	for _, a := range [...]struct{ key, addr string }{
-		{"listen", p.Listen},
-		{"discovery", p.Discovery},
-		{"management", p.Management},
-	} {
-		if a.key == "management" && a.addr == "" {
-			continue
-		}
-		if _, port, bad := net.SplitHostPort(a.addr); bad != nil || port == "" {
-			return nil, fmt.Errorf("configuration: %s: no address and port: %q", a.key, a.addr)
-		}
+	config := &Place{
+		Own: overrides.Own, Shared: overrides.Shared,
+		Peers: overrides.Peers, PeersListen: overrides.PeersListen,
+		ZonesFile: overrides.ZonesFile, StateDir: overrides.StateDir, MissingFile: overrides.MissingFile,
+		MovesFile: overrides.MovesFile, TurnsFile: overrides.TurnsFile,
 	}
-	if p.Management == p.Listen {
-		return nil, fmt.Errorf("configuration: management: the address of listen: %q", p.Management)
+	if err := config.readProcess(document, &overrides); err != nil {
+		return nil, err
 	}
-	if p.Sockets < 64 {
-		return nil, fmt.Errorf("configuration: limits.sockets: fewer than 64")
+	if err := config.checkProcess(); err != nil {
+		return nil, err
 	}
-	s := v.Get("settings")
-	if s == nil || s.Type() != fastjson.TypeObject {
-		return nil, errors.New("configuration: settings: missing or mistyped")
+	if err := config.readSettings(document); err != nil {
+		return nil, err
 	}
-	if p.Book, err = settings.Read(s); err != nil {
-		return nil, fmt.Errorf("configuration: settings: %w", err)
+	if err := config.readGossipFile(); err != nil {
+		return nil, err
 	}
-	p.Untold, p.Book.Terms.Peers = p.Book.Terms.Peers > 0, 0
-	if p.Peers != "" {
-		if p.Talk, err = gossip.Read(p.Peers, p.PeersListen); err != nil {
-			return nil, err
-		}
-		for _, a := range [...]string{p.Listen, p.Management, p.Discovery} {
-			if a == p.Talk.Listen {
-				return nil, fmt.Errorf("peers: %s: listen: the address of another listener: %q", p.Peers, a)
-			}
-		}
-		// the module tells one number, which stands for all
-		p.Untold, p.Book.Terms.Peers, p.Book.Terms.Me = false, 1, 0
+	if err := config.readPolicyFiles(); err != nil {
+		return nil, err
 	}
-	if p.ZonesFile != "" {
-		if p.Zones, err = readZones(p.ZonesFile, p.Name, p.Book); err != nil {
-			return nil, err
-		}
+	// last, since it changes the settings in the document
+	if config.Watch, err = readShadowSettings(document, config.Book); err != nil {
+		return nil, fmt.Errorf("configuration: watch: %w", err)
 	}
-	if p.StateDir != "" {
-		if p.State, err = snapshot.Open(p.StateDir, p.Name); err != nil {
-			return nil, err
-		}
+	return config, nil
+}
+
+// readProcess reads names, addresses, limits and the seed.
+func (c *Place) readProcess(document *fastjson.Value, overrides *Place) error {
+	reader := &configReader{document: document}
+	c.Name = reader.text("name", overrides.Name)
+	c.Listen = reader.text("listen", overrides.Listen)
+	c.Discovery = reader.text("discovery", overrides.Discovery)
+	c.Management = reader.optionalText("management", overrides.Management)
+	c.Cores = reader.limit("cores", defaultCores)
+	c.MemoryMB = int(reader.limit("memory_mb", defaultMemoryMB))
+	c.Sockets = int(reader.limit("sockets", defaultSockets))
+	c.Seed = reader.seed()
+	c.KnownEndpoints = document.Get("known")
+	return reader.err
+}
+
+// checkProcess checks what readProcess read, where the values depend on one another.
+func (c *Place) checkProcess() error {
+	if err := checkAddress("listen", c.Listen); err != nil {
+		return err
 	}
-	if p.MissingFile != "" {
-		if p.Missing, err = readMissing(p.MissingFile, p.Name, p.Talk != nil, p.Book); err != nil {
-			return nil, err
-		}
+	if err := checkAddress("discovery", c.Discovery); err != nil {
+		return err
 	}
-	if p.MovesFile != "" {
-		if p.Moves, err = readMoves(p.MovesFile); err != nil {
-			return nil, err
+	if c.Management != "" {
+		if err := checkAddress("management", c.Management); err != nil {
+			return err
 		}
 	}
-	if p.TurnsFile != "" {
-		if p.Talk == nil {
-			return nil, fmt.Errorf("turns: %w", &duties.AloneError{File: p.TurnsFile})
-		}
-		if p.Turns, err = readTurns(p.TurnsFile, p.Name, p.Book); err != nil {
-			return nil, err
-		}
+	if c.Management == c.Listen {
+		return fmt.Errorf("configuration: management: the address of listen: %q", c.Management)
 	}
-	if p.Watch, err = watched(v, p.Book); err != nil {
-		return nil, fmt.Errorf("configuration: watch: %w", err)
+	if c.Sockets < minSockets {
+		return fmt.Errorf("configuration: limits.sockets: fewer than %d", minSockets)
 	}
-	return p, nil
+	return nil
 }
 
-// watched reads the settings with what watch puts in their place. Routes, tenants, zones and kinds have to be the same
-// ones in the same order, since the same exchanges are put to both.
-func watched(v *fastjson.Value, book *settings.Book) (*settings.Book, error) {
-	over := v.Get("watch")
-	switch {
-	case over == nil || over.Type() == fastjson.TypeNull:
-		return nil, nil
-	case over.Type() != fastjson.TypeObject:
-		return nil, errors.New("mistyped")
-	}
-	s := v.Get("settings")
-	lay(s, over)
-	w, err := settings.Read(s)
-	if err != nil {
-		return nil, err
+func checkAddress(key, address string) error {
+	if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
+		return fmt.Errorf("configuration: %s: no address and port: %q", key, address)
 	}
-	for _, f := range []struct {
-		name string
-		same bool
-	}{
-		{"routes", maps.Equal(w.Routes, book.Routes)},
-		{"tenants", maps.Equal(w.Tenants, book.Tenants)},
-		{"zones", maps.Equal(w.Zones, book.Zones)},
-		{"family-info.origin-kind", w.Origin == book.Origin},
-	} {
-		if !f.same {
-			return nil, fmt.Errorf("setup %s: not those of the settings", f.name)
-		}
+	return nil
+}
+
+func (c *Place) readSettings(document *fastjson.Value) error {
+	object := document.Get("settings")
+	if object == nil || object.Type() != fastjson.TypeObject {
+		return errors.New("configuration: settings: missing or mistyped")
+	}
+	var err error
+	if c.Book, err = settings.Read(object); err != nil {
+		return fmt.Errorf("configuration: settings: %w", err)
 	}
-	return w, nil
+	c.Untold, c.Book.Terms.Peers = c.Book.Terms.Peers > 0, 0
+	return nil
 }
 
-// lay puts what is named in one object over another; objects in both are laid over each other.
-func lay(under, over *fastjson.Value) {
-	over.GetObject().Visit(func(key []byte, v *fastjson.Value) {
-		if u := under.Get(string(key)); u != nil && u.Type() == fastjson.TypeObject && v.Type() == fastjson.TypeObject {
-			lay(u, v)
-			return
+func (c *Place) readGossipFile() error {
+	if c.Peers == "" {
+		return nil
+	}
+	var err error
+	if c.Talk, err = gossip.Read(c.Peers, c.PeersListen); err != nil {
+		return err
+	}
+	for _, address := range [...]string{c.Listen, c.Management, c.Discovery} {
+		if address == c.Talk.Listen {
+			return fmt.Errorf("peers: %s: listen: the address of another listener: %q", c.Peers, address)
 		}
-		under.Set(string(key), v)
-	})
+	}
+	// the balancer notifies a single peer, which stands for all of them: gossip spreads the notification
+	c.Untold, c.Book.Terms.Peers, c.Book.Terms.Me = false, 1, 0
+	return nil
 }
 
-// seed reads the start of chance, which is hexadecimal.
-func seed(v *fastjson.Value, err error) (uint64, error) {
-	if err != nil {
-		return 0, err
+// readPolicyFiles opens the state directory and reads the TOML files beside the gossip file, where they are named.
+func (c *Place) readPolicyFiles() (err error) {
+	if c.ZonesFile != "" {
+		if c.Zones, err = readZoneHealthFile(c.ZonesFile, c.Name, c.Book); err != nil {
+			return err
+		}
+	}
+	if c.StateDir != "" {
+		if c.State, err = snapshot.Open(c.StateDir, c.Name); err != nil {
+			return err
+		}
+	}
+	if c.MissingFile != "" {
+		if c.Missing, err = readNegativeCacheFile(c.MissingFile, c); err != nil {
+			return err
+		}
 	}
-	if v == nil {
-		return 0, errors.New("configuration: seed: missing")
+	if c.MovesFile != "" {
+		if c.Moves, err = readRebalanceFile(c.MovesFile); err != nil {
+			return err
+		}
 	}
-	n, bad := strconv.ParseUint(string(v.GetStringBytes()), 16, 64)
-	if bad != nil {
-		return 0, errors.New("configuration: seed: mistyped")
+	if c.TurnsFile != "" {
+		if c.Turns, err = readDutiesFile(c.TurnsFile, c); err != nil {
+			return err
+		}
 	}
-	return n, nil
+	return nil
 }
 
-// first keeps to one line: the first thing found wrong.
-func first(err error) error {
-	if many, ok := err.(interface{ Unwrap() []error }); ok {
-		return first(many.Unwrap()[0])
+// Zone returns the zone in which the proxy stands; empty if it is not known.
+func (c *Place) Zone() string {
+	if c.Zones != nil {
+		return c.Zones.Zone
 	}
-	return err
+	return c.Book.Locality
 }
+
+// cluster returns the name of the fleet that this proxy belongs to; empty if no gossip file names it.
+func (c *Place) cluster() string {
+	if c.Talk != nil {
+		return c.Talk.Cluster
+	}
+	return ""
+}
+
+// proxies returns the number of proxies in the fleet as the settings state it, at least 1.
+func (c *Place) proxies() int { return max(c.Book.Terms.Proxies, 1) }
--- a/internal/server/config_golden_test.go
+++ b/internal/server/config_golden_test.go
@@ -59,8 +59,8 @@
 	line("limits.memory_mb", place.MemoryMB)
 	line("limits.sockets", place.Sockets)
 	known := "not stated"
-	if place.Known != nil {
-		known = place.Known.String()
+	if place.KnownEndpoints != nil {
+		known = place.KnownEndpoints.String()
 	}
 	line("known", known)
 	listSettings := func(label string, book *settings.Book) {
--- /dev/null
+++ b/internal/server/dutiesfile.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"fmt"
+
+	"woodproxy/duties"
+)
+
+// dutiesFile is the format of the duties file (deploy/turns.toml). Times are in milliseconds.
+type dutiesFile struct {
+	Watchers          int     `toml:"watchers"`
+	IdleConnOwners    int     `toml:"keepers"`
+	HealthChecks      bool    `toml:"trials"`
+	ProbeIntervalMS   float64 `toml:"trial_ms"`
+	TakeoverDelayMS   float64 `toml:"turn_ms"`
+	HeartbeatMS       float64 `toml:"beat_ms"`
+	HeartbeatExpiryMS float64 `toml:"patience_ms"`
+}
+
+// readDutiesFile reads the duties file. Duties are shared among proxies, so that without gossip it is a
+// *duties.AloneError.
+func readDutiesFile(file string, config *Place) (*duties.Terms, error) {
+	if config.Talk == nil {
+		return nil, fmt.Errorf("turns: %w", &duties.AloneError{File: file})
+	}
+	shortest := shortestObjective[duties.Time](config.Book)
+	values := &dutiesFile{
+		HealthChecks:      true,
+		ProbeIntervalMS:   max(float64(shortest)/10, 50),
+		TakeoverDelayMS:   200,
+		HeartbeatMS:       700,
+		HeartbeatExpiryMS: 2500,
+	}
+	terms := &duties.Terms{}
+	err := readPolicyFile("turns", file, values, func() error {
+		*terms = duties.Terms{
+			Me:       config.Name,
+			Watchers: values.Watchers,
+			Keepers:  values.IdleConnOwners,
+			Trials:   values.HealthChecks,
+			Rest:     tenths[duties.Time](values.ProbeIntervalMS),
+			Step:     tenths[duties.Time](values.TakeoverDelayMS),
+			Beat:     tenths[duties.Time](values.HeartbeatMS),
+			Patience: tenths[duties.Time](values.HeartbeatExpiryMS),
+		}
+		return terms.Check()
+	})
+	if err != nil {
+		return nil, err
+	}
+	return terms, nil
+}
--- a/internal/server/missing.go
+++ b/internal/server/missing.go
@@ -3,48 +3,13 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 
-	"woodproxy/internal/configfile"
-	"woodproxy/internal/settings"
 	"woodproxy/negativecache"
 	"woodproxy/replica"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// missingFile is what the file of missing keys says.
-type missingFile struct {
-	Entries int     `toml:"entries"`
-	Believe float64 `toml:"believe_s"`
-	Grace   float64 `toml:"grace_ms"`
-	Grow    int     `toml:"grow_per_s"`
-}
-
-// readMissing reads the file of missing keys. An error is one line that names what is wrong and what to do.
-func readMissing(file, name string, talks bool, book *settings.Book) (*negativecache.Terms, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("missing: %w", err)
-	}
-	f := &missingFile{Entries: 1 << 16, Believe: 10, Grace: 2000, Grow: 2000}
-	if err := configfile.TOML(text, f); err != nil {
-		return nil, fmt.Errorf("missing: %s: %w", file, err)
-	}
-	t := &negativecache.Terms{Me: name, Entries: f.Entries, Believe: negativecache.Time(settings.Tenths(f.Believe * 1000)), Grace: negativecache.Time(settings.Tenths(f.Grace)), Grow: f.Grow, Tenants: len(book.Tenants)}
-	if err := t.Check(); err != nil {
-		return nil, fmt.Errorf("missing: %s: %w", file, err)
-	}
-	// a write may be carried out until its overall timeout, and what the origin says of its key before that is not held
-	if least := 2 * float64(book.Longest) / float64(negativecache.Second); f.Believe < least {
-		return nil, fmt.Errorf("missing: %s: %w", file, &negativecache.RangeError{Key: "believe_s", Value: f.Believe, Least: least, Most: 600})
-	}
-	if n := book.Terms.Proxies; !talks && n > 1 {
-		return nil, fmt.Errorf("missing: %w", &negativecache.AloneError{File: file, Proxies: n})
-	}
-	return t, nil
-}
-
 // sayMissing has peers hear what this proxy wrote, or what the origin lacks.
 func (p *peers) sayMissing(d *negativecache.Decision) {
 	t := p.now.Load()
--- a/internal/server/moves.go
+++ b/internal/server/moves.go
@@ -5,37 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
-	"runtime"
 
-	"woodproxy/internal/configfile"
 	"woodproxy/rebalance"
 )
 
-// movesFile is what the file of moves says.
-type movesFile struct {
-	Slack   float64 `toml:"slack"`
-	PerNode int     `toml:"moves_per_node"`
-	InAll   int     `toml:"moves_in_all"`
-}
-
-// readMoves reads the file of moves. An error is one line that names what is wrong.
-func readMoves(file string) (*rebalance.Terms, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("moves: %w", err)
-	}
-	f := &movesFile{Slack: 0.1, PerNode: 2, InAll: 32}
-	if err := configfile.TOML(text, f); err != nil {
-		return nil, fmt.Errorf("moves: %s: %w", file, err)
-	}
-	t := &rebalance.Terms{Slack: f.Slack, PerNode: f.PerNode, InAll: f.InAll, Exact: 1 << 14, Breathe: runtime.Gosched}
-	if err := t.Check(); err != nil {
-		return nil, fmt.Errorf("moves: %s: %w", file, err)
-	}
-	return t, nil
-}
-
 // planners is how many plans may be made at a time; further calls are told so at once.
 const planners = 1
 
--- /dev/null
+++ b/internal/server/negativecachefile.go
@@ -0,0 +1,56 @@
+package server
+
+import (
+	"fmt"
+
+	"woodproxy/negativecache"
+)
+
+// maxTTLSeconds is the upper bound of believe_s as the negative cache checks it; it is told with the lower bound here.
+const maxTTLSeconds = 600
+
+// negativeCacheFile is the format of the negative cache file (deploy/missing.toml).
+type negativeCacheFile struct {
+	Entries       int     `toml:"entries"`
+	TTLSeconds    float64 `toml:"believe_s"`
+	GracePeriodMS float64 `toml:"grace_ms"`
+	GrowPerSecond int     `toml:"grow_per_s"`
+}
+
+// readNegativeCacheFile reads the negative cache file. Where other proxies may write, they have to be heard: without
+// gossip it is a *negativecache.AloneError.
+func readNegativeCacheFile(file string, config *Place) (*negativecache.Terms, error) {
+	values := &negativeCacheFile{Entries: 1 << 16, TTLSeconds: 10, GracePeriodMS: 2000, GrowPerSecond: 2000}
+	terms := &negativecache.Terms{}
+	err := readPolicyFile("missing", file, values, func() error {
+		*terms = negativecache.Terms{
+			Me:      config.Name,
+			Entries: values.Entries,
+			Believe: tenths[negativecache.Time](values.TTLSeconds * 1000),
+			Grace:   tenths[negativecache.Time](values.GracePeriodMS),
+			Grow:    values.GrowPerSecond,
+			Tenants: len(config.Book.Tenants),
+		}
+		if err := terms.Check(); err != nil {
+			return err
+		}
+		return values.checkTTL(config)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if proxies := config.Book.Terms.Proxies; config.Talk == nil && proxies > 1 {
+		return nil, fmt.Errorf("missing: %w", &negativecache.AloneError{File: file, Proxies: proxies})
+	}
+	return terms, nil
+}
+
+// checkTTL requires the TTL to cover twice the longest overall timeout: a write may be carried out until that ends, and
+// what the origin answers on its key before that is not cached.
+func (f *negativeCacheFile) checkTTL(config *Place) error {
+	least := 2 * float64(config.Book.Longest) / float64(negativecache.Second)
+	if f.TTLSeconds < least {
+		return &negativecache.RangeError{Key: "believe_s", Value: f.TTLSeconds, Least: least, Most: maxTTLSeconds}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/server/policyfile.go
@@ -0,0 +1,42 @@
+package server
+
+import (
+	"fmt"
+	"os"
+
+	"woodproxy/internal/configfile"
+	"woodproxy/internal/settings"
+)
+
+// readPolicyFile decodes a TOML file into target, which holds the defaults, and then has check test and convert what
+// was read. Unknown keys are errors. The label names the kind of the file in errors, which are one line and wrap what
+// check returns.
+func readPolicyFile(label, file string, target any, check func() error) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("%s: %w", label, err)
+	}
+	if err := configfile.TOML(text, target); err != nil {
+		return fmt.Errorf("%s: %s: %w", label, file, err)
+	}
+	if err := check(); err != nil {
+		return fmt.Errorf("%s: %s: %w", label, file, err)
+	}
+	return nil
+}
+
+// maxObjectiveTenths is the latency objective that is assumed where no route has a shorter one: a minute.
+const maxObjectiveTenths = 60 * 10000
+
+// shortestObjective returns the shortest latency objective of all routes, in tenths of a millisecond. T is the time type
+// of the module that asks.
+func shortestObjective[T ~int64](book *settings.Book) T {
+	shortest := T(maxObjectiveTenths)
+	for _, route := range book.Terms.Routes {
+		shortest = min(shortest, T(route.Objective))
+	}
+	return shortest
+}
+
+// tenths converts milliseconds to tenths of a millisecond in the time type of a module.
+func tenths[T ~int64](milliseconds float64) T { return T(settings.Tenths(milliseconds)) }
--- /dev/null
+++ b/internal/server/rebalancefile.go
@@ -0,0 +1,37 @@
+package server
+
+import (
+	"runtime"
+
+	"woodproxy/rebalance"
+)
+
+// exactSearchLimit bounds the planner's exact search; larger inventories are planned by its heuristic.
+const exactSearchLimit = 1 << 14
+
+// rebalanceFile is the format of the rebalance file (deploy/moves.toml).
+type rebalanceFile struct {
+	Slack             float64 `toml:"slack"`
+	MigrationsPerNode int     `toml:"moves_per_node"`
+	MigrationsTotal   int     `toml:"moves_in_all"`
+}
+
+// readRebalanceFile reads the rebalance file.
+func readRebalanceFile(file string) (*rebalance.Terms, error) {
+	values := &rebalanceFile{Slack: 0.1, MigrationsPerNode: 2, MigrationsTotal: 32}
+	terms := &rebalance.Terms{}
+	err := readPolicyFile("moves", file, values, func() error {
+		*terms = rebalance.Terms{
+			Slack:   values.Slack,
+			PerNode: values.MigrationsPerNode,
+			InAll:   values.MigrationsTotal,
+			Exact:   exactSearchLimit,
+			Breathe: runtime.Gosched,
+		}
+		return terms.Check()
+	})
+	if err != nil {
+		return nil, err
+	}
+	return terms, nil
+}
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -44,21 +44,21 @@
 // restore weighs what was stored against the list that the configuration has, and returns the one to begin with.
 func restore(p *Place, log *zap.Logger) (known *fastjson.Value, what string, drained int, err error) {
 	if p.State == nil {
-		return p.Known, "", 0, nil
+		return p.KnownEndpoints, "", 0, nil
 	}
 	old, err := p.State.Load()
 	var torn *snapshot.TornError
 	if errors.As(err, &torn) {
 		log.Warn("state: " + torn.Error())
-		return p.Known, "unreadable, and put aside", 0, p.State.Aside()
+		return p.KnownEndpoints, "unreadable, and put aside", 0, p.State.Aside()
 	}
 	if old == nil {
-		return p.Known, "nothing", 0, nil
+		return p.KnownEndpoints, "nothing", 0, nil
 	}
 	if c := p.cluster(); old.Cluster != c {
 		wrong := &recovery.ClusterError{Stored: old.Cluster, Own: c}
 		log.Warn("state: " + wrong.Error())
-		return p.Known, "another fleet's", 0, nil
+		return p.KnownEndpoints, "another fleet's", 0, nil
 	}
 	disk, err := fastjson.ParseBytes(old.List)
 	var rows, has []wire.Target
@@ -68,10 +68,10 @@
 	}
 	if err != nil {
 		log.Warn("state: the list in it can't be read; it is put aside", zap.Error(err))
-		return p.Known, "unreadable, and put aside", 0, p.State.Aside()
+		return p.KnownEndpoints, "unreadable, and put aside", 0, p.State.Aside()
 	}
-	if p.Known != nil && p.Known.Type() != fastjson.TypeNull {
-		if index, _, has, err = wire.ParseTargets(p.Known); err != nil {
+	if p.KnownEndpoints != nil && p.KnownEndpoints.Type() != fastjson.TypeNull {
+		if index, _, has, err = wire.ParseTargets(p.KnownEndpoints); err != nil {
 			return nil, "", 0, fmt.Errorf("configuration: known: %w", err)
 		}
 	}
@@ -84,7 +84,7 @@
 			}
 		}
 	}
-	known = p.Known
+	known = p.KnownEndpoints
 	switch {
 	case use.Disk:
 		known = disk
@@ -100,14 +100,6 @@
 	return known, use.Why, len(use.Drained), nil
 }
 
-// cluster is the fleet that this proxy belongs to, as far as it is named.
-func (p *Place) cluster() string {
-	if p.Talk != nil {
-		return p.Talk.Cluster
-	}
-	return ""
-}
-
 func lines(all []wire.Target) []recovery.Line {
 	out := make([]recovery.Line, 0, len(all))
 	for _, t := range all {
--- /dev/null
+++ b/internal/server/zonehealthfile.go
@@ -0,0 +1,180 @@
+package server
+
+import (
+	"fmt"
+	"slices"
+
+	"woodproxy/internal/settings"
+	"woodproxy/zonehealth"
+)
+
+const (
+	maxZoneNameLength = 100 // bytes
+	minRegionZones    = 2
+
+	minQuietMS    = 50
+	maxShortMS    = 60_000    // of quiet_ms and settle_ms: a minute
+	minLongMS     = 100       // of hold_ms and step_ms
+	maxLongMS     = 3_600_000 // of hold_ms, most_hold_ms and step_ms: an hour
+	quietFraction = 0.6       // of the shortest latency objective, where quiet_ms is left out
+)
+
+// zoneHealthFile is the format of the zone health file (deploy/zones.toml). Times are in milliseconds.
+type zoneHealthFile struct {
+	// Zone is that of this proxy where the settings have no locality; the same file serves all proxies where they do.
+	Zone string `toml:"zone"`
+	// Zones are those that nodes may have; where none is named, those that discovery reports.
+	Zones   []string     `toml:"zones"`
+	Regions []regionFile `toml:"region"`
+
+	QuietMS        float64 `toml:"quiet_ms"`
+	ReportFraction float64 `toml:"voices"`
+	ConfirmationMS float64 `toml:"settle_ms"`
+	HoldDownMS     float64 `toml:"hold_ms"`
+	MaxHoldDownMS  float64 `toml:"most_hold_ms"`
+	RampStepMS     float64 `toml:"step_ms"`
+	Standalone     bool    `toml:"alone"`
+	Cooperative    bool    `toml:"together"`
+}
+
+// regionFile is a group of zones that may fail together.
+type regionFile struct {
+	Name  string   `toml:"name"`
+	Zones []string `toml:"zones"`
+}
+
+// readZoneHealthFile reads the zone health file of the proxy of that name.
+func readZoneHealthFile(file, name string, book *settings.Book) (*zonehealth.Terms, error) {
+	values := &zoneHealthFile{
+		ReportFraction: 0.2,
+		ConfirmationMS: 200,
+		HoldDownMS:     2000,
+		MaxHoldDownMS:  60000,
+		RampStepMS:     1000,
+		Standalone:     true,
+		Cooperative:    true,
+	}
+	var terms *zonehealth.Terms
+	err := readPolicyFile("zones", file, values, func() (err error) {
+		terms, err = values.terms(name, book)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return terms, nil
+}
+
+// terms checks the values, which may set a default that depends on the settings, and converts them.
+func (f *zoneHealthFile) terms(name string, book *settings.Book) (*zonehealth.Terms, error) {
+	shortest := shortestObjective[zonehealth.Time](book)
+	if f.QuietMS == 0 {
+		f.QuietMS = max(float64(shortest)/10*quietFraction, minQuietMS)
+	}
+	if err := f.checkRanges(); err != nil {
+		return nil, err
+	}
+	allowed, err := f.allowedZones(book)
+	if err != nil {
+		return nil, err
+	}
+	zone := book.Locality
+	if zone == "" {
+		zone = f.Zone
+	}
+	if zone != "" && len(allowed) > 0 && !slices.Contains(allowed, zone) {
+		return nil, fmt.Errorf("zone: %q: none of those that nodes may have", zone)
+	}
+	regions, err := f.regions(allowed)
+	if err != nil {
+		return nil, err
+	}
+	return &zonehealth.Terms{
+		Me:       name,
+		Zone:     zone,
+		Regions:  regions,
+		Shortest: shortest,
+		Quiet:    tenths[zonehealth.Time](f.QuietMS),
+		Voices:   f.ReportFraction,
+		Settle:   tenths[zonehealth.Time](f.ConfirmationMS),
+		Hold:     tenths[zonehealth.Time](f.HoldDownMS),
+		MostHold: tenths[zonehealth.Time](f.MaxHoldDownMS),
+		Step:     tenths[zonehealth.Time](f.RampStepMS),
+		Cold:     zonehealth.Time(book.Terms.Cold),
+		ColdFrom: book.Terms.ColdFrom,
+		Alone:    f.Standalone,
+		Apart:    !f.Cooperative,
+	}, nil
+}
+
+// checkRanges checks numbers in the order of the keys in the file's documentation.
+func (f *zoneHealthFile) checkRanges() error {
+	for _, number := range []struct {
+		key               string
+		value, least, max float64
+	}{
+		{"quiet_ms", f.QuietMS, minQuietMS, maxShortMS},
+		{"voices", f.ReportFraction, 0.01, 1},
+		{"settle_ms", f.ConfirmationMS, 0, maxShortMS},
+		{"hold_ms", f.HoldDownMS, minLongMS, maxLongMS},
+		{"most_hold_ms", f.MaxHoldDownMS, f.HoldDownMS, maxLongMS},
+		{"step_ms", f.RampStepMS, minLongMS, maxLongMS},
+	} {
+		if !(number.value >= number.least && number.value <= number.max) { // true for NaN as well
+			return fmt.Errorf("%s: %v: not from %v to %v", number.key, number.value, number.least, number.max)
+		}
+	}
+	return nil
+}
+
+// allowedZones returns the zones that nodes may have, empty if any: those of the file, or else of the settings.
+func (f *zoneHealthFile) allowedZones(book *settings.Book) ([]string, error) {
+	if len(f.Zones) == 0 {
+		var allowed []string
+		for zone := range book.Zones {
+			allowed = append(allowed, zone)
+		}
+		return allowed, nil
+	}
+	if len(book.Zones) > 0 {
+		for _, zone := range f.Zones {
+			if _, ok := book.Zones[zone]; !ok {
+				return nil, fmt.Errorf("zones: %q: none of the settings'", zone)
+			}
+		}
+	}
+	seen := map[string]bool{}
+	for _, zone := range f.Zones {
+		if zone == "" || len(zone) > maxZoneNameLength || seen[zone] {
+			return nil, fmt.Errorf("zones: %q: missing, too long or doubled", zone)
+		}
+		seen[zone] = true
+	}
+	return f.Zones, nil
+}
+
+// regions checks that names differ from one another and from zones, and that a zone is in one region at most.
+func (f *zoneHealthFile) regions(allowed []string) ([]zonehealth.Region, error) {
+	var regions []zonehealth.Region
+	regionNames, regionOfZone := map[string]bool{}, map[string]string{}
+	for i, region := range f.Regions {
+		if region.Name == "" || regionNames[region.Name] || slices.Contains(allowed, region.Name) {
+			return nil, fmt.Errorf("region[%d].name: %q: missing, doubled or a zone's", i, region.Name)
+		}
+		regionNames[region.Name] = true
+		if len(region.Zones) < minRegionZones {
+			return nil, fmt.Errorf("region[%d].zones: %s: fewer than two", i, region.Name)
+		}
+		for _, zone := range region.Zones {
+			if other, ok := regionOfZone[zone]; ok {
+				return nil, fmt.Errorf("region[%d].zones: %q: is in %s already", i, zone, other)
+			}
+			if len(allowed) > 0 && !slices.Contains(allowed, zone) {
+				return nil, fmt.Errorf("region[%d].zones: %q: no node may have it", i, zone)
+			}
+			regionOfZone[zone] = region.Name
+		}
+		regions = append(regions, zonehealth.Region{Name: region.Name, Zones: region.Zones})
+	}
+	return regions, nil
+}
--- a/internal/server/zones.go
+++ b/internal/server/zones.go
@@ -3,12 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 
-	"woodproxy/internal/configfile"
-	"woodproxy/internal/settings"
 	"woodproxy/replica"
 	"woodproxy/zonehealth"
 
@@ -16,126 +13,6 @@
 	"go.uber.org/zap"
 )
 
-// zonesFile is what the file of zones says. Times are in milliseconds.
-type zonesFile struct {
-	Zone    string   `toml:"zone"`  // in which this proxy stands, where settings do not say; the same file serves all where they do
-	Zones   []string `toml:"zones"` // that nodes may have; where none is named, those that discovery tells
-	Regions []struct {
-		Name  string   `toml:"name"`
-		Zones []string `toml:"zones"`
-	} `toml:"region"`
-	Quiet    float64 `toml:"quiet_ms"`
-	Voices   float64 `toml:"voices"`
-	Settle   float64 `toml:"settle_ms"`
-	Hold     float64 `toml:"hold_ms"`
-	MostHold float64 `toml:"most_hold_ms"`
-	Step     float64 `toml:"step_ms"`
-	Alone    bool    `toml:"alone"`
-	Together bool    `toml:"together"`
-}
-
-// readZones reads the file of zones. An error is one line that names what is wrong.
-func readZones(file, name string, book *settings.Book) (*zonehealth.Terms, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("zones: %w", err)
-	}
-	f := &zonesFile{Voices: 0.2, Settle: 200, Hold: 2000, MostHold: 60000, Step: 1000, Alone: true, Together: true}
-	if err := configfile.TOML(text, f); err != nil {
-		return nil, fmt.Errorf("zones: %s: %w", file, err)
-	}
-	t, err := f.terms(name, book)
-	if err != nil {
-		return nil, fmt.Errorf("zones: %s: %w", file, err)
-	}
-	return t, nil
-}
-
-func (f *zonesFile) terms(name string, book *settings.Book) (*zonehealth.Terms, error) {
-	shortest := zonehealth.Time(60 * zonehealth.Second)
-	for _, r := range book.Terms.Routes {
-		shortest = min(shortest, zonehealth.Time(r.Objective))
-	}
-	if f.Quiet == 0 {
-		f.Quiet = max(float64(shortest)/10*0.6, 50)
-	}
-	for _, n := range []struct {
-		key            string
-		v, least, most float64
-	}{
-		{"quiet_ms", f.Quiet, 50, 60000},
-		{"voices", f.Voices, 0.01, 1},
-		{"settle_ms", f.Settle, 0, 60000},
-		{"hold_ms", f.Hold, 100, 3600000},
-		{"most_hold_ms", f.MostHold, f.Hold, 3600000},
-		{"step_ms", f.Step, 100, 3600000},
-	} {
-		if !(n.v >= n.least && n.v <= n.most) {
-			return nil, fmt.Errorf("%s: %v: not from %v to %v", n.key, n.v, n.least, n.most)
-		}
-	}
-	listed := f.Zones
-	if len(listed) == 0 {
-		for z := range book.Zones {
-			listed = append(listed, z)
-		}
-	} else if len(book.Zones) > 0 {
-		for _, z := range listed {
-			if _, ok := book.Zones[z]; !ok {
-				return nil, fmt.Errorf("zones: %q: none of the settings'", z)
-			}
-		}
-	}
-	seen := map[string]bool{}
-	for _, z := range f.Zones {
-		if z == "" || len(z) > 100 || seen[z] {
-			return nil, fmt.Errorf("zones: %q: missing, too long or doubled", z)
-		}
-		seen[z] = true
-	}
-	t := &zonehealth.Terms{
-		Me: name, Zone: book.Locality, Shortest: shortest, Quiet: tenths(f.Quiet), Voices: f.Voices, Settle: tenths(f.Settle),
-		Hold: tenths(f.Hold), MostHold: tenths(f.MostHold), Step: tenths(f.Step), Cold: zonehealth.Time(book.Terms.Cold), ColdFrom: book.Terms.ColdFrom,
-		Alone: f.Alone, Apart: !f.Together,
-	}
-	if t.Zone == "" {
-		t.Zone = f.Zone
-	}
-	if t.Zone != "" && len(listed) > 0 && !slices.Contains(listed, t.Zone) {
-		return nil, fmt.Errorf("zone: %q: none of those that nodes may have", t.Zone)
-	}
-	names, within := map[string]bool{}, map[string]string{}
-	for i, r := range f.Regions {
-		if r.Name == "" || names[r.Name] || slices.Contains(listed, r.Name) {
-			return nil, fmt.Errorf("region[%d].name: %q: missing, doubled or a zone's", i, r.Name)
-		}
-		names[r.Name] = true
-		if len(r.Zones) < 2 {
-			return nil, fmt.Errorf("region[%d].zones: %s: fewer than two", i, r.Name)
-		}
-		for _, z := range r.Zones {
-			if other, ok := within[z]; ok {
-				return nil, fmt.Errorf("region[%d].zones: %q: is in %s already", i, z, other)
-			}
-			if within[z] = r.Name; len(listed) > 0 && !slices.Contains(listed, z) {
-				return nil, fmt.Errorf("region[%d].zones: %q: no node may have it", i, z)
-			}
-		}
-		t.Regions = append(t.Regions, zonehealth.Region{Name: r.Name, Zones: r.Zones})
-	}
-	return t, nil
-}
-
-func tenths(ms float64) zonehealth.Time { return zonehealth.Time(settings.Tenths(ms)) }
-
-// Zone is that in which the proxy stands, "": not known.
-func (p *Place) Zone() string {
-	if p.Zones != nil {
-		return p.Zones.Zone
-	}
-	return p.Book.Locality
-}
-
 // Row takes what a peer says.
 func (p *peers) Row(row *replica.Row) {
 	switch row.Kind {
