--- /dev/null
+++ b/internal/server/admin.go
@@ -0,0 +1,100 @@
+package server
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+
+	"woodproxy/internal/proxy"
+	"woodproxy/recovery"
+)
+
+var (
+	errNegativeCacheOff  = errors.New("no file of missing keys is named")
+	errNegativeCacheBusy = errors.New("too busy to take it; ask again")
+)
+
+// adminService answers the calls of the admin API (admin.Service). Its methods may be called from any goroutine.
+type adminService struct {
+	clientListener *proxy.Door
+	gossip         *gossipLink
+	counters       *proxy.Counters
+	recovery       *recoveryTracker // nil: the process goes through no stages of recovery
+	planner        *migrationPlanner
+	stopping       atomic.Bool
+}
+
+// Ready tells whether this process serves clients, and why or in which state. Draining does not make it unready.
+func (s *adminService) Ready() (ready bool, reason string) {
+	switch {
+	case s.stopping.Load():
+		return false, "stopping"
+	case !s.clientListener.Opened():
+		return false, "starting"
+	}
+	if s.gossip.catchingUp() {
+		return true, "ready; catching up with peers"
+	}
+	if s.recovery != nil {
+		if figures := s.recovery.figures(); figures.Stage != recovery.Full.String() {
+			return true, "ready; " + figures.Stage + ", since " + figures.Why
+		}
+	}
+	return true, "ready"
+}
+
+// OutOfService starts draining clients; it tells whether that changed something.
+func (s *adminService) OutOfService() (changed bool) { return s.clientListener.OutOfService() }
+
+// InService ends draining; it tells whether that changed something.
+func (s *adminService) InService() (changed bool) { return s.clientListener.InService() }
+
+// Peers returns the status of gossip; empty if it does not run.
+func (s *adminService) Peers() string { return s.gossip.statusText() }
+
+// Zones returns the status of all zones; empty if they are not judged.
+func (s *adminService) Zones() string { return s.gossip.zoneHealth.statusText() }
+
+// Command applies an operator's order (in, out, hold, auto) to a zone or region, in place of the override of that
+// epoch; below zero: whichever is in force. An error says why nothing has changed.
+func (s *adminService) Command(name, want string, epoch int64, force bool) (string, error) {
+	return s.gossip.zoneHealth.override(name, want, epoch, force)
+}
+
+// Turns returns the figures of the duties module; nil if duties are not shared.
+func (s *adminService) Turns() any {
+	if s.gossip.duties == nil {
+		return nil
+	}
+	return s.gossip.duties.actor.Shown()
+}
+
+// Recovery returns the figures of recovery; nil if the process goes through no stages.
+func (s *adminService) Recovery() any {
+	if s.recovery == nil {
+		return nil
+	}
+	return s.recovery.figures()
+}
+
+// Missing returns the figures of the negative cache; nil if there is none.
+func (s *adminService) Missing() any {
+	if s.gossip.negativeCache == nil {
+		return nil
+	}
+	return s.gossip.negativeCache.actor.Shown()
+}
+
+// Forget clears the negative cache here; in other proxies its entries expire.
+func (s *adminService) Forget() error {
+	switch {
+	case s.gossip.negativeCache == nil:
+		return errNegativeCacheOff
+	case !s.gossip.negativeCache.actor.Forget():
+		return errNegativeCacheBusy
+	}
+	return nil
+}
+
+// Plan plans shard migrations by an inventory in JSON; nil and no error if no rebalance file is named.
+func (s *adminService) Plan(inventory io.Reader) (any, error) { return s.planner.plan(inventory) }
--- a/internal/server/api_golden_test.go
+++ b/internal/server/api_golden_test.go
@@ -249,7 +249,7 @@
 			`"found":{"Shards":2,"Lacks":[{"node":"a","bytes":6}]}}`,
 	},
 	{
-		&server.BusyError{Most: 1},
+		&server.PlannerBusyError{Limit: 1},
 		`{"type":"run.BusyError",` +
 			`"error":"1 plan is being made already; ask again once it is done",` +
 			`"found":{"Most":1}}`,
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -1,4 +1,3 @@
-// Package server starts the proxy and stops it.
 package server
 
 import (
--- /dev/null
+++ b/internal/server/duties.go
@@ -0,0 +1,50 @@
+package server
+
+import (
+	"woodproxy/duties"
+	"woodproxy/internal/proxy"
+	"woodproxy/replica"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// dutiesLink exchanges what the duties module says with the other proxies. Its receiving methods accept a nil link and
+// do nothing then.
+type dutiesLink struct {
+	sender *gossipSender
+	actor  *proxy.Duties
+}
+
+// dutyRowKinds maps the message kinds of the duties module to the kinds of rows that carry them.
+var dutyRowKinds = [...]replica.Kind{duties.Trial: replica.Trial, duties.Beat: replica.Beat}
+
+// publish sends a message of this proxy.
+func (d *dutiesLink) publish(kind duties.Kind, key string, message duties.Said, ttl duties.Time) {
+	d.sender.publish(dutyRowKinds[kind], key, replica.Time(ttl), &message)
+}
+
+// receive passes on a message of another proxy; one that can't be decoded is dropped.
+func (d *dutiesLink) receive(row *replica.Row) {
+	var message duties.Said
+	if d == nil || msgpack.Unmarshal(row.Body, &message) != nil {
+		return
+	}
+	for kind, rowKind := range dutyRowKinds {
+		if rowKind == row.Kind {
+			d.actor.Heard(row.Writer, duties.Kind(kind), row.Key, message, duties.Time(row.Age))
+		}
+	}
+}
+
+// updateMembers passes on the members of the fleet.
+func (d *dutiesLink) updateMembers(members []replica.Member, catchingUp bool) {
+	if d == nil {
+		return
+	}
+	fleet := make([]duties.Proxy, 0, len(members))
+	for i := range members {
+		member := &members[i]
+		fleet = append(fleet, duties.Proxy{Name: member.Name, Zone: member.Zone, Here: isAlive(member)})
+	}
+	d.actor.Fleet(fleet, catchingUp)
+}
--- /dev/null
+++ b/internal/server/gossip.go
@@ -0,0 +1,214 @@
+package server
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+
+	"woodproxy/internal/gossip"
+	"woodproxy/internal/proxy"
+	"woodproxy/internal/wire"
+	"woodproxy/replica"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+)
+
+// observationObjectives is the TTL of an observation that a node is silent, in shortest latency objectives. The
+// balancer forgets what others observed after half of that.
+const observationObjectives = 12
+
+// gossipSender publishes rows to the other proxies. Until gossip has started, and where it never does, rows are
+// dropped: what is current is published again. Its methods may be called from any goroutine and do not wait.
+type gossipSender struct {
+	talker atomic.Pointer[gossip.Talker] // nil: gossip does not run
+}
+
+// publish sends a row that this proxy owns. A body that can't be encoded is dropped.
+func (s *gossipSender) publish(kind replica.Kind, key string, ttl replica.Time, body any) {
+	talker := s.talker.Load()
+	if talker == nil {
+		return
+	}
+	if encoded, err := msgpack.Marshal(body); err == nil {
+		talker.Speak(kind, key, ttl, encoded)
+	}
+}
+
+// publishShared sends a row that no single proxy owns.
+func (s *gossipSender) publishShared(row replica.Row) {
+	if talker := s.talker.Load(); talker != nil {
+		talker.Put(row)
+	}
+}
+
+// status returns how gossip stands; nil if it does not run.
+func (s *gossipSender) status() *gossip.Shown {
+	if talker := s.talker.Load(); talker != nil {
+		return talker.Shown()
+	}
+	return nil
+}
+
+// gossipLink connects the parts of the proxy to gossip: it passes on what the talker receives (gossip.Proxy) and sends
+// endpoint list changes and health observations. It exists where gossip is not configured as well, and does nothing
+// then.
+type gossipLink struct {
+	sender    *gossipSender
+	config    *Place
+	router    *proxy.Router
+	endpoints *proxy.List
+	counters  *proxy.Counters
+	log       *zap.Logger
+
+	zoneHealth    *zoneHealthLink    // nil: zones are not evacuated
+	duties        *dutiesLink        // nil: each proxy performs all duties itself
+	negativeCache *negativeCacheLink // nil: there is no negative cache
+
+	listVersion atomic.Int64 // of the endpoint list that discovery sent last
+}
+
+// start binds the gossip address and begins to talk, where a gossip file is named.
+func (g *gossipLink) start() error {
+	config := g.config
+	if config.Talk == nil {
+		return nil
+	}
+	observationTTL := observationObjectives * shortestObjective[replica.Time](config.Book)
+	talker, err := gossip.Start(config.Talk, config.Name, config.Zone(), config.proxies(), observationTTL, config.Seed,
+		g, g.log)
+	if err != nil {
+		return err
+	}
+	g.router.Share(config.Talk.Floor / float64(config.proxies()))
+	g.sender.talker.Store(talker)
+	if version := g.listVersion.Load(); version > 0 { // discovery has sent a list before gossip started
+		talker.Listed(version, true, g.router.Targets())
+	}
+	return nil
+}
+
+// stop leaves the fleet. Where a successor carries on under the same name, the others are not told of a departure.
+func (g *gossipLink) stop(hasSuccessor bool) {
+	if talker := g.sender.talker.Load(); talker != nil {
+		talker.Yield(hasSuccessor)
+		talker.Close()
+	}
+}
+
+// publishEndpoints sends what discovery told of the endpoint list: all of it, or changes.
+func (g *gossipLink) publishEndpoints(version int64, complete bool, targets []wire.Target) {
+	g.listVersion.Store(version)
+	if talker := g.sender.talker.Load(); talker != nil {
+		talker.Listed(version, complete, targets)
+	}
+}
+
+// publishObservation tells that a node fell silent here, or answers again.
+func (g *gossipLink) publishObservation(node string, answers bool) {
+	if talker := g.sender.talker.Load(); talker != nil {
+		talker.Tell(node, answers)
+	}
+}
+
+// catchingUp tells whether rows of the other proxies are still being fetched.
+func (g *gossipLink) catchingUp() bool {
+	status := g.sender.status()
+	return status != nil && status.Behind
+}
+
+// Hear passes on an endpoint that a peer's discovery sent.
+func (g *gossipLink) Hear(index int64, target wire.Target) { g.endpoints.Hear(index, target) }
+
+// Heard passes on that a peer found a node silent, or answering.
+func (g *gossipLink) Heard(node string, answers bool) { g.router.Heard(node, answers) }
+
+// Share passes on this proxy's part of the fleet's quota, from 0 to 1.
+func (g *gossipLink) Share(part float64) { g.router.Share(part) }
+
+// Demand returns the number of requests since the start.
+func (g *gossipLink) Demand() int64 { return g.counters.Exchanges.Load() }
+
+// Writes returns the number of write notices sent since the start, which heartbeats carry.
+func (g *gossipLink) Writes() int64 {
+	if g.negativeCache == nil {
+		return 0
+	}
+	return g.negativeCache.actor.Sent()
+}
+
+// Row passes a peer's row to the part that its kind belongs to.
+func (g *gossipLink) Row(row *replica.Row) {
+	switch row.Kind {
+	case replica.Voice:
+		g.zoneHealth.receiveReport(row)
+	case replica.Order:
+		g.zoneHealth.receiveOverride(row)
+	case replica.Trial, replica.Beat:
+		g.duties.receive(row)
+	case replica.Wrote, replica.Absent:
+		g.negativeCache.receive(row)
+	}
+}
+
+// Fleet passes on the members of the fleet, this proxy included, and whether it still catches up with them.
+func (g *gossipLink) Fleet(members []replica.Member, catchingUp bool) {
+	g.duties.updateMembers(members, catchingUp)
+	g.negativeCache.updateMembers(members, catchingUp)
+	g.zoneHealth.updateMembers(members, catchingUp)
+}
+
+// The states of replica.Member.
+const (
+	memberAlive    = "here"
+	memberDeparted = "gone"
+)
+
+func isAlive(member *replica.Member) bool { return member.State == memberAlive }
+
+func hasDeparted(member *replica.Member) bool { return member.State == memberDeparted }
+
+// kindNames are the names of row kinds in the answer to GET /control/peers.
+var kindNames = map[replica.Kind]string{
+	replica.Pulse:  "pulse",
+	replica.Sight:  "sight",
+	replica.Node:   "node",
+	replica.Gone:   "gone",
+	replica.Voice:  "voice",
+	replica.Order:  "order",
+	replica.Trial:  "trial",
+	replica.Beat:   "beat",
+	replica.Wrote:  "wrote",
+	replica.Absent: "absent",
+}
+
+// statusText returns the answer to GET /control/peers; empty if gossip does not run.
+func (g *gossipLink) statusText() string {
+	talker := g.sender.talker.Load()
+	if talker == nil {
+		return ""
+	}
+	status := talker.Shown()
+	var text strings.Builder
+	fmt.Fprintf(&text, "cluster %s, at %s; behind %v, share %.6f\n",
+		g.config.Talk.Cluster, g.config.Talk.Advertise, status.Behind, status.Share)
+	fmt.Fprintf(&text, "packets %d streams %d bytes-in %d bytes-out %d dropped %d bad %d refused %d probes %d\n",
+		talker.Packets.Load(), talker.Streams.Load(), talker.BytesIn.Load(), talker.BytesOut.Load(),
+		talker.Dropped.Load(), talker.Bad.Load(), status.Refused, talker.Probes.Load())
+	for kind := range 256 {
+		rows, ok := status.Kinds[replica.Kind(kind)]
+		if !ok {
+			continue
+		}
+		name := kindNames[replica.Kind(kind)]
+		if name == "" {
+			name = fmt.Sprint("kind-", kind)
+		}
+		fmt.Fprintf(&text, "rows %s %d digest %016x\n", name, rows.Rows, rows.Sum)
+	}
+	for _, member := range status.Members {
+		fmt.Fprintf(&text, "proxy %s %s incarnation %d at %s lag %d ms demand %.1f/s behind %v\n",
+			member.Name, member.State, member.Incarnation, member.Address, member.Lag/10, member.Demand, member.Behind)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/server/listener.go
@@ -0,0 +1,102 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+
+	"woodproxy/internal/hotrestart"
+	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
+)
+
+// soReusePort is SO_REUSEPORT, which package syscall lacks: a second process may listen on the same address.
+const soReusePort = 15
+
+// openListener inherits the listener of the process that this one replaces, if there is one, or else listens itself;
+// the predecessor is nil then. A predecessor that can't be asked may still be running: both listen then, and the
+// kernel distributes clients among them.
+func openListener(config *Place, log *zap.Logger) (*net.TCPListener, *hotrestart.Before, error) {
+	if config.Shared != "" {
+		predecessor, err := hotrestart.Claim(config.Shared, config.Listen)
+		if err == nil {
+			log.Info("listener inherited from predecessor", zap.Int("list", len(predecessor.List)))
+			return predecessor.Listener, predecessor, nil
+		}
+		if !errors.Is(err, hotrestart.ErrNobody) {
+			log.Warn("listener not inherited from predecessor", zap.Error(err))
+		}
+	}
+	listener, err := listenReusingPort(config.Listen)
+	if err != nil {
+		return nil, nil, fmt.Errorf("configuration: listen: %w", err)
+	}
+	return listener, nil, nil
+}
+
+func listenReusingPort(address string) (*net.TCPListener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		return conn.Control(func(fd uintptr) {
+			// without the option the process listens all the same, where it is the only one
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, soReusePort, 1)
+		})
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return listener.(*net.TCPListener), nil
+}
+
+// offerListener lets a later process inherit the listener and the endpoint list. Without a directory for the
+// hot-restart socket none can.
+func (s *server) offerListener(listener *net.TCPListener) *hotrestart.Estate {
+	onChange := func(successors, serving int) {
+		s.resources.update(func(b *resourceBudget) { b.hasSuccessor = successors > 0 })
+		s.clientListener.Pause(serving > 0)
+	}
+	offer := hotrestart.New(s.config.Shared, s.config.Listen, listener, s.encodeEndpoints, onChange, s.log)
+	if s.config.Shared != "" {
+		if err := offer.Open(); err != nil {
+			s.log.Warn("hot-restart socket not opened; the listener can't be handed over", zap.Error(err))
+		}
+	}
+	return offer
+}
+
+// encodeEndpoints returns the current endpoint list in discovery's format, null if there is none.
+func (s *server) encodeEndpoints() []byte {
+	if targets := s.router.Targets(); targets != nil {
+		return wire.AppendTargets(nil, targets)
+	}
+	return []byte("null")
+}
+
+// inheritedEndpoints returns the predecessor's endpoint list; nil if there is none that can be read.
+func inheritedEndpoints(predecessor *hotrestart.Before, log *zap.Logger) *endpointList {
+	if predecessor == nil || predecessor.List == nil {
+		return nil
+	}
+	list, err := parseEndpoints(predecessor.List)
+	if err != nil {
+		log.Warn("endpoint list not inherited from predecessor", zap.Error(err))
+		return nil
+	}
+	return list
+}
+
+// awaitPredecessorExit tells the predecessor that this process serves clients, and takes the whole resource budget and
+// the gossip address once that process has exited.
+func (s *server) awaitPredecessorExit(predecessor *hotrestart.Before) {
+	if err := predecessor.Serving(); err == nil { // else it has exited
+		predecessor.Wait()
+	}
+	s.resources.update(func(b *resourceBudget) { b.hasPredecessor = false })
+	s.log.Info("predecessor process has exited")
+	if err := s.gossip.start(); err != nil {
+		s.log.Error("gossip not started", zap.Error(err))
+	}
+}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -5,88 +5,115 @@
 	"strings"
 	"unicode"
 
+	"woodproxy/duties"
 	"woodproxy/internal/proxy"
+	"woodproxy/negativecache"
+	"woodproxy/recovery"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
-// metrics collects, when it is asked, the counters that there are and how what goes by turns stands.
-type metrics struct {
-	count *proxy.Counters
-	peers *peers
-	back  *returning
+const (
+	metricPrefix = "woodproxy_"
+
+	maxConcurrentScrapes = 2
+)
+
+// Metrics returns the handler of GET /metrics, in the Prometheus text format.
+func (s *adminService) Metrics() http.Handler {
+	registry := prometheus.NewPedanticRegistry()
+	registry.MustRegister(metricsCollector{s.counters, s.gossip, s.recovery})
+	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxConcurrentScrapes})
 }
 
-// gauges are those of the counters that go down as well.
-var gauges = map[string]bool{"ClientsOpen": true, "Held": true, "Bytes": true, "Passing": true, "UpstreamOpen": true}
+// metricsCollector collects the proxy's counters and the figures of its modules at each scrape.
+type metricsCollector struct {
+	counters *proxy.Counters
+	gossip   *gossipLink
+	recovery *recoveryTracker
+}
 
-// Describe says nothing: which there are is known when they are collected.
-func (m metrics) Describe(chan<- *prometheus.Desc) {}
+// gaugeCounters are those of the proxy's counters that go down as well.
+var gaugeCounters = map[string]bool{
+	"ClientsOpen": true, "Held": true, "Bytes": true, "Passing": true, "UpstreamOpen": true,
+}
 
-// Collect gives all by now.
-func (m metrics) Collect(to chan<- prometheus.Metric) {
-	give := func(name, help string, kind prometheus.ValueType, v float64) {
-		to <- prometheus.MustNewConstMetric(prometheus.NewDesc(name, help, nil, nil), kind, v)
-	}
-	m.count.Each(func(name string, v int64) {
-		kind, end := prometheus.CounterValue, "_total"
-		if gauges[name] {
-			kind, end = prometheus.GaugeValue, ""
+// Describe sends nothing, which makes the collector unchecked: its metrics are known when they are collected.
+func (m metricsCollector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect sends the current value of each metric.
+func (m metricsCollector) Collect(metrics chan<- prometheus.Metric) {
+	sink := metricSink(metrics)
+	m.counters.Each(func(name string, value int64) {
+		help := "The proxy's counter " + name + "."
+		if gaugeCounters[name] {
+			sink.gauge(snakeCase(name), help, float64(value))
+		} else {
+			sink.counter(snakeCase(name), help, value)
 		}
-		give("woodproxy_"+snake(name)+end, "The proxy's counter "+name+".", kind, float64(v))
 	})
-	if d := m.peers.duties; d != nil {
-		f := d.Shown()
-		for _, g := range []struct {
-			name, help string
-			v          int
-		}{
-			{"here", "Proxies that duties are dealt out to.", f.Here},
-			{"watchers", "Proxies that said lately that their watch of discovery lives.", f.Watchers},
-			{"kept_nodes", "Nodes to which this proxy keeps idle connections.", f.Kept},
-			{"passed_nodes", "Nodes that this proxy passes over.", f.Passed},
-		} {
-			give("woodproxy_turns_"+g.name, g.help, prometheus.GaugeValue, float64(g.v))
-		}
-		for _, c := range []struct {
-			name, help string
-			v          int64
-		}{
-			{"trials", "Trials of silent nodes by this proxy.", f.Trials},
-			{"told", "Trials by others that were heard of.", f.Told},
-			{"twice", "Of these, such that came while one was out.", f.Twice},
-			{"refused", "Words of others that were out of their bounds.", f.Refused},
-			{"moved", "Nodes whose idle connections became this proxy's duty, or another's.", f.Moved},
-		} {
-			give("woodproxy_turns_"+c.name+"_total", c.help, prometheus.CounterValue, float64(c.v))
-		}
+	if m.gossip.duties != nil {
+		sink.duties(m.gossip.duties.actor.Shown())
 	}
-	if m.back != nil {
-		f := m.back.shown()
-		give("woodproxy_recovery_full_seconds", "Time from the start until the proxy was full, 0: it is not yet.", prometheus.GaugeValue, float64(f.FullMS)/1000)
-		give("woodproxy_recovery_drained", "Nodes left alone by what was stored.", prometheus.GaugeValue, float64(f.Drained))
+	if m.recovery != nil {
+		sink.recovery(m.recovery.figures())
 	}
-	if a := m.peers.absent; a != nil {
-		f := a.Shown()
-		believes := 0.0
-		if f.Believes {
-			believes = 1
-		}
-		give("woodproxy_missing_believed", "Whether missing keys are believed by now.", prometheus.GaugeValue, believes)
-		give("woodproxy_missing_hits_total", "Look-ups answered by what is known to be missing.", prometheus.CounterValue, float64(f.Hits))
-		give("woodproxy_missing_put_total", "Missing keys that were taken.", prometheus.CounterValue, float64(f.Put))
-		give("woodproxy_missing_cleared_total", "Times that all was forgotten.", prometheus.CounterValue, float64(f.Cleared))
+	if m.gossip.negativeCache != nil {
+		sink.negativeCache(m.gossip.negativeCache.actor.Shown())
 	}
-	if t := m.peers.now.Load(); t != nil {
-		s := t.Shown()
-		give("woodproxy_peers_share", "Part of what all proxies may do together that this one may.", prometheus.GaugeValue, s.Share)
-		give("woodproxy_peers_known", "Proxies that are known, this one included.", prometheus.GaugeValue, float64(len(s.Members)))
+	if status := m.gossip.sender.status(); status != nil {
+		sink.gauge("peers_share", "Part of what all proxies may do together that this one may.", status.Share)
+		sink.gauge("peers_known", "Proxies that are known, this one included.", float64(len(status.Members)))
+	}
+}
+
+// metricSink makes metrics of values and sends them.
+type metricSink chan<- prometheus.Metric
+
+func (s metricSink) gauge(name, help string, value float64) {
+	s.send(name, help, prometheus.GaugeValue, value)
+}
+
+func (s metricSink) counter(name, help string, value int64) {
+	s.send(name+"_total", help, prometheus.CounterValue, float64(value))
+}
+
+func (s metricSink) send(name, help string, kind prometheus.ValueType, value float64) {
+	s <- prometheus.MustNewConstMetric(prometheus.NewDesc(metricPrefix+name, help, nil, nil), kind, value)
+}
+
+func (s metricSink) duties(figures duties.Figures) {
+	s.gauge("turns_here", "Proxies that duties are dealt out to.", float64(figures.Here))
+	s.gauge("turns_watchers", "Proxies that said lately that their watch of discovery lives.", float64(figures.Watchers))
+	s.gauge("turns_kept_nodes", "Nodes to which this proxy keeps idle connections.", float64(figures.Kept))
+	s.gauge("turns_passed_nodes", "Nodes that this proxy passes over.", float64(figures.Passed))
+	s.counter("turns_trials", "Trials of silent nodes by this proxy.", figures.Trials)
+	s.counter("turns_told", "Trials by others that were heard of.", figures.Told)
+	s.counter("turns_twice", "Of these, such that came while one was out.", figures.Twice)
+	s.counter("turns_refused", "Words of others that were out of their bounds.", figures.Refused)
+	s.counter("turns_moved", "Nodes whose idle connections became this proxy's duty, or another's.", figures.Moved)
+}
+
+func (s metricSink) recovery(figures recovery.Figures) {
+	s.gauge("recovery_full_seconds", "Time from the start until the proxy was full, 0: it is not yet.",
+		float64(figures.FullMS)/1000)
+	s.gauge("recovery_drained", "Nodes left alone by what was stored.", float64(figures.Drained))
+}
+
+func (s metricSink) negativeCache(figures negativecache.Figures) {
+	believed := 0.0
+	if figures.Believes {
+		believed = 1
 	}
+	s.gauge("missing_believed", "Whether missing keys are believed by now.", believed)
+	s.counter("missing_hits", "Look-ups answered by what is known to be missing.", figures.Hits)
+	s.counter("missing_put", "Missing keys that were taken.", figures.Put)
+	s.counter("missing_cleared", "Times that all was forgotten.", figures.Cleared)
 }
 
-// snake turns a counter's name into a metric's.
-func snake(name string) string {
+// snakeCase converts a counter's name in camel case to a metric's.
+func snakeCase(name string) string {
 	var b strings.Builder
 	for i, r := range name {
 		if unicode.IsUpper(r) && i > 0 {
@@ -96,10 +123,3 @@
 	}
 	return b.String()
 }
-
-// Metrics answers the call for metrics, in the Prometheus text format.
-func (s *service) Metrics() http.Handler {
-	all := prometheus.NewPedanticRegistry()
-	all.MustRegister(metrics{s.count, s.peers, s.back})
-	return promhttp.HandlerFor(all, promhttp.HandlerOpts{MaxRequestsInFlight: 2})
-}
--- /dev/null
+++ b/internal/server/negativecache.go
@@ -0,0 +1,61 @@
+package server
+
+import (
+	"fmt"
+
+	"woodproxy/internal/proxy"
+	"woodproxy/negativecache"
+	"woodproxy/replica"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// negativeCacheLink exchanges write notices and misses at the origin with the other proxies. Its receiving methods
+// accept a nil link and do nothing then.
+type negativeCacheLink struct {
+	sender  *gossipSender
+	ttl     replica.Time // of published rows
+	proxies int          // of the fleet, as the settings state it
+	actor   *proxy.Absent
+}
+
+// publish sends which keys this proxy wrote, or which the origin lacks.
+func (n *negativeCacheLink) publish(decision *negativecache.Decision) {
+	kind := replica.Wrote
+	if decision.Act == negativecache.SayAbsent {
+		kind = replica.Absent
+	}
+	n.sender.publish(kind, fmt.Sprint("s", decision.Slot), n.ttl, &decision.Word)
+}
+
+// receive passes on a row of another proxy; one that can't be decoded is dropped.
+func (n *negativeCacheLink) receive(row *replica.Row) {
+	var message negativecache.Word
+	if n == nil || msgpack.Unmarshal(row.Body, &message) != nil {
+		return
+	}
+	if row.Kind == replica.Wrote {
+		n.actor.HeardWrote(row.Writer, row.Epoch, message)
+	} else {
+		n.actor.HeardAbsent(row.Writer, message, negativecache.Time(row.Age))
+	}
+}
+
+// updateMembers passes on the proxies that may write.
+func (n *negativeCacheLink) updateMembers(members []replica.Member, catchingUp bool) {
+	if n == nil {
+		return
+	}
+	fleet := make([]negativecache.Proxy, 0, len(members))
+	for i := range members {
+		member := &members[i]
+		fleet = append(fleet, negativecache.Proxy{
+			Name:  member.Name,
+			Here:  isAlive(member),
+			Gone:  hasDeparted(member),
+			Wrote: member.Wrote,
+			Epoch: member.Incarnation,
+		})
+	}
+	n.actor.Fleet(fleet, n.proxies, catchingUp)
+}
--- a/internal/server/policyfile.go
+++ b/internal/server/policyfile.go
@@ -28,8 +28,8 @@
 // maxObjectiveTenths is the latency objective that is assumed where no route has a shorter one: a minute.
 const maxObjectiveTenths = 60 * 10000
 
-// shortestObjective returns the shortest latency objective of all routes, in tenths of a millisecond. T is the time type
-// of the module that asks.
+// shortestObjective returns the shortest latency objective of all routes, in tenths of a millisecond. T is the time
+// type of the module that asks.
 func shortestObjective[T ~int64](book *settings.Book) T {
 	shortest := T(maxObjectiveTenths)
 	for _, route := range book.Terms.Routes {
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -1,211 +1,117 @@
 package server
 
 import (
-	"errors"
-	"fmt"
-	"slices"
 	"sync"
 	"time"
 
 	"woodproxy/internal/proxy"
-	"woodproxy/internal/snapshot"
-	"woodproxy/internal/wire"
 	"woodproxy/recovery"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/valyala/fastjson"
 	"go.uber.org/zap"
 )
 
-const (
-	stateLapse = 24 * time.Hour         // what is stored for longer is no list any more
-	saveEvery  = time.Second            // where something changed
-	stageTick  = 100 * time.Millisecond // looks at what the stages hinge on
-	mostSeeds  = 16                     // stored addresses of peers that are asked as well
-)
+// recoveryInterval is the time between two looks at what the stages of recovery depend on.
+const recoveryInterval = 100 * time.Millisecond
 
-// returning is how the proxy comes back, and what it keeps for the next time.
-type returning struct {
-	store  *snapshot.Store // nil: nothing is kept
-	place  *Place
-	peers  *peers
-	router *proxy.Router
-	list   *proxy.List
-	count  *proxy.Counters
-	log    *zap.Logger
-	clock  proxy.Clock
-	quit   chan struct{}
-	ended  chan struct{}
+// recoveryTracker follows the stages of recovery after the start, and has the state stored meanwhile and from then on.
+type recoveryTracker struct {
+	gossip    *gossipLink
+	endpoints *proxy.List
+	counters  *proxy.Counters
+	log       *zap.Logger
+	clock     proxy.Clock
+	writer    *snapshotWriter
 
-	mu sync.Mutex
-	in *recovery.Instance
-}
+	quit  chan struct{} // closed by stop
+	ended chan struct{} // closed when run has returned
 
-// restore weighs what was stored against the list that the configuration has, and returns the one to begin with.
-func restore(p *Place, log *zap.Logger) (known *fastjson.Value, what string, drained int, err error) {
-	if p.State == nil {
-		return p.KnownEndpoints, "", 0, nil
-	}
-	old, err := p.State.Load()
-	var torn *snapshot.TornError
-	if errors.As(err, &torn) {
-		log.Warn("state: " + torn.Error())
-		return p.KnownEndpoints, "unreadable, and put aside", 0, p.State.Aside()
-	}
-	if old == nil {
-		return p.KnownEndpoints, "nothing", 0, nil
-	}
-	if c := p.cluster(); old.Cluster != c {
-		wrong := &recovery.ClusterError{Stored: old.Cluster, Own: c}
-		log.Warn("state: " + wrong.Error())
-		return p.KnownEndpoints, "another fleet's", 0, nil
-	}
-	disk, err := fastjson.ParseBytes(old.List)
-	var rows, has []wire.Target
-	index := int64(0)
-	if err == nil {
-		_, _, rows, err = wire.ParseTargets(disk)
-	}
-	if err != nil {
-		log.Warn("state: the list in it can't be read; it is put aside", zap.Error(err))
-		return p.KnownEndpoints, "unreadable, and put aside", 0, p.State.Aside()
-	}
-	if p.KnownEndpoints != nil && p.KnownEndpoints.Type() != fastjson.TypeNull {
-		if index, _, has, err = wire.ParseTargets(p.KnownEndpoints); err != nil {
-			return nil, "", 0, fmt.Errorf("configuration: known: %w", err)
-		}
-	}
-	use := recovery.Believe(recovery.Stored{List: recovery.List{Index: old.Index, Lines: lines(rows)}, At: old.At},
-		recovery.List{Index: index, Lines: lines(has)}, time.Now(), stateLapse)
-	if p.Talk != nil { // who they were; some of them may be there
-		for _, a := range old.Peers[:min(len(old.Peers), mostSeeds)] {
-			if !slices.Contains(p.Talk.Seeds, a) {
-				p.Talk.Seeds = append(p.Talk.Seeds, a)
-			}
-		}
-	}
-	known = p.KnownEndpoints
-	switch {
-	case use.Disk:
-		known = disk
-	case len(use.Drained) > 0:
-		for i := range has {
-			if slices.Contains(use.Drained, has[i].Name) {
-				has[i].Ready = false
-			}
-		}
-		known = fastjson.MustParseBytes(wire.AppendTargets(nil, has))
-	}
-	log.Info("state: "+use.Why, zap.Bool("used", use.Disk), zap.Strings("drained", use.Drained))
-	return known, use.Why, len(use.Drained), nil
+	completedSeen int64 // of the counters, what the instance was told; used by run only
+	failedSeen    int64
+
+	mu       sync.Mutex
+	instance *recovery.Instance // guarded by mu
 }
 
-func lines(all []wire.Target) []recovery.Line {
-	out := make([]recovery.Line, 0, len(all))
-	for _, t := range all {
-		l := recovery.Line{Name: t.Name}
-		if l.Status = recovery.Leaving; t.Ready {
-			l.Status = recovery.Ready
-		} else if t.Gone {
-			l.Status = recovery.Left
-		}
-		out = append(out, l)
+// newRecoveryTracker returns a tracker in the first stage.
+func newRecoveryTracker(s *server, restored restoredState) *recoveryTracker {
+	tracker := &recoveryTracker{
+		gossip:    s.gossip,
+		endpoints: s.endpoints,
+		counters:  s.counters,
+		log:       s.log,
+		clock:     proxy.NewClock(),
+		writer: &snapshotWriter{
+			store: s.config.State, config: s.config, gossip: s.gossip, router: s.router, endpoints: s.endpoints, log: s.log,
+		},
+		quit:  make(chan struct{}),
+		ended: make(chan struct{}),
 	}
-	return out
+	terms := recovery.Usual(s.config.Talk != nil)
+	tracker.instance = recovery.New(tracker.now(), terms, restored.outcome, restored.drained)
+	return tracker
 }
 
-func (r *returning) now() recovery.Time { return recovery.Time(r.clock.Now()) }
+func (t *recoveryTracker) now() recovery.Time { return recovery.Time(t.clock.Now()) }
 
-// run follows the stages, and keeps what changed, for as long as the proxy runs.
-func (r *returning) run() {
-	defer close(r.ended)
-	ticks := time.NewTicker(stageTick)
-	defer ticks.Stop()
-	fine, late, saved, kept := int64(0), int64(0), time.Now(), uint64(0)
-	failed := false
+// run follows the stages and writes snapshots until stop.
+func (t *recoveryTracker) run() {
+	defer close(t.ended)
+	ticker := time.NewTicker(recoveryInterval)
+	defer ticker.Stop()
+	t.writer.lastAttempt = time.Now()
 	for {
 		select {
-		case <-r.quit:
+		case <-t.quit:
 			return
-		case <-ticks.C:
-		}
-		r.mu.Lock()
-		for ; fine < r.count.Completed.Load(); fine++ {
-			r.in.Answered(true)
-		}
-		for ; late < r.count.Shed.Load()+r.count.Errored.Load(); late++ {
-			r.in.Answered(false)
-		}
-		said := r.in.Tick(r.now())
-		if r.list.Version() > 0 {
-			said = append(said, r.in.Listed(r.now())...)
-		}
-		if t := r.peers.now.Load(); t != nil {
-			here := -1 // others
-			s := t.Shown()
-			for _, m := range s.Members {
-				if m.State == "here" {
-					here++
-				}
-			}
-			said = append(said, r.in.Peers(r.now(), here, s.Behind)...)
-		}
-		r.mu.Unlock()
-		for _, d := range said {
-			r.log.Info("recovery: " + d.Text)
+		case <-ticker.C:
 		}
-		if r.store != nil && time.Since(saved) >= saveEvery {
-			saved = time.Now()
-			all := r.snapshot()
-			if all == nil {
-				continue
-			}
-			if sum := xxhash.Sum64(append(fmt.Append(nil, all.Index, all.Peers), all.List...)); sum != kept {
-				err := r.store.Save(all)
-				if err == nil {
-					kept = sum
-				} else if !failed {
-					r.log.Error("state: nothing is kept; see that its disk has room and works", zap.Error(err))
-				}
-				failed = err != nil
-			}
+		for _, decision := range t.tick() {
+			t.log.Info("recovery: " + decision.Text)
 		}
+		t.writer.saveIfDue()
 	}
 }
 
-// snapshot is what is worth keeping, nil: there is nothing yet, or nobody has time to tell.
-func (r *returning) snapshot() *snapshot.Snapshot {
-	index := r.list.Version()
-	list := r.router.Targets()
-	if index == 0 || len(list) == 0 {
-		return nil
+// tick tells the recovery module what has happened since the last tick, and returns its decisions.
+func (t *recoveryTracker) tick() []recovery.Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reportAnswers()
+	decisions := t.instance.Tick(t.now())
+	if t.endpoints.Version() > 0 {
+		decisions = append(decisions, t.instance.Listed(t.now())...)
 	}
-	all := &snapshot.Snapshot{Cluster: r.place.cluster(), At: time.Now(), Index: index, List: wire.AppendTargets(nil, list)}
-	if t := r.peers.now.Load(); t != nil {
-		for _, m := range t.Shown().Members {
-			if m.Address != "" && m.State != "gone" && m.Name != r.place.Name && len(all.Peers) < mostSeeds {
-				all.Peers = append(all.Peers, m.Address)
+	if status := t.gossip.sender.status(); status != nil {
+		alive := -1 // others than this proxy, which is a member too
+		for i := range status.Members {
+			if isAlive(&status.Members[i]) {
+				alive++
 			}
 		}
+		decisions = append(decisions, t.instance.Peers(t.now(), alive, status.Behind)...)
 	}
-	return all
+	return decisions
 }
 
-func (r *returning) stop() {
-	close(r.quit)
-	<-r.ended
+// reportAnswers reports the requests that were answered in time, and those that were not. The caller holds the lock.
+func (t *recoveryTracker) reportAnswers() {
+	for ; t.completedSeen < t.counters.Completed.Load(); t.completedSeen++ {
+		t.instance.Answered(true)
+	}
+	for ; t.failedSeen < t.counters.Shed.Load()+t.counters.Errored.Load(); t.failedSeen++ {
+		t.instance.Answered(false)
+	}
 }
 
-func (r *returning) shown() recovery.Figures {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.in.Shown(r.now())
+// stop ends run and waits for it. Run must have been started.
+func (t *recoveryTracker) stop() {
+	close(t.quit)
+	<-t.ended
 }
 
-// Recovery is how the proxy comes back, nil: it goes through no stages.
-func (s *service) Recovery() any {
-	if s.back == nil {
-		return nil
-	}
-	return s.back.shown()
+// figures returns how recovery stands. It may be called from any goroutine.
+func (t *recoveryTracker) figures() recovery.Figures {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.instance.Shown(t.now())
 }
--- /dev/null
+++ b/internal/server/reload.go
@@ -0,0 +1,73 @@
+package server
+
+import (
+	"os"
+	"reflect"
+	"syscall"
+
+	"woodproxy/internal/proxy"
+
+	"go.uber.org/zap"
+)
+
+// handleSignals handles signals until one tells the proxy to stop, and returns the configuration in effect then.
+func (s *server) handleSignals(reread func() (*Place, error), signals <-chan os.Signal) *Place {
+	current := s.config
+	for {
+		switch <-signals {
+		case syscall.SIGUSR1:
+			s.log.Info("counters", counterFields(s.counters)...)
+		case syscall.SIGHUP:
+			config, err := reread()
+			if err != nil {
+				s.log.Error("configuration reload failed; the previous configuration stays in effect", zap.Error(err))
+				continue
+			}
+			s.reload(current, config)
+			current = config
+		default:
+			return current
+		}
+	}
+}
+
+// reload applies what can change while the proxy runs: the address of discovery, cores and memory. All else is reset
+// to the current values, and a warning says so.
+func (s *server) reload(current, config *Place) {
+	s.log.Info("configuration reloaded", zap.String("discovery", config.Discovery), zap.Float64("cores", config.Cores),
+		zap.Int("memory_mb", config.MemoryMB))
+	if !sameStartValues(current, config) {
+		s.log.Warn("name, listen, management, sockets, settings, watch, peers, zones, turns, moves and missing keys" +
+			" can't be reloaded; they take effect at the next start")
+		keepStartValues(current, config)
+	}
+	s.resources.update(func(b *resourceBudget) { b.cores, b.memoryMB = config.Cores, config.MemoryMB })
+	s.endpoints.Move(config.Discovery)
+}
+
+// sameStartValues tells whether two configurations agree in all that is read at the start only.
+func sameStartValues(a, b *Place) bool {
+	return a.Name == b.Name && a.Listen == b.Listen && a.Management == b.Management && a.Sockets == b.Sockets &&
+		a.MovesFile == b.MovesFile && // its terms hold a function, which can't be compared
+		reflect.DeepEqual(a.Book, b.Book) &&
+		reflect.DeepEqual(a.Watch, b.Watch) &&
+		reflect.DeepEqual(a.Talk, b.Talk) &&
+		reflect.DeepEqual(a.Zones, b.Zones) &&
+		reflect.DeepEqual(a.Turns, b.Turns) &&
+		reflect.DeepEqual(a.Missing, b.Missing)
+}
+
+// keepStartValues sets all that is read at the start only to the current values.
+func keepStartValues(current, config *Place) {
+	config.Name, config.Listen, config.Management = current.Name, current.Listen, current.Management
+	config.Sockets = current.Sockets
+	config.Book, config.Watch = current.Book, current.Watch
+	config.Talk, config.Zones, config.Turns = current.Talk, current.Zones, current.Turns
+	config.Moves, config.Missing = current.Moves, current.Missing
+}
+
+func counterFields(counters *proxy.Counters) []zap.Field {
+	var fields []zap.Field
+	counters.Each(func(name string, value int64) { fields = append(fields, zap.Int64(name, value)) })
+	return fields
+}
--- /dev/null
+++ b/internal/server/restore.go
@@ -0,0 +1,163 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"woodproxy/internal/snapshot"
+	"woodproxy/internal/wire"
+	"woodproxy/recovery"
+
+	"github.com/valyala/fastjson"
+	"go.uber.org/zap"
+)
+
+const (
+	maxSnapshotAge   = 24 * time.Hour // an older endpoint list is not used
+	maxRestoredSeeds = 16             // stored addresses of peers that are used as gossip seeds
+)
+
+// What became of the stored state, as GET /control/recovery shows it, beside the reasons of recovery.Believe.
+const (
+	restoredNothing      = "nothing"
+	restoredUnreadable   = "unreadable, and put aside"
+	restoredOtherCluster = "another fleet's"
+)
+
+// restoredState is the endpoint list to start with, and what became of the stored state.
+type restoredState struct {
+	endpoints *fastjson.Value // in discovery's format; nil or null: none
+	outcome   string          // for operators; empty if no state is stored
+	drained   int             // endpoints that are not used because the stored list had them draining
+}
+
+// restoreState compares the stored state with the configuration and returns which endpoint list to start with. Stored
+// addresses of peers are added to the gossip seeds of the configuration. A state file that can't be read is moved
+// aside.
+func restoreState(config *Place, log *zap.Logger) (restoredState, error) {
+	configured := restoredState{endpoints: config.KnownEndpoints}
+	if config.State == nil {
+		return configured, nil
+	}
+	stored, err := config.State.Load()
+	var torn *snapshot.TornError
+	if errors.As(err, &torn) {
+		log.Warn("state: " + torn.Error())
+		configured.outcome = restoredUnreadable
+		return configured, config.State.Aside()
+	}
+	if stored == nil {
+		configured.outcome = restoredNothing
+		return configured, nil
+	}
+	if cluster := config.cluster(); stored.Cluster != cluster {
+		mismatch := &recovery.ClusterError{Stored: stored.Cluster, Own: cluster}
+		log.Warn("state: " + mismatch.Error())
+		configured.outcome = restoredOtherCluster
+		return configured, nil
+	}
+	storedList, err := parseEndpoints(stored.List)
+	if err != nil {
+		log.Warn("state: stored endpoint list is unreadable, state file moved aside", zap.Error(err))
+		configured.outcome = restoredUnreadable
+		return configured, config.State.Aside()
+	}
+	return chooseEndpoints(config, stored, storedList, log)
+}
+
+// chooseEndpoints decides between the stored and the configured endpoint list.
+func chooseEndpoints(
+	config *Place, stored *snapshot.Snapshot, storedList *endpointList, log *zap.Logger,
+) (restoredState, error) {
+	configuredList, err := configuredEndpoints(config)
+	if err != nil {
+		return restoredState{}, err
+	}
+	use := recovery.Believe(
+		recovery.Stored{List: recovery.List{Index: stored.Index, Lines: recoveryLines(storedList.targets)}, At: stored.At},
+		recovery.List{Index: configuredList.version, Lines: recoveryLines(configuredList.targets)},
+		time.Now(), maxSnapshotAge)
+	if config.Talk != nil {
+		addSeeds(config, stored.Peers)
+	}
+	restored := restoredState{endpoints: config.KnownEndpoints, outcome: use.Why, drained: len(use.Drained)}
+	switch {
+	case use.Disk:
+		restored.endpoints = storedList.document
+	case len(use.Drained) > 0:
+		restored.endpoints = withDrained(configuredList.targets, use.Drained)
+	}
+	log.Info("state: "+use.Why, zap.Bool("used", use.Disk), zap.Strings("drained", use.Drained))
+	return restored, nil
+}
+
+// addSeeds adds stored addresses of peers to the gossip seeds: some of these proxies may still be there.
+func addSeeds(config *Place, addresses []string) {
+	for _, address := range addresses[:min(len(addresses), maxRestoredSeeds)] {
+		if !slices.Contains(config.Talk.Seeds, address) {
+			config.Talk.Seeds = append(config.Talk.Seeds, address)
+		}
+	}
+}
+
+// withDrained returns the endpoint list with these endpoints not ready, in discovery's format. It changes targets.
+func withDrained(targets []wire.Target, drained []string) *fastjson.Value {
+	for i := range targets {
+		if slices.Contains(drained, targets[i].Name) {
+			targets[i].Ready = false
+		}
+	}
+	return fastjson.MustParseBytes(wire.AppendTargets(nil, targets))
+}
+
+// endpointList is an endpoint list in discovery's format and decoded.
+type endpointList struct {
+	document *fastjson.Value
+	version  int64
+	targets  []wire.Target
+}
+
+func parseEndpoints(text []byte) (*endpointList, error) {
+	document, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, err
+	}
+	return decodeEndpoints(document)
+}
+
+func decodeEndpoints(document *fastjson.Value) (*endpointList, error) {
+	version, _, targets, err := wire.ParseTargets(document)
+	if err != nil {
+		return nil, err
+	}
+	return &endpointList{document: document, version: version, targets: targets}, nil
+}
+
+// configuredEndpoints decodes the endpoint list of the configuration; one that is left out is an empty list.
+func configuredEndpoints(config *Place) (*endpointList, error) {
+	if isNull(config.KnownEndpoints) {
+		return &endpointList{}, nil
+	}
+	list, err := decodeEndpoints(config.KnownEndpoints)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: known: %w", err)
+	}
+	return list, nil
+}
+
+// recoveryLines converts endpoints to what the recovery module compares.
+func recoveryLines(targets []wire.Target) []recovery.Line {
+	lines := make([]recovery.Line, 0, len(targets))
+	for _, target := range targets {
+		status := recovery.Leaving
+		if target.Ready {
+			status = recovery.Ready
+		} else if target.Gone {
+			status = recovery.Left
+		}
+		lines = append(lines, recovery.Line{Name: target.Name, Status: status})
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/server/snapshot.go
@@ -0,0 +1,86 @@
+package server
+
+import (
+	"fmt"
+	"time"
+
+	"woodproxy/internal/proxy"
+	"woodproxy/internal/snapshot"
+	"woodproxy/internal/wire"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+)
+
+// snapshotInterval is the time between two writes of the state file, where something changed.
+const snapshotInterval = time.Second
+
+// snapshotWriter stores the endpoint list and the addresses of peers for the next start. It is used by one goroutine.
+type snapshotWriter struct {
+	store     *snapshot.Store // nil: no state is stored
+	config    *Place
+	gossip    *gossipLink
+	router    *proxy.Router
+	endpoints *proxy.List
+	log       *zap.Logger
+
+	lastAttempt time.Time
+	savedDigest uint64 // of the last snapshot that was written
+	failing     bool   // the last write failed and was logged
+}
+
+// saveIfDue writes a snapshot once an interval, where it differs from the last one. A failed write is tried again each
+// interval and logged once.
+func (w *snapshotWriter) saveIfDue() {
+	if w.store == nil || time.Since(w.lastAttempt) < snapshotInterval {
+		return
+	}
+	w.lastAttempt = time.Now()
+	current := w.take()
+	if current == nil {
+		return
+	}
+	digest := snapshotDigest(current)
+	if digest == w.savedDigest {
+		return
+	}
+	err := w.store.Save(current)
+	if err == nil {
+		w.savedDigest = digest
+	} else if !w.failing {
+		w.log.Error("state: snapshot not saved; check that the disk has space and works", zap.Error(err))
+	}
+	w.failing = err != nil
+}
+
+// take returns the current snapshot; nil if there is no endpoint list yet, or the router is too busy to return it.
+func (w *snapshotWriter) take() *snapshot.Snapshot {
+	version := w.endpoints.Version()
+	targets := w.router.Targets()
+	if version == 0 || len(targets) == 0 {
+		return nil
+	}
+	current := &snapshot.Snapshot{
+		Cluster: w.config.cluster(),
+		At:      time.Now(),
+		Index:   version,
+		List:    wire.AppendTargets(nil, targets),
+	}
+	status := w.gossip.sender.status()
+	if status == nil {
+		return current
+	}
+	for i := range status.Members {
+		member := &status.Members[i]
+		isPeer := member.Address != "" && !hasDeparted(member) && member.Name != w.config.Name
+		if isPeer && len(current.Peers) < maxRestoredSeeds {
+			current.Peers = append(current.Peers, member.Address)
+		}
+	}
+	return current
+}
+
+// snapshotDigest is a digest of what is worth a write; the time is not.
+func snapshotDigest(s *snapshot.Snapshot) uint64 {
+	return xxhash.Sum64(append(fmt.Append(nil, s.Index, s.Peers), s.List...))
+}
--- /dev/null
+++ b/internal/server/start.go
@@ -0,0 +1,232 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"woodproxy/internal/admin"
+	"woodproxy/internal/hotrestart"
+	"woodproxy/internal/proxy"
+	"woodproxy/replica"
+
+	"github.com/valyala/fastjson"
+	"go.uber.org/zap"
+)
+
+// discoveryWait is how long clients wait for discovery's endpoint list at the start; after that the last known list is
+// used.
+const discoveryWait = time.Second
+
+// server is one running proxy process. Its parts are made by build in the order of its fields, and are not changed
+// after that.
+type server struct {
+	config *Place // as of the start; reloads do not change it
+	log    *zap.Logger
+
+	predecessor    *hotrestart.Before // nil: this process replaces none
+	counters       *proxy.Counters
+	router         *proxy.Router
+	endpoints      *proxy.List
+	gossip         *gossipLink
+	clientListener *proxy.Door
+	admin          *adminService
+	adminServer    *admin.Server    // nil: there is no admin API
+	recovery       *recoveryTracker // nil: the process goes through no stages of recovery
+	resources      *resourceBudget
+	successors     *hotrestart.Estate
+
+	inheritedList bool // the endpoint list is the predecessor's, and as current as it can be
+}
+
+// Serve runs the proxy until a signal tells it to stop, and returns once clients were drained. SIGUSR1 logs the
+// counters; SIGHUP applies the configuration that reread returns, and one that is bad is logged and changes nothing;
+// any other signal stops the proxy. An error means that the proxy could not start.
+func Serve(config *Place, reread func() (*Place, error), log *zap.Logger, signals <-chan os.Signal) error {
+	s, err := newServer(config, log)
+	if err != nil {
+		return err
+	}
+	defer s.closeAdmin()
+	s.run()
+	if s.recovery != nil {
+		defer s.recovery.stop()
+	}
+	s.awaitEndpoints()
+	s.clientListener.Open()
+	if s.predecessor != nil {
+		go s.awaitPredecessorExit(s.predecessor) // ends with the process: the predecessor may run for longer
+	}
+	latest := s.handleSignals(reread, signals)
+	s.shutDown(latest)
+	return nil
+}
+
+// newServer opens the listener and makes all parts of the proxy. Gossip, the admin API and the actors of the negative
+// cache and the duties are running then; what serves clients is started by run.
+func newServer(config *Place, log *zap.Logger) (*server, error) {
+	listener, predecessor, err := openListener(config, log)
+	if err != nil {
+		return nil, err
+	}
+	s := &server{config: config, log: log, predecessor: predecessor, counters: &proxy.Counters{}}
+	if err := s.build(listener); err != nil {
+		s.closeAdmin()
+		_ = listener.Close() // the first error is the one to report
+		if predecessor != nil {
+			predecessor.Abandon()
+		}
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *server) build(listener *net.TCPListener) error {
+	sockets := divideSockets(s.config.Sockets)
+	s.buildRouter(sockets)
+	restored, err := restoreState(s.config, s.log)
+	if err != nil {
+		return err
+	}
+	if err := s.buildEndpoints(restored.endpoints); err != nil {
+		return err
+	}
+	s.buildGossip()
+	s.clientListener = proxy.NewDoor(listener, s.router, s.config.MemoryMB, s.counters, s.log)
+	if s.config.State != nil || s.config.Talk != nil {
+		s.recovery = newRecoveryTracker(s, restored)
+	}
+	if err := s.buildAdmin(); err != nil {
+		return err
+	}
+	s.resources = &resourceBudget{
+		sockets:        sockets,
+		clientListener: s.clientListener,
+		router:         s.router,
+		limitsRuntime:  s.config.Own,
+		cores:          s.config.Cores,
+		memoryMB:       s.config.MemoryMB,
+	}
+	s.resources.update(func(b *resourceBudget) { b.hasPredecessor = s.predecessor != nil })
+	if s.predecessor == nil { // else the gossip address is free once that process has exited
+		if err := s.gossip.start(); err != nil {
+			return err
+		}
+	}
+	s.successors = s.offerListener(listener)
+	return nil
+}
+
+func (s *server) buildRouter(sockets socketBudget) {
+	s.router = proxy.NewRouter(s.config.Book, s.config.Seed, proxy.NewClock(), sockets.upstream, s.counters, s.log)
+	if s.config.Untold {
+		s.log.Warn("limits.may-tell: no gossip file is named; no notifications are sent")
+	}
+	if s.config.Watch != nil {
+		s.router.Watch(s.config.Watch, s.config.Seed)
+		s.log.Info("shadow settings are evaluated; decisions that differ are counted and not applied")
+	}
+}
+
+// buildEndpoints makes the endpoint list. It starts with the predecessor's list, or else with the known one.
+func (s *server) buildEndpoints(known *fastjson.Value) (err error) {
+	if inherited := inheritedEndpoints(s.predecessor, s.log); inherited != nil {
+		known, s.inheritedList = inherited.document, true
+	}
+	s.endpoints, err = proxy.NewList(s.config.Discovery, known, s.router, s.config.Seed, s.counters, s.log)
+	if err != nil {
+		return fmt.Errorf("configuration: known: %w", err)
+	}
+	return nil
+}
+
+// buildGossip makes the link to the other proxies, and the modules that use it. The actors of the negative cache and
+// the duties have no stop: they run for as long as the process does.
+func (s *server) buildGossip() {
+	config, sender := s.config, &gossipSender{}
+	s.gossip = &gossipLink{
+		sender: sender, config: config, router: s.router, endpoints: s.endpoints, counters: s.counters, log: s.log,
+	}
+	if config.Talk != nil {
+		s.endpoints.Share(s.gossip.publishEndpoints)
+		s.router.Tells(s.gossip.publishObservation)
+	}
+	if config.Missing != nil {
+		link := &negativeCacheLink{sender: sender, ttl: replica.Time(config.Missing.Believe), proxies: config.proxies()}
+		publish := link.publish
+		if config.Talk == nil {
+			publish = nil
+		}
+		link.actor = proxy.NewAbsent(*config.Missing, s.router, publish, s.log)
+		s.gossip.negativeCache = link
+		go link.actor.Run()
+	}
+	if config.Turns != nil {
+		link := &dutiesLink{sender: sender}
+		link.actor = proxy.NewDuties(*config.Turns, s.router, s.endpoints, link.publish, s.log)
+		s.gossip.duties = link
+		go link.actor.Run()
+	}
+	if config.Zones != nil {
+		link := &zoneHealthLink{
+			sender: sender, router: s.router, config: config.Zones, proxyName: config.Name, log: s.log,
+		}
+		s.gossip.zoneHealth = link
+		s.router.Zones(*config.Zones, link.publishReport)
+	}
+}
+
+// buildAdmin makes what operators call, and listens for them where an address is configured.
+func (s *server) buildAdmin() error {
+	s.admin = &adminService{
+		clientListener: s.clientListener,
+		gossip:         s.gossip,
+		counters:       s.counters,
+		recovery:       s.recovery,
+		planner:        newMigrationPlanner(s.config.Moves),
+	}
+	if s.config.Management == "" {
+		return nil
+	}
+	adminServer, err := admin.Listen(s.config.Management, s.admin)
+	if err != nil {
+		return fmt.Errorf("configuration: management: %w", err)
+	}
+	s.adminServer = adminServer
+	go adminServer.Run() // until closeAdmin
+	return nil
+}
+
+func (s *server) closeAdmin() {
+	if s.adminServer != nil {
+		s.adminServer.Close()
+	}
+}
+
+// run starts the goroutines of the data path and of recovery.
+func (s *server) run() {
+	go s.router.Run()
+	go s.endpoints.Run()
+	if s.recovery != nil {
+		go s.recovery.run()
+	}
+	go s.clientListener.Run()
+	s.log.Info("started", zap.String("name", s.config.Name), zap.String("listen", s.config.Listen),
+		zap.Int("sockets", s.config.Sockets), zap.Bool("replaces", s.predecessor != nil))
+}
+
+// awaitEndpoints waits for discovery's endpoint list. An inherited one is as current, so that there is no wait.
+func (s *server) awaitEndpoints() {
+	wait := discoveryWait
+	if s.inheritedList {
+		wait = 0
+	}
+	select {
+	case <-s.endpoints.First():
+	case <-time.After(wait):
+		if wait > 0 {
+			s.log.Warn("discovery does not respond; serving from the last known endpoint list")
+		}
+	}
+}
--- a/internal/server/stop_test.go
+++ b/internal/server/stop_test.go
@@ -60,12 +60,12 @@
 // However long clients wait at most, connections go step by step and all is answered before the process may be killed.
 func TestLeavingSteps(t *testing.T) {
 	for _, longest := range []balancer.Time{1, 1000, 8000, 30000, 600000} {
-		left := answered(longest)
+		left := answerTimeout(longest)
 		if kill := min(time.Duration(longest)*100*time.Microsecond, 3*time.Second) + 700*time.Millisecond; left > kill-200*time.Millisecond {
 			t.Errorf("%d: answered after %v, killed after %v", longest, left, kill)
 		}
-		for _, alone := range []bool{false, true} {
-			if l := leaving(alone, left); l.Yield > l.Retire || l.Retire >= l.Shut || l.Shut >= left {
+		for _, hasSuccessor := range []bool{false, true} {
+			if l := drainSchedule(hasSuccessor, left); l.Yield > l.Retire || l.Retire >= l.Shut || l.Shut >= left {
 				t.Errorf("%d: %v of %v", longest, l, left)
 			}
 		}
--- /dev/null
+++ b/internal/server/zonehealth.go
@@ -0,0 +1,167 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"woodproxy/internal/proxy"
+	"woodproxy/replica"
+	"woodproxy/zonehealth"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+)
+
+const (
+	// autoOverrideTTL is how long an override that cancels another one is replicated: longer than a proxy is away that
+	// may still have the cancelled one.
+	autoOverrideTTL = 24 * 3600 * replica.Second
+
+	maxIssuerLength   = 128 // bytes of the name of the proxy that took an override
+	maxReportersShown = 8
+)
+
+var errZoneHealthOff = errors.New("zones are not judged: no file of zones is named")
+
+// zoneHealthLink exchanges reports on zones and operators' overrides with the other proxies, and answers operators'
+// calls on zones. Its receiving methods accept a nil link and do nothing then.
+type zoneHealthLink struct {
+	sender    *gossipSender
+	router    *proxy.Router
+	config    *zonehealth.Terms
+	proxyName string
+	log       *zap.Logger
+}
+
+// publishReport sends what this proxy reports on a zone.
+func (z *zoneHealthLink) publishReport(zone string, report zonehealth.Voice, ttl zonehealth.Time) {
+	z.sender.publish(replica.Voice, zone, replica.Time(ttl), &report)
+}
+
+// cooperates tells whether zones are judged with the other proxies.
+func (z *zoneHealthLink) cooperates() bool { return z != nil && !z.config.Apart }
+
+// receiveReport passes on another proxy's report; one that can't be decoded is dropped.
+func (z *zoneHealthLink) receiveReport(row *replica.Row) {
+	var report zonehealth.Voice
+	if !z.cooperates() || msgpack.Unmarshal(row.Body, &report) != nil {
+		return
+	}
+	z.router.ZoneVoice(row.Writer, row.Key, report, zonehealth.Time(row.Age), zonehealth.Time(row.Life))
+}
+
+// receiveOverride passes on an override that another proxy took from an operator.
+func (z *zoneHealthLink) receiveOverride(row *replica.Row) {
+	if z == nil {
+		return
+	}
+	z.router.ZoneOrder(zonehealth.Order{
+		Zone:  row.Key,
+		Want:  zonehealth.Want(row.Rank),
+		Epoch: row.Epoch,
+		By:    string(row.Body[:min(len(row.Body), maxIssuerLength)]),
+		Force: row.Count != 0,
+	})
+}
+
+// updateMembers passes on the members of the fleet.
+func (z *zoneHealthLink) updateMembers(members []replica.Member, catchingUp bool) {
+	if !z.cooperates() {
+		return
+	}
+	fleet := make([]zonehealth.Proxy, 0, len(members))
+	for i := range members {
+		member := &members[i]
+		fleet = append(fleet, zonehealth.Proxy{
+			Name: member.Name, Zone: member.Zone, Here: isAlive(member), Gone: hasDeparted(member),
+		})
+	}
+	z.router.ZoneFleet(fleet, catchingUp)
+}
+
+// override applies an operator's order to a zone, or to each zone of a region, and replicates it. The epoch is that of
+// the override to replace; below zero: whichever is in force. It returns the lines for the operator; an error says why
+// nothing has changed.
+func (z *zoneHealthLink) override(name, want string, epoch int64, force bool) (string, error) {
+	if z == nil {
+		return "", errZoneHealthOff
+	}
+	wanted, ok := zonehealth.Wants[want]
+	if !ok {
+		return "", fmt.Errorf("%q: none of in, out, hold, auto", want)
+	}
+	status, zones := z.router.ZonesShown(), z.config.Zones(name)
+	if fault := zonehealth.Check(status, zones, wanted, epoch, force); fault != "" {
+		return "", errors.New(fault)
+	}
+	var text strings.Builder
+	for _, zone := range zones {
+		i := slices.IndexFunc(status, func(s zonehealth.Shown) bool { return s.Name == zone })
+		order := zonehealth.Order{
+			Zone: zone, Want: wanted, Epoch: status[i].Order.Epoch + 1, By: z.proxyName, Force: force,
+		}
+		if !z.router.ZoneOrder(order) {
+			return "", fmt.Errorf("zone %q: too busy to take it; nothing has changed there", zone)
+		}
+		z.sender.publishShared(overrideRow(&order))
+		fmt.Fprintf(&text, "zone %s: %s, order %d\n", zone, wanted, order.Epoch)
+	}
+	z.log.Info("zones: override accepted", zap.String("zone", name), zap.String("want", want), zap.Bool("force", force))
+	return text.String(), nil
+}
+
+// overrideRow returns the row that replicates an override.
+func overrideRow(order *zonehealth.Order) replica.Row {
+	row := replica.Row{
+		Kind: replica.Order, Key: order.Zone, Epoch: order.Epoch, Rank: uint8(order.Want), Body: []byte(order.By),
+	}
+	if order.Force {
+		row.Count = 1
+	}
+	if order.Want == zonehealth.Auto {
+		row.Life = autoOverrideTTL
+	}
+	return row
+}
+
+// statusText returns the answer to GET /control/zones; empty if zones are not judged.
+func (z *zoneHealthLink) statusText() string {
+	if z == nil {
+		return ""
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "this proxy stands in %q; %d regions\n", z.config.Zone, len(z.config.Regions))
+	for _, zone := range z.router.ZonesShown() {
+		writeZoneStatus(&text, &zone)
+	}
+	return text.String()
+}
+
+// writeZoneStatus writes the line of one zone.
+func writeZoneStatus(text *strings.Builder, zone *zonehealth.Shown) {
+	state := zone.Stand.State.String()
+	switch {
+	case zone.Stand.State == zonehealth.In && zone.Watched:
+		state = "watched"
+	case zone.Own:
+		state += " for others"
+	}
+	fmt.Fprintf(text, "zone %s %s epoch %d step %d flaps %d open %.3f nodes %d for %d s;",
+		zone.Name, state, zone.Stand.Epoch, zone.Stand.Step, zone.Stand.Flaps, zone.Open, zone.Nodes,
+		zone.Held/zonehealth.Second)
+	fmt.Fprintf(text, " %d against from %d zones, %d for;", zone.Against, zone.AgainstZones, zone.For)
+	fmt.Fprintf(text, " of %d that tried it since %d in time, %d late, %d unanswered",
+		zone.Tried, zone.Fine, zone.Late, zone.Lost)
+	if n := len(zone.By); n > 0 {
+		fmt.Fprintf(text, "; against: %s", strings.Join(zone.By[:min(n, maxReportersShown)], " "))
+	}
+	if zone.Alone {
+		text.WriteString("; passed by alone")
+	}
+	if order := zone.Order; order.Epoch > 0 {
+		fmt.Fprintf(text, "; ordered %v by way of %s, order %d", order.Want, order.By, order.Epoch)
+	}
+	text.WriteByte('\n')
+}
