server: tests of whole proxies by harness, script and client; every error is looked at

scenario_test.go held the words of scripts, a switch of 84 statements, the process under test and its clients; four files each spelled out commands byte by byte; errors of deadlines, writes and closes were not looked at.

Now harness_test.go has proxyHarness (was stage), script_test.go a table of script commands and their documentation, client_test.go scriptClient (was caller) and the encoding of commands. The words of scripts are as they were. Renamed: crowd_test.go, replace_test.go and stop_test.go are overload_test.go, hotrestart_test.go and shutdown_test.go; TestCrowds is TestIdleConnectionsDoNotBlockOthers, TestReplaced TestHotRestartUnderLoad, TestReplacedKnows TestSuccessorInheritsEndpoints, TestHeirDies TestPredecessorResumesWhenSuccessorDies, TestReplacedUnmet TestRestartWithoutHotRestartSocket, TestForeignList TestUnreadableInheritedEndpoints (its lists are subtests now), TestLeavingSteps TestDrainScheduleEndsBeforeKill (its timeouts are subtests now).

Lines that were merged: the failures after Dial in TestDrainUnderLoad and TestStopsBeforeItIsKilled stand in dialUntil, those after WriteFile (configuration, reload, TestReplacedUnmet) in writeFile, the waits for a listener of start and replace in waitForListener. New: deadlines and closes that fail are failures, "stopped" requires that the proxy ended without an error, and "old gone" that the server closed.

No change of behaviour. Run: all tests of the package.

--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,59 +13,55 @@
 	"woodproxy/internal/emulator"
 )
 
+// sendPipelined sends requests with ids of this prefix, without waiting for answers, until the connection ends.
+func sendPipelined(conn net.Conn, idPrefix string) {
+	for i := 0; ; i++ {
+		if _, err := conn.Write(encodeGet("k", fmt.Sprint(idPrefix, i), defaultTimeoutMS)); err != nil {
+			return
+		}
+		time.Sleep(3 * time.Millisecond)
+	}
+}
+
+// readPipelined reads answers until the connection ends and requires each to be an error or that of the next request.
+func readPipelined(t *testing.T, conn io.Reader, idPrefix string, answers *atomic.Int64) {
+	t.Helper()
+	in := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		head, body, err := emulator.Answer(in)
+		if err != nil {
+			return
+		}
+		if want := fmt.Sprint("c1:", idPrefix, i); head[0] != '-' && body != want {
+			t.Errorf("%q %q, not %q", head, body, want)
+			return
+		}
+		answers.Add(1)
+	}
+}
+
 // Clients that always have more to ask, several commands ahead, are sent away within four seconds of the call, each
-// command that was taken answered, and in order; they ask what was not taken elsewhere.
+// command that was read answered, and in order; they ask what was not read elsewhere.
 func TestDrainUnderLoad(t *testing.T) {
 	t.Parallel()
-	s := newStage(t)
-	for i, line := range [][]string{{"node", "c1", "hit"}, {"node", "o1", "hit"}, {"list", "c1", "o1"}, {"start"}} {
-		s.Step(i, line)
-	}
-	var all sync.WaitGroup
+	h := startedHarness(t)
+	var readers sync.WaitGroup
 	var answers atomic.Int64
 	for n := range 8 {
-		conn, err := net.Dial("tcp", s.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-		conn.SetDeadline(time.Now().Add(6 * time.Second))
-		go func() {
-			for i := 0; ; i++ {
-				id := fmt.Sprintf("n%d-%d", n, i)
-				_, err := fmt.Fprintf(conn, "*4\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n$%d\r\n%s\r\n$17\r\nc=read,t=x,d=1200\r\n", len(id), id)
-				if err != nil {
-					return
-				}
-				time.Sleep(3 * time.Millisecond)
-			}
-		}()
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			in := bufio.NewReader(conn)
-			for i := 0; ; i++ {
-				head, body, err := emulator.Answer(in)
-				if err != nil {
-					return
-				}
-				if want := fmt.Sprintf("c1:n%d-%d", n, i); head[0] != '-' && body != want {
-					t.Errorf("%q %q, not %q", head, body, want)
-					return
-				}
-				answers.Add(1)
-			}
-		}()
+		conn := dialUntil(t, h.clientAddress, 6*time.Second)
+		idPrefix := fmt.Sprintf("n%d-", n)
+		go sendPipelined(conn, idPrefix) // until the proxy closes the connection
+		readers.Go(func() { readPipelined(t, conn, idPrefix, &answers) })
 	}
 	time.Sleep(300 * time.Millisecond)
 	began := time.Now()
-	s.Step(9, []string{"call", "POST", "/control/out-of-service", "200"})
-	all.Wait()
+	h.play(8, "call POST /control/out-of-service 200")
+	readers.Wait()
 	if took := time.Since(began); took < 300*time.Millisecond || took > 4*time.Second {
 		t.Errorf("sent away in %v", took)
 	}
 	if answers.Load() < 100 {
 		t.Errorf("%d answers", answers.Load())
 	}
-	s.End()
+	h.End()
 }
--- /dev/null
+++ b/internal/server/harness_test.go
@@ -0,0 +1,364 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"woodproxy/internal/emulator"
+	"woodproxy/internal/testscript"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+)
+
+const (
+	pollInterval = 10 * time.Millisecond
+	maxPolls     = 200 // two seconds for what is expected
+	startPolls   = 100 // a second until a proxy listens
+	stopTimeout  = 3 * time.Second
+	adminTimeout = time.Second
+)
+
+// settingsJSON is the settings object of a proxy under test.
+const settingsJSON = `{"replicas-of-me":1,"limits":{"max-upstream-tries":3,"may-cancel":true,"conn-idle":15000,
+"connect-timeout":250,"retry-after":true,"max-retry-after":1000},"tick":5,"shapes":["std","origin"],
+"rules":{"cold":8000,"fall":3000,"cold-from":0.3,"fall-multiple":3},"family-info":{"mode":"aside","origin-kind":1},
+"routes":[{"name":"read","latency-objective":600,"overall-timeout":1200,"value":5,"effect":"pure"},
+{"name":"put","latency-objective":600,"overall-timeout":1200,"value":5,"effect":"token","group":"all","dedup-window":6000}]}`
+
+// proxyHarness runs a proxy in the test's process, with emulated nodes and an emulated discovery service. It is used by
+// the test's goroutine.
+type proxyHarness struct {
+	t       *testing.T
+	line    int    // of the script, for messages
+	ip      string // loopback address of all its listeners
+	nodes   map[string]*emulator.Node
+	clients map[string]*scriptClient
+
+	discovery        *emulator.Discovery
+	discoveryAddress string
+	discoveryServer  *http.Server
+	movedDiscovery   *http.Server // that which served the address before the last move
+
+	limits     map[string]string
+	settings   string
+	shadow     string // settings of the shadow balancer, JSON
+	configFile string
+	configText string
+
+	clientAddress string
+	adminAddress  string
+	hotRestartDir string
+	idleCallers   []net.Conn // connections to the admin address that finish no call
+
+	signals chan os.Signal // nil: the proxy was stopped
+	ended   chan error
+}
+
+// harnesses counts them: each has a loopback address of its own, or a port that one gave up may be another's next.
+var harnesses atomic.Int64
+
+func newHarness(t *testing.T) *proxyHarness {
+	t.Helper()
+	n := harnesses.Add(1)
+	return &proxyHarness{
+		t:         t,
+		ip:        fmt.Sprintf("127.9.%d.%d", n/250, n%250+1),
+		nodes:     map[string]*emulator.Node{},
+		clients:   map[string]*scriptClient{},
+		discovery: emulator.NewDiscovery(0, nil),
+		limits:    map[string]string{},
+		settings:  settingsJSON,
+		shadow:    "null",
+		signals:   make(chan os.Signal, 1),
+		ended:     make(chan error, 1),
+	}
+}
+
+// startedHarness returns a harness whose proxy runs with a cache c1 and an origin o1, after these script lines.
+func startedHarness(t *testing.T, lines ...string) *proxyHarness {
+	t.Helper()
+	h := newHarness(t)
+	h.play(0, append([]string{"node c1 hit", "node o1 hit", "list c1 o1", "start"}, lines...)...)
+	return h
+}
+
+// play plays script lines; the first has the number after the given one.
+func (h *proxyHarness) play(line int, lines ...string) {
+	h.t.Helper()
+	for i, words := range lines {
+		h.Step(line+i+1, strings.Fields(words))
+	}
+}
+
+func (h *proxyHarness) fail(format string, args ...any) {
+	h.t.Helper()
+	h.t.Errorf("line %d: %s", h.line, fmt.Sprintf(format, args...))
+}
+
+// End stops the proxy after the last line of a script.
+func (h *proxyHarness) End() {
+	h.t.Helper()
+	for _, conn := range h.idleCallers {
+		_ = conn.Close() // the proxy may have closed it
+	}
+	for _, client := range h.clients {
+		_ = client.conn.Close() // the script or the proxy may have closed it
+	}
+	if h.signals == nil || h.clientAddress == "" {
+		return
+	}
+	h.signals <- syscall.SIGTERM
+	if err := <-h.ended; err != nil {
+		h.fail("%v", err)
+	}
+}
+
+// setNode starts a node, or changes how it behaves.
+func (h *proxyHarness) setNode(name, mode string, options map[string]string) {
+	h.t.Helper()
+	node := h.nodes[name]
+	if node == nil {
+		var err error
+		if node, err = emulator.NewNode(h.ip, name, name[0] == 'o', 1, nil); err != nil {
+			h.t.Fatal(err)
+		}
+		h.t.Cleanup(node.Stop)
+		h.nodes[name] = node
+	}
+	delay := time.Duration(testscript.Num(options["slow"])) * time.Millisecond
+	node.Set(emulator.Habit(mode), 1, delay, int(testscript.Num(options["size"])))
+}
+
+// endpoint returns an entry of the endpoint list for NAME or NAME:STATUS.
+func (h *proxyHarness) endpoint(word string) emulator.Row {
+	name, status, _ := strings.Cut(word, ":")
+	if status == "" {
+		status = "active"
+	}
+	row := emulator.Row{Name: name, Address: h.ip + ":1", Zone: "a", Kind: "std", Status: status}
+	if name[0] == 'o' {
+		row.Kind = "origin"
+	}
+	if node := h.nodes[name]; node != nil {
+		row.Address = node.Addr(0)
+	}
+	return row
+}
+
+// publishEndpoints has discovery send endpoints.
+func (h *proxyHarness) publishEndpoints(words []string) {
+	var rows []emulator.Row
+	for _, word := range words {
+		rows = append(rows, h.endpoint(word))
+	}
+	h.discovery.Say(rows...)
+}
+
+// startDiscovery has discovery listen at a new address.
+func (h *proxyHarness) startDiscovery() {
+	h.t.Helper()
+	server, address, err := h.discovery.Listen(h.ip)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = server.Close() }) // the script may have closed it
+	h.discoveryServer, h.discoveryAddress = server, address
+}
+
+// moveDiscovery has discovery listen at a new address as well and writes that to the configuration text.
+func (h *proxyHarness) moveDiscovery() {
+	h.t.Helper()
+	previous := h.discoveryAddress
+	h.movedDiscovery = h.discoveryServer
+	h.startDiscovery()
+	h.configText = strings.Replace(h.configText, previous, h.discoveryAddress, 1)
+}
+
+// configure chooses addresses for a proxy and writes its configuration; known are names of endpoints, separated by
+// commas.
+func (h *proxyHarness) configure(known string) {
+	h.t.Helper()
+	h.startDiscovery()
+	h.clientAddress, h.adminAddress = unusedAddress(h.t, h.ip), unusedAddress(h.t, h.ip)
+	h.hotRestartDir = h.t.TempDir()
+	list := "null"
+	if known != "" {
+		var rows []string
+		for _, name := range strings.Split(known, ",") {
+			rows = append(rows, h.endpoint(name).String())
+		}
+		list = `{"index":1,"snapshot":true,"endpoints":[` + strings.Join(rows, ",") + `]}`
+	}
+	var limits []string
+	for key, value := range h.limits {
+		limits = append(limits, fmt.Sprintf("%q:%s", key, value))
+	}
+	h.configFile = filepath.Join(h.t.TempDir(), "config.json")
+	h.configText = fmt.Sprintf(`{"name":"n1","listen":%q,"management":%q,"discovery":%q,"seed":"8c1f30d27a5be964",`+
+		`"limits":{%s},"known":%s,"settings":%s,"watch":%s}`,
+		h.clientAddress, h.adminAddress, h.discoveryAddress, strings.Join(limits, ","), list, h.settings, h.shadow)
+	writeFile(h.t, h.configFile, h.configText)
+}
+
+// start configures and runs a proxy and waits until it serves.
+func (h *proxyHarness) start(known string) {
+	h.t.Helper()
+	h.configure(known)
+	h.run()
+	if !waitForListener(h.clientAddress) {
+		h.t.Fatal("the proxy does not listen")
+	}
+	if h.discovery.Mood() == "" { // until the list has come, or the first request would find no node
+		h.call("GET", "/control/ready", "200", "")
+	}
+}
+
+// run runs a proxy with the configuration there is.
+func (h *proxyHarness) run() {
+	h.t.Helper()
+	read := func() (*Place, error) {
+		return Read(h.configFile, Place{Management: h.adminAddress, Shared: h.hotRestartDir})
+	}
+	config, err := read()
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	log := zaptest.NewLogger(h.t, zaptest.Level(zap.ErrorLevel))
+	go func(ended chan<- error, signals <-chan os.Signal) {
+		ended <- Serve(config, read, log, signals)
+	}(h.ended, h.signals)
+}
+
+// reload writes the configuration, or half of it, and has the proxy read it.
+func (h *proxyHarness) reload(how string) {
+	h.t.Helper()
+	if how == "moved" {
+		h.moveDiscovery()
+	}
+	text := h.configText
+	if how == "bad" {
+		text = text[:len(text)/2]
+	}
+	writeFile(h.t, h.configFile, text)
+	h.signals <- syscall.SIGHUP
+}
+
+// replace runs a successor and stops the proxy once that one is ready.
+func (h *proxyHarness) replace() {
+	h.t.Helper()
+	ended, signals := h.ended, h.signals
+	h.ended, h.signals = make(chan error, 1), make(chan os.Signal, 1)
+	h.adminAddress = unusedAddress(h.t, h.ip)
+	h.run()
+	waitForListener(h.adminAddress) // the call tells if there is none
+	h.call("GET", "/control/ready", "200", "")
+	signals <- syscall.SIGTERM
+	select {
+	case err := <-ended:
+		if err != nil {
+			h.fail("%v", err)
+		}
+	case <-time.After(stopTimeout):
+		h.fail("still running")
+	}
+}
+
+// call plays an operator, who waits for a second at most, and expects a status.
+func (h *proxyHarness) call(method, path, want, body string) {
+	h.t.Helper()
+	for range maxPolls { // it starts, and is ready after a second at the latest
+		if path != "/control/ready" || want != "200" || h.callStatus(method, path, body) == want {
+			break
+		}
+		time.Sleep(pollInterval)
+	}
+	if got := h.callStatus(method, path, body); got != want {
+		h.fail("%s %s: %s, not %s", method, path, got, want)
+	}
+}
+
+// callStatus returns the status of the answer to an admin call, or what happened instead. The body is a number of
+// bytes, or garbage for a head that can't be read.
+func (h *proxyHarness) callStatus(method, path, body string) string {
+	conn, err := net.DialTimeout("tcp", h.adminAddress, adminTimeout)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = conn.Close() }() // the proxy may have closed it
+	if err := conn.SetDeadline(time.Now().Add(adminTimeout)); err != nil {
+		return err.Error()
+	}
+	request := "\x00\x01 what\r\n\r\n"
+	if body != "garbage" {
+		n := int(testscript.Num(body))
+		request = fmt.Sprintf("%s %s HTTP/1.1\r\nHost: here\r\nContent-Length: %d\r\n\r\n%s",
+			method, path, n, strings.Repeat("x", n))
+	}
+	_, writeErr := io.WriteString(conn, request) // the proxy may answer before it has read all, and close
+	head, err := bufio.NewReader(conn).ReadString('\n')
+	if words := strings.Fields(head); len(words) > 1 {
+		return words[1]
+	}
+	return fmt.Sprintf("%q (%v, %v)", head, err, writeErr)
+}
+
+// openIdleCalls opens connections to the admin address, each of which sends a part of a call.
+func (h *proxyHarness) openIdleCalls(count int) {
+	h.t.Helper()
+	for i := range count {
+		conn, err := net.Dial("tcp", h.adminAddress)
+		if err != nil {
+			h.fail("%v", err)
+			return
+		}
+		h.idleCallers = append(h.idleCallers, conn)
+		// the proxy may have closed it by then, since there are too many
+		_, _ = io.WriteString(conn, "POST /control/out-of-service HTTP/1.1\r\nHost"[:i%40])
+	}
+}
+
+// expect waits until a figure compares to a number: requests taken by a node, watches at discovery (calls), or a
+// counter.
+func (h *proxyHarness) expect(figure, operator string, want int) {
+	h.t.Helper()
+	var got int
+	var info string
+	for range maxPolls {
+		if node := h.nodes[figure]; node != nil {
+			got = int(node.Taken.Load())
+		} else if figure == "calls" {
+			got = int(h.discovery.Calls.Load())
+		} else if conn, err := net.Dial("tcp", h.clientAddress); err == nil {
+			info, err = readInfo(conn)
+			value, ok := counterValue(info, figure)
+			if err != nil || !ok {
+				h.fail("no counter %s in %q (%v)", figure, info, err)
+				return
+			}
+			got = value
+		}
+		if testscript.Holds(got, operator, want) {
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+	h.fail("%s is %d, not %s %d; %s", figure, got, operator, want, strings.ReplaceAll(info, "\n", " "))
+}
+
+// counterValue returns a counter's value in the answer to INFO, which has a line for each.
+func counterValue(info, name string) (value int, ok bool) {
+	_, after, ok := strings.Cut("\n"+info, "\n"+name+" ")
+	line, _, _ := strings.Cut(after, "\n")
+	return int(testscript.Num(line)), ok
+}
--- /dev/null
+++ b/internal/server/hotrestart_test.go
@@ -0,0 +1,204 @@
+package server
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"woodproxy/internal/emulator"
+	"woodproxy/internal/hotrestart"
+
+	"go.uber.org/zap"
+)
+
+// restartClient sends requests one after another while proxies replace each other.
+type restartClient struct {
+	t          *testing.T
+	address    string
+	number     int
+	reconnects bool // uses a new connection for each request
+
+	conn       net.Conn // nil: not connected
+	in         *bufio.Reader
+	unanswered int // requests in a row
+}
+
+// restartTotals counts the requests of all clients.
+type restartTotals struct {
+	sent       atomic.Int64
+	unanswered atomic.Int64
+}
+
+// run sends requests until stop; it ends sooner where something is wrong.
+func (c *restartClient) run(stop *atomic.Bool, totals *restartTotals) {
+	defer c.disconnect()
+	for i := 0; !stop.Load(); i++ {
+		if !c.connect() || !c.request(fmt.Sprintf("n%d-%d", c.number, i), totals) {
+			return
+		}
+		time.Sleep(time.Duration(c.number) * time.Millisecond)
+	}
+}
+
+// connect makes sure of a connection; clients see that theirs is closed before they send.
+func (c *restartClient) connect() bool {
+	if c.conn != nil {
+		if err := c.conn.SetReadDeadline(time.Now().Add(time.Millisecond)); err != nil {
+			c.t.Error(err)
+			return false
+		}
+		if _, err := c.in.Peek(1); errors.Is(err, io.EOF) {
+			c.disconnect()
+		}
+	}
+	if c.conn == nil {
+		conn, err := net.Dial("tcp", c.address)
+		if err != nil {
+			c.t.Error("not accepted:", err)
+			return false
+		}
+		c.conn, c.in = conn, bufio.NewReader(conn)
+	}
+	if err := c.conn.SetDeadline(time.Now().Add(15 * time.Second)); err != nil {
+		c.t.Error(err)
+		return false
+	}
+	return true
+}
+
+func (c *restartClient) disconnect() {
+	if c.conn != nil {
+		_ = c.conn.Close() // the proxy may have closed it
+		c.conn = nil
+	}
+}
+
+// request sends one request and reads its answer.
+func (c *restartClient) request(id string, totals *restartTotals) bool {
+	totals.sent.Add(1)
+	_, _ = c.conn.Write(encodeGet("k", id, defaultTimeoutMS)) // where it fails there is no answer
+	head, body, err := emulator.Answer(c.in)
+	switch {
+	case err != nil:
+		totals.unanswered.Add(1)
+		if c.unanswered++; c.unanswered > 1 {
+			c.t.Error("twice in a row without an answer:", err)
+			return false
+		}
+	case head[0] == '$' && body != "c1:"+id:
+		c.t.Errorf("%q, not for %s", body, id)
+	default:
+		c.unanswered = 0
+	}
+	if err != nil || c.reconnects {
+		c.disconnect()
+	}
+	return true
+}
+
+// Two replacements in a row under load: each request is answered, on connections that stay as on ever new ones, and
+// each connection is accepted. A close may cross a request, which then goes unanswered and is sent again.
+func TestHotRestartUnderLoad(t *testing.T) {
+	t.Parallel()
+	h := startedHarness(t, "node c1 hit slow=5")
+	var clients sync.WaitGroup
+	var stop atomic.Bool
+	totals := &restartTotals{}
+	for n := range 24 {
+		client := &restartClient{t: t, address: h.clientAddress, number: n, reconnects: n%2 == 0}
+		clients.Go(func() { client.run(&stop, totals) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	h.play(9, "replace", "replace")
+	stop.Store(true)
+	clients.Wait()
+	if sent, unanswered := totals.sent.Load(), totals.unanswered.Load(); sent < 300 || unanswered > sent/50 {
+		t.Errorf("%d sent, %d of them without an answer", sent, unanswered)
+	}
+	h.End()
+}
+
+// The successor has the endpoint list that its predecessor had, though discovery does not respond and the list in the
+// configuration is old; endpoints that drain are not used.
+func TestSuccessorInheritsEndpoints(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	h.play(0,
+		"node c1 hit", "node c2 hit", "node o1 hit", "list c1 c2 o1", "start known=c1,c2,o1",
+		"list c2:leaving", "pause 100", "discovery cut", "discovery silent",
+		"replace", "b get k times=5", "b gets value from=c1 times=5", "expect c2 = 0",
+	)
+	h.End()
+}
+
+// Where a process inherits the listener, tells that it serves and dies, the first process accepts clients again.
+func TestPredecessorResumesWhenSuccessorDies(t *testing.T) {
+	t.Parallel()
+	h := startedHarness(t, "node c1 hit slow=5")
+	successor, err := hotrestart.Claim(h.hotRestartDir, h.clientAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := successor.Serving(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	h.play(9, "a ping", "a gets nothing") // nobody accepts it now
+	if err := successor.Listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	successor.Abandon()
+	h.play(19, "a gets pong", "a get k", "a gets value", "replace", "b get k", "b gets value")
+	h.End()
+}
+
+// A process whose hot-restart socket can't be made is replaced all the same: both listen.
+func TestRestartWithoutHotRestartSocket(t *testing.T) {
+	t.Parallel()
+	h := startedHarness(t, "node c1 hit slow=5")
+	h.hotRestartDir = t.TempDir()
+	writeFile(t, filepath.Join(h.hotRestartDir, "woodproxy"), "")
+	h.play(9, "replace", "a get k", "a gets value")
+	h.End()
+}
+
+// An endpoint list that can't be read is not inherited; the process starts without it.
+func TestUnreadableInheritedEndpoints(t *testing.T) {
+	t.Parallel()
+	for name, list := range map[string]string{
+		"mistyped index":        `{"index":"x","endpoints":[]}`,
+		"endpoint without name": `{"index":1,"endpoints":[{"name":""}]}`,
+		"no object":             `7`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.play(0, "node c1 hit", "node o1 hit", "list c1 o1")
+			h.configure("")
+			listener, err := net.Listen("tcp", h.clientAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			encodeList := func() []byte { return []byte(list) }
+			predecessor := hotrestart.New(h.hotRestartDir, h.clientAddress, listener.(*net.TCPListener), encodeList,
+				func(int, int) {}, zap.NewNop())
+			if err := predecessor.Open(); err != nil {
+				t.Fatal(err)
+			}
+			h.run()
+			h.call("GET", "/control/ready", "200", "")
+			if err := listener.Close(); err != nil { // its queue is the new one's
+				t.Fatal(err)
+			}
+			h.play(19, "a get k", "a gets value")
+			h.End()
+			predecessor.Close()
+		})
+	}
+}
