server: table-driven tests of the configuration with named cases; lint the package

Now cases are rows with from, to and the error that is wanted, each a subtest named by the error. Long lines are folded.

No change of behaviour.

--- a/internal/server/api_golden_test.go
+++ b/internal/server/api_golden_test.go
@@ -44,7 +44,9 @@
 func (s *fixedService) Forget() error         { return s.forget }
 
 func (s *fixedService) Metrics() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "metrics of the service\n") })
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "metrics of the service\n") // the test reads the response
+	})
 }
 
 func (s *fixedService) Plan(inventory io.Reader) (any, error) {
@@ -62,10 +64,10 @@
 	return fmt.Sprintf("name %q, want %q, epoch %d, force %v\n", name, want, epoch, force), nil
 }
 
-// serve starts the operators' listener and returns its address.
-func serve(t *testing.T, service admin.Service) string {
+// startAdminServer starts the operators' listener and returns its address.
+func startAdminServer(t *testing.T, service admin.Service) string {
 	t.Helper()
-	addr := freeAddress(t)
+	addr := unusedAddress(t)
 	server, err := admin.Listen(addr, service)
 	if err != nil {
 		t.Fatal(err)
@@ -75,32 +77,36 @@
 	return addr
 }
 
-// freeAddress is on a loopback address that no other test uses.
-func freeAddress(t *testing.T) string {
+// unusedAddress is on a loopback address that no other test uses.
+func unusedAddress(t *testing.T) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.10.7.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
 	return listener.Addr().String()
 }
 
 var dateLine = regexp.MustCompile(`(?m)^Date: .*$`)
 
-// exchange sends a request as it is and returns the whole response, its date masked. Where the server leaves a part of the request
-// unread, it resets the connection a while behind its response.
-func exchange(t *testing.T, addr, request string) string {
+// roundTrip sends a request as it is and returns the whole response, its date masked. Where the server leaves a part of
+// the request unread, it resets the connection a while behind its response.
+func roundTrip(t *testing.T, addr, request string) string {
 	t.Helper()
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(10 * time.Second))
-	go io.WriteString(conn, request)
+	defer func() { _ = conn.Close() }() // the server has closed it
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _, _ = io.WriteString(conn, request) }() // the server may reject the request before it has read all
 	response, err := io.ReadAll(conn)
-	if err != nil && !(errors.Is(err, syscall.ECONNRESET) && len(response) > 0) {
+	if err != nil && (!errors.Is(err, syscall.ECONNRESET) || len(response) == 0) {
 		t.Fatalf("%.60q: %v", request, err)
 	}
 	text := strings.ReplaceAll(string(response), "\r\n", "\n")
@@ -123,7 +129,7 @@
 
 var fixedFigures = map[string]any{"a": 1, "b": "<&>"}
 
-const mostInventory = 4 << 20
+const maxInventoryBytes = 4 << 20
 
 var apiCases = []apiCase{
 	{"ready", fixedService{ready: true, reason: "ready"}, "GET", "/control/ready", ""},
@@ -146,12 +152,24 @@
 	{"no missing", fixedService{}, "GET", "/control/missing", ""},
 	{"missing by the wrong method", fixedService{}, "POST", "/control/missing", ""},
 	{"forget", fixedService{}, "POST", "/control/missing/forget", ""},
-	{"forget refused", fixedService{forget: errors.New("too busy to take it; ask again")}, "POST", "/control/missing/forget", ""},
+	{
+		"forget refused",
+		fixedService{forget: errors.New("too busy to take it; ask again")},
+		"POST", "/control/missing/forget", "",
+	},
 	{"forget by the wrong method", fixedService{}, "GET", "/control/missing/forget", ""},
 	{"plan", fixedService{plan: fixedFigures}, "POST", "/control/moves/plan", "{}"},
 	{"no plan", fixedService{}, "POST", "/control/moves/plan", "{}"},
-	{"plan of the largest inventory", fixedService{plan: fixedFigures}, "POST", "/control/moves/plan", strings.Repeat(" ", mostInventory)},
-	{"plan of an oversize inventory", fixedService{plan: fixedFigures}, "POST", "/control/moves/plan", strings.Repeat(" ", mostInventory+1)},
+	{
+		"plan of the largest inventory",
+		fixedService{plan: fixedFigures},
+		"POST", "/control/moves/plan", strings.Repeat(" ", maxInventoryBytes),
+	},
+	{
+		"plan of an oversize inventory",
+		fixedService{plan: fixedFigures},
+		"POST", "/control/moves/plan", strings.Repeat(" ", maxInventoryBytes+1),
+	},
 	{"plan by the wrong method", fixedService{}, "GET", "/control/moves/plan", ""},
 	{"metrics", fixedService{}, "GET", "/metrics", ""},
 	{"metrics by the wrong method", fixedService{}, "POST", "/metrics", ""},
@@ -170,12 +188,24 @@
 	{"out of service", fixedService{changed: true}, "POST", "/control/out-of-service", ""},
 	{"out of service already", fixedService{}, "POST", "/control/out-of-service", ""},
 	{"out of service by the wrong method", fixedService{}, "GET", "/control/out-of-service", ""},
-	{"out of service with the largest body", fixedService{changed: true}, "POST", "/control/out-of-service", strings.Repeat("x", 4096)},
-	{"out of service with an oversize body", fixedService{changed: true}, "POST", "/control/out-of-service", strings.Repeat("x", 4097)},
+	{
+		"out of service with the largest body",
+		fixedService{changed: true},
+		"POST", "/control/out-of-service", strings.Repeat("x", 4096),
+	},
+	{
+		"out of service with an oversize body",
+		fixedService{changed: true},
+		"POST", "/control/out-of-service", strings.Repeat("x", 4097),
+	},
 	{"in service", fixedService{changed: true}, "POST", "/control/in-service", ""},
 	{"in service already", fixedService{}, "POST", "/control/in-service", ""},
 	{"in service by the wrong method", fixedService{}, "GET", "/control/in-service", ""},
-	{"in service with an oversize body", fixedService{changed: true}, "POST", "/control/in-service", strings.Repeat("x", 4097)},
+	{
+		"in service with an oversize body",
+		fixedService{changed: true},
+		"POST", "/control/in-service", strings.Repeat("x", 4097),
+	},
 	{"unknown path", fixedService{}, "GET", "/control/unknown", ""},
 	{"root", fixedService{}, "GET", "/", ""},
 	{"trailing slash", fixedService{ready: true, reason: "ready"}, "GET", "/control/ready/", ""},
@@ -186,14 +216,14 @@
 	var all strings.Builder
 	for i := range apiCases {
 		c := &apiCases[i]
-		addr := serve(t, &c.service)
-		response := exchange(t, addr, apiRequest(c.method, c.target, c.body))
+		addr := startAdminServer(t, &c.service)
+		response := roundTrip(t, addr, apiRequest(c.method, c.target, c.body))
 		fmt.Fprintf(&all, "=== %s\n%s %s (body of %d bytes)\n--- response\n%s\n", c.name, c.method, c.target, len(c.body), response)
 	}
-	addr := serve(t, &fixedService{})
-	fmt.Fprintf(&all, "=== malformed head\n--- response\n%s\n", exchange(t, addr, "\x00\x01 what\r\n\r\n"))
+	addr := startAdminServer(t, &fixedService{})
+	fmt.Fprintf(&all, "=== malformed head\n--- response\n%s\n", roundTrip(t, addr, "\x00\x01 what\r\n\r\n"))
 	longHead := "GET /control/ready HTTP/1.1\r\nHost: proxy\r\nX-Long: " + strings.Repeat("x", 16<<10) + "\r\n\r\n"
-	fmt.Fprintf(&all, "=== oversize head\n--- response\n%s\n", exchange(t, addr, longHead))
+	fmt.Fprintf(&all, "=== oversize head\n--- response\n%s\n", roundTrip(t, addr, longHead))
 	checkGolden(t, "control_api.golden", all.String())
 }
 
@@ -203,7 +233,8 @@
 	want string
 }
 
-// The type is made from the name of the error's Go type with its package, and the figures from the names of its exported fields.
+// The type is made from the name of the error's Go type with its package, and the figures from the names of its exported
+// fields.
 // Operators' programs match on both, so that each is spelled out here, whatever the Go identifiers are.
 var planErrors = []planError{
 	{
@@ -215,13 +246,15 @@
 	{
 		&rebalance.RoomError{Lacks: []rebalance.Lack{{Node: "a", Bytes: 2}, {Node: "b", Bytes: 3}}, Needed: 12, Room: 10},
 		`{"type":"moves.RoomError",` +
-			`"error":"room: shards have 12 bytes, nodes that stay room for 10; lacking: a 2 bytes, b 3 bytes; give these so much more, or add a node",` +
+			`"error":"room: shards have 12 bytes, nodes that stay room for 10; lacking: a 2 bytes, b 3 bytes;` +
+			` give these so much more, or add a node",` +
 			`"found":{"Lacks":[{"node":"a","bytes":2},{"node":"b","bytes":3}],"Needed":12,"Room":10}}`,
 	},
 	{
 		&rebalance.ShardError{Shard: 7, Bytes: 11, Largest: 10},
 		`{"type":"moves.ShardError",` +
-			`"error":"shard 7: of 11 bytes, and no node that it may be on has room for more than 10; give one as much, or let it into another zone",` +
+			`"error":"shard 7: of 11 bytes, and no node that it may be on has room for more than 10;` +
+			` give one as much, or let it into another zone",` +
 			`"found":{"Shard":7,"Bytes":11,"Largest":10,"Pinned":false}}`,
 	},
 	{
@@ -245,7 +278,8 @@
 	{
 		&rebalance.StuckError{Shards: 2, Lacks: []rebalance.Lack{{Node: "a", Bytes: 6}}},
 		`{"type":"moves.StuckError",` +
-			`"error":"order: 2 shards can't go on, since none has room to go first; lacking: a 6 bytes; so much more at one of these, or at any other node for the time of the moves, helps",` +
+			`"error":"order: 2 shards can't go on, since none has room to go first; lacking: a 6 bytes;` +
+			` so much more at one of these, or at any other node for the time of the moves, helps",` +
 			`"found":{"Shards":2,"Lacks":[{"node":"a","bytes":6}]}}`,
 	},
 	{
@@ -262,8 +296,8 @@
 
 func TestPlanErrorsOnTheWire(t *testing.T) {
 	for _, c := range planErrors {
-		addr := serve(t, &fixedService{planErr: c.err})
-		response := exchange(t, addr, apiRequest("POST", "/control/moves/plan", "{}"))
+		addr := startAdminServer(t, &fixedService{planErr: c.err})
+		response := roundTrip(t, addr, apiRequest("POST", "/control/moves/plan", "{}"))
 		head, body, _ := strings.Cut(response, "\n\n")
 		if !strings.HasPrefix(head, "HTTP/1.1 409 Conflict\n") || !strings.Contains(head, "\nContent-Type: application/json\n") {
 			t.Errorf("%T: head %q", c.err, head)
--- a/internal/server/config_golden_test.go
+++ b/internal/server/config_golden_test.go
@@ -12,14 +12,14 @@
 	"woodproxy/internal/settings"
 )
 
-// placeFiles are the texts of the files that a proxy is configured by. A file whose text is empty is not named.
-type placeFiles struct {
+// configFiles are the texts of the files that a proxy is configured by. A file whose text is empty is not named.
+type configFiles struct {
 	config, peers, zones, turns, moves, missing string
 }
 
-// readPlace writes the files into a directory and reads the configuration with them. Errors are stable
+// readConfig writes the files into a directory and reads the configuration with them. Errors are stable
 // ones.
-func readPlace(t *testing.T, files placeFiles, over server.Place) (*server.Place, error) {
+func readConfig(t *testing.T, files configFiles, overrides server.Place) (*server.Place, error) {
 	t.Helper()
 	dir := t.TempDir()
 	write := func(name, text string) string {
@@ -33,34 +33,34 @@
 		}
 		return file
 	}
-	over.Peers = write("peers.toml", files.peers)
-	over.ZonesFile = write("zones.toml", files.zones)
-	over.TurnsFile = write("turns.toml", files.turns)
-	over.MovesFile = write("moves.toml", files.moves)
-	over.MissingFile = write("missing.toml", files.missing)
-	place, err := server.Read(write("config.json", files.config), over)
+	overrides.Peers = write("peers.toml", files.peers)
+	overrides.ZonesFile = write("zones.toml", files.zones)
+	overrides.TurnsFile = write("turns.toml", files.turns)
+	overrides.MovesFile = write("moves.toml", files.moves)
+	overrides.MissingFile = write("missing.toml", files.missing)
+	config, err := server.Read(write("config.json", files.config), overrides)
 	if err != nil {
 		return nil, errors.New(stableError(err, dir))
 	}
-	return place, nil
+	return config, nil
 }
 
 // formatConfig lists what was read of the configuration under the names of the file's keys. All keys of the settings
 // object are listed by the tests of the package that reads it.
-func formatConfig(place *server.Place) string {
+func formatConfig(config *server.Place) string {
 	var text strings.Builder
 	line := func(label string, value any) { fmt.Fprintf(&text, "%s = %v\n", label, value) }
-	line("name", place.Name)
-	line("listen", place.Listen)
-	line("discovery", place.Discovery)
-	line("management", place.Management)
-	line("seed", fmt.Sprintf("%016x", place.Seed))
-	line("limits.cores", place.Cores)
-	line("limits.memory_mb", place.MemoryMB)
-	line("limits.sockets", place.Sockets)
+	line("name", config.Name)
+	line("listen", config.Listen)
+	line("discovery", config.Discovery)
+	line("management", config.Management)
+	line("seed", fmt.Sprintf("%016x", config.Seed))
+	line("limits.cores", config.Cores)
+	line("limits.memory_mb", config.MemoryMB)
+	line("limits.sockets", config.Sockets)
 	known := "not stated"
-	if place.KnownEndpoints != nil {
-		known = place.KnownEndpoints.String()
+	if config.KnownEndpoints != nil {
+		known = config.KnownEndpoints.String()
 	}
 	line("known", known)
 	listSettings := func(label string, book *settings.Book) {
@@ -78,45 +78,48 @@
 		line(label+".rules.fall", fmt.Sprintf("%v ms", float64(book.Terms.Fall)/10))
 		line(label+".routes", len(book.Terms.Routes))
 	}
-	listSettings("settings", place.Book)
-	listSettings("watch", place.Watch)
-	line("peers might be told and no file of peers is named", place.Untold)
+	listSettings("settings", config.Book)
+	listSettings("watch", config.Watch)
+	line("peers might be told and no file of peers is named", config.Untold)
 	return text.String()
 }
 
 // describeConfig lists what was read of a configuration, or the error.
-func describeConfig(t *testing.T, files placeFiles, over server.Place) string {
+func describeConfig(t *testing.T, files configFiles, overrides server.Place) string {
 	t.Helper()
-	place, err := readPlace(t, files, over)
+	config, err := readConfig(t, files, overrides)
 	if err != nil {
 		return fmt.Sprintf("error: %v\n", err)
 	}
-	return formatConfig(place)
+	return formatConfig(config)
 }
 
 func TestConfigEveryKey(t *testing.T) {
 	every := readTestdata(t, "config_every_key.json")
-	describe := func(text string) string { return describeConfig(t, placeFiles{config: text}, server.Place{}) }
+	describe := func(text string) string { return describeConfig(t, configFiles{config: text}, server.Place{}) }
 	checkGolden(t, "config_every_key.golden", describe(every))
 	checkGolden(t, "config_every_key_left_out.golden", leaveOutEachKey(every, describe))
 }
 
 func TestConfigDefaults(t *testing.T) {
 	required := readTestdata(t, "config_required_keys.json")
-	checkGolden(t, "config_defaults.golden", describeConfig(t, placeFiles{config: required}, server.Place{}))
+	checkGolden(t, "config_defaults.golden", describeConfig(t, configFiles{config: required}, server.Place{}))
 }
 
 // What is given beside the file goes before what it says.
 func TestConfigOverrides(t *testing.T) {
-	files := placeFiles{config: readTestdata(t, "config_every_key.json")}
-	over := server.Place{Name: "proxy-32", Listen: "127.0.0.41:1", Discovery: "127.0.0.42:2", Management: "127.0.0.43:3"}
-	checkGolden(t, "config_overrides.golden", changedLines(describeConfig(t, files, over), describeConfig(t, files, server.Place{})))
+	files := configFiles{config: readTestdata(t, "config_every_key.json")}
+	overrides := server.Place{
+		Name: "proxy-32", Listen: "127.0.0.41:1", Discovery: "127.0.0.42:2", Management: "127.0.0.43:3",
+	}
+	base := describeConfig(t, files, server.Place{})
+	checkGolden(t, "config_overrides.golden", changedLines(describeConfig(t, files, overrides), base))
 }
 
 // What changes in the configuration when a value is null, stands twice or is not known, or a file of peers is named.
 func TestConfigVariants(t *testing.T) {
 	every := readTestdata(t, "config_every_key.json")
-	base := describeConfig(t, placeFiles{config: every}, server.Place{})
+	base := describeConfig(t, configFiles{config: every}, server.Place{})
 	var report strings.Builder
 	for _, change := range []struct{ from, to string }{
 		{`"management": "127.0.0.33:6433"`, `"management": null`},
@@ -131,10 +134,10 @@
 	} {
 		text := replaceIn(t, every, change.from, change.to)
 		fmt.Fprintf(&report, "%s instead of %s:\n%s", change.to, change.from,
-			changedLines(describeConfig(t, placeFiles{config: text}, server.Place{}), base))
+			changedLines(describeConfig(t, configFiles{config: text}, server.Place{}), base))
 	}
 	text := replaceIn(t, every, `"tick":7.3`, `"tick":7.3,"me":6`)
-	files := placeFiles{config: text, peers: readTestdata(t, "peers.toml")}
+	files := configFiles{config: text, peers: readTestdata(t, "peers.toml")}
 	fmt.Fprintf(&report, "\"me\":6 with a file of peers:\n%s", changedLines(describeConfig(t, files, server.Place{}), base))
 	checkGolden(t, "config_variants.golden", report.String())
 }
@@ -161,7 +164,7 @@
 
 func TestConfigBadInputs(t *testing.T) {
 	every := readTestdata(t, "config_every_key.json")
-	for _, c := range []struct{ from, to, want string }{
+	for _, c := range []badInput{
 		{every, "{", "configuration: config.json: not a JSON object"},
 		{every, "[]", "configuration: config.json: not a JSON object"},
 		{`"name": "proxy-31"`, `"name": ""`, "configuration: name: mistyped"},
@@ -196,8 +199,10 @@
 			"configuration: watch: setup routes: not those of the settings",
 		},
 	} {
-		_, err := readPlace(t, placeFiles{config: replaceIn(t, every, c.from, c.to)}, server.Place{})
-		expectError(t, c.to, err, c.want)
+		t.Run(c.want, func(t *testing.T) {
+			_, err := readConfig(t, configFiles{config: replaceIn(t, every, c.from, c.to)}, server.Place{})
+			expectError(t, c.to, err, c.want)
+		})
 	}
 	_, err := server.Read("", server.Place{})
 	expectError(t, "no file", err, "configuration: no file named")
--- a/internal/server/toml_golden_test.go
+++ b/internal/server/toml_golden_test.go
@@ -17,20 +17,23 @@
 
 // tomlFile is one kind of TOML file beside the configuration, for the tests that all kinds have in common.
 type tomlFile struct {
-	name     string                                                    // of the kind: testdata has name_every_key.toml, deploy has name.toml
-	files    func(t *testing.T, text string) placeFiles                // the files of a proxy that is configured by the text as well
-	describe func(place *server.Place, line func(label string, v any)) // lists what was read under the names of the file's keys
+	// name is that of the kind: testdata has name_every_key.toml, deploy has name.toml.
+	name string
+	// files returns the files of a proxy that is configured by the text as well.
+	files func(t *testing.T, text string) configFiles
+	// describe lists what was read under the names of the file's keys.
+	describe func(config *server.Place, line func(label string, v any))
 }
 
 var tomlFiles = []tomlFile{zonesTOML, turnsTOML, movesTOML, missingTOML}
 
 var zonesTOML = tomlFile{
 	name: "zones",
-	files: func(t *testing.T, text string) placeFiles {
-		return placeFiles{config: readTestdata(t, "config_for_toml_files.json"), zones: text}
+	files: func(t *testing.T, text string) configFiles {
+		return configFiles{config: readTestdata(t, "config_for_toml_files.json"), zones: text}
 	},
-	describe: func(place *server.Place, line func(label string, v any)) {
-		z := place.Zones
+	describe: func(config *server.Place, line func(label string, v any)) {
+		z := config.Zones
 		line("zone", z.Zone)
 		line("quiet_ms", zoneMilliseconds(z.Quiet))
 		line("voices", z.Voices)
@@ -53,46 +56,50 @@
 
 var turnsTOML = tomlFile{
 	name: "turns",
-	files: func(t *testing.T, text string) placeFiles {
-		return placeFiles{config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), turns: text}
+	files: func(t *testing.T, text string) configFiles {
+		return configFiles{
+			config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), turns: text,
+		}
 	},
-	describe: func(place *server.Place, line func(label string, v any)) {
+	describe: func(config *server.Place, line func(label string, v any)) {
 		milliseconds := func(span duties.Time) float64 { return float64(span) / 10 }
-		line("watchers", place.Turns.Watchers)
-		line("keepers", place.Turns.Keepers)
-		line("trials", place.Turns.Trials)
-		line("trial_ms", milliseconds(place.Turns.Rest))
-		line("turn_ms", milliseconds(place.Turns.Step))
-		line("beat_ms", milliseconds(place.Turns.Beat))
-		line("patience_ms", milliseconds(place.Turns.Patience))
-		line("name, of the configuration", place.Turns.Me)
+		line("watchers", config.Turns.Watchers)
+		line("keepers", config.Turns.Keepers)
+		line("trials", config.Turns.Trials)
+		line("trial_ms", milliseconds(config.Turns.Rest))
+		line("turn_ms", milliseconds(config.Turns.Step))
+		line("beat_ms", milliseconds(config.Turns.Beat))
+		line("patience_ms", milliseconds(config.Turns.Patience))
+		line("name, of the configuration", config.Turns.Me)
 	},
 }
 
 var movesTOML = tomlFile{
 	name: "moves",
-	files: func(t *testing.T, text string) placeFiles {
-		return placeFiles{config: readTestdata(t, "config_for_toml_files.json"), moves: text}
+	files: func(t *testing.T, text string) configFiles {
+		return configFiles{config: readTestdata(t, "config_for_toml_files.json"), moves: text}
 	},
-	describe: func(place *server.Place, line func(label string, v any)) {
-		line("slack", place.Moves.Slack)
-		line("moves_per_node", place.Moves.PerNode)
-		line("moves_in_all", place.Moves.InAll)
+	describe: func(config *server.Place, line func(label string, v any)) {
+		line("slack", config.Moves.Slack)
+		line("moves_per_node", config.Moves.PerNode)
+		line("moves_in_all", config.Moves.InAll)
 	},
 }
 
 var missingTOML = tomlFile{
 	name: "missing",
-	files: func(t *testing.T, text string) placeFiles {
-		return placeFiles{config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), missing: text}
+	files: func(t *testing.T, text string) configFiles {
+		return configFiles{
+			config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), missing: text,
+		}
 	},
-	describe: func(place *server.Place, line func(label string, v any)) {
-		line("entries", place.Missing.Entries)
-		line("believe_s", float64(place.Missing.Believe)/float64(negativecache.Second))
-		line("grace_ms", float64(place.Missing.Grace)/float64(negativecache.Second)*1000)
-		line("grow_per_s", place.Missing.Grow)
-		line("name, of the configuration", place.Missing.Me)
-		line("tenants, of the settings", place.Missing.Tenants)
+	describe: func(config *server.Place, line func(label string, v any)) {
+		line("entries", config.Missing.Entries)
+		line("believe_s", float64(config.Missing.Believe)/float64(negativecache.Second))
+		line("grace_ms", float64(config.Missing.Grace)/float64(negativecache.Second)*1000)
+		line("grow_per_s", config.Missing.Grow)
+		line("name, of the configuration", config.Missing.Me)
+		line("tenants, of the settings", config.Missing.Tenants)
 	},
 }
 
@@ -101,38 +108,42 @@
 // read lists what was read of a file with the text, or the error.
 func (f *tomlFile) read(t *testing.T, text string) string {
 	t.Helper()
-	place, err := readPlace(t, f.files(t, text), server.Place{})
+	config, err := readConfig(t, f.files(t, text), server.Place{})
 	if err != nil {
 		return fmt.Sprintf("error: %v\n", err)
 	}
 	var lines strings.Builder
-	f.describe(place, func(label string, v any) { fmt.Fprintf(&lines, "%s = %v\n", label, v) })
+	f.describe(config, func(label string, v any) { fmt.Fprintf(&lines, "%s = %v\n", label, v) })
 	return lines.String()
 }
 
 func TestTOMLFilesEveryKey(t *testing.T) {
 	for _, f := range tomlFiles {
-		every := readTestdata(t, f.name+"_every_key.toml")
-		checkGolden(t, f.name+"_every_key.golden", f.read(t, every))
-		checkGolden(t, f.name+"_every_key_left_out.golden",
-			leaveOutEachLine(every, func(text string) string { return f.read(t, text) }))
+		t.Run(f.name, func(t *testing.T) {
+			every := readTestdata(t, f.name+"_every_key.toml")
+			checkGolden(t, f.name+"_every_key.golden", f.read(t, every))
+			checkGolden(t, f.name+"_every_key_left_out.golden",
+				leaveOutEachLine(every, func(text string) string { return f.read(t, text) }))
+		})
 	}
 }
 
 func TestTOMLFilesDefaults(t *testing.T) {
 	for _, f := range tomlFiles {
-		checkGolden(t, f.name+"_defaults.golden", f.read(t, noKeys))
+		t.Run(f.name, func(t *testing.T) { checkGolden(t, f.name+"_defaults.golden", f.read(t, noKeys)) })
 	}
 }
 
 // The files in deploy are what operators copy.
 func TestTOMLFilesDeployed(t *testing.T) {
 	for _, f := range tomlFiles {
-		text, err := os.ReadFile("../../deploy/" + f.name + ".toml")
-		if err != nil {
-			t.Fatal(err)
-		}
-		checkGolden(t, f.name+"_deployed.golden", f.read(t, string(text)))
+		t.Run(f.name, func(t *testing.T) {
+			text, err := os.ReadFile("../../deploy/" + f.name + ".toml")
+			if err != nil {
+				t.Fatal(err)
+			}
+			checkGolden(t, f.name+"_deployed.golden", f.read(t, string(text)))
+		})
 	}
 }
 
@@ -140,12 +151,12 @@
 func TestZonesFileLocality(t *testing.T) {
 	files := zonesTOML.files(t, readTestdata(t, "zones_every_key.toml"))
 	files.config = replaceIn(t, files.config, `"tick":5`, `"tick":5,"locality":"north"`)
-	place, err := readPlace(t, files, server.Place{})
+	config, err := readConfig(t, files, server.Place{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if place.Zones.Zone != "north" || place.Zone() != "north" {
-		t.Errorf("zones %q and %q, want north", place.Zones.Zone, place.Zone())
+	if config.Zones.Zone != "north" || config.Zone() != "north" {
+		t.Errorf("zones %q and %q, want north", config.Zones.Zone, config.Zone())
 	}
 }
 
@@ -156,8 +167,10 @@
 	t.Helper()
 	every := readTestdata(t, f.name+"_every_key.toml")
 	for _, c := range cases {
-		_, err := readPlace(t, f.files(t, replaceIn(t, every, c.from, c.to)), server.Place{})
-		expectError(t, f.name+": "+c.to, err, c.want)
+		t.Run(c.want, func(t *testing.T) {
+			_, err := readConfig(t, f.files(t, replaceIn(t, every, c.from, c.to)), server.Place{})
+			expectError(t, f.name+": "+c.to, err, c.want)
+		})
 	}
 }
 
@@ -165,24 +178,45 @@
 	west := "[[region]]\nname = \"coast\"\nzones = [\"south\", \"west\"]\n"
 	zonesTOML.expectErrors(t, []badInput{
 		{`voices = 0.37`, `voice = 0.37`, "zones: zones.toml: line 4: voice: unknown"},
-		{`voices = 0.37`, "voices = 0.37\nvoices = 0.38", "zones: zones.toml: line 5: voices: toml: key voices is already defined"},
-		{`voices = 0.37`, `voices = "0.37"`, "zones: zones.toml: line 4: voices: toml: cannot decode TOML string into struct field FIELD of type float64"},
+		{
+			`voices = 0.37`, "voices = 0.37\nvoices = 0.38",
+			"zones: zones.toml: line 5: voices: toml: key voices is already defined",
+		},
+		{
+			`voices = 0.37`, `voices = "0.37"`,
+			"zones: zones.toml: line 4: voices: toml: cannot decode TOML string into struct field FIELD of type float64",
+		},
 		{`voices = 0.37`, `voices = 1.01`, "zones: zones.toml: voices: 1.01: not from 0.01 to 1"},
 		{`quiet_ms = 333.3`, `quiet_ms = 49`, "zones: zones.toml: quiet_ms: 49: not from 50 to 60000"},
 		{`settle_ms = 123.4`, `settle_ms = -1`, "zones: zones.toml: settle_ms: -1: not from 0 to 60000"},
 		{`hold_ms = 4567.8`, `hold_ms = 99`, "zones: zones.toml: hold_ms: 99: not from 100 to 3.6e+06"},
-		{`most_hold_ms = 98765.4`, `most_hold_ms = 4567.7`, "zones: zones.toml: most_hold_ms: 4567.7: not from 4567.8 to 3.6e+06"},
+		{
+			`most_hold_ms = 98765.4`, `most_hold_ms = 4567.7`,
+			"zones: zones.toml: most_hold_ms: 4567.7: not from 4567.8 to 3.6e+06",
+		},
 		{`step_ms = 1313.1`, `step_ms = 99`, "zones: zones.toml: step_ms: 99: not from 100 to 3.6e+06"},
-		{`alone = false`, `alone = 0`, "zones: zones.toml: line 9: alone: toml: cannot decode TOML integer into struct field FIELD of type bool"},
-		{`together = false`, `together = "no"`, "zones: zones.toml: line 10: together: toml: cannot decode TOML string into struct field FIELD of type bool"},
+		{
+			`alone = false`, `alone = 0`,
+			"zones: zones.toml: line 9: alone: toml: cannot decode TOML integer into struct field FIELD of type bool",
+		},
+		{
+			`together = false`, `together = "no"`,
+			"zones: zones.toml: line 10: together: toml: cannot decode TOML string into struct field FIELD of type bool",
+		},
 		{`zone = "south"`, `zone = "east"`, `zones: zones.toml: zone: "east": none of those that nodes may have`},
 		{`"north", "south", "west"`, `"north", "south", "east"`, `zones: zones.toml: zones: "east": none of the settings'`},
-		{`"north", "south", "west"`, `"north", "south", "north"`, `zones: zones.toml: zones: "north": missing, too long or doubled`},
+		{
+			`"north", "south", "west"`, `"north", "south", "north"`,
+			`zones: zones.toml: zones: "north": missing, too long or doubled`,
+		},
 		{`"north", "south", "west"`, `"north", "south"`, `zones: zones.toml: region[0].zones: "west": no node may have it`},
 		{`"coast"`, `""`, `zones: zones.toml: region[0].name: "": missing, doubled or a zone's`},
 		{`"coast"`, `"north"`, `zones: zones.toml: region[0].name: "north": missing, doubled or a zone's`},
 		{west, west + west, `zones: zones.toml: region[1].name: "coast": missing, doubled or a zone's`},
-		{west, west + strings.Replace(west, "coast", "shore", 1), `zones: zones.toml: region[1].zones: "south": is in coast already`},
+		{
+			west, west + strings.Replace(west,
+				"coast", "shore", 1), `zones: zones.toml: region[1].zones: "south": is in coast already`,
+		},
 		{`["south", "west"]`, `["south"]`, `zones: zones.toml: region[0].zones: coast: fewer than two`},
 		{`name = "coast"`, `title = "coast"`, "zones: zones.toml: line 13: region.title: unknown"},
 	})
@@ -192,12 +226,21 @@
 	const advice = "; give it a figure within, or leave the line out for the usual one"
 	turnsTOML.expectErrors(t, []badInput{
 		{`watchers = 5`, `watcher = 5`, "turns: turns.toml: line 1: watcher: unknown"},
-		{`watchers = 5`, `watchers = 5.5`, "turns: turns.toml: line 1: watchers: toml: cannot decode TOML float into struct field FIELD of type int"},
+		{
+			`watchers = 5`, `watchers = 5.5`,
+			"turns: turns.toml: line 1: watchers: toml: cannot decode TOML float into struct field FIELD of type int",
+		},
 		{`watchers = 5`, `watchers = 65`, "turns: turns.toml: watchers: 65: not from 0 to 64" + advice},
 		{`watchers = 5`, `watchers = 1`, "turns: turns.toml: watchers: 1: not from 2 to 64" + advice},
 		{`keepers = 3`, `keepers = -1`, "turns: turns.toml: keepers: -1: not from 0 to 64" + advice},
-		{`keepers = 3`, "keepers = 3\nkeepers = 4", "turns: turns.toml: line 3: keepers: toml: key keepers is already defined"},
-		{`trials = false`, `trials = 0`, "turns: turns.toml: line 3: trials: toml: cannot decode TOML integer into struct field FIELD of type bool"},
+		{
+			`keepers = 3`, "keepers = 3\nkeepers = 4",
+			"turns: turns.toml: line 3: keepers: toml: key keepers is already defined",
+		},
+		{
+			`trials = false`, `trials = 0`,
+			"turns: turns.toml: line 3: trials: toml: cannot decode TOML integer into struct field FIELD of type bool",
+		},
 		{`trial_ms = 333.3`, `trial_ms = 49`, "turns: turns.toml: trial_ms: 49: not from 50 to 60000" + advice},
 		{`turn_ms = 77.7`, `turn_ms = 19.9`, "turns: turns.toml: turn_ms: 19.9: not from 20 to 10000" + advice},
 		{`beat_ms = 555.5`, `beat_ms = 2001`, "turns: turns.toml: beat_ms: 2001: not from 100 to 2000" + advice},
@@ -209,7 +252,7 @@
 	})
 	files := turnsTOML.files(t, noKeys)
 	files.peers = ""
-	_, err := readPlace(t, files, server.Place{})
+	_, err := readConfig(t, files, server.Place{})
 	expectError(t, "turns without peers", err,
 		"turns: turns.toml: proxies do not talk; name a file of peers as well (--peers FILE), or leave the file of turns out")
 }
@@ -218,11 +261,17 @@
 	const advice = "; give it a figure within, or leave the line out for the usual one"
 	movesTOML.expectErrors(t, []badInput{
 		{`slack = 0.37`, `room = 0.37`, "moves: moves.toml: line 1: room: unknown"},
-		{`slack = 0.37`, `slack = "0.37"`, "moves: moves.toml: line 1: slack: toml: cannot decode TOML string into struct field FIELD of type float64"},
+		{
+			`slack = 0.37`, `slack = "0.37"`,
+			"moves: moves.toml: line 1: slack: toml: cannot decode TOML string into struct field FIELD of type float64",
+		},
 		{`slack = 0.37`, `slack = 1.01`, "moves: moves.toml: slack: 1.01: not from 0 to 1" + advice},
 		{`moves_per_node = 5`, `moves_per_node = 0`, "moves: moves.toml: moves_per_node: 0: not from 1 to 64" + advice},
 		{`moves_in_all = 77`, `moves_in_all = 1025`, "moves: moves.toml: moves_in_all: 1025: not from 1 to 1024" + advice},
-		{`moves_in_all = 77`, "moves_in_all = 77\nmoves_in_all = 78", "moves: moves.toml: line 4: moves_in_all: toml: key moves_in_all is already defined"},
+		{
+			`moves_in_all = 77`, "moves_in_all = 77\nmoves_in_all = 78",
+			"moves: moves.toml: line 4: moves_in_all: toml: key moves_in_all is already defined",
+		},
 	})
 }
 
@@ -231,16 +280,25 @@
 	missingTOML.expectErrors(t, []badInput{
 		{`entries = 4321`, `entry = 4321`, "missing: missing.toml: line 1: entry: unknown"},
 		{`entries = 4321`, `entries = 0`, "missing: missing.toml: entries: 0: not from 1 to 4.194304e+06" + advice},
-		{`entries = 4321`, `entries = "4321"`, "missing: missing.toml: line 1: entries: toml: cannot decode TOML string into struct field FIELD of type int"},
-		{`entries = 4321`, "entries = 4321\nentries = 4322", "missing: missing.toml: line 2: entries: toml: key entries is already defined"},
+		{
+			`entries = 4321`, `entries = "4321"`,
+			"missing: missing.toml: line 1: entries: toml: cannot decode TOML string into struct field FIELD of type int",
+		},
+		{
+			`entries = 4321`, "entries = 4321\nentries = 4322",
+			"missing: missing.toml: line 2: entries: toml: key entries is already defined",
+		},
 		{`believe_s = 17.25`, `believe_s = 0.4`, "missing: missing.toml: believe_s: 0.4: not from 0.5 to 600" + advice},
 		{`believe_s = 17.25`, `believe_s = 2.4`, "missing: missing.toml: believe_s: 2.4: not from 2.469 to 600" + advice},
 		{`grace_ms = 1234.5`, `grace_ms = 99`, "missing: missing.toml: grace_ms: 99: not from 100 to 60000" + advice},
-		{`grow_per_s = 777`, `grow_per_s = 1000001`, "missing: missing.toml: grow_per_s: 1.000001e+06: not from 1 to 1e+06" + advice},
+		{
+			`grow_per_s = 777`, `grow_per_s = 1000001`,
+			"missing: missing.toml: grow_per_s: 1.000001e+06: not from 1 to 1e+06" + advice,
+		},
 	})
 	files := missingTOML.files(t, noKeys)
 	files.peers = ""
-	_, err := readPlace(t, files, server.Place{})
+	_, err := readConfig(t, files, server.Place{})
 	expectError(t, "missing keys without peers", err, "missing: missing.toml: 7 proxies may write, and they do not talk; "+
 		"name a file of peers as well (--peers FILE), or leave the file of missing keys out")
 }
@@ -249,10 +307,13 @@
 func TestPeersFileOfConfigBadInputs(t *testing.T) {
 	config, peers := readTestdata(t, "config_every_key.json"), readTestdata(t, "peers.toml")
 	for _, address := range []string{"127.0.0.31:6431", "127.0.0.32:6432", "127.0.0.33:6433"} {
-		_, err := readPlace(t, placeFiles{config: config, peers: replaceIn(t, peers, "127.0.0.3:7001", address)}, server.Place{})
-		expectError(t, address, err, `peers: peers.toml: listen: the address of another listener: "`+address+`"`)
+		t.Run(address, func(t *testing.T) {
+			files := configFiles{config: config, peers: replaceIn(t, peers, "127.0.0.3:7001", address)}
+			_, err := readConfig(t, files, server.Place{})
+			expectError(t, address, err, `peers: peers.toml: listen: the address of another listener: "`+address+`"`)
+		})
 	}
-	_, err := readPlace(t, placeFiles{config: config, peers: replaceIn(t, peers, "cluster", "fleet")}, server.Place{})
+	_, err := readConfig(t, configFiles{config: config, peers: replaceIn(t, peers, "cluster", "fleet")}, server.Place{})
 	expectError(t, "unknown key", err, "peers: peers.toml: line 1: fleet: unknown")
 }
 
@@ -260,8 +321,8 @@
 func TestTOMLFilesAbsent(t *testing.T) {
 	const config, absent = "testdata/config_for_toml_files.json", "testdata/absent.toml"
 	for _, c := range []struct {
-		name string
-		over server.Place
+		name      string
+		overrides server.Place
 	}{
 		{"peers", server.Place{Peers: absent}},
 		{"zones", server.Place{ZonesFile: absent}},
@@ -269,10 +330,12 @@
 		{"moves", server.Place{MovesFile: absent}},
 		{"missing", server.Place{MissingFile: absent, Peers: "testdata/peers.toml"}},
 	} {
-		_, err := server.Read(config, c.over)
-		expectError(t, c.name, err, c.name+": open testdata/absent.toml: no such file or directory")
-		if !errors.Is(err, os.ErrNotExist) {
-			t.Errorf("%s: not an error of a file that does not exist", c.name)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			_, err := server.Read(config, c.overrides)
+			expectError(t, c.name, err, c.name+": open testdata/absent.toml: no such file or directory")
+			if !errors.Is(err, os.ErrNotExist) {
+				t.Errorf("%s: not an error of a file that does not exist", c.name)
+			}
+		})
 	}
 }
