--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -17,7 +17,7 @@
 // adminService answers the calls of the admin API (admin.Service). Its methods may be called from any goroutine.
 type adminService struct {
 	clientListener *proxy.Door
-	gossip         *gossipLink
+	gossip         *gossipAdapter
 	counters       *proxy.Counters
 	recovery       *recoveryTracker // nil: the process goes through no stages of recovery
 	planner        *migrationPlanner
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -8,9 +8,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// dutiesLink exchanges what the duties module says with the other proxies. Its receiving methods accept a nil link and
-// do nothing then.
-type dutiesLink struct {
+// dutiesAdapter exchanges the messages of the duties module with the other proxies. Its receiving methods accept a nil
+// adapter and do nothing then.
+type dutiesAdapter struct {
 	sender *gossipSender
 	actor  *proxy.Duties
 }
@@ -19,12 +19,12 @@
 var dutyRowKinds = [...]replica.Kind{duties.Trial: replica.Trial, duties.Beat: replica.Beat}
 
 // publish sends a message of this proxy.
-func (d *dutiesLink) publish(kind duties.Kind, key string, message duties.Said, ttl duties.Time) {
+func (d *dutiesAdapter) publish(kind duties.Kind, key string, message duties.Said, ttl duties.Time) {
 	d.sender.publish(dutyRowKinds[kind], key, replica.Time(ttl), &message)
 }
 
 // receive passes on a message of another proxy; one that can't be decoded is dropped.
-func (d *dutiesLink) receive(row *replica.Row) {
+func (d *dutiesAdapter) receive(row *replica.Row) {
 	var message duties.Said
 	if d == nil || msgpack.Unmarshal(row.Body, &message) != nil {
 		return
@@ -37,7 +37,7 @@
 }
 
 // updateMembers passes on the members of the fleet.
-func (d *dutiesLink) updateMembers(members []replica.Member, catchingUp bool) {
+func (d *dutiesAdapter) updateMembers(members []replica.Member, catchingUp bool) {
 	if d == nil {
 		return
 	}
--- a/internal/server/gossip.go
+++ b/internal/server/gossip.go
@@ -50,10 +50,10 @@
 	return nil
 }
 
-// gossipLink connects the parts of the proxy to gossip: it passes on what the talker receives (gossip.Proxy) and sends
-// endpoint list changes and health observations. It exists where gossip is not configured as well, and does nothing
+// gossipAdapter connects the parts of the proxy to gossip: it passes on what the talker receives (gossip.Proxy) and
+// sends endpoint list changes and health observations. It exists where gossip is not configured as well, and does nothing
 // then.
-type gossipLink struct {
+type gossipAdapter struct {
 	sender    *gossipSender
 	config    *Place
 	router    *proxy.Router
@@ -61,15 +61,15 @@
 	counters  *proxy.Counters
 	log       *zap.Logger
 
-	zoneHealth    *zoneHealthLink    // nil: zones are not evacuated
-	duties        *dutiesLink        // nil: each proxy performs all duties itself
-	negativeCache *negativeCacheLink // nil: there is no negative cache
+	zoneHealth    *zoneHealthAdapter    // nil: zones are not evacuated
+	duties        *dutiesAdapter        // nil: each proxy performs all duties itself
+	negativeCache *negativeCacheAdapter // nil: there is no negative cache
 
 	listVersion atomic.Int64 // of the endpoint list that discovery sent last
 }
 
 // start binds the gossip address and begins to talk, where a gossip file is named.
-func (g *gossipLink) start() error {
+func (g *gossipAdapter) start() error {
 	config := g.config
 	if config.Talk == nil {
 		return nil
@@ -89,7 +89,7 @@
 }
 
 // stop leaves the fleet. Where a successor carries on under the same name, the others are not told of a departure.
-func (g *gossipLink) stop(hasSuccessor bool) {
+func (g *gossipAdapter) stop(hasSuccessor bool) {
 	if talker := g.sender.talker.Load(); talker != nil {
 		talker.Yield(hasSuccessor)
 		talker.Close()
@@ -97,7 +97,7 @@
 }
 
 // publishEndpoints sends what discovery told of the endpoint list: all of it, or changes.
-func (g *gossipLink) publishEndpoints(version int64, complete bool, targets []wire.Target) {
+func (g *gossipAdapter) publishEndpoints(version int64, complete bool, targets []wire.Target) {
 	g.listVersion.Store(version)
 	if talker := g.sender.talker.Load(); talker != nil {
 		talker.Listed(version, complete, targets)
@@ -105,32 +105,32 @@
 }
 
 // publishObservation tells that a node fell silent here, or answers again.
-func (g *gossipLink) publishObservation(node string, answers bool) {
+func (g *gossipAdapter) publishObservation(node string, answers bool) {
 	if talker := g.sender.talker.Load(); talker != nil {
 		talker.Tell(node, answers)
 	}
 }
 
 // catchingUp tells whether rows of the other proxies are still being fetched.
-func (g *gossipLink) catchingUp() bool {
+func (g *gossipAdapter) catchingUp() bool {
 	status := g.sender.status()
 	return status != nil && status.Behind
 }
 
 // Hear passes on an endpoint that a peer's discovery sent.
-func (g *gossipLink) Hear(index int64, target wire.Target) { g.endpoints.Hear(index, target) }
+func (g *gossipAdapter) Hear(index int64, target wire.Target) { g.endpoints.Hear(index, target) }
 
 // Heard passes on that a peer found a node silent, or answering.
-func (g *gossipLink) Heard(node string, answers bool) { g.router.Heard(node, answers) }
+func (g *gossipAdapter) Heard(node string, answers bool) { g.router.Heard(node, answers) }
 
 // Share passes on this proxy's part of the fleet's quota, from 0 to 1.
-func (g *gossipLink) Share(part float64) { g.router.Share(part) }
+func (g *gossipAdapter) Share(part float64) { g.router.Share(part) }
 
 // Demand returns the number of requests since the start.
-func (g *gossipLink) Demand() int64 { return g.counters.Exchanges.Load() }
+func (g *gossipAdapter) Demand() int64 { return g.counters.Exchanges.Load() }
 
 // Writes returns the number of write notices sent since the start, which heartbeats carry.
-func (g *gossipLink) Writes() int64 {
+func (g *gossipAdapter) Writes() int64 {
 	if g.negativeCache == nil {
 		return 0
 	}
@@ -138,7 +138,7 @@
 }
 
 // Row passes a peer's row to the part that its kind belongs to.
-func (g *gossipLink) Row(row *replica.Row) {
+func (g *gossipAdapter) Row(row *replica.Row) {
 	switch row.Kind {
 	case replica.Voice:
 		g.zoneHealth.receiveReport(row)
@@ -152,7 +152,7 @@
 }
 
 // Fleet passes on the members of the fleet, this proxy included, and whether it still catches up with them.
-func (g *gossipLink) Fleet(members []replica.Member, catchingUp bool) {
+func (g *gossipAdapter) Fleet(members []replica.Member, catchingUp bool) {
 	g.duties.updateMembers(members, catchingUp)
 	g.negativeCache.updateMembers(members, catchingUp)
 	g.zoneHealth.updateMembers(members, catchingUp)
@@ -183,7 +183,7 @@
 }
 
 // statusText returns the answer to GET /control/peers; empty if gossip does not run.
-func (g *gossipLink) statusText() string {
+func (g *gossipAdapter) statusText() string {
 	talker := g.sender.talker.Load()
 	if talker == nil {
 		return ""
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -30,7 +30,7 @@
 // metricsCollector collects the proxy's counters and the figures of its modules at each scrape.
 type metricsCollector struct {
 	counters *proxy.Counters
-	gossip   *gossipLink
+	gossip   *gossipAdapter
 	recovery *recoveryTracker
 }
 
--- a/internal/server/negativecache.go
+++ b/internal/server/negativecache.go
@@ -10,9 +10,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// negativeCacheLink exchanges write notices and misses at the origin with the other proxies. Its receiving methods
-// accept a nil link and do nothing then.
-type negativeCacheLink struct {
+// negativeCacheAdapter exchanges write notices and misses at the origin with the other proxies. Its receiving methods
+// accept a nil adapter and do nothing then.
+type negativeCacheAdapter struct {
 	sender  *gossipSender
 	ttl     replica.Time // of published rows
 	proxies int          // of the fleet, as the settings state it
@@ -20,7 +20,7 @@
 }
 
 // publish sends which keys this proxy wrote, or which the origin lacks.
-func (n *negativeCacheLink) publish(decision *negativecache.Decision) {
+func (n *negativeCacheAdapter) publish(decision *negativecache.Decision) {
 	kind := replica.Wrote
 	if decision.Act == negativecache.SayAbsent {
 		kind = replica.Absent
@@ -29,7 +29,7 @@
 }
 
 // receive passes on a row of another proxy; one that can't be decoded is dropped.
-func (n *negativeCacheLink) receive(row *replica.Row) {
+func (n *negativeCacheAdapter) receive(row *replica.Row) {
 	var message negativecache.Word
 	if n == nil || msgpack.Unmarshal(row.Body, &message) != nil {
 		return
@@ -42,7 +42,7 @@
 }
 
 // updateMembers passes on the proxies that may write.
-func (n *negativeCacheLink) updateMembers(members []replica.Member, catchingUp bool) {
+func (n *negativeCacheAdapter) updateMembers(members []replica.Member, catchingUp bool) {
 	if n == nil {
 		return
 	}
--- a/internal/server/policyfile.go
+++ b/internal/server/policyfile.go
@@ -30,9 +30,9 @@
 
 // shortestObjective returns the shortest latency objective of all routes, in tenths of a millisecond. T is the time
 // type of the module that asks.
-func shortestObjective[T ~int64](book *settings.Book) T {
+func shortestObjective[T ~int64](proxySettings *settings.Book) T {
 	shortest := T(maxObjectiveTenths)
-	for _, route := range book.Terms.Routes {
+	for _, route := range proxySettings.Terms.Routes {
 		shortest = min(shortest, T(route.Objective))
 	}
 	return shortest
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -15,7 +15,7 @@
 
 // recoveryTracker follows the stages of recovery after the start, and has the state stored meanwhile and from then on.
 type recoveryTracker struct {
-	gossip    *gossipLink
+	gossip    *gossipAdapter
 	endpoints *proxy.List
 	counters  *proxy.Counters
 	log       *zap.Logger
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -19,7 +19,7 @@
 type snapshotWriter struct {
 	store     *snapshot.Store // nil: no state is stored
 	config    *Place
-	gossip    *gossipLink
+	gossip    *gossipAdapter
 	router    *proxy.Router
 	endpoints *proxy.List
 	log       *zap.Logger
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -29,7 +29,7 @@
 	counters       *proxy.Counters
 	router         *proxy.Router
 	endpoints      *proxy.List
-	gossip         *gossipLink
+	gossip         *gossipAdapter
 	clientListener *proxy.Door
 	admin          *adminService
 	adminServer    *admin.Server    // nil: there is no admin API
@@ -141,11 +141,11 @@
 	return nil
 }
 
-// buildGossip makes the link to the other proxies, and the modules that use it. The actors of the negative cache and
-// the duties have no stop: they run for as long as the process does.
+// buildGossip makes the connection to the other proxies, and the modules that use it. The actors of the negative cache
+// and the duties have no stop: they run for as long as the process does.
 func (s *server) buildGossip() {
 	config, sender := s.config, &gossipSender{}
-	s.gossip = &gossipLink{
+	s.gossip = &gossipAdapter{
 		sender: sender, config: config, router: s.router, endpoints: s.endpoints, counters: s.counters, log: s.log,
 	}
 	if config.Talk != nil {
@@ -153,27 +153,27 @@
 		s.router.Tells(s.gossip.publishObservation)
 	}
 	if config.Missing != nil {
-		link := &negativeCacheLink{sender: sender, ttl: replica.Time(config.Missing.Believe), proxies: config.proxies()}
-		publish := link.publish
+		adapter := &negativeCacheAdapter{sender: sender, ttl: replica.Time(config.Missing.Believe), proxies: config.proxies()}
+		publish := adapter.publish
 		if config.Talk == nil {
 			publish = nil
 		}
-		link.actor = proxy.NewAbsent(*config.Missing, s.router, publish, s.log)
-		s.gossip.negativeCache = link
-		go link.actor.Run()
+		adapter.actor = proxy.NewAbsent(*config.Missing, s.router, publish, s.log)
+		s.gossip.negativeCache = adapter
+		go adapter.actor.Run()
 	}
 	if config.Turns != nil {
-		link := &dutiesLink{sender: sender}
-		link.actor = proxy.NewDuties(*config.Turns, s.router, s.endpoints, link.publish, s.log)
-		s.gossip.duties = link
-		go link.actor.Run()
+		adapter := &dutiesAdapter{sender: sender}
+		adapter.actor = proxy.NewDuties(*config.Turns, s.router, s.endpoints, adapter.publish, s.log)
+		s.gossip.duties = adapter
+		go adapter.actor.Run()
 	}
 	if config.Zones != nil {
-		link := &zoneHealthLink{
+		adapter := &zoneHealthAdapter{
 			sender: sender, router: s.router, config: config.Zones, proxyName: config.Name, log: s.log,
 		}
-		s.gossip.zoneHealth = link
-		s.router.Zones(*config.Zones, link.publishReport)
+		s.gossip.zoneHealth = adapter
+		s.router.Zones(*config.Zones, adapter.publishReport)
 	}
 }
 
--- a/internal/server/zonehealth.go
+++ b/internal/server/zonehealth.go
@@ -25,9 +25,9 @@
 
 var errZoneHealthOff = errors.New("zones are not judged: no file of zones is named")
 
-// zoneHealthLink exchanges reports on zones and operators' overrides with the other proxies, and answers operators'
-// calls on zones. Its receiving methods accept a nil link and do nothing then.
-type zoneHealthLink struct {
+// zoneHealthAdapter exchanges reports on zones and operators' overrides with the other proxies, and answers operators'
+// calls on zones. Its receiving methods accept a nil adapter and do nothing then.
+type zoneHealthAdapter struct {
 	sender    *gossipSender
 	router    *proxy.Router
 	config    *zonehealth.Terms
@@ -36,15 +36,15 @@
 }
 
 // publishReport sends what this proxy reports on a zone.
-func (z *zoneHealthLink) publishReport(zone string, report zonehealth.Voice, ttl zonehealth.Time) {
+func (z *zoneHealthAdapter) publishReport(zone string, report zonehealth.Voice, ttl zonehealth.Time) {
 	z.sender.publish(replica.Voice, zone, replica.Time(ttl), &report)
 }
 
 // cooperates tells whether zones are judged with the other proxies.
-func (z *zoneHealthLink) cooperates() bool { return z != nil && !z.config.Apart }
+func (z *zoneHealthAdapter) cooperates() bool { return z != nil && !z.config.Apart }
 
 // receiveReport passes on another proxy's report; one that can't be decoded is dropped.
-func (z *zoneHealthLink) receiveReport(row *replica.Row) {
+func (z *zoneHealthAdapter) receiveReport(row *replica.Row) {
 	var report zonehealth.Voice
 	if !z.cooperates() || msgpack.Unmarshal(row.Body, &report) != nil {
 		return
@@ -53,7 +53,7 @@
 }
 
 // receiveOverride passes on an override that another proxy took from an operator.
-func (z *zoneHealthLink) receiveOverride(row *replica.Row) {
+func (z *zoneHealthAdapter) receiveOverride(row *replica.Row) {
 	if z == nil {
 		return
 	}
@@ -67,7 +67,7 @@
 }
 
 // updateMembers passes on the members of the fleet.
-func (z *zoneHealthLink) updateMembers(members []replica.Member, catchingUp bool) {
+func (z *zoneHealthAdapter) updateMembers(members []replica.Member, catchingUp bool) {
 	if !z.cooperates() {
 		return
 	}
@@ -84,7 +84,7 @@
 // override applies an operator's order to a zone, or to each zone of a region, and replicates it. The epoch is that of
 // the override to replace; below zero: whichever is in force. It returns the lines for the operator; an error says why
 // nothing has changed.
-func (z *zoneHealthLink) override(name, want string, epoch int64, force bool) (string, error) {
+func (z *zoneHealthAdapter) override(name, want string, epoch int64, force bool) (string, error) {
 	if z == nil {
 		return "", errZoneHealthOff
 	}
@@ -127,7 +127,7 @@
 }
 
 // statusText returns the answer to GET /control/zones; empty if zones are not judged.
-func (z *zoneHealthLink) statusText() string {
+func (z *zoneHealthAdapter) statusText() string {
 	if z == nil {
 		return ""
 	}
--- a/internal/server/zonehealthfile.go
+++ b/internal/server/zonehealthfile.go
@@ -44,7 +44,7 @@
 }
 
 // readZoneHealthFile reads the zone health file of the proxy of that name.
-func readZoneHealthFile(file, name string, book *settings.Book) (*zonehealth.Terms, error) {
+func readZoneHealthFile(file, name string, proxySettings *settings.Book) (*zonehealth.Terms, error) {
 	values := &zoneHealthFile{
 		ReportFraction: 0.2,
 		ConfirmationMS: 200,
@@ -56,7 +56,7 @@
 	}
 	var terms *zonehealth.Terms
 	err := readPolicyFile("zones", file, values, func() (err error) {
-		terms, err = values.terms(name, book)
+		terms, err = values.terms(name, proxySettings)
 		return err
 	})
 	if err != nil {
@@ -66,19 +66,19 @@
 }
 
 // terms checks the values, which may set a default that depends on the settings, and converts them.
-func (f *zoneHealthFile) terms(name string, book *settings.Book) (*zonehealth.Terms, error) {
-	shortest := shortestObjective[zonehealth.Time](book)
+func (f *zoneHealthFile) terms(name string, proxySettings *settings.Book) (*zonehealth.Terms, error) {
+	shortest := shortestObjective[zonehealth.Time](proxySettings)
 	if f.QuietMS == 0 {
 		f.QuietMS = max(float64(shortest)/10*quietFraction, minQuietMS)
 	}
 	if err := f.checkRanges(); err != nil {
 		return nil, err
 	}
-	allowed, err := f.allowedZones(book)
+	allowed, err := f.allowedZones(proxySettings)
 	if err != nil {
 		return nil, err
 	}
-	zone := book.Locality
+	zone := proxySettings.Locality
 	if zone == "" {
 		zone = f.Zone
 	}
@@ -100,8 +100,8 @@
 		Hold:     tenths[zonehealth.Time](f.HoldDownMS),
 		MostHold: tenths[zonehealth.Time](f.MaxHoldDownMS),
 		Step:     tenths[zonehealth.Time](f.RampStepMS),
-		Cold:     zonehealth.Time(book.Terms.Cold),
-		ColdFrom: book.Terms.ColdFrom,
+		Cold:     zonehealth.Time(proxySettings.Terms.Cold),
+		ColdFrom: proxySettings.Terms.ColdFrom,
 		Alone:    f.Standalone,
 		Apart:    !f.Cooperative,
 	}, nil
@@ -128,17 +128,17 @@
 }
 
 // allowedZones returns the zones that nodes may have, empty if any: those of the file, or else of the settings.
-func (f *zoneHealthFile) allowedZones(book *settings.Book) ([]string, error) {
+func (f *zoneHealthFile) allowedZones(proxySettings *settings.Book) ([]string, error) {
 	if len(f.Zones) == 0 {
 		var allowed []string
-		for zone := range book.Zones {
+		for zone := range proxySettings.Zones {
 			allowed = append(allowed, zone)
 		}
 		return allowed, nil
 	}
-	if len(book.Zones) > 0 {
+	if len(proxySettings.Zones) > 0 {
 		for _, zone := range f.Zones {
-			if _, ok := book.Zones[zone]; !ok {
+			if _, ok := proxySettings.Zones[zone]; !ok {
 				return nil, fmt.Errorf("zones: %q: none of the settings'", zone)
 			}
 		}
