--- a/internal/server/api_golden_test.go
+++ b/internal/server/api_golden_test.go
@@ -218,7 +218,8 @@
 		c := &apiCases[i]
 		addr := startAdminServer(t, &c.service)
 		response := roundTrip(t, addr, apiRequest(c.method, c.target, c.body))
-		fmt.Fprintf(&all, "=== %s\n%s %s (body of %d bytes)\n--- response\n%s\n", c.name, c.method, c.target, len(c.body), response)
+		fmt.Fprintf(&all, "=== %s\n%s %s (body of %d bytes)\n--- response\n%s\n",
+			c.name, c.method, c.target, len(c.body), response)
 	}
 	addr := startAdminServer(t, &fixedService{})
 	fmt.Fprintf(&all, "=== malformed head\n--- response\n%s\n", roundTrip(t, addr, "\x00\x01 what\r\n\r\n"))
@@ -299,7 +300,8 @@
 		addr := startAdminServer(t, &fixedService{planErr: c.err})
 		response := roundTrip(t, addr, apiRequest("POST", "/control/moves/plan", "{}"))
 		head, body, _ := strings.Cut(response, "\n\n")
-		if !strings.HasPrefix(head, "HTTP/1.1 409 Conflict\n") || !strings.Contains(head, "\nContent-Type: application/json\n") {
+		isConflict := strings.HasPrefix(head, "HTTP/1.1 409 Conflict\n")
+		if !isConflict || !strings.Contains(head, "\nContent-Type: application/json\n") {
 			t.Errorf("%T: head %q", c.err, head)
 		}
 		if body != c.want+"\n" {
--- a/internal/server/config_test.go
+++ b/internal/server/config_test.go
@@ -12,8 +12,8 @@
 )
 
 // exampleConfig is a configuration that is good, with a key that nothing reads.
-const exampleConfig = `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","limits":{"cores":1.5},` +
-	`"settings":` + settingsJSON + `,"new":1}`
+const exampleConfig = `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f",` +
+	`"limits":{"cores":1.5},"settings":` + settingsJSON + `,"new":1}`
 
 // badValue is a change of a text and a part of the error that it leads to.
 type badValue struct{ from, to, want string }
--- a/internal/server/gossip.go
+++ b/internal/server/gossip.go
@@ -51,8 +51,8 @@
 }
 
 // gossipAdapter connects the parts of the proxy to gossip: it passes on what the talker receives (gossip.Proxy) and
-// sends endpoint list changes and health observations. It exists where gossip is not configured as well, and does nothing
-// then.
+// sends endpoint list changes and health observations. It exists where gossip is not configured as well, and does
+// nothing then.
 type gossipAdapter struct {
 	sender    *gossipSender
 	config    *Place
