--- /dev/null
+++ b/internal/configfile/range_test.go
@@ -0,0 +1,46 @@
+package configfile
+
+import (
+	"errors"
+	"math"
+	"testing"
+)
+
+func TestCheckReturnsFirstValueOutOfRange(t *testing.T) {
+	inside := Range("inside", 5, 1, 10)
+	for _, c := range []struct {
+		name   string
+		values []RangeError
+		key    string // of the value at fault, empty: none
+	}{
+		{name: "no values"},
+		{name: "within", values: []RangeError{inside}},
+		{name: "at the lower bound", values: []RangeError{Range("k", 1, 1, 10)}},
+		{name: "at the upper bound", values: []RangeError{Range("k", 10, 1, 10)}},
+		{name: "below", values: []RangeError{inside, Range("k", 0.5, 1, 10)}, key: "k"},
+		{name: "above", values: []RangeError{inside, Range("k", 10.5, 1, 10)}, key: "k"},
+		{name: "not a number", values: []RangeError{Range("k", math.NaN(), 1, 10)}, key: "k"},
+		{name: "first of two", values: []RangeError{Range("k", 0, 1, 10), Range("other", 0, 1, 10)}, key: "k"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			err := Check(c.values...)
+			if c.key == "" {
+				if err != nil {
+					t.Errorf("error %v, want none", err)
+				}
+				return
+			}
+			var got *RangeError
+			if !errors.As(err, &got) || got.Key != c.key {
+				t.Errorf("error %v, want a RangeError of %q", err, c.key)
+			}
+		})
+	}
+}
+
+func TestRangeErrorTellsKeyValueAndRange(t *testing.T) {
+	const want = "slack: 1.5: not from 0 to 1; give it a figure within, or leave the line out for the usual one"
+	if err := Check(Range("slack", 1.5, 0, 1)); err == nil || err.Error() != want {
+		t.Errorf("error %v, want %q", err, want)
+	}
+}
