--- /dev/null
+++ b/internal/admin/commands_test.go
@@ -0,0 +1,67 @@
+package admin
+
+import (
+	"net/url"
+	"testing"
+)
+
+func TestParseEpochTakesANumberOrNothing(t *testing.T) {
+	for _, c := range []struct {
+		name, query string
+		want        int64
+		message     string // empty: no error
+	}{
+		{name: "absent", query: "", want: anyEpoch},
+		{name: "empty", query: "epoch=", want: anyEpoch},
+		{name: "zero", query: "epoch=0", want: 0},
+		{name: "number", query: "epoch=17", want: 17},
+		{name: "negative", query: "epoch=-1", message: `epoch: "-1": no number of an order`},
+		{name: "not a number", query: "epoch=x", message: `epoch: "x": no number of an order`},
+		{name: "too large", query: "epoch=9223372036854775808", message: `epoch: "9223372036854775808": no number of an order`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := parseEpoch(parseQuery(t, c.query))
+			if got != c.want || errorText(err) != c.message {
+				t.Errorf("epoch %d and error %q, want %d and %q", got, errorText(err), c.want, c.message)
+			}
+		})
+	}
+}
+
+func TestParseForceTakesTheWordsOnly(t *testing.T) {
+	for _, c := range []struct {
+		name, query string
+		want        bool
+		message     string // empty: no error
+	}{
+		{name: "absent", query: ""},
+		{name: "empty", query: "force="},
+		{name: "the words", query: "force=leave+no+zone", want: true},
+		{name: "another word", query: "force=true", message: `force: "true": it takes the words "leave no zone"`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := parseForce(parseQuery(t, c.query))
+			if got != c.want || errorText(err) != c.message {
+				t.Errorf("force %v and error %q, want %v and %q", got, errorText(err), c.want, c.message)
+			}
+		})
+	}
+}
+
+// parseQuery parses the query of a URL.
+func parseQuery(t *testing.T, query string) url.Values {
+	t.Helper()
+	values, err := url.ParseQuery(query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return values
+}
+
+// errorText returns the error's text, "" for none.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/admin/routes.go
@@ -0,0 +1,36 @@
+package admin
+
+import "net/http"
+
+// route is one call: the pattern of http.ServeMux that selects it, and the handler that answers it.
+type route struct {
+	pattern string
+	handler http.Handler
+}
+
+// routes returns all calls of the operators.
+func routes(service Service) []route {
+	return []route{
+		{"GET /control/ready", readiness(service)},
+		{"GET /control/peers", textStatus(service.Peers, "no file of peers is named")},
+		{"GET /control/zones", textStatus(service.Zones, "no file of zones is named")},
+		{"GET /control/turns", jsonStatus(service.Turns, "no file of turns is named")},
+		{"GET /control/recovery", jsonStatus(service.Recovery, "neither state nor peers are named")},
+		{"GET /control/missing", jsonStatus(service.Missing, "no file of missing keys is named")},
+		{"GET /metrics", service.Metrics()},
+		{"POST /control/missing/forget", clearNegativeCache(service)},
+		{"POST /control/moves/plan", planMigrations(service)},
+		{"POST /control/zones/{zone}/{want}", overrideZone(service)},
+		{"POST /control/out-of-service", serviceSwitch(service.OutOfService, "out of service from now on", "was out of service already")},
+		{"POST /control/in-service", serviceSwitch(service.InService, "in service again", "was in service already")},
+	}
+}
+
+// newHandler returns the handler of all calls.
+func newHandler(service Service) http.Handler {
+	mux := http.NewServeMux()
+	for _, r := range routes(service) {
+		mux.Handle(r.pattern, r.handler)
+	}
+	return mux
+}
