hotrestart: split by concern into message, descriptor, socket, predecessor, server, successors

One file held all of the hand-over with names like "hear", "ours", "meet", "give" and "patience". Now doc.go tells the protocol; message.go encodes and checks hello and offer (one shared header and one check in place of two); descriptor.go passes the listener and checks the other process's user; socket.go owns the Unix socket with its own lock and waits for its accept loops; successors.go counts the processes that hold the listener; predecessor.go and server.go are the two sides in named steps. Errors are wrapped with what was being done; errMismatch, errNoListener and errForeignUser can be told apart; deadlines that can't be set and credentials that can't be read are errors. Log texts: "listener passed to successor", "listener not passed to successor", "successor is serving", "successor disconnected", "cannot accept a successor". Exported names are as they were.

No change of behaviour on the wire; the golden files are untouched. Run: go test (and -race) ./internal/hotrestart, the restart tests of ./internal/server.

--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -6,7 +6,7 @@
 )
 
 // Service is what operators see of the proxy and do to it. The handlers call its methods from many goroutines at once. Except
-// for Plan, none may block: an answer is due within the time of one call.
+// for [Service.Plan], none may block: an answer is due within the time of one call.
 type Service interface {
 	// Ready reports whether this process can serve, and why or why not in one line.
 	Ready() (ready bool, reason string)
--- a/internal/configfile/range.go
+++ b/internal/configfile/range.go
@@ -2,8 +2,8 @@
 
 import "fmt"
 
-// RangeError reports a value that is outside its range. It also describes a value that is still to be checked: Range returns
-// one, Check decides whether it is an error.
+// RangeError reports a value that is outside its range. It also describes a value that is still to be checked: [Range]
+// returns one, [Check] decides whether it is an error.
 type RangeError struct {
 	Key                string  // as the configuration file names it
 	Value, Least, Most float64 // in the key's unit; Least and Most are themselves allowed
--- a/internal/hotrestart/format_golden_test.go
+++ b/internal/hotrestart/format_golden_test.go
@@ -96,8 +96,8 @@
 	return ln
 }
 
-// receiveOffer reads one line and the listener that came with its first byte.
-func receiveOffer(t *testing.T, conn *net.UnixConn) (string, net.Listener) {
+// receiveRawOffer reads one line and the listener that came with its first byte.
+func receiveRawOffer(t *testing.T, conn *net.UnixConn) (string, net.Listener) {
 	t.Helper()
 	text, rights := make([]byte, 64<<10), make([]byte, 256)
 	n, rightsLen, _, _, err := conn.ReadMsgUnix(text, rights)
@@ -129,8 +129,8 @@
 	return string(offer), ln
 }
 
-// sendOffer writes a line with a listener at its first byte, as the old process does.
-func sendOffer(conn *net.UnixConn, line string, ln *net.TCPListener) error {
+// sendRawOffer writes a line with a listener at its first byte, as the old process does.
+func sendRawOffer(conn *net.UnixConn, line string, ln *net.TCPListener) error {
 	file, err := ln.File()
 	if err != nil {
 		return err
@@ -165,7 +165,7 @@
 		if old.hello, old.err = in.ReadString('\n'); old.err != nil || offer == "" {
 			return
 		}
-		if old.err = sendOffer(conn, offer, ln); old.err != nil {
+		if old.err = sendRawOffer(conn, offer, ln); old.err != nil {
 			return
 		}
 		rest, err := io.ReadAll(in)
@@ -223,7 +223,7 @@
 		counts := openEstate(t, dir, goldenListen, ln, c.list)
 		conn := dialRaw(t, dir)
 		io.WriteString(conn, readTestdata(t, "hello.golden"))
-		offer, received := receiveOffer(t, conn)
+		offer, received := receiveRawOffer(t, conn)
 		checkGolden(t, c.golden, offer)
 		if received.Addr().String() != ln.Addr().String() {
 			t.Errorf("%s: a listener at %v, want %v", c.golden, received.Addr(), ln.Addr())
@@ -288,7 +288,7 @@
 	counts := openEstate(t, dir, goldenListen, tcpListener(t), []byte("null"))
 	conn := dialRaw(t, dir)
 	io.WriteString(conn, readTestdata(t, "hello.golden"))
-	receiveOffer(t, conn)
+	receiveRawOffer(t, conn)
 	expectCounts(t, counts, 1, 0)
 	io.WriteString(conn, readTestdata(t, "serving.golden"))
 	expectCounts(t, counts, 1, 1)
@@ -311,7 +311,7 @@
 			return
 		}
 		bufio.NewReader(conn).ReadString('\n')
-		sendOffer(conn, offer, ln)
+		sendRawOffer(conn, offer, ln)
 		accepted <- conn
 	}()
 	before, err := Claim(dir, goldenListen)
@@ -345,7 +345,7 @@
 	openEstate(t, dir, goldenListen, tcpListener(t), goldenList())
 	conn := dialRaw(t, dir)
 	io.WriteString(conn, addKey(readTestdata(t, "hello.golden")))
-	if offer, _ := receiveOffer(t, conn); offer != readTestdata(t, "offer_list.golden") {
+	if offer, _ := receiveRawOffer(t, conn); offer != readTestdata(t, "offer_list.golden") {
 		t.Errorf("answered with %q", offer)
 	}
 
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -107,9 +107,9 @@
 		}
 		hears(t, heard, [2]int{1, 0})
 		second, _ := estate(t, dir, b.Listener, "null") // takes the place, and its end takes that away
-		second.mu.Lock()
-		second.at.Close()
-		second.mu.Unlock()
+		second.socket.mu.Lock()
+		second.socket.listener.Close()
+		second.socket.mu.Unlock()
 		b.conn.Close()
 		b.Listener.Close()
 		hears(t, heard, [2]int{0, 0})
@@ -127,10 +127,10 @@
 		t.Error(err)
 	}
 	e, _ := estate(t, dir, listen(t), "null")
-	e.mu.Lock()
-	e.at.Close()
-	e.mu.Unlock()
-	if _, err := os.Lstat(filepath.Join(dir, name(addr))); err != nil {
+	e.socket.mu.Lock()
+	e.socket.listener.Close()
+	e.socket.mu.Unlock()
+	if _, err := os.Lstat(filepath.Join(dir, socketName(addr))); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := Claim(dir, addr); !errors.Is(err, ErrNobody) {
@@ -147,7 +147,7 @@
 		"GET / HTTP/1.1\r\n\r\n", `{"woodproxy_handover":2,"listen":"` + addr + `"}` + "\n",
 		`{"woodproxy_handover":1,"listen":"10.0.0.5:6379"}` + "\n", strings.Repeat("x", 9000), "",
 	} {
-		c, err := net.Dial("unix", filepath.Join(dir, name(addr)))
+		c, err := net.Dial("unix", filepath.Join(dir, socketName(addr)))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -160,7 +160,7 @@
 	}
 
 	other := t.TempDir()
-	at, err := net.Listen("unix", filepath.Join(other, name(addr)))
+	at, err := net.Listen("unix", filepath.Join(other, socketName(addr)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -180,21 +180,20 @@
 	}()
 	with := func(text string, hold time.Duration) func(c *net.UnixConn) {
 		return func(c *net.UnixConn) {
-			e := New("", addr, ln, nil, nil, nil)
-			if err := e.send(c, []byte(text)); err != nil {
+			if err := sendWithListener(c, []byte(text), ln); err != nil {
 				t.Error(err)
 			}
 			time.Sleep(hold)
 			c.Close()
 		}
 	}
-	good, _ := json.Marshal(offer{version, addr, nil})
+	good, _ := json.Marshal(offer{newHello(addr), nil})
 	for what, answer := range map[string]func(c *net.UnixConn){
-		"silent":       func(c *net.UnixConn) { time.Sleep(2 * patience); c.Close() },
+		"silent":       func(c *net.UnixConn) { time.Sleep(2 * messageTimeout); c.Close() },
 		"closed":       func(c *net.UnixConn) { c.Close() },
 		"no listener":  func(c *net.UnixConn) { c.Write(append(good, '\n')); c.Close() },
 		"torn":         with(string(good[:9]), 0),
-		"stalls":       with(string(good[:9]), 2*patience),
+		"stalls":       with(string(good[:9]), 2*messageTimeout),
 		"garbled":      with("{]\n", 0),
 		"another's":    with(`{"woodproxy_handover":1,"listen":"10.0.0.5:6379"}`+"\n", 0),
 		"of a version": with(`{"woodproxy_handover":7,"listen":"`+addr+`"}`+"\n", 0),
@@ -204,7 +203,7 @@
 		if b, err := Claim(other, addr); err == nil || errors.Is(err, ErrNobody) {
 			t.Errorf("%s: %+v %v", what, b, err)
 		}
-		if took := time.Since(began); took > 3*patience {
+		if took := time.Since(began); took > 3*messageTimeout {
 			t.Errorf("%s: refused after %v", what, took)
 		}
 	}
--- /dev/null
+++ b/internal/hotrestart/predecessor.go
@@ -0,0 +1,138 @@
+package hotrestart
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+// readBufferBytes is how much of an offer is read at once.
+const readBufferBytes = 64 << 10
+
+// ErrNobody reports that no process serves the address: the directory, the socket in it or a process behind the socket is
+// missing.
+var ErrNobody = errors.New("no predecessor to take over from")
+
+// Before is the predecessor, as its successor sees it. All of its methods may be called from any goroutine.
+type Before struct {
+	Listener *net.TCPListener // the clients', shared with the predecessor; the caller closes it
+	List     []byte           // the predecessor's endpoint list, in the form of the discovery service; nil: none
+	conn     *net.UnixConn
+}
+
+// Claim connects to the process that serves the address and takes its listener and list. The directory is where both processes
+// meet. It returns [ErrNobody] where there is no such process. An answer is waited for half a second at most. The caller ends
+// the connection with [Before.Wait] or [Before.Abandon].
+func Claim(dir, listen string) (*Before, error) {
+	conn, err := dialPredecessor(dir, listen)
+	if err != nil {
+		return nil, err
+	}
+	predecessor, err := requestOffer(conn, listen)
+	if err != nil {
+		_ = conn.Close() // the error is told, and the predecessor serves on
+		return nil, err
+	}
+	return predecessor, nil
+}
+
+// dialPredecessor connects to the socket of the process that serves the address.
+func dialPredecessor(dir, listen string) (*net.UnixConn, error) {
+	open, err := os.Open(dir)
+	if err != nil {
+		return nil, ErrNobody
+	}
+	defer func() { _ = open.Close() }() // only read
+	conn, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: socketPath(open, listen), Net: "unix"})
+	if errors.Is(err, syscall.ENOENT) || errors.Is(err, syscall.ECONNREFUSED) { // a socket that was left behind refuses
+		return nil, ErrNobody
+	}
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+// requestOffer sends the hello and takes the offer. The connection stays the caller's if there is an error.
+func requestOffer(conn *net.UnixConn, listen string) (*Before, error) {
+	if err := checkPeerUser(conn); err != nil {
+		return nil, err
+	}
+	if err := conn.SetDeadline(time.Now().Add(messageTimeout)); err != nil {
+		return nil, fmt.Errorf("set deadline: %w", err)
+	}
+	if err := json.NewEncoder(conn).Encode(newHello(listen)); err != nil { // which ends the line
+		return nil, fmt.Errorf("send hello: %w", err)
+	}
+	listener, list, err := receiveOffer(conn, listen)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		_ = listener.Close() // the predecessor still has it
+		return nil, fmt.Errorf("clear deadline: %w", err)
+	}
+	return &Before{Listener: listener, List: list, conn: conn}, nil
+}
+
+// receiveOffer reads the offer. The caller owns the listener.
+func receiveOffer(conn *net.UnixConn, listen string) (listener *net.TCPListener, list []byte, err error) {
+	buffer := make([]byte, readBufferBytes)
+	n, listener, err := receiveWithListener(conn, buffer)
+	if err != nil {
+		return nil, nil, fmt.Errorf("receive offer: %w", err)
+	}
+	list, err = receiveList(conn, buffer, n, listen)
+	if err != nil {
+		_ = listener.Close() // the predecessor still has it
+		return nil, nil, err
+	}
+	return listener, list, nil
+}
+
+// receiveList reads the rest of the offer, of which n bytes are in the buffer, and returns its list.
+func receiveList(conn *net.UnixConn, buffer []byte, n int, listen string) ([]byte, error) {
+	line := bytes.Clone(buffer[:n])
+	for !bytes.HasSuffix(line, []byte("\n")) {
+		if len(line) > maxOfferBytes {
+			return nil, fmt.Errorf("receive offer: more than %d bytes", maxOfferBytes)
+		}
+		n, err := conn.Read(buffer)
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, fmt.Errorf("receive offer: %w", err)
+		}
+		line = append(line, buffer[:n]...)
+	}
+	return decodeOffer(line, listen)
+}
+
+// Serving notifies the predecessor that this process accepts clients, so that it need not any more.
+func (p *Before) Serving() error {
+	_, err := io.WriteString(p.conn, servingMessage)
+	return err
+}
+
+// Wait blocks until the predecessor has exited, or until [Before.Abandon].
+func (p *Before) Wait() {
+	waitForEnd(p.conn)
+	_ = p.conn.Close() // nothing is owed to a process that has gone
+}
+
+// Abandon ends the connection. The predecessor goes on as if this process had exited.
+func (p *Before) Abandon() {
+	_ = p.conn.Close() // the kernel closes it at the latest when the process exits
+}
+
+// waitForEnd blocks until the connection ends. The other process sends nothing more by then, so that one read is enough.
+func waitForEnd(conn net.Conn) {
+	_, _ = conn.Read(make([]byte, 1)) // any outcome is the end
+}
