--- a/internal/configfile/toml_test.go
+++ b/internal/configfile/toml_test.go
@@ -37,7 +37,10 @@
 		message    string // empty: the TOML decoder's own words follow the line and the key
 	}{
 		{name: "unknown key", text: "entries = 1\nentrees = 2\n", line: 2, key: "entrees", unknown: true, message: "line 2: entrees: unknown"},
-		{name: "unknown key in table", text: "[peer]\nhost = \"a\"\n", line: 2, key: "peer.host", unknown: true, message: "line 2: peer.host: unknown"},
+		{
+			name: "unknown key in table", text: "[peer]\nhost = \"a\"\n",
+			line: 2, key: "peer.host", unknown: true, message: "line 2: peer.host: unknown",
+		},
 		{name: "first of two unknown keys", text: "a = 1\nb = 2\n", line: 1, key: "a", unknown: true, message: "line 1: a: unknown"},
 		{name: "wrong type", text: "\nentries = \"many\"\n", line: 2, key: "entries"},
 		{name: "syntax error", text: "entries = \n", line: 1},
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -16,8 +16,12 @@
 	noList          = "null" // in the offer's JSON
 )
 
-// errMismatch reports a message of another version of the protocol or for another address.
-var errMismatch = errors.New("protocol version or listen address does not match")
+var (
+	// errMismatch reports a message of another version of the protocol or for another address.
+	errMismatch = errors.New("protocol version or listen address does not match")
+	// errTooLong reports an offer whose line does not end in time.
+	errTooLong = errors.New("message is too long")
+)
 
 // hello is the first message, from the successor.
 type hello struct {
--- /dev/null
+++ b/internal/hotrestart/message_golden_test.go
@@ -0,0 +1,269 @@
+package hotrestart
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"woodproxy/internal/wire"
+)
+
+// Two versions of the program meet during a hot restart, so that what goes over the socket has to stay as it is. In these
+// tests one side is the program and the other a raw process that speaks the bytes of the golden files.
+
+// goldenSocket is the name of the socket for testListen.
+const goldenSocket = "woodproxy-bf32b290594ad81b.sock"
+
+// goldenList is an endpoint list as a predecessor sends it.
+func goldenList() []byte {
+	return wire.AppendTargets(nil, []wire.Target{
+		{Name: "cache-1", Address: "10.0.1.1:7001", Zone: "north", Kind: "std", Cell: 3, Ready: true, Weight: 1.25, Since: 1700000000123},
+		{Name: "cache-2", Address: "10.0.1.2:7001", Zone: "<a&b>", Kind: "std", Weight: 0.5},
+		{Name: "cache-3", Address: "10.0.1.3:7001", Zone: "south", Kind: "origin", Gone: true},
+	})
+}
+
+// The socket's name depends on the listen address alone, and only the process's user may connect.
+func TestSocketNames(t *testing.T) {
+	var names strings.Builder
+	for _, listen := range []string{testListen, ":6379", "[::1]:6379", "127.0.0.1:26379"} {
+		dir := t.TempDir()
+		openServer(t, dir, listen, tcpListener(t), nil)
+		entries, err := os.ReadDir(dir)
+		if err != nil || len(entries) != 1 {
+			t.Fatalf("%d files in the directory: %v", len(entries), err)
+		}
+		info, err := entries[0].Info()
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&names, "%s: %s %v\n", listen, entries[0].Name(), info.Mode())
+	}
+	checkGolden(t, "socket_names.golden", names.String())
+	if line := testListen + ": " + goldenSocket + " "; !strings.HasPrefix(readTestdata(t, "socket_names.golden"), line) {
+		t.Errorf("the golden file does not begin with %q", line)
+	}
+}
+
+// The successor speaks first, and says nothing more before it has the offer.
+func TestHelloBytes(t *testing.T) {
+	dir := t.TempDir()
+	seen := serveRaw(listenRaw(t, dir), "", nil)
+	if _, err := Claim(dir, testListen); err == nil || errors.Is(err, ErrNobody) {
+		t.Errorf("a predecessor that closes the connection: %v", err)
+	}
+	predecessor := <-seen
+	if predecessor.err != nil {
+		t.Fatal(predecessor.err)
+	}
+	checkGolden(t, "hello.golden", predecessor.hello)
+}
+
+// The predecessor answers a hello with one line, which carries the listener, and writes nothing more.
+func TestOfferBytes(t *testing.T) {
+	for _, c := range []struct {
+		name, golden string
+		list         []byte
+	}{
+		{name: "list", golden: "offer_list.golden", list: goldenList()},
+		{name: "no list", golden: "offer_null_list.golden", list: []byte(nullList)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir, listener := t.TempDir(), tcpListener(t)
+			_, counts := openServer(t, dir, testListen, listener, c.list)
+			conn := dialRaw(t, dir)
+			send(t, conn, readTestdata(t, "hello.golden"))
+			offer, received := receiveRawOffer(t, conn)
+			checkGolden(t, c.golden, offer)
+			if received.Addr().String() != listener.Addr().String() {
+				t.Errorf("a listener at %v, want %v", received.Addr(), listener.Addr())
+			}
+			expectCounts(t, counts, successorCounts{holding: 1})
+			closeWrite(t, conn)
+			if rest, err := io.ReadAll(conn); err != nil || len(rest) > 0 {
+				t.Errorf("%q follows the offer: %v", rest, err)
+			}
+			expectCounts(t, counts, successorCounts{})
+		})
+	}
+}
+
+// The successor takes list and listener from the offer, says once that it serves, and writes nothing more.
+func TestServingBytes(t *testing.T) {
+	for _, c := range []struct {
+		name, golden string
+		list         []byte
+	}{
+		{name: "list", golden: "offer_list.golden", list: goldenList()},
+		{name: "no list", golden: "offer_null_list.golden", list: nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir, listener := t.TempDir(), tcpListener(t)
+			seen := serveRaw(listenRaw(t, dir), readTestdata(t, c.golden), listener)
+			predecessor := claim(t, dir)
+			if predecessor.Listener.Addr().String() != listener.Addr().String() {
+				t.Errorf("a listener at %v, want %v", predecessor.Listener.Addr(), listener.Addr())
+			}
+			if list := unescapeHTML(predecessor.List); !bytes.Equal(list, c.list) || (predecessor.List == nil) != (c.list == nil) {
+				t.Errorf("list %q, want %q", list, c.list)
+			}
+			if err := predecessor.Serving(); err != nil {
+				t.Error(err)
+			}
+			predecessor.Abandon()
+			raw := <-seen
+			if raw.err != nil {
+				t.Fatal(raw.err)
+			}
+			if hello := readTestdata(t, "hello.golden"); raw.hello != hello {
+				t.Errorf("hello %q, want %q", raw.hello, hello)
+			}
+			checkGolden(t, "serving.golden", raw.rest)
+		})
+	}
+}
+
+// unescapeHTML reverses the escapes that the list has got as a part of the offer's JSON.
+func unescapeHTML(list []byte) []byte {
+	for _, c := range []struct{ escape, text string }{{`\u003c`, "<"}, {`\u003e`, ">"}, {`\u0026`, "&"}} {
+		list = bytes.ReplaceAll(list, []byte(c.escape), []byte(c.text))
+	}
+	return list
+}
+
+// The predecessor understands the golden message that the successor serves, and its exit by the connection's end.
+func TestServingIsUnderstood(t *testing.T) {
+	dir := t.TempDir()
+	_, counts := openServer(t, dir, testListen, tcpListener(t), []byte(nullList))
+	conn := dialRaw(t, dir)
+	send(t, conn, readTestdata(t, "hello.golden"))
+	receiveRawOffer(t, conn)
+	expectCounts(t, counts, successorCounts{holding: 1})
+	send(t, conn, readTestdata(t, "serving.golden"))
+	expectCounts(t, counts, successorCounts{holding: 1, serving: 1})
+	closeWrite(t, conn)
+	if rest, err := io.ReadAll(conn); err != nil || len(rest) > 0 {
+		t.Errorf("%q follows the offer: %v", rest, err)
+	}
+	expectCounts(t, counts, successorCounts{})
+}
+
+// The successor waits for the predecessor's exit, which it learns by the connection's end.
+func TestPredecessorExitIsUnderstood(t *testing.T) {
+	dir, listener := t.TempDir(), tcpListener(t)
+	socket := listenRaw(t, dir)
+	type accepted struct {
+		conn *net.UnixConn
+		err  error
+	}
+	answered := make(chan accepted, 1)
+	offer := readTestdata(t, "offer_null_list.golden")
+	go func() {
+		conn, _, _, err := acceptRaw(socket)
+		if err == nil {
+			err = sendRawOffer(conn, offer, listener)
+		}
+		answered <- accepted{conn, err}
+	}()
+	exited := waitInBackground(claim(t, dir))
+	raw := <-answered
+	if raw.err != nil {
+		t.Fatal(raw.err)
+	}
+	expectStillWaiting(t, exited)
+	if err := raw.conn.Close(); err != nil {
+		t.Error(err)
+	}
+	select {
+	case <-exited:
+	case <-time.After(rawTimeout):
+		t.Error("the predecessor's exit is not reported")
+	}
+}
+
+// addUnknownKey adds a key that a later version of the program may have.
+func addUnknownKey(line string) string {
+	return strings.Replace(line, "{", `{"later":{"key":[1]},`, 1)
+}
+
+// Keys that a later version may add to a message are skipped on both sides.
+func TestUnknownKeysAreSkipped(t *testing.T) {
+	t.Run("hello", func(t *testing.T) {
+		dir := t.TempDir()
+		openServer(t, dir, testListen, tcpListener(t), goldenList())
+		conn := dialRaw(t, dir)
+		send(t, conn, addUnknownKey(readTestdata(t, "hello.golden")))
+		if offer, _ := receiveRawOffer(t, conn); offer != readTestdata(t, "offer_list.golden") {
+			t.Errorf("answered with %q", offer)
+		}
+	})
+	t.Run("offer", func(t *testing.T) {
+		dir := t.TempDir()
+		seen := serveRaw(listenRaw(t, dir), addUnknownKey(readTestdata(t, "offer_null_list.golden")), tcpListener(t))
+		claim(t, dir).Abandon()
+		if raw := <-seen; raw.err != nil {
+			t.Error(raw.err)
+		}
+	})
+}
+
+// replaceOnce replaces a part that has to be there.
+func replaceOnce(t *testing.T, text, from, to string) string {
+	t.Helper()
+	if strings.Count(text, from) != 1 {
+		t.Fatalf("%q is not once in %q", from, text)
+	}
+	return strings.Replace(text, from, to, 1)
+}
+
+// A hello of another version or for another address ends the connection without a byte.
+func TestHelloRefused(t *testing.T) {
+	dir := t.TempDir()
+	openServer(t, dir, testListen, tcpListener(t), []byte(nullList))
+	const version = `"woodproxy_handover":1`
+	for _, c := range []struct{ name, from, to string }{
+		{"later version", version, `"woodproxy_handover":2`},
+		{"version zero", version, `"woodproxy_handover":0`},
+		{"version as text", version, `"woodproxy_handover":"1"`},
+		{"no version", `"woodproxy_handover"`, `"handover"`},
+		{"no address", `"listen"`, `"address"`},
+		{"another address", testListen, "10.0.0.5:6379"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn := dialRaw(t, dir)
+			send(t, conn, replaceOnce(t, readTestdata(t, "hello.golden"), c.from, c.to))
+			if answer, err := io.ReadAll(conn); err != nil || len(answer) > 0 {
+				t.Errorf("answered with %q: %v", answer, err)
+			}
+		})
+	}
+}
+
+// An offer of another version or for another address is an error that names both, and not the error that there is no
+// predecessor.
+func TestOfferRefused(t *testing.T) {
+	for _, c := range []struct{ name, from, to, version, listen string }{
+		{"later version", `"woodproxy_handover":1`, `"woodproxy_handover":2`, "version 2", testListen},
+		{"no version", `"woodproxy_handover"`, `"handover"`, "version 0", testListen},
+		{"another address", testListen, "10.0.0.5:6379", "version 1", "10.0.0.5:6379"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			offer := replaceOnce(t, readTestdata(t, "offer_null_list.golden"), c.from, c.to)
+			seen := serveRaw(listenRaw(t, dir), offer, tcpListener(t))
+			_, err := Claim(dir, testListen)
+			if err == nil || errors.Is(err, ErrNobody) || !strings.Contains(err.Error(), c.version) || !strings.Contains(err.Error(), c.listen) {
+				t.Errorf("error %v, want one of %s for %s", err, c.version, c.listen)
+			}
+			if raw := <-seen; raw.err != nil || raw.rest != "" {
+				t.Errorf("the successor goes on with %q: %v", raw.rest, raw.err)
+			}
+		})
+	}
+}
--- a/internal/hotrestart/predecessor.go
+++ b/internal/hotrestart/predecessor.go
@@ -101,7 +101,7 @@
 	line := bytes.Clone(buffer[:n])
 	for !bytes.HasSuffix(line, []byte("\n")) {
 		if len(line) > maxOfferBytes {
-			return nil, fmt.Errorf("receive offer: more than %d bytes", maxOfferBytes)
+			return nil, fmt.Errorf("receive offer: %w: more than %d bytes", errTooLong, maxOfferBytes)
 		}
 		n, err := conn.Read(buffer)
 		if errors.Is(err, io.EOF) {
