hotrestart, admin: tests and a path wildcard named after what they are for

The wildcard {want} of the override path, which no caller sees, is {override}. No change of behaviour.

--- a/internal/admin/commands.go
+++ b/internal/admin/commands.go
@@ -59,7 +59,7 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		text, err := service.Command(r.PathValue("zone"), r.PathValue("want"), epoch, force)
+		text, err := service.Command(r.PathValue("zone"), r.PathValue("override"), epoch, force)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -20,7 +20,7 @@
 		{"GET /metrics", service.Metrics()},
 		{"POST /control/missing/forget", clearNegativeCache(service)},
 		{"POST /control/moves/plan", planMigrations(service)},
-		{"POST /control/zones/{zone}/{want}", overrideZone(service)},
+		{"POST /control/zones/{zone}/{override}", overrideZone(service)},
 		{"POST /control/out-of-service", serviceSwitch(service.OutOfService, "out of service from now on", "was out of service already")},
 		{"POST /control/in-service", serviceSwitch(service.InService, "in service again", "was in service already")},
 	}
--- a/internal/hotrestart/helpers_test.go
+++ b/internal/hotrestart/helpers_test.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	testListen   = "10.0.0.4:6379"       // the listen address in messages, golden files among them
-	countTimeout = 2 * time.Second       // for a change of the number of successors
-	stillWaiting = 50 * time.Millisecond // after which something that waits is taken to wait for good
-	maxClaimTime = 3 * messageTimeout    // for a claim that is refused
-	rawTimeout   = 5 * time.Second       // for all that a raw process does
-	reopenTime   = 50 * time.Millisecond // for a process to take the socket's name back
-	acceptTime   = 1 * time.Second       // for a client in the queue to be accepted
-	nullList     = "null"                // no endpoint list
+	testListen     = "10.0.0.4:6379"       // the listen address in messages, golden files among them
+	countTimeout   = 2 * time.Second       // for a change of the number of successors
+	stillWaiting   = 50 * time.Millisecond // after which something that waits is taken to wait for good
+	maxRefusalTime = 3 * messageTimeout    // to refuse an offer
+	rawTimeout     = 5 * time.Second       // for all that a raw process does
+	reopenTime     = 50 * time.Millisecond // for a process to take the socket's name back
+	acceptTime     = 1 * time.Second       // for a client in the queue to be accepted
+	nullList       = "null"                // no endpoint list
 )
 
 // successorCounts is what a server notifies of.
@@ -78,8 +78,8 @@
 	}
 }
 
-// claim takes over from the process that serves testListen. The listener is closed at the test's end.
-func claim(t *testing.T, dir string) *Before {
+// takeOver takes over from the process that serves testListen. The listener is closed at the test's end.
+func takeOver(t *testing.T, dir string) *Before {
 	t.Helper()
 	predecessor, err := Claim(dir, testListen)
 	if err != nil {
--- a/internal/hotrestart/message_golden_test.go
+++ b/internal/hotrestart/message_golden_test.go
@@ -106,7 +106,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			dir, listener := t.TempDir(), tcpListener(t)
 			seen := serveRaw(listenRaw(t, dir), readTestdata(t, c.golden), listener)
-			predecessor := claim(t, dir)
+			predecessor := takeOver(t, dir)
 			if predecessor.Listener.Addr().String() != listener.Addr().String() {
 				t.Errorf("a listener at %v, want %v", predecessor.Listener.Addr(), listener.Addr())
 			}
@@ -171,7 +171,7 @@
 		}
 		answered <- accepted{conn, err}
 	}()
-	exited := waitInBackground(claim(t, dir))
+	exited := waitInBackground(takeOver(t, dir))
 	raw := <-answered
 	if raw.err != nil {
 		t.Fatal(raw.err)
@@ -206,7 +206,7 @@
 	t.Run("offer", func(t *testing.T) {
 		dir := t.TempDir()
 		seen := serveRaw(listenRaw(t, dir), addUnknownKey(readTestdata(t, "offer_null_list.golden")), tcpListener(t))
-		claim(t, dir).Abandon()
+		takeOver(t, dir).Abandon()
 		if raw := <-seen; raw.err != nil {
 			t.Error(raw.err)
 		}
--- a/internal/hotrestart/predecessor_test.go
+++ b/internal/hotrestart/predecessor_test.go
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	closeAtEnd(t, client)
-	predecessor := claim(t, dir)
+	predecessor := takeOver(t, dir)
 	if string(predecessor.List) != list {
 		t.Errorf("a list of %d bytes, want the predecessor's of %d", len(predecessor.List), len(list))
 	}
@@ -55,7 +55,7 @@
 	listener := tcpListener(t)
 	_, counts := openServer(t, dir, testListen, listener, []byte(nullList))
 	for range 2 {
-		predecessor := claim(t, dir)
+		predecessor := takeOver(t, dir)
 		if predecessor.List != nil {
 			t.Errorf("list %q, want none", predecessor.List)
 		}
@@ -72,7 +72,7 @@
 }
 
 // There is no predecessor where nobody listens or only the socket's name is left of a killed process.
-func TestClaimWithoutPredecessorReturnsErrNobody(t *testing.T) {
+func TestTakeOverWithoutPredecessorFails(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		dir  func(t *testing.T) string
@@ -98,7 +98,7 @@
 }
 
 // A malformed, late or foreign hello ends the connection soon and without an answer.
-func TestServerRefusesHello(t *testing.T) {
+func TestPredecessorRefusesHello(t *testing.T) {
 	dir := t.TempDir()
 	openServer(t, dir, testListen, tcpListener(t), []byte(nullList))
 	for _, c := range []struct{ name, hello string }{
@@ -121,7 +121,7 @@
 }
 
 // A malformed, late or foreign offer is an error soon, and not the error that there is no predecessor.
-func TestClaimRefusesOffer(t *testing.T) {
+func TestSuccessorRefusesOffer(t *testing.T) {
 	passed := tcpListener(t)
 	offerOf := func(text string) func(*net.UnixConn) error {
 		return func(conn *net.UnixConn) error { return sendWithListener(conn, []byte(text), passed) }
@@ -168,7 +168,7 @@
 	}
 }
 
-// expectRefused claims from a raw predecessor that answers the hello in the given way and then closes the connection. The error
+// expectRefused takes over from a raw predecessor that answers the hello in the given way and then closes the connection. The error
 // has to be the wanted one, if any.
 func expectRefused(t *testing.T, answer func(*net.UnixConn) error, want error) {
 	t.Helper()
@@ -187,13 +187,13 @@
 	start := time.Now()
 	predecessor, err := Claim(dir, testListen)
 	if err == nil || errors.Is(err, ErrNobody) {
-		t.Errorf("claimed %+v: %v", predecessor, err)
+		t.Errorf("took over from %+v: %v", predecessor, err)
 	}
 	if want != nil && !errors.Is(err, want) {
 		t.Errorf("error %v, want %v", err, want)
 	}
-	if elapsed := time.Since(start); elapsed > maxClaimTime {
-		t.Errorf("refused after %v, want at most %v", elapsed, maxClaimTime)
+	if elapsed := time.Since(start); elapsed > maxRefusalTime {
+		t.Errorf("refused after %v, want at most %v", elapsed, maxRefusalTime)
 	}
 	if err := <-answered; err != nil {
 		t.Error(err)
--- a/internal/hotrestart/server.go
+++ b/internal/hotrestart/server.go
@@ -23,10 +23,10 @@
 	successors successors
 }
 
-// New returns the server for successors, which accepts none before [Estate.Open]. The directory is where processes meet, listen is the
-// address that clients connect to and ln their listener. list returns the endpoint list as JSON, "null" or nil where there is
-// none; it is called for each successor. notify is called at each change of the number of successors, with how many hold
-// the listener and how many of those serve; calls don't overlap, and it must not call the server's methods.
+// New returns the server for successors, which accepts none before [Estate.Open]. The directory is where processes meet, listen
+// is the address that clients connect to and ln their listener. list returns the endpoint list as JSON, "null" or nil where
+// there is none; it is called for each successor. notify is called at each change of the number of successors, with how many
+// hold the listener and how many of those serve; calls don't overlap, and it must not call the server's methods.
 func New(dir, listen string, ln *net.TCPListener, list func() []byte, notify func(holding, serving int), log *zap.Logger) *Estate {
 	s := &Estate{listen: listen, listener: ln, list: list, log: log, successors: successors{notify: notify}}
 	s.socket = restartSocket{dir: dir, listen: listen, handle: s.serveSuccessor}
