--- a/internal/configfile/range.go
+++ b/internal/configfile/range.go
@@ -6,7 +6,7 @@
 // returns one, [Check] decides whether it is an error.
 type RangeError struct {
 	Key                string  // as the configuration file names it
-	Value, Least, Most float64 // in the key's unit; Least and Most are themselves allowed
+	Value, Least, Most float64 // in the key's unit; both bounds are in the range
 }
 
 func (e *RangeError) Error() string {
