--- /dev/null
+++ b/internal/snapshot/format_golden_test.go
@@ -0,0 +1,208 @@
+package snapshot_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"woodproxy/internal/snapshot"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Layout of the file: magic and version, checksum of the body, body.
+const (
+	fileName       = "woodproxy.state"
+	magic          = "WOODPRX"
+	version        = 1
+	checksumOffset = 8
+	bodyOffset     = 16
+	maxLength      = 16 << 20
+)
+
+// owner is the proxy that the golden files belong to.
+const owner = "proxy-a"
+
+// goldenCase is one line of the golden file.
+type goldenCase struct {
+	name     string
+	snapshot snapshot.Snapshot
+}
+
+// fullSnapshot has every field set.
+func fullSnapshot() snapshot.Snapshot {
+	return snapshot.Snapshot{
+		Owner: owner, Cluster: "cluster-1", At: time.Unix(1700000000, 123456789), Index: 70000,
+		List:  []byte(`{"index":0,"snapshot":true,"endpoints":[{"name":"node-1","address":"192.0.2.1:11211","status":"active"}]}`),
+		Peers: []string{"192.0.2.2:7946", "192.0.2.3:7946"},
+	}
+}
+
+// goldenCases are the snapshots in the golden file, in its order.
+func goldenCases() []goldenCase {
+	return []goldenCase{
+		{"full", fullSnapshot()},
+		{"empty", snapshot.Snapshot{Owner: owner}},
+	}
+}
+
+// TestStateFileMatchesGolden pins the bytes of the file: what Save writes, and that Load reads all of the golden bytes back.
+func TestStateFileMatchesGolden(t *testing.T) {
+	cases := goldenCases()
+	var encodings []encoding
+	for _, test := range cases {
+		encodings = append(encodings, encoding{test.name, saveToFile(t, test.snapshot)})
+	}
+	for i, golden := range compareGolden(t, "state.golden", encodings) {
+		t.Run(cases[i].name, func(t *testing.T) {
+			got, err := loadFromFile(t, golden)
+			if got == nil || err != nil {
+				t.Fatalf("Load: %v %v, want a snapshot", got, err)
+			}
+			want := cases[i].snapshot
+			if !got.At.Equal(want.At) {
+				t.Errorf("taken at %v, want %v", got.At, want.At)
+			}
+			got.At = want.At // the file does not hold the time zone
+			if !reflect.DeepEqual(*got, want) {
+				t.Errorf("read as\n%+v, want\n%+v", *got, want)
+			}
+		})
+	}
+}
+
+// TestGoldenSnapshotSetsEveryField fails when a field is added to Snapshot that the golden file does not pin.
+func TestGoldenSnapshotSetsEveryField(t *testing.T) {
+	full := reflect.ValueOf(fullSnapshot())
+	for i := range full.NumField() {
+		if full.Field(i).IsZero() {
+			t.Errorf("%s: not set", full.Type().Field(i).Name)
+		}
+	}
+}
+
+// TestLoadRejectsInvalidFile checks which files are rejected, and the reason in the error.
+func TestLoadRejectsInvalidFile(t *testing.T) {
+	good := goldenFile(t)
+	for _, test := range []struct {
+		name string
+		file []byte
+		want string
+	}{
+		{"empty", nil, "0 bytes"},
+		{"short", good[:bodyOffset-1], "15 bytes"},
+		{"foreign magic", changed(good, 0, 'X'), "it is no state of a proxy"},
+		{"other magic at its last byte", changed(good, len(magic)-1, 'x'), "it is no state of a proxy"},
+		{"earlier version", changed(good, len(magic), 0), "version 0, and this program reads 1"},
+		{"later version", changed(good, len(magic), version+1), "version 2, and this program reads 1"},
+		{"checksum", changed(good, checksumOffset, ^good[checksumOffset]), "its checksum is another"},
+		{"body", changed(good, len(good)-1, ^good[len(good)-1]), "its checksum is another"},
+		{"no body", good[:bodyOffset], "its checksum is another"},
+		{"longer than it was written", append(bytes.Clone(good), 0), "its checksum is another"},
+		{"a body that can't be decoded", withBody([]byte{0xc1}), ""},
+		{"a body that is cut off, with its checksum", withBody(good[bodyOffset : len(good)-1]), ""},
+		{"too long", withBody(make([]byte, maxLength-bodyOffset+1)), "over 16777216 bytes"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			got, err := loadFromFile(t, test.file)
+			var torn *snapshot.TornError
+			if got != nil || !errors.As(err, &torn) || !strings.Contains(torn.Reason, test.want) {
+				t.Errorf("Load: %+v %v, want a TornError with %q", got, err, test.want)
+			}
+		})
+	}
+}
+
+// TestLoadSkipsUnknownField checks that a file with a field of a later version can be read.
+func TestLoadSkipsUnknownField(t *testing.T) {
+	body := bytes.Clone(goldenFile(t)[bodyOffset:])
+	body[0]++ // one more field in the map
+	body = append(body, 0xa3, 'n', 'e', 'w', 0x92, 0x01, 0x02)
+	got, err := loadFromFile(t, withBody(body))
+	if err != nil || got == nil || got.Owner != owner || got.Index != 70000 {
+		t.Errorf("Load: %+v %v, want the full snapshot", got, err)
+	}
+}
+
+// TestUnreadableFileKeepsContentUnderNewName pins the name to which a file that can't be read is moved.
+func TestUnreadableFileKeepsContentUnderNewName(t *testing.T) {
+	dir := t.TempDir()
+	store := openStore(t, dir)
+	writeStateFile(t, dir, []byte("garbled"))
+	if err := store.Aside(); err != nil {
+		t.Fatal(err)
+	}
+	if kept, err := os.ReadFile(filepath.Join(dir, fileName+".unreadable")); err != nil || string(kept) != "garbled" {
+		t.Errorf("moved file: %q %v, want its content unchanged", kept, err)
+	}
+}
+
+func openStore(t *testing.T, dir string) *snapshot.Store {
+	t.Helper()
+	store, err := snapshot.Open(dir, owner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store
+}
+
+// saveToFile saves a snapshot in a new directory and returns the bytes of the state file. It fails the test if Save leaves any
+// other file there.
+func saveToFile(t *testing.T, snapshot snapshot.Snapshot) []byte {
+	t.Helper()
+	dir := t.TempDir()
+	if err := openStore(t, dir).Save(&snapshot); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil || len(entries) != 1 || entries[0].Name() != fileName {
+		t.Fatalf("files %v, want %s: %v", entries, fileName, err)
+	}
+	file, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// loadFromFile loads a state file with the given bytes.
+func loadFromFile(t *testing.T, file []byte) (*snapshot.Snapshot, error) {
+	t.Helper()
+	dir := t.TempDir()
+	store := openStore(t, dir)
+	writeStateFile(t, dir, file)
+	return store.Load()
+}
+
+func writeStateFile(t *testing.T, dir string, file []byte) {
+	t.Helper()
+	if err := os.WriteFile(filepath.Join(dir, fileName), file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// goldenFile returns the golden state file of the full snapshot.
+func goldenFile(t *testing.T) []byte {
+	t.Helper()
+	return readGolden(t, filepath.Join("testdata", "state.golden"))[0].encoded
+}
+
+// changed returns a copy of a file with the byte at offset replaced.
+func changed(file []byte, offset int, replacement byte) []byte {
+	file = bytes.Clone(file)
+	file[offset] = replacement
+	return file
+}
+
+// withBody returns a state file with a valid header for body.
+func withBody(body []byte) []byte {
+	header := append([]byte(magic), version)
+	header = binary.LittleEndian.AppendUint64(header, xxhash.Sum64(body))
+	return append(header, body...)
+}
--- /dev/null
+++ b/internal/snapshot/store.go
@@ -0,0 +1,93 @@
+package snapshot
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+)
+
+const (
+	fileName         = "woodproxy.state"
+	unreadableSuffix = ".unreadable"
+	probePattern     = fileName + ".try-*"
+)
+
+// Store is the state directory of one proxy.
+type Store struct {
+	dir       string
+	owner     string // the name of this proxy
+	writeFile func(path string, data []byte) error
+}
+
+// Open returns the store in a directory, on behalf of the proxy named owner. It fails with a *DirError if the directory does
+// not exist or can't be written, and with an *OwnerError if another proxy's state file is in it. A state file that can't be
+// read is no error here: Load reports it.
+func Open(dir, owner string) (*Store, error) {
+	if err := checkWritable(dir); err != nil {
+		return nil, &DirError{Dir: dir, Err: err}
+	}
+	store := &Store{dir: dir, owner: owner, writeFile: replaceFile}
+	if previous, err := store.Load(); err == nil && previous != nil && previous.Owner != owner {
+		return nil, &OwnerError{Dir: dir, Owner: previous.Owner, Proxy: owner}
+	}
+	return store, nil
+}
+
+// checkWritable creates a file in a directory and removes it again, since permission bits don't tell about read-only mounts.
+func checkWritable(dir string) error {
+	info, err := os.Stat(dir)
+	if err != nil {
+		return err
+	}
+	if !info.IsDir() {
+		return errNotDirectory
+	}
+	probe, err := os.CreateTemp(dir, probePattern)
+	if err != nil {
+		return err
+	}
+	_ = probe.Close()           // nothing was written that a failed close could lose
+	_ = os.Remove(probe.Name()) // an empty file that stays does no harm
+	return nil
+}
+
+// Load returns the stored snapshot, or nil without an error if there is no state file. Every error is a *TornError.
+func (s *Store) Load() (*Snapshot, error) {
+	file, err := os.Open(s.path())
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, unreadable(err)
+	}
+	defer func() { _ = file.Close() }() // it was only read
+	data, err := io.ReadAll(io.LimitReader(file, maxFileLength+1))
+	if err != nil {
+		return nil, unreadable(err)
+	}
+	return decode(data)
+}
+
+// Save replaces the state file by one with the given snapshot, whose Owner it sets to this proxy. When it returns, the new
+// file is on the disk. If it fails, the previous file is unchanged.
+func (s *Store) Save(snapshot *Snapshot) error {
+	snapshot.Owner = s.owner
+	data, err := encode(snapshot)
+	if err != nil {
+		return err
+	}
+	if err := s.writeFile(s.path(), data); err != nil {
+		return fmt.Errorf("write state file: %w", err)
+	}
+	return nil
+}
+
+// Aside renames the state file to woodproxy.state.unreadable, for operators to look at, and replaces an earlier file of that
+// name. The next Load finds no state file.
+func (s *Store) Aside() error {
+	return os.Rename(s.path(), s.path()+unreadableSuffix)
+}
+
+func (s *Store) path() string { return filepath.Join(s.dir, fileName) }
--- /dev/null
+++ b/internal/snapshot/store_test.go
@@ -0,0 +1,146 @@
+package snapshot
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// testOwner is the proxy that the tests run as.
+const testOwner = "n1"
+
+// testSnapshot returns a snapshot with every field set that a caller of Save sets.
+func testSnapshot() *Snapshot {
+	return &Snapshot{
+		Cluster: "c", At: time.Unix(1000, 0).UTC(), Index: 41, List: []byte(`{"index":41}`), Peers: []string{"127.0.0.1:7946"},
+	}
+}
+
+// openStore opens a directory on behalf of the proxy testOwner.
+func openStore(t *testing.T, dir string) *Store {
+	t.Helper()
+	store, err := Open(dir, testOwner)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store
+}
+
+// saveSnapshot saves a snapshot and returns the bytes of the state file.
+func saveSnapshot(t *testing.T, store *Store, snapshot *Snapshot) []byte {
+	t.Helper()
+	if err := store.Save(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.ReadFile(store.path())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+func writeTestFile(t *testing.T, path string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestLoadFromEmptyDirectoryReturnsNothing(t *testing.T) {
+	store := openStore(t, t.TempDir())
+	if previous, err := store.Load(); previous != nil || err != nil {
+		t.Fatalf("Load: %+v %v, want no snapshot and no error", previous, err)
+	}
+}
+
+// A process that is killed during a write, or a disk that is full, leaves the previous file, at whichever byte the write ends.
+func TestFailedSaveKeepsPreviousFile(t *testing.T) {
+	dir := t.TempDir()
+	store := openStore(t, dir)
+	valid := saveSnapshot(t, store, testSnapshot())
+	later := testSnapshot()
+	later.Index = 42
+	for written := range len(valid) {
+		store.writeFile = func(_ string, data []byte) error {
+			writeTestFile(t, filepath.Join(dir, fileName+".new-1"), data[:min(written, len(data))])
+			return errors.New("no space left")
+		}
+		if store.Save(later) == nil {
+			t.Fatal("Save: no error for a write that failed")
+		}
+		previous, err := store.Load()
+		if err != nil || previous.Index != 41 || previous.Owner != testOwner || string(previous.List) != `{"index":41}` {
+			t.Fatalf("after %d bytes: %+v %v, want the previous snapshot", written, previous, err)
+		}
+	}
+}
+
+func TestDecodeRejectsFileTruncatedOrChangedAtAnyByte(t *testing.T) {
+	valid := saveSnapshot(t, openStore(t, t.TempDir()), testSnapshot())
+	var torn *TornError
+	for offset := range len(valid) {
+		if _, err := decode(valid[:offset]); !errors.As(err, &torn) {
+			t.Errorf("truncated at %d: error %v, want a TornError", offset, err)
+		}
+		changed := bytes.Clone(valid)
+		changed[offset] ^= 0x10
+		if _, err := decode(changed); !errors.As(err, &torn) {
+			t.Errorf("changed at %d: error %v, want a TornError", offset, err)
+		}
+	}
+}
+
+func TestUnreadableFileIsReportedUntilMovedAside(t *testing.T) {
+	store := openStore(t, t.TempDir())
+	valid := saveSnapshot(t, store, testSnapshot())
+	writeTestFile(t, store.path(), valid[:20])
+	var torn *TornError
+	if _, err := store.Load(); !errors.As(err, &torn) {
+		t.Errorf("Load: error %v, want a TornError", err)
+	}
+	if err := store.Aside(); err != nil {
+		t.Error(err)
+	}
+	if previous, err := store.Load(); previous != nil || err != nil {
+		t.Errorf("Load after the file was moved aside: %+v %v, want no snapshot and no error", previous, err)
+	}
+}
+
+func TestOpenRejectsUnusableDirectory(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file")
+	writeTestFile(t, file, nil)
+	for _, test := range []struct {
+		name string
+		dir  string
+	}{
+		{"missing directory", filepath.Join(t.TempDir(), "none")},
+		{"regular file", file},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var dirError *DirError
+			if _, err := Open(test.dir, testOwner); !errors.As(err, &dirError) {
+				t.Errorf("Open: error %v, want a DirError", err)
+			}
+		})
+	}
+}
+
+func TestOpenRejectsDirectoryOfAnotherProxy(t *testing.T) {
+	dir := t.TempDir()
+	saveSnapshot(t, openStore(t, dir), testSnapshot())
+	var ownerError *OwnerError
+	if _, err := Open(dir, "n2"); !errors.As(err, &ownerError) || ownerError.Owner != testOwner {
+		t.Errorf("Open: error %v, want an OwnerError with owner %s", err, testOwner)
+	}
+}
+
+// FuzzDecode looks for files on which decode panics.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(magic + "\x01" + "12345678"))
+	f.Fuzz(func(_ *testing.T, file []byte) {
+		_, _ = decode(file) // any answer is right as long as there is one
+	})
+}
