--- /dev/null
+++ b/recovery/endpointlist_test.go
@@ -0,0 +1,51 @@
+package recovery
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// endpoints reads a list such as "+a -b !c": a is ready, b is draining, c has left.
+func endpoints(t *testing.T, text string) []Line {
+	t.Helper()
+	var all []Line
+	for _, word := range strings.Fields(text) {
+		status, known := map[byte]EndpointStatus{'+': Ready, '-': Leaving, '!': Left}[word[0]]
+		if !known {
+			t.Fatalf("%q: no status %q", text, word[0])
+		}
+		all = append(all, Line{word[1:], status})
+	}
+	return all
+}
+
+func TestBelieveChoosesListByIndexAndAge(t *testing.T) {
+	const maxAge = 24 * time.Hour
+	now := time.Unix(1000000, 0)
+	for _, test := range []struct {
+		name            string
+		storedIndex     int64
+		stored          string
+		age             time.Duration
+		configuredIndex int64
+		configured      string
+		wantStored      bool
+		wantDrained     string
+	}{
+		{"stored list is newer", 9, "+a -b", time.Minute, 7, "+a +b", true, ""},
+		{"configured list is newer", 7, "+a -b", time.Minute, 9, "+a +b", false, ""},
+		{"same index: the stricter status counts", 7, "+a -b !c", time.Minute, 7, "+a +b +c", false, "b c"},
+		{"stored list is newer but over the maximum age", 9, "+a -b", 25 * time.Hour, 7, "+a +b", false, "b"},
+		{"stored in the future: the clock was set back", 9, "-a +b", -time.Hour, 7, "+a +b", false, "a"},
+		{"no configured list", 9, "+a -b", time.Minute, 0, "", true, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			stored := Stored{List: List{test.storedIndex, endpoints(t, test.stored)}, At: now.Add(-test.age)}
+			use := Believe(stored, List{test.configuredIndex, endpoints(t, test.configured)}, now, maxAge)
+			if use.Disk != test.wantStored || strings.Join(use.Drained, " ") != test.wantDrained || use.Why == "" {
+				t.Errorf("got %+v, want stored %v, drained %q, a reason", use, test.wantStored, test.wantDrained)
+			}
+		})
+	}
+}
--- a/recovery/recovery_test.go
+++ b/recovery/recovery_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 )
@@ -79,38 +77,3 @@
 		}
 	})
 }
-
-// Of two lists the later index goes first, wherever it comes from; what is old, or of a time to come, is no list, and its drains bind where the
-// other list is no newer.
-func TestBelieve(t *testing.T) {
-	now := time.Unix(1000000, 0)
-	lines := func(words string) (all []Line) {
-		for _, w := range strings.Fields(words) {
-			status := map[byte]Status{'+': Ready, '-': Leaving, '!': Left}[w[0]]
-			all = append(all, Line{w[1:], status})
-		}
-		return all
-	}
-	for _, c := range []struct {
-		name    string
-		index   int64
-		stored  string
-		age     time.Duration
-		has     int64
-		config  string
-		disk    bool
-		drained string
-	}{
-		{"newer on the disk", 9, "+a -b", time.Minute, 7, "+a +b", true, ""},
-		{"newer in the configuration", 7, "+a -b", time.Minute, 9, "+a +b", false, ""},
-		{"as new", 7, "+a -b !c", time.Minute, 7, "+a +b +c", false, "b c"},
-		{"yesterday's, and newer by its index", 9, "+a -b", 25 * time.Hour, 7, "+a +b", false, "b"},
-		{"of a time to come: the clock stepped back", 9, "-a +b", -time.Hour, 7, "+a +b", false, "a"},
-		{"nothing in the configuration", 9, "+a -b", time.Minute, 0, "", true, ""},
-	} {
-		u := Believe(Stored{List: List{c.index, lines(c.stored)}, At: now.Add(-c.age)}, List{c.has, lines(c.config)}, now, 24*time.Hour)
-		if u.Disk != c.disk || strings.Join(u.Drained, " ") != c.drained || u.Why == "" {
-			t.Errorf("%s: %+v", c.name, u)
-		}
-	}
-}
