--- a/recovery/endpointlist.go
+++ b/recovery/endpointlist.go
@@ -36,7 +36,7 @@
 	At time.Time
 }
 
-// Use is the result of Believe.
+// Use says which endpoint list to start with, and which of its endpoints get no requests.
 type Use struct {
 	// Disk is true if the stored list is the one to start with, false for the configured one.
 	Disk bool
@@ -61,7 +61,8 @@
 	case age < 0:
 		return Use{Drained: drained, Why: fmt.Sprintf("stored %v from now by this clock: its drains alone count", -age)}
 	case age > maxAge:
-		return Use{Drained: drained, Why: fmt.Sprintf("stored %v ago, over %v: its drains alone count", age.Round(time.Second), maxAge)}
+		return Use{Drained: drained, Why: fmt.Sprintf("stored %v ago, over %v: its drains alone count",
+			age.Round(time.Second), maxAge)}
 	case stored.Index > configured.Index:
 		return Use{Disk: true, Why: fmt.Sprintf("stored %v ago at index %d, after the configuration's %d",
 			age.Round(time.Second), stored.Index, configured.Index)}
--- /dev/null
+++ b/recovery/tracker_test.go
@@ -0,0 +1,96 @@
+package recovery
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// tickInterval is the time between calls of Tick in these tests.
+const tickInterval = Second / 10
+
+// seconds returns the instant that many seconds after zero.
+func seconds(n Duration) Time { return Time(0).Add(n * Second) }
+
+// Each stage ends, with peers and without, and when nobody answers.
+func TestStagesFollowEventsAndTimeLimits(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		hasPeers bool
+		play     func(tracker *Instance, now Time) // the events before each tick
+		want     string                            // stages, with the second in which each began
+	}{
+		{"endpoint list after a second", false, func(tracker *Instance, now Time) {
+			if now == seconds(1) {
+				tracker.Listed(now)
+			}
+			tracker.Answered(true)
+		}, "alone 0 warming 1 full 2"},
+		{"peers that synchronize", true, func(tracker *Instance, now Time) {
+			tracker.Peers(now, 3, now < seconds(2))
+			tracker.Answered(true)
+		}, "alone 0 catching up 0 warming 2 full 3"},
+		{"silent peers and discovery", true, func(*Instance, Time) {}, "alone 0 catching up 2 warming 7 full 17"},
+		{"silent discovery, no peers", false, func(*Instance, Time) {}, "alone 0 warming 2 full 12"},
+		{"peers that never synchronize", true, func(tracker *Instance, now Time) {
+			tracker.Peers(now, 2, true)
+		}, "alone 0 catching up 0 warming 5 full 15"},
+		{"late answers", false, func(tracker *Instance, now Time) {
+			tracker.Listed(now)
+			tracker.Answered(now%Time(Second/2) == 0)
+		}, "alone 0 warming 0 full 10"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tracker := New(0, Usual(test.hasPeers), "", 0)
+			got, last := "alone 0", StageStandalone
+			for now := Time(0); now < seconds(30); now = now.Add(tickInterval) {
+				test.play(tracker, now)
+				if tracker.Tick(now); tracker.Stage() != last {
+					last = tracker.Stage()
+					got += fmt.Sprintf(" %v %d", last, now/seconds(1))
+				}
+			}
+			if got != test.want {
+				t.Errorf("stages %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// Whatever events come in whatever order, full service is reached within the sum of the time limits, and a pause starts recovery
+// again.
+func TestFullServiceIsReachedAfterAnyEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := Usual(rapid.Bool().Draw(t, "has peers"))
+		tracker, now := New(0, settings, "", 0), Time(0)
+		for range rapid.IntRange(0, 60).Draw(t, "calls") {
+			now = now.Add(Duration(rapid.Int64Range(0, int64(Second)).Draw(t, "gap")))
+			playDrawnEvent(t, tracker, now)
+		}
+		limit := now.Add(settings.StandaloneLimit + settings.CatchUpLimit + settings.WarmUpLimit + Second)
+		for ; now < limit; now = now.Add(tickInterval) {
+			tracker.Tick(now)
+		}
+		if tracker.Stage() != Full || tracker.Shown(now).FullMS == 0 {
+			t.Fatalf("after all time limits: %+v, want full service", tracker.Shown(now))
+		}
+		if tracker.Tick(now.Add(10 * Second)); tracker.Stage() == Full || tracker.Shown(now).Pauses == 0 {
+			t.Fatalf("after a pause of ten seconds: %+v, want an earlier stage", tracker.Shown(now))
+		}
+	})
+}
+
+// playDrawnEvent reports an event that rapid draws.
+func playDrawnEvent(t *rapid.T, tracker *Instance, now Time) {
+	switch rapid.IntRange(0, 3).Draw(t, "event") {
+	case 0:
+		tracker.Listed(now)
+	case 1:
+		tracker.Peers(now, rapid.IntRange(0, 3).Draw(t, "alive"), rapid.Bool().Draw(t, "catching up"))
+	case 2:
+		tracker.Answered(rapid.Bool().Draw(t, "in time"))
+	default:
+		tracker.Tick(now)
+	}
+}
