recovery: a stage change is a StageChange, no Decision

The type said nothing of what is decided; it has the log text of one change of stage. No change of behaviour.

Run: go test ./recovery, golangci-lint on the package.

--- a/recovery/tracker.go
+++ b/recovery/tracker.go
@@ -2,8 +2,8 @@
 
 import "fmt"
 
-// Decision is a change of stage that the caller logs.
-type Decision struct {
+// StageChange is a change of stage, for the caller to log.
+type StageChange struct {
 	// Text names both stages, the time spent in the earlier one in seconds, and the reason.
 	Text string
 }
@@ -22,8 +22,8 @@
 	peerSeen     bool // a peer was alive at some time
 	answers      answerCounts
 
-	figures   Figures
-	decisions []Decision // of the call in progress; its memory is used again by the next call
+	figures Figures
+	changes []StageChange // of the call in progress; its memory is used again by the next call
 }
 
 // New returns a tracker in its first stage, StageStandalone. For operators it also takes what became of the stored endpoint
@@ -41,7 +41,7 @@
 }
 
 // Listed reports that discovery or a peer has sent an endpoint list or a change of one. The result is valid until the next call.
-func (t *Instance) Listed(now Time) []Decision {
+func (t *Instance) Listed(now Time) []StageChange {
 	t.begin(now)
 	t.listReceived = true
 	return t.advance()
@@ -49,7 +49,7 @@
 
 // Peers reports how many peers are alive, and whether replication is still catching up with them. The result is valid until the
 // next call.
-func (t *Instance) Peers(now Time, alive int, catchingUp bool) []Decision {
+func (t *Instance) Peers(now Time, alive int, catchingUp bool) []StageChange {
 	t.begin(now)
 	t.peerSeen = t.peerSeen || alive > 0
 	t.catchingUp = catchingUp
@@ -66,7 +66,7 @@
 
 // Tick reports the time, about ten times a second. A longer gap than Settings.PauseThreshold means that the process was paused:
 // recovery starts again. The result is valid until the next call.
-func (t *Instance) Tick(now Time) []Decision {
+func (t *Instance) Tick(now Time) []StageChange {
 	t.begin(now)
 	if gap := t.now.Sub(t.lastTick); gap > t.settings.PauseThreshold {
 		t.restart(gap)
@@ -86,19 +86,19 @@
 	return figures
 }
 
-// begin starts a call: time never runs backwards, and decisions of the previous call are dropped.
+// begin starts a call: time never runs backwards, and the changes of the previous call are dropped.
 func (t *Instance) begin(now Time) {
 	t.now = max(now, t.now)
-	t.decisions = t.decisions[:0]
+	t.changes = t.changes[:0]
 }
 
-// advance takes transitions until none applies, and returns the decisions of this call. It ends since no transition leads to an
+// advance takes transitions until none applies, and returns all changes of this call. It ends since no transition leads to an
 // earlier stage.
-func (t *Instance) advance() []Decision {
+func (t *Instance) advance() []StageChange {
 	for {
 		next := t.nextTransition()
 		if next == nil {
-			return t.decisions
+			return t.changes
 		}
 		t.enter(next.to, next.reason)
 	}
@@ -117,7 +117,7 @@
 // enter changes the stage.
 func (t *Instance) enter(stage Stage, reason string) {
 	text := fmt.Sprintf("%v after %.1f s %v: %s", stage, t.timeInStage().Seconds(), t.stage, reason)
-	t.decisions = append(t.decisions, Decision{Text: text})
+	t.changes = append(t.changes, StageChange{Text: text})
 	t.stage, t.stageStart = stage, t.now
 	t.figures.Why = reason
 	switch stage {
