--- a/internal/snapshot/errors.go
+++ b/internal/snapshot/errors.go
@@ -46,5 +46,5 @@
 // Unwrap returns the cause, or nil.
 func (e *TornError) Unwrap() error { return e.Err }
 
-// unreadable returns the TornError for a state file that could not be read or decoded because of err.
+// unreadable returns the [TornError] for a state file that could not be read or decoded because of err.
 func unreadable(err error) *TornError { return &TornError{Reason: err.Error(), Err: err} }
--- a/internal/snapshot/format.go
+++ b/internal/snapshot/format.go
@@ -35,7 +35,7 @@
 	return append(file, body...), nil
 }
 
-// decode returns the snapshot in a state file. Every error is a *TornError.
+// decode returns the snapshot in a state file. Every error is a [TornError].
 func decode(file []byte) (*Snapshot, error) {
 	if err := checkHeader(file); err != nil {
 		return nil, err
--- a/internal/snapshot/format_golden_test.go
+++ b/internal/snapshot/format_golden_test.go
@@ -113,7 +113,7 @@
 			got, err := loadFromFile(t, test.file)
 			var torn *snapshot.TornError
 			if got != nil || !errors.As(err, &torn) || !strings.Contains(torn.Reason, test.want) {
-				t.Errorf("Load: %+v %v, want a TornError with %q", got, err, test.want)
+				t.Errorf("Load: %+v %v, want a %T with %q", got, err, torn, test.want)
 			}
 		})
 	}
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -21,8 +21,8 @@
 	writeFile func(path string, data []byte) error
 }
 
-// Open returns the store in a directory, on behalf of the proxy named owner. It fails with a *DirError if the directory does
-// not exist or can't be written, and with an *OwnerError if another proxy's state file is in it. A state file that can't be
+// Open returns the store in a directory, on behalf of the proxy named owner. It fails with a [DirError] if the directory does
+// not exist or can't be written, and with an [OwnerError] if another proxy's state file is in it. A state file that can't be
 // read is no error here: Load reports it.
 func Open(dir, owner string) (*Store, error) {
 	if err := checkWritable(dir); err != nil {
@@ -53,7 +53,7 @@
 	return nil
 }
 
-// Load returns the stored snapshot, or nil without an error if there is no state file. Every error is a *TornError.
+// Load returns the stored snapshot, or nil without an error if there is no state file. Every error is a [TornError].
 func (s *Store) Load() (*Snapshot, error) {
 	file, err := os.Open(s.path())
 	if errors.Is(err, os.ErrNotExist) {
--- a/internal/snapshot/store_test.go
+++ b/internal/snapshot/store_test.go
@@ -83,12 +83,12 @@
 	var torn *TornError
 	for offset := range len(valid) {
 		if _, err := decode(valid[:offset]); !errors.As(err, &torn) {
-			t.Errorf("truncated at %d: error %v, want a TornError", offset, err)
+			t.Errorf("truncated at %d: error %v, want a %T", offset, err, torn)
 		}
 		changed := bytes.Clone(valid)
 		changed[offset] ^= 0x10
 		if _, err := decode(changed); !errors.As(err, &torn) {
-			t.Errorf("changed at %d: error %v, want a TornError", offset, err)
+			t.Errorf("changed at %d: error %v, want a %T", offset, err, torn)
 		}
 	}
 }
@@ -99,7 +99,7 @@
 	writeTestFile(t, store.path(), valid[:20])
 	var torn *TornError
 	if _, err := store.Load(); !errors.As(err, &torn) {
-		t.Errorf("Load: error %v, want a TornError", err)
+		t.Errorf("Load: error %v, want a %T", err, torn)
 	}
 	if err := store.Aside(); err != nil {
 		t.Error(err)
--- a/recovery/endpointlist.go
+++ b/recovery/endpointlist.go
@@ -41,7 +41,7 @@
 	// Disk is true if the stored list is the one to start with, false for the configured one.
 	Disk bool
 	// Drained names the endpoints of the configured list that get no requests, because the stored list has them in a stricter
-	// status. In the order of the configured list; always empty with Disk.
+	// status. In the order of the configured list; always empty if the stored list is used.
 	Drained []string
 	// Why is the reason, for the log and for operators.
 	Why string
--- a/recovery/endpointlist_test.go
+++ b/recovery/endpointlist_test.go
@@ -42,9 +42,9 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			stored := Stored{List: List{test.storedIndex, endpoints(t, test.stored)}, At: now.Add(-test.age)}
-			use := Believe(stored, List{test.configuredIndex, endpoints(t, test.configured)}, now, maxAge)
-			if use.Disk != test.wantStored || strings.Join(use.Drained, " ") != test.wantDrained || use.Why == "" {
-				t.Errorf("got %+v, want stored %v, drained %q, a reason", use, test.wantStored, test.wantDrained)
+			selection := Believe(stored, List{test.configuredIndex, endpoints(t, test.configured)}, now, maxAge)
+			if selection.Disk != test.wantStored || strings.Join(selection.Drained, " ") != test.wantDrained || selection.Why == "" {
+				t.Errorf("got %+v, want stored %v, drained %q, a reason", selection, test.wantStored, test.wantDrained)
 			}
 		})
 	}
--- a/recovery/figures.go
+++ b/recovery/figures.go
@@ -2,10 +2,12 @@
 
 // Figures is the state of recovery for operators: the JSON answer to GET /control/recovery.
 type Figures struct {
-	// Stage is the name of the stage, Why the reason of its start, and InStageMS the time since then in milliseconds.
-	Stage     string `json:"stage"`
-	Why       string `json:"why"`
-	InStageMS int64  `json:"for_ms"`
+	// Stage is the name of the current stage.
+	Stage string `json:"stage"`
+	// Why is the reason for which the stage began.
+	Why string `json:"why"`
+	// InStageMS is the time since then in milliseconds.
+	InStageMS int64 `json:"for_ms"`
 	// FullMS is the time from the start of the process to the first full service in milliseconds, 0 before that.
 	FullMS int64 `json:"full_ms"`
 	// StoredList says whether the stored endpoint list was used, and why.
--- a/recovery/stage.go
+++ b/recovery/stage.go
@@ -29,7 +29,7 @@
 	reason string // part of the answers to GET /control/recovery and GET /control/ready
 }
 
-// transitions are tried in this order; the first one whose predicate holds is taken. Each stage but Full has one that depends
+// transitions are tried in this order; the first one whose predicate holds is taken. Each stage but the last has one that depends
 // on time alone.
 var transitions = []transition{
 	{StageStandalone, (*Instance).hasListAndState, StageWarmingUp, "the list is told"},
