--- a/internal/snapshot/format.go
+++ b/internal/snapshot/format.go
@@ -8,8 +8,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// Layout of the state file: magic number, format version (one byte), checksum of the body (64-bit xxHash, little endian), body
-// (a Snapshot in msgpack).
+// Layout of the state file: magic number, format version (one byte), checksum of the body (64-bit xxHash, little
+// endian), body (a Snapshot in msgpack).
 const (
 	magic          = "WOODPRX"
 	formatVersion  = 1
@@ -19,7 +19,8 @@
 	bodyOffset     = checksumOffset + checksumLength
 )
 
-// maxFileLength limits the memory that a damaged or foreign file can cost: 16 MiB is many times the largest endpoint list.
+// maxFileLength limits the memory that a damaged or foreign file can cost: 16 MiB is many times the largest endpoint
+// list.
 const maxFileLength = 16 << 20
 
 // encode returns the state file for a snapshot.
@@ -47,8 +48,8 @@
 	return &snapshot, nil
 }
 
-// checkHeader checks length, magic number, version and checksum. The version is looked at before the checksum: a later version
-// may compute that in another way.
+// checkHeader checks length, magic number, version and checksum. The version is looked at before the checksum: a later
+// version may compute that in another way.
 func checkHeader(file []byte) error {
 	switch {
 	case len(file) < bodyOffset:
--- a/internal/snapshot/format_golden_test.go
+++ b/internal/snapshot/format_golden_test.go
@@ -52,7 +52,8 @@
 	}
 }
 
-// TestStateFileMatchesGolden pins the bytes of the file: what Save writes, and that Load reads all of the golden bytes back.
+// TestStateFileMatchesGolden pins the bytes of the file: what Save writes, and that Load reads all of the golden bytes
+// back.
 func TestStateFileMatchesGolden(t *testing.T) {
 	cases := goldenCases()
 	var encodings []encoding
@@ -111,9 +112,9 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			got, err := loadFromFile(t, test.file)
-			var torn *snapshot.TornError
-			if got != nil || !errors.As(err, &torn) || !strings.Contains(torn.Reason, test.want) {
-				t.Errorf("Load: %+v %v, want a %T with %q", got, err, torn, test.want)
+			var corrupt *snapshot.TornError
+			if got != nil || !errors.As(err, &corrupt) || !strings.Contains(corrupt.Reason, test.want) {
+				t.Errorf("Load: %+v %v, want a %T with %q", got, err, corrupt, test.want)
 			}
 		})
 	}
@@ -152,8 +153,8 @@
 	return store
 }
 
-// saveToFile saves a snapshot in a new directory and returns the bytes of the state file. It fails the test if Save leaves any
-// other file there.
+// saveToFile saves a snapshot in a new directory and returns the bytes of the state file. It fails the test if Save
+// leaves any other file there.
 func saveToFile(t *testing.T, snapshot snapshot.Snapshot) []byte {
 	t.Helper()
 	dir := t.TempDir()
--- a/internal/snapshot/replacefile.go
+++ b/internal/snapshot/replacefile.go
@@ -5,8 +5,8 @@
 	"path/filepath"
 )
 
-// replaceFile replaces the file at path atomically: after a crash at any moment, path names either the complete previous file
-// or the complete new one. If it fails, the previous file is unchanged.
+// replaceFile replaces the file at path atomically: after a crash at any moment, path names either the complete
+// previous file or the complete new one. If it fails, the previous file is unchanged.
 func replaceFile(path string, data []byte) error {
 	temporary, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
 	if err != nil {
@@ -24,7 +24,8 @@
 	return nil
 }
 
-// writeSyncClose writes data, waits until it is on the disk, and closes the file whatever happens. It returns the first error.
+// writeSyncClose writes data, waits until it is on the disk, and closes the file whatever happens. It returns the first
+// error.
 func writeSyncClose(file *os.File, data []byte) error {
 	_, err := file.Write(data)
 	if err == nil {
@@ -36,8 +37,8 @@
 	return err
 }
 
-// syncDirectory has a rename survive a crash of the machine. Errors are ignored: the new file is in place already, some file
-// systems can't sync directories, and if the rename is lost, the previous file is there, complete.
+// syncDirectory has a rename survive a crash of the machine. Errors are ignored: the new file is in place already, some
+// file systems can't sync directories, and if the rename is lost, the previous file is there, complete.
 func syncDirectory(dir string) {
 	directory, err := os.Open(dir)
 	if err != nil {
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Snapshot is the content of the state file. Its msgpack keys are part of the file format; keys that are not known here are
-// skipped on reading, so that a later version may add some.
+// Snapshot is the content of the state file. Its msgpack keys are part of the file format; keys that are not known here
+// are skipped on reading, so that a later version may add some.
 type Snapshot struct {
 	// Owner is the name of the proxy that wrote the file. Save sets it.
 	Owner string `msgpack:"o"`
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -21,9 +21,9 @@
 	writeFile func(path string, data []byte) error
 }
 
-// Open returns the store in a directory, on behalf of the proxy named owner. It fails with a [DirError] if the directory does
-// not exist or can't be written, and with an [OwnerError] if another proxy's state file is in it. A state file that can't be
-// read is no error here: Load reports it.
+// Open returns the store in a directory, on behalf of the proxy named owner. It fails with a [DirError] if the
+// directory does not exist or can't be written, and with an [OwnerError] if another proxy's state file is in it. A
+// state file that can't be read is no error here: Load reports it.
 func Open(dir, owner string) (*Store, error) {
 	if err := checkWritable(dir); err != nil {
 		return nil, &DirError{Dir: dir, Err: err}
@@ -35,7 +35,8 @@
 	return store, nil
 }
 
-// checkWritable creates a file in a directory and removes it again, since permission bits don't tell about read-only mounts.
+// checkWritable creates a file in a directory and removes it again, since permission bits don't tell about read-only
+// mounts.
 func checkWritable(dir string) error {
 	info, err := os.Stat(dir)
 	if err != nil {
@@ -70,8 +71,8 @@
 	return decode(data)
 }
 
-// Save replaces the state file by one with the given snapshot, whose Owner it sets to this proxy. When it returns, the new
-// file is on the disk. If it fails, the previous file is unchanged.
+// Save replaces the state file by one with the given snapshot, whose Owner it sets to this proxy. When it returns, the
+// new file is on the disk. If it fails, the previous file is unchanged.
 func (s *Store) Save(snapshot *Snapshot) error {
 	snapshot.Owner = s.owner
 	data, err := encode(snapshot)
@@ -84,8 +85,8 @@
 	return nil
 }
 
-// Aside renames the state file to woodproxy.state.unreadable, for operators to look at, and replaces an earlier file of that
-// name. The next Load finds no state file.
+// Aside renames the state file to woodproxy.state.unreadable, for operators to look at, and replaces an earlier file of
+// that name. The next Load finds no state file.
 func (s *Store) Aside() error {
 	return os.Rename(s.path(), s.path()+unreadableSuffix)
 }
--- a/internal/snapshot/store_test.go
+++ b/internal/snapshot/store_test.go
@@ -15,7 +15,8 @@
 // testSnapshot returns a snapshot with every field set that a caller of Save sets.
 func testSnapshot() *Snapshot {
 	return &Snapshot{
-		Cluster: "c", At: time.Unix(1000, 0).UTC(), Index: 41, List: []byte(`{"index":41}`), Peers: []string{"127.0.0.1:7946"},
+		Cluster: "c", At: time.Unix(1000, 0).UTC(),
+		Index: 41, List: []byte(`{"index":41}`), Peers: []string{"127.0.0.1:7946"},
 	}
 }
 
@@ -56,7 +57,8 @@
 	}
 }
 
-// A process that is killed during a write, or a disk that is full, leaves the previous file, at whichever byte the write ends.
+// A process that is killed during a write, or a disk that is full, leaves the previous file, at whichever byte the
+// write ends.
 func TestFailedSaveKeepsPreviousFile(t *testing.T) {
 	dir := t.TempDir()
 	store := openStore(t, dir)
@@ -80,15 +82,15 @@
 
 func TestDecodeRejectsFileTruncatedOrChangedAtAnyByte(t *testing.T) {
 	valid := saveSnapshot(t, openStore(t, t.TempDir()), testSnapshot())
-	var torn *TornError
+	var corrupt *TornError
 	for offset := range len(valid) {
-		if _, err := decode(valid[:offset]); !errors.As(err, &torn) {
-			t.Errorf("truncated at %d: error %v, want a %T", offset, err, torn)
+		if _, err := decode(valid[:offset]); !errors.As(err, &corrupt) {
+			t.Errorf("truncated at %d: error %v, want a %T", offset, err, corrupt)
 		}
 		changed := bytes.Clone(valid)
 		changed[offset] ^= 0x10
-		if _, err := decode(changed); !errors.As(err, &torn) {
-			t.Errorf("changed at %d: error %v, want a %T", offset, err, torn)
+		if _, err := decode(changed); !errors.As(err, &corrupt) {
+			t.Errorf("changed at %d: error %v, want a %T", offset, err, corrupt)
 		}
 	}
 }
@@ -97,9 +99,9 @@
 	store := openStore(t, t.TempDir())
 	valid := saveSnapshot(t, store, testSnapshot())
 	writeTestFile(t, store.path(), valid[:20])
-	var torn *TornError
-	if _, err := store.Load(); !errors.As(err, &torn) {
-		t.Errorf("Load: error %v, want a %T", err, torn)
+	var corrupt *TornError
+	if _, err := store.Load(); !errors.As(err, &corrupt) {
+		t.Errorf("Load: error %v, want a %T", err, corrupt)
 	}
 	if err := store.Aside(); err != nil {
 		t.Error(err)
--- a/recovery/endpointlist.go
+++ b/recovery/endpointlist.go
@@ -40,8 +40,8 @@
 type Use struct {
 	// Disk is true if the stored list is the one to start with, false for the configured one.
 	Disk bool
-	// Drained names the endpoints of the configured list that get no requests, because the stored list has them in a stricter
-	// status. In the order of the configured list; always empty if the stored list is used.
+	// Drained names the endpoints of the configured list that get no requests, because the stored list has them in a
+	// stricter status. In the order of the configured list; always empty if the stored list is used.
 	Drained []string
 	// Why is the reason, for the log and for operators.
 	Why string
@@ -49,10 +49,10 @@
 
 // Believe chooses the endpoint list to start with: the stored one or the configured one.
 //
-// The higher index wins, since wall clocks can be set back. A stored list is not used if it is older than maxAge, or if its time
-// lies in the future, which means that the clock was set back and its age is unknown. In both cases its statuses still count,
-// unless the configured list has a higher index: requests must not go to an endpoint that was told to drain. The same holds for
-// lists of the same index.
+// The higher index wins, since wall clocks can be set back. A stored list is not used if it is older than maxAge, or if
+// its time lies in the future, which means that the clock was set back and its age is unknown. In both cases its
+// statuses still count, unless the configured list has a higher index: requests must not go to an endpoint that was
+// told to drain. The same holds for lists of the same index.
 func Believe(stored Stored, configured List, now time.Time, maxAge time.Duration) Use {
 	age := now.Sub(stored.At)
 	drained := drainedByStored(stored.List, configured)
@@ -72,8 +72,8 @@
 	}
 }
 
-// drainedByStored returns the names of the configured endpoints that have a stricter status in the stored list, none if that is
-// the older one.
+// drainedByStored returns the names of the configured endpoints that have a stricter status in the stored list, none if
+// that is the older one.
 func drainedByStored(stored, configured List) []string {
 	if stored.Index < configured.Index {
 		return nil
--- a/recovery/endpointlist_test.go
+++ b/recovery/endpointlist_test.go
@@ -43,7 +43,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			stored := Stored{List: List{test.storedIndex, endpoints(t, test.stored)}, At: now.Add(-test.age)}
 			selection := Believe(stored, List{test.configuredIndex, endpoints(t, test.configured)}, now, maxAge)
-			if selection.Disk != test.wantStored || strings.Join(selection.Drained, " ") != test.wantDrained || selection.Why == "" {
+			drained := strings.Join(selection.Drained, " ")
+			if selection.Disk != test.wantStored || drained != test.wantDrained || selection.Why == "" {
 				t.Errorf("got %+v, want stored %v, drained %q, a reason", selection, test.wantStored, test.wantDrained)
 			}
 		})
--- a/recovery/errors.go
+++ b/recovery/errors.go
@@ -9,6 +9,6 @@
 }
 
 func (e *ClusterError) Error() string {
-	return fmt.Sprintf("the state file belongs to cluster %q, and this proxy to %q; name another directory, or empty this one",
-		e.Stored, e.Own)
+	return fmt.Sprintf("the state file belongs to cluster %q, and this proxy to %q; "+
+		"name another directory, or empty this one", e.Stored, e.Own)
 }
--- a/recovery/settings.go
+++ b/recovery/settings.go
@@ -4,8 +4,8 @@
 type Settings struct {
 	// HasPeers is true if there are peers to synchronize with.
 	HasPeers bool
-	// StandaloneLimit, CatchUpLimit and WarmUpLimit are the time limits of the stages of these names, each from the start of the
-	// stage.
+	// StandaloneLimit, CatchUpLimit and WarmUpLimit are the time limits of the stages of these names, each from the
+	// start of the stage.
 	StandaloneLimit Duration
 	CatchUpLimit    Duration
 	WarmUpLimit     Duration
@@ -15,8 +15,8 @@
 	PauseThreshold Duration
 }
 
-// Usual returns the settings in use. The limit of catching up is the time after which replication itself gives up (5 s), so that
-// the stage does not outlast it.
+// Usual returns the settings in use. The limit of catching up is the time after which replication itself gives up (5
+// s), so that the stage does not outlast it.
 func Usual(hasPeers bool) Settings {
 	return Settings{
 		HasPeers:        hasPeers,
--- a/recovery/stage.go
+++ b/recovery/stage.go
@@ -8,15 +8,20 @@
 	StageStandalone Stage = iota
 	// StageCatchingUp lasts until the replicated state is synchronized with a peer.
 	StageCatchingUp
-	// StageWarmingUp lasts until enough recent requests were answered in time: the proxy has the state, but few measurements of
-	// its endpoints.
+	// StageWarmingUp lasts until enough recent requests were answered in time: the proxy has the state, but few
+	// measurements of its endpoints.
 	StageWarmingUp
 	// Full is normal service.
 	Full
 )
 
 // stageNames are part of the answers to GET /control/recovery and GET /control/ready.
-var stageNames = [...]string{StageStandalone: "alone", StageCatchingUp: "catching up", StageWarmingUp: "warming", Full: "full"}
+var stageNames = [...]string{
+	StageStandalone: "alone",
+	StageCatchingUp: "catching up",
+	StageWarmingUp:  "warming",
+	Full:            "full",
+}
 
 // String returns the name that operators see. Values that are no stage wrap around.
 func (s Stage) String() string { return stageNames[int(s)%len(stageNames)] }
@@ -29,8 +34,8 @@
 	reason string // part of the answers to GET /control/recovery and GET /control/ready
 }
 
-// transitions are tried in this order; the first one whose predicate holds is taken. Each stage but the last has one that depends
-// on time alone.
+// transitions are tried in this order; the first one whose predicate holds is taken. Each stage but the last has one
+// that depends on time alone.
 var transitions = []transition{
 	{StageStandalone, (*Instance).hasListAndState, StageWarmingUp, "the list is told"},
 	{StageStandalone, (*Instance).hasContact, StageCatchingUp, "others are heard"},
--- a/recovery/tracker.go
+++ b/recovery/tracker.go
@@ -26,8 +26,8 @@
 	changes []StageChange // of the call in progress; its memory is used again by the next call
 }
 
-// New returns a tracker in its first stage, StageStandalone. For operators it also takes what became of the stored endpoint
-// list, and the number of endpoints that are drained because of it.
+// New returns a tracker in its first stage, StageStandalone. For operators it also takes what became of the stored
+// endpoint list, and the number of endpoints that are drained because of it.
 func New(now Time, settings Settings, stored string, drained int) *Instance {
 	return &Instance{
 		settings:   settings,
@@ -40,15 +40,16 @@
 	}
 }
 
-// Listed reports that discovery or a peer has sent an endpoint list or a change of one. The result is valid until the next call.
+// Listed reports that discovery or a peer has sent an endpoint list or a change of one. The result is valid until the
+// next call.
 func (t *Instance) Listed(now Time) []StageChange {
 	t.begin(now)
 	t.listReceived = true
 	return t.advance()
 }
 
-// Peers reports how many peers are alive, and whether replication is still catching up with them. The result is valid until the
-// next call.
+// Peers reports how many peers are alive, and whether replication is still catching up with them. The result is valid
+// until the next call.
 func (t *Instance) Peers(now Time, alive int, catchingUp bool) []StageChange {
 	t.begin(now)
 	t.peerSeen = t.peerSeen || alive > 0
@@ -56,16 +57,16 @@
 	return t.advance()
 }
 
-// Answered reports that a request has finished, and whether it was answered in time. The next call of another method takes it
-// into account.
+// Answered reports that a request has finished, and whether it was answered in time. The next call of another method
+// takes it into account.
 func (t *Instance) Answered(inTime bool) {
 	if t.stage != Full {
 		t.answers.add(inTime)
 	}
 }
 
-// Tick reports the time, about ten times a second. A longer gap than Settings.PauseThreshold means that the process was paused:
-// recovery starts again. The result is valid until the next call.
+// Tick reports the time, about ten times a second. A longer gap than Settings.PauseThreshold means that the process was
+// paused: recovery starts again. The result is valid until the next call.
 func (t *Instance) Tick(now Time) []StageChange {
 	t.begin(now)
 	if gap := t.now.Sub(t.lastTick); gap > t.settings.PauseThreshold {
@@ -92,8 +93,8 @@
 	t.changes = t.changes[:0]
 }
 
-// advance takes transitions until none applies, and returns all changes of this call. It ends since no transition leads to an
-// earlier stage.
+// advance takes transitions until none applies, and returns all changes of this call. It ends since no transition leads
+// to an earlier stage.
 func (t *Instance) advance() []StageChange {
 	for {
 		next := t.nextTransition()
--- a/recovery/tracker_test.go
+++ b/recovery/tracker_test.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// Whatever events come in whatever order, full service is reached within the sum of the time limits, and a pause starts recovery
-// again.
+// Whatever events come in whatever order, full service is reached within the sum of the time limits, and a pause starts
+// recovery again.
 func TestFullServiceIsReachedAfterAnyEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		settings := Usual(rapid.Bool().Draw(t, "has peers"))
