--- a/recovery/settings.go
+++ b/recovery/settings.go
@@ -15,8 +15,8 @@
 	PauseThreshold Duration
 }
 
-// Usual returns the settings in use. The limit of catching up is the time after which replication itself gives up (5
-// s), so that the stage does not outlast it.
+// Usual returns the settings in use. The limit of catching up is the 5 s after which replication itself gives up, so that
+// the stage does not outlast it.
 func Usual(hasPeers bool) Settings {
 	return Settings{
 		HasPeers:        hasPeers,
