--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -65,21 +65,21 @@
 			return
 		case <-ticker.C:
 		}
-		for _, decision := range t.tick() {
-			t.log.Info("recovery: " + decision.Text)
+		for _, change := range t.tick() {
+			t.log.Info("recovery: " + change.Text)
 		}
 		t.writer.saveIfDue()
 	}
 }
 
-// tick tells the recovery module what has happened since the last tick, and returns its decisions.
-func (t *recoveryTracker) tick() []recovery.Decision {
+// tick tells the recovery module what has happened since the last tick, and returns the changes of stage.
+func (t *recoveryTracker) tick() []recovery.StageChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reportAnswers()
-	decisions := t.instance.Tick(t.now())
+	changes := t.instance.Tick(t.now())
 	if t.endpoints.Version() > 0 {
-		decisions = append(decisions, t.instance.Listed(t.now())...)
+		changes = append(changes, t.instance.Listed(t.now())...)
 	}
 	if status := t.gossip.sender.status(); status != nil {
 		alive := -1 // others than this proxy, which is a member too
@@ -88,9 +88,9 @@
 				alive++
 			}
 		}
-		decisions = append(decisions, t.instance.Peers(t.now(), alive, status.Behind)...)
+		changes = append(changes, t.instance.Peers(t.now(), alive, status.Behind)...)
 	}
-	return decisions
+	return changes
 }
 
 // reportAnswers reports the requests that were answered in time, and those that were not. The caller holds the lock.
