proxy: name types, fields and files by the field's terms; no change of behaviour

Private words stood for known concepts: link, peer, try, leg, flow, door, parting, quarters, onlooker, box, spots, halt. They are now upstreamConn, upstreamHost, attempt, stream, closePhase, zoneController, shadowBalancer, mailbox, free hosts. Receivers are one per type, files are named after what is in them, test names say what is expected. Exported names that other packages use stay.

Run: go build ./..., go vet and go test ./internal/proxy.

--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -33,7 +33,7 @@
 }
 
 // endings names how tries end, in the module's order.
-var endings = [balancer.Lacking + 1]string{
+var outcomeCounterNames = [balancer.Lacking + 1]string{
 	"EndCompleted", "EndFault", "EndNoRoom", "EndSilent", "EndUnreachable",
 	"EndCut", "EndUndone", "EndUnsent", "EndLacking",
 }
@@ -85,7 +85,7 @@
 		f(n.name, n.at.Load())
 	}
 	for i := range c.Ends {
-		f(endings[i], c.Ends[i].Load())
+		f(outcomeCounterNames[i], c.Ends[i].Load())
 	}
 }
 
--- a/internal/proxy/ending_test.go
+++ b/internal/proxy/lifecycle_test.go
@@ -25,29 +25,29 @@
 // forced: connections to nodes come up when the test lets them, and nodes answer when it says so.
 
 // holding is a dialer whose connections come up when let.
-type holding struct {
+type blockingDialer struct {
 	net.Dialer
-	mu   sync.Mutex
-	held map[string]chan struct{} // by address: closed when connections there may come up
+	mu      sync.Mutex
+	blocked map[string]chan struct{} // by address: closed when connections there may come up
 }
 
-func (h *holding) hold(addr string) (release func()) {
+func (h *blockingDialer) block(addr string) (release func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	until := make(chan struct{})
-	h.held[addr] = until
+	h.blocked[addr] = until
 	return sync.OnceFunc(func() {
 		h.mu.Lock()
-		delete(h.held, addr)
+		delete(h.blocked, addr)
 		h.mu.Unlock()
 		close(until)
 	})
 }
 
 // DialContext goes on after its time as a connection does that comes up just then.
-func (h *holding) DialContext(_ context.Context, network, addr string) (net.Conn, error) {
+func (h *blockingDialer) DialContext(_ context.Context, network, addr string) (net.Conn, error) {
 	h.mu.Lock()
-	until := h.held[addr]
+	until := h.blocked[addr]
 	h.mu.Unlock()
 	if until != nil {
 		<-until
@@ -60,15 +60,15 @@
 }
 
 // command is what a node was asked.
-type command struct {
+type receivedCommand struct {
 	id, facts string
 	conn      net.Conn
 }
 
 // standIn is a node that passes on what it is asked and answers nothing by itself.
-type standIn struct {
-	addr  string
-	asked chan command
+type fakeNode struct {
+	addr     string
+	commands chan receivedCommand
 }
 
 func listen(t *testing.T, serve func(net.Conn)) string {
@@ -89,8 +89,8 @@
 	return ln.Addr().String()
 }
 
-func newCache(t *testing.T) *standIn {
-	n := &standIn{asked: make(chan command, 1000)}
+func newCache(t *testing.T) *fakeNode {
+	n := &fakeNode{commands: make(chan receivedCommand, 1000)}
 	n.addr = listen(t, func(c net.Conn) {
 		defer c.Close()
 		in := bufio.NewReaderSize(c, 8<<10)
@@ -103,7 +103,7 @@
 			if err != nil {
 				continue
 			}
-			n.asked <- command{string(cmd.ID), string(cmd.Facts), c}
+			n.commands <- receivedCommand{string(cmd.ID), string(cmd.Facts), c}
 			if cmd.Value >= 0 {
 				took += cmd.Value + 2
 			}
@@ -113,8 +113,8 @@
 	return n
 }
 
-func newOrigin(t *testing.T) *standIn {
-	n := &standIn{asked: make(chan command, 1000)}
+func newOrigin(t *testing.T) *fakeNode {
+	n := &fakeNode{commands: make(chan receivedCommand, 1000)}
 	n.addr = listen(t, func(c net.Conn) {
 		defer c.Close()
 		in := bufio.NewReader(c)
@@ -124,67 +124,67 @@
 				return
 			}
 			io.Copy(io.Discard, r.Body)
-			n.asked <- command{r.Header.Get("X-Correlation-Id"), r.Header.Get("X-Facts"), c}
+			n.commands <- receivedCommand{r.Header.Get("X-Correlation-Id"), r.Header.Get("X-Facts"), c}
 		}
 	})
 	return n
 }
 
 // next is the next command that the node was asked.
-func (n *standIn) next(t *testing.T) command {
+func (n *fakeNode) next(t *testing.T) receivedCommand {
 	t.Helper()
 	select {
-	case c := <-n.asked:
+	case c := <-n.commands:
 		return c
 	case <-time.After(5 * time.Second):
 		t.Fatal("the node is asked nothing")
 	}
-	return command{}
+	return receivedCommand{}
 }
 
-func (c command) answers(value string) {
+func (c receivedCommand) reply(value string) {
 	fmt.Fprintf(c.conn, "*1\r\n$%d\r\n%s\r\n", len(value), value)
 }
 
 // rig is a proxy without discovery, on real connections.
-type rig struct {
-	t      *testing.T
-	door   *Door
-	router *Router
-	dials  *holding
-	ln     *net.TCPListener
+type testProxy struct {
+	t        *testing.T
+	listener *Door
+	router   *Router
+	dialer   *blockingDialer
+	ln       *net.TCPListener
 }
 
-func newRig(t *testing.T, sockets int, change func(*balancer.Terms), nodes ...*standIn) *rig {
+func newTestProxy(t *testing.T, sockets int, change func(*balancer.Terms), nodes ...*fakeNode) *testProxy {
 	t.Helper()
-	return newSteppingRig(t, &stepping{}, sockets, change, nodes...)
+	return newSteppedTestProxy(t, &steppedListener{}, sockets, change, nodes...)
 }
 
-func newSteppingRig(t *testing.T, step *stepping, sockets int, change func(*balancer.Terms), nodes ...*standIn) *rig {
+func newSteppedTestProxy(t *testing.T, step *steppedListener, sockets int, change func(*balancer.Terms), nodes ...*fakeNode) *testProxy {
 	t.Helper()
-	book := &settings.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: balancer.Terms{
+	config := &settings.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: balancer.Terms{
 		Proxies: 1, MaxTries: 3,
 		Tick: 50, Aside: true, Fall: 20000, FallMultiple: 3, Cold: 1, ColdFrom: 0.3,
 		Routes: []balancer.Route{{Objective: 300000, Overall: 600000, Value: 1}, {Objective: 300000, Overall: 600000, Value: 1}},
 	}}
-	change(&book.Terms)
-	for _, r := range book.Terms.Routes {
-		book.Longest = max(book.Longest, r.Overall)
+	change(&config.Terms)
+	for _, r := range config.Terms.Routes {
+		config.Longest = max(config.Longest, r.Overall)
 	}
-	r := &rig{
-		t: t, router: NewRouter(book, 1, NewClock(), sockets, &Counters{}, zap.NewNop()),
-		dials: &holding{held: map[string]chan struct{}{}},
+	r := &testProxy{
+		t: t, router: NewRouter(config, 1, NewClock(), sockets, &Counters{}, zap.NewNop()),
+		dialer: &blockingDialer{blocked: map[string]chan struct{}{}},
 	}
-	r.router.dialer = r.dials
+	r.router.dialer = r.dialer
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	r.ln = ln.(*net.TCPListener)
 	step.TCPListener = r.ln
-	r.door = NewDoor(step, r.router, 64, r.router.count, zap.NewNop())
-	r.door.Allow(100, 100)
-	r.door.Open()
+	r.listener = NewDoor(step, r.router, 64, r.router.counters, zap.NewNop())
+	r.listener.Allow(100, 100)
+	r.listener.Open()
 	var list []wire.Target
 	for i, n := range nodes {
 		row := wire.Target{Name: fmt.Sprint("c", i), Address: n.addr, Kind: "std", Ready: true, Weight: 1}
@@ -193,14 +193,14 @@
 		}
 		list = append(list, row)
 	}
-	r.router.box.post(func() { r.router.nodes(true, true, list) })
+	r.router.mailbox.post(func() { r.router.updateEndpoints(true, true, list) })
 	go r.router.Run()
-	go r.door.Run()
+	go r.listener.Run()
 	t.Cleanup(func() { ln.Close() })
 	return r
 }
 
-func (r *rig) dial() net.Conn {
+func (r *testProxy) dial() net.Conn {
 	r.t.Helper()
 	c, err := net.Dial("tcp", r.ln.Addr().String())
 	if err != nil {
@@ -212,13 +212,13 @@
 }
 
 // read asks for a key.
-func read(key, id string, wait int) string {
+func getCommand(key, id string, wait int) string {
 	facts := fmt.Sprint("c=read,t=x,d=", wait)
 	return string(wire.AppendCommand(nil, []byte("KV.GET"), []byte(key), []byte(id), []byte(facts), -1))
 }
 
 // settles waits until something holds, which it does soon if it ever does.
-func (r *rig) settles(what string, holds func() bool) {
+func (r *testProxy) settles(what string, holds func() bool) {
 	r.t.Helper()
 	for range 400 {
 		if holds() {
@@ -230,22 +230,22 @@
 }
 
 // same leaves the terms as they are.
-func same(*balancer.Terms) {}
+func defaultSettings(*balancer.Terms) {}
 
 // A client leaves while the connection that its request waits for comes up: nothing of it is sent on, whether or not
 // tries may be called off, and the connection serves the next.
-func TestLeftWhileDialling(t *testing.T) {
+func TestClientGoneWhileDialing(t *testing.T) {
 	for _, may := range []bool{false, true} {
 		cache, origin := newCache(t), newOrigin(t)
-		r := newRig(t, 10, func(config *balancer.Terms) { config.MayCancel = may }, cache, origin)
-		release := r.dials.hold(cache.addr)
+		r := newTestProxy(t, 10, func(config *balancer.Terms) { config.MayCancel = may }, cache, origin)
+		release := r.dialer.block(cache.addr)
 		c := r.dial()
-		io.WriteString(c, read("k", "left", 60000))
-		r.settles("no connection is made", func() bool { return r.router.count.Dials.Load() == 1 })
+		io.WriteString(c, getCommand("k", "left", 60000))
+		r.settles("no connection is made", func() bool { return r.router.counters.Dials.Load() == 1 })
 		c.Close()
-		r.settles("nobody noticed that the client left", func() bool { return r.router.count.Left.Load() == 1 })
+		r.settles("nobody noticed that the client left", func() bool { return r.router.counters.Left.Load() == 1 })
 		release()
-		io.WriteString(r.dial(), read("k", "stays", 60000))
+		io.WriteString(r.dial(), getCommand("k", "stays", 60000))
 		if got := cache.next(t); got.id != "stays" {
 			t.Errorf("%s was sent on after its client had gone", got.id)
 		}
@@ -254,50 +254,50 @@
 
 // A copy of a late read is answered by the origin while the connection for the first try still comes up: the first is
 // not begun after the final answer.
-func TestAnsweredWhileDialling(t *testing.T) {
+func TestHedgeAnsweredWhileDialing(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	r := newRig(t, 10, func(config *balancer.Terms) {
+	r := newTestProxy(t, 10, func(config *balancer.Terms) {
 		config.Parallel = true
 		config.Routes[1].Objective, config.Routes[1].Overall = 1000, 2000 // by which an answer is late after 0.1 s
 	}, cache, origin)
-	release := r.dials.hold(cache.addr)
+	release := r.dialer.block(cache.addr)
 	c := r.dial()
-	io.WriteString(c, read("k", "copied", 60000))
+	io.WriteString(c, getCommand("k", "copied", 60000))
 	copied := origin.next(t)
 	io.WriteString(copied.conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue")
 	if line, err := bufio.NewReader(c).ReadString('\n'); line != "$5\r\n" {
 		t.Fatalf("%q, %v", line, err)
 	}
 	release()
-	io.WriteString(c, read("k", "next", 60000))
+	io.WriteString(c, getCommand("k", "next", 60000))
 	if got := cache.next(t); got.id != "next" {
 		t.Errorf("%s was sent on after its final answer", got.id)
 	}
 }
 
 // A request waits for a socket when its client leaves: the socket, once free, carries none of it.
-func TestLeftWhileQueued(t *testing.T) {
+func TestClientGoneWhileQueuedForSocket(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	r := newRig(t, 1, same, cache, origin)
+	r := newTestProxy(t, 1, defaultSettings, cache, origin)
 	first, c := r.dial(), r.dial()
-	io.WriteString(first, read("k", "first", 60000))
+	io.WriteString(first, getCommand("k", "first", 60000))
 	busy := cache.next(t)
-	io.WriteString(c, read("k", "left", 60000))
-	r.settles("the second is not tried", func() bool { return r.router.count.Tries.Load() == 2 })
+	io.WriteString(c, getCommand("k", "left", 60000))
+	r.settles("the second is not tried", func() bool { return r.router.counters.Tries.Load() == 2 })
 	c.Close()
-	r.settles("nobody noticed that the client left", func() bool { return r.router.count.Left.Load() == 1 })
-	busy.answers("value")
-	io.WriteString(r.dial(), read("k", "stays", 60000))
+	r.settles("nobody noticed that the client left", func() bool { return r.router.counters.Left.Load() == 1 })
+	busy.reply("value")
+	io.WriteString(r.dial(), getCommand("k", "stays", 60000))
 	if got := cache.next(t); got.id != "stays" {
 		t.Errorf("%s was sent on after its client had gone", got.id)
 	}
 }
 
 // Caches and the origin are told how long the proxy will wait, not what the client said when it asked.
-func TestToldWhatIsLeft(t *testing.T) {
+func TestUpstreamIsToldRemainingWait(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	r := newRig(t, 10, same, cache, origin)
-	io.WriteString(r.dial(), read("k", "missed", 5000))
+	r := newTestProxy(t, 10, defaultSettings, cache, origin)
+	io.WriteString(r.dial(), getCommand("k", "missed", 5000))
 	at := cache.next(t)
 	const late = 300
 	time.Sleep(late * time.Millisecond)
@@ -312,48 +312,48 @@
 // A client leaves while its connection's goroutine does not read: it has as many commands outstanding as it may and a
 // full buffer, it was told to end and is owed answers, or it is served a value that has stopped half way. All that it is
 // owed is given up at once, what was not shed before.
-func TestLeftUnread(t *testing.T) {
+func TestClientGoneWhileConnIsNotRead(t *testing.T) {
 	var crowd string
 	for i := range 300 {
-		crowd += read("k", fmt.Sprint("id", i), 60000)
+		crowd += getCommand("k", fmt.Sprint("id", i), 60000)
 	}
-	for name, begin := range map[string]func(r *rig, c net.Conn, cache *standIn) int64{
-		"outstanding": func(r *rig, c net.Conn, _ *standIn) int64 {
-			r.dials.hold(r.router.peers[0].listed.Address)
+	for name, begin := range map[string]func(r *testProxy, c net.Conn, cache *fakeNode) int64{
+		"outstanding": func(r *testProxy, c net.Conn, _ *fakeNode) int64 {
+			r.dialer.block(r.router.hosts[0].endpoint.Address)
 			go io.WriteString(c, crowd)
 			return maxPending
 		},
-		"told to end": func(r *rig, c net.Conn, _ *standIn) int64 {
-			r.dials.hold(r.router.peers[0].listed.Address)
-			io.WriteString(c, read("k", "owed", 60000))
-			r.settles("no connection is made", func() bool { return r.router.count.Dials.Load() == 1 })
-			r.door.partAll(shuts)
-			io.WriteString(c, read("k", "unread", 60000))
+		"told to end": func(r *testProxy, c net.Conn, _ *fakeNode) int64 {
+			r.dialer.block(r.router.hosts[0].endpoint.Address)
+			io.WriteString(c, getCommand("k", "owed", 60000))
+			r.settles("no connection is made", func() bool { return r.router.counters.Dials.Load() == 1 })
+			r.listener.requestPhaseAll(phaseStopReading)
+			io.WriteString(c, getCommand("k", "unread", 60000))
 			return 1
 		},
-		"value stopped": func(r *rig, c net.Conn, cache *standIn) int64 {
-			io.WriteString(c, read("k", "long", 60000))
+		"value stopped": func(r *testProxy, c net.Conn, cache *fakeNode) int64 {
+			io.WriteString(c, getCommand("k", "long", 60000))
 			at := cache.next(r.t)
 			fmt.Fprintf(at.conn, "*1\r\n$%d\r\n%s", 4*wire.MaxValue, strings.Repeat("v", wire.MaxValue))
 			if _, err := io.CopyN(io.Discard, c, wire.MaxValue/2); err != nil {
 				r.t.Fatal(err)
 			}
-			r.dials.hold(r.router.peers[0].listed.Address)
-			io.WriteString(c, read("k", "behind", 60000)+"*")
+			r.dialer.block(r.router.hosts[0].endpoint.Address)
+			io.WriteString(c, getCommand("k", "behind", 60000)+"*")
 			return 0
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache, origin := newCache(t), newOrigin(t)
-			r := newRig(t, 100, same, cache, origin)
+			r := newTestProxy(t, 100, defaultSettings, cache, origin)
 			r.settles("no list", func() bool { return len(r.router.Targets()) == 2 })
 			c := r.dial()
 			owed := begin(r, c, cache)
-			r.settles("not taken", func() bool { return r.router.count.Exchanges.Load() >= owed })
+			r.settles("not taken", func() bool { return r.router.counters.Exchanges.Load() >= owed })
 			c.Close()
 			r.settles("not all that was taken was given up", func() bool {
-				return r.router.count.Left.Load()+r.router.count.Shed.Load()+r.router.count.Completed.Load() == r.router.count.Exchanges.Load() &&
-					r.router.count.ClientsOpen.Load() == 0
+				return r.router.counters.Left.Load()+r.router.counters.Shed.Load()+r.router.counters.Completed.Load() == r.router.counters.Exchanges.Load() &&
+					r.router.counters.ClientsOpen.Load() == 0
 			})
 		})
 	}
@@ -361,18 +361,18 @@
 
 // A connection is told to close in the instant between its last answer and its rest: it does, where it would else keep a
 // socket that others wait for until its idle time is over.
-func TestClosedAsItFallsIdle(t *testing.T) {
-	m := newTestRouter()
+func TestUpstreamConnClosedAsItBecomesIdle(t *testing.T) {
+	router := newTestRouter()
 	cache := newCache(t)
 	conn, err := net.Dial("tcp", cache.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &link{peer: newPeer(m, 0, "c1", false), conn: conn, in: bufio.NewReader(conn)}
-	l.peer.idle = []*link{l}
-	l.peer.closeIdle()
-	ended := make(chan *try, 1)
-	go func() { ended <- l.wait() }()
+	upstream := &upstreamConn{host: newUpstreamHost(router, 0, "c1", false), conn: conn, reader: bufio.NewReader(conn)}
+	upstream.host.idleConns = []*upstreamConn{upstream}
+	upstream.host.closeIdleConns()
+	ended := make(chan *attempt, 1)
+	go func() { ended <- upstream.awaitAttempt() }()
 	select {
 	case got := <-ended:
 		if got != nil {
@@ -385,66 +385,66 @@
 
 // stepping is a listener that stops between two steps when told: between having accepted and saying so, and between a
 // connection's last look for bytes and its end.
-type stepping struct {
+type steppedListener struct {
 	*net.TCPListener
-	accepted chan struct{} // nil: goes on at once
-	goOn     chan struct{}
-	ending   func()       // before a connection ends its sending or itself, once
-	fails    atomic.Int64 // how often it fails yet for want of descriptors
+	accepted     chan struct{} // nil: goes on at once
+	proceed      chan struct{}
+	beforeClose  func()       // before a connection ends its sending or itself, once
+	failuresLeft atomic.Int64 // how often it fails yet for want of descriptors
 }
 
-func (s *stepping) Accept() (net.Conn, error) {
-	if s.fails.Add(-1) >= 0 {
+func (s *steppedListener) Accept() (net.Conn, error) {
+	if s.failuresLeft.Add(-1) >= 0 {
 		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
 	}
 	c, err := s.TCPListener.Accept()
 	if err == nil && s.accepted != nil {
 		s.accepted <- struct{}{}
-		<-s.goOn
+		<-s.proceed
 	}
-	if err == nil && s.ending != nil {
-		return &steppingConn{TCPConn: c.(*net.TCPConn), ending: sync.OnceFunc(s.ending)}, nil
+	if err == nil && s.beforeClose != nil {
+		return &steppedConn{TCPConn: c.(*net.TCPConn), beforeClose: sync.OnceFunc(s.beforeClose)}, nil
 	}
 	return c, err
 }
 
-type steppingConn struct {
+type steppedConn struct {
 	*net.TCPConn
-	ending func()
+	beforeClose func()
 }
 
-func (c *steppingConn) CloseWrite() error {
-	c.ending()
+func (c *steppedConn) CloseWrite() error {
+	c.beforeClose()
 	return c.TCPConn.CloseWrite()
 }
 
-func (c *steppingConn) Close() error {
-	c.ending()
+func (c *steppedConn) Close() error {
+	c.beforeClose()
 	return c.TCPConn.Close()
 }
 
 // A connection is accepted and not yet among the door's when the door closes and finds none: its request is answered
 // before the door says that all have ended.
-func TestAcceptedAsTheDoorCloses(t *testing.T) {
+func TestConnAcceptedDuringCloseIsServed(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	step := &stepping{accepted: make(chan struct{}, 1), goOn: make(chan struct{})}
-	r := newSteppingRig(t, step, 10, same, cache, origin)
+	step := &steppedListener{accepted: make(chan struct{}, 1), proceed: make(chan struct{})}
+	r := newSteppedTestProxy(t, step, 10, defaultSettings, cache, origin)
 	c := r.dial()
-	io.WriteString(c, read("k", "taken", 60000))
+	io.WriteString(c, getCommand("k", "taken", 60000))
 	<-step.accepted
 	closed := make(chan struct{})
 	go func() {
-		r.door.Close(time.Now().Add(5*time.Second), true, Leaving{time.Second, time.Second, time.Second})
+		r.listener.Close(time.Now().Add(5*time.Second), true, Leaving{time.Second, time.Second, time.Second})
 		close(closed)
 	}()
 	r.settles("the door does not close", func() bool {
-		r.door.mu.Lock()
-		defer r.door.mu.Unlock()
-		return r.door.shut
+		r.listener.mu.Lock()
+		defer r.listener.mu.Unlock()
+		return r.listener.closed
 	})
 	time.Sleep(50 * time.Millisecond) // the door has found nobody, if it does not wait for who was accepted
-	close(step.goOn)
-	cache.next(t).answers("value")
+	close(step.proceed)
+	cache.next(t).reply("value")
 	if line, err := bufio.NewReader(c).ReadString('\n'); line != "$5\r\n" {
 		t.Errorf("%q, %v", line, err)
 	}
@@ -458,27 +458,27 @@
 }
 
 // Clients wait in the listener's queue when the door closes: all are let in and answered.
-func TestWaitingAsTheDoorCloses(t *testing.T) {
+func TestBacklogIsServedDuringClose(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	step := &stepping{accepted: make(chan struct{}, 100), goOn: make(chan struct{})}
-	r := newSteppingRig(t, step, 10, same, cache, origin)
+	step := &steppedListener{accepted: make(chan struct{}, 100), proceed: make(chan struct{})}
+	r := newSteppedTestProxy(t, step, 10, defaultSettings, cache, origin)
 	var all []net.Conn
 	for i := range 5 {
 		c := r.dial()
-		io.WriteString(c, read("k", fmt.Sprint("id", i), 60000))
+		io.WriteString(c, getCommand("k", fmt.Sprint("id", i), 60000))
 		all = append(all, c)
 	}
 	<-step.accepted
-	go r.door.Close(time.Now().Add(5*time.Second), true, Leaving{time.Second, time.Second, time.Second})
+	go r.listener.Close(time.Now().Add(5*time.Second), true, Leaving{time.Second, time.Second, time.Second})
 	r.settles("the door does not close", func() bool {
-		r.door.mu.Lock()
-		defer r.door.mu.Unlock()
-		return r.door.shut
+		r.listener.mu.Lock()
+		defer r.listener.mu.Unlock()
+		return r.listener.closed
 	})
 	time.Sleep(50 * time.Millisecond)
-	close(step.goOn)
+	close(step.proceed)
 	for range all {
-		cache.next(t).answers("value")
+		cache.next(t).reply("value")
 	}
 	for _, c := range all {
 		if line, err := bufio.NewReader(c).ReadString('\n'); line != "$5\r\n" {
@@ -488,13 +488,13 @@
 }
 
 // newCrossing is a proxy and a client that asks once more in the instant in which its connection ends.
-func newCrossing(t *testing.T, nodes ...*standIn) (*rig, net.Conn) {
+func newCrossingRequest(t *testing.T, nodes ...*fakeNode) (*testProxy, net.Conn) {
 	t.Helper()
 	client := make(chan net.Conn, 1)
-	r := newSteppingRig(t, &stepping{ending: func() {
-		io.WriteString(<-client, read("k", "crosses", 60000))
+	r := newSteppedTestProxy(t, &steppedListener{beforeClose: func() {
+		io.WriteString(<-client, getCommand("k", "crosses", 60000))
 		time.Sleep(20 * time.Millisecond) // it has come
-	}}, 10, same, nodes...)
+	}}, 10, defaultSettings, nodes...)
 	c := r.dial()
 	client <- c
 	return r, c
@@ -502,22 +502,22 @@
 
 // A request arrives between a connection's last look for bytes and its end, whatever ends it: the client sees an end and no
 // reset, so that nothing is lost of what it was sent before, and nothing of the request is sent on.
-func TestAskedAsItCloses(t *testing.T) {
-	for name, end := range map[string]func(r *rig){
-		"yields":  func(r *rig) { r.door.partAll(yields) },
-		"retires": func(r *rig) { r.door.partAll(retires) },
-		"shuts":   func(r *rig) { r.door.partAll(shuts) },
-		"no room": func(r *rig) {
-			r.settles("not idle", func() bool { r.door.Allow(1, 0); return r.router.count.ClientsOpen.Load() == 0 })
+func TestRequestDuringConnCloseSeesNoReset(t *testing.T) {
+	for name, end := range map[string]func(r *testProxy){
+		"yields":  func(r *testProxy) { r.listener.requestPhaseAll(phaseCloseAfterReply) },
+		"retires": func(r *testProxy) { r.listener.requestPhaseAll(phaseCloseWhenIdle) },
+		"shuts":   func(r *testProxy) { r.listener.requestPhaseAll(phaseStopReading) },
+		"no room": func(r *testProxy) {
+			r.settles("not idle", func() bool { r.listener.Allow(1, 0); return r.router.counters.ClientsOpen.Load() == 0 })
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cache, origin := newCache(t), newOrigin(t)
-			r, c := newCrossing(t, cache, origin)
+			r, c := newCrossingRequest(t, cache, origin)
 			in := bufio.NewReader(c)
 			ask := func(id string) {
-				io.WriteString(c, read("k", id, 60000))
-				cache.next(t).answers("value")
+				io.WriteString(c, getCommand("k", id, 60000))
+				cache.next(t).reply("value")
 			}
 			ask("first")
 			if name == "yields" {
@@ -530,8 +530,8 @@
 			if got, err := io.ReadAll(in); err != nil || string(got) != "$5\r\nvalue\r\n" {
 				t.Errorf("%q, %v", got, err)
 			}
-			r.settles("still open", func() bool { return r.router.count.ClientsOpen.Load() == 0 })
-			if n := len(cache.asked); n > 0 || r.router.count.Exchanges.Load() > 2 {
+			r.settles("still open", func() bool { return r.router.counters.ClientsOpen.Load() == 0 })
+			if n := len(cache.commands); n > 0 || r.router.counters.Exchanges.Load() > 2 {
 				t.Error("what was read after the end was sent on")
 			}
 		})
@@ -539,37 +539,37 @@
 }
 
 // The first request arrives as its connection is ended for having said nothing so far: the same holds.
-func TestAskedAtLast(t *testing.T) {
+func TestFirstRequestDuringTimeoutSeesNoReset(t *testing.T) {
 	t.Parallel()
 	cache, origin := newCache(t), newOrigin(t)
-	_, c := newCrossing(t, cache, origin)
+	_, c := newCrossingRequest(t, cache, origin)
 	if got, err := io.ReadAll(c); err != nil || len(got) > 0 {
 		t.Errorf("%q, %v", got, err)
 	}
-	if len(cache.asked) > 0 {
+	if len(cache.commands) > 0 {
 		t.Error("what was read after the end was sent on")
 	}
 }
 
 // Commands that were read before the connection is told to take no more are answered, however many are before them.
-func TestReadBeforeShut(t *testing.T) {
+func TestCommandsReadBeforeStopReadingAreAnswered(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	r := newRig(t, 100, same, cache, origin)
+	r := newTestProxy(t, 100, defaultSettings, cache, origin)
 	r.settles("no list", func() bool { return len(r.router.Targets()) == 2 })
 	c := r.dial()
 	var text string
 	const asked = maxPending + 6
 	for i := range asked {
-		text += read("k", fmt.Sprint("id", i), 60000)
+		text += getCommand("k", fmt.Sprint("id", i), 60000)
 	}
-	release := r.dials.hold(cache.addr)
+	release := r.dialer.block(cache.addr)
 	io.WriteString(c, text)
-	r.settles("not taken", func() bool { return r.router.count.Exchanges.Load() == maxPending })
-	r.door.partAll(shuts)
+	r.settles("not taken", func() bool { return r.router.counters.Exchanges.Load() == maxPending })
+	r.listener.requestPhaseAll(phaseStopReading)
 	release()
 	go func() {
-		for at := range cache.asked {
-			at.answers("value")
+		for at := range cache.commands {
+			at.reply("value")
 		}
 	}()
 	in, answers := bufio.NewReader(c), 0
@@ -588,10 +588,10 @@
 }
 
 // A client leaves while its value is half written to a node that reads slowly: the node never gets the rest.
-func TestLeftHalfWritten(t *testing.T) {
+func TestClientGoneStopsPartialWrite(t *testing.T) {
 	const size = 4 << 20
 	begins, reads, got := make(chan struct{}), make(chan struct{}), make(chan int64, 1)
-	origin := &standIn{addr: listen(t, func(c net.Conn) {
+	origin := &fakeNode{addr: listen(t, func(c net.Conn) {
 		defer c.Close()
 		c.(*net.TCPConn).SetReadBuffer(16 << 10)
 		io.CopyN(io.Discard, c, 1)
@@ -600,13 +600,13 @@
 		n, _ := io.Copy(io.Discard, c)
 		got <- n + 1
 	})}
-	r := newRig(t, 10, same, newCache(t), origin)
+	r := newTestProxy(t, 10, defaultSettings, newCache(t), origin)
 	c := r.dial()
 	io.WriteString(c, string(wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte("long"), []byte("c=put,t=x,d=60000,k=1"), size)))
 	io.WriteString(c, strings.Repeat("v", size)+"\r\n")
 	<-begins
 	c.Close()
-	r.settles("the try is not stopped", func() bool { return r.router.count.UpstreamOpen.Load() == 0 })
+	r.settles("the try is not stopped", func() bool { return r.router.counters.UpstreamOpen.Load() == 0 })
 	close(reads)
 	select {
 	case n := <-got:
@@ -620,37 +620,37 @@
 
 // The repeat of a deduped write waits for its connection until nodes no longer know the first: it is not begun then, and
 // the client is answered.
-func TestRepeatAfterItsWindow(t *testing.T) {
+func TestRetryAfterDedupWindowIsNotSent(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
 	const window = 300
-	r := newRig(t, 10, func(config *balancer.Terms) {
+	r := newTestProxy(t, 10, func(config *balancer.Terms) {
 		config.Routes[1].Effect, config.Routes[1].Window = balancer.Deduped, window*10
 	}, cache, origin)
 	c := r.dial()
 	io.WriteString(c, string(wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte("once"), []byte("c=put,t=x,d=60000,k=1"), 1))+"v\r\n")
 	first := origin.next(t)
-	release := r.dials.hold(origin.addr)
+	release := r.dialer.block(origin.addr)
 	first.conn.(*net.TCPConn).SetLinger(0)
 	first.conn.Close()
-	r.settles("no repeat", func() bool { return r.router.count.Tries.Load() == 2 })
+	r.settles("no repeat", func() bool { return r.router.counters.Tries.Load() == 2 })
 	time.Sleep((window + 20) * time.Millisecond)
 	release()
 	if line, err := bufio.NewReader(c).ReadString('\n'); len(line) < 5 || line[0] != '-' {
 		t.Errorf("%q, %v", line, err)
 	}
 	select {
-	case again := <-origin.asked:
+	case again := <-origin.commands:
 		t.Errorf("%s was asked again after its window", again.id)
 	default:
 	}
 }
 
 // What clients wait for longer than the process lives is answered before it ends.
-func TestOwedWhenTheProcessEnds(t *testing.T) {
+func TestPendingRequestsAnsweredBeforeShutdown(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	r := newRig(t, 10, same, cache, origin)
+	r := newTestProxy(t, 10, defaultSettings, cache, origin)
 	c := r.dial()
-	io.WriteString(c, read("k", "long", 60000))
+	io.WriteString(c, getCommand("k", "long", 60000))
 	cache.next(t)
 	r.router.Until(200 * time.Millisecond)
 	c.SetDeadline(time.Now().Add(2 * time.Second))
@@ -660,29 +660,29 @@
 }
 
 // A client asks how things stand before any are served, and leaves: nobody waits for it.
-func TestLeftBeforeTheStart(t *testing.T) {
+func TestClientGoneBeforeOpen(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	r := newRig(t, 10, same, cache, origin)
-	r.door.ready = make(chan struct{})
-	r.dials.hold(cache.addr)
+	r := newTestProxy(t, 10, defaultSettings, cache, origin)
+	r.listener.ready = make(chan struct{})
+	r.dialer.block(cache.addr)
 	c := r.dial()
-	io.WriteString(c, read("k", "left", 60000)+string(wire.AppendPlain(nil, "PING"))+"*")
-	r.settles("no connection is made", func() bool { return r.router.count.Dials.Load() == 1 })
+	io.WriteString(c, getCommand("k", "left", 60000)+string(wire.AppendPlain(nil, "PING"))+"*")
+	r.settles("no connection is made", func() bool { return r.router.counters.Dials.Load() == 1 })
 	c.Close()
-	r.settles("nobody noticed that the client left", func() bool { return r.router.count.Left.Load() == 1 })
+	r.settles("nobody noticed that the client left", func() bool { return r.router.counters.Left.Load() == 1 })
 }
 
 // A watch that says nothing is followed by a call at once, also where the list is to be asked for: with a pause behind it a
 // second silent call would leave no time for a third before what was missed counts as told.
-func TestSilentWatchIsFollowedAtOnce(t *testing.T) {
+func TestSilentWatchIsRestartedAtOnce(t *testing.T) {
 	for _, ask := range []bool{false, true} {
 		calls := make(chan struct{}, 10)
 		addr := listen(t, func(c net.Conn) {
 			calls <- struct{}{}
 			io.Copy(io.Discard, c) // and says nothing
 		})
-		r := newRig(t, 10, func(config *balancer.Terms) { config.Ask, config.AskEvery = ask, 100000 }, newCache(t), newOrigin(t))
-		list, err := NewList(addr, nil, r.router, 1, r.router.count, zap.NewNop())
+		r := newTestProxy(t, 10, func(config *balancer.Terms) { config.Ask, config.AskEvery = ask, 100000 }, newCache(t), newOrigin(t))
+		list, err := NewList(addr, nil, r.router, 1, r.router.counters, zap.NewNop())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -695,9 +695,9 @@
 				t.Fatal("no call")
 			}
 		}
-		hush := hushOfCall
+		hush := pushFirstByteTimeout
 		if ask {
-			hush = hushOfAsked
+			hush = pollFirstByteTimeout
 		}
 		// two that were silent, the first as any call, since no watch had spoken
 		if took := time.Since(began); took > 2*hush*5/4+500*time.Millisecond {
@@ -707,10 +707,10 @@
 }
 
 // An answer over HTTP that tells no length ends with its connection; a reset is no end, and what came before it is no value.
-func TestResetIsNoEnd(t *testing.T) {
+func TestResetIsNotEndOfResponse(t *testing.T) {
 	for reset, want := range map[bool]string{false: "$4\r\n", true: "-"} {
 		origin := newOrigin(t)
-		r := newRig(t, 10, func(config *balancer.Terms) { config.Routes[1].Effect = balancer.NonRetriable }, newCache(t), origin)
+		r := newTestProxy(t, 10, func(config *balancer.Terms) { config.Routes[1].Effect = balancer.NonRetriable }, newCache(t), origin)
 		c := r.dial()
 		io.WriteString(c, string(wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte("put"), []byte("c=put,t=x,d=60000"), 1))+"v\r\n")
 		at := origin.next(t)
@@ -723,48 +723,48 @@
 		if line, err := bufio.NewReader(c).ReadString('\n'); !strings.HasPrefix(line, want) {
 			t.Errorf("reset %v: %q, %v", reset, line, err)
 		}
-		if n := len(origin.asked); n > 0 {
+		if n := len(origin.commands); n > 0 {
 			t.Error("a write that may have run was sent again")
 		}
 	}
 }
 
 // No descriptor is left for a while, and accepting fails: who waited is let in once there is one.
-func TestAcceptFailsForAWhile(t *testing.T) {
+func TestAcceptRecoversFromErrors(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	step := &stepping{}
-	step.fails.Store(20)
-	r := newSteppingRig(t, step, 10, same, cache, origin)
+	step := &steppedListener{}
+	step.failuresLeft.Store(20)
+	r := newSteppedTestProxy(t, step, 10, defaultSettings, cache, origin)
 	c := r.dial()
-	io.WriteString(c, read("k", "waits", 60000))
-	cache.next(t).answers("value")
-	if line, err := bufio.NewReader(c).ReadString('\n'); line != "$5\r\n" || step.fails.Load() >= 0 {
+	io.WriteString(c, getCommand("k", "waits", 60000))
+	cache.next(t).reply("value")
+	if line, err := bufio.NewReader(c).ReadString('\n'); line != "$5\r\n" || step.failuresLeft.Load() >= 0 {
 		t.Errorf("%q, %v", line, err)
 	}
 }
 
 // A client leaves while answers are written that it does not read: what it asked behind them is given up at once.
-func TestLeftAsAnswersAreWritten(t *testing.T) {
+func TestClientGoneWhileRepliesAreWritten(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	r := newRig(t, 100, same, cache, origin)
+	r := newTestProxy(t, 100, defaultSettings, cache, origin)
 	r.settles("no list", func() bool { return len(r.router.Targets()) == 2 })
 	c := r.dial()
 	c.(*net.TCPConn).SetReadBuffer(4 << 10)
-	io.WriteString(c, read("k", "long", 60000))
+	io.WriteString(c, getCommand("k", "long", 60000))
 	fmt.Fprintf(cache.next(t).conn, "*1\r\n$%d\r\n%s\r\n", wire.MaxAnswer, strings.Repeat("v", wire.MaxAnswer))
-	r.dials.hold(cache.addr)
-	io.WriteString(c, read("k", "behind", 60000))
+	r.dialer.block(cache.addr)
+	io.WriteString(c, getCommand("k", "behind", 60000))
 	r.settles("nothing is written", func() bool { n, _ := peek(c); return n > 0 })
 	c.Close()
-	r.settles("still open", func() bool { return r.router.count.ClientsOpen.Load() == 0 })
+	r.settles("still open", func() bool { return r.router.counters.ClientsOpen.Load() == 0 })
 }
 
 // A list comes in pieces, the last of them long after the first, or, where it is asked for, long after the call: it is taken from
 // that call. Given up then, it would count as told and not be known, and the next call would find discovery busier.
-func TestListComesSlowly(t *testing.T) {
+func TestSlowEndpointListIsAccepted(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	const list = `{"index":3,"snapshot":true,"endpoints":[{"name":"c9","address":"127.0.0.1:1","zone":"a","type":"std","group":1,"status":"active","weight":1,"since_ms":0}]}` + "\n"
-	late := hushOfCall*5/4 + 200*time.Millisecond // longer than a call waits for its first word from who is on this machine
+	late := pushFirstByteTimeout*5/4 + 200*time.Millisecond // longer than a call waits for its first word from who is on this machine
 	for name, c := range map[string]struct {
 		ask   bool
 		first int // bytes that come at once
@@ -779,8 +779,8 @@
 				io.WriteString(conn, text[c.first:])
 				io.Copy(io.Discard, conn)
 			})
-			r := newRig(t, 10, func(config *balancer.Terms) { config.Ask, config.AskEvery = c.ask, 100000 }, newCache(t), newOrigin(t))
-			l, err := NewList(addr, nil, r.router, 1, r.router.count, zap.NewNop())
+			r := newTestProxy(t, 10, func(config *balancer.Terms) { config.Ask, config.AskEvery = c.ask, 100000 }, newCache(t), newOrigin(t))
+			l, err := NewList(addr, nil, r.router, 1, r.router.counters, zap.NewNop())
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -789,7 +789,7 @@
 			case <-l.First():
 			case <-time.After(late + time.Second):
 			}
-			if n := r.router.count.Lists.Load(); n != 1 || l.Version() != 3 {
+			if n := r.router.counters.Lists.Load(); n != 1 || l.Version() != 3 {
 				t.Errorf("%d lists, version %d", n, l.Version())
 			}
 		})
--- a/internal/proxy/actor.go
+++ b/internal/proxy/mailbox.go
@@ -21,7 +21,7 @@
 func (m mailbox) post(call func()) { m <- call }
 
 // offer does not wait, and tells whether there was room.
-func (m mailbox) offer(call func()) bool {
+func (m mailbox) tryPost(call func()) bool {
 	select {
 	case m <- call:
 		return true
@@ -31,7 +31,7 @@
 }
 
 // guarded carries out a call; a panic in it is logged and ends there.
-func guarded(log *zap.Logger, count *Counters, call func()) {
+func runRecovered(log *zap.Logger, count *Counters, call func()) {
 	defer func() {
 		if p := recover(); p != nil {
 			count.Panics.Add(1)
@@ -53,7 +53,7 @@
 }
 
 // span turns the module's time into the library's.
-func span(t balancer.Time) time.Duration { return time.Duration(t) * 100 * time.Microsecond }
+func duration(t balancer.Time) time.Duration { return time.Duration(t) * 100 * time.Microsecond }
 
 // long ago, as a deadline, wakes a connection that is being read.
-var longAgo = time.Unix(1, 0)
+var pastDeadline = time.Unix(1, 0)
--- a/internal/proxy/peek.go
+++ b/internal/proxy/socket_peek.go
@@ -22,19 +22,19 @@
 }
 
 // unread tells whether bytes have come that nobody has read.
-func unread(conn net.Conn) bool {
+func hasUnread(conn net.Conn) bool {
 	n, _ := peek(conn)
 	return n > 0
 }
 
 // over tells whether the other side has ended the connection, with nothing left to read.
-func over(conn net.Conn) bool {
+func closedByPeer(conn net.Conn) bool {
 	n, err := peek(conn)
 	return n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR
 }
 
 // hungUp tells whether the other side has ended the connection, whatever it sent before that is still unread.
-func hungUp(conn net.Conn) bool {
+func hungUpByPeer(conn net.Conn) bool {
 	gone := false
 	if raw, ok := conn.(syscall.Conn); ok {
 		if c, e := raw.SyscallConn(); e == nil {
@@ -45,5 +45,5 @@
 			})
 		}
 	}
-	return gone || over(conn)
+	return gone || closedByPeer(conn)
 }
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -13,171 +13,173 @@
 const zoneTick = 100 * time.Millisecond
 
 // quarters is what the module's actor has of the zones; nobody else looks but at what is shown.
-type quarters struct {
-	in    *zonehealth.Instance
-	timer *time.Timer
-	armed bool
-	due   <-chan time.Time
-	tell  func(zone string, v zonehealth.Voice, life zonehealth.Time) // peers; it may not wait. nil: there are none
-	quick balancer.Time                                               // an answer that takes longer is late
-	shown atomic.Pointer[[]zonehealth.Shown]
-	at    balancer.Time // when that was
+type zoneController struct {
+	health       *zonehealth.Instance
+	timer        *time.Timer
+	armed        bool
+	ticks        <-chan time.Time
+	broadcast    func(zone string, v zonehealth.Voice, life zonehealth.Time) // peers; it may not wait. nil: there are none
+	latencyLimit balancer.Time                                               // an answer that takes longer is late
+	status       atomic.Pointer[[]zonehealth.Shown]
+	statusAt     balancer.Time // when that was
 }
 
 // Zones has whole zones left and returned to. It is called before Run.
-func (m *Router) Zones(t zonehealth.Terms, tell func(zone string, v zonehealth.Voice, life zonehealth.Time)) {
-	q := &quarters{in: zonehealth.New(zonehealth.Time(m.clock.Now()), t), timer: time.NewTimer(time.Hour), tell: tell, quick: balancer.Time(t.Shortest)}
-	q.due = q.timer.C
-	q.shown.Store(&[]zonehealth.Shown{})
-	m.zones = q
+func (r *Router) Zones(t zonehealth.Terms, tell func(zone string, v zonehealth.Voice, life zonehealth.Time)) {
+	zones := &zoneController{health: zonehealth.New(zonehealth.Time(r.clock.Now()), t), timer: time.NewTimer(time.Hour), broadcast: tell, latencyLimit: balancer.Time(t.Shortest)}
+	zones.ticks = zones.timer.C
+	zones.status.Store(&[]zonehealth.Shown{})
+	r.zones = zones
 }
 
 // zoneDue is nil where zones are not judged.
-func (m *Router) zoneDue() <-chan time.Time {
-	if m.zones == nil {
+func (r *Router) zoneTimer() <-chan time.Time {
+	if r.zones == nil {
 		return nil
 	}
-	return m.zones.due
+	return r.zones.ticks
 }
 
 // zonesLook gives the zones their tick.
-func (m *Router) zonesLook() {
-	q := m.zones
-	q.armed = false
-	flying, room := m.brain.Load()
-	q.in.Load(float64(flying), room)
-	m.zoned(q.in.Tick(zonehealth.Time(m.clock.Now())))
+func (r *Router) tickZones() {
+	zones := r.zones
+	zones.armed = false
+	flying, room := r.balancer.Load()
+	zones.health.Load(float64(flying), room)
+	r.executeZoneDecisions(zones.health.Tick(zonehealth.Time(r.clock.Now())))
 }
 
 // arm sees that there is a next tick, where there is something to look at.
-func (q *quarters) arm() {
-	if !q.armed && q.in.Busy() {
-		q.armed = true
-		q.timer.Reset(zoneTick)
+func (z *zoneController) arm() {
+	if !z.armed && z.health.Busy() {
+		z.armed = true
+		z.timer.Reset(zoneTick)
 	}
 }
 
 // zoneList tells the zones of the caches that are on the ring.
-func (m *Router) zoneList() {
-	q := m.zones
-	if q == nil {
+func (r *Router) updateZoneNodes() {
+	zones := r.zones
+	if zones == nil {
 		return
 	}
 	var all []zonehealth.Node
-	for n, p := range m.peers {
-		if p != nil && !p.origin && p.listed.Ready && p.since == 0 {
-			all = append(all, zonehealth.Node{Index: n, Name: p.name, Zone: p.listed.Zone, Since: zonehealth.Time(p.listed.Since) * 10})
+	for n, host := range r.hosts {
+		if host != nil && !host.isOrigin && host.endpoint.Ready && host.departedAt == 0 {
+			all = append(all, zonehealth.Node{Index: n, Name: host.name, Zone: host.endpoint.Zone, Since: zonehealth.Time(host.endpoint.Since) * 10})
 		}
 	}
-	q.at = 0
-	m.zoned(q.in.Nodes(zonehealth.Time(m.clock.Now()), all))
-	if missing := q.in.Missing(); missing != "" && len(all) > 0 {
-		m.log.Warn("zones: no node has a zone that the file names", zap.String("zone", missing))
+	zones.statusAt = 0
+	r.executeZoneDecisions(zones.health.Nodes(zonehealth.Time(r.clock.Now()), all))
+	if missing := zones.health.Missing(); missing != "" && len(all) > 0 {
+		r.log.Warn("zones: no node has a zone that the file names", zap.String("zone", missing))
 	}
 }
 
 // zoned carries out what the zones decide.
-func (m *Router) zoned(ds []zonehealth.Decision) {
-	q, now := m.zones, m.clock.Now()
-	for i := range ds {
-		switch d := &ds[i]; d.Act {
+func (r *Router) executeZoneDecisions(decisions []zonehealth.Decision) {
+	zones, now := r.zones, r.clock.Now()
+	for i := range decisions {
+		switch d := &decisions[i]; d.Act {
 		case zonehealth.Bar:
-			m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Bar(now, d.Node, d.Part, d.Off) }))
-			if p := m.peers[d.Node]; d.Part == 1 && p != nil {
-				p.box.offer(p.closeIdle) // nothing is sent there for a while
+			r.execute(r.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Bar(now, d.Node, d.Part, d.Off) }))
+			if host := r.hosts[d.Node]; d.Part == 1 && host != nil {
+				host.mailbox.tryPost(host.closeIdleConns) // nothing is sent there for a while
 			}
 		case zonehealth.Speak:
-			if q.tell != nil {
-				q.tell(d.Zone, d.Voice, d.Life)
+			if zones.broadcast != nil {
+				zones.broadcast(d.Zone, d.Voice, d.Life)
 			}
 		case zonehealth.Knock:
-			if p := m.peers[d.Node]; p != nil {
-				p.box.offer(p.knock)
+			if host := r.hosts[d.Node]; host != nil {
+				host.mailbox.tryPost(host.probe)
 			}
 		case zonehealth.Log:
-			m.log.Info("zones: " + d.Text)
+			r.log.Info("zones: " + d.Text)
 		}
 	}
-	if len(ds) > 0 || now-q.at > 3000 {
-		q.at = now
-		alone := q.in.Judged()
-		m.count.ZonesPassed.Store(int64(alone.Passed))
-		m.count.ZonesHasty.Store(int64(alone.Hasty))
-		shown := q.in.Shown(zonehealth.Time(now))
-		q.shown.Store(&shown)
+	if len(decisions) > 0 || now-zones.statusAt > 3000 {
+		zones.statusAt = now
+		alone := zones.health.Judged()
+		r.counters.ZonesPassed.Store(int64(alone.Passed))
+		r.counters.ZonesHasty.Store(int64(alone.Hasty))
+		shown := zones.health.Shown(zonehealth.Time(now))
+		zones.status.Store(&shown)
 	}
-	q.arm()
+	zones.arm()
 }
 
 // zoneSent and zoneEnded note tries at caches.
-func (m *Router) zoneSent(n int) {
-	if m.zones != nil && !m.peers[n].origin {
-		m.zones.in.Sent(zonehealth.Time(m.clock.Now()), n)
+func (r *Router) zoneAttemptSent(n int) {
+	if r.zones != nil && !r.hosts[n].isOrigin {
+		r.zones.health.Sent(zonehealth.Time(r.clock.Now()), n)
 	}
 }
 
-func (m *Router) zoneEnded(n int, ending balancer.Ending, took balancer.Time) {
-	q := m.zones
-	if q == nil {
+func (r *Router) zoneAttemptFinished(n int, outcome balancer.Ending, took balancer.Time) {
+	zones := r.zones
+	if zones == nil {
 		return
 	}
-	now := zonehealth.Time(m.clock.Now())
-	if m.peers[n].origin {
-		if ending != balancer.NeverSent && ending != balancer.Undone {
-			q.in.Origin(now, ending != balancer.Completed || took > q.quick)
+	now := zonehealth.Time(r.clock.Now())
+	if r.hosts[n].isOrigin {
+		if outcome != balancer.NeverSent && outcome != balancer.Undone {
+			zones.health.Origin(now, outcome != balancer.Completed || took > zones.latencyLimit)
 		}
 		return
 	}
 	how := zonehealth.Answered
 	switch {
-	case ending == balancer.Unreachable:
+	case outcome == balancer.Unreachable:
 		how = zonehealth.Shut
-	case ending == balancer.Silent || ending == balancer.Cut:
+	case outcome == balancer.Silent || outcome == balancer.Cut:
 		how = zonehealth.Nothing
-	case ending == balancer.Undone:
+	case outcome == balancer.Undone:
 		how = zonehealth.Undone
-	case ending == balancer.NeverSent:
+	case outcome == balancer.NeverSent:
 		how = zonehealth.Unknown
-	case ending == balancer.Fault || ending == balancer.NoRoom || took > q.quick:
+	case outcome == balancer.Fault || outcome == balancer.NoRoom || took > zones.latencyLimit:
 		how = zonehealth.Late
 	}
-	q.in.Ended(now, n, how, zonehealth.Time(took))
-	q.arm()
+	zones.health.Ended(now, n, how, zonehealth.Time(took))
+	zones.arm()
 }
 
 // zoneDialled hears whether a new connection to a cache came up.
-func (m *Router) zoneDialled(n int, up bool) {
+func (r *Router) zoneConnectFinished(n int, up bool) {
 	switch {
-	case m.zones == nil || m.peers[n] == nil || m.peers[n].origin:
+	case r.zones == nil || r.hosts[n] == nil || r.hosts[n].isOrigin:
 	case up:
-		m.zones.in.Reached(n)
+		r.zones.health.Reached(n)
 	default:
-		m.zones.in.Refused(n)
+		r.zones.health.Refused(n)
 	}
 }
 
 // ZoneFleet takes who the proxies are; ZoneVoice what one says of a zone, ZoneOrder an operator's word.
-func (m *Router) ZoneFleet(all []zonehealth.Proxy, behind bool) {
-	m.box.post(func() {
-		m.zones.in.Fleet(zonehealth.Time(m.clock.Now()), all, behind)
-		m.zones.arm()
+func (r *Router) ZoneFleet(all []zonehealth.Proxy, behind bool) {
+	r.mailbox.post(func() {
+		r.zones.health.Fleet(zonehealth.Time(r.clock.Now()), all, behind)
+		r.zones.arm()
 	})
 }
 
 // ZoneVoice takes what a peer says of a zone, and how long ago it did.
-func (m *Router) ZoneVoice(from, of string, v zonehealth.Voice, age, life zonehealth.Time) {
-	m.box.post(func() { m.zoned(m.zones.in.Voice(zonehealth.Time(m.clock.Now()), from, of, v, age, life)) })
+func (r *Router) ZoneVoice(from, of string, v zonehealth.Voice, age, life zonehealth.Time) {
+	r.mailbox.post(func() {
+		r.executeZoneDecisions(r.zones.health.Voice(zonehealth.Time(r.clock.Now()), from, of, v, age, life))
+	})
 }
 
 // ZoneOrder takes an operator's word on a zone. It tells whether there was room for that, and does not wait.
-func (m *Router) ZoneOrder(d zonehealth.Order) bool {
-	return m.box.offer(func() { m.zoned(m.zones.in.Order(zonehealth.Time(m.clock.Now()), d)) })
+func (r *Router) ZoneOrder(d zonehealth.Order) bool {
+	return r.mailbox.tryPost(func() { r.executeZoneDecisions(r.zones.health.Order(zonehealth.Time(r.clock.Now()), d)) })
 }
 
 // ZonesShown is how the zones stood a moment ago; nothing where they are not judged.
-func (m *Router) ZonesShown() []zonehealth.Shown {
-	if m.zones == nil {
+func (r *Router) ZonesShown() []zonehealth.Shown {
+	if r.zones == nil {
 		return nil
 	}
-	return *m.zones.shown.Load()
+	return *r.zones.status.Load()
 }
