--- a/internal/proxy/actor_test.go
+++ b/internal/proxy/actor_test.go
@@ -71,9 +71,9 @@
 	}()
 	upstream := &upstreamConn{host: newUpstreamHost(router, 0, "c1", false), conn: near, reader: bufio.NewReader(near)}
 	upstream.host.ready.Store(true)
-	outcome, value, again, err := upstream.roundTrip(&attempt{request: &request{}, sentAt: router.clock.Now(), timeout: secondTicks})
-	if outcome != balancer.Completed || string(value) != "one" || again || err != nil || router.counters.BadPeer.Load() != 1 {
-		t.Errorf("ending %d, %q, again %v: %v", outcome, value, again, err)
+	got := upstream.roundTrip(&attempt{request: &request{}, sentAt: router.clock.Now(), timeout: secondTicks})
+	if got.outcome != balancer.Completed || string(got.value) != "one" || got.reusable || got.err != nil || router.counters.BadPeer.Load() != 1 {
+		t.Errorf("outcome %d, %q, reusable %v: %v", got.outcome, got.value, got.reusable, got.err)
 	}
 }
 
@@ -106,9 +106,9 @@
 	upstream := &upstreamConn{host: newUpstreamHost(router, 0, "c1", false), addr: ln.Addr().String()}
 	upstream.host.ready.Store(true)
 	for _, want := range []string{"one", "two", "six"} {
-		outcome, value, again, err := upstream.roundTrip(&attempt{request: &request{}, sentAt: router.clock.Now(), timeout: secondTicks})
-		if outcome != balancer.Completed || string(value) != want || !again || err != nil {
-			t.Errorf("ending %d, %q, again %v: %v", outcome, value, again, err)
+		got := upstream.roundTrip(&attempt{request: &request{}, sentAt: router.clock.Now(), timeout: secondTicks})
+		if got.outcome != balancer.Completed || string(got.value) != want || !got.reusable || got.err != nil {
+			t.Errorf("outcome %d, %q, reusable %v: %v", got.outcome, got.value, got.reusable, got.err)
 		}
 		select {
 		case behind := <-sent:
@@ -127,12 +127,12 @@
 	row := func(i int) wire.Target {
 		return wire.Target{Name: fmt.Sprint("c", i), Address: "127.0.0.1:1", Ready: true}
 	}
-	router.updateEndpoints(true, true, []wire.Target{row(0), row(1)})
+	router.updateEndpoints(endpointUpdate{whole: true, initial: true, targets: []wire.Target{row(0), row(1)}})
 	before := runtime.NumGoroutine()
 	for i := 2; i < 60; i++ {
 		gone := row(i - 2)
 		gone.Ready, gone.Gone = false, true
-		router.updateEndpoints(false, false, []wire.Target{gone, row(i)})
+		router.updateEndpoints(endpointUpdate{targets: []wire.Target{gone, row(i)}})
 		time.Sleep(4 * time.Millisecond)
 	}
 	if len(router.hostIndex) > 5 || len(router.hosts) > 5 {
@@ -141,8 +141,8 @@
 	if n := runtime.NumGoroutine(); n > before+5 {
 		t.Errorf("%d goroutines, %d before", n, before)
 	}
-	router.updateEndpoints(true, false, []wire.Target{row(58), row(59)}) // whole: what it does not name has gone
-	router.updateEndpoints(false, false, []wire.Target{row(58)})
+	router.updateEndpoints(endpointUpdate{whole: true, targets: []wire.Target{row(58), row(59)}}) // whole: what it does not name has gone
+	router.updateEndpoints(endpointUpdate{targets: []wire.Target{row(58)}})
 	if router.hosts[router.hostIndex["c59"]].departedAt != 0 || router.hosts[router.hostIndex["c58"]].departedAt != 0 {
 		t.Error("a node that is listed counts as gone")
 	}
--- /dev/null
+++ b/internal/proxy/client_read.go
@@ -0,0 +1,214 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"time"
+
+	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
+)
+
+// Commands that are proxied to an upstream; the proxy answers all others itself.
+const (
+	commandGet = "KV.GET"
+	commandSet = "KV.SET"
+)
+
+// fillBuffer waits for more bytes than have been read, or until it is interrupted.
+func (c *clientConn) fillBuffer() error {
+	if err := c.extendReadDeadline(); err != nil {
+		return err
+	}
+	if c.upload != nil {
+		return c.readUpload()
+	}
+	_, err := c.reader.Peek(c.reader.Buffered() + 1)
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return wire.ErrBytes
+	}
+	return err
+}
+
+// extendReadDeadline sets the deadline of the next read, unless the connection was interrupted: the deadline in the
+// past has to stand then.
+func (c *clientConn) extendReadDeadline() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	interrupted := c.requestedPhase != c.seenPhase || len(c.pending) > 0 && c.pending[0].ready
+	if interrupted {
+		return nil
+	}
+	return c.conn.SetReadDeadline(c.readLimit(len(c.pending) > 0).at)
+}
+
+// readUpload reads more of a value straight into its request.
+func (c *clientConn) readUpload() error {
+	value := c.upload.value
+	n, err := c.reader.Read(value[c.uploadRead:cap(value)])
+	c.uploadRead += n
+	if now := time.Now(); n > 0 && cap(value) > wire.MaxValue+len(crlf) && now.Before(c.uploadDeadline) {
+		c.partialSince = now // a long value may take its time as long as it makes progress
+	}
+	return err
+}
+
+// readCommands takes the commands that have been read whole, as many as may be pending.
+func (c *clientConn) readCommands() error {
+	for !c.pendingFull() {
+		err := c.readNext()
+		if errors.Is(err, wire.ErrShort) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readNext takes the next command or the rest of its value. It returns wire.ErrShort if more bytes are needed.
+func (c *clientConn) readNext() error {
+	if err := c.discardValue(); err != nil {
+		return err
+	}
+	if c.upload != nil {
+		return c.finishUpload()
+	}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	cmd, n, err := wire.ParseCommand(buffered)
+	if err != nil {
+		if errors.Is(err, wire.ErrShort) && len(buffered) > 0 {
+			c.markPartial()
+		}
+		return err
+	}
+	req := c.beginCommand(&cmd)
+	if _, err := c.reader.Discard(n); err != nil {
+		return err
+	}
+	c.receivedCommand = true
+	if cmd.Value < 0 {
+		c.partialSince = time.Time{}
+		if req != nil {
+			c.submit(req)
+		}
+		return nil
+	}
+	c.beginValue(req, cmd.Value)
+	return nil
+}
+
+// markPartial notes that a command has been read in part.
+func (c *clientConn) markPartial() {
+	if c.partialSince.IsZero() {
+		c.partialSince = time.Now()
+	}
+}
+
+// discardValue drops the buffered part of a value that was not admitted. It returns wire.ErrShort if more is to come.
+func (c *clientConn) discardValue() error {
+	if c.discardBytes == 0 {
+		return nil
+	}
+	n, err := c.reader.Discard(min(c.discardBytes, c.reader.Buffered()))
+	if err != nil {
+		return err
+	}
+	if c.discardBytes -= n; c.discardBytes > 0 {
+		c.markPartial()
+		return wire.ErrShort
+	}
+	c.partialSince = time.Time{}
+	return nil
+}
+
+// beginValue prepares for a value of a length in bytes, which follows its command. The value is discarded if there is
+// no request to take it, or no memory for it.
+func (c *clientConn) beginValue(req *request, length int) {
+	withLineEnd := length + len(crlf)
+	if req == nil {
+		c.discardBytes = withLineEnd
+		return
+	}
+	if length > wire.MaxValue && !c.listener.admitsLongValue(length) {
+		c.discardBytes = withLineEnd
+		req.release(c.listener)
+		c.shedRequest()
+		return
+	}
+	req.value, c.upload, c.uploadRead = make([]byte, 0, withLineEnd), req, 0
+	req.valueBytes = length
+	c.listener.router.valueMemory.acquire(req.valueBytes)
+	transfer := time.Duration(length) * time.Second / minUploadBytesPerSecond
+	c.uploadDeadline = time.Now().Add(commandTimeout + transfer)
+}
+
+// finishUpload submits the write whose value is being read. It returns wire.ErrShort if a part is still to come.
+func (c *clientConn) finishUpload() error {
+	req := c.upload
+	if c.uploadRead < cap(req.value) {
+		c.markPartial()
+		return wire.ErrShort
+	}
+	n := c.uploadRead - len(crlf)
+	if string(req.value[n:c.uploadRead]) != string(crlf) {
+		return wire.ErrBytes
+	}
+	req.value, c.upload, c.partialSince = req.value[:n:n], nil, time.Time{}
+	c.submit(req)
+	return nil
+}
+
+// beginCommand returns the request of a command that is proxied and admitted. Any other command is answered at once,
+// and nil is returned.
+func (c *clientConn) beginCommand(cmd *wire.Command) *request {
+	if !cmd.Is(commandGet) && !cmd.Is(commandSet) {
+		c.replyControl(cmd)
+		return nil
+	}
+	if !c.listener.admitRequest() {
+		c.shedRequest()
+		return nil
+	}
+	return newRequest(c, cmd)
+}
+
+// replyControl answers a command that is not proxied. PING waits until the proxy serves clients.
+func (c *clientConn) replyControl(cmd *wire.Command) {
+	req := &request{conn: c}
+	c.enqueue(req)
+	if cmd.Is("PING") && c.awaitEvent(c.listener.ready) != nil {
+		return // the client has gone, as the next read reports
+	}
+	req.setReply(c.listener.controlReply(cmd))
+}
+
+// shedRequest answers a request for which there is no capacity.
+func (c *clientConn) shedRequest() {
+	c.listener.counters.Crowded.Add(1)
+	req := &request{conn: c, proxied: true}
+	c.enqueue(req)
+	req.reply(c.listener.counters, replyShed, nil, c.listener.retryAfterMS)
+}
+
+// submit hands a request that has been read whole to the router, unless the proxy can answer it by itself.
+func (c *clientConn) submit(req *request) {
+	router := c.listener.router
+	c.enqueue(req)
+	if err := req.parseFacts(); err != nil {
+		c.listener.log.Warn("invalid request facts", zap.Error(err), zap.ByteString("facts", req.facts))
+		req.setReply([]byte("-ERR bad facts\r\n"), nil)
+		return
+	}
+	req.receivedAt = router.clock.Now()
+	if router.negativeCache.lookUp(req) {
+		req.reply(router.counters, replyNotFound, nil, 0)
+		return
+	}
+	router.mailbox.post(func() { router.handleRequest(req) })
+}
--- /dev/null
+++ b/internal/proxy/client_write.go
@@ -0,0 +1,108 @@
+package proxy
+
+import (
+	"net"
+	"slices"
+	"time"
+)
+
+var crlf = []byte("\r\n")
+
+// flush writes the replies that are ready, in order, and returns errClosing if the connection is to close after them.
+func (c *clientConn) flush() error {
+	for {
+		ready := c.readyReplies()
+		if len(ready) == 0 {
+			break
+		}
+		if err := c.writeReplies(ready); err != nil {
+			return err // requests that are still pending are given up with the connection
+		}
+		c.removeWritten(ready)
+	}
+	if c.updatePhase() && !hasUnread(c.conn) { // else another request has arrived meanwhile and is answered first
+		return errClosing
+	}
+	return nil
+}
+
+// readyReplies returns the requests whose replies are next, up to and including the first that is a stream.
+func (c *clientConn) readyReplies() []*request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for streaming := false; n < len(c.pending) && c.pending[n].ready && !streaming; n++ {
+		streaming = c.pending[n].stream != nil
+	}
+	return slices.Clone(c.pending[:n])
+}
+
+// writeReplies gathers the replies into one write; the stream of the last one, if there is one, follows.
+func (c *clientConn) writeReplies(ready []*request) error {
+	out := make(net.Buffers, 0, 3*len(ready))
+	for _, req := range ready {
+		out = append(out, req.header)
+		if req.body != nil {
+			out = append(out, req.body, crlf)
+		}
+	}
+	if err := c.conn.SetWriteDeadline(time.Now().Add(clientWriteTimeout)); err != nil {
+		return err
+	}
+	if _, err := out.WriteTo(c.conn); err != nil {
+		return err
+	}
+	if last := ready[len(ready)-1]; last.stream != nil {
+		return c.writeStream(last.stream)
+	}
+	return nil
+}
+
+// writeStream passes a streamed value on to the client.
+func (c *clientConn) writeStream(s *stream) error {
+	defer s.abandon()
+	hangupPoll := time.NewTicker(hangupPollInterval)
+	defer hangupPoll.Stop()
+	for {
+		select {
+		case chunk, more := <-s.filled:
+			if !more {
+				return s.clientError()
+			}
+			if err := c.conn.SetWriteDeadline(time.Now().Add(clientWriteTimeout)); err != nil {
+				return err
+			}
+			if _, err := c.conn.Write(chunk); err != nil {
+				return err
+			}
+			s.empty <- chunk[:0]
+		case <-hangupPoll.C: // further requests may be pending behind this reply
+			if hungUpByPeer(c.conn) {
+				return errClientGone
+			}
+		}
+	}
+}
+
+// removeWritten releases requests whose replies have been written.
+func (c *clientConn) removeWritten(written []*request) {
+	c.mu.Lock()
+	c.pending = slices.Delete(c.pending, 0, len(written)) // which also clears the references to their values
+	if slices.ContainsFunc(written, func(req *request) bool { return req.proxied }) {
+		c.answeredRequest = true
+	}
+	c.mu.Unlock()
+	for _, req := range written {
+		req.release(c.listener)
+	}
+}
+
+// updatePhase takes over the phase that was requested, and reports whether the connection is to close now.
+func (c *clientConn) updatePhase() (closeNow bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	closeNow = c.closeDueLocked()
+	c.midCommand = c.upload != nil || c.discardBytes > 0 || c.reader.Buffered() > 0
+	c.lastActive, c.seenPhase, c.answeredRequest = time.Now(), c.requestedPhase, false
+	return closeNow
+}
--- /dev/null
+++ b/internal/proxy/decisions.go
@@ -0,0 +1,82 @@
+package proxy
+
+import "woodproxy/balancer"
+
+// execute carries out the balancer's decisions, in order.
+func (r *Router) execute(decisions []balancer.Decision) {
+	var unsent []*attempt
+	for i := range decisions {
+		switch d := &decisions[i]; d.Act {
+		case balancer.Send:
+			if attempt := r.newAttempt(d); !r.sendAttempt(attempt) {
+				unsent = append(unsent, attempt)
+			}
+		case balancer.Cancel:
+			r.cancelAttempt(d)
+		case balancer.Shed:
+			r.reply(d.Cx, replyShed, nil, d.After)
+		case balancer.Error:
+			r.reply(d.Cx, replyError, nil, 0)
+		case balancer.Wake:
+			r.wakeAt = r.clock.Now() + d.After
+			r.wakeTimer.Reset(duration(d.After))
+		case balancer.Follow:
+			r.endpoints.mailbox.tryPost(r.endpoints.startWatch)
+		case balancer.Tell:
+			if r.notifyPeers != nil {
+				r.notifyPeers(r.hosts[d.Node].name, d.Answers)
+			}
+		case balancer.Log:
+			r.log.Info(d.Text)
+		}
+	}
+	for i := range decisions {
+		if isFinalReply(decisions[i]) {
+			r.releaseSlot(decisions[i].Cx)
+		}
+	}
+	for _, attempt := range unsent {
+		r.attemptFinished(attempt, attemptResult{outcome: balancer.NeverSent})
+	}
+}
+
+// isFinalReply reports whether a decision ends its request.
+func isFinalReply(d balancer.Decision) bool { return d.Act == balancer.Shed || d.Act == balancer.Error }
+
+// newAttempt returns the attempt that the balancer has decided on.
+func (r *Router) newAttempt(d *balancer.Decision) *attempt {
+	s := &r.slots[d.Cx]
+	next := &attempt{request: s.request, slot: d.Cx, host: d.Node, sentAt: r.clock.Now(), timeout: d.After}
+	if s.firstSentAt > 0 {
+		route := &r.settings.Terms.Routes[r.settings.Routes[s.request.route]]
+		if route.Effect == balancer.Deduped {
+			next.startBefore = s.firstSentAt + route.Window // later, the retry would be carried out as well
+		}
+	}
+	return next
+}
+
+// sendAttempt counts an attempt and hands it to its host. It returns false if the host's mailbox is full.
+func (r *Router) sendAttempt(attempt *attempt) bool {
+	s, h := &r.slots[attempt.slot], r.hosts[attempt.host]
+	s.attempts = append(s.attempts, attempt)
+	if h.isOrigin {
+		r.negativeCache.beginFetch(attempt)
+	}
+	if s.inFlight++; s.inFlight > 1 {
+		r.counters.Copies.Add(1)
+	}
+	h.inFlight++
+	r.counters.Tries.Add(1)
+	r.zoneAttemptSent(attempt.host)
+	r.dutyAttemptSent(attempt.host)
+	return h.mailbox.tryPost(func() { h.send(attempt) })
+}
+
+// cancelAttempt has an attempt's host cancel it. If the host's mailbox is full, the attempt ends by its timeout.
+func (r *Router) cancelAttempt(d *balancer.Decision) {
+	attempt := r.slots[d.Cx].attempts[d.Leg]
+	r.counters.Cancelled.Add(1)
+	h := r.hosts[attempt.host]
+	h.mailbox.tryPost(func() { h.cancel(attempt) })
+}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -6,28 +6,24 @@
 	"go.uber.org/zap"
 )
 
-// The steps of a drain, from the call on. Who deals out connections asks every so often how things stand, and goes on
-// for a moment with what it was told last; clients go on using what stays open.
+// The steps of a drain, counted from the call. Who distributes connections polls the proxy's state every so often and
+// goes on for a moment by its last answer; clients go on using the connections that stay open.
 const (
 	drainInterval       = 100 * time.Millisecond
-	closeAfterReplyStep = 4  // from here on a connection is closed behind its next answer
-	closeIdleStep       = 14 // and those on which nothing is owed are closed as they are
-	stopReadingStep     = 24 // and no further command is taken
+	closeAfterReplyStep = 4  // from here on a connection is closed after its next reply
+	closeIdleStep       = 14 // idle connections are closed too
+	stopReadingStep     = 24 // and no further command is read
 	recentActivity      = 5 * drainInterval
+	minAgeToStopReading = stopReadingStep * drainInterval
 )
 
-// Opened tells whether clients are told that they are served.
-func (l *Door) Opened() bool {
-	select {
-	case <-l.ready:
-		return true
-	default:
-		return false
-	}
-}
+// Leaving is the drain schedule of a proxy that stops. Each is counted from the closing of the listener: connections
+// are closed after their next reply from Yield on, and when idle from Retire on; from Shut on no further command is
+// read. Clients retry elsewhere what they sent and was not read.
+type Leaving struct{ Yield, Retire, Shut time.Duration }
 
-// OutOfService sends clients away, and tells whether they were not sent away already. Nothing here waits for an actor,
-// since who calls is owed an answer however busy they are.
+// OutOfService begins to drain: clients are sent away, and the proxy goes on running. It returns false if it drains
+// already. It waits for no other goroutine's work, so that an operator is answered however busy the proxy is.
 func (l *Door) OutOfService() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -41,7 +37,7 @@
 	return true
 }
 
-// InService ends the drain, and tells whether there was one. Connections that were told to end do so.
+// InService ends the drain, and returns false if there was none. Connections that were told to close still do.
 func (l *Door) InService() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -56,27 +52,19 @@
 	return true
 }
 
-// drainOn takes the drain one step on, for as long as it lasts.
+// advanceDrain takes the drain's next step, and schedules the one after it.
 func (l *Door) advanceDrain() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.outOfService.Load() {
-		return // it has ended meanwhile
+		return // the drain has ended meanwhile
 	}
 	if l.drainStep++; l.drainStep == closeAfterReplyStep {
 		l.phase = max(l.phase, phaseCloseAfterReply)
 	}
 	now := time.Now()
 	for c := range l.conns {
-		// a connection that only asks how things stand is none to send away, as long as it asks
-		switch since, free, asked := c.drainState(); {
-		case l.drainStep >= stopReadingStep && asked && now.Sub(c.acceptedAt) >= stopReadingStep*drainInterval:
-			c.requestPhase(phaseStopReading)
-		case l.drainStep == closeIdleStep && asked, l.drainStep >= closeIdleStep && free && now.Sub(since) >= recentActivity:
-			c.requestPhase(phaseCloseWhenIdle)
-		case l.drainStep >= closeAfterReplyStep:
-			c.requestPhase(phaseCloseAfterReply)
-		}
+		c.requestPhase(l.drainPhase(c, now))
 	}
 	if l.drainStep == closeIdleStep {
 		l.log.Info("out of service: idle connections are closed", zap.Int("connections", len(l.conns)))
@@ -84,7 +72,60 @@
 	l.drainTimer.Reset(drainInterval)
 }
 
-// partAll has all connections end, those that come yet included, since the proxy stops.
+// drainPhase returns the phase that the current step of the drain asks of a connection. One that only polls the proxy's
+// state (by PING) is left open as long as it does.
+func (l *Door) drainPhase(c *clientConn, now time.Time) closePhase {
+	s := c.state()
+	recentlyActive := now.Sub(s.lastActive) < recentActivity
+	switch {
+	case l.drainStep >= stopReadingStep && s.hadRequest && now.Sub(c.acceptedAt) >= minAgeToStopReading:
+		return phaseStopReading
+	case l.drainStep == closeIdleStep && s.hadRequest, l.drainStep >= closeIdleStep && s.idle && !recentlyActive:
+		return phaseCloseWhenIdle
+	case l.drainStep >= closeAfterReplyStep:
+		return phaseCloseAfterReply
+	}
+	return phaseOpen
+}
+
+// Close accepts no further client, closes the connections by the schedule, and returns when all have ended or at the
+// given time. If soleOwner is set no other process has the listener, and the clients in its queue are served before.
+func (l *Door) Close(until time.Time, soleOwner bool, schedule Leaving) {
+	began := time.Now()
+	l.mu.Lock()
+	l.closed, l.soleOwner = true, soleOwner
+	l.setAcceptDeadline(pastDeadline) // a connection that is accepted just now is still served
+	l.connsChanged.Broadcast()
+	l.mu.Unlock()
+	for _, step := range [...]struct {
+		after time.Duration
+		phase closePhase
+	}{
+		{schedule.Yield, phaseCloseAfterReply},
+		{schedule.Retire, phaseCloseWhenIdle},
+		{schedule.Shut, phaseStopReading},
+	} {
+		timer := time.AfterFunc(time.Until(began.Add(step.after)), func() { l.requestPhaseAll(step.phase) })
+		defer timer.Stop()
+	}
+	l.awaitConnsEnded(until)
+}
+
+// awaitConnsEnded waits until no connection is accepted any more and all have ended, or until the given time.
+func (l *Door) awaitConnsEnded(until time.Time) {
+	defer time.AfterFunc(time.Until(until), l.connsChanged.Broadcast).Stop()
+	select { // else a connection that is being accepted would be missed
+	case <-l.acceptDone:
+	case <-time.After(time.Until(until)):
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.conns) > 0 && time.Now().Before(until) {
+		l.connsChanged.Wait()
+	}
+}
+
+// requestPhaseAll moves all connections, and those that are still to be accepted, to a closing phase for good.
 func (l *Door) requestPhaseAll(phase closePhase) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/proxy/duties.go
+++ b/internal/proxy/duties.go
@@ -10,186 +10,178 @@
 	"go.uber.org/zap"
 )
 
-const dutyTick = 100 * time.Millisecond
+const (
+	dutyTick          = 100 * time.Millisecond
+	dutiesMailboxSize = 1024
+)
+
+// dutyBroadcast tells other proxies what this one does under a duty, which counts for a lifetime. It must not wait.
+type dutyBroadcast = func(kind duties.Kind, key string, said duties.Said, lifetime duties.Time)
 
-// Duties is the actor of what proxies do by turns. It is none of the module's loop: that one offers it what it found and waits for
-// nothing, and it posts to the module, to the list and to peers what follows.
+// Duties is the goroutine of the duties that proxies share out among them: health checks, watches, idle connections.
+// The router offers it what it finds and waits for nothing; Duties posts to the router, to the endpoint list and to
+// hosts what follows. Exported methods may be called from any goroutine.
 type Duties struct {
 	mailbox     mailbox
 	assignments *duties.Instance
 	clock       Clock
 	router      *Router
 	list        *List
-	broadcast   func(k duties.Kind, key string, s duties.Said, life duties.Time) // peers; it may not wait
+	broadcast   dutyBroadcast
 	figures     atomic.Pointer[duties.Figures]
 	counters    *Counters
 	log         *zap.Logger
-	nodesStale  bool // the list's latest change found no room; only the module's actor looks
+	nodesStale  bool // the latest list of caches found the mailbox full; only the router's goroutine looks
 }
 
-// NewDuties returns the actor, by which the module's and the list's take turns with other proxies'. It is called before they run.
-func NewDuties(t duties.Terms, router *Router, list *List, tell func(k duties.Kind, key string, s duties.Said, life duties.Time), log *zap.Logger) *Duties {
+// NewDuties returns the duties of a router and an endpoint list. It is to be called before they run.
+func NewDuties(terms duties.Terms, router *Router, list *List, broadcast dutyBroadcast, log *zap.Logger) *Duties {
 	d := &Duties{
-		mailbox: make(mailbox, 1024), assignments: duties.New(duties.Time(router.clock.Now()), t), clock: router.clock, router: router, list: list, broadcast: tell,
-		counters: router.counters, log: log,
+		mailbox: make(mailbox, dutiesMailboxSize), assignments: duties.New(duties.Time(router.clock.Now()), terms),
+		clock: router.clock, router: router, list: list, broadcast: broadcast, counters: router.counters, log: log,
 	}
 	d.figures.Store(&duties.Figures{})
 	router.duties, list.duties = d, d
 	return d
 }
 
-// Run carries out calls for as long as the program lives.
+// Run carries out calls for as long as the process lives.
 func (d *Duties) Run() {
-	ticks := time.NewTicker(dutyTick)
+	ticker := time.NewTicker(dutyTick)
+	defer ticker.Stop()
 	for {
 		select {
 		case call := <-d.mailbox:
 			runRecovered(d.log, d.counters, call)
-		case <-ticks.C:
+		case <-ticker.C:
 			d.router.mailbox.tryPost(d.router.reportEjections)
 			runRecovered(d.log, d.counters, func() { d.execute(d.assignments.Tick(d.now())) })
-			f := d.assignments.Shown()
-			d.figures.Store(&f)
+			figures := d.assignments.Shown()
+			d.figures.Store(&figures)
 		}
 	}
 }
 
 func (d *Duties) now() duties.Time { return duties.Time(d.clock.Now()) }
 
-// Shown is how it stood a moment ago.
+// Shown returns the duties' figures as of their last tick.
 func (d *Duties) Shown() duties.Figures { return *d.figures.Load() }
 
-// Fleet takes who the proxies are.
+// Fleet takes who the proxies are. behind means that not all are known yet.
 func (d *Duties) Fleet(all []duties.Proxy, behind bool) {
 	d.mailbox.tryPost(func() { d.execute(d.assignments.Fleet(d.now(), all, behind)) })
 }
 
-// Heard takes what another proxy says.
-func (d *Duties) Heard(from string, k duties.Kind, key string, s duties.Said, age duties.Time) {
-	d.mailbox.tryPost(func() { d.execute(d.assignments.Heard(d.now(), from, k, key, s, age)) })
+// Heard takes what another proxy has told under a duty, sent age ago.
+func (d *Duties) Heard(from string, kind duties.Kind, key string, said duties.Said, age duties.Time) {
+	d.mailbox.tryPost(func() { d.execute(d.assignments.Heard(d.now(), from, kind, key, said, age)) })
 }
 
+// execute carries out decisions on duties.
 func (d *Duties) execute(decisions []duties.Decision) {
-	for i := range decisions {
-		switch x := decisions[i]; x.Act {
+	for _, decision := range decisions {
+		switch decision.Act {
 		case duties.Rest:
-			d.router.mailbox.post(func() { d.router.delayProbe(x.Node, balancer.Time(x.Until)) })
+			d.router.mailbox.post(func() { d.router.delayProbe(decision.Node, balancer.Time(decision.Until)) })
 		case duties.Doubt:
-			d.router.Heard(x.Node, !x.On)
+			d.router.Heard(decision.Node, !decision.On)
 		case duties.Keep:
-			d.router.mailbox.post(func() { d.router.setIdleConnOwner(x.Node, x.On) })
+			d.router.mailbox.post(func() { d.router.setIdleConnOwner(decision.Node, decision.On) })
 		case duties.Watch:
-			d.list.mailbox.post(func() { d.list.setWatching(x.On) })
+			d.list.mailbox.post(func() { d.list.setWatching(decision.On) })
 		case duties.Say:
-			d.broadcast(x.Kind, x.Key, x.Said, x.Life)
+			d.broadcast(decision.Kind, decision.Key, decision.Said, decision.Life)
 		case duties.Log:
-			d.log.Info("turns: " + x.Text)
+			d.log.Info("duties: " + decision.Text)
 		}
 	}
 }
 
-// What follows runs on the module's actor.
+// The router's goroutine runs all that follows.
 
-// dutyNodes tells which caches are listed.
+// updateDutyNodes tells the duties which caches are listed.
 func (r *Router) updateDutyNodes() {
-	if r.duties == nil {
+	d := r.duties
+	if d == nil {
 		return
 	}
 	var names []string
-	for _, host := range r.hosts {
-		if host != nil && !host.isOrigin && host.endpoint.Ready && host.departedAt == 0 {
-			names = append(names, host.name)
+	for _, h := range r.hosts {
+		if h != nil && h.isServing() {
+			names = append(names, h.name)
 		}
 	}
-	d := r.duties
-	d.nodesStale = !d.mailbox.tryPost(func() { d.execute(d.assignments.Nodes(d.now(), names)) }) // then at the next look
+	// If the mailbox is full, reportEjections tries again.
+	d.nodesStale = !d.mailbox.tryPost(func() { d.execute(d.assignments.Nodes(d.now(), names)) })
 }
 
-// dutyLook tells which nodes are passed over by now.
+// reportEjections tells the duties which hosts have been ejected or brought back since it was called last.
 func (r *Router) reportEjections() {
 	d := r.duties
 	if d.nodesStale {
 		r.updateDutyNodes()
 	}
-	for n, host := range r.hosts {
-		if host == nil || host.isOrigin || host.departedAt != 0 || host.ejected == r.balancer.Passed(n) {
+	for index, h := range r.hosts {
+		if h == nil || h.isOrigin || h.departedAt != 0 || h.ejected == r.balancer.Passed(index) {
 			continue
 		}
-		name, passed := host.name, !host.ejected
-		if d.mailbox.tryPost(func() { d.execute(d.assignments.Passed(d.now(), name, passed)) }) {
-			host.ejected = passed
+		name, ejected := h.name, !h.ejected
+		if d.mailbox.tryPost(func() { d.execute(d.assignments.Passed(d.now(), name, ejected)) }) {
+			h.ejected = ejected
 		}
 	}
 }
 
-// dutySent notes that a try goes to a node, which is a trial if that is passed over.
-func (r *Router) dutyAttemptSent(n int) {
-	if d := r.duties; d != nil && !r.hosts[n].isOrigin && r.balancer.Passed(n) {
-		name := r.hosts[n].name
-		d.mailbox.tryPost(func() {
-			d.execute(d.assignments.Passed(d.now(), name, true))
-			d.execute(d.assignments.Tried(d.now(), name))
-		})
+// dutyAttemptSent takes note of an attempt at a host, which is a health check if that is ejected.
+func (r *Router) dutyAttemptSent(index int) {
+	d, h := r.duties, r.hosts[index]
+	if d == nil || h.isOrigin || !r.balancer.Passed(index) {
+		return
 	}
+	name := h.name
+	d.mailbox.tryPost(func() {
+		d.execute(d.assignments.Passed(d.now(), name, true))
+		d.execute(d.assignments.Tried(d.now(), name))
+	})
 }
 
-// dutyEnded notes that a try at a node that was passed over has come to nothing, or that the node answers.
-func (r *Router) dutyAttemptFinished(n int, passed bool) {
-	if d := r.duties; d != nil && passed {
-		name, still := r.hosts[n].name, r.balancer.Passed(n)
-		told := d.mailbox.tryPost(func() {
-			if still {
-				d.execute(d.assignments.Failed(d.now(), name))
-			} else {
-				d.execute(d.assignments.Passed(d.now(), name, false))
-			}
-		})
-		if told && !still {
-			r.hosts[n].ejected = false
+// dutyAttemptFinished takes note of the end of an attempt at a host that was ejected until then: the health check has
+// failed, or the host has been brought back.
+func (r *Router) dutyAttemptFinished(index int, wasEjected bool) {
+	d, h := r.duties, r.hosts[index]
+	if d == nil || !wasEjected {
+		return
+	}
+	name, stillEjected := h.name, r.balancer.Passed(index)
+	posted := d.mailbox.tryPost(func() {
+		if stillEjected {
+			d.execute(d.assignments.Failed(d.now(), name))
+		} else {
+			d.execute(d.assignments.Passed(d.now(), name, false))
 		}
+	})
+	if posted && !stillEjected {
+		h.ejected = false
 	}
 }
 
-// rest has a node's next trial be at a time.
+// delayProbe has a host's next health check wait until a time.
 func (r *Router) delayProbe(node string, until balancer.Time) {
-	if n, ok := r.hostIndex[node]; ok {
+	if index, ok := r.hostIndex[node]; ok {
 		now := r.clock.Now()
-		r.execute(r.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Rest(now, n, until) }))
-	}
-}
-
-// keep has idle connections to a node be kept for as long as they may, or closed soon.
-func (r *Router) setIdleConnOwner(node string, on bool) {
-	if n, ok := r.hostIndex[node]; ok {
-		r.hosts[n].closeIdleSoon.Store(!on)
-		if !on {
-			r.hosts[n].mailbox.tryPost(r.hosts[n].closeIdleConns)
-		}
+		r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Rest(now, index, until) })
 	}
 }
 
-// duty has discovery be watched, or left to others: what it had told of by then is as old as what they tell.
-func (l *List) setWatching(on bool) {
-	if l.delegated = !on; on {
-		l.startWatch()
+// setIdleConnOwner has idle connections to a host be kept for as long as they may, or be closed soon.
+func (r *Router) setIdleConnOwner(node string, isOwner bool) {
+	index, ok := r.hostIndex[node]
+	if !ok {
 		return
 	}
-	for _, watch := range []*endpointWatch{l.current, l.previous} {
-		if watch != nil {
-			watch.cancel()
-		}
-	}
-	l.current, l.previous = nil, nil
-	l.reportWatching(false)
-	if l.peerEndpoints != nil {
-		clear(l.peerEndpoints.local)
-		l.peerEndpoints.complete = false
-	}
-}
-
-// watching tells whether the watch lives.
-func (l *List) reportWatching(live bool) {
-	if d := l.duties; d != nil {
-		d.mailbox.tryPost(func() { d.execute(d.assignments.Watching(d.now(), live)) })
+	h := r.hosts[index]
+	h.closeIdleSoon.Store(!isOwner)
+	if !isOwner {
+		h.mailbox.tryPost(h.closeIdleConns)
 	}
 }
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -16,76 +15,74 @@
 	"go.uber.org/zap"
 )
 
-// The list's clock. Silence means that a call is broken, and it is made anew at once. What it missed counts as told six seconds
-// after it fell silent, whether or not it came, and four seconds after SIGHUP; so a watch that falls silent and the first call made
-// in its place, silent as well, leave time for more. What the agent has counts from when it has it, outage or not: so there is
-// always a call out that it can answer as soon as it speaks again, and nobody pauses between silent ones.
 const (
-	watchSilenceTimeout  = 3 * time.Second         // a watch that is out says something every two seconds
-	pushFirstByteTimeout = 1200 * time.Millisecond // about; the agent is on this machine and answers a call at once, or is not there
-	pollFirstByteTimeout = 2 * time.Second         // at least; where lists are asked for discovery is elsewhere, and answers late when many ask
-	watchDialTimeout     = time.Second
-	minWatchBackoff      = 200 * time.Millisecond // before a watch is begun anew, about, and twice as long each time it fails
-	maxWatchBackoff      = 800 * time.Millisecond
+	endpointMailboxSize = 64
+	maxBackoffDoublings = 8 // by which the backoff is beyond its bound
+	// endpointRandomStream separates the list's random numbers from others of the same seed.
+	endpointRandomStream = 1
 )
 
-// List is the actor of the list: it has discovery watched and tells the module's actor what changes.
+// List is the goroutine of the endpoint list: it has discovery watched and tells the router what changes.
 type List struct {
 	mailbox       mailbox
-	addr          string
+	addr          string // of discovery
 	router        *Router
-	index         int64          // of what the module has been told
-	current       *endpointWatch // the watch that is out, nil: none
-	previous      *endpointWatch // that of the address before, until the one in its place has spoken
-	firstMessage  chan struct{}  // closed when discovery has spoken
-	receivedFirst bool           // it has
-	failures      int            // watches in a row that said nothing
-	random        *rand.Rand
-	lastError     string // why the last watch ended, so that a spell of the same trouble is one line
 	counters      *Counters
 	log           *zap.Logger
-	peerEndpoints *peerEndpoints // with peers, nil: there are none
-	duties        *Duties        // nil: each watches for itself
-	delegated     bool           // others watch for this one
-	latestIndex   atomic.Int64   // the index that discovery last told of, or a peer if that was later
+	random        *rand.Rand
+	peerEndpoints *peerEndpoints // what other proxies tell; nil: there are none
+	duties        *Duties        // nil: every proxy watches for itself
+	delegated     bool           // other proxies have the duty to watch
+
+	index         int64          // of what the router has been told
+	current       *endpointWatch // nil: none is open
+	previous      *endpointWatch // of the address before, until the current one has received something
+	failures      int            // watches in a row that received nothing
+	lastError     string         // of the last watch, so that a series of equal errors is one line in the log
+	receivedFirst bool
+	firstMessage  chan struct{} // closed when discovery has said something
+	latestIndex   atomic.Int64  // the latest that discovery or another proxy has told of; written by this goroutine
 }
 
-// watch is one connection to discovery and its goroutine.
-type endpointWatch struct {
-	list             *List
-	addr             string
-	fromIndex        int64
-	firstByteTimeout time.Duration // until its first word; not the same at all proxies, whose calls may all have fallen silent at once
-	ctx              context.Context
-	cancel           context.CancelFunc
+// endpointEvent is a message of discovery: the list at an index, or what has changed since the index before.
+type endpointEvent struct {
+	index   int64
+	whole   bool
+	targets []wire.Target
 }
 
-// NewList hands the list that this proxy last had, which may be nil, to the module's actor.
-func NewList(addr string, known *fastjson.Value, router *Router, seed uint64, count *Counters, log *zap.Logger) (*List, error) {
+// NewList returns the endpoint list that is watched at an address, and hands the router the list that this proxy had
+// before its start, which may be nil. It returns an error if that can't be parsed.
+func NewList(
+	addr string, known *fastjson.Value, router *Router, seed uint64, counters *Counters, log *zap.Logger,
+) (*List, error) {
 	l := &List{
-		mailbox: make(mailbox, 64), addr: addr, router: router, firstMessage: make(chan struct{}),
-		random: rand.New(rand.NewPCG(seed, 1)), counters: count, log: log,
+		mailbox: make(mailbox, endpointMailboxSize), addr: addr, router: router, firstMessage: make(chan struct{}),
+		random: rand.New(rand.NewPCG(seed, endpointRandomStream)), counters: counters, log: log,
 	}
-	var list []wire.Target
+	var targets []wire.Target
 	if known != nil && known.Type() != fastjson.TypeNull {
 		var err error
-		if l.index, _, list, err = wire.ParseTargets(known); err != nil {
+		if l.index, _, targets, err = wire.ParseTargets(known); err != nil {
 			return nil, err
 		}
 	}
 	router.mailbox.post(func() {
 		router.endpoints = l
-		router.updateEndpoints(true, true, list)
+		router.updateEndpoints(endpointUpdate{whole: true, initial: true, targets: targets})
 	})
 	return l, nil
 }
 
-// First is closed when discovery has spoken.
+// First returns a channel that is closed when discovery has said something.
 func (l *List) First() <-chan struct{} { return l.firstMessage }
 
-// Run carries out calls for as long as the program lives.
+// Version returns the latest index that discovery or another proxy has told of since the start; 0: neither has.
+func (l *List) Version() int64 { return l.latestIndex.Load() }
+
+// Run carries out calls for as long as the process lives.
 func (l *List) Run() {
-	if !l.router.settings.Terms.Ask { // else the module says when
+	if !l.polls() {
 		l.startWatch()
 	}
 	for call := range l.mailbox {
@@ -93,35 +90,36 @@
 	}
 }
 
-// Move has the list watched at another address. The watch at the old one counts until the new one has spoken, so
-// that a discovery that is slow to come up, or a mistaken address, loses nothing that is still told.
+// polls reports whether the balancer says when discovery is asked, rather than discovery being watched all the time.
+func (l *List) polls() bool { return l.router.settings.Terms.Ask }
+
+// Move has discovery watched at another address. The watch of the old one counts until the new one has said something,
+// so that a discovery that is slow to come up, or a mistaken address, loses no event that is still sent.
 func (l *List) Move(addr string) { l.mailbox.post(func() { l.moveTo(addr) }) }
 
 func (l *List) moveTo(addr string) {
 	if addr == l.addr {
 		return
 	}
-	l.log.Info("discovery moves", zap.String("from", l.addr), zap.String("to", addr), zap.Int64("index", l.index))
+	l.log.Info("discovery address changed",
+		zap.String("from", l.addr), zap.String("to", addr), zap.Int64("index", l.index))
 	l.addr, l.lastError = addr, ""
-	l.index = 0 // whether both count their versions alike is not known
+	l.index = 0 // the two may not count their versions alike
 	if l.previous == nil {
 		l.previous = l.current
-	} else if l.current != nil { // which never spoke
+	} else if l.current != nil { // which has received nothing
 		l.current.cancel()
 	}
 	l.current = nil
 	l.startWatch()
 }
 
-// follow begins a watch, unless one is out.
+// startWatch opens a watch, unless one is open or other proxies have the duty to watch.
 func (l *List) startWatch() {
 	if l.current != nil || l.delegated {
 		return
 	}
-	watch := &endpointWatch{list: l, addr: l.addr, fromIndex: l.index, firstByteTimeout: pushFirstByteTimeout*3/4 + time.Duration(l.random.Int64N(int64(pushFirstByteTimeout)/2))}
-	if l.router.settings.Terms.Ask {
-		watch.firstByteTimeout = pollFirstByteTimeout + time.Duration(l.random.Int64N(int64(pollFirstByteTimeout)/4))
-	}
+	watch := &endpointWatch{list: l, addr: l.addr, fromIndex: l.index, firstByteTimeout: l.randomFirstByteTimeout()}
 	watch.ctx, watch.cancel = context.WithCancel(context.Background())
 	l.current = watch
 	go func() {
@@ -132,8 +130,17 @@
 	}()
 }
 
-// ended hears that a watch is over. Where the list comes by itself another is begun soon; where it is to be asked
-// for, the module says when.
+// randomFirstByteTimeout spreads the timeouts of proxies, whose watches may all have fallen silent at once.
+func (l *List) randomFirstByteTimeout() time.Duration {
+	timeout := pushFirstByteTimeout*3/4 + time.Duration(l.random.Int64N(int64(pushFirstByteTimeout)/2))
+	if l.polls() {
+		timeout = pollFirstByteTimeout + time.Duration(l.random.Int64N(int64(pollFirstByteTimeout)/4))
+	}
+	return timeout
+}
+
+// watchEnded takes note that a watch is over. Where discovery is watched all the time another is opened soon; where it
+// is polled, the balancer says when.
 func (l *List) watchEnded(watch *endpointWatch, err error) {
 	if watch == l.previous {
 		l.previous = nil
@@ -144,36 +151,33 @@
 	l.current = nil
 	l.reportWatching(false)
 	if errors.Is(err, wire.ErrBytes) {
-		l.index = 0 // the whole list, since what it said is in doubt
+		l.index = 0 // to get the whole list, since what the watch has told is in doubt
 		l.counters.BadPeer.Add(1)
 	}
 	if text := errorText(err); text != l.lastError {
-		l.log.Warn("watch of the list ended", zap.Error(err), zap.Int64("index", l.index))
+		l.log.Warn("endpoint watch ended", zap.Error(err), zap.Int64("index", l.index))
 		l.lastError = text
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errDiscoveryDial) {
-		l.startWatch() // who is silent is not kept from answering by one more call, as who turns calls away is
+		l.startWatch() // one more call does not overload a silent discovery, as it would one that rejects calls
 		return
 	}
-	if l.router.settings.Terms.Ask {
+	if l.polls() {
 		l.router.mailbox.post(l.router.pollFailed)
 		return
 	}
 	time.AfterFunc(l.nextBackoff(), func() { l.mailbox.post(l.startWatch) })
 }
 
-// errDial marks a connection to discovery that never came up.
-var errDiscoveryDial = errors.New("discovery is not met")
-
-// pause is how long until a watch is begun anew: by chance, and longer each time, so that proxies whose watches all end at
-// once, or that all start at once, do not keep a discovery that turns them away from answering any.
+// nextBackoff returns the time until a watch is opened again. It is random, and longer after each failure, so that
+// proxies whose watches all end at once, or that all start at once, do not overload a discovery that rejects them.
 func (l *List) nextBackoff() time.Duration {
-	long := min(minWatchBackoff<<min(l.failures, 8), maxWatchBackoff)
+	mean := min(minWatchBackoff<<min(l.failures, maxBackoffDoublings), maxWatchBackoff)
 	l.failures++
-	return long/2 + time.Duration(l.random.Int64N(int64(long)))
+	return mean/2 + time.Duration(l.random.Int64N(int64(mean)))
 }
 
-// errText words an error without addresses and ports, which differ each time.
+// errorText words an error without addresses and ports, which differ each time.
 func errorText(err error) string {
 	var op *net.OpError
 	if errors.As(err, &op) {
@@ -185,37 +189,37 @@
 	return err.Error()
 }
 
-// news passes on what changed.
-func (l *List) handleUpdate(watch *endpointWatch, index int64, whole bool, list []wire.Target) {
+// handleEvent tells the router, and the other proxies, what a watch has received.
+func (l *List) handleEvent(watch *endpointWatch, event endpointEvent) {
 	switch watch {
 	case l.current:
-		l.index = index
+		l.index = event.index
 	case l.previous:
 	default:
-		return // it was told to end
+		return // it was cancelled
 	}
 	l.counters.Lists.Add(1)
-	l.recordIndex(index)
+	l.recordIndex(event.index)
+	targets := event.targets
 	if l.peerEndpoints != nil {
 		if watch == l.current {
-			l.peerEndpoints.notify(index, whole, list)
+			l.peerEndpoints.notify(event.index, event.whole, targets)
 		}
-		list = l.peerEndpoints.merge(index, whole, list)
+		targets = l.peerEndpoints.merge(event.index, event.whole, targets)
 	}
-	l.router.mailbox.post(func() { l.router.updateEndpoints(whole, false, list) })
+	l.router.mailbox.post(func() {
+		l.router.updateEndpoints(endpointUpdate{whole: event.whole, targets: targets})
+	})
 }
 
-// reached notes an index up to which discovery or a peer has told.
+// recordIndex notes an index that discovery or another proxy has told of.
 func (l *List) recordIndex(index int64) {
 	if index > l.latestIndex.Load() {
-		l.latestIndex.Store(index) // the list's actor alone does
+		l.latestIndex.Store(index)
 	}
 }
 
-// Version is the index up to which discovery or peers have told since the start, 0: neither has.
-func (l *List) Version() int64 { return l.latestIndex.Load() }
-
-// spoke hears that discovery has said something.
+// handleActivity takes note that a watch has received something, be it an empty line.
 func (l *List) handleActivity(watch *endpointWatch) {
 	if watch != l.current {
 		return
@@ -232,48 +236,30 @@
 	}
 }
 
-// run reads until the connection ends.
-func (w *endpointWatch) run() error {
-	l := w.list
-	d := net.Dialer{Timeout: watchDialTimeout}
-	conn, err := d.DialContext(w.ctx, "tcp", w.addr)
-	if err != nil {
-		return errors.Join(errDiscoveryDial, err)
-	}
-	defer conn.Close()
-	defer context.AfterFunc(w.ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(w.firstByteTimeout))
-	if _, err := conn.Write(wire.AppendWatch(nil, w.addr, w.fromIndex)); err != nil {
-		return err
+// setWatching begins or ends this proxy's duty to watch discovery. What it was told until the end is then as old as
+// what other proxies tell.
+func (l *List) setWatching(on bool) {
+	l.delegated = !on
+	if on {
+		l.startWatch()
+		return
 	}
-	in := bufio.NewReaderSize(conn, 4<<10)
-	if _, err := in.Peek(1); err != nil {
-		return err
+	for _, watch := range []*endpointWatch{l.current, l.previous} {
+		if watch != nil {
+			watch.cancel()
+		}
 	}
-	conn.SetDeadline(time.Now().Add(watchSilenceTimeout)) // what has begun to come may come in pieces
-	r, err := wire.ReadWatch(in)
-	if err != nil {
-		return err
+	l.current, l.previous = nil, nil
+	l.reportWatching(false)
+	if l.peerEndpoints != nil {
+		clear(l.peerEndpoints.local)
+		l.peerEndpoints.complete = false
 	}
-	l.counters.Watches.Add(1)
-	var parse fastjson.Parser
-	for {
-		line, err := r.Next()
-		if err != nil {
-			return err
-		}
-		conn.SetDeadline(time.Now().Add(watchSilenceTimeout))
-		if len(line) > 0 {
-			v, err := parse.ParseBytes(line)
-			if err != nil {
-				return errors.Join(wire.ErrBytes, err)
-			}
-			index, whole, list, err := wire.ParseTargets(v)
-			if err != nil {
-				return err
-			}
-			l.mailbox.post(func() { l.handleUpdate(w, index, whole, list) })
-		}
-		l.mailbox.post(func() { l.handleActivity(w) })
+}
+
+// reportWatching tells the duties whether the watch is alive.
+func (l *List) reportWatching(alive bool) {
+	if d := l.duties; d != nil {
+		d.mailbox.tryPost(func() { d.execute(d.assignments.Watching(d.now(), alive)) })
 	}
 }
--- /dev/null
+++ b/internal/proxy/endpoint_watch.go
@@ -0,0 +1,114 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"woodproxy/internal/wire"
+
+	"github.com/valyala/fastjson"
+)
+
+// The timeouts of watches. Silence means that a call is broken, and it is made again at once. What it missed counts as
+// known six seconds after it fell silent, whether or not it came, and four seconds after SIGHUP; so a watch that falls
+// silent and the first call in its place, silent as well, leave time for more. What discovery has counts from when it
+// has it, be there an outage or not: so there is always a call open that it can answer as soon as it speaks again, and
+// there is no backoff between silent calls.
+const (
+	// watchSilenceTimeout ends an open watch: discovery says something every two seconds.
+	watchSilenceTimeout = 3 * time.Second
+	// pushFirstByteTimeout is the mean for a call's first byte: the agent is on this machine, and answers at once or is
+	// not there.
+	pushFirstByteTimeout = 1200 * time.Millisecond
+	// pollFirstByteTimeout is the least for a call's first byte where the list is polled: discovery is elsewhere then,
+	// and answers late when many proxies ask.
+	pollFirstByteTimeout = 2 * time.Second
+	watchDialTimeout     = time.Second
+	// minWatchBackoff is the mean before the first retry of a watch; it doubles with each failure.
+	minWatchBackoff = 200 * time.Millisecond
+	maxWatchBackoff = 800 * time.Millisecond
+	watchReadBuffer = 4 << 10 // bytes
+)
+
+// errDiscoveryDial marks errors of a connection to discovery that never came up.
+var errDiscoveryDial = errors.New("connect to discovery")
+
+// endpointWatch is one connection to discovery and its goroutine, which ends by a call of the list's watchEnded.
+type endpointWatch struct {
+	list             *List
+	addr             string
+	fromIndex        int64
+	firstByteTimeout time.Duration
+	ctx              context.Context
+	cancel           context.CancelFunc
+}
+
+// run reads events until the connection ends, and returns why.
+func (w *endpointWatch) run() error {
+	dialer := net.Dialer{Timeout: watchDialTimeout}
+	conn, err := dialer.DialContext(w.ctx, "tcp", w.addr)
+	if err != nil {
+		return errors.Join(errDiscoveryDial, err)
+	}
+	closeConn := func() { _ = conn.Close() } // nothing that was written or is still to be read matters any more
+	defer closeConn()
+	defer context.AfterFunc(w.ctx, closeConn)()
+	events, err := w.open(conn)
+	if err != nil {
+		return err
+	}
+	w.list.counters.Watches.Add(1)
+	var parser fastjson.Parser
+	for {
+		line, err := events.Next()
+		if err != nil {
+			return err
+		}
+		if err := conn.SetDeadline(time.Now().Add(watchSilenceTimeout)); err != nil {
+			return fmt.Errorf("set watch deadline: %w", err)
+		}
+		if len(line) > 0 {
+			if err := w.postEvent(&parser, line); err != nil {
+				return err
+			}
+		}
+		w.list.mailbox.post(func() { w.list.handleActivity(w) })
+	}
+}
+
+// open asks for events and reads the head of the response.
+func (w *endpointWatch) open(conn net.Conn) (*wire.Watch, error) {
+	if err := conn.SetDeadline(time.Now().Add(w.firstByteTimeout)); err != nil {
+		return nil, fmt.Errorf("set watch deadline: %w", err)
+	}
+	if _, err := conn.Write(wire.AppendWatch(nil, w.addr, w.fromIndex)); err != nil {
+		return nil, err
+	}
+	reader := bufio.NewReaderSize(conn, watchReadBuffer)
+	if _, err := reader.Peek(1); err != nil {
+		return nil, err
+	}
+	// What has begun to arrive may come in pieces.
+	if err := conn.SetDeadline(time.Now().Add(watchSilenceTimeout)); err != nil {
+		return nil, fmt.Errorf("set watch deadline: %w", err)
+	}
+	return wire.ReadWatch(reader)
+}
+
+// postEvent parses a line and hands it to the list.
+func (w *endpointWatch) postEvent(parser *fastjson.Parser, line []byte) error {
+	v, err := parser.ParseBytes(line)
+	if err != nil {
+		return errors.Join(wire.ErrBytes, err)
+	}
+	var event endpointEvent
+	if event.index, event.whole, event.targets, err = wire.ParseTargets(v); err != nil {
+		return err
+	}
+	w.list.mailbox.post(func() { w.list.handleEvent(w, event) })
+	return nil
+}
--- /dev/null
+++ b/internal/proxy/host_index.go
@@ -0,0 +1,131 @@
+package proxy
+
+import (
+	"woodproxy/balancer"
+	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
+)
+
+// endpointUpdate is a change of the endpoint list.
+type endpointUpdate struct {
+	whole   bool // hosts that it does not name have departed
+	initial bool // it is the list that this proxy had before its start, so that no host counts as new
+	targets []wire.Target
+}
+
+// updateEndpoints takes a change of the endpoint list.
+func (r *Router) updateEndpoints(update endpointUpdate) {
+	now := r.clock.Now()
+	initial := update.initial || len(r.hosts) == 0 // where none is known, nothing shows which are new
+	r.removeDeparted(now)
+	if update.whole {
+		for _, h := range r.hosts {
+			if h != nil {
+				h.ready.Store(false)
+				h.markDeparted(now)
+			}
+		}
+	}
+	listings := make([]balancer.Listing, 0, len(update.targets))
+	for _, target := range update.targets {
+		if h := r.updateHost(target, initial, now); h != nil {
+			listings = append(listings, r.listing(h))
+		}
+	}
+	r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Nodes(now, update.whole, initial, listings) })
+	r.updateZoneNodes()
+	r.updateDutyNodes()
+}
+
+// updateHost takes a host's line of the endpoint list. It returns nil for a host that has departed and was never known.
+func (r *Router) updateHost(target wire.Target, initial bool, now balancer.Time) *upstreamHost {
+	if index, known := r.hostIndex[target.Name]; known {
+		h := r.hosts[index]
+		target.Since = max(target.Since, h.endpoint.Since)
+		if (target.Address == "" || target.Elsewhere) && h.endpoint.Address != "" {
+			target.Address = h.endpoint.Address
+		}
+		h.setEndpoint(target, now)
+		return h
+	}
+	if target.Gone {
+		return nil
+	}
+	h := r.addHost(target)
+	if !initial && target.Since == 0 {
+		// The balancer takes it to have just started, and so do the proxies that learn of it from this one.
+		target.Since = int64(now / ticksPerMillisecond)
+	}
+	h.setEndpoint(target, now)
+	return h
+}
+
+// addHost gives a new host an index, and starts its goroutine.
+func (r *Router) addHost(target wire.Target) *upstreamHost {
+	index := len(r.hosts)
+	if n := len(r.freeHosts); n > 0 {
+		index, r.freeHosts = r.freeHosts[n-1], r.freeHosts[:n-1]
+	} else {
+		r.hosts = append(r.hosts, nil)
+	}
+	r.hostIndex[target.Name] = index
+	r.hosts[index] = newUpstreamHost(r, index, target.Name, r.isOrigin(target))
+	r.log.Info("new endpoint",
+		zap.Int("node", index), zap.String("peer", target.Name), zap.String("at", target.Address))
+	return r.hosts[index]
+}
+
+func (r *Router) isOrigin(target wire.Target) bool {
+	return r.settings.Origin != "" && target.Kind == r.settings.Origin
+}
+
+// setEndpoint takes over the host's line of the endpoint list.
+func (h *upstreamHost) setEndpoint(target wire.Target, now balancer.Time) {
+	h.endpoint = target
+	if target.Address != "" {
+		h.addr.Store(&target.Address)
+	}
+	h.ready.Store(target.Ready)
+	h.departedAt = 0
+	if target.Gone {
+		h.markDeparted(now)
+	}
+}
+
+// listing returns what the balancer is told of a host.
+func (r *Router) listing(h *upstreamHost) balancer.Listing {
+	target := &h.endpoint
+	zone, ok := r.settings.Zones[target.Zone]
+	if !ok {
+		zone = -1
+	}
+	return balancer.Listing{
+		Node: h.index, Name: target.Name, Origin: r.isOrigin(*target), Ready: target.Ready,
+		Since: balancer.Time(target.Since) * ticksPerMillisecond, Weight: target.Weight, Zone: zone, Cell: target.Cell,
+	}
+}
+
+// removeDeparted frees the indices of hosts that departed longer ago than any request lives, so that none is left that
+// was sent there. Hosts are replaced by others under new names all the time.
+func (r *Router) removeDeparted(now balancer.Time) {
+	for index, h := range r.hosts {
+		if h != nil && h.departedAt > 0 && now-h.departedAt > r.settings.Longest && h.inFlight == 0 {
+			delete(r.hostIndex, h.name)
+			r.hosts[index] = nil
+			r.freeHosts = append(r.freeHosts, index)
+			h.mailbox.post(h.stop)
+		}
+	}
+}
+
+// listedTargets returns the lines of the hosts that are listed.
+func (r *Router) listedTargets() []wire.Target {
+	var targets []wire.Target
+	for _, h := range r.hosts {
+		if h != nil && h.departedAt == 0 {
+			targets = append(targets, h.endpoint)
+		}
+	}
+	return targets
+}
--- a/internal/proxy/lifecycle_test.go
+++ b/internal/proxy/lifecycle_test.go
@@ -193,7 +193,7 @@
 		}
 		list = append(list, row)
 	}
-	r.router.mailbox.post(func() { r.router.updateEndpoints(true, true, list) })
+	r.router.mailbox.post(func() { r.router.updateEndpoints(endpointUpdate{whole: true, initial: true, targets: list}) })
 	go r.router.Run()
 	go r.listener.Run()
 	t.Cleanup(func() { ln.Close() })
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -9,73 +9,74 @@
 	"sync/atomic"
 	"time"
 
+	"woodproxy/balancer"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
 )
 
-// bare is what an exchange takes up without its values, its share of a connection's buffers included.
-const requestOverheadBytes = 32 << 10
-
-// lastLook is how long the last look takes that finds nobody who waits to be let in, once the door closes.
-const finalAcceptTimeout = time.Millisecond
+const (
+	// requestOverheadBytes is the memory of a request without its value, with its share of a connection's buffers.
+	requestOverheadBytes = 32 << 10
+	// finalAcceptTimeout is how long the last Accept waits that finds the listener's queue empty, as it closes.
+	finalAcceptTimeout = time.Millisecond
+	acceptRetryDelay   = 5 * time.Millisecond
+	clientReadBuffer   = 4 << 10 // bytes; the longest command without its value
+)
 
-// listener is where clients come; tests have one that holds them between two steps.
+// deadlineListener is a network listener whose Accept can be interrupted by a deadline.
 type deadlineListener interface {
 	net.Listener
 	SetDeadline(time.Time) error
 }
 
-// slowStart is how long a newcomer may take before it counts as one that asks nothing.
-const idleGrace = 100 * time.Millisecond
-
-// slowWriting is how long a client may stop half way through a command before those go that ask all the time.
-const partialGrace = time.Second
-
-// Door lets clients in and knows their connections.
+// Door is the listener: it accepts client connections, bounds how many there are, and closes them when the proxy
+// drains or stops. Its methods may be called from any goroutine, but for those that say otherwise.
 type Door struct {
 	ln                 deadlineListener
 	router             *Router
-	ready              chan struct{} // closed when clients may be told that they are served
-	maxConns           int           // connections at once, under mu
-	maxServedConns     int           // how many of them clients may be left that have been served, under mu
-	paused             bool          // another process lets clients in
-	maxRequests        atomic.Int64  // exchanges that may be held at once, without their values
-	memoryMB           int           // as far as it has been shared out
-	reservedValueBytes atomic.Int64  // bytes of values that long writes leave to others
-	retryAfterMS       int           // what is told to who finds no place, in milliseconds; 0: nothing
 	counters           *Counters
 	log                *zap.Logger
-	acceptDone         chan struct{} // closed when nobody is let in any more, and all who were are among the clients
-	outOfService       atomic.Bool   // of service: clients are sent away
-	mu                 sync.Mutex
-	drainTimer         *time.Timer              // its next step, nil: none is to come
-	drainStep          int                      // of the drain that is on, in steps
-	phase              closePhase               // what a newcomer is told of its end
-	stopping           bool                     // for good
-	closed             bool                     // nobody is let in
-	soleOwner          bool                     // no other process has the listener; set before that
-	conns              map[*clientConn]struct{} // emptied as connections end
-	connsChanged       *sync.Cond               // one has ended
+	retryAfterMS       int           // told to clients whose request finds no capacity, in milliseconds; 0: nothing
+	ready              chan struct{} // closed when clients are served
+	acceptDone         chan struct{} // closed when Run has ended, with all accepted connections in conns
+	memoryMB           int           // of the budgets below
+	maxRequests        atomic.Int64  // requests that may be held at once
+	reservedValueBytes atomic.Int64  // value memory that long writes leave to other requests
+	outOfService       atomic.Bool   // clients are sent away
+
+	mu             sync.Mutex
+	maxConns       int
+	maxServedConns int        // how many of them may be left open to clients that have been served
+	paused         bool       // another process accepts connections
+	closed         bool       // no further connection is accepted
+	soleOwner      bool       // no other process has the listener; set before closed
+	stopping       bool       // the proxy stops, and drains for good
+	phase          closePhase // of connections that are accepted from now on
+	drainTimer     *time.Timer
+	drainStep      int                      // steps of the drain that have been taken
+	conns          map[*clientConn]struct{} // connections remove themselves as they end
+	connsChanged   *sync.Cond               // a connection has ended, or a limit has changed
 }
 
-// NewDoor lets clients in on ln once it is told how many, and holds no more exchanges than the memory has room for.
-func NewDoor(ln deadlineListener, router *Router, memoryMB int, count *Counters, log *zap.Logger) *Door {
-	listener := &Door{
-		ln: ln, router: router, ready: make(chan struct{}), acceptDone: make(chan struct{}), counters: count, log: log,
-		conns: map[*clientConn]struct{}{},
+// NewDoor returns a listener that accepts clients on ln for router. memoryMB, in MiB, bounds the requests and values
+// that are held. It accepts none before Allow and Run are called.
+func NewDoor(ln deadlineListener, router *Router, memoryMB int, counters *Counters, log *zap.Logger) *Door {
+	l := &Door{
+		ln: ln, router: router, counters: counters, log: log,
+		ready: make(chan struct{}), acceptDone: make(chan struct{}), conns: map[*clientConn]struct{}{},
 	}
-	listener.Remember(memoryMB)
-	listener.connsChanged = sync.NewCond(&listener.mu)
-	if t := &router.settings.Terms; t.RetryAfter {
-		listener.retryAfterMS = int(t.MaxRetryAfter / 10)
+	l.Remember(memoryMB)
+	l.connsChanged = sync.NewCond(&l.mu)
+	if config := &router.settings.Terms; config.RetryAfter {
+		l.retryAfterMS = milliseconds(config.MaxRetryAfter)
 	}
-	return listener
+	return l
 }
 
-// Remember sets how much memory there is: an eighth of it is for exchanges, a quarter for their values, as long as
-// they are, and an eighth for values that pass through. To count each at its largest would leave few places in little
-// memory.
+// Remember sets the memory budgets by the memory there is, in MiB: an eighth is for requests, a quarter for the values
+// that they hold, and an eighth for streamed values. Values are counted at their length, since to count each at the
+// longest would admit few requests where memory is small. Calls must not overlap.
 func (l *Door) Remember(memoryMB int) {
 	l.maxRequests.Store(min(int64(memoryMB)<<20/8/requestOverheadBytes, maxRequestsInFlight))
 	l.router.valueMemory.resize((memoryMB - l.memoryMB) << 20 / 4)
@@ -84,61 +85,98 @@
 	l.reservedValueBytes.Store(int64(memoryMB) << 20 / 8)
 }
 
-// longRoom tells whether a long value may be written: half of what there is for values stays for the others, or a few
-// such writes would have everybody else shed.
+// admitRequest reports whether there is capacity for another request, which then counts as held.
+func (l *Door) admitRequest() bool {
+	l.counters.Exchanges.Add(1)
+	if l.counters.Held.Add(1) > l.maxRequests.Load() || l.router.valueMemory.available.Load() <= 0 {
+		l.counters.Held.Add(-1)
+		return false
+	}
+	return true
+}
+
+// admitsLongValue reports whether a long value of n bytes may be written. Half of the value memory stays for the
+// others, or a few such writes would have everybody else shed.
 func (l *Door) admitsLongValue(n int) bool {
 	return l.router.valueMemory.available.Load()-int64(n) >= l.reservedValueBytes.Load()
 }
 
-// Open tells clients that they are served.
+// Open has PING answered from now on, by which clients see that they are served. It may be called once.
 func (l *Door) Open() { close(l.ready) }
 
-// Run lets clients in until the door has closed.
+// Opened reports whether Open was called.
+func (l *Door) Opened() bool {
+	select {
+	case <-l.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// Run accepts clients until Close, and then those that still wait in the listener's queue if no other process does.
 func (l *Door) Run() {
 	defer close(l.acceptDone)
-	failed := "" // so that a spell of the same trouble is one line
+	if !l.acceptUntilClosed() {
+		return
+	}
+	l.acceptBacklog()
+	if err := l.ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		l.log.Warn("close listener", zap.Error(err))
+	}
+}
+
+// acceptUntilClosed returns true once the listener is to close, and false if somebody else has closed it.
+func (l *Door) acceptUntilClosed() bool {
+	lastError := "" // so that a series of equal errors is one line in the log
 	for l.awaitCapacity() {
 		conn, err := l.ln.Accept()
 		switch {
 		case err == nil:
 			l.accept(conn)
-			failed = ""
+			lastError = ""
 		case errors.Is(err, os.ErrDeadlineExceeded): // paused, or about to close
 			time.Sleep(capacityPollInterval / 2)
 		case errors.Is(err, net.ErrClosed):
-			return
-		default: // for want of descriptors, as a rule: who waits is let in once there are some
-			if text := errorText(err); text != failed {
-				l.log.Warn("accept", zap.Error(err))
-				failed = text
+			return false
+		default: // for want of file descriptors, as a rule: clients in the queue are accepted once there are some
+			if text := errorText(err); text != lastError {
+				l.log.Warn("accept failed", zap.Error(err))
+				lastError = text
 			}
-			time.Sleep(5 * time.Millisecond)
+			time.Sleep(acceptRetryDelay)
 		}
 	}
-	for l.hasCapacity() { // who waited when the time was up is let in, or would be cut off with the listener
-		l.ln.SetDeadline(time.Now().Add(finalAcceptTimeout))
+	return true
+}
+
+// acceptBacklog accepts the clients that wait in the queue, which would be reset with the listener.
+func (l *Door) acceptBacklog() {
+	for l.canAcceptBacklog() {
+		if l.ln.SetDeadline(time.Now().Add(finalAcceptTimeout)) != nil {
+			return
+		}
 		conn, err := l.ln.Accept()
 		if err != nil {
-			break
+			return
 		}
 		l.accept(conn)
 	}
-	l.ln.Close()
 }
 
-// hasPlace tells whether one more can be let in by who alone has the listener.
-func (l *Door) hasCapacity() bool {
+func (l *Door) canAcceptBacklog() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.soleOwner && len(l.conns) < l.maxConns
 }
 
+// accept begins to serve a connection. Its goroutine ends by remove, for which Close waits.
 func (l *Door) accept(conn net.Conn) {
+	now := time.Now()
 	c := &clientConn{
-		listener: l, conn: conn, reader: bufio.NewReaderSize(conn, 4<<10), replyReady: make(chan struct{}, 1),
-		acceptedAt: time.Now(),
+		listener: l, conn: conn, reader: bufio.NewReaderSize(conn, clientReadBuffer),
+		replyReady: make(chan struct{}, 1), acceptedAt: now, lastActive: now,
 	}
-	c.lastActive = c.acceptedAt
 	l.counters.Clients.Add(1)
 	l.counters.ClientsOpen.Add(1)
 	l.mu.Lock()
@@ -148,156 +186,81 @@
 	go c.run()
 }
 
-// makeRoom has a client go once nine tenths of the places are taken, or as many are kept that were served, and lets nobody in while all are, or while the
-// door is paused. It returns false when the door has closed.
+// remove forgets a connection that has ended.
+func (l *Door) remove(c *clientConn) {
+	l.counters.ClientsOpen.Add(-1)
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	l.connsChanged.Broadcast()
+}
+
+// awaitCapacity waits until a connection may be accepted, and returns false once the listener is to close. It closes a
+// connection when nearly as many are open as may be, or as many as may be left open to clients that have been served.
 func (l *Door) awaitCapacity() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for !l.closed {
 		if !l.paused {
-			if len(l.conns) >= min(l.maxConns*9/10, l.maxServedConns) {
-				if c, phase := l.chooseEviction(time.Now()); c != nil {
-					c.requestPhase(phase)
-				}
+			if len(l.conns) >= min(nearLimit(l.maxConns), l.maxServedConns) {
+				l.evictOneLocked()
 			}
 			if len(l.conns) < l.maxConns {
-				break
+				return true
 			}
 		}
-		l.connsChanged.Wait() // for one that goes; somebody does, since each command and answer has its time
+		l.connsChanged.Wait() // some connection ends, since every command and every reply has a time limit
 	}
-	return !l.closed
+	return false
 }
 
-// Pause leaves who comes to another process that has the listener too, or no longer.
-func (l *Door) Pause(on bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.paused = on; on && !l.closed {
-		l.ln.SetDeadline(pastDeadline)
-	} else if !l.closed {
-		l.ln.SetDeadline(time.Time{})
+// evictOneLocked has a connection close that can be done without, and returns false if there is none.
+func (l *Door) evictOneLocked() bool {
+	e := l.chooseEviction(time.Now())
+	if e.conn == nil {
+		return false
 	}
-	l.connsChanged.Broadcast()
+	e.conn.requestPhase(e.phase)
+	return true
 }
 
-// Allow sets how many connections there may be at once, and how many of them to clients that were served. Where more are
-// open, those that can be done without are closed.
-func (l *Door) Allow(most, theirs int) {
+// Pause leaves new connections to another process that has the listener too; with false it accepts them again.
+func (l *Door) Pause(paused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.maxConns, l.maxServedConns = most, theirs
-	for range l.conns {
-		c, phase := l.chooseEviction(time.Now())
-		if c == nil {
-			break
-		}
-		c.requestPhase(phase)
+	l.paused = paused
+	switch {
+	case l.closed:
+	case paused:
+		l.setAcceptDeadline(pastDeadline)
+	default:
+		l.setAcceptDeadline(time.Time{})
 	}
 	l.connsChanged.Broadcast()
 }
 
-// spare chooses who can be done without, and how it goes, if enough are not on their way out already. First comes who has
-// asked nothing yet, of them the first that came, once it has had time to or a crowd of its kind waits with it; then who has
-// been idle longest, which costs a client no more than a new connection; then who stopped half way through a command, since
-// some take their time. So crowds that say nothing, ask once and stay, or stop half way push out themselves, not those that
-// are served.
-func (l *Door) chooseEviction(now time.Time) (*clientConn, closePhase) {
-	const mute, idle, half = 0, 1, 2
-	var first [3]*clientConn
-	var since [3]time.Time
-	mutes, stay, served := 0, 0, 0
-	for c := range l.conns {
-		s := c.state()
-		kind := idle
-		switch {
-		case s.midCommand:
-			kind = half
-		case !s.hadCommand:
-			kind = mute
-		}
-		if !s.closing {
-			stay++
-			switch {
-			case kind == mute:
-				mutes++
-			case s.hadCommand:
-				served++
-			}
-		}
-		if s.closable && (first[kind] == nil || s.lastActive.Before(since[kind])) {
-			first[kind], since[kind] = c, s.lastActive
-		}
-	}
-	if c := first[idle]; c != nil && served >= l.maxServedConns && now.Sub(since[idle]) >= idleGrace {
-		return c, phaseCloseWhenIdle
-	}
-	if stay < l.maxConns*9/10 {
-		return nil, phaseOpen
-	}
-	for _, r := range [...]struct {
-		kind  int
-		least time.Duration
-		how   closePhase
-	}{
-		{mute, partialGrace, phaseCloseWhenIdle},
-		{idle, idleGrace, phaseCloseWhenIdle},
-		{half, partialGrace, phaseStopReading},
-		{half, idleGrace, phaseStopReading},
-		{idle, 0, phaseCloseWhenIdle},
-		{mute, 0, phaseCloseWhenIdle},
-		{half, 0, phaseStopReading},
-	} {
-		c := first[r.kind]
-		if c != nil && (now.Sub(since[r.kind]) >= r.least || r.kind == mute && mutes >= l.maxConns/4) {
-			return c, r.how
-		}
+func (l *Door) setAcceptDeadline(at time.Time) {
+	if err := l.ln.SetDeadline(at); err != nil && !errors.Is(err, net.ErrClosed) {
+		l.log.Warn("set accept deadline", zap.Error(err))
 	}
-	return nil, phaseOpen
-}
-
-func (l *Door) remove(c *clientConn) {
-	l.counters.ClientsOpen.Add(-1)
-	l.mu.Lock()
-	delete(l.conns, c)
-	l.mu.Unlock()
-	l.connsChanged.Broadcast()
 }
 
-// Leaving is when, after the door has closed, connections are closed behind their next answer, when those on which
-// nothing is owed, and when no further command is taken: what was sent and not read by then is left for the client to
-// ask elsewhere.
-type Leaving struct{ Yield, Retire, Shut time.Duration }
-
-// Close lets nobody in any more, ends the connections, and returns when all have ended or the time is up. Where no other
-// process has the listener, who waits there is let in before.
-func (l *Door) Close(until time.Time, alone bool, after Leaving) {
-	began := time.Now()
-	l.mu.Lock()
-	l.closed, l.soleOwner = true, alone
-	l.ln.SetDeadline(pastDeadline) // who is accepted just then is served yet
-	l.connsChanged.Broadcast()
-	l.mu.Unlock()
-	for _, step := range [...]struct {
-		at  time.Duration
-		how closePhase
-	}{{after.Yield, phaseCloseAfterReply}, {after.Retire, phaseCloseWhenIdle}, {after.Shut, phaseStopReading}} {
-		defer time.AfterFunc(time.Until(began.Add(step.at)), func() { l.requestPhaseAll(step.how) }).Stop()
-	}
-	defer time.AfterFunc(time.Until(until), l.connsChanged.Broadcast).Stop()
-	select { // or one that is let in just now would be missed
-	case <-l.acceptDone:
-	case <-time.After(time.Until(until)):
-	}
+// Allow sets how many connections there may be at once, and how many of them may be left open to clients that have been
+// served. Where more are open, those that can be done without are closed.
+func (l *Door) Allow(maxConns, maxServedConns int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.conns) > 0 && time.Now().Before(until) {
-		l.connsChanged.Wait()
+	l.maxConns, l.maxServedConns = maxConns, maxServedConns
+	for range l.conns {
+		if !l.evictOneLocked() {
+			break
+		}
 	}
+	l.connsChanged.Broadcast()
 }
 
-// aside answers a command that is no exchange.
-func (l *Door) controlReply(cmd *wire.Command) (head, body []byte) {
+// controlReply returns the reply to a command that is not proxied.
+func (l *Door) controlReply(cmd *wire.Command) (header, body []byte) {
 	switch {
 	case cmd.Is("PING"):
 		if l.outOfService.Load() {
@@ -312,3 +275,6 @@
 	}
 	return []byte("-ERR unknown command\r\n"), nil
 }
+
+// milliseconds converts a time of the balancer, in tenths of a millisecond, and rounds down.
+func milliseconds(t balancer.Time) int { return int(t / ticksPerMillisecond) }
--- a/internal/proxy/negative_cache.go
+++ b/internal/proxy/negative_cache.go
@@ -11,41 +11,53 @@
 	"go.uber.org/zap"
 )
 
-const negativeCacheTick = 25 * time.Millisecond
+const (
+	negativeCacheTick        = 25 * time.Millisecond
+	negativeCacheMailboxSize = 1024
+	// maxWriteHashes bounds the hashes that are taken from one message on writes.
+	maxWriteHashes = 1024
+)
 
-// Absent is the actor of what is known of keys that the origin lacks. Clients' goroutines look keys up in its table and take writes
-// there by themselves, under the table's locks alone; what is told to other proxies, and what of theirs is believed, goes by it.
+// Absent is the goroutine of the negative cache: of keys that are known to be absent at the origin. Clients' goroutines
+// look keys up in its table and note writes there by themselves, under the table's locks; what is told to other
+// proxies, and what of theirs is believed, is decided on this goroutine. Exported methods may be called from any.
 type Absent struct {
 	mailbox      mailbox
 	cache        *negativecache.Instance
 	table        *negativecache.Table
 	clock        Clock
 	settings     *settings.Book
-	broadcast    func(d *negativecache.Decision) // to peers; it may not wait. nil: there are none
-	writeDropped atomic.Bool                     // a write found no room in the mailbox
-	sentWrites   atomic.Int64
-	figures      atomic.Pointer[negativecache.Figures]
 	counters     *Counters
 	log          *zap.Logger
+	broadcast    func(d *negativecache.Decision) // tells other proxies; it must not wait. nil: there are none
+	writeDropped atomic.Bool                     // a write found the mailbox full
+	sentWrites   atomic.Int64                    // messages on writes
+	figures      atomic.Pointer[negativecache.Figures]
 }
 
-// NewAbsent returns the actor, by which the module's answers what it knows to be missing. It is called before that runs.
-func NewAbsent(t negativecache.Terms, router *Router, say func(d *negativecache.Decision), log *zap.Logger) *Absent {
-	in := negativecache.New(negativecache.Time(router.clock.Now()), t)
-	a := &Absent{mailbox: make(mailbox, 1024), cache: in, table: in.Table, clock: router.clock, settings: router.settings, broadcast: say, counters: router.counters, log: log}
-	a.figures.Store(&negativecache.Figures{})
-	router.negativeCache = a
-	return a
+// NewAbsent returns the negative cache of a router, which answers by it. It is to be called before the router runs.
+func NewAbsent(
+	terms negativecache.Terms, router *Router, broadcast func(d *negativecache.Decision), log *zap.Logger,
+) *Absent {
+	cache := negativecache.New(negativecache.Time(router.clock.Now()), terms)
+	n := &Absent{
+		mailbox: make(mailbox, negativeCacheMailboxSize), cache: cache, table: cache.Table,
+		clock: router.clock, settings: router.settings, counters: router.counters, log: log, broadcast: broadcast,
+	}
+	n.figures.Store(&negativecache.Figures{})
+	router.negativeCache = n
+	return n
 }
 
-// Run carries out calls for as long as the program lives.
+// Run carries out calls for as long as the process lives.
 func (n *Absent) Run() {
-	ticks := time.NewTicker(negativeCacheTick)
+	ticker := time.NewTicker(negativeCacheTick)
+	defer ticker.Stop()
 	for {
 		select {
 		case call := <-n.mailbox:
 			runRecovered(n.log, n.counters, call)
-		case <-ticks.C:
+		case <-ticker.C:
 			runRecovered(n.log, n.counters, n.tick)
 		}
 	}
@@ -56,16 +68,17 @@
 		n.cache.Lost()
 	}
 	n.execute(n.cache.Tick(n.now()))
-	f := n.cache.Shown()
-	n.figures.Store(&f)
+	figures := n.cache.Shown()
+	n.figures.Store(&figures)
 }
 
 func (n *Absent) now() negativecache.Time { return negativecache.Time(n.clock.Now()) }
 
+// execute carries out the cache's decisions.
 func (n *Absent) execute(decisions []negativecache.Decision) {
 	for i := range decisions {
 		if d := &decisions[i]; d.Act == negativecache.Log {
-			n.log.Info("missing: " + d.Text)
+			n.log.Info("negative cache: " + d.Text)
 		} else if n.broadcast != nil {
 			n.broadcast(d)
 		}
@@ -73,64 +86,67 @@
 	n.sentWrites.Store(n.cache.Sent())
 }
 
-// Sent is how many words on writes have gone out.
+// Sent returns how many messages on writes have been sent to other proxies.
 func (n *Absent) Sent() int64 { return n.sentWrites.Load() }
 
-// Shown is how it stood a moment ago.
+// Shown returns the cache's figures as of its last tick.
 func (n *Absent) Shown() negativecache.Figures { return *n.figures.Load() }
 
-// Fleet takes who may write, of so many that operators state.
+// Fleet takes the proxies that may write, of so many that operators state. behind means that not all are known yet.
 func (n *Absent) Fleet(all []negativecache.Proxy, stated int, behind bool) {
 	n.mailbox.tryPost(func() { n.execute(n.cache.Fleet(n.now(), all, stated, behind)) })
 }
 
-// HeardWrote and HeardAbsent take what other proxies say. The table has what was written at once.
+// HeardWrote takes a message of another proxy on keys that were written. The table has them at once; if the mailbox is
+// full the message is lost, which the cache finds out by its number.
 func (n *Absent) HeardWrote(from string, epoch int64, w negativecache.Word) {
 	now := n.now()
-	for _, h := range w.Hashes[:min(len(w.Hashes), 1024)] {
-		n.table.Wrote(h, now)
+	for _, hash := range w.Hashes[:min(len(w.Hashes), maxWriteHashes)] {
+		n.table.Wrote(hash, now)
 	}
-	n.mailbox.tryPost(func() { n.execute(n.cache.HeardWrote(n.now(), from, epoch, w)) }) // where there is no room it is missed, and found out
+	n.mailbox.tryPost(func() { n.execute(n.cache.HeardWrote(n.now(), from, epoch, w)) })
 }
 
+// HeardAbsent takes a message of another proxy on keys that the origin lacks, sent age ago.
 func (n *Absent) HeardAbsent(from string, w negativecache.Word, age negativecache.Time) {
 	n.mailbox.tryPost(func() { n.execute(n.cache.HeardAbsent(n.now(), from, w, age)) })
 }
 
-// Forget has all be forgotten.
+// Forget empties the cache. It returns false if the mailbox is full.
 func (n *Absent) Forget() bool {
 	return n.mailbox.tryPost(func() { n.execute(n.cache.Forget(n.now())) })
 }
 
-// knows tells whether an exchange can be answered that its key is missing; a write's key no longer is.
+// lookUp reports whether the key of a read is known to be absent. A write's key no longer is. It may be called on a nil
+// cache, and from any goroutine.
 func (n *Absent) lookUp(req *request) bool {
 	if n == nil {
 		return false
 	}
-	h := xxhash.Sum64(req.key)
+	hash := xxhash.Sum64(req.key)
 	if req.value == nil {
-		return n.table.Has(h, n.now())
+		return n.table.Has(hash, n.now())
 	}
-	n.table.Wrote(h, n.now())
-	if !n.mailbox.tryPost(func() { n.execute(n.cache.Wrote(n.now(), h)) }) {
+	n.table.Wrote(hash, n.now())
+	if !n.mailbox.tryPost(func() { n.execute(n.cache.Wrote(n.now(), hash)) }) {
 		n.writeDropped.Store(true)
 	}
 	return false
 }
 
-// begin notes that the origin is about to be asked.
+// beginFetch notes that a read is about to be sent to the origin. It may be called on a nil cache.
 func (n *Absent) beginFetch(attempt *attempt) {
 	if n != nil && attempt.request.value == nil {
 		attempt.cacheTicket = n.table.Begin(xxhash.Sum64(attempt.request.key))
 	}
 }
 
-// learned takes the origin's word that it has no such key.
+// recordMiss takes the origin's answer that it has no such key.
 func (n *Absent) recordMiss(attempt *attempt) {
-	h, k := xxhash.Sum64(attempt.request.key), attempt.cacheTicket
+	hash, ticket := xxhash.Sum64(attempt.request.key), attempt.cacheTicket
 	tenant, ok := n.settings.Tenants[attempt.request.tenant]
 	if !ok {
 		tenant = -1
 	}
-	n.mailbox.tryPost(func() { n.execute(n.cache.Learned(n.now(), h, k, tenant)) })
+	n.mailbox.tryPost(func() { n.execute(n.cache.Learned(n.now(), hash, ticket, tenant)) })
 }
--- a/internal/proxy/peer_endpoints.go
+++ b/internal/proxy/peer_endpoints.go
@@ -5,152 +5,154 @@
 	"slices"
 	"sync"
 
-	"woodproxy/balancer"
 	"woodproxy/internal/wire"
 )
 
-// heard is a node's line as a peer's discovery told it at an index.
+// peerUpdate is an endpoint as another proxy's discovery told of it at an index.
 type peerUpdate struct {
 	index int64
 	wire.Target
 }
 
-// shared is what the list's actor has from peers. Their lines stand where their discovery is further than this proxy's own;
-// what that one told to drain stays drained until it says otherwise itself, whatever peers hold.
+// peerEndpoints is what the endpoint list knows from other proxies. Their endpoints count where their discovery is
+// further than this proxy's own. What the own one has told to drain stays drained until it says otherwise itself,
+// whatever other proxies hold.
 type peerEndpoints struct {
-	notify func(index int64, whole bool, list []wire.Target) // nil: there are no peers
+	notify func(index int64, whole bool, list []wire.Target) // tells other proxies; it must not wait
 
 	mu       sync.Mutex
-	incoming map[string]peerUpdate // came and not looked at; emptied by the list's actor
+	incoming map[string]peerUpdate // by name, not looked at yet; emptied by the list's goroutine
 
-	newer    map[string]peerUpdate  // by node, of a later index than this proxy's discovery; emptied as that one gets there
-	local    map[string]wire.Target // as this proxy's discovery told, those that left included; emptied by its whole lists
-	complete bool                   // it has told a whole list
+	// Only the list's goroutine looks at these.
+	newer    map[string]peerUpdate  // of a later index than this proxy's discovery; emptied as that gets there
+	local    map[string]wire.Target // as this proxy's discovery told, departed ones too; emptied by its whole lists
+	complete bool                   // this proxy's discovery has told a whole list
 }
 
-func newPeerEndpoints(tell func(index int64, whole bool, list []wire.Target)) *peerEndpoints {
-	return &peerEndpoints{notify: tell, incoming: map[string]peerUpdate{}, newer: map[string]peerUpdate{}, local: map[string]wire.Target{}}
+func newPeerEndpoints(notify func(index int64, whole bool, list []wire.Target)) *peerEndpoints {
+	return &peerEndpoints{
+		notify:   notify,
+		incoming: map[string]peerUpdate{}, newer: map[string]peerUpdate{}, local: map[string]wire.Target{},
+	}
 }
 
-// Share has the list told to peers as discovery tells it. It is called before Run.
-func (l *List) Share(tell func(index int64, whole bool, list []wire.Target)) {
-	l.peerEndpoints = newPeerEndpoints(tell)
+// Share has other proxies notified of what discovery tells, by a function that must not wait. It is to be called before
+// Run.
+func (l *List) Share(notify func(index int64, whole bool, list []wire.Target)) {
+	l.peerEndpoints = newPeerEndpoints(notify)
 }
 
-// Hear takes a node's line from a peer. It does not wait: the list waits for those who call.
+// Hear takes an endpoint from another proxy. It does not wait, since the list's goroutine waits for who calls it.
 func (l *List) Hear(index int64, t wire.Target) {
-	peers := l.peerEndpoints
-	peers.mu.Lock()
-	if h, ok := peers.incoming[t.Name]; !ok || index >= h.index {
-		peers.incoming[t.Name] = peerUpdate{index, t}
+	l.peerEndpoints.receive(peerUpdate{index, t})
+	l.mailbox.tryPost(l.applyPeerUpdates) // if the mailbox is full, the next call applies this one too
+}
+
+// receive keeps the latest update of each endpoint until it is applied.
+func (p *peerEndpoints) receive(update peerUpdate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if last, ok := p.incoming[update.Name]; !ok || update.index >= last.index {
+		p.incoming[update.Name] = update
 	}
-	peers.mu.Unlock()
-	l.mailbox.tryPost(l.applyPeerUpdates) // where that finds no room, the next one looks
 }
 
-// look passes on what peers told, as far as it is news.
-func (l *List) applyPeerUpdates() {
-	peers := l.peerEndpoints
-	peers.mu.Lock()
-	updates := make([]peerUpdate, 0, len(peers.incoming))
-	for _, h := range peers.incoming {
-		updates = append(updates, h)
+// takeIncoming returns the updates that have been received, by name.
+func (p *peerEndpoints) takeIncoming() []peerUpdate {
+	p.mu.Lock()
+	updates := make([]peerUpdate, 0, len(p.incoming))
+	for _, update := range p.incoming {
+		updates = append(updates, update)
 	}
-	clear(peers.incoming)
-	peers.mu.Unlock()
+	clear(p.incoming)
+	p.mu.Unlock()
 	slices.SortFunc(updates, func(a, b peerUpdate) int { return cmp.Compare(a.Name, b.Name) })
-	list, again := peers.classify(l.index, updates)
-	if len(again) > 0 {
-		peers.notify(l.index, false, again)
+	return updates
+}
+
+// applyPeerUpdates tells the router what is new of that which other proxies have told.
+func (l *List) applyPeerUpdates() {
+	updates := l.peerEndpoints.takeIncoming()
+	changed, corrections := l.peerEndpoints.classify(l.index, updates)
+	if len(corrections) > 0 {
+		l.peerEndpoints.notify(l.index, false, corrections)
 	}
-	if len(list) > 0 {
-		for _, h := range updates {
-			l.recordIndex(h.index)
-		}
-		l.counters.PeerLists.Add(1)
-		l.router.mailbox.post(func() { l.router.updateEndpoints(false, false, list) })
+	if len(changed) == 0 {
+		return
+	}
+	for _, update := range updates {
+		l.recordIndex(update.index)
 	}
+	l.counters.PeerLists.Add(1)
+	l.router.mailbox.post(func() { l.router.updateEndpoints(endpointUpdate{targets: changed}) })
 }
 
-// sort tells what is news of that which came from peers, and what is to be told them again: an older line that says otherwise
-// than this proxy's discovery does by now goes round, and those that discovery tells nothing would keep to it.
-func (p *peerEndpoints) classify(index int64, updates []peerUpdate) (list, again []wire.Target) {
-	for _, h := range updates {
-		own, known := p.local[h.Name]
+// classify returns what is new of the updates from other proxies, and the corrections that they need: an older update
+// that differs from what this proxy's discovery says by now spreads, and proxies that no discovery tells would keep it.
+func (p *peerEndpoints) classify(index int64, updates []peerUpdate) (changed, corrections []wire.Target) {
+	for _, update := range updates {
+		local, known := p.local[update.Name]
 		switch {
-		case h.index > index:
-			p.newer[h.Name] = h
-			if !known || own.Ready || h.Gone { // a drain that was told here stands
-				h.Elsewhere = true
-				list = append(list, h.Target)
+		case update.index > index:
+			p.newer[update.Name] = update
+			drainedHere := known && !local.Ready
+			if !drainedHere || update.Gone {
+				update.Elsewhere = true
+				changed = append(changed, update.Target)
 			}
-		case h.index == index:
-		case known && (own.Ready != h.Ready || own.Gone != h.Gone || own.Since != h.Since):
-			again = append(again, own)
-		case !known && p.complete && !h.Gone:
-			again = append(again, wire.Target{Name: h.Name, Gone: true})
+		case update.index == index:
+		case known && differs(local, update.Target):
+			corrections = append(corrections, local)
+		case !known && p.complete && !update.Gone:
+			corrections = append(corrections, wire.Target{Name: update.Name, Gone: true})
 		}
 	}
-	return list, again
+	return changed, corrections
 }
 
-// with lays what peers know better over what this proxy's discovery has told at an index.
+func differs(a, b wire.Target) bool {
+	return a.Ready != b.Ready || a.Gone != b.Gone || a.Since != b.Since
+}
+
+// merge takes what this proxy's discovery has told at an index, and returns it with what other proxies know better.
 func (p *peerEndpoints) merge(index int64, whole bool, list []wire.Target) []wire.Target {
 	if whole {
 		p.complete = true
 		clear(p.local)
 	}
-	for name, h := range p.newer {
-		if h.index <= index {
+	for name, update := range p.newer {
+		if update.index <= index {
 			delete(p.newer, name)
 		}
 	}
 	listed := map[string]bool{}
-	all := slices.Clone(list)
-	for i := range all {
-		t := &all[i]
-		listed[t.Name] = true
-		if p.local[t.Name] = *t; !t.Ready {
-			continue
-		}
-		if h, ok := p.newer[t.Name]; ok {
-			at := t.Address // another proxy may reach it elsewhere
-			if *t = h.Target; at != "" {
-				t.Address = at
+	merged := slices.Clone(list)
+	for i := range merged {
+		target := &merged[i]
+		listed[target.Name] = true
+		p.local[target.Name] = *target
+		if update, ok := p.newer[target.Name]; ok && target.Ready {
+			address := target.Address // another proxy may reach it at another address
+			*target = update.Target
+			if address != "" {
+				target.Address = address
 			}
 		}
 	}
 	if whole {
-		var more []wire.Target
-		for name, h := range p.newer {
-			if !listed[name] && !h.Gone {
-				more = append(more, h.Target)
-			}
-		}
-		slices.SortFunc(more, func(a, b wire.Target) int { return cmp.Compare(a.Name, b.Name) })
-		all = append(all, more...)
+		merged = append(merged, p.newerUnlisted(listed)...)
 	}
-	return all
+	return merged
 }
 
-// Tells has what the module tells peers given to a function, which may not wait. It is called before Run.
-func (r *Router) Tells(tell func(node string, answers bool)) { r.notifyPeers = tell }
-
-// Heard takes what a peer found of a node.
-func (r *Router) Heard(node string, answers bool) {
-	r.mailbox.post(func() {
-		if n, ok := r.hostIndex[node]; ok {
-			r.counters.PeerSights.Add(1)
-			now := r.clock.Now()
-			r.execute(r.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Heard(now, n, answers) }))
+// newerUnlisted returns the endpoints, by name, that only other proxies know of yet.
+func (p *peerEndpoints) newerUnlisted(listed map[string]bool) []wire.Target {
+	var targets []wire.Target
+	for name, update := range p.newer {
+		if !listed[name] && !update.Gone {
+			targets = append(targets, update.Target)
 		}
-	})
-}
-
-// Share takes the part of what all proxies may do together that this one may from now on.
-func (r *Router) Share(part float64) {
-	r.mailbox.post(func() {
-		now := r.clock.Now()
-		r.execute(r.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Share(now, part) }))
-	})
+	}
+	slices.SortFunc(targets, func(a, b wire.Target) int { return cmp.Compare(a.Name, b.Name) })
+	return targets
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -8,7 +8,7 @@
 	"woodproxy/internal/wire"
 )
 
-// final is one of the final answers.
+// finalReply is the kind of a request's one final reply.
 type finalReply uint8
 
 const (
@@ -18,28 +18,29 @@
 	replyNotFound // completed, and the origin has no such key
 )
 
-// request is one command's place among the answers of its connection, which come in order. What the command said
-// is a copy, since the reader's buffer goes on.
+// request is one command's place among the replies of its connection, which are written in order. What the command
+// said is copied, since the reader's buffer is reused.
 type request struct {
 	conn                 *clientConn
-	proxied              bool // no PING or the like
+	proxied              bool // to an upstream; false for PING and the like
 	name, key, id, facts []byte
-	value                []byte // nil: none
+	value                []byte // nil: the command has none
 	route, tenant        string
-	waitMS               int // how long the client waits, in milliseconds
-	isRetry              bool
-	valueBytes           int           // of its values, as they are counted
-	admitted             bool          // a place, until its answer is written or its client gone
-	receivedAt           balancer.Time // with its last byte
+	waitMS               int           // how long the client waits, in milliseconds
+	isRetry              bool          // the client has sent the same request before
+	valueBytes           int           // of the value and of the reply's body, as counted in the value memory
+	admitted             bool          // counts as held until its reply is written or its client has gone
+	receivedAt           balancer.Time // when its last byte was read
 
-	slot     int // only the module's actor looks at these two
-	hasSlot  bool
-	finished atomic.Bool // it has its final answer, or its client has gone: no try of it begins any more
+	slot     int         // index of its request slot; only the router's goroutine looks at this and hasSlot
+	hasSlot  bool        // it has been handed to the balancer
+	finished atomic.Bool // it has its final reply or its client has gone: no further attempt may begin
 
-	ready  bool // under the client's lock, with what is to be written
+	// The reply, guarded by conn.mu.
+	ready  bool
 	header []byte
 	body   []byte
-	stream *stream // in the place of the body, which comes piece by piece
+	stream *stream // in place of the body, for values that are passed on in chunks
 }
 
 var (
@@ -48,40 +49,73 @@
 	upstreamErrorReply = []byte("-ERR failed upstream\r\n")
 )
 
-// answer words the one final answer of an exchange; a completed one carries the value as it came.
-func (r *request) reply(count *Counters, kind finalReply, value []byte, after int) {
+// newRequest returns an admitted request with a copy of what the command says.
+func newRequest(c *clientConn, cmd *wire.Command) *request {
+	all := make([]byte, 0, len(cmd.Name)+len(cmd.Key)+len(cmd.ID)+len(cmd.Facts))
+	keep := func(b []byte) []byte {
+		n := len(all)
+		all = append(all, b...)
+		return all[n:len(all):len(all)]
+	}
+	return &request{
+		conn: c, proxied: true, admitted: true,
+		name: keep(cmd.Name), key: keep(cmd.Key), id: keep(cmd.ID), facts: keep(cmd.Facts),
+	}
+}
+
+// parseFacts reads route, tenant and waiting time from the request's facts, and returns an error if upstreams would
+// reject the request as malformed.
+func (r *request) parseFacts() error {
+	facts, err := wire.ParseFacts(r.facts)
+	if err == nil {
+		err = wire.Plain(r.id, r.facts) // they become HTTP headers, to which a line end would add another
+	}
+	if len(r.id) == 0 || len(r.key) == 0 {
+		err = wire.ErrBytes // each upstream would reject it, one after the other
+	}
+	if err != nil {
+		return err
+	}
+	r.route, r.tenant = string(facts.Route), string(facts.Tenant)
+	r.waitMS, r.isRetry = facts.Wait, facts.Repeat
+	return nil
+}
+
+// reply sets the final reply. A completed request carries the value as the upstream sent it; retryAfterMS, in
+// milliseconds, is told to clients whose request is shed, unless it is 0.
+func (r *request) reply(counters *Counters, kind finalReply, value []byte, retryAfterMS int) {
 	switch kind {
 	case replyCompleted:
-		count.Completed.Add(1)
+		counters.Completed.Add(1)
 		r.setReply(wire.AppendLength(nil, '$', len(value)), value)
 	case replyNotFound:
-		count.Completed.Add(1)
-		count.Absent.Add(1)
+		counters.Completed.Add(1)
+		counters.Absent.Add(1)
 		r.setReply(nullReply, nil)
 	case replyShed:
-		count.Shed.Add(1)
-		head := busyReply
-		if after > 0 {
-			head = append(strconv.AppendInt([]byte("-BUSY "), int64(after), 10), '\r', '\n')
+		counters.Shed.Add(1)
+		header := busyReply
+		if retryAfterMS > 0 {
+			header = append(strconv.AppendInt([]byte("-BUSY "), int64(retryAfterMS), 10), crlf...)
 		}
-		r.setReply(head, nil)
+		r.setReply(header, nil)
 	case replyError:
-		count.Errored.Add(1)
+		counters.Errored.Add(1)
 		r.setReply(upstreamErrorReply, nil)
 	}
 }
 
-// pass words the answer of a completed exchange whose value comes piece by piece.
-func (r *request) replyStream(count *Counters, stream *stream) {
-	count.Completed.Add(1)
-	count.Flows.Add(1)
-	r.stream = stream
-	r.setReply(wire.AppendLength(nil, '$', stream.length), nil)
+// replyStream sets the reply of a completed request whose value is passed on in chunks.
+func (r *request) replyStream(counters *Counters, s *stream) {
+	counters.Completed.Add(1)
+	counters.Flows.Add(1)
+	r.stream = s
+	r.setReply(wire.AppendLength(nil, '$', s.length), nil)
 }
 
-// say makes a request ready; if it is the next to be written, its connection is woken. The bytes of a body are counted
-// already, and given back with the request.
-func (r *request) setReply(head, body []byte) {
+// setReply makes the request ready, and interrupts its connection if its reply is the next to be written. The bytes of
+// a body are counted in the value memory already, and are released with the request. Any goroutine may call it.
+func (r *request) setReply(header, body []byte) {
 	c := r.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,17 +126,16 @@
 		c.listener.router.valueMemory.release(len(body))
 		return
 	}
-	r.header, r.body, r.ready = head, body, true
-	if r.admitted { // a place, by which its bytes are given back
+	r.header, r.body, r.ready = header, body, true
+	if r.admitted { // by which its bytes are released
 		r.valueBytes += len(body)
 	}
 	if len(c.pending) > 0 && c.pending[0] == r {
-		c.conn.SetReadDeadline(pastDeadline)
-		c.wake()
+		c.interruptLocked()
 	}
 }
 
-// giveBack frees the place of an exchange whose answer is written or whose client has gone.
+// release gives up what a request holds once its reply is written or its client has gone.
 func (r *request) release(listener *Door) {
 	if r.stream != nil {
 		r.stream.abandon()
--- a/internal/proxy/shadow.go
+++ b/internal/proxy/shadow.go
@@ -7,70 +7,66 @@
 	"woodproxy/internal/settings"
 )
 
-// aboutTo is how near two wake-ups are to be one: their timers are set one after the other.
+// wakeMergeWindow is how near two wake-ups count as one, in the balancer's time: their timers are set one after the
+// other.
 const wakeMergeWindow = balancer.Time(10)
 
-// onlooker asks a second instance of the module, under the terms to come, what it would do with all that comes to the
-// first, counts by kind where it would do otherwise, and then tells it what was done. Nothing that it decides is
-// carried out. An exchange is compared until the first difference on it; what comes of it after that is only learnt
-// from, so that one difference is counted once.
+// shadowBalancer asks a second balancer, under other settings, what it would decide on all that comes to the first,
+// counts by kind where it would decide otherwise, and then tells it what was done. None of its decisions is carried
+// out. A request is compared until the first difference: the shadow only learns what comes of it after that, so that
+// one difference is counted once.
 type shadowBalancer struct {
 	balancer *balancer.Instance
-	wakeAt   balancer.Time // when it wants to be woken, 0: not at all
+	wakeAt   balancer.Time // when it wants to be woken; 0: not at all
 	timer    *time.Timer
-	actual   map[int]*balancer.Decision // by exchange, of the call in hand
+	actual   map[int]*balancer.Decision // by request slot, of the call that is being compared
 	counters *Counters
 }
 
-// Watch has the module's decisions compared with those under other terms. It is called before Run.
+// Watch has the balancer's decisions compared with those under other settings. It is to be called before Run.
 func (r *Router) Watch(config *settings.Book, seed uint64) {
 	r.shadow = &shadowBalancer{
-		balancer: balancer.New(r.clock.Now(), config.Terms, seed), timer: time.NewTimer(time.Hour),
+		balancer: balancer.New(r.clock.Now(), config.Terms, seed), timer: time.NewTimer(unarmed),
 		actual: map[int]*balancer.Decision{}, counters: r.counters,
 	}
 }
 
-// decide puts a call to the module and, where there is one, to the instance that watches.
-func (r *Router) decide(now balancer.Time, call func(b *balancer.Instance) []balancer.Decision) []balancer.Decision {
+// decide puts a call to the balancer and, if there is one, to its shadow.
+func (r *Router) decide(now balancer.Time, call balancerCall) []balancer.Decision {
 	decisions := call(r.balancer)
-	r.withShadow(func(shadow *shadowBalancer) { shadow.compare(now, decisions, call(shadow.balancer)) })
+	r.withShadow(func(s *shadowBalancer) { s.compare(now, decisions, call(s.balancer)) })
 	return decisions
 }
 
-// watched keeps what goes wrong in watching from the proxy's work: then it is over.
-func (r *Router) withShadow(call func(shadow *shadowBalancer)) {
+// withShadow keeps a panic in the shadow from the proxy's own work: the shadow ends by it.
+func (r *Router) withShadow(call func(s *shadowBalancer)) {
 	if r.shadow == nil {
 		return
 	}
-	well := false
-	runRecovered(r.log, r.counters, func() {
-		call(r.shadow)
-		well = true
-	})
-	if !well {
+	if ok := runRecovered(r.log, r.counters, func() { call(r.shadow) }); !ok {
 		r.shadow = nil
-		r.log.Error("watching has ended")
+		r.log.Error("shadow balancer stopped")
 	}
 }
 
-// woken carries out the wake-up that the module asked for; the instance that watches has its own times.
+// timerFired carries out the wake-up that the balancer has asked for; its shadow has times of its own.
 func (r *Router) timerFired() {
 	now := r.clock.Now()
 	r.wakeAt = 0
 	decisions := r.balancer.Woken(now)
-	r.withShadow(func(shadow *shadowBalancer) { shadow.timerFired(now, decisions) })
+	r.withShadow(func(s *shadowBalancer) { s.timerFired(now, decisions) })
 	r.execute(decisions)
 }
 
-// watchWoken wakes the instance that watches, unless the module is about to be woken itself: both are then asked at
-// one time, or what they agree on would look like a difference.
+// shadowTimerFired wakes the shadow, unless the balancer is about to be woken itself: both are then asked at one time,
+// or what they agree on would look like a difference.
 func (r *Router) shadowTimerFired() {
 	if now := r.clock.Now(); r.wakeAt == 0 || now+wakeMergeWindow < r.wakeAt {
-		r.withShadow(func(shadow *shadowBalancer) { shadow.timerFired(now, nil) })
+		r.withShadow(func(s *shadowBalancer) { s.timerFired(now, nil) })
 	}
 }
 
-// due is nil where nothing watches.
+// shadowTimer returns the channel of the shadow's wake-ups; nil where there is no shadow.
 func (r *Router) shadowTimer() <-chan time.Time {
 	if r.shadow == nil {
 		return nil
@@ -78,20 +74,21 @@
 	return r.shadow.timer.C
 }
 
-func (s *shadowBalancer) timerFired(now balancer.Time, decisions []balancer.Decision) {
+// timerFired wakes the shadow if its time has come, and compares what it would do with what the balancer did.
+func (s *shadowBalancer) timerFired(now balancer.Time, actual []balancer.Decision) {
 	var would []balancer.Decision
 	if s.wakeAt != 0 && now >= s.wakeAt {
 		s.wakeAt = 0
 		would = s.balancer.Woken(now)
 	}
-	s.compare(now, decisions, would)
+	s.compare(now, actual, would)
 }
 
-// compare counts what the module did against what the instance that watches would have done, and sets that right.
-func (s *shadowBalancer) compare(now balancer.Time, did, would []balancer.Decision) {
-	for i := range did {
-		if isFinalReply(did[i]) || did[i].Act == balancer.Send {
-			s.actual[did[i].Cx] = &did[i]
+// compare counts what the balancer did against what its shadow would have done, and sets the shadow right.
+func (s *shadowBalancer) compare(now balancer.Time, actual, would []balancer.Decision) {
+	for i := range actual {
+		if isFinalReply(actual[i]) || actual[i].Act == balancer.Send {
+			s.actual[actual[i].Cx] = &actual[i]
 		}
 	}
 	for i := range would {
@@ -106,49 +103,66 @@
 			delete(s.actual, d.Cx)
 		}
 	}
-	for i := range did { // in order, and not in the map's
-		if d := s.actual[did[i].Cx]; d != nil {
+	for i := range actual { // in their order, which the map does not have
+		if d := s.actual[actual[i].Cx]; d != nil {
 			delete(s.actual, d.Cx)
-			if s.balancer.Has(d.Cx) {
-				s.compareRequest(now, nil, d)
-			} else if d.Act == balancer.Send {
-				s.balancer.Went(now, d.Cx, d.Node)
-			}
+			s.learn(now, d)
 		}
 	}
 }
 
-func isFinalReply(d balancer.Decision) bool { return d.Act == balancer.Shed || d.Act == balancer.Error }
+// learn tells the shadow what the balancer did where the shadow would have done nothing.
+func (s *shadowBalancer) learn(now balancer.Time, actual *balancer.Decision) {
+	if s.balancer.Has(actual.Cx) {
+		s.compareRequest(now, nil, actual)
+	} else if actual.Act == balancer.Send {
+		s.balancer.Went(now, actual.Cx, actual.Node)
+	}
+}
 
-// one compares the decisions on one exchange; nil means that it is held.
-func (s *shadowBalancer) compareRequest(now balancer.Time, would, did *balancer.Decision) {
-	switch {
-	case would != nil && did != nil && would.Act == did.Act && (isFinalReply(*did) || would.Node == did.Node):
+// compareRequest compares the decisions on one request; nil means that it is left waiting. At a difference the shadow
+// gives the request up, and only learns of it from then on.
+func (s *shadowBalancer) compareRequest(now balancer.Time, would, actual *balancer.Decision) {
+	if would != nil && actual != nil && sameDecision(would, actual) {
 		s.counters.WatchSame.Add(1)
 		return
-	case would == nil && isFinalReply(*did), would != nil && did != nil && would.Act == balancer.Send && isFinalReply(*did):
-		s.counters.WatchKept.Add(1)
-	case would != nil && isFinalReply(*would) && (did == nil || did.Act == balancer.Send):
-		s.counters.WatchGivenUp.Add(1)
-	case would == nil || did == nil:
-		s.counters.WatchHeld.Add(1)
-	case isFinalReply(*would):
-		s.counters.WatchAnswer.Add(1)
-	default:
-		s.counters.WatchNode.Add(1)
 	}
+	s.countDifference(would, actual)
 	slot := 0
 	if would != nil {
-		if slot = would.Cx; would.Act == balancer.Send {
+		slot = would.Cx
+		if would.Act == balancer.Send {
 			s.balancer.Unsent(slot)
 		}
 	} else {
-		slot = did.Cx
+		slot = actual.Cx
 	}
 	if s.balancer.Has(slot) {
 		s.balancer.Yield(slot)
 	}
-	if did != nil && did.Act == balancer.Send {
-		s.balancer.Went(now, slot, did.Node)
+	if actual != nil && actual.Act == balancer.Send {
+		s.balancer.Went(now, slot, actual.Node)
+	}
+}
+
+func sameDecision(would, actual *balancer.Decision) bool {
+	return would.Act == actual.Act && (isFinalReply(*actual) || would.Node == actual.Node)
+}
+
+// countDifference counts two different decisions on a request by kind; at most one of them is nil.
+func (s *shadowBalancer) countDifference(would, actual *balancer.Decision) {
+	actualEnds := actual != nil && isFinalReply(*actual)
+	wouldEnd := would != nil && isFinalReply(*would)
+	switch {
+	case actualEnds && !wouldEnd:
+		s.counters.WatchKept.Add(1)
+	case wouldEnd && !actualEnds:
+		s.counters.WatchGivenUp.Add(1)
+	case would == nil || actual == nil:
+		s.counters.WatchHeld.Add(1)
+	case wouldEnd:
+		s.counters.WatchAnswer.Add(1)
+	default:
+		s.counters.WatchNode.Add(1)
 	}
 }
--- a/internal/proxy/socket_peek.go
+++ b/internal/proxy/socket_peek.go
@@ -1,49 +1,57 @@
 package proxy
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// peek looks at what has come on a connection without taking it, and without waiting whatever its deadline.
+// control runs a function on a connection's file descriptor. It does nothing for connections that have none, and for
+// those that are closed.
+func control(conn net.Conn, call func(fd int)) {
+	withDescriptor, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := withDescriptor.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { call(int(fd)) }) // fails only on a closed connection, where call is not run
+}
+
+// peek looks at what has arrived on a connection without taking it, and without waiting whatever its deadline. It
+// returns syscall.EAGAIN if nothing has arrived.
 func peek(conn net.Conn) (n int, err error) {
 	err = syscall.EAGAIN
-	if raw, ok := conn.(syscall.Conn); ok {
-		if c, e := raw.SyscallConn(); e == nil {
-			c.Control(func(fd uintptr) {
-				var b [1]byte
-				n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			})
-		}
-	}
+	control(conn, func(fd int) {
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
 	return n, err
 }
 
-// unread tells whether bytes have come that nobody has read.
+// hasUnread reports whether bytes have arrived that were not read.
 func hasUnread(conn net.Conn) bool {
-	n, _ := peek(conn)
+	n, _ := peek(conn) // an error means that nothing has arrived
 	return n > 0
 }
 
-// over tells whether the other side has ended the connection, with nothing left to read.
+// closedByPeer reports whether the other side has closed the connection, with nothing left to read.
 func closedByPeer(conn net.Conn) bool {
 	n, err := peek(conn)
-	return n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR
+	return n <= 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
 }
 
-// hungUp tells whether the other side has ended the connection, whatever it sent before that is still unread.
+// hungUpByPeer reports whether the other side has closed the connection, be there bytes left to read or not.
 func hungUpByPeer(conn net.Conn) bool {
-	gone := false
-	if raw, ok := conn.(syscall.Conn); ok {
-		if c, e := raw.SyscallConn(); e == nil {
-			c.Control(func(fd uintptr) {
-				p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-				n, err := unix.Poll(p, 0)
-				gone = err == nil && n > 0
-			})
-		}
-	}
-	return gone || closedByPeer(conn)
+	hungUp := false
+	control(conn, func(fd int) {
+		descriptors := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(descriptors, 0)
+		hungUp = err == nil && n > 0
+	})
+	return hungUp || closedByPeer(conn)
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -12,129 +12,135 @@
 
 const (
 	chunkBytes           = 16 << 10
-	streamBufferBytes    = 2 * chunkBytes        // what a flow holds
-	stallTimeout         = 6 * time.Second       // how long a peer that has begun a value may send nothing of it
-	capacityPollInterval = 10 * time.Millisecond // for room, where all that there is passes through
+	chunksPerStream      = 2
+	streamBufferBytes    = chunksPerStream * chunkBytes // memory that a stream holds
+	stallTimeout         = 6 * time.Second              // for an upstream that has begun a value to send more of it
+	capacityPollInterval = 10 * time.Millisecond        // between checks for capacity, where there is none
 )
 
-// flow is a value on its way from a peer's connection to a client's. Two pieces go to and fro between their goroutines,
-// so that the slower one sets the pace, and no more is read than is taken.
+var (
+	errStreamBroken    = errors.New("stream of a value broke off")
+	errStreamAbandoned = errors.New("client has abandoned the stream")
+	errStreamMemory    = errors.New("no stream memory in time")
+)
+
+// stream is a value on its way from an upstream connection to a client connection. Two chunks go to and fro between
+// their goroutines, so that the slower one sets the pace, and no more is read than the client accepts.
 type stream struct {
-	length    int
+	length    int           // of the value, in bytes
 	filled    chan []byte   // closed by the reading side at its end
-	empty     chan []byte   // pieces to be filled
-	abandoned chan struct{} // nobody takes any more
-	once      sync.Once
-	err       error // why it broke off; read once full is closed
+	empty     chan []byte   // chunks that can be filled again
+	abandoned chan struct{} // closed when the client takes no more
+	once      sync.Once     // closes abandoned
+	err       error         // why the reading ended early; set before filled is closed
 }
 
-func newStream(long int) *stream {
-	stream := &stream{length: long, filled: make(chan []byte, 2), empty: make(chan []byte, 2), abandoned: make(chan struct{})}
-	for range cap(stream.empty) {
-		stream.empty <- make([]byte, 0, chunkBytes)
+func newStream(length int) *stream {
+	s := &stream{
+		length:    length,
+		filled:    make(chan []byte, chunksPerStream),
+		empty:     make(chan []byte, chunksPerStream),
+		abandoned: make(chan struct{}),
+	}
+	for range chunksPerStream {
+		s.empty <- make([]byte, 0, chunkBytes)
 	}
-	return stream
+	return s
 }
 
-// drop tells the reading side that nobody takes any more.
+// abandon tells the reading side that the client takes no more. It may be called more than once.
 func (s *stream) abandon() { s.once.Do(func() { close(s.abandoned) }) }
 
-var (
-	errStreamBroken    = errors.New("a value broke off")
-	errStreamAbandoned = errors.New("nobody takes the value")
-)
+// nextEmpty waits for a chunk that can be filled.
+func (s *stream) nextEmpty() ([]byte, error) {
+	select {
+	case chunk := <-s.empty:
+		return chunk, nil
+	case <-s.abandoned:
+		return nil, errStreamAbandoned
+	}
+}
 
-// flow hands a value on, piece by piece. From the first piece on the try has ended for the module, and there is no other:
-// what breaks off then is the client's to see, whose connection ends amid the value. The last byte waits until the peer
-// has ended the value as it should, so that a length that does not fit is seen as well.
+// clientError returns the error that ends the client's connection, or nil if the value is complete. It may be called
+// once filled is closed.
+func (s *stream) clientError() error {
+	if s.err != nil {
+		return errStreamBroken
+	}
+	return nil
+}
+
+// streamValue passes a value on to the client in chunks. For the balancer the attempt completes with the first chunk,
+// and there is no retry after it: a value that breaks off later ends the client's connection. The last byte is held
+// back until the upstream has ended the value as the protocol asks, so that a wrong length is seen by the client too.
 func (u *upstreamConn) streamValue(attempt *attempt, answer *wire.Answer, until time.Time) error {
-	r := u.host.router
-	for !r.streamMemory.tryAcquire(streamBufferBytes) { // the answer waits where it is
+	router := u.host.router
+	for !router.streamMemory.tryAcquire(streamBufferBytes) { // meanwhile the answer stays in the socket
 		if attempt.cancelled.Load() || time.Now().After(until) {
-			return &wire.Halt{Far: wire.Reading, Err: errors.New("no room for a value that passes through")}
+			return &wire.Halt{Far: wire.Reading, Err: errStreamMemory}
 		}
 		time.Sleep(capacityPollInterval)
 	}
-	defer r.streamMemory.release(streamBufferBytes)
-	if _, err := u.reader.Peek(1); err != nil { // until then another try may be made
+	defer router.streamMemory.release(streamBufferBytes)
+	if _, err := u.reader.Peek(1); err != nil { // until here the request can be retried
 		return &wire.Halt{Far: wire.Reading, Err: err}
 	}
-	stream := newStream(answer.Long)
+	s := newStream(answer.Long)
 	attempt.streaming = true
-	r.mailbox.post(func() { r.attemptFinished(attempt, balancer.Completed, nil, stream) })
-	stream.err = u.readChunks(stream, answer)
-	close(stream.filled)
-	return stream.err
+	router.mailbox.post(func() { router.attemptFinished(attempt, attemptResult{outcome: balancer.Completed, stream: s}) })
+	s.err = u.readChunks(s, answer)
+	close(s.filled)
+	return s.err
 }
 
-// pour reads the pieces.
-func (u *upstreamConn) readChunks(stream *stream, answer *wire.Answer) error {
+// readChunks reads the value into the stream.
+func (u *upstreamConn) readChunks(s *stream, answer *wire.Answer) error {
 	for left := answer.Long; left > 0; {
-		var p []byte
-		select {
-		case p = <-stream.empty:
-		case <-stream.abandoned:
-			return errStreamAbandoned
-		}
-		u.conn.SetReadDeadline(time.Now().Add(stallTimeout))
-		n, err := u.reader.Read(p[:min(left, cap(p)-2)])
-		if n == 0 && err == nil {
-			err = io.ErrNoProgress
-		}
+		chunk, err := s.nextEmpty()
 		if err != nil {
-			return &wire.Halt{Far: wire.Reading, Err: err}
-		}
-		p = p[:n]
-		if left -= n; left > 0 {
-			stream.filled <- p // there are no more pieces than it has room for
-			continue
+			return err
 		}
-		if n > 1 { // all but the last byte goes on at once
-			stream.filled <- p[:n-1]
-			last := p[n-1]
-			select {
-			case p = <-stream.empty:
-			case <-stream.abandoned:
-				return errStreamAbandoned
-			}
-			p = append(p[:0], last)
-			u.conn.SetReadDeadline(time.Now().Add(stallTimeout))
+		if chunk, err = u.readChunk(chunk, left); err != nil {
+			return &wire.Halt{Far: wire.Reading, Err: err}
 		}
-		if err := answer.End(u.reader); err != nil {
-			return err
+		if left -= len(chunk); left == 0 {
+			return u.finishStream(s, answer, chunk)
 		}
-		stream.filled <- append(p, '\r', '\n')
+		s.filled <- chunk // never blocks: there are no more chunks than it has room for
 	}
 	return nil
 }
 
-// pass writes a flow to the client.
-func (c *clientConn) writeStream(stream *stream) error {
-	defer stream.abandon()
-	look := time.NewTicker(hangupPollInterval)
-	defer look.Stop()
-	for {
-		var p []byte
-		var on bool
-		select {
-		case p, on = <-stream.filled:
-		case <-look.C: // others may wait behind this one
-			if hungUpByPeer(c.conn) {
-				return errClientGone
-			}
-			continue
-		}
-		if !on {
-			break
-		}
-		c.conn.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
-		if _, err := c.conn.Write(p); err != nil {
+// readChunk reads at most left bytes of the value into an empty chunk, and leaves room for the line end.
+func (u *upstreamConn) readChunk(chunk []byte, left int) ([]byte, error) {
+	if err := u.conn.SetReadDeadline(time.Now().Add(stallTimeout)); err != nil {
+		return nil, err
+	}
+	n, err := u.reader.Read(chunk[:min(left, cap(chunk)-len(crlf))])
+	if n == 0 && err == nil {
+		err = io.ErrNoProgress
+	}
+	return chunk[:n], err
+}
+
+// finishStream passes on the last chunk: all but its last byte at once, and that once the value has ended as it should.
+func (u *upstreamConn) finishStream(s *stream, answer *wire.Answer, chunk []byte) error {
+	if n := len(chunk); n > 1 {
+		s.filled <- chunk[:n-1]
+		last := chunk[n-1]
+		next, err := s.nextEmpty()
+		if err != nil {
 			return err
 		}
-		stream.empty <- p[:0]
+		chunk = append(next[:0], last)
+		if err := u.conn.SetReadDeadline(time.Now().Add(stallTimeout)); err != nil {
+			return &wire.Halt{Far: wire.Reading, Err: err}
+		}
 	}
-	if stream.err != nil {
-		return errStreamBroken
+	if err := answer.End(u.reader); err != nil {
+		return err
 	}
+	chunk = append(chunk, crlf...)
+	s.filled <- chunk
 	return nil
 }
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -16,35 +16,47 @@
 	"go.uber.org/zap"
 )
 
-// dropAfter is for how long a connection may stand idle where other proxies keep theirs.
-const nonOwnerIdleTimeout = time.Second
+const (
+	// nonOwnerIdleTimeout is how long a connection may be idle where other proxies have the duty to keep theirs.
+	nonOwnerIdleTimeout = time.Second
+	upstreamReadBuffer  = 4 << 10 // bytes
+)
 
-// link is one connection to a peer and its goroutine, which alone reads and writes there.
+// upstreamConn is one connection to a host and its goroutine, which alone reads and writes there. The goroutine ends by
+// a call of the host's connClosed.
 type upstreamConn struct {
 	host    *upstreamHost
 	addr    string
 	reader  *bufio.Reader
-	header  []byte
-	buffers net.Buffers
+	header  []byte      // reused from request to request
+	buffers net.Buffers // reused too
 
-	mu            sync.Mutex // for what follows, by which others wake it
+	mu            sync.Mutex // guards what follows, by which other goroutines interrupt this one
 	conn          net.Conn
-	cancelDial    context.CancelFunc // ends the dialling
+	cancelDial    context.CancelFunc // while it is dialed
 	assigned      *attempt           // to be carried next
 	writing       *attempt           // that is being written
-	closeWhenIdle bool               // it is to close once it carries nothing
+	closeWhenIdle bool
+}
+
+// roundTripResult is how an attempt ended on a connection.
+type roundTripResult struct {
+	attemptResult
+	reusable bool  // the connection can carry another attempt
+	err      error // why the attempt has no whole response, or nil
 }
 
-// give hands over a try to a connection that is idle. Both steps are one, or a late wake would hit the try.
+// assign hands an attempt to an idle connection. Both steps are under one lock, or a late interruption would hit the
+// attempt.
 func (u *upstreamConn) assign(attempt *attempt) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.assigned = attempt
-	u.conn.SetReadDeadline(pastDeadline)
+	_ = u.conn.SetReadDeadline(pastDeadline) // fails only on a closed connection, after which connClosed takes the attempt
 }
 
-// wake interrupts whatever the connection's goroutine waits for; it then looks what is wanted of it. An idle
-// one that was handed nothing closes.
+// interrupt ends whatever the connection's goroutine waits for, which then looks for its reason. An idle one that was
+// assigned nothing closes.
 func (u *upstreamConn) interrupt() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -52,11 +64,11 @@
 		u.cancelDial()
 	}
 	if u.conn != nil {
-		u.conn.SetDeadline(pastDeadline)
+		_ = u.conn.SetDeadline(pastDeadline) // fails only on a closed connection, on which nothing waits
 	}
 }
 
-// close ends a connection that is idle, or just falls so.
+// close closes a connection that is idle or about to be.
 func (u *upstreamConn) close() {
 	u.mu.Lock()
 	u.closeWhenIdle = true
@@ -64,215 +76,213 @@
 	u.interrupt()
 }
 
-// take returns the try that was handed over, if any.
+// abandonWrite stops the writing of an attempt whose request is finished: no upstream begins a command that does not
+// arrive whole.
+func (u *upstreamConn) abandonWrite(attempt *attempt) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.writing == attempt {
+		_ = u.conn.SetWriteDeadline(pastDeadline) // fails only on a closed connection, where the write fails too
+	}
+}
+
+// takeAssigned returns the attempt that was assigned and not begun, or nil.
 func (u *upstreamConn) takeAssigned() *attempt {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	attempt := u.assigned
+	next := u.assigned
 	u.assigned = nil
-	return attempt
+	return next
 }
 
-// run carries tries, beginning with t, until the connection ends.
-func (u *upstreamConn) run(attempt *attempt) {
-	host := u.host
-	for again := true; again && attempt != nil; {
-		outcome, value, err := balancer.Cut, []byte(nil), error(nil)
-		again = false
-		runRecovered(host.log, host.router.counters, func() { outcome, value, again, err = u.roundTrip(attempt) })
-		if errors.Is(err, wire.ErrBytes) {
-			u.reportBadBytes(err)
-		}
-		if err != nil && attempt.streaming && !errors.Is(err, errStreamAbandoned) { // the client's connection ends amid the value
-			host.router.counters.Broken.Add(1)
-			host.log.Warn("a value broke off", zap.Error(err))
-		}
-		if !again && u.conn != nil {
-			u.conn.Close()
-		}
-		carried := attempt
-		host.mailbox.post(func() { host.attemptFinished(u, carried, outcome, value, again) })
-		if again {
-			attempt = u.awaitAttempt()
-		}
-	}
-	if u.conn != nil {
-		u.conn.Close()
+// run carries attempts, beginning with the given one, until the connection ends.
+func (u *upstreamConn) run(first *attempt) {
+	for next := first; next != nil && u.carry(next); {
+		next = u.awaitAttempt()
 	}
-	host.mailbox.post(func() { host.connClosed(u) })
+	u.closeConn()
+	u.host.mailbox.post(func() { u.host.connClosed(u) })
 }
 
-// knock sees whether a connection comes up, and keeps it for a try to come.
+// probe opens the connection, reports whether that succeeded, and keeps it for attempts to come.
 func (u *upstreamConn) probe() {
-	host := u.host
+	h, router := u.host, u.host.router
 	err := error(&wire.Halt{})
-	runRecovered(host.log, host.router.counters, func() { err = u.dial(&attempt{}, time.Now().Add(duration(host.router.zones.latencyLimit))) })
-	host.router.mailbox.post(func() { host.router.zoneConnectFinished(host.index, err == nil) })
+	runRecovered(h.log, router.counters, func() {
+		err = u.dial(&attempt{}, time.Now().Add(duration(router.zones.latencyLimit)))
+	})
+	router.mailbox.post(func() { router.zoneConnectFinished(h.index, err == nil) })
 	if err != nil {
-		host.mailbox.post(func() { host.connClosed(u) })
+		h.mailbox.post(func() { h.connClosed(u) })
 		return
 	}
-	host.mailbox.post(func() { host.connIdle(u) })
+	h.mailbox.post(func() { h.connIdle(u) })
 	u.run(u.awaitAttempt())
 }
 
-// distrust tells of a connection that is ended for what came on it.
+// carry sees an attempt through, reports its end to the host, and returns whether the connection can carry another.
+func (u *upstreamConn) carry(attempt *attempt) bool {
+	h := u.host
+	result := roundTripResult{attemptResult: attemptResult{outcome: balancer.Cut}} // stands after a panic
+	runRecovered(h.log, h.router.counters, func() { result = u.roundTrip(attempt) })
+	if errors.Is(result.err, wire.ErrBytes) {
+		u.reportBadBytes(result.err)
+	}
+	if result.err != nil && attempt.streaming && !errors.Is(result.err, errStreamAbandoned) {
+		h.router.counters.Broken.Add(1) // the client's connection ends amid the value
+		h.log.Warn("streamed value broke off", zap.Error(result.err))
+	}
+	if !result.reusable {
+		u.closeConn()
+	}
+	h.mailbox.post(func() { h.attemptFinished(u, attempt, result.attemptResult, result.reusable) })
+	return result.reusable
+}
+
+// closeConn closes the connection, if it was ever open.
+func (u *upstreamConn) closeConn() {
+	if u.conn != nil {
+		_ = u.conn.Close() // nothing is lost by a failure: the attempt's outcome stands, and nothing more is written
+	}
+}
+
+// reportBadBytes counts and logs why a connection is closed.
 func (u *upstreamConn) reportBadBytes(err error) {
 	u.host.router.counters.BadPeer.Add(1)
-	u.host.log.Warn("connection ended", zap.Error(err))
+	u.host.log.Warn("upstream connection closed on bad input", zap.Error(err))
 }
 
-// wait stays until a try is handed over; nil means that the connection has ended or stood idle too long.
+// awaitAttempt waits for an attempt to be assigned; nil means that the connection is to end.
 func (u *upstreamConn) awaitAttempt() *attempt {
-	u.mu.Lock()
-	attempt := u.assigned
-	u.assigned = nil
-	idle := duration(u.host.router.settings.Idle * 2 / 3)
-	if d := u.host.router.duties; d != nil && u.host.closeIdleSoon.Load() && (idle == 0 || idle > nonOwnerIdleTimeout) {
-		idle = nonOwnerIdleTimeout
-	}
-	switch {
-	case attempt != nil:
-	case u.closeWhenIdle: // told before this one waited, and a deadline set now would undo that
-		u.mu.Unlock()
-		return nil
-	case idle > 0:
-		u.conn.SetReadDeadline(time.Now().Add(idle))
-	default: // not told: the other side closes it
-		u.conn.SetReadDeadline(time.Time{})
-	}
-	u.mu.Unlock()
-	if attempt != nil {
-		return attempt
+	if next, ready := u.beginIdle(); ready {
+		return next
 	}
-	b, err := u.reader.Peek(1)
+	unexpected, err := u.reader.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return u.takeAssigned()
 	}
-	if len(b) > 0 {
-		u.reportBadBytes(fmt.Errorf("%w: unasked for: %q", wire.ErrBytes, b))
+	if len(unexpected) > 0 {
+		u.reportBadBytes(fmt.Errorf("%w: unasked for: %q", wire.ErrBytes, unexpected))
 	}
-	return nil // or closed by the other side
+	return nil // or the upstream has closed it
 }
 
-// carry sees one try through: connect if need be, write it, read its answer.
-func (u *upstreamConn) roundTrip(attempt *attempt) (outcome balancer.Ending, value []byte, again bool, err error) {
-	r := u.host.router
-	until := time.Now().Add(duration(attempt.sentAt + attempt.timeout - r.clock.Now()))
-	fresh := u.conn == nil
-	if fresh {
-		if err := u.dial(attempt, until); err != nil {
-			if attempt.cancelled.Load() {
-				return balancer.Undone, nil, false, err
-			}
-			return balancer.Unreachable, nil, false, err
-		}
-		if r.zones != nil && !u.host.isOrigin {
-			r.mailbox.post(func() { r.zoneConnectFinished(u.host.index, true) })
+// beginIdle sets the deadline by which an idle connection ends. It returns ready if nothing is to be waited for: with
+// the attempt that is assigned already, or with nil if the connection is to close.
+func (u *upstreamConn) beginIdle() (next *attempt, ready bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if next = u.assigned; next != nil {
+		u.assigned = nil
+		return next, true
+	}
+	if u.closeWhenIdle { // interrupted before, which a deadline that is set now would undo
+		return nil, true
+	}
+	var deadline time.Time // zero: the upstream closes idle connections, and does not tell when
+	if timeout := u.idleTimeout(); timeout > 0 {
+		deadline = time.Now().Add(timeout)
+	}
+	return nil, u.conn.SetReadDeadline(deadline) != nil
+}
+
+// idleTimeout returns how long the connection may be idle; 0 means without limit. It is well below the time after which
+// the upstream closes it, so that no request crosses the close.
+func (u *upstreamConn) idleTimeout() time.Duration {
+	timeout := duration(u.host.router.settings.Idle * 2 / 3)
+	leftToOthers := u.host.router.duties != nil && u.host.closeIdleSoon.Load()
+	if leftToOthers && (timeout == 0 || timeout > nonOwnerIdleTimeout) {
+		return nonOwnerIdleTimeout
+	}
+	return timeout
+}
+
+// roundTrip sees one attempt through: it connects if need be, writes the request and reads the response.
+func (u *upstreamConn) roundTrip(attempt *attempt) roundTripResult {
+	router := u.host.router
+	until := time.Now().Add(duration(attempt.sentAt + attempt.timeout - router.clock.Now()))
+	reused := u.conn != nil
+	if !reused {
+		if err := u.connect(attempt, until); err != nil {
+			return connectFailure(attempt, err)
 		}
 	}
-	u.conn.SetDeadline(until)
+	if err := u.conn.SetDeadline(until); err != nil {
+		return u.failure(attempt, &wire.Halt{Far: wire.Writing, Err: err})
+	}
 	switch {
-	case attempt.cancelled.Load(): // called off before the deadline above was set
-		return balancer.Undone, nil, false, nil
-	case !fresh && u.isStale(): // closed meanwhile, or bytes came that would pass for the answer; nothing was sent yet
-		u.conn.Close()
-		u.mu.Lock()
-		u.conn = nil
-		u.mu.Unlock()
+	case attempt.cancelled.Load(): // before the deadline above was set
+		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Undone}}
+	case reused && u.isStale(): // nothing was sent yet
+		u.discardConn()
 		return u.roundTrip(attempt)
-	case attempt.request.finished.Load(): // while it waited for its connection, which the next may have
-		return balancer.NeverSent, nil, true, nil
-	case attempt.startBefore > 0 && r.clock.Now() >= attempt.startBefore:
-		return balancer.NeverSent, nil, true, nil
-	case !u.host.ready.Load(): // it drains or is gone since the module chose it; nothing new goes there
-		return balancer.NeverSent, nil, false, nil
+	case attempt.request.finished.Load(): // while it waited for this connection, which the next attempt may have
+		return notSent(true)
+	case attempt.startBefore > 0 && router.clock.Now() >= attempt.startBefore:
+		return notSent(true)
+	case !u.host.ready.Load(): // it drains or has departed since it was chosen; nothing new goes there
+		return notSent(false)
 	}
 	if err := u.writeRequest(attempt); err != nil {
 		if attempt.request.finished.Load() {
-			return balancer.NeverSent, nil, false, nil
+			return notSent(false)
 		}
-		return u.classifyError(attempt, &wire.Halt{Far: wire.Writing, Err: err})
+		return u.failure(attempt, &wire.Halt{Far: wire.Writing, Err: err})
 	}
-	read := wire.ReadAnswer
-	if u.host.isOrigin {
-		read = wire.ReadFetched
-	}
-	answer, err := read(u.reader)
-	if attempt.notFound = err == nil && answer.Absent && r.negativeCache != nil && attempt.request.value == nil; attempt.notFound {
-		return balancer.Completed, nil, answer.Again && u.reader.Buffered() == 0, nil
-	}
-	if err == nil && answer.Ending == balancer.Completed {
-		value, err = u.readValue(attempt, &answer, until)
-	}
-	if err != nil {
-		if value != nil {
-			r.valueMemory.release(len(value))
-		}
-		return u.classifyError(attempt, err)
-	}
-	if n := u.reader.Buffered(); answer.Again && n > 0 { // it would pass for the answer to the next
-		u.reportBadBytes(fmt.Errorf("%w: %d unasked for", wire.ErrBytes, n))
-		answer.Again = false
-	}
-	return answer.Ending, value, answer.Again, nil
+	return u.readResponse(attempt, until)
 }
 
-// value takes a completed try's value: whole if it is short and there is room for it, else piece by piece, in which case
-// the exchange has its answer with the first of them and nothing is returned.
-func (u *upstreamConn) readValue(attempt *attempt, answer *wire.Answer, until time.Time) ([]byte, error) {
-	r := u.host.router
-	if _, ok := answer.Whole(); ok || answer.Long <= wire.MaxValue && r.valueMemory.tryAcquire(answer.Long) {
-		if ok {
-			r.valueMemory.acquire(answer.Long)
-		}
-		b, err := answer.Value(u.reader)
-		if err != nil {
-			r.valueMemory.release(answer.Long)
-			return nil, err
-		}
-		return b, answer.Tail(u.reader)
-	}
-	if err := u.streamValue(attempt, answer, until); err != nil {
-		return nil, err
-	}
-	return nil, answer.Tail(u.reader)
+func notSent(reusable bool) roundTripResult {
+	return roundTripResult{attemptResult: attemptResult{outcome: balancer.NeverSent}, reusable: reusable}
 }
 
-// stale tells whether there is something to read, or an end, on a connection on which nothing is asked. What comes
-// behind a good answer may come after its connection was handed the next try, whose deadline hides it from wait.
-func (u *upstreamConn) isStale() bool {
-	if u.reader.Buffered() > 0 || hasUnread(u.conn) {
-		u.reportBadBytes(fmt.Errorf("%w: unasked for", wire.ErrBytes))
-		return true
+func connectFailure(attempt *attempt, err error) roundTripResult {
+	outcome := balancer.Unreachable
+	if attempt.cancelled.Load() {
+		outcome = balancer.Undone
 	}
-	return closedByPeer(u.conn)
+	return roundTripResult{attemptResult: attemptResult{outcome: outcome}, err: err}
 }
 
-// came tells from how far a try had come what its end means.
-func (u *upstreamConn) classifyError(attempt *attempt, err error) (balancer.Ending, []byte, bool, error) {
+// failure returns the result of an attempt that ended without a whole response: what it means depends on how far the
+// attempt had come.
+func (u *upstreamConn) failure(attempt *attempt, err error) roundTripResult {
 	var halt *wire.Halt
-	switch ran := errors.As(err, &halt) && halt.Ran(); {
+	mayHaveRun := errors.As(err, &halt) && halt.Ran()
+	outcome := balancer.Cut
+	switch {
 	case attempt.cancelled.Load():
-		return balancer.Undone, nil, false, err
-	case !ran:
-		return balancer.Unreachable, nil, false, err
+		outcome = balancer.Undone
+	case !mayHaveRun:
+		outcome = balancer.Unreachable
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return balancer.Silent, nil, false, err
+		outcome = balancer.Silent
 	case errors.Is(err, wire.ErrBytes):
-		return balancer.Fault, nil, false, err
+		outcome = balancer.Fault
 	}
-	return balancer.Cut, nil, false, err
+	return roundTripResult{attemptResult: attemptResult{outcome: outcome}, err: err}
 }
 
+// connect dials, and reports to the zone controller that a cache accepts connections.
+func (u *upstreamConn) connect(attempt *attempt, until time.Time) error {
+	if err := u.dial(attempt, until); err != nil {
+		return err
+	}
+	if router, h := u.host.router, u.host; router.zones != nil && !h.isOrigin {
+		router.mailbox.post(func() { router.zoneConnectFinished(h.index, true) })
+	}
+	return nil
+}
+
+// dial opens the connection, unless the attempt is cancelled or the time is up before.
 func (u *upstreamConn) dial(attempt *attempt, until time.Time) error {
-	ctx, quit := context.WithDeadline(context.Background(), until)
-	defer quit()
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
 	u.mu.Lock()
-	u.cancelDial = quit
+	u.cancelDial = cancel
 	u.mu.Unlock()
-	if attempt.cancelled.Load() { // before there was a dialling to end
-		quit()
+	if attempt.cancelled.Load() { // before there was a dial to cancel
+		cancel()
 	}
 	conn, err := u.host.router.dialer.DialContext(ctx, "tcp", u.addr)
 	u.mu.Lock()
@@ -282,52 +292,125 @@
 		return &wire.Halt{Far: wire.Dialing, Err: err}
 	}
 	u.conn = conn
-	u.reader = bufio.NewReaderSize(conn, 4<<10)
+	u.reader = bufio.NewReaderSize(conn, upstreamReadBuffer)
 	return nil
 }
 
-// write sends a try whole: its head and value gathered into one write.
-func (u *upstreamConn) writeRequest(attempt *attempt) error {
-	c, r := attempt.request, u.host.router
-	size := -1
-	if c.value != nil {
-		size = len(c.value)
-	}
-	// caches and the origin alike are told how long an answer is waited for, not what the client once had
-	facts := wire.AppendFacts(nil, c.facts, max(int(attempt.sentAt+attempt.timeout-r.clock.Now())/10, 1))
-	if u.host.isOrigin {
-		u.header = wire.AppendFetch(u.header[:0], u.addr, c.key, c.id, facts, size)
-	} else {
-		u.header = wire.AppendCommand(u.header[:0], c.name, c.key, c.id, facts, size)
-	}
-	u.buffers = append(u.buffers[:0], u.header)
-	if size > 0 {
-		u.buffers = append(u.buffers, c.value)
-	}
-	if size >= 0 && !u.host.isOrigin {
-		u.buffers = append(u.buffers, crlf)
+// isStale reports whether there is something to read, or the end of the stream, on a connection that carries no
+// request. Bytes behind a good response may arrive once the next attempt is assigned, whose deadline hides them from
+// awaitAttempt.
+func (u *upstreamConn) isStale() bool {
+	if u.reader.Buffered() > 0 || hasUnread(u.conn) {
+		u.reportBadBytes(fmt.Errorf("%w: unasked for", wire.ErrBytes))
+		return true
 	}
+	return closedByPeer(u.conn)
+}
+
+// discardConn closes the connection so that the next attempt dials anew.
+func (u *upstreamConn) discardConn() {
+	u.closeConn()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.conn = nil
+}
+
+// writeRequest writes a request, its header and value gathered into one write.
+func (u *upstreamConn) writeRequest(attempt *attempt) error {
+	u.encodeRequest(attempt)
 	u.mu.Lock()
 	u.writing = attempt
-	if c.finished.Load() {
-		u.conn.SetWriteDeadline(pastDeadline)
+	var err error
+	if attempt.request.finished.Load() {
+		err = u.conn.SetWriteDeadline(pastDeadline)
 	}
 	u.mu.Unlock()
-	g := u.buffers
-	_, err := g.WriteTo(u.conn)
+	if err == nil {
+		buffers := u.buffers // WriteTo consumes the slice that it is called on
+		_, err = buffers.WriteTo(u.conn)
+	}
 	u.mu.Lock()
 	u.writing = nil
 	u.mu.Unlock()
 	return err
 }
 
-// drop stops the writing of a try whose exchange is over: nobody begins what does not come whole.
-func (u *upstreamConn) abandonWrite(attempt *attempt) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.writing == attempt {
-		u.conn.SetWriteDeadline(pastDeadline)
+// encodeRequest sets the buffers that are to be written for an attempt. Caches and the origin alike are told how long
+// this attempt waits, and not what the client has said at first.
+func (u *upstreamConn) encodeRequest(attempt *attempt) {
+	req, h := attempt.request, u.host
+	size := -1 // no value
+	if req.value != nil {
+		size = len(req.value)
+	}
+	remainingMS := milliseconds(attempt.sentAt + attempt.timeout - h.router.clock.Now())
+	facts := wire.AppendFacts(nil, req.facts, max(remainingMS, 1))
+	if h.isOrigin {
+		u.header = wire.AppendFetch(u.header[:0], u.addr, req.key, req.id, facts, size)
+	} else {
+		u.header = wire.AppendCommand(u.header[:0], req.name, req.key, req.id, facts, size)
+	}
+	u.buffers = append(u.buffers[:0], u.header)
+	if size > 0 {
+		u.buffers = append(u.buffers, req.value)
+	}
+	if size >= 0 && !h.isOrigin {
+		u.buffers = append(u.buffers, crlf)
 	}
 }
 
-var crlf = []byte("\r\n")
+// readResponse reads the response to an attempt that was written.
+func (u *upstreamConn) readResponse(attempt *attempt, until time.Time) roundTripResult {
+	read := wire.ReadAnswer
+	if u.host.isOrigin {
+		read = wire.ReadFetched
+	}
+	answer, err := read(u.reader)
+	if err != nil {
+		return u.failure(attempt, err)
+	}
+	if answer.Absent && u.host.router.negativeCache != nil && attempt.request.value == nil {
+		attempt.notFound = true
+		return roundTripResult{
+			attemptResult: attemptResult{outcome: balancer.Completed},
+			reusable:      answer.Again && u.reader.Buffered() == 0,
+		}
+	}
+	var value []byte
+	if answer.Ending == balancer.Completed {
+		if value, err = u.readValue(attempt, &answer, until); err != nil {
+			return u.failure(attempt, err)
+		}
+	}
+	if n := u.reader.Buffered(); answer.Again && n > 0 { // it would pass for the response to the next request
+		u.reportBadBytes(fmt.Errorf("%w: %d unasked for", wire.ErrBytes, n))
+		answer.Again = false
+	}
+	return roundTripResult{attemptResult: attemptResult{outcome: answer.Ending, value: value}, reusable: answer.Again}
+}
+
+// readValue reads the value of a completed attempt: whole if it is short and there is memory for it. Else the value is
+// streamed; the request is answered by that, and nil is returned.
+func (u *upstreamConn) readValue(attempt *attempt, answer *wire.Answer, until time.Time) ([]byte, error) {
+	memory := u.host.router.valueMemory
+	_, alreadyRead := answer.Whole()
+	switch {
+	case alreadyRead:
+		memory.acquire(answer.Long)
+	case answer.Long <= wire.MaxValue && memory.tryAcquire(answer.Long):
+	default:
+		if err := u.streamValue(attempt, answer, until); err != nil {
+			return nil, err
+		}
+		return nil, answer.Tail(u.reader)
+	}
+	value, err := answer.Value(u.reader)
+	if err == nil {
+		err = answer.Tail(u.reader)
+	}
+	if err != nil {
+		memory.release(answer.Long)
+		return nil, err
+	}
+	return value, nil
+}
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -7,173 +7,167 @@
 
 	"woodproxy/balancer"
 	"woodproxy/internal/wire"
-	"woodproxy/negativecache"
 
 	"go.uber.org/zap"
 )
 
-// try is one upstream try on its way: made by the module's actor, handed to a peer's, then to a connection.
-type attempt struct {
-	request     *request
-	slot        int
-	host        int
-	sentAt      balancer.Time
-	timeout     balancer.Time // its time-out, from sent
-	startBefore balancer.Time // to be begun by then or not at all, 0: there is no such time
-	cancelled   atomic.Bool
-	cacheTicket negativecache.Ticket // of a look-up at the origin
-	notFound    bool                 // which said that it has no such key
-	streaming   bool                 // its answer is with the client, piece by piece: it has ended for the module
-	conn        *upstreamConn        // the connection that has it; only the peer's actor looks
-}
-
-// budget is what there may be of something, such as sockets that are open to all peers together, or bytes of values.
-type budget struct {
-	available atomic.Int64
-	used      *atomic.Int64 // the counter that shows it
-}
-
-func newBudget(n int, used *atomic.Int64) *budget {
-	b := &budget{used: used}
-	b.available.Store(int64(n))
-	return b
-}
-
-// take tells whether there was enough left.
-func (b *budget) tryAcquire(n int) bool {
-	if b.available.Add(int64(-n)) >= 0 {
-		b.used.Add(int64(n))
-		return true
-	}
-	b.available.Add(int64(n))
-	return false
-}
-
-// force takes what is there already.
-func (b *budget) acquire(n int) {
-	b.available.Add(int64(-n))
-	b.used.Add(int64(n))
-}
-
-func (b *budget) release(n int) {
-	b.available.Add(int64(n))
-	b.used.Add(int64(-n))
-}
-
-// grow changes how many there may be; where fewer may be than are open, none is opened until enough have ended.
-func (b *budget) resize(by int) { b.available.Add(int64(by)) }
+const (
+	// hostMailboxSize allows for an attempt, its cancellation and its end for each request that may be held.
+	hostMailboxSize = 3 * maxRequestsInFlight
+	// socketRetryDelay is when attempts that wait for a socket look for one again.
+	socketRetryDelay = 10 * time.Millisecond
+)
 
-// peer is the actor of one cache or the origin: it owns the connections there and hands tries to them, one at a
-// time each. Answers on a connection come in order, so that a try behind another would wait for it.
+// upstreamHost is one cache or origin. Its goroutine owns the connections there and hands attempts to them, one at a
+// time each: responses on a connection come in order, so that an attempt behind another would wait for it.
 type upstreamHost struct {
-	mailbox        mailbox
-	router         *Router
-	index          int
-	name           string
-	isOrigin       bool
-	addr           atomic.Pointer[string] // the module's actor sets these two, as the list has them
-	ready          atomic.Bool            // neither draining nor gone
-	closeIdleSoon  atomic.Bool            // idle connections are closed soon, since others keep theirs; the module's actor sets it too
-	ejected        bool                   // over, as was last told; only the module's actor looks
-	endpoint       wire.Target            // as the list has it; a newcomer's start is when it came; only the module's actor looks
-	departedAt     balancer.Time          // when it left the list, 0: it is there; only the module's actor looks at these two
-	inFlight       int                    // tries
-	openConns      int                    // connections, those that are being made included
-	stopping       bool                   // as soon as none is open
-	idleConns      []*upstreamConn        // the last one used comes last
-	queue          []*attempt             // wait for a connection, for want of sockets; emptied as others end, or as they time out
-	retryScheduled bool                   // to look again soon whether there are sockets
-	log            *zap.Logger
-}
-
-func newUpstreamHost(r *Router, node int, name string, origin bool) *upstreamHost {
-	host := &upstreamHost{
-		mailbox: make(mailbox, 3*maxRequestsInFlight), router: r, index: node, name: name, isOrigin: origin,
-		log: r.log.With(zap.String("peer", name)),
-	}
-	go func() {
-		for call := range host.mailbox {
-			runRecovered(host.log, r.counters, call)
-			if host.stopping && host.openConns == 0 {
-				return
-			}
+	mailbox mailbox
+	router  *Router
+	log     *zap.Logger
+
+	index    int // the balancer's
+	name     string
+	isOrigin bool
+
+	// Set by the router's goroutine, and read by any.
+	addr          atomic.Pointer[string]
+	ready         atomic.Bool // listed, and not draining
+	closeIdleSoon atomic.Bool // another proxy has the duty to keep idle connections to it
+
+	// Only the router's goroutine looks at these.
+	ejected    bool          // as was last reported to the duties
+	endpoint   wire.Target   // as listed; for a new host Since is when it was first seen
+	departedAt balancer.Time // when it left the endpoint list; 0: it is listed
+	inFlight   int           // attempts
+
+	// Only the host's goroutine looks at these.
+	openConns      int             // those that are being dialed included
+	stopping       bool            // it ends once no connection is open
+	idleConns      []*upstreamConn // the last one used comes last
+	queue          []*attempt      // wait for a socket
+	retryScheduled bool            // a call of sendQueued is to come
+}
+
+// newUpstreamHost starts a host's goroutine, which runs until stop is called and the last connection has ended.
+func newUpstreamHost(router *Router, index int, name string, isOrigin bool) *upstreamHost {
+	h := &upstreamHost{
+		mailbox: make(mailbox, hostMailboxSize), router: router, log: router.log.With(zap.String("peer", name)),
+		index: index, name: name, isOrigin: isOrigin,
+	}
+	go h.run()
+	return h
+}
+
+func (h *upstreamHost) run() {
+	for call := range h.mailbox {
+		runRecovered(h.log, h.router.counters, call)
+		if h.stopping && h.openConns == 0 {
+			return
 		}
-	}()
-	return host
+	}
 }
 
-// left notes that the node is not listed any more.
+// markDeparted notes when the host left the endpoint list. The router's goroutine calls it.
 func (h *upstreamHost) markDeparted(now balancer.Time) {
 	if h.departedAt == 0 {
 		h.departedAt = now
 	}
 }
 
-// end lets the actor go with its last connection; nothing is sent to it any more.
+// isServing reports whether the host is a cache that is listed and takes requests. The router's goroutine calls it.
+func (h *upstreamHost) isServing() bool { return !h.isOrigin && h.endpoint.Ready && h.departedAt == 0 }
+
+// The host's goroutine runs all that follows.
+
+// stop ends the goroutine with its last connection. Nothing may be sent to the host any more.
 func (h *upstreamHost) stop() {
 	h.stopping = true
 	h.closeIdleConns()
 }
 
-// send hands a try to an idle connection or opens one; for want of sockets it waits.
+// send hands an attempt to an idle connection or opens one; for want of sockets the attempt is queued.
 func (h *upstreamHost) send(attempt *attempt) {
 	if attempt.request.finished.Load() {
 		h.reportNotSent(attempt)
 		return
 	}
 	addr := *h.addr.Load()
+	if conn := h.takeIdleConn(addr); conn != nil {
+		attempt.conn = conn
+		conn.assign(attempt)
+		return
+	}
+	if !h.router.sockets.tryAcquire(1) {
+		h.enqueue(attempt)
+		return
+	}
+	attempt.conn = h.newConn(addr)
+	go attempt.conn.run(attempt)
+}
+
+// takeIdleConn returns the idle connection to an address that was used last, or nil. It closes idle connections to
+// addresses that the host has left.
+func (h *upstreamHost) takeIdleConn(addr string) *upstreamConn {
 	for n := len(h.idleConns); n > 0; n = len(h.idleConns) {
 		conn := h.idleConns[n-1]
 		h.idleConns = h.idleConns[:n-1]
 		if conn.addr == addr {
-			attempt.conn = conn
-			conn.assign(attempt)
-			return
-		}
-		conn.close() // it leads to where the peer was
-	}
-	if !h.router.sockets.tryAcquire(1) {
-		h.queue = append(h.queue, attempt)
-		if !h.retryScheduled {
-			h.retryScheduled = true
-			h.router.mailbox.post(h.router.closeIdleConns)
-			time.AfterFunc(10*time.Millisecond, func() { h.mailbox.post(h.sendQueued) })
+			return conn
 		}
-		return
+		conn.close()
 	}
+	return nil
+}
+
+// newConn counts a connection for which a socket was acquired. Its goroutine, which the caller starts, ends by
+// connClosed.
+func (h *upstreamHost) newConn(addr string) *upstreamConn {
 	h.openConns++
 	h.router.counters.Dials.Add(1)
-	attempt.conn = &upstreamConn{host: h, addr: addr}
-	go attempt.conn.run(attempt)
+	return &upstreamConn{host: h, addr: addr}
+}
+
+// enqueue has an attempt wait for a socket.
+func (h *upstreamHost) enqueue(attempt *attempt) {
+	h.queue = append(h.queue, attempt)
+	if h.retryScheduled {
+		return
+	}
+	h.retryScheduled = true
+	h.router.mailbox.post(h.router.closeIdleConns)
+	time.AfterFunc(socketRetryDelay, func() { h.mailbox.post(h.sendQueued) })
 }
 
-// knock opens a connection to see whether one comes up, if there is a socket.
+// probe opens a connection to see whether the host accepts one, if there is a socket.
 func (h *upstreamHost) probe() {
 	if h.ready.Load() && h.router.sockets.tryAcquire(1) {
-		h.openConns++
-		h.router.counters.Dials.Add(1)
-		go (&upstreamConn{host: h, addr: *h.addr.Load()}).probe()
+		go h.newConn(*h.addr.Load()).probe()
 	}
 }
 
-// sendQueued looks again whether there are sockets for those that wait.
+// sendQueued looks again for sockets for the attempts that were queued before the call.
 func (h *upstreamHost) sendQueued() {
 	h.retryScheduled = false
 	for range len(h.queue) {
-		if attempt := h.nextQueued(); attempt != nil {
-			h.send(attempt)
-		}
+		h.sendNext()
+	}
+}
+
+// sendNext sends the next queued attempt, if there is one.
+func (h *upstreamHost) sendNext() {
+	if next := h.nextQueued(); next != nil {
+		h.send(next)
 	}
 }
 
-// drop hears that a try's exchange is over; one that is written whole runs on.
+// abandon stops the writing of an attempt whose request is finished. An attempt that is written whole goes on.
 func (h *upstreamHost) abandon(attempt *attempt) {
 	if attempt.conn != nil {
 		attempt.conn.abandonWrite(attempt)
 	}
 }
 
-// cancel gives up a try, wherever it is.
+// cancel ends an attempt, wherever it is.
 func (h *upstreamHost) cancel(attempt *attempt) {
 	attempt.cancelled.Store(true)
 	if attempt.conn != nil {
@@ -181,26 +175,24 @@
 	}
 }
 
-// ended hears from a connection how its try came out; with again, the connection can carry another.
-func (h *upstreamHost) attemptFinished(conn *upstreamConn, attempt *attempt, outcome balancer.Ending, value []byte, again bool) {
+// attemptFinished takes from a connection how its attempt ended. A reusable connection can carry another.
+func (h *upstreamHost) attemptFinished(conn *upstreamConn, attempt *attempt, result attemptResult, reusable bool) {
 	attempt.conn = nil
 	if !attempt.streaming {
-		h.router.mailbox.post(func() { h.router.attemptFinished(attempt, outcome, value, nil) })
+		h.router.mailbox.post(func() { h.router.attemptFinished(attempt, result) })
 	}
-	if again {
+	if reusable {
 		h.connIdle(conn)
 	}
 }
 
-// rest takes a connection that can carry a try.
+// connIdle takes a connection that can carry an attempt.
 func (h *upstreamHost) connIdle(conn *upstreamConn) {
 	h.idleConns = append(h.idleConns, conn)
-	if attempt := h.nextQueued(); attempt != nil {
-		h.send(attempt)
-	}
+	h.sendNext()
 }
 
-// gone hears that a connection has ended. A try that it was handed and had not begun goes to another.
+// connClosed takes note that a connection has ended. An attempt that it was assigned and did not begin goes to another.
 func (h *upstreamHost) connClosed(conn *upstreamConn) {
 	h.openConns--
 	h.router.sockets.release(1)
@@ -210,28 +202,28 @@
 	if attempt := conn.takeAssigned(); attempt != nil {
 		h.send(attempt)
 	}
-	if attempt := h.nextQueued(); attempt != nil {
-		h.send(attempt)
-	}
+	h.sendNext()
 }
 
-// next takes the first that waits and has time left; the others end as what never was sent.
+// nextQueued returns the first queued attempt that can still be sent, or nil; those before it end as not sent.
 func (h *upstreamHost) nextQueued() *attempt {
 	for len(h.queue) > 0 {
-		attempt := h.queue[0]
+		next := h.queue[0]
 		h.queue = slices.Delete(h.queue, 0, 1)
-		if !attempt.cancelled.Load() && !attempt.request.finished.Load() && h.ready.Load() && h.router.clock.Now() < attempt.sentAt+attempt.timeout {
-			return attempt
+		abandoned := next.cancelled.Load() || next.request.finished.Load()
+		if !abandoned && h.ready.Load() && h.router.clock.Now() < next.sentAt+next.timeout {
+			return next
 		}
-		h.reportNotSent(attempt)
+		h.reportNotSent(next)
 	}
 	return nil
 }
 
 func (h *upstreamHost) reportNotSent(attempt *attempt) {
-	h.router.mailbox.post(func() { h.router.attemptFinished(attempt, balancer.NeverSent, nil, nil) })
+	h.router.mailbox.post(func() { h.router.attemptFinished(attempt, attemptResult{outcome: balancer.NeverSent}) })
 }
 
+// closeIdleConns closes all idle connections.
 func (h *upstreamHost) closeIdleConns() {
 	for _, conn := range h.idleConns {
 		conn.close()
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -10,46 +10,56 @@
 	"go.uber.org/zap"
 )
 
-const zoneTick = 100 * time.Millisecond
+const (
+	zoneTick = 100 * time.Millisecond
+	// zoneStatusInterval is how often the status is renewed where nothing is decided: 300 ms, in the balancer's time.
+	zoneStatusInterval = balancer.Time(3000)
+)
+
+// zoneBroadcast tells other proxies this one's vote on a zone, which counts for a lifetime. It must not wait.
+type zoneBroadcast = func(zone string, vote zonehealth.Voice, lifetime zonehealth.Time)
 
-// quarters is what the module's actor has of the zones; nobody else looks but at what is shown.
+// zoneController is the router's part that evacuates zones and brings them back. Only the router's goroutine looks at
+// it, but for the status.
 type zoneController struct {
 	health       *zonehealth.Instance
 	timer        *time.Timer
-	armed        bool
-	ticks        <-chan time.Time
-	broadcast    func(zone string, v zonehealth.Voice, life zonehealth.Time) // peers; it may not wait. nil: there are none
-	latencyLimit balancer.Time                                               // an answer that takes longer is late
+	armed        bool          // the timer is set
+	broadcast    zoneBroadcast // nil: there are no other proxies
+	latencyLimit balancer.Time // a response that takes longer is late
 	status       atomic.Pointer[[]zonehealth.Shown]
-	statusAt     balancer.Time // when that was
+	statusAt     balancer.Time // when the status was renewed
 }
 
-// Zones has whole zones left and returned to. It is called before Run.
-func (r *Router) Zones(t zonehealth.Terms, tell func(zone string, v zonehealth.Voice, life zonehealth.Time)) {
-	zones := &zoneController{health: zonehealth.New(zonehealth.Time(r.clock.Now()), t), timer: time.NewTimer(time.Hour), broadcast: tell, latencyLimit: balancer.Time(t.Shortest)}
-	zones.ticks = zones.timer.C
-	zones.status.Store(&[]zonehealth.Shown{})
-	r.zones = zones
+// Zones has whole zones evacuated and brought back. It is to be called before Run.
+func (r *Router) Zones(terms zonehealth.Terms, broadcast zoneBroadcast) {
+	r.zones = &zoneController{
+		health: zonehealth.New(r.zoneNow(), terms), timer: time.NewTimer(unarmed),
+		broadcast: broadcast, latencyLimit: balancer.Time(terms.Shortest),
+	}
+	r.zones.status.Store(&[]zonehealth.Shown{})
 }
 
-// zoneDue is nil where zones are not judged.
+func (r *Router) zoneNow() zonehealth.Time { return zonehealth.Time(r.clock.Now()) }
+
+// zoneTimer returns the channel of the next tick; nil where zones are not judged.
 func (r *Router) zoneTimer() <-chan time.Time {
 	if r.zones == nil {
 		return nil
 	}
-	return r.zones.ticks
+	return r.zones.timer.C
 }
 
-// zonesLook gives the zones their tick.
+// tickZones gives the zone health its tick.
 func (r *Router) tickZones() {
-	zones := r.zones
-	zones.armed = false
-	flying, room := r.balancer.Load()
-	zones.health.Load(float64(flying), room)
-	r.executeZoneDecisions(zones.health.Tick(zonehealth.Time(r.clock.Now())))
+	z := r.zones
+	z.armed = false
+	inFlight, capacity := r.balancer.Load()
+	z.health.Load(float64(inFlight), capacity)
+	r.executeZoneDecisions(z.health.Tick(r.zoneNow()))
 }
 
-// arm sees that there is a next tick, where there is something to look at.
+// arm sets the timer for the next tick, if there is anything to decide.
 func (z *zoneController) arm() {
 	if !z.armed && z.health.Busy() {
 		z.armed = true
@@ -57,126 +67,144 @@
 	}
 }
 
-// zoneList tells the zones of the caches that are on the ring.
+// updateZoneNodes tells the zone health which caches take requests.
 func (r *Router) updateZoneNodes() {
-	zones := r.zones
-	if zones == nil {
+	z := r.zones
+	if z == nil {
 		return
 	}
-	var all []zonehealth.Node
-	for n, host := range r.hosts {
-		if host != nil && !host.isOrigin && host.endpoint.Ready && host.departedAt == 0 {
-			all = append(all, zonehealth.Node{Index: n, Name: host.name, Zone: host.endpoint.Zone, Since: zonehealth.Time(host.endpoint.Since) * 10})
+	var nodes []zonehealth.Node
+	for index, h := range r.hosts {
+		if h != nil && h.isServing() {
+			nodes = append(nodes, zonehealth.Node{
+				Index: index, Name: h.name, Zone: h.endpoint.Zone,
+				Since: zonehealth.Time(h.endpoint.Since) * ticksPerMillisecond,
+			})
 		}
 	}
-	zones.statusAt = 0
-	r.executeZoneDecisions(zones.health.Nodes(zonehealth.Time(r.clock.Now()), all))
-	if missing := zones.health.Missing(); missing != "" && len(all) > 0 {
-		r.log.Warn("zones: no node has a zone that the file names", zap.String("zone", missing))
+	z.statusAt = 0 // so that the status is renewed
+	r.executeZoneDecisions(z.health.Nodes(r.zoneNow(), nodes))
+	if missing := z.health.Missing(); missing != "" && len(nodes) > 0 {
+		r.log.Warn("zones: no node is in a zone that the file names", zap.String("zone", missing))
 	}
 }
 
-// zoned carries out what the zones decide.
+// executeZoneDecisions carries out what the zone health decides, and renews the status.
 func (r *Router) executeZoneDecisions(decisions []zonehealth.Decision) {
-	zones, now := r.zones, r.clock.Now()
+	z, now := r.zones, r.clock.Now()
 	for i := range decisions {
 		switch d := &decisions[i]; d.Act {
 		case zonehealth.Bar:
-			r.execute(r.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Bar(now, d.Node, d.Part, d.Off) }))
-			if host := r.hosts[d.Node]; d.Part == 1 && host != nil {
-				host.mailbox.tryPost(host.closeIdleConns) // nothing is sent there for a while
-			}
+			r.excludeHost(now, d)
 		case zonehealth.Speak:
-			if zones.broadcast != nil {
-				zones.broadcast(d.Zone, d.Voice, d.Life)
+			if z.broadcast != nil {
+				z.broadcast(d.Zone, d.Voice, d.Life)
 			}
 		case zonehealth.Knock:
-			if host := r.hosts[d.Node]; host != nil {
-				host.mailbox.tryPost(host.probe)
+			if h := r.hosts[d.Node]; h != nil {
+				h.mailbox.tryPost(h.probe)
 			}
 		case zonehealth.Log:
 			r.log.Info("zones: " + d.Text)
 		}
 	}
-	if len(decisions) > 0 || now-zones.statusAt > 3000 {
-		zones.statusAt = now
-		alone := zones.health.Judged()
-		r.counters.ZonesPassed.Store(int64(alone.Passed))
-		r.counters.ZonesHasty.Store(int64(alone.Hasty))
-		shown := zones.health.Shown(zonehealth.Time(now))
-		zones.status.Store(&shown)
+	if len(decisions) > 0 || now-z.statusAt > zoneStatusInterval {
+		r.renewZoneStatus(now)
+	}
+	z.arm()
+}
+
+// excludeHost keeps a part of a host's keys from it.
+func (r *Router) excludeHost(now balancer.Time, d *zonehealth.Decision) {
+	r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Bar(now, d.Node, d.Part, d.Off) })
+	if h := r.hosts[d.Node]; d.Part == 1 && h != nil {
+		h.mailbox.tryPost(h.closeIdleConns) // nothing is sent there for a while
 	}
-	zones.arm()
 }
 
-// zoneSent and zoneEnded note tries at caches.
-func (r *Router) zoneAttemptSent(n int) {
-	if r.zones != nil && !r.hosts[n].isOrigin {
-		r.zones.health.Sent(zonehealth.Time(r.clock.Now()), n)
+func (r *Router) renewZoneStatus(now balancer.Time) {
+	z := r.zones
+	z.statusAt = now
+	standalone := z.health.Judged()
+	r.counters.ZonesPassed.Store(int64(standalone.Passed))
+	r.counters.ZonesHasty.Store(int64(standalone.Hasty))
+	status := z.health.Shown(zonehealth.Time(now))
+	z.status.Store(&status)
+}
+
+// zoneAttemptSent takes note of an attempt at a cache.
+func (r *Router) zoneAttemptSent(index int) {
+	if r.zones != nil && !r.hosts[index].isOrigin {
+		r.zones.health.Sent(r.zoneNow(), index)
 	}
 }
 
-func (r *Router) zoneAttemptFinished(n int, outcome balancer.Ending, took balancer.Time) {
-	zones := r.zones
-	if zones == nil {
+// zoneAttemptFinished takes note of how an attempt has ended, and how long it took.
+func (r *Router) zoneAttemptFinished(index int, outcome balancer.Ending, took balancer.Time) {
+	z := r.zones
+	if z == nil {
 		return
 	}
-	now := zonehealth.Time(r.clock.Now())
-	if r.hosts[n].isOrigin {
+	now := r.zoneNow()
+	if r.hosts[index].isOrigin {
 		if outcome != balancer.NeverSent && outcome != balancer.Undone {
-			zones.health.Origin(now, outcome != balancer.Completed || took > zones.latencyLimit)
+			z.health.Origin(now, outcome != balancer.Completed || took > z.latencyLimit)
 		}
 		return
 	}
-	how := zonehealth.Answered
+	z.health.Ended(now, index, z.observation(outcome, took), zonehealth.Time(took))
+	z.arm()
+}
+
+// observation returns what an attempt's end says of its cache's health.
+func (z *zoneController) observation(outcome balancer.Ending, took balancer.Time) zonehealth.Ending {
 	switch {
 	case outcome == balancer.Unreachable:
-		how = zonehealth.Shut
-	case outcome == balancer.Silent || outcome == balancer.Cut:
-		how = zonehealth.Nothing
+		return zonehealth.Shut
+	case outcome == balancer.Silent, outcome == balancer.Cut:
+		return zonehealth.Nothing
 	case outcome == balancer.Undone:
-		how = zonehealth.Undone
+		return zonehealth.Undone
 	case outcome == balancer.NeverSent:
-		how = zonehealth.Unknown
-	case outcome == balancer.Fault || outcome == balancer.NoRoom || took > zones.latencyLimit:
-		how = zonehealth.Late
+		return zonehealth.Unknown
+	case outcome == balancer.Fault, outcome == balancer.NoRoom, took > z.latencyLimit:
+		return zonehealth.Late
 	}
-	zones.health.Ended(now, n, how, zonehealth.Time(took))
-	zones.arm()
+	return zonehealth.Answered
 }
 
-// zoneDialled hears whether a new connection to a cache came up.
-func (r *Router) zoneConnectFinished(n int, up bool) {
+// zoneConnectFinished takes note of whether a new connection to a cache has come up.
+func (r *Router) zoneConnectFinished(index int, connected bool) {
 	switch {
-	case r.zones == nil || r.hosts[n] == nil || r.hosts[n].isOrigin:
-	case up:
-		r.zones.health.Reached(n)
+	case r.zones == nil || r.hosts[index] == nil || r.hosts[index].isOrigin:
+	case connected:
+		r.zones.health.Reached(index)
 	default:
-		r.zones.health.Refused(n)
+		r.zones.health.Refused(index)
 	}
 }
 
-// ZoneFleet takes who the proxies are; ZoneVoice what one says of a zone, ZoneOrder an operator's word.
+// ZoneFleet takes who the proxies are. behind means that not all are known yet.
 func (r *Router) ZoneFleet(all []zonehealth.Proxy, behind bool) {
 	r.mailbox.post(func() {
-		r.zones.health.Fleet(zonehealth.Time(r.clock.Now()), all, behind)
+		r.zones.health.Fleet(r.zoneNow(), all, behind)
 		r.zones.arm()
 	})
 }
 
-// ZoneVoice takes what a peer says of a zone, and how long ago it did.
-func (r *Router) ZoneVoice(from, of string, v zonehealth.Voice, age, life zonehealth.Time) {
+// ZoneVoice takes another proxy's vote on a zone, sent age ago, which counts for a lifetime.
+func (r *Router) ZoneVoice(from, zone string, vote zonehealth.Voice, age, lifetime zonehealth.Time) {
 	r.mailbox.post(func() {
-		r.executeZoneDecisions(r.zones.health.Voice(zonehealth.Time(r.clock.Now()), from, of, v, age, life))
+		r.executeZoneDecisions(r.zones.health.Voice(r.zoneNow(), from, zone, vote, age, lifetime))
 	})
 }
 
-// ZoneOrder takes an operator's word on a zone. It tells whether there was room for that, and does not wait.
-func (r *Router) ZoneOrder(d zonehealth.Order) bool {
-	return r.mailbox.tryPost(func() { r.executeZoneDecisions(r.zones.health.Order(zonehealth.Time(r.clock.Now()), d)) })
+// ZoneOrder takes an operator's override of a zone. It does not wait, and returns false if the router is too busy.
+func (r *Router) ZoneOrder(order zonehealth.Order) bool {
+	return r.mailbox.tryPost(func() { r.executeZoneDecisions(r.zones.health.Order(r.zoneNow(), order)) })
 }
 
-// ZonesShown is how the zones stood a moment ago; nothing where they are not judged.
+// ZonesShown returns the zones' status as of a moment ago; nil where they are not judged.
 func (r *Router) ZonesShown() []zonehealth.Shown {
 	if r.zones == nil {
 		return nil
