--- /dev/null
+++ b/internal/proxy/client_conn_test.go
@@ -0,0 +1,314 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"woodproxy/balancer"
+	"woodproxy/internal/wire"
+)
+
+// A client closes its connection while the upstream connection that its request waits for comes up: nothing of it is
+// sent, whether or not attempts may be cancelled, and the connection serves the next request.
+func TestClientGoneWhileDialing(t *testing.T) {
+	for _, mayCancel := range []bool{false, true} {
+		t.Run(fmt.Sprint("may cancel ", mayCancel), func(t *testing.T) {
+			cache, origin := newCache(t), newOrigin(t)
+			p := newTestProxy(t, 10, func(config *balancer.Terms) { config.MayCancel = mayCancel }, cache, origin)
+			release := p.dialer.block(cache.addr)
+			client := p.dial()
+			send(t, client, getCommand("left", longWaitMS))
+			p.eventually("no connection is made", func() bool { return p.router.counters.Dials.Load() == 1 })
+			closeConn(t, client)
+			p.eventually("the client's close is not noticed", func() bool { return p.router.counters.Left.Load() == 1 })
+			release()
+			send(t, p.dial(), getCommand("stays", longWaitMS))
+			if got := cache.next(t); got.id != "stays" {
+				t.Errorf("%s was sent after its client had gone", got.id)
+			}
+		})
+	}
+}
+
+// A hedged read is answered by the origin while the connection for the first attempt still comes up: the first is not
+// begun after the final reply.
+func TestHedgeAnsweredWhileDialing(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 10, func(config *balancer.Terms) {
+		config.Parallel = true
+		config.Routes[1].Objective, config.Routes[1].Overall = 1000, 2000 // by which a reply is late after 0.1 s
+	}, cache, origin)
+	release := p.dialer.block(cache.addr)
+	client := p.dial()
+	send(t, client, getCommand("hedged", longWaitMS))
+	hedge := origin.next(t)
+	send(t, hedge.conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue")
+	if line, err := bufio.NewReader(client).ReadString('\n'); line != "$5\r\n" {
+		t.Fatalf("%q, %v", line, err)
+	}
+	release()
+	send(t, client, getCommand("next", longWaitMS))
+	if got := cache.next(t); got.id != "next" {
+		t.Errorf("%s was sent after its final reply", got.id)
+	}
+}
+
+// A request is queued for a socket when its client closes the connection: the socket, once free, carries none of it.
+func TestClientGoneWhileQueuedForSocket(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 1, defaultSettings, cache, origin)
+	first, second := p.dial(), p.dial()
+	send(t, first, getCommand("first", longWaitMS))
+	busy := cache.next(t)
+	send(t, second, getCommand("left", longWaitMS))
+	p.eventually("no attempt for the second", func() bool { return p.router.counters.Tries.Load() == 2 })
+	closeConn(t, second)
+	p.eventually("the client's close is not noticed", func() bool { return p.router.counters.Left.Load() == 1 })
+	busy.replyValue(t)
+	send(t, p.dial(), getCommand("stays", longWaitMS))
+	if got := cache.next(t); got.id != "stays" {
+		t.Errorf("%s was sent after its client had gone", got.id)
+	}
+}
+
+// A client closes its connection while the proxy does not read from it: as many commands as may be are pending and the
+// buffer is full, the connection was told to close with replies pending, or it streams a value that has stalled. All
+// that is pending is given up at once, as far as it was not shed before.
+func TestClientGoneWhileConnIsNotRead(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		begin func(p *testProxy, client net.Conn, cache *fakeNode) (pending int64)
+	}{
+		{"full pipeline", func(p *testProxy, client net.Conn, _ *fakeNode) int64 {
+			var commands strings.Builder
+			for i := range 300 {
+				commands.WriteString(getCommand(fmt.Sprint("id", i), longWaitMS))
+			}
+			p.dialer.block(p.router.hosts[0].endpoint.Address)
+			go func() { _, _ = io.WriteString(client, commands.String()) }() // not all of it is accepted
+			return maxPending
+		}},
+		{"told to close", func(p *testProxy, client net.Conn, _ *fakeNode) int64 {
+			p.dialer.block(p.router.hosts[0].endpoint.Address)
+			send(p.t, client, getCommand("pending", longWaitMS))
+			p.eventually("no connection is made", func() bool { return p.router.counters.Dials.Load() == 1 })
+			p.listener.requestPhaseAll(phaseStopReading)
+			send(p.t, client, getCommand("unread", longWaitMS))
+			return 1
+		}},
+		{"stalled stream", func(p *testProxy, client net.Conn, cache *fakeNode) int64 {
+			send(p.t, client, getCommand("long", longWaitMS))
+			part := strings.Repeat("v", wire.MaxValue)
+			send(p.t, cache.next(p.t).conn, fmt.Sprintf("*1\r\n$%d\r\n%s", 4*wire.MaxValue, part))
+			if _, err := io.CopyN(io.Discard, client, wire.MaxValue/2); err != nil {
+				p.t.Fatal(err)
+			}
+			p.dialer.block(p.router.hosts[0].endpoint.Address)
+			send(p.t, client, getCommand("behind", longWaitMS)+"*")
+			return 0
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			cache, origin := newCache(t), newOrigin(t)
+			p := newTestProxy(t, 100, defaultSettings, cache, origin)
+			p.eventually("no endpoint list", func() bool { return len(p.router.Targets()) == 2 })
+			client := p.dial()
+			pending := test.begin(p, client, cache)
+			counters := p.router.counters
+			p.eventually("not read", func() bool { return counters.Exchanges.Load() >= pending })
+			closeConn(t, client)
+			p.eventually("not all that was read was given up", func() bool {
+				ended := counters.Left.Load() + counters.Shed.Load() + counters.Completed.Load()
+				return ended == counters.Exchanges.Load() && counters.ClientsOpen.Load() == 0
+			})
+		})
+	}
+}
+
+// A client sends PING before any are served, and closes its connection: nobody waits for it.
+func TestClientGoneBeforeOpen(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 10, defaultSettings, cache, origin)
+	p.listener.ready = make(chan struct{})
+	p.dialer.block(cache.addr)
+	client := p.dial()
+	send(t, client, getCommand("left", longWaitMS)+string(wire.AppendPlain(nil, "PING"))+"*")
+	p.eventually("no connection is made", func() bool { return p.router.counters.Dials.Load() == 1 })
+	closeConn(t, client)
+	p.eventually("the client's close is not noticed", func() bool { return p.router.counters.Left.Load() == 1 })
+}
+
+// A client closes its connection while its value is half written to a node that reads slowly: the node never gets the
+// rest.
+func TestClientGoneStopsPartialWrite(t *testing.T) {
+	const size = 4 << 20
+	begun, resume, received := make(chan struct{}), make(chan struct{}), make(chan int64, 1)
+	origin := &fakeNode{addr: listen(t, func(conn net.Conn) {
+		// A larger buffer, or nothing to read, would fail the test by what it receives.
+		_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+		_, _ = io.CopyN(io.Discard, conn, 1)
+		close(begun)
+		<-resume
+		n, _ := io.Copy(io.Discard, conn) // ends by a reset, as intended
+		received <- n + 1
+	})}
+	p := newTestProxy(t, 10, defaultSettings, newCache(t), origin)
+	client := p.dial()
+	send(t, client, setCommand("long", longPut, strings.Repeat("v", size)))
+	<-begun
+	closeConn(t, client)
+	p.eventually("the attempt is not stopped", func() bool { return p.router.counters.UpstreamOpen.Load() == 0 })
+	close(resume)
+	select {
+	case n := <-received:
+		if n >= size {
+			t.Errorf("%d bytes came, the whole command", n)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the connection stays, half a command on it")
+	}
+}
+
+// A client closes its connection while replies are written that it does not read: what it asked behind them is given up
+// at once.
+func TestClientGoneWhileRepliesAreWritten(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 100, defaultSettings, cache, origin)
+	p.eventually("no endpoint list", func() bool { return len(p.router.Targets()) == 2 })
+	client := p.dial()
+	if err := client.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	send(t, client, getCommand("long", longWaitMS))
+	value := strings.Repeat("v", wire.MaxAnswer)
+	send(t, cache.next(t).conn, fmt.Sprintf("*1\r\n$%d\r\n%s\r\n", wire.MaxAnswer, value))
+	p.dialer.block(cache.addr)
+	send(t, client, getCommand("behind", longWaitMS))
+	p.eventually("nothing is written", func() bool { return hasUnread(client) })
+	closeConn(t, client)
+	p.eventually("still open", func() bool { return p.router.counters.ClientsOpen.Load() == 0 })
+}
+
+// Commands that were read before the connection is told to stop reading are answered, however many are before them.
+func TestCommandsReadBeforeStopReadingAreAnswered(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 100, defaultSettings, cache, origin)
+	p.eventually("no endpoint list", func() bool { return len(p.router.Targets()) == 2 })
+	client := p.dial()
+	const asked = maxPending + 6
+	var commands strings.Builder
+	for i := range asked {
+		commands.WriteString(getCommand(fmt.Sprint("id", i), longWaitMS))
+	}
+	release := p.dialer.block(cache.addr)
+	send(t, client, commands.String())
+	p.eventually("not read", func() bool { return p.router.counters.Exchanges.Load() == maxPending })
+	p.listener.requestPhaseAll(phaseStopReading)
+	release()
+	go func() {
+		for cmd := range cache.commands {
+			_, _ = io.WriteString(cmd.conn, "*1\r\n$5\r\nvalue\r\n") // a failure is seen by the missing reply
+		}
+	}()
+	reader, replies := bufio.NewReader(client), 0
+	for ; ; replies++ {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			break
+		}
+		if line[0] != '$' {
+			continue
+		}
+		if _, err := reader.Discard(len("value\r\n")); err != nil {
+			break
+		}
+	}
+	if replies != asked {
+		t.Errorf("%d replies to %d commands that were read", replies, asked)
+	}
+}
+
+// newCrossingRequest returns a proxy, and a client that sends one more request in the instant in which its connection
+// is closed.
+func newCrossingRequest(t *testing.T, nodes ...*fakeNode) (*testProxy, net.Conn) {
+	t.Helper()
+	crossing := make(chan net.Conn, 1)
+	p := newSteppedTestProxy(t, &steppedListener{beforeClose: func() {
+		if _, err := io.WriteString(<-crossing, getCommand("crosses", longWaitMS)); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(20 * time.Millisecond) // so that it has arrived
+	}}, 10, defaultSettings, nodes...)
+	client := p.dial()
+	crossing <- client
+	return p, client
+}
+
+// A request arrives between a connection's last look for bytes and its close, whatever closes it: the client sees an
+// end and no reset, so that it loses no reply, and nothing of the request is sent to an upstream.
+func TestRequestDuringConnCloseSeesNoReset(t *testing.T) {
+	requestPhase := func(phase closePhase) func(*testProxy) {
+		return func(p *testProxy) { p.listener.requestPhaseAll(phase) }
+	}
+	for _, test := range []struct {
+		name       string
+		end        func(p *testProxy)
+		afterReply bool // the connection closes after one more reply
+	}{
+		{"close after reply", requestPhase(phaseCloseAfterReply), true},
+		{"close when idle", requestPhase(phaseCloseWhenIdle), false},
+		{"stop reading", requestPhase(phaseStopReading), false},
+		{"evicted", func(p *testProxy) {
+			p.eventually("not idle", func() bool {
+				p.listener.Allow(1, 0)
+				return p.router.counters.ClientsOpen.Load() == 0
+			})
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			cache, origin := newCache(t), newOrigin(t)
+			p, client := newCrossingRequest(t, cache, origin)
+			reader := bufio.NewReader(client)
+			get := func(id string) {
+				t.Helper()
+				send(t, client, getCommand(id, longWaitMS))
+				cache.next(t).replyValue(t)
+			}
+			get("first")
+			if test.afterReply {
+				if _, err := reader.Discard(len("$5\r\nvalue\r\n")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			test.end(p)
+			if test.afterReply {
+				get("second")
+			}
+			if got, err := io.ReadAll(reader); err != nil || string(got) != "$5\r\nvalue\r\n" {
+				t.Errorf("%q, %v", got, err)
+			}
+			p.eventually("still open", func() bool { return p.router.counters.ClientsOpen.Load() == 0 })
+			if n := len(cache.commands); n > 0 || p.router.counters.Exchanges.Load() > 2 {
+				t.Error("what was read after the end was sent to an upstream")
+			}
+		})
+	}
+}
+
+// The first request arrives as its connection is closed for having sent none so far: the same holds.
+func TestFirstRequestDuringTimeoutSeesNoReset(t *testing.T) {
+	t.Parallel()
+	cache, origin := newCache(t), newOrigin(t)
+	_, client := newCrossingRequest(t, cache, origin)
+	if got, err := io.ReadAll(client); err != nil || len(got) > 0 {
+		t.Errorf("%q, %v", got, err)
+	}
+	if len(cache.commands) > 0 {
+		t.Error("what was read after the end was sent to an upstream")
+	}
+}
--- /dev/null
+++ b/internal/proxy/endpoint_list_test.go
@@ -0,0 +1,127 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodproxy/balancer"
+)
+
+// Watches that end at once, at many proxies, are not opened again at once, and the backoff grows with each failure.
+func TestWatchBackoffIsSpreadAndGrows(t *testing.T) {
+	var firsts []time.Duration
+	for seed := range uint64(40) {
+		list, err := NewList("", nil, newTestRouter(), seed, &Counters{}, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		firsts = append(firsts, list.nextBackoff())
+		sum := time.Duration(0)
+		for range 20 {
+			last := list.nextBackoff()
+			if sum += last; last > 3*maxWatchBackoff/2 {
+				t.Errorf("a backoff of %v", last)
+			}
+		}
+		if sum < 12*maxWatchBackoff {
+			t.Errorf("twenty backoffs of %v together", sum)
+		}
+	}
+	slices.Sort(firsts)
+	if firsts[0] < minWatchBackoff/2 || firsts[30]-firsts[10] < minWatchBackoff/4 {
+		t.Errorf("backoffs from %v to %v", firsts[0], firsts[39])
+	}
+}
+
+// startList runs an endpoint list, polled or watched, of a discovery that serves as given.
+func startList(t *testing.T, polls bool, serve func(net.Conn)) (*testProxy, *List) {
+	t.Helper()
+	addr := listen(t, serve)
+	p := newTestProxy(t, 10, func(config *balancer.Terms) {
+		config.Ask, config.AskEvery = polls, 100000
+	}, newCache(t), newOrigin(t))
+	list, err := NewList(addr, nil, p.router, 1, p.router.counters, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go list.Run()
+	return p, list
+}
+
+// A silent watch is followed by another call at once, also where the list is polled: with a backoff after it, a second
+// silent call would leave no time for a third before what was missed counts as known.
+func TestSilentWatchIsRestartedAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		polls            bool
+		firstByteTimeout time.Duration
+	}{
+		{"watched", false, pushFirstByteTimeout},
+		{"polled", true, pollFirstByteTimeout},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			calls := make(chan struct{}, 10)
+			startList(t, test.polls, func(conn net.Conn) {
+				calls <- struct{}{}
+				_, _ = io.Copy(io.Discard, conn) // says nothing, until the proxy closes the connection
+			})
+			began := time.Now()
+			for range 3 {
+				select {
+				case <-calls:
+				case <-time.After(10 * time.Second):
+					t.Fatal("no call")
+				}
+			}
+			// Two were silent, the first as any call, since no watch had received anything.
+			if took := time.Since(began); took > 2*test.firstByteTimeout*5/4+500*time.Millisecond {
+				t.Errorf("polled: %v: the third call came after %v", test.polls, took)
+			}
+		})
+	}
+}
+
+// A list arrives in pieces, the last of them long after the first, or, where it is polled, long after the call: it is
+// taken from that call. Given up then, it would count as sent and not be known, and the next call would find discovery
+// busier.
+func TestSlowEndpointListIsAccepted(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const event = `{"index":3,"snapshot":true,"endpoints":[{"name":"c9","address":"127.0.0.1:1","zone":"a",` +
+		`"type":"std","group":1,"status":"active","weight":1,"since_ms":0}]}` + "\n"
+	const late = pushFirstByteTimeout*5/4 + 200*time.Millisecond // longer than a call waits for an agent's first byte
+	response := header + fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	for _, test := range []struct {
+		name       string
+		polls      bool
+		firstBytes int // that are sent at once
+	}{
+		{"watched, in pieces", false, len(header) + 20},
+		{"polled, late", true, 0},
+		{"polled, in pieces", true, 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			p, list := startList(t, test.polls, func(conn net.Conn) {
+				// A failure is seen by the list that does not arrive.
+				_, _ = conn.Read(make([]byte, 1000))
+				_, _ = io.WriteString(conn, response[:test.firstBytes])
+				time.Sleep(late)
+				_, _ = io.WriteString(conn, response[test.firstBytes:])
+				_, _ = io.Copy(io.Discard, conn)
+			})
+			select {
+			case <-list.First():
+			case <-time.After(late + time.Second):
+			}
+			if n := p.router.counters.Lists.Load(); n != 1 || list.Version() != 3 {
+				t.Errorf("%d lists, version %d", n, list.Version())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,355 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"woodproxy/balancer"
+	"woodproxy/internal/settings"
+	"woodproxy/internal/wire"
+)
+
+const (
+	secondTicks = 1000 * ticksPerMillisecond // in the balancer's time
+	longWaitMS  = 60000                      // a client's waiting time that no test reaches
+	longPut     = "c=put,t=x,d=60000,k=1"    // facts of a write that waits as long, and may be retried
+)
+
+// newTestRouter returns a router that is not running, with one socket.
+func newTestRouter() *Router {
+	config := &settings.Book{Terms: balancer.Terms{Routes: []balancer.Route{{Objective: 6000, Overall: 12000, Value: 1}}}}
+	router := NewRouter(config, 1, NewClock(), 1, &Counters{}, zap.NewNop())
+	router.valueMemory.resize(1 << 20)
+	return router
+}
+
+// newTestConn returns a connection to a cache of a router that is not running.
+func newTestConn(router *Router, conn net.Conn) *upstreamConn {
+	upstream := &upstreamConn{host: newUpstreamHost(router, 0, "c1", false), conn: conn}
+	upstream.host.ready.Store(true)
+	if conn != nil {
+		upstream.reader = bufio.NewReader(conn)
+	}
+	return upstream
+}
+
+// send writes a text, which has to be accepted.
+func send(t *testing.T, to io.Writer, text string) {
+	t.Helper()
+	if _, err := io.WriteString(to, text); err != nil {
+		t.Fatalf("send: %v", err)
+	}
+}
+
+// closeConn closes a connection, which has to be open.
+func closeConn(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if err := conn.Close(); err != nil {
+		t.Fatalf("close: %v", err)
+	}
+}
+
+// resetOnClose has a connection's close send a reset.
+func resetOnClose(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Fatalf("set linger: %v", err)
+	}
+}
+
+// The order of events at the end of requests and connections is forced: connections to nodes come up when the test lets
+// them, and nodes answer when it says so.
+
+// blockingDialer dials as net.Dialer does, but to blocked addresses only once they are released.
+type blockingDialer struct {
+	net.Dialer
+	mu      sync.Mutex
+	blocked map[string]chan struct{} // by address; closed when connections there may come up
+}
+
+func (d *blockingDialer) block(addr string) (release func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	released := make(chan struct{})
+	d.blocked[addr] = released
+	return sync.OnceFunc(func() {
+		d.mu.Lock()
+		delete(d.blocked, addr)
+		d.mu.Unlock()
+		close(released)
+	})
+}
+
+// DialContext ignores the context, as a connection does that comes up just as the time is over.
+func (d *blockingDialer) DialContext(_ context.Context, network, addr string) (net.Conn, error) {
+	d.mu.Lock()
+	released := d.blocked[addr]
+	d.mu.Unlock()
+	if released != nil {
+		<-released
+	}
+	conn, err := d.Dial(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	// So that a long command is half written to a node that reads nothing.
+	if err := conn.(*net.TCPConn).SetWriteBuffer(16 << 10); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return conn, nil
+}
+
+// receivedCommand is a command that a node has received.
+type receivedCommand struct {
+	id, facts string
+	conn      net.Conn
+}
+
+// replyValue answers the command by a cache's protocol, with "value".
+func (c receivedCommand) replyValue(t *testing.T) {
+	t.Helper()
+	send(t, c.conn, "*1\r\n$5\r\nvalue\r\n")
+}
+
+// fakeNode is a node that hands on the commands that it receives, and answers none by itself.
+type fakeNode struct {
+	addr     string
+	commands chan receivedCommand
+}
+
+// listen serves connections at an address of its own until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() }) // the test has passed or failed by then
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }() // the proxy may have closed it before
+				serve(conn)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func newCache(t *testing.T) *fakeNode {
+	t.Helper()
+	node := &fakeNode{commands: make(chan receivedCommand, 1000)}
+	node.addr = listen(t, func(conn net.Conn) {
+		reader := bufio.NewReaderSize(conn, 8<<10)
+		for {
+			if _, err := reader.Peek(reader.Buffered() + 1); err != nil {
+				return
+			}
+			buffered, _ := reader.Peek(reader.Buffered()) // never fails: as many bytes are buffered
+			cmd, length, err := wire.ParseCommand(buffered)
+			if err != nil {
+				continue
+			}
+			node.commands <- receivedCommand{string(cmd.ID), string(cmd.Facts), conn}
+			if cmd.Value >= 0 {
+				length += cmd.Value + len(crlf)
+			}
+			if _, err := reader.Discard(length); err != nil {
+				return
+			}
+		}
+	})
+	return node
+}
+
+func newOrigin(t *testing.T) *fakeNode {
+	t.Helper()
+	node := &fakeNode{commands: make(chan receivedCommand, 1000)}
+	node.addr = listen(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			node.commands <- receivedCommand{req.Header.Get("X-Correlation-Id"), req.Header.Get("X-Facts"), conn}
+		}
+	})
+	return node
+}
+
+// next returns the next command that the node receives.
+func (n *fakeNode) next(t *testing.T) receivedCommand {
+	t.Helper()
+	select {
+	case cmd := <-n.commands:
+		return cmd
+	case <-time.After(5 * time.Second):
+		t.Fatal("the node receives no command")
+	}
+	return receivedCommand{}
+}
+
+// testProxy is a proxy without discovery, on real connections.
+type testProxy struct {
+	t        *testing.T
+	listener *Door
+	router   *Router
+	dialer   *blockingDialer
+	ln       *net.TCPListener
+}
+
+// newTestProxy starts a proxy before the given nodes, of which the last is the origin. change changes its settings.
+func newTestProxy(t *testing.T, sockets int, change func(*balancer.Terms), nodes ...*fakeNode) *testProxy {
+	t.Helper()
+	return newSteppedTestProxy(t, &steppedListener{}, sockets, change, nodes...)
+}
+
+func newSteppedTestProxy(
+	t *testing.T, step *steppedListener, sockets int, change func(*balancer.Terms), nodes ...*fakeNode,
+) *testProxy {
+	t.Helper()
+	route := balancer.Route{Objective: 300000, Overall: 600000, Value: 1}
+	config := &settings.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: balancer.Terms{
+		Proxies: 1, MaxTries: 3,
+		Tick: 50, Aside: true, Fall: 20000, FallMultiple: 3, Cold: 1, ColdFrom: 0.3,
+		Routes: []balancer.Route{route, route},
+	}}
+	change(&config.Terms)
+	for _, route := range config.Terms.Routes {
+		config.Longest = max(config.Longest, route.Overall)
+	}
+	p := &testProxy{
+		t: t, router: NewRouter(config, 1, NewClock(), sockets, &Counters{}, zap.NewNop()),
+		dialer: &blockingDialer{blocked: map[string]chan struct{}{}},
+	}
+	p.router.dialer = p.dialer
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() }) // the proxy may have closed it before
+	p.ln = ln.(*net.TCPListener)
+	step.TCPListener = p.ln
+	p.listener = NewDoor(step, p.router, 64, p.router.counters, zap.NewNop())
+	p.listener.Allow(100, 100)
+	p.listener.Open()
+	update := endpointUpdate{whole: true, initial: true, targets: targetsOf(nodes)}
+	p.router.mailbox.post(func() { p.router.updateEndpoints(update) })
+	go p.router.Run()
+	go p.listener.Run()
+	return p
+}
+
+// targetsOf lists nodes, the last one as the origin.
+func targetsOf(nodes []*fakeNode) []wire.Target {
+	var targets []wire.Target
+	for i, node := range nodes {
+		target := wire.Target{Name: fmt.Sprint("c", i), Address: node.addr, Kind: "std", Ready: true, Weight: 1}
+		if i == len(nodes)-1 {
+			target.Name, target.Kind = "o1", "origin"
+		}
+		targets = append(targets, target)
+	}
+	return targets
+}
+
+// dial returns a client's connection to the proxy.
+func (p *testProxy) dial() net.Conn {
+	p.t.Helper()
+	conn, err := net.Dial("tcp", p.ln.Addr().String())
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = conn.Close() }) // the test may have closed it before
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		p.t.Fatal(err)
+	}
+	return conn
+}
+
+// getCommand returns a read of the key "k".
+func getCommand(id string, waitMS int) string {
+	facts := fmt.Sprint("c=read,t=x,d=", waitMS)
+	return string(wire.AppendCommand(nil, []byte(commandGet), []byte("k"), []byte(id), []byte(facts), -1))
+}
+
+// setCommand returns a write to the key "k".
+func setCommand(id, facts, value string) string {
+	header := wire.AppendCommand(nil, []byte(commandSet), []byte("k"), []byte(id), []byte(facts), len(value))
+	return string(header) + value + "\r\n"
+}
+
+// eventually waits until a condition holds, and fails the test with the failure's text if it does not.
+func (p *testProxy) eventually(failure string, holds func() bool) {
+	p.t.Helper()
+	for range 400 {
+		if holds() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	p.t.Fatal(failure)
+}
+
+// defaultSettings leaves the settings as they are.
+func defaultSettings(*balancer.Terms) {}
+
+// steppedListener is a listener that stops between two steps when told: between having accepted a connection and
+// returning it, and between a connection's last look for bytes and its end.
+type steppedListener struct {
+	*net.TCPListener
+	accepted     chan struct{} // nil: does not stop there
+	proceed      chan struct{}
+	beforeClose  func()       // called once for each connection, before its sending or itself is closed
+	failuresLeft atomic.Int64 // how often Accept still fails for want of file descriptors
+}
+
+func (l *steppedListener) Accept() (net.Conn, error) {
+	if l.failuresLeft.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	conn, err := l.TCPListener.Accept()
+	if err == nil && l.accepted != nil {
+		l.accepted <- struct{}{}
+		<-l.proceed
+	}
+	if err == nil && l.beforeClose != nil {
+		return &steppedConn{TCPConn: conn.(*net.TCPConn), beforeClose: sync.OnceFunc(l.beforeClose)}, nil
+	}
+	return conn, err
+}
+
+type steppedConn struct {
+	*net.TCPConn
+	beforeClose func()
+}
+
+func (c *steppedConn) CloseWrite() error {
+	c.beforeClose()
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *steppedConn) Close() error {
+	c.beforeClose()
+	return c.TCPConn.Close()
+}
--- /dev/null
+++ b/internal/proxy/shadow_test.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"woodproxy/balancer"
+	"woodproxy/internal/settings"
+)
+
+// A panic in the shadow ends the shadow: the balancer's own decision stands.
+func TestShadowPanicDisablesShadowOnly(t *testing.T) {
+	router := newTestRouter()
+	router.shadow = &shadowBalancer{} // without a balancer to ask
+	decisions := router.decide(1, func(b *balancer.Instance) []balancer.Decision {
+		return b.Arrive(1, 0, balancer.Exchange{Tenant: -1, Remaining: 12000})
+	})
+	if len(decisions) == 0 || decisions[0].Act != balancer.Shed || router.shadow != nil {
+		t.Errorf("%v decided, shadow still there: %v", decisions, router.shadow != nil)
+	}
+}
+
+// shadowRequests is how many requests are put to the two balancers, each with a slot of its own, so that none is reused
+// too soon.
+const shadowRequests = 8000
+
+// simulatedAttempt is an attempt with its end.
+type simulatedAttempt struct {
+	slot, host     int
+	sentAt, endsAt balancer.Time
+	outcome        balancer.Ending
+}
+
+// shadowTraffic puts requests with random outcomes to a router's balancer and its shadow.
+type shadowTraffic struct {
+	router   *Router
+	random   *rand.Rand
+	attempts []simulatedAttempt // in flight
+	finished []bool             // by request
+	wakeAt   balancer.Time      // of the balancer; 0: not at all
+}
+
+// newShadowTraffic has the shadow use settings that are changed.
+func newShadowTraffic(change func(*balancer.Terms)) *shadowTraffic {
+	terms := balancer.Terms{
+		Routes: []balancer.Route{{Objective: 2000, Overall: 6000, Value: 1}}, Proxies: 4, MaxTries: 3,
+		Tick: 10, Aside: true, Cold: 50000, ColdFrom: 0.3, Fall: 20000, FallMultiple: 3, MayCancel: true,
+	}
+	shadowTerms := terms
+	shadowTerms.Routes = append([]balancer.Route{}, terms.Routes...)
+	change(&shadowTerms)
+	router := newTestRouter()
+	router.balancer = balancer.New(0, terms, 1)
+	router.Watch(&settings.Book{Terms: shadowTerms}, 1)
+	router.shadow.balancer = balancer.New(0, shadowTerms, 1)
+	return &shadowTraffic{
+		router: router, random: rand.New(rand.NewPCG(1, 2)), finished: make([]bool, shadowRequests),
+	}
+}
+
+// apply takes the balancer's decisions.
+func (s *shadowTraffic) apply(now balancer.Time, decisions []balancer.Decision) {
+	for _, d := range decisions {
+		switch d.Act {
+		case balancer.Send:
+			s.attempts = append(s.attempts, simulatedAttempt{
+				d.Cx, d.Node, now, now + min(d.After, balancer.Time(s.random.IntN(2500))), balancer.Ending(s.random.IntN(9)),
+			})
+		case balancer.Shed, balancer.Error:
+			s.finished[d.Cx] = true
+		case balancer.Wake:
+			s.wakeAt = now + d.After
+		}
+	}
+}
+
+// listNodes lists five caches and an origin.
+func (s *shadowTraffic) listNodes() {
+	var listings []balancer.Listing
+	for i, name := range []string{"a", "b", "c", "d", "e", "o"} {
+		listings = append(listings, balancer.Listing{Node: i, Name: name, Origin: name == "o", Ready: true, Weight: 1})
+	}
+	s.apply(0, s.router.decide(0, func(b *balancer.Instance) []balancer.Decision {
+		return b.Nodes(0, true, true, listings)
+	}))
+}
+
+// wake wakes the balancer and its shadow at their times.
+func (s *shadowTraffic) wake(now balancer.Time) {
+	balancerDue := s.wakeAt != 0 && now >= s.wakeAt
+	shadowDue := s.router.shadow.wakeAt != 0 && now >= s.router.shadow.wakeAt
+	if !balancerDue && !shadowDue {
+		return
+	}
+	var decisions []balancer.Decision
+	if balancerDue {
+		s.wakeAt = 0
+		decisions = s.router.balancer.Woken(now)
+	}
+	s.router.withShadow(func(shadow *shadowBalancer) { shadow.timerFired(now, decisions) })
+	s.apply(now, decisions)
+}
+
+// finishAttempts ends the attempts whose time has come.
+func (s *shadowTraffic) finishAttempts(now balancer.Time) {
+	for i := 0; i < len(s.attempts); i++ {
+		a := s.attempts[i]
+		if a.endsAt > now {
+			continue
+		}
+		s.attempts = slices.Delete(s.attempts, i, i+1)
+		i--
+		s.finished[a.slot] = s.finished[a.slot] || a.outcome == balancer.Completed
+		answer := balancer.Answer{
+			Cx: a.slot, Node: a.host, Ending: a.outcome, Took: now - a.sentAt, Ended: s.finished[a.slot],
+		}
+		s.apply(now, s.router.decide(now, func(b *balancer.Instance) []balancer.Decision {
+			return b.Returned(now, answer)
+		}))
+	}
+}
+
+// arrive puts a request to the balancer.
+func (s *shadowTraffic) arrive(now balancer.Time, slot int) {
+	exchange := balancer.Exchange{
+		Tenant: -1, Remaining: 6000, Key: s.random.Uint64N(50), Keyed: true, Write: s.random.IntN(9) == 0,
+	}
+	s.apply(now, s.router.decide(now, func(b *balancer.Instance) []balancer.Decision {
+		return b.Arrive(now, slot, exchange)
+	}))
+}
+
+// run plays all requests to their end, and returns the counters.
+func (s *shadowTraffic) run(t *testing.T) *Counters {
+	t.Helper()
+	s.listNodes()
+	slot := 0
+	for now := balancer.Time(10); slot < len(s.finished) || len(s.attempts) > 0; now += 10 {
+		s.wake(now)
+		s.finishAttempts(now)
+		for n := s.random.IntN(3); n > 0 && slot < len(s.finished); n-- {
+			s.arrive(now, slot)
+			slot++
+		}
+	}
+	if s.router.shadow == nil || s.router.shadow.balancer.Out() != 0 {
+		t.Fatal("the shadow has panicked, or counts attempts that are not in flight")
+	}
+	return s.router.counters
+}
+
+// differences returns how many decisions differed, by any kind.
+func differences(c *Counters) int64 {
+	return c.WatchNode.Load() + c.WatchHeld.Load() + c.WatchGivenUp.Load() + c.WatchKept.Load() + c.WatchAnswer.Load()
+}
+
+// Thousands of requests with all outcomes are put to a balancer and its shadow: under the same settings they never
+// differ, and under others the shadow keeps its state, as far as it can tell what becomes of each attempt.
+func TestShadowComparesAllOutcomes(t *testing.T) {
+	t.Run("same settings", func(t *testing.T) {
+		c := newShadowTraffic(func(*balancer.Terms) {}).run(t)
+		if differences(c) != 0 || c.WatchSame.Load() < shadowRequests {
+			t.Errorf("under the same settings: %s", c)
+		}
+	})
+	for _, test := range []struct {
+		name   string
+		change func(*balancer.Terms)
+	}{
+		{"many proxies", func(o *balancer.Terms) { o.Proxies, o.Peers, o.Me = 400, 399, 7 }},
+		{"one attempt", func(o *balancer.Terms) { o.MaxTries = 1 }},
+		{"late replies earn", func(o *balancer.Terms) { o.Routes[0].Overdue = 0.5 }},
+		{"short objective", func(o *balancer.Terms) { o.Routes[0].Objective = 500 }},
+		{"deduplicated", func(o *balancer.Terms) { o.Routes[0].Effect, o.Routes[0].Window = balancer.Deduped, 500 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if c := newShadowTraffic(test.change).run(t); differences(c) == 0 || differences(c) > shadowRequests {
+				t.Errorf("%s: %s", test.name, c)
+			}
+		})
+	}
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -132,7 +132,8 @@
 		if err != nil {
 			return err
 		}
-		chunk = append(next[:0], last)
+		chunk = next[:1]
+		chunk[0] = last
 		if err := u.conn.SetReadDeadline(time.Now().Add(stallTimeout)); err != nil {
 			return &wire.Halt{Far: wire.Reading, Err: err}
 		}
