proxy: a comment for each counter and drain time; causes wrapped with %w

No change of behaviour. Counters stood in rows under one comment; each has its own now, and keeps the name under which operators know it. The causes of a broken watch are wrapped in one line, no longer joined by a line end.

--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -8,37 +8,66 @@
 	"woodproxy/balancer"
 )
 
-// Counters count what the proxy takes in, sends and answers since its start.
+// Counters count what the proxy takes in, sends and answers since its start. Each is printed and exported under the name
+// of its field, which operators know. Any goroutine may use them.
 type Counters struct {
-	Clients, ClientsOpen     atomic.Int64 // connections, in all and now
-	Exchanges, Held, Crowded atomic.Int64 // taken; with a place now; shed for want of one
-	Bytes, Passing           atomic.Int64 // of values that are held now, for servers and for clients; that pass through
-	Flows, Broken            atomic.Int64 // values that were passed on piece by piece, and that broke off amid that
-	Completed, Shed, Errored atomic.Int64 // final answers
-	Absent                   atomic.Int64 // of the completed ones, such that the origin has no such key
-	Left                     atomic.Int64 // clients gone before their answer
-	Tries, Cancelled, Copies atomic.Int64 // upstream tries, those called off, and those sent while another of their exchange was out
-	Ends                     [balancer.Lacking + 1]atomic.Int64
-	Dials, UpstreamOpen      atomic.Int64 // connections to peers, in all and now
-	Lists, Watches           atomic.Int64 // lists and changes from discovery; watches answered
-	BadClient, BadPeer       atomic.Int64 // connections ended for bad bytes
-	Taken                    atomic.Int64 // exchanges with the id of another that is open
-	Drains                   atomic.Int64 // calls that sent clients away
-	PeerLists, PeerSights    atomic.Int64 // changes of the list, and nodes gone silent or answering, that peers told of
-	ZonesPassed, ZonesHasty  atomic.Int64 // zones passed by on own tries alone, and those of them that answered the first trials
-	Panics                   atomic.Int64
-	// where watched terms would have: decided alike; chosen another node; held what was sent or the other way round;
-	// given up what was not; not given up what was; given it the other final answer; told peers of a node
-	WatchSame, WatchNode, WatchHeld, WatchGivenUp, WatchKept, WatchAnswer, WatchTold atomic.Int64
+	Clients     atomic.Int64 // client connections that were accepted
+	ClientsOpen atomic.Int64 // and those that are open now
+
+	Exchanges atomic.Int64 // requests that were read
+	Held      atomic.Int64 // requests that are held now
+	Crowded   atomic.Int64 // requests that were shed for want of capacity
+	Taken     atomic.Int64 // requests that were rejected, since another with their id is held
+	Left      atomic.Int64 // requests whose client has gone before the reply
+
+	Bytes   atomic.Int64 // of values that are held now, for upstreams and for clients
+	Passing atomic.Int64 // of streams' buffers now
+	Flows   atomic.Int64 // values that were streamed
+	Broken  atomic.Int64 // streams that broke off
+
+	Completed atomic.Int64 // final replies with what the upstream has answered
+	Shed      atomic.Int64 // final replies that the request was shed
+	Errored   atomic.Int64 // final replies that the request has failed
+	Absent    atomic.Int64 // of the completed ones, those that the origin has no such key
+
+	Tries     atomic.Int64                       // attempts
+	Cancelled atomic.Int64                       // attempts that were cancelled
+	Copies    atomic.Int64                       // attempts that began while another of their request was in flight
+	Ends      [balancer.Lacking + 1]atomic.Int64 // ended attempts, by outcome
+
+	Dials        atomic.Int64 // connections to hosts that were dialed
+	UpstreamOpen atomic.Int64 // and those that are open now
+
+	Lists      atomic.Int64 // endpoint lists and changes from discovery
+	Watches    atomic.Int64 // watches that discovery has answered
+	PeerLists  atomic.Int64 // changes of the endpoint list that other proxies have told of
+	PeerSights atomic.Int64 // reports of other proxies on whether a host answers
+
+	BadClient atomic.Int64 // client connections that were closed on bad input
+	BadPeer   atomic.Int64 // connections to hosts and discovery that were closed on bad input
+	Drains    atomic.Int64 // calls that took the proxy out of service
+	Panics    atomic.Int64 // that were recovered
+
+	ZonesPassed atomic.Int64 // zones that were evacuated on this proxy's own evidence alone
+	ZonesHasty  atomic.Int64 // and those of them that answered the first health checks: false positives
+
+	// Where a shadow balancer would have decided the same, and where it would have
+	WatchSame    atomic.Int64
+	WatchNode    atomic.Int64 // sent to another host
+	WatchHeld    atomic.Int64 // waited where an attempt was sent, or the other way round
+	WatchGivenUp atomic.Int64 // ended a request that went on
+	WatchKept    atomic.Int64 // kept a request that was ended
+	WatchAnswer  atomic.Int64 // given the other final reply
+	WatchTold    atomic.Int64 // notified other proxies of a host
 }
 
-// endings names how tries end, in the module's order.
+// outcomeCounterNames are the names of Ends, in the order of the balancer's outcomes.
 var outcomeCounterNames = [balancer.Lacking + 1]string{
 	"EndCompleted", "EndFault", "EndNoRoom", "EndSilent", "EndUnreachable",
 	"EndCut", "EndUndone", "EndUnsent", "EndLacking",
 }
 
-// Each calls f with each counter's name and value.
+// Each calls f with each counter's name and value, in a fixed order.
 func (c *Counters) Each(f func(name string, value int64)) {
 	for _, n := range []struct {
 		name string
@@ -89,7 +118,7 @@
 	}
 }
 
-// String prints each counter with its name, a line each.
+// String returns each counter with its name, a line each, as the INFO command prints them.
 func (c *Counters) String() string {
 	var s strings.Builder
 	c.Each(func(name string, value int64) { fmt.Fprintf(&s, "%s %d\n", name, value) })
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -17,10 +17,13 @@
 	minAgeToStopReading = stopReadingStep * drainInterval
 )
 
-// Leaving is the drain schedule of a proxy that stops. Each is counted from the closing of the listener: connections
-// are closed after their next reply from Yield on, and when idle from Retire on; from Shut on no further command is
-// read. Clients retry elsewhere what they sent and was not read.
-type Leaving struct{ Yield, Retire, Shut time.Duration }
+// Leaving is the drain schedule of a proxy that stops, as times since the closing of the listener. Clients retry
+// elsewhere what they have sent and was not read by the last of them.
+type Leaving struct {
+	Yield  time.Duration // from here on a connection is closed after its next reply
+	Retire time.Duration // from here on idle connections are closed too
+	Shut   time.Duration // from here on no further command is read
+}
 
 // OutOfService begins to drain: clients are sent away, and the proxy goes on running. It returns false if it drains
 // already. It waits for no other goroutine's work, so that an operator is answered however busy the proxy is.
--- a/internal/proxy/duties.go
+++ b/internal/proxy/duties.go
@@ -16,7 +16,7 @@
 )
 
 // dutyBroadcast tells other proxies what this one does under a duty, which counts for a lifetime. It must not wait.
-type dutyBroadcast = func(kind duties.Kind, key string, said duties.Said, lifetime duties.Time)
+type dutyBroadcast = func(kind duties.Kind, key string, report duties.Said, lifetime duties.Time)
 
 // Duties is the goroutine of the duties that proxies share out among them: health checks, watches, idle connections.
 // The router offers it what it finds and waits for nothing; Duties posts to the router, to the endpoint list and to
@@ -67,14 +67,14 @@
 // Shown returns the duties' figures as of their last tick.
 func (d *Duties) Shown() duties.Figures { return *d.figures.Load() }
 
-// Fleet takes who the proxies are. behind means that not all are known yet.
-func (d *Duties) Fleet(all []duties.Proxy, behind bool) {
-	d.mailbox.tryPost(func() { d.execute(d.assignments.Fleet(d.now(), all, behind)) })
+// Fleet takes who the proxies are. catchingUp means that not all are known yet.
+func (d *Duties) Fleet(all []duties.Proxy, catchingUp bool) {
+	d.mailbox.tryPost(func() { d.execute(d.assignments.Fleet(d.now(), all, catchingUp)) })
 }
 
 // Heard takes what another proxy has told under a duty, sent age ago.
-func (d *Duties) Heard(from string, kind duties.Kind, key string, said duties.Said, age duties.Time) {
-	d.mailbox.tryPost(func() { d.execute(d.assignments.Heard(d.now(), from, kind, key, said, age)) })
+func (d *Duties) Heard(from string, kind duties.Kind, key string, report duties.Said, age duties.Time) {
+	d.mailbox.tryPost(func() { d.execute(d.assignments.Heard(d.now(), from, kind, key, report, age)) })
 }
 
 // execute carries out decisions on duties.
--- a/internal/proxy/endpoint_watch.go
+++ b/internal/proxy/endpoint_watch.go
@@ -52,7 +52,7 @@
 	dialer := net.Dialer{Timeout: watchDialTimeout}
 	conn, err := dialer.DialContext(w.ctx, "tcp", w.addr)
 	if err != nil {
-		return errors.Join(errDiscoveryDial, err)
+		return fmt.Errorf("%w: %w", errDiscoveryDial, err)
 	}
 	closeConn := func() { _ = conn.Close() } // nothing that was written or is still to be read matters any more
 	defer closeConn()
@@ -103,7 +103,7 @@
 func (w *endpointWatch) postEvent(parser *fastjson.Parser, line []byte) error {
 	v, err := parser.ParseBytes(line)
 	if err != nil {
-		return errors.Join(wire.ErrBytes, err)
+		return fmt.Errorf("%w: %w", wire.ErrBytes, err)
 	}
 	var event endpointEvent
 	if event.index, event.whole, event.targets, err = wire.ParseTargets(v); err != nil {
--- a/internal/proxy/eviction.go
+++ b/internal/proxy/eviction.go
@@ -100,13 +100,13 @@
 	if census.staying < nearLimit(l.maxConns) {
 		return eviction{}
 	}
-	crowdOfSilent := census.silent >= l.maxConns/4 // such a crowd is closed without any grace
+	manySilent := census.silent >= l.maxConns/4 // who are closed without any grace then
 	for _, rule := range evictionRules {
 		candidate := &census.candidates[rule.class]
 		if candidate.conn == nil {
 			continue
 		}
-		if candidate.inactive(now) >= rule.minInactive || rule.class == classSilent && crowdOfSilent {
+		if candidate.inactive(now) >= rule.minInactive || rule.class == classSilent && manySilent {
 			return eviction{candidate.conn, rule.phase}
 		}
 	}
--- a/internal/proxy/negative_cache.go
+++ b/internal/proxy/negative_cache.go
@@ -92,9 +92,9 @@
 // Shown returns the cache's figures as of its last tick.
 func (n *Absent) Shown() negativecache.Figures { return *n.figures.Load() }
 
-// Fleet takes the proxies that may write, of so many that operators state. behind means that not all are known yet.
-func (n *Absent) Fleet(all []negativecache.Proxy, stated int, behind bool) {
-	n.mailbox.tryPost(func() { n.execute(n.cache.Fleet(n.now(), all, stated, behind)) })
+// Fleet takes the proxies that may write, of so many that operators state. catchingUp means that not all are known yet.
+func (n *Absent) Fleet(all []negativecache.Proxy, stated int, catchingUp bool) {
+	n.mailbox.tryPost(func() { n.execute(n.cache.Fleet(n.now(), all, stated, catchingUp)) })
 }
 
 // HeardWrote takes a message of another proxy on keys that were written. The table has them at once; if the mailbox is
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -85,7 +85,7 @@
 	z.statusAt = 0 // so that the status is renewed
 	r.executeZoneDecisions(z.health.Nodes(r.zoneNow(), nodes))
 	if missing := z.health.Missing(); missing != "" && len(nodes) > 0 {
-		r.log.Warn("zones: no node is in a zone that the file names", zap.String("zone", missing))
+		r.log.Warn("zones: no node has a zone that the file names", zap.String("zone", missing))
 	}
 }
 
@@ -184,10 +184,10 @@
 	}
 }
 
-// ZoneFleet takes who the proxies are. behind means that not all are known yet.
-func (r *Router) ZoneFleet(all []zonehealth.Proxy, behind bool) {
+// ZoneFleet takes who the proxies are. catchingUp means that not all are known yet.
+func (r *Router) ZoneFleet(all []zonehealth.Proxy, catchingUp bool) {
 	r.mailbox.post(func() {
-		r.zones.health.Fleet(r.zoneNow(), all, behind)
+		r.zones.health.Fleet(r.zoneNow(), all, catchingUp)
 		r.zones.arm()
 	})
 }
