--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -8,8 +8,8 @@
 	"woodproxy/balancer"
 )
 
-// Counters count what the proxy takes in, sends and answers since its start. Each is printed and exported under the name
-// of its field, which operators know. Any goroutine may use them.
+// Counters count what the proxy takes in, sends and answers since its start. Each is printed and exported under the
+// name of its field, which operators know. Any goroutine may use them.
 type Counters struct {
 	Clients     atomic.Int64 // client connections that were accepted
 	ClientsOpen atomic.Int64 // and those that are open now
--- a/internal/proxy/duties.go
+++ b/internal/proxy/duties.go
@@ -46,20 +46,13 @@
 }
 
 // Run carries out calls for as long as the process lives.
-func (d *Duties) Run() {
-	ticker := time.NewTicker(dutyTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case call := <-d.mailbox:
-			runRecovered(d.log, d.counters, call)
-		case <-ticker.C:
-			d.router.mailbox.tryPost(d.router.reportEjections)
-			runRecovered(d.log, d.counters, func() { d.execute(d.assignments.Tick(d.now())) })
-			figures := d.assignments.Shown()
-			d.figures.Store(&figures)
-		}
-	}
+func (d *Duties) Run() { d.mailbox.run(d.log, d.counters, dutyTick, d.tick) }
+
+func (d *Duties) tick() {
+	d.router.mailbox.tryPost(d.router.reportEjections)
+	runRecovered(d.log, d.counters, func() { d.execute(d.assignments.Tick(d.now())) })
+	figures := d.assignments.Shown()
+	d.figures.Store(&figures)
 }
 
 func (d *Duties) now() duties.Time { return duties.Time(d.clock.Now()) }
--- a/internal/proxy/negative_cache.go
+++ b/internal/proxy/negative_cache.go
@@ -51,16 +51,7 @@
 
 // Run carries out calls for as long as the process lives.
 func (n *Absent) Run() {
-	ticker := time.NewTicker(negativeCacheTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case call := <-n.mailbox:
-			runRecovered(n.log, n.counters, call)
-		case <-ticker.C:
-			runRecovered(n.log, n.counters, n.tick)
-		}
-	}
+	n.mailbox.run(n.log, n.counters, negativeCacheTick, func() { runRecovered(n.log, n.counters, n.tick) })
 }
 
 func (n *Absent) tick() {
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -12,7 +12,7 @@
 	"woodproxy/internal/wire"
 )
 
-// No more is read of a value than the client takes and two chunks hold, and once it is abandoned no more is read at all.
+// No more is read of a value than the client takes and two chunks hold, and once it is abandoned nothing more is read.
 func TestStreamAppliesBackpressure(t *testing.T) {
 	near, far := net.Pipe()
 	t.Cleanup(func() { _ = far.Close() }) // which also ends the goroutine below
--- a/internal/proxy/upstream_conn_test.go
+++ b/internal/proxy/upstream_conn_test.go
@@ -177,7 +177,8 @@
 	send(t, received.conn, "*1\r\n$-1\r\n")
 	received = origin.next(t)
 	facts, err := wire.ParseFacts([]byte(received.facts))
-	if err != nil || facts.Wait > 5000-lateMS || facts.Wait < 1000 || string(facts.Tenant) != "x" || received.id != "missed" {
+	if err != nil || facts.Wait > 5000-lateMS || facts.Wait < 1000 || string(facts.Tenant) != "x" ||
+		received.id != "missed" {
 		t.Errorf("%q of %s: %v", received.facts, received.id, err)
 	}
 }
