proxy: an upstream connection's round trip in a file of its own

upstream_conn.go held the connection's life (assigned, idle, closed) and the way of one attempt on it (connect, write, read); upstream_roundtrip.go has the latter. Moved as it was; no change of behaviour.

--- /dev/null
+++ b/internal/proxy/upstream_roundtrip.go
@@ -0,0 +1,238 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"woodproxy/balancer"
+	"woodproxy/internal/wire"
+)
+
+// roundTripResult is how an attempt ended on a connection.
+type roundTripResult struct {
+	attemptResult
+	reusable bool  // the connection can carry another attempt
+	err      error // why the attempt has no whole response, or nil
+}
+
+// roundTrip sees one attempt through: it connects if need be, writes the request and reads the response.
+func (u *upstreamConn) roundTrip(attempt *attempt) roundTripResult {
+	router := u.host.router
+	until := time.Now().Add(duration(attempt.sentAt + attempt.timeout - router.clock.Now()))
+	reused := u.conn != nil
+	if !reused {
+		if err := u.connect(attempt, until); err != nil {
+			return connectFailure(attempt, err)
+		}
+	}
+	if err := u.conn.SetDeadline(until); err != nil {
+		return u.failure(attempt, &wire.Halt{Far: wire.Writing, Err: err})
+	}
+	switch {
+	case attempt.cancelled.Load(): // before the deadline above was set
+		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Undone}}
+	case reused && u.isStale(): // nothing was sent yet
+		u.discardConn()
+		return u.roundTrip(attempt)
+	case attempt.request.finished.Load(): // while it waited for this connection, which the next attempt may have
+		return notSent(true)
+	case attempt.startBefore > 0 && router.clock.Now() >= attempt.startBefore:
+		return notSent(true)
+	case !u.host.ready.Load(): // it drains or has departed since it was chosen; nothing new goes there
+		return notSent(false)
+	}
+	if err := u.writeRequest(attempt); err != nil {
+		if attempt.request.finished.Load() {
+			return notSent(false)
+		}
+		return u.failure(attempt, &wire.Halt{Far: wire.Writing, Err: err})
+	}
+	return u.readResponse(attempt, until)
+}
+
+func notSent(reusable bool) roundTripResult {
+	return roundTripResult{attemptResult: attemptResult{outcome: balancer.NeverSent}, reusable: reusable}
+}
+
+func connectFailure(attempt *attempt, err error) roundTripResult {
+	outcome := balancer.Unreachable
+	if attempt.cancelled.Load() {
+		outcome = balancer.Undone
+	}
+	return roundTripResult{attemptResult: attemptResult{outcome: outcome}, err: err}
+}
+
+// failure returns the result of an attempt that ended without a whole response: what it means depends on how far the
+// attempt had come.
+func (u *upstreamConn) failure(attempt *attempt, err error) roundTripResult {
+	var halt *wire.Halt
+	mayHaveRun := errors.As(err, &halt) && halt.Ran()
+	outcome := balancer.Cut
+	switch {
+	case attempt.cancelled.Load():
+		outcome = balancer.Undone
+	case !mayHaveRun:
+		outcome = balancer.Unreachable
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		outcome = balancer.Silent
+	case errors.Is(err, wire.ErrBytes):
+		outcome = balancer.Fault
+	}
+	return roundTripResult{attemptResult: attemptResult{outcome: outcome}, err: err}
+}
+
+// connect dials, and reports to the zone controller that a cache accepts connections.
+func (u *upstreamConn) connect(attempt *attempt, until time.Time) error {
+	if err := u.dial(attempt, until); err != nil {
+		return err
+	}
+	if router, h := u.host.router, u.host; router.zones != nil && !h.isOrigin {
+		router.mailbox.post(func() { router.zoneConnectFinished(h.index, true) })
+	}
+	return nil
+}
+
+// dial opens the connection, unless the attempt is cancelled or the time is up before.
+func (u *upstreamConn) dial(attempt *attempt, until time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	u.mu.Lock()
+	u.cancelDial = cancel
+	u.mu.Unlock()
+	if attempt.cancelled.Load() { // before there was a dial to cancel
+		cancel()
+	}
+	conn, err := u.host.router.dialer.DialContext(ctx, "tcp", u.addr)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.cancelDial = nil
+	if err != nil {
+		return &wire.Halt{Far: wire.Dialing, Err: err}
+	}
+	u.conn = conn
+	u.reader = bufio.NewReaderSize(conn, upstreamReadBuffer)
+	return nil
+}
+
+// isStale reports whether there is something to read, or the end of the stream, on a connection that carries no
+// request. Bytes behind a good response may arrive once the next attempt is assigned, whose deadline hides them from
+// awaitAttempt.
+func (u *upstreamConn) isStale() bool {
+	if u.reader.Buffered() > 0 || hasUnread(u.conn) {
+		u.reportBadBytes(fmt.Errorf("%w: unasked for", wire.ErrBytes))
+		return true
+	}
+	return closedByPeer(u.conn)
+}
+
+// discardConn closes the connection so that the next attempt dials anew.
+func (u *upstreamConn) discardConn() {
+	u.closeConn()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.conn = nil
+}
+
+// writeRequest writes a request, its header and value gathered into one write.
+func (u *upstreamConn) writeRequest(attempt *attempt) error {
+	u.encodeRequest(attempt)
+	u.mu.Lock()
+	u.writing = attempt
+	var err error
+	if attempt.request.finished.Load() {
+		err = u.conn.SetWriteDeadline(pastDeadline)
+	}
+	u.mu.Unlock()
+	if err == nil {
+		buffers := u.buffers // WriteTo consumes the slice that it is called on
+		_, err = buffers.WriteTo(u.conn)
+	}
+	u.mu.Lock()
+	u.writing = nil
+	u.mu.Unlock()
+	return err
+}
+
+// encodeRequest sets the buffers that are to be written for an attempt. Caches and the origin alike are told how long
+// this attempt waits, and not what the client has said at first.
+func (u *upstreamConn) encodeRequest(attempt *attempt) {
+	req, h := attempt.request, u.host
+	size := -1 // no value
+	if req.value != nil {
+		size = len(req.value)
+	}
+	remainingMS := milliseconds(attempt.sentAt + attempt.timeout - h.router.clock.Now())
+	facts := wire.AppendFacts(nil, req.facts, max(remainingMS, 1))
+	if h.isOrigin {
+		u.header = wire.AppendFetch(u.header[:0], u.addr, req.key, req.id, facts, size)
+	} else {
+		u.header = wire.AppendCommand(u.header[:0], req.name, req.key, req.id, facts, size)
+	}
+	u.buffers = append(u.buffers[:0], u.header)
+	if size > 0 {
+		u.buffers = append(u.buffers, req.value)
+	}
+	if size >= 0 && !h.isOrigin {
+		u.buffers = append(u.buffers, crlf)
+	}
+}
+
+// readResponse reads the response to an attempt that was written.
+func (u *upstreamConn) readResponse(attempt *attempt, until time.Time) roundTripResult {
+	read := wire.ReadAnswer
+	if u.host.isOrigin {
+		read = wire.ReadFetched
+	}
+	answer, err := read(u.reader)
+	if err != nil {
+		return u.failure(attempt, err)
+	}
+	if answer.Absent && u.host.router.negativeCache != nil && attempt.request.value == nil {
+		attempt.notFound = true
+		return roundTripResult{
+			attemptResult: attemptResult{outcome: balancer.Completed},
+			reusable:      answer.Again && u.reader.Buffered() == 0,
+		}
+	}
+	var value []byte
+	if answer.Ending == balancer.Completed {
+		if value, err = u.readValue(attempt, &answer, until); err != nil {
+			return u.failure(attempt, err)
+		}
+	}
+	if n := u.reader.Buffered(); answer.Again && n > 0 { // it would pass for the response to the next request
+		u.reportBadBytes(fmt.Errorf("%w: %d unasked for", wire.ErrBytes, n))
+		answer.Again = false
+	}
+	return roundTripResult{attemptResult: attemptResult{outcome: answer.Ending, value: value}, reusable: answer.Again}
+}
+
+// readValue reads the value of a completed attempt: whole if it is short and there is memory for it. Else the value is
+// streamed; the request is answered by that, and nil is returned.
+func (u *upstreamConn) readValue(attempt *attempt, answer *wire.Answer, until time.Time) ([]byte, error) {
+	memory := u.host.router.valueMemory
+	_, alreadyRead := answer.Whole()
+	switch {
+	case alreadyRead:
+		memory.acquire(answer.Long)
+	case answer.Long <= wire.MaxValue && memory.tryAcquire(answer.Long):
+	default:
+		if err := u.streamValue(attempt, answer, until); err != nil {
+			return nil, err
+		}
+		return nil, answer.Tail(u.reader)
+	}
+	value, err := answer.Value(u.reader)
+	if err == nil {
+		err = answer.Tail(u.reader)
+	}
+	if err != nil {
+		memory.release(answer.Long)
+		return nil, err
+	}
+	return value, nil
+}
