--- /dev/null
+++ b/internal/proxy/client_conn.go
@@ -0,0 +1,242 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
+)
+
+const (
+	maxPending              = 64                      // commands of one connection that may be without a reply
+	firstCommandTimeout     = 2500 * time.Millisecond // from accepting a client to the end of its first command
+	commandTimeout          = 2500 * time.Millisecond // from a command's first byte to its last
+	clientIdleTimeout       = 20 * time.Second        // without any command
+	clientWriteTimeout      = stallTimeout            // for a client to accept one part of a reply
+	lingerTimeout           = 200 * time.Millisecond  // for bytes that a client still sends after the last reply
+	lingerMaxBytes          = 256 << 10
+	hangupPollInterval      = 40 * time.Millisecond // between checks for a hang-up while nothing is read
+	minUploadBytesPerSecond = 128 << 10             // slower uploads of long values are not waited for
+)
+
+// clientConn is one client's connection and its goroutine, which alone reads and writes there. Another goroutine that
+// has a reply for it marks the request ready and interrupts the reading by a deadline in the past.
+type clientConn struct {
+	listener        *Door
+	conn            net.Conn
+	reader          *bufio.Reader
+	acceptedAt      time.Time
+	receivedCommand bool      // at least one whole command has been read
+	discardBytes    int       // bytes still to come of a value that was not admitted
+	partialSince    time.Time // when the first byte of a command that is read in part came; zero: none is
+	upload          *request  // a write whose value is being read, or nil
+	uploadRead      int       // bytes of that value and its line end so far
+	uploadDeadline  time.Time // until which each further byte extends the command's time
+
+	mu              sync.Mutex
+	pending         []*request // in the order of their commands
+	requestedPhase  closePhase
+	seenPhase       closePhase // the phase that the connection's goroutine has acted on
+	hadCommand      bool       // at least one command was queued for a reply
+	hadRequest      bool       // and at least one of them was proxied
+	answeredRequest bool       // a proxied request was answered since the phase was last looked at
+	closed          bool       // no reply can be written any more
+	midCommand      bool       // a command has been read in part
+	lastActive      time.Time
+	replyReady      chan struct{} // of capacity 1: the first pending request may have become ready
+}
+
+var (
+	errClosing        = errors.New("connection closing between commands")
+	errNoFirstCommand = errors.New("no first command in time")
+	errClientGone     = errors.New("client has closed the connection")
+	// errPartialCommand is told to the client: its text is part of the protocol.
+	errPartialCommand = errors.New("a command that did not come whole in time")
+)
+
+// run serves the connection until it ends, and then gives up what it still owes.
+func (c *clientConn) run() {
+	runRecovered(c.listener.log, c.listener.counters, func() { c.finishServing(c.serve()) })
+	c.release()
+}
+
+// serve reads commands and writes replies until the connection has to end, and returns why.
+func (c *clientConn) serve() error {
+	for {
+		if err := c.flush(); err != nil {
+			return err
+		}
+		if err := c.readCommands(); err != nil {
+			return err
+		}
+		if err := c.awaitInput(); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitInput waits until there are more bytes to parse or more replies to write.
+func (c *clientConn) awaitInput() error {
+	switch {
+	case c.seenPhase == phaseStopReading && !c.hasPending():
+		return errClosing
+	case c.seenPhase == phaseStopReading, c.pendingFull(): // to read on would overflow the buffer
+		return c.awaitReply()
+	}
+	err := c.fillBuffer()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return c.deadlineError()
+	}
+	return err
+}
+
+// finishServing ends the exchange of bytes with the client as the reason calls for.
+func (c *clientConn) finishServing(reason error) {
+	switch {
+	case errors.Is(reason, wire.ErrBytes), errors.Is(reason, errPartialCommand):
+		c.listener.counters.BadClient.Add(1)
+		c.listener.log.Warn("client connection closed on bad input",
+			zap.Error(reason), zap.Stringer("from", c.conn.RemoteAddr()))
+		c.closeWithError(reason)
+	case errors.Is(reason, errClosing) && c.hadCommand, errors.Is(reason, errNoFirstCommand):
+		c.linger() // a request that arrives just now goes unread, and the client retries it elsewhere
+	}
+}
+
+// release closes the connection and gives up all requests that are still pending.
+func (c *clientConn) release() {
+	_ = c.conn.Close() // nothing more is written or read; the client sees a failure as a reset
+	c.mu.Lock()
+	pending := c.pending
+	c.pending, c.closed = nil, true
+	c.mu.Unlock()
+	router := c.listener.router
+	for _, req := range pending {
+		req.finished.Store(true)
+		req.release(c.listener)
+		router.mailbox.post(func() { router.clientGone(req) })
+	}
+	if c.upload != nil {
+		c.upload.release(c.listener)
+	}
+	c.listener.remove(c)
+}
+
+// closeWithError tells the client why its connection ends, after the replies that are still pending.
+func (c *clientConn) closeWithError(reason error) {
+	if c.upload != nil {
+		c.upload.release(c.listener)
+		c.upload = nil
+	}
+	req := &request{conn: c}
+	c.enqueue(req)
+	req.setReply([]byte("-ERR "+reason.Error()+"\r\n"), nil)
+	for c.hasPending() {
+		if err := c.flush(); err != nil && !errors.Is(err, errClosing) {
+			return
+		}
+		if c.hasPending() && c.awaitReply() != nil {
+			return
+		}
+	}
+	c.linger()
+}
+
+// linger closes the sending side and discards what still arrives for a moment: closing a connection with unread bytes
+// resets it, and the client may lose the last reply with that.
+func (c *clientConn) linger() {
+	c.mu.Lock()
+	c.requestedPhase = phaseStopReading // so that no goroutine interrupts it any more
+	c.mu.Unlock()
+	half, ok := c.conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	if c.conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return // without a deadline the client could hold the connection for ever
+	}
+	_, _ = io.CopyN(io.Discard, c.conn, lingerMaxBytes) // ends by the deadline or the client's close, both as intended
+}
+
+// readLimit is until when more bytes are waited for (zero: without limit), and the error if none have come by then.
+type readLimit struct {
+	at  time.Time
+	err error
+}
+
+// readLimit returns how long the next bytes may take. A client may be silent without limit while replies are pending.
+func (c *clientConn) readLimit(hasPending bool) readLimit {
+	switch {
+	case !c.partialSince.IsZero():
+		return readLimit{c.partialSince.Add(commandTimeout), errPartialCommand}
+	case hasPending:
+		return readLimit{}
+	case !c.receivedCommand:
+		return readLimit{c.acceptedAt.Add(firstCommandTimeout), errNoFirstCommand}
+	}
+	return readLimit{c.lastActive.Add(clientIdleTimeout), errClosing}
+}
+
+// deadlineError returns why the connection has to end if its time is up, and nil if the reading was interrupted for
+// another reason.
+func (c *clientConn) deadlineError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if limit := c.readLimit(len(c.pending) > 0); limit.err != nil && !time.Now().Before(limit.at) {
+		return limit.err
+	}
+	return nil
+}
+
+// awaitReply waits until the next reply may be ready. Nothing is read meanwhile, so a hang-up is looked for: requests
+// of a client that has gone must not be sent to an upstream.
+func (c *clientConn) awaitReply() error { return c.awaitEvent(c.replyReady) }
+
+// awaitEvent waits for an event, and returns errClientGone if the client hangs up first.
+func (c *clientConn) awaitEvent(events <-chan struct{}) error {
+	select {
+	case <-events:
+		return nil
+	default:
+	}
+	hangupPoll := time.NewTicker(hangupPollInterval)
+	defer hangupPoll.Stop()
+	for {
+		select {
+		case <-events:
+			return nil
+		case <-hangupPoll.C:
+			if hungUpByPeer(c.conn) {
+				return errClientGone
+			}
+		}
+	}
+}
+
+func (c *clientConn) hasPending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) > 0
+}
+
+// pendingFull reports whether as many commands as a connection may have are without a reply.
+func (c *clientConn) pendingFull() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) >= maxPending
+}
+
+func (c *clientConn) enqueue(req *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = append(c.pending, req)
+	c.hadCommand = true
+	c.hadRequest = c.hadRequest || req.proxied
+}
--- a/internal/proxy/duties.go
+++ b/internal/proxy/duties.go
@@ -10,186 +10,171 @@
 	"go.uber.org/zap"
 )
 
-const dutyTick = 100 * time.Millisecond
+const (
+	dutyTick          = 100 * time.Millisecond
+	dutiesMailboxSize = 1024
+)
+
+// dutyBroadcast tells other proxies what this one does under a duty, which counts for a lifetime. It must not wait.
+type dutyBroadcast = func(kind duties.Kind, key string, report duties.Said, lifetime duties.Time)
 
-// Duties is the actor of what proxies do by turns. It is none of the module's loop: that one offers it what it found and waits for
-// nothing, and it posts to the module, to the list and to peers what follows.
+// Duties is the goroutine of the duties that proxies share out among them: health checks, watches, idle connections.
+// The router offers it what it finds and waits for nothing; Duties posts to the router, to the endpoint list and to
+// hosts what follows. Exported methods may be called from any goroutine.
 type Duties struct {
-	box    mailbox
-	in     *duties.Instance
-	clock  Clock
-	router *Router
-	list   *List
-	tell   func(k duties.Kind, key string, s duties.Said, life duties.Time) // peers; it may not wait
-	shown  atomic.Pointer[duties.Figures]
-	count  *Counters
-	log    *zap.Logger
-	stale  bool // the list's latest change found no room; only the module's actor looks
+	mailbox     mailbox
+	assignments *duties.Instance
+	clock       Clock
+	router      *Router
+	list        *List
+	broadcast   dutyBroadcast
+	figures     atomic.Pointer[duties.Figures]
+	counters    *Counters
+	log         *zap.Logger
+	nodesStale  bool // the latest list of caches found the mailbox full; only the router's goroutine looks
 }
 
-// NewDuties returns the actor, by which the module's and the list's take turns with other proxies'. It is called before they run.
-func NewDuties(t duties.Terms, router *Router, list *List, tell func(k duties.Kind, key string, s duties.Said, life duties.Time), log *zap.Logger) *Duties {
+// NewDuties returns the duties of a router and an endpoint list. It is to be called before they run.
+func NewDuties(terms duties.Terms, router *Router, list *List, broadcast dutyBroadcast, log *zap.Logger) *Duties {
 	d := &Duties{
-		box: make(mailbox, 1024), in: duties.New(duties.Time(router.clock.Now()), t), clock: router.clock, router: router, list: list, tell: tell,
-		count: router.count, log: log,
+		mailbox: make(mailbox, dutiesMailboxSize), assignments: duties.New(duties.Time(router.clock.Now()), terms),
+		clock: router.clock, router: router, list: list, broadcast: broadcast, counters: router.counters, log: log,
 	}
-	d.shown.Store(&duties.Figures{})
+	d.figures.Store(&duties.Figures{})
 	router.duties, list.duties = d, d
 	return d
 }
 
-// Run carries out calls for as long as the program lives.
-func (d *Duties) Run() {
-	ticks := time.NewTicker(dutyTick)
-	for {
-		select {
-		case call := <-d.box:
-			guarded(d.log, d.count, call)
-		case <-ticks.C:
-			d.router.box.offer(d.router.dutyLook)
-			guarded(d.log, d.count, func() { d.act(d.in.Tick(d.now())) })
-			f := d.in.Shown()
-			d.shown.Store(&f)
-		}
-	}
+// Run carries out calls for as long as the process lives.
+func (d *Duties) Run() { d.mailbox.run(d.log, d.counters, dutyTick, d.tick) }
+
+func (d *Duties) tick() {
+	d.router.mailbox.tryPost(d.router.reportEjections)
+	runRecovered(d.log, d.counters, func() { d.execute(d.assignments.Tick(d.now())) })
+	figures := d.assignments.Shown()
+	d.figures.Store(&figures)
 }
 
 func (d *Duties) now() duties.Time { return duties.Time(d.clock.Now()) }
 
-// Shown is how it stood a moment ago.
-func (d *Duties) Shown() duties.Figures { return *d.shown.Load() }
+// Shown returns the duties' figures as of their last tick.
+func (d *Duties) Shown() duties.Figures { return *d.figures.Load() }
 
-// Fleet takes who the proxies are.
-func (d *Duties) Fleet(all []duties.Proxy, behind bool) {
-	d.box.offer(func() { d.act(d.in.Fleet(d.now(), all, behind)) })
+// Fleet takes who the proxies are. catchingUp means that not all are known yet.
+func (d *Duties) Fleet(all []duties.Proxy, catchingUp bool) {
+	d.mailbox.tryPost(func() { d.execute(d.assignments.Fleet(d.now(), all, catchingUp)) })
 }
 
-// Heard takes what another proxy says.
-func (d *Duties) Heard(from string, k duties.Kind, key string, s duties.Said, age duties.Time) {
-	d.box.offer(func() { d.act(d.in.Heard(d.now(), from, k, key, s, age)) })
+// Heard takes what another proxy has told under a duty, sent age ago.
+func (d *Duties) Heard(from string, kind duties.Kind, key string, report duties.Said, age duties.Time) {
+	d.mailbox.tryPost(func() { d.execute(d.assignments.Heard(d.now(), from, kind, key, report, age)) })
 }
 
-func (d *Duties) act(ds []duties.Decision) {
-	for i := range ds {
-		switch x := ds[i]; x.Act {
+// execute carries out decisions on duties.
+func (d *Duties) execute(decisions []duties.Decision) {
+	for _, decision := range decisions {
+		switch decision.Act {
 		case duties.Rest:
-			d.router.box.post(func() { d.router.rest(x.Node, balancer.Time(x.Until)) })
+			d.router.mailbox.post(func() { d.router.delayProbe(decision.Node, balancer.Time(decision.Until)) })
 		case duties.Doubt:
-			d.router.Heard(x.Node, !x.On)
+			d.router.Heard(decision.Node, !decision.On)
 		case duties.Keep:
-			d.router.box.post(func() { d.router.keep(x.Node, x.On) })
+			d.router.mailbox.post(func() { d.router.setIdleConnOwner(decision.Node, decision.On) })
 		case duties.Watch:
-			d.list.box.post(func() { d.list.duty(x.On) })
+			d.list.mailbox.post(func() { d.list.setWatching(decision.On) })
 		case duties.Say:
-			d.tell(x.Kind, x.Key, x.Said, x.Life)
+			d.broadcast(decision.Kind, decision.Key, decision.Said, decision.Life)
 		case duties.Log:
-			d.log.Info("turns: " + x.Text)
+			d.log.Info("duties: " + decision.Text)
 		}
 	}
 }
 
-// What follows runs on the module's actor.
+// The router's goroutine runs all that follows.
 
-// dutyNodes tells which caches are listed.
-func (m *Router) dutyNodes() {
-	if m.duties == nil {
+// updateDutyNodes tells the duties which caches are listed.
+func (r *Router) updateDutyNodes() {
+	d := r.duties
+	if d == nil {
 		return
 	}
 	var names []string
-	for _, p := range m.peers {
-		if p != nil && !p.origin && p.listed.Ready && p.since == 0 {
-			names = append(names, p.name)
+	for _, h := range r.hosts {
+		if h != nil && h.isServing() {
+			names = append(names, h.name)
 		}
 	}
-	d := m.duties
-	d.stale = !d.box.offer(func() { d.act(d.in.Nodes(d.now(), names)) }) // then at the next look
+	// If the mailbox is full, reportEjections tries again.
+	d.nodesStale = !d.mailbox.tryPost(func() { d.execute(d.assignments.Nodes(d.now(), names)) })
 }
 
-// dutyLook tells which nodes are passed over by now.
-func (m *Router) dutyLook() {
-	d := m.duties
-	if d.stale {
-		m.dutyNodes()
+// reportEjections tells the duties which hosts have been ejected or brought back since it was called last.
+func (r *Router) reportEjections() {
+	d := r.duties
+	if d.nodesStale {
+		r.updateDutyNodes()
 	}
-	for n, p := range m.peers {
-		if p == nil || p.origin || p.since != 0 || p.passed == m.brain.Passed(n) {
+	for index, h := range r.hosts {
+		if h == nil || h.isOrigin || h.departedAt != 0 || h.ejected == r.balancer.Passed(index) {
 			continue
 		}
-		name, passed := p.name, !p.passed
-		if d.box.offer(func() { d.act(d.in.Passed(d.now(), name, passed)) }) {
-			p.passed = passed
+		name, ejected := h.name, !h.ejected
+		if d.mailbox.tryPost(func() { d.execute(d.assignments.Passed(d.now(), name, ejected)) }) {
+			h.ejected = ejected
 		}
 	}
 }
 
-// dutySent notes that a try goes to a node, which is a trial if that is passed over.
-func (m *Router) dutySent(n int) {
-	if d := m.duties; d != nil && !m.peers[n].origin && m.brain.Passed(n) {
-		name := m.peers[n].name
-		d.box.offer(func() {
-			d.act(d.in.Passed(d.now(), name, true))
-			d.act(d.in.Tried(d.now(), name))
-		})
+// dutyAttemptSent takes note of an attempt at a host, which is a health check if that is ejected.
+func (r *Router) dutyAttemptSent(index int) {
+	d, h := r.duties, r.hosts[index]
+	if d == nil || h.isOrigin || !r.balancer.Passed(index) {
+		return
 	}
+	name := h.name
+	d.mailbox.tryPost(func() {
+		d.execute(d.assignments.Passed(d.now(), name, true))
+		d.execute(d.assignments.Tried(d.now(), name))
+	})
 }
 
-// dutyEnded notes that a try at a node that was passed over has come to nothing, or that the node answers.
-func (m *Router) dutyEnded(n int, passed bool) {
-	if d := m.duties; d != nil && passed {
-		name, still := m.peers[n].name, m.brain.Passed(n)
-		told := d.box.offer(func() {
-			if still {
-				d.act(d.in.Failed(d.now(), name))
-			} else {
-				d.act(d.in.Passed(d.now(), name, false))
-			}
-		})
-		if told && !still {
-			m.peers[n].passed = false
-		}
+// dutyAttemptFinished takes note of the end of an attempt at a host that was ejected until then: the health check has
+// failed, or the host has been brought back.
+func (r *Router) dutyAttemptFinished(index int, wasEjected bool) {
+	d, h := r.duties, r.hosts[index]
+	if d == nil || !wasEjected {
+		return
 	}
-}
-
-// rest has a node's next trial be at a time.
-func (m *Router) rest(node string, until balancer.Time) {
-	if n, ok := m.byName[node]; ok {
-		now := m.clock.Now()
-		m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Rest(now, n, until) }))
+	name, stillEjected := h.name, r.balancer.Passed(index)
+	posted := d.mailbox.tryPost(func() {
+		if stillEjected {
+			d.execute(d.assignments.Failed(d.now(), name))
+		} else {
+			d.execute(d.assignments.Passed(d.now(), name, false))
+		}
+	})
+	if posted && !stillEjected {
+		h.ejected = false
 	}
 }
 
-// keep has idle connections to a node be kept for as long as they may, or closed soon.
-func (m *Router) keep(node string, on bool) {
-	if n, ok := m.byName[node]; ok {
-		m.peers[n].drops.Store(!on)
-		if !on {
-			m.peers[n].box.offer(m.peers[n].closeIdle)
-		}
+// delayProbe has a host's next health check wait until a time.
+func (r *Router) delayProbe(node string, until balancer.Time) {
+	if index, ok := r.hostIndex[node]; ok {
+		now := r.clock.Now()
+		r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Rest(now, index, until) })
 	}
 }
 
-// duty has discovery be watched, or left to others: what it had told of by then is as old as what they tell.
-func (l *List) duty(on bool) {
-	if l.off = !on; on {
-		l.follow()
+// setIdleConnOwner has idle connections to a host be kept for as long as they may, or be closed soon.
+func (r *Router) setIdleConnOwner(node string, isOwner bool) {
+	index, ok := r.hostIndex[node]
+	if !ok {
 		return
 	}
-	for _, w := range []*watch{l.now, l.before} {
-		if w != nil {
-			w.end()
-		}
-	}
-	l.now, l.before = nil, nil
-	l.watching(false)
-	if l.shared != nil {
-		clear(l.shared.own)
-		l.shared.all = false
-	}
-}
-
-// watching tells whether the watch lives.
-func (l *List) watching(live bool) {
-	if d := l.duties; d != nil {
-		d.box.offer(func() { d.act(d.in.Watching(d.now(), live)) })
+	h := r.hosts[index]
+	h.closeIdleSoon.Store(!isOwner)
+	if !isOwner {
+		h.mailbox.tryPost(h.closeIdleConns)
 	}
 }
--- /dev/null
+++ b/internal/proxy/endpoint_list.go
@@ -0,0 +1,265 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"woodproxy/internal/wire"
+
+	"github.com/valyala/fastjson"
+	"go.uber.org/zap"
+)
+
+const (
+	endpointMailboxSize = 64
+	maxBackoffDoublings = 8 // by which the backoff is beyond its bound
+	// endpointRandomStream separates the list's random numbers from others of the same seed.
+	endpointRandomStream = 1
+)
+
+// List is the goroutine of the endpoint list: it has discovery watched and tells the router what changes.
+type List struct {
+	mailbox       mailbox
+	addr          string // of discovery
+	router        *Router
+	counters      *Counters
+	log           *zap.Logger
+	random        *rand.Rand
+	peerEndpoints *peerEndpoints // what other proxies tell; nil: there are none
+	duties        *Duties        // nil: every proxy watches for itself
+	delegated     bool           // other proxies have the duty to watch
+
+	index         int64          // of what the router has been told
+	current       *endpointWatch // nil: none is open
+	previous      *endpointWatch // of the address before, until the current one has received something
+	failures      int            // watches in a row that received nothing
+	lastError     string         // of the last watch, so that a series of equal errors is one line in the log
+	receivedFirst bool
+	firstMessage  chan struct{} // closed when discovery has said something
+	latestIndex   atomic.Int64  // the latest that discovery or another proxy has told of; written by this goroutine
+}
+
+// endpointEvent is a message of discovery: the list at an index, or what has changed since the index before.
+type endpointEvent struct {
+	index   int64
+	whole   bool
+	targets []wire.Target
+}
+
+// NewList returns the endpoint list that is watched at an address, and hands the router the list that this proxy had
+// before its start, which may be nil. It returns an error if that can't be parsed.
+func NewList(
+	addr string, known *fastjson.Value, router *Router, seed uint64, counters *Counters, log *zap.Logger,
+) (*List, error) {
+	l := &List{
+		mailbox: make(mailbox, endpointMailboxSize), addr: addr, router: router, firstMessage: make(chan struct{}),
+		random: rand.New(rand.NewPCG(seed, endpointRandomStream)), counters: counters, log: log,
+	}
+	var targets []wire.Target
+	if known != nil && known.Type() != fastjson.TypeNull {
+		var err error
+		if l.index, _, targets, err = wire.ParseTargets(known); err != nil {
+			return nil, err
+		}
+	}
+	router.mailbox.post(func() {
+		router.endpoints = l
+		router.updateEndpoints(endpointUpdate{whole: true, initial: true, targets: targets})
+	})
+	return l, nil
+}
+
+// First returns a channel that is closed when discovery has said something.
+func (l *List) First() <-chan struct{} { return l.firstMessage }
+
+// Version returns the latest index that discovery or another proxy has told of since the start; 0: neither has.
+func (l *List) Version() int64 { return l.latestIndex.Load() }
+
+// Run carries out calls for as long as the process lives.
+func (l *List) Run() {
+	if !l.polls() {
+		l.startWatch()
+	}
+	for call := range l.mailbox {
+		runRecovered(l.log, l.counters, call)
+	}
+}
+
+// polls reports whether the balancer says when discovery is asked, rather than discovery being watched all the time.
+func (l *List) polls() bool { return l.router.settings.Terms.Ask }
+
+// Move has discovery watched at another address. The watch of the old one counts until the new one has said something,
+// so that a discovery that is slow to come up, or a mistaken address, loses no event that is still sent.
+func (l *List) Move(addr string) { l.mailbox.post(func() { l.moveTo(addr) }) }
+
+func (l *List) moveTo(addr string) {
+	if addr == l.addr {
+		return
+	}
+	l.log.Info("discovery address changed",
+		zap.String("from", l.addr), zap.String("to", addr), zap.Int64("index", l.index))
+	l.addr, l.lastError = addr, ""
+	l.index = 0 // the two may not count their versions alike
+	if l.previous == nil {
+		l.previous = l.current
+	} else if l.current != nil { // which has received nothing
+		l.current.cancel()
+	}
+	l.current = nil
+	l.startWatch()
+}
+
+// startWatch opens a watch, unless one is open or other proxies have the duty to watch.
+func (l *List) startWatch() {
+	if l.current != nil || l.delegated {
+		return
+	}
+	watch := &endpointWatch{list: l, addr: l.addr, fromIndex: l.index, firstByteTimeout: l.randomFirstByteTimeout()}
+	watch.ctx, watch.cancel = context.WithCancel(context.Background())
+	l.current = watch
+	go func() {
+		defer watch.cancel()
+		var err error
+		runRecovered(l.log, l.counters, func() { err = watch.run() })
+		l.mailbox.post(func() { l.watchEnded(watch, err) })
+	}()
+}
+
+// randomFirstByteTimeout spreads the timeouts of proxies, whose watches may all have fallen silent at once.
+func (l *List) randomFirstByteTimeout() time.Duration {
+	timeout := pushFirstByteTimeout*3/4 + time.Duration(l.random.Int64N(int64(pushFirstByteTimeout)/2))
+	if l.polls() {
+		timeout = pollFirstByteTimeout + time.Duration(l.random.Int64N(int64(pollFirstByteTimeout)/4))
+	}
+	return timeout
+}
+
+// watchEnded takes note that a watch is over. Where discovery is watched all the time another is opened soon; where it
+// is polled, the balancer says when.
+func (l *List) watchEnded(watch *endpointWatch, err error) {
+	if watch == l.previous {
+		l.previous = nil
+	}
+	if watch != l.current {
+		return
+	}
+	l.current = nil
+	l.reportWatching(false)
+	if errors.Is(err, wire.ErrBytes) {
+		l.index = 0 // to get the whole list, since what the watch has told is in doubt
+		l.counters.BadPeer.Add(1)
+	}
+	if text := errorText(err); text != l.lastError {
+		l.log.Warn("endpoint watch ended", zap.Error(err), zap.Int64("index", l.index))
+		l.lastError = text
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errDiscoveryDial) {
+		l.startWatch() // one more call does not overload a silent discovery, as it would one that rejects calls
+		return
+	}
+	if l.polls() {
+		l.router.mailbox.post(l.router.pollFailed)
+		return
+	}
+	time.AfterFunc(l.nextBackoff(), func() { l.mailbox.post(l.startWatch) })
+}
+
+// nextBackoff returns the time until a watch is opened again. It is random, and longer after each failure, so that
+// proxies whose watches all end at once, or that all start at once, do not overload a discovery that rejects them.
+func (l *List) nextBackoff() time.Duration {
+	mean := min(minWatchBackoff<<min(l.failures, maxBackoffDoublings), maxWatchBackoff)
+	l.failures++
+	return mean/2 + time.Duration(l.random.Int64N(int64(mean)))
+}
+
+// errorText words an error without addresses and ports, which differ each time.
+func errorText(err error) string {
+	var op *net.OpError
+	if errors.As(err, &op) {
+		return op.Op + ": " + op.Err.Error()
+	}
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// handleEvent tells the router, and the other proxies, what a watch has received.
+func (l *List) handleEvent(watch *endpointWatch, event endpointEvent) {
+	switch watch {
+	case l.current:
+		l.index = event.index
+	case l.previous:
+	default:
+		return // it was cancelled
+	}
+	l.counters.Lists.Add(1)
+	l.recordIndex(event.index)
+	targets := event.targets
+	if l.peerEndpoints != nil {
+		if watch == l.current {
+			l.peerEndpoints.notify(event.index, event.whole, targets)
+		}
+		targets = l.peerEndpoints.merge(event.index, event.whole, targets)
+	}
+	l.router.mailbox.post(func() {
+		l.router.updateEndpoints(endpointUpdate{whole: event.whole, targets: targets})
+	})
+}
+
+// recordIndex notes an index that discovery or another proxy has told of.
+func (l *List) recordIndex(index int64) {
+	if index > l.latestIndex.Load() {
+		l.latestIndex.Store(index)
+	}
+}
+
+// handleActivity takes note that a watch has received something, be it an empty line.
+func (l *List) handleActivity(watch *endpointWatch) {
+	if watch != l.current {
+		return
+	}
+	l.lastError, l.failures = "", 0
+	l.reportWatching(true)
+	if l.previous != nil {
+		l.previous.cancel()
+		l.previous = nil
+	}
+	if !l.receivedFirst {
+		l.receivedFirst = true
+		close(l.firstMessage)
+	}
+}
+
+// setWatching begins or ends this proxy's duty to watch discovery. What it was told until the end is then as old as
+// what other proxies tell.
+func (l *List) setWatching(on bool) {
+	l.delegated = !on
+	if on {
+		l.startWatch()
+		return
+	}
+	for _, watch := range []*endpointWatch{l.current, l.previous} {
+		if watch != nil {
+			watch.cancel()
+		}
+	}
+	l.current, l.previous = nil, nil
+	l.reportWatching(false)
+	if l.peerEndpoints != nil {
+		clear(l.peerEndpoints.local)
+		l.peerEndpoints.complete = false
+	}
+}
+
+// reportWatching tells the duties whether the watch is alive.
+func (l *List) reportWatching(alive bool) {
+	if d := l.duties; d != nil {
+		d.mailbox.tryPost(func() { d.execute(d.assignments.Watching(d.now(), alive)) })
+	}
+}
--- /dev/null
+++ b/internal/proxy/negative_cache.go
@@ -0,0 +1,143 @@
+package proxy
+
+import (
+	"sync/atomic"
+	"time"
+
+	"woodproxy/internal/settings"
+	"woodproxy/negativecache"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+)
+
+const (
+	negativeCacheTick        = 25 * time.Millisecond
+	negativeCacheMailboxSize = 1024
+	// maxWriteHashes bounds the hashes that are taken from one message on writes.
+	maxWriteHashes = 1024
+)
+
+// Absent is the goroutine of the negative cache: of keys that are known to be absent at the origin. Clients' goroutines
+// look keys up in its table and note writes there by themselves, under the table's locks; what is told to other
+// proxies, and what of theirs is believed, is decided on this goroutine. Exported methods may be called from any.
+type Absent struct {
+	mailbox      mailbox
+	cache        *negativecache.Instance
+	table        *negativecache.Table
+	clock        Clock
+	settings     *settings.Book
+	counters     *Counters
+	log          *zap.Logger
+	broadcast    func(d *negativecache.Decision) // tells other proxies; it must not wait. nil: there are none
+	writeDropped atomic.Bool                     // a write found the mailbox full
+	sentWrites   atomic.Int64                    // messages on writes
+	figures      atomic.Pointer[negativecache.Figures]
+}
+
+// NewAbsent returns the negative cache of a router, which answers by it. It is to be called before the router runs.
+func NewAbsent(
+	terms negativecache.Terms, router *Router, broadcast func(d *negativecache.Decision), log *zap.Logger,
+) *Absent {
+	cache := negativecache.New(negativecache.Time(router.clock.Now()), terms)
+	n := &Absent{
+		mailbox: make(mailbox, negativeCacheMailboxSize), cache: cache, table: cache.Table,
+		clock: router.clock, settings: router.settings, counters: router.counters, log: log, broadcast: broadcast,
+	}
+	n.figures.Store(&negativecache.Figures{})
+	router.negativeCache = n
+	return n
+}
+
+// Run carries out calls for as long as the process lives.
+func (n *Absent) Run() {
+	n.mailbox.run(n.log, n.counters, negativeCacheTick, func() { runRecovered(n.log, n.counters, n.tick) })
+}
+
+func (n *Absent) tick() {
+	if n.writeDropped.Swap(false) {
+		n.cache.Lost()
+	}
+	n.execute(n.cache.Tick(n.now()))
+	figures := n.cache.Shown()
+	n.figures.Store(&figures)
+}
+
+func (n *Absent) now() negativecache.Time { return negativecache.Time(n.clock.Now()) }
+
+// execute carries out the cache's decisions.
+func (n *Absent) execute(decisions []negativecache.Decision) {
+	for i := range decisions {
+		if d := &decisions[i]; d.Act == negativecache.Log {
+			n.log.Info("negative cache: " + d.Text)
+		} else if n.broadcast != nil {
+			n.broadcast(d)
+		}
+	}
+	n.sentWrites.Store(n.cache.Sent())
+}
+
+// Sent returns how many messages on writes have been sent to other proxies.
+func (n *Absent) Sent() int64 { return n.sentWrites.Load() }
+
+// Shown returns the cache's figures as of its last tick.
+func (n *Absent) Shown() negativecache.Figures { return *n.figures.Load() }
+
+// Fleet takes the proxies that may write, of so many that operators state. catchingUp means that not all are known yet.
+func (n *Absent) Fleet(all []negativecache.Proxy, stated int, catchingUp bool) {
+	n.mailbox.tryPost(func() { n.execute(n.cache.Fleet(n.now(), all, stated, catchingUp)) })
+}
+
+// HeardWrote takes a message of another proxy on keys that were written. The table has them at once; if the mailbox is
+// full the message is lost, which the cache finds out by its number.
+func (n *Absent) HeardWrote(from string, epoch int64, w negativecache.Word) {
+	now := n.now()
+	for _, hash := range w.Hashes[:min(len(w.Hashes), maxWriteHashes)] {
+		n.table.Wrote(hash, now)
+	}
+	n.mailbox.tryPost(func() { n.execute(n.cache.HeardWrote(n.now(), from, epoch, w)) })
+}
+
+// HeardAbsent takes a message of another proxy on keys that the origin lacks, sent age ago.
+func (n *Absent) HeardAbsent(from string, w negativecache.Word, age negativecache.Time) {
+	n.mailbox.tryPost(func() { n.execute(n.cache.HeardAbsent(n.now(), from, w, age)) })
+}
+
+// Forget empties the cache. It returns false if the mailbox is full.
+func (n *Absent) Forget() bool {
+	return n.mailbox.tryPost(func() { n.execute(n.cache.Forget(n.now())) })
+}
+
+// lookUp reports whether the key of a read is known to be absent. A write's key no longer is. It may be called on a nil
+// cache, and from any goroutine.
+func (n *Absent) lookUp(req *request) bool {
+	if n == nil {
+		return false
+	}
+	hash := xxhash.Sum64(req.key)
+	if req.value == nil {
+		return n.table.Has(hash, n.now())
+	}
+	n.table.Wrote(hash, n.now())
+	if !n.mailbox.tryPost(func() { n.execute(n.cache.Wrote(n.now(), hash)) }) {
+		n.writeDropped.Store(true)
+	}
+	return false
+}
+
+// beginFetch notes that a read is about to be sent to the origin. It may be called on a nil cache.
+func (n *Absent) beginFetch(attempt *attempt) {
+	if n != nil && attempt.request.value == nil {
+		attempt.cacheTicket = n.table.Begin(xxhash.Sum64(attempt.request.key))
+	}
+}
+
+// recordMiss takes the origin's answer that it has no such key.
+func (n *Absent) recordMiss(attempt *attempt) {
+	hash, ticket := xxhash.Sum64(attempt.request.key), attempt.cacheTicket
+	tenant, ok := n.settings.Tenants[attempt.request.tenant]
+	if !ok {
+		tenant = -1
+	}
+	n.mailbox.tryPost(func() { n.execute(n.cache.Learned(n.now(), hash, ticket, tenant)) })
+}
--- /dev/null
+++ b/internal/proxy/socket_peek.go
@@ -0,0 +1,57 @@
+package proxy
+
+import (
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// control runs a function on a connection's file descriptor. It does nothing for connections that have none, and for
+// those that are closed.
+func control(conn net.Conn, call func(fd int)) {
+	withDescriptor, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := withDescriptor.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { call(int(fd)) }) // fails only on a closed connection, where call is not run
+}
+
+// peek looks at what has arrived on a connection without taking it, and without waiting whatever its deadline. It
+// returns syscall.EAGAIN if nothing has arrived.
+func peek(conn net.Conn) (n int, err error) {
+	err = syscall.EAGAIN
+	control(conn, func(fd int) {
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n, err
+}
+
+// hasUnread reports whether bytes have arrived that were not read.
+func hasUnread(conn net.Conn) bool {
+	n, _ := peek(conn) // an error means that nothing has arrived
+	return n > 0
+}
+
+// closedByPeer reports whether the other side has closed the connection, with nothing left to read.
+func closedByPeer(conn net.Conn) bool {
+	n, err := peek(conn)
+	return n <= 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+}
+
+// hungUpByPeer reports whether the other side has closed the connection, be there bytes left to read or not.
+func hungUpByPeer(conn net.Conn) bool {
+	hungUp := false
+	control(conn, func(fd int) {
+		descriptors := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(descriptors, 0)
+		hungUp = err == nil && n > 0
+	})
+	return hungUp || closedByPeer(conn)
+}
--- /dev/null
+++ b/internal/proxy/upstream_host.go
@@ -0,0 +1,232 @@
+package proxy
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"woodproxy/balancer"
+	"woodproxy/internal/wire"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// hostMailboxSize allows for an attempt, its cancellation and its end for each request that may be held.
+	hostMailboxSize = 3 * maxRequestsInFlight
+	// socketRetryDelay is when attempts that wait for a socket look for one again.
+	socketRetryDelay = 10 * time.Millisecond
+)
+
+// upstreamHost is one cache or origin. Its goroutine owns the connections there and hands attempts to them, one at a
+// time each: responses on a connection come in order, so that an attempt behind another would wait for it.
+type upstreamHost struct {
+	mailbox mailbox
+	router  *Router
+	log     *zap.Logger
+
+	index    int // the balancer's
+	name     string
+	isOrigin bool
+
+	// Set by the router's goroutine, and read by any.
+	addr          atomic.Pointer[string]
+	ready         atomic.Bool // listed, and not draining
+	closeIdleSoon atomic.Bool // another proxy has the duty to keep idle connections to it
+
+	// Only the router's goroutine looks at these.
+	ejected    bool          // as was last reported to the duties
+	endpoint   wire.Target   // as listed; for a new host Since is when it was first seen
+	departedAt balancer.Time // when it left the endpoint list; 0: it is listed
+	inFlight   int           // attempts
+
+	// Only the host's goroutine looks at these.
+	openConns      int             // those that are being dialed included
+	stopping       bool            // it ends once no connection is open
+	idleConns      []*upstreamConn // the last one used comes last
+	queue          []*attempt      // wait for a socket
+	retryScheduled bool            // a call of sendQueued is to come
+}
+
+// newUpstreamHost starts a host's goroutine, which runs until stop is called and the last connection has ended.
+func newUpstreamHost(router *Router, index int, name string, isOrigin bool) *upstreamHost {
+	h := &upstreamHost{
+		mailbox: make(mailbox, hostMailboxSize), router: router, log: router.log.With(zap.String("peer", name)),
+		index: index, name: name, isOrigin: isOrigin,
+	}
+	go h.run()
+	return h
+}
+
+func (h *upstreamHost) run() {
+	for call := range h.mailbox {
+		runRecovered(h.log, h.router.counters, call)
+		if h.stopping && h.openConns == 0 {
+			return
+		}
+	}
+}
+
+// markDeparted notes when the host left the endpoint list. The router's goroutine calls it.
+func (h *upstreamHost) markDeparted(now balancer.Time) {
+	if h.departedAt == 0 {
+		h.departedAt = now
+	}
+}
+
+// isServing reports whether the host is a cache that is listed and takes requests. The router's goroutine calls it.
+func (h *upstreamHost) isServing() bool { return !h.isOrigin && h.endpoint.Ready && h.departedAt == 0 }
+
+// The host's goroutine runs all that follows.
+
+// stop ends the goroutine with its last connection. Nothing may be sent to the host any more.
+func (h *upstreamHost) stop() {
+	h.stopping = true
+	h.closeIdleConns()
+}
+
+// send hands an attempt to an idle connection or opens one; for want of sockets the attempt is queued.
+func (h *upstreamHost) send(attempt *attempt) {
+	if attempt.request.finished.Load() {
+		h.reportNotSent(attempt)
+		return
+	}
+	addr := *h.addr.Load()
+	if conn := h.takeIdleConn(addr); conn != nil {
+		attempt.conn = conn
+		conn.assign(attempt)
+		return
+	}
+	if !h.router.sockets.tryAcquire(1) {
+		h.enqueue(attempt)
+		return
+	}
+	attempt.conn = h.newConn(addr)
+	go attempt.conn.run(attempt)
+}
+
+// takeIdleConn returns the idle connection to an address that was used last, or nil. It closes idle connections to
+// addresses that the host has left.
+func (h *upstreamHost) takeIdleConn(addr string) *upstreamConn {
+	for n := len(h.idleConns); n > 0; n = len(h.idleConns) {
+		conn := h.idleConns[n-1]
+		h.idleConns = h.idleConns[:n-1]
+		if conn.addr == addr {
+			return conn
+		}
+		conn.close()
+	}
+	return nil
+}
+
+// newConn counts a connection for which a socket was acquired. Its goroutine, which the caller starts, ends by
+// connClosed.
+func (h *upstreamHost) newConn(addr string) *upstreamConn {
+	h.openConns++
+	h.router.counters.Dials.Add(1)
+	return &upstreamConn{host: h, addr: addr}
+}
+
+// enqueue has an attempt wait for a socket.
+func (h *upstreamHost) enqueue(attempt *attempt) {
+	h.queue = append(h.queue, attempt)
+	if h.retryScheduled {
+		return
+	}
+	h.retryScheduled = true
+	h.router.mailbox.post(h.router.closeIdleConns)
+	time.AfterFunc(socketRetryDelay, func() { h.mailbox.post(h.sendQueued) })
+}
+
+// probe opens a connection to see whether the host accepts one, if there is a socket.
+func (h *upstreamHost) probe() {
+	if h.ready.Load() && h.router.sockets.tryAcquire(1) {
+		go h.newConn(*h.addr.Load()).probe()
+	}
+}
+
+// sendQueued looks again for sockets for the attempts that were queued before the call.
+func (h *upstreamHost) sendQueued() {
+	h.retryScheduled = false
+	for range len(h.queue) {
+		h.sendNext()
+	}
+}
+
+// sendNext sends the next queued attempt, if there is one.
+func (h *upstreamHost) sendNext() {
+	if next := h.nextQueued(); next != nil {
+		h.send(next)
+	}
+}
+
+// abandon stops the writing of an attempt whose request is finished. An attempt that is written whole goes on.
+func (h *upstreamHost) abandon(attempt *attempt) {
+	if attempt.conn != nil {
+		attempt.conn.abandonWrite(attempt)
+	}
+}
+
+// cancel ends an attempt, wherever it is.
+func (h *upstreamHost) cancel(attempt *attempt) {
+	attempt.cancelled.Store(true)
+	if attempt.conn != nil {
+		attempt.conn.interrupt()
+	}
+}
+
+// attemptFinished takes from a connection how its attempt ended. A reusable connection can carry another.
+func (h *upstreamHost) attemptFinished(conn *upstreamConn, attempt *attempt, result attemptResult, reusable bool) {
+	attempt.conn = nil
+	if !attempt.streaming {
+		h.router.mailbox.post(func() { h.router.attemptFinished(attempt, result) })
+	}
+	if reusable {
+		h.connIdle(conn)
+	}
+}
+
+// connIdle takes a connection that can carry an attempt.
+func (h *upstreamHost) connIdle(conn *upstreamConn) {
+	h.idleConns = append(h.idleConns, conn)
+	h.sendNext()
+}
+
+// connClosed takes note that a connection has ended. An attempt that it was assigned and did not begin goes to another.
+func (h *upstreamHost) connClosed(conn *upstreamConn) {
+	h.openConns--
+	h.router.sockets.release(1)
+	if i := slices.Index(h.idleConns, conn); i >= 0 {
+		h.idleConns = slices.Delete(h.idleConns, i, i+1)
+	}
+	if attempt := conn.takeAssigned(); attempt != nil {
+		h.send(attempt)
+	}
+	h.sendNext()
+}
+
+// nextQueued returns the first queued attempt that can still be sent, or nil; those before it end as not sent.
+func (h *upstreamHost) nextQueued() *attempt {
+	for len(h.queue) > 0 {
+		next := h.queue[0]
+		h.queue = slices.Delete(h.queue, 0, 1)
+		abandoned := next.cancelled.Load() || next.request.finished.Load()
+		if !abandoned && h.ready.Load() && h.router.clock.Now() < next.sentAt+next.timeout {
+			return next
+		}
+		h.reportNotSent(next)
+	}
+	return nil
+}
+
+func (h *upstreamHost) reportNotSent(attempt *attempt) {
+	h.router.mailbox.post(func() { h.router.attemptFinished(attempt, attemptResult{outcome: balancer.NeverSent}) })
+}
+
+// closeIdleConns closes all idle connections.
+func (h *upstreamHost) closeIdleConns() {
+	for _, conn := range h.idleConns {
+		conn.close()
+	}
+	h.idleConns = h.idleConns[:0]
+}
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -10,174 +10,204 @@
 	"go.uber.org/zap"
 )
 
-const zoneTick = 100 * time.Millisecond
-
-// quarters is what the module's actor has of the zones; nobody else looks but at what is shown.
-type quarters struct {
-	in    *zonehealth.Instance
-	timer *time.Timer
-	armed bool
-	due   <-chan time.Time
-	tell  func(zone string, v zonehealth.Voice, life zonehealth.Time) // peers; it may not wait. nil: there are none
-	quick balancer.Time                                               // an answer that takes longer is late
-	shown atomic.Pointer[[]zonehealth.Shown]
-	at    balancer.Time // when that was
-}
-
-// Zones has whole zones left and returned to. It is called before Run.
-func (m *Router) Zones(t zonehealth.Terms, tell func(zone string, v zonehealth.Voice, life zonehealth.Time)) {
-	q := &quarters{in: zonehealth.New(zonehealth.Time(m.clock.Now()), t), timer: time.NewTimer(time.Hour), tell: tell, quick: balancer.Time(t.Shortest)}
-	q.due = q.timer.C
-	q.shown.Store(&[]zonehealth.Shown{})
-	m.zones = q
-}
-
-// zoneDue is nil where zones are not judged.
-func (m *Router) zoneDue() <-chan time.Time {
-	if m.zones == nil {
+const (
+	zoneTick = 100 * time.Millisecond
+	// zoneStatusInterval is how often the status is renewed where nothing is decided: 300 ms, in the balancer's time.
+	zoneStatusInterval = balancer.Time(3000)
+)
+
+// zoneBroadcast tells other proxies this one's vote on a zone, which counts for a lifetime. It must not wait.
+type zoneBroadcast = func(zone string, vote zonehealth.Voice, lifetime zonehealth.Time)
+
+// zoneController is the router's part that evacuates zones and brings them back. Only the router's goroutine looks at
+// it, but for the status.
+type zoneController struct {
+	health       *zonehealth.Instance
+	timer        *time.Timer
+	armed        bool          // the timer is set
+	broadcast    zoneBroadcast // nil: there are no other proxies
+	latencyLimit balancer.Time // a response that takes longer is late
+	status       atomic.Pointer[[]zonehealth.Shown]
+	statusAt     balancer.Time // when the status was renewed
+}
+
+// Zones has whole zones evacuated and brought back. It is to be called before Run.
+func (r *Router) Zones(terms zonehealth.Terms, broadcast zoneBroadcast) {
+	r.zones = &zoneController{
+		health: zonehealth.New(r.zoneNow(), terms), timer: time.NewTimer(unarmed),
+		broadcast: broadcast, latencyLimit: balancer.Time(terms.Shortest),
+	}
+	r.zones.status.Store(&[]zonehealth.Shown{})
+}
+
+func (r *Router) zoneNow() zonehealth.Time { return zonehealth.Time(r.clock.Now()) }
+
+// zoneTimer returns the channel of the next tick; nil where zones are not judged.
+func (r *Router) zoneTimer() <-chan time.Time {
+	if r.zones == nil {
 		return nil
 	}
-	return m.zones.due
+	return r.zones.timer.C
 }
 
-// zonesLook gives the zones their tick.
-func (m *Router) zonesLook() {
-	q := m.zones
-	q.armed = false
-	flying, room := m.brain.Load()
-	q.in.Load(float64(flying), room)
-	m.zoned(q.in.Tick(zonehealth.Time(m.clock.Now())))
+// tickZones gives the zone health its tick.
+func (r *Router) tickZones() {
+	z := r.zones
+	z.armed = false
+	inFlight, capacity := r.balancer.Load()
+	z.health.Load(float64(inFlight), capacity)
+	r.executeZoneDecisions(z.health.Tick(r.zoneNow()))
 }
 
-// arm sees that there is a next tick, where there is something to look at.
-func (q *quarters) arm() {
-	if !q.armed && q.in.Busy() {
-		q.armed = true
-		q.timer.Reset(zoneTick)
+// arm sets the timer for the next tick, if there is anything to decide.
+func (z *zoneController) arm() {
+	if !z.armed && z.health.Busy() {
+		z.armed = true
+		z.timer.Reset(zoneTick)
 	}
 }
 
-// zoneList tells the zones of the caches that are on the ring.
-func (m *Router) zoneList() {
-	q := m.zones
-	if q == nil {
+// updateZoneNodes tells the zone health which caches take requests.
+func (r *Router) updateZoneNodes() {
+	z := r.zones
+	if z == nil {
 		return
 	}
-	var all []zonehealth.Node
-	for n, p := range m.peers {
-		if p != nil && !p.origin && p.listed.Ready && p.since == 0 {
-			all = append(all, zonehealth.Node{Index: n, Name: p.name, Zone: p.listed.Zone, Since: zonehealth.Time(p.listed.Since) * 10})
+	var nodes []zonehealth.Node
+	for index, h := range r.hosts {
+		if h != nil && h.isServing() {
+			nodes = append(nodes, zonehealth.Node{
+				Index: index, Name: h.name, Zone: h.endpoint.Zone,
+				Since: zonehealth.Time(h.endpoint.Since) * ticksPerMillisecond,
+			})
 		}
 	}
-	q.at = 0
-	m.zoned(q.in.Nodes(zonehealth.Time(m.clock.Now()), all))
-	if missing := q.in.Missing(); missing != "" && len(all) > 0 {
-		m.log.Warn("zones: no node has a zone that the file names", zap.String("zone", missing))
+	z.statusAt = 0 // so that the status is renewed
+	r.executeZoneDecisions(z.health.Nodes(r.zoneNow(), nodes))
+	if missing := z.health.Missing(); missing != "" && len(nodes) > 0 {
+		r.log.Warn("zones: no node has a zone that the file names", zap.String("zone", missing))
 	}
 }
 
-// zoned carries out what the zones decide.
-func (m *Router) zoned(ds []zonehealth.Decision) {
-	q, now := m.zones, m.clock.Now()
-	for i := range ds {
-		switch d := &ds[i]; d.Act {
+// executeZoneDecisions carries out what the zone health decides, and renews the status.
+func (r *Router) executeZoneDecisions(decisions []zonehealth.Decision) {
+	z, now := r.zones, r.clock.Now()
+	for i := range decisions {
+		switch d := &decisions[i]; d.Act {
 		case zonehealth.Bar:
-			m.act(m.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Bar(now, d.Node, d.Part, d.Off) }))
-			if p := m.peers[d.Node]; d.Part == 1 && p != nil {
-				p.box.offer(p.closeIdle) // nothing is sent there for a while
-			}
+			r.excludeHost(now, d)
 		case zonehealth.Speak:
-			if q.tell != nil {
-				q.tell(d.Zone, d.Voice, d.Life)
+			if z.broadcast != nil {
+				z.broadcast(d.Zone, d.Voice, d.Life)
 			}
 		case zonehealth.Knock:
-			if p := m.peers[d.Node]; p != nil {
-				p.box.offer(p.knock)
+			if h := r.hosts[d.Node]; h != nil {
+				h.mailbox.tryPost(h.probe)
 			}
 		case zonehealth.Log:
-			m.log.Info("zones: " + d.Text)
+			r.log.Info("zones: " + d.Text)
 		}
 	}
-	if len(ds) > 0 || now-q.at > 3000 {
-		q.at = now
-		alone := q.in.Judged()
-		m.count.ZonesPassed.Store(int64(alone.Passed))
-		m.count.ZonesHasty.Store(int64(alone.Hasty))
-		shown := q.in.Shown(zonehealth.Time(now))
-		q.shown.Store(&shown)
+	if len(decisions) > 0 || now-z.statusAt > zoneStatusInterval {
+		r.renewZoneStatus(now)
 	}
-	q.arm()
+	z.arm()
 }
 
-// zoneSent and zoneEnded note tries at caches.
-func (m *Router) zoneSent(n int) {
-	if m.zones != nil && !m.peers[n].origin {
-		m.zones.in.Sent(zonehealth.Time(m.clock.Now()), n)
+// excludeHost keeps a part of a host's keys from it.
+func (r *Router) excludeHost(now balancer.Time, d *zonehealth.Decision) {
+	r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Bar(now, d.Node, d.Part, d.Off) })
+	if h := r.hosts[d.Node]; d.Part == 1 && h != nil {
+		h.mailbox.tryPost(h.closeIdleConns) // nothing is sent there for a while
 	}
 }
 
-func (m *Router) zoneEnded(n int, ending balancer.Ending, took balancer.Time) {
-	q := m.zones
-	if q == nil {
+func (r *Router) renewZoneStatus(now balancer.Time) {
+	z := r.zones
+	z.statusAt = now
+	standalone := z.health.Judged()
+	r.counters.ZonesPassed.Store(int64(standalone.Passed))
+	r.counters.ZonesHasty.Store(int64(standalone.Hasty))
+	status := z.health.Shown(zonehealth.Time(now))
+	z.status.Store(&status)
+}
+
+// zoneAttemptSent takes note of an attempt at a cache.
+func (r *Router) zoneAttemptSent(index int) {
+	if r.zones != nil && !r.hosts[index].isOrigin {
+		r.zones.health.Sent(r.zoneNow(), index)
+	}
+}
+
+// zoneAttemptFinished takes note of how an attempt has ended, and how long it took.
+func (r *Router) zoneAttemptFinished(index int, outcome balancer.Ending, took balancer.Time) {
+	z := r.zones
+	if z == nil {
 		return
 	}
-	now := zonehealth.Time(m.clock.Now())
-	if m.peers[n].origin {
-		if ending != balancer.NeverSent && ending != balancer.Undone {
-			q.in.Origin(now, ending != balancer.Completed || took > q.quick)
+	now := r.zoneNow()
+	if r.hosts[index].isOrigin {
+		if outcome != balancer.NeverSent && outcome != balancer.Undone {
+			z.health.Origin(now, outcome != balancer.Completed || took > z.latencyLimit)
 		}
 		return
 	}
-	how := zonehealth.Answered
+	z.health.Ended(now, index, z.observation(outcome, took), zonehealth.Time(took))
+	z.arm()
+}
+
+// observation returns what an attempt's end says of its cache's health.
+func (z *zoneController) observation(outcome balancer.Ending, took balancer.Time) zonehealth.Ending {
 	switch {
-	case ending == balancer.Unreachable:
-		how = zonehealth.Shut
-	case ending == balancer.Silent || ending == balancer.Cut:
-		how = zonehealth.Nothing
-	case ending == balancer.Undone:
-		how = zonehealth.Undone
-	case ending == balancer.NeverSent:
-		how = zonehealth.Unknown
-	case ending == balancer.Fault || ending == balancer.NoRoom || took > q.quick:
-		how = zonehealth.Late
+	case outcome == balancer.Unreachable:
+		return zonehealth.Shut
+	case outcome == balancer.Silent, outcome == balancer.Cut:
+		return zonehealth.Nothing
+	case outcome == balancer.Undone:
+		return zonehealth.Undone
+	case outcome == balancer.NeverSent:
+		return zonehealth.Unknown
+	case outcome == balancer.Fault, outcome == balancer.NoRoom, took > z.latencyLimit:
+		return zonehealth.Late
 	}
-	q.in.Ended(now, n, how, zonehealth.Time(took))
-	q.arm()
+	return zonehealth.Answered
 }
 
-// zoneDialled hears whether a new connection to a cache came up.
-func (m *Router) zoneDialled(n int, up bool) {
+// zoneConnectFinished takes note of whether a new connection to a cache has come up.
+func (r *Router) zoneConnectFinished(index int, connected bool) {
 	switch {
-	case m.zones == nil || m.peers[n] == nil || m.peers[n].origin:
-	case up:
-		m.zones.in.Reached(n)
+	case r.zones == nil || r.hosts[index] == nil || r.hosts[index].isOrigin:
+	case connected:
+		r.zones.health.Reached(index)
 	default:
-		m.zones.in.Refused(n)
+		r.zones.health.Refused(index)
 	}
 }
 
-// ZoneFleet takes who the proxies are; ZoneVoice what one says of a zone, ZoneOrder an operator's word.
-func (m *Router) ZoneFleet(all []zonehealth.Proxy, behind bool) {
-	m.box.post(func() {
-		m.zones.in.Fleet(zonehealth.Time(m.clock.Now()), all, behind)
-		m.zones.arm()
+// ZoneFleet takes who the proxies are. catchingUp means that not all are known yet.
+func (r *Router) ZoneFleet(all []zonehealth.Proxy, catchingUp bool) {
+	r.mailbox.post(func() {
+		r.zones.health.Fleet(r.zoneNow(), all, catchingUp)
+		r.zones.arm()
 	})
 }
 
-// ZoneVoice takes what a peer says of a zone, and how long ago it did.
-func (m *Router) ZoneVoice(from, of string, v zonehealth.Voice, age, life zonehealth.Time) {
-	m.box.post(func() { m.zoned(m.zones.in.Voice(zonehealth.Time(m.clock.Now()), from, of, v, age, life)) })
+// ZoneVoice takes another proxy's vote on a zone, sent age ago, which counts for a lifetime.
+func (r *Router) ZoneVoice(from, zone string, vote zonehealth.Voice, age, lifetime zonehealth.Time) {
+	r.mailbox.post(func() {
+		r.executeZoneDecisions(r.zones.health.Voice(r.zoneNow(), from, zone, vote, age, lifetime))
+	})
 }
 
-// ZoneOrder takes an operator's word on a zone. It tells whether there was room for that, and does not wait.
-func (m *Router) ZoneOrder(d zonehealth.Order) bool {
-	return m.box.offer(func() { m.zoned(m.zones.in.Order(zonehealth.Time(m.clock.Now()), d)) })
+// ZoneOrder takes an operator's override of a zone. It does not wait, and returns false if the router is too busy.
+func (r *Router) ZoneOrder(order zonehealth.Order) bool {
+	return r.mailbox.tryPost(func() { r.executeZoneDecisions(r.zones.health.Order(r.zoneNow(), order)) })
 }
 
-// ZonesShown is how the zones stood a moment ago; nothing where they are not judged.
-func (m *Router) ZonesShown() []zonehealth.Shown {
-	if m.zones == nil {
+// ZonesShown returns the zones' status as of a moment ago; nil where they are not judged.
+func (r *Router) ZonesShown() []zonehealth.Shown {
+	if r.zones == nil {
 		return nil
 	}
-	return *m.zones.shown.Load()
+	return *r.zones.status.Load()
 }
