--- a/internal/emulator/many.go
+++ b/internal/emulator/many.go
@@ -192,7 +192,7 @@
 		case strings.HasPrefix(l.Msg, "peers: caught up") && began[i] > 0:
 			r.CatchUps = append(r.CatchUps, seconds(l.At-began[i]))
 			began[i] = 0
-		case l.Msg == "new on the list":
+		case l.Msg == "new endpoint":
 			if first[l.Peer] == nil {
 				first[l.Peer] = map[int]float64{}
 			}
