--- a/cmd/woodproxy/check.go
+++ b/cmd/woodproxy/check.go
@@ -20,8 +20,8 @@
 	if err := checkManagementAddress(config.Management); err != nil {
 		return err
 	}
-	if config.Talk != nil {
-		if err := config.Talk.Free(); err != nil {
+	if config.Gossip != nil {
+		if err := config.Gossip.CheckListenAddress(); err != nil {
 			return err
 		}
 	}
@@ -42,36 +42,36 @@
 	return listener.Close()
 }
 
-func (c *checkCommand) printOptionalFiles(config *server.Place) {
-	if peers := config.Talk; peers != nil {
+func (c *checkCommand) printOptionalFiles(config *server.Config) {
+	if peers := config.Gossip; peers != nil {
 		fmt.Printf("%s: good; cluster %s, %d seeds\n", c.Peers, peers.Cluster, len(peers.Seeds))
 	}
-	if zones := config.Zones; zones != nil {
+	if zones := config.ZoneHealth; zones != nil {
 		fmt.Printf("%s: good; this proxy stands in %q, %d regions\n", c.Zones, zones.Zone, len(zones.Regions))
 	}
-	if config.State != nil {
+	if config.StateStore != nil {
 		fmt.Printf("%s: good; what this proxy knows is kept there\n", c.State)
 	}
-	if missing := config.Missing; missing != nil {
+	if missing := config.NegativeCache; missing != nil {
 		seconds := float64(missing.Believe) / 1e4
 		fmt.Printf("%s: good; room for %d keys, each for %v s\n", c.Missing, missing.Entries, seconds)
 	}
-	if moves := config.Moves; moves != nil {
+	if moves := config.Rebalance; moves != nil {
 		fmt.Printf("%s: good; slack %v, %d moves at a node, %d in all\n", c.Moves, moves.Slack, moves.PerNode, moves.InAll)
 	}
-	if turns := config.Turns; turns != nil {
+	if turns := config.Duties; turns != nil {
 		fmt.Printf("%s: good; %d watchers, %d keepers\n", c.Turns, turns.Watchers, turns.Keepers)
 	}
 }
 
-func (c *checkCommand) printConfiguration(config *server.Place) {
-	book := config.Book
+func (c *checkCommand) printConfiguration(config *server.Config) {
+	book := config.Settings
 	fmt.Printf("%s: good; %d routes, %d tenants, %d proxies\n",
 		c.Config, len(book.Routes), len(book.Tenants), book.Terms.Proxies)
-	if config.Untold {
+	if config.NotificationsWithoutGossip {
 		fmt.Println("limits.may-tell: no file of peers is named; nothing is told")
 	}
-	if config.Watch != nil {
+	if config.ShadowSettings != nil {
 		fmt.Println("other settings are watched")
 	}
 }
--- a/cmd/woodproxy/options.go
+++ b/cmd/woodproxy/options.go
@@ -22,31 +22,31 @@
 
 // overrides returns what the flags and the environment put before the configuration file, but for the address of
 // discovery: where discovery is after a reload, only the file can tell.
-func (o *configOptions) overrides() server.Place {
-	return server.Place{
-		Name:        o.Name,
-		Listen:      o.Listen,
-		Management:  o.Management,
-		Own:         true,
-		Shared:      o.SharedDirectory,
-		Peers:       o.Peers,
-		PeersListen: o.PeersListen,
-		ZonesFile:   o.Zones,
-		StateDir:    o.State,
-		MissingFile: o.Missing,
-		MovesFile:   o.Moves,
-		TurnsFile:   o.Turns,
+func (o *configOptions) overrides() server.Config {
+	return server.Config{
+		Name:              o.Name,
+		Listen:            o.Listen,
+		Management:        o.Management,
+		LimitRuntime:      true,
+		HotRestartDir:     o.SharedDirectory,
+		GossipFile:        o.Peers,
+		GossipListen:      o.PeersListen,
+		ZoneHealthFile:    o.Zones,
+		StateDir:          o.State,
+		NegativeCacheFile: o.Missing,
+		RebalanceFile:     o.Moves,
+		DutiesFile:        o.Turns,
 	}
 }
 
 // read reads the configuration as at the start of the process.
-func (o *configOptions) read() (*server.Place, error) {
+func (o *configOptions) read() (*server.Config, error) {
 	overrides := o.overrides()
 	overrides.Discovery = o.Discovery
 	return server.Read(o.Config, overrides)
 }
 
 // reread reads the configuration as on SIGHUP.
-func (o *configOptions) reread() (*server.Place, error) {
+func (o *configOptions) reread() (*server.Config, error) {
 	return server.Read(o.Config, o.overrides())
 }
--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -263,17 +263,17 @@
 // silentListener takes what the stand-in hears, and does nothing with it.
 type silentListener struct{}
 
-func (silentListener) Hear(int64, wire.Target)      {}
-func (silentListener) Heard(string, bool)           {}
-func (silentListener) Share(float64)                {}
-func (silentListener) Demand() int64                { return 0 }
-func (silentListener) Writes() int64                { return 0 }
-func (silentListener) Fleet([]replica.Member, bool) {}
-func (silentListener) Row(*replica.Row)             {}
+func (silentListener) EndpointChanged(int64, wire.Target)    {}
+func (silentListener) HealthReported(string, bool)           {}
+func (silentListener) QuotaShareChanged(float64)             {}
+func (silentListener) RequestCount() int64                   { return 0 }
+func (silentListener) WriteRowCount() int64                  { return 0 }
+func (silentListener) MembersUpdated([]replica.Member, bool) {}
+func (silentListener) RowChanged(*replica.Row)               {}
 
 // standIn is a peer that says what a test has it say.
 type standIn struct {
-	*gossip.Talker
+	*gossip.Agent
 	t     *testing.T
 	leave func() // says goodbye, once
 }
@@ -282,7 +282,7 @@
 func startPeer(t *testing.T, p *proxyProcess) standIn {
 	t.Helper()
 	addr := freeAddress(t)
-	config := &gossip.Config{Cluster: "c", Listen: addr, Advertise: addr, Seeds: []string{p.peers}, Hold: 3, Floor: 0.25}
+	config := &gossip.Config{Cluster: "c", Listen: addr, Advertise: addr, Seeds: []string{p.peers}, TakeoverDelaySeconds: 3, QuotaFloor: 0.25}
 	talker, err := gossip.Start(config, "beta", "b", 2, 60*replica.Second, 1, silentListener{}, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
@@ -301,7 +301,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.Speak(kind, key, rowLife, body)
+	s.PublishOwnRow(kind, key, rowLife, body)
 }
 
 const unknownKind replica.Kind = 42
@@ -309,9 +309,9 @@
 // sayAll says a row of each kind but an order, which the proxy's operators give.
 func (s standIn) sayAll() {
 	s.t.Helper()
-	s.Tell("cache-a", false)
-	s.Listed(42, false, []wire.Target{{Name: "cache-a", Address: "127.0.0.1:1", Zone: "a", Ready: true}})
-	s.Put(replica.Row{Kind: replica.Gone, Key: "beta", Epoch: 1}) // long before this process of beta
+	s.PublishHealth("cache-a", false)
+	s.PublishEndpoints(42, false, []wire.Target{{Name: "cache-a", Address: "127.0.0.1:1", Zone: "a", Ready: true}})
+	s.PublishSharedRow(replica.Row{Kind: replica.Gone, Key: "beta", Epoch: 1}) // long before this process of beta
 	s.speak(replica.Voice, "b", &zonehealth.Voice{Zone: "b"})
 	s.speak(replica.Trial, "cache-a", &duties.Said{Round: 1})
 	s.speak(replica.Beat, "beta", &duties.Said{For: 5 * duties.Second})
--- a/internal/emulator/emu_test.go
+++ b/internal/emulator/emu_test.go
@@ -33,8 +33,8 @@
 func (i inside) Done() <-chan error { return i.done }
 
 func start(s emulator.Site) (emulator.Proxy, error) {
-	read := func() (*server.Place, error) {
-		return server.Read(s.Config, server.Place{Shared: filepath.Join(s.Dir, "tmp")})
+	read := func() (*server.Config, error) {
+		return server.Read(s.Config, server.Config{HotRestartDir: filepath.Join(s.Dir, "tmp")})
 	}
 	p, err := read()
 	if err != nil {
--- a/internal/gossip/agent.go
+++ b/internal/gossip/agent.go
@@ -19,35 +19,35 @@
 // storeTimeUnit is the unit of replica.Time.
 const storeTimeUnit = time.Second / time.Duration(replica.Second)
 
-// Proxy receives what the agent learns from peers and tells it about this proxy's load. All methods are called from the
+// Handler receives what the agent learns from peers and tells it about this proxy's load. All methods are called from the
 // agent's event loop, which may be kept waiting; they must not wait for the agent in turn.
-type Proxy interface {
-	// Hear reports an endpoint that the discovery service of a peer listed, changed or removed at that index of its
+type Handler interface {
+	// EndpointChanged reports an endpoint that the discovery service of a peer listed, changed or removed at that index of its
 	// list.
-	Hear(index int64, endpoint wire.Target)
-	// Heard reports that a peer found an endpoint unresponsive, or responsive again.
-	Heard(endpoint string, responsive bool)
-	// Share sets the fraction, 0 to 1, of the cluster-wide limits that this proxy may use.
-	Share(fraction float64)
-	// Demand returns the number of requests from clients since the start.
-	Demand() int64
-	// Writes returns the number of rows about written keys that were published since the start.
-	Writes() int64
-	// Fleet reports all known proxies, some times a second, and whether this proxy still catches up with their state.
-	Fleet(proxies []replica.Member, catchingUp bool)
-	// Row reports a new or changed row of a kind that this package does not interpret. It is valid during the call.
-	Row(row *replica.Row)
+	EndpointChanged(index int64, endpoint wire.Target)
+	// HealthReported reports that a peer found an endpoint unresponsive, or responsive again.
+	HealthReported(endpoint string, responsive bool)
+	// QuotaShareChanged sets the fraction, 0 to 1, of the cluster-wide limits that this proxy may use.
+	QuotaShareChanged(fraction float64)
+	// RequestCount returns the number of requests from clients since the start.
+	RequestCount() int64
+	// WriteRowCount returns the number of rows about written keys that were published since the start.
+	WriteRowCount() int64
+	// MembersUpdated reports all known proxies, some times a second, and whether this proxy still catches up with their state.
+	MembersUpdated(proxies []replica.Member, catchingUp bool)
+	// RowChanged reports a new or changed row of a kind that this package does not interpret. It is valid during the call.
+	RowChanged(row *replica.Row)
 }
 
-// Talker is the gossip agent of one proxy; see the package comment. It is made by Start.
-type Talker struct {
+// Agent is the gossip agent of one proxy; see the package comment. It is made by Start.
+type Agent struct {
 	Counters
 
 	config  *Config
 	name    string // of this proxy
-	handler Proxy
+	handler Handler
 	logger  *zap.Logger
-	status  atomic.Pointer[Shown]
+	status  atomic.Pointer[Status]
 
 	// Used by the event loop alone.
 	store     *replica.Instance
@@ -72,11 +72,11 @@
 // valid; seed makes the choice of peers reproducible. The error is a single line that names the failed step.
 func Start(
 	config *Config, name, zone string, proxies int, healthReportTTL replica.Time, seed uint64,
-	handler Proxy, logger *zap.Logger,
-) (*Talker, error) {
+	handler Handler, logger *zap.Logger,
+) (*Agent, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	startedAt := time.Now()
-	a := &Talker{
+	a := &Agent{
 		config:    config,
 		name:      name,
 		handler:   handler,
@@ -93,8 +93,8 @@
 		Proxies:     proxies,
 		Address:     config.Advertise,
 		Zone:        zone,
-		Hold:        replica.Time(config.Hold * float64(replica.Second)),
-		Floor:       config.Floor,
+		Hold:        replica.Time(config.TakeoverDelaySeconds * float64(replica.Second)),
+		Floor:       config.QuotaFloor,
 		SightLife:   healthReportTTL,
 	}, seed)
 	a.mailbox = newMailbox(ctx.Done(), &a.Dropped)
@@ -110,7 +110,7 @@
 }
 
 // startBackground makes the parts that need the memberlist and starts the goroutines that Close waits for.
-func (a *Talker) startBackground() {
+func (a *Agent) startBackground() {
 	a.sender = newSender(a.members, &a.Dropped)
 	a.joiner = &joiner{
 		config:      a.config,
@@ -121,7 +121,7 @@
 	}
 	a.prober = &prober{
 		source:     listenIP(a.config),
-		started:    &a.Probes,
+		started:    &a.ConnectProbes,
 		background: &a.background,
 	}
 	for range senderWorkers {
@@ -132,14 +132,14 @@
 }
 
 // now returns the time on the store's clock.
-func (a *Talker) now() replica.Time {
+func (a *Agent) now() replica.Time {
 	return replica.Time(time.Since(a.startedAt) / storeTimeUnit)
 }
 
-// Listed publishes endpoints of this proxy's discovery service at that index of its list: the complete list, or those
+// PublishEndpoints publishes endpoints of this proxy's discovery service at that index of its list: the complete list, or those
 // that changed. It waits for space in the mailbox. It does nothing if the peers file turns the exchange of endpoint
 // lists off.
-func (a *Talker) Listed(index int64, complete bool, endpoints []wire.Target) {
+func (a *Agent) PublishEndpoints(index int64, complete bool, endpoints []wire.Target) {
 	if !a.config.sharesEndpoints() {
 		return
 	}
@@ -147,30 +147,30 @@
 	a.mailbox.post(func() { a.apply(a.store.Listed(a.now(), complete, index, rows)) })
 }
 
-// Tell publishes that this proxy found an endpoint unresponsive, or responsive again. It does not wait.
-func (a *Talker) Tell(endpoint string, responsive bool) {
+// PublishHealth publishes that this proxy found an endpoint unresponsive, or responsive again. It does not wait.
+func (a *Agent) PublishHealth(endpoint string, responsive bool) {
 	a.mailbox.offer(func() { a.apply(a.store.Saw(a.now(), endpoint, responsive)) })
 }
 
-// Speak publishes a row that only this proxy writes, which expires after the time to live. It does not wait.
-func (a *Talker) Speak(kind replica.Kind, key string, timeToLive replica.Time, body []byte) {
+// PublishOwnRow publishes a row that only this proxy writes, which expires after the time to live. It does not wait.
+func (a *Agent) PublishOwnRow(kind replica.Kind, key string, timeToLive replica.Time, body []byte) {
 	a.mailbox.offer(func() { a.apply(a.store.Speak(a.now(), kind, key, timeToLive, body)) })
 }
 
-// Put publishes a row that every proxy may write. It does not wait.
-func (a *Talker) Put(row replica.Row) {
+// PublishSharedRow publishes a row that every proxy may write. It does not wait.
+func (a *Agent) PublishSharedRow(row replica.Row) {
 	a.mailbox.offer(func() { a.apply(a.store.Put(a.now(), row)) })
 }
 
-// Yield sets whether a successor process of the same name takes over when this one closes, in which case Close does not
+// SetReplaced sets whether a successor process of the same name takes over when this one closes, in which case Close does not
 // announce the departure of the proxy. It waits for space in the mailbox.
-func (a *Talker) Yield(replaced bool) {
+func (a *Agent) SetReplaced(replaced bool) {
 	a.mailbox.post(func() { a.store.Yield(replaced) })
 }
 
 // Close announces the departure of this process, closes the sockets, ends all goroutines and waits for them. Calls
 // after the first have no effect.
-func (a *Talker) Close() {
+func (a *Agent) Close() {
 	announced := make(chan struct{})
 	a.mailbox.post(func() {
 		a.apply(a.store.Leave(a.now()))
--- a/internal/gossip/agent_test.go
+++ b/internal/gossip/agent_test.go
@@ -25,11 +25,11 @@
 		sendMalformedStream(t, seed, i)
 	}
 
-	first.Listed(7, true, []wire.Target{
+	first.PublishEndpoints(7, true, []wire.Target{
 		{Name: "c1", Address: "1.2.3.4:5", Ready: true, Weight: 2, Zone: "z"},
 		{Name: "c2"},
 	})
-	second.Tell("c1", false)
+	second.PublishHealth("c1", false)
 	eventually(t, "endpoints and health reports arrive", func() bool {
 		return len(secondHandler.endpoints) >= 2 && len(firstHandler.healthReports) >= 1
 	})
@@ -42,11 +42,11 @@
 	eventually(t, "each proxy has half the quota", func() bool {
 		return firstHandler.share.Load() == 0.5 && secondHandler.share.Load() == 0.5
 	})
-	members, received := len(foreign.Shown().Members), len(foreignHandler.endpoints)
+	members, received := len(foreign.Status().Members), len(foreignHandler.endpoints)
 	if members != 1 || received+len(foreignHandler.healthReports) > 0 {
 		t.Errorf("the agent of another cluster has %d members and received %d endpoints", members, received)
 	}
-	if first.Bad.Load() == 0 {
+	if first.Faults.Load() == 0 {
 		t.Error("malformed traffic was not counted")
 	}
 }
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -35,23 +35,23 @@
 	Advertise string `toml:"advertise"`
 	// Seeds are addresses of proxies through which the cluster is joined, at most 64.
 	Seeds []string `toml:"seeds"`
-	// Hold is the delay, in seconds, after which the quota of a departed proxy is taken over. 0.5 to 600, default 3.
-	Hold float64 `toml:"hold_s"`
-	// Floor is the fraction of an even quota share that other proxies never take over. 0.01 to 1, default 0.25.
-	Floor float64 `toml:"floor"`
-	// List tells whether endpoint lists are exchanged with peers, which requires that the discovery services of all
+	// TakeoverDelaySeconds is the delay, in seconds, after which the quota of a departed proxy is taken over. 0.5 to 600, default 3.
+	TakeoverDelaySeconds float64 `toml:"hold_s"`
+	// QuotaFloor is the fraction of an even quota share that other proxies never take over. 0.01 to 1, default 0.25.
+	QuotaFloor float64 `toml:"floor"`
+	// ShareEndpoints tells whether endpoint lists are exchanged with peers, which requires that the discovery services of all
 	// proxies number the versions of the list alike. Default, nil: true.
-	List *bool `toml:"list"`
+	ShareEndpoints *bool `toml:"list"`
 }
 
-// Read reads and validates the peers file. A listen address that is not empty overrides the one in the file, so that
+// ReadConfig reads and validates the peers file. A listen address that is not empty overrides the one in the file, so that
 // all proxies can have the same file. The error is a single line that names the file and the key.
-func Read(file, listen string) (*Config, error) {
+func ReadConfig(file, listen string) (*Config, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
-	config := &Config{Hold: defaultHoldSeconds, Floor: defaultFloor}
+	config := &Config{TakeoverDelaySeconds: defaultHoldSeconds, QuotaFloor: defaultFloor}
 	if err := configfile.TOML(text, config); err != nil {
 		return nil, fmt.Errorf("peers: %s: %w", file, err)
 	}
@@ -75,10 +75,10 @@
 	if err := c.validateAddresses(); err != nil {
 		return err
 	}
-	if err := validateRange("hold_s", c.Hold, minHoldSeconds, maxHoldSeconds); err != nil {
+	if err := validateRange("hold_s", c.TakeoverDelaySeconds, minHoldSeconds, maxHoldSeconds); err != nil {
 		return err
 	}
-	return validateRange("floor", c.Floor, minFloor, maxFloor)
+	return validateRange("floor", c.QuotaFloor, minFloor, maxFloor)
 }
 
 func (c *Config) validateAddresses() error {
@@ -131,10 +131,10 @@
 func isReachable(address string) bool { return validateAddress("", address) == nil }
 
 // sharesEndpoints tells whether endpoint lists are exchanged with peers.
-func (c *Config) sharesEndpoints() bool { return c.List == nil || *c.List }
+func (c *Config) sharesEndpoints() bool { return c.ShareEndpoints == nil || *c.ShareEndpoints }
 
-// Free returns an error if the listen address can't be bound for TCP and UDP. Nothing stays bound.
-func (c *Config) Free() error {
+// CheckListenAddress returns an error if the listen address can't be bound for TCP and UDP. Nothing stays bound.
+func (c *Config) CheckListenAddress() error {
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("peers: listen: %w", err)
--- a/internal/gossip/config_golden_test.go
+++ b/internal/gossip/config_golden_test.go
@@ -19,7 +19,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	config, err := Read(file, listen)
+	config, err := ReadConfig(file, listen)
 	if err != nil {
 		return nil, errors.New(stableError(err, dir))
 	}
@@ -34,8 +34,8 @@
 		return fmt.Sprintf("error: %v\n", err)
 	}
 	list := "not stated"
-	if config.List != nil {
-		list = fmt.Sprint(*config.List)
+	if config.ShareEndpoints != nil {
+		list = fmt.Sprint(*config.ShareEndpoints)
 	}
 	var lines strings.Builder
 	line := func(label string, value any) { fmt.Fprintf(&lines, "%s = %v\n", label, value) }
@@ -43,8 +43,8 @@
 	line("listen", config.Listen)
 	line("advertise", config.Advertise)
 	line("seeds", config.Seeds)
-	line("hold_s", config.Hold)
-	line("floor", config.Floor)
+	line("hold_s", config.TakeoverDelaySeconds)
+	line("floor", config.QuotaFloor)
 	line("list", list)
 	return lines.String()
 }
@@ -199,7 +199,7 @@
 		})
 	}
 	t.Run("missing file", func(t *testing.T) {
-		_, err := Read("testdata/absent.toml", "")
+		_, err := ReadConfig("testdata/absent.toml", "")
 		if err == nil || err.Error() != "peers: open testdata/absent.toml: no such file or directory" {
 			t.Errorf("error %v", err)
 		}
@@ -224,7 +224,7 @@
 			t.Fatal(err)
 		}
 		want := fmt.Sprintf("peers: listen: listen %s %s: bind: address already in use", address.Network(), address)
-		if err := config.Free(); err == nil || err.Error() != want {
+		if err := config.CheckListenAddress(); err == nil || err.Error() != want {
 			t.Errorf("%v: %v, want %s", address, err, want)
 		}
 	}
--- a/internal/gossip/config_test.go
+++ b/internal/gossip/config_test.go
@@ -40,7 +40,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			file := writePeersFile(t, test.text)
-			_, err := Read(file, "")
+			_, err := ReadConfig(file, "")
 			if err == nil || !strings.Contains(err.Error(), test.want) || !strings.Contains(err.Error(), file) ||
 				strings.Contains(err.Error(), "\n") {
 				t.Errorf("%v, want one line with %q and %q", err, file, test.want)
@@ -50,14 +50,14 @@
 }
 
 func TestReadListenOverride(t *testing.T) {
-	config, err := Read(writePeersFile(t, validPeersFile), "127.0.0.9:1")
+	config, err := ReadConfig(writePeersFile(t, validPeersFile), "127.0.0.9:1")
 	if err != nil || config.Listen != "127.0.0.9:1" || config.Advertise != config.Listen {
 		t.Errorf("%+v %v", config, err)
 	}
 }
 
 func TestReadMissingFile(t *testing.T) {
-	if _, err := Read(writePeersFile(t, validPeersFile)+"x", ""); err == nil {
+	if _, err := ReadConfig(writePeersFile(t, validPeersFile)+"x", ""); err == nil {
 		t.Error("no error for a file that does not exist")
 	}
 }
--- a/internal/gossip/decisions.go
+++ b/internal/gossip/decisions.go
@@ -3,13 +3,13 @@
 import "woodproxy/replica"
 
 // apply carries out the store's decisions in their order. It is called from the event loop.
-func (a *Talker) apply(decisions []replica.Decision) {
+func (a *Agent) apply(decisions []replica.Decision) {
 	for i := range decisions {
 		a.applyDecision(&decisions[i])
 	}
 }
 
-func (a *Talker) applyDecision(decision *replica.Decision) {
+func (a *Agent) applyDecision(decision *replica.Decision) {
 	switch decision.Act {
 	case replica.Spread:
 		a.broadcasts.add(&decision.Rows[0], a.newMessage(decision).encode())
@@ -22,7 +22,7 @@
 	case replica.Changed:
 		a.rowChanged(&decision.Rows[0])
 	case replica.SetShare:
-		a.handler.Share(decision.Share)
+		a.handler.QuotaShareChanged(decision.Share)
 		a.updateStatus()
 	case replica.Log:
 		a.logger.Info("peers: " + decision.Text)
@@ -31,7 +31,7 @@
 
 // newMessage returns the message that a decision asks to send. It shares the decision's slices and has to be encoded
 // before the store is called again.
-func (a *Talker) newMessage(decision *replica.Decision) *message {
+func (a *Agent) newMessage(decision *replica.Decision) *message {
 	m := &message{
 		Sender:   a.name,
 		Type:     decision.Act,
@@ -47,7 +47,7 @@
 }
 
 // probe checks whether the process at a proxy's address has ended, and reports to the store if it has.
-func (a *Talker) probe(decision *replica.Decision) {
+func (a *Agent) probe(decision *replica.Decision) {
 	name, incarnation := decision.To, decision.Epoch
 	a.prober.probe(a.ctx, decision.Address, func() {
 		a.mailbox.offer(func() { a.apply(a.store.Refused(a.now(), name, incarnation)) })
@@ -55,32 +55,32 @@
 }
 
 // rowChanged hands a row that a peer wrote to the proxy.
-func (a *Talker) rowChanged(row *replica.Row) {
+func (a *Agent) rowChanged(row *replica.Row) {
 	switch row.Kind {
 	case replica.Pulse, replica.Gone: // of interest to the store alone
 	case replica.Sight:
-		a.handler.Heard(row.Key, row.Rank == 0)
+		a.handler.HealthReported(row.Key, row.Rank == 0)
 	case replica.Node:
 		a.endpointChanged(row)
 	default:
-		a.handler.Row(row)
+		a.handler.RowChanged(row)
 	}
 }
 
-func (a *Talker) endpointChanged(row *replica.Row) {
+func (a *Agent) endpointChanged(row *replica.Row) {
 	if !a.config.sharesEndpoints() {
 		return
 	}
 	endpoint, err := decodeEndpoint(row)
 	if err != nil {
-		a.Bad.Add(1)
+		a.Faults.Add(1)
 		return
 	}
-	a.handler.Hear(row.Epoch, endpoint)
+	a.handler.EndpointChanged(row.Epoch, endpoint)
 }
 
 // receive takes a message from a peer. It is called from the event loop.
-func (a *Talker) receive(m *message) {
+func (a *Agent) receive(m *message) {
 	switch m.Type {
 	case replica.Spread, replica.Rows:
 		a.apply(a.store.Rows(a.now(), m.Sender, m.Rows))
@@ -97,6 +97,6 @@
 	case replica.Same:
 		a.apply(a.store.Same(a.now(), m.Sender))
 	default: // of a later version, or a decision that is no message
-		a.Bad.Add(1)
+		a.Faults.Add(1)
 	}
 }
--- a/internal/gossip/delegate.go
+++ b/internal/gossip/delegate.go
@@ -6,7 +6,7 @@
 const malformedLogInterval = 1000
 
 // delegate implements memberlist.Delegate. Memberlist calls it from its own goroutines; no method waits.
-type delegate struct{ agent *Talker }
+type delegate struct{ agent *Agent }
 
 // NodeMeta returns no metadata: what peers have to know of a proxy is in its heartbeat.
 func (d *delegate) NodeMeta(int) []byte { return nil }
@@ -16,7 +16,7 @@
 	a := d.agent
 	m, err := decodeMessage(encoded)
 	if err != nil {
-		if a.Bad.Add(1)%malformedLogInterval == 1 {
+		if a.Faults.Add(1)%malformedLogInterval == 1 {
 			a.logger.Warn("peers: malformed message dropped", zap.Int("bytes", len(encoded)))
 		}
 		return
--- a/internal/gossip/endpoints.go
+++ b/internal/gossip/endpoints.go
@@ -14,7 +14,7 @@
 var errInvalidEndpoint = errors.New("invalid endpoint row")
 
 // endpointRows returns the rows for endpoints of this proxy's discovery service, without those that can't be encoded.
-func (a *Talker) endpointRows(endpoints []wire.Target) []replica.Row {
+func (a *Agent) endpointRows(endpoints []wire.Target) []replica.Row {
 	rows := make([]replica.Row, 0, len(endpoints))
 	for i := range endpoints {
 		row, err := encodeEndpoint(&endpoints[i])
--- a/internal/gossip/eventloop.go
+++ b/internal/gossip/eventloop.go
@@ -44,7 +44,7 @@
 }
 
 // run is the event loop.
-func (a *Talker) run() {
+func (a *Agent) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	lastTick := time.Now()
@@ -67,7 +67,7 @@
 }
 
 // tick does the periodic work.
-func (a *Talker) tick(iteration int) {
+func (a *Agent) tick(iteration int) {
 	a.reportLoad()
 	a.apply(a.store.Tick(a.now()))
 	if a.joiner.due() {
@@ -77,14 +77,14 @@
 		a.updateStatus()
 	}
 	if iteration%membersInterval == 0 {
-		a.handler.Fleet(a.store.Members(), a.store.Behind())
+		a.handler.MembersUpdated(a.store.Members(), a.store.Behind())
 	}
 }
 
 // reportLoad passes this proxy's load on to the store, from where peers get it.
-func (a *Talker) reportLoad() {
+func (a *Agent) reportLoad() {
 	if elapsed := time.Since(a.demand.sampledAt); elapsed >= demandSampleInterval {
-		a.store.Demand(a.demand.sample(a.handler.Demand(), elapsed))
+		a.store.Demand(a.demand.sample(a.handler.RequestCount(), elapsed))
 	}
-	a.store.Writes(a.handler.Writes())
+	a.store.Writes(a.handler.WriteRowCount())
 }
--- a/internal/gossip/frames_golden_test.go
+++ b/internal/gossip/frames_golden_test.go
@@ -87,14 +87,14 @@
 	if !regexp.MustCompile(`^proxy-a/[0-9]{13}$`).MatchString(node.Name) || len(node.Meta) != 0 {
 		t.Errorf("node %q with metadata %x", node.Name, node.Meta)
 	}
-	agent.Tell("node-1", false)
+	agent.PublishHealth("node-1", false)
 	eventually(t, "a health report arrives in a packet", func() bool {
 		return recorded.hasPacket(t, func(m *gossipMessage) bool {
 			return m.Type == replica.Spread && len(m.Rows) == 1 &&
 				m.Rows[0].Kind == replica.Sight && m.Rows[0].Key == "node-1"
 		})
 	})
-	agent.Listed(7, true, []wire.Target{
+	agent.PublishEndpoints(7, true, []wire.Target{
 		{Name: "node-2", Address: "192.0.2.1:11211", Ready: true, Since: 5},
 	})
 	eventually(t, "an endpoint arrives in a packet", func() bool {
--- a/internal/gossip/helpers_test.go
+++ b/internal/gossip/helpers_test.go
@@ -23,16 +23,16 @@
 func withTestPort(ip string) string { return fmt.Sprintf("%s:%d", ip, testPort) }
 
 // startAgent starts an agent of a cluster of two, which is closed when the test ends.
-func startAgent(t *testing.T, cluster, name, ip string, handler Proxy, seeds ...string) *Talker {
+func startAgent(t *testing.T, cluster, name, ip string, handler Handler, seeds ...string) *Agent {
 	t.Helper()
 	address := withTestPort(ip)
 	config := &Config{
-		Cluster:   cluster,
-		Listen:    address,
-		Advertise: address,
-		Seeds:     seeds,
-		Hold:      1,
-		Floor:     0.25,
+		Cluster:              cluster,
+		Listen:               address,
+		Advertise:            address,
+		Seeds:                seeds,
+		TakeoverDelaySeconds: 1,
+		QuotaFloor:           0.25,
 	}
 	agent, err := Start(config, name, "", 2, 10*replica.Second, 1, handler, zap.NewNop())
 	if err != nil {
@@ -77,14 +77,14 @@
 	}
 }
 
-func (h *recordingHandler) Hear(_ int64, endpoint wire.Target) { h.endpoints <- endpoint }
+func (h *recordingHandler) EndpointChanged(_ int64, endpoint wire.Target) { h.endpoints <- endpoint }
 
-func (h *recordingHandler) Heard(endpoint string, responsive bool) {
+func (h *recordingHandler) HealthReported(endpoint string, responsive bool) {
 	h.healthReports <- healthReport{endpoint, responsive}
 }
 
-func (h *recordingHandler) Share(fraction float64)       { h.share.Store(fraction) }
-func (h *recordingHandler) Demand() int64                { return 0 }
-func (h *recordingHandler) Writes() int64                { return 0 }
-func (h *recordingHandler) Fleet([]replica.Member, bool) {}
-func (h *recordingHandler) Row(row *replica.Row)         { h.rows <- *row }
+func (h *recordingHandler) QuotaShareChanged(fraction float64)    { h.share.Store(fraction) }
+func (h *recordingHandler) RequestCount() int64                   { return 0 }
+func (h *recordingHandler) WriteRowCount() int64                  { return 0 }
+func (h *recordingHandler) MembersUpdated([]replica.Member, bool) {}
+func (h *recordingHandler) RowChanged(row *replica.Row)           { h.rows <- *row }
--- a/internal/gossip/memberlist.go
+++ b/internal/gossip/memberlist.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: advertise: %w", err)
 	}
-	libraryLogger := log.New(&libraryLog{logger: logger, faults: &counters.Bad}, "", 0)
+	libraryLogger := log.New(&libraryLog{logger: logger, faults: &counters.Faults}, "", 0)
 	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{
 		BindAddrs: []string{listen.host},
 		BindPort:  listen.port,
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -70,7 +70,7 @@
 }
 
 func (t *transport) forwardPacket(packet *memberlist.Packet, limiter *rate.Limiter) {
-	t.counters.Packets.Add(1)
+	t.counters.PacketsReceived.Add(1)
 	t.counters.BytesIn.Add(int64(len(packet.Buf)))
 	if !limiter.Allow() {
 		t.counters.Dropped.Add(1)
@@ -89,7 +89,7 @@
 		_ = conn.Close() // nothing was written that a failure could lose
 		return
 	}
-	t.counters.Streams.Add(1)
+	t.counters.StreamsAccepted.Add(1)
 	release := func() { t.openStreams.Add(-1) }
 	select {
 	case t.streams <- newStream(conn, t.counters, release):
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -23,60 +23,60 @@
 	minSockets      = 64
 )
 
-// Place is the configuration of one proxy process. Read returns one that is checked; it is not changed once Serve
+// Config is the configuration of one proxy process. Read returns one that is checked; it is not changed once Serve
 // has it, but for the gossip seeds that are restored from the state file.
-type Place struct {
+type Config struct {
 	Name       string // of this proxy, unique in the fleet
 	Listen     string // host:port for clients
 	Discovery  string // host:port of the discovery service
 	Management string // host:port of the admin API; empty: there is none
 
-	Own    bool   // the process runs this proxy only, so that limits of memory and cores apply to the Go runtime
-	Shared string // directory of the hot-restart socket; empty: there is no hot restart
+	LimitRuntime  bool   // the process runs this proxy only, so that limits of memory and cores apply to the Go runtime
+	HotRestartDir string // directory of the hot-restart socket; empty: there is no hot restart
 
 	Seed     uint64  // of the random number generators
 	Cores    float64 // CPU limit, above 0
 	MemoryMB int     // memory limit in MiB
 	Sockets  int     // limit of open file descriptors, at least 64
 
-	KnownEndpoints *fastjson.Value // endpoint list to start with, in discovery's format; nil or null: none
-	Book           *settings.Book
-	Watch          *settings.Book // evaluated by the shadow balancer only; nil: there is none
-	Untold         bool           // settings allow notifications between proxies, but no gossip file is named
+	KnownEndpoints             *fastjson.Value // endpoint list to start with, in discovery's format; nil or null: none
+	Settings                   *settings.Book
+	ShadowSettings             *settings.Book // evaluated by the shadow balancer only; nil: there is none
+	NotificationsWithoutGossip bool           // settings allow notifications between proxies, but no gossip file is named
 
-	Peers       string // gossip file; empty: no gossip
-	PeersListen string // host:port for gossip, overrides the gossip file
-	Talk        *gossip.Config
+	GossipFile   string // gossip file; empty: no gossip
+	GossipListen string // host:port for gossip, overrides the gossip file
+	Gossip       *gossip.Config
 
-	ZonesFile string // zone health file; empty: zones are not evacuated
-	Zones     *zonehealth.Terms
+	ZoneHealthFile string // zone health file; empty: zones are not evacuated
+	ZoneHealth     *zonehealth.Terms
 
-	StateDir string // directory of the state file; empty: no state is stored
-	State    *snapshot.Store
+	StateDir   string // directory of the state file; empty: no state is stored
+	StateStore *snapshot.Store
 
-	MissingFile string // negative cache file; empty: there is no negative cache
-	Missing     *negativecache.Terms
+	NegativeCacheFile string // negative cache file; empty: there is no negative cache
+	NegativeCache     *negativecache.Terms
 
-	MovesFile string // rebalance file; empty: no migrations are planned
-	Moves     *rebalance.Terms
+	RebalanceFile string // rebalance file; empty: no migrations are planned
+	Rebalance     *rebalance.Terms
 
-	TurnsFile string // duties file; empty: each proxy performs all duties itself
-	Turns     *duties.Terms
+	DutiesFile string // duties file; empty: each proxy performs all duties itself
+	Duties     *duties.Terms
 }
 
 // Read reads and checks the configuration file and all files that overrides names. Name, Listen, Discovery and
 // Management of overrides replace what the file says; Own, Shared, StateDir and the names of the other files come
 // from overrides alone. An error is one line that names the file or key at fault.
-func Read(file string, overrides Place) (*Place, error) {
+func Read(file string, overrides Config) (*Config, error) {
 	document, err := parseConfigFile(file)
 	if err != nil {
 		return nil, err
 	}
-	config := &Place{
-		Own: overrides.Own, Shared: overrides.Shared,
-		Peers: overrides.Peers, PeersListen: overrides.PeersListen,
-		ZonesFile: overrides.ZonesFile, StateDir: overrides.StateDir, MissingFile: overrides.MissingFile,
-		MovesFile: overrides.MovesFile, TurnsFile: overrides.TurnsFile,
+	config := &Config{
+		LimitRuntime: overrides.LimitRuntime, HotRestartDir: overrides.HotRestartDir,
+		GossipFile: overrides.GossipFile, GossipListen: overrides.GossipListen,
+		ZoneHealthFile: overrides.ZoneHealthFile, StateDir: overrides.StateDir, NegativeCacheFile: overrides.NegativeCacheFile,
+		RebalanceFile: overrides.RebalanceFile, DutiesFile: overrides.DutiesFile,
 	}
 	if err := config.readProcess(document, &overrides); err != nil {
 		return nil, err
@@ -94,14 +94,14 @@
 		return nil, err
 	}
 	// last, since it changes the settings in the document
-	if config.Watch, err = readShadowSettings(document, config.Book); err != nil {
+	if config.ShadowSettings, err = readShadowSettings(document, config.Settings); err != nil {
 		return nil, fmt.Errorf("configuration: watch: %w", err)
 	}
 	return config, nil
 }
 
 // readProcess reads names, addresses, limits and the seed.
-func (c *Place) readProcess(document *fastjson.Value, overrides *Place) error {
+func (c *Config) readProcess(document *fastjson.Value, overrides *Config) error {
 	reader := &configReader{document: document}
 	c.Name = reader.text("name", overrides.Name)
 	c.Listen = reader.text("listen", overrides.Listen)
@@ -116,7 +116,7 @@
 }
 
 // checkProcess checks what readProcess read, where the values depend on one another.
-func (c *Place) checkProcess() error {
+func (c *Config) checkProcess() error {
 	if err := checkAddress("listen", c.Listen); err != nil {
 		return err
 	}
@@ -144,61 +144,61 @@
 	return nil
 }
 
-func (c *Place) readSettings(document *fastjson.Value) error {
+func (c *Config) readSettings(document *fastjson.Value) error {
 	object := document.Get("settings")
 	if object == nil || object.Type() != fastjson.TypeObject {
 		return errors.New("configuration: settings: missing or mistyped")
 	}
 	var err error
-	if c.Book, err = settings.Read(object); err != nil {
+	if c.Settings, err = settings.Read(object); err != nil {
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
-	c.Untold, c.Book.Terms.Peers = c.Book.Terms.Peers > 0, 0
+	c.NotificationsWithoutGossip, c.Settings.Terms.Peers = c.Settings.Terms.Peers > 0, 0
 	return nil
 }
 
-func (c *Place) readGossipFile() error {
-	if c.Peers == "" {
+func (c *Config) readGossipFile() error {
+	if c.GossipFile == "" {
 		return nil
 	}
 	var err error
-	if c.Talk, err = gossip.Read(c.Peers, c.PeersListen); err != nil {
+	if c.Gossip, err = gossip.ReadConfig(c.GossipFile, c.GossipListen); err != nil {
 		return err
 	}
 	for _, address := range [...]string{c.Listen, c.Management, c.Discovery} {
-		if address == c.Talk.Listen {
-			return fmt.Errorf("peers: %s: listen: the address of another listener: %q", c.Peers, address)
+		if address == c.Gossip.Listen {
+			return fmt.Errorf("peers: %s: listen: the address of another listener: %q", c.GossipFile, address)
 		}
 	}
 	// the balancer notifies a single peer, which stands for all of them: gossip spreads the notification
-	c.Untold, c.Book.Terms.Peers, c.Book.Terms.Me = false, 1, 0
+	c.NotificationsWithoutGossip, c.Settings.Terms.Peers, c.Settings.Terms.Me = false, 1, 0
 	return nil
 }
 
 // readPolicyFiles opens the state directory and reads the TOML files beside the gossip file, where they are named.
-func (c *Place) readPolicyFiles() (err error) {
-	if c.ZonesFile != "" {
-		if c.Zones, err = readZoneHealthFile(c.ZonesFile, c.Name, c.Book); err != nil {
+func (c *Config) readPolicyFiles() (err error) {
+	if c.ZoneHealthFile != "" {
+		if c.ZoneHealth, err = readZoneHealthFile(c.ZoneHealthFile, c.Name, c.Settings); err != nil {
 			return err
 		}
 	}
 	if c.StateDir != "" {
-		if c.State, err = snapshot.Open(c.StateDir, c.Name); err != nil {
+		if c.StateStore, err = snapshot.Open(c.StateDir, c.Name); err != nil {
 			return err
 		}
 	}
-	if c.MissingFile != "" {
-		if c.Missing, err = readNegativeCacheFile(c.MissingFile, c); err != nil {
+	if c.NegativeCacheFile != "" {
+		if c.NegativeCache, err = readNegativeCacheFile(c.NegativeCacheFile, c); err != nil {
 			return err
 		}
 	}
-	if c.MovesFile != "" {
-		if c.Moves, err = readRebalanceFile(c.MovesFile); err != nil {
+	if c.RebalanceFile != "" {
+		if c.Rebalance, err = readRebalanceFile(c.RebalanceFile); err != nil {
 			return err
 		}
 	}
-	if c.TurnsFile != "" {
-		if c.Turns, err = readDutiesFile(c.TurnsFile, c); err != nil {
+	if c.DutiesFile != "" {
+		if c.Duties, err = readDutiesFile(c.DutiesFile, c); err != nil {
 			return err
 		}
 	}
@@ -206,20 +206,20 @@
 }
 
 // Zone returns the zone in which the proxy stands; empty if it is not known.
-func (c *Place) Zone() string {
-	if c.Zones != nil {
-		return c.Zones.Zone
+func (c *Config) Zone() string {
+	if c.ZoneHealth != nil {
+		return c.ZoneHealth.Zone
 	}
-	return c.Book.Locality
+	return c.Settings.Locality
 }
 
 // cluster returns the name of the fleet that this proxy belongs to; empty if no gossip file names it.
-func (c *Place) cluster() string {
-	if c.Talk != nil {
-		return c.Talk.Cluster
+func (c *Config) cluster() string {
+	if c.Gossip != nil {
+		return c.Gossip.Cluster
 	}
 	return ""
 }
 
 // proxies returns the number of proxies in the fleet as the settings state it, at least 1.
-func (c *Place) proxies() int { return max(c.Book.Terms.Proxies, 1) }
+func (c *Config) proxies() int { return max(c.Settings.Terms.Proxies, 1) }
--- a/internal/server/config_golden_test.go
+++ b/internal/server/config_golden_test.go
@@ -19,7 +19,7 @@
 
 // readConfig writes the files into a directory and reads the configuration with them. Errors are stable
 // ones.
-func readConfig(t *testing.T, files configFiles, overrides server.Place) (*server.Place, error) {
+func readConfig(t *testing.T, files configFiles, overrides server.Config) (*server.Config, error) {
 	t.Helper()
 	dir := t.TempDir()
 	write := func(name, text string) string {
@@ -33,11 +33,11 @@
 		}
 		return file
 	}
-	overrides.Peers = write("peers.toml", files.peers)
-	overrides.ZonesFile = write("zones.toml", files.zones)
-	overrides.TurnsFile = write("turns.toml", files.turns)
-	overrides.MovesFile = write("moves.toml", files.moves)
-	overrides.MissingFile = write("missing.toml", files.missing)
+	overrides.GossipFile = write("peers.toml", files.peers)
+	overrides.ZoneHealthFile = write("zones.toml", files.zones)
+	overrides.DutiesFile = write("turns.toml", files.turns)
+	overrides.RebalanceFile = write("moves.toml", files.moves)
+	overrides.NegativeCacheFile = write("missing.toml", files.missing)
 	config, err := server.Read(write("config.json", files.config), overrides)
 	if err != nil {
 		return nil, errors.New(stableError(err, dir))
@@ -47,7 +47,7 @@
 
 // formatConfig lists what was read of the configuration under the names of the file's keys. All keys of the settings
 // object are listed by the tests of the package that reads it.
-func formatConfig(config *server.Place) string {
+func formatConfig(config *server.Config) string {
 	var text strings.Builder
 	line := func(label string, value any) { fmt.Fprintf(&text, "%s = %v\n", label, value) }
 	line("name", config.Name)
@@ -78,14 +78,14 @@
 		line(label+".rules.fall", fmt.Sprintf("%v ms", float64(book.Terms.Fall)/10))
 		line(label+".routes", len(book.Terms.Routes))
 	}
-	listSettings("settings", config.Book)
-	listSettings("watch", config.Watch)
-	line("peers might be told and no file of peers is named", config.Untold)
+	listSettings("settings", config.Settings)
+	listSettings("watch", config.ShadowSettings)
+	line("peers might be told and no file of peers is named", config.NotificationsWithoutGossip)
 	return text.String()
 }
 
 // describeConfig lists what was read of a configuration, or the error.
-func describeConfig(t *testing.T, files configFiles, overrides server.Place) string {
+func describeConfig(t *testing.T, files configFiles, overrides server.Config) string {
 	t.Helper()
 	config, err := readConfig(t, files, overrides)
 	if err != nil {
@@ -96,30 +96,30 @@
 
 func TestConfigEveryKey(t *testing.T) {
 	every := readTestdata(t, "config_every_key.json")
-	describe := func(text string) string { return describeConfig(t, configFiles{config: text}, server.Place{}) }
+	describe := func(text string) string { return describeConfig(t, configFiles{config: text}, server.Config{}) }
 	checkGolden(t, "config_every_key.golden", describe(every))
 	checkGolden(t, "config_every_key_left_out.golden", leaveOutEachKey(every, describe))
 }
 
 func TestConfigDefaults(t *testing.T) {
 	required := readTestdata(t, "config_required_keys.json")
-	checkGolden(t, "config_defaults.golden", describeConfig(t, configFiles{config: required}, server.Place{}))
+	checkGolden(t, "config_defaults.golden", describeConfig(t, configFiles{config: required}, server.Config{}))
 }
 
 // What is given beside the file goes before what it says.
 func TestConfigOverrides(t *testing.T) {
 	files := configFiles{config: readTestdata(t, "config_every_key.json")}
-	overrides := server.Place{
+	overrides := server.Config{
 		Name: "proxy-32", Listen: "127.0.0.41:1", Discovery: "127.0.0.42:2", Management: "127.0.0.43:3",
 	}
-	base := describeConfig(t, files, server.Place{})
+	base := describeConfig(t, files, server.Config{})
 	checkGolden(t, "config_overrides.golden", changedLines(describeConfig(t, files, overrides), base))
 }
 
 // What changes in the configuration when a value is null, stands twice or is not known, or a file of peers is named.
 func TestConfigVariants(t *testing.T) {
 	every := readTestdata(t, "config_every_key.json")
-	base := describeConfig(t, configFiles{config: every}, server.Place{})
+	base := describeConfig(t, configFiles{config: every}, server.Config{})
 	var report strings.Builder
 	for _, change := range []struct{ from, to string }{
 		{`"management": "127.0.0.33:6433"`, `"management": null`},
@@ -134,11 +134,11 @@
 	} {
 		text := replaceIn(t, every, change.from, change.to)
 		fmt.Fprintf(&report, "%s instead of %s:\n%s", change.to, change.from,
-			changedLines(describeConfig(t, configFiles{config: text}, server.Place{}), base))
+			changedLines(describeConfig(t, configFiles{config: text}, server.Config{}), base))
 	}
 	text := replaceIn(t, every, `"tick":7.3`, `"tick":7.3,"me":6`)
 	files := configFiles{config: text, peers: readTestdata(t, "peers.toml")}
-	fmt.Fprintf(&report, "\"me\":6 with a file of peers:\n%s", changedLines(describeConfig(t, files, server.Place{}), base))
+	fmt.Fprintf(&report, "\"me\":6 with a file of peers:\n%s", changedLines(describeConfig(t, files, server.Config{}), base))
 	checkGolden(t, "config_variants.golden", report.String())
 }
 
@@ -200,12 +200,12 @@
 		},
 	} {
 		t.Run(c.want, func(t *testing.T) {
-			_, err := readConfig(t, configFiles{config: replaceIn(t, every, c.from, c.to)}, server.Place{})
+			_, err := readConfig(t, configFiles{config: replaceIn(t, every, c.from, c.to)}, server.Config{})
 			expectError(t, c.to, err, c.want)
 		})
 	}
-	_, err := server.Read("", server.Place{})
+	_, err := server.Read("", server.Config{})
 	expectError(t, "no file", err, "configuration: no file named")
-	_, err = server.Read("testdata/absent.json", server.Place{})
+	_, err = server.Read("testdata/absent.json", server.Config{})
 	expectError(t, "a file that is not there", err, "configuration: open testdata/absent.json: no such file or directory")
 }
--- a/internal/server/config_test.go
+++ b/internal/server/config_test.go
@@ -59,11 +59,11 @@
 }
 
 // readText reads a configuration of this text.
-func readText(t *testing.T, text string) (*Place, error) {
+func readText(t *testing.T, text string) (*Config, error) {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "config.json")
 	writeFile(t, file, text)
-	return Read(file, Place{})
+	return Read(file, Config{})
 }
 
 // requireOneLine requires an error of one line that has all parts.
@@ -94,7 +94,7 @@
 			requireOneLine(t, err, c.want)
 		})
 	}
-	if _, err := Read("", Place{}); err == nil {
+	if _, err := Read("", Config{}); err == nil {
 		t.Error("no file is taken")
 	}
 }
@@ -109,7 +109,7 @@
 func TestReadPrefersOverrides(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
 	writeFile(t, file, exampleConfig)
-	config, err := Read(file, Place{Name: "n2", Listen: "127.0.0.1:3"})
+	config, err := Read(file, Config{Name: "n2", Listen: "127.0.0.1:3"})
 	if err != nil || config.Name != "n2" || config.Listen != "127.0.0.1:3" {
 		t.Errorf("%+v, %v, want the name n2 and the address 127.0.0.1:3", config, err)
 	}
@@ -126,16 +126,16 @@
 	file, configFile := filepath.Join(dir, "zones.toml"), filepath.Join(dir, "config.json")
 	writeFile(t, configFile, `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f","settings":`+
 		strings.Replace(settingsJSON, `"tick"`, `"zones":["a","b","c"],"locality":"a","tick"`, 1)+`}`)
-	read := func(t *testing.T, text string) (*Place, error) {
+	read := func(t *testing.T, text string) (*Config, error) {
 		t.Helper()
 		writeFile(t, file, text)
-		return Read(configFile, Place{ZonesFile: file})
+		return Read(configFile, Config{ZoneHealthFile: file})
 	}
 	config, err := read(t, "voices = 0.3\n"+zoneRegion("east", `"b", "c"`))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if z := config.Zones; z.Zone != "a" || z.Me != "n1" || z.Voices != 0.3 || len(z.Regions) != 1 {
+	if z := config.ZoneHealth; z.Zone != "a" || z.Me != "n1" || z.Voices != 0.3 || len(z.Regions) != 1 {
 		t.Fatalf("%+v", z)
 	}
 	for _, c := range []struct{ text, want string }{
@@ -159,7 +159,7 @@
 			requireOneLine(t, err, c.want, file)
 		})
 	}
-	if _, err := Read(configFile, Place{ZonesFile: file + "x"}); err == nil {
+	if _, err := Read(configFile, Config{ZoneHealthFile: file + "x"}); err == nil {
 		t.Error("a file that is missing")
 	}
 }
@@ -185,9 +185,9 @@
 // file and key.
 func TestReadRejectsBadPolicyFiles(t *testing.T) {
 	files := newPolicyFileDir(t)
-	duty, dutyAlone := Place{TurnsFile: files.policy, Peers: files.gossip}, Place{TurnsFile: files.policy}
-	rebalancing := Place{MovesFile: files.policy}
-	cache, cacheAlone := Place{MissingFile: files.policy, Peers: files.gossip}, Place{MissingFile: files.policy}
+	duty, dutyAlone := Config{DutiesFile: files.policy, GossipFile: files.gossip}, Config{DutiesFile: files.policy}
+	rebalancing := Config{RebalanceFile: files.policy}
+	cache, cacheAlone := Config{NegativeCacheFile: files.policy, GossipFile: files.gossip}, Config{NegativeCacheFile: files.policy}
 	var dutyRange *duties.RangeError
 	var dutyOrder *duties.OrderError
 	var dutyAloneError *duties.AloneError
@@ -195,7 +195,7 @@
 	var cacheRange *negativecache.RangeError
 	var cacheAloneError *negativecache.AloneError
 	for _, c := range []struct {
-		overrides Place
+		overrides Config
 		text      string
 		errorType any // nil: any
 		want      string
@@ -224,14 +224,14 @@
 // The files in deploy are good.
 func TestReadTakesDeployedPolicyFiles(t *testing.T) {
 	files := newPolicyFileDir(t)
-	for name, overrides := range map[string]Place{
-		"turns":   {TurnsFile: "../../deploy/turns.toml", Peers: files.gossip},
-		"moves":   {MovesFile: "../../deploy/moves.toml"},
-		"missing": {MissingFile: "../../deploy/missing.toml", Peers: files.gossip},
+	for name, overrides := range map[string]Config{
+		"turns":   {DutiesFile: "../../deploy/turns.toml", GossipFile: files.gossip},
+		"moves":   {RebalanceFile: "../../deploy/moves.toml"},
+		"missing": {NegativeCacheFile: "../../deploy/missing.toml", GossipFile: files.gossip},
 	} {
 		t.Run(name, func(t *testing.T) {
 			config, err := Read(files.config, overrides)
-			if err != nil || config.Turns == nil && config.Moves == nil && config.Missing == nil {
+			if err != nil || config.Duties == nil && config.Rebalance == nil && config.NegativeCache == nil {
 				t.Errorf("%+v: %v", overrides, err)
 			}
 		})
--- a/internal/server/dutiesfile.go
+++ b/internal/server/dutiesfile.go
@@ -19,11 +19,11 @@
 
 // readDutiesFile reads the duties file. Duties are shared among proxies, so that without gossip it is a
 // *duties.AloneError.
-func readDutiesFile(file string, config *Place) (*duties.Terms, error) {
-	if config.Talk == nil {
+func readDutiesFile(file string, config *Config) (*duties.Terms, error) {
+	if config.Gossip == nil {
 		return nil, fmt.Errorf("turns: %w", &duties.AloneError{File: file})
 	}
-	shortest := shortestObjective[duties.Time](config.Book)
+	shortest := shortestObjective[duties.Time](config.Settings)
 	values := &dutiesFile{
 		HealthChecks:      true,
 		ProbeIntervalMS:   max(float64(shortest)/10, 50),
--- a/internal/server/gossip.go
+++ b/internal/server/gossip.go
@@ -21,7 +21,7 @@
 // gossipSender publishes rows to the other proxies. Until gossip has started, and where it never does, rows are
 // dropped: what is current is published again. Its methods may be called from any goroutine and do not wait.
 type gossipSender struct {
-	talker atomic.Pointer[gossip.Talker] // nil: gossip does not run
+	talker atomic.Pointer[gossip.Agent] // nil: gossip does not run
 }
 
 // publish sends a row that this proxy owns. A body that can't be encoded is dropped.
@@ -31,21 +31,21 @@
 		return
 	}
 	if encoded, err := msgpack.Marshal(body); err == nil {
-		talker.Speak(kind, key, ttl, encoded)
+		talker.PublishOwnRow(kind, key, ttl, encoded)
 	}
 }
 
 // publishShared sends a row that no single proxy owns.
 func (s *gossipSender) publishShared(row replica.Row) {
 	if talker := s.talker.Load(); talker != nil {
-		talker.Put(row)
+		talker.PublishSharedRow(row)
 	}
 }
 
 // status returns how gossip stands; nil if it does not run.
-func (s *gossipSender) status() *gossip.Shown {
+func (s *gossipSender) status() *gossip.Status {
 	if talker := s.talker.Load(); talker != nil {
-		return talker.Shown()
+		return talker.Status()
 	}
 	return nil
 }
@@ -55,7 +55,7 @@
 // nothing then.
 type gossipAdapter struct {
 	sender    *gossipSender
-	config    *Place
+	config    *Config
 	router    *proxy.Router
 	endpoints *proxy.List
 	counters  *proxy.Counters
@@ -71,19 +71,19 @@
 // start binds the gossip address and begins to talk, where a gossip file is named.
 func (g *gossipAdapter) start() error {
 	config := g.config
-	if config.Talk == nil {
+	if config.Gossip == nil {
 		return nil
 	}
-	observationTTL := observationObjectives * shortestObjective[replica.Time](config.Book)
-	talker, err := gossip.Start(config.Talk, config.Name, config.Zone(), config.proxies(), observationTTL, config.Seed,
+	observationTTL := observationObjectives * shortestObjective[replica.Time](config.Settings)
+	talker, err := gossip.Start(config.Gossip, config.Name, config.Zone(), config.proxies(), observationTTL, config.Seed,
 		g, g.log)
 	if err != nil {
 		return err
 	}
-	g.router.Share(config.Talk.Floor / float64(config.proxies()))
+	g.router.Share(config.Gossip.QuotaFloor / float64(config.proxies()))
 	g.sender.talker.Store(talker)
 	if version := g.listVersion.Load(); version > 0 { // discovery has sent a list before gossip started
-		talker.Listed(version, true, g.router.Targets())
+		talker.PublishEndpoints(version, true, g.router.Targets())
 	}
 	return nil
 }
@@ -91,7 +91,7 @@
 // stop leaves the fleet. Where a successor carries on under the same name, the others are not told of a departure.
 func (g *gossipAdapter) stop(hasSuccessor bool) {
 	if talker := g.sender.talker.Load(); talker != nil {
-		talker.Yield(hasSuccessor)
+		talker.SetReplaced(hasSuccessor)
 		talker.Close()
 	}
 }
@@ -100,45 +100,47 @@
 func (g *gossipAdapter) publishEndpoints(version int64, complete bool, targets []wire.Target) {
 	g.listVersion.Store(version)
 	if talker := g.sender.talker.Load(); talker != nil {
-		talker.Listed(version, complete, targets)
+		talker.PublishEndpoints(version, complete, targets)
 	}
 }
 
 // publishObservation tells that a node fell silent here, or answers again.
 func (g *gossipAdapter) publishObservation(node string, answers bool) {
 	if talker := g.sender.talker.Load(); talker != nil {
-		talker.Tell(node, answers)
+		talker.PublishHealth(node, answers)
 	}
 }
 
 // catchingUp tells whether rows of the other proxies are still being fetched.
 func (g *gossipAdapter) catchingUp() bool {
 	status := g.sender.status()
-	return status != nil && status.Behind
+	return status != nil && status.CatchingUp
 }
 
-// Hear passes on an endpoint that a peer's discovery sent.
-func (g *gossipAdapter) Hear(index int64, target wire.Target) { g.endpoints.Hear(index, target) }
+// EndpointChanged passes on an endpoint that a peer's discovery sent.
+func (g *gossipAdapter) EndpointChanged(index int64, target wire.Target) {
+	g.endpoints.Hear(index, target)
+}
 
-// Heard passes on that a peer found a node silent, or answering.
-func (g *gossipAdapter) Heard(node string, answers bool) { g.router.Heard(node, answers) }
+// HealthReported passes on that a peer found a node silent, or answering.
+func (g *gossipAdapter) HealthReported(node string, answers bool) { g.router.Heard(node, answers) }
 
-// Share passes on this proxy's part of the fleet's quota, from 0 to 1.
-func (g *gossipAdapter) Share(part float64) { g.router.Share(part) }
+// QuotaShareChanged passes on this proxy's part of the fleet's quota, from 0 to 1.
+func (g *gossipAdapter) QuotaShareChanged(part float64) { g.router.Share(part) }
 
-// Demand returns the number of requests since the start.
-func (g *gossipAdapter) Demand() int64 { return g.counters.Exchanges.Load() }
+// RequestCount returns the number of requests since the start.
+func (g *gossipAdapter) RequestCount() int64 { return g.counters.Exchanges.Load() }
 
-// Writes returns the number of write notices sent since the start, which heartbeats carry.
-func (g *gossipAdapter) Writes() int64 {
+// WriteRowCount returns the number of write notices sent since the start, which heartbeats carry.
+func (g *gossipAdapter) WriteRowCount() int64 {
 	if g.negativeCache == nil {
 		return 0
 	}
 	return g.negativeCache.actor.Sent()
 }
 
-// Row passes a peer's row to the part that its kind belongs to.
-func (g *gossipAdapter) Row(row *replica.Row) {
+// RowChanged passes a peer's row to the part that its kind belongs to.
+func (g *gossipAdapter) RowChanged(row *replica.Row) {
 	switch row.Kind {
 	case replica.Voice:
 		g.zoneHealth.receiveReport(row)
@@ -151,8 +153,8 @@
 	}
 }
 
-// Fleet passes on the members of the fleet, this proxy included, and whether it still catches up with them.
-func (g *gossipAdapter) Fleet(members []replica.Member, catchingUp bool) {
+// MembersUpdated passes on the members of the fleet, this proxy included, and whether it still catches up with them.
+func (g *gossipAdapter) MembersUpdated(members []replica.Member, catchingUp bool) {
 	g.duties.updateMembers(members, catchingUp)
 	g.negativeCache.updateMembers(members, catchingUp)
 	g.zoneHealth.updateMembers(members, catchingUp)
@@ -188,15 +190,15 @@
 	if talker == nil {
 		return ""
 	}
-	status := talker.Shown()
+	status := talker.Status()
 	var text strings.Builder
 	fmt.Fprintf(&text, "cluster %s, at %s; behind %v, share %.6f\n",
-		g.config.Talk.Cluster, g.config.Talk.Advertise, status.Behind, status.Share)
+		g.config.Gossip.Cluster, g.config.Gossip.Advertise, status.CatchingUp, status.QuotaShare)
 	fmt.Fprintf(&text, "packets %d streams %d bytes-in %d bytes-out %d dropped %d bad %d refused %d probes %d\n",
-		talker.Packets.Load(), talker.Streams.Load(), talker.BytesIn.Load(), talker.BytesOut.Load(),
-		talker.Dropped.Load(), talker.Bad.Load(), status.Refused, talker.Probes.Load())
+		talker.PacketsReceived.Load(), talker.StreamsAccepted.Load(), talker.BytesIn.Load(), talker.BytesOut.Load(),
+		talker.Dropped.Load(), talker.Faults.Load(), status.RejectedRows, talker.ConnectProbes.Load())
 	for kind := range 256 {
-		rows, ok := status.Kinds[replica.Kind(kind)]
+		rows, ok := status.RowsByKind[replica.Kind(kind)]
 		if !ok {
 			continue
 		}
--- a/internal/server/harness_test.go
+++ b/internal/server/harness_test.go
@@ -227,8 +227,8 @@
 // run runs a proxy with the configuration there is.
 func (h *proxyHarness) run() {
 	h.t.Helper()
-	read := func() (*Place, error) {
-		return Read(h.configFile, Place{Management: h.adminAddress, Shared: h.hotRestartDir})
+	read := func() (*Config, error) {
+		return Read(h.configFile, Config{Management: h.adminAddress, HotRestartDir: h.hotRestartDir})
 	}
 	config, err := read()
 	if err != nil {
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -19,9 +19,9 @@
 // openListener inherits the listener of the process that this one replaces, if there is one, or else listens itself;
 // the predecessor is nil then. A predecessor that can't be asked may still be running: both listen then, and the
 // kernel distributes clients among them.
-func openListener(config *Place, log *zap.Logger) (*net.TCPListener, *hotrestart.Before, error) {
-	if config.Shared != "" {
-		predecessor, err := hotrestart.Claim(config.Shared, config.Listen)
+func openListener(config *Config, log *zap.Logger) (*net.TCPListener, *hotrestart.Before, error) {
+	if config.HotRestartDir != "" {
+		predecessor, err := hotrestart.Claim(config.HotRestartDir, config.Listen)
 		if err == nil {
 			log.Info("listener inherited from predecessor", zap.Int("list", len(predecessor.List)))
 			return predecessor.Listener, predecessor, nil
@@ -58,8 +58,8 @@
 		s.resources.update(func(b *resourceBudget) { b.hasSuccessor = successors > 0 })
 		s.clientListener.Pause(serving > 0)
 	}
-	offer := hotrestart.New(s.config.Shared, s.config.Listen, listener, s.encodeEndpoints, onChange, s.log)
-	if s.config.Shared != "" {
+	offer := hotrestart.New(s.config.HotRestartDir, s.config.Listen, listener, s.encodeEndpoints, onChange, s.log)
+	if s.config.HotRestartDir != "" {
 		if err := offer.Open(); err != nil {
 			s.log.Warn("hot-restart socket not opened; the listener can't be handed over", zap.Error(err))
 		}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -63,7 +63,7 @@
 		sink.negativeCache(m.gossip.negativeCache.actor.Shown())
 	}
 	if status := m.gossip.sender.status(); status != nil {
-		sink.gauge("peers_share", "Part of what all proxies may do together that this one may.", status.Share)
+		sink.gauge("peers_share", "Part of what all proxies may do together that this one may.", status.QuotaShare)
 		sink.gauge("peers_known", "Proxies that are known, this one included.", float64(len(status.Members)))
 	}
 }
--- a/internal/server/negativecachefile.go
+++ b/internal/server/negativecachefile.go
@@ -19,7 +19,7 @@
 
 // readNegativeCacheFile reads the negative cache file. Where other proxies may write, they have to be heard: without
 // gossip it is a *negativecache.AloneError.
-func readNegativeCacheFile(file string, config *Place) (*negativecache.Terms, error) {
+func readNegativeCacheFile(file string, config *Config) (*negativecache.Terms, error) {
 	values := &negativeCacheFile{Entries: 1 << 16, TTLSeconds: 10, GracePeriodMS: 2000, GrowPerSecond: 2000}
 	terms := &negativecache.Terms{}
 	err := readPolicyFile("missing", file, values, func() error {
@@ -29,7 +29,7 @@
 			Believe: tenths[negativecache.Time](values.TTLSeconds * 1000),
 			Grace:   tenths[negativecache.Time](values.GracePeriodMS),
 			Grow:    values.GrowPerSecond,
-			Tenants: len(config.Book.Tenants),
+			Tenants: len(config.Settings.Tenants),
 		}
 		if err := terms.Check(); err != nil {
 			return err
@@ -39,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if proxies := config.Book.Terms.Proxies; config.Talk == nil && proxies > 1 {
+	if proxies := config.Settings.Terms.Proxies; config.Gossip == nil && proxies > 1 {
 		return nil, fmt.Errorf("missing: %w", &negativecache.AloneError{File: file, Proxies: proxies})
 	}
 	return terms, nil
@@ -47,8 +47,8 @@
 
 // checkTTL requires the TTL to cover twice the longest overall timeout: a write may be carried out until that ends, and
 // what the origin answers on its key before that is not cached.
-func (f *negativeCacheFile) checkTTL(config *Place) error {
-	least := 2 * float64(config.Book.Longest) / float64(negativecache.Second)
+func (f *negativeCacheFile) checkTTL(config *Config) error {
+	least := 2 * float64(config.Settings.Longest) / float64(negativecache.Second)
 	if f.TTLSeconds < least {
 		return &negativecache.RangeError{Key: "believe_s", Value: f.TTLSeconds, Least: least, Most: maxTTLSeconds}
 	}
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -41,12 +41,12 @@
 		log:       s.log,
 		clock:     proxy.NewClock(),
 		writer: &snapshotWriter{
-			store: s.config.State, config: s.config, gossip: s.gossip, router: s.router, endpoints: s.endpoints, log: s.log,
+			store: s.config.StateStore, config: s.config, gossip: s.gossip, router: s.router, endpoints: s.endpoints, log: s.log,
 		},
 		quit:  make(chan struct{}),
 		ended: make(chan struct{}),
 	}
-	terms := recovery.Usual(s.config.Talk != nil)
+	terms := recovery.Usual(s.config.Gossip != nil)
 	tracker.instance = recovery.New(tracker.now(), terms, restored.outcome, restored.drained)
 	return tracker
 }
@@ -88,7 +88,7 @@
 				alive++
 			}
 		}
-		changes = append(changes, t.instance.Peers(t.now(), alive, status.Behind)...)
+		changes = append(changes, t.instance.Peers(t.now(), alive, status.CatchingUp)...)
 	}
 	return changes
 }
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -11,7 +11,7 @@
 )
 
 // handleSignals handles signals until one tells the proxy to stop, and returns the configuration in effect then.
-func (s *server) handleSignals(reread func() (*Place, error), signals <-chan os.Signal) *Place {
+func (s *server) handleSignals(reread func() (*Config, error), signals <-chan os.Signal) *Config {
 	current := s.config
 	for {
 		switch <-signals {
@@ -33,7 +33,7 @@
 
 // reload applies what can change while the proxy runs: the address of discovery, cores and memory. All else is reset
 // to the current values, and a warning says so.
-func (s *server) reload(current, config *Place) {
+func (s *server) reload(current, config *Config) {
 	s.log.Info("configuration reloaded", zap.String("discovery", config.Discovery), zap.Float64("cores", config.Cores),
 		zap.Int("memory_mb", config.MemoryMB))
 	if !sameStartValues(current, config) {
@@ -46,24 +46,24 @@
 }
 
 // sameStartValues tells whether two configurations agree in all that is read at the start only.
-func sameStartValues(a, b *Place) bool {
+func sameStartValues(a, b *Config) bool {
 	return a.Name == b.Name && a.Listen == b.Listen && a.Management == b.Management && a.Sockets == b.Sockets &&
-		a.MovesFile == b.MovesFile && // its terms hold a function, which can't be compared
-		reflect.DeepEqual(a.Book, b.Book) &&
-		reflect.DeepEqual(a.Watch, b.Watch) &&
-		reflect.DeepEqual(a.Talk, b.Talk) &&
-		reflect.DeepEqual(a.Zones, b.Zones) &&
-		reflect.DeepEqual(a.Turns, b.Turns) &&
-		reflect.DeepEqual(a.Missing, b.Missing)
+		a.RebalanceFile == b.RebalanceFile && // its terms hold a function, which can't be compared
+		reflect.DeepEqual(a.Settings, b.Settings) &&
+		reflect.DeepEqual(a.ShadowSettings, b.ShadowSettings) &&
+		reflect.DeepEqual(a.Gossip, b.Gossip) &&
+		reflect.DeepEqual(a.ZoneHealth, b.ZoneHealth) &&
+		reflect.DeepEqual(a.Duties, b.Duties) &&
+		reflect.DeepEqual(a.NegativeCache, b.NegativeCache)
 }
 
 // keepStartValues sets all that is read at the start only to the current values.
-func keepStartValues(current, config *Place) {
+func keepStartValues(current, config *Config) {
 	config.Name, config.Listen, config.Management = current.Name, current.Listen, current.Management
 	config.Sockets = current.Sockets
-	config.Book, config.Watch = current.Book, current.Watch
-	config.Talk, config.Zones, config.Turns = current.Talk, current.Zones, current.Turns
-	config.Moves, config.Missing = current.Moves, current.Missing
+	config.Settings, config.ShadowSettings = current.Settings, current.ShadowSettings
+	config.Gossip, config.ZoneHealth, config.Duties = current.Gossip, current.ZoneHealth, current.Duties
+	config.Rebalance, config.NegativeCache = current.Rebalance, current.NegativeCache
 }
 
 func counterFields(counters *proxy.Counters) []zap.Field {
--- a/internal/server/restore.go
+++ b/internal/server/restore.go
@@ -36,17 +36,17 @@
 // restoreState compares the stored state with the configuration and returns which endpoint list to start with. Stored
 // addresses of peers are added to the gossip seeds of the configuration. A state file that can't be read is moved
 // aside.
-func restoreState(config *Place, log *zap.Logger) (restoredState, error) {
+func restoreState(config *Config, log *zap.Logger) (restoredState, error) {
 	configured := restoredState{endpoints: config.KnownEndpoints}
-	if config.State == nil {
+	if config.StateStore == nil {
 		return configured, nil
 	}
-	stored, err := config.State.Load()
+	stored, err := config.StateStore.Load()
 	var torn *snapshot.TornError
 	if errors.As(err, &torn) {
 		log.Warn("state: " + torn.Error())
 		configured.outcome = restoredUnreadable
-		return configured, config.State.Aside()
+		return configured, config.StateStore.Aside()
 	}
 	if stored == nil {
 		configured.outcome = restoredNothing
@@ -62,14 +62,14 @@
 	if err != nil {
 		log.Warn("state: stored endpoint list is unreadable, state file moved aside", zap.Error(err))
 		configured.outcome = restoredUnreadable
-		return configured, config.State.Aside()
+		return configured, config.StateStore.Aside()
 	}
 	return chooseEndpoints(config, stored, storedList, log)
 }
 
 // chooseEndpoints decides between the stored and the configured endpoint list.
 func chooseEndpoints(
-	config *Place, stored *snapshot.Snapshot, storedList *endpointList, log *zap.Logger,
+	config *Config, stored *snapshot.Snapshot, storedList *endpointList, log *zap.Logger,
 ) (restoredState, error) {
 	configuredList, err := configuredEndpoints(config)
 	if err != nil {
@@ -79,7 +79,7 @@
 		recovery.Stored{List: recovery.List{Index: stored.Index, Lines: recoveryLines(storedList.targets)}, At: stored.At},
 		recovery.List{Index: configuredList.version, Lines: recoveryLines(configuredList.targets)},
 		time.Now(), maxSnapshotAge)
-	if config.Talk != nil {
+	if config.Gossip != nil {
 		addSeeds(config, stored.Peers)
 	}
 	restored := restoredState{endpoints: config.KnownEndpoints, outcome: use.Why, drained: len(use.Drained)}
@@ -94,10 +94,10 @@
 }
 
 // addSeeds adds stored addresses of peers to the gossip seeds: some of these proxies may still be there.
-func addSeeds(config *Place, addresses []string) {
+func addSeeds(config *Config, addresses []string) {
 	for _, address := range addresses[:min(len(addresses), maxRestoredSeeds)] {
-		if !slices.Contains(config.Talk.Seeds, address) {
-			config.Talk.Seeds = append(config.Talk.Seeds, address)
+		if !slices.Contains(config.Gossip.Seeds, address) {
+			config.Gossip.Seeds = append(config.Gossip.Seeds, address)
 		}
 	}
 }
@@ -136,7 +136,7 @@
 }
 
 // configuredEndpoints decodes the endpoint list of the configuration; one that is left out is an empty list.
-func configuredEndpoints(config *Place) (*endpointList, error) {
+func configuredEndpoints(config *Config) (*endpointList, error) {
 	if isNull(config.KnownEndpoints) {
 		return &endpointList{}, nil
 	}
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -45,7 +45,7 @@
 }
 
 // shutDown drains clients and leaves the fleet. The configuration is the one in effect.
-func (s *server) shutDown(config *Place) {
+func (s *server) shutDown(config *Config) {
 	hasSuccessor := s.successors.Heirs() > 0
 	s.log.Info("stopping", zap.Bool("replaced", hasSuccessor))
 	s.admin.stopping.Store(true)
@@ -57,12 +57,12 @@
 	}
 	// The others have to hear of writes until the last one where there is a negative cache. A successor begins to gossip
 	// once this process has exited, and the name would be silent for as long as clients are served.
-	stopsEarly := !hasSuccessor && config.Missing == nil
+	stopsEarly := !hasSuccessor && config.NegativeCache == nil
 	if stopsEarly {
 		go stopGossip()
 	}
 
-	remaining := answerTimeout(config.Book.Longest)
+	remaining := answerTimeout(config.Settings.Longest)
 	s.router.Until(remaining)
 	deadline := time.Now().Add(remaining + writeGrace)
 	if !hasSuccessor {
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -18,7 +18,7 @@
 // snapshotWriter stores the endpoint list and the addresses of peers for the next start. It is used by one goroutine.
 type snapshotWriter struct {
 	store     *snapshot.Store // nil: no state is stored
-	config    *Place
+	config    *Config
 	gossip    *gossipAdapter
 	router    *proxy.Router
 	endpoints *proxy.List
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -22,7 +22,7 @@
 // server is one running proxy process. Its parts are made by build in the order of its fields, and are not changed
 // after that.
 type server struct {
-	config *Place // as of the start; reloads do not change it
+	config *Config // as of the start; reloads do not change it
 	log    *zap.Logger
 
 	predecessor    *hotrestart.Before // nil: this process replaces none
@@ -43,7 +43,7 @@
 // Serve runs the proxy until a signal tells it to stop, and returns once clients were drained. SIGUSR1 logs the
 // counters; SIGHUP applies the configuration that reread returns, and one that is bad is logged and changes nothing;
 // any other signal stops the proxy. An error means that the proxy could not start.
-func Serve(config *Place, reread func() (*Place, error), log *zap.Logger, signals <-chan os.Signal) error {
+func Serve(config *Config, reread func() (*Config, error), log *zap.Logger, signals <-chan os.Signal) error {
 	s, err := newServer(config, log)
 	if err != nil {
 		return err
@@ -65,7 +65,7 @@
 
 // newServer opens the listener and makes all parts of the proxy. Gossip, the admin API and the actors of the negative
 // cache and the duties are running then; what serves clients is started by run.
-func newServer(config *Place, log *zap.Logger) (*server, error) {
+func newServer(config *Config, log *zap.Logger) (*server, error) {
 	listener, predecessor, err := openListener(config, log)
 	if err != nil {
 		return nil, err
@@ -94,7 +94,7 @@
 	}
 	s.buildGossip()
 	s.clientListener = proxy.NewDoor(listener, s.router, s.config.MemoryMB, s.counters, s.log)
-	if s.config.State != nil || s.config.Talk != nil {
+	if s.config.StateStore != nil || s.config.Gossip != nil {
 		s.recovery = newRecoveryTracker(s, restored)
 	}
 	if err := s.buildAdmin(); err != nil {
@@ -104,7 +104,7 @@
 		sockets:        sockets,
 		clientListener: s.clientListener,
 		router:         s.router,
-		limitsRuntime:  s.config.Own,
+		limitsRuntime:  s.config.LimitRuntime,
 		cores:          s.config.Cores,
 		memoryMB:       s.config.MemoryMB,
 	}
@@ -119,12 +119,12 @@
 }
 
 func (s *server) buildRouter(sockets socketBudget) {
-	s.router = proxy.NewRouter(s.config.Book, s.config.Seed, proxy.NewClock(), sockets.upstream, s.counters, s.log)
-	if s.config.Untold {
+	s.router = proxy.NewRouter(s.config.Settings, s.config.Seed, proxy.NewClock(), sockets.upstream, s.counters, s.log)
+	if s.config.NotificationsWithoutGossip {
 		s.log.Warn("limits.may-tell: no gossip file is named; no notifications are sent")
 	}
-	if s.config.Watch != nil {
-		s.router.Watch(s.config.Watch, s.config.Seed)
+	if s.config.ShadowSettings != nil {
+		s.router.Watch(s.config.ShadowSettings, s.config.Seed)
 		s.log.Info("shadow settings are evaluated; decisions that differ are counted and not applied")
 	}
 }
@@ -148,32 +148,32 @@
 	s.gossip = &gossipAdapter{
 		sender: sender, config: config, router: s.router, endpoints: s.endpoints, counters: s.counters, log: s.log,
 	}
-	if config.Talk != nil {
+	if config.Gossip != nil {
 		s.endpoints.Share(s.gossip.publishEndpoints)
 		s.router.Tells(s.gossip.publishObservation)
 	}
-	if config.Missing != nil {
-		adapter := &negativeCacheAdapter{sender: sender, ttl: replica.Time(config.Missing.Believe), proxies: config.proxies()}
+	if config.NegativeCache != nil {
+		adapter := &negativeCacheAdapter{sender: sender, ttl: replica.Time(config.NegativeCache.Believe), proxies: config.proxies()}
 		publish := adapter.publish
-		if config.Talk == nil {
+		if config.Gossip == nil {
 			publish = nil
 		}
-		adapter.actor = proxy.NewAbsent(*config.Missing, s.router, publish, s.log)
+		adapter.actor = proxy.NewAbsent(*config.NegativeCache, s.router, publish, s.log)
 		s.gossip.negativeCache = adapter
 		go adapter.actor.Run()
 	}
-	if config.Turns != nil {
+	if config.Duties != nil {
 		adapter := &dutiesAdapter{sender: sender}
-		adapter.actor = proxy.NewDuties(*config.Turns, s.router, s.endpoints, adapter.publish, s.log)
+		adapter.actor = proxy.NewDuties(*config.Duties, s.router, s.endpoints, adapter.publish, s.log)
 		s.gossip.duties = adapter
 		go adapter.actor.Run()
 	}
-	if config.Zones != nil {
+	if config.ZoneHealth != nil {
 		adapter := &zoneHealthAdapter{
-			sender: sender, router: s.router, config: config.Zones, proxyName: config.Name, log: s.log,
+			sender: sender, router: s.router, config: config.ZoneHealth, proxyName: config.Name, log: s.log,
 		}
 		s.gossip.zoneHealth = adapter
-		s.router.Zones(*config.Zones, adapter.publishReport)
+		s.router.Zones(*config.ZoneHealth, adapter.publishReport)
 	}
 }
 
@@ -184,7 +184,7 @@
 		gossip:         s.gossip,
 		counters:       s.counters,
 		recovery:       s.recovery,
-		planner:        newMigrationPlanner(s.config.Moves),
+		planner:        newMigrationPlanner(s.config.Rebalance),
 	}
 	if s.config.Management == "" {
 		return nil
--- a/internal/server/toml_golden_test.go
+++ b/internal/server/toml_golden_test.go
@@ -22,7 +22,7 @@
 	// files returns the files of a proxy that is configured by the text as well.
 	files func(t *testing.T, text string) configFiles
 	// describe lists what was read under the names of the file's keys.
-	describe func(config *server.Place, line func(label string, v any))
+	describe func(config *server.Config, line func(label string, v any))
 }
 
 var tomlFiles = []tomlFile{zonesTOML, turnsTOML, movesTOML, missingTOML}
@@ -32,8 +32,8 @@
 	files: func(t *testing.T, text string) configFiles {
 		return configFiles{config: readTestdata(t, "config_for_toml_files.json"), zones: text}
 	},
-	describe: func(config *server.Place, line func(label string, v any)) {
-		z := config.Zones
+	describe: func(config *server.Config, line func(label string, v any)) {
+		z := config.ZoneHealth
 		line("zone", z.Zone)
 		line("quiet_ms", zoneMilliseconds(z.Quiet))
 		line("voices", z.Voices)
@@ -61,16 +61,16 @@
 			config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), turns: text,
 		}
 	},
-	describe: func(config *server.Place, line func(label string, v any)) {
+	describe: func(config *server.Config, line func(label string, v any)) {
 		milliseconds := func(span duties.Time) float64 { return float64(span) / 10 }
-		line("watchers", config.Turns.Watchers)
-		line("keepers", config.Turns.Keepers)
-		line("trials", config.Turns.Trials)
-		line("trial_ms", milliseconds(config.Turns.Rest))
-		line("turn_ms", milliseconds(config.Turns.Step))
-		line("beat_ms", milliseconds(config.Turns.Beat))
-		line("patience_ms", milliseconds(config.Turns.Patience))
-		line("name, of the configuration", config.Turns.Me)
+		line("watchers", config.Duties.Watchers)
+		line("keepers", config.Duties.Keepers)
+		line("trials", config.Duties.Trials)
+		line("trial_ms", milliseconds(config.Duties.Rest))
+		line("turn_ms", milliseconds(config.Duties.Step))
+		line("beat_ms", milliseconds(config.Duties.Beat))
+		line("patience_ms", milliseconds(config.Duties.Patience))
+		line("name, of the configuration", config.Duties.Me)
 	},
 }
 
@@ -79,10 +79,10 @@
 	files: func(t *testing.T, text string) configFiles {
 		return configFiles{config: readTestdata(t, "config_for_toml_files.json"), moves: text}
 	},
-	describe: func(config *server.Place, line func(label string, v any)) {
-		line("slack", config.Moves.Slack)
-		line("moves_per_node", config.Moves.PerNode)
-		line("moves_in_all", config.Moves.InAll)
+	describe: func(config *server.Config, line func(label string, v any)) {
+		line("slack", config.Rebalance.Slack)
+		line("moves_per_node", config.Rebalance.PerNode)
+		line("moves_in_all", config.Rebalance.InAll)
 	},
 }
 
@@ -93,13 +93,13 @@
 			config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), missing: text,
 		}
 	},
-	describe: func(config *server.Place, line func(label string, v any)) {
-		line("entries", config.Missing.Entries)
-		line("believe_s", float64(config.Missing.Believe)/float64(negativecache.Second))
-		line("grace_ms", float64(config.Missing.Grace)/float64(negativecache.Second)*1000)
-		line("grow_per_s", config.Missing.Grow)
-		line("name, of the configuration", config.Missing.Me)
-		line("tenants, of the settings", config.Missing.Tenants)
+	describe: func(config *server.Config, line func(label string, v any)) {
+		line("entries", config.NegativeCache.Entries)
+		line("believe_s", float64(config.NegativeCache.Believe)/float64(negativecache.Second))
+		line("grace_ms", float64(config.NegativeCache.Grace)/float64(negativecache.Second)*1000)
+		line("grow_per_s", config.NegativeCache.Grow)
+		line("name, of the configuration", config.NegativeCache.Me)
+		line("tenants, of the settings", config.NegativeCache.Tenants)
 	},
 }
 
@@ -108,7 +108,7 @@
 // read lists what was read of a file with the text, or the error.
 func (f *tomlFile) read(t *testing.T, text string) string {
 	t.Helper()
-	config, err := readConfig(t, f.files(t, text), server.Place{})
+	config, err := readConfig(t, f.files(t, text), server.Config{})
 	if err != nil {
 		return fmt.Sprintf("error: %v\n", err)
 	}
@@ -151,12 +151,12 @@
 func TestZonesFileLocality(t *testing.T) {
 	files := zonesTOML.files(t, readTestdata(t, "zones_every_key.toml"))
 	files.config = replaceIn(t, files.config, `"tick":5`, `"tick":5,"locality":"north"`)
-	config, err := readConfig(t, files, server.Place{})
+	config, err := readConfig(t, files, server.Config{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if config.Zones.Zone != "north" || config.Zone() != "north" {
-		t.Errorf("zones %q and %q, want north", config.Zones.Zone, config.Zone())
+	if config.ZoneHealth.Zone != "north" || config.Zone() != "north" {
+		t.Errorf("zones %q and %q, want north", config.ZoneHealth.Zone, config.Zone())
 	}
 }
 
@@ -168,7 +168,7 @@
 	every := readTestdata(t, f.name+"_every_key.toml")
 	for _, c := range cases {
 		t.Run(c.want, func(t *testing.T) {
-			_, err := readConfig(t, f.files(t, replaceIn(t, every, c.from, c.to)), server.Place{})
+			_, err := readConfig(t, f.files(t, replaceIn(t, every, c.from, c.to)), server.Config{})
 			expectError(t, f.name+": "+c.to, err, c.want)
 		})
 	}
@@ -252,7 +252,7 @@
 	})
 	files := turnsTOML.files(t, noKeys)
 	files.peers = ""
-	_, err := readConfig(t, files, server.Place{})
+	_, err := readConfig(t, files, server.Config{})
 	expectError(t, "turns without peers", err,
 		"turns: turns.toml: proxies do not talk; name a file of peers as well (--peers FILE), or leave the file of turns out")
 }
@@ -298,7 +298,7 @@
 	})
 	files := missingTOML.files(t, noKeys)
 	files.peers = ""
-	_, err := readConfig(t, files, server.Place{})
+	_, err := readConfig(t, files, server.Config{})
 	expectError(t, "missing keys without peers", err, "missing: missing.toml: 7 proxies may write, and they do not talk; "+
 		"name a file of peers as well (--peers FILE), or leave the file of missing keys out")
 }
@@ -309,11 +309,11 @@
 	for _, address := range []string{"127.0.0.31:6431", "127.0.0.32:6432", "127.0.0.33:6433"} {
 		t.Run(address, func(t *testing.T) {
 			files := configFiles{config: config, peers: replaceIn(t, peers, "127.0.0.3:7001", address)}
-			_, err := readConfig(t, files, server.Place{})
+			_, err := readConfig(t, files, server.Config{})
 			expectError(t, address, err, `peers: peers.toml: listen: the address of another listener: "`+address+`"`)
 		})
 	}
-	_, err := readConfig(t, configFiles{config: config, peers: replaceIn(t, peers, "cluster", "fleet")}, server.Place{})
+	_, err := readConfig(t, configFiles{config: config, peers: replaceIn(t, peers, "cluster", "fleet")}, server.Config{})
 	expectError(t, "unknown key", err, "peers: peers.toml: line 1: fleet: unknown")
 }
 
@@ -322,13 +322,13 @@
 	const config, absent = "testdata/config_for_toml_files.json", "testdata/absent.toml"
 	for _, c := range []struct {
 		name      string
-		overrides server.Place
+		overrides server.Config
 	}{
-		{"peers", server.Place{Peers: absent}},
-		{"zones", server.Place{ZonesFile: absent}},
-		{"turns", server.Place{TurnsFile: absent, Peers: "testdata/peers.toml"}},
-		{"moves", server.Place{MovesFile: absent}},
-		{"missing", server.Place{MissingFile: absent, Peers: "testdata/peers.toml"}},
+		{"peers", server.Config{GossipFile: absent}},
+		{"zones", server.Config{ZoneHealthFile: absent}},
+		{"turns", server.Config{DutiesFile: absent, GossipFile: "testdata/peers.toml"}},
+		{"moves", server.Config{RebalanceFile: absent}},
+		{"missing", server.Config{NegativeCacheFile: absent, GossipFile: "testdata/peers.toml"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			_, err := server.Read(config, c.overrides)
