Split package zonehealth by concern: evidence, votes, verdicts, confirmation, ramp, overrides

Five files held everything: instance.go, types.go, verdicts.go, voices.go and alone.go, with one zone type of 33 fields, names such as ill, shut, suspect, doubt, strays, yes, one, and rules as anonymous functions. Now one file for each job:

- doc.go, time.go, settings.go, decision.go, outcome.go: the package's terms and types.
- node.go, zone.go, fleet.go: listed nodes, zones, and the view of the fleet with its quorum (fleetView, quorumView).
- evidence.go: what a proxy's own attempts tell (localEvidence, attemptCounts, latencyEstimate), each with its own state.
- report.go, votes.go: reports to and from peers (publication, receivedReport), and the count of their votes (voteCount).
- rules.go: the table of rules, in the order as before, each a named predicate and a named action; a loop in place of goto.
- consensus.go, confirmation.go, evacuation.go, ramp.go: verdicts that peers agree on, confirmation times, evacuation, ramp.
- standalone.go, override.go, exclusion.go, status.go, controller.go: one proxy by itself, operators' overrides, what follows for each node, status, and the Instance, which holds these parts.

Numbers in the middle of conditions are named constants; units and ranges are in the comments. Fields that nobody outside uses are renamed: Stand.Kept to RetainedNodes; of Voice, Ago to LastAnswerAge, Well to HealthyNodes, Fine to InTime, Late to AnsweredLate, Origin to OriginLateShare, Flying to InFlight, Room to Capacity. Their msgpack keys stay as they are, and the golden file is untouched. Instance no longer embeds its Terms. Other exported names stay for now.

Log texts use the terms of the field; two scenarios that quote one follow. Kept as they are, since recorded logs are searched for them: "passed by this proxy alone", "of its keys are served there", and the form of "out (...) from in".

No change of behaviour.

--- /dev/null
+++ b/zonehealth/confirmation.go
@@ -0,0 +1,42 @@
+package zonehealth
+
+// confirmation holds since when the conditions of a verdict have been met. Each has to last for Terms.Settle, and is 0
+// while it is not met.
+type confirmation struct {
+	suspectedAt    Time // there are enough unhealthy votes
+	corroboratedAt Time // another zone is known to have answered after that
+	rampFailingAt  Time // attempts of a recovery ramp are unanswered
+}
+
+func (s *confirmation) clearSuspicion() { s.suspectedAt, s.corroboratedAt = 0, 0 }
+
+func (c *Instance) suspicionOver(z *zone) bool {
+	return z.confirmation.suspectedAt > 0 && !c.convicted(z)
+}
+
+func (c *Instance) clearSuspicion(z *zone) { z.confirmation.clearSuspicion() }
+
+func (c *Instance) suspicionBegins(z *zone) bool {
+	return z.confirmation.suspectedAt == 0 && z.verdict.State < Leaving && c.convicted(z)
+}
+
+func (c *Instance) setSuspected(z *zone) { z.confirmation.suspectedAt = c.now }
+
+func (c *Instance) suspicionCorroborated(z *zone) bool {
+	s := &z.confirmation
+	return s.suspectedAt > 0 && s.corroboratedAt == 0 && c.anotherZoneAnswered(z, s.suspectedAt)
+}
+
+func (c *Instance) setCorroborated(z *zone) { z.confirmation.corroboratedAt = c.now }
+
+func (c *Instance) rampFailureOver(z *zone) bool {
+	return z.confirmation.rampFailingAt > 0 && !c.rampFailing(z)
+}
+
+func (c *Instance) clearRampFailure(z *zone) { z.confirmation.rampFailingAt = 0 }
+
+func (c *Instance) rampFailureBegins(z *zone) bool {
+	return z.confirmation.rampFailingAt == 0 && c.rampFailing(z)
+}
+
+func (c *Instance) setRampFailing(z *zone) { z.confirmation.rampFailingAt = c.now }
--- /dev/null
+++ b/zonehealth/consensus.go
@@ -0,0 +1,64 @@
+package zonehealth
+
+import "slices"
+
+// peersAgree reports whether enough peers act on, or propose, a verdict that takes precedence over this proxy's.
+func (c *Instance) peersAgree(z *zone) bool { return c.agreedVerdict(z) != nil }
+
+func (c *Instance) followPeers(z *zone) { c.adopt(z, *c.agreedVerdict(z), "following other proxies") }
+
+// agreedVerdict returns the verdict of the highest precedence that maxVerdictBackers peers act on (one, where only one is
+// reachable) or requiredVotes peers propose, nil if it does not take precedence over this proxy's. One proxy that is
+// faulty moves no other.
+func (c *Instance) agreedVerdict(z *zone) *Stand {
+	adopted, latest := c.adoptedVerdicts[:0], c.latestVerdicts[:0]
+	for r := range c.reachableReports(z) {
+		adopted, latest = append(adopted, &r.Stand), append(latest, r.latestVerdict())
+	}
+	c.adoptedVerdicts, c.latestVerdicts = adopted, latest
+	descending := func(a, b *Stand) int { return b.compare(a) }
+	slices.SortFunc(adopted, descending)
+	slices.SortFunc(latest, descending)
+	var agreed *Stand
+	if n := c.fleet.peerVotes(maxVerdictBackers); n > 0 && len(adopted) >= n {
+		agreed = adopted[n-1]
+	}
+	if n := c.requiredVotes(z.outsideZone.reachable); len(latest) >= n && latest[n-1].compare(agreed) > 0 {
+		agreed = latest[n-1]
+	}
+	if agreed == nil || agreed.compare(&z.verdict) <= 0 {
+		return nil
+	}
+	return agreed
+}
+
+// propose adopts a verdict if enough peers propose it or a later one, and else makes it this proxy's proposal. Without that,
+// one or two proxies that reports reach late would act apart from all others.
+func (c *Instance) propose(z *zone, verdict Stand, reason string) {
+	backers := 1
+	for r := range c.reachableReports(z) {
+		backers += countIf(r.latestVerdict().comparePrecedence(&verdict) >= 0)
+	}
+	if backers >= min(c.requiredVotes(z.outsideZone.reachable), len(c.fleet.reachable)) {
+		c.adopt(z, verdict, reason)
+		return
+	}
+	z.proposal = &verdict
+}
+
+// adopt makes a verdict the one on which this proxy acts. It replaces what this proxy found standalone.
+func (c *Instance) adopt(z *zone, verdict Stand, reason string) {
+	previous := z.verdict.State
+	verdict.RetainedNodes = slices.Clone(verdict.RetainedNodes)
+	z.verdict, z.verdictAt, z.confirmation = verdict, c.now, confirmation{}
+	z.standalone.verdict = Stand{}
+	z.evidence.counts = attemptCounts{at: c.now} // what is counted from now on is about this verdict
+	if verdict.State >= Leaving {
+		z.evacuatedAt = c.now
+	}
+	v := &z.votes
+	c.log("zone %s: %v (epoch %d, step %d, flaps %d) from %v, %s: %d unhealthy votes from %d zones, %d healthy votes; "+
+		"of %d proxies with attempts %d in time, %d unanswered, %d late; %.0f in flight, capacity %.0f",
+		z.name, verdict.State, verdict.Epoch, verdict.Step, verdict.Flaps, previous, reason, v.unhealthy, len(v.unhealthyVoterZones), v.healthy,
+		v.attempted, v.inTime, v.unanswered, v.late, c.load.inFlight, c.load.capacity)
+}
--- /dev/null
+++ b/zonehealth/controller.go
@@ -0,0 +1,101 @@
+package zonehealth
+
+import "fmt"
+
+const (
+	stallThreshold    = Second / 4 // between two ticks: this process was stalled, and answers may be unread
+	evidenceLostAfter = Second     // between two ticks: unanswered attempts from before are forgotten
+)
+
+// Instance decides for one proxy. It is not safe for concurrent use.
+type Instance struct {
+	settings Terms
+	now      Time
+	tickedAt Time
+
+	nodes   []*node // by the caller's index; nil: none is listed
+	zones   []*zone // by name; one that loses its last node stays while there is something to remember
+	fleet   fleetView
+	latency latencyEstimate
+	origin  attemptCounts // fetches from the origin, in time or late
+	load    proxyLoad
+
+	standaloneCounts Alone
+	decisions        []Decision
+
+	// Memory of agreedVerdict.
+	adoptedVerdicts, latestVerdicts []*Stand
+}
+
+// New returns an Instance that knows no nodes and no peers.
+func New(now Time, settings Terms) *Instance {
+	return &Instance{
+		settings: settings, now: now, tickedAt: now, fleet: newFleetView(), latency: newLatencyEstimate(settings.Shortest),
+	}
+}
+
+// begin starts the decisions of a call. The clock never goes back.
+func (c *Instance) begin(now Time) { c.now, c.decisions = max(now, c.now), c.decisions[:0] }
+
+func (c *Instance) decide(d Decision) { c.decisions = append(c.decisions, d) }
+
+func (c *Instance) log(format string, args ...any) {
+	c.decide(Decision{Act: Log, Text: fmt.Sprintf(format, args...)})
+}
+
+// Tick judges all zones by the time that has passed. The caller calls it ten times a second, or never while Busy is false.
+func (c *Instance) Tick(now Time) []Decision {
+	c.begin(now)
+	c.adjustForStall(c.now - c.tickedAt)
+	c.tickedAt = c.now
+	c.countOverdue()
+	for _, z := range c.zones {
+		c.judge(z)
+	}
+	c.applyShares()
+	for _, z := range c.zones {
+		if c.needsProbe(z) {
+			c.probe(z)
+		}
+		c.publish(z)
+	}
+	return c.decisions
+}
+
+// adjustForStall keeps attempts from becoming overdue, and old evidence from counting, where the previous tick is long ago.
+func (c *Instance) adjustForStall(sinceTick Time) {
+	if sinceTick > stallThreshold {
+		for _, n := range c.nodes {
+			if n != nil && n.waitingSince > 0 {
+				n.waitingSince += sinceTick
+			}
+		}
+	}
+	if sinceTick > evidenceLostAfter {
+		for _, z := range c.zones {
+			z.evidence.clearRun()
+			z.confirmation.clearSuspicion()
+		}
+	}
+}
+
+// countOverdue counts the attempts that have become overdue as unanswered, one for each node.
+func (c *Instance) countOverdue() {
+	overdue := c.overdue()
+	for _, n := range c.nodes {
+		if n != nil && n.becameOverdue(c.now, overdue) {
+			n.overdue = true
+			n.zone.evidence.addUnanswered(n.hash, c.now)
+		}
+	}
+}
+
+// Busy reports whether Tick has something to do. Without peers it has not while all zones are in service and answer.
+func (c *Instance) Busy() bool {
+	for _, z := range c.zones {
+		if z.evidence.unansweredRun > 0 || z.standalone.verdict.State != In || z.verdict.State != In {
+			return true
+		}
+	}
+	return c.fleet.hasPeers()
+}
--- /dev/null
+++ b/zonehealth/standalone.go
@@ -0,0 +1,160 @@
+package zonehealth
+
+import "slices"
+
+const (
+	standaloneMinRun       = 3 // unanswered attempts that a standalone evacuation takes
+	standaloneMaxNodes     = 3 // nodes that did not answer these, in a zone of four nodes or more
+	standaloneQuietFactor  = 2 // silence timeouts without an answer that it takes
+	standaloneQuorumFactor = 2 // by which it takes more where the fleet can judge the zone
+	standaloneFirstStep    = 1 // of the ramp: the few trial requests of one proxy at step 0 would take too long
+	probeMinRun            = 2 // unanswered attempts that it takes to probe a zone in service
+	probeIntervalQuiets    = 2 // silence timeouts between two connect probes of a zone
+	overlongStepFactor     = 2 // steps' times after which a standalone step without an answer in time is done
+)
+
+// logEvacuatedStandalone begins with words by which checks of recorded logs find standalone evacuations.
+const logEvacuatedStandalone = "zone %s: passed by this proxy alone, %d attempts unanswered in %.1f s, on %d nodes, " +
+	"connections refused by %d; %d of %d proxies reachable"
+
+// Alone counts what one proxy decided standalone since its start.
+type Alone struct {
+	Passed int // zones that it evacuated
+	Hasty  int // of these the false positives: the first trial requests after Terms.Hold were answered
+}
+
+// standaloneVerdict is what this proxy decides on a zone by its own evidence, for itself. It has no epoch, and ends with the
+// next verdict of the fleet.
+type standaloneVerdict struct {
+	verdict  Stand
+	at       Time // of the latest change, 0: there was none
+	probedAt Time // the latest connect probes of the zone's nodes
+	lossSeen bool // trial requests have found the zone still lost since it was last evacuated from service
+}
+
+// set changes the verdict, and has evidence count from now on.
+func (c *Instance) setStandalone(z *zone, state State, step int) {
+	s := &z.standalone
+	s.verdict.State, s.verdict.Step, s.at = state, step, c.now
+	z.evidence.restart(c.now)
+}
+
+// allUnconnected reports whether as many of a zone's nodes refused connections as it takes for a standalone evacuation.
+func (z *zone) allUnconnected() bool {
+	return len(z.evidence.unconnectedNodes) >= min(z.nodes, minUnconnectedNodes)
+}
+
+func (c *Instance) unansweredLately(z *zone) bool {
+	return c.now-z.evidence.unansweredAt < evidenceRecent
+}
+
+// needsProbe reports whether attempts in a zone are unanswered while it is not known whether its nodes are alive: nothing is
+// learned from open connections, and an overloaded zone may answer nothing in time.
+func (c *Instance) needsProbe(z *zone) bool {
+	s, e := &z.standalone, &z.evidence
+	if !c.settings.Alone || z.verdict.State != In || z.allUnconnected() || !c.unansweredLately(z) ||
+		c.now-s.probedAt < probeIntervalQuiets*c.settings.Quiet {
+		return false
+	}
+	switch s.verdict.State {
+	case In:
+		return e.unansweredRun >= probeMinRun && c.now-e.answeredAt >= c.settings.Quiet
+	case Returning:
+		return e.unansweredRun >= 1
+	}
+	return false
+}
+
+// probe asks for connections to nodes that did not answer, as many as may still refuse one.
+func (c *Instance) probe(z *zone) {
+	e := &z.evidence
+	z.standalone.probedAt = c.now
+	probes := minUnconnectedNodes - len(e.unconnectedNodes)
+	for i, n := range c.nodes {
+		if probes > 0 && n != nil && n.zone == z && slices.Contains(e.unhealthyNodes, n.hash) && !slices.Contains(e.unconnectedNodes, n.hash) {
+			probes--
+			c.decide(Decision{Act: Knock, Node: i})
+		}
+	}
+}
+
+// standaloneLost reports whether this proxy's own evidence says that a zone in service is lost: unanswered attempts at several
+// nodes, no answer for long, refused connections, and another zone that answers. A zone that accepts connections and answers
+// late is overloaded; a proxy of little traffic would otherwise evacuate whole zones in a burst. Where the fleet can judge the
+// zone and does not find it lost it takes more, since the fault may be in this proxy's own network path.
+func (c *Instance) standaloneLost(z *zone) bool {
+	e, factor := &z.evidence, 1
+	if c.hasQuorum(z) {
+		factor = standaloneQuorumFactor
+	}
+	return c.settings.Alone && z.standalone.verdict.State == In && z.nodes > 0 &&
+		e.unansweredRun >= standaloneMinRun*factor &&
+		len(e.unhealthyNodes) >= min(z.nodes/2+1, standaloneMaxNodes) &&
+		z.allUnconnected() &&
+		c.now-e.answeredAt >= standaloneQuietFactor*Time(factor)*c.settings.Quiet &&
+		c.unansweredLately(z) &&
+		c.anotherZoneAnswered(z, e.runStartedAt) &&
+		c.anotherZoneServes(z)
+}
+
+// evacuateStandalone evacuates a zone for this proxy, from service or after its trial requests failed.
+func (c *Instance) evacuateStandalone(z *zone) {
+	s, e := &z.standalone, &z.evidence
+	inService := s.verdict.State == In
+	switch {
+	case s.verdict.State == Returning && s.verdict.Step > standaloneFirstStep,
+		inService && s.at > 0 && c.now-s.at < flapMemory:
+		s.verdict.Flaps = min(s.verdict.Flaps+1, maxFlaps)
+	case inService:
+		s.verdict.Flaps = 0
+	}
+	s.lossSeen = s.verdict.State == Returning
+	if !s.lossSeen {
+		c.standaloneCounts.Passed++
+	}
+	c.log(logEvacuatedStandalone, z.name, e.unansweredRun, float64(c.now-e.answeredAt)/float64(Second), len(e.unhealthyNodes),
+		len(e.unconnectedNodes), len(c.fleet.reachable), len(c.fleet.proxies))
+	c.setStandalone(z, Out, 0)
+}
+
+func (c *Instance) standaloneHoldDownOver(z *zone) bool {
+	s := &z.standalone
+	return s.verdict.State == Out && c.now-s.at >= c.settings.holdDownTime(&s.verdict)
+}
+
+func (c *Instance) startStandaloneRamp(z *zone) { c.setStandalone(z, Returning, standaloneFirstStep) }
+
+// standaloneTrialsFail reports whether attempts of the ramp are unanswered and a node refuses connections. A single
+// unanswered attempt may have another cause.
+func (c *Instance) standaloneTrialsFail(z *zone) bool {
+	s, e := &z.standalone, &z.evidence
+	return s.verdict.State == Returning && e.unansweredRun >= 1 && e.unansweredAt >= s.at && len(e.unconnectedNodes) > 0 &&
+		e.counts.unanswered+1 > (e.counts.inTime+e.counts.late)/3
+}
+
+// standaloneStepDone reports whether a step of the ramp has lasted and has answers in time, or has lasted too long for that.
+func (c *Instance) standaloneStepDone(z *zone) bool {
+	s, counts := &z.standalone, &z.evidence.counts
+	elapsed := c.now - s.at
+	return s.verdict.State == Returning && elapsed >= c.settings.Step &&
+		(counts.inTime >= 1 && counts.late <= counts.inTime || elapsed >= overlongStepFactor*c.settings.Step)
+}
+
+// advanceStandaloneRamp goes on to the next step, or to state In after the last one.
+func (c *Instance) advanceStandaloneRamp(z *zone) {
+	s := &z.standalone
+	if next := s.verdict.Step + 1; next < len(rampShares) {
+		c.setStandalone(z, Returning, next)
+		return
+	}
+	c.setStandalone(z, In, 0)
+	if s.lossSeen {
+		c.log("zone %s: in service again for this proxy", z.name)
+		return
+	}
+	c.standaloneCounts.Hasty++
+	c.log("zone %s: in service again for this proxy; its first trial requests were answered, a false positive", z.name)
+}
+
+// Judged returns the counts of standalone decisions since the start.
+func (c *Instance) Judged() Alone { return c.standaloneCounts }
--- /dev/null
+++ b/zonehealth/verdict.go
@@ -0,0 +1,92 @@
+package zonehealth
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	maxRetainedNodes  = 16      // in a verdict, while a zone is partly evacuated
+	maxFlaps          = 16      // that an own verdict counts up to
+	maxAcceptedFlaps  = 64      // in a verdict of a peer
+	maxAcceptedEpoch  = 1 << 50 // exclusive, so that a wrong epoch of a peer leaves room for later ones
+	maxHoldDownShifts = maxFlaps
+)
+
+// rampShares are the shares of its keys that a returning zone serves at each step of the recovery ramp. The first is a
+// few trial requests of the whole fleet.
+var rampShares = [...]float64{1.0 / 64, 1.0 / 16, 1.0 / 4, 1.0 / 2}
+
+// State of a zone. Of two verdicts of one epoch the one with the greater State takes precedence.
+type State uint8
+
+const (
+	// In is a zone in service.
+	In State = iota
+	// Returning is a zone in recovery: it serves the share of its keys that the step of the recovery ramp allows.
+	Returning
+	// Leaving is a partly evacuated zone: the nodes in Stand.RetainedNodes stay in service, since the others lack capacity.
+	Leaving
+	// Out is an evacuated zone.
+	Out
+)
+
+// String returns the name of the state in logs and in the operators' status.
+func (s State) String() string { return [...]string{"in", "returning", "leaving", "out"}[s&3] }
+
+// Stand is a verdict on a zone. Of two verdicts the one with the later epoch takes precedence, then the one with the
+// greater State, then the one with the lower step.
+type Stand struct {
+	Epoch         int64    `msgpack:"e"`
+	State         State    `msgpack:"s"`
+	Step          int      `msgpack:"n,omitempty"` // of the recovery ramp, from 0
+	Flaps         int      `msgpack:"f,omitempty"` // evacuations since the zone was last in service for flapMemory
+	RetainedNodes []uint32 `msgpack:"k,omitempty"` // hashes of names of the nodes that stay in service in state Leaving
+}
+
+// valid reports whether a verdict of a peer is within the bounds that this version relies on.
+func (s *Stand) valid() bool {
+	return len(s.RetainedNodes) <= maxRetainedNodes && s.State <= Out && s.Step >= 0 && s.Step < len(rampShares) &&
+		s.Epoch >= 0 && s.Epoch < maxAcceptedEpoch && s.Flaps >= 0 && s.Flaps <= maxAcceptedFlaps
+}
+
+// compare is a total order of verdicts by precedence: no two that differ are equal. Nil precedes all.
+func (s *Stand) compare(other *Stand) int {
+	if other == nil {
+		return 1
+	}
+	return cmp.Or(s.comparePrecedence(other), cmp.Compare(s.Flaps, other.Flaps), -slices.Compare(s.RetainedNodes, other.RetainedNodes))
+}
+
+// comparePrecedence compares by epoch, state and step alone.
+func (s *Stand) comparePrecedence(other *Stand) int {
+	return cmp.Or(cmp.Compare(s.Epoch, other.Epoch), cmp.Compare(s.State, other.State), -cmp.Compare(s.Step, other.Step))
+}
+
+// openShare is the share of its keys that the zone serves, 0 to 1.
+func (s *Stand) openShare() float64 {
+	switch s.State {
+	case In:
+		return 1
+	case Returning:
+		return rampShares[s.Step]
+	}
+	return 0
+}
+
+// successor returns a verdict of the next epoch.
+func (s *Stand) successor(state State, step int) Stand {
+	return Stand{Epoch: s.Epoch + 1, State: state, Step: step, Flaps: s.Flaps}
+}
+
+// flappingSuccessor is successor with one more flap.
+func (s *Stand) flappingSuccessor(state State, step int) Stand {
+	next := s.successor(state, step)
+	next.Flaps = min(next.Flaps+1, maxFlaps)
+	return next
+}
+
+// holdDownTime is how long a zone stays evacuated under a verdict: twice as long with each flap, up to Terms.MostHold.
+func (t *Terms) holdDownTime(verdict *Stand) Time {
+	return min(t.Hold<<min(verdict.Flaps, maxHoldDownShifts), t.MostHold)
+}
--- a/zonehealth/wire_golden_test.go
+++ b/zonehealth/wire_golden_test.go
@@ -8,12 +8,12 @@
 
 // TestGoldenVoices pins the encoding of what a proxy says of a zone, the body of a row of kind Voice.
 func TestGoldenVoices(t *testing.T) {
-	stand := zonehealth.Stand{Epoch: 70000, State: zonehealth.Leaving, Step: 3, Flaps: 2, Kept: []uint32{0x01020304, 5}}
+	stand := zonehealth.Stand{Epoch: 70000, State: zonehealth.Leaving, Step: 3, Flaps: 2, RetainedNodes: []uint32{0x01020304, 5}}
 	checkGolden(t, "voices.golden", []goldenCase{
 		{name: "voice-full", full: true, value: &zonehealth.Voice{
-			Zone: "zone-1", Word: zonehealth.Against, Ago: 4500, Run: 6,
-			Ill: []uint32{0xa1a2a3a4, 7}, Well: []uint32{0xb1b2b3b4}, Fine: 1.5, Late: 2.5, Lost: 3.5, Origin: 0.25, Flying: 10.5, Room: 20.5,
-			Stand: stand, Plan: &zonehealth.Stand{Epoch: 70001, State: zonehealth.Out, Step: 1, Flaps: 4, Kept: []uint32{9}},
+			Zone: "zone-1", Word: zonehealth.Against, LastAnswerAge: 4500, Run: 6,
+			Ill: []uint32{0xa1a2a3a4, 7}, HealthyNodes: []uint32{0xb1b2b3b4}, InTime: 1.5, AnsweredLate: 2.5, Lost: 3.5, OriginLateShare: 0.25, InFlight: 10.5, Capacity: 20.5,
+			Stand: stand, Plan: &zonehealth.Stand{Epoch: 70001, State: zonehealth.Out, Step: 1, Flaps: 4, RetainedNodes: []uint32{9}},
 		}},
 		{name: "voice-empty", value: &zonehealth.Voice{}},
 		{name: "voice-with-empty-plan", value: &zonehealth.Voice{Zone: "zone-2", Word: zonehealth.For, Plan: &zonehealth.Stand{}}},
--- a/zonehealth/zones_test.go
+++ b/zonehealth/zones_test.go
@@ -184,17 +184,17 @@
 		}
 	case "say":
 		v := zonehealth.Voice{
-			Word: words[w[4]], Fine: float32(testscript.Num("0" + m["fine"])), Late: float32(testscript.Num("0" + m["late"])),
-			Lost: float32(testscript.Num("0" + m["lost"])), Origin: float32(testscript.Num("0" + m["origin"])), Plan: stand(m["plan"]),
+			Word: words[w[4]], InTime: float32(testscript.Num("0" + m["fine"])), AnsweredLate: float32(testscript.Num("0" + m["late"])),
+			Lost: float32(testscript.Num("0" + m["lost"])), OriginLateShare: float32(testscript.Num("0" + m["origin"])), Plan: stand(m["plan"]),
 		}
 		if v.Word != zonehealth.For {
-			v.Ago = zonehealth.Second
+			v.LastAnswerAge = zonehealth.Second
 		}
 		if s := stand(m["stand"]); s != nil {
 			v.Stand = *s
 		}
 		if f, r, ok := strings.Cut(m["load"], "/"); ok {
-			v.Flying, v.Room = float32(testscript.Num(f)), float32(testscript.Num(r))
+			v.InFlight, v.Capacity = float32(testscript.Num(f)), float32(testscript.Num(r))
 		}
 		k := 0
 		for _, n := range p.nodes {
@@ -204,12 +204,12 @@
 			if k++; k <= int(testscript.Num("0"+m["ill"])) {
 				v.Ill = append(v.Ill, zonehealth.Hash(n.Name))
 			} else if k <= int(testscript.Num("0"+m["ill"]))+int(testscript.Num("0"+m["well"])) {
-				v.Well = append(v.Well, zonehealth.Hash(n.Name))
+				v.HealthyNodes = append(v.HealthyNodes, zonehealth.Hash(n.Name))
 			}
 		}
 		if m["kept"] != "" {
-			slices.Sort(v.Well)
-			v.Plan.Kept, v.Well = v.Well, nil
+			slices.Sort(v.HealthyNodes)
+			v.Plan.RetainedNodes, v.HealthyNodes = v.HealthyNodes, nil
 		}
 		for _, name := range strings.Split(w[3], ",") {
 			p.do(p.in.Voice(p.now, name, w[2], v, 0, 5*zonehealth.Second))
@@ -267,7 +267,7 @@
 		}
 		got := map[string]string{
 			"open": fmt.Sprintf("%.3f", s.Open), "epoch": fmt.Sprint(s.Stand.Epoch), "flaps": fmt.Sprint(s.Stand.Flaps), "step": fmt.Sprint(s.Stand.Step),
-			"kept": fmt.Sprint(len(s.Stand.Kept)), "barred": fmt.Sprint(barred),
+			"kept": fmt.Sprint(len(s.Stand.RetainedNodes)), "barred": fmt.Sprint(barred),
 		}
 		bad := s.Stand.State.String() != w[1] || s.Alone != (m["alone"] != "")
 		for k, v := range testscript.Words(w[2:]) {
@@ -288,7 +288,7 @@
 
 // Whatever peers say is refused or taken without a fault, and no one voice moves a zone.
 func FuzzVoice(f *testing.F) {
-	good, err := msgpack.Marshal(&zonehealth.Voice{Zone: "b", Word: zonehealth.Against, Ill: []uint32{1, 2}, Plan: &zonehealth.Stand{Epoch: 3, State: zonehealth.Leaving, Kept: []uint32{1}}})
+	good, err := msgpack.Marshal(&zonehealth.Voice{Zone: "b", Word: zonehealth.Against, Ill: []uint32{1, 2}, Plan: &zonehealth.Stand{Epoch: 3, State: zonehealth.Leaving, RetainedNodes: []uint32{1}}})
 	if err != nil {
 		f.Fatal(err)
 	}
