--- a/zonehealth/golden_msgpack_test.go
+++ b/zonehealth/golden_msgpack_test.go
@@ -28,13 +28,15 @@
 	}
 	for i, golden := range compareGolden(t, file, encodings) {
 		c := cases[i]
-		if c.full {
-			requireAllFields(t, c.name, reflect.ValueOf(c.value).Elem())
-		}
-		checkDecode(t, c, golden)
-		if isMap(golden) {
-			checkDecode(t, c, withUnknownField(t, golden))
-		}
+		t.Run(c.name, func(t *testing.T) {
+			if c.full {
+				requireAllFields(t, c.name, reflect.ValueOf(c.value).Elem())
+			}
+			checkDecode(t, c, golden)
+			if isMap(golden) {
+				checkDecode(t, c, withUnknownField(t, golden))
+			}
+		})
 	}
 }
 
