zonehealth: scenario runner with a function for each event and expectation; scenario names

zones_test.go played scenarios in one function of 99 statements with one-letter names.

Numbers of a status are compared as they are, not as printed with three digits, with the tolerance of 0.001 as before.

No change of behaviour.

--- /dev/null
+++ b/zonehealth/scenario_test.go
@@ -0,0 +1,416 @@
+package zonehealth_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+
+	"woodproxy/internal/testscript"
+	"woodproxy/zonehealth"
+)
+
+const (
+	scenarioStart = 10000 * zonehealth.Second
+	tickInterval  = zonehealth.Second / 10
+	reportTTL     = 5 * zonehealth.Second
+)
+
+// TestScenarios plays the files in scenarios, each with the controller of proxy a1 in zone a. A line is one of:
+//
+//	terms WORD=VALUE ...                 settings: apart, alone=no, region=NAME:ZONE,ZONE, zone=NAME
+//	MS nodes ZONE:N ... [cold=MS]        N more nodes in each zone, started so long before; without ZONE:N all are restarted
+//	MS fleet ZONE:N ... [away=NAME,...] [gone=NAME,...] [behind]
+//	                                     proxies a1, a2 ...; unreachable, departed; this one is catching up
+//	MS try ZONE N answered|late|nothing|undone|shut|reached [took=MS] [nodes=K]
+//	                                     outcomes of N attempts at the first K nodes in turn, or connections opened
+//	MS sent ZONE N                       N attempts without an outcome
+//	MS say ZONE NAME,... for|against|none [ill=K] [well=K] [fine=N] [late=N] [lost=N] [load=INFLIGHT/CAPACITY] [origin=SHARE]
+//	      [stand=EPOCH:STATE[:STEP[:FLAPS]]] [plan=...] [kept: the proposal retains the healthy nodes]
+//	                                     reports of proxies on a zone
+//	MS order ZONE in|out|hold|auto EPOCH [force]
+//	MS load INFLIGHT CAPACITY            of this proxy
+//	MS ticks                             nothing but the ticks until then, ten a second
+//	> ZONE STATE [open=SHARE] [epoch=N] [flaps=N] [step=N] [kept=K] [alone] [barred=N]
+//	                                     status of a zone; kept: retained nodes, barred: excluded nodes
+//	> knocked N                          connect probes since the last such line
+//	> spoke ZONE for|against|none [plan=STATE]
+//	                                     report published since the last such line
+//	> log WORDS                          a log text contains them
+//	> wrong ORDER... : WORDS             the check of an override returns a text with these words, or nothing
+func TestScenarios(t *testing.T) {
+	testscript.Play(t, "scenarios/*.txt", func(t *testing.T) testscript.Stage {
+		return &scenario{
+			t: t, settings: scenarioSettings(), exclusions: map[int]zonehealth.Decision{}, reports: map[string]zonehealth.Voice{},
+		}
+	})
+}
+
+func scenarioSettings() zonehealth.Terms {
+	return zonehealth.Terms{
+		Me: "a1", Zone: "a", Shortest: 5000, Quiet: 3000, Voices: 0.2, Settle: 2000, Hold: 20000, MostHold: 160000, Step: 10000,
+		Cold: 50000, ColdFrom: 0.2, Alone: true,
+	}
+}
+
+// scenario plays one file.
+type scenario struct {
+	t          *testing.T
+	line       int
+	settings   zonehealth.Terms
+	controller *zonehealth.Instance
+	now        zonehealth.Time
+	nodes      []zonehealth.Node
+	exclusions map[int]zonehealth.Decision
+	reports    map[string]zonehealth.Voice
+	logs       []string
+	probes     int
+}
+
+func (s *scenario) fail(format string, args ...any) {
+	s.t.Helper()
+	s.t.Errorf("line %d: %s", s.line, fmt.Sprintf(format, args...))
+}
+
+var (
+	states = map[string]zonehealth.State{
+		"in": zonehealth.In, "returning": zonehealth.Returning, "leaving": zonehealth.Leaving, "out": zonehealth.Out,
+	}
+	votes    = map[string]zonehealth.Word{"for": zonehealth.For, "against": zonehealth.Against, "none": zonehealth.None}
+	outcomes = map[string]zonehealth.Ending{
+		"answered": zonehealth.Answered, "late": zonehealth.Late, "nothing": zonehealth.Nothing, "undone": zonehealth.Undone,
+		"shut": zonehealth.Shut,
+	}
+)
+
+// events are the lines that begin with an instant, by their second word. Each takes the words after it.
+var events = map[string]func(s *scenario, words []string, options map[string]string){
+	"ticks": func(*scenario, []string, map[string]string) {},
+	"nodes": (*scenario).listNodes,
+	"fleet": (*scenario).setFleet,
+	"try":   (*scenario).finishAttempts,
+	"sent":  (*scenario).sendAttempts,
+	"say":   (*scenario).receiveReports,
+	"load":  (*scenario).setLoad,
+	"order": (*scenario).setOverride,
+}
+
+// Step plays one line.
+func (s *scenario) Step(line int, words []string) {
+	s.line = line
+	options := testscript.Words(words[1:])
+	switch words[0] {
+	case "terms":
+		s.changeSettings(options)
+		return
+	case ">":
+		s.expect(words[1:], options)
+		return
+	}
+	s.advance(scenarioStart + milliseconds(words[0]))
+	if event, known := events[words[1]]; known {
+		event(s, words[2:], options)
+	} else {
+		s.fail("unknown word %q", words[1])
+	}
+}
+
+// End is called after the last line.
+func (s *scenario) End() {}
+
+func (s *scenario) changeSettings(options map[string]string) {
+	for key, value := range options {
+		switch key {
+		case "apart":
+			s.settings.Apart = true
+		case "alone":
+			s.settings.Alone = false
+		case "zone":
+			s.settings.Zone = value
+		case "region":
+			name, zones, _ := strings.Cut(value, ":")
+			s.settings.Regions = append(s.settings.Regions, zonehealth.Region{Name: name, Zones: strings.Split(zones, ",")})
+		}
+	}
+}
+
+// advance ticks until an instant. The first time it starts the controller.
+func (s *scenario) advance(until zonehealth.Time) {
+	if s.controller == nil {
+		s.now = scenarioStart
+		s.controller = zonehealth.New(s.now, s.settings)
+	}
+	for s.now < until {
+		s.now = min(s.now+tickInterval, until)
+		s.carryOut(s.controller.Tick(s.now))
+	}
+}
+
+func (s *scenario) carryOut(decisions []zonehealth.Decision) {
+	for _, d := range decisions {
+		switch d.Act {
+		case zonehealth.Bar:
+			s.exclusions[d.Node] = d
+		case zonehealth.Speak:
+			s.reports[d.Zone] = d.Voice
+		case zonehealth.Knock:
+			s.probes++
+		case zonehealth.Log:
+			s.logs = append(s.logs, d.Text)
+		}
+	}
+}
+
+func (s *scenario) listNodes(words []string, options map[string]string) {
+	started := zonehealth.Time(0)
+	if options["cold"] != "" {
+		started = s.now - milliseconds(options["cold"])
+	}
+	before := len(s.nodes)
+	for _, c := range zoneCounts(words) {
+		for range c.count {
+			index := len(s.nodes)
+			s.nodes = append(s.nodes, zonehealth.Node{Index: index, Name: fmt.Sprint("c", index), Zone: c.zone, Since: started})
+		}
+	}
+	if len(s.nodes) == before {
+		for i := range s.nodes {
+			s.nodes[i].Since = started
+		}
+	}
+	s.carryOut(s.controller.Nodes(s.now, s.nodes))
+}
+
+func (s *scenario) setFleet(words []string, options map[string]string) {
+	away, gone := list(options["away"]), list(options["gone"])
+	var proxies []zonehealth.Proxy
+	for _, c := range zoneCounts(words) {
+		for i := range c.count {
+			name := fmt.Sprint(c.zone, i+1)
+			departed := slices.Contains(gone, name) || slices.Contains(gone, c.zone)
+			unreachable := departed || slices.Contains(away, name) || slices.Contains(away, c.zone)
+			proxies = append(proxies, zonehealth.Proxy{Name: name, Zone: c.zone, Here: !unreachable, Gone: departed})
+		}
+	}
+	s.controller.Fleet(s.now, proxies, options["behind"] != "")
+}
+
+// attemptedNodes are the indexes of the nodes at which the attempts of a line are, in turn.
+func (s *scenario) attemptedNodes(zone string, options map[string]string) []int {
+	var indexes []int
+	for _, n := range s.nodes {
+		if n.Zone == zone && (options["nodes"] == "" || len(indexes) < integer(options["nodes"])) {
+			indexes = append(indexes, n.Index)
+		}
+	}
+	return indexes
+}
+
+func (s *scenario) sendAttempts(words []string, options map[string]string) {
+	indexes := s.attemptedNodes(words[0], options)
+	for i := range integer(words[1]) {
+		s.controller.Sent(s.now, indexes[i%len(indexes)])
+	}
+}
+
+func (s *scenario) finishAttempts(words []string, options map[string]string) {
+	elapsed := zonehealth.Time(50)
+	if options["took"] != "" {
+		elapsed = milliseconds(options["took"])
+	}
+	indexes := s.attemptedNodes(words[0], options)
+	for i := range integer(words[1]) {
+		index := indexes[i%len(indexes)]
+		if words[2] == "reached" {
+			s.controller.Reached(index)
+			continue
+		}
+		s.controller.Sent(s.now, index)
+		s.controller.Ended(s.now, index, outcomes[words[2]], elapsed)
+	}
+}
+
+func (s *scenario) receiveReports(words []string, options map[string]string) {
+	zone, report := words[0], newReport(votes[words[2]], options)
+	unhealthy, healthy := integer(options["ill"]), integer(options["well"])
+	position := 0
+	for _, n := range s.nodes {
+		if n.Zone != zone {
+			continue
+		}
+		if position++; position <= unhealthy {
+			report.Ill = append(report.Ill, zonehealth.Hash(n.Name))
+		} else if position <= unhealthy+healthy {
+			report.HealthyNodes = append(report.HealthyNodes, zonehealth.Hash(n.Name))
+		}
+	}
+	if options["kept"] != "" {
+		slices.Sort(report.HealthyNodes)
+		report.Plan.RetainedNodes, report.HealthyNodes = report.HealthyNodes, nil
+	}
+	for _, proxy := range strings.Split(words[1], ",") {
+		s.carryOut(s.controller.Voice(s.now, proxy, zone, report, 0, reportTTL))
+	}
+}
+
+// newReport returns the report of a line, without nodes.
+func newReport(vote zonehealth.Word, options map[string]string) zonehealth.Voice {
+	number := func(key string) float32 { return float32(testscript.Num(options[key])) }
+	report := zonehealth.Voice{
+		Word: vote, InTime: number("fine"), AnsweredLate: number("late"), Lost: number("lost"), OriginLateShare: number("origin"),
+		Plan: parseVerdict(options["plan"]),
+	}
+	if vote != zonehealth.For {
+		report.LastAnswerAge = zonehealth.Second
+	}
+	if verdict := parseVerdict(options["stand"]); verdict != nil {
+		report.Stand = *verdict
+	}
+	if inFlight, capacity, found := strings.Cut(options["load"], "/"); found {
+		report.InFlight, report.Capacity = float32(testscript.Num(inFlight)), float32(testscript.Num(capacity))
+	}
+	return report
+}
+
+func (s *scenario) setLoad(words []string, _ map[string]string) {
+	s.controller.Load(testscript.Num(words[0]), testscript.Num(words[1]))
+}
+
+func (s *scenario) setOverride(words []string, options map[string]string) {
+	s.carryOut(s.controller.Order(s.now, zonehealth.Order{
+		Zone: words[0], Want: zonehealth.Wants[words[1]], Epoch: int64(integer(words[2])), By: "b1", Force: options["force"] != "",
+	}))
+}
+
+// expect checks a line that begins with ">".
+func (s *scenario) expect(words []string, options map[string]string) {
+	s.t.Helper()
+	switch words[0] {
+	case "log":
+		s.expectLog(words[1:])
+	case "knocked":
+		s.expectProbes(words[1])
+	case "spoke":
+		s.expectReport(words[1], votes[words[2]], options["plan"])
+	case "wrong":
+		s.expectOverrideCheck(words, options)
+	default:
+		s.expectStatus(words, options)
+	}
+}
+
+func (s *scenario) expectLog(words []string) {
+	s.t.Helper()
+	if !strings.Contains(strings.Join(s.logs, "\n"), strings.Join(words, " ")) {
+		s.fail("log texts %q: want one with %q", s.logs, words)
+	}
+}
+
+func (s *scenario) expectProbes(want string) {
+	s.t.Helper()
+	if s.probes != integer(want) {
+		s.fail("%d connect probes, want %s", s.probes, want)
+	}
+	s.probes = 0
+}
+
+func (s *scenario) expectReport(zone string, vote zonehealth.Word, proposed string) {
+	s.t.Helper()
+	report, published := s.reports[zone]
+	if !published || report.Word != vote || (proposed != "") != (report.Plan != nil) ||
+		report.Plan != nil && report.Plan.State != states[proposed] {
+		s.fail("zone %s: published %v: %+v, proposal %+v", zone, published, report, report.Plan)
+	}
+	delete(s.reports, zone)
+}
+
+func (s *scenario) expectOverrideCheck(words []string, options map[string]string) {
+	s.t.Helper()
+	command, want, _ := strings.Cut(strings.Join(words, " "), " : ")
+	arguments := strings.Fields(command)
+	epoch := int64(-1)
+	if options["epoch"] != "" {
+		epoch = int64(integer(options["epoch"]))
+	}
+	zones, override := s.settings.Zones(arguments[1]), zonehealth.Wants[arguments[2]]
+	got := zonehealth.Check(s.controller.Shown(s.now), zones, override, epoch, options["force"] != "")
+	if want == "nothing" && got != "" || want != "nothing" && !strings.Contains(got, want) {
+		s.fail("check of %q: %q, want %q", arguments, got, want)
+	}
+}
+
+func (s *scenario) expectStatus(words []string, options map[string]string) {
+	s.t.Helper()
+	statuses := s.controller.Shown(s.now)
+	i := slices.IndexFunc(statuses, func(status zonehealth.Shown) bool { return status.Name == words[0] })
+	if i < 0 {
+		s.fail("no zone %q", words[0])
+		return
+	}
+	status := &statuses[i]
+	got := map[string]float64{
+		"open": status.Open, "epoch": float64(status.Stand.Epoch), "flaps": float64(status.Stand.Flaps), "step": float64(status.Stand.Step),
+		"kept": float64(len(status.Stand.RetainedNodes)), "barred": float64(s.excludedNodes(status.Name)),
+	}
+	matches := status.Stand.State.String() == words[1] && status.Alone == (options["alone"] != "")
+	want := testscript.Words(words[2:])
+	delete(want, "alone")
+	for key, value := range want {
+		number, known := got[key]
+		matches = matches && known && math.Abs(number-testscript.Num(value)) <= 0.001
+	}
+	if !matches {
+		s.fail("zone %s: %v %v, standalone %v, want %v; log texts %q", status.Name, status.Stand.State, got, status.Alone, words, s.logs)
+	}
+}
+
+// excludedNodes is how many nodes of a zone are excluded for a share of their keys.
+func (s *scenario) excludedNodes(zone string) int {
+	excluded := 0
+	for _, n := range s.nodes {
+		if n.Zone == zone && s.exclusions[n.Index].Part > 0 {
+			excluded++
+		}
+	}
+	return excluded
+}
+
+// zoneCount is the word ZONE:N of a line.
+type zoneCount struct {
+	zone  string
+	count int
+}
+
+// zoneCounts are the words ZONE:N of a line; others are left out.
+func zoneCounts(words []string) []zoneCount {
+	var counts []zoneCount
+	for _, word := range words {
+		if zone, count, found := strings.Cut(word, ":"); found {
+			counts = append(counts, zoneCount{zone, integer(count)})
+		}
+	}
+	return counts
+}
+
+// parseVerdict reads EPOCH:STATE[:STEP[:FLAPS]], nil for an empty word.
+func parseVerdict(word string) *zonehealth.Stand {
+	if word == "" {
+		return nil
+	}
+	fields := append(strings.Split(word, ":"), "0", "0")
+	return &zonehealth.Stand{
+		Epoch: int64(integer(fields[0])), State: states[fields[1]], Step: integer(fields[2]), Flaps: integer(fields[3]),
+	}
+}
+
+func list(word string) []string {
+	if word == "" {
+		return nil
+	}
+	return strings.Split(word, ",")
+}
+
+func integer(word string) int { return int(testscript.Num(word)) }
+
+func milliseconds(word string) zonehealth.Time { return zonehealth.Time(testscript.Num(word) * 10) }
