--- a/zonehealth/consensus.go
+++ b/zonehealth/consensus.go
@@ -7,9 +7,9 @@
 
 func (c *Instance) followPeers(z *zone) { c.adopt(z, *c.agreedVerdict(z), "following other proxies") }
 
-// agreedVerdict returns the verdict of the highest precedence that maxVerdictBackers peers act on (one, where only one is
-// reachable) or requiredVotes peers propose, nil if it does not take precedence over this proxy's. One proxy that is
-// faulty moves no other.
+// agreedVerdict returns the verdict of the highest precedence that maxVerdictBackers peers act on (one, where only
+// one is reachable) or requiredVotes peers propose, nil if it does not take precedence over this proxy's. One proxy
+// that is faulty moves no other.
 func (c *Instance) agreedVerdict(z *zone) *Stand {
 	adopted, latest := c.adoptedVerdicts[:0], c.latestVerdicts[:0]
 	for r := range c.reachableReports(z) {
@@ -32,8 +32,8 @@
 	return agreed
 }
 
-// propose adopts a verdict if enough peers propose it or a later one, and else makes it this proxy's proposal. Without that,
-// one or two proxies that reports reach late would act apart from all others.
+// propose adopts a verdict if enough peers propose it or a later one, and else makes it this proxy's proposal.
+// Without that, one or two proxies that reports reach late would act apart from all others.
 func (c *Instance) propose(z *zone, verdict Stand, reason string) {
 	backers := 1
 	for r := range c.reachableReports(z) {
@@ -59,6 +59,6 @@
 	v := &z.votes
 	c.log("zone %s: %v (epoch %d, step %d, flaps %d) from %v, %s: %d unhealthy votes from %d zones, %d healthy votes; "+
 		"of %d proxies with attempts %d in time, %d unanswered, %d late; %.0f in flight, capacity %.0f",
-		z.name, verdict.State, verdict.Epoch, verdict.Step, verdict.Flaps, previous, reason, v.unhealthy, len(v.unhealthyVoterZones), v.healthy,
-		v.attempted, v.inTime, v.unanswered, v.late, c.load.inFlight, c.load.capacity)
+		z.name, verdict.State, verdict.Epoch, verdict.Step, verdict.Flaps, previous, reason,
+		v.unhealthy, len(v.unhealthyVoterZones), v.healthy, v.attempted, v.inTime, v.unanswered, v.late, c.load.inFlight, c.load.capacity)
 }
--- a/zonehealth/controller.go
+++ b/zonehealth/controller.go
@@ -43,7 +43,8 @@
 	c.decide(Decision{Act: Log, Text: fmt.Sprintf(format, args...)})
 }
 
-// Tick judges all zones by the time that has passed. The caller calls it ten times a second, or never while Busy is false.
+// Tick judges all zones by the time that has passed. The caller calls it ten times a second, or never while Busy is
+// false.
 func (c *Instance) Tick(now Time) []Decision {
 	c.begin(now)
 	c.adjustForStall(c.now - c.tickedAt)
@@ -62,7 +63,8 @@
 	return c.decisions
 }
 
-// adjustForStall keeps attempts from becoming overdue, and old evidence from counting, where the previous tick is long ago.
+// adjustForStall keeps attempts from becoming overdue, and old evidence from counting, where the previous tick is
+// long ago.
 func (c *Instance) adjustForStall(sinceTick Time) {
 	if sinceTick > stallThreshold {
 		for _, n := range c.nodes {
--- a/zonehealth/decision.go
+++ b/zonehealth/decision.go
@@ -4,7 +4,8 @@
 type Act uint8
 
 const (
-	// Bar excludes Node for the share Part of its keys from now on; where Off is set its attempts in flight are cancelled.
+	// Bar excludes Node for the share Part of its keys from now on; where Off is set its attempts in flight are
+	// cancelled.
 	Bar Act = iota
 	// Speak publishes the report Voice on Zone to all peers, to be kept there for Life.
 	Speak
--- a/zonehealth/evacuation.go
+++ b/zonehealth/evacuation.go
@@ -52,8 +52,8 @@
 	c.propose(z, z.verdict.successor(Out, 0), reasonCapacityFound)
 }
 
-// othersHaveCapacity reports whether the other zones can take all attempts in flight, in the view of most proxies, each by
-// its own load. A node in slow start counts by the share of its work that it bears.
+// othersHaveCapacity reports whether the other zones can take all attempts in flight, in the view of most proxies,
+// each by its own load. A node in slow start counts by the share of its work that it bears.
 func (c *Instance) othersHaveCapacity(z *zone) bool {
 	serving, all := 0.0, 0.0
 	for _, n := range c.nodes {
--- a/zonehealth/evidence.go
+++ b/zonehealth/evidence.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	minUnconnectedNodes  = 2              // nodes refusing connections that a standalone evacuation takes, in a zone of so many
+	minUnconnectedNodes  = 2              // that refuse connections, for a standalone evacuation of a zone of so many
 	evidenceRecent       = 3 * Second / 2 // the time that votes and decisions are about
 	attemptCountHalfLife = 2 * Second
 	latencySmoothing     = 32 // an answer weighs one part in so many in the moving averages of the latency
@@ -58,7 +58,7 @@
 	runStartedAt     Time     // the first unanswered attempt since the latest answer
 	unansweredRun    int      // unanswered attempts since the latest answer
 	unhealthyNodes   []uint32 // hashes of names of the nodes that did not answer these
-	unconnectedNodes []uint32 // hashes of names of nodes that refused a connection, since one was opened or an answer arrived
+	unconnectedNodes []uint32 // likewise of nodes that refused a connection since one was opened or an answer arrived
 	counts           attemptCounts
 }
 
@@ -106,8 +106,8 @@
 	}
 }
 
-// Ended reports the outcome of an attempt that was reported by Sent, and the time since then. Decisions that follow from
-// it are returned by the next Tick.
+// Ended reports the outcome of an attempt that was reported by Sent, and the time since then. Decisions that follow
+// from it are returned by the next Tick.
 func (c *Instance) Ended(now Time, index int, outcome Ending, elapsed Time) {
 	n := c.node(index)
 	if n == nil {
--- a/zonehealth/exclusion.go
+++ b/zonehealth/exclusion.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// effectiveOpenShare is the share of its keys that a zone serves by overrides, by the verdicts of the fleet and of this proxy,
-// and for a proxy in the zone itself that still gets answers there.
+// effectiveOpenShare is the share of its keys that a zone serves by overrides, by the verdicts of the fleet and of
+// this proxy, and for a proxy in the zone itself that still gets answers there.
 func (c *Instance) effectiveOpenShare(z *zone) float64 {
 	switch {
 	case z.override.Want == KeepOut:
@@ -14,7 +14,8 @@
 	return min(z.verdict.openShare(), z.standalone.verdict.openShare())
 }
 
-// servedLocally reports whether this proxy is in a zone and gets answers there. The fleet's verdict does not affect it then.
+// servedLocally reports whether this proxy is in a zone and gets answers there. The fleet's verdict does not affect
+// it then.
 func (c *Instance) servedLocally(z *zone) bool {
 	return z.name == c.settings.Zone && c.now-z.evidence.answeredAt < evidenceRecent
 }
@@ -53,8 +54,8 @@
 	}
 }
 
-// updateExclusion decides the exclusion of a node from its zone's open share. Attempts in flight are cancelled unless an
-// operator has taken the zone out of service.
+// updateExclusion decides the exclusion of a node from its zone's open share. Attempts in flight are cancelled unless
+// an operator has taken the zone out of service.
 func (c *Instance) updateExclusion(index int, n *node) {
 	share, cancel := 0.0, false
 	if z := n.zone; z != nil {
--- a/zonehealth/fleet.go
+++ b/zonehealth/fleet.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// hasQuorum reports whether this proxy reaches a majority of the proxies that can judge a zone. One that does not may be cut
-// off itself.
+// hasQuorum reports whether this proxy reaches a majority of the proxies that can judge a zone. One that does not may
+// be cut off itself.
 func (c *Instance) hasQuorum(z *zone) bool {
 	return !c.fleet.catchingUp && z.outsideZone.known >= 2 && 2*z.outsideZone.reachable > z.outsideZone.known
 }
--- a/zonehealth/fuzz_test.go
+++ b/zonehealth/fuzz_test.go
@@ -8,8 +8,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// FuzzReport checks that any report of a peer is ignored or taken without a fault, and that the reports of one peer alone
-// evacuate no zone.
+// FuzzReport checks that any report of a peer is ignored or taken without a fault, and that the reports of one peer
+// alone evacuate no zone.
 func FuzzReport(f *testing.F) {
 	valid, err := msgpack.Marshal(&zonehealth.Voice{
 		Zone: "b", Word: zonehealth.Against, Ill: []uint32{1, 2},
--- a/zonehealth/override.go
+++ b/zonehealth/override.go
@@ -27,8 +27,8 @@
 // String returns the name that operators use.
 func (w Want) String() string { return [...]string{"auto", "in", "hold", "out"}[w&3] }
 
-// Order is an operator's override for a zone. Of two the one with the later epoch takes precedence, then the one with the
-// greater Want.
+// Order is an operator's override for a zone. Of two the one with the later epoch takes precedence, then the one with
+// the greater Want.
 type Order struct {
 	Zone  string
 	Want  Want
@@ -37,8 +37,8 @@
 	Force bool   // take the zone out of service even if no zone is left
 }
 
-// Order takes an override, of this proxy's operator or by gossip. One of an unknown zone, or that does not take precedence
-// over the present one, is ignored.
+// Order takes an override, of this proxy's operator or by gossip. One of an unknown zone, or that does not take
+// precedence over the present one, is ignored.
 func (c *Instance) Order(now Time, override Order) []Decision {
 	c.begin(now)
 	z := c.findOrAddZone(override.Zone)
@@ -50,7 +50,8 @@
 	z.override = override
 	z.confirmation.clearSuspicion()
 	if override.Want != previous {
-		c.log("zone %s: override %v set at proxy %s (override %d, previously %v)", z.name, override.Want, override.By, override.Epoch, previous)
+		c.log("zone %s: override %v set at proxy %s (override %d, previously %v)",
+			z.name, override.Want, override.By, override.Epoch, previous)
 	}
 	if previous == KeepOut && override.Want == Auto && z.verdict.State == In {
 		c.rampAfterOverride(z)
@@ -59,8 +60,8 @@
 	return c.decisions
 }
 
-// rampAfterOverride starts a recovery ramp in a zone that was out of service by override: its nodes may have been restarted,
-// and all of its keys at once would overload them.
+// rampAfterOverride starts a recovery ramp in a zone that was out of service by override: its nodes may have been
+// restarted, and all of its keys at once would overload them.
 func (c *Instance) rampAfterOverride(z *zone) {
 	if c.fleet.hasPeers() {
 		c.adopt(z, z.verdict.successor(Returning, 0), reasonOverrideLifted)
--- a/zonehealth/ramp.go
+++ b/zonehealth/ramp.go
@@ -13,9 +13,11 @@
 // failingProxies is how many proxies have to find attempts unanswered: not one alone, if there are more.
 func (c *Instance) failingProxies() int { return c.fleet.peerVotes(2) }
 
-// rampFailing reports whether attempts since this step are unanswered, for more than a quarter of the proxies that made any.
+// rampFailing reports whether attempts since this step are unanswered, for more than a quarter of the proxies that
+// made any.
 func (c *Instance) rampFailing(z *zone) bool {
-	return z.verdict.State == Returning && z.votes.unanswered >= c.failingProxies() && 4*z.votes.unanswered > z.votes.attempted
+	v := &z.votes
+	return z.verdict.State == Returning && v.unanswered >= c.failingProxies() && 4*v.unanswered > v.attempted
 }
 
 func (c *Instance) rampFailureConfirmed(z *zone) bool {
@@ -42,8 +44,8 @@
 	c.propose(z, z.verdict.successor(Returning, z.verdict.Step-1), reasonAnswersLate)
 }
 
-// rampStepDone reports whether a step has lasted, the zone and the origin answer in time, and the zone's nodes in slow start
-// bear the next step.
+// rampStepDone reports whether a step has lasted, the zone and the origin answer in time, and the zone's nodes in
+// slow start bear the next step.
 func (c *Instance) rampStepDone(z *zone) bool {
 	if z.verdict.State != Returning {
 		return false
@@ -56,7 +58,8 @@
 	return (v.inTime >= 1 || elapsed >= maxRampWaitSteps*c.settings.Step) && c.bearsNextStep(z)
 }
 
-// bearsNextStep reports whether a zone's nodes bear the share of keys of the next step. The first two steps they always do.
+// bearsNextStep reports whether a zone's nodes bear the share of keys of the next step. The first two steps they
+// always do.
 func (c *Instance) bearsNextStep(z *zone) bool {
 	next := 1.0
 	if z.verdict.Step+1 < len(rampShares) {
--- a/zonehealth/report.go
+++ b/zonehealth/report.go
@@ -15,8 +15,8 @@
 	reportTTLMargin    = Second         // and so much longer
 )
 
-// The time between two reports on a zone is a base and a part for each proxy in the fleet, which bounds the traffic that a
-// proxy receives. Changes of the verdict are few, and all proxies wait for them.
+// The time between two reports on a zone is a base and a part for each proxy in the fleet, which bounds the traffic
+// that a proxy receives. Changes of the verdict are few, and all proxies wait for them.
 const (
 	unchangedInterval         = Second / 2
 	unchangedIntervalPerProxy = Second / 200
@@ -37,8 +37,8 @@
 	Against
 )
 
-// Voice is the report of one proxy on one zone, which peers receive by gossip. Counts are of attempts, and decay by half
-// in two seconds.
+// Voice is the report of one proxy on one zone, which peers receive by gossip. Counts are of attempts, and decay by
+// half in two seconds.
 type Voice struct {
 	Zone            string   `msgpack:"z"` // in which the reporting proxy is
 	Word            Word     `msgpack:"w"` // its vote
@@ -58,8 +58,8 @@
 
 // valid reports whether a report of a peer is within the bounds that this version relies on.
 func (v *Voice) valid() bool {
-	return len(v.Ill) <= maxCoveredNodes && len(v.HealthyNodes) <= maxCoveredNodes && v.Word <= Against && v.LastAnswerAge >= 0 &&
-		v.Stand.valid() && (v.Plan == nil || v.Plan.valid())
+	return len(v.Ill) <= maxCoveredNodes && len(v.HealthyNodes) <= maxCoveredNodes &&
+		v.Word <= Against && v.LastAnswerAge >= 0 && v.Stand.valid() && (v.Plan == nil || v.Plan.valid())
 }
 
 // latestVerdict is the verdict that the reporting proxy acts on, or the one that it proposes if that takes precedence.
@@ -167,8 +167,8 @@
 	c.decide(Decision{Act: Speak, Zone: z.name, Voice: report, Life: reportTTLIntervals*interval + reportTTLMargin})
 }
 
-// Voice takes the report v of the proxy named from on a zone, written age ago, which counts until it is ttl old. A report
-// that is out of bounds, too old, or this proxy's own is ignored.
+// Voice takes the report v of the proxy named from on a zone, written age ago, which counts until it is ttl old. A
+// report that is out of bounds, too old, or this proxy's own is ignored.
 func (c *Instance) Voice(now Time, from, of string, v Voice, age, ttl Time) []Decision {
 	c.begin(now)
 	z := c.findOrAddZone(of)
--- a/zonehealth/settings.go
+++ b/zonehealth/settings.go
@@ -6,7 +6,7 @@
 	Regions  []Region
 	Shortest Time    // the shortest latency objective of all routes
 	Quiet    Time    // silence timeout: no answer from a zone for so long, with unanswered attempts, is an unhealthy vote
-	Voices   float64 // share (0 to 1] of the reachable proxies outside a zone whose unhealthy votes it takes; never fewer than two
+	Voices   float64 // share (0 to 1] of the reachable proxies outside a zone that have to vote against it, two at least
 	Settle   Time    // confirmation time of a suspicion, in which the votes of proxies that get answers arrive
 	Hold     Time    // hold-down time of an evacuated zone that does not flap
 	MostHold Time    // the longest hold-down time of a zone that flaps
--- a/zonehealth/standalone.go
+++ b/zonehealth/standalone.go
@@ -23,8 +23,8 @@
 	Hasty  int // of these the false positives: the first trial requests after Terms.Hold were answered
 }
 
-// standaloneVerdict is what this proxy decides on a zone by its own evidence, for itself. It has no epoch, and ends with the
-// next verdict of the fleet.
+// standaloneVerdict is what this proxy decides on a zone by its own evidence, for itself. It has no epoch, and ends
+// with the next verdict of the fleet.
 type standaloneVerdict struct {
 	verdict  Stand
 	at       Time // of the latest change, 0: there was none
@@ -32,7 +32,7 @@
 	lossSeen bool // trial requests have found the zone still lost since it was last evacuated from service
 }
 
-// set changes the verdict, and has evidence count from now on.
+// setStandalone changes the standalone verdict, and counts evidence anew from now on.
 func (c *Instance) setStandalone(z *zone, state State, step int) {
 	s := &z.standalone
 	s.verdict.State, s.verdict.Step, s.at = state, step, c.now
@@ -48,8 +48,8 @@
 	return c.now-z.evidence.unansweredAt < evidenceRecent
 }
 
-// needsProbe reports whether attempts in a zone are unanswered while it is not known whether its nodes are alive: nothing is
-// learned from open connections, and an overloaded zone may answer nothing in time.
+// needsProbe reports whether attempts in a zone are unanswered while it is not known whether its nodes are alive:
+// nothing is learned from open connections, and an overloaded zone may answer nothing in time.
 func (c *Instance) needsProbe(z *zone) bool {
 	s, e := &z.standalone, &z.evidence
 	if !c.settings.Alone || z.verdict.State != In || z.allUnconnected() || !c.unansweredLately(z) ||
@@ -65,23 +65,32 @@
 	return false
 }
 
+// unprobed reports whether a node did not answer and is not known to refuse connections.
+func (e *localEvidence) unprobed(node uint32) bool {
+	return slices.Contains(e.unhealthyNodes, node) && !slices.Contains(e.unconnectedNodes, node)
+}
+
 // probe asks for connections to nodes that did not answer, as many as may still refuse one.
 func (c *Instance) probe(z *zone) {
 	e := &z.evidence
 	z.standalone.probedAt = c.now
 	probes := minUnconnectedNodes - len(e.unconnectedNodes)
 	for i, n := range c.nodes {
-		if probes > 0 && n != nil && n.zone == z && slices.Contains(e.unhealthyNodes, n.hash) && !slices.Contains(e.unconnectedNodes, n.hash) {
+		if probes == 0 {
+			return
+		}
+		if n != nil && n.zone == z && e.unprobed(n.hash) {
 			probes--
 			c.decide(Decision{Act: Knock, Node: i})
 		}
 	}
 }
 
-// standaloneLost reports whether this proxy's own evidence says that a zone in service is lost: unanswered attempts at several
-// nodes, no answer for long, refused connections, and another zone that answers. A zone that accepts connections and answers
-// late is overloaded; a proxy of little traffic would otherwise evacuate whole zones in a burst. Where the fleet can judge the
-// zone and does not find it lost it takes more, since the fault may be in this proxy's own network path.
+// standaloneLost reports whether this proxy's own evidence says that a zone in service is lost: unanswered attempts
+// at several nodes, no answer for long, refused connections, and another zone that answers. A zone that accepts
+// connections and answers late is overloaded; a proxy of little traffic would otherwise evacuate whole zones in a
+// burst. Where the fleet can judge the zone and does not find it lost it takes more, since the fault may be in this
+// proxy's own network path.
 func (c *Instance) standaloneLost(z *zone) bool {
 	e, factor := &z.evidence, 1
 	if c.hasQuorum(z) {
@@ -112,8 +121,9 @@
 	if !s.lossSeen {
 		c.standaloneCounts.Passed++
 	}
-	c.log(logEvacuatedStandalone, z.name, e.unansweredRun, float64(c.now-e.answeredAt)/float64(Second), len(e.unhealthyNodes),
-		len(e.unconnectedNodes), len(c.fleet.reachable), len(c.fleet.proxies))
+	silentSeconds := float64(c.now-e.answeredAt) / float64(Second)
+	c.log(logEvacuatedStandalone, z.name, e.unansweredRun, silentSeconds, len(e.unhealthyNodes), len(e.unconnectedNodes),
+		len(c.fleet.reachable), len(c.fleet.proxies))
 	c.setStandalone(z, Out, 0)
 }
 
@@ -132,7 +142,8 @@
 		e.counts.unanswered+1 > (e.counts.inTime+e.counts.late)/3
 }
 
-// standaloneStepDone reports whether a step of the ramp has lasted and has answers in time, or has lasted too long for that.
+// standaloneStepDone reports whether a step of the ramp has lasted and has answers in time, or has lasted too long
+// for that.
 func (c *Instance) standaloneStepDone(z *zone) bool {
 	s, counts := &z.standalone, &z.evidence.counts
 	elapsed := c.now - s.at
--- a/zonehealth/verdict.go
+++ b/zonehealth/verdict.go
@@ -6,11 +6,10 @@
 )
 
 const (
-	maxRetainedNodes  = 16      // in a verdict, while a zone is partly evacuated
-	maxFlaps          = 16      // that an own verdict counts up to
-	maxAcceptedFlaps  = 64      // in a verdict of a peer
-	maxAcceptedEpoch  = 1 << 50 // exclusive, so that a wrong epoch of a peer leaves room for later ones
-	maxHoldDownShifts = maxFlaps
+	maxRetainedNodes = 16      // in a verdict, while a zone is partly evacuated
+	maxFlaps         = 16      // that an own verdict counts up to
+	maxAcceptedFlaps = 64      // in a verdict of a peer
+	maxAcceptedEpoch = 1 << 50 // exclusive, so that a wrong epoch of a peer leaves room for later ones
 )
 
 // rampShares are the shares of its keys that a returning zone serves at each step of the recovery ramp. The first is a
@@ -25,7 +24,8 @@
 	In State = iota
 	// Returning is a zone in recovery: it serves the share of its keys that the step of the recovery ramp allows.
 	Returning
-	// Leaving is a partly evacuated zone: the nodes in Stand.RetainedNodes stay in service, since the others lack capacity.
+	// Leaving is a partly evacuated zone: the nodes in Stand.RetainedNodes stay in service, since the others lack
+	// capacity.
 	Leaving
 	// Out is an evacuated zone.
 	Out
@@ -55,7 +55,11 @@
 	if other == nil {
 		return 1
 	}
-	return cmp.Or(s.comparePrecedence(other), cmp.Compare(s.Flaps, other.Flaps), -slices.Compare(s.RetainedNodes, other.RetainedNodes))
+	return cmp.Or(
+		s.comparePrecedence(other),
+		cmp.Compare(s.Flaps, other.Flaps),
+		-slices.Compare(s.RetainedNodes, other.RetainedNodes),
+	)
 }
 
 // comparePrecedence compares by epoch, state and step alone.
@@ -88,5 +92,5 @@
 
 // holdDownTime is how long a zone stays evacuated under a verdict: twice as long with each flap, up to Terms.MostHold.
 func (t *Terms) holdDownTime(verdict *Stand) Time {
-	return min(t.Hold<<min(verdict.Flaps, maxHoldDownShifts), t.MostHold)
+	return min(t.Hold<<min(verdict.Flaps, maxFlaps), t.MostHold)
 }
--- a/zonehealth/votes.go
+++ b/zonehealth/votes.go
@@ -11,8 +11,8 @@
 	vetoFactor         = 3   // unhealthy votes that it takes for each healthy vote
 )
 
-// voteCount sums up the reports on a zone. Proxies are counted and not the attempts that they report, so that a proxy that
-// exaggerates weighs no more than one.
+// voteCount sums up the reports on a zone. Proxies are counted and not the attempts that they report, so that a proxy
+// that exaggerates weighs no more than one.
 type voteCount struct {
 	unhealthy, healthy  int
 	inTimeAt            Time     // the latest answer in time that any proxy received
@@ -81,8 +81,8 @@
 	slices.Sort(z.votes.healthyNodes)
 }
 
-// countReport counts the report of a proxy, written at an instant. A proxy in the zone itself has no vote: it may be cut off
-// together with the zone's nodes.
+// countReport counts the report of a proxy, written at an instant. A proxy in the zone itself has no vote: it may be
+// cut off together with the zone's nodes.
 func (c *Instance) countReport(z *zone, proxy, proxyZone string, at Time, report *Voice) {
 	if report.Stand.compare(&z.verdict) == 0 {
 		z.votes.addAttempts(report)
@@ -116,8 +116,8 @@
 	nodes          int
 }
 
-// suffices reports whether evidence from the proxies of a quorum view convicts: from enough proxies, from two zones where the
-// proxies are in two, on a majority of the nodes.
+// suffices reports whether evidence from the proxies of a quorum view convicts: from enough proxies, from two zones
+// where the proxies are in two, on a majority of the nodes.
 func (c *Instance) suffices(sum evidenceSum, view quorumView) bool {
 	return sum.voters >= c.requiredVotes(view.reachable) && sum.voterZones >= min(2, view.zones) &&
 		sum.unhealthyNodes >= min(sum.nodes/2+1, maxCoveredNodes)
@@ -133,8 +133,8 @@
 	return c.suffices(sum, z.outsideZone) || z.region != nil && c.regionConvicted(z)
 }
 
-// regionConvicted counts the unhealthy votes on all zones of a zone's region together, provided that each of the zones is
-// evacuated or has unhealthy votes and no healthy one.
+// regionConvicted counts the unhealthy votes on all zones of a zone's region together, provided that each of the
+// zones is evacuated or has unhealthy votes and no healthy one.
 func (c *Instance) regionConvicted(z *zone) bool {
 	voters := map[string]bool{}
 	var voterZones []string
--- a/zonehealth/wire_golden_test.go
+++ b/zonehealth/wire_golden_test.go
@@ -6,8 +6,8 @@
 	"woodproxy/zonehealth"
 )
 
-// TestGoldenReports pins the encoding of the report on a zone, the body of a row of kind Voice. The names of the cases are those
-// of the golden file.
+// TestGoldenReports pins the encoding of the report on a zone, the body of a row of kind Voice. The names of the
+// cases are those of the golden file.
 func TestGoldenReports(t *testing.T) {
 	verdict := zonehealth.Stand{Epoch: 70000, State: zonehealth.Leaving, Step: 3, Flaps: 2, RetainedNodes: []uint32{0x01020304, 5}}
 	checkGolden(t, "voices.golden", []goldenCase{
@@ -24,7 +24,8 @@
 	})
 }
 
-// TestWireNumbers pins the numbers that go on the wire: in a report the vote and the state, in an override's row the rank.
+// TestWireNumbers pins the numbers that go on the wire: in a report the vote and the state, in an override's row the
+// rank.
 func TestWireNumbers(t *testing.T) {
 	for _, c := range []struct {
 		name      string
--- a/zonehealth/zone.go
+++ b/zonehealth/zone.go
@@ -71,7 +71,8 @@
 
 // storeReport replaces the report of a proxy.
 func (z *zone) storeReport(proxy string, report Voice, at, ttl Time) *receivedReport {
-	i, found := slices.BinarySearchFunc(z.reports, proxy, func(r *receivedReport, name string) int { return cmp.Compare(r.proxy, name) })
+	compareProxy := func(r *receivedReport, name string) int { return cmp.Compare(r.proxy, name) }
+	i, found := slices.BinarySearchFunc(z.reports, proxy, compareProxy)
 	if !found {
 		z.reports = slices.Insert(z.reports, i, nil)
 	}
