--- a/zonehealth/consensus.go
+++ b/zonehealth/consensus.go
@@ -60,5 +60,6 @@
 	c.log("zone %s: %v (epoch %d, step %d, flaps %d) from %v, %s: %d unhealthy votes from %d zones, %d healthy votes; "+
 		"of %d proxies with attempts %d in time, %d unanswered, %d late; %.0f in flight, capacity %.0f",
 		z.name, verdict.State, verdict.Epoch, verdict.Step, verdict.Flaps, previous, reason,
-		v.unhealthy, len(v.unhealthyVoterZones), v.healthy, v.attempted, v.inTime, v.unanswered, v.late, c.load.inFlight, c.load.capacity)
+		v.unhealthy, len(v.unhealthyVoterZones), v.healthy, v.attempted, v.inTime, v.unanswered, v.late,
+		c.load.inFlight, c.load.capacity)
 }
--- a/zonehealth/votes.go
+++ b/zonehealth/votes.go
@@ -176,10 +176,3 @@
 	}
 	return 0
 }
-
-func union(a, b []uint32) []uint32 {
-	for _, element := range b {
-		a = appendMissing(a, element)
-	}
-	return a
-}
