--- a/zonehealth/confirmation.go
+++ b/zonehealth/confirmation.go
@@ -1,6 +1,6 @@
 package zonehealth
 
-// confirmation holds since when the conditions of a verdict have been met. Each has to last for Terms.Settle, and is 0
+// confirmation holds since when the conditions of a verdict have been met. Each has to last for the confirmation time, and is 0
 // while it is not met.
 type confirmation struct {
 	suspectedAt    Time // there are enough unhealthy votes
--- a/zonehealth/controller.go
+++ b/zonehealth/controller.go
@@ -7,7 +7,7 @@
 	evidenceLostAfter = Second     // between two ticks: unanswered attempts from before are forgotten
 )
 
-// Instance decides for one proxy. It is not safe for concurrent use.
+// Instance is the controller of one proxy. It is not safe for concurrent use.
 type Instance struct {
 	settings Terms
 	now      Time
@@ -27,7 +27,7 @@
 	adoptedVerdicts, latestVerdicts []*Stand
 }
 
-// New returns an Instance that knows no nodes and no peers.
+// New returns a controller that knows no nodes and no peers.
 func New(now Time, settings Terms) *Instance {
 	return &Instance{
 		settings: settings, now: now, tickedAt: now, fleet: newFleetView(), latency: newLatencyEstimate(settings.Shortest),
@@ -43,8 +43,8 @@
 	c.decide(Decision{Act: Log, Text: fmt.Sprintf(format, args...)})
 }
 
-// Tick judges all zones by the time that has passed. The caller calls it ten times a second, or never while Busy is
-// false.
+// Tick judges all zones by the time that has passed. The caller calls it ten times a second while there is
+// something to do.
 func (c *Instance) Tick(now Time) []Decision {
 	c.begin(now)
 	c.adjustForStall(c.now - c.tickedAt)
--- a/zonehealth/decision.go
+++ b/zonehealth/decision.go
@@ -4,21 +4,20 @@
 type Act uint8
 
 const (
-	// Bar excludes Node for the share Part of its keys from now on; where Off is set its attempts in flight are
-	// cancelled.
+	// Bar excludes a node for a share of its keys from now on, and may cancel its attempts in flight.
 	Bar Act = iota
-	// Speak publishes the report Voice on Zone to all peers, to be kept there for Life.
+	// Speak publishes a report on a zone to all peers, which drop it after its time to live.
 	Speak
-	// Log writes Text to the log.
+	// Log writes a text to the log.
 	Log
-	// Knock opens a connection to Node as a probe; the result is reported by Reached or Refused.
+	// Knock opens a connection to a node as a probe; the caller reports whether it was opened or refused.
 	Knock
 )
 
-// Decision is one thing for the caller to do. Its Act says which fields are set.
+// Decision is one thing for the caller to do. Which fields are set depends on what it asks for.
 type Decision struct {
 	Act   Act
-	Node  int     // index of the node, as in Node.Index
+	Node  int     // index of the node, as in the endpoint list
 	Part  float64 // excluded share of the node's keys, 0 to 1
 	Off   bool    // cancel attempts in flight at the node
 	Zone  string
--- a/zonehealth/doc.go
+++ b/zonehealth/doc.go
@@ -10,8 +10,8 @@
 // A proxy without peers, or cut off from most of them, may evacuate a zone for itself (standalone), on stronger
 // evidence. Operators can override all of this for a zone.
 //
-// One Instance decides for one proxy. Each of its methods reports one event, with the caller's clock. Those that lead
+// One controller decides for one proxy. Each of its methods reports one event, with the caller's clock. Those that lead
 // to decisions return them in the order in which they have to be carried out, in a slice that the next call reuses.
-// An Instance starts no goroutines, does no I/O and has no locks: one goroutine at a time may call it. The same calls
+// A controller starts no goroutines, does no I/O and has no locks: one goroutine at a time may call it. The same calls
 // lead to the same decisions.
 package zonehealth
--- a/zonehealth/fleet.go
+++ b/zonehealth/fleet.go
@@ -87,7 +87,7 @@
 }
 
 // Fleet takes the members of the fleet, this proxy included, and whether it is still catching up with their state. It
-// keeps the slice. With Terms.Apart it does nothing.
+// keeps the slice. Where the settings say that there are no peers it does nothing.
 func (c *Instance) Fleet(now Time, proxies []Proxy, catchingUp bool) {
 	c.begin(now)
 	if c.settings.Apart {
--- a/zonehealth/override.go
+++ b/zonehealth/override.go
@@ -21,14 +21,14 @@
 	KeepOut
 )
 
-// Wants are the values of Want by the names that operators use.
+// Wants are the kinds of override by the names that operators use.
 var Wants = map[string]Want{"auto": Auto, "in": KeepIn, "hold": Held, "out": KeepOut}
 
 // String returns the name that operators use.
 func (w Want) String() string { return [...]string{"auto", "in", "hold", "out"}[w&3] }
 
-// Order is an operator's override for a zone. Of two the one with the later epoch takes precedence, then the one with
-// the greater Want.
+// Order is an operator's override for a zone. Of two the one with the later epoch takes precedence, then the one of
+// the stricter kind: out, hold, in, auto.
 type Order struct {
 	Zone  string
 	Want  Want
--- a/zonehealth/publication.go
+++ b/zonehealth/publication.go
@@ -3,7 +3,7 @@
 import "slices"
 
 const (
-	verdictRepeat      = 10 * Second // how long a new verdict of state In is reported
+	verdictRepeat      = 10 * Second // how long a verdict that the zone is in service is reported
 	unansweredRecent   = Second      // an unhealthy vote needs an unanswered attempt in this time
 	minOriginFetches   = 1           // decayed count of origin fetches from which on the share of late ones is reported
 	reportTTLIntervals = 3           // for which a report lives,
--- a/zonehealth/ramp.go
+++ b/zonehealth/ramp.go
@@ -80,7 +80,7 @@
 	return (sum + roundingMargin) / max(nodes, 1)
 }
 
-// stepForward proposes the next step, or state In after the last one.
+// stepForward proposes the next step, or service after the last one.
 func (c *Instance) stepForward(z *zone) {
 	verdict := z.verdict.successor(Returning, z.verdict.Step+1)
 	if verdict.Step >= len(rampShares) {
--- a/zonehealth/report.go
+++ b/zonehealth/report.go
@@ -16,7 +16,7 @@
 	None Word = iota
 	// For is a healthy vote: the zone answers.
 	For
-	// Against is an unhealthy vote: attempts are unanswered, and no answer has arrived for Terms.Quiet.
+	// Against is an unhealthy vote: attempts are unanswered, and no answer has arrived within the silence timeout.
 	Against
 )
 
@@ -28,7 +28,7 @@
 	LastAnswerAge   Time     `msgpack:"d"`
 	Run             int      `msgpack:"r,omitempty"` // attempts in a row that were unanswered since the last answer
 	Ill             []uint32 `msgpack:"i,omitempty"` // hashes of names of the nodes that did not answer these
-	HealthyNodes    []uint32 `msgpack:"a,omitempty"` // hashes of names of nodes that answered within Terms.Quiet
+	HealthyNodes    []uint32 `msgpack:"a,omitempty"` // hashes of names of nodes that answered within the silence timeout
 	InTime          float32  `msgpack:"o"`           // attempts answered in time
 	AnsweredLate    float32  `msgpack:"l"`           // attempts answered late or with an error
 	Lost            float32  `msgpack:"b"`           // unanswered attempts
--- a/zonehealth/settings.go
+++ b/zonehealth/settings.go
@@ -1,6 +1,6 @@
 package zonehealth
 
-// Terms are the settings of an Instance, fixed at its start.
+// Terms are the settings of a controller, fixed at its start.
 type Terms struct {
 	Me, Zone string // name of this proxy, and its zone, "" where that is not known
 	Regions  []Region
@@ -13,7 +13,7 @@
 	Step     Time    // minimum time between two steps of the recovery ramp
 	Cold     Time    // slow-start time of a node after its start
 	ColdFrom float64 // share (0 to 1] of its work that a node bears at the beginning of its slow start
-	Apart    bool    // there are no peers: Fleet is ignored
+	Apart    bool    // there are no peers: the fleet's members are ignored
 	Alone    bool    // without peers, or cut off from most of them, evacuate zones standalone
 }
 
--- a/zonehealth/standalone.go
+++ b/zonehealth/standalone.go
@@ -20,7 +20,7 @@
 // Alone counts what one proxy decided standalone since its start.
 type Alone struct {
 	Passed int // zones that it evacuated
-	Hasty  int // of these the false positives: the first trial requests after Terms.Hold were answered
+	Hasty  int // of these the false positives: the first trial requests after the hold-down time were answered
 }
 
 // standaloneVerdict is what this proxy decides on a zone by its own evidence, for itself. It has no epoch, and ends
@@ -151,7 +151,7 @@
 		(counts.inTime >= 1 && counts.late <= counts.inTime || elapsed >= overlongStepFactor*c.settings.Step)
 }
 
-// advanceStandaloneRamp goes on to the next step, or to state In after the last one.
+// advanceStandaloneRamp goes on to the next step, or to service after the last one.
 func (c *Instance) advanceStandaloneRamp(z *zone) {
 	s := &z.standalone
 	if next := s.verdict.Step + 1; next < len(rampShares) {
--- a/zonehealth/status.go
+++ b/zonehealth/status.go
@@ -14,7 +14,7 @@
 	Against, For int     // unhealthy and healthy votes
 	AgainstZones int     // zones from which the unhealthy votes are
 	By           []string
-	Watched      bool // there are unhealthy votes, a proposal, or a verdict of another state than In
+	Watched      bool // there are unhealthy votes, a proposal, or a verdict that it is not in service
 	Held         Time // since the verdict
 
 	// Numbers of proxies, of those that act on the same verdict: that attempted the zone, had most attempts answered in
--- a/zonehealth/verdict.go
+++ b/zonehealth/verdict.go
@@ -24,8 +24,8 @@
 	In State = iota
 	// Returning is a zone in recovery: it serves the share of its keys that the step of the recovery ramp allows.
 	Returning
-	// Leaving is a partly evacuated zone: the nodes in Stand.RetainedNodes stay in service, since the others lack
-	// capacity.
+	// Leaving is a partly evacuated zone: the retained nodes stay in service for want of capacity
+	// elsewhere.
 	Leaving
 	// Out is an evacuated zone.
 	Out
@@ -41,7 +41,7 @@
 	State         State    `msgpack:"s"`
 	Step          int      `msgpack:"n,omitempty"` // of the recovery ramp, from 0
 	Flaps         int      `msgpack:"f,omitempty"` // evacuations since the zone was last in service for flapMemory
-	RetainedNodes []uint32 `msgpack:"k,omitempty"` // hashes of names of the nodes that stay in service in state Leaving
+	RetainedNodes []uint32 `msgpack:"k,omitempty"` // hashes of names of the nodes that stay in service in a part evacuation
 }
 
 // valid reports whether a verdict of a peer is within the bounds that this version relies on.
@@ -90,7 +90,7 @@
 	return next
 }
 
-// holdDownTime is how long a zone stays evacuated under a verdict: twice as long with each flap, up to Terms.MostHold.
+// holdDownTime is how long a zone stays evacuated under a verdict: twice as long with each flap, up to a limit.
 func (t *Terms) holdDownTime(verdict *Stand) Time {
 	return min(t.Hold<<min(verdict.Flaps, maxFlaps), t.MostHold)
 }
--- a/zonehealth/zone.go
+++ b/zonehealth/zone.go
@@ -9,7 +9,7 @@
 // maxZones bounds the zones that are judged. The nodes of further zones are in service whatever happens to their zone.
 const maxZones = 64
 
-// zone is all that an Instance knows of one zone.
+// zone is all that a controller knows of one zone.
 type zone struct {
 	name      string
 	region    *Region // nil: none
@@ -24,7 +24,7 @@
 
 	verdict      Stand // on which this proxy acts
 	verdictAt    Time
-	evacuatedAt  Time   // the latest verdict of state Leaving or Out
+	evacuatedAt  Time   // the latest evacuation, of a part or all
 	proposal     *Stand // nil: none
 	confirmation confirmation
 	standalone   standaloneVerdict
