--- a/internal/admin/commands.go
+++ b/internal/admin/commands.go
@@ -30,7 +30,7 @@
 // clearNegativeCache empties the negative cache of this process.
 func clearNegativeCache(service Service) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		if err := service.Forget(); err != nil {
+		if err := service.ClearNegativeCache(); err != nil {
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
 		}
@@ -59,7 +59,7 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		text, err := service.Command(r.PathValue("zone"), r.PathValue("override"), epoch, force)
+		text, err := service.OverrideZone(r.PathValue("zone"), r.PathValue("override"), epoch, force)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
--- a/internal/admin/plan.go
+++ b/internal/admin/plan.go
@@ -15,7 +15,7 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
-		plan, err := service.Plan(http.MaxBytesReader(w, r.Body, maxInventoryBytes))
+		plan, err := service.PlanMigrations(http.MaxBytesReader(w, r.Body, maxInventoryBytes))
 		switch {
 		case err != nil:
 			writeJSON(w, http.StatusConflict, newErrorAnswer(err))
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -12,11 +12,11 @@
 func routes(service Service) []route {
 	return []route{
 		{"GET /control/ready", readiness(service)},
-		{"GET /control/peers", textStatus(service.Peers, "no file of peers is named")},
-		{"GET /control/zones", textStatus(service.Zones, "no file of zones is named")},
-		{"GET /control/turns", jsonStatus(service.Turns, "no file of turns is named")},
-		{"GET /control/recovery", jsonStatus(service.Recovery, "neither state nor peers are named")},
-		{"GET /control/missing", jsonStatus(service.Missing, "no file of missing keys is named")},
+		{"GET /control/peers", textStatus(service.PeerStatus, "no file of peers is named")},
+		{"GET /control/zones", textStatus(service.ZoneStatus, "no file of zones is named")},
+		{"GET /control/turns", jsonStatus(service.DutyStatus, "no file of turns is named")},
+		{"GET /control/recovery", jsonStatus(service.RecoveryStatus, "neither state nor peers are named")},
+		{"GET /control/missing", jsonStatus(service.NegativeCacheStatus, "no file of missing keys is named")},
 		{"GET /metrics", service.Metrics()},
 		{"POST /control/missing/forget", clearNegativeCache(service)},
 		{"POST /control/moves/plan", planMigrations(service)},
--- a/internal/admin/service.go
+++ b/internal/admin/service.go
@@ -14,25 +14,25 @@
 	OutOfService() (changed bool)
 	// InService accepts clients again. It reports whether that is a change.
 	InService() (changed bool)
-	// Peers returns the status of the gossip with peers as text, "" where no peers are configured.
-	Peers() string
-	// Zones returns the zones' health as text, "" where zones are not judged.
-	Zones() string
-	// Turns returns the status of the duty assignment for encoding as JSON, nil where duties are not configured.
-	Turns() any
-	// Recovery returns the stage of the recovery after a restart for encoding as JSON, nil where there are no stages.
-	Recovery() any
-	// Missing returns the status of the negative cache for encoding as JSON, nil where there is none.
-	Missing() any
-	// Forget empties the negative cache of this process. An error says why that can't be done.
-	Forget() error
+	// PeerStatus returns the status of the gossip with peers as text, "" where no peers are configured.
+	PeerStatus() string
+	// ZoneStatus returns the zones' health as text, "" where zones are not judged.
+	ZoneStatus() string
+	// DutyStatus returns the status of the duty assignment for encoding as JSON, nil where duties are not configured.
+	DutyStatus() any
+	// RecoveryStatus returns the stage of the recovery after a restart for encoding as JSON, nil where there are no stages.
+	RecoveryStatus() any
+	// NegativeCacheStatus returns the status of the negative cache for encoding as JSON, nil where there is none.
+	NegativeCacheStatus() any
+	// ClearNegativeCache empties the negative cache of this process. An error says why that can't be done.
+	ClearNegativeCache() error
 	// Metrics serves the metrics of the process.
 	Metrics() http.Handler
-	// Plan returns a plan of shard migrations for the inventory, for encoding as JSON; nil and no error where migrations are
+	// PlanMigrations returns a plan of shard migrations for the inventory, for encoding as JSON; nil and no error where migrations are
 	// not configured. It may take a second.
-	Plan(inventory io.Reader) (plan any, err error)
-	// Command sets the override of a zone or region to "in", "out", "hold" or "auto". It replaces the override of the given
+	PlanMigrations(inventory io.Reader) (plan any, err error)
+	// OverrideZone sets the override of a zone or region to "in", "out", "hold" or "auto". It replaces the override of the given
 	// epoch, whichever is current where the epoch is negative. Only with force may it leave no zone in. The text is the
 	// answer to the operator; an error says why nothing has changed.
-	Command(zone, override string, epoch int64, force bool) (text string, err error)
+	OverrideZone(zone, override string, epoch int64, force bool) (text string, err error)
 }
--- a/internal/hotrestart/helpers_test.go
+++ b/internal/hotrestart/helpers_test.go
@@ -42,10 +42,10 @@
 }
 
 // openServer starts the predecessor's side. The channel receives the number of successors at each change.
-func openServer(t *testing.T, dir, listen string, listener *net.TCPListener, list []byte) (*Estate, <-chan successorCounts) {
+func openServer(t *testing.T, dir, listen string, listener *net.TCPListener, list []byte) (*Server, <-chan successorCounts) {
 	t.Helper()
 	counts := make(chan successorCounts, 16)
-	server := New(dir, listen, listener, func() []byte { return list },
+	server := NewServer(dir, listen, listener, func() []byte { return list },
 		func(holding, serving int) { counts <- successorCounts{holding, serving} },
 		zaptest.NewLogger(t, zaptest.Level(zap.ErrorLevel)))
 	if err := server.Open(); err != nil {
@@ -56,7 +56,7 @@
 }
 
 // killServer closes the socket of a server and leaves its name, as the end of a killed process does.
-func killServer(t *testing.T, server *Estate) {
+func killServer(t *testing.T, server *Server) {
 	t.Helper()
 	server.socket.mu.Lock()
 	defer server.socket.mu.Unlock()
@@ -79,9 +79,9 @@
 }
 
 // takeOver takes over from the process that serves testListen. The listener is closed at the test's end.
-func takeOver(t *testing.T, dir string) *Before {
+func takeOver(t *testing.T, dir string) *Predecessor {
 	t.Helper()
-	predecessor, err := Claim(dir, testListen)
+	predecessor, err := TakeOver(dir, testListen)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,10 +90,10 @@
 }
 
 // waitInBackground waits for the predecessor's exit. The channel is closed then.
-func waitInBackground(predecessor *Before) <-chan struct{} {
+func waitInBackground(predecessor *Predecessor) <-chan struct{} {
 	exited := make(chan struct{})
 	go func() {
-		predecessor.Wait()
+		predecessor.WaitForExit()
 		close(exited)
 	}()
 	return exited
--- a/internal/hotrestart/message_golden_test.go
+++ b/internal/hotrestart/message_golden_test.go
@@ -55,7 +55,7 @@
 func TestHelloBytes(t *testing.T) {
 	dir := t.TempDir()
 	seen := serveRaw(listenRaw(t, dir), "", nil)
-	if _, err := Claim(dir, testListen); err == nil || errors.Is(err, ErrNobody) {
+	if _, err := TakeOver(dir, testListen); err == nil || errors.Is(err, ErrNoPredecessor) {
 		t.Errorf("a predecessor that closes the connection: %v", err)
 	}
 	predecessor := <-seen
@@ -110,13 +110,13 @@
 			if predecessor.Listener.Addr().String() != listener.Addr().String() {
 				t.Errorf("a listener at %v, want %v", predecessor.Listener.Addr(), listener.Addr())
 			}
-			if list := unescapeHTML(predecessor.List); !bytes.Equal(list, c.list) || (predecessor.List == nil) != (c.list == nil) {
+			if list := unescapeHTML(predecessor.EndpointList); !bytes.Equal(list, c.list) || (predecessor.EndpointList == nil) != (c.list == nil) {
 				t.Errorf("list %q, want %q", list, c.list)
 			}
-			if err := predecessor.Serving(); err != nil {
+			if err := predecessor.NotifyServing(); err != nil {
 				t.Error(err)
 			}
-			predecessor.Abandon()
+			predecessor.Disconnect()
 			raw := <-seen
 			if raw.err != nil {
 				t.Fatal(raw.err)
@@ -206,7 +206,7 @@
 	t.Run("offer", func(t *testing.T) {
 		dir := t.TempDir()
 		seen := serveRaw(listenRaw(t, dir), addUnknownKey(readTestdata(t, "offer_null_list.golden")), tcpListener(t))
-		takeOver(t, dir).Abandon()
+		takeOver(t, dir).Disconnect()
 		if raw := <-seen; raw.err != nil {
 			t.Error(raw.err)
 		}
@@ -257,8 +257,8 @@
 			dir := t.TempDir()
 			offer := replaceOnce(t, readTestdata(t, "offer_null_list.golden"), c.from, c.to)
 			seen := serveRaw(listenRaw(t, dir), offer, tcpListener(t))
-			_, err := Claim(dir, testListen)
-			if err == nil || errors.Is(err, ErrNobody) || !strings.Contains(err.Error(), c.version) || !strings.Contains(err.Error(), c.listen) {
+			_, err := TakeOver(dir, testListen)
+			if err == nil || errors.Is(err, ErrNoPredecessor) || !strings.Contains(err.Error(), c.version) || !strings.Contains(err.Error(), c.listen) {
 				t.Errorf("error %v, want one of %s for %s", err, c.version, c.listen)
 			}
 			if raw := <-seen; raw.err != nil || raw.rest != "" {
--- a/internal/hotrestart/predecessor.go
+++ b/internal/hotrestart/predecessor.go
@@ -15,21 +15,21 @@
 // readBufferBytes is how much of an offer is read at once.
 const readBufferBytes = 64 << 10
 
-// ErrNobody reports that no process serves the address: the directory, the socket in it or a process behind the socket is
+// ErrNoPredecessor reports that no process serves the address: the directory, the socket in it or a process behind the socket is
 // missing.
-var ErrNobody = errors.New("no predecessor to take over from")
+var ErrNoPredecessor = errors.New("no predecessor to take over from")
 
-// Before is the predecessor, as its successor sees it. All of its methods may be called from any goroutine.
-type Before struct {
-	Listener *net.TCPListener // the clients', shared with the predecessor; the caller closes it
-	List     []byte           // the predecessor's endpoint list, in the form of the discovery service; nil: none
-	conn     *net.UnixConn
+// Predecessor is the predecessor, as its successor sees it. All of its methods may be called from any goroutine.
+type Predecessor struct {
+	Listener     *net.TCPListener // the clients', shared with the predecessor; the caller closes it
+	EndpointList []byte           // the predecessor's endpoint list, in the form of the discovery service; nil: none
+	conn         *net.UnixConn
 }
 
-// Claim connects to the process that serves the address and takes its listener and list. The directory is where both processes
-// meet. It returns [ErrNobody] where there is no such process. An answer is waited for half a second at most. The caller ends
-// the connection with [Before.Wait] or [Before.Abandon].
-func Claim(dir, listen string) (*Before, error) {
+// TakeOver connects to the process that serves the address and takes its listener and list. The directory is where both processes
+// meet. It returns [ErrNoPredecessor] where there is no such process. An answer is waited for half a second at most. The caller ends
+// the connection with [Predecessor.WaitForExit] or [Predecessor.Disconnect].
+func TakeOver(dir, listen string) (*Predecessor, error) {
 	conn, err := dialPredecessor(dir, listen)
 	if err != nil {
 		return nil, err
@@ -46,12 +46,12 @@
 func dialPredecessor(dir, listen string) (*net.UnixConn, error) {
 	open, err := os.Open(dir)
 	if err != nil {
-		return nil, ErrNobody
+		return nil, ErrNoPredecessor
 	}
 	defer func() { _ = open.Close() }() // only read
 	conn, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: socketPath(open, listen), Net: "unix"})
 	if errors.Is(err, syscall.ENOENT) || errors.Is(err, syscall.ECONNREFUSED) { // a socket that was left behind refuses
-		return nil, ErrNobody
+		return nil, ErrNoPredecessor
 	}
 	if err != nil {
 		return nil, err
@@ -60,7 +60,7 @@
 }
 
 // requestOffer sends the hello and takes the offer. The connection stays the caller's if there is an error.
-func requestOffer(conn *net.UnixConn, listen string) (*Before, error) {
+func requestOffer(conn *net.UnixConn, listen string) (*Predecessor, error) {
 	if err := checkPeerUser(conn); err != nil {
 		return nil, err
 	}
@@ -78,7 +78,7 @@
 		_ = listener.Close() // the predecessor still has it
 		return nil, fmt.Errorf("clear deadline: %w", err)
 	}
-	return &Before{Listener: listener, List: list, conn: conn}, nil
+	return &Predecessor{Listener: listener, EndpointList: list, conn: conn}, nil
 }
 
 // receiveOffer reads the offer. The caller owns the listener.
@@ -115,20 +115,20 @@
 	return decodeOffer(line, listen)
 }
 
-// Serving notifies the predecessor that this process accepts clients, so that it need not any more.
-func (p *Before) Serving() error {
+// NotifyServing notifies the predecessor that this process accepts clients, so that it need not any more.
+func (p *Predecessor) NotifyServing() error {
 	_, err := io.WriteString(p.conn, servingMessage)
 	return err
 }
 
-// Wait blocks until the predecessor has exited, or until [Before.Abandon].
-func (p *Before) Wait() {
+// WaitForExit blocks until the predecessor has exited, or until [Predecessor.Disconnect].
+func (p *Predecessor) WaitForExit() {
 	waitForEnd(p.conn)
 	_ = p.conn.Close() // nothing is owed to a process that has gone
 }
 
-// Abandon ends the connection. The predecessor goes on as if this process had exited.
-func (p *Before) Abandon() {
+// Disconnect ends the connection. The predecessor goes on as if this process had exited.
+func (p *Predecessor) Disconnect() {
 	_ = p.conn.Close() // the kernel closes it at the latest when the process exits
 }
 
--- a/internal/hotrestart/predecessor_test.go
+++ b/internal/hotrestart/predecessor_test.go
@@ -27,11 +27,11 @@
 	}
 	closeAtEnd(t, client)
 	predecessor := takeOver(t, dir)
-	if string(predecessor.List) != list {
-		t.Errorf("a list of %d bytes, want the predecessor's of %d", len(predecessor.List), len(list))
+	if string(predecessor.EndpointList) != list {
+		t.Errorf("a list of %d bytes, want the predecessor's of %d", len(predecessor.EndpointList), len(list))
 	}
 	expectCounts(t, counts, successorCounts{holding: 1})
-	if err := predecessor.Serving(); err != nil {
+	if err := predecessor.NotifyServing(); err != nil {
 		t.Error(err)
 	}
 	expectCounts(t, counts, successorCounts{holding: 1, serving: 1})
@@ -56,13 +56,13 @@
 	_, counts := openServer(t, dir, testListen, listener, []byte(nullList))
 	for range 2 {
 		predecessor := takeOver(t, dir)
-		if predecessor.List != nil {
-			t.Errorf("list %q, want none", predecessor.List)
+		if predecessor.EndpointList != nil {
+			t.Errorf("list %q, want none", predecessor.EndpointList)
 		}
 		expectCounts(t, counts, successorCounts{holding: 1})
 		successor, _ := openServer(t, dir, testListen, predecessor.Listener, []byte(nullList)) // takes the socket's name over
 		killServer(t, successor)
-		predecessor.Abandon()
+		predecessor.Disconnect()
 		if err := predecessor.Listener.Close(); err != nil {
 			t.Error(err)
 		}
@@ -90,8 +90,8 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if _, err := Claim(c.dir(t), testListen); !errors.Is(err, ErrNobody) {
-				t.Errorf("error %v, want %v", err, ErrNobody)
+			if _, err := TakeOver(c.dir(t), testListen); !errors.Is(err, ErrNoPredecessor) {
+				t.Errorf("error %v, want %v", err, ErrNoPredecessor)
 			}
 		})
 	}
@@ -185,8 +185,8 @@
 		answered <- answer(conn)
 	}()
 	start := time.Now()
-	predecessor, err := Claim(dir, testListen)
-	if err == nil || errors.Is(err, ErrNobody) {
+	predecessor, err := TakeOver(dir, testListen)
+	if err == nil || errors.Is(err, ErrNoPredecessor) {
 		t.Errorf("took over from %+v: %v", predecessor, err)
 	}
 	if want != nil && !errors.Is(err, want) {
--- a/internal/hotrestart/server.go
+++ b/internal/hotrestart/server.go
@@ -10,11 +10,11 @@
 	"go.uber.org/zap"
 )
 
-// Estate passes this process's listener and list to its successors. All of its methods may be called from any goroutine.
+// Server passes this process's listener and list to its successors. All of its methods may be called from any goroutine.
 //
-// Each successor's connection is served by a goroutine that lives until the successor exits or this process does. [Estate.Close]
+// Each successor's connection is served by a goroutine that lives until the successor exits or this process does. [Server.Close]
 // does not end it, since the end of the connection tells the successor that this process has exited.
-type Estate struct {
+type Server struct {
 	listen     string
 	listener   *net.TCPListener
 	list       func() []byte
@@ -23,21 +23,21 @@
 	successors successors
 }
 
-// New returns the server for successors, which accepts none before [Estate.Open]. The directory is where processes meet, listen
+// NewServer returns the server for successors, which accepts none before [Server.Open]. The directory is where processes meet, listen
 // is the address that clients connect to and ln their listener. list returns the endpoint list as JSON, "null" or nil where
 // there is none; it is called for each successor. notify is called at each change of the number of successors, with how many
 // hold the listener and how many of those serve; calls don't overlap, and it must not call the server's methods.
-func New(dir, listen string, ln *net.TCPListener, list func() []byte, notify func(holding, serving int), log *zap.Logger) *Estate {
-	s := &Estate{listen: listen, listener: ln, list: list, log: log, successors: successors{notify: notify}}
+func NewServer(dir, listen string, ln *net.TCPListener, list func() []byte, notify func(holding, serving int), log *zap.Logger) *Server {
+	s := &Server{listen: listen, listener: ln, list: list, log: log, successors: successors{notify: notify}}
 	s.socket = restartSocket{dir: dir, listen: listen, handle: s.serveSuccessor}
 	return s
 }
 
 // Open accepts successors from now on. It takes the socket's name over from the process's own predecessor.
-func (s *Estate) Open() error { return s.socket.bind() }
+func (s *Server) Open() error { return s.socket.bind() }
 
 // serveSuccessor follows one successor from its hello until it exits.
-func (s *Estate) serveSuccessor(conn *net.UnixConn) {
+func (s *Server) serveSuccessor(conn *net.UnixConn) {
 	defer func() { _ = conn.Close() }() // all is said, or the error is logged
 	if err := s.sendOffer(conn); err != nil {
 		s.log.Warn("listener not passed to successor", zap.Error(err))
@@ -58,7 +58,7 @@
 
 // reopen takes back the socket's name, which a successor that has gone may have taken over. A process that is stopping leaves
 // it.
-func (s *Estate) reopen() {
+func (s *Server) reopen() {
 	err := s.socket.bind()
 	if errors.Is(err, errSocketClosed) {
 		return
@@ -70,7 +70,7 @@
 }
 
 // sendOffer reads a successor's hello and answers it.
-func (s *Estate) sendOffer(conn *net.UnixConn) error {
+func (s *Server) sendOffer(conn *net.UnixConn) error {
 	if err := checkPeerUser(conn); err != nil {
 		return err
 	}
@@ -103,11 +103,11 @@
 	return err == nil && message == servingMessage
 }
 
-// Heirs returns how many successors hold the listener too.
-func (s *Estate) Heirs() int { return s.successors.count() }
+// SuccessorCount returns how many successors hold the listener too.
+func (s *Server) SuccessorCount() int { return s.successors.count() }
 
 // Close accepts no successor any more. The socket's name stays where there is a successor, which has taken it over. Close may
 // be called again.
-func (s *Estate) Close() {
+func (s *Server) Close() {
 	s.socket.close(s.successors.count() == 0)
 }
--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -29,7 +29,7 @@
 // clientConn is one client's connection and its goroutine, which alone reads and writes there. Another goroutine that
 // has a reply for it marks the request ready and interrupts the reading by a deadline in the past.
 type clientConn struct {
-	listener        *Door
+	listener        *Listener
 	conn            net.Conn
 	reader          *bufio.Reader
 	acceptedAt      time.Time
--- a/internal/proxy/client_conn_test.go
+++ b/internal/proxy/client_conn_test.go
@@ -116,7 +116,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			cache, origin := newCache(t), newOrigin(t)
 			p := newTestProxy(t, 100, defaultSettings, cache, origin)
-			p.eventually("no endpoint list", func() bool { return len(p.router.Targets()) == 2 })
+			p.eventually("no endpoint list", func() bool { return len(p.router.Endpoints()) == 2 })
 			client := p.dial()
 			pending := test.begin(p, client, cache)
 			counters := p.router.counters
@@ -179,7 +179,7 @@
 func TestClientGoneWhileRepliesAreWritten(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
 	p := newTestProxy(t, 100, defaultSettings, cache, origin)
-	p.eventually("no endpoint list", func() bool { return len(p.router.Targets()) == 2 })
+	p.eventually("no endpoint list", func() bool { return len(p.router.Endpoints()) == 2 })
 	client := p.dial()
 	if err := client.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
 		t.Fatal(err)
@@ -198,7 +198,7 @@
 func TestCommandsReadBeforeStopReadingAreAnswered(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
 	p := newTestProxy(t, 100, defaultSettings, cache, origin)
-	p.eventually("no endpoint list", func() bool { return len(p.router.Targets()) == 2 })
+	p.eventually("no endpoint list", func() bool { return len(p.router.Endpoints()) == 2 })
 	client := p.dial()
 	const asked = maxPending + 6
 	var commands strings.Builder
@@ -265,7 +265,7 @@
 		{"stop reading", requestPhase(phaseStopReading), false},
 		{"evicted", func(p *testProxy) {
 			p.eventually("not idle", func() bool {
-				p.listener.Allow(1, 0)
+				p.listener.SetLimits(1, 0)
 				return p.router.counters.ClientsOpen.Load() == 0
 			})
 		}, false},
--- a/internal/proxy/doc.go
+++ b/internal/proxy/doc.go
@@ -8,9 +8,9 @@
 //   - [Router] owns the balancer, the request slots and the hosts' indices, the zones' health and the shadow balancer.
 //   - An upstreamHost, one for each host, owns the connections to it and the queue for them.
 //   - An upstreamConn, one for each connection to a host, carries one attempt at a time.
-//   - [List] owns the endpoint list's index and its watches, each with a goroutine that reads from discovery.
-//   - [Duties] and [Absent] own the assignment of duties to proxies and the negative cache.
-//   - [Door] accepts connections, and a clientConn, one for each, reads commands and writes replies.
+//   - [EndpointList] owns the endpoint list's index and its watches, each with a goroutine that reads from discovery.
+//   - [Duties] and [NegativeCache] own the assignment of duties to proxies and the negative cache.
+//   - [Listener] accepts connections, and a clientConn, one for each, reads commands and writes replies.
 //
 // They share nothing but calls in each other's mailboxes.
 //
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -17,17 +17,17 @@
 	minAgeToStopReading = stopReadingStep * drainInterval
 )
 
-// Leaving is the drain schedule of a proxy that stops, as times since the closing of the listener. Clients retry
+// DrainSchedule is the drain schedule of a proxy that stops, as times since the closing of the listener. Clients retry
 // elsewhere what they have sent and was not read by the last of them.
-type Leaving struct {
-	Yield  time.Duration // from here on a connection is closed after its next reply
-	Retire time.Duration // from here on idle connections are closed too
-	Shut   time.Duration // from here on no further command is read
+type DrainSchedule struct {
+	CloseAfterReply time.Duration // from here on a connection is closed after its next reply
+	CloseIdle       time.Duration // from here on idle connections are closed too
+	StopReading     time.Duration // from here on no further command is read
 }
 
 // OutOfService begins to drain: clients are sent away, and the proxy goes on running. It returns false if it drains
 // already. It waits for no other goroutine's work, so that an operator is answered however busy the proxy is.
-func (l *Door) OutOfService() bool {
+func (l *Listener) OutOfService() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.outOfService.Swap(true) {
@@ -41,7 +41,7 @@
 }
 
 // InService ends the drain, and returns false if there was none. Connections that were told to close still do.
-func (l *Door) InService() bool {
+func (l *Listener) InService() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.outOfService.Swap(false) {
@@ -56,7 +56,7 @@
 }
 
 // advanceDrain takes the drain's next step, and schedules the one after it.
-func (l *Door) advanceDrain() {
+func (l *Listener) advanceDrain() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.outOfService.Load() {
@@ -77,7 +77,7 @@
 
 // drainPhase returns the phase that the current step of the drain asks of a connection. One that only polls the proxy's
 // state (by PING) is left open as long as it does.
-func (l *Door) drainPhase(c *clientConn, now time.Time) closePhase {
+func (l *Listener) drainPhase(c *clientConn, now time.Time) closePhase {
 	s := c.state()
 	recentlyActive := now.Sub(s.lastActive) < recentActivity
 	switch {
@@ -93,7 +93,7 @@
 
 // Close accepts no further client, closes the connections by the schedule, and returns when all have ended or at the
 // given time. If soleOwner is set no other process has the listener, and the clients in its queue are served before.
-func (l *Door) Close(until time.Time, soleOwner bool, schedule Leaving) {
+func (l *Listener) Close(until time.Time, soleOwner bool, schedule DrainSchedule) {
 	began := time.Now()
 	l.mu.Lock()
 	l.closed, l.soleOwner = true, soleOwner
@@ -104,9 +104,9 @@
 		after time.Duration
 		phase closePhase
 	}{
-		{schedule.Yield, phaseCloseAfterReply},
-		{schedule.Retire, phaseCloseWhenIdle},
-		{schedule.Shut, phaseStopReading},
+		{schedule.CloseAfterReply, phaseCloseAfterReply},
+		{schedule.CloseIdle, phaseCloseWhenIdle},
+		{schedule.StopReading, phaseStopReading},
 	} {
 		timer := time.AfterFunc(time.Until(began.Add(step.after)), func() { l.requestPhaseAll(step.phase) })
 		defer timer.Stop()
@@ -115,7 +115,7 @@
 }
 
 // awaitConnsEnded waits until no connection is accepted any more and all have ended, or until the given time.
-func (l *Door) awaitConnsEnded(until time.Time) {
+func (l *Listener) awaitConnsEnded(until time.Time) {
 	defer time.AfterFunc(time.Until(until), l.connsChanged.Broadcast).Stop()
 	select { // else a connection that is being accepted would be missed
 	case <-l.acceptDone:
@@ -129,7 +129,7 @@
 }
 
 // requestPhaseAll moves all connections, and those that are still to be accepted, to a closing phase for good.
-func (l *Door) requestPhaseAll(phase closePhase) {
+func (l *Listener) requestPhaseAll(phase closePhase) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stopping, l.phase = true, max(l.phase, phase)
--- a/internal/proxy/duties.go
+++ b/internal/proxy/duties.go
@@ -26,7 +26,7 @@
 	assignments *duties.Instance
 	clock       Clock
 	router      *Router
-	list        *List
+	list        *EndpointList
 	broadcast   dutyBroadcast
 	figures     atomic.Pointer[duties.Figures]
 	counters    *Counters
@@ -35,7 +35,7 @@
 }
 
 // NewDuties returns the duties of a router and an endpoint list. It is to be called before they run.
-func NewDuties(terms duties.Terms, router *Router, list *List, broadcast dutyBroadcast, log *zap.Logger) *Duties {
+func NewDuties(terms duties.Terms, router *Router, list *EndpointList, broadcast dutyBroadcast, log *zap.Logger) *Duties {
 	d := &Duties{
 		mailbox: make(mailbox, dutiesMailboxSize), assignments: duties.New(duties.Time(router.clock.Now()), terms),
 		clock: router.clock, router: router, list: list, broadcast: broadcast, counters: router.counters, log: log,
@@ -57,16 +57,16 @@
 
 func (d *Duties) now() duties.Time { return duties.Time(d.clock.Now()) }
 
-// Shown returns the duties' figures as of their last tick.
-func (d *Duties) Shown() duties.Figures { return *d.figures.Load() }
+// Stats returns the duties' figures as of their last tick.
+func (d *Duties) Stats() duties.Figures { return *d.figures.Load() }
 
-// Fleet takes who the proxies are. catchingUp means that not all are known yet.
-func (d *Duties) Fleet(all []duties.Proxy, catchingUp bool) {
+// SetMembers takes who the proxies are. catchingUp means that not all are known yet.
+func (d *Duties) SetMembers(all []duties.Proxy, catchingUp bool) {
 	d.mailbox.tryPost(func() { d.execute(d.assignments.Fleet(d.now(), all, catchingUp)) })
 }
 
-// Heard takes what another proxy has told under a duty, sent age ago.
-func (d *Duties) Heard(from string, kind duties.Kind, key string, report duties.Said, age duties.Time) {
+// Receive takes what another proxy has told under a duty, sent age ago.
+func (d *Duties) Receive(from string, kind duties.Kind, key string, report duties.Said, age duties.Time) {
 	d.mailbox.tryPost(func() { d.execute(d.assignments.Heard(d.now(), from, kind, key, report, age)) })
 }
 
@@ -77,7 +77,7 @@
 		case duties.Rest:
 			d.router.mailbox.post(func() { d.router.delayProbe(decision.Node, balancer.Time(decision.Until)) })
 		case duties.Doubt:
-			d.router.Heard(decision.Node, !decision.On)
+			d.router.ReceivePeerReport(decision.Node, !decision.On)
 		case duties.Keep:
 			d.router.mailbox.post(func() { d.router.setIdleConnOwner(decision.Node, decision.On) })
 		case duties.Watch:
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -22,8 +22,8 @@
 	endpointRandomStream = 1
 )
 
-// List is the goroutine of the endpoint list: it has discovery watched and tells the router what changes.
-type List struct {
+// EndpointList is the goroutine of the endpoint list: it has discovery watched and tells the router what changes.
+type EndpointList struct {
 	mailbox       mailbox
 	addr          string // of discovery
 	router        *Router
@@ -51,12 +51,12 @@
 	targets []wire.Target
 }
 
-// NewList returns the endpoint list that is watched at an address, and hands the router the list that this proxy had
+// NewEndpointList returns the endpoint list that is watched at an address, and hands the router the list that this proxy had
 // before its start, which may be nil. It returns an error if that can't be parsed.
-func NewList(
+func NewEndpointList(
 	addr string, known *fastjson.Value, router *Router, seed uint64, counters *Counters, log *zap.Logger,
-) (*List, error) {
-	l := &List{
+) (*EndpointList, error) {
+	l := &EndpointList{
 		mailbox: make(mailbox, endpointMailboxSize), addr: addr, router: router, firstMessage: make(chan struct{}),
 		random: rand.New(rand.NewPCG(seed, endpointRandomStream)), counters: counters, log: log,
 	}
@@ -74,14 +74,14 @@
 	return l, nil
 }
 
-// First returns a channel that is closed when discovery has said something.
-func (l *List) First() <-chan struct{} { return l.firstMessage }
+// FirstMessage returns a channel that is closed when discovery has said something.
+func (l *EndpointList) FirstMessage() <-chan struct{} { return l.firstMessage }
 
-// Version returns the latest index that discovery or another proxy has told of since the start; 0: neither has.
-func (l *List) Version() int64 { return l.latestIndex.Load() }
+// LatestIndex returns the latest index that discovery or another proxy has told of since the start; 0: neither has.
+func (l *EndpointList) LatestIndex() int64 { return l.latestIndex.Load() }
 
 // Run carries out calls for as long as the process lives.
-func (l *List) Run() {
+func (l *EndpointList) Run() {
 	if !l.polls() {
 		l.startWatch()
 	}
@@ -91,13 +91,13 @@
 }
 
 // polls reports whether the balancer says when discovery is asked, rather than discovery being watched all the time.
-func (l *List) polls() bool { return l.router.settings.Terms.Ask }
+func (l *EndpointList) polls() bool { return l.router.settings.Terms.Ask }
 
-// Move has discovery watched at another address. The watch of the old one counts until the new one has said something,
+// SetAddress has discovery watched at another address. The watch of the old one counts until the new one has said something,
 // so that a discovery that is slow to come up, or a mistaken address, loses no event that is still sent.
-func (l *List) Move(addr string) { l.mailbox.post(func() { l.moveTo(addr) }) }
+func (l *EndpointList) SetAddress(addr string) { l.mailbox.post(func() { l.moveTo(addr) }) }
 
-func (l *List) moveTo(addr string) {
+func (l *EndpointList) moveTo(addr string) {
 	if addr == l.addr {
 		return
 	}
@@ -115,7 +115,7 @@
 }
 
 // startWatch opens a watch, unless one is open or other proxies have the duty to watch.
-func (l *List) startWatch() {
+func (l *EndpointList) startWatch() {
 	if l.current != nil || l.delegated {
 		return
 	}
@@ -131,7 +131,7 @@
 }
 
 // randomFirstByteTimeout spreads the timeouts of proxies, whose watches may all have fallen silent at once.
-func (l *List) randomFirstByteTimeout() time.Duration {
+func (l *EndpointList) randomFirstByteTimeout() time.Duration {
 	timeout := pushFirstByteTimeout*3/4 + time.Duration(l.random.Int64N(int64(pushFirstByteTimeout)/2))
 	if l.polls() {
 		timeout = pollFirstByteTimeout + time.Duration(l.random.Int64N(int64(pollFirstByteTimeout)/4))
@@ -141,7 +141,7 @@
 
 // watchEnded takes note that a watch is over. Where discovery is watched all the time another is opened soon; where it
 // is polled, the balancer says when.
-func (l *List) watchEnded(watch *endpointWatch, err error) {
+func (l *EndpointList) watchEnded(watch *endpointWatch, err error) {
 	if watch == l.previous {
 		l.previous = nil
 	}
@@ -171,7 +171,7 @@
 
 // nextBackoff returns the time until a watch is opened again. It is random, and longer after each failure, so that
 // proxies whose watches all end at once, or that all start at once, do not overload a discovery that rejects them.
-func (l *List) nextBackoff() time.Duration {
+func (l *EndpointList) nextBackoff() time.Duration {
 	mean := min(minWatchBackoff<<min(l.failures, maxBackoffDoublings), maxWatchBackoff)
 	l.failures++
 	return mean/2 + time.Duration(l.random.Int64N(int64(mean)))
@@ -190,7 +190,7 @@
 }
 
 // handleEvent tells the router, and the other proxies, what a watch has received.
-func (l *List) handleEvent(watch *endpointWatch, event endpointEvent) {
+func (l *EndpointList) handleEvent(watch *endpointWatch, event endpointEvent) {
 	switch watch {
 	case l.current:
 		l.index = event.index
@@ -213,14 +213,14 @@
 }
 
 // recordIndex notes an index that discovery or another proxy has told of.
-func (l *List) recordIndex(index int64) {
+func (l *EndpointList) recordIndex(index int64) {
 	if index > l.latestIndex.Load() {
 		l.latestIndex.Store(index)
 	}
 }
 
 // handleActivity takes note that a watch has received something, be it an empty line.
-func (l *List) handleActivity(watch *endpointWatch) {
+func (l *EndpointList) handleActivity(watch *endpointWatch) {
 	if watch != l.current {
 		return
 	}
@@ -238,7 +238,7 @@
 
 // setWatching begins or ends this proxy's duty to watch discovery. What it was told until the end is then as old as
 // what other proxies tell.
-func (l *List) setWatching(on bool) {
+func (l *EndpointList) setWatching(on bool) {
 	l.delegated = !on
 	if on {
 		l.startWatch()
@@ -258,7 +258,7 @@
 }
 
 // reportWatching tells the duties whether the watch is alive.
-func (l *List) reportWatching(alive bool) {
+func (l *EndpointList) reportWatching(alive bool) {
 	if d := l.duties; d != nil {
 		d.mailbox.tryPost(func() { d.execute(d.assignments.Watching(d.now(), alive)) })
 	}
--- a/internal/proxy/endpoint_list_test.go
+++ b/internal/proxy/endpoint_list_test.go
@@ -17,7 +17,7 @@
 func TestWatchBackoffIsSpreadAndGrows(t *testing.T) {
 	var firsts []time.Duration
 	for seed := range uint64(40) {
-		list, err := NewList("", nil, newTestRouter(), seed, &Counters{}, zap.NewNop())
+		list, err := NewEndpointList("", nil, newTestRouter(), seed, &Counters{}, zap.NewNop())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -40,13 +40,13 @@
 }
 
 // startList runs an endpoint list, polled or watched, of a discovery that serves as given.
-func startList(t *testing.T, polls bool, serve func(net.Conn)) (*testProxy, *List) {
+func startList(t *testing.T, polls bool, serve func(net.Conn)) (*testProxy, *EndpointList) {
 	t.Helper()
 	addr := listen(t, serve)
 	p := newTestProxy(t, 10, func(config *balancer.Terms) {
 		config.Ask, config.AskEvery = polls, 100000
 	}, newCache(t), newOrigin(t))
-	list, err := NewList(addr, nil, p.router, 1, p.router.counters, zap.NewNop())
+	list, err := NewEndpointList(addr, nil, p.router, 1, p.router.counters, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -116,11 +116,11 @@
 				_, _ = io.Copy(io.Discard, conn)
 			})
 			select {
-			case <-list.First():
+			case <-list.FirstMessage():
 			case <-time.After(late + time.Second):
 			}
-			if n := p.router.counters.Lists.Load(); n != 1 || list.Version() != 3 {
-				t.Errorf("%d lists, version %d", n, list.Version())
+			if n := p.router.counters.Lists.Load(); n != 1 || list.LatestIndex() != 3 {
+				t.Errorf("%d lists, version %d", n, list.LatestIndex())
 			}
 		})
 	}
--- a/internal/proxy/endpoint_watch.go
+++ b/internal/proxy/endpoint_watch.go
@@ -39,7 +39,7 @@
 
 // endpointWatch is one connection to discovery and its goroutine, which ends by a call of the list's watchEnded.
 type endpointWatch struct {
-	list             *List
+	list             *EndpointList
 	addr             string
 	fromIndex        int64
 	firstByteTimeout time.Duration
--- a/internal/proxy/eviction.go
+++ b/internal/proxy/eviction.go
@@ -88,7 +88,7 @@
 
 // chooseEviction returns the connection that can best be done without; its conn is nil if enough are about to close
 // already. The caller holds l.mu.
-func (l *Door) chooseEviction(now time.Time) eviction {
+func (l *Listener) chooseEviction(now time.Time) eviction {
 	var census connCensus
 	for c := range l.conns {
 		census.add(c, c.state())
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -30,9 +30,9 @@
 	SetDeadline(time.Time) error
 }
 
-// Door is the listener: it accepts client connections, bounds how many there are, and closes them when the proxy
+// Listener is the listener: it accepts client connections, bounds how many there are, and closes them when the proxy
 // drains or stops. Its methods may be called from any goroutine, but for those that say otherwise.
-type Door struct {
+type Listener struct {
 	ln                 deadlineListener
 	router             *Router
 	counters           *Counters
@@ -59,14 +59,14 @@
 	connsChanged   *sync.Cond               // a connection has ended, or a limit has changed
 }
 
-// NewDoor returns a listener that accepts clients on ln for router. memoryMB, in MiB, bounds the requests and values
+// NewListener returns a listener that accepts clients on ln for router. memoryMB, in MiB, bounds the requests and values
 // that are held. It accepts none before Allow and Run are called.
-func NewDoor(ln deadlineListener, router *Router, memoryMB int, counters *Counters, log *zap.Logger) *Door {
-	l := &Door{
+func NewListener(ln deadlineListener, router *Router, memoryMB int, counters *Counters, log *zap.Logger) *Listener {
+	l := &Listener{
 		ln: ln, router: router, counters: counters, log: log,
 		ready: make(chan struct{}), acceptDone: make(chan struct{}), conns: map[*clientConn]struct{}{},
 	}
-	l.Remember(memoryMB)
+	l.SetMemory(memoryMB)
 	l.connsChanged = sync.NewCond(&l.mu)
 	if config := &router.settings.Terms; config.RetryAfter {
 		l.retryAfterMS = milliseconds(config.MaxRetryAfter)
@@ -74,10 +74,10 @@
 	return l
 }
 
-// Remember sets the memory budgets by the memory there is, in MiB: an eighth is for requests, a quarter for the values
+// SetMemory sets the memory budgets by the memory there is, in MiB: an eighth is for requests, a quarter for the values
 // that they hold, and an eighth for streamed values. Values are counted at their length, since to count each at the
 // longest would admit few requests where memory is small. Calls must not overlap.
-func (l *Door) Remember(memoryMB int) {
+func (l *Listener) SetMemory(memoryMB int) {
 	l.maxRequests.Store(min(int64(memoryMB)<<20/8/requestOverheadBytes, maxRequestsInFlight))
 	l.router.valueMemory.resize((memoryMB - l.memoryMB) << 20 / 4)
 	l.router.streamMemory.resize((memoryMB - l.memoryMB) << 20 / 8)
@@ -86,7 +86,7 @@
 }
 
 // admitRequest reports whether there is capacity for another request, which then counts as held.
-func (l *Door) admitRequest() bool {
+func (l *Listener) admitRequest() bool {
 	l.counters.Exchanges.Add(1)
 	if l.counters.Held.Add(1) > l.maxRequests.Load() || l.router.valueMemory.available.Load() <= 0 {
 		l.counters.Held.Add(-1)
@@ -97,15 +97,15 @@
 
 // admitsLongValue reports whether a long value of n bytes may be written. Half of the value memory stays for the
 // others, or a few such writes would have everybody else shed.
-func (l *Door) admitsLongValue(n int) bool {
+func (l *Listener) admitsLongValue(n int) bool {
 	return l.router.valueMemory.available.Load()-int64(n) >= l.reservedValueBytes.Load()
 }
 
 // Open has PING answered from now on, by which clients see that they are served. It may be called once.
-func (l *Door) Open() { close(l.ready) }
+func (l *Listener) Open() { close(l.ready) }
 
 // Opened reports whether Open was called.
-func (l *Door) Opened() bool {
+func (l *Listener) Opened() bool {
 	select {
 	case <-l.ready:
 		return true
@@ -115,7 +115,7 @@
 }
 
 // Run accepts clients until Close, and then those that still wait in the listener's queue if no other process does.
-func (l *Door) Run() {
+func (l *Listener) Run() {
 	defer close(l.acceptDone)
 	if !l.acceptUntilClosed() {
 		return
@@ -127,7 +127,7 @@
 }
 
 // acceptUntilClosed returns true once the listener is to close, and false if somebody else has closed it.
-func (l *Door) acceptUntilClosed() bool {
+func (l *Listener) acceptUntilClosed() bool {
 	lastError := "" // so that a series of equal errors is one line in the log
 	for l.awaitCapacity() {
 		conn, err := l.ln.Accept()
@@ -151,7 +151,7 @@
 }
 
 // acceptBacklog accepts the clients that wait in the queue, which would be reset with the listener.
-func (l *Door) acceptBacklog() {
+func (l *Listener) acceptBacklog() {
 	for l.canAcceptBacklog() {
 		if l.ln.SetDeadline(time.Now().Add(finalAcceptTimeout)) != nil {
 			return
@@ -164,14 +164,14 @@
 	}
 }
 
-func (l *Door) canAcceptBacklog() bool {
+func (l *Listener) canAcceptBacklog() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.soleOwner && len(l.conns) < l.maxConns
 }
 
 // accept begins to serve a connection. Its goroutine ends by remove, for which Close waits.
-func (l *Door) accept(conn net.Conn) {
+func (l *Listener) accept(conn net.Conn) {
 	now := time.Now()
 	c := &clientConn{
 		listener: l, conn: conn, reader: bufio.NewReaderSize(conn, clientReadBuffer),
@@ -187,7 +187,7 @@
 }
 
 // remove forgets a connection that has ended.
-func (l *Door) remove(c *clientConn) {
+func (l *Listener) remove(c *clientConn) {
 	l.counters.ClientsOpen.Add(-1)
 	l.mu.Lock()
 	delete(l.conns, c)
@@ -197,7 +197,7 @@
 
 // awaitCapacity waits until a connection may be accepted, and returns false once the listener is to close. It closes a
 // connection when nearly as many are open as may be, or as many as may be left open to clients that have been served.
-func (l *Door) awaitCapacity() bool {
+func (l *Listener) awaitCapacity() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for !l.closed {
@@ -215,7 +215,7 @@
 }
 
 // evictOneLocked has a connection close that can be done without, and returns false if there is none.
-func (l *Door) evictOneLocked() bool {
+func (l *Listener) evictOneLocked() bool {
 	e := l.chooseEviction(time.Now())
 	if e.conn == nil {
 		return false
@@ -225,7 +225,7 @@
 }
 
 // Pause leaves new connections to another process that has the listener too; with false it accepts them again.
-func (l *Door) Pause(paused bool) {
+func (l *Listener) Pause(paused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.paused = paused
@@ -239,15 +239,15 @@
 	l.connsChanged.Broadcast()
 }
 
-func (l *Door) setAcceptDeadline(at time.Time) {
+func (l *Listener) setAcceptDeadline(at time.Time) {
 	if err := l.ln.SetDeadline(at); err != nil && !errors.Is(err, net.ErrClosed) {
 		l.log.Warn("set accept deadline", zap.Error(err))
 	}
 }
 
-// Allow sets how many connections there may be at once, and how many of them may be left open to clients that have been
+// SetLimits sets how many connections there may be at once, and how many of them may be left open to clients that have been
 // served. Where more are open, those that can be done without are closed.
-func (l *Door) Allow(maxConns, maxServedConns int) {
+func (l *Listener) SetLimits(maxConns, maxServedConns int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.maxConns, l.maxServedConns = maxConns, maxServedConns
@@ -260,7 +260,7 @@
 }
 
 // controlReply returns the reply to a command that is not proxied.
-func (l *Door) controlReply(cmd *wire.Command) (header, body []byte) {
+func (l *Listener) controlReply(cmd *wire.Command) (header, body []byte) {
 	switch {
 	case cmd.Is("PING"):
 		if l.outOfService.Load() {
--- a/internal/proxy/listener_test.go
+++ b/internal/proxy/listener_test.go
@@ -9,7 +9,7 @@
 )
 
 // testDrain closes connections within a second.
-var testDrain = Leaving{time.Second, time.Second, time.Second}
+var testDrain = DrainSchedule{time.Second, time.Second, time.Second}
 
 // awaitClosing waits until Close has been called.
 func (p *testProxy) awaitClosing() {
--- a/internal/proxy/negative_cache.go
+++ b/internal/proxy/negative_cache.go
@@ -18,10 +18,10 @@
 	maxWriteHashes = 1024
 )
 
-// Absent is the goroutine of the negative cache: of keys that are known to be absent at the origin. Clients' goroutines
+// NegativeCache is the goroutine of the negative cache: of keys that are known to be absent at the origin. Clients' goroutines
 // look keys up in its table and note writes there by themselves, under the table's locks; what is told to other
 // proxies, and what of theirs is believed, is decided on this goroutine. Exported methods may be called from any.
-type Absent struct {
+type NegativeCache struct {
 	mailbox      mailbox
 	cache        *negativecache.Instance
 	table        *negativecache.Table
@@ -35,12 +35,12 @@
 	figures      atomic.Pointer[negativecache.Figures]
 }
 
-// NewAbsent returns the negative cache of a router, which answers by it. It is to be called before the router runs.
-func NewAbsent(
+// NewNegativeCache returns the negative cache of a router, which answers by it. It is to be called before the router runs.
+func NewNegativeCache(
 	terms negativecache.Terms, router *Router, broadcast func(d *negativecache.Decision), log *zap.Logger,
-) *Absent {
+) *NegativeCache {
 	cache := negativecache.New(negativecache.Time(router.clock.Now()), terms)
-	n := &Absent{
+	n := &NegativeCache{
 		mailbox: make(mailbox, negativeCacheMailboxSize), cache: cache, table: cache.Table,
 		clock: router.clock, settings: router.settings, counters: router.counters, log: log, broadcast: broadcast,
 	}
@@ -50,11 +50,11 @@
 }
 
 // Run carries out calls for as long as the process lives.
-func (n *Absent) Run() {
+func (n *NegativeCache) Run() {
 	n.mailbox.run(n.log, n.counters, negativeCacheTick, func() { runRecovered(n.log, n.counters, n.tick) })
 }
 
-func (n *Absent) tick() {
+func (n *NegativeCache) tick() {
 	if n.writeDropped.Swap(false) {
 		n.cache.Lost()
 	}
@@ -63,10 +63,10 @@
 	n.figures.Store(&figures)
 }
 
-func (n *Absent) now() negativecache.Time { return negativecache.Time(n.clock.Now()) }
+func (n *NegativeCache) now() negativecache.Time { return negativecache.Time(n.clock.Now()) }
 
 // execute carries out the cache's decisions.
-func (n *Absent) execute(decisions []negativecache.Decision) {
+func (n *NegativeCache) execute(decisions []negativecache.Decision) {
 	for i := range decisions {
 		if d := &decisions[i]; d.Act == negativecache.Log {
 			n.log.Info("negative cache: " + d.Text)
@@ -77,20 +77,20 @@
 	n.sentWrites.Store(n.cache.Sent())
 }
 
-// Sent returns how many messages on writes have been sent to other proxies.
-func (n *Absent) Sent() int64 { return n.sentWrites.Load() }
+// SentWriteMessages returns how many messages on writes have been sent to other proxies.
+func (n *NegativeCache) SentWriteMessages() int64 { return n.sentWrites.Load() }
 
-// Shown returns the cache's figures as of its last tick.
-func (n *Absent) Shown() negativecache.Figures { return *n.figures.Load() }
+// Stats returns the cache's figures as of its last tick.
+func (n *NegativeCache) Stats() negativecache.Figures { return *n.figures.Load() }
 
-// Fleet takes the proxies that may write, of so many that operators state. catchingUp means that not all are known yet.
-func (n *Absent) Fleet(all []negativecache.Proxy, stated int, catchingUp bool) {
+// SetMembers takes the proxies that may write, of so many that operators state. catchingUp means that not all are known yet.
+func (n *NegativeCache) SetMembers(all []negativecache.Proxy, stated int, catchingUp bool) {
 	n.mailbox.tryPost(func() { n.execute(n.cache.Fleet(n.now(), all, stated, catchingUp)) })
 }
 
-// HeardWrote takes a message of another proxy on keys that were written. The table has them at once; if the mailbox is
+// ReceiveWrites takes a message of another proxy on keys that were written. The table has them at once; if the mailbox is
 // full the message is lost, which the cache finds out by its number.
-func (n *Absent) HeardWrote(from string, epoch int64, w negativecache.Word) {
+func (n *NegativeCache) ReceiveWrites(from string, epoch int64, w negativecache.Word) {
 	now := n.now()
 	for _, hash := range w.Hashes[:min(len(w.Hashes), maxWriteHashes)] {
 		n.table.Wrote(hash, now)
@@ -98,19 +98,19 @@
 	n.mailbox.tryPost(func() { n.execute(n.cache.HeardWrote(n.now(), from, epoch, w)) })
 }
 
-// HeardAbsent takes a message of another proxy on keys that the origin lacks, sent age ago.
-func (n *Absent) HeardAbsent(from string, w negativecache.Word, age negativecache.Time) {
+// ReceiveAbsentKeys takes a message of another proxy on keys that the origin lacks, sent age ago.
+func (n *NegativeCache) ReceiveAbsentKeys(from string, w negativecache.Word, age negativecache.Time) {
 	n.mailbox.tryPost(func() { n.execute(n.cache.HeardAbsent(n.now(), from, w, age)) })
 }
 
-// Forget empties the cache. It returns false if the mailbox is full.
-func (n *Absent) Forget() bool {
+// Clear empties the cache. It returns false if the mailbox is full.
+func (n *NegativeCache) Clear() bool {
 	return n.mailbox.tryPost(func() { n.execute(n.cache.Forget(n.now())) })
 }
 
 // lookUp reports whether the key of a read is known to be absent. A write's key no longer is. It may be called on a nil
 // cache, and from any goroutine.
-func (n *Absent) lookUp(req *request) bool {
+func (n *NegativeCache) lookUp(req *request) bool {
 	if n == nil {
 		return false
 	}
@@ -126,14 +126,14 @@
 }
 
 // beginFetch notes that a read is about to be sent to the origin. It may be called on a nil cache.
-func (n *Absent) beginFetch(attempt *attempt) {
+func (n *NegativeCache) beginFetch(attempt *attempt) {
 	if n != nil && attempt.request.value == nil {
 		attempt.cacheTicket = n.table.Begin(xxhash.Sum64(attempt.request.key))
 	}
 }
 
 // recordMiss takes the origin's answer that it has no such key.
-func (n *Absent) recordMiss(attempt *attempt) {
+func (n *NegativeCache) recordMiss(attempt *attempt) {
 	hash, ticket := xxhash.Sum64(attempt.request.key), attempt.cacheTicket
 	tenant, ok := n.settings.Tenants[attempt.request.tenant]
 	if !ok {
--- a/internal/proxy/peer_endpoints.go
+++ b/internal/proxy/peer_endpoints.go
@@ -36,14 +36,14 @@
 	}
 }
 
-// Share has other proxies notified of what discovery tells, by a function that must not wait. It is to be called before
+// SetPeerNotifier has other proxies notified of what discovery tells, by a function that must not wait. It is to be called before
 // Run.
-func (l *List) Share(notify func(index int64, whole bool, list []wire.Target)) {
+func (l *EndpointList) SetPeerNotifier(notify func(index int64, whole bool, list []wire.Target)) {
 	l.peerEndpoints = newPeerEndpoints(notify)
 }
 
-// Hear takes an endpoint from another proxy. It does not wait, since the list's goroutine waits for who calls it.
-func (l *List) Hear(index int64, t wire.Target) {
+// ReceivePeerUpdate takes an endpoint from another proxy. It does not wait, since the list's goroutine waits for who calls it.
+func (l *EndpointList) ReceivePeerUpdate(index int64, t wire.Target) {
 	l.peerEndpoints.receive(peerUpdate{index, t})
 	l.mailbox.tryPost(l.applyPeerUpdates) // if the mailbox is full, the next call applies this one too
 }
@@ -71,7 +71,7 @@
 }
 
 // applyPeerUpdates tells the router what is new of that which other proxies have told.
-func (l *List) applyPeerUpdates() {
+func (l *EndpointList) applyPeerUpdates() {
 	updates := l.peerEndpoints.takeIncoming()
 	changed, corrections := l.peerEndpoints.classify(l.index, updates)
 	if len(corrections) > 0 {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -212,7 +212,7 @@
 // testProxy is a proxy without discovery, on real connections.
 type testProxy struct {
 	t        *testing.T
-	listener *Door
+	listener *Listener
 	router   *Router
 	dialer   *blockingDialer
 	ln       *net.TCPListener
@@ -250,8 +250,8 @@
 	t.Cleanup(func() { _ = ln.Close() }) // the proxy may have closed it before
 	p.ln = ln.(*net.TCPListener)
 	step.TCPListener = p.ln
-	p.listener = NewDoor(step, p.router, 64, p.router.counters, zap.NewNop())
-	p.listener.Allow(100, 100)
+	p.listener = NewListener(step, p.router, 64, p.router.counters, zap.NewNop())
+	p.listener.SetLimits(100, 100)
 	p.listener.Open()
 	update := endpointUpdate{whole: true, initial: true, targets: targetsOf(nodes)}
 	p.router.mailbox.post(func() { p.router.updateEndpoints(update) })
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -136,7 +136,7 @@
 }
 
 // release gives up what a request holds once its reply is written or its client has gone.
-func (r *request) release(listener *Door) {
+func (r *request) release(listener *Listener) {
 	if r.stream != nil {
 		r.stream.abandon()
 	}
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -51,10 +51,10 @@
 	streamMemory *budget // bytes of streams' buffers
 
 	// Parts that may be missing.
-	endpoints     *List
+	endpoints     *EndpointList
 	shadow        *shadowBalancer
 	zones         *zoneController
-	negativeCache *Absent
+	negativeCache *NegativeCache
 	duties        *Duties
 	notifyPeers   func(node string, answers bool)
 }
@@ -101,8 +101,8 @@
 // apply puts a call to the balancer and executes its decisions.
 func (r *Router) apply(now balancer.Time, call balancerCall) { r.execute(r.decide(now, call)) }
 
-// Targets returns the endpoint list as the balancer has it, or nil if the router is too busy to answer in time.
-func (r *Router) Targets() []wire.Target {
+// Endpoints returns the endpoint list as the balancer has it, or nil if the router is too busy to answer in time.
+func (r *Router) Endpoints() []wire.Target {
 	reply := make(chan []wire.Target, 1)
 	if !r.mailbox.tryPost(func() { reply <- r.listedTargets() }) {
 		return nil
@@ -115,9 +115,9 @@
 	}
 }
 
-// Until tells the router that the process ends after a time: all requests that are held or still come are answered
+// FinishWithin tells the router that the process ends after a time: all requests that are held or still come are answered
 // before.
-func (r *Router) Until(left time.Duration) {
+func (r *Router) FinishWithin(left time.Duration) {
 	shutdownAt := r.clock.Now() + balancer.Time(left/tickDuration)
 	r.mailbox.post(func() {
 		r.shutdownAt = shutdownAt
@@ -126,20 +126,20 @@
 	})
 }
 
-// Links changes how many connections there may be to hosts, by a difference. Idle ones are closed if it is negative.
-func (r *Router) Links(by int) {
+// ResizeSockets changes how many connections there may be to hosts, by a difference. Idle ones are closed if it is negative.
+func (r *Router) ResizeSockets(by int) {
 	r.sockets.resize(by)
 	if by < 0 {
 		r.mailbox.post(r.closeIdleConns)
 	}
 }
 
-// Tells sets the function that tells other proxies whether a host answers, which must not wait. It is to be called
+// SetPeerNotifier sets the function that tells other proxies whether a host answers, which must not wait. It is to be called
 // before Run.
-func (r *Router) Tells(notify func(node string, answers bool)) { r.notifyPeers = notify }
+func (r *Router) SetPeerNotifier(notify func(node string, answers bool)) { r.notifyPeers = notify }
 
-// Heard takes what another proxy reports of a host.
-func (r *Router) Heard(node string, answers bool) {
+// ReceivePeerReport takes what another proxy reports of a host.
+func (r *Router) ReceivePeerReport(node string, answers bool) {
 	r.mailbox.post(func() {
 		index, ok := r.hostIndex[node]
 		if !ok {
@@ -151,8 +151,8 @@
 	})
 }
 
-// Share sets this proxy's share, from 0 to 1, of the quotas that all proxies have together.
-func (r *Router) Share(share float64) {
+// SetQuotaShare sets this proxy's share, from 0 to 1, of the quotas that all proxies have together.
+func (r *Router) SetQuotaShare(share float64) {
 	r.mailbox.post(func() {
 		now := r.clock.Now()
 		r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Share(now, share) })
--- a/internal/proxy/router_test.go
+++ b/internal/proxy/router_test.go
@@ -43,7 +43,7 @@
 	near, far := net.Pipe()
 	go func() { _, _ = io.Copy(io.Discard, far) }() // ends with the test
 	c := &clientConn{
-		listener: &Door{counters: router.counters, router: router}, conn: near, reader: bufio.NewReader(near),
+		listener: &Listener{counters: router.counters, router: router}, conn: near, reader: bufio.NewReader(near),
 	}
 	c.pending = []*request{{ready: true, header: crlf}, {conn: c}}
 	pending := c.pending
@@ -96,7 +96,7 @@
 	client := p.dial()
 	send(t, client, getCommand("long", longWaitMS))
 	cache.next(t)
-	p.router.Until(200 * time.Millisecond)
+	p.router.FinishWithin(200 * time.Millisecond)
 	if err := client.SetDeadline(time.Now().Add(2 * time.Second)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/shadow.go
+++ b/internal/proxy/shadow.go
@@ -23,8 +23,8 @@
 	counters *Counters
 }
 
-// Watch has the balancer's decisions compared with those under other settings. It is to be called before Run.
-func (r *Router) Watch(config *settings.Book, seed uint64) {
+// EnableShadow has the balancer's decisions compared with those under other settings. It is to be called before Run.
+func (r *Router) EnableShadow(config *settings.Book, seed uint64) {
 	r.shadow = &shadowBalancer{
 		balancer: balancer.New(r.clock.Now(), config.Terms, seed), timer: time.NewTimer(unarmed),
 		actual: map[int]*balancer.Decision{}, counters: r.counters,
--- a/internal/proxy/shadow_test.go
+++ b/internal/proxy/shadow_test.go
@@ -52,7 +52,7 @@
 	change(&shadowTerms)
 	router := newTestRouter()
 	router.balancer = balancer.New(0, terms, 1)
-	router.Watch(&settings.Book{Terms: shadowTerms}, 1)
+	router.EnableShadow(&settings.Book{Terms: shadowTerms}, 1)
 	router.shadow.balancer = balancer.New(0, shadowTerms, 1)
 	return &shadowTraffic{
 		router: router, random: rand.New(rand.NewPCG(1, 2)), finished: make([]bool, shadowRequests),
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -31,8 +31,8 @@
 	statusAt     balancer.Time // when the status was renewed
 }
 
-// Zones has whole zones evacuated and brought back. It is to be called before Run.
-func (r *Router) Zones(terms zonehealth.Terms, broadcast zoneBroadcast) {
+// EnableZoneHealth has whole zones evacuated and brought back. It is to be called before Run.
+func (r *Router) EnableZoneHealth(terms zonehealth.Terms, broadcast zoneBroadcast) {
 	r.zones = &zoneController{
 		health: zonehealth.New(r.zoneNow(), terms), timer: time.NewTimer(unarmed),
 		broadcast: broadcast, latencyLimit: balancer.Time(terms.Shortest),
@@ -184,28 +184,28 @@
 	}
 }
 
-// ZoneFleet takes who the proxies are. catchingUp means that not all are known yet.
-func (r *Router) ZoneFleet(all []zonehealth.Proxy, catchingUp bool) {
+// SetZoneMembers takes who the proxies are. catchingUp means that not all are known yet.
+func (r *Router) SetZoneMembers(all []zonehealth.Proxy, catchingUp bool) {
 	r.mailbox.post(func() {
 		r.zones.health.Fleet(r.zoneNow(), all, catchingUp)
 		r.zones.arm()
 	})
 }
 
-// ZoneVoice takes another proxy's vote on a zone, sent age ago, which counts for a lifetime.
-func (r *Router) ZoneVoice(from, zone string, vote zonehealth.Voice, age, lifetime zonehealth.Time) {
+// ReceiveZoneVote takes another proxy's vote on a zone, sent age ago, which counts for a lifetime.
+func (r *Router) ReceiveZoneVote(from, zone string, vote zonehealth.Voice, age, lifetime zonehealth.Time) {
 	r.mailbox.post(func() {
 		r.executeZoneDecisions(r.zones.health.Voice(r.zoneNow(), from, zone, vote, age, lifetime))
 	})
 }
 
-// ZoneOrder takes an operator's override of a zone. It does not wait, and returns false if the router is too busy.
-func (r *Router) ZoneOrder(order zonehealth.Order) bool {
+// OverrideZone takes an operator's override of a zone. It does not wait, and returns false if the router is too busy.
+func (r *Router) OverrideZone(order zonehealth.Order) bool {
 	return r.mailbox.tryPost(func() { r.executeZoneDecisions(r.zones.health.Order(r.zoneNow(), order)) })
 }
 
-// ZonesShown returns the zones' status as of a moment ago; nil where they are not judged.
-func (r *Router) ZonesShown() []zonehealth.Shown {
+// ZoneStatus returns the zones' status as of a moment ago; nil where they are not judged.
+func (r *Router) ZoneStatus() []zonehealth.Shown {
 	if r.zones == nil {
 		return nil
 	}
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -16,7 +16,7 @@
 
 // adminService answers the calls of the admin API (admin.Service). Its methods may be called from any goroutine.
 type adminService struct {
-	clientListener *proxy.Door
+	clientListener *proxy.Listener
 	gossip         *gossipAdapter
 	counters       *proxy.Counters
 	recovery       *recoveryTracker // nil: the process goes through no stages of recovery
@@ -36,8 +36,8 @@
 		return true, "ready; catching up with peers"
 	}
 	if s.recovery != nil {
-		if figures := s.recovery.figures(); figures.Stage != recovery.Full.String() {
-			return true, "ready; " + figures.Stage + ", since " + figures.Why
+		if figures := s.recovery.figures(); figures.Stage != recovery.StageFull.String() {
+			return true, "ready; " + figures.Stage + ", since " + figures.Reason
 		}
 	}
 	return true, "ready"
@@ -49,52 +49,54 @@
 // InService ends draining; it tells whether that changed something.
 func (s *adminService) InService() (changed bool) { return s.clientListener.InService() }
 
-// Peers returns the status of gossip; empty if it does not run.
-func (s *adminService) Peers() string { return s.gossip.statusText() }
+// PeerStatus returns the status of gossip; empty if it does not run.
+func (s *adminService) PeerStatus() string { return s.gossip.statusText() }
 
-// Zones returns the status of all zones; empty if they are not judged.
-func (s *adminService) Zones() string { return s.gossip.zoneHealth.statusText() }
+// ZoneStatus returns the status of all zones; empty if they are not judged.
+func (s *adminService) ZoneStatus() string { return s.gossip.zoneHealth.statusText() }
 
-// Command applies an operator's order (in, out, hold, auto) to a zone or region, in place of the override of that
+// OverrideZone applies an operator's order (in, out, hold, auto) to a zone or region, in place of the override of that
 // epoch; below zero: whichever is in force. An error says why nothing has changed.
-func (s *adminService) Command(name, want string, epoch int64, force bool) (string, error) {
+func (s *adminService) OverrideZone(name, want string, epoch int64, force bool) (string, error) {
 	return s.gossip.zoneHealth.override(name, want, epoch, force)
 }
 
-// Turns returns the figures of the duties module; nil if duties are not shared.
-func (s *adminService) Turns() any {
+// DutyStatus returns the figures of the duties module; nil if duties are not shared.
+func (s *adminService) DutyStatus() any {
 	if s.gossip.duties == nil {
 		return nil
 	}
-	return s.gossip.duties.actor.Shown()
+	return s.gossip.duties.actor.Stats()
 }
 
-// Recovery returns the figures of recovery; nil if the process goes through no stages.
-func (s *adminService) Recovery() any {
+// RecoveryStatus returns the figures of recovery; nil if the process goes through no stages.
+func (s *adminService) RecoveryStatus() any {
 	if s.recovery == nil {
 		return nil
 	}
 	return s.recovery.figures()
 }
 
-// Missing returns the figures of the negative cache; nil if there is none.
-func (s *adminService) Missing() any {
+// NegativeCacheStatus returns the figures of the negative cache; nil if there is none.
+func (s *adminService) NegativeCacheStatus() any {
 	if s.gossip.negativeCache == nil {
 		return nil
 	}
-	return s.gossip.negativeCache.actor.Shown()
+	return s.gossip.negativeCache.actor.Stats()
 }
 
-// Forget clears the negative cache here; in other proxies its entries expire.
-func (s *adminService) Forget() error {
+// ClearNegativeCache clears the negative cache here; in other proxies its entries expire.
+func (s *adminService) ClearNegativeCache() error {
 	switch {
 	case s.gossip.negativeCache == nil:
 		return errNegativeCacheOff
-	case !s.gossip.negativeCache.actor.Forget():
+	case !s.gossip.negativeCache.actor.Clear():
 		return errNegativeCacheBusy
 	}
 	return nil
 }
 
-// Plan plans shard migrations by an inventory in JSON; nil and no error if no rebalance file is named.
-func (s *adminService) Plan(inventory io.Reader) (any, error) { return s.planner.plan(inventory) }
+// PlanMigrations plans shard migrations by an inventory in JSON; nil and no error if no rebalance file is named.
+func (s *adminService) PlanMigrations(inventory io.Reader) (any, error) {
+	return s.planner.plan(inventory)
+}
--- a/internal/server/api_golden_test.go
+++ b/internal/server/api_golden_test.go
@@ -33,15 +33,15 @@
 	command  error
 }
 
-func (s *fixedService) Ready() (bool, string) { return s.ready, s.reason }
-func (s *fixedService) OutOfService() bool    { return s.changed }
-func (s *fixedService) InService() bool       { return s.changed }
-func (s *fixedService) Peers() string         { return s.peers }
-func (s *fixedService) Zones() string         { return s.zones }
-func (s *fixedService) Turns() any            { return s.turns }
-func (s *fixedService) Recovery() any         { return s.recovery }
-func (s *fixedService) Missing() any          { return s.missing }
-func (s *fixedService) Forget() error         { return s.forget }
+func (s *fixedService) Ready() (bool, string)     { return s.ready, s.reason }
+func (s *fixedService) OutOfService() bool        { return s.changed }
+func (s *fixedService) InService() bool           { return s.changed }
+func (s *fixedService) PeerStatus() string        { return s.peers }
+func (s *fixedService) ZoneStatus() string        { return s.zones }
+func (s *fixedService) DutyStatus() any           { return s.turns }
+func (s *fixedService) RecoveryStatus() any       { return s.recovery }
+func (s *fixedService) NegativeCacheStatus() any  { return s.missing }
+func (s *fixedService) ClearNegativeCache() error { return s.forget }
 
 func (s *fixedService) Metrics() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -49,15 +49,15 @@
 	})
 }
 
-func (s *fixedService) Plan(inventory io.Reader) (any, error) {
+func (s *fixedService) PlanMigrations(inventory io.Reader) (any, error) {
 	if _, err := io.Copy(io.Discard, inventory); err != nil {
 		return nil, err
 	}
 	return s.plan, s.planErr
 }
 
-// Command shows its arguments, as the path and the query were read.
-func (s *fixedService) Command(name, want string, epoch int64, force bool) (string, error) {
+// OverrideZone shows its arguments, as the path and the query were read.
+func (s *fixedService) OverrideZone(name, want string, epoch int64, force bool) (string, error) {
 	if s.command != nil {
 		return "", s.command
 	}
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -31,7 +31,7 @@
 	}
 	for kind, rowKind := range dutyRowKinds {
 		if rowKind == row.Kind {
-			d.actor.Heard(row.Writer, duties.Kind(kind), row.Key, message, duties.Time(row.Age))
+			d.actor.Receive(row.Writer, duties.Kind(kind), row.Key, message, duties.Time(row.Age))
 		}
 	}
 }
@@ -46,5 +46,5 @@
 		member := &members[i]
 		fleet = append(fleet, duties.Proxy{Name: member.Name, Zone: member.Zone, Here: isAlive(member)})
 	}
-	d.actor.Fleet(fleet, catchingUp)
+	d.actor.SetMembers(fleet, catchingUp)
 }
--- a/internal/server/figures_golden_test.go
+++ b/internal/server/figures_golden_test.go
@@ -59,7 +59,7 @@
 		value any // a pointer to a zero value
 	}{
 		{"GET /control/turns", &duties.Figures{}},
-		{"GET /control/recovery", &recovery.Figures{}},
+		{"GET /control/recovery", &recovery.Status{}},
 		{"GET /control/missing", &negativecache.Figures{}},
 		{"POST /control/moves/plan, response", &rebalance.Plan{}},
 		{"POST /control/moves/plan, request", &rebalance.Inventory{}},
--- a/internal/server/gossip.go
+++ b/internal/server/gossip.go
@@ -57,7 +57,7 @@
 	sender    *gossipSender
 	config    *Config
 	router    *proxy.Router
-	endpoints *proxy.List
+	endpoints *proxy.EndpointList
 	counters  *proxy.Counters
 	log       *zap.Logger
 
@@ -80,10 +80,10 @@
 	if err != nil {
 		return err
 	}
-	g.router.Share(config.Gossip.QuotaFloor / float64(config.proxies()))
+	g.router.SetQuotaShare(config.Gossip.QuotaFloor / float64(config.proxies()))
 	g.sender.talker.Store(talker)
 	if version := g.listVersion.Load(); version > 0 { // discovery has sent a list before gossip started
-		talker.PublishEndpoints(version, true, g.router.Targets())
+		talker.PublishEndpoints(version, true, g.router.Endpoints())
 	}
 	return nil
 }
@@ -119,14 +119,16 @@
 
 // EndpointChanged passes on an endpoint that a peer's discovery sent.
 func (g *gossipAdapter) EndpointChanged(index int64, target wire.Target) {
-	g.endpoints.Hear(index, target)
+	g.endpoints.ReceivePeerUpdate(index, target)
 }
 
 // HealthReported passes on that a peer found a node silent, or answering.
-func (g *gossipAdapter) HealthReported(node string, answers bool) { g.router.Heard(node, answers) }
+func (g *gossipAdapter) HealthReported(node string, answers bool) {
+	g.router.ReceivePeerReport(node, answers)
+}
 
 // QuotaShareChanged passes on this proxy's part of the fleet's quota, from 0 to 1.
-func (g *gossipAdapter) QuotaShareChanged(part float64) { g.router.Share(part) }
+func (g *gossipAdapter) QuotaShareChanged(part float64) { g.router.SetQuotaShare(part) }
 
 // RequestCount returns the number of requests since the start.
 func (g *gossipAdapter) RequestCount() int64 { return g.counters.Exchanges.Load() }
@@ -136,7 +138,7 @@
 	if g.negativeCache == nil {
 		return 0
 	}
-	return g.negativeCache.actor.Sent()
+	return g.negativeCache.actor.SentWriteMessages()
 }
 
 // RowChanged passes a peer's row to the part that its kind belongs to.
--- a/internal/server/hotrestart_test.go
+++ b/internal/server/hotrestart_test.go
@@ -142,11 +142,11 @@
 func TestPredecessorResumesWhenSuccessorDies(t *testing.T) {
 	t.Parallel()
 	h := startedHarness(t, "node c1 hit slow=5")
-	successor, err := hotrestart.Claim(h.hotRestartDir, h.clientAddress)
+	successor, err := hotrestart.TakeOver(h.hotRestartDir, h.clientAddress)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := successor.Serving(); err != nil {
+	if err := successor.NotifyServing(); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(50 * time.Millisecond)
@@ -154,7 +154,7 @@
 	if err := successor.Listener.Close(); err != nil {
 		t.Fatal(err)
 	}
-	successor.Abandon()
+	successor.Disconnect()
 	h.play(19, "a gets pong", "a get k", "a gets value", "replace", "b get k", "b gets value")
 	h.End()
 }
@@ -186,7 +186,7 @@
 				t.Fatal(err)
 			}
 			encodeList := func() []byte { return []byte(list) }
-			predecessor := hotrestart.New(h.hotRestartDir, h.clientAddress, listener.(*net.TCPListener), encodeList,
+			predecessor := hotrestart.NewServer(h.hotRestartDir, h.clientAddress, listener.(*net.TCPListener), encodeList,
 				func(int, int) {}, zap.NewNop())
 			if err := predecessor.Open(); err != nil {
 				t.Fatal(err)
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -19,14 +19,14 @@
 // openListener inherits the listener of the process that this one replaces, if there is one, or else listens itself;
 // the predecessor is nil then. A predecessor that can't be asked may still be running: both listen then, and the
 // kernel distributes clients among them.
-func openListener(config *Config, log *zap.Logger) (*net.TCPListener, *hotrestart.Before, error) {
+func openListener(config *Config, log *zap.Logger) (*net.TCPListener, *hotrestart.Predecessor, error) {
 	if config.HotRestartDir != "" {
-		predecessor, err := hotrestart.Claim(config.HotRestartDir, config.Listen)
+		predecessor, err := hotrestart.TakeOver(config.HotRestartDir, config.Listen)
 		if err == nil {
-			log.Info("listener inherited from predecessor", zap.Int("list", len(predecessor.List)))
+			log.Info("listener inherited from predecessor", zap.Int("list", len(predecessor.EndpointList)))
 			return predecessor.Listener, predecessor, nil
 		}
-		if !errors.Is(err, hotrestart.ErrNobody) {
+		if !errors.Is(err, hotrestart.ErrNoPredecessor) {
 			log.Warn("listener not inherited from predecessor", zap.Error(err))
 		}
 	}
@@ -53,12 +53,12 @@
 
 // offerListener lets a later process inherit the listener and the endpoint list. Without a directory for the
 // hot-restart socket none can.
-func (s *server) offerListener(listener *net.TCPListener) *hotrestart.Estate {
+func (s *server) offerListener(listener *net.TCPListener) *hotrestart.Server {
 	onChange := func(successors, serving int) {
 		s.resources.update(func(b *resourceBudget) { b.hasSuccessor = successors > 0 })
 		s.clientListener.Pause(serving > 0)
 	}
-	offer := hotrestart.New(s.config.HotRestartDir, s.config.Listen, listener, s.encodeEndpoints, onChange, s.log)
+	offer := hotrestart.NewServer(s.config.HotRestartDir, s.config.Listen, listener, s.encodeEndpoints, onChange, s.log)
 	if s.config.HotRestartDir != "" {
 		if err := offer.Open(); err != nil {
 			s.log.Warn("hot-restart socket not opened; the listener can't be handed over", zap.Error(err))
@@ -69,18 +69,18 @@
 
 // encodeEndpoints returns the current endpoint list in discovery's format, null if there is none.
 func (s *server) encodeEndpoints() []byte {
-	if targets := s.router.Targets(); targets != nil {
+	if targets := s.router.Endpoints(); targets != nil {
 		return wire.AppendTargets(nil, targets)
 	}
 	return []byte("null")
 }
 
 // inheritedEndpoints returns the predecessor's endpoint list; nil if there is none that can be read.
-func inheritedEndpoints(predecessor *hotrestart.Before, log *zap.Logger) *endpointList {
-	if predecessor == nil || predecessor.List == nil {
+func inheritedEndpoints(predecessor *hotrestart.Predecessor, log *zap.Logger) *endpointList {
+	if predecessor == nil || predecessor.EndpointList == nil {
 		return nil
 	}
-	list, err := parseEndpoints(predecessor.List)
+	list, err := parseEndpoints(predecessor.EndpointList)
 	if err != nil {
 		log.Warn("endpoint list not inherited from predecessor", zap.Error(err))
 		return nil
@@ -90,9 +90,9 @@
 
 // awaitPredecessorExit tells the predecessor that this process serves clients, and takes the whole resource budget and
 // the gossip address once that process has exited.
-func (s *server) awaitPredecessorExit(predecessor *hotrestart.Before) {
-	if err := predecessor.Serving(); err == nil { // else it has exited
-		predecessor.Wait()
+func (s *server) awaitPredecessorExit(predecessor *hotrestart.Predecessor) {
+	if err := predecessor.NotifyServing(); err == nil { // else it has exited
+		predecessor.WaitForExit()
 	}
 	s.resources.update(func(b *resourceBudget) { b.hasPredecessor = false })
 	s.log.Info("predecessor process has exited")
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -54,13 +54,13 @@
 		}
 	})
 	if m.gossip.duties != nil {
-		sink.duties(m.gossip.duties.actor.Shown())
+		sink.duties(m.gossip.duties.actor.Stats())
 	}
 	if m.recovery != nil {
 		sink.recovery(m.recovery.figures())
 	}
 	if m.gossip.negativeCache != nil {
-		sink.negativeCache(m.gossip.negativeCache.actor.Shown())
+		sink.negativeCache(m.gossip.negativeCache.actor.Stats())
 	}
 	if status := m.gossip.sender.status(); status != nil {
 		sink.gauge("peers_share", "Part of what all proxies may do together that this one may.", status.QuotaShare)
@@ -95,10 +95,10 @@
 	s.counter("turns_moved", "Nodes whose idle connections became this proxy's duty, or another's.", figures.Moved)
 }
 
-func (s metricSink) recovery(figures recovery.Figures) {
+func (s metricSink) recovery(figures recovery.Status) {
 	s.gauge("recovery_full_seconds", "Time from the start until the proxy was full, 0: it is not yet.",
-		float64(figures.FullMS)/1000)
-	s.gauge("recovery_drained", "Nodes left alone by what was stored.", float64(figures.Drained))
+		float64(figures.FullServiceAfterMS)/1000)
+	s.gauge("recovery_drained", "Nodes left alone by what was stored.", float64(figures.DrainingEndpoints))
 }
 
 func (s metricSink) negativeCache(figures negativecache.Figures) {
--- a/internal/server/negativecache.go
+++ b/internal/server/negativecache.go
@@ -16,7 +16,7 @@
 	sender  *gossipSender
 	ttl     replica.Time // of published rows
 	proxies int          // of the fleet, as the settings state it
-	actor   *proxy.Absent
+	actor   *proxy.NegativeCache
 }
 
 // publish sends which keys this proxy wrote, or which the origin lacks.
@@ -35,9 +35,9 @@
 		return
 	}
 	if row.Kind == replica.Wrote {
-		n.actor.HeardWrote(row.Writer, row.Epoch, message)
+		n.actor.ReceiveWrites(row.Writer, row.Epoch, message)
 	} else {
-		n.actor.HeardAbsent(row.Writer, message, negativecache.Time(row.Age))
+		n.actor.ReceiveAbsentKeys(row.Writer, message, negativecache.Time(row.Age))
 	}
 }
 
@@ -57,5 +57,5 @@
 			Epoch: member.Incarnation,
 		})
 	}
-	n.actor.Fleet(fleet, n.proxies, catchingUp)
+	n.actor.SetMembers(fleet, n.proxies, catchingUp)
 }
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -16,7 +16,7 @@
 // recoveryTracker follows the stages of recovery after the start, and has the state stored meanwhile and from then on.
 type recoveryTracker struct {
 	gossip    *gossipAdapter
-	endpoints *proxy.List
+	endpoints *proxy.EndpointList
 	counters  *proxy.Counters
 	log       *zap.Logger
 	clock     proxy.Clock
@@ -29,7 +29,7 @@
 	failedSeen    int64
 
 	mu       sync.Mutex
-	instance *recovery.Instance // guarded by mu
+	instance *recovery.Tracker // guarded by mu
 }
 
 // newRecoveryTracker returns a tracker in the first stage.
@@ -46,7 +46,7 @@
 		quit:  make(chan struct{}),
 		ended: make(chan struct{}),
 	}
-	terms := recovery.Usual(s.config.Gossip != nil)
+	terms := recovery.DefaultSettings(s.config.Gossip != nil)
 	tracker.instance = recovery.New(tracker.now(), terms, restored.outcome, restored.drained)
 	return tracker
 }
@@ -78,8 +78,8 @@
 	defer t.mu.Unlock()
 	t.reportAnswers()
 	changes := t.instance.Tick(t.now())
-	if t.endpoints.Version() > 0 {
-		changes = append(changes, t.instance.Listed(t.now())...)
+	if t.endpoints.LatestIndex() > 0 {
+		changes = append(changes, t.instance.EndpointListReceived(t.now())...)
 	}
 	if status := t.gossip.sender.status(); status != nil {
 		alive := -1 // others than this proxy, which is a member too
@@ -88,7 +88,7 @@
 				alive++
 			}
 		}
-		changes = append(changes, t.instance.Peers(t.now(), alive, status.CatchingUp)...)
+		changes = append(changes, t.instance.UpdatePeers(t.now(), alive, status.CatchingUp)...)
 	}
 	return changes
 }
@@ -96,10 +96,10 @@
 // reportAnswers reports the requests that were answered in time, and those that were not. The caller holds the lock.
 func (t *recoveryTracker) reportAnswers() {
 	for ; t.completedSeen < t.counters.Completed.Load(); t.completedSeen++ {
-		t.instance.Answered(true)
+		t.instance.RequestFinished(true)
 	}
 	for ; t.failedSeen < t.counters.Shed.Load()+t.counters.Errored.Load(); t.failedSeen++ {
-		t.instance.Answered(false)
+		t.instance.RequestFinished(false)
 	}
 }
 
@@ -110,8 +110,8 @@
 }
 
 // figures returns how recovery stands. It may be called from any goroutine.
-func (t *recoveryTracker) figures() recovery.Figures {
+func (t *recoveryTracker) figures() recovery.Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.instance.Shown(t.now())
+	return t.instance.Status(t.now())
 }
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -42,7 +42,7 @@
 		keepStartValues(current, config)
 	}
 	s.resources.update(func(b *resourceBudget) { b.cores, b.memoryMB = config.Cores, config.MemoryMB })
-	s.endpoints.Move(config.Discovery)
+	s.endpoints.SetAddress(config.Discovery)
 }
 
 // sameStartValues tells whether two configurations agree in all that is read at the start only.
--- a/internal/server/resources.go
+++ b/internal/server/resources.go
@@ -33,7 +33,7 @@
 // predecessor keeps the rest, and each gets half of the memory.
 type resourceBudget struct {
 	sockets        socketBudget
-	clientListener *proxy.Door
+	clientListener *proxy.Listener
 	router         *proxy.Router
 	limitsRuntime  bool // limits of cores and memory apply to the Go runtime
 
@@ -65,11 +65,11 @@
 		clients *= 2
 	}
 	if withdrawn != b.upstreamWithdrawn {
-		b.router.Links(b.upstreamWithdrawn - withdrawn)
+		b.router.ResizeSockets(b.upstreamWithdrawn - withdrawn)
 		b.upstreamWithdrawn = withdrawn
 	}
-	b.clientListener.Allow(clients, min(b.sockets.served, clients))
-	b.clientListener.Remember(memoryMB)
+	b.clientListener.SetLimits(clients, min(b.sockets.served, clients))
+	b.clientListener.SetMemory(memoryMB)
 	if b.limitsRuntime {
 		limitRuntime(b.cores, memoryMB)
 	}
--- a/internal/server/restore.go
+++ b/internal/server/restore.go
@@ -42,27 +42,27 @@
 		return configured, nil
 	}
 	stored, err := config.StateStore.Load()
-	var torn *snapshot.TornError
+	var torn *snapshot.CorruptError
 	if errors.As(err, &torn) {
 		log.Warn("state: " + torn.Error())
 		configured.outcome = restoredUnreadable
-		return configured, config.StateStore.Aside()
+		return configured, config.StateStore.Quarantine()
 	}
 	if stored == nil {
 		configured.outcome = restoredNothing
 		return configured, nil
 	}
 	if cluster := config.cluster(); stored.Cluster != cluster {
-		mismatch := &recovery.ClusterError{Stored: stored.Cluster, Own: cluster}
+		mismatch := &recovery.ClusterMismatchError{StoredCluster: stored.Cluster, OwnCluster: cluster}
 		log.Warn("state: " + mismatch.Error())
 		configured.outcome = restoredOtherCluster
 		return configured, nil
 	}
-	storedList, err := parseEndpoints(stored.List)
+	storedList, err := parseEndpoints(stored.EndpointList)
 	if err != nil {
 		log.Warn("state: stored endpoint list is unreadable, state file moved aside", zap.Error(err))
 		configured.outcome = restoredUnreadable
-		return configured, config.StateStore.Aside()
+		return configured, config.StateStore.Quarantine()
 	}
 	return chooseEndpoints(config, stored, storedList, log)
 }
@@ -75,21 +75,21 @@
 	if err != nil {
 		return restoredState{}, err
 	}
-	use := recovery.Believe(
-		recovery.Stored{List: recovery.List{Index: stored.Index, Lines: recoveryLines(storedList.targets)}, At: stored.At},
-		recovery.List{Index: configuredList.version, Lines: recoveryLines(configuredList.targets)},
+	use := recovery.SelectEndpointList(
+		recovery.StoredEndpointList{EndpointList: recovery.EndpointList{Index: stored.EndpointListIndex, Endpoints: recoveryLines(storedList.targets)}, SavedAt: stored.SavedAt},
+		recovery.EndpointList{Index: configuredList.version, Endpoints: recoveryLines(configuredList.targets)},
 		time.Now(), maxSnapshotAge)
 	if config.Gossip != nil {
-		addSeeds(config, stored.Peers)
+		addSeeds(config, stored.PeerAddresses)
 	}
-	restored := restoredState{endpoints: config.KnownEndpoints, outcome: use.Why, drained: len(use.Drained)}
+	restored := restoredState{endpoints: config.KnownEndpoints, outcome: use.Reason, drained: len(use.Draining)}
 	switch {
-	case use.Disk:
+	case use.UseStored:
 		restored.endpoints = storedList.document
-	case len(use.Drained) > 0:
-		restored.endpoints = withDrained(configuredList.targets, use.Drained)
+	case len(use.Draining) > 0:
+		restored.endpoints = withDrained(configuredList.targets, use.Draining)
 	}
-	log.Info("state: "+use.Why, zap.Bool("used", use.Disk), zap.Strings("drained", use.Drained))
+	log.Info("state: "+use.Reason, zap.Bool("used", use.UseStored), zap.Strings("drained", use.Draining))
 	return restored, nil
 }
 
@@ -148,16 +148,16 @@
 }
 
 // recoveryLines converts endpoints to what the recovery module compares.
-func recoveryLines(targets []wire.Target) []recovery.Line {
-	lines := make([]recovery.Line, 0, len(targets))
+func recoveryLines(targets []wire.Target) []recovery.Endpoint {
+	lines := make([]recovery.Endpoint, 0, len(targets))
 	for _, target := range targets {
-		status := recovery.Leaving
+		status := recovery.EndpointDraining
 		if target.Ready {
-			status = recovery.Ready
+			status = recovery.EndpointReady
 		} else if target.Gone {
-			status = recovery.Left
+			status = recovery.EndpointRemoved
 		}
-		lines = append(lines, recovery.Line{Name: target.Name, Status: status})
+		lines = append(lines, recovery.Endpoint{Name: target.Name, Status: status})
 	}
 	return lines
 }
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -33,20 +33,20 @@
 // drainSchedule returns when connections are closed once no client is accepted any more, within the time that
 // remains. Clients go on using connections that stay open. Without a successor they lose a proxy, so they are served
 // for longer.
-func drainSchedule(hasSuccessor bool, remaining time.Duration) proxy.Leaving {
-	schedule := proxy.Leaving{Yield: 500 * time.Millisecond, Retire: 800 * time.Millisecond, Shut: time.Second}
+func drainSchedule(hasSuccessor bool, remaining time.Duration) proxy.DrainSchedule {
+	schedule := proxy.DrainSchedule{CloseAfterReply: 500 * time.Millisecond, CloseIdle: 800 * time.Millisecond, StopReading: time.Second}
 	if hasSuccessor {
-		schedule = proxy.Leaving{Yield: 0, Retire: 400 * time.Millisecond, Shut: 800 * time.Millisecond}
+		schedule = proxy.DrainSchedule{CloseAfterReply: 0, CloseIdle: 400 * time.Millisecond, StopReading: 800 * time.Millisecond}
 	}
-	schedule.Yield = min(schedule.Yield, remaining*2/5)
-	schedule.Retire = min(schedule.Retire, remaining*3/5)
-	schedule.Shut = min(schedule.Shut, remaining*4/5)
+	schedule.CloseAfterReply = min(schedule.CloseAfterReply, remaining*2/5)
+	schedule.CloseIdle = min(schedule.CloseIdle, remaining*3/5)
+	schedule.StopReading = min(schedule.StopReading, remaining*4/5)
 	return schedule
 }
 
 // shutDown drains clients and leaves the fleet. The configuration is the one in effect.
 func (s *server) shutDown(config *Config) {
-	hasSuccessor := s.successors.Heirs() > 0
+	hasSuccessor := s.successors.SuccessorCount() > 0
 	s.log.Info("stopping", zap.Bool("replaced", hasSuccessor))
 	s.admin.stopping.Store(true)
 
@@ -63,7 +63,7 @@
 	}
 
 	remaining := answerTimeout(config.Settings.Longest)
-	s.router.Until(remaining)
+	s.router.FinishWithin(remaining)
 	deadline := time.Now().Add(remaining + writeGrace)
 	if !hasSuccessor {
 		time.Sleep(acceptGrace)
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -65,7 +65,7 @@
 			}
 			for _, hasSuccessor := range []bool{false, true} {
 				schedule := drainSchedule(hasSuccessor, remaining)
-				if schedule.Yield > schedule.Retire || schedule.Retire >= schedule.Shut || schedule.Shut >= remaining {
+				if schedule.CloseAfterReply > schedule.CloseIdle || schedule.CloseIdle >= schedule.StopReading || schedule.StopReading >= remaining {
 					t.Errorf("has successor %v: %v of %v", hasSuccessor, schedule, remaining)
 				}
 			}
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -21,7 +21,7 @@
 	config    *Config
 	gossip    *gossipAdapter
 	router    *proxy.Router
-	endpoints *proxy.List
+	endpoints *proxy.EndpointList
 	log       *zap.Logger
 
 	lastAttempt time.Time
@@ -55,16 +55,16 @@
 
 // take returns the current snapshot; nil if there is no endpoint list yet, or the router is too busy to return it.
 func (w *snapshotWriter) take() *snapshot.Snapshot {
-	version := w.endpoints.Version()
-	targets := w.router.Targets()
+	version := w.endpoints.LatestIndex()
+	targets := w.router.Endpoints()
 	if version == 0 || len(targets) == 0 {
 		return nil
 	}
 	current := &snapshot.Snapshot{
-		Cluster: w.config.cluster(),
-		At:      time.Now(),
-		Index:   version,
-		List:    wire.AppendTargets(nil, targets),
+		Cluster:           w.config.cluster(),
+		SavedAt:           time.Now(),
+		EndpointListIndex: version,
+		EndpointList:      wire.AppendTargets(nil, targets),
 	}
 	status := w.gossip.sender.status()
 	if status == nil {
@@ -73,8 +73,8 @@
 	for i := range status.Members {
 		member := &status.Members[i]
 		isPeer := member.Address != "" && !hasDeparted(member) && member.Name != w.config.Name
-		if isPeer && len(current.Peers) < maxRestoredSeeds {
-			current.Peers = append(current.Peers, member.Address)
+		if isPeer && len(current.PeerAddresses) < maxRestoredSeeds {
+			current.PeerAddresses = append(current.PeerAddresses, member.Address)
 		}
 	}
 	return current
@@ -82,5 +82,5 @@
 
 // snapshotDigest is a digest of what is worth a write; the time is not.
 func snapshotDigest(s *snapshot.Snapshot) uint64 {
-	return xxhash.Sum64(append(fmt.Append(nil, s.Index, s.Peers), s.List...))
+	return xxhash.Sum64(append(fmt.Append(nil, s.EndpointListIndex, s.PeerAddresses), s.EndpointList...))
 }
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -25,17 +25,17 @@
 	config *Config // as of the start; reloads do not change it
 	log    *zap.Logger
 
-	predecessor    *hotrestart.Before // nil: this process replaces none
+	predecessor    *hotrestart.Predecessor // nil: this process replaces none
 	counters       *proxy.Counters
 	router         *proxy.Router
-	endpoints      *proxy.List
+	endpoints      *proxy.EndpointList
 	gossip         *gossipAdapter
-	clientListener *proxy.Door
+	clientListener *proxy.Listener
 	admin          *adminService
 	adminServer    *admin.Server    // nil: there is no admin API
 	recovery       *recoveryTracker // nil: the process goes through no stages of recovery
 	resources      *resourceBudget
-	successors     *hotrestart.Estate
+	successors     *hotrestart.Server
 
 	inheritedList bool // the endpoint list is the predecessor's, and as current as it can be
 }
@@ -75,7 +75,7 @@
 		s.closeAdmin()
 		_ = listener.Close() // the first error is the one to report
 		if predecessor != nil {
-			predecessor.Abandon()
+			predecessor.Disconnect()
 		}
 		return nil, err
 	}
@@ -93,7 +93,7 @@
 		return err
 	}
 	s.buildGossip()
-	s.clientListener = proxy.NewDoor(listener, s.router, s.config.MemoryMB, s.counters, s.log)
+	s.clientListener = proxy.NewListener(listener, s.router, s.config.MemoryMB, s.counters, s.log)
 	if s.config.StateStore != nil || s.config.Gossip != nil {
 		s.recovery = newRecoveryTracker(s, restored)
 	}
@@ -124,7 +124,7 @@
 		s.log.Warn("limits.may-tell: no gossip file is named; no notifications are sent")
 	}
 	if s.config.ShadowSettings != nil {
-		s.router.Watch(s.config.ShadowSettings, s.config.Seed)
+		s.router.EnableShadow(s.config.ShadowSettings, s.config.Seed)
 		s.log.Info("shadow settings are evaluated; decisions that differ are counted and not applied")
 	}
 }
@@ -134,7 +134,7 @@
 	if inherited := inheritedEndpoints(s.predecessor, s.log); inherited != nil {
 		known, s.inheritedList = inherited.document, true
 	}
-	s.endpoints, err = proxy.NewList(s.config.Discovery, known, s.router, s.config.Seed, s.counters, s.log)
+	s.endpoints, err = proxy.NewEndpointList(s.config.Discovery, known, s.router, s.config.Seed, s.counters, s.log)
 	if err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
@@ -149,8 +149,8 @@
 		sender: sender, config: config, router: s.router, endpoints: s.endpoints, counters: s.counters, log: s.log,
 	}
 	if config.Gossip != nil {
-		s.endpoints.Share(s.gossip.publishEndpoints)
-		s.router.Tells(s.gossip.publishObservation)
+		s.endpoints.SetPeerNotifier(s.gossip.publishEndpoints)
+		s.router.SetPeerNotifier(s.gossip.publishObservation)
 	}
 	if config.NegativeCache != nil {
 		adapter := &negativeCacheAdapter{sender: sender, ttl: replica.Time(config.NegativeCache.Believe), proxies: config.proxies()}
@@ -158,7 +158,7 @@
 		if config.Gossip == nil {
 			publish = nil
 		}
-		adapter.actor = proxy.NewAbsent(*config.NegativeCache, s.router, publish, s.log)
+		adapter.actor = proxy.NewNegativeCache(*config.NegativeCache, s.router, publish, s.log)
 		s.gossip.negativeCache = adapter
 		go adapter.actor.Run()
 	}
@@ -173,7 +173,7 @@
 			sender: sender, router: s.router, config: config.ZoneHealth, proxyName: config.Name, log: s.log,
 		}
 		s.gossip.zoneHealth = adapter
-		s.router.Zones(*config.ZoneHealth, adapter.publishReport)
+		s.router.EnableZoneHealth(*config.ZoneHealth, adapter.publishReport)
 	}
 }
 
@@ -223,7 +223,7 @@
 		wait = 0
 	}
 	select {
-	case <-s.endpoints.First():
+	case <-s.endpoints.FirstMessage():
 	case <-time.After(wait):
 		if wait > 0 {
 			s.log.Warn("discovery does not respond; serving from the last known endpoint list")
--- a/internal/server/zonehealth.go
+++ b/internal/server/zonehealth.go
@@ -49,7 +49,7 @@
 	if !z.cooperates() || msgpack.Unmarshal(row.Body, &report) != nil {
 		return
 	}
-	z.router.ZoneVoice(row.Writer, row.Key, report, zonehealth.Time(row.Age), zonehealth.Time(row.Life))
+	z.router.ReceiveZoneVote(row.Writer, row.Key, report, zonehealth.Time(row.Age), zonehealth.Time(row.Life))
 }
 
 // receiveOverride passes on an override that another proxy took from an operator.
@@ -57,7 +57,7 @@
 	if z == nil {
 		return
 	}
-	z.router.ZoneOrder(zonehealth.Order{
+	z.router.OverrideZone(zonehealth.Order{
 		Zone:  row.Key,
 		Want:  zonehealth.Want(row.Rank),
 		Epoch: row.Epoch,
@@ -78,7 +78,7 @@
 			Name: member.Name, Zone: member.Zone, Here: isAlive(member), Gone: hasDeparted(member),
 		})
 	}
-	z.router.ZoneFleet(fleet, catchingUp)
+	z.router.SetZoneMembers(fleet, catchingUp)
 }
 
 // override applies an operator's order to a zone, or to each zone of a region, and replicates it. The epoch is that of
@@ -92,7 +92,7 @@
 	if !ok {
 		return "", fmt.Errorf("%q: none of in, out, hold, auto", want)
 	}
-	status, zones := z.router.ZonesShown(), z.config.Zones(name)
+	status, zones := z.router.ZoneStatus(), z.config.Zones(name)
 	if fault := zonehealth.Check(status, zones, wanted, epoch, force); fault != "" {
 		return "", errors.New(fault)
 	}
@@ -102,7 +102,7 @@
 		order := zonehealth.Order{
 			Zone: zone, Want: wanted, Epoch: status[i].Order.Epoch + 1, By: z.proxyName, Force: force,
 		}
-		if !z.router.ZoneOrder(order) {
+		if !z.router.OverrideZone(order) {
 			return "", fmt.Errorf("zone %q: too busy to take it; nothing has changed there", zone)
 		}
 		z.sender.publishShared(overrideRow(&order))
@@ -133,7 +133,7 @@
 	}
 	var text strings.Builder
 	fmt.Fprintf(&text, "this proxy stands in %q; %d regions\n", z.config.Zone, len(z.config.Regions))
-	for _, zone := range z.router.ZonesShown() {
+	for _, zone := range z.router.ZoneStatus() {
 		writeZoneStatus(&text, &zone)
 	}
 	return text.String()
--- a/internal/snapshot/errors.go
+++ b/internal/snapshot/errors.go
@@ -32,19 +32,19 @@
 	return fmt.Sprintf("state: %s: it is %q's, and this proxy is %q; give each its own", e.Dir, e.Owner, e.Proxy)
 }
 
-// TornError reports a state file that can't be read, or that does not hold what was written. Its text also says what
+// CorruptError reports a state file that can't be read, or that does not hold what was written. Its text also says what
 // start-up does about it: the caller moves the file out of the way and starts without it.
-type TornError struct {
+type CorruptError struct {
 	Reason string
 	Err    error // the cause, nil where the content itself is wrong
 }
 
-func (e *TornError) Error() string {
+func (e *CorruptError) Error() string {
 	return fmt.Sprintf("the state file can't be read: %s; it is moved aside, and start-up continues without it", e.Reason)
 }
 
 // Unwrap returns the cause, or nil.
-func (e *TornError) Unwrap() error { return e.Err }
+func (e *CorruptError) Unwrap() error { return e.Err }
 
-// unreadable returns the [TornError] for a state file that could not be read or decoded because of err.
-func unreadable(err error) *TornError { return &TornError{Reason: err.Error(), Err: err} }
+// unreadable returns the [CorruptError] for a state file that could not be read or decoded because of err.
+func unreadable(err error) *CorruptError { return &CorruptError{Reason: err.Error(), Err: err} }
--- a/internal/snapshot/format.go
+++ b/internal/snapshot/format.go
@@ -36,7 +36,7 @@
 	return append(file, body...), nil
 }
 
-// decode returns the snapshot in a state file. Every error is a [TornError].
+// decode returns the snapshot in a state file. Every error is a [CorruptError].
 func decode(file []byte) (*Snapshot, error) {
 	if err := checkHeader(file); err != nil {
 		return nil, err
@@ -53,15 +53,15 @@
 func checkHeader(file []byte) error {
 	switch {
 	case len(file) < bodyOffset:
-		return &TornError{Reason: fmt.Sprintf("%d bytes", len(file))}
+		return &CorruptError{Reason: fmt.Sprintf("%d bytes", len(file))}
 	case len(file) > maxFileLength:
-		return &TornError{Reason: fmt.Sprintf("over %d bytes", maxFileLength)}
+		return &CorruptError{Reason: fmt.Sprintf("over %d bytes", maxFileLength)}
 	case string(file[:versionOffset]) != magic:
-		return &TornError{Reason: "it is no state of a proxy"}
+		return &CorruptError{Reason: "it is no state of a proxy"}
 	case file[versionOffset] != formatVersion:
-		return &TornError{Reason: fmt.Sprintf("version %d, and this program reads %d", file[versionOffset], formatVersion)}
+		return &CorruptError{Reason: fmt.Sprintf("version %d, and this program reads %d", file[versionOffset], formatVersion)}
 	case binary.LittleEndian.Uint64(file[checksumOffset:bodyOffset]) != xxhash.Sum64(file[bodyOffset:]):
-		return &TornError{Reason: "its checksum is another"}
+		return &CorruptError{Reason: "its checksum is another"}
 	}
 	return nil
 }
--- a/internal/snapshot/format_golden_test.go
+++ b/internal/snapshot/format_golden_test.go
@@ -38,9 +38,9 @@
 // fullSnapshot has every field set.
 func fullSnapshot() snapshot.Snapshot {
 	return snapshot.Snapshot{
-		Owner: owner, Cluster: "cluster-1", At: time.Unix(1700000000, 123456789), Index: 70000,
-		List:  []byte(`{"index":0,"snapshot":true,"endpoints":[{"name":"node-1","address":"192.0.2.1:11211","status":"active"}]}`),
-		Peers: []string{"192.0.2.2:7946", "192.0.2.3:7946"},
+		Owner: owner, Cluster: "cluster-1", SavedAt: time.Unix(1700000000, 123456789), EndpointListIndex: 70000,
+		EndpointList:  []byte(`{"index":0,"snapshot":true,"endpoints":[{"name":"node-1","address":"192.0.2.1:11211","status":"active"}]}`),
+		PeerAddresses: []string{"192.0.2.2:7946", "192.0.2.3:7946"},
 	}
 }
 
@@ -67,10 +67,10 @@
 				t.Fatalf("Load: %v %v, want a snapshot", got, err)
 			}
 			want := cases[i].snapshot
-			if !got.At.Equal(want.At) {
-				t.Errorf("taken at %v, want %v", got.At, want.At)
+			if !got.SavedAt.Equal(want.SavedAt) {
+				t.Errorf("taken at %v, want %v", got.SavedAt, want.SavedAt)
 			}
-			got.At = want.At // the file does not hold the time zone
+			got.SavedAt = want.SavedAt // the file does not hold the time zone
 			if !reflect.DeepEqual(*got, want) {
 				t.Errorf("read as\n%+v, want\n%+v", *got, want)
 			}
@@ -112,7 +112,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			got, err := loadFromFile(t, test.file)
-			var corrupt *snapshot.TornError
+			var corrupt *snapshot.CorruptError
 			if got != nil || !errors.As(err, &corrupt) || !strings.Contains(corrupt.Reason, test.want) {
 				t.Errorf("Load: %+v %v, want a %T with %q", got, err, corrupt, test.want)
 			}
@@ -126,7 +126,7 @@
 	body[0]++ // one more field in the map
 	body = append(body, 0xa3, 'n', 'e', 'w', 0x92, 0x01, 0x02)
 	got, err := loadFromFile(t, withBody(body))
-	if err != nil || got == nil || got.Owner != owner || got.Index != 70000 {
+	if err != nil || got == nil || got.Owner != owner || got.EndpointListIndex != 70000 {
 		t.Errorf("Load: %+v %v, want the full snapshot", got, err)
 	}
 }
@@ -136,7 +136,7 @@
 	dir := t.TempDir()
 	store := openStore(t, dir)
 	writeStateFile(t, dir, []byte("garbled"))
-	if err := store.Aside(); err != nil {
+	if err := store.Quarantine(); err != nil {
 		t.Fatal(err)
 	}
 	if kept, err := os.ReadFile(filepath.Join(dir, fileName+".unreadable")); err != nil || string(kept) != "garbled" {
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -9,12 +9,12 @@
 	Owner string `msgpack:"o"`
 	// Cluster is the name of the gossip cluster that the proxy belongs to, empty where it has no peers.
 	Cluster string `msgpack:"c"`
-	// At is when the snapshot was taken, by the wall clock of the proxy that wrote it.
-	At time.Time `msgpack:"t"`
-	// Index is the version of the endpoint list, as discovery numbers it.
-	Index int64 `msgpack:"i"`
-	// List is the endpoint list in the JSON form in which discovery sends it.
-	List []byte `msgpack:"l"`
-	// Peers are the gossip addresses (host:port) of peers that were alive.
-	Peers []string `msgpack:"p"`
+	// SavedAt is when the snapshot was taken, by the wall clock of the proxy that wrote it.
+	SavedAt time.Time `msgpack:"t"`
+	// EndpointListIndex is the version of the endpoint list, as discovery numbers it.
+	EndpointListIndex int64 `msgpack:"i"`
+	// EndpointList is the endpoint list in the JSON form in which discovery sends it.
+	EndpointList []byte `msgpack:"l"`
+	// PeerAddresses are the gossip addresses (host:port) of peers that were alive.
+	PeerAddresses []string `msgpack:"p"`
 }
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -54,7 +54,7 @@
 	return nil
 }
 
-// Load returns the stored snapshot, or nil without an error if there is no state file. Every error is a [TornError].
+// Load returns the stored snapshot, or nil without an error if there is no state file. Every error is a [CorruptError].
 func (s *Store) Load() (*Snapshot, error) {
 	file, err := os.Open(s.path())
 	if errors.Is(err, os.ErrNotExist) {
@@ -85,9 +85,9 @@
 	return nil
 }
 
-// Aside renames the state file to woodproxy.state.unreadable, for operators to look at, and replaces an earlier file of
+// Quarantine renames the state file to woodproxy.state.unreadable, for operators to look at, and replaces an earlier file of
 // that name. The next Load finds no state file.
-func (s *Store) Aside() error {
+func (s *Store) Quarantine() error {
 	return os.Rename(s.path(), s.path()+unreadableSuffix)
 }
 
--- a/internal/snapshot/store_test.go
+++ b/internal/snapshot/store_test.go
@@ -15,8 +15,8 @@
 // testSnapshot returns a snapshot with every field set that a caller of Save sets.
 func testSnapshot() *Snapshot {
 	return &Snapshot{
-		Cluster: "c", At: time.Unix(1000, 0).UTC(),
-		Index: 41, List: []byte(`{"index":41}`), Peers: []string{"127.0.0.1:7946"},
+		Cluster: "c", SavedAt: time.Unix(1000, 0).UTC(),
+		EndpointListIndex: 41, EndpointList: []byte(`{"index":41}`), PeerAddresses: []string{"127.0.0.1:7946"},
 	}
 }
 
@@ -64,7 +64,7 @@
 	store := openStore(t, dir)
 	valid := saveSnapshot(t, store, testSnapshot())
 	later := testSnapshot()
-	later.Index = 42
+	later.EndpointListIndex = 42
 	for written := range len(valid) {
 		store.writeFile = func(_ string, data []byte) error {
 			writeTestFile(t, filepath.Join(dir, fileName+".new-1"), data[:min(written, len(data))])
@@ -74,7 +74,7 @@
 			t.Fatal("Save: no error for a write that failed")
 		}
 		previous, err := store.Load()
-		if err != nil || previous.Index != 41 || previous.Owner != testOwner || string(previous.List) != `{"index":41}` {
+		if err != nil || previous.EndpointListIndex != 41 || previous.Owner != testOwner || string(previous.EndpointList) != `{"index":41}` {
 			t.Fatalf("after %d bytes: %+v %v, want the previous snapshot", written, previous, err)
 		}
 	}
@@ -82,7 +82,7 @@
 
 func TestDecodeRejectsFileTruncatedOrChangedAtAnyByte(t *testing.T) {
 	valid := saveSnapshot(t, openStore(t, t.TempDir()), testSnapshot())
-	var corrupt *TornError
+	var corrupt *CorruptError
 	for offset := range len(valid) {
 		if _, err := decode(valid[:offset]); !errors.As(err, &corrupt) {
 			t.Errorf("truncated at %d: error %v, want a %T", offset, err, corrupt)
@@ -99,11 +99,11 @@
 	store := openStore(t, t.TempDir())
 	valid := saveSnapshot(t, store, testSnapshot())
 	writeTestFile(t, store.path(), valid[:20])
-	var corrupt *TornError
+	var corrupt *CorruptError
 	if _, err := store.Load(); !errors.As(err, &corrupt) {
 		t.Errorf("Load: error %v, want a %T", err, corrupt)
 	}
-	if err := store.Aside(); err != nil {
+	if err := store.Quarantine(); err != nil {
 		t.Error(err)
 	}
 	if previous, err := store.Load(); previous != nil || err != nil {
--- a/recovery/endpointlist_test.go
+++ b/recovery/endpointlist_test.go
@@ -7,15 +7,15 @@
 )
 
 // endpoints reads a list such as "+a -b !c": a is ready, b is draining, c has left.
-func endpoints(t *testing.T, text string) []Line {
+func endpoints(t *testing.T, text string) []Endpoint {
 	t.Helper()
-	var all []Line
+	var all []Endpoint
 	for _, word := range strings.Fields(text) {
-		status, known := map[byte]EndpointStatus{'+': Ready, '-': Leaving, '!': Left}[word[0]]
+		status, known := map[byte]EndpointStatus{'+': EndpointReady, '-': EndpointDraining, '!': EndpointRemoved}[word[0]]
 		if !known {
 			t.Fatalf("%q: no status %q", text, word[0])
 		}
-		all = append(all, Line{word[1:], status})
+		all = append(all, Endpoint{word[1:], status})
 	}
 	return all
 }
@@ -41,10 +41,10 @@
 		{"no configured list", 9, "+a -b", time.Minute, 0, "", true, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			stored := Stored{List: List{test.storedIndex, endpoints(t, test.stored)}, At: now.Add(-test.age)}
-			selection := Believe(stored, List{test.configuredIndex, endpoints(t, test.configured)}, now, maxAge)
-			drained := strings.Join(selection.Drained, " ")
-			if selection.Disk != test.wantStored || drained != test.wantDrained || selection.Why == "" {
+			stored := StoredEndpointList{EndpointList: EndpointList{test.storedIndex, endpoints(t, test.stored)}, SavedAt: now.Add(-test.age)}
+			selection := SelectEndpointList(stored, EndpointList{test.configuredIndex, endpoints(t, test.configured)}, now, maxAge)
+			drained := strings.Join(selection.Draining, " ")
+			if selection.UseStored != test.wantStored || drained != test.wantDrained || selection.Reason == "" {
 				t.Errorf("got %+v, want stored %v, drained %q, a reason", selection, test.wantStored, test.wantDrained)
 			}
 		})
--- a/recovery/errors.go
+++ b/recovery/errors.go
@@ -2,13 +2,13 @@
 
 import "fmt"
 
-// ClusterError reports a state file that a proxy of another cluster wrote.
-type ClusterError struct {
-	Stored string // the cluster in the state file
-	Own    string // the cluster of this proxy
+// ClusterMismatchError reports a state file that a proxy of another cluster wrote.
+type ClusterMismatchError struct {
+	StoredCluster string // the cluster in the state file
+	OwnCluster    string // the cluster of this proxy
 }
 
-func (e *ClusterError) Error() string {
+func (e *ClusterMismatchError) Error() string {
 	return fmt.Sprintf("the state file belongs to cluster %q, and this proxy to %q; "+
-		"name another directory, or empty this one", e.Stored, e.Own)
+		"name another directory, or empty this one", e.StoredCluster, e.OwnCluster)
 }
--- a/recovery/settings.go
+++ b/recovery/settings.go
@@ -15,9 +15,9 @@
 	PauseThreshold Duration
 }
 
-// Usual returns the settings in use. The limit of catching up is the 5 s after which replication itself gives up, so that
+// DefaultSettings returns the settings in use. The limit of catching up is the 5 s after which replication itself gives up, so that
 // the stage does not outlast it.
-func Usual(hasPeers bool) Settings {
+func DefaultSettings(hasPeers bool) Settings {
 	return Settings{
 		HasPeers:        hasPeers,
 		StandaloneLimit: 2 * Second,
--- a/recovery/tracker_test.go
+++ b/recovery/tracker_test.go
@@ -18,31 +18,31 @@
 	for _, test := range []struct {
 		name     string
 		hasPeers bool
-		play     func(tracker *Instance, now Time) // the events before each tick
-		want     string                            // stages, with the second in which each began
+		play     func(tracker *Tracker, now Time) // the events before each tick
+		want     string                           // stages, with the second in which each began
 	}{
-		{"endpoint list after a second", false, func(tracker *Instance, now Time) {
+		{"endpoint list after a second", false, func(tracker *Tracker, now Time) {
 			if now == seconds(1) {
-				tracker.Listed(now)
+				tracker.EndpointListReceived(now)
 			}
-			tracker.Answered(true)
+			tracker.RequestFinished(true)
 		}, "alone 0 warming 1 full 2"},
-		{"peers that synchronize", true, func(tracker *Instance, now Time) {
-			tracker.Peers(now, 3, now < seconds(2))
-			tracker.Answered(true)
+		{"peers that synchronize", true, func(tracker *Tracker, now Time) {
+			tracker.UpdatePeers(now, 3, now < seconds(2))
+			tracker.RequestFinished(true)
 		}, "alone 0 catching up 0 warming 2 full 3"},
-		{"silent peers and discovery", true, func(*Instance, Time) {}, "alone 0 catching up 2 warming 7 full 17"},
-		{"silent discovery, no peers", false, func(*Instance, Time) {}, "alone 0 warming 2 full 12"},
-		{"peers that never synchronize", true, func(tracker *Instance, now Time) {
-			tracker.Peers(now, 2, true)
+		{"silent peers and discovery", true, func(*Tracker, Time) {}, "alone 0 catching up 2 warming 7 full 17"},
+		{"silent discovery, no peers", false, func(*Tracker, Time) {}, "alone 0 warming 2 full 12"},
+		{"peers that never synchronize", true, func(tracker *Tracker, now Time) {
+			tracker.UpdatePeers(now, 2, true)
 		}, "alone 0 catching up 0 warming 5 full 15"},
-		{"late answers", false, func(tracker *Instance, now Time) {
-			tracker.Listed(now)
-			tracker.Answered(now%Time(Second/2) == 0)
+		{"late answers", false, func(tracker *Tracker, now Time) {
+			tracker.EndpointListReceived(now)
+			tracker.RequestFinished(now%Time(Second/2) == 0)
 		}, "alone 0 warming 0 full 10"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			tracker := New(0, Usual(test.hasPeers), "", 0)
+			tracker := New(0, DefaultSettings(test.hasPeers), "", 0)
 			got, last := "alone 0", StageStandalone
 			for now := Time(0); now < seconds(30); now = now.Add(tickInterval) {
 				test.play(tracker, now)
@@ -62,7 +62,7 @@
 // recovery again.
 func TestFullServiceIsReachedAfterAnyEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		settings := Usual(rapid.Bool().Draw(t, "has peers"))
+		settings := DefaultSettings(rapid.Bool().Draw(t, "has peers"))
 		tracker, now := New(0, settings, "", 0), Time(0)
 		for range rapid.IntRange(0, 60).Draw(t, "calls") {
 			now = now.Add(Duration(rapid.Int64Range(0, int64(Second)).Draw(t, "gap")))
@@ -72,24 +72,24 @@
 		for ; now < limit; now = now.Add(tickInterval) {
 			tracker.Tick(now)
 		}
-		if tracker.Stage() != Full || tracker.Shown(now).FullMS == 0 {
-			t.Fatalf("after all time limits: %+v, want full service", tracker.Shown(now))
+		if tracker.Stage() != StageFull || tracker.Status(now).FullServiceAfterMS == 0 {
+			t.Fatalf("after all time limits: %+v, want full service", tracker.Status(now))
 		}
-		if tracker.Tick(now.Add(10 * Second)); tracker.Stage() == Full || tracker.Shown(now).Pauses == 0 {
-			t.Fatalf("after a pause of ten seconds: %+v, want an earlier stage", tracker.Shown(now))
+		if tracker.Tick(now.Add(10 * Second)); tracker.Stage() == StageFull || tracker.Status(now).Pauses == 0 {
+			t.Fatalf("after a pause of ten seconds: %+v, want an earlier stage", tracker.Status(now))
 		}
 	})
 }
 
 // playDrawnEvent reports an event that rapid draws.
-func playDrawnEvent(t *rapid.T, tracker *Instance, now Time) {
+func playDrawnEvent(t *rapid.T, tracker *Tracker, now Time) {
 	switch rapid.IntRange(0, 3).Draw(t, "event") {
 	case 0:
-		tracker.Listed(now)
+		tracker.EndpointListReceived(now)
 	case 1:
-		tracker.Peers(now, rapid.IntRange(0, 3).Draw(t, "alive"), rapid.Bool().Draw(t, "catching up"))
+		tracker.UpdatePeers(now, rapid.IntRange(0, 3).Draw(t, "alive"), rapid.Bool().Draw(t, "catching up"))
 	case 2:
-		tracker.Answered(rapid.Bool().Draw(t, "in time"))
+		tracker.RequestFinished(rapid.Bool().Draw(t, "in time"))
 	default:
 		tracker.Tick(now)
 	}
