--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -1,30 +1,66 @@
 package balancer
 
-// drawLots turns away by chance under overload; worth counts the value, and the part left beyond a share.
-func (b *Instance) drawLots() {
-	x := b.hand
-	x.fresh = false
-	w := b.routes[x.Route].worth
-	if x.beyond {
-		w *= b.beyondPart
+const (
+	initialCapacity     = 8 // attempts in flight per cache, over all proxies
+	minCapacity         = 2
+	rejectionThreshold  = 0.9 // part of the capacity in use from which requests are rejected by chance
+	rejectionSlope      = 4
+	rejectionWeightSpan = 1.7  // less the priority weight, which is 1 at most
+	overloadEnd         = 0.5  // part of the capacity in use below which the log calls an overload ended
+	minReduction        = 0.02 // of the capacity for one response that tells of an overload
+	maxReduction        = 0.3
+	reductionRate       = 0.8 // times the responses in a second
+)
+
+// admit rejects the current request by chance under overload. Its priority weight counts its value, and less
+// of it beyond the tenant's quota.
+func (b *Instance) admit() {
+	request := b.current
+	request.unadmitted = false
+	weight := b.routes[request.Route].priorityWeight
+	if request.overQuota {
+		weight *= b.quota.overQuotaWeight
+	}
+	load := float64(b.caches.inFlight) / b.admission.capacity
+	b.logOverload(load)
+	request.rejected = load > rejectionThreshold &&
+		b.random.draw() < rejectionSlope*(load-rejectionThreshold)*(rejectionWeightSpan-weight)
+	if !request.rejected {
+		b.refillRetryBudget()
 	}
-	full := float64(b.flying) / b.room
-	if (full > 1) != b.full && (full > 1 || full < 0.5) {
-		b.full = full > 1
-		b.log("overload %v: %d in flight, room for %.0f", b.full, b.flying, b.room)
+}
+
+func (b *Instance) increaseCapacity() {
+	if float64(b.caches.inFlight) > b.admission.capacity/2 {
+		b.admission.capacity += max(b.admission.capacity*0.002, 0.02)
 	}
-	if x.turned = full > 0.9 && b.draw() < 4*(full-0.9)*(1.7-w); !x.turned {
-		b.spare = min(b.spare+0.1, 10)
+}
+
+// reduceCapacity takes a response that tells of too much work, to not less than one attempt at each cache
+// over all proxies.
+func (b *Instance) reduceCapacity() {
+	used := min(b.admission.capacity, 4*float64(b.caches.inFlight)+8)
+	b.admission.capacity = max(used*(1-b.capacityReduction()), minCapacity, float64(b.ring.caches)*b.quotaShare)
+}
+
+// capacityReduction is the part of the capacity that one response takes: the fewer responses there are, the
+// more each takes, or a burst is over before a proxy of little traffic has reduced any. That holds only
+// where peers notify of silent endpoints: where none do, each proxy meets every hung endpoint for the first
+// time, and its few responses tell of that.
+func (b *Instance) capacityReduction() float64 {
+	if b.peerCount == 0 {
+		return minReduction
 	}
+	return min(max(reductionRate/max(b.cacheResponseRate(), 1), minReduction), maxReduction)
 }
 
-// cut is the part of the room that an answer which tells of too much work takes: the fewer answers there are,
-// the more each takes, or a burst is over before a proxy of little traffic has cut any. So only where peers
-// tell of silent nodes: where none do, each proxy meets every jam for the first time, and its few answers
-// tell of that.
-func (b *Instance) cut() float64 {
-	if b.peers == 0 {
-		return 0.02
+// scaleCapacity follows the endpoint list: more caches, more capacity.
+func (b *Instance) scaleCapacity(servingBefore float64) {
+	switch {
+	case b.ring.servingCaches == 0:
+	case servingBefore == 0:
+		b.admission.capacity = max(initialCapacity*float64(b.ring.caches)*b.quotaShare, initialCapacity)
+	default:
+		b.admission.capacity *= b.ring.servingCaches / servingBefore
 	}
-	return min(max(0.8/max(b.count(0), 1), 0.02), 0.3)
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -1,113 +1,84 @@
 package balancer
 
-import "math"
-
-// Arrive takes a new exchange under the index cx.
-func (b *Instance) Arrive(now Time, cx int, e Exchange) []Decision {
+// Arrive takes a new request under the given index.
+func (b *Instance) Arrive(now Time, index int, e Exchange) []Decision {
 	b.begin(now)
-	for len(b.xs) <= cx {
-		b.xs = append(b.xs, exchange{place: -1})
+	for len(b.requests) <= index {
+		b.requests = append(b.requests, requestState{heapIndex: -1})
 	}
-	x := &b.xs[cx]
-	*x = exchange{
-		Exchange: e, live: true, fresh: true, place: -1, node: -1, ranNode: -1,
-		tried: x.tried[:0],
+	request, route := &b.requests[index], &b.routes[e.Route]
+	*request = requestState{
+		Exchange: e, live: true, unadmitted: true, heapIndex: -1, endpoint: -1, firstRunEndpoint: -1,
+		triedEndpoints: request.triedEndpoints[:0],
 	}
-	r := &b.routes[e.Route]
-	x.deadline = now + e.Remaining
-	x.good = now + r.patience - b.since(r, &e)
-	x.aim = x.good - r.patience + r.aim
-	x.good = min(x.good, x.deadline-b.tick)
-	x.missed = e.Write && b.aside
-	x.beyond = b.spend(e.Tenant)
-	b.todo = append(b.todo, cx)
+	request.deadline = now + e.Remaining
+	request.giveUpAt = now + route.giveUpAfter - elapsedAtClient(route, &e, b.tick)
+	request.objectiveAt = request.giveUpAt - route.giveUpAfter + route.latencyBudget
+	request.giveUpAt = min(request.giveUpAt, request.deadline-b.tick)
+	request.needsOrigin = e.Write && b.cacheAside
+	request.overQuota = b.quota.consume(now, e.Tenant)
+	b.pending = append(b.pending, index)
 	return b.settle()
 }
 
-// since returns how long ago the client first asked, where its remaining time tells. First tries of a route
-// come with the same time left, give or take two ticks; a later one that shows another has what is left of
-// the overall timeout, and its objective has been running all along.
-func (b *Instance) since(r *route, e *Exchange) Time {
-	near := max(e.Remaining-r.usual, r.usual-e.Remaining) <= 2*b.tick
-	switch {
-	case near && !e.Repeat:
-		r.votes = min(r.votes+1, 1000)
-	case e.Repeat && near:
-	case e.Repeat || r.votes > 0:
-		if !e.Repeat {
-			r.votes--
-		}
-		return max(r.Overall-e.Remaining, 0)
-	default:
-		r.usual, r.votes = e.Remaining, 1
-	}
-	return 0
-}
-
-// Streaming reports that the answer has begun: the exchange now lives and dies with that try.
-func (b *Instance) Streaming(now Time, cx int) []Decision {
+// Returned reports the end of an upstream attempt.
+func (b *Instance) Returned(now Time, a Answer) []Decision {
 	b.begin(now)
-	if cx < len(b.xs) && b.xs[cx].live {
-		b.xs[cx].streaming = true
-		b.forget(cx)
+	request, endpoint := &b.requests[a.Cx], &b.endpoints[a.Node]
+	b.recordEnded(request, endpoint)
+	if request.inFlight == 1 && a.Node == request.endpoint {
+		request.resumePreviousAttempt() // the hedged attempt has ended, and the first one goes on
 	}
-	return b.settle()
-}
-
-// Left reports that the client went away; nothing is owed any more.
-func (b *Instance) Left(now Time, cx int) []Decision {
-	b.begin(now)
-	if cx < len(b.xs) && b.xs[cx].live {
-		b.close(cx)
+	b.learn(request, endpoint, a)
+	if a.Ending.mayHaveRun() && !request.mayHaveRun {
+		request.mayHaveRun, request.firstRunAt, request.firstRunEndpoint = true, request.sentAt, a.Node
+	}
+	if a.Ending == Lacking {
+		request.needsOrigin = true
+	}
+	request.wasReset = a.Ending == Cut
+	if request.leadsFetch && endpoint.Origin {
+		b.completeFetch(request)
+	}
+	if a.Ended && request.live {
+		b.finish(a.Cx)
+	}
+	if request.live {
+		b.pending = append(b.pending, a.Cx)
 	}
 	return b.settle()
 }
 
-// Woken reports that the time asked for with Wake has come.
-func (b *Instance) Woken(now Time) []Decision {
-	b.begin(now)
-	b.wakeAt = math.MaxInt64
-	return b.settle()
+// sendAttempt sends the current request to an endpoint, with a timeout of the time that is worth waiting.
+func (b *Instance) sendAttempt(to int) {
+	request := b.current
+	b.recordSent(request, to)
+	timeout := max(min(request.giveUpAt, request.deadline-b.tick)-b.now, b.tick)
+	b.emit(Decision{Act: Send, Cx: b.currentIndex, Node: to, After: timeout})
+	b.awaitAttempt()
 }
 
-// Returned reports the end of an upstream try.
-func (b *Instance) Returned(now Time, a Answer) []Decision {
-	b.begin(now)
-	x, n := &b.xs[a.Cx], &b.nodes[a.Node]
-	if x.out--; x.out == 1 && a.Node == x.node {
-		x.node, x.leg = x.twin, x.leg-1 // the copy has ended, and the first try goes on
-	}
-	n.out--
-	if n.Origin {
-		b.atOrigin--
+// reject answers at once: with a rejection where trying again is harmless, else with an error.
+func (b *Instance) reject() {
+	request := b.current
+	route := &b.routes[request.Route]
+	harmless := route.Effect == Retriable || route.Effect == Deduped && route.Group == GroupAll
+	if !harmless && (request.mayHaveRun || request.inFlight > 0) {
+		b.emit(Decision{Act: Error, Cx: b.currentIndex})
 	} else {
-		b.flying--
+		b.emit(Decision{Act: Shed, Cx: b.currentIndex, After: b.retryAfter()})
 	}
-	b.judge(x, n, a)
-	neverRan := a.Ending == NoRoom || a.Ending == Unreachable || a.Ending == NeverSent || a.Ending == Lacking
-	if !neverRan && !x.ran {
-		x.ran, x.ranAt, x.ranNode = true, x.sent, a.Node
+	for attempt := request.attempt; attempt > request.attempt-request.inFlight && b.mayCancel; attempt-- {
+		b.emit(Decision{Act: Cancel, Cx: b.currentIndex, Leg: attempt})
 	}
-	if a.Ending == Lacking {
-		x.missed = true
-	}
-	x.cut = a.Ending == Cut
-	if x.leads && n.Origin {
-		b.landed(x)
-	}
-	if a.Ended && x.live {
-		b.close(a.Cx)
-	}
-	if x.live {
-		b.todo = append(b.todo, a.Cx)
-	}
-	return b.settle()
+	b.finish(b.currentIndex)
+	b.releaseCurrent()
 }
 
-// send starts an upstream try; its time-out is what is left of the time worth waiting.
-func (b *Instance) send(to int) {
-	x := b.hand
-	b.went(x, to)
-	b.say(Decision{Act: Send, Cx: b.at, Node: to, After: max(min(x.good, x.deadline-b.tick)-b.now, b.tick)})
-	b.waitOn()
+// retryAfter spreads the clients that come back over the later half of what they heed.
+func (b *Instance) retryAfter() Time {
+	if b.maxRetryAfter == 0 {
+		return 0
+	}
+	return b.maxRetryAfter/2 + Time(b.random.draw()*float64(b.maxRetryAfter/2))
 }
--- a/balancer/coalescing.go
+++ b/balancer/coalescing.go
@@ -2,41 +2,45 @@
 
 import "slices"
 
-// mayJoin holds for a read of a key whose fetch by this proxy is out, once for each exchange.
-func (b *Instance) mayJoin() bool {
-	x := b.hand
-	if !x.Keyed || x.Write || x.joined || x.queued {
+// mayFollow holds, once for each request, for a read of a key that another request of this proxy is
+// fetching.
+func (b *Instance) mayFollow() bool {
+	request := b.current
+	if !request.Keyed || request.Write || request.hasFollowed || request.queued {
 		return false
 	}
-	lead, ok := b.fetches[x.Key]
-	return ok && lead != b.at
+	leader, isFetched := b.coalescing.leaders[request.Key]
+	return isFetched && leader != b.currentIndex
 }
 
-func (b *Instance) join() {
-	x := b.hand
-	x.joined, x.waits = true, true
-	b.waiters[x.Key] = append(b.waiters[x.Key], b.at)
-	b.remind(b.at, min(b.now+(x.good-b.now)/2, x.deadline-b.tick))
-	b.hand = nil
+// follow waits for the other's fetch for half of the time that is left.
+func (b *Instance) follow() {
+	request := b.current
+	request.hasFollowed, request.following = true, true
+	b.coalescing.followers[request.Key] = append(b.coalescing.followers[request.Key], b.currentIndex)
+	b.setDeadline(b.currentIndex, min(b.now+(request.giveUpAt-b.now)/2, request.deadline-b.tick))
+	b.releaseCurrent()
 }
 
-// landed lets those go on that waited for a fetch; they ask the cache, which now holds the answer.
-func (b *Instance) landed(x *exchange) {
-	x.leads = false
-	delete(b.fetches, x.Key)
-	for _, w := range slices.Backward(b.waiters[x.Key]) {
-		o := &b.xs[w]
-		o.waits, o.missed = false, false
-		o.tried = o.tried[:0]
-		b.forget(w)
-		b.todo = append(b.todo, w)
+// leadFetch lets others follow the current request, if it is a read and none leads for its key yet.
+func (b *Instance) leadFetch() {
+	request := b.current
+	if _, isFetched := b.coalescing.leaders[request.Key]; request.Keyed && !request.Write && !isFetched {
+		b.coalescing.leaders[request.Key] = b.currentIndex
+		request.leadsFetch = true
 	}
-	delete(b.waiters, x.Key)
 }
 
-func (b *Instance) lead(x *exchange) {
-	if _, out := b.fetches[x.Key]; x.Keyed && !x.Write && !out {
-		b.fetches[x.Key] = b.at
-		x.leads = true
+// completeFetch has the followers ask the cache, which now holds the answer.
+func (b *Instance) completeFetch(leader *requestState) {
+	leader.leadsFetch = false
+	delete(b.coalescing.leaders, leader.Key)
+	for _, index := range slices.Backward(b.coalescing.followers[leader.Key]) {
+		follower := &b.requests[index]
+		follower.following, follower.needsOrigin = false, false
+		follower.triedEndpoints = follower.triedEndpoints[:0]
+		b.clearDeadline(index)
+		b.pending = append(b.pending, index)
 	}
+	delete(b.coalescing.followers, leader.Key)
 }
--- /dev/null
+++ b/balancer/deadlineheap.go
@@ -0,0 +1,79 @@
+package balancer
+
+import (
+	"cmp"
+	"container/heap"
+)
+
+// deadlineHeap orders requests by the time of their next check. A request has one entry at most, and none
+// once it is answered. It implements heap.Interface and keeps requestState.heapIndex up to date.
+type deadlineHeap struct {
+	requests *[]requestState
+	entries  []deadlineEntry
+}
+
+type deadlineEntry struct {
+	at      Time
+	request int
+}
+
+func (h *deadlineHeap) Len() int { return len(h.entries) }
+
+func (h *deadlineHeap) Less(i, j int) bool {
+	p, q := h.entries[i], h.entries[j]
+	return cmp.Or(cmp.Compare(p.at, q.at), cmp.Compare(p.request, q.request)) < 0
+}
+
+func (h *deadlineHeap) Swap(i, j int) {
+	h.entries[i], h.entries[j] = h.entries[j], h.entries[i]
+	h.place(i)
+	h.place(j)
+}
+
+// Push appends an entry; called by container/heap only.
+func (h *deadlineHeap) Push(v any) {
+	h.entries = append(h.entries, v.(deadlineEntry))
+	h.place(len(h.entries) - 1)
+}
+
+// Pop removes the last entry; called by container/heap only.
+func (h *deadlineHeap) Pop() any {
+	last := h.entries[len(h.entries)-1]
+	h.entries = h.entries[:len(h.entries)-1]
+	(*h.requests)[last.request].heapIndex = -1
+	return last
+}
+
+func (h *deadlineHeap) place(i int) { (*h.requests)[h.entries[i].request].heapIndex = i }
+
+// setDeadline has a request checked at the given time, in place of any time set before.
+func (b *Instance) setDeadline(index int, at Time) {
+	request := &b.requests[index]
+	request.nextCheckAt = at
+	if request.heapIndex < 0 {
+		heap.Push(&b.deadlines, deadlineEntry{at, index})
+		return
+	}
+	b.deadlines.entries[request.heapIndex].at = at
+	heap.Fix(&b.deadlines, request.heapIndex)
+}
+
+func (b *Instance) clearDeadline(index int) {
+	if i := b.requests[index].heapIndex; i >= 0 {
+		heap.Remove(&b.deadlines, i)
+	}
+}
+
+// Until moves all deadlines to the given time at the latest, since the process stops then.
+func (b *Instance) Until(now, until Time) []Decision {
+	b.begin(now)
+	for i := range b.requests {
+		request := &b.requests[i]
+		if request.live && request.heapIndex >= 0 && request.deadline > until {
+			request.deadline = until
+			request.giveUpAt = min(request.giveUpAt, until-b.tick)
+			b.setDeadline(i, min(request.nextCheckAt, request.giveUpAt))
+		}
+	}
+	return b.settle()
+}
--- a/balancer/dispatch.go
+++ b/balancer/dispatch.go
@@ -5,61 +5,97 @@
 	"slices"
 )
 
-func (b *Instance) begin(now Time) { b.now, b.out = now, b.out[:0] }
+// begin starts the handling of an event.
+func (b *Instance) begin(now Time) { b.now, b.decisions = now, b.decisions[:0] }
 
-// settle goes through the rules until none fires, then sees to the one wake that is out.
+// settle applies rules until none matches and returns the decisions of the event.
 func (b *Instance) settle() []Decision {
-again:
+	for b.applyFirstRule() {
+	}
+	b.scheduleWake()
+	return b.decisions
+}
+
+// applyFirstRule applies the first rule that matches and reports whether there was one.
+func (b *Instance) applyFirstRule() bool {
+	stage := selecting
+	if b.current != nil {
+		stage = deciding
+	}
 	for i := range rules {
-		if r := &rules[i]; r.held == (b.hand != nil) && r.when(b) {
-			r.do(b)
-			goto again
+		if r := &rules[i]; r.stage == stage && r.matches(b) {
+			r.apply(b)
+			return true
 		}
 	}
-	next := b.askAt
-	if len(b.due.at) > 0 {
-		next = min(next, b.due.at[0].due)
+	return false
+}
+
+// scheduleWake asks for a wake-up, unless one is under way that comes early enough.
+func (b *Instance) scheduleWake() {
+	next := b.pollAt
+	if len(b.deadlines.entries) > 0 {
+		next = min(next, b.deadlines.entries[0].at)
 	}
-	if b.queued > 0 && b.originAt > b.now {
-		next = min(next, b.originAt)
+	if b.originQueue.length > 0 && b.origin.nextAttemptAt > b.now {
+		next = min(next, b.origin.nextAttemptAt)
 	}
 	if next < b.wakeAt {
 		b.wakeAt = next
-		b.say(Decision{Act: Wake, After: max(next-b.now, 1)})
+		b.emit(Decision{Act: Wake, After: max(next-b.now, 1)})
 	}
-	return b.out
 }
 
-func (b *Instance) say(d Decision) { b.out = append(b.out, d) }
+func (b *Instance) emit(d Decision) { b.decisions = append(b.decisions, d) }
+
+func (b *Instance) logf(format string, args ...any) {
+	b.emit(Decision{Act: Log, Text: fmt.Sprintf(format, args...)})
+}
 
-func (b *Instance) log(format string, args ...any) {
-	b.say(Decision{Act: Log, Text: fmt.Sprintf(format, args...)})
+func (b *Instance) setCurrent(index int) {
+	b.current, b.currentIndex, b.candidate = &b.requests[index], index, notSearched
 }
 
-func (b *Instance) take(cx int) { b.hand, b.at, b.pick = &b.xs[cx], cx, unknown }
+// releaseCurrent ends the deciding on the current request until the next event that concerns it.
+func (b *Instance) releaseCurrent() { b.current = nil }
+
+func (b *Instance) hasPending() bool { return len(b.pending) > 0 }
 
-func (b *Instance) takeNext() {
-	b.take(b.todo[0])
-	b.todo = slices.Delete(b.todo, 0, 1)
+func (b *Instance) takePending() {
+	b.setCurrent(b.pending[0])
+	b.pending = slices.Delete(b.pending, 0, 1)
 }
 
-func (b *Instance) takeDue() {
-	cx := b.due.at[0].cx
-	b.forget(cx)
-	x := &b.xs[cx]
-	if x.waits {
-		b.unwait(cx)
+func (b *Instance) hasExpiredDeadline() bool {
+	return len(b.deadlines.entries) > 0 && b.deadlines.entries[0].at <= b.now
+}
+
+func (b *Instance) takeExpired() {
+	index := b.deadlines.entries[0].request
+	b.clearDeadline(index)
+	if b.requests[index].following {
+		b.unfollow(index)
 	}
-	b.take(cx)
+	b.setCurrent(index)
 }
 
 func (b *Instance) takeQueued() {
-	for i := range b.queue {
-		if len(b.queue[i]) > 0 {
-			cx := b.queue[i][0]
-			b.unqueue(cx)
-			b.take(cx)
-			return
-		}
-	}
+	index := b.originQueue.first()
+	b.dequeue(index)
+	b.setCurrent(index)
 }
+
+// rule is one line of the decision logic. The first one of the stage whose predicate holds is applied, until
+// none does. Predicates change nothing that is decided; the order of the rules matters.
+type rule struct {
+	stage   stage
+	matches func(b *Instance) bool
+	apply   func(b *Instance)
+}
+
+type stage uint8
+
+const (
+	selecting stage = iota // there is no current request: choose one
+	deciding               // decide on the current request
+)
--- a/balancer/doc.go
+++ b/balancer/doc.go
@@ -1,9 +1,19 @@
-// Package balancer decides what becomes of each exchange: which node gets it, when it is tried again, when it
-// is turned away. One Instance decides for one proxy; instances share nothing. Each method reports one
-// thing that happened, with the clock in tenths of a millisecond, and returns the decisions that follow, in
-// order, in a slice that the next call reuses. Exchanges and nodes are small indices that the caller hands
-// out; it may reuse an exchange's index once that has its final answer and all its upstream tries have
-// ended. No I/O in here.
-//
-// Interface: New, Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Share, Bar, Rest, Until, Left, Woken
+// Package balancer decides what becomes of each client request: which endpoint serves it, whether it is
+// hedged, retried or coalesced with another, and whether it is rejected.
+//
+// One Instance decides for one proxy; instances share no state. Each event method reports one thing that
+// happened, together with the caller's clock in units of 0.1 ms, and returns the decisions that follow from
+// it, in the order in which they have to be carried out. The returned slice is reused by the next call. The
+// package does no I/O, starts no goroutines and reads no clock: the same events in the same order give the
+// same decisions. An Instance is not safe for concurrent use; one goroutine owns it.
+//
+// Requests and endpoints are small indices that the caller assigns. It may reuse the index of a request once
+// that has its final answer and all of its upstream attempts have ended.
+//
+// Events: Nodes, ListFailed, Arrive, Returned, Streaming, Heard, Share, Bar, Rest, Until, Left, Woken. A
+// shadow balancer, which decides but is not obeyed, is told by Has, Yield, Unsent and Went what the other
+// one did.
+//
+// The files listed under policy in deploy/balancer.toml hold every decision. The others convert settings and
+// keep books: requests, deadlines, queues, ring points and moving means.
 package balancer
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -1,38 +1,50 @@
 package balancer
 
-// Rest has a node's next trial, if it is passed over, be no sooner than at a time: all proxies take turns.
-func (b *Instance) Rest(now Time, at int, until Time) []Decision {
+// Rest has the next probe of an endpoint, if it is ejected, come no sooner than at the given time, since
+// proxies probe in turns.
+func (b *Instance) Rest(now Time, endpoint int, until Time) []Decision {
 	b.begin(now)
-	b.nodes[at].retryAt = until
+	b.endpoints[endpoint].probeAt = until
 	return b.settle()
 }
 
-// fallsSilent holds when a cache has answered nothing since the try in hand was sent, for as long as an
-// answer may take, while another cache has answered: a node that takes work and does none, or is cut off.
-func (b *Instance) fallsSilent() bool {
-	n := &b.nodes[b.hand.node]
-	return !n.down && !n.Origin && b.overdue(n) && b.lastCome > b.hand.sent &&
-		(n.out >= 2 || b.now-b.hand.sent >= b.hush)
+// awaitsOutlier holds when the current request waits for a cache that has responded to nothing since its
+// attempt was sent, for as long as a response may take, while another cache has responded: the cache takes
+// work and does none, or is cut off.
+func (b *Instance) awaitsOutlier() bool {
+	request := b.current
+	if request.inFlight == 0 {
+		return false
+	}
+	endpoint := &b.endpoints[request.endpoint]
+	return !endpoint.ejected && !endpoint.Origin && b.isOverdue(endpoint) &&
+		b.caches.lastResponseAt > request.sentAt &&
+		(endpoint.inFlight >= 2 || b.now-request.sentAt >= b.noResponseTimeout)
 }
 
-func (b *Instance) overdue(n *node) bool {
-	return n.quiet <= b.hand.sent && b.now-b.hand.sent >= b.long(4)
+// isOverdue holds when the current request's endpoint has responded to nothing since its attempt was sent.
+func (b *Instance) isOverdue(endpoint *endpointState) bool {
+	sentAt := b.current.sentAt
+	return endpoint.silentSince <= sentAt && b.now-sentAt >= b.responseBound(overdueDeviations)
 }
 
-// sick holds for a node that is passed over: it failed to connect or went silent, and its next try is not
-// due.
-func (b *Instance) sick(n *node) bool {
-	return n.down && (b.now < n.retryAt || n.out > 0)
+func (b *Instance) ejectOutlier() { b.eject(&b.endpoints[b.current.endpoint]) }
+
+// isEjected holds for an ejected endpoint whose next probe is not due.
+func (b *Instance) isEjected(endpoint *endpointState) bool {
+	return endpoint.ejected && (b.now < endpoint.probeAt || endpoint.inFlight > 0)
 }
 
-func (b *Instance) fell(n *node) {
-	// as long as it may be until this proxy would ask it anyway, or each try is a trial
-	n.rest = min(max(2*n.rest, b.hush, b.meetings()), 4*max(b.hush, b.meetings()))
-	n.retryAt = b.now + n.rest
-	b.tell(n, false)
-	if !n.down {
-		n.down = true
-		b.log("node %d passed over: %d out, silent %d ms, %.0f%% failed", n.Node, n.out, (b.now-n.quiet)/10,
-			100*n.faults)
+// eject keeps all but probes from an endpoint until it responds. The interval of probes doubles, from as
+// long as this proxy would go without meeting the endpoint anyway, or each attempt would be a probe.
+func (b *Instance) eject(endpoint *endpointState) {
+	shortest := max(b.noResponseTimeout, b.responseInterval())
+	endpoint.ejectionTime = min(max(2*endpoint.ejectionTime, shortest), 4*shortest)
+	endpoint.probeAt = b.now + endpoint.ejectionTime
+	b.notifyPeers(endpoint, false)
+	if !endpoint.ejected {
+		endpoint.ejected = true
+		b.logf("endpoint %d ejected: %d in flight, no response for %d ms, %.0f%% failed", endpoint.Node,
+			endpoint.inFlight, (b.now-endpoint.silentSince)/10, 100*endpoint.errorShare)
 	}
 }
--- a/balancer/evacuation.go
+++ b/balancer/evacuation.go
@@ -1,34 +1,43 @@
 package balancer
 
-// Bar has a part of the keys pass a node by, the same keys at every proxy, since its zone is left: none of
-// their tries goes there, the room is that of the others, and what is out there is called off if off says so.
-func (b *Instance) Bar(now Time, at int, part float64, off bool) []Decision {
+// Bar has a part of the keys, the same at every proxy, avoid an endpoint, since its zone is evacuated: 0
+// none, 1 all. Capacity shrinks to that of the others. With cancel, attempts in flight there are cancelled.
+func (b *Instance) Bar(now Time, index int, part float64, cancel bool) []Decision {
 	b.begin(now)
-	b.nodes[at].part, b.nodes[at].off = part, off
-	for cx := range b.xs {
-		if x := &b.xs[cx]; off && x.live && x.out > 0 && x.node == at {
-			b.todo = append(b.todo, cx)
+	b.endpoints[index].excludedShare, b.endpoints[index].evacuating = part, cancel
+	for i := range b.requests {
+		request := &b.requests[i]
+		if cancel && request.live && request.inFlight > 0 && request.endpoint == index {
+			b.pending = append(b.pending, i)
 		}
 	}
-	b.rebuild()
+	b.rebuildRing()
 	return b.settle()
 }
 
-// barred holds for a node that the key in hand passes by, since its zone is left in whole or in part.
-func (b *Instance) barred(n *node) bool {
-	return n.part > 0 && float64(mix(mix(b.hand.Key))>>40) < n.part*(1<<24)
+// isExcluded holds for an endpoint that the current request's key avoids.
+func (b *Instance) isExcluded(endpoint *endpointState) bool {
+	return endpoint.excludedShare > 0 &&
+		float64(mixHash(mixHash(b.current.Key))>>40) < endpoint.excludedShare*(1<<24)
 }
 
-// leavesZone holds for a try that is out in a zone that is left, or overdue in one that returns, if the route
-// lets it be sent elsewhere: a deduped one's repeat that leaves its group would be carried out.
-func (b *Instance) leavesZone() bool {
-	x := b.hand
-	n, r := &b.nodes[x.node], &b.routes[x.Route]
-	return n.off && !x.off && b.mayCancel && (b.barred(n) || b.overdue(n)) && (r.Effect ==
-		Retriable || r.Effect == Deduped && r.Group == GroupAll && b.now < x.sent+r.Window)
+// mustLeaveZone holds for an attempt in flight in a zone that is evacuated, or an overdue one in a zone that
+// returns, if the route lets it be sent elsewhere: a duplicate outside the group of a deduped request would
+// be carried out.
+func (b *Instance) mustLeaveZone() bool {
+	request := b.current
+	if request.inFlight == 0 || request.evacuated || !b.mayCancel {
+		return false
+	}
+	endpoint, route := &b.endpoints[request.endpoint], &b.routes[request.Route]
+	mayResend := route.Effect == Retriable ||
+		route.Effect == Deduped && route.Group == GroupAll && b.now < request.sentAt+route.Window
+	return endpoint.evacuating && mayResend && (b.isExcluded(endpoint) || b.isOverdue(endpoint))
 }
 
-func (b *Instance) callOff() {
-	b.hand.off = true // once for a try; no sign of too much work, so that its repeat is not of those bounded
-	b.say(Decision{Act: Cancel, Cx: b.at, Leg: b.hand.leg})
+// cancelForEvacuation happens once for an attempt. It is no sign of an overload, so that the retry is not
+// bounded by the retry budget.
+func (b *Instance) cancelForEvacuation() {
+	b.current.evacuated = true
+	b.emit(Decision{Act: Cancel, Cx: b.currentIndex, Leg: b.current.attempt})
 }
--- /dev/null
+++ b/balancer/events.go
@@ -0,0 +1,69 @@
+package balancer
+
+// Streaming reports that the answer has begun. From then on the request succeeds or fails with that attempt.
+func (b *Instance) Streaming(now Time, index int) []Decision {
+	b.begin(now)
+	if index < len(b.requests) && b.requests[index].live {
+		b.requests[index].streaming = true
+		b.clearDeadline(index)
+	}
+	return b.settle()
+}
+
+// Left reports that the client went away; nothing is owed to it any more.
+func (b *Instance) Left(now Time, index int) []Decision {
+	b.begin(now)
+	if index < len(b.requests) && b.requests[index].live {
+		b.finish(index)
+	}
+	return b.settle()
+}
+
+// Woken reports that the time of a Wake decision has come.
+func (b *Instance) Woken(now Time) []Decision {
+	b.begin(now)
+	b.wakeAt = never
+	return b.settle()
+}
+
+// Nodes takes the endpoint list: all of it, or only the endpoints that changed. The first list is complete.
+func (b *Instance) Nodes(now Time, complete, first bool, endpoints []Listing) []Decision {
+	b.begin(now)
+	if complete {
+		b.removeUnlisted(endpoints)
+	}
+	for i := range endpoints {
+		b.updateEndpoint(endpoints[i], first)
+	}
+	b.rebuildRing()
+	if b.pollsList && first {
+		b.pollList()
+	}
+	return b.settle()
+}
+
+func (b *Instance) removeUnlisted(listed []Listing) {
+	b.visitMark++
+	for i := range listed {
+		if index := listed[i].Node; index < len(b.endpoints) {
+			b.endpoints[index].visitMark = b.visitMark
+		}
+	}
+	for i := range b.endpoints {
+		b.endpoints[i].Ready = b.endpoints[i].Ready && b.endpoints[i].visitMark == b.visitMark
+	}
+}
+
+// Share sets the part of all proxies' traffic that this proxy may send from now on, in (0, 1]; it begins as
+// an even one. What has been learnt of the origin's limit is scaled with it, so that the sum over proxies
+// stays.
+func (b *Instance) Share(now Time, part float64) []Decision {
+	b.begin(now)
+	factor := part / b.quotaShare
+	b.quotaShare = part
+	b.origin.scale(part, factor)
+	for tenant := range b.quota.rates {
+		b.quota.rates[tenant] *= factor
+	}
+	return b.settle()
+}
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -2,44 +2,50 @@
 
 import "math"
 
-const mostTold = 32 // peers that hear of one sight, however many there are
+// maxNotifiedPeers bounds the notifications of one observation, however many peers there are.
+const maxNotifiedPeers = 32
 
-// Heard takes what another proxy tells of a node: that it went silent there, or answers again. Messages may
-// be late or lost and their sender mistaken: silence is believed step by step, never beside an answer that
-// came here since, and fades; an answer ends it.
-func (b *Instance) Heard(now Time, at int, answers bool) []Decision {
+// suspicionStep is how far one report of a peer moves the suspicion towards certainty.
+const suspicionStep = 0.4
+
+// Heard takes a peer's report that an endpoint stopped responding, or responds again. Reports may be late or
+// lost, and their sender mistaken: one of silence is believed step by step, never against a response that
+// came here since, and fades; one of a response ends the suspicion. An index that is not known is ignored.
+func (b *Instance) Heard(now Time, index int, responds bool) []Decision {
 	b.begin(now)
-	if at >= 0 && at < len(b.nodes) && !b.nodes[at].Origin {
-		n := &b.nodes[at]
-		n.spread = now
-		if answers {
-			n.doubt = 0
-		} else if now-n.metAt > b.hush {
-			n.doubt = b.doubt(n)
-			n.doubt += (1 - n.doubt) * 0.4
-			n.doubtAt = now
+	if index >= 0 && index < len(b.endpoints) && !b.endpoints[index].Origin {
+		endpoint := &b.endpoints[index]
+		endpoint.gossipAt = now
+		if responds {
+			endpoint.suspicion = 0
+		} else if now-endpoint.lastResponseAt > b.noResponseTimeout {
+			endpoint.suspicion = b.suspicion(endpoint)
+			endpoint.suspicion += (1 - endpoint.suspicion) * suspicionStep
+			endpoint.suspicionAt = now
 		}
 	}
 	return b.settle()
 }
 
-// doubt is how far this proxy believes that a node is silent, on hearsay: it is passed by that chance. Half
-// of it is gone in twelve times the shortest objective.
-func (b *Instance) doubt(n *node) float64 {
-	return n.doubt * math.Exp2(-float64(b.now-n.doubtAt)/float64(12*b.hush))
+// suspicion is how likely an endpoint is silent by the reports of peers; it is passed by with that chance.
+// Half of it is gone in twelve times the no-response timeout.
+func (b *Instance) suspicion(endpoint *endpointState) float64 {
+	return endpoint.suspicion * math.Exp2(-float64(b.now-endpoint.suspicionAt)/float64(12*b.noResponseTimeout))
 }
 
-// tell lets some peers know that a node went silent or answers, unless that went round a moment ago. Each
-// receiver is paid for; what they hear of it is theirs to tell only once they have seen it too.
-func (b *Instance) tell(n *node, answers bool) {
-	if b.peers == 0 || b.now-n.spread < b.hush/2 {
+// notifyPeers tells some peers that an endpoint stopped responding or responds again, unless such a report
+// went round a moment ago. Each receiver costs something. They pass on only what they have observed
+// themselves.
+func (b *Instance) notifyPeers(endpoint *endpointState, responds bool) {
+	if b.peerCount == 0 || b.now-endpoint.gossipAt < b.noResponseTimeout/2 {
 		return
 	}
-	n.spread = b.now
-	at := int(b.draw() * float64(b.peers+1))
-	for range min(b.peers+1, mostTold) {
-		if at = (at + max((b.peers+1)/mostTold, 1)) % (b.peers + 1); at != b.me {
-			b.say(Decision{Act: Tell, Node: n.Node, Peer: at, Answers: answers})
+	endpoint.gossipAt = b.now
+	proxies := b.peerCount + 1
+	peer := int(b.random.draw() * float64(proxies))
+	for range min(proxies, maxNotifiedPeers) {
+		if peer = (peer + max(proxies/maxNotifiedPeers, 1)) % proxies; peer != b.self {
+			b.emit(Decision{Act: Tell, Node: endpoint.Node, Peer: peer, Answers: responds})
 		}
 	}
 }
--- a/balancer/hedging.go
+++ b/balancer/hedging.go
@@ -1,20 +1,38 @@
 package balancer
 
-// long is the time after which a cache's answer is missed: the caches' mean and so many times their straying,
-// nearly all at two and overdue at four, and never past the shortest objective.
-func (b *Instance) long(times float64) Time { return min(Time(b.took+times*b.strays)+b.tick, b.hush) }
+// Deviations beyond the mean latency of the caches after which nearly all responses have come, and after
+// which a response is overdue.
+const (
+	hedgeDeviations   = 2
+	overdueDeviations = 4
+)
 
-// mayCopy holds for a read that a cache has not answered in the time that nearly all take, while the origin
-// has room and would still answer in time: with little traffic each proxy meets each silent or jammed node
-// for the first time, and loses a request by that.
-func (b *Instance) mayCopy() bool {
-	x := b.hand
-	return b.parallel && x.Keyed && !x.Write && !x.missed && !b.nodes[x.node].Origin && x.legs < b.maxTries &&
-		b.routes[x.Route].Effect == Retriable && b.spare >= 1 && b.now >= b.copyAt(x) &&
-		b.now+Time(b.fetch) < x.good && b.queued == 0 && b.originRoom()
+// responseBound is the mean latency of the caches and so many deviations, the no-response timeout at most.
+func (b *Instance) responseBound(deviations float64) Time {
+	bound := Time(b.caches.meanLatency+deviations*b.caches.meanDeviation) + b.tick
+	return min(bound, b.noResponseTimeout)
 }
 
-// copyAt is when nearly all answers have come, or sooner where the origin's would come too late after that.
-func (b *Instance) copyAt(x *exchange) Time {
-	return x.sent + min(b.long(2), max(b.long(1), x.good-x.sent-Time(b.fetch)-b.tick))
+// mayHedge holds for a read that a cache has not answered in the time that nearly all take, while the origin
+// has capacity and would still answer in time. With little traffic each proxy meets each hung endpoint for
+// the first time, and would lose a request by that.
+func (b *Instance) mayHedge() bool {
+	request := b.current
+	return request.inFlight == 1 && b.hedging && request.Keyed && !request.Write && !request.needsOrigin &&
+		!b.endpoints[request.endpoint].Origin && request.attempts < b.maxAttempts &&
+		b.routes[request.Route].Effect == Retriable && b.retryBudget >= 1 && b.now >= b.hedgeAt(request) &&
+		b.now+b.origin.expectedLatency() < request.giveUpAt &&
+		b.originQueue.length == 0 && b.originHasCapacity()
+}
+
+func (b *Instance) hedge() {
+	b.retryBudget--
+	b.sendAttempt(b.leastLoadedOrigin())
+}
+
+// hedgeAt is when nearly all responses have come, or sooner where the origin's would come too late after
+// that.
+func (b *Instance) hedgeAt(request *requestState) Time {
+	latest := request.giveUpAt - request.sentAt - b.origin.expectedLatency() - b.tick
+	return request.sentAt + min(b.responseBound(hedgeDeviations), max(b.responseBound(1), latest))
 }
--- a/balancer/new.go
+++ b/balancer/new.go
@@ -2,41 +2,86 @@
 
 import "math"
 
-// New returns an instance that knows no nodes yet.
-func New(now Time, t Terms, seed uint64) *Instance {
+// never is an instant that does not come.
+const never = Time(math.MaxInt64)
+
+// New returns an Instance that knows no endpoints yet. The seed determines all of its random choices.
+func New(now Time, settings Terms, seed uint64) *Instance {
+	quotaShare := 1 / float64(max(settings.Proxies, 1))
+	tick := max(settings.Tick, 1)
+	objective := max(shortestObjective(settings.Routes), tick)
 	b := &Instance{
-		share: 1 / float64(max(t.Proxies, 1)), aside: t.Aside, mayCancel: t.MayCancel,
-		parallel: t.Parallel && t.Aside,
-		maxTries: max(t.MaxTries, 1), tick: max(t.Tick, 1), cold: t.Cold, coldFrom: t.ColdFrom,
-		pushed: t.FallMultiple, pushedFor: max(t.Fall, 1), beyondPart: t.BeyondShare, ask: t.Ask,
-		askEvery: max(t.AskEvery, second), rough: t.RoughWeights, chance: seed, now: now,
-		fetches: map[uint64]int{}, waiters: map[uint64][]int{}, wakeAt: math.MaxInt64, askAt: math.MaxInt64,
-		peers: t.Peers, me: t.Me, comeBack: t.MaxRetryAfter * Time(one(t.RetryAfter)), rateAt: now, began: now,
-		room: 8, spare: 5,
-	}
-	dearest, shortest := 0.0, 60*second
-	for _, r := range t.Routes {
-		dearest = max(dearest, r.Value)
-		shortest = min(shortest, r.Objective)
-	}
-	for _, r := range t.Routes {
-		f := route{Route: r, patience: r.Objective - 2*b.tick, worth: r.Value / max(dearest, 1e-9)}
-		f.aim = f.patience
-		if r.Overdue > 0 && !t.Punctual {
-			f.patience = r.Overall
-		}
-		b.routes = append(b.routes, f)
-	}
-	shortest = max(shortest, b.tick)
-	b.hush, b.originAim, b.took, b.fetch = shortest, shortest/2, float64(shortest), float64(shortest)/4
-	// all proxies' limits begin at sixteen tries, and come down to eight, but that few proxies keep one each
-	b.limit, b.least = min(4, max(16*b.share, 1)), min(1, 8*b.share)
-	b.lean = b.limit / 2
-	// a key that is passed on misses there: the dearer a fetch, the later
-	b.crowd = min(0.3+t.Fetch, 0.5)
-	for _, a := range t.Allowance {
-		b.allowance = append(b.allowance, a*b.share)
-	}
-	b.spent, b.spentAt = make([]float64, len(t.Allowance)), make([]Time, len(t.Allowance))
+		config:      newConfig(&settings, tick, objective, quotaShare),
+		random:      generator{state: seed},
+		now:         now,
+		coalescing:  newCoalescer(),
+		caches:      newCacheStatistics(now, objective),
+		origin:      newOriginLimiter(objective, quotaShare),
+		admission:   admissionControl{capacity: initialCapacity},
+		quota:       newTenantQuota(settings.Allowance, settings.BeyondShare, quotaShare),
+		retryBudget: initialRetryBudget,
+		wakeAt:      never,
+		pollAt:      never,
+	}
+	highestValue := 0.0
+	for i := range settings.Routes {
+		highestValue = max(highestValue, settings.Routes[i].Value)
+	}
+	for i := range settings.Routes {
+		b.routes = append(b.routes, newRouteState(&settings.Routes[i], tick, highestValue, settings.Punctual))
+	}
+	b.deadlines.requests = &b.requests
 	return b
 }
+
+func newConfig(settings *Terms, tick, objective Time, quotaShare float64) config {
+	c := config{
+		quotaShare:        quotaShare,
+		cacheAside:        settings.Aside,
+		mayCancel:         settings.MayCancel,
+		hedging:           settings.Parallel && settings.Aside,
+		maxAttempts:       max(settings.MaxTries, 1),
+		tick:              tick,
+		noResponseTimeout: objective,
+		slowStart: slowStartConfig{
+			period: settings.Cold, initialShare: settings.ColdFrom,
+			overloadMultiple: settings.FallMultiple, overloadWindow: max(settings.Fall, 1),
+		},
+		self:                 settings.Me,
+		peerCount:            settings.Peers,
+		pollsList:            settings.Ask,
+		pollInterval:         max(settings.AskEvery, second),
+		approximateWeights:   settings.RoughWeights,
+		overloadedOwnerShare: overloadedOwnerShareFor(settings.Fetch),
+	}
+	if settings.RetryAfter {
+		c.maxRetryAfter = settings.MaxRetryAfter
+	}
+	return c
+}
+
+// shortestObjective is that of all routes, a minute at most.
+func shortestObjective(routes []Route) Time {
+	shortest := 60 * second
+	for i := range routes {
+		shortest = min(shortest, routes[i].Objective)
+	}
+	return shortest
+}
+
+func newOriginLimiter(shortestObjective Time, quotaShare float64) originLimiter {
+	o := originLimiter{objective: shortestObjective / 2, limit: initialOriginLimit(quotaShare)}
+	o.latency.value = float64(shortestObjective) / 4
+	o.setBounds(quotaShare)
+	return o
+}
+
+func newTenantQuota(rates []float64, overQuotaWeight, quotaShare float64) tenantQuota {
+	q := tenantQuota{
+		used: make([]float64, len(rates)), updatedAt: make([]Time, len(rates)), overQuotaWeight: overQuotaWeight,
+	}
+	for _, rate := range rates {
+		q.rates = append(q.rates, rate*quotaShare)
+	}
+	return q
+}
--- a/balancer/origin.go
+++ b/balancer/origin.go
@@ -1,44 +1,115 @@
 package balancer
 
-func (b *Instance) originRoom() bool {
-	return len(b.origins) > 0 && b.atOrigin < max(int(b.limit), 1) && b.now >= b.originAt
+// maxOriginLimit bounds the concurrency limit of one proxy at the origin.
+const maxOriginLimit = 256
+
+// initialOriginLimit is sixteen attempts over all proxies, but one for each of many proxies and four for
+// each of few.
+func initialOriginLimit(quotaShare float64) float64 { return min(4, max(16*quotaShare, 1)) }
+
+// setBounds lets the limits of all proxies fall to eight attempts together, but that few proxies keep one
+// each.
+func (o *originLimiter) setBounds(quotaShare float64) {
+	o.floor, o.lowWater = min(1, 8*quotaShare), initialOriginLimit(quotaShare)/2
+}
+
+// scale follows a change of the quota share by a factor.
+func (o *originLimiter) scale(quotaShare, factor float64) {
+	o.setBounds(quotaShare)
+	o.limit = min(max(o.limit*factor, o.floor), maxOriginLimit)
+	o.lastGoodLimit *= factor
+}
+
+// expectedLatency is the mean latency of its answers.
+func (o *originLimiter) expectedLatency() Time { return Time(o.latency.value) }
+
+// observeAnswer takes the latency of an answer into account and restores the limit to half of the last good
+// one: if answers are quick again, it was the way to the origin that had failed. With many proxies each asks
+// the origin once in a second or two, and would otherwise learn of an overload when it is over.
+func (o *originLimiter) observeAnswer(now, latency Time) {
+	o.latency.observe(now, float64(latency), 1.0/16, 4*second)
+	if latency <= 2*o.objective {
+		o.limit = max(o.limit, o.lastGoodLimit/2)
+	}
+}
+
+// increase raises the limit if it is used: what was never used was never tried.
+func (o *originLimiter) increase() {
+	if float64(o.inFlight+1) > o.limit/2 {
+		o.limit = min(o.limit+min(o.limit, 1/o.limit), maxOriginLimit)
+	}
+}
+
+// reduce lowers the limit, once in the time that an answer should take.
+func (o *originLimiter) reduce(now Time) {
+	if now-o.reducedAt <= o.objective {
+		return
+	}
+	factor := 0.7
+	if o.limit <= 1 {
+		factor = 0.4 // with pauses between attempts there are few outcomes to learn from
+	}
+	o.limit = max(o.limit*factor, o.floor)
+	o.reducedAt = now
+}
+
+// pace sets the pause after an attempt: of many proxies, one attempt of each at a time is more than a loaded
+// origin answers.
+func (o *originLimiter) pace(now Time) {
+	if o.limit < 1 {
+		o.nextAttemptAt = now + Time((1/o.limit-1)*float64(o.objective))
+	}
+}
+
+func (b *Instance) originHasCapacity() bool {
+	o := &b.origin
+	return len(b.origins) > 0 && o.inFlight < max(int(o.limit), 1) && b.now >= o.nextAttemptAt
 }
 
-// hopeless holds when the queue for the origin is too long for an answer in time.
-func (b *Instance) hopeless() bool {
-	return max(b.now, b.originAt)+Time((1+float64(b.queued)/b.limit)*b.fetch) > b.hand.good
+func (b *Instance) canServeQueued() bool { return b.originQueue.length > 0 && b.originHasCapacity() }
+
+func (b *Instance) originIsOpen() bool { return b.current.needsOrigin && b.originHasCapacity() }
+
+// originQueueTooLong holds when the current request, queued now, would be answered too late.
+func (b *Instance) originQueueTooLong() bool {
+	wait := Time((1 + float64(b.originQueue.length)/b.origin.limit) * b.origin.latency.value)
+	return b.current.needsOrigin && max(b.now, b.origin.nextAttemptAt)+wait > b.current.giveUpAt
 }
 
-func (b *Instance) enqueue() {
-	x := b.hand
-	x.queued = true
-	b.queued++
-	i := 1 - int(one(x.Write)) // writes first
-	b.queue[i] = append(b.queue[i], b.at)
-	b.lead(x)
-	b.remind(b.at, min(x.good, x.deadline-b.tick))
-	b.hand = nil
+func (b *Instance) enqueueForOrigin() {
+	request := b.current
+	request.queued = true
+	priority := readsLast
+	if request.Write {
+		priority = writesFirst
+	}
+	b.originQueue.push(priority, b.currentIndex)
+	b.leadFetch()
+	b.setDeadline(b.currentIndex, min(request.giveUpAt, request.deadline-b.tick))
+	b.releaseCurrent()
 }
 
-// quietest is the origin with the fewest own tries out, -1: none may have the exchange in hand.
-func (b *Instance) quietest() int {
-	best := -1
-	for _, o := range b.origins {
-		if b.inGroup(o) && (best < 0 || b.nodes[o].out < b.nodes[best].out) {
-			best = o
+// leastLoadedOrigin is the origin with the fewest of this proxy's attempts in flight, noEndpoint if the
+// current request may be sent to none.
+func (b *Instance) leastLoadedOrigin() int {
+	best := noEndpoint
+	for _, index := range b.origins {
+		if b.inDedupGroup(index) &&
+			(best == noEndpoint || b.endpoints[index].inFlight < b.endpoints[best].inFlight) {
+			best = index
 		}
 	}
 	return best
 }
 
-func (b *Instance) toOrigin() {
-	best := b.quietest()
-	if best < 0 {
-		b.giveUp()
+func (b *Instance) sendToOrigin() {
+	origin := b.leastLoadedOrigin()
+	if origin == noEndpoint {
+		b.reject()
 		return
 	}
-	b.lead(b.hand)
-	// let it finish: late, it fills the cache yet, and given up, it would cost the origin as much
-	b.hand.good = b.hand.deadline - b.tick
-	b.send(best)
+	b.leadFetch()
+	// let it finish: a late answer still fills the cache, and a cancelled attempt would cost the origin as much
+	b.current.giveUpAt = b.current.deadline - b.tick
+	b.sendAttempt(origin)
 }
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -1,96 +1,124 @@
 package balancer
 
-import "math"
-
-// judge learns of a node's health from the end of a try.
-func (b *Instance) judge(x *exchange, n *node, a Answer) {
-	n.refused += (one(a.Ending == NoRoom) - n.refused) * weight(1.0/8, b.now-n.triedAt, 3*second)
-	n.triedAt = b.now
-	alive := a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom
-	// a try called off when its time was up was no less late than one whose own time-out came first
-	late := a.Ending == Silent || (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone) &&
-		a.Took > b.routes[x.Route].aim*3/4
-	if n.Origin && a.Ending == Completed {
-		// with many proxies one asks the origin once in a second or two, and would learn of a jam when it is over
-		b.fetch += (float64(a.Took) - b.fetch) * weight(1.0/16, b.now-b.fetchAt, 4*second)
-		b.fetchAt = b.now
-		b.limit = max(b.limit, b.held/2*one(a.Took <= 2*b.originAim)) // silence tells of the way there
+// learn updates what is known of the endpoint, of the caches or the origin, and of their limits by an
+// outcome.
+func (b *Instance) learn(request *requestState, endpoint *endpointState, a Answer) {
+	unanswered := a.Ending == Silent || a.Ending == Undone
+	o := outcome{
+		Answer: a, request: request, endpoint: endpoint, failedProbe: unanswered && endpoint.ejected,
+		responded: a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom,
 	}
-	if !n.Origin && !x.missed && !((a.Ending == Silent || a.Ending == Undone) && n.down) {
-		b.lates += (one(late) - b.lates) * weight(1.0/64, b.now-b.latesAt, 10*second)
-		b.latesAt = b.now
+	// an attempt cancelled when its time was up was no less late than one whose own timeout came first
+	o.late = a.Ending == Silent || (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone) &&
+		a.Took > b.routes[request.Route].latencyBudget*3/4
+	endpoint.overloads.observe(b.now, indicator(a.Ending == NoRoom), 1.0/8, 3*second)
+	b.learnLatency(&o)
+	b.learnLoad(&o)
+	b.learnOriginLimit(&o)
+	b.learnResponse(&o)
+	b.learnErrors(&o)
+	b.learnFailure(&o)
+}
+
+func (b *Instance) learnLatency(o *outcome) {
+	switch {
+	case o.endpoint.Origin && o.Ending == Completed:
+		b.origin.observeAnswer(b.now, o.Took)
+	case !o.endpoint.Origin && !o.request.needsOrigin && !o.failedProbe:
+		b.caches.lateShare.observe(b.now, indicator(o.late), 1.0/64, 10*second)
 	}
+}
+
+// learnLoad adapts the origin's limit and the caches' capacity. The first case that holds counts.
+func (b *Instance) learnLoad(o *outcome) {
 	switch {
-	case n.Origin && a.Ending == Completed && a.Took <= b.originAim:
-		if float64(b.atOrigin+1) > b.limit/2 { // what was never used was never tried
-			b.limit = min(b.limit+min(b.limit, 1/b.limit), 256)
-		}
-	case n.Origin && (a.Ending == NoRoom || a.Took > 2*b.originAim &&
-		(b.fetch > float64(b.originAim) || a.Ending != Completed && n.quiet <= x.sent)):
-		// one long answer among quick ones tells of the work in it, a write's above all, not of a loaded origin,
-		// and one that never comes while others do, of its connection
-		if b.now-b.cutAt > b.originAim {
-			part := 0.7
-			if b.limit <= 1 {
-				part = 0.4 // with pauses between tries there are few sights to fall by
-			}
-			b.limit = max(b.limit*part, b.least)
-			b.cutAt = b.now
+	case o.endpoint.Origin && o.Ending == Completed && o.Took <= b.origin.objective:
+		b.origin.increase()
+	case o.endpoint.Origin && b.isOriginOverload(o):
+		b.origin.reduce(b.now)
+	case o.endpoint.Origin || o.request.needsOrigin || o.failedProbe:
+		// no sign that the caches have too much to do
+	case o.late || o.Ending == Fault && b.caches.errorShare > 0.1 ||
+		o.Ending == NoRoom && o.request.attempts >= 3:
+		b.observeEndpointLatency(o.endpoint, max(o.Took, b.noResponseTimeout/2), 0.5)
+		if b.isCacheOverload(o) {
+			b.reduceCapacity()
 		}
-	case n.Origin || x.missed || (a.Ending == Silent || a.Ending == Undone) && n.down:
-		// the origin's, or a silent node's: no sign that the caches have too much to do
-	case late || a.Ending == Fault && b.faults > 0.1 || a.Ending == NoRoom && x.legs >= 3:
-		b.slows(n, float64(max(a.Took, b.hush/2)), 0.5)
-		if a.Ending == NoRoom || a.Ending == Fault || n.slow < 2*b.took || b.peers > 0 && b.lates > 0.2 {
-			// a few nodes that are late among quick ones are passed by; they do not tell of too much work for all, but
-			// a fifth of all answers do, though mean and lateness drift apart when late tries end unanswered. Where
-			// peers tell nothing a fifth may come of resets and jams that each proxy meets for itself
-			b.room = max(min(b.room, 4*float64(b.flying)+8)*(1-b.cut()), 2, float64(b.caches)*b.share)
-		}
-	case a.Ending == Completed:
-		if float64(b.flying) > b.room/2 {
-			b.room += max(b.room*0.002, 0.02)
+	case o.Ending == Completed:
+		b.increaseCapacity()
+		b.observeEndpointLatency(o.endpoint, o.Took, 0.25)
+		b.caches.observeLatency(o.Took)
+	}
+}
+
+// isOriginOverload tells whether an outcome shows that the origin is loaded. One long answer among quick
+// ones tells of the work in it, a write's above all, and one that never comes while others do, of its
+// connection.
+func (b *Instance) isOriginOverload(o *outcome) bool {
+	return o.Ending == NoRoom || o.Took > 2*b.origin.objective &&
+		(b.origin.latency.value > float64(b.origin.objective) ||
+			o.Ending != Completed && o.endpoint.silentSince <= o.request.sentAt)
+}
+
+// isCacheOverload tells whether a late or failed outcome shows too much work for all caches. A few endpoints
+// that are late among quick ones are passed by and show none, but a fifth of all responses does, though mean
+// and lateness drift apart when late attempts end unanswered. Where peers notify of nothing, a fifth may
+// come of resets and hung endpoints that each proxy meets for itself.
+func (b *Instance) isCacheOverload(o *outcome) bool {
+	return o.Ending == NoRoom || o.Ending == Fault || o.endpoint.latency.value < 2*b.caches.meanLatency ||
+		b.peerCount > 0 && b.caches.lateShare.value > 0.2
+}
+
+func (b *Instance) learnOriginLimit(o *outcome) {
+	if o.endpoint.Origin {
+		if o.Ending == Completed {
+			b.origin.lastGoodLimit += b.origin.limit - b.origin.lastGoodLimit
 		}
-		b.slows(n, float64(a.Took), 0.25)
-		b.timed = min(b.timed+1, 32) // the first ones count for more: with little traffic 32 take seconds
-		b.took += (float64(a.Took) - b.took) / b.timed
-		b.strays += (math.Abs(float64(a.Took)-b.took) - b.strays) / max(b.timed, 4)
+		b.origin.pace(b.now)
 	}
-	b.held += (b.limit - b.held) * one(n.Origin && a.Ending == Completed)
-	if n.Origin && b.limit < 1 {
-		// of many proxies, one try of each at a time is more than a loaded origin answers
-		b.originAt = b.now + Time((1/b.limit-1)*float64(b.originAim))
+	b.logConstrained()
+}
+
+func (b *Instance) learnResponse(o *outcome) {
+	if !o.responded {
+		return
 	}
-	if tight := b.limit < b.lean || b.tight && b.limit < 2*b.lean; tight != b.tight {
-		b.tight = tight
-		b.log("origin tight %v: %.1f at a time, answers take %.0f ms, %d wait", tight, b.limit, b.fetch/10,
-			b.queued)
+	o.endpoint.silentSince, o.endpoint.lastResponseAt = b.now, b.now
+	if o.endpoint.suspicion > 0 {
+		o.endpoint.suspicion = 0
+		b.notifyPeers(o.endpoint, true)
 	}
-	if alive {
-		n.quiet, n.metAt = b.now, b.now
-		if n.doubt > 0 {
-			n.doubt = 0
-			b.tell(n, true)
-		}
+}
+
+// learnErrors takes a cache's response into the shares of errors. A cache that fails much of its work, while
+// the others do not, is ejected; one that was ejected and does its work is brought back.
+func (b *Instance) learnErrors(o *outcome) {
+	if !o.responded || o.endpoint.Origin {
+		return
 	}
-	if alive && !n.Origin {
-		b.lastCome = b.now
-		if a.Ending != NoRoom {
-			n.answers++
-			b.count(1)
-			bad := one(a.Ending == Fault)
-			n.faults += (bad - n.faults) / 8
-			b.faults += (bad - b.faults) / 64
-		}
-		if a.Ending == Fault && n.faults > 0.4 && n.faults > 2*b.faults {
-			b.fell(n) // it fails much of its work, and the others do not
-		} else if n.down && a.Ending != Fault {
-			n.down, n.rest = false, 0
-			b.log("node %d answers again", n.Node)
-		}
+	endpoint := o.endpoint
+	b.caches.lastResponseAt = b.now
+	if o.Ending != NoRoom {
+		endpoint.responses++
+		b.caches.rate.add(b.now, 1)
+		isError := indicator(o.Ending == Fault)
+		endpoint.errorShare += (isError - endpoint.errorShare) / 8
+		b.caches.errorShare += (isError - b.caches.errorShare) / 64
 	}
-	if a.Ending == Unreachable && !n.Origin || (a.Ending == Silent || a.Ending == Undone) && n.down &&
-		n.quiet <= x.sent && b.now >= n.retryAt { // the latter is a trial in vain
-		b.fell(n)
+	if o.Ending == Fault && endpoint.errorShare > 0.4 && endpoint.errorShare > 2*b.caches.errorShare {
+		b.eject(endpoint)
+	} else if endpoint.ejected && o.Ending != Fault {
+		endpoint.ejected, endpoint.ejectionTime = false, 0
+		b.logf("endpoint %d responds again", endpoint.Node)
+	}
+}
+
+// learnFailure ejects a cache that does not connect, and leaves an ejected endpoint whose probe failed for
+// longer.
+func (b *Instance) learnFailure(o *outcome) {
+	endpoint := o.endpoint
+	probeFailed := o.failedProbe && endpoint.silentSince <= o.request.sentAt && b.now >= endpoint.probeAt
+	if o.Ending == Unreachable && !endpoint.Origin || probeFailed {
+		b.eject(endpoint)
 	}
 }
--- a/balancer/ring.go
+++ b/balancer/ring.go
@@ -1,136 +1,121 @@
 package balancer
 
 import (
-	"cmp"
 	"math"
 	"slices"
 )
 
 const (
-	ringSpots = 160 // points of a node of usual weight (the design's figure)
-	overMean  = 2.0 // the pass-over bound, in own means (the design's figure)
+	ringPointsPerEndpoint = 160 // of the reference weight, as the design has it
+	boundedLoadFactor     = 2.0 // times the mean of this proxy's attempts in flight, as the design has it
+
+	// values of Instance.candidate beside the index of an endpoint
+	notSearched = -1
+	noEndpoint  = -2
 )
 
-const unknown, nowhere = -1, -2
+// pointsOf is the number of points that an endpoint should have on the ring.
+func (b *Instance) pointsOf(endpoint *endpointState) int {
+	switch {
+	case !endpoint.Ready || endpoint.Origin:
+		return 0
+	case b.approximateWeights && endpoint.Weight > 0:
+		return max(int(math.Round(ringPointsPerEndpoint*endpoint.Weight/b.ring.referenceWeight)), 1)
+	}
+	return ringPointsPerEndpoint
+}
 
-// look walks clockwise from the key's hash to the first server that may have the exchange.
-func (b *Instance) look() {
-	b.pick = nowhere
-	if len(b.ring) == 0 {
+// findCandidate walks clockwise from the key's hash to the first cache that may have the current request.
+func (b *Instance) findCandidate() {
+	b.candidate = noEndpoint
+	if len(b.ring.points) == 0 {
 		return
 	}
-	h := b.hand.Key
-	if !b.hand.Keyed {
-		h = uint64(b.draw() * (1 << 53))
-	}
-	h = mix(h)
-	i, _ := slices.BinarySearchFunc(b.ring, h, func(p point, h uint64) int { return cmp.Compare(p.at, h) })
-	b.walk++
-	sick, crowd := nowhere, nowhere
-	bound := max(overMean*float64(b.flying)/float64(b.caches)+1, 1)
-	for left, step := b.caches, 0; left > 0 && step < len(b.ring); step++ {
-		at := int(b.ring[(i+step)%len(b.ring)].node)
-		n := &b.nodes[at]
-		if n.seen == b.walk {
+	start := b.ring.search(b.keyPosition())
+	b.visitMark++
+	lastResort, overloadedOwner := noEndpoint, noEndpoint
+	for remaining, step := b.ring.caches, 0; remaining > 0 && step < len(b.ring.points); step++ {
+		index := int(b.ring.points[(start+step)%len(b.ring.points)].endpoint)
+		endpoint := &b.endpoints[index]
+		if endpoint.visitMark == b.visitMark {
 			continue
 		}
-		n.seen = b.walk
-		left--
-		over := step == 0 && n.out >= 2 && float64(n.out) > bound || b.refuses(n)
+		endpoint.visitMark = b.visitMark
+		remaining--
+		isFull := step == 0 && b.exceedsBoundedLoad(endpoint) || b.isLikelyFull(endpoint)
 		switch {
-		case slices.Contains(b.hand.tried, at) || !b.inGroup(at) || b.barred(n) || b.coldFull(n):
-		case b.sick(n) || over || n.doubt > 0 && b.draw() < b.doubt(n):
-			if sick == nowhere {
-				sick = at // better than none
+		case !b.isEligible(index):
+		case b.isEjected(endpoint) || isFull || b.isSuspected(endpoint):
+			if lastResort == noEndpoint {
+				lastResort = index
 			}
-		case crowd != nowhere:
-			if b.pick = crowd; n.slow < b.nodes[crowd].slow/2 {
-				b.pick = at
+		case overloadedOwner != noEndpoint:
+			b.candidate = overloadedOwner
+			if endpoint.latency.value < b.endpoints[overloadedOwner].latency.value/2 {
+				b.candidate = index
 			}
 			return
-		case b.crowded(n):
-			crowd = at
+		case b.isOverloadedOwner(endpoint):
+			overloadedOwner = index
 		default:
-			b.pick = at
+			b.candidate = index
 			return
 		}
 	}
-	if b.pick = sick; crowd != nowhere {
-		b.pick = crowd
+	if b.candidate = lastResort; overloadedOwner != noEndpoint {
+		b.candidate = overloadedOwner
 	}
 }
 
-// crowded holds for a node whose latest answers took most of the time that the exchange in hand has left;
-// the next clockwise serves it if that one is twice as quick.
-func (b *Instance) crowded(n *node) bool {
-	// sooner, where it is seldom met, but not so soon that chance passes keys on
-	most := max(b.crowd-0.15*weight(0, b.meetings(), 10*second), 0.3)
-	return n.slow > most*float64(min(b.hand.good, b.hand.aim)-b.now) &&
-		b.now-n.slowAt < max(3*b.hush, 2*b.meetings())
+// keyPosition is the place of the current request's key on the ring, a random one if it has no key.
+func (b *Instance) keyPosition() uint64 {
+	if !b.current.Keyed {
+		return mixHash(uint64(b.random.draw() * (1 << 53)))
+	}
+	return mixHash(b.current.Key)
 }
 
-// refuses holds by chance for a node that turned over a third of this proxy's latest tries away as full,
-// always for one that turned away nearly all: a hot key spreads clockwise over as many nodes as it takes,
-// without a try in vain at each. It fades, so that the node is asked again.
-func (b *Instance) refuses(n *node) bool {
-	if n.refused < 0.35 {
-		return false
-	}
-	age := float64(b.now-n.triedAt) / float64(max(second, b.meetings()))
-	return b.draw() < 2*n.refused*math.Exp2(-age)-0.7
+// isEligible tells whether the current request may go to an endpoint at all.
+func (b *Instance) isEligible(index int) bool {
+	endpoint := &b.endpoints[index]
+	return !slices.Contains(b.current.triedEndpoints, index) && b.inDedupGroup(index) &&
+		!b.isExcluded(endpoint) && !b.slowStartLimited(endpoint)
 }
 
-// rebuild brings the ring up to date: each ready cache by its points. Points depend on nothing but name
-// and weight, so that a join or leave moves only that server's arcs; what stays is not sorted anew, which
-// hundreds of nodes that come one by one made dear.
-func (b *Instance) rebuild() {
-	before, leaves := b.open, false
-	b.origins, b.caches, b.open = b.origins[:0], 0, 0
-	sum, many := 0.0, 0.0
-	for i := range b.nodes {
-		if n := &b.nodes[i]; n.Ready && !n.Origin {
-			sum, many = sum+n.Weight, many+1
-		}
-	}
-	if b.weightOf == 0 && sum > 0 {
-		// the power of two next to the mean: the same at every proxy, whatever its list
-		b.weightOf = math.Exp2(math.Round(math.Log2(sum / many)))
-	}
-	var fresh []point
-	for i := range b.nodes {
-		n := &b.nodes[i]
-		spots := 0
-		switch {
-		case !n.Ready:
-		case n.Origin:
-			b.origins = append(b.origins, i)
-		case b.rough && n.Weight > 0:
-			spots = max(int(math.Round(ringSpots*n.Weight/b.weightOf)), 1)
-		default:
-			spots = ringSpots
-		}
-		if spots > 0 {
-			b.caches, b.open = b.caches+1, b.open+1-n.part
-		}
-		if n.moved = spots != n.spots; n.moved {
-			leaves = leaves || n.spots > 0
-			n.spots = spots
-			fresh = slices.Grow(fresh, spots)
-			for v := range spots {
-				fresh = append(fresh, point{spot(n.Name, v), int32(i)})
-			}
-		}
-	}
-	switch {
-	case b.open == 0:
-	case before == 0:
-		b.room = max(8*float64(b.caches)*b.share, 8) // to begin with: eight at each cache, of all proxies
-	default:
-		b.room *= b.open / before // more caches, more room
-	}
-	if leaves {
-		b.ring = slices.DeleteFunc(b.ring, func(p point) bool { return b.nodes[p.node].moved })
+// isSuspected holds by the chance that an endpoint is silent by the reports of peers.
+func (b *Instance) isSuspected(endpoint *endpointState) bool {
+	return endpoint.suspicion > 0 && b.random.draw() < b.suspicion(endpoint)
+}
+
+// exceedsBoundedLoad holds for an endpoint with too many of this proxy's attempts in flight, compared to
+// their mean.
+func (b *Instance) exceedsBoundedLoad(endpoint *endpointState) bool {
+	bound := max(boundedLoadFactor*float64(b.caches.inFlight)/float64(b.ring.caches)+1, 1)
+	return endpoint.inFlight >= 2 && float64(endpoint.inFlight) > bound
+}
+
+// overloadedOwnerShareFor bounds the part of the remaining time that the responses of a key's owner may
+// take. A key that is passed on misses at the next cache: the dearer a fetch, the later it is passed on.
+func overloadedOwnerShareFor(fetchCost float64) float64 { return min(0.3+fetchCost, 0.5) }
+
+// isOverloadedOwner holds for an endpoint whose latest responses took most of the time that the current
+// request has left; the next one clockwise serves it if that is twice as quick.
+func (b *Instance) isOverloadedOwner(endpoint *endpointState) bool {
+	// sooner, where it is seldom met, but not so soon that chance passes keys on
+	seldom := observationWeight(0, b.responseInterval(), 10*second)
+	share := max(b.overloadedOwnerShare-0.15*seldom, 0.3)
+	remaining := float64(min(b.current.giveUpAt, b.current.objectiveAt) - b.now)
+	return endpoint.latency.value > share*remaining &&
+		b.now-endpoint.latency.updatedAt < max(3*b.noResponseTimeout, 2*b.responseInterval())
+}
+
+// isLikelyFull holds by chance for an endpoint that rejected over a third of this proxy's latest attempts as
+// overloaded, always for one that rejected nearly all: a hot key spreads clockwise over as many endpoints as
+// it takes, without a failed attempt at each. The share fades, so that the endpoint is tried again.
+func (b *Instance) isLikelyFull(endpoint *endpointState) bool {
+	if endpoint.overloads.value < 0.35 {
+		return false
 	}
-	slices.SortFunc(fresh, point.compare)
-	b.merge(fresh)
+	age := float64(b.now-endpoint.overloads.updatedAt) / float64(max(second, b.responseInterval()))
+	return b.random.draw() < 2*endpoint.overloads.value*math.Exp2(-age)-0.7
 }
--- a/balancer/shadow.go
+++ b/balancer/shadow.go
@@ -1,41 +1,38 @@
 package balancer
 
-// What an instance needs that only watches: it is given all that another one is given, decides, and is then told what
-// the other did. Nothing here decides.
-
-// Has tells whether the instance still has a say over an exchange.
-func (b *Instance) Has(cx int) bool { return cx < len(b.xs) && b.xs[cx].live }
-
-// Yield takes an exchange out of the instance's hands. It goes on learning from the exchange's tries.
-func (b *Instance) Yield(cx int) { b.close(cx) }
-
-// Unsent takes back the last try of an exchange, which this instance decided on and which was not sent.
-func (b *Instance) Unsent(cx int) {
-	x := &b.xs[cx]
-	n := &b.nodes[x.node]
-	n.out--
-	x.out--
-	x.legs--
-	x.node, x.leg = x.twin, x.leg-1 // of a copy: the first try stands
-	x.tried = x.tried[:len(x.tried)-1]
-	if n.Origin {
-		b.atOrigin--
-	} else {
-		b.flying--
-	}
+// These methods serve a shadow balancer: an Instance that is given all events of another one and decides,
+// but is then told what the other one did. Nothing here decides.
+
+// Has reports whether the instance still decides on a request.
+func (b *Instance) Has(index int) bool { return index < len(b.requests) && b.requests[index].live }
+
+// Yield takes a request out of the instance's hands. It goes on learning from the attempts of the request.
+func (b *Instance) Yield(index int) { b.finish(index) }
+
+// Unsent takes back the latest attempt of a request, which this instance decided on and which was not sent.
+func (b *Instance) Unsent(index int) {
+	request := &b.requests[index]
+	b.recordEnded(request, &b.endpoints[request.endpoint])
+	request.attempts--
+	request.resumePreviousAttempt() // if it was a hedged attempt, the first one stands
+	request.triedEndpoints = request.triedEndpoints[:len(request.triedEndpoints)-1]
 }
 
-// Went notes a try that the other sent.
-func (b *Instance) Went(now Time, cx, node int) {
+// Went records an attempt that the other instance sent.
+func (b *Instance) Went(now Time, index, endpoint int) {
 	b.now = now
-	b.went(&b.xs[cx], node)
+	b.recordSent(&b.requests[index], endpoint)
 }
 
-// Load is how many tries are out at caches, and how many those answer in time.
-func (b *Instance) Load() (flying int, room float64) { return b.flying, b.room }
+// Load returns how many attempts are in flight at caches, and how many of them the caches answer in time.
+func (b *Instance) Load() (inFlight int, capacity float64) {
+	return b.caches.inFlight, b.admission.capacity
+}
 
-// Passed tells whether a node is passed over until it answers.
-func (b *Instance) Passed(at int) bool { return at < len(b.nodes) && b.nodes[at].down }
+// Passed reports whether an endpoint is ejected.
+func (b *Instance) Passed(endpoint int) bool {
+	return endpoint < len(b.endpoints) && b.endpoints[endpoint].ejected
+}
 
-// Out is how many tries are out, as far as the instance knows.
-func (b *Instance) Out() int { return b.flying + b.atOrigin }
+// Out returns how many attempts are in flight, as far as the instance knows.
+func (b *Instance) Out() int { return b.caches.inFlight + b.origin.inFlight }
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -1,27 +1,36 @@
 package balancer
 
-// coldFull holds for a fresh node with as much in flight as its answers so far allow, or whose part of the
-// budget is used up. The budget is what the rule lets all proxies send, cut to this proxy's part, with the
-// capacity taken to be no more than what a warm node bears for this proxy.
-func (b *Instance) coldFull(n *node) bool {
-	age := b.now - n.Since
-	if n.Since == 0 || age >= b.cold {
+// slowStartLimited holds for an endpoint in slow start that has as much in flight as its responses so far
+// allow, or that has used up its part of the slow-start budget. It consumes that budget.
+func (b *Instance) slowStartLimited(endpoint *endpointState) bool {
+	age := b.now - endpoint.Since
+	if endpoint.Since == 0 || age >= b.slowStart.period {
 		return false
 	}
-	if n.out >= 1+n.answers/4 {
+	if endpoint.inFlight >= 1+endpoint.responses/4 {
 		return true
 	}
-	part := b.coldFrom + (1-b.coldFrom)*float64(max(age, 0))/float64(b.cold)
-	// a node that serves one at a time does one in the time that answers take: no node can do less
-	warm := b.count(0) / float64(max(b.caches, 1))
-	rate := max(0.5*b.pushed*part*warm, b.share*part*float64(second)/max(b.took, 1))
-	n.budget += rate * float64(b.now-n.budgetAt) / float64(second)
-	// what a window of the rule has room for, saved up by all proxies, may come at one time; one from each of
-	// many would be too much, so that a part of a send is one by chance
-	window := rate * float64(b.pushedFor) / float64(second)
-	n.budget = min(n.budget, 1.5*window, 1+window/4)
-	n.budgetAt = b.now
-	lot := min(n.budget, 1)
-	n.budget -= lot
-	return b.draw() >= lot
+	b.refillSlowStartBudget(endpoint, age)
+	consumed := min(endpoint.slowStartBudget, 1)
+	endpoint.slowStartBudget -= consumed
+	// a part of an attempt is an attempt by chance
+	return b.random.draw() >= consumed
+}
+
+// refillSlowStartBudget adds what may be sent since the last time. That is this proxy's part of what all
+// proxies may send without bringing the endpoint down, with its capacity taken to be no more than what a
+// warm endpoint answers for this proxy.
+func (b *Instance) refillSlowStartBudget(endpoint *endpointState, age Time) {
+	c := &b.slowStart
+	share := c.initialShare + (1-c.initialShare)*float64(max(age, 0))/float64(c.period)
+	warmRate := b.cacheResponseRate() / float64(max(b.ring.caches, 1))
+	// one that serves one at a time answers one in the mean latency: no endpoint has a lower capacity
+	minRate := b.quotaShare * share * float64(second) / max(b.caches.meanLatency, 1)
+	rate := max(0.5*c.overloadMultiple*share*warmRate, minRate)
+	endpoint.slowStartBudget += rate * float64(b.now-endpoint.budgetUpdatedAt) / float64(second)
+	endpoint.budgetUpdatedAt = b.now
+	// what the window has room for, saved up by all proxies, may come at one time; one from each of many
+	// proxies would be too much
+	window := rate * float64(c.overloadWindow) / float64(second)
+	endpoint.slowStartBudget = min(endpoint.slowStartBudget, 1.5*window, 1+window/4)
 }
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -1,145 +1,175 @@
 package balancer
 
-// Instance decides for one proxy.
+// Instance decides for one proxy. New returns one; it is not safe for concurrent use.
 type Instance struct {
-	routes     []route
-	share      float64 // 1/proxies
-	aside      bool
-	mayCancel  bool
-	parallel   bool // two tries of an exchange may be out at once
-	maxTries   int
-	comeBack   Time // longest advice to clients, 0: none
-	tick       Time
-	hush       Time // silence that tells a node is sick
-	originAim  Time // the origin's answers should take no longer
-	cold       Time
-	coldFrom   float64
-	pushed     float64 // multiple of its capacity that fells a cold node
-	pushedFor  Time
-	beyondPart float64
-	allowance  []float64 // by tenant, a second, this proxy's share
-	spent      []float64 // by tenant, decays with time
-	spentAt    []Time
-	me         int // its number among them
-	peers      int // proxies that may be told something
-	ask        bool
-	askEvery   Time
-	rough      bool
-	crowd      float64 // part of the time there is that a crowded owner's answers take
-	chance     uint64
-
-	now      Time
-	xs       []exchange
-	nodes    []node
-	ring     []point
-	caches   int     // on the ring
-	open     float64 // of these, but for the parts that keys pass by
-	origins  []int
-	flying   int // own tries in flight to caches on the ring
-	weightOf float64
-	walk     int
-	due      dues
-	todo     []int // exchanges to look at, emptied by each call
-	hand     *exchange
-	at       int // index of hand
-	pick     int // node chosen for it, -1: none
-	queue    [2][]int
-	queued   int
-	fetches  map[uint64]int   // by key: the exchange whose fetch is out; emptied as fetches end
-	waiters  map[uint64][]int // by key: those that wait for it; emptied with the fetch
-	limit    float64          // own tries in flight at the origin; under one, they come with pauses
-	least    float64          // the limit's floor
-	held     float64          // the limit when the origin last answered
-	originAt Time             // no try there before
-	atOrigin int
-	lean     float64 // half of what the limit begins at
-	tight    bool    // the origin's limit is all but down, for the log
-	fetch    float64 // mean time of its answers
-	fetchAt  Time    // when the last of them came
-	cutAt    Time
-	room     float64 // own tries in flight that the caches answer in time
-	spare    float64 // repeats after failures that may be sent
-	full     bool    // whether work is turned away, for the log
-	lates    float64 // share of the caches' answers that are late, lately, and when the last came
-	latesAt  Time
-	faults   float64 // share of the caches' answers that are failures, lately
-	lastCome Time    // last answer of any cache
-	took     float64 // mean time of the caches' answers, and how far they stray from it
-	strays   float64
-	timed    float64 // answers that these are of, 32 at most
-	answered float64 // the caches' answers, those of long ago faded
-	rateAt   Time
-	began    Time
-	wakeAt   Time
-	askAt    Time
-	out      []Decision
+	config
+	routes []routeState
+	random generator
+
+	// now is the clock of the event being handled, decisions what it has led to so far.
+	now       Time
+	decisions []Decision
+
+	requests  []requestState
+	endpoints []endpointState
+	visitMark int   // stamp of the latest walk over endpoints
+	origins   []int // ready origins
+	ring      ring
+
+	pending      []int // requests to decide on, emptied by each call
+	current      *requestState
+	currentIndex int
+	candidate    int // endpoint chosen for the current request, notSearched or noEndpoint
+
+	deadlines   deadlineHeap
+	originQueue requestQueue
+	coalescing  coalescer
+	caches      cacheStatistics
+	origin      originLimiter
+	admission   admissionControl
+	quota       tenantQuota
+	retryBudget float64 // retries and hedged attempts that may be sent
+
+	wakeAt Time // when the caller will call Woken
+	pollAt Time // when the endpoint list is polled again
+}
+
+// config holds the settings in the form that decisions use. Only quotaShare changes after New.
+type config struct {
+	quotaShare           float64 // part of all proxies' traffic that this proxy may send, 1/proxies at first
+	cacheAside           bool
+	mayCancel            bool
+	hedging              bool // two attempts of a request may be in flight at once
+	maxAttempts          int
+	maxRetryAfter        Time // longest Retry-After, 0: none is sent
+	tick                 Time // resolution of timeouts
+	noResponseTimeout    Time // silence after which an endpoint is taken for an outlier
+	slowStart            slowStartConfig
+	self                 int // number of this proxy among the peers
+	peerCount            int // other proxies that can be notified
+	pollsList            bool
+	pollInterval         Time
+	approximateWeights   bool
+	overloadedOwnerShare float64 // part of a request's remaining time that the answer of an overloaded owner takes
+}
+
+// slowStartConfig says how an endpoint that just started is loaded.
+type slowStartConfig struct {
+	period           Time
+	initialShare     float64 // share of the full load at the start, growing evenly to 1
+	overloadMultiple float64 // multiple of its capacity that brings down an endpoint in slow start
+	overloadWindow   Time    // the span over which that load is counted
 }
 
-// route holds the figures that decisions use of one class.
-type route struct {
+// routeState is a route with the figures derived from it.
+type routeState struct {
 	Route
-	patience Time    // how long an answer is worth waiting for
-	aim      Time    // how long it is worth its whole value
-	worth    float64 // value as a share of the dearest route's
-	usual    Time    // what clients give a first try, by majority
-	votes    int     // for usual, 1000 at most
+	giveUpAfter         Time    // how long an answer is worth waiting for
+	latencyBudget       Time    // how long an answer has its whole value
+	priorityWeight      float64 // value as a part of the most valuable route's
+	firstAttemptTimeout Time    // what clients give a first attempt, by majority
+	timeoutVotes        int     // for firstAttemptTimeout, maxTimeoutVotes at most
 }
 
-// node is what this proxy knows of one server. Nodes are as many as were listed at a time, or had not long gone.
-type node struct {
+// endpointState is what this proxy knows of one endpoint.
+type endpointState struct {
 	Listing
-	out      int     // own tries in flight
-	quiet    Time    // no answer since then, with tries out
-	down     bool    // passed over until an answer comes
-	part     float64 // of the keys that pass it by, since its zone is left
-	off      bool    // for its silence: what is out there is called off
-	retryAt  Time    // when a node that is down may have one try
-	rest     Time    // how long it is left alone after the next failure
-	answers  int     // since it was cold
-	budget   float64
-	budgetAt Time
-	slow     float64 // what its latest answers took
-	slowAt   Time
-	metAt    Time    // its latest answer
-	spread   Time    // when peers last heard or told of it
-	doubt    float64 // how far it is believed silent on hearsay, and since when
-	doubtAt  Time
-	refused  float64 // share of own tries that it turned away as full, lately
-	triedAt  Time    // end of the last
-	faults   float64 // share of its answers that are failures, lately
-	spots    int     // points on the ring
-	moved    bool    // by the latest list, on to the ring or off it
-	seen     int     // stamp of the last walk that met it
+	inFlight       int  // attempts of this proxy
+	silentSince    Time // no response since then, with attempts in flight
+	lastResponseAt Time
+
+	ejected      bool // sent nothing but probes until it responds
+	probeAt      Time // when an ejected endpoint may be sent the next probe
+	ejectionTime Time // interval of probes, growing with each failure
+	errorShare   float64
+	overloads    movingMean // share of attempts that it rejected as overloaded
+	latency      movingMean // latency of its responses, in units of Time
+
+	excludedShare float64 // part of the keys that avoid it since its zone is evacuated
+	evacuating    bool    // attempts in flight there are cancelled
+
+	responses       int     // since its slow start began
+	slowStartBudget float64 // attempts that it may be sent now
+	budgetUpdatedAt Time
+
+	gossipAt    Time    // when its state was last received from peers or sent to them
+	suspicion   float64 // how likely it is silent by the word of peers, as of suspicionAt
+	suspicionAt Time
+
+	points        int  // on the ring
+	pointsChanged bool // by the latest endpoint list
+	visitMark     int  // stamp of the latest walk that met it
 }
 
-// exchange is one client request while an answer is owed or tries are out. Slots are reused.
-type exchange struct {
+// requestState is one client request while it is unanswered or has attempts in flight. Indices are reused.
+type requestState struct {
 	Exchange
-	live      bool // an answer is owed
-	streaming bool
-	fresh     bool // no lots drawn yet
-	turned    bool // turned away by them
-	cut       bool // its last try's connection broke
-	off       bool // its last try was called off, as its zone is left
-	missed    bool // a cache lacked the key
-	joined    bool // has waited for another's fetch
-	leads     bool // its fetch is the one that others wait for
-	queued    bool // waits for room at the origin
-	waits     bool // waits for another's fetch
-	ran       bool // some try may have run
-	ranAt     Time // when the first such was sent
-	ranNode   int
-	deadline  Time // the final answer's last moment
-	good      Time // an answer after this is worth nothing
-	aim       Time // one after this is worth less
-	due       Time // next look
-	place     int  // in the heap, -1: none
-	legs      int  // tries sent
-	out       int  // tries in flight
-	node      int  // of the last try that is out, or was,
-	leg       int  // its number,
-	twin      int  // and the node of the one before it
-	sent      Time
-	beyond    bool
-	tried     []int
+	live        bool // the client still waits for an answer
+	streaming   bool // the answer has begun
+	unadmitted  bool // admission control has not seen it yet
+	rejected    bool // by admission control
+	overQuota   bool // of its tenant
+	deadline    Time // last moment of the final answer
+	giveUpAt    Time // an answer after this is worth nothing
+	objectiveAt Time // an answer after this misses the latency objective
+	nextCheckAt Time
+	heapIndex   int // in the heap of deadlines, -1: none
+
+	needsOrigin bool // a cache missed, or it is a write
+	queued      bool // for capacity at the origin
+	leadsFetch  bool // others wait for its fetch
+	following   bool // it waits for another's fetch
+	hasFollowed bool // it has waited once
+
+	attempts         int // sent so far
+	inFlight         int
+	endpoint         int // of the latest attempt in flight, or that was
+	attempt          int // number of that attempt
+	previousEndpoint int // of the attempt before it
+	sentAt           Time
+	triedEndpoints   []int
+	wasReset         bool // the connection of its latest attempt was reset
+	evacuated        bool // its latest attempt was cancelled since the zone is evacuated
+	mayHaveRun       bool // some attempt may have been carried out
+	firstRunAt       Time // when the first such attempt was sent
+	firstRunEndpoint int
+}
+
+// admissionControl bounds the attempts in flight at caches.
+type admissionControl struct {
+	capacity   float64 // attempts of this proxy in flight that the caches answer in time
+	overloaded bool    // as last logged
+}
+
+// originLimiter adapts the concurrency of this proxy at the origin to how the origin answers.
+type originLimiter struct {
+	objective     Time    // the origin's answers should take no longer
+	limit         float64 // attempts in flight; below one, attempts are sent with pauses between them
+	floor         float64
+	lowWater      float64 // half of what the limit begins at
+	lastGoodLimit float64 // the limit when the origin last answered
+	inFlight      int
+	nextAttemptAt Time       // none is sent before
+	reducedAt     Time       // when the limit was last reduced
+	latency       movingMean // of its answers, in units of Time
+	constrained   bool       // the limit is below its low-water mark, as last logged
+}
+
+// tenantQuota counts the requests of each tenant against its rate.
+type tenantQuota struct {
+	rates           []float64 // by tenant, requests per second of this proxy
+	used            []float64 // by tenant, falls at its rate
+	updatedAt       []Time
+	overQuotaWeight float64 // factor on the priority weight of requests over quota
+}
+
+// outcome is the end of an attempt with what is learnt from it.
+type outcome struct {
+	Answer
+	request   *requestState
+	endpoint  *endpointState
+	responded bool // the endpoint sent a response of any kind
+	late      bool // of the latency objective
+	// failedProbe: an ejected endpoint did not answer. That says nothing of the load on the others.
+	failedProbe bool
 }
--- a/balancer/statistics.go
+++ b/balancer/statistics.go
@@ -2,37 +2,96 @@
 
 import "math"
 
-const second = Time(10000)
+const (
+	second = Time(10000)
 
-// count adds to the rate of the caches' answers, which fades: half is gone in seven seconds. What there
-// was no time yet to count is made up for.
-func (b *Instance) count(more float64) float64 {
-	b.answered = b.answered*fade(b.now-b.rateAt) + more
-	b.rateAt = b.now
-	return b.answered * 0.1 / max(1-fade(b.now-b.began), 0.01)
+	// rateHalfLife is the time in which half of the counted responses is forgotten.
+	rateHalfLife = 7 * second
+	// latencySamples bounds the weight of the past in the mean latency of the caches.
+	latencySamples = 32
+	// deviationSamples keeps the deviation from jumping with the first few samples.
+	deviationSamples = 4
+)
+
+// movingMean is a mean in which an observation has the more weight the longer ago the one before it was
+// made.
+type movingMean struct {
+	value     float64
+	updatedAt Time
+}
+
+// observe takes a value into the mean. The weight is the part of span that has passed since the one before,
+// within [minWeight, 1].
+func (m *movingMean) observe(now Time, value, minWeight float64, span Time) {
+	m.value += (value - m.value) * observationWeight(minWeight, now-m.updatedAt, span)
+	m.updatedAt = now
+}
+
+func observationWeight(minWeight float64, elapsed, span Time) float64 {
+	return min(max(minWeight, float64(elapsed)/float64(span)), 1)
 }
 
-func one(is bool) float64 {
-	if is {
+// indicator is 1 for true and 0 for false.
+func indicator(condition bool) float64 {
+	if condition {
 		return 1
 	}
 	return 0
 }
 
-func fade(gone Time) float64 { return math.Exp2(-float64(gone) / float64(7*second)) }
+// decay is the part of a count that is left after a span.
+func decay(elapsed Time) float64 { return math.Exp2(-float64(elapsed) / float64(rateHalfLife)) }
+
+// responseRate is the rate of responses, with those of long ago forgotten by rateHalfLife.
+type responseRate struct {
+	count     float64
+	updatedAt Time
+	startedAt Time
+}
 
-// weight is what a sight counts in a mean: the longer since the last one, the more.
-func weight(least float64, gap, span Time) float64 {
-	return min(max(least, float64(gap)/float64(span)), 1)
+// add counts more responses and returns the rate per second. What there was no time yet to count is made up
+// for. Each call rounds: calling it more or less often changes the last digits.
+func (r *responseRate) add(now Time, more float64) float64 {
+	r.count = r.count*decay(now-r.updatedAt) + more
+	r.updatedAt = now
+	return r.count * 0.1 / max(1-decay(now-r.startedAt), 0.01)
 }
 
-// slows notes what a node's answer took.
-func (b *Instance) slows(n *node, took, least float64) {
-	n.slow += (took - n.slow) * weight(least, b.now-n.slowAt, 10*second)
-	n.slowAt = b.now
+// cacheStatistics is what this proxy has observed of all caches together.
+type cacheStatistics struct {
+	inFlight       int     // attempts of this proxy at caches
+	meanLatency    float64 // in units of Time, as the deviation
+	meanDeviation  float64
+	samples        float64 // observations that the two stand on, latencySamples at most
+	lateShare      movingMean
+	errorShare     float64
+	lastResponseAt Time
+	rate           responseRate
+}
+
+func newCacheStatistics(now, objective Time) cacheStatistics {
+	return cacheStatistics{
+		meanLatency: float64(objective),
+		rate:        responseRate{updatedAt: now, startedAt: now},
+	}
+}
+
+// observeLatency takes the latency of a timely response into mean and deviation. The first ones count for
+// more: with little traffic it takes seconds until there are latencySamples.
+func (s *cacheStatistics) observeLatency(latency Time) {
+	s.samples = min(s.samples+1, latencySamples)
+	s.meanLatency += (float64(latency) - s.meanLatency) / s.samples
+	s.meanDeviation += (math.Abs(float64(latency)-s.meanLatency) - s.meanDeviation) / max(s.samples, deviationSamples)
+}
+
+// cacheResponseRate is the rate per second at which caches respond to this proxy.
+func (b *Instance) cacheResponseRate() float64 { return b.caches.rate.add(b.now, 0) }
+
+// responseInterval is the mean time between two responses to this proxy from the same cache.
+func (b *Instance) responseInterval() Time {
+	return Time(float64(second) * float64(b.ring.caches) / max(b.cacheResponseRate(), 1))
 }
 
-// meetings is the mean time between two of this proxy's answers from one cache.
-func (b *Instance) meetings() Time {
-	return Time(float64(second) * float64(b.caches) / max(b.count(0), 1))
+func (b *Instance) observeEndpointLatency(endpoint *endpointState, latency Time, minWeight float64) {
+	endpoint.latency.observe(b.now, float64(latency), minWeight, 10*second)
 }
--- a/balancer/types.go
+++ b/balancer/types.go
@@ -1,126 +1,149 @@
 package balancer
 
-// Time counts tenths of a millisecond on the caller's clock; spans use it too.
+// Time counts tenths of a millisecond on the caller's clock. Both instants and spans are counted in it.
 type Time int64
 
-// Effect tells what a repeat of an exchange does.
+// Effect says what happens when an upstream carries out a request that it had already carried out.
 type Effect uint8
 
 const (
+	// Retriable requests may be carried out any number of times.
 	Retriable Effect = iota
+	// Deduped requests are carried out once by the endpoints of one Group within the route's Window.
 	Deduped
+	// NonRetriable requests may be sent again only if no attempt can have run.
 	NonRetriable
 )
 
-// Group names the nodes that drop each other's repeats of a deduped exchange.
+// Group names the endpoints that drop each other's duplicates of a Deduped request.
 type Group uint8
 
 const (
+	// GroupAll is every endpoint.
 	GroupAll Group = iota
+	// GroupZone is the endpoints of one zone.
 	GroupZone
+	// GroupCell is the endpoints of one cell.
 	GroupCell
 )
 
-// Route is what the operators state of one class of exchanges.
+// Route is the configuration of one class of requests.
 type Route struct {
-	Objective, Overall Time    // latency objective, overall timeout
-	Value, Overdue     float64 // value in time, part of it earned when overdue
+	Objective, Overall Time    // latency objective and overall timeout
+	Value, Overdue     float64 // value of an answer within the objective, and the part of it that a later one earns
 	Effect             Effect
 	Group              Group
-	Window             Time // how long repeats are dropped
+	Window             Time // how long duplicates are dropped after the first attempt
 }
 
-// Terms is what an instance is told at its start. New derives its figures from it and keeps none of it.
+// Terms are the settings of an Instance. New derives its own figures from them and keeps none of them.
 type Terms struct {
-	Proxies                int // proxies that share the nodes, this one included
-	Me                     int // this one's number
-	Peers                  int // those of them that may be told something, 0: none
+	Proxies                int // proxies that share the endpoints, this one included
+	Me                     int // number of this proxy among the peers
+	Peers                  int // how many other proxies can be notified; 0 turns notification off
 	Routes                 []Route
-	Allowance              []float64 // by tenant: exchanges a second within its share, all proxies together
-	BeyondShare            float64
-	Punctual               bool // misses of the objective are counted, sheds within it are not
-	Aside                  bool // a cache that lacks a key says so; we ask the origin
-	Parallel, MayCancel    bool
-	MaxTries               int
-	RetryAfter             bool
+	Allowance              []float64 // quota by tenant: requests per second over all proxies together
+	BeyondShare            float64   // factor on the priority weight of requests over quota
+	Punctual               bool      // an answer after the objective is worth nothing, though a rejection within it costs nothing
+	Aside                  bool      // cache-aside: a cache reports a miss, and the proxy asks the origin
+	Parallel, MayCancel    bool      // two attempts of a request may be in flight; attempts may be cancelled
+	MaxTries               int       // attempts per request
+	RetryAfter             bool      // rejections carry a Retry-After
 	MaxRetryAfter          Time
-	Tick                   Time
+	Tick                   Time // resolution of timeouts
 	ConnectTimeout         Time
-	Ask                    bool // the list comes only when asked for
-	AskEvery               Time
-	Cold, Fall             Time
+	Ask                    bool // the endpoint list is polled, not pushed
+	AskEvery               Time // interval of polling
+	Cold, Fall             Time // slow start: its period, and the window over which an overload is counted
 	ColdFrom, FallMultiple float64
-	RoughWeights           bool
-	Fetch                  float64 // fee for a fetch from the origin, in values of an exchange
+	RoughWeights           bool    // ring points follow the endpoints' weights
+	Fetch                  float64 // cost of a fetch from the origin, in values of a request
 }
 
-// Listing is one line of the node list.
+// Listing is one endpoint of the endpoint list.
 type Listing struct {
-	Node   int    // small index; another's once that has been gone for longer than any exchange lives
-	Name   string // hashed on to the ring, never read
+	Node   int    // index; assigned anew once its endpoint has been gone for longer than any request lives
+	Name   string // hashed on to the ring, otherwise not interpreted
 	Origin bool
 	Ready  bool // neither draining nor gone
-	Since  Time // when it last started; 0: long ago
+	Since  Time // when it last started; 0: long ago or not known
 	Weight float64
 	Zone   int
 	Cell   int
 }
 
-// Exchange is one client request as it arrives.
+// Exchange is a client request as it arrives.
 type Exchange struct {
 	Route, Tenant int // Tenant -1: none
 	Key           uint64
-	Keyed         bool
+	Keyed         bool // Key is set; a request without a key goes to any cache
 	Write         bool
-	Remaining     Time
-	Repeat        bool // the client says that it asks again
+	Remaining     Time // what is left of the client's timeout
+	Repeat        bool // the client marks it as a retry of its own
 }
 
-// Ending is how an upstream try, or a probe, ended.
+// Ending is the outcome of an upstream attempt or of a health check probe.
 type Ending uint8
 
 const (
+	// Completed attempts brought an answer.
 	Completed Ending = iota
+	// Fault is a server error.
 	Fault
+	// NoRoom means that the endpoint was overloaded and did not run the request.
 	NoRoom
+	// Silent attempts timed out without an answer.
 	Silent
+	// Unreachable means that connecting failed.
 	Unreachable
+	// Cut means that the connection was reset.
 	Cut
+	// Undone attempts were cancelled by the proxy.
 	Undone
+	// NeverSent means that the request did not leave the proxy.
 	NeverSent
+	// Lacking is a cache miss: the cache does not hold the key.
 	Lacking
 )
 
-// Answer reports the end of an upstream try.
+// Answer reports the end of an upstream attempt.
 type Answer struct {
-	Cx, Node int
+	Cx, Node int // indices of the request and of the endpoint
 	Ending   Ending
-	Took     Time
-	Ended    bool // the exchange is over with it, or was before
+	Took     Time // since the attempt was sent
+	Ended    bool // the request has its final answer by it, or had it before
 }
 
 // Act names what a Decision asks the caller to do.
 type Act uint8
 
 const (
+	// Send starts an attempt.
 	Send Act = iota
+	// Cancel cancels an attempt in flight.
 	Cancel
+	// Shed rejects the request; the client may safely try again.
 	Shed
+	// Error fails the request, which may have been carried out.
 	Error
+	// Wake asks for a call of Woken.
 	Wake
+	// Follow polls the endpoint list.
 	Follow
-	Tell // peers that a node went silent or answers
+	// Tell notifies a peer that an endpoint stopped responding or responds again.
+	Tell
+	// Log writes a line to the log.
 	Log
 )
 
-// Decision is one thing for the caller to do, in order.
+// Decision is one thing for the caller to do. Which fields are set depends on Act.
 type Decision struct {
 	Act     Act
-	Cx      int
-	Node    int
-	Leg     int
-	After   Time // Send: the try's time-out; Shed: when to come back; Wake: from now
-	Peer    int  // Tell: its number
-	Text    string
-	Answers bool // Tell: the node answers again, else it went silent
+	Cx      int    // Send, Cancel, Shed, Error: index of the request
+	Node    int    // Send, Tell: index of the endpoint
+	Leg     int    // Cancel: number of the attempt, the first is 0
+	After   Time   // Send: timeout of the attempt; Shed: Retry-After, 0 is none; Wake: from now
+	Peer    int    // Tell: number of the peer
+	Text    string // Log
+	Answers bool   // Tell: the endpoint responds again, otherwise it stopped responding
 }
