balancer: a file for each type of state; thresholds of outcomes are named

The thresholds at which an outcome tells of an overload or ejects an endpoint have names; counting a response of a cache is one function beside the means. Settings are documented one a line, with units and ranges. No change of behaviour.

--- a/balancer/inflight.go
+++ b/balancer/attempt.go
@@ -1,5 +1,26 @@
 package balancer
 
+// outcome is the end of an attempt with what is learnt from it.
+type outcome struct {
+	Answer
+	request   *requestState
+	endpoint  *endpointState
+	responded bool // the endpoint sent a response of any kind
+	late      bool // of the latency objective
+	// failedProbe: an ejected endpoint did not answer. That says nothing of the load on the others.
+	failedProbe bool
+}
+
+// mayHaveRun tells whether an endpoint may have carried out the request.
+func (e Ending) mayHaveRun() bool {
+	return e != NoRoom && e != Unreachable && e != NeverSent && e != Lacking
+}
+
+// isResponse tells whether the endpoint responded at all.
+func (e Ending) isResponse() bool {
+	return e == Completed || e == Lacking || e == Fault || e == NoRoom
+}
+
 // recordSent counts an attempt that was sent.
 func (b *Instance) recordSent(request *requestState, to int) {
 	endpoint := &b.endpoints[to]
@@ -33,8 +54,3 @@
 	}
 	return &b.caches.inFlight
 }
-
-// resumePreviousAttempt makes the attempt before the latest one the latest again.
-func (r *requestState) resumePreviousAttempt() {
-	r.endpoint, r.attempt = r.previousEndpoint, r.attempt-1
-}
--- a/balancer/deadlineheap.go
+++ b/balancer/deadlineheap.go
@@ -63,17 +63,3 @@
 		heap.Remove(&b.deadlines, i)
 	}
 }
-
-// Until moves all deadlines to the given time at the latest, since the process stops then.
-func (b *Instance) Until(now, until Time) []Decision {
-	b.begin(now)
-	for i := range b.requests {
-		request := &b.requests[i]
-		if request.live && request.heapIndex >= 0 && request.deadline > until {
-			request.deadline = until
-			request.giveUpAt = min(request.giveUpAt, until-b.tick)
-			b.setDeadline(i, min(request.nextCheckAt, request.giveUpAt))
-		}
-	}
-	return b.settle()
-}
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -67,3 +67,17 @@
 	}
 	return b.settle()
 }
+
+// Until moves all deadlines to the given time at the latest, since the process stops then.
+func (b *Instance) Until(now, until Time) []Decision {
+	b.begin(now)
+	for i := range b.requests {
+		request := &b.requests[i]
+		if request.live && request.heapIndex >= 0 && request.deadline > until {
+			request.deadline = until
+			request.giveUpAt = min(request.giveUpAt, until-b.tick)
+			b.setDeadline(i, min(request.nextCheckAt, request.giveUpAt))
+		}
+	}
+	return b.settle()
+}
--- a/balancer/origin.go
+++ b/balancer/origin.go
@@ -79,9 +79,9 @@
 func (b *Instance) enqueueForOrigin() {
 	request := b.current
 	request.queued = true
-	priority := readsLast
+	priority := readPriority
 	if request.Write {
-		priority = writesFirst
+		priority = writePriority
 	}
 	b.originQueue.push(priority, b.currentIndex)
 	b.leadFetch()
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -1,12 +1,20 @@
 package balancer
 
+const (
+	overloadErrorShare = 0.1 // share of errors of all caches above which an error is taken for an overload
+	overloadLateShare  = 0.2 // share of late responses of all caches above which a late one is
+	overloadAttempts   = 3   // attempts of a request after which a rejection by a cache is
+	ejectionErrorShare = 0.4 // share of errors above which a cache may be ejected
+	ejectionErrorRatio = 2   // how much more of its responses have to be errors than of all caches'
+)
+
 // learn updates what is known of the endpoint, of the caches or the origin, and of their limits by an
 // outcome.
 func (b *Instance) learn(request *requestState, endpoint *endpointState, a Answer) {
 	unanswered := a.Ending == Silent || a.Ending == Undone
 	o := outcome{
 		Answer: a, request: request, endpoint: endpoint, failedProbe: unanswered && endpoint.ejected,
-		responded: a.Ending == Completed || a.Ending == Lacking || a.Ending == Fault || a.Ending == NoRoom,
+		responded: a.Ending.isResponse(),
 	}
 	// an attempt cancelled when its time was up was no less late than one whose own timeout came first
 	o.late = a.Ending == Silent || (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone) &&
@@ -38,8 +46,8 @@
 		b.origin.reduce(b.now)
 	case o.endpoint.Origin || o.request.needsOrigin || o.failedProbe:
 		// no sign that the caches have too much to do
-	case o.late || o.Ending == Fault && b.caches.errorShare > 0.1 ||
-		o.Ending == NoRoom && o.request.attempts >= 3:
+	case o.late || o.Ending == Fault && b.caches.errorShare > overloadErrorShare ||
+		o.Ending == NoRoom && o.request.attempts >= overloadAttempts:
 		b.observeEndpointLatency(o.endpoint, max(o.Took, b.noResponseTimeout/2), 0.5)
 		if b.isCacheOverload(o) {
 			b.reduceCapacity()
@@ -66,7 +74,7 @@
 // come of resets and hung endpoints that each proxy meets for itself.
 func (b *Instance) isCacheOverload(o *outcome) bool {
 	return o.Ending == NoRoom || o.Ending == Fault || o.endpoint.latency.value < 2*b.caches.meanLatency ||
-		b.peerCount > 0 && b.caches.lateShare.value > 0.2
+		b.peerCount > 0 && b.caches.lateShare.value > overloadLateShare
 }
 
 func (b *Instance) learnOriginLimit(o *outcome) {
@@ -96,18 +104,15 @@
 	if !o.responded || o.endpoint.Origin {
 		return
 	}
-	endpoint := o.endpoint
+	endpoint, isError := o.endpoint, o.Ending == Fault
 	b.caches.lastResponseAt = b.now
 	if o.Ending != NoRoom {
-		endpoint.responses++
-		b.caches.rate.add(b.now, 1)
-		isError := indicator(o.Ending == Fault)
-		endpoint.errorShare += (isError - endpoint.errorShare) / 8
-		b.caches.errorShare += (isError - b.caches.errorShare) / 64
+		b.countCacheResponse(endpoint, isError)
 	}
-	if o.Ending == Fault && endpoint.errorShare > 0.4 && endpoint.errorShare > 2*b.caches.errorShare {
+	if isError && endpoint.errorShare > ejectionErrorShare &&
+		endpoint.errorShare > ejectionErrorRatio*b.caches.errorShare {
 		b.eject(endpoint)
-	} else if endpoint.ejected && o.Ending != Fault {
+	} else if endpoint.ejected && !isError {
 		endpoint.ejected, endpoint.ejectionTime = false, 0
 		b.logf("endpoint %d responds again", endpoint.Node)
 	}
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -8,11 +8,6 @@
 	retriesPerAdmittance = 0.1
 )
 
-// mayHaveRun tells whether an endpoint may have carried out the request.
-func (e Ending) mayHaveRun() bool {
-	return e != NoRoom && e != Unreachable && e != NeverSent && e != Lacking
-}
-
 func (b *Instance) attemptsExhausted() bool { return b.current.attempts >= b.maxAttempts }
 
 // retryForbidden holds for a request that may have run and that may not be sent again, or not by the budget.
--- a/balancer/scenario_test.go
+++ b/balancer/scenario_test.go
@@ -14,7 +14,8 @@
 //	settings WORD=VALUE ...              settings of the balancer; a bare word switches on
 //	route NAME WORD=VALUE ...            before the first line that has a time
 //	MS list [complete] NAME[:draining|:gone|:since=MS|:weight=W|:zone=N|:at=NAME] ...
-//	                                     the endpoint list; origins are named o1, o2 ...; at: has the index of one long gone
+//	                                     the endpoint list; origins are named o1, o2 ...
+//	                                     at: has the index of one long gone
 //	MS arrive REQUEST ROUTE [key=N] [remaining=MS] [write] [client-retry] [tenant=N]
 //	MS arrive-each FROM-TO ROUTE [remaining=MS] [write] [client-retry]
 //	                                     a request for each index, its key is the index
@@ -27,7 +28,8 @@
 //	MS exclude ENDPOINT PART [cancel]    its zone is evacuated; what is in flight there is cancelled
 //	MS delay-probe ENDPOINT MS           its next probe comes no sooner
 //	MS quota-share PART                  of what all proxies may send
-//	> send REQUEST ENDPOINT | notify PEER ENDPOINT silent|responds | cancel REQUEST | reject REQUEST | error REQUEST | poll
+//	> send REQUEST ENDPOINT | notify PEER ENDPOINT silent|responds | cancel REQUEST
+//	> reject REQUEST | error REQUEST | poll
 //	                                     exactly these, in order
 //	> log TEXT | no-log TEXT
 //	> count ACT [ENDPOINT] OP N          how many came of one line
--- a/balancer/statistics.go
+++ b/balancer/statistics.go
@@ -11,6 +11,10 @@
 	latencySamples = 32
 	// deviationSamples keeps the deviation from jumping with the first few samples.
 	deviationSamples = 4
+	// endpointErrorSamples and errorSamples are the responses over which shares of errors are smoothed, of one cache
+	// and of all.
+	endpointErrorSamples = 8
+	errorSamples         = 64
 )
 
 // movingMean is a mean in which an observation has the more weight the longer ago the one before it was
@@ -95,3 +99,12 @@
 func (b *Instance) observeEndpointLatency(endpoint *endpointState, latency Time, minWeight float64) {
 	endpoint.latency.observe(b.now, float64(latency), minWeight, 10*second)
 }
+
+// countCacheResponse takes the response of a cache that ran the request into rate and shares of errors.
+func (b *Instance) countCacheResponse(endpoint *endpointState, isError bool) {
+	endpoint.responses++
+	b.caches.rate.add(b.now, 1)
+	value := indicator(isError)
+	endpoint.errorShare += (value - endpoint.errorShare) / endpointErrorSamples
+	b.caches.errorShare += (value - b.caches.errorShare) / errorSamples
+}
--- a/balancer/types.go
+++ b/balancer/types.go
@@ -29,35 +29,40 @@
 
 // Route is the configuration of one class of requests.
 type Route struct {
-	Objective, Overall Time    // latency objective and overall timeout
-	Value, Overdue     float64 // value of an answer within the objective, and the part of it that a later one earns
-	Effect             Effect
-	Group              Group
-	Window             Time // how long duplicates are dropped after the first attempt
+	Objective Time    // latency objective
+	Overall   Time    // overall timeout
+	Value     float64 // what an answer within the objective is worth
+	Overdue   float64 // part of Value that a later answer earns, 0 to 1
+	Effect    Effect
+	Group     Group // Deduped: the endpoints that drop each other's duplicates
+	Window    Time  // Deduped: how long they drop them after the first attempt
 }
 
 // Terms are the settings of an Instance. New derives its own figures from them and keeps none of them.
 type Terms struct {
-	Proxies                int // proxies that share the endpoints, this one included
-	Me                     int // number of this proxy among the peers
-	Peers                  int // how many other proxies can be notified; 0 turns notification off
-	Routes                 []Route
-	Allowance              []float64 // quota by tenant: requests per second over all proxies together
-	BeyondShare            float64   // factor on the priority weight of requests over quota
-	Punctual               bool      // an answer after the objective is worth nothing, though a rejection within it costs nothing
-	Aside                  bool      // cache-aside: a cache reports a miss, and the proxy asks the origin
-	Parallel, MayCancel    bool      // two attempts of a request may be in flight; attempts may be cancelled
-	MaxTries               int       // attempts per request
-	RetryAfter             bool      // rejections carry a Retry-After
-	MaxRetryAfter          Time
-	Tick                   Time // resolution of timeouts
-	ConnectTimeout         Time
-	Ask                    bool // the endpoint list is polled, not pushed
-	AskEvery               Time // interval of polling
-	Cold, Fall             Time // slow start: its period, and the window over which an overload is counted
-	ColdFrom, FallMultiple float64
-	RoughWeights           bool    // ring points follow the endpoints' weights
-	Fetch                  float64 // cost of a fetch from the origin, in values of a request
+	Proxies        int // proxies that share the endpoints, this one included
+	Me             int // number of this proxy among the peers
+	Peers          int // other proxies that can be notified, 0: none
+	Routes         []Route
+	Allowance      []float64 // quota by tenant: requests per second, over all proxies together
+	BeyondShare    float64   // factor on the priority weight of requests over quota
+	Punctual       bool      // answers past the objective count as failures, rejections within it do not
+	Aside          bool      // cache-aside: a cache reports a miss, and the proxy asks the origin
+	Parallel       bool      // two attempts of a request may be in flight, so that reads may be hedged
+	MayCancel      bool      // attempts in flight may be cancelled
+	MaxTries       int       // attempts per request
+	RetryAfter     bool      // rejections carry a Retry-After
+	MaxRetryAfter  Time      // the longest that clients heed
+	Tick           Time      // resolution of timeouts
+	ConnectTimeout Time      // of the upstream connections; not used for decisions
+	Ask            bool      // the endpoint list is polled, not pushed
+	AskEvery       Time      // interval of polling
+	Cold           Time      // how long slow start takes
+	ColdFrom       float64   // share of the full load at the start of slow start
+	Fall           Time      // window over which the load in slow start is counted
+	FallMultiple   float64   // multiple of its capacity that brings down an endpoint in slow start
+	RoughWeights   bool      // the number of ring points follows the weights, which are approximate
+	Fetch          float64   // cost of a fetch from the origin, in values of a request
 }
 
 // Listing is one endpoint of the endpoint list.
