balancer: finished attempt, retry budget and capacity as types with their own methods

The retry budget was a bare number that three files changed; the capacity grew in a method of the whole balancer; the steps that learn from an outcome read o.X. They are retryBudget, admissionControl.increase and finishedAttempt. No change of behaviour.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -26,18 +26,19 @@
 	request.rejected = load > rejectionThreshold &&
 		b.random.draw() < rejectionSlope*(load-rejectionThreshold)*(rejectionWeightSpan-weight)
 	if !request.rejected {
-		b.refillRetryBudget()
+		b.retryBudget.refill()
 	}
 }
 
-func (b *Instance) increaseCapacity() {
-	if float64(b.caches.inFlight) > b.admission.capacity/2 {
-		b.admission.capacity += max(b.admission.capacity*0.002, 0.02)
+// increase raises the capacity by a timely response if it is used.
+func (a *admissionControl) increase(inFlight int) {
+	if float64(inFlight) > a.capacity/2 {
+		a.capacity += max(a.capacity*0.002, 0.02)
 	}
 }
 
-// reduceCapacity takes a response that tells of too much work, to not less than one attempt at each cache
-// over all proxies.
+// reduceCapacity follows a response that tells of too much work. One attempt at each cache, over all
+// proxies, stays.
 func (b *Instance) reduceCapacity() {
 	used := min(b.admission.capacity, 4*float64(b.caches.inFlight)+8)
 	b.admission.capacity = max(used*(1-b.capacityReduction()), minCapacity, float64(b.ring.caches)*b.quotaShare)
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -1,7 +1,7 @@
 package balancer
 
-// outcome is the end of an attempt with what is learnt from it.
-type outcome struct {
+// finishedAttempt is the end of an attempt with what is learnt from it.
+type finishedAttempt struct {
 	Answer
 	request   *requestState
 	endpoint  *endpointState
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -31,7 +31,7 @@
 func (b *Instance) ejectOutlier() { b.eject(&b.endpoints[b.current.endpoint]) }
 
 // isEjected holds for an ejected endpoint whose next probe is not due.
-func (b *Instance) isEjected(endpoint *endpointState) bool {
+func (b *Instance) isUnavailable(endpoint *endpointState) bool {
 	return endpoint.ejected && (b.now < endpoint.probeAt || endpoint.inFlight > 0)
 }
 
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -19,7 +19,7 @@
 	return b.settle()
 }
 
-// Woken reports that the time of a Wake decision has come.
+// Woken reports that the time has come for which a decision asked.
 func (b *Instance) Woken(now Time) []Decision {
 	b.begin(now)
 	b.wakeAt = never
--- a/balancer/instance.go
+++ b/balancer/instance.go
@@ -30,16 +30,16 @@
 	origin      originLimiter
 	admission   admissionControl
 	quota       tenantQuota
-	retryBudget float64 // retries and hedged attempts that may be sent
+	retryBudget retryBudget
 
-	wakeAt Time // when the caller will call Woken
+	wakeAt Time // when the caller will report the timer
 	pollAt Time // when the endpoint list is polled again
 }
 
 // never is an instant that does not come.
 const never = Time(math.MaxInt64)
 
-// New returns an Instance that knows no endpoints yet. The seed determines all of its random choices.
+// New returns a balancer that knows no endpoints yet. The seed determines all of its random choices.
 func New(now Time, settings Terms, seed uint64) *Instance {
 	quotaShare := 1 / float64(max(settings.Proxies, 1))
 	tick := max(settings.Tick, 1)
--- a/balancer/origin.go
+++ b/balancer/origin.go
@@ -3,12 +3,10 @@
 // maxOriginLimit bounds the concurrency limit of one proxy at the origin.
 const maxOriginLimit = 256
 
-// initialOriginLimit is sixteen attempts over all proxies, but one for each of many proxies and four for
-// each of few.
+// initialOriginLimit is sixteen attempts over all proxies, within one and four of each.
 func initialOriginLimit(quotaShare float64) float64 { return min(4, max(16*quotaShare, 1)) }
 
-// setBounds lets the limits of all proxies fall to eight attempts together, but that few proxies keep one
-// each.
+// setBounds lets the limits of all proxies fall to eight attempts together, but to one each of few proxies.
 func (o *originLimiter) setBounds(quotaShare float64) {
 	o.floor, o.lowWater = min(1, 8*quotaShare), initialOriginLimit(quotaShare)/2
 }
@@ -23,9 +21,9 @@
 // expectedLatency is the mean latency of its answers.
 func (o *originLimiter) expectedLatency() Time { return Time(o.latency.value) }
 
-// observeAnswer takes the latency of an answer into account and restores the limit to half of the last good
-// one: if answers are quick again, it was the way to the origin that had failed. With many proxies each asks
-// the origin once in a second or two, and would otherwise learn of an overload when it is over.
+// observeAnswer takes the latency of an answer into account, a rare one more: with many proxies each asks the
+// origin once in a second or two, and would learn of an overload when it is over. An answer that is not late
+// restores half of the last good limit: attempts that timed out before it tell of the way to the origin.
 func (o *originLimiter) observeAnswer(now, latency Time) {
 	o.latency.observe(now, float64(latency), 1.0/16, 4*second)
 	if latency <= 2*o.objective {
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -8,78 +8,78 @@
 	ejectionErrorRatio = 2   // how much more of its responses have to be errors than of all caches'
 )
 
-// learn updates what is known of the endpoint, of the caches or the origin, and of their limits by an
-// outcome.
+// learn updates what is known of the endpoint, of the caches or the origin, and their limits.
 func (b *Instance) learn(request *requestState, endpoint *endpointState, a Answer) {
 	unanswered := a.Ending == Silent || a.Ending == Undone
-	o := outcome{
+	attempt := finishedAttempt{
 		Answer: a, request: request, endpoint: endpoint, failedProbe: unanswered && endpoint.ejected,
 		responded: a.Ending.isResponse(),
 	}
 	// an attempt cancelled when its time was up was no less late than one whose own timeout came first
-	o.late = a.Ending == Silent || (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone) &&
+	attempt.late = a.Ending == Silent || (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone) &&
 		a.Took > b.routes[request.Route].latencyBudget*3/4
 	endpoint.overloads.observe(b.now, indicator(a.Ending == NoRoom), 1.0/8, 3*second)
-	b.learnLatency(&o)
-	b.learnLoad(&o)
-	b.learnOriginLimit(&o)
-	b.learnResponse(&o)
-	b.learnErrors(&o)
-	b.learnFailure(&o)
+	b.learnLatency(&attempt)
+	b.learnLoad(&attempt)
+	b.learnOriginLimit(&attempt)
+	b.learnResponse(&attempt)
+	b.learnErrors(&attempt)
+	b.learnFailure(&attempt)
 }
 
-func (b *Instance) learnLatency(o *outcome) {
+func (b *Instance) learnLatency(attempt *finishedAttempt) {
 	switch {
-	case o.endpoint.Origin && o.Ending == Completed:
-		b.origin.observeAnswer(b.now, o.Took)
-	case !o.endpoint.Origin && !o.request.needsOrigin && !o.failedProbe:
-		b.caches.lateShare.observe(b.now, indicator(o.late), 1.0/64, 10*second)
+	case attempt.endpoint.Origin && attempt.Ending == Completed:
+		b.origin.observeAnswer(b.now, attempt.Took)
+	case !attempt.endpoint.Origin && !attempt.request.needsOrigin && !attempt.failedProbe:
+		b.caches.lateShare.observe(b.now, indicator(attempt.late), 1.0/64, 10*second)
 	}
 }
 
 // learnLoad adapts the origin's limit and the caches' capacity. The first case that holds counts.
-func (b *Instance) learnLoad(o *outcome) {
+func (b *Instance) learnLoad(attempt *finishedAttempt) {
 	switch {
-	case o.endpoint.Origin && o.Ending == Completed && o.Took <= b.origin.objective:
+	case attempt.endpoint.Origin && attempt.Ending == Completed && attempt.Took <= b.origin.objective:
 		b.origin.increase()
-	case o.endpoint.Origin && b.isOriginOverload(o):
+	case attempt.endpoint.Origin && b.isOriginOverload(attempt):
 		b.origin.reduce(b.now)
-	case o.endpoint.Origin || o.request.needsOrigin || o.failedProbe:
+	case attempt.endpoint.Origin || attempt.request.needsOrigin || attempt.failedProbe:
 		// no sign that the caches have too much to do
-	case o.late || o.Ending == Fault && b.caches.errorShare > overloadErrorShare ||
-		o.Ending == NoRoom && o.request.attempts >= overloadAttempts:
-		b.observeEndpointLatency(o.endpoint, max(o.Took, b.noResponseTimeout/2), 0.5)
-		if b.isCacheOverload(o) {
+	case attempt.late || attempt.Ending == Fault && b.caches.errorShare > overloadErrorShare ||
+		attempt.Ending == NoRoom && attempt.request.attempts >= overloadAttempts:
+		b.observeEndpointLatency(attempt.endpoint, max(attempt.Took, b.noResponseTimeout/2), 0.5)
+		if b.isCacheOverload(attempt) {
 			b.reduceCapacity()
 		}
-	case o.Ending == Completed:
-		b.increaseCapacity()
-		b.observeEndpointLatency(o.endpoint, o.Took, 0.25)
-		b.caches.observeLatency(o.Took)
+	case attempt.Ending == Completed:
+		b.admission.increase(b.caches.inFlight)
+		b.observeEndpointLatency(attempt.endpoint, attempt.Took, 0.25)
+		b.caches.observeLatency(attempt.Took)
 	}
 }
 
 // isOriginOverload tells whether an outcome shows that the origin is loaded. One long answer among quick
 // ones tells of the work in it, a write's above all, and one that never comes while others do, of its
 // connection.
-func (b *Instance) isOriginOverload(o *outcome) bool {
-	return o.Ending == NoRoom || o.Took > 2*b.origin.objective &&
+func (b *Instance) isOriginOverload(attempt *finishedAttempt) bool {
+	return attempt.Ending == NoRoom || attempt.Took > 2*b.origin.objective &&
 		(b.origin.latency.value > float64(b.origin.objective) ||
-			o.Ending != Completed && o.endpoint.silentSince <= o.request.sentAt)
+			attempt.Ending != Completed && attempt.endpoint.silentSince <= attempt.request.sentAt)
 }
 
 // isCacheOverload tells whether a late or failed outcome shows too much work for all caches. A few endpoints
 // that are late among quick ones are passed by and show none, but a fifth of all responses does, though mean
 // and lateness drift apart when late attempts end unanswered. Where peers notify of nothing, a fifth may
 // come of resets and hung endpoints that each proxy meets for itself.
-func (b *Instance) isCacheOverload(o *outcome) bool {
-	return o.Ending == NoRoom || o.Ending == Fault || o.endpoint.latency.value < 2*b.caches.meanLatency ||
+func (b *Instance) isCacheOverload(attempt *finishedAttempt) bool {
+	return attempt.Ending == NoRoom || attempt.Ending == Fault ||
+		attempt.endpoint.latency.value < 2*b.caches.meanLatency ||
 		b.peerCount > 0 && b.caches.lateShare.value > overloadLateShare
 }
 
-func (b *Instance) learnOriginLimit(o *outcome) {
-	if o.endpoint.Origin {
-		if o.Ending == Completed {
+func (b *Instance) learnOriginLimit(attempt *finishedAttempt) {
+	if attempt.endpoint.Origin {
+		if attempt.Ending == Completed {
 			b.origin.lastGoodLimit += b.origin.limit - b.origin.lastGoodLimit
 		}
 		b.origin.pace(b.now)
@@ -87,26 +87,26 @@
 	b.logConstrained()
 }
 
-func (b *Instance) learnResponse(o *outcome) {
-	if !o.responded {
+func (b *Instance) learnResponse(attempt *finishedAttempt) {
+	if !attempt.responded {
 		return
 	}
-	o.endpoint.silentSince, o.endpoint.lastResponseAt = b.now, b.now
-	if o.endpoint.suspicion > 0 {
-		o.endpoint.suspicion = 0
-		b.notifyPeers(o.endpoint, true)
+	attempt.endpoint.silentSince, attempt.endpoint.lastResponseAt = b.now, b.now
+	if attempt.endpoint.suspicion > 0 {
+		attempt.endpoint.suspicion = 0
+		b.notifyPeers(attempt.endpoint, true)
 	}
 }
 
 // learnErrors takes a cache's response into the shares of errors. A cache that fails much of its work, while
 // the others do not, is ejected; one that was ejected and does its work is brought back.
-func (b *Instance) learnErrors(o *outcome) {
-	if !o.responded || o.endpoint.Origin {
+func (b *Instance) learnErrors(attempt *finishedAttempt) {
+	if !attempt.responded || attempt.endpoint.Origin {
 		return
 	}
-	endpoint, isError := o.endpoint, o.Ending == Fault
+	endpoint, isError := attempt.endpoint, attempt.Ending == Fault
 	b.caches.lastResponseAt = b.now
-	if o.Ending != NoRoom {
+	if attempt.Ending != NoRoom {
 		b.countCacheResponse(endpoint, isError)
 	}
 	if isError && endpoint.errorShare > ejectionErrorShare &&
@@ -118,12 +118,12 @@
 	}
 }
 
-// learnFailure ejects a cache that does not connect, and leaves an ejected endpoint whose probe failed for
-// longer.
-func (b *Instance) learnFailure(o *outcome) {
-	endpoint := o.endpoint
-	probeFailed := o.failedProbe && endpoint.silentSince <= o.request.sentAt && b.now >= endpoint.probeAt
-	if o.Ending == Unreachable && !endpoint.Origin || probeFailed {
+// learnFailure ejects a cache that does not connect, and for longer one whose probe failed.
+func (b *Instance) learnFailure(attempt *finishedAttempt) {
+	endpoint := attempt.endpoint
+	probeFailed := attempt.failedProbe && b.now >= endpoint.probeAt &&
+		endpoint.silentSince <= attempt.request.sentAt
+	if attempt.Ending == Unreachable && !endpoint.Origin || probeFailed {
 		b.eject(endpoint)
 	}
 }
--- a/balancer/quota.go
+++ b/balancer/quota.go
@@ -1,7 +1,6 @@
 package balancer
 
-// quotaBurst and quotaSlack bound what a tenant may use at one time: seconds of its rate, and requests
-// beside.
+// What a tenant may use at one time: seconds of its rate, and requests beside.
 const (
 	quotaBurst = 2
 	quotaSlack = 2
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -2,10 +2,12 @@
 
 // Retries, and hedged attempts with them, are bounded by a budget that admitted requests fill: more of them
 // would keep up what caused the failures.
+type retryBudget float64
+
 const (
-	initialRetryBudget   = 5
-	maxRetryBudget       = 10
-	retriesPerAdmittance = 0.1
+	initialRetryBudget  = 5
+	maxRetryBudget      = 10
+	retriesPerAdmission = 0.1
 )
 
 func (b *Instance) attemptsExhausted() bool { return b.current.attempts >= b.maxAttempts }
@@ -34,9 +36,7 @@
 	request.evacuated = false
 }
 
-func (b *Instance) refillRetryBudget() {
-	b.retryBudget = min(b.retryBudget+retriesPerAdmittance, maxRetryBudget)
-}
+func (r *retryBudget) refill() { *r = min(*r+retriesPerAdmission, maxRetryBudget) }
 
 // inDedupGroup tells whether an endpoint may be sent the current request: it would drop it if it has already
 // run.
--- a/balancer/ring.go
+++ b/balancer/ring.go
@@ -9,7 +9,7 @@
 	ringPointsPerEndpoint = 160 // of the reference weight, as the design has it
 	boundedLoadFactor     = 2.0 // times the mean of this proxy's attempts in flight, as the design has it
 
-	// values of Instance.candidate beside the index of an endpoint
+	// values of the candidate beside the index of an endpoint
 	notSearched = -1
 	noEndpoint  = -2
 )
@@ -45,7 +45,7 @@
 		isFull := step == 0 && b.exceedsBoundedLoad(endpoint) || b.isLikelyFull(endpoint)
 		switch {
 		case !b.isEligible(index):
-		case b.isEjected(endpoint) || isFull || b.isSuspected(endpoint):
+		case b.isUnavailable(endpoint) || isFull || b.isSuspected(endpoint):
 			if lastResort == noEndpoint {
 				lastResort = index
 			}
@@ -87,8 +87,7 @@
 	return endpoint.suspicion > 0 && b.random.draw() < b.suspicion(endpoint)
 }
 
-// exceedsBoundedLoad holds for an endpoint with too many of this proxy's attempts in flight, compared to
-// their mean.
+// exceedsBoundedLoad holds for an endpoint with too many of this proxy's attempts in flight.
 func (b *Instance) exceedsBoundedLoad(endpoint *endpointState) bool {
 	bound := max(boundedLoadFactor*float64(b.caches.inFlight)/float64(b.ring.caches)+1, 1)
 	return endpoint.inFlight >= 2 && float64(endpoint.inFlight) > bound
--- a/balancer/scenario_events_test.go
+++ b/balancer/scenario_events_test.go
@@ -70,7 +70,8 @@
 	p.record(p.balancer.Nodes(now, complete, first, endpoints))
 }
 
-// endpointIndex returns the index of an endpoint. A new one has the index of its predecessor, or the next that is free.
+// endpointIndex returns the index of an endpoint. A new one has the index of its predecessor, or the next
+// that is free.
 func (p *player) endpointIndex(name, predecessor string) int {
 	if index, ok := p.endpoints[name]; ok {
 		return index
--- a/balancer/scenario_expect_test.go
+++ b/balancer/scenario_expect_test.go
@@ -116,8 +116,8 @@
 	return word
 }
 
-// matchEndpoint compares the name of an endpoint and binds a new variable to it. Neither a new variable nor any
-// stands for an origin, and no two variables for the same endpoint.
+// matchEndpoint compares the name of an endpoint and binds a new variable to it. Neither a new variable nor
+// any stands for an origin, and no two variables for the same endpoint.
 func (p *player) matchEndpoint(want, got string) bool {
 	switch {
 	case want == "any":
--- a/balancer/shadow.go
+++ b/balancer/shadow.go
@@ -1,15 +1,15 @@
 package balancer
 
-// These methods serve a shadow balancer: an Instance that is given all events of another one and decides,
-// but is then told what the other one did. Nothing here decides.
+// These methods serve a shadow balancer: one that is given all events of another one and decides, but is
+// then told what the other one did. Nothing here decides.
 
-// Has reports whether the instance still decides on a request.
+// Has reports whether the balancer still decides on a request.
 func (b *Instance) Has(index int) bool { return index < len(b.requests) && b.requests[index].live }
 
-// Yield takes a request out of the instance's hands. It goes on learning from the attempts of the request.
+// Yield takes a request out of the balancer's hands. It goes on learning from the attempts of the request.
 func (b *Instance) Yield(index int) { b.finish(index) }
 
-// Unsent takes back the latest attempt of a request, which this instance decided on and which was not sent.
+// Unsent takes back the latest attempt of a request, which this balancer decided on and which was not sent.
 func (b *Instance) Unsent(index int) {
 	request := &b.requests[index]
 	b.recordEnded(request, &b.endpoints[request.endpoint])
@@ -18,7 +18,7 @@
 	request.triedEndpoints = request.triedEndpoints[:len(request.triedEndpoints)-1]
 }
 
-// Went records an attempt that the other instance sent.
+// Went records an attempt that the other balancer sent.
 func (b *Instance) Went(now Time, index, endpoint int) {
 	b.now = now
 	b.recordSent(&b.requests[index], endpoint)
@@ -34,5 +34,5 @@
 	return endpoint < len(b.endpoints) && b.endpoints[endpoint].ejected
 }
 
-// Out returns how many attempts are in flight, as far as the instance knows.
+// Out returns how many attempts are in flight, as far as the balancer knows.
 func (b *Instance) Out() int { return b.caches.inFlight + b.origin.inFlight }
--- a/balancer/statistics.go
+++ b/balancer/statistics.go
@@ -11,8 +11,8 @@
 	latencySamples = 32
 	// deviationSamples keeps the deviation from jumping with the first few samples.
 	deviationSamples = 4
-	// endpointErrorSamples and errorSamples are the responses over which shares of errors are smoothed, of one cache
-	// and of all.
+	// endpointErrorSamples and errorSamples are the responses over which shares of errors are smoothed, of one
+	// cache and of all.
 	endpointErrorSamples = 8
 	errorSamples         = 64
 )
--- a/balancer/types.go
+++ b/balancer/types.go
@@ -38,7 +38,7 @@
 	Window    Time  // Deduped: how long they drop them after the first attempt
 }
 
-// Terms are the settings of an Instance. New derives its own figures from them and keeps none of them.
+// Terms are the settings of a balancer. New derives its own figures from them and keeps none of them.
 type Terms struct {
 	Proxies        int // proxies that share the endpoints, this one included
 	Me             int // number of this proxy among the peers
@@ -131,7 +131,7 @@
 	Shed
 	// Error fails the request, which may have been carried out.
 	Error
-	// Wake asks for a call of Woken.
+	// Wake sets the one timer, in place of the one set before, if any.
 	Wake
 	// Follow polls the endpoint list.
 	Follow
