--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -7,7 +7,7 @@
 	rejectionSlope      = 4
 	rejectionWeightSpan = 1.7  // less the priority weight, which is 1 at most
 	overloadEnd         = 0.5  // part of the capacity in use below which the log calls an overload ended
-	minReduction        = 0.02 // of the capacity for one response that tells of an overload
+	minReduction        = 0.02 // of the capacity for one response that signals an overload
 	maxReduction        = 0.3
 	reductionRate       = 0.8 // times the responses in a second
 )
@@ -37,8 +37,8 @@
 	}
 }
 
-// reduceCapacity follows a response that tells of too much work. One attempt at each cache, over all
-// proxies, stays.
+// reduceCapacity follows a response that signals an overload. One attempt at each cache, over all proxies,
+// stays.
 func (b *Instance) reduceCapacity() {
 	used := min(b.admission.capacity, 4*float64(b.caches.inFlight)+8)
 	b.admission.capacity = max(used*(1-b.capacityReduction()), minCapacity, float64(b.ring.caches)*b.quotaShare)
@@ -46,8 +46,8 @@
 
 // capacityReduction is the part of the capacity that one response takes: the fewer responses there are, the
 // more each takes, or a burst is over before a proxy of little traffic has reduced any. That holds only
-// where peers notify of silent endpoints: where none do, each proxy meets every hung endpoint for the first
-// time, and its few responses tell of that.
+// where peers notify of silent endpoints: where none do, each proxy encounters every hung endpoint for the
+// first time, and its few responses tell of that.
 func (b *Instance) capacityReduction() float64 {
 	if b.peerCount == 0 {
 		return minReduction
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -36,7 +36,7 @@
 }
 
 // eject keeps all but probes from an endpoint until it responds. The interval of probes doubles, from as
-// long as this proxy would go without meeting the endpoint anyway, or each attempt would be a probe.
+// long as this proxy would not send to the endpoint anyway, or each attempt would be a probe.
 func (b *Instance) eject(endpoint *endpointState) {
 	shortest := max(b.noResponseTimeout, b.responseInterval())
 	endpoint.ejectionTime = min(max(2*endpoint.ejectionTime, shortest), 4*shortest)
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -22,10 +22,10 @@
 	budgetUpdatedAt Time
 
 	gossipAt    Time    // when its state was last received from peers or sent to them
-	suspicion   float64 // how likely it is silent by the word of peers, as of suspicionAt
+	suspicion   float64 // how likely it is silent by the reports of peers, as of suspicionAt
 	suspicionAt Time
 
 	points        int  // on the ring
 	pointsChanged bool // by the latest endpoint list
-	visitMark     int  // stamp of the latest walk that met it
+	visitMark     int  // stamp of the latest walk that visited it
 }
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -27,7 +27,7 @@
 	return b.settle()
 }
 
-// suspicion is how likely an endpoint is silent by the reports of peers; it is passed by with that chance.
+// suspicion is how likely an endpoint is silent by the reports of peers; it is skipped with that chance.
 // Half of it is gone in twelve times the no-response timeout.
 func (b *Instance) suspicion(endpoint *endpointState) float64 {
 	return endpoint.suspicion * math.Exp2(-float64(b.now-endpoint.suspicionAt)/float64(12*b.noResponseTimeout))
--- a/balancer/hedging.go
+++ b/balancer/hedging.go
@@ -14,8 +14,8 @@
 }
 
 // mayHedge holds for a read that a cache has not answered in the time that nearly all take, while the origin
-// has capacity and would still answer in time. With little traffic each proxy meets each hung endpoint for
-// the first time, and would lose a request by that.
+// has capacity and would still answer in time. With little traffic each proxy encounters each hung endpoint
+// for the first time, and would lose a request by that.
 func (b *Instance) mayHedge() bool {
 	request := b.current
 	return request.inFlight == 1 && b.hedging && request.Keyed && !request.Write && !request.needsOrigin &&
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -59,7 +59,7 @@
 }
 
 // isOriginOverload tells whether an outcome shows that the origin is loaded. One long answer among quick
-// ones tells of the work in it, a write's above all, and one that never comes while others do, of its
+// ones comes of the work in it, a write's above all, and one that is missing while others come, of its
 // connection.
 func (b *Instance) isOriginOverload(attempt *finishedAttempt) bool {
 	return attempt.Ending == NoRoom || attempt.Took > 2*b.origin.objective &&
@@ -68,9 +68,9 @@
 }
 
 // isCacheOverload tells whether a late or failed outcome shows too much work for all caches. A few endpoints
-// that are late among quick ones are passed by and show none, but a fifth of all responses does, though mean
+// that are late among quick ones are skipped and show none, but a fifth of all responses does, though mean
 // and lateness drift apart when late attempts end unanswered. Where peers notify of nothing, a fifth may
-// come of resets and hung endpoints that each proxy meets for itself.
+// come of resets and hung endpoints that each proxy encounters for itself.
 func (b *Instance) isCacheOverload(attempt *finishedAttempt) bool {
 	return attempt.Ending == NoRoom || attempt.Ending == Fault ||
 		attempt.endpoint.latency.value < 2*b.caches.meanLatency ||
--- a/balancer/ring.go
+++ b/balancer/ring.go
@@ -100,7 +100,7 @@
 // isOverloadedOwner holds for an endpoint whose latest responses took most of the time that the current
 // request has left; the next one clockwise serves it if that is twice as quick.
 func (b *Instance) isOverloadedOwner(endpoint *endpointState) bool {
-	// sooner, where it is seldom met, but not so soon that chance passes keys on
+	// sooner, where this proxy seldom sends to it, but not so soon that chance passes keys on
 	seldom := observationWeight(0, b.responseInterval(), 10*second)
 	share := max(b.overloadedOwnerShare-0.15*seldom, 0.3)
 	remaining := float64(min(b.current.giveUpAt, b.current.objectiveAt) - b.now)
--- a/balancer/ringpoints.go
+++ b/balancer/ringpoints.go
@@ -92,8 +92,8 @@
 	b.ring.add(added)
 }
 
-// setReferenceWeight takes the power of two next to the mean weight, once: it comes out the same at every
-// proxy, however their lists differ.
+// setReferenceWeight takes the power of two next to the mean weight, once: it is the same at every proxy,
+// however their lists differ.
 func (b *Instance) setReferenceWeight() {
 	sum, caches := 0.0, 0.0
 	for i := range b.endpoints {
