--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -37,8 +37,7 @@
 	}
 }
 
-// reduceCapacity follows a response that signals an overload. One attempt at each cache, over all proxies,
-// stays.
+// reduceCapacity follows an overload, down to one attempt at each cache over all proxies.
 func (b *Instance) reduceCapacity() {
 	used := min(b.admission.capacity, 4*float64(b.caches.inFlight)+8)
 	b.admission.capacity = max(used*(1-b.capacityReduction()), minCapacity, float64(b.ring.caches)*b.quotaShare)
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -35,9 +35,7 @@
 	request.endpoint, request.sentAt = to, b.now
 	request.triedEndpoints = append(request.triedEndpoints, to)
 	b.chargeRetry(request)
-	if endpoint.ejected {
-		endpoint.probeAt = b.now + endpoint.ejectionTime
-	}
+	endpoint.delayNextProbe(b.now)
 }
 
 // recordEnded counts an attempt that is no longer in flight.
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -8,9 +8,8 @@
 	return b.settle()
 }
 
-// awaitsOutlier holds when the current request waits for a cache that has responded to nothing since its
-// attempt was sent, for as long as a response may take, while another cache has responded: the cache takes
-// work and does none, or is cut off.
+// awaitsOutlier holds when the cache that the current request waits for is overdue, while another cache has
+// responded since: the cache takes work and does none, or is cut off.
 func (b *Instance) awaitsOutlier() bool {
 	request := b.current
 	if request.inFlight == 0 {
@@ -28,9 +27,16 @@
 	return endpoint.silentSince <= sentAt && b.now-sentAt >= b.responseBound(overdueDeviations)
 }
 
+// delayNextProbe keeps further probes from an ejected endpoint for a while, once one is sent.
+func (e *endpointState) delayNextProbe(now Time) {
+	if e.ejected {
+		e.probeAt = now + e.ejectionTime
+	}
+}
+
 func (b *Instance) ejectOutlier() { b.eject(&b.endpoints[b.current.endpoint]) }
 
-// isEjected holds for an ejected endpoint whose next probe is not due.
+// isUnavailable holds for an ejected endpoint whose next probe is not due.
 func (b *Instance) isUnavailable(endpoint *endpointState) bool {
 	return endpoint.ejected && (b.now < endpoint.probeAt || endpoint.inFlight > 0)
 }
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -2,11 +2,10 @@
 
 import "math"
 
-// maxNotifiedPeers bounds the notifications of one observation, however many peers there are.
-const maxNotifiedPeers = 32
-
-// suspicionStep is how far one report of a peer moves the suspicion towards certainty.
-const suspicionStep = 0.4
+const (
+	maxNotifiedPeers = 32  // of one observation, however many peers there are
+	suspicionStep    = 0.4 // how far one report of a peer moves the suspicion towards certainty
+)
 
 // Heard takes a peer's report that an endpoint stopped responding, or responds again. Reports may be late or
 // lost, and their sender mistaken: one of silence is believed step by step, never against a response that
--- a/balancer/origin.go
+++ b/balancer/origin.go
@@ -23,8 +23,7 @@
 
 // observeAnswer takes the latency of an answer into account, a rare one more: with many proxies each asks
 // the origin once in a second or two, and would learn of an overload when it is over. An answer that is not
-// late restores half of the last good limit: attempts that timed out before it tell of the way to the
-// origin.
+// late restores half of the last good limit: what timed out before it was a fault of the way there.
 func (o *originLimiter) observeAnswer(now, latency Time) {
 	o.latency.observe(now, float64(latency), 1.0/16, 4*second)
 	if latency <= 2*o.objective {
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -59,8 +59,7 @@
 }
 
 // isOriginOverload tells whether an outcome shows that the origin is loaded. One long answer among quick
-// ones comes of the work in it, a write's above all, and one that is missing while others come, of its
-// connection.
+// ones comes of the work in it, a write's above all, a missing one among others, of its connection.
 func (b *Instance) isOriginOverload(attempt *finishedAttempt) bool {
 	return attempt.Ending == NoRoom || attempt.Took > 2*b.origin.objective &&
 		(b.origin.latency.value > float64(b.origin.objective) ||
