--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -19,7 +19,8 @@
 // shows. First attempts of a route come with the same time left, within two ticks. A later one that shows
 // another has what is left of the overall timeout, and its latency objective has been running all along.
 func elapsedAtClient(route *routeState, e *Exchange, tick Time) Time {
-	isUsual := max(e.Remaining-route.firstAttemptTimeout, route.firstAttemptTimeout-e.Remaining) <= 2*tick
+	difference := e.Remaining - route.firstAttemptTimeout
+	isUsual := max(difference, -difference) <= 2*tick
 	switch {
 	case isUsual && e.Repeat:
 	case isUsual:
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -1,7 +1,6 @@
 package balancer
 
-// Rest has the next probe of an endpoint, if it is ejected, come no sooner than at the given time, since
-// proxies probe in turns.
+// Rest has an ejected endpoint probed no sooner than at the given time, since proxies take turns.
 func (b *Instance) Rest(now Time, endpoint int, until Time) []Decision {
 	b.begin(now)
 	b.endpoints[endpoint].probeAt = until
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -27,7 +27,7 @@
 	endpoint.lastResponseAt = b.now - b.noResponseTimeout - 1
 }
 
-// ListFailed reports that polling the endpoint list failed. It is polled again well within the interval.
+// ListFailed reports that polling the list failed. It is polled again well within the interval.
 func (b *Instance) ListFailed(now Time) []Decision {
 	b.begin(now)
 	if b.pollsList {
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -11,13 +11,13 @@
 // learn updates what is known of the endpoint, of the caches or the origin, and their limits.
 func (b *Instance) learn(request *requestState, endpoint *endpointState, a Answer) {
 	unanswered := a.Ending == Silent || a.Ending == Undone
-	attempt := finishedAttempt{
-		Answer: a, request: request, endpoint: endpoint, failedProbe: unanswered && endpoint.ejected,
-		responded: a.Ending.isResponse(),
-	}
+	attempt := finishedAttempt{Answer: a, request: request, endpoint: endpoint}
+	attempt.responded = a.Ending.isResponse()
+	attempt.failedProbe = unanswered && endpoint.ejected
+	tookLong := a.Took > b.routes[request.Route].latencyBudget*3/4
 	// an attempt cancelled when its time was up was no less late than one whose own timeout came first
-	attempt.late = a.Ending == Silent || (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone) &&
-		a.Took > b.routes[request.Route].latencyBudget*3/4
+	attempt.late = a.Ending == Silent ||
+		tookLong && (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone)
 	endpoint.overloads.observe(b.now, indicator(a.Ending == NoRoom), 1.0/8, 3*second)
 	b.learnLatency(&attempt)
 	b.learnLoad(&attempt)
