--- a/balancer/evacuation.go
+++ b/balancer/evacuation.go
@@ -1,7 +1,7 @@
 package balancer
 
-// Bar keeps a part of the keys, 0 to 1 and the same at every proxy, from an endpoint of an evacuated zone.
-// Capacity shrinks to that of the others. With cancel, attempts in flight there are cancelled.
+// Bar keeps a part of the keys, 0 to 1, the same at every proxy, from an endpoint of an evacuated
+// zone. Capacity shrinks to that of the others. With cancel, attempts in flight there are cancelled.
 func (b *Instance) Bar(now Time, index int, part float64, cancel bool) []Decision {
 	b.begin(now)
 	b.endpoints[index].excludedShare, b.endpoints[index].evacuating = part, cancel
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -7,8 +7,8 @@
 	suspicionStep    = 0.4 // how far one report of a peer moves the suspicion towards certainty
 )
 
-// Heard takes a peer's report that an endpoint stopped responding, or responds again. Reports may be late,
-// lost or mistaken: one of silence is believed step by step, never against a response that came here
+// Heard takes a peer's report that an endpoint stopped responding, or responds again. Reports may be
+// late, lost or mistaken: one of silence is believed step by step, never against a response that came here
 // since, and fades; one of a response ends the suspicion. An index that is not known is ignored.
 func (b *Instance) Heard(now Time, index int, responds bool) []Decision {
 	b.begin(now)
