--- /dev/null
+++ b/balancer/coalescing.go
@@ -0,0 +1,46 @@
+package balancer
+
+import "slices"
+
+// mayFollow holds, once for each request, for a read of a key that another request of this proxy is
+// fetching.
+func (b *Instance) mayFollow() bool {
+	request := b.current
+	if !request.Keyed || request.Write || request.hasFollowed || request.queued {
+		return false
+	}
+	leader, isFetched := b.coalescing.leaders[request.Key]
+	return isFetched && leader != b.currentIndex
+}
+
+// follow waits for the other's fetch for half of the time that is left.
+func (b *Instance) follow() {
+	request := b.current
+	request.hasFollowed, request.following = true, true
+	b.coalescing.followers[request.Key] = append(b.coalescing.followers[request.Key], b.currentIndex)
+	b.setDeadline(b.currentIndex, min(b.now+(request.giveUpAt-b.now)/2, request.deadline-b.tick))
+	b.releaseCurrent()
+}
+
+// leadFetch lets others follow the current request, if it is a read and none leads for its key yet.
+func (b *Instance) leadFetch() {
+	request := b.current
+	if _, isFetched := b.coalescing.leaders[request.Key]; request.Keyed && !request.Write && !isFetched {
+		b.coalescing.leaders[request.Key] = b.currentIndex
+		request.leadsFetch = true
+	}
+}
+
+// completeFetch has the followers ask the cache, which now holds the answer.
+func (b *Instance) completeFetch(leader *requestState) {
+	leader.leadsFetch = false
+	delete(b.coalescing.leaders, leader.Key)
+	for _, index := range slices.Backward(b.coalescing.followers[leader.Key]) {
+		follower := &b.requests[index]
+		follower.following, follower.needsOrigin = false, false
+		follower.triedEndpoints = follower.triedEndpoints[:0]
+		b.clearDeadline(index)
+		b.pending = append(b.pending, index)
+	}
+	delete(b.coalescing.followers, leader.Key)
+}
--- /dev/null
+++ b/balancer/outcome.go
@@ -0,0 +1,128 @@
+package balancer
+
+const (
+	overloadErrorShare = 0.1 // share of errors of all caches above which an error is taken for an overload
+	overloadLateShare  = 0.2 // share of late responses of all caches above which a late one is
+	overloadAttempts   = 3   // attempts of a request after which a rejection by a cache is
+	ejectionErrorShare = 0.4 // share of errors above which a cache may be ejected
+	ejectionErrorRatio = 2   // how much more of its responses have to be errors than of all caches'
+)
+
+// learn updates what is known of the endpoint, of the caches or the origin, and their limits.
+func (b *Instance) learn(request *requestState, endpoint *endpointState, a Answer) {
+	unanswered := a.Ending == Silent || a.Ending == Undone
+	attempt := finishedAttempt{Answer: a, request: request, endpoint: endpoint}
+	attempt.responded = a.Ending.isResponse()
+	attempt.failedProbe = unanswered && endpoint.ejected
+	tookLong := a.Took > b.routes[request.Route].latencyBudget*3/4
+	// an attempt cancelled when its time was up was no less late than one whose own timeout came first
+	attempt.late = a.Ending == Silent ||
+		tookLong && (a.Ending == Completed || a.Ending == Lacking || a.Ending == Undone)
+	endpoint.overloads.observe(b.now, indicator(a.Ending == NoRoom), 1.0/8, 3*second)
+	b.learnLatency(&attempt)
+	b.learnLoad(&attempt)
+	b.learnOriginLimit(&attempt)
+	b.learnResponse(&attempt)
+	b.learnErrors(&attempt)
+	b.learnFailure(&attempt)
+}
+
+func (b *Instance) learnLatency(attempt *finishedAttempt) {
+	switch {
+	case attempt.endpoint.Origin && attempt.Ending == Completed:
+		b.origin.observeAnswer(b.now, attempt.Took)
+	case !attempt.endpoint.Origin && !attempt.request.needsOrigin && !attempt.failedProbe:
+		b.caches.lateShare.observe(b.now, indicator(attempt.late), 1.0/64, 10*second)
+	}
+}
+
+// learnLoad adapts the origin's limit and the caches' capacity. The first case that holds counts.
+func (b *Instance) learnLoad(attempt *finishedAttempt) {
+	switch {
+	case attempt.endpoint.Origin && attempt.Ending == Completed && attempt.Took <= b.origin.objective:
+		b.origin.increase()
+	case attempt.endpoint.Origin && b.isOriginOverload(attempt):
+		b.origin.reduce(b.now)
+	case attempt.endpoint.Origin || attempt.request.needsOrigin || attempt.failedProbe:
+		// no sign that the caches have too much to do
+	case attempt.late || attempt.Ending == Fault && b.caches.errorShare > overloadErrorShare ||
+		attempt.Ending == NoRoom && attempt.request.attempts >= overloadAttempts:
+		b.observeEndpointLatency(attempt.endpoint, max(attempt.Took, b.noResponseTimeout/2), 0.5)
+		if b.isCacheOverload(attempt) {
+			b.reduceCapacity()
+		}
+	case attempt.Ending == Completed:
+		b.admission.increase(b.caches.inFlight)
+		b.observeEndpointLatency(attempt.endpoint, attempt.Took, 0.25)
+		b.caches.observeLatency(attempt.Took)
+	}
+}
+
+// isOriginOverload tells whether an outcome shows that the origin is loaded. One long answer among quick
+// ones comes of the work in it, a write's above all, a missing one among others, of its connection.
+func (b *Instance) isOriginOverload(attempt *finishedAttempt) bool {
+	return attempt.Ending == NoRoom || attempt.Took > 2*b.origin.objective &&
+		(b.origin.latency.value > float64(b.origin.objective) ||
+			attempt.Ending != Completed && attempt.endpoint.silentSince <= attempt.request.sentAt)
+}
+
+// isCacheOverload tells whether a late or failed outcome shows too much work for all caches. A few endpoints
+// that are late among quick ones are skipped and show none, but a fifth of all responses does, though mean
+// and lateness drift apart when late attempts end unanswered. Where peers notify of nothing, a fifth may
+// come of resets and hung endpoints that each proxy encounters for itself.
+func (b *Instance) isCacheOverload(attempt *finishedAttempt) bool {
+	return attempt.Ending == NoRoom || attempt.Ending == Fault ||
+		attempt.endpoint.latency.value < 2*b.caches.meanLatency ||
+		b.peerCount > 0 && b.caches.lateShare.value > overloadLateShare
+}
+
+func (b *Instance) learnOriginLimit(attempt *finishedAttempt) {
+	if attempt.endpoint.Origin {
+		if attempt.Ending == Completed {
+			b.origin.lastGoodLimit += b.origin.limit - b.origin.lastGoodLimit
+		}
+		b.origin.pace(b.now)
+	}
+	b.logConstrained()
+}
+
+func (b *Instance) learnResponse(attempt *finishedAttempt) {
+	if !attempt.responded {
+		return
+	}
+	attempt.endpoint.silentSince, attempt.endpoint.lastResponseAt = b.now, b.now
+	if attempt.endpoint.suspicion > 0 {
+		attempt.endpoint.suspicion = 0
+		b.notifyPeers(attempt.endpoint, true)
+	}
+}
+
+// learnErrors takes a cache's response into the shares of errors. A cache that fails much of its work, while
+// the others do not, is ejected; one that was ejected and does its work is brought back.
+func (b *Instance) learnErrors(attempt *finishedAttempt) {
+	if !attempt.responded || attempt.endpoint.Origin {
+		return
+	}
+	endpoint, isError := attempt.endpoint, attempt.Ending == Fault
+	b.caches.lastResponseAt = b.now
+	if attempt.Ending != NoRoom {
+		b.countCacheResponse(endpoint, isError)
+	}
+	if isError && endpoint.errorShare > ejectionErrorShare &&
+		endpoint.errorShare > ejectionErrorRatio*b.caches.errorShare {
+		b.eject(endpoint)
+	} else if endpoint.ejected && !isError {
+		endpoint.ejected, endpoint.ejectionTime = false, 0
+		b.logf("endpoint %d responds again", endpoint.Node)
+	}
+}
+
+// learnFailure ejects a cache that does not connect, and for longer one whose probe failed.
+func (b *Instance) learnFailure(attempt *finishedAttempt) {
+	endpoint := attempt.endpoint
+	probeFailed := attempt.failedProbe && b.now >= endpoint.probeAt &&
+		endpoint.silentSince <= attempt.request.sentAt
+	if attempt.Ending == Unreachable && !endpoint.Origin || probeFailed {
+		b.eject(endpoint)
+	}
+}
