replica: types.go split into a file for each type, with their doc comments

One file held times, rows, digests, heartbeats, leases, settings, decisions and members. MostBody, which only this package uses, is MaxBodyBytes; the hashes of a row are rowID and versionHash.

No change of behaviour. Run: tests of replica, go build ./...

--- a/replica/instance.go
+++ b/replica/instance.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -105,18 +104,6 @@
 	return r
 }
 
-// idOf says which row, copyOf which copy of it.
-func idOf(r *Row) uint64 {
-	return xxhash.Sum64String(string(rune(r.Kind)) + "\x00" + r.Key + "\x00" + r.Writer)
-}
-
-func copyOf(r *Row) uint64 {
-	h := xxhash.New()
-	fmt.Fprintf(h, "%d %d %d ", r.Epoch, r.Rank, r.Count)
-	h.Write(r.Body)
-	return h.Sum64()
-}
-
 // mixed is what a copy adds to its bucket's sum.
 func (h *held) mixed() uint64 { return h.id*0x9e3779b97f4a7c15 ^ h.copy }
 
@@ -156,7 +143,7 @@
 			row.Life = leftLife
 		}
 		listed[row.Key] = true
-		if h := r.rows[idOf(&row)]; h == nil || h.Rank != row.Rank || h.Count != row.Count {
+		if h := r.rows[rowID(&row)]; h == nil || h.Rank != row.Rank || h.Count != row.Count {
 			r.merge(row, "", true)
 		}
 	}
@@ -223,9 +210,9 @@
 
 // merge takes a copy if it is newer than the one that is held, and has it spread.
 func (r *Instance) merge(row Row, from string, mine bool) {
-	id := idOf(&row)
+	id := rowID(&row)
 	delete(r.wanted, id)
-	if !row.fits() {
+	if !row.valid() {
 		r.Dropped++
 		return
 	}
@@ -259,7 +246,7 @@
 	h.Row = row
 	h.Key, h.Writer = strings.Clone(row.Key), strings.Clone(row.Writer) // the caller's buffer goes on
 	h.Body = slices.Clone(row.Body)
-	h.copy, h.born, h.had = copyOf(&row), r.now-row.Age, r.now
+	h.copy, h.born, h.had = versionHash(&row), r.now-row.Age, r.now
 	b.sum ^= h.mixed()
 	r.say(Decision{Act: Spread, Rows: []Row{r.wire(h)}})
 	switch {
@@ -633,7 +620,7 @@
 }
 
 // end is the row that tells of the end of one of a proxy's processes, nil: none is held.
-func (r *Instance) end(m *member) *held { return r.rows[idOf(&Row{Kind: Gone, Key: m.name})] }
+func (r *Instance) end(m *member) *held { return r.rows[rowID(&Row{Kind: Gone, Key: m.name})] }
 
 // ended tells whether the incarnation that a proxy's latest pulse is of is known to have ended. A pulse of it that comes late
 // changes nothing: a process that is wrongly said to have ended goes on as another incarnation.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -44,7 +44,7 @@
 func (l last) holds(key string) (Row, bool) { r, ok := l[key]; return r, ok }
 func (l last) sum() (s uint64) {
 	for _, r := range l {
-		s ^= idOf(&r) * (copyOf(&r) | 1)
+		s ^= rowID(&r) * (versionHash(&r) | 1)
 	}
 	return s
 }
@@ -180,7 +180,7 @@
 	}
 	for _, r := range []Row{
 		{Kind: 77, Key: strings.Repeat("k", MostName+1)},
-		{Kind: 77, Key: "k", Body: make([]byte, MostBody+1)},
+		{Kind: 77, Key: "k", Body: make([]byte, MaxBodyBytes+1)},
 		{Key: "k"},
 		{Kind: 77},
 		{Kind: 77, Key: "k", Age: -1},
--- a/replica/share.go
+++ b/replica/share.go
@@ -6,6 +6,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Loan is a lease of a part of the sender's quota to another proxy. It lasts for four heartbeat intervals from the time
+// at which the borrower wrote the heartbeat that Count names. Lender and borrower each count from a time on their own
+// clock, and the borrower's is earlier: the lease has ended there when the lender uses that part again.
+type Loan struct {
+	To    string  `msgpack:"t"` // the borrower
+	Part  float64 `msgpack:"p"` // of the fleet's limits, 0 to 1
+	Count int64   `msgpack:"c"` // Row.Count of the borrower's heartbeat
+}
+
 // The share of what all proxies may do together that this one may use. The sum over all that run stays at one in every
 // state, by these rules and without a vote:
 //
--- /dev/null
+++ b/replica/time.go
@@ -0,0 +1,8 @@
+package replica
+
+// Time is an instant or a span in units of 0.1 ms. Instants are read from the caller's monotonic clock, whose zero is
+// arbitrary: they mean nothing to another process, which is why rows carry an age and never an instant.
+type Time int64
+
+// Second is one second in units of Time.
+const Second = Time(10000)
--- a/replica/wire_golden_test.go
+++ b/replica/wire_golden_test.go
@@ -86,7 +86,7 @@
 		{"units of time in a second", int64(replica.Second), 10000},
 		{"buckets of a digest", replica.Buckets, 64},
 		{"longest name", replica.MostName, 128},
-		{"longest body", replica.MostBody, 1024},
+		{"longest body", replica.MaxBodyBytes, 1024},
 	} {
 		if c.got != c.want {
 			t.Errorf("%s: %d, want %d", c.name, c.got, c.want)
