replica: rows, members, anti-entropy, quota and expiry are parts of their own

instance.go and share.go had one type of 32 fields that did all of it. Names are the field's: heartbeat, departure record, sync peer, lease, refute, suspended, quota floor, acknowledged, confirmed. Log texts follow. The expiry of members and the granting of leases are named steps.

The tests stand in a file for each part, the tables with named cases: orders, unknown kinds, ages and bounds in rows_test.go; digests, cost, help, suspension and the first poll in antientropy_test.go; yield, successor and departure in members_test.go; complete lists and refutation in writes_test.go; leases in quota_test.go. Each assertion is there, with the same figures; each bad row is now also counted by itself, and an endpoint's row has to be stored before its rank counts.

No change of behaviour: the order of decisions and of random draws is as it was.

--- /dev/null
+++ b/replica/antientropy_test.go
@@ -0,0 +1,123 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// deliverSync delivers the messages of anti-entropy, and the replies to them, at once.
+func deliverSync(replicas map[string]*Instance, from string, decisions []Decision) {
+	for _, d := range slices.Clone(decisions) {
+		to := replicas[d.To]
+		switch d.Act {
+		case Digest:
+			deliverSync(replicas, d.To, to.Digest(0, from, d.Sums))
+		case Heads:
+			deliverSync(replicas, d.To, to.Heads(0, from, d.Which, d.Heads))
+		case Rows:
+			deliverSync(replicas, d.To, to.Rows(0, from, slices.Clone(d.Rows)))
+		case Want:
+			deliverSync(replicas, d.To, to.Want(0, from, d.IDs))
+		}
+	}
+}
+
+// Three replicas that each have a part of the rows agree by digests alone, without gossip, in whatever order these are
+// sent.
+func TestDigestsAloneConverge(t *testing.T) {
+	for _, names := range [][]string{
+		{"a", "b", "c"}, {"a", "c", "b"}, {"b", "a", "c"}, {"b", "c", "a"}, {"c", "a", "b"}, {"c", "b", "a"},
+	} {
+		t.Run(strings.Join(names, ""), func(t *testing.T) {
+			replicas := map[string]*Instance{"a": newReplica("a", 3), "b": newReplica("b", 3), "c": newReplica("c", 3)}
+			for i, name := range names {
+				for k := range 30 {
+					row := Row{Key: fmt.Sprint("c", k%(20+i)), Count: int64(k), Body: []byte(name)}
+					replicas[name].Listed(0, false, int64(i+k), []Row{row})
+				}
+			}
+			for _, pair := range [][2]string{{names[0], names[1]}, {names[1], names[2]}, {names[0], names[1]}} {
+				digest := Decision{Act: Digest, To: pair[1], Sums: replicas[pair[0]].Sums()}
+				deliverSync(replicas, pair[0], []Decision{digest})
+			}
+			a, b, c := replicas["a"], replicas["b"], replicas["c"]
+			if a.Sums() != b.Sums() || b.Sums() != c.Sums() || a.Kinds()[Node].Rows != 22 {
+				t.Error("the replicas differ")
+			}
+		})
+	}
+}
+
+// The size of the messages follows from what was missed, not from how much is stored.
+func TestCatchUpSendsOnlyWhatDiffers(t *testing.T) {
+	rows := make([]Row, 2000)
+	for i := range rows {
+		rows[i] = Row{Key: fmt.Sprint("c", i)}
+	}
+	a, b := newReplica("a", 2), newReplica("b", 2)
+	a.Listed(0, true, 1, rows)
+	b.Listed(0, true, 1, rows)
+	a.Listed(0, false, 2, []Row{{Key: "c7", Rank: Leaving}})
+	reply := withAct(a.Digest(0, "b", b.Sums()), Heads)[0]
+	if count := len(reply.Heads); count > 100 {
+		t.Errorf("%d versions for one row", count)
+	}
+	decisions := b.Heads(0, "a", reply.Which, reply.Heads)
+	request := withAct(decisions, Want)
+	if len(request) != 1 || len(request[0].IDs) != 1 || len(withAct(decisions, Rows)) != 1 {
+		t.Errorf("%+v", decisions)
+	}
+}
+
+// A few peers are helped at a time; the others are told at once to poll another.
+func TestHelpIsLimited(t *testing.T) {
+	replica := newReplica("a", 9)
+	replica.Listed(0, true, 1, []Row{{Key: "c1"}})
+	helped, busy := 0, 0
+	for range 10 {
+		decisions := replica.Digest(0, "b", Sums{})
+		helped += len(withAct(decisions, Heads))
+		busy += len(withAct(decisions, Busy))
+	}
+	if helped != maxHelped || busy != 10-maxHelped {
+		t.Errorf("%d helped, %d not", helped, busy)
+	}
+}
+
+// A proxy that was suspended is catching up, with its quota at the floor, until a timeout though no peer helps.
+func TestSuspendedProxyCatchesUp(t *testing.T) {
+	replica := newReplica("a", 1)
+	now := Time(0)
+	advance := func(span Time) {
+		for end := now + span; now < end; now += testTick {
+			replica.Tick(now)
+		}
+	}
+	advance(4 * Second)
+	if replica.Behind() || replica.Share() != 1 {
+		t.Fatalf("in a fleet of one: catching up %v, share %v", replica.Behind(), replica.Share())
+	}
+	now += 30 * Second
+	replica.Tick(now)
+	if !replica.Behind() || replica.Share() != 0.25 {
+		t.Errorf("after 30 s: catching up %v, share %v", replica.Behind(), replica.Share())
+	}
+	if advance(aloneSyncTimeout + Second); replica.Behind() || replica.Share() != 1 {
+		t.Errorf("after the timeout: catching up %v, share %v", replica.Behind(), replica.Share())
+	}
+}
+
+// A proxy that starts before any peer is live polls the first one at the tick after its heartbeat, without waiting for
+// the timeout of a poll that was never sent.
+func TestFirstLivePeerIsPolledAtOnce(t *testing.T) {
+	a, b := newReplica("a", 2), newReplica("b", 2)
+	a.Tick(0)
+	for _, d := range withAct(b.Tick(0), Spread) {
+		a.Rows(Second/20, "b", d.Rows)
+	}
+	if polls := withAct(a.Tick(testTick), Digest); len(polls) != 1 || polls[0].To != "b" {
+		t.Errorf("%+v", polls)
+	}
+}
--- a/replica/decision.go
+++ b/replica/decision.go
@@ -1,5 +1,7 @@
 package replica
 
+import "fmt"
+
 // Act says what a Decision asks the caller to do. The numbers of Spread to Same are message types on the wire.
 type Act uint8
 
@@ -33,3 +35,14 @@
 	Share   float64 // 0 to 1
 	Text    string
 }
+
+// decisionList collects the decisions of one call. Its memory is reused by the next call.
+type decisionList struct {
+	decisions []Decision
+}
+
+func (l *decisionList) add(d Decision) { l.decisions = append(l.decisions, d) }
+
+func (l *decisionList) logf(format string, args ...any) {
+	l.add(Decision{Act: Log, Text: fmt.Sprintf(format, args...)})
+}
--- /dev/null
+++ b/replica/expiry.go
@@ -0,0 +1,54 @@
+package replica
+
+// expiryInterval is the time between two walks of the rows and members for what has expired.
+const expiryInterval = Second / 5
+
+func (s *Instance) expiryDue() bool { return s.now >= s.expireAt }
+
+// expire removes expired rows and members, finds who has departed, and has silent proxies probed.
+func (s *Instance) expire() {
+	s.expireAt = s.now + expiryInterval
+	s.rows.expire(s.now, s.members.forgetHeartbeat)
+	s.members.removeIf(func(other *member) bool {
+		departure := s.rows.departure(other.name)
+		s.updateDeparted(other, departure)
+		s.probeIfSilent(other)
+		return s.memberExpired(other, departure)
+	})
+	s.confirmQuota()
+}
+
+// updateDeparted decides whether a member has departed. Its quota is taken over from then on, so that the leases which
+// it granted have to have expired.
+func (s *Instance) updateDeparted(other *member, departure *storedRow) {
+	if departure != nil && other.heartbeat == nil && other.incarnation == 0 {
+		other.incarnation = departure.Epoch // no heartbeat of it was ever received
+	}
+	takeoverDelay := max(s.settings.Hold, s.quota.leaseLife())
+	departed := departure != nil && departure.Epoch >= other.incarnation && !s.members.isSelf(other) &&
+		!s.members.live(other, s.now) && s.now-departure.receivedAt >= takeoverDelay
+	if departed == other.departed {
+		return
+	}
+	other.departed = departed
+	s.out.logf("proxy %s departed %v: %d of %d have departed",
+		other.name, departed, s.members.departedCount(), s.members.fleetSize())
+}
+
+func (s *Instance) probeIfSilent(other *member) {
+	if !s.members.needsProbe(other, s.now) {
+		return
+	}
+	other.probedAt = s.now
+	s.out.add(Decision{Act: Probe, To: other.name, Address: other.report.Address, Epoch: other.incarnation})
+}
+
+// memberExpired reports whether a member counts no longer: its departure record has expired, or it was only ever heard
+// of. The configured size of the fleet is kept with members that have been running.
+func (s *Instance) memberExpired(other *member, departure *storedRow) bool {
+	if other.departed || departure != nil || other.heartbeat != nil || s.members.isSelf(other) {
+		return false
+	}
+	wasRunning := other.incarnation > 0
+	return !wasRunning || s.members.fleetSize() > s.settings.Proxies
+}
--- a/replica/heartbeat.go
+++ b/replica/heartbeat.go
@@ -1,5 +1,26 @@
 package replica
 
+import (
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// A proxy sends a heartbeat every minHeartbeatInterval, and heartbeatSpacing later for each proxy of the fleet, so
+	// that no more than a hundred heartbeats a second arrive.
+	minHeartbeatInterval = Second
+	heartbeatSpacing     = Second / 100
+
+	// heartbeatLife is the time to live of a heartbeat in heartbeat intervals.
+	heartbeatLife = 10
+
+	// longAgo is a span after which anything that is done at intervals is due.
+	longAgo = 1000 * Second
+
+	// overcommittedView is sent in place of the view hash by a proxy that has leased out more than its share. Nobody's
+	// view has this hash, so that the heartbeat acknowledges no incarnation and no proxy confirms its quota by it.
+	overcommittedView = 1
+)
+
 // Pulsed is the body of a heartbeat, a row of the kind Pulse.
 type Pulsed struct {
 	Address string  `msgpack:"a"` // host:port at which peers reach the proxy
@@ -12,3 +33,94 @@
 	Wrote   int64   `msgpack:"o,omitempty"` // messages about its writes that it has sent
 	Heir    bool    `msgpack:"h,omitempty"` // the process is ending, and a successor takes its name
 }
+
+// valid reports whether the figures of a heartbeat are within their bounds.
+func (h *Pulsed) valid() bool {
+	return h.Demand >= 0 && h.Demand < 1e9 && h.Base >= 0 && h.Base <= 1
+}
+
+// sentHeartbeat identifies a heartbeat of this proxy, and says when it was written.
+type sentHeartbeat struct {
+	count       int64
+	incarnation int64
+	at          Time
+}
+
+// heartbeatLog knows the latest heartbeats of this proxy, which the leases of other proxies refer to.
+type heartbeatLog struct {
+	lastAt Time
+	recent [16]sentHeartbeat // the newest first
+}
+
+func (l *heartbeatLog) record(sent sentHeartbeat) {
+	copy(l.recent[1:], l.recent[:len(l.recent)-1])
+	l.recent[0] = sent
+}
+
+// find returns the heartbeat of an incarnation by its count.
+func (l *heartbeatLog) find(count, incarnation int64) (sentHeartbeat, bool) {
+	for _, sent := range l.recent {
+		if sent.count == count && sent.incarnation == incarnation {
+			return sent, true
+		}
+	}
+	return sentHeartbeat{}, false
+}
+
+func (s *Instance) heartbeatDue() bool {
+	return !s.yielded && s.now-s.heartbeats.lastAt >= s.members.heartbeatInterval()
+}
+
+// sendHeartbeat gossips a heartbeat, and sends the digest to one live peer, which finds what gossip has lost.
+func (s *Instance) sendHeartbeat() {
+	s.heartbeats.lastAt = s.now
+	heartbeat := Pulsed{
+		Address: s.settings.Address,
+		Zone:    s.settings.Zone,
+		Demand:  s.quota.demand,
+		View:    s.members.viewHash(),
+		Behind:  s.sync.active,
+		Base:    s.quota.base(),
+		Loans:   s.quota.grantLeases(s.now),
+		Wrote:   s.writesSent,
+		Heir:    s.yielded,
+	}
+	if s.quota.overcommitted(s.now) {
+		heartbeat.View = overcommittedView
+	}
+	body, err := msgpack.Marshal(&heartbeat)
+	if err != nil {
+		panic(err) // all fields are plain values, which can always be encoded
+	}
+	s.heartbeats.record(sentHeartbeat{count: s.ownRows + 1, incarnation: s.settings.Incarnation, at: s.now})
+	s.writeOwn(Row{
+		Kind: Pulse, Key: s.settings.Me, Life: heartbeatLife * s.members.heartbeatInterval(), Body: body,
+	})
+	s.sendRandomDigest()
+}
+
+func (s *Instance) sendRandomDigest() {
+	count := len(s.members.all)
+	if count <= 1 || s.sync.active {
+		return
+	}
+	peer := s.members.all[s.random.IntN(count)]
+	if s.members.live(peer, s.now) && !s.members.isSelf(peer) {
+		s.out.add(Decision{Act: Digest, To: peer.name, Sums: s.rows.digest()})
+	}
+}
+
+// heartbeatReceived takes a heartbeat that was just stored: this proxy's own, or another's.
+func (s *Instance) heartbeatReceived(heartbeat *storedRow) {
+	sender := s.members.findOrAdd(heartbeat.Key)
+	if sender == nil {
+		return
+	}
+	var report Pulsed
+	if err := msgpack.Unmarshal(heartbeat.Body, &report); err != nil || !report.valid() {
+		s.Dropped++
+		return
+	}
+	s.members.recordHeartbeat(sender, heartbeat, &report)
+	s.quota.acceptLease(sender)
+}
--- a/replica/members.go
+++ b/replica/members.go
@@ -1,10 +1,230 @@
 package replica
 
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	maxMembers = 4096
+
+	// departureLife is the time to live of a departure record. The proxy counts as a member of the fleet until then.
+	departureLife = 1800 * Second
+
+	// missedHeartbeats is the number of heartbeat intervals after which a silent proxy is probed, or with a successor
+	// that has to start first, missedWithSuccessor.
+	missedHeartbeats    = 2
+	missedWithSuccessor = 6
+
+	// probeInterval is the time between two connect probes of one silent proxy.
+	probeInterval = Second
+)
+
+// The states of a proxy as the operators' calls name them.
+const (
+	stateLive     = "here"
+	stateDeparted = "gone"
+	stateSilent   = "silent"
+	stateUnknown  = "unknown"
+)
+
 // Member is what is shown of a proxy.
 type Member struct {
 	Name        string
 	Incarnation int64
-	State       string // "here", "silent", "gone" or "unknown"
+	State       string // "here" (live), "silent", "gone" (departed) or "unknown" (no heartbeat or departure record yet)
 	Lag         Time   // since its latest heartbeat was written
 	Pulsed
 }
+
+// member is what is known of a proxy.
+type member struct {
+	name         string
+	incarnation  int64
+	heartbeat    *storedRow // its latest heartbeat, nil if none is stored
+	report       Pulsed     // the body of its latest heartbeat
+	departed     bool       // its latest incarnation has ended, and the takeover delay has passed
+	acknowledged bool       // it knows the incarnation of this proxy, and does not take that for departed
+	probedAt     Time
+}
+
+// membership lists the proxies of the fleet, this one included, with what their heartbeats and departure records say.
+type membership struct {
+	settings *Terms
+	rows     *rowTable
+	all      []*member // by name
+	byName   map[string]*member
+	views    [16]uint64 // latest hashes of this proxy's view of the fleet, the newest first
+}
+
+func newMembership(settings *Terms, rows *rowTable) *membership {
+	return &membership{settings: settings, rows: rows, byName: map[string]*member{}}
+}
+
+// findOrAdd returns the member of a name, nil if it is new and there are too many.
+func (m *membership) findOrAdd(name string) *member {
+	if found := m.byName[name]; found != nil {
+		return found
+	}
+	if len(m.all) >= maxMembers {
+		return nil
+	}
+	added := &member{name: name}
+	m.byName[name] = added
+	i, _ := slices.BinarySearchFunc(m.all, name, func(other *member, name string) int {
+		return strings.Compare(other.name, name)
+	})
+	m.all = slices.Insert(m.all, i, added)
+	return added
+}
+
+// removeIf removes the members for which remove returns true. It calls remove once for each member, by name.
+func (m *membership) removeIf(remove func(*member) bool) {
+	m.all = slices.DeleteFunc(m.all, func(other *member) bool {
+		if !remove(other) {
+			return false
+		}
+		delete(m.byName, other.name)
+		return true
+	})
+}
+
+// forgetHeartbeat is called when a stored row has expired.
+func (m *membership) forgetHeartbeat(row *storedRow) {
+	if owner := m.byName[row.Key]; owner != nil && owner.heartbeat == row {
+		owner.heartbeat = nil
+	}
+}
+
+// isSelf reports whether a member is this proxy.
+func (m *membership) isSelf(other *member) bool { return other.name == m.settings.Me }
+
+// fleetSize is the number of proxies in the fleet, departed ones included: those configured, or those known if that
+// is more.
+func (m *membership) fleetSize() int { return max(len(m.all), m.settings.Proxies) }
+
+func (m *membership) departedCount() int {
+	count := 0
+	for _, other := range m.all {
+		if other.departed {
+			count++
+		}
+	}
+	return count
+}
+
+// heartbeatInterval is the time between two heartbeats of a proxy.
+func (m *membership) heartbeatInterval() Time {
+	return minHeartbeatInterval + Time(len(m.all))*heartbeatSpacing
+}
+
+// heartbeatTimeout is the age of its latest heartbeat from which on a proxy is probed. One with a successor gets
+// longer: connections to it are refused until the successor listens, though its name has not departed.
+func (m *membership) heartbeatTimeout(other *member) Time {
+	if other.report.Heir {
+		return missedWithSuccessor * m.heartbeatInterval()
+	}
+	return missedHeartbeats * m.heartbeatInterval()
+}
+
+// live reports whether the heartbeats of a proxy still arrive, from itself or by others.
+func (m *membership) live(other *member, now Time) bool {
+	if m.isSelf(other) {
+		return true
+	}
+	return other.heartbeat != nil &&
+		now-other.heartbeat.writtenAt < m.heartbeatTimeout(other)+m.heartbeatInterval()+Second/2 &&
+		!m.incarnationEnded(other)
+}
+
+// incarnationEnded reports whether there is a departure record for the incarnation of a proxy's latest heartbeat. Later
+// heartbeats of that incarnation change nothing: a process that was wrongly recorded as departed takes a new
+// incarnation.
+func (m *membership) incarnationEnded(other *member) bool {
+	departure := m.rows.departure(other.name)
+	return departure != nil && other.heartbeat != nil && departure.Epoch >= other.heartbeat.Epoch
+}
+
+// needsProbe reports whether a proxy is silent, so that a connect probe has to find whether its process has ended.
+func (m *membership) needsProbe(other *member, now Time) bool {
+	return !m.isSelf(other) && other.heartbeat != nil && !m.incarnationEnded(other) &&
+		now-other.heartbeat.writtenAt > m.heartbeatTimeout(other) && now-other.probedAt >= probeInterval
+}
+
+// viewHash is a hash of who is in the fleet, with which incarnation, and who has departed. It is remembered, so that
+// the heartbeats of others that name it acknowledge this incarnation.
+func (m *membership) viewHash() uint64 {
+	view := uint64(m.fleetSize())
+	for _, other := range m.all {
+		state := other.incarnation << 1
+		if m.isSelf(other) {
+			state = m.settings.Incarnation << 1
+		}
+		if other.departed {
+			state |= 1
+		}
+		view ^= xxhash.Sum64String(other.name) * uint64(2*state+1)
+	}
+	if m.views[0] != view {
+		copy(m.views[1:], m.views[:len(m.views)-1])
+		m.views[0] = view
+	}
+	return view
+}
+
+// recordHeartbeat takes the latest heartbeat of a proxy.
+func (m *membership) recordHeartbeat(other *member, heartbeat *storedRow, report *Pulsed) {
+	sameView := report.View != 0 && slices.Contains(m.views[:], report.View)
+	other.acknowledged = other.acknowledged && heartbeat.Epoch == other.incarnation || sameView
+	other.heartbeat, other.report, other.incarnation = heartbeat, *report, heartbeat.Epoch
+}
+
+// forgetAcknowledgements is called when this proxy takes a new incarnation.
+func (m *membership) forgetAcknowledgements() {
+	for _, other := range m.all {
+		other.acknowledged = false
+	}
+	clear(m.views[:])
+}
+
+// allAcknowledged reports whether each proxy of the fleet is known, and has departed or acknowledged this incarnation.
+// One that was never known may be on the other side of a network partition.
+func (m *membership) allAcknowledged() bool {
+	for _, other := range m.all {
+		if !other.departed && !other.acknowledged && !m.isSelf(other) {
+			return false
+		}
+	}
+	return len(m.all) >= m.fleetSize()
+}
+
+// shown lists all known proxies by name.
+func (m *membership) shown(now Time) []Member {
+	all := make([]Member, 0, len(m.all))
+	for _, other := range m.all {
+		shown := Member{
+			Name: other.name, Incarnation: other.incarnation, State: m.stateName(other, now), Pulsed: other.report,
+		}
+		if other.heartbeat != nil {
+			shown.Lag = now - other.heartbeat.writtenAt
+		}
+		all = append(all, shown)
+	}
+	return all
+}
+
+// stateName is the state of a proxy as the operators' calls name it.
+func (m *membership) stateName(other *member, now Time) string {
+	switch {
+	case m.live(other, now):
+		return stateLive
+	case other.departed || m.incarnationEnded(other):
+		return stateDeparted
+	case other.heartbeat != nil || other.incarnation > 0:
+		return stateSilent
+	default:
+		return stateUnknown
+	}
+}
--- /dev/null
+++ b/replica/members_test.go
@@ -0,0 +1,105 @@
+package replica
+
+import "testing"
+
+// A proxy that has yielded to another of its name sends no heartbeat, also not when it has caught up.
+func TestYieldedProxySendsNoHeartbeat(t *testing.T) {
+	replica := newReplica("a", 1)
+	replica.Yield(true)
+	for now := Time(0); now < 5*Second; now += testTick {
+		if sent := withAct(replica.Tick(now), Spread); len(sent) > 0 {
+			t.Fatalf("%+v", sent[0].Rows)
+		}
+	}
+	if replica.Behind() {
+		t.Error("it is still catching up")
+	}
+}
+
+// A proxy with a successor says so in its last heartbeat. The successor may take more than two heartbeats to start on a
+// busy machine, and nothing listens meanwhile: the name has not departed. Without a successor the proxy is probed soon.
+func TestProxyWithSuccessorIsProbedLater(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		successor bool
+	}{
+		{"with successor", true},
+		{"without successor", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := newReplica("a", 2), newReplica("b", 2)
+			a.Rows(0, "b", withAct(b.Tick(0), Spread)[0].Rows)
+			if b.Yield(c.successor); c.successor {
+				a.Rows(Second, "b", withAct(b.Leave(Second), Spread)[0].Rows)
+			}
+			probedAt := Time(0)
+			for now := Second; now < 9*Second && probedAt == 0; now += testTick {
+				if len(withAct(a.Tick(now), Probe)) > 0 {
+					probedAt = now
+				}
+			}
+			if late := probedAt > 7*Second; probedAt == 0 || late != c.successor {
+				t.Errorf("probed at %v", probedAt)
+			}
+		})
+	}
+}
+
+// pair is two replicas that exchange rows at each tick.
+type pair struct {
+	now  Time
+	a, b *Instance
+}
+
+func (p *pair) deliver(from, to *Instance, decisions []Decision) {
+	for _, d := range withAct(decisions, Spread) {
+		to.Rows(p.now, from.settings.Me, d.Rows)
+	}
+}
+
+// connected lets time pass for both replicas.
+func (p *pair) connected(span Time) {
+	for end := p.now + span; p.now < end; p.now += testTick {
+		p.deliver(p.b, p.a, p.b.tickCopy(p.now))
+		p.deliver(p.a, p.b, p.a.tickCopy(p.now))
+	}
+}
+
+// partitioned lets time pass for a alone, and returns how many probes a decided on.
+func (p *pair) partitioned(span Time) (probes int) {
+	for end := p.now + span; p.now < end; p.now += testTick {
+		probes += len(withAct(p.a.Tick(p.now), Probe))
+	}
+	return probes
+}
+
+// A silent proxy keeps its quota. That of a departed one is taken over after the takeover delay, and returned when a
+// process with the same name is back.
+func TestQuotaOfDepartedProxyIsTakenOver(t *testing.T) {
+	p := &pair{a: newReplica("a", 2), b: newReplica("b", 2)}
+	if p.connected(8 * Second); p.a.Share() != 0.5 || p.b.Share() != 0.5 {
+		t.Fatalf("shares %v %v", p.a.Share(), p.b.Share())
+	}
+	if probes := p.partitioned(8 * Second); p.a.Share() != 0.5 || probes == 0 {
+		t.Errorf("silent: share %v, %d probes", p.a.Share(), probes)
+	}
+	if p.a.Refused(p.now, "b", 7); p.a.members.incarnationEnded(p.a.members.byName["b"]) {
+		t.Error("an incarnation that never was is believed to have ended")
+	}
+	p.a.Refused(p.now, "b", 1)
+	if p.partitioned(Second); p.a.Share() != 0.5 {
+		t.Errorf("before the takeover delay: %v", p.a.Share())
+	}
+	if p.partitioned(p.a.quota.leaseLife()); p.a.Share() != 1-0.25/2 {
+		t.Errorf("after it: %v", p.a.Share())
+	}
+	p.b = newReplica("b", 2)
+	p.b.settings.Incarnation, p.b.tickedAt = 2, p.now
+	p.deliver(p.b, p.a, p.b.tickCopy(p.now))
+	if p.connected(Second / 2); p.a.Share() != 0.5 || p.b.Share() > 0.25/2 {
+		t.Errorf("back: %v %v", p.a.Share(), p.b.Share())
+	}
+	if p.connected(8 * Second); p.a.Share() != 0.5 || p.b.Share() != 0.5 {
+		t.Errorf("confirmed again: %v %v", p.a.Share(), p.b.Share())
+	}
+}
--- /dev/null
+++ b/replica/rows_test.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// versionStore is given versions of rows and keeps one of each row.
+type versionStore interface {
+	receive(Row)
+	endpointRow(key string) (Row, bool)
+	digest() uint64
+}
+
+// replicaStore is an Instance as a versionStore.
+type replicaStore struct{ *Instance }
+
+func (s replicaStore) receive(row Row) { s.Rows(s.now, "x", []Row{row}) }
+func (s replicaStore) digest() uint64  { return s.Kinds()[Node].Sum }
+
+// lastWins is a versionStore with a planted fault: it keeps what comes last.
+type lastWins map[string]Row
+
+func (s lastWins) receive(row Row)                           { s[row.Key] = row }
+func (s lastWins) endpointRow(key string) (row Row, ok bool) { row, ok = s[key]; return row, ok }
+func (s lastWins) digest() (digest uint64) {
+	for _, row := range s {
+		digest ^= rowID(&row) * (versionHash(&row) | 1)
+	}
+	return digest
+}
+
+// permute calls f with the rows in each order.
+func permute(rows []Row, f func([]Row)) {
+	var permuteFrom func(start int)
+	permuteFrom = func(start int) {
+		if start == len(rows) {
+			f(rows)
+			return
+		}
+		for i := start; i < len(rows); i++ {
+			rows[start], rows[i] = rows[i], rows[start]
+			permuteFrom(start + 1)
+			rows[start], rows[i] = rows[i], rows[start]
+		}
+	}
+	permuteFrom(0)
+}
+
+// convergenceFault says what goes wrong, if anything, when stores receive the same versions in every order.
+func convergenceFault(newStore func() versionStore) (fault string) {
+	rows := []Row{
+		{Kind: Node, Key: "c1", Epoch: 5, Rank: Active, Body: []byte("a")},
+		{Kind: Node, Key: "c1", Epoch: 5, Rank: Leaving, Body: []byte("a")},
+		{Kind: Node, Key: "c1", Epoch: 5, Rank: Leaving, Count: 7, Body: []byte("b")},
+		{Kind: Node, Key: "c1", Epoch: 6, Rank: Active, Body: []byte("c")},
+		{Kind: Node, Key: "c2", Epoch: 4, Rank: Left, Life: removedEndpointLife},
+		{Kind: Node, Key: "c2", Epoch: 3, Rank: Active},
+	}
+	digests := map[uint64]bool{}
+	permute(rows, func(rows []Row) {
+		store := newStore()
+		for _, row := range rows {
+			before, stored := store.endpointRow(row.Key)
+			store.receive(row)
+			if after, _ := store.endpointRow(row.Key); stored && after.compare(&before) < 0 {
+				fault = fmt.Sprintf("%s goes back from %+v to %+v", row.Key, before, after)
+			}
+		}
+		digests[store.digest()] = true
+	})
+	if len(digests) != 1 {
+		fault += fmt.Sprintf(" %d states are left", len(digests))
+	}
+	return fault
+}
+
+func TestStoredVersionDoesNotDependOnOrder(t *testing.T) {
+	if fault := convergenceFault(func() versionStore { return replicaStore{newReplica("n1", 3)} }); fault != "" {
+		t.Error(fault)
+	}
+	if convergenceFault(func() versionStore { return lastWins{} }) == "" {
+		t.Error("the check finds nothing wrong with a store that keeps what comes last")
+	}
+}
+
+// Rows of an unknown kind are stored, gossiped and expired as their writer says.
+func TestUnknownKindIsGossipedAndOversizedRowRejected(t *testing.T) {
+	replica := newReplica("a", 2)
+	decisions := replica.Rows(0, "b", []Row{
+		{Kind: 77, Key: "order", Writer: "b", Epoch: 1, Life: 3 * Second, Body: []byte("?")},
+	})
+	if len(withAct(decisions, Spread)) != 1 || replica.Kinds()[77].Rows != 1 {
+		t.Errorf("%+v", decisions)
+	}
+	for _, c := range []struct {
+		name string
+		row  Row
+	}{
+		{"key too long", Row{Kind: 77, Key: strings.Repeat("k", MostName+1)}},
+		{"body too long", Row{Kind: 77, Key: "k", Body: make([]byte, MaxBodyBytes+1)}},
+		{"no kind", Row{Key: "k"}},
+		{"no key", Row{Kind: 77}},
+		{"negative age", Row{Kind: 77, Key: "k", Age: -1}},
+		{"expired", Row{Kind: 77, Key: "k", Life: 5, Age: 5}},
+		{"epoch too large", Row{Kind: Gone, Key: "a", Epoch: 1<<63 - 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			before := replica.Dropped
+			replica.Rows(0, "b", []Row{c.row})
+			if replica.Dropped != before+1 {
+				t.Errorf("%d rejected", replica.Dropped-before)
+			}
+		})
+	}
+	if replica.Dropped != 7 || replica.Kinds()[77].Rows != 1 {
+		t.Errorf("%d rejected", replica.Dropped)
+	}
+	for now := Time(0); now < 4*Second; now += testTick {
+		replica.Tick(now)
+	}
+	digest := replica.Sums()
+	replica.expire()
+	if replica.Kinds()[77].Rows != 0 || digest != replica.Sums() {
+		t.Error("the row does not expire")
+	}
+}
+
+// A row that is passed on expires no later than where it was written.
+func TestAgeIsPassedOn(t *testing.T) {
+	writer, reader := newReplica("a", 2), newReplica("b", 2)
+	row := withAct(writer.Saw(0, "c1", false), Spread)[0].Rows[0]
+	row.Age = 4 * Second
+	reader.Rows(100*Second, "a", []Row{row})
+	reader.expireAt, reader.tickedAt = 0, 101*Second
+	reader.Tick(1015 * Second / 10)
+	if reader.Kinds()[Sight].Rows != 0 {
+		t.Error("the row is still stored")
+	}
+}
+
+func TestRowsAndMessagesAreBounded(t *testing.T) {
+	replica := newReplica("a", 1)
+	for i := range maxRows + 50 {
+		replica.Rows(0, "b", []Row{{Kind: 77, Key: fmt.Sprint(i), Writer: "b"}})
+	}
+	if replica.rows.size() != maxRows || replica.Dropped == 0 {
+		t.Errorf("%d rows", replica.rows.size())
+	}
+	for _, d := range withAct(replica.Want(0, "b", make([]uint64, 2*maxRowsRequested)), Rows) {
+		if len(d.Rows) > maxRowsPerSend {
+			t.Error("a message of", len(d.Rows))
+		}
+	}
+}
