--- a/replica/golden_msgpack_test.go
+++ b/replica/golden_msgpack_test.go
@@ -14,8 +14,8 @@
 	full  bool // every field has to be set, so that a new field can't be left out of the pin
 }
 
-// checkGolden checks that each value is encoded as in the golden file, that the file's bytes decode to the value, and that
-// they still do with a field that this version does not know.
+// checkGolden checks that each value is encoded as in the golden file, that the file's bytes decode to the value, and
+// that they still do with a field that this version does not know.
 func checkGolden(t *testing.T, file string, cases []goldenCase) {
 	t.Helper()
 	encodings := make([]encoding, len(cases))
@@ -28,13 +28,33 @@
 	}
 	for i, golden := range compareGolden(t, file, encodings) {
 		c := cases[i]
-		if c.full {
-			requireAllFields(t, c.name, reflect.ValueOf(c.value).Elem())
-		}
-		checkDecode(t, c, golden)
-		if isMap(golden) {
-			checkDecode(t, c, withUnknownField(t, golden))
-		}
+		t.Run(c.name, func(t *testing.T) {
+			if c.full {
+				requireAllFields(t, c.name, reflect.ValueOf(c.value).Elem())
+			}
+			checkDecode(t, c, golden)
+			if isMap(golden) {
+				checkDecode(t, c, withUnknownField(t, golden))
+			}
+		})
+	}
+}
+
+// encode returns the encoding of a value.
+func encode(t *testing.T, value any) []byte {
+	t.Helper()
+	encoded, err := msgpack.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+// decode decodes into the value that a pointer points to.
+func decode(t *testing.T, encoded []byte, pointer any) {
+	t.Helper()
+	if err := msgpack.Unmarshal(encoded, pointer); err != nil {
+		t.Fatal(err)
 	}
 }
 
--- a/replica/wire_golden_test.go
+++ b/replica/wire_golden_test.go
@@ -5,11 +5,9 @@
 	"testing"
 
 	"woodproxy/replica"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
-// TestGoldenRows pins the encoding of a row, of the body of a pulse and of what digests are answered with.
+// TestGoldenRows pins the encoding of a row, of the body of a heartbeat and of the row versions in replies to digests.
 func TestGoldenRows(t *testing.T) {
 	checkGolden(t, "rows.golden", []goldenCase{
 		{name: "row-full", full: true, value: &replica.Row{
@@ -36,83 +34,93 @@
 		got  replica.Kind
 		want uint8
 	}{
-		{"pulse", replica.Pulse, 1},
-		{"sight", replica.Sight, 2},
-		{"node", replica.Node, 3},
-		{"gone", replica.Gone, 4},
-		{"voice", replica.Voice, 5},
-		{"order", replica.Order, 6},
-		{"trial", replica.Trial, 7},
-		{"beat", replica.Beat, 8},
-		{"wrote", replica.Wrote, 9},
-		{"absent", replica.Absent, 10},
+		{"heartbeat", replica.Pulse, 1},
+		{"health observation", replica.Sight, 2},
+		{"endpoint", replica.Node, 3},
+		{"departure record", replica.Gone, 4},
+		{"zone report", replica.Voice, 5},
+		{"zone override", replica.Order, 6},
+		{"endpoint probe", replica.Trial, 7},
+		{"watch heartbeat", replica.Beat, 8},
+		{"written keys", replica.Wrote, 9},
+		{"absent keys", replica.Absent, 10},
 	} {
-		if uint8(c.got) != c.want {
-			t.Errorf("kind %s: %d, want %d", c.name, c.got, c.want)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			if uint8(c.got) != c.want {
+				t.Errorf("kind %d, want %d", c.got, c.want)
+			}
+		})
 	}
 }
 
-// TestMessageTypeNumbers pins the number that each act which is sent to a peer has in a message.
+// TestMessageTypeNumbers pins the number that each act that sends a message to a peer has on the wire.
 func TestMessageTypeNumbers(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		got  replica.Act
 		want uint8
 	}{
-		{"spread", replica.Spread, 0},
+		{"gossip", replica.Spread, 0},
 		{"digest", replica.Digest, 1},
-		{"heads", replica.Heads, 2},
+		{"row versions", replica.Heads, 2},
 		{"rows", replica.Rows, 3},
-		{"want", replica.Want, 4},
-		{"busy", replica.Busy, 5},
-		{"same", replica.Same, 6},
+		{"row request", replica.Want, 4},
+		{"busy reply", replica.Busy, 5},
+		{"in-sync reply", replica.Same, 6},
 	} {
-		if uint8(c.got) != c.want {
-			t.Errorf("act %s: %d, want %d", c.name, c.got, c.want)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			if uint8(c.got) != c.want {
+				t.Errorf("act %d, want %d", c.got, c.want)
+			}
+		})
 	}
 }
 
-// TestWireConstants pins the ranks of a node's row, the unit of ages, and the bounds that all peers have to agree on.
+// TestWireConstants pins the ranks of an endpoint's row, the unit of ages, and the bounds that all peers have to agree
+// on.
 func TestWireConstants(t *testing.T) {
 	for _, c := range []struct {
 		name      string
 		got, want int64
 	}{
-		{"rank of an active node", replica.Active, 0},
-		{"rank of a leaving node", replica.Leaving, 1},
-		{"rank of a node that has left", replica.Left, 2},
+		{"rank of an active endpoint", replica.Active, 0},
+		{"rank of a draining endpoint", replica.Leaving, 1},
+		{"rank of a removed endpoint", replica.Left, 2},
 		{"units of time in a second", int64(replica.Second), 10000},
 		{"buckets of a digest", replica.Buckets, 64},
 		{"longest name", replica.MostName, 128},
 		{"longest body", replica.MaxBodyBytes, 1024},
 	} {
-		if c.got != c.want {
-			t.Errorf("%s: %d, want %d", c.name, c.got, c.want)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			if c.got != c.want {
+				t.Errorf("%d, want %d", c.got, c.want)
+			}
+		})
 	}
 }
 
-// newInstance returns an instance that holds nothing.
-func newInstance() *replica.Instance {
+// newEmptyReplica returns a replica without rows.
+func newEmptyReplica() *replica.Instance {
 	return replica.New(0, replica.Terms{
 		Me: "proxy-a", Incarnation: 1700000000000, Proxies: 3, Address: "192.0.2.1:7946", Zone: "zone-1",
 		Hold: replica.Second, Floor: 0.25, SightLife: 10 * replica.Second,
 	}, 1)
 }
 
-// TestRowHashes pins the hashes by which peers compare what they hold: the ID of a row, the hash of its copy, and what both
-// add to the digest.
+// TestRowHashes pins the hashes by which peers compare what they hold: the ID of a row, the hash of its version, and
+// what both add to the digest.
 func TestRowHashes(t *testing.T) {
 	for _, c := range []struct {
-		name          string
-		row           replica.Row
-		id, copy, sum uint64
+		name             string
+		row              replica.Row
+		id, version, sum uint64
 	}{
 		{
 			"own row",
-			replica.Row{Kind: replica.Voice, Key: "zone-1", Writer: "proxy-b", Epoch: 1700000000000, Rank: 1, Count: 42, Body: []byte("body")},
+			replica.Row{
+				Kind: replica.Voice, Key: "zone-1", Writer: "proxy-b", Epoch: 1700000000000, Rank: 1, Count: 42,
+				Body: []byte("body"),
+			},
 			0x6c4794fbc077f633, 0xd57460454c946dff, 0x793a35c910418bd0,
 		},
 		{
@@ -141,39 +149,42 @@
 			0x9dc84bed8f08082e, 0xe6dd06ec53a24941, 0xf7be418f9d48ba87,
 		},
 	} {
-		instance := newInstance()
-		instance.Rows(0, "proxy-b", []replica.Row{c.row})
-		head, sum := onlyHead(t, instance)
-		if head.ID != c.id || head.Copy != c.copy || sum != c.sum {
-			t.Errorf("%s: ID %#016x copy %#016x sum %#016x, want %#016x %#016x %#016x", c.name, head.ID, head.Copy, sum, c.id, c.copy, c.sum)
-		}
-		if held := instance.Kinds()[c.row.Kind]; held.Rows != 1 || held.Sum != c.sum {
-			t.Errorf("%s: digest of the kind %+v, want %#016x", c.name, held, c.sum)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			store := newEmptyReplica()
+			store.Rows(0, "proxy-b", []replica.Row{c.row})
+			version, sum := onlyVersion(t, store)
+			if version.ID != c.id || version.Copy != c.version || sum != c.sum {
+				t.Errorf("ID %#016x version %#016x sum %#016x, want %#016x %#016x %#016x",
+					version.ID, version.Copy, sum, c.id, c.version, c.sum)
+			}
+			if figures := store.Kinds()[c.row.Kind]; figures.Rows != 1 || figures.Sum != c.sum {
+				t.Errorf("digest of the kind %+v, want %#016x", figures, c.sum)
+			}
+		})
 	}
 }
 
-// onlyHead returns the head of the only row that an instance holds, and that row's part in the digest, which has to stand
-// in the bucket that the lowest bits of the row's ID name.
-func onlyHead(t *testing.T, instance *replica.Instance) (replica.Head, uint64) {
+// onlyVersion returns the version of the only row that a replica has stored, and that row's part in the digest, which has
+// to be in the bucket that the lowest bits of the row's ID select.
+func onlyVersion(t *testing.T, store *replica.Instance) (replica.Head, uint64) {
 	t.Helper()
-	decisions := instance.Digest(0, "proxy-b", otherSums(instance))
+	decisions := store.Digest(0, "proxy-b", otherSums(store))
 	if len(decisions) != 1 || decisions[0].Act != replica.Heads || len(decisions[0].Heads) != 1 {
 		t.Fatalf("answer to a digest: %+v", decisions)
 	}
-	head := decisions[0].Heads[0]
-	sums := instance.Sums()
+	version := decisions[0].Heads[0]
+	sums := store.Sums()
 	for i, sum := range sums {
-		if (sum != 0) != (uint64(i) == head.ID%64) {
-			t.Errorf("bucket %d has sum %#x with ID %#x", i, sum, head.ID)
+		if (sum != 0) != (uint64(i) == version.ID%64) {
+			t.Errorf("bucket %d has sum %#x with ID %#x", i, sum, version.ID)
 		}
 	}
-	return head, sums[head.ID%64]
+	return version, sums[version.ID%64]
 }
 
-// otherSums is a digest that differs from an instance's in each bucket.
-func otherSums(instance *replica.Instance) replica.Sums {
-	sums := instance.Sums()
+// otherSums is a digest that differs from a replica's in each bucket.
+func otherSums(store *replica.Instance) replica.Sums {
+	sums := store.Sums()
 	for i := range sums {
 		sums[i] = ^sums[i]
 	}
@@ -182,12 +193,12 @@
 
 // TestDigestSums pins the digest of several rows, of which two share a bucket.
 func TestDigestSums(t *testing.T) {
-	instance := newInstance()
+	store := newEmptyReplica()
 	var rows []replica.Row
 	for n := range 16 {
 		rows = append(rows, replica.Row{Kind: replica.Node, Key: fmt.Sprint("node-", n), Epoch: 7, Count: 1})
 	}
-	instance.Rows(0, "proxy-b", rows)
+	store.Rows(0, "proxy-b", rows)
 	want := replica.Sums{
 		2:  0x494761b02840bf72,
 		5:  0x28742252832f5df1,
@@ -205,7 +216,7 @@
 		61: 0xa911778c038e3e19,
 		63: 0x9ffa37487c1b00b3,
 	}
-	if got := instance.Sums(); got != want {
+	if got := store.Sums(); got != want {
 		for i, sum := range got {
 			if sum != want[i] {
 				t.Errorf("bucket %d: %#016x, want %#016x", i, sum, want[i])
@@ -214,11 +225,11 @@
 	}
 }
 
-// TestViewHash pins the hash of the fleet that a pulse tells.
+// TestViewHash pins the hash of the fleet's view that a heartbeat carries.
 func TestViewHash(t *testing.T) {
 	known := []replica.Row{
-		pulseRow(t, "proxy-b", 1700000000001),
-		pulseRow(t, "proxy-c", 1700000000002),
+		heartbeatRow(t, "proxy-b", 1700000000001),
+		heartbeatRow(t, "proxy-c", 1700000000002),
 	}
 	gone := replica.Row{Kind: replica.Gone, Key: "proxy-c", Epoch: 1700000000002}
 	for _, c := range []struct {
@@ -230,36 +241,33 @@
 		{"three proxies", known, 0xbbc7b895a9bf29c3},
 		{"one is gone", append(known, gone), 0x78160c6d5104bfa7},
 	} {
-		instance := newInstance()
-		instance.Rows(0, "proxy-b", c.rows)
-		if got := lastPulse(t, instance, 20*replica.Second).View; got != c.want {
-			t.Errorf("%s: %#016x, want %#016x", c.name, got, c.want)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			store := newEmptyReplica()
+			store.Rows(0, "proxy-b", c.rows)
+			if got := lastHeartbeat(t, store, 20*replica.Second).View; got != c.want {
+				t.Errorf("%#016x, want %#016x", got, c.want)
+			}
+		})
 	}
 }
 
-// pulseRow is a pulse of another proxy, which does not lapse.
-func pulseRow(t *testing.T, name string, incarnation int64) replica.Row {
+// heartbeatRow is a heartbeat of another proxy, which does not expire.
+func heartbeatRow(t *testing.T, name string, incarnation int64) replica.Row {
 	t.Helper()
-	body, err := msgpack.Marshal(&replica.Pulsed{Address: "192.0.2.2:7946", Base: 0.25})
-	if err != nil {
-		t.Fatal(err)
-	}
+	body := encode(t, &replica.Pulsed{Address: "192.0.2.2:7946", Base: 0.25})
 	return replica.Row{Kind: replica.Pulse, Key: name, Writer: name, Epoch: incarnation, Count: 1, Body: body}
 }
 
-// lastPulse lets time pass and returns what the instance's latest pulse then says.
-func lastPulse(t *testing.T, instance *replica.Instance, span replica.Time) (latest replica.Pulsed) {
+// lastHeartbeat lets time pass and returns the replica's latest heartbeat.
+func lastHeartbeat(t *testing.T, store *replica.Instance, span replica.Time) (latest replica.Pulsed) {
 	t.Helper()
 	for now := replica.Time(0); now <= span; now += replica.Second / 10 {
-		for _, d := range instance.Tick(now) {
+		for _, d := range store.Tick(now) {
 			if d.Act != replica.Spread || d.Rows[0].Kind != replica.Pulse || d.Rows[0].Writer != "proxy-a" {
 				continue
 			}
 			latest = replica.Pulsed{}
-			if err := msgpack.Unmarshal(d.Rows[0].Body, &latest); err != nil {
-				t.Fatal(err)
-			}
+			decode(t, d.Rows[0].Body, &latest)
 		}
 	}
 	return latest
