replica: comments say what fields are for without repeating their names

Comments on decisions, leases and rows named fields and types in passing, which would go stale with any rename of these; they use the concepts' names now.

No change of behaviour.

--- a/replica/decision.go
+++ b/replica/decision.go
@@ -2,21 +2,20 @@
 
 import "fmt"
 
-// Act says what a Decision asks the caller to do. The numbers of Spread to Same are message types on the wire.
+// Act says what a Decision asks the caller to do. The numbers of the first seven are message types on the wire.
 type Act uint8
 
-// The acts, with the fields of Decision that each one uses. Spread to Same are also the types of the messages between
-// peers.
+// The acts, with the fields of a decision that each one uses. The first seven send a message of that type to peers.
 const (
-	Spread   Act = iota // gossip Rows, of which there is one, to some peers at a time until all have it
-	Digest              // send Sums to To
-	Heads               // send Heads, the versions of the rows in the buckets of Which, to To
-	Rows                // send Rows to To
-	Want                // request the rows IDs from To
-	Busy                // reply to To that another peer should be polled
-	Same                // reply to To that both are in sync
-	Probe               // connect to Address; if the connection is refused, report To and Epoch by Instance.Refused
-	Changed             // Rows, of which there is one, was changed by another proxy; To is the peer that sent it
+	Spread   Act = iota // gossip the row (Rows has one) to some peers at a time until all have it
+	Digest              // send the digest to the peer
+	Heads               // send the versions of the rows in the buckets of the bit mask to the peer
+	Rows                // send the rows to the peer
+	Want                // request the rows with these IDs from the peer
+	Busy                // reply to the peer that it should poll another
+	Same                // reply to the peer that both are in sync
+	Probe               // connect to Address, and report it if the connection to that peer's incarnation is refused
+	Changed             // another proxy has changed the row (Rows has one); the peer is the one that sent it
 	SetShare            // use Share of the fleet's limits from now on
 	Log                 // log Text
 )
@@ -26,7 +25,7 @@
 	Act     Act
 	To      string // name of a peer
 	Address string // host:port
-	Epoch   int64  // incarnation of the proxy To
+	Epoch   int64  // incarnation of that peer
 	Rows    []Row
 	Heads   []Head
 	IDs     []uint64 // hashes of the rows' identities
--- a/replica/heartbeat.go
+++ b/replica/heartbeat.go
@@ -21,7 +21,7 @@
 	overcommittedView = 1
 )
 
-// Pulsed is the body of a heartbeat, a row of the kind Pulse.
+// Pulsed is the body of a heartbeat row.
 type Pulsed struct {
 	Address string  `msgpack:"a"` // host:port at which peers reach the proxy
 	Zone    string  `msgpack:"z,omitempty"`
--- a/replica/quota.go
+++ b/replica/quota.go
@@ -31,12 +31,12 @@
 )
 
 // Loan is a lease of a part of the sender's quota to another proxy. It lasts for four heartbeat intervals from the time
-// at which the borrower wrote the heartbeat that Count names. Lender and borrower each count from a time on their own
-// clock, and the borrower's is earlier: the lease has ended there when the lender uses that part again.
+// at which the borrower wrote the heartbeat that the lease names. Lender and borrower each count from a time on their
+// own clock, and the borrower's is earlier: the lease has ended there when the lender uses that part again.
 type Loan struct {
 	To    string  `msgpack:"t"` // the borrower
 	Part  float64 `msgpack:"p"` // of the fleet's limits, 0 to 1
-	Count int64   `msgpack:"c"` // Row.Count of the borrower's heartbeat
+	Count int64   `msgpack:"c"` // sequence number of the borrower's heartbeat
 }
 
 // lease is a part of a quota that is leased out or leased in.
@@ -52,7 +52,7 @@
 //   - Each proxy that is configured or was ever known counts, live or not, and has an even share.
 //   - A silent proxy keeps its share, since it may still serve on the other side of a network partition. Only the share
 //     of a departed proxy (connections to it are refused, or it announced its end) is taken over by the others, after
-//     the takeover delay (Terms.Hold), and all but the quota floor (Terms.Floor) of it.
+//     the takeover delay, and all but the quota floor of it.
 //   - A proxy that starts uses no more than that floor until its quota is confirmed: all others that have not departed
 //     have acknowledged its incarnation and do not take that for departed; departure records that reach them later are
 //     about earlier incarnations. The same holds while it is catching up. A share falls at once.
@@ -218,8 +218,8 @@
 	now   Time
 }
 
-// deficit returns the part of the fleet's demand that another proxy has beyond its base quota. It is zero for a proxy whose
-// quota is not confirmed, since that uses no leases.
+// deficit returns the part of the fleet's demand that another proxy has beyond its base quota. It is zero for a proxy
+// whose quota is not confirmed, since that uses no leases.
 func (d *fleetDemands) deficit(other *member) float64 {
 	members := d.quota.members
 	if members.isSelf(other) || !members.live(other, d.now) || other.report.Base < d.base/2 {
--- a/replica/row.go
+++ b/replica/row.go
@@ -15,7 +15,7 @@
 // The kinds of rows. An own row is one that only its writer may change; a shared row has no writer, and whoever learns
 // of a change writes it.
 const (
-	Pulse  Kind = 1  // own row of a proxy about itself: its heartbeat, with a Pulsed as the body
+	Pulse  Kind = 1  // own row of a proxy about itself: its heartbeat
 	Sight  Kind = 2  // own row about an endpoint: no response there (Rank 1), or responding again (Rank 0)
 	Node   Kind = 3  // shared row about an endpoint: its line of the endpoint list; Epoch is the index of that list
 	Gone   Kind = 4  // shared row about a proxy: the process with the incarnation Epoch has ended (departure record)
@@ -27,15 +27,15 @@
 	Absent Kind = 10 // own row about a shard: keys that are absent at the origin
 )
 
-// Ranks of a Node row. Of two versions with the same epoch the higher rank wins.
+// Ranks of an endpoint row. Of two versions with the same epoch the higher rank wins.
 const (
 	Active  = 0 // the endpoint takes requests
 	Leaving = 1 // it is draining
 	Left    = 2 // it was removed from the list
 )
 
-// Row is one piece of replicated state. Kind, Key and Writer identify the row; Epoch, Rank, Count and Body are its
-// version. Age and Life are neither, since they depend on when and by whom the row is read.
+// Row is one piece of replicated state. Kind, key and writer identify the row; epoch, rank, count and body are its
+// version. Its age and time to live are neither: the age depends on when and by whom the row is read.
 type Row struct {
 	Kind   Kind   `msgpack:"k"`
 	Key    string `msgpack:"n"`           // endpoint, proxy, zone or shard that the row is about
--- a/replica/rows_test.go
+++ b/replica/rows_test.go
@@ -13,7 +13,7 @@
 	digest() uint64
 }
 
-// replicaStore is an Instance as a versionStore.
+// replicaStore is a replica as a versionStore.
 type replicaStore struct{ *Instance }
 
 func (s replicaStore) receive(row Row) { s.Rows(s.now, "x", []Row{row}) }
--- a/replica/settings.go
+++ b/replica/settings.go
@@ -1,6 +1,6 @@
 package replica
 
-// Terms are the settings of an Instance.
+// Terms are the settings of a replica.
 type Terms struct {
 	Me          string  // name of this proxy, unique in the fleet
 	Incarnation int64   // of this process; higher than that of any earlier process of this name
--- a/replica/store.go
+++ b/replica/store.go
@@ -34,7 +34,7 @@
 	expireAt   Time // time of the next expiry
 }
 
-// New returns an Instance that has no rows and is catching up. It tries to find a sync peer for five seconds at most.
+// New returns a replica that has no rows and is catching up. It tries to find a sync peer for five seconds at most.
 func New(now Time, settings Terms, seed uint64) *Instance {
 	s := &Instance{
 		settings:   settings,
@@ -126,7 +126,7 @@
 	s.writeLocal(Row{Kind: Gone, Key: name, Epoch: incarnation, Life: departureLife})
 }
 
-// tickRule is something that time may bring.
+// tickRule is something that time may bring: what is due, and what is done then.
 type tickRule struct {
 	due    func(s *Instance) bool
 	action func(s *Instance)
--- a/replica/wire_golden_test.go
+++ b/replica/wire_golden_test.go
@@ -164,8 +164,8 @@
 	}
 }
 
-// onlyVersion returns the version of the only row that a replica has stored, and that row's part in the digest, which has
-// to be in the bucket that the lowest bits of the row's ID select.
+// onlyVersion returns the version of the only row that a replica has stored, and that row's part in the digest, which
+// has to be in the bucket that the lowest bits of the row's ID select.
 func onlyVersion(t *testing.T, store *replica.Instance) (replica.Head, uint64) {
 	t.Helper()
 	decisions := store.Digest(0, "proxy-b", otherSums(store))
--- a/replica/writes.go
+++ b/replica/writes.go
@@ -8,13 +8,13 @@
 	// end, so that it is done now and then only.
 	refuteInterval = 5 * Second
 
-	// The ranks of a Sight row.
+	// The ranks of a health observation.
 	responding    = 0
 	notResponding = 1
 )
 
 // Listed takes endpoints from the endpoint list with the given index: the complete list, or the changes. Each endpoint
-// is a row with Key, Rank, Count and Body. One that is stored already is not written again, since each proxy that
+// is a row with its key, rank, count and body. One that is stored already is not written again, since each proxy that
 // starts would have the complete list gossiped. Endpoints that a complete list lacks were removed.
 func (s *Instance) Listed(now Time, complete bool, index int64, endpoints []Row) []Decision {
 	s.begin(now)
@@ -83,7 +83,7 @@
 	return s.out.decisions
 }
 
-// Rows handles rows that a peer sent. Those out of their bounds are rejected and counted in Dropped.
+// Rows handles rows that a peer sent. Those out of their bounds are rejected and counted.
 func (s *Instance) Rows(now Time, from string, rows []Row) []Decision {
 	s.begin(now)
 	for i := range rows {
