--- a/replica/antientropy.go
+++ b/replica/antientropy.go
@@ -10,9 +10,9 @@
 	maxRowsPerSend   = 64   // in one message
 	maxRowsRequested = 8192 // in one message
 
-	syncReplyTimeout = Second / 4 // of a sync peer, before another is polled
-	aloneSyncTimeout = 2 * Second // catching up ends after this time if no peer is live
-	syncTimeout      = 5 * Second // and after this time in any case
+	syncReplyTimeout  = Second / 4 // of a sync peer, before another is polled
+	noPeerSyncTimeout = 2 * Second // catching up ends after this time if no peer is live
+	syncTimeout       = 5 * Second // and after this time in any case
 
 	maxHelped    = 4 // digests that differ are answered this often in a helpInterval; others get a busy reply
 	helpInterval = Second / 2
@@ -90,7 +90,7 @@
 // timedOut reports whether to go on with the rows that there are.
 func (c *catchUp) timedOut(now Time, livePeers int) bool {
 	elapsed := now - c.since
-	return elapsed >= syncTimeout || elapsed >= aloneSyncTimeout && livePeers == 0
+	return elapsed >= syncTimeout || elapsed >= noPeerSyncTimeout && livePeers == 0
 }
 
 // choose picks one of the peers at random as the sync peer. It returns false if there is none; the next tick tries
@@ -152,7 +152,7 @@
 			request = append(request, version.ID)
 		}
 	}
-	s.sendRows(from, s.rows.lacking(buckets, theirs, s.now))
+	s.sendRows(from, s.rows.missingFrom(buckets, theirs, s.now))
 	syncing := s.sync.syncingWith(from)
 	if syncing {
 		s.sync.expect(now, request)
--- a/replica/antientropy_test.go
+++ b/replica/antientropy_test.go
@@ -104,7 +104,7 @@
 	if !replica.Behind() || replica.Share() != 0.25 {
 		t.Errorf("after 30 s: catching up %v, share %v", replica.Behind(), replica.Share())
 	}
-	if advance(aloneSyncTimeout + Second); replica.Behind() || replica.Share() != 1 {
+	if advance(noPeerSyncTimeout + Second); replica.Behind() || replica.Share() != 1 {
 		t.Errorf("after the timeout: catching up %v, share %v", replica.Behind(), replica.Share())
 	}
 }
--- a/replica/expiry.go
+++ b/replica/expiry.go
@@ -24,7 +24,7 @@
 	if departure != nil && other.heartbeat == nil && other.incarnation == 0 {
 		other.incarnation = departure.Epoch // no heartbeat of it was ever received
 	}
-	takeoverDelay := max(s.settings.Hold, s.quota.leaseLife())
+	takeoverDelay := max(s.settings.Hold, s.quota.leaseDuration())
 	departed := departure != nil && departure.Epoch >= other.incarnation && !s.members.isSelf(other) &&
 		!s.members.live(other, s.now) && s.now-departure.receivedAt >= takeoverDelay
 	if departed == other.departed {
--- a/replica/heartbeat.go
+++ b/replica/heartbeat.go
@@ -10,8 +10,8 @@
 	minHeartbeatInterval = Second
 	heartbeatSpacing     = Second / 100
 
-	// heartbeatLife is the time to live of a heartbeat in heartbeat intervals.
-	heartbeatLife = 10
+	// heartbeatTTL is the time to live of a heartbeat in heartbeat intervals.
+	heartbeatTTL = 10
 
 	// longAgo is a span after which anything that is done at intervals is due.
 	longAgo = 1000 * Second
@@ -94,7 +94,7 @@
 	}
 	s.heartbeats.record(sentHeartbeat{count: s.ownRows + 1, incarnation: s.settings.Incarnation, at: s.now})
 	s.writeOwn(Row{
-		Kind: Pulse, Key: s.settings.Me, Life: heartbeatLife * s.members.heartbeatInterval(), Body: body,
+		Kind: Pulse, Key: s.settings.Me, Life: heartbeatTTL * s.members.heartbeatInterval(), Body: body,
 	})
 	s.sendRandomDigest()
 }
--- a/replica/members.go
+++ b/replica/members.go
@@ -10,8 +10,8 @@
 const (
 	maxMembers = 4096
 
-	// departureLife is the time to live of a departure record. The proxy counts as a member of the fleet until then.
-	departureLife = 1800 * Second
+	// departureTTL is the time to live of a departure record. The proxy counts as a member of the fleet until then.
+	departureTTL = 1800 * Second
 
 	// missedHeartbeats is the number of heartbeat intervals after which a silent proxy is probed, or with a successor
 	// that has to start first, missedWithSuccessor.
@@ -30,7 +30,7 @@
 	stateUnknown  = "unknown"
 )
 
-// Member is what is shown of a proxy.
+// Member describes a proxy to operators and to other packages.
 type Member struct {
 	Name        string
 	Incarnation int64
@@ -200,17 +200,17 @@
 	return len(m.all) >= m.fleetSize()
 }
 
-// shown lists all known proxies by name.
-func (m *membership) shown(now Time) []Member {
+// list returns all known proxies by name.
+func (m *membership) list(now Time) []Member {
 	all := make([]Member, 0, len(m.all))
 	for _, other := range m.all {
-		shown := Member{
+		entry := Member{
 			Name: other.name, Incarnation: other.incarnation, State: m.stateName(other, now), Pulsed: other.report,
 		}
 		if other.heartbeat != nil {
-			shown.Lag = now - other.heartbeat.writtenAt
+			entry.Lag = now - other.heartbeat.writtenAt
 		}
-		all = append(all, shown)
+		all = append(all, entry)
 	}
 	return all
 }
--- a/replica/members_test.go
+++ b/replica/members_test.go
@@ -90,7 +90,7 @@
 	if p.partitioned(Second); p.a.Share() != 0.5 {
 		t.Errorf("before the takeover delay: %v", p.a.Share())
 	}
-	if p.partitioned(p.a.quota.leaseLife()); p.a.Share() != 1-0.25/2 {
+	if p.partitioned(p.a.quota.leaseDuration()); p.a.Share() != 1-0.25/2 {
 		t.Errorf("after it: %v", p.a.Share())
 	}
 	p.b = newReplica("b", 2)
--- a/replica/quota.go
+++ b/replica/quota.go
@@ -109,8 +109,8 @@
 	return share
 }
 
-// leaseLife is the length of a lease. All whose quota is confirmed agree on it, since they know the same proxies.
-func (q *quota) leaseLife() Time {
+// leaseDuration is the length of a lease. All whose quota is confirmed agree on it, since they know the same proxies.
+func (q *quota) leaseDuration() Time {
 	return leaseHeartbeats * (minHeartbeatInterval + Time(q.members.fleetSize())*heartbeatSpacing)
 }
 
@@ -121,7 +121,7 @@
 	if q.confirmed || q.sync.active {
 		return false
 	}
-	if now-q.startedAt < q.leaseLife() && q.members.fleetSize() > 1 {
+	if now-q.startedAt < q.leaseDuration() && q.members.fleetSize() > 1 {
 		return false
 	}
 	q.confirmed = q.members.allAcknowledged()
@@ -183,7 +183,7 @@
 		part := spare * demands.deficit(borrower) / max(totalDeficit, minDivisor)
 		if part >= minLeasePart*base && len(granted) < maxLeases {
 			granted = append(granted, Loan{To: borrower.name, Part: part, Count: borrower.heartbeat.Count})
-			q.leasedOut = append(q.leasedOut, lease{borrower: borrower.name, part: part, expiresAt: now + q.leaseLife()})
+			q.leasedOut = append(q.leasedOut, lease{borrower: borrower.name, part: part, expiresAt: now + q.leaseDuration()})
 		}
 	}
 	return q.withdrawExcess(granted, base, now)
@@ -240,7 +240,7 @@
 		heartbeat, found := q.heartbeats.find(offer.Count, q.settings.Incarnation)
 		if found && withinBounds {
 			q.leasedIn[lender.name] = lease{
-				borrower: offer.To, part: offer.Part, expiresAt: heartbeat.at + q.leaseLife(),
+				borrower: offer.To, part: offer.Part, expiresAt: heartbeat.at + q.leaseDuration(),
 			}
 			return
 		}
--- a/replica/rows.go
+++ b/replica/rows.go
@@ -136,8 +136,9 @@
 	return mask, versions
 }
 
-// lacking returns the rows in the buckets of a bit mask that a peer with these versions by ID lacks, with their age.
-func (t *rowTable) lacking(mask uint64, versions map[uint64]uint64, now Time) (rows []Row) {
+// missingFrom returns the rows in the buckets of a bit mask that a peer with these versions by ID lacks, with their
+// age.
+func (t *rowTable) missingFrom(mask uint64, versions map[uint64]uint64, now Time) (rows []Row) {
 	for i := range t.buckets {
 		if mask&(1<<i) == 0 {
 			continue
--- a/replica/rows_test.go
+++ b/replica/rows_test.go
@@ -55,7 +55,7 @@
 		{Kind: Node, Key: "c1", Epoch: 5, Rank: Leaving, Body: []byte("a")},
 		{Kind: Node, Key: "c1", Epoch: 5, Rank: Leaving, Count: 7, Body: []byte("b")},
 		{Kind: Node, Key: "c1", Epoch: 6, Rank: Active, Body: []byte("c")},
-		{Kind: Node, Key: "c2", Epoch: 4, Rank: Left, Life: removedEndpointLife},
+		{Kind: Node, Key: "c2", Epoch: 4, Rank: Left, Life: removedEndpointTTL},
 		{Kind: Node, Key: "c2", Epoch: 3, Rank: Active},
 	}
 	digests := map[uint64]bool{}
--- a/replica/store.go
+++ b/replica/store.go
@@ -81,7 +81,7 @@
 func (s *Instance) Kinds() map[Kind]Held { return s.rows.figures() }
 
 // Members lists all known proxies by name, this one included.
-func (s *Instance) Members() []Member { return s.members.shown(s.now) }
+func (s *Instance) Members() []Member { return s.members.list(s.now) }
 
 // Each calls f with each stored row of a kind, in the same order every time. f must not write rows.
 func (s *Instance) Each(kind Kind, f func(Row)) {
@@ -123,7 +123,7 @@
 }
 
 func (s *Instance) writeDeparture(name string, incarnation int64) {
-	s.writeLocal(Row{Kind: Gone, Key: name, Epoch: incarnation, Life: departureLife})
+	s.writeLocal(Row{Kind: Gone, Key: name, Epoch: incarnation, Life: departureTTL})
 }
 
 // tickRule is something that time may bring: what is due, and what is done then.
@@ -171,7 +171,7 @@
 	suspended := s.now - s.tickedAt
 	s.out.logf("process was suspended for %.1f s: catching up, quota at its floor until then",
 		float64(suspended)/float64(Second))
-	if suspended > removedEndpointLife/2 {
+	if suspended > removedEndpointTTL/2 {
 		s.rows.expireKind(Node)
 	}
 	s.tickedAt = s.now
--- a/replica/writes.go
+++ b/replica/writes.go
@@ -1,8 +1,8 @@
 package replica
 
 const (
-	// removedEndpointLife is the time to live of the row of an endpoint that was removed from the list.
-	removedEndpointLife = 3600 * Second
+	// removedEndpointTTL is the time to live of the row of an endpoint that was removed from the list.
+	removedEndpointTTL = 3600 * Second
 
 	// refuteInterval is the time between two refutations. Two processes with one name would refute each other without
 	// end, so that it is done now and then only.
@@ -32,7 +32,7 @@
 func (s *Instance) writeEndpoint(index int64, row Row) {
 	row.Kind, row.Writer, row.Epoch, row.Age = Node, "", index, 0
 	if row.Rank == Left {
-		row.Life = removedEndpointLife
+		row.Life = removedEndpointTTL
 	}
 	stored := s.rows.byID[rowID(&row)]
 	if stored == nil || stored.Rank != row.Rank || stored.Count != row.Count {
@@ -46,7 +46,7 @@
 	s.rows.forEach(Node, func(row *storedRow) {
 		if !listed[row.Key] && row.Rank != Left && row.Epoch < index {
 			removed = append(removed, Row{
-				Kind: Node, Key: row.Key, Epoch: index, Rank: Left, Count: row.Count, Life: removedEndpointLife,
+				Kind: Node, Key: row.Key, Epoch: index, Rank: Left, Count: row.Count, Life: removedEndpointTTL,
 			})
 		}
 	})
@@ -67,10 +67,10 @@
 }
 
 // Speak writes an own row with a time to live, unless this proxy has yielded.
-func (s *Instance) Speak(now Time, kind Kind, key string, life Time, body []byte) []Decision {
+func (s *Instance) Speak(now Time, kind Kind, key string, ttl Time, body []byte) []Decision {
 	s.begin(now)
 	if !s.yielded {
-		s.writeOwn(Row{Kind: kind, Key: key, Life: life, Body: body})
+		s.writeOwn(Row{Kind: kind, Key: key, Life: ttl, Body: body})
 	}
 	return s.out.decisions
 }
