--- a/duties/golden_test.go
+++ b/duties/golden_test.go
@@ -10,7 +10,7 @@
 	"testing"
 )
 
-// update has the golden files written anew from what the code encodes now: go test ./turns -update.
+// update has the golden files written anew from what the code encodes now: go test ./duties -update.
 var update = flag.Bool("update", false, "rewrite the golden files in testdata")
 
 // encoding is one line of a golden file: the name of a case and its encoded bytes.
