duties: one part a duty (probes, suspicion, watch, idle connections), each with its state

Now Instance is a thin whole over four parts: probeScheduler, suspicion, watchDuty and idleConnections. Each has its own state and counters; they share a read-only fleetView and a list of decisions. The membership view, rendezvous hashing, the assignment of owners, nodes, reports, settings with their errors, decisions and statistics are files of their own.

Names that only this package uses: Outcome is ProbeOutcome (ProbeStarted, ProbeFailed, ProbeSucceeded), Act is Action, the fields of OrderError are ShortKey, LongKey, Short, Long, MinRatio, and those of Figures for the own watch WatchAssigned, WatchLive. The log text "watch of discovery X: N here, M watch" is "discovery watch X: N proxies alive, M watching".

No change of behaviour.

--- a/duties/instance_test.go
+++ b/duties/assigner_test.go
@@ -98,7 +98,7 @@
 				at := r.now + r.slow + Second/20*(1+Time(r.chance.Int64N(int64(r.late/(Second/20))+1)))
 				r.post[at] = append(r.post[at], func() {
 					if to == r.all[k] && to.up && r.all[i].up {
-						r.do(k, to.Heard(r.now, o.Me, d.Kind, d.Key, d.Said, r.now-sent))
+						r.do(k, to.Heard(r.now, o.view.settings.Me, d.Kind, d.Key, d.Said, r.now-sent))
 					}
 				})
 			}
@@ -175,14 +175,14 @@
 
 func (r *rig) passed() (n int) {
 	for _, o := range r.all {
-		n += yes(o.passed && o.up)
+		n += boolToInt(o.passed && o.up)
 	}
 	return n
 }
 
 func (r *rig) watching() (n int) {
 	for _, o := range r.all {
-		n += yes(o.watch && o.up)
+		n += boolToInt(o.watch && o.up)
 	}
 	return n
 }
@@ -218,7 +218,7 @@
 			r.loss, r.rate = loss, 4*float64(n) // each asks as much, however many there are
 			got, back := silence(r)
 			t.Logf("%d proxies, loss %.2f: %.2f trials a second, back after %.2f s", n, loss, got, float64(back)/float64(Second))
-			if first = max(first, got*float64(yes(n == 8))); got > 5 || got < 0.5 || got > 1.5*first || back > 3*Second {
+			if first = max(first, got*float64(boolToInt(n == 8))); got > 5 || got < 0.5 || got > 1.5*first || back > 3*Second {
 				t.Errorf("%d proxies, loss %.2f: %.2f trials a second, 8 had %.2f; back after %.2f s", n, loss, got, first, float64(back)/float64(Second))
 			}
 		}
@@ -244,7 +244,7 @@
 // One that claims every turn and tries nothing, and one that says all the time that the node answers, move next to nothing.
 func TestLiars(t *testing.T) {
 	honest, _ := silence(newRig(24, usual, 3))
-	for _, how := range []Outcome{Out, Answers} {
+	for _, how := range []ProbeOutcome{ProbeStarted, ProbeSucceeded} {
 		r := newRig(24, usual, 3)
 		r.lies = func(r *rig, o *one, i int) {
 			if i == 5 {
@@ -305,7 +305,7 @@
 		r.slow = 2 * Second
 		r.fleet()
 		for _, o := range r.all {
-			o.since, o.duty, o.changed = r.now, true, true
+			o.Instance.watch.shortSince, o.Instance.watch.assigned, o.changed = r.now, true, true
 		}
 		r.run(12 * Second)
 		if got := r.watching(); (got <= 4*usual.Watchers) != (patience > r.slow) {
@@ -323,7 +323,7 @@
 	r.run(usual.Patience + usual.Beat + 6*usual.Step + Second/2)
 	few := 0
 	for i, o := range r.all {
-		few += yes(i%10 == 0 && o.watch && o.live > 0)
+		few += boolToInt(i%10 == 0 && o.watch && o.live > 0)
 	}
 	if few < 2 {
 		t.Errorf("%d of six that are cut off watch", few)
@@ -350,7 +350,7 @@
 // What comes out of its bounds is refused, and counted.
 func TestRefused(t *testing.T) {
 	x := New(0, usual)
-	x.Me = "n0"
+	x.view.settings.Me = "n0"
 	x.Nodes(0, []string{"c1"})
 	x.Fleet(0, fleetOf(5, 1), false)
 	for _, s := range []Said{{Round: -1}, {Round: 1 << 40}, {How: 9}} {
@@ -381,7 +381,7 @@
 	terms := usual
 	terms.Patience = terms.Beat
 	var order *OrderError
-	if err := terms.Check(); !errors.As(err, &order) || order.Long != "patience_ms" {
+	if err := terms.Check(); !errors.As(err, &order) || order.LongKey != "patience_ms" {
 		t.Errorf("%v", err)
 	}
 }
@@ -389,10 +389,10 @@
 // What two others find silent is doubted here before this proxy has lost an exchange there; what one says over and over is not.
 func TestDoubt(t *testing.T) {
 	x := New(0, usual)
-	x.Me = "n0"
+	x.view.settings.Me = "n0"
 	x.Nodes(0, []string{"c1"})
 	x.Fleet(0, fleetOf(9, 1), false)
-	says := func(now Time, who string, how Outcome) (found []bool) {
+	says := func(now Time, who string, how ProbeOutcome) (found []bool) {
 		for _, d := range x.Heard(now, who, Trial, "c1", Said{How: how}, 0) {
 			if d.Act == Doubt {
 				found = append(found, d.On)
@@ -401,14 +401,14 @@
 		return found
 	}
 	for i := range 5 {
-		if got := says(Time(i)*Second/10, "n1", Silent); len(got) > 0 {
+		if got := says(Time(i)*Second/10, "n1", ProbeFailed); len(got) > 0 {
 			t.Errorf("one has it doubted: %v", got)
 		}
 	}
-	if got := says(Second, "n2", Silent); len(got) != 1 || !got[0] {
+	if got := says(Second, "n2", ProbeFailed); len(got) != 1 || !got[0] {
 		t.Errorf("two do not: %v", got)
 	}
-	if got := says(Second, "n3", Answers); len(got) != 1 || got[0] {
+	if got := says(Second, "n3", ProbeSucceeded); len(got) != 1 || got[0] {
 		t.Errorf("an answer does not end it: %v", got)
 	}
 }
@@ -416,7 +416,7 @@
 // A node that leaves and comes back is kept by its keepers, whatever they had been told before.
 func TestKeptAgain(t *testing.T) {
 	x := New(0, usual)
-	x.Me = "n3"
+	x.view.settings.Me = "n3"
 	x.Fleet(0, fleetOf(60, 3), false)
 	told, now := map[string]bool{}, Time(0)
 	take := func(ds []Decision) {
@@ -434,10 +434,10 @@
 	}
 	kept := 0
 	for _, n := range names {
-		if told[n] != x.nodes[n].keeps {
+		if told[n] != x.nodes.byName[n].owned {
 			t.Errorf("%s: told %v", n, told[n])
 		}
-		kept += yes(told[n])
+		kept += boolToInt(told[n])
 	}
 	if kept == len(names) || kept != x.Shown().Kept {
 		t.Errorf("%d kept, %d shown", kept, x.Shown().Kept)
@@ -460,8 +460,8 @@
 		for _, o := range r.all {
 			if o.up {
 				k := 0
-				for _, n := range o.order {
-					k += yes(n.keeps)
+				for _, n := range o.nodes.sorted {
+					k += boolToInt(n.owned)
 				}
 				here, most, sum = here+1, max(most, k), sum+k
 			}
@@ -489,3 +489,10 @@
 		t.Errorf("nobody watches for %.2f s, of %.1f s", float64(r.most)/float64(Second), float64(span)/float64(Second))
 	}
 }
+
+func boolToInt(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/duties/subset_test.go
+++ b/duties/rendezvous_test.go
@@ -26,8 +26,8 @@
 }
 
 // faults tells what is wrong with a dealing: too few for a subject, one twice, too high a load, zones left out.
-func faults(c *crew, all [][]int32, k int) (what string) {
-	n := len(c.hash)
+func faults(c *membership, all [][]int32, k int) (what string) {
+	n := len(c.hashes)
 	load := make([]int, n)
 	for s, who := range all {
 		if len(who) != min(k, n) {
@@ -39,7 +39,7 @@
 				return fmt.Sprintf("subject %d has one twice", s)
 			}
 			load[p]++
-			zones[c.zone[p]] = true
+			zones[c.zones[p]] = true
 		}
 	}
 	mean := float64(k) * float64(len(all)) / float64(n)
@@ -56,8 +56,8 @@
 			if n*subjects > 200000 && testing.Short() {
 				continue
 			}
-			c := newCrew(fleetOf(n, 3))
-			if what := faults(c, c.deal(subjectsOf(subjects), 4), 4); what != "" {
+			c := newMembership(fleetOf(n, 3))
+			if what := faults(c, c.assignOwners(subjectsOf(subjects), 4), 4); what != "" {
 				t.Error(what)
 			}
 		}
@@ -68,17 +68,17 @@
 		for i := range fleet { // in any state: some away, the first of its zone or the last
 			fleet[i].Here = i == 0 || rapid.IntRange(0, 3).Draw(t, "here") > 0
 		}
-		c := newCrew(fleet)
-		if what := faults(c, c.deal(subjectsOf(rapid.IntRange(1, 40).Draw(t, "subjects")), k), k); what != "" {
+		c := newMembership(fleet)
+		if what := faults(c, c.assignOwners(subjectsOf(rapid.IntRange(1, 40).Draw(t, "subjects")), k), k); what != "" {
 			t.Fatal(what)
 		}
 	})
 	// the check fires where who comes first in the order has it, however much it has already
-	c := newCrew(fleetOf(24, 3))
+	c := newMembership(fleetOf(24, 3))
 	plain := make([][]int32, 200)
 	for s, subject := range subjectsOf(200) {
 		plain[s] = append(plain[s], 0, 0)[:0]
-		for i := range c.hash {
+		for i := range c.hashes {
 			if c.rank(subject, c.names[i]) < 4 {
 				plain[s] = append(plain[s], int32(i))
 			}
@@ -91,11 +91,11 @@
 
 // A node's keepers stand in as many zones as there are.
 func TestDealtOverZones(t *testing.T) {
-	c := newCrew(fleetOf(60, 3))
-	for s, who := range c.deal(subjectsOf(50), 3) {
+	c := newMembership(fleetOf(60, 3))
+	for s, who := range c.assignOwners(subjectsOf(50), 3) {
 		zones := map[int]bool{}
 		for _, p := range who {
-			zones[c.zone[p]] = true
+			zones[c.zones[p]] = true
 		}
 		if len(zones) != 3 {
 			t.Errorf("subject %d: %v", s, who)
@@ -104,7 +104,7 @@
 }
 
 // moved counts the duties that others than before have.
-func moved(a, b *crew, x, y [][]int32) (n int) {
+func moved(a, b *membership, x, y [][]int32) (n int) {
 	for s := range x {
 		for _, p := range x[s] {
 			if !slices.ContainsFunc(y[s], func(q int32) bool { return b.names[q] == a.names[p] }) {
@@ -121,12 +121,12 @@
 	subjects, k := subjectsOf(90), 4
 	parts, changes := 0.0, 0
 	for n := 4; n <= 160; n += 3 {
-		was := newCrew(fleetOf(n, 3))
+		was := newMembership(fleetOf(n, 3))
 		for _, gone := range []int{0, n / 2, n - 1} {
 			less := fleetOf(n, 3)
 			less[gone].Here = false
-			is := newCrew(less)
-			m := float64(moved(was, is, was.deal(subjects, k), is.deal(subjects, k)))
+			is := newMembership(less)
+			m := float64(moved(was, is, was.assignOwners(subjects, k), is.assignOwners(subjects, k)))
 			part := float64(k*len(subjects)) / float64(n)
 			if parts, changes = parts+m/part, changes+1; m > 1.25*part+0.2*float64(k*len(subjects)) {
 				t.Errorf("%d proxies: one goes, and %v of %d duties move", n, m, k*len(subjects))
@@ -139,14 +139,14 @@
 }
 
 func BenchmarkDeal(b *testing.B) {
-	c, subjects := newCrew(fleetOf(300, 3)), subjectsOf(200)
+	c, subjects := newMembership(fleetOf(300, 3)), subjectsOf(200)
 	for b.Loop() {
-		c.deal(subjects, 4)
+		c.assignOwners(subjects, 4)
 	}
 }
 
 func BenchmarkRank(b *testing.B) {
-	c := newCrew(fleetOf(300, 3))
+	c := newMembership(fleetOf(300, 3))
 	for b.Loop() {
 		c.rank(77, "n7")
 	}
--- a/duties/wire_golden_test.go
+++ b/duties/wire_golden_test.go
@@ -6,12 +6,13 @@
 	"woodproxy/duties"
 )
 
-// TestGoldenSaid pins the encoding of what a proxy says of trials and watches, the body of rows of kinds Trial and Beat.
+// TestGoldenSaid pins the encoding of what a proxy says of trials and watches, the body of rows of kinds Trial and
+// Beat.
 func TestGoldenSaid(t *testing.T) {
 	checkGolden(t, "said.golden", []goldenCase{
-		{name: "said-full", full: true, value: &duties.Said{Round: 70000, How: duties.Answers, For: 25000}},
-		{name: "trial-begins", value: &duties.Said{Round: 3, How: duties.Out}},
-		{name: "trial-fails", value: &duties.Said{Round: 3, How: duties.Silent}},
+		{name: "said-full", full: true, value: &duties.Said{Round: 70000, How: duties.ProbeSucceeded, For: 25000}},
+		{name: "trial-begins", value: &duties.Said{Round: 3, How: duties.ProbeStarted}},
+		{name: "trial-fails", value: &duties.Said{Round: 3, How: duties.ProbeFailed}},
 		{name: "beat", value: &duties.Said{For: 25000}},
 		{name: "said-empty", value: &duties.Said{}},
 	})
@@ -25,9 +26,9 @@
 	}{
 		{"kind trial", int64(duties.Trial), 0},
 		{"kind beat", int64(duties.Beat), 1},
-		{"outcome out", int64(duties.Out), 0},
-		{"outcome silent", int64(duties.Silent), 1},
-		{"outcome answers", int64(duties.Answers), 2},
+		{"outcome out", int64(duties.ProbeStarted), 0},
+		{"outcome silent", int64(duties.ProbeFailed), 1},
+		{"outcome answers", int64(duties.ProbeSucceeded), 2},
 		{"units of time in a second", int64(duties.Second), 10000},
 	} {
 		if c.got != c.want {
