--- a/duties/assigner.go
+++ b/duties/assigner.go
@@ -20,9 +20,9 @@
 
 // New returns an instance without peers and nodes. Until it learns of them, it performs every duty itself. The
 // settings have to be valid by their Check.
-func New(now Time, t Terms) *Instance {
+func New(now Time, settings Terms) *Instance {
 	a := &Instance{
-		view:       fleetView{settings: t, now: now, members: newMembership(nil), catchingUp: true},
+		view:       fleetView{settings: settings, now: now, members: newMembership(nil), catchingUp: true},
 		nodes:      nodeTable{byName: map[string]*node{}},
 		assignedAt: now - longAgo,
 	}
@@ -39,15 +39,15 @@
 	a.decisions.reset()
 }
 
-// Fleet takes all proxies, this one included, and whether the replicated state is still catching up. While it does,
+// Fleet takes all proxies, this one included, and whether the replicated state is still incomplete. While it does,
 // no duty is left to other proxies.
-func (a *Instance) Fleet(now Time, all []Proxy, behind bool) []Decision {
+func (a *Instance) Fleet(now Time, all []Proxy, catchingUp bool) []Decision {
 	a.begin(now)
 	members := newMembership(all)
-	if !members.equal(a.view.members) || behind != a.view.catchingUp {
+	if !members.equal(a.view.members) || catchingUp != a.view.catchingUp {
 		a.changed = true
 	}
-	a.view.members, a.view.catchingUp = members, behind
+	a.view.members, a.view.catchingUp = members, catchingUp
 	return a.decisions.decisions
 }
 
@@ -72,11 +72,11 @@
 	return a.nodes.byName[name]
 }
 
-// Passed takes that this proxy has ejected a node (on), or that the node answers here (not on).
-func (a *Instance) Passed(now Time, name string, on bool) []Decision {
+// Passed takes that this proxy has ejected a node or that the node answers here.
+func (a *Instance) Passed(now Time, name string, ejected bool) []Decision {
 	a.begin(now)
 	if n := a.probedNode(name); n != nil {
-		a.probes.setEjected(n, on)
+		a.probes.setEjected(n, ejected)
 	}
 	return a.decisions.decisions
 }
@@ -101,20 +101,20 @@
 
 // Heard takes another proxy's report and its age. Reports of proxies that are not alive, of this proxy itself, and
 // of a negative age are ignored; reports on probes that are out of bounds are counted as rejected.
-func (a *Instance) Heard(now Time, from string, k Kind, key string, s Said, age Time) []Decision {
+func (a *Instance) Heard(now Time, from string, kind Kind, key string, report Said, age Time) []Decision {
 	a.begin(now)
 	if from == a.view.settings.Me || age < 0 || !a.view.members.contains(from) {
 		return a.decisions.decisions
 	}
 	sentAt := a.view.now - age
-	switch k {
+	switch kind {
 	case Trial:
 		n := a.nodes.byName[key]
-		if a.probes.peerReported(n, from, s, age) {
-			a.suspicion.reported(n, from, sentAt, s.How)
+		if a.probes.peerReported(n, from, report, age) {
+			a.suspicion.reported(n, from, sentAt, report.How)
 		}
 	case Beat:
-		a.watch.renewLease(from, sentAt, s.For)
+		a.watch.renewLease(from, sentAt, report.For)
 	}
 	return a.decisions.decisions
 }
--- /dev/null
+++ b/duties/owners_test.go
@@ -0,0 +1,176 @@
+package duties
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// makeMembers returns proxies n0, n1, ... that are alive, spread over zones in turn.
+func makeMembers(count, zones int) []Proxy {
+	all := make([]Proxy, count)
+	for i := range all {
+		all[i] = Proxy{Name: fmt.Sprintf("n%d", i), Zone: fmt.Sprint("z", i%max(zones, 1)), Here: true}
+	}
+	return all
+}
+
+func makeSubjects(count int) []uint64 {
+	all := make([]uint64, count)
+	for i := range all {
+		all[i] = mix(uint64(i) + 77)
+	}
+	return all
+}
+
+// findAssignmentFault says what is wrong with an assignment, "" if nothing is: too few owners of a subject, one
+// proxy twice among them, or too high a load.
+func findAssignmentFault(m *membership, assignment [][]int32, ownerCount int) string {
+	proxies := m.size()
+	loads := make([]int, proxies)
+	for subject, owners := range assignment {
+		if len(owners) != min(ownerCount, proxies) {
+			return fmt.Sprintf("subject %d has %d of %d owners", subject, len(owners), ownerCount)
+		}
+		for i, p := range owners {
+			if slices.Contains(owners[:i], p) {
+				return fmt.Sprintf("subject %d has an owner twice", subject)
+			}
+			loads[p]++
+		}
+	}
+	mean := float64(ownerCount) * float64(len(assignment)) / float64(proxies)
+	if highest := slices.Max(loads); float64(highest) > math.Ceil(1.25*mean) && ownerCount < proxies {
+		return fmt.Sprintf("%d proxies, %d subjects: one owns %d, the mean is %.2f", proxies, len(assignment), highest, mean)
+	}
+	return ""
+}
+
+// Each subject has as many owners as configured, and no proxy owns more than a quarter above the mean, at every size.
+func TestOwnersAreComplete(t *testing.T) {
+	for _, proxies := range []int{1, 2, 3, 4, 5, 7, 8, 12, 24, 60, 300, 1000, 2000} {
+		for _, subjects := range []int{1, 3, 14, 90, 200} {
+			if proxies*subjects > 200000 && testing.Short() {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d proxies, %d subjects", proxies, subjects), func(t *testing.T) {
+				m := newMembership(makeMembers(proxies, 3))
+				if fault := findAssignmentFault(m, m.assignOwners(makeSubjects(subjects), 4), 4); fault != "" {
+					t.Error(fault)
+				}
+			})
+		}
+	}
+}
+
+func TestOwnersAreCompleteInAnyFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		proxies := rapid.IntRange(2, 60).Draw(t, "proxies")
+		zones := rapid.IntRange(1, 6).Draw(t, "zones")
+		ownerCount := rapid.IntRange(1, 6).Draw(t, "owners")
+		members := makeMembers(proxies, zones)
+		for i := range members { // any proxy but the first may be gone, among them the first or last of a zone
+			members[i].Here = i == 0 || rapid.IntRange(0, 3).Draw(t, "alive") > 0
+		}
+		m := newMembership(members)
+		subjects := makeSubjects(rapid.IntRange(1, 40).Draw(t, "subjects"))
+		if fault := findAssignmentFault(m, m.assignOwners(subjects, ownerCount), ownerCount); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+// The check of the tests above finds loads that nothing bounds: of plain rendezvous hashing, where the first proxies
+// in the order own a subject however many they own already.
+func TestUnboundedLoadsAreFound(t *testing.T) {
+	const ownerCount = 4
+	m := newMembership(makeMembers(24, 3))
+	assignment := make([][]int32, 200)
+	for s, subject := range makeSubjects(200) {
+		for i, name := range m.names {
+			if m.rank(subject, name) < ownerCount {
+				assignment[s] = append(assignment[s], int32(i))
+			}
+		}
+	}
+	if findAssignmentFault(m, assignment, ownerCount) == "" {
+		t.Error("unbounded loads pass the check")
+	}
+}
+
+func TestOwnersAreSpreadOverZones(t *testing.T) {
+	const zoneCount = 3
+	m := newMembership(makeMembers(60, zoneCount))
+	for subject, owners := range m.assignOwners(makeSubjects(50), zoneCount) {
+		zones := map[int]bool{}
+		for _, p := range owners {
+			zones[m.zones[p]] = true
+		}
+		if len(zones) != zoneCount {
+			t.Errorf("subject %d: owners %v stand in %d zones", subject, owners, len(zones))
+		}
+	}
+}
+
+// ownership is an assignment with the membership that it was made for.
+type ownership struct {
+	members *membership
+	owners  [][]int32
+}
+
+func assign(proxies []Proxy, subjects []uint64, ownerCount int) ownership {
+	m := newMembership(proxies)
+	return ownership{m, m.assignOwners(subjects, ownerCount)}
+}
+
+// countMoved counts the owners that are no longer ones of the same subject afterwards.
+func countMoved(before, after ownership) int {
+	moved := 0
+	for subject, owners := range before.owners {
+		for _, p := range owners {
+			name := before.members.names[p]
+			stays := func(q int32) bool { return after.members.names[q] == name }
+			if !slices.ContainsFunc(after.owners[subject], stays) {
+				moved++
+			}
+		}
+	}
+	return moved
+}
+
+// A proxy that leaves moves the subjects that it owned, and others that follow from the bound of loads: twice its
+// share in the mean over all fleets, and never over a fifth of all ownerships, even where the capacity takes its
+// next step.
+func TestLeavingProxyMovesLittle(t *testing.T) {
+	const ownerCount = 4
+	subjects := makeSubjects(90)
+	ownerships := float64(ownerCount * len(subjects))
+	sumOfShares, changes := 0.0, 0
+	for proxies := 4; proxies <= 160; proxies += 3 {
+		share := ownerships / float64(proxies)
+		before := assign(makeMembers(proxies, 3), subjects, ownerCount)
+		for _, leaving := range []int{0, proxies / 2, proxies - 1} {
+			remaining := makeMembers(proxies, 3)
+			remaining[leaving].Here = false
+			moved := float64(countMoved(before, assign(remaining, subjects, ownerCount)))
+			sumOfShares += moved / share
+			changes++
+			if moved > 1.25*share+0.2*ownerships {
+				t.Errorf("%d proxies: when proxy %d leaves, %v of %v ownerships move", proxies, leaving, moved, ownerships)
+			}
+		}
+	}
+	if mean := sumOfShares / float64(changes); mean > 2 {
+		t.Errorf("a proxy that leaves moves %.2f times its share in the mean", mean)
+	}
+}
+
+func BenchmarkAssignOwners(b *testing.B) {
+	members, subjects := newMembership(makeMembers(300, 3)), makeSubjects(200)
+	for b.Loop() {
+		members.assignOwners(subjects, 4)
+	}
+}
--- a/duties/settings.go
+++ b/duties/settings.go
@@ -27,25 +27,25 @@
 
 // Check returns a *[RangeError] for the first value that is out of its range, or an error that names both spans if a
 // heartbeat is valid for less than two heartbeat intervals. Errors name the keys of the configuration file.
-func (t *Terms) Check() error {
+func (s *Terms) Check() error {
 	err := configfile.Check(
-		configfile.Range("watchers", float64(t.Watchers), 0, maxReplicas),
-		configfile.Range("keepers", float64(t.Keepers), 0, maxReplicas),
-		configfile.Range("trial_ms", milliseconds(t.Rest), 50, 60000),
-		configfile.Range("turn_ms", milliseconds(t.Step), 20, 10000),
-		configfile.Range("beat_ms", milliseconds(t.Beat), 100, 2000),
-		configfile.Range("patience_ms", milliseconds(t.Patience), 200, 4000),
+		configfile.Range("watchers", float64(s.Watchers), 0, maxReplicas),
+		configfile.Range("keepers", float64(s.Keepers), 0, maxReplicas),
+		configfile.Range("trial_ms", milliseconds(s.Rest), 50, 60000),
+		configfile.Range("turn_ms", milliseconds(s.Step), 20, 10000),
+		configfile.Range("beat_ms", milliseconds(s.Beat), 100, 2000),
+		configfile.Range("patience_ms", milliseconds(s.Patience), 200, 4000),
 	)
 	if err != nil {
 		return err
 	}
-	if t.Watchers == 1 { // if the only watcher died, the whole fleet would get no watch events for a while
+	if s.Watchers == 1 { // if the only watcher died, the whole fleet would get no watch events for a while
 		return configfile.Check(configfile.Range("watchers", 1, 2, maxReplicas))
 	}
-	if t.Patience < minHeartbeatsPerLease*t.Beat {
+	if s.Patience < minHeartbeatsPerLease*s.Beat {
 		return &OrderError{
 			ShortKey: "beat_ms", LongKey: "patience_ms",
-			Short: milliseconds(t.Beat), Long: milliseconds(t.Patience), MinRatio: minHeartbeatsPerLease,
+			Short: milliseconds(s.Beat), Long: milliseconds(s.Patience), MinRatio: minHeartbeatsPerLease,
 		}
 	}
 	return nil
--- /dev/null
+++ b/duties/settings_test.go
@@ -0,0 +1,43 @@
+package duties
+
+import (
+	"errors"
+	"testing"
+)
+
+func TestValidSettingsPassTheCheck(t *testing.T) {
+	settings := defaultSettings
+	if err := settings.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestValuesOutOfRangeAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		key    string
+		change func(settings *Terms)
+	}{
+		{"watchers", func(settings *Terms) { settings.Watchers = 1 }},
+		{"keepers", func(settings *Terms) { settings.Keepers = -1 }},
+		{"trial_ms", func(settings *Terms) { settings.Rest = 1 }},
+		{"turn_ms", func(settings *Terms) { settings.Step = 0 }},
+	} {
+		t.Run(c.key, func(t *testing.T) {
+			settings := defaultSettings
+			c.change(&settings)
+			var rangeError *RangeError
+			if err := settings.Check(); !errors.As(err, &rangeError) || rangeError.Key != c.key {
+				t.Errorf("%v, want an error of %s", err, c.key)
+			}
+		})
+	}
+}
+
+func TestLeaseShorterThanTwoHeartbeatsIsAnError(t *testing.T) {
+	settings := defaultSettings
+	settings.Patience = settings.Beat
+	var orderError *OrderError
+	if err := settings.Check(); !errors.As(err, &orderError) || orderError.LongKey != "patience_ms" {
+		t.Errorf("%v, want an error of patience_ms", err)
+	}
+}
--- /dev/null
+++ b/duties/simulation_test.go
@@ -0,0 +1,258 @@
+package duties
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// defaultSettings are the settings of the simulated proxies, but for their names.
+var defaultSettings = Terms{
+	Watchers: 6, Keepers: 4, Trials: true, Rest: Second / 2, Step: Second / 5, Beat: Second / 2, Patience: 3 * Second / 2,
+}
+
+const (
+	stepsPerSecond = 20
+	simulationStep = Second / stepsPerSecond // between two events of the simulation
+	tickInterval   = Second / 10             // between two ticks of a proxy
+	watchStart     = Second / 10             // from the start of a watch to its first event
+	probeTimeout   = Second / 2              // after which a probe has failed
+	probedNodeName = "c1"                    // the node that the proxies send requests to
+)
+
+func seconds(span Time) float64 { return float64(span) / float64(Second) }
+
+// simulation runs a fleet of proxies that exchange reports over a network that delays and loses them.
+type simulation struct {
+	now        Time
+	proxies    []*simulatedProxy
+	members    []Proxy
+	random     *rand.Rand
+	deliveries map[Time][]func() // by when they are due
+
+	lossRate      float64             // of reports
+	maxExtraDelay Time                // of a report, drawn at random, beyond minDelay
+	minDelay      Time                // of every report
+	partitioned   func(a, b int) bool // whether the link between two proxies is cut, nil: none is
+
+	nodeSilent  bool    // the probed node does not answer
+	requestRate float64 // requests a second to the node, from the whole fleet
+	independent bool    // each proxy probes by its own backoff: the baseline to compare with
+	probes      int     // requests that reached the silent node
+
+	misbehave func(s *simulation, proxy int) // called for each proxy at each tick, nil: all are honest
+
+	lastWatched Time // the latest instant at which some watch worked
+	longestGap  Time // the longest span in which none did
+}
+
+type simulatedProxy struct {
+	*Instance
+	up         bool
+	ejected    bool // the probed node, by this proxy
+	ejectUntil Time
+	backoff    Time
+	suspicion  float64 // probability with which a request avoids the node
+	watches    bool
+	watchLive  Time // when its watch works, 0: never
+	watchHangs bool // its watch never works
+}
+
+func newSimulation(proxies int, settings Terms, seed uint64) *simulation {
+	s := &simulation{
+		now: 100 * Second, random: rand.New(rand.NewPCG(seed, 5)), maxExtraDelay: Second / 4,
+		deliveries: map[Time][]func(){}, members: makeMembers(proxies, 3), requestRate: 40,
+	}
+	for i := range proxies {
+		s.proxies = append(s.proxies, s.startProxy(i, settings))
+	}
+	return s
+}
+
+func (s *simulation) startProxy(i int, settings Terms) *simulatedProxy {
+	settings.Me = s.members[i].Name
+	p := &simulatedProxy{
+		Instance: New(s.now, settings), up: true, watches: true, watchLive: s.now + watchStart, backoff: settings.Rest,
+	}
+	p.Nodes(s.now, []string{probedNodeName, "c2"})
+	return p
+}
+
+// shareMembership gives each proxy its view of the fleet: proxies that are up, and not behind a partition.
+func (s *simulation) shareMembership() {
+	for i, p := range s.proxies {
+		view := append([]Proxy(nil), s.members...)
+		for k := range view {
+			view[k].Here = s.proxies[k].up && (s.partitioned == nil || k == i || !s.partitioned(k, i))
+		}
+		s.carryOut(i, p.Fleet(s.now, view, false))
+	}
+}
+
+// carryOut does what a proxy has decided.
+func (s *simulation) carryOut(i int, decisions []Decision) {
+	p := s.proxies[i]
+	for _, d := range decisions {
+		switch d.Act {
+		case Rest:
+			if d.Node == probedNodeName {
+				p.ejectUntil = d.Until
+			}
+		case Doubt: // as the balancer takes hints
+			p.suspicion += (1 - p.suspicion) * 0.4
+			if !d.On {
+				p.suspicion = 0
+			}
+		case Watch:
+			s.setWatch(p, d.On)
+		case Say:
+			s.broadcast(i, d)
+		}
+	}
+}
+
+func (s *simulation) setWatch(p *simulatedProxy, watches bool) {
+	p.watches = watches
+	if watches {
+		p.watchLive = s.now + watchStart
+		return
+	}
+	p.watchLive = 0
+	p.Watching(s.now, false)
+}
+
+// broadcast sends a proxy's report to all others.
+func (s *simulation) broadcast(from int, report Decision) {
+	sender, sentAt := s.proxies[from], s.now
+	for to, receiver := range s.proxies {
+		if to == from || s.random.Float64() < s.lossRate || s.partitioned != nil && s.partitioned(from, to) {
+			continue
+		}
+		extraSteps := 1 + Time(s.random.Int64N(int64(s.maxExtraDelay/simulationStep)+1))
+		at := s.now + s.minDelay + simulationStep*extraSteps
+		s.deliveries[at] = append(s.deliveries[at], func() {
+			if receiver == s.proxies[to] && receiver.up && s.proxies[from].up {
+				name := sender.view.settings.Me
+				s.carryOut(to, receiver.Heard(s.now, name, report.Kind, report.Key, report.Said, s.now-sentAt))
+			}
+		})
+	}
+}
+
+// request is a request at a proxy whose key the probed node owns.
+func (s *simulation) request(i int) {
+	p := s.proxies[i]
+	if p.ejected && s.now < p.ejectUntil {
+		return // it goes to the next node on the ring
+	}
+	if !p.ejected && s.random.Float64() < p.suspicion {
+		return
+	}
+	if s.nodeSilent {
+		s.requestFails(i, p)
+	} else if p.ejected {
+		p.ejected, p.backoff = false, defaultSettings.Rest
+		if !s.independent {
+			s.carryOut(i, p.Passed(s.now, probedNodeName, false))
+		}
+	}
+}
+
+// requestFails is a request that the silent node does not answer.
+func (s *simulation) requestFails(i int, p *simulatedProxy) {
+	s.probes++
+	wasEjected := p.ejected
+	p.ejected, p.ejectUntil = true, s.now+p.backoff
+	if s.independent {
+		p.backoff = min(2*p.backoff, 8*defaultSettings.Rest)
+		return
+	}
+	if !wasEjected {
+		s.carryOut(i, p.Passed(s.now, probedNodeName, true))
+		return
+	}
+	s.carryOut(i, p.Tried(s.now, probedNodeName))
+	at := s.now + probeTimeout
+	s.deliveries[at] = append(s.deliveries[at], func() { s.carryOut(i, p.Failed(s.now, probedNodeName)) })
+}
+
+func (s *simulation) run(span Time) {
+	for end := s.now + span; s.now < end; {
+		s.step()
+	}
+}
+
+func (s *simulation) step() {
+	s.now += simulationStep
+	for _, deliver := range s.deliveries[s.now] {
+		deliver()
+	}
+	delete(s.deliveries, s.now)
+	for i, p := range s.proxies {
+		if p.up {
+			s.stepProxy(i, p)
+		}
+	}
+	s.longestGap = max(s.longestGap, s.now-s.lastWatched)
+}
+
+func (s *simulation) stepProxy(i int, p *simulatedProxy) {
+	if p.watches && p.watchLive > 0 && p.watchLive <= s.now && !p.watchHangs {
+		s.lastWatched = s.now
+		p.Watching(s.now, true)
+	}
+	if s.now%tickInterval == 0 {
+		if s.misbehave != nil {
+			s.misbehave(s, i)
+		}
+		s.carryOut(i, p.Tick(s.now))
+	}
+	if s.random.Float64() < s.requestRate/float64(len(s.proxies))/stepsPerSecond {
+		s.request(i)
+	}
+}
+
+// count returns the number of proxies that are up and match.
+func (s *simulation) count(matches func(p *simulatedProxy) bool) int {
+	count := 0
+	for _, p := range s.proxies {
+		if p.up && matches(p) {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *simulation) ejectedCount() int {
+	return s.count(func(p *simulatedProxy) bool { return p.ejected })
+}
+
+func (s *simulation) watchingCount() int {
+	return s.count(func(p *simulatedProxy) bool { return p.watches })
+}
+
+// silenceResult is how a fleet handled a node that fell silent.
+type silenceResult struct {
+	probesPerSecond float64 // once all proxies had ejected the node
+	recovery        Time    // from when it answers until nine in ten proxies use it; over maxRecovery: they did not
+}
+
+const maxRecovery = 30 * Second
+
+// silenceNode has the probed node fall silent for twenty seconds.
+func silenceNode(t *testing.T, s *simulation) silenceResult {
+	t.Helper()
+	s.shareMembership()
+	s.run(2 * Second)
+	s.nodeSilent = true
+	s.run(10 * Second)
+	s.probes = 0
+	s.run(10 * Second)
+	s.nodeSilent = false
+	result := silenceResult{probesPerSecond: float64(s.probes) / 10}
+	for from := s.now; ; s.run(Second / 5) {
+		result.recovery = s.now - from
+		if s.ejectedCount()*10 <= len(s.proxies) || result.recovery > maxRecovery {
+			return result
+		}
+	}
+}
--- a/duties/wire_golden_test.go
+++ b/duties/wire_golden_test.go
@@ -6,9 +6,8 @@
 	"woodproxy/duties"
 )
 
-// TestGoldenSaid pins the encoding of what a proxy says of trials and watches, the body of rows of kinds Trial and
-// Beat.
-func TestGoldenSaid(t *testing.T) {
+// TestGoldenReport pins the encoding of the body of reports on probes and of heartbeats.
+func TestGoldenReport(t *testing.T) {
 	checkGolden(t, "said.golden", []goldenCase{
 		{name: "said-full", full: true, value: &duties.Said{Round: 70000, How: duties.ProbeSucceeded, For: 25000}},
 		{name: "trial-begins", value: &duties.Said{Round: 3, How: duties.ProbeStarted}},
@@ -24,15 +23,17 @@
 		name      string
 		got, want int64
 	}{
-		{"kind trial", int64(duties.Trial), 0},
-		{"kind beat", int64(duties.Beat), 1},
-		{"outcome out", int64(duties.ProbeStarted), 0},
-		{"outcome silent", int64(duties.ProbeFailed), 1},
-		{"outcome answers", int64(duties.ProbeSucceeded), 2},
+		{"kind of probe reports", int64(duties.Trial), 0},
+		{"kind of heartbeats", int64(duties.Beat), 1},
+		{"outcome of a started probe", int64(duties.ProbeStarted), 0},
+		{"outcome of a failed probe", int64(duties.ProbeFailed), 1},
+		{"outcome of a successful probe", int64(duties.ProbeSucceeded), 2},
 		{"units of time in a second", int64(duties.Second), 10000},
 	} {
-		if c.got != c.want {
-			t.Errorf("%s: %d, want %d", c.name, c.got, c.want)
-		}
+		t.Run(c.name, func(t *testing.T) {
+			if c.got != c.want {
+				t.Errorf("%d, want %d", c.got, c.want)
+			}
+		})
 	}
 }
