--- a/duties/assigner.go
+++ b/duties/assigner.go
@@ -18,7 +18,7 @@
 	assignedAt Time // when the last assignment was made
 }
 
-// New returns an instance without peers and nodes. Until it learns of them, it performs every duty itself. The
+// New returns an assigner without peers and nodes. Until it learns of them, it performs every duty itself. The
 // settings have to be valid by their Check.
 func New(now Time, settings Terms) *Instance {
 	a := &Instance{
@@ -39,7 +39,7 @@
 	a.decisions.reset()
 }
 
-// Fleet takes all proxies, this one included, and whether the replicated state is still incomplete. While it does,
+// Fleet sets all proxies, this one included, and whether the replicated state is still incomplete. While it does,
 // no duty is left to other proxies.
 func (a *Instance) Fleet(now Time, all []Proxy, catchingUp bool) []Decision {
 	a.begin(now)
@@ -51,7 +51,7 @@
 	return a.decisions.decisions
 }
 
-// Nodes takes the names of all caches in the endpoint list.
+// Nodes sets the names of all caches in the endpoint list.
 func (a *Instance) Nodes(now Time, names []string) []Decision {
 	a.begin(now)
 	changes := a.nodes.update(names)
@@ -72,7 +72,7 @@
 	return a.nodes.byName[name]
 }
 
-// Passed takes that this proxy has ejected a node or that the node answers here.
+// Passed records that this proxy has ejected a node, or else that the node answers here.
 func (a *Instance) Passed(now Time, name string, ejected bool) []Decision {
 	a.begin(now)
 	if n := a.probedNode(name); n != nil {
@@ -81,7 +81,7 @@
 	return a.decisions.decisions
 }
 
-// Tried takes that this proxy has sent a probe to a node that it has ejected.
+// Tried records that this proxy has sent a probe to a node that it has ejected.
 func (a *Instance) Tried(now Time, name string) []Decision {
 	a.begin(now)
 	if n := a.probedNode(name); n != nil {
@@ -90,7 +90,7 @@
 	return a.decisions.decisions
 }
 
-// Failed takes that the node did not answer this proxy's probe.
+// Failed records that the node did not answer this proxy's probe.
 func (a *Instance) Failed(now Time, name string) []Decision {
 	a.begin(now)
 	if n := a.probedNode(name); n != nil {
@@ -99,8 +99,8 @@
 	return a.decisions.decisions
 }
 
-// Heard takes another proxy's report and its age. Reports of proxies that are not alive, of this proxy itself, and
-// of a negative age are ignored; reports on probes that are out of bounds are counted as rejected.
+// Heard handles another proxy's report of the given age. Reports of proxies that are not alive, of this proxy
+// itself, and of a negative age are ignored; reports on probes that are out of bounds are counted as rejected.
 func (a *Instance) Heard(now Time, from string, kind Kind, key string, report Said, age Time) []Decision {
 	a.begin(now)
 	if from == a.view.settings.Me || age < 0 || !a.view.members.contains(from) {
@@ -119,7 +119,7 @@
 	return a.decisions.decisions
 }
 
-// Watching takes that this proxy's watch of discovery works, or that it has ended or been silent for too long.
+// Watching records that this proxy's watch of discovery works, or that it has ended or been silent for too long.
 func (a *Instance) Watching(now Time, live bool) []Decision {
 	a.begin(now)
 	a.watch.live = live
--- a/duties/idleconnections.go
+++ b/duties/idleconnections.go
@@ -12,8 +12,8 @@
 	ownershipChanges int64
 }
 
-// nodeAdded takes a node that this proxy owns until the next assignment. The caller may know the node from an earlier
-// endpoint list, and as another proxy's, so it is told in any case.
+// nodeAdded handles a new node, which this proxy owns until the next assignment. The caller may know the node from
+// an earlier endpoint list, and as another proxy's, so it is told in any case.
 func (c *idleConnections) nodeAdded(n *node) {
 	if c.view.settings.Keepers > 0 {
 		c.decisions.add(Decision{Act: Keep, Node: n.name, On: true})
@@ -40,7 +40,7 @@
 // startAssignment begins to count the nodes anew.
 func (c *idleConnections) startAssignment(nodes int) { c.ownedNodes, c.listedNodes = 0, nodes }
 
-// setOwned takes whether this proxy owns a node from now on.
+// setOwned sets whether this proxy owns a node from now on.
 func (c *idleConnections) setOwned(n *node, owned bool) {
 	if owned {
 		c.ownedNodes++
--- a/duties/probes.go
+++ b/duties/probes.go
@@ -55,7 +55,7 @@
 	rejectedReports int64
 }
 
-// setEjected takes that this proxy has ejected a node, or that the node answers here.
+// setEjected records that this proxy has ejected a node, or that the node answers here.
 func (s *probeScheduler) setEjected(n *node, ejected bool) {
 	if n.ejected == ejected {
 		return
@@ -74,7 +74,7 @@
 	s.report(n, ProbeFailed)
 }
 
-// sent takes that a probe of this proxy's was sent.
+// sent records that a probe of this proxy's was sent.
 func (s *probeScheduler) sent(n *node) {
 	if n.ejected {
 		s.probesSent++
@@ -82,7 +82,7 @@
 	}
 }
 
-// failed takes that a probe of this proxy's was not answered.
+// failed records that a probe of this proxy's was not answered.
 func (s *probeScheduler) failed(n *node) {
 	if n.ejected {
 		s.report(n, ProbeFailed)
@@ -110,7 +110,7 @@
 		report.How <= ProbeSucceeded && age <= s.view.reportWindow()
 }
 
-// peerReported takes another proxy's report of the given age, and tells whether it was accepted.
+// peerReported handles another proxy's report of the given age, and tells whether it was accepted.
 func (s *probeScheduler) peerReported(n *node, proxy string, report Said, age Time) bool {
 	if !s.accepts(n, report, age) {
 		s.rejectedReports++
--- a/duties/suspicion.go
+++ b/duties/suspicion.go
@@ -10,7 +10,8 @@
 	decisions *decisionList
 }
 
-// reported takes another proxy's report on a probe. A proxy that repeats itself within the report window counts once.
+// reported handles another proxy's report on a probe. A proxy that repeats itself within the report window counts
+// once.
 func (s *suspicion) reported(n *node, proxy string, at Time, outcome ProbeOutcome) {
 	n.silence = n.silence.since(s.view.oldestReport())
 	switch {
--- a/duties/watch.go
+++ b/duties/watch.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// renewLease takes another proxy's heartbeat. The sender states how long it is valid, within what this proxy's
+// renewLease handles another proxy's heartbeat. The sender states how long it is valid, within what this proxy's
 // settings allow, since a proxy that claims to watch forever would hold its lease without watching.
 func (w *watchDuty) renewLease(proxy string, sentAt, validFor Time) {
 	shortest := w.view.settings.Patience
