wire: a file a message, standard names, parsers in named steps

What was unclear: answer.go held the readers of RESP elements beside the cache's answers, http.go held heads, chunks and the origin's requests, targets.go held the list and the watch; parsers were up to 46 lines with a goto; names such as bad, whole, ended, long, line, behind said nothing of the protocol.

Now: doc.go, attempterror.go, command.go, resp.go, response.go, cacheresponse.go, facts.go, httphead.go, chunkedreader.go, origin.go, endpointlist.go and watch.go. The common frame of both response readers is one function, the state of JSON nesting in a watch a type of its own, statuses, command names and limits are constants, and each public item has a doc comment. Chunks is not exported any more; Watch is WatchReader. Exported names that other packages use stay as they are.

No change of behaviour; error texts and golden files are the same. Run: go build ./..., go test ./internal/wire.

--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -6,20 +6,21 @@
 	"strings"
 )
 
-// Facts is what this proxy reads of a command's list of names and values; the words lie where they lay.
+// Facts are the entries of a command's list of facts that the proxy uses. The words are slices of that list.
 type Facts struct {
-	Route, Tenant []byte
-	Wait          int // how long the client waits, in milliseconds
-	Repeat        bool
+	Route, Tenant []byte // Tenant is nil where the client gives none
+	Wait          int    // how long the client waits for the response, in milliseconds
+	Repeat        bool   // the client retries an earlier request
 }
 
-// ParseFacts reads a list such as c=read,t=acme,d=480. Names that it does not know are skipped.
+// ParseFacts parses a list such as c=read,t=acme,d=480. Unknown names are skipped. The error wraps ErrBytes where the list
+// is malformed, or lacks the route or the wait.
 func ParseFacts(list []byte) (f Facts, err error) {
 	f.Wait = -1
-	for part := range bytes.SplitSeq(list, []byte(",")) {
-		name, value, ok := bytes.Cut(part, []byte("="))
+	for entry := range bytes.SplitSeq(list, []byte(",")) {
+		name, value, ok := bytes.Cut(entry, []byte("="))
 		if !ok {
-			return f, bad("a fact without a value")
+			return f, protocolError("a fact without a value")
 		}
 		switch string(name) {
 		case "c":
@@ -29,42 +30,44 @@
 		case "r":
 			f.Repeat = string(value) == "1"
 		case "d":
-			whole, _, _ := bytes.Cut(value, []byte(".")) // a part of a millisecond counts for nothing
-			if f.Wait, ok = decimal(whole, len(whole)); !ok || f.Wait < 0 {
-				return f, bad("a mistyped d")
+			milliseconds, _, _ := bytes.Cut(value, []byte(".")) // rounded down
+			if f.Wait, ok = parseDecimal(milliseconds); !ok || f.Wait < 0 {
+				return f, protocolError("a mistyped d")
 			}
 		}
 	}
 	if f.Route == nil || f.Wait < 0 {
-		return f, bad("no c or no d among the facts")
+		return f, protocolError("no c or no d among the facts")
 	}
 	return f, nil
 }
 
-// Plain finds fault with words that hold anything but printable characters.
+// Plain returns an error that wraps ErrBytes where a word holds control characters, with which it could forge HTTP headers.
 func Plain(words ...[]byte) error {
-	for _, w := range words {
-		for _, c := range w {
-			if c < ' ' || c == 0x7f {
-				return bad("a word with control characters")
+	for _, word := range words {
+		for _, char := range word {
+			if char < ' ' || char == 0x7f {
+				return protocolError("a word with control characters")
 			}
 		}
 	}
 	return nil
 }
 
-// AppendFacts writes a list as it came, but for d, which tells how long this proxy waits.
+// AppendFacts appends a list of facts as it was received, except that d becomes how long this proxy waits, in
+// milliseconds.
 func AppendFacts(b []byte, list []byte, wait int) []byte {
-	for rest := string(list); ; b = append(b, ',') {
-		part, more, on := strings.Cut(rest, ",")
-		if strings.HasPrefix(part, "d=") {
+	for rest, more := string(list), true; more; {
+		var entry string
+		entry, rest, more = strings.Cut(rest, ",")
+		if strings.HasPrefix(entry, "d=") {
 			b = strconv.AppendInt(append(b, "d="...), int64(wait), 10)
 		} else {
-			b = append(b, part...)
+			b = append(b, entry...)
 		}
-		if !on {
-			return b
+		if more {
+			b = append(b, ',')
 		}
-		rest = more
 	}
+	return b
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -157,7 +157,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nvxx\r\n",
 		"HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 4000),
-		"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("v", maxUntold+1),
+		"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("v", maxUnknownLength+1),
 	} {
 		if _, _, _, err := readEither(text); !errors.Is(err, ErrBytes) {
 			t.Errorf("%.40q: %v", text, err)
@@ -214,7 +214,7 @@
 
 // A list may come indented, in a watch as well; one that breaks off is no list.
 func TestWatchIndented(t *testing.T) {
-	read := func(body string) *Watch {
+	read := func(body string) *WatchReader {
 		w, err := ReadWatch(bufio.NewReader(strings.NewReader(fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body))))
 		if err != nil {
 			t.Fatal(err)
