wire: tests in tables of named cases, a file for each source file

wire_test.go held all tests, with cases told apart by their bytes only.

The same inputs and figures. Both tests of a watch opened it and compared its objects with a loop each: these lines stand in openWatch and checkWatch now, which both tests call.

No change of behaviour; golden files as they were.

--- a/internal/wire/wire_golden_test.go
+++ b/internal/wire/endpoint_golden_test.go
@@ -8,8 +8,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// TestGoldenTargets pins the encoding of a node of discovery's list, the body of a row of kind Node. Its fields have no
-// tags: they go by their names in Go, which therefore can't be changed without one.
+// TestGoldenTargets pins the encoding of an endpoint, which is the body of a replicated row and part of the state file. The
+// keys are given by tags, so that the fields may be renamed in Go.
 func TestGoldenTargets(t *testing.T) {
 	checkGolden(t, "targets.golden", []goldenCase{
 		{name: "target-full", full: true, value: &wire.Target{
@@ -20,7 +20,7 @@
 	})
 }
 
-// TestTargetElsewhereStaysLocal checks that where a target was heard of is not sent.
+// TestTargetElsewhereStaysLocal checks that the mark of an endpoint that another proxy reported is not encoded.
 func TestTargetElsewhereStaysLocal(t *testing.T) {
 	encoded, plain := encodeTarget(t, wire.Target{Name: "node-1", Elsewhere: true}), encodeTarget(t, wire.Target{Name: "node-1"})
 	if string(encoded) != string(plain) {
--- /dev/null
+++ b/internal/wire/facts_test.go
@@ -0,0 +1,36 @@
+package wire
+
+import (
+	"errors"
+	"testing"
+)
+
+// An attempt carries the client's facts, except that d is how long this proxy waits.
+func TestFactsAreParsedAndForwarded(t *testing.T) {
+	const list = "c=put,t=acme,d=480,size=9,k=5c0f,r=1"
+	f, err := ParseFacts([]byte(list))
+	if err != nil || string(f.Route) != "put" || string(f.Tenant) != "acme" || f.Wait != 480 || !f.Repeat {
+		t.Errorf("%+v: %v", f, err)
+	}
+	if got := string(AppendFacts(nil, []byte(list), 77)); got != "c=put,t=acme,d=77,size=9,k=5c0f,r=1" {
+		t.Error(got)
+	}
+	if f, err := ParseFacts([]byte("d=12.75,c=x")); err != nil || f.Wait != 12 {
+		t.Errorf("%+v: %v", f, err)
+	}
+	for _, test := range []struct{ name, list string }{
+		{"empty list", ""},
+		{"no wait", "c=x"},
+		{"no route", "d=5"},
+		{"empty wait", "c=x,d="},
+		{"negative wait", "c=x,d=-5"},
+		{"letter in the wait", "c=x,d=5x"},
+		{"fact without a value", "c=x,d=5,odd"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if _, err := ParseFacts([]byte(test.list)); !errors.Is(err, ErrBytes) {
+				t.Errorf("%q: %v", test.list, err)
+			}
+		})
+	}
+}
--- a/internal/wire/protocol_golden_test.go
+++ b/internal/wire/protocol_golden_test.go
@@ -52,12 +52,12 @@
 // golden collects lines of "what = result", with bytes quoted.
 type golden struct{ strings.Builder }
 
-func (g *golden) section(name string) { fmt.Fprintf(g, "# %s\n", name) }
+func (g *golden) section(name string) { g.WriteString("# " + name + "\n") }
 
-func (g *golden) bytes(what string, b []byte) { fmt.Fprintf(g, "%s = %q\n", what, b) }
+func (g *golden) bytes(what string, b []byte) { g.value(what, "%q", b) }
 
 func (g *golden) value(what, format string, args ...any) {
-	fmt.Fprintf(g, "%s = %s\n", what, fmt.Sprintf(format, args...))
+	g.WriteString(what + " = " + fmt.Sprintf(format, args...) + "\n")
 }
 
 // shorten keeps long inputs out of the golden file.
@@ -75,9 +75,9 @@
 	balancer.Lacking: "lacking",
 }
 
-// errorText adds to an error's text how far the attempt had come, and whether it may have run.
+// errorText adds to an error's text in which stage the attempt ended, and whether it may have run.
 func errorText(err error) string {
-	var halt *wire.Halt
+	var attemptError *wire.Halt
 	text := fmt.Sprintf("error %q", err.Error())
 	if errors.Is(err, wire.ErrBytes) {
 		text += ", protocol error"
@@ -85,8 +85,8 @@
 	if errors.Is(err, wire.ErrShort) {
 		text += ", incomplete"
 	}
-	if errors.As(err, &halt) {
-		text += fmt.Sprintf(", while %s, may have run %v", halt.Far, halt.Ran())
+	if errors.As(err, &attemptError) {
+		text += fmt.Sprintf(", while %s, may have run %v", attemptError.Far, attemptError.Ran())
 	}
 	return text
 }
@@ -223,31 +223,31 @@
 	compareGoldenText(t, "facts.golden", g.String())
 }
 
-// readAnswer reads one answer whole and tells all that can be told of it.
-func readAnswer(read func(*bufio.Reader) (wire.Answer, error), text string) string {
+// describeResponse reads one response completely and describes all that is known of it.
+func describeResponse(read func(*bufio.Reader) (wire.Answer, error), text string) string {
 	r := bufio.NewReader(strings.NewReader(text))
 	a, err := read(r)
 	if err != nil {
 		return errorText(err)
 	}
-	body, whole := a.Whole()
-	told := fmt.Sprintf("%s, value of %d, absent %v, again %v, read whole %v", endingNames[a.Ending], a.Long, a.Absent,
-		a.Again, whole)
-	if whole {
-		told += ", " + shorten(string(body))
+	body, buffered := a.Whole()
+	described := fmt.Sprintf("%s, value of %d, absent %v, again %v, read whole %v", endingNames[a.Ending], a.Long, a.Absent,
+		a.Again, buffered)
+	if buffered {
+		described += ", " + shorten(string(body))
 	}
 	if a.Ending == balancer.Completed {
 		value, err := a.Value(r)
 		if err == nil {
-			told += ", value " + shorten(string(value))
+			described += ", value " + shorten(string(value))
 			err = a.Tail(r)
 		}
 		if err != nil {
-			return told + "; then " + errorText(err)
+			return described + "; then " + errorText(err)
 		}
 	}
 	rest, _ := io.ReadAll(r)
-	return told + fmt.Sprintf(", %q left", rest)
+	return described + fmt.Sprintf(", %q left", rest)
 }
 
 // TestCacheAnswerGolden pins how each answer of a cache is read.
@@ -264,7 +264,7 @@
 		"*1\r\n$1\r\nvxx", "*1\r\n*1\r\n", "*2\r\n$1\r\nv\r\n$65537\r\n", "*2\r\n$1\r\nv\r\n-ERR\r\n", "*1\n$1\r\n",
 		"*" + strings.Repeat("1", 5000),
 	} {
-		g.value(shorten(text), "%s", readAnswer(wire.ReadAnswer, text))
+		g.value(shorten(text), "%s", describeResponse(wire.ReadAnswer, text))
 	}
 	g.section("end behind a value read piece by piece")
 	for _, end := range []string{"\r\n", "\n\n", "\r", ""} {
@@ -298,7 +298,7 @@
 func TestOriginAnswerGolden(t *testing.T) {
 	var g golden
 	record := func(text string) {
-		g.value(shorten(text), "%s", readAnswer(wire.ReadFetched, text))
+		g.value(shorten(text), "%s", describeResponse(wire.ReadFetched, text))
 	}
 	for _, status := range []string{
 		"200 OK", "201 Created", "204 No Content", "206 Part", "301 Moved", "304 Not Modified",
@@ -371,40 +371,41 @@
 	} {
 		text := wire.AppendTargets([]byte(">"), c.list)
 		g.bytes(c.name, text)
-		g.value(c.name+", read back", "%s", readTargets(string(text[1:])))
+		g.value(c.name+", read back", "%s", describeTargets(string(text[1:])))
 	}
 	compareGoldenText(t, "targets_written.golden", g.String())
 }
 
-func readTargets(text string) string {
+// describeTargets parses a list and describes its endpoints, or the error.
+func describeTargets(text string) string {
 	v, err := fastjson.Parse(text)
 	if err != nil {
 		return "not JSON"
 	}
-	index, whole, list, err := wire.ParseTargets(v)
+	index, complete, list, err := wire.ParseTargets(v)
 	if err != nil {
 		return errorText(err)
 	}
-	told := fmt.Sprintf("index %d, whole %v", index, whole)
+	described := fmt.Sprintf("index %d, whole %v", index, complete)
 	for _, n := range list {
-		told += fmt.Sprintf("; name %q, address %q, zone %q, kind %q, cell %d, ready %v, gone %v, weight %v, since %d, elsewhere %v",
+		described += fmt.Sprintf("; name %q, address %q, zone %q, kind %q, cell %d, ready %v, gone %v, weight %v, since %d, elsewhere %v",
 			n.Name, n.Address, n.Zone, n.Kind, n.Cell, n.Ready, n.Gone, n.Weight, n.Since, n.Elsewhere)
 	}
-	return told
+	return described
 }
 
 // TestTargetsParseGolden pins what is read of discovery's lists, with each field set, unset and mistyped.
 func TestTargetsParseGolden(t *testing.T) {
-	const whole = `{"index":41,"snapshot":true,"endpoints":[{"name":"c1","address":"h:1","zone":"a","type":"m2","group":3,` +
+	const complete = `{"index":41,"snapshot":true,"endpoints":[{"name":"c1","address":"h:1","zone":"a","type":"m2","group":3,` +
 		`"status":"active","weight":1.5,"since_ms":7}]}`
 	var g golden
 	for _, text := range []string{
-		whole, `{"index":0,"endpoints":[]}`, `{"index":1,"snapshot":false,"new":[1],"endpoints":[{"name":"c","status":"left","new":1}]}`,
+		complete, `{"index":0,"endpoints":[]}`, `{"index":1,"snapshot":false,"new":[1],"endpoints":[{"name":"c","status":"left","new":1}]}`,
 		`{"index":1,"snapshot":"yes","endpoints":[]}`, `{"index":1.5,"endpoints":[]}`,
 		`[]`, `7`, `{}`, `{"index":"1","endpoints":[]}`, `{"index":null,"endpoints":[]}`, `{"index":1}`, `{"index":1,"endpoints":{}}`,
 		`{"index":1,"endpoints":[{}]}`, `{"index":1,"endpoints":[7]}`,
 	} {
-		g.value(text, "%s", readTargets(text))
+		g.value(text, "%s", describeTargets(text))
 	}
 	for _, change := range [][2]string{
 		{`"name":"c1",`, ``},
@@ -436,11 +437,11 @@
 		{`"snapshot":true,`, ``},
 		{`"index":41,`, ``},
 	} {
-		changed := strings.Replace(whole, change[0], change[1], 1)
-		if changed == whole {
-			t.Fatalf("%s is not in the whole list", change[0])
+		changed := strings.Replace(complete, change[0], change[1], 1)
+		if changed == complete {
+			t.Fatalf("%s is not in the complete list", change[0])
 		}
-		g.value(change[0]+" -> "+change[1], "%s", readTargets(changed))
+		g.value(change[0]+" -> "+change[1], "%s", describeTargets(changed))
 	}
 	compareGoldenText(t, "targets_parsed.golden", g.String())
 }
@@ -458,12 +459,13 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n", "",
 	} {
-		g.value(shorten(text), "%s", readWatch(text))
+		g.value(shorten(text), "%s", describeWatch(text))
 	}
 	compareGoldenText(t, "watch.golden", g.String())
 }
 
-func readWatch(text string) string {
+// describeWatch reads a watch to its end and lists its objects, and the error that ends it.
+func describeWatch(text string) string {
 	w, err := wire.ReadWatch(bufio.NewReader(strings.NewReader(text)))
 	if err != nil {
 		return errorText(err)
@@ -481,8 +483,8 @@
 // TestAttemptErrorGolden pins the texts of errors and which of them mean that an attempt may have run.
 func TestAttemptErrorGolden(t *testing.T) {
 	var g golden
-	for _, far := range []wire.Far{wire.Dialing, wire.Writing, wire.Waiting, wire.Reading} {
-		g.value(far.String(), "%d, %s", far, errorText(&wire.Halt{Far: far, Err: io.ErrUnexpectedEOF}))
+	for _, progress := range []wire.Far{wire.Dialing, wire.Writing, wire.Waiting, wire.Reading} {
+		g.value(progress.String(), "%d, %s", progress, errorText(&wire.Halt{Far: progress, Err: io.ErrUnexpectedEOF}))
 	}
 	g.value("incomplete", "%v", wire.ErrShort)
 	g.value("protocol error", "%v", wire.ErrBytes)
--- /dev/null
+++ b/internal/wire/response_test.go
@@ -0,0 +1,156 @@
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"woodproxy/balancer"
+)
+
+// completeResponse is a response of a cache or of the origin, with what is expected of it.
+type completeResponse struct {
+	name, text string
+	outcome    balancer.Ending
+	value      string
+	reusable   bool
+}
+
+var completeResponses = []completeResponse{
+	{"cache: hit with load report", "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$7\r\nqueue=3\r\n", balancer.Completed, "value", true},
+	{"cache: empty value", "*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", balancer.Completed, "", true},
+	{"cache: miss", "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", balancer.Lacking, "", true},
+	{"cache: value only", "*1\r\n$1\r\nv\r\n", balancer.Completed, "v", true},
+	{"cache: overloaded", "-BUSY\r\n", balancer.NoRoom, "", true},
+	{"cache: overloaded, with a reason", "-BUSY too many connections\r\n", balancer.NoRoom, "", true},
+	{"cache: error that begins like overloaded", "-BUSYBODY\r\n", balancer.Fault, "", true},
+	{"cache: error", "-ERR failed\r\n", balancer.Fault, "", true},
+	{
+		"origin: length announced",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Backend-Load: q=1\r\n\r\nvalue", balancer.Completed, "value", true,
+	},
+	{
+		"origin: chunked",
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n3\r\nval\r\n2;x=1\r\nue\r\n0\r\nT: 1\r\n\r\n",
+		balancer.Completed, "value", true,
+	},
+	{
+		"origin: interim response first",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+		balancer.Completed, "", false,
+	},
+	{"origin: ended by the connection", "HTTP/1.0 200 OK\r\n\r\nvalue", balancer.Completed, "value", false},
+	{
+		"origin: 503 unprocessed",
+		"HTTP/1.1 503 No\r\nx-unprocessed: 1\r\nContent-Length: 2\r\n\r\nno", balancer.NoRoom, "", true,
+	},
+	{
+		"origin: 504 unprocessed",
+		"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balancer.NoRoom, "", true,
+	},
+	{"origin: 503 processed", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", balancer.Fault, "", true},
+	{
+		"origin: 500 is a fault even if unprocessed",
+		"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balancer.Fault, "", true,
+	},
+}
+
+func TestCompleteResponses(t *testing.T) {
+	for _, test := range completeResponses {
+		t.Run(test.name, func(t *testing.T) {
+			outcome, value, reusable, err := readAnyResponse(test.text)
+			if err != nil || outcome != test.outcome || outcome == balancer.Completed && string(value) != test.value ||
+				reusable != test.reusable {
+				t.Errorf("%q: outcome %d, %q, reusable %v: %v", test.text, outcome, value, reusable, err)
+			}
+			checkTruncated(t, test.text)
+		})
+	}
+}
+
+// checkTruncated checks that a response that is cut anywhere is an error while waiting or reading, never a shorter one.
+func checkTruncated(t *testing.T, text string) {
+	t.Helper()
+	for n := range len(text) {
+		if strings.HasPrefix(text, "HTTP/1.0") && n >= strings.Index(text, "value") {
+			break // its end is the end of the connection
+		}
+		_, _, _, err := readAnyResponse(text[:n])
+		var attemptError *Halt
+		if !errors.As(err, &attemptError) || !attemptError.Ran() || (n == 0) != (attemptError.Far == Waiting) ||
+			errors.Is(err, ErrBytes) {
+			t.Errorf("%q: %v", text[:n], err)
+		}
+	}
+}
+
+// readAnyResponse reads a response with its value, byte by byte: one of the origin if it begins with H, else one of a cache.
+func readAnyResponse(text string) (outcome balancer.Ending, value []byte, reusable bool, err error) {
+	r := bufio.NewReader(iotest.OneByteReader(strings.NewReader(text)))
+	read := ReadAnswer
+	if strings.HasPrefix(text, "H") {
+		read = ReadFetched
+	}
+	a, err := read(r)
+	if err != nil || a.Ending != balancer.Completed {
+		return a.Ending, nil, a.Again, err
+	}
+	value, err = a.Value(r)
+	if err == nil {
+		err = a.Tail(r)
+	}
+	return a.Ending, value, a.Again, err
+}
+
+// Servers keep longer values than clients may write; these are forwarded.
+func TestLongValuesAreRead(t *testing.T) {
+	long := strings.Repeat("v", 6*MaxValue)
+	for _, test := range []struct{ name, text string }{
+		{"cache", fmt.Sprintf("*1\r\n$%d\r\n%s\r\n", len(long), long)},
+		{"origin, length announced", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long)},
+		{"origin, length unknown", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + long},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			outcome, value, _, err := readAnyResponse(test.text)
+			if outcome != balancer.Completed || string(value) != long || err != nil {
+				t.Errorf("%.40q: outcome %d, %d bytes: %v", test.text, outcome, len(value), err)
+			}
+		})
+	}
+}
+
+func TestMalformedResponsesAreProtocolErrors(t *testing.T) {
+	for _, test := range []struct{ name, text string }{
+		{"cache: simple string", "+OK\r\n"},
+		{"cache: empty line", "\r\n\r\n"},
+		{"cache: empty array", "*0\r\n"},
+		{"cache: array too long", "*9\r\n"},
+		{"cache: letter in a length", "*x\r\n"},
+		{"cache: value too long", "*1\r\n$4194305\r\n"},
+		{"cache: value without line end", "*1\r\n$1\r\nvxx"},
+		{"cache: nested array", "*1\r\n*1\r\n"},
+		{"cache: command not understood", "-SYNTAX what\r\n"},
+		{"cache: line that does not end", "*" + strings.Repeat("1", 5000)},
+		{"origin: HTTP/2", "HTTP/2 200 OK\r\n\r\n"},
+		{"origin: letter in the status", "HTTP/1.1 2x0 OK\r\n\r\n"},
+		{"origin: header without colon", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n"},
+		{"origin: letter in Content-Length", "HTTP/1.1 200 OK\r\nContent-Length: 5x\r\n\r\n"},
+		{"origin: negative Content-Length", "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n"},
+		{"origin: two Content-Lengths", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n"},
+		{"origin: value too long", "HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\n"},
+		{"origin: other transfer encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"},
+		{"origin: letter in a chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n"},
+		{"origin: chunk without line end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nvxx\r\n"},
+		{"origin: head too long", "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 4000)},
+		{"origin: body of unknown length too long", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("v", maxUnknownLength+1)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if _, _, _, err := readAnyResponse(test.text); !errors.Is(err, ErrBytes) {
+				t.Errorf("%.40q: %v", test.text, err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/wire/watch_test.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+)
+
+// openWatch returns a reader of a watch whose response is the given text.
+func openWatch(t *testing.T, response string) *WatchReader {
+	t.Helper()
+	w, err := ReadWatch(bufio.NewReader(strings.NewReader(response)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// openWatchOfChunk returns a reader of a watch whose response has the given body in one chunk.
+func openWatchOfChunk(t *testing.T, body string) *WatchReader {
+	t.Helper()
+	return openWatch(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body))
+}
+
+// checkWatch checks the next objects of a watch.
+func checkWatch(t *testing.T, w *WatchReader, objects ...string) {
+	t.Helper()
+	for _, want := range objects {
+		if got, err := w.Next(); err != nil || string(got) != want {
+			t.Errorf("%.50q: %v, want %.50q", got, err, want)
+		}
+	}
+}
+
+// Lines of a watch may be longer than any buffer, and a chunk may hold several or a part of one.
+func TestWatchLinesAcrossChunks(t *testing.T) {
+	long := strings.Repeat("x", 9000)
+	w := openWatch(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n4\r\na\nb\n\r\n2328\r\n"+long+"\r\n2\r\nc\n\r\n")
+	checkWatch(t, w, "", "a", "b", long+"c")
+	if _, err := w.Next(); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Error(err)
+	}
+}
+
+// Objects may be indented over several lines; one that a heartbeat interrupts is a protocol error.
+func TestWatchIndentedObjects(t *testing.T) {
+	object := "{\r\n  \"index\": 41,\n  \"endpoints\": [\n    {\"name\": \"a } \\\" {\"}\n  ]\n}"
+	w := openWatchOfChunk(t, object+"\n\n"+`{"index":42}`+"\n")
+	checkWatch(t, w, object, "", `{"index":42}`)
+	if line, err := w.Next(); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("%q behind the last object: %v", line, err)
+	}
+	if line, err := openWatchOfChunk(t, "{\n\"index\":\n\n").Next(); !errors.Is(err, ErrBytes) {
+		t.Errorf("%q: %v", line, err)
+	}
+}
