--- a/internal/settings/golden_test.go
+++ b/internal/settings/golden_test.go
@@ -48,8 +48,8 @@
 	return changed.String()
 }
 
-// leaveOutEachKey takes a JSON text with one key a line, gives each key in turn a name that nothing reads, and tells what
-// that changes in what is read.
+// leaveOutEachKey takes a JSON text with one key a line, gives each key in turn a name that nothing reads, and reports
+// what that changes in the settings.
 func leaveOutEachKey(text string, read func(text string) string) string {
 	base := read(text)
 	lines := strings.SplitAfter(text, "\n")
--- a/internal/settings/format_golden_test.go
+++ b/internal/settings/settings_golden_test.go
@@ -12,10 +12,12 @@
 	"github.com/valyala/fastjson"
 )
 
-// The settings' words for the module's enumerations.
+// Words of the settings for balancer's enumerations.
 var (
-	effectWords = map[balancer.Effect]string{balancer.Retriable: "pure", balancer.Deduped: "token", balancer.NonRetriable: "side_effect"}
-	groupWords  = map[balancer.Group]string{balancer.GroupAll: "all", balancer.GroupZone: "zone", balancer.GroupCell: "cell"}
+	effectWords = map[balancer.Effect]string{
+		balancer.Retriable: "pure", balancer.Deduped: "token", balancer.NonRetriable: "side_effect",
+	}
+	groupWords = map[balancer.Group]string{balancer.GroupAll: "all", balancer.GroupZone: "zone", balancer.GroupCell: "cell"}
 )
 
 // readSettings reads a settings object from its JSON text.
@@ -29,61 +31,84 @@
 
 // describeSettings lists what was read under the names of the file's keys, or the error.
 func describeSettings(text string) string {
-	book, err := readSettings(text)
+	settings, err := readSettings(text)
 	if err != nil {
 		return fmt.Sprintf("error: %v\n", err)
 	}
-	return formatSettings(book)
+	return formatSettings(settings)
+}
+
+// settingsReport lists settings, one a line.
+type settingsReport struct{ text strings.Builder }
+
+func (r *settingsReport) line(label string, value any) {
+	fmt.Fprintf(&r.text, "%s = %v\n", label, value)
 }
 
 // formatSettings lists the settings, one a line. The labels are those of the file, whatever the fields are called.
-func formatSettings(book *Book) string {
-	var text strings.Builder
-	line := func(label string, value any) { fmt.Fprintf(&text, "%s = %v\n", label, value) }
-	terms := &book.Terms
-	line("replicas-of-me", terms.Proxies)
-	line("me", terms.Me)
-	line("limits.may-tell, peers told", terms.Peers)
-	line("beyond-share-value", terms.BeyondShare)
-	line("locality", book.Locality)
-	line("membership-mode is ask", terms.Ask)
-	line("weights are rough", terms.RoughWeights)
-	line("tick", milliseconds(terms.Tick))
-	line("goal.punctual", terms.Punctual)
-	line("family-info.mode is aside", terms.Aside)
-	line("family-info.origin-kind, name of the shape", book.Origin)
-	line("limits.conn-idle", milliseconds(book.Idle))
-	line("limits.connect-timeout", milliseconds(terms.ConnectTimeout))
-	line("limits.may-cancel", terms.MayCancel)
-	line("limits.parallel-tries", terms.Parallel)
-	line("limits.max-upstream-tries", terms.MaxTries)
-	line("limits.retry-after", terms.RetryAfter)
-	line("limits.max-retry-after", milliseconds(terms.MaxRetryAfter))
-	line("rules.ask-every", milliseconds(terms.AskEvery))
-	line("rules.cold", milliseconds(terms.Cold))
-	line("rules.fall", milliseconds(terms.Fall))
-	line("rules.cold-from", terms.ColdFrom)
-	line("rules.fall-multiple", terms.FallMultiple)
-	line("fees.origin", terms.Fetch)
-	line("zones", namesByIndex(book.Zones))
-	line("tenants, names", namesByIndex(book.Tenants))
-	line("tenants, allowance-per-s", terms.Allowance)
-	line("routes, names", namesByIndex(book.Routes))
-	for i, route := range terms.Routes {
-		label := func(key string) string { return fmt.Sprintf("routes[%d].%s", i, key) }
-		line(label("latency-objective"), milliseconds(route.Objective))
-		line(label("overall-timeout"), milliseconds(route.Overall))
-		line(label("value"), route.Value)
-		line(label("overdue-value"), route.Overdue)
-		line(label("dedup-window"), milliseconds(route.Window))
-		line(label("effect"), effectWords[route.Effect])
-		line(label("group"), groupWords[route.Group])
+func formatSettings(settings *Book) string {
+	var report settingsReport
+	report.site(settings)
+	report.limits(settings)
+	report.names(settings)
+	for i := range settings.Terms.Routes {
+		report.route(i, &settings.Terms.Routes[i])
 	}
-	line("longest overall-timeout", milliseconds(book.Longest))
-	return text.String()
+	report.line("longest overall-timeout", milliseconds(settings.Longest))
+	return report.text.String()
+}
+
+func (r *settingsReport) site(settings *Book) {
+	terms := &settings.Terms
+	r.line("replicas-of-me", terms.Proxies)
+	r.line("me", terms.Me)
+	r.line("limits.may-tell, peers told", terms.Peers)
+	r.line("beyond-share-value", terms.BeyondShare)
+	r.line("locality", settings.Locality)
+	r.line("membership-mode is ask", terms.Ask)
+	r.line("weights are rough", terms.RoughWeights)
+	r.line("tick", milliseconds(terms.Tick))
+	r.line("goal.punctual", terms.Punctual)
+	r.line("family-info.mode is aside", terms.Aside)
+	r.line("family-info.origin-kind, name of the shape", settings.Origin)
+}
+
+func (r *settingsReport) limits(settings *Book) {
+	terms := &settings.Terms
+	r.line("limits.conn-idle", milliseconds(settings.Idle))
+	r.line("limits.connect-timeout", milliseconds(terms.ConnectTimeout))
+	r.line("limits.may-cancel", terms.MayCancel)
+	r.line("limits.parallel-tries", terms.Parallel)
+	r.line("limits.max-upstream-tries", terms.MaxTries)
+	r.line("limits.retry-after", terms.RetryAfter)
+	r.line("limits.max-retry-after", milliseconds(terms.MaxRetryAfter))
+	r.line("rules.ask-every", milliseconds(terms.AskEvery))
+	r.line("rules.cold", milliseconds(terms.Cold))
+	r.line("rules.fall", milliseconds(terms.Fall))
+	r.line("rules.cold-from", terms.ColdFrom)
+	r.line("rules.fall-multiple", terms.FallMultiple)
+	r.line("fees.origin", terms.Fetch)
 }
 
-// milliseconds turns the module's time, which counts tenths, into the file's.
+func (r *settingsReport) names(settings *Book) {
+	r.line("zones", namesByIndex(settings.Zones))
+	r.line("tenants, names", namesByIndex(settings.Tenants))
+	r.line("tenants, allowance-per-s", settings.Terms.Allowance)
+	r.line("routes, names", namesByIndex(settings.Routes))
+}
+
+func (r *settingsReport) route(i int, route *balancer.Route) {
+	label := func(key string) string { return fmt.Sprintf("routes[%d].%s", i, key) }
+	r.line(label("latency-objective"), milliseconds(route.Objective))
+	r.line(label("overall-timeout"), milliseconds(route.Overall))
+	r.line(label("value"), route.Value)
+	r.line(label("overdue-value"), route.Overdue)
+	r.line(label("dedup-window"), milliseconds(route.Window))
+	r.line(label("effect"), effectWords[route.Effect])
+	r.line(label("group"), groupWords[route.Group])
+}
+
+// milliseconds formats balancer's time, which counts tenths, as the file has it.
 func milliseconds(t balancer.Time) string { return fmt.Sprintf("%v ms", float64(t)/10) }
 
 // namesByIndex lists names in the order of their indices.
@@ -96,23 +121,23 @@
 	return entries
 }
 
-func TestSettingsEveryKey(t *testing.T) {
+func TestEveryKeyIsRead(t *testing.T) {
 	checkGolden(t, "settings_every_key.golden", describeSettings(readTestdata(t, "settings_every_key.json")))
 }
 
-func TestSettingsDefaults(t *testing.T) {
+func TestDefaultsOfAbsentKeys(t *testing.T) {
 	checkGolden(t, "settings_defaults.golden", describeSettings(readTestdata(t, "settings_required_keys.json")))
 }
 
-// Each key alone is read into the value of its name, and a key that is needed is missed by its name.
-func TestSettingsEachKeyLeftOut(t *testing.T) {
+// Each key alone determines the value of its name, and a required key that is absent is reported by its name.
+func TestEachKeyLeftOut(t *testing.T) {
 	for _, name := range []string{"settings_every_key", "settings_required_keys"} {
 		checkGolden(t, name+"_left_out.golden", leaveOutEachKey(readTestdata(t, name+".json"), describeSettings))
 	}
 }
 
-// What changes in the settings when a value takes another of its words, is null, or stands twice.
-func TestSettingsVariants(t *testing.T) {
+// What changes in the settings when a value takes another of its permitted words, is null, or is given twice.
+func TestVariantsOfValues(t *testing.T) {
 	every := readTestdata(t, "settings_every_key.json")
 	var report strings.Builder
 	for _, change := range []struct{ from, to string }{
@@ -139,12 +164,13 @@
 		if text == every {
 			t.Errorf("%s is not in the file", change.from)
 		}
-		fmt.Fprintf(&report, "%s instead of %s:\n%s", change.to, change.from, changedLines(describeSettings(text), describeSettings(every)))
+		changed := changedLines(describeSettings(text), describeSettings(every))
+		fmt.Fprintf(&report, "%s instead of %s:\n%s", change.to, change.from, changed)
 	}
 	checkGolden(t, "settings_variants.golden", report.String())
 }
 
-func TestSettingsBadInputs(t *testing.T) {
+func TestBadSettingsNameTheValue(t *testing.T) {
 	every := readTestdata(t, "settings_every_key.json")
 	for _, c := range []struct{ from, to, want string }{
 		{`"replicas-of-me": 7`, `"replicas-of-me": 0`, "setup replicas-of-me: out of its range"},
@@ -185,16 +211,18 @@
 		{`"group": "cell"`, `"group": "rack"`, "setup routes[2].group: out of its range"},
 		{`"routes": [`, `"routes": [], "left-out": [`, "setup routes: none"},
 	} {
-		text := strings.Replace(every, c.from, c.to, 1)
-		if text == every {
-			t.Errorf("%s is not in the file", c.from)
-		}
-		_, err := readSettings(text)
-		if err == nil {
-			err = errors.New("no error")
-		}
-		if err.Error() != c.want {
-			t.Errorf("%s: %q, want %q", c.to, err, c.want)
-		}
+		t.Run(c.from+" replaced by "+c.to, func(t *testing.T) {
+			text := strings.Replace(every, c.from, c.to, 1)
+			if text == every {
+				t.Errorf("%s is not in the file", c.from)
+			}
+			_, err := readSettings(text)
+			if err == nil {
+				err = errors.New("no error")
+			}
+			if err.Error() != c.want {
+				t.Errorf("%s: %q, want %q", c.to, err, c.want)
+			}
+		})
 	}
 }
