--- a/internal/settings/jsonvalue/jsonvalue.go
+++ b/internal/settings/jsonvalue/jsonvalue.go
@@ -1,5 +1,5 @@
-// Package jsonvalue reads typed values out of parsed JSON: of the settings object and of the simulator's messages. A nil
-// value and null both mean that the value is absent. Callers add to the errors which value was wrong.
+// Package jsonvalue reads typed values out of parsed JSON: of the settings object and of the simulator's messages. A
+// nil value and null both mean that the value is absent. Callers add to the errors which value was wrong.
 package jsonvalue
 
 import (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,7 +20,7 @@
 	errDuplicate = errors.New("doubled")
 )
 
-// Words of the settings for balancer's enumerations.
+// Values of the settings for balancer's enumerations.
 var (
 	effects = map[string]balancer.Effect{
 		"pure": balancer.Retriable, "token": balancer.Deduped, "side_effect": balancer.NonRetriable,
@@ -42,8 +42,9 @@
 	Locality string         // zone of this proxy; "": not known
 }
 
-// Read reads the settings object. Unknown keys are skipped. The error names the first value that is wrong by its path, and
-// wraps one of the errors of package jsonvalue where that says why; with an error the result must not be used.
+// Read reads the settings object. Unknown keys are skipped. The error names the first value that is wrong by its
+// path, and wraps one of the errors of package jsonvalue where that says why; with an error the result must not be
+// used.
 func Read(v *fastjson.Value) (*Book, error) {
 	var err error
 	r := reader{root: v, err: &err}
@@ -111,7 +112,8 @@
 	}
 }
 
-// readOrigin reads the fee of a fetch from the origin and the origin's kind, which is given by its place among the shapes.
+// readOrigin reads the fee of a fetch from the origin and the origin's kind, which is given by its index among the
+// shapes.
 func (s *Book) readOrigin(r reader) {
 	if s.Terms.Fetch < 0 {
 		r.fail([]string{"fees", "origin"}, jsonvalue.ErrOutOfRange)
--- a/internal/wire/cacheresponse.go
+++ b/internal/wire/cacheresponse.go
@@ -10,8 +10,8 @@
 // maxElements is how many elements the array of a cache's response may have, the value included.
 const maxElements = 8
 
-// ReadAnswer reads the response of a cache to one attempt up to its value. Only a completed one has a value and elements
-// behind it. Errors are of type *Halt.
+// ReadAnswer reads the response of a cache to one attempt up to its value. Only a completed one has a value and
+// elements behind it. Errors are of type *Halt.
 func ReadAnswer(r *bufio.Reader) (Answer, error) { return readResponse(r, readCacheResponse) }
 
 func readCacheResponse(r *bufio.Reader) (Answer, error) {
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -14,23 +14,24 @@
 	MaxWrite = 4 << 20
 )
 
+// Limits of a command.
 const (
-	maxWords      = 16      // of a command
-	maxWordLength = 1 << 10 // in bytes
+	maxArguments      = 16
+	maxArgumentLength = 1 << 10 // in bytes
 )
 
-// The words of a command, by their place.
+// The arguments of a command, by their position.
 const (
-	nameWord = iota
-	keyWord
-	idWord
-	factsWord
-	valueWord
+	nameArgument = iota
+	keyArgument
+	idArgument
+	factsArgument
+	valueArgument
 )
 
 const (
-	readWords  = 4 // words of a KV.GET
-	writeWords = 5 // words of a KV.SET, its value included
+	readArguments  = 4 // arguments of a KV.GET
+	writeArguments = 5 // arguments of a KV.SET, its value included
 )
 
 // noValue is the length of the value of a command that has none.
@@ -41,7 +42,7 @@
 	setCommand = "KV.SET"
 )
 
-// Command is a client's request. Its words are slices of the buffer that it was parsed from.
+// Command is a client's request. Its arguments are slices of the buffer that it was parsed from.
 type Command struct {
 	Name, Key, ID, Facts []byte
 	Value                int // length in bytes of the value that follows the command; -1: none follows
@@ -50,17 +51,17 @@
 // Is reports whether the command has the given name, regardless of case.
 func (c *Command) Is(name string) bool { return bytes.EqualFold(c.Name, []byte(name)) }
 
-// setWord stores one of the words that are used; the others are dropped.
-func (c *Command) setWord(place int, word []byte) {
-	switch place {
-	case nameWord:
-		c.Name = word
-	case keyWord:
-		c.Key = word
-	case idWord:
-		c.ID = word
-	case factsWord:
-		c.Facts = word
+// setArgument stores one of the arguments that are used; the others are dropped.
+func (c *Command) setArgument(position int, argument []byte) {
+	switch position {
+	case nameArgument:
+		c.Name = argument
+	case keyArgument:
+		c.Key = argument
+	case idArgument:
+		c.ID = argument
+	case factsArgument:
+		c.Facts = argument
 	}
 }
 
@@ -69,41 +70,41 @@
 // ErrBytes where it is malformed.
 func ParseCommand(b []byte) (c Command, n int, err error) {
 	c.Value = noValue
-	words, n, err := parseLength(b, 0, '*')
+	count, n, err := parseLength(b, 0, '*')
 	if err != nil {
 		return c, 0, err
 	}
-	if words < 1 || words > maxWords {
-		return c, 0, protocolError("a command of " + strconv.Itoa(words) + " words")
+	if count < 1 || count > maxArguments {
+		return c, 0, protocolError("a command of " + strconv.Itoa(count) + " words")
 	}
-	for place := range words {
+	for position := range count {
 		length, next, err := parseLength(b, n, '$')
 		if err != nil {
 			return c, 0, err
 		}
-		if place == valueWord && words == writeWords && c.Is(setCommand) {
+		if position == valueArgument && count == writeArguments && c.Is(setCommand) {
 			if length < 0 || length > MaxWrite {
 				return c, 0, protocolError("a value of " + strconv.Itoa(length) + " bytes")
 			}
 			c.Value = length
 			return c, next, nil
 		}
-		word, next, err := parseWord(b, next, length)
+		argument, next, err := parseArgument(b, next, length)
 		if err != nil {
 			return c, 0, err
 		}
-		c.setWord(place, word)
+		c.setArgument(position, argument)
 		n = next
 	}
-	if c.Is(setCommand) || c.Is(getCommand) && words != readWords {
+	if c.Is(setCommand) || c.Is(getCommand) && count != readArguments {
 		return c, 0, protocolError("a command with too few or too many words")
 	}
 	return c, n, nil
 }
 
-// parseWord parses a word of the given length and its line end at b[at:]. It returns the place behind them.
-func parseWord(b []byte, at, length int) (word []byte, next int, err error) {
-	if length < 0 || length > maxWordLength {
+// parseArgument parses an argument of the given length and its line end at b[at:]. It returns the position behind them.
+func parseArgument(b []byte, at, length int) (argument []byte, next int, err error) {
+	if length < 0 || length > maxArgumentLength {
 		return nil, 0, protocolError("a word of " + strconv.Itoa(length) + " bytes")
 	}
 	end := at + length
@@ -119,14 +120,14 @@
 // AppendCommand appends the command of an attempt at a cache. A value that follows is not appended, only its length in
 // bytes; with a length of -1 the command has no value.
 func AppendCommand(b []byte, name, key, id, facts []byte, value int) []byte {
-	words := readWords
+	count := readArguments
 	if value >= 0 {
-		words = writeWords
+		count = writeArguments
 	}
-	b = append(b, '*', byte('0'+words), '\r', '\n')
-	for _, word := range [...][]byte{name, key, id, facts} {
-		b = AppendLength(b, '$', len(word))
-		b = append(append(b, word...), lineEnd...)
+	b = append(b, '*', byte('0'+count), '\r', '\n')
+	for _, argument := range [...][]byte{name, key, id, facts} {
+		b = AppendLength(b, '$', len(argument))
+		b = append(append(b, argument...), lineEnd...)
 	}
 	if value >= 0 {
 		b = AppendLength(b, '$', value)
@@ -135,10 +136,10 @@
 }
 
 // AppendPlain appends a command that is not a client's request, such as PING.
-func AppendPlain(b []byte, words ...string) []byte {
-	b = AppendLength(b, '*', len(words))
-	for _, word := range words {
-		b = append(append(AppendLength(b, '$', len(word)), word...), lineEnd...)
+func AppendPlain(b []byte, arguments ...string) []byte {
+	b = AppendLength(b, '*', len(arguments))
+	for _, argument := range arguments {
+		b = append(append(AppendLength(b, '$', len(argument)), argument...), lineEnd...)
 	}
 	return b
 }
--- a/internal/wire/endpoint_golden_test.go
+++ b/internal/wire/endpoint_golden_test.go
@@ -8,8 +8,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// TestGoldenTargets pins the encoding of an endpoint, which is the body of a replicated row and part of the state file. The
-// keys are given by tags, so that the fields may be renamed in Go.
+// TestGoldenTargets pins the encoding of an endpoint, which is the body of a replicated row and part of the state
+// file. The keys are given by tags, so that the fields may be renamed in Go.
 func TestGoldenTargets(t *testing.T) {
 	checkGolden(t, "targets.golden", []goldenCase{
 		{name: "target-full", full: true, value: &wire.Target{
--- a/internal/wire/endpointlist.go
+++ b/internal/wire/endpointlist.go
@@ -14,8 +14,8 @@
 	statusDeparted = "left"
 )
 
-// Target is an endpoint of discovery's list. Its encoding is also the body of a replicated row, so that the msgpack tags
-// are part of the protocol between proxies and of the state file.
+// Target is an endpoint of discovery's list. Its encoding is also the body of a replicated row, so that the msgpack
+// tags are part of the protocol between proxies and of the state file.
 type Target struct {
 	Name      string  `msgpack:"Name"`
 	Address   string  `msgpack:"Address"`
--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -6,15 +6,15 @@
 	"strings"
 )
 
-// Facts are the entries of a command's list of facts that the proxy uses. The words are slices of that list.
+// Facts are the entries of a command's list of facts that the proxy uses. The values are slices of that list.
 type Facts struct {
 	Route, Tenant []byte // Tenant is nil where the client gives none
 	Wait          int    // how long the client waits for the response, in milliseconds
 	Repeat        bool   // the client retries an earlier request
 }
 
-// ParseFacts parses a list such as c=read,t=acme,d=480. Unknown names are skipped. The error wraps ErrBytes where the list
-// is malformed, or lacks the route or the wait.
+// ParseFacts parses a list such as c=read,t=acme,d=480. Unknown names are skipped. The error wraps ErrBytes where the
+// list is malformed, or lacks the route or the wait.
 func ParseFacts(list []byte) (f Facts, err error) {
 	f.Wait = -1
 	for entry := range bytes.SplitSeq(list, []byte(",")) {
@@ -42,10 +42,11 @@
 	return f, nil
 }
 
-// Plain returns an error that wraps ErrBytes where a word holds control characters, with which it could forge HTTP headers.
-func Plain(words ...[]byte) error {
-	for _, word := range words {
-		for _, char := range word {
+// Plain returns an error that wraps ErrBytes where a text holds control characters, with which it could forge HTTP
+// headers.
+func Plain(texts ...[]byte) error {
+	for _, text := range texts {
+		for _, char := range text {
 			if char < ' ' || char == 0x7f {
 				return protocolError("a word with control characters")
 			}
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// Whatever is received, nothing panics, no more is consumed than was received, and what is parsed can be parsed again when
-// it is forwarded.
+// Whatever is received, nothing panics, no more is consumed than was received, and what is parsed can be parsed again
+// when it is forwarded.
 func FuzzBytes(f *testing.F) {
 	f.Add("*4\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$7\r\nc=x,d=5\r\n")
 	f.Add("*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n")
--- a/internal/wire/golden_msgpack_test.go
+++ b/internal/wire/golden_msgpack_test.go
@@ -14,8 +14,8 @@
 	full  bool // every field has to be set, so that a new field can't be left out of the pin
 }
 
-// checkGolden checks that each value is encoded as in the golden file, that the file's bytes decode to the value, and that
-// they still do with a field that this version does not know.
+// checkGolden checks that each value is encoded as in the golden file, that the file's bytes decode to the value, and
+// that they still do with a field that this version does not know.
 func checkGolden(t *testing.T, file string, cases []goldenCase) {
 	t.Helper()
 	encodings := make([]encoding, len(cases))
--- a/internal/wire/origin.go
+++ b/internal/wire/origin.go
@@ -8,8 +8,8 @@
 	"woodproxy/balancer"
 )
 
-// maxUnknownLength is the longest body of unknown length, in bytes. It is buffered completely, since the length has to be
-// announced to clients.
+// maxUnknownLength is the longest body of unknown length, in bytes. It is buffered completely, since the length has
+// to be announced to clients.
 const maxUnknownLength = 1 << 20
 
 // AppendFetch appends the head of the HTTP request of an attempt at the origin. A value of the given length in bytes
@@ -43,8 +43,8 @@
 	return b
 }
 
-// ReadFetched reads the response of the origin to one attempt up to its value, or with its value where the length is not
-// announced. Errors are of type *Halt.
+// ReadFetched reads the response of the origin to one attempt up to its value, or with its value where the length is
+// not announced. Errors are of type *Halt.
 func ReadFetched(r *bufio.Reader) (Answer, error) { return readResponse(r, readOriginResponse) }
 
 func readOriginResponse(r *bufio.Reader) (Answer, error) {
--- a/internal/wire/resp.go
+++ b/internal/wire/resp.go
@@ -26,7 +26,8 @@
 // startsWithLineEnd reports whether b, of two bytes at least, starts with a line end.
 func startsWithLineEnd(b []byte) bool { return b[0] == '\r' && b[1] == '\n' }
 
-// parseLength parses a type byte, a number and the line end at b[at:]. It returns the number and the place behind them.
+// parseLength parses a type byte, a number and the line end at b[at:]. It returns the number and the position behind
+// them.
 func parseLength(b []byte, at int, typeByte byte) (length, next int, err error) {
 	if at >= len(b) {
 		return 0, 0, ErrShort
@@ -94,8 +95,8 @@
 	return readBulkValue(r, length)
 }
 
-// readElementLength reads the line that opens an element and returns the length of the bulk string that follows in bytes,
-// nullElement or simpleElement.
+// readElementLength reads the line that opens an element and returns the length of the bulk string that follows in
+// bytes, nullElement or simpleElement.
 func readElementLength(r *bufio.Reader, maxLength int) (int, error) {
 	line, err := readLine(r)
 	if err != nil {
@@ -126,8 +127,8 @@
 // elementEndError reports a bulk string that is not followed by a line end.
 func elementEndError() error { return protocolError("an element without its end") }
 
-// readExactly reads n bytes. The buffer for a long value grows as its bytes are received, so that a peer that announces a
-// length only takes up no memory.
+// readExactly reads n bytes. The buffer for a long value grows as its bytes are received, so that a peer that
+// announces a length only takes up no memory.
 func readExactly(r *bufio.Reader, n int) ([]byte, error) {
 	b := make([]byte, 0, min(n, MaxValue+len(lineEnd)))
 	for len(b) < n {
--- a/internal/wire/response.go
+++ b/internal/wire/response.go
@@ -6,9 +6,9 @@
 	"woodproxy/balancer"
 )
 
-// Answer is the response of a cache or of the origin to one attempt. It is read in steps: [ReadAnswer] or [ReadFetched]
-// reads up to the value, [Answer.Value] reads the value, or the caller reads its Long bytes piece by piece and then calls
-// [Answer.End], and [Answer.Tail] reads what follows the value.
+// Answer is the response of a cache or of the origin to one attempt. It is read in steps: [ReadAnswer] or
+// [ReadFetched] reads up to the value, [Answer.Value] reads the value, or the caller reads its Long bytes piece by
+// piece and then calls [Answer.End], and [Answer.Tail] reads what follows the value.
 type Answer struct {
 	Ending   balancer.Ending
 	Long     int    // length of the value in bytes
--- a/internal/wire/response_test.go
+++ b/internal/wire/response_test.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// readAnyResponse reads a response with its value, byte by byte: one of the origin if it begins with H, else one of a cache.
+// readAnyResponse reads a response with its value, byte by byte: one of the origin if it begins with H, else one of a
+// cache.
 func readAnyResponse(text string) (outcome balancer.Ending, value []byte, reusable bool, err error) {
 	r := bufio.NewReader(iotest.OneByteReader(strings.NewReader(text)))
 	read := ReadAnswer
@@ -122,7 +123,7 @@
 	}
 }
 
-func TestMalformedResponsesAreProtocolErrors(t *testing.T) {
+func TestBadAnswers(t *testing.T) {
 	for _, test := range []struct{ name, text string }{
 		{"cache: simple string", "+OK\r\n"},
 		{"cache: empty line", "\r\n\r\n"},
--- a/internal/wire/watch_test.go
+++ b/internal/wire/watch_test.go
@@ -46,7 +46,7 @@
 }
 
 // Objects may be indented over several lines; one that a heartbeat interrupts is a protocol error.
-func TestWatchIndentedObjects(t *testing.T) {
+func TestWatchIndented(t *testing.T) {
 	object := "{\r\n  \"index\": 41,\n  \"endpoints\": [\n    {\"name\": \"a } \\\" {\"}\n  ]\n}"
 	w := openWatchOfChunk(t, object+"\n\n"+`{"index":42}`+"\n")
 	checkWatch(t, w, object, "", `{"index":42}`)
