simadapter: an adapter of parts, a file each; reads values by package jsonvalue

What was unclear: serve.go held the framing, the lists, all messages of a request, peers' reports and the encoder in one type, host, beside proxy, tray, slots, codes and mark; handlers took a bare number.

Now: adapter.go frames batches and passes messages to handlers; linereader.go, message.go (fields by position with the first error kept), endpointlist.go (numbered lists), instance.go (a balancer with its tables of endpoints and requests), requests.go, peers.go and encoder.go hold a part with its own state each. The readers of typed values are those of the settings, in jsonvalue. Errors are sentinels, wrapped. The encoder builds a line and writes it once; what a write fails with is kept by the buffered writer and returned when the reply is flushed, as before. Test cases have names.

Run: go build ./..., go test ./internal/simadapter.

--- a/internal/simadapter/adapter_test.go
+++ b/internal/simadapter/adapter_test.go
@@ -18,8 +18,9 @@
 
 func batch(lines string) string { return "[\"mark\",10.5]\n" + lines + "[\"go\"]\n" }
 
-// What comes in goes out in order, in one reply a batch; what is legal but of no use any more is passed over.
-func TestTalk(t *testing.T) {
+// Each batch has one reply, with its lines in the order of the messages. Messages that are valid but outdated are
+// ignored.
+func TestServeRepliesToEachBatch(t *testing.T) {
 	in := batch("") + batch(opening+`["order",1,"t/1",null,null,null,500,"read",false,false,7]
 ["register",3,[["std","SERVING",0,null,1,"z","c2"]]]
 ["fleet",1,2,3,"INCREMENTAL"]
@@ -49,66 +50,82 @@
 	}
 }
 
-// What peers tell of a listed node is heard; what is empty, too long, garbled or of no node here is passed over.
-func TestPeers(t *testing.T) {
+// A peer's report about a listed endpoint moves its keys. One that is empty, too long, malformed or about an endpoint
+// that is not listed is ignored.
+func TestPeerReports(t *testing.T) {
 	two := strings.NewReplacer(`"replicas-of-me":1`, `"replicas-of-me":2,"me":0`, `"may-cancel"`, `"may-tell":true,"may-cancel"`,
 		`"z","c1"]`, `"z","c1"],["std","SERVING",0,null,1,"z","c2"]`).Replace(opening)
 	order := `["order",1,"t/1",null,null,null,500,"read",false,false,7]` + "\n"
-	owner := func(told string) string {
+	ownerAfter := func(t *testing.T, reports string) string {
+		t.Helper()
 		var out bytes.Buffer
-		in := batch("") + batch(two) + batch(strings.Repeat(told, 20)+order)
+		in := batch("") + batch(two) + batch(strings.Repeat(reports, 20)+order)
 		if err := Serve(strings.NewReader(in), &out); err != nil {
 			t.Fatal(err)
 		}
 		_, after, _ := strings.Cut(out.String(), `["try",1,"t/1",495.0,"`)
 		return after[:2]
 	}
-	first := owner("")
-	for _, odd := range []string{`""`, `"?!"`, `null`, `7`, `["x"]`, `"` + strings.Repeat("z", 300) + `"`, `"` + code("c9") + `"`} {
-		if got := owner(`["from-peer",1,2,` + odd + "]\n"); got != first {
-			t.Errorf("%s moved a key from %s to %s", odd, first, got)
-		}
+	first := ownerAfter(t, "")
+	for _, test := range []struct{ name, report string }{
+		{"empty", `""`},
+		{"malformed", `"?!"`},
+		{"null", `null`},
+		{"number", `7`},
+		{"array", `["x"]`},
+		{"too long", `"` + strings.Repeat("z", 300) + `"`},
+		{"of an endpoint that is not listed", `"` + peerCode("c9") + `"`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := ownerAfter(t, `["from-peer",1,2,`+test.report+"]\n"); got != first {
+				t.Errorf("%s moved a key from %s to %s", test.report, first, got)
+			}
+		})
 	}
-	if got := owner(`["from-peer",1,2,"` + code(first) + "\"]\n"); got == first {
-		t.Errorf("a key stays on %s, which is told of as silent", got)
+	if got := ownerAfter(t, `["from-peer",1,2,"`+peerCode(first)+"\"]\n"); got == first {
+		t.Errorf("a key stays on %s, which is reported as not responding", got)
 	}
 }
 
 // Malformed input ends the run with one line that names the line, the message and the field.
-func TestMalformed(t *testing.T) {
-	for _, c := range []struct{ in, want string }{
-		{"nonsense\n", "line 1: not JSON"},
-		{"{}\n", "line 1: not an array that begins with a message name"},
-		{"[\"go\"]\n", "line 1: go: outside a batch"},
-		{"[\"mark\",\"x\"]\n", "line 1: mark: clock: mistyped"},
-		{"[\"mark\",1]\n", "line 2: input ends inside a batch"},
-		{batch("[\"nap\",1]\n"), "line 2: nap: unknown message"},
-		{batch("[\"power-off\",1]\n"), "line 2: power-off: who: instance 1 is not running"},
-		{batch("[\"boot\",1,2,{}]\n"), "line 2: boot: setup replicas-of-me: missing"},
+func TestMalformedInputNamesLineMessageAndField(t *testing.T) {
+	for _, test := range []struct{ name, input, want string }{
+		{"not JSON", "nonsense\n", "line 1: not JSON"},
+		{"object in place of an array", "{}\n", "line 1: not an array that begins with a message name"},
+		{"batch ends before it begins", "[\"go\"]\n", "line 1: go: outside a batch"},
+		{"clock mistyped", "[\"mark\",\"x\"]\n", "line 1: mark: clock: mistyped"},
+		{"input ends inside a batch", "[\"mark\",1]\n", "line 2: input ends inside a batch"},
+		{"unknown message", batch("[\"nap\",1]\n"), "line 2: nap: unknown message"},
+		{"instance not running", batch("[\"power-off\",1]\n"), "line 2: power-off: who: instance 1 is not running"},
+		{"settings without a required key", batch("[\"boot\",1,2,{}]\n"), "line 2: boot: setup replicas-of-me: missing"},
 		{
+			"unknown effect in the settings",
 			batch("[\"boot\",1,2," + strings.Replace(setup, `"pure"`, `"odd"`, 1) + "]\n"),
 			"line 2: boot: setup routes[0].effect: out of its range",
 		},
-		{batch(opening + "[\"fleet\",1,1,5,\"FULL\"]\n"), "line 5: fleet: bank: unknown list number"},
-		{batch(opening + "[\"fleet\",1,1,3,\"HALF\"]\n"), "line 5: fleet: mode: out of its range"},
-		{batch("[\"register\",16,[]]\n"), "line 2: register: bank: out of range"},
+		{"unknown list number", batch(opening + "[\"fleet\",1,1,5,\"FULL\"]\n"), "line 5: fleet: bank: unknown list number"},
+		{"unknown mode of a list", batch(opening + "[\"fleet\",1,1,3,\"HALF\"]\n"), "line 5: fleet: mode: out of its range"},
+		{"list number too large", batch("[\"register\",16,[]]\n"), "line 2: register: bank: out of range"},
 		{
+			"unknown state of an endpoint",
 			batch("[\"register\",1,[[\"std\",\"ASLEEP\",0,null,1,\"z\",\"c\"]]]\n"),
 			"line 2: register: readiness: out of its range",
 		},
-		{batch(opening + "[\"order\",1,\"t\",null,null,null,\"5\",\"read\"]\n"), "line 5: order: remaining: mistyped"},
-		{batch(opening + "[\"order\",1,\"t\",null,null,null,5,\"write\"]\n"), "line 5: order: kind: not in the settings"},
-		{batch(opening + "[\"returned\",1,\"t\",\"c1\",0,null,5,\"nap\"]\n"), "line 5: returned: ending: out of its range"},
-		{batch(opening + "[\"returned\",1,\"t\",\"c9\",0,null,5,\"pass\"]\n"), "line 5: returned: node: in no list"},
-		{batch(opening + "[\"timeout-fired\",1]\n"), "line 5: timeout-fired: mark: missing"},
+		{"time remaining mistyped", batch(opening + "[\"order\",1,\"t\",null,null,null,\"5\",\"read\"]\n"), "line 5: order: remaining: mistyped"},
+		{"unknown route", batch(opening + "[\"order\",1,\"t\",null,null,null,5,\"write\"]\n"), "line 5: order: kind: not in the settings"},
+		{"unknown outcome", batch(opening + "[\"returned\",1,\"t\",\"c1\",0,null,5,\"nap\"]\n"), "line 5: returned: ending: out of its range"},
+		{"endpoint in no list", batch(opening + "[\"returned\",1,\"t\",\"c9\",0,null,5,\"pass\"]\n"), "line 5: returned: node: in no list"},
+		{"timer number missing", batch(opening + "[\"timeout-fired\",1]\n"), "line 5: timeout-fired: mark: missing"},
 	} {
-		var out bytes.Buffer
-		err := Serve(strings.NewReader(c.in), &out)
-		if err == nil || err.Error() != c.want {
-			t.Errorf("%q: %v, want %s", c.in, err, c.want)
-		}
-		if strings.Contains(out.String(), "eor") {
-			t.Errorf("%q: a reply came all the same: %q", c.in, out.String())
-		}
+		t.Run(test.name, func(t *testing.T) {
+			var out bytes.Buffer
+			err := Serve(strings.NewReader(test.input), &out)
+			if err == nil || err.Error() != test.want {
+				t.Errorf("%q: %v, want %s", test.input, err, test.want)
+			}
+			if strings.Contains(out.String(), "eor") {
+				t.Errorf("%q: replied nevertheless: %q", test.input, out.String())
+			}
+		})
 	}
 }
--- a/internal/simadapter/message.go
+++ b/internal/simadapter/message.go
@@ -1,124 +1,113 @@
 package simadapter
 
 import (
+	"errors"
 	"fmt"
 	"math"
 
 	"woodproxy/balancer"
 	"woodproxy/internal/settings"
+	"woodproxy/internal/settings/jsonvalue"
 
 	"github.com/valyala/fastjson"
 )
 
-const (
-	need = true
-	may  = false
+var (
+	errNotCount      = errors.New("not a small whole number")
+	errWrongSettings = errors.New("missing or mistyped")
+	errNotArray      = errors.New("an entry is not an array")
+	errBankRange     = errors.New("out of range")
+	errUnknownBank   = errors.New("unknown list number")
+	errUnknownRoute  = errors.New("not in the settings")
+	errUnknownNode   = errors.New("in no list")
+	errDuplicateID   = errors.New("given twice")
 )
 
-// fields reads a message's values in their order and keeps the first thing found wrong with them.
-type fields struct {
-	name string
-	vals []*fastjson.Value
-	err  error
+// message reads the fields of a message, which are known by their positions, and keeps the first error.
+type message struct {
+	name     string
+	values   []*fastjson.Value
+	instance int // number of the instance that the message is for
+	err      error
 }
 
-func (f *fields) fail(field, what string) {
-	if f.err == nil {
-		f.err = fmt.Errorf("%s: %s: %s", f.name, field, what)
+// fail keeps an error of a field.
+func (m *message) fail(field string, reason error) {
+	if m.err == nil {
+		m.err = fmt.Errorf("%s: %s: %w", m.name, field, reason)
 	}
 }
 
-// at returns the value at a place, nil where it is absent or null.
-func (f *fields) at(i int) *fastjson.Value {
-	if i >= len(f.vals) || f.vals[i].Type() == fastjson.TypeNull {
-		return nil
+// check keeps an error, if there is one, of a field.
+func (m *message) check(field string, err error) {
+	if err != nil {
+		m.fail(field, err)
 	}
-	return f.vals[i]
 }
 
-func (f *fields) number(i int, field string, needed bool) float64 {
-	v := f.at(i)
-	if v == nil {
-		if needed {
-			f.fail(field, "missing")
-		}
-		return 0
-	}
-	n, err := v.Float64()
-	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
-		f.fail(field, "mistyped")
+// at returns the value at a position, nil where it is absent or null.
+func (m *message) at(position int) *fastjson.Value {
+	if position >= len(m.values) || jsonvalue.IsAbsent(m.values[position]) {
+		return nil
 	}
+	return m.values[position]
+}
+
+func (m *message) number(position int, field string, presence jsonvalue.Presence) float64 {
+	n, err := jsonvalue.Number(m.at(position), presence)
+	m.check(field, err)
 	return n
 }
 
-func (f *fields) time(i int, field string, needed bool) balancer.Time {
-	return settings.Tenths(f.number(i, field, needed))
+// time reads milliseconds.
+func (m *message) time(position int, field string, presence jsonvalue.Presence) balancer.Time {
+	return settings.Tenths(m.number(position, field, presence))
 }
 
-// count reads a small whole number that is not negative.
-func (f *fields) count(i int, field string, needed bool) int {
-	n := f.number(i, field, needed)
-	if f.err == nil && (n != math.Trunc(n) || n < 0 || n > math.MaxInt32) {
-		f.fail(field, "not a small whole number")
+// count reads an integer from 0 to the largest of 32 bits.
+func (m *message) count(position int, field string, presence jsonvalue.Presence) int {
+	n := m.number(position, field, presence)
+	if n != math.Trunc(n) || n < 0 || n > math.MaxInt32 {
+		m.fail(field, errNotCount)
 	}
 	return int(n)
 }
 
-func (f *fields) whole(i int, field string) int64 {
-	v := f.at(i)
+// integer reads a required integer of 64 bits.
+func (m *message) integer(position int, field string) int64 {
+	v := m.at(position)
 	if v == nil {
-		f.fail(field, "missing")
+		m.fail(field, jsonvalue.ErrMissing)
 		return 0
 	}
 	n, err := v.Int64()
 	if err != nil {
-		f.fail(field, "mistyped")
+		m.fail(field, jsonvalue.ErrMistyped)
 	}
 	return n
 }
 
-func (f *fields) text(i int, field string, needed bool) string {
-	v := f.at(i)
-	if v == nil {
-		if needed {
-			f.fail(field, "missing")
-		}
-		return ""
-	}
-	s, err := v.StringBytes()
-	if err != nil {
-		f.fail(field, "mistyped")
-	}
-	return string(s)
+func (m *message) text(position int, field string, presence jsonvalue.Presence) string {
+	text, err := jsonvalue.Text(m.at(position), presence)
+	m.check(field, err)
+	return text
 }
 
-func (f *fields) flag(i int, field string) bool {
-	v := f.at(i)
-	if v == nil {
-		return false
-	}
-	on, err := v.Bool()
-	if err != nil {
-		f.fail(field, "mistyped")
-	}
-	return on
+func (m *message) flag(position int, field string) bool {
+	flag, err := jsonvalue.Flag(m.at(position))
+	m.check(field, err)
+	return flag
 }
 
-func (f *fields) array(i int, field string) []*fastjson.Value {
-	v := f.at(i)
-	if v == nil {
-		f.fail(field, "missing")
-		return nil
-	}
-	a, err := v.Array()
-	if err != nil {
-		f.fail(field, "mistyped")
-	}
-	return a
+func (m *message) array(position int, field string) []*fastjson.Value {
+	elements, err := jsonvalue.Array(m.at(position), jsonvalue.Required)
+	m.check(field, err)
+	return elements
 }
 
-func (f *fields) object(i int, field string) {
-	if v := f.at(i); v != nil && v.Type() != fastjson.TypeObject {
-		f.fail(field, "mistyped")
+// checkObject checks the type of an optional object whose content is not used.
+func (m *message) checkObject(position int, field string) {
+	if v := m.at(position); v != nil && v.Type() != fastjson.TypeObject {
+		m.fail(field, jsonvalue.ErrMistyped)
 	}
 }
--- /dev/null
+++ b/internal/simadapter/requests.go
@@ -0,0 +1,145 @@
+package simadapter
+
+import (
+	"woodproxy/balancer"
+	"woodproxy/internal/settings/jsonvalue"
+
+	"github.com/valyala/fastjson"
+)
+
+// noTenant is the index of a request without a tenant, or of one that is not in the settings.
+const noTenant = -1
+
+// outcomes are the protocol's names of an attempt's outcomes.
+var outcomes = map[string]balancer.Ending{
+	"pass": balancer.Completed, "fault": balancer.Fault, "no_room": balancer.NoRoom, "too_slow": balancer.Silent,
+	"no_route": balancer.Unreachable, "cut": balancer.Cut, "undone": balancer.Undone, "stale_send": balancer.NeverSent,
+	"none_here": balancer.Lacking,
+}
+
+// requestArrived opens a request.
+func (a *adapter) requestArrived(in *instance, m *message) []balancer.Decision {
+	id := m.text(1, "txn", jsonvalue.Required)
+	request := in.readRequest(m)
+	if _, duplicate := in.requests.byID[id]; duplicate {
+		m.fail("txn", errDuplicateID)
+	}
+	if m.err != nil {
+		return nil
+	}
+	return in.balancer.Arrive(a.now, in.requests.open(id), request)
+}
+
+func (in *instance) readRequest(m *message) balancer.Exchange {
+	m.number(2, "size", jsonvalue.Optional)
+	m.number(3, "predicted", jsonvalue.Optional)
+	request := balancer.Exchange{
+		Remaining: m.time(5, "remaining", jsonvalue.Required), Repeat: m.flag(7, "retry"), Write: m.flag(8, "mutates"),
+	}
+	request.Tenant = in.readTenant(m)
+	kind := m.text(6, "kind", jsonvalue.Required)
+	route, ok := in.settings.Routes[kind]
+	if !ok {
+		m.fail("kind", errUnknownRoute)
+	}
+	request.Route = route
+	if v := m.at(9); v != nil {
+		key, err := v.Uint64()
+		if err != nil {
+			m.fail("route-key", jsonvalue.ErrMistyped)
+		}
+		request.Key, request.Keyed = key, true
+	}
+	return request
+}
+
+// readTenant reads the tenant, a name of the settings. A number stands for no tenant.
+func (in *instance) readTenant(m *message) int {
+	v := m.at(4)
+	switch {
+	case v == nil || v.Type() == fastjson.TypeNumber:
+	case v.Type() != fastjson.TypeString:
+		m.fail("team", jsonvalue.ErrMistyped)
+	default:
+		if tenant, ok := in.settings.Tenants[string(v.GetStringBytes())]; ok {
+			return tenant
+		}
+	}
+	return noTenant
+}
+
+// streamStarted reports that the response of an attempt has begun to reach the client.
+func (a *adapter) streamStarted(in *instance, m *message) []balancer.Decision {
+	id := m.text(1, "txn", jsonvalue.Required)
+	m.count(2, "leg", jsonvalue.Required)
+	m.text(3, "node", jsonvalue.Required)
+	m.number(4, "elapsed", jsonvalue.Optional)
+	index, ok := in.requests.byID[id]
+	if m.err != nil || !ok {
+		return nil
+	}
+	return in.balancer.Streaming(a.now, index)
+}
+
+// clientLeft ends a request whose client does not wait any longer. Its attempts may still be in flight.
+func (a *adapter) clientLeft(in *instance, m *message) []balancer.Decision {
+	id := m.text(1, "txn", jsonvalue.Required)
+	index, ok := in.requests.byID[id]
+	if m.err != nil || !ok {
+		return nil
+	}
+	decisions := in.balancer.Left(a.now, index)
+	in.requests.slots[index].over = true
+	in.requests.releaseIfDone(index)
+	return decisions
+}
+
+// attemptFinished reports the outcome of an attempt. One of a request that is not known any more is ignored.
+func (a *adapter) attemptFinished(in *instance, m *message) []balancer.Decision {
+	id := m.text(1, "txn", jsonvalue.Required)
+	name := m.text(2, "node", jsonvalue.Required)
+	m.count(3, "leg", jsonvalue.Required)
+	m.number(4, "info", jsonvalue.Optional)
+	elapsed := m.time(5, "elapsed", jsonvalue.Optional)
+	outcomeName := m.text(6, "ending", jsonvalue.Required)
+	requestOver := m.flag(7, "ended")
+	m.checkObject(8, "report")
+	outcome, ok := outcomes[outcomeName]
+	if !ok {
+		m.fail("ending", jsonvalue.ErrOutOfRange)
+	}
+	node, listed := in.nodes.byName[name]
+	if !listed {
+		m.fail("node", errUnknownNode)
+	}
+	index, known := in.requests.byID[id]
+	if m.err != nil || !known || in.requests.slots[index].inFlight == 0 {
+		return nil
+	}
+	slot := &in.requests.slots[index]
+	slot.inFlight--
+	slot.over = slot.over || requestOver
+	decisions := in.balancer.Returned(a.now, balancer.Answer{
+		Cx: index, Node: node, Ending: outcome, Took: elapsed, Ended: requestOver,
+	})
+	in.requests.releaseIfDone(index)
+	return decisions
+}
+
+// timerFired wakes the balancer if the timer is the one that was set last.
+func (a *adapter) timerFired(in *instance, m *message) []balancer.Decision {
+	timer := m.integer(1, "mark")
+	if m.err != nil || timer != in.timer {
+		return nil
+	}
+	return in.balancer.Woken(a.now)
+}
+
+// probed checks the outcome of a health check. The balancer does without them.
+func (a *adapter) probed(_ *instance, m *message) []balancer.Decision {
+	m.text(1, "node", jsonvalue.Required)
+	m.number(2, "elapsed", jsonvalue.Optional)
+	m.text(3, "ending", jsonvalue.Required)
+	m.checkObject(4, "report")
+	return nil
+}
