--- a/internal/simadapter/malformed_golden_test.go
+++ b/internal/simadapter/malformed_golden_test.go
@@ -171,13 +171,13 @@
 	compareGolden(t, "malformed.golden", table.Bytes())
 }
 
-// refusedOrders are answered with advice that is drawn from the instance's salt.
-const refusedOrders = `["order",1,"t",null,null,null,0,"read"]
+// rejectedOrders are rejected with a Retry-After that is drawn from the instance's salt.
+const rejectedOrders = `["order",1,"t",null,null,null,0,"read"]
 ["order",1,"u",null,null,null,0,"read"]
 ["order",1,"v",null,null,null,0,"read"]
 `
 
-// newNodeList is a list of a node that has no start time: it is taken as warm only in a saved list.
+// newNodeList is a list of an endpoint that has no start time: it skips slow start only in a saved list.
 const newNodeList = `["register",4,[["std","SERVING",0,null,1,"z","c2"]]]` + "\n"
 
 // orders returns as many requests without a key.
@@ -189,7 +189,7 @@
 	return lines.String()
 }
 
-// lenientInputs are unusual, but served, or are situations that the generated sessions meet by chance only.
+// lenientInputs are unusual but valid, or are situations that the generated sessions meet by chance only.
 var lenientInputs = []struct{ name, input string }{
 	{"nothing at all", ""},
 	{"empty lines between batches", "\n\n" + oneBatch("") + "\n" + oneBatch("")},
@@ -200,10 +200,10 @@
 	{"line longer than the buffer", oneBatch(validBoot + strings.Replace(validOrder, `null`, strings.Repeat(" ", 1<<17)+`null`, 1))},
 	{"ids that need escapes", oneBatch(validBoot + `["order",1,"t \"é\\\n",null,null,null,500,"read",false,false,7]` + "\n")},
 	{"names that need escapes", oneBatch(strings.ReplaceAll(validBoot, `"c1"`, `"c\u00e9\"1"`) + validOrder)},
-	{"whole salt", oneBatch(validBoot + refusedOrders)},
-	{"largest salt", oneBatch(strings.Replace(validBoot, "99", "18446744073709551615", 1) + refusedOrders)},
-	{"negative salt", oneBatch(strings.Replace(validBoot, "99", "-99", 1) + refusedOrders)},
-	{"fractional salt", oneBatch(strings.Replace(validBoot, "99", "9.5", 1) + refusedOrders)},
+	{"whole salt", oneBatch(validBoot + rejectedOrders)},
+	{"largest salt", oneBatch(strings.Replace(validBoot, "99", "18446744073709551615", 1) + rejectedOrders)},
+	{"negative salt", oneBatch(strings.Replace(validBoot, "99", "-99", 1) + rejectedOrders)},
+	{"fractional salt", oneBatch(strings.Replace(validBoot, "99", "9.5", 1) + rejectedOrders)},
 	{"largest key", oneBatch(validBoot + strings.Replace(validOrder, ",7]", ",18446744073709551615]", 1))},
 	{"empty list", oneBatch(`["register",3,[]]` + "\n" + strings.SplitN(validBoot, "\n", 2)[1] + validOrder)},
 	{"list number overwritten within a batch", oneBatch(validBoot + `["register",3,[["std","SERVING",0,null,1,"z","c2"]]]
--- a/internal/simadapter/retry_group_golden_test.go
+++ b/internal/simadapter/retry_group_golden_test.go
@@ -10,11 +10,11 @@
 	"woodproxy/internal/simadapter"
 )
 
-var tryLine = regexp.MustCompile(`\["try",1,"(t\d+)",[\d.]+,"(\w+)"\]`)
+var attemptLine = regexp.MustCompile(`\["try",1,"(t\d+)",[\d.]+,"(\w+)"\]`)
 
-// TestRepeatGroupGolden pins to which nodes deduped requests are sent again when their connections were cut: the nodes'
-// zones and cells cross, so that each group leaves other nodes.
-func TestRepeatGroupGolden(t *testing.T) {
+// TestRetryGroupGolden pins to which endpoints deduplicated requests are retried when their connections were reset:
+// the endpoints' zones and cells cross, so that each group permits others.
+func TestRetryGroupGolden(t *testing.T) {
 	const nodes = `["register",3,[["std","SERVING",0,null,1,"z","c1"],["std","SERVING",1,null,1,"z","c2"],` +
 		`["std","SERVING",0,null,1,"y","c3"],["std","SERVING",1,null,1,"y","c4"]]]`
 	var table bytes.Buffer
@@ -26,15 +26,15 @@
 		if err := simadapter.Serve(strings.NewReader(first), &reply); err != nil {
 			t.Fatal(err)
 		}
-		tries := tryLine.FindAllStringSubmatch(reply.String(), -1)
-		if len(tries) != 8 {
-			t.Fatalf("%d tries, want 8:\n%s", len(tries), reply.String())
+		attempts := attemptLine.FindAllStringSubmatch(reply.String(), -1)
+		if len(attempts) != 8 {
+			t.Fatalf("%d attempts, want 8:\n%s", len(attempts), reply.String())
 		}
-		var ends strings.Builder
-		for _, try := range tries {
-			fmt.Fprintf(&ends, `["returned",1,%q,%q,0,null,4,"cut",false,null]`+"\n", try[1], try[2])
+		var outcomes strings.Builder
+		for _, attempt := range attempts {
+			fmt.Fprintf(&outcomes, `["returned",1,%q,%q,0,null,4,"cut",false,null]`+"\n", attempt[1], attempt[2])
 		}
-		if err := simadapter.Serve(strings.NewReader(first+oneBatch(ends.String())), &output); err != nil {
+		if err := simadapter.Serve(strings.NewReader(first+oneBatch(outcomes.String())), &output); err != nil {
 			t.Fatal(err)
 		}
 		fmt.Fprintf(&table, "# %s\n%s", group, blankLogTexts(output.Bytes()))
--- a/internal/simadapter/session_golden_test.go
+++ b/internal/simadapter/session_golden_test.go
@@ -81,36 +81,43 @@
 		}
 	}
 	if !regexp.MustCompile(`"publish",\d+,\d+,"\w+\+"`).MatchString(outputs.String()) {
-		t.Error("no peer is told that a node answers again")
+		t.Error("no peer is notified that a node responds again")
 	}
 }
 
 // TestSimhostBinary replays a session and a malformed input through the command.
 func TestSimhostBinary(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "simhost")
-	if text, err := exec.Command("go", "build", "-o", binary, "woodproxy/cmd/simhost").CombinedOutput(); err != nil {
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "woodproxy/cmd/simhost")
+	if text, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, text)
 	}
 	for i := range sessionShapes {
 		shape := &sessionShapes[i]
-		input, err := os.Open(filepath.Join("testdata", inputFile(shape)))
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer input.Close()
-		command := exec.Command(binary)
-		command.Stdin = input
-		output, err := command.Output()
-		if err != nil {
-			t.Fatalf("%s: %v", shape.name, err)
-		}
-		want := readGolden(t, filepath.Join("testdata", outputFile(shape)))
-		if !bytes.Equal(blankLogTexts(output), want) {
-			t.Errorf("%s: the command's output differs from the recorded one", shape.name)
-		}
+		t.Run(shape.name, func(t *testing.T) {
+			input, err := os.Open(filepath.Join("testdata", inputFile(shape)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() {
+				if err := input.Close(); err != nil {
+					t.Error(err)
+				}
+			})
+			command := exec.CommandContext(t.Context(), binary)
+			command.Stdin = input
+			output, err := command.Output()
+			if err != nil {
+				t.Fatalf("%s: %v", shape.name, err)
+			}
+			want := readGolden(t, filepath.Join("testdata", outputFile(shape)))
+			if !bytes.Equal(blankLogTexts(output), want) {
+				t.Errorf("%s: the command's output differs from the recorded one", shape.name)
+			}
+		})
 	}
 	var stdout, stderr bytes.Buffer
-	command := exec.Command(binary)
+	command := exec.CommandContext(t.Context(), binary)
 	command.Stdin, command.Stdout, command.Stderr = strings.NewReader("nonsense\n"), &stdout, &stderr
 	if err := command.Run(); err == nil || command.ProcessState.ExitCode() != 1 {
 		t.Errorf("malformed input: %v, want exit code 1", err)
--- a/internal/simadapter/session_replies_test.go
+++ b/internal/simadapter/session_replies_test.go
@@ -16,32 +16,32 @@
 		if err := json.Unmarshal([]byte(line), &values); err != nil {
 			g.t.Fatalf("output line %q: %v", line, err)
 		}
-		g.carryOut(line, values)
+		g.applyReplyLine(line, values)
 	}
 }
 
-func (g *sessionGenerator) carryOut(line string, values []any) {
+func (g *sessionGenerator) applyReplyLine(line string, values []any) {
 	g.t.Helper()
 	kind, _ := values[0].(string)
 	if kind == "eor" {
 		return
 	}
-	who := int(values[1].(float64))
+	instance := int(values[1].(float64))
 	switch kind {
 	case "try":
-		g.startAttempt(g.request(line, who, values[2]), microseconds(values[3]), values[4].(string))
+		g.startAttempt(g.request(line, instance, values[2]), microseconds(values[3]), values[4].(string))
 	case "abort-attempt":
-		g.cancelAttempt(who, values[2], int(values[3].(float64)))
+		g.cancelAttempt(instance, values[2], int(values[3].(float64)))
 	case "busy":
-		g.refuse(g.request(line, who, values[2]), microseconds(values[3]))
+		g.reject(g.request(line, instance, values[2]), microseconds(values[3]))
 	case "finish-error":
-		g.request(line, who, values[2]).finished = true
+		g.request(line, instance, values[2]).finished = true
 	case "wake-me":
-		g.timers = append(g.timers, timer{who, g.clock + microseconds(values[2]), values[3]})
+		g.timers = append(g.timers, timer{instance, g.clock + microseconds(values[2]), values[3]})
 	case "follow":
-		g.callList(who)
+		g.pollList(instance)
 	case "publish":
-		g.publish(who, g.shape.firstWho+int(values[2].(float64)), values[3])
+		g.publish(instance, g.shape.firstInstance+int(values[2].(float64)), values[3])
 	case "say-log":
 	default:
 		g.t.Fatalf("output line of unknown kind: %s", line)
@@ -49,10 +49,10 @@
 }
 
 // request finds the request that an output line names; it must have been open when the batch began.
-func (g *sessionGenerator) request(line string, who int, id any) *clientRequest {
+func (g *sessionGenerator) request(line string, instance int, id any) *clientRequest {
 	g.t.Helper()
 	for _, r := range g.requests {
-		if r.who == who && r.id == id {
+		if r.instance == instance && r.id == id {
 			return r
 		}
 	}
@@ -61,27 +61,27 @@
 }
 
 func (g *sessionGenerator) startAttempt(r *clientRequest, timeout int64, name string) {
-	a := &upstreamAttempt{request: r, node: name, leg: r.attempts, sent: g.clock}
+	a := &upstreamAttempt{request: r, node: name, number: r.attempts, sent: g.clock}
 	r.attempts++
 	g.attempts = append(g.attempts, a)
 	n := g.node(name)
-	a.ending = g.pickEnding(r, n)
-	a.endsAt = g.clock + g.pickDuration(a.ending, n)
+	a.outcome = g.pickOutcome(r, n)
+	a.endsAt = g.clock + g.pickDuration(a.outcome, n)
 	if g.random.percent(60) {
-		a.sum = map[string]any{"queue": g.random.below(9), "x0": 0.25}
+		a.report = map[string]any{"queue": g.random.below(9), "x0": 0.25}
 	}
-	if a.ending == "pass" || a.ending == "none_here" {
-		a.info = []any{nil, 1, 2, 3}[g.random.below(4)]
+	if a.outcome == "pass" || a.outcome == "none_here" {
+		a.note = []any{nil, 1, 2, 3}[g.random.below(4)]
 	}
-	if r.route.stream && (a.ending == "pass" || a.ending == "cut") {
+	if r.route.stream && (a.outcome == "pass" || a.outcome == "cut") {
 		a.startsAt = g.clock + (a.endsAt-g.clock)/2
 	}
 	if limit := min(g.clock+timeout, r.deadline); a.startsAt == 0 && a.endsAt > limit {
-		a.endsAt, a.ending = limit+g.random.between(0, 32)*250, "too_slow" // some reach the instance late
+		a.endsAt, a.outcome = limit+g.random.between(0, 32)*250, "too_slow" // some reach the instance late
 	}
 }
 
-func (g *sessionGenerator) node(name string) *fleetNode {
+func (g *sessionGenerator) node(name string) *endpointNode {
 	g.t.Helper()
 	for _, n := range g.fleet {
 		if n.name == name {
@@ -92,20 +92,20 @@
 	return nil
 }
 
-// pickEnding draws how an attempt ends, by the state the node is in.
-func (g *sessionGenerator) pickEnding(r *clientRequest, n *fleetNode) string {
+// pickOutcome draws how an attempt ends, by the state the node is in.
+func (g *sessionGenerator) pickOutcome(r *clientRequest, n *endpointNode) string {
 	if r.finished {
 		return "stale_send"
 	}
 	lucky := g.random.percent(15)
 	switch {
-	case n.mood == silent:
+	case n.behavior == silent:
 		return "too_slow"
-	case n.mood == unreachable && !lucky:
+	case n.behavior == unreachable && !lucky:
 		return "no_route"
-	case n.mood == refusing && !lucky:
+	case n.behavior == overloaded && !lucky:
 		return "no_room"
-	case n.mood == faulty && !lucky:
+	case n.behavior == faulty && !lucky:
 		return "fault"
 	}
 	if g.shape.aside && n.kind != "origin" && g.random.percent(35) {
@@ -118,15 +118,15 @@
 	return "pass"
 }
 
-func (g *sessionGenerator) pickDuration(ending string, n *fleetNode) int64 {
+func (g *sessionGenerator) pickDuration(outcome string, n *endpointNode) int64 {
 	switch {
-	case ending == "too_slow":
+	case outcome == "too_slow":
 		return 1000 * millisecond // cut to the time-out
-	case ending == "stale_send":
+	case outcome == "stale_send":
 		return 250
-	case ending == "no_room", ending == "no_route":
+	case outcome == "no_room", outcome == "no_route":
 		return g.random.between(4, 40) * 250
-	case n.mood == slow:
+	case n.behavior == slow:
 		return g.random.between(70, 160) * millisecond
 	case n.kind == "origin":
 		return g.random.between(40, 240) * 250
@@ -135,29 +135,29 @@
 }
 
 // cancelAttempt ends an attempt as undone, unless another outcome is on the way or its stream has started.
-func (g *sessionGenerator) cancelAttempt(who int, id any, leg int) {
+func (g *sessionGenerator) cancelAttempt(instance int, id any, number int) {
 	for _, a := range g.attempts {
-		if a.request.who != who || a.request.id != id || a.leg != leg || a.started {
+		if a.request.instance != instance || a.request.id != id || a.number != number || a.started {
 			continue
 		}
 		if g.random.percent(15) {
 			continue
 		}
-		a.ending, a.endsAt, a.startsAt, a.info = "undone", g.clock+750, 0, nil
+		a.outcome, a.endsAt, a.startsAt, a.note = "undone", g.clock+750, 0, nil
 	}
 }
 
-func (g *sessionGenerator) refuse(r *clientRequest, retryIn int64) {
+func (g *sessionGenerator) reject(r *clientRequest, retryIn int64) {
 	if r.finished {
 		return
 	}
 	r.finished = true
 	if g.random.percent(40) {
-		g.repeats = append(g.repeats, repeat{g.clock + retryIn + 10*millisecond, r})
+		g.retries = append(g.retries, clientRetry{g.clock + retryIn + 10*millisecond, r})
 	}
 }
 
-func (g *sessionGenerator) callList(who int) {
+func (g *sessionGenerator) pollList(instance int) {
 	if !g.shape.ask {
 		g.t.Fatal("a call for the list where it is pushed")
 	}
@@ -165,7 +165,7 @@
 	if g.random.percent(40) {
 		mode = "FAILED"
 	}
-	g.lists = append(g.lists, listReply{who, g.clock + 15*millisecond, mode})
+	g.lists = append(g.lists, listReply{instance, g.clock + 15*millisecond, mode})
 }
 
 // publish delivers most messages to a peer; some are lost.
@@ -174,5 +174,5 @@
 		return
 	}
 	dueAt := g.clock + g.random.between(3, 30)*millisecond
-	g.messages = append(g.messages, peerMessage{to, from - g.shape.firstWho, dueAt, payload})
+	g.messages = append(g.messages, peerMessage{to, from - g.shape.firstInstance, dueAt, payload})
 }
--- a/internal/simadapter/session_shapes_test.go
+++ b/internal/simadapter/session_shapes_test.go
@@ -18,18 +18,18 @@
 
 // sessionShape is one kind of site: its settings and what the generator may do under them.
 type sessionShape struct {
-	name      string
-	seed      uint64
-	pace      int64 // microseconds, of which each batch takes two to fourteen
-	firstWho  int   // instance numbers begin here, so that they differ from the numbers among peers
-	instances int
-	settings  string // ME stands for the instance's number among its peers
-	routes    []routeShape
-	tenants   []string
-	caches    int
-	origins   int
-	aside     bool // caches answer none_here
-	ask       bool // lists come only when asked for
+	name          string
+	seed          uint64
+	pace          int64 // microseconds, of which each batch takes two to fourteen
+	firstInstance int   // instance numbers begin here, so that they differ from the numbers among peers
+	instances     int
+	settings      string // ME stands for the instance's number among its peers
+	routes        []routeShape
+	tenants       []string
+	caches        int
+	origins       int
+	aside         bool // caches answer none_here
+	ask           bool // lists come only when asked for
 }
 
 // setup returns the settings of one instance on one line.
@@ -45,7 +45,7 @@
 
 var sessionShapes = []sessionShape{
 	{
-		name: "pushed_aside", seed: 11, pace: 1000, firstWho: 0, instances: 2, caches: 4, origins: 2, aside: true,
+		name: "pushed_aside", seed: 11, pace: 1000, firstInstance: 0, instances: 2, caches: 4, origins: 2, aside: true,
 		tenants: []string{"acme", "globex"},
 		routes: []routeShape{
 			{name: "read", overall: 240},
@@ -72,7 +72,7 @@
 					"effect": "token", "group": "all", "dedup-window": 5000}]}`,
 	},
 	{
-		name: "asked_peers", seed: 22, pace: 2750, firstWho: 4, instances: 3, caches: 5, ask: true,
+		name: "asked_peers", seed: 22, pace: 2750, firstInstance: 4, instances: 3, caches: 5, ask: true,
 		routes: []routeShape{
 			{name: "lookup", overall: 200},
 			{name: "stream", overall: 300, stream: true},
@@ -94,7 +94,7 @@
 					"effect": "side_effect"}]}`,
 	},
 	{
-		name: "effects_tenants", seed: 33, pace: 1000, firstWho: 7, instances: 2, caches: 6,
+		name: "effects_tenants", seed: 33, pace: 1000, firstInstance: 7, instances: 2, caches: 6,
 		tenants: []string{"gold", "silver", "lead"},
 		routes: []routeShape{
 			{name: "pure", overall: 250},
@@ -124,7 +124,7 @@
 					"effect": "side_effect"}]}`,
 	},
 	{
-		name: "parallel_aside", seed: 44, pace: 1250, firstWho: 1, instances: 1, caches: 3, origins: 1, aside: true,
+		name: "parallel_aside", seed: 44, pace: 1250, firstInstance: 1, instances: 1, caches: 3, origins: 1, aside: true,
 		routes: []routeShape{
 			{name: "read", overall: 300},
 			{name: "feed", overall: 300, stream: true},
