wire: doc links to the errors that are returned

Comments name errors and limits by links that tools follow. Parsers are told from the exported readers by their verb. No change of behaviour. Run: go test ./internal/wire.

--- a/internal/wire/attempterror.go
+++ b/internal/wire/attempterror.go
@@ -41,5 +41,5 @@
 	ErrBytes = errors.New("bad bytes")
 )
 
-// protocolError returns an error that wraps ErrBytes.
+// protocolError returns an error that wraps [ErrBytes].
 func protocolError(reason string) error { return fmt.Errorf("%w: %s", ErrBytes, reason) }
--- a/internal/wire/cacheresponse.go
+++ b/internal/wire/cacheresponse.go
@@ -11,10 +11,10 @@
 const maxElements = 8
 
 // ReadAnswer reads the response of a cache to one attempt up to its value. Only a completed one has a value and
-// elements behind it. Errors are of type *Halt.
-func ReadAnswer(r *bufio.Reader) (Answer, error) { return readResponse(r, readCacheResponse) }
+// elements behind it. Errors are of type [*Halt].
+func ReadAnswer(r *bufio.Reader) (Answer, error) { return readResponse(r, parseCacheResponse) }
 
-func readCacheResponse(r *bufio.Reader) (Answer, error) {
+func parseCacheResponse(r *bufio.Reader) (Answer, error) {
 	line, err := readLine(r)
 	if err != nil {
 		return Answer{}, err
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -66,8 +66,8 @@
 }
 
 // ParseCommand parses the command at the start of b and returns the number of bytes consumed. A write is consumed up to
-// its value, which follows with its line end. The error is ErrShort where b holds a part of the command only, and wraps
-// ErrBytes where it is malformed.
+// its value, which follows with its line end. The error is [ErrShort] where b holds a part of the command only, and wraps
+// [ErrBytes] where it is malformed.
 func ParseCommand(b []byte) (c Command, n int, err error) {
 	c.Value = noValue
 	count, n, err := parseLength(b, 0, '*')
--- a/internal/wire/endpointlist.go
+++ b/internal/wire/endpointlist.go
@@ -41,7 +41,7 @@
 }
 
 // ParseTargets parses an object of discovery: the index is the version of the list, and whole tells that list is the
-// complete list rather than the endpoints that changed. Errors wrap ErrBytes.
+// complete list rather than the endpoints that changed. Errors wrap [ErrBytes].
 func ParseTargets(v *fastjson.Value) (index int64, whole bool, list []Target, err error) {
 	if v.Type() != fastjson.TypeObject {
 		return 0, false, nil, protocolError("a list that is no object")
@@ -85,7 +85,7 @@
 	return t, nil
 }
 
-// AppendTargets appends a complete list in the form that ParseTargets reads. Its index is 0, the version before any of
+// AppendTargets appends a complete list in the form that [ParseTargets] reads. Its index is 0, the version before any of
 // discovery's, because a watch begins with the complete list anyhow.
 func AppendTargets(b []byte, list []Target) []byte {
 	var arena fastjson.Arena
--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -13,7 +13,7 @@
 	Repeat        bool   // the client retries an earlier request
 }
 
-// ParseFacts parses a list such as c=read,t=acme,d=480. Unknown names are skipped. The error wraps ErrBytes where the
+// ParseFacts parses a list such as c=read,t=acme,d=480. Unknown names are skipped. The error wraps [ErrBytes] where the
 // list is malformed, or lacks the route or the wait.
 func ParseFacts(list []byte) (f Facts, err error) {
 	f.Wait = -1
@@ -42,7 +42,7 @@
 	return f, nil
 }
 
-// Plain returns an error that wraps ErrBytes where a text holds control characters, with which it could forge HTTP
+// Plain returns an error that wraps [ErrBytes] where a text holds control characters, with which it could forge HTTP
 // headers.
 func Plain(texts ...[]byte) error {
 	for _, text := range texts {
--- a/internal/wire/origin.go
+++ b/internal/wire/origin.go
@@ -44,10 +44,10 @@
 }
 
 // ReadFetched reads the response of the origin to one attempt up to its value, or with its value where the length is
-// not announced. Errors are of type *Halt.
-func ReadFetched(r *bufio.Reader) (Answer, error) { return readResponse(r, readOriginResponse) }
+// not announced. Errors are of type [*Halt].
+func ReadFetched(r *bufio.Reader) (Answer, error) { return readResponse(r, parseOriginResponse) }
 
-func readOriginResponse(r *bufio.Reader) (Answer, error) {
+func parseOriginResponse(r *bufio.Reader) (Answer, error) {
 	h, err := readHTTPHead(r)
 	if err != nil {
 		return Answer{}, err
--- a/internal/wire/resp.go
+++ b/internal/wire/resp.go
@@ -77,7 +77,7 @@
 	return append(b, lineEnd...)
 }
 
-// ReadBulk reads one element: a bulk string of MaxAnswer bytes at most, or nil where it is null. Integers and simple
+// ReadBulk reads one element: a bulk string of [MaxAnswer] bytes at most, or nil where it is null. Integers and simple
 // strings are read as empty.
 func ReadBulk(r *bufio.Reader) ([]byte, error) { return readElement(r, MaxAnswer) }
 
--- a/internal/wire/response.go
+++ b/internal/wire/response.go
@@ -22,7 +22,7 @@
 // Whole returns the value and true where it has been read together with the head, because its length was not announced.
 func (a *Answer) Whole() ([]byte, bool) { return a.body, a.body != nil }
 
-// Value reads the value and its line end, if it has one, into memory. Errors are of type *Halt.
+// Value reads the value and its line end, if it has one, into memory. Errors are of type [*Halt].
 func (a *Answer) Value(r *bufio.Reader) ([]byte, error) {
 	if a.body != nil {
 		return a.body, nil
@@ -39,7 +39,7 @@
 }
 
 // End reads the line end, if there is one, behind a value that the caller has read piece by piece. Errors are of type
-// *Halt.
+// [*Halt].
 func (a *Answer) End(r *bufio.Reader) error {
 	if !a.bulk {
 		return nil
@@ -54,7 +54,7 @@
 	return nil
 }
 
-// Tail reads and drops the elements behind the value. Errors are of type *Halt.
+// Tail reads and drops the elements behind the value. Errors are of type [*Halt].
 func (a *Answer) Tail(r *bufio.Reader) error {
 	for ; a.trailing > 0; a.trailing-- {
 		if _, err := readElement(r, MaxValue); err != nil {
@@ -64,7 +64,7 @@
 	return nil
 }
 
-// readResponse waits for the first byte of a response and parses it. Errors are of type *Halt.
+// readResponse waits for the first byte of a response and parses it. Errors are of type [*Halt].
 func readResponse(r *bufio.Reader, parse func(*bufio.Reader) (Answer, error)) (Answer, error) {
 	if _, err := r.Peek(1); err != nil {
 		return Answer{}, &Halt{Waiting, err}
--- a/internal/wire/watch.go
+++ b/internal/wire/watch.go
@@ -29,7 +29,7 @@
 }
 
 // ReadWatch reads the head of the response to a request for a watch. It fails where the status is not 200, and with
-// an error that wraps ErrBytes where the response is malformed or not chunked.
+// an error that wraps [ErrBytes] where the response is malformed or not chunked.
 func ReadWatch(r *bufio.Reader) (*WatchReader, error) {
 	h, err := readHTTPHead(r)
 	switch {
