wire: golden tests by the names of endpoints and outcomes

Tests of endpoints and their list were named by targets and endings. The golden files and their labels stay. No change of behaviour.

--- a/internal/wire/endpoint_golden_test.go
+++ b/internal/wire/endpoint_golden_test.go
@@ -8,9 +8,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// TestGoldenTargets pins the encoding of an endpoint, which is the body of a replicated row and part of the state
+// TestEndpointEncodingGolden pins the encoding of an endpoint, which is the body of a replicated row and part of the state
 // file. The keys are given by tags, so that the fields may be renamed in Go.
-func TestGoldenTargets(t *testing.T) {
+func TestEndpointEncodingGolden(t *testing.T) {
 	checkGolden(t, "targets.golden", []goldenCase{
 		{name: "target-full", full: true, value: &wire.Target{
 			Name: "node-1", Address: "192.0.2.1:11211", Zone: "zone-1", Kind: "cache", Cell: 3,
@@ -20,17 +20,18 @@
 	})
 }
 
-// TestTargetElsewhereStaysLocal checks that the mark of an endpoint that another proxy reported is not encoded.
-func TestTargetElsewhereStaysLocal(t *testing.T) {
-	encoded, plain := encodeTarget(t, wire.Target{Name: "node-1", Elsewhere: true}), encodeTarget(t, wire.Target{Name: "node-1"})
+// TestReportedMarkIsNotEncoded checks that the mark of an endpoint that another proxy reported is not encoded.
+func TestReportedMarkIsNotEncoded(t *testing.T) {
+	encoded := encodeEndpoint(t, wire.Target{Name: "node-1", Elsewhere: true})
+	plain := encodeEndpoint(t, wire.Target{Name: "node-1"})
 	if string(encoded) != string(plain) {
 		t.Errorf("encoded as %x, want %x", encoded, plain)
 	}
 }
 
-func encodeTarget(t *testing.T, target wire.Target) []byte {
+func encodeEndpoint(t *testing.T, endpoint wire.Target) []byte {
 	t.Helper()
-	encoded, err := msgpack.Marshal(&target)
+	encoded, err := msgpack.Marshal(&endpoint)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/wire/protocol_golden_test.go
+++ b/internal/wire/protocol_golden_test.go
@@ -68,8 +68,8 @@
 	return fmt.Sprintf("%q and so on, %d bytes", text[:40], len(text))
 }
 
-// endingNames are independent of the constants' values and of their names.
-var endingNames = map[balancer.Ending]string{
+// outcomeNames are independent of the constants' values and of their names.
+var outcomeNames = map[balancer.Ending]string{
 	balancer.Completed: "completed", balancer.Fault: "fault", balancer.NoRoom: "no room", balancer.Silent: "silent",
 	balancer.Unreachable: "unreachable", balancer.Cut: "cut", balancer.Undone: "undone", balancer.NeverSent: "never sent",
 	balancer.Lacking: "lacking",
@@ -91,7 +91,7 @@
 	return text
 }
 
-// parts are one choice of the optional words of a command.
+// parts are one choice of the optional arguments of a command.
 type parts struct {
 	name           string
 	key, id, facts string
@@ -231,7 +231,7 @@
 		return errorText(err)
 	}
 	body, buffered := a.Whole()
-	described := fmt.Sprintf("%s, value of %d, absent %v, again %v, read whole %v", endingNames[a.Ending], a.Long, a.Absent,
+	described := fmt.Sprintf("%s, value of %d, absent %v, again %v, read whole %v", outcomeNames[a.Ending], a.Long, a.Absent,
 		a.Again, buffered)
 	if buffered {
 		described += ", " + shorten(string(body))
@@ -341,8 +341,8 @@
 	compareGoldenText(t, "origin_answers.golden", g.String())
 }
 
-// TestTargetsWriteGolden pins the list of targets as it is written, and what is read back of it.
-func TestTargetsWriteGolden(t *testing.T) {
+// TestEndpointListWriteGolden pins the endpoint list as it is written, and what is read back of it.
+func TestEndpointListWriteGolden(t *testing.T) {
 	var g golden
 	full := wire.Target{
 		Name: "c1", Address: "10.0.0.1:6379", Zone: "a", Kind: "m2", Cell: 3, Ready: true, Weight: 1.5,
@@ -366,18 +366,21 @@
 		{"nothing optional", []wire.Target{minimal}},
 		{"characters that need escapes", []wire.Target{escaped}},
 		{"told by another proxy", []wire.Target{elsewhere}},
-		{"fractional, negative and large numbers", []wire.Target{{Name: "c", Weight: 0.1, Cell: -4, Since: 1 << 62}, {Name: "d", Weight: 1e21}}},
+		{"fractional, negative and large numbers", []wire.Target{
+			{Name: "c", Weight: 0.1, Cell: -4, Since: 1 << 62},
+			{Name: "d", Weight: 1e21},
+		}},
 		{"several", []wire.Target{full, leaving, left, minimal}},
 	} {
 		text := wire.AppendTargets([]byte(">"), c.list)
 		g.bytes(c.name, text)
-		g.value(c.name+", read back", "%s", describeTargets(string(text[1:])))
+		g.value(c.name+", read back", "%s", describeEndpointList(string(text[1:])))
 	}
 	compareGoldenText(t, "targets_written.golden", g.String())
 }
 
-// describeTargets parses a list and describes its endpoints, or the error.
-func describeTargets(text string) string {
+// describeEndpointList parses a list and describes its endpoints, or the error.
+func describeEndpointList(text string) string {
 	v, err := fastjson.Parse(text)
 	if err != nil {
 		return "not JSON"
@@ -388,14 +391,14 @@
 	}
 	described := fmt.Sprintf("index %d, whole %v", index, complete)
 	for _, n := range list {
-		described += fmt.Sprintf("; name %q, address %q, zone %q, kind %q, cell %d, ready %v, gone %v, weight %v, since %d, elsewhere %v",
-			n.Name, n.Address, n.Zone, n.Kind, n.Cell, n.Ready, n.Gone, n.Weight, n.Since, n.Elsewhere)
+		described += fmt.Sprintf("; name %q, address %q, zone %q, kind %q, cell %d, ready %v, gone %v, weight %v, "+
+			"since %d, elsewhere %v", n.Name, n.Address, n.Zone, n.Kind, n.Cell, n.Ready, n.Gone, n.Weight, n.Since, n.Elsewhere)
 	}
 	return described
 }
 
-// TestTargetsParseGolden pins what is read of discovery's lists, with each field set, unset and mistyped.
-func TestTargetsParseGolden(t *testing.T) {
+// TestEndpointListParseGolden pins what is read of discovery's lists, with each field set, unset and mistyped.
+func TestEndpointListParseGolden(t *testing.T) {
 	const complete = `{"index":41,"snapshot":true,"endpoints":[{"name":"c1","address":"h:1","zone":"a","type":"m2","group":3,` +
 		`"status":"active","weight":1.5,"since_ms":7}]}`
 	var g golden
@@ -405,7 +408,7 @@
 		`[]`, `7`, `{}`, `{"index":"1","endpoints":[]}`, `{"index":null,"endpoints":[]}`, `{"index":1}`, `{"index":1,"endpoints":{}}`,
 		`{"index":1,"endpoints":[{}]}`, `{"index":1,"endpoints":[7]}`,
 	} {
-		g.value(text, "%s", describeTargets(text))
+		g.value(text, "%s", describeEndpointList(text))
 	}
 	for _, change := range [][2]string{
 		{`"name":"c1",`, ``},
@@ -441,7 +444,7 @@
 		if changed == complete {
 			t.Fatalf("%s is not in the complete list", change[0])
 		}
-		g.value(change[0]+" -> "+change[1], "%s", describeTargets(changed))
+		g.value(change[0]+" -> "+change[1], "%s", describeEndpointList(changed))
 	}
 	compareGoldenText(t, "targets_parsed.golden", g.String())
 }
--- a/internal/wire/response.go
+++ b/internal/wire/response.go
@@ -6,13 +6,13 @@
 	"woodproxy/balancer"
 )
 
-// Answer is the response of a cache or of the origin to one attempt. It is read in steps: [ReadAnswer] or
-// [ReadFetched] reads up to the value, [Answer.Value] reads the value, or the caller reads its Long bytes piece by
-// piece and then calls [Answer.End], and [Answer.Tail] reads what follows the value.
+// Answer is the response of a cache or of the origin to one attempt. It is read in steps: [ReadAnswer] or [ReadFetched]
+// reads up to the value. Then [Answer.Value] reads the value, or the caller reads it piece by piece and then calls
+// [Answer.End]. [Answer.Tail] reads what follows the value.
 type Answer struct {
 	Ending   balancer.Ending
 	Long     int    // length of the value in bytes
-	Absent   bool   // the origin reports that it has no such key; Ending is a fault, for callers that don't handle it
+	Absent   bool   // the origin reports that it has no such key, a fault for callers that don't handle it
 	Again    bool   // the connection may be reused for another attempt
 	trailing int    // elements behind the value
 	bulk     bool   // the value is a bulk string, which has a line end
