--- a/internal/proxy/endpoint_watch.go
+++ b/internal/proxy/endpoint_watch.go
@@ -81,7 +81,7 @@
 }
 
 // open asks for events and reads the head of the response.
-func (w *endpointWatch) open(conn net.Conn) (*wire.Watch, error) {
+func (w *endpointWatch) open(conn net.Conn) (*wire.WatchReader, error) {
 	if err := conn.SetDeadline(time.Now().Add(w.firstByteTimeout)); err != nil {
 		return nil, fmt.Errorf("set watch deadline: %w", err)
 	}
