--- a/rebalance/types.go
+++ b/rebalance/types.go
@@ -12,12 +12,6 @@
 	"woodproxy/internal/configfile"
 )
 
-// Shards is into how many parts the key space is dealt, by the first bits of a key's mixed hash.
-const Shards = 4096
-
-// Of is the shard of a key, by its hash as the ring mixes it.
-func Of(mixed uint64) int { return int(mixed >> 52) }
-
 // Node is a cache.
 type Node struct {
 	Name   string  `json:"name"`
