--- a/rebalance/moves_test.go
+++ b/rebalance/moves_test.go
@@ -25,19 +25,19 @@
 	weights, total, free, wanted := 0.0, int64(0), false, map[string]int64{}
 	for _, n := range inv.Nodes {
 		nodes[n.Name] = n
-		if !n.Leaves {
+		if !n.Draining {
 			weights += max(n.Weight, 1)
 		}
 	}
 	for _, s := range inv.Shards {
-		shards[s.ID], on[s.ID] = s, s.On
-		load[s.On] += s.Bytes
+		shards[s.ID], on[s.ID] = s, s.Source
+		load[s.Source] += s.Bytes
 		total += s.Bytes
-		free = free || s.Want == "" && !s.Pin
-		if s.Pin {
-			wanted[s.On] += s.Bytes
-		} else if s.Want != "" {
-			wanted[s.Want] += s.Bytes
+		free = free || s.Target == "" && !s.Pinned
+		if s.Pinned {
+			wanted[s.Source] += s.Bytes
+		} else if s.Target != "" {
+			wanted[s.Target] += s.Bytes
 		}
 	}
 	sum := int64(0)
@@ -48,7 +48,7 @@
 		}
 		for _, m := range step {
 			s, ok := shards[m.Shard]
-			if !ok || m.From != on[m.Shard] || m.Bytes != s.Bytes || moving[m.Shard] || nodes[m.To].Leaves || nodes[m.To].Name == "" || s.Pin {
+			if !ok || m.From != on[m.Shard] || m.Bytes != s.Bytes || moving[m.Shard] || nodes[m.To].Draining || nodes[m.To].Name == "" || s.Pinned {
 				return fmt.Sprintf("step %d: %+v, and it is on %q", i, m, on[m.Shard])
 			}
 			moving[m.Shard] = true
@@ -60,8 +60,8 @@
 			sum += m.Bytes
 		}
 		for n, c := range coming {
-			if load[n]+c > nodes[n].Room {
-				return fmt.Sprintf("step %d: %s has %d and gets %d, with room for %d", i, n, load[n], c, nodes[n].Room)
+			if load[n]+c > nodes[n].Capacity {
+				return fmt.Sprintf("step %d: %s has %d and gets %d, with room for %d", i, n, load[n], c, nodes[n].Capacity)
 			}
 		}
 		for n, k := range parts {
@@ -77,29 +77,29 @@
 	}
 	for _, s := range inv.Shards {
 		at := on[s.ID]
-		if at == "" || nodes[at].Leaves || s.Want != "" && at != s.Want || len(s.Zones) > 0 && !slices.Contains(s.Zones, nodes[at].Zone) {
+		if at == "" || nodes[at].Draining || s.Target != "" && at != s.Target || len(s.Zones) > 0 && !slices.Contains(s.Zones, nodes[at].Zone) {
 			return fmt.Sprintf("shard %d ends at %q", s.ID, at)
 		}
-		if s.Apart == "" {
+		if s.AntiAffinity == "" {
 			continue
 		}
 		for _, o := range inv.Shards {
-			if o.Apart == s.Apart && o.ID != s.ID && nodes[on[o.ID]].Zone == nodes[at].Zone {
+			if o.AntiAffinity == s.AntiAffinity && o.ID != s.ID && nodes[on[o.ID]].Zone == nodes[at].Zone {
 				return fmt.Sprintf("shards %d and %d end in one zone", s.ID, o.ID)
 			}
 		}
 	}
 	for _, n := range inv.Nodes {
-		most[n.Name] = n.Room
+		most[n.Name] = n.Capacity
 		if free {
-			most[n.Name] = min(n.Room, max(int64(float64(total)*max(n.Weight, 1)/weights*(1+t.Slack)), wanted[n.Name]))
+			most[n.Name] = min(n.Capacity, max(int64(float64(total)*max(n.Weight, 1)/weights*(1+t.Slack)), wanted[n.Name]))
 		}
-		if load[n.Name] > most[n.Name] && !n.Leaves {
+		if load[n.Name] > most[n.Name] && !n.Draining {
 			return fmt.Sprintf("%s ends with %d of %d", n.Name, load[n.Name], most[n.Name])
 		}
 	}
-	if sum != p.Bytes || p.Bytes < p.Least {
-		return fmt.Sprintf("%d bytes moved, %d said, %d at least", sum, p.Bytes, p.Least)
+	if sum != p.Bytes || p.Bytes < p.LowerBoundBytes {
+		return fmt.Sprintf("%d bytes moved, %d said, %d at least", sum, p.Bytes, p.LowerBoundBytes)
 	}
 	return ""
 }
@@ -110,22 +110,22 @@
 	nodes, shards := 1+r.IntN(4), r.IntN(9)
 	wants := r.IntN(3) == 0
 	for i := range nodes {
-		inv.Nodes = append(inv.Nodes, Node{Name: fmt.Sprint("c", i), Zone: fmt.Sprint("z", i%2), Room: int64(4 + r.IntN(24)), Leaves: r.IntN(6) == 0})
+		inv.Nodes = append(inv.Nodes, Node{Name: fmt.Sprint("c", i), Zone: fmt.Sprint("z", i%2), Capacity: int64(4 + r.IntN(24)), Draining: r.IntN(6) == 0})
 	}
 	for i := range shards {
-		s := Shard{ID: i, Bytes: int64(r.IntN(9)), On: inv.Nodes[r.IntN(nodes)].Name}
+		s := Shard{ID: i, Bytes: int64(r.IntN(9)), Source: inv.Nodes[r.IntN(nodes)].Name}
 		switch r.IntN(10) {
 		case 0:
-			s.On = ""
+			s.Source = ""
 		case 1:
-			s.Pin = true
+			s.Pinned = true
 		case 2:
 			s.Zones = []string{"z0"}
 		case 3:
-			s.Apart = "g"
+			s.AntiAffinity = "g"
 		}
-		if n := inv.Nodes[r.IntN(nodes)]; wants && !s.Pin && len(s.Zones) == 0 && !n.Leaves {
-			s.Want = n.Name
+		if n := inv.Nodes[r.IntN(nodes)]; wants && !s.Pinned && len(s.Zones) == 0 && !n.Draining {
+			s.Target = n.Name
 		}
 		inv.Shards = append(inv.Shards, s)
 	}
@@ -140,16 +140,16 @@
 	wanted := make([]int64, n)
 	for i, x := range inv.Nodes {
 		at[x.Name] = i
-		if !x.Leaves {
+		if !x.Draining {
 			weights++
 		}
 	}
 	for _, s := range inv.Shards {
 		total += s.Bytes
-		if s.Pin {
-			wanted[at[s.On]] += s.Bytes
-		} else if s.Want != "" {
-			wanted[at[s.Want]] += s.Bytes
+		if s.Pinned {
+			wanted[at[s.Source]] += s.Bytes
+		} else if s.Target != "" {
+			wanted[at[s.Target]] += s.Bytes
 		} else {
 			free = true
 		}
@@ -157,7 +157,7 @@
 	cost := map[[8]int8]int64{}
 	var start [8]int8
 	for i, s := range inv.Shards {
-		start[i] = int8(at[s.On])
+		start[i] = int8(at[s.Source])
 	}
 	cost[start] = 0
 	work := [][8]int8{start}
@@ -172,24 +172,24 @@
 		good := true
 		for i, s := range inv.Shards {
 			y := int(x[i])
-			good = good && y < n && !inv.Nodes[y].Leaves && (s.Want == "" || at[s.Want] == y) && (len(s.Zones) == 0 || slices.Contains(s.Zones, inv.Nodes[y].Zone))
+			good = good && y < n && !inv.Nodes[y].Draining && (s.Target == "" || at[s.Target] == y) && (len(s.Zones) == 0 || slices.Contains(s.Zones, inv.Nodes[y].Zone))
 			for j, o := range inv.Shards {
-				good = good && (j == i || s.Apart == "" || o.Apart != s.Apart || x[j] == int8(n) || y == n || inv.Nodes[y].Zone != inv.Nodes[x[j]].Zone)
+				good = good && (j == i || s.AntiAffinity == "" || o.AntiAffinity != s.AntiAffinity || x[j] == int8(n) || y == n || inv.Nodes[y].Zone != inv.Nodes[x[j]].Zone)
 			}
 		}
 		for i, node := range inv.Nodes {
-			most := node.Room
+			most := node.Capacity
 			if free {
 				most = min(most, max(int64(float64(total)/max(weights, 1e-12)*(1+t.Slack)), wanted[i]))
 			}
-			good = good && (node.Leaves && load[i] == 0 || !node.Leaves && load[i] <= most)
+			good = good && (node.Draining && load[i] == 0 || !node.Draining && load[i] <= most)
 		}
 		if good && (best < 0 || cost[x] < best) {
 			best = cost[x]
 		}
 		for i, s := range inv.Shards {
 			for to, node := range inv.Nodes {
-				if s.Pin || node.Leaves || int(x[i]) == to || load[to]+s.Bytes > node.Room || len(s.Zones) > 0 && !slices.Contains(s.Zones, node.Zone) {
+				if s.Pinned || node.Draining || int(x[i]) == to || load[to]+s.Bytes > node.Capacity || len(s.Zones) > 0 && !slices.Contains(s.Zones, node.Zone) {
 					continue
 				}
 				y := x
@@ -269,10 +269,10 @@
 // A planted fault is found: a plan that leaves out that a copy is on both nodes while it goes, or moves more than it says.
 func TestWrongFires(t *testing.T) {
 	inv := &Inventory{
-		Nodes:  []Node{{Name: "a", Room: 10}, {Name: "b", Room: 10}},
-		Shards: []Shard{{ID: 1, Bytes: 8, On: "a", Want: "b"}, {ID: 2, Bytes: 8, On: "b", Want: "a"}},
+		Nodes:  []Node{{Name: "a", Capacity: 10}, {Name: "b", Capacity: 10}},
+		Shards: []Shard{{ID: 1, Bytes: 8, Source: "a", Target: "b"}, {ID: 2, Bytes: 8, Source: "b", Target: "a"}},
 	}
-	swap := &Plan{Steps: [][]Move{{{1, "a", "b", 8}, {2, "b", "a", 8}}}, Bytes: 16, Least: 16}
+	swap := &Plan{Steps: [][]Move{{{1, "a", "b", 8}, {2, "b", "a", 8}}}, Bytes: 16, LowerBoundBytes: 16}
 	if wrong(inv, usual, swap) == "" {
 		t.Error("an exchange of two without room passes")
 	}
@@ -280,12 +280,12 @@
 	if _, err := Make(inv, usual); !errors.As(err, &stuck) || stuck.Shards != 2 || len(stuck.Lacks) != 2 || stuck.Lacks[0].Bytes != 6 {
 		t.Errorf("%v", err)
 	}
-	inv.Nodes = append(inv.Nodes, Node{Name: "c", Room: 8})
+	inv.Nodes = append(inv.Nodes, Node{Name: "c", Capacity: 8})
 	for _, exact := range []int{0, 1 << 16} { // by a third node
 		terms := usual
 		terms.Exact = exact
 		p, err := Make(inv, terms)
-		if err != nil || p.Bytes != 24 || p.Through != 1 || wrong(inv, terms, p) != "" {
+		if err != nil || p.Bytes != 24 || p.IntermediateMoves != 1 || wrong(inv, terms, p) != "" {
 			t.Errorf("%+v %v", p, err)
 		}
 	}
@@ -293,31 +293,31 @@
 
 // What can't be done is an error that says what is lacking, and where.
 func TestRefused(t *testing.T) {
-	two := []Node{{Name: "a", Room: 10, Zone: "x"}, {Name: "b", Room: 10, Zone: "y"}}
+	two := []Node{{Name: "a", Capacity: 10, Zone: "x"}, {Name: "b", Capacity: 10, Zone: "y"}}
 	plan := func(nodes []Node, shards ...Shard) error {
 		_, err := Make(&Inventory{Nodes: nodes, Shards: shards}, usual)
 		return err
 	}
 	var room *RoomError
-	if err := plan(two, Shard{ID: 1, Bytes: 10, On: "a"}, Shard{ID: 2, Bytes: 11}); err == nil {
+	if err := plan(two, Shard{ID: 1, Bytes: 10, Source: "a"}, Shard{ID: 2, Bytes: 11}); err == nil {
 		t.Error("21 bytes fit into 20")
 	}
-	if err := plan(two, Shard{ID: 1, Bytes: 6, On: "a", Want: "b"}, Shard{ID: 2, Bytes: 6, On: "b", Want: "b"}); !errors.As(err, &room) || room.Lacks[0] != (Lack{"b", 2}) {
+	if err := plan(two, Shard{ID: 1, Bytes: 6, Source: "a", Target: "b"}, Shard{ID: 2, Bytes: 6, Source: "b", Target: "b"}); !errors.As(err, &room) || room.Lacks[0] != (Lack{"b", 2}) {
 		t.Errorf("%v", err)
 	}
 	var shard *ShardError
 	if err := plan(two, Shard{ID: 1, Bytes: 11}); !errors.As(err, &shard) || shard.Largest != 10 || shard.Pinned {
 		t.Errorf("%v", err)
 	}
-	if err := plan([]Node{{Name: "a", Room: 10, Leaves: true}, {Name: "b", Room: 10}}, Shard{ID: 1, Bytes: 1, On: "a", Pin: true}); !errors.As(err, &shard) || !shard.Pinned {
+	if err := plan([]Node{{Name: "a", Capacity: 10, Draining: true}, {Name: "b", Capacity: 10}}, Shard{ID: 1, Bytes: 1, Source: "a", Pinned: true}); !errors.As(err, &shard) || !shard.Pinned {
 		t.Errorf("%v", err)
 	}
 	var balance *BalanceError
-	if err := plan(two, Shard{ID: 1, Bytes: 9, On: "a"}, Shard{ID: 2, Bytes: 3, On: "b"}); !errors.As(err, &balance) || balance.Needed <= 0.1 || balance.Needed > 1 {
+	if err := plan(two, Shard{ID: 1, Bytes: 9, Source: "a"}, Shard{ID: 2, Bytes: 3, Source: "b"}); !errors.As(err, &balance) || balance.Needed <= 0.1 || balance.Needed > 1 {
 		t.Errorf("%v", err)
 	}
 	var inventory *InventoryError
-	for _, bad := range []Shard{{ID: 1, On: "q"}, {ID: 1, Bytes: -1}, {ID: 1, Pin: true}, {ID: 1, Want: "z"}} {
+	for _, bad := range []Shard{{ID: 1, Source: "q"}, {ID: 1, Bytes: -1}, {ID: 1, Pinned: true}, {ID: 1, Target: "z"}} {
 		if err := plan(two, bad); !errors.As(err, &inventory) || inventory.Where != "shards[0]" {
 			t.Errorf("%+v: %v", bad, err)
 		}
@@ -325,7 +325,7 @@
 	if err := plan([]Node{{Name: "a"}, {Name: "a"}}); !errors.As(err, &inventory) || inventory.Where != "nodes[1]" {
 		t.Errorf("%v", err)
 	}
-	if p, err := Make(&Inventory{Nodes: two[:1], Shards: []Shard{{ID: 1, On: "a"}}}, usual); err != nil || len(p.Steps) != 0 {
+	if p, err := Make(&Inventory{Nodes: two[:1], Shards: []Shard{{ID: 1, Source: "a"}}}, usual); err != nil || len(p.Steps) != 0 {
 		t.Errorf("nothing to do: %+v %v", p, err)
 	}
 }
@@ -342,7 +342,7 @@
 	stay := nodes - nodes/10
 	room := int64(float64(total) / float64(stay) * (1 + spare))
 	for i := range nodes {
-		inv.Nodes = append(inv.Nodes, Node{Name: fmt.Sprint("c", i), Zone: fmt.Sprint("z", i%4), Room: room, Leaves: i >= stay})
+		inv.Nodes = append(inv.Nodes, Node{Name: fmt.Sprint("c", i), Zone: fmt.Sprint("z", i%4), Capacity: room, Draining: i >= stay})
 	}
 	load := make([]int64, nodes)
 	place := func(size int64, from, to int) int { // by chance, where there is room
@@ -361,7 +361,7 @@
 		return n
 	}
 	for i, size := range sizes { // the first tenth have come anew, and are empty
-		inv.Shards = append(inv.Shards, Shard{ID: i, Bytes: size, On: inv.Nodes[place(size, nodes/10, nodes)].Name})
+		inv.Shards = append(inv.Shards, Shard{ID: i, Bytes: size, Source: inv.Nodes[place(size, nodes/10, nodes)].Name})
 	}
 	if wants {
 		clear(load)
@@ -374,7 +374,7 @@
 					best = n
 				}
 			}
-			if on := inv.Shards[i].On; r.IntN(4) > 0 { // most stay
+			if on := inv.Shards[i].Source; r.IntN(4) > 0 { // most stay
 				for n := range stay {
 					if inv.Nodes[n].Name == on && load[n]+sizes[i] <= room {
 						best = n
@@ -389,7 +389,7 @@
 				}
 			}
 			load[best] += sizes[i]
-			inv.Shards[i].Want = inv.Nodes[best].Name
+			inv.Shards[i].Target = inv.Nodes[best].Name
 		}
 	}
 	return inv
@@ -424,9 +424,9 @@
 				t.Errorf("%s", what)
 			}
 			t.Logf("%d nodes, %d shards, %v to spare, wants %v: %.4f of the bound, %d steps, %d aside, %v", c.nodes, c.shards, c.spare, wants,
-				float64(p.Bytes)/float64(p.Least), len(p.Steps), p.Through, took)
-			if float64(p.Bytes) > c.over*float64(p.Least) {
-				t.Errorf("%d bytes, %d at least", p.Bytes, p.Least)
+				float64(p.Bytes)/float64(p.LowerBoundBytes), len(p.Steps), p.IntermediateMoves, took)
+			if float64(p.Bytes) > c.over*float64(p.LowerBoundBytes) {
+				t.Errorf("%d bytes, %d at least", p.Bytes, p.LowerBoundBytes)
 			}
 		}
 	}
@@ -444,7 +444,7 @@
 		}
 		// x[s,n]: part of a shard on a node that stays, and what is left of each of these
 		n, k := 0, len(b.shards)
-		for n < len(b.nodes) && !b.nodes[n].Leaves { // those that leave come last
+		for n < len(b.nodes) && !b.nodes[n].Draining { // those that leave come last
 			n++
 		}
 		c := make([]float64, k*n+n)
@@ -479,12 +479,12 @@
 	for _, spare := range []int64{7, 6} {
 		inv := &Inventory{}
 		for n := range 20 {
-			inv.Nodes = append(inv.Nodes, Node{Name: fmt.Sprint("c", n), Room: 70})
+			inv.Nodes = append(inv.Nodes, Node{Name: fmt.Sprint("c", n), Capacity: 70})
 			for k := range 10 {
-				inv.Shards = append(inv.Shards, Shard{ID: n*10 + k, Bytes: 7, On: fmt.Sprint("c", n), Want: fmt.Sprint("c", (n+1+k%4)%20)})
+				inv.Shards = append(inv.Shards, Shard{ID: n*10 + k, Bytes: 7, Source: fmt.Sprint("c", n), Target: fmt.Sprint("c", (n+1+k%4)%20)})
 			}
 		}
-		inv.Nodes = append(inv.Nodes, Node{Name: "free", Room: spare})
+		inv.Nodes = append(inv.Nodes, Node{Name: "free", Capacity: spare})
 		terms := Terms{PerNode: 2, InAll: 32}
 		p, err := Make(inv, terms)
 		var stuck *StuckError
@@ -497,10 +497,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if what := wrong(inv, terms, p); what != "" || p.Bytes > p.Least*6/5 {
-			t.Errorf("%s; %d bytes, %d at least, %d aside", what, p.Bytes, p.Least, p.Through)
+		if what := wrong(inv, terms, p); what != "" || p.Bytes > p.LowerBoundBytes*6/5 {
+			t.Errorf("%s; %d bytes, %d at least, %d aside", what, p.Bytes, p.LowerBoundBytes, p.IntermediateMoves)
 		}
-		t.Logf("%d bytes, %d at least, %d aside, %d steps", p.Bytes, p.Least, p.Through, len(p.Steps))
+		t.Logf("%d bytes, %d at least, %d aside, %d steps", p.Bytes, p.LowerBoundBytes, p.IntermediateMoves, len(p.Steps))
 	}
 }
 
@@ -508,11 +508,11 @@
 // or more bytes.
 func TestBaselines(t *testing.T) {
 	inv := large(60, 1200, 0.03, true, 2)
-	load, room, most := map[string]int64{}, inv.Nodes[0].Room, int64(0)
+	load, room, most := map[string]int64{}, inv.Nodes[0].Capacity, int64(0)
 	for _, s := range inv.Shards {
-		load[s.On] += s.Bytes
-		if s.Want != s.On {
-			load[s.Want] += s.Bytes
+		load[s.Source] += s.Bytes
+		if s.Target != s.Source {
+			load[s.Target] += s.Bytes
 		}
 	}
 	for _, l := range load {
--- a/rebalance/order.go
+++ b/rebalance/order.go
@@ -19,7 +19,7 @@
 // order brings each shard where it is to be: in each step as many moves as there is room for, those first that leave a node which
 // others wait for. Where none has room, one shard goes by way of a third node: the one that costs the fewest bytes.
 func (b *board) order(goal []int) (*Plan, error) {
-	w := &state{board: b, on: slices.Clone(b.on), load: slices.Clone(b.load), plan: &Plan{Least: b.least()}, goal: goal}
+	w := &state{board: b, on: slices.Clone(b.on), load: slices.Clone(b.load), plan: &Plan{LowerBoundBytes: b.least()}, goal: goal}
 	for s := range goal {
 		if w.on[s] != goal[s] {
 			w.todo = append(w.todo, s)
@@ -34,7 +34,7 @@
 				return nil, w.wedged()
 			}
 			step = append(step, m)
-			w.plan.Through++
+			w.plan.IntermediateMoves++
 		}
 		w.take(step)
 	}
@@ -52,7 +52,7 @@
 func (w *state) step() (step []Move) {
 	awaited := make([]int64, len(w.nodes)) // bytes that are to come, beyond the room there is
 	for n := range awaited {
-		awaited[n] = w.load[n] - w.nodes[n].Room
+		awaited[n] = w.load[n] - w.nodes[n].Capacity
 	}
 	for _, s := range w.todo {
 		awaited[w.goal[s]] += w.shards[s].Bytes
@@ -66,7 +66,7 @@
 			}
 			from, to := w.on[s], w.goal[s]
 			if first != (from != nowhere && awaited[from] > 0) || parts[to] >= w.PerNode || from != nowhere && parts[from] >= w.PerNode ||
-				w.load[to]+coming[to]+w.shards[s].Bytes > w.nodes[to].Room {
+				w.load[to]+coming[to]+w.shards[s].Bytes > w.nodes[to].Capacity {
 				continue
 			}
 			step = append(step, w.move(s, to))
@@ -133,19 +133,19 @@
 	}
 	for _, s := range w.todo {
 		n := w.goal[s]
-		lacks[n] = min(lacks[n], w.load[n]+w.shards[s].Bytes-w.nodes[n].Room)
+		lacks[n] = min(lacks[n], w.load[n]+w.shards[s].Bytes-w.nodes[n].Capacity)
 	}
 	roomy := make([]int, 0, len(w.nodes))
 	for n := range w.nodes {
-		if !w.nodes[n].Leaves {
+		if !w.nodes[n].Draining {
 			roomy = append(roomy, n)
 		}
 	}
-	slices.SortStableFunc(roomy, func(x, y int) int { return cmp.Compare(w.nodes[y].Room-w.load[y], w.nodes[x].Room-w.load[x]) })
+	slices.SortStableFunc(roomy, func(x, y int) int { return cmp.Compare(w.nodes[y].Capacity-w.load[y], w.nodes[x].Capacity-w.load[x]) })
 	best, to, cost := nowhere, nowhere, int64(math.MaxInt64)
 	for s := range w.shards {
 		n := w.on[s]
-		if n == nowhere || lacks[n] == math.MaxInt64 || w.shards[s].Pin || w.shards[s].Bytes == 0 {
+		if n == nowhere || lacks[n] == math.MaxInt64 || w.shards[s].Pinned || w.shards[s].Bytes == 0 {
 			continue
 		}
 		c := w.shards[s].Bytes
@@ -159,7 +159,7 @@
 			continue
 		}
 		for _, r := range roomy {
-			if r != n && r != w.goal[s] && w.nodes[r].Room-w.load[r] >= w.shards[s].Bytes && zoned(&w.shards[s], &w.nodes[r]) {
+			if r != n && r != w.goal[s] && w.nodes[r].Capacity-w.load[r] >= w.shards[s].Bytes && w.shards[s].allowsZone(w.nodes[r].Zone) {
 				best, to, cost = s, r, c
 				break
 			}
@@ -176,8 +176,8 @@
 	e, least := &StuckError{Shards: len(w.todo)}, map[int]int64{}
 	for _, s := range w.todo {
 		n := w.goal[s]
-		if l, ok := least[n]; !ok || w.load[n]+w.shards[s].Bytes-w.nodes[n].Room < l {
-			least[n] = w.load[n] + w.shards[s].Bytes - w.nodes[n].Room
+		if l, ok := least[n]; !ok || w.load[n]+w.shards[s].Bytes-w.nodes[n].Capacity < l {
+			least[n] = w.load[n] + w.shards[s].Bytes - w.nodes[n].Capacity
 		}
 	}
 	for n, l := range least {
--- a/rebalance/search.go
+++ b/rebalance/search.go
@@ -12,7 +12,7 @@
 	base, all := len(b.nodes)+1, 1
 	var loose []int // shards that may move
 	for s := range b.shards {
-		if !b.shards[s].Pin {
+		if !b.shards[s].Pinned {
 			loose = append(loose, s)
 			all *= base
 		}
@@ -51,7 +51,7 @@
 		}
 		for i, s := range loose {
 			for n := range b.nodes {
-				if n == on[s] || !b.may(s, n) || load[n]+b.shards[s].Bytes > b.nodes[n].Room {
+				if n == on[s] || !b.may(s, n) || load[n]+b.shards[s].Bytes > b.nodes[n].Capacity {
 					continue
 				}
 				to := int(x.at) + (n-on[s])*power[i]
@@ -92,7 +92,7 @@
 		way = append(way, at)
 	}
 	slices.Reverse(way)
-	w := &state{board: b, on: slices.Clone(b.on), load: slices.Clone(b.load), plan: &Plan{Least: b.least(), Exact: true, Bytes: bytes}}
+	w := &state{board: b, on: slices.Clone(b.on), load: slices.Clone(b.load), plan: &Plan{LowerBoundBytes: b.least(), Optimal: true, Bytes: bytes}}
 	final := map[int]int{}
 	for i, s := range loose {
 		final[s] = way[len(way)-1]/power[i]%base - 1
@@ -120,7 +120,7 @@
 				continue
 			}
 			full := func(n int) bool { return n != nowhere && parts[n] >= b.PerNode }
-			if moving[s] || len(step) >= b.InAll || full(to) || full(w.on[s]) || w.load[to]+coming[to]+b.shards[s].Bytes > b.nodes[to].Room {
+			if moving[s] || len(step) >= b.InAll || full(to) || full(w.on[s]) || w.load[to]+coming[to]+b.shards[s].Bytes > b.nodes[to].Capacity {
 				end()
 			}
 			step = append(step, w.move(s, to))
@@ -131,7 +131,7 @@
 				leaving[w.on[s]] += b.shards[s].Bytes
 			}
 			if w.on[s] = to; to != final[s] {
-				w.plan.Through++
+				w.plan.IntermediateMoves++
 			}
 		}
 	}
