rebalance: planner split into problem, capacity, placement, knapsack, schedule and search

Now: problem is the validated input and constant; placement, schedule and search have their own state; splitByCapacity is a knapsack on bit sets. Merged: both ways of filling a step (step.accepts, schedule.apply), sums of bytes and capacity, shortfalls by node, the order by size, groups of anti-affinity. An unused parameter went. No change of behaviour.

--- a/rebalance/moves_test.go
+++ b/rebalance/moves_test.go
@@ -438,7 +438,7 @@
 	for range 20 {
 		inv := large(10, 24, 0.5, false, r.Uint64())
 		terms := Terms{Slack: 0.3, PerNode: 2, InAll: 8}
-		b, err := newBoard(inv, terms)
+		b, err := newProblem(inv, terms)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -451,7 +451,7 @@
 		a, rhs := mat.NewDense(k+n, k*n+n, nil), make([]float64, k+n)
 		for s := range k {
 			for m := range n {
-				if c[s*n+m] = float64(b.shards[s].Bytes) / 1e6; b.on[s] == m {
+				if c[s*n+m] = float64(b.shards[s].Bytes) / 1e6; b.sourceNodes[s] == m {
 					c[s*n+m] = 0
 				}
 				a.Set(s, s*n+m, 1)
@@ -461,13 +461,13 @@
 		}
 		for m := range n {
 			a.Set(k+m, k*n+m, 1)
-			rhs[k+m] = float64(b.most[m]) / 1e6
+			rhs[k+m] = float64(b.maxLoads[m]) / 1e6
 		}
 		best, _, err := lp.Simplex(c, a, rhs, 1e-9, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := float64(b.least()) / 1e6; math.Abs(got-best) > 1e-3*best+1e-4 {
+		if got := float64(b.lowerBoundBytes()) / 1e6; math.Abs(got-best) > 1e-3*best+1e-4 {
 			t.Errorf("%.4f, by the linear program %.4f", got, best)
 		}
 	}
--- /dev/null
+++ b/rebalance/placement.go
@@ -0,0 +1,213 @@
+package rebalance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	// Each eviction makes a shard wait again. The number of assignments is limited, by shards that wait at first and
+	// by a constant for small inventories, so that two shards can't evict each other forever.
+	assignmentsPerShard = 4
+	extraAssignments    = 64
+	// evictionDiscount divides the cost of evicting a shard that migrates anyway.
+	evictionDiscount = 4
+	// maxReportedShortfalls is the number of nodes that a RoomError lists for a shard that fits none.
+	maxReportedShortfalls = 8
+)
+
+// slackIncrements are added to the stated slack, one after the other, to find a feasible one.
+var slackIncrements = []float64{0.01, 0.02, 0.05, 0.1, 0.2, 0.5}
+
+// maxTriedSlack is tried last.
+const maxTriedSlack = 1.0
+
+// placement chooses the node that each shard ends on.
+type placement struct {
+	*problem
+	finalNodes []int   // by shard, or unplaced
+	finalLoads []int64 // by node
+	waiting    []int   // shards without a node
+}
+
+// placeShards returns the node that each shard ends on. Nodes retain as many bytes as they may. What is displaced is
+// placed by best fit, the largest shard first; where a shard does not fit, a smaller one is evicted for it.
+func (p *problem) placeShards() ([]int, error) {
+	pl := &placement{problem: p, finalNodes: slices.Clone(p.sourceNodes), finalLoads: make([]int64, len(p.nodes))}
+	pl.assignRequired()
+	pl.retain()
+	if err := pl.assignWaiting(); err != nil {
+		return nil, err
+	}
+	return pl.finalNodes, nil
+}
+
+func (pl *placement) assignRequired() {
+	for shard, node := range pl.requiredNodes {
+		if node != unplaced {
+			pl.assign(shard, node)
+		}
+	}
+}
+
+// assign puts a shard on a node.
+func (pl *placement) assign(shard, node int) {
+	pl.finalNodes[shard] = node
+	pl.finalLoads[node] += pl.shards[shard].Bytes
+}
+
+// retain divides the free shards of each node into those that stay and those that wait for another node.
+func (pl *placement) retain() {
+	candidates := make([][]int, len(pl.nodes))
+	for shard := range pl.shards {
+		if pl.requiredNodes[shard] != unplaced {
+			continue
+		}
+		node := pl.finalNodes[shard]
+		if node == unplaced || !pl.isAllowed(shard, node) || !pl.isSeparated(pl.finalNodes, shard, node) {
+			pl.finalNodes[shard] = unplaced
+			pl.waiting = append(pl.waiting, shard)
+			continue
+		}
+		candidates[node] = append(candidates[node], shard)
+	}
+	for node, shards := range candidates {
+		retained, displaced := pl.splitByCapacity(shards, pl.maxLoads[node]-pl.finalLoads[node])
+		for _, shard := range retained {
+			pl.finalLoads[node] += pl.shards[shard].Bytes
+		}
+		for _, shard := range displaced {
+			pl.finalNodes[shard] = unplaced
+		}
+		pl.waiting = append(pl.waiting, displaced...)
+		pl.yield()
+	}
+}
+
+// assignWaiting places the shards that have no node.
+func (pl *placement) assignWaiting() error {
+	slices.SortFunc(pl.waiting, pl.compareLargestFirst)
+	maxAssignments := assignmentsPerShard*len(pl.waiting) + extraAssignments
+	for assignments := 0; len(pl.waiting) > 0; assignments++ {
+		shard := pl.waiting[0]
+		pl.waiting = pl.waiting[1:]
+		pl.yield()
+		node := pl.bestFit(shard)
+		if node == unplaced && assignments < maxAssignments {
+			node = pl.evictFor(shard)
+		}
+		if node == unplaced {
+			return pl.explainUnplaced(shard)
+		}
+		pl.assign(shard, node)
+	}
+	return nil
+}
+
+// bestFit returns the node that has the least capacity left with the shard, or unplaced. The shard's source takes
+// precedence over the nodes after it, because a shard that stays migrates no bytes.
+func (pl *placement) bestFit(shard int) int {
+	best, leastLeft := unplaced, int64(math.MaxInt64)
+	for node := range pl.nodes {
+		left := pl.maxLoads[node] - pl.finalLoads[node] - pl.shards[shard].Bytes
+		if left < 0 || left >= leastLeft ||
+			!pl.isAllowed(shard, node) || !pl.isSeparated(pl.finalNodes, shard, node) {
+			continue
+		}
+		best, leastLeft = node, left
+		if node == pl.sourceNodes[shard] {
+			break
+		}
+	}
+	return best
+}
+
+// evictFor makes a smaller shard wait again, so that its node has capacity for a shard. It returns that node, or
+// unplaced if no eviction helps.
+func (pl *placement) evictFor(shard int) int {
+	evicted := pl.cheapestEviction(shard)
+	if evicted == unplaced {
+		return unplaced
+	}
+	node := pl.finalNodes[evicted]
+	pl.finalLoads[node] -= pl.shards[evicted].Bytes
+	pl.finalNodes[evicted] = unplaced
+	i, _ := slices.BinarySearchFunc(pl.waiting, evicted, pl.compareLargestFirst)
+	pl.waiting = slices.Insert(pl.waiting, i, evicted)
+	return node
+}
+
+// cheapestEviction returns the shard whose eviction gives a larger one enough capacity at the least cost, or unplaced.
+func (pl *placement) cheapestEviction(shard int) int {
+	best, leastCost := unplaced, int64(math.MaxInt64)
+	for candidate := range pl.shards {
+		node := pl.finalNodes[candidate]
+		if node == unplaced || !pl.isEvictable(candidate, shard) {
+			continue
+		}
+		cost := pl.shards[candidate].Bytes
+		if pl.sourceNodes[candidate] != node {
+			cost /= evictionDiscount
+		}
+		if cost < leastCost {
+			best, leastCost = candidate, cost
+		}
+	}
+	return best
+}
+
+// isEvictable reports whether a placed shard may go, and a larger one may take its node once it has gone.
+func (pl *placement) isEvictable(candidate, shard int) bool {
+	node, freed, needed := pl.finalNodes[candidate], pl.shards[candidate].Bytes, pl.shards[shard].Bytes
+	return pl.requiredNodes[candidate] == unplaced && freed < needed &&
+		pl.isAllowed(shard, node) && pl.isSeparated(pl.finalNodes, shard, node) &&
+		pl.maxLoads[node]-pl.finalLoads[node]+freed >= needed
+}
+
+// explainUnplaced returns why a shard fits no node: the slack is too small, or the capacity.
+func (pl *placement) explainUnplaced(shard int) error {
+	if slack, ok := pl.feasibleSlack(); ok {
+		return &BalanceError{Stated: pl.settings.Slack, Needed: slack}
+	}
+	var shortfalls []Lack
+	for i := range pl.nodes {
+		node, bytes := &pl.nodes[i], pl.shards[shard].Bytes
+		if left := node.Capacity - pl.finalLoads[i]; left < bytes && pl.isAllowed(shard, i) {
+			shortfalls = append(shortfalls, Lack{Node: node.Name, Bytes: bytes - left})
+		}
+	}
+	if len(shortfalls) == 0 {
+		return &BalanceError{Stated: pl.settings.Slack}
+	}
+	slices.SortStableFunc(shortfalls, func(x, y Lack) int { return cmp.Compare(x.Bytes, y.Bytes) })
+	return &RoomError{
+		Lacks:  shortfalls[:min(len(shortfalls), maxReportedShortfalls)],
+		Needed: pl.totalBytes(),
+		Room:   pl.remainingCapacity(),
+	}
+}
+
+// feasibleSlack looks for a larger slack that has a placement. It reports false if there is none among those tried, or
+// if the problem is such a trial itself.
+func (p *problem) feasibleSlack() (slack float64, ok bool) {
+	if p.isRelaxed {
+		return 0, false
+	}
+	var tried []float64
+	for _, increment := range slackIncrements {
+		tried = append(tried, p.settings.Slack+increment)
+	}
+	for _, slack := range append(tried, maxTriedSlack) {
+		if slack <= p.settings.Slack {
+			continue
+		}
+		relaxed := *p
+		relaxed.settings.Slack, relaxed.isRelaxed = slack, true
+		relaxed.setMaxLoads()
+		if _, err := relaxed.placeShards(); err == nil {
+			return slack, true
+		}
+	}
+	return 0, false
+}
--- a/rebalance/plan.go
+++ b/rebalance/plan.go
@@ -1,5 +1,7 @@
 package rebalance
 
+import "math"
+
 // Move is the migration of one shard. Nodes are given by name.
 type Move struct {
 	Shard int    `json:"shard"`          // ID of the shard
@@ -17,3 +19,34 @@
 	IntermediateMoves int      `json:"through"` // migrations to a node where the shard does not stay, to free capacity
 	Optimal           bool     `json:"exact"`   // no plan migrates fewer bytes than this one
 }
+
+// Make plans the migrations of an inventory. Settings below the range of [Terms.PerNode] and [Terms.InAll] count as 1.
+// If there is no plan, the error is an [*InventoryError], [*ShardError], [*RoomError], [*BalanceError] or [*StuckError].
+func Make(inventory *Inventory, settings Terms) (*Plan, error) {
+	p, err := newProblem(inventory, settings)
+	if err != nil {
+		return nil, err
+	}
+	if p.isSearchable() {
+		return p.searchPlan()
+	}
+	return p.heuristicPlan()
+}
+
+// isSearchable reports whether the number of placements is within the limit of the settings.
+func (p *problem) isSearchable() bool {
+	if p.settings.Exact <= 0 {
+		return false
+	}
+	choices := float64(len(p.nodes) + 1) // each node, or none
+	return math.Pow(choices, float64(len(p.movableShards()))) <= float64(p.settings.Exact)
+}
+
+// heuristicPlan chooses the final nodes first and the order of the migrations after that.
+func (p *problem) heuristicPlan() (*Plan, error) {
+	finalNodes, err := p.placeShards()
+	if err != nil {
+		return nil, err
+	}
+	return p.scheduleMigrations(finalNodes)
+}
--- /dev/null
+++ b/rebalance/problem.go
@@ -0,0 +1,202 @@
+package rebalance
+
+import (
+	"cmp"
+	"fmt"
+)
+
+const (
+	// unplaced stands for the node's index of a shard that is on no node, or that may end on any.
+	unplaced = -1
+	// maxShardBytes keeps sums over all shards within an int64.
+	maxShardBytes = 1 << 50
+	// maxWeight is the exclusive upper limit of a node's weight.
+	maxWeight = 1e9
+	// yieldInterval is the number of units of work between two calls of Terms.Breathe.
+	yieldInterval = 256
+)
+
+// problem is a validated inventory with the settings. Nodes and shards are identified by their index in the inventory.
+// All but yieldCount is constant once newProblem has returned.
+type problem struct {
+	settings Terms
+	nodes    []Node
+	shards   []Shard
+
+	nodeIndexes   map[string]int   // by node name
+	sourceNodes   []int            // by shard: the node that stores it, or unplaced
+	requiredNodes []int            // by shard: the node that it has to end on; unplaced: any
+	groups        map[string][]int // shards by anti-affinity group
+	sourceLoads   []int64          // by node: bytes stored now
+	requiredLoads []int64          // by node: bytes of the shards that have to end there
+	maxLoads      []int64          // by node: bytes that it may store in the end
+	hasFreeShards bool             // at least one shard may end on any node
+	isRelaxed     bool             // a copy with more slack than stated, to find out which slack is feasible
+
+	yieldCount int
+}
+
+// location is where a shard is and has to be: indexes of nodes, or unplaced.
+type location struct {
+	source, required int
+}
+
+func newProblem(inventory *Inventory, settings Terms) (*problem, error) {
+	settings.PerNode, settings.InAll = max(settings.PerNode, 1), max(settings.InAll, 1)
+	p := &problem{
+		settings:      settings,
+		nodes:         inventory.Nodes,
+		shards:        inventory.Shards,
+		nodeIndexes:   make(map[string]int, len(inventory.Nodes)),
+		groups:        map[string][]int{},
+		sourceLoads:   make([]int64, len(inventory.Nodes)),
+		requiredLoads: make([]int64, len(inventory.Nodes)),
+	}
+	if err := p.indexNodes(); err != nil {
+		return nil, err
+	}
+	if err := p.indexShards(); err != nil {
+		return nil, err
+	}
+	p.setMaxLoads()
+	if err := p.checkCapacity(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// indexNodes validates the nodes and fills the index by name.
+func (p *problem) indexNodes() error {
+	for i := range p.nodes {
+		node := &p.nodes[i]
+		if _, ok := p.nodeIndexes[node.Name]; ok || node.Name == "" {
+			return invalidEntry("nodes", i, "name %q is missing or doubled", node.Name)
+		}
+		// written so that NaN fails
+		if node.Capacity < 0 || !(node.Weight >= 0 && node.Weight < maxWeight) {
+			return invalidEntry("nodes", i, "room %d or weight %v is out of its range", node.Capacity, node.Weight)
+		}
+		p.nodeIndexes[node.Name] = i
+	}
+	return nil
+}
+
+// indexShards validates the shards and fills what is known by shard, group and load.
+func (p *problem) indexShards() error {
+	seen := make(map[int]bool, len(p.shards))
+	for i := range p.shards {
+		shard := &p.shards[i]
+		if seen[shard.ID] || shard.Bytes < 0 || shard.Bytes > maxShardBytes {
+			return invalidEntry("shards", i, "id %d is doubled, or %d bytes are out of range", shard.ID, shard.Bytes)
+		}
+		seen[shard.ID] = true
+		at, err := p.locate(i)
+		if err != nil {
+			return err
+		}
+		p.addShard(i, at)
+	}
+	return nil
+}
+
+// locate resolves the names of a shard's nodes and checks that it may be where it has to be.
+func (p *problem) locate(shard int) (location, error) {
+	s := &p.shards[shard]
+	source, ok := p.resolveNode(s.Source)
+	if !ok {
+		return location{}, invalidEntry("shards", shard, "no node %q", s.Source)
+	}
+	required, ok := p.resolveNode(s.Target)
+	if !ok {
+		return location{}, invalidEntry("shards", shard, "no node %q", s.Target)
+	}
+	if s.Pinned {
+		if source == unplaced {
+			return location{}, invalidEntry("shards", shard, "pinned, and nowhere")
+		}
+		if required != unplaced && required != source || !p.isAllowed(shard, source) {
+			return location{}, &ShardError{Shard: s.ID, Bytes: s.Bytes, Pinned: true}
+		}
+		return location{source: source, required: source}, nil
+	}
+	if required != unplaced && !p.isAllowed(shard, required) {
+		return location{}, invalidEntry("shards", shard,
+			"wants %q, which leaves or is in a zone that it may not be in", s.Target)
+	}
+	return location{source: source, required: required}, nil
+}
+
+// resolveNode returns the index of a node, or unplaced for the empty name. It reports false if there is no such node.
+func (p *problem) resolveNode(name string) (index int, ok bool) {
+	if name == "" {
+		return unplaced, true
+	}
+	index, ok = p.nodeIndexes[name]
+	return index, ok
+}
+
+// addShard records the location of the next shard.
+func (p *problem) addShard(shard int, at location) {
+	s := &p.shards[shard]
+	p.sourceNodes = append(p.sourceNodes, at.source)
+	p.requiredNodes = append(p.requiredNodes, at.required)
+	if at.source != unplaced {
+		p.sourceLoads[at.source] += s.Bytes
+	}
+	if at.required != unplaced {
+		p.requiredLoads[at.required] += s.Bytes
+	} else {
+		p.hasFreeShards = true
+	}
+	if s.AntiAffinity != "" {
+		p.groups[s.AntiAffinity] = append(p.groups[s.AntiAffinity], shard)
+	}
+}
+
+func invalidEntry(list string, index int, format string, args ...any) *InventoryError {
+	return &InventoryError{Where: fmt.Sprintf("%s[%d]", list, index), What: fmt.Sprintf(format, args...)}
+}
+
+// isAllowed reports whether a shard may be on a node, whatever else is there.
+func (p *problem) isAllowed(shard, node int) bool {
+	return !p.nodes[node].Draining && p.shards[shard].allowsZone(p.nodes[node].Zone)
+}
+
+// isSeparated reports whether no other shard of the shard's anti-affinity group is in the zone of a node. nodeOf holds
+// the node of each shard, or unplaced.
+func (p *problem) isSeparated(nodeOf []int, shard, node int) bool {
+	group := p.shards[shard].AntiAffinity
+	if group == "" {
+		return true
+	}
+	for _, other := range p.groups[group] {
+		if other != shard && nodeOf[other] != unplaced && p.nodes[nodeOf[other]].Zone == p.nodes[node].Zone {
+			return false
+		}
+	}
+	return true
+}
+
+// movableShards returns the shards that are not pinned.
+func (p *problem) movableShards() []int {
+	var movable []int
+	for shard := range p.shards {
+		if !p.shards[shard].Pinned {
+			movable = append(movable, shard)
+		}
+	}
+	return movable
+}
+
+// compareLargestFirst orders shards by size, the largest first, and those of one size by index.
+func (p *problem) compareLargestFirst(x, y int) int {
+	return cmp.Or(cmp.Compare(p.shards[y].Bytes, p.shards[x].Bytes), cmp.Compare(x, y))
+}
+
+// yield counts a unit of work and lets others have the processor now and then.
+func (p *problem) yield() {
+	p.yieldCount++
+	if p.yieldCount%yieldInterval == 0 && p.settings.Breathe != nil {
+		p.settings.Breathe()
+	}
+}
--- /dev/null
+++ b/rebalance/schedule.go
@@ -0,0 +1,221 @@
+package rebalance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	// The number of steps is limited, by shards that migrate and by a constant for small inventories, so that
+	// intermediate migrations can't go on forever.
+	stepsPerShard = 4
+	extraSteps    = 64
+	// insufficientPenalty is added to the cost in bytes of an intermediate migration that does not free enough
+	// capacity by itself, so that one that does is preferred.
+	insufficientPenalty = 1 << 40
+)
+
+// schedule orders migrations into steps. It holds the state that the steps so far have led to.
+type schedule struct {
+	*problem
+	plan         *Plan
+	finalNodes   []int   // by shard
+	currentNodes []int   // by shard, or unplaced
+	loads        []int64 // by node: bytes stored
+	pending      []int   // shards that are not on their final nodes, the largest first
+}
+
+func newSchedule(p *problem, finalNodes []int) *schedule {
+	s := &schedule{
+		problem:      p,
+		plan:         &Plan{LowerBoundBytes: p.lowerBoundBytes()},
+		finalNodes:   finalNodes,
+		currentNodes: slices.Clone(p.sourceNodes),
+		loads:        slices.Clone(p.sourceLoads),
+	}
+	for shard := range finalNodes {
+		if s.currentNodes[shard] != finalNodes[shard] {
+			s.pending = append(s.pending, shard)
+		}
+	}
+	slices.SortFunc(s.pending, s.compareLargestFirst)
+	return s
+}
+
+// scheduleMigrations plans the migrations that bring each shard to its final node. Each step has as many direct
+// migrations as the limits allow. Where none is possible, one shard migrates to an intermediate node to free capacity.
+func (p *problem) scheduleMigrations(finalNodes []int) (*Plan, error) {
+	s := newSchedule(p, finalNodes)
+	for stepsLeft := stepsPerShard*len(s.pending) + extraSteps; len(s.pending) > 0; stepsLeft-- {
+		next := s.directStep()
+		if next.isEmpty() {
+			t, ok := s.intermediateTransfer()
+			if !ok || stepsLeft < 0 {
+				return nil, s.explainStuck()
+			}
+			next.add(t)
+		}
+		s.apply(next)
+	}
+	return s.plan, nil
+}
+
+// directStep returns a step of migrations to final nodes. Migrations from nodes that others need capacity at go first.
+func (s *schedule) directStep() *step {
+	next, excess := newStep(s), s.excessLoads()
+	for _, urgent := range []bool{true, false} {
+		for _, shard := range s.pending {
+			s.yield()
+			if next.isFull() {
+				return next
+			}
+			t := transfer{shard: shard, source: s.currentNodes[shard], target: s.finalNodes[shard]}
+			isUrgent := t.source != unplaced && excess[t.source] > 0
+			if isUrgent == urgent && next.accepts(t) {
+				next.add(t)
+			}
+		}
+	}
+	return next
+}
+
+// excessLoads returns by node the bytes that it would be over its capacity if all that is pending came at once.
+func (s *schedule) excessLoads() []int64 {
+	excess := make([]int64, len(s.nodes))
+	for node := range excess {
+		excess[node] = s.loads[node] - s.nodes[node].Capacity
+	}
+	for _, shard := range s.pending {
+		excess[s.finalNodes[shard]] += s.shards[shard].Bytes
+	}
+	return excess
+}
+
+// apply appends a step to the plan and carries it out.
+func (s *schedule) apply(next *step) {
+	moves := make([]Move, 0, len(next.transfers))
+	displaced := false
+	for _, t := range next.transfers {
+		moves = append(moves, s.moveOf(t))
+		s.plan.Bytes += s.shards[t.shard].Bytes
+		if t.target != s.finalNodes[t.shard] {
+			s.plan.IntermediateMoves++
+		}
+		if t.source == s.finalNodes[t.shard] { // it has to come back
+			s.pending = append(s.pending, t.shard)
+			displaced = true
+		}
+		if t.source != unplaced {
+			s.loads[t.source] -= s.shards[t.shard].Bytes
+		}
+		s.loads[t.target] += s.shards[t.shard].Bytes
+		s.currentNodes[t.shard] = t.target
+	}
+	s.plan.Steps = append(s.plan.Steps, moves)
+	s.pending = slices.DeleteFunc(s.pending, func(shard int) bool {
+		return s.currentNodes[shard] == s.finalNodes[shard]
+	})
+	if displaced {
+		slices.SortFunc(s.pending, s.compareLargestFirst)
+	}
+}
+
+func (p *problem) moveOf(t transfer) Move {
+	move := Move{Shard: p.shards[t.shard].ID, To: p.nodes[t.target].Name, Bytes: p.shards[t.shard].Bytes}
+	if t.source != unplaced {
+		move.From = p.nodes[t.source].Name
+	}
+	return move
+}
+
+// intermediateTransfer returns the migration of the fewest bytes that frees capacity at a node that others wait for, to
+// a node that is not the shard's final one. It reports false if there is none.
+func (s *schedule) intermediateTransfer() (best transfer, ok bool) {
+	shortfalls := s.entryShortfalls()
+	hosts := s.nodesByFreeCapacity()
+	leastCost := int64(math.MaxInt64)
+	for shard := range s.shards {
+		source := s.currentNodes[shard]
+		if source == unplaced || shortfalls[source] == math.MaxInt64 ||
+			s.shards[shard].Pinned || s.shards[shard].Bytes == 0 {
+			continue
+		}
+		cost := s.intermediateCost(shard, shortfalls[source])
+		if cost >= leastCost {
+			continue
+		}
+		if host := s.intermediateHost(shard, hosts); host != unplaced {
+			best, leastCost, ok = transfer{shard: shard, source: source, target: host}, cost, true
+		}
+	}
+	return best, ok
+}
+
+// entryShortfalls returns by node the capacity in bytes that would let its smallest pending shard in, or math.MaxInt64
+// if none is pending.
+func (s *schedule) entryShortfalls() []int64 {
+	shortfalls := make([]int64, len(s.nodes))
+	for node := range shortfalls {
+		shortfalls[node] = math.MaxInt64
+	}
+	for _, shard := range s.pending {
+		node := s.finalNodes[shard]
+		shortfall := s.loads[node] + s.shards[shard].Bytes - s.nodes[node].Capacity
+		shortfalls[node] = min(shortfalls[node], shortfall)
+	}
+	return shortfalls
+}
+
+// nodesByFreeCapacity returns the nodes that are not draining, the one with the most free capacity first.
+func (s *schedule) nodesByFreeCapacity() []int {
+	nodes := make([]int, 0, len(s.nodes))
+	for node := range s.nodes {
+		if !s.nodes[node].Draining {
+			nodes = append(nodes, node)
+		}
+	}
+	slices.SortStableFunc(nodes, func(x, y int) int { return cmp.Compare(s.freeCapacity(y), s.freeCapacity(x)) })
+	return nodes
+}
+
+func (s *schedule) freeCapacity(node int) int64 { return s.nodes[node].Capacity - s.loads[node] }
+
+// intermediateCost returns the cost in bytes of a shard's migration to an intermediate node, if its source is short of
+// a number of bytes.
+func (s *schedule) intermediateCost(shard int, shortfall int64) int64 {
+	bytes := s.shards[shard].Bytes
+	cost := bytes
+	if s.finalNodes[shard] == s.currentNodes[shard] {
+		cost *= 2 // it has to come back
+	}
+	if remaining := shortfall - bytes; remaining > 0 {
+		cost += insufficientPenalty + remaining
+	}
+	return cost
+}
+
+// intermediateHost returns the first of the nodes that can store a shard for a while, or unplaced.
+func (s *schedule) intermediateHost(shard int, nodes []int) int {
+	for _, node := range nodes {
+		if node != s.currentNodes[shard] && node != s.finalNodes[shard] &&
+			s.freeCapacity(node) >= s.shards[shard].Bytes && s.isAllowed(shard, node) {
+			return node
+		}
+	}
+	return unplaced
+}
+
+// explainStuck returns what the pending migrations are short of.
+func (s *schedule) explainStuck() error {
+	stuck := &StuckError{Shards: len(s.pending)}
+	for node, shortfall := range s.entryShortfalls() {
+		if shortfall != math.MaxInt64 {
+			stuck.Lacks = append(stuck.Lacks, Lack{Node: s.nodes[node].Name, Bytes: shortfall})
+		}
+	}
+	slices.SortFunc(stuck.Lacks, func(x, y Lack) int {
+		return cmp.Or(cmp.Compare(x.Bytes, y.Bytes), cmp.Compare(x.Node, y.Node))
+	})
+	return stuck
+}
--- a/rebalance/search.go
+++ b/rebalance/search.go
@@ -6,157 +6,164 @@
 	"slices"
 )
 
-// search goes through placements in the order of the bytes that lead to them, one move at a time, until one is a goal: no plan
-// moves fewer bytes.
-func (b *board) search() (*Plan, error) {
-	base, all := len(b.nodes)+1, 1
-	var loose []int // shards that may move
-	for s := range b.shards {
-		if !b.shards[s].Pinned {
-			loose = append(loose, s)
-			all *= base
-		}
+// noState stands for the predecessor of the start state.
+const noState = -1
+
+// search is a uniform-cost search over placements: states are visited in the order of the bytes that lead to them, one
+// migration at a time, so that the first valid final state has the fewest bytes of all plans.
+//
+// A state is a placement of the movable shards, encoded as a number: the digit of a shard is the index of its node plus
+// 1, and 0 where it is unplaced.
+type search struct {
+	*problem
+	movable     []int   // shards that are not pinned, the one of the lowest digit first
+	base        int     // number of values that a digit has
+	placeValues []int   // by movable shard: the value of its digit
+	costs       []int64 // by state: the fewest bytes found that lead to it
+	previous    []int32 // by state: the one before it on that path
+	queue       visitQueue
+
+	nodeOf []int   // by shard: its node in the state that is being visited
+	loads  []int64 // by node: its load in that state
+}
+
+// searchPlan returns the plan that migrates the fewest bytes.
+func (p *problem) searchPlan() (*Plan, error) {
+	s := newSearch(p)
+	if final, ok := s.run(); ok {
+		return s.planTo(final), nil
 	}
-	groups := b.groups()
-	cost, from := make([]int64, all), make([]int32, all)
-	for i := range cost {
-		cost[i] = math.MaxInt64
+	// The search does not tell why there is no plan. The heuristics do: no placement, or no order of migrations.
+	if _, err := p.heuristicPlan(); err != nil {
+		return nil, err
 	}
-	start, power := 0, make([]int, len(loose))
-	for i, p := 0, 1; i < len(loose); i++ {
-		power[i] = p
-		start += (b.on[loose[i]] + 1) * p
-		p *= base
+	return nil, &BalanceError{Stated: p.settings.Slack}
+}
+
+func newSearch(p *problem) *search {
+	s := &search{
+		problem: p,
+		movable: p.movableShards(),
+		base:    len(p.nodes) + 1,
+		nodeOf:  slices.Clone(p.sourceNodes),
+		loads:   make([]int64, len(p.nodes)),
 	}
-	cost[start], from[start] = 0, -1
-	q := &queue{{0, 0, int32(start)}}
-	on, load := slices.Clone(b.on), make([]int64, len(b.nodes))
-	for q.Len() > 0 {
-		x := heap.Pop(q).(visit)
-		if x.cost != cost[x.at] {
-			continue
-		}
-		b.breathe()
-		clear(load)
-		for i, s := range loose {
-			on[s] = int(x.at)/power[i]%base - 1
-		}
-		for s := range on {
-			if on[s] != nowhere {
-				load[on[s]] += b.shards[s].Bytes
-			}
-		}
-		if b.goal(on, load, groups) {
-			return b.trace(int(x.at), from, loose, power, base, x.cost), nil
+	states, start := 1, 0
+	for _, shard := range s.movable {
+		s.placeValues = append(s.placeValues, states)
+		start += (p.sourceNodes[shard] + 1) * states
+		states *= s.base
+	}
+	s.costs, s.previous = make([]int64, states), make([]int32, states)
+	for state := range s.costs {
+		s.costs[state] = math.MaxInt64
+	}
+	s.costs[start], s.previous[start] = 0, noState
+	s.queue = visitQueue{{state: int32(start)}}
+	return s
+}
+
+// run returns the first valid final state. It reports false if none can be reached.
+func (s *search) run() (final int, ok bool) {
+	for s.queue.Len() > 0 {
+		next := heap.Pop(&s.queue).(visit)
+		if next.cost != s.costs[next.state] {
+			continue // a cheaper path was found meanwhile
 		}
-		for i, s := range loose {
-			for n := range b.nodes {
-				if n == on[s] || !b.may(s, n) || load[n]+b.shards[s].Bytes > b.nodes[n].Capacity {
-					continue
-				}
-				to := int(x.at) + (n-on[s])*power[i]
-				if c := x.cost + b.shards[s].Bytes; c < cost[to] {
-					cost[to], from[to] = c, x.at
-					heap.Push(q, visit{c, x.moves + 1, int32(to)})
-				}
-			}
+		s.yield()
+		s.load(int(next.state))
+		if s.isFinal() {
+			return int(next.state), true
 		}
+		s.expand(next)
 	}
-	// there is none: whether of no room for what is wanted or of no way there, the rules tell
-	if goal, err := b.place(); err != nil {
-		return nil, err
-	} else if _, err := b.order(goal); err != nil {
-		return nil, err
+	return 0, false
+}
+
+// nodeIn returns the node of the movable shard with an index in a state, or unplaced.
+func (s *search) nodeIn(state, index int) int { return state/s.placeValues[index]%s.base - 1 }
+
+// load decodes a state into the nodes of shards and the loads of nodes.
+func (s *search) load(state int) {
+	for i, shard := range s.movable {
+		s.nodeOf[shard] = s.nodeIn(state, i)
+	}
+	clear(s.loads)
+	for shard, node := range s.nodeOf {
+		if node != unplaced {
+			s.loads[node] += s.shards[shard].Bytes
+		}
 	}
-	return nil, &BalanceError{Stated: b.Slack}
 }
 
-func (b *board) goal(on []int, load []int64, groups map[string][]int) bool {
-	for s, n := range on {
-		if n == nowhere || !b.may(s, n) || b.want[s] != nowhere && b.want[s] != n || !b.apart(groups, on, s, n) {
+// isFinal reports whether the decoded state meets all constraints on the end of a plan.
+func (s *search) isFinal() bool {
+	for shard, node := range s.nodeOf {
+		required := s.requiredNodes[shard]
+		if node == unplaced || !s.isAllowed(shard, node) || required != unplaced && required != node ||
+			!s.isSeparated(s.nodeOf, shard, node) {
 			return false
 		}
 	}
-	for n := range load {
-		if load[n] > b.most[n] {
+	for node, load := range s.loads {
+		if load > s.maxLoads[node] {
 			return false
 		}
 	}
 	return true
 }
 
-// trace makes a plan of the way to a placement; moves that have room together share a step.
-func (b *board) trace(at int, from []int32, loose, power []int, base int, bytes int64) *Plan {
-	var way []int
-	for ; at >= 0; at = int(from[at]) {
-		way = append(way, at)
-	}
-	slices.Reverse(way)
-	w := &state{board: b, on: slices.Clone(b.on), load: slices.Clone(b.load), plan: &Plan{LowerBoundBytes: b.least(), Optimal: true, Bytes: bytes}}
-	final := map[int]int{}
-	for i, s := range loose {
-		final[s] = way[len(way)-1]/power[i]%base - 1
-	}
-	var step []Move
-	moving, parts, coming := map[int]bool{}, make([]int, len(b.nodes)), make([]int64, len(b.nodes))
-	leaving := make([]int64, len(b.nodes))
-	end := func() {
-		if len(step) > 0 {
-			w.plan.Steps = append(w.plan.Steps, step)
-		}
-		for n := range w.load {
-			w.load[n] += coming[n] - leaving[n]
-		}
-		step = nil
-		clear(moving)
-		clear(parts)
-		clear(coming)
-		clear(leaving)
-	}
-	for k := 1; k < len(way); k++ {
-		for i, s := range loose {
-			to := way[k]/power[i]%base - 1
-			if way[k-1]/power[i]%base-1 == to {
+// expand queues the states that one migration from the decoded state leads to.
+func (s *search) expand(from visit) {
+	for i, shard := range s.movable {
+		bytes := s.shards[shard].Bytes
+		for node := range s.nodes {
+			if node == s.nodeOf[shard] || !s.isAllowed(shard, node) || s.loads[node]+bytes > s.nodes[node].Capacity {
 				continue
 			}
-			full := func(n int) bool { return n != nowhere && parts[n] >= b.PerNode }
-			if moving[s] || len(step) >= b.InAll || full(to) || full(w.on[s]) || w.load[to]+coming[to]+b.shards[s].Bytes > b.nodes[to].Capacity {
-				end()
-			}
-			step = append(step, w.move(s, to))
-			moving[s] = true
-			coming[to] += b.shards[s].Bytes
-			if parts[to]++; w.on[s] != nowhere {
-				parts[w.on[s]]++
-				leaving[w.on[s]] += b.shards[s].Bytes
-			}
-			if w.on[s] = to; to != final[s] {
-				w.plan.IntermediateMoves++
+			state := int(from.state) + (node-s.nodeOf[shard])*s.placeValues[i]
+			if cost := from.cost + bytes; cost < s.costs[state] {
+				s.costs[state], s.previous[state] = cost, from.state
+				heap.Push(&s.queue, visit{cost: cost, migrations: from.migrations + 1, state: int32(state)})
 			}
 		}
 	}
-	end()
-	return w.plan
 }
 
-type visit struct {
-	cost  int64
-	moves int32
-	at    int32
+// planTo returns the plan of the path to a state. Consecutive migrations that are possible at the same time share a
+// step.
+func (s *search) planTo(final int) *Plan {
+	finalNodes := slices.Clone(s.sourceNodes)
+	for i, shard := range s.movable {
+		finalNodes[shard] = s.nodeIn(final, i)
+	}
+	sched := newSchedule(s.problem, finalNodes)
+	sched.plan.Optimal = true
+	current := newStep(sched)
+	for _, t := range s.transfersTo(final) {
+		if !current.isEmpty() && (current.includes(t.shard) || current.isFull() || !current.accepts(t)) {
+			sched.apply(current)
+			current = newStep(sched)
+		}
+		current.add(t)
+	}
+	if !current.isEmpty() {
+		sched.apply(current)
+	}
+	return sched.plan
 }
 
-// queue gives the cheapest first, and of these the one with the fewest moves.
-type queue []visit
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].cost < q[j].cost || q[i].cost == q[j].cost && q[i].moves < q[j].moves
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(visit)) }
-func (q *queue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
+// transfersTo returns the migrations from the start to a state, in order.
+func (s *search) transfersTo(final int) []transfer {
+	var transfers []transfer
+	for state := final; s.previous[state] != noState; state = int(s.previous[state]) {
+		before := int(s.previous[state])
+		for i, shard := range s.movable {
+			if source, target := s.nodeIn(before, i), s.nodeIn(state, i); source != target {
+				transfers = append(transfers, transfer{shard: shard, source: source, target: target})
+			}
+		}
+	}
+	slices.Reverse(transfers)
+	return transfers
 }
