--- /dev/null
+++ b/rebalance/capacity_test.go
@@ -0,0 +1,59 @@
+package rebalance
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gonum.org/v1/gonum/mat"
+	"gonum.org/v1/gonum/optimize/convex/lp"
+)
+
+// The lower bound is the optimum of a linear program in which parts of shards may migrate.
+func TestLowerBoundEqualsLinearProgram(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	for range 20 {
+		inventory := largeFleet{nodes: 10, shards: 24, spare: 0.5, seed: random.Uint64()}.inventory()
+		p, err := newProblem(inventory, Terms{Slack: 0.3, PerNode: 2, InAll: 8})
+		if err != nil {
+			t.Fatal(err)
+		}
+		optimum, err := solveLinearProgram(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := float64(p.lowerBoundBytes()) / 1e6; math.Abs(got-optimum) > 1e-3*optimum+1e-4 {
+			t.Errorf("lower bound %.4f MB, by the linear program %.4f MB", got, optimum)
+		}
+	}
+}
+
+// solveLinearProgram returns the fewest megabytes that migrate if shards can be divided. Its variables are the part of
+// each shard on each node that is not draining, then the load that each of these nodes has left.
+func solveLinearProgram(p *problem) (float64, error) {
+	shards, nodes := len(p.shards), 0
+	for nodes < len(p.nodes) && !p.nodes[nodes].Draining { // draining nodes come last
+		nodes++
+	}
+	costs := make([]float64, shards*nodes+nodes)
+	constraints := mat.NewDense(shards+nodes, shards*nodes+nodes, nil)
+	limits := make([]float64, shards+nodes)
+	for shard := range shards {
+		megabytes := float64(p.shards[shard].Bytes) / 1e6
+		for node := range nodes {
+			part := shard*nodes + node
+			if p.sourceNodes[shard] != node {
+				costs[part] = megabytes
+			}
+			constraints.Set(shard, part, 1)
+			constraints.Set(shards+node, part, megabytes)
+		}
+		limits[shard] = 1
+	}
+	for node := range nodes {
+		constraints.Set(shards+node, shards*nodes+node, 1)
+		limits[shards+node] = float64(p.maxLoads[node]) / 1e6
+	}
+	optimum, _, err := lp.Simplex(costs, constraints, limits, 1e-9, nil)
+	return optimum, err
+}
--- a/rebalance/plan.go
+++ b/rebalance/plan.go
@@ -13,15 +13,15 @@
 // Plan is a sequence of steps. The migrations of a step may run concurrently; a step starts when the one before it has
 // finished.
 type Plan struct {
-	Steps             [][]Move `json:"steps"`
-	Bytes             int64    `json:"bytes"`   // sum over all migrations
-	LowerBoundBytes   int64    `json:"least"`   // no plan migrates fewer bytes
-	IntermediateMoves int      `json:"through"` // migrations to a node where the shard does not stay, to free capacity
-	Optimal           bool     `json:"exact"`   // no plan migrates fewer bytes than this one
+	Steps                  [][]Move `json:"steps"`
+	Bytes                  int64    `json:"bytes"`   // sum over all migrations
+	LowerBoundBytes        int64    `json:"least"`   // no plan migrates fewer bytes
+	IntermediateMigrations int      `json:"through"` // migrations to a node where the shard does not stay
+	Optimal                bool     `json:"exact"`   // no plan migrates fewer bytes than this one
 }
 
-// Make plans the migrations of an inventory. Settings below the range of [Terms.PerNode] and [Terms.InAll] count as 1.
-// If there is no plan, the error is an [*InventoryError], [*ShardError], [*RoomError], [*BalanceError] or [*StuckError].
+// Make plans the migrations of an inventory. [Terms.PerNode] and [Terms.InAll] below 1 count as 1. If there is no plan,
+// the error is an [*InventoryError], [*ShardError], [*RoomError], [*BalanceError] or [*StuckError].
 func Make(inventory *Inventory, settings Terms) (*Plan, error) {
 	p, err := newProblem(inventory, settings)
 	if err != nil {
--- a/rebalance/schedule.go
+++ b/rebalance/schedule.go
@@ -94,13 +94,13 @@
 
 // apply appends a step to the plan and carries it out.
 func (s *schedule) apply(next *step) {
-	moves := make([]Move, 0, len(next.transfers))
+	migrations := make([]Move, 0, len(next.transfers))
 	displaced := false
 	for _, t := range next.transfers {
-		moves = append(moves, s.moveOf(t))
+		migrations = append(migrations, s.migrationOf(t))
 		s.plan.Bytes += s.shards[t.shard].Bytes
 		if t.target != s.finalNodes[t.shard] {
-			s.plan.IntermediateMoves++
+			s.plan.IntermediateMigrations++
 		}
 		if t.source == s.finalNodes[t.shard] { // it has to come back
 			s.pending = append(s.pending, t.shard)
@@ -112,7 +112,7 @@
 		s.loads[t.target] += s.shards[t.shard].Bytes
 		s.currentNodes[t.shard] = t.target
 	}
-	s.plan.Steps = append(s.plan.Steps, moves)
+	s.plan.Steps = append(s.plan.Steps, migrations)
 	s.pending = slices.DeleteFunc(s.pending, func(shard int) bool {
 		return s.currentNodes[shard] == s.finalNodes[shard]
 	})
@@ -121,19 +121,19 @@
 	}
 }
 
-func (p *problem) moveOf(t transfer) Move {
-	move := Move{Shard: p.shards[t.shard].ID, To: p.nodes[t.target].Name, Bytes: p.shards[t.shard].Bytes}
+func (p *problem) migrationOf(t transfer) Move {
+	migration := Move{Shard: p.shards[t.shard].ID, To: p.nodes[t.target].Name, Bytes: p.shards[t.shard].Bytes}
 	if t.source != unplaced {
-		move.From = p.nodes[t.source].Name
+		migration.From = p.nodes[t.source].Name
 	}
-	return move
+	return migration
 }
 
 // intermediateTransfer returns the migration of the fewest bytes that frees capacity at a node that others wait for, to
 // a node that is not the shard's final one. It reports false if there is none.
 func (s *schedule) intermediateTransfer() (best transfer, ok bool) {
 	shortfalls := s.entryShortfalls()
-	hosts := s.nodesByFreeCapacity()
+	candidates := s.nodesByFreeCapacity()
 	leastCost := int64(math.MaxInt64)
 	for shard := range s.shards {
 		source := s.currentNodes[shard]
@@ -145,8 +145,8 @@
 		if cost >= leastCost {
 			continue
 		}
-		if host := s.intermediateHost(shard, hosts); host != unplaced {
-			best, leastCost, ok = transfer{shard: shard, source: source, target: host}, cost, true
+		if target := s.intermediateNode(shard, candidates); target != unplaced {
+			best, leastCost, ok = transfer{shard: shard, source: source, target: target}, cost, true
 		}
 	}
 	return best, ok
@@ -195,8 +195,8 @@
 	return cost
 }
 
-// intermediateHost returns the first of the nodes that can store a shard for a while, or unplaced.
-func (s *schedule) intermediateHost(shard int, nodes []int) int {
+// intermediateNode returns the first of the nodes that can store a shard for a while, or unplaced.
+func (s *schedule) intermediateNode(shard int, nodes []int) int {
 	for _, node := range nodes {
 		if node != s.currentNodes[shard] && node != s.finalNodes[shard] &&
 			s.freeCapacity(node) >= s.shards[shard].Bytes && s.isAllowed(shard, node) {
--- a/rebalance/search.go
+++ b/rebalance/search.go
@@ -71,7 +71,7 @@
 			continue // a cheaper path was found meanwhile
 		}
 		s.yield()
-		s.load(int(next.state))
+		s.decode(int(next.state))
 		if s.isFinal() {
 			return int(next.state), true
 		}
@@ -83,8 +83,8 @@
 // nodeIn returns the node of the movable shard with an index in a state, or unplaced.
 func (s *search) nodeIn(state, index int) int { return state/s.placeValues[index]%s.base - 1 }
 
-// load decodes a state into the nodes of shards and the loads of nodes.
-func (s *search) load(state int) {
+// decode resolves a state into the nodes of shards and the loads of nodes.
+func (s *search) decode(state int) {
 	for i, shard := range s.movable {
 		s.nodeOf[shard] = s.nodeIn(state, i)
 	}
