rebalance: doc comment of Make lists its errors; comments without names that will change

Two comments on constants repeated identifiers of other declarations, and Make named its errors in one line without saying when each is returned. No change of behaviour.

--- a/rebalance/placement.go
+++ b/rebalance/placement.go
@@ -13,7 +13,7 @@
 	extraAssignments    = 64
 	// evictionDiscount divides the cost of evicting a shard that migrates anyway.
 	evictionDiscount = 4
-	// maxReportedShortfalls is the number of nodes that a [RoomError] lists for a shard that fits none.
+	// maxReportedShortfalls is the number of nodes that an error lists for a shard that fits none.
 	maxReportedShortfalls = 8
 )
 
--- a/rebalance/plan.go
+++ b/rebalance/plan.go
@@ -20,8 +20,14 @@
 	Optimal                bool     `json:"exact"`   // no plan migrates fewer bytes than this one
 }
 
-// Make plans the migrations of an inventory. [Terms.PerNode] and [Terms.InAll] below 1 count as 1. If there is no plan,
-// the error is an [*InventoryError], [*ShardError], [*RoomError], [*BalanceError] or [*StuckError].
+// Make plans the migrations of an inventory. Limits on concurrent migrations that are below 1 count as 1. If there is no
+// plan, the error is one of this package's types:
+//
+//   - [*InventoryError]: the inventory is invalid;
+//   - [*ShardError]: no node may store a shard;
+//   - [*RoomError]: the shards exceed the capacity of nodes;
+//   - [*BalanceError]: loads can't be balanced within the slack;
+//   - [*StuckError]: no order of migrations leads to the placement.
 func Make(inventory *Inventory, settings Terms) (*Plan, error) {
 	p, err := newProblem(inventory, settings)
 	if err != nil {
--- a/rebalance/problem.go
+++ b/rebalance/problem.go
@@ -12,7 +12,7 @@
 	maxShardBytes = 1 << 50
 	// maxWeight is the exclusive upper limit of a node's weight.
 	maxWeight = 1e9
-	// yieldInterval is the number of units of work between two calls of [Terms.Breathe].
+	// yieldInterval is the number of units of work after which the processor is yielded.
 	yieldInterval = 256
 )
 
