--- a/internal/emulator/many.go
+++ b/internal/emulator/many.go
@@ -187,7 +187,7 @@
 	first, began := map[string]map[int]float64{}, map[int]float64{}
 	p.logged(func(i int, l logLine) {
 		switch {
-		case l.Msg == "started" || strings.HasPrefix(l.Msg, "peers: stood still"):
+		case l.Msg == "started" || strings.HasPrefix(l.Msg, "peers: process was suspended"):
 			began[i] = l.At
 		case strings.HasPrefix(l.Msg, "peers: caught up") && began[i] > 0:
 			r.CatchUps = append(r.CatchUps, seconds(l.At-began[i]))
