--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -14,7 +14,7 @@
 
 // admit rejects the current request by chance under overload. Its priority weight counts its value, and less
 // of it beyond the tenant's quota.
-func (b *Instance) admit() {
+func (b *Balancer) admit() {
 	request := b.current
 	request.unadmitted = false
 	weight := b.routes[request.Route].priorityWeight
@@ -38,7 +38,7 @@
 }
 
 // reduceCapacity follows an overload, down to one attempt at each cache over all proxies.
-func (b *Instance) reduceCapacity() {
+func (b *Balancer) reduceCapacity() {
 	used := min(b.admission.capacity, 4*float64(b.caches.inFlight)+8)
 	b.admission.capacity = max(used*(1-b.capacityReduction()), minCapacity, float64(b.ring.caches)*b.quotaShare)
 }
@@ -47,7 +47,7 @@
 // more each takes, or a burst is over before a proxy of little traffic has reduced any. That holds only
 // where peers notify of silent endpoints: where none do, each proxy encounters every hung endpoint for the
 // first time, and its few responses tell of that.
-func (b *Instance) capacityReduction() float64 {
+func (b *Balancer) capacityReduction() float64 {
 	if b.peerCount == 0 {
 		return minReduction
 	}
@@ -55,7 +55,7 @@
 }
 
 // scaleCapacity follows the endpoint list: more caches, more capacity.
-func (b *Instance) scaleCapacity(servingBefore float64) {
+func (b *Balancer) scaleCapacity(servingBefore float64) {
 	switch {
 	case b.ring.servingCaches == 0:
 	case servingBefore == 0:
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -2,7 +2,7 @@
 
 // finishedAttempt is the end of an attempt with what is learnt from it.
 type finishedAttempt struct {
-	Answer
+	AttemptResult
 	request   *requestState
 	endpoint  *endpointState
 	responded bool // the endpoint sent a response of any kind
@@ -12,17 +12,17 @@
 }
 
 // mayHaveRun tells whether an endpoint may have carried out the request.
-func (e Ending) mayHaveRun() bool {
-	return e != NoRoom && e != Unreachable && e != NeverSent && e != Lacking
+func (e Outcome) mayHaveRun() bool {
+	return e != Overloaded && e != ConnectFailed && e != NotSent && e != CacheMiss
 }
 
 // isResponse tells whether the endpoint responded at all.
-func (e Ending) isResponse() bool {
-	return e == Completed || e == Lacking || e == Fault || e == NoRoom
+func (e Outcome) isResponse() bool {
+	return e == Completed || e == CacheMiss || e == ServerError || e == Overloaded
 }
 
 // recordSent counts an attempt that was sent.
-func (b *Instance) recordSent(request *requestState, to int) {
+func (b *Balancer) recordSent(request *requestState, to int) {
 	endpoint := &b.endpoints[to]
 	if endpoint.inFlight == 0 {
 		endpoint.silentSince = b.now
@@ -39,14 +39,14 @@
 }
 
 // recordEnded counts an attempt that is no longer in flight.
-func (b *Instance) recordEnded(request *requestState, endpoint *endpointState) {
+func (b *Balancer) recordEnded(request *requestState, endpoint *endpointState) {
 	request.inFlight--
 	endpoint.inFlight--
 	*b.inFlightAt(endpoint)--
 }
 
 // inFlightAt is the counter of this proxy's attempts in flight that an endpoint belongs to.
-func (b *Instance) inFlightAt(endpoint *endpointState) *int {
+func (b *Balancer) inFlightAt(endpoint *endpointState) *int {
 	if endpoint.Origin {
 		return &b.origin.inFlight
 	}
--- a/balancer/coalescing.go
+++ b/balancer/coalescing.go
@@ -4,9 +4,9 @@
 
 // mayFollow holds, once for each request, for a read of a key that another request of this proxy is
 // fetching.
-func (b *Instance) mayFollow() bool {
+func (b *Balancer) mayFollow() bool {
 	request := b.current
-	if !request.Keyed || request.Write || request.hasFollowed || request.queued {
+	if !request.HasKey || request.Write || request.hasFollowed || request.queued {
 		return false
 	}
 	leader, isFetched := b.coalescing.leaders[request.Key]
@@ -14,7 +14,7 @@
 }
 
 // follow waits for the other's fetch for half of the time that is left.
-func (b *Instance) follow() {
+func (b *Balancer) follow() {
 	request := b.current
 	request.hasFollowed, request.following = true, true
 	b.coalescing.followers[request.Key] = append(b.coalescing.followers[request.Key], b.currentIndex)
@@ -23,16 +23,16 @@
 }
 
 // leadFetch lets others follow the current request, if it is a read and none leads for its key yet.
-func (b *Instance) leadFetch() {
+func (b *Balancer) leadFetch() {
 	request := b.current
-	if _, isFetched := b.coalescing.leaders[request.Key]; request.Keyed && !request.Write && !isFetched {
+	if _, isFetched := b.coalescing.leaders[request.Key]; request.HasKey && !request.Write && !isFetched {
 		b.coalescing.leaders[request.Key] = b.currentIndex
 		request.leadsFetch = true
 	}
 }
 
 // completeFetch has the followers ask the cache, which now holds the answer.
-func (b *Instance) completeFetch(leader *requestState) {
+func (b *Balancer) completeFetch(leader *requestState) {
 	leader.leadsFetch = false
 	delete(b.coalescing.leaders, leader.Key)
 	for _, index := range slices.Backward(b.coalescing.followers[leader.Key]) {
--- a/balancer/config.go
+++ b/balancer/config.go
@@ -27,25 +27,25 @@
 	overloadWindow   Time    // the span over which that load is counted
 }
 
-func newConfig(settings *Terms, tick, objective Time, quotaShare float64) config {
+func newConfig(settings *Settings, tick, objective Time, quotaShare float64) config {
 	c := config{
 		quotaShare:        quotaShare,
-		cacheAside:        settings.Aside,
+		cacheAside:        settings.CacheAside,
 		mayCancel:         settings.MayCancel,
-		hedging:           settings.Parallel && settings.Aside,
-		maxAttempts:       max(settings.MaxTries, 1),
+		hedging:           settings.ParallelAttempts && settings.CacheAside,
+		maxAttempts:       max(settings.MaxAttempts, 1),
 		tick:              tick,
 		noResponseTimeout: objective,
 		slowStart: slowStartConfig{
-			period: settings.Cold, initialShare: settings.ColdFrom,
-			overloadMultiple: settings.FallMultiple, overloadWindow: max(settings.Fall, 1),
+			period: settings.SlowStart, initialShare: settings.SlowStartInitialShare,
+			overloadMultiple: settings.SlowStartOverloadMultiple, overloadWindow: max(settings.SlowStartOverloadWindow, 1),
 		},
-		self:                 settings.Me,
-		peerCount:            settings.Peers,
-		pollsList:            settings.Ask,
-		pollInterval:         max(settings.AskEvery, second),
-		approximateWeights:   settings.RoughWeights,
-		overloadedOwnerShare: overloadedOwnerShareFor(settings.Fetch),
+		self:                 settings.Self,
+		peerCount:            settings.PeerCount,
+		pollsList:            settings.PollsList,
+		pollInterval:         max(settings.PollInterval, second),
+		approximateWeights:   settings.ApproximateWeights,
+		overloadedOwnerShare: overloadedOwnerShareFor(settings.FetchCost),
 	}
 	if settings.RetryAfter {
 		c.maxRetryAfter = settings.MaxRetryAfter
--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -9,8 +9,8 @@
 	route := routeState{Route: *r, priorityWeight: r.Value / max(highestValue, 1e-9)}
 	route.latencyBudget = r.Objective - 2*tick
 	route.giveUpAfter = route.latencyBudget
-	if r.Overdue > 0 && !punctual {
-		route.giveUpAfter = r.Overall
+	if r.LateValue > 0 && !punctual {
+		route.giveUpAfter = r.Timeout
 	}
 	return route
 }
@@ -18,31 +18,31 @@
 // elapsedAtClient returns how long ago the client first sent the request, as far as its remaining time
 // shows. First attempts of a route come with the same time left, within two ticks. A later one that shows
 // another has what is left of the overall timeout, and its latency objective has been running all along.
-func elapsedAtClient(route *routeState, e *Exchange, tick Time) Time {
-	difference := e.Remaining - route.firstAttemptTimeout
+func elapsedAtClient(route *routeState, e *Request, tick Time) Time {
+	difference := e.RemainingTimeout - route.firstAttemptTimeout
 	isUsual := max(difference, -difference) <= 2*tick
 	switch {
-	case isUsual && e.Repeat:
+	case isUsual && e.ClientRetry:
 	case isUsual:
 		route.timeoutVotes = min(route.timeoutVotes+1, maxTimeoutVotes)
-	case e.Repeat:
-		return max(route.Overall-e.Remaining, 0)
+	case e.ClientRetry:
+		return max(route.Timeout-e.RemainingTimeout, 0)
 	case route.timeoutVotes > 0:
 		route.timeoutVotes--
-		return max(route.Overall-e.Remaining, 0)
+		return max(route.Timeout-e.RemainingTimeout, 0)
 	default:
-		route.firstAttemptTimeout, route.timeoutVotes = e.Remaining, 1
+		route.firstAttemptTimeout, route.timeoutVotes = e.RemainingTimeout, 1
 	}
 	return 0
 }
 
 // isPastDeadline holds when an answer would come too late to be worth anything, or for the overall timeout.
-func (b *Instance) isPastDeadline() bool {
+func (b *Balancer) isPastDeadline() bool {
 	return b.now >= min(b.current.giveUpAt, b.current.deadline-b.tick)
 }
 
 // awaitAttempt leaves the current request until its attempt in flight is no longer worth waiting for.
-func (b *Instance) awaitAttempt() {
+func (b *Balancer) awaitAttempt() {
 	request := b.current
 	checkAt := min(request.giveUpAt, request.deadline-b.tick)
 	if !b.endpoints[request.endpoint].Origin {
--- a/balancer/deadlineheap.go
+++ b/balancer/deadlineheap.go
@@ -47,7 +47,7 @@
 func (h *deadlineHeap) place(i int) { (*h.requests)[h.entries[i].request].heapIndex = i }
 
 // setDeadline has a request checked at the given time, in place of any time set before.
-func (b *Instance) setDeadline(index int, at Time) {
+func (b *Balancer) setDeadline(index int, at Time) {
 	request := &b.requests[index]
 	request.nextCheckAt = at
 	if request.heapIndex < 0 {
@@ -58,7 +58,7 @@
 	heap.Fix(&b.deadlines, request.heapIndex)
 }
 
-func (b *Instance) clearDeadline(index int) {
+func (b *Balancer) clearDeadline(index int) {
 	if i := b.requests[index].heapIndex; i >= 0 {
 		heap.Remove(&b.deadlines, i)
 	}
--- a/balancer/dispatch.go
+++ b/balancer/dispatch.go
@@ -6,10 +6,10 @@
 )
 
 // begin starts the handling of an event.
-func (b *Instance) begin(now Time) { b.now, b.decisions = now, b.decisions[:0] }
+func (b *Balancer) begin(now Time) { b.now, b.decisions = now, b.decisions[:0] }
 
 // settle applies rules until none matches and returns the decisions of the event.
-func (b *Instance) settle() []Decision {
+func (b *Balancer) settle() []Decision {
 	for b.applyFirstRule() {
 	}
 	b.scheduleWake()
@@ -17,7 +17,7 @@
 }
 
 // applyFirstRule applies the first rule that matches and reports whether there was one.
-func (b *Instance) applyFirstRule() bool {
+func (b *Balancer) applyFirstRule() bool {
 	stage := selecting
 	if b.current != nil {
 		stage = deciding
@@ -32,7 +32,7 @@
 }
 
 // scheduleWake asks for a wake-up, unless one is under way that comes early enough.
-func (b *Instance) scheduleWake() {
+func (b *Balancer) scheduleWake() {
 	next := b.pollAt
 	if len(b.deadlines.entries) > 0 {
 		next = min(next, b.deadlines.entries[0].at)
@@ -42,35 +42,35 @@
 	}
 	if next < b.wakeAt {
 		b.wakeAt = next
-		b.emit(Decision{Act: Wake, After: max(next-b.now, 1)})
+		b.emit(Decision{Action: SetTimer, After: max(next-b.now, 1)})
 	}
 }
 
-func (b *Instance) emit(d Decision) { b.decisions = append(b.decisions, d) }
+func (b *Balancer) emit(d Decision) { b.decisions = append(b.decisions, d) }
 
-func (b *Instance) logf(format string, args ...any) {
-	b.emit(Decision{Act: Log, Text: fmt.Sprintf(format, args...)})
+func (b *Balancer) logf(format string, args ...any) {
+	b.emit(Decision{Action: Log, Text: fmt.Sprintf(format, args...)})
 }
 
-func (b *Instance) setCurrent(index int) {
+func (b *Balancer) setCurrent(index int) {
 	b.current, b.currentIndex, b.candidate = &b.requests[index], index, notSearched
 }
 
 // releaseCurrent ends the deciding on the current request until the next event that concerns it.
-func (b *Instance) releaseCurrent() { b.current = nil }
+func (b *Balancer) releaseCurrent() { b.current = nil }
 
-func (b *Instance) hasPending() bool { return len(b.pending) > 0 }
+func (b *Balancer) hasPending() bool { return len(b.pending) > 0 }
 
-func (b *Instance) takePending() {
+func (b *Balancer) takePending() {
 	b.setCurrent(b.pending[0])
 	b.pending = slices.Delete(b.pending, 0, 1)
 }
 
-func (b *Instance) hasExpiredDeadline() bool {
+func (b *Balancer) hasExpiredDeadline() bool {
 	return len(b.deadlines.entries) > 0 && b.deadlines.entries[0].at <= b.now
 }
 
-func (b *Instance) takeExpired() {
+func (b *Balancer) takeExpired() {
 	index := b.deadlines.entries[0].request
 	b.clearDeadline(index)
 	if b.requests[index].following {
@@ -79,7 +79,7 @@
 	b.setCurrent(index)
 }
 
-func (b *Instance) takeQueued() {
+func (b *Balancer) takeQueued() {
 	index := b.originQueue.first()
 	b.dequeue(index)
 	b.setCurrent(index)
@@ -89,8 +89,8 @@
 // none does. Predicates change nothing that is decided; the order of the rules matters.
 type rule struct {
 	stage   stage
-	matches func(b *Instance) bool
-	apply   func(b *Instance)
+	matches func(b *Balancer) bool
+	apply   func(b *Balancer)
 }
 
 type stage uint8
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -1,7 +1,7 @@
 package balancer
 
-// Rest has an ejected endpoint probed no sooner than at the given time, since proxies take turns.
-func (b *Instance) Rest(now Time, endpoint int, until Time) []Decision {
+// DelayProbe has an ejected endpoint probed no sooner than at the given time, since proxies take turns.
+func (b *Balancer) DelayProbe(now Time, endpoint int, until Time) []Decision {
 	b.begin(now)
 	b.endpoints[endpoint].probeAt = until
 	return b.settle()
@@ -9,7 +9,7 @@
 
 // awaitsOutlier holds when the cache that the current request waits for is overdue, while another cache has
 // responded since: the cache takes work and does none, or is cut off.
-func (b *Instance) awaitsOutlier() bool {
+func (b *Balancer) awaitsOutlier() bool {
 	request := b.current
 	if request.inFlight == 0 {
 		return false
@@ -21,7 +21,7 @@
 }
 
 // isOverdue holds when the current request's endpoint has responded to nothing since its attempt was sent.
-func (b *Instance) isOverdue(endpoint *endpointState) bool {
+func (b *Balancer) isOverdue(endpoint *endpointState) bool {
 	sentAt := b.current.sentAt
 	return endpoint.silentSince <= sentAt && b.now-sentAt >= b.responseBound(overdueDeviations)
 }
@@ -33,23 +33,23 @@
 	}
 }
 
-func (b *Instance) ejectOutlier() { b.eject(&b.endpoints[b.current.endpoint]) }
+func (b *Balancer) ejectOutlier() { b.eject(&b.endpoints[b.current.endpoint]) }
 
 // isUnavailable holds for an ejected endpoint whose next probe is not due.
-func (b *Instance) isUnavailable(endpoint *endpointState) bool {
+func (b *Balancer) isUnavailable(endpoint *endpointState) bool {
 	return endpoint.ejected && (b.now < endpoint.probeAt || endpoint.inFlight > 0)
 }
 
 // eject keeps all but probes from an endpoint until it responds. The interval of probes doubles, from as
 // long as this proxy would not send to the endpoint anyway, or each attempt would be a probe.
-func (b *Instance) eject(endpoint *endpointState) {
+func (b *Balancer) eject(endpoint *endpointState) {
 	shortest := max(b.noResponseTimeout, b.responseInterval())
 	endpoint.ejectionTime = min(max(2*endpoint.ejectionTime, shortest), 4*shortest)
 	endpoint.probeAt = b.now + endpoint.ejectionTime
 	b.notifyPeers(endpoint, false)
 	if !endpoint.ejected {
 		endpoint.ejected = true
-		b.logf("endpoint %d ejected: %d in flight, no response for %d ms, %.0f%% failed", endpoint.Node,
+		b.logf("endpoint %d ejected: %d in flight, no response for %d ms, %.0f%% failed", endpoint.Index,
 			endpoint.inFlight, (b.now-endpoint.silentSince)/10, 100*endpoint.errorShare)
 	}
 }
--- a/balancer/endpoint.go
+++ b/balancer/endpoint.go
@@ -2,7 +2,7 @@
 
 // endpointState is what this proxy knows of one endpoint.
 type endpointState struct {
-	Listing
+	Endpoint
 	inFlight       int  // attempts of this proxy
 	silentSince    Time // no response since then, with attempts in flight
 	lastResponseAt Time
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -1,25 +1,25 @@
 package balancer
 
-func (b *Instance) updateEndpoint(listed Listing, first bool) {
-	for len(b.endpoints) <= listed.Node {
+func (b *Balancer) updateEndpoint(listed Endpoint, first bool) {
+	for len(b.endpoints) <= listed.Index {
 		b.endpoints = append(b.endpoints, endpointState{})
 	}
-	endpoint := &b.endpoints[listed.Node]
+	endpoint := &b.endpoints[listed.Index]
 	if endpoint.Name != listed.Name {
 		*endpoint = endpointState{} // the index was another's, whose record says nothing of this one
 	}
-	if listed.Since == 0 && endpoint.Name == "" && !first {
-		listed.Since = b.now // newly seen: as good as just started
+	if listed.StartedAt == 0 && endpoint.Name == "" && !first {
+		listed.StartedAt = b.now // newly seen: as good as just started
 	}
-	if endpoint.Name == "" || listed.Since > endpoint.Since {
+	if endpoint.Name == "" || listed.StartedAt > endpoint.StartedAt {
 		b.restartEndpoint(endpoint)
 	}
-	listed.Since = max(listed.Since, endpoint.Since)
-	endpoint.Listing = listed
+	listed.StartedAt = max(listed.StartedAt, endpoint.StartedAt)
+	endpoint.Endpoint = listed
 }
 
 // restartEndpoint forgets the record of an endpoint's last process and begins its slow start.
-func (b *Instance) restartEndpoint(endpoint *endpointState) {
+func (b *Balancer) restartEndpoint(endpoint *endpointState) {
 	endpoint.ejected, endpoint.ejectionTime = false, 0
 	endpoint.responses, endpoint.errorShare, endpoint.suspicion = 0, 0, 0
 	endpoint.latency.value, endpoint.overloads.value = 0, 0
@@ -27,8 +27,8 @@
 	endpoint.lastResponseAt = b.now - b.noResponseTimeout - 1
 }
 
-// ListFailed reports that polling the list failed. It is polled again well within the interval.
-func (b *Instance) ListFailed(now Time) []Decision {
+// EndpointListFailed reports that polling the list failed. It is polled again well within the interval.
+func (b *Balancer) EndpointListFailed(now Time) []Decision {
 	b.begin(now)
 	if b.pollsList {
 		b.pollAt = now + min(second, b.pollInterval/4)
@@ -36,7 +36,7 @@
 	return b.settle()
 }
 
-func (b *Instance) pollList() {
+func (b *Balancer) pollList() {
 	b.pollAt = never
-	b.emit(Decision{Act: Follow})
+	b.emit(Decision{Action: PollEndpoints})
 }
--- a/balancer/evacuation.go
+++ b/balancer/evacuation.go
@@ -1,8 +1,8 @@
 package balancer
 
-// Bar keeps a part of the keys, 0 to 1, the same at every proxy, from an endpoint of an evacuated
+// SetExclusion keeps a part of the keys, 0 to 1, the same at every proxy, from an endpoint of an evacuated
 // zone. Capacity shrinks to that of the others. With cancel, attempts in flight there are cancelled.
-func (b *Instance) Bar(now Time, index int, part float64, cancel bool) []Decision {
+func (b *Balancer) SetExclusion(now Time, index int, part float64, cancel bool) []Decision {
 	b.begin(now)
 	b.endpoints[index].excludedShare, b.endpoints[index].evacuating = part, cancel
 	for i := range b.requests {
@@ -16,7 +16,7 @@
 }
 
 // isExcluded holds for an endpoint that the current request's key avoids.
-func (b *Instance) isExcluded(endpoint *endpointState) bool {
+func (b *Balancer) isExcluded(endpoint *endpointState) bool {
 	return endpoint.excludedShare > 0 &&
 		float64(mixHash(mixHash(b.current.Key))>>40) < endpoint.excludedShare*(1<<24)
 }
@@ -24,20 +24,20 @@
 // mustLeaveZone holds for an attempt in flight in a zone that is evacuated, or an overdue one in a zone that
 // returns, if the route lets it be sent elsewhere: a duplicate outside the group of a deduped request would
 // be carried out.
-func (b *Instance) mustLeaveZone() bool {
+func (b *Balancer) mustLeaveZone() bool {
 	request := b.current
 	if request.inFlight == 0 || request.evacuated || !b.mayCancel {
 		return false
 	}
 	endpoint, route := &b.endpoints[request.endpoint], &b.routes[request.Route]
 	mayResend := route.Effect == Retriable ||
-		route.Effect == Deduped && route.Group == GroupAll && b.now < request.sentAt+route.Window
+		route.Effect == Deduped && route.Group == GroupAll && b.now < request.sentAt+route.DedupWindow
 	return endpoint.evacuating && mayResend && (b.isExcluded(endpoint) || b.isOverdue(endpoint))
 }
 
 // cancelForEvacuation happens once for an attempt. It is no sign of an overload, so that the retry is not
 // bounded by the retry budget.
-func (b *Instance) cancelForEvacuation() {
+func (b *Balancer) cancelForEvacuation() {
 	b.current.evacuated = true
-	b.emit(Decision{Act: Cancel, Cx: b.currentIndex, Leg: b.current.attempt})
+	b.emit(Decision{Action: Cancel, Request: b.currentIndex, Attempt: b.current.attempt})
 }
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -1,7 +1,7 @@
 package balancer
 
-// Streaming reports that the answer has begun. From then on the request succeeds or fails with that attempt.
-func (b *Instance) Streaming(now Time, index int) []Decision {
+// AnswerStarted reports that the answer has begun. From then on the request succeeds or fails with that attempt.
+func (b *Balancer) AnswerStarted(now Time, index int) []Decision {
 	b.begin(now)
 	if index < len(b.requests) && b.requests[index].live {
 		b.requests[index].streaming = true
@@ -10,8 +10,8 @@
 	return b.settle()
 }
 
-// Left reports that the client went away; nothing is owed to it any more.
-func (b *Instance) Left(now Time, index int) []Decision {
+// ClientGone reports that the client went away; nothing is owed to it any more.
+func (b *Balancer) ClientGone(now Time, index int) []Decision {
 	b.begin(now)
 	if index < len(b.requests) && b.requests[index].live {
 		b.finish(index)
@@ -19,15 +19,15 @@
 	return b.settle()
 }
 
-// Woken reports that the time has come for which a decision asked.
-func (b *Instance) Woken(now Time) []Decision {
+// TimerFired reports that the time has come for which a decision asked.
+func (b *Balancer) TimerFired(now Time) []Decision {
 	b.begin(now)
 	b.wakeAt = never
 	return b.settle()
 }
 
-// Nodes takes the endpoint list: all of it, or only the endpoints that changed. The first list is complete.
-func (b *Instance) Nodes(now Time, complete, first bool, endpoints []Listing) []Decision {
+// UpdateEndpoints takes the endpoint list: all of it, or only the endpoints that changed. The first list is complete.
+func (b *Balancer) UpdateEndpoints(now Time, complete, first bool, endpoints []Endpoint) []Decision {
 	b.begin(now)
 	if complete {
 		b.removeUnlisted(endpoints)
@@ -42,10 +42,10 @@
 	return b.settle()
 }
 
-func (b *Instance) removeUnlisted(listed []Listing) {
+func (b *Balancer) removeUnlisted(listed []Endpoint) {
 	b.visitMark++
 	for i := range listed {
-		if index := listed[i].Node; index < len(b.endpoints) {
+		if index := listed[i].Index; index < len(b.endpoints) {
 			b.endpoints[index].visitMark = b.visitMark
 		}
 	}
@@ -54,10 +54,10 @@
 	}
 }
 
-// Share sets the part of all proxies' traffic that this proxy may send from now on, in (0, 1]; it begins as
+// SetQuotaShare sets the part of all proxies' traffic that this proxy may send from now on, in (0, 1]; it begins as
 // an even one. What has been learnt of the origin's limit is scaled with it, so that the sum over proxies
 // stays.
-func (b *Instance) Share(now Time, part float64) []Decision {
+func (b *Balancer) SetQuotaShare(now Time, part float64) []Decision {
 	b.begin(now)
 	factor := part / b.quotaShare
 	b.quotaShare = part
@@ -68,8 +68,8 @@
 	return b.settle()
 }
 
-// Until moves all deadlines to the given time at the latest, since the process stops then.
-func (b *Instance) Until(now, until Time) []Decision {
+// CapDeadlines moves all deadlines to the given time at the latest, since the process stops then.
+func (b *Balancer) CapDeadlines(now, until Time) []Decision {
 	b.begin(now)
 	for i := range b.requests {
 		request := &b.requests[i]
--- a/balancer/fetches.go
+++ b/balancer/fetches.go
@@ -13,7 +13,7 @@
 	return coalescer{leaders: map[uint64]int{}, followers: map[uint64][]int{}}
 }
 
-func (b *Instance) unfollow(index int) {
+func (b *Balancer) unfollow(index int) {
 	request := &b.requests[index]
 	request.following = false
 	b.coalescing.followers[request.Key] = slices.DeleteFunc(b.coalescing.followers[request.Key],
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -7,10 +7,10 @@
 	suspicionStep    = 0.4 // how far one report of a peer moves the suspicion towards certainty
 )
 
-// Heard takes a peer's report that an endpoint stopped responding, or responds again. Reports may be
+// PeerReport takes a peer's report that an endpoint stopped responding, or responds again. Reports may be
 // late, lost or mistaken: one of silence is believed step by step, never against a response that came here
 // since, and fades; one of a response ends the suspicion. An index that is not known is ignored.
-func (b *Instance) Heard(now Time, index int, responds bool) []Decision {
+func (b *Balancer) PeerReport(now Time, index int, responds bool) []Decision {
 	b.begin(now)
 	if index >= 0 && index < len(b.endpoints) && !b.endpoints[index].Origin {
 		endpoint := &b.endpoints[index]
@@ -28,14 +28,14 @@
 
 // suspicion is how likely an endpoint is silent by the reports of peers; it is skipped with that chance.
 // Half of it is gone in twelve times the no-response timeout.
-func (b *Instance) suspicion(endpoint *endpointState) float64 {
+func (b *Balancer) suspicion(endpoint *endpointState) float64 {
 	return endpoint.suspicion * math.Exp2(-float64(b.now-endpoint.suspicionAt)/float64(12*b.noResponseTimeout))
 }
 
 // notifyPeers tells some peers that an endpoint stopped responding or responds again, unless such a report
 // went round a moment ago. Each receiver costs something. They pass on only what they have observed
 // themselves.
-func (b *Instance) notifyPeers(endpoint *endpointState, responds bool) {
+func (b *Balancer) notifyPeers(endpoint *endpointState, responds bool) {
 	if b.peerCount == 0 || b.now-endpoint.gossipAt < b.noResponseTimeout/2 {
 		return
 	}
@@ -44,7 +44,7 @@
 	peer := int(b.random.draw() * float64(proxies))
 	for range min(proxies, maxNotifiedPeers) {
 		if peer = (peer + max(proxies/maxNotifiedPeers, 1)) % proxies; peer != b.self {
-			b.emit(Decision{Act: Tell, Node: endpoint.Node, Peer: peer, Answers: responds})
+			b.emit(Decision{Action: NotifyPeer, Endpoint: endpoint.Index, Peer: peer, Responds: responds})
 		}
 	}
 }
--- a/balancer/instance.go
+++ b/balancer/instance.go
@@ -2,8 +2,8 @@
 
 import "math"
 
-// Instance decides for one proxy. New returns one; it is not safe for concurrent use.
-type Instance struct {
+// Balancer decides for one proxy. New returns one; it is not safe for concurrent use.
+type Balancer struct {
 	config
 	routes []routeState
 	random generator
@@ -40,11 +40,11 @@
 const never = Time(math.MaxInt64)
 
 // New returns a balancer that knows no endpoints yet. The seed determines all of its random choices.
-func New(now Time, settings Terms, seed uint64) *Instance {
+func New(now Time, settings Settings, seed uint64) *Balancer {
 	quotaShare := 1 / float64(max(settings.Proxies, 1))
 	tick := max(settings.Tick, 1)
 	objective := max(shortestObjective(settings.Routes), tick)
-	b := &Instance{
+	b := &Balancer{
 		config:      newConfig(&settings, tick, objective, quotaShare),
 		random:      generator{state: seed},
 		now:         now,
@@ -52,7 +52,7 @@
 		caches:      newCacheStatistics(now, objective),
 		origin:      newOriginLimiter(objective, quotaShare),
 		admission:   admissionControl{capacity: initialCapacity},
-		quota:       newTenantQuota(settings.Allowance, settings.BeyondShare, quotaShare),
+		quota:       newTenantQuota(settings.TenantQuotas, settings.OverQuotaWeight, quotaShare),
 		retryBudget: initialRetryBudget,
 		wakeAt:      never,
 		pollAt:      never,
@@ -62,7 +62,7 @@
 		highestValue = max(highestValue, settings.Routes[i].Value)
 	}
 	for i := range settings.Routes {
-		b.routes = append(b.routes, newRouteState(&settings.Routes[i], tick, highestValue, settings.Punctual))
+		b.routes = append(b.routes, newRouteState(&settings.Routes[i], tick, highestValue, settings.LateIsFailure))
 	}
 	b.deadlines.requests = &b.requests
 	return b
--- a/balancer/logging.go
+++ b/balancer/logging.go
@@ -1,6 +1,6 @@
 package balancer
 
-func (b *Instance) logOverload(load float64) {
+func (b *Balancer) logOverload(load float64) {
 	overloaded := load > 1
 	if overloaded != b.admission.overloaded && (overloaded || load < overloadEnd) {
 		b.admission.overloaded = overloaded
@@ -9,7 +9,7 @@
 }
 
 // logConstrained logs when the limit falls below its low-water mark, and when it is twice as high again.
-func (b *Instance) logConstrained() {
+func (b *Balancer) logConstrained() {
 	o := &b.origin
 	constrained := o.limit < o.lowWater || o.constrained && o.limit < 2*o.lowWater
 	if constrained != o.constrained {
--- a/balancer/origin.go
+++ b/balancer/origin.go
@@ -59,22 +59,22 @@
 	}
 }
 
-func (b *Instance) originHasCapacity() bool {
+func (b *Balancer) originHasCapacity() bool {
 	o := &b.origin
 	return len(b.origins) > 0 && o.inFlight < max(int(o.limit), 1) && b.now >= o.nextAttemptAt
 }
 
-func (b *Instance) canServeQueued() bool { return b.originQueue.length > 0 && b.originHasCapacity() }
+func (b *Balancer) canServeQueued() bool { return b.originQueue.length > 0 && b.originHasCapacity() }
 
-func (b *Instance) originIsOpen() bool { return b.current.needsOrigin && b.originHasCapacity() }
+func (b *Balancer) originIsOpen() bool { return b.current.needsOrigin && b.originHasCapacity() }
 
 // originQueueTooLong holds when the current request, queued now, would be answered too late.
-func (b *Instance) originQueueTooLong() bool {
+func (b *Balancer) originQueueTooLong() bool {
 	wait := Time((1 + float64(b.originQueue.length)/b.origin.limit) * b.origin.latency.value)
 	return b.current.needsOrigin && max(b.now, b.origin.nextAttemptAt)+wait > b.current.giveUpAt
 }
 
-func (b *Instance) enqueueForOrigin() {
+func (b *Balancer) enqueueForOrigin() {
 	request := b.current
 	request.queued = true
 	priority := readPriority
@@ -89,7 +89,7 @@
 
 // leastLoadedOrigin is the origin with the fewest of this proxy's attempts in flight, noEndpoint if the
 // current request may be sent to none.
-func (b *Instance) leastLoadedOrigin() int {
+func (b *Balancer) leastLoadedOrigin() int {
 	best := noEndpoint
 	for _, index := range b.origins {
 		if b.inDedupGroup(index) &&
@@ -100,7 +100,7 @@
 	return best
 }
 
-func (b *Instance) sendToOrigin() {
+func (b *Balancer) sendToOrigin() {
 	origin := b.leastLoadedOrigin()
 	if origin == noEndpoint {
 		b.reject()
--- a/balancer/queue.go
+++ b/balancer/queue.go
@@ -33,7 +33,7 @@
 	}
 }
 
-func (b *Instance) dequeue(index int) {
+func (b *Balancer) dequeue(index int) {
 	b.requests[index].queued = false
 	b.originQueue.remove(index)
 }
--- a/balancer/queue_test.go
+++ b/balancer/queue_test.go
@@ -26,7 +26,7 @@
 }
 
 func TestDeadlinesExpireInOrder(t *testing.T) {
-	b := New(0, Terms{}, 1)
+	b := New(0, Settings{}, 1)
 	b.requests = make([]requestState, 4)
 	for i := range b.requests {
 		b.requests[i].heapIndex = -1
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -2,7 +2,7 @@
 
 // requestState is one client request while it is unanswered or has attempts in flight. Indices are reused.
 type requestState struct {
-	Exchange
+	Request
 	live        bool // the client still waits for an answer
 	streaming   bool // the answer has begun
 	unadmitted  bool // admission control has not seen it yet
@@ -40,7 +40,7 @@
 }
 
 // finish forgets a request but for its attempts that are still in flight.
-func (b *Instance) finish(index int) {
+func (b *Balancer) finish(index int) {
 	request := &b.requests[index]
 	request.live = false
 	b.clearDeadline(index)
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -10,12 +10,12 @@
 	retriesPerAdmission = 0.1
 )
 
-func (b *Instance) attemptsExhausted() bool { return b.current.attempts >= b.maxAttempts }
+func (b *Balancer) attemptsExhausted() bool { return b.current.attempts >= b.maxAttempts }
 
 // retryForbidden holds for a request that may have run and that may not be sent again, or not by the budget.
 // Resets are not bounded by it: where servers close many connections that have been idle, each costs no more
 // than the next attempt.
-func (b *Instance) retryForbidden() bool {
+func (b *Balancer) retryForbidden() bool {
 	request := b.current
 	if !request.mayHaveRun {
 		return false
@@ -24,12 +24,12 @@
 		return true
 	}
 	route := &b.routes[request.Route]
-	isDropped := route.Effect == Deduped && b.now < request.firstRunAt+route.Window
+	isDropped := route.Effect == Deduped && b.now < request.firstRunAt+route.DedupWindow
 	return route.Effect != Retriable && !isDropped
 }
 
 // chargeRetry takes an attempt that is being sent from the budget if it is a retry that the budget bounds.
-func (b *Instance) chargeRetry(request *requestState) {
+func (b *Balancer) chargeRetry(request *requestState) {
 	if request.mayHaveRun && !request.wasReset && !request.evacuated {
 		b.retryBudget--
 	}
@@ -40,7 +40,7 @@
 
 // inDedupGroup tells whether an endpoint may be sent the current request: it would drop it if it has already
 // run.
-func (b *Instance) inDedupGroup(index int) bool {
+func (b *Balancer) inDedupGroup(index int) bool {
 	request := b.current
 	route := &b.routes[request.Route]
 	if !request.mayHaveRun || route.Effect != Deduped {
--- a/balancer/ring.go
+++ b/balancer/ring.go
@@ -15,7 +15,7 @@
 )
 
 // pointsOf is the number of points that an endpoint should have on the ring.
-func (b *Instance) pointsOf(endpoint *endpointState) int {
+func (b *Balancer) pointsOf(endpoint *endpointState) int {
 	switch {
 	case !endpoint.Ready || endpoint.Origin:
 		return 0
@@ -26,7 +26,7 @@
 }
 
 // findCandidate walks clockwise from the key's hash to the first cache that may have the current request.
-func (b *Instance) findCandidate() {
+func (b *Balancer) findCandidate() {
 	b.candidate = noEndpoint
 	if len(b.ring.points) == 0 {
 		return
@@ -68,27 +68,27 @@
 }
 
 // keyPosition is the place of the current request's key on the ring, a random one if it has no key.
-func (b *Instance) keyPosition() uint64 {
-	if !b.current.Keyed {
+func (b *Balancer) keyPosition() uint64 {
+	if !b.current.HasKey {
 		return mixHash(uint64(b.random.draw() * (1 << 53)))
 	}
 	return mixHash(b.current.Key)
 }
 
 // isEligible tells whether the current request may go to an endpoint at all.
-func (b *Instance) isEligible(index int) bool {
+func (b *Balancer) isEligible(index int) bool {
 	endpoint := &b.endpoints[index]
 	return !slices.Contains(b.current.triedEndpoints, index) && b.inDedupGroup(index) &&
 		!b.isExcluded(endpoint) && !b.slowStartLimited(endpoint)
 }
 
 // isSuspected holds by the chance that an endpoint is silent by the reports of peers.
-func (b *Instance) isSuspected(endpoint *endpointState) bool {
+func (b *Balancer) isSuspected(endpoint *endpointState) bool {
 	return endpoint.suspicion > 0 && b.random.draw() < b.suspicion(endpoint)
 }
 
 // exceedsBoundedLoad holds for an endpoint with too many of this proxy's attempts in flight.
-func (b *Instance) exceedsBoundedLoad(endpoint *endpointState) bool {
+func (b *Balancer) exceedsBoundedLoad(endpoint *endpointState) bool {
 	bound := max(boundedLoadFactor*float64(b.caches.inFlight)/float64(b.ring.caches)+1, 1)
 	return endpoint.inFlight >= 2 && float64(endpoint.inFlight) > bound
 }
@@ -99,7 +99,7 @@
 
 // isOverloadedOwner holds for an endpoint whose latest responses took most of the time that the current
 // request has left; the next one clockwise serves it if that is twice as quick.
-func (b *Instance) isOverloadedOwner(endpoint *endpointState) bool {
+func (b *Balancer) isOverloadedOwner(endpoint *endpointState) bool {
 	// sooner, where this proxy seldom sends to it, but not so soon that chance passes keys on
 	seldom := observationWeight(0, b.responseInterval(), 10*second)
 	share := max(b.overloadedOwnerShare-0.15*seldom, 0.3)
@@ -111,7 +111,7 @@
 // isLikelyFull holds by chance for an endpoint that rejected over a third of this proxy's latest attempts as
 // overloaded, always for one that rejected nearly all: a hot key spreads clockwise over as many endpoints as
 // it takes, without a failed attempt at each. The share fades, so that the endpoint is tried again.
-func (b *Instance) isLikelyFull(endpoint *endpointState) bool {
+func (b *Balancer) isLikelyFull(endpoint *endpointState) bool {
 	if endpoint.overloads.value < 0.35 {
 		return false
 	}
--- a/balancer/ringpoints.go
+++ b/balancer/ringpoints.go
@@ -57,7 +57,7 @@
 
 // rebuildRing follows the endpoint list. The points of a cache depend on nothing but its name and weight, so
 // that one that joins or leaves moves its own keys only.
-func (b *Instance) rebuildRing() {
+func (b *Balancer) rebuildRing() {
 	servingBefore, anyLeaves := b.ring.servingCaches, false
 	b.origins, b.ring.caches, b.ring.servingCaches = b.origins[:0], 0, 0
 	b.setReferenceWeight()
@@ -94,7 +94,7 @@
 
 // setReferenceWeight takes the power of two next to the mean weight, once: it is the same at every proxy,
 // however their lists differ.
-func (b *Instance) setReferenceWeight() {
+func (b *Balancer) setReferenceWeight() {
 	sum, caches := 0.0, 0.0
 	for i := range b.endpoints {
 		if endpoint := &b.endpoints[i]; endpoint.Ready && !endpoint.Origin {
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -2,40 +2,40 @@
 
 var rules = []rule{
 	// Choose the request to decide on.
-	{selecting, (*Instance).hasPending, (*Instance).takePending},
-	{selecting, (*Instance).hasExpiredDeadline, (*Instance).takeExpired},
-	{selecting, (*Instance).canServeQueued, (*Instance).takeQueued},
-	{selecting, (*Instance).isPollDue, (*Instance).pollList},
+	{selecting, (*Balancer).hasPending, (*Balancer).takePending},
+	{selecting, (*Balancer).hasExpiredDeadline, (*Balancer).takeExpired},
+	{selecting, (*Balancer).canServeQueued, (*Balancer).takeQueued},
+	{selecting, (*Balancer).isPollDue, (*Balancer).pollList},
 	// Nothing is owed to the client, or nothing can be done yet.
-	{deciding, (*Instance).isSettled, (*Instance).releaseCurrent},
-	{deciding, (*Instance).isPastDeadline, (*Instance).reject},
-	{deciding, (*Instance).mustLeaveZone, (*Instance).cancelForEvacuation},
-	{deciding, (*Instance).awaitsOutlier, (*Instance).ejectOutlier},
-	{deciding, (*Instance).mayHedge, (*Instance).hedge},
-	{deciding, (*Instance).isInFlight, (*Instance).awaitAttempt},
+	{deciding, (*Balancer).isSettled, (*Balancer).releaseCurrent},
+	{deciding, (*Balancer).isPastDeadline, (*Balancer).reject},
+	{deciding, (*Balancer).mustLeaveZone, (*Balancer).cancelForEvacuation},
+	{deciding, (*Balancer).awaitsOutlier, (*Balancer).ejectOutlier},
+	{deciding, (*Balancer).mayHedge, (*Balancer).hedge},
+	{deciding, (*Balancer).isInFlight, (*Balancer).awaitAttempt},
 	// What may not be sent again.
-	{deciding, (*Instance).attemptsExhausted, (*Instance).reject},
-	{deciding, (*Instance).retryForbidden, (*Instance).reject},
+	{deciding, (*Balancer).attemptsExhausted, (*Balancer).reject},
+	{deciding, (*Balancer).retryForbidden, (*Balancer).reject},
 	// Overload: requests are rejected by chance, those of little value more often.
-	{deciding, (*Instance).isUnadmitted, (*Instance).admit},
-	{deciding, (*Instance).isRejected, (*Instance).reject},
+	{deciding, (*Balancer).isUnadmitted, (*Balancer).admit},
+	{deciding, (*Balancer).isRejected, (*Balancer).reject},
 	// One fetch for a key: others wait for it a while, then ask the cache.
-	{deciding, (*Instance).mayFollow, (*Instance).follow},
+	{deciding, (*Balancer).mayFollow, (*Balancer).follow},
 	// Misses and writes go to the origin, within its concurrency limit.
-	{deciding, (*Instance).lacksOrigin, (*Instance).reject},
-	{deciding, (*Instance).originIsOpen, (*Instance).sendToOrigin},
-	{deciding, (*Instance).originQueueTooLong, (*Instance).reject},
-	{deciding, (*Instance).needsOrigin, (*Instance).enqueueForOrigin},
+	{deciding, (*Balancer).lacksOrigin, (*Balancer).reject},
+	{deciding, (*Balancer).originIsOpen, (*Balancer).sendToOrigin},
+	{deciding, (*Balancer).originQueueTooLong, (*Balancer).reject},
+	{deciding, (*Balancer).needsOrigin, (*Balancer).enqueueForOrigin},
 	// All else goes to the caches on the ring.
-	{deciding, (*Instance).isNotSearched, (*Instance).findCandidate},
-	{deciding, (*Instance).hasCandidate, (*Instance).sendToCandidate},
+	{deciding, (*Balancer).isNotSearched, (*Balancer).findCandidate},
+	{deciding, (*Balancer).hasCandidate, (*Balancer).sendToCandidate},
 	// Where no cache may have it, since none is on the ring or all just started, the origin serves it.
-	{deciding, (*Instance).mayBypassCaches, (*Instance).bypassCaches},
-	{deciding, func(*Instance) bool { return true }, (*Instance).reject},
+	{deciding, (*Balancer).mayBypassCaches, (*Balancer).bypassCaches},
+	{deciding, func(*Balancer) bool { return true }, (*Balancer).reject},
 }
 
-func (b *Instance) sendToCandidate() { b.sendAttempt(b.candidate) }
+func (b *Balancer) sendToCandidate() { b.sendAttempt(b.candidate) }
 
-func (b *Instance) mayBypassCaches() bool { return b.current.attempts == 0 && len(b.origins) > 0 }
+func (b *Balancer) mayBypassCaches() bool { return b.current.attempts == 0 && len(b.origins) > 0 }
 
-func (b *Instance) bypassCaches() { b.current.needsOrigin = true }
+func (b *Balancer) bypassCaches() { b.current.needsOrigin = true }
--- a/balancer/scenario_events_test.go
+++ b/balancer/scenario_events_test.go
@@ -23,33 +23,33 @@
 		if !ok {
 			index = len(p.endpointNames) // no such endpoint
 		}
-		p.record(p.balancer.Heard(now, index, args[1] == "responds"))
+		p.record(p.balancer.PeerReport(now, index, args[1] == "responds"))
 	},
 	"exclude": func(p *player, now balancer.Time, args []string) {
 		cancel := len(args) > 2
-		p.record(p.balancer.Bar(now, p.endpoints[p.resolve(args[0])], testscript.Num(args[1]), cancel))
+		p.record(p.balancer.SetExclusion(now, p.endpoints[p.resolve(args[0])], testscript.Num(args[1]), cancel))
 	},
 	"delay-probe": func(p *player, now balancer.Time, args []string) {
-		p.record(p.balancer.Rest(now, p.endpoints[p.resolve(args[0])], milliseconds(args[1])))
+		p.record(p.balancer.DelayProbe(now, p.endpoints[p.resolve(args[0])], milliseconds(args[1])))
 	},
 	"quota-share": func(p *player, now balancer.Time, args []string) {
-		p.record(p.balancer.Share(now, testscript.Num(args[0])))
+		p.record(p.balancer.SetQuotaShare(now, testscript.Num(args[0])))
 	},
 	"client-gone": func(p *player, now balancer.Time, args []string) {
-		p.record(p.balancer.Left(now, integer(args[0])))
+		p.record(p.balancer.ClientGone(now, integer(args[0])))
 	},
 	"streaming": func(p *player, now balancer.Time, args []string) {
-		p.record(p.balancer.Streaming(now, integer(args[0])))
+		p.record(p.balancer.AnswerStarted(now, integer(args[0])))
 	},
-	"wake":        func(p *player, now balancer.Time, _ []string) { p.record(p.balancer.Woken(now)) },
-	"list-failed": func(p *player, now balancer.Time, _ []string) { p.record(p.balancer.ListFailed(now)) },
+	"wake":        func(p *player, now balancer.Time, _ []string) { p.record(p.balancer.TimerFired(now)) },
+	"list-failed": func(p *player, now balancer.Time, _ []string) { p.record(p.balancer.EndpointListFailed(now)) },
 }
 
 // list sends the endpoint list. The first one is complete.
 func (p *player) list(now balancer.Time, args []string) {
 	first := len(p.endpointNames) == 0
 	complete := first
-	var endpoints []balancer.Listing
+	var endpoints []balancer.Endpoint
 	for _, arg := range args {
 		if arg == "complete" {
 			complete = true
@@ -57,9 +57,9 @@
 		}
 		parts := strings.Split(arg, ":")
 		name, options := parts[0], testscript.Words(parts[1:])
-		endpoint := balancer.Listing{
-			Node: p.endpointIndex(name, options["at"]), Name: name, Origin: name[0] == 'o',
-			Since: milliseconds(options["since"]), Weight: 1, Zone: integer(options["zone"]),
+		endpoint := balancer.Endpoint{
+			Index: p.endpointIndex(name, options["at"]), Name: name, Origin: name[0] == 'o',
+			StartedAt: milliseconds(options["since"]), Weight: 1, Zone: integer(options["zone"]),
 			Ready: options["draining"] == "" && options["gone"] == "",
 		}
 		if options["weight"] != "" {
@@ -67,7 +67,7 @@
 		}
 		endpoints = append(endpoints, endpoint)
 	}
-	p.record(p.balancer.Nodes(now, complete, first, endpoints))
+	p.record(p.balancer.UpdateEndpoints(now, complete, first, endpoints))
 }
 
 // endpointIndex returns the index of an endpoint. A new one has the index of its predecessor, or the next
@@ -99,15 +99,15 @@
 		p.fail("no route %q", routeName)
 		return
 	}
-	e := balancer.Exchange{
-		Route: route, Tenant: -1, Key: uint64(request), Keyed: true, Write: options["write"] != "",
-		Repeat: options["client-retry"] != "", Remaining: p.settings.Routes[route].Overall,
+	e := balancer.Request{
+		Route: route, Tenant: -1, Key: uint64(request), HasKey: true, Write: options["write"] != "",
+		ClientRetry: options["client-retry"] != "", RemainingTimeout: p.settings.Routes[route].Timeout,
 	}
 	if options["key"] != "" {
 		e.Key = uint64(testscript.Num(options["key"]))
 	}
 	if options["remaining"] != "" {
-		e.Remaining = milliseconds(options["remaining"])
+		e.RemainingTimeout = milliseconds(options["remaining"])
 	}
 	if options["tenant"] != "" {
 		e.Tenant = integer(options["tenant"])
@@ -126,8 +126,8 @@
 			p.fail("not all were sent: %q", p.decisions)
 		}
 		for request := requests.from; request <= requests.to; request++ {
-			p.record(p.balancer.Returned(now+latency, balancer.Answer{
-				Cx: request, Node: p.lastSent[request].Node, Took: latency, Ended: true,
+			p.record(p.balancer.AttemptFinished(now+latency, balancer.AttemptResult{
+				Request: request, Endpoint: p.lastSent[request].Endpoint, Latency: latency, Answered: true,
 			}))
 		}
 		now, p.decisions = now+milliseconds(options["every"]), nil
@@ -141,13 +141,13 @@
 		p.fail("unknown outcome %q", args[1])
 	}
 	for request := requests.from; request <= requests.to; request++ {
-		endpoint := p.lastSent[request].Node
+		endpoint := p.lastSent[request].Endpoint
 		if options["at"] != "" {
 			endpoint = p.endpoints[p.resolve(options["at"])]
 		}
-		p.record(p.balancer.Returned(now, balancer.Answer{
-			Cx: request, Node: endpoint, Ending: outcome,
-			Took: milliseconds(options["latency"]), Ended: options["answered"] != "",
+		p.record(p.balancer.AttemptFinished(now, balancer.AttemptResult{
+			Request: request, Endpoint: endpoint, Outcome: outcome,
+			Latency: milliseconds(options["latency"]), Answered: options["answered"] != "",
 		}))
 	}
 }
--- a/balancer/scenario_expect_test.go
+++ b/balancer/scenario_expect_test.go
@@ -11,27 +11,27 @@
 // record keeps decisions as scenarios write them.
 func (p *player) record(decisions []balancer.Decision) {
 	for _, d := range decisions {
-		switch d.Act {
+		switch d.Action {
 		case balancer.Send:
-			p.lastSent[d.Cx] = d
-			p.recordf("send %d %s", d.Cx, p.endpointNames[d.Node])
+			p.lastSent[d.Request] = d
+			p.recordf("send %d %s", d.Request, p.endpointNames[d.Endpoint])
 		case balancer.Cancel:
-			p.recordf("cancel %d", d.Cx)
+			p.recordf("cancel %d", d.Request)
 		case balancer.Shed:
-			p.recordf("reject %d", d.Cx)
+			p.recordf("reject %d", d.Request)
 			if p.settings.RetryAfter && (d.After <= 0 || d.After > p.settings.MaxRetryAfter) {
 				p.fail("rejected with a Retry-After of %d", d.After)
 			}
 		case balancer.Error:
-			p.recordf("error %d", d.Cx)
-		case balancer.Follow:
+			p.recordf("error %d", d.Request)
+		case balancer.PollEndpoints:
 			p.recordf("poll")
-		case balancer.Tell:
+		case balancer.NotifyPeer:
 			state := "silent"
-			if d.Answers {
+			if d.Responds {
 				state = "responds"
 			}
-			p.recordf("notify %d %s %s", d.Peer, p.endpointNames[d.Node], state)
+			p.recordf("notify %d %s %s", d.Peer, p.endpointNames[d.Endpoint], state)
 		case balancer.Log:
 			p.logs = append(p.logs, d.Text)
 		}
--- a/balancer/scenario_test.go
+++ b/balancer/scenario_test.go
@@ -40,9 +40,9 @@
 	testscript.Play(t, "scenarios/*.txt", func(t *testing.T) testscript.Stage {
 		return &player{
 			t: t, routes: map[string]int{}, endpoints: map[string]int{}, bound: map[string]string{},
-			lastSent: map[int]balancer.Decision{}, settings: balancer.Terms{
-				Proxies: 1, MaxTries: 5, Tick: 50, Cold: 100000,
-				Fall: 30000, ColdFrom: 0.25, FallMultiple: 3, Aside: true,
+			lastSent: map[int]balancer.Decision{}, settings: balancer.Settings{
+				Proxies: 1, MaxAttempts: 5, Tick: 50, SlowStart: 100000,
+				SlowStartOverloadWindow: 30000, SlowStartInitialShare: 0.25, SlowStartOverloadMultiple: 3, CacheAside: true,
 			},
 		}
 	})
@@ -52,9 +52,9 @@
 type player struct {
 	t             *testing.T
 	line          int
-	settings      balancer.Terms
+	settings      balancer.Settings
 	routes        map[string]int // index by name
-	balancer      *balancer.Instance
+	balancer      *balancer.Balancer
 	endpoints     map[string]int            // index by name
 	endpointNames []string                  // by index
 	bound         map[string]string         // endpoint names by variable
@@ -120,10 +120,10 @@
 
 var groups = map[string]balancer.Group{"": balancer.GroupAll, "zone": balancer.GroupZone, "cell": balancer.GroupCell}
 
-var outcomes = map[string]balancer.Ending{
-	"completed": balancer.Completed, "server-error": balancer.Fault, "overloaded": balancer.NoRoom,
-	"timed-out": balancer.Silent, "connect-failed": balancer.Unreachable, "reset": balancer.Cut,
-	"cancelled": balancer.Undone, "not-sent": balancer.NeverSent, "cache-miss": balancer.Lacking,
+var outcomes = map[string]balancer.Outcome{
+	"completed": balancer.Completed, "server-error": balancer.ServerError, "overloaded": balancer.Overloaded,
+	"timed-out": balancer.TimedOut, "connect-failed": balancer.ConnectFailed, "reset": balancer.Reset,
+	"cancelled": balancer.Cancelled, "not-sent": balancer.NotSent, "cache-miss": balancer.CacheMiss,
 }
 
 func (p *player) addSettings(options map[string]string) {
@@ -133,27 +133,27 @@
 		case "proxies":
 			s.Proxies = integer(value)
 		case "peers":
-			s.Peers = integer(value)
+			s.PeerCount = integer(value)
 		case "attempts":
-			s.MaxTries = integer(value)
+			s.MaxAttempts = integer(value)
 		case "may-cancel":
 			s.MayCancel = true
 		case "hedging":
-			s.Parallel = true
+			s.ParallelAttempts = true
 		case "poll-interval":
-			s.Ask, s.AskEvery = true, milliseconds(value)
+			s.PollsList, s.PollInterval = true, milliseconds(value)
 		case "approximate-weights":
-			s.RoughWeights = true
+			s.ApproximateWeights = true
 		case "retry-after":
 			s.RetryAfter, s.MaxRetryAfter = true, milliseconds(value)
 		case "slow-start":
-			s.Cold = milliseconds(value)
+			s.SlowStart = milliseconds(value)
 		case "quota":
-			s.Allowance = []float64{testscript.Num(value), testscript.Num(value)}
+			s.TenantQuotas = []float64{testscript.Num(value), testscript.Num(value)}
 		case "fetch-cost":
-			s.Fetch = testscript.Num(value)
+			s.FetchCost = testscript.Num(value)
 		case "over-quota-weight":
-			s.BeyondShare = testscript.Num(value)
+			s.OverQuotaWeight = testscript.Num(value)
 		default:
 			p.fail("unknown setting %q", name)
 		}
@@ -163,8 +163,8 @@
 func (p *player) addRoute(name string, options map[string]string) {
 	p.routes[name] = len(p.settings.Routes)
 	p.settings.Routes = append(p.settings.Routes, balancer.Route{
-		Objective: milliseconds(options["objective"]), Overall: milliseconds(options["overall"]),
-		Value: testscript.Num(options["value"]), Overdue: testscript.Num(options["late-value"]),
-		Window: milliseconds(options["window"]), Effect: effects[options["effect"]], Group: groups[options["group"]],
+		Objective: milliseconds(options["objective"]), Timeout: milliseconds(options["overall"]),
+		Value: testscript.Num(options["value"]), LateValue: testscript.Num(options["late-value"]),
+		DedupWindow: milliseconds(options["window"]), Effect: effects[options["effect"]], Group: groups[options["group"]],
 	})
 }
--- a/balancer/shadow.go
+++ b/balancer/shadow.go
@@ -3,14 +3,14 @@
 // These methods serve a shadow balancer: one that is given all events of another one and decides, but is
 // then told what the other one did. Nothing here decides.
 
-// Has reports whether the balancer still decides on a request.
-func (b *Instance) Has(index int) bool { return index < len(b.requests) && b.requests[index].live }
+// Decides reports whether the balancer still decides on a request.
+func (b *Balancer) Decides(index int) bool { return index < len(b.requests) && b.requests[index].live }
 
-// Yield takes a request out of the balancer's hands. It goes on learning from the attempts of the request.
-func (b *Instance) Yield(index int) { b.finish(index) }
+// Release takes a request out of the balancer's hands. It goes on learning from the attempts of the request.
+func (b *Balancer) Release(index int) { b.finish(index) }
 
-// Unsent takes back the latest attempt of a request, which this balancer decided on and which was not sent.
-func (b *Instance) Unsent(index int) {
+// RetractAttempt takes back the latest attempt of a request, which this balancer decided on and which was not sent.
+func (b *Balancer) RetractAttempt(index int) {
 	request := &b.requests[index]
 	b.recordEnded(request, &b.endpoints[request.endpoint])
 	request.attempts--
@@ -18,21 +18,21 @@
 	request.triedEndpoints = request.triedEndpoints[:len(request.triedEndpoints)-1]
 }
 
-// Went records an attempt that the other balancer sent.
-func (b *Instance) Went(now Time, index, endpoint int) {
+// RecordAttempt records an attempt that the other balancer sent.
+func (b *Balancer) RecordAttempt(now Time, index, endpoint int) {
 	b.now = now
 	b.recordSent(&b.requests[index], endpoint)
 }
 
 // Load returns how many attempts are in flight at caches, and how many of them the caches answer in time.
-func (b *Instance) Load() (inFlight int, capacity float64) {
+func (b *Balancer) Load() (inFlight int, capacity float64) {
 	return b.caches.inFlight, b.admission.capacity
 }
 
-// Passed reports whether an endpoint is ejected.
-func (b *Instance) Passed(endpoint int) bool {
+// IsEjected reports whether an endpoint is ejected.
+func (b *Balancer) IsEjected(endpoint int) bool {
 	return endpoint < len(b.endpoints) && b.endpoints[endpoint].ejected
 }
 
-// Out returns how many attempts are in flight, as far as the balancer knows.
-func (b *Instance) Out() int { return b.caches.inFlight + b.origin.inFlight }
+// InFlight returns how many attempts are in flight, as far as the balancer knows.
+func (b *Balancer) InFlight() int { return b.caches.inFlight + b.origin.inFlight }
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -2,9 +2,9 @@
 
 // slowStartLimited holds for an endpoint in slow start that has as much in flight as its responses so far
 // allow, or that has used up its part of the slow-start budget. It consumes that budget.
-func (b *Instance) slowStartLimited(endpoint *endpointState) bool {
-	age := b.now - endpoint.Since
-	if endpoint.Since == 0 || age >= b.slowStart.period {
+func (b *Balancer) slowStartLimited(endpoint *endpointState) bool {
+	age := b.now - endpoint.StartedAt
+	if endpoint.StartedAt == 0 || age >= b.slowStart.period {
 		return false
 	}
 	if endpoint.inFlight >= 1+endpoint.responses/4 {
@@ -20,7 +20,7 @@
 // refillSlowStartBudget adds what may be sent since the last time. That is this proxy's part of what all
 // proxies may send without bringing the endpoint down, with its capacity taken to be no more than what a
 // warm endpoint answers for this proxy.
-func (b *Instance) refillSlowStartBudget(endpoint *endpointState, age Time) {
+func (b *Balancer) refillSlowStartBudget(endpoint *endpointState, age Time) {
 	c := &b.slowStart
 	share := c.initialShare + (1-c.initialShare)*float64(max(age, 0))/float64(c.period)
 	warmRate := b.cacheResponseRate() / float64(max(b.ring.caches, 1))
--- a/balancer/statistics.go
+++ b/balancer/statistics.go
@@ -89,19 +89,19 @@
 }
 
 // cacheResponseRate is the rate per second at which caches respond to this proxy.
-func (b *Instance) cacheResponseRate() float64 { return b.caches.rate.add(b.now, 0) }
+func (b *Balancer) cacheResponseRate() float64 { return b.caches.rate.add(b.now, 0) }
 
 // responseInterval is the mean time between two responses to this proxy from the same cache.
-func (b *Instance) responseInterval() Time {
+func (b *Balancer) responseInterval() Time {
 	return Time(float64(second) * float64(b.ring.caches) / max(b.cacheResponseRate(), 1))
 }
 
-func (b *Instance) observeEndpointLatency(endpoint *endpointState, latency Time, minWeight float64) {
+func (b *Balancer) observeEndpointLatency(endpoint *endpointState, latency Time, minWeight float64) {
 	endpoint.latency.observe(b.now, float64(latency), minWeight, 10*second)
 }
 
 // countCacheResponse takes the response of a cache that ran the request into rate and shares of errors.
-func (b *Instance) countCacheResponse(endpoint *endpointState, isError bool) {
+func (b *Balancer) countCacheResponse(endpoint *endpointState, isError bool) {
 	endpoint.responses++
 	b.caches.rate.add(b.now, 1)
 	value := indicator(isError)
--- a/cmd/woodproxy/check.go
+++ b/cmd/woodproxy/check.go
@@ -57,17 +57,17 @@
 		fmt.Printf("%s: good; room for %d keys, each for %v s\n", c.Missing, missing.Entries, seconds)
 	}
 	if moves := config.Rebalance; moves != nil {
-		fmt.Printf("%s: good; slack %v, %d moves at a node, %d in all\n", c.Moves, moves.Slack, moves.PerNode, moves.InAll)
+		fmt.Printf("%s: good; slack %v, %d moves at a node, %d in all\n", c.Moves, moves.Slack, moves.MaxMigrationsPerNode, moves.MaxMigrations)
 	}
 	if turns := config.Duties; turns != nil {
-		fmt.Printf("%s: good; %d watchers, %d keepers\n", c.Turns, turns.Watchers, turns.Keepers)
+		fmt.Printf("%s: good; %d watchers, %d keepers\n", c.Turns, turns.Watchers, turns.IdleOwners)
 	}
 }
 
 func (c *checkCommand) printConfiguration(config *server.Config) {
 	book := config.Settings
 	fmt.Printf("%s: good; %d routes, %d tenants, %d proxies\n",
-		c.Config, len(book.Routes), len(book.Tenants), book.Terms.Proxies)
+		c.Config, len(book.Routes), len(book.Tenants), book.Balancer.Proxies)
 	if config.NotificationsWithoutGossip {
 		fmt.Println("limits.may-tell: no file of peers is named; nothing is told")
 	}
--- a/cmd/woodproxy/counters.go
+++ b/cmd/woodproxy/counters.go
@@ -28,10 +28,10 @@
 	if err := conn.SetDeadline(time.Now().Add(countersTimeout)); err != nil {
 		return fmt.Errorf("set the call's deadline: %w", err)
 	}
-	if _, err := conn.Write(wire.AppendPlain(nil, "INFO")); err != nil {
+	if _, err := conn.Write(wire.AppendPlainCommand(nil, "INFO")); err != nil {
 		return err
 	}
-	text, err := wire.ReadBulk(bufio.NewReader(conn))
+	text, err := wire.ReadBulkString(bufio.NewReader(conn))
 	if err != nil {
 		return err
 	}
--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -263,7 +263,7 @@
 // silentListener takes what the stand-in hears, and does nothing with it.
 type silentListener struct{}
 
-func (silentListener) EndpointChanged(int64, wire.Target)    {}
+func (silentListener) EndpointChanged(int64, wire.Endpoint)  {}
 func (silentListener) HealthReported(string, bool)           {}
 func (silentListener) QuotaShareChanged(float64)             {}
 func (silentListener) RequestCount() int64                   { return 0 }
@@ -310,11 +310,11 @@
 func (s standIn) sayAll() {
 	s.t.Helper()
 	s.PublishHealth("cache-a", false)
-	s.PublishEndpoints(42, false, []wire.Target{{Name: "cache-a", Address: "127.0.0.1:1", Zone: "a", Ready: true}})
+	s.PublishEndpoints(42, false, []wire.Endpoint{{Name: "cache-a", Address: "127.0.0.1:1", Zone: "a", Ready: true}})
 	s.PublishSharedRow(replica.Row{Kind: replica.Gone, Key: "beta", Epoch: 1}) // long before this process of beta
 	s.speak(replica.Voice, "b", &zonehealth.Voice{Zone: "b"})
-	s.speak(replica.Trial, "cache-a", &duties.Said{Round: 1})
-	s.speak(replica.Beat, "beta", &duties.Said{For: 5 * duties.Second})
+	s.speak(replica.Trial, "cache-a", &duties.Report{Round: 1})
+	s.speak(replica.Beat, "beta", &duties.Report{ValidFor: 5 * duties.Second})
 	s.speak(replica.Wrote, "s0", &negativecache.Word{})
 	s.speak(replica.Absent, "s0", &negativecache.Word{})
 	s.speak(unknownKind, "thing", &struct{}{})
--- a/duties/assigner_test.go
+++ b/duties/assigner_test.go
@@ -6,32 +6,32 @@
 )
 
 // newAssigner returns an assigner with the default settings that knows the members.
-func newAssigner(t *testing.T, name string, members []Proxy) *Instance {
+func newAssigner(t *testing.T, name string, members []Proxy) *Assigner {
 	t.Helper()
 	settings := defaultSettings
-	settings.Me = name
+	settings.Self = name
 	a := New(0, settings)
-	a.Fleet(0, members, false)
+	a.SetMembers(0, members, false)
 	return a
 }
 
 // A proxy that starts or catches up leaves no duty to others: it watches, keeps all idle connections, and probes by
 // its own clock.
 func TestProxyThatCatchesUpDoesAllDuties(t *testing.T) {
-	settings := Terms{
-		Me: "n1", Watchers: 2, Keepers: 2, Trials: true,
-		Rest: Second, Step: Second / 5, Beat: Second / 2, Patience: 2 * Second,
+	settings := Settings{
+		Self: "n1", Watchers: 2, IdleOwners: 2, ShareProbes: true,
+		ProbeInterval: Second, TakeoverDelay: Second / 5, HeartbeatInterval: Second / 2, LeaseDuration: 2 * Second,
 	}
 	a := New(0, settings)
-	a.Nodes(0, []string{"c1"})
-	a.Fleet(0, makeMembers(9, 1), true)
+	a.SetNodes(0, []string{"c1"})
+	a.SetMembers(0, makeMembers(9, 1), true)
 	for now := Time(0); now < 10*Second; now += tickInterval {
 		if decisions := a.Tick(now); len(decisions) > 0 {
 			t.Fatalf("at %.1f s: %+v, want no decision", seconds(now), decisions)
 		}
 	}
-	for _, d := range a.Passed(11*Second, "c1", true) {
-		if d.Act != Say {
+	for _, d := range a.SetEjected(11*Second, "c1", true) {
+		if d.Action != Broadcast {
 			t.Errorf("%+v, want reports only", d)
 		}
 	}
@@ -86,7 +86,7 @@
 			}
 		}
 	}
-	if owners < 2*min(defaultSettings.Keepers, alive) {
+	if owners < 2*min(defaultSettings.IdleOwners, alive) {
 		t.Errorf("%s: %d alive, the two nodes have %d owners together", stage, alive, owners)
 	}
 	want := min(alive, defaultSettings.Watchers)
--- a/duties/idleconnections.go
+++ b/duties/idleconnections.go
@@ -15,8 +15,8 @@
 // nodeAdded handles a new node, which this proxy owns until the next assignment. The caller may know the node from
 // an earlier endpoint list, and as another proxy's, so it is told in any case.
 func (c *idleConnections) nodeAdded(n *node) {
-	if c.view.settings.Keepers > 0 {
-		c.decisions.add(Decision{Act: Keep, Node: n.name, On: true})
+	if c.view.settings.IdleOwners > 0 {
+		c.decisions.add(Decision{Action: SetIdleConnections, Node: n.name, Enabled: true})
 	}
 }
 
@@ -24,7 +24,7 @@
 // up, and where there are not more proxies than owners.
 func (c *idleConnections) ownedBySelf(nodes *nodeTable) []bool {
 	owned := make([]bool, len(nodes.sorted))
-	members, count := c.view.members, c.view.settings.Keepers
+	members, count := c.view.members, c.view.settings.IdleOwners
 	if count == 0 || c.view.catchingUp || members.size() <= count {
 		for i := range owned {
 			owned[i] = true
@@ -32,7 +32,7 @@
 		return owned
 	}
 	for i, owners := range members.assignOwners(nodes.hashes(), count) {
-		owned[i] = slices.ContainsFunc(owners, func(p int32) bool { return members.names[p] == c.view.settings.Me })
+		owned[i] = slices.ContainsFunc(owners, func(p int32) bool { return members.names[p] == c.view.settings.Self })
 	}
 	return owned
 }
@@ -50,5 +50,5 @@
 	}
 	n.owned = owned
 	c.ownershipChanges++
-	c.decisions.add(Decision{Act: Keep, Node: n.name, On: owned})
+	c.decisions.add(Decision{Action: SetIdleConnections, Node: n.name, Enabled: owned})
 }
--- a/duties/idleconnections_test.go
+++ b/duties/idleconnections_test.go
@@ -8,14 +8,14 @@
 	told, now := map[string]bool{}, Time(0)
 	follow := func(decisions []Decision) {
 		for _, d := range decisions {
-			if d.Act == Keep {
-				told[d.Node] = d.On
+			if d.Action == SetIdleConnections {
+				told[d.Node] = d.Enabled
 			}
 		}
 	}
 	names := []string{"c0", "c1", "c2", "c3", "c4", "c5", "c6", "c7"}
 	for _, listed := range [][]string{names, names[:2], names} {
-		follow(a.Nodes(now, listed))
+		follow(a.SetNodes(now, listed))
 		now += Second
 		follow(a.Tick(now))
 	}
@@ -28,7 +28,7 @@
 			owned++
 		}
 	}
-	if owned == len(names) || owned != a.Shown().Kept {
-		t.Errorf("%d nodes owned, %d in the statistics", owned, a.Shown().Kept)
+	if owned == len(names) || owned != a.Statistics().OwnedNodes {
+		t.Errorf("%d nodes owned, %d in the statistics", owned, a.Statistics().OwnedNodes)
 	}
 }
--- a/duties/membership.go
+++ b/duties/membership.go
@@ -9,7 +9,7 @@
 // Proxy is a member of the fleet, as the replicated state knows it.
 type Proxy struct {
 	Name, Zone string
-	Here       bool // whether it is alive: its heartbeats have been seen lately
+	Alive      bool // whether it is alive: its heartbeats have been seen lately
 }
 
 // membership is the set of proxies that are alive, in the caller's order, with what rendezvous hashing needs. It
@@ -26,7 +26,7 @@
 	m := &membership{alive: map[string]struct{}{}}
 	zoneNumbers := map[string]int{}
 	for _, proxy := range all {
-		if !proxy.Here {
+		if !proxy.Alive {
 			continue
 		}
 		zone, known := zoneNumbers[proxy.Zone]
@@ -57,11 +57,11 @@
 
 // fleetView is what all parts of a proxy's decisions read: its settings, the time of the present call, and the fleet.
 type fleetView struct {
-	settings   Terms
+	settings   Settings
 	now        Time // never goes back
 	members    *membership
 	catchingUp bool // the replicated state may be incomplete, so that no duty may be left to others
 }
 
 // selfRank is the number of proxies that come before this one in the order for a subject.
-func (v *fleetView) selfRank(subject uint64) int { return v.members.rank(subject, v.settings.Me) }
+func (v *fleetView) selfRank(subject uint64) int { return v.members.rank(subject, v.settings.Self) }
--- a/duties/owners_test.go
+++ b/duties/owners_test.go
@@ -13,7 +13,7 @@
 func makeMembers(count, zones int) []Proxy {
 	all := make([]Proxy, count)
 	for i := range all {
-		all[i] = Proxy{Name: fmt.Sprintf("n%d", i), Zone: fmt.Sprint("z", i%max(zones, 1)), Here: true}
+		all[i] = Proxy{Name: fmt.Sprintf("n%d", i), Zone: fmt.Sprint("z", i%max(zones, 1)), Alive: true}
 	}
 	return all
 }
@@ -73,7 +73,7 @@
 		ownerCount := rapid.IntRange(1, 6).Draw(t, "owners")
 		members := makeMembers(proxies, zones)
 		for i := range members { // any proxy but the first may be gone, among them the first or last of a zone
-			members[i].Here = i == 0 || rapid.IntRange(0, 3).Draw(t, "alive") > 0
+			members[i].Alive = i == 0 || rapid.IntRange(0, 3).Draw(t, "alive") > 0
 		}
 		m := newMembership(members)
 		subjects := makeSubjects(rapid.IntRange(1, 40).Draw(t, "subjects"))
@@ -154,7 +154,7 @@
 		before := assign(makeMembers(proxies, 3), subjects, ownerCount)
 		for _, leaving := range []int{0, proxies / 2, proxies - 1} {
 			remaining := makeMembers(proxies, 3)
-			remaining[leaving].Here = false
+			remaining[leaving].Alive = false
 			moved := float64(countMoved(before, assign(remaining, subjects, ownerCount)))
 			sumOfShares += moved / share
 			changes++
--- a/duties/probes.go
+++ b/duties/probes.go
@@ -28,7 +28,7 @@
 )
 
 // reportWindow is the span in which reports on probes count.
-func (v *fleetView) reportWindow() Time { return reportWindowIntervals * v.settings.Rest }
+func (v *fleetView) reportWindow() Time { return reportWindowIntervals * v.settings.ProbeInterval }
 
 // oldestReport is the earliest instant from which reports on probes still count.
 func (v *fleetView) oldestReport() Time { return v.now - v.reportWindow() }
@@ -94,35 +94,35 @@
 	if outcome == ProbeStarted {
 		n.probes.round++
 	}
-	s.record(n, s.view.settings.Me, s.view.now, outcome)
+	s.record(n, s.view.settings.Self, s.view.now, outcome)
 	s.decisions.add(Decision{
-		Act: Say, Kind: Trial, Key: n.name,
-		Said: Said{Round: n.probes.round, How: outcome}, Life: s.view.reportWindow(),
+		Action: Broadcast, Kind: ProbeReport, Key: n.name,
+		Report: Report{Round: n.probes.round, Outcome: outcome}, TTL: s.view.reportWindow(),
 	})
 	n.probes.scheduledProbe = 0 // the caller has chosen a time of its own meanwhile
 	s.schedule(n)
 }
 
 // accepts tells whether another proxy's report is about a known node (not nil), within bounds, and recent.
-func (s *probeScheduler) accepts(n *node, report Said, age Time) bool {
-	return n != nil && s.view.settings.Trials &&
+func (s *probeScheduler) accepts(n *node, report Report, age Time) bool {
+	return n != nil && s.view.settings.ShareProbes &&
 		report.Round >= 0 && report.Round <= n.probes.round+maxRoundJump &&
-		report.How <= ProbeSucceeded && age <= s.view.reportWindow()
+		report.Outcome <= ProbeSucceeded && age <= s.view.reportWindow()
 }
 
 // peerReported handles another proxy's report of the given age, and tells whether it was accepted.
-func (s *probeScheduler) peerReported(n *node, proxy string, report Said, age Time) bool {
+func (s *probeScheduler) peerReported(n *node, proxy string, report Report, age Time) bool {
 	if !s.accepts(n, report, age) {
 		s.rejectedReports++
 		return false
 	}
 	s.reportsReceived++
 	at := s.view.now - age
-	if report.How == ProbeStarted && at < n.probes.latest+s.view.settings.Rest/2 {
+	if report.Outcome == ProbeStarted && at < n.probes.latest+s.view.settings.ProbeInterval/2 {
 		s.duplicateProbes++
 	}
 	n.probes.round = max(n.probes.round, report.Round)
-	if s.record(n, proxy, at, report.How) && n.ejected {
+	if s.record(n, proxy, at, report.Outcome) && n.ejected {
 		s.schedule(n)
 	}
 	return true
@@ -184,7 +184,7 @@
 	at := s.nextProbe(n)
 	if n.probes.scheduledProbe != at {
 		n.probes.scheduledProbe = at
-		s.decisions.add(Decision{Act: Rest, Node: n.name, Until: at})
+		s.decisions.add(Decision{Action: ScheduleProbe, Node: n.name, NotBefore: at})
 	}
 }
 
@@ -201,8 +201,8 @@
 		return s.view.now
 	}
 	delays := bits.Len(uint(rank))
-	if p.recentProbers.includes(s.view.settings.Me) {
+	if p.recentProbers.includes(s.view.settings.Self) {
 		delays += recentProberDelays
 	}
-	return p.latest + s.view.settings.Rest + Time(delays)*s.view.settings.Step
+	return p.latest + s.view.settings.ProbeInterval + Time(delays)*s.view.settings.TakeoverDelay
 }
--- a/duties/probes_test.go
+++ b/duties/probes_test.go
@@ -85,8 +85,8 @@
 			s := newSimulation(24, defaultSettings, 3)
 			s.misbehave = func(s *simulation, proxy int) {
 				if proxy == faultyProxy {
-					report := Said{Round: int64(s.now), How: c.outcome}
-					s.carryOut(proxy, []Decision{{Act: Say, Kind: Trial, Key: probedNodeName, Said: report}})
+					report := Report{Round: int64(s.now), Outcome: c.outcome}
+					s.carryOut(proxy, []Decision{{Action: Broadcast, Kind: ProbeReport, Key: probedNodeName, Report: report}})
 				}
 			}
 			got := silenceNode(t, s)
@@ -101,26 +101,26 @@
 
 func TestReportsOutOfBoundsAreRejected(t *testing.T) {
 	a := newAssigner(t, "n0", makeMembers(5, 1))
-	a.Nodes(0, []string{"c1"})
+	a.SetNodes(0, []string{"c1"})
 	for _, c := range []struct {
 		name   string
 		node   string
-		report Said
+		report Report
 	}{
-		{"negative round", "c1", Said{Round: -1}},
-		{"round far ahead", "c1", Said{Round: 1 << 40}},
-		{"unknown outcome", "c1", Said{How: 9}},
-		{"unknown node", "else", Said{}},
+		{"negative round", "c1", Report{Round: -1}},
+		{"round far ahead", "c1", Report{Round: 1 << 40}},
+		{"unknown outcome", "c1", Report{Outcome: 9}},
+		{"unknown node", "else", Report{}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			before := a.Shown().Refused
-			a.Heard(0, "n1", Trial, c.node, c.report, 0)
-			if got := a.Shown().Refused; got != before+1 {
+			before := a.Statistics().RejectedReports
+			a.HandleReport(0, "n1", ProbeReport, c.node, c.report, 0)
+			if got := a.Statistics().RejectedReports; got != before+1 {
 				t.Errorf("%d rejected, before it %d", got, before)
 			}
 		})
 	}
-	if got := a.Shown().Refused; got != 4 {
+	if got := a.Statistics().RejectedReports; got != 4 {
 		t.Errorf("%d rejected in all, want 4", got)
 	}
 }
--- a/duties/report.go
+++ b/duties/report.go
@@ -2,14 +2,14 @@
 
 import "slices"
 
-// Kind tells what a report is about. A newer report of the same kind and key from the same proxy replaces the older
+// ReportKind tells what a report is about. A newer report of the same kind and key from the same proxy replaces the older
 // one. The numbers are fixed: callers index tables by them.
-type Kind uint8
+type ReportKind uint8
 
 // Kinds of reports.
 const (
-	Trial Kind = iota // on a probe of a node, by the proxy that sent it; the key is the node's name
-	Beat              // a watcher's heartbeat; the key is the watcher's name
+	ProbeReport    ReportKind = iota // on a probe of a node, by the proxy that sent it; the key is the node's name
+	WatchHeartbeat                   // a watcher's heartbeat; the key is the watcher's name
 )
 
 // ProbeOutcome is the state of a probe in a report. The numbers go on the wire.
@@ -22,11 +22,11 @@
 	ProbeSucceeded                     // the node answered
 )
 
-// Said is the body of a report that one proxy sends to all others.
-type Said struct {
-	Round int64        `msgpack:"r,omitempty"` // of a probe: proxies are ranked anew in each round
-	How   ProbeOutcome `msgpack:"h,omitempty"` // of a probe
-	For   Time         `msgpack:"f,omitempty"` // of a heartbeat: how long it is valid
+// Report is the body of a report that one proxy sends to all others.
+type Report struct {
+	Round    int64        `msgpack:"r,omitempty"` // of a probe: proxies are ranked anew in each round
+	Outcome  ProbeOutcome `msgpack:"h,omitempty"` // of a probe
+	ValidFor Time         `msgpack:"f,omitempty"` // of a heartbeat: how long it is valid
 }
 
 // timedReport notes that a proxy reported something.
--- a/duties/settings.go
+++ b/duties/settings.go
@@ -6,16 +6,16 @@
 	"woodproxy/internal/configfile"
 )
 
-// Terms is the configuration of one proxy. Spans are in units of [Time]; the Check method enforces their ranges.
-type Terms struct {
-	Me       string // name of this proxy
-	Watchers int    // proxies that watch discovery for the fleet, 2 to 64; 0: each proxy watches for itself
-	Keepers  int    // proxies that keep idle connections to a node, 0 to 64; 0: all proxies do
-	Trials   bool   // whether probes of nodes that stopped answering are shared
-	Rest     Time   // interval between two probes of a node by the fleet, 50 ms to 60 s
-	Step     Time   // twice as many proxies may take over each time this span passes without a report, 20 ms to 10 s
-	Beat     Time   // interval between two heartbeats of a watcher, 100 ms to 2 s
-	Patience Time   // how long a heartbeat is valid, 200 ms to 4 s, at least two heartbeat intervals
+// Settings is the configuration of one proxy. Spans are in units of [Time]; the Check method enforces their ranges.
+type Settings struct {
+	Self              string // name of this proxy
+	Watchers          int    // proxies that watch discovery for the fleet, 2 to 64; 0: each proxy watches for itself
+	IdleOwners        int    // proxies that keep idle connections to a node, 0 to 64; 0: all proxies do
+	ShareProbes       bool   // whether probes of nodes that stopped answering are shared
+	ProbeInterval     Time   // interval between two probes of a node by the fleet, 50 ms to 60 s
+	TakeoverDelay     Time   // twice as many proxies may take over each time this span passes without a report, 20 ms to 10 s
+	HeartbeatInterval Time   // interval between two heartbeats of a watcher, 100 ms to 2 s
+	LeaseDuration     Time   // how long a heartbeat is valid, 200 ms to 4 s, at least two heartbeat intervals
 }
 
 // maxReplicas is the highest configurable number of watchers, and of owners of a node's idle connections.
@@ -27,14 +27,14 @@
 
 // Check returns a *[RangeError] for the first value that is out of its range, or an error that names both spans if a
 // heartbeat is valid for less than two heartbeat intervals. Errors name the keys of the configuration file.
-func (s *Terms) Check() error {
+func (s *Settings) Check() error {
 	err := configfile.Check(
 		configfile.Range("watchers", float64(s.Watchers), 0, maxReplicas),
-		configfile.Range("keepers", float64(s.Keepers), 0, maxReplicas),
-		configfile.Range("trial_ms", milliseconds(s.Rest), 50, 60000),
-		configfile.Range("turn_ms", milliseconds(s.Step), 20, 10000),
-		configfile.Range("beat_ms", milliseconds(s.Beat), 100, 2000),
-		configfile.Range("patience_ms", milliseconds(s.Patience), 200, 4000),
+		configfile.Range("keepers", float64(s.IdleOwners), 0, maxReplicas),
+		configfile.Range("trial_ms", milliseconds(s.ProbeInterval), 50, 60000),
+		configfile.Range("turn_ms", milliseconds(s.TakeoverDelay), 20, 10000),
+		configfile.Range("beat_ms", milliseconds(s.HeartbeatInterval), 100, 2000),
+		configfile.Range("patience_ms", milliseconds(s.LeaseDuration), 200, 4000),
 	)
 	if err != nil {
 		return err
@@ -42,10 +42,10 @@
 	if s.Watchers == 1 { // if the only watcher died, the whole fleet would get no watch events for a while
 		return configfile.Check(configfile.Range("watchers", 1, 2, maxReplicas))
 	}
-	if s.Patience < minHeartbeatsPerLease*s.Beat {
-		return &OrderError{
+	if s.LeaseDuration < minHeartbeatsPerLease*s.HeartbeatInterval {
+		return &SpanRatioError{
 			ShortKey: "beat_ms", LongKey: "patience_ms",
-			Short: milliseconds(s.Beat), Long: milliseconds(s.Patience), MinRatio: minHeartbeatsPerLease,
+			Short: milliseconds(s.HeartbeatInterval), Long: milliseconds(s.LeaseDuration), MinRatio: minHeartbeatsPerLease,
 		}
 	}
 	return nil
@@ -54,26 +54,26 @@
 // RangeError reports a configured value that is out of its range.
 type RangeError = configfile.RangeError
 
-// OrderError reports two configured spans of which the second is not longer than the first by the required factor.
-type OrderError struct {
+// SpanRatioError reports two configured spans of which the second is not longer than the first by the required factor.
+type SpanRatioError struct {
 	ShortKey, LongKey string  // keys of the configuration file
 	Short, Long       float64 // configured values, in milliseconds
 	MinRatio          float64 // least allowed Long / Short
 }
 
 // Error names both keys and says which one to change.
-func (e *OrderError) Error() string {
+func (e *SpanRatioError) Error() string {
 	return fmt.Sprintf("%s: %v: less than %v times %s, %v; raise it, or lower %s",
 		e.LongKey, e.Long, e.MinRatio, e.ShortKey, e.Short, e.ShortKey)
 }
 
-// AloneError reports that duties are configured on a proxy that has no peers to share them with.
-type AloneError struct {
+// NoPeersError reports that duties are configured on a proxy that has no peers to share them with.
+type NoPeersError struct {
 	File string // path of the duties configuration file
 }
 
 // Error names the file and says how to configure peers.
-func (e *AloneError) Error() string {
+func (e *NoPeersError) Error() string {
 	return fmt.Sprintf("%s: proxies do not talk; name a file of peers as well (--peers FILE), or leave the file of turns out",
 		e.File)
 }
--- a/duties/settings_test.go
+++ b/duties/settings_test.go
@@ -15,12 +15,12 @@
 func TestValuesOutOfRangeAreNamed(t *testing.T) {
 	for _, c := range []struct {
 		key    string
-		change func(settings *Terms)
+		change func(settings *Settings)
 	}{
-		{"watchers", func(settings *Terms) { settings.Watchers = 1 }},
-		{"keepers", func(settings *Terms) { settings.Keepers = -1 }},
-		{"trial_ms", func(settings *Terms) { settings.Rest = 1 }},
-		{"turn_ms", func(settings *Terms) { settings.Step = 0 }},
+		{"watchers", func(settings *Settings) { settings.Watchers = 1 }},
+		{"keepers", func(settings *Settings) { settings.IdleOwners = -1 }},
+		{"trial_ms", func(settings *Settings) { settings.ProbeInterval = 1 }},
+		{"turn_ms", func(settings *Settings) { settings.TakeoverDelay = 0 }},
 	} {
 		t.Run(c.key, func(t *testing.T) {
 			settings := defaultSettings
@@ -35,8 +35,8 @@
 
 func TestLeaseShorterThanTwoHeartbeatsIsAnError(t *testing.T) {
 	settings := defaultSettings
-	settings.Patience = settings.Beat
-	var orderError *OrderError
+	settings.LeaseDuration = settings.HeartbeatInterval
+	var orderError *SpanRatioError
 	if err := settings.Check(); !errors.As(err, &orderError) || orderError.LongKey != "patience_ms" {
 		t.Errorf("%v, want an error of patience_ms", err)
 	}
--- a/duties/simulation_test.go
+++ b/duties/simulation_test.go
@@ -6,8 +6,8 @@
 )
 
 // defaultSettings are the settings of the simulated proxies, but for their names.
-var defaultSettings = Terms{
-	Watchers: 6, Keepers: 4, Trials: true, Rest: Second / 2, Step: Second / 5, Beat: Second / 2, Patience: 3 * Second / 2,
+var defaultSettings = Settings{
+	Watchers: 6, IdleOwners: 4, ShareProbes: true, ProbeInterval: Second / 2, TakeoverDelay: Second / 5, HeartbeatInterval: Second / 2, LeaseDuration: 3 * Second / 2,
 }
 
 const (
@@ -46,7 +46,7 @@
 }
 
 type simulatedProxy struct {
-	*Instance
+	*Assigner
 	up         bool
 	ejected    bool // the probed node, by this proxy
 	ejectUntil Time
@@ -57,7 +57,7 @@
 	watchHangs bool // its watch never works
 }
 
-func newSimulation(proxies int, settings Terms, seed uint64) *simulation {
+func newSimulation(proxies int, settings Settings, seed uint64) *simulation {
 	s := &simulation{
 		now: 100 * Second, random: rand.New(rand.NewPCG(seed, 5)), maxExtraDelay: Second / 4,
 		deliveries: map[Time][]func(){}, members: makeMembers(proxies, 3), requestRate: 40,
@@ -68,12 +68,12 @@
 	return s
 }
 
-func (s *simulation) startProxy(i int, settings Terms) *simulatedProxy {
-	settings.Me = s.members[i].Name
+func (s *simulation) startProxy(i int, settings Settings) *simulatedProxy {
+	settings.Self = s.members[i].Name
 	p := &simulatedProxy{
-		Instance: New(s.now, settings), up: true, watches: true, watchLive: s.now + watchStart, backoff: settings.Rest,
+		Assigner: New(s.now, settings), up: true, watches: true, watchLive: s.now + watchStart, backoff: settings.ProbeInterval,
 	}
-	p.Nodes(s.now, []string{probedNodeName, "c2"})
+	p.SetNodes(s.now, []string{probedNodeName, "c2"})
 	return p
 }
 
@@ -82,9 +82,9 @@
 	for i, p := range s.proxies {
 		view := append([]Proxy(nil), s.members...)
 		for k := range view {
-			view[k].Here = s.proxies[k].up && (s.partitioned == nil || k == i || !s.partitioned(k, i))
+			view[k].Alive = s.proxies[k].up && (s.partitioned == nil || k == i || !s.partitioned(k, i))
 		}
-		s.carryOut(i, p.Fleet(s.now, view, false))
+		s.carryOut(i, p.SetMembers(s.now, view, false))
 	}
 }
 
@@ -92,19 +92,19 @@
 func (s *simulation) carryOut(i int, decisions []Decision) {
 	p := s.proxies[i]
 	for _, d := range decisions {
-		switch d.Act {
-		case Rest:
+		switch d.Action {
+		case ScheduleProbe:
 			if d.Node == probedNodeName {
-				p.ejectUntil = d.Until
+				p.ejectUntil = d.NotBefore
 			}
-		case Doubt: // as the balancer takes hints
+		case SetSuspicion: // as the balancer takes hints
 			p.suspicion += (1 - p.suspicion) * 0.4
-			if !d.On {
+			if !d.Enabled {
 				p.suspicion = 0
 			}
-		case Watch:
-			s.setWatch(p, d.On)
-		case Say:
+		case SetWatch:
+			s.setWatch(p, d.Enabled)
+		case Broadcast:
 			s.broadcast(i, d)
 		}
 	}
@@ -117,7 +117,7 @@
 		return
 	}
 	p.watchLive = 0
-	p.Watching(s.now, false)
+	p.SetWatchLive(s.now, false)
 }
 
 // broadcast sends a proxy's report to all others.
@@ -131,8 +131,8 @@
 		at := s.now + s.minDelay + simulationStep*extraSteps
 		s.deliveries[at] = append(s.deliveries[at], func() {
 			if receiver == s.proxies[to] && receiver.up && s.proxies[from].up {
-				name := sender.view.settings.Me
-				s.carryOut(to, receiver.Heard(s.now, name, report.Kind, report.Key, report.Said, s.now-sentAt))
+				name := sender.view.settings.Self
+				s.carryOut(to, receiver.HandleReport(s.now, name, report.Kind, report.Key, report.Report, s.now-sentAt))
 			}
 		})
 	}
@@ -150,9 +150,9 @@
 	if s.nodeSilent {
 		s.requestFails(i, p)
 	} else if p.ejected {
-		p.ejected, p.backoff = false, defaultSettings.Rest
+		p.ejected, p.backoff = false, defaultSettings.ProbeInterval
 		if !s.independent {
-			s.carryOut(i, p.Passed(s.now, probedNodeName, false))
+			s.carryOut(i, p.SetEjected(s.now, probedNodeName, false))
 		}
 	}
 }
@@ -163,16 +163,16 @@
 	wasEjected := p.ejected
 	p.ejected, p.ejectUntil = true, s.now+p.backoff
 	if s.independent {
-		p.backoff = min(2*p.backoff, 8*defaultSettings.Rest)
+		p.backoff = min(2*p.backoff, 8*defaultSettings.ProbeInterval)
 		return
 	}
 	if !wasEjected {
-		s.carryOut(i, p.Passed(s.now, probedNodeName, true))
+		s.carryOut(i, p.SetEjected(s.now, probedNodeName, true))
 		return
 	}
-	s.carryOut(i, p.Tried(s.now, probedNodeName))
+	s.carryOut(i, p.ProbeSent(s.now, probedNodeName))
 	at := s.now + probeTimeout
-	s.deliveries[at] = append(s.deliveries[at], func() { s.carryOut(i, p.Failed(s.now, probedNodeName)) })
+	s.deliveries[at] = append(s.deliveries[at], func() { s.carryOut(i, p.ProbeFailed(s.now, probedNodeName)) })
 }
 
 func (s *simulation) run(span Time) {
@@ -198,7 +198,7 @@
 func (s *simulation) stepProxy(i int, p *simulatedProxy) {
 	if p.watches && p.watchLive > 0 && p.watchLive <= s.now && !p.watchHangs {
 		s.lastWatched = s.now
-		p.Watching(s.now, true)
+		p.SetWatchLive(s.now, true)
 	}
 	if s.now%tickInterval == 0 {
 		if s.misbehave != nil {
--- a/duties/suspicion.go
+++ b/duties/suspicion.go
@@ -17,11 +17,11 @@
 	switch {
 	case outcome == ProbeSucceeded && len(n.silence) > 0:
 		n.silence = n.silence[:0]
-		s.decisions.add(Decision{Act: Doubt, Node: n.name})
+		s.decisions.add(Decision{Action: SetSuspicion, Node: n.name})
 	case outcome == ProbeFailed && !n.silence.includes(proxy) && len(n.silence) < maxRecentReports:
 		n.silence = append(n.silence, timedReport{proxy, at})
 		if len(n.silence) >= minSilenceReports && !n.ejected {
-			s.decisions.add(Decision{Act: Doubt, Node: n.name, On: true})
+			s.decisions.add(Decision{Action: SetSuspicion, Node: n.name, Enabled: true})
 		}
 	}
 }
--- a/duties/suspicion_test.go
+++ b/duties/suspicion_test.go
@@ -6,12 +6,12 @@
 // repeats itself does not.
 func TestTwoProxiesRaiseSuspicion(t *testing.T) {
 	a := newAssigner(t, "n0", makeMembers(9, 1))
-	a.Nodes(0, []string{"c1"})
+	a.SetNodes(0, []string{"c1"})
 	hintsAfter := func(now Time, from string, outcome ProbeOutcome) []bool {
 		var hints []bool
-		for _, d := range a.Heard(now, from, Trial, "c1", Said{How: outcome}, 0) {
-			if d.Act == Doubt {
-				hints = append(hints, d.On)
+		for _, d := range a.HandleReport(now, from, ProbeReport, "c1", Report{Outcome: outcome}, 0) {
+			if d.Action == SetSuspicion {
+				hints = append(hints, d.Enabled)
 			}
 		}
 		return hints
--- a/duties/watch.go
+++ b/duties/watch.go
@@ -39,7 +39,7 @@
 // renewLease handles another proxy's heartbeat. The sender states how long it is valid, within what this proxy's
 // settings allow, since a proxy that claims to watch forever would hold its lease without watching.
 func (w *watchDuty) renewLease(proxy string, sentAt, validFor Time) {
-	shortest := w.view.settings.Patience
+	shortest := w.view.settings.LeaseDuration
 	if expires := sentAt + min(max(validFor, shortest), extended(shortest)); expires > w.view.now {
 		w.leases[proxy] = expires
 	}
@@ -57,7 +57,7 @@
 			continue
 		}
 		w.leaseCount++
-		if precedes(discoverySubject, proxy, w.view.settings.Me) {
+		if precedes(discoverySubject, proxy, w.view.settings.Self) {
 			w.precedence++
 		}
 	}
@@ -80,7 +80,7 @@
 // heartbeatDue tells whether this proxy watches and its last heartbeat is an interval ago. A surplus watcher sends
 // half as many.
 func (w *watchDuty) heartbeatDue() bool {
-	interval := w.view.settings.Beat
+	interval := w.view.settings.HeartbeatInterval
 	if w.surplus {
 		interval *= 2
 	}
@@ -91,12 +91,12 @@
 // where a whole fleet watches, the heartbeats themselves would else be late.
 func (w *watchDuty) sendHeartbeat() {
 	w.heartbeatAt = w.view.now
-	validFor := w.view.settings.Patience
+	validFor := w.view.settings.LeaseDuration
 	if w.surplus {
 		validFor = extended(validFor)
 	}
 	w.decisions.add(Decision{
-		Act: Say, Kind: Beat, Key: w.view.settings.Me, Said: Said{For: validFor}, Life: validFor,
+		Action: Broadcast, Kind: WatchHeartbeat, Key: w.view.settings.Self, Report: Report{ValidFor: validFor}, TTL: validFor,
 	})
 }
 
@@ -127,7 +127,7 @@
 	if w.shortSince == 0 {
 		return false
 	}
-	doublings := min((w.view.now-w.shortSince)/settings.Step, maxDoublings)
+	doublings := min((w.view.now-w.shortSince)/settings.TakeoverDelay, maxDoublings)
 	return w.assigned || w.view.selfRank(discoverySubject) < settings.Watchers<<doublings
 }
 
@@ -139,5 +139,5 @@
 	watchers := w.countWatchers()
 	w.assigned = !w.assigned
 	w.decisions.logf("discovery watch %v: %d proxies alive, %d watching", w.assigned, w.view.members.size(), watchers)
-	w.decisions.add(Decision{Act: Watch, On: w.assigned})
+	w.decisions.add(Decision{Action: SetWatch, Enabled: w.assigned})
 }
--- a/duties/watch_test.go
+++ b/duties/watch_test.go
@@ -70,7 +70,7 @@
 		switch {
 		case p.watches && fault == watchesHang:
 			p.watchHangs = true
-			p.Watching(s.now, false)
+			p.SetWatchLive(s.now, false)
 		case p.watches && fault == watchersDie && len(s.proxies) > smallFleet:
 			p.up = false
 		}
@@ -81,7 +81,7 @@
 // proxies are wanted, and the start of a watch.
 func takeoverLimit(size int) Time {
 	doublings := Time(math.Ceil(math.Log2(float64(size)/float64(defaultSettings.Watchers)))) + 1
-	return defaultSettings.Patience + defaultSettings.Beat + max(doublings, 1)*defaultSettings.Step + firstEvent
+	return defaultSettings.LeaseDuration + defaultSettings.HeartbeatInterval + max(doublings, 1)*defaultSettings.TakeoverDelay + firstEvent
 }
 
 // When all proxies watch, as after a fault that hit most of them, all but a few stop again though reports take two
@@ -98,7 +98,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			settings := defaultSettings
-			settings.Beat, settings.Patience = 7*Second/10, c.lease
+			settings.HeartbeatInterval, settings.LeaseDuration = 7*Second/10, c.lease
 			s := newSimulation(60, settings, 9)
 			s.minDelay = reportDelay
 			s.shareMembership()
@@ -120,7 +120,7 @@
 	s.run(5 * Second)
 	inMinority := func(proxy int) bool { return proxy%10 == 0 }
 	s.partitioned = func(a, b int) bool { return inMinority(a) != inMinority(b) }
-	s.run(defaultSettings.Patience + defaultSettings.Beat + 6*defaultSettings.Step + firstEvent)
+	s.run(defaultSettings.LeaseDuration + defaultSettings.HeartbeatInterval + 6*defaultSettings.TakeoverDelay + firstEvent)
 	watching := 0
 	for i, p := range s.proxies {
 		if inMinority(i) && p.watches && p.watchLive > 0 {
--- a/duties/wire_golden_test.go
+++ b/duties/wire_golden_test.go
@@ -9,11 +9,11 @@
 // TestGoldenReport pins the encoding of the body of reports on probes and of heartbeats.
 func TestGoldenReport(t *testing.T) {
 	checkGolden(t, "said.golden", []goldenCase{
-		{name: "said-full", full: true, value: &duties.Said{Round: 70000, How: duties.ProbeSucceeded, For: 25000}},
-		{name: "trial-begins", value: &duties.Said{Round: 3, How: duties.ProbeStarted}},
-		{name: "trial-fails", value: &duties.Said{Round: 3, How: duties.ProbeFailed}},
-		{name: "beat", value: &duties.Said{For: 25000}},
-		{name: "said-empty", value: &duties.Said{}},
+		{name: "said-full", full: true, value: &duties.Report{Round: 70000, Outcome: duties.ProbeSucceeded, ValidFor: 25000}},
+		{name: "trial-begins", value: &duties.Report{Round: 3, Outcome: duties.ProbeStarted}},
+		{name: "trial-fails", value: &duties.Report{Round: 3, Outcome: duties.ProbeFailed}},
+		{name: "beat", value: &duties.Report{ValidFor: 25000}},
+		{name: "said-empty", value: &duties.Report{}},
 	})
 }
 
@@ -23,8 +23,8 @@
 		name      string
 		got, want int64
 	}{
-		{"kind of probe reports", int64(duties.Trial), 0},
-		{"kind of heartbeats", int64(duties.Beat), 1},
+		{"kind of probe reports", int64(duties.ProbeReport), 0},
+		{"kind of heartbeats", int64(duties.WatchHeartbeat), 1},
 		{"outcome of a started probe", int64(duties.ProbeStarted), 0},
 		{"outcome of a failed probe", int64(duties.ProbeFailed), 1},
 		{"outcome of a successful probe", int64(duties.ProbeSucceeded), 2},
--- a/internal/gossip/agent.go
+++ b/internal/gossip/agent.go
@@ -24,7 +24,7 @@
 type Handler interface {
 	// EndpointChanged reports an endpoint that the discovery service of a peer listed, changed or removed at that index of its
 	// list.
-	EndpointChanged(index int64, endpoint wire.Target)
+	EndpointChanged(index int64, endpoint wire.Endpoint)
 	// HealthReported reports that a peer found an endpoint unresponsive, or responsive again.
 	HealthReported(endpoint string, responsive bool)
 	// QuotaShareChanged sets the fraction, 0 to 1, of the cluster-wide limits that this proxy may use.
@@ -139,7 +139,7 @@
 // PublishEndpoints publishes endpoints of this proxy's discovery service at that index of its list: the complete list, or those
 // that changed. It waits for space in the mailbox. It does nothing if the peers file turns the exchange of endpoint
 // lists off.
-func (a *Agent) PublishEndpoints(index int64, complete bool, endpoints []wire.Target) {
+func (a *Agent) PublishEndpoints(index int64, complete bool, endpoints []wire.Endpoint) {
 	if !a.config.sharesEndpoints() {
 		return
 	}
--- a/internal/gossip/agent_test.go
+++ b/internal/gossip/agent_test.go
@@ -25,7 +25,7 @@
 		sendMalformedStream(t, seed, i)
 	}
 
-	first.PublishEndpoints(7, true, []wire.Target{
+	first.PublishEndpoints(7, true, []wire.Endpoint{
 		{Name: "c1", Address: "1.2.3.4:5", Ready: true, Weight: 2, Zone: "z"},
 		{Name: "c2"},
 	})
@@ -62,7 +62,7 @@
 				t.Errorf("endpoint %+v", endpoint)
 			}
 		case "c2":
-			if endpoint.Ready || endpoint.Gone {
+			if endpoint.Ready || endpoint.Departed {
 				t.Errorf("endpoint %+v", endpoint)
 			}
 		}
--- a/internal/gossip/endpoints.go
+++ b/internal/gossip/endpoints.go
@@ -14,7 +14,7 @@
 var errInvalidEndpoint = errors.New("invalid endpoint row")
 
 // endpointRows returns the rows for endpoints of this proxy's discovery service, without those that can't be encoded.
-func (a *Agent) endpointRows(endpoints []wire.Target) []replica.Row {
+func (a *Agent) endpointRows(endpoints []wire.Endpoint) []replica.Row {
 	rows := make([]replica.Row, 0, len(endpoints))
 	for i := range endpoints {
 		row, err := encodeEndpoint(&endpoints[i])
@@ -27,20 +27,20 @@
 	return rows
 }
 
-func encodeEndpoint(endpoint *wire.Target) (replica.Row, error) {
+func encodeEndpoint(endpoint *wire.Endpoint) (replica.Row, error) {
 	body, err := msgpack.Marshal(endpoint)
 	if err != nil {
 		return replica.Row{}, fmt.Errorf("encoding endpoint %q: %w", endpoint.Name, err)
 	}
-	return replica.Row{Key: endpoint.Name, Rank: endpointRank(endpoint), Count: endpoint.Since, Body: body}, nil
+	return replica.Row{Key: endpoint.Name, Rank: endpointRank(endpoint), Count: endpoint.StartedAtUnixMilli, Body: body}, nil
 }
 
 // endpointRank returns how strictly an endpoint is excluded; of two rows at the same index the stricter one wins.
-func endpointRank(endpoint *wire.Target) uint8 {
+func endpointRank(endpoint *wire.Endpoint) uint8 {
 	switch {
 	case endpoint.Ready:
 		return replica.Active
-	case endpoint.Gone:
+	case endpoint.Departed:
 		return replica.Left
 	default:
 		return replica.Leaving
@@ -48,16 +48,16 @@
 }
 
 // decodeEndpoint returns the endpoint of a row. A row without a body is of an endpoint that a complete list lacked.
-func decodeEndpoint(row *replica.Row) (wire.Target, error) {
-	endpoint := wire.Target{Name: row.Key}
+func decodeEndpoint(row *replica.Row) (wire.Endpoint, error) {
+	endpoint := wire.Endpoint{Name: row.Key}
 	if len(row.Body) > 0 {
 		if err := msgpack.Unmarshal(row.Body, &endpoint); err != nil {
-			return wire.Target{}, fmt.Errorf("decoding endpoint %q: %w", row.Key, err)
+			return wire.Endpoint{}, fmt.Errorf("decoding endpoint %q: %w", row.Key, err)
 		}
 		if endpoint.Name != row.Key || endpoint.Ready && endpoint.Address == "" {
-			return wire.Target{}, fmt.Errorf("%w: %q", errInvalidEndpoint, row.Key)
+			return wire.Endpoint{}, fmt.Errorf("%w: %q", errInvalidEndpoint, row.Key)
 		}
 	}
-	endpoint.Ready, endpoint.Gone = row.Rank == replica.Active, row.Rank >= replica.Left
+	endpoint.Ready, endpoint.Departed = row.Rank == replica.Active, row.Rank >= replica.Left
 	return endpoint, nil
 }
--- a/internal/gossip/frames_golden_test.go
+++ b/internal/gossip/frames_golden_test.go
@@ -94,8 +94,8 @@
 				m.Rows[0].Kind == replica.Sight && m.Rows[0].Key == "node-1"
 		})
 	})
-	agent.PublishEndpoints(7, true, []wire.Target{
-		{Name: "node-2", Address: "192.0.2.1:11211", Ready: true, Since: 5},
+	agent.PublishEndpoints(7, true, []wire.Endpoint{
+		{Name: "node-2", Address: "192.0.2.1:11211", Ready: true, StartedAtUnixMilli: 5},
 	})
 	eventually(t, "an endpoint arrives in a packet", func() bool {
 		return recorded.hasPacket(t, func(m *gossipMessage) bool {
--- a/internal/gossip/helpers_test.go
+++ b/internal/gossip/helpers_test.go
@@ -62,7 +62,7 @@
 
 // recordingHandler records what the agent reports.
 type recordingHandler struct {
-	endpoints     chan wire.Target
+	endpoints     chan wire.Endpoint
 	healthReports chan healthReport
 	rows          chan replica.Row
 	share         atomic.Value // latest, a float64; none at first
@@ -71,13 +71,13 @@
 func newRecordingHandler() *recordingHandler {
 	const capacity = 99 // more than any test has reports
 	return &recordingHandler{
-		endpoints:     make(chan wire.Target, capacity),
+		endpoints:     make(chan wire.Endpoint, capacity),
 		healthReports: make(chan healthReport, capacity),
 		rows:          make(chan replica.Row, capacity),
 	}
 }
 
-func (h *recordingHandler) EndpointChanged(_ int64, endpoint wire.Target) { h.endpoints <- endpoint }
+func (h *recordingHandler) EndpointChanged(_ int64, endpoint wire.Endpoint) { h.endpoints <- endpoint }
 
 func (h *recordingHandler) HealthReported(endpoint string, responsive bool) {
 	h.healthReports <- healthReport{endpoint, responsive}
--- a/internal/hotrestart/message_golden_test.go
+++ b/internal/hotrestart/message_golden_test.go
@@ -22,10 +22,10 @@
 
 // goldenList is an endpoint list as a predecessor sends it.
 func goldenList() []byte {
-	return wire.AppendTargets(nil, []wire.Target{
-		{Name: "cache-1", Address: "10.0.1.1:7001", Zone: "north", Kind: "std", Cell: 3, Ready: true, Weight: 1.25, Since: 1700000000123},
+	return wire.AppendEndpointList(nil, []wire.Endpoint{
+		{Name: "cache-1", Address: "10.0.1.1:7001", Zone: "north", Kind: "std", Cell: 3, Ready: true, Weight: 1.25, StartedAtUnixMilli: 1700000000123},
 		{Name: "cache-2", Address: "10.0.1.2:7001", Zone: "<a&b>", Kind: "std", Weight: 0.5},
-		{Name: "cache-3", Address: "10.0.1.3:7001", Zone: "south", Kind: "origin", Gone: true},
+		{Name: "cache-3", Address: "10.0.1.3:7001", Zone: "south", Kind: "origin", Departed: true},
 	})
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -26,7 +26,7 @@
 // attemptResult is how an attempt ended. A completed one has a value, or a stream in place of it, unless the origin has
 // no such key.
 type attemptResult struct {
-	outcome balancer.Ending
+	outcome balancer.Outcome
 	value   []byte // counted in the value memory
 	stream  *stream
 }
--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -100,7 +100,7 @@
 // finishServing ends the exchange of bytes with the client as the reason calls for.
 func (c *clientConn) finishServing(reason error) {
 	switch {
-	case errors.Is(reason, wire.ErrBytes), errors.Is(reason, errPartialCommand):
+	case errors.Is(reason, wire.ErrProtocol), errors.Is(reason, errPartialCommand):
 		c.listener.counters.BadClient.Add(1)
 		c.listener.log.Warn("client connection closed on bad input",
 			zap.Error(reason), zap.Stringer("from", c.conn.RemoteAddr()))
--- a/internal/proxy/client_conn_test.go
+++ b/internal/proxy/client_conn_test.go
@@ -19,7 +19,7 @@
 	for _, mayCancel := range []bool{false, true} {
 		t.Run(fmt.Sprint("may cancel ", mayCancel), func(t *testing.T) {
 			cache, origin := newCache(t), newOrigin(t)
-			p := newTestProxy(t, 10, func(config *balancer.Terms) { config.MayCancel = mayCancel }, cache, origin)
+			p := newTestProxy(t, 10, func(config *balancer.Settings) { config.MayCancel = mayCancel }, cache, origin)
 			release := p.dialer.block(cache.addr)
 			client := p.dial()
 			send(t, client, getCommand("left", longWaitMS))
@@ -39,9 +39,9 @@
 // begun after the final reply.
 func TestHedgeAnsweredWhileDialing(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	p := newTestProxy(t, 10, func(config *balancer.Terms) {
-		config.Parallel = true
-		config.Routes[1].Objective, config.Routes[1].Overall = 1000, 2000 // by which a reply is late after 0.1 s
+	p := newTestProxy(t, 10, func(config *balancer.Settings) {
+		config.ParallelAttempts = true
+		config.Routes[1].Objective, config.Routes[1].Timeout = 1000, 2000 // by which a reply is late after 0.1 s
 	}, cache, origin)
 	release := p.dialer.block(cache.addr)
 	client := p.dial()
@@ -103,9 +103,9 @@
 		}},
 		{"stalled stream", func(p *testProxy, client net.Conn, cache *fakeNode) int64 {
 			send(p.t, client, getCommand("long", longWaitMS))
-			part := strings.Repeat("v", wire.MaxValue)
-			send(p.t, cache.next(p.t).conn, fmt.Sprintf("*1\r\n$%d\r\n%s", 4*wire.MaxValue, part))
-			if _, err := io.CopyN(io.Discard, client, wire.MaxValue/2); err != nil {
+			part := strings.Repeat("v", wire.MaxBufferedValue)
+			send(p.t, cache.next(p.t).conn, fmt.Sprintf("*1\r\n$%d\r\n%s", 4*wire.MaxBufferedValue, part))
+			if _, err := io.CopyN(io.Discard, client, wire.MaxBufferedValue/2); err != nil {
 				p.t.Fatal(err)
 			}
 			p.dialer.block(p.router.hosts[0].endpoint.Address)
@@ -137,7 +137,7 @@
 	p.listener.ready = make(chan struct{})
 	p.dialer.block(cache.addr)
 	client := p.dial()
-	send(t, client, getCommand("left", longWaitMS)+string(wire.AppendPlain(nil, "PING"))+"*")
+	send(t, client, getCommand("left", longWaitMS)+string(wire.AppendPlainCommand(nil, "PING"))+"*")
 	p.eventually("no connection is made", func() bool { return p.router.counters.Dials.Load() == 1 })
 	closeConn(t, client)
 	p.eventually("the client's close is not noticed", func() bool { return p.router.counters.Left.Load() == 1 })
@@ -185,8 +185,8 @@
 		t.Fatal(err)
 	}
 	send(t, client, getCommand("long", longWaitMS))
-	value := strings.Repeat("v", wire.MaxAnswer)
-	send(t, cache.next(t).conn, fmt.Sprintf("*1\r\n$%d\r\n%s\r\n", wire.MaxAnswer, value))
+	value := strings.Repeat("v", wire.MaxResponseValue)
+	send(t, cache.next(t).conn, fmt.Sprintf("*1\r\n$%d\r\n%s\r\n", wire.MaxResponseValue, value))
 	p.dialer.block(cache.addr)
 	send(t, client, getCommand("behind", longWaitMS))
 	p.eventually("nothing is written", func() bool { return hasUnread(client) })
--- a/internal/proxy/client_read.go
+++ b/internal/proxy/client_read.go
@@ -26,7 +26,7 @@
 	}
 	_, err := c.reader.Peek(c.reader.Buffered() + 1)
 	if errors.Is(err, bufio.ErrBufferFull) {
-		return wire.ErrBytes
+		return wire.ErrProtocol
 	}
 	return err
 }
@@ -48,7 +48,7 @@
 	value := c.upload.value
 	n, err := c.reader.Read(value[c.uploadRead:cap(value)])
 	c.uploadRead += n
-	if now := time.Now(); n > 0 && cap(value) > wire.MaxValue+len(crlf) && now.Before(c.uploadDeadline) {
+	if now := time.Now(); n > 0 && cap(value) > wire.MaxBufferedValue+len(crlf) && now.Before(c.uploadDeadline) {
 		c.partialSince = now // a long value may take its time as long as it makes progress
 	}
 	return err
@@ -58,7 +58,7 @@
 func (c *clientConn) readCommands() error {
 	for !c.pendingFull() {
 		err := c.readNext()
-		if errors.Is(err, wire.ErrShort) {
+		if errors.Is(err, wire.ErrIncomplete) {
 			return nil
 		}
 		if err != nil {
@@ -82,7 +82,7 @@
 	}
 	cmd, n, err := wire.ParseCommand(buffered)
 	if err != nil {
-		if errors.Is(err, wire.ErrShort) && len(buffered) > 0 {
+		if errors.Is(err, wire.ErrIncomplete) && len(buffered) > 0 {
 			c.markPartial()
 		}
 		return err
@@ -92,14 +92,14 @@
 		return err
 	}
 	c.receivedCommand = true
-	if cmd.Value < 0 {
+	if cmd.ValueLength < 0 {
 		c.partialSince = time.Time{}
 		if req != nil {
 			c.submit(req)
 		}
 		return nil
 	}
-	c.beginValue(req, cmd.Value)
+	c.beginValue(req, cmd.ValueLength)
 	return nil
 }
 
@@ -121,7 +121,7 @@
 	}
 	if c.discardBytes -= n; c.discardBytes > 0 {
 		c.markPartial()
-		return wire.ErrShort
+		return wire.ErrIncomplete
 	}
 	c.partialSince = time.Time{}
 	return nil
@@ -135,7 +135,7 @@
 		c.discardBytes = withLineEnd
 		return
 	}
-	if length > wire.MaxValue && !c.listener.admitsLongValue(length) {
+	if length > wire.MaxBufferedValue && !c.listener.admitsLongValue(length) {
 		c.discardBytes = withLineEnd
 		req.release(c.listener)
 		c.shedRequest()
@@ -153,11 +153,11 @@
 	req := c.upload
 	if c.uploadRead < cap(req.value) {
 		c.markPartial()
-		return wire.ErrShort
+		return wire.ErrIncomplete
 	}
 	n := c.uploadRead - len(crlf)
 	if string(req.value[n:c.uploadRead]) != string(crlf) {
-		return wire.ErrBytes
+		return wire.ErrProtocol
 	}
 	req.value, c.upload, c.partialSince = req.value[:n:n], nil, time.Time{}
 	c.submit(req)
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -30,10 +30,10 @@
 	Errored   atomic.Int64 // final replies that the request has failed
 	Absent    atomic.Int64 // of the completed ones, those that the origin has no such key
 
-	Tries     atomic.Int64                       // attempts
-	Cancelled atomic.Int64                       // attempts that were cancelled
-	Copies    atomic.Int64                       // attempts that began while another of their request was in flight
-	Ends      [balancer.Lacking + 1]atomic.Int64 // ended attempts, by outcome
+	Tries     atomic.Int64                         // attempts
+	Cancelled atomic.Int64                         // attempts that were cancelled
+	Copies    atomic.Int64                         // attempts that began while another of their request was in flight
+	Ends      [balancer.CacheMiss + 1]atomic.Int64 // ended attempts, by outcome
 
 	Dials        atomic.Int64 // connections to hosts that were dialed
 	UpstreamOpen atomic.Int64 // and those that are open now
@@ -62,7 +62,7 @@
 }
 
 // outcomeCounterNames are the names of Ends, in the order of the balancer's outcomes.
-var outcomeCounterNames = [balancer.Lacking + 1]string{
+var outcomeCounterNames = [balancer.CacheMiss + 1]string{
 	"EndCompleted", "EndFault", "EndNoRoom", "EndSilent", "EndUnreachable",
 	"EndCut", "EndUndone", "EndUnsent", "EndLacking",
 }
--- a/internal/proxy/decisions.go
+++ b/internal/proxy/decisions.go
@@ -6,7 +6,7 @@
 func (r *Router) execute(decisions []balancer.Decision) {
 	var unsent []*attempt
 	for i := range decisions {
-		switch d := &decisions[i]; d.Act {
+		switch d := &decisions[i]; d.Action {
 		case balancer.Send:
 			if attempt := r.newAttempt(d); !r.sendAttempt(attempt) {
 				unsent = append(unsent, attempt)
@@ -14,17 +14,17 @@
 		case balancer.Cancel:
 			r.cancelAttempt(d)
 		case balancer.Shed:
-			r.reply(d.Cx, replyShed, nil, d.After)
+			r.reply(d.Request, replyShed, nil, d.After)
 		case balancer.Error:
-			r.reply(d.Cx, replyError, nil, 0)
-		case balancer.Wake:
+			r.reply(d.Request, replyError, nil, 0)
+		case balancer.SetTimer:
 			r.wakeAt = r.clock.Now() + d.After
 			r.wakeTimer.Reset(duration(d.After))
-		case balancer.Follow:
+		case balancer.PollEndpoints:
 			r.endpoints.mailbox.tryPost(r.endpoints.startWatch)
-		case balancer.Tell:
+		case balancer.NotifyPeer:
 			if r.notifyPeers != nil {
-				r.notifyPeers(r.hosts[d.Node].name, d.Answers)
+				r.notifyPeers(r.hosts[d.Endpoint].name, d.Responds)
 			}
 		case balancer.Log:
 			r.log.Info(d.Text)
@@ -32,25 +32,27 @@
 	}
 	for i := range decisions {
 		if isFinalReply(decisions[i]) {
-			r.releaseSlot(decisions[i].Cx)
+			r.releaseSlot(decisions[i].Request)
 		}
 	}
 	for _, attempt := range unsent {
-		r.attemptFinished(attempt, attemptResult{outcome: balancer.NeverSent})
+		r.attemptFinished(attempt, attemptResult{outcome: balancer.NotSent})
 	}
 }
 
 // isFinalReply reports whether a decision ends its request.
-func isFinalReply(d balancer.Decision) bool { return d.Act == balancer.Shed || d.Act == balancer.Error }
+func isFinalReply(d balancer.Decision) bool {
+	return d.Action == balancer.Shed || d.Action == balancer.Error
+}
 
 // newAttempt returns the attempt that the balancer has decided on.
 func (r *Router) newAttempt(d *balancer.Decision) *attempt {
-	s := &r.slots[d.Cx]
-	next := &attempt{request: s.request, slot: d.Cx, host: d.Node, sentAt: r.clock.Now(), timeout: d.After}
+	s := &r.slots[d.Request]
+	next := &attempt{request: s.request, slot: d.Request, host: d.Endpoint, sentAt: r.clock.Now(), timeout: d.After}
 	if s.firstSentAt > 0 {
-		route := &r.settings.Terms.Routes[r.settings.Routes[s.request.route]]
+		route := &r.settings.Balancer.Routes[r.settings.Routes[s.request.route]]
 		if route.Effect == balancer.Deduped {
-			next.startBefore = s.firstSentAt + route.Window // later, the retry would be carried out as well
+			next.startBefore = s.firstSentAt + route.DedupWindow // later, the retry would be carried out as well
 		}
 	}
 	return next
@@ -75,7 +77,7 @@
 
 // cancelAttempt has an attempt's host cancel it. If the host's mailbox is full, the attempt ends by its timeout.
 func (r *Router) cancelAttempt(d *balancer.Decision) {
-	attempt := r.slots[d.Cx].attempts[d.Leg]
+	attempt := r.slots[d.Request].attempts[d.Attempt]
 	r.counters.Cancelled.Add(1)
 	h := r.hosts[attempt.host]
 	h.mailbox.tryPost(func() { h.cancel(attempt) })
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -48,7 +48,7 @@
 type endpointEvent struct {
 	index   int64
 	whole   bool
-	targets []wire.Target
+	targets []wire.Endpoint
 }
 
 // NewEndpointList returns the endpoint list that is watched at an address, and hands the router the list that this proxy had
@@ -60,10 +60,10 @@
 		mailbox: make(mailbox, endpointMailboxSize), addr: addr, router: router, firstMessage: make(chan struct{}),
 		random: rand.New(rand.NewPCG(seed, endpointRandomStream)), counters: counters, log: log,
 	}
-	var targets []wire.Target
+	var targets []wire.Endpoint
 	if known != nil && known.Type() != fastjson.TypeNull {
 		var err error
-		if l.index, _, targets, err = wire.ParseTargets(known); err != nil {
+		if l.index, _, targets, err = wire.ParseEndpointList(known); err != nil {
 			return nil, err
 		}
 	}
@@ -91,7 +91,7 @@
 }
 
 // polls reports whether the balancer says when discovery is asked, rather than discovery being watched all the time.
-func (l *EndpointList) polls() bool { return l.router.settings.Terms.Ask }
+func (l *EndpointList) polls() bool { return l.router.settings.Balancer.PollsList }
 
 // SetAddress has discovery watched at another address. The watch of the old one counts until the new one has said something,
 // so that a discovery that is slow to come up, or a mistaken address, loses no event that is still sent.
@@ -150,7 +150,7 @@
 	}
 	l.current = nil
 	l.reportWatching(false)
-	if errors.Is(err, wire.ErrBytes) {
+	if errors.Is(err, wire.ErrProtocol) {
 		l.index = 0 // to get the whole list, since what the watch has told is in doubt
 		l.counters.BadPeer.Add(1)
 	}
@@ -260,6 +260,6 @@
 // reportWatching tells the duties whether the watch is alive.
 func (l *EndpointList) reportWatching(alive bool) {
 	if d := l.duties; d != nil {
-		d.mailbox.tryPost(func() { d.execute(d.assignments.Watching(d.now(), alive)) })
+		d.mailbox.tryPost(func() { d.execute(d.assignments.SetWatchLive(d.now(), alive)) })
 	}
 }
--- a/internal/proxy/endpoint_list_test.go
+++ b/internal/proxy/endpoint_list_test.go
@@ -43,8 +43,8 @@
 func startList(t *testing.T, polls bool, serve func(net.Conn)) (*testProxy, *EndpointList) {
 	t.Helper()
 	addr := listen(t, serve)
-	p := newTestProxy(t, 10, func(config *balancer.Terms) {
-		config.Ask, config.AskEvery = polls, 100000
+	p := newTestProxy(t, 10, func(config *balancer.Settings) {
+		config.PollsList, config.PollInterval = polls, 100000
 	}, newCache(t), newOrigin(t))
 	list, err := NewEndpointList(addr, nil, p.router, 1, p.router.counters, zap.NewNop())
 	if err != nil {
--- a/internal/proxy/endpoint_watch.go
+++ b/internal/proxy/endpoint_watch.go
@@ -85,7 +85,7 @@
 	if err := conn.SetDeadline(time.Now().Add(w.firstByteTimeout)); err != nil {
 		return nil, fmt.Errorf("set watch deadline: %w", err)
 	}
-	if _, err := conn.Write(wire.AppendWatch(nil, w.addr, w.fromIndex)); err != nil {
+	if _, err := conn.Write(wire.AppendWatchRequest(nil, w.addr, w.fromIndex)); err != nil {
 		return nil, err
 	}
 	reader := bufio.NewReaderSize(conn, watchReadBuffer)
@@ -96,17 +96,17 @@
 	if err := conn.SetDeadline(time.Now().Add(watchSilenceTimeout)); err != nil {
 		return nil, fmt.Errorf("set watch deadline: %w", err)
 	}
-	return wire.ReadWatch(reader)
+	return wire.OpenWatch(reader)
 }
 
 // postEvent parses a line and hands it to the list.
 func (w *endpointWatch) postEvent(parser *fastjson.Parser, line []byte) error {
 	v, err := parser.ParseBytes(line)
 	if err != nil {
-		return fmt.Errorf("%w: %w", wire.ErrBytes, err)
+		return fmt.Errorf("%w: %w", wire.ErrProtocol, err)
 	}
 	var event endpointEvent
-	if event.index, event.whole, event.targets, err = wire.ParseTargets(v); err != nil {
+	if event.index, event.whole, event.targets, err = wire.ParseEndpointList(v); err != nil {
 		return err
 	}
 	w.list.mailbox.post(func() { w.list.handleEvent(w, event) })
--- a/internal/proxy/host_index.go
+++ b/internal/proxy/host_index.go
@@ -11,7 +11,7 @@
 type endpointUpdate struct {
 	whole   bool // hosts that it does not name have departed
 	initial bool // it is the list that this proxy had before its start, so that no host counts as new
-	targets []wire.Target
+	targets []wire.Endpoint
 }
 
 // updateEndpoints takes a change of the endpoint list.
@@ -27,42 +27,44 @@
 			}
 		}
 	}
-	listings := make([]balancer.Listing, 0, len(update.targets))
+	listings := make([]balancer.Endpoint, 0, len(update.targets))
 	for _, target := range update.targets {
 		if h := r.updateHost(target, initial, now); h != nil {
 			listings = append(listings, r.listing(h))
 		}
 	}
-	r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Nodes(now, update.whole, initial, listings) })
+	r.apply(now, func(b *balancer.Balancer) []balancer.Decision {
+		return b.UpdateEndpoints(now, update.whole, initial, listings)
+	})
 	r.updateZoneNodes()
 	r.updateDutyNodes()
 }
 
 // updateHost takes a host's line of the endpoint list. It returns nil for a host that has departed and was never known.
-func (r *Router) updateHost(target wire.Target, initial bool, now balancer.Time) *upstreamHost {
+func (r *Router) updateHost(target wire.Endpoint, initial bool, now balancer.Time) *upstreamHost {
 	if index, known := r.hostIndex[target.Name]; known {
 		h := r.hosts[index]
-		target.Since = max(target.Since, h.endpoint.Since)
-		if (target.Address == "" || target.Elsewhere) && h.endpoint.Address != "" {
+		target.StartedAtUnixMilli = max(target.StartedAtUnixMilli, h.endpoint.StartedAtUnixMilli)
+		if (target.Address == "" || target.FromPeer) && h.endpoint.Address != "" {
 			target.Address = h.endpoint.Address
 		}
 		h.setEndpoint(target, now)
 		return h
 	}
-	if target.Gone {
+	if target.Departed {
 		return nil
 	}
 	h := r.addHost(target)
-	if !initial && target.Since == 0 {
+	if !initial && target.StartedAtUnixMilli == 0 {
 		// The balancer takes it to have just started, and so do the proxies that learn of it from this one.
-		target.Since = int64(now / ticksPerMillisecond)
+		target.StartedAtUnixMilli = int64(now / ticksPerMillisecond)
 	}
 	h.setEndpoint(target, now)
 	return h
 }
 
 // addHost gives a new host an index, and starts its goroutine.
-func (r *Router) addHost(target wire.Target) *upstreamHost {
+func (r *Router) addHost(target wire.Endpoint) *upstreamHost {
 	index := len(r.hosts)
 	if n := len(r.freeHosts); n > 0 {
 		index, r.freeHosts = r.freeHosts[n-1], r.freeHosts[:n-1]
@@ -76,33 +78,33 @@
 	return r.hosts[index]
 }
 
-func (r *Router) isOrigin(target wire.Target) bool {
-	return r.settings.Origin != "" && target.Kind == r.settings.Origin
+func (r *Router) isOrigin(target wire.Endpoint) bool {
+	return r.settings.OriginKind != "" && target.Kind == r.settings.OriginKind
 }
 
 // setEndpoint takes over the host's line of the endpoint list.
-func (h *upstreamHost) setEndpoint(target wire.Target, now balancer.Time) {
+func (h *upstreamHost) setEndpoint(target wire.Endpoint, now balancer.Time) {
 	h.endpoint = target
 	if target.Address != "" {
 		h.addr.Store(&target.Address)
 	}
 	h.ready.Store(target.Ready)
 	h.departedAt = 0
-	if target.Gone {
+	if target.Departed {
 		h.markDeparted(now)
 	}
 }
 
 // listing returns what the balancer is told of a host.
-func (r *Router) listing(h *upstreamHost) balancer.Listing {
+func (r *Router) listing(h *upstreamHost) balancer.Endpoint {
 	target := &h.endpoint
 	zone, ok := r.settings.Zones[target.Zone]
 	if !ok {
 		zone = -1
 	}
-	return balancer.Listing{
-		Node: h.index, Name: target.Name, Origin: r.isOrigin(*target), Ready: target.Ready,
-		Since: balancer.Time(target.Since) * ticksPerMillisecond, Weight: target.Weight, Zone: zone, Cell: target.Cell,
+	return balancer.Endpoint{
+		Index: h.index, Name: target.Name, Origin: r.isOrigin(*target), Ready: target.Ready,
+		StartedAt: balancer.Time(target.StartedAtUnixMilli) * ticksPerMillisecond, Weight: target.Weight, Zone: zone, Cell: target.Cell,
 	}
 }
 
@@ -110,7 +112,7 @@
 // was sent there. Hosts are replaced by others under new names all the time.
 func (r *Router) removeDeparted(now balancer.Time) {
 	for index, h := range r.hosts {
-		if h != nil && h.departedAt > 0 && now-h.departedAt > r.settings.Longest && h.inFlight == 0 {
+		if h != nil && h.departedAt > 0 && now-h.departedAt > r.settings.LongestTimeout && h.inFlight == 0 {
 			delete(r.hostIndex, h.name)
 			r.hosts[index] = nil
 			r.freeHosts = append(r.freeHosts, index)
@@ -120,8 +122,8 @@
 }
 
 // listedTargets returns the lines of the hosts that are listed.
-func (r *Router) listedTargets() []wire.Target {
-	var targets []wire.Target
+func (r *Router) listedTargets() []wire.Endpoint {
+	var targets []wire.Endpoint
 	for _, h := range r.hosts {
 		if h != nil && h.departedAt == 0 {
 			targets = append(targets, h.endpoint)
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -68,7 +68,7 @@
 	}
 	l.SetMemory(memoryMB)
 	l.connsChanged = sync.NewCond(&l.mu)
-	if config := &router.settings.Terms; config.RetryAfter {
+	if config := &router.settings.Balancer; config.RetryAfter {
 		l.retryAfterMS = milliseconds(config.MaxRetryAfter)
 	}
 	return l
--- a/internal/proxy/negative_cache.go
+++ b/internal/proxy/negative_cache.go
@@ -26,7 +26,7 @@
 	cache        *negativecache.Instance
 	table        *negativecache.Table
 	clock        Clock
-	settings     *settings.Book
+	settings     *settings.Settings
 	counters     *Counters
 	log          *zap.Logger
 	broadcast    func(d *negativecache.Decision) // tells other proxies; it must not wait. nil: there are none
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -29,7 +29,7 @@
 
 // newTestRouter returns a router that is not running, with one socket.
 func newTestRouter() *Router {
-	config := &settings.Book{Terms: balancer.Terms{Routes: []balancer.Route{{Objective: 6000, Overall: 12000, Value: 1}}}}
+	config := &settings.Settings{Balancer: balancer.Settings{Routes: []balancer.Route{{Objective: 6000, Timeout: 12000, Value: 1}}}}
 	router := NewRouter(config, 1, NewClock(), 1, &Counters{}, zap.NewNop())
 	router.valueMemory.resize(1 << 20)
 	return router
@@ -167,8 +167,8 @@
 				continue
 			}
 			node.commands <- receivedCommand{string(cmd.ID), string(cmd.Facts), conn}
-			if cmd.Value >= 0 {
-				length += cmd.Value + len(crlf)
+			if cmd.ValueLength >= 0 {
+				length += cmd.ValueLength + len(crlf)
 			}
 			if _, err := reader.Discard(length); err != nil {
 				return
@@ -219,24 +219,24 @@
 }
 
 // newTestProxy starts a proxy before the given nodes, of which the last is the origin. change changes its settings.
-func newTestProxy(t *testing.T, sockets int, change func(*balancer.Terms), nodes ...*fakeNode) *testProxy {
+func newTestProxy(t *testing.T, sockets int, change func(*balancer.Settings), nodes ...*fakeNode) *testProxy {
 	t.Helper()
 	return newSteppedTestProxy(t, &steppedListener{}, sockets, change, nodes...)
 }
 
 func newSteppedTestProxy(
-	t *testing.T, step *steppedListener, sockets int, change func(*balancer.Terms), nodes ...*fakeNode,
+	t *testing.T, step *steppedListener, sockets int, change func(*balancer.Settings), nodes ...*fakeNode,
 ) *testProxy {
 	t.Helper()
-	route := balancer.Route{Objective: 300000, Overall: 600000, Value: 1}
-	config := &settings.Book{Origin: "origin", Routes: map[string]int{"read": 0, "put": 1}, Terms: balancer.Terms{
-		Proxies: 1, MaxTries: 3,
-		Tick: 50, Aside: true, Fall: 20000, FallMultiple: 3, Cold: 1, ColdFrom: 0.3,
+	route := balancer.Route{Objective: 300000, Timeout: 600000, Value: 1}
+	config := &settings.Settings{OriginKind: "origin", Routes: map[string]int{"read": 0, "put": 1}, Balancer: balancer.Settings{
+		Proxies: 1, MaxAttempts: 3,
+		Tick: 50, CacheAside: true, SlowStartOverloadWindow: 20000, SlowStartOverloadMultiple: 3, SlowStart: 1, SlowStartInitialShare: 0.3,
 		Routes: []balancer.Route{route, route},
 	}}
-	change(&config.Terms)
-	for _, route := range config.Terms.Routes {
-		config.Longest = max(config.Longest, route.Overall)
+	change(&config.Balancer)
+	for _, route := range config.Balancer.Routes {
+		config.LongestTimeout = max(config.LongestTimeout, route.Timeout)
 	}
 	p := &testProxy{
 		t: t, router: NewRouter(config, 1, NewClock(), sockets, &Counters{}, zap.NewNop()),
@@ -261,10 +261,10 @@
 }
 
 // targetsOf lists nodes, the last one as the origin.
-func targetsOf(nodes []*fakeNode) []wire.Target {
-	var targets []wire.Target
+func targetsOf(nodes []*fakeNode) []wire.Endpoint {
+	var targets []wire.Endpoint
 	for i, node := range nodes {
-		target := wire.Target{Name: fmt.Sprint("c", i), Address: node.addr, Kind: "std", Ready: true, Weight: 1}
+		target := wire.Endpoint{Name: fmt.Sprint("c", i), Address: node.addr, Kind: "std", Ready: true, Weight: 1}
 		if i == len(nodes)-1 {
 			target.Name, target.Kind = "o1", "origin"
 		}
@@ -312,7 +312,7 @@
 }
 
 // defaultSettings leaves the settings as they are.
-func defaultSettings(*balancer.Terms) {}
+func defaultSettings(*balancer.Settings) {}
 
 // steppedListener is a listener that stops between two steps when told: between having accepted a connection and
 // returning it, and between a connection's last look for bytes and its end.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -68,16 +68,16 @@
 func (r *request) parseFacts() error {
 	facts, err := wire.ParseFacts(r.facts)
 	if err == nil {
-		err = wire.Plain(r.id, r.facts) // they become HTTP headers, to which a line end would add another
+		err = wire.CheckPrintable(r.id, r.facts) // they become HTTP headers, to which a line end would add another
 	}
 	if len(r.id) == 0 || len(r.key) == 0 {
-		err = wire.ErrBytes // each upstream would reject it, one after the other
+		err = wire.ErrProtocol // each upstream would reject it, one after the other
 	}
 	if err != nil {
 		return err
 	}
 	r.route, r.tenant = string(facts.Route), string(facts.Tenant)
-	r.waitMS, r.isRetry = facts.Wait, facts.Repeat
+	r.waitMS, r.isRetry = facts.WaitMilliseconds, facts.Retry
 	return nil
 }
 
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -32,24 +32,24 @@
 	slot := r.acquireSlot(req)
 	now := r.clock.Now()
 	exchange := r.describe(req, route, now)
-	r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Arrive(now, slot, exchange) })
+	r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.Arrive(now, slot, exchange) })
 }
 
 // describe returns what the balancer decides on.
-func (r *Router) describe(req *request, route int, now balancer.Time) balancer.Exchange {
+func (r *Router) describe(req *request, route int, now balancer.Time) balancer.Request {
 	tenant, ok := r.settings.Tenants[req.tenant]
 	if !ok {
 		tenant = -1
 	}
 	// A request is held no longer than its route allows, and not beyond the end of the process.
-	wait := min(balancer.Time(req.waitMS)*ticksPerMillisecond, r.settings.Terms.Routes[route].Overall)
+	wait := min(balancer.Time(req.waitMS)*ticksPerMillisecond, r.settings.Balancer.Routes[route].Timeout)
 	wait -= now - req.receivedAt
 	if r.shutdownAt != 0 {
 		wait = min(wait, r.shutdownAt-now)
 	}
-	return balancer.Exchange{
-		Route: route, Tenant: tenant, Key: keyHash(req.key), Keyed: true,
-		Write: req.value != nil, Repeat: req.isRetry, Remaining: wait,
+	return balancer.Request{
+		Route: route, Tenant: tenant, Key: keyHash(req.key), HasKey: true,
+		Write: req.value != nil, ClientRetry: req.isRetry, RemainingTimeout: wait,
 	}
 }
 
@@ -96,7 +96,7 @@
 	}
 	r.counters.Left.Add(1)
 	now := r.clock.Now()
-	decisions := r.decide(now, func(b *balancer.Instance) []balancer.Decision { return b.Left(now, req.slot) })
+	decisions := r.decide(now, func(b *balancer.Balancer) []balancer.Decision { return b.ClientGone(now, req.slot) })
 	r.markFinished(s)
 	r.execute(decisions)
 	r.releaseSlot(req.slot)
@@ -137,20 +137,20 @@
 	}
 	r.deliver(attempt, result)
 	now := r.clock.Now()
-	answer := balancer.Answer{
-		Cx: attempt.slot, Node: attempt.host, Ending: result.outcome, Took: now - attempt.sentAt, Ended: s.finished,
+	answer := balancer.AttemptResult{
+		Request: attempt.slot, Endpoint: attempt.host, Outcome: result.outcome, Latency: now - attempt.sentAt, Answered: s.finished,
 	}
-	r.zoneAttemptFinished(attempt.host, result.outcome, answer.Took)
-	wasEjected := r.balancer.Passed(attempt.host)
-	r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Returned(now, answer) })
+	r.zoneAttemptFinished(attempt.host, result.outcome, answer.Latency)
+	wasEjected := r.balancer.IsEjected(attempt.host)
+	r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.AttemptFinished(now, answer) })
 	r.dutyAttemptFinished(attempt.host, wasEjected)
 	r.releaseSlot(attempt.slot)
 }
 
 // mayHaveRun reports whether an attempt with an outcome may have been carried out by the upstream.
-func mayHaveRun(outcome balancer.Ending) bool {
+func mayHaveRun(outcome balancer.Outcome) bool {
 	switch outcome {
-	case balancer.Completed, balancer.Fault, balancer.Silent, balancer.Cut, balancer.Undone:
+	case balancer.Completed, balancer.ServerError, balancer.TimedOut, balancer.Reset, balancer.Cancelled:
 		return true
 	}
 	return false
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -27,8 +27,8 @@
 // exported methods may be called from any goroutine, but for those that are to be called before Run.
 type Router struct {
 	mailbox  mailbox
-	balancer *balancer.Instance
-	settings *settings.Book
+	balancer *balancer.Balancer
+	settings *settings.Settings
 	clock    Clock
 	counters *Counters
 	log      *zap.Logger
@@ -67,13 +67,13 @@
 // NewRouter returns a router that knows no hosts. sockets is how many connections it may have open to them at once;
 // seed is that of the balancer's random numbers.
 func NewRouter(
-	config *settings.Book, seed uint64, clock Clock, sockets int, counters *Counters, log *zap.Logger,
+	config *settings.Settings, seed uint64, clock Clock, sockets int, counters *Counters, log *zap.Logger,
 ) *Router {
 	return &Router{
-		mailbox: make(mailbox, routerMailboxSize), balancer: balancer.New(clock.Now(), config.Terms, seed),
+		mailbox: make(mailbox, routerMailboxSize), balancer: balancer.New(clock.Now(), config.Balancer, seed),
 		settings: config, clock: clock, counters: counters, log: log,
 		wakeTimer: time.NewTimer(unarmed), openIDs: map[string]struct{}{}, hostIndex: map[string]int{},
-		dialer:  &net.Dialer{Timeout: duration(config.Terms.ConnectTimeout), KeepAlive: -1},
+		dialer:  &net.Dialer{Timeout: duration(config.Balancer.ConnectTimeout), KeepAlive: -1},
 		sockets: newBudget(sockets, &counters.UpstreamOpen), valueMemory: newBudget(0, &counters.Bytes),
 		streamMemory: newBudget(0, &counters.Passing),
 	}
@@ -96,14 +96,14 @@
 }
 
 // balancerCall is a call on a balancer, which returns its decisions.
-type balancerCall func(b *balancer.Instance) []balancer.Decision
+type balancerCall func(b *balancer.Balancer) []balancer.Decision
 
 // apply puts a call to the balancer and executes its decisions.
 func (r *Router) apply(now balancer.Time, call balancerCall) { r.execute(r.decide(now, call)) }
 
 // Endpoints returns the endpoint list as the balancer has it, or nil if the router is too busy to answer in time.
-func (r *Router) Endpoints() []wire.Target {
-	reply := make(chan []wire.Target, 1)
+func (r *Router) Endpoints() []wire.Endpoint {
+	reply := make(chan []wire.Endpoint, 1)
 	if !r.mailbox.tryPost(func() { reply <- r.listedTargets() }) {
 		return nil
 	}
@@ -122,7 +122,7 @@
 	r.mailbox.post(func() {
 		r.shutdownAt = shutdownAt
 		now := r.clock.Now()
-		r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Until(now, shutdownAt) })
+		r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.CapDeadlines(now, shutdownAt) })
 	})
 }
 
@@ -147,7 +147,7 @@
 		}
 		r.counters.PeerSights.Add(1)
 		now := r.clock.Now()
-		r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Heard(now, index, answers) })
+		r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.PeerReport(now, index, answers) })
 	})
 }
 
@@ -155,14 +155,14 @@
 func (r *Router) SetQuotaShare(share float64) {
 	r.mailbox.post(func() {
 		now := r.clock.Now()
-		r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Share(now, share) })
+		r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.SetQuotaShare(now, share) })
 	})
 }
 
 // pollFailed takes note that an endpoint list that the balancer has asked for does not come.
 func (r *Router) pollFailed() {
 	now := r.clock.Now()
-	r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.ListFailed(now) })
+	r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.EndpointListFailed(now) })
 }
 
 // closeIdleConns closes the idle connections to all hosts, when one lacks a socket.
--- a/internal/proxy/router_test.go
+++ b/internal/proxy/router_test.go
@@ -55,16 +55,16 @@
 // Hosts that are replaced all day by others under new names leave nothing behind: neither indices nor goroutines.
 func TestDepartedHostsAreRemoved(t *testing.T) {
 	router := newTestRouter()
-	router.settings.Longest = 30
-	target := func(i int) wire.Target {
-		return wire.Target{Name: fmt.Sprint("c", i), Address: "127.0.0.1:1", Ready: true}
+	router.settings.LongestTimeout = 30
+	target := func(i int) wire.Endpoint {
+		return wire.Endpoint{Name: fmt.Sprint("c", i), Address: "127.0.0.1:1", Ready: true}
 	}
-	router.updateEndpoints(endpointUpdate{whole: true, initial: true, targets: []wire.Target{target(0), target(1)}})
+	router.updateEndpoints(endpointUpdate{whole: true, initial: true, targets: []wire.Endpoint{target(0), target(1)}})
 	before := runtime.NumGoroutine()
 	for i := 2; i < 60; i++ {
 		gone := target(i - 2)
-		gone.Ready, gone.Gone = false, true
-		router.updateEndpoints(endpointUpdate{targets: []wire.Target{gone, target(i)}})
+		gone.Ready, gone.Departed = false, true
+		router.updateEndpoints(endpointUpdate{targets: []wire.Endpoint{gone, target(i)}})
 		time.Sleep(4 * time.Millisecond)
 	}
 	if len(router.hostIndex) > 5 || len(router.hosts) > 5 {
@@ -74,8 +74,8 @@
 		t.Errorf("%d goroutines, %d before", n, before)
 	}
 	// What a whole list does not name has departed.
-	router.updateEndpoints(endpointUpdate{whole: true, targets: []wire.Target{target(58), target(59)}})
-	router.updateEndpoints(endpointUpdate{targets: []wire.Target{target(58)}})
+	router.updateEndpoints(endpointUpdate{whole: true, targets: []wire.Endpoint{target(58), target(59)}})
+	router.updateEndpoints(endpointUpdate{targets: []wire.Endpoint{target(58)}})
 	if router.hosts[router.hostIndex["c59"]].departedAt != 0 || router.hosts[router.hostIndex["c58"]].departedAt != 0 {
 		t.Error("a host that is listed counts as departed")
 	}
--- a/internal/proxy/shadow.go
+++ b/internal/proxy/shadow.go
@@ -16,7 +16,7 @@
 // out. A request is compared until the first difference: the shadow only learns what comes of it after that, so that
 // one difference is counted once.
 type shadowBalancer struct {
-	balancer *balancer.Instance
+	balancer *balancer.Balancer
 	wakeAt   balancer.Time // when it wants to be woken; 0: not at all
 	timer    *time.Timer
 	actual   map[int]*balancer.Decision // by request slot, of the call that is being compared
@@ -24,9 +24,9 @@
 }
 
 // EnableShadow has the balancer's decisions compared with those under other settings. It is to be called before Run.
-func (r *Router) EnableShadow(config *settings.Book, seed uint64) {
+func (r *Router) EnableShadow(config *settings.Settings, seed uint64) {
 	r.shadow = &shadowBalancer{
-		balancer: balancer.New(r.clock.Now(), config.Terms, seed), timer: time.NewTimer(unarmed),
+		balancer: balancer.New(r.clock.Now(), config.Balancer, seed), timer: time.NewTimer(unarmed),
 		actual: map[int]*balancer.Decision{}, counters: r.counters,
 	}
 }
@@ -53,7 +53,7 @@
 func (r *Router) timerFired() {
 	now := r.clock.Now()
 	r.wakeAt = 0
-	decisions := r.balancer.Woken(now)
+	decisions := r.balancer.TimerFired(now)
 	r.withShadow(func(s *shadowBalancer) { s.timerFired(now, decisions) })
 	r.execute(decisions)
 }
@@ -79,7 +79,7 @@
 	var would []balancer.Decision
 	if s.wakeAt != 0 && now >= s.wakeAt {
 		s.wakeAt = 0
-		would = s.balancer.Woken(now)
+		would = s.balancer.TimerFired(now)
 	}
 	s.compare(now, actual, would)
 }
@@ -87,25 +87,25 @@
 // compare counts what the balancer did against what its shadow would have done, and sets the shadow right.
 func (s *shadowBalancer) compare(now balancer.Time, actual, would []balancer.Decision) {
 	for i := range actual {
-		if isFinalReply(actual[i]) || actual[i].Act == balancer.Send {
-			s.actual[actual[i].Cx] = &actual[i]
+		if isFinalReply(actual[i]) || actual[i].Action == balancer.Send {
+			s.actual[actual[i].Request] = &actual[i]
 		}
 	}
 	for i := range would {
-		switch d := &would[i]; d.Act {
-		case balancer.Wake:
+		switch d := &would[i]; d.Action {
+		case balancer.SetTimer:
 			s.wakeAt = now + d.After
 			s.timer.Reset(duration(d.After))
-		case balancer.Tell:
+		case balancer.NotifyPeer:
 			s.counters.WatchTold.Add(1)
 		case balancer.Send, balancer.Shed, balancer.Error:
-			s.compareRequest(now, d, s.actual[d.Cx])
-			delete(s.actual, d.Cx)
+			s.compareRequest(now, d, s.actual[d.Request])
+			delete(s.actual, d.Request)
 		}
 	}
 	for i := range actual { // in their order, which the map does not have
-		if d := s.actual[actual[i].Cx]; d != nil {
-			delete(s.actual, d.Cx)
+		if d := s.actual[actual[i].Request]; d != nil {
+			delete(s.actual, d.Request)
 			s.learn(now, d)
 		}
 	}
@@ -113,10 +113,10 @@
 
 // learn tells the shadow what the balancer did where the shadow would have done nothing.
 func (s *shadowBalancer) learn(now balancer.Time, actual *balancer.Decision) {
-	if s.balancer.Has(actual.Cx) {
+	if s.balancer.Decides(actual.Request) {
 		s.compareRequest(now, nil, actual)
-	} else if actual.Act == balancer.Send {
-		s.balancer.Went(now, actual.Cx, actual.Node)
+	} else if actual.Action == balancer.Send {
+		s.balancer.RecordAttempt(now, actual.Request, actual.Endpoint)
 	}
 }
 
@@ -130,23 +130,23 @@
 	s.countDifference(would, actual)
 	slot := 0
 	if would != nil {
-		slot = would.Cx
-		if would.Act == balancer.Send {
-			s.balancer.Unsent(slot)
+		slot = would.Request
+		if would.Action == balancer.Send {
+			s.balancer.RetractAttempt(slot)
 		}
 	} else {
-		slot = actual.Cx
+		slot = actual.Request
 	}
-	if s.balancer.Has(slot) {
-		s.balancer.Yield(slot)
+	if s.balancer.Decides(slot) {
+		s.balancer.Release(slot)
 	}
-	if actual != nil && actual.Act == balancer.Send {
-		s.balancer.Went(now, slot, actual.Node)
+	if actual != nil && actual.Action == balancer.Send {
+		s.balancer.RecordAttempt(now, slot, actual.Endpoint)
 	}
 }
 
 func sameDecision(would, actual *balancer.Decision) bool {
-	return would.Act == actual.Act && (isFinalReply(*actual) || would.Node == actual.Node)
+	return would.Action == actual.Action && (isFinalReply(*actual) || would.Endpoint == actual.Endpoint)
 }
 
 // countDifference counts two different decisions on a request by kind; at most one of them is nil.
--- a/internal/proxy/shadow_test.go
+++ b/internal/proxy/shadow_test.go
@@ -13,10 +13,10 @@
 func TestShadowPanicDisablesShadowOnly(t *testing.T) {
 	router := newTestRouter()
 	router.shadow = &shadowBalancer{} // without a balancer to ask
-	decisions := router.decide(1, func(b *balancer.Instance) []balancer.Decision {
-		return b.Arrive(1, 0, balancer.Exchange{Tenant: -1, Remaining: 12000})
+	decisions := router.decide(1, func(b *balancer.Balancer) []balancer.Decision {
+		return b.Arrive(1, 0, balancer.Request{Tenant: -1, RemainingTimeout: 12000})
 	})
-	if len(decisions) == 0 || decisions[0].Act != balancer.Shed || router.shadow != nil {
+	if len(decisions) == 0 || decisions[0].Action != balancer.Shed || router.shadow != nil {
 		t.Errorf("%v decided, shadow still there: %v", decisions, router.shadow != nil)
 	}
 }
@@ -29,7 +29,7 @@
 type simulatedAttempt struct {
 	slot, host     int
 	sentAt, endsAt balancer.Time
-	outcome        balancer.Ending
+	outcome        balancer.Outcome
 }
 
 // shadowTraffic puts requests with random outcomes to a router's balancer and its shadow.
@@ -42,17 +42,17 @@
 }
 
 // newShadowTraffic has the shadow use settings that are changed.
-func newShadowTraffic(change func(*balancer.Terms)) *shadowTraffic {
-	terms := balancer.Terms{
-		Routes: []balancer.Route{{Objective: 2000, Overall: 6000, Value: 1}}, Proxies: 4, MaxTries: 3,
-		Tick: 10, Aside: true, Cold: 50000, ColdFrom: 0.3, Fall: 20000, FallMultiple: 3, MayCancel: true,
+func newShadowTraffic(change func(*balancer.Settings)) *shadowTraffic {
+	terms := balancer.Settings{
+		Routes: []balancer.Route{{Objective: 2000, Timeout: 6000, Value: 1}}, Proxies: 4, MaxAttempts: 3,
+		Tick: 10, CacheAside: true, SlowStart: 50000, SlowStartInitialShare: 0.3, SlowStartOverloadWindow: 20000, SlowStartOverloadMultiple: 3, MayCancel: true,
 	}
 	shadowTerms := terms
 	shadowTerms.Routes = append([]balancer.Route{}, terms.Routes...)
 	change(&shadowTerms)
 	router := newTestRouter()
 	router.balancer = balancer.New(0, terms, 1)
-	router.EnableShadow(&settings.Book{Terms: shadowTerms}, 1)
+	router.EnableShadow(&settings.Settings{Balancer: shadowTerms}, 1)
 	router.shadow.balancer = balancer.New(0, shadowTerms, 1)
 	return &shadowTraffic{
 		router: router, random: rand.New(rand.NewPCG(1, 2)), finished: make([]bool, shadowRequests),
@@ -62,14 +62,14 @@
 // apply takes the balancer's decisions.
 func (s *shadowTraffic) apply(now balancer.Time, decisions []balancer.Decision) {
 	for _, d := range decisions {
-		switch d.Act {
+		switch d.Action {
 		case balancer.Send:
 			s.attempts = append(s.attempts, simulatedAttempt{
-				d.Cx, d.Node, now, now + min(d.After, balancer.Time(s.random.IntN(2500))), balancer.Ending(s.random.IntN(9)),
+				d.Request, d.Endpoint, now, now + min(d.After, balancer.Time(s.random.IntN(2500))), balancer.Outcome(s.random.IntN(9)),
 			})
 		case balancer.Shed, balancer.Error:
-			s.finished[d.Cx] = true
-		case balancer.Wake:
+			s.finished[d.Request] = true
+		case balancer.SetTimer:
 			s.wakeAt = now + d.After
 		}
 	}
@@ -77,12 +77,12 @@
 
 // listNodes lists five caches and an origin.
 func (s *shadowTraffic) listNodes() {
-	var listings []balancer.Listing
+	var listings []balancer.Endpoint
 	for i, name := range []string{"a", "b", "c", "d", "e", "o"} {
-		listings = append(listings, balancer.Listing{Node: i, Name: name, Origin: name == "o", Ready: true, Weight: 1})
+		listings = append(listings, balancer.Endpoint{Index: i, Name: name, Origin: name == "o", Ready: true, Weight: 1})
 	}
-	s.apply(0, s.router.decide(0, func(b *balancer.Instance) []balancer.Decision {
-		return b.Nodes(0, true, true, listings)
+	s.apply(0, s.router.decide(0, func(b *balancer.Balancer) []balancer.Decision {
+		return b.UpdateEndpoints(0, true, true, listings)
 	}))
 }
 
@@ -96,7 +96,7 @@
 	var decisions []balancer.Decision
 	if balancerDue {
 		s.wakeAt = 0
-		decisions = s.router.balancer.Woken(now)
+		decisions = s.router.balancer.TimerFired(now)
 	}
 	s.router.withShadow(func(shadow *shadowBalancer) { shadow.timerFired(now, decisions) })
 	s.apply(now, decisions)
@@ -112,21 +112,21 @@
 		s.attempts = slices.Delete(s.attempts, i, i+1)
 		i--
 		s.finished[a.slot] = s.finished[a.slot] || a.outcome == balancer.Completed
-		answer := balancer.Answer{
-			Cx: a.slot, Node: a.host, Ending: a.outcome, Took: now - a.sentAt, Ended: s.finished[a.slot],
+		answer := balancer.AttemptResult{
+			Request: a.slot, Endpoint: a.host, Outcome: a.outcome, Latency: now - a.sentAt, Answered: s.finished[a.slot],
 		}
-		s.apply(now, s.router.decide(now, func(b *balancer.Instance) []balancer.Decision {
-			return b.Returned(now, answer)
+		s.apply(now, s.router.decide(now, func(b *balancer.Balancer) []balancer.Decision {
+			return b.AttemptFinished(now, answer)
 		}))
 	}
 }
 
 // arrive puts a request to the balancer.
 func (s *shadowTraffic) arrive(now balancer.Time, slot int) {
-	exchange := balancer.Exchange{
-		Tenant: -1, Remaining: 6000, Key: s.random.Uint64N(50), Keyed: true, Write: s.random.IntN(9) == 0,
+	exchange := balancer.Request{
+		Tenant: -1, RemainingTimeout: 6000, Key: s.random.Uint64N(50), HasKey: true, Write: s.random.IntN(9) == 0,
 	}
-	s.apply(now, s.router.decide(now, func(b *balancer.Instance) []balancer.Decision {
+	s.apply(now, s.router.decide(now, func(b *balancer.Balancer) []balancer.Decision {
 		return b.Arrive(now, slot, exchange)
 	}))
 }
@@ -144,7 +144,7 @@
 			slot++
 		}
 	}
-	if s.router.shadow == nil || s.router.shadow.balancer.Out() != 0 {
+	if s.router.shadow == nil || s.router.shadow.balancer.InFlight() != 0 {
 		t.Fatal("the shadow has panicked, or counts attempts that are not in flight")
 	}
 	return s.router.counters
@@ -159,20 +159,20 @@
 // differ, and under others the shadow keeps its state, as far as it can tell what becomes of each attempt.
 func TestShadowComparesAllOutcomes(t *testing.T) {
 	t.Run("same settings", func(t *testing.T) {
-		c := newShadowTraffic(func(*balancer.Terms) {}).run(t)
+		c := newShadowTraffic(func(*balancer.Settings) {}).run(t)
 		if differences(c) != 0 || c.WatchSame.Load() < shadowRequests {
 			t.Errorf("under the same settings: %s", c)
 		}
 	})
 	for _, test := range []struct {
 		name   string
-		change func(*balancer.Terms)
+		change func(*balancer.Settings)
 	}{
-		{"many proxies", func(o *balancer.Terms) { o.Proxies, o.Peers, o.Me = 400, 399, 7 }},
-		{"one attempt", func(o *balancer.Terms) { o.MaxTries = 1 }},
-		{"late replies earn", func(o *balancer.Terms) { o.Routes[0].Overdue = 0.5 }},
-		{"short objective", func(o *balancer.Terms) { o.Routes[0].Objective = 500 }},
-		{"deduplicated", func(o *balancer.Terms) { o.Routes[0].Effect, o.Routes[0].Window = balancer.Deduped, 500 }},
+		{"many proxies", func(o *balancer.Settings) { o.Proxies, o.PeerCount, o.Self = 400, 399, 7 }},
+		{"one attempt", func(o *balancer.Settings) { o.MaxAttempts = 1 }},
+		{"late replies earn", func(o *balancer.Settings) { o.Routes[0].LateValue = 0.5 }},
+		{"short objective", func(o *balancer.Settings) { o.Routes[0].Objective = 500 }},
+		{"deduplicated", func(o *balancer.Settings) { o.Routes[0].Effect, o.Routes[0].DedupWindow = balancer.Deduped, 500 }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			if c := newShadowTraffic(test.change).run(t); differences(c) == 0 || differences(c) > shadowRequests {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -73,19 +73,19 @@
 // streamValue passes a value on to the client in chunks. For the balancer the attempt completes with the first chunk,
 // and there is no retry after it: a value that breaks off later ends the client's connection. The last byte is held
 // back until the upstream has ended the value as the protocol asks, so that a wrong length is seen by the client too.
-func (u *upstreamConn) streamValue(attempt *attempt, answer *wire.Answer, until time.Time) error {
+func (u *upstreamConn) streamValue(attempt *attempt, answer *wire.Response, until time.Time) error {
 	router := u.host.router
 	for !router.streamMemory.tryAcquire(streamBufferBytes) { // meanwhile the answer stays in the socket
 		if attempt.cancelled.Load() || time.Now().After(until) {
-			return &wire.Halt{Far: wire.Reading, Err: errStreamMemory}
+			return &wire.AttemptError{Progress: wire.Reading, Err: errStreamMemory}
 		}
 		time.Sleep(capacityPollInterval)
 	}
 	defer router.streamMemory.release(streamBufferBytes)
 	if _, err := u.reader.Peek(1); err != nil { // until here the request can be retried
-		return &wire.Halt{Far: wire.Reading, Err: err}
+		return &wire.AttemptError{Progress: wire.Reading, Err: err}
 	}
-	s := newStream(answer.Long)
+	s := newStream(answer.ValueLength)
 	attempt.streaming = true
 	router.mailbox.post(func() { router.attemptFinished(attempt, attemptResult{outcome: balancer.Completed, stream: s}) })
 	s.err = u.readChunks(s, answer)
@@ -94,14 +94,14 @@
 }
 
 // readChunks reads the value into the stream.
-func (u *upstreamConn) readChunks(s *stream, answer *wire.Answer) error {
-	for left := answer.Long; left > 0; {
+func (u *upstreamConn) readChunks(s *stream, answer *wire.Response) error {
+	for left := answer.ValueLength; left > 0; {
 		chunk, err := s.nextEmpty()
 		if err != nil {
 			return err
 		}
 		if chunk, err = u.readChunk(chunk, left); err != nil {
-			return &wire.Halt{Far: wire.Reading, Err: err}
+			return &wire.AttemptError{Progress: wire.Reading, Err: err}
 		}
 		if left -= len(chunk); left == 0 {
 			return u.finishStream(s, answer, chunk)
@@ -124,7 +124,7 @@
 }
 
 // finishStream passes on the last chunk: all but its last byte at once, and that once the value has ended as it should.
-func (u *upstreamConn) finishStream(s *stream, answer *wire.Answer, chunk []byte) error {
+func (u *upstreamConn) finishStream(s *stream, answer *wire.Response, chunk []byte) error {
 	if n := len(chunk); n > 1 {
 		s.filled <- chunk[:n-1]
 		last := chunk[n-1]
@@ -135,10 +135,10 @@
 		chunk = next[:1]
 		chunk[0] = last
 		if err := u.conn.SetReadDeadline(time.Now().Add(stallTimeout)); err != nil {
-			return &wire.Halt{Far: wire.Reading, Err: err}
+			return &wire.AttemptError{Progress: wire.Reading, Err: err}
 		}
 	}
-	if err := answer.End(u.reader); err != nil {
+	if err := answer.ReadValueEnd(u.reader); err != nil {
 		return err
 	}
 	chunk = append(chunk, crlf...)
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -31,11 +31,11 @@
 		_, _ = io.WriteString(far, "\r\n") // not reached, or the test fails by what was read
 	}()
 	upstream := newTestConn(newTestRouter(), near)
-	answer, err := wire.ReadAnswer(upstream.reader)
-	if err != nil || answer.Long != length {
+	answer, err := wire.ReadCacheResponse(upstream.reader)
+	if err != nil || answer.ValueLength != length {
 		t.Fatal(answer, err)
 	}
-	s := newStream(answer.Long)
+	s := newStream(answer.ValueLength)
 	ended := make(chan error)
 	go func() { ended <- upstream.readChunks(s, &answer) }()
 	taken := 0
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -100,7 +100,7 @@
 // probe opens the connection, reports whether that succeeded, and keeps it for attempts to come.
 func (u *upstreamConn) probe() {
 	h, router := u.host, u.host.router
-	err := error(&wire.Halt{})
+	err := error(&wire.AttemptError{})
 	runRecovered(h.log, router.counters, func() {
 		err = u.dial(&attempt{}, time.Now().Add(duration(router.zones.latencyLimit)))
 	})
@@ -116,9 +116,9 @@
 // carry sees an attempt through, reports its end to the host, and returns whether the connection can carry another.
 func (u *upstreamConn) carry(attempt *attempt) bool {
 	h := u.host
-	result := roundTripResult{attemptResult: attemptResult{outcome: balancer.Cut}} // stands after a panic
+	result := roundTripResult{attemptResult: attemptResult{outcome: balancer.Reset}} // stands after a panic
 	runRecovered(h.log, h.router.counters, func() { result = u.roundTrip(attempt) })
-	if errors.Is(result.err, wire.ErrBytes) {
+	if errors.Is(result.err, wire.ErrProtocol) {
 		u.reportBadBytes(result.err)
 	}
 	if result.err != nil && attempt.streaming && !errors.Is(result.err, errStreamAbandoned) {
@@ -155,7 +155,7 @@
 		return u.takeAssigned()
 	}
 	if len(unexpected) > 0 {
-		u.reportBadBytes(fmt.Errorf("%w: unasked for: %q", wire.ErrBytes, unexpected))
+		u.reportBadBytes(fmt.Errorf("%w: unasked for: %q", wire.ErrProtocol, unexpected))
 	}
 	return nil // or the upstream has closed it
 }
@@ -182,7 +182,7 @@
 // idleTimeout returns how long the connection may be idle; 0 means without limit. It is well below the time after which
 // the upstream closes it, so that no request crosses the close.
 func (u *upstreamConn) idleTimeout() time.Duration {
-	timeout := duration(u.host.router.settings.Idle * 2 / 3)
+	timeout := duration(u.host.router.settings.ServerIdleTimeout * 2 / 3)
 	leftToOthers := u.host.router.duties != nil && u.host.closeIdleSoon.Load()
 	if leftToOthers && (timeout == 0 || timeout > nonOwnerIdleTimeout) {
 		return nonOwnerIdleTimeout
--- a/internal/proxy/upstream_conn_test.go
+++ b/internal/proxy/upstream_conn_test.go
@@ -109,8 +109,8 @@
 func TestRetryAfterDedupWindowIsNotSent(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
 	const windowMS = 300
-	p := newTestProxy(t, 10, func(config *balancer.Terms) {
-		config.Routes[1].Effect, config.Routes[1].Window = balancer.Deduped, windowMS*ticksPerMillisecond
+	p := newTestProxy(t, 10, func(config *balancer.Settings) {
+		config.Routes[1].Effect, config.Routes[1].DedupWindow = balancer.Deduped, windowMS*ticksPerMillisecond
 	}, cache, origin)
 	client := p.dial()
 	send(t, client, setCommand("once", longPut, "v"))
@@ -144,7 +144,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			origin := newOrigin(t)
-			p := newTestProxy(t, 10, func(config *balancer.Terms) {
+			p := newTestProxy(t, 10, func(config *balancer.Settings) {
 				config.Routes[1].Effect = balancer.NonRetriable
 			}, newCache(t), origin)
 			client := p.dial()
@@ -177,7 +177,7 @@
 	send(t, received.conn, "*1\r\n$-1\r\n")
 	received = origin.next(t)
 	facts, err := wire.ParseFacts([]byte(received.facts))
-	if err != nil || facts.Wait > 5000-lateMS || facts.Wait < 1000 || string(facts.Tenant) != "x" ||
+	if err != nil || facts.WaitMilliseconds > 5000-lateMS || facts.WaitMilliseconds < 1000 || string(facts.Tenant) != "x" ||
 		received.id != "missed" {
 		t.Errorf("%q of %s: %v", received.facts, received.id, err)
 	}
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -36,7 +36,7 @@
 
 	// Only the router's goroutine looks at these.
 	ejected    bool          // as was last reported to the duties
-	endpoint   wire.Target   // as listed; for a new host Since is when it was first seen
+	endpoint   wire.Endpoint // as listed; for a new host Since is when it was first seen
 	departedAt balancer.Time // when it left the endpoint list; 0: it is listed
 	inFlight   int           // attempts
 
@@ -220,7 +220,7 @@
 }
 
 func (h *upstreamHost) reportNotSent(attempt *attempt) {
-	h.router.mailbox.post(func() { h.router.attemptFinished(attempt, attemptResult{outcome: balancer.NeverSent}) })
+	h.router.mailbox.post(func() { h.router.attemptFinished(attempt, attemptResult{outcome: balancer.NotSent}) })
 }
 
 // closeIdleConns closes all idle connections.
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -30,11 +30,11 @@
 		}
 	}
 	if err := u.conn.SetDeadline(until); err != nil {
-		return u.failure(attempt, &wire.Halt{Far: wire.Writing, Err: err})
+		return u.failure(attempt, &wire.AttemptError{Progress: wire.Writing, Err: err})
 	}
 	switch {
 	case attempt.cancelled.Load(): // before the deadline above was set
-		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Undone}}
+		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Cancelled}}
 	case reused && u.isStale(): // nothing was sent yet
 		u.discardConn()
 		return u.roundTrip(attempt)
@@ -49,19 +49,19 @@
 		if attempt.request.finished.Load() {
 			return notSent(false)
 		}
-		return u.failure(attempt, &wire.Halt{Far: wire.Writing, Err: err})
+		return u.failure(attempt, &wire.AttemptError{Progress: wire.Writing, Err: err})
 	}
 	return u.readResponse(attempt, until)
 }
 
 func notSent(reusable bool) roundTripResult {
-	return roundTripResult{attemptResult: attemptResult{outcome: balancer.NeverSent}, reusable: reusable}
+	return roundTripResult{attemptResult: attemptResult{outcome: balancer.NotSent}, reusable: reusable}
 }
 
 func connectFailure(attempt *attempt, err error) roundTripResult {
-	outcome := balancer.Unreachable
+	outcome := balancer.ConnectFailed
 	if attempt.cancelled.Load() {
-		outcome = balancer.Undone
+		outcome = balancer.Cancelled
 	}
 	return roundTripResult{attemptResult: attemptResult{outcome: outcome}, err: err}
 }
@@ -69,18 +69,18 @@
 // failure returns the result of an attempt that ended without a whole response: what it means depends on how far the
 // attempt had come.
 func (u *upstreamConn) failure(attempt *attempt, err error) roundTripResult {
-	var halt *wire.Halt
-	mayHaveRun := errors.As(err, &halt) && halt.Ran()
-	outcome := balancer.Cut
+	var halt *wire.AttemptError
+	mayHaveRun := errors.As(err, &halt) && halt.MayHaveRun()
+	outcome := balancer.Reset
 	switch {
 	case attempt.cancelled.Load():
-		outcome = balancer.Undone
+		outcome = balancer.Cancelled
 	case !mayHaveRun:
-		outcome = balancer.Unreachable
+		outcome = balancer.ConnectFailed
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		outcome = balancer.Silent
-	case errors.Is(err, wire.ErrBytes):
-		outcome = balancer.Fault
+		outcome = balancer.TimedOut
+	case errors.Is(err, wire.ErrProtocol):
+		outcome = balancer.ServerError
 	}
 	return roundTripResult{attemptResult: attemptResult{outcome: outcome}, err: err}
 }
@@ -111,7 +111,7 @@
 	defer u.mu.Unlock()
 	u.cancelDial = nil
 	if err != nil {
-		return &wire.Halt{Far: wire.Dialing, Err: err}
+		return &wire.AttemptError{Progress: wire.Dialing, Err: err}
 	}
 	u.conn = conn
 	u.reader = bufio.NewReaderSize(conn, upstreamReadBuffer)
@@ -123,7 +123,7 @@
 // awaitAttempt.
 func (u *upstreamConn) isStale() bool {
 	if u.reader.Buffered() > 0 || hasUnread(u.conn) {
-		u.reportBadBytes(fmt.Errorf("%w: unasked for", wire.ErrBytes))
+		u.reportBadBytes(fmt.Errorf("%w: unasked for", wire.ErrProtocol))
 		return true
 	}
 	return closedByPeer(u.conn)
@@ -168,7 +168,7 @@
 	remainingMS := milliseconds(attempt.sentAt + attempt.timeout - h.router.clock.Now())
 	facts := wire.AppendFacts(nil, req.facts, max(remainingMS, 1))
 	if h.isOrigin {
-		u.header = wire.AppendFetch(u.header[:0], u.addr, req.key, req.id, facts, size)
+		u.header = wire.AppendOriginRequest(u.header[:0], u.addr, req.key, req.id, facts, size)
 	} else {
 		u.header = wire.AppendCommand(u.header[:0], req.name, req.key, req.id, facts, size)
 	}
@@ -183,55 +183,55 @@
 
 // readResponse reads the response to an attempt that was written.
 func (u *upstreamConn) readResponse(attempt *attempt, until time.Time) roundTripResult {
-	read := wire.ReadAnswer
+	read := wire.ReadCacheResponse
 	if u.host.isOrigin {
-		read = wire.ReadFetched
+		read = wire.ReadOriginResponse
 	}
 	answer, err := read(u.reader)
 	if err != nil {
 		return u.failure(attempt, err)
 	}
-	if answer.Absent && u.host.router.negativeCache != nil && attempt.request.value == nil {
+	if answer.NotFound && u.host.router.negativeCache != nil && attempt.request.value == nil {
 		attempt.notFound = true
 		return roundTripResult{
 			attemptResult: attemptResult{outcome: balancer.Completed},
-			reusable:      answer.Again && u.reader.Buffered() == 0,
+			reusable:      answer.Reusable && u.reader.Buffered() == 0,
 		}
 	}
 	var value []byte
-	if answer.Ending == balancer.Completed {
+	if answer.Outcome == balancer.Completed {
 		if value, err = u.readValue(attempt, &answer, until); err != nil {
 			return u.failure(attempt, err)
 		}
 	}
-	if n := u.reader.Buffered(); answer.Again && n > 0 { // it would pass for the response to the next request
-		u.reportBadBytes(fmt.Errorf("%w: %d unasked for", wire.ErrBytes, n))
-		answer.Again = false
+	if n := u.reader.Buffered(); answer.Reusable && n > 0 { // it would pass for the response to the next request
+		u.reportBadBytes(fmt.Errorf("%w: %d unasked for", wire.ErrProtocol, n))
+		answer.Reusable = false
 	}
-	return roundTripResult{attemptResult: attemptResult{outcome: answer.Ending, value: value}, reusable: answer.Again}
+	return roundTripResult{attemptResult: attemptResult{outcome: answer.Outcome, value: value}, reusable: answer.Reusable}
 }
 
 // readValue reads the value of a completed attempt: whole if it is short and there is memory for it. Else the value is
 // streamed; the request is answered by that, and nil is returned.
-func (u *upstreamConn) readValue(attempt *attempt, answer *wire.Answer, until time.Time) ([]byte, error) {
+func (u *upstreamConn) readValue(attempt *attempt, answer *wire.Response, until time.Time) ([]byte, error) {
 	memory := u.host.router.valueMemory
-	_, alreadyRead := answer.Whole()
+	_, alreadyRead := answer.BufferedValue()
 	switch {
 	case alreadyRead:
-		memory.acquire(answer.Long)
-	case answer.Long <= wire.MaxValue && memory.tryAcquire(answer.Long):
+		memory.acquire(answer.ValueLength)
+	case answer.ValueLength <= wire.MaxBufferedValue && memory.tryAcquire(answer.ValueLength):
 	default:
 		if err := u.streamValue(attempt, answer, until); err != nil {
 			return nil, err
 		}
-		return nil, answer.Tail(u.reader)
+		return nil, answer.SkipTrailing(u.reader)
 	}
-	value, err := answer.Value(u.reader)
+	value, err := answer.ReadValue(u.reader)
 	if err == nil {
-		err = answer.Tail(u.reader)
+		err = answer.SkipTrailing(u.reader)
 	}
 	if err != nil {
-		memory.release(answer.Long)
+		memory.release(answer.ValueLength)
 		return nil, err
 	}
 	return value, nil
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -78,7 +78,7 @@
 		if h != nil && h.isServing() {
 			nodes = append(nodes, zonehealth.Node{
 				Index: index, Name: h.name, Zone: h.endpoint.Zone,
-				Since: zonehealth.Time(h.endpoint.Since) * ticksPerMillisecond,
+				Since: zonehealth.Time(h.endpoint.StartedAtUnixMilli) * ticksPerMillisecond,
 			})
 		}
 	}
@@ -116,7 +116,7 @@
 
 // excludeHost keeps a part of a host's keys from it.
 func (r *Router) excludeHost(now balancer.Time, d *zonehealth.Decision) {
-	r.apply(now, func(b *balancer.Instance) []balancer.Decision { return b.Bar(now, d.Node, d.Part, d.Off) })
+	r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.SetExclusion(now, d.Node, d.Part, d.Off) })
 	if h := r.hosts[d.Node]; d.Part == 1 && h != nil {
 		h.mailbox.tryPost(h.closeIdleConns) // nothing is sent there for a while
 	}
@@ -140,14 +140,14 @@
 }
 
 // zoneAttemptFinished takes note of how an attempt has ended, and how long it took.
-func (r *Router) zoneAttemptFinished(index int, outcome balancer.Ending, took balancer.Time) {
+func (r *Router) zoneAttemptFinished(index int, outcome balancer.Outcome, took balancer.Time) {
 	z := r.zones
 	if z == nil {
 		return
 	}
 	now := r.zoneNow()
 	if r.hosts[index].isOrigin {
-		if outcome != balancer.NeverSent && outcome != balancer.Undone {
+		if outcome != balancer.NotSent && outcome != balancer.Cancelled {
 			z.health.Origin(now, outcome != balancer.Completed || took > z.latencyLimit)
 		}
 		return
@@ -157,17 +157,17 @@
 }
 
 // observation returns what an attempt's end says of its cache's health.
-func (z *zoneController) observation(outcome balancer.Ending, took balancer.Time) zonehealth.Ending {
+func (z *zoneController) observation(outcome balancer.Outcome, took balancer.Time) zonehealth.Ending {
 	switch {
-	case outcome == balancer.Unreachable:
+	case outcome == balancer.ConnectFailed:
 		return zonehealth.Shut
-	case outcome == balancer.Silent, outcome == balancer.Cut:
+	case outcome == balancer.TimedOut, outcome == balancer.Reset:
 		return zonehealth.Nothing
-	case outcome == balancer.Undone:
+	case outcome == balancer.Cancelled:
 		return zonehealth.Undone
-	case outcome == balancer.NeverSent:
+	case outcome == balancer.NotSent:
 		return zonehealth.Unknown
-	case outcome == balancer.Fault, outcome == balancer.NoRoom, took > z.latencyLimit:
+	case outcome == balancer.ServerError, outcome == balancer.Overloaded, took > z.latencyLimit:
 		return zonehealth.Late
 	}
 	return zonehealth.Answered
--- a/internal/server/api_golden_test.go
+++ b/internal/server/api_golden_test.go
@@ -239,45 +239,45 @@
 // Operators' programs match on both, so that each is spelled out here, whatever the Go identifiers are.
 var planErrors = []planError{
 	{
-		&rebalance.InventoryError{Where: "nodes[1]", What: "name \"a\" is missing or doubled"},
+		&rebalance.InventoryError{Path: "nodes[1]", Reason: "name \"a\" is missing or doubled"},
 		`{"type":"moves.InventoryError",` +
 			`"error":"nodes[1]: name \"a\" is missing or doubled; mend the inventory, nothing was planned",` +
 			`"found":{"Where":"nodes[1]","What":"name \"a\" is missing or doubled"}}`,
 	},
 	{
-		&rebalance.RoomError{Lacks: []rebalance.Lack{{Node: "a", Bytes: 2}, {Node: "b", Bytes: 3}}, Needed: 12, Room: 10},
+		&rebalance.CapacityError{Shortfalls: []rebalance.Shortfall{{Node: "a", Bytes: 2}, {Node: "b", Bytes: 3}}, NeededBytes: 12, CapacityBytes: 10},
 		`{"type":"moves.RoomError",` +
 			`"error":"room: shards have 12 bytes, nodes that stay room for 10; lacking: a 2 bytes, b 3 bytes;` +
 			` give these so much more, or add a node",` +
 			`"found":{"Lacks":[{"node":"a","bytes":2},{"node":"b","bytes":3}],"Needed":12,"Room":10}}`,
 	},
 	{
-		&rebalance.ShardError{Shard: 7, Bytes: 11, Largest: 10},
+		&rebalance.ShardPlacementError{ShardID: 7, Bytes: 11, LargestCapacity: 10},
 		`{"type":"moves.ShardError",` +
 			`"error":"shard 7: of 11 bytes, and no node that it may be on has room for more than 10;` +
 			` give one as much, or let it into another zone",` +
 			`"found":{"Shard":7,"Bytes":11,"Largest":10,"Pinned":false}}`,
 	},
 	{
-		&rebalance.ShardError{Shard: 7, Bytes: 11, Pinned: true},
+		&rebalance.ShardPlacementError{ShardID: 7, Bytes: 11, Pinned: true},
 		`{"type":"moves.ShardError",` +
 			`"error":"shard 7: pinned to a node that it has to leave; take the pin off, or keep that node",` +
 			`"found":{"Shard":7,"Bytes":11,"Largest":0,"Pinned":true}}`,
 	},
 	{
-		&rebalance.BalanceError{Stated: 0.1, Needed: 0.25},
+		&rebalance.BalanceError{Slack: 0.1, FeasibleSlack: 0.25},
 		`{"type":"moves.BalanceError",` +
 			`"error":"slack: 0.1: loads can't be so even; with 0.250 they can",` +
 			`"found":{"Stated":0.1,"Needed":0.25}}`,
 	},
 	{
-		&rebalance.BalanceError{Stated: 0.1},
+		&rebalance.BalanceError{Slack: 0.1},
 		`{"type":"moves.BalanceError",` +
 			`"error":"slack: 0.1: loads can't be so even, nor with 1; take off pins or zones, or give nodes other weights",` +
 			`"found":{"Stated":0.1,"Needed":0}}`,
 	},
 	{
-		&rebalance.StuckError{Shards: 2, Lacks: []rebalance.Lack{{Node: "a", Bytes: 6}}},
+		&rebalance.ScheduleError{PendingShards: 2, Shortfalls: []rebalance.Shortfall{{Node: "a", Bytes: 6}}},
 		`{"type":"moves.StuckError",` +
 			`"error":"order: 2 shards can't go on, since none has room to go first; lacking: a 6 bytes;` +
 			` so much more at one of these, or at any other node for the time of the moves, helps",` +
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -40,9 +40,9 @@
 	Sockets  int     // limit of open file descriptors, at least 64
 
 	KnownEndpoints             *fastjson.Value // endpoint list to start with, in discovery's format; nil or null: none
-	Settings                   *settings.Book
-	ShadowSettings             *settings.Book // evaluated by the shadow balancer only; nil: there is none
-	NotificationsWithoutGossip bool           // settings allow notifications between proxies, but no gossip file is named
+	Settings                   *settings.Settings
+	ShadowSettings             *settings.Settings // evaluated by the shadow balancer only; nil: there is none
+	NotificationsWithoutGossip bool               // settings allow notifications between proxies, but no gossip file is named
 
 	GossipFile   string // gossip file; empty: no gossip
 	GossipListen string // host:port for gossip, overrides the gossip file
@@ -58,10 +58,10 @@
 	NegativeCache     *negativecache.Terms
 
 	RebalanceFile string // rebalance file; empty: no migrations are planned
-	Rebalance     *rebalance.Terms
+	Rebalance     *rebalance.Settings
 
 	DutiesFile string // duties file; empty: each proxy performs all duties itself
-	Duties     *duties.Terms
+	Duties     *duties.Settings
 }
 
 // Read reads and checks the configuration file and all files that overrides names. Name, Listen, Discovery and
@@ -153,7 +153,7 @@
 	if c.Settings, err = settings.Read(object); err != nil {
 		return fmt.Errorf("configuration: settings: %w", err)
 	}
-	c.NotificationsWithoutGossip, c.Settings.Terms.Peers = c.Settings.Terms.Peers > 0, 0
+	c.NotificationsWithoutGossip, c.Settings.Balancer.PeerCount = c.Settings.Balancer.PeerCount > 0, 0
 	return nil
 }
 
@@ -171,7 +171,7 @@
 		}
 	}
 	// the balancer notifies a single peer, which stands for all of them: gossip spreads the notification
-	c.NotificationsWithoutGossip, c.Settings.Terms.Peers, c.Settings.Terms.Me = false, 1, 0
+	c.NotificationsWithoutGossip, c.Settings.Balancer.PeerCount, c.Settings.Balancer.Self = false, 1, 0
 	return nil
 }
 
@@ -210,7 +210,7 @@
 	if c.ZoneHealth != nil {
 		return c.ZoneHealth.Zone
 	}
-	return c.Settings.Locality
+	return c.Settings.LocalZone
 }
 
 // cluster returns the name of the fleet that this proxy belongs to; empty if no gossip file names it.
@@ -222,4 +222,4 @@
 }
 
 // proxies returns the number of proxies in the fleet as the settings state it, at least 1.
-func (c *Config) proxies() int { return max(c.Settings.Terms.Proxies, 1) }
+func (c *Config) proxies() int { return max(c.Settings.Balancer.Proxies, 1) }
--- a/internal/server/config_golden_test.go
+++ b/internal/server/config_golden_test.go
@@ -63,20 +63,20 @@
 		known = config.KnownEndpoints.String()
 	}
 	line("known", known)
-	listSettings := func(label string, book *settings.Book) {
+	listSettings := func(label string, book *settings.Settings) {
 		if book == nil {
 			line(label, "not stated")
 			return
 		}
-		line(label+".replicas-of-me", book.Terms.Proxies)
-		line(label+".tick", fmt.Sprintf("%v ms", float64(book.Terms.Tick)/10))
-		line(label+".limits.max-upstream-tries", book.Terms.MaxTries)
-		line(label+".limits.conn-idle", fmt.Sprintf("%v ms", float64(book.Idle)/10))
-		line(label+".limits.may-tell, peers told", book.Terms.Peers)
-		line(label+".me", book.Terms.Me)
-		line(label+".rules.cold", fmt.Sprintf("%v ms", float64(book.Terms.Cold)/10))
-		line(label+".rules.fall", fmt.Sprintf("%v ms", float64(book.Terms.Fall)/10))
-		line(label+".routes", len(book.Terms.Routes))
+		line(label+".replicas-of-me", book.Balancer.Proxies)
+		line(label+".tick", fmt.Sprintf("%v ms", float64(book.Balancer.Tick)/10))
+		line(label+".limits.max-upstream-tries", book.Balancer.MaxAttempts)
+		line(label+".limits.conn-idle", fmt.Sprintf("%v ms", float64(book.ServerIdleTimeout)/10))
+		line(label+".limits.may-tell, peers told", book.Balancer.PeerCount)
+		line(label+".me", book.Balancer.Self)
+		line(label+".rules.cold", fmt.Sprintf("%v ms", float64(book.Balancer.SlowStart)/10))
+		line(label+".rules.fall", fmt.Sprintf("%v ms", float64(book.Balancer.SlowStartOverloadWindow)/10))
+		line(label+".routes", len(book.Balancer.Routes))
 	}
 	listSettings("settings", config.Settings)
 	listSettings("watch", config.ShadowSettings)
--- a/internal/server/config_test.go
+++ b/internal/server/config_test.go
@@ -189,8 +189,8 @@
 	rebalancing := Config{RebalanceFile: files.policy}
 	cache, cacheAlone := Config{NegativeCacheFile: files.policy, GossipFile: files.gossip}, Config{NegativeCacheFile: files.policy}
 	var dutyRange *duties.RangeError
-	var dutyOrder *duties.OrderError
-	var dutyAloneError *duties.AloneError
+	var dutyOrder *duties.SpanRatioError
+	var dutyAloneError *duties.NoPeersError
 	var rebalanceRange *rebalance.RangeError
 	var cacheRange *negativecache.RangeError
 	var cacheAloneError *negativecache.AloneError
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -16,22 +16,22 @@
 }
 
 // dutyRowKinds maps the message kinds of the duties module to the kinds of rows that carry them.
-var dutyRowKinds = [...]replica.Kind{duties.Trial: replica.Trial, duties.Beat: replica.Beat}
+var dutyRowKinds = [...]replica.Kind{duties.ProbeReport: replica.Trial, duties.WatchHeartbeat: replica.Beat}
 
 // publish sends a message of this proxy.
-func (d *dutiesAdapter) publish(kind duties.Kind, key string, message duties.Said, ttl duties.Time) {
+func (d *dutiesAdapter) publish(kind duties.ReportKind, key string, message duties.Report, ttl duties.Time) {
 	d.sender.publish(dutyRowKinds[kind], key, replica.Time(ttl), &message)
 }
 
 // receive passes on a message of another proxy; one that can't be decoded is dropped.
 func (d *dutiesAdapter) receive(row *replica.Row) {
-	var message duties.Said
+	var message duties.Report
 	if d == nil || msgpack.Unmarshal(row.Body, &message) != nil {
 		return
 	}
 	for kind, rowKind := range dutyRowKinds {
 		if rowKind == row.Kind {
-			d.actor.Receive(row.Writer, duties.Kind(kind), row.Key, message, duties.Time(row.Age))
+			d.actor.Receive(row.Writer, duties.ReportKind(kind), row.Key, message, duties.Time(row.Age))
 		}
 	}
 }
@@ -44,7 +44,7 @@
 	fleet := make([]duties.Proxy, 0, len(members))
 	for i := range members {
 		member := &members[i]
-		fleet = append(fleet, duties.Proxy{Name: member.Name, Zone: member.Zone, Here: isAlive(member)})
+		fleet = append(fleet, duties.Proxy{Name: member.Name, Zone: member.Zone, Alive: isAlive(member)})
 	}
 	d.actor.SetMembers(fleet, catchingUp)
 }
--- a/internal/server/dutiesfile.go
+++ b/internal/server/dutiesfile.go
@@ -19,9 +19,9 @@
 
 // readDutiesFile reads the duties file. Duties are shared among proxies, so that without gossip it is a
 // *duties.AloneError.
-func readDutiesFile(file string, config *Config) (*duties.Terms, error) {
+func readDutiesFile(file string, config *Config) (*duties.Settings, error) {
 	if config.Gossip == nil {
-		return nil, fmt.Errorf("turns: %w", &duties.AloneError{File: file})
+		return nil, fmt.Errorf("turns: %w", &duties.NoPeersError{File: file})
 	}
 	shortest := shortestObjective[duties.Time](config.Settings)
 	values := &dutiesFile{
@@ -31,17 +31,17 @@
 		HeartbeatMS:       700,
 		HeartbeatExpiryMS: 2500,
 	}
-	terms := &duties.Terms{}
+	terms := &duties.Settings{}
 	err := readPolicyFile("turns", file, values, func() error {
-		*terms = duties.Terms{
-			Me:       config.Name,
-			Watchers: values.Watchers,
-			Keepers:  values.IdleConnOwners,
-			Trials:   values.HealthChecks,
-			Rest:     tenths[duties.Time](values.ProbeIntervalMS),
-			Step:     tenths[duties.Time](values.TakeoverDelayMS),
-			Beat:     tenths[duties.Time](values.HeartbeatMS),
-			Patience: tenths[duties.Time](values.HeartbeatExpiryMS),
+		*terms = duties.Settings{
+			Self:              config.Name,
+			Watchers:          values.Watchers,
+			IdleOwners:        values.IdleConnOwners,
+			ShareProbes:       values.HealthChecks,
+			ProbeInterval:     tenths[duties.Time](values.ProbeIntervalMS),
+			TakeoverDelay:     tenths[duties.Time](values.TakeoverDelayMS),
+			HeartbeatInterval: tenths[duties.Time](values.HeartbeatMS),
+			LeaseDuration:     tenths[duties.Time](values.HeartbeatExpiryMS),
 		}
 		return terms.Check()
 	})
--- a/internal/server/figures_golden_test.go
+++ b/internal/server/figures_golden_test.go
@@ -58,15 +58,15 @@
 		name  string
 		value any // a pointer to a zero value
 	}{
-		{"GET /control/turns", &duties.Figures{}},
+		{"GET /control/turns", &duties.Statistics{}},
 		{"GET /control/recovery", &recovery.Status{}},
 		{"GET /control/missing", &negativecache.Figures{}},
 		{"POST /control/moves/plan, response", &rebalance.Plan{}},
 		{"POST /control/moves/plan, request", &rebalance.Inventory{}},
-		{"a move of a plan", &rebalance.Move{}},
+		{"a move of a plan", &rebalance.Migration{}},
 		{"a node of an inventory", &rebalance.Node{}},
 		{"a shard of an inventory", &rebalance.Shard{}},
-		{"what a node lacks, in an error", &rebalance.Lack{}},
+		{"what a node lacks, in an error", &rebalance.Shortfall{}},
 	} {
 		fmt.Fprintf(&all, "=== %s\nempty:  %s\n", c.name, encode(t, c.value))
 		count := 0
--- a/internal/server/gossip.go
+++ b/internal/server/gossip.go
@@ -97,7 +97,7 @@
 }
 
 // publishEndpoints sends what discovery told of the endpoint list: all of it, or changes.
-func (g *gossipAdapter) publishEndpoints(version int64, complete bool, targets []wire.Target) {
+func (g *gossipAdapter) publishEndpoints(version int64, complete bool, targets []wire.Endpoint) {
 	g.listVersion.Store(version)
 	if talker := g.sender.talker.Load(); talker != nil {
 		talker.PublishEndpoints(version, complete, targets)
@@ -118,7 +118,7 @@
 }
 
 // EndpointChanged passes on an endpoint that a peer's discovery sent.
-func (g *gossipAdapter) EndpointChanged(index int64, target wire.Target) {
+func (g *gossipAdapter) EndpointChanged(index int64, target wire.Endpoint) {
 	g.endpoints.ReceivePeerUpdate(index, target)
 }
 
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -70,7 +70,7 @@
 // encodeEndpoints returns the current endpoint list in discovery's format, null if there is none.
 func (s *server) encodeEndpoints() []byte {
 	if targets := s.router.Endpoints(); targets != nil {
-		return wire.AppendTargets(nil, targets)
+		return wire.AppendEndpointList(nil, targets)
 	}
 	return []byte("null")
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -83,16 +83,16 @@
 	s <- prometheus.MustNewConstMetric(prometheus.NewDesc(metricPrefix+name, help, nil, nil), kind, value)
 }
 
-func (s metricSink) duties(figures duties.Figures) {
-	s.gauge("turns_here", "Proxies that duties are dealt out to.", float64(figures.Here))
+func (s metricSink) duties(figures duties.Statistics) {
+	s.gauge("turns_here", "Proxies that duties are dealt out to.", float64(figures.Alive))
 	s.gauge("turns_watchers", "Proxies that said lately that their watch of discovery lives.", float64(figures.Watchers))
-	s.gauge("turns_kept_nodes", "Nodes to which this proxy keeps idle connections.", float64(figures.Kept))
-	s.gauge("turns_passed_nodes", "Nodes that this proxy passes over.", float64(figures.Passed))
-	s.counter("turns_trials", "Trials of silent nodes by this proxy.", figures.Trials)
-	s.counter("turns_told", "Trials by others that were heard of.", figures.Told)
-	s.counter("turns_twice", "Of these, such that came while one was out.", figures.Twice)
-	s.counter("turns_refused", "Words of others that were out of their bounds.", figures.Refused)
-	s.counter("turns_moved", "Nodes whose idle connections became this proxy's duty, or another's.", figures.Moved)
+	s.gauge("turns_kept_nodes", "Nodes to which this proxy keeps idle connections.", float64(figures.OwnedNodes))
+	s.gauge("turns_passed_nodes", "Nodes that this proxy passes over.", float64(figures.EjectedNodes))
+	s.counter("turns_trials", "Trials of silent nodes by this proxy.", figures.ProbesSent)
+	s.counter("turns_told", "Trials by others that were heard of.", figures.ReportsReceived)
+	s.counter("turns_twice", "Of these, such that came while one was out.", figures.DuplicateProbes)
+	s.counter("turns_refused", "Words of others that were out of their bounds.", figures.RejectedReports)
+	s.counter("turns_moved", "Nodes whose idle connections became this proxy's duty, or another's.", figures.OwnershipChanges)
 }
 
 func (s metricSink) recovery(figures recovery.Status) {
--- a/internal/server/negativecachefile.go
+++ b/internal/server/negativecachefile.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if proxies := config.Settings.Terms.Proxies; config.Gossip == nil && proxies > 1 {
+	if proxies := config.Settings.Balancer.Proxies; config.Gossip == nil && proxies > 1 {
 		return nil, fmt.Errorf("missing: %w", &negativecache.AloneError{File: file, Proxies: proxies})
 	}
 	return terms, nil
@@ -48,7 +48,7 @@
 // checkTTL requires the TTL to cover twice the longest overall timeout: a write may be carried out until that ends, and
 // what the origin answers on its key before that is not cached.
 func (f *negativeCacheFile) checkTTL(config *Config) error {
-	least := 2 * float64(config.Settings.Longest) / float64(negativecache.Second)
+	least := 2 * float64(config.Settings.LongestTimeout) / float64(negativecache.Second)
 	if f.TTLSeconds < least {
 		return &negativecache.RangeError{Key: "believe_s", Value: f.TTLSeconds, Least: least, Most: maxTTLSeconds}
 	}
--- a/internal/server/policyfile.go
+++ b/internal/server/policyfile.go
@@ -30,13 +30,13 @@
 
 // shortestObjective returns the shortest latency objective of all routes, in tenths of a millisecond. T is the time
 // type of the module that asks.
-func shortestObjective[T ~int64](proxySettings *settings.Book) T {
+func shortestObjective[T ~int64](proxySettings *settings.Settings) T {
 	shortest := T(maxObjectiveTenths)
-	for _, route := range proxySettings.Terms.Routes {
+	for _, route := range proxySettings.Balancer.Routes {
 		shortest = min(shortest, T(route.Objective))
 	}
 	return shortest
 }
 
 // tenths converts milliseconds to tenths of a millisecond in the time type of a module.
-func tenths[T ~int64](milliseconds float64) T { return T(settings.Tenths(milliseconds)) }
+func tenths[T ~int64](milliseconds float64) T { return T(settings.FromMilliseconds(milliseconds)) }
--- a/internal/server/rebalance.go
+++ b/internal/server/rebalance.go
@@ -33,11 +33,11 @@
 
 // migrationPlanner plans shard migrations for operators. Its methods may be called from any goroutine.
 type migrationPlanner struct {
-	config *rebalance.Terms // nil: nothing is planned
-	slots  chan struct{}    // holds one element for each plan that is being made
+	config *rebalance.Settings // nil: nothing is planned
+	slots  chan struct{}       // holds one element for each plan that is being made
 }
 
-func newMigrationPlanner(config *rebalance.Terms) *migrationPlanner {
+func newMigrationPlanner(config *rebalance.Settings) *migrationPlanner {
 	return &migrationPlanner{config: config, slots: make(chan struct{}, maxConcurrentPlans)}
 }
 
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return rebalance.Make(decoded, *p.config)
+	return rebalance.NewPlan(decoded, *p.config)
 }
 
 func decodeInventory(inventory io.Reader) (*rebalance.Inventory, error) {
@@ -75,7 +75,7 @@
 }
 
 func inventoryError(fault string) error {
-	return &rebalance.InventoryError{Where: "inventory", What: fault}
+	return &rebalance.InventoryError{Path: "inventory", Reason: fault}
 }
 
 // describeJSONError returns the text of a decoding error; the decoder's own text on bad syntax quotes the input.
--- a/internal/server/rebalancefile.go
+++ b/internal/server/rebalancefile.go
@@ -17,16 +17,16 @@
 }
 
 // readRebalanceFile reads the rebalance file.
-func readRebalanceFile(file string) (*rebalance.Terms, error) {
+func readRebalanceFile(file string) (*rebalance.Settings, error) {
 	values := &rebalanceFile{Slack: 0.1, MigrationsPerNode: 2, MigrationsTotal: 32}
-	terms := &rebalance.Terms{}
+	terms := &rebalance.Settings{}
 	err := readPolicyFile("moves", file, values, func() error {
-		*terms = rebalance.Terms{
-			Slack:   values.Slack,
-			PerNode: values.MigrationsPerNode,
-			InAll:   values.MigrationsTotal,
-			Exact:   exactSearchLimit,
-			Breathe: runtime.Gosched,
+		*terms = rebalance.Settings{
+			Slack:                 values.Slack,
+			MaxMigrationsPerNode:  values.MigrationsPerNode,
+			MaxMigrations:         values.MigrationsTotal,
+			MaxSearchedPlacements: exactSearchLimit,
+			Yield:                 runtime.Gosched,
 		}
 		return terms.Check()
 	})
--- a/internal/server/restore.go
+++ b/internal/server/restore.go
@@ -103,20 +103,20 @@
 }
 
 // withDrained returns the endpoint list with these endpoints not ready, in discovery's format. It changes targets.
-func withDrained(targets []wire.Target, drained []string) *fastjson.Value {
+func withDrained(targets []wire.Endpoint, drained []string) *fastjson.Value {
 	for i := range targets {
 		if slices.Contains(drained, targets[i].Name) {
 			targets[i].Ready = false
 		}
 	}
-	return fastjson.MustParseBytes(wire.AppendTargets(nil, targets))
+	return fastjson.MustParseBytes(wire.AppendEndpointList(nil, targets))
 }
 
 // endpointList is an endpoint list in discovery's format and decoded.
 type endpointList struct {
 	document *fastjson.Value
 	version  int64
-	targets  []wire.Target
+	targets  []wire.Endpoint
 }
 
 func parseEndpoints(text []byte) (*endpointList, error) {
@@ -128,7 +128,7 @@
 }
 
 func decodeEndpoints(document *fastjson.Value) (*endpointList, error) {
-	version, _, targets, err := wire.ParseTargets(document)
+	version, _, targets, err := wire.ParseEndpointList(document)
 	if err != nil {
 		return nil, err
 	}
@@ -148,13 +148,13 @@
 }
 
 // recoveryLines converts endpoints to what the recovery module compares.
-func recoveryLines(targets []wire.Target) []recovery.Endpoint {
+func recoveryLines(targets []wire.Endpoint) []recovery.Endpoint {
 	lines := make([]recovery.Endpoint, 0, len(targets))
 	for _, target := range targets {
 		status := recovery.EndpointDraining
 		if target.Ready {
 			status = recovery.EndpointReady
-		} else if target.Gone {
+		} else if target.Departed {
 			status = recovery.EndpointRemoved
 		}
 		lines = append(lines, recovery.Endpoint{Name: target.Name, Status: status})
--- a/internal/server/shadow.go
+++ b/internal/server/shadow.go
@@ -14,7 +14,7 @@
 // nil where there is no such object. Routes, tenants, zones and the origin's kind have to be the same ones in the same
 // order, since the shadow balancer is given the same requests by their indices. The settings in the document are
 // changed by the merge.
-func readShadowSettings(document *fastjson.Value, active *settings.Book) (*settings.Book, error) {
+func readShadowSettings(document *fastjson.Value, active *settings.Settings) (*settings.Settings, error) {
 	override := document.Get("watch")
 	if isNull(override) {
 		return nil, nil
@@ -35,7 +35,7 @@
 		{"routes", maps.Equal(shadow.Routes, active.Routes)},
 		{"tenants", maps.Equal(shadow.Tenants, active.Tenants)},
 		{"zones", maps.Equal(shadow.Zones, active.Zones)},
-		{"family-info.origin-kind", shadow.Origin == active.Origin},
+		{"family-info.origin-kind", shadow.OriginKind == active.OriginKind},
 	} {
 		if !part.equal {
 			return nil, fmt.Errorf("setup %s: not those of the settings", part.name)
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -62,7 +62,7 @@
 		go stopGossip()
 	}
 
-	remaining := answerTimeout(config.Settings.Longest)
+	remaining := answerTimeout(config.Settings.LongestTimeout)
 	s.router.FinishWithin(remaining)
 	deadline := time.Now().Add(remaining + writeGrace)
 	if !hasSuccessor {
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -64,7 +64,7 @@
 		Cluster:           w.config.cluster(),
 		SavedAt:           time.Now(),
 		EndpointListIndex: version,
-		EndpointList:      wire.AppendTargets(nil, targets),
+		EndpointList:      wire.AppendEndpointList(nil, targets),
 	}
 	status := w.gossip.sender.status()
 	if status == nil {
--- a/internal/server/toml_golden_test.go
+++ b/internal/server/toml_golden_test.go
@@ -64,13 +64,13 @@
 	describe: func(config *server.Config, line func(label string, v any)) {
 		milliseconds := func(span duties.Time) float64 { return float64(span) / 10 }
 		line("watchers", config.Duties.Watchers)
-		line("keepers", config.Duties.Keepers)
-		line("trials", config.Duties.Trials)
-		line("trial_ms", milliseconds(config.Duties.Rest))
-		line("turn_ms", milliseconds(config.Duties.Step))
-		line("beat_ms", milliseconds(config.Duties.Beat))
-		line("patience_ms", milliseconds(config.Duties.Patience))
-		line("name, of the configuration", config.Duties.Me)
+		line("keepers", config.Duties.IdleOwners)
+		line("trials", config.Duties.ShareProbes)
+		line("trial_ms", milliseconds(config.Duties.ProbeInterval))
+		line("turn_ms", milliseconds(config.Duties.TakeoverDelay))
+		line("beat_ms", milliseconds(config.Duties.HeartbeatInterval))
+		line("patience_ms", milliseconds(config.Duties.LeaseDuration))
+		line("name, of the configuration", config.Duties.Self)
 	},
 }
 
@@ -81,8 +81,8 @@
 	},
 	describe: func(config *server.Config, line func(label string, v any)) {
 		line("slack", config.Rebalance.Slack)
-		line("moves_per_node", config.Rebalance.PerNode)
-		line("moves_in_all", config.Rebalance.InAll)
+		line("moves_per_node", config.Rebalance.MaxMigrationsPerNode)
+		line("moves_in_all", config.Rebalance.MaxMigrations)
 	},
 }
 
--- a/internal/server/zonehealthfile.go
+++ b/internal/server/zonehealthfile.go
@@ -44,7 +44,7 @@
 }
 
 // readZoneHealthFile reads the zone health file of the proxy of that name.
-func readZoneHealthFile(file, name string, proxySettings *settings.Book) (*zonehealth.Terms, error) {
+func readZoneHealthFile(file, name string, proxySettings *settings.Settings) (*zonehealth.Terms, error) {
 	values := &zoneHealthFile{
 		ReportFraction: 0.2,
 		ConfirmationMS: 200,
@@ -66,7 +66,7 @@
 }
 
 // terms checks the values, which may set a default that depends on the settings, and converts them.
-func (f *zoneHealthFile) terms(name string, proxySettings *settings.Book) (*zonehealth.Terms, error) {
+func (f *zoneHealthFile) terms(name string, proxySettings *settings.Settings) (*zonehealth.Terms, error) {
 	shortest := shortestObjective[zonehealth.Time](proxySettings)
 	if f.QuietMS == 0 {
 		f.QuietMS = max(float64(shortest)/10*quietFraction, minQuietMS)
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	zone := proxySettings.Locality
+	zone := proxySettings.LocalZone
 	if zone == "" {
 		zone = f.Zone
 	}
@@ -100,8 +100,8 @@
 		Hold:     tenths[zonehealth.Time](f.HoldDownMS),
 		MostHold: tenths[zonehealth.Time](f.MaxHoldDownMS),
 		Step:     tenths[zonehealth.Time](f.RampStepMS),
-		Cold:     zonehealth.Time(proxySettings.Terms.Cold),
-		ColdFrom: proxySettings.Terms.ColdFrom,
+		Cold:     zonehealth.Time(proxySettings.Balancer.SlowStart),
+		ColdFrom: proxySettings.Balancer.SlowStartInitialShare,
 		Alone:    f.Standalone,
 		Apart:    !f.Cooperative,
 	}, nil
@@ -128,7 +128,7 @@
 }
 
 // allowedZones returns the zones that nodes may have, empty if any: those of the file, or else of the settings.
-func (f *zoneHealthFile) allowedZones(proxySettings *settings.Book) ([]string, error) {
+func (f *zoneHealthFile) allowedZones(proxySettings *settings.Settings) ([]string, error) {
 	if len(f.Zones) == 0 {
 		var allowed []string
 		for zone := range proxySettings.Zones {
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -70,7 +70,7 @@
 
 // duration reads a time in milliseconds.
 func (r reader) duration(presence jsonvalue.Presence, path ...string) balancer.Time {
-	return Tenths(r.number(presence, path...))
+	return FromMilliseconds(r.number(presence, path...))
 }
 
 // positiveDuration reads a required time in milliseconds, which is more than zero once it is rounded.
--- a/internal/settings/settings_golden_test.go
+++ b/internal/settings/settings_golden_test.go
@@ -21,7 +21,7 @@
 )
 
 // readSettings reads a settings object from its JSON text.
-func readSettings(text string) (*Book, error) {
+func readSettings(text string) (*Settings, error) {
 	object, err := fastjson.Parse(text)
 	if err != nil {
 		return nil, fmt.Errorf("test input: %w", err)
@@ -46,64 +46,64 @@
 }
 
 // formatSettings lists the settings, one a line. The labels are those of the file, whatever the fields are called.
-func formatSettings(settings *Book) string {
+func formatSettings(settings *Settings) string {
 	var report settingsReport
 	report.site(settings)
 	report.limits(settings)
 	report.names(settings)
-	for i := range settings.Terms.Routes {
-		report.route(i, &settings.Terms.Routes[i])
+	for i := range settings.Balancer.Routes {
+		report.route(i, &settings.Balancer.Routes[i])
 	}
-	report.line("longest overall-timeout", milliseconds(settings.Longest))
+	report.line("longest overall-timeout", milliseconds(settings.LongestTimeout))
 	return report.text.String()
 }
 
-func (r *settingsReport) site(settings *Book) {
-	terms := &settings.Terms
+func (r *settingsReport) site(settings *Settings) {
+	terms := &settings.Balancer
 	r.line("replicas-of-me", terms.Proxies)
-	r.line("me", terms.Me)
-	r.line("limits.may-tell, peers told", terms.Peers)
-	r.line("beyond-share-value", terms.BeyondShare)
-	r.line("locality", settings.Locality)
-	r.line("membership-mode is ask", terms.Ask)
-	r.line("weights are rough", terms.RoughWeights)
+	r.line("me", terms.Self)
+	r.line("limits.may-tell, peers told", terms.PeerCount)
+	r.line("beyond-share-value", terms.OverQuotaWeight)
+	r.line("locality", settings.LocalZone)
+	r.line("membership-mode is ask", terms.PollsList)
+	r.line("weights are rough", terms.ApproximateWeights)
 	r.line("tick", milliseconds(terms.Tick))
-	r.line("goal.punctual", terms.Punctual)
-	r.line("family-info.mode is aside", terms.Aside)
-	r.line("family-info.origin-kind, name of the shape", settings.Origin)
+	r.line("goal.punctual", terms.LateIsFailure)
+	r.line("family-info.mode is aside", terms.CacheAside)
+	r.line("family-info.origin-kind, name of the shape", settings.OriginKind)
 }
 
-func (r *settingsReport) limits(settings *Book) {
-	terms := &settings.Terms
-	r.line("limits.conn-idle", milliseconds(settings.Idle))
+func (r *settingsReport) limits(settings *Settings) {
+	terms := &settings.Balancer
+	r.line("limits.conn-idle", milliseconds(settings.ServerIdleTimeout))
 	r.line("limits.connect-timeout", milliseconds(terms.ConnectTimeout))
 	r.line("limits.may-cancel", terms.MayCancel)
-	r.line("limits.parallel-tries", terms.Parallel)
-	r.line("limits.max-upstream-tries", terms.MaxTries)
+	r.line("limits.parallel-tries", terms.ParallelAttempts)
+	r.line("limits.max-upstream-tries", terms.MaxAttempts)
 	r.line("limits.retry-after", terms.RetryAfter)
 	r.line("limits.max-retry-after", milliseconds(terms.MaxRetryAfter))
-	r.line("rules.ask-every", milliseconds(terms.AskEvery))
-	r.line("rules.cold", milliseconds(terms.Cold))
-	r.line("rules.fall", milliseconds(terms.Fall))
-	r.line("rules.cold-from", terms.ColdFrom)
-	r.line("rules.fall-multiple", terms.FallMultiple)
-	r.line("fees.origin", terms.Fetch)
+	r.line("rules.ask-every", milliseconds(terms.PollInterval))
+	r.line("rules.cold", milliseconds(terms.SlowStart))
+	r.line("rules.fall", milliseconds(terms.SlowStartOverloadWindow))
+	r.line("rules.cold-from", terms.SlowStartInitialShare)
+	r.line("rules.fall-multiple", terms.SlowStartOverloadMultiple)
+	r.line("fees.origin", terms.FetchCost)
 }
 
-func (r *settingsReport) names(settings *Book) {
+func (r *settingsReport) names(settings *Settings) {
 	r.line("zones", namesByIndex(settings.Zones))
 	r.line("tenants, names", namesByIndex(settings.Tenants))
-	r.line("tenants, allowance-per-s", settings.Terms.Allowance)
+	r.line("tenants, allowance-per-s", settings.Balancer.TenantQuotas)
 	r.line("routes, names", namesByIndex(settings.Routes))
 }
 
 func (r *settingsReport) route(i int, route *balancer.Route) {
 	label := func(key string) string { return fmt.Sprintf("routes[%d].%s", i, key) }
 	r.line(label("latency-objective"), milliseconds(route.Objective))
-	r.line(label("overall-timeout"), milliseconds(route.Overall))
+	r.line(label("overall-timeout"), milliseconds(route.Timeout))
 	r.line(label("value"), route.Value)
-	r.line(label("overdue-value"), route.Overdue)
-	r.line(label("dedup-window"), milliseconds(route.Window))
+	r.line(label("overdue-value"), route.LateValue)
+	r.line(label("dedup-window"), milliseconds(route.DedupWindow))
 	r.line(label("effect"), effectWords[route.Effect])
 	r.line(label("group"), groupWords[route.Group])
 }
--- a/internal/simadapter/encoder.go
+++ b/internal/simadapter/encoder.go
@@ -32,36 +32,36 @@
 		e.decision(number, in, &decisions[i])
 	}
 	for i := range decisions {
-		if act := decisions[i].Act; act == balancer.Shed || act == balancer.Error {
-			in.requests.releaseIfDone(decisions[i].Cx)
+		if act := decisions[i].Action; act == balancer.Shed || act == balancer.Error {
+			in.requests.releaseIfDone(decisions[i].Request)
 		}
 	}
 }
 
 // decision encodes one decision and notes what the instance has to know of it later.
 func (e *encoder) decision(number int, in *instance, d *balancer.Decision) {
-	switch d.Act {
+	switch d.Action {
 	case balancer.Send:
-		slot := &in.requests.slots[d.Cx]
+		slot := &in.requests.slots[d.Request]
 		slot.inFlight++
-		e.begin("try", number).text(slot.id).milliseconds(d.After).text(in.nodes.names[d.Node])
+		e.begin("try", number).text(slot.id).milliseconds(d.After).text(in.nodes.names[d.Endpoint])
 	case balancer.Cancel:
-		e.begin("abort-attempt", number).text(in.requests.slots[d.Cx].id).integer(int64(d.Leg))
+		e.begin("abort-attempt", number).text(in.requests.slots[d.Request].id).integer(int64(d.Attempt))
 	case balancer.Shed:
-		slot := &in.requests.slots[d.Cx]
+		slot := &in.requests.slots[d.Request]
 		slot.over = true
 		e.begin("busy", number).text(slot.id).milliseconds(d.After)
 	case balancer.Error:
-		slot := &in.requests.slots[d.Cx]
+		slot := &in.requests.slots[d.Request]
 		slot.over = true
 		e.begin("finish-error", number).text(slot.id)
-	case balancer.Wake:
+	case balancer.SetTimer:
 		in.timer++
 		e.begin("wake-me", number).milliseconds(d.After).integer(in.timer)
-	case balancer.Follow:
+	case balancer.PollEndpoints:
 		e.begin("follow", number).raw("true")
-	case balancer.Tell:
-		e.begin("publish", number).integer(int64(d.Peer)).text(encodePeerReport(in.nodes.names[d.Node], d.Answers))
+	case balancer.NotifyPeer:
+		e.begin("publish", number).integer(int64(d.Peer)).text(encodePeerReport(in.nodes.names[d.Endpoint], d.Responds))
 	case balancer.Log:
 		e.begin("say-log", number).text(d.Text)
 	}
--- a/internal/simadapter/endpointlist.go
+++ b/internal/simadapter/endpointlist.go
@@ -90,7 +90,7 @@
 	m.number(1, "index", jsonvalue.Optional)
 	mode := m.text(3, "mode", jsonvalue.Required)
 	if mode == modeFailed && m.err == nil {
-		return in.balancer.ListFailed(a.now)
+		return in.balancer.EndpointListFailed(a.now)
 	}
 	bank := m.count(2, "bank", jsonvalue.Required)
 	switch {
@@ -103,23 +103,23 @@
 		m.fail("bank", errUnknownBank)
 		return nil
 	}
-	list := make([]balancer.Listing, 0, len(a.lists[bank].endpoints))
+	list := make([]balancer.Endpoint, 0, len(a.lists[bank].endpoints))
 	for i := range a.lists[bank].endpoints {
 		list = append(list, in.listing(&a.lists[bank].endpoints[i]))
 	}
 	warm := mode == modeSaved || !in.hasList // the first list has the endpoints that were there before the instance
 	in.hasList = true
-	return in.balancer.Nodes(a.now, mode != modeIncremental, warm, list)
+	return in.balancer.UpdateEndpoints(a.now, mode != modeIncremental, warm, list)
 }
 
 // listing translates an endpoint to the balancer's indices.
-func (in *instance) listing(e *endpoint) balancer.Listing {
+func (in *instance) listing(e *endpoint) balancer.Endpoint {
 	zone, ok := in.settings.Zones[e.zone]
 	if !ok {
 		zone = -1
 	}
-	return balancer.Listing{
-		Node: in.nodes.index(e.name), Name: e.name, Origin: in.settings.Origin != "" && e.kind == in.settings.Origin,
-		Ready: e.state == stateServing, Since: e.since, Weight: e.weight, Zone: zone, Cell: e.cell,
+	return balancer.Endpoint{
+		Index: in.nodes.index(e.name), Name: e.name, Origin: in.settings.OriginKind != "" && e.kind == in.settings.OriginKind,
+		Ready: e.state == stateServing, StartedAt: e.since, Weight: e.weight, Zone: zone, Cell: e.cell,
 	}
 }
--- a/internal/simadapter/instance.go
+++ b/internal/simadapter/instance.go
@@ -12,8 +12,8 @@
 
 // instance is a running balancer with the names behind its indices.
 type instance struct {
-	balancer *balancer.Instance
-	settings *settings.Book
+	balancer *balancer.Balancer
+	settings *settings.Settings
 	nodes    nodeTable
 	requests requestTable
 	timer    int64 // number of the timer that was set last; earlier ones are void
@@ -94,7 +94,7 @@
 		return nil
 	}
 	a.instances[m.instance] = &instance{
-		balancer: balancer.New(a.now, s.Terms, salt),
+		balancer: balancer.New(a.now, s.Balancer, salt),
 		settings: s,
 		nodes:    nodeTable{byName: map[string]int{}, byPeerCode: map[string]int{}},
 		requests: requestTable{byID: map[string]int{}},
--- a/internal/simadapter/message.go
+++ b/internal/simadapter/message.go
@@ -61,7 +61,7 @@
 
 // time reads milliseconds.
 func (m *message) time(position int, field string, presence jsonvalue.Presence) balancer.Time {
-	return settings.Tenths(m.number(position, field, presence))
+	return settings.FromMilliseconds(m.number(position, field, presence))
 }
 
 // count reads an integer from 0 to the largest of 32 bits.
--- a/internal/simadapter/peers.go
+++ b/internal/simadapter/peers.go
@@ -38,5 +38,5 @@
 	if !known {
 		return nil
 	}
-	return in.balancer.Heard(a.now, node, responds)
+	return in.balancer.PeerReport(a.now, node, responds)
 }
