--- a/internal/simadapter/requests.go
+++ b/internal/simadapter/requests.go
@@ -11,10 +11,10 @@
 const noTenant = -1
 
 // outcomes are the protocol's names of an attempt's outcomes.
-var outcomes = map[string]balancer.Ending{
-	"pass": balancer.Completed, "fault": balancer.Fault, "no_room": balancer.NoRoom, "too_slow": balancer.Silent,
-	"no_route": balancer.Unreachable, "cut": balancer.Cut, "undone": balancer.Undone, "stale_send": balancer.NeverSent,
-	"none_here": balancer.Lacking,
+var outcomes = map[string]balancer.Outcome{
+	"pass": balancer.Completed, "fault": balancer.ServerError, "no_room": balancer.Overloaded, "too_slow": balancer.TimedOut,
+	"no_route": balancer.ConnectFailed, "cut": balancer.Reset, "undone": balancer.Cancelled, "stale_send": balancer.NotSent,
+	"none_here": balancer.CacheMiss,
 }
 
 // requestArrived opens a request.
@@ -30,11 +30,11 @@
 	return in.balancer.Arrive(a.now, in.requests.open(id), request)
 }
 
-func (in *instance) readRequest(m *message) balancer.Exchange {
+func (in *instance) readRequest(m *message) balancer.Request {
 	m.number(2, "size", jsonvalue.Optional)
 	m.number(3, "predicted", jsonvalue.Optional)
-	request := balancer.Exchange{
-		Remaining: m.time(5, "remaining", jsonvalue.Required), Repeat: m.flag(7, "retry"), Write: m.flag(8, "mutates"),
+	request := balancer.Request{
+		RemainingTimeout: m.time(5, "remaining", jsonvalue.Required), ClientRetry: m.flag(7, "retry"), Write: m.flag(8, "mutates"),
 	}
 	request.Tenant = in.readTenant(m)
 	kind := m.text(6, "kind", jsonvalue.Required)
@@ -48,7 +48,7 @@
 		if err != nil {
 			m.fail("route-key", jsonvalue.ErrMistyped)
 		}
-		request.Key, request.Keyed = key, true
+		request.Key, request.HasKey = key, true
 	}
 	return request
 }
@@ -78,7 +78,7 @@
 	if m.err != nil || !ok {
 		return nil
 	}
-	return in.balancer.Streaming(a.now, index)
+	return in.balancer.AnswerStarted(a.now, index)
 }
 
 // clientLeft ends a request whose client does not wait any longer. Its attempts may still be in flight.
@@ -88,7 +88,7 @@
 	if m.err != nil || !ok {
 		return nil
 	}
-	decisions := in.balancer.Left(a.now, index)
+	decisions := in.balancer.ClientGone(a.now, index)
 	in.requests.slots[index].over = true
 	in.requests.releaseIfDone(index)
 	return decisions
@@ -119,8 +119,8 @@
 	slot := &in.requests.slots[index]
 	slot.inFlight--
 	slot.over = slot.over || requestOver
-	decisions := in.balancer.Returned(a.now, balancer.Answer{
-		Cx: index, Node: node, Ending: outcome, Took: elapsed, Ended: requestOver,
+	decisions := in.balancer.AttemptFinished(a.now, balancer.AttemptResult{
+		Request: index, Endpoint: node, Outcome: outcome, Latency: elapsed, Answered: requestOver,
 	})
 	in.requests.releaseIfDone(index)
 	return decisions
@@ -132,7 +132,7 @@
 	if m.err != nil || timer != in.timer {
 		return nil
 	}
-	return in.balancer.Woken(a.now)
+	return in.balancer.TimerFired(a.now)
 }
 
 // probed checks the outcome of a health check. The balancer does without them.
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// MaxValue is the longest value, in bytes, that is buffered completely before it is forwarded to a client.
-	MaxValue = 64 << 10
-	// MaxAnswer is the longest value, in bytes, that is forwarded to a client at all.
-	MaxAnswer = 4 << 20
-	// MaxWrite is the longest value, in bytes, that a client may write.
-	MaxWrite = 4 << 20
+	// MaxBufferedValue is the longest value, in bytes, that is buffered completely before it is forwarded to a client.
+	MaxBufferedValue = 64 << 10
+	// MaxResponseValue is the longest value, in bytes, that is forwarded to a client at all.
+	MaxResponseValue = 4 << 20
+	// MaxRequestValue is the longest value, in bytes, that a client may write.
+	MaxRequestValue = 4 << 20
 )
 
 // Limits of a command.
@@ -45,7 +45,7 @@
 // Command is a client's request. Its arguments are slices of the buffer that it was parsed from.
 type Command struct {
 	Name, Key, ID, Facts []byte
-	Value                int // length in bytes of the value that follows the command; -1: none follows
+	ValueLength          int // length in bytes of the value that follows the command; -1: none follows
 }
 
 // Is reports whether the command has the given name, regardless of case.
@@ -66,10 +66,10 @@
 }
 
 // ParseCommand parses the command at the start of b and returns the number of bytes consumed. A write is consumed up to
-// its value, which follows with its line end. The error is [ErrShort] where b holds a part of the command only, and wraps
-// [ErrBytes] where it is malformed.
+// its value, which follows with its line end. The error is [ErrIncomplete] where b holds a part of the command only, and wraps
+// [ErrProtocol] where it is malformed.
 func ParseCommand(b []byte) (c Command, n int, err error) {
-	c.Value = noValue
+	c.ValueLength = noValue
 	count, n, err := parseLength(b, 0, '*')
 	if err != nil {
 		return c, 0, err
@@ -83,10 +83,10 @@
 			return c, 0, err
 		}
 		if position == valueArgument && count == writeArguments && c.Is(setCommand) {
-			if length < 0 || length > MaxWrite {
+			if length < 0 || length > MaxRequestValue {
 				return c, 0, protocolError("a value of " + strconv.Itoa(length) + " bytes")
 			}
-			c.Value = length
+			c.ValueLength = length
 			return c, next, nil
 		}
 		argument, next, err := parseArgument(b, next, length)
@@ -109,7 +109,7 @@
 	}
 	end := at + length
 	if len(b) < end+len(lineEnd) {
-		return nil, 0, ErrShort
+		return nil, 0, ErrIncomplete
 	}
 	if !startsWithLineEnd(b[end:]) {
 		return nil, 0, protocolError("a word without its end")
@@ -135,8 +135,8 @@
 	return b
 }
 
-// AppendPlain appends a command that is not a client's request, such as PING.
-func AppendPlain(b []byte, arguments ...string) []byte {
+// AppendPlainCommand appends a command that is not a client's request, such as PING.
+func AppendPlainCommand(b []byte, arguments ...string) []byte {
 	b = AppendLength(b, '*', len(arguments))
 	for _, argument := range arguments {
 		b = append(append(AppendLength(b, '$', len(argument)), argument...), lineEnd...)
--- a/internal/wire/command_test.go
+++ b/internal/wire/command_test.go
@@ -15,7 +15,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			text := test.text
 			for n := range len(text) {
-				if _, _, err := ParseCommand([]byte(text[:n])); !errors.Is(err, ErrShort) {
+				if _, _, err := ParseCommand([]byte(text[:n])); !errors.Is(err, ErrIncomplete) {
 					t.Errorf("%q: %v", text[:n], err)
 				}
 			}
@@ -23,10 +23,10 @@
 			if err != nil || n != len(text) {
 				t.Errorf("%q: consumed %d: %v", text, n, err)
 			}
-			if c.Is("KV.GET") && (string(c.Key) != "k1" || string(c.ID) != "id1" || c.Value != -1) {
+			if c.Is("KV.GET") && (string(c.Key) != "k1" || string(c.ID) != "id1" || c.ValueLength != -1) {
 				t.Errorf("%q: %+v", text, c)
 			}
-			if c.Is("KV.SET") && (string(c.Facts) != "c=put,d=480" || c.Value != 65536) {
+			if c.Is("KV.SET") && (string(c.Facts) != "c=put,d=480" || c.ValueLength != 65536) {
 				t.Errorf("%q: %+v", text, c)
 			}
 		})
@@ -52,7 +52,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			_, n, err := ParseCommand([]byte(test.text))
-			if !errors.Is(err, ErrBytes) {
+			if !errors.Is(err, ErrProtocol) {
 				t.Errorf("%q: %v", test.text, err)
 			}
 			if n != 0 {
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -5,6 +5,6 @@
 // the message at hand, starts no goroutine and decides nothing; its functions may be called from any goroutine, but a
 // reader and the values parsed from it belong to one goroutine at a time.
 //
-// Malformed input is reported as an error that wraps [ErrBytes], a message that is not complete yet as [ErrShort],
-// and an upstream attempt that ended without a complete response as a [*Halt].
+// Malformed input is reported as an error that wraps [ErrProtocol], a message that is not complete yet as [ErrIncomplete],
+// and an upstream attempt that ended without a complete response as a [*AttemptError].
 package wire
--- a/internal/wire/endpoint_golden_test.go
+++ b/internal/wire/endpoint_golden_test.go
@@ -12,24 +12,24 @@
 // file. The keys are given by tags, so that the fields may be renamed in Go.
 func TestEndpointEncodingGolden(t *testing.T) {
 	checkGolden(t, "targets.golden", []goldenCase{
-		{name: "target-full", full: true, value: &wire.Target{
+		{name: "target-full", full: true, value: &wire.Endpoint{
 			Name: "node-1", Address: "192.0.2.1:11211", Zone: "zone-1", Kind: "cache", Cell: 3,
-			Ready: true, Gone: true, Weight: 1.5, Since: 1700000000000,
+			Ready: true, Departed: true, Weight: 1.5, StartedAtUnixMilli: 1700000000000,
 		}},
-		{name: "target-empty", value: &wire.Target{}},
+		{name: "target-empty", value: &wire.Endpoint{}},
 	})
 }
 
 // TestReportedMarkIsNotEncoded checks that the mark of an endpoint that another proxy reported is not encoded.
 func TestReportedMarkIsNotEncoded(t *testing.T) {
-	encoded := encodeEndpoint(t, wire.Target{Name: "node-1", Elsewhere: true})
-	plain := encodeEndpoint(t, wire.Target{Name: "node-1"})
+	encoded := encodeEndpoint(t, wire.Endpoint{Name: "node-1", FromPeer: true})
+	plain := encodeEndpoint(t, wire.Endpoint{Name: "node-1"})
 	if string(encoded) != string(plain) {
 		t.Errorf("encoded as %x, want %x", encoded, plain)
 	}
 }
 
-func encodeEndpoint(t *testing.T, endpoint wire.Target) []byte {
+func encodeEndpoint(t *testing.T, endpoint wire.Endpoint) []byte {
 	t.Helper()
 	encoded, err := msgpack.Marshal(&endpoint)
 	if err != nil {
--- a/internal/wire/endpointlist.go
+++ b/internal/wire/endpointlist.go
@@ -14,25 +14,25 @@
 	statusDeparted = "left"
 )
 
-// Target is an endpoint of discovery's list. Its encoding is also the body of a replicated row, so that the msgpack
+// Endpoint is an endpoint of discovery's list. Its encoding is also the body of a replicated row, so that the msgpack
 // tags are part of the protocol between proxies and of the state file.
-type Target struct {
-	Name      string  `msgpack:"Name"`
-	Address   string  `msgpack:"Address"`
-	Zone      string  `msgpack:"Zone"`
-	Kind      string  `msgpack:"Kind"`
-	Cell      int     `msgpack:"Cell"`
-	Ready     bool    `msgpack:"Ready"` // neither draining nor departed
-	Gone      bool    `msgpack:"Gone"`  // departed
-	Weight    float64 `msgpack:"Weight"`
-	Since     int64   `msgpack:"Since"` // when it last started, in Unix milliseconds; 0: long ago
-	Elsewhere bool    `msgpack:"-"`     // reported by another proxy, which may reach it at another address
+type Endpoint struct {
+	Name               string  `msgpack:"Name"`
+	Address            string  `msgpack:"Address"`
+	Zone               string  `msgpack:"Zone"`
+	Kind               string  `msgpack:"Kind"`
+	Cell               int     `msgpack:"Cell"`
+	Ready              bool    `msgpack:"Ready"` // neither draining nor departed
+	Departed           bool    `msgpack:"Gone"`  // departed
+	Weight             float64 `msgpack:"Weight"`
+	StartedAtUnixMilli int64   `msgpack:"Since"` // when it last started, in Unix milliseconds; 0: long ago
+	FromPeer           bool    `msgpack:"-"`     // reported by another proxy, which may reach it at another address
 }
 
 // status returns the endpoint's status in discovery's words.
-func (t *Target) status() string {
+func (t *Endpoint) status() string {
 	switch {
-	case t.Gone:
+	case t.Departed:
 		return statusDeparted
 	case !t.Ready:
 		return statusDraining
@@ -40,9 +40,9 @@
 	return statusActive
 }
 
-// ParseTargets parses an object of discovery: the index is the version of the list, and whole tells that list is the
-// complete list rather than the endpoints that changed. Errors wrap [ErrBytes].
-func ParseTargets(v *fastjson.Value) (index int64, whole bool, list []Target, err error) {
+// ParseEndpointList parses an object of discovery: the index is the version of the list, and whole tells that list is the
+// complete list rather than the endpoints that changed. Errors wrap [ErrProtocol].
+func ParseEndpointList(v *fastjson.Value) (index int64, whole bool, list []Endpoint, err error) {
 	if v.Type() != fastjson.TypeObject {
 		return 0, false, nil, protocolError("a list that is no object")
 	}
@@ -63,31 +63,31 @@
 	return v.GetInt64("index"), v.GetBool("snapshot"), list, nil
 }
 
-func parseEndpoint(row *fastjson.Value) (Target, error) {
+func parseEndpoint(row *fastjson.Value) (Endpoint, error) {
 	text := func(key string) string { return string(row.GetStringBytes(key)) }
 	status := text("status")
-	t := Target{
+	t := Endpoint{
 		Name: text("name"), Address: text("address"), Zone: text("zone"), Kind: text("type"),
-		Cell: row.GetInt("group"), Weight: row.GetFloat64("weight"), Since: row.GetInt64("since_ms"),
-		Ready: status == statusActive, Gone: status == statusDeparted,
+		Cell: row.GetInt("group"), Weight: row.GetFloat64("weight"), StartedAtUnixMilli: row.GetInt64("since_ms"),
+		Ready: status == statusActive, Departed: status == statusDeparted,
 	}
-	if since := row.GetFloat64("since_ms"); t.Since == 0 && since > 0 { // written with a fraction or an exponent
-		t.Since = int64(math.Ceil(since))
+	if since := row.GetFloat64("since_ms"); t.StartedAtUnixMilli == 0 && since > 0 { // written with a fraction or an exponent
+		t.StartedAtUnixMilli = int64(math.Ceil(since))
 	}
 	switch {
 	case t.Name == "":
-		return Target{}, protocolError("list: name: missing or mistyped")
+		return Endpoint{}, protocolError("list: name: missing or mistyped")
 	case status != statusActive && status != statusDraining && status != statusDeparted:
-		return Target{}, protocolError("list: " + t.Name + ": status: out of its range")
+		return Endpoint{}, protocolError("list: " + t.Name + ": status: out of its range")
 	case t.Ready && t.Address == "":
-		return Target{}, protocolError("list: " + t.Name + ": address: missing or mistyped")
+		return Endpoint{}, protocolError("list: " + t.Name + ": address: missing or mistyped")
 	}
 	return t, nil
 }
 
-// AppendTargets appends a complete list in the form that [ParseTargets] reads. Its index is 0, the version before any of
+// AppendEndpointList appends a complete list in the form that [ParseEndpointList] reads. Its index is 0, the version before any of
 // discovery's, because a watch begins with the complete list anyhow.
-func AppendTargets(b []byte, list []Target) []byte {
+func AppendEndpointList(b []byte, list []Endpoint) []byte {
 	var arena fastjson.Arena
 	rows := arena.NewArray()
 	for i := range list {
@@ -100,7 +100,7 @@
 	return object.MarshalTo(b)
 }
 
-func endpointRow(arena *fastjson.Arena, t *Target) *fastjson.Value {
+func endpointRow(arena *fastjson.Arena, t *Endpoint) *fastjson.Value {
 	row := arena.NewObject()
 	row.Set("name", arena.NewString(t.Name))
 	row.Set("address", arena.NewString(t.Address))
@@ -109,6 +109,6 @@
 	row.Set("status", arena.NewString(t.status()))
 	row.Set("group", arena.NewNumberInt(t.Cell))
 	row.Set("weight", arena.NewNumberFloat64(t.Weight))
-	row.Set("since_ms", arena.NewNumberString(strconv.FormatInt(t.Since, 10)))
+	row.Set("since_ms", arena.NewNumberString(strconv.FormatInt(t.StartedAtUnixMilli, 10)))
 	return row
 }
--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -8,15 +8,15 @@
 
 // Facts are the entries of a command's list of facts that the proxy uses. The values are slices of that list.
 type Facts struct {
-	Route, Tenant []byte // Tenant is nil where the client gives none
-	Wait          int    // how long the client waits for the response, in milliseconds
-	Repeat        bool   // the client retries an earlier request
+	Route, Tenant    []byte // Tenant is nil where the client gives none
+	WaitMilliseconds int    // how long the client waits for the response, in milliseconds
+	Retry            bool   // the client retries an earlier request
 }
 
-// ParseFacts parses a list such as c=read,t=acme,d=480. Unknown names are skipped. The error wraps [ErrBytes] where the
+// ParseFacts parses a list such as c=read,t=acme,d=480. Unknown names are skipped. The error wraps [ErrProtocol] where the
 // list is malformed, or lacks the route or the wait.
 func ParseFacts(list []byte) (f Facts, err error) {
-	f.Wait = -1
+	f.WaitMilliseconds = -1
 	for entry := range bytes.SplitSeq(list, []byte(",")) {
 		name, value, ok := bytes.Cut(entry, []byte("="))
 		if !ok {
@@ -28,23 +28,23 @@
 		case "t":
 			f.Tenant = value
 		case "r":
-			f.Repeat = string(value) == "1"
+			f.Retry = string(value) == "1"
 		case "d":
 			milliseconds, _, _ := bytes.Cut(value, []byte(".")) // rounded down
-			if f.Wait, ok = parseDecimal(milliseconds); !ok || f.Wait < 0 {
+			if f.WaitMilliseconds, ok = parseDecimal(milliseconds); !ok || f.WaitMilliseconds < 0 {
 				return f, protocolError("a mistyped d")
 			}
 		}
 	}
-	if f.Route == nil || f.Wait < 0 {
+	if f.Route == nil || f.WaitMilliseconds < 0 {
 		return f, protocolError("no c or no d among the facts")
 	}
 	return f, nil
 }
 
-// Plain returns an error that wraps [ErrBytes] where a text holds control characters, with which it could forge HTTP
+// CheckPrintable returns an error that wraps [ErrProtocol] where a text holds control characters, with which it could forge HTTP
 // headers.
-func Plain(texts ...[]byte) error {
+func CheckPrintable(texts ...[]byte) error {
 	for _, text := range texts {
 		for _, char := range text {
 			if char < ' ' || char == 0x7f {
--- a/internal/wire/facts_test.go
+++ b/internal/wire/facts_test.go
@@ -9,13 +9,13 @@
 func TestFactsAreParsedAndForwarded(t *testing.T) {
 	const list = "c=put,t=acme,d=480,size=9,k=5c0f,r=1"
 	f, err := ParseFacts([]byte(list))
-	if err != nil || string(f.Route) != "put" || string(f.Tenant) != "acme" || f.Wait != 480 || !f.Repeat {
+	if err != nil || string(f.Route) != "put" || string(f.Tenant) != "acme" || f.WaitMilliseconds != 480 || !f.Retry {
 		t.Errorf("%+v: %v", f, err)
 	}
 	if got := string(AppendFacts(nil, []byte(list), 77)); got != "c=put,t=acme,d=77,size=9,k=5c0f,r=1" {
 		t.Error(got)
 	}
-	if f, err := ParseFacts([]byte("d=12.75,c=x")); err != nil || f.Wait != 12 {
+	if f, err := ParseFacts([]byte("d=12.75,c=x")); err != nil || f.WaitMilliseconds != 12 {
 		t.Errorf("%+v: %v", f, err)
 	}
 	for _, test := range []struct{ name, list string }{
@@ -28,7 +28,7 @@
 		{"fact without a value", "c=x,d=5,odd"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			if _, err := ParseFacts([]byte(test.list)); !errors.Is(err, ErrBytes) {
+			if _, err := ParseFacts([]byte(test.list)); !errors.Is(err, ErrProtocol) {
 				t.Errorf("%q: %v", test.list, err)
 			}
 		})
--- a/internal/wire/origin.go
+++ b/internal/wire/origin.go
@@ -12,9 +12,9 @@
 // to be announced to clients.
 const maxUnknownLength = 1 << 20
 
-// AppendFetch appends the head of the HTTP request of an attempt at the origin. A value of the given length in bytes
+// AppendOriginRequest appends the head of the HTTP request of an attempt at the origin. A value of the given length in bytes
 // follows as the body of a write; with a length of -1 the request is a read.
-func AppendFetch(b []byte, host string, key, id, facts []byte, value int) []byte {
+func AppendOriginRequest(b []byte, host string, key, id, facts []byte, value int) []byte {
 	method := "GET /"
 	if value >= 0 {
 		method = "PUT /"
@@ -43,38 +43,40 @@
 	return b
 }
 
-// ReadFetched reads the response of the origin to one attempt up to its value, or with its value where the length is
-// not announced. Errors are of type [*Halt].
-func ReadFetched(r *bufio.Reader) (Answer, error) { return readResponse(r, parseOriginResponse) }
+// ReadOriginResponse reads the response of the origin to one attempt up to its value, or with its value where the length is
+// not announced. Errors are of type [*AttemptError].
+func ReadOriginResponse(r *bufio.Reader) (Response, error) {
+	return readResponse(r, parseOriginResponse)
+}
 
-func parseOriginResponse(r *bufio.Reader) (Answer, error) {
+func parseOriginResponse(r *bufio.Reader) (Response, error) {
 	h, err := readHTTPHead(r)
 	if err != nil {
-		return Answer{}, err
+		return Response{}, err
 	}
-	a := Answer{Ending: h.outcome(), Long: h.length, Absent: h.status == 404}
+	a := Response{Outcome: h.outcome(), ValueLength: h.length, NotFound: h.status == 404}
 	switch {
 	case h.chunked || h.length < 0:
 		a.body, err = h.readBody(r)
-		a.Long = len(a.body)
-	case h.length > MaxAnswer:
+		a.ValueLength = len(a.body)
+	case h.length > MaxResponseValue:
 		err = protocolError("a body of " + strconv.Itoa(h.length) + " bytes")
-	case a.Ending != balancer.Completed:
+	case a.Outcome != balancer.Completed:
 		_, err = readExactly(r, h.length)
 	}
-	a.Again = !h.closes
+	a.Reusable = !h.closes
 	return a, err
 }
 
 // outcome maps the status of an origin's response to an outcome.
-func (h *httpHead) outcome() balancer.Ending {
+func (h *httpHead) outcome() balancer.Outcome {
 	switch {
 	case h.status == 200:
 		return balancer.Completed
 	case (h.status == 503 || h.status == 504) && h.unprocessed:
-		return balancer.NoRoom
+		return balancer.Overloaded
 	}
-	return balancer.Fault
+	return balancer.ServerError
 }
 
 // readBody reads a body of unknown length: chunked, or up to the end of the connection.
--- a/internal/wire/protocol_golden_test.go
+++ b/internal/wire/protocol_golden_test.go
@@ -69,24 +69,24 @@
 }
 
 // outcomeNames are independent of the constants' values and of their names.
-var outcomeNames = map[balancer.Ending]string{
-	balancer.Completed: "completed", balancer.Fault: "fault", balancer.NoRoom: "no room", balancer.Silent: "silent",
-	balancer.Unreachable: "unreachable", balancer.Cut: "cut", balancer.Undone: "undone", balancer.NeverSent: "never sent",
-	balancer.Lacking: "lacking",
+var outcomeNames = map[balancer.Outcome]string{
+	balancer.Completed: "completed", balancer.ServerError: "fault", balancer.Overloaded: "no room", balancer.TimedOut: "silent",
+	balancer.ConnectFailed: "unreachable", balancer.Reset: "cut", balancer.Cancelled: "undone", balancer.NotSent: "never sent",
+	balancer.CacheMiss: "lacking",
 }
 
 // errorText adds to an error's text in which stage the attempt ended, and whether it may have run.
 func errorText(err error) string {
-	var attemptError *wire.Halt
+	var attemptError *wire.AttemptError
 	text := fmt.Sprintf("error %q", err.Error())
-	if errors.Is(err, wire.ErrBytes) {
+	if errors.Is(err, wire.ErrProtocol) {
 		text += ", protocol error"
 	}
-	if errors.Is(err, wire.ErrShort) {
+	if errors.Is(err, wire.ErrIncomplete) {
 		text += ", incomplete"
 	}
 	if errors.As(err, &attemptError) {
-		text += fmt.Sprintf(", while %s, may have run %v", attemptError.Far, attemptError.Ran())
+		text += fmt.Sprintf(", while %s, may have run %v", attemptError.Progress, attemptError.MayHaveRun())
 	}
 	return text
 }
@@ -103,7 +103,7 @@
 	{name: "all set", key: "k1", id: "id-7", facts: "c=put,t=acme,d=480,r=1", value: 3},
 	{name: "no value", key: "k1", id: "id-7", facts: "c=read,t=acme,d=480", value: -1},
 	{name: "empty value", key: "k1", id: "id-7", facts: "c=put,d=480", value: 0},
-	{name: "longest value", key: "k1", id: "id-7", facts: "c=put,d=480", value: wire.MaxWrite},
+	{name: "longest value", key: "k1", id: "id-7", facts: "c=put,d=480", value: wire.MaxRequestValue},
 	{name: "no key", id: "id-7", facts: "c=read,d=480", value: -1},
 	{name: "no id", key: "k1", facts: "c=read,d=480", value: -1},
 	{name: "no facts", key: "k1", id: "id-7", value: -1},
@@ -124,7 +124,7 @@
 	}
 	g.section("other command")
 	for _, words := range [][]string{nil, {"PING"}, {"HELLO", "2"}, {"", "a b", "é\r\n"}} {
-		g.bytes(fmt.Sprintf("%q", words), wire.AppendPlain([]byte(">"), words...))
+		g.bytes(fmt.Sprintf("%q", words), wire.AppendPlainCommand([]byte(">"), words...))
 	}
 	g.section("length line")
 	for _, n := range []int{-1, 0, 1, 1234567} {
@@ -134,19 +134,19 @@
 	}
 	g.section("origin request")
 	for _, p := range optionalParts {
-		g.bytes(p.name, wire.AppendFetch([]byte(">"), "origin:8080", []byte(p.key), []byte(p.id), []byte(p.facts), p.value))
+		g.bytes(p.name, wire.AppendOriginRequest([]byte(">"), "origin:8080", []byte(p.key), []byte(p.id), []byte(p.facts), p.value))
 	}
-	g.bytes("no host", wire.AppendFetch(nil, "", []byte("k"), []byte("i"), []byte("f"), -1))
+	g.bytes("no host", wire.AppendOriginRequest(nil, "", []byte("k"), []byte("i"), []byte("f"), -1))
 	var every []byte
 	for c := range 256 {
 		every = append(every, byte(c))
 	}
-	g.bytes("key of every byte", wire.AppendFetch(nil, "h", every, nil, nil, -1))
+	g.bytes("key of every byte", wire.AppendOriginRequest(nil, "h", every, nil, nil, -1))
 	g.section("discovery request")
 	for _, since := range []int64{0, 41, -1, 1 << 62} {
-		g.bytes(fmt.Sprint("since ", since), wire.AppendWatch([]byte(">"), "discovery:9090", since))
+		g.bytes(fmt.Sprint("since ", since), wire.AppendWatchRequest([]byte(">"), "discovery:9090", since))
 	}
-	g.bytes("no host", wire.AppendWatch(nil, "", 0))
+	g.bytes("no host", wire.AppendWatchRequest(nil, "", 0))
 	g.section("facts with another wait")
 	for _, list := range []string{
 		"", "d=480", "c=read,d=480", "c=put,t=acme,d=480,size=9,k=5c0f,r=1", "c=read", "d=1,d=2",
@@ -156,9 +156,9 @@
 	}
 	g.bytes("nothing left to wait", wire.AppendFacts(nil, []byte("c=x,d=480"), 0))
 	g.section("limits")
-	g.value("longest value read whole", "%d", wire.MaxValue)
-	g.value("longest answer", "%d", wire.MaxAnswer)
-	g.value("longest write", "%d", wire.MaxWrite)
+	g.value("longest value read whole", "%d", wire.MaxBufferedValue)
+	g.value("longest answer", "%d", wire.MaxResponseValue)
+	g.value("longest write", "%d", wire.MaxRequestValue)
 	compareGoldenText(t, "requests.golden", g.String())
 }
 
@@ -191,7 +191,7 @@
 			continue
 		}
 		g.value(shorten(text), "took %d: name %q, key %q, id %q, facts %q, value of %d; is KV.GET %v, is KV.SET %v", n,
-			c.Name, c.Key, c.ID, c.Facts, c.Value, c.Is("KV.GET"), c.Is("KV.SET"))
+			c.Name, c.Key, c.ID, c.Facts, c.ValueLength, c.Is("KV.GET"), c.Is("KV.SET"))
 	}
 	compareGoldenText(t, "commands.golden", g.String())
 }
@@ -210,12 +210,12 @@
 			continue
 		}
 		g.value(fmt.Sprintf("%q", list), "route %q, tenant %q (given %v), wait %d, repeat %v", f.Route, f.Tenant, f.Tenant != nil,
-			f.Wait, f.Repeat)
+			f.WaitMilliseconds, f.Retry)
 	}
 	g.section("printable words")
 	for _, word := range []string{"", "plain ~", "é", "\x1f", "\x7f", "a\r", "\x00", "\t"} {
 		text := "accepted"
-		if err := wire.Plain([]byte("first"), []byte(word)); err != nil {
+		if err := wire.CheckPrintable([]byte("first"), []byte(word)); err != nil {
 			text = errorText(err)
 		}
 		g.value(fmt.Sprintf("%q", word), "%s", text)
@@ -224,23 +224,23 @@
 }
 
 // describeResponse reads one response completely and describes all that is known of it.
-func describeResponse(read func(*bufio.Reader) (wire.Answer, error), text string) string {
+func describeResponse(read func(*bufio.Reader) (wire.Response, error), text string) string {
 	r := bufio.NewReader(strings.NewReader(text))
 	a, err := read(r)
 	if err != nil {
 		return errorText(err)
 	}
-	body, buffered := a.Whole()
-	described := fmt.Sprintf("%s, value of %d, absent %v, again %v, read whole %v", outcomeNames[a.Ending], a.Long, a.Absent,
-		a.Again, buffered)
+	body, buffered := a.BufferedValue()
+	described := fmt.Sprintf("%s, value of %d, absent %v, again %v, read whole %v", outcomeNames[a.Outcome], a.ValueLength, a.NotFound,
+		a.Reusable, buffered)
 	if buffered {
 		described += ", " + shorten(string(body))
 	}
-	if a.Ending == balancer.Completed {
-		value, err := a.Value(r)
+	if a.Outcome == balancer.Completed {
+		value, err := a.ReadValue(r)
 		if err == nil {
 			described += ", value " + shorten(string(value))
-			err = a.Tail(r)
+			err = a.SkipTrailing(r)
 		}
 		if err != nil {
 			return described + "; then " + errorText(err)
@@ -264,12 +264,12 @@
 		"*1\r\n$1\r\nvxx", "*1\r\n*1\r\n", "*2\r\n$1\r\nv\r\n$65537\r\n", "*2\r\n$1\r\nv\r\n-ERR\r\n", "*1\n$1\r\n",
 		"*" + strings.Repeat("1", 5000),
 	} {
-		g.value(shorten(text), "%s", describeResponse(wire.ReadAnswer, text))
+		g.value(shorten(text), "%s", describeResponse(wire.ReadCacheResponse, text))
 	}
 	g.section("end behind a value read piece by piece")
 	for _, end := range []string{"\r\n", "\n\n", "\r", ""} {
 		r := bufio.NewReader(strings.NewReader("*1\r\n$1\r\nv" + end))
-		a, err := wire.ReadAnswer(r)
+		a, err := wire.ReadCacheResponse(r)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -277,14 +277,14 @@
 			t.Fatal(err)
 		}
 		text := "accepted"
-		if err := a.End(r); err != nil {
+		if err := a.ReadValueEnd(r); err != nil {
 			text = errorText(err)
 		}
 		g.value(fmt.Sprintf("%q", end), "%s", text)
 	}
 	g.section("single element")
 	for _, text := range []string{"$5\r\nvalue\r\n", "$0\r\n\r\n", "$-1\r\n", "+OK\r\n", ":3\r\n", "-ERR\r\n", "*1\r\n", "$1\r\nvxx", ""} {
-		b, err := wire.ReadBulk(bufio.NewReader(strings.NewReader(text)))
+		b, err := wire.ReadBulkString(bufio.NewReader(strings.NewReader(text)))
 		if err != nil {
 			g.value(fmt.Sprintf("%q", text), "%s", errorText(err))
 			continue
@@ -298,7 +298,7 @@
 func TestOriginAnswerGolden(t *testing.T) {
 	var g golden
 	record := func(text string) {
-		g.value(shorten(text), "%s", describeResponse(wire.ReadFetched, text))
+		g.value(shorten(text), "%s", describeResponse(wire.ReadOriginResponse, text))
 	}
 	for _, status := range []string{
 		"200 OK", "201 Created", "204 No Content", "206 Part", "301 Moved", "304 Not Modified",
@@ -344,35 +344,35 @@
 // TestEndpointListWriteGolden pins the endpoint list as it is written, and what is read back of it.
 func TestEndpointListWriteGolden(t *testing.T) {
 	var g golden
-	full := wire.Target{
+	full := wire.Endpoint{
 		Name: "c1", Address: "10.0.0.1:6379", Zone: "a", Kind: "m2", Cell: 3, Ready: true, Weight: 1.5,
-		Since: 1700000000123,
+		StartedAtUnixMilli: 1700000000123,
 	}
-	leaving, left, minimal, escaped := full, full, wire.Target{Name: "c2", Address: "h:1", Ready: true}, full
+	leaving, left, minimal, escaped := full, full, wire.Endpoint{Name: "c2", Address: "h:1", Ready: true}, full
 	leaving.Ready = false
-	left.Ready, left.Gone = false, true
+	left.Ready, left.Departed = false, true
 	escaped.Name, escaped.Zone, escaped.Kind = "c \"1\"\\\n", "é", "<m&2>"
 	elsewhere := full
-	elsewhere.Elsewhere = true
+	elsewhere.FromPeer = true
 	for _, c := range []struct {
 		name string
-		list []wire.Target
+		list []wire.Endpoint
 	}{
 		{"empty", nil},
-		{"all set", []wire.Target{full}},
-		{"leaving", []wire.Target{leaving}},
-		{"left", []wire.Target{left}},
-		{"left, though ready", []wire.Target{{Name: "c", Ready: true, Gone: true}}},
-		{"nothing optional", []wire.Target{minimal}},
-		{"characters that need escapes", []wire.Target{escaped}},
-		{"told by another proxy", []wire.Target{elsewhere}},
-		{"fractional, negative and large numbers", []wire.Target{
-			{Name: "c", Weight: 0.1, Cell: -4, Since: 1 << 62},
+		{"all set", []wire.Endpoint{full}},
+		{"leaving", []wire.Endpoint{leaving}},
+		{"left", []wire.Endpoint{left}},
+		{"left, though ready", []wire.Endpoint{{Name: "c", Ready: true, Departed: true}}},
+		{"nothing optional", []wire.Endpoint{minimal}},
+		{"characters that need escapes", []wire.Endpoint{escaped}},
+		{"told by another proxy", []wire.Endpoint{elsewhere}},
+		{"fractional, negative and large numbers", []wire.Endpoint{
+			{Name: "c", Weight: 0.1, Cell: -4, StartedAtUnixMilli: 1 << 62},
 			{Name: "d", Weight: 1e21},
 		}},
-		{"several", []wire.Target{full, leaving, left, minimal}},
+		{"several", []wire.Endpoint{full, leaving, left, minimal}},
 	} {
-		text := wire.AppendTargets([]byte(">"), c.list)
+		text := wire.AppendEndpointList([]byte(">"), c.list)
 		g.bytes(c.name, text)
 		g.value(c.name+", read back", "%s", describeEndpointList(string(text[1:])))
 	}
@@ -385,14 +385,14 @@
 	if err != nil {
 		return "not JSON"
 	}
-	index, complete, list, err := wire.ParseTargets(v)
+	index, complete, list, err := wire.ParseEndpointList(v)
 	if err != nil {
 		return errorText(err)
 	}
 	described := fmt.Sprintf("index %d, whole %v", index, complete)
 	for _, n := range list {
 		described += fmt.Sprintf("; name %q, address %q, zone %q, kind %q, cell %d, ready %v, gone %v, weight %v, "+
-			"since %d, elsewhere %v", n.Name, n.Address, n.Zone, n.Kind, n.Cell, n.Ready, n.Gone, n.Weight, n.Since, n.Elsewhere)
+			"since %d, elsewhere %v", n.Name, n.Address, n.Zone, n.Kind, n.Cell, n.Ready, n.Departed, n.Weight, n.StartedAtUnixMilli, n.FromPeer)
 	}
 	return described
 }
@@ -469,7 +469,7 @@
 
 // describeWatch reads a watch to its end and lists its objects, and the error that ends it.
 func describeWatch(text string) string {
-	w, err := wire.ReadWatch(bufio.NewReader(strings.NewReader(text)))
+	w, err := wire.OpenWatch(bufio.NewReader(strings.NewReader(text)))
 	if err != nil {
 		return errorText(err)
 	}
@@ -486,10 +486,10 @@
 // TestAttemptErrorGolden pins the texts of errors and which of them mean that an attempt may have run.
 func TestAttemptErrorGolden(t *testing.T) {
 	var g golden
-	for _, progress := range []wire.Far{wire.Dialing, wire.Writing, wire.Waiting, wire.Reading} {
-		g.value(progress.String(), "%d, %s", progress, errorText(&wire.Halt{Far: progress, Err: io.ErrUnexpectedEOF}))
+	for _, progress := range []wire.Progress{wire.Dialing, wire.Writing, wire.Waiting, wire.Reading} {
+		g.value(progress.String(), "%d, %s", progress, errorText(&wire.AttemptError{Progress: progress, Err: io.ErrUnexpectedEOF}))
 	}
-	g.value("incomplete", "%v", wire.ErrShort)
-	g.value("protocol error", "%v", wire.ErrBytes)
+	g.value("incomplete", "%v", wire.ErrIncomplete)
+	g.value("protocol error", "%v", wire.ErrProtocol)
 	compareGoldenText(t, "attempt_errors.golden", g.String())
 }
--- a/internal/wire/resp.go
+++ b/internal/wire/resp.go
@@ -30,7 +30,7 @@
 // them.
 func parseLength(b []byte, at int, typeByte byte) (length, next int, err error) {
 	if at >= len(b) {
-		return 0, 0, ErrShort
+		return 0, 0, ErrIncomplete
 	}
 	if b[at] != typeByte {
 		return 0, 0, protocolError("'" + string(typeByte) + "' expected, not " + strconv.Quote(string(b[at])))
@@ -40,7 +40,7 @@
 	case end < 0 && len(b)-at > maxLengthLine:
 		return 0, 0, protocolError("a number that does not end")
 	case end < 0:
-		return 0, 0, ErrShort
+		return 0, 0, ErrIncomplete
 	}
 	digits, ended := bytes.CutSuffix(b[at+1:at+end], []byte("\r"))
 	length, ok := parseDecimal(digits)
@@ -77,9 +77,9 @@
 	return append(b, lineEnd...)
 }
 
-// ReadBulk reads one element: a bulk string of [MaxAnswer] bytes at most, or nil where it is null. Integers and simple
+// ReadBulkString reads one element: a bulk string of [MaxResponseValue] bytes at most, or nil where it is null. Integers and simple
 // strings are read as empty.
-func ReadBulk(r *bufio.Reader) ([]byte, error) { return readElement(r, MaxAnswer) }
+func ReadBulkString(r *bufio.Reader) ([]byte, error) { return readElement(r, MaxResponseValue) }
 
 // readElement reads one element, whose value may have as many bytes as given.
 func readElement(r *bufio.Reader, maxLength int) ([]byte, error) {
@@ -130,7 +130,7 @@
 // readExactly reads n bytes. The buffer for a long value grows as its bytes are received, so that a peer that
 // announces a length only takes up no memory.
 func readExactly(r *bufio.Reader, n int) ([]byte, error) {
-	b := make([]byte, 0, min(n, MaxValue+len(lineEnd)))
+	b := make([]byte, 0, min(n, MaxBufferedValue+len(lineEnd)))
 	for len(b) < n {
 		if len(b) == cap(b) {
 			b = append(make([]byte, 0, min(4*cap(b), n)), b...)
--- a/internal/wire/response_test.go
+++ b/internal/wire/response_test.go
@@ -14,7 +14,7 @@
 // completeResponse is a response of a cache or of the origin, with what is expected of it.
 type completeResponse struct {
 	name, text string
-	outcome    balancer.Ending
+	outcome    balancer.Outcome
 	value      string
 	reusable   bool
 }
@@ -22,12 +22,12 @@
 var completeResponses = []completeResponse{
 	{"cache: hit with load report", "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$7\r\nqueue=3\r\n", balancer.Completed, "value", true},
 	{"cache: empty value", "*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", balancer.Completed, "", true},
-	{"cache: miss", "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", balancer.Lacking, "", true},
+	{"cache: miss", "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", balancer.CacheMiss, "", true},
 	{"cache: value only", "*1\r\n$1\r\nv\r\n", balancer.Completed, "v", true},
-	{"cache: overloaded", "-BUSY\r\n", balancer.NoRoom, "", true},
-	{"cache: overloaded, with a reason", "-BUSY too many connections\r\n", balancer.NoRoom, "", true},
-	{"cache: error that begins like overloaded", "-BUSYBODY\r\n", balancer.Fault, "", true},
-	{"cache: error", "-ERR failed\r\n", balancer.Fault, "", true},
+	{"cache: overloaded", "-BUSY\r\n", balancer.Overloaded, "", true},
+	{"cache: overloaded, with a reason", "-BUSY too many connections\r\n", balancer.Overloaded, "", true},
+	{"cache: error that begins like overloaded", "-BUSYBODY\r\n", balancer.ServerError, "", true},
+	{"cache: error", "-ERR failed\r\n", balancer.ServerError, "", true},
 	{
 		"origin: length announced",
 		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Backend-Load: q=1\r\n\r\nvalue", balancer.Completed, "value", true,
@@ -45,16 +45,16 @@
 	{"origin: ended by the connection", "HTTP/1.0 200 OK\r\n\r\nvalue", balancer.Completed, "value", false},
 	{
 		"origin: 503 unprocessed",
-		"HTTP/1.1 503 No\r\nx-unprocessed: 1\r\nContent-Length: 2\r\n\r\nno", balancer.NoRoom, "", true,
+		"HTTP/1.1 503 No\r\nx-unprocessed: 1\r\nContent-Length: 2\r\n\r\nno", balancer.Overloaded, "", true,
 	},
 	{
 		"origin: 504 unprocessed",
-		"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balancer.NoRoom, "", true,
+		"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balancer.Overloaded, "", true,
 	},
-	{"origin: 503 processed", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", balancer.Fault, "", true},
+	{"origin: 503 processed", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", balancer.ServerError, "", true},
 	{
 		"origin: 500 is a fault even if unprocessed",
-		"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balancer.Fault, "", true,
+		"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", balancer.ServerError, "", true,
 	},
 }
 
@@ -79,9 +79,9 @@
 			break // its end is the end of the connection
 		}
 		_, _, _, err := readAnyResponse(text[:n])
-		var attemptError *Halt
-		if !errors.As(err, &attemptError) || !attemptError.Ran() || (n == 0) != (attemptError.Far == Waiting) ||
-			errors.Is(err, ErrBytes) {
+		var attemptError *AttemptError
+		if !errors.As(err, &attemptError) || !attemptError.MayHaveRun() || (n == 0) != (attemptError.Progress == Waiting) ||
+			errors.Is(err, ErrProtocol) {
 			t.Errorf("%q: %v", text[:n], err)
 		}
 	}
@@ -89,26 +89,26 @@
 
 // readAnyResponse reads a response with its value, byte by byte: one of the origin if it begins with H, else one of a
 // cache.
-func readAnyResponse(text string) (outcome balancer.Ending, value []byte, reusable bool, err error) {
+func readAnyResponse(text string) (outcome balancer.Outcome, value []byte, reusable bool, err error) {
 	r := bufio.NewReader(iotest.OneByteReader(strings.NewReader(text)))
-	read := ReadAnswer
+	read := ReadCacheResponse
 	if strings.HasPrefix(text, "H") {
-		read = ReadFetched
+		read = ReadOriginResponse
 	}
 	a, err := read(r)
-	if err != nil || a.Ending != balancer.Completed {
-		return a.Ending, nil, a.Again, err
+	if err != nil || a.Outcome != balancer.Completed {
+		return a.Outcome, nil, a.Reusable, err
 	}
-	value, err = a.Value(r)
+	value, err = a.ReadValue(r)
 	if err == nil {
-		err = a.Tail(r)
+		err = a.SkipTrailing(r)
 	}
-	return a.Ending, value, a.Again, err
+	return a.Outcome, value, a.Reusable, err
 }
 
 // Servers keep longer values than clients may write; these are forwarded.
 func TestLongValuesAreRead(t *testing.T) {
-	long := strings.Repeat("v", 6*MaxValue)
+	long := strings.Repeat("v", 6*MaxBufferedValue)
 	for _, test := range []struct{ name, text string }{
 		{"cache", fmt.Sprintf("*1\r\n$%d\r\n%s\r\n", len(long), long)},
 		{"origin, length announced", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long)},
@@ -149,7 +149,7 @@
 		{"origin: body of unknown length too long", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("v", maxUnknownLength+1)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			if _, _, _, err := readAnyResponse(test.text); !errors.Is(err, ErrBytes) {
+			if _, _, _, err := readAnyResponse(test.text); !errors.Is(err, ErrProtocol) {
 				t.Errorf("%.40q: %v", test.text, err)
 			}
 		})
--- a/internal/wire/watch.go
+++ b/internal/wire/watch.go
@@ -15,8 +15,8 @@
 // watchBuffer is the size of a watch's read buffer, in bytes. Objects may be longer.
 const watchBuffer = 4 << 10
 
-// AppendWatch appends the HTTP request for a watch of all changes after the given version of the list.
-func AppendWatch(b []byte, host string, since int64) []byte {
+// AppendWatchRequest appends the HTTP request for a watch of all changes after the given version of the list.
+func AppendWatchRequest(b []byte, host string, since int64) []byte {
 	b = strconv.AppendInt(append(b, "GET /api/targets?follow=1&since="...), since, 10)
 	return append(append(append(b, " HTTP/1.1\r\nHost: "...), host...), "\r\n\r\n"...)
 }
@@ -28,9 +28,9 @@
 	nesting jsonNesting
 }
 
-// ReadWatch reads the head of the response to a request for a watch. It fails where the status is not 200, and with
-// an error that wraps [ErrBytes] where the response is malformed or not chunked.
-func ReadWatch(r *bufio.Reader) (*WatchReader, error) {
+// OpenWatch reads the head of the response to a request for a watch. It fails where the status is not 200, and with
+// an error that wraps [ErrProtocol] where the response is malformed or not chunked.
+func OpenWatch(r *bufio.Reader) (*WatchReader, error) {
 	h, err := readHTTPHead(r)
 	switch {
 	case err != nil:
--- a/internal/wire/watch_test.go
+++ b/internal/wire/watch_test.go
@@ -12,7 +12,7 @@
 // openWatch returns a reader of a watch whose response is the given text.
 func openWatch(t *testing.T, response string) *WatchReader {
 	t.Helper()
-	w, err := ReadWatch(bufio.NewReader(strings.NewReader(response)))
+	w, err := OpenWatch(bufio.NewReader(strings.NewReader(response)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -53,7 +53,7 @@
 	if line, err := w.Next(); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("%q behind the last object: %v", line, err)
 	}
-	if line, err := openWatchOfChunk(t, "{\n\"index\":\n\n").Next(); !errors.Is(err, ErrBytes) {
+	if line, err := openWatchOfChunk(t, "{\n\"index\":\n\n").Next(); !errors.Is(err, ErrProtocol) {
 		t.Errorf("%q: %v", line, err)
 	}
 }
--- a/rebalance/capacity.go
+++ b/rebalance/capacity.go
@@ -60,27 +60,27 @@
 	if len(shortfalls) == 0 {
 		shortfalls = p.evenShortfalls(needed - capacity)
 	}
-	return &RoomError{Lacks: shortfalls, Needed: needed, Room: capacity}
+	return &CapacityError{Shortfalls: shortfalls, NeededBytes: needed, CapacityBytes: capacity}
 }
 
 // requiredShortfalls returns what nodes are short of for the shards that have to end there.
-func (p *problem) requiredShortfalls() []Lack {
-	var shortfalls []Lack
+func (p *problem) requiredShortfalls() []Shortfall {
+	var shortfalls []Shortfall
 	for i := range p.nodes {
 		node := &p.nodes[i]
 		if !node.Draining && p.requiredLoads[i] > node.Capacity {
-			shortfalls = append(shortfalls, Lack{Node: node.Name, Bytes: p.requiredLoads[i] - node.Capacity})
+			shortfalls = append(shortfalls, Shortfall{Node: node.Name, Bytes: p.requiredLoads[i] - node.Capacity})
 		}
 	}
 	return shortfalls
 }
 
 // evenShortfalls divides missing bytes evenly among the nodes that are not draining, rounded up.
-func (p *problem) evenShortfalls(missing int64) []Lack {
-	var shortfalls []Lack
+func (p *problem) evenShortfalls(missing int64) []Shortfall {
+	var shortfalls []Shortfall
 	for i := range p.nodes {
 		if node := &p.nodes[i]; !node.Draining {
-			shortfalls = append(shortfalls, Lack{Node: node.Name})
+			shortfalls = append(shortfalls, Shortfall{Node: node.Name})
 		}
 	}
 	count := int64(len(shortfalls))
@@ -101,7 +101,7 @@
 			}
 		}
 		if !fits {
-			return &ShardError{Shard: p.shards[shard].ID, Bytes: p.shards[shard].Bytes, Largest: largest}
+			return &ShardPlacementError{ShardID: p.shards[shard].ID, Bytes: p.shards[shard].Bytes, LargestCapacity: largest}
 		}
 	}
 	return nil
--- a/rebalance/capacity_test.go
+++ b/rebalance/capacity_test.go
@@ -14,7 +14,7 @@
 	random := rand.New(rand.NewPCG(3, 3))
 	for range 20 {
 		inventory := largeFleet{nodes: 10, shards: 24, spare: 0.5, seed: random.Uint64()}.inventory()
-		p, err := newProblem(inventory, Terms{Slack: 0.3, PerNode: 2, InAll: 8})
+		p, err := newProblem(inventory, Settings{Slack: 0.3, MaxMigrationsPerNode: 2, MaxMigrations: 8})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/rebalance/doc.go
+++ b/rebalance/doc.go
@@ -11,7 +11,7 @@
 //  3. As few bytes as possible migrate.
 //  4. The plan has as few steps as possible.
 //
-// [Make] is the entry point. Small inventories are solved optimally by a search over all placements. Larger ones are
+// [NewPlan] is the entry point. Small inventories are solved optimally by a search over all placements. Larger ones are
 // solved by heuristics in two stages: the placement chooses each shard's final node, the schedule orders the
 // migrations. An inventory that has no valid plan gives a typed error, never a partial plan. Plans are deterministic:
 // the same inventory and settings give the same plan.
--- a/rebalance/errors_test.go
+++ b/rebalance/errors_test.go
@@ -8,10 +8,10 @@
 // isPlannerError reports whether an error is of one of the planner's types.
 func isPlannerError(err error) bool {
 	var (
-		capacity  *RoomError
+		capacity  *CapacityError
 		balance   *BalanceError
-		shard     *ShardError
-		stuck     *StuckError
+		shard     *ShardPlacementError
+		stuck     *ScheduleError
 		inventory *InventoryError
 	)
 	return errors.As(err, &capacity) || errors.As(err, &balance) || errors.As(err, &shard) ||
@@ -28,7 +28,7 @@
 
 // isInvalidEntry returns a check for an InventoryError about an entry.
 func isInvalidEntry(path string) func(error) bool {
-	return matches(func(e *InventoryError) bool { return e.Where == path })
+	return matches(func(e *InventoryError) bool { return e.Path == path })
 }
 
 // What can't be planned gives a typed error that says what is missing, and where.
@@ -48,23 +48,23 @@
 		{
 			"targets exceed a node's capacity", twoNodes,
 			[]Shard{{ID: 1, Bytes: 6, Source: "a", Target: "b"}, {ID: 2, Bytes: 6, Source: "b", Target: "b"}},
-			matches(func(e *RoomError) bool { return e.Lacks[0] == Lack{"b", 2} }),
+			matches(func(e *CapacityError) bool { return e.Shortfalls[0] == Shortfall{"b", 2} }),
 		},
 		{
 			"shard larger than any node", twoNodes,
 			[]Shard{{ID: 1, Bytes: 11}},
-			matches(func(e *ShardError) bool { return e.Largest == 10 && !e.Pinned }),
+			matches(func(e *ShardPlacementError) bool { return e.LargestCapacity == 10 && !e.Pinned }),
 		},
 		{
 			"shard pinned to a draining node",
 			[]Node{{Name: "a", Capacity: 10, Draining: true}, {Name: "b", Capacity: 10}},
 			[]Shard{{ID: 1, Bytes: 1, Source: "a", Pinned: true}},
-			matches(func(e *ShardError) bool { return e.Pinned }),
+			matches(func(e *ShardPlacementError) bool { return e.Pinned }),
 		},
 		{
 			"loads can't be balanced within the slack", twoNodes,
 			[]Shard{{ID: 1, Bytes: 9, Source: "a"}, {ID: 2, Bytes: 3, Source: "b"}},
-			matches(func(e *BalanceError) bool { return e.Needed > 0.1 && e.Needed <= 1 }),
+			matches(func(e *BalanceError) bool { return e.FeasibleSlack > 0.1 && e.FeasibleSlack <= 1 }),
 		},
 		{"source is no node", twoNodes, []Shard{{ID: 1, Source: "q"}}, isInvalidEntry("shards[0]")},
 		{"negative size", twoNodes, []Shard{{ID: 1, Bytes: -1}}, isInvalidEntry("shards[0]")},
@@ -73,7 +73,7 @@
 		{"duplicate node name", []Node{{Name: "a"}, {Name: "a"}}, nil, isInvalidEntry("nodes[1]")},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if _, err := Make(&Inventory{Nodes: c.nodes, Shards: c.shards}, defaultSettings); !c.isExpected(err) {
+			if _, err := NewPlan(&Inventory{Nodes: c.nodes, Shards: c.shards}, defaultSettings); !c.isExpected(err) {
 				t.Errorf("%T: %v", err, err)
 			}
 		})
--- a/rebalance/generate_test.go
+++ b/rebalance/generate_test.go
@@ -9,7 +9,7 @@
 )
 
 // defaultSettings search small inventories for the optimal plan.
-var defaultSettings = Terms{Slack: 0.1, PerNode: 2, InAll: 8, Exact: 1 << 16}
+var defaultSettings = Settings{Slack: 0.1, MaxMigrationsPerNode: 2, MaxMigrations: 8, MaxSearchedPlacements: 1 << 16}
 
 // swapInventory has two nodes whose shards have to change places, and neither has capacity for both.
 func swapInventory() *Inventory {
--- a/rebalance/placement.go
+++ b/rebalance/placement.go
@@ -168,23 +168,23 @@
 // explainUnplaced returns why a shard fits no node: the slack is too small, or the capacity.
 func (pl *placement) explainUnplaced(shard int) error {
 	if slack, ok := pl.feasibleSlack(); ok {
-		return &BalanceError{Stated: pl.settings.Slack, Needed: slack}
+		return &BalanceError{Slack: pl.settings.Slack, FeasibleSlack: slack}
 	}
-	var shortfalls []Lack
+	var shortfalls []Shortfall
 	for i := range pl.nodes {
 		node, bytes := &pl.nodes[i], pl.shards[shard].Bytes
 		if left := node.Capacity - pl.finalLoads[i]; left < bytes && pl.isAllowed(shard, i) {
-			shortfalls = append(shortfalls, Lack{Node: node.Name, Bytes: bytes - left})
+			shortfalls = append(shortfalls, Shortfall{Node: node.Name, Bytes: bytes - left})
 		}
 	}
 	if len(shortfalls) == 0 {
-		return &BalanceError{Stated: pl.settings.Slack}
+		return &BalanceError{Slack: pl.settings.Slack}
 	}
-	slices.SortStableFunc(shortfalls, func(x, y Lack) int { return cmp.Compare(x.Bytes, y.Bytes) })
-	return &RoomError{
-		Lacks:  shortfalls[:min(len(shortfalls), maxReportedShortfalls)],
-		Needed: pl.totalBytes(),
-		Room:   pl.remainingCapacity(),
+	slices.SortStableFunc(shortfalls, func(x, y Shortfall) int { return cmp.Compare(x.Bytes, y.Bytes) })
+	return &CapacityError{
+		Shortfalls:    shortfalls[:min(len(shortfalls), maxReportedShortfalls)],
+		NeededBytes:   pl.totalBytes(),
+		CapacityBytes: pl.remainingCapacity(),
 	}
 }
 
--- a/rebalance/plan_test.go
+++ b/rebalance/plan_test.go
@@ -51,9 +51,9 @@
 func (c *planCounts) checkSearch(t *testing.T, index int, inventory *Inventory) (fewest int64, planned bool) {
 	t.Helper()
 	settings := defaultSettings
-	settings.Exact = 1 << 20
+	settings.MaxSearchedPlacements = 1 << 20
 	fewest = fewestBytes(inventory, settings)
-	plan, err := Make(inventory, settings)
+	plan, err := NewPlan(inventory, settings)
 	if err != nil {
 		if fewest != infeasible {
 			t.Fatalf("case %d: %v, and %d bytes would do: %+v", index, err, fewest, inventory)
@@ -78,8 +78,8 @@
 func (c *planCounts) checkHeuristics(t *testing.T, index int, inventory *Inventory, fewest int64) {
 	t.Helper()
 	settings := defaultSettings
-	settings.Exact = 0
-	plan, err := Make(inventory, settings)
+	settings.MaxSearchedPlacements = 0
+	plan, err := NewPlan(inventory, settings)
 	if err != nil {
 		if !isPlannerError(err) {
 			t.Fatalf("case %d by heuristics: %T", index, err)
@@ -98,9 +98,9 @@
 }
 
 func TestSwapWithoutFreeCapacityIsStuck(t *testing.T) {
-	_, err := Make(swapInventory(), defaultSettings)
-	var stuck *StuckError
-	if !errors.As(err, &stuck) || stuck.Shards != 2 || len(stuck.Lacks) != 2 || stuck.Lacks[0].Bytes != 6 {
+	_, err := NewPlan(swapInventory(), defaultSettings)
+	var stuck *ScheduleError
+	if !errors.As(err, &stuck) || stuck.PendingShards != 2 || len(stuck.Shortfalls) != 2 || stuck.Shortfalls[0].Bytes != 6 {
 		t.Errorf("%v", err)
 	}
 }
@@ -117,8 +117,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			settings := defaultSettings
-			settings.Exact = c.maxSearchedStates
-			plan, err := Make(inventory, settings)
+			settings.MaxSearchedPlacements = c.maxSearchedStates
+			plan, err := NewPlan(inventory, settings)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -137,7 +137,7 @@
 		Nodes:  []Node{{Name: "a", Capacity: 10, Zone: "x"}},
 		Shards: []Shard{{ID: 1, Source: "a"}},
 	}
-	if plan, err := Make(inventory, defaultSettings); err != nil || len(plan.Steps) != 0 {
+	if plan, err := NewPlan(inventory, defaultSettings); err != nil || len(plan.Steps) != 0 {
 		t.Errorf("%+v %v", plan, err)
 	}
 }
@@ -162,9 +162,9 @@
 			name := fmt.Sprintf("%d nodes, %v to spare, targets %v", c.nodes, c.spare, hasTargets)
 			t.Run(name, func(t *testing.T) {
 				inventory := largeFleet{c.nodes, c.shards, c.spare, hasTargets, 1}.inventory()
-				settings := Terms{Slack: c.slack, PerNode: 2, InAll: 64}
+				settings := Settings{Slack: c.slack, MaxMigrationsPerNode: 2, MaxMigrations: 64}
 				start := time.Now()
-				plan, err := Make(inventory, settings)
+				plan, err := NewPlan(inventory, settings)
 				elapsed := time.Since(start)
 				if err != nil {
 					if !isPlannerError(err) || c.spare >= 0.1 {
@@ -205,10 +205,10 @@
 // Free capacity for one shard is enough for a plan close to the lower bound. With one byte less, the error says what
 // would help.
 func TestFullNodesNeedCapacityForOneShard(t *testing.T) {
-	settings := Terms{PerNode: 2, InAll: 32}
+	settings := Settings{MaxMigrationsPerNode: 2, MaxMigrations: 32}
 	t.Run("enough for one shard", func(t *testing.T) {
 		inventory := fullInventory(7)
-		plan, err := Make(inventory, settings)
+		plan, err := NewPlan(inventory, settings)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -223,9 +223,9 @@
 			plan.Bytes, plan.LowerBoundBytes, plan.IntermediateMigrations, len(plan.Steps))
 	})
 	t.Run("a byte too little", func(t *testing.T) {
-		_, err := Make(fullInventory(6), settings)
-		var stuck *StuckError
-		if !errors.As(err, &stuck) || stuck.Shards != 200 || stuck.Lacks[0].Bytes != 7 {
+		_, err := NewPlan(fullInventory(6), settings)
+		var stuck *ScheduleError
+		if !errors.As(err, &stuck) || stuck.PendingShards != 200 || stuck.Shortfalls[0].Bytes != 7 {
 			t.Errorf("%v", err)
 		}
 	})
@@ -247,7 +247,7 @@
 	if maxLoad <= capacity {
 		t.Errorf("all at once, the fullest node has %d bytes of capacity %d", maxLoad, capacity)
 	}
-	plan, err := Make(inventory, Terms{PerNode: 2, InAll: 64})
+	plan, err := NewPlan(inventory, Settings{MaxMigrationsPerNode: 2, MaxMigrations: 64})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/rebalance/problem.go
+++ b/rebalance/problem.go
@@ -19,7 +19,7 @@
 // problem is a validated inventory with the settings. Nodes and shards are identified by their index in the inventory.
 // All but yieldCount is constant once newProblem has returned.
 type problem struct {
-	settings Terms
+	settings Settings
 	nodes    []Node
 	shards   []Shard
 
@@ -41,8 +41,8 @@
 	source, required int
 }
 
-func newProblem(inventory *Inventory, settings Terms) (*problem, error) {
-	settings.PerNode, settings.InAll = max(settings.PerNode, 1), max(settings.InAll, 1)
+func newProblem(inventory *Inventory, settings Settings) (*problem, error) {
+	settings.MaxMigrationsPerNode, settings.MaxMigrations = max(settings.MaxMigrationsPerNode, 1), max(settings.MaxMigrations, 1)
 	p := &problem{
 		settings:      settings,
 		nodes:         inventory.Nodes,
@@ -115,7 +115,7 @@
 			return location{}, invalidEntry("shards", shard, "pinned, and nowhere")
 		}
 		if required != unplaced && required != source || !p.isAllowed(shard, source) {
-			return location{}, &ShardError{Shard: s.ID, Bytes: s.Bytes, Pinned: true}
+			return location{}, &ShardPlacementError{ShardID: s.ID, Bytes: s.Bytes, Pinned: true}
 		}
 		return location{source: source, required: source}, nil
 	}
@@ -154,7 +154,7 @@
 }
 
 func invalidEntry(list string, index int, format string, args ...any) *InventoryError {
-	return &InventoryError{Where: fmt.Sprintf("%s[%d]", list, index), What: fmt.Sprintf(format, args...)}
+	return &InventoryError{Path: fmt.Sprintf("%s[%d]", list, index), Reason: fmt.Sprintf(format, args...)}
 }
 
 // isAllowed reports whether a shard may be on a node, whatever else is there.
@@ -196,7 +196,7 @@
 // yield counts a unit of work and lets others have the processor now and then.
 func (p *problem) yield() {
 	p.yieldCount++
-	if p.yieldCount%yieldInterval == 0 && p.settings.Breathe != nil {
-		p.settings.Breathe()
+	if p.yieldCount%yieldInterval == 0 && p.settings.Yield != nil {
+		p.settings.Yield()
 	}
 }
--- a/rebalance/reference_test.go
+++ b/rebalance/reference_test.go
@@ -21,7 +21,7 @@
 
 // fewestBytes returns the fewest bytes that a plan for a small inventory migrates, or infeasible. It takes all weights
 // for 1.
-func fewestBytes(inventory *Inventory, settings Terms) int64 {
+func fewestBytes(inventory *Inventory, settings Settings) int64 {
 	ref := newReferenceSearch(inventory, settings)
 	start := ref.startState()
 	ref.costs[start] = 0
@@ -38,7 +38,7 @@
 	return fewest
 }
 
-func newReferenceSearch(inventory *Inventory, settings Terms) *referenceSearch {
+func newReferenceSearch(inventory *Inventory, settings Settings) *referenceSearch {
 	unplacedIndex := len(inventory.Nodes)
 	ref := &referenceSearch{
 		inventory: inventory, nodeIndex: map[string]int{"": unplacedIndex},
--- a/rebalance/schedule.go
+++ b/rebalance/schedule.go
@@ -94,7 +94,7 @@
 
 // apply appends a step to the plan and carries it out.
 func (s *schedule) apply(next *step) {
-	migrations := make([]Move, 0, len(next.transfers))
+	migrations := make([]Migration, 0, len(next.transfers))
 	displaced := false
 	for _, t := range next.transfers {
 		migrations = append(migrations, s.migrationOf(t))
@@ -121,8 +121,8 @@
 	}
 }
 
-func (p *problem) migrationOf(t transfer) Move {
-	migration := Move{Shard: p.shards[t.shard].ID, To: p.nodes[t.target].Name, Bytes: p.shards[t.shard].Bytes}
+func (p *problem) migrationOf(t transfer) Migration {
+	migration := Migration{Shard: p.shards[t.shard].ID, To: p.nodes[t.target].Name, Bytes: p.shards[t.shard].Bytes}
 	if t.source != unplaced {
 		migration.From = p.nodes[t.source].Name
 	}
@@ -208,13 +208,13 @@
 
 // explainStuck returns what the pending migrations are short of.
 func (s *schedule) explainStuck() error {
-	stuck := &StuckError{Shards: len(s.pending)}
+	stuck := &ScheduleError{PendingShards: len(s.pending)}
 	for node, shortfall := range s.entryShortfalls() {
 		if shortfall != math.MaxInt64 {
-			stuck.Lacks = append(stuck.Lacks, Lack{Node: s.nodes[node].Name, Bytes: shortfall})
+			stuck.Shortfalls = append(stuck.Shortfalls, Shortfall{Node: s.nodes[node].Name, Bytes: shortfall})
 		}
 	}
-	slices.SortFunc(stuck.Lacks, func(x, y Lack) int {
+	slices.SortFunc(stuck.Shortfalls, func(x, y Shortfall) int {
 		return cmp.Or(cmp.Compare(x.Bytes, y.Bytes), cmp.Compare(x.Node, y.Node))
 	})
 	return stuck
--- a/rebalance/search.go
+++ b/rebalance/search.go
@@ -37,7 +37,7 @@
 	if _, err := p.heuristicPlan(); err != nil {
 		return nil, err
 	}
-	return nil, &BalanceError{Stated: p.settings.Slack}
+	return nil, &BalanceError{Slack: p.settings.Slack}
 }
 
 func newSearch(p *problem) *search {
--- a/rebalance/step.go
+++ b/rebalance/step.go
@@ -20,7 +20,7 @@
 func (st *step) isEmpty() bool { return len(st.transfers) == 0 }
 
 // isFull reports whether the fleet's limit of concurrent migrations is reached.
-func (st *step) isFull() bool { return len(st.transfers) >= st.schedule.settings.InAll }
+func (st *step) isFull() bool { return len(st.transfers) >= st.schedule.settings.MaxMigrations }
 
 // includes reports whether a shard migrates in the step.
 func (st *step) includes(shard int) bool {
@@ -35,7 +35,7 @@
 // accepts reports whether a transfer is within the limits of both its nodes. The target needs capacity for all that
 // comes, while what leaves it still counts: sources keep their copies until the step has finished.
 func (st *step) accepts(t transfer) bool {
-	s, limit := st.schedule, st.schedule.settings.PerNode
+	s, limit := st.schedule, st.schedule.settings.MaxMigrationsPerNode
 	if st.perNode[t.target] >= limit || t.source != unplaced && st.perNode[t.source] >= limit {
 		return false
 	}
--- a/rebalance/verify_test.go
+++ b/rebalance/verify_test.go
@@ -9,7 +9,7 @@
 // planVerifier carries a plan out and checks it against the inventory, independently of the planner's code.
 type planVerifier struct {
 	inventory *Inventory
-	settings  Terms
+	settings  Settings
 	nodes     map[string]Node
 	shards    map[int]Shard
 	nodeOf    map[int]string   // by shard's ID; empty: unplaced
@@ -19,7 +19,7 @@
 
 // verifyPlan returns an error if a plan violates a limit or a constraint, does not place all shards, or if its sums are
 // wrong.
-func verifyPlan(inventory *Inventory, settings Terms, plan *Plan) error {
+func verifyPlan(inventory *Inventory, settings Settings, plan *Plan) error {
 	v := newPlanVerifier(inventory, settings)
 	for i, step := range plan.Steps {
 		if err := v.checkStep(step); err != nil {
@@ -39,7 +39,7 @@
 	return nil
 }
 
-func newPlanVerifier(inventory *Inventory, settings Terms) *planVerifier {
+func newPlanVerifier(inventory *Inventory, settings Settings) *planVerifier {
 	v := &planVerifier{
 		inventory: inventory, settings: settings, nodes: map[string]Node{}, shards: map[int]Shard{},
 		nodeOf: map[int]string{}, loads: map[string]int64{},
@@ -55,8 +55,8 @@
 }
 
 // checkStep checks the number of migrations, each of them, and the capacity of nodes with all copies under way.
-func (v *planVerifier) checkStep(step []Move) error {
-	if len(step) > v.settings.InAll || len(step) == 0 {
+func (v *planVerifier) checkStep(step []Migration) error {
+	if len(step) > v.settings.MaxMigrations || len(step) == 0 {
 		return fmt.Errorf("%d migrations", len(step))
 	}
 	perNode, incoming, migrating := map[string]int{}, map[string]int64{}, map[int]bool{}
@@ -81,14 +81,14 @@
 		}
 	}
 	for node, count := range perNode {
-		if count > v.settings.PerNode {
+		if count > v.settings.MaxMigrationsPerNode {
 			return fmt.Errorf("%s takes part in %d migrations", node, count)
 		}
 	}
 	return nil
 }
 
-func (v *planVerifier) checkMigration(migration Move) error {
+func (v *planVerifier) checkMigration(migration Migration) error {
 	shard, ok := v.shards[migration.Shard]
 	target := v.nodes[migration.To]
 	if !ok || migration.From != v.nodeOf[migration.Shard] || migration.Bytes != shard.Bytes ||
@@ -98,7 +98,7 @@
 	return nil
 }
 
-func (v *planVerifier) apply(step []Move) {
+func (v *planVerifier) apply(step []Migration) {
 	for _, migration := range step {
 		v.loads[v.nodeOf[migration.Shard]] -= migration.Bytes
 		v.nodeOf[migration.Shard] = migration.To
@@ -164,15 +164,15 @@
 func TestVerifierRejectsInvalidPlans(t *testing.T) {
 	roomy := swapInventory()
 	roomy.Nodes[0].Capacity, roomy.Nodes[1].Capacity = 16, 16
-	concurrent := [][]Move{{{1, "a", "b", 8}, {2, "b", "a", 8}}}
+	concurrent := [][]Migration{{{1, "a", "b", 8}, {2, "b", "a", 8}}}
 	onePerNode := defaultSettings
-	onePerNode.PerNode = 1
+	onePerNode.MaxMigrationsPerNode = 1
 	oneInAll := defaultSettings
-	oneInAll.InAll = 1
+	oneInAll.MaxMigrations = 1
 	for _, c := range []struct {
 		name      string
 		inventory *Inventory
-		settings  Terms
+		settings  Settings
 		plan      Plan
 		isValid   bool
 	}{
@@ -190,16 +190,16 @@
 		},
 		{"too many migrations of a node", roomy, onePerNode, Plan{Steps: concurrent, Bytes: 16}, false},
 		{"too many migrations in all", roomy, oneInAll, Plan{Steps: concurrent, Bytes: 16}, false},
-		{"empty step", roomy, defaultSettings, Plan{Steps: [][]Move{concurrent[0], {}}, Bytes: 16}, false},
-		{"wrong source", roomy, defaultSettings, Plan{Steps: [][]Move{{{1, "b", "a", 8}}}, Bytes: 8}, false},
+		{"empty step", roomy, defaultSettings, Plan{Steps: [][]Migration{concurrent[0], {}}, Bytes: 16}, false},
+		{"wrong source", roomy, defaultSettings, Plan{Steps: [][]Migration{{{1, "b", "a", 8}}}, Bytes: 8}, false},
 		{
 			"shard migrates twice in a step", roomy, defaultSettings,
-			Plan{Steps: [][]Move{{{1, "a", "b", 8}, {1, "a", "b", 8}}}, Bytes: 16},
+			Plan{Steps: [][]Migration{{{1, "a", "b", 8}, {1, "a", "b", 8}}}, Bytes: 16},
 			false,
 		},
 		{
 			"shard not on its target", roomy, defaultSettings,
-			Plan{Steps: [][]Move{{{1, "a", "b", 8}}}, Bytes: 8},
+			Plan{Steps: [][]Migration{{{1, "a", "b", 8}}}, Bytes: 8},
 			false,
 		},
 	} {
