internal/experiment: runs, metrics, comparisons and charts in files of their own

Now: Experiment, Variant, Run, Schedule, Summary with parts by concern, Describe, Table, Row, Difference; one list of metric columns, each with its function. Writing a table looks at the errors of each write and of the close.

No change of behaviour.

--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -24,11 +24,11 @@
 func (c *check) Run(context.Context) error {
 	for _, f := range c.Files {
 		if experiment.IsExperiment(f) {
-			x, err := experiment.ReadExperiment(f)
+			x, err := experiment.Read(f)
 			if err != nil {
 				return err
 			}
-			fmt.Printf("%s: good; %d days are to be played\n", f, len(x.Order()))
+			fmt.Printf("%s: good; %d days are to be played\n", f, len(x.Schedule()))
 			continue
 		}
 		d, err := emulator.ReadDay(f)
@@ -54,14 +54,14 @@
 	if err != nil {
 		return err
 	}
-	if err := experiment.Fresh(p.Dir); err != nil {
+	if err := experiment.CreateEmptyDir(p.Dir); err != nil {
 		return err
 	}
 	r, err := emulator.Play(ctx, d.Draw(p.Seed), emulator.Options{Start: emulator.Program(p.Program...), Dir: p.Dir})
 	if err != nil {
 		return err
 	}
-	fmt.Print(experiment.Sum(r))
+	fmt.Print(experiment.Describe(r))
 	for _, b := range r.Breaches {
 		fmt.Println(b)
 	}
@@ -78,11 +78,11 @@
 }
 
 func (e *experimentCommand) Run(ctx context.Context) error {
-	x, err := experiment.ReadExperiment(e.File)
+	x, err := experiment.Read(e.File)
 	if err != nil {
 		return err
 	}
-	if err := experiment.Fresh(e.Dir); err != nil {
+	if err := experiment.CreateEmptyDir(e.Dir); err != nil {
 		return err
 	}
 	table, err := x.Run(ctx, e.Dir, func(line string) { fmt.Println(line) })
--- /dev/null
+++ b/internal/experiment/summary.go
@@ -0,0 +1,190 @@
+package experiment
+
+import (
+	"time"
+
+	"woodproxy/internal/emulator"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Range and precision of the latency histogram; a latency beyond the range is left out of it.
+const (
+	minLatencyMicros         = 1
+	maxLatencyMicros         = 120_000_000
+	latencySignificantDigits = 3
+)
+
+// Summary is the metrics of one run. What does not apply to a scenario is 0.
+type Summary struct {
+	Requests             int
+	Outcomes             OutcomeFractions
+	ValueEarned          float64 // by requests answered within their objective, as a fraction of the value of all
+	LatencyMS            LatencyQuantiles
+	AttemptsPerRequest   float64 // commands that cache nodes received, for each request
+	CPUMicrosPerRequest  float64 // CPU time of all proxies together
+	LoadDelayMS          float64 // the most by which the load generator sent a request late
+	Violations           int     // of the emulator's invariants
+	UnansweredBadClients int     // clients that broke the protocol and were sent neither an error nor a close
+	Gossip               GossipSummary
+	Zones                ZoneSummary
+	SlowStartPeak        float64            // the most load of a node in slow start, as a fraction of what overloads it
+	Fleet                emulator.Together  // load of the proxy fleet on nodes and discovery
+	FullServiceSeconds   float64            // from the last kill until service was back to 95% of that before; the maximum
+	NegativeCache        NegativeCacheStats // lookups of keys that the origin lacks
+}
+
+// OutcomeFractions are fractions of the requests whose clients waited for the answer.
+type OutcomeFractions struct {
+	Completed float64
+	InTime    float64 // completed within the objective of the route
+	Shed      float64
+	Errored   float64
+	Lost      float64
+	Refused   float64
+}
+
+// LatencyQuantiles are of completed requests, from the time at which each was scheduled, in milliseconds.
+type LatencyQuantiles struct {
+	P50, P90, P99, Max float64
+}
+
+// GossipSummary is about the exchange of state between proxies.
+type GossipSummary struct {
+	PropagationP50MS float64 // from an endpoint event at one proxy until another proxy had it
+	PropagationP99MS float64
+	NeverReached     int     // proxies that never had such an event
+	CatchUpP50MS     float64 // from the start or resumption of a proxy until it had caught up
+	CatchUpMaxMS     float64
+	BytesPerSecond   float64 // of each proxy, received and sent
+	PacketsPerSecond float64 // of each proxy, received
+}
+
+// ZoneSummary is about the zones in which a fault was injected.
+type ZoneSummary struct {
+	FirstEvacuationMS float64 // from the fault until the first proxy had evacuated the zone; the maximum over zones
+	LastEvacuationMS  float64 // until the last had
+	RecoveryMS        float64 // from the end of the fault until all proxies served all keys there; the maximum over zones
+	ValueDuringFault  float64 // fraction of the value earned in its first five seconds; the mean over zones
+	ValueAfterFault   float64 // and in the ten seconds after its end
+	NeverEvacuated    int     // proxies that never evacuated a faulty zone
+	FalseVerdicts     int     // verdicts against zones without a fault
+}
+
+// NegativeCacheStats are about keys that the origin lacks.
+type NegativeCacheStats struct {
+	OriginMissesPerSecond float64 // lookups that reached the origin
+	ClientMissesPerSecond float64 // answers to clients that there is no such key
+	StaleMS               float64 // the longest time for which a key was reported missing after it had been written
+}
+
+// Summarize computes the metrics of a run from its report.
+func Summarize(report *emulator.Report) Summary {
+	summary := Summary{
+		Requests:             len(report.Results),
+		CPUMicrosPerRequest:  report.CPU,
+		LoadDelayMS:          report.LateMS,
+		Violations:           len(report.Breaches),
+		UnansweredBadClients: report.BadMute,
+		Gossip:               summarizeGossip(report),
+		Zones:                summarizeZones(report),
+		SlowStartPeak:        report.ColdPeak,
+		Fleet:                report.Together,
+		NegativeCache: NegativeCacheStats{
+			OriginMissesPerSecond: report.AbsentAsked,
+			ClientMissesPerSecond: report.AbsentSaid,
+			StaleMS:               report.Stale.Seconds() * 1000,
+		},
+	}
+	summary.addResults(report)
+	for _, restart := range report.Returns {
+		summary.FullServiceSeconds = max(summary.FullServiceSeconds, restart.Full.Seconds())
+	}
+	attempts := 0.0
+	for _, event := range report.Seen {
+		if event.What == emulator.Took {
+			attempts++
+		}
+	}
+	summary.AttemptsPerRequest = attempts / max(float64(summary.Requests), 1)
+	return summary
+}
+
+// addResults adds what the clients saw: outcomes, earned value and latency. A request whose client left counts for
+// none of these.
+func (s *Summary) addResults(report *emulator.Report) {
+	histogram := hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencySignificantDigits)
+	waited, earned, total := 0.0, 0.0, 0.0
+	outcomes := &s.Outcomes
+	for _, result := range report.Results {
+		route := report.Plan.Day.Routes[result.Request.Route]
+		if result.Outcome == emulator.Left {
+			continue
+		}
+		waited++
+		total += route.Value
+		switch result.Outcome {
+		case emulator.Completed:
+			outcomes.Completed++
+			// The only error is a value beyond the histogram's range, which no overall timeout reaches.
+			_ = histogram.RecordValue(max(result.Latency.Microseconds(), minLatencyMicros))
+			if result.Latency.Seconds()*1000 <= route.Objective {
+				outcomes.InTime++
+				earned += route.Value
+			}
+		case emulator.Shed:
+			outcomes.Shed++
+		case emulator.Errored:
+			outcomes.Errored++
+		case emulator.Lost:
+			outcomes.Lost++
+		case emulator.Refused:
+			outcomes.Refused++
+		}
+	}
+	outcomes.divide(max(waited, 1))
+	s.ValueEarned = earned / max(total, 1e-9)
+	quantile := func(percent float64) float64 { return float64(histogram.ValueAtQuantile(percent)) / 1000 }
+	s.LatencyMS = LatencyQuantiles{P50: quantile(50), P90: quantile(90), P99: quantile(99), Max: float64(histogram.Max()) / 1000}
+}
+
+func (f *OutcomeFractions) divide(by float64) {
+	for _, field := range []*float64{&f.Completed, &f.InTime, &f.Shed, &f.Errored, &f.Lost, &f.Refused} {
+		*field /= by
+	}
+}
+
+func summarizeGossip(report *emulator.Report) GossipSummary {
+	return GossipSummary{
+		PropagationP50MS: quantileMS(report.Whispers, 0.5),
+		PropagationP99MS: quantileMS(report.Whispers, 0.99),
+		NeverReached:     report.Unheard,
+		CatchUpP50MS:     quantileMS(report.CatchUps, 0.5),
+		CatchUpMaxMS:     quantileMS(report.CatchUps, 1),
+		BytesPerSecond:   report.PeerBytes,
+		PacketsPerSecond: report.PeerPackets,
+	}
+}
+
+// quantileMS returns a quantile, from 0 to 1, of sorted durations in milliseconds; 0 if there are none.
+func quantileMS(sorted []time.Duration, quantile float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	index := min(int(quantile*float64(len(sorted))), len(sorted)-1)
+	return float64(sorted[index].Microseconds()) / 1000
+}
+
+func summarizeZones(report *emulator.Report) ZoneSummary {
+	summary := ZoneSummary{FalseVerdicts: report.Convicted}
+	zones := float64(len(report.Zones))
+	for _, zone := range report.Zones {
+		summary.FirstEvacuationMS = max(summary.FirstEvacuationMS, zone.First.Seconds()*1000)
+		summary.LastEvacuationMS = max(summary.LastEvacuationMS, zone.Last.Seconds()*1000)
+		summary.RecoveryMS = max(summary.RecoveryMS, zone.Back.Seconds()*1000)
+		summary.ValueDuringFault += zone.WorthAt / zones
+		summary.ValueAfterFault += zone.WorthBack / zones
+		summary.NeverEvacuated += zone.Kept
+	}
+	return summary
+}
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -2,286 +2,189 @@
 
 import (
 	"encoding/csv"
+	"errors"
 	"fmt"
-	"math"
-	"math/rand/v2"
+	"io"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+)
+
+const (
+	// tableVersion is raised with each change of what a column means, so that an older table is rejected and not misread.
+	tableVersion       = "woodlab-table-1"
+	tableVersionPrefix = "woodlab-table-"
 
-	"gonum.org/v1/gonum/stat"
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
+	variantsProperty = "variants="
+	variantSeparator = "|"
 )
 
-// tableVersion is raised with each change of what a column means; an older table is refused, and not misread.
-const tableVersion = "woodlab-table-1"
+// runColumns name the run of a row; they stand before the metric columns.
+var runColumns = []string{"day", "variant", "seed", "round", "counts"}
 
-// Table is what an experiment keeps: what produced it, and a row for each day that was played.
+// Table is the result of an experiment. In its file, tab-separated, the first line has the version and the properties,
+// the second the columns, and each further line a row.
 type Table struct {
-	About []string // commit, cores, program and the like, each as name=value
-	Rows  []Row
+	Properties []string // what produced the table: commit, cores, variants and the like, each as name=value
+	Rows       []Row
 }
 
-// Row is a day that was played.
+// Row is the result of one run.
 type Row struct {
-	Day, Variant string
-	Seed         uint64
-	Round        int
-	Counts       bool // the load ran in time
-	Figures      map[string]float64
+	Scenario, Variant string
+	Seed              uint64
+	Round             int
+	Valid             bool               // the load generator kept its schedule; other rows are left out of comparisons
+	Metrics           map[string]float64 // by column name
 }
 
-// figures are the columns, in order. New ones are added behind, and lacking in tables that are older.
-var figures = []string{
-	"requests", "completed", "in_time", "shed", "errored", "lost", "refused", "worth", "p50_ms", "p90_ms", "p99_ms",
-	"max_ms", "tries", "cpu_us", "late_ms", "breaches", "bad_mute",
-	"heard_p50_ms", "heard_p99_ms", "unheard", "caught_p50_ms", "caught_max_ms", "peer_bytes", "peer_packets",
-	"left_first_ms", "left_last_ms", "zone_back_ms", "worth_hit", "worth_back", "never_left", "convicted", "cold_peak",
-	"silent_tries", "watches", "list_calls", "cache_conns", "cache_conns_max",
-	"absent_asked", "absent_said", "stale_ms", "full_s",
+// Write writes the table to a file, over what is there.
+func (t *Table) Write(file string) (err error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	return t.encode(f)
 }
 
-const oldest = 17 // columns of the first tables
-
-func (s Sums) figures() map[string]float64 {
-	v := []float64{
-		float64(s.Requests), s.Completed, s.InTime, s.Shed, s.Errored, s.Lost, s.Refused, s.Worth, s.P50, s.P90, s.P99, s.Max,
-		s.Tries, s.CPU, s.LateMS, float64(s.Breaches), float64(s.BadMute),
-		s.HeardP50, s.HeardP99, float64(s.Unheard), s.CaughtP50, s.CaughtMax, s.PeerBytes, s.PeerPackets,
-		s.LeftFirst, s.LeftLast, s.ZoneBack, s.WorthHit, s.WorthBack, float64(s.NeverLeft), float64(s.Convicted), s.ColdPeak,
-		s.Trials, s.Watches, s.Calls, s.Conns, float64(s.Most), s.AbsentAsked, s.AbsentSaid, s.StaleMS, s.FullS,
+func (t *Table) encode(w io.Writer) error {
+	writer := csv.NewWriter(w)
+	writer.Comma = '\t'
+	lines := [][]string{
+		append([]string{tableVersion}, t.Properties...),
+		append(slices.Clone(runColumns), metricNames()...),
 	}
-	m := map[string]float64{}
-	for i, f := range figures {
-		m[f] = v[i]
+	for _, row := range t.Rows {
+		lines = append(lines, row.fields())
 	}
-	return m
+	return writer.WriteAll(lines)
 }
 
-var keys = []string{"day", "variant", "seed", "round", "counts"}
-
-// Write keeps the table as tab-separated text.
-func (t *Table) Write(file string) error {
-	f, err := os.Create(file)
-	if err != nil {
-		return err
+// fields returns the row as it stands in the file.
+func (r Row) fields() []string {
+	fields := []string{
+		r.Scenario,
+		r.Variant,
+		strconv.FormatUint(r.Seed, 10),
+		strconv.Itoa(r.Round),
+		strconv.FormatBool(r.Valid),
 	}
-	defer f.Close()
-	w := csv.NewWriter(f)
-	w.Comma = '\t'
-	w.Write(append([]string{tableVersion}, t.About...))
-	w.Write(append(slices.Clone(keys), figures...))
-	for _, r := range t.Rows {
-		line := []string{r.Day, r.Variant, strconv.FormatUint(r.Seed, 10), strconv.Itoa(r.Round), strconv.FormatBool(r.Counts)}
-		for _, name := range figures {
-			line = append(line, strconv.FormatFloat(r.Figures[name], 'g', -1, 64))
-		}
-		w.Write(line)
+	for _, name := range metricNames() {
+		fields = append(fields, strconv.FormatFloat(r.Metrics[name], 'g', -1, 64))
 	}
-	w.Flush()
-	return w.Error()
+	return fields
 }
 
-// ReadTable reads one that was written by this version.
+// ReadTable reads a table that was written by this version. An error is one line with the name of the file and the line
+// at fault. Metrics that were added since the table was written are missing from its rows.
 func ReadTable(file string) (*Table, error) {
 	f, err := os.Open(file)
 	if err != nil {
 		return nil, fmt.Errorf("table: %w", err)
 	}
-	defer f.Close()
-	r := csv.NewReader(f)
-	r.Comma, r.FieldsPerRecord = '\t', -1
-	lines, err := r.ReadAll()
-	switch {
-	case err != nil:
+	defer func() { _ = f.Close() }() // only read from: nothing can be lost
+	table, err := decodeTable(f)
+	if err != nil {
 		return nil, fmt.Errorf("table: %s: %w", file, err)
-	case len(lines) < 2 || !strings.HasPrefix(lines[0][0], "woodlab-table-"):
-		return nil, fmt.Errorf("table: %s: no table of woodlab's", file)
-	case lines[0][0] != tableVersion:
-		return nil, fmt.Errorf("table: %s: of version %s, and not %s", file, lines[0][0], tableVersion)
-	case len(lines[1]) < len(keys)+oldest || len(lines[1]) > len(keys)+len(figures) ||
-		!slices.Equal(lines[1], append(slices.Clone(keys), figures...)[:len(lines[1])]):
-		return nil, fmt.Errorf("table: %s: line 2: other columns", file)
 	}
-	t := &Table{About: lines[0][1:]}
-	for i, l := range lines[2:] {
-		if len(l) != len(lines[1]) {
-			return nil, fmt.Errorf("table: %s: line %d: %d columns", file, i+3, len(l))
-		}
-		row := Row{Day: l[0], Variant: l[1], Figures: map[string]float64{}}
-		var errs [3]error
-		row.Seed, errs[0] = strconv.ParseUint(l[2], 10, 64)
-		row.Round, errs[1] = strconv.Atoi(l[3])
-		row.Counts, errs[2] = strconv.ParseBool(l[4])
-		for _, err := range errs {
-			if err != nil {
-				return nil, fmt.Errorf("table: %s: line %d: %w", file, i+3, err)
-			}
-		}
-		for k, name := range lines[1][len(keys):] {
-			if row.Figures[name], err = strconv.ParseFloat(l[len(keys)+k], 64); err != nil {
-				return nil, fmt.Errorf("table: %s: line %d: %s: %w", file, i+3, name, err)
-			}
-		}
-		t.Rows = append(t.Rows, row)
-	}
-	return t, nil
+	return table, nil
 }
 
-// Variants are named in the experiment's order, since days are played in another one.
-func (t *Table) Variants() []string {
-	var names []string
-	for _, a := range t.About {
-		if list, ok := strings.CutPrefix(a, "variants="); ok {
-			names = strings.Split(list, "|")
-		}
+func decodeTable(r io.Reader) (*Table, error) {
+	reader := csv.NewReader(r)
+	reader.Comma, reader.FieldsPerRecord = '\t', -1
+	lines, err := reader.ReadAll()
+	if err != nil {
+		return nil, err
+	}
+	if err := checkTableHeader(lines); err != nil {
+		return nil, err
 	}
-	for _, r := range t.Rows {
-		if !slices.Contains(names, r.Variant) {
-			names = append(names, r.Variant)
+	columns := lines[1]
+	table := &Table{Properties: lines[0][1:]}
+	for i, fields := range lines[2:] {
+		lineNumber := i + 3
+		if len(fields) != len(columns) {
+			return nil, fmt.Errorf("line %d: %d columns", lineNumber, len(fields))
 		}
+		row, err := parseRow(fields, columns[len(runColumns):])
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", lineNumber, err)
+		}
+		table.Rows = append(table.Rows, row)
 	}
-	return names
+	return table, nil
 }
 
-type pairKey struct {
-	day   string
-	seed  uint64
-	round int
-}
-
-// Difference is a variant's figure less the base's, over days, seeds and rounds that both have played.
-type Difference struct {
-	Variant, Base     string
-	Pairs             int
-	Mean, Least, Most float64 // and where the mean lies, by nineteen in twenty
-	BaseMean          float64
-}
-
-// fewestPairs is how many it takes to tell a sign by nineteen in twenty, if all have the same.
-const fewestPairs = 6
-
-// Seen tells whether the interval leaves no doubt of the sign.
-func (d Difference) Seen() bool { return d.Least > 0 || d.Most < 0 }
-
-func (d Difference) String() string {
-	if d.Pairs < fewestPairs {
-		return fmt.Sprintf("%s against %s: %d pairs, too few to say", d.Variant, d.Base, d.Pairs)
+// checkTableHeader checks the version in the first line, and that the second has this version's columns, of which the
+// last ones may be missing.
+func checkTableHeader(lines [][]string) error {
+	if len(lines) < 2 || !strings.HasPrefix(lines[0][0], tableVersionPrefix) {
+		return errors.New("no table of woodlab's")
+	}
+	if version := lines[0][0]; version != tableVersion {
+		return fmt.Errorf("of version %s, and not %s", version, tableVersion)
 	}
-	verdict := "no difference seen"
-	if d.Seen() {
-		verdict = "differs"
+	columns, known := lines[1], append(slices.Clone(runColumns), metricNames()...)
+	if len(columns) < len(runColumns)+minMetricColumns || len(columns) > len(known) || !slices.Equal(columns, known[:len(columns)]) {
+		return errors.New("line 2: other columns")
 	}
-	return fmt.Sprintf("%s against %s: %s: %+.4g (%.4g to %.4g) on %.4g, %d pairs", d.Variant, d.Base, verdict, d.Mean, d.Least,
-		d.Most, d.BaseMean, d.Pairs)
+	return nil
 }
 
-// Compare pairs each variant's days with the base's. The interval is drawn from the pairs themselves, anew and anew, by a
-// seed that stands, so that a table always says the same.
-func (t *Table) Compare(figure, base string) ([]Difference, error) {
-	if !slices.Contains(figures, figure) {
-		return nil, fmt.Errorf("table: no column %q", figure)
+func parseRow(fields, metrics []string) (Row, error) {
+	row := Row{Scenario: fields[0], Variant: fields[1], Metrics: map[string]float64{}}
+	var err error
+	if row.Seed, err = strconv.ParseUint(fields[2], 10, 64); err != nil {
+		return Row{}, err
 	}
-	names := t.Variants()
-	if base == "" && len(names) > 0 {
-		base = names[0]
+	if row.Round, err = strconv.Atoi(fields[3]); err != nil {
+		return Row{}, err
 	}
-	if !slices.Contains(names, base) {
-		return nil, fmt.Errorf("table: no variant %q", base)
+	if row.Valid, err = strconv.ParseBool(fields[4]); err != nil {
+		return Row{}, err
 	}
-	at := map[pairKey]float64{} // the base's
-	for _, r := range t.Rows {
-		if r.Counts && r.Variant == base {
-			at[pairKey{r.Day, r.Seed, r.Round}] = r.Figures[figure]
+	for i, name := range metrics {
+		if row.Metrics[name], err = strconv.ParseFloat(fields[len(runColumns)+i], 64); err != nil {
+			return Row{}, fmt.Errorf("%s: %w", name, err)
 		}
 	}
-	var out []Difference
-	for _, v := range names {
-		if v == base {
-			continue
-		}
-		var diffs, bases []float64
-		for _, r := range t.Rows { // in the rows' order, and not the map's
-			k := pairKey{r.Day, r.Seed, r.Round}
-			if b, ok := at[k]; ok && r.Variant == v && r.Counts {
-				diffs, bases = append(diffs, r.Figures[figure]-b), append(bases, b)
-			}
+	return row, nil
+}
+
+// Variants returns the names of the variants in the experiment's order, which is not that of the rows.
+func (t *Table) Variants() []string {
+	var names []string
+	for _, property := range t.Properties {
+		if list, ok := strings.CutPrefix(property, variantsProperty); ok {
+			names = strings.Split(list, variantSeparator)
 		}
-		d := Difference{Variant: v, Base: base, Pairs: len(diffs)}
-		if len(diffs) > 0 {
-			d.Mean, d.BaseMean = stat.Mean(diffs, nil), stat.Mean(bases, nil)
-			d.Least, d.Most = bootstrap(diffs)
+	}
+	for _, row := range t.Rows {
+		if !slices.Contains(names, row.Variant) {
+			names = append(names, row.Variant)
 		}
-		out = append(out, d)
 	}
-	return out, nil
+	return names
 }
 
-func bootstrap(diffs []float64) (least, most float64) {
-	const draws = 4000
-	chance := rand.New(rand.NewPCG(7, 11))
-	means := make([]float64, draws)
-	for i := range means {
-		for range diffs {
-			means[i] += diffs[chance.IntN(len(diffs))]
+// scenarios returns the names of the scenarios in the order of the rows.
+func (t *Table) scenarios() []string {
+	var names []string
+	for _, row := range t.Rows {
+		if !slices.Contains(names, row.Scenario) {
+			names = append(names, row.Scenario)
 		}
-		means[i] /= float64(len(diffs))
 	}
-	slices.Sort(means)
-	return stat.Quantile(0.025, stat.Empirical, means, nil), stat.Quantile(0.975, stat.Empirical, means, nil)
+	return names
 }
 
-// Chart draws a column: for each day the variants from left to right, the mean with all plays round it.
-func (t *Table) Chart(figure, file string) error {
-	if !slices.Contains(figures, figure) {
-		return fmt.Errorf("table: no column %q", figure)
-	}
-	p := plot.New()
-	p.Title.Text = figure
-	p.Y.Label.Text = figure
-	names := t.Variants()
-	p.NominalX(names...)
-	var days []string
-	for _, r := range t.Rows {
-		if !slices.Contains(days, r.Day) {
-			days = append(days, r.Day)
-		}
-	}
-	for i, day := range days {
-		var dots, means plotter.XYs
-		for x, v := range names {
-			sum, n := 0.0, 0.0
-			for _, r := range t.Rows {
-				if y := r.Figures[figure]; r.Day == day && r.Variant == v && r.Counts && !math.IsNaN(y) {
-					dots = append(dots, plotter.XY{X: float64(x) + 0.06*float64(i+1), Y: y})
-					sum, n = sum+y, n+1
-				}
-			}
-			if n > 0 {
-				means = append(means, plotter.XY{X: float64(x) + 0.06*float64(i+1), Y: sum / n})
-			}
-		}
-		if len(means) == 0 {
-			continue
-		}
-		scatter, err := plotter.NewScatter(dots)
-		if err != nil {
-			return err
-		}
-		scatter.Color, scatter.Shape, scatter.Radius = plotutil.Color(i), plotutil.Shape(i), vg.Points(2)
-		line, err := plotter.NewLine(means)
-		if err != nil {
-			return err
-		}
-		line.Color = plotutil.Color(i)
-		p.Add(scatter, line)
-		p.Legend.Add(day, line, scatter)
+// checkMetric fails if a table has no such metric column.
+func checkMetric(metric string) error {
+	if !slices.Contains(metricNames(), metric) {
+		return fmt.Errorf("table: no column %q", metric)
 	}
-	p.Legend.Top = true
-	p.Y.Max += (p.Y.Max - p.Y.Min) / 8 // room for the legend
-	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, file)
+	return nil
 }
