--- /dev/null
+++ b/cmd/emulator/check.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"woodproxy/internal/emulator"
+	"woodproxy/internal/experiment"
+)
+
+// checkCommand checks scenario and experiment files without running them.
+type checkCommand struct {
+	Files []string `arg:"" help:"Days or experiments."`
+}
+
+// Run stops at the first bad file.
+func (c *checkCommand) Run(context.Context) error {
+	for _, file := range c.Files {
+		check := checkScenario
+		if experiment.IsExperiment(file) {
+			check = checkExperiment
+		}
+		if err := check(file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkExperiment(file string) error {
+	e, err := experiment.Read(file)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: good; %d days are to be played\n", file, len(e.Schedule()))
+	return nil
+}
+
+func checkScenario(file string) error {
+	scenario, err := emulator.ReadDay(file)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: good; %d requests under seed 1\n", file, len(scenario.Draw(1).Requests))
+	return nil
+}
--- /dev/null
+++ b/cmd/emulator/null.go
@@ -0,0 +1,16 @@
+package main
+
+import (
+	"context"
+
+	"woodproxy/internal/emulator"
+)
+
+// nullCommand serves in place of a proxy and answers every request at once, without a fleet: what is measured on it is
+// the cost of the load generator and of the connection to a process.
+type nullCommand struct {
+	Listen string `env:"GW_LISTEN" required:"" help:"Where clients connect."`
+}
+
+// Run serves until the process is interrupted.
+func (c *nullCommand) Run(ctx context.Context) error { return emulator.Null(ctx, c.Listen) }
--- /dev/null
+++ b/cmd/emulator/spread.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"woodproxy/internal/simnet"
+	"woodproxy/replica"
+)
+
+const (
+	minFleet = 2
+	maxFleet = 100_000
+
+	// spreadTimeout is how long a change is given to reach all proxies, in simulated time.
+	spreadTimeout = 4 * replica.Second
+	// ticksPerMillisecond converts replica.Time, which counts tenths of a millisecond.
+	ticksPerMillisecond = replica.Second / 1000
+)
+
+// spreadCommand measures how fast one change reaches all proxies of simulated fleets.
+type spreadCommand struct {
+	Sizes []int   `default:"60,300,1000,10000" help:"How many proxies."`
+	Loss  float64 `default:"0.05" help:"Part of datagrams that get lost."`
+	Seed  uint64  `default:"1"`
+}
+
+// Run prints one tab-separated line for each fleet size.
+func (c *spreadCommand) Run(context.Context) error {
+	fmt.Println("proxies\tp50_ms\tp99_ms\tlast_ms\tnever\tbytes_a_proxy")
+	for _, size := range c.Sizes {
+		if size < minFleet || size > maxFleet || !(c.Loss >= 0 && c.Loss < 1) {
+			return fmt.Errorf("sizes or loss: %d, %v: out of range", size, c.Loss)
+		}
+		c.measure(size)
+	}
+	return nil
+}
+
+func (c *spreadCommand) measure(size int) {
+	w := simnet.New(simnet.Terms{Proxies: size, Loss: c.Loss, Late: 1, Hold: replica.Second, Floor: 0.25, Quiet: true}, c.Seed)
+	delays := w.Spread(spreadTimeout)
+	receivers := size - 1 // all but the proxy that makes the change
+	// quantileMS is over all receivers; -1 says that the quantile is among those that were never reached.
+	quantileMS := func(quantile float64) replica.Time {
+		if index := int(quantile * float64(receivers)); index < len(delays) {
+			return delays[index] / ticksPerMillisecond
+		}
+		return -1
+	}
+	bytes := 0
+	for _, p := range w.Proxies {
+		bytes += p.Bytes
+	}
+	last := delays[len(delays)-1] / ticksPerMillisecond
+	fmt.Printf("%d\t%d\t%d\t%d\t%d\t%d\n", size, quantileMS(0.5), quantileMS(0.99), last, receivers-len(delays), bytes/size)
+}
