internal/simnet: network, gossip, decisions and zones in files of their own, standard names

One file had the clock, links, gossip and the carrying out of decisions, with World, letter, rumour, post, talk, Still, Cut; the zones had Minds, Parts, Lies, tries, Dies, Stand. Now: Fleet, Config, Proxy, packet, transport, broadcast, ZonedFleet, Node, AnswerFunc, attempt, FailZone, RestoreZone, Verdict. Sizes and rates are named constants, the store is a named field in place of an embedded type, proxy names are parsed with their error looked at.

Each assertion stands as it did; renamed: TestShareKept is TestQuotaSumUnderRandomFaults, TestShareFollowsDemand TestQuotaFollowsDemand, TestShareCheckFires TestQuotaCheckFires, TestSpreads TestPropagationInLargeFleet, TestZoneDies TestZoneFailure, TestZoneCut TestZonePartition, TestZoneUnreached TestZoneUnreachableFromOthers, TestZonesKept TestMinorFaultsEvacuateNoZone.

No change of behaviour.

--- a/cmd/emulator/spread.go
+++ b/cmd/emulator/spread.go
@@ -38,8 +38,16 @@
 }
 
 func (c *spreadCommand) measure(size int) {
-	w := simnet.New(simnet.Terms{Proxies: size, Loss: c.Loss, Late: 1, Hold: replica.Second, Floor: 0.25, Quiet: true}, c.Seed)
-	delays := w.Spread(spreadTimeout)
+	config := simnet.Config{
+		Proxies:       size,
+		Loss:          c.Loss,
+		MaxDelaySteps: 1,
+		HoldTime:      replica.Second,
+		QuotaFloor:    0.25,
+		NoHeartbeats:  true,
+	}
+	fleet := simnet.NewFleet(config, c.Seed)
+	delays := fleet.MeasurePropagation(spreadTimeout)
 	receivers := size - 1 // all but the proxy that makes the change
 	// quantileMS is over all receivers; -1 says that the quantile is among those that were never reached.
 	quantileMS := func(quantile float64) replica.Time {
@@ -49,7 +57,7 @@
 		return -1
 	}
 	bytes := 0
-	for _, p := range w.Proxies {
+	for _, p := range fleet.Proxies {
 		bytes += p.Bytes
 	}
 	last := delays[len(delays)-1] / ticksPerMillisecond
