--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -1,6 +1,6 @@
 // Emulator runs scenarios of a deployment on loopback, with real proxies among simulated servers and clients, and
-// experiments that repeat scenarios over variants. It prints results on standard output; an error is one line on standard
-// error and exit status 1.
+// experiments that repeat scenarios over variants. It prints results on standard output; an error is one line on
+// standard error and exit status 1.
 package main
 
 import (
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -29,37 +29,39 @@
 
 // A difference is reported with its size where there is one, and only there; invalid rows are left out.
 func TestCompare(t *testing.T) {
-	tab := sampleTable()
-	invalid := tab.Rows[1]
+	table := sampleTable()
+	invalid := table.Rows[1]
 	invalid.Seed, invalid.Valid, invalid.Metrics = 99, false, map[string]float64{"p99_ms": 1e9}
-	tab.Rows = append(tab.Rows, invalid)
-	got, err := tab.Compare("p99_ms", "")
+	table.Rows = append(table.Rows, invalid)
+	got, err := table.Compare("p99_ms", "")
 	if err != nil || len(got) != 2 {
 		t.Fatal(got, err)
 	}
-	if d := got[0]; d.Variant != "same" || d.Significant() || !strings.Contains(d.String(), "no difference seen") || d.Pairs != 12 {
+	if d := got[0]; d.Variant != "same" || d.Significant() || d.Pairs != 12 ||
+		!strings.Contains(d.String(), "no difference seen") {
 		t.Error(d)
 	}
-	if d := got[1]; d.Variant != "more" || !d.Significant() || d.Low < 1.9 || d.High > 2.2 || !strings.Contains(d.String(), "differs") {
+	if d := got[1]; d.Variant != "more" || !d.Significant() || d.Low < 1.9 || d.High > 2.2 ||
+		!strings.Contains(d.String(), "differs") {
 		t.Error(d)
 	}
-	if again, _ := tab.Compare("p99_ms", ""); !reflect.DeepEqual(got, again) {
+	if again, _ := table.Compare("p99_ms", ""); !reflect.DeepEqual(got, again) {
 		t.Error("the same table says something else")
 	}
-	tab.Properties = append(tab.Properties, "variants=more|base|same")
-	if got := tab.Variants(); !reflect.DeepEqual(got, []string{"more", "base", "same"}) {
+	table.Properties = append(table.Properties, "variants=more|base|same")
+	if got := table.Variants(); !reflect.DeepEqual(got, []string{"more", "base", "same"}) {
 		t.Errorf("variants %v, not in the experiment's order", got)
 	}
-	if back, _ := tab.Compare("p99_ms", ""); back[0].Variant != "base" || back[0].High > -1.9 {
+	if back, _ := table.Compare("p99_ms", ""); back[0].Variant != "base" || back[0].High > -1.9 {
 		t.Error(back)
 	}
-	tab.Properties = tab.Properties[:2]
-	tab.Rows = tab.Rows[:15]
-	if few, _ := tab.Compare("p99_ms", ""); !strings.Contains(few[0].String(), "too few") {
+	table.Properties = table.Properties[:2]
+	table.Rows = table.Rows[:15]
+	if few, _ := table.Compare("p99_ms", ""); !strings.Contains(few[0].String(), "too few") {
 		t.Error(few)
 	}
 	for _, bad := range []struct{ metric, base string }{{"p98_ms", ""}, {"p99_ms", "nobody"}} {
-		if _, err := tab.Compare(bad.metric, bad.base); err == nil {
+		if _, err := table.Compare(bad.metric, bad.base); err == nil {
 			t.Errorf("%+v: no error", bad)
 		}
 	}
@@ -90,7 +92,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			file := filepath.Join(t.TempDir(), "bad.tsv")
 			writeFile(t, file, strings.Replace(string(text), test.from, test.to, 1))
-			if _, err := ReadTable(file); err == nil || !strings.Contains(err.Error(), test.want) || !strings.Contains(err.Error(), file) {
+			_, err := ReadTable(file)
+			if err == nil || !strings.Contains(err.Error(), test.want) || !strings.Contains(err.Error(), file) {
 				t.Errorf("%v, want %q", err, test.want)
 			}
 		})
@@ -172,7 +175,8 @@
 // A table names the commit that produced it, in one word.
 func TestBuildCommit(t *testing.T) {
 	property := buildCommit()
-	if name, commit, ok := strings.Cut(property, "="); !ok || name != "commit" || commit == "" || strings.ContainsAny(property, " \t\n") {
+	name, commit, ok := strings.Cut(property, "=")
+	if !ok || name != "commit" || commit == "" || strings.ContainsAny(property, " \t\n") {
 		t.Errorf("%q", property)
 	}
 }
--- a/internal/experiment/summary.go
+++ b/internal/experiment/summary.go
@@ -145,7 +145,12 @@
 	outcomes.divide(max(waited, 1))
 	s.ValueEarned = earned / max(total, 1e-9)
 	quantile := func(percent float64) float64 { return float64(histogram.ValueAtQuantile(percent)) / 1000 }
-	s.LatencyMS = LatencyQuantiles{P50: quantile(50), P90: quantile(90), P99: quantile(99), Max: float64(histogram.Max()) / 1000}
+	s.LatencyMS = LatencyQuantiles{
+		P50: quantile(50),
+		P90: quantile(90),
+		P99: quantile(99),
+		Max: float64(histogram.Max()) / 1000,
+	}
 }
 
 func (f *OutcomeFractions) divide(by float64) {
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -128,7 +128,8 @@
 		return fmt.Errorf("of version %s, and not %s", version, tableVersion)
 	}
 	columns, known := lines[1], append(slices.Clone(runColumns), metricNames()...)
-	if len(columns) < len(runColumns)+minMetricColumns || len(columns) > len(known) || !slices.Equal(columns, known[:len(columns)]) {
+	if len(columns) < len(runColumns)+minMetricColumns || len(columns) > len(known) ||
+		!slices.Equal(columns, known[:len(columns)]) {
 		return errors.New("line 2: other columns")
 	}
 	return nil
--- a/internal/simnet/fleet.go
+++ b/internal/simnet/fleet.go
@@ -24,12 +24,12 @@
 // Config describes a fleet and its network.
 type Config struct {
 	Proxies       int
-	StatedProxies int     // fleet size that proxies are configured with; 0: Proxies
-	Loss          float64 // probability that a datagram is lost
-	Duplication   float64 // probability that a datagram is delivered twice
-	MaxDelaySteps int     // of a datagram, in steps; at least 1
-	QuotaFloor    float64 // see replica.Terms
-	HoldTime      replica.Time
+	StatedProxies int                                       // fleet size that proxies are configured with; 0: Proxies
+	Loss          float64                                   // probability that a datagram is lost
+	Duplication   float64                                   // probability that a datagram is delivered twice
+	MaxDelaySteps int                                       // of a datagram, in steps; at least 1
+	QuotaFloor    float64                                   // fraction of an even quota that a proxy keeps while it is not seen
+	HoldTime      replica.Time                              // after which the quota of a departed proxy is taken over
 	NoHeartbeats  bool                                      // proxies do not announce that they are alive
 	ClockSkew     replica.Time                              // the most by which a proxy's clock is ahead of simulated time
 	ZoneOf        func(proxy int) string                    // name of the zone of a proxy; nil: no zones
--- a/internal/simnet/zonedfleet_test.go
+++ b/internal/simnet/zonedfleet_test.go
@@ -180,7 +180,8 @@
 		z.RunTraffic(6*replica.Second, z.check) // by then the other proxies count as unreachable
 		for i := range z.Proxies {
 			if side(i) == 1 && (z.Verdict(i, 0).Epoch+z.Verdict(i, 1).Epoch > 0 || z.ServedFraction(i, 2) != 1) {
-				t.Errorf("n%d, cut off, has verdicts on the others: %+v, %+v, serves %v of its own zone", i, z.Verdict(i, 0), z.Verdict(i, 1), z.ServedFraction(i, 2))
+				t.Errorf("n%d, cut off, has verdicts on the others: %+v, %+v, serves %v of its own zone",
+					i, z.Verdict(i, 0), z.Verdict(i, 1), z.ServedFraction(i, 2))
 			}
 		}
 		z.LinkCut = nil
--- a/internal/testscript/words.go
+++ b/internal/testscript/words.go
@@ -36,8 +36,8 @@
 	return number
 }
 
-// Holds reports whether got stands in the relation op ("=", "<=" or ">=") to want. It panics on any other relation, since
-// that is an error in the script and not in what is tested.
+// Holds reports whether got stands in the relation op ("=", "<=" or ">=") to want. It panics on any other relation,
+// since that is an error in the script and not in what is tested.
 func Holds(got int, op string, want int) bool {
 	switch op {
 	case "=":
