negativecache: table of absent keys in terms of stripes, buckets, TTL and flushes

The table, its buckets and the time unit stood in one file, with names such as ways, groups, floor, lost, of, keep, put and once. What only the package itself calls is unexported (newTable, recordAbsent, recordPeerAbsent, serveUntil, flush, the counters, capacity).

No change of behaviour; the lookup is the same code under other names.

--- a/negativecache/instance.go
+++ b/negativecache/instance.go
@@ -131,7 +131,7 @@
 
 // New returns an instance and its table, which believes nothing yet.
 func New(now Time, t Terms) *Instance {
-	x := &Instance{Terms: t, Table: NewTable(t.Entries, t.Believe), now: now, writers: map[string]*writer{}, saidAt: now, parts: make([]part, t.Tenants+1)}
+	x := &Instance{Terms: t, Table: newTable(t.Entries, t.Believe), now: now, writers: map[string]*writer{}, saidAt: now, parts: make([]part, t.Tenants+1)}
 	for i := range x.parts {
 		x.parts[i] = part{x.most(), now}
 	}
@@ -170,7 +170,7 @@
 	p.tokens = min(p.tokens+float64(x.now-p.at)/float64(Second)*x.most(), x.most())
 	if p.at = x.now; p.tokens < 1 {
 		x.shown.Grown++
-	} else if x.Table.Absent(hash, k, x.now) {
+	} else if x.Table.recordAbsent(hash, k, x.now) {
 		p.tokens--
 		if len(x.absent) < 4*mostBatch {
 			x.absent = append(x.absent, hash)
@@ -245,7 +245,7 @@
 	}
 	for _, h := range w.Hashes {
 		// it was found out within the batch's time before it was said, and ages do not count the time on the way
-		if x.Table.Told(h, x.now-age-batchFor-transit, x.now) {
+		if x.Table.recordPeerAbsent(h, x.now-age-batchFor-transit, x.now) {
 			x.shown.Told++
 		} else {
 			x.shown.Refused++
@@ -329,7 +329,7 @@
 		x.hold, x.held = max(x.hold, until), true
 	}
 	if x.held && x.now >= x.hold {
-		x.Table.Clear(x.now)
+		x.Table.flush(x.now)
 		x.held = false
 	}
 	believes = believes && !x.held
@@ -338,16 +338,16 @@
 		x.log("missing keys believed %v: %d proxies, %d lacking words", believes, len(all), x.shown.Waits)
 	}
 	if believes {
-		x.Table.Believe(x.now + renewed)
+		x.Table.serveUntil(x.now + renewed)
 	} else {
-		x.Table.Believe(0)
+		x.Table.serveUntil(0)
 	}
 	return x.out
 }
 
 // forget clears the table: which keys were written since is not known.
 func (x *Instance) forget(why string) {
-	x.Table.Clear(x.now)
+	x.Table.flush(x.now)
 	x.absent = x.absent[:0]
 	if x.shown.Cleared++; x.shown.Cleared&(x.shown.Cleared-1) == 0 { // now and then
 		x.log("missing keys forgotten: %s (%d times by now)", why, x.shown.Cleared)
@@ -373,6 +373,6 @@
 // Shown is the figures by now.
 func (x *Instance) Shown() Figures {
 	f := x.shown
-	f.Hits, f.Put, f.Full, f.Room = x.Table.Hits.Load(), x.Table.Put.Load(), x.Table.Full.Load(), x.Table.Room()
+	f.Hits, f.Put, f.Full, f.Room = x.Table.hits.Load(), x.Table.stored.Load(), x.Table.rejectedFull.Load(), x.Table.capacity()
 	return f
 }
--- a/negativecache/missing_test.go
+++ b/negativecache/missing_test.go
@@ -13,12 +13,12 @@
 func hashOf(n int) uint64 { return uint64(n)*0x9e3779b97f4a7c15 ^ 0xabcdef }
 
 // learn has a table take a key as missing.
-func learn(t *Table, h uint64, now Time) bool { return t.Absent(h, t.Begin(h), now) }
+func learn(t *Table, h uint64, now Time) bool { return t.recordAbsent(h, t.Begin(h), now) }
 
 // A key is missing for as long as it may be believed, and never past a write.
 func TestTable(t *testing.T) {
-	x := NewTable(4096, 10*Second)
-	x.Believe(1000 * Second)
+	x := newTable(4096, 10*Second)
+	x.serveUntil(1000 * Second)
 	h := hashOf(1)
 	if !learn(x, h, Second) || !x.Has(h, Second) || x.Has(hashOf(2), Second) {
 		t.Error("not held")
@@ -29,38 +29,38 @@
 	learn(x, h, 12*Second)
 	out := x.Begin(h) // a look-up is out as the write passes
 	x.Wrote(h, 13*Second)
-	if x.Has(h, 13*Second) || x.Absent(h, out, 14*Second) || x.Has(h, 14*Second) {
+	if x.Has(h, 13*Second) || x.recordAbsent(h, out, 14*Second) || x.Has(h, 14*Second) {
 		t.Error("missing past a write")
 	}
 	// one that begins after it may still be answered before the write is carried out
-	if learn(x, h, 15*Second) || x.Told(h, 15*Second, 15*Second) || x.Has(h, 15*Second) {
+	if learn(x, h, 15*Second) || x.recordPeerAbsent(h, 15*Second, 15*Second) || x.Has(h, 15*Second) {
 		t.Error("learnt again while the write may be under way")
 	}
 	if !learn(x, h, 24*Second) || !x.Has(h, 24*Second) {
 		t.Error("not learnt again after that")
 	}
-	x.Believe(24 * Second)
+	x.serveUntil(24 * Second)
 	if x.Has(h, 24*Second) {
 		t.Error("believed past the time that was said")
 	}
-	x.Believe(1000 * Second)
+	x.serveUntil(1000 * Second)
 	k := x.Begin(h)
-	if x.Clear(25 * Second); x.Has(h, 25*Second) || x.Absent(h, k, 25*Second) || x.Told(h, 25*Second, 25*Second) {
+	if x.flush(25 * Second); x.Has(h, 25*Second) || x.recordAbsent(h, k, 25*Second) || x.recordPeerAbsent(h, 25*Second, 25*Second) {
 		t.Error("there after all was forgotten")
 	}
 }
 
 // Keys that never come again push out none that came again, and memory does not grow; writes that are pushed out leave nothing stale.
 func TestScan(t *testing.T) {
-	x := NewTable(4096, 100*Second)
-	x.Believe(10000 * Second)
+	x := newTable(4096, 100*Second)
+	x.serveUntil(10000 * Second)
 	for i := range 500 {
 		learn(x, hashOf(i), Second)
 		x.Has(hashOf(i), Second)
 	}
 	for i := range 1 << 18 {
 		h := hashOf(1000 + i)
-		x.Absent(h, x.Begin(h), 2*Second)
+		x.recordAbsent(h, x.Begin(h), 2*Second)
 	}
 	held := 0
 	for i := range 500 {
@@ -75,7 +75,7 @@
 		x.Wrote(hashOf(1<<20+i), 3*Second)
 	}
 	for i := range 1 << 16 {
-		if h := hashOf(1<<20 + i); x.Told(h, 4*Second, 5*Second) || learn(x, h, 5*Second) {
+		if h := hashOf(1<<20 + i); x.recordPeerAbsent(h, 4*Second, 5*Second) || learn(x, h, 5*Second) {
 			t.Fatalf("key %d is missing two seconds after it was written", i)
 		}
 	}
@@ -414,8 +414,8 @@
 
 // Look-ups and writes come on any goroutine; the race detector looks on.
 func TestMany(t *testing.T) {
-	x := NewTable(4096, 10*Second)
-	x.Believe(1000 * Second)
+	x := newTable(4096, 10*Second)
+	x.serveUntil(1000 * Second)
 	var all sync.WaitGroup
 	for k := range 8 {
 		all.Add(1)
@@ -429,10 +429,10 @@
 				case 1:
 					learn(x, h, Time(i))
 				case 2:
-					x.Told(h, Time(i), Time(i))
+					x.recordPeerAbsent(h, Time(i), Time(i))
 				case 3:
 					if i%1000 == 3 {
-						x.Clear(Time(i))
+						x.flush(Time(i))
 					}
 				default:
 					x.Has(h, Time(i))
@@ -460,8 +460,8 @@
 }
 
 func bench(b *testing.B, entries int, hit bool) {
-	x := NewTable(entries, 1000*Second)
-	x.Believe(1000 * Second)
+	x := newTable(entries, 1000*Second)
+	x.serveUntil(1000 * Second)
 	for i := range entries / 2 {
 		learn(x, hashOf(i), Second)
 	}
--- a/negativecache/table.go
+++ b/negativecache/table.go
@@ -1,10 +1,3 @@
-// Package negativecache decides for which keys a proxy may say by itself that the origin has none, by what it and its peers heard from the
-// origin. A Table answers look-ups and takes writes on whatever goroutine they come; an Instance (one goroutine's) decides what of
-// what peers say is believed, and what is told to them. An entry is believed for a stated time after the origin's word, only while
-// all proxies that may write are heard, and never past a write that this proxy knows of. Same inputs, same output. No I/O in here.
-//
-// Locks: each bucket group of a Table has one, under which nothing is called and no other is taken; the counters are atomic. An
-// Instance has none.
 package negativecache
 
 import (
@@ -12,225 +5,188 @@
 	"sync/atomic"
 )
 
-// Time counts tenths of a millisecond on the caller's own clock; spans use it too.
-type Time int64
+// stripeCount is the number of lock stripes of a table. A hash selects its stripe by its highest 8 bits.
+const stripeCount = 256
 
-// Second is one in the module's time.
-const Second = Time(10000)
-
-const (
-	ways   = 8   // entries of a bucket
-	groups = 256 // locks
-)
-
-// entry is a key that is missing, or that was written lately, by a 64-bit hash. Two keys share one by a chance of 2^-64 for each
-// entry that is held: a million entries answer wrongly for one look-up in 1.8e13.
-type entry struct {
-	hash    uint64 // 0: free
-	at      Time   // of the origin's word, or of the write
-	written bool
-	once    bool // nobody has asked for it here since that word: it may be one of a scan, and pushes out none that was
-}
-
-type bucket struct {
-	entries [ways]entry
-	floor   Time   // what others found out by then is not held: all was forgotten,
-	lost    Time   // or a write of then is no longer known
-	writes  uint32 // counted
-}
-
-type group struct {
-	sync.Mutex
+// stripe is a part of a table with a lock of its own.
+type stripe struct {
+	mutex   sync.Mutex
 	buckets []bucket
-	_       [64]byte // groups share no line of the processor's cache
+	_       [64]byte // padding, so that no two stripes share a cache line
 }
 
-// Table holds what is missing. It takes a fixed room from the start on.
+// Table holds the keys that are absent at the origin, and those that were written recently. Its memory is allocated
+// at the start and does not grow. Its methods may be called from any goroutine.
 type Table struct {
-	groups  [groups]group
-	mask    uint64
-	believe Time
-	until   atomic.Int64 // entries may be believed until then
-	epoch   atomic.Uint64
-	Hits    atomic.Int64 // look-ups that were answered
-	Put     atomic.Int64 // entries taken
-	Full    atomic.Int64 // entries that found no place
+	stripes      [stripeCount]stripe
+	bucketMask   uint64
+	ttl          Time          // of absent keys; a write may reach the origin for as long
+	servingUntil atomic.Int64  // lookups find nothing from this instant on, a Time
+	flushes      atomic.Uint64 // number of flushes
+	hits         atomic.Int64  // lookups that found an absent key
+	stored       atomic.Int64  // absent keys that were stored
+	rejectedFull atomic.Int64  // absent keys that were not stored, for want of a slot
 }
 
-// NewTable returns one with room for so many entries, 2,048 at least; an entry is believed for so long.
-func NewTable(entries int, believe Time) *Table {
-	t := &Table{believe: believe}
-	per := 1
-	for per*groups*ways < entries {
-		per *= 2
+// newTable returns a table with a capacity of at least the given number of entries, and of at least 2,048. It serves
+// nothing until it is told to by serveUntil.
+func newTable(entries int, ttl Time) *Table {
+	bucketsPerStripe := 1
+	for bucketsPerStripe*stripeCount*bucketSlots < entries {
+		bucketsPerStripe *= 2
 	}
-	t.mask = uint64(per - 1)
-	for i := range t.groups {
-		t.groups[i].buckets = make([]bucket, per)
+	t := &Table{ttl: ttl, bucketMask: uint64(bucketsPerStripe - 1)}
+	for i := range t.stripes {
+		t.stripes[i].buckets = make([]bucket, bucketsPerStripe)
 	}
 	return t
 }
 
-// Room is how many entries there may be.
-func (t *Table) Room() int { return int(t.mask+1) * groups * ways }
+// capacity returns the number of entries that the table can hold.
+func (t *Table) capacity() int { return int(t.bucketMask+1) * stripeCount * bucketSlots }
 
-// of is where a hash lies. Its group is by the highest bits, its bucket by the next.
-func (t *Table) of(hash uint64) (*group, *bucket) {
-	g := &t.groups[hash>>56]
-	return g, &g.buckets[hash>>24&t.mask]
+// locate returns the stripe and the bucket of a hash.
+func (t *Table) locate(hash uint64) (*stripe, *bucket) {
+	s := &t.stripes[hash>>56]
+	return s, &s.buckets[hash>>24&t.bucketMask]
 }
 
-// keep makes a hash of which 0 is none.
-func keep(hash uint64) uint64 { return max(hash, 1) }
+// nonZero returns a hash that is told apart from that of a free slot.
+func nonZero(hash uint64) uint64 { return max(hash, 1) }
 
-// Has tells whether a key is known to be missing by now.
+// Has reports whether a key is known to be absent at the origin.
 func (t *Table) Has(hash uint64, now Time) bool {
-	if int64(now) >= t.until.Load() {
+	if int64(now) >= t.servingUntil.Load() {
 		return false
 	}
-	hash = keep(hash)
-	g, b := t.of(hash)
-	g.Lock()
+	hash = nonZero(hash)
+	s, b := t.locate(hash)
+	s.mutex.Lock()
 	found := false
 	for i := range b.entries {
 		if e := &b.entries[i]; e.hash == hash {
-			if found = !e.written && now-e.at < t.believe && now >= e.at; found {
-				e.once = false
+			if found = !e.written && now-e.at < t.ttl && now >= e.at; found {
+				e.unread = false
 			}
 			break
 		}
 	}
-	g.Unlock()
+	s.mutex.Unlock()
 	if found {
-		t.Hits.Add(1)
+		t.hits.Add(1)
 	}
 	return found
 }
 
-// Ticket is what a look-up at the origin begins with.
+// Ticket identifies the state of the table when a fetch from the origin began. The zero value belongs to no fetch.
 type Ticket struct {
-	epoch  uint64
-	writes uint32
+	flushes uint64
+	writes  uint32
 }
 
-// Begin notes that the origin is about to be asked for a key.
+// Begin notes that a fetch of a key from the origin is about to begin. If the origin reports the key absent, the
+// result goes with that report.
 func (t *Table) Begin(hash uint64) Ticket {
-	g, b := t.of(keep(hash))
-	g.Lock()
-	k := Ticket{t.epoch.Load(), b.writes}
-	g.Unlock()
-	return k
+	s, b := t.locate(nonZero(hash))
+	s.mutex.Lock()
+	token := Ticket{t.flushes.Load(), b.writes}
+	s.mutex.Unlock()
+	return token
 }
 
-// Absent takes the origin's word that it has no such key. It is not held if a write of this or, rarely, another key passed since
-// the ticket, or one of this key is known that is no older than an entry lives: the origin may carry it out after it looked. It tells whether the word is worth telling others.
-func (t *Table) Absent(hash uint64, k Ticket, now Time) bool {
-	hash = keep(hash)
-	g, b := t.of(hash)
-	g.Lock()
-	defer g.Unlock()
-	if k.epoch != t.epoch.Load() || k.writes != b.writes || b.written(hash, now-t.believe) {
+// recordAbsent stores a key that a fetch found absent at the origin, and reports whether it did; then the key is worth
+// reporting to other proxies. The key is not stored if the table was flushed since the fetch began, if this key or
+// another of its bucket was written since, or if this key was written within the TTL: the origin may apply a write
+// after it was asked.
+func (t *Table) recordAbsent(hash uint64, token Ticket, now Time) bool {
+	hash = nonZero(hash)
+	s, b := t.locate(hash)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if token.flushes != t.flushes.Load() || token.writes != b.writes || b.maybeWritten(hash, now-t.ttl) {
 		return false
 	}
-	return t.put(b, entry{hash: hash, at: now, once: true}, now)
+	return t.store(b, entry{hash: hash, at: now, unread: true}, now)
 }
 
-// Told takes a peer's word that the origin had no such key at a time, with the same exceptions.
-func (t *Table) Told(hash uint64, at, now Time) bool {
-	hash = keep(hash)
-	g, b := t.of(hash)
-	g.Lock()
-	defer g.Unlock()
-	if at <= b.floor || b.written(hash, now-t.believe) {
+// recordPeerAbsent stores a key that another proxy found absent at an instant, and reports whether it did. The key is
+// not stored if the table was flushed at or after that instant, or if the key was written within the TTL.
+func (t *Table) recordPeerAbsent(hash uint64, at, now Time) bool {
+	hash = nonZero(hash)
+	s, b := t.locate(hash)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if at <= b.flushedAt || b.maybeWritten(hash, now-t.ttl) {
 		return false
 	}
-	return t.put(b, entry{hash: hash, at: at, once: true}, now)
+	return t.store(b, entry{hash: hash, at: at, unread: true}, now)
 }
 
-// Wrote takes a write of a key: by now nobody may call it missing, and no look-up that is out may.
+// Wrote records that a key is being written. From now on the key is not served as absent, and it is not stored as
+// absent by a fetch that has already begun, nor by any other within the TTL.
 func (t *Table) Wrote(hash uint64, now Time) {
-	hash = keep(hash)
-	g, b := t.of(hash)
-	g.Lock()
+	hash = nonZero(hash)
+	s, b := t.locate(hash)
+	s.mutex.Lock()
 	b.writes++
-	t.put(b, entry{hash: hash, at: now, written: true}, now)
-	g.Unlock()
+	t.store(b, entry{hash: hash, at: now, written: true}, now)
+	s.mutex.Unlock()
 }
 
-// written tells whether a key was written since a time, or may have been: a write may be carried out for as long as an entry lives,
-// whatever came of it, and until then nothing that the origin says of that key is held.
-func (b *bucket) written(hash uint64, since Time) bool {
-	if b.lost != 0 && b.lost > since {
-		return true
-	}
+// store puts an entry into a slot of a bucket and reports whether it did. It takes the slot of the same key, else a
+// free or expired one, else that of the oldest unread entry. If there is none of these, a write evicts the oldest
+// entry of all and an absent key is rejected. The caller holds the lock of the bucket's stripe.
+func (t *Table) store(b *bucket, e entry, now Time) bool {
+	slot, oldest, oldestUnread := noSlot, noSlot, noSlot
 	for i := range b.entries {
-		if e := &b.entries[i]; e.hash == hash && e.written && e.at > since {
-			return true
-		}
-	}
-	return false
-}
-
-// put holds an entry in the place of the same key's, of a free or a lapsed one, or of the oldest that nobody has asked for; a write
-// finds one in any case.
-func (t *Table) put(b *bucket, e entry, now Time) bool {
-	at, oldest, idle := -1, -1, -1
-	for i := range b.entries {
-		o := &b.entries[i]
+		current := &b.entries[i]
 		switch {
-		case o.hash == e.hash:
-			if !e.written && !o.written && o.at >= e.at {
-				return false // what is held is as new
+		case current.hash == e.hash:
+			if !e.written && !current.written && current.at >= e.at {
+				return false // the stored entry is at least as recent
 			}
-			e.once = e.once && (o.once || o.written)
-			at = i
-		case at >= 0 && b.entries[at].hash == e.hash:
-		case o.hash == 0 || now-o.at >= t.believe:
-			at = i
+			e.unread = e.unread && (current.unread || current.written)
+			slot = i
+		case slot != noSlot && b.entries[slot].hash == e.hash: // the key's own slot precedes a free one
+		case current.hash == 0 || now-current.at >= t.ttl:
+			slot = i
 		}
-		if oldest < 0 || o.at < b.entries[oldest].at {
+		if oldest == noSlot || current.at < b.entries[oldest].at {
 			oldest = i
 		}
-		if o.once && (idle < 0 || o.at < b.entries[idle].at) {
-			idle = i
+		if current.unread && (oldestUnread == noSlot || current.at < b.entries[oldestUnread].at) {
+			oldestUnread = i
 		}
 	}
-	if at < 0 {
-		if at = idle; at < 0 && !e.written {
-			t.Full.Add(1)
-			return false
-		} else if at < 0 {
-			at = oldest
-		}
-		if b.entries[at].written {
-			b.lost = max(b.lost, b.entries[at].at)
-		}
+	switch {
+	case slot != noSlot:
+		b.entries[slot] = e
+	case oldestUnread != noSlot:
+		b.replace(oldestUnread, e)
+	case e.written:
+		b.replace(oldest, e)
+	default:
+		t.rejectedFull.Add(1)
+		return false
 	}
-	b.entries[at] = e
 	if !e.written {
-		t.Put.Add(1)
+		t.stored.Add(1)
 	}
 	return true
 }
 
-// Believe says until when entries may be believed, a time that has passed: not now.
-func (t *Table) Believe(until Time) { t.until.Store(int64(until)) }
-
-// Clear forgets all that is missing; look-ups that are out put nothing back.
-func (t *Table) Clear(now Time) {
-	t.epoch.Add(1)
-	for i := range t.groups {
-		g := &t.groups[i]
-		g.Lock()
-		for k := range g.buckets {
-			b := &g.buckets[k]
-			for n := range b.entries {
-				if !b.entries[n].written {
-					b.entries[n] = entry{}
-				}
-			}
-			b.floor = now
+// serveUntil has absent keys served until an instant. An instant that has passed stops it at once.
+func (t *Table) serveUntil(until Time) { t.servingUntil.Store(int64(until)) }
+
+// flush removes all absent keys. A fetch that has already begun stores none.
+func (t *Table) flush(now Time) {
+	t.flushes.Add(1)
+	for i := range t.stripes {
+		s := &t.stripes[i]
+		s.mutex.Lock()
+		for k := range s.buckets {
+			s.buckets[k].flush(now)
 		}
-		g.Unlock()
+		s.mutex.Unlock()
 	}
 }
