negativecache: settings, reports, decisions and statistics in files of their own

They stood above the decision code in one file, with comments such as "what goes round". Each is in a file named after it, with units, ranges and meaning of each field; the limits of a report are named constants with their reason. Statistics fields that only this package reads have the field's terms (AwaitedProxies, PeerEntries, RejectedFromPeers, GrowthLimited, RejectedFull, Capacity); their JSON keys are as they were, and so is the text of the error on peers.

No change of behaviour.

--- a/negativecache/instance.go
+++ b/negativecache/instance.go
@@ -1,47 +1,12 @@
 package negativecache
 
-import (
-	"fmt"
-
-	"woodproxy/internal/configfile"
-)
-
-// Terms is what an instance is told at its start.
-type Terms struct {
-	Me      string
-	Entries int
-	Believe Time // an entry lives so long after the origin's word
-	Grace   Time // for what a writer says it wrote and nobody passed on yet
-	Grow    int  // own entries a second at most, lest an origin that says so of all keys for a moment fills the table
-	Tenants int  // whose exchanges share that evenly, so that none takes over more than its part; 0: there are none
-}
-
-// RangeError tells of a figure that is out of its range.
-type RangeError = configfile.RangeError
-
-// AloneError tells that nobody would hear of writes.
-type AloneError struct {
-	File    string
-	Proxies int
-}
-
-func (e *AloneError) Error() string {
-	return fmt.Sprintf("%s: %d proxies may write, and they do not talk; name a file of peers as well (--peers FILE), or leave the file of missing keys out", e.File, e.Proxies)
-}
-
-// Check tells whether terms can be kept to.
-func (t *Terms) Check() error {
-	return configfile.Check(configfile.Range("entries", float64(t.Entries), 1, 1<<22), configfile.Range("believe_s", float64(t.Believe)/float64(Second), 0.5, 600),
-		configfile.Range("grace_ms", float64(t.Grace)/10, 100, 60000), configfile.Range("grow_per_s", float64(t.Grow), 1, 1e6))
-}
+import "fmt"
 
 const (
-	mostBatch = 100         // keys in one word to others
-	slots     = 64          // words of each kind that each proxy's peers hold of it; a later one takes the place of the one so many before
-	batchFor  = Second / 20 // what comes within is told together
-	renewed   = Second / 2  // how long Fleet's word is good for
-	transit   = Second / 2  // that a word is on its way at most, between those who hold it
-	settles   = Second      // in which what lies unread after a process stood still is read
+	batchFor = Second / 20 // what comes within is told together
+	renewed  = Second / 2  // how long Fleet's word is good for
+	transit  = Second / 2  // that a word is on its way at most, between those who hold it
+	settles  = Second      // in which what lies unread after a process stood still is read
 )
 
 // Proxy is one that may write.
@@ -53,43 +18,6 @@
 	Epoch int64 // its incarnation
 }
 
-// Word is what goes round: keys that were written, or that are missing.
-type Word struct {
-	Seq    int64    `msgpack:"q,omitempty"` // of a writer's words, from 1 on
-	Hashes []uint64 `msgpack:"h"`
-}
-
-// Act names what a Decision asks the caller to do.
-type Act uint8
-
-const (
-	SayWrote  Act = iota // Word to all, in a slot
-	SayAbsent            // the same
-	Log                  // Text
-)
-
-// Decision is one thing for the caller to do, in order.
-type Decision struct {
-	Act  Act
-	Slot int
-	Word Word
-	Text string
-}
-
-// Figures are for operators.
-type Figures struct {
-	Believes bool  `json:"believes"` // entries are believed by now
-	Waits    int   `json:"waits"`    // proxies of which words on writes are missing by now
-	Cleared  int64 `json:"cleared"`  // times that all was forgotten
-	Told     int64 `json:"told"`     // entries that others told of
-	Refused  int64 `json:"refused"`  // of these, such that were not believed
-	Grown    int64 `json:"grown"`    // own entries that were over the stated growth
-	Hits     int64 `json:"hits"`
-	Put      int64 `json:"put"`
-	Full     int64 `json:"full"`
-	Room     int   `json:"room"`
-}
-
 // Instance decides for one proxy.
 type Instance struct {
 	Terms
@@ -151,7 +79,7 @@
 func (x *Instance) Wrote(now Time, hash uint64) []Decision {
 	x.begin(now)
 	x.wrote = append(x.wrote, hash)
-	if len(x.wrote) >= mostBatch {
+	if len(x.wrote) >= maxReportKeys {
 		x.tell()
 	}
 	return x.out
@@ -169,10 +97,10 @@
 	}
 	p.tokens = min(p.tokens+float64(x.now-p.at)/float64(Second)*x.most(), x.most())
 	if p.at = x.now; p.tokens < 1 {
-		x.shown.Grown++
+		x.shown.GrowthLimited++
 	} else if x.Table.recordAbsent(hash, k, x.now) {
 		p.tokens--
-		if len(x.absent) < 4*mostBatch {
+		if len(x.absent) < 4*maxReportKeys {
 			x.absent = append(x.absent, hash)
 		}
 	}
@@ -182,14 +110,14 @@
 // tell gives out what was written, and then what is missing.
 func (x *Instance) tell() {
 	for len(x.wrote) > 0 {
-		n := min(len(x.wrote), mostBatch)
+		n := min(len(x.wrote), maxReportKeys)
 		x.seq++
-		x.out = append(x.out, Decision{Act: SayWrote, Slot: int(x.seq % slots), Word: Word{Seq: x.seq, Hashes: append([]uint64(nil), x.wrote[:n]...)}})
+		x.out = append(x.out, Decision{Act: SayWrote, Slot: int(x.seq % reportSlots), Word: Word{Seq: x.seq, Hashes: append([]uint64(nil), x.wrote[:n]...)}})
 		x.wrote = x.wrote[n:]
 	}
-	for n := min(len(x.absent), mostBatch); n > 0; n = 0 {
+	for n := min(len(x.absent), maxReportKeys); n > 0; n = 0 {
 		x.told++
-		x.out = append(x.out, Decision{Act: SayAbsent, Slot: x.told % slots, Word: Word{Hashes: append([]uint64(nil), x.absent[:n]...)}})
+		x.out = append(x.out, Decision{Act: SayAbsent, Slot: x.told % reportSlots, Word: Word{Hashes: append([]uint64(nil), x.absent[:n]...)}})
 		x.absent = x.absent[n:]
 	}
 	x.saidAt = x.now
@@ -198,8 +126,8 @@
 // HeardWrote takes a word of another proxy's on what it wrote.
 func (x *Instance) HeardWrote(now Time, from string, epoch int64, w Word) []Decision {
 	x.begin(now)
-	if w.Seq < 1 || len(w.Hashes) > mostBatch || from == x.Me {
-		x.shown.Refused++
+	if w.Seq < 1 || len(w.Hashes) > maxReportKeys || from == x.Me {
+		x.shown.RejectedFromPeers++
 		return x.out
 	}
 	for _, h := range w.Hashes {
@@ -212,7 +140,7 @@
 		}
 		x.anew(p, epoch)
 	}
-	if w.Seq > p.have && len(p.ahead) < 4*slots {
+	if w.Seq > p.have && len(p.ahead) < 4*reportSlots {
 		p.ahead[w.Seq] = true
 	}
 	for p.ahead[p.have+1] {
@@ -239,16 +167,16 @@
 // HeardAbsent takes a word of another's on what the origin lacks, and how long ago it was said.
 func (x *Instance) HeardAbsent(now Time, from string, w Word, age Time) []Decision {
 	x.begin(now)
-	if len(w.Hashes) > mostBatch || age < 0 || from == x.Me || x.now < x.deaf {
-		x.shown.Refused++
+	if len(w.Hashes) > maxReportKeys || age < 0 || from == x.Me || x.now < x.deaf {
+		x.shown.RejectedFromPeers++
 		return x.out
 	}
 	for _, h := range w.Hashes {
 		// it was found out within the batch's time before it was said, and ages do not count the time on the way
 		if x.Table.recordPeerAbsent(h, x.now-age-batchFor-transit, x.now) {
-			x.shown.Told++
+			x.shown.PeerEntries++
 		} else {
-			x.shown.Refused++
+			x.shown.RejectedFromPeers++
 		}
 	}
 	return x.out
@@ -263,7 +191,7 @@
 func (x *Instance) Fleet(now Time, all []Proxy, stated int, behind bool) []Decision {
 	x.begin(now)
 	believes := !behind && len(all) >= stated
-	x.shown.Waits = 0
+	x.shown.AwaitedProxies = 0
 	known := make(map[string]bool, len(all))
 	forget, until := "", Time(0)
 	for i := range all {
@@ -302,7 +230,7 @@
 			continue
 		}
 		believes = believes && !p.away
-		if x.shown.Waits++; p.since == 0 {
+		if x.shown.AwaitedProxies++; p.since == 0 {
 			p.since = max(x.now, 1)
 		} else if x.now-p.since >= x.Grace {
 			forget = fmt.Sprintf("%d of %s's words on writes never came", p.said-p.have, q.Name)
@@ -335,7 +263,7 @@
 	believes = believes && !x.held
 	if x.shown.Believes = believes; believes != x.was {
 		x.was = believes
-		x.log("missing keys believed %v: %d proxies, %d lacking words", believes, len(all), x.shown.Waits)
+		x.log("missing keys believed %v: %d proxies, %d lacking words", believes, len(all), x.shown.AwaitedProxies)
 	}
 	if believes {
 		x.Table.serveUntil(x.now + renewed)
@@ -373,6 +301,6 @@
 // Shown is the figures by now.
 func (x *Instance) Shown() Figures {
 	f := x.shown
-	f.Hits, f.Put, f.Full, f.Room = x.Table.hits.Load(), x.Table.stored.Load(), x.Table.rejectedFull.Load(), x.Table.capacity()
+	f.Hits, f.Put, f.RejectedFull, f.Capacity = x.Table.hits.Load(), x.Table.stored.Load(), x.Table.rejectedFull.Load(), x.Table.capacity()
 	return f
 }
--- a/negativecache/missing_test.go
+++ b/negativecache/missing_test.go
@@ -314,7 +314,7 @@
 	for i := range 4000 {
 		x.Learned(Time(i)*5, hashOf(i), x.Begin(hashOf(i)), -1)
 	}
-	if f := x.Shown(); f.Put > 50+2*50+1 || f.Put < 100 || f.Grown == 0 {
+	if f := x.Shown(); f.Put > 50+2*50+1 || f.Put < 100 || f.GrowthLimited == 0 {
 		t.Errorf("%+v", f)
 	}
 	x.Fleet(2*Second, []Proxy{{Name: "n1", Here: true}}, 1, false)
@@ -393,7 +393,7 @@
 	if fleet(9*Second, 3, 2); !x.Shown().Believes {
 		t.Error("not believed after that")
 	}
-	if fleet(10*Second, 4, 2); x.Shown().Waits != 1 {
+	if fleet(10*Second, 4, 2); x.Shown().AwaitedProxies != 1 {
 		t.Errorf("one more is missing: %+v", x.Shown())
 	}
 }
