negativecache: the cache decides by parts: outbox, growth limit, writers, fleet review, hold

Instance kept keys to report, token buckets, the sequence of each proxy's reports, the comparison with the fleet and the wait after a flush in one type and file, in fields such as behind, deaf, held, was, parts and told, and one method of 85 lines judged all proxies. Each concern is a type with its own state now: outbox (keys to report), growthLimiter (a token bucket a tenant), writer and writerSet (which write reports arrived), fleetReview (what the fleet update means, a step for each case), flushHold (until when unreported writes may be applied). cache.go is the thin whole. The table and the settings are fields and no longer embedded, so that the cache does not have the table's methods as well.

Gone: the log text for a proxy that "has begun anew". It was always overwritten by that of a proxy that was met, since a restart resets that; the reason is "was discovered or restarted" now. Log texts are in terms of the field.

No change of behaviour.

--- a/negativecache/missing_test.go
+++ b/negativecache/missing_test.go
@@ -152,10 +152,10 @@
 		switch d.Act {
 		case SayWrote:
 			key = fmt.Sprint("w", d.Slot)
-			give = func(to *one, _ Time) { to.HeardWrote(g.now, o.Me, epoch, d.Word) }
+			give = func(to *one, _ Time) { to.HeardWrote(g.now, o.settings.Me, epoch, d.Word) }
 		case SayAbsent:
 			key = fmt.Sprint("a", d.Slot)
-			give = func(to *one, age Time) { to.HeardAbsent(g.now, o.Me, d.Word, age) }
+			give = func(to *one, age Time) { to.HeardAbsent(g.now, o.settings.Me, d.Word, age) }
 		default:
 			continue
 		}
@@ -167,14 +167,14 @@
 // ask looks a key up through a proxy.
 func (g *rig) ask(i, key int) {
 	o, h := g.all[i], hashOf(key)
-	if o.Has(h, g.now) {
+	if o.Table.Has(h, g.now) {
 		g.hits++
 		if at, ok := g.exists[key]; ok {
 			g.worst = max(g.worst, g.now-at)
 		}
 		return
 	}
-	k := o.Begin(h)
+	k := o.Table.Begin(h)
 	g.asked++
 	looks := g.now + stepFor*Time(g.r.IntN(3))
 	back := looks + stepFor*Time(1+g.r.IntN(3))
@@ -232,7 +232,7 @@
 					sent = 0
 				}
 				g.send(i, func(to *one) {
-					to.pulses[o.Me], to.wrote[o.Me], to.epochs[o.Me] = g.now, max(to.wrote[o.Me], sent), epoch
+					to.pulses[o.settings.Me], to.wrote[o.settings.Me], to.epochs[o.settings.Me] = g.now, max(to.wrote[o.settings.Me], sent), epoch
 				})
 				if k := g.r.IntN(len(g.all)); k != i && !g.all[k].still && (g.cut == nil || !g.cut(i, k)) {
 					for key, give := range g.all[k].slots {
@@ -243,7 +243,7 @@
 			if (g.now/stepFor)%4 == 0 {
 				var fleet []Proxy
 				for _, p := range g.all {
-					fleet = append(fleet, Proxy{Name: p.Me, Here: p == o || g.now-o.pulses[p.Me] < here || g.plant == "deaf", Wrote: o.wrote[p.Me], Epoch: o.epochs[p.Me]})
+					fleet = append(fleet, Proxy{Name: p.settings.Me, Here: p == o || g.now-o.pulses[p.settings.Me] < here || g.plant == "deaf", Wrote: o.wrote[p.settings.Me], Epoch: o.epochs[p.settings.Me]})
 				}
 				g.do(i, o.Fleet(g.now, fleet, len(g.all), g.now-o.stood < Second && o.stood > 0))
 			}
@@ -312,7 +312,7 @@
 	x := New(0, Terms{Me: "n1", Entries: 1 << 16, Believe: 100 * Second, Grace: Second, Grow: 50})
 	x.Fleet(0, []Proxy{{Name: "n1", Here: true}}, 1, false)
 	for i := range 4000 {
-		x.Learned(Time(i)*5, hashOf(i), x.Begin(hashOf(i)), -1)
+		x.Learned(Time(i)*5, hashOf(i), x.Table.Begin(hashOf(i)), -1)
 	}
 	if f := x.Shown(); f.Put > 50+2*50+1 || f.Put < 100 || f.GrowthLimited == 0 {
 		t.Errorf("%+v", f)
@@ -320,7 +320,7 @@
 	x.Fleet(2*Second, []Proxy{{Name: "n1", Here: true}}, 1, false)
 	has := func() (n int) {
 		for i := range 4000 {
-			if x.Has(hashOf(i), 2*Second) {
+			if x.Table.Has(hashOf(i), 2*Second) {
 				n++
 			}
 		}
@@ -340,7 +340,7 @@
 	put := func(from, n, tenant int) int64 {
 		was := x.Shown().Put
 		for i := range n {
-			x.Learned(Second, hashOf(from+i), x.Begin(hashOf(from+i)), tenant)
+			x.Learned(Second, hashOf(from+i), x.Table.Begin(hashOf(from+i)), tenant)
 		}
 		return x.Shown().Put - was
 	}
@@ -366,7 +366,7 @@
 	} {
 		now += 3 * Second
 		x.Fleet(now, c.all, 2, c.behind)
-		now += x.Terms.Believe/2 + Second
+		now += x.settings.Believe/2 + Second
 		if x.Fleet(now, c.all, 2, c.behind); x.Shown().Believes != c.want { // what one that has ended wrote last has had its time
 			t.Errorf("%+v: %v", c, x.Shown().Believes)
 		}
