negativecache: tests by subject, with named cases, and a simulation in terms of the field

Now there is a file for each subject, and names say what is expected:

- TestStale: TestStalenessIsBounded, a case a seed, and TestStalenessOfPlantedDefectsIsNoticed, a case a defect (simulation_test.go).
Heartbeats without a count were planted, and not demanded to be noticed; now they are.
- TestGrow: TestGrowthIsLimitedAndUndoneByFlush; TestTenants: TestTenantUsesOnlyItsOwnPartOfGrowth (growth_test.go).

Run: go test ./negativecache, also with -race.

--- a/negativecache/golden_msgpack_test.go
+++ b/negativecache/golden_msgpack_test.go
@@ -7,15 +7,15 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// goldenCase is a value, given by a pointer, that a golden file pins the encoding of.
+// goldenCase is a value, by a pointer, whose encoding is pinned by a golden file.
 type goldenCase struct {
 	name  string
 	value any
-	full  bool // every field has to be set, so that a new field can't be left out of the pin
+	full  bool // every field has to be set, so that no new field is left out
 }
 
-// checkGolden checks that each value is encoded as in the golden file, that the file's bytes decode to the value, and that
-// they still do with a field that this version does not know.
+// checkGolden checks that each value is encoded as in the golden file, that the file's bytes decode to the value, and
+// that they still do with a field that this version does not know.
 func checkGolden(t *testing.T, file string, cases []goldenCase) {
 	t.Helper()
 	encodings := make([]encoding, len(cases))
--- a/negativecache/golden_test.go
+++ b/negativecache/golden_test.go
@@ -10,7 +10,7 @@
 	"testing"
 )
 
-// update has the golden files written anew from what the code encodes now: go test ./missing -update.
+// update has the golden files rewritten from what the code encodes now: go test ./negativecache -update.
 var update = flag.Bool("update", false, "rewrite the golden files in testdata")
 
 // encoding is one line of a golden file: the name of a case and its encoded bytes.
--- /dev/null
+++ b/negativecache/growth_test.go
@@ -0,0 +1,59 @@
+package negativecache
+
+import "testing"
+
+// An origin that reports every key absent for a moment fills the table no faster than configured, and one flush empties
+// it.
+func TestGrowthIsLimitedAndUndoneByFlush(t *testing.T) {
+	const keys, keysPerSecond = 4000, 50
+	cache := New(0, Terms{Me: "n1", Entries: 1 << 16, Believe: 100 * Second, Grace: Second, Grow: keysPerSecond})
+	fleet := []Proxy{{Name: "n1", Here: true}}
+	cache.Fleet(0, fleet, 1, false)
+	for i := range keys { // in two seconds
+		cache.Learned(Time(i)*5, hashOf(i), cache.Table.Begin(hashOf(i)), -1)
+	}
+	stats := cache.Shown()
+	if stats.Put > keysPerSecond+2*keysPerSecond+1 || stats.Put < 2*keysPerSecond || stats.GrowthLimited == 0 {
+		t.Errorf("growth is not limited as configured: %+v", stats)
+	}
+	cache.Fleet(2*Second, fleet, 1, false)
+	served := func() (count int) {
+		for i := range keys {
+			if cache.Table.Has(hashOf(i), 2*Second) {
+				count++
+			}
+		}
+		return count
+	}
+	if got := served(); got < 2*keysPerSecond {
+		t.Errorf("%d keys are served, want %d", got, 2*keysPerSecond)
+	}
+	cache.Forget(2 * Second)
+	if got := served(); got != 0 {
+		t.Errorf("%d keys are served after a flush", got)
+	}
+}
+
+func TestTenantUsesOnlyItsOwnPartOfGrowth(t *testing.T) {
+	cache := New(0, Terms{Me: "n1", Entries: 1 << 16, Believe: 100 * Second, Grace: Second, Grow: 100, Tenants: 4})
+	for _, c := range []struct {
+		name           string
+		firstKey, keys int
+		tenant         int
+		stored         int64
+	}{
+		{"a tenant that scans", 0, 5000, 2, 25},
+		{"another tenant", 10000, 20, 0, 20},
+		{"no tenant", 20000, 20, -1, 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			before := cache.Shown().Put
+			for key := c.firstKey; key < c.firstKey+c.keys; key++ {
+				cache.Learned(Second, hashOf(key), cache.Table.Begin(hashOf(key)), c.tenant)
+			}
+			if got := cache.Shown().Put - before; got != c.stored {
+				t.Errorf("%d keys stored, want %d", got, c.stored)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/negativecache/simulation_test.go
@@ -0,0 +1,328 @@
+package negativecache
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+const (
+	simulationStep      = Second / 20
+	heartbeatSteps      = 20             // steps between two heartbeats of a proxy
+	fleetUpdateSteps    = 4              // steps between two fleet updates of a proxy
+	reachabilityTimeout = 7 * Second / 2 // after a proxy's last heartbeat
+	reportGrace         = 2 * Second
+	simulatedProxies    = 6
+	simulatedKeys       = 400
+)
+
+// defect is a fault planted into the simulated proxies, to show that the simulation notices it.
+type defect int
+
+const (
+	noDefect                  defect = iota
+	writesNotReported                // writes are not reported to other proxies
+	unreachableCountReachable        // every proxy counts as reachable
+	heartbeatsWithoutCount           // heartbeats do not announce the write reports that were sent
+)
+
+// fleetSimulation simulates proxies with a common origin. Their messages are delayed, lost and cut off, and proxies
+// pause.
+type fleetSimulation struct {
+	defect  defect
+	random  *rand.Rand
+	now     Time
+	proxies []*simulatedProxy
+	events  map[Time][]func()
+
+	lossRate float64
+	isCutOff func(a, b int) bool // whether two proxies can't reach each other; nil: all can
+
+	writtenAt    map[int]Time // the keys that the origin has, and since when
+	maxStaleness Time         // the longest time after its write at which a key was served as absent
+	fetches      int
+	hits         int // lookups that were answered as absent
+}
+
+// simulatedProxy is a proxy of a fleetSimulation.
+type simulatedProxy struct {
+	cache       *Instance
+	incarnation int64
+	paused      bool
+	pausedUntil Time // the latest step in which it was paused; 0: it never was
+	inbox       []func()
+	published   map[publicationSlot]publication
+	heartbeats  map[string]heartbeat // the latest of each proxy
+}
+
+func (p *simulatedProxy) name() string { return p.cache.settings.Me }
+
+// publicationSlot tells apart the reports that a proxy's peers store.
+type publicationSlot struct {
+	action Act
+	slot   int
+}
+
+// publication is a report that peers fetch if they missed it.
+type publication struct {
+	sentAt  Time
+	deliver func(to *simulatedProxy, age Time)
+}
+
+// heartbeat is what a proxy announces at an instant.
+type heartbeat struct {
+	at           Time
+	writeReports int64
+	incarnation  int64
+}
+
+func newFleetSimulation(seed uint64, planted defect) *fleetSimulation {
+	s := &fleetSimulation{
+		defect:    planted,
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		now:       1000 * Second,
+		events:    map[Time][]func(){},
+		writtenAt: map[int]Time{},
+	}
+	for i := range simulatedProxies {
+		s.proxies = append(s.proxies, &simulatedProxy{
+			cache: New(s.now, Terms{
+				Me: fmt.Sprint("n", i), Entries: 2048, Believe: 10 * Second, Grace: reportGrace, Grow: 1000,
+			}),
+			incarnation: 1,
+			published:   map[publicationSlot]publication{},
+			heartbeats:  map[string]heartbeat{},
+		})
+	}
+	return s
+}
+
+// schedule has an event happen after a number of steps. One after no step does not happen: the events of the present
+// step have happened already.
+func (s *fleetSimulation) schedule(steps int, event func()) {
+	at := s.now + simulationStep*Time(steps)
+	s.events[at] = append(s.events[at], event)
+}
+
+// broadcast delivers a message to all other proxies after one to six steps, unless it is lost. A paused proxy handles
+// it afterwards.
+func (s *fleetSimulation) broadcast(from int, deliver func(to *simulatedProxy)) {
+	for i, to := range s.proxies {
+		if i == from || s.random.Float64() < s.lossRate || !s.connected(from, i) {
+			continue
+		}
+		s.schedule(1+s.random.IntN(6), func() {
+			if to.paused {
+				to.inbox = append(to.inbox, func() { deliver(to) })
+			} else {
+				deliver(to)
+			}
+		})
+	}
+}
+
+func (s *fleetSimulation) connected(a, b int) bool { return s.isCutOff == nil || !s.isCutOff(a, b) }
+
+// carryOut sends the reports that a proxy's cache decided to send.
+func (s *fleetSimulation) carryOut(i int, decisions []Decision) {
+	p := s.proxies[i]
+	for _, d := range decisions {
+		incarnation := p.incarnation
+		var deliver func(to *simulatedProxy, age Time)
+		switch d.Act {
+		case SayWrote:
+			deliver = func(to *simulatedProxy, _ Time) { to.cache.HeardWrote(s.now, p.name(), incarnation, d.Word) }
+		case SayAbsent:
+			deliver = func(to *simulatedProxy, age Time) { to.cache.HeardAbsent(s.now, p.name(), d.Word, age) }
+		default:
+			continue
+		}
+		p.published[publicationSlot{d.Act, d.Slot}] = publication{sentAt: s.now, deliver: deliver}
+		s.broadcast(i, func(to *simulatedProxy) { deliver(to, 0) }) // the age does not count the time in an inbox
+	}
+}
+
+// lookUp looks a key up at a proxy, which fetches it from the origin if it is not known to be absent.
+func (s *fleetSimulation) lookUp(i, key int) {
+	p, hash := s.proxies[i], hashOf(key)
+	if p.cache.Table.Has(hash, s.now) {
+		s.hits++
+		if at, written := s.writtenAt[key]; written {
+			s.maxStaleness = max(s.maxStaleness, s.now-at)
+		}
+		return
+	}
+	fetch := p.cache.Table.Begin(hash)
+	s.fetches++
+	absent := false
+	originSteps := s.random.IntN(3)
+	s.schedule(originSteps, func() {
+		_, written := s.writtenAt[key]
+		absent = !written
+	})
+	s.schedule(originSteps+1+s.random.IntN(3), func() {
+		if absent && !p.paused {
+			s.carryOut(i, p.cache.Learned(s.now, hash, fetch, -1))
+		}
+	})
+}
+
+// write writes a key through a proxy. The origin applies it later.
+func (s *fleetSimulation) write(i, key int) {
+	cache, hash := s.proxies[i].cache, hashOf(key)
+	cache.Table.Wrote(hash, s.now)
+	if s.defect != writesNotReported {
+		s.carryOut(i, cache.Wrote(s.now, hash))
+	}
+	s.schedule(1+s.random.IntN(20), func() {
+		if _, written := s.writtenAt[key]; !written {
+			s.writtenAt[key] = s.now
+		}
+	})
+}
+
+// run simulates a time span, with load in each step.
+func (s *fleetSimulation) run(span Time, load func()) {
+	for end := s.now + span; s.now < end; {
+		s.now += simulationStep
+		for _, event := range s.events[s.now] {
+			event()
+		}
+		delete(s.events, s.now)
+		for i, p := range s.proxies {
+			if p.paused {
+				p.pausedUntil = s.now
+			} else {
+				s.stepProxy(i, p)
+			}
+		}
+		load()
+	}
+}
+
+// stepProxy has a proxy do what is due in a step.
+func (s *fleetSimulation) stepProxy(i int, p *simulatedProxy) {
+	inbox := p.inbox
+	p.inbox = nil
+	for _, handle := range inbox {
+		handle()
+	}
+	s.carryOut(i, p.cache.Tick(s.now))
+	step := int(s.now / simulationStep)
+	if step%heartbeatSteps == i%heartbeatSteps {
+		s.sendHeartbeat(i, p)
+		s.fetchMissedReports(i, p)
+	}
+	if step%fleetUpdateSteps == 0 {
+		s.updateFleet(i, p)
+	}
+}
+
+func (s *fleetSimulation) sendHeartbeat(i int, p *simulatedProxy) {
+	sent, incarnation := p.cache.Sent(), p.incarnation
+	if s.defect == heartbeatsWithoutCount {
+		sent = 0
+	}
+	s.broadcast(i, func(to *simulatedProxy) {
+		announced := max(to.heartbeats[p.name()].writeReports, sent)
+		to.heartbeats[p.name()] = heartbeat{at: s.now, writeReports: announced, incarnation: incarnation}
+	})
+}
+
+// fetchMissedReports has a proxy read all reports that another one published.
+func (s *fleetSimulation) fetchMissedReports(i int, p *simulatedProxy) {
+	k := s.random.IntN(len(s.proxies))
+	if k == i || s.proxies[k].paused || !s.connected(i, k) {
+		return
+	}
+	for _, missed := range s.proxies[k].published {
+		missed.deliver(p, s.now-missed.sentAt)
+	}
+}
+
+func (s *fleetSimulation) updateFleet(i int, p *simulatedProxy) {
+	var fleet []Proxy
+	for _, other := range s.proxies {
+		latest := p.heartbeats[other.name()]
+		reachable := other == p || s.now-latest.at < reachabilityTimeout || s.defect == unreachableCountReachable
+		fleet = append(fleet, Proxy{
+			Name: other.name(), Here: reachable, Wrote: latest.writeReports, Epoch: latest.incarnation,
+		})
+	}
+	catchingUp := p.pausedUntil > 0 && s.now-p.pausedUntil < Second
+	s.carryOut(i, p.cache.Fleet(s.now, fleet, len(s.proxies), catchingUp))
+}
+
+// simulateFaults has keys looked up all over and written now and then, with everything that may go wrong between
+// proxies: a third of the messages lost, a partition, a paused proxy.
+func simulateFaults(seed uint64, planted defect) *fleetSimulation {
+	s := newFleetSimulation(seed, planted)
+	keys := rand.NewZipf(rand.New(rand.NewPCG(seed, 2)), 1.2, 4, simulatedKeys)
+	load := func() {
+		for range 30 {
+			if i := s.random.IntN(simulatedProxies); !s.proxies[i].paused {
+				s.lookUp(i, int(keys.Uint64()))
+			}
+		}
+		if i := s.random.IntN(simulatedProxies); s.random.Float64() < 0.05 && !s.proxies[i].paused {
+			s.write(i, int(keys.Uint64())) // most likely a key that has been looked up
+		}
+		if s.random.Float64() < 0.005 {
+			clear(s.writtenAt) // the origin removes all keys, so that they are absent again
+		}
+	}
+	s.run(8*Second, load)
+	s.lossRate = 0.33
+	s.run(8*Second, load)
+	s.isCutOff = func(a, b int) bool { return (a < 2) != (b < 2) }
+	s.run(9*Second, load)
+	s.isCutOff = nil
+	s.run(6*Second, load)
+	s.proxies[3].paused = true
+	s.run(6*Second, load)
+	s.proxies[3].paused = false
+	s.run(6*Second, load)
+	s.lossRate = 0
+	s.run(5*Second, load)
+	return s
+}
+
+// maxAllowedStaleness is how long after its write a key may be served as absent: until the writer's last heartbeat has
+// timed out, or the one just before it has arrived and the grace is over.
+const maxAllowedStaleness = reachabilityTimeout + reportGrace + Second
+
+func TestStalenessIsBounded(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := simulateFaults(seed, noDefect)
+			if s.maxStaleness > maxAllowedStaleness || s.hits < 1000 {
+				t.Errorf("a key is served as absent %.2f s after its write; %d hits, %d fetches",
+					inSeconds(s.maxStaleness), s.hits, s.fetches)
+			}
+		})
+	}
+}
+
+func TestStalenessOfPlantedDefectsIsNoticed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		planted defect
+	}{
+		{"writes are not reported", writesNotReported},
+		{"unreachable proxies count as reachable", unreachableCountReachable},
+		{"heartbeats do not count write reports", heartbeatsWithoutCount},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			staleness := Time(0)
+			for seed := range uint64(6) {
+				staleness = max(staleness, simulateFaults(seed, c.planted).maxStaleness)
+			}
+			if staleness <= maxAllowedStaleness {
+				t.Errorf("keys are served as absent at most %.2f s after their write, want over %.2f s",
+					inSeconds(staleness), inSeconds(maxAllowedStaleness))
+			}
+		})
+	}
+}
+
+func inSeconds(span Time) float64 { return float64(span) / float64(Second) }
