negativecache: sequence number spelled out, and the table's flush told apart from the cache's

Word.Seq, which no other package uses, is Sequence; its msgpack key is as it was. Instance.flush, which also drops pending reports and logs, is flushTable. Comments say from when on an observation in a report counts, and why.

No change of behaviour.

--- a/negativecache/cache.go
+++ b/negativecache/cache.go
@@ -86,7 +86,7 @@
 // incarnation of the process. A report that is malformed is counted and ignored.
 func (c *Instance) HeardWrote(now Time, from string, incarnation int64, report Word) []Decision {
 	c.begin(now)
-	if report.Seq < 1 || len(report.Hashes) > maxReportKeys || from == c.settings.Me {
+	if report.Sequence < 1 || len(report.Hashes) > maxReportKeys || from == c.settings.Me {
 		c.stats.RejectedFromPeers++
 		return c.decisions
 	}
@@ -100,7 +100,7 @@
 	if incarnation > w.incarnation {
 		w.restart(incarnation)
 	}
-	w.receive(report.Seq)
+	w.receive(report.Sequence)
 	return c.decisions
 }
 
@@ -112,7 +112,8 @@
 		c.stats.RejectedFromPeers++
 		return c.decisions
 	}
-	observedAt := c.now - age - batchInterval - maxTransitTime // at the earliest
+	// the earliest instant of the observation: it waited for its batch, and the age does not count the transit
+	observedAt := c.now - age - batchInterval - maxTransitTime
 	for _, hash := range report.Hashes {
 		if c.Table.recordPeerAbsent(hash, observedAt, c.now) {
 			c.stats.PeerEntries++
@@ -141,7 +142,7 @@
 	}
 	c.catchingUp = catchingUp
 	if review.flushReason != "" {
-		c.flush(review.flushReason)
+		c.flushTable(review.flushReason)
 		if review.holdUntil == 0 {
 			review.holdUntil = c.now + c.applyTime()
 		}
@@ -184,9 +185,9 @@
 	}
 }
 
-// flush removes all absent keys, as it is not known which were written since. The reason is logged at the first flush,
+// flushTable removes all absent keys, as it is not known which were written since. The reason is logged at the first flush,
 // the second, the fourth and so on, since flushes may come in numbers.
-func (c *Instance) flush(reason string) {
+func (c *Instance) flushTable(reason string) {
 	c.Table.flush(c.now)
 	c.outbox.dropAbsent()
 	c.stats.Cleared++
@@ -200,7 +201,7 @@
 // Forget flushes the table at an operator's request.
 func (c *Instance) Forget(now Time) []Decision {
 	c.begin(now)
-	c.flush("requested by an operator")
+	c.flushTable("requested by an operator")
 	return c.decisions
 }
 
--- a/negativecache/fleet.go
+++ b/negativecache/fleet.go
@@ -15,7 +15,7 @@
 type fleetReview struct {
 	now            Time
 	grace          Time // how long announced reports may be outstanding
-	applyTime      Time // how long the origin may still apply a write after it was reported
+	applyTime      Time // how long the origin may still apply a write after it was accepted
 	complete       bool // every running proxy is reachable, and its reports arrived or are not late yet
 	awaitedProxies int  // proxies with outstanding reports
 	flushReason    string
--- a/negativecache/fleet_test.go
+++ b/negativecache/fleet_test.go
@@ -42,7 +42,7 @@
 		}, 2, false)
 	}
 	updateFleet(Second, 500, 1)
-	cache.HeardWrote(2*Second, "n2", 2, Word{Seq: 1, Hashes: []uint64{7}})
+	cache.HeardWrote(2*Second, "n2", 2, Word{Sequence: 1, Hashes: []uint64{7}})
 	updateFleet(2*Second, 500, 1)
 	if cache.Shown().Believes {
 		t.Error("absent keys are served by the heartbeat of an earlier process")
--- a/negativecache/outbox.go
+++ b/negativecache/outbox.go
@@ -45,7 +45,7 @@
 		decisions = append(decisions, Decision{
 			Act:  SayWrote,
 			Slot: int(o.writeSequence % reportSlots),
-			Word: Word{Seq: o.writeSequence, Hashes: slices.Clone(o.written[:n])},
+			Word: Word{Sequence: o.writeSequence, Hashes: slices.Clone(o.written[:n])},
 		})
 		o.written = o.written[n:]
 	}
--- a/negativecache/settings.go
+++ b/negativecache/settings.go
@@ -16,8 +16,8 @@
 	Believe Time   // TTL of an absent key, 0.5 s to 600 s, and at least twice the longest request timeout
 	Grace   Time   // how long an announced write report may be outstanding until it counts as lost, 0.1 s to 60 s
 
-	// Grow is how many absent keys this proxy may add a second, 1 to 1,000,000. It limits the effect of an origin that
-	// reports all keys absent for a moment.
+	// How many absent keys this proxy may add a second, 1 to 1,000,000. This limits the effect of an origin that reports
+	// all keys absent for a moment.
 	Grow    int
 	Tenants int // number of tenants that share that growth evenly, so that none takes it all; 0: there are none
 }
--- a/negativecache/wire_golden_test.go
+++ b/negativecache/wire_golden_test.go
@@ -10,10 +10,10 @@
 func TestReportEncodingGolden(t *testing.T) {
 	checkGolden(t, "words.golden", []goldenCase{
 		{name: "word-full", full: true, value: &negativecache.Word{
-			Seq: 70000, Hashes: []uint64{0xf1f2f3f4f5f6f7f8, 1, 0x0102030405060708},
+			Sequence: 70000, Hashes: []uint64{0xf1f2f3f4f5f6f7f8, 1, 0x0102030405060708},
 		}},
 		{name: "word-without-sequence", value: &negativecache.Word{Hashes: []uint64{9}}},
-		{name: "word-without-hashes", value: &negativecache.Word{Seq: 3, Hashes: []uint64{}}},
+		{name: "word-without-hashes", value: &negativecache.Word{Sequence: 3, Hashes: []uint64{}}},
 		{name: "word-empty", value: &negativecache.Word{}},
 	})
 }
--- a/negativecache/writer.go
+++ b/negativecache/writer.go
@@ -20,7 +20,7 @@
 	return &writer{incarnation: incarnation, outOfOrder: map[int64]bool{}}
 }
 
-// restart forgets what is known of the proxy's earlier processes.
+// restart forgets what is known of the proxy's earlier processes. The next heartbeat discovers the proxy anew.
 func (w *writer) restart(incarnation int64) { *w = *newWriter(incarnation) }
 
 // receive notes that a report of the current incarnation arrived.
