--- a/negativecache/cache.go
+++ b/negativecache/cache.go
@@ -5,7 +5,7 @@
 const (
 	servingLease   = Second / 2 // how long a fleet update lets absent keys be served; updates come several times a second
 	maxTransitTime = Second / 2 // how long a report is in transit between proxies at most; its age does not count that
-	catchUpTime    = Second     // in which a process that stood still reads the reports that queued up meanwhile
+	catchUpTime    = Second     // in which a process that was paused reads the reports that queued up meanwhile
 )
 
 // Instance is the negative cache of one proxy. Its methods report events, at instants of the caller's clock; time does
@@ -58,16 +58,16 @@
 	return c.decisions
 }
 
-// Lost reports that an accepted write could not be passed on to this cache. It counts as a write report that was sent
-// and lost, so that the other proxies flush their tables.
+// Lost reports that an accepted write could not be passed on to this cache. It counts as a write report that
+// was sent and lost, so that the other proxies flush their tables.
 func (c *Instance) Lost() { c.outbox.writeSequence++ }
 
-// Sent returns how many write reports this proxy has sent, for its heartbeat. A report has to be sent before a
-// heartbeat that counts it.
+// Sent returns how many write reports this proxy has sent, for its heartbeat. A report has to be
+// sent before a heartbeat that counts it.
 func (c *Instance) Sent() int64 { return c.outbox.writeSequence }
 
-// Learned reports that the origin has no such key, by a fetch that began with the given token on behalf of a tenant, by
-// its index. An index that is out of range, such as -1, is that of no tenant.
+// Learned reports that the origin has no such key, by a fetch that began with the given token on behalf of
+// a tenant, by its index. An index that is out of range, such as -1, is that of no tenant.
 func (c *Instance) Learned(now Time, hash uint64, token Ticket, tenant int) []Decision {
 	c.begin(now)
 	bucket := c.growth.bucket(c.now, tenant)
@@ -82,8 +82,8 @@
 	return c.decisions
 }
 
-// HeardWrote reports that a report of written keys arrived from a process of another proxy, by the proxy's name and the
-// incarnation of the process. A report that is malformed is counted and ignored.
+// HeardWrote handles a report of written keys from another proxy, by its name and the incarnation of its
+// process. A report that is malformed is counted and ignored.
 func (c *Instance) HeardWrote(now Time, from string, incarnation int64, report Word) []Decision {
 	c.begin(now)
 	if report.Sequence < 1 || len(report.Hashes) > maxReportKeys || from == c.settings.Me {
@@ -104,8 +104,9 @@
 	return c.decisions
 }
 
-// HeardAbsent reports that a report of absent keys arrived from another proxy, and how long ago it was sent, not
-// counting its time in transit. A report that is malformed, or whose age can't be known, is counted and ignored.
+// HeardAbsent handles a report of absent keys from another proxy, by its name. The age is how long ago the
+// report was sent, not counting its time in transit. A report that is malformed, or whose age can't be known, is counted
+// and ignored.
 func (c *Instance) HeardAbsent(now Time, from string, report Word, age Time) []Decision {
 	c.begin(now)
 	if len(report.Hashes) > maxReportKeys || age < 0 || from == c.settings.Me || c.now < c.ignoreAbsentUntil {
@@ -124,9 +125,9 @@
 	return c.decisions
 }
 
-// Fleet reports the state of all proxies that may write, of which the operators configured so many, and whether this
-// proxy is still catching up with them. It is to be called several times a second: absent keys are served only for half
-// a second after a call, while
+// Fleet reports the state of all proxies that may write, of which the operators configured so many, and whether
+// this proxy is still catching up with them. It is to be called several times a second: absent keys are served only for
+// half a second after a call, while
 //   - as many proxies as configured are known, and each that has not departed is reachable,
 //   - each write report that they announced arrived, or has not been outstanding for longer than the configured grace,
 //   - and no write that was not reported may still be applied at the origin.
@@ -185,8 +186,8 @@
 	}
 }
 
-// flushTable removes all absent keys, as it is not known which were written since. The reason is logged at the first flush,
-// the second, the fourth and so on, since flushes may come in numbers.
+// flushTable removes all absent keys, as it is not known which were written since. The reason is logged at the first
+// flush, the second, the fourth and so on, since flushes may come in numbers.
 func (c *Instance) flushTable(reason string) {
 	c.Table.flush(c.now)
 	c.outbox.dropAbsent()
--- a/negativecache/decision.go
+++ b/negativecache/decision.go
@@ -1,7 +1,7 @@
 package negativecache
 
-// Act is what a [Decision] asks the caller to do. Other proxies' reports are stored by kind, which the caller derives
-// from it, so the values must not change.
+// Act is what a [Decision] asks the caller to do. The caller derives the kind of a stored report from it, so the
+// values must not change.
 type Act uint8
 
 // The actions.
--- a/negativecache/fleet_test.go
+++ b/negativecache/fleet_test.go
@@ -4,7 +4,9 @@
 
 // The cases are one after the other on the same cache.
 func TestAbsentKeysAreServedOnlyWhileTheFleetIsComplete(t *testing.T) {
-	cache := New(0, Terms{Me: "n1", Entries: 2048, Believe: 100 * Second, Grace: Second, Grow: 50})
+	cache := New(0, Terms{
+		Me: "n1", Entries: 2048, Believe: 100 * Second, Grace: Second, Grow: 50,
+	})
 	self, peer := Proxy{Name: "n1", Here: true}, Proxy{Name: "n2", Here: true, Epoch: 1}
 	now := Time(0)
 	for _, c := range []struct {
@@ -34,7 +36,9 @@
 // The first report of a restarted proxy may arrive before its first heartbeat. Reports of its earlier process must not
 // count as reports of the new one, and reports of the new one that are lost must be noticed.
 func TestRestartedProxyIsCountedAnew(t *testing.T) {
-	cache := New(0, Terms{Me: "n1", Entries: 2048, Believe: 10 * Second, Grace: Second, Grow: 50})
+	cache := New(0, Terms{
+		Me: "n1", Entries: 2048, Believe: 10 * Second, Grace: Second, Grow: 50,
+	})
 	updateFleet := func(now Time, writeReports, incarnation int64) {
 		cache.Fleet(now, []Proxy{
 			{Name: "n1", Here: true},
--- a/negativecache/growth_test.go
+++ b/negativecache/growth_test.go
@@ -6,7 +6,9 @@
 // it.
 func TestGrowthIsLimitedAndUndoneByFlush(t *testing.T) {
 	const keys, keysPerSecond = 4000, 50
-	cache := New(0, Terms{Me: "n1", Entries: 1 << 16, Believe: 100 * Second, Grace: Second, Grow: keysPerSecond})
+	cache := New(0, Terms{
+		Me: "n1", Entries: 1 << 16, Believe: 100 * Second, Grace: Second, Grow: keysPerSecond,
+	})
 	fleet := []Proxy{{Name: "n1", Here: true}}
 	cache.Fleet(0, fleet, 1, false)
 	for i := range keys { // in two seconds
@@ -35,7 +37,9 @@
 }
 
 func TestTenantUsesOnlyItsOwnPartOfGrowth(t *testing.T) {
-	cache := New(0, Terms{Me: "n1", Entries: 1 << 16, Believe: 100 * Second, Grace: Second, Grow: 100, Tenants: 4})
+	cache := New(0, Terms{
+		Me: "n1", Entries: 1 << 16, Believe: 100 * Second, Grace: Second, Grow: 100, Tenants: 4,
+	})
 	for _, c := range []struct {
 		name           string
 		firstKey, keys int
--- a/negativecache/report_test.go
+++ b/negativecache/report_test.go
@@ -19,7 +19,9 @@
 		if msgpack.Unmarshal(encoded, &report) != nil {
 			return
 		}
-		cache := New(0, Terms{Me: "n1", Entries: 2048, Believe: Second, Grace: Second, Grow: 1})
+		cache := New(0, Terms{
+			Me: "n1", Entries: 2048, Believe: Second, Grace: Second, Grow: 1,
+		})
 		cache.HeardWrote(Second, "n2", 1, report)
 		cache.HeardAbsent(Second, "n2", report, 0)
 		cache.Fleet(Second, []Proxy{{Name: "n2", Here: true, Wrote: report.Sequence, Epoch: 1}}, 1, false)
