--- a/internal/emulator/turns.go
+++ b/internal/emulator/background_load.go
@@ -28,47 +28,47 @@
 }
 
 // taking is what it is made up from.
-type taking struct {
-	mu      sync.Mutex
-	span    time.Duration // of silence, from two seconds on, over all nodes that were silent
-	silent  map[string][2]time.Duration
-	looks   int
-	watches int
-	conns   float64
-	most    int
-	calls   int64
-	from    time.Time
+type backgroundSamples struct {
+	mu           sync.Mutex
+	silentTime   time.Duration // of silence, from two seconds on, over all nodes that were silent
+	silentSpans  map[string][2]time.Duration
+	samples      int
+	watches      int
+	connsPerNode float64
+	maxConns     int
+	watchCalls   int64
+	began        time.Time
 }
 
 // turn writes a proxy's file of turns.
-func (p *player) turn(m *member) error {
+func (p *runner) writeDutyConfig(m *managedProxy) error {
 	t := p.plan.Day.Turns
 	if !t.On {
 		return nil
 	}
-	m.site.Turns = filepath.Join(m.site.Dir, "turns.toml")
-	return os.WriteFile(m.site.Turns, []byte(fmt.Sprintf("watchers = %d\nkeepers = %d\n", t.Watchers, t.Keepers)), 0o600)
+	m.site.DutiesFile = filepath.Join(m.site.Dir, "turns.toml")
+	return os.WriteFile(m.site.DutiesFile, []byte(fmt.Sprintf("watchers = %d\nkeepers = %d\n", t.Watchers, t.Keepers)), 0o600)
 }
 
 // fellSilent notes for how long a node was silent.
-func (p *player) fellSilent(n *Node, from, to time.Time) {
+func (p *runner) recordSilence(n *Node, from, to time.Time) {
 	began, ended := from.Add(2*time.Second).Sub(p.log.start), to.Sub(p.log.start)
-	p.taking.mu.Lock()
-	defer p.taking.mu.Unlock()
+	p.backgroundLoad.mu.Lock()
+	defer p.backgroundLoad.mu.Unlock()
 	if ended > began {
-		p.taking.span += ended - began
-		if p.taking.silent == nil {
-			p.taking.silent = map[string][2]time.Duration{}
+		p.backgroundLoad.silentTime += ended - began
+		if p.backgroundLoad.silentSpans == nil {
+			p.backgroundLoad.silentSpans = map[string][2]time.Duration{}
 		}
-		p.taking.silent[n.Name] = [2]time.Duration{began, ended}
+		p.backgroundLoad.silentSpans[n.Name] = [2]time.Duration{began, ended}
 	}
 }
 
 // look counts, for as long as the day lasts, what is open.
-func (p *player) look(ctx context.Context) {
-	t := &p.taking
-	t.from, t.calls = time.Now(), -p.called()
-	for sleep(ctx, asks) {
+func (p *runner) sampleBackgroundLoad(ctx context.Context) {
+	t := &p.backgroundLoad
+	t.began, t.watchCalls = time.Now(), -p.discoveryCalls()
+	for sleep(ctx, statusPollInterval) {
 		p.mu.Lock()
 		nodes := append([]*Node(nil), p.nodes...)
 		p.mu.Unlock()
@@ -76,59 +76,59 @@
 		for _, n := range nodes {
 			open := n.Open()
 			sum += open
-			t.most = max(t.most, open)
+			t.maxConns = max(t.maxConns, open)
 		}
-		t.looks++
-		t.conns += float64(sum) / float64(len(nodes))
-		for _, f := range p.found {
+		t.samples++
+		t.connsPerNode += float64(sum) / float64(len(nodes))
+		for _, f := range p.discoveries {
 			t.watches += int(f.Watches.Load())
 		}
 	}
-	t.calls += p.called()
+	t.watchCalls += p.discoveryCalls()
 }
 
-func (p *player) called() (sum int64) {
-	for _, f := range p.found {
+func (p *runner) discoveryCalls() (sum int64) {
+	for _, f := range p.discoveries {
 		sum += f.Calls.Load()
 	}
 	return sum
 }
 
 // together sums up.
-func (p *player) together(all []Seen) (a Together) {
-	t := &p.taking
+func (p *runner) summarizeBackgroundLoad(all []Seen) (a Together) {
+	t := &p.backgroundLoad
 	for _, s := range all {
-		if span, ok := t.silent[s.Node]; ok && s.What == Took && s.At >= span[0] && s.At <= span[1] {
+		if span, ok := t.silentSpans[s.Node]; ok && s.What == Took && s.At >= span[0] && s.At <= span[1] {
 			a.Trials++
 		}
 	}
-	if t.span > 0 {
-		a.Trials /= t.span.Seconds()
+	if t.silentTime > 0 {
+		a.Trials /= t.silentTime.Seconds()
 	}
-	if t.looks > 0 {
-		a.Watches, a.Conns = float64(t.watches)/float64(t.looks), t.conns/float64(t.looks)
-		a.Calls, a.Most = float64(t.calls)/time.Since(t.from).Seconds(), t.most
+	if t.samples > 0 {
+		a.Watches, a.Conns = float64(t.watches)/float64(t.samples), t.connsPerNode/float64(t.samples)
+		a.Calls, a.Most = float64(t.watchCalls)/time.Since(t.began).Seconds(), t.maxConns
 	}
 	return a
 }
 
 // none marks an answer that there is no such key.
-const none = "none"
+const noSuchKey = "none"
 
 // believed is the longest for which a key may be called missing after it was written: until the latest pulse of who wrote it has
 // lapsed, or one has come just before that and the grace after it has passed, and a second for what is on its way.
-func (d *Day) believed() time.Duration {
+func (d *Day) maxAbsentStaleness() time.Duration {
 	every := time.Second + time.Duration(d.Proxies)*10*time.Millisecond
 	return 3*every + 500*time.Millisecond + 2*time.Second + time.Second
 }
 
 // lacking sums up what became of keys that the origin lacks.
-func (p *player) lacking(r *Report, all []Seen) {
+func (p *runner) measureAbsentKeys(r *Report, all []Seen) {
 	for _, s := range all {
 		switch {
 		case s.What == Lacked:
 			r.AbsentAsked++
-		case s.What == Answered && s.Node == none:
+		case s.What == Answered && s.Node == noSuchKey:
 			r.AbsentSaid++
 		}
 	}
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -32,22 +32,22 @@
 	Proxy   int
 	Calls   atomic.Int64 // watches that were asked for
 	Watches atomic.Int64 // that are open
-	log     *Log
-	ways    *Ways // nil: nothing stands between it and its proxy
+	log     *EventLog
+	network *network // nil: nothing stands between it and its proxy
 
-	mu      sync.Mutex
-	news    [][]Row // by version, the first whole
-	mood    Mood
-	hushed  int // how often those watches that were out have fallen silent
-	stale   bool
-	held    [][]Row // what is not told yet
-	changed chan struct{}
-	conns   []net.Conn
-	servers []*http.Server
+	mu              sync.Mutex
+	versions        [][]Row // by version, the first whole
+	mode            Mood
+	silencedWatches int // how often those watches that were out have fallen silent
+	withholding     bool
+	withheld        [][]Row // what is not told yet
+	changed         chan struct{}
+	conns           []net.Conn
+	servers         []*http.Server
 }
 
 // NewDiscovery starts one that knows no list yet. Versions are counted from 2.
-func NewDiscovery(proxy int, log *Log) *Discovery {
+func NewDiscovery(proxy int, log *EventLog) *Discovery {
 	return &Discovery{Proxy: proxy, log: log, changed: make(chan struct{})}
 }
 
@@ -57,10 +57,10 @@
 	if err != nil {
 		return nil, "", err
 	}
-	if d.ways != nil {
-		ln = waysListener{ln, d.ways, fmt.Sprint("d", d.Proxy), proxyName(d.Proxy)}
+	if d.network != nil {
+		ln = linkListener{ln, d.network, fmt.Sprint("d", d.Proxy), proxyName(d.Proxy)}
 	}
-	s := &http.Server{Handler: http.HandlerFunc(d.follow), ConnState: func(c net.Conn, st http.ConnState) {
+	s := &http.Server{Handler: http.HandlerFunc(d.serveWatch), ConnState: func(c net.Conn, st http.ConnState) {
 		if st == http.StateNew {
 			d.mu.Lock()
 			d.conns = append(d.conns, c)
@@ -88,81 +88,81 @@
 func (d *Discovery) Say(rows ...Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.stale {
-		d.held = append(d.held, rows)
+	if d.withholding {
+		d.withheld = append(d.withheld, rows)
 		return
 	}
-	d.say(rows)
+	d.publishLocked(rows)
 }
 
-func (d *Discovery) say(rows []Row) {
-	d.news = append(d.news, rows)
-	if d.log != nil && len(d.news) > 1 {
-		time.AfterFunc(ToldAfter, func() { d.due(rows) })
+func (d *Discovery) publishLocked(rows []Row) {
+	d.versions = append(d.versions, rows)
+	if d.log != nil && len(d.versions) > 1 {
+		time.AfterFunc(DeliveryDeadline, func() { d.assumeDelivered(rows) })
 	}
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
 // due notes what counts as told by now, though nobody may have heard it, unless it was overtaken.
-func (d *Discovery) due(rows []Row) {
+func (d *Discovery) assumeDelivered(rows []Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.latest()
+	current := d.currentRows()
 	for _, row := range rows {
-		if now[row.Name] == row {
-			d.told(row)
+		if current[row.Name] == row {
+			d.recordDelivered(row)
 		}
 	}
 }
 
 // latest is each node's line as it stands.
-func (d *Discovery) latest() map[string]Row {
-	now := map[string]Row{}
-	for _, rows := range d.news {
+func (d *Discovery) currentRows() map[string]Row {
+	current := map[string]Row{}
+	for _, rows := range d.versions {
 		for _, row := range rows {
-			now[row.Name] = row
+			current[row.Name] = row
 		}
 	}
-	return now
+	return current
 }
 
 // told notes that its proxy knows a line, or counts as knowing it.
-func (d *Discovery) told(row Row) {
-	d.log.See(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
+func (d *Discovery) recordDelivered(row Row) {
+	d.log.Record(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
 }
 
 // Ahead notes what the agent has already as a process starts: it counts as told from that process's first moment, whether or not a
 // watch is open.
-func (d *Discovery) Ahead() {
+func (d *Discovery) RecordKnownAtStart() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, row := range d.latest() {
+	for _, row := range d.currentRows() {
 		if row.Status != "active" {
-			d.told(row)
+			d.recordDelivered(row)
 		}
 	}
 }
 
 // Hush has the watches that are out fall silent and stay open; those begun from now on speak.
-func (d *Discovery) Hush() {
+func (d *Discovery) SilenceOpenWatches() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.hushed++
+	d.silencedWatches++
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
 // Stale holds back changes until it is switched off again.
-func (d *Discovery) Stale(on bool) {
+func (d *Discovery) SetWithholding(on bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.stale = on
+	d.withholding = on
 	if !on {
-		for _, rows := range d.held {
-			d.say(rows)
+		for _, rows := range d.withheld {
+			d.publishLocked(rows)
 		}
-		d.held = nil
+		d.withheld = nil
 	}
 }
 
@@ -170,7 +170,7 @@
 func (d *Discovery) Feel(mood Mood) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.mood = mood
+	d.mode = mood
 	if mood == "cut" || mood == "garbled" {
 		for _, c := range d.conns {
 			c.Close()
@@ -182,28 +182,28 @@
 }
 
 // Mood tells how it feels.
-func (d *Discovery) Mood() Mood {
+func (d *Discovery) Mode() Mood {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.mood
+	return d.mode
 }
 
-func (d *Discovery) follow(w http.ResponseWriter, r *http.Request) {
+func (d *Discovery) serveWatch(w http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
 	d.Calls.Add(1)
 	d.Watches.Add(1)
 	defer d.Watches.Add(-1)
 	at, begun := max(since-1, 0), false
 	d.mu.Lock()
-	hushed := d.hushed
+	hushed := d.silencedWatches
 	d.mu.Unlock()
 	for {
 		d.mu.Lock()
-		mood, changed := d.mood, d.changed
-		if d.hushed > hushed {
+		mood, changed := d.mode, d.changed
+		if d.silencedWatches > hushed {
 			mood = "silent"
 		}
-		news := d.news[min(at, len(d.news)):]
+		news := d.versions[min(at, len(d.versions)):]
 		d.mu.Unlock()
 		switch mood {
 		case "silent":
@@ -240,7 +240,7 @@
 		if w.(http.Flusher).Flush(); r.Context().Err() == nil {
 			for _, rows := range news {
 				for _, row := range rows {
-					d.told(row)
+					d.recordDelivered(row)
 				}
 			}
 		}
--- a/internal/emulator/log.go
+++ b/internal/emulator/eventlog.go
@@ -36,40 +36,40 @@
 }
 
 // Log keeps what is seen on a day.
-type Log struct {
-	mu    sync.Mutex
-	start time.Time
-	all   []Seen
+type EventLog struct {
+	mu     sync.Mutex
+	start  time.Time
+	events []Seen
 }
 
 // NewLog begins a day's.
-func NewLog() *Log { return &Log{start: time.Now()} }
+func NewEventLog() *EventLog { return &EventLog{start: time.Now()} }
 
 // See notes something.
-func (l *Log) See(s Seen) {
+func (l *EventLog) Record(s Seen) {
 	if l == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s.At = time.Since(l.start)
-	l.all = append(l.all, s)
+	l.events = append(l.events, s)
 }
 
 // All returns what was seen, in order.
-func (l *Log) All() []Seen {
+func (l *EventLog) All() []Seen {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]Seen(nil), l.all...)
+	return append([]Seen(nil), l.events...)
 }
 
 // Of returns what was seen of one request.
-func Of(all []Seen, id string) []Seen {
-	var path []Seen
-	for _, s := range all {
+func EventsOfRequest(events []Seen, id string) []Seen {
+	var related []Seen
+	for _, s := range events {
 		if s.ID == id {
-			path = append(path, s)
+			related = append(related, s)
 		}
 	}
-	return path
+	return related
 }
--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -145,19 +145,19 @@
 
 func (p *peers) process(name, ip, management string) emulator.Proxy {
 	p.t.Helper()
-	s := emulator.Site{
-		Name: name, Listen: ip + ":6379", Discovery: p.found, Dir: filepath.Join(p.dir, name), Config: filepath.Join(p.dir, name, management+".json"),
-		Peers: filepath.Join(p.dir, name, "peers.toml"), Zones: filepath.Join(p.dir, name, "zones.toml"),
-		Turns: filepath.Join(p.dir, name, "turns.toml"), Moves: filepath.Join(p.dir, name, "moves.toml"), Missing: filepath.Join(p.dir, name, "missing.toml"), State: filepath.Join(p.dir, name, "state"),
+	s := emulator.ProxyConfig{
+		Name: name, Listen: ip + ":6379", Discovery: p.found, Dir: filepath.Join(p.dir, name), ConfigFile: filepath.Join(p.dir, name, management+".json"),
+		GossipFile: filepath.Join(p.dir, name, "peers.toml"), ZoneHealthFile: filepath.Join(p.dir, name, "zones.toml"),
+		DutiesFile: filepath.Join(p.dir, name, "turns.toml"), RebalanceFile: filepath.Join(p.dir, name, "moves.toml"), NegativeCacheFile: filepath.Join(p.dir, name, "missing.toml"), StateDir: filepath.Join(p.dir, name, "state"),
 	}
 	os.MkdirAll(filepath.Join(s.Dir, "tmp"), 0o700)
-	os.WriteFile(s.Zones, []byte("[[region]]\nname = \"east\"\nzones = [\"x\", \"y\"]\n"), 0o600)
-	os.WriteFile(s.Turns, []byte("watchers = 2\nkeepers = 2\n"), 0o600)
-	os.MkdirAll(s.State, 0o700)
-	os.WriteFile(s.Missing, []byte("entries = 4096\nbelieve_s = 4.0\n"), 0o600)
-	os.WriteFile(s.Moves, []byte("slack = 0.5\n"), 0o600)
-	os.WriteFile(s.Peers, []byte(fmt.Sprintf("cluster = \"c\"\nlisten = \"%s:7946\"\nseeds = [\"%s:7946\", \"%s:7946\"]\nhold_s = 1.0\n", ip, ip[:len(ip)-1]+"1", ip[:len(ip)-1]+"2")), 0o600)
-	os.WriteFile(s.Config, []byte(fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"management":%q,"seed":"8c1f30d27a5be964","settings":{"replicas-of-me":2,
+	os.WriteFile(s.ZoneHealthFile, []byte("[[region]]\nname = \"east\"\nzones = [\"x\", \"y\"]\n"), 0o600)
+	os.WriteFile(s.DutiesFile, []byte("watchers = 2\nkeepers = 2\n"), 0o600)
+	os.MkdirAll(s.StateDir, 0o700)
+	os.WriteFile(s.NegativeCacheFile, []byte("entries = 4096\nbelieve_s = 4.0\n"), 0o600)
+	os.WriteFile(s.RebalanceFile, []byte("slack = 0.5\n"), 0o600)
+	os.WriteFile(s.GossipFile, []byte(fmt.Sprintf("cluster = \"c\"\nlisten = \"%s:7946\"\nseeds = [\"%s:7946\", \"%s:7946\"]\nhold_s = 1.0\n", ip, ip[:len(ip)-1]+"1", ip[:len(ip)-1]+"2")), 0o600)
+	os.WriteFile(s.ConfigFile, []byte(fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"management":%q,"seed":"8c1f30d27a5be964","settings":{"replicas-of-me":2,
 		"tick":5,"shapes":["cache","origin"],"limits":{"max-upstream-tries":4,"may-cancel":true,"conn-idle":15000,"connect-timeout":250},
 		"rules":{"cold":1000,"fall":1000,"cold-from":0.5,"fall-multiple":3},"family-info":{"mode":"aside","origin-kind":1},
 		"routes":[{"name":"read","latency-objective":500,"overall-timeout":1000,"value":1,"effect":"pure"}]}}`, name, s.Listen, p.found, management)), 0o600)
--- a/internal/emulator/many.go
+++ b/internal/emulator/gossip.go
@@ -20,21 +20,21 @@
 // Troubles that stand between processes, or befall many at one moment.
 
 // nets counts days with peers that this process plays: each has addresses of its own.
-var nets struct {
+var networkNumbers struct {
 	sync.Mutex
 	n int
 }
 
 // meet settles where a proxy's peers meet it: at a relay, which has an address of its own, as the proxy has.
-func (p *player) meet(i int, m *member) error {
+func (p *runner) setUpGossip(i int, m *managedProxy) error {
 	if i == 0 {
-		nets.Lock()
-		nets.n++
-		p.net = fmt.Sprintf("127.%d.%d.", 100+nets.n%100, os.Getpid()%250)
-		nets.Unlock()
-		p.names = map[string]string{}
+		networkNumbers.Lock()
+		networkNumbers.n++
+		p.addressPrefix = fmt.Sprintf("127.%d.%d.", 100+networkNumbers.n%100, os.Getpid()%250)
+		networkNumbers.Unlock()
+		p.proxyByIP = map[string]string{}
 	}
-	own, met := fmt.Sprint(p.net, i+1), fmt.Sprint(p.net, i+101)
+	own, met := fmt.Sprint(p.addressPrefix, i+1), fmt.Sprint(p.addressPrefix, i+101)
 	listen, err := freePort(own)
 	if err != nil {
 		return err
@@ -43,39 +43,39 @@
 	if err != nil {
 		return err
 	}
-	p.names[own] = proxyName(i)
-	r, err := newRelay(p.ways, proxyName(i), at, listen, p.names)
+	p.proxyByIP[own] = proxyName(i)
+	r, err := newRelay(p.network, proxyName(i), at, listen, p.proxyByIP)
 	if err != nil {
 		return err
 	}
 	p.relays = append(p.relays, r)
-	for m.site.Management = listen; m.site.Management == listen; {
-		if m.site.Management, err = freePort(own); err != nil {
+	for m.site.AdminAddress = listen; m.site.AdminAddress == listen; {
+		if m.site.AdminAddress, err = freePort(own); err != nil {
 			return err
 		}
 	}
-	m.site.Peers = filepath.Join(m.site.Dir, "peers.toml")
+	m.site.GossipFile = filepath.Join(m.site.Dir, "peers.toml")
 	return nil
 }
 
 // introduce writes each proxy's file of peers, with three others as seeds.
-func (p *player) introduce() error {
+func (p *runner) writeGossipConfigs() error {
 	talk := p.plan.Day.Peers
 	for i, r := range p.relays {
 		var seeds []string
 		for k, other := range p.relays {
 			if k != i && len(seeds) < 3 {
-				seeds = append(seeds, fmt.Sprintf("%q", other.at))
+				seeds = append(seeds, fmt.Sprintf("%q", other.listenAddress))
 			}
 		}
-		text := fmt.Sprintf("cluster = \"day\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n", r.to, r.at, strings.Join(seeds, ", "))
+		text := fmt.Sprintf("cluster = \"day\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n", r.targetAddress, r.listenAddress, strings.Join(seeds, ", "))
 		if talk.Hold > 0 {
 			text += fmt.Sprintf("hold_s = %v\n", talk.Hold)
 		}
 		if talk.Floor > 0 {
 			text += fmt.Sprintf("floor = %v\n", talk.Floor)
 		}
-		if err := os.WriteFile(p.proxies[i].site.Peers, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(p.proxies[i].site.GossipFile, []byte(text), 0o600); err != nil {
 			return err
 		}
 	}
@@ -83,29 +83,29 @@
 }
 
 // asks is how often proxies are asked how they stand with their peers.
-const asks = 200 * time.Millisecond
+const statusPollInterval = 200 * time.Millisecond
 
 // ask asks each proxy, for as long as the day lasts, what its share is, and what it holds.
-func (p *player) ask(ctx context.Context) {
+func (p *runner) pollGossipStatus(ctx context.Context) {
 	var all sync.WaitGroup
 	for i, m := range p.proxies {
 		all.Add(1)
 		go func() {
 			defer all.Done()
 			c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-			for sleep(ctx, asks) {
-				if !p.clients.up[i].Load() {
+			for sleep(ctx, statusPollInterval) {
+				if !p.load.available[i].Load() {
 					continue
 				}
-				r, err := c.Get("http://" + m.site.Management + "/control/peers")
+				r, err := c.Get("http://" + m.site.AdminAddress + "/control/peers")
 				if err != nil {
 					continue
 				}
 				text, err := io.ReadAll(r.Body)
 				r.Body.Close()
-				if s, ok := standing(string(text)); err == nil && ok && p.clients.up[i].Load() {
+				if s, ok := parseGossipStatus(string(text)); err == nil && ok && p.load.available[i].Load() {
 					s.Proxy = i
-					p.log.See(s)
+					p.log.Record(s)
 				}
 			}
 		}()
@@ -114,45 +114,45 @@
 }
 
 // whisper is a node of which one proxy alone was told.
-type whisper struct {
+type announcement struct {
 	node  string
 	proxy int
 	at    time.Time
 }
 
 // whisper adds nodes, cold ones that are in nobody's way, and tells each to one proxy alone, over a span; all are told at the end.
-func (p *player) whisper(ctx context.Context, nodes int, long time.Duration) {
+func (p *runner) announceToOne(ctx context.Context, nodes int, duration time.Duration) {
 	var added []*Node
 	for k := range nodes {
-		n, err := p.another()
+		n, err := p.startNextNode()
 		if err != nil {
 			return
 		}
 		added = append(added, n)
-		to := (k*7 + 3) % len(p.found)
-		for k := range p.found {
-			to = (to + k) % len(p.found)
-			if p.clients.up[to].Load() && p.found[to].Mood() == "" {
+		to := (k*7 + 3) % len(p.discoveries)
+		for k := range p.discoveries {
+			to = (to + k) % len(p.discoveries)
+			if p.load.available[to].Load() && p.discoveries[to].Mode() == "" {
 				break
 			}
 		}
 		// all the others' discoveries count this version too, and hold it back
-		for i, f := range p.found {
-			f.Stale(i != to)
-			f.Say(p.row(n, i, "active"))
+		for i, f := range p.discoveries {
+			f.SetWithholding(i != to)
+			f.Say(p.endpointRow(n, i, "active"))
 		}
 		p.mu.Lock()
-		p.whispers = append(p.whispers, whisper{n.Name, to, time.Now()})
+		p.announcements = append(p.announcements, announcement{n.Name, to, time.Now()})
 		p.mu.Unlock()
-		if !sleep(ctx, long/time.Duration(nodes)) {
+		if !sleep(ctx, duration/time.Duration(nodes)) {
 			return
 		}
 	}
 	p.mu.Lock()
 	p.nodes = append(p.nodes, added...)
 	p.mu.Unlock()
-	for _, f := range p.found {
-		f.Stale(false)
+	for _, f := range p.discoveries {
+		f.SetWithholding(false)
 	}
 }
 
@@ -164,7 +164,7 @@
 }
 
 // logged calls f with each line of each proxy's log that can be read, in order.
-func (p *player) logged(f func(proxy int, l logLine)) {
+func (p *runner) eachLogLine(f func(proxy int, l logLine)) {
 	for i, m := range p.proxies {
 		text, err := os.ReadFile(filepath.Join(m.site.Dir, "log"))
 		if err != nil {
@@ -180,12 +180,12 @@
 }
 
 // heard reads in the proxies' logs when each learnt what, and in what they said what that cost.
-func (p *player) heard(r *Report) {
+func (p *runner) measureGossip(r *Report) {
 	if !p.plan.Day.Peers.Talk {
 		return
 	}
 	first, began := map[string]map[int]float64{}, map[int]float64{}
-	p.logged(func(i int, l logLine) {
+	p.eachLogLine(func(i int, l logLine) {
 		switch {
 		case l.Msg == "started" || strings.HasPrefix(l.Msg, "peers: stood still"):
 			began[i] = l.At
@@ -201,10 +201,10 @@
 			}
 		}
 	})
-	for _, w := range p.whispers {
+	for _, w := range p.announcements {
 		for i := range p.proxies {
 			at, ok := first[w.node][i]
-			if p.stood(r.Seen, i, w.at, at) {
+			if p.wasPaused(r.Seen, i, w.at, at) {
 				continue // it could hear nothing
 			}
 			if ok && i != w.proxy {
@@ -233,7 +233,7 @@
 }
 
 // stood tells whether a proxy's process was stopped where it stood between a moment and another, which is a log's.
-func (p *player) stood(all []Seen, i int, from time.Time, to float64) bool {
+func (p *runner) wasPaused(all []Seen, i int, from time.Time, to float64) bool {
 	began, stopped := from.Sub(p.log.start), time.Duration(-1)
 	until := seconds(to - float64(p.log.start.UnixMicro())/1e6)
 	for _, s := range all {
@@ -249,7 +249,7 @@
 }
 
 // standing reads what a proxy says of its peers.
-func standing(text string) (s Seen, ok bool) {
+func parseGossipStatus(text string) (s Seen, ok bool) {
 	s.What = Shared
 	for _, line := range strings.Split(text, "\n") {
 		if _, rest, found := strings.Cut(line, "; behind "); found {
@@ -258,7 +258,7 @@
 				return s, false
 			}
 			s.Made = strings.TrimSuffix(behind, ",")
-			s.Figure, ok = number(share)
+			s.Figure, ok = parseNumber(share)
 		}
 		if strings.HasPrefix(line, "packets ") {
 			var streams, in, out int64
@@ -273,58 +273,58 @@
 	return s, ok
 }
 
-func number(s string) (float64, bool) {
+func parseNumber(s string) (float64, bool) {
 	f, err := strconv.ParseFloat(s, 64)
 	return f, err == nil
 }
 
 // sides tells which names are on the hit side of a trouble: proxies, and where a zone is hit its nodes.
-func (p *player) sides(b Blow) map[string]bool {
-	hit := map[string]bool{}
-	for _, i := range b.Hits {
-		hit[proxyName(i)] = true
+func (p *runner) affectedNames(b FaultEvent) map[string]bool {
+	affected := map[string]bool{}
+	for _, i := range b.Targets {
+		affected[proxyName(i)] = true
 	}
 	if b.Zone != "" {
 		p.world.mu.Lock()
 		defer p.world.mu.Unlock()
 		for name, zone := range p.world.zones {
 			if zone == b.Zone {
-				hit[name] = true
+				affected[name] = true
 			}
 		}
 	}
-	return hit
+	return affected
 }
 
 // cutOf is what a trouble does to links. Those to the origin and to a proxy's own discovery are hit by
 // name only.
-func (p *player) cutOf(b Blow) cut {
-	hit := p.sides(b)
+func (p *runner) linkFaultOf(b FaultEvent) linkFault {
+	affected := p.affectedNames(b)
 	between := func(name string) bool {
 		return strings.HasPrefix(name, "n") || b.Zone != "" && strings.HasPrefix(name, "c")
 	}
-	c := cut{loss: 1, reset: b.Reset}
+	fault := linkFault{lossRate: 1, resetStreams: b.Reset}
 	switch b.Kind {
 	case "one-way":
-		c.hits = func(from, to string) bool { return hit[from] && !hit[to] && (to == "" || between(to)) }
+		fault.affects = func(from, to string) bool { return affected[from] && !affected[to] && (to == "" || between(to)) }
 	case "link":
-		c.loss, c.twice, c.slow = b.Part, min(b.Part, 1-b.Part)/3, millis(b.Slow)
-		c.hits = func(from, to string) bool {
-			return oneOf(b.From, from) && oneOf(b.To, to) || !b.OneWay && oneOf(b.To, from) && oneOf(b.From, to)
+		fault.lossRate, fault.duplicateRate, fault.maxDelay = b.Part, min(b.Part, 1-b.Part)/3, millis(b.Slow)
+		fault.affects = func(from, to string) bool {
+			return matchesAny(b.From, from) && matchesAny(b.To, to) || !b.OneWay && matchesAny(b.To, from) && matchesAny(b.From, to)
 		}
 	case "lossy":
-		c.loss, c.twice, c.slow = min(b.Part, 0.99), b.Part/3, 60*time.Millisecond
-		c.hits = func(from, to string) bool { return strings.HasPrefix(from, "n") && strings.HasPrefix(to, "n") }
+		fault.lossRate, fault.duplicateRate, fault.maxDelay = min(b.Part, 0.99), b.Part/3, 60*time.Millisecond
+		fault.affects = func(from, to string) bool { return strings.HasPrefix(from, "n") && strings.HasPrefix(to, "n") }
 	default:
-		c.hits = func(from, to string) bool {
-			return hit[from] != hit[to] && (from == "" || between(from)) && (to == "" || between(to))
+		fault.affects = func(from, to string) bool {
+			return affected[from] != affected[to] && (from == "" || between(from)) && (to == "" || between(to))
 		}
 	}
-	return c
+	return fault
 }
 
 // oneOf tells whether one of the patterns is a name's; "" is anybody's.
-func oneOf(patterns []string, name string) bool {
+func matchesAny(patterns []string, name string) bool {
 	for _, p := range patterns {
 		if ok, _ := path.Match(p, name); ok || name == "" {
 			return true
@@ -334,36 +334,36 @@
 }
 
 // pause stops processes where they stand, and has them go on.
-func (p *player) pause(ctx context.Context, hits []int, long time.Duration) {
+func (p *runner) pauseProxies(ctx context.Context, proxies []int, duration time.Duration) {
 	signal := func(s syscall.Signal, note string) {
-		for _, i := range hits {
+		for _, i := range proxies {
 			m := p.proxies[i]
 			m.mu.Lock()
-			now := m.now
+			now := m.current
 			m.mu.Unlock()
 			if s == syscall.SIGCONT {
-				p.log.See(Seen{What: Paused, Proxy: i, Note: note})
+				p.log.Record(Seen{What: Paused, Proxy: i, Note: note})
 			}
 			now.Signal(s)
 			if s == syscall.SIGSTOP {
-				p.log.See(Seen{What: Paused, Proxy: i, Note: note})
+				p.log.Record(Seen{What: Paused, Proxy: i, Note: note})
 			}
-			p.clients.up[i].Store(s == syscall.SIGCONT)
+			p.load.available[i].Store(s == syscall.SIGCONT)
 		}
 	}
 	signal(syscall.SIGSTOP, "stands")
-	sleep(ctx, long)
+	sleep(ctx, duration)
 	signal(syscall.SIGCONT, "goes on")
 }
 
 // massKill kills proxies at one moment; after a while then is done, and each starts again, spread over a span.
-func (p *player) massKill(ctx context.Context, hits []int, after, spread time.Duration, then func()) {
+func (p *runner) killProxies(ctx context.Context, proxies []int, after, spread time.Duration, then func()) {
 	var all sync.WaitGroup
-	for _, i := range hits {
+	for _, i := range proxies {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			p.end(i, nil, "killed")
+			p.endProxy(i, nil, "killed")
 		}()
 	}
 	all.Wait()
@@ -371,12 +371,12 @@
 		return
 	}
 	then()
-	for k, i := range hits {
+	for k, i := range proxies {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			if sleep(ctx, spread*time.Duration(k)/time.Duration(len(hits))) {
-				p.start(ctx, i)
+			if sleep(ctx, spread*time.Duration(k)/time.Duration(len(proxies))) {
+				p.startProxy(ctx, i)
 			}
 		}()
 	}
@@ -384,8 +384,8 @@
 }
 
 // within is the nodes that stand in a zone.
-func (p *player) within(zone string) (nodes []*Node) {
-	in := p.sides(Blow{Trouble: Trouble{Zone: zone}})
+func (p *runner) nodesInZone(zone string) (nodes []*Node) {
+	in := p.affectedNames(FaultEvent{Trouble: Trouble{Zone: zone}})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, n := range p.nodes {
@@ -397,29 +397,29 @@
 }
 
 // loseZone takes a zone's proxies and nodes away. Where it is not dead it is silent: machines that vanished refuse nothing.
-func (p *player) loseZone(ctx context.Context, b Blow, long time.Duration) {
-	nodes, hit := p.within(b.Zone), p.sides(b)
+func (p *runner) loseZone(ctx context.Context, b FaultEvent, duration time.Duration) {
+	nodes, affected := p.nodesInZone(b.Zone), p.affectedNames(b)
 	end := func() {}
 	if !b.Dead {
-		end = p.ways.begin(cut{loss: 1, reset: true, hits: func(from, to string) bool {
-			return hit[from] && to != "origin" || hit[to] && from != "origin"
+		end = p.network.addFault(linkFault{lossRate: 1, resetStreams: true, affects: func(from, to string) bool {
+			return affected[from] && to != "origin" || affected[to] && from != "origin"
 		}})
 	} else {
 		for _, n := range nodes {
 			n.Stop()
 		}
 	}
-	p.struck(b, true)
-	p.massKill(ctx, b.Hits, long, seconds(b.Spread), func() {
+	p.noteZoneFault(b, true)
+	p.killProxies(ctx, b.Targets, duration, seconds(b.Spread), func() {
 		end()
-		p.struck(b, false)
+		p.noteZoneFault(b, false)
 		for _, n := range nodes {
 			if b.Dead && n.Restart() != nil {
 				return
 			}
 			if b.Dead || b.Cold {
-				p.starts(n, time.Now())
-				p.say(n, "active")
+				p.recordNodeStart(n, time.Now())
+				p.publish(n, "active")
 			}
 		}
 	})
--- a/internal/emulator/strike.go
+++ b/internal/emulator/inject.go
@@ -11,18 +11,18 @@
 // How troubles come and pass.
 
 // hit is the nodes that stand, as a trouble begins, in the places that it hits: others may be replaced meanwhile.
-func (p *player) hit(b Blow) []*Node {
+func (p *runner) targetNodes(b FaultEvent) []*Node {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var hit []*Node
-	for _, i := range b.Hits {
+	for _, i := range b.Targets {
 		hit = append(hit, p.nodes[i])
 	}
 	return hit
 }
 
 // strike lets a trouble come and pass.
-func (p *player) strike(ctx context.Context, b Blow, start time.Time) {
+func (p *runner) injectFault(ctx context.Context, b FaultEvent, start time.Time) {
 	if !sleep(ctx, time.Until(start.Add(seconds(b.At)))) {
 		return
 	}
@@ -34,7 +34,7 @@
 		if part == 0 {
 			part = 1
 		}
-		hit, began := p.hit(b), time.Now()
+		hit, began := p.targetNodes(b), time.Now()
 		for _, n := range hit {
 			n.Set(habit, part, 0, 0)
 		}
@@ -42,112 +42,112 @@
 		for _, n := range hit {
 			n.Set("", 1, 0, 0)
 			if b.Kind == "silent" {
-				p.fellSilent(n, began, time.Now())
+				p.recordSilence(n, began, time.Now())
 			}
 		}
 	case "slow", "origin-slow":
 		hit := []*Node{p.origin}
 		if b.Kind == "slow" {
-			hit = p.hit(b)
+			hit = p.targetNodes(b)
 		}
 		set := func(times float64) {
 			for _, n := range hit {
-				n.work.slower(times)
+				n.work.setSlowdown(times)
 			}
 		}
 		set(b.Times)
 		sleep(ctx, long)
 		set(1)
 	case "cold":
-		for _, n := range p.hit(b) {
+		for _, n := range p.targetNodes(b) {
 			n.Stop()
 			if !sleep(ctx, 200*time.Millisecond) || n.Restart() != nil {
 				return
 			}
-			p.starts(n, time.Now())
-			p.say(n, "active")
+			p.recordNodeStart(n, time.Now())
+			p.publish(n, "active")
 		}
 	case "replace":
-		for k, old := range p.hit(b) {
-			p.say(old, "leaving")
+		for k, old := range p.targetNodes(b) {
+			p.publish(old, "leaving")
 			if !sleep(ctx, max(millis(b.Leave), 500*time.Millisecond)) {
 				return
 			}
-			p.say(old, "left")
+			p.publish(old, "left")
 			old.Stop()
-			n, err := p.another()
+			n, err := p.startNextNode()
 			if err != nil {
 				return
 			}
 			p.mu.Lock()
-			p.nodes[b.Hits[k]] = n
+			p.nodes[b.Targets[k]] = n
 			p.mu.Unlock()
-			p.say(n, "active")
-			if !sleep(ctx, long/time.Duration(len(b.Hits))) {
+			p.publish(n, "active")
+			if !sleep(ctx, long/time.Duration(len(b.Targets))) {
 				return
 			}
 		}
 	case "stale":
-		for _, i := range b.Hits {
-			p.found[i].Stale(true)
+		for _, i := range b.Targets {
+			p.discoveries[i].SetWithholding(true)
 		}
 		sleep(ctx, long)
-		for _, i := range b.Hits {
-			p.found[i].Stale(false)
+		for _, i := range b.Targets {
+			p.discoveries[i].SetWithholding(false)
 		}
 	case "hush":
-		for _, i := range b.Hits {
-			p.found[i].Hush()
+		for _, i := range b.Targets {
+			p.discoveries[i].SilenceOpenWatches()
 		}
 	case "agent-ahead":
 		p.mu.Lock()
-		n := p.nodes[b.Hits[0]%len(p.nodes)]
+		n := p.nodes[b.Targets[0]%len(p.nodes)]
 		p.mu.Unlock()
-		for _, i := range b.Hits {
-			p.end(i, nil, "killed")
+		for _, i := range b.Targets {
+			p.endProxy(i, nil, "killed")
 		}
-		p.say(n, "leaving")
-		for _, i := range b.Hits {
-			if ctx.Err() != nil || p.start(ctx, i) != nil {
+		p.publish(n, "leaving")
+		for _, i := range b.Targets {
+			if ctx.Err() != nil || p.startProxy(ctx, i) != nil {
 				return
 			}
 		}
 		sleep(ctx, long)
-		p.say(n, "active")
+		p.publish(n, "active")
 	case "deaf", "refusing":
 		mood := map[string]Mood{"deaf": "silent", "refusing": "full"}[b.Kind]
-		for _, i := range b.Hits {
-			p.found[i].Feel(mood)
+		for _, i := range b.Targets {
+			p.discoveries[i].Feel(mood)
 		}
 		sleep(ctx, long)
-		for _, i := range b.Hits {
-			p.found[i].Feel("")
+		for _, i := range b.Targets {
+			p.discoveries[i].Feel("")
 		}
 	case "part", "one-way", "lossy", "zone-cut", "link":
-		end := p.ways.begin(p.cutOf(b))
-		p.struck(b, true)
+		end := p.network.addFault(p.linkFaultOf(b))
+		p.noteZoneFault(b, true)
 		sleep(ctx, long)
 		end()
-		p.struck(b, false)
+		p.noteZoneFault(b, false)
 	case "zone-grey":
-		p.greyZone(ctx, b, long)
+		p.degradeZone(ctx, b, long)
 	case "whisper":
-		p.whisper(ctx, b.Nodes, long)
+		p.announceToOne(ctx, b.Nodes, long)
 	case "pause":
-		p.pause(ctx, b.Hits, long)
+		p.pauseProxies(ctx, b.Targets, long)
 	case "mass-kill":
-		p.massKill(ctx, b.Hits, max(long, 500*time.Millisecond), seconds(b.Spread), func() {})
+		p.killProxies(ctx, b.Targets, max(long, 500*time.Millisecond), seconds(b.Spread), func() {})
 	case "zone-lost":
 		p.loseZone(ctx, b, long)
 	case "kill", "restart":
-		for _, i := range b.Hits {
+		for _, i := range b.Targets {
 			if b.Kind == "kill" {
-				p.end(i, nil, "killed")
+				p.endProxy(i, nil, "killed")
 				sleep(ctx, 500*time.Millisecond)
 			} else {
-				p.end(i, syscall.SIGTERM, "stopped")
+				p.endProxy(i, syscall.SIGTERM, "stopped")
 			}
-			if ctx.Err() != nil || p.start(ctx, i) != nil {
+			if ctx.Err() != nil || p.startProxy(ctx, i) != nil {
 				return
 			}
 		}
@@ -157,8 +157,8 @@
 			all.Add(1)
 			go func() {
 				defer all.Done()
-				if !bad(p.clients.addrs[i%len(p.clients.addrs)], i) {
-					p.badMute.Add(1)
+				if !sendMalformed(p.load.addresses[i%len(p.load.addresses)], i) {
+					p.unansweredBadClients.Add(1)
 				}
 			}()
 			sleep(ctx, seconds(1/b.Rate))
@@ -172,7 +172,7 @@
 			all.Add(1)
 			go func() {
 				defer all.Done()
-				slow(during, p.clients.addrs[i%len(p.clients.addrs)], fmt.Sprint("slow", i), p.plan.Day.Routes[0])
+				readSlowly(during, p.load.addresses[i%len(p.load.addresses)], fmt.Sprint("slow", i), p.plan.Day.Routes[0])
 			}()
 		}
 		all.Wait()
--- a/internal/emulator/gates.go
+++ b/internal/emulator/listener_gate.go
@@ -13,84 +13,84 @@
 // the kernel then drops who knocks, who goes on knocking as at a machine that is gone.
 
 // fillers is where the rig's own connections come from.
-var fillers = net.IPv4(127, 254, 253, 252)
+var fillerIP = net.IPv4(127, 254, 253, 252)
 
-const usualQueue = 128
+const defaultBacklog = 128
 
 // gate is one listener behind a link.
-type gate struct {
-	ln          net.Listener
-	here, there string
-	shut        bool
-	fill        []net.Conn
+type listenerGate struct {
+	listener      net.Listener
+	local, remote string
+	shut          bool
+	fillerConns   []net.Conn
 }
 
 // gates are those of all links. The lock is held for no I/O but the listeners' own settings.
-type gates struct {
+type gateSet struct {
 	mu  sync.Mutex
-	all []*gate
+	all []*listenerGate
 }
 
 // guard has a listener be shut while its link is cut; one that was there before under these names has ended.
-func (w *Ways) guard(ln net.Listener, here, there string) {
+func (w *network) guardListener(ln net.Listener, local, remote string) {
 	if w == nil {
 		return
 	}
-	g := &gate{ln: ln, here: here, there: there}
+	g := &listenerGate{listener: ln, local: local, remote: remote}
 	w.gates.mu.Lock()
-	w.gates.all = append(slices.DeleteFunc(w.gates.all, func(o *gate) bool { return o.here == here && o.there == there }), g)
+	w.gates.all = append(slices.DeleteFunc(w.gates.all, func(other *listenerGate) bool { return other.local == local && other.remote == remote }), g)
 	w.gates.mu.Unlock()
-	w.turn(g)
+	w.updateGate(g)
 }
 
 // turnAll shuts and opens gates as links are cut and heal.
-func (w *Ways) turnAll() {
+func (w *network) updateGates() {
 	w.gates.mu.Lock()
 	all := slices.Clone(w.gates.all)
 	w.gates.mu.Unlock()
 	for _, g := range all {
-		w.turn(g)
+		w.updateGate(g)
 	}
 }
 
-func (w *Ways) turn(g *gate) {
-	cut := w.broken(g.here, g.there)
+func (w *network) updateGate(g *listenerGate) {
+	severed := w.isSevered(g.local, g.remote)
 	w.gates.mu.Lock()
 	defer w.gates.mu.Unlock()
-	if cut == g.shut {
+	if severed == g.shut {
 		return
 	}
-	g.shut = cut
-	queue := usualQueue
-	if cut {
+	g.shut = severed
+	queue := defaultBacklog
+	if severed {
 		queue = 0 // of which the kernel makes one
 	}
-	if !g.queue(queue) {
+	if !g.setBacklog(queue) {
 		return // it has ended
 	}
-	for _, c := range g.fill {
+	for _, c := range g.fillerConns {
 		c.Close()
 	}
-	g.fill = nil
-	if cut {
-		go w.crowd(g)
+	g.fillerConns = nil
+	if severed {
+		go w.fillQueue(g)
 	}
 }
 
-func (g *gate) queue(long int) bool {
-	tcp, ok := g.ln.(*net.TCPListener)
+func (g *listenerGate) setBacklog(backlog int) bool {
+	tcp, ok := g.listener.(*net.TCPListener)
 	if !ok {
 		return false
 	}
 	raw, err := tcp.SyscallConn()
-	return err == nil && raw.Control(func(fd uintptr) { syscall.Listen(int(fd), long) }) == nil
+	return err == nil && raw.Control(func(fd uintptr) { syscall.Listen(int(fd), backlog) }) == nil
 }
 
 // crowd fills the queue: one goes to whoever waits for a connection, the next stays.
-func (w *Ways) crowd(g *gate) {
-	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: fillers}, Timeout: 100 * time.Millisecond}
+func (w *network) fillQueue(g *listenerGate) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: fillerIP}, Timeout: 100 * time.Millisecond}
 	for filled, tries := 0, 0; filled < 2 && tries < 6; tries++ {
-		c, err := d.Dial("tcp", g.ln.Addr().String())
+		c, err := d.Dial("tcp", g.listener.Addr().String())
 		w.gates.mu.Lock()
 		if !g.shut {
 			w.gates.mu.Unlock()
@@ -100,7 +100,7 @@
 			return
 		}
 		if err == nil {
-			g.fill = append(g.fill, c)
+			g.fillerConns = append(g.fillerConns, c)
 			filled++
 		}
 		w.gates.mu.Unlock()
@@ -111,21 +111,21 @@
 }
 
 // broken tells whether a link carries nothing in one of its directions.
-func (w *Ways) broken(a, b string) bool {
-	there, _ := w.way(a, b)
-	back, _ := w.way(b, a)
-	return there.loss >= 1 || back.loss >= 1
+func (w *network) isSevered(a, b string) bool {
+	forward, _ := w.linkState(a, b)
+	backward, _ := w.linkState(b, a)
+	return forward.lossRate >= 1 || backward.lossRate >= 1
 }
 
 // stranger tells whether a connection is the rig's own. It returns once the link carries something again.
-func (w *Ways) stranger(c net.Conn, here, there string) bool {
-	if a, ok := c.RemoteAddr().(*net.TCPAddr); w == nil || !ok || !a.IP.Equal(fillers) {
+func (w *network) isFiller(c net.Conn, local, remote string) bool {
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); w == nil || !ok || !a.IP.Equal(fillerIP) {
 		return false
 	}
 	c.Close()
 	for {
-		_, changed := w.way(here, there)
-		if !w.broken(here, there) {
+		_, changed := w.linkState(local, remote)
+		if !w.isSevered(local, remote) {
 			return true
 		}
 		<-changed
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -32,25 +32,25 @@
 	Origin bool
 	Taken  atomic.Int64 // commands that came whole
 
-	mu    sync.Mutex
-	habit Habit
-	other chan struct{} // closed when the habit changes
-	part  float64       // of commands that the habit meets; the others are served
-	slow  time.Duration
-	size  int
-	lines []net.Listener
-	addrs []string
-	conns map[net.Conn]struct{}
-	dead  bool
-	work  *work
-	world *World
+	mu           sync.Mutex
+	mode         Habit
+	modeChanged  chan struct{} // closed when the habit changes
+	affectedPart float64       // of commands that the habit meets; the others are served
+	delay        time.Duration
+	valueSize    int
+	listeners    []net.Listener
+	addresses    []string
+	conns        map[net.Conn]struct{}
+	stopped      bool
+	work         *workQueue
+	state        *cluster
 }
 
 // NewNode starts a node with an address for each proxy, on the given loopback address.
-func NewNode(ip, name string, origin bool, proxies int, log *Log) (*Node, error) {
+func NewNode(ip, name string, origin bool, proxies int, log *EventLog) (*Node, error) {
 	n := &Node{
-		Name: name, Origin: origin, conns: map[net.Conn]struct{}{}, part: 1, other: make(chan struct{}),
-		world: &World{Log: log},
+		Name: name, Origin: origin, conns: map[net.Conn]struct{}{}, affectedPart: 1, modeChanged: make(chan struct{}),
+		state: &cluster{Log: log},
 	}
 	for range proxies {
 		ln, err := net.Listen("tcp", ip+":0")
@@ -58,9 +58,9 @@
 			n.Stop()
 			return nil, err
 		}
-		n.lines, n.addrs = append(n.lines, ln), append(n.addrs, ln.Addr().String())
+		n.listeners, n.addresses = append(n.listeners, ln), append(n.addresses, ln.Addr().String())
 	}
-	n.open()
+	n.acceptAll()
 	return n, nil
 }
 
@@ -72,17 +72,17 @@
 }
 
 // Addr is where a proxy finds the node.
-func (n *Node) Addr(proxy int) string { return n.addrs[proxy] }
+func (n *Node) Addr(proxy int) string { return n.addresses[proxy] }
 
 // Set changes the node's habit, for a part of the commands.
-func (n *Node) Set(habit Habit, part float64, slow time.Duration, size int) {
+func (n *Node) Set(mode Habit, part float64, delay time.Duration, size int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.habit, n.part, n.slow, n.size = habit, part, slow, size
-	close(n.other)
-	n.other = make(chan struct{})
-	if habit == "nowhere" {
-		for _, ln := range n.lines {
+	n.mode, n.affectedPart, n.delay, n.valueSize = mode, part, delay, size
+	close(n.modeChanged)
+	n.modeChanged = make(chan struct{})
+	if mode == "nowhere" {
+		for _, ln := range n.listeners {
 			ln.Close()
 		}
 	}
@@ -92,10 +92,10 @@
 func (n *Node) Stop() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.dead = true
-	close(n.other) // none is held any longer
-	n.other = make(chan struct{})
-	for _, ln := range n.lines {
+	n.stopped = true
+	close(n.modeChanged) // none is held any longer
+	n.modeChanged = make(chan struct{})
+	for _, ln := range n.listeners {
 		ln.Close()
 	}
 	for c := range n.conns {
@@ -108,33 +108,33 @@
 
 // Restart has a stopped node listen where it did.
 func (n *Node) Restart() error {
-	for i, addr := range n.addrs {
+	for i, addr := range n.addresses {
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			return err
 		}
-		n.lines[i] = ln
+		n.listeners[i] = ln
 	}
 	n.mu.Lock()
-	n.dead = false
+	n.stopped = false
 	n.mu.Unlock()
-	n.open()
-	n.join(n.world)
+	n.acceptAll()
+	n.attach(n.state)
 	return nil
 }
 
 // join has a node's connections go over the links of a world.
-func (n *Node) join(w *World) {
+func (n *Node) attach(w *cluster) {
 	n.mu.Lock()
-	n.world = w
+	n.state = w
 	n.mu.Unlock()
-	for proxy, ln := range n.lines {
-		w.ways.guard(ln, n.Name, proxyName(proxy))
+	for proxy, ln := range n.listeners {
+		w.network.guardListener(ln, n.Name, proxyName(proxy))
 	}
 }
 
-func (n *Node) open() {
-	for proxy, ln := range n.lines {
+func (n *Node) acceptAll() {
+	for proxy, ln := range n.listeners {
 		go func() {
 			for {
 				c, err := ln.Accept()
@@ -142,13 +142,13 @@
 					return
 				}
 				n.mu.Lock()
-				ways := n.world.ways
+				ways := n.state.network
 				n.mu.Unlock()
-				if ways.stranger(c, n.Name, proxyName(proxy)) {
+				if ways.isFiller(c, n.Name, proxyName(proxy)) {
 					continue
 				}
 				n.mu.Lock()
-				dead := n.dead
+				dead := n.stopped
 				if !dead {
 					n.conns[c] = struct{}{}
 				}
@@ -157,7 +157,7 @@
 					c.Close()
 					return
 				}
-				go n.serve(c, n.world.ways.over(c, n.Name, proxyName(proxy)), proxy)
+				go n.serve(c, n.state.network.wrap(c, n.Name, proxyName(proxy)), proxy)
 			}
 		}()
 	}
@@ -174,9 +174,9 @@
 	for {
 		err := error(nil)
 		if n.Origin {
-			err = n.fetch(c, r, proxy)
+			err = n.serveFetch(c, r, proxy)
 		} else {
-			err = n.command(c, r, proxy)
+			err = n.serveCommand(c, r, proxy)
 		}
 		if err != nil {
 			return
@@ -207,7 +207,7 @@
 }
 
 // Command words a command.
-func Command(words ...string) []byte {
+func EncodeCommand(words ...string) []byte {
 	b := fmt.Appendf(nil, "*%d\r\n", len(words))
 	for _, w := range words {
 		b = fmt.Appendf(b, "$%d\r\n%s\r\n", len(w), w)
@@ -223,7 +223,7 @@
 	}
 	count, err := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(head, "*")))
 	if err != nil || count < 1 || count > 16 {
-		return nil, errEnds
+		return nil, errConnectionEnds
 	}
 	words := make([]string, max(count, 5))
 	for i := range count {
@@ -234,28 +234,28 @@
 	return words, nil
 }
 
-var errEnds = errors.New("the connection ends with the answer")
+var errConnectionEnds = errors.New("the connection ends with the answer")
 
 // meets draws how the next command is met.
-func (n *Node) meets(id string) (habit Habit, slow time.Duration, size int) {
+func (n *Node) nextMode(id string) (mode Habit, delay time.Duration, size int) {
 	n.Taken.Add(1)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for n.habit == "holds" && !n.dead {
-		other := n.other
+	for n.mode == "holds" && !n.stopped {
+		changed := n.modeChanged
 		n.mu.Unlock()
-		<-other
+		<-changed
 		n.mu.Lock()
 	}
-	habit = n.habit
-	if n.part < 1 && draw(id, n.Name) >= n.part {
-		habit = ""
+	mode = n.mode
+	if n.affectedPart < 1 && hashedFloat(id, n.Name) >= n.affectedPart {
+		mode = ""
 	}
-	return habit, n.slow, n.size
+	return mode, n.delay, n.valueSize
 }
 
 // draw is a chance that the same words have on every run.
-func draw(words ...string) float64 {
+func hashedFloat(words ...string) float64 {
 	h := fnv.New64a()
 	for _, w := range words {
 		io.WriteString(h, w+"\x00")
@@ -270,36 +270,36 @@
 }
 
 // MadeFor tells whom a value was made for, and by whom.
-func MadeFor(v string) (maker, id string) {
+func ParseValue(v string) (maker, id string) {
 	maker, id, _ = strings.Cut(strings.TrimRight(v, "."), ":")
 	return maker, id
 }
 
-func (n *Node) command(c net.Conn, r *bufio.Reader, proxy int) error {
-	words, err := ReadCommand(r)
+func (n *Node) serveCommand(c net.Conn, r *bufio.Reader, proxy int) error {
+	args, err := ReadCommand(r)
 	if err != nil {
 		return err
 	}
-	id, fact := words[2], words[3]
-	proxy = n.world.whose(id, proxy)
-	n.world.Log.See(Seen{What: Took, ID: id, Proxy: proxy, Node: n.Name, Note: mark(fact)})
-	habit, slow, size := n.meets(id)
+	id, fact := args[2], args[3]
+	proxy = n.state.proxyFor(id, proxy)
+	n.state.Log.Record(Seen{What: Took, ID: id, Proxy: proxy, Node: n.Name, Note: idempotencyKeyOf(fact)})
+	mode, delay, size := n.nextMode(id)
 	v := value(n.Name, id, size)
-	if habit == "" {
-		has, err := n.world.read(n, proxy, id, words[1])
+	if mode == "" {
+		has, err := n.state.lookUp(n, proxy, id, args[1])
 		switch {
 		case err != nil:
-			habit = "busy"
+			mode = "busy"
 		case has:
-			habit, v = "hit", value(n.Name, id, n.world.size)
+			mode, v = "hit", value(n.Name, id, n.state.valueSize)
 		default:
-			habit = "miss"
+			mode = "miss"
 		}
-	} else if habit != "drips" {
-		time.Sleep(slow)
+	} else if mode != "drips" {
+		time.Sleep(delay)
 	}
 	whole := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(v), v)
-	switch habit {
+	switch mode {
 	case "hit", "once":
 		_, err = io.WriteString(c, whole)
 	case "twice":
@@ -316,19 +316,19 @@
 		_, err = fmt.Fprintf(c, "*1\r\n$%d\r\n%s..", len(v), v)
 	case "drips":
 		fmt.Fprintf(c, "*1\r\n$%d\r\n%s", len(v), v[:len(v)/2])
-		time.Sleep(slow)
+		time.Sleep(delay)
 		_, err = io.WriteString(c, v[len(v)/2:]+"\r\n")
 	case "halves":
 		fmt.Fprintf(c, "*3\r\n$%d\r\n%s", len(v), v[:len(v)/2])
 	}
-	if habit == "once" || habit == "cuts" || habit == "halves" {
-		return errEnds
+	if mode == "once" || mode == "cuts" || mode == "halves" {
+		return errConnectionEnds
 	}
 	return err
 }
 
 // mark is the idempotency key among a request's facts.
-func mark(facts string) string {
+func idempotencyKeyOf(facts string) string {
 	for _, f := range strings.Split(facts, ",") {
 		if k, ok := strings.CutPrefix(f, "k="); ok {
 			return k
@@ -338,36 +338,36 @@
 }
 
 // fetch answers one request at the origin.
-func (n *Node) fetch(c net.Conn, r *bufio.Reader, proxy int) error {
-	q, err := http.ReadRequest(r)
+func (n *Node) serveFetch(c net.Conn, r *bufio.Reader, proxy int) error {
+	request, err := http.ReadRequest(r)
 	if err != nil {
 		return err
 	}
-	body, err := io.ReadAll(q.Body)
+	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return err
 	}
-	id, k := q.Header.Get("X-Correlation-Id"), mark(q.Header.Get("X-Facts"))
-	proxy = n.world.whose(id, proxy)
-	write := q.Method == http.MethodPut
+	id, idempotencyKey := request.Header.Get("X-Correlation-Id"), idempotencyKeyOf(request.Header.Get("X-Facts"))
+	proxy = n.state.proxyFor(id, proxy)
+	write := request.Method == http.MethodPut
 	if write && strings.Trim(string(body), "v") != "" {
-		return errEnds // the value is not what clients write
+		return errConnectionEnds // the value is not what clients write
 	}
-	n.world.Log.See(Seen{What: Took, ID: id, Proxy: proxy, Node: n.Name, Note: k})
-	habit, slow, size := n.meets(id)
+	n.state.Log.Record(Seen{What: Took, ID: id, Proxy: proxy, Node: n.Name, Note: idempotencyKey})
+	mode, delay, size := n.nextMode(id)
 	v := value(n.Name, id, size)
-	if habit == "" {
-		if err := n.world.fetched(n, proxy, id, strings.TrimPrefix(q.URL.Path, "/"), k, write); errors.Is(err, errAbsent) {
-			habit = "absent"
+	if mode == "" {
+		if err := n.state.fetch(n, proxy, id, strings.TrimPrefix(request.URL.Path, "/"), idempotencyKey, write); errors.Is(err, errAbsent) {
+			mode = "absent"
 		} else if err != nil {
-			habit = "busy"
+			mode = "busy"
 		} else {
-			habit, v = "hit", value(n.Name, id, n.world.size)
+			mode, v = "hit", value(n.Name, id, n.state.valueSize)
 		}
 	} else {
-		time.Sleep(slow)
+		time.Sleep(delay)
 	}
-	switch habit {
+	switch mode {
 	case "hit":
 		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(v), v)
 	case "absent":
@@ -381,60 +381,60 @@
 	case "silent":
 	case "garbled":
 		io.WriteString(c, "SMTP 1\r\n\r\n")
-		return errEnds
+		return errConnectionEnds
 	default:
-		return errEnds
+		return errConnectionEnds
 	}
 	return err
 }
 
 // work is what a node's cores do: commands that wait beyond its queue are turned away, and each that waits makes all
 // slower. A node that starts anew is slow at first.
-type work struct {
+type workQueue struct {
 	Server
-	cold     time.Duration
-	coldFrom float64
-	mu       sync.Mutex
-	times    float64 // slower than usual
-	since    time.Time
-	waiting  atomic.Int64
-	cores    chan struct{}
+	slowStart    time.Duration
+	initialSpeed float64
+	mu           sync.Mutex
+	slowdown     float64 // slower than usual
+	startedAt    time.Time
+	waiting      atomic.Int64
+	cores        chan struct{}
 }
 
-func newWork(s Server, cold time.Duration, coldFrom float64) *work {
-	return &work{Server: s, cold: cold, coldFrom: coldFrom, times: 1, cores: make(chan struct{}, s.Cores)}
+func newWorkQueue(s Server, cold time.Duration, coldFrom float64) *workQueue {
+	return &workQueue{Server: s, slowStart: cold, initialSpeed: coldFrom, slowdown: 1, cores: make(chan struct{}, s.Cores)}
 }
 
 // slower has it take so many times as long as usual.
-func (w *work) slower(times float64) {
+func (w *workQueue) setSlowdown(times float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.times = times
+	w.slowdown = times
 }
 
-var errFull = errors.New("the queue is full")
+var errQueueFull = errors.New("the queue is full")
 
 // speed is the part of its usual speed that a node has.
-func (w *work) speed() float64 {
+func (w *workQueue) speed() float64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	part := 1.0
-	if age := time.Since(w.since); !w.since.IsZero() && age < w.cold {
-		part = w.coldFrom + (1-w.coldFrom)*float64(age)/float64(w.cold)
+	if age := time.Since(w.startedAt); !w.startedAt.IsZero() && age < w.slowStart {
+		part = w.initialSpeed + (1-w.initialSpeed)*float64(age)/float64(w.slowStart)
 	}
-	return part / w.times
+	return part / w.slowdown
 }
 
-func (w *work) do(id, node string) error {
+func (w *workQueue) process(id, node string) error {
 	if w.waiting.Add(1) > int64(w.Queue+w.Cores) {
 		w.waiting.Add(-1)
-		return errFull
+		return errQueueFull
 	}
 	defer w.waiting.Add(-1)
 	w.cores <- struct{}{}
 	defer func() { <-w.cores }()
-	long := -math.Log(1-draw(id, node, "work")) * w.Service / w.speed()
-	long *= 1 + w.Thrash*float64(max(w.waiting.Load()-int64(w.Cores), 0))
-	time.Sleep(millis(long))
+	serviceMS := -math.Log(1-hashedFloat(id, node, "work")) * w.Service / w.speed()
+	serviceMS *= 1 + w.Thrash*float64(max(w.waiting.Load()-int64(w.Cores), 0))
+	time.Sleep(millis(serviceMS))
 	return nil
 }
--- a/internal/emulator/plan.go
+++ b/internal/emulator/plan.go
@@ -11,18 +11,18 @@
 
 // Request is one that a client is to make, settled before the day begins.
 type Request struct {
-	At     time.Duration
-	ID     string
-	Key    string
-	Route  int
-	Proxy  int
-	Leaves time.Duration // the client leaves so long after it asked, 0: it waits
+	At          time.Duration
+	ID          string
+	Key         string
+	Route       int
+	Proxy       int
+	LeavesAfter time.Duration // the client leaves so long after it asked, 0: it waits
 }
 
 // Blow is a trouble with those whom it hits.
-type Blow struct {
+type FaultEvent struct {
 	Trouble
-	Hits []int // nodes or proxies
+	Targets []int // nodes or proxies
 }
 
 // Plan is a day with its chances drawn: who asks what when, and which trouble hits whom.
@@ -30,7 +30,7 @@
 	Day      *Day
 	Seed     uint64
 	Requests []Request
-	Blows    []Blow
+	Blows    []FaultEvent
 }
 
 // Draw settles a day by a seed; the same seed gives the same day.
@@ -44,46 +44,46 @@
 		most = math.Max(most, d.Load.Rate*s.Times)
 	}
 	for at := gaps.Rand() / most; at < d.Length; at += gaps.Rand() / most {
-		if chance.Float64()*most > d.rate(at) { // drawn at the highest rate, and thinned
+		if chance.Float64()*most > d.rateAt(at) { // drawn at the highest rate, and thinned
 			continue
 		}
 		n := len(p.Requests)
 		r := Request{
-			At: seconds(at), ID: fmt.Sprintf("%08x%08x", uint32(seed), n), Key: key(zipf.Uint64()),
-			Route: d.drawRoute(chance.Float64()), Proxy: chance.IntN(d.Proxies),
+			At: seconds(at), ID: fmt.Sprintf("%08x%08x", uint32(seed), n), Key: keyName(zipf.Uint64()),
+			Route: d.pickRoute(chance.Float64()), Proxy: chance.IntN(d.Proxies),
 		}
-		if chance.Float64() < d.Load.Impatient {
-			r.Leaves = millis(d.Routes[r.Route].Overall / 4)
+		if chance.Float64() < d.Load.ImpatientFraction {
+			r.LeavesAfter = millis(d.Routes[r.Route].Overall / 4)
 		}
 		p.Requests = append(p.Requests, r)
 	}
 	whom := rand.New(rand.NewPCG(seed, 4))
 	for _, t := range d.Trouble {
-		b := Blow{Trouble: t}
+		b := FaultEvent{Trouble: t}
 		of := d.Fleet.Nodes
-		if ofProxies[t.Kind] {
+		if proxyFaults[t.Kind] {
 			of = d.Proxies
 		}
 		switch {
 		case t.Zone != "": // its proxies; zones are dealt out to proxies in turn
 			for i := range d.Proxies {
 				if d.Fleet.Zones[i%len(d.Fleet.Zones)] == t.Zone {
-					b.Hits = append(b.Hits, i)
+					b.Targets = append(b.Targets, i)
 				}
 			}
-		case kinds[t.Kind].some && t.Nodes == 0: // all of them
-			b.Hits = whom.Perm(of)
+		case faultKinds[t.Kind].some && t.Nodes == 0: // all of them
+			b.Targets = whom.Perm(of)
 		case t.Kind != "slow-clients" && t.Kind != "whisper" && t.Kind != "link":
-			b.Hits = whom.Perm(of)[:min(t.Nodes, of)]
+			b.Targets = whom.Perm(of)[:min(t.Nodes, of)]
 		}
 		p.Blows = append(p.Blows, b)
 	}
 	return p
 }
 
-func key(n uint64) string { return fmt.Sprintf("k%d", n) }
+func keyName(n uint64) string { return fmt.Sprintf("k%d", n) }
 
-func (d *Day) rate(at float64) float64 {
+func (d *Day) rateAt(at float64) float64 {
 	times := 1.0
 	for _, s := range d.Load.Steps {
 		if at >= s.At {
@@ -93,7 +93,7 @@
 	return d.Load.Rate * times
 }
 
-func (d *Day) drawRoute(at float64) int {
+func (d *Day) pickRoute(at float64) int {
 	for i, r := range d.Routes {
 		if at -= r.Share; at < 0 {
 			return i
--- a/internal/emulator/process.go
+++ b/internal/emulator/proxy_process.go
@@ -13,60 +13,60 @@
 // The proxies' processes.
 
 // start starts a proxy and waits until it serves.
-func (p *player) start(ctx context.Context, i int) error {
+func (p *runner) startProxy(ctx context.Context, i int) error {
 	m := p.proxies[i]
 	// two troubles may kill one proxy, and each starts it again: the first process would never be told to end, and the day not end
 	m.mu.Lock()
-	twice := m.runs
-	m.runs = true
+	twice := m.running
+	m.running = true
 	m.mu.Unlock()
 	if twice {
 		return nil
 	}
-	p.found[i].Ahead()
-	now, err := p.o.Start(m.site)
+	p.discoveries[i].RecordKnownAtStart()
+	now, err := p.options.Start(m.site)
 	if err != nil {
 		return err
 	}
 	if p.relays != nil {
-		if err := p.relays[i].open(); err != nil {
+		if err := p.relays[i].listen(); err != nil {
 			return err
 		}
 	}
-	mine := &life{Proxy: now, gone: make(chan struct{})}
+	mine := &incarnation{Proxy: now, ended: make(chan struct{})}
 	m.mu.Lock()
-	m.now = mine
+	m.current = mine
 	m.mu.Unlock()
-	p.ends.Add(1)
+	p.processWatchers.Add(1)
 	go func() {
-		defer p.ends.Done()
+		defer p.processWatchers.Done()
 		<-now.Done()
-		p.clients.up[i].Store(false)
-		if p.relays != nil && !p.ways.any(proxyName(i)) { // over a link that is cut nobody hears a refusal
-			p.relays[i].close()
+		p.load.available[i].Store(false)
+		if p.relays != nil && !p.network.isCutOff(proxyName(i)) { // over a link that is cut nobody hears a refusal
+			p.relays[i].refuse()
 		}
 		if c, ok := now.(interface{ CPU() time.Duration }); ok {
-			p.cpu.Add(int64(c.CPU()))
+			p.proxyCPU.Add(int64(c.CPU()))
 		}
 		m.mu.Lock()
-		note := mine.ends
-		m.runs = false
+		note := mine.endNote
+		m.running = false
 		m.mu.Unlock()
-		close(mine.gone)
+		close(mine.ended)
 		if note == "" {
 			note = "crashed"
 		}
-		p.log.See(Seen{What: Ended, Proxy: i, Note: note})
+		p.log.Record(Seen{What: Ended, Proxy: i, Note: note})
 	}()
 	for range 500 {
 		if conn, err := net.DialTimeout("tcp", m.site.Listen, time.Second); err == nil {
 			conn.SetDeadline(time.Now().Add(2 * time.Second))
-			conn.Write(Command("PING"))
+			conn.Write(EncodeCommand("PING"))
 			b := make([]byte, 5)
 			_, err := conn.Read(b)
 			conn.Close()
 			if err == nil && string(b) == "+PONG" {
-				p.clients.up[i].Store(true)
+				p.load.available[i].Store(true)
 				return nil
 			}
 		}
@@ -83,18 +83,18 @@
 }
 
 // end ends a proxy by a signal, or kills it, and waits.
-func (p *player) end(i int, s os.Signal, note string) {
+func (p *runner) endProxy(i int, s os.Signal, note string) {
 	m := p.proxies[i]
 	m.mu.Lock()
-	now := m.now
-	if now != nil && now.ends == "" {
-		now.ends = note
+	now := m.current
+	if now != nil && now.endNote == "" {
+		now.endNote = note
 	}
 	m.mu.Unlock()
 	if now == nil {
 		return
 	}
-	p.clients.up[i].Store(false) // the front learns of it at once
+	p.load.available[i].Store(false) // the front learns of it at once
 	if s == nil {
 		now.Kill()
 	} else {
@@ -106,20 +106,20 @@
 		now.Kill()
 		<-now.Done()
 	}
-	<-now.gone
+	<-now.ended
 }
 
 // Program starts a program as a process for each proxy, whose log is kept in its directory.
 func Program(words ...string) Start {
-	return func(s Site) (Proxy, error) {
+	return func(s ProxyConfig) (Proxy, error) {
 		log, err := os.OpenFile(filepath.Join(s.Dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
 			return nil, err
 		}
 		c := exec.Command(words[0], words[1:]...)
-		c.Env = append(os.Environ(), "GW_CONFIG="+s.Config, "GW_NAME="+s.Name, "GW_LISTEN="+s.Listen, "GW_DISCOVERY="+s.Discovery,
+		c.Env = append(os.Environ(), "GW_CONFIG="+s.ConfigFile, "GW_NAME="+s.Name, "GW_LISTEN="+s.Listen, "GW_DISCOVERY="+s.Discovery,
 			"TMPDIR="+filepath.Join(s.Dir, "tmp"))
-		for _, f := range [...][2]string{{"PEERS", s.Peers}, {"STATE", s.State}, {"MISSING", s.Missing}, {"MOVES", s.Moves}, {"TURNS", s.Turns}, {"ZONES", s.Zones}} {
+		for _, f := range [...][2]string{{"PEERS", s.GossipFile}, {"STATE", s.StateDir}, {"MISSING", s.NegativeCacheFile}, {"MOVES", s.RebalanceFile}, {"TURNS", s.DutiesFile}, {"ZONES", s.ZoneHealthFile}} {
 			if f[1] != "" {
 				c.Env = append(c.Env, "GW_"+f[0]+"="+f[1])
 			}
@@ -140,17 +140,17 @@
 }
 
 type process struct {
-	c    *exec.Cmd
-	done chan error
+	command *exec.Cmd
+	done    chan error
 }
 
-func (p process) Signal(s os.Signal) { p.c.Process.Signal(s) }
-func (p process) Kill()              { p.c.Process.Kill() }
+func (p process) Signal(s os.Signal) { p.command.Process.Signal(s) }
+func (p process) Kill()              { p.command.Process.Kill() }
 func (p process) Done() <-chan error { return p.done }
 
 // CPU is what the process took, once it has ended.
 func (p process) CPU() time.Duration {
-	if s := p.c.ProcessState; s != nil {
+	if s := p.command.ProcessState; s != nil {
 		return s.UserTime() + s.SystemTime()
 	}
 	return 0
--- a/internal/emulator/play.go
+++ b/internal/emulator/run.go
@@ -14,16 +14,16 @@
 )
 
 // Site is what a proxy is told.
-type Site struct {
+type ProxyConfig struct {
 	Name, Listen, Discovery string
-	Config                  string // the file that says all of this
-	Management              string // where operators call, "": nowhere
-	Peers                   string // the file by which it talks with others, "": it does not
-	State                   string // the directory where it keeps what it knows, "": nowhere
-	Missing                 string // the file by which it remembers missing keys, "": it does not
-	Moves                   string // the file by which it plans moves, "": it does not
-	Turns                   string // the file by which it takes turns with others, "": it does not
-	Zones                   string // the file by which it judges zones, "": it does not
+	ConfigFile              string // the file that says all of this
+	AdminAddress            string // where operators call, "": nowhere
+	GossipFile              string // the file by which it talks with others, "": it does not
+	StateDir                string // the directory where it keeps what it knows, "": nowhere
+	NegativeCacheFile       string // the file by which it remembers missing keys, "": it does not
+	RebalanceFile           string // the file by which it plans moves, "": it does not
+	DutiesFile              string // the file by which it takes turns with others, "": it does not
+	ZoneHealthFile          string // the file by which it judges zones, "": it does not
 	Dir                     string // for its log and what it keeps
 }
 
@@ -35,7 +35,7 @@
 }
 
 // Start starts a proxy; a process or, in tests, one in the same process.
-type Start func(s Site) (Proxy, error)
+type Start func(s ProxyConfig) (Proxy, error)
 
 // Options tell how a day is played.
 type Options struct {
@@ -49,7 +49,7 @@
 type Report struct {
 	Plan     *Plan
 	Results  []Result
-	Breaches []Breach
+	Breaches []Violation
 	Seen     []Seen
 	LateMS   float64 // the most by which the load itself ran late
 	Ran      bool    // the load ran in time: latenesses over 5 ms are fewer than one in two hundred
@@ -59,57 +59,57 @@
 	Unheard                int             // proxies that never had such a node
 	PeerBytes, PeerPackets float64         // a second and proxy, that talk took in and gave out; that came in
 	CatchUps               []time.Duration // from the start or the going on of a process that had peers until it said that it caught up
-	Zones                  []ZoneHit
+	Zones                  []ZoneFaultResult
 	Convicted              int     // verdicts of out on zones that nothing had hit
 	Hasty                  int     // zones that one proxy passed by alone, and that nothing had hit
 	ColdPeak               float64 // the most that any node took while it was cold, against what it bears
 	Together               Together
 	AbsentAsked            float64 // look-ups of keys that the origin lacked, a second, there,
 	AbsentSaid             float64 // and answers that it has none, a second, to clients
-	Returns                []Return
+	Returns                []RecoveryResult
 	Stale                  time.Duration // the longest for which a key was called missing after it was written
 	BadMute                int           // bad clients that were owed an error or a close and had neither
 }
 
-type player struct {
-	plan     *Plan
-	o        Options
-	log      *Log
-	world    *World
-	origin   *Node
-	nodes    []*Node
-	found    []*Discovery
-	finds    []string
-	clients  *clients
-	proxies  []*member
-	badMute  atomic.Int64
-	cpu      atomic.Int64 // of processes that have ended
-	ends     sync.WaitGroup
-	ways     *Ways
-	whispers []whisper
-	hits     []hit
-	taking   taking
-	net      string            // beginning of the proxies' addresses among each other
-	names    map[string]string // of proxies, by these
-	relays   []*relay          // where proxies meet each other, none where they do not talk
+type runner struct {
+	plan                 *Plan
+	options              Options
+	log                  *EventLog
+	world                *cluster
+	origin               *Node
+	nodes                []*Node
+	discoveries          []*Discovery
+	discoveryAddresses   []string
+	load                 *loadGenerator
+	proxies              []*managedProxy
+	unansweredBadClients atomic.Int64
+	proxyCPU             atomic.Int64 // of processes that have ended
+	processWatchers      sync.WaitGroup
+	network              *network
+	announcements        []announcement
+	zoneFaults           []zoneFault
+	backgroundLoad       backgroundSamples
+	addressPrefix        string            // beginning of the proxies' addresses among each other
+	proxyByIP            map[string]string // of proxies, by these
+	relays               []*relay          // where proxies meet each other, none where they do not talk
 
-	mu   sync.Mutex
-	next int // number of the next node
+	mu       sync.Mutex
+	nextNode int // number of the next node
 }
 
-type member struct {
-	mu   sync.Mutex
-	site Site
-	now  *life
-	runs bool // a process of it is there, or is being started
+type managedProxy struct {
+	mu      sync.Mutex
+	site    ProxyConfig
+	current *incarnation
+	running bool // a process of it is there, or is being started
 }
 
 // life is one process of a proxy's. What its end is to be noted as is its own, or one that was told to end could pass for
 // crashed once the next has begun.
-type life struct {
+type incarnation struct {
 	Proxy
-	ends string        // "": it crashed; under the member's mu
-	gone chan struct{} // closed once its end is noted, and another may be started
+	endNote string        // "": it crashed; under the member's mu
+	ended   chan struct{} // closed once its end is noted, and another may be started
 }
 
 // Play plays a drawn day. Whatever happens, no process is left when it returns.
@@ -117,25 +117,25 @@
 	if o.IP == "" {
 		o.IP = "127.0.0.1"
 	}
-	log := NewLog()
-	p := &player{plan: plan, o: o, log: log, world: newWorld(plan.Day, log), ways: newWays(plan.Seed)}
-	p.world.ways = p.ways
+	log := NewEventLog()
+	p := &runner{plan: plan, options: o, log: log, world: newCluster(plan.Day, log), network: newNetwork(plan.Seed)}
+	p.world.network = p.network
 	defer func() {
 		p.stop()
 		if ctx.Err() != nil {
 			os.RemoveAll(o.Dir) // what was broken off leaves nothing
 		}
 	}()
-	if err := plan.Day.fits(); err != nil {
+	if err := plan.Day.checkDescriptors(); err != nil {
 		return nil, err
 	}
-	if err := p.prepare(); err != nil {
+	if err := p.startBackends(); err != nil {
 		return nil, err
 	}
-	if err := p.begin(ctx); err != nil {
+	if err := p.startProxies(ctx); err != nil {
 		return nil, err
 	}
-	if err := p.clients.hold(); err != nil {
+	if err := p.load.openHeldConns(); err != nil {
 		return nil, err
 	}
 	start := time.Now()
@@ -146,38 +146,38 @@
 		troubles.Add(1)
 		go func() {
 			defer troubles.Done()
-			p.strike(whole, b, start)
+			p.injectFault(whole, b, start)
 		}()
 	}
 	troubles.Add(1)
 	go func() {
 		defer troubles.Done()
-		p.look(whole)
+		p.sampleBackgroundLoad(whole)
 	}()
 	if plan.Day.Peers.Talk {
 		troubles.Add(1)
 		go func() {
 			defer troubles.Done()
-			p.ask(whole)
+			p.pollGossipStatus(whole)
 		}()
 	}
-	p.clients.run(ctx, start)
-	p.clients.close()
+	p.load.run(ctx, start)
+	p.load.close()
 	if ctx.Err() == nil {
 		sleep(ctx, time.Until(start.Add(seconds(plan.Day.Length))))
 	}
 	cancel()
 	troubles.Wait()
 	p.stop()
-	p.ends.Wait()
+	p.processWatchers.Wait()
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	return p.report(), nil
+	return p.buildReport(), nil
 }
 
 // fits tells whether the machine has the descriptors for a day: a client's connection takes one here, and one in its proxy.
-func (d *Day) fits() error {
+func (d *Day) checkDescriptors() error {
 	var most syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &most); err != nil {
 		return err
@@ -199,61 +199,61 @@
 	}
 }
 
-func (p *player) prepare() error {
+func (p *runner) startBackends() error {
 	d := p.plan.Day
 	var err error
-	if p.origin, err = p.node("origin", true, time.Time{}); err != nil {
+	if p.origin, err = p.startNode("origin", true, time.Time{}); err != nil {
 		return err
 	}
 	for i := range d.Fleet.Nodes {
 		name := fmt.Sprintf("c%d", i)
-		n, err := p.node(name, false, time.Time{})
+		n, err := p.startNode(name, false, time.Time{})
 		if err != nil {
 			return err
 		}
 		p.nodes = append(p.nodes, n)
 		warm := map[string]bool{}
 		for k := range d.Keys.Count {
-			if draw("warm", key(uint64(k))) < d.Keys.Warm && !p.world.lacks(key(uint64(k))) {
-				warm[key(uint64(k))] = true
+			if hashedFloat("warm", keyName(uint64(k))) < d.Keys.Warm && !p.world.isAbsent(keyName(uint64(k))) {
+				warm[keyName(uint64(k))] = true
 			}
 		}
-		p.world.empties(name, warm)
+		p.world.resetCache(name, warm)
 	}
-	p.next = len(p.nodes)
+	p.nextNode = len(p.nodes)
 	for _, r := range p.plan.Requests {
-		p.world.writes[r.ID] = d.Routes[r.Route]
+		p.world.routes[r.ID] = d.Routes[r.Route]
 	}
 	for i := range d.Proxies {
 		f := NewDiscovery(i, p.log)
-		f.ways = p.ways
+		f.network = p.network
 		_, addr, err := f.Listen("127.0.0.1")
 		if err != nil {
 			return err
 		}
-		rows := []Row{p.row(p.origin, i, "active")}
+		rows := []Row{p.endpointRow(p.origin, i, "active")}
 		for _, n := range p.nodes {
-			rows = append(rows, p.row(n, i, "active"))
+			rows = append(rows, p.endpointRow(n, i, "active"))
 		}
 		f.Say(rows...)
-		p.found, p.finds = append(p.found, f), append(p.finds, addr)
+		p.discoveries, p.discoveryAddresses = append(p.discoveries, f), append(p.discoveryAddresses, addr)
 	}
 	return nil
 }
 
 // node starts a cache or the origin; one that starts amid the day does so cold.
-func (p *player) node(name string, origin bool, since time.Time) (*Node, error) {
+func (p *runner) startNode(name string, origin bool, since time.Time) (*Node, error) {
 	d := p.plan.Day
 	n, err := NewNode("127.0.0.1", name, origin, d.Proxies, p.log)
 	if err != nil {
 		return nil, err
 	}
-	n.join(p.world)
+	n.attach(p.world)
 	if origin {
-		n.work = newWork(d.Origin, 0, 1)
+		n.work = newWorkQueue(d.Origin, 0, 1)
 	} else {
-		n.work = newWork(d.Fleet.Server, seconds(d.Fleet.Cold), d.Fleet.ColdFrom)
-		p.starts(n, since)
+		n.work = newWorkQueue(d.Fleet.Server, seconds(d.Fleet.Cold), d.Fleet.ColdFrom)
+		p.recordNodeStart(n, since)
 		if zones := d.Fleet.Zones; len(zones) > 0 {
 			p.world.mu.Lock()
 			p.world.zones[name] = zones[len(p.world.zones)%len(zones)]
@@ -264,25 +264,25 @@
 }
 
 // another starts a cache under a new name, cold.
-func (p *player) another() (*Node, error) {
+func (p *runner) startNextNode() (*Node, error) {
 	p.mu.Lock()
-	name := fmt.Sprintf("c%d", p.next)
-	p.next++
+	name := fmt.Sprintf("c%d", p.nextNode)
+	p.nextNode++
 	p.mu.Unlock()
-	return p.node(name, false, time.Now())
+	return p.startNode(name, false, time.Now())
 }
 
-func (p *player) starts(n *Node, since time.Time) {
+func (p *runner) recordNodeStart(n *Node, since time.Time) {
 	n.work.mu.Lock()
-	n.work.since = since
+	n.work.startedAt = since
 	n.work.mu.Unlock()
 	if !since.IsZero() {
-		p.world.empties(n.Name, nil)
-		p.log.See(Seen{What: Began, Proxy: -1, Node: n.Name, Figure: float64(n.work.Cores) * 1000 / n.work.Service})
+		p.world.resetCache(n.Name, nil)
+		p.log.Record(Seen{What: Began, Proxy: -1, Node: n.Name, Figure: float64(n.work.Cores) * 1000 / n.work.Service})
 	}
 }
 
-func (p *player) row(n *Node, proxy int, status string) Row {
+func (p *runner) endpointRow(n *Node, proxy int, status string) Row {
 	r := Row{Name: n.Name, Address: n.Addr(proxy), Kind: "cache", Status: status}
 	if n.Origin {
 		r.Kind = "origin"
@@ -293,22 +293,22 @@
 	p.world.mu.Unlock()
 	n.work.mu.Lock()
 	defer n.work.mu.Unlock()
-	if !n.work.since.IsZero() {
-		r.Since = n.work.since.UnixMilli()
+	if !n.work.startedAt.IsZero() {
+		r.Since = n.work.startedAt.UnixMilli()
 	}
 	return r
 }
 
 // say tells every proxy of a node.
-func (p *player) say(n *Node, status string) {
-	for i, f := range p.found {
-		f.Say(p.row(n, i, status))
+func (p *runner) publish(n *Node, status string) {
+	for i, f := range p.discoveries {
+		f.Say(p.endpointRow(n, i, status))
 	}
 }
 
-func (p *player) begin(ctx context.Context) error {
+func (p *runner) startProxies(ctx context.Context) error {
 	d := p.plan.Day
-	p.clients = &clients{plan: p.plan, log: p.log, world: p.world, idle: make([][]*line, d.Proxies)}
+	p.load = &loadGenerator{plan: p.plan, log: p.log, world: p.world, idle: make([][]*clientConn, d.Proxies)}
 	var taken []net.Listener
 	release := func() {
 		for _, ln := range taken {
@@ -318,7 +318,7 @@
 	}
 	defer release()
 	for i := range d.Proxies {
-		ln, err := net.Listen("tcp", p.o.IP+":0")
+		ln, err := net.Listen("tcp", p.options.IP+":0")
 		if err != nil {
 			return err
 		}
@@ -326,51 +326,51 @@
 		// part of the other's clients
 		taken = append(taken, ln)
 		addr := ln.Addr().String()
-		dir, err := filepath.Abs(filepath.Join(p.o.Dir, fmt.Sprintf("proxy%d", i)))
+		dir, err := filepath.Abs(filepath.Join(p.options.Dir, fmt.Sprintf("proxy%d", i)))
 		if err != nil {
 			return err
 		}
 		if err := os.MkdirAll(filepath.Join(dir, "tmp"), 0o700); err != nil {
 			return err
 		}
-		m := &member{site: Site{
-			Name: fmt.Sprintf("n%d", i), Listen: addr, Discovery: p.finds[i],
-			Config: filepath.Join(dir, "config.json"), Dir: dir,
+		m := &managedProxy{site: ProxyConfig{
+			Name: fmt.Sprintf("n%d", i), Listen: addr, Discovery: p.discoveryAddresses[i],
+			ConfigFile: filepath.Join(dir, "config.json"), Dir: dir,
 		}}
 		if d.Peers.Talk {
-			if err := p.meet(i, m); err != nil {
+			if err := p.setUpGossip(i, m); err != nil {
 				return err
 			}
 		}
-		if err := p.quarter(m); err != nil {
+		if err := p.writeZoneConfig(m); err != nil {
 			return err
 		}
-		if err := p.turn(m); err != nil {
+		if err := p.writeDutyConfig(m); err != nil {
 			return err
 		}
 		if d.State {
-			m.site.State = filepath.Join(dir, "state")
-			if err := os.MkdirAll(m.site.State, 0o700); err != nil {
+			m.site.StateDir = filepath.Join(dir, "state")
+			if err := os.MkdirAll(m.site.StateDir, 0o700); err != nil {
 				return err
 			}
 		}
 		if d.Missing.On {
-			m.site.Missing = filepath.Join(dir, "missing.toml")
-			if err := os.WriteFile(m.site.Missing, []byte("entries = 4096\n"), 0o600); err != nil {
+			m.site.NegativeCacheFile = filepath.Join(dir, "missing.toml")
+			if err := os.WriteFile(m.site.NegativeCacheFile, []byte("entries = 4096\n"), 0o600); err != nil {
 				return err
 			}
 		}
-		text, err := json.Marshal(p.config(i, m.site))
+		text, err := json.Marshal(p.proxyConfig(i, m.site))
 		if err != nil {
 			return err
 		}
-		if err := os.WriteFile(m.site.Config, text, 0o600); err != nil {
+		if err := os.WriteFile(m.site.ConfigFile, text, 0o600); err != nil {
 			return err
 		}
 		p.proxies = append(p.proxies, m)
-		p.clients.up, p.clients.addrs = append(p.clients.up, &atomic.Bool{}), append(p.clients.addrs, addr)
+		p.load.available, p.load.addresses = append(p.load.available, &atomic.Bool{}), append(p.load.addresses, addr)
 	}
-	if err := p.introduce(); err != nil {
+	if err := p.writeGossipConfigs(); err != nil {
 		return err
 	}
 	release()
@@ -382,7 +382,7 @@
 		go func() {
 			defer all.Done()
 			few <- struct{}{}
-			if err := p.start(ctx, i); err != nil {
+			if err := p.startProxy(ctx, i); err != nil {
 				failed.Store(&err)
 			}
 			<-few
@@ -398,7 +398,7 @@
 	return nil
 }
 
-func (p *player) config(i int, s Site) map[string]any {
+func (p *runner) proxyConfig(i int, s ProxyConfig) map[string]any {
 	d := p.plan.Day
 	var routes []any
 	for _, r := range d.Routes {
@@ -420,59 +420,59 @@
 			"retry-after": true, "max-retry-after": 1000, "parallel-tries": d.Limits.Parallel,
 		},
 		"rules": map[string]any{
-			"cold": d.Fleet.Cold * 1000, "fall": float64(FallFor.Milliseconds()), "cold-from": d.Fleet.ColdFrom,
-			"fall-multiple": FallMultiple,
+			"cold": d.Fleet.Cold * 1000, "fall": float64(OverloadWindow.Milliseconds()), "cold-from": d.Fleet.ColdFrom,
+			"fall-multiple": OverloadMultiple,
 		},
 		"family-info": map[string]any{"mode": "aside", "origin-kind": 1}, "routes": routes,
 	}
 	if len(d.Fleet.Zones) > 0 {
 		settings["zones"], settings["locality"] = d.Fleet.Zones, d.Fleet.Zones[i%len(d.Fleet.Zones)]
 	}
-	for k, v := range p.o.Overrides {
-		lay(settings, k, v)
+	for k, v := range p.options.Overrides {
+		setByPath(settings, k, v)
 	}
 	all := map[string]any{
 		"name": s.Name, "listen": s.Listen, "discovery": s.Discovery,
 		"seed": fmt.Sprintf("%016x", p.plan.Seed*1000003+uint64(i)), "known": nil, "settings": settings,
 		"limits": map[string]any{"cores": d.Limits.Cores, "memory_mb": d.Limits.MemoryMB, "sockets": d.Limits.Sockets},
 	}
-	if s.Management != "" {
-		all["management"] = s.Management
+	if s.AdminAddress != "" {
+		all["management"] = s.AdminAddress
 	}
 	return all
 }
 
 // lay puts a value at a path whose steps are apart by dots.
-func lay(in map[string]any, path string, v any) {
+func setByPath(settings map[string]any, path string, v any) {
 	for i := range path {
 		if path[i] == '.' {
-			under, ok := in[path[:i]].(map[string]any)
+			under, ok := settings[path[:i]].(map[string]any)
 			if !ok {
 				under = map[string]any{}
-				in[path[:i]] = under
+				settings[path[:i]] = under
 			}
-			lay(under, path[i+1:], v)
+			setByPath(under, path[i+1:], v)
 			return
 		}
 	}
-	in[path] = v
+	settings[path] = v
 }
 
-func (p *player) stop() {
+func (p *runner) stop() {
 	var all sync.WaitGroup
 	for i := range p.proxies {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			p.end(i, syscall.SIGTERM, "stopped")
+			p.endProxy(i, syscall.SIGTERM, "stopped")
 		}()
 	}
 	all.Wait()
-	for _, f := range p.found {
+	for _, f := range p.discoveries {
 		f.Close()
 	}
 	for _, r := range p.relays {
-		r.end()
+		r.shutdown()
 	}
 	for _, n := range append(p.nodes, p.origin) {
 		if n != nil {
@@ -481,17 +481,17 @@
 	}
 }
 
-func (p *player) report() *Report {
+func (p *runner) buildReport() *Report {
 	all := p.log.All()
-	r := &Report{Plan: p.plan, Results: p.clients.results, Seen: all, BadMute: int(p.badMute.Load())}
-	c := check(p.plan.Day, p.plan.Requests, all)
-	r.Breaches, r.ColdPeak, r.Stale = c.found, c.cold, c.stale
-	p.lacking(r, all)
-	r.Returns = p.returned()
-	p.heard(r)
-	p.judged(r)
-	r.Together = p.together(all)
-	r.CPU = float64(p.cpu.Load()) / 1000 / float64(max(len(p.plan.Requests), 1))
+	r := &Report{Plan: p.plan, Results: p.load.results, Seen: all, BadMute: int(p.unansweredBadClients.Load())}
+	c := checkInvariants(p.plan.Day, p.plan.Requests, all)
+	r.Breaches, r.ColdPeak, r.Stale = c.violations, c.coldPeak, c.maxStaleness
+	p.measureAbsentKeys(r, all)
+	r.Returns = p.measureRecoveries()
+	p.measureGossip(r)
+	p.measureZoneHealth(r)
+	r.Together = p.summarizeBackgroundLoad(all)
+	r.CPU = float64(p.proxyCPU.Load()) / 1000 / float64(max(len(p.plan.Requests), 1))
 	late := 0
 	for _, s := range all {
 		if s.What == Late {
--- a/internal/emulator/day.go
+++ b/internal/emulator/scenario.go
@@ -81,9 +81,9 @@
 
 // Load is how often.
 type Load struct {
-	Rate      float64 `toml:"rate"`
-	Steps     []Step  `toml:"steps"`
-	Impatient float64 `toml:"impatient"`
+	Rate              float64 `toml:"rate"`
+	Steps             []Step  `toml:"steps"`
+	ImpatientFraction float64 `toml:"impatient"`
 	// clients of each proxy that hold a connection all day and ask in turn, 0: connections are made as they are needed
 	Connections int `toml:"connections"`
 }
@@ -142,7 +142,7 @@
 }
 
 // of each kind: which figures it needs.
-var kinds = map[string]struct{ nodes, times, part, rate, zone, some bool }{
+var faultKinds = map[string]struct{ nodes, times, part, rate, zone, some bool }{
 	"silent": {nodes: true}, "slow": {nodes: true, times: true}, "failing": {nodes: true, part: true},
 	"cold": {nodes: true}, "replace": {nodes: true}, "reset": {nodes: true, part: true}, "garbled": {nodes: true, part: true}, "halves": {nodes: true, part: true},
 	"stale": {some: true}, "deaf": {some: true}, "hush": {some: true}, "agent-ahead": {nodes: true}, "refusing": {some: true}, "origin-slow": {times: true}, "kill": {nodes: true}, "restart": {nodes: true},
@@ -152,10 +152,10 @@
 }
 
 // least part of a trouble that has one; a link may be slow alone.
-var least = map[string]float64{"failing": 0.001, "reset": 0.001, "garbled": 0.001, "halves": 0.001, "lossy": 0.001}
+var minFaultPart = map[string]float64{"failing": 0.001, "reset": 0.001, "garbled": 0.001, "halves": 0.001, "lossy": 0.001}
 
 // ofProxies are the troubles that befall proxies or come of clients.
-var ofProxies = map[string]bool{
+var proxyFaults = map[string]bool{
 	"kill": true, "restart": true, "part": true, "one-way": true, "pause": true, "mass-kill": true,
 	"deaf": true, "stale": true, "refusing": true, "hush": true, "agent-ahead": true,
 }
@@ -204,7 +204,7 @@
 	within("keys.warm", d.Keys.Warm, 0, 1)
 	within("keys.size", float64(d.Keys.Size), 0, 4<<20)
 	within("load.rate", d.Load.Rate, 0.1, 20000)
-	within("load.impatient", d.Load.Impatient, 0, 1)
+	within("load.impatient", d.Load.ImpatientFraction, 0, 1)
 	within("load.connections", float64(d.Load.Connections), 0, 20000)
 	if j := d.Zones.Judged; err == nil && j != "" && (j != "alone" && j != "fleet" && j != "told" || len(d.Fleet.Zones) < 2) {
 		err = fmt.Errorf("zones.judged: %q: not alone, fleet or told, or there are no zones", j)
@@ -266,14 +266,14 @@
 	}
 	for i, t := range d.Trouble {
 		key := fmt.Sprintf("trouble[%d].", i)
-		k, ok := kinds[t.Kind]
+		k, ok := faultKinds[t.Kind]
 		if err == nil && !ok {
 			err = fmt.Errorf("%skind: %q: unknown", key, t.Kind)
 		}
 		within(key+"at_s", t.At, 0, d.Length)
 		within(key+"for_s", t.For, 0, d.Length-t.At)
 		most := d.Fleet.Nodes
-		if ofProxies[t.Kind] {
+		if proxyFaults[t.Kind] {
 			most = d.Proxies
 		}
 		if t.Kind == "slow-clients" || t.Kind == "whisper" {
@@ -287,7 +287,7 @@
 		}{
 			{"nodes", float64(t.Nodes), k.nodes, 1, float64(most)},
 			{"times", t.Times, k.times, 1, 1000},
-			{"part", t.Part, k.part, least[t.Kind], 1},
+			{"part", t.Part, k.part, minFaultPart[t.Kind], 1},
 			{"rate", t.Rate, k.rate, 0.1, 1000},
 		} {
 			if f.needed || f.key == "nodes" && k.some && f.v != 0 {
--- a/internal/emulator/emu_test.go
+++ b/internal/emulator/scenario_test.go
@@ -32,9 +32,9 @@
 func (i inside) Kill()              { i.signals <- syscall.SIGTERM }
 func (i inside) Done() <-chan error { return i.done }
 
-func start(s emulator.Site) (emulator.Proxy, error) {
+func start(s emulator.ProxyConfig) (emulator.Proxy, error) {
 	read := func() (*server.Place, error) {
-		return server.Read(s.Config, server.Place{Shared: filepath.Join(s.Dir, "tmp")})
+		return server.Read(s.ConfigFile, server.Place{Shared: filepath.Join(s.Dir, "tmp")})
 	}
 	p, err := read()
 	if err != nil {
@@ -128,7 +128,7 @@
 
 // liar is a proxy that answers each request as it is told to.
 func liar(answer func(id string, n int, write bool) (string, bool), conns ...*atomic.Int64) emulator.Start {
-	return func(s emulator.Site) (emulator.Proxy, error) {
+	return func(s emulator.ProxyConfig) (emulator.Proxy, error) {
 		ln, err := net.Listen("tcp", s.Listen)
 		if err != nil {
 			return nil, err
@@ -186,14 +186,14 @@
 	}{
 		"keeps":     {func(id string, n int, _ bool) (string, bool) { return good(id), true }, ""},
 		"sheds":     {func(id string, n int, _ bool) (string, bool) { return "-BUSY 10\r\n", true }, ""},
-		"twice":     {func(id string, n int, _ bool) (string, bool) { return good(id) + good(id), true }, emulator.LostRule},
-		"another's": {func(id string, n int, _ bool) (string, bool) { return good("x" + id), true }, emulator.ForeignRule},
-		"closes":    {func(id string, n int, _ bool) (string, bool) { return "", n%3 > 0 }, emulator.LostRule},
+		"twice":     {func(id string, n int, _ bool) (string, bool) { return good(id) + good(id), true }, emulator.FinalAnswerRule},
+		"another's": {func(id string, n int, _ bool) (string, bool) { return good("x" + id), true }, emulator.OwnValueRule},
+		"closes":    {func(id string, n int, _ bool) (string, bool) { return "", n%3 > 0 }, emulator.FinalAnswerRule},
 		"late": {func(id string, n int, _ bool) (string, bool) {
 			time.Sleep(1200 * time.Millisecond)
 			return good(id), true
-		}, emulator.LostRule},
-		"breaks off": {func(id string, n int, _ bool) (string, bool) { return "$99\r\nc0:", false }, emulator.LostRule},
+		}, emulator.FinalAnswerRule},
+		"breaks off": {func(id string, n int, _ bool) (string, bool) { return "$99\r\nc0:", false }, emulator.FinalAnswerRule},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -202,7 +202,7 @@
 			if got := rules(r); c.rule == "" && len(got) > 0 || c.rule != "" && (got[c.rule] == 0 || len(got) > 1) {
 				t.Errorf("%v, not %q", r.Breaches, c.rule)
 			}
-			if c.rule != "" && len(r.Breaches[0].Path) == 0 {
+			if c.rule != "" && len(r.Breaches[0].Events) == 0 {
 				t.Error("no path of the request")
 			}
 		})
@@ -229,30 +229,30 @@
 		rule  string
 	}{
 		"answered":             {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Answered, "a", "", "completed")}, ""},
-		"never answered":       {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(1100, emulator.Took, "", "c1", "")}, emulator.LostRule},
+		"never answered":       {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(1100, emulator.Took, "", "c1", "")}, emulator.FinalAnswerRule},
 		"not yet answered":     {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(1000, emulator.Took, "", "c1", "")}, ""},
 		"left":                 {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Went, "a", "", ""), seen(1100, emulator.Took, "", "c1", "")}, ""},
-		"closed on":            {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Closed, "a", "", "")}, emulator.LostRule},
+		"closed on":            {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Closed, "a", "", "")}, emulator.FinalAnswerRule},
 		"closed on, its old":   {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Closed, "a", "", "reused"), seen(10, emulator.Asked, "a", "", ""), seen(19, emulator.Answered, "a", "", "shed")}, ""},
 		"closed on, killed":    {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Ended, "", "", "killed"), seen(9, emulator.Closed, "a", "", "")}, ""},
-		"closed on, told":      {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Ended, "", "", "stopped"), seen(9, emulator.Closed, "a", "", "")}, emulator.LostRule},
-		"late":                 {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(1051, emulator.Answered, "a", "", "shed")}, emulator.LostRule},
-		"twice":                {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Answered, "a", "", "shed"), seen(10, emulator.Answered, "a", "", "shed")}, emulator.LostRule},
-		"never asked":          {[]emulator.Seen{seen(9, emulator.Answered, "a", "", "shed")}, emulator.LostRule},
+		"closed on, told":      {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Ended, "", "", "stopped"), seen(9, emulator.Closed, "a", "", "")}, emulator.FinalAnswerRule},
+		"late":                 {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(1051, emulator.Answered, "a", "", "shed")}, emulator.FinalAnswerRule},
+		"twice":                {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Answered, "a", "", "shed"), seen(10, emulator.Answered, "a", "", "shed")}, emulator.FinalAnswerRule},
+		"never asked":          {[]emulator.Seen{seen(9, emulator.Answered, "a", "", "shed")}, emulator.FinalAnswerRule},
 		"ran once":             {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", "k1"), seen(2, emulator.Ran, "w", "o", "k2")}, ""},
-		"ran twice":            {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", "k1"), seen(2, emulator.Ran, "w", "o", "k1")}, emulator.EffectRule},
-		"ran twice, unmarked":  {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", ""), seen(2, emulator.Ran, "w", "o", "")}, emulator.EffectRule},
+		"ran twice":            {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", "k1"), seen(2, emulator.Ran, "w", "o", "k1")}, emulator.SingleEffectRule},
+		"ran twice, unmarked":  {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", ""), seen(2, emulator.Ran, "w", "o", "")}, emulator.SingleEffectRule},
 		"drained":              {[]emulator.Seen{seen(0, emulator.Told, "", "c1", "leaving"), seen(349, emulator.Took, "", "c1", ""), seen(360, emulator.Took, "", "c2", "")}, ""},
 		"sent to one draining": {[]emulator.Seen{seen(0, emulator.Told, "", "c1", "leaving"), seen(200, emulator.Told, "", "c1", "left"), seen(360, emulator.Took, "", "c1", "")}, emulator.DrainRule},
 		"drained and back":     {[]emulator.Seen{seen(0, emulator.Told, "", "c1", "leaving"), seen(200, emulator.Told, "", "c1", "active"), seen(600, emulator.Took, "", "c1", "")}, ""},
 		"cold":                 {many(12, 0), ""},
-		"pushed over":          {append(many(0, 0), append([]emulator.Seen{seen(0, emulator.Told, "", "c9", "active")}, many(40, 0)[1:]...)...), emulator.ColdRule},
+		"pushed over":          {append(many(0, 0), append([]emulator.Seen{seen(0, emulator.Told, "", "c9", "active")}, many(40, 0)[1:]...)...), emulator.SlowStartRule},
 		"not told of it":       {many(40, 0), ""},
 		"as chance has it":     {append(many(0, 0), append([]emulator.Seen{seen(0, emulator.Told, "", "c9", "active")}, many(21, 0)[1:]...)...), ""},
-		"more than by chance":  {append(many(0, 0), append([]emulator.Seen{seen(0, emulator.Told, "", "c9", "active")}, many(22, 0)[1:]...)...), emulator.ColdRule},
+		"more than by chance":  {append(many(0, 0), append([]emulator.Seen{seen(0, emulator.Told, "", "c9", "active")}, many(22, 0)[1:]...)...), emulator.SlowStartRule},
 		"warm":                 {many(200, 2001), ""},
 		"closed, killed":       {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Closed, "a", "", ""), seen(10, emulator.Ended, "", "", "killed")}, ""},
-		"closed, told to end":  {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Closed, "a", "", ""), seen(10, emulator.Ended, "", "", "stopped")}, emulator.LostRule},
+		"closed, told to end":  {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Closed, "a", "", ""), seen(10, emulator.Ended, "", "", "stopped")}, emulator.FinalAnswerRule},
 		"drained, stood still": {[]emulator.Seen{
 			seen(0, emulator.Paused, "", "", "stands"), seen(9, emulator.Told, "", "c1", "leaving"), seen(900, emulator.Paused, "", "", "goes on"),
 			seen(1100, emulator.Took, "", "c1", ""),
@@ -262,11 +262,11 @@
 			seen(400, emulator.Took, "", "c1", ""),
 		}, emulator.DrainRule},
 		"missing soon after":    {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", "k1"), seen(100, emulator.Asked, "a", "", ""), seen(109, emulator.Answered, "a", "none", "completed")}, ""},
-		"missing long after":    {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", "k1"), seen(9000, emulator.Asked, "a", "", ""), seen(9009, emulator.Answered, "a", "none", "completed")}, emulator.StaleRule},
-		"missing, always there": {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Answered, "a", "none", "completed")}, emulator.StaleRule},
+		"missing long after":    {[]emulator.Seen{seen(1, emulator.Ran, "w", "o", "k1"), seen(9000, emulator.Asked, "a", "", ""), seen(9009, emulator.Answered, "a", "none", "completed")}, emulator.FreshAbsenceRule},
+		"missing, always there": {[]emulator.Seen{seen(0, emulator.Asked, "a", "", ""), seen(9, emulator.Answered, "a", "none", "completed")}, emulator.FreshAbsenceRule},
 		"crashed":               {[]emulator.Seen{seen(0, emulator.Ended, "", "", "crashed")}, emulator.CrashRule},
 	} {
-		found := emulator.Check(d, requests, c.trace)
+		found := emulator.CheckInvariants(d, requests, c.trace)
 		if c.rule == "" && len(found) > 0 || c.rule != "" && (len(found) != 1 || found[0].Rule != c.rule) {
 			t.Errorf("%s: %v, not %q", name, found, c.rule)
 		}
@@ -280,8 +280,8 @@
 	if !reflect.DeepEqual(a, b) || reflect.DeepEqual(a.Requests, c.Requests) {
 		t.Error("a seed does not settle the day")
 	}
-	if n := len(a.Requests); n < 230 || n > 370 || len(a.Blows[0].Hits) != 2 {
-		t.Errorf("%d requests, hits %v", n, a.Blows[0].Hits)
+	if n := len(a.Requests); n < 230 || n > 370 || len(a.Blows[0].Targets) != 2 {
+		t.Errorf("%d requests, hits %v", n, a.Blows[0].Targets)
 	}
 	late := day(t, strings.Replace(plain, "rate = 150.0", "rate = 150.0, steps = [{ at_s = 1.0, times = 0.0 }]", 1)).Draw(7)
 	for _, r := range late.Requests {
@@ -308,8 +308,8 @@
 		if q.Request.At < 300*time.Millisecond && q.Latency > 250*time.Millisecond {
 			waited++
 		}
-		if q.Sent > 300*time.Millisecond {
-			t.Errorf("%s was sent %v late", q.Request.ID, q.Sent)
+		if q.SendDelay > 300*time.Millisecond {
+			t.Errorf("%s was sent %v late", q.Request.ID, q.SendDelay)
 		}
 	}
 	if waited < 25 || len(r.Results) != len(r.Plan.Requests) {
@@ -323,7 +323,7 @@
 	dir := t.TempDir()
 	r, err := emulator.Play(context.Background(), day(t, strings.Replace(plain, "proxies = 2", "proxies = 1", 1)).Draw(1), emulator.Options{
 		Dir: dir,
-		Start: func(s emulator.Site) (emulator.Proxy, error) {
+		Start: func(s emulator.ProxyConfig) (emulator.Proxy, error) {
 			p, err := start(s)
 			if err != nil {
 				return nil, err
@@ -363,7 +363,7 @@
 	time.AfterFunc(time.Second, cancel)
 	_, err := emulator.Play(ctx, day(t, strings.Replace(plain, "length_s = 2.0", "length_s = 60.0", 1)).Draw(1), emulator.Options{
 		Dir: dir,
-		Start: func(s emulator.Site) (emulator.Proxy, error) {
+		Start: func(s emulator.ProxyConfig) (emulator.Proxy, error) {
 			p, err := start(s)
 			if err == nil {
 				alive.Add(1)
@@ -475,7 +475,7 @@
 func TestKilledTwice(t *testing.T) {
 	t.Parallel()
 	var runs [2]atomic.Int64
-	once := func(s emulator.Site) (emulator.Proxy, error) {
+	once := func(s emulator.ProxyConfig) (emulator.Proxy, error) {
 		p, err := start(s)
 		if err != nil {
 			return nil, err
--- a/internal/emulator/quarters.go
+++ b/internal/emulator/zone_faults.go
@@ -16,7 +16,7 @@
 // What befalls whole zones, and how proxies judge it.
 
 // ZoneHit is what became of a zone that was hit. Times are from the hit, and from its end.
-type ZoneHit struct {
+type ZoneFaultResult struct {
 	Zone        string
 	At, For     time.Duration
 	First, Last time.Duration // until the first and the last proxy outside had left it; 0: none had
@@ -27,20 +27,20 @@
 }
 
 // hit is when a zone was hit, by the wall clock.
-type hit struct {
-	zone     string
-	from, to time.Time // zero: to the end of the day
-	inside   map[int]bool
-	harmless bool // what hits it is no reason to leave it
+type zoneFault struct {
+	zone          string
+	from, to      time.Time // zero: to the end of the day
+	proxiesInside map[int]bool
+	harmless      bool // what hits it is no reason to leave it
 }
 
 // quarter writes a proxy's file of zones.
-func (p *player) quarter(m *member) error {
+func (p *runner) writeZoneConfig(m *managedProxy) error {
 	d := p.plan.Day
 	if d.Zones.Judged == "" {
 		return nil
 	}
-	m.site.Zones = filepath.Join(m.site.Dir, "zones.toml")
+	m.site.ZoneHealthFile = filepath.Join(m.site.Dir, "zones.toml")
 	text := ""
 	if d.Zones.Judged == "told" {
 		text = "alone = false\ntogether = false\n"
@@ -50,26 +50,26 @@
 	for name, zones := range d.Zones.Regions {
 		text += fmt.Sprintf("[[region]]\nname = %q\nzones = [\"%s\"]\n", name, strings.Join(zones, "\", \""))
 	}
-	return os.WriteFile(m.site.Zones, []byte(text), 0o600)
+	return os.WriteFile(m.site.ZoneHealthFile, []byte(text), 0o600)
 }
 
 // struck notes that a zone is hit, or that it is over. Operators who are told order it out and in at once, by way of every
 // proxy that they reach.
-func (p *player) struck(b Blow, on bool) {
+func (p *runner) noteZoneFault(b FaultEvent, on bool) {
 	if b.Zone == "" {
 		return
 	}
 	p.mu.Lock()
 	if on {
-		h := hit{zone: b.Zone, from: time.Now(), inside: map[int]bool{}, harmless: b.Kind == "zone-grey"}
-		for _, i := range b.Hits {
-			h.inside[i] = true
+		h := zoneFault{zone: b.Zone, from: time.Now(), proxiesInside: map[int]bool{}, harmless: b.Kind == "zone-grey"}
+		for _, i := range b.Targets {
+			h.proxiesInside[i] = true
 		}
-		p.hits = append(p.hits, h)
+		p.zoneFaults = append(p.zoneFaults, h)
 	} else {
-		for i := range p.hits {
-			if p.hits[i].zone == b.Zone && p.hits[i].to.IsZero() {
-				p.hits[i].to = time.Now()
+		for i := range p.zoneFaults {
+			if p.zoneFaults[i].zone == b.Zone && p.zoneFaults[i].to.IsZero() {
+				p.zoneFaults[i].to = time.Now()
 			}
 		}
 	}
@@ -83,14 +83,14 @@
 	}
 	var all sync.WaitGroup
 	for i, m := range p.proxies {
-		if slices.Contains(b.Hits, i) {
+		if slices.Contains(b.Targets, i) {
 			continue
 		}
 		all.Add(1)
 		go func() {
 			defer all.Done()
 			c := http.Client{Timeout: time.Second}
-			if r, err := c.Post("http://"+m.site.Management+"/control/zones/"+url.PathEscape(b.Zone)+"/"+want, "", nil); err == nil {
+			if r, err := c.Post("http://"+m.site.AdminAddress+"/control/zones/"+url.PathEscape(b.Zone)+"/"+want, "", nil); err == nil {
 				r.Body.Close()
 			}
 		}()
@@ -99,12 +99,12 @@
 }
 
 // greyZone has a third of a zone's nodes be slow, and a part of all its answers be failures.
-func (p *player) greyZone(ctx context.Context, b Blow, long time.Duration) {
-	nodes := p.within(b.Zone)
+func (p *runner) degradeZone(ctx context.Context, b FaultEvent, duration time.Duration) {
+	nodes := p.nodesInZone(b.Zone)
 	set := func(times, part float64) {
 		for k, n := range nodes {
 			if k%3 == 0 {
-				n.work.slower(times)
+				n.work.setSlowdown(times)
 			}
 			if part > 0 {
 				n.Set("fails", part, 0, 0)
@@ -113,15 +113,15 @@
 			}
 		}
 	}
-	p.struck(b, true)
+	p.noteZoneFault(b, true)
 	set(b.Times, b.Part)
-	sleep(ctx, long)
+	sleep(ctx, duration)
 	set(1, 0)
-	p.struck(b, false)
+	p.noteZoneFault(b, false)
 }
 
 // judged reads in the proxies' logs when each left a zone that was hit, and returned to it.
-func (p *player) judged(r *Report) {
+func (p *runner) measureZoneHealth(r *Report) {
 	type turn struct {
 		proxy int
 		zone  string
@@ -129,14 +129,14 @@
 		open  float64
 	}
 	var turns []turn
-	p.logged(func(i int, l logLine) {
+	p.eachLogLine(func(i int, l logLine) {
 		said, ok := strings.CutPrefix(l.Msg, "zones: zone ")
 		if !ok {
 			return
 		}
 		at := time.UnixMicro(int64(l.At * 1e6))
 		zone, rest, _ := strings.Cut(said, ": ")
-		if strings.HasPrefix(rest, "passed by this proxy alone") && !p.cutOff(i, zone, at) {
+		if strings.HasPrefix(rest, "passed by this proxy alone") && !p.hasCause(i, zone, at) {
 			r.Hasty++
 		}
 		var open float64
@@ -144,13 +144,13 @@
 			turns = append(turns, turn{i, zone, at, open})
 		}
 		if strings.HasPrefix(rest, "out (") && strings.Contains(rest, " from in,") || strings.HasPrefix(rest, "leaving (") {
-			if !slices.ContainsFunc(p.hits, func(h hit) bool { return h.zone == zone && h.may(at) }) {
+			if !slices.ContainsFunc(p.zoneFaults, func(h zoneFault) bool { return h.zone == zone && h.explains(at) }) {
 				r.Convicted++
 			}
 		}
 	})
-	for _, h := range p.hits {
-		z := ZoneHit{Zone: h.zone, At: h.from.Sub(p.log.start)}
+	for _, h := range p.zoneFaults {
+		z := ZoneFaultResult{Zone: h.zone, At: h.from.Sub(p.log.start)}
 		to := h.to
 		if to.IsZero() {
 			to = p.log.start.Add(seconds(p.plan.Day.Length))
@@ -158,7 +158,7 @@
 		z.For = to.Sub(h.from)
 		left, open := map[int]bool{}, map[int]float64{}
 		for _, t := range turns { // of one proxy in order
-			if t.zone != h.zone || h.inside[t.proxy] || t.at.Before(h.from) {
+			if t.zone != h.zone || h.proxiesInside[t.proxy] || t.at.Before(h.from) {
 				continue
 			}
 			if t.open == 0 && !left[t.proxy] && t.at.Before(to) {
@@ -174,34 +174,34 @@
 			}
 		}
 		for i := range p.proxies {
-			if !h.inside[i] && !left[i] {
+			if !h.proxiesInside[i] && !left[i] {
 				z.Kept++
 			}
 			if f, ok := open[i]; ok && f < 1 {
 				z.Back = 0 // one has not come to the end
 			}
 		}
-		start := p.clients.start
-		z.WorthAt = p.worth(h.from.Sub(start), h.from.Add(5*time.Second).Sub(start))
-		z.WorthBack = p.worth(to.Sub(start), to.Add(10*time.Second).Sub(start))
+		start := p.load.start
+		z.WorthAt = p.earnedValuePart(h.from.Sub(start), h.from.Add(5*time.Second).Sub(start))
+		z.WorthBack = p.earnedValuePart(to.Sub(start), to.Add(10*time.Second).Sub(start))
 		r.Zones = append(r.Zones, z)
 	}
 }
 
 // may tells whether a verdict at that moment may come of the hit.
-func (h *hit) may(at time.Time) bool {
+func (h *zoneFault) explains(at time.Time) bool {
 	return !h.harmless && at.After(h.from) && (h.to.IsZero() || at.Before(h.to.Add(2*time.Second)))
 }
 
 // cutOff tells whether a proxy may find a zone gone at that moment: something had hit the zone, or the proxy's own.
-func (p *player) cutOff(proxy int, zone string, at time.Time) bool {
-	return slices.ContainsFunc(p.hits, func(h hit) bool { return h.may(at) && (h.zone == zone || h.inside[proxy]) })
+func (p *runner) hasCause(proxy int, zone string, at time.Time) bool {
+	return slices.ContainsFunc(p.zoneFaults, func(h zoneFault) bool { return h.explains(at) && (h.zone == zone || h.proxiesInside[proxy]) })
 }
 
 // worth is the part of the value that was earned in time of what was asked within a span of the day.
-func (p *player) worth(from, to time.Duration) float64 {
+func (p *runner) earnedValuePart(from, to time.Duration) float64 {
 	value, all := 0.0, 0.0
-	for _, q := range p.clients.results {
+	for _, q := range p.load.results {
 		route := p.plan.Day.Routes[q.Request.Route]
 		if q.Request.At < from || q.Request.At >= to || q.Outcome == Left {
 			continue
