--- /dev/null
+++ b/internal/emulator/absent_keys.go
@@ -0,0 +1,28 @@
+package emulator
+
+import "time"
+
+// noSuchKey is an Answered event's node where the answer was that there is no such key.
+const noSuchKey = "none"
+
+// maxAbsentStaleness is the longest for which a key may be reported missing after it was written: until the writer's latest
+// heartbeat has expired after three intervals of it, or one has come just before that and the grace of two seconds after it has
+// passed, half a second of timers' delay, and a second for what is in flight.
+func (d *Day) maxAbsentStaleness() time.Duration {
+	heartbeat := time.Second + time.Duration(d.Proxies)*10*time.Millisecond
+	return 3*heartbeat + 500*time.Millisecond + 2*time.Second + time.Second
+}
+
+// measureAbsentKeys counts look-ups of keys that the origin lacks, a second.
+func (r *runner) measureAbsentKeys(report *Report, events []Seen) {
+	for _, e := range events {
+		switch {
+		case e.What == Lacked:
+			report.AbsentAsked++
+		case e.What == Answered && e.Node == noSuchKey:
+			report.AbsentSaid++
+		}
+	}
+	report.AbsentAsked /= r.plan.Day.Length
+	report.AbsentSaid /= r.plan.Day.Length
+}
--- /dev/null
+++ b/internal/emulator/backends.go
@@ -0,0 +1,134 @@
+package emulator
+
+import (
+	"fmt"
+	"time"
+)
+
+// startBackends starts the origin, the caches and the proxies' discovery agents, which know the whole list.
+func (r *runner) startBackends() error {
+	d := r.plan.Day
+	var err error
+	if r.origin, err = r.startNode("origin", true, time.Time{}); err != nil {
+		return err
+	}
+	for i := range d.Fleet.Nodes {
+		name := fmt.Sprintf("c%d", i)
+		n, err := r.startNode(name, false, time.Time{})
+		if err != nil {
+			return err
+		}
+		r.nodes = append(r.nodes, n)
+		r.cluster.resetCache(name, r.warmKeys())
+	}
+	r.nextNode = len(r.nodes)
+	for _, request := range r.plan.Requests {
+		r.cluster.routes[request.ID] = d.Routes[request.Route]
+	}
+	for i := range d.Proxies {
+		if err := r.startDiscovery(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// warmKeys returns the keys that caches have at the start.
+func (r *runner) warmKeys() map[string]bool {
+	keys := r.plan.Day.Keys
+	warm := map[string]bool{}
+	for k := range keys.Count {
+		name := keyName(uint64(k))
+		if hashedFloat("warm", name) < keys.Warm && !r.cluster.isAbsent(name) {
+			warm[name] = true
+		}
+	}
+	return warm
+}
+
+func (r *runner) startDiscovery(proxy int) error {
+	d := NewDiscovery(proxy, r.log)
+	d.network = r.network
+	_, address, err := d.Listen("127.0.0.1")
+	if err != nil {
+		return err
+	}
+	rows := []Row{r.endpointRow(r.origin, proxy, statusActive)}
+	for _, n := range r.nodes {
+		rows = append(rows, r.endpointRow(n, proxy, statusActive))
+	}
+	d.Say(rows...)
+	r.discoveries, r.discoveryAddresses = append(r.discoveries, d), append(r.discoveryAddresses, address)
+	return nil
+}
+
+// startNode starts a cache or the origin. A cache that starts during the scenario, at startedAt, does so in slow start; at the
+// zero time it is warm.
+func (r *runner) startNode(name string, origin bool, startedAt time.Time) (*Node, error) {
+	d := r.plan.Day
+	n, err := NewNode("127.0.0.1", name, origin, d.Proxies, r.log)
+	if err != nil {
+		return nil, err
+	}
+	n.attach(r.cluster)
+	if origin {
+		n.work = newWorkQueue(d.Origin, 0, 1)
+		return n, nil
+	}
+	n.work = newWorkQueue(d.Fleet.Server, seconds(d.Fleet.Cold), d.Fleet.ColdFrom)
+	r.recordNodeStart(n, startedAt)
+	r.cluster.assignZone(name)
+	return n, nil
+}
+
+// startNextNode starts a cache under a new name, empty and in slow start.
+func (r *runner) startNextNode() (*Node, error) {
+	r.mu.Lock()
+	name := fmt.Sprintf("c%d", r.nextNode)
+	r.nextNode++
+	r.mu.Unlock()
+	return r.startNode(name, false, time.Now())
+}
+
+// recordNodeStart begins a cache's slow start, with which it is empty, unless the time is zero.
+func (r *runner) recordNodeStart(n *Node, at time.Time) {
+	n.work.start(at)
+	if at.IsZero() {
+		return
+	}
+	r.cluster.resetCache(n.Name, nil)
+	r.log.Record(Seen{What: Began, Proxy: -1, Node: n.Name, Figure: n.work.commandsPerSecond()})
+}
+
+// endpointRow returns a node's row as a proxy's discovery agent reports it.
+func (r *runner) endpointRow(n *Node, proxy int, status string) Row {
+	row := Row{Name: n.Name, Address: n.Addr(proxy), Kind: "cache", Status: status}
+	if n.Origin {
+		row.Kind = "origin"
+		return row
+	}
+	row.Zone = r.cluster.zoneOf(n.Name)
+	if started := n.work.started(); !started.IsZero() {
+		row.Since = started.UnixMilli()
+	}
+	return row
+}
+
+// publish has every discovery agent report a node's status.
+func (r *runner) publish(n *Node, status string) {
+	for i, d := range r.discoveries {
+		d.Say(r.endpointRow(n, i, status))
+	}
+}
+
+// nodesInZone returns the caches of a zone.
+func (r *runner) nodesInZone(zone string) (nodes []*Node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range r.nodes {
+		if r.cluster.zoneOf(n.Name) == zone {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
--- a/internal/emulator/background_load.go
+++ b/internal/emulator/background_load.go
@@ -5,133 +5,114 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 )
 
-// What all proxies together ask of nodes and discovery, and how they take turns in it.
-
-// Turns is what proxies that talk share out among themselves.
-type Turns struct {
-	On       bool `toml:"on"`
-	Watchers int  `toml:"watchers"`
-	Keepers  int  `toml:"keepers"`
-}
-
-// Asked is what all proxies together asked of nodes and discovery.
+// Together is the load that all proxies together put on nodes and discovery besides requests.
 type Together struct {
-	Trials  float64 // commands that a silent node took a second, from two seconds after it fell silent on
-	Watches float64 // watches of discovery that were open, the mean
-	Calls   float64 // watches that were asked for, a second
-	Conns   float64 // connections open at a cache, the mean,
-	Most    int     // and the most at any
+	Trials  float64 // commands a second that a silent node received, from silenceGrace after it fell silent on
+	Watches float64 // mean number of open discovery watches
+	Calls   float64 // discovery watches opened a second
+	Conns   float64 // mean number of connections open at a cache
+	Most    int     // greatest number of connections open at one cache
 }
 
-// taking is what it is made up from.
+// silenceGrace is how long proxies have to eject a silent node before its commands are counted as health checks.
+const silenceGrace = 2 * time.Second
+
+// timeSpan is from one moment of a scenario to another, both inclusive.
+type timeSpan struct{ from, to time.Duration }
+
+func (s timeSpan) contains(at time.Duration) bool { return at >= s.from && at <= s.to }
+
+// backgroundSamples is what a Together is calculated from.
 type backgroundSamples struct {
-	mu           sync.Mutex
-	silentTime   time.Duration // of silence, from two seconds on, over all nodes that were silent
-	silentSpans  map[string][2]time.Duration
+	// Written by sampleBackgroundLoad alone and read after it has returned.
 	samples      int
 	watches      int
 	connsPerNode float64
 	maxConns     int
 	watchCalls   int64
 	began        time.Time
+
+	mu          sync.Mutex
+	silentTime  time.Duration // from silenceGrace on, over all silent nodes
+	silentSpans map[string]timeSpan
 }
 
-// turn writes a proxy's file of turns.
-func (p *runner) writeDutyConfig(m *managedProxy) error {
-	t := p.plan.Day.Turns
+// writeDutyConfig writes a proxy's duties file.
+func (r *runner) writeDutyConfig(m *managedProxy) error {
+	t := r.plan.Day.Turns
 	if !t.On {
 		return nil
 	}
-	m.site.DutiesFile = filepath.Join(m.site.Dir, "turns.toml")
-	return os.WriteFile(m.site.DutiesFile, []byte(fmt.Sprintf("watchers = %d\nkeepers = %d\n", t.Watchers, t.Keepers)), 0o600)
+	m.config.DutiesFile = filepath.Join(m.config.Dir, "turns.toml")
+	return os.WriteFile(m.config.DutiesFile, fmt.Appendf(nil, "watchers = %d\nkeepers = %d\n", t.Watchers, t.Keepers), 0o600)
 }
 
-// fellSilent notes for how long a node was silent.
-func (p *runner) recordSilence(n *Node, from, to time.Time) {
-	began, ended := from.Add(2*time.Second).Sub(p.log.start), to.Sub(p.log.start)
-	p.backgroundLoad.mu.Lock()
-	defer p.backgroundLoad.mu.Unlock()
-	if ended > began {
-		p.backgroundLoad.silentTime += ended - began
-		if p.backgroundLoad.silentSpans == nil {
-			p.backgroundLoad.silentSpans = map[string][2]time.Duration{}
-		}
-		p.backgroundLoad.silentSpans[n.Name] = [2]time.Duration{began, ended}
+// recordSilence records for how long a node was silent.
+func (r *runner) recordSilence(n *Node, from, to time.Time) {
+	span := timeSpan{from.Add(silenceGrace).Sub(r.log.start), to.Sub(r.log.start)}
+	if span.to <= span.from {
+		return
 	}
+	b := &r.backgroundLoad
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silentTime += span.to - span.from
+	if b.silentSpans == nil {
+		b.silentSpans = map[string]timeSpan{}
+	}
+	b.silentSpans[n.Name] = span
 }
 
-// look counts, for as long as the day lasts, what is open.
-func (p *runner) sampleBackgroundLoad(ctx context.Context) {
-	t := &p.backgroundLoad
-	t.began, t.watchCalls = time.Now(), -p.discoveryCalls()
+// sampleBackgroundLoad counts open connections and watches at each statusPollInterval until the context ends.
+func (r *runner) sampleBackgroundLoad(ctx context.Context) {
+	b := &r.backgroundLoad
+	b.began, b.watchCalls = time.Now(), -r.discoveryCalls()
 	for sleep(ctx, statusPollInterval) {
-		p.mu.Lock()
-		nodes := append([]*Node(nil), p.nodes...)
-		p.mu.Unlock()
+		r.mu.Lock()
+		nodes := slices.Clone(r.nodes)
+		r.mu.Unlock()
 		sum := 0
 		for _, n := range nodes {
 			open := n.Open()
 			sum += open
-			t.maxConns = max(t.maxConns, open)
+			b.maxConns = max(b.maxConns, open)
 		}
-		t.samples++
-		t.connsPerNode += float64(sum) / float64(len(nodes))
-		for _, f := range p.discoveries {
-			t.watches += int(f.Watches.Load())
+		b.samples++
+		b.connsPerNode += float64(sum) / float64(len(nodes))
+		for _, d := range r.discoveries {
+			b.watches += int(d.Watches.Load())
 		}
 	}
-	t.watchCalls += p.discoveryCalls()
+	b.watchCalls += r.discoveryCalls()
 }
 
-func (p *runner) discoveryCalls() (sum int64) {
-	for _, f := range p.discoveries {
-		sum += f.Calls.Load()
+// discoveryCalls returns how many watches have been opened at all discovery agents.
+func (r *runner) discoveryCalls() (sum int64) {
+	for _, d := range r.discoveries {
+		sum += d.Calls.Load()
 	}
 	return sum
 }
 
-// together sums up.
-func (p *runner) summarizeBackgroundLoad(all []Seen) (a Together) {
-	t := &p.backgroundLoad
-	for _, s := range all {
-		if span, ok := t.silentSpans[s.Node]; ok && s.What == Took && s.At >= span[0] && s.At <= span[1] {
-			a.Trials++
+// summarizeBackgroundLoad calculates the load from the samples and the recorded events.
+func (r *runner) summarizeBackgroundLoad(events []Seen) (load Together) {
+	b := &r.backgroundLoad
+	for _, e := range events {
+		if span, ok := b.silentSpans[e.Node]; ok && e.What == Took && span.contains(e.At) {
+			load.Trials++
 		}
 	}
-	if t.silentTime > 0 {
-		a.Trials /= t.silentTime.Seconds()
-	}
-	if t.samples > 0 {
-		a.Watches, a.Conns = float64(t.watches)/float64(t.samples), t.connsPerNode/float64(t.samples)
-		a.Calls, a.Most = float64(t.watchCalls)/time.Since(t.began).Seconds(), t.maxConns
+	if b.silentTime > 0 {
+		load.Trials /= b.silentTime.Seconds()
 	}
-	return a
-}
-
-// none marks an answer that there is no such key.
-const noSuchKey = "none"
-
-// believed is the longest for which a key may be called missing after it was written: until the latest pulse of who wrote it has
-// lapsed, or one has come just before that and the grace after it has passed, and a second for what is on its way.
-func (d *Day) maxAbsentStaleness() time.Duration {
-	every := time.Second + time.Duration(d.Proxies)*10*time.Millisecond
-	return 3*every + 500*time.Millisecond + 2*time.Second + time.Second
-}
-
-// lacking sums up what became of keys that the origin lacks.
-func (p *runner) measureAbsentKeys(r *Report, all []Seen) {
-	for _, s := range all {
-		switch {
-		case s.What == Lacked:
-			r.AbsentAsked++
-		case s.What == Answered && s.Node == noSuchKey:
-			r.AbsentSaid++
-		}
+	if b.samples > 0 {
+		load.Watches, load.Conns = float64(b.watches)/float64(b.samples), b.connsPerNode/float64(b.samples)
+		load.Calls, load.Most = float64(b.watchCalls)/time.Since(b.began).Seconds(), b.maxConns
 	}
-	r.AbsentAsked /= p.plan.Day.Length
-	r.AbsentSaid /= p.plan.Day.Length
+	return load
 }
--- /dev/null
+++ b/internal/emulator/bad_clients.go
@@ -0,0 +1,74 @@
+package emulator
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"time"
+)
+
+// malformedRequests is what malformed clients send.
+var malformedRequests = []string{
+	"GET / HTTP/1.1\r\n\r\n",
+	"*4\r\n$6\r\nKV.GET\r\n$-5\r\n",
+	"*1\r\n$99999999\r\n",
+	"\x00\x01\x02\r\n",
+	"*5\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$7\r\nc=x,d=5\r\n$999999999\r\n",
+	"*4\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n$0\r\n\r\n$7\r\nc=x,d=5\r\n",
+	"*4\r\n$6\r\nKV.",
+}
+
+// malformedTimeout is how long a proxy may take to answer a malformed request or close on it.
+const malformedTimeout = 3 * time.Second
+
+// sendMalformed sends the i-th malformed request, and reports whether it was answered with an error or closed on in time.
+func sendMalformed(address string, i int) bool {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return true // the proxy is down
+	}
+	defer func() { _ = conn.Close() }() // the answer has been read
+	if err := conn.SetDeadline(time.Now().Add(malformedTimeout)); err != nil {
+		return false
+	}
+	_, _ = io.WriteString(conn, malformedRequests[i%len(malformedRequests)]) // where it is closed on, the read tells
+	first, err := bufio.NewReader(conn).ReadByte()
+	if err != nil {
+		return !errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	return first == '-'
+}
+
+const (
+	slowReaderRequests = 64
+	slowReadSize       = 16 // bytes at a time
+	slowReadInterval   = 100 * time.Millisecond
+)
+
+// readSlowly is a client that pipelines requests and hardly reads the answers, until its connection or the context ends.
+func readSlowly(ctx context.Context, address, id string, route Route) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return
+	}
+	closeConn := func() { _ = conn.Close() } // whichever call comes second fails
+	defer closeConn()
+	defer context.AfterFunc(ctx, closeConn)()
+	for i := range slowReaderRequests {
+		_, err := conn.Write(EncodeCommand("KV.GET", keyName(uint64(i)), fmt.Sprint(id, "-", i), route.requestFacts()))
+		if err != nil {
+			return
+		}
+	}
+	buffer := make([]byte, slowReadSize)
+	for {
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+		time.Sleep(slowReadInterval)
+	}
+}
--- a/internal/emulator/cluster.go
+++ b/internal/emulator/cluster.go
@@ -7,129 +7,181 @@
 	"time"
 )
 
-// World is what nodes share: which keys lie where, which caches lacked a key for a request, what has run.
+var errNoSuchKey = errors.New("the origin has no such key")
+
+// cluster is the state that nodes share: which cache has which keys, and what the origin has carried out. Its methods may be
+// called concurrently, those whose name ends in Locked with mu held.
 type cluster struct {
 	Log       *EventLog
-	valueSize int
+	scenario  *Day
+	valueSize int      // bytes
 	network   *network // nil: nothing stands between processes
 
 	mu       sync.Mutex
-	scenario *Day
-	zones    map[string]string          // of nodes
-	cached   map[string]map[string]bool // by node, the keys that lie there
-	missedBy map[string][]string        // by request, the caches that missed; emptied as the origin answers
-	lastRun  map[string]time.Time       // by mark, when the origin last carried it out
+	zones    map[string]string          // by node
+	cached   map[string]map[string]bool // by node, the keys that it has
+	missedBy map[string][]string        // by request, the caches that missed until the origin answers
+	lastRun  map[string]time.Time       // by idempotency key, when the origin last carried it out
 	routes   map[string]Route           // by request
-	proxyOf  map[string]int             // by request, the proxy that a client asked last
-	written  map[string]bool            // keys that the origin lacked and that were written
+	proxyOf  map[string]int             // by request, the proxy that a client sent it to last
+	written  map[string]bool            // keys that were written
 }
 
-func newCluster(day *Day, log *EventLog) *cluster {
+func newCluster(scenario *Day, log *EventLog) *cluster {
 	return &cluster{
-		Log: log, valueSize: day.Keys.Size, scenario: day, zones: map[string]string{}, cached: map[string]map[string]bool{},
-		missedBy: map[string][]string{}, lastRun: map[string]time.Time{}, routes: map[string]Route{}, proxyOf: map[string]int{}, written: map[string]bool{},
+		Log: log, valueSize: scenario.Keys.Size, scenario: scenario, zones: map[string]string{},
+		cached: map[string]map[string]bool{}, missedBy: map[string][]string{}, lastRun: map[string]time.Time{},
+		routes: map[string]Route{}, proxyOf: map[string]int{}, written: map[string]bool{},
 	}
 }
 
+// proxyName returns the name of a proxy by its index.
 func proxyName(i int) string { return fmt.Sprintf("n%d", i) }
 
-// asks notes whom a client asks, whose tells it: a proxy that has an address from another can't be told by the address.
-func (w *cluster) recordProxy(id string, proxy int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.proxyOf[id] = proxy
+// recordProxy records to which proxy a client sends a request.
+func (c *cluster) recordProxy(id string, proxy int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.proxyOf[id] = proxy
 }
 
-func (w *cluster) proxyFor(id string, otherwise int) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if p, ok := w.proxyOf[id]; ok {
+// proxyFor returns the proxy that a client sent a request to, or the given one where that is not known. An attempt's address does
+// not tell it, since a proxy may have learnt the address from another.
+func (c *cluster) proxyFor(id string, otherwise int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.proxyOf[id]; ok {
 		return p
 	}
 	return otherwise
 }
 
-// far waits for as long as the way between a proxy and a node takes more than usual.
-func (w *cluster) crossZoneDelay(n *Node, proxy int) {
-	if zones := w.scenario.Fleet.Zones; len(zones) > 1 && !n.Origin {
-		w.mu.Lock()
-		away := w.zones[n.Name] != zones[proxy%len(zones)]
-		w.mu.Unlock()
-		if away {
-			time.Sleep(millis(w.scenario.Fleet.Cross))
-		}
+// crossZoneDelay waits for as long as the way between a proxy and a cache takes more than within a zone.
+func (c *cluster) crossZoneDelay(n *Node, proxy int) {
+	zones := c.scenario.Fleet.Zones
+	if len(zones) <= 1 || n.Origin {
+		return
+	}
+	c.mu.Lock()
+	crossZone := c.zones[n.Name] != zones[proxy%len(zones)]
+	c.mu.Unlock()
+	if crossZone {
+		time.Sleep(millis(c.scenario.Fleet.Cross))
 	}
 }
 
-// read is a cache's work on a command; it tells whether the key lies there.
-func (w *cluster) lookUp(n *Node, proxy int, id, key string) (bool, error) {
+// lookUp does a cache's work on a command and reports whether it has the key. An error is errQueueFull.
+func (c *cluster) lookUp(n *Node, proxy int, id, key string) (bool, error) {
 	if n.work == nil {
 		return true, nil
 	}
-	w.crossZoneDelay(n, proxy)
+	c.crossZoneDelay(n, proxy)
 	if err := n.work.process(id, n.Name); err != nil {
 		return false, err
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	has := w.cached[n.Name][key]
-	if !has {
-		w.missedBy[id] = append(w.missedBy[id], n.Name)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached := c.cached[n.Name][key]
+	if !cached {
+		c.missedBy[id] = append(c.missedBy[id], n.Name)
 	}
-	return has, nil
+	return cached, nil
 }
 
-// fetched is the origin's work on a request. What it answers is kept from then on by the caches that missed; what is
-// written is kept nowhere. A write's repeat is dropped while its mark stands.
-func (w *cluster) fetch(n *Node, proxy int, id, key, mark string, write bool) error {
+// originRequest is a request at the origin.
+type originRequest struct {
+	id             string
+	proxy          int
+	key            string
+	idempotencyKey string // "": none
+	write          bool
+}
+
+// fetch does the origin's work on a request. A value that is read is cached from then on by the caches that missed; one that is
+// written is cached nowhere. A write's repeat is dropped within the deduplication window of its idempotency key. An error is
+// errQueueFull or errNoSuchKey.
+func (c *cluster) fetch(n *Node, r originRequest) error {
 	if n.work == nil {
 		return nil
 	}
-	if err := n.work.process(id, n.Name); err != nil {
+	if err := n.work.process(r.id, n.Name); err != nil {
 		return err
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !write && w.isAbsent(key) {
-		w.Log.Record(Seen{What: Lacked, ID: id, Proxy: proxy, Node: n.Name, Note: key})
-		return errAbsent
-	}
-	if !write {
-		for _, name := range w.missedBy[id] {
-			if k := w.cached[name]; k != nil {
-				k[key] = true
-			}
-		}
-		delete(w.missedBy, id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.write {
+		c.writeLocked(n, r)
 		return nil
 	}
-	window := millis(w.routes[id].Dedup)
-	if at, ok := w.lastRun[mark]; mark == "" || !ok || time.Since(at) >= window {
-		if mark != "" {
-			w.lastRun[mark] = time.Now()
-		}
-		w.Log.Record(Seen{What: Ran, ID: id, Proxy: proxy, Node: n.Name, Note: mark})
+	if c.isAbsent(r.key) {
+		c.Log.Record(Seen{What: Lacked, ID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.key})
+		return errNoSuchKey
 	}
-	w.written[key] = true
-	for _, k := range w.cached {
-		delete(k, key)
+	for _, name := range c.missedBy[r.id] {
+		if keys := c.cached[name]; keys != nil {
+			keys[r.key] = true
+		}
 	}
+	delete(c.missedBy, r.id)
 	return nil
 }
 
-var errAbsent = errors.New("the origin has no such key")
+func (c *cluster) writeLocked(n *Node, r originRequest) {
+	window := millis(c.routes[r.id].Dedup)
+	if at, ok := c.lastRun[r.idempotencyKey]; r.idempotencyKey == "" || !ok || time.Since(at) >= window {
+		if r.idempotencyKey != "" {
+			c.lastRun[r.idempotencyKey] = time.Now()
+		}
+		c.Log.Record(Seen{What: Ran, ID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.idempotencyKey})
+	}
+	c.written[r.key] = true
+	for _, keys := range c.cached {
+		delete(keys, r.key)
+	}
+}
 
-// lacks tells whether the origin has no such key by now.
-func (w *cluster) isAbsent(key string) bool {
-	return w.scenario.Missing.Part > 0 && !w.written[key] && hashedFloat("missing", key) < w.scenario.Missing.Part
+// isAbsent reports whether the origin has no such key by now. Once nodes serve, mu is held.
+func (c *cluster) isAbsent(key string) bool {
+	part := c.scenario.Missing.Part
+	return part > 0 && !c.written[key] && hashedFloat("missing", key) < part
 }
 
-// empties has a node keep nothing, or only what it is given.
-func (w *cluster) resetCache(name string, keys map[string]bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// resetCache has a node's cache hold the given keys only.
+func (c *cluster) resetCache(name string, keys map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if keys == nil {
 		keys = map[string]bool{}
 	}
-	w.cached[name] = keys
+	c.cached[name] = keys
+}
+
+// assignZone puts a node into the next of the zones, if there are any.
+func (c *cluster) assignZone(name string) {
+	zones := c.scenario.Fleet.Zones
+	if len(zones) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.zones[name] = zones[len(c.zones)%len(zones)]
+}
+
+// zoneOf returns a node's zone, "" where it has none.
+func (c *cluster) zoneOf(name string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.zones[name]
+}
+
+// nodesInZone returns the names of a zone's caches.
+func (c *cluster) nodesInZone(zone string) (names []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, z := range c.zones {
+		if z == zone {
+			names = append(names, name)
+		}
+	}
+	return names
 }
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -12,79 +12,101 @@
 	"time"
 )
 
-// Row is a line of the list as one proxy is told it.
+// Statuses of an endpoint.
+const (
+	statusActive  = "active"
+	statusLeaving = "leaving" // draining
+	statusLeft    = "left"
+)
+
+// Row is an endpoint as one proxy's discovery agent reports it.
 type Row struct {
 	Name, Address, Zone, Kind, Status string
-	Since                             int64 // Unix milliseconds
+	Since                             int64 // start of the endpoint in Unix milliseconds, 0: not known
 }
 
+// String returns the endpoint in the JSON of the discovery protocol.
 func (r Row) String() string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":1,"status":%q,"weight":1,"since_ms":%d}`,
 		r.Name, r.Address, r.Zone, r.Kind, r.Status, r.Since)
 }
 
-// Mood is how discovery meets who watches: "" well, silent (for good to those who ask meanwhile), down (until it is well again),
-// cut, garbled, or full (turns each away).
+// Mood is how discovery treats watches.
 type Mood string
 
-// Discovery is a stand-in for the agent on one proxy's machine.
+// Modes of discovery.
+const (
+	discoveryServes  Mood = ""
+	discoverySilent  Mood = "silent"  // watches stay open and are sent nothing, for good
+	discoveryDown    Mood = "down"    // watches are sent nothing until the mode changes
+	discoveryCut     Mood = "cut"     // connections are closed
+	discoveryGarbled Mood = "garbled" // malformed data is sent and connections are closed
+	discoveryFull    Mood = "full"    // watches are refused
+)
+
+// keepaliveInterval is how often an open watch is sent an empty line.
+const keepaliveInterval = 500 * time.Millisecond
+
+// Discovery is a stand-in for the service discovery agent on one proxy's machine. Its methods may be called concurrently.
 type Discovery struct {
 	Proxy   int
-	Calls   atomic.Int64 // watches that were asked for
-	Watches atomic.Int64 // that are open
+	Calls   atomic.Int64 // watches that were opened
+	Watches atomic.Int64 // watches that are open
 	log     *EventLog
-	network *network // nil: nothing stands between it and its proxy
+	network *network // nil: the proxy reaches it directly
+	serving sync.WaitGroup
 
 	mu              sync.Mutex
-	versions        [][]Row // by version, the first whole
+	versions        [][]Row // changes by version, of which the first is the whole list
 	mode            Mood
-	silencedWatches int // how often those watches that were out have fallen silent
+	silencedWatches int // how often the watches that were open have been silenced
 	withholding     bool
-	withheld        [][]Row // what is not told yet
-	changed         chan struct{}
+	withheld        [][]Row       // changes that are not published yet
+	changed         chan struct{} // closed at each change of what stands above
 	conns           []net.Conn
 	servers         []*http.Server
 }
 
-// NewDiscovery starts one that knows no list yet. Versions are counted from 2.
+// NewDiscovery returns an agent without a list; the log may be nil. Versions are counted from 2.
 func NewDiscovery(proxy int, log *EventLog) *Discovery {
 	return &Discovery{Proxy: proxy, log: log, changed: make(chan struct{})}
 }
 
-// Listen serves at a new address of the loopback address given; it may do so at several.
+// Listen serves at a free port of a loopback address and returns the server and its address; it may be called repeatedly.
 func (d *Discovery) Listen(ip string) (*http.Server, string, error) {
-	ln, err := net.Listen("tcp", ip+":0")
+	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, "", err
 	}
 	if d.network != nil {
-		ln = linkListener{ln, d.network, fmt.Sprint("d", d.Proxy), proxyName(d.Proxy)}
+		listener = linkListener{listener, d.network, fmt.Sprint("d", d.Proxy), proxyName(d.Proxy)}
 	}
-	s := &http.Server{Handler: http.HandlerFunc(d.serveWatch), ConnState: func(c net.Conn, st http.ConnState) {
-		if st == http.StateNew {
+	server := &http.Server{Handler: http.HandlerFunc(d.serveWatch), ConnState: func(c net.Conn, state http.ConnState) {
+		if state == http.StateNew {
 			d.mu.Lock()
 			d.conns = append(d.conns, c)
 			d.mu.Unlock()
 		}
 	}}
 	d.mu.Lock()
-	d.servers = append(d.servers, s)
+	d.servers = append(d.servers, server)
 	d.mu.Unlock()
-	go s.Serve(ln)
-	return s, ln.Addr().String(), nil
+	d.serving.Go(func() { _ = server.Serve(listener) }) // it returns as the server is closed
+	return server, listener.Addr().String(), nil
 }
 
-// Close ends it wherever it listens.
+// Close ends all of its servers and waits for them.
 func (d *Discovery) Close() {
 	d.mu.Lock()
 	servers := d.servers
 	d.mu.Unlock()
 	for _, s := range servers {
-		s.Close()
+		_ = s.Close() // a test may have closed it already
 	}
+	d.serving.Wait()
 }
 
-// Say tells changes; the first are the whole list.
+// Say publishes changes as one version; the first call gives the whole list.
 func (d *Discovery) Say(rows ...Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -98,13 +120,18 @@
 func (d *Discovery) publishLocked(rows []Row) {
 	d.versions = append(d.versions, rows)
 	if d.log != nil && len(d.versions) > 1 {
-		time.AfterFunc(DeliveryDeadline, func() { d.assumeDelivered(rows) })
+		time.AfterFunc(deliveryDeadline, func() { d.assumeDelivered(rows) })
 	}
+	d.notifyLocked()
+}
+
+// notifyLocked wakes all watches.
+func (d *Discovery) notifyLocked() {
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
-// due notes what counts as told by now, though nobody may have heard it, unless it was overtaken.
+// assumeDelivered records what counts as delivered by now, whether or not it was, unless a later version has replaced it.
 func (d *Discovery) assumeDelivered(rows []Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -116,7 +143,7 @@
 	}
 }
 
-// latest is each node's line as it stands.
+// currentRows returns the latest row of each endpoint by name.
 func (d *Discovery) currentRows() map[string]Row {
 	current := map[string]Row{}
 	for _, rows := range d.versions {
@@ -127,33 +154,32 @@
 	return current
 }
 
-// told notes that its proxy knows a line, or counts as knowing it.
+// recordDelivered records that its proxy knows a row, or counts as knowing it.
 func (d *Discovery) recordDelivered(row Row) {
 	d.log.Record(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
 }
 
-// Ahead notes what the agent has already as a process starts: it counts as told from that process's first moment, whether or not a
-// watch is open.
+// RecordKnownAtStart records which endpoints are not active as a proxy process starts: this counts as delivered from that
+// process's first moment, whether or not a watch is open.
 func (d *Discovery) RecordKnownAtStart() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, row := range d.currentRows() {
-		if row.Status != "active" {
+		if row.Status != statusActive {
 			d.recordDelivered(row)
 		}
 	}
 }
 
-// Hush has the watches that are out fall silent and stay open; those begun from now on speak.
+// SilenceOpenWatches has the open watches stay open and be sent nothing; later ones are served.
 func (d *Discovery) SilenceOpenWatches() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.silencedWatches++
-	close(d.changed)
-	d.changed = make(chan struct{})
+	d.notifyLocked()
 }
 
-// Stale holds back changes until it is switched off again.
+// SetWithholding begins to hold back published changes, or publishes those held back.
 func (d *Discovery) SetWithholding(on bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -166,89 +192,115 @@
 	}
 }
 
-// Feel changes the mood; one that is cut or garbled ends the watches that are out.
-func (d *Discovery) Feel(mood Mood) {
+// Feel changes the mode; "cut" and "garbled" close all connections.
+func (d *Discovery) Feel(mode Mood) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.mode = mood
-	if mood == "cut" || mood == "garbled" {
+	d.mode = mode
+	if mode == discoveryCut || mode == discoveryGarbled {
 		for _, c := range d.conns {
-			c.Close()
+			_ = c.Close() // many have ended before
 		}
 		d.conns = nil
 	}
-	close(d.changed)
-	d.changed = make(chan struct{})
+	d.notifyLocked()
 }
 
-// Mood tells how it feels.
+// Mode returns the current mode.
 func (d *Discovery) Mode() Mood {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.mode
 }
 
-func (d *Discovery) serveWatch(w http.ResponseWriter, r *http.Request) {
-	since, _ := strconv.Atoi(r.URL.Query().Get("since"))
+// watch is one open watch.
+type watch struct {
+	discovery *Discovery
+	response  http.ResponseWriter
+	request   *http.Request
+	silenced  int  // the discovery's silencedWatches as the watch was opened
+	next      int  // index of the version that is sent next
+	begun     bool // the response has begun
+}
+
+func (d *Discovery) serveWatch(response http.ResponseWriter, request *http.Request) {
+	since, _ := strconv.Atoi(request.URL.Query().Get("since")) // none or malformed: from the beginning
 	d.Calls.Add(1)
 	d.Watches.Add(1)
 	defer d.Watches.Add(-1)
-	at, begun := max(since-1, 0), false
 	d.mu.Lock()
-	hushed := d.silencedWatches
+	w := &watch{discovery: d, response: response, request: request, silenced: d.silencedWatches, next: max(since-1, 0)}
 	d.mu.Unlock()
-	for {
-		d.mu.Lock()
-		mood, changed := d.mode, d.changed
-		if d.silencedWatches > hushed {
-			mood = "silent"
-		}
-		news := d.versions[min(at, len(d.versions)):]
-		d.mu.Unlock()
-		switch mood {
-		case "silent":
-			<-r.Context().Done() // a watch that fell silent stays so
-			return
-		case "down":
-			select {
-			case <-changed:
-				continue
-			case <-r.Context().Done():
-				return
-			}
-		case "full":
-			if !begun { // a watch that is out ends
-				w.WriteHeader(http.StatusServiceUnavailable)
-			}
-			return
-		case "cut", "garbled":
-			if mood == "garbled" {
-				io.WriteString(w, "{]\n")
-			}
-			return
+	for w.step() {
+	}
+}
+
+// step does what the current mode asks for, waits until there is more to do, and reports whether the watch goes on.
+func (w *watch) step() bool {
+	mode, changed, versions := w.state()
+	switch mode {
+	case discoverySilent:
+		<-w.request.Context().Done() // a silent watch stays silent when the mode changes
+		return false
+	case discoveryDown:
+		select {
+		case <-changed:
+			return true
+		case <-w.request.Context().Done():
+			return false
 		}
-		for _, rows := range news {
-			at++
-			words := make([]string, len(rows))
-			for i, row := range rows {
-				words[i] = row.String()
-			}
-			fmt.Fprintf(w, `{"index":%d,"snapshot":%v,"endpoints":[%s]}`+"\n", at+1, at == 1, strings.Join(words, ","))
+	case discoveryFull:
+		if !w.begun { // one that has begun just ends
+			w.response.WriteHeader(http.StatusServiceUnavailable)
 		}
-		begun = true
-		io.WriteString(w, "\n")
-		if w.(http.Flusher).Flush(); r.Context().Err() == nil {
-			for _, rows := range news {
-				for _, row := range rows {
-					d.recordDelivered(row)
-				}
-			}
+		return false
+	case discoveryCut:
+		return false
+	case discoveryGarbled:
+		_, _ = io.WriteString(w.response, "{]\n") // the connection is being closed
+		return false
+	}
+	w.send(versions)
+	select {
+	case <-changed:
+	case <-time.After(keepaliveInterval):
+	case <-w.request.Context().Done():
+		return false
+	}
+	return true
+}
+
+// state returns the mode that holds for the watch, a channel that is closed at the next change, and the versions to send.
+func (w *watch) state() (mode Mood, changed <-chan struct{}, versions [][]Row) {
+	d := w.discovery
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	mode = d.mode
+	if d.silencedWatches > w.silenced {
+		mode = discoverySilent
+	}
+	return mode, d.changed, d.versions[min(w.next, len(d.versions)):]
+}
+
+// send writes versions and a keep-alive line. A failed write cancels the request's context, which is looked at afterwards.
+func (w *watch) send(versions [][]Row) {
+	for _, rows := range versions {
+		w.next++
+		endpoints := make([]string, len(rows))
+		for i, row := range rows {
+			endpoints[i] = row.String()
 		}
-		select {
-		case <-changed:
-		case <-time.After(500 * time.Millisecond):
-		case <-r.Context().Done():
-			return
+		_, _ = fmt.Fprintf(w.response, `{"index":%d,"snapshot":%v,"endpoints":[%s]}`+"\n", w.next+1, w.next == 1, strings.Join(endpoints, ","))
+	}
+	w.begun = true
+	_, _ = io.WriteString(w.response, "\n")
+	_ = http.NewResponseController(w.response).Flush()
+	if w.request.Context().Err() != nil {
+		return
+	}
+	for _, rows := range versions {
+		for _, row := range rows {
+			w.discovery.recordDelivered(row)
 		}
 	}
 }
--- a/internal/emulator/eventlog.go
+++ b/internal/emulator/eventlog.go
@@ -1,30 +1,47 @@
 package emulator
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-// What the stand-ins see.
+// What the stand-ins record.
 const (
-	Asked    = "asked"    // a client wrote a request whole
-	Answered = "answered" // a client has a final answer: Note tells which, Made whom its value was made for
-	Closed   = "closed"   // the connection ended under a request
-	Went     = "went"     // the client left
-	Took     = "took"     // a node has a try whole
-	Ran      = "ran"      // the origin carried out a write, whose mark is Note
-	Lacked   = "lacked"   // the origin has no key Note, and says so
-	Told     = "told"     // discovery wrote to a proxy what has become of a node: Note is its status
-	Began    = "began"    // a node starts: its capacity at first is Figure, in commands a second when warm
-	Ended    = "ended"    // a proxy's process ended: Note tells how
-	Shared   = "shared"   // a proxy says that its share of the fleet's limits is Figure, and Note what it holds of nodes
-	Paused   = "paused"   // a proxy's process is stopped where it stands, or goes on: Note "goes on"
-	Late     = "late"     // the load itself: a request went out so late, Figure in milliseconds
+	Asked    = "asked"    // a client has written a whole request
+	Answered = "answered" // a client has a final answer: Note is the outcome, Made the request that its value was made for
+	Closed   = "closed"   // a connection ended during a request
+	Went     = "went"     // a client left before the answer
+	Took     = "took"     // a node has received a whole attempt
+	Ran      = "ran"      // the origin carried out a write, whose idempotency key is Note
+	Lacked   = "lacked"   // the origin has no key Note, and answered so
+	Told     = "told"     // discovery delivered an endpoint's status, Note, to a proxy
+	Began    = "began"    // a node begins its slow start: Figure is its full capacity in commands a second
+	Ended    = "ended"    // a proxy process ended: Note is how
+	Shared   = "shared"   // a proxy reports Figure as its quota, the part of the fleet's limits, and Note as its rows of nodes
+	Paused   = "paused"   // a proxy process was stopped by a signal, or continued: Note is pauseBegins or pauseEnds
+	Late     = "late"     // the load generator sent a request Figure milliseconds too late
 )
 
-// Seen is one thing seen.
+// Notes of Ended events.
+const (
+	endKilled  = "killed"
+	endStopped = "stopped" // told to end, it shut down gracefully
+	endCrashed = "crashed"
+)
+
+// Notes of Paused events.
+const (
+	pauseBegins = "stands"
+	pauseEnds   = "goes on"
+)
+
+// noteReused is a Closed event's note where the connection had served a request before.
+const noteReused = "reused"
+
+// Seen is a recorded event.
 type Seen struct {
-	At             time.Duration
+	At             time.Duration // from the event log's start
 	What           string
 	ID             string // of the request
 	Proxy          int    // -1: none
@@ -32,43 +49,44 @@
 	Note           string
 	Made           string
 	Figure         float64
-	Bytes, Packets int64 // of the talk with peers, since the process began
+	Bytes, Packets int64 // of gossip, since the proxy process began
 }
 
-// Log keeps what is seen on a day.
+// EventLog collects the events of a run. Its methods may be called concurrently, and Record on nil.
 type EventLog struct {
+	start time.Time
+
 	mu     sync.Mutex
-	start  time.Time
 	events []Seen
 }
 
-// NewLog begins a day's.
+// NewEventLog returns an empty log that starts now.
 func NewEventLog() *EventLog { return &EventLog{start: time.Now()} }
 
-// See notes something.
-func (l *EventLog) Record(s Seen) {
+// Record adds an event and sets its time.
+func (l *EventLog) Record(event Seen) {
 	if l == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s.At = time.Since(l.start)
-	l.events = append(l.events, s)
+	event.At = time.Since(l.start)
+	l.events = append(l.events, event)
 }
 
-// All returns what was seen, in order.
+// All returns a copy of the events, in order.
 func (l *EventLog) All() []Seen {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]Seen(nil), l.events...)
+	return slices.Clone(l.events)
 }
 
-// Of returns what was seen of one request.
+// EventsOfRequest returns the events of one request.
 func EventsOfRequest(events []Seen, id string) []Seen {
 	var related []Seen
-	for _, s := range events {
-		if s.ID == id {
-			related = append(related, s)
+	for _, e := range events {
+		if e.ID == id {
+			related = append(related, e)
 		}
 	}
 	return related
--- a/internal/emulator/gossip.go
+++ b/internal/emulator/gossip.go
@@ -2,425 +2,195 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"path"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
-// Troubles that stand between processes, or befall many at one moment.
+// statusPollInterval is how often proxies are polled for their gossip status, and open connections are counted.
+const statusPollInterval = 200 * time.Millisecond
+
+// maxSeeds is how many seeds a proxy's gossip file names.
+const maxSeeds = 3
 
-// nets counts days with peers that this process plays: each has addresses of its own.
+// networkNumbers counts the runs with gossip in this process: each has IP addresses of its own.
 var networkNumbers struct {
 	sync.Mutex
 	n int
 }
 
-// meet settles where a proxy's peers meet it: at a relay, which has an address of its own, as the proxy has.
-func (p *runner) setUpGossip(i int, m *managedProxy) error {
+// nextAddressPrefix returns the beginning of the addresses of a run.
+func nextAddressPrefix() string {
+	networkNumbers.Lock()
+	defer networkNumbers.Unlock()
+	networkNumbers.n++
+	return fmt.Sprintf("127.%d.%d.", 100+networkNumbers.n%100, os.Getpid()%250)
+}
+
+// setUpGossip chooses where a proxy's peers reach it: at a relay, which has an IP address of its own, as the proxy has.
+func (r *runner) setUpGossip(i int, m *managedProxy) error {
 	if i == 0 {
-		networkNumbers.Lock()
-		networkNumbers.n++
-		p.addressPrefix = fmt.Sprintf("127.%d.%d.", 100+networkNumbers.n%100, os.Getpid()%250)
-		networkNumbers.Unlock()
-		p.proxyByIP = map[string]string{}
+		r.addressPrefix, r.proxyByIP = nextAddressPrefix(), map[string]string{}
 	}
-	own, met := fmt.Sprint(p.addressPrefix, i+1), fmt.Sprint(p.addressPrefix, i+101)
-	listen, err := freePort(own)
+	proxyIP, relayIP := fmt.Sprint(r.addressPrefix, i+1), fmt.Sprint(r.addressPrefix, i+101)
+	listen, err := freePort(proxyIP)
 	if err != nil {
 		return err
 	}
-	at, err := freePort(met)
+	advertised, err := freePort(relayIP)
 	if err != nil {
 		return err
 	}
-	p.proxyByIP[own] = proxyName(i)
-	r, err := newRelay(p.network, proxyName(i), at, listen, p.proxyByIP)
+	r.proxyByIP[proxyIP] = proxyName(i)
+	peerRelay, err := newRelay(r.network, proxyName(i), advertised, listen, r.proxyByIP)
 	if err != nil {
 		return err
 	}
-	p.relays = append(p.relays, r)
-	for m.site.AdminAddress = listen; m.site.AdminAddress == listen; {
-		if m.site.AdminAddress, err = freePort(own); err != nil {
+	r.relays = append(r.relays, peerRelay)
+	for m.config.AdminAddress = listen; m.config.AdminAddress == listen; {
+		if m.config.AdminAddress, err = freePort(proxyIP); err != nil {
 			return err
 		}
 	}
-	m.site.GossipFile = filepath.Join(m.site.Dir, "peers.toml")
+	m.config.GossipFile = filepath.Join(m.config.Dir, "peers.toml")
 	return nil
 }
 
-// introduce writes each proxy's file of peers, with three others as seeds.
-func (p *runner) writeGossipConfigs() error {
-	talk := p.plan.Day.Peers
-	for i, r := range p.relays {
+// writeGossipConfigs writes each proxy's gossip file, with other proxies as seeds.
+func (r *runner) writeGossipConfigs() error {
+	peers := r.plan.Day.Peers
+	for i, own := range r.relays {
 		var seeds []string
-		for k, other := range p.relays {
-			if k != i && len(seeds) < 3 {
+		for k, other := range r.relays {
+			if k != i && len(seeds) < maxSeeds {
 				seeds = append(seeds, fmt.Sprintf("%q", other.listenAddress))
 			}
 		}
-		text := fmt.Sprintf("cluster = \"day\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n", r.targetAddress, r.listenAddress, strings.Join(seeds, ", "))
-		if talk.Hold > 0 {
-			text += fmt.Sprintf("hold_s = %v\n", talk.Hold)
+		text := fmt.Sprintf("cluster = \"day\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n",
+			own.targetAddress, own.listenAddress, strings.Join(seeds, ", "))
+		if peers.Hold > 0 {
+			text += fmt.Sprintf("hold_s = %v\n", peers.Hold)
 		}
-		if talk.Floor > 0 {
-			text += fmt.Sprintf("floor = %v\n", talk.Floor)
+		if peers.Floor > 0 {
+			text += fmt.Sprintf("floor = %v\n", peers.Floor)
 		}
-		if err := os.WriteFile(p.proxies[i].site.GossipFile, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(r.proxies[i].config.GossipFile, []byte(text), 0o600); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// asks is how often proxies are asked how they stand with their peers.
-const statusPollInterval = 200 * time.Millisecond
-
-// ask asks each proxy, for as long as the day lasts, what its share is, and what it holds.
-func (p *runner) pollGossipStatus(ctx context.Context) {
-	var all sync.WaitGroup
-	for i, m := range p.proxies {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+// pollGossipStatus records each proxy's quota and rows at each statusPollInterval until the context ends.
+func (r *runner) pollGossipStatus(ctx context.Context) {
+	var polls sync.WaitGroup
+	for i := range r.proxies {
+		polls.Go(func() {
+			client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 			for sleep(ctx, statusPollInterval) {
-				if !p.load.available[i].Load() {
-					continue
+				if r.load.available[i].Load() {
+					r.recordGossipStatus(client, i)
 				}
-				r, err := c.Get("http://" + m.site.AdminAddress + "/control/peers")
-				if err != nil {
-					continue
-				}
-				text, err := io.ReadAll(r.Body)
-				r.Body.Close()
-				if s, ok := parseGossipStatus(string(text)); err == nil && ok && p.load.available[i].Load() {
-					s.Proxy = i
-					p.log.Record(s)
-				}
-			}
-		}()
-	}
-	all.Wait()
-}
-
-// whisper is a node of which one proxy alone was told.
-type announcement struct {
-	node  string
-	proxy int
-	at    time.Time
-}
-
-// whisper adds nodes, cold ones that are in nobody's way, and tells each to one proxy alone, over a span; all are told at the end.
-func (p *runner) announceToOne(ctx context.Context, nodes int, duration time.Duration) {
-	var added []*Node
-	for k := range nodes {
-		n, err := p.startNextNode()
-		if err != nil {
-			return
-		}
-		added = append(added, n)
-		to := (k*7 + 3) % len(p.discoveries)
-		for k := range p.discoveries {
-			to = (to + k) % len(p.discoveries)
-			if p.load.available[to].Load() && p.discoveries[to].Mode() == "" {
-				break
 			}
-		}
-		// all the others' discoveries count this version too, and hold it back
-		for i, f := range p.discoveries {
-			f.SetWithholding(i != to)
-			f.Say(p.endpointRow(n, i, "active"))
-		}
-		p.mu.Lock()
-		p.announcements = append(p.announcements, announcement{n.Name, to, time.Now()})
-		p.mu.Unlock()
-		if !sleep(ctx, duration/time.Duration(nodes)) {
-			return
-		}
-	}
-	p.mu.Lock()
-	p.nodes = append(p.nodes, added...)
-	p.mu.Unlock()
-	for _, f := range p.discoveries {
-		f.SetWithholding(false)
-	}
-}
-
-// logLine is what is read of a line of a proxy's log.
-type logLine struct {
-	At   float64 `json:"ts"` // Unix seconds
-	Msg  string  `json:"msg"`
-	Peer string  `json:"peer"`
-}
-
-// logged calls f with each line of each proxy's log that can be read, in order.
-func (p *runner) eachLogLine(f func(proxy int, l logLine)) {
-	for i, m := range p.proxies {
-		text, err := os.ReadFile(filepath.Join(m.site.Dir, "log"))
-		if err != nil {
-			continue
-		}
-		for _, raw := range strings.Split(string(text), "\n") {
-			var l logLine
-			if json.Unmarshal([]byte(raw), &l) == nil {
-				f(i, l)
-			}
-		}
+		})
 	}
+	polls.Wait()
 }
 
-// heard reads in the proxies' logs when each learnt what, and in what they said what that cost.
-func (p *runner) measureGossip(r *Report) {
-	if !p.plan.Day.Peers.Talk {
+// recordGossipStatus polls one proxy; one that does not answer, or is no longer available then, is left out.
+func (r *runner) recordGossipStatus(client *http.Client, i int) {
+	response, err := client.Get("http://" + r.proxies[i].config.AdminAddress + "/control/peers")
+	if err != nil {
 		return
 	}
-	first, began := map[string]map[int]float64{}, map[int]float64{}
-	p.eachLogLine(func(i int, l logLine) {
-		switch {
-		case l.Msg == "started" || strings.HasPrefix(l.Msg, "peers: stood still"):
-			began[i] = l.At
-		case strings.HasPrefix(l.Msg, "peers: caught up") && began[i] > 0:
-			r.CatchUps = append(r.CatchUps, seconds(l.At-began[i]))
-			began[i] = 0
-		case l.Msg == "new on the list":
-			if first[l.Peer] == nil {
-				first[l.Peer] = map[int]float64{}
-			}
-			if _, ok := first[l.Peer][i]; !ok {
-				first[l.Peer][i] = l.At
-			}
-		}
-	})
-	for _, w := range p.announcements {
-		for i := range p.proxies {
-			at, ok := first[w.node][i]
-			if p.wasPaused(r.Seen, i, w.at, at) {
-				continue // it could hear nothing
-			}
-			if ok && i != w.proxy {
-				r.Whispers = append(r.Whispers, seconds(at-float64(w.at.UnixMicro())/1e6))
-			} else if !ok {
-				r.Unheard++
-			}
-		}
-	}
-	slices.Sort(r.Whispers)
-	slices.Sort(r.CatchUps)
-	sum, packets, spans := 0.0, 0.0, 0.0
-	last := map[int]Seen{}
-	for _, s := range r.Seen {
-		if s.What != Shared {
-			continue
-		}
-		if l, ok := last[s.Proxy]; ok && s.Bytes >= l.Bytes { // else a process has begun anew
-			sum, packets, spans = sum+float64(s.Bytes-l.Bytes), packets+float64(s.Packets-l.Packets), spans+(s.At-l.At).Seconds()
-		}
-		last[s.Proxy] = s
-	}
-	if spans > 0 {
-		r.PeerBytes, r.PeerPackets = sum/spans, packets/spans
-	}
-}
-
-// stood tells whether a proxy's process was stopped where it stood between a moment and another, which is a log's.
-func (p *runner) wasPaused(all []Seen, i int, from time.Time, to float64) bool {
-	began, stopped := from.Sub(p.log.start), time.Duration(-1)
-	until := seconds(to - float64(p.log.start.UnixMicro())/1e6)
-	for _, s := range all {
-		if s.What == Paused && s.Proxy == i {
-			if s.Note != "goes on" {
-				stopped = s.At
-			} else if stopped <= until && s.At >= began {
-				return true
-			}
-		}
+	text, err := io.ReadAll(response.Body)
+	_ = response.Body.Close() // it has been read, or reading it failed
+	if event, ok := parseGossipStatus(string(text)); err == nil && ok && r.load.available[i].Load() {
+		event.Proxy = i
+		r.log.Record(event)
 	}
-	return false
 }
 
-// standing reads what a proxy says of its peers.
-func parseGossipStatus(text string) (s Seen, ok bool) {
-	s.What = Shared
-	for _, line := range strings.Split(text, "\n") {
+// parseGossipStatus reads a proxy's answer about its peers into a Shared event; Made is whether the proxy is catching up. It
+// reports whether the answer could be read.
+func parseGossipStatus(text string) (event Seen, ok bool) {
+	event.What = Shared
+	for line := range strings.SplitSeq(text, "\n") {
 		if _, rest, found := strings.Cut(line, "; behind "); found {
-			var behind, share string
-			if _, err := fmt.Sscanf(rest, "%s share %s", &behind, &share); err != nil {
-				return s, false
+			var behind, quota string
+			if _, err := fmt.Sscanf(rest, "%s share %s", &behind, &quota); err != nil {
+				return event, false
 			}
-			s.Made = strings.TrimSuffix(behind, ",")
-			s.Figure, ok = parseNumber(share)
+			event.Made = strings.TrimSuffix(behind, ",")
+			figure, err := strconv.ParseFloat(quota, 64)
+			event.Figure, ok = figure, err == nil
 		}
 		if strings.HasPrefix(line, "packets ") {
 			var streams, in, out int64
-			if _, err := fmt.Sscanf(line, "packets %d streams %d bytes-in %d bytes-out %d", &s.Packets, &streams, &in, &out); err == nil {
-				s.Bytes = in + out
+			if _, err := fmt.Sscanf(line, "packets %d streams %d bytes-in %d bytes-out %d", &event.Packets, &streams, &in, &out); err == nil {
+				event.Bytes = in + out
 			}
 		}
-		if rest, found := strings.CutPrefix(line, "rows node "); found {
-			s.Note = rest
-		}
-	}
-	return s, ok
-}
-
-func parseNumber(s string) (float64, bool) {
-	f, err := strconv.ParseFloat(s, 64)
-	return f, err == nil
-}
-
-// sides tells which names are on the hit side of a trouble: proxies, and where a zone is hit its nodes.
-func (p *runner) affectedNames(b FaultEvent) map[string]bool {
-	affected := map[string]bool{}
-	for _, i := range b.Targets {
-		affected[proxyName(i)] = true
-	}
-	if b.Zone != "" {
-		p.world.mu.Lock()
-		defer p.world.mu.Unlock()
-		for name, zone := range p.world.zones {
-			if zone == b.Zone {
-				affected[name] = true
-			}
+		if rows, found := strings.CutPrefix(line, "rows node "); found {
+			event.Note = rows
 		}
 	}
-	return affected
+	return event, ok
 }
 
-// cutOf is what a trouble does to links. Those to the origin and to a proxy's own discovery are hit by
-// name only.
-func (p *runner) linkFaultOf(b FaultEvent) linkFault {
-	affected := p.affectedNames(b)
-	between := func(name string) bool {
-		return strings.HasPrefix(name, "n") || b.Zone != "" && strings.HasPrefix(name, "c")
-	}
-	fault := linkFault{lossRate: 1, resetStreams: b.Reset}
-	switch b.Kind {
-	case "one-way":
-		fault.affects = func(from, to string) bool { return affected[from] && !affected[to] && (to == "" || between(to)) }
-	case "link":
-		fault.lossRate, fault.duplicateRate, fault.maxDelay = b.Part, min(b.Part, 1-b.Part)/3, millis(b.Slow)
-		fault.affects = func(from, to string) bool {
-			return matchesAny(b.From, from) && matchesAny(b.To, to) || !b.OneWay && matchesAny(b.To, from) && matchesAny(b.From, to)
-		}
-	case "lossy":
-		fault.lossRate, fault.duplicateRate, fault.maxDelay = min(b.Part, 0.99), b.Part/3, 60*time.Millisecond
-		fault.affects = func(from, to string) bool { return strings.HasPrefix(from, "n") && strings.HasPrefix(to, "n") }
-	default:
-		fault.affects = func(from, to string) bool {
-			return affected[from] != affected[to] && (from == "" || between(from)) && (to == "" || between(to))
-		}
-	}
-	return fault
+// announcement is a node that was announced to one proxy alone.
+type announcement struct {
+	node  string
+	proxy int
+	at    time.Time
 }
 
-// oneOf tells whether one of the patterns is a name's; "" is anybody's.
-func matchesAny(patterns []string, name string) bool {
-	for _, p := range patterns {
-		if ok, _ := path.Match(p, name); ok || name == "" {
-			return true
+// announceToOne adds nodes, which are in slow start and so receive little, and announces each to one proxy alone, spread over a
+// time. At the end all proxies are told of them.
+func (r *runner) announceToOne(ctx context.Context, nodes int, duration time.Duration) {
+	var added []*Node
+	for k := range nodes {
+		n, err := r.startNextNode()
+		if err != nil {
+			return
 		}
-	}
-	return false
-}
-
-// pause stops processes where they stand, and has them go on.
-func (p *runner) pauseProxies(ctx context.Context, proxies []int, duration time.Duration) {
-	signal := func(s syscall.Signal, note string) {
-		for _, i := range proxies {
-			m := p.proxies[i]
-			m.mu.Lock()
-			now := m.current
-			m.mu.Unlock()
-			if s == syscall.SIGCONT {
-				p.log.Record(Seen{What: Paused, Proxy: i, Note: note})
-			}
-			now.Signal(s)
-			if s == syscall.SIGSTOP {
-				p.log.Record(Seen{What: Paused, Proxy: i, Note: note})
-			}
-			p.load.available[i].Store(s == syscall.SIGCONT)
+		added = append(added, n)
+		proxy := r.pickAnnounced(k)
+		// the other proxies' discovery agents count this version too, and hold it back
+		for i, d := range r.discoveries {
+			d.SetWithholding(i != proxy)
+			d.Say(r.endpointRow(n, i, statusActive))
+		}
+		r.mu.Lock()
+		r.announcements = append(r.announcements, announcement{n.Name, proxy, time.Now()})
+		r.mu.Unlock()
+		if !sleep(ctx, duration/time.Duration(nodes)) {
+			return
 		}
 	}
-	signal(syscall.SIGSTOP, "stands")
-	sleep(ctx, duration)
-	signal(syscall.SIGCONT, "goes on")
-}
-
-// massKill kills proxies at one moment; after a while then is done, and each starts again, spread over a span.
-func (p *runner) killProxies(ctx context.Context, proxies []int, after, spread time.Duration, then func()) {
-	var all sync.WaitGroup
-	for _, i := range proxies {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			p.endProxy(i, nil, "killed")
-		}()
-	}
-	all.Wait()
-	if !sleep(ctx, after) {
-		return
-	}
-	then()
-	for k, i := range proxies {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			if sleep(ctx, spread*time.Duration(k)/time.Duration(len(proxies))) {
-				p.startProxy(ctx, i)
-			}
-		}()
-	}
-	all.Wait()
-}
-
-// within is the nodes that stand in a zone.
-func (p *runner) nodesInZone(zone string) (nodes []*Node) {
-	in := p.affectedNames(FaultEvent{Trouble: Trouble{Zone: zone}})
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, n := range p.nodes {
-		if in[n.Name] {
-			nodes = append(nodes, n)
-		}
+	r.mu.Lock()
+	r.nodes = append(r.nodes, added...)
+	r.mu.Unlock()
+	for _, d := range r.discoveries {
+		d.SetWithholding(false)
 	}
-	return nodes
 }
 
-// loseZone takes a zone's proxies and nodes away. Where it is not dead it is silent: machines that vanished refuse nothing.
-func (p *runner) loseZone(ctx context.Context, b FaultEvent, duration time.Duration) {
-	nodes, affected := p.nodesInZone(b.Zone), p.affectedNames(b)
-	end := func() {}
-	if !b.Dead {
-		end = p.network.addFault(linkFault{lossRate: 1, resetStreams: true, affects: func(from, to string) bool {
-			return affected[from] && to != "origin" || affected[to] && from != "origin"
-		}})
-	} else {
-		for _, n := range nodes {
-			n.Stop()
+// pickAnnounced returns the proxy for the k-th announcement: one that is available and whose discovery agent serves, where there
+// is such a one.
+func (r *runner) pickAnnounced(k int) int {
+	proxy := (k*7 + 3) % len(r.discoveries)
+	for step := range r.discoveries {
+		proxy = (proxy + step) % len(r.discoveries)
+		if r.load.available[proxy].Load() && r.discoveries[proxy].Mode() == discoveryServes {
+			break
 		}
 	}
-	p.noteZoneFault(b, true)
-	p.killProxies(ctx, b.Targets, duration, seconds(b.Spread), func() {
-		end()
-		p.noteZoneFault(b, false)
-		for _, n := range nodes {
-			if b.Dead && n.Restart() != nil {
-				return
-			}
-			if b.Dead || b.Cold {
-				p.recordNodeStart(n, time.Now())
-				p.publish(n, "active")
-			}
-		}
-	})
+	return proxy
 }
--- /dev/null
+++ b/internal/emulator/gossip_report.go
@@ -0,0 +1,130 @@
+package emulator
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Beginnings of the proxies' log messages that are looked for.
+const (
+	messageStarted  = "started"
+	messageStalled  = "peers: stood still"
+	messageCaughtUp = "peers: caught up"
+	messageNewRow   = "new on the list"
+)
+
+// logLine is what is read of a line of a proxy's log.
+type logLine struct {
+	At   float64 `json:"ts"` // Unix seconds
+	Msg  string  `json:"msg"`
+	Peer string  `json:"peer"`
+}
+
+// eachLogLine calls f with each line of each proxy's log that can be read, in order.
+func (r *runner) eachLogLine(f func(proxy int, line logLine)) {
+	for i, m := range r.proxies {
+		text, err := os.ReadFile(filepath.Join(m.config.Dir, "log"))
+		if err != nil {
+			continue // proxies that are not processes have none
+		}
+		for raw := range strings.SplitSeq(string(text), "\n") {
+			var line logLine
+			if json.Unmarshal([]byte(raw), &line) == nil {
+				f(i, line)
+			}
+		}
+	}
+}
+
+// measureGossip reads from the proxies' logs when each learnt of announced nodes and caught up, and calculates the traffic.
+func (r *runner) measureGossip(report *Report) {
+	if !r.plan.Day.Peers.Talk {
+		return
+	}
+	learntAt := r.readGossipLogs(report)
+	for _, a := range r.announcements {
+		r.measureAnnouncement(report, a, learntAt[a.node])
+	}
+	slices.Sort(report.Whispers)
+	slices.Sort(report.CatchUps)
+	measureGossipTraffic(report)
+}
+
+// readGossipLogs collects how long proxies took to catch up, and returns by node and proxy when each was first on the list, in
+// Unix seconds.
+func (r *runner) readGossipLogs(report *Report) map[string]map[int]float64 {
+	learntAt, begun := map[string]map[int]float64{}, map[int]float64{}
+	r.eachLogLine(func(proxy int, line logLine) {
+		switch {
+		case line.Msg == messageStarted || strings.HasPrefix(line.Msg, messageStalled):
+			begun[proxy] = line.At
+		case strings.HasPrefix(line.Msg, messageCaughtUp) && begun[proxy] > 0:
+			report.CatchUps = append(report.CatchUps, seconds(line.At-begun[proxy]))
+			begun[proxy] = 0
+		case line.Msg == messageNewRow:
+			if learntAt[line.Peer] == nil {
+				learntAt[line.Peer] = map[int]float64{}
+			}
+			if _, ok := learntAt[line.Peer][proxy]; !ok {
+				learntAt[line.Peer][proxy] = line.At
+			}
+		}
+	})
+	return learntAt
+}
+
+// measureAnnouncement collects how long the other proxies took to learn of an announced node, by when each did.
+func (r *runner) measureAnnouncement(report *Report, a announcement, learntAt map[int]float64) {
+	for i := range r.proxies {
+		at, ok := learntAt[i]
+		if r.wasPaused(report.Seen, i, a.at, at) {
+			continue // it could receive nothing
+		}
+		if ok && i != a.proxy {
+			report.Whispers = append(report.Whispers, seconds(at-float64(a.at.UnixMicro())/1e6))
+		} else if !ok {
+			report.Unheard++
+		}
+	}
+}
+
+// measureGossipTraffic calculates the mean traffic of a proxy from successive status reports of the same process.
+func measureGossipTraffic(report *Report) {
+	var bytes, packets, elapsed float64
+	latest := map[int]Seen{}
+	for _, e := range report.Seen {
+		if e.What != Shared {
+			continue
+		}
+		if before, ok := latest[e.Proxy]; ok && e.Bytes >= before.Bytes { // else a new process counts anew
+			bytes += float64(e.Bytes - before.Bytes)
+			packets += float64(e.Packets - before.Packets)
+			elapsed += (e.At - before.At).Seconds()
+		}
+		latest[e.Proxy] = e
+	}
+	if elapsed > 0 {
+		report.PeerBytes, report.PeerPackets = bytes/elapsed, packets/elapsed
+	}
+}
+
+// wasPaused reports whether a proxy was paused between a moment and another, which is a log's in Unix seconds.
+func (r *runner) wasPaused(events []Seen, proxy int, from time.Time, to float64) bool {
+	begin, pausedAt := from.Sub(r.log.start), time.Duration(-1)
+	end := seconds(to - float64(r.log.start.UnixMicro())/1e6)
+	for _, e := range events {
+		if e.What != Paused || e.Proxy != proxy {
+			continue
+		}
+		if e.Note != pauseEnds {
+			pausedAt = e.At
+		} else if pausedAt <= end && e.At >= begin {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/emulator/inject.go
+++ b/internal/emulator/inject.go
@@ -8,173 +8,266 @@
 	"time"
 )
 
-// How troubles come and pass.
+// nodeRestartDelay is for how long a node that is restarted refuses connections.
+const nodeRestartDelay = 200 * time.Millisecond
 
-// hit is the nodes that stand, as a trouble begins, in the places that it hits: others may be replaced meanwhile.
-func (p *runner) targetNodes(b FaultEvent) []*Node {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var hit []*Node
-	for _, i := range b.Targets {
-		hit = append(hit, p.nodes[i])
-	}
-	return hit
+// minProxyDowntime is the least time between a proxy's being killed and its restart, and between a node's being announced as
+// leaving and its end.
+const minProxyDowntime = 500 * time.Millisecond
+
+// activeFault is a fault event that has begun.
+type activeFault struct {
+	FaultEvent
+	duration time.Duration
+	endsAt   time.Time
+}
+
+// injector injects one kind of fault and returns when the fault is over or the context has ended.
+type injector func(r *runner, ctx context.Context, fault activeFault)
+
+// injectors holds the injector of each fault kind of faultKinds.
+var injectors = map[string]injector{
+	"silent":       (*runner).injectNodeMode,
+	"failing":      (*runner).injectNodeMode,
+	"reset":        (*runner).injectNodeMode,
+	"garbled":      (*runner).injectNodeMode,
+	"halves":       (*runner).injectNodeMode,
+	"slow":         (*runner).injectSlowNodes,
+	"origin-slow":  (*runner).injectSlowOrigin,
+	"cold":         (*runner).injectNodeRestarts,
+	"replace":      (*runner).injectNodeReplacements,
+	"stale":        (*runner).injectStaleDiscovery,
+	"hush":         (*runner).injectSilencedWatches,
+	"agent-ahead":  (*runner).injectAgentAhead,
+	"deaf":         (*runner).injectDiscoveryMode,
+	"refusing":     (*runner).injectDiscoveryMode,
+	"part":         (*runner).injectLinkFault,
+	"one-way":      (*runner).injectLinkFault,
+	"lossy":        (*runner).injectLinkFault,
+	"zone-cut":     (*runner).injectLinkFault,
+	"link":         (*runner).injectLinkFault,
+	"zone-grey":    (*runner).injectDegradedZone,
+	"zone-lost":    (*runner).injectZoneLoss,
+	"whisper":      (*runner).injectSingleAnnouncements,
+	"pause":        (*runner).injectProxyPause,
+	"mass-kill":    (*runner).injectProxyKills,
+	"kill":         (*runner).injectProxyRestarts,
+	"restart":      (*runner).injectProxyRestarts,
+	"bad-clients":  (*runner).injectMalformedRequests,
+	"slow-clients": (*runner).injectSlowReaders,
 }
 
-// strike lets a trouble come and pass.
-func (p *runner) injectFault(ctx context.Context, b FaultEvent, start time.Time) {
-	if !sleep(ctx, time.Until(start.Add(seconds(b.At)))) {
+// nodeModes holds the mode that nodes are in while a fault of the given kind lasts.
+var nodeModes = map[string]Habit{
+	"silent": modeSilent, "failing": modeFails, "reset": modeCuts, "garbled": modeGarbled, "halves": modeHalves,
+}
+
+// discoveryModes holds the mode that discovery is in while a fault of the given kind lasts.
+var discoveryModes = map[string]Mood{"deaf": discoverySilent, "refusing": discoveryFull}
+
+// injectFault waits until a fault event is due, counted from the scenario's start, and injects it.
+func (r *runner) injectFault(ctx context.Context, event FaultEvent, start time.Time) {
+	beginsAt := start.Add(seconds(event.At))
+	if !sleep(ctx, time.Until(beginsAt)) {
 		return
 	}
-	long := seconds(b.For)
-	habit := map[string]Habit{"silent": "silent", "failing": "fails", "reset": "cuts", "garbled": "garbled", "halves": "halves"}[b.Kind]
-	switch b.Kind {
-	case "silent", "failing", "reset", "garbled", "halves":
-		part := b.Part
-		if part == 0 {
-			part = 1
-		}
-		hit, began := p.targetNodes(b), time.Now()
-		for _, n := range hit {
-			n.Set(habit, part, 0, 0)
-		}
-		sleep(ctx, long)
-		for _, n := range hit {
-			n.Set("", 1, 0, 0)
-			if b.Kind == "silent" {
-				p.recordSilence(n, began, time.Now())
-			}
-		}
-	case "slow", "origin-slow":
-		hit := []*Node{p.origin}
-		if b.Kind == "slow" {
-			hit = p.targetNodes(b)
-		}
-		set := func(times float64) {
-			for _, n := range hit {
-				n.work.setSlowdown(times)
-			}
-		}
-		set(b.Times)
-		sleep(ctx, long)
-		set(1)
-	case "cold":
-		for _, n := range p.targetNodes(b) {
-			n.Stop()
-			if !sleep(ctx, 200*time.Millisecond) || n.Restart() != nil {
-				return
-			}
-			p.recordNodeStart(n, time.Now())
-			p.publish(n, "active")
-		}
-	case "replace":
-		for k, old := range p.targetNodes(b) {
-			p.publish(old, "leaving")
-			if !sleep(ctx, max(millis(b.Leave), 500*time.Millisecond)) {
-				return
-			}
-			p.publish(old, "left")
-			old.Stop()
-			n, err := p.startNextNode()
-			if err != nil {
-				return
-			}
-			p.mu.Lock()
-			p.nodes[b.Targets[k]] = n
-			p.mu.Unlock()
-			p.publish(n, "active")
-			if !sleep(ctx, long/time.Duration(len(b.Targets))) {
-				return
-			}
+	duration := seconds(event.For)
+	injectors[event.Kind](r, ctx, activeFault{FaultEvent: event, duration: duration, endsAt: beginsAt.Add(duration)})
+}
+
+// targetNodes returns the nodes that hold the targeted places as the fault begins; others may replace them meanwhile.
+func (r *runner) targetNodes(event FaultEvent) []*Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var targets []*Node
+	for _, i := range event.Targets {
+		targets = append(targets, r.nodes[i])
+	}
+	return targets
+}
+
+func (r *runner) injectNodeMode(ctx context.Context, fault activeFault) {
+	part := fault.Part
+	if part == 0 { // a kind that takes no part affects all commands
+		part = 1
+	}
+	targets, began := r.targetNodes(fault.FaultEvent), time.Now()
+	for _, n := range targets {
+		n.Set(nodeModes[fault.Kind], part, 0, 0)
+	}
+	sleep(ctx, fault.duration)
+	for _, n := range targets {
+		n.Set(modeServe, 1, 0, 0)
+		if fault.Kind == "silent" {
+			r.recordSilence(n, began, time.Now())
 		}
-	case "stale":
-		for _, i := range b.Targets {
-			p.discoveries[i].SetWithholding(true)
+	}
+}
+
+func (r *runner) injectSlowNodes(ctx context.Context, fault activeFault) {
+	slowDown(ctx, r.targetNodes(fault.FaultEvent), fault)
+}
+
+func (r *runner) injectSlowOrigin(ctx context.Context, fault activeFault) {
+	slowDown(ctx, []*Node{r.origin}, fault)
+}
+
+// slowDown multiplies the service time of nodes while the fault lasts.
+func slowDown(ctx context.Context, nodes []*Node, fault activeFault) {
+	for _, n := range nodes {
+		n.work.setSlowdown(fault.Times)
+	}
+	sleep(ctx, fault.duration)
+	for _, n := range nodes {
+		n.work.setSlowdown(1)
+	}
+}
+
+// injectNodeRestarts restarts nodes one after the other; each comes back empty and in slow start.
+func (r *runner) injectNodeRestarts(ctx context.Context, fault activeFault) {
+	for _, n := range r.targetNodes(fault.FaultEvent) {
+		n.Stop()
+		if !sleep(ctx, nodeRestartDelay) || n.Restart() != nil {
+			return
 		}
-		sleep(ctx, long)
-		for _, i := range b.Targets {
-			p.discoveries[i].SetWithholding(false)
+		r.recordNodeStart(n, time.Now())
+		r.publish(n, statusActive)
+	}
+}
+
+// injectNodeReplacements drains nodes one after the other and puts a new node in the place of each.
+func (r *runner) injectNodeReplacements(ctx context.Context, fault activeFault) {
+	for k, old := range r.targetNodes(fault.FaultEvent) {
+		r.publish(old, statusLeaving)
+		if !sleep(ctx, max(millis(fault.Leave), minProxyDowntime)) {
+			return
 		}
-	case "hush":
-		for _, i := range b.Targets {
-			p.discoveries[i].SilenceOpenWatches()
+		r.publish(old, statusLeft)
+		old.Stop()
+		successor, err := r.startNextNode()
+		if err != nil {
+			return
 		}
-	case "agent-ahead":
-		p.mu.Lock()
-		n := p.nodes[b.Targets[0]%len(p.nodes)]
-		p.mu.Unlock()
-		for _, i := range b.Targets {
-			p.endProxy(i, nil, "killed")
+		r.mu.Lock()
+		r.nodes[fault.Targets[k]] = successor
+		r.mu.Unlock()
+		r.publish(successor, statusActive)
+		if !sleep(ctx, fault.duration/time.Duration(len(fault.Targets))) {
+			return
 		}
-		p.publish(n, "leaving")
-		for _, i := range b.Targets {
-			if ctx.Err() != nil || p.startProxy(ctx, i) != nil {
-				return
-			}
+	}
+}
+
+func (r *runner) injectStaleDiscovery(ctx context.Context, fault activeFault) {
+	for _, i := range fault.Targets {
+		r.discoveries[i].SetWithholding(true)
+	}
+	sleep(ctx, fault.duration)
+	for _, i := range fault.Targets {
+		r.discoveries[i].SetWithholding(false)
+	}
+}
+
+func (r *runner) injectSilencedWatches(_ context.Context, fault activeFault) {
+	for _, i := range fault.Targets {
+		r.discoveries[i].SilenceOpenWatches()
+	}
+}
+
+// injectAgentAhead kills proxies, has a node drain while they are down, and starts them again: discovery knows of the drain
+// before they do.
+func (r *runner) injectAgentAhead(ctx context.Context, fault activeFault) {
+	r.mu.Lock()
+	n := r.nodes[fault.Targets[0]%len(r.nodes)]
+	r.mu.Unlock()
+	for _, i := range fault.Targets {
+		r.endProxy(i, nil, endKilled)
+	}
+	r.publish(n, statusLeaving)
+	for _, i := range fault.Targets {
+		if ctx.Err() != nil || r.startProxy(ctx, i) != nil {
+			return
 		}
-		sleep(ctx, long)
-		p.publish(n, "active")
-	case "deaf", "refusing":
-		mood := map[string]Mood{"deaf": "silent", "refusing": "full"}[b.Kind]
-		for _, i := range b.Targets {
-			p.discoveries[i].Feel(mood)
+	}
+	sleep(ctx, fault.duration)
+	r.publish(n, statusActive)
+}
+
+func (r *runner) injectDiscoveryMode(ctx context.Context, fault activeFault) {
+	for _, i := range fault.Targets {
+		r.discoveries[i].Feel(discoveryModes[fault.Kind])
+	}
+	sleep(ctx, fault.duration)
+	for _, i := range fault.Targets {
+		r.discoveries[i].Feel(discoveryServes)
+	}
+}
+
+func (r *runner) injectLinkFault(ctx context.Context, fault activeFault) {
+	heal := r.network.addFault(r.linkFaultOf(fault.FaultEvent))
+	r.zoneFaultBegins(fault.FaultEvent)
+	sleep(ctx, fault.duration)
+	heal()
+	r.zoneFaultEnds(fault.FaultEvent)
+}
+
+func (r *runner) injectDegradedZone(ctx context.Context, fault activeFault) {
+	r.degradeZone(ctx, fault.FaultEvent, fault.duration)
+}
+
+func (r *runner) injectZoneLoss(ctx context.Context, fault activeFault) {
+	r.loseZone(ctx, fault.FaultEvent, fault.duration)
+}
+
+func (r *runner) injectSingleAnnouncements(ctx context.Context, fault activeFault) {
+	r.announceToOne(ctx, fault.Nodes, fault.duration)
+}
+
+func (r *runner) injectProxyPause(ctx context.Context, fault activeFault) {
+	r.pauseProxies(ctx, fault.Targets, fault.duration)
+}
+
+func (r *runner) injectProxyKills(ctx context.Context, fault activeFault) {
+	r.killProxies(ctx, fault.Targets, max(fault.duration, minProxyDowntime), seconds(fault.Spread), func() {})
+}
+
+// injectProxyRestarts kills proxies ("kill") or ends them gracefully ("restart"), one after the other, and starts each again.
+func (r *runner) injectProxyRestarts(ctx context.Context, fault activeFault) {
+	for _, i := range fault.Targets {
+		if fault.Kind == "kill" {
+			r.endProxy(i, nil, endKilled)
+			sleep(ctx, minProxyDowntime)
+		} else {
+			r.endProxy(i, syscall.SIGTERM, endStopped)
 		}
-		sleep(ctx, long)
-		for _, i := range b.Targets {
-			p.discoveries[i].Feel("")
+		if ctx.Err() != nil || r.startProxy(ctx, i) != nil {
+			return
 		}
-	case "part", "one-way", "lossy", "zone-cut", "link":
-		end := p.network.addFault(p.linkFaultOf(b))
-		p.noteZoneFault(b, true)
-		sleep(ctx, long)
-		end()
-		p.noteZoneFault(b, false)
-	case "zone-grey":
-		p.degradeZone(ctx, b, long)
-	case "whisper":
-		p.announceToOne(ctx, b.Nodes, long)
-	case "pause":
-		p.pauseProxies(ctx, b.Targets, long)
-	case "mass-kill":
-		p.killProxies(ctx, b.Targets, max(long, 500*time.Millisecond), seconds(b.Spread), func() {})
-	case "zone-lost":
-		p.loseZone(ctx, b, long)
-	case "kill", "restart":
-		for _, i := range b.Targets {
-			if b.Kind == "kill" {
-				p.endProxy(i, nil, "killed")
-				sleep(ctx, 500*time.Millisecond)
-			} else {
-				p.endProxy(i, syscall.SIGTERM, "stopped")
-			}
-			if ctx.Err() != nil || p.startProxy(ctx, i) != nil {
-				return
+	}
+}
+
+// injectMalformedRequests sends malformed requests at a rate, and counts those that were neither answered nor closed on.
+func (r *runner) injectMalformedRequests(ctx context.Context, fault activeFault) {
+	var clients sync.WaitGroup
+	for i := 0; time.Now().Before(fault.endsAt) && ctx.Err() == nil; i++ {
+		clients.Go(func() {
+			if !sendMalformed(r.load.addresses[i%len(r.load.addresses)], i) {
+				r.unansweredBadClients.Add(1)
 			}
-		}
-	case "bad-clients":
-		var all sync.WaitGroup
-		for i := 0; time.Since(start) < seconds(b.At)+long && ctx.Err() == nil; i++ {
-			all.Add(1)
-			go func() {
-				defer all.Done()
-				if !sendMalformed(p.load.addresses[i%len(p.load.addresses)], i) {
-					p.unansweredBadClients.Add(1)
-				}
-			}()
-			sleep(ctx, seconds(1/b.Rate))
-		}
-		all.Wait()
-	case "slow-clients":
-		during, end := context.WithTimeout(ctx, long)
-		defer end()
-		var all sync.WaitGroup
-		for i := range b.Nodes {
-			all.Add(1)
-			go func() {
-				defer all.Done()
-				readSlowly(during, p.load.addresses[i%len(p.load.addresses)], fmt.Sprint("slow", i), p.plan.Day.Routes[0])
-			}()
-		}
-		all.Wait()
+		})
+		sleep(ctx, seconds(1/fault.Rate))
+	}
+	clients.Wait()
+}
+
+func (r *runner) injectSlowReaders(ctx context.Context, fault activeFault) {
+	during, cancel := context.WithTimeout(ctx, fault.duration)
+	defer cancel()
+	var clients sync.WaitGroup
+	for i := range fault.Nodes {
+		clients.Go(func() {
+			readSlowly(during, r.load.addresses[i%len(r.load.addresses)], fmt.Sprint("slow", i), r.plan.Day.Routes[0])
+		})
 	}
+	clients.Wait()
 }
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -1,299 +1,450 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
 	"math"
-	"sort"
+	"slices"
 	"time"
 )
 
-// The rules that every day is checked by. Each check looks only at what stand-ins saw.
+// Rules that every scenario is checked by. The texts appear in reports.
 const (
-	FinalAnswerRule  = "one final answer" // each request taken has one before its overall timeout, and nothing after
-	OwnValueRule     = "its own value"    // a value was made for the request that is answered with it
-	SingleEffectRule = "no effect twice"  // a write is carried out once
-	DrainRule        = "drains kept"      // nothing new goes to a node so long after its proxy was told
-	SlowStartRule    = "no cold node pushed over"
-	CrashRule        = "no crash"
-	FreshAbsenceRule = "no key missing past its time" // that was there when the request came, for longer than it may be called missing
-	QuotaRule        = "shares kept"                  // what running proxies say they may use of the fleet's limits is one together, or less
+	// FinalAnswerRule: each request that is accepted has one answer before its overall timeout, and nothing after it.
+	FinalAnswerRule = "one final answer"
+	// OwnValueRule: the value of an answer was made for its request.
+	OwnValueRule = "its own value"
+	// SingleEffectRule: a write is carried out once.
+	SingleEffectRule = "no effect twice"
+	// DrainRule: a draining node receives nothing once drainGrace has passed since its proxy was notified.
+	DrainRule = "drains kept"
+	// SlowStartRule: a node in slow start is not overloaded.
+	SlowStartRule = "no cold node pushed over"
+	// CrashRule: no proxy process ends by itself.
+	CrashRule = "no crash"
+	// FreshAbsenceRule: no key that exists is reported missing for longer than maxAbsentStaleness after it was written.
+	FreshAbsenceRule = "no key missing past its time"
+	// QuotaRule: the quotas that running proxies report add up to at most the fleet's limits.
+	QuotaRule = "shares kept"
 )
 
 // What the rules allow.
 const (
-	TimingSlack      = 50 * time.Millisecond
-	DrainGrace       = 300 * time.Millisecond
-	OverloadWindow   = time.Second     // a cold node may be sent FallMultiple times what it can do for this long: N; it falls beyond
-	OverloadMultiple = 3.0             // N + 2 sqrt N + 2, and that is a proxy's fault if two thirds came from such as knew of its start
-	DeliveryDeadline = 6 * time.Second // what discovery has to tell counts as told then, whether or not it came
+	timingSlack      = 50 * time.Millisecond // for delays of the machine
+	drainGrace       = 300 * time.Millisecond
+	overloadWindow   = time.Second     // over which a node's load is measured
+	overloadMultiple = 3.0             // a node in slow start bears N, this many times its capacity, and 2 sqrt N + 2 by chance
+	deliveryDeadline = 6 * time.Second // what discovery has to deliver counts as delivered then
+	killWindow       = time.Second     // between a proxy's kill and the end of a client's connection
+	maxQuotaSum      = 1.001           // of all proxies, with rounding
 )
 
-// Breach is a rule that was broken, with what was seen of the request, if it is one's.
+// Violation is a broken rule.
 type Violation struct {
 	Rule   string
 	At     time.Duration
-	ID     string
+	ID     string // of the request; "" where it is not one's
 	Text   string
-	Events []Seen
+	Events []Seen // the request's
 }
 
-func (b Violation) String() string {
-	s := fmt.Sprintf("%s: %.3f s: %s", b.Rule, b.At.Seconds(), b.Text)
-	for _, p := range b.Events {
-		s += fmt.Sprintf("\n    %.4f s %s proxy %d %s %s", p.At.Seconds(), p.What, p.Proxy, p.Node, p.Note)
+// String returns the violation and its events on a line each.
+func (v Violation) String() string {
+	s := fmt.Sprintf("%s: %.3f s: %s", v.Rule, v.At.Seconds(), v.Text)
+	for _, e := range v.Events {
+		s += fmt.Sprintf("\n    %.4f s %s proxy %d %s %s", e.At.Seconds(), e.What, e.Proxy, e.Node, e.Note)
 	}
 	return s
 }
 
-// Check goes through a day, in the order of what was seen.
-func CheckInvariants(d *Day, requests []Request, all []Seen) []Violation {
-	return checkInvariants(d, requests, all).violations
+// CheckInvariants returns the violations in a scenario's events, ordered by time.
+func CheckInvariants(scenario *Day, requests []Request, events []Seen) []Violation {
+	return checkInvariants(scenario, requests, events).violations
 }
 
-func checkInvariants(d *Day, requests []Request, all []Seen) *checker {
-	c := &checker{
-		day: d, routes: map[string]Route{}, keys: map[string]string{}, firstWritten: map[string]time.Duration{}, lastAsked: map[string]Seen{}, answers: map[string]int{}, abandoned: map[string]bool{},
-		runs: map[string]int{}, drainingSince: map[proxyNode]time.Duration{}, slowStarts: map[string]Seen{}, arrivals: map[string][]arrival{}, startKnown: map[proxyNode]bool{},
-		overloaded: map[string]bool{}, kills: map[int][]time.Duration{}, pauses: map[int][]time.Duration{}, quotaReports: map[int][]Seen{},
+// checkInvariants checks events and returns the checker with its findings and measurements.
+func checkInvariants(scenario *Day, requests []Request, events []Seen) *checker {
+	c := newChecker(scenario, requests, newProcessHistory(events))
+	for _, e := range events {
+		c.observe(e)
 	}
-	for _, r := range requests {
-		c.routes[r.ID], c.keys[r.ID] = d.Routes[r.Route], r.Key
+	c.answers.checkUnanswered()
+	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
+	for i, v := range c.violations {
+		if v.ID != "" {
+			c.violations[i].Events = EventsOfRequest(events, v.ID)
+		}
 	}
-	for _, s := range all { // first, since connections end before it is seen that their process has
+	return c
+}
+
+// findings collects violations.
+type findings struct{ violations []Violation }
+
+func (f *findings) violate(rule string, event Seen, format string, args ...any) {
+	f.violations = append(f.violations, Violation{Rule: rule, At: event.At, ID: event.ID, Text: fmt.Sprintf(format, args...)})
+}
+
+// processHistory is when proxy processes were killed and paused.
+type processHistory struct {
+	kills  map[int][]time.Duration // by proxy; one that was told to end has to answer first, and counts as running
+	pauses map[int][]time.Duration // by proxy, the begins and ends in turn
+}
+
+// newProcessHistory collects the history before the events are checked, since connections are seen to end before their process is.
+func newProcessHistory(events []Seen) *processHistory {
+	h := &processHistory{kills: map[int][]time.Duration{}, pauses: map[int][]time.Duration{}}
+	for _, e := range events {
 		switch {
-		case s.What == Paused:
-			c.pauses[s.Proxy] = append(c.pauses[s.Proxy], s.At)
-		case s.What == Ended && s.Note == "killed": // one that was told to end has to answer first
-			c.kills[s.Proxy] = append(c.kills[s.Proxy], s.At)
+		case e.What == Paused:
+			h.pauses[e.Proxy] = append(h.pauses[e.Proxy], e.At)
+		case e.What == Ended && e.Note == endKilled:
+			h.kills[e.Proxy] = append(h.kills[e.Proxy], e.At)
 		}
 	}
-	for _, s := range all {
-		c.observe(s)
-	}
-	c.checkUnanswered()
-	sort.SliceStable(c.violations, func(i, j int) bool { return c.violations[i].At < c.violations[j].At })
-	for i := range c.violations {
-		if id := c.violations[i].ID; id != "" {
-			c.violations[i].Events = EventsOfRequest(all, id)
+	return h
+}
+
+// wasPaused reports whether a proxy was paused at some time within a span: it could answer nothing then.
+func (h *processHistory) wasPaused(proxy int, from, to time.Duration) bool {
+	p := h.pauses[proxy]
+	for i := 0; i < len(p); i += 2 {
+		if p[i] <= to && (i+1 == len(p) || p[i+1] >= from) {
+			return true
 		}
 	}
-	return c
+	return false
 }
 
-type arrival struct {
-	at       time.Duration
-	informed bool // its proxy had been told of the node's start
+// wasKilled reports whether a proxy was killed within a span: what it held then is lost.
+func (h *processHistory) wasKilled(proxy int, from, to time.Duration) bool {
+	return slices.ContainsFunc(h.kills[proxy], func(at time.Duration) bool { return at >= from && at <= to })
 }
 
+// proxyNode is a node as one proxy knows it.
 type proxyNode struct {
 	proxy int
 	node  string
 }
 
+// checker checks all rules, one event after the other.
 type checker struct {
-	day           *Day
-	routes        map[string]Route
-	keys          map[string]string        // by request
-	firstWritten  map[string]time.Duration // keys, when they were first written
-	maxStaleness  time.Duration            // the longest that one was called missing after that
-	lastAsked     map[string]Seen          // the last time each was asked
-	answers       map[string]int
-	abandoned     map[string]bool // left, or closed on and asked again
-	runs          map[string]int
-	drainingSince map[proxyNode]time.Duration // since when a node drains, for a proxy
-	slowStarts    map[string]Seen             // nodes, when they started cold
-	arrivals      map[string][]arrival        // by node, of the last FallFor
-	startKnown    map[proxyNode]bool          // a node's latest start is known to a proxy
-	overloaded    map[string]bool
-	kills         map[int][]time.Duration // when processes were killed
-	quotaReports  map[int][]Seen          // by proxy that runs, of the last second
-	quotaExceeded bool                    // they were over, and that was told
-	pauses        map[int][]time.Duration // when processes were stopped where they stood, and went on, in turn
-	last          time.Duration
-	coldPeak      float64 // the most that any node took while it was cold, against what fells it
-	violations    []Violation
-}
-
-func (c *checker) violate(rule string, s Seen, format string, args ...any) {
-	c.violations = append(c.violations, Violation{Rule: rule, At: s.At, ID: s.ID, Text: fmt.Sprintf(format, args...)})
-}
-
-func (c *checker) observe(s Seen) {
-	c.last = s.At
-	switch s.What {
+	*findings
+	answers   answerCheck
+	absence   absenceCheck
+	effects   effectCheck
+	drains    drainCheck
+	slowStart slowStartCheck
+	quota     quotaCheck
+}
+
+func newChecker(scenario *Day, requests []Request, processes *processHistory) *checker {
+	routes, keys := map[string]Route{}, map[string]string{}
+	for _, request := range requests {
+		routes[request.ID], keys[request.ID] = scenario.Routes[request.Route], request.Key
+	}
+	found := &findings{}
+	return &checker{
+		findings: found,
+		answers: answerCheck{
+			findings: found, processes: processes, routes: routes, lastAsked: map[string]Seen{}, count: map[string]int{},
+			abandoned: map[string]bool{},
+		},
+		absence: absenceCheck{findings: found, processes: processes, scenario: scenario, keys: keys, firstWritten: map[string]time.Duration{}},
+		effects: effectCheck{findings: found, runs: map[string]int{}},
+		drains:  drainCheck{findings: found, processes: processes, since: map[proxyNode]time.Duration{}},
+		slowStart: slowStartCheck{
+			findings: found, fleet: scenario.Fleet, begins: map[string]Seen{}, arrivals: map[string][]arrival{},
+			startKnown: map[proxyNode]bool{}, overloaded: map[string]bool{},
+		},
+		quota: quotaCheck{findings: found, reports: map[int][]Seen{}},
+	}
+}
+
+func (c *checker) observe(e Seen) {
+	c.answers.last = e.At
+	switch e.What {
 	case Asked:
-		c.lastAsked[s.ID] = s
-		delete(c.abandoned, s.ID)
+		c.answers.observeAsked(e)
 	case Answered:
-		c.observeAnswer(s)
+		c.observeAnswer(e)
 	case Went:
-		c.abandoned[s.ID] = true
+		c.answers.abandoned[e.ID] = true
 	case Closed:
-		if !c.abandoned[s.ID] && c.answers[s.ID] == 0 && s.Note != "reused" && !c.wasKilled(s.Proxy, s.At-time.Second, s.At+time.Second) {
-			c.abandoned[s.ID] = true // told once
-			c.violate(FinalAnswerRule, s, "proxy %d ended the connection under request %s", s.Proxy, s.ID)
-		}
+		c.answers.observeClosed(e)
 	case Took:
-		c.observeArrival(s)
+		c.drains.observeArrival(e)
+		c.slowStart.observeArrival(e)
 	case Ran:
-		if _, ok := c.firstWritten[c.keys[s.ID]]; !ok {
-			c.firstWritten[c.keys[s.ID]] = s.At
-		}
-		what := s.Note
-		if what == "" {
-			what = s.ID
-		}
-		if c.runs[what]++; c.runs[what] > 1 {
-			c.violate(SingleEffectRule, s, "write %s was carried out %d times", what, c.runs[what])
-		}
+		c.absence.observeWrite(e)
+		c.effects.observeWrite(e)
 	case Told:
-		at := proxyNode{s.Proxy, s.Node}
-		if _, drains := c.drainingSince[at]; s.Note == "active" {
-			delete(c.drainingSince, at)
-			c.startKnown[at] = true
-		} else if !drains {
-			c.drainingSince[at] = s.At
-		}
+		c.drains.observeDelivery(e)
+		c.slowStart.observeDelivery(e)
 	case Began:
-		c.slowStarts[s.Node] = s
-		c.arrivals[s.Node] = nil
-		for at := range c.startKnown {
-			if at.node == s.Node {
-				delete(c.startKnown, at)
-			}
-		}
+		c.slowStart.observeBegin(e)
 	case Shared:
-		c.observeQuota(s)
+		c.quota.observeReport(e)
 	case Ended:
-		delete(c.quotaReports, s.Proxy)
-		if s.Note == "crashed" {
-			c.violate(CrashRule, s, "proxy %d crashed", s.Proxy)
+		delete(c.quota.reports, e.Proxy)
+		if e.Note == endCrashed {
+			c.violate(CrashRule, e, "proxy %d crashed", e.Proxy)
 		}
 	}
 }
 
-func (c *checker) observeAnswer(s Seen) {
-	if c.answers[s.ID]++; c.answers[s.ID] > 1 {
-		c.violate(FinalAnswerRule, s, "request %s was answered %d times", s.ID, c.answers[s.ID])
+func (c *checker) observeAnswer(e Seen) {
+	if !c.answers.observeAnswer(e) {
 		return
 	}
-	asked, ok := c.lastAsked[s.ID]
-	if !ok {
-		c.violate(FinalAnswerRule, s, "request %s was answered and never asked", s.ID)
-		return
+	completed := e.Note == string(Completed)
+	switch {
+	case completed && e.Node == noSuchKey:
+		c.absence.observeAbsent(e, c.answers.lastAsked[e.ID].At)
+	case completed && e.Made != e.ID:
+		c.violate(OwnValueRule, e, "request %s was answered with a value made for %q", e.ID, e.Made)
 	}
-	if took, most := s.At-asked.At, millis(c.routes[s.ID].Overall)+TimingSlack; took > most && !c.wasPaused(s.Proxy, asked.At, s.At) {
-		c.violate(FinalAnswerRule, s, "request %s was answered after %v, later than %v", s.ID, took, most)
-	}
-	if s.Node == noSuchKey && s.Note == "completed" {
-		key := c.keys[s.ID]
-		written, ok := c.firstWritten[key]
-		if !ok && hashedFloat("missing", key) >= c.day.Missing.Part {
-			c.violate(FreshAbsenceRule, s, "key %s of request %s was always there, and is called missing", key, s.ID)
-		} else if late := asked.At - written; ok && late > 0 {
-			if c.maxStaleness = max(c.maxStaleness, late); late > c.day.maxAbsentStaleness() && !c.wasPaused(s.Proxy, written, s.At) {
-				c.violate(FreshAbsenceRule, s, "key %s of request %s is called missing %v after it was written, over %v", key, s.ID, late, c.day.maxAbsentStaleness())
-			}
-		}
+}
+
+// answerCheck checks FinalAnswerRule.
+type answerCheck struct {
+	*findings
+	processes *processHistory
+	routes    map[string]Route // by request
+	lastAsked map[string]Seen  // by request
+	count     map[string]int   // of answers, by request
+	abandoned map[string]bool  // requests whose client left, or whose connection was closed and not asked again
+	last      time.Duration    // time of the latest event
+}
+
+func (a *answerCheck) observeAsked(e Seen) {
+	a.lastAsked[e.ID] = e
+	delete(a.abandoned, e.ID)
+}
+
+// observeClosed counts one violation for each request.
+func (a *answerCheck) observeClosed(e Seen) {
+	if a.abandoned[e.ID] || a.count[e.ID] > 0 || e.Note == noteReused || a.processes.wasKilled(e.Proxy, e.At-killWindow, e.At+killWindow) {
 		return
 	}
-	if s.Note == "completed" && s.Made != s.ID {
-		c.violate(OwnValueRule, s, "request %s was answered with a value made for %q", s.ID, s.Made)
+	a.abandoned[e.ID] = true
+	a.violate(FinalAnswerRule, e, "proxy %d ended the connection under request %s", e.Proxy, e.ID)
+}
+
+// observeAnswer reports whether it is the first answer to a request that was asked.
+func (a *answerCheck) observeAnswer(e Seen) bool {
+	if a.count[e.ID]++; a.count[e.ID] > 1 {
+		a.violate(FinalAnswerRule, e, "request %s was answered %d times", e.ID, a.count[e.ID])
+		return false
+	}
+	asked, ok := a.lastAsked[e.ID]
+	if !ok {
+		a.violate(FinalAnswerRule, e, "request %s was answered and never asked", e.ID)
+		return false
+	}
+	limit := millis(a.routes[e.ID].Overall) + timingSlack
+	if elapsed := e.At - asked.At; elapsed > limit && !a.processes.wasPaused(e.Proxy, asked.At, e.At) {
+		a.violate(FinalAnswerRule, e, "request %s was answered after %v, later than %v", e.ID, elapsed, limit)
 	}
+	return true
 }
 
-func (c *checker) observeArrival(s Seen) {
-	since, drains := c.drainingSince[proxyNode{s.Proxy, s.Node}]
-	if p := c.pauses[s.Proxy]; drains {
-		for i := 0; i+1 < len(p); i += 2 { // what it is told as it stands it reads when it goes on
-			if since >= p[i]-DrainGrace && since <= p[i+1] {
-				since = max(since, p[i+1])
-			}
+// checkUnanswered looks at the end for requests that had their whole timeout and no answer.
+func (a *answerCheck) checkUnanswered() {
+	for id, e := range a.lastAsked {
+		end := e.At + millis(a.routes[id].Overall) + timingSlack
+		if a.count[id] > 0 || a.abandoned[id] || a.last < end {
+			continue
+		}
+		if !a.processes.wasKilled(e.Proxy, e.At-killWindow, end) && !a.processes.wasPaused(e.Proxy, e.At, end) {
+			a.violate(FinalAnswerRule, e, "request %s never was answered by proxy %d", id, e.Proxy)
 		}
 	}
-	if drains && s.At > since+DrainGrace+TimingSlack {
-		c.violate(DrainRule, s, "node %s took request %s from proxy %d %v after that was told", s.Node, s.ID, s.Proxy, s.At-since)
+}
+
+// absenceCheck checks FreshAbsenceRule.
+type absenceCheck struct {
+	*findings
+	processes    *processHistory
+	scenario     *Day
+	keys         map[string]string        // by request
+	firstWritten map[string]time.Duration // by key
+	maxStaleness time.Duration            // the longest for which a key was reported missing after it was written
+}
+
+func (a *absenceCheck) observeWrite(e Seen) {
+	if _, ok := a.firstWritten[a.keys[e.ID]]; !ok {
+		a.firstWritten[a.keys[e.ID]] = e.At
 	}
-	b, cold := c.slowStarts[s.Node]
-	if !cold || c.overloaded[s.Node] || s.At > b.At+seconds(c.day.Fleet.Cold) {
+}
+
+// observeAbsent checks an answer that there is no such key to a request that was asked at a moment.
+func (a *absenceCheck) observeAbsent(e Seen, askedAt time.Duration) {
+	key, limit := a.keys[e.ID], a.scenario.maxAbsentStaleness()
+	written, ok := a.firstWritten[key]
+	if !ok && hashedFloat("missing", key) >= a.scenario.Missing.Part {
+		a.violate(FreshAbsenceRule, e, "key %s of request %s was always there, and is called missing", key, e.ID)
 		return
 	}
-	all := append(c.arrivals[s.Node], arrival{s.At, c.startKnown[proxyNode{s.Proxy, s.Node}]})
-	for all[0].at < s.At-OverloadWindow {
-		all = all[1:]
+	staleness := askedAt - written
+	if !ok || staleness <= 0 {
+		return
 	}
-	c.arrivals[s.Node] = all
-	part := c.day.Fleet.ColdFrom
-	if cold := seconds(c.day.Fleet.Cold); cold > 0 {
-		part += (1 - part) * float64(s.At-b.At) / float64(cold)
+	a.maxStaleness = max(a.maxStaleness, staleness)
+	if staleness > limit && !a.processes.wasPaused(e.Proxy, written, e.At) {
+		a.violate(FreshAbsenceRule, e, "key %s of request %s is called missing %v after it was written, over %v", key, e.ID, staleness, limit)
 	}
-	mean := OverloadMultiple * part * b.Figure * OverloadWindow.Seconds()
-	most := mean + 2*math.Sqrt(mean) + 2
-	if c.coldPeak = max(c.coldPeak, float64(len(all))/most); float64(len(all)) <= most {
-		return
+}
+
+// effectCheck checks SingleEffectRule.
+type effectCheck struct {
+	*findings
+	runs map[string]int // by idempotency key, or by request where it has none
+}
+
+func (c *effectCheck) observeWrite(e Seen) {
+	write := e.Note
+	if write == "" {
+		write = e.ID
 	}
-	c.overloaded[s.Node] = true // it lies there, and what comes after that tells nothing
-	knew := 0
-	for _, s := range all {
-		if s.informed {
-			knew++
-		}
+	if c.runs[write]++; c.runs[write] > 1 {
+		c.violate(SingleEffectRule, e, "write %s was carried out %d times", write, c.runs[write])
 	}
-	if 3*knew > 2*len(all) {
-		c.violate(SlowStartRule, Seen{At: s.At}, "node %s, cold for %v, took %d commands in %v, %d of them from proxies that knew; %.0f are allowed", s.Node,
-			s.At-b.At, len(all), OverloadWindow, knew, most)
+}
+
+// drainCheck checks DrainRule.
+type drainCheck struct {
+	*findings
+	processes *processHistory
+	since     map[proxyNode]time.Duration // when a proxy was notified of a drain that lasts
+}
+
+func (d *drainCheck) observeDelivery(e Seen) {
+	node := proxyNode{e.Proxy, e.Node}
+	if e.Note == statusActive {
+		delete(d.since, node)
+	} else if _, draining := d.since[node]; !draining {
+		d.since[node] = e.At
 	}
 }
 
-// shared adds up shares, the least that each said within the second before: they are asked one after the other, and one that
-// falls makes room for another that grows.
-func (c *checker) observeQuota(s Seen) {
-	last := append(c.quotaReports[s.Proxy], s)
-	for last[0].At < s.At-time.Second {
-		last = last[1:]
+func (d *drainCheck) observeArrival(e Seen) {
+	since, draining := d.since[proxyNode{e.Proxy, e.Node}]
+	if !draining {
+		return
 	}
-	c.quotaReports[s.Proxy] = last
-	sum := 0.0
-	for _, all := range c.quotaReports {
-		least := 1.0
-		for _, s := range all {
-			least = min(least, s.Figure)
+	p := d.processes.pauses[e.Proxy]
+	for i := 0; i+1 < len(p); i += 2 { // what is delivered to a paused process it reads when it continues
+		if since >= p[i]-drainGrace && since <= p[i+1] {
+			since = max(since, p[i+1])
 		}
-		sum += least
 	}
-	if sum > 1.001 && !c.quotaExceeded {
-		c.quotaExceeded = true
-		c.violate(QuotaRule, Seen{At: s.At}, "%d proxies say that they may use %.3f of the fleet's limits", len(c.quotaReports), sum)
+	if e.At > since+drainGrace+timingSlack {
+		d.violate(DrainRule, e, "node %s took request %s from proxy %d %v after that was told", e.Node, e.ID, e.Proxy, e.At-since)
 	}
 }
 
-// stood tells whether a proxy's process was stopped where it stood within a span: it could answer nothing then.
-func (c *checker) wasPaused(proxy int, from, to time.Duration) bool {
-	p := c.pauses[proxy]
-	for i := 0; i < len(p); i += 2 {
-		if p[i] <= to && (i+1 == len(p) || p[i+1] >= from) {
-			return true
+// arrival is a command that a node received.
+type arrival struct {
+	at       time.Duration
+	informed bool // its proxy had been notified of the node's start
+}
+
+// slowStartCheck checks SlowStartRule.
+type slowStartCheck struct {
+	*findings
+	fleet      Fleet
+	begins     map[string]Seen      // by node, its latest slow start
+	arrivals   map[string][]arrival // by node, of the last overloadWindow
+	startKnown map[proxyNode]bool   // a proxy was notified of a node's latest start
+	overloaded map[string]bool      // nodes whose further load tells nothing
+	peak       float64              // greatest load, as a part of what overloads
+}
+
+func (s *slowStartCheck) observeBegin(e Seen) {
+	s.begins[e.Node] = e
+	s.arrivals[e.Node] = nil
+	for known := range s.startKnown {
+		if known.node == e.Node {
+			delete(s.startKnown, known)
 		}
 	}
-	return false
 }
 
-// killed tells whether a proxy's process was killed within a span, with which what it held is lost.
-func (c *checker) wasKilled(proxy int, from, to time.Duration) bool {
-	for _, e := range c.kills[proxy] {
-		if e >= from && e <= to {
-			return true
+func (s *slowStartCheck) observeDelivery(e Seen) {
+	if e.Note == statusActive {
+		s.startKnown[proxyNode{e.Proxy, e.Node}] = true
+	}
+}
+
+// observeArrival counts an overload as a violation where more than two thirds of the commands came from proxies that knew of the
+// node's start.
+func (s *slowStartCheck) observeArrival(e Seen) {
+	begin, starting := s.begins[e.Node]
+	if !starting || s.overloaded[e.Node] || e.At > begin.At+seconds(s.fleet.Cold) {
+		return
+	}
+	recent := append(s.arrivals[e.Node], arrival{e.At, s.startKnown[proxyNode{e.Proxy, e.Node}]}) //nolint:gocritic // stored below
+	for recent[0].at < e.At-overloadWindow {
+		recent = recent[1:]
+	}
+	s.arrivals[e.Node] = recent
+	limit := s.limit(e.At-begin.At, begin.Figure)
+	s.peak = max(s.peak, float64(len(recent))/limit)
+	if float64(len(recent)) <= limit {
+		return
+	}
+	s.overloaded[e.Node] = true
+	informed := 0
+	for _, a := range recent {
+		if a.informed {
+			informed++
 		}
 	}
-	return false
+	if 3*informed > 2*len(recent) {
+		s.violate(SlowStartRule, Seen{At: e.At}, "node %s, cold for %v, took %d commands in %v, %d of them from proxies that knew; %.0f are allowed",
+			e.Node, e.At-begin.At, len(recent), overloadWindow, informed, limit)
+	}
+}
+
+// limit returns how many commands within overloadWindow a node bears at an age, by its full capacity in commands a second.
+func (s *slowStartCheck) limit(age time.Duration, commandsPerSecond float64) float64 {
+	speed := s.fleet.ColdFrom
+	if slowStart := seconds(s.fleet.Cold); slowStart > 0 {
+		speed += (1 - speed) * float64(age) / float64(slowStart)
+	}
+	mean := overloadMultiple * speed * commandsPerSecond * overloadWindow.Seconds()
+	return mean + 2*math.Sqrt(mean) + 2
+}
+
+// quotaWindow is the time over which the least quota that a proxy reported counts.
+const quotaWindow = time.Second
+
+// quotaCheck checks QuotaRule.
+type quotaCheck struct {
+	*findings
+	reports  map[int][]Seen // by proxy that runs, of the last quotaWindow
+	exceeded bool           // one violation is enough
 }
 
-// close looks for what never was answered, of that which had its time.
-func (c *checker) checkUnanswered() {
-	for id, s := range c.lastAsked {
-		end := s.At + millis(c.routes[id].Overall) + TimingSlack
-		if c.answers[id] == 0 && !c.abandoned[id] && c.last >= end && !c.wasKilled(s.Proxy, s.At-time.Second, end) && !c.wasPaused(s.Proxy, s.At, end) {
-			c.violate(FinalAnswerRule, s, "request %s never was answered by proxy %d", id, s.Proxy)
+// observeReport adds up the least quota that each proxy reported within the window: proxies are polled one after the other, and a
+// quota that shrinks makes room for another that grows.
+func (q *quotaCheck) observeReport(e Seen) {
+	recent := append(q.reports[e.Proxy], e) //nolint:gocritic // stored below
+	for recent[0].At < e.At-quotaWindow {
+		recent = recent[1:]
+	}
+	q.reports[e.Proxy] = recent
+	sum := 0.0
+	for _, reports := range q.reports {
+		least := 1.0
+		for _, report := range reports {
+			least = min(least, report.Figure)
 		}
+		sum += least
+	}
+	if sum > maxQuotaSum && !q.exceeded {
+		q.exceeded = true
+		q.violate(QuotaRule, Seen{At: e.At}, "%d proxies say that they may use %.3f of the fleet's limits", len(q.reports), sum)
 	}
 }
--- a/internal/emulator/listener_gate.go
+++ b/internal/emulator/listener_gate.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -8,16 +9,24 @@
 	"time"
 )
 
-// Over a link that is cut no connection comes up: the kernel of a loopback address would answer for whoever listens there, so
-// that a lost machine looked like a busy one. A gate that is shut has its listener's queue full, by strangers of the rig's own;
-// the kernel then drops who knocks, who goes on knocking as at a machine that is gone.
+// Over a severed link no connection may come up, but the kernel would complete one to a loopback address for as long as the
+// listener's backlog has room, and a lost machine would look like a busy one. The gate of a listener fills its backlog with
+// connections of the emulator's own while the link is severed; the kernel then drops connection requests, whose sender repeats
+// them as it would to a machine that is gone.
 
-// fillers is where the rig's own connections come from.
+// fillerIP is the source address of the connections that fill backlogs.
 var fillerIP = net.IPv4(127, 254, 253, 252)
 
+// defaultBacklog is the backlog of a listener whose link is not severed.
 const defaultBacklog = 128
 
-// gate is one listener behind a link.
+const (
+	fillersNeeded     = 2 // one is taken by a pending Accept, the next stays in the backlog
+	fillerAttempts    = 6
+	fillerDialTimeout = 100 * time.Millisecond
+)
+
+// listenerGate closes and opens one listener behind a link.
 type listenerGate struct {
 	listener      net.Listener
 	local, remote string
@@ -25,77 +34,85 @@
 	fillerConns   []net.Conn
 }
 
-// gates are those of all links. The lock is held for no I/O but the listeners' own settings.
+// gateSet is the gates of all links. The lock is not held during network I/O.
 type gateSet struct {
 	mu  sync.Mutex
 	all []*listenerGate
 }
 
-// guard has a listener be shut while its link is cut; one that was there before under these names has ended.
-func (w *network) guardListener(ln net.Listener, local, remote string) {
-	if w == nil {
+// guardListener has a listener be shut while its link is severed; it replaces an earlier one between the same names.
+func (n *network) guardListener(ln net.Listener, local, remote string) {
+	if n == nil {
 		return
 	}
 	g := &listenerGate{listener: ln, local: local, remote: remote}
-	w.gates.mu.Lock()
-	w.gates.all = append(slices.DeleteFunc(w.gates.all, func(other *listenerGate) bool { return other.local == local && other.remote == remote }), g)
-	w.gates.mu.Unlock()
-	w.updateGate(g)
+	n.gates.mu.Lock()
+	n.gates.all = append(slices.DeleteFunc(n.gates.all, func(other *listenerGate) bool {
+		return other.local == local && other.remote == remote
+	}), g)
+	n.gates.mu.Unlock()
+	n.updateGate(g)
 }
 
-// turnAll shuts and opens gates as links are cut and heal.
-func (w *network) updateGates() {
-	w.gates.mu.Lock()
-	all := slices.Clone(w.gates.all)
-	w.gates.mu.Unlock()
+// updateGates shuts and opens gates as links are severed and heal.
+func (n *network) updateGates() {
+	n.gates.mu.Lock()
+	all := slices.Clone(n.gates.all)
+	n.gates.mu.Unlock()
 	for _, g := range all {
-		w.updateGate(g)
+		n.updateGate(g)
 	}
 }
 
-func (w *network) updateGate(g *listenerGate) {
-	severed := w.isSevered(g.local, g.remote)
-	w.gates.mu.Lock()
-	defer w.gates.mu.Unlock()
+func (n *network) updateGate(g *listenerGate) {
+	severed := n.isSevered(g.local, g.remote)
+	n.gates.mu.Lock()
+	defer n.gates.mu.Unlock()
 	if severed == g.shut {
 		return
 	}
 	g.shut = severed
-	queue := defaultBacklog
+	backlog := defaultBacklog
 	if severed {
-		queue = 0 // of which the kernel makes one
+		backlog = 0 // of which the kernel makes one
 	}
-	if !g.setBacklog(queue) {
-		return // it has ended
+	if !g.setBacklog(backlog) {
+		return // the listener is closed
 	}
 	for _, c := range g.fillerConns {
-		c.Close()
+		_ = c.Close() // nothing was sent on it
 	}
 	g.fillerConns = nil
 	if severed {
-		go w.fillQueue(g)
+		go n.fillQueue(g) // it ends by itself within fillerAttempts timeouts
 	}
 }
 
+// setBacklog reports whether the listener is open and has the backlog.
 func (g *listenerGate) setBacklog(backlog int) bool {
 	tcp, ok := g.listener.(*net.TCPListener)
 	if !ok {
 		return false
 	}
 	raw, err := tcp.SyscallConn()
-	return err == nil && raw.Control(func(fd uintptr) { syscall.Listen(int(fd), backlog) }) == nil
+	if err != nil {
+		return false
+	}
+	return raw.Control(func(fd uintptr) {
+		_ = syscall.Listen(int(fd), backlog) // cannot fail on a socket that listens
+	}) == nil
 }
 
-// crowd fills the queue: one goes to whoever waits for a connection, the next stays.
-func (w *network) fillQueue(g *listenerGate) {
-	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: fillerIP}, Timeout: 100 * time.Millisecond}
-	for filled, tries := 0, 0; filled < 2 && tries < 6; tries++ {
-		c, err := d.Dial("tcp", g.listener.Addr().String())
-		w.gates.mu.Lock()
+// fillQueue fills a shut gate's backlog.
+func (n *network) fillQueue(g *listenerGate) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: fillerIP}, Timeout: fillerDialTimeout}
+	for filled, attempts := 0, 0; filled < fillersNeeded && attempts < fillerAttempts; attempts++ {
+		c, err := dialer.Dial("tcp", g.listener.Addr().String())
+		n.gates.mu.Lock()
 		if !g.shut {
-			w.gates.mu.Unlock()
+			n.gates.mu.Unlock()
 			if err == nil {
-				c.Close()
+				_ = c.Close() // nothing was sent on it
 			}
 			return
 		}
@@ -103,29 +120,30 @@
 			g.fillerConns = append(g.fillerConns, c)
 			filled++
 		}
-		w.gates.mu.Unlock()
-		if e, ok := err.(net.Error); err != nil && (!ok || !e.Timeout()) {
-			return // nobody listens any more; a time-out may come of the first, not taken yet
+		n.gates.mu.Unlock()
+		if netErr := net.Error(nil); err != nil && (!errors.As(err, &netErr) || !netErr.Timeout()) {
+			return // the listener is closed; a timeout may come of the first filler's not being accepted yet
 		}
 	}
 }
 
-// broken tells whether a link carries nothing in one of its directions.
-func (w *network) isSevered(a, b string) bool {
-	forward, _ := w.linkState(a, b)
-	backward, _ := w.linkState(b, a)
+// isSevered reports whether a link carries nothing in at least one of its directions.
+func (n *network) isSevered(a, b string) bool {
+	forward, _ := n.linkState(a, b)
+	backward, _ := n.linkState(b, a)
 	return forward.lossRate >= 1 || backward.lossRate >= 1
 }
 
-// stranger tells whether a connection is the rig's own. It returns once the link carries something again.
-func (w *network) isFiller(c net.Conn, local, remote string) bool {
-	if a, ok := c.RemoteAddr().(*net.TCPAddr); w == nil || !ok || !a.IP.Equal(fillerIP) {
+// isFiller reports whether a connection is the emulator's own. It closes such a one and returns once the link is not severed any
+// more, so that the caller accepts nothing meanwhile.
+func (n *network) isFiller(c net.Conn, local, remote string) bool {
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); n == nil || !ok || !a.IP.Equal(fillerIP) {
 		return false
 	}
-	c.Close()
+	_ = c.Close() // nothing was sent on it
 	for {
-		_, changed := w.linkState(local, remote)
-		if !w.isSevered(local, remote) {
+		_, changed := n.linkState(local, remote)
+		if !n.isSevered(local, remote) {
 			return true
 		}
 		<-changed
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"strings"
@@ -14,19 +13,20 @@
 	"time"
 )
 
-// Outcome is how a request came out for its client.
+// Outcome is how a request ended for its client.
 type Outcome string
 
+// Outcomes of requests.
 const (
-	Completed Outcome = "completed" // in time or late, by Latency
-	Shed      Outcome = "shed"
-	Errored   Outcome = "errored"
-	Lost      Outcome = "lost" // no answer
-	Left      Outcome = "left"
-	Refused   Outcome = "refused" // nobody let the client in
+	Completed Outcome = "completed" // answered with success, in time or not
+	Shed      Outcome = "shed"      // answered as rejected by load shedding
+	Errored   Outcome = "errored"   // answered with another error
+	Lost      Outcome = "lost"      // not answered
+	Left      Outcome = "left"      // the client left before the answer
+	Refused   Outcome = "refused"   // no proxy accepted a connection
 )
 
-// Result is one request's. Latency counts from the time that was settled for it, Sent is how much later it was sent.
+// Result is the outcome of one request. Both times count from when the request was scheduled.
 type Result struct {
 	Request   Request
 	Outcome   Outcome
@@ -34,260 +34,281 @@
 	SendDelay time.Duration
 }
 
-// clients ask what the plan settles, when it does, whatever became of what was asked before.
+const (
+	dialTimeout         = time.Second
+	pingTimeout         = 2 * time.Second
+	lateSendThreshold   = 5 * time.Millisecond   // a request sent later than that shows that the load generator itself ran late
+	clientGrace         = 500 * time.Millisecond // beyond the overall timeout, until a client gives up
+	longAnswerTimeout   = 10 * time.Second       // for the rest of an answer that has begun
+	idleProbeTimeout    = 100 * time.Microsecond // within which an end of an idle connection, or an unexpected answer, is seen
+	dialAttempts        = 3
+	dialRetryDelay      = 20 * time.Millisecond
+	clientBufferSize    = 2 << 10
+	writtenValue        = "vvvvvvvv"
+	noteInAnswer        = "amid the answer" // Closed: in the middle of an answer
+	noteUnexpectedReply = "again"           // Answered: without another request
+)
+
+// loadGenerator sends the plan's requests at their times, whatever has become of earlier ones (open loop).
 type loadGenerator struct {
 	plan      *Plan
 	log       *EventLog
-	world     *cluster
-	available []*atomic.Bool // proxies that clients are sent to
-	addresses []string
+	cluster   *cluster
+	available []*atomic.Bool // by proxy: clients are sent to it
+	addresses []string       // by proxy
+	inFlight  sync.WaitGroup
+	start     time.Time // of the scenario
+
+	mu      sync.Mutex
+	idle    [][]*clientConn // by proxy
+	results []Result
+}
+
+func newLoadGenerator(plan *Plan, log *EventLog, c *cluster) *loadGenerator {
+	return &loadGenerator{plan: plan, log: log, cluster: c, idle: make([][]*clientConn, plan.Day.Proxies)}
+}
 
-	mu       sync.Mutex
-	start    time.Time // of the day
-	idle     [][]*clientConn
-	results  []Result
-	inFlight sync.WaitGroup
+// addProxy adds the next proxy, which is not available yet.
+func (g *loadGenerator) addProxy(address string) {
+	g.available, g.addresses = append(g.available, &atomic.Bool{}), append(g.addresses, address)
 }
 
-// line is a client's connection.
+// clientConn is a client's connection.
 type clientConn struct {
-	conn          net.Conn
+	net.Conn
 	reader        *bufio.Reader
-	lastRequestID string // the request on it last
+	proxy         int
+	reused        bool   // it served a request before
+	lastRequestID string // of the latest request on it
 }
 
-func dialClient(addr string) (*clientConn, error) {
-	conn, err := net.DialTimeout("tcp", addr, time.Second)
+func (g *loadGenerator) dial(proxy int) (*clientConn, error) {
+	conn, err := net.DialTimeout("tcp", g.addresses[proxy], dialTimeout)
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{conn: conn, reader: bufio.NewReaderSize(conn, 2<<10)}, nil
+	return &clientConn{Conn: conn, reader: bufio.NewReaderSize(conn, clientBufferSize), proxy: proxy}, nil
 }
 
-// facts are what a client says of a request, but for its mark.
+// requestFacts are the facts that a client states of a request, but for its idempotency key.
 func (r Route) requestFacts() string { return fmt.Sprintf("c=%s,t=all,d=%d", r.Name, int(r.Overall)) }
 
-// lateBy is when the load itself ran late.
-const lateSendThreshold = 5 * time.Millisecond
-
-func (c *loadGenerator) run(ctx context.Context, start time.Time) {
-	c.start = start
-	for _, r := range c.plan.Requests {
-		wait := time.NewTimer(time.Until(start.Add(r.At)))
-		select {
-		case <-wait.C:
-		case <-ctx.Done():
-			wait.Stop()
+// run sends the requests, until all are sent or the context ends.
+func (g *loadGenerator) run(ctx context.Context, start time.Time) {
+	g.start = start
+	for _, request := range g.plan.Requests {
+		scheduledAt := start.Add(request.At)
+		if !sleep(ctx, time.Until(scheduledAt)) {
 			return
 		}
-		c.inFlight.Add(1)
-		go func() {
-			defer c.inFlight.Done()
-			c.sendOne(r, start.Add(r.At))
-		}()
+		g.inFlight.Go(func() { g.sendOne(request, scheduledAt) })
 	}
 }
 
-// hold opens the connections that clients hold all day.
-func (c *loadGenerator) openHeldConns() error {
-	for proxy, addr := range c.addresses {
-		for range c.plan.Day.Load.Connections {
-			conn, err := dialClient(addr)
+// openHeldConns opens the connections that clients hold throughout the scenario.
+func (g *loadGenerator) openHeldConns() error {
+	for proxy := range g.addresses {
+		for range g.plan.Day.Load.Connections {
+			conn, err := g.dial(proxy)
 			if err != nil {
 				return err
 			}
-			conn.conn.SetDeadline(time.Now().Add(2 * time.Second))
-			conn.conn.Write(EncodeCommand("PING"))
-			if _, _, err := Answer(conn.reader); err != nil {
-				return fmt.Errorf("a client is not let in: %w", err)
+			if err := conn.ping(); err != nil {
+				return fmt.Errorf("a client is not let in: %w", errors.Join(err, conn.Close()))
 			}
-			c.idle[proxy] = append(c.idle[proxy], conn)
+			g.idle[proxy] = append(g.idle[proxy], conn)
 		}
 	}
 	return nil
 }
 
-// close ends the connections once all have their outcome.
-func (c *loadGenerator) close() {
-	c.inFlight.Wait()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, idle := range c.idle {
-		for _, l := range idle {
-			l.conn.Close()
+// ping checks that the proxy has admitted the connection.
+func (c *clientConn) ping() error {
+	if err := c.SetDeadline(time.Now().Add(pingTimeout)); err != nil {
+		return err
+	}
+	if _, err := c.Write(EncodeCommand("PING")); err != nil {
+		return err
+	}
+	_, _, err := Answer(c.reader)
+	return err
+}
+
+// close waits for all outcomes and closes the connections.
+func (g *loadGenerator) close() {
+	g.inFlight.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, conns := range g.idle {
+		for _, conn := range conns {
+			_ = conn.Close() // the proxy may have closed it
 		}
 	}
-	c.idle = nil
+	g.idle = nil
 }
 
-func (c *loadGenerator) sendOne(r Request, scheduledAt time.Time) {
+func (g *loadGenerator) sendOne(request Request, scheduledAt time.Time) {
 	sendDelay := time.Since(scheduledAt)
 	if sendDelay > lateSendThreshold {
-		c.log.Record(Seen{What: Late, ID: r.ID, Proxy: -1, Figure: float64(sendDelay) / 1e6})
+		g.log.Record(Seen{What: Late, ID: request.ID, Proxy: -1, Figure: float64(sendDelay) / 1e6})
 	}
-	outcome := c.perform(r)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.results = append(c.results, Result{r, outcome, time.Since(scheduledAt), sendDelay})
+	outcome := g.perform(request)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.results = append(g.results, Result{request, outcome, time.Since(scheduledAt), sendDelay})
 }
 
-// proxy is the one a request goes to: its own, or the next that is up.
-func (c *loadGenerator) pickProxy(r Request) int {
-	for i := range c.available {
-		if proxy := (r.Proxy + i) % len(c.available); c.available[proxy].Load() {
+// pickProxy returns the request's own proxy, or the next that is available.
+func (g *loadGenerator) pickProxy(request Request) int {
+	for i := range g.available {
+		if proxy := (request.Proxy + i) % len(g.available); g.available[proxy].Load() {
 			return proxy
 		}
 	}
-	return r.Proxy
+	return request.Proxy
 }
 
-func (c *loadGenerator) perform(r Request) Outcome {
-	for attempt := 0; ; attempt++ {
-		proxy := c.pickProxy(r)
-		conn, reused, err := c.takeConn(proxy, attempt == 0)
+// perform sends a request and returns its outcome. It retries on a new connection where the proxy closed an idle one as the
+// request was on its way, and elsewhere where no connection was accepted.
+func (g *loadGenerator) perform(request Request) Outcome {
+	for attempt := 1; ; attempt++ {
+		conn, err := g.takeConn(g.pickProxy(request), attempt == 1)
 		if err != nil {
-			if attempt < 2 { // the front sends it elsewhere
-				time.Sleep(20 * time.Millisecond)
+			if attempt < dialAttempts {
+				time.Sleep(dialRetryDelay)
 				continue
 			}
 			return Refused
 		}
-		outcome, err := c.exchange(conn, proxy, r, reused)
-		if err == nil || !reused {
+		outcome, err := g.exchange(conn, request)
+		if err == nil || !conn.reused {
 			return outcome
 		}
-		// its connection was closed when the request crossed that: it asks once more on a new one
 	}
 }
 
-func (c *loadGenerator) takeConn(proxy int, allowIdle bool) (*clientConn, bool, error) {
-	for allowIdle {
-		c.mu.Lock()
-		idleCount := len(c.idle[proxy])
-		if idleCount == 0 {
-			c.mu.Unlock()
+// takeConn returns a connection to a proxy, an idle one where it may and there is one.
+func (g *loadGenerator) takeConn(proxy int, mayReuse bool) (*clientConn, error) {
+	for mayReuse {
+		conn := g.takeIdle(proxy)
+		if conn == nil {
 			break
 		}
-		conn := c.idle[proxy][idleCount-1]
-		if c.plan.Day.Load.Connections > 0 { // in turn, else the last one used
-			conn = c.idle[proxy][0]
-			c.idle[proxy] = c.idle[proxy][1:]
-		} else {
-			c.idle[proxy] = c.idle[proxy][:idleCount-1]
+		err := conn.SetReadDeadline(time.Now().Add(idleProbeTimeout))
+		if err == nil {
+			_, err = conn.reader.Peek(1)
 		}
-		c.mu.Unlock()
-		conn.conn.SetReadDeadline(time.Now().Add(100 * time.Microsecond))
-		_, err := conn.reader.Peek(1)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return conn, true, nil
+			conn.reused = true
+			return conn, nil
 		}
-		if err == nil { // nobody asked for it
-			c.log.Record(Seen{What: Answered, ID: conn.lastRequestID, Proxy: proxy, Note: "again"})
+		if err == nil {
+			g.log.Record(Seen{What: Answered, ID: conn.lastRequestID, Proxy: proxy, Note: noteUnexpectedReply})
 		}
-		conn.conn.Close()
+		_ = conn.Close() // it has ended or is out of step
+	}
+	return g.dial(proxy)
+}
+
+// takeIdle removes and returns an idle connection, nil where there is none: held connections are used in turn, others the latest
+// first.
+func (g *loadGenerator) takeIdle(proxy int) *clientConn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	idle := g.idle[proxy]
+	if len(idle) == 0 {
+		return nil
 	}
-	conn, err := dialClient(c.addresses[proxy])
-	return conn, false, err
+	if g.plan.Day.Load.Connections > 0 {
+		g.idle[proxy] = idle[1:]
+		return idle[0]
+	}
+	g.idle[proxy] = idle[:len(idle)-1]
+	return idle[len(idle)-1]
 }
 
-var errClosed = errors.New("closed")
+var errConnClosed = errors.New("connection closed before the answer")
 
-func (c *loadGenerator) exchange(conn *clientConn, proxy int, r Request, reused bool) (Outcome, error) {
-	route := c.plan.Day.Routes[r.Route]
-	args := []string{"KV.GET", r.Key, r.ID, route.requestFacts()}
-	if route.Write {
-		args = []string{"KV.SET", r.Key, r.ID, route.requestFacts(), "vvvvvvvv"}
-		if route.Dedup > 0 {
-			args[3] += ",k=w" + r.ID
-		}
+// exchange sends a request on a connection and returns its outcome. The error is errConnClosed where the connection ended before
+// the answer began.
+func (g *loadGenerator) exchange(conn *clientConn, request Request) (Outcome, error) {
+	route := g.plan.Day.Routes[request.Route]
+	timeout := millis(route.Overall) + clientGrace
+	if request.LeavesAfter > 0 {
+		timeout = request.LeavesAfter
 	}
-	conn.lastRequestID = r.ID
-	timeout := millis(route.Overall) + 500*time.Millisecond
-	if r.LeavesAfter > 0 {
-		timeout = r.LeavesAfter
+	conn.lastRequestID = request.ID
+	err := conn.SetDeadline(time.Now().Add(timeout))
+	g.cluster.recordProxy(request.ID, conn.proxy)
+	g.log.Record(Seen{What: Asked, ID: request.ID, Proxy: conn.proxy})
+	if err == nil {
+		_, err = conn.Write(route.encode(request))
 	}
-	conn.conn.SetDeadline(time.Now().Add(timeout))
-	c.world.recordProxy(r.ID, proxy)
-	c.log.Record(Seen{What: Asked, ID: r.ID, Proxy: proxy})
-	_, err := conn.conn.Write(EncodeCommand(args...))
 	if err == nil {
 		_, err = conn.reader.Peek(1)
 	}
 	if err != nil {
-		conn.conn.Close()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if r.LeavesAfter > 0 {
-				c.log.Record(Seen{What: Went, ID: r.ID, Proxy: proxy})
-				return Left, nil
-			}
-			return Lost, nil
-		}
-		note := ""
-		if reused {
-			note = "reused"
-		}
-		c.log.Record(Seen{What: Closed, ID: r.ID, Proxy: proxy, Note: note})
-		return Lost, errClosed
+		return g.unanswered(conn, request, err)
+	}
+	err = conn.SetDeadline(time.Now().Add(longAnswerTimeout))
+	var head, body string
+	if err == nil {
+		head, body, err = Answer(conn.reader)
 	}
-	conn.conn.SetDeadline(time.Now().Add(10 * time.Second)) // for the rest of a long one
-	head, body, err := Answer(conn.reader)
 	if err != nil {
-		conn.conn.Close()
-		c.log.Record(Seen{What: Closed, ID: r.ID, Proxy: proxy, Note: "amid the answer"})
+		_ = conn.Close() // it has failed
+		g.log.Record(Seen{What: Closed, ID: request.ID, Proxy: conn.proxy, Note: noteInAnswer})
 		return Lost, nil
 	}
-	event, outcome := Seen{What: Answered, ID: r.ID, Proxy: proxy}, Errored
-	switch {
-	case head[0] == '$':
-		outcome = Completed
-		if _, event.Made = ParseValue(body); head == "$-1" {
-			event.Node = noSuchKey
-		}
-	case head == "-BUSY" || strings.HasPrefix(head, "-BUSY "):
-		outcome = Shed
-	}
-	event.Note = string(outcome)
-	c.log.Record(event)
-	c.mu.Lock()
-	c.idle[proxy] = append(c.idle[proxy], conn)
-	c.mu.Unlock()
-	return outcome, nil
-}
-
-// spoilt is what bad clients send.
-var malformedRequests = []string{
-	"GET / HTTP/1.1\r\n\r\n", "*4\r\n$6\r\nKV.GET\r\n$-5\r\n", "*1\r\n$99999999\r\n", "\x00\x01\x02\r\n",
-	"*5\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$7\r\nc=x,d=5\r\n$999999999\r\n", "*4\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n$0\r\n\r\n$7\r\nc=x,d=5\r\n",
-	"*4\r\n$6\r\nKV.",
+	return g.answered(conn, request, head, body), nil
 }
 
-// bad is one such client; it tells whether it was answered with an error or closed on within three seconds.
-func sendMalformed(addr string, i int) bool {
-	conn, err := net.DialTimeout("tcp", addr, time.Second)
-	if err != nil {
-		return true
+// encode returns the command of a request.
+func (r Route) encode(request Request) []byte {
+	facts := r.requestFacts()
+	if !r.Write {
+		return EncodeCommand("KV.GET", request.Key, request.ID, facts)
+	}
+	if r.Dedup > 0 {
+		facts += ",k=w" + request.ID
 	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(3 * time.Second))
-	io.WriteString(conn, malformedRequests[i%len(malformedRequests)])
-	b, err := bufio.NewReader(conn).ReadByte()
-	return err == nil && b == '-' || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	return EncodeCommand("KV.SET", request.Key, request.ID, facts, writtenValue)
 }
 
-// slow is a client that asks for values, one behind the other, and hardly reads them.
-func readSlowly(ctx context.Context, addr, id string, route Route) {
-	conn, err := net.DialTimeout("tcp", addr, time.Second)
-	if err != nil {
-		return
+// unanswered closes a connection on which no answer began, for an error, and records why.
+func (g *loadGenerator) unanswered(conn *clientConn, request Request, err error) (Outcome, error) {
+	_ = conn.Close() // it has failed, or its client leaves
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		note := ""
+		if conn.reused {
+			note = noteReused
+		}
+		g.log.Record(Seen{What: Closed, ID: request.ID, Proxy: conn.proxy, Note: note})
+		return Lost, errConnClosed
 	}
-	defer conn.Close()
-	context.AfterFunc(ctx, func() { conn.Close() })
-	for i := range 64 {
-		conn.Write(EncodeCommand("KV.GET", keyName(uint64(i)), fmt.Sprint(id, "-", i), route.requestFacts()))
+	if request.LeavesAfter > 0 {
+		g.log.Record(Seen{What: Went, ID: request.ID, Proxy: conn.proxy})
+		return Left, nil
 	}
-	for b := make([]byte, 16); ; time.Sleep(100 * time.Millisecond) {
-		if _, err := conn.Read(b); err != nil {
-			return
+	return Lost, nil
+}
+
+// answered records an answer and puts the connection among the idle ones.
+func (g *loadGenerator) answered(conn *clientConn, request Request, head, body string) Outcome {
+	event, outcome := Seen{What: Answered, ID: request.ID, Proxy: conn.proxy}, Errored
+	switch {
+	case head[0] == '$':
+		outcome = Completed
+		if _, event.Made = ParseValue(body); head == nullBulk {
+			event.Node = noSuchKey
 		}
+	case head == "-BUSY" || strings.HasPrefix(head, "-BUSY "):
+		outcome = Shed
 	}
+	event.Note = string(outcome)
+	g.log.Record(event)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.idle[conn.proxy] = append(g.idle[conn.proxy], conn)
+	return outcome
 }
--- a/internal/emulator/null_proxy.go
+++ b/internal/emulator/null_proxy.go
@@ -7,34 +7,39 @@
 	"net"
 )
 
-// Null stands in for a proxy: it answers every request at once, from nowhere.
+// Null serves in place of a proxy until the context ends: it answers every request at once, without a backend. It is the
+// baseline of measurements. The error is that of listening.
 func Null(ctx context.Context, addr string) error {
-	ln, err := net.Listen("tcp", addr)
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
-	defer context.AfterFunc(ctx, func() { ln.Close() })()
+	defer context.AfterFunc(ctx, func() { _ = listener.Close() })() // it accepts no more in any case
 	for {
-		c, err := ln.Accept()
+		c, err := listener.Accept()
 		if err != nil {
-			return nil // told to end
+			return nil // the context has ended
+		}
+		go serveNull(c)
+	}
+}
+
+// serveNull answers the commands of a connection until it ends.
+func serveNull(c net.Conn) {
+	defer func() { _ = c.Close() }() // all answers have been written, or the client is gone
+	reader := bufio.NewReader(c)
+	for {
+		words, err := ReadCommand(reader)
+		if err != nil {
+			return
+		}
+		answer := "+PONG\r\n"
+		if words[0] != "PING" {
+			v := value("null", words[2], 0)
+			answer = fmt.Sprintf("$%d\r\n%s\r\n", len(v), v)
+		}
+		if _, err := c.Write([]byte(answer)); err != nil {
+			return
 		}
-		go func() {
-			defer c.Close()
-			for r := bufio.NewReader(c); ; {
-				words, err := ReadCommand(r)
-				if err != nil {
-					return
-				}
-				text := "+PONG\r\n"
-				if words[0] != "PING" {
-					v := value("null", words[2], 0)
-					text = fmt.Sprintf("$%d\r\n%s\r\n", len(v), v)
-				}
-				if _, err := c.Write([]byte(text)); err != nil {
-					return
-				}
-			}
-		}()
 	}
 }
--- a/internal/emulator/plan.go
+++ b/internal/emulator/plan.go
@@ -4,85 +4,100 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gonum.org/v1/gonum/stat/distuv"
 )
 
-// Request is one that a client is to make, settled before the day begins.
+// Request is a request that a client makes, settled before the scenario begins.
 type Request struct {
-	At          time.Duration
+	At          time.Duration // from the scenario's start
 	ID          string
 	Key         string
-	Route       int
-	Proxy       int
-	LeavesAfter time.Duration // the client leaves so long after it asked, 0: it waits
+	Route       int           // index of the scenario's route
+	Proxy       int           // index of the proxy that it is sent to
+	LeavesAfter time.Duration // the client leaves so long after sending it; 0: it waits
 }
 
-// Blow is a trouble with those whom it hits.
+// FaultEvent is a fault and its targets.
 type FaultEvent struct {
 	Trouble
-	Targets []int // nodes or proxies
+	Targets []int // indexes of nodes or proxies
 }
 
-// Plan is a day with its chances drawn: who asks what when, and which trouble hits whom.
+// Plan is a scenario whose random choices are made.
 type Plan struct {
 	Day      *Day
 	Seed     uint64
-	Requests []Request
+	Requests []Request // by time
 	Blows    []FaultEvent
 }
 
-// Draw settles a day by a seed; the same seed gives the same day.
+// Draw makes a scenario's random choices by a seed; the same seed gives the same plan.
 func (d *Day) Draw(seed uint64) *Plan {
-	p := &Plan{Day: d, Seed: seed}
-	chance := rand.New(rand.NewPCG(seed, 1))
+	return &Plan{Day: d, Seed: seed, Requests: d.drawRequests(seed), Blows: d.drawFaults(seed)}
+}
+
+// drawRequests draws Poisson arrivals at the highest rate, and thins them to the rate of each moment.
+func (d *Day) drawRequests(seed uint64) (requests []Request) {
+	random := rand.New(rand.NewPCG(seed, 1))
 	zipf := rand.NewZipf(rand.New(rand.NewPCG(seed, 2)), d.Keys.Zipf, 8, uint64(d.Keys.Count-1))
 	gaps := distuv.Exponential{Rate: 1, Src: rand.NewPCG(seed, 3)}
-	most := d.Load.Rate
+	highest := d.Load.Rate
 	for _, s := range d.Load.Steps {
-		most = math.Max(most, d.Load.Rate*s.Times)
+		highest = math.Max(highest, d.Load.Rate*s.Times)
 	}
-	for at := gaps.Rand() / most; at < d.Length; at += gaps.Rand() / most {
-		if chance.Float64()*most > d.rateAt(at) { // drawn at the highest rate, and thinned
+	for at := gaps.Rand() / highest; at < d.Length; at += gaps.Rand() / highest {
+		if random.Float64()*highest > d.rateAt(at) {
 			continue
 		}
-		n := len(p.Requests)
 		r := Request{
-			At: seconds(at), ID: fmt.Sprintf("%08x%08x", uint32(seed), n), Key: keyName(zipf.Uint64()),
-			Route: d.pickRoute(chance.Float64()), Proxy: chance.IntN(d.Proxies),
+			At: seconds(at), ID: fmt.Sprintf("%08x%08x", uint32(seed), len(requests)), Key: keyName(zipf.Uint64()),
+			Route: d.pickRoute(random.Float64()), Proxy: random.IntN(d.Proxies),
 		}
-		if chance.Float64() < d.Load.ImpatientFraction {
+		if random.Float64() < d.Load.Impatient {
 			r.LeavesAfter = millis(d.Routes[r.Route].Overall / 4)
 		}
-		p.Requests = append(p.Requests, r)
+		requests = append(requests, r)
 	}
-	whom := rand.New(rand.NewPCG(seed, 4))
-	for _, t := range d.Trouble {
-		b := FaultEvent{Trouble: t}
-		of := d.Fleet.Nodes
-		if proxyFaults[t.Kind] {
-			of = d.Proxies
-		}
-		switch {
-		case t.Zone != "": // its proxies; zones are dealt out to proxies in turn
-			for i := range d.Proxies {
-				if d.Fleet.Zones[i%len(d.Fleet.Zones)] == t.Zone {
-					b.Targets = append(b.Targets, i)
-				}
+	return requests
+}
+
+func (d *Day) drawFaults(seed uint64) (events []FaultEvent) {
+	random := rand.New(rand.NewPCG(seed, 4))
+	for _, fault := range d.Trouble {
+		events = append(events, FaultEvent{Trouble: fault, Targets: d.drawTargets(fault, random)})
+	}
+	return events
+}
+
+// drawTargets draws the nodes or proxies that a fault affects. A zone's fault has the zone's proxies as its targets.
+func (d *Day) drawTargets(fault Trouble, random *rand.Rand) (targets []int) {
+	candidates := d.Fleet.Nodes
+	if proxyFaults[fault.Kind] {
+		candidates = d.Proxies
+	}
+	switch {
+	case fault.Zone != "":
+		for i := range d.Proxies {
+			if d.Fleet.Zones[i%len(d.Fleet.Zones)] == fault.Zone {
+				targets = append(targets, i)
 			}
-		case faultKinds[t.Kind].some && t.Nodes == 0: // all of them
-			b.Targets = whom.Perm(of)
-		case t.Kind != "slow-clients" && t.Kind != "whisper" && t.Kind != "link":
-			b.Targets = whom.Perm(of)[:min(t.Nodes, of)]
 		}
-		p.Blows = append(p.Blows, b)
+		return targets
+	case faultKinds[fault.Kind].some && fault.Nodes == 0:
+		return random.Perm(candidates)
+	case slices.Contains([]string{"slow-clients", "whisper", "link"}, fault.Kind): // they have none
+		return nil
+	default:
+		return random.Perm(candidates)[:min(fault.Nodes, candidates)]
 	}
-	return p
 }
 
 func keyName(n uint64) string { return fmt.Sprintf("k%d", n) }
 
+// rateAt returns the rate at a time in seconds.
 func (d *Day) rateAt(at float64) float64 {
 	times := 1.0
 	for _, s := range d.Load.Steps {
@@ -93,9 +108,10 @@
 	return d.Load.Rate * times
 }
 
-func (d *Day) pickRoute(at float64) int {
+// pickRoute returns the index of the route at a point in [0, 1) of the shares put end to end.
+func (d *Day) pickRoute(point float64) int {
 	for i, r := range d.Routes {
-		if at -= r.Share; at < 0 {
+		if point -= r.Share; point < 0 {
 			return i
 		}
 	}
--- /dev/null
+++ b/internal/emulator/proxies.go
@@ -0,0 +1,225 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// parallelStarts is how many proxies are started at a time.
+const parallelStarts = 8
+
+// ProxyConfig is where a proxy finds its configuration and where it serves. A file or address that is "" is not configured, and
+// the proxy goes without what it is for.
+type ProxyConfig struct {
+	Name, Listen, Discovery string
+
+	ConfigFile        string
+	AdminAddress      string // where it serves operators' calls
+	GossipFile        string
+	StateDir          string
+	NegativeCacheFile string
+	RebalanceFile     string
+	DutiesFile        string
+	ZoneHealthFile    string
+	Dir               string // for its log and temporary files
+}
+
+// Proxy is a running proxy.
+type Proxy interface {
+	Signal(s os.Signal)
+	Kill()
+	Done() <-chan error // closed, or sent to, once it has ended
+}
+
+// Start starts a proxy: a process or, in tests, one in the same process.
+type Start func(s ProxyConfig) (Proxy, error)
+
+// managedProxy is a proxy whose processes the runner starts and ends.
+type managedProxy struct {
+	config ProxyConfig
+
+	mu      sync.Mutex
+	current *incarnation
+	running bool // a process of it runs or is being started
+}
+
+// startProxies configures all proxies and starts them. Where they gossip, it waits until they have found each other and each has
+// its whole quota.
+func (r *runner) startProxies(ctx context.Context) error {
+	d := r.plan.Day
+	r.load = newLoadGenerator(r.plan, r.log, r.cluster)
+	if err := r.configureProxies(); err != nil {
+		return err
+	}
+	var starts sync.WaitGroup
+	var failed atomic.Pointer[error]
+	tokens := make(chan struct{}, parallelStarts)
+	for i := range r.proxies {
+		starts.Go(func() {
+			tokens <- struct{}{}
+			if err := r.startProxy(ctx, i); err != nil {
+				failed.Store(&err)
+			}
+			<-tokens
+		})
+	}
+	if starts.Wait(); failed.Load() != nil {
+		return *failed.Load()
+	}
+	if d.Peers.Talk && !sleep(ctx, 6*time.Second+time.Duration(d.Proxies)*50*time.Millisecond) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+// configureProxies chooses the proxies' addresses and writes their files. All ports are held until each proxy has one: a port that
+// is free again may be the next proxy's, and two proxies that share one are each given a part of the other's clients.
+func (r *runner) configureProxies() error {
+	for i := range r.plan.Day.Proxies {
+		listener, err := net.Listen("tcp", r.options.IP+":0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = listener.Close() }() // it accepted nothing; a port still in use shows as its proxy starts
+		if err := r.configureProxy(i, listener.Addr().String()); err != nil {
+			return err
+		}
+	}
+	return r.writeGossipConfigs()
+}
+
+// configureProxy writes the files of one proxy.
+func (r *runner) configureProxy(i int, address string) error {
+	dir, err := filepath.Abs(filepath.Join(r.options.Dir, fmt.Sprintf("proxy%d", i)))
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Join(dir, "tmp"), 0o700); err != nil {
+		return err
+	}
+	m := &managedProxy{config: ProxyConfig{
+		Name: proxyName(i), Listen: address, Discovery: r.discoveryAddresses[i],
+		ConfigFile: filepath.Join(dir, "config.json"), Dir: dir,
+	}}
+	if err := r.configureFeatures(i, m); err != nil {
+		return err
+	}
+	text, err := json.Marshal(r.proxyConfig(i, m.config))
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(m.config.ConfigFile, text, 0o600); err != nil {
+		return err
+	}
+	r.proxies = append(r.proxies, m)
+	r.load.addProxy(address)
+	return nil
+}
+
+// configureFeatures writes the files of what a proxy does besides routing.
+func (r *runner) configureFeatures(i int, m *managedProxy) error {
+	d := r.plan.Day
+	if d.Peers.Talk {
+		if err := r.setUpGossip(i, m); err != nil {
+			return err
+		}
+	}
+	if err := r.writeZoneConfig(m); err != nil {
+		return err
+	}
+	if err := r.writeDutyConfig(m); err != nil {
+		return err
+	}
+	if d.State {
+		m.config.StateDir = filepath.Join(m.config.Dir, "state")
+		if err := os.MkdirAll(m.config.StateDir, 0o700); err != nil {
+			return err
+		}
+	}
+	if d.Missing.On {
+		m.config.NegativeCacheFile = filepath.Join(m.config.Dir, "missing.toml")
+		return os.WriteFile(m.config.NegativeCacheFile, []byte("entries = 4096\n"), 0o600)
+	}
+	return nil
+}
+
+// proxyConfig returns what a proxy's configuration file holds.
+func (r *runner) proxyConfig(i int, config ProxyConfig) map[string]any {
+	limits := r.plan.Day.Limits
+	file := map[string]any{
+		"name": config.Name, "listen": config.Listen, "discovery": config.Discovery,
+		"seed": fmt.Sprintf("%016x", r.plan.Seed*1000003+uint64(i)), "known": nil, "settings": r.proxySettings(i),
+		"limits": map[string]any{"cores": limits.Cores, "memory_mb": limits.MemoryMB, "sockets": limits.Sockets},
+	}
+	if config.AdminAddress != "" {
+		file["management"] = config.AdminAddress
+	}
+	return file
+}
+
+// proxySettings returns the platform's settings for a proxy, with the overrides laid over them.
+func (r *runner) proxySettings(i int) map[string]any {
+	d := r.plan.Day
+	settings := map[string]any{
+		"replicas-of-me": d.Proxies, "me": i, "tick": 5, "shapes": []string{"cache", "origin"},
+		"limits": map[string]any{
+			"max-upstream-tries": 4, "may-cancel": true, "conn-idle": 15000, "connect-timeout": 250,
+			"retry-after": true, "max-retry-after": 1000, "parallel-tries": d.Limits.Parallel,
+		},
+		"rules": map[string]any{
+			"cold": d.Fleet.Cold * 1000, "fall": float64(overloadWindow.Milliseconds()), "cold-from": d.Fleet.ColdFrom,
+			"fall-multiple": overloadMultiple,
+		},
+		"family-info": map[string]any{"mode": "aside", "origin-kind": 1}, "routes": routeSettings(d.Routes),
+	}
+	if zones := d.Fleet.Zones; len(zones) > 0 {
+		settings["zones"], settings["locality"] = zones, zones[i%len(zones)]
+	}
+	for path, v := range r.options.Overrides {
+		setByPath(settings, path, v)
+	}
+	return settings
+}
+
+// routeSettings returns the settings of routes.
+func routeSettings(routes []Route) []any {
+	var all []any
+	for _, route := range routes {
+		settings := map[string]any{
+			"name": route.Name, "latency-objective": route.Objective, "overall-timeout": route.Overall, "value": route.Value,
+			"effect": "pure",
+		}
+		switch {
+		case route.Write && route.Dedup > 0:
+			settings["effect"], settings["group"], settings["dedup-window"] = "token", "all", route.Dedup
+		case route.Write:
+			settings["effect"] = "side_effect"
+		}
+		all = append(all, settings)
+	}
+	return all
+}
+
+// setByPath sets a value at a path whose steps are separated by dots.
+func setByPath(settings map[string]any, path string, v any) {
+	for i := range path {
+		if path[i] != '.' {
+			continue
+		}
+		child, ok := settings[path[:i]].(map[string]any)
+		if !ok {
+			child = map[string]any{}
+			settings[path[:i]] = child
+		}
+		setByPath(child, path[i+1:], v)
+		return
+	}
+	settings[path] = v
+}
--- /dev/null
+++ b/internal/emulator/proxy_faults.go
@@ -0,0 +1,84 @@
+package emulator
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// pauseProxies stops proxy processes by a signal, and continues them after a time.
+func (r *runner) pauseProxies(ctx context.Context, proxies []int, duration time.Duration) {
+	for _, i := range proxies {
+		r.currentProcess(i).Signal(syscall.SIGSTOP)
+		r.log.Record(Seen{What: Paused, Proxy: i, Note: pauseBegins})
+		r.load.available[i].Store(false)
+	}
+	sleep(ctx, duration)
+	for _, i := range proxies {
+		process := r.currentProcess(i)
+		r.log.Record(Seen{What: Paused, Proxy: i, Note: pauseEnds})
+		process.Signal(syscall.SIGCONT)
+		r.load.available[i].Store(true)
+	}
+}
+
+// currentProcess returns a proxy's latest process.
+func (r *runner) currentProcess(i int) *incarnation {
+	m := r.proxies[i]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current
+}
+
+// killProxies kills proxies at one moment. After a downtime it calls beforeRestart and starts them again, spread over a time.
+func (r *runner) killProxies(ctx context.Context, proxies []int, downtime, spread time.Duration, beforeRestart func()) {
+	var kills sync.WaitGroup
+	for _, i := range proxies {
+		kills.Go(func() { r.endProxy(i, nil, endKilled) })
+	}
+	kills.Wait()
+	if !sleep(ctx, downtime) {
+		return
+	}
+	beforeRestart()
+	var starts sync.WaitGroup
+	for k, i := range proxies {
+		starts.Go(func() {
+			if sleep(ctx, spread*time.Duration(k)/time.Duration(len(proxies))) {
+				_ = r.startProxy(ctx, i) // a process that ends at its start is recorded as crashed
+			}
+		})
+	}
+	starts.Wait()
+}
+
+// loseZone takes a zone's proxies and caches away, and brings them back after a time. Where the fault is not dead they are silent:
+// machines that vanished refuse nothing.
+func (r *runner) loseZone(ctx context.Context, event FaultEvent, duration time.Duration) {
+	nodes, affected := r.nodesInZone(event.Zone), r.affectedNames(event)
+	heal := func() {}
+	if event.Dead {
+		for _, n := range nodes {
+			n.Stop()
+		}
+	} else {
+		heal = r.network.addFault(linkFault{lossRate: 1, resetStreams: true, affects: func(from, to string) bool {
+			return affected[from] && to != "origin" || affected[to] && from != "origin"
+		}})
+	}
+	r.zoneFaultBegins(event)
+	r.killProxies(ctx, event.Targets, duration, seconds(event.Spread), func() {
+		heal()
+		r.zoneFaultEnds(event)
+		for _, n := range nodes {
+			if event.Dead && n.Restart() != nil {
+				return
+			}
+			if event.Dead || event.Cold {
+				r.recordNodeStart(n, time.Now())
+				r.publish(n, statusActive)
+			}
+		}
+	})
+}
--- a/internal/emulator/proxy_process.go
+++ b/internal/emulator/proxy_process.go
@@ -10,146 +10,204 @@
 	"time"
 )
 
-// The proxies' processes.
+const (
+	readinessAttempts = 500
+	readinessInterval = 10 * time.Millisecond
+	// gracefulEndTimeout is how long a proxy may take to end before it is killed.
+	gracefulEndTimeout = 6 * time.Second
+)
+
+// incarnation is one process of a proxy. The note on its end is its own, or one that was told to end could pass for crashed once
+// the next has begun.
+type incarnation struct {
+	Proxy
+	endNote string        // "": it crashed; guarded by the managed proxy's mu
+	exited  chan struct{} // closed once the process has ended
+	ended   chan struct{} // closed once its end is recorded, and another may be started
+}
 
-// start starts a proxy and waits until it serves.
-func (p *runner) startProxy(ctx context.Context, i int) error {
-	m := p.proxies[i]
-	// two troubles may kill one proxy, and each starts it again: the first process would never be told to end, and the day not end
+// startProxy starts a proxy and waits until it serves. Where a process of it runs already it does nothing: two faults may kill one
+// proxy and each start it again, and the first process would never be told to end.
+func (r *runner) startProxy(ctx context.Context, i int) error {
+	m := r.proxies[i]
 	m.mu.Lock()
-	twice := m.running
+	alreadyRunning := m.running
 	m.running = true
 	m.mu.Unlock()
-	if twice {
+	if alreadyRunning {
 		return nil
 	}
-	p.discoveries[i].RecordKnownAtStart()
-	now, err := p.options.Start(m.site)
+	r.discoveries[i].RecordKnownAtStart()
+	process, err := r.options.Start(m.config)
 	if err != nil {
 		return err
 	}
-	if p.relays != nil {
-		if err := p.relays[i].listen(); err != nil {
+	if r.relays != nil {
+		if err := r.relays[i].listen(); err != nil {
 			return err
 		}
 	}
-	mine := &incarnation{Proxy: now, ended: make(chan struct{})}
+	started := &incarnation{Proxy: process, exited: make(chan struct{}), ended: make(chan struct{})}
 	m.mu.Lock()
-	m.current = mine
+	m.current = started
 	m.mu.Unlock()
-	p.processWatchers.Add(1)
-	go func() {
-		defer p.processWatchers.Done()
-		<-now.Done()
-		p.load.available[i].Store(false)
-		if p.relays != nil && !p.network.isCutOff(proxyName(i)) { // over a link that is cut nobody hears a refusal
-			p.relays[i].refuse()
-		}
-		if c, ok := now.(interface{ CPU() time.Duration }); ok {
-			p.proxyCPU.Add(int64(c.CPU()))
-		}
-		m.mu.Lock()
-		note := mine.endNote
-		m.running = false
-		m.mu.Unlock()
-		close(mine.ended)
-		if note == "" {
-			note = "crashed"
-		}
-		p.log.Record(Seen{What: Ended, Proxy: i, Note: note})
-	}()
-	for range 500 {
-		if conn, err := net.DialTimeout("tcp", m.site.Listen, time.Second); err == nil {
-			conn.SetDeadline(time.Now().Add(2 * time.Second))
-			conn.Write(EncodeCommand("PING"))
-			b := make([]byte, 5)
-			_, err := conn.Read(b)
-			conn.Close()
-			if err == nil && string(b) == "+PONG" {
-				p.load.available[i].Store(true)
-				return nil
-			}
+	r.processWatchers.Go(func() { r.watchProcess(i, started) })
+	return r.awaitReady(ctx, i, started)
+}
+
+// watchProcess waits for a process's end and records it.
+func (r *runner) watchProcess(i int, process *incarnation) {
+	m := r.proxies[i]
+	<-process.Done() //nolint:errcheck // the exit status tells nothing that endNote does not
+	close(process.exited)
+	r.load.available[i].Store(false)
+	if r.relays != nil && !r.network.isCutOff(proxyName(i)) { // over a severed link nobody learns of a refusal
+		r.relays[i].refuse()
+	}
+	if p, ok := process.Proxy.(interface{ CPU() time.Duration }); ok {
+		r.proxyCPU.Add(int64(p.CPU()))
+	}
+	m.mu.Lock()
+	note := process.endNote
+	m.running = false
+	m.mu.Unlock()
+	close(process.ended)
+	if note == "" {
+		note = endCrashed
+	}
+	r.log.Record(Seen{What: Ended, Proxy: i, Note: note})
+}
+
+// awaitReady waits until a process answers clients, and lets them be sent to it.
+func (r *runner) awaitReady(ctx context.Context, i int, process *incarnation) error {
+	config := r.proxies[i].config
+	for range readinessAttempts {
+		if answersPing(config.Listen) {
+			r.load.available[i].Store(true)
+			return nil
 		}
 		select {
-		case <-now.Done():
-			return fmt.Errorf("proxy %d ended at its start; its log is in %s", i, m.site.Dir)
+		case <-process.exited:
+			return fmt.Errorf("proxy %d ended at its start; its log is in %s", i, config.Dir)
 		default:
 		}
-		if !sleep(ctx, 10*time.Millisecond) {
+		if !sleep(ctx, readinessInterval) {
 			return ctx.Err()
 		}
 	}
 	return fmt.Errorf("proxy %d does not serve", i)
 }
 
-// end ends a proxy by a signal, or kills it, and waits.
-func (p *runner) endProxy(i int, s os.Signal, note string) {
-	m := p.proxies[i]
+// answersPing reports whether a proxy answers a ping at an address.
+func answersPing(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }() // the answer has been read
+	if conn.SetDeadline(time.Now().Add(2*time.Second)) != nil {
+		return false
+	}
+	if _, err := conn.Write(EncodeCommand("PING")); err != nil {
+		return false
+	}
+	answer := make([]byte, len("+PONG"))
+	_, err = conn.Read(answer)
+	return err == nil && string(answer) == "+PONG"
+}
+
+// endProxy ends a proxy's process by a signal, or kills it where the signal is nil, and waits for its end. A note that is set is
+// kept.
+func (r *runner) endProxy(i int, signal os.Signal, note string) {
+	m := r.proxies[i]
 	m.mu.Lock()
-	now := m.current
-	if now != nil && now.endNote == "" {
-		now.endNote = note
+	process := m.current
+	if process != nil && process.endNote == "" {
+		process.endNote = note
 	}
 	m.mu.Unlock()
-	if now == nil {
+	if process == nil {
 		return
 	}
-	p.load.available[i].Store(false) // the front learns of it at once
-	if s == nil {
-		now.Kill()
+	r.load.available[i].Store(false) // the clients' balancer learns of it at once
+	if signal == nil {
+		process.Kill()
 	} else {
-		now.Signal(s)
+		process.Signal(signal)
 	}
 	select {
-	case <-now.Done():
-	case <-time.After(6 * time.Second):
-		now.Kill()
-		<-now.Done()
+	case <-process.exited:
+	case <-time.After(gracefulEndTimeout):
+		process.Kill()
+		<-process.exited
 	}
-	<-now.ended
+	<-process.ended
 }
 
-// Program starts a program as a process for each proxy, whose log is kept in its directory.
+// Program returns a Start that runs a program with its arguments for each proxy and appends its output to the file "log" in the
+// proxy's directory.
 func Program(words ...string) Start {
 	return func(s ProxyConfig) (Proxy, error) {
 		log, err := os.OpenFile(filepath.Join(s.Dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
 			return nil, err
 		}
-		c := exec.Command(words[0], words[1:]...)
-		c.Env = append(os.Environ(), "GW_CONFIG="+s.ConfigFile, "GW_NAME="+s.Name, "GW_LISTEN="+s.Listen, "GW_DISCOVERY="+s.Discovery,
-			"TMPDIR="+filepath.Join(s.Dir, "tmp"))
-		for _, f := range [...][2]string{{"PEERS", s.GossipFile}, {"STATE", s.StateDir}, {"MISSING", s.NegativeCacheFile}, {"MOVES", s.RebalanceFile}, {"TURNS", s.DutiesFile}, {"ZONES", s.ZoneHealthFile}} {
-			if f[1] != "" {
-				c.Env = append(c.Env, "GW_"+f[0]+"="+f[1])
-			}
-		}
-		c.Stdout, c.Stderr = log, log
-		if err := c.Start(); err != nil {
-			log.Close()
+		command := exec.Command(words[0], words[1:]...)
+		command.Env = append(os.Environ(), s.environment()...)
+		command.Stdout, command.Stderr = log, log
+		if err := command.Start(); err != nil {
+			_ = log.Close() // nothing was written to it
 			return nil, err
 		}
 		done := make(chan error, 1)
-		go func() {
-			done <- c.Wait()
-			log.Close()
+		go func() { // it ends with the process
+			err := command.Wait()
+			_ = log.Close() // the process wrote to it, by a descriptor of its own
+			done <- err
 			close(done)
 		}()
-		return process{c, done}, nil
+		return osProcess{command, done}, nil
 	}
 }
 
-type process struct {
+// environment returns the environment variables by which a proxy finds its configuration.
+func (s ProxyConfig) environment() []string {
+	env := []string{
+		"GW_CONFIG=" + s.ConfigFile, "GW_NAME=" + s.Name, "GW_LISTEN=" + s.Listen, "GW_DISCOVERY=" + s.Discovery,
+		"TMPDIR=" + filepath.Join(s.Dir, "tmp"),
+	}
+	for _, optional := range []struct{ name, file string }{
+		{"GW_PEERS", s.GossipFile},
+		{"GW_STATE", s.StateDir},
+		{"GW_MISSING", s.NegativeCacheFile},
+		{"GW_MOVES", s.RebalanceFile},
+		{"GW_TURNS", s.DutiesFile},
+		{"GW_ZONES", s.ZoneHealthFile},
+	} {
+		if optional.file != "" {
+			env = append(env, optional.name+"="+optional.file)
+		}
+	}
+	return env
+}
+
+// osProcess is a proxy that runs as a process of its own.
+type osProcess struct {
 	command *exec.Cmd
 	done    chan error
 }
 
-func (p process) Signal(s os.Signal) { p.command.Process.Signal(s) }
-func (p process) Kill()              { p.command.Process.Kill() }
-func (p process) Done() <-chan error { return p.done }
+// Signal sends a signal; a process that has ended misses it.
+func (p osProcess) Signal(s os.Signal) { _ = p.command.Process.Signal(s) }
+
+// Kill kills the process, unless it has ended.
+func (p osProcess) Kill() { _ = p.command.Process.Kill() }
+
+// Done returns a channel that is sent to, and then closed, once the process has ended.
+func (p osProcess) Done() <-chan error { return p.done }
 
-// CPU is what the process took, once it has ended.
-func (p process) CPU() time.Duration {
+// CPU returns the processor time of the process once it has ended, 0 before.
+func (p osProcess) CPU() time.Duration {
 	if s := p.command.ProcessState; s != nil {
 		return s.UserTime() + s.SystemTime()
 	}
--- a/internal/emulator/zone_faults.go
+++ b/internal/emulator/zone_faults.go
@@ -13,202 +13,209 @@
 	"time"
 )
 
-// What befalls whole zones, and how proxies judge it.
+// zoneFaultGrace is how long after a zone fault's end a verdict may still come of it.
+const zoneFaultGrace = 2 * time.Second
 
-// ZoneHit is what became of a zone that was hit. Times are from the hit, and from its end.
+// ZoneFaultResult is the outcome of a zone fault. Times count from the fault's begin, or where stated from its end.
 type ZoneFaultResult struct {
 	Zone        string
-	At, For     time.Duration
-	First, Last time.Duration // until the first and the last proxy outside had left it; 0: none had
-	Kept        int           // proxies outside that never left it
-	Back        time.Duration // until the last proxy served all of its keys there; 0: it was not seen
-	WorthAt     float64       // part of the value earned of what was asked in the first five seconds,
-	WorthBack   float64       // and in the ten seconds after its end
+	At, For     time.Duration // begin, from the event log's start, and duration
+	First, Last time.Duration // until the first and the last proxy outside the zone had left it; 0: none had
+	Kept        int           // proxies outside the zone that never left it
+	Back        time.Duration // from the fault's end until the last proxy served all of its keys there; 0: it was not seen
+	WorthAt     float64       // part of the requests' value that was earned in the first five seconds of the fault
+	WorthBack   float64       // the same in the ten seconds after its end
 }
 
-// hit is when a zone was hit, by the wall clock.
+// zoneFault is a fault of a whole zone, by the wall clock.
 type zoneFault struct {
 	zone          string
-	from, to      time.Time // zero: to the end of the day
-	proxiesInside map[int]bool
-	harmless      bool // what hits it is no reason to leave it
+	from, to      time.Time    // to is zero while the fault lasts
+	proxiesInside map[int]bool // proxies that are in the zone
+	harmless      bool         // it is no reason to leave the zone
 }
 
-// quarter writes a proxy's file of zones.
-func (p *runner) writeZoneConfig(m *managedProxy) error {
-	d := p.plan.Day
-	if d.Zones.Judged == "" {
+// explains reports whether a verdict at a moment may come of the fault.
+func (f *zoneFault) explains(at time.Time) bool {
+	return !f.harmless && at.After(f.from) && (f.to.IsZero() || at.Before(f.to.Add(zoneFaultGrace)))
+}
+
+// writeZoneConfig writes a proxy's zone health file.
+func (r *runner) writeZoneConfig(m *managedProxy) error {
+	zones := r.plan.Day.Zones
+	if zones.Judged == "" {
 		return nil
 	}
-	m.site.ZoneHealthFile = filepath.Join(m.site.Dir, "zones.toml")
+	m.config.ZoneHealthFile = filepath.Join(m.config.Dir, "zones.toml")
 	text := ""
-	if d.Zones.Judged == "told" {
+	switch zones.Judged {
+	case zonesJudgedByOperators:
 		text = "alone = false\ntogether = false\n"
-	} else if d.Zones.Judged == "alone" {
+	case zonesJudgedAlone:
 		text = "together = false\n"
 	}
-	for name, zones := range d.Zones.Regions {
-		text += fmt.Sprintf("[[region]]\nname = %q\nzones = [\"%s\"]\n", name, strings.Join(zones, "\", \""))
+	for name, members := range zones.Regions {
+		text += fmt.Sprintf("[[region]]\nname = %q\nzones = [\"%s\"]\n", name, strings.Join(members, "\", \""))
 	}
-	return os.WriteFile(m.site.ZoneHealthFile, []byte(text), 0o600)
+	return os.WriteFile(m.config.ZoneHealthFile, []byte(text), 0o600)
 }
 
-// struck notes that a zone is hit, or that it is over. Operators who are told order it out and in at once, by way of every
-// proxy that they reach.
-func (p *runner) noteZoneFault(b FaultEvent, on bool) {
-	if b.Zone == "" {
+// zoneFaultBegins records that a fault affects a zone, if it does. Operators who are to be told order the zone out at once.
+func (r *runner) zoneFaultBegins(event FaultEvent) {
+	if event.Zone == "" {
 		return
 	}
-	p.mu.Lock()
-	if on {
-		h := zoneFault{zone: b.Zone, from: time.Now(), proxiesInside: map[int]bool{}, harmless: b.Kind == "zone-grey"}
-		for _, i := range b.Targets {
-			h.proxiesInside[i] = true
-		}
-		p.zoneFaults = append(p.zoneFaults, h)
-	} else {
-		for i := range p.zoneFaults {
-			if p.zoneFaults[i].zone == b.Zone && p.zoneFaults[i].to.IsZero() {
-				p.zoneFaults[i].to = time.Now()
-			}
-		}
+	fault := zoneFault{zone: event.Zone, from: time.Now(), proxiesInside: map[int]bool{}, harmless: event.Kind == "zone-grey"}
+	for _, i := range event.Targets {
+		fault.proxiesInside[i] = true
 	}
-	p.mu.Unlock()
-	if p.plan.Day.Zones.Judged != "told" || b.Kind == "zone-grey" {
+	r.mu.Lock()
+	r.zoneFaults = append(r.zoneFaults, fault)
+	r.mu.Unlock()
+	r.orderZone(event, "out")
+}
+
+// zoneFaultEnds records that a fault no longer affects a zone. Operators who are to be told withdraw their order at once.
+func (r *runner) zoneFaultEnds(event FaultEvent) {
+	if event.Zone == "" {
 		return
 	}
-	want := "auto"
-	if on {
-		want = "out"
+	r.mu.Lock()
+	for i := range r.zoneFaults {
+		if r.zoneFaults[i].zone == event.Zone && r.zoneFaults[i].to.IsZero() {
+			r.zoneFaults[i].to = time.Now()
+		}
+	}
+	r.mu.Unlock()
+	r.orderZone(event, "auto")
+}
+
+// orderZone gives the operators' order for a zone to every proxy outside it, where operators judge zones.
+func (r *runner) orderZone(event FaultEvent, order string) {
+	if r.plan.Day.Zones.Judged != zonesJudgedByOperators || event.Kind == "zone-grey" {
+		return
 	}
-	var all sync.WaitGroup
-	for i, m := range p.proxies {
-		if slices.Contains(b.Targets, i) {
+	var calls sync.WaitGroup
+	for i, m := range r.proxies {
+		if slices.Contains(event.Targets, i) {
 			continue
 		}
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			c := http.Client{Timeout: time.Second}
-			if r, err := c.Post("http://"+m.site.AdminAddress+"/control/zones/"+url.PathEscape(b.Zone)+"/"+want, "", nil); err == nil {
-				r.Body.Close()
+		calls.Go(func() {
+			client := http.Client{Timeout: time.Second}
+			target := "http://" + m.config.AdminAddress + "/control/zones/" + url.PathEscape(event.Zone) + "/" + order
+			if response, err := client.Post(target, "", nil); err == nil { // a proxy that is down misses the order
+				_ = response.Body.Close() // nothing was read of it
 			}
-		}()
+		})
 	}
-	all.Wait()
+	calls.Wait()
 }
 
-// greyZone has a third of a zone's nodes be slow, and a part of all its answers be failures.
-func (p *runner) degradeZone(ctx context.Context, b FaultEvent, duration time.Duration) {
-	nodes := p.nodesInZone(b.Zone)
-	set := func(times, part float64) {
+// degradeZone makes a third of a zone's nodes slow and a part of the answers of all of them errors.
+func (r *runner) degradeZone(ctx context.Context, event FaultEvent, duration time.Duration) {
+	nodes := r.nodesInZone(event.Zone)
+	set := func(slowdown, errorPart float64) {
 		for k, n := range nodes {
 			if k%3 == 0 {
-				n.work.setSlowdown(times)
+				n.work.setSlowdown(slowdown)
 			}
-			if part > 0 {
-				n.Set("fails", part, 0, 0)
+			if errorPart > 0 {
+				n.Set(modeFails, errorPart, 0, 0)
 			} else {
-				n.Set("", 1, 0, 0)
+				n.Set(modeServe, 1, 0, 0)
 			}
 		}
 	}
-	p.noteZoneFault(b, true)
-	set(b.Times, b.Part)
+	r.zoneFaultBegins(event)
+	set(event.Times, event.Part)
 	sleep(ctx, duration)
 	set(1, 0)
-	p.noteZoneFault(b, false)
+	r.zoneFaultEnds(event)
 }
 
-// judged reads in the proxies' logs when each left a zone that was hit, and returned to it.
-func (p *runner) measureZoneHealth(r *Report) {
-	type turn struct {
-		proxy int
-		zone  string
-		at    time.Time
-		open  float64
-	}
-	var turns []turn
-	p.eachLogLine(func(i int, l logLine) {
-		said, ok := strings.CutPrefix(l.Msg, "zones: zone ")
+// zoneShift is a proxy's log line on which part of its keys in a zone it serves there.
+type zoneShift struct {
+	proxy  int
+	zone   string
+	at     time.Time
+	served float64
+}
+
+// measureZoneHealth reads from the proxies' logs when each left a zone that was affected, and returned to it.
+func (r *runner) measureZoneHealth(report *Report) {
+	var shifts []zoneShift
+	r.eachLogLine(func(proxy int, line logLine) {
+		message, ok := strings.CutPrefix(line.Msg, "zones: zone ")
 		if !ok {
 			return
 		}
-		at := time.UnixMicro(int64(l.At * 1e6))
-		zone, rest, _ := strings.Cut(said, ": ")
-		if strings.HasPrefix(rest, "passed by this proxy alone") && !p.hasCause(i, zone, at) {
-			r.Hasty++
-		}
-		var open float64
-		if n, err := fmt.Sscanf(rest, "%f of its keys are served there", &open); n == 1 && err == nil {
-			turns = append(turns, turn{i, zone, at, open})
-		}
-		if strings.HasPrefix(rest, "out (") && strings.Contains(rest, " from in,") || strings.HasPrefix(rest, "leaving (") {
-			if !slices.ContainsFunc(p.zoneFaults, func(h zoneFault) bool { return h.zone == zone && h.explains(at) }) {
-				r.Convicted++
-			}
+		at := time.UnixMicro(int64(line.At * 1e6))
+		zone, verdict, _ := strings.Cut(message, ": ")
+		var served float64
+		if n, err := fmt.Sscanf(verdict, "%f of its keys are served there", &served); n == 1 && err == nil {
+			shifts = append(shifts, zoneShift{proxy, zone, at, served})
 		}
+		r.countFalsePositive(report, proxy, zone, verdict, at)
 	})
-	for _, h := range p.zoneFaults {
-		z := ZoneFaultResult{Zone: h.zone, At: h.from.Sub(p.log.start)}
-		to := h.to
-		if to.IsZero() {
-			to = p.log.start.Add(seconds(p.plan.Day.Length))
-		}
-		z.For = to.Sub(h.from)
-		left, open := map[int]bool{}, map[int]float64{}
-		for _, t := range turns { // of one proxy in order
-			if t.zone != h.zone || h.proxiesInside[t.proxy] || t.at.Before(h.from) {
-				continue
-			}
-			if t.open == 0 && !left[t.proxy] && t.at.Before(to) {
-				left[t.proxy] = true
-				took := t.at.Sub(h.from)
-				if z.First == 0 || took < z.First {
-					z.First = took
-				}
-				z.Last = max(z.Last, took)
-			}
-			if open[t.proxy] = t.open; t.open == 1 && t.at.After(to) {
-				z.Back = max(z.Back, t.at.Sub(to))
-			}
-		}
-		for i := range p.proxies {
-			if !h.proxiesInside[i] && !left[i] {
-				z.Kept++
-			}
-			if f, ok := open[i]; ok && f < 1 {
-				z.Back = 0 // one has not come to the end
-			}
-		}
-		start := p.load.start
-		z.WorthAt = p.earnedValuePart(h.from.Sub(start), h.from.Add(5*time.Second).Sub(start))
-		z.WorthBack = p.earnedValuePart(to.Sub(start), to.Add(10*time.Second).Sub(start))
-		r.Zones = append(r.Zones, z)
+	for _, fault := range r.zoneFaults {
+		report.Zones = append(report.Zones, r.zoneFaultResult(fault, shifts))
 	}
 }
 
-// may tells whether a verdict at that moment may come of the hit.
-func (h *zoneFault) explains(at time.Time) bool {
-	return !h.harmless && at.After(h.from) && (h.to.IsZero() || at.Before(h.to.Add(2*time.Second)))
-}
-
-// cutOff tells whether a proxy may find a zone gone at that moment: something had hit the zone, or the proxy's own.
-func (p *runner) hasCause(proxy int, zone string, at time.Time) bool {
-	return slices.ContainsFunc(p.zoneFaults, func(h zoneFault) bool { return h.explains(at) && (h.zone == zone || h.proxiesInside[proxy]) })
+// countFalsePositive counts a verdict on a zone that no fault explains.
+func (r *runner) countFalsePositive(report *Report, proxy int, zone, verdict string, at time.Time) {
+	if strings.HasPrefix(verdict, "passed by this proxy alone") && !r.hasCause(proxy, zone, at) {
+		report.Hasty++
+	}
+	if strings.HasPrefix(verdict, "out (") && strings.Contains(verdict, " from in,") || strings.HasPrefix(verdict, "leaving (") {
+		if !slices.ContainsFunc(r.zoneFaults, func(f zoneFault) bool { return f.zone == zone && f.explains(at) }) {
+			report.Convicted++
+		}
+	}
 }
 
-// worth is the part of the value that was earned in time of what was asked within a span of the day.
-func (p *runner) earnedValuePart(from, to time.Duration) float64 {
-	value, all := 0.0, 0.0
-	for _, q := range p.load.results {
-		route := p.plan.Day.Routes[q.Request.Route]
-		if q.Request.At < from || q.Request.At >= to || q.Outcome == Left {
+// zoneFaultResult calculates a fault's outcome from the proxies' shifts, which are in order for each proxy.
+func (r *runner) zoneFaultResult(fault zoneFault, shifts []zoneShift) ZoneFaultResult {
+	result := ZoneFaultResult{Zone: fault.zone, At: fault.from.Sub(r.log.start)}
+	to := fault.to
+	if to.IsZero() {
+		to = r.log.start.Add(seconds(r.plan.Day.Length))
+	}
+	result.For = to.Sub(fault.from)
+	left, served := map[int]bool{}, map[int]float64{}
+	for _, shift := range shifts {
+		if shift.zone != fault.zone || fault.proxiesInside[shift.proxy] || shift.at.Before(fault.from) {
 			continue
 		}
-		if all += route.Value; q.Outcome == Completed && q.Latency <= millis(route.Objective) {
-			value += route.Value
+		if shift.served == 0 && !left[shift.proxy] && shift.at.Before(to) {
+			left[shift.proxy] = true
+			elapsed := shift.at.Sub(fault.from)
+			if result.First == 0 || elapsed < result.First {
+				result.First = elapsed
+			}
+			result.Last = max(result.Last, elapsed)
+		}
+		if served[shift.proxy] = shift.served; shift.served == 1 && shift.at.After(to) {
+			result.Back = max(result.Back, shift.at.Sub(to))
 		}
 	}
-	return value / max(all, 1e-9)
+	for i := range r.proxies {
+		if !fault.proxiesInside[i] && !left[i] {
+			result.Kept++
+		}
+		if part, ok := served[i]; ok && part < 1 {
+			result.Back = 0 // this proxy has not returned wholly
+		}
+	}
+	start := r.load.start
+	result.WorthAt = r.earnedValuePart(fault.from.Sub(start), fault.from.Add(5*time.Second).Sub(start))
+	result.WorthBack = r.earnedValuePart(to.Sub(start), to.Add(10*time.Second).Sub(start))
+	return result
+}
+
+// hasCause reports whether a proxy may find a zone unreachable at a moment: a fault affected the zone, or the proxy's own.
+func (r *runner) hasCause(proxy int, zone string, at time.Time) bool {
+	return slices.ContainsFunc(r.zoneFaults, func(f zoneFault) bool {
+		return f.explains(at) && (f.zone == zone || f.proxiesInside[proxy])
+	})
 }
