--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -206,8 +206,8 @@
 	d.notifyLocked()
 }
 
-// Mode returns the current mode.
-func (d *Discovery) Mode() Mood {
+// Mood returns the current mode.
+func (d *Discovery) Mood() Mood {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.mode
--- a/internal/emulator/gossip.go
+++ b/internal/emulator/gossip.go
@@ -188,7 +188,7 @@
 	proxy := (k*7 + 3) % len(r.discoveries)
 	for step := range r.discoveries {
 		proxy = (proxy + step) % len(r.discoveries)
-		if r.load.available[proxy].Load() && r.discoveries[proxy].Mode() == discoveryServes {
+		if r.load.available[proxy].Load() && r.discoveries[proxy].Mood() == discoveryServes {
 			break
 		}
 	}
--- a/internal/emulator/scenario_check.go
+++ b/internal/emulator/scenario_check.go
@@ -185,6 +185,7 @@
 	c.require((fault.Kind == "link") == named, "%sfrom, to: missing, or %s takes none", prefix, fault.Kind)
 	for _, pattern := range slices.Concat(fault.From, fault.To) {
 		_, err := path.Match(pattern, "n0")
-		c.require(err == nil && strings.ContainsAny(pattern[:min(len(pattern), 1)], "ncdo*"), "%sfrom, to: %q: no name of a process", prefix, pattern)
+		ofProcess := strings.ContainsAny(pattern[:min(len(pattern), 1)], "ncdo*")
+		c.require(err == nil && ofProcess, "%sfrom, to: %q: no name of a process", prefix, pattern)
 	}
 }
