--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -403,7 +403,8 @@
 	}
 	if 3*informed > 2*len(recent) {
 		s.violate(SlowStartRule, Seen{At: e.At},
-			"node %s, cold for %v, took %d commands in %v, %d of them from proxies that knew; %.0f are allowed", e.Node, e.At-begin.At, len(recent), overloadWindow, informed, limit)
+			"node %s, cold for %v, took %d commands in %v, %d of them from proxies that knew; %.0f are allowed",
+			e.Node, e.At-begin.At, len(recent), overloadWindow, informed, limit)
 	}
 }
 
