emulator: kinds of events and rules are types; the proxies' log texts it reads stand in one place

Events and violations named their kind and rule by bare strings. The texts of the proxies' log lines that figures are read from were spread over two files; they are constants in proxy_log.go, next to the reader. Methods that nobody outside calls are unexported, the cluster's look-up of absent keys takes its lock.

--- a/internal/emulator/bad_clients.go
+++ b/internal/emulator/bad_clients.go
@@ -59,7 +59,7 @@
 	defer closeConn()
 	defer context.AfterFunc(ctx, closeConn)()
 	for i := range slowReaderRequests {
-		_, err := conn.Write(EncodeCommand("KV.GET", keyName(uint64(i)), fmt.Sprint(id, "-", i), route.requestFacts()))
+		_, err := conn.Write(encodeCommand("KV.GET", keyName(uint64(i)), fmt.Sprint(id, "-", i), route.requestFacts()))
 		if err != nil {
 			return
 		}
--- a/internal/emulator/cluster.go
+++ b/internal/emulator/cluster.go
@@ -12,7 +12,7 @@
 // cluster is the state that nodes share: which cache has which keys, and what the origin has carried out. Its methods may be
 // called concurrently, those whose name ends in Locked with mu held.
 type cluster struct {
-	Log       *EventLog
+	log       *EventLog
 	scenario  *Day
 	valueSize int      // bytes
 	network   *network // nil: nothing stands between processes
@@ -29,7 +29,7 @@
 
 func newCluster(scenario *Day, log *EventLog) *cluster {
 	return &cluster{
-		Log: log, valueSize: scenario.Keys.Size, scenario: scenario, zones: map[string]string{},
+		log: log, valueSize: scenario.Keys.Size, scenario: scenario, zones: map[string]string{},
 		cached: map[string]map[string]bool{}, missedBy: map[string][]string{}, lastRun: map[string]time.Time{},
 		routes: map[string]Route{}, proxyOf: map[string]int{}, written: map[string]bool{},
 	}
@@ -113,8 +113,8 @@
 		c.writeLocked(n, r)
 		return nil
 	}
-	if c.isAbsent(r.key) {
-		c.Log.Record(Seen{What: Lacked, ID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.key})
+	if c.isAbsentLocked(r.key) {
+		c.log.Record(Seen{What: Lacked, ID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.key})
 		return errNoSuchKey
 	}
 	for _, name := range c.missedBy[r.id] {
@@ -132,7 +132,7 @@
 		if r.idempotencyKey != "" {
 			c.lastRun[r.idempotencyKey] = time.Now()
 		}
-		c.Log.Record(Seen{What: Ran, ID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.idempotencyKey})
+		c.log.Record(Seen{What: Ran, ID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.idempotencyKey})
 	}
 	c.written[r.key] = true
 	for _, keys := range c.cached {
@@ -140,8 +140,14 @@
 	}
 }
 
-// isAbsent reports whether the origin has no such key by now. Once nodes serve, mu is held.
+// isAbsent reports whether the origin has no such key by now.
 func (c *cluster) isAbsent(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isAbsentLocked(key)
+}
+
+func (c *cluster) isAbsentLocked(key string) bool {
 	part := c.scenario.Missing.Part
 	return part > 0 && !c.written[key] && hashedFloat("missing", key) < part
 }
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -159,9 +159,9 @@
 	d.log.Record(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
 }
 
-// RecordKnownAtStart records which endpoints are not active as a proxy process starts: this counts as delivered from that
+// recordKnownAtStart records which endpoints are not active as a proxy process starts: this counts as delivered from that
 // process's first moment, whether or not a watch is open.
-func (d *Discovery) RecordKnownAtStart() {
+func (d *Discovery) recordKnownAtStart() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, row := range d.currentRows() {
@@ -171,16 +171,16 @@
 	}
 }
 
-// SilenceOpenWatches has the open watches stay open and be sent nothing; later ones are served.
-func (d *Discovery) SilenceOpenWatches() {
+// silenceOpenWatches has the open watches stay open and be sent nothing; later ones are served.
+func (d *Discovery) silenceOpenWatches() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.silencedWatches++
 	d.notifyLocked()
 }
 
-// SetWithholding begins to hold back published changes, or publishes those held back.
-func (d *Discovery) SetWithholding(on bool) {
+// setWithholding begins to hold back published changes, or publishes those held back.
+func (d *Discovery) setWithholding(on bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.withholding = on
--- a/internal/emulator/eventlog.go
+++ b/internal/emulator/eventlog.go
@@ -6,21 +6,24 @@
 	"time"
 )
 
-// What the stand-ins record.
+// EventKind is what a stand-in has recorded.
+type EventKind string
+
+// Kinds of events.
 const (
-	Asked    = "asked"    // a client has written a whole request
-	Answered = "answered" // a client has a final answer: Note is the outcome, Made the request that its value was made for
-	Closed   = "closed"   // a connection ended during a request
-	Went     = "went"     // a client left before the answer
-	Took     = "took"     // a node has received a whole attempt
-	Ran      = "ran"      // the origin carried out a write, whose idempotency key is Note
-	Lacked   = "lacked"   // the origin has no key Note, and answered so
-	Told     = "told"     // discovery delivered an endpoint's status, Note, to a proxy
-	Began    = "began"    // a node begins its slow start: Figure is its full capacity in commands a second
-	Ended    = "ended"    // a proxy process ended: Note is how
-	Shared   = "shared"   // a proxy reports Figure as its quota, the part of the fleet's limits, and Note as its rows of nodes
-	Paused   = "paused"   // a proxy process was stopped by a signal, or continued: Note is pauseBegins or pauseEnds
-	Late     = "late"     // the load generator sent a request Figure milliseconds too late
+	Asked    EventKind = "asked"    // a client has written a whole request
+	Answered EventKind = "answered" // a client has a final answer: Note is the outcome, Made the request that its value was made for
+	Closed   EventKind = "closed"   // a connection ended during a request
+	Went     EventKind = "went"     // a client left before the answer
+	Took     EventKind = "took"     // a node has received a whole attempt
+	Ran      EventKind = "ran"      // the origin carried out a write, whose idempotency key is Note
+	Lacked   EventKind = "lacked"   // the origin has no key Note, and answered so
+	Told     EventKind = "told"     // discovery delivered an endpoint's status, Note, to a proxy
+	Began    EventKind = "began"    // a node begins its slow start: Figure is its full capacity in commands a second
+	Ended    EventKind = "ended"    // a proxy process ended: Note is how
+	Shared   EventKind = "shared"   // a proxy reports Figure as its quota, the part of the fleet's limits, and Note as its rows of nodes
+	Paused   EventKind = "paused"   // a proxy process was stopped by a signal, or continued: Note is pauseBegins or pauseEnds
+	Late     EventKind = "late"     // the load generator sent a request Figure milliseconds too late
 )
 
 // Notes of Ended events.
@@ -42,7 +45,7 @@
 // Seen is a recorded event.
 type Seen struct {
 	At             time.Duration // from the event log's start
-	What           string
+	What           EventKind
 	ID             string // of the request
 	Proxy          int    // -1: none
 	Node           string
@@ -81,8 +84,8 @@
 	return slices.Clone(l.events)
 }
 
-// EventsOfRequest returns the events of one request.
-func EventsOfRequest(events []Seen, id string) []Seen {
+// eventsOfRequest returns the events of one request.
+func eventsOfRequest(events []Seen, id string) []Seen {
 	var related []Seen
 	for _, e := range events {
 		if e.ID == id {
--- a/internal/emulator/fake_proxy_test.go
+++ b/internal/emulator/fake_proxy_test.go
@@ -85,7 +85,7 @@
 	for _, c := range []struct {
 		name   string
 		answer func(id string, number int) fakeAnswer
-		rule   string
+		rule   emulator.Rule
 	}{
 		{"behaves", func(id string, _ int) fakeAnswer { return fakeAnswer{text: validValue(id)} }, ""},
 		{"sheds load", func(string, int) fakeAnswer { return fakeAnswer{text: "-BUSY 10\r\n"} }, ""},
--- a/internal/emulator/gossip.go
+++ b/internal/emulator/gossip.go
@@ -35,9 +35,6 @@
 
 // setUpGossip chooses where a proxy's peers reach it: at a relay, which has an IP address of its own, as the proxy has.
 func (r *runner) setUpGossip(i int, m *managedProxy) error {
-	if i == 0 {
-		r.addressPrefix, r.proxyByIP = nextAddressPrefix(), map[string]string{}
-	}
 	proxyIP, relayIP := fmt.Sprint(r.addressPrefix, i+1), fmt.Sprint(r.addressPrefix, i+101)
 	listen, err := freePort(proxyIP)
 	if err != nil {
@@ -164,7 +161,7 @@
 		proxy := r.pickAnnounced(k)
 		// the other proxies' discovery agents count this version too, and hold it back
 		for i, d := range r.discoveries {
-			d.SetWithholding(i != proxy)
+			d.setWithholding(i != proxy)
 			d.Say(r.endpointRow(n, i, statusActive))
 		}
 		r.mu.Lock()
@@ -178,7 +175,7 @@
 	r.nodes = append(r.nodes, added...)
 	r.mu.Unlock()
 	for _, d := range r.discoveries {
-		d.SetWithholding(false)
+		d.setWithholding(false)
 	}
 }
 
--- a/internal/emulator/gossip_report.go
+++ b/internal/emulator/gossip_report.go
@@ -1,45 +1,11 @@
 package emulator
 
 import (
-	"encoding/json"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"time"
 )
 
-// Beginnings of the proxies' log messages that are looked for.
-const (
-	messageStarted  = "started"
-	messageStalled  = "peers: stood still"
-	messageCaughtUp = "peers: caught up"
-	messageNewRow   = "new on the list"
-)
-
-// logLine is what is read of a line of a proxy's log.
-type logLine struct {
-	At   float64 `json:"ts"` // Unix seconds
-	Msg  string  `json:"msg"`
-	Peer string  `json:"peer"`
-}
-
-// eachLogLine calls f with each line of each proxy's log that can be read, in order.
-func (r *runner) eachLogLine(f func(proxy int, line logLine)) {
-	for i, m := range r.proxies {
-		text, err := os.ReadFile(filepath.Join(m.config.Dir, "log"))
-		if err != nil {
-			continue // proxies that are not processes have none
-		}
-		for raw := range strings.SplitSeq(string(text), "\n") {
-			var line logLine
-			if json.Unmarshal([]byte(raw), &line) == nil {
-				f(i, line)
-			}
-		}
-	}
-}
-
 // measureGossip reads from the proxies' logs when each learnt of announced nodes and caught up, and calculates the traffic.
 func (r *runner) measureGossip(report *Report) {
 	if !r.plan.Day.Peers.Talk {
--- a/internal/emulator/helpers_test.go
+++ b/internal/emulator/helpers_test.go
@@ -145,8 +145,8 @@
 }
 
 // countViolations counts violations by rule.
-func countViolations(r *emulator.Report) map[string]int {
-	counts := map[string]int{}
+func countViolations(r *emulator.Report) map[emulator.Rule]int {
+	counts := map[emulator.Rule]int{}
 	for _, v := range r.Breaches {
 		counts[v.Rule]++
 	}
--- a/internal/emulator/inject.go
+++ b/internal/emulator/inject.go
@@ -160,17 +160,17 @@
 
 func (r *runner) injectStaleDiscovery(ctx context.Context, fault activeFault) {
 	for _, i := range fault.Targets {
-		r.discoveries[i].SetWithholding(true)
+		r.discoveries[i].setWithholding(true)
 	}
 	sleep(ctx, fault.duration)
 	for _, i := range fault.Targets {
-		r.discoveries[i].SetWithholding(false)
+		r.discoveries[i].setWithholding(false)
 	}
 }
 
 func (r *runner) injectSilencedWatches(_ context.Context, fault activeFault) {
 	for _, i := range fault.Targets {
-		r.discoveries[i].SilenceOpenWatches()
+		r.discoveries[i].silenceOpenWatches()
 	}
 }
 
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -8,24 +8,27 @@
 	"time"
 )
 
-// Rules that every scenario is checked by. The texts appear in reports.
+// Rule is an invariant, by the text that appears in reports.
+type Rule string
+
+// Rules that every scenario is checked by.
 const (
 	// FinalAnswerRule: each request that is accepted has one answer before its overall timeout, and nothing after it.
-	FinalAnswerRule = "one final answer"
+	FinalAnswerRule Rule = "one final answer"
 	// OwnValueRule: the value of an answer was made for its request.
-	OwnValueRule = "its own value"
+	OwnValueRule Rule = "its own value"
 	// SingleEffectRule: a write is carried out once.
-	SingleEffectRule = "no effect twice"
+	SingleEffectRule Rule = "no effect twice"
 	// DrainRule: a draining node receives nothing once drainGrace has passed since its proxy was notified.
-	DrainRule = "drains kept"
+	DrainRule Rule = "drains kept"
 	// SlowStartRule: a node in slow start is not overloaded.
-	SlowStartRule = "no cold node pushed over"
+	SlowStartRule Rule = "no cold node pushed over"
 	// CrashRule: no proxy process ends by itself.
-	CrashRule = "no crash"
+	CrashRule Rule = "no crash"
 	// FreshAbsenceRule: no key that exists is reported missing for longer than maxAbsentStaleness after it was written.
-	FreshAbsenceRule = "no key missing past its time"
+	FreshAbsenceRule Rule = "no key missing past its time"
 	// QuotaRule: the quotas that running proxies report add up to at most the fleet's limits.
-	QuotaRule = "shares kept"
+	QuotaRule Rule = "shares kept"
 )
 
 // What the rules allow.
@@ -41,7 +44,7 @@
 
 // Violation is a broken rule.
 type Violation struct {
-	Rule   string
+	Rule   Rule
 	At     time.Duration
 	ID     string // of the request; "" where it is not one's
 	Text   string
@@ -72,7 +75,7 @@
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
 	for i, v := range c.violations {
 		if v.ID != "" {
-			c.violations[i].Events = EventsOfRequest(events, v.ID)
+			c.violations[i].Events = eventsOfRequest(events, v.ID)
 		}
 	}
 	return c
@@ -81,7 +84,7 @@
 // findings collects violations.
 type findings struct{ violations []Violation }
 
-func (f *findings) violate(rule string, event Seen, format string, args ...any) {
+func (f *findings) violate(rule Rule, event Seen, format string, args ...any) {
 	f.violations = append(f.violations, Violation{Rule: rule, At: event.At, ID: event.ID, Text: fmt.Sprintf(format, args...)})
 }
 
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -9,7 +9,7 @@
 )
 
 // event returns an event of the first proxy at a number of milliseconds.
-func event(atMS int, what, id, node, note string) emulator.Seen {
+func event(atMS int, what emulator.EventKind, id, node, note string) emulator.Seen {
 	return emulator.Seen{At: time.Duration(atMS) * time.Millisecond, What: what, ID: id, Node: node, Note: note, Made: id, Proxy: 0}
 }
 
@@ -50,7 +50,7 @@
 type ruleCase struct {
 	name  string
 	trace []emulator.Seen
-	rule  string // "": none is broken
+	rule  emulator.Rule // "": none is broken
 }
 
 var answerCases = []ruleCase{
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -127,7 +127,7 @@
 	if err := c.SetDeadline(time.Now().Add(pingTimeout)); err != nil {
 		return err
 	}
-	if _, err := c.Write(EncodeCommand("PING")); err != nil {
+	if _, err := c.Write(encodeCommand("PING")); err != nil {
 		return err
 	}
 	_, _, err := Answer(c.reader)
@@ -267,12 +267,12 @@
 func (r Route) encode(request Request) []byte {
 	facts := r.requestFacts()
 	if !r.Write {
-		return EncodeCommand("KV.GET", request.Key, request.ID, facts)
+		return encodeCommand("KV.GET", request.Key, request.ID, facts)
 	}
 	if r.Dedup > 0 {
 		facts += ",k=w" + request.ID
 	}
-	return EncodeCommand("KV.SET", request.Key, request.ID, facts, writtenValue)
+	return encodeCommand("KV.SET", request.Key, request.ID, facts, writtenValue)
 }
 
 // unanswered closes a connection on which no answer began, for an error, and records why.
@@ -299,7 +299,7 @@
 	switch {
 	case head[0] == '$':
 		outcome = Completed
-		if _, event.Made = ParseValue(body); head == nullBulk {
+		if _, event.Made = parseValue(body); head == nullBulk {
 			event.Node = noSuchKey
 		}
 	case head == "-BUSY" || strings.HasPrefix(head, "-BUSY "):
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -66,7 +66,7 @@
 func NewNode(ip, name string, origin bool, proxies int, log *EventLog) (*Node, error) {
 	n := &Node{
 		Name: name, Origin: origin, conns: map[net.Conn]struct{}{}, affectedPart: 1, modeChanged: make(chan struct{}),
-		cluster: &cluster{Log: log},
+		cluster: &cluster{log: log},
 	}
 	for range proxies {
 		listener, err := net.Listen("tcp", ip+":0")
@@ -243,7 +243,7 @@
 	}
 	key, id, facts := words[1], words[2], words[3]
 	proxy = n.cluster.proxyFor(id, proxy)
-	n.cluster.Log.Record(Seen{What: Took, ID: id, Proxy: proxy, Node: n.Name, Note: idempotencyKeyOf(facts)})
+	n.cluster.log.Record(Seen{What: Took, ID: id, Proxy: proxy, Node: n.Name, Note: idempotencyKeyOf(facts)})
 	command := n.nextMode(id)
 	if command.mode == modeServe {
 		cached, err := n.cluster.lookUp(n, proxy, id, key)
@@ -316,7 +316,7 @@
 	if fetch.write && strings.Trim(string(body), writtenValueByte) != "" {
 		return errConnectionEnds // the value is not what clients write
 	}
-	n.cluster.Log.Record(Seen{What: Took, ID: id, Proxy: fetch.proxy, Node: n.Name, Note: fetch.idempotencyKey})
+	n.cluster.log.Record(Seen{What: Took, ID: id, Proxy: fetch.proxy, Node: n.Name, Note: fetch.idempotencyKey})
 	command := n.nextMode(id)
 	if command.mode != modeServe {
 		time.Sleep(command.delay)
--- a/internal/emulator/proxies.go
+++ b/internal/emulator/proxies.go
@@ -82,6 +82,9 @@
 // configureProxies chooses the proxies' addresses and writes their files. All ports are held until each proxy has one: a port that
 // is free again may be the next proxy's, and two proxies that share one are each given a part of the other's clients.
 func (r *runner) configureProxies() error {
+	if r.plan.Day.Peers.Talk {
+		r.addressPrefix, r.proxyByIP = nextAddressPrefix(), map[string]string{}
+	}
 	for i := range r.plan.Day.Proxies {
 		listener, err := net.Listen("tcp", r.options.IP+":0")
 		if err != nil {
@@ -111,7 +114,7 @@
 	if err := r.configureFeatures(i, m); err != nil {
 		return err
 	}
-	text, err := json.Marshal(r.proxyConfig(i, m.config))
+	text, err := json.Marshal(r.configFileContent(i, m.config))
 	if err != nil {
 		return err
 	}
@@ -150,8 +153,8 @@
 	return nil
 }
 
-// proxyConfig returns what a proxy's configuration file holds.
-func (r *runner) proxyConfig(i int, config ProxyConfig) map[string]any {
+// configFileContent returns what a proxy's configuration file holds.
+func (r *runner) configFileContent(i int, config ProxyConfig) map[string]any {
 	limits := r.plan.Day.Limits
 	file := map[string]any{
 		"name": config.Name, "listen": config.Listen, "discovery": config.Discovery,
--- a/internal/emulator/proxy_process.go
+++ b/internal/emulator/proxy_process.go
@@ -37,7 +37,7 @@
 	if alreadyRunning {
 		return nil
 	}
-	r.discoveries[i].RecordKnownAtStart()
+	r.discoveries[i].recordKnownAtStart()
 	process, err := r.options.Start(m.config)
 	if err != nil {
 		return err
@@ -108,7 +108,7 @@
 	if conn.SetDeadline(time.Now().Add(2*time.Second)) != nil {
 		return false
 	}
-	if _, err := conn.Write(EncodeCommand("PING")); err != nil {
+	if _, err := conn.Write(encodeCommand("PING")); err != nil {
 		return false
 	}
 	answer := make([]byte, len("+PONG"))
--- a/internal/emulator/resp.go
+++ b/internal/emulator/resp.go
@@ -45,8 +45,8 @@
 	return head, string(content[:length]), nil
 }
 
-// EncodeCommand returns a command as an array of bulk strings.
-func EncodeCommand(words ...string) []byte {
+// encodeCommand returns a command as an array of bulk strings.
+func encodeCommand(words ...string) []byte {
 	b := fmt.Appendf(nil, "*%d\r\n", len(words))
 	for _, w := range words {
 		b = fmt.Appendf(b, "$%d\r\n%s\r\n", len(w), w)
@@ -79,8 +79,8 @@
 	return v + strings.Repeat(".", max(size-len(v), 0))
 }
 
-// ParseValue returns by which node and for which request a value was made.
-func ParseValue(v string) (maker, id string) {
+// parseValue returns by which node and for which request a value was made.
+func parseValue(v string) (maker, id string) {
 	maker, id, _ = strings.Cut(strings.TrimRight(v, "."), ":")
 	return maker, id
 }
--- a/internal/emulator/zone_faults.go
+++ b/internal/emulator/zone_faults.go
@@ -145,14 +145,14 @@
 func (r *runner) measureZoneHealth(report *Report) {
 	var shifts []zoneShift
 	r.eachLogLine(func(proxy int, line logLine) {
-		message, ok := strings.CutPrefix(line.Msg, "zones: zone ")
+		message, ok := strings.CutPrefix(line.Msg, messageZone)
 		if !ok {
 			return
 		}
 		at := time.UnixMicro(int64(line.At * 1e6))
 		zone, verdict, _ := strings.Cut(message, ": ")
 		var served float64
-		if n, err := fmt.Sscanf(verdict, "%f of its keys are served there", &served); n == 1 && err == nil {
+		if n, err := fmt.Sscanf(verdict, verdictServed, &served); n == 1 && err == nil {
 			shifts = append(shifts, zoneShift{proxy, zone, at, served})
 		}
 		r.countFalsePositive(report, proxy, zone, verdict, at)
@@ -164,13 +164,12 @@
 
 // countFalsePositive counts a verdict on a zone that no fault explains.
 func (r *runner) countFalsePositive(report *Report, proxy int, zone, verdict string, at time.Time) {
-	if strings.HasPrefix(verdict, "passed by this proxy alone") && !r.hasCause(proxy, zone, at) {
+	if strings.HasPrefix(verdict, verdictPassedByAlone) && !r.hasCause(proxy, zone, at) {
 		report.Hasty++
 	}
-	if strings.HasPrefix(verdict, "out (") && strings.Contains(verdict, " from in,") || strings.HasPrefix(verdict, "leaving (") {
-		if !slices.ContainsFunc(r.zoneFaults, func(f zoneFault) bool { return f.zone == zone && f.explains(at) }) {
-			report.Convicted++
-		}
+	evacuated := strings.HasPrefix(verdict, verdictOut) && strings.Contains(verdict, verdictFromIn) || strings.HasPrefix(verdict, verdictLeaving)
+	if evacuated && !slices.ContainsFunc(r.zoneFaults, func(f zoneFault) bool { return f.zone == zone && f.explains(at) }) {
+		report.Convicted++
 	}
 }
 
