--- a/internal/emulator/zone_faults.go
+++ b/internal/emulator/zone_faults.go
@@ -167,7 +167,8 @@
 	if strings.HasPrefix(verdict, verdictPassedByAlone) && !r.hasCause(proxy, zone, at) {
 		report.Hasty++
 	}
-	evacuated := strings.HasPrefix(verdict, verdictOut) && strings.Contains(verdict, verdictFromIn) || strings.HasPrefix(verdict, verdictLeaving)
+	evacuated := strings.HasPrefix(verdict, verdictLeaving) ||
+		strings.HasPrefix(verdict, verdictOut) && strings.Contains(verdict, verdictFromIn)
 	if evacuated && !slices.ContainsFunc(r.zoneFaults, func(f zoneFault) bool { return f.zone == zone && f.explains(at) }) {
 		report.Convicted++
 	}
