--- /dev/null
+++ b/internal/emulator/absence_check.go
@@ -0,0 +1,39 @@
+package emulator
+
+import (
+	"time"
+)
+
+// absenceCheck checks FreshAbsenceRule.
+type absenceCheck struct {
+	*findings
+	processes    *processHistory
+	scenario     *Day
+	keys         map[string]string        // by request
+	firstWritten map[string]time.Duration // by key
+	maxStaleness time.Duration            // the longest for which a key was reported missing after it was written
+}
+
+func (a *absenceCheck) observeWrite(e Seen) {
+	if _, ok := a.firstWritten[a.keys[e.ID]]; !ok {
+		a.firstWritten[a.keys[e.ID]] = e.At
+	}
+}
+
+// observeAbsent checks an answer that there is no such key to a request that was asked at a moment.
+func (a *absenceCheck) observeAbsent(e Seen, askedAt time.Duration) {
+	key, limit := a.keys[e.ID], a.scenario.maxAbsentStaleness()
+	written, ok := a.firstWritten[key]
+	if !ok && hashedFloat("missing", key) >= a.scenario.Missing.Part {
+		a.violate(FreshAbsenceRule, e, "key %s of request %s was always there, and is called missing", key, e.ID)
+		return
+	}
+	staleness := askedAt - written
+	if !ok || staleness <= 0 {
+		return
+	}
+	a.maxStaleness = max(a.maxStaleness, staleness)
+	if staleness > limit && !a.processes.wasPaused(e.Proxy, written, e.At) {
+		a.violate(FreshAbsenceRule, e, "key %s of request %s is called missing %v after it was written, over %v", key, e.ID, staleness, limit)
+	}
+}
--- /dev/null
+++ b/internal/emulator/drain_check.go
@@ -0,0 +1,37 @@
+package emulator
+
+import (
+	"time"
+)
+
+// drainCheck checks DrainRule.
+type drainCheck struct {
+	*findings
+	processes *processHistory
+	since     map[proxyNode]time.Duration // when a proxy was notified of a drain that lasts
+}
+
+func (d *drainCheck) observeDelivery(e Seen) {
+	node := proxyNode{e.Proxy, e.Node}
+	if e.Note == statusActive {
+		delete(d.since, node)
+	} else if _, draining := d.since[node]; !draining {
+		d.since[node] = e.At
+	}
+}
+
+func (d *drainCheck) observeArrival(e Seen) {
+	since, draining := d.since[proxyNode{e.Proxy, e.Node}]
+	if !draining {
+		return
+	}
+	p := d.processes.pauses[e.Proxy]
+	for i := 0; i+1 < len(p); i += 2 { // what is delivered to a paused process it reads when it continues
+		if since >= p[i]-drainGrace && since <= p[i+1] {
+			since = max(since, p[i+1])
+		}
+	}
+	if e.At > since+drainGrace+timingSlack {
+		d.violate(DrainRule, e, "node %s took request %s from proxy %d %v after that was told", e.Node, e.ID, e.Proxy, e.At-since)
+	}
+}
