--- a/internal/emulator/proxies.go
+++ b/internal/emulator/proxies.go
@@ -15,6 +15,12 @@
 // parallelStarts is how many proxies are started at a time.
 const parallelStarts = 8
 
+// Gossiping proxies have found each other, and have their whole quotas, so long after the last was started.
+const (
+	gossipSettleTime         = 6 * time.Second
+	gossipSettleTimePerProxy = 50 * time.Millisecond
+)
+
 // ProxyConfig is where a proxy finds its configuration and where it serves. A file or address that is "" is not configured, and
 // the proxy goes without what it is for.
 type ProxyConfig struct {
@@ -73,7 +79,7 @@
 	if starts.Wait(); failed.Load() != nil {
 		return *failed.Load()
 	}
-	if d.Peers.Talk && !sleep(ctx, 6*time.Second+time.Duration(d.Proxies)*50*time.Millisecond) {
+	if d.Peers.Talk && !sleep(ctx, gossipSettleTime+time.Duration(d.Proxies)*gossipSettleTimePerProxy) {
 		return ctx.Err()
 	}
 	return nil
--- a/internal/emulator/zone_faults.go
+++ b/internal/emulator/zone_faults.go
@@ -16,6 +16,12 @@
 // zoneFaultGrace is how long after a zone fault's end a verdict may still come of it.
 const zoneFaultGrace = 2 * time.Second
 
+// Spans over which the earned part of the requests' value is measured: from a zone fault's begin, and from its end.
+const (
+	valueSpanDuring = 5 * time.Second
+	valueSpanAfter  = 10 * time.Second
+)
+
 // ZoneFaultResult is the outcome of a zone fault. Times count from the fault's begin, or where stated from its end.
 type ZoneFaultResult struct {
 	Zone        string
@@ -208,8 +214,8 @@
 		}
 	}
 	start := r.load.start
-	result.WorthAt = r.earnedValuePart(fault.from.Sub(start), fault.from.Add(5*time.Second).Sub(start))
-	result.WorthBack = r.earnedValuePart(to.Sub(start), to.Add(10*time.Second).Sub(start))
+	result.WorthAt = r.earnedValuePart(fault.from.Sub(start), fault.from.Add(valueSpanDuring).Sub(start))
+	result.WorthBack = r.earnedValuePart(to.Sub(start), to.Add(valueSpanAfter).Sub(start))
 	return result
 }
 
