--- /dev/null
+++ b/internal/emulator/background_load.go
@@ -0,0 +1,118 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Together is the load that all proxies together put on nodes and discovery besides requests.
+type Together struct {
+	Trials  float64 // commands a second that a silent node received, from silenceGrace after it fell silent on
+	Watches float64 // mean number of open discovery watches
+	Calls   float64 // discovery watches opened a second
+	Conns   float64 // mean number of connections open at a cache
+	Most    int     // greatest number of connections open at one cache
+}
+
+// silenceGrace is how long proxies have to eject a silent node before its commands are counted as health checks.
+const silenceGrace = 2 * time.Second
+
+// timeSpan is from one moment of a scenario to another, both inclusive.
+type timeSpan struct{ from, to time.Duration }
+
+func (s timeSpan) contains(at time.Duration) bool { return at >= s.from && at <= s.to }
+
+// backgroundSamples is what a Together is calculated from.
+type backgroundSamples struct {
+	// Written by sampleBackgroundLoad alone and read after it has returned.
+	samples      int
+	watches      int
+	connsPerNode float64
+	maxConns     int
+	watchCalls   int64
+	began        time.Time
+
+	mu          sync.Mutex
+	silentTime  time.Duration // from silenceGrace on, over all silent nodes
+	silentSpans map[string]timeSpan
+}
+
+// writeDutyConfig writes a proxy's duties file.
+func (r *runner) writeDutyConfig(m *managedProxy) error {
+	t := r.plan.Day.Turns
+	if !t.On {
+		return nil
+	}
+	m.config.DutiesFile = filepath.Join(m.config.Dir, "turns.toml")
+	return os.WriteFile(m.config.DutiesFile, fmt.Appendf(nil, "watchers = %d\nkeepers = %d\n", t.Watchers, t.Keepers), 0o600)
+}
+
+// recordSilence records for how long a node was silent.
+func (r *runner) recordSilence(n *Node, from, to time.Time) {
+	span := timeSpan{from.Add(silenceGrace).Sub(r.log.start), to.Sub(r.log.start)}
+	if span.to <= span.from {
+		return
+	}
+	b := &r.backgroundLoad
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silentTime += span.to - span.from
+	if b.silentSpans == nil {
+		b.silentSpans = map[string]timeSpan{}
+	}
+	b.silentSpans[n.Name] = span
+}
+
+// sampleBackgroundLoad counts open connections and watches at each statusPollInterval until the context ends.
+func (r *runner) sampleBackgroundLoad(ctx context.Context) {
+	b := &r.backgroundLoad
+	b.began, b.watchCalls = time.Now(), -r.discoveryCalls()
+	for sleep(ctx, statusPollInterval) {
+		r.mu.Lock()
+		nodes := slices.Clone(r.nodes)
+		r.mu.Unlock()
+		sum := 0
+		for _, n := range nodes {
+			open := n.Open()
+			sum += open
+			b.maxConns = max(b.maxConns, open)
+		}
+		b.samples++
+		b.connsPerNode += float64(sum) / float64(len(nodes))
+		for _, d := range r.discoveries {
+			b.watches += int(d.Watches.Load())
+		}
+	}
+	b.watchCalls += r.discoveryCalls()
+}
+
+// discoveryCalls returns how many watches have been opened at all discovery agents.
+func (r *runner) discoveryCalls() (sum int64) {
+	for _, d := range r.discoveries {
+		sum += d.Calls.Load()
+	}
+	return sum
+}
+
+// summarizeBackgroundLoad calculates the load from the samples and the recorded events.
+func (r *runner) summarizeBackgroundLoad(events []Seen) (load Together) {
+	b := &r.backgroundLoad
+	for _, e := range events {
+		if span, ok := b.silentSpans[e.Node]; ok && e.What == Took && span.contains(e.At) {
+			load.Trials++
+		}
+	}
+	if b.silentTime > 0 {
+		load.Trials /= b.silentTime.Seconds()
+	}
+	if b.samples > 0 {
+		load.Watches, load.Conns = float64(b.watches)/float64(b.samples), b.connsPerNode/float64(b.samples)
+		load.Calls, load.Most = float64(b.watchCalls)/time.Since(b.began).Seconds(), b.maxConns
+	}
+	return load
+}
--- /dev/null
+++ b/internal/emulator/cluster.go
@@ -0,0 +1,193 @@
+package emulator
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+)
+
+var errNoSuchKey = errors.New("the origin has no such key")
+
+// cluster is the state that nodes share: which cache has which keys, and what the origin has carried out. Its methods may be
+// called concurrently, those whose name ends in Locked with mu held.
+type cluster struct {
+	log       *EventLog
+	scenario  *Day
+	valueSize int      // bytes
+	network   *network // nil: nothing stands between processes
+
+	mu       sync.Mutex
+	zones    map[string]string          // by node
+	cached   map[string]map[string]bool // by node, the keys that it has
+	missedBy map[string][]string        // by request, the caches that missed until the origin answers
+	lastRun  map[string]time.Time       // by idempotency key, when the origin last carried it out
+	routes   map[string]Route           // by request
+	proxyOf  map[string]int             // by request, the proxy that a client sent it to last
+	written  map[string]bool            // keys that were written
+}
+
+func newCluster(scenario *Day, log *EventLog) *cluster {
+	return &cluster{
+		log: log, valueSize: scenario.Keys.Size, scenario: scenario, zones: map[string]string{},
+		cached: map[string]map[string]bool{}, missedBy: map[string][]string{}, lastRun: map[string]time.Time{},
+		routes: map[string]Route{}, proxyOf: map[string]int{}, written: map[string]bool{},
+	}
+}
+
+// proxyName returns the name of a proxy by its index.
+func proxyName(i int) string { return fmt.Sprintf("n%d", i) }
+
+// recordProxy records to which proxy a client sends a request.
+func (c *cluster) recordProxy(id string, proxy int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.proxyOf[id] = proxy
+}
+
+// proxyFor returns the proxy that a client sent a request to, or the given one where that is not known. An attempt's address does
+// not tell it, since a proxy may have learnt the address from another.
+func (c *cluster) proxyFor(id string, otherwise int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.proxyOf[id]; ok {
+		return p
+	}
+	return otherwise
+}
+
+// crossZoneDelay waits for as long as the way between a proxy and a cache takes more than within a zone.
+func (c *cluster) crossZoneDelay(n *Node, proxy int) {
+	zones := c.scenario.Fleet.Zones
+	if len(zones) <= 1 || n.Origin {
+		return
+	}
+	c.mu.Lock()
+	crossZone := c.zones[n.Name] != zones[proxy%len(zones)]
+	c.mu.Unlock()
+	if crossZone {
+		time.Sleep(millis(c.scenario.Fleet.Cross))
+	}
+}
+
+// lookUp does a cache's work on a command and reports whether it has the key. An error is errQueueFull.
+func (c *cluster) lookUp(n *Node, proxy int, id, key string) (bool, error) {
+	if n.work == nil {
+		return true, nil
+	}
+	c.crossZoneDelay(n, proxy)
+	if err := n.work.process(id, n.Name); err != nil {
+		return false, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached := c.cached[n.Name][key]
+	if !cached {
+		c.missedBy[id] = append(c.missedBy[id], n.Name)
+	}
+	return cached, nil
+}
+
+// originRequest is a request at the origin.
+type originRequest struct {
+	id             string
+	proxy          int
+	key            string
+	idempotencyKey string // "": none
+	write          bool
+}
+
+// fetch does the origin's work on a request. A value that is read is cached from then on by the caches that missed; one that is
+// written is cached nowhere. A write's repeat is dropped within the deduplication window of its idempotency key. An error is
+// errQueueFull or errNoSuchKey.
+func (c *cluster) fetch(n *Node, r originRequest) error {
+	if n.work == nil {
+		return nil
+	}
+	if err := n.work.process(r.id, n.Name); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.write {
+		c.writeLocked(n, r)
+		return nil
+	}
+	if c.isAbsentLocked(r.key) {
+		c.log.Record(Seen{What: Lacked, ID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.key})
+		return errNoSuchKey
+	}
+	for _, name := range c.missedBy[r.id] {
+		if keys := c.cached[name]; keys != nil {
+			keys[r.key] = true
+		}
+	}
+	delete(c.missedBy, r.id)
+	return nil
+}
+
+func (c *cluster) writeLocked(n *Node, r originRequest) {
+	window := millis(c.routes[r.id].Dedup)
+	if at, ok := c.lastRun[r.idempotencyKey]; r.idempotencyKey == "" || !ok || time.Since(at) >= window {
+		if r.idempotencyKey != "" {
+			c.lastRun[r.idempotencyKey] = time.Now()
+		}
+		c.log.Record(Seen{What: Ran, ID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.idempotencyKey})
+	}
+	c.written[r.key] = true
+	for _, keys := range c.cached {
+		delete(keys, r.key)
+	}
+}
+
+// isAbsent reports whether the origin has no such key by now.
+func (c *cluster) isAbsent(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isAbsentLocked(key)
+}
+
+func (c *cluster) isAbsentLocked(key string) bool {
+	part := c.scenario.Missing.Part
+	return part > 0 && !c.written[key] && hashedFloat("missing", key) < part
+}
+
+// resetCache has a node's cache hold the given keys only.
+func (c *cluster) resetCache(name string, keys map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if keys == nil {
+		keys = map[string]bool{}
+	}
+	c.cached[name] = keys
+}
+
+// assignZone puts a node into the next of the zones, if there are any.
+func (c *cluster) assignZone(name string) {
+	zones := c.scenario.Fleet.Zones
+	if len(zones) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.zones[name] = zones[len(c.zones)%len(zones)]
+}
+
+// zoneOf returns a node's zone, "" where it has none.
+func (c *cluster) zoneOf(name string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.zones[name]
+}
+
+// nodesInZone returns the names of a zone's caches.
+func (c *cluster) nodesInZone(zone string) (names []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, z := range c.zones {
+		if z == zone {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/emulator/invariants.go
@@ -0,0 +1,173 @@
+package emulator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Rule is an invariant, by the text that appears in reports.
+type Rule string
+
+// Rules that every scenario is checked by.
+const (
+	// FinalAnswerRule: each request that is accepted has one answer before its overall timeout, and nothing after it.
+	FinalAnswerRule Rule = "one final answer"
+	// OwnValueRule: the value of an answer was made for its request.
+	OwnValueRule Rule = "its own value"
+	// SingleEffectRule: a write is carried out once.
+	SingleEffectRule Rule = "no effect twice"
+	// DrainRule: a draining node receives nothing once drainGrace has passed since its proxy was notified.
+	DrainRule Rule = "drains kept"
+	// SlowStartRule: a node in slow start is not overloaded.
+	SlowStartRule Rule = "no cold node pushed over"
+	// CrashRule: no proxy process ends by itself.
+	CrashRule Rule = "no crash"
+	// FreshAbsenceRule: no key that exists is reported missing for longer than maxAbsentStaleness after it was written.
+	FreshAbsenceRule Rule = "no key missing past its time"
+	// QuotaRule: the quotas that running proxies report add up to at most the fleet's limits.
+	QuotaRule Rule = "shares kept"
+)
+
+// What the rules allow.
+const (
+	timingSlack      = 50 * time.Millisecond // for delays of the machine
+	drainGrace       = 300 * time.Millisecond
+	overloadWindow   = time.Second     // over which a node's load is measured
+	overloadMultiple = 3.0             // a node in slow start bears N, this many times its capacity, and 2 sqrt N + 2 by chance
+	deliveryDeadline = 6 * time.Second // what discovery has to deliver counts as delivered then
+	killWindow       = time.Second     // between a proxy's kill and the end of a client's connection
+	maxQuotaSum      = 1.001           // of all proxies, with rounding
+)
+
+// Violation is a broken rule.
+type Violation struct {
+	Rule   Rule
+	At     time.Duration
+	ID     string // of the request; "" where it is not one's
+	Text   string
+	Events []Seen // the request's
+}
+
+// String returns the violation and its events on a line each.
+func (v Violation) String() string {
+	s := fmt.Sprintf("%s: %.3f s: %s", v.Rule, v.At.Seconds(), v.Text)
+	for _, e := range v.Events {
+		s += fmt.Sprintf("\n    %.4f s %s proxy %d %s %s", e.At.Seconds(), e.What, e.Proxy, e.Node, e.Note)
+	}
+	return s
+}
+
+// CheckInvariants returns the violations in a scenario's events, ordered by time.
+func CheckInvariants(scenario *Day, requests []Request, events []Seen) []Violation {
+	return checkInvariants(scenario, requests, events).violations
+}
+
+// checkInvariants checks events and returns the checker with its findings and measurements.
+func checkInvariants(scenario *Day, requests []Request, events []Seen) *checker {
+	c := newChecker(scenario, requests, newProcessHistory(events))
+	for _, e := range events {
+		c.observe(e)
+	}
+	c.answers.checkUnanswered()
+	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
+	for i, v := range c.violations {
+		if v.ID != "" {
+			c.violations[i].Events = eventsOfRequest(events, v.ID)
+		}
+	}
+	return c
+}
+
+// findings collects violations.
+type findings struct{ violations []Violation }
+
+func (f *findings) violate(rule Rule, event Seen, format string, args ...any) {
+	f.violations = append(f.violations, Violation{Rule: rule, At: event.At, ID: event.ID, Text: fmt.Sprintf(format, args...)})
+}
+
+// proxyNode is a node as one proxy knows it.
+type proxyNode struct {
+	proxy int
+	node  string
+}
+
+// checker checks all rules, one event after the other.
+type checker struct {
+	*findings
+	answers   answerCheck
+	absence   absenceCheck
+	effects   effectCheck
+	drains    drainCheck
+	slowStart slowStartCheck
+	quota     quotaCheck
+}
+
+func newChecker(scenario *Day, requests []Request, processes *processHistory) *checker {
+	routes, keys := map[string]Route{}, map[string]string{}
+	for _, request := range requests {
+		routes[request.ID], keys[request.ID] = scenario.Routes[request.Route], request.Key
+	}
+	found := &findings{}
+	return &checker{
+		findings: found,
+		answers: answerCheck{
+			findings: found, processes: processes, routes: routes, lastAsked: map[string]Seen{}, count: map[string]int{},
+			abandoned: map[string]bool{},
+		},
+		absence: absenceCheck{findings: found, processes: processes, scenario: scenario, keys: keys, firstWritten: map[string]time.Duration{}},
+		effects: effectCheck{findings: found, runs: map[string]int{}},
+		drains:  drainCheck{findings: found, processes: processes, since: map[proxyNode]time.Duration{}},
+		slowStart: slowStartCheck{
+			findings: found, fleet: scenario.Fleet, begins: map[string]Seen{}, arrivals: map[string][]arrival{},
+			startKnown: map[proxyNode]bool{}, overloaded: map[string]bool{},
+		},
+		quota: quotaCheck{findings: found, reports: map[int][]Seen{}},
+	}
+}
+
+func (c *checker) observe(e Seen) {
+	c.answers.last = e.At
+	switch e.What {
+	case Asked:
+		c.answers.observeAsked(e)
+	case Answered:
+		c.observeAnswer(e)
+	case Went:
+		c.answers.abandoned[e.ID] = true
+	case Closed:
+		c.answers.observeClosed(e)
+	case Took:
+		c.drains.observeArrival(e)
+		c.slowStart.observeArrival(e)
+	case Ran:
+		c.absence.observeWrite(e)
+		c.effects.observeWrite(e)
+	case Told:
+		c.drains.observeDelivery(e)
+		c.slowStart.observeDelivery(e)
+	case Began:
+		c.slowStart.observeBegin(e)
+	case Shared:
+		c.quota.observeReport(e)
+	case Ended:
+		delete(c.quota.reports, e.Proxy)
+		if e.Note == endCrashed {
+			c.violate(CrashRule, e, "proxy %d crashed", e.Proxy)
+		}
+	}
+}
+
+func (c *checker) observeAnswer(e Seen) {
+	if !c.answers.observeAnswer(e) {
+		return
+	}
+	completed := e.Note == string(Completed)
+	switch {
+	case completed && e.Node == noSuchKey:
+		c.absence.observeAbsent(e, c.answers.lastAsked[e.ID].At)
+	case completed && e.Made != e.ID:
+		c.violate(OwnValueRule, e, "request %s was answered with a value made for %q", e.ID, e.Made)
+	}
+}
--- /dev/null
+++ b/internal/emulator/load.go
@@ -0,0 +1,314 @@
+package emulator
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Outcome is how a request ended for its client.
+type Outcome string
+
+// Outcomes of requests.
+const (
+	Completed Outcome = "completed" // answered with success, in time or not
+	Shed      Outcome = "shed"      // answered as rejected by load shedding
+	Errored   Outcome = "errored"   // answered with another error
+	Lost      Outcome = "lost"      // not answered
+	Left      Outcome = "left"      // the client left before the answer
+	Refused   Outcome = "refused"   // no proxy accepted a connection
+)
+
+// Result is the outcome of one request. Both times count from when the request was scheduled.
+type Result struct {
+	Request   Request
+	Outcome   Outcome
+	Latency   time.Duration
+	SendDelay time.Duration
+}
+
+const (
+	dialTimeout         = time.Second
+	pingTimeout         = 2 * time.Second
+	lateSendThreshold   = 5 * time.Millisecond   // a request sent later than that shows that the load generator itself ran late
+	clientGrace         = 500 * time.Millisecond // beyond the overall timeout, until a client gives up
+	longAnswerTimeout   = 10 * time.Second       // for the rest of an answer that has begun
+	idleProbeTimeout    = 100 * time.Microsecond // within which an end of an idle connection, or an unexpected answer, is seen
+	dialAttempts        = 3
+	dialRetryDelay      = 20 * time.Millisecond
+	clientBufferSize    = 2 << 10
+	writtenValue        = "vvvvvvvv"
+	noteInAnswer        = "amid the answer" // Closed: in the middle of an answer
+	noteUnexpectedReply = "again"           // Answered: without another request
+)
+
+// loadGenerator sends the plan's requests at their times, whatever has become of earlier ones (open loop).
+type loadGenerator struct {
+	plan      *Plan
+	log       *EventLog
+	cluster   *cluster
+	available []*atomic.Bool // by proxy: clients are sent to it
+	addresses []string       // by proxy
+	inFlight  sync.WaitGroup
+	start     time.Time // of the scenario
+
+	mu      sync.Mutex
+	idle    [][]*clientConn // by proxy
+	results []Result
+}
+
+func newLoadGenerator(plan *Plan, log *EventLog, c *cluster) *loadGenerator {
+	return &loadGenerator{plan: plan, log: log, cluster: c, idle: make([][]*clientConn, plan.Day.Proxies)}
+}
+
+// addProxy adds the next proxy, which is not available yet.
+func (g *loadGenerator) addProxy(address string) {
+	g.available, g.addresses = append(g.available, &atomic.Bool{}), append(g.addresses, address)
+}
+
+// clientConn is a client's connection.
+type clientConn struct {
+	net.Conn
+	reader        *bufio.Reader
+	proxy         int
+	reused        bool   // it served a request before
+	lastRequestID string // of the latest request on it
+}
+
+func (g *loadGenerator) dial(proxy int) (*clientConn, error) {
+	conn, err := net.DialTimeout("tcp", g.addresses[proxy], dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: conn, reader: bufio.NewReaderSize(conn, clientBufferSize), proxy: proxy}, nil
+}
+
+// requestFacts are the facts that a client states of a request, but for its idempotency key.
+func (r Route) requestFacts() string { return fmt.Sprintf("c=%s,t=all,d=%d", r.Name, int(r.Overall)) }
+
+// run sends the requests, until all are sent or the context ends.
+func (g *loadGenerator) run(ctx context.Context, start time.Time) {
+	g.start = start
+	for _, request := range g.plan.Requests {
+		scheduledAt := start.Add(request.At)
+		if !sleep(ctx, time.Until(scheduledAt)) {
+			return
+		}
+		g.inFlight.Go(func() { g.sendOne(request, scheduledAt) })
+	}
+}
+
+// openHeldConns opens the connections that clients hold throughout the scenario.
+func (g *loadGenerator) openHeldConns() error {
+	for proxy := range g.addresses {
+		for range g.plan.Day.Load.Connections {
+			conn, err := g.dial(proxy)
+			if err != nil {
+				return err
+			}
+			if err := conn.ping(); err != nil {
+				return fmt.Errorf("a client is not let in: %w", errors.Join(err, conn.Close()))
+			}
+			g.idle[proxy] = append(g.idle[proxy], conn)
+		}
+	}
+	return nil
+}
+
+// ping checks that the proxy has admitted the connection.
+func (c *clientConn) ping() error {
+	if err := c.SetDeadline(time.Now().Add(pingTimeout)); err != nil {
+		return err
+	}
+	if _, err := c.Write(encodeCommand("PING")); err != nil {
+		return err
+	}
+	_, _, err := Answer(c.reader)
+	return err
+}
+
+// close waits for all outcomes and closes the connections.
+func (g *loadGenerator) close() {
+	g.inFlight.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, conns := range g.idle {
+		for _, conn := range conns {
+			_ = conn.Close() // the proxy may have closed it
+		}
+	}
+	g.idle = nil
+}
+
+func (g *loadGenerator) sendOne(request Request, scheduledAt time.Time) {
+	sendDelay := time.Since(scheduledAt)
+	if sendDelay > lateSendThreshold {
+		g.log.Record(Seen{What: Late, ID: request.ID, Proxy: -1, Figure: float64(sendDelay) / 1e6})
+	}
+	outcome := g.perform(request)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.results = append(g.results, Result{request, outcome, time.Since(scheduledAt), sendDelay})
+}
+
+// pickProxy returns the request's own proxy, or the next that is available.
+func (g *loadGenerator) pickProxy(request Request) int {
+	for i := range g.available {
+		if proxy := (request.Proxy + i) % len(g.available); g.available[proxy].Load() {
+			return proxy
+		}
+	}
+	return request.Proxy
+}
+
+// perform sends a request and returns its outcome. It retries on a new connection where the proxy closed an idle one as the
+// request was on its way, and elsewhere where no connection was accepted.
+func (g *loadGenerator) perform(request Request) Outcome {
+	for attempt := 1; ; attempt++ {
+		conn, err := g.takeConn(g.pickProxy(request), attempt == 1)
+		if err != nil {
+			if attempt < dialAttempts {
+				time.Sleep(dialRetryDelay)
+				continue
+			}
+			return Refused
+		}
+		outcome, err := g.exchange(conn, request)
+		if err == nil || !conn.reused {
+			return outcome
+		}
+	}
+}
+
+// takeConn returns a connection to a proxy, an idle one where it may and there is one.
+func (g *loadGenerator) takeConn(proxy int, mayReuse bool) (*clientConn, error) {
+	for mayReuse {
+		conn := g.takeIdle(proxy)
+		if conn == nil {
+			break
+		}
+		err := conn.SetReadDeadline(time.Now().Add(idleProbeTimeout))
+		if err == nil {
+			_, err = conn.reader.Peek(1)
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			conn.reused = true
+			return conn, nil
+		}
+		if err == nil {
+			g.log.Record(Seen{What: Answered, ID: conn.lastRequestID, Proxy: proxy, Note: noteUnexpectedReply})
+		}
+		_ = conn.Close() // it has ended or is out of step
+	}
+	return g.dial(proxy)
+}
+
+// takeIdle removes and returns an idle connection, nil where there is none: held connections are used in turn, others the latest
+// first.
+func (g *loadGenerator) takeIdle(proxy int) *clientConn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	idle := g.idle[proxy]
+	if len(idle) == 0 {
+		return nil
+	}
+	if g.plan.Day.Load.Connections > 0 {
+		g.idle[proxy] = idle[1:]
+		return idle[0]
+	}
+	g.idle[proxy] = idle[:len(idle)-1]
+	return idle[len(idle)-1]
+}
+
+var errConnClosed = errors.New("connection closed before the answer")
+
+// exchange sends a request on a connection and returns its outcome. The error is errConnClosed where the connection ended before
+// the answer began.
+func (g *loadGenerator) exchange(conn *clientConn, request Request) (Outcome, error) {
+	route := g.plan.Day.Routes[request.Route]
+	timeout := millis(route.Overall) + clientGrace
+	if request.LeavesAfter > 0 {
+		timeout = request.LeavesAfter
+	}
+	conn.lastRequestID = request.ID
+	err := conn.SetDeadline(time.Now().Add(timeout))
+	g.cluster.recordProxy(request.ID, conn.proxy)
+	g.log.Record(Seen{What: Asked, ID: request.ID, Proxy: conn.proxy})
+	if err == nil {
+		_, err = conn.Write(route.encode(request))
+	}
+	if err == nil {
+		_, err = conn.reader.Peek(1)
+	}
+	if err != nil {
+		return g.unanswered(conn, request, err)
+	}
+	err = conn.SetDeadline(time.Now().Add(longAnswerTimeout))
+	var head, body string
+	if err == nil {
+		head, body, err = Answer(conn.reader)
+	}
+	if err != nil {
+		_ = conn.Close() // it has failed
+		g.log.Record(Seen{What: Closed, ID: request.ID, Proxy: conn.proxy, Note: noteInAnswer})
+		return Lost, nil
+	}
+	return g.answered(conn, request, head, body), nil
+}
+
+// encode returns the command of a request.
+func (r Route) encode(request Request) []byte {
+	facts := r.requestFacts()
+	if !r.Write {
+		return encodeCommand("KV.GET", request.Key, request.ID, facts)
+	}
+	if r.Dedup > 0 {
+		facts += ",k=w" + request.ID
+	}
+	return encodeCommand("KV.SET", request.Key, request.ID, facts, writtenValue)
+}
+
+// unanswered closes a connection on which no answer began, for an error, and records why.
+func (g *loadGenerator) unanswered(conn *clientConn, request Request, err error) (Outcome, error) {
+	_ = conn.Close() // it has failed, or its client leaves
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		note := ""
+		if conn.reused {
+			note = noteReused
+		}
+		g.log.Record(Seen{What: Closed, ID: request.ID, Proxy: conn.proxy, Note: note})
+		return Lost, errConnClosed
+	}
+	if request.LeavesAfter > 0 {
+		g.log.Record(Seen{What: Went, ID: request.ID, Proxy: conn.proxy})
+		return Left, nil
+	}
+	return Lost, nil
+}
+
+// answered records an answer and puts the connection among the idle ones.
+func (g *loadGenerator) answered(conn *clientConn, request Request, head, body string) Outcome {
+	event, outcome := Seen{What: Answered, ID: request.ID, Proxy: conn.proxy}, Errored
+	switch {
+	case head[0] == '$':
+		outcome = Completed
+		if _, event.Made = parseValue(body); head == nullBulk {
+			event.Node = noSuchKey
+		}
+	case head == "-BUSY" || strings.HasPrefix(head, "-BUSY "):
+		outcome = Shed
+	}
+	event.Note = string(outcome)
+	g.log.Record(event)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.idle[conn.proxy] = append(g.idle[conn.proxy], conn)
+	return outcome
+}
--- /dev/null
+++ b/internal/emulator/proxy_process.go
@@ -0,0 +1,215 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+)
+
+const (
+	readinessAttempts = 500
+	readinessInterval = 10 * time.Millisecond
+	// gracefulEndTimeout is how long a proxy may take to end before it is killed.
+	gracefulEndTimeout = 6 * time.Second
+)
+
+// incarnation is one process of a proxy. The note on its end is its own, or one that was told to end could pass for crashed once
+// the next has begun.
+type incarnation struct {
+	Proxy
+	endNote string        // "": it crashed; guarded by the managed proxy's mu
+	exited  chan struct{} // closed once the process has ended
+	ended   chan struct{} // closed once its end is recorded, and another may be started
+}
+
+// startProxy starts a proxy and waits until it serves. Where a process of it runs already it does nothing: two faults may kill one
+// proxy and each start it again, and the first process would never be told to end.
+func (r *runner) startProxy(ctx context.Context, i int) error {
+	m := r.proxies[i]
+	m.mu.Lock()
+	alreadyRunning := m.running
+	m.running = true
+	m.mu.Unlock()
+	if alreadyRunning {
+		return nil
+	}
+	r.discoveries[i].recordKnownAtStart()
+	process, err := r.options.Start(m.config)
+	if err != nil {
+		return err
+	}
+	if r.relays != nil {
+		if err := r.relays[i].listen(); err != nil {
+			return err
+		}
+	}
+	started := &incarnation{Proxy: process, exited: make(chan struct{}), ended: make(chan struct{})}
+	m.mu.Lock()
+	m.current = started
+	m.mu.Unlock()
+	r.processWatchers.Go(func() { r.watchProcess(i, started) })
+	return r.awaitReady(ctx, i, started)
+}
+
+// watchProcess waits for a process's end and records it.
+func (r *runner) watchProcess(i int, process *incarnation) {
+	m := r.proxies[i]
+	<-process.Done() //nolint:errcheck // the exit status tells nothing that endNote does not
+	close(process.exited)
+	r.load.available[i].Store(false)
+	if r.relays != nil && !r.network.isCutOff(proxyName(i)) { // over a severed link nobody learns of a refusal
+		r.relays[i].refuse()
+	}
+	if p, ok := process.Proxy.(interface{ CPU() time.Duration }); ok {
+		r.proxyCPU.Add(int64(p.CPU()))
+	}
+	m.mu.Lock()
+	note := process.endNote
+	m.running = false
+	m.mu.Unlock()
+	close(process.ended)
+	if note == "" {
+		note = endCrashed
+	}
+	r.log.Record(Seen{What: Ended, Proxy: i, Note: note})
+}
+
+// awaitReady waits until a process answers clients, and lets them be sent to it.
+func (r *runner) awaitReady(ctx context.Context, i int, process *incarnation) error {
+	config := r.proxies[i].config
+	for range readinessAttempts {
+		if answersPing(config.Listen) {
+			r.load.available[i].Store(true)
+			return nil
+		}
+		select {
+		case <-process.exited:
+			return fmt.Errorf("proxy %d ended at its start; its log is in %s", i, config.Dir)
+		default:
+		}
+		if !sleep(ctx, readinessInterval) {
+			return ctx.Err()
+		}
+	}
+	return fmt.Errorf("proxy %d does not serve", i)
+}
+
+// answersPing reports whether a proxy answers a ping at an address.
+func answersPing(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }() // the answer has been read
+	if conn.SetDeadline(time.Now().Add(2*time.Second)) != nil {
+		return false
+	}
+	if _, err := conn.Write(encodeCommand("PING")); err != nil {
+		return false
+	}
+	answer := make([]byte, len("+PONG"))
+	_, err = conn.Read(answer)
+	return err == nil && string(answer) == "+PONG"
+}
+
+// endProxy ends a proxy's process by a signal, or kills it where the signal is nil, and waits for its end. A note that is set is
+// kept.
+func (r *runner) endProxy(i int, signal os.Signal, note string) {
+	m := r.proxies[i]
+	m.mu.Lock()
+	process := m.current
+	if process != nil && process.endNote == "" {
+		process.endNote = note
+	}
+	m.mu.Unlock()
+	if process == nil {
+		return
+	}
+	r.load.available[i].Store(false) // the clients' balancer learns of it at once
+	if signal == nil {
+		process.Kill()
+	} else {
+		process.Signal(signal)
+	}
+	select {
+	case <-process.exited:
+	case <-time.After(gracefulEndTimeout):
+		process.Kill()
+		<-process.exited
+	}
+	<-process.ended
+}
+
+// Program returns a Start that runs a program with its arguments for each proxy and appends its output to the file "log" in the
+// proxy's directory.
+func Program(words ...string) Start {
+	return func(s ProxyConfig) (Proxy, error) {
+		log, err := os.OpenFile(filepath.Join(s.Dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		command := exec.Command(words[0], words[1:]...)
+		command.Env = append(os.Environ(), s.environment()...)
+		command.Stdout, command.Stderr = log, log
+		if err := command.Start(); err != nil {
+			_ = log.Close() // nothing was written to it
+			return nil, err
+		}
+		done := make(chan error, 1)
+		go func() { // it ends with the process
+			err := command.Wait()
+			_ = log.Close() // the process wrote to it, by a descriptor of its own
+			done <- err
+			close(done)
+		}()
+		return osProcess{command, done}, nil
+	}
+}
+
+// environment returns the environment variables by which a proxy finds its configuration.
+func (s ProxyConfig) environment() []string {
+	env := []string{
+		"GW_CONFIG=" + s.ConfigFile, "GW_NAME=" + s.Name, "GW_LISTEN=" + s.Listen, "GW_DISCOVERY=" + s.Discovery,
+		"TMPDIR=" + filepath.Join(s.Dir, "tmp"),
+	}
+	for _, optional := range []struct{ name, file string }{
+		{"GW_PEERS", s.GossipFile},
+		{"GW_STATE", s.StateDir},
+		{"GW_MISSING", s.NegativeCacheFile},
+		{"GW_MOVES", s.RebalanceFile},
+		{"GW_TURNS", s.DutiesFile},
+		{"GW_ZONES", s.ZoneHealthFile},
+	} {
+		if optional.file != "" {
+			env = append(env, optional.name+"="+optional.file)
+		}
+	}
+	return env
+}
+
+// osProcess is a proxy that runs as a process of its own.
+type osProcess struct {
+	command *exec.Cmd
+	done    chan error
+}
+
+// Signal sends a signal; a process that has ended misses it.
+func (p osProcess) Signal(s os.Signal) { _ = p.command.Process.Signal(s) }
+
+// Kill kills the process, unless it has ended.
+func (p osProcess) Kill() { _ = p.command.Process.Kill() }
+
+// Done returns a channel that is sent to, and then closed, once the process has ended.
+func (p osProcess) Done() <-chan error { return p.done }
+
+// CPU returns the processor time of the process once it has ended, 0 before.
+func (p osProcess) CPU() time.Duration {
+	if s := p.command.ProcessState; s != nil {
+		return s.UserTime() + s.SystemTime()
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/emulator/run.go
@@ -0,0 +1,162 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Options tell how a scenario is played.
+type Options struct {
+	Start     Start
+	Dir       string         // for files and logs, which are kept
+	IP        string         // loopback address of the proxies, 127.0.0.1 where it is empty
+	Overrides map[string]any // proxy settings by path, whose steps are separated by dots
+}
+
+// runner plays one scenario.
+type runner struct {
+	plan    *Plan
+	options Options
+	log     *EventLog
+	cluster *cluster
+	network *network
+
+	origin             *Node
+	discoveries        []*Discovery // by proxy
+	discoveryAddresses []string     // by proxy
+	load               *loadGenerator
+
+	proxies         []*managedProxy
+	processWatchers sync.WaitGroup
+	proxyCPU        atomic.Int64 // nanoseconds of the processes that have ended
+
+	addressPrefix string            // beginning of the IP addresses at which gossiping proxies reach each other
+	proxyByIP     map[string]string // proxies' names by these addresses
+	relays        []*relay          // by proxy; none where they do not gossip
+
+	unansweredBadClients atomic.Int64
+	backgroundLoad       backgroundSamples
+
+	mu            sync.Mutex
+	nodes         []*Node // the caches; the length is fixed but for announceToOne
+	nextNode      int     // number of the next cache
+	announcements []announcement
+	zoneFaults    []zoneFault
+}
+
+// Play plays a plan and returns what came of it. Whatever happens, no proxy process is left when it returns; where the context
+// ended before the scenario did, its files are removed as well.
+func Play(ctx context.Context, plan *Plan, options Options) (*Report, error) {
+	if options.IP == "" {
+		options.IP = "127.0.0.1"
+	}
+	log := NewEventLog()
+	r := &runner{plan: plan, options: options, log: log, cluster: newCluster(plan.Day, log), network: newNetwork(plan.Seed)}
+	r.cluster.network = r.network
+	defer func() {
+		r.stop()
+		if ctx.Err() != nil {
+			_ = os.RemoveAll(options.Dir) // the context's error is what the caller gets
+		}
+	}()
+	if err := r.start(ctx); err != nil {
+		return nil, err
+	}
+	r.play(ctx)
+	r.stop()
+	r.processWatchers.Wait()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return r.buildReport(), nil
+}
+
+// start starts the backends, the proxies and the connections that clients hold.
+func (r *runner) start(ctx context.Context) error {
+	if err := r.plan.Day.checkDescriptors(); err != nil {
+		return err
+	}
+	if err := r.startBackends(); err != nil {
+		return err
+	}
+	if err := r.startProxies(ctx); err != nil {
+		return err
+	}
+	return r.load.openHeldConns()
+}
+
+// play runs the load and the faults until the scenario's end, or until the context ends, and waits for them.
+func (r *runner) play(ctx context.Context) {
+	start := time.Now()
+	scenarioCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var background sync.WaitGroup
+	for _, event := range r.plan.Blows {
+		background.Go(func() { r.injectFault(scenarioCtx, event, start) })
+	}
+	background.Go(func() { r.sampleBackgroundLoad(scenarioCtx) })
+	if r.plan.Day.Peers.Talk {
+		background.Go(func() { r.pollGossipStatus(scenarioCtx) })
+	}
+	r.load.run(ctx, start)
+	r.load.close()
+	if ctx.Err() == nil {
+		sleep(ctx, time.Until(start.Add(seconds(r.plan.Day.Length))))
+	}
+	cancel()
+	background.Wait()
+}
+
+// spareDescriptors is how many file descriptors are needed besides those of connections.
+const spareDescriptors = 256
+
+// checkDescriptors returns an error unless enough file descriptors may be open: a client's connection takes one in this process,
+// and one in its proxy.
+func (d *Day) checkDescriptors() error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if need := uint64(d.Proxies*(d.Load.Connections+d.Fleet.Nodes) + spareDescriptors); need > limit.Cur {
+		return fmt.Errorf("load.connections: %d descriptors are needed, and %d may be open", need, limit.Cur)
+	}
+	return nil
+}
+
+// sleep reports whether it slept the whole duration, before the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// stop ends the proxies, which may finish their requests, and then the backends. It may be called repeatedly.
+func (r *runner) stop() {
+	var proxies sync.WaitGroup
+	for i := range r.proxies {
+		proxies.Go(func() { r.endProxy(i, syscall.SIGTERM, endStopped) })
+	}
+	proxies.Wait()
+	for _, d := range r.discoveries {
+		d.Close()
+	}
+	for _, peerRelay := range r.relays {
+		peerRelay.shutdown()
+	}
+	for _, n := range r.nodes {
+		n.Stop()
+	}
+	if r.origin != nil {
+		r.origin.Stop()
+	}
+}
--- /dev/null
+++ b/internal/emulator/scenario.go
@@ -0,0 +1,227 @@
+package emulator
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"woodproxy/internal/configfile"
+)
+
+// Day is a scenario as its TOML file describes it. Times whose key ends in _s are seconds, in _ms milliseconds.
+type Day struct {
+	Name    string    `toml:"name"`
+	Length  float64   `toml:"length_s"`
+	Proxies int       `toml:"proxies"`
+	Fleet   Fleet     `toml:"fleet"`
+	Origin  Server    `toml:"origin"`
+	Keys    Keys      `toml:"keys"`
+	Load    Load      `toml:"load"`
+	Routes  []Route   `toml:"route"`
+	Trouble []Trouble `toml:"trouble"`
+	Limits  Limits    `toml:"limits"`
+	Peers   Peers     `toml:"peers"`
+	Zones   Zones     `toml:"zones"`
+	Turns   Turns     `toml:"turns"`
+	Missing Missing   `toml:"missing"`
+	State   bool      `toml:"state"` // proxies keep a state file across restarts
+}
+
+// Missing configures keys that the origin lacks until they are written, and the proxies' negative cache.
+type Missing struct {
+	Part float64 `toml:"part"` // of all keys, 0 to 1
+	On   bool    `toml:"on"`   // proxies have a negative cache
+}
+
+// How the proxies decide that a whole zone is unhealthy, besides "" where they do not.
+const (
+	zonesJudgedAlone       = "alone" // each proxy by itself
+	zonesJudgedByFleet     = "fleet" // by a vote of the proxies
+	zonesJudgedByOperators = "told"  // by operators, who learn of a fault at once
+)
+
+// Zones configures the proxies' zone health.
+type Zones struct {
+	Judged  string              `toml:"judged"`
+	Regions map[string][]string `toml:"regions"` // names of zones by region
+}
+
+// Peers configures the gossip between proxies.
+type Peers struct {
+	Talk  bool    `toml:"talk"`
+	Hold  float64 `toml:"hold_s"` // hold-down time, 0: the proxies' default
+	Floor float64 `toml:"floor"`  // quota floor, 0: the proxies' default
+}
+
+// Turns configures the duties, such as health checks and discovery watches, that gossiping proxies share out among themselves.
+type Turns struct {
+	On       bool `toml:"on"`
+	Watchers int  `toml:"watchers"` // proxies that watch discovery
+	Keepers  int  `toml:"keepers"`  // proxies that keep idle connections to a node
+}
+
+// Server is the capacity of a node.
+type Server struct {
+	Cores   int     `toml:"cores"`
+	Service float64 `toml:"service_ms"` // mean of the exponentially distributed service time
+	Queue   int     `toml:"queue"`      // commands that may wait beyond those in service
+	Thrash  float64 `toml:"thrash"`     // part by which each waiting command slows the others
+}
+
+// Fleet is the caches.
+type Fleet struct {
+	Nodes    int      `toml:"nodes"`
+	Zones    []string `toml:"zones"`     // dealt out to nodes and proxies in turn
+	Cross    float64  `toml:"cross_ms"`  // additional delay between zones
+	Cold     float64  `toml:"cold_s"`    // duration of a node's slow start
+	ColdFrom float64  `toml:"cold_from"` // part of its speed that a node starts with
+	Server
+}
+
+// Keys is the key space.
+type Keys struct {
+	Count int     `toml:"count"`
+	Zipf  float64 `toml:"zipf"` // exponent of the popularity's distribution
+	Warm  float64 `toml:"warm"` // part of the keys that each cache has at the start
+	Size  int     `toml:"size"` // of values, in bytes
+}
+
+// Load is the clients' load.
+type Load struct {
+	Rate      float64 `toml:"rate"` // requests a second, of all clients
+	Steps     []Step  `toml:"steps"`
+	Impatient float64 `toml:"impatient"` // part of the requests whose client leaves before the answer may come
+	// Connections is how many clients of each proxy hold a connection throughout and use them in turn; 0: connections are made
+	// as they are needed.
+	Connections int `toml:"connections"`
+}
+
+// Step multiplies the rate from a time on.
+type Step struct {
+	At    float64 `toml:"at_s"`
+	Times float64 `toml:"times"`
+}
+
+// Route is a class of requests.
+type Route struct {
+	Name      string  `toml:"name"`
+	Share     float64 `toml:"share"` // of the requests; the shares of all routes add up to 1
+	Objective float64 `toml:"objective_ms"`
+	Overall   float64 `toml:"overall_ms"` // overall timeout
+	Value     float64 `toml:"value"`      // priority weight
+	Write     bool    `toml:"write"`
+	Dedup     float64 `toml:"dedup_ms"` // for how long the origin drops repeats of an idempotency key, 0: it does not
+}
+
+// Limits bind each proxy.
+type Limits struct {
+	Cores    float64 `toml:"cores"`
+	MemoryMB int     `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"`
+	Parallel bool    `toml:"parallel"` // hedged attempts are allowed
+}
+
+// Trouble is a fault that lasts for a time. Which figures a fault takes depends on its kind.
+type Trouble struct {
+	Kind  string  `toml:"kind"`
+	At    float64 `toml:"at_s"`
+	For   float64 `toml:"for_s"`
+	Nodes int     `toml:"nodes"` // number of nodes, proxies or clients
+	Times float64 `toml:"times"` // factor by which nodes are slower
+	Part  float64 `toml:"part"`  // of commands or packets that are affected, 0 to 1
+	Rate  float64 `toml:"rate"`  // events a second
+	Leave float64 `toml:"leave_ms"`
+
+	// Of faults that affect many processes.
+
+	Zone   string  `toml:"zone"`
+	Spread float64 `toml:"spread_s"` // over which killed proxies start again
+	Reset  bool    `toml:"reset"`    // streams over a severed link are reset when it heals, else they go on
+	Dead   bool    `toml:"dead"`     // a lost zone refuses connections as dead processes do, else it is silent as lost machines are
+	Cold   bool    `toml:"cold"`     // nodes of a lost zone come back empty
+
+	// Of link faults: patterns of process names, as path.Match reads them.
+
+	From   []string `toml:"from"`
+	To     []string `toml:"to"`
+	OneWay bool     `toml:"one_way"`
+	Slow   float64  `toml:"slow_ms"`
+}
+
+// NeedsTalk reports whether a fault has an effect only where proxies gossip.
+func (t Trouble) NeedsTalk() bool {
+	return t.Kind == "part" || t.Kind == "one-way" || t.Kind == "lossy" || t.Kind == "whisper"
+}
+
+// faultNeeds is which figures a kind of fault takes.
+type faultNeeds struct {
+	nodes, times, part, rate, zone bool
+
+	some bool // nodes is optional, and without it all are targets
+}
+
+// faultKinds holds every kind of fault.
+var faultKinds = map[string]faultNeeds{
+	"silent":       {nodes: true},
+	"slow":         {nodes: true, times: true},
+	"failing":      {nodes: true, part: true},
+	"cold":         {nodes: true},
+	"replace":      {nodes: true},
+	"reset":        {nodes: true, part: true},
+	"garbled":      {nodes: true, part: true},
+	"halves":       {nodes: true, part: true},
+	"stale":        {some: true},
+	"deaf":         {some: true},
+	"hush":         {some: true},
+	"agent-ahead":  {nodes: true},
+	"refusing":     {some: true},
+	"origin-slow":  {times: true},
+	"kill":         {nodes: true},
+	"restart":      {nodes: true},
+	"bad-clients":  {rate: true},
+	"slow-clients": {nodes: true},
+	"part":         {nodes: true},
+	"one-way":      {nodes: true},
+	"lossy":        {part: true},
+	"pause":        {nodes: true},
+	"mass-kill":    {nodes: true},
+	"zone-cut":     {zone: true},
+	"zone-lost":    {zone: true},
+	"zone-grey":    {zone: true, times: true, part: true},
+	"whisper":      {nodes: true},
+	"link":         {part: true},
+}
+
+// minFaultPart is the least part of fault kinds for which 0 would mean no fault; a link may be delayed without loss.
+var minFaultPart = map[string]float64{"failing": 0.001, "reset": 0.001, "garbled": 0.001, "halves": 0.001, "lossy": 0.001}
+
+// proxyFaults are the kinds whose targets are proxies, or their discovery agents, in place of nodes.
+var proxyFaults = map[string]bool{
+	"kill": true, "restart": true, "part": true, "one-way": true, "pause": true, "mass-kill": true,
+	"deaf": true, "stale": true, "refusing": true, "hush": true, "agent-ahead": true,
+}
+
+// ReadDay reads and checks a scenario file. An error is one line that names the file, and the line or key.
+func ReadDay(file string) (*Day, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("day: %w", err)
+	}
+	d, err := ParseDay(text)
+	if err != nil {
+		return nil, fmt.Errorf("day: %s: %w", file, err)
+	}
+	return d, nil
+}
+
+// ParseDay decodes and checks a scenario.
+func ParseDay(text []byte) (*Day, error) {
+	d := &Day{Limits: Limits{Cores: 1, MemoryMB: 128, Sockets: 1024}}
+	if err := configfile.TOML(text, d); err != nil {
+		return nil, err
+	}
+	return d, d.Check()
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/emulator/zone_faults.go
@@ -0,0 +1,227 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// zoneFaultGrace is how long after a zone fault's end a verdict may still come of it.
+const zoneFaultGrace = 2 * time.Second
+
+// Spans over which the earned part of the requests' value is measured: from a zone fault's begin, and from its end.
+const (
+	valueSpanDuring = 5 * time.Second
+	valueSpanAfter  = 10 * time.Second
+)
+
+// ZoneFaultResult is the outcome of a zone fault. Times count from the fault's begin, or where stated from its end.
+type ZoneFaultResult struct {
+	Zone        string
+	At, For     time.Duration // begin, from the event log's start, and duration
+	First, Last time.Duration // until the first and the last proxy outside the zone had left it; 0: none had
+	Kept        int           // proxies outside the zone that never left it
+	Back        time.Duration // from the fault's end until the last proxy served all of its keys there; 0: it was not seen
+	WorthAt     float64       // part of the requests' value that was earned in the first five seconds of the fault
+	WorthBack   float64       // the same in the ten seconds after its end
+}
+
+// zoneFault is a fault of a whole zone, by the wall clock.
+type zoneFault struct {
+	zone          string
+	from, to      time.Time    // to is zero while the fault lasts
+	proxiesInside map[int]bool // proxies that are in the zone
+	harmless      bool         // it is no reason to leave the zone
+}
+
+// explains reports whether a verdict at a moment may come of the fault.
+func (f *zoneFault) explains(at time.Time) bool {
+	return !f.harmless && at.After(f.from) && (f.to.IsZero() || at.Before(f.to.Add(zoneFaultGrace)))
+}
+
+// writeZoneConfig writes a proxy's zone health file.
+func (r *runner) writeZoneConfig(m *managedProxy) error {
+	zones := r.plan.Day.Zones
+	if zones.Judged == "" {
+		return nil
+	}
+	m.config.ZoneHealthFile = filepath.Join(m.config.Dir, "zones.toml")
+	text := ""
+	switch zones.Judged {
+	case zonesJudgedByOperators:
+		text = "alone = false\ntogether = false\n"
+	case zonesJudgedAlone:
+		text = "together = false\n"
+	}
+	for name, members := range zones.Regions {
+		text += fmt.Sprintf("[[region]]\nname = %q\nzones = [\"%s\"]\n", name, strings.Join(members, "\", \""))
+	}
+	return os.WriteFile(m.config.ZoneHealthFile, []byte(text), 0o600)
+}
+
+// zoneFaultBegins records that a fault affects a zone, if it does. Operators who are to be told order the zone out at once.
+func (r *runner) zoneFaultBegins(event FaultEvent) {
+	if event.Zone == "" {
+		return
+	}
+	fault := zoneFault{zone: event.Zone, from: time.Now(), proxiesInside: map[int]bool{}, harmless: event.Kind == "zone-grey"}
+	for _, i := range event.Targets {
+		fault.proxiesInside[i] = true
+	}
+	r.mu.Lock()
+	r.zoneFaults = append(r.zoneFaults, fault)
+	r.mu.Unlock()
+	r.orderZone(event, "out")
+}
+
+// zoneFaultEnds records that a fault no longer affects a zone. Operators who are to be told withdraw their order at once.
+func (r *runner) zoneFaultEnds(event FaultEvent) {
+	if event.Zone == "" {
+		return
+	}
+	r.mu.Lock()
+	for i := range r.zoneFaults {
+		if r.zoneFaults[i].zone == event.Zone && r.zoneFaults[i].to.IsZero() {
+			r.zoneFaults[i].to = time.Now()
+		}
+	}
+	r.mu.Unlock()
+	r.orderZone(event, "auto")
+}
+
+// orderZone gives the operators' order for a zone to every proxy outside it, where operators judge zones.
+func (r *runner) orderZone(event FaultEvent, order string) {
+	if r.plan.Day.Zones.Judged != zonesJudgedByOperators || event.Kind == "zone-grey" {
+		return
+	}
+	var calls sync.WaitGroup
+	for i, m := range r.proxies {
+		if slices.Contains(event.Targets, i) {
+			continue
+		}
+		calls.Go(func() {
+			client := http.Client{Timeout: time.Second}
+			target := "http://" + m.config.AdminAddress + "/control/zones/" + url.PathEscape(event.Zone) + "/" + order
+			if response, err := client.Post(target, "", nil); err == nil { // a proxy that is down misses the order
+				_ = response.Body.Close() // nothing was read of it
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// degradeZone makes a third of a zone's nodes slow and a part of the answers of all of them errors.
+func (r *runner) degradeZone(ctx context.Context, event FaultEvent, duration time.Duration) {
+	nodes := r.nodesInZone(event.Zone)
+	set := func(slowdown, errorPart float64) {
+		for k, n := range nodes {
+			if k%3 == 0 {
+				n.work.setSlowdown(slowdown)
+			}
+			if errorPart > 0 {
+				n.Set(modeFails, errorPart, 0, 0)
+			} else {
+				n.Set(modeServe, 1, 0, 0)
+			}
+		}
+	}
+	r.zoneFaultBegins(event)
+	set(event.Times, event.Part)
+	sleep(ctx, duration)
+	set(1, 0)
+	r.zoneFaultEnds(event)
+}
+
+// zoneShift is a proxy's log line on which part of its keys in a zone it serves there.
+type zoneShift struct {
+	proxy  int
+	zone   string
+	at     time.Time
+	served float64
+}
+
+// measureZoneHealth reads from the proxies' logs when each left a zone that was affected, and returned to it.
+func (r *runner) measureZoneHealth(report *Report) {
+	var shifts []zoneShift
+	r.eachLogLine(func(proxy int, line logLine) {
+		message, ok := strings.CutPrefix(line.Msg, messageZone)
+		if !ok {
+			return
+		}
+		at := time.UnixMicro(int64(line.At * 1e6))
+		zone, verdict, _ := strings.Cut(message, ": ")
+		var served float64
+		if n, err := fmt.Sscanf(verdict, verdictServed, &served); n == 1 && err == nil {
+			shifts = append(shifts, zoneShift{proxy, zone, at, served})
+		}
+		r.countFalsePositive(report, proxy, zone, verdict, at)
+	})
+	for _, fault := range r.zoneFaults {
+		report.Zones = append(report.Zones, r.zoneFaultResult(fault, shifts))
+	}
+}
+
+// countFalsePositive counts a verdict on a zone that no fault explains.
+func (r *runner) countFalsePositive(report *Report, proxy int, zone, verdict string, at time.Time) {
+	if strings.HasPrefix(verdict, verdictStandalone) && !r.hasCause(proxy, zone, at) {
+		report.Hasty++
+	}
+	evacuated := strings.HasPrefix(verdict, verdictLeaving) ||
+		strings.HasPrefix(verdict, verdictOut) && strings.Contains(verdict, verdictFromIn)
+	if evacuated && !slices.ContainsFunc(r.zoneFaults, func(f zoneFault) bool { return f.zone == zone && f.explains(at) }) {
+		report.Convicted++
+	}
+}
+
+// zoneFaultResult calculates a fault's outcome from the proxies' shifts, which are in order for each proxy.
+func (r *runner) zoneFaultResult(fault zoneFault, shifts []zoneShift) ZoneFaultResult {
+	result := ZoneFaultResult{Zone: fault.zone, At: fault.from.Sub(r.log.start)}
+	to := fault.to
+	if to.IsZero() {
+		to = r.log.start.Add(seconds(r.plan.Day.Length))
+	}
+	result.For = to.Sub(fault.from)
+	left, served := map[int]bool{}, map[int]float64{}
+	for _, shift := range shifts {
+		if shift.zone != fault.zone || fault.proxiesInside[shift.proxy] || shift.at.Before(fault.from) {
+			continue
+		}
+		if shift.served == 0 && !left[shift.proxy] && shift.at.Before(to) {
+			left[shift.proxy] = true
+			elapsed := shift.at.Sub(fault.from)
+			if result.First == 0 || elapsed < result.First {
+				result.First = elapsed
+			}
+			result.Last = max(result.Last, elapsed)
+		}
+		if served[shift.proxy] = shift.served; shift.served == 1 && shift.at.After(to) {
+			result.Back = max(result.Back, shift.at.Sub(to))
+		}
+	}
+	for i := range r.proxies {
+		if !fault.proxiesInside[i] && !left[i] {
+			result.Kept++
+		}
+		if part, ok := served[i]; ok && part < 1 {
+			result.Back = 0 // this proxy has not returned wholly
+		}
+	}
+	start := r.load.start
+	result.WorthAt = r.earnedValuePart(fault.from.Sub(start), fault.from.Add(valueSpanDuring).Sub(start))
+	result.WorthBack = r.earnedValuePart(to.Sub(start), to.Add(valueSpanAfter).Sub(start))
+	return result
+}
+
+// hasCause reports whether a proxy may find a zone unreachable at a moment: a fault affected the zone, or the proxy's own.
+func (r *runner) hasCause(proxy int, zone string, at time.Time) bool {
+	return slices.ContainsFunc(r.zoneFaults, func(f zoneFault) bool {
+		return f.explains(at) && (f.zone == zone || f.proxiesInside[proxy])
+	})
+}
--- a/zonehealth/standalone.go
+++ b/zonehealth/standalone.go
@@ -14,7 +14,7 @@
 )
 
 // logEvacuatedStandalone begins with words by which checks of recorded logs find standalone evacuations.
-const logEvacuatedStandalone = "zone %s: passed by this proxy alone, %d attempts unanswered in %.1f s, on %d nodes, " +
+const logEvacuatedStandalone = "zone %s: evacuated standalone, %d attempts unanswered in %.1f s, on %d nodes, " +
 	"connections refused by %d; %d of %d proxies reachable"
 
 // Alone counts what one proxy decided standalone since its start.
