--- a/cmd/woodproxy/check.go
+++ b/cmd/woodproxy/check.go
@@ -53,7 +53,7 @@
 		fmt.Printf("%s: good; what this proxy knows is kept there\n", c.State)
 	}
 	if missing := config.NegativeCache; missing != nil {
-		seconds := float64(missing.Believe) / 1e4
+		seconds := float64(missing.TTL) / 1e4
 		fmt.Printf("%s: good; room for %d keys, each for %v s\n", c.Missing, missing.Entries, seconds)
 	}
 	if moves := config.Rebalance; moves != nil {
--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -311,12 +311,12 @@
 	s.t.Helper()
 	s.PublishHealth("cache-a", false)
 	s.PublishEndpoints(42, false, []wire.Endpoint{{Name: "cache-a", Address: "127.0.0.1:1", Zone: "a", Ready: true}})
-	s.PublishSharedRow(replica.Row{Kind: replica.Gone, Key: "beta", Epoch: 1}) // long before this process of beta
-	s.speak(replica.Voice, "b", &zonehealth.Voice{Zone: "b"})
-	s.speak(replica.Trial, "cache-a", &duties.Report{Round: 1})
-	s.speak(replica.Beat, "beta", &duties.Report{ValidFor: 5 * duties.Second})
-	s.speak(replica.Wrote, "s0", &negativecache.Word{})
-	s.speak(replica.Absent, "s0", &negativecache.Word{})
+	s.PublishSharedRow(replica.Row{Kind: replica.KindDeparture, Key: "beta", Epoch: 1}) // long before this process of beta
+	s.speak(replica.KindZoneReport, "b", &zonehealth.Report{Zone: "b"})
+	s.speak(replica.KindEndpointProbe, "cache-a", &duties.Report{Round: 1})
+	s.speak(replica.KindWatchHeartbeat, "beta", &duties.Report{ValidFor: 5 * duties.Second})
+	s.speak(replica.KindWrittenKeys, "s0", &negativecache.KeyReport{})
+	s.speak(replica.KindAbsentKeys, "s0", &negativecache.KeyReport{})
 	s.speak(unknownKind, "thing", &struct{}{})
 }
 
@@ -403,7 +403,7 @@
 	zone("a region ordered auto", "zone c ", "order 2")
 	fmt.Fprintf(&all, "=== woodproxy zones ADDRESS c hold --epoch=2\n%s", p.run(t, "zones", p.management, "c", "hold", "--epoch=2"))
 	zone("held", "zone c ", "ordered hold")
-	peer.speak(replica.Voice, "c", &zonehealth.Voice{Zone: "b", Word: zonehealth.Against, Run: 3, Lost: 3})
+	peer.speak(replica.KindZoneReport, "c", &zonehealth.Report{Zone: "b", Vote: zonehealth.VoteUnhealthy, UnansweredRun: 3, Unanswered: 3})
 	zone("spoken against", "zone c ", "against: beta")
 	checkGolden(t, "process_zones.golden", all.String())
 }
@@ -476,10 +476,10 @@
 	askSteadily(t, p)
 	peer := startPeer(t, p)
 	p.meets(t)
-	left := &zonehealth.Voice{Zone: "b", Stand: zonehealth.Stand{Epoch: 5, State: zonehealth.Out}}
+	left := &zonehealth.Report{Zone: "b", Verdict: zonehealth.Verdict{Epoch: 5, State: zonehealth.Evacuated}}
 	for zone, words := range map[string]string{"a": "out for others", "c": "out"} {
 		p.until(t, "GET", "/control/zones", func(r response) bool {
-			peer.speak(replica.Voice, zone, left)
+			peer.speak(replica.KindZoneReport, zone, left)
 			return strings.HasPrefix(lineOf(r.body, "zone "+zone+" "), "zone "+zone+" "+words+" epoch 5 step 0 flaps 0 open ")
 		})
 	}
--- a/duties/settings.go
+++ b/duties/settings.go
@@ -28,7 +28,7 @@
 // Check returns a *[RangeError] for the first value that is out of its range, or an error that names both spans if a
 // heartbeat is valid for less than two heartbeat intervals. Errors name the keys of the configuration file.
 func (s *Settings) Check() error {
-	err := configfile.Check(
+	err := configfile.CheckRanges(
 		configfile.Range("watchers", float64(s.Watchers), 0, maxReplicas),
 		configfile.Range("keepers", float64(s.IdleOwners), 0, maxReplicas),
 		configfile.Range("trial_ms", milliseconds(s.ProbeInterval), 50, 60000),
@@ -40,7 +40,7 @@
 		return err
 	}
 	if s.Watchers == 1 { // if the only watcher died, the whole fleet would get no watch events for a while
-		return configfile.Check(configfile.Range("watchers", 1, 2, maxReplicas))
+		return configfile.CheckRanges(configfile.Range("watchers", 1, 2, maxReplicas))
 	}
 	if s.LeaseDuration < minHeartbeatsPerLease*s.HeartbeatInterval {
 		return &SpanRatioError{
--- a/internal/configfile/range.go
+++ b/internal/configfile/range.go
@@ -3,24 +3,24 @@
 import "fmt"
 
 // RangeError reports a value that is outside its range. It also describes a value that is still to be checked: [Range]
-// returns one, [Check] decides whether it is an error.
+// returns one, [CheckRanges] decides whether it is an error.
 type RangeError struct {
-	Key                string  // as the configuration file names it
-	Value, Least, Most float64 // in the key's unit; both bounds are in the range
+	Key             string  // as the configuration file names it
+	Value, Min, Max float64 // in the key's unit; both bounds are in the range
 }
 
 func (e *RangeError) Error() string {
 	return fmt.Sprintf("%s: %v: not from %v to %v; give it a figure within, or leave the line out for the usual one",
-		e.Key, e.Value, e.Least, e.Most)
+		e.Key, e.Value, e.Min, e.Max)
 }
 
 // Range describes the value of a key and the range from least to most, both included, in which it has to be.
 func Range(key string, value, least, most float64) RangeError {
-	return RangeError{Key: key, Value: value, Least: least, Most: most}
+	return RangeError{Key: key, Value: value, Min: least, Max: most}
 }
 
-// Check returns the first of the values that is outside its range, as a *RangeError, or nil. NaN is outside every range.
-func Check(values ...RangeError) error {
+// CheckRanges returns the first of the values that is outside its range, as a *RangeError, or nil. NaN is outside every range.
+func CheckRanges(values ...RangeError) error {
 	for _, v := range values {
 		if !v.inRange() {
 			return &v
@@ -31,5 +31,5 @@
 
 // inRange reports whether the value is a number within the range. NaN fails both comparisons.
 func (e *RangeError) inRange() bool {
-	return e.Value >= e.Least && e.Value <= e.Most
+	return e.Value >= e.Min && e.Value <= e.Max
 }
--- a/internal/configfile/range_test.go
+++ b/internal/configfile/range_test.go
@@ -23,7 +23,7 @@
 		{name: "first of two", values: []RangeError{Range("k", 0, 1, 10), Range("other", 0, 1, 10)}, key: "k"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			err := Check(c.values...)
+			err := CheckRanges(c.values...)
 			if c.key == "" {
 				if err != nil {
 					t.Errorf("error %v, want none", err)
@@ -40,7 +40,7 @@
 
 func TestRangeErrorTellsKeyValueAndRange(t *testing.T) {
 	const want = "slack: 1.5: not from 0 to 1; give it a figure within, or leave the line out for the usual one"
-	if err := Check(Range("slack", 1.5, 0, 1)); err == nil || err.Error() != want {
+	if err := CheckRanges(Range("slack", 1.5, 0, 1)); err == nil || err.Error() != want {
 		t.Errorf("error %v, want %q", err, want)
 	}
 }
--- a/internal/configfile/toml.go
+++ b/internal/configfile/toml.go
@@ -26,10 +26,10 @@
 // Unwrap returns the cause.
 func (e *DecodeError) Unwrap() error { return e.Err }
 
-// TOML decodes a text into the value that target points to. Fields without a key in the text keep their values, so that
+// DecodeTOML decodes a text into the value that target points to. Fields without a key in the text keep their values, so that
 // the caller sets the defaults beforehand. An unknown key, a value of the wrong type or a syntax error is returned as a
 // *DecodeError; target may be partly filled by then.
-func TOML(text []byte, target any) error {
+func DecodeTOML(text []byte, target any) error {
 	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(target)
 	var unknownKeys *toml.StrictMissingError
 	if errors.As(err, &unknownKeys) {
--- a/internal/configfile/toml_test.go
+++ b/internal/configfile/toml_test.go
@@ -18,7 +18,7 @@
 
 func TestTOMLFillsFieldsAndKeepsDefaults(t *testing.T) {
 	file := exampleFile{Entries: 7, Name: "default"}
-	if err := TOML([]byte("name = \"a\"\n[peer]\nport = 9\n"), &file); err != nil {
+	if err := DecodeTOML([]byte("name = \"a\"\n[peer]\nport = 9\n"), &file); err != nil {
 		t.Fatal(err)
 	}
 	want := exampleFile{Entries: 7, Name: "a"}
@@ -46,7 +46,7 @@
 		{name: "syntax error", text: "entries = \n", line: 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			err := TOML([]byte(c.text), &exampleFile{})
+			err := DecodeTOML([]byte(c.text), &exampleFile{})
 			var got *DecodeError
 			if !errors.As(err, &got) {
 				t.Fatalf("error %v, want a DecodeError", err)
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -217,7 +217,7 @@
 // ParseDay decodes and checks a scenario.
 func ParseDay(text []byte) (*Day, error) {
 	d := &Day{Limits: Limits{Cores: 1, MemoryMB: 128, Sockets: 1024}}
-	if err := configfile.TOML(text, d); err != nil {
+	if err := configfile.DecodeTOML(text, d); err != nil {
 		return nil, err
 	}
 	return d, d.Check()
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -41,7 +41,7 @@
 		return nil, fmt.Errorf("experiment: %w", err)
 	}
 	e := &Experiment{Rounds: 1}
-	if err := configfile.TOML(text, e); err != nil {
+	if err := configfile.DecodeTOML(text, e); err != nil {
 		return nil, fmt.Errorf("experiment: %s: %w", file, err)
 	}
 	if err := e.check(); err != nil {
--- a/internal/gossip/agent.go
+++ b/internal/gossip/agent.go
@@ -50,7 +50,7 @@
 	status  atomic.Pointer[Status]
 
 	// Used by the event loop alone.
-	store     *replica.Instance
+	store     *replica.Store
 	startedAt time.Time // origin of the store's clock
 	demand    rateMeter
 
@@ -87,15 +87,15 @@
 		cancel:    cancel,
 	}
 	incarnation := startedAt.UnixMilli()
-	a.store = replica.New(0, replica.Terms{
-		Me:          name,
-		Incarnation: incarnation,
-		Proxies:     proxies,
-		Address:     config.Advertise,
-		Zone:        zone,
-		Hold:        replica.Time(config.TakeoverDelaySeconds * float64(replica.Second)),
-		Floor:       config.QuotaFloor,
-		SightLife:   healthReportTTL,
+	a.store = replica.New(0, replica.Settings{
+		Name:           name,
+		Incarnation:    incarnation,
+		FleetSize:      proxies,
+		Address:        config.Advertise,
+		Zone:           zone,
+		TakeoverDelay:  replica.Time(config.TakeoverDelaySeconds * float64(replica.Second)),
+		QuotaFloor:     config.QuotaFloor,
+		ObservationTTL: healthReportTTL,
 	}, seed)
 	a.mailbox = newMailbox(ctx.Done(), &a.Dropped)
 	a.broadcasts = newBroadcastQueues(func() int { return int(a.memberCount.Load()) })
@@ -144,28 +144,28 @@
 		return
 	}
 	rows := a.endpointRows(endpoints)
-	a.mailbox.post(func() { a.apply(a.store.Listed(a.now(), complete, index, rows)) })
+	a.mailbox.post(func() { a.apply(a.store.ApplyEndpointList(a.now(), complete, index, rows)) })
 }
 
 // PublishHealth publishes that this proxy found an endpoint unresponsive, or responsive again. It does not wait.
 func (a *Agent) PublishHealth(endpoint string, responsive bool) {
-	a.mailbox.offer(func() { a.apply(a.store.Saw(a.now(), endpoint, responsive)) })
+	a.mailbox.offer(func() { a.apply(a.store.RecordHealth(a.now(), endpoint, responsive)) })
 }
 
 // PublishOwnRow publishes a row that only this proxy writes, which expires after the time to live. It does not wait.
 func (a *Agent) PublishOwnRow(kind replica.Kind, key string, timeToLive replica.Time, body []byte) {
-	a.mailbox.offer(func() { a.apply(a.store.Speak(a.now(), kind, key, timeToLive, body)) })
+	a.mailbox.offer(func() { a.apply(a.store.WriteOwn(a.now(), kind, key, timeToLive, body)) })
 }
 
 // PublishSharedRow publishes a row that every proxy may write. It does not wait.
 func (a *Agent) PublishSharedRow(row replica.Row) {
-	a.mailbox.offer(func() { a.apply(a.store.Put(a.now(), row)) })
+	a.mailbox.offer(func() { a.apply(a.store.WriteShared(a.now(), row)) })
 }
 
 // SetReplaced sets whether a successor process of the same name takes over when this one closes, in which case Close does not
 // announce the departure of the proxy. It waits for space in the mailbox.
 func (a *Agent) SetReplaced(replaced bool) {
-	a.mailbox.post(func() { a.store.Yield(replaced) })
+	a.mailbox.post(func() { a.store.SetYielded(replaced) })
 }
 
 // Close announces the departure of this process, closes the sockets, ends all goroutines and waits for them. Calls
@@ -173,7 +173,7 @@
 func (a *Agent) Close() {
 	announced := make(chan struct{})
 	a.mailbox.post(func() {
-		a.apply(a.store.Leave(a.now()))
+		a.apply(a.store.AnnounceDeparture(a.now()))
 		close(announced)
 	})
 	select {
--- a/internal/gossip/agent_test.go
+++ b/internal/gossip/agent_test.go
@@ -79,7 +79,7 @@
 	if _, err := io.WriteString(conn, strings.Repeat("\xff\x00garbled", i*300)); err != nil {
 		t.Fatal(err)
 	}
-	truncated := (&message{Sender: "x", Type: replica.Rows}).encode()[:i%9+1]
+	truncated := (&message{Sender: "x", Type: replica.ActionSendRows}).encode()[:i%9+1]
 	if _, err := conn.Write(truncated); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gossip/broadcast.go
+++ b/internal/gossip/broadcast.go
@@ -42,7 +42,9 @@
 }
 
 // isHeartbeat tells whether rows of a kind are written anew all the time.
-func isHeartbeat(kind replica.Kind) bool { return kind == replica.Pulse || kind == replica.Beat }
+func isHeartbeat(kind replica.Kind) bool {
+	return kind == replica.KindHeartbeat || kind == replica.KindWatchHeartbeat
+}
 
 // take returns messages to send now, whose lengths and overheads add up to at most limit bytes.
 func (q *broadcastQueues) take(overhead, limit int) [][]byte {
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -52,7 +52,7 @@
 		return nil, fmt.Errorf("peers: %w", err)
 	}
 	config := &Config{TakeoverDelaySeconds: defaultHoldSeconds, QuotaFloor: defaultFloor}
-	if err := configfile.TOML(text, config); err != nil {
+	if err := configfile.DecodeTOML(text, config); err != nil {
 		return nil, fmt.Errorf("peers: %s: %w", file, err)
 	}
 	if listen != "" {
--- a/internal/gossip/decisions.go
+++ b/internal/gossip/decisions.go
@@ -10,21 +10,21 @@
 }
 
 func (a *Agent) applyDecision(decision *replica.Decision) {
-	switch decision.Act {
-	case replica.Spread:
+	switch decision.Action {
+	case replica.ActionGossip:
 		a.broadcasts.add(&decision.Rows[0], a.newMessage(decision).encode())
-	case replica.Digest, replica.Busy, replica.Same:
-		a.sender.send(decision.To, a.newMessage(decision), bestEffort)
-	case replica.Heads, replica.Rows, replica.Want:
-		a.sender.send(decision.To, a.newMessage(decision), reliable)
-	case replica.Probe:
+	case replica.ActionSendDigest, replica.ActionReplyBusy, replica.ActionReplyInSync:
+		a.sender.send(decision.Peer, a.newMessage(decision), bestEffort)
+	case replica.ActionSendVersions, replica.ActionSendRows, replica.ActionRequestRows:
+		a.sender.send(decision.Peer, a.newMessage(decision), reliable)
+	case replica.ActionProbe:
 		a.probe(decision)
-	case replica.Changed:
+	case replica.ActionRowChanged:
 		a.rowChanged(&decision.Rows[0])
-	case replica.SetShare:
+	case replica.ActionSetQuotaShare:
 		a.handler.QuotaShareChanged(decision.Share)
 		a.updateStatus()
-	case replica.Log:
+	case replica.ActionLog:
 		a.logger.Info("peers: " + decision.Text)
 	}
 }
@@ -34,33 +34,33 @@
 func (a *Agent) newMessage(decision *replica.Decision) *message {
 	m := &message{
 		Sender:   a.name,
-		Type:     decision.Act,
+		Type:     decision.Action,
 		Rows:     decision.Rows,
-		Versions: decision.Heads,
-		RowIDs:   decision.IDs,
-		Buckets:  decision.Which,
+		Versions: decision.Versions,
+		RowIDs:   decision.RowIDs,
+		Buckets:  decision.Buckets,
 	}
-	if decision.Act == replica.Digest {
-		m.Digests = decision.Sums[:]
+	if decision.Action == replica.ActionSendDigest {
+		m.Digests = decision.Digest[:]
 	}
 	return m
 }
 
 // probe checks whether the process at a proxy's address has ended, and reports to the store if it has.
 func (a *Agent) probe(decision *replica.Decision) {
-	name, incarnation := decision.To, decision.Epoch
+	name, incarnation := decision.Peer, decision.Incarnation
 	a.prober.probe(a.ctx, decision.Address, func() {
-		a.mailbox.offer(func() { a.apply(a.store.Refused(a.now(), name, incarnation)) })
+		a.mailbox.offer(func() { a.apply(a.store.ConnectionRefused(a.now(), name, incarnation)) })
 	})
 }
 
 // rowChanged hands a row that a peer wrote to the proxy.
 func (a *Agent) rowChanged(row *replica.Row) {
 	switch row.Kind {
-	case replica.Pulse, replica.Gone: // of interest to the store alone
-	case replica.Sight:
+	case replica.KindHeartbeat, replica.KindDeparture: // of interest to the store alone
+	case replica.KindHealthObservation:
 		a.handler.HealthReported(row.Key, row.Rank == 0)
-	case replica.Node:
+	case replica.KindEndpoint:
 		a.endpointChanged(row)
 	default:
 		a.handler.RowChanged(row)
@@ -82,20 +82,20 @@
 // receive takes a message from a peer. It is called from the event loop.
 func (a *Agent) receive(m *message) {
 	switch m.Type {
-	case replica.Spread, replica.Rows:
-		a.apply(a.store.Rows(a.now(), m.Sender, m.Rows))
-	case replica.Digest:
-		if len(m.Digests) == replica.Buckets {
-			a.apply(a.store.Digest(a.now(), m.Sender, replica.Sums(m.Digests)))
+	case replica.ActionGossip, replica.ActionSendRows:
+		a.apply(a.store.HandleRows(a.now(), m.Sender, m.Rows))
+	case replica.ActionSendDigest:
+		if len(m.Digests) == replica.BucketCount {
+			a.apply(a.store.HandleDigest(a.now(), m.Sender, replica.Digest(m.Digests)))
 		}
-	case replica.Heads:
-		a.apply(a.store.Heads(a.now(), m.Sender, m.Buckets, m.Versions))
-	case replica.Want:
-		a.apply(a.store.Want(a.now(), m.Sender, m.RowIDs))
-	case replica.Busy:
-		a.apply(a.store.Busy(a.now(), m.Sender))
-	case replica.Same:
-		a.apply(a.store.Same(a.now(), m.Sender))
+	case replica.ActionSendVersions:
+		a.apply(a.store.HandleVersions(a.now(), m.Sender, m.Buckets, m.Versions))
+	case replica.ActionRequestRows:
+		a.apply(a.store.HandleRowRequest(a.now(), m.Sender, m.RowIDs))
+	case replica.ActionReplyBusy:
+		a.apply(a.store.HandleBusy(a.now(), m.Sender))
+	case replica.ActionReplyInSync:
+		a.apply(a.store.HandleInSync(a.now(), m.Sender))
 	default: // of a later version, or a decision that is no message
 		a.Faults.Add(1)
 	}
--- a/internal/gossip/endpoints.go
+++ b/internal/gossip/endpoints.go
@@ -32,18 +32,18 @@
 	if err != nil {
 		return replica.Row{}, fmt.Errorf("encoding endpoint %q: %w", endpoint.Name, err)
 	}
-	return replica.Row{Key: endpoint.Name, Rank: endpointRank(endpoint), Count: endpoint.StartedAtUnixMilli, Body: body}, nil
+	return replica.Row{Key: endpoint.Name, Rank: endpointRank(endpoint), Sequence: endpoint.StartedAtUnixMilli, Body: body}, nil
 }
 
 // endpointRank returns how strictly an endpoint is excluded; of two rows at the same index the stricter one wins.
 func endpointRank(endpoint *wire.Endpoint) uint8 {
 	switch {
 	case endpoint.Ready:
-		return replica.Active
+		return replica.EndpointActive
 	case endpoint.Departed:
-		return replica.Left
+		return replica.EndpointRemoved
 	default:
-		return replica.Leaving
+		return replica.EndpointDraining
 	}
 }
 
@@ -58,6 +58,6 @@
 			return wire.Endpoint{}, fmt.Errorf("%w: %q", errInvalidEndpoint, row.Key)
 		}
 	}
-	endpoint.Ready, endpoint.Departed = row.Rank == replica.Active, row.Rank >= replica.Left
+	endpoint.Ready, endpoint.Departed = row.Rank == replica.EndpointActive, row.Rank >= replica.EndpointRemoved
 	return endpoint, nil
 }
--- a/internal/gossip/eventloop.go
+++ b/internal/gossip/eventloop.go
@@ -77,14 +77,14 @@
 		a.updateStatus()
 	}
 	if iteration%membersInterval == 0 {
-		a.handler.MembersUpdated(a.store.Members(), a.store.Behind())
+		a.handler.MembersUpdated(a.store.Members(), a.store.CatchingUp())
 	}
 }
 
 // reportLoad passes this proxy's load on to the store, from where peers get it.
 func (a *Agent) reportLoad() {
 	if elapsed := time.Since(a.demand.sampledAt); elapsed >= demandSampleInterval {
-		a.store.Demand(a.demand.sample(a.handler.RequestCount(), elapsed))
+		a.store.SetDemand(a.demand.sample(a.handler.RequestCount(), elapsed))
 	}
-	a.store.Writes(a.handler.WriteRowCount())
+	a.store.SetWritesSent(a.handler.WriteRowCount())
 }
--- a/internal/gossip/frames_golden_test.go
+++ b/internal/gossip/frames_golden_test.go
@@ -63,8 +63,8 @@
 			send(t, test.network, ip, labelHeader+test.frame)
 			select {
 			case row := <-handler.rows:
-				if row.Kind != replica.Voice || row.Key != "zone-1" ||
-					row.Writer != goldenSender || row.Count != 70000 {
+				if row.Kind != replica.KindZoneReport || row.Key != "zone-1" ||
+					row.Writer != goldenSender || row.Sequence != 70000 {
 					t.Errorf("received row %+v", row)
 				}
 			case <-time.After(5 * time.Second):
@@ -90,8 +90,8 @@
 	agent.PublishHealth("node-1", false)
 	eventually(t, "a health report arrives in a packet", func() bool {
 		return recorded.hasPacket(t, func(m *gossipMessage) bool {
-			return m.Type == replica.Spread && len(m.Rows) == 1 &&
-				m.Rows[0].Kind == replica.Sight && m.Rows[0].Key == "node-1"
+			return m.Type == replica.ActionGossip && len(m.Rows) == 1 &&
+				m.Rows[0].Kind == replica.KindHealthObservation && m.Rows[0].Key == "node-1"
 		})
 	})
 	agent.PublishEndpoints(7, true, []wire.Endpoint{
@@ -99,24 +99,24 @@
 	})
 	eventually(t, "an endpoint arrives in a packet", func() bool {
 		return recorded.hasPacket(t, func(m *gossipMessage) bool {
-			return m.Type == replica.Spread && isPublishedEndpoint(&m.Rows[0])
+			return m.Type == replica.ActionGossip && isPublishedEndpoint(&m.Rows[0])
 		})
 	})
-	digest := encodeGossip(&gossipMessage{Sender: "peer", Type: replica.Digest, Digests: foreignDigests()})
+	digest := encodeGossip(&gossipMessage{Sender: "peer", Type: replica.ActionSendDigest, Digests: foreignDigests()})
 	if err := peer.SendReliable(node, digest); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "a digest is answered on a stream", func() bool {
 		return recorded.hasStream(t, func(m *gossipMessage) bool {
-			return m.Type == replica.Heads && len(m.Versions) > 0 && m.Buckets != 0
+			return m.Type == replica.ActionSendVersions && len(m.Versions) > 0 && m.Buckets != 0
 		})
 	})
 }
 
 // isPublishedEndpoint tells whether a row is the one for the endpoint that the test publishes.
 func isPublishedEndpoint(row *replica.Row) bool {
-	return row.Kind == replica.Node && row.Key == "node-2" && row.Writer == "" &&
-		row.Epoch == 7 && row.Rank == 0 && row.Count == 5 && len(row.Body) > 0
+	return row.Kind == replica.KindEndpoint && row.Key == "node-2" && row.Writer == "" &&
+		row.Epoch == 7 && row.Rank == 0 && row.Sequence == 5 && len(row.Body) > 0
 }
 
 // foreignDigests returns bucket digests that differ from those of any store.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -23,14 +23,14 @@
 // message is what one proxy sends to others, as a msgpack map. Unknown fields are ignored, so that later versions can
 // add some. Which fields are used follows from the type.
 type message struct {
-	Version  int            `msgpack:"v"`
-	Sender   string         `msgpack:"f"` // name of the proxy
-	Type     replica.Act    `msgpack:"t"`
-	Rows     []replica.Row  `msgpack:"r,omitempty"`
-	Versions []replica.Head `msgpack:"h,omitempty"` // of the rows in the buckets of Buckets
-	RowIDs   []uint64       `msgpack:"i,omitempty"` // of the rows that are requested
-	Buckets  uint64         `msgpack:"w,omitempty"` // a bit for each bucket
-	Digests  []uint64       `msgpack:"s,omitempty"` // none, or one for each bucket
+	Version  int                  `msgpack:"v"`
+	Sender   string               `msgpack:"f"` // name of the proxy
+	Type     replica.Action       `msgpack:"t"`
+	Rows     []replica.Row        `msgpack:"r,omitempty"`
+	Versions []replica.RowVersion `msgpack:"h,omitempty"` // of the rows in the buckets of Buckets
+	RowIDs   []uint64             `msgpack:"i,omitempty"` // of the rows that are requested
+	Buckets  uint64               `msgpack:"w,omitempty"` // a bit for each bucket
+	Digests  []uint64             `msgpack:"s,omitempty"` // none, or one for each bucket
 }
 
 // encode sets the version and returns the message as msgpack.
@@ -63,7 +63,7 @@
 	switch {
 	case m.Version < 1:
 		return fmt.Errorf("%w: version %d", errMalformedMessage, m.Version)
-	case m.Sender == "" || len(m.Sender) > replica.MostName:
+	case m.Sender == "" || len(m.Sender) > replica.MaxNameBytes:
 		return fmt.Errorf("%w: sender name of %d bytes", errMalformedMessage, len(m.Sender))
 	case len(m.Rows) > maxRows:
 		return fmt.Errorf("%w: %d rows", errMalformedMessage, len(m.Rows))
@@ -71,7 +71,7 @@
 		return fmt.Errorf("%w: %d row versions", errMalformedMessage, len(m.Versions))
 	case len(m.RowIDs) > maxRowIDs:
 		return fmt.Errorf("%w: %d row IDs", errMalformedMessage, len(m.RowIDs))
-	case len(m.Digests) != 0 && len(m.Digests) != replica.Buckets:
+	case len(m.Digests) != 0 && len(m.Digests) != replica.BucketCount:
 		return fmt.Errorf("%w: %d bucket digests", errMalformedMessage, len(m.Digests))
 	}
 	return nil
--- a/internal/gossip/message_golden_test.go
+++ b/internal/gossip/message_golden_test.go
@@ -33,20 +33,20 @@
 // messageCases returns a message of each type with all its fields, and one with every field.
 func messageCases() []messageCase {
 	rows := goldenRows()
-	versions := []replica.Head{{ID: 0x0102030405060708, Copy: 0xf1f2f3f4f5f6f7f8}, {ID: 1, Copy: 2}}
+	versions := []replica.RowVersion{{RowID: 0x0102030405060708, VersionHash: 0xf1f2f3f4f5f6f7f8}, {RowID: 1, VersionHash: 2}}
 	ids := []uint64{0x0102030405060708, 3, 0}
 	return []messageCase{
-		{"spread", gossipMessage{Sender: goldenSender, Type: replica.Spread, Rows: rows[:1]}},
-		{"digest", gossipMessage{Sender: goldenSender, Type: replica.Digest, Digests: goldenDigests()}},
+		{"spread", gossipMessage{Sender: goldenSender, Type: replica.ActionGossip, Rows: rows[:1]}},
+		{"digest", gossipMessage{Sender: goldenSender, Type: replica.ActionSendDigest, Digests: goldenDigests()}},
 		{"heads", gossipMessage{
-			Sender: goldenSender, Type: replica.Heads, Buckets: 0x8000000000000005, Versions: versions,
+			Sender: goldenSender, Type: replica.ActionSendVersions, Buckets: 0x8000000000000005, Versions: versions,
 		}},
-		{"rows", gossipMessage{Sender: goldenSender, Type: replica.Rows, Rows: rows}},
-		{"want", gossipMessage{Sender: goldenSender, Type: replica.Want, RowIDs: ids}},
-		{"busy", gossipMessage{Sender: goldenSender, Type: replica.Busy}},
-		{"same", gossipMessage{Sender: goldenSender, Type: replica.Same}},
+		{"rows", gossipMessage{Sender: goldenSender, Type: replica.ActionSendRows, Rows: rows}},
+		{"want", gossipMessage{Sender: goldenSender, Type: replica.ActionRequestRows, RowIDs: ids}},
+		{"busy", gossipMessage{Sender: goldenSender, Type: replica.ActionReplyBusy}},
+		{"same", gossipMessage{Sender: goldenSender, Type: replica.ActionReplyInSync}},
 		{"every-field", gossipMessage{
-			Sender: goldenSender, Type: replica.Same, Rows: rows, Versions: versions, RowIDs: ids, Buckets: 5,
+			Sender: goldenSender, Type: replica.ActionReplyInSync, Rows: rows, Versions: versions, RowIDs: ids, Buckets: 5,
 			Digests: goldenDigests(),
 		}},
 	}
@@ -55,10 +55,10 @@
 // goldenRows returns a row with every field, and one of each kind.
 func goldenRows() []replica.Row {
 	rows := []replica.Row{{
-		Kind: replica.Voice, Key: "zone-1", Writer: goldenSender, Epoch: 1700000000000, Rank: 1, Count: 70000,
-		Age: 15000, Life: 36000000, Body: []byte{0x81, 0xa1, 'z', 0x01},
+		Kind: replica.KindZoneReport, Key: "zone-1", Writer: goldenSender, Epoch: 1700000000000, Rank: 1, Sequence: 70000,
+		Age: 15000, TTL: 36000000, Body: []byte{0x81, 0xa1, 'z', 0x01},
 	}}
-	for kind := replica.Pulse; kind <= replica.Absent; kind++ {
+	for kind := replica.KindHeartbeat; kind <= replica.KindAbsentKeys; kind++ {
 		rows = append(rows, replica.Row{Kind: kind, Key: "key", Epoch: int64(kind) + 100})
 	}
 	return rows
@@ -168,7 +168,7 @@
 	row := map[string]any{"k": 77, "n": "node-1", "e": 4, "later": true}
 	got, err := decodeGossip(encodeFields(t, fields{"v": 9, "later": []any{1}, "r": []any{row}, "w": 5}))
 	want := gossipMessage{
-		Version: 9, Sender: goldenSender, Type: replica.Rows,
+		Version: 9, Sender: goldenSender, Type: replica.ActionSendRows,
 		Rows: []replica.Row{{Kind: 77, Key: "node-1", Epoch: 4}}, Buckets: 5,
 	}
 	if err != nil || !reflect.DeepEqual(*got, want) {
--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -13,7 +13,7 @@
 // Fields that a later version adds are ignored, and fields that are missing are zero.
 func TestDecodeMessageOfLaterVersion(t *testing.T) {
 	row := map[string]any{"k": 3, "n": "c1", "e": 4, "newer": true}
-	later, err := msgpack.Marshal(map[string]any{"v": 9, "f": "x", "t": replica.Rows, "new": []int{1}, "r": []any{row}})
+	later, err := msgpack.Marshal(map[string]any{"v": 9, "f": "x", "t": replica.ActionSendRows, "new": []int{1}, "r": []any{row}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,19 +57,19 @@
 
 // Any bytes are either rejected or decoded to a message that the store takes and that can be encoded again.
 func FuzzDecodeMessage(f *testing.F) {
-	heartbeat := replica.Row{Kind: replica.Pulse, Key: "x", Writer: "x", Body: []byte{0x81}}
-	f.Add((&message{Sender: "x", Type: replica.Rows, Rows: []replica.Row{heartbeat}}).encode())
-	f.Add((&message{Sender: "x", Type: replica.Digest, Digests: make([]uint64, replica.Buckets)}).encode())
-	f.Add((&message{Sender: "x", Type: replica.Heads, Buckets: 3, Versions: []replica.Head{{ID: 1, Copy: 2}}}).encode())
+	heartbeat := replica.Row{Kind: replica.KindHeartbeat, Key: "x", Writer: "x", Body: []byte{0x81}}
+	f.Add((&message{Sender: "x", Type: replica.ActionSendRows, Rows: []replica.Row{heartbeat}}).encode())
+	f.Add((&message{Sender: "x", Type: replica.ActionSendDigest, Digests: make([]uint64, replica.BucketCount)}).encode())
+	f.Add((&message{Sender: "x", Type: replica.ActionSendVersions, Buckets: 3, Versions: []replica.RowVersion{{RowID: 1, VersionHash: 2}}}).encode())
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		m, err := decodeMessage(encoded)
 		if err != nil {
 			return
 		}
-		store := replica.New(0, replica.Terms{Me: "a", Incarnation: 1, Proxies: 2, Hold: 1, Floor: 0.25}, 1)
-		store.Rows(1, m.Sender, m.Rows)
-		store.Heads(2, m.Sender, m.Buckets, m.Versions)
-		store.Want(3, m.Sender, m.RowIDs)
+		store := replica.New(0, replica.Settings{Name: "a", Incarnation: 1, FleetSize: 2, TakeoverDelay: 1, QuotaFloor: 0.25}, 1)
+		store.HandleRows(1, m.Sender, m.Rows)
+		store.HandleVersions(2, m.Sender, m.Buckets, m.Versions)
+		store.HandleRowRequest(3, m.Sender, m.RowIDs)
 		store.Tick(replica.Second)
 		if again, err := decodeMessage(m.encode()); err != nil || len(again.Rows) != len(m.Rows) {
 			t.Errorf("a decoded message can't be encoded and decoded again: %v", err)
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -22,18 +22,18 @@
 	CatchingUp   bool    // this proxy still catches up with the state of its peers
 	QuotaShare   float64 // fraction, 0 to 1, of the cluster-wide limits that this proxy may use
 	Members      []replica.Member
-	RowsByKind   map[replica.Kind]replica.Held // number and digest of the stored rows
-	RejectedRows int64                         // rows that were out of their bounds, since the start
+	RowsByKind   map[replica.Kind]replica.KindStats // number and digest of the stored rows
+	RejectedRows int64                              // rows that were out of their bounds, since the start
 }
 
 // updateStatus takes a new snapshot. It is called from the event loop, or before that starts.
 func (a *Agent) updateStatus() {
 	a.status.Store(&Status{
-		CatchingUp:   a.store.Behind(),
-		QuotaShare:   a.store.Share(),
+		CatchingUp:   a.store.CatchingUp(),
+		QuotaShare:   a.store.QuotaShare(),
 		Members:      a.store.Members(),
-		RowsByKind:   a.store.Kinds(),
-		RejectedRows: a.store.Dropped,
+		RowsByKind:   a.store.KindStats(),
+		RejectedRows: a.store.RejectedRows,
 	})
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -17,10 +17,10 @@
 	timeout     balancer.Time // from sentAt
 	startBefore balancer.Time // not to be begun later; 0: there is no such time
 	cancelled   atomic.Bool
-	cacheTicket negativecache.Ticket // of a fetch from the origin
-	notFound    bool                 // the origin has answered that it has no such key
-	streaming   bool                 // its value is being streamed: for the router it has completed
-	conn        *upstreamConn        // that carries it, or nil; only the host's goroutine looks
+	cacheTicket negativecache.FetchToken // of a fetch from the origin
+	notFound    bool                     // the origin has answered that it has no such key
+	streaming   bool                     // its value is being streamed: for the router it has completed
+	conn        *upstreamConn            // that carries it, or nil; only the host's goroutine looks
 }
 
 // attemptResult is how an attempt ended. A completed one has a value, or a stream in place of it, unless the origin has
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -17,27 +17,27 @@
 )
 
 // zoneBroadcast tells other proxies this one's vote on a zone, which counts for a lifetime. It must not wait.
-type zoneBroadcast = func(zone string, vote zonehealth.Voice, lifetime zonehealth.Time)
+type zoneBroadcast = func(zone string, vote zonehealth.Report, lifetime zonehealth.Time)
 
 // zoneController is the router's part that evacuates zones and brings them back. Only the router's goroutine looks at
 // it, but for the status.
 type zoneController struct {
-	health       *zonehealth.Instance
+	health       *zonehealth.Controller
 	timer        *time.Timer
 	armed        bool          // the timer is set
 	broadcast    zoneBroadcast // nil: there are no other proxies
 	latencyLimit balancer.Time // a response that takes longer is late
-	status       atomic.Pointer[[]zonehealth.Shown]
+	status       atomic.Pointer[[]zonehealth.ZoneStatus]
 	statusAt     balancer.Time // when the status was renewed
 }
 
 // EnableZoneHealth has whole zones evacuated and brought back. It is to be called before Run.
-func (r *Router) EnableZoneHealth(terms zonehealth.Terms, broadcast zoneBroadcast) {
+func (r *Router) EnableZoneHealth(terms zonehealth.Settings, broadcast zoneBroadcast) {
 	r.zones = &zoneController{
 		health: zonehealth.New(r.zoneNow(), terms), timer: time.NewTimer(unarmed),
-		broadcast: broadcast, latencyLimit: balancer.Time(terms.Shortest),
+		broadcast: broadcast, latencyLimit: balancer.Time(terms.ShortestObjective),
 	}
-	r.zones.status.Store(&[]zonehealth.Shown{})
+	r.zones.status.Store(&[]zonehealth.ZoneStatus{})
 }
 
 func (r *Router) zoneNow() zonehealth.Time { return zonehealth.Time(r.clock.Now()) }
@@ -55,13 +55,13 @@
 	z := r.zones
 	z.armed = false
 	inFlight, capacity := r.balancer.Load()
-	z.health.Load(float64(inFlight), capacity)
+	z.health.SetLoad(float64(inFlight), capacity)
 	r.executeZoneDecisions(z.health.Tick(r.zoneNow()))
 }
 
 // arm sets the timer for the next tick, if there is anything to decide.
 func (z *zoneController) arm() {
-	if !z.armed && z.health.Busy() {
+	if !z.armed && z.health.NeedsTick() {
 		z.armed = true
 		z.timer.Reset(zoneTick)
 	}
@@ -78,13 +78,13 @@
 		if h != nil && h.isServing() {
 			nodes = append(nodes, zonehealth.Node{
 				Index: index, Name: h.name, Zone: h.endpoint.Zone,
-				Since: zonehealth.Time(h.endpoint.StartedAtUnixMilli) * ticksPerMillisecond,
+				StartedAt: zonehealth.Time(h.endpoint.StartedAtUnixMilli) * ticksPerMillisecond,
 			})
 		}
 	}
 	z.statusAt = 0 // so that the status is renewed
-	r.executeZoneDecisions(z.health.Nodes(r.zoneNow(), nodes))
-	if missing := z.health.Missing(); missing != "" && len(nodes) > 0 {
+	r.executeZoneDecisions(z.health.SetNodes(r.zoneNow(), nodes))
+	if missing := z.health.MissingZone(); missing != "" && len(nodes) > 0 {
 		r.log.Warn("zones: no node has a zone that the file names", zap.String("zone", missing))
 	}
 }
@@ -93,14 +93,14 @@
 func (r *Router) executeZoneDecisions(decisions []zonehealth.Decision) {
 	z, now := r.zones, r.clock.Now()
 	for i := range decisions {
-		switch d := &decisions[i]; d.Act {
-		case zonehealth.Bar:
+		switch d := &decisions[i]; d.Action {
+		case zonehealth.ExcludeNode:
 			r.excludeHost(now, d)
-		case zonehealth.Speak:
+		case zonehealth.PublishReport:
 			if z.broadcast != nil {
-				z.broadcast(d.Zone, d.Voice, d.Life)
+				z.broadcast(d.Zone, d.Report, d.TTL)
 			}
-		case zonehealth.Knock:
+		case zonehealth.ProbeNode:
 			if h := r.hosts[d.Node]; h != nil {
 				h.mailbox.tryPost(h.probe)
 			}
@@ -116,8 +116,10 @@
 
 // excludeHost keeps a part of a host's keys from it.
 func (r *Router) excludeHost(now balancer.Time, d *zonehealth.Decision) {
-	r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.SetExclusion(now, d.Node, d.Part, d.Off) })
-	if h := r.hosts[d.Node]; d.Part == 1 && h != nil {
+	r.apply(now, func(b *balancer.Balancer) []balancer.Decision {
+		return b.SetExclusion(now, d.Node, d.ExcludedShare, d.CancelInFlight)
+	})
+	if h := r.hosts[d.Node]; d.ExcludedShare == 1 && h != nil {
 		h.mailbox.tryPost(h.closeIdleConns) // nothing is sent there for a while
 	}
 }
@@ -125,17 +127,17 @@
 func (r *Router) renewZoneStatus(now balancer.Time) {
 	z := r.zones
 	z.statusAt = now
-	standalone := z.health.Judged()
-	r.counters.ZonesPassed.Store(int64(standalone.Passed))
-	r.counters.ZonesHasty.Store(int64(standalone.Hasty))
-	status := z.health.Shown(zonehealth.Time(now))
+	standalone := z.health.StandaloneCounts()
+	r.counters.ZonesPassed.Store(int64(standalone.Evacuations))
+	r.counters.ZonesHasty.Store(int64(standalone.FalsePositives))
+	status := z.health.Statuses(zonehealth.Time(now))
 	z.status.Store(&status)
 }
 
 // zoneAttemptSent takes note of an attempt at a cache.
 func (r *Router) zoneAttemptSent(index int) {
 	if r.zones != nil && !r.hosts[index].isOrigin {
-		r.zones.health.Sent(r.zoneNow(), index)
+		r.zones.health.AttemptSent(r.zoneNow(), index)
 	}
 }
 
@@ -148,29 +150,29 @@
 	now := r.zoneNow()
 	if r.hosts[index].isOrigin {
 		if outcome != balancer.NotSent && outcome != balancer.Cancelled {
-			z.health.Origin(now, outcome != balancer.Completed || took > z.latencyLimit)
+			z.health.OriginFetched(now, outcome != balancer.Completed || took > z.latencyLimit)
 		}
 		return
 	}
-	z.health.Ended(now, index, z.observation(outcome, took), zonehealth.Time(took))
+	z.health.AttemptFinished(now, index, z.observation(outcome, took), zonehealth.Time(took))
 	z.arm()
 }
 
 // observation returns what an attempt's end says of its cache's health.
-func (z *zoneController) observation(outcome balancer.Outcome, took balancer.Time) zonehealth.Ending {
+func (z *zoneController) observation(outcome balancer.Outcome, took balancer.Time) zonehealth.Outcome {
 	switch {
 	case outcome == balancer.ConnectFailed:
-		return zonehealth.Shut
+		return zonehealth.ConnectFailed
 	case outcome == balancer.TimedOut, outcome == balancer.Reset:
-		return zonehealth.Nothing
+		return zonehealth.Unanswered
 	case outcome == balancer.Cancelled:
-		return zonehealth.Undone
+		return zonehealth.Cancelled
 	case outcome == balancer.NotSent:
-		return zonehealth.Unknown
+		return zonehealth.NotSent
 	case outcome == balancer.ServerError, outcome == balancer.Overloaded, took > z.latencyLimit:
-		return zonehealth.Late
+		return zonehealth.AnsweredLate
 	}
-	return zonehealth.Answered
+	return zonehealth.AnsweredInTime
 }
 
 // zoneConnectFinished takes note of whether a new connection to a cache has come up.
@@ -178,34 +180,34 @@
 	switch {
 	case r.zones == nil || r.hosts[index] == nil || r.hosts[index].isOrigin:
 	case connected:
-		r.zones.health.Reached(index)
+		r.zones.health.ConnectionOpened(index)
 	default:
-		r.zones.health.Refused(index)
+		r.zones.health.ConnectionRefused(index)
 	}
 }
 
 // SetZoneMembers takes who the proxies are. catchingUp means that not all are known yet.
 func (r *Router) SetZoneMembers(all []zonehealth.Proxy, catchingUp bool) {
 	r.mailbox.post(func() {
-		r.zones.health.Fleet(r.zoneNow(), all, catchingUp)
+		r.zones.health.SetFleet(r.zoneNow(), all, catchingUp)
 		r.zones.arm()
 	})
 }
 
 // ReceiveZoneVote takes another proxy's vote on a zone, sent age ago, which counts for a lifetime.
-func (r *Router) ReceiveZoneVote(from, zone string, vote zonehealth.Voice, age, lifetime zonehealth.Time) {
+func (r *Router) ReceiveZoneVote(from, zone string, vote zonehealth.Report, age, lifetime zonehealth.Time) {
 	r.mailbox.post(func() {
-		r.executeZoneDecisions(r.zones.health.Voice(r.zoneNow(), from, zone, vote, age, lifetime))
+		r.executeZoneDecisions(r.zones.health.PeerReport(r.zoneNow(), from, zone, vote, age, lifetime))
 	})
 }
 
 // OverrideZone takes an operator's override of a zone. It does not wait, and returns false if the router is too busy.
-func (r *Router) OverrideZone(order zonehealth.Order) bool {
-	return r.mailbox.tryPost(func() { r.executeZoneDecisions(r.zones.health.Order(r.zoneNow(), order)) })
+func (r *Router) OverrideZone(order zonehealth.Override) bool {
+	return r.mailbox.tryPost(func() { r.executeZoneDecisions(r.zones.health.SetOverride(r.zoneNow(), order)) })
 }
 
 // ZoneStatus returns the zones' status as of a moment ago; nil where they are not judged.
-func (r *Router) ZoneStatus() []zonehealth.Shown {
+func (r *Router) ZoneStatus() []zonehealth.ZoneStatus {
 	if r.zones == nil {
 		return nil
 	}
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -49,13 +49,13 @@
 	Gossip       *gossip.Config
 
 	ZoneHealthFile string // zone health file; empty: zones are not evacuated
-	ZoneHealth     *zonehealth.Terms
+	ZoneHealth     *zonehealth.Settings
 
 	StateDir   string // directory of the state file; empty: no state is stored
 	StateStore *snapshot.Store
 
 	NegativeCacheFile string // negative cache file; empty: there is no negative cache
-	NegativeCache     *negativecache.Terms
+	NegativeCache     *negativecache.Settings
 
 	RebalanceFile string // rebalance file; empty: no migrations are planned
 	Rebalance     *rebalance.Settings
--- a/internal/server/config_test.go
+++ b/internal/server/config_test.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if z := config.ZoneHealth; z.Zone != "a" || z.Me != "n1" || z.Voices != 0.3 || len(z.Regions) != 1 {
+	if z := config.ZoneHealth; z.Zone != "a" || z.ProxyName != "n1" || z.VoteShare != 0.3 || len(z.Regions) != 1 {
 		t.Fatalf("%+v", z)
 	}
 	for _, c := range []struct{ text, want string }{
@@ -193,7 +193,7 @@
 	var dutyAloneError *duties.NoPeersError
 	var rebalanceRange *rebalance.RangeError
 	var cacheRange *negativecache.RangeError
-	var cacheAloneError *negativecache.AloneError
+	var cacheAloneError *negativecache.NoPeersError
 	for _, c := range []struct {
 		overrides Config
 		text      string
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -16,7 +16,7 @@
 }
 
 // dutyRowKinds maps the message kinds of the duties module to the kinds of rows that carry them.
-var dutyRowKinds = [...]replica.Kind{duties.ProbeReport: replica.Trial, duties.WatchHeartbeat: replica.Beat}
+var dutyRowKinds = [...]replica.Kind{duties.ProbeReport: replica.KindEndpointProbe, duties.WatchHeartbeat: replica.KindWatchHeartbeat}
 
 // publish sends a message of this proxy.
 func (d *dutiesAdapter) publish(kind duties.ReportKind, key string, message duties.Report, ttl duties.Time) {
--- a/internal/server/figures_golden_test.go
+++ b/internal/server/figures_golden_test.go
@@ -60,7 +60,7 @@
 	}{
 		{"GET /control/turns", &duties.Statistics{}},
 		{"GET /control/recovery", &recovery.Status{}},
-		{"GET /control/missing", &negativecache.Figures{}},
+		{"GET /control/missing", &negativecache.Stats{}},
 		{"POST /control/moves/plan, response", &rebalance.Plan{}},
 		{"POST /control/moves/plan, request", &rebalance.Inventory{}},
 		{"a move of a plan", &rebalance.Migration{}},
@@ -131,9 +131,9 @@
 	for s := zonehealth.State(0); s < 4; s++ {
 		fmt.Fprintf(&all, "zone state %d %s\n", s, s)
 	}
-	for w := zonehealth.Want(0); w < 4; w++ {
+	for w := zonehealth.OverrideMode(0); w < 4; w++ {
 		fmt.Fprintf(&all, "order %d %s\n", w, w)
-		if zonehealth.Wants[w.String()] != w {
+		if zonehealth.OverrideModes[w.String()] != w {
 			t.Errorf("order %v is not read by its own name", w)
 		}
 	}
--- a/internal/server/gossip.go
+++ b/internal/server/gossip.go
@@ -144,13 +144,13 @@
 // RowChanged passes a peer's row to the part that its kind belongs to.
 func (g *gossipAdapter) RowChanged(row *replica.Row) {
 	switch row.Kind {
-	case replica.Voice:
+	case replica.KindZoneReport:
 		g.zoneHealth.receiveReport(row)
-	case replica.Order:
+	case replica.KindZoneOverride:
 		g.zoneHealth.receiveOverride(row)
-	case replica.Trial, replica.Beat:
+	case replica.KindEndpointProbe, replica.KindWatchHeartbeat:
 		g.duties.receive(row)
-	case replica.Wrote, replica.Absent:
+	case replica.KindWrittenKeys, replica.KindAbsentKeys:
 		g.negativeCache.receive(row)
 	}
 }
@@ -174,16 +174,16 @@
 
 // kindNames are the names of row kinds in the answer to GET /control/peers.
 var kindNames = map[replica.Kind]string{
-	replica.Pulse:  "pulse",
-	replica.Sight:  "sight",
-	replica.Node:   "node",
-	replica.Gone:   "gone",
-	replica.Voice:  "voice",
-	replica.Order:  "order",
-	replica.Trial:  "trial",
-	replica.Beat:   "beat",
-	replica.Wrote:  "wrote",
-	replica.Absent: "absent",
+	replica.KindHeartbeat:         "pulse",
+	replica.KindHealthObservation: "sight",
+	replica.KindEndpoint:          "node",
+	replica.KindDeparture:         "gone",
+	replica.KindZoneReport:        "voice",
+	replica.KindZoneOverride:      "order",
+	replica.KindEndpointProbe:     "trial",
+	replica.KindWatchHeartbeat:    "beat",
+	replica.KindWrittenKeys:       "wrote",
+	replica.KindAbsentKeys:        "absent",
 }
 
 // statusText returns the answer to GET /control/peers; empty if gossip does not run.
@@ -208,11 +208,11 @@
 		if name == "" {
 			name = fmt.Sprint("kind-", kind)
 		}
-		fmt.Fprintf(&text, "rows %s %d digest %016x\n", name, rows.Rows, rows.Sum)
+		fmt.Fprintf(&text, "rows %s %d digest %016x\n", name, rows.Rows, rows.Digest)
 	}
 	for _, member := range status.Members {
 		fmt.Fprintf(&text, "proxy %s %s incarnation %d at %s lag %d ms demand %.1f/s behind %v\n",
-			member.Name, member.State, member.Incarnation, member.Address, member.Lag/10, member.Demand, member.Behind)
+			member.Name, member.State, member.Incarnation, member.Address, member.HeartbeatAge/10, member.Demand, member.CatchingUp)
 	}
 	return text.String()
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -101,15 +101,15 @@
 	s.gauge("recovery_drained", "Nodes left alone by what was stored.", float64(figures.DrainingEndpoints))
 }
 
-func (s metricSink) negativeCache(figures negativecache.Figures) {
+func (s metricSink) negativeCache(figures negativecache.Stats) {
 	believed := 0.0
-	if figures.Believes {
+	if figures.Serving {
 		believed = 1
 	}
 	s.gauge("missing_believed", "Whether missing keys are believed by now.", believed)
 	s.counter("missing_hits", "Look-ups answered by what is known to be missing.", figures.Hits)
-	s.counter("missing_put", "Missing keys that were taken.", figures.Put)
-	s.counter("missing_cleared", "Times that all was forgotten.", figures.Cleared)
+	s.counter("missing_put", "Missing keys that were taken.", figures.Stored)
+	s.counter("missing_cleared", "Times that all was forgotten.", figures.Flushes)
 }
 
 // snakeCase converts a counter's name in camel case to a metric's.
--- a/internal/server/negativecache.go
+++ b/internal/server/negativecache.go
@@ -21,20 +21,20 @@
 
 // publish sends which keys this proxy wrote, or which the origin lacks.
 func (n *negativeCacheAdapter) publish(decision *negativecache.Decision) {
-	kind := replica.Wrote
-	if decision.Act == negativecache.SayAbsent {
-		kind = replica.Absent
+	kind := replica.KindWrittenKeys
+	if decision.Action == negativecache.ActionReportAbsent {
+		kind = replica.KindAbsentKeys
 	}
-	n.sender.publish(kind, fmt.Sprint("s", decision.Slot), n.ttl, &decision.Word)
+	n.sender.publish(kind, fmt.Sprint("s", decision.Slot), n.ttl, &decision.Report)
 }
 
 // receive passes on a row of another proxy; one that can't be decoded is dropped.
 func (n *negativeCacheAdapter) receive(row *replica.Row) {
-	var message negativecache.Word
+	var message negativecache.KeyReport
 	if n == nil || msgpack.Unmarshal(row.Body, &message) != nil {
 		return
 	}
-	if row.Kind == replica.Wrote {
+	if row.Kind == replica.KindWrittenKeys {
 		n.actor.ReceiveWrites(row.Writer, row.Epoch, message)
 	} else {
 		n.actor.ReceiveAbsentKeys(row.Writer, message, negativecache.Time(row.Age))
@@ -50,11 +50,11 @@
 	for i := range members {
 		member := &members[i]
 		fleet = append(fleet, negativecache.Proxy{
-			Name:  member.Name,
-			Here:  isAlive(member),
-			Gone:  hasDeparted(member),
-			Wrote: member.Wrote,
-			Epoch: member.Incarnation,
+			Name:         member.Name,
+			Reachable:    isAlive(member),
+			Departed:     hasDeparted(member),
+			WriteReports: member.WritesSent,
+			Incarnation:  member.Incarnation,
 		})
 	}
 	n.actor.SetMembers(fleet, n.proxies, catchingUp)
--- a/internal/server/negativecachefile.go
+++ b/internal/server/negativecachefile.go
@@ -19,17 +19,17 @@
 
 // readNegativeCacheFile reads the negative cache file. Where other proxies may write, they have to be heard: without
 // gossip it is a *negativecache.AloneError.
-func readNegativeCacheFile(file string, config *Config) (*negativecache.Terms, error) {
+func readNegativeCacheFile(file string, config *Config) (*negativecache.Settings, error) {
 	values := &negativeCacheFile{Entries: 1 << 16, TTLSeconds: 10, GracePeriodMS: 2000, GrowPerSecond: 2000}
-	terms := &negativecache.Terms{}
+	terms := &negativecache.Settings{}
 	err := readPolicyFile("missing", file, values, func() error {
-		*terms = negativecache.Terms{
-			Me:      config.Name,
-			Entries: values.Entries,
-			Believe: tenths[negativecache.Time](values.TTLSeconds * 1000),
-			Grace:   tenths[negativecache.Time](values.GracePeriodMS),
-			Grow:    values.GrowPerSecond,
-			Tenants: len(config.Settings.Tenants),
+		*terms = negativecache.Settings{
+			ProxyName:           config.Name,
+			Entries:             values.Entries,
+			TTL:                 tenths[negativecache.Time](values.TTLSeconds * 1000),
+			ReportGrace:         tenths[negativecache.Time](values.GracePeriodMS),
+			MaxNewKeysPerSecond: values.GrowPerSecond,
+			TenantCount:         len(config.Settings.Tenants),
 		}
 		if err := terms.Check(); err != nil {
 			return err
@@ -40,7 +40,7 @@
 		return nil, err
 	}
 	if proxies := config.Settings.Balancer.Proxies; config.Gossip == nil && proxies > 1 {
-		return nil, fmt.Errorf("missing: %w", &negativecache.AloneError{File: file, Proxies: proxies})
+		return nil, fmt.Errorf("missing: %w", &negativecache.NoPeersError{File: file, Proxies: proxies})
 	}
 	return terms, nil
 }
@@ -50,7 +50,7 @@
 func (f *negativeCacheFile) checkTTL(config *Config) error {
 	least := 2 * float64(config.Settings.LongestTimeout) / float64(negativecache.Second)
 	if f.TTLSeconds < least {
-		return &negativecache.RangeError{Key: "believe_s", Value: f.TTLSeconds, Least: least, Most: maxTTLSeconds}
+		return &negativecache.RangeError{Key: "believe_s", Value: f.TTLSeconds, Min: least, Max: maxTTLSeconds}
 	}
 	return nil
 }
--- a/internal/server/policyfile.go
+++ b/internal/server/policyfile.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", label, err)
 	}
-	if err := configfile.TOML(text, target); err != nil {
+	if err := configfile.DecodeTOML(text, target); err != nil {
 		return fmt.Errorf("%s: %s: %w", label, file, err)
 	}
 	if err := check(); err != nil {
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -153,7 +153,7 @@
 		s.router.SetPeerNotifier(s.gossip.publishObservation)
 	}
 	if config.NegativeCache != nil {
-		adapter := &negativeCacheAdapter{sender: sender, ttl: replica.Time(config.NegativeCache.Believe), proxies: config.proxies()}
+		adapter := &negativeCacheAdapter{sender: sender, ttl: replica.Time(config.NegativeCache.TTL), proxies: config.proxies()}
 		publish := adapter.publish
 		if config.Gossip == nil {
 			publish = nil
--- a/internal/server/toml_golden_test.go
+++ b/internal/server/toml_golden_test.go
@@ -35,22 +35,22 @@
 	describe: func(config *server.Config, line func(label string, v any)) {
 		z := config.ZoneHealth
 		line("zone", z.Zone)
-		line("quiet_ms", zoneMilliseconds(z.Quiet))
-		line("voices", z.Voices)
-		line("settle_ms", zoneMilliseconds(z.Settle))
-		line("hold_ms", zoneMilliseconds(z.Hold))
-		line("most_hold_ms", zoneMilliseconds(z.MostHold))
-		line("step_ms", zoneMilliseconds(z.Step))
-		line("alone", z.Alone)
-		line("together", !z.Apart)
+		line("quiet_ms", zoneMilliseconds(z.SilenceTimeout))
+		line("voices", z.VoteShare)
+		line("settle_ms", zoneMilliseconds(z.ConfirmationTime))
+		line("hold_ms", zoneMilliseconds(z.HoldDownTime))
+		line("most_hold_ms", zoneMilliseconds(z.MaxHoldDownTime))
+		line("step_ms", zoneMilliseconds(z.RampStepTime))
+		line("alone", z.StandaloneEnabled)
+		line("together", !z.WithoutPeers)
 		for i, region := range z.Regions {
 			line(fmt.Sprintf("region[%d].name", i), region.Name)
 			line(fmt.Sprintf("region[%d].zones", i), region.Zones)
 		}
-		line("name, of the configuration", z.Me)
-		line("shortest latency-objective, of the settings", zoneMilliseconds(z.Shortest))
-		line("rules.cold, of the settings", zoneMilliseconds(z.Cold))
-		line("rules.cold-from, of the settings", z.ColdFrom)
+		line("name, of the configuration", z.ProxyName)
+		line("shortest latency-objective, of the settings", zoneMilliseconds(z.ShortestObjective))
+		line("rules.cold, of the settings", zoneMilliseconds(z.SlowStartTime))
+		line("rules.cold-from, of the settings", z.SlowStartInitialShare)
 	},
 }
 
@@ -95,11 +95,11 @@
 	},
 	describe: func(config *server.Config, line func(label string, v any)) {
 		line("entries", config.NegativeCache.Entries)
-		line("believe_s", float64(config.NegativeCache.Believe)/float64(negativecache.Second))
-		line("grace_ms", float64(config.NegativeCache.Grace)/float64(negativecache.Second)*1000)
-		line("grow_per_s", config.NegativeCache.Grow)
-		line("name, of the configuration", config.NegativeCache.Me)
-		line("tenants, of the settings", config.NegativeCache.Tenants)
+		line("believe_s", float64(config.NegativeCache.TTL)/float64(negativecache.Second))
+		line("grace_ms", float64(config.NegativeCache.ReportGrace)/float64(negativecache.Second)*1000)
+		line("grow_per_s", config.NegativeCache.MaxNewKeysPerSecond)
+		line("name, of the configuration", config.NegativeCache.ProxyName)
+		line("tenants, of the settings", config.NegativeCache.TenantCount)
 	},
 }
 
--- a/internal/server/zonehealth.go
+++ b/internal/server/zonehealth.go
@@ -30,26 +30,26 @@
 type zoneHealthAdapter struct {
 	sender    *gossipSender
 	router    *proxy.Router
-	config    *zonehealth.Terms
+	config    *zonehealth.Settings
 	proxyName string
 	log       *zap.Logger
 }
 
 // publishReport sends what this proxy reports on a zone.
-func (z *zoneHealthAdapter) publishReport(zone string, report zonehealth.Voice, ttl zonehealth.Time) {
-	z.sender.publish(replica.Voice, zone, replica.Time(ttl), &report)
+func (z *zoneHealthAdapter) publishReport(zone string, report zonehealth.Report, ttl zonehealth.Time) {
+	z.sender.publish(replica.KindZoneReport, zone, replica.Time(ttl), &report)
 }
 
 // cooperates tells whether zones are judged with the other proxies.
-func (z *zoneHealthAdapter) cooperates() bool { return z != nil && !z.config.Apart }
+func (z *zoneHealthAdapter) cooperates() bool { return z != nil && !z.config.WithoutPeers }
 
 // receiveReport passes on another proxy's report; one that can't be decoded is dropped.
 func (z *zoneHealthAdapter) receiveReport(row *replica.Row) {
-	var report zonehealth.Voice
+	var report zonehealth.Report
 	if !z.cooperates() || msgpack.Unmarshal(row.Body, &report) != nil {
 		return
 	}
-	z.router.ReceiveZoneVote(row.Writer, row.Key, report, zonehealth.Time(row.Age), zonehealth.Time(row.Life))
+	z.router.ReceiveZoneVote(row.Writer, row.Key, report, zonehealth.Time(row.Age), zonehealth.Time(row.TTL))
 }
 
 // receiveOverride passes on an override that another proxy took from an operator.
@@ -57,12 +57,12 @@
 	if z == nil {
 		return
 	}
-	z.router.OverrideZone(zonehealth.Order{
+	z.router.OverrideZone(zonehealth.Override{
 		Zone:  row.Key,
-		Want:  zonehealth.Want(row.Rank),
+		Mode:  zonehealth.OverrideMode(row.Rank),
 		Epoch: row.Epoch,
-		By:    string(row.Body[:min(len(row.Body), maxIssuerLength)]),
-		Force: row.Count != 0,
+		Proxy: string(row.Body[:min(len(row.Body), maxIssuerLength)]),
+		Force: row.Sequence != 0,
 	})
 }
 
@@ -75,7 +75,7 @@
 	for i := range members {
 		member := &members[i]
 		fleet = append(fleet, zonehealth.Proxy{
-			Name: member.Name, Zone: member.Zone, Here: isAlive(member), Gone: hasDeparted(member),
+			Name: member.Name, Zone: member.Zone, Reachable: isAlive(member), Departed: hasDeparted(member),
 		})
 	}
 	z.router.SetZoneMembers(fleet, catchingUp)
@@ -88,19 +88,19 @@
 	if z == nil {
 		return "", errZoneHealthOff
 	}
-	wanted, ok := zonehealth.Wants[want]
+	wanted, ok := zonehealth.OverrideModes[want]
 	if !ok {
 		return "", fmt.Errorf("%q: none of in, out, hold, auto", want)
 	}
-	status, zones := z.router.ZoneStatus(), z.config.Zones(name)
-	if fault := zonehealth.Check(status, zones, wanted, epoch, force); fault != "" {
+	status, zones := z.router.ZoneStatus(), z.config.ZonesNamed(name)
+	if fault := zonehealth.CheckOverride(status, zones, wanted, epoch, force); fault != "" {
 		return "", errors.New(fault)
 	}
 	var text strings.Builder
 	for _, zone := range zones {
-		i := slices.IndexFunc(status, func(s zonehealth.Shown) bool { return s.Name == zone })
-		order := zonehealth.Order{
-			Zone: zone, Want: wanted, Epoch: status[i].Order.Epoch + 1, By: z.proxyName, Force: force,
+		i := slices.IndexFunc(status, func(s zonehealth.ZoneStatus) bool { return s.Name == zone })
+		order := zonehealth.Override{
+			Zone: zone, Mode: wanted, Epoch: status[i].Override.Epoch + 1, Proxy: z.proxyName, Force: force,
 		}
 		if !z.router.OverrideZone(order) {
 			return "", fmt.Errorf("zone %q: too busy to take it; nothing has changed there", zone)
@@ -113,15 +113,15 @@
 }
 
 // overrideRow returns the row that replicates an override.
-func overrideRow(order *zonehealth.Order) replica.Row {
+func overrideRow(order *zonehealth.Override) replica.Row {
 	row := replica.Row{
-		Kind: replica.Order, Key: order.Zone, Epoch: order.Epoch, Rank: uint8(order.Want), Body: []byte(order.By),
+		Kind: replica.KindZoneOverride, Key: order.Zone, Epoch: order.Epoch, Rank: uint8(order.Mode), Body: []byte(order.Proxy),
 	}
 	if order.Force {
-		row.Count = 1
+		row.Sequence = 1
 	}
-	if order.Want == zonehealth.Auto {
-		row.Life = autoOverrideTTL
+	if order.Mode == zonehealth.OverrideAuto {
+		row.TTL = autoOverrideTTL
 	}
 	return row
 }
@@ -140,28 +140,28 @@
 }
 
 // writeZoneStatus writes the line of one zone.
-func writeZoneStatus(text *strings.Builder, zone *zonehealth.Shown) {
-	state := zone.Stand.State.String()
+func writeZoneStatus(text *strings.Builder, zone *zonehealth.ZoneStatus) {
+	state := zone.Verdict.State.String()
 	switch {
-	case zone.Stand.State == zonehealth.In && zone.Watched:
+	case zone.Verdict.State == zonehealth.InService && zone.Watched:
 		state = "watched"
-	case zone.Own:
+	case zone.ServedLocally:
 		state += " for others"
 	}
 	fmt.Fprintf(text, "zone %s %s epoch %d step %d flaps %d open %.3f nodes %d for %d s;",
-		zone.Name, state, zone.Stand.Epoch, zone.Stand.Step, zone.Stand.Flaps, zone.Open, zone.Nodes,
-		zone.Held/zonehealth.Second)
-	fmt.Fprintf(text, " %d against from %d zones, %d for;", zone.Against, zone.AgainstZones, zone.For)
+		zone.Name, state, zone.Verdict.Epoch, zone.Verdict.Step, zone.Verdict.Flaps, zone.OpenShare, zone.Nodes,
+		zone.VerdictAge/zonehealth.Second)
+	fmt.Fprintf(text, " %d against from %d zones, %d for;", zone.UnhealthyVotes, zone.UnhealthyVoteZones, zone.HealthyVotes)
 	fmt.Fprintf(text, " of %d that tried it since %d in time, %d late, %d unanswered",
-		zone.Tried, zone.Fine, zone.Late, zone.Lost)
-	if n := len(zone.By); n > 0 {
-		fmt.Fprintf(text, "; against: %s", strings.Join(zone.By[:min(n, maxReportersShown)], " "))
+		zone.Attempted, zone.InTime, zone.Late, zone.Unanswered)
+	if n := len(zone.UnhealthyVoters); n > 0 {
+		fmt.Fprintf(text, "; against: %s", strings.Join(zone.UnhealthyVoters[:min(n, maxReportersShown)], " "))
 	}
-	if zone.Alone {
+	if zone.Standalone {
 		text.WriteString("; passed by alone")
 	}
-	if order := zone.Order; order.Epoch > 0 {
-		fmt.Fprintf(text, "; ordered %v by way of %s, order %d", order.Want, order.By, order.Epoch)
+	if order := zone.Override; order.Epoch > 0 {
+		fmt.Fprintf(text, "; ordered %v by way of %s, order %d", order.Mode, order.Proxy, order.Epoch)
 	}
 	text.WriteByte('\n')
 }
--- a/internal/server/zonehealthfile.go
+++ b/internal/server/zonehealthfile.go
@@ -44,7 +44,7 @@
 }
 
 // readZoneHealthFile reads the zone health file of the proxy of that name.
-func readZoneHealthFile(file, name string, proxySettings *settings.Settings) (*zonehealth.Terms, error) {
+func readZoneHealthFile(file, name string, proxySettings *settings.Settings) (*zonehealth.Settings, error) {
 	values := &zoneHealthFile{
 		ReportFraction: 0.2,
 		ConfirmationMS: 200,
@@ -54,7 +54,7 @@
 		Standalone:     true,
 		Cooperative:    true,
 	}
-	var terms *zonehealth.Terms
+	var terms *zonehealth.Settings
 	err := readPolicyFile("zones", file, values, func() (err error) {
 		terms, err = values.terms(name, proxySettings)
 		return err
@@ -66,7 +66,7 @@
 }
 
 // terms checks the values, which may set a default that depends on the settings, and converts them.
-func (f *zoneHealthFile) terms(name string, proxySettings *settings.Settings) (*zonehealth.Terms, error) {
+func (f *zoneHealthFile) terms(name string, proxySettings *settings.Settings) (*zonehealth.Settings, error) {
 	shortest := shortestObjective[zonehealth.Time](proxySettings)
 	if f.QuietMS == 0 {
 		f.QuietMS = max(float64(shortest)/10*quietFraction, minQuietMS)
@@ -89,21 +89,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return &zonehealth.Terms{
-		Me:       name,
-		Zone:     zone,
-		Regions:  regions,
-		Shortest: shortest,
-		Quiet:    tenths[zonehealth.Time](f.QuietMS),
-		Voices:   f.ReportFraction,
-		Settle:   tenths[zonehealth.Time](f.ConfirmationMS),
-		Hold:     tenths[zonehealth.Time](f.HoldDownMS),
-		MostHold: tenths[zonehealth.Time](f.MaxHoldDownMS),
-		Step:     tenths[zonehealth.Time](f.RampStepMS),
-		Cold:     zonehealth.Time(proxySettings.Balancer.SlowStart),
-		ColdFrom: proxySettings.Balancer.SlowStartInitialShare,
-		Alone:    f.Standalone,
-		Apart:    !f.Cooperative,
+	return &zonehealth.Settings{
+		ProxyName:             name,
+		Zone:                  zone,
+		Regions:               regions,
+		ShortestObjective:     shortest,
+		SilenceTimeout:        tenths[zonehealth.Time](f.QuietMS),
+		VoteShare:             f.ReportFraction,
+		ConfirmationTime:      tenths[zonehealth.Time](f.ConfirmationMS),
+		HoldDownTime:          tenths[zonehealth.Time](f.HoldDownMS),
+		MaxHoldDownTime:       tenths[zonehealth.Time](f.MaxHoldDownMS),
+		RampStepTime:          tenths[zonehealth.Time](f.RampStepMS),
+		SlowStartTime:         zonehealth.Time(proxySettings.Balancer.SlowStart),
+		SlowStartInitialShare: proxySettings.Balancer.SlowStartInitialShare,
+		StandaloneEnabled:     f.Standalone,
+		WithoutPeers:          !f.Cooperative,
 	}, nil
 }
 
--- a/internal/simnet/attempts.go
+++ b/internal/simnet/attempts.go
@@ -15,24 +15,24 @@
 }
 
 // AnswerFunc says how a node responds to an attempt of a proxy: after how long, and with which outcome.
-type AnswerFunc func(proxy int) (latency replica.Time, outcome zonehealth.Ending)
+type AnswerFunc func(proxy int) (latency replica.Time, outcome zonehealth.Outcome)
 
 // NormalAnswer is the AnswerFunc of a node without a fault.
-func NormalAnswer(int) (latency replica.Time, outcome zonehealth.Ending) {
-	return normalLatency, zonehealth.Answered
+func NormalAnswer(int) (latency replica.Time, outcome zonehealth.Outcome) {
+	return normalLatency, zonehealth.AnsweredInTime
 }
 
 // NoAnswer is the AnswerFunc of a node whose machine has vanished: attempts time out.
-func NoAnswer(int) (latency replica.Time, outcome zonehealth.Ending) {
-	return replica.Second / 2, zonehealth.Nothing
+func NoAnswer(int) (latency replica.Time, outcome zonehealth.Outcome) {
+	return replica.Second / 2, zonehealth.Unanswered
 }
 
 // attempt is a request to a node that is in flight.
 type attempt struct {
 	proxy, node int
 	sent        replica.Time
-	outcome     zonehealth.Ending
-	sender      *zonehealth.Instance // of the process that sent it, which may have been replaced meanwhile
+	outcome     zonehealth.Outcome
+	sender      *zonehealth.Controller // of the process that sent it, which may have been replaced meanwhile
 }
 
 // sendAttempt sends one request of a proxy to the node that owns its key, or to the next one that is not excluded.
@@ -46,11 +46,11 @@
 		answer = NormalAnswer
 	}
 	latency, outcome := answer(proxy)
-	if outcome == zonehealth.Nothing || outcome == zonehealth.Shut {
+	if outcome == zonehealth.Unanswered || outcome == zonehealth.ConnectFailed {
 		z.Unanswered++
 	}
 	sender := z.ZoneHealth[proxy]
-	sender.Sent(z.clock(), node)
+	sender.AttemptSent(z.clock(), node)
 	end := z.step + max(1, int(latency/StepDuration))
 	z.attempts[end] = append(z.attempts[end], attempt{proxy, node, z.Now, outcome, sender})
 }
@@ -61,7 +61,7 @@
 	delete(z.attempts, z.step)
 	for _, a := range finished {
 		if z.Proxies[a.proxy].Running && z.ZoneHealth[a.proxy] == a.sender {
-			a.sender.Ended(z.clock(), a.node, a.outcome, zonehealth.Time(z.Now-a.sent))
+			a.sender.AttemptFinished(z.clock(), a.node, a.outcome, zonehealth.Time(z.Now-a.sent))
 		}
 	}
 }
--- a/internal/simnet/decisions.go
+++ b/internal/simnet/decisions.go
@@ -19,26 +19,26 @@
 func (f *Fleet) apply(p *Proxy, decisions []replica.Decision) {
 	// The slice is reused by the next call to the store, which a decision may lead to.
 	for _, d := range slices.Clone(decisions) {
-		switch d.Act {
-		case replica.Spread:
+		switch d.Action {
+		case replica.ActionGossip:
 			f.queueBroadcast(p, d.Rows[0])
-		case replica.Changed:
+		case replica.ActionRowChanged:
 			f.learnRow(p, d.Rows[0])
-		case replica.SetShare:
+		case replica.ActionSetQuotaShare:
 			p.Quota = d.Share
-		case replica.Log:
+		case replica.ActionLog:
 			if f.Log != nil {
 				f.Log(p.Number, d.Text)
 			}
 		default:
-			f.applyToPeer(p, proxyNumber(d.To), d)
+			f.applyToPeer(p, proxyNumber(d.Peer), d)
 		}
 	}
 }
 
 // learnRow notes a row that a proxy has learned from another.
 func (f *Fleet) learnRow(p *Proxy, row replica.Row) {
-	if row.Kind == replica.Node {
+	if row.Kind == replica.KindEndpoint {
 		p.EndpointRows[row.Key] = row
 	}
 	if f.rowChanged != nil {
@@ -48,7 +48,7 @@
 
 // applyToPeer carries out a decision about a peer: a message to it, or the check whether its process listens.
 func (f *Fleet) applyToPeer(p *Proxy, to int, d replica.Decision) {
-	if d.Act == replica.Probe {
+	if d.Action == replica.ActionProbe {
 		f.probe(p, to, d)
 		return
 	}
@@ -58,36 +58,38 @@
 }
 
 // storeCall hands a message to the store of the proxy that receives it.
-type storeCall func(store *replica.Instance, now replica.Time) []replica.Decision
+type storeCall func(store *replica.Store, now replica.Time) []replica.Decision
 
 // encode returns the message of a decision, how it is sent and its size in bytes.
 func encode(d replica.Decision, from string) (call storeCall, via transport, size int) {
-	type store = *replica.Instance
-	switch d.Act {
-	case replica.Digest:
-		call = func(s store, now replica.Time) []replica.Decision { return s.Digest(now, from, d.Sums) }
+	type store = *replica.Store
+	switch d.Action {
+	case replica.ActionSendDigest:
+		call = func(s store, now replica.Time) []replica.Decision { return s.HandleDigest(now, from, d.Digest) }
 		return call, datagram, digestBytes
-	case replica.Heads:
-		call = func(s store, now replica.Time) []replica.Decision { return s.Heads(now, from, d.Which, d.Heads) }
-		return call, stream, rowVersionBytes * len(d.Heads)
-	case replica.Rows:
+	case replica.ActionSendVersions:
+		call = func(s store, now replica.Time) []replica.Decision {
+			return s.HandleVersions(now, from, d.Buckets, d.Versions)
+		}
+		return call, stream, rowVersionBytes * len(d.Versions)
+	case replica.ActionSendRows:
 		rows := slices.Clone(d.Rows)
-		call = func(s store, now replica.Time) []replica.Decision { return s.Rows(now, from, rows) }
+		call = func(s store, now replica.Time) []replica.Decision { return s.HandleRows(now, from, rows) }
 		return call, stream, rowBytes * len(rows)
-	case replica.Want:
-		call = func(s store, now replica.Time) []replica.Decision { return s.Want(now, from, d.IDs) }
-		return call, stream, rowIDBytes * len(d.IDs)
-	case replica.Busy:
-		return func(s store, now replica.Time) []replica.Decision { return s.Busy(now, from) }, datagram, 0
-	case replica.Same:
-		return func(s store, now replica.Time) []replica.Decision { return s.Same(now, from) }, datagram, 0
+	case replica.ActionRequestRows:
+		call = func(s store, now replica.Time) []replica.Decision { return s.HandleRowRequest(now, from, d.RowIDs) }
+		return call, stream, rowIDBytes * len(d.RowIDs)
+	case replica.ActionReplyBusy:
+		return func(s store, now replica.Time) []replica.Decision { return s.HandleBusy(now, from) }, datagram, 0
+	case replica.ActionReplyInSync:
+		return func(s store, now replica.Time) []replica.Decision { return s.HandleInSync(now, from) }, datagram, 0
 	}
-	panic(fmt.Sprintf("simnet: unknown decision %d", d.Act))
+	panic(fmt.Sprintf("simnet: unknown decision %d", d.Action))
 }
 
 // probe connects to a peer: the connection is refused if its process has ended, and a link that is cut tells nothing.
 func (f *Fleet) probe(p *Proxy, to int, d replica.Decision) {
 	if !f.Proxies[to].Running && !f.cut(p.Number, to) && !f.cut(to, p.Number) {
-		f.apply(p, p.Store.Refused(p.clock(f.Now), d.To, d.Epoch))
+		f.apply(p, p.Store.ConnectionRefused(p.clock(f.Now), d.Peer, d.Incarnation))
 	}
 }
--- a/internal/simnet/fleet.go
+++ b/internal/simnet/fleet.go
@@ -79,20 +79,20 @@
 		zone = f.ZoneOf(proxy)
 	}
 	p.incarnation++
-	p.Store = replica.New(p.clock(f.Now), replica.Terms{
-		Me:          ProxyName(proxy),
-		Zone:        zone,
-		Incarnation: p.incarnation,
-		Proxies:     f.StatedProxies,
-		Address:     fmt.Sprint(proxy),
-		Hold:        f.HoldTime,
-		Floor:       f.QuotaFloor,
-		SightLife:   10 * replica.Second,
+	p.Store = replica.New(p.clock(f.Now), replica.Settings{
+		Name:           ProxyName(proxy),
+		Zone:           zone,
+		Incarnation:    p.incarnation,
+		FleetSize:      f.StatedProxies,
+		Address:        fmt.Sprint(proxy),
+		TakeoverDelay:  f.HoldTime,
+		QuotaFloor:     f.QuotaFloor,
+		ObservationTTL: 10 * replica.Second,
 	}, f.random.Uint64())
-	p.Store.Yield(f.NoHeartbeats)
+	p.Store.SetYielded(f.NoHeartbeats)
 	p.Running, p.Paused = true, false
 	p.broadcasts, p.received, p.EndpointRows = nil, nil, map[string]replica.Row{}
-	p.Quota = p.Store.Share()
+	p.Quota = p.Store.QuotaShare()
 }
 
 // Stop ends the process of a proxy without notice to its peers.
@@ -138,7 +138,7 @@
 	}
 	if f.step%stepsPerTick == 0 {
 		if f.Demand != nil {
-			p.Store.Demand(f.Demand(p.Number, f.Now))
+			p.Store.SetDemand(f.Demand(p.Number, f.Now))
 		}
 		f.tick(p)
 	}
@@ -164,5 +164,5 @@
 func (f *Fleet) SameEndpoints(a, b int) bool { return f.endpointDigest(a) == f.endpointDigest(b) }
 
 func (f *Fleet) endpointDigest(proxy int) uint64 {
-	return f.Proxies[proxy].Store.Kinds()[replica.Node].Sum
+	return f.Proxies[proxy].Store.KindStats()[replica.KindEndpoint].Digest
 }
--- a/internal/simnet/fleet_test.go
+++ b/internal/simnet/fleet_test.go
@@ -43,7 +43,7 @@
 func (f *fleetTest) listEndpoints(proxy int, rows ...replica.Row) {
 	for _, row := range rows {
 		f.Do(proxy, func(p *Proxy, now replica.Time) []replica.Decision {
-			return p.Store.Listed(now, false, row.Epoch, []replica.Row{row})
+			return p.Store.ApplyEndpointList(now, false, row.Epoch, []replica.Row{row})
 		})
 	}
 }
@@ -78,8 +78,8 @@
 		if first < 0 {
 			first = i
 		}
-		if !f.SameEndpoints(first, i) || p.Store.Behind() {
-			f.t.Errorf("%s: n%d has other endpoints than n%d, catching up %v", when, i, first, p.Store.Behind())
+		if !f.SameEndpoints(first, i) || p.Store.CatchingUp() {
+			f.t.Errorf("%s: n%d has other endpoints than n%d, catching up %v", when, i, first, p.Store.CatchingUp())
 			return
 		}
 	}
@@ -105,7 +105,7 @@
 					t.Fatalf("n%d has a quota of %.4f in a fleet without faults", i, p.Quota)
 				}
 			}
-			f.listEndpoints(0, endpoint("c1", 5, replica.Active), endpoint("c2", 5, replica.Active))
+			f.listEndpoints(0, endpoint("c1", 5, replica.EndpointActive), endpoint("c2", 5, replica.EndpointActive))
 			f.runScaled(3 * second)
 			f.assertConverged("without faults")
 			f.testPartition()
@@ -122,13 +122,13 @@
 	onOtherSide := proxies * 3 / 5
 	f.LinkCut = func(from, to int) bool { return (from < firstOfOtherSide) != (to < firstOfOtherSide) }
 	f.Proxies[paused].Paused = true
-	f.listEndpoints(0, endpoint("c1", 6, replica.Leaving))
-	f.listEndpoints(onOtherSide, endpoint("c1", 6, replica.Active), endpoint("c2", 7, replica.Left))
+	f.listEndpoints(0, endpoint("c1", 6, replica.EndpointDraining))
+	f.listEndpoints(onOtherSide, endpoint("c1", 6, replica.EndpointActive), endpoint("c2", 7, replica.EndpointRemoved))
 	f.runScaled(20 * second)
 	if f.SameEndpoints(0, onOtherSide) {
 		f.t.Error("both sides of the partition have the same endpoints: no link was cut")
 	}
-	if got := f.Proxies[3].EndpointRows["c1"].Rank; got != replica.Leaving {
+	if got := f.Proxies[3].EndpointRows["c1"].Rank; got != replica.EndpointDraining {
 		f.t.Errorf("c1 has rank %d on the side where it is draining", got)
 	}
 	f.LinkCut = nil
@@ -137,7 +137,7 @@
 	f.runScaled(8 * second)
 	f.assertConverged("healed")
 	for i, p := range f.Proxies {
-		if r := p.EndpointRows["c1"]; i != 0 && (r.Rank != replica.Leaving || r.Epoch != 6) {
+		if r := p.EndpointRows["c1"]; i != 0 && (r.Rank != replica.EndpointDraining || r.Epoch != 6) {
 			f.t.Errorf("n%d: a drain announced on one side does not bind: %+v", i, r)
 		}
 	}
@@ -303,11 +303,11 @@
 		t.Skip("WOODPROXY_LARGE states the number of proxies")
 	}
 	f := newFleetTest(t, testConfig(proxies), 1)
-	f.listEndpoints(0, endpoint("c1", 5, replica.Active))
+	f.listEndpoints(0, endpoint("c1", 5, replica.EndpointActive))
 	f.runScaled(2 * second)
 	f.LinkCut = func(from, to int) bool { return (from < proxies/3) != (to < proxies/3) }
-	f.listEndpoints(0, endpoint("c1", 6, replica.Leaving))
-	f.listEndpoints(proxies-1, endpoint("c1", 6, replica.Active), endpoint("c2", 7, replica.Left))
+	f.listEndpoints(0, endpoint("c1", 6, replica.EndpointDraining))
+	f.listEndpoints(proxies-1, endpoint("c1", 6, replica.EndpointActive), endpoint("c2", 7, replica.EndpointRemoved))
 	for i := proxies / 2; i < proxies*6/10; i++ {
 		f.Stop(i)
 	}
--- a/internal/simnet/gossip.go
+++ b/internal/simnet/gossip.go
@@ -49,7 +49,7 @@
 		rows := p.nextBroadcasts()
 		p.Bytes += rowBytes * len(rows)
 		from := ProxyName(p.Number)
-		f.send(p.Number, to, datagram, func(q *Proxy) []replica.Decision { return q.Store.Rows(q.clock(f.Now), from, rows) })
+		f.send(p.Number, to, datagram, func(q *Proxy) []replica.Decision { return q.Store.HandleRows(q.clock(f.Now), from, rows) })
 		if len(p.broadcasts) == 0 {
 			return
 		}
--- a/internal/simnet/propagation.go
+++ b/internal/simnet/propagation.go
@@ -10,7 +10,7 @@
 		index = 5 // of the endpoint list
 	)
 	f.Do(0, func(p *Proxy, now replica.Time) []replica.Decision {
-		return p.Store.Listed(now, false, index, []replica.Row{{Key: key, Rank: replica.Leaving}})
+		return p.Store.ApplyEndpointList(now, false, index, []replica.Row{{Key: key, Rank: replica.EndpointDraining}})
 	})
 	var delays []replica.Time
 	start, reached := f.Now, make([]bool, len(f.Proxies))
--- a/internal/simnet/proxy.go
+++ b/internal/simnet/proxy.go
@@ -13,7 +13,7 @@
 
 // Proxy is one proxy of a fleet.
 type Proxy struct {
-	Store        *replica.Instance // a new one with each start
+	Store        *replica.Store // a new one with each start
 	Number       int
 	Running      bool                   // the process is there
 	Paused       bool                   // the process is there and does nothing; what it receives is queued
--- a/internal/simnet/zonedfleet.go
+++ b/internal/simnet/zonedfleet.go
@@ -16,11 +16,11 @@
 	*Fleet
 	ZoneConfig
 	Nodes      []*Node
-	ZoneHealth []*zonehealth.Instance // by proxy; a new one with each start
-	Excluded   []map[int]float64      // by proxy and node: fraction of the node's keys that the proxy does not send to it
-	Unanswered int                    // attempts that timed out or could not connect
+	ZoneHealth []*zonehealth.Controller // by proxy; a new one with each start
+	Excluded   []map[int]float64        // by proxy and node: fraction of the node's keys that the proxy does not send to it
+	Unanswered int                      // attempts that timed out or could not connect
 	// ForgeReport changes the zone reports of proxies that lie, by proxy.
-	ForgeReport map[int]func(report *zonehealth.Voice)
+	ForgeReport map[int]func(report *zonehealth.Report)
 	ZoneLog     func(proxy int, text string) // receives log messages on zones; nil: they are dropped
 
 	attempts map[int][]attempt // in flight, by the step in which they end
@@ -38,9 +38,9 @@
 func NewZonedFleet(config Config, zones ZoneConfig, seed uint64) *ZonedFleet {
 	z := &ZonedFleet{
 		ZoneConfig:  zones,
-		ZoneHealth:  make([]*zonehealth.Instance, config.Proxies),
+		ZoneHealth:  make([]*zonehealth.Controller, config.Proxies),
 		Excluded:    make([]map[int]float64, config.Proxies),
-		ForgeReport: map[int]func(*zonehealth.Voice){},
+		ForgeReport: map[int]func(*zonehealth.Report){},
 		attempts:    map[int][]attempt{},
 	}
 	config.ZoneOf = func(proxy int) string { return zones.Zones[z.zoneOf(proxy)] }
@@ -63,53 +63,53 @@
 
 // startZoneHealth gives a proxy the zone health state of a process that has just started.
 func (z *ZonedFleet) startZoneHealth(proxy int) {
-	z.ZoneHealth[proxy] = zonehealth.New(z.clock(), zonehealth.Terms{
-		Me:       ProxyName(proxy),
-		Zone:     z.ZoneOf(proxy),
-		Shortest: zonehealth.Second / 2,
-		Quiet:    3 * zonehealth.Second / 10,
-		Voices:   0.2,
-		Settle:   zonehealth.Second / 5,
-		Hold:     2 * zonehealth.Second,
-		MostHold: 60 * zonehealth.Second,
-		Step:     zonehealth.Second,
-		Cold:     3 * zonehealth.Second,
-		ColdFrom: 0.4,
-		Alone:    true,
+	z.ZoneHealth[proxy] = zonehealth.New(z.clock(), zonehealth.Settings{
+		ProxyName:             ProxyName(proxy),
+		Zone:                  z.ZoneOf(proxy),
+		ShortestObjective:     zonehealth.Second / 2,
+		SilenceTimeout:        3 * zonehealth.Second / 10,
+		VoteShare:             0.2,
+		ConfirmationTime:      zonehealth.Second / 5,
+		HoldDownTime:          2 * zonehealth.Second,
+		MaxHoldDownTime:       60 * zonehealth.Second,
+		RampStepTime:          zonehealth.Second,
+		SlowStartTime:         3 * zonehealth.Second,
+		SlowStartInitialShare: 0.4,
+		StandaloneEnabled:     true,
 	})
 	z.Excluded[proxy] = map[int]float64{}
 	var nodes []zonehealth.Node
 	for i, node := range z.Nodes {
 		nodes = append(nodes, zonehealth.Node{Index: i, Name: fmt.Sprintf("cn%d", i), Zone: z.Zones[node.Zone]})
 	}
-	z.applyZoneDecisions(proxy, z.ZoneHealth[proxy].Nodes(z.clock(), nodes))
+	z.applyZoneDecisions(proxy, z.ZoneHealth[proxy].SetNodes(z.clock(), nodes))
 }
 
 // receiveReport hands a zone report that gossip has brought to the proxy's zone health state.
 func (z *ZonedFleet) receiveReport(proxy int, row replica.Row) {
-	if row.Kind != replica.Voice {
+	if row.Kind != replica.KindZoneReport {
 		return
 	}
-	var report zonehealth.Voice
+	var report zonehealth.Report
 	if msgpack.Unmarshal(row.Body, &report) != nil {
 		return // as the proxy does, which ignores what it cannot read
 	}
-	age, ttl := zonehealth.Time(row.Age), zonehealth.Time(row.Life)
-	z.applyZoneDecisions(proxy, z.ZoneHealth[proxy].Voice(z.clock(), row.Writer, row.Key, report, age, ttl))
+	age, ttl := zonehealth.Time(row.Age), zonehealth.Time(row.TTL)
+	z.applyZoneDecisions(proxy, z.ZoneHealth[proxy].PeerReport(z.clock(), row.Writer, row.Key, report, age, ttl))
 }
 
 // applyZoneDecisions carries out the decisions of a proxy's zone health state, in their order.
 func (z *ZonedFleet) applyZoneDecisions(proxy int, decisions []zonehealth.Decision) {
 	// The slice is reused by the next call, which a decision may lead to.
 	for _, d := range slices.Clone(decisions) {
-		switch d.Act {
-		case zonehealth.Bar:
-			z.Excluded[proxy][d.Node] = d.Part
-		case zonehealth.Speak:
+		switch d.Action {
+		case zonehealth.ExcludeNode:
+			z.Excluded[proxy][d.Node] = d.ExcludedShare
+		case zonehealth.PublishReport:
 			if forge := z.ForgeReport[proxy]; forge != nil {
-				forge(&d.Voice)
+				forge(&d.Report)
 			}
-			z.SendReport(proxy, d.Zone, d.Voice, d.Life)
+			z.SendReport(proxy, d.Zone, d.Report, d.TTL)
 		case zonehealth.Log:
 			if z.ZoneLog != nil {
 				z.ZoneLog(proxy, d.Text)
@@ -119,13 +119,13 @@
 }
 
 // SendReport has a proxy send a report about a zone, which expires after the TTL.
-func (z *ZonedFleet) SendReport(proxy int, zone string, report zonehealth.Voice, ttl zonehealth.Time) {
+func (z *ZonedFleet) SendReport(proxy int, zone string, report zonehealth.Report, ttl zonehealth.Time) {
 	body, err := msgpack.Marshal(&report)
 	if err != nil {
 		panic(fmt.Sprintf("simnet: encoding a zone report: %v", err)) // a struct of plain fields always encodes
 	}
 	z.Do(proxy, func(p *Proxy, now replica.Time) []replica.Decision {
-		return p.Store.Speak(now, replica.Voice, zone, replica.Time(ttl), body)
+		return p.Store.WriteOwn(now, replica.KindZoneReport, zone, replica.Time(ttl), body)
 	})
 }
 
@@ -156,13 +156,13 @@
 	var peers []zonehealth.Proxy
 	for _, member := range store.Members() {
 		peers = append(peers, zonehealth.Proxy{
-			Name: member.Name,
-			Zone: member.Zone,
-			Here: member.State == "here",
-			Gone: member.State == "gone",
+			Name:      member.Name,
+			Zone:      member.Zone,
+			Reachable: member.State == "here",
+			Departed:  member.State == "gone",
 		})
 	}
-	health.Fleet(z.clock(), peers, store.Behind())
+	health.SetFleet(z.clock(), peers, store.CatchingUp())
 	z.applyZoneDecisions(proxy, health.Tick(z.clock()))
 }
 
@@ -196,19 +196,21 @@
 }
 
 // ServedFraction is the fraction of a zone's keys that a proxy serves there.
-func (z *ZonedFleet) ServedFraction(proxy, zone int) float64 { return z.zoneStatus(proxy, zone).Open }
+func (z *ZonedFleet) ServedFraction(proxy, zone int) float64 {
+	return z.zoneStatus(proxy, zone).OpenShare
+}
 
 // Verdict is the verdict on a zone that a proxy acts on.
-func (z *ZonedFleet) Verdict(proxy, zone int) zonehealth.Stand {
-	return z.zoneStatus(proxy, zone).Stand
+func (z *ZonedFleet) Verdict(proxy, zone int) zonehealth.Verdict {
+	return z.zoneStatus(proxy, zone).Verdict
 }
 
 // zoneStatus is the status of a zone at a proxy; a zone that it does not know is served.
-func (z *ZonedFleet) zoneStatus(proxy, zone int) zonehealth.Shown {
-	for _, status := range z.ZoneHealth[proxy].Shown(z.clock()) {
+func (z *ZonedFleet) zoneStatus(proxy, zone int) zonehealth.ZoneStatus {
+	for _, status := range z.ZoneHealth[proxy].Statuses(z.clock()) {
 		if status.Name == z.Zones[zone] {
 			return status
 		}
 	}
-	return zonehealth.Shown{Open: 1}
+	return zonehealth.ZoneStatus{OpenShare: 1}
 }
--- a/internal/simnet/zonedfleet_test.go
+++ b/internal/simnet/zonedfleet_test.go
@@ -56,13 +56,13 @@
 // evacuated.
 func (z *zoneTest) check() {
 	for zone := range z.lastAgreed {
-		firstOfSide, agreed := map[int]zonehealth.Stand{}, true
+		firstOfSide, agreed := map[int]zonehealth.Verdict{}, true
 		for i, p := range z.Proxies {
-			if !p.Running || p.Paused || p.Store.Behind() {
+			if !p.Running || p.Paused || p.Store.CatchingUp() {
 				continue
 			}
 			verdict := z.Verdict(i, zone)
-			if verdict.State >= zonehealth.Leaving {
+			if verdict.State >= zonehealth.PartlyEvacuated {
 				z.evacuations[z.Zones[zone]]++
 			}
 			if first, ok := firstOfSide[z.side(i)]; !ok {
@@ -163,9 +163,9 @@
 		z.LinkCut = func(from, to int) bool { return side(from) != side(to) }
 		for _, n := range z.Nodes {
 			inside := n.Zone / 2
-			n.Answer = func(i int) (replica.Time, zonehealth.Ending) {
+			n.Answer = func(i int) (replica.Time, zonehealth.Outcome) {
 				if side(i) != inside {
-					return replica.Second / 2, zonehealth.Shut // connections are lost, and new ones fail
+					return replica.Second / 2, zonehealth.ConnectFailed // connections are lost, and new ones fail
 				}
 				return simnet.NormalAnswer(i)
 			}
@@ -207,9 +207,9 @@
 		z := newZoneTest(t, seed)
 		for _, n := range z.Nodes {
 			if n.Zone == 2 {
-				n.Answer = func(i int) (replica.Time, zonehealth.Ending) {
+				n.Answer = func(i int) (replica.Time, zonehealth.Outcome) {
 					if i%3 != 2 {
-						return replica.Second / 2, zonehealth.Nothing
+						return replica.Second / 2, zonehealth.Unanswered
 					}
 					return simnet.NormalAnswer(i)
 				}
@@ -260,17 +260,17 @@
 		z.setAnswers(lateAnswer, func(_ int, n *simnet.Node) bool { return n.Zone == 1 })
 	}},
 	{"liar", func(z *zoneTest) {
-		z.ForgeReport[0] = func(v *zonehealth.Voice) {
-			v.Word, v.Run, v.Ill = zonehealth.Against, 99, []uint32{1, 2, 3, 4, 5, 6}
-			v.Stand = zonehealth.Stand{Epoch: 1 << 40, State: zonehealth.Out}
-			v.Plan = &zonehealth.Stand{Epoch: 1 << 41, State: zonehealth.Out}
+		z.ForgeReport[0] = func(v *zonehealth.Report) {
+			v.Vote, v.UnansweredRun, v.UnhealthyNodes = zonehealth.VoteUnhealthy, 99, []uint32{1, 2, 3, 4, 5, 6}
+			v.Verdict = zonehealth.Verdict{Epoch: 1 << 40, State: zonehealth.Evacuated}
+			v.Proposal = &zonehealth.Verdict{Epoch: 1 << 41, State: zonehealth.Evacuated}
 		}
 		for _, zone := range z.Zones {
-			z.SendReport(0, zone, zonehealth.Voice{
-				Zone:  "a",
-				Word:  zonehealth.Against,
-				Ill:   []uint32{1, 2, 3, 4},
-				Stand: zonehealth.Stand{Epoch: 99, State: zonehealth.Out},
+			z.SendReport(0, zone, zonehealth.Report{
+				Zone:           "a",
+				Vote:           zonehealth.VoteUnhealthy,
+				UnhealthyNodes: []uint32{1, 2, 3, 4},
+				Verdict:        zonehealth.Verdict{Epoch: 99, State: zonehealth.Evacuated},
 			}, 60*zonehealth.Second)
 		}
 	}},
@@ -285,13 +285,13 @@
 	}
 }
 
-func lateAnswer(int) (replica.Time, zonehealth.Ending) {
-	return replica.Second * 2 / 5, zonehealth.Late
+func lateAnswer(int) (replica.Time, zonehealth.Outcome) {
+	return replica.Second * 2 / 5, zonehealth.AnsweredLate
 }
 
 func noAnswerToOneInFive() simnet.AnswerFunc {
 	attempts := 0
-	return func(proxy int) (replica.Time, zonehealth.Ending) {
+	return func(proxy int) (replica.Time, zonehealth.Outcome) {
 		if attempts++; attempts%20 < 4 {
 			return simnet.NoAnswer(proxy)
 		}
--- a/negativecache/cache.go
+++ b/negativecache/cache.go
@@ -8,15 +8,15 @@
 	catchUpTime    = Second     // in which a process that was paused reads the reports that queued up meanwhile
 )
 
-// Instance is the negative cache of one proxy. Its methods report events, at instants of the caller's clock; time does
+// Cache is the negative cache of one proxy. Its methods report events, at instants of the caller's clock; time does
 // not go back. They return the decisions that follow, in the order in which they have to be carried out, in a slice
 // that the next call reuses. One goroutine at a time may call them. Only the Table may be used from others.
-type Instance struct {
+type Cache struct {
 	Table *Table // answers lookups and records writes
 
-	settings Terms
+	settings Settings
 	now      Time
-	stats    Figures
+	stats    Stats
 	outbox   outbox
 	growth   *growthLimiter
 	writers  writerSet // the other proxies that may write
@@ -28,29 +28,29 @@
 }
 
 // New returns a cache that serves no absent keys before the first fleet update. The settings have to be valid.
-func New(now Time, settings Terms) *Instance {
-	return &Instance{
-		Table:    newTable(settings.Entries, settings.Believe),
+func New(now Time, settings Settings) *Cache {
+	return &Cache{
+		Table:    newTable(settings.Entries, settings.TTL),
 		settings: settings,
 		now:      now,
 		outbox:   outbox{reportedAt: now},
-		growth:   newGrowthLimiter(now, settings.Grow, settings.Tenants),
+		growth:   newGrowthLimiter(now, settings.MaxNewKeysPerSecond, settings.TenantCount),
 		writers:  writerSet{},
 	}
 }
 
 // begin starts the handling of an event.
-func (c *Instance) begin(now Time) {
+func (c *Cache) begin(now Time) {
 	c.now = max(now, c.now)
 	c.decisions = c.decisions[:0]
 }
 
-func (c *Instance) logf(format string, args ...any) {
-	c.decisions = append(c.decisions, Decision{Act: Log, Text: fmt.Sprintf(format, args...)})
+func (c *Cache) logf(format string, args ...any) {
+	c.decisions = append(c.decisions, Decision{Action: ActionLog, Text: fmt.Sprintf(format, args...)})
 }
 
-// Wrote reports that this proxy has accepted a write. The caller has already recorded it in the table.
-func (c *Instance) Wrote(now Time, hash uint64) []Decision {
+// WriteAccepted reports that this proxy has accepted a write. The caller has already recorded it in the table.
+func (c *Cache) WriteAccepted(now Time, hash uint64) []Decision {
 	c.begin(now)
 	if c.outbox.addWritten(hash) {
 		c.sendReports()
@@ -58,17 +58,17 @@
 	return c.decisions
 }
 
-// Lost reports that an accepted write could not be passed on to this cache. It counts as a write report that
+// WriteReportLost reports that an accepted write could not be passed on to this cache. It counts as a write report that
 // was sent and lost, so that the other proxies flush their tables.
-func (c *Instance) Lost() { c.outbox.writeSequence++ }
+func (c *Cache) WriteReportLost() { c.outbox.writeSequence++ }
 
-// Sent returns how many write reports this proxy has sent, for its heartbeat. A report has to be
+// WriteReportsSent returns how many write reports this proxy has sent, for its heartbeat. A report has to be
 // sent before a heartbeat that counts it.
-func (c *Instance) Sent() int64 { return c.outbox.writeSequence }
+func (c *Cache) WriteReportsSent() int64 { return c.outbox.writeSequence }
 
-// Learned reports that the origin has no such key, by a fetch that began with the given token on behalf of
+// KeyFetchedAbsent reports that the origin has no such key, by a fetch that began with the given token on behalf of
 // a tenant, by its index. An index that is out of range, such as -1, is that of no tenant.
-func (c *Instance) Learned(now Time, hash uint64, token Ticket, tenant int) []Decision {
+func (c *Cache) KeyFetchedAbsent(now Time, hash uint64, token FetchToken, tenant int) []Decision {
 	c.begin(now)
 	bucket := c.growth.bucket(c.now, tenant)
 	if bucket.empty() {
@@ -82,16 +82,16 @@
 	return c.decisions
 }
 
-// HeardWrote handles a report of written keys from another proxy, by its name and the incarnation of its
+// ReceiveWriteReport handles a report of written keys from another proxy, by its name and the incarnation of its
 // process. A report that is malformed is counted and ignored.
-func (c *Instance) HeardWrote(now Time, from string, incarnation int64, report Word) []Decision {
+func (c *Cache) ReceiveWriteReport(now Time, from string, incarnation int64, report KeyReport) []Decision {
 	c.begin(now)
-	if report.Sequence < 1 || len(report.Hashes) > maxReportKeys || from == c.settings.Me {
+	if report.Sequence < 1 || len(report.Hashes) > maxReportKeys || from == c.settings.ProxyName {
 		c.stats.RejectedFromPeers++
 		return c.decisions
 	}
 	for _, hash := range report.Hashes {
-		c.Table.Wrote(hash, c.now)
+		c.Table.RecordWrite(hash, c.now)
 	}
 	w := c.writers.get(from)
 	if incarnation < w.incarnation { // its keys are recorded, and the sequence of that process no longer matters
@@ -104,12 +104,12 @@
 	return c.decisions
 }
 
-// HeardAbsent handles a report of absent keys from another proxy, by its name. The age is how long ago the
+// ReceiveAbsentReport handles a report of absent keys from another proxy, by its name. The age is how long ago the
 // report was sent, not counting its time in transit. A report that is malformed, or whose age can't be known, is counted
 // and ignored.
-func (c *Instance) HeardAbsent(now Time, from string, report Word, age Time) []Decision {
+func (c *Cache) ReceiveAbsentReport(now Time, from string, report KeyReport, age Time) []Decision {
 	c.begin(now)
-	if len(report.Hashes) > maxReportKeys || age < 0 || from == c.settings.Me || c.now < c.ignoreAbsentUntil {
+	if len(report.Hashes) > maxReportKeys || age < 0 || from == c.settings.ProxyName || c.now < c.ignoreAbsentUntil {
 		c.stats.RejectedFromPeers++
 		return c.decisions
 	}
@@ -125,7 +125,7 @@
 	return c.decisions
 }
 
-// Fleet reports the state of all proxies that may write, of which the operators configured so many, and whether
+// UpdateFleet reports the state of all proxies that may write, of which the operators configured so many, and whether
 // this proxy is still catching up with them. It is to be called several times a second: absent keys are served only for
 // half a second after a call, while
 //   - as many proxies as configured are known, and each that has not departed is reachable,
@@ -133,7 +133,7 @@
 //   - and no write that was not reported may still be applied at the origin.
 //
 // When write reports may have been lost, the table is flushed.
-func (c *Instance) Fleet(now Time, proxies []Proxy, configured int, catchingUp bool) []Decision {
+func (c *Cache) UpdateFleet(now Time, proxies []Proxy, configured int, catchingUp bool) []Decision {
 	c.begin(now)
 	review := c.reviewFleet(proxies)
 	c.stats.AwaitedProxies = review.awaitedProxies
@@ -157,10 +157,10 @@
 }
 
 // reviewFleet compares the write reports that all other proxies announced with those that arrived.
-func (c *Instance) reviewFleet(proxies []Proxy) fleetReview {
-	review := fleetReview{now: c.now, grace: c.settings.Grace, applyTime: c.applyTime(), complete: true}
+func (c *Cache) reviewFleet(proxies []Proxy) fleetReview {
+	review := fleetReview{now: c.now, grace: c.settings.ReportGrace, applyTime: c.applyTime(), complete: true}
 	for i := range proxies {
-		if p := &proxies[i]; p.Name != c.settings.Me {
+		if p := &proxies[i]; p.Name != c.settings.ProxyName {
 			review.proxy(c.writers.get(p.Name), p)
 		}
 	}
@@ -170,12 +170,12 @@
 
 // applyTime is how long the origin may still apply a write after it was accepted: half the TTL, as the TTL is at least
 // twice the longest request timeout.
-func (c *Instance) applyTime() Time { return c.settings.Believe / 2 }
+func (c *Cache) applyTime() Time { return c.settings.TTL / 2 }
 
 // serve has absent keys served until the next fleet update is overdue, or not at all.
-func (c *Instance) serve(serving bool, proxies int) {
-	if serving != c.stats.Believes {
-		c.stats.Believes = serving
+func (c *Cache) serve(serving bool, proxies int) {
+	if serving != c.stats.Serving {
+		c.stats.Serving = serving
 		c.logf("serving absent keys: %v, with %d proxies, %d of them with outstanding write reports",
 			serving, proxies, c.stats.AwaitedProxies)
 	}
@@ -188,26 +188,26 @@
 
 // flushTable removes all absent keys, as it is not known which were written since. The reason is logged at the first
 // flush, the second, the fourth and so on, since flushes may come in numbers.
-func (c *Instance) flushTable(reason string) {
+func (c *Cache) flushTable(reason string) {
 	c.Table.flush(c.now)
 	c.outbox.dropAbsent()
-	c.stats.Cleared++
-	if isPowerOfTwo(c.stats.Cleared) {
-		c.logf("flushed absent keys: %s (flush %d)", reason, c.stats.Cleared)
+	c.stats.Flushes++
+	if isPowerOfTwo(c.stats.Flushes) {
+		c.logf("flushed absent keys: %s (flush %d)", reason, c.stats.Flushes)
 	}
 }
 
 func isPowerOfTwo(n int64) bool { return n&(n-1) == 0 }
 
-// Forget flushes the table at an operator's request.
-func (c *Instance) Forget(now Time) []Decision {
+// Flush flushes the table at an operator's request.
+func (c *Cache) Flush(now Time) []Decision {
 	c.begin(now)
 	c.flushTable("requested by an operator")
 	return c.decisions
 }
 
 // Tick sends reports that are due. It is to be called some twenty times a second.
-func (c *Instance) Tick(now Time) []Decision {
+func (c *Cache) Tick(now Time) []Decision {
 	c.begin(now)
 	if c.outbox.due(c.now) {
 		c.sendReports()
@@ -215,13 +215,13 @@
 	return c.decisions
 }
 
-func (c *Instance) sendReports() { c.decisions = c.outbox.appendReports(c.now, c.decisions) }
+func (c *Cache) sendReports() { c.decisions = c.outbox.appendReports(c.now, c.decisions) }
 
-// Shown returns the statistics up to now.
-func (c *Instance) Shown() Figures {
+// Stats returns the statistics up to now.
+func (c *Cache) Stats() Stats {
 	stats := c.stats
 	stats.Hits = c.Table.hits.Load()
-	stats.Put = c.Table.stored.Load()
+	stats.Stored = c.Table.stored.Load()
 	stats.RejectedFull = c.Table.rejectedFull.Load()
 	stats.Capacity = c.Table.capacity()
 	return stats
--- a/negativecache/fleet.go
+++ b/negativecache/fleet.go
@@ -4,11 +4,11 @@
 
 // Proxy is the state of a proxy that may write, by the gossip of the fleet.
 type Proxy struct {
-	Name  string
-	Here  bool  // its heartbeats arrive
-	Gone  bool  // its process is known to have ended
-	Wrote int64 // write reports that its process has sent, by its latest heartbeat
-	Epoch int64 // incarnation of its process
+	Name         string
+	Reachable    bool  // its heartbeats arrive
+	Departed     bool  // its process is known to have ended
+	WriteReports int64 // write reports that its process has sent, by its latest heartbeat
+	Incarnation  int64 // incarnation of its process
 }
 
 // fleetReview is the result of comparing what the proxies announced with the write reports that arrived.
@@ -24,28 +24,28 @@
 
 // proxy adds a proxy other than this one to the review. Of several reasons for a flush, the last one stands.
 func (r *fleetReview) proxy(w *writer, p *Proxy) {
-	if p.Gone {
+	if p.Departed {
 		r.departed(w, p)
 		return
 	}
-	if p.Epoch < w.incarnation { // the heartbeat is of an earlier process than a report that already arrived
+	if p.Incarnation < w.incarnation { // the heartbeat is of an earlier process than a report that already arrived
 		r.complete = false
 		return
 	}
 	w.departed = false
-	if !p.Here {
+	if !p.Reachable {
 		r.complete = false
 		w.unreachable = true
 	}
-	if p.Epoch > w.incarnation {
-		w.restart(p.Epoch)
+	if p.Incarnation > w.incarnation {
+		w.restart(p.Incarnation)
 	}
-	if w.announce(p.Wrote) { // the last reports of an earlier process may not have arrived
+	if w.announce(p.WriteReports) { // the last reports of an earlier process may not have arrived
 		r.flushReason = fmt.Sprintf("proxy %s was discovered or restarted", p.Name)
 	}
 	if w.outstanding() <= 0 {
 		w.outstandingSince = 0
-		w.unreachable = w.unreachable && !p.Here
+		w.unreachable = w.unreachable && !p.Reachable
 		return
 	}
 	r.outstanding(w, p)
--- a/negativecache/growth_test.go
+++ b/negativecache/growth_test.go
@@ -6,22 +6,22 @@
 // it.
 func TestGrowthIsLimitedAndUndoneByFlush(t *testing.T) {
 	const keys, keysPerSecond = 4000, 50
-	cache := New(0, Terms{
-		Me: "n1", Entries: 1 << 16, Believe: 100 * Second, Grace: Second, Grow: keysPerSecond,
+	cache := New(0, Settings{
+		ProxyName: "n1", Entries: 1 << 16, TTL: 100 * Second, ReportGrace: Second, MaxNewKeysPerSecond: keysPerSecond,
 	})
-	fleet := []Proxy{{Name: "n1", Here: true}}
-	cache.Fleet(0, fleet, 1, false)
+	fleet := []Proxy{{Name: "n1", Reachable: true}}
+	cache.UpdateFleet(0, fleet, 1, false)
 	for i := range keys { // in two seconds
-		cache.Learned(Time(i)*5, hashOf(i), cache.Table.Begin(hashOf(i)), -1)
+		cache.KeyFetchedAbsent(Time(i)*5, hashOf(i), cache.Table.BeginFetch(hashOf(i)), -1)
 	}
-	stats := cache.Shown()
-	if stats.Put > keysPerSecond+2*keysPerSecond+1 || stats.Put < 2*keysPerSecond || stats.GrowthLimited == 0 {
+	stats := cache.Stats()
+	if stats.Stored > keysPerSecond+2*keysPerSecond+1 || stats.Stored < 2*keysPerSecond || stats.GrowthLimited == 0 {
 		t.Errorf("growth is not limited as configured: %+v", stats)
 	}
-	cache.Fleet(2*Second, fleet, 1, false)
+	cache.UpdateFleet(2*Second, fleet, 1, false)
 	served := func() (count int) {
 		for i := range keys {
-			if cache.Table.Has(hashOf(i), 2*Second) {
+			if cache.Table.Contains(hashOf(i), 2*Second) {
 				count++
 			}
 		}
@@ -30,15 +30,15 @@
 	if got := served(); got < 2*keysPerSecond {
 		t.Errorf("%d keys are served, want %d", got, 2*keysPerSecond)
 	}
-	cache.Forget(2 * Second)
+	cache.Flush(2 * Second)
 	if got := served(); got != 0 {
 		t.Errorf("%d keys are served after a flush", got)
 	}
 }
 
 func TestTenantUsesOnlyItsOwnPartOfGrowth(t *testing.T) {
-	cache := New(0, Terms{
-		Me: "n1", Entries: 1 << 16, Believe: 100 * Second, Grace: Second, Grow: 100, Tenants: 4,
+	cache := New(0, Settings{
+		ProxyName: "n1", Entries: 1 << 16, TTL: 100 * Second, ReportGrace: Second, MaxNewKeysPerSecond: 100, TenantCount: 4,
 	})
 	for _, c := range []struct {
 		name           string
@@ -51,11 +51,11 @@
 		{"no tenant", 20000, 20, -1, 20},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			before := cache.Shown().Put
+			before := cache.Stats().Stored
 			for key := c.firstKey; key < c.firstKey+c.keys; key++ {
-				cache.Learned(Second, hashOf(key), cache.Table.Begin(hashOf(key)), c.tenant)
+				cache.KeyFetchedAbsent(Second, hashOf(key), cache.Table.BeginFetch(hashOf(key)), c.tenant)
 			}
-			if got := cache.Shown().Put - before; got != c.stored {
+			if got := cache.Stats().Stored - before; got != c.stored {
 				t.Errorf("%d keys stored, want %d", got, c.stored)
 			}
 		})
--- a/negativecache/outbox.go
+++ b/negativecache/outbox.go
@@ -43,18 +43,18 @@
 		n := min(len(o.written), maxReportKeys)
 		o.writeSequence++
 		decisions = append(decisions, Decision{
-			Act:  SayWrote,
-			Slot: int(o.writeSequence % reportSlots),
-			Word: Word{Sequence: o.writeSequence, Hashes: slices.Clone(o.written[:n])},
+			Action: ActionReportWritten,
+			Slot:   int(o.writeSequence % reportSlots),
+			Report: KeyReport{Sequence: o.writeSequence, Hashes: slices.Clone(o.written[:n])},
 		})
 		o.written = o.written[n:]
 	}
 	if n := min(len(o.absent), maxReportKeys); n > 0 {
 		o.absentReportsSent++
 		decisions = append(decisions, Decision{
-			Act:  SayAbsent,
-			Slot: o.absentReportsSent % reportSlots,
-			Word: Word{Hashes: slices.Clone(o.absent[:n])},
+			Action: ActionReportAbsent,
+			Slot:   o.absentReportsSent % reportSlots,
+			Report: KeyReport{Hashes: slices.Clone(o.absent[:n])},
 		})
 		o.absent = o.absent[n:]
 	}
--- a/negativecache/report.go
+++ b/negativecache/report.go
@@ -7,8 +7,8 @@
 // slot, which is that many reports older.
 const reportSlots = 64
 
-// Word is a report that proxies exchange: of keys that were written, or of keys that are absent at the origin.
-type Word struct {
+// KeyReport is a report that proxies exchange: of keys that were written, or of keys that are absent at the origin.
+type KeyReport struct {
 	Sequence int64    `msgpack:"q,omitempty"` // number among the sender's write reports, from 1 on; 0 with absent keys
 	Hashes   []uint64 `msgpack:"h"`           // hashes of the keys, at most 100
 }
--- a/negativecache/settings.go
+++ b/negativecache/settings.go
@@ -9,41 +9,41 @@
 // maxEntries is the highest configurable number of entries. So many take 113 MB.
 const maxEntries = 1 << 22
 
-// Terms is the configuration of one proxy's cache. The Check method enforces the ranges.
-type Terms struct {
-	Me      string // name of this proxy
-	Entries int    // minimum capacity of the table, 1 to 4,194,304
-	Believe Time   // TTL of an absent key, 0.5 s to 600 s, and at least twice the longest request timeout
-	Grace   Time   // how long an announced write report may be outstanding until it counts as lost, 0.1 s to 60 s
+// Settings is the configuration of one proxy's cache. The Check method enforces the ranges.
+type Settings struct {
+	ProxyName   string // name of this proxy
+	Entries     int    // minimum capacity of the table, 1 to 4,194,304
+	TTL         Time   // TTL of an absent key, 0.5 s to 600 s, and at least twice the longest request timeout
+	ReportGrace Time   // how long an announced write report may be outstanding until it counts as lost, 0.1 s to 60 s
 
 	// How many absent keys this proxy may add a second, 1 to 1,000,000. This limits the effect of an origin that reports
 	// all keys absent for a moment.
-	Grow    int
-	Tenants int // number of tenants that share that growth evenly, so that none takes it all; 0: there are none
+	MaxNewKeysPerSecond int
+	TenantCount         int // number of tenants that share that growth evenly, so that none takes it all; 0: there are none
 }
 
 // Check returns a *[RangeError] for the first value that is out of its range. Errors name the keys of the
 // configuration file.
-func (s *Terms) Check() error {
-	return configfile.Check(
+func (s *Settings) Check() error {
+	return configfile.CheckRanges(
 		configfile.Range("entries", float64(s.Entries), 1, maxEntries),
-		configfile.Range("believe_s", float64(s.Believe)/float64(Second), 0.5, 600),
-		configfile.Range("grace_ms", float64(s.Grace)/float64(millisecond), 100, 60000),
-		configfile.Range("grow_per_s", float64(s.Grow), 1, 1e6),
+		configfile.Range("believe_s", float64(s.TTL)/float64(Second), 0.5, 600),
+		configfile.Range("grace_ms", float64(s.ReportGrace)/float64(millisecond), 100, 60000),
+		configfile.Range("grow_per_s", float64(s.MaxNewKeysPerSecond), 1, 1e6),
 	)
 }
 
 // RangeError reports a configured value that is out of its range.
 type RangeError = configfile.RangeError
 
-// AloneError reports that several proxies may write, but that this one would not receive their reports of writes.
-type AloneError struct {
+// NoPeersError reports that several proxies may write, but that this one would not receive their reports of writes.
+type NoPeersError struct {
 	File    string // configuration file of the cache
 	Proxies int    // number of proxies that may write
 }
 
 // Error implements the error interface. Operators see the text.
-func (e *AloneError) Error() string {
+func (e *NoPeersError) Error() string {
 	return fmt.Sprintf("%s: %d proxies may write, and they do not talk; "+
 		"name a file of peers as well (--peers FILE), or leave the file of missing keys out", e.File, e.Proxies)
 }
--- a/negativecache/settings_test.go
+++ b/negativecache/settings_test.go
@@ -6,17 +6,17 @@
 )
 
 func TestSettingsOutOfRangeAreNamed(t *testing.T) {
-	valid := Terms{Me: "n1", Entries: 1000, Believe: Second, Grace: Second, Grow: 1}
+	valid := Settings{ProxyName: "n1", Entries: 1000, TTL: Second, ReportGrace: Second, MaxNewKeysPerSecond: 1}
 	for _, c := range []struct {
 		name   string
-		change func(settings *Terms)
+		change func(settings *Settings)
 		key    string // of the error; "": none is expected
 	}{
-		{"valid", func(*Terms) {}, ""},
-		{"no entries", func(settings *Terms) { settings.Entries = 0 }, "entries"},
-		{"TTL too short", func(settings *Terms) { settings.Believe = 1 }, "believe_s"},
-		{"grace too short", func(settings *Terms) { settings.Grace = 1 }, "grace_ms"},
-		{"no growth", func(settings *Terms) { settings.Grow = 0 }, "grow_per_s"},
+		{"valid", func(*Settings) {}, ""},
+		{"no entries", func(settings *Settings) { settings.Entries = 0 }, "entries"},
+		{"TTL too short", func(settings *Settings) { settings.TTL = 1 }, "believe_s"},
+		{"grace too short", func(settings *Settings) { settings.ReportGrace = 1 }, "grace_ms"},
+		{"no growth", func(settings *Settings) { settings.MaxNewKeysPerSecond = 0 }, "grow_per_s"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			settings := valid
--- a/negativecache/simulation_test.go
+++ b/negativecache/simulation_test.go
@@ -46,7 +46,7 @@
 
 // simulatedProxy is a proxy of a fleetSimulation.
 type simulatedProxy struct {
-	cache       *Instance
+	cache       *Cache
 	incarnation int64
 	paused      bool
 	pausedUntil Time // the latest step in which it was paused; 0: it never was
@@ -55,11 +55,11 @@
 	heartbeats  map[string]heartbeat // the latest of each proxy
 }
 
-func (p *simulatedProxy) name() string { return p.cache.settings.Me }
+func (p *simulatedProxy) name() string { return p.cache.settings.ProxyName }
 
 // publicationSlot tells apart the reports that a proxy's peers store.
 type publicationSlot struct {
-	action Act
+	action Action
 	slot   int
 }
 
@@ -86,8 +86,8 @@
 	}
 	for i := range simulatedProxies {
 		s.proxies = append(s.proxies, &simulatedProxy{
-			cache: New(s.now, Terms{
-				Me: fmt.Sprint("n", i), Entries: 2048, Believe: 10 * Second, Grace: reportGrace, Grow: 1000,
+			cache: New(s.now, Settings{
+				ProxyName: fmt.Sprint("n", i), Entries: 2048, TTL: 10 * Second, ReportGrace: reportGrace, MaxNewKeysPerSecond: 1000,
 			}),
 			incarnation: 1,
 			published:   map[publicationSlot]publication{},
@@ -129,15 +129,15 @@
 	for _, d := range decisions {
 		incarnation := p.incarnation
 		var deliver func(to *simulatedProxy, age Time)
-		switch d.Act {
-		case SayWrote:
-			deliver = func(to *simulatedProxy, _ Time) { to.cache.HeardWrote(s.now, p.name(), incarnation, d.Word) }
-		case SayAbsent:
-			deliver = func(to *simulatedProxy, age Time) { to.cache.HeardAbsent(s.now, p.name(), d.Word, age) }
+		switch d.Action {
+		case ActionReportWritten:
+			deliver = func(to *simulatedProxy, _ Time) { to.cache.ReceiveWriteReport(s.now, p.name(), incarnation, d.Report) }
+		case ActionReportAbsent:
+			deliver = func(to *simulatedProxy, age Time) { to.cache.ReceiveAbsentReport(s.now, p.name(), d.Report, age) }
 		default:
 			continue
 		}
-		p.published[publicationSlot{d.Act, d.Slot}] = publication{sentAt: s.now, deliver: deliver}
+		p.published[publicationSlot{d.Action, d.Slot}] = publication{sentAt: s.now, deliver: deliver}
 		s.broadcast(i, func(to *simulatedProxy) { deliver(to, 0) }) // the age does not count the time in an inbox
 	}
 }
@@ -145,14 +145,14 @@
 // lookUp looks a key up at a proxy, which fetches it from the origin if it is not known to be absent.
 func (s *fleetSimulation) lookUp(i, key int) {
 	p, hash := s.proxies[i], hashOf(key)
-	if p.cache.Table.Has(hash, s.now) {
+	if p.cache.Table.Contains(hash, s.now) {
 		s.hits++
 		if at, written := s.writtenAt[key]; written {
 			s.maxStaleness = max(s.maxStaleness, s.now-at)
 		}
 		return
 	}
-	fetch := p.cache.Table.Begin(hash)
+	fetch := p.cache.Table.BeginFetch(hash)
 	s.fetches++
 	absent := false
 	originSteps := s.random.IntN(3)
@@ -162,7 +162,7 @@
 	})
 	s.schedule(originSteps+1+s.random.IntN(3), func() {
 		if absent && !p.paused {
-			s.carryOut(i, p.cache.Learned(s.now, hash, fetch, -1))
+			s.carryOut(i, p.cache.KeyFetchedAbsent(s.now, hash, fetch, -1))
 		}
 	})
 }
@@ -170,9 +170,9 @@
 // write writes a key through a proxy. The origin applies it later.
 func (s *fleetSimulation) write(i, key int) {
 	cache, hash := s.proxies[i].cache, hashOf(key)
-	cache.Table.Wrote(hash, s.now)
+	cache.Table.RecordWrite(hash, s.now)
 	if s.defect != writesNotReported {
-		s.carryOut(i, cache.Wrote(s.now, hash))
+		s.carryOut(i, cache.WriteAccepted(s.now, hash))
 	}
 	s.schedule(1+s.random.IntN(20), func() {
 		if _, written := s.writtenAt[key]; !written {
@@ -219,7 +219,7 @@
 }
 
 func (s *fleetSimulation) sendHeartbeat(i int, p *simulatedProxy) {
-	sent, incarnation := p.cache.Sent(), p.incarnation
+	sent, incarnation := p.cache.WriteReportsSent(), p.incarnation
 	if s.defect == heartbeatsWithoutCount {
 		sent = 0
 	}
@@ -246,11 +246,11 @@
 		latest := p.heartbeats[other.name()]
 		reachable := other == p || s.now-latest.at < reachabilityTimeout || s.defect == unreachableCountReachable
 		fleet = append(fleet, Proxy{
-			Name: other.name(), Here: reachable, Wrote: latest.writeReports, Epoch: latest.incarnation,
+			Name: other.name(), Reachable: reachable, WriteReports: latest.writeReports, Incarnation: latest.incarnation,
 		})
 	}
 	catchingUp := p.pausedUntil > 0 && s.now-p.pausedUntil < Second
-	s.carryOut(i, p.cache.Fleet(s.now, fleet, len(s.proxies), catchingUp))
+	s.carryOut(i, p.cache.UpdateFleet(s.now, fleet, len(s.proxies), catchingUp))
 }
 
 // simulateFaults has keys looked up all over and written now and then, with everything that may go wrong between
--- a/negativecache/table.go
+++ b/negativecache/table.go
@@ -54,8 +54,8 @@
 // nonZero returns a hash that is told apart from that of a free slot.
 func nonZero(hash uint64) uint64 { return max(hash, 1) }
 
-// Has reports whether a key is known to be absent at the origin.
-func (t *Table) Has(hash uint64, now Time) bool {
+// Contains reports whether a key is known to be absent at the origin.
+func (t *Table) Contains(hash uint64, now Time) bool {
 	if int64(now) >= t.servingUntil.Load() {
 		return false
 	}
@@ -78,18 +78,18 @@
 	return found
 }
 
-// Ticket identifies the state of the table when a fetch from the origin began. The zero value belongs to no fetch.
-type Ticket struct {
+// FetchToken identifies the state of the table when a fetch from the origin began. The zero value belongs to no fetch.
+type FetchToken struct {
 	flushes uint64
 	writes  uint32
 }
 
-// Begin notes that a fetch of a key from the origin is about to begin. If the origin reports the key absent, the
+// BeginFetch notes that a fetch of a key from the origin is about to begin. If the origin reports the key absent, the
 // result goes with that report.
-func (t *Table) Begin(hash uint64) Ticket {
+func (t *Table) BeginFetch(hash uint64) FetchToken {
 	s, b := t.locate(nonZero(hash))
 	s.mutex.Lock()
-	token := Ticket{t.flushes.Load(), b.writes}
+	token := FetchToken{t.flushes.Load(), b.writes}
 	s.mutex.Unlock()
 	return token
 }
@@ -98,7 +98,7 @@
 // reporting to other proxies. The key is not stored if the table was flushed since the fetch began, if this key or
 // another of its bucket was written since, or if this key was written within the TTL: the origin may apply a write
 // after it was asked.
-func (t *Table) recordAbsent(hash uint64, token Ticket, now Time) bool {
+func (t *Table) recordAbsent(hash uint64, token FetchToken, now Time) bool {
 	hash = nonZero(hash)
 	s, b := t.locate(hash)
 	s.mutex.Lock()
@@ -122,9 +122,9 @@
 	return t.store(b, entry{hash: hash, at: at, unread: true}, now)
 }
 
-// Wrote records that a key is being written. From now on the key is not served as absent, and it is not stored as
+// RecordWrite records that a key is being written. From now on the key is not served as absent, and it is not stored as
 // absent by a fetch that has already begun, nor by any other within the TTL.
-func (t *Table) Wrote(hash uint64, now Time) {
+func (t *Table) RecordWrite(hash uint64, now Time) {
 	hash = nonZero(hash)
 	s, b := t.locate(hash)
 	s.mutex.Lock()
--- a/negativecache/table_test.go
+++ b/negativecache/table_test.go
@@ -11,7 +11,7 @@
 
 // fetchAbsent has a table record a key as absent by a fetch that takes no time, and reports whether it was stored.
 func fetchAbsent(table *Table, hash uint64, now Time) bool {
-	return table.recordAbsent(hash, table.Begin(hash), now)
+	return table.recordAbsent(hash, table.BeginFetch(hash), now)
 }
 
 // newServingTable returns a table that serves absent keys for longer than a test takes.
@@ -24,16 +24,16 @@
 func TestAbsentKeyIsServedForItsTTL(t *testing.T) {
 	table := newServingTable(4096, 10*Second)
 	hash := hashOf(1)
-	if !fetchAbsent(table, hash, Second) || !table.Has(hash, Second) {
+	if !fetchAbsent(table, hash, Second) || !table.Contains(hash, Second) {
 		t.Error("an absent key is not served")
 	}
-	if table.Has(hashOf(2), Second) {
+	if table.Contains(hashOf(2), Second) {
 		t.Error("an unknown key is served as absent")
 	}
-	if !table.Has(hash, 11*Second-1) {
+	if !table.Contains(hash, 11*Second-1) {
 		t.Error("an absent key is not served until the end of its TTL")
 	}
-	if table.Has(hash, 11*Second) {
+	if table.Contains(hash, 11*Second) {
 		t.Error("an absent key is served after its TTL")
 	}
 }
@@ -43,22 +43,22 @@
 	hash := hashOf(1)
 	fetchAbsent(table, hash, Second)
 	fetchAbsent(table, hash, 12*Second)
-	fetch := table.Begin(hash)
-	table.Wrote(hash, 13*Second)
-	if table.Has(hash, 13*Second) {
+	fetch := table.BeginFetch(hash)
+	table.RecordWrite(hash, 13*Second)
+	if table.Contains(hash, 13*Second) {
 		t.Error("a written key is served as absent")
 	}
-	if table.recordAbsent(hash, fetch, 14*Second) || table.Has(hash, 14*Second) {
+	if table.recordAbsent(hash, fetch, 14*Second) || table.Contains(hash, 14*Second) {
 		t.Error("a fetch that began before a write stores the key as absent")
 	}
 	// a fetch that begins after the write may still reach the origin before the write is applied
-	if fetchAbsent(table, hash, 15*Second) || table.Has(hash, 15*Second) {
+	if fetchAbsent(table, hash, 15*Second) || table.Contains(hash, 15*Second) {
 		t.Error("a fetch within the TTL of a write stores the key as absent")
 	}
-	if table.recordPeerAbsent(hash, 15*Second, 15*Second) || table.Has(hash, 15*Second) {
+	if table.recordPeerAbsent(hash, 15*Second, 15*Second) || table.Contains(hash, 15*Second) {
 		t.Error("another proxy's report within the TTL of a write is stored")
 	}
-	if !fetchAbsent(table, hash, 24*Second) || !table.Has(hash, 24*Second) {
+	if !fetchAbsent(table, hash, 24*Second) || !table.Contains(hash, 24*Second) {
 		t.Error("a fetch after the TTL of a write does not store the key as absent")
 	}
 }
@@ -68,10 +68,10 @@
 	hash := hashOf(1)
 	fetchAbsent(table, hash, 23*Second)
 	table.serveUntil(24 * Second)
-	if !table.Has(hash, 24*Second-1) {
+	if !table.Contains(hash, 24*Second-1) {
 		t.Error("an absent key is not served before the serving deadline")
 	}
-	if table.Has(hash, 24*Second) {
+	if table.Contains(hash, 24*Second) {
 		t.Error("an absent key is served after the serving deadline")
 	}
 }
@@ -80,9 +80,9 @@
 	table := newServingTable(4096, 10*Second)
 	hash := hashOf(1)
 	fetchAbsent(table, hash, 24*Second)
-	fetch := table.Begin(hash)
+	fetch := table.BeginFetch(hash)
 	table.flush(25 * Second)
-	if table.Has(hash, 25*Second) {
+	if table.Contains(hash, 25*Second) {
 		t.Error("an absent key is served after a flush")
 	}
 	if table.recordAbsent(hash, fetch, 25*Second) {
@@ -102,7 +102,7 @@
 	table := newServingTable(4096, 100*Second)
 	for i := range keysReadBeforeScan {
 		fetchAbsent(table, hashOf(i), Second)
-		table.Has(hashOf(i), Second)
+		table.Contains(hashOf(i), Second)
 	}
 	for i := range 1 << 18 {
 		fetchAbsent(table, hashOf(1000+i), 2*Second)
@@ -115,7 +115,7 @@
 	table := newScannedTable()
 	retained := 0
 	for i := range keysReadBeforeScan {
-		if table.Has(hashOf(i), 3*Second) {
+		if table.Contains(hashOf(i), 3*Second) {
 			retained++
 		}
 	}
@@ -128,7 +128,7 @@
 	const writes = 1 << 16 // far more than the table can hold
 	table := newScannedTable()
 	for i := range writes {
-		table.Wrote(hashOf(1<<20+i), 3*Second)
+		table.RecordWrite(hashOf(1<<20+i), 3*Second)
 	}
 	for i := range writes {
 		hash := hashOf(1<<20 + i)
@@ -157,7 +157,7 @@
 	hash, now := hashOf(i%500), Time(i)
 	switch (i + worker) % 10 {
 	case 0:
-		table.Wrote(hash, now)
+		table.RecordWrite(hash, now)
 	case 1:
 		fetchAbsent(table, hash, now)
 	case 2:
@@ -167,7 +167,7 @@
 			table.flush(now)
 		}
 	default:
-		table.Has(hash, now)
+		table.Contains(hash, now)
 	}
 }
 
@@ -183,7 +183,7 @@
 	b.RunParallel(func(p *testing.PB) {
 		r := rand.New(rand.NewPCG(1, 2))
 		for p.Next() {
-			table.Has(hashOf(firstKey+r.IntN(entries/2)), 2*Second)
+			table.Contains(hashOf(firstKey+r.IntN(entries/2)), 2*Second)
 		}
 	})
 }
--- a/negativecache/wire_golden_test.go
+++ b/negativecache/wire_golden_test.go
@@ -9,12 +9,12 @@
 // Reports are the bodies of the gossip rows of written and of absent keys.
 func TestReportEncodingGolden(t *testing.T) {
 	checkGolden(t, "words.golden", []goldenCase{
-		{name: "word-full", full: true, value: &negativecache.Word{
+		{name: "word-full", full: true, value: &negativecache.KeyReport{
 			Sequence: 70000, Hashes: []uint64{0xf1f2f3f4f5f6f7f8, 1, 0x0102030405060708},
 		}},
-		{name: "word-without-sequence", value: &negativecache.Word{Hashes: []uint64{9}}},
-		{name: "word-without-hashes", value: &negativecache.Word{Sequence: 3, Hashes: []uint64{}}},
-		{name: "word-empty", value: &negativecache.Word{}},
+		{name: "word-without-sequence", value: &negativecache.KeyReport{Hashes: []uint64{9}}},
+		{name: "word-without-hashes", value: &negativecache.KeyReport{Sequence: 3, Hashes: []uint64{}}},
+		{name: "word-empty", value: &negativecache.KeyReport{}},
 	})
 }
 
@@ -24,8 +24,8 @@
 		name      string
 		got, want int64
 	}{
-		{"action to report written keys", int64(negativecache.SayWrote), 0},
-		{"action to report absent keys", int64(negativecache.SayAbsent), 1},
+		{"action to report written keys", int64(negativecache.ActionReportWritten), 0},
+		{"action to report absent keys", int64(negativecache.ActionReportAbsent), 1},
 		{"units of time in a second", int64(negativecache.Second), 10000},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/rebalance/settings.go
+++ b/rebalance/settings.go
@@ -23,7 +23,7 @@
 
 // Check returns an error that wraps a [*RangeError] if a setting is out of its range.
 func (t *Settings) Check() error {
-	return configfile.Check(
+	return configfile.CheckRanges(
 		configfile.Range("slack", t.Slack, 0, 1),
 		configfile.Range("moves_per_node", float64(t.MaxMigrationsPerNode), 1, 64),
 		configfile.Range("moves_in_all", float64(t.MaxMigrations), 1, 1024),
--- a/replica/antientropy.go
+++ b/replica/antientropy.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		live = append(live, other)
-		if !other.report.Behind {
+		if !other.report.CatchingUp {
 			inSync = append(inSync, other)
 		}
 	}
@@ -122,34 +122,34 @@
 	return l.count <= maxHelped
 }
 
-// Digest handles a peer's digest. The reply has the versions of the rows in the buckets that differ, unless too many
+// HandleDigest handles a peer's digest. The reply has the versions of the rows in the buckets that differ, unless too many
 // peers were helped lately.
-func (s *Instance) Digest(now Time, from string, sums Sums) []Decision {
+func (s *Store) HandleDigest(now Time, from string, sums Digest) []Decision {
 	s.begin(now)
 	differing, versions := s.rows.differingVersions(&sums)
 	switch {
 	case differing == 0:
-		s.out.add(Decision{Act: Same, To: from})
+		s.out.add(Decision{Action: ActionReplyInSync, Peer: from})
 	case !s.helpLimit.allow(s.now):
-		s.out.add(Decision{Act: Busy, To: from})
+		s.out.add(Decision{Action: ActionReplyBusy, Peer: from})
 	default:
-		s.out.add(Decision{Act: Heads, To: from, Which: differing, Heads: versions})
+		s.out.add(Decision{Action: ActionSendVersions, Peer: from, Buckets: differing, Versions: versions})
 	}
 	return s.out.decisions
 }
 
-// Heads handles the versions that a peer has stored in the buckets of a bit mask. Rows that it lacks or has in another
+// HandleVersions handles the versions that a peer has stored in the buckets of a bit mask. Rows that it lacks or has in another
 // version are sent to it, and the reverse is requested: a hash does not tell which of two versions is newer, so that
 // both are sent and the older one is dropped by whoever receives it.
-func (s *Instance) Heads(now Time, from string, buckets uint64, versions []Head) []Decision {
+func (s *Store) HandleVersions(now Time, from string, buckets uint64, versions []RowVersion) []Decision {
 	s.begin(now)
 	theirs := make(map[uint64]uint64, len(versions))
 	var request []uint64
 	for _, version := range versions {
-		theirs[version.ID] = version.Copy
-		stored := s.rows.byID[version.ID]
-		if (stored == nil || stored.version != version.Copy) && len(request) < maxRowsRequested {
-			request = append(request, version.ID)
+		theirs[version.RowID] = version.VersionHash
+		stored := s.rows.byID[version.RowID]
+		if (stored == nil || stored.version != version.VersionHash) && len(request) < maxRowsRequested {
+			request = append(request, version.RowID)
 		}
 	}
 	s.sendRows(from, s.rows.missingFrom(buckets, theirs, s.now))
@@ -158,7 +158,7 @@
 		s.sync.expect(now, request)
 	}
 	if len(request) > 0 {
-		s.out.add(Decision{Act: Want, To: from, IDs: request})
+		s.out.add(Decision{Action: ActionRequestRows, Peer: from, RowIDs: request})
 	} else if syncing {
 		s.finishCatchUp("synced from " + from)
 	}
@@ -166,16 +166,16 @@
 }
 
 // sendRows sends rows to a peer, as many messages as it takes.
-func (s *Instance) sendRows(to string, rows []Row) {
+func (s *Store) sendRows(to string, rows []Row) {
 	for len(rows) > 0 {
 		count := min(len(rows), maxRowsPerSend)
-		s.out.add(Decision{Act: Rows, To: to, Rows: rows[:count]})
+		s.out.add(Decision{Action: ActionSendRows, Peer: to, Rows: rows[:count]})
 		rows = rows[count:]
 	}
 }
 
-// Want handles a peer's request for rows.
-func (s *Instance) Want(now Time, from string, ids []uint64) []Decision {
+// HandleRowRequest handles a peer's request for rows.
+func (s *Store) HandleRowRequest(now Time, from string, ids []uint64) []Decision {
 	s.begin(now)
 	var rows []Row
 	for _, id := range ids[:min(len(ids), maxRowsRequested)] {
@@ -187,8 +187,8 @@
 	return s.out.decisions
 }
 
-// Same handles a peer's reply that both are in sync.
-func (s *Instance) Same(now Time, from string) []Decision {
+// HandleInSync handles a peer's reply that both are in sync.
+func (s *Store) HandleInSync(now Time, from string) []Decision {
 	s.begin(now)
 	if s.sync.syncingWith(from) {
 		s.finishCatchUp("already in sync with " + from)
@@ -196,8 +196,8 @@
 	return s.out.decisions
 }
 
-// Busy handles a peer's reply that it helps too many others; the next tick polls another.
-func (s *Instance) Busy(now Time, from string) []Decision {
+// HandleBusy handles a peer's reply that it helps too many others; the next tick polls another.
+func (s *Store) HandleBusy(now Time, from string) []Decision {
 	s.begin(now)
 	if from == s.sync.peer {
 		s.sync.allowPoll(s.now)
@@ -206,7 +206,7 @@
 }
 
 // pollSyncPeer sends the digest to a sync peer, or gives up catching up.
-func (s *Instance) pollSyncPeer() {
+func (s *Store) pollSyncPeer() {
 	peers := s.sync.syncPeers(s.now)
 	if s.sync.timedOut(s.now, peers.live) {
 		elapsed := float64(s.now-s.sync.since) / float64(Second)
@@ -214,11 +214,11 @@
 		return
 	}
 	if s.sync.choose(s.now, peers.preferred) {
-		s.out.add(Decision{Act: Digest, To: s.sync.peer, Sums: s.rows.digest()})
+		s.out.add(Decision{Action: ActionSendDigest, Peer: s.sync.peer, Digest: s.rows.digest()})
 	}
 }
 
-func (s *Instance) finishCatchUp(how string) {
+func (s *Store) finishCatchUp(how string) {
 	s.sync.finish()
 	s.out.logf("caught up, %s: %d rows of %d proxies", how, s.rows.size(), len(s.members.all))
 	if !s.yielded {
--- a/replica/antientropy_test.go
+++ b/replica/antientropy_test.go
@@ -8,18 +8,18 @@
 )
 
 // deliverSync delivers the messages of anti-entropy, and the replies to them, at once.
-func deliverSync(replicas map[string]*Instance, from string, decisions []Decision) {
+func deliverSync(replicas map[string]*Store, from string, decisions []Decision) {
 	for _, d := range slices.Clone(decisions) {
-		to := replicas[d.To]
-		switch d.Act {
-		case Digest:
-			deliverSync(replicas, d.To, to.Digest(0, from, d.Sums))
-		case Heads:
-			deliverSync(replicas, d.To, to.Heads(0, from, d.Which, d.Heads))
-		case Rows:
-			deliverSync(replicas, d.To, to.Rows(0, from, slices.Clone(d.Rows)))
-		case Want:
-			deliverSync(replicas, d.To, to.Want(0, from, d.IDs))
+		to := replicas[d.Peer]
+		switch d.Action {
+		case ActionSendDigest:
+			deliverSync(replicas, d.Peer, to.HandleDigest(0, from, d.Digest))
+		case ActionSendVersions:
+			deliverSync(replicas, d.Peer, to.HandleVersions(0, from, d.Buckets, d.Versions))
+		case ActionSendRows:
+			deliverSync(replicas, d.Peer, to.HandleRows(0, from, slices.Clone(d.Rows)))
+		case ActionRequestRows:
+			deliverSync(replicas, d.Peer, to.HandleRowRequest(0, from, d.RowIDs))
 		}
 	}
 }
@@ -31,19 +31,19 @@
 		{"a", "b", "c"}, {"a", "c", "b"}, {"b", "a", "c"}, {"b", "c", "a"}, {"c", "a", "b"}, {"c", "b", "a"},
 	} {
 		t.Run(strings.Join(names, ""), func(t *testing.T) {
-			replicas := map[string]*Instance{"a": newReplica("a", 3), "b": newReplica("b", 3), "c": newReplica("c", 3)}
+			replicas := map[string]*Store{"a": newReplica("a", 3), "b": newReplica("b", 3), "c": newReplica("c", 3)}
 			for i, name := range names {
 				for k := range 30 {
-					row := Row{Key: fmt.Sprint("c", k%(20+i)), Count: int64(k), Body: []byte(name)}
-					replicas[name].Listed(0, false, int64(i+k), []Row{row})
+					row := Row{Key: fmt.Sprint("c", k%(20+i)), Sequence: int64(k), Body: []byte(name)}
+					replicas[name].ApplyEndpointList(0, false, int64(i+k), []Row{row})
 				}
 			}
 			for _, pair := range [][2]string{{names[0], names[1]}, {names[1], names[2]}, {names[0], names[1]}} {
-				digest := Decision{Act: Digest, To: pair[1], Sums: replicas[pair[0]].Sums()}
+				digest := Decision{Action: ActionSendDigest, Peer: pair[1], Digest: replicas[pair[0]].Digest()}
 				deliverSync(replicas, pair[0], []Decision{digest})
 			}
 			a, b, c := replicas["a"], replicas["b"], replicas["c"]
-			if a.Sums() != b.Sums() || b.Sums() != c.Sums() || a.Kinds()[Node].Rows != 22 {
+			if a.Digest() != b.Digest() || b.Digest() != c.Digest() || a.KindStats()[KindEndpoint].Rows != 22 {
 				t.Error("the replicas differ")
 			}
 		})
@@ -57,16 +57,16 @@
 		rows[i] = Row{Key: fmt.Sprint("c", i)}
 	}
 	a, b := newReplica("a", 2), newReplica("b", 2)
-	a.Listed(0, true, 1, rows)
-	b.Listed(0, true, 1, rows)
-	a.Listed(0, false, 2, []Row{{Key: "c7", Rank: Leaving}})
-	reply := withAct(a.Digest(0, "b", b.Sums()), Heads)[0]
-	if count := len(reply.Heads); count > 100 {
+	a.ApplyEndpointList(0, true, 1, rows)
+	b.ApplyEndpointList(0, true, 1, rows)
+	a.ApplyEndpointList(0, false, 2, []Row{{Key: "c7", Rank: EndpointDraining}})
+	reply := withAct(a.HandleDigest(0, "b", b.Digest()), ActionSendVersions)[0]
+	if count := len(reply.Versions); count > 100 {
 		t.Errorf("%d versions for one row", count)
 	}
-	decisions := b.Heads(0, "a", reply.Which, reply.Heads)
-	request := withAct(decisions, Want)
-	if len(request) != 1 || len(request[0].IDs) != 1 || len(withAct(decisions, Rows)) != 1 {
+	decisions := b.HandleVersions(0, "a", reply.Buckets, reply.Versions)
+	request := withAct(decisions, ActionRequestRows)
+	if len(request) != 1 || len(request[0].RowIDs) != 1 || len(withAct(decisions, ActionSendRows)) != 1 {
 		t.Errorf("%+v", decisions)
 	}
 }
@@ -74,12 +74,12 @@
 // A few peers are helped at a time; the others are told at once to poll another.
 func TestHelpIsLimited(t *testing.T) {
 	replica := newReplica("a", 9)
-	replica.Listed(0, true, 1, []Row{{Key: "c1"}})
+	replica.ApplyEndpointList(0, true, 1, []Row{{Key: "c1"}})
 	helped, busy := 0, 0
 	for range 10 {
-		decisions := replica.Digest(0, "b", Sums{})
-		helped += len(withAct(decisions, Heads))
-		busy += len(withAct(decisions, Busy))
+		decisions := replica.HandleDigest(0, "b", Digest{})
+		helped += len(withAct(decisions, ActionSendVersions))
+		busy += len(withAct(decisions, ActionReplyBusy))
 	}
 	if helped != maxHelped || busy != 10-maxHelped {
 		t.Errorf("%d helped, %d not", helped, busy)
@@ -96,16 +96,16 @@
 		}
 	}
 	advance(4 * Second)
-	if replica.Behind() || replica.Share() != 1 {
-		t.Fatalf("in a fleet of one: catching up %v, share %v", replica.Behind(), replica.Share())
+	if replica.CatchingUp() || replica.QuotaShare() != 1 {
+		t.Fatalf("in a fleet of one: catching up %v, share %v", replica.CatchingUp(), replica.QuotaShare())
 	}
 	now += 30 * Second
 	replica.Tick(now)
-	if !replica.Behind() || replica.Share() != 0.25 {
-		t.Errorf("after 30 s: catching up %v, share %v", replica.Behind(), replica.Share())
+	if !replica.CatchingUp() || replica.QuotaShare() != 0.25 {
+		t.Errorf("after 30 s: catching up %v, share %v", replica.CatchingUp(), replica.QuotaShare())
 	}
-	if advance(noPeerSyncTimeout + Second); replica.Behind() || replica.Share() != 1 {
-		t.Errorf("after the timeout: catching up %v, share %v", replica.Behind(), replica.Share())
+	if advance(noPeerSyncTimeout + Second); replica.CatchingUp() || replica.QuotaShare() != 1 {
+		t.Errorf("after the timeout: catching up %v, share %v", replica.CatchingUp(), replica.QuotaShare())
 	}
 }
 
@@ -114,10 +114,10 @@
 func TestFirstLivePeerIsPolledAtOnce(t *testing.T) {
 	a, b := newReplica("a", 2), newReplica("b", 2)
 	a.Tick(0)
-	for _, d := range withAct(b.Tick(0), Spread) {
-		a.Rows(Second/20, "b", d.Rows)
+	for _, d := range withAct(b.Tick(0), ActionGossip) {
+		a.HandleRows(Second/20, "b", d.Rows)
 	}
-	if polls := withAct(a.Tick(testTick), Digest); len(polls) != 1 || polls[0].To != "b" {
+	if polls := withAct(a.Tick(testTick), ActionSendDigest); len(polls) != 1 || polls[0].Peer != "b" {
 		t.Errorf("%+v", polls)
 	}
 }
--- a/replica/expiry.go
+++ b/replica/expiry.go
@@ -3,10 +3,10 @@
 // expiryInterval is the time between two walks of the rows and members for what has expired.
 const expiryInterval = Second / 5
 
-func (s *Instance) expiryDue() bool { return s.now >= s.expireAt }
+func (s *Store) expiryDue() bool { return s.now >= s.expireAt }
 
 // expire removes expired rows and members, finds who has departed, and has silent proxies probed.
-func (s *Instance) expire() {
+func (s *Store) expire() {
 	s.expireAt = s.now + expiryInterval
 	s.rows.expire(s.now, s.members.forgetHeartbeat)
 	s.members.removeIf(func(other *member) bool {
@@ -20,11 +20,11 @@
 
 // updateDeparted decides whether a member has departed. Its quota is taken over from then on, so that the leases which
 // it granted have to have expired.
-func (s *Instance) updateDeparted(other *member, departure *storedRow) {
+func (s *Store) updateDeparted(other *member, departure *storedRow) {
 	if departure != nil && other.heartbeat == nil && other.incarnation == 0 {
 		other.incarnation = departure.Epoch // no heartbeat of it was ever received
 	}
-	takeoverDelay := max(s.settings.Hold, s.quota.leaseDuration())
+	takeoverDelay := max(s.settings.TakeoverDelay, s.quota.leaseDuration())
 	departed := departure != nil && departure.Epoch >= other.incarnation && !s.members.isSelf(other) &&
 		!s.members.live(other, s.now) && s.now-departure.receivedAt >= takeoverDelay
 	if departed == other.departed {
@@ -35,20 +35,20 @@
 		other.name, departed, s.members.departedCount(), s.members.fleetSize())
 }
 
-func (s *Instance) probeIfSilent(other *member) {
+func (s *Store) probeIfSilent(other *member) {
 	if !s.members.needsProbe(other, s.now) {
 		return
 	}
 	other.probedAt = s.now
-	s.out.add(Decision{Act: Probe, To: other.name, Address: other.report.Address, Epoch: other.incarnation})
+	s.out.add(Decision{Action: ActionProbe, Peer: other.name, Address: other.report.Address, Incarnation: other.incarnation})
 }
 
 // memberExpired reports whether a member counts no longer: its departure record has expired, or it was only ever heard
 // of. The configured size of the fleet is kept with members that have been running.
-func (s *Instance) memberExpired(other *member, departure *storedRow) bool {
+func (s *Store) memberExpired(other *member, departure *storedRow) bool {
 	if other.departed || departure != nil || other.heartbeat != nil || s.members.isSelf(other) {
 		return false
 	}
 	wasRunning := other.incarnation > 0
-	return !wasRunning || s.members.fleetSize() > s.settings.Proxies
+	return !wasRunning || s.members.fleetSize() > s.settings.FleetSize
 }
--- a/replica/heartbeat.go
+++ b/replica/heartbeat.go
@@ -21,22 +21,22 @@
 	overcommittedView = 1
 )
 
-// Pulsed is the body of a heartbeat row.
-type Pulsed struct {
-	Address string  `msgpack:"a"` // host:port at which peers reach the proxy
-	Zone    string  `msgpack:"z,omitempty"`
-	Demand  float64 `msgpack:"d"` // requests a second from its clients
-	View    uint64  `msgpack:"v"` // hash of the proxies that it knows, their incarnations, and which have departed
-	Behind  bool    `msgpack:"b"` // it is catching up
-	Base    float64 `msgpack:"s"` // its quota before leases, 0 to 1
-	Loans   []Loan  `msgpack:"l,omitempty"`
-	Wrote   int64   `msgpack:"o,omitempty"` // messages about its writes that it has sent
-	Heir    bool    `msgpack:"h,omitempty"` // the process is ending, and a successor takes its name
+// Heartbeat is the body of a heartbeat row.
+type Heartbeat struct {
+	Address      string       `msgpack:"a"` // host:port at which peers reach the proxy
+	Zone         string       `msgpack:"z,omitempty"`
+	Demand       float64      `msgpack:"d"` // requests a second from its clients
+	ViewHash     uint64       `msgpack:"v"` // hash of the proxies that it knows, their incarnations, and which have departed
+	CatchingUp   bool         `msgpack:"b"` // it is catching up
+	BaseQuota    float64      `msgpack:"s"` // its quota before leases, 0 to 1
+	Leases       []QuotaLease `msgpack:"l,omitempty"`
+	WritesSent   int64        `msgpack:"o,omitempty"` // messages about its writes that it has sent
+	HasSuccessor bool         `msgpack:"h,omitempty"` // the process is ending, and a successor takes its name
 }
 
 // valid reports whether the figures of a heartbeat are within their bounds.
-func (h *Pulsed) valid() bool {
-	return h.Demand >= 0 && h.Demand < 1e9 && h.Base >= 0 && h.Base <= 1
+func (h *Heartbeat) valid() bool {
+	return h.Demand >= 0 && h.Demand < 1e9 && h.BaseQuota >= 0 && h.BaseQuota <= 1
 }
 
 // sentHeartbeat identifies a heartbeat of this proxy, and says when it was written.
@@ -67,26 +67,26 @@
 	return sentHeartbeat{}, false
 }
 
-func (s *Instance) heartbeatDue() bool {
+func (s *Store) heartbeatDue() bool {
 	return !s.yielded && s.now-s.heartbeats.lastAt >= s.members.heartbeatInterval()
 }
 
 // sendHeartbeat gossips a heartbeat, and sends the digest to one live peer, which finds what gossip has lost.
-func (s *Instance) sendHeartbeat() {
+func (s *Store) sendHeartbeat() {
 	s.heartbeats.lastAt = s.now
-	heartbeat := Pulsed{
-		Address: s.settings.Address,
-		Zone:    s.settings.Zone,
-		Demand:  s.quota.demand,
-		View:    s.members.viewHash(),
-		Behind:  s.sync.active,
-		Base:    s.quota.base(),
-		Loans:   s.quota.grantLeases(s.now),
-		Wrote:   s.writesSent,
-		Heir:    s.yielded,
+	heartbeat := Heartbeat{
+		Address:      s.settings.Address,
+		Zone:         s.settings.Zone,
+		Demand:       s.quota.demand,
+		ViewHash:     s.members.viewHash(),
+		CatchingUp:   s.sync.active,
+		BaseQuota:    s.quota.base(),
+		Leases:       s.quota.grantLeases(s.now),
+		WritesSent:   s.writesSent,
+		HasSuccessor: s.yielded,
 	}
 	if s.quota.overcommitted(s.now) {
-		heartbeat.View = overcommittedView
+		heartbeat.ViewHash = overcommittedView
 	}
 	body, err := msgpack.Marshal(&heartbeat)
 	if err != nil {
@@ -94,31 +94,31 @@
 	}
 	s.heartbeats.record(sentHeartbeat{count: s.ownRows + 1, incarnation: s.settings.Incarnation, at: s.now})
 	s.writeOwn(Row{
-		Kind: Pulse, Key: s.settings.Me, Life: heartbeatTTL * s.members.heartbeatInterval(), Body: body,
+		Kind: KindHeartbeat, Key: s.settings.Name, TTL: heartbeatTTL * s.members.heartbeatInterval(), Body: body,
 	})
 	s.sendRandomDigest()
 }
 
-func (s *Instance) sendRandomDigest() {
+func (s *Store) sendRandomDigest() {
 	count := len(s.members.all)
 	if count <= 1 || s.sync.active {
 		return
 	}
 	peer := s.members.all[s.random.IntN(count)]
 	if s.members.live(peer, s.now) && !s.members.isSelf(peer) {
-		s.out.add(Decision{Act: Digest, To: peer.name, Sums: s.rows.digest()})
+		s.out.add(Decision{Action: ActionSendDigest, Peer: peer.name, Digest: s.rows.digest()})
 	}
 }
 
 // heartbeatReceived takes a heartbeat that was just stored: this proxy's own, or another's.
-func (s *Instance) heartbeatReceived(heartbeat *storedRow) {
+func (s *Store) heartbeatReceived(heartbeat *storedRow) {
 	sender := s.members.findOrAdd(heartbeat.Key)
 	if sender == nil {
 		return
 	}
-	var report Pulsed
+	var report Heartbeat
 	if err := msgpack.Unmarshal(heartbeat.Body, &report); err != nil || !report.valid() {
-		s.Dropped++
+		s.RejectedRows++
 		return
 	}
 	s.members.recordHeartbeat(sender, heartbeat, &report)
--- a/replica/members.go
+++ b/replica/members.go
@@ -32,11 +32,11 @@
 
 // Member describes a proxy to operators and to other packages.
 type Member struct {
-	Name        string
-	Incarnation int64
-	State       string // "here" (live), "silent", "gone" (departed) or "unknown" (no heartbeat or departure record yet)
-	Lag         Time   // since its latest heartbeat was written
-	Pulsed
+	Name         string
+	Incarnation  int64
+	State        string // "here" (live), "silent", "gone" (departed) or "unknown" (no heartbeat or departure record yet)
+	HeartbeatAge Time   // since its latest heartbeat was written
+	Heartbeat
 }
 
 // member is what is known of a proxy.
@@ -44,7 +44,7 @@
 	name         string
 	incarnation  int64
 	heartbeat    *storedRow // its latest heartbeat, nil if none is stored
-	report       Pulsed     // the body of its latest heartbeat
+	report       Heartbeat  // the body of its latest heartbeat
 	departed     bool       // its latest incarnation has ended, and the takeover delay has passed
 	acknowledged bool       // it knows the incarnation of this proxy, and does not take that for departed
 	probedAt     Time
@@ -52,14 +52,14 @@
 
 // membership lists the proxies of the fleet, this one included, with what their heartbeats and departure records say.
 type membership struct {
-	settings *Terms
+	settings *Settings
 	rows     *rowTable
 	all      []*member // by name
 	byName   map[string]*member
 	views    [16]uint64 // latest hashes of this proxy's view of the fleet, the newest first
 }
 
-func newMembership(settings *Terms, rows *rowTable) *membership {
+func newMembership(settings *Settings, rows *rowTable) *membership {
 	return &membership{settings: settings, rows: rows, byName: map[string]*member{}}
 }
 
@@ -99,11 +99,11 @@
 }
 
 // isSelf reports whether a member is this proxy.
-func (m *membership) isSelf(other *member) bool { return other.name == m.settings.Me }
+func (m *membership) isSelf(other *member) bool { return other.name == m.settings.Name }
 
 // fleetSize is the number of proxies in the fleet, departed ones included: those configured, or those known if that
 // is more.
-func (m *membership) fleetSize() int { return max(len(m.all), m.settings.Proxies) }
+func (m *membership) fleetSize() int { return max(len(m.all), m.settings.FleetSize) }
 
 func (m *membership) departedCount() int {
 	count := 0
@@ -123,7 +123,7 @@
 // heartbeatTimeout is the age of its latest heartbeat from which on a proxy is probed. One with a successor gets
 // longer: connections to it are refused until the successor listens, though its name has not departed.
 func (m *membership) heartbeatTimeout(other *member) Time {
-	if other.report.Heir {
+	if other.report.HasSuccessor {
 		return missedWithSuccessor * m.heartbeatInterval()
 	}
 	return missedHeartbeats * m.heartbeatInterval()
@@ -175,8 +175,8 @@
 }
 
 // recordHeartbeat takes the latest heartbeat of a proxy.
-func (m *membership) recordHeartbeat(other *member, heartbeat *storedRow, report *Pulsed) {
-	sameView := report.View != 0 && slices.Contains(m.views[:], report.View)
+func (m *membership) recordHeartbeat(other *member, heartbeat *storedRow, report *Heartbeat) {
+	sameView := report.ViewHash != 0 && slices.Contains(m.views[:], report.ViewHash)
 	other.acknowledged = other.acknowledged && heartbeat.Epoch == other.incarnation || sameView
 	other.heartbeat, other.report, other.incarnation = heartbeat, *report, heartbeat.Epoch
 }
@@ -205,10 +205,10 @@
 	all := make([]Member, 0, len(m.all))
 	for _, other := range m.all {
 		entry := Member{
-			Name: other.name, Incarnation: other.incarnation, State: m.stateName(other, now), Pulsed: other.report,
+			Name: other.name, Incarnation: other.incarnation, State: m.stateName(other, now), Heartbeat: other.report,
 		}
 		if other.heartbeat != nil {
-			entry.Lag = now - other.heartbeat.writtenAt
+			entry.HeartbeatAge = now - other.heartbeat.writtenAt
 		}
 		all = append(all, entry)
 	}
--- a/replica/members_test.go
+++ b/replica/members_test.go
@@ -5,13 +5,13 @@
 // A proxy that has yielded to another of its name sends no heartbeat, also not when it has caught up.
 func TestYieldedProxySendsNoHeartbeat(t *testing.T) {
 	replica := newReplica("a", 1)
-	replica.Yield(true)
+	replica.SetYielded(true)
 	for now := Time(0); now < 5*Second; now += testTick {
-		if sent := withAct(replica.Tick(now), Spread); len(sent) > 0 {
+		if sent := withAct(replica.Tick(now), ActionGossip); len(sent) > 0 {
 			t.Fatalf("%+v", sent[0].Rows)
 		}
 	}
-	if replica.Behind() {
+	if replica.CatchingUp() {
 		t.Error("it is still catching up")
 	}
 }
@@ -28,13 +28,13 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			a, b := newReplica("a", 2), newReplica("b", 2)
-			a.Rows(0, "b", withAct(b.Tick(0), Spread)[0].Rows)
-			if b.Yield(c.successor); c.successor {
-				a.Rows(Second, "b", withAct(b.Leave(Second), Spread)[0].Rows)
+			a.HandleRows(0, "b", withAct(b.Tick(0), ActionGossip)[0].Rows)
+			if b.SetYielded(c.successor); c.successor {
+				a.HandleRows(Second, "b", withAct(b.AnnounceDeparture(Second), ActionGossip)[0].Rows)
 			}
 			probedAt := Time(0)
 			for now := Second; now < 9*Second && probedAt == 0; now += testTick {
-				if len(withAct(a.Tick(now), Probe)) > 0 {
+				if len(withAct(a.Tick(now), ActionProbe)) > 0 {
 					probedAt = now
 				}
 			}
@@ -48,12 +48,12 @@
 // pair is two replicas that exchange rows at each tick.
 type pair struct {
 	now  Time
-	a, b *Instance
+	a, b *Store
 }
 
-func (p *pair) deliver(from, to *Instance, decisions []Decision) {
-	for _, d := range withAct(decisions, Spread) {
-		to.Rows(p.now, from.settings.Me, d.Rows)
+func (p *pair) deliver(from, to *Store, decisions []Decision) {
+	for _, d := range withAct(decisions, ActionGossip) {
+		to.HandleRows(p.now, from.settings.Name, d.Rows)
 	}
 }
 
@@ -68,7 +68,7 @@
 // partitioned lets time pass for a alone, and returns how many probes a decided on.
 func (p *pair) partitioned(span Time) (probes int) {
 	for end := p.now + span; p.now < end; p.now += testTick {
-		probes += len(withAct(p.a.Tick(p.now), Probe))
+		probes += len(withAct(p.a.Tick(p.now), ActionProbe))
 	}
 	return probes
 }
@@ -77,29 +77,29 @@
 // process with the same name is back.
 func TestQuotaOfDepartedProxyIsTakenOver(t *testing.T) {
 	p := &pair{a: newReplica("a", 2), b: newReplica("b", 2)}
-	if p.connected(8 * Second); p.a.Share() != 0.5 || p.b.Share() != 0.5 {
-		t.Fatalf("shares %v %v", p.a.Share(), p.b.Share())
+	if p.connected(8 * Second); p.a.QuotaShare() != 0.5 || p.b.QuotaShare() != 0.5 {
+		t.Fatalf("shares %v %v", p.a.QuotaShare(), p.b.QuotaShare())
 	}
-	if probes := p.partitioned(8 * Second); p.a.Share() != 0.5 || probes == 0 {
-		t.Errorf("silent: share %v, %d probes", p.a.Share(), probes)
+	if probes := p.partitioned(8 * Second); p.a.QuotaShare() != 0.5 || probes == 0 {
+		t.Errorf("silent: share %v, %d probes", p.a.QuotaShare(), probes)
 	}
-	if p.a.Refused(p.now, "b", 7); p.a.members.incarnationEnded(p.a.members.byName["b"]) {
+	if p.a.ConnectionRefused(p.now, "b", 7); p.a.members.incarnationEnded(p.a.members.byName["b"]) {
 		t.Error("an incarnation that never was is believed to have ended")
 	}
-	p.a.Refused(p.now, "b", 1)
-	if p.partitioned(Second); p.a.Share() != 0.5 {
-		t.Errorf("before the takeover delay: %v", p.a.Share())
+	p.a.ConnectionRefused(p.now, "b", 1)
+	if p.partitioned(Second); p.a.QuotaShare() != 0.5 {
+		t.Errorf("before the takeover delay: %v", p.a.QuotaShare())
 	}
-	if p.partitioned(p.a.quota.leaseDuration()); p.a.Share() != 1-0.25/2 {
-		t.Errorf("after it: %v", p.a.Share())
+	if p.partitioned(p.a.quota.leaseDuration()); p.a.QuotaShare() != 1-0.25/2 {
+		t.Errorf("after it: %v", p.a.QuotaShare())
 	}
 	p.b = newReplica("b", 2)
 	p.b.settings.Incarnation, p.b.tickedAt = 2, p.now
 	p.deliver(p.b, p.a, p.b.tickCopy(p.now))
-	if p.connected(Second / 2); p.a.Share() != 0.5 || p.b.Share() > 0.25/2 {
-		t.Errorf("back: %v %v", p.a.Share(), p.b.Share())
+	if p.connected(Second / 2); p.a.QuotaShare() != 0.5 || p.b.QuotaShare() > 0.25/2 {
+		t.Errorf("back: %v %v", p.a.QuotaShare(), p.b.QuotaShare())
 	}
-	if p.connected(8 * Second); p.a.Share() != 0.5 || p.b.Share() != 0.5 {
-		t.Errorf("confirmed again: %v %v", p.a.Share(), p.b.Share())
+	if p.connected(8 * Second); p.a.QuotaShare() != 0.5 || p.b.QuotaShare() != 0.5 {
+		t.Errorf("confirmed again: %v %v", p.a.QuotaShare(), p.b.QuotaShare())
 	}
 }
--- a/replica/quota.go
+++ b/replica/quota.go
@@ -30,13 +30,13 @@
 	minDivisor = 1e-9
 )
 
-// Loan is a lease of a part of the sender's quota to another proxy. It lasts for four heartbeat intervals from the time
+// QuotaLease is a lease of a part of the sender's quota to another proxy. It lasts for four heartbeat intervals from the time
 // at which the borrower wrote the heartbeat that the lease names. Lender and borrower each count from a time on their
 // own clock, and the borrower's is earlier: the lease has ended there when the lender uses that part again.
-type Loan struct {
-	To    string  `msgpack:"t"` // the borrower
-	Part  float64 `msgpack:"p"` // of the fleet's limits, 0 to 1
-	Count int64   `msgpack:"c"` // sequence number of the borrower's heartbeat
+type QuotaLease struct {
+	Borrower          string  `msgpack:"t"` // the borrower
+	Share             float64 `msgpack:"p"` // of the fleet's limits, 0 to 1
+	HeartbeatSequence int64   `msgpack:"c"` // sequence number of the borrower's heartbeat
 }
 
 // lease is a part of a quota that is leased out or leased in.
@@ -60,7 +60,7 @@
 //     borrower no later than at the lender. Until then the lender does without it, and tells so to whoever waits for
 //     the confirmation of a quota.
 type quota struct {
-	settings   *Terms
+	settings   *Settings
 	members    *membership
 	sync       *catchUp
 	heartbeats *heartbeatLog
@@ -75,7 +75,7 @@
 }
 
 // floor is the share of a proxy that nobody has acknowledged.
-func (q *quota) floor() float64 { return q.settings.Floor / float64(q.members.fleetSize()) }
+func (q *quota) floor() float64 { return q.settings.QuotaFloor / float64(q.members.fleetSize()) }
 
 // atFloor reports whether the quota has to stay at its floor.
 func (q *quota) atFloor() bool { return !q.confirmed || q.sync.active }
@@ -160,7 +160,7 @@
 
 // grantLeases leases out what this proxy's clients do not need. The proxy keeps the part of its quota that its demand
 // is of the fleet's, and half of the quota in any case. The rest goes to the others by their deficits.
-func (q *quota) grantLeases(now Time) []Loan {
+func (q *quota) grantLeases(now Time) []QuotaLease {
 	if q.atFloor() {
 		return nil
 	}
@@ -176,13 +176,13 @@
 		totalDeficit += demands.deficit(other)
 	}
 	spare = min(spare, totalDeficit) // all lenders together may offer more than is lacking, which does no harm
-	var granted []Loan
+	var granted []QuotaLease
 	first := q.random.IntN(len(q.members.all))
 	for i := range q.members.all {
 		borrower := q.members.all[(first+i)%len(q.members.all)]
 		part := spare * demands.deficit(borrower) / max(totalDeficit, minDivisor)
 		if part >= minLeasePart*base && len(granted) < maxLeases {
-			granted = append(granted, Loan{To: borrower.name, Part: part, Count: borrower.heartbeat.Count})
+			granted = append(granted, QuotaLease{Borrower: borrower.name, Share: part, HeartbeatSequence: borrower.heartbeat.Sequence})
 			q.leasedOut = append(q.leasedOut, lease{borrower: borrower.name, part: part, expiresAt: now + q.leaseDuration()})
 		}
 	}
@@ -190,7 +190,7 @@
 }
 
 // withdrawExcess takes back the last of the new leases, as many as are too much together with the earlier ones.
-func (q *quota) withdrawExcess(granted []Loan, base float64, now Time) []Loan {
+func (q *quota) withdrawExcess(granted []QuotaLease, base float64, now Time) []QuotaLease {
 	limit := base*(1-retainedPart) + grantTolerance
 	for q.leasedOutPart(now) > limit && len(granted) > 0 {
 		granted = granted[:len(granted)-1]
@@ -222,25 +222,25 @@
 // whose quota is not confirmed, since that uses no leases.
 func (d *fleetDemands) deficit(other *member) float64 {
 	members := d.quota.members
-	if members.isSelf(other) || !members.live(other, d.now) || other.report.Base < d.base/2 {
+	if members.isSelf(other) || !members.live(other, d.now) || other.report.BaseQuota < d.base/2 {
 		return 0
 	}
-	return max(other.report.Demand/d.total-other.report.Base, 0)
+	return max(other.report.Demand/d.total-other.report.BaseQuota, 0)
 }
 
 // acceptLease takes the lease to this proxy from the latest heartbeat of another, if there is one. It lasts until the
 // lease's length has passed since this proxy wrote the heartbeat that the lease names. A heartbeat without a lease
 // revokes none: a lease lasts until it expires.
 func (q *quota) acceptLease(lender *member) {
-	for _, offer := range lender.report.Loans {
-		if offer.To != q.settings.Me {
+	for _, offer := range lender.report.Leases {
+		if offer.Borrower != q.settings.Name {
 			continue
 		}
-		withinBounds := offer.Part > 0 && offer.Part <= lender.report.Base/2+leaseTolerance
-		heartbeat, found := q.heartbeats.find(offer.Count, q.settings.Incarnation)
+		withinBounds := offer.Share > 0 && offer.Share <= lender.report.BaseQuota/2+leaseTolerance
+		heartbeat, found := q.heartbeats.find(offer.HeartbeatSequence, q.settings.Incarnation)
 		if found && withinBounds {
 			q.leasedIn[lender.name] = lease{
-				borrower: offer.To, part: offer.Part, expiresAt: heartbeat.at + q.leaseDuration(),
+				borrower: offer.Borrower, part: offer.Share, expiresAt: heartbeat.at + q.leaseDuration(),
 			}
 			return
 		}
@@ -248,20 +248,20 @@
 }
 
 // confirmQuota lets this proxy use its full share once all others have acknowledged its incarnation.
-func (s *Instance) confirmQuota() {
+func (s *Store) confirmQuota() {
 	if s.quota.confirm(s.now) {
 		s.out.logf("quota confirmed: all %d proxies have acknowledged this one, %d have departed",
 			s.members.fleetSize(), s.members.departedCount())
 	}
 }
 
-func (s *Instance) shareChanged() bool { return s.quota.share != s.quota.entitlement(s.now) }
+func (s *Store) shareChanged() bool { return s.quota.share != s.quota.entitlement(s.now) }
 
 // updateShare tells the caller the new share. It is logged only when the share before leases has changed.
-func (s *Instance) updateShare() {
+func (s *Store) updateShare() {
 	previous := s.quota.share
 	s.quota.share = s.quota.entitlement(s.now)
-	s.out.add(Decision{Act: SetShare, Share: s.quota.share})
+	s.out.add(Decision{Action: ActionSetQuotaShare, Share: s.quota.share})
 	base := s.quota.base()
 	if base == s.quota.loggedBase {
 		return
--- a/replica/quota_test.go
+++ b/replica/quota_test.go
@@ -6,7 +6,7 @@
 type fleet struct {
 	now      Time
 	names    []string
-	replicas map[string]*Instance
+	replicas map[string]*Store
 }
 
 // advance lets time pass, and calls afterTick, if it is not nil, after each tick.
@@ -25,10 +25,10 @@
 
 // tick has one replica tick, and delivers its rows to the others.
 func (f *fleet) tick(name string) {
-	for _, d := range withAct(f.replicas[name].tickCopy(f.now), Spread) {
+	for _, d := range withAct(f.replicas[name].tickCopy(f.now), ActionGossip) {
 		for _, to := range f.names {
 			if f.replicas[to] != nil && to != name {
-				f.replicas[to].Rows(f.now, name, d.Rows)
+				f.replicas[to].HandleRows(f.now, name, d.Rows)
 			}
 		}
 	}
@@ -38,7 +38,7 @@
 	total := 0.0
 	for _, replica := range f.replicas {
 		if replica != nil {
-			total += replica.Share()
+			total += replica.QuotaShare()
 		}
 	}
 	return total
@@ -47,14 +47,14 @@
 // What a proxy has leased out is not used a second time when its process ends or restarts: the others wait until the
 // lease has expired, and so does the new process.
 func TestLeaseOutlivesLender(t *testing.T) {
-	f := &fleet{names: []string{"a", "b", "c"}, replicas: map[string]*Instance{}}
+	f := &fleet{names: []string{"a", "b", "c"}, replicas: map[string]*Store{}}
 	for i, name := range f.names {
 		f.replicas[name] = newReplica(name, 3)
-		f.replicas[name].settings.Hold = Second / 2
-		f.replicas[name].Demand([]float64{0, 0, 50}[i])
+		f.replicas[name].settings.TakeoverDelay = Second / 2
+		f.replicas[name].SetDemand([]float64{0, 0, 50}[i])
 	}
 	f.advance(15*Second, nil)
-	if a, c := f.replicas["a"].Share(), f.replicas["c"].Share(); a > 0.17 || c < 0.6 {
+	if a, c := f.replicas["a"].QuotaShare(), f.replicas["c"].QuotaShare(); a > 0.17 || c < 0.6 {
 		t.Fatalf("shares %.3f and %.3f by demand", a, c)
 	}
 	restarted := restartedReplica("a", 3, f.now)
@@ -64,12 +64,12 @@
 			t.Fatalf("at %d: %.3f together", f.now, total)
 		}
 	})
-	if restarted.Share() < 0.1 {
-		t.Errorf("the new process has %.3f", restarted.Share())
+	if restarted.QuotaShare() < 0.1 {
+		t.Errorf("the new process has %.3f", restarted.QuotaShare())
 	}
 	f.replicas["a"] = nil
 	for _, name := range []string{"b", "c"} {
-		f.replicas[name].Refused(f.now, "a", 2)
+		f.replicas[name].ConnectionRefused(f.now, "a", 2)
 	}
 	f.advance(3*Second, func() {
 		if f.replicas["b"].members.departedCount() > 0 {
@@ -82,7 +82,7 @@
 }
 
 // restartedReplica returns a replica with an incarnation of two, which has caught up already.
-func restartedReplica(name string, proxies int, now Time) *Instance {
+func restartedReplica(name string, proxies int, now Time) *Store {
 	restarted := newReplica(name, proxies)
 	restarted.settings.Incarnation = 2
 	restarted.now, restarted.tickedAt, restarted.quota.startedAt = now, now, now
--- a/replica/rows.go
+++ b/replica/rows.go
@@ -9,16 +9,16 @@
 // maxRows bounds the rows that are stored; new rows beyond it are rejected and counted.
 const maxRows = 16384
 
-// Buckets is the number of parts of a digest. A row belongs to the bucket of its ID modulo Buckets.
-const Buckets = 64
+// BucketCount is the number of parts of a digest. A row belongs to the bucket of its ID modulo BucketCount.
+const BucketCount = 64
 
-// Sums is the digest of the stored rows: for each bucket, the exclusive or of its rows' hashes.
-type Sums [Buckets]uint64
+// Digest is the digest of the stored rows: for each bucket, the exclusive or of its rows' hashes.
+type Digest [BucketCount]uint64
 
-// Held are the figures on the stored rows of one kind.
-type Held struct {
-	Rows int
-	Sum  uint64 // exclusive or of the rows' hashes
+// KindStats are the figures on the stored rows of one kind.
+type KindStats struct {
+	Rows   int
+	Digest uint64 // exclusive or of the rows' hashes
 }
 
 // storedRow is the current version of a row.
@@ -34,7 +34,7 @@
 func (r *storedRow) hash() uint64 { return r.id*0x9e3779b97f4a7c15 ^ r.version }
 
 // expired reports whether the row has reached its time to live.
-func (r *storedRow) expired(now Time) bool { return r.Life > 0 && now-r.writtenAt >= r.Life }
+func (r *storedRow) expired(now Time) bool { return r.TTL > 0 && now-r.writtenAt >= r.TTL }
 
 // aged returns the row as it is sent, with the age that it has now.
 func (r *storedRow) aged(now Time) Row {
@@ -46,7 +46,7 @@
 // rowTable stores the current version of each row, with a digest by bucket.
 type rowTable struct {
 	byID    map[uint64]*storedRow
-	buckets [Buckets]bucket
+	buckets [BucketCount]bucket
 }
 
 type bucket struct {
@@ -62,12 +62,12 @@
 
 // departure returns the departure record of a proxy, nil if none is stored.
 func (t *rowTable) departure(proxy string) *storedRow {
-	return t.byID[rowID(&Row{Kind: Gone, Key: proxy})]
+	return t.byID[rowID(&Row{Kind: KindDeparture, Key: proxy})]
 }
 
 // put stores a version in place of the one that is stored for the same ID, if any.
 func (t *rowTable) put(id uint64, row *Row, now Time) *storedRow {
-	bucket := &t.buckets[id%Buckets]
+	bucket := &t.buckets[id%BucketCount]
 	stored := t.byID[id]
 	if stored == nil {
 		stored = &storedRow{id: id}
@@ -106,13 +106,13 @@
 func (t *rowTable) expireKind(kind Kind) {
 	for _, row := range t.byID {
 		if row.Kind == kind {
-			row.Life = 1
+			row.TTL = 1
 		}
 	}
 }
 
 // digest returns the digest of all stored rows.
-func (t *rowTable) digest() (sums Sums) {
+func (t *rowTable) digest() (sums Digest) {
 	for i := range t.buckets {
 		sums[i] = t.buckets[i].digest
 	}
@@ -121,7 +121,7 @@
 
 // differingVersions compares the table with a peer's digest. It returns the bit mask of the buckets that differ, as
 // many as fit into a reply, and the versions of the rows that are stored in them.
-func (t *rowTable) differingVersions(sums *Sums) (mask uint64, versions []Head) {
+func (t *rowTable) differingVersions(sums *Digest) (mask uint64, versions []RowVersion) {
 	for i := range t.buckets {
 		bucket := &t.buckets[i]
 		tooMany := len(versions)+len(bucket.rows) > maxVersionsSent && mask != 0
@@ -130,7 +130,7 @@
 		}
 		mask |= 1 << i
 		for _, row := range bucket.rows {
-			versions = append(versions, Head{ID: row.id, Copy: row.version})
+			versions = append(versions, RowVersion{RowID: row.id, VersionHash: row.version})
 		}
 	}
 	return mask, versions
@@ -164,12 +164,12 @@
 }
 
 // figures returns the figures on the stored rows by kind.
-func (t *rowTable) figures() map[Kind]Held {
-	all := map[Kind]Held{}
+func (t *rowTable) figures() map[Kind]KindStats {
+	all := map[Kind]KindStats{}
 	for _, row := range t.byID {
 		figures := all[row.Kind]
 		figures.Rows++
-		figures.Sum ^= row.hash()
+		figures.Digest ^= row.hash()
 		all[row.Kind] = figures
 	}
 	return all
--- a/replica/rows_test.go
+++ b/replica/rows_test.go
@@ -14,10 +14,10 @@
 }
 
 // replicaStore is a replica as a versionStore.
-type replicaStore struct{ *Instance }
+type replicaStore struct{ *Store }
 
-func (s replicaStore) receive(row Row) { s.Rows(s.now, "x", []Row{row}) }
-func (s replicaStore) digest() uint64  { return s.Kinds()[Node].Sum }
+func (s replicaStore) receive(row Row) { s.HandleRows(s.now, "x", []Row{row}) }
+func (s replicaStore) digest() uint64  { return s.KindStats()[KindEndpoint].Digest }
 
 // lastWins is a versionStore with a planted fault: it keeps what comes last.
 type lastWins map[string]Row
@@ -51,12 +51,12 @@
 // convergenceFault says what goes wrong, if anything, when stores receive the same versions in every order.
 func convergenceFault(newStore func() versionStore) (fault string) {
 	rows := []Row{
-		{Kind: Node, Key: "c1", Epoch: 5, Rank: Active, Body: []byte("a")},
-		{Kind: Node, Key: "c1", Epoch: 5, Rank: Leaving, Body: []byte("a")},
-		{Kind: Node, Key: "c1", Epoch: 5, Rank: Leaving, Count: 7, Body: []byte("b")},
-		{Kind: Node, Key: "c1", Epoch: 6, Rank: Active, Body: []byte("c")},
-		{Kind: Node, Key: "c2", Epoch: 4, Rank: Left, Life: removedEndpointTTL},
-		{Kind: Node, Key: "c2", Epoch: 3, Rank: Active},
+		{Kind: KindEndpoint, Key: "c1", Epoch: 5, Rank: EndpointActive, Body: []byte("a")},
+		{Kind: KindEndpoint, Key: "c1", Epoch: 5, Rank: EndpointDraining, Body: []byte("a")},
+		{Kind: KindEndpoint, Key: "c1", Epoch: 5, Rank: EndpointDraining, Sequence: 7, Body: []byte("b")},
+		{Kind: KindEndpoint, Key: "c1", Epoch: 6, Rank: EndpointActive, Body: []byte("c")},
+		{Kind: KindEndpoint, Key: "c2", Epoch: 4, Rank: EndpointRemoved, TTL: removedEndpointTTL},
+		{Kind: KindEndpoint, Key: "c2", Epoch: 3, Rank: EndpointActive},
 	}
 	digests := map[uint64]bool{}
 	permute(rows, func(rows []Row) {
@@ -88,41 +88,41 @@
 // Rows of an unknown kind are stored, gossiped and expired as their writer says.
 func TestUnknownKindIsGossipedAndOversizedRowRejected(t *testing.T) {
 	replica := newReplica("a", 2)
-	decisions := replica.Rows(0, "b", []Row{
-		{Kind: 77, Key: "order", Writer: "b", Epoch: 1, Life: 3 * Second, Body: []byte("?")},
+	decisions := replica.HandleRows(0, "b", []Row{
+		{Kind: 77, Key: "order", Writer: "b", Epoch: 1, TTL: 3 * Second, Body: []byte("?")},
 	})
-	if len(withAct(decisions, Spread)) != 1 || replica.Kinds()[77].Rows != 1 {
+	if len(withAct(decisions, ActionGossip)) != 1 || replica.KindStats()[77].Rows != 1 {
 		t.Errorf("%+v", decisions)
 	}
 	for _, c := range []struct {
 		name string
 		row  Row
 	}{
-		{"key too long", Row{Kind: 77, Key: strings.Repeat("k", MostName+1)}},
+		{"key too long", Row{Kind: 77, Key: strings.Repeat("k", MaxNameBytes+1)}},
 		{"body too long", Row{Kind: 77, Key: "k", Body: make([]byte, MaxBodyBytes+1)}},
 		{"no kind", Row{Key: "k"}},
 		{"no key", Row{Kind: 77}},
 		{"negative age", Row{Kind: 77, Key: "k", Age: -1}},
-		{"expired", Row{Kind: 77, Key: "k", Life: 5, Age: 5}},
-		{"epoch too large", Row{Kind: Gone, Key: "a", Epoch: 1<<63 - 1}},
+		{"expired", Row{Kind: 77, Key: "k", TTL: 5, Age: 5}},
+		{"epoch too large", Row{Kind: KindDeparture, Key: "a", Epoch: 1<<63 - 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			before := replica.Dropped
-			replica.Rows(0, "b", []Row{c.row})
-			if replica.Dropped != before+1 {
-				t.Errorf("%d rejected", replica.Dropped-before)
+			before := replica.RejectedRows
+			replica.HandleRows(0, "b", []Row{c.row})
+			if replica.RejectedRows != before+1 {
+				t.Errorf("%d rejected", replica.RejectedRows-before)
 			}
 		})
 	}
-	if replica.Dropped != 7 || replica.Kinds()[77].Rows != 1 {
-		t.Errorf("%d rejected", replica.Dropped)
+	if replica.RejectedRows != 7 || replica.KindStats()[77].Rows != 1 {
+		t.Errorf("%d rejected", replica.RejectedRows)
 	}
 	for now := Time(0); now < 4*Second; now += testTick {
 		replica.Tick(now)
 	}
-	digest := replica.Sums()
+	digest := replica.Digest()
 	replica.expire()
-	if replica.Kinds()[77].Rows != 0 || digest != replica.Sums() {
+	if replica.KindStats()[77].Rows != 0 || digest != replica.Digest() {
 		t.Error("the row does not expire")
 	}
 }
@@ -130,12 +130,12 @@
 // A row that is passed on expires no later than where it was written.
 func TestAgeIsPassedOn(t *testing.T) {
 	writer, reader := newReplica("a", 2), newReplica("b", 2)
-	row := withAct(writer.Saw(0, "c1", false), Spread)[0].Rows[0]
+	row := withAct(writer.RecordHealth(0, "c1", false), ActionGossip)[0].Rows[0]
 	row.Age = 4 * Second
-	reader.Rows(100*Second, "a", []Row{row})
+	reader.HandleRows(100*Second, "a", []Row{row})
 	reader.expireAt, reader.tickedAt = 0, 101*Second
 	reader.Tick(1015 * Second / 10)
-	if reader.Kinds()[Sight].Rows != 0 {
+	if reader.KindStats()[KindHealthObservation].Rows != 0 {
 		t.Error("the row is still stored")
 	}
 }
@@ -143,12 +143,12 @@
 func TestRowsAndMessagesAreBounded(t *testing.T) {
 	replica := newReplica("a", 1)
 	for i := range maxRows + 50 {
-		replica.Rows(0, "b", []Row{{Kind: 77, Key: fmt.Sprint(i), Writer: "b"}})
+		replica.HandleRows(0, "b", []Row{{Kind: 77, Key: fmt.Sprint(i), Writer: "b"}})
 	}
-	if replica.rows.size() != maxRows || replica.Dropped == 0 {
+	if replica.rows.size() != maxRows || replica.RejectedRows == 0 {
 		t.Errorf("%d rows", replica.rows.size())
 	}
-	for _, d := range withAct(replica.Want(0, "b", make([]uint64, 2*maxRowsRequested)), Rows) {
+	for _, d := range withAct(replica.HandleRowRequest(0, "b", make([]uint64, 2*maxRowsRequested)), ActionSendRows) {
 		if len(d.Rows) > maxRowsPerSend {
 			t.Error("a message of", len(d.Rows))
 		}
--- a/replica/settings.go
+++ b/replica/settings.go
@@ -1,13 +1,13 @@
 package replica
 
-// Terms are the settings of a replica.
-type Terms struct {
-	Me          string  // name of this proxy, unique in the fleet
-	Incarnation int64   // of this process; higher than that of any earlier process of this name
-	Proxies     int     // configured size of the fleet, this proxy included
-	Address     string  // host:port at which peers reach this proxy
-	Zone        string  // in which this proxy runs; "" if unknown
-	Hold        Time    // delay before the quota of a departed proxy is taken over
-	Floor       float64 // part of an even share, 0 to 1, that is never taken over and that an unconfirmed proxy may use
-	SightLife   Time    // time to live of a health observation
+// Settings are the settings of a replica.
+type Settings struct {
+	Name           string  // name of this proxy, unique in the fleet
+	Incarnation    int64   // of this process; higher than that of any earlier process of this name
+	FleetSize      int     // configured size of the fleet, this proxy included
+	Address        string  // host:port at which peers reach this proxy
+	Zone           string  // in which this proxy runs; "" if unknown
+	TakeoverDelay  Time    // delay before the quota of a departed proxy is taken over
+	QuotaFloor     float64 // part of an even share, 0 to 1, that is never taken over and that an unconfirmed proxy may use
+	ObservationTTL Time    // time to live of a health observation
 }
--- a/replica/wire_golden_test.go
+++ b/replica/wire_golden_test.go
@@ -11,19 +11,19 @@
 func TestGoldenRows(t *testing.T) {
 	checkGolden(t, "rows.golden", []goldenCase{
 		{name: "row-full", full: true, value: &replica.Row{
-			Kind: replica.Node, Key: "node-1", Writer: "proxy-a", Epoch: 1700000000000,
-			Rank: replica.Left, Count: 70000, Age: 15000, Life: 36000000, Body: []byte{0x81, 0xa1, 'z', 0x01},
+			Kind: replica.KindEndpoint, Key: "node-1", Writer: "proxy-a", Epoch: 1700000000000,
+			Rank: replica.EndpointRemoved, Sequence: 70000, Age: 15000, TTL: 36000000, Body: []byte{0x81, 0xa1, 'z', 0x01},
 		}},
-		{name: "row-empty", value: &replica.Row{Kind: replica.Gone, Key: "proxy-b", Epoch: 7}},
-		{name: "row-negative-epoch", value: &replica.Row{Kind: replica.Sight, Key: "node-2", Epoch: -1}},
-		{name: "head", full: true, value: &replica.Head{ID: 0x0102030405060708, Copy: 0xf1f2f3f4f5f6f7f8}},
-		{name: "head-zero", value: &replica.Head{}},
-		{name: "pulse-full", full: true, value: &replica.Pulsed{
+		{name: "row-empty", value: &replica.Row{Kind: replica.KindDeparture, Key: "proxy-b", Epoch: 7}},
+		{name: "row-negative-epoch", value: &replica.Row{Kind: replica.KindHealthObservation, Key: "node-2", Epoch: -1}},
+		{name: "head", full: true, value: &replica.RowVersion{RowID: 0x0102030405060708, VersionHash: 0xf1f2f3f4f5f6f7f8}},
+		{name: "head-zero", value: &replica.RowVersion{}},
+		{name: "pulse-full", full: true, value: &replica.Heartbeat{
 			Address: "192.0.2.1:7946", Zone: "zone-1", Demand: 1234.5,
-			View: 0xfedcba9876543210, Behind: true, Base: 0.25, Wrote: 4321, Heir: true,
-			Loans: []replica.Loan{{To: "proxy-b", Part: 0.125, Count: 17}, {To: "proxy-c", Part: 0.0625, Count: 70000}},
+			ViewHash: 0xfedcba9876543210, CatchingUp: true, BaseQuota: 0.25, WritesSent: 4321, HasSuccessor: true,
+			Leases: []replica.QuotaLease{{Borrower: "proxy-b", Share: 0.125, HeartbeatSequence: 17}, {Borrower: "proxy-c", Share: 0.0625, HeartbeatSequence: 70000}},
 		}},
-		{name: "pulse-empty", value: &replica.Pulsed{}},
+		{name: "pulse-empty", value: &replica.Heartbeat{}},
 	})
 }
 
@@ -34,16 +34,16 @@
 		got  replica.Kind
 		want uint8
 	}{
-		{"heartbeat", replica.Pulse, 1},
-		{"health observation", replica.Sight, 2},
-		{"endpoint", replica.Node, 3},
-		{"departure record", replica.Gone, 4},
-		{"zone report", replica.Voice, 5},
-		{"zone override", replica.Order, 6},
-		{"endpoint probe", replica.Trial, 7},
-		{"watch heartbeat", replica.Beat, 8},
-		{"written keys", replica.Wrote, 9},
-		{"absent keys", replica.Absent, 10},
+		{"heartbeat", replica.KindHeartbeat, 1},
+		{"health observation", replica.KindHealthObservation, 2},
+		{"endpoint", replica.KindEndpoint, 3},
+		{"departure record", replica.KindDeparture, 4},
+		{"zone report", replica.KindZoneReport, 5},
+		{"zone override", replica.KindZoneOverride, 6},
+		{"endpoint probe", replica.KindEndpointProbe, 7},
+		{"watch heartbeat", replica.KindWatchHeartbeat, 8},
+		{"written keys", replica.KindWrittenKeys, 9},
+		{"absent keys", replica.KindAbsentKeys, 10},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if uint8(c.got) != c.want {
@@ -57,16 +57,16 @@
 func TestMessageTypeNumbers(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		got  replica.Act
+		got  replica.Action
 		want uint8
 	}{
-		{"gossip", replica.Spread, 0},
-		{"digest", replica.Digest, 1},
-		{"row versions", replica.Heads, 2},
-		{"rows", replica.Rows, 3},
-		{"row request", replica.Want, 4},
-		{"busy reply", replica.Busy, 5},
-		{"in-sync reply", replica.Same, 6},
+		{"gossip", replica.ActionGossip, 0},
+		{"digest", replica.ActionSendDigest, 1},
+		{"row versions", replica.ActionSendVersions, 2},
+		{"rows", replica.ActionSendRows, 3},
+		{"row request", replica.ActionRequestRows, 4},
+		{"busy reply", replica.ActionReplyBusy, 5},
+		{"in-sync reply", replica.ActionReplyInSync, 6},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if uint8(c.got) != c.want {
@@ -83,12 +83,12 @@
 		name      string
 		got, want int64
 	}{
-		{"rank of an active endpoint", replica.Active, 0},
-		{"rank of a draining endpoint", replica.Leaving, 1},
-		{"rank of a removed endpoint", replica.Left, 2},
+		{"rank of an active endpoint", replica.EndpointActive, 0},
+		{"rank of a draining endpoint", replica.EndpointDraining, 1},
+		{"rank of a removed endpoint", replica.EndpointRemoved, 2},
 		{"units of time in a second", int64(replica.Second), 10000},
-		{"buckets of a digest", replica.Buckets, 64},
-		{"longest name", replica.MostName, 128},
+		{"buckets of a digest", replica.BucketCount, 64},
+		{"longest name", replica.MaxNameBytes, 128},
 		{"longest body", replica.MaxBodyBytes, 1024},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -100,10 +100,10 @@
 }
 
 // newEmptyReplica returns a replica without rows.
-func newEmptyReplica() *replica.Instance {
-	return replica.New(0, replica.Terms{
-		Me: "proxy-a", Incarnation: 1700000000000, Proxies: 3, Address: "192.0.2.1:7946", Zone: "zone-1",
-		Hold: replica.Second, Floor: 0.25, SightLife: 10 * replica.Second,
+func newEmptyReplica() *replica.Store {
+	return replica.New(0, replica.Settings{
+		Name: "proxy-a", Incarnation: 1700000000000, FleetSize: 3, Address: "192.0.2.1:7946", Zone: "zone-1",
+		TakeoverDelay: replica.Second, QuotaFloor: 0.25, ObservationTTL: 10 * replica.Second,
 	}, 1)
 }
 
@@ -118,46 +118,46 @@
 		{
 			"own row",
 			replica.Row{
-				Kind: replica.Voice, Key: "zone-1", Writer: "proxy-b", Epoch: 1700000000000, Rank: 1, Count: 42,
+				Kind: replica.KindZoneReport, Key: "zone-1", Writer: "proxy-b", Epoch: 1700000000000, Rank: 1, Sequence: 42,
 				Body: []byte("body"),
 			},
 			0x6c4794fbc077f633, 0xd57460454c946dff, 0x793a35c910418bd0,
 		},
 		{
 			"row without a writer",
-			replica.Row{Kind: replica.Node, Key: "node-1", Epoch: 7, Rank: 2, Count: -3},
+			replica.Row{Kind: replica.KindEndpoint, Key: "node-1", Epoch: 7, Rank: 2, Sequence: -3},
 			0x62cc639c9394768a, 0x52b66f5e05ef379f, 0x5bc25998bb93a6cd,
 		},
 		{
 			"age and life are not hashed",
-			replica.Row{Kind: replica.Node, Key: "node-1", Epoch: 7, Rank: 2, Count: -3, Age: 5, Life: 900},
+			replica.Row{Kind: replica.KindEndpoint, Key: "node-1", Epoch: 7, Rank: 2, Sequence: -3, Age: 5, TTL: 900},
 			0x62cc639c9394768a, 0x52b66f5e05ef379f, 0x5bc25998bb93a6cd,
 		},
 		{
 			"other kind",
-			replica.Row{Kind: replica.Order, Key: "node-1", Epoch: 7, Rank: 2, Count: -3},
+			replica.Row{Kind: replica.KindZoneOverride, Key: "node-1", Epoch: 7, Rank: 2, Sequence: -3},
 			0x0bea878a2a5b0746, 0x52b66f5e05ef379f, 0xe1afa60560d6b721,
 		},
 		{
 			"kind above 127",
-			replica.Row{Kind: 200, Key: "node-1", Epoch: 7, Rank: 2, Count: -3},
+			replica.Row{Kind: 200, Key: "node-1", Epoch: 7, Rank: 2, Sequence: -3},
 			0x2187d20f3fa0f211, 0x52b66f5e05ef379f, 0x328abea990b120fa,
 		},
 		{
 			"negative epoch",
-			replica.Row{Kind: replica.Gone, Key: "proxy-c", Epoch: -1},
+			replica.Row{Kind: replica.KindDeparture, Key: "proxy-c", Epoch: -1},
 			0x9dc84bed8f08082e, 0xe6dd06ec53a24941, 0xf7be418f9d48ba87,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			store := newEmptyReplica()
-			store.Rows(0, "proxy-b", []replica.Row{c.row})
+			store.HandleRows(0, "proxy-b", []replica.Row{c.row})
 			version, sum := onlyVersion(t, store)
-			if version.ID != c.id || version.Copy != c.version || sum != c.sum {
+			if version.RowID != c.id || version.VersionHash != c.version || sum != c.sum {
 				t.Errorf("ID %#016x version %#016x sum %#016x, want %#016x %#016x %#016x",
-					version.ID, version.Copy, sum, c.id, c.version, c.sum)
+					version.RowID, version.VersionHash, sum, c.id, c.version, c.sum)
 			}
-			if figures := store.Kinds()[c.row.Kind]; figures.Rows != 1 || figures.Sum != c.sum {
+			if figures := store.KindStats()[c.row.Kind]; figures.Rows != 1 || figures.Digest != c.sum {
 				t.Errorf("digest of the kind %+v, want %#016x", figures, c.sum)
 			}
 		})
@@ -166,25 +166,25 @@
 
 // onlyVersion returns the version of the only row that a replica has stored, and that row's part in the digest, which
 // has to be in the bucket that the lowest bits of the row's ID select.
-func onlyVersion(t *testing.T, store *replica.Instance) (replica.Head, uint64) {
+func onlyVersion(t *testing.T, store *replica.Store) (replica.RowVersion, uint64) {
 	t.Helper()
-	decisions := store.Digest(0, "proxy-b", otherSums(store))
-	if len(decisions) != 1 || decisions[0].Act != replica.Heads || len(decisions[0].Heads) != 1 {
+	decisions := store.HandleDigest(0, "proxy-b", otherSums(store))
+	if len(decisions) != 1 || decisions[0].Action != replica.ActionSendVersions || len(decisions[0].Versions) != 1 {
 		t.Fatalf("answer to a digest: %+v", decisions)
 	}
-	version := decisions[0].Heads[0]
-	sums := store.Sums()
+	version := decisions[0].Versions[0]
+	sums := store.Digest()
 	for i, sum := range sums {
-		if (sum != 0) != (uint64(i) == version.ID%64) {
-			t.Errorf("bucket %d has sum %#x with ID %#x", i, sum, version.ID)
+		if (sum != 0) != (uint64(i) == version.RowID%64) {
+			t.Errorf("bucket %d has sum %#x with ID %#x", i, sum, version.RowID)
 		}
 	}
-	return version, sums[version.ID%64]
+	return version, sums[version.RowID%64]
 }
 
 // otherSums is a digest that differs from a replica's in each bucket.
-func otherSums(store *replica.Instance) replica.Sums {
-	sums := store.Sums()
+func otherSums(store *replica.Store) replica.Digest {
+	sums := store.Digest()
 	for i := range sums {
 		sums[i] = ^sums[i]
 	}
@@ -196,10 +196,10 @@
 	store := newEmptyReplica()
 	var rows []replica.Row
 	for n := range 16 {
-		rows = append(rows, replica.Row{Kind: replica.Node, Key: fmt.Sprint("node-", n), Epoch: 7, Count: 1})
+		rows = append(rows, replica.Row{Kind: replica.KindEndpoint, Key: fmt.Sprint("node-", n), Epoch: 7, Sequence: 1})
 	}
-	store.Rows(0, "proxy-b", rows)
-	want := replica.Sums{
+	store.HandleRows(0, "proxy-b", rows)
+	want := replica.Digest{
 		2:  0x494761b02840bf72,
 		5:  0x28742252832f5df1,
 		10: 0xa1ac9acd981bb1ca,
@@ -216,7 +216,7 @@
 		61: 0xa911778c038e3e19,
 		63: 0x9ffa37487c1b00b3,
 	}
-	if got := store.Sums(); got != want {
+	if got := store.Digest(); got != want {
 		for i, sum := range got {
 			if sum != want[i] {
 				t.Errorf("bucket %d: %#016x, want %#016x", i, sum, want[i])
@@ -231,7 +231,7 @@
 		heartbeatRow(t, "proxy-b", 1700000000001),
 		heartbeatRow(t, "proxy-c", 1700000000002),
 	}
-	gone := replica.Row{Kind: replica.Gone, Key: "proxy-c", Epoch: 1700000000002}
+	gone := replica.Row{Kind: replica.KindDeparture, Key: "proxy-c", Epoch: 1700000000002}
 	for _, c := range []struct {
 		name string
 		rows []replica.Row
@@ -243,8 +243,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			store := newEmptyReplica()
-			store.Rows(0, "proxy-b", c.rows)
-			if got := lastHeartbeat(t, store, 20*replica.Second).View; got != c.want {
+			store.HandleRows(0, "proxy-b", c.rows)
+			if got := lastHeartbeat(t, store, 20*replica.Second).ViewHash; got != c.want {
 				t.Errorf("%#016x, want %#016x", got, c.want)
 			}
 		})
@@ -254,19 +254,19 @@
 // heartbeatRow is a heartbeat of another proxy, which does not expire.
 func heartbeatRow(t *testing.T, name string, incarnation int64) replica.Row {
 	t.Helper()
-	body := encode(t, &replica.Pulsed{Address: "192.0.2.2:7946", Base: 0.25})
-	return replica.Row{Kind: replica.Pulse, Key: name, Writer: name, Epoch: incarnation, Count: 1, Body: body}
+	body := encode(t, &replica.Heartbeat{Address: "192.0.2.2:7946", BaseQuota: 0.25})
+	return replica.Row{Kind: replica.KindHeartbeat, Key: name, Writer: name, Epoch: incarnation, Sequence: 1, Body: body}
 }
 
 // lastHeartbeat lets time pass and returns the replica's latest heartbeat.
-func lastHeartbeat(t *testing.T, store *replica.Instance, span replica.Time) (latest replica.Pulsed) {
+func lastHeartbeat(t *testing.T, store *replica.Store, span replica.Time) (latest replica.Heartbeat) {
 	t.Helper()
 	for now := replica.Time(0); now <= span; now += replica.Second / 10 {
 		for _, d := range store.Tick(now) {
-			if d.Act != replica.Spread || d.Rows[0].Kind != replica.Pulse || d.Rows[0].Writer != "proxy-a" {
+			if d.Action != replica.ActionGossip || d.Rows[0].Kind != replica.KindHeartbeat || d.Rows[0].Writer != "proxy-a" {
 				continue
 			}
-			latest = replica.Pulsed{}
+			latest = replica.Heartbeat{}
 			decode(t, d.Rows[0].Body, &latest)
 		}
 	}
--- a/replica/writes_test.go
+++ b/replica/writes_test.go
@@ -9,18 +9,18 @@
 		name string
 		row  Row
 	}{
-		{"own row", Row{Kind: Sight, Key: "c1", Writer: "a", Epoch: 50, Count: 900}},
-		{"departure record", Row{Kind: Gone, Key: "a", Epoch: 50}},
+		{"own row", Row{Kind: KindHealthObservation, Key: "c1", Writer: "a", Epoch: 50, Sequence: 900}},
+		{"departure record", Row{Kind: KindDeparture, Key: "a", Epoch: 50}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			replica := newReplica("a", 2)
-			replica.Rows(0, "b", []Row{c.row})
-			heartbeat := withAct(replica.Tick(100), Spread)
+			replica.HandleRows(0, "b", []Row{c.row})
+			heartbeat := withAct(replica.Tick(100), ActionGossip)
 			if replica.settings.Incarnation != 51 || len(heartbeat) == 0 || heartbeat[0].Rows[0].Epoch != 51 {
 				t.Errorf("incarnation %d, %+v", replica.settings.Incarnation, heartbeat)
 			}
 			// a second process with the same name is not refuted without end
-			replica.Rows(200, "b", []Row{{Kind: Pulse, Key: "a", Writer: "a", Epoch: 60}})
+			replica.HandleRows(200, "b", []Row{{Kind: KindHeartbeat, Key: "a", Writer: "a", Epoch: 60}})
 			if replica.settings.Incarnation != 51 {
 				t.Errorf("incarnation %d at once again", replica.settings.Incarnation)
 			}
@@ -32,16 +32,16 @@
 // does neither.
 func TestCompleteListRemovesEndpoints(t *testing.T) {
 	replica := newReplica("a", 1)
-	replica.Listed(0, true, 5, []Row{{Key: "c1"}, {Key: "c2"}})
-	if written := withAct(replica.Listed(0, true, 9, []Row{{Key: "c1"}, {Key: "c2"}}), Spread); len(written) != 0 {
+	replica.ApplyEndpointList(0, true, 5, []Row{{Key: "c1"}, {Key: "c2"}})
+	if written := withAct(replica.ApplyEndpointList(0, true, 9, []Row{{Key: "c1"}, {Key: "c2"}}), ActionGossip); len(written) != 0 {
 		t.Errorf("%+v", written)
 	}
-	replica.Listed(0, true, 4, []Row{{Key: "c1"}})
-	if row, stored := replica.endpointRow("c2"); !stored || row.Rank != Active {
+	replica.ApplyEndpointList(0, true, 4, []Row{{Key: "c1"}})
+	if row, stored := replica.endpointRow("c2"); !stored || row.Rank != EndpointActive {
 		t.Errorf("an older list removes c2: %+v", row)
 	}
-	replica.Listed(0, true, 10, []Row{{Key: "c1"}})
-	if row, stored := replica.endpointRow("c2"); !stored || row.Rank != Left || row.Epoch != 10 {
+	replica.ApplyEndpointList(0, true, 10, []Row{{Key: "c1"}})
+	if row, stored := replica.endpointRow("c2"); !stored || row.Rank != EndpointRemoved || row.Epoch != 10 {
 		t.Errorf("c2 is not removed: %+v", row)
 	}
 }
--- a/zonehealth/attempts.go
+++ b/zonehealth/attempts.go
@@ -1,7 +1,7 @@
 package zonehealth
 
-// Sent reports that an attempt was sent to the node of an index.
-func (c *Instance) Sent(now Time, index int) {
+// AttemptSent reports that an attempt was sent to the node of an index.
+func (c *Controller) AttemptSent(now Time, index int) {
 	if n := c.node(index); n != nil {
 		if n.inFlight++; n.inFlight == 1 {
 			n.waitingSince, n.overdue = now, false
@@ -9,9 +9,9 @@
 	}
 }
 
-// Ended reports the outcome of an attempt that was reported by Sent, and the time since then. Decisions that follow
+// AttemptFinished reports the outcome of an attempt that was reported by Sent, and the time since then. Decisions that follow
 // from it are returned by the next Tick.
-func (c *Instance) Ended(now Time, index int, outcome Ending, elapsed Time) {
+func (c *Controller) AttemptFinished(now Time, index int, outcome Outcome, elapsed Time) {
 	n := c.node(index)
 	if n == nil {
 		return
@@ -22,9 +22,9 @@
 	}
 	n.zone.evidence.counts.decay(now)
 	switch outcome {
-	case Answered, Late:
+	case AnsweredInTime, AnsweredLate:
 		c.attemptAnswered(n, now, outcome, elapsed)
-	case Undone, Nothing, Shut:
+	case Cancelled, Unanswered, ConnectFailed:
 		c.attemptUnanswered(n, now, outcome, elapsed)
 	}
 	if n.inFlight == 0 {
@@ -32,9 +32,9 @@
 	}
 }
 
-func (c *Instance) attemptAnswered(n *node, now Time, outcome Ending, elapsed Time) {
+func (c *Controller) attemptAnswered(n *node, now Time, outcome Outcome, elapsed Time) {
 	e := &n.zone.evidence
-	if outcome == Answered {
+	if outcome == AnsweredInTime {
 		e.counts.inTime++
 		e.inTimeAt = now
 		c.latency.add(elapsed)
@@ -45,12 +45,12 @@
 	e.clearRun()
 }
 
-func (c *Instance) attemptUnanswered(n *node, now Time, outcome Ending, elapsed Time) {
+func (c *Controller) attemptUnanswered(n *node, now Time, outcome Outcome, elapsed Time) {
 	e := &n.zone.evidence
-	if outcome == Shut {
+	if outcome == ConnectFailed {
 		e.addUnconnected(n.hash)
 	}
-	if outcome == Undone && !n.overdue && elapsed < c.overdue() {
+	if outcome == Cancelled && !n.overdue && elapsed < c.overdue() {
 		return // cancelled by its client or for want of time, which is no evidence about the node
 	}
 	e.counts.unanswered++
@@ -60,24 +60,24 @@
 }
 
 // overdue is the time after which an attempt counts as unanswered.
-func (c *Instance) overdue() Time { return c.latency.overdue(c.settings.Shortest) }
+func (c *Controller) overdue() Time { return c.latency.overdue(c.settings.ShortestObjective) }
 
-// Reached reports that a new connection to a node was opened: its machine is alive, however long answers take.
-func (c *Instance) Reached(index int) {
+// ConnectionOpened reports that a new connection to a node was opened: its machine is alive, however long answers take.
+func (c *Controller) ConnectionOpened(index int) {
 	if n := c.node(index); n != nil && n.zone != nil {
 		n.zone.evidence.unconnectedNodes = n.zone.evidence.unconnectedNodes[:0]
 	}
 }
 
-// Refused reports that a new connection to a node was refused or could not be opened.
-func (c *Instance) Refused(index int) {
+// ConnectionRefused reports that a new connection to a node was refused or could not be opened.
+func (c *Controller) ConnectionRefused(index int) {
 	if n := c.node(index); n != nil && n.zone != nil {
 		n.zone.evidence.addUnconnected(n.hash)
 	}
 }
 
-// Origin reports a completed fetch from the origin, and whether it was late.
-func (c *Instance) Origin(now Time, late bool) {
+// OriginFetched reports a completed fetch from the origin, and whether it was late.
+func (c *Controller) OriginFetched(now Time, late bool) {
 	c.origin.decay(now)
 	if late {
 		c.origin.late++
@@ -92,7 +92,7 @@
 	capacity float64 // attempts in flight that the caches answer in time
 }
 
-// Load takes how many attempts this proxy has in flight at all caches, and how many of these they answer in time.
-func (c *Instance) Load(inFlight, capacity float64) {
+// SetLoad takes how many attempts this proxy has in flight at all caches, and how many of these they answer in time.
+func (c *Controller) SetLoad(inFlight, capacity float64) {
 	c.load = proxyLoad{inFlight: inFlight, capacity: capacity}
 }
--- a/zonehealth/confirmation.go
+++ b/zonehealth/confirmation.go
@@ -10,33 +10,33 @@
 
 func (s *confirmation) clearSuspicion() { s.suspectedAt, s.corroboratedAt = 0, 0 }
 
-func (c *Instance) suspicionOver(z *zone) bool {
+func (c *Controller) suspicionOver(z *zone) bool {
 	return z.confirmation.suspectedAt > 0 && !c.convicted(z)
 }
 
-func (c *Instance) clearSuspicion(z *zone) { z.confirmation.clearSuspicion() }
+func (c *Controller) clearSuspicion(z *zone) { z.confirmation.clearSuspicion() }
 
-func (c *Instance) suspicionBegins(z *zone) bool {
-	return z.confirmation.suspectedAt == 0 && z.verdict.State < Leaving && c.convicted(z)
+func (c *Controller) suspicionBegins(z *zone) bool {
+	return z.confirmation.suspectedAt == 0 && z.verdict.State < PartlyEvacuated && c.convicted(z)
 }
 
-func (c *Instance) setSuspected(z *zone) { z.confirmation.suspectedAt = c.now }
+func (c *Controller) setSuspected(z *zone) { z.confirmation.suspectedAt = c.now }
 
-func (c *Instance) suspicionCorroborated(z *zone) bool {
+func (c *Controller) suspicionCorroborated(z *zone) bool {
 	s := &z.confirmation
 	return s.suspectedAt > 0 && s.corroboratedAt == 0 && c.anotherZoneAnswered(z, s.suspectedAt)
 }
 
-func (c *Instance) setCorroborated(z *zone) { z.confirmation.corroboratedAt = c.now }
+func (c *Controller) setCorroborated(z *zone) { z.confirmation.corroboratedAt = c.now }
 
-func (c *Instance) rampFailureOver(z *zone) bool {
+func (c *Controller) rampFailureOver(z *zone) bool {
 	return z.confirmation.rampFailingAt > 0 && !c.rampFailing(z)
 }
 
-func (c *Instance) clearRampFailure(z *zone) { z.confirmation.rampFailingAt = 0 }
+func (c *Controller) clearRampFailure(z *zone) { z.confirmation.rampFailingAt = 0 }
 
-func (c *Instance) rampFailureBegins(z *zone) bool {
+func (c *Controller) rampFailureBegins(z *zone) bool {
 	return z.confirmation.rampFailingAt == 0 && c.rampFailing(z)
 }
 
-func (c *Instance) setRampFailing(z *zone) { z.confirmation.rampFailingAt = c.now }
+func (c *Controller) setRampFailing(z *zone) { z.confirmation.rampFailingAt = c.now }
--- a/zonehealth/consensus.go
+++ b/zonehealth/consensus.go
@@ -3,23 +3,23 @@
 import "slices"
 
 // peersAgree reports whether enough peers act on, or propose, a verdict that takes precedence over this proxy's.
-func (c *Instance) peersAgree(z *zone) bool { return c.agreedVerdict(z) != nil }
+func (c *Controller) peersAgree(z *zone) bool { return c.agreedVerdict(z) != nil }
 
-func (c *Instance) followPeers(z *zone) { c.adopt(z, *c.agreedVerdict(z), "following other proxies") }
+func (c *Controller) followPeers(z *zone) { c.adopt(z, *c.agreedVerdict(z), "following other proxies") }
 
 // agreedVerdict returns the verdict of the highest precedence that maxVerdictBackers peers act on (one, where only
 // one is reachable) or requiredVotes peers propose, nil if it does not take precedence over this proxy's. One proxy
 // that is faulty moves no other.
-func (c *Instance) agreedVerdict(z *zone) *Stand {
+func (c *Controller) agreedVerdict(z *zone) *Verdict {
 	adopted, latest := c.adoptedVerdicts[:0], c.latestVerdicts[:0]
 	for r := range c.reachableReports(z) {
-		adopted, latest = append(adopted, &r.Stand), append(latest, r.latestVerdict())
+		adopted, latest = append(adopted, &r.Verdict), append(latest, r.latestVerdict())
 	}
 	c.adoptedVerdicts, c.latestVerdicts = adopted, latest
-	descending := func(a, b *Stand) int { return b.compare(a) }
+	descending := func(a, b *Verdict) int { return b.compare(a) }
 	slices.SortFunc(adopted, descending)
 	slices.SortFunc(latest, descending)
-	var agreed *Stand
+	var agreed *Verdict
 	if n := c.fleet.peerVotes(maxVerdictBackers); n > 0 && len(adopted) >= n {
 		agreed = adopted[n-1]
 	}
@@ -34,7 +34,7 @@
 
 // propose adopts a verdict if enough peers propose it or a later one, and else makes it this proxy's proposal.
 // Without that, one or two proxies that reports reach late would act apart from all others.
-func (c *Instance) propose(z *zone, verdict Stand, reason string) {
+func (c *Controller) propose(z *zone, verdict Verdict, reason string) {
 	backers := 1
 	for r := range c.reachableReports(z) {
 		backers += countIf(r.latestVerdict().comparePrecedence(&verdict) >= 0)
@@ -47,13 +47,13 @@
 }
 
 // adopt makes a verdict the one on which this proxy acts. It replaces what this proxy found standalone.
-func (c *Instance) adopt(z *zone, verdict Stand, reason string) {
+func (c *Controller) adopt(z *zone, verdict Verdict, reason string) {
 	previous := z.verdict.State
 	verdict.RetainedNodes = slices.Clone(verdict.RetainedNodes)
 	z.verdict, z.verdictAt, z.confirmation = verdict, c.now, confirmation{}
-	z.standalone.verdict = Stand{}
+	z.standalone.verdict = Verdict{}
 	z.evidence.counts = attemptCounts{at: c.now} // what is counted from now on is about this verdict
-	if verdict.State >= Leaving {
+	if verdict.State >= PartlyEvacuated {
 		z.evacuatedAt = c.now
 	}
 	v := &z.votes
--- a/zonehealth/controller.go
+++ b/zonehealth/controller.go
@@ -7,9 +7,9 @@
 	evidenceLostAfter = Second     // between two ticks: unanswered attempts from before are forgotten
 )
 
-// Instance is the controller of one proxy. It is not safe for concurrent use.
-type Instance struct {
-	settings Terms
+// Controller is the controller of one proxy. It is not safe for concurrent use.
+type Controller struct {
+	settings Settings
 	now      Time
 	tickedAt Time
 
@@ -20,32 +20,32 @@
 	origin  attemptCounts // fetches from the origin, in time or late
 	load    proxyLoad
 
-	standaloneCounts Alone
+	standaloneCounts StandaloneCounts
 	decisions        []Decision
 
 	// Memory of agreedVerdict.
-	adoptedVerdicts, latestVerdicts []*Stand
+	adoptedVerdicts, latestVerdicts []*Verdict
 }
 
 // New returns a controller that knows no nodes and no peers.
-func New(now Time, settings Terms) *Instance {
-	return &Instance{
-		settings: settings, now: now, tickedAt: now, fleet: newFleetView(), latency: newLatencyEstimate(settings.Shortest),
+func New(now Time, settings Settings) *Controller {
+	return &Controller{
+		settings: settings, now: now, tickedAt: now, fleet: newFleetView(), latency: newLatencyEstimate(settings.ShortestObjective),
 	}
 }
 
 // begin starts the decisions of a call. The clock never goes back.
-func (c *Instance) begin(now Time) { c.now, c.decisions = max(now, c.now), c.decisions[:0] }
+func (c *Controller) begin(now Time) { c.now, c.decisions = max(now, c.now), c.decisions[:0] }
 
-func (c *Instance) decide(d Decision) { c.decisions = append(c.decisions, d) }
+func (c *Controller) decide(d Decision) { c.decisions = append(c.decisions, d) }
 
-func (c *Instance) log(format string, args ...any) {
-	c.decide(Decision{Act: Log, Text: fmt.Sprintf(format, args...)})
+func (c *Controller) log(format string, args ...any) {
+	c.decide(Decision{Action: Log, Text: fmt.Sprintf(format, args...)})
 }
 
 // Tick judges all zones by the time that has passed. The caller calls it ten times a second while there is
 // something to do.
-func (c *Instance) Tick(now Time) []Decision {
+func (c *Controller) Tick(now Time) []Decision {
 	c.begin(now)
 	c.adjustForStall(c.now - c.tickedAt)
 	c.tickedAt = c.now
@@ -65,7 +65,7 @@
 
 // adjustForStall keeps attempts from becoming overdue, and old evidence from counting, where the previous tick is
 // long ago.
-func (c *Instance) adjustForStall(sinceTick Time) {
+func (c *Controller) adjustForStall(sinceTick Time) {
 	if sinceTick > stallThreshold {
 		for _, n := range c.nodes {
 			if n != nil && n.waitingSince > 0 {
@@ -82,7 +82,7 @@
 }
 
 // countOverdue counts the attempts that have become overdue as unanswered, one for each node.
-func (c *Instance) countOverdue() {
+func (c *Controller) countOverdue() {
 	overdue := c.overdue()
 	for _, n := range c.nodes {
 		if n != nil && n.becameOverdue(c.now, overdue) {
@@ -92,10 +92,10 @@
 	}
 }
 
-// Busy reports whether Tick has something to do. Without peers it has not while all zones are in service and answer.
-func (c *Instance) Busy() bool {
+// NeedsTick reports whether Tick has something to do. Without peers it has not while all zones are in service and answer.
+func (c *Controller) NeedsTick() bool {
 	for _, z := range c.zones {
-		if z.evidence.unansweredRun > 0 || z.standalone.verdict.State != In || z.verdict.State != In {
+		if z.evidence.unansweredRun > 0 || z.standalone.verdict.State != InService || z.verdict.State != InService {
 			return true
 		}
 	}
