--- a/zonehealth/evacuation.go
+++ b/zonehealth/evacuation.go
@@ -20,17 +20,17 @@
 	reasonOverrideLifted = "override out removed"
 )
 
-func (c *Instance) lossConfirmed(z *zone) bool {
+func (c *Controller) lossConfirmed(z *zone) bool {
 	at := z.confirmation.corroboratedAt
-	return at > 0 && c.now-at >= c.settings.Settle && c.anotherZoneServes(z)
+	return at > 0 && c.now-at >= c.settings.ConfirmationTime && c.anotherZoneServes(z)
 }
 
 // evacuate proposes to evacuate a zone: partly, where the others lack capacity and some of its nodes answer.
-func (c *Instance) evacuate(z *zone) {
-	verdict := z.verdict.successor(Out, 0)
+func (c *Controller) evacuate(z *zone) {
+	verdict := z.verdict.successor(Evacuated, 0)
 	// A zone whose first trial requests find it still lost does not flap.
-	if z.verdict.Step > 0 || z.verdict.State == In && c.now-z.evacuatedAt < flapMemory {
-		verdict = z.verdict.flappingSuccessor(Out, 0)
+	if z.verdict.Step > 0 || z.verdict.State == InService && c.now-z.evacuatedAt < flapMemory {
+		verdict = z.verdict.flappingSuccessor(Evacuated, 0)
 	}
 	if c.othersHaveCapacity(z) {
 		c.propose(z, verdict, reasonCapacity)
@@ -38,23 +38,23 @@
 	}
 	reason := reasonNoCapacity
 	if healthy := z.votes.healthyNodes; len(healthy) > 0 {
-		verdict.State, verdict.RetainedNodes = Leaving, slices.Clone(healthy[:min(len(healthy), maxRetainedNodes)])
+		verdict.State, verdict.RetainedNodes = PartlyEvacuated, slices.Clone(healthy[:min(len(healthy), maxRetainedNodes)])
 		reason += fmt.Sprintf(", %d nodes that answer stay in service", len(verdict.RetainedNodes))
 	}
 	c.propose(z, verdict, reason)
 }
 
-func (c *Instance) partEvacuationCompletable(z *zone) bool {
-	return z.verdict.State == Leaving && c.othersHaveCapacity(z)
+func (c *Controller) partEvacuationCompletable(z *zone) bool {
+	return z.verdict.State == PartlyEvacuated && c.othersHaveCapacity(z)
 }
 
-func (c *Instance) completeEvacuation(z *zone) {
-	c.propose(z, z.verdict.successor(Out, 0), reasonCapacityFound)
+func (c *Controller) completeEvacuation(z *zone) {
+	c.propose(z, z.verdict.successor(Evacuated, 0), reasonCapacityFound)
 }
 
 // othersHaveCapacity reports whether the other zones can take all attempts in flight, in the view of most proxies,
 // each by its own load. A node in slow start counts by the share of its work that it bears.
-func (c *Instance) othersHaveCapacity(z *zone) bool {
+func (c *Controller) othersHaveCapacity(z *zone) bool {
 	serving, all := 0.0, 0.0
 	for _, n := range c.nodes {
 		if n == nil || n.zone == nil {
@@ -77,18 +77,18 @@
 }
 
 // anotherZoneServes reports whether another zone with nodes serves keys: the last one is never evacuated.
-func (c *Instance) anotherZoneServes(z *zone) bool {
+func (c *Controller) anotherZoneServes(z *zone) bool {
 	return slices.ContainsFunc(c.zones, func(other *zone) bool {
 		return other != z && other.nodes > 0 && c.effectiveOpenShare(other) > 0
 	})
 }
 
-func (c *Instance) flapsExpired(z *zone) bool {
-	return z.verdict.Flaps > 0 && z.verdict.State == In && c.now-z.evacuatedAt >= flapMemory
+func (c *Controller) flapsExpired(z *zone) bool {
+	return z.verdict.Flaps > 0 && z.verdict.State == InService && c.now-z.evacuatedAt >= flapMemory
 }
 
-func (c *Instance) clearFlaps(z *zone) { z.verdict.Flaps = 0 }
+func (c *Controller) clearFlaps(z *zone) { z.verdict.Flaps = 0 }
 
-func (c *Instance) holdDownOver(z *zone) bool {
-	return z.verdict.State >= Leaving && c.now-z.verdictAt >= c.settings.holdDownTime(&z.verdict)
+func (c *Controller) holdDownOver(z *zone) bool {
+	return z.verdict.State >= PartlyEvacuated && c.now-z.verdictAt >= c.settings.holdDownTime(&z.verdict)
 }
--- a/zonehealth/exclusion.go
+++ b/zonehealth/exclusion.go
@@ -4,11 +4,11 @@
 
 // effectiveOpenShare is the share of its keys that a zone serves by overrides, by the verdicts of the fleet and of
 // this proxy, and for a proxy in the zone itself that still gets answers there.
-func (c *Instance) effectiveOpenShare(z *zone) float64 {
+func (c *Controller) effectiveOpenShare(z *zone) float64 {
 	switch {
-	case z.override.Want == KeepOut:
+	case z.override.Mode == OverrideOut:
 		return 0
-	case z.override.Want == KeepIn, c.servedLocally(z):
+	case z.override.Mode == OverrideIn, c.servedLocally(z):
 		return 1
 	}
 	return min(z.verdict.openShare(), z.standalone.verdict.openShare())
@@ -16,16 +16,16 @@
 
 // servedLocally reports whether this proxy is in a zone and gets answers there. The fleet's verdict does not affect
 // it then.
-func (c *Instance) servedLocally(z *zone) bool {
+func (c *Controller) servedLocally(z *zone) bool {
 	return z.name == c.settings.Zone && c.now-z.evidence.answeredAt < evidenceRecent
 }
 
 // applyShares decides the exclusion of each node for which it has changed.
-func (c *Instance) applyShares() {
+func (c *Controller) applyShares() {
 	noneServes := c.noneServes()
 	for _, z := range c.zones {
 		share := c.effectiveOpenShare(z)
-		if forcedOut := z.override.Want == KeepOut && z.override.Force; noneServes && !forcedOut {
+		if forcedOut := z.override.Mode == OverrideOut && z.override.Force; noneServes && !forcedOut {
 			share = 1 // evidence that all zones are lost is wrong
 		}
 		c.setOpenShare(z, share)
@@ -38,7 +38,7 @@
 }
 
 // noneServes reports whether no zone with nodes serves any keys, and all nodes are in zones.
-func (c *Instance) noneServes() bool {
+func (c *Controller) noneServes() bool {
 	for _, z := range c.zones {
 		if z.nodes > 0 && c.effectiveOpenShare(z) != 0 {
 			return false
@@ -47,7 +47,7 @@
 	return !slices.ContainsFunc(c.nodes, func(n *node) bool { return n != nil && n.zone == nil })
 }
 
-func (c *Instance) setOpenShare(z *zone, share float64) {
+func (c *Controller) setOpenShare(z *zone, share float64) {
 	if share != z.openShare && z.nodes > 0 {
 		z.openShare = share
 		c.log("zone %s: %.3f of its keys are served there, by %d nodes", z.name, share, z.nodes)
@@ -56,17 +56,17 @@
 
 // updateExclusion decides the exclusion of a node from its zone's open share. Attempts in flight are cancelled unless
 // an operator has taken the zone out of service.
-func (c *Instance) updateExclusion(index int, n *node) {
+func (c *Controller) updateExclusion(index int, n *node) {
 	share, cancel := 0.0, false
 	if z := n.zone; z != nil {
-		retained := z.verdict.State == Leaving && slices.Contains(z.verdict.RetainedNodes, n.hash)
+		retained := z.verdict.State == PartlyEvacuated && slices.Contains(z.verdict.RetainedNodes, n.hash)
 		if !retained {
 			share = 1 - z.openShare
 		}
-		cancel = share > 0 && z.override.Want != KeepOut
+		cancel = share > 0 && z.override.Mode != OverrideOut
 	}
 	if share != n.excludedShare || cancel != n.cancelInFlight {
 		n.excludedShare, n.cancelInFlight = share, cancel
-		c.decide(Decision{Act: Bar, Node: index, Part: share, Off: cancel})
+		c.decide(Decision{Action: ExcludeNode, Node: index, ExcludedShare: share, CancelInFlight: cancel})
 	}
 }
--- a/zonehealth/fleet.go
+++ b/zonehealth/fleet.go
@@ -14,8 +14,8 @@
 // Proxy is a member of the fleet, as replication knows it.
 type Proxy struct {
 	Name, Zone string
-	Here       bool // a heartbeat has arrived lately
-	Gone       bool // its process is known to have ended
+	Reachable  bool // a heartbeat has arrived lately
+	Departed   bool // its process is known to have ended
 }
 
 // fleetView is what this proxy knows of the fleet, itself included. It is empty where there are no peers.
@@ -31,7 +31,7 @@
 	f.proxies, f.catchingUp = proxies, catchingUp
 	clear(f.reachable)
 	for _, p := range proxies {
-		if p.Here {
+		if p.Reachable {
 			f.reachable[p.Name] = p.Zone
 		}
 	}
@@ -54,11 +54,11 @@
 	var view quorumView
 	var zones []string
 	for _, p := range f.proxies {
-		if p.Gone || within(p.Zone) {
+		if p.Departed || within(p.Zone) {
 			continue
 		}
 		view.known++
-		if p.Here {
+		if p.Reachable {
 			view.reachable++
 			zones = appendMissing(zones, p.Zone)
 		}
@@ -68,7 +68,7 @@
 }
 
 // updateQuorum counts the proxies outside a zone, and outside its region.
-func (c *Instance) updateQuorum(z *zone) {
+func (c *Controller) updateQuorum(z *zone) {
 	z.outsideZone = c.fleet.quorumOutside(func(name string) bool { return name == z.name })
 	if z.region != nil {
 		z.outsideRegion = c.fleet.quorumOutside(func(name string) bool { return slices.Contains(z.region.Zones, name) })
@@ -77,20 +77,20 @@
 
 // hasQuorum reports whether this proxy reaches a majority of the proxies that can judge a zone. One that does not may
 // be cut off itself.
-func (c *Instance) hasQuorum(z *zone) bool {
+func (c *Controller) hasQuorum(z *zone) bool {
 	return !c.fleet.catchingUp && z.outsideZone.known >= 2 && 2*z.outsideZone.reachable > z.outsideZone.known
 }
 
 // requiredVotes is how many of the reachable proxies it takes to move the fleet.
-func (c *Instance) requiredVotes(reachable int) int {
-	return min(max(minVotes, int(math.Ceil(c.settings.Voices*float64(reachable)))), maxVotes)
+func (c *Controller) requiredVotes(reachable int) int {
+	return min(max(minVotes, int(math.Ceil(c.settings.VoteShare*float64(reachable)))), maxVotes)
 }
 
-// Fleet takes the members of the fleet, this proxy included, and whether it is still catching up with their state. It
+// SetFleet takes the members of the fleet, this proxy included, and whether it is still catching up with their state. It
 // keeps the slice. Where the settings say that there are no peers it does nothing.
-func (c *Instance) Fleet(now Time, proxies []Proxy, catchingUp bool) {
+func (c *Controller) SetFleet(now Time, proxies []Proxy, catchingUp bool) {
 	c.begin(now)
-	if c.settings.Apart {
+	if c.settings.WithoutPeers {
 		return
 	}
 	c.fleet.update(proxies, catchingUp)
--- a/zonehealth/node.go
+++ b/zonehealth/node.go
@@ -4,14 +4,14 @@
 
 // Node is a cache server in the endpoint list.
 type Node struct {
-	Index int // by which the caller and decisions refer to it, from 0
-	Name  string
-	Zone  string // "" where it is not known: no zone's verdict affects the node
-	Since Time   // its latest start, 0: long ago
+	Index     int // by which the caller and decisions refer to it, from 0
+	Name      string
+	Zone      string // "" where it is not known: no zone's verdict affects the node
+	StartedAt Time   // its latest start, 0: long ago
 }
 
-// Hash is the hash of a node's name that stands for the node in reports and verdicts.
-func Hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+// NodeHash is the hash of a node's name that stands for the node in reports and verdicts.
+func NodeHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 // node is a listed node with this proxy's own observations.
 type node struct {
@@ -32,24 +32,24 @@
 }
 
 // slowStartShare is the share of its work that a node bears: less than 1 until its slow start is over.
-func (c *Instance) slowStartShare(n *node) float64 {
-	age := c.now - n.Since
-	if n.Since <= 0 || age >= c.settings.Cold {
+func (c *Controller) slowStartShare(n *node) float64 {
+	age := c.now - n.StartedAt
+	if n.StartedAt <= 0 || age >= c.settings.SlowStartTime {
 		return 1
 	}
-	return c.settings.ColdFrom + (1-c.settings.ColdFrom)*float64(max(age, 0))/float64(c.settings.Cold)
+	return c.settings.SlowStartInitialShare + (1-c.settings.SlowStartInitialShare)*float64(max(age, 0))/float64(c.settings.SlowStartTime)
 }
 
 // node returns the listed node of an index, nil: there is none.
-func (c *Instance) node(index int) *node {
+func (c *Controller) node(index int) *node {
 	if index < 0 || index >= len(c.nodes) {
 		return nil
 	}
 	return c.nodes[index]
 }
 
-// Nodes takes the complete endpoint list.
-func (c *Instance) Nodes(now Time, listed []Node) []Decision {
+// SetNodes takes the complete endpoint list.
+func (c *Controller) SetNodes(now Time, listed []Node) []Decision {
 	c.begin(now)
 	for _, z := range c.zones {
 		z.nodes = 0
@@ -70,13 +70,13 @@
 }
 
 // listNode adds a node, or updates it where the same one was listed before under its index.
-func (c *Instance) listNode(listed Node) {
+func (c *Controller) listNode(listed Node) {
 	for len(c.nodes) <= listed.Index {
 		c.nodes = append(c.nodes, nil)
 	}
 	n := c.nodes[listed.Index]
 	if n == nil || n.Name != listed.Name {
-		n = &node{hash: Hash(listed.Name), answeredAt: c.now - distantPast}
+		n = &node{hash: NodeHash(listed.Name), answeredAt: c.now - distantPast}
 		c.nodes[listed.Index] = n
 	}
 	n.Node, n.zone = listed, c.findOrAddZone(listed.Zone)
--- a/zonehealth/publication.go
+++ b/zonehealth/publication.go
@@ -22,18 +22,18 @@
 
 // publication is what this proxy has published on a zone.
 type publication struct {
-	current Voice // as the last vote count had it
-	last    Voice
+	current Report // as the last vote count had it
+	last    Report
 	lastAt  Time
 	watched bool // there is something to report
 }
 
 // due reports whether the time since the last publication allows another one: a change is published at once, within
 // bounds that follow from the size of the fleet, and the rest at an interval.
-func (p *publication) due(report *Voice, now Time, proxies int) bool {
+func (p *publication) due(report *Report, now Time, proxies int) bool {
 	sinceLast := now - p.lastAt
-	verdictChanged := report.Stand.compare(&p.last.Stand) != 0 || (report.Plan == nil) != (p.last.Plan == nil)
-	voteChanged := report.Word != p.last.Word || len(report.Ill) > len(p.last.Ill)
+	verdictChanged := report.Verdict.compare(&p.last.Verdict) != 0 || (report.Proposal == nil) != (p.last.Proposal == nil)
+	voteChanged := report.Vote != p.last.Vote || len(report.UnhealthyNodes) > len(p.last.UnhealthyNodes)
 	return sinceLast >= repeatInterval(proxies) ||
 		verdictChanged && sinceLast >= changedInterval+Time(proxies)*verdictIntervalPerProxy ||
 		voteChanged && sinceLast >= changedInterval+Time(proxies)*voteIntervalPerProxy
@@ -45,46 +45,46 @@
 }
 
 // vote is the vote of this proxy on a zone.
-func (c *Instance) vote(z *zone) Word {
+func (c *Controller) vote(z *zone) Vote {
 	e := &z.evidence
 	sinceAnswer := c.now - e.answeredAt
 	switch {
-	case sinceAnswer < c.settings.Quiet,
-		e.unansweredRun == 0 && sinceAnswer < c.settings.Quiet*3/2:
-		return For
+	case sinceAnswer < c.settings.SilenceTimeout,
+		e.unansweredRun == 0 && sinceAnswer < c.settings.SilenceTimeout*3/2:
+		return VoteHealthy
 	case e.unansweredRun >= 1 && c.now-e.unansweredAt < unansweredRecent:
-		return Against
+		return VoteUnhealthy
 	}
-	return None
+	return NoVote
 }
 
 // ownReport is the report of this proxy on a zone, without a proposal.
-func (c *Instance) ownReport(z *zone) Voice {
+func (c *Controller) ownReport(z *zone) Report {
 	e := &z.evidence
 	e.counts.decay(c.now)
 	c.origin.decay(c.now)
-	report := Voice{
-		Zone: c.settings.Zone, Word: c.vote(z), LastAnswerAge: c.now - e.answeredAt, Run: e.unansweredRun,
-		InTime: float32(e.counts.inTime), AnsweredLate: float32(e.counts.late), Lost: float32(e.counts.unanswered),
-		InFlight: float32(c.load.inFlight), Capacity: float32(c.load.capacity), Stand: z.verdict,
+	report := Report{
+		Zone: c.settings.Zone, Vote: c.vote(z), LastAnswerAge: c.now - e.answeredAt, UnansweredRun: e.unansweredRun,
+		InTime: float32(e.counts.inTime), AnsweredLate: float32(e.counts.late), Unanswered: float32(e.counts.unanswered),
+		InFlight: float32(c.load.inFlight), Capacity: float32(c.load.capacity), Verdict: z.verdict,
 	}
 	if fetches := c.origin.inTime + c.origin.late; fetches >= minOriginFetches {
 		report.OriginLateShare = float32(c.origin.late / fetches)
 	}
-	switch report.Word {
-	case Against:
-		report.Ill = slices.Clone(e.unhealthyNodes[:min(len(e.unhealthyNodes), maxReportedNodes)])
-	case For:
+	switch report.Vote {
+	case VoteUnhealthy:
+		report.UnhealthyNodes = slices.Clone(e.unhealthyNodes[:min(len(e.unhealthyNodes), maxReportedNodes)])
+	case VoteHealthy:
 		report.HealthyNodes = c.healthyNodes(z)
 	}
 	return report
 }
 
 // healthyNodes are the hashes of the first nodes of a zone that answered this proxy within the silence timeout.
-func (c *Instance) healthyNodes(z *zone) []uint32 {
+func (c *Controller) healthyNodes(z *zone) []uint32 {
 	var hashes []uint32
 	for _, n := range c.nodes {
-		if n != nil && n.zone == z && c.now-n.answeredAt < c.settings.Quiet && len(hashes) < maxReportedNodes {
+		if n != nil && n.zone == z && c.now-n.answeredAt < c.settings.SilenceTimeout && len(hashes) < maxReportedNodes {
 			hashes = append(hashes, n.hash)
 		}
 	}
@@ -92,11 +92,11 @@
 }
 
 // publish sends the report on a zone to peers while there is something to report.
-func (c *Instance) publish(z *zone) {
+func (c *Controller) publish(z *zone) {
 	p := &z.publication
 	report := p.current
-	report.Plan = z.proposal
-	p.watched = report.Word == Against || z.votes.unhealthy > 0 || z.verdict.State != In || z.proposal != nil
+	report.Proposal = z.proposal
+	p.watched = report.Vote == VoteUnhealthy || z.votes.unhealthy > 0 || z.verdict.State != InService || z.proposal != nil
 	repeatsVerdict := z.verdict.Epoch > 0 && c.now-z.verdictAt < verdictRepeat
 	if !c.fleet.hasPeers() || !p.watched && !repeatsVerdict {
 		return
@@ -107,5 +107,5 @@
 	}
 	p.last, p.lastAt = report, c.now
 	ttl := reportTTLIntervals*repeatInterval(proxies) + reportTTLMargin
-	c.decide(Decision{Act: Speak, Zone: z.name, Voice: report, Life: ttl})
+	c.decide(Decision{Action: PublishReport, Zone: z.name, Report: report, TTL: ttl})
 }
--- a/zonehealth/ramp.go
+++ b/zonehealth/ramp.go
@@ -6,61 +6,61 @@
 )
 
 // startRamp proposes the first step of the recovery ramp.
-func (c *Instance) startRamp(z *zone) {
+func (c *Controller) startRamp(z *zone) {
 	c.propose(z, z.verdict.successor(Returning, 0), reasonTrials)
 }
 
 // failingProxies is how many proxies have to find attempts unanswered: not one alone, if there are more.
-func (c *Instance) failingProxies() int { return c.fleet.peerVotes(2) }
+func (c *Controller) failingProxies() int { return c.fleet.peerVotes(2) }
 
 // rampFailing reports whether attempts since this step are unanswered, for more than a quarter of the proxies that
 // made any.
-func (c *Instance) rampFailing(z *zone) bool {
+func (c *Controller) rampFailing(z *zone) bool {
 	v := &z.votes
 	return z.verdict.State == Returning && v.unanswered >= c.failingProxies() && 4*v.unanswered > v.attempted
 }
 
-func (c *Instance) rampFailureConfirmed(z *zone) bool {
+func (c *Controller) rampFailureConfirmed(z *zone) bool {
 	at := z.confirmation.rampFailingAt
-	return at > 0 && c.now-at >= c.settings.Settle
+	return at > 0 && c.now-at >= c.settings.ConfirmationTime
 }
 
 // evacuateAgain proposes to end the ramp. A zone whose first trial requests find it still lost does not flap.
-func (c *Instance) evacuateAgain(z *zone) {
-	verdict := z.verdict.successor(Out, 0)
+func (c *Controller) evacuateAgain(z *zone) {
+	verdict := z.verdict.successor(Evacuated, 0)
 	if z.verdict.Step > 0 {
-		verdict = z.verdict.flappingSuccessor(Out, 0)
+		verdict = z.verdict.flappingSuccessor(Evacuated, 0)
 	}
 	c.propose(z, verdict, reasonUnanswered)
 }
 
 // rampOverloaded reports whether answers are late for a majority of the proxies with attempts, once a step has lasted.
-func (c *Instance) rampOverloaded(z *zone) bool {
-	return z.verdict.State == Returning && z.verdict.Step > 0 && c.now-z.verdictAt >= c.settings.Step &&
+func (c *Controller) rampOverloaded(z *zone) bool {
+	return z.verdict.State == Returning && z.verdict.Step > 0 && c.now-z.verdictAt >= c.settings.RampStepTime &&
 		z.votes.late >= 2 && 2*z.votes.late > z.votes.attempted
 }
 
-func (c *Instance) stepBack(z *zone) {
+func (c *Controller) stepBack(z *zone) {
 	c.propose(z, z.verdict.successor(Returning, z.verdict.Step-1), reasonAnswersLate)
 }
 
 // rampStepDone reports whether a step has lasted, the zone and the origin answer in time, and the zone's nodes in
 // slow start bear the next step.
-func (c *Instance) rampStepDone(z *zone) bool {
+func (c *Controller) rampStepDone(z *zone) bool {
 	if z.verdict.State != Returning {
 		return false
 	}
 	v, elapsed := &z.votes, c.now-z.verdictAt
 	few := v.fewAttempted()
-	if elapsed < c.settings.Step || v.unanswered >= c.failingProxies() || v.late > few || v.originLate > few {
+	if elapsed < c.settings.RampStepTime || v.unanswered >= c.failingProxies() || v.late > few || v.originLate > few {
 		return false
 	}
-	return (v.inTime >= 1 || elapsed >= maxRampWaitSteps*c.settings.Step) && c.bearsNextStep(z)
+	return (v.inTime >= 1 || elapsed >= maxRampWaitSteps*c.settings.RampStepTime) && c.bearsNextStep(z)
 }
 
 // bearsNextStep reports whether a zone's nodes bear the share of keys of the next step. The first two steps they
 // always do.
-func (c *Instance) bearsNextStep(z *zone) bool {
+func (c *Controller) bearsNextStep(z *zone) bool {
 	next := 1.0
 	if z.verdict.Step+1 < len(rampShares) {
 		next = rampShares[z.verdict.Step+1]
@@ -69,7 +69,7 @@
 }
 
 // meanSlowStartShare is the share of its work that a zone bears.
-func (c *Instance) meanSlowStartShare(z *zone) float64 {
+func (c *Controller) meanSlowStartShare(z *zone) float64 {
 	sum, nodes := 0.0, 0.0
 	for _, n := range c.nodes {
 		if n != nil && n.zone == z {
@@ -81,10 +81,10 @@
 }
 
 // stepForward proposes the next step, or service after the last one.
-func (c *Instance) stepForward(z *zone) {
+func (c *Controller) stepForward(z *zone) {
 	verdict := z.verdict.successor(Returning, z.verdict.Step+1)
 	if verdict.Step >= len(rampShares) {
-		verdict.State, verdict.Step = In, 0
+		verdict.State, verdict.Step = InService, 0
 	}
 	c.propose(z, verdict, reasonAnswersInTime)
 }
--- a/zonehealth/report.go
+++ b/zonehealth/report.go
@@ -8,54 +8,54 @@
 	maxGossipDelay  = Second / 2     // that a report takes to arrive
 )
 
-// Word is the vote of a proxy on a zone, by the outcomes of its own attempts.
-type Word uint8
+// Vote is the vote of a proxy on a zone, by the outcomes of its own attempts.
+type Vote uint8
 
 const (
-	// None is no vote, for want of attempts.
-	None Word = iota
-	// For is a healthy vote: the zone answers.
-	For
-	// Against is an unhealthy vote: attempts are unanswered, and no answer has arrived within the silence timeout.
-	Against
+	// NoVote is no vote, for want of attempts.
+	NoVote Vote = iota
+	// VoteHealthy is a healthy vote: the zone answers.
+	VoteHealthy
+	// VoteUnhealthy is an unhealthy vote: attempts are unanswered, and no answer has arrived within the silence timeout.
+	VoteUnhealthy
 )
 
-// Voice is the report of one proxy on one zone, which peers receive by gossip. Counts are of attempts, and decay by
+// Report is the report of one proxy on one zone, which peers receive by gossip. Counts are of attempts, and decay by
 // half in two seconds.
-type Voice struct {
+type Report struct {
 	Zone            string   `msgpack:"z"` // in which the reporting proxy is
-	Word            Word     `msgpack:"w"` // its vote
+	Vote            Vote     `msgpack:"w"` // its vote
 	LastAnswerAge   Time     `msgpack:"d"`
-	Run             int      `msgpack:"r,omitempty"` // attempts in a row that were unanswered since the last answer
-	Ill             []uint32 `msgpack:"i,omitempty"` // hashes of names of the nodes that did not answer these
+	UnansweredRun   int      `msgpack:"r,omitempty"` // attempts in a row that were unanswered since the last answer
+	UnhealthyNodes  []uint32 `msgpack:"i,omitempty"` // hashes of names of the nodes that did not answer these
 	HealthyNodes    []uint32 `msgpack:"a,omitempty"` // hashes of names of nodes that answered within the silence timeout
 	InTime          float32  `msgpack:"o"`           // attempts answered in time
 	AnsweredLate    float32  `msgpack:"l"`           // attempts answered late or with an error
-	Lost            float32  `msgpack:"b"`           // unanswered attempts
+	Unanswered      float32  `msgpack:"b"`           // unanswered attempts
 	OriginLateShare float32  `msgpack:"g"`           // of its origin fetches the share that is late, 0 to 1
 	InFlight        float32  `msgpack:"y"`           // its attempts in flight at all caches
 	Capacity        float32  `msgpack:"c"`           // how many of these all caches answer in time
-	Stand           Stand    `msgpack:"t"`           // verdict on which it acts
-	Plan            *Stand   `msgpack:"p,omitempty"` // verdict that it proposes, nil: none
+	Verdict         Verdict  `msgpack:"t"`           // verdict on which it acts
+	Proposal        *Verdict `msgpack:"p,omitempty"` // verdict that it proposes, nil: none
 }
 
 // valid reports whether a report of a peer is within the bounds that this version relies on.
-func (v *Voice) valid() bool {
-	return len(v.Ill) <= maxCoveredNodes && len(v.HealthyNodes) <= maxCoveredNodes &&
-		v.Word <= Against && v.LastAnswerAge >= 0 && v.Stand.valid() && (v.Plan == nil || v.Plan.valid())
+func (v *Report) valid() bool {
+	return len(v.UnhealthyNodes) <= maxCoveredNodes && len(v.HealthyNodes) <= maxCoveredNodes &&
+		v.Vote <= VoteUnhealthy && v.LastAnswerAge >= 0 && v.Verdict.valid() && (v.Proposal == nil || v.Proposal.valid())
 }
 
 // latestVerdict is the verdict that the reporting proxy acts on, or the one that it proposes if that takes precedence.
-func (v *Voice) latestVerdict() *Stand {
-	if v.Plan != nil && v.Plan.compare(&v.Stand) > 0 {
-		return v.Plan
+func (v *Report) latestVerdict() *Verdict {
+	if v.Proposal != nil && v.Proposal.compare(&v.Verdict) > 0 {
+		return v.Proposal
 	}
-	return &v.Stand
+	return &v.Verdict
 }
 
 // receivedReport is the latest report of a peer on a zone.
 type receivedReport struct {
-	Voice
+	Report
 	proxy string
 	at    Time // when it was written, by this proxy's clock
 	ttl   Time
@@ -65,12 +65,12 @@
 
 func (r *receivedReport) fresh(now Time) bool { return now-r.at <= reportFreshness }
 
-// Voice takes the report of another proxy on a zone, which was written age ago and counts until it is ttl old. A report
+// PeerReport takes the report of another proxy on a zone, which was written age ago and counts until it is ttl old. A report
 // that is out of bounds, too old, or this proxy's own is ignored.
-func (c *Instance) Voice(now Time, proxy, zoneName string, report Voice, age, ttl Time) []Decision {
+func (c *Controller) PeerReport(now Time, proxy, zoneName string, report Report, age, ttl Time) []Decision {
 	c.begin(now)
 	z := c.findOrAddZone(zoneName)
-	if z == nil || proxy == c.settings.Me || age > ttl || !report.valid() {
+	if z == nil || proxy == c.settings.ProxyName || age > ttl || !report.valid() {
 		return c.decisions
 	}
 	received := z.storeReport(proxy, report, c.now-age, ttl)
--- a/zonehealth/rules.go
+++ b/zonehealth/rules.go
@@ -3,38 +3,38 @@
 // rule is one step of the judgement of a zone. An action changes the verdict or an instant; a rule without one ends the
 // judgement.
 type rule struct {
-	applies func(c *Instance, z *zone) bool
-	act     func(c *Instance, z *zone)
+	applies func(c *Controller, z *zone) bool
+	act     func(c *Controller, z *zone)
 }
 
 // rules are gone through in this order.
 var rules = []rule{
-	{(*Instance).overrideHolds, nil},
-	{(*Instance).peersAgree, (*Instance).followPeers},
-	{(*Instance).flapsExpired, (*Instance).clearFlaps},
+	{(*Controller).overrideHolds, nil},
+	{(*Controller).peersAgree, (*Controller).followPeers},
+	{(*Controller).flapsExpired, (*Controller).clearFlaps},
 	// This proxy by itself.
-	{(*Instance).standaloneLost, (*Instance).evacuateStandalone},
-	{(*Instance).standaloneHoldDownOver, (*Instance).startStandaloneRamp},
-	{(*Instance).standaloneTrialsFail, (*Instance).evacuateStandalone},
-	{(*Instance).standaloneStepDone, (*Instance).advanceStandaloneRamp},
-	{(*Instance).lacksQuorum, nil},
+	{(*Controller).standaloneLost, (*Controller).evacuateStandalone},
+	{(*Controller).standaloneHoldDownOver, (*Controller).startStandaloneRamp},
+	{(*Controller).standaloneTrialsFail, (*Controller).evacuateStandalone},
+	{(*Controller).standaloneStepDone, (*Controller).advanceStandaloneRamp},
+	{(*Controller).lacksQuorum, nil},
 	// The fleet: what there are votes for, and since when.
-	{(*Instance).suspicionOver, (*Instance).clearSuspicion},
-	{(*Instance).suspicionBegins, (*Instance).setSuspected},
-	{(*Instance).suspicionCorroborated, (*Instance).setCorroborated},
-	{(*Instance).rampFailureOver, (*Instance).clearRampFailure},
-	{(*Instance).rampFailureBegins, (*Instance).setRampFailing},
+	{(*Controller).suspicionOver, (*Controller).clearSuspicion},
+	{(*Controller).suspicionBegins, (*Controller).setSuspected},
+	{(*Controller).suspicionCorroborated, (*Controller).setCorroborated},
+	{(*Controller).rampFailureOver, (*Controller).clearRampFailure},
+	{(*Controller).rampFailureBegins, (*Controller).setRampFailing},
 	// The fleet: the verdicts that follow.
-	{(*Instance).lossConfirmed, (*Instance).evacuate},
-	{(*Instance).partEvacuationCompletable, (*Instance).completeEvacuation},
-	{(*Instance).holdDownOver, (*Instance).startRamp},
-	{(*Instance).rampFailureConfirmed, (*Instance).evacuateAgain},
-	{(*Instance).rampOverloaded, (*Instance).stepBack},
-	{(*Instance).rampStepDone, (*Instance).stepForward},
+	{(*Controller).lossConfirmed, (*Controller).evacuate},
+	{(*Controller).partEvacuationCompletable, (*Controller).completeEvacuation},
+	{(*Controller).holdDownOver, (*Controller).startRamp},
+	{(*Controller).rampFailureConfirmed, (*Controller).evacuateAgain},
+	{(*Controller).rampOverloaded, (*Controller).stepBack},
+	{(*Controller).rampStepDone, (*Controller).stepForward},
 }
 
 // judge applies rules to a zone until none applies, one without an action does, or a verdict is proposed.
-func (c *Instance) judge(z *zone) {
+func (c *Controller) judge(z *zone) {
 	z.proposal = nil
 	for again := true; again; {
 		again = c.applyFirstRule(z)
@@ -42,7 +42,7 @@
 }
 
 // applyFirstRule reports whether it has changed something that the rules have to be gone through again for.
-func (c *Instance) applyFirstRule(z *zone) bool {
+func (c *Controller) applyFirstRule(z *zone) bool {
 	c.countVotes(z)
 	for i := range rules {
 		r := &rules[i]
@@ -58,6 +58,6 @@
 	return false
 }
 
-func (c *Instance) overrideHolds(z *zone) bool { return z.override.Want == Held }
+func (c *Controller) overrideHolds(z *zone) bool { return z.override.Mode == OverrideHold }
 
-func (c *Instance) lacksQuorum(z *zone) bool { return !c.hasQuorum(z) }
+func (c *Controller) lacksQuorum(z *zone) bool { return !c.hasQuorum(z) }
--- a/zonehealth/scenario_test.go
+++ b/zonehealth/scenario_test.go
@@ -42,15 +42,15 @@
 func TestScenarios(t *testing.T) {
 	testscript.Play(t, "scenarios/*.txt", func(t *testing.T) testscript.Stage {
 		return &scenario{
-			t: t, settings: scenarioSettings(), exclusions: map[int]zonehealth.Decision{}, reports: map[string]zonehealth.Voice{},
+			t: t, settings: scenarioSettings(), exclusions: map[int]zonehealth.Decision{}, reports: map[string]zonehealth.Report{},
 		}
 	})
 }
 
-func scenarioSettings() zonehealth.Terms {
-	return zonehealth.Terms{
-		Me: "a1", Zone: "a", Shortest: 5000, Quiet: 3000, Voices: 0.2, Settle: 2000, Hold: 20000, MostHold: 160000, Step: 10000,
-		Cold: 50000, ColdFrom: 0.2, Alone: true,
+func scenarioSettings() zonehealth.Settings {
+	return zonehealth.Settings{
+		ProxyName: "a1", Zone: "a", ShortestObjective: 5000, SilenceTimeout: 3000, VoteShare: 0.2, ConfirmationTime: 2000, HoldDownTime: 20000, MaxHoldDownTime: 160000, RampStepTime: 10000,
+		SlowStartTime: 50000, SlowStartInitialShare: 0.2, StandaloneEnabled: true,
 	}
 }
 
@@ -58,12 +58,12 @@
 type scenario struct {
 	t          *testing.T
 	line       int
-	settings   zonehealth.Terms
-	controller *zonehealth.Instance
+	settings   zonehealth.Settings
+	controller *zonehealth.Controller
 	now        zonehealth.Time
 	nodes      []zonehealth.Node
 	exclusions map[int]zonehealth.Decision
-	reports    map[string]zonehealth.Voice
+	reports    map[string]zonehealth.Report
 	logs       []string
 	probes     int
 }
@@ -75,12 +75,12 @@
 
 var (
 	states = map[string]zonehealth.State{
-		"in": zonehealth.In, "returning": zonehealth.Returning, "leaving": zonehealth.Leaving, "out": zonehealth.Out,
+		"in": zonehealth.InService, "returning": zonehealth.Returning, "leaving": zonehealth.PartlyEvacuated, "out": zonehealth.Evacuated,
 	}
-	votes    = map[string]zonehealth.Word{"for": zonehealth.For, "against": zonehealth.Against, "none": zonehealth.None}
-	outcomes = map[string]zonehealth.Ending{
-		"answered": zonehealth.Answered, "late": zonehealth.Late, "nothing": zonehealth.Nothing, "undone": zonehealth.Undone,
-		"shut": zonehealth.Shut,
+	votes    = map[string]zonehealth.Vote{"for": zonehealth.VoteHealthy, "against": zonehealth.VoteUnhealthy, "none": zonehealth.NoVote}
+	outcomes = map[string]zonehealth.Outcome{
+		"answered": zonehealth.AnsweredInTime, "late": zonehealth.AnsweredLate, "nothing": zonehealth.Unanswered, "undone": zonehealth.Cancelled,
+		"shut": zonehealth.ConnectFailed,
 	}
 )
 
@@ -123,9 +123,9 @@
 	for key, value := range options {
 		switch key {
 		case "apart":
-			s.settings.Apart = true
+			s.settings.WithoutPeers = true
 		case "alone":
-			s.settings.Alone = false
+			s.settings.StandaloneEnabled = false
 		case "zone":
 			s.settings.Zone = value
 		case "region":
@@ -149,12 +149,12 @@
 
 func (s *scenario) carryOut(decisions []zonehealth.Decision) {
 	for _, d := range decisions {
-		switch d.Act {
-		case zonehealth.Bar:
+		switch d.Action {
+		case zonehealth.ExcludeNode:
 			s.exclusions[d.Node] = d
-		case zonehealth.Speak:
-			s.reports[d.Zone] = d.Voice
-		case zonehealth.Knock:
+		case zonehealth.PublishReport:
+			s.reports[d.Zone] = d.Report
+		case zonehealth.ProbeNode:
 			s.probes++
 		case zonehealth.Log:
 			s.logs = append(s.logs, d.Text)
@@ -171,15 +171,15 @@
 	for _, c := range zoneCounts(words) {
 		for range c.count {
 			index := len(s.nodes)
-			s.nodes = append(s.nodes, zonehealth.Node{Index: index, Name: fmt.Sprint("c", index), Zone: c.zone, Since: started})
+			s.nodes = append(s.nodes, zonehealth.Node{Index: index, Name: fmt.Sprint("c", index), Zone: c.zone, StartedAt: started})
 		}
 	}
 	if len(s.nodes) == before {
 		for i := range s.nodes {
-			s.nodes[i].Since = started
+			s.nodes[i].StartedAt = started
 		}
 	}
-	s.carryOut(s.controller.Nodes(s.now, s.nodes))
+	s.carryOut(s.controller.SetNodes(s.now, s.nodes))
 }
 
 func (s *scenario) setFleet(words []string, options map[string]string) {
@@ -190,10 +190,10 @@
 			name := fmt.Sprint(c.zone, i+1)
 			departed := slices.Contains(gone, name) || slices.Contains(gone, c.zone)
 			unreachable := departed || slices.Contains(away, name) || slices.Contains(away, c.zone)
-			proxies = append(proxies, zonehealth.Proxy{Name: name, Zone: c.zone, Here: !unreachable, Gone: departed})
+			proxies = append(proxies, zonehealth.Proxy{Name: name, Zone: c.zone, Reachable: !unreachable, Departed: departed})
 		}
 	}
-	s.controller.Fleet(s.now, proxies, options["behind"] != "")
+	s.controller.SetFleet(s.now, proxies, options["behind"] != "")
 }
 
 // attemptedNodes are the indexes of the nodes at which the attempts of a line are, in turn.
@@ -210,7 +210,7 @@
 func (s *scenario) sendAttempts(words []string, options map[string]string) {
 	indexes := s.attemptedNodes(words[0], options)
 	for i := range integer(words[1]) {
-		s.controller.Sent(s.now, indexes[i%len(indexes)])
+		s.controller.AttemptSent(s.now, indexes[i%len(indexes)])
 	}
 }
 
@@ -223,11 +223,11 @@
 	for i := range integer(words[1]) {
 		index := indexes[i%len(indexes)]
 		if words[2] == "reached" {
-			s.controller.Reached(index)
+			s.controller.ConnectionOpened(index)
 			continue
 		}
-		s.controller.Sent(s.now, index)
-		s.controller.Ended(s.now, index, outcomes[words[2]], elapsed)
+		s.controller.AttemptSent(s.now, index)
+		s.controller.AttemptFinished(s.now, index, outcomes[words[2]], elapsed)
 	}
 }
 
@@ -240,32 +240,32 @@
 			continue
 		}
 		if position++; position <= unhealthy {
-			report.Ill = append(report.Ill, zonehealth.Hash(n.Name))
+			report.UnhealthyNodes = append(report.UnhealthyNodes, zonehealth.NodeHash(n.Name))
 		} else if position <= unhealthy+healthy {
-			report.HealthyNodes = append(report.HealthyNodes, zonehealth.Hash(n.Name))
+			report.HealthyNodes = append(report.HealthyNodes, zonehealth.NodeHash(n.Name))
 		}
 	}
 	if options["kept"] != "" {
 		slices.Sort(report.HealthyNodes)
-		report.Plan.RetainedNodes, report.HealthyNodes = report.HealthyNodes, nil
+		report.Proposal.RetainedNodes, report.HealthyNodes = report.HealthyNodes, nil
 	}
 	for _, proxy := range strings.Split(words[1], ",") {
-		s.carryOut(s.controller.Voice(s.now, proxy, zone, report, 0, reportTTL))
+		s.carryOut(s.controller.PeerReport(s.now, proxy, zone, report, 0, reportTTL))
 	}
 }
 
 // newReport returns the report of a line, without nodes.
-func newReport(vote zonehealth.Word, options map[string]string) zonehealth.Voice {
+func newReport(vote zonehealth.Vote, options map[string]string) zonehealth.Report {
 	number := func(key string) float32 { return float32(testscript.Num(options[key])) }
-	report := zonehealth.Voice{
-		Word: vote, InTime: number("fine"), AnsweredLate: number("late"), Lost: number("lost"), OriginLateShare: number("origin"),
-		Plan: parseVerdict(options["plan"]),
+	report := zonehealth.Report{
+		Vote: vote, InTime: number("fine"), AnsweredLate: number("late"), Unanswered: number("lost"), OriginLateShare: number("origin"),
+		Proposal: parseVerdict(options["plan"]),
 	}
-	if vote != zonehealth.For {
+	if vote != zonehealth.VoteHealthy {
 		report.LastAnswerAge = zonehealth.Second
 	}
 	if verdict := parseVerdict(options["stand"]); verdict != nil {
-		report.Stand = *verdict
+		report.Verdict = *verdict
 	}
 	if inFlight, capacity, found := strings.Cut(options["load"], "/"); found {
 		report.InFlight, report.Capacity = float32(testscript.Num(inFlight)), float32(testscript.Num(capacity))
@@ -274,12 +274,12 @@
 }
 
 func (s *scenario) setLoad(words []string, _ map[string]string) {
-	s.controller.Load(testscript.Num(words[0]), testscript.Num(words[1]))
+	s.controller.SetLoad(testscript.Num(words[0]), testscript.Num(words[1]))
 }
 
 func (s *scenario) setOverride(words []string, options map[string]string) {
-	s.carryOut(s.controller.Order(s.now, zonehealth.Order{
-		Zone: words[0], Want: zonehealth.Wants[words[1]], Epoch: int64(integer(words[2])), By: "b1", Force: options["force"] != "",
+	s.carryOut(s.controller.SetOverride(s.now, zonehealth.Override{
+		Zone: words[0], Mode: zonehealth.OverrideModes[words[1]], Epoch: int64(integer(words[2])), Proxy: "b1", Force: options["force"] != "",
 	}))
 }
 
@@ -315,12 +315,12 @@
 	s.probes = 0
 }
 
-func (s *scenario) expectReport(zone string, vote zonehealth.Word, proposed string) {
+func (s *scenario) expectReport(zone string, vote zonehealth.Vote, proposed string) {
 	s.t.Helper()
 	report, published := s.reports[zone]
-	if !published || report.Word != vote || (proposed != "") != (report.Plan != nil) ||
-		report.Plan != nil && report.Plan.State != states[proposed] {
-		s.fail("zone %s: published %v: %+v, proposal %+v", zone, published, report, report.Plan)
+	if !published || report.Vote != vote || (proposed != "") != (report.Proposal != nil) ||
+		report.Proposal != nil && report.Proposal.State != states[proposed] {
+		s.fail("zone %s: published %v: %+v, proposal %+v", zone, published, report, report.Proposal)
 	}
 	delete(s.reports, zone)
 }
@@ -333,8 +333,8 @@
 	if options["epoch"] != "" {
 		epoch = int64(integer(options["epoch"]))
 	}
-	zones, override := s.settings.Zones(arguments[1]), zonehealth.Wants[arguments[2]]
-	got := zonehealth.Check(s.controller.Shown(s.now), zones, override, epoch, options["force"] != "")
+	zones, override := s.settings.ZonesNamed(arguments[1]), zonehealth.OverrideModes[arguments[2]]
+	got := zonehealth.CheckOverride(s.controller.Statuses(s.now), zones, override, epoch, options["force"] != "")
 	if want == "nothing" && got != "" || want != "nothing" && !strings.Contains(got, want) {
 		s.fail("check of %q: %q, want %q", arguments, got, want)
 	}
@@ -342,18 +342,18 @@
 
 func (s *scenario) expectStatus(words []string, options map[string]string) {
 	s.t.Helper()
-	statuses := s.controller.Shown(s.now)
-	i := slices.IndexFunc(statuses, func(status zonehealth.Shown) bool { return status.Name == words[0] })
+	statuses := s.controller.Statuses(s.now)
+	i := slices.IndexFunc(statuses, func(status zonehealth.ZoneStatus) bool { return status.Name == words[0] })
 	if i < 0 {
 		s.fail("no zone %q", words[0])
 		return
 	}
 	status := &statuses[i]
 	got := map[string]float64{
-		"open": status.Open, "epoch": float64(status.Stand.Epoch), "flaps": float64(status.Stand.Flaps), "step": float64(status.Stand.Step),
-		"kept": float64(len(status.Stand.RetainedNodes)), "barred": float64(s.excludedNodes(status.Name)),
+		"open": status.OpenShare, "epoch": float64(status.Verdict.Epoch), "flaps": float64(status.Verdict.Flaps), "step": float64(status.Verdict.Step),
+		"kept": float64(len(status.Verdict.RetainedNodes)), "barred": float64(s.excludedNodes(status.Name)),
 	}
-	matches := status.Stand.State.String() == words[1] && status.Alone == (options["alone"] != "")
+	matches := status.Verdict.State.String() == words[1] && status.Standalone == (options["alone"] != "")
 	want := testscript.Words(words[2:])
 	delete(want, "alone")
 	for key, value := range want {
@@ -361,7 +361,7 @@
 		matches = matches && known && math.Abs(number-testscript.Num(value)) <= 0.001
 	}
 	if !matches {
-		s.fail("zone %s: %v %v, standalone %v, want %v; log texts %q", status.Name, status.Stand.State, got, status.Alone, words, s.logs)
+		s.fail("zone %s: %v %v, standalone %v, want %v; log texts %q", status.Name, status.Verdict.State, got, status.Standalone, words, s.logs)
 	}
 }
 
@@ -369,7 +369,7 @@
 func (s *scenario) excludedNodes(zone string) int {
 	excluded := 0
 	for _, n := range s.nodes {
-		if n.Zone == zone && s.exclusions[n.Index].Part > 0 {
+		if n.Zone == zone && s.exclusions[n.Index].ExcludedShare > 0 {
 			excluded++
 		}
 	}
@@ -394,12 +394,12 @@
 }
 
 // parseVerdict reads EPOCH:STATE[:STEP[:FLAPS]], nil for an empty word.
-func parseVerdict(word string) *zonehealth.Stand {
+func parseVerdict(word string) *zonehealth.Verdict {
 	if word == "" {
 		return nil
 	}
 	fields := append(strings.Split(word, ":"), "0", "0")
-	return &zonehealth.Stand{
+	return &zonehealth.Verdict{
 		Epoch: int64(integer(fields[0])), State: states[fields[1]], Step: integer(fields[2]), Flaps: integer(fields[3]),
 	}
 }
--- a/zonehealth/standalone.go
+++ b/zonehealth/standalone.go
@@ -17,23 +17,23 @@
 const logEvacuatedStandalone = "zone %s: evacuated standalone, %d attempts unanswered in %.1f s, on %d nodes, " +
 	"connections refused by %d; %d of %d proxies reachable"
 
-// Alone counts what one proxy decided standalone since its start.
-type Alone struct {
-	Passed int // zones that it evacuated
-	Hasty  int // of these the false positives: the first trial requests after the hold-down time were answered
+// StandaloneCounts counts what one proxy decided standalone since its start.
+type StandaloneCounts struct {
+	Evacuations    int // zones that it evacuated
+	FalsePositives int // of these the false positives: the first trial requests after the hold-down time were answered
 }
 
 // standaloneVerdict is what this proxy decides on a zone by its own evidence, for itself. It has no epoch, and ends
 // with the next verdict of the fleet.
 type standaloneVerdict struct {
-	verdict  Stand
+	verdict  Verdict
 	at       Time // of the latest change, 0: there was none
 	probedAt Time // the latest connect probes of the zone's nodes
 	lossSeen bool // trial requests have found the zone still lost since it was last evacuated from service
 }
 
 // setStandalone changes the standalone verdict, and counts evidence anew from now on.
-func (c *Instance) setStandalone(z *zone, state State, step int) {
+func (c *Controller) setStandalone(z *zone, state State, step int) {
 	s := &z.standalone
 	s.verdict.State, s.verdict.Step, s.at = state, step, c.now
 	z.evidence.restart(c.now)
@@ -44,21 +44,21 @@
 	return len(z.evidence.unconnectedNodes) >= min(z.nodes, minUnconnectedNodes)
 }
 
-func (c *Instance) unansweredLately(z *zone) bool {
+func (c *Controller) unansweredLately(z *zone) bool {
 	return c.now-z.evidence.unansweredAt < evidenceRecent
 }
 
 // needsProbe reports whether attempts in a zone are unanswered while it is not known whether its nodes are alive:
 // nothing is learned from open connections, and an overloaded zone may answer nothing in time.
-func (c *Instance) needsProbe(z *zone) bool {
+func (c *Controller) needsProbe(z *zone) bool {
 	s, e := &z.standalone, &z.evidence
-	if !c.settings.Alone || z.verdict.State != In || z.allUnconnected() || !c.unansweredLately(z) ||
-		c.now-s.probedAt < probeIntervalQuiets*c.settings.Quiet {
+	if !c.settings.StandaloneEnabled || z.verdict.State != InService || z.allUnconnected() || !c.unansweredLately(z) ||
+		c.now-s.probedAt < probeIntervalQuiets*c.settings.SilenceTimeout {
 		return false
 	}
 	switch s.verdict.State {
-	case In:
-		return e.unansweredRun >= probeMinRun && c.now-e.answeredAt >= c.settings.Quiet
+	case InService:
+		return e.unansweredRun >= probeMinRun && c.now-e.answeredAt >= c.settings.SilenceTimeout
 	case Returning:
 		return e.unansweredRun >= 1
 	}
@@ -71,7 +71,7 @@
 }
 
 // probe asks for connections to nodes that did not answer, as many as may still refuse one.
-func (c *Instance) probe(z *zone) {
+func (c *Controller) probe(z *zone) {
 	e := &z.evidence
 	z.standalone.probedAt = c.now
 	probes := minUnconnectedNodes - len(e.unconnectedNodes)
@@ -81,7 +81,7 @@
 		}
 		if n != nil && n.zone == z && e.unprobed(n.hash) {
 			probes--
-			c.decide(Decision{Act: Knock, Node: i})
+			c.decide(Decision{Action: ProbeNode, Node: i})
 		}
 	}
 }
@@ -91,25 +91,25 @@
 // connections and answers late is overloaded; a proxy of little traffic would otherwise evacuate whole zones in a
 // burst. Where the fleet can judge the zone and does not find it lost it takes more, since the fault may be in this
 // proxy's own network path.
-func (c *Instance) standaloneLost(z *zone) bool {
+func (c *Controller) standaloneLost(z *zone) bool {
 	e, factor := &z.evidence, 1
 	if c.hasQuorum(z) {
 		factor = standaloneQuorumFactor
 	}
-	return c.settings.Alone && z.standalone.verdict.State == In && z.nodes > 0 &&
+	return c.settings.StandaloneEnabled && z.standalone.verdict.State == InService && z.nodes > 0 &&
 		e.unansweredRun >= standaloneMinRun*factor &&
 		len(e.unhealthyNodes) >= min(z.nodes/2+1, standaloneMaxNodes) &&
 		z.allUnconnected() &&
-		c.now-e.answeredAt >= standaloneQuietFactor*Time(factor)*c.settings.Quiet &&
+		c.now-e.answeredAt >= standaloneQuietFactor*Time(factor)*c.settings.SilenceTimeout &&
 		c.unansweredLately(z) &&
 		c.anotherZoneAnswered(z, e.runStartedAt) &&
 		c.anotherZoneServes(z)
 }
 
 // evacuateStandalone evacuates a zone for this proxy, from service or after its trial requests failed.
-func (c *Instance) evacuateStandalone(z *zone) {
+func (c *Controller) evacuateStandalone(z *zone) {
 	s, e := &z.standalone, &z.evidence
-	inService := s.verdict.State == In
+	inService := s.verdict.State == InService
 	switch {
 	case s.verdict.State == Returning && s.verdict.Step > standaloneFirstStep,
 		inService && s.at > 0 && c.now-s.at < flapMemory:
@@ -119,24 +119,24 @@
 	}
 	s.lossSeen = s.verdict.State == Returning
 	if !s.lossSeen {
-		c.standaloneCounts.Passed++
+		c.standaloneCounts.Evacuations++
 	}
 	silentSeconds := float64(c.now-e.answeredAt) / float64(Second)
 	c.log(logEvacuatedStandalone, z.name, e.unansweredRun, silentSeconds, len(e.unhealthyNodes), len(e.unconnectedNodes),
 		len(c.fleet.reachable), len(c.fleet.proxies))
-	c.setStandalone(z, Out, 0)
+	c.setStandalone(z, Evacuated, 0)
 }
 
-func (c *Instance) standaloneHoldDownOver(z *zone) bool {
+func (c *Controller) standaloneHoldDownOver(z *zone) bool {
 	s := &z.standalone
-	return s.verdict.State == Out && c.now-s.at >= c.settings.holdDownTime(&s.verdict)
+	return s.verdict.State == Evacuated && c.now-s.at >= c.settings.holdDownTime(&s.verdict)
 }
 
-func (c *Instance) startStandaloneRamp(z *zone) { c.setStandalone(z, Returning, standaloneFirstStep) }
+func (c *Controller) startStandaloneRamp(z *zone) { c.setStandalone(z, Returning, standaloneFirstStep) }
 
 // standaloneTrialsFail reports whether attempts of the ramp are unanswered and a node refuses connections. A single
 // unanswered attempt may have another cause.
-func (c *Instance) standaloneTrialsFail(z *zone) bool {
+func (c *Controller) standaloneTrialsFail(z *zone) bool {
 	s, e := &z.standalone, &z.evidence
 	return s.verdict.State == Returning && e.unansweredRun >= 1 && e.unansweredAt >= s.at && len(e.unconnectedNodes) > 0 &&
 		e.counts.unanswered+1 > (e.counts.inTime+e.counts.late)/3
@@ -144,28 +144,28 @@
 
 // standaloneStepDone reports whether a step of the ramp has lasted and has answers in time, or has lasted too long
 // for that.
-func (c *Instance) standaloneStepDone(z *zone) bool {
+func (c *Controller) standaloneStepDone(z *zone) bool {
 	s, counts := &z.standalone, &z.evidence.counts
 	elapsed := c.now - s.at
-	return s.verdict.State == Returning && elapsed >= c.settings.Step &&
-		(counts.inTime >= 1 && counts.late <= counts.inTime || elapsed >= overlongStepFactor*c.settings.Step)
+	return s.verdict.State == Returning && elapsed >= c.settings.RampStepTime &&
+		(counts.inTime >= 1 && counts.late <= counts.inTime || elapsed >= overlongStepFactor*c.settings.RampStepTime)
 }
 
 // advanceStandaloneRamp goes on to the next step, or to service after the last one.
-func (c *Instance) advanceStandaloneRamp(z *zone) {
+func (c *Controller) advanceStandaloneRamp(z *zone) {
 	s := &z.standalone
 	if next := s.verdict.Step + 1; next < len(rampShares) {
 		c.setStandalone(z, Returning, next)
 		return
 	}
-	c.setStandalone(z, In, 0)
+	c.setStandalone(z, InService, 0)
 	if s.lossSeen {
 		c.log("zone %s: in service again for this proxy", z.name)
 		return
 	}
-	c.standaloneCounts.Hasty++
+	c.standaloneCounts.FalsePositives++
 	c.log("zone %s: in service again for this proxy; its first trial requests were answered, a false positive", z.name)
 }
 
-// Judged returns the counts of standalone decisions since the start.
-func (c *Instance) Judged() Alone { return c.standaloneCounts }
+// StandaloneCounts returns the counts of standalone decisions since the start.
+func (c *Controller) StandaloneCounts() StandaloneCounts { return c.standaloneCounts }
--- a/zonehealth/verdict.go
+++ b/zonehealth/verdict.go
@@ -20,23 +20,23 @@
 type State uint8
 
 const (
-	// In is a zone in service.
-	In State = iota
+	// InService is a zone in service.
+	InService State = iota
 	// Returning is a zone in recovery: it serves the share of its keys that the step of the recovery ramp allows.
 	Returning
-	// Leaving is a partly evacuated zone: the retained nodes stay in service for want of capacity
+	// PartlyEvacuated is a partly evacuated zone: the retained nodes stay in service for want of capacity
 	// elsewhere.
-	Leaving
-	// Out is an evacuated zone.
-	Out
+	PartlyEvacuated
+	// Evacuated is an evacuated zone.
+	Evacuated
 )
 
 // String returns the name of the state in logs and in the operators' status.
 func (s State) String() string { return [...]string{"in", "returning", "leaving", "out"}[s&3] }
 
-// Stand is a verdict on a zone. Of two verdicts the one with the later epoch takes precedence, then the one with the
+// Verdict is a verdict on a zone. Of two verdicts the one with the later epoch takes precedence, then the one with the
 // greater State, then the one with the lower step.
-type Stand struct {
+type Verdict struct {
 	Epoch         int64    `msgpack:"e"`
 	State         State    `msgpack:"s"`
 	Step          int      `msgpack:"n,omitempty"` // of the recovery ramp, from 0
@@ -45,13 +45,13 @@
 }
 
 // valid reports whether a verdict of a peer is within the bounds that this version relies on.
-func (s *Stand) valid() bool {
-	return len(s.RetainedNodes) <= maxRetainedNodes && s.State <= Out && s.Step >= 0 && s.Step < len(rampShares) &&
+func (s *Verdict) valid() bool {
+	return len(s.RetainedNodes) <= maxRetainedNodes && s.State <= Evacuated && s.Step >= 0 && s.Step < len(rampShares) &&
 		s.Epoch >= 0 && s.Epoch < maxAcceptedEpoch && s.Flaps >= 0 && s.Flaps <= maxAcceptedFlaps
 }
 
 // compare is a total order of verdicts by precedence: no two that differ are equal. Nil precedes all.
-func (s *Stand) compare(other *Stand) int {
+func (s *Verdict) compare(other *Verdict) int {
 	if other == nil {
 		return 1
 	}
@@ -63,14 +63,14 @@
 }
 
 // comparePrecedence compares by epoch, state and step alone.
-func (s *Stand) comparePrecedence(other *Stand) int {
+func (s *Verdict) comparePrecedence(other *Verdict) int {
 	return cmp.Or(cmp.Compare(s.Epoch, other.Epoch), cmp.Compare(s.State, other.State), -cmp.Compare(s.Step, other.Step))
 }
 
 // openShare is the share of its keys that the zone serves, 0 to 1.
-func (s *Stand) openShare() float64 {
+func (s *Verdict) openShare() float64 {
 	switch s.State {
-	case In:
+	case InService:
 		return 1
 	case Returning:
 		return rampShares[s.Step]
@@ -79,18 +79,18 @@
 }
 
 // successor returns a verdict of the next epoch.
-func (s *Stand) successor(state State, step int) Stand {
-	return Stand{Epoch: s.Epoch + 1, State: state, Step: step, Flaps: s.Flaps}
+func (s *Verdict) successor(state State, step int) Verdict {
+	return Verdict{Epoch: s.Epoch + 1, State: state, Step: step, Flaps: s.Flaps}
 }
 
 // flappingSuccessor is successor with one more flap.
-func (s *Stand) flappingSuccessor(state State, step int) Stand {
+func (s *Verdict) flappingSuccessor(state State, step int) Verdict {
 	next := s.successor(state, step)
 	next.Flaps = min(next.Flaps+1, maxFlaps)
 	return next
 }
 
 // holdDownTime is how long a zone stays evacuated under a verdict: twice as long with each flap, up to a limit.
-func (t *Terms) holdDownTime(verdict *Stand) Time {
-	return min(t.Hold<<min(verdict.Flaps, maxFlaps), t.MostHold)
+func (t *Settings) holdDownTime(verdict *Verdict) Time {
+	return min(t.HoldDownTime<<min(verdict.Flaps, maxFlaps), t.MaxHoldDownTime)
 }
--- a/zonehealth/votes.go
+++ b/zonehealth/votes.go
@@ -38,8 +38,8 @@
 }
 
 // addAttempts counts a report's attempts under the verdict on which this proxy acts.
-func (v *voteCount) addAttempts(report *Voice) {
-	inTime, late, unanswered := report.InTime, report.AnsweredLate, report.Lost
+func (v *voteCount) addAttempts(report *Report) {
+	inTime, late, unanswered := report.InTime, report.AnsweredLate, report.Unanswered
 	v.attempted += countIf(inTime+late+unanswered >= minCountedAttempts)
 	v.inTime += countIf(inTime >= minCountedAttempts && inTime > late+unanswered)
 	v.unanswered += countIf(unanswered >= minCountedAttempts && unanswered > (inTime+late)/3)
@@ -48,15 +48,15 @@
 }
 
 // addVote counts the vote of a proxy in a zone.
-func (v *voteCount) addVote(proxy, proxyZone string, report *Voice) {
-	switch report.Word {
-	case For:
+func (v *voteCount) addVote(proxy, proxyZone string, report *Report) {
+	switch report.Vote {
+	case VoteHealthy:
 		v.healthy++
 		v.healthyNodes = union(v.healthyNodes, report.HealthyNodes)
-	case Against:
+	case VoteUnhealthy:
 		v.unhealthy++
 		v.unhealthyVoters = append(v.unhealthyVoters, proxy)
-		v.unhealthyNodes = union(v.unhealthyNodes, report.Ill)
+		v.unhealthyNodes = union(v.unhealthyNodes, report.UnhealthyNodes)
 		v.unhealthyVoterZones = appendMissing(v.unhealthyVoterZones, proxyZone)
 	}
 }
@@ -65,16 +65,16 @@
 func (v *voteCount) fewAttempted() int { return max(1, v.attempted/4) }
 
 // countVotes sums up the fresh reports of reachable peers and of this proxy. It drops expired reports.
-func (c *Instance) countVotes(z *zone) {
+func (c *Controller) countVotes(z *zone) {
 	z.votes.reset(z.evidence.inTimeAt)
 	z.reports = slices.DeleteFunc(z.reports, func(r *receivedReport) bool { return r.expired(c.now) })
 	for r := range c.reachableReports(z) {
 		if r.fresh(c.now) {
-			c.countReport(z, r.proxy, c.fleet.reachable[r.proxy], r.at, &r.Voice)
+			c.countReport(z, r.proxy, c.fleet.reachable[r.proxy], r.at, &r.Report)
 		}
 	}
 	z.publication.current = c.ownReport(z)
-	c.countReport(z, c.settings.Me, c.settings.Zone, c.now, &z.publication.current)
+	c.countReport(z, c.settings.ProxyName, c.settings.Zone, c.now, &z.publication.current)
 	z.votes.healthyNodes = slices.DeleteFunc(z.votes.healthyNodes, func(node uint32) bool {
 		return slices.Contains(z.votes.unhealthyNodes, node)
 	})
@@ -83,14 +83,14 @@
 
 // countReport counts the report of a proxy, written at an instant. A proxy in the zone itself has no vote: it may be
 // cut off together with the zone's nodes.
-func (c *Instance) countReport(z *zone, proxy, proxyZone string, at Time, report *Voice) {
-	if report.Stand.compare(&z.verdict) == 0 {
+func (c *Controller) countReport(z *zone, proxy, proxyZone string, at Time, report *Report) {
+	if report.Verdict.compare(&z.verdict) == 0 {
 		z.votes.addAttempts(report)
 	}
 	if proxyZone == z.name {
 		return
 	}
-	if proxy != c.settings.Me && report.InTime > report.AnsweredLate {
+	if proxy != c.settings.ProxyName && report.InTime > report.AnsweredLate {
 		// The age of a report does not count the time on the way.
 		z.votes.inTimeAt = max(z.votes.inTimeAt, at-report.LastAnswerAge-maxGossipDelay)
 	}
@@ -98,7 +98,7 @@
 }
 
 // reachableReports are the reports of reachable peers, by name of the proxy.
-func (c *Instance) reachableReports(z *zone) iter.Seq[*receivedReport] {
+func (c *Controller) reachableReports(z *zone) iter.Seq[*receivedReport] {
 	return func(yield func(*receivedReport) bool) {
 		for _, r := range z.reports {
 			if _, reachable := c.fleet.reachable[r.proxy]; reachable && !yield(r) {
@@ -118,13 +118,13 @@
 
 // suffices reports whether evidence from the proxies of a quorum view convicts: from enough proxies, from two zones
 // where the proxies are in two, on a majority of the nodes.
-func (c *Instance) suffices(sum evidenceSum, view quorumView) bool {
+func (c *Controller) suffices(sum evidenceSum, view quorumView) bool {
 	return sum.voters >= c.requiredVotes(view.reachable) && sum.voterZones >= min(2, view.zones) &&
 		sum.unhealthyNodes >= min(sum.nodes/2+1, maxCoveredNodes)
 }
 
 // convicted reports whether there are enough unhealthy votes on a zone, by itself or together with its region.
-func (c *Instance) convicted(z *zone) bool {
+func (c *Controller) convicted(z *zone) bool {
 	v := &z.votes
 	if !c.hasQuorum(z) || z.nodes == 0 || v.unhealthy == 0 || v.unhealthy < vetoFactor*v.healthy {
 		return false
@@ -135,7 +135,7 @@
 
 // regionConvicted counts the unhealthy votes on all zones of a zone's region together, provided that each of the
 // zones is evacuated or has unhealthy votes and no healthy one.
-func (c *Instance) regionConvicted(z *zone) bool {
+func (c *Controller) regionConvicted(z *zone) bool {
 	voters := map[string]bool{}
 	var voterZones []string
 	var sum evidenceSum
@@ -144,7 +144,7 @@
 			continue
 		}
 		v := &other.votes
-		if other.verdict.State != Out && (v.unhealthy == 0 || v.healthy > 0) {
+		if other.verdict.State != Evacuated && (v.unhealthy == 0 || v.healthy > 0) {
 			return false
 		}
 		for _, name := range v.unhealthyVoters {
@@ -164,9 +164,9 @@
 
 // anotherZoneAnswered reports whether another zone has answered in time since an instant, so that the fault is not this
 // proxy's or everybody's: where all zones slow down at once, one seems silent a little before the others do.
-func (c *Instance) anotherZoneAnswered(z *zone, since Time) bool {
+func (c *Controller) anotherZoneAnswered(z *zone, since Time) bool {
 	return slices.ContainsFunc(c.zones, func(other *zone) bool {
-		return other != z && other.nodes > 0 && other.verdict.State < Leaving && other.votes.inTimeAt > since
+		return other != z && other.nodes > 0 && other.verdict.State < PartlyEvacuated && other.votes.inTimeAt > since
 	})
 }
 
--- a/zonehealth/wire_golden_test.go
+++ b/zonehealth/wire_golden_test.go
@@ -9,18 +9,18 @@
 // TestGoldenReports pins the encoding of the report on a zone, the body of a row of kind Voice. The names of the
 // cases are those of the golden file.
 func TestGoldenReports(t *testing.T) {
-	verdict := zonehealth.Stand{Epoch: 70000, State: zonehealth.Leaving, Step: 3, Flaps: 2, RetainedNodes: []uint32{0x01020304, 5}}
+	verdict := zonehealth.Verdict{Epoch: 70000, State: zonehealth.PartlyEvacuated, Step: 3, Flaps: 2, RetainedNodes: []uint32{0x01020304, 5}}
 	checkGolden(t, "voices.golden", []goldenCase{
-		{name: "voice-full", full: true, value: &zonehealth.Voice{
-			Zone: "zone-1", Word: zonehealth.Against, LastAnswerAge: 4500, Run: 6,
-			Ill: []uint32{0xa1a2a3a4, 7}, HealthyNodes: []uint32{0xb1b2b3b4}, InTime: 1.5, AnsweredLate: 2.5, Lost: 3.5,
-			OriginLateShare: 0.25, InFlight: 10.5, Capacity: 20.5, Stand: verdict,
-			Plan: &zonehealth.Stand{Epoch: 70001, State: zonehealth.Out, Step: 1, Flaps: 4, RetainedNodes: []uint32{9}},
+		{name: "voice-full", full: true, value: &zonehealth.Report{
+			Zone: "zone-1", Vote: zonehealth.VoteUnhealthy, LastAnswerAge: 4500, UnansweredRun: 6,
+			UnhealthyNodes: []uint32{0xa1a2a3a4, 7}, HealthyNodes: []uint32{0xb1b2b3b4}, InTime: 1.5, AnsweredLate: 2.5, Unanswered: 3.5,
+			OriginLateShare: 0.25, InFlight: 10.5, Capacity: 20.5, Verdict: verdict,
+			Proposal: &zonehealth.Verdict{Epoch: 70001, State: zonehealth.Evacuated, Step: 1, Flaps: 4, RetainedNodes: []uint32{9}},
 		}},
-		{name: "voice-empty", value: &zonehealth.Voice{}},
-		{name: "voice-with-empty-plan", value: &zonehealth.Voice{Zone: "zone-2", Word: zonehealth.For, Plan: &zonehealth.Stand{}}},
+		{name: "voice-empty", value: &zonehealth.Report{}},
+		{name: "voice-with-empty-plan", value: &zonehealth.Report{Zone: "zone-2", Vote: zonehealth.VoteHealthy, Proposal: &zonehealth.Verdict{}}},
 		{name: "stand-full", full: true, value: &verdict},
-		{name: "stand-empty", value: &zonehealth.Stand{}},
+		{name: "stand-empty", value: &zonehealth.Verdict{}},
 	})
 }
 
@@ -31,17 +31,17 @@
 		name      string
 		got, want int64
 	}{
-		{"no vote", int64(zonehealth.None), 0},
-		{"healthy vote", int64(zonehealth.For), 1},
-		{"unhealthy vote", int64(zonehealth.Against), 2},
-		{"state in", int64(zonehealth.In), 0},
+		{"no vote", int64(zonehealth.NoVote), 0},
+		{"healthy vote", int64(zonehealth.VoteHealthy), 1},
+		{"unhealthy vote", int64(zonehealth.VoteUnhealthy), 2},
+		{"state in", int64(zonehealth.InService), 0},
 		{"state returning", int64(zonehealth.Returning), 1},
-		{"state leaving", int64(zonehealth.Leaving), 2},
-		{"state out", int64(zonehealth.Out), 3},
-		{"override auto", int64(zonehealth.Auto), 0},
-		{"override in", int64(zonehealth.KeepIn), 1},
-		{"override hold", int64(zonehealth.Held), 2},
-		{"override out", int64(zonehealth.KeepOut), 3},
+		{"state leaving", int64(zonehealth.PartlyEvacuated), 2},
+		{"state out", int64(zonehealth.Evacuated), 3},
+		{"override auto", int64(zonehealth.OverrideAuto), 0},
+		{"override in", int64(zonehealth.OverrideIn), 1},
+		{"override hold", int64(zonehealth.OverrideHold), 2},
+		{"override out", int64(zonehealth.OverrideOut), 3},
 		{"units of time in a second", int64(zonehealth.Second), 10000},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -56,14 +56,14 @@
 func TestOverrideNames(t *testing.T) {
 	for number, name := range []string{"auto", "in", "hold", "out"} {
 		t.Run(name, func(t *testing.T) {
-			want := zonehealth.Want(number)
-			if got, ok := zonehealth.Wants[name]; !ok || got != want || want.String() != name {
+			want := zonehealth.OverrideMode(number)
+			if got, ok := zonehealth.OverrideModes[name]; !ok || got != want || want.String() != name {
 				t.Errorf("number %d (known %v), want %d; shown as %q", got, ok, want, want.String())
 			}
 		})
 	}
-	if len(zonehealth.Wants) != 4 {
-		t.Errorf("%d overrides, want 4", len(zonehealth.Wants))
+	if len(zonehealth.OverrideModes) != 4 {
+		t.Errorf("%d overrides, want 4", len(zonehealth.OverrideModes))
 	}
 }
 
@@ -90,7 +90,7 @@
 		{"second node", "node-2", 0x695e1188},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := zonehealth.Hash(c.node); got != c.want {
+			if got := zonehealth.NodeHash(c.node); got != c.want {
 				t.Errorf("%q: %#08x, want %#08x", c.node, got, c.want)
 			}
 		})
--- a/zonehealth/zone.go
+++ b/zonehealth/zone.go
@@ -22,13 +22,13 @@
 	outsideRegion quorumView
 	votes         voteCount
 
-	verdict      Stand // on which this proxy acts
+	verdict      Verdict // on which this proxy acts
 	verdictAt    Time
-	evacuatedAt  Time   // the latest evacuation, of a part or all
-	proposal     *Stand // nil: none
+	evacuatedAt  Time     // the latest evacuation, of a part or all
+	proposal     *Verdict // nil: none
 	confirmation confirmation
 	standalone   standaloneVerdict
-	override     Order // of epoch 0: there is none
+	override     Override // of epoch 0: there is none
 	publication  publication
 }
 
@@ -43,7 +43,7 @@
 func compareZoneName(z *zone, name string) int { return cmp.Compare(z.name, name) }
 
 // findOrAddZone returns nil for the name "", and for a new zone where there are maxZones.
-func (c *Instance) findOrAddZone(name string) *zone {
+func (c *Controller) findOrAddZone(name string) *zone {
 	i, found := slices.BinarySearchFunc(c.zones, name, compareZoneName)
 	if found {
 		return c.zones[i]
@@ -63,25 +63,25 @@
 }
 
 // removeUnusedZones forgets the zones without nodes of which there is nothing to remember.
-func (c *Instance) removeUnusedZones() {
+func (c *Controller) removeUnusedZones() {
 	c.zones = slices.DeleteFunc(c.zones, func(z *zone) bool {
-		return z.nodes == 0 && z.verdict.State == In && z.override.Epoch == 0 && len(z.reports) == 0
+		return z.nodes == 0 && z.verdict.State == InService && z.override.Epoch == 0 && len(z.reports) == 0
 	})
 }
 
 // storeReport replaces the report of a proxy.
-func (z *zone) storeReport(proxy string, report Voice, at, ttl Time) *receivedReport {
+func (z *zone) storeReport(proxy string, report Report, at, ttl Time) *receivedReport {
 	compareProxy := func(r *receivedReport, name string) int { return cmp.Compare(r.proxy, name) }
 	i, found := slices.BinarySearchFunc(z.reports, proxy, compareProxy)
 	if !found {
 		z.reports = slices.Insert(z.reports, i, nil)
 	}
-	z.reports[i] = &receivedReport{Voice: report, proxy: strings.Clone(proxy), at: at, ttl: ttl}
+	z.reports[i] = &receivedReport{Report: report, proxy: strings.Clone(proxy), at: at, ttl: ttl}
 	return z.reports[i]
 }
 
-// Missing returns the first zone of a region that has no node, "" if there is none.
-func (c *Instance) Missing() string {
+// MissingZone returns the first zone of a region that has no node, "" if there is none.
+func (c *Controller) MissingZone() string {
 	for _, region := range c.settings.Regions {
 		for _, name := range region.Zones {
 			if !slices.ContainsFunc(c.zones, func(z *zone) bool { return z.name == name && z.nodes > 0 }) {
