--- a/balancer/scenario_events_test.go
+++ b/balancer/scenario_events_test.go
@@ -13,10 +13,10 @@
 	"rounds": (*player).rounds,
 	"end":    (*player).end,
 	"arrive": func(p *player, now balancer.Time, args []string) {
-		p.arrive(now, integer(args[0]), args[1], testscript.Words(args[2:]))
+		p.arrive(now, integer(args[0]), args[1], testscript.ParseArguments(args[2:]))
 	},
 	"arrive-each": func(p *player, now balancer.Time, args []string) {
-		p.arriveEach(now, parseRange(args[0]), args[1], testscript.Words(args[2:]))
+		p.arriveEach(now, parseRange(args[0]), args[1], testscript.ParseArguments(args[2:]))
 	},
 	"peer-report": func(p *player, now balancer.Time, args []string) {
 		index, ok := p.endpoints[p.resolve(args[0])]
@@ -27,13 +27,13 @@
 	},
 	"exclude": func(p *player, now balancer.Time, args []string) {
 		cancel := len(args) > 2
-		p.record(p.balancer.SetExclusion(now, p.endpoints[p.resolve(args[0])], testscript.Num(args[1]), cancel))
+		p.record(p.balancer.SetExclusion(now, p.endpoints[p.resolve(args[0])], testscript.ParseNumber(args[1]), cancel))
 	},
 	"delay-probe": func(p *player, now balancer.Time, args []string) {
 		p.record(p.balancer.DelayProbe(now, p.endpoints[p.resolve(args[0])], milliseconds(args[1])))
 	},
 	"quota-share": func(p *player, now balancer.Time, args []string) {
-		p.record(p.balancer.SetQuotaShare(now, testscript.Num(args[0])))
+		p.record(p.balancer.SetQuotaShare(now, testscript.ParseNumber(args[0])))
 	},
 	"client-gone": func(p *player, now balancer.Time, args []string) {
 		p.record(p.balancer.ClientGone(now, integer(args[0])))
@@ -56,14 +56,14 @@
 			continue
 		}
 		parts := strings.Split(arg, ":")
-		name, options := parts[0], testscript.Words(parts[1:])
+		name, options := parts[0], testscript.ParseArguments(parts[1:])
 		endpoint := balancer.Endpoint{
 			Index: p.endpointIndex(name, options["at"]), Name: name, Origin: name[0] == 'o',
 			StartedAt: milliseconds(options["since"]), Weight: 1, Zone: integer(options["zone"]),
 			Ready: options["draining"] == "" && options["gone"] == "",
 		}
 		if options["weight"] != "" {
-			endpoint.Weight = testscript.Num(options["weight"])
+			endpoint.Weight = testscript.ParseNumber(options["weight"])
 		}
 		endpoints = append(endpoints, endpoint)
 	}
@@ -104,7 +104,7 @@
 		ClientRetry: options["client-retry"] != "", RemainingTimeout: p.settings.Routes[route].Timeout,
 	}
 	if options["key"] != "" {
-		e.Key = uint64(testscript.Num(options["key"]))
+		e.Key = uint64(testscript.ParseNumber(options["key"]))
 	}
 	if options["remaining"] != "" {
 		e.RemainingTimeout = milliseconds(options["remaining"])
@@ -117,7 +117,7 @@
 
 // rounds has a range of requests arrive, be sent and completed, several times.
 func (p *player) rounds(now balancer.Time, args []string) {
-	requests, options := parseRange(args[1]), testscript.Words(args[3:])
+	requests, options := parseRange(args[1]), testscript.ParseArguments(args[3:])
 	latency := milliseconds(options["latency"])
 	for range integer(args[0]) {
 		p.arriveEach(now, requests, args[2], options)
@@ -135,7 +135,7 @@
 }
 
 func (p *player) end(now balancer.Time, args []string) {
-	requests, options := parseRange(args[0]), testscript.Words(args[2:])
+	requests, options := parseRange(args[0]), testscript.ParseArguments(args[2:])
 	outcome, ok := outcomes[args[1]]
 	if !ok {
 		p.fail("unknown outcome %q", args[1])
--- a/balancer/scenario_expect_test.go
+++ b/balancer/scenario_expect_test.go
@@ -82,7 +82,7 @@
 			count++
 		}
 	}
-	if !testscript.Holds(count, op, want) {
+	if !testscript.Compare(count, op, want) {
 		p.fail("%s came %d times, not %s %d; all: %q", act, count, op, want, p.decisions)
 	}
 }
--- a/balancer/scenario_test.go
+++ b/balancer/scenario_test.go
@@ -37,7 +37,7 @@
 // ENDPOINT is a name, $X (bound at its first use, no cache twice) or any. Wake decisions are left out, and logs
 // unless they are asked for.
 func TestScenarios(t *testing.T) {
-	testscript.Play(t, "scenarios/*.txt", func(t *testing.T) testscript.Stage {
+	testscript.RunFiles(t, "scenarios/*.txt", func(t *testing.T) testscript.Runner {
 		return &player{
 			t: t, routes: map[string]int{}, endpoints: map[string]int{}, bound: map[string]string{},
 			lastSent: map[int]balancer.Decision{}, settings: balancer.Settings{
@@ -64,15 +64,15 @@
 	counted       bool                      // the last line's decisions were counted
 }
 
-// Step plays one line.
-func (p *player) Step(line int, words []string) {
+// RunStep plays one line.
+func (p *player) RunStep(line int, words []string) {
 	p.line = line
 	switch words[0] {
 	case "settings":
-		p.addSettings(testscript.Words(words[1:]))
+		p.addSettings(testscript.ParseArguments(words[1:]))
 		return
 	case "route":
-		p.addRoute(words[1], testscript.Words(words[2:]))
+		p.addRoute(words[1], testscript.ParseArguments(words[2:]))
 		return
 	case ">":
 		p.expect(words[1:])
@@ -91,17 +91,17 @@
 	play(p, now, words[2:])
 }
 
-// End checks what the last line left.
-func (p *player) End() { p.expectNothingLeft() }
+// Finish checks what the last line left.
+func (p *player) Finish() { p.expectNothingLeft() }
 
 func (p *player) fail(format string, args ...any) {
 	p.t.Helper()
 	p.t.Errorf("line %d: %s", p.line, fmt.Sprintf(format, args...))
 }
 
-func milliseconds(s string) balancer.Time { return balancer.Time(testscript.Num(s) * 10) }
+func milliseconds(s string) balancer.Time { return balancer.Time(testscript.ParseNumber(s) * 10) }
 
-func integer(s string) int { return int(testscript.Num(s)) }
+func integer(s string) int { return int(testscript.ParseNumber(s)) }
 
 // indexRange is a range FROM-TO of request indices, or one index.
 type indexRange struct{ from, to int }
@@ -149,11 +149,11 @@
 		case "slow-start":
 			s.SlowStart = milliseconds(value)
 		case "quota":
-			s.TenantQuotas = []float64{testscript.Num(value), testscript.Num(value)}
+			s.TenantQuotas = []float64{testscript.ParseNumber(value), testscript.ParseNumber(value)}
 		case "fetch-cost":
-			s.FetchCost = testscript.Num(value)
+			s.FetchCost = testscript.ParseNumber(value)
 		case "over-quota-weight":
-			s.OverQuotaWeight = testscript.Num(value)
+			s.OverQuotaWeight = testscript.ParseNumber(value)
 		default:
 			p.fail("unknown setting %q", name)
 		}
@@ -164,7 +164,7 @@
 	p.routes[name] = len(p.settings.Routes)
 	p.settings.Routes = append(p.settings.Routes, balancer.Route{
 		Objective: milliseconds(options["objective"]), Timeout: milliseconds(options["overall"]),
-		Value: testscript.Num(options["value"]), LateValue: testscript.Num(options["late-value"]),
+		Value: testscript.ParseNumber(options["value"]), LateValue: testscript.ParseNumber(options["late-value"]),
 		DedupWindow: milliseconds(options["window"]), Effect: effects[options["effect"]], Group: groups[options["group"]],
 	})
 }
--- a/cmd/emulator/check.go
+++ b/cmd/emulator/check.go
@@ -37,10 +37,10 @@
 }
 
 func checkScenario(file string) error {
-	scenario, err := emulator.ReadDay(file)
+	scenario, err := emulator.ReadScenario(file)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: good; %d requests under seed 1\n", file, len(scenario.Draw(1).Requests))
+	fmt.Printf("%s: good; %d requests under seed 1\n", file, len(scenario.NewPlan(1).Requests))
 	return nil
 }
--- a/cmd/emulator/null.go
+++ b/cmd/emulator/null.go
@@ -13,4 +13,4 @@
 }
 
 // Run serves until the process is interrupted.
-func (c *nullCommand) Run(ctx context.Context) error { return emulator.Null(ctx, c.Listen) }
+func (c *nullCommand) Run(ctx context.Context) error { return emulator.ServeNull(ctx, c.Listen) }
--- a/cmd/emulator/play.go
+++ b/cmd/emulator/play.go
@@ -22,23 +22,23 @@
 
 // Run returns errInvariantViolated after the violations are printed.
 func (c *playCommand) Run(ctx context.Context) error {
-	scenario, err := emulator.ReadDay(c.Day)
+	scenario, err := emulator.ReadScenario(c.Day)
 	if err != nil {
 		return err
 	}
 	if err := experiment.CreateEmptyDir(c.Dir); err != nil {
 		return err
 	}
-	options := emulator.Options{Start: emulator.Program(c.Program...), Dir: c.Dir}
-	report, err := emulator.Play(ctx, scenario.Draw(c.Seed), options)
+	options := emulator.Options{Start: emulator.StartProgram(c.Program...), Dir: c.Dir}
+	report, err := emulator.Run(ctx, scenario.NewPlan(c.Seed), options)
 	if err != nil {
 		return err
 	}
 	fmt.Print(experiment.Describe(report))
-	for _, violation := range report.Breaches {
+	for _, violation := range report.Violations {
 		fmt.Println(violation)
 	}
-	if len(report.Breaches) > 0 {
+	if len(report.Violations) > 0 {
 		return errInvariantViolated
 	}
 	return nil
--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -442,7 +442,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(node.Stop)
-		node.Set("hit", 1, 0, 0)
+		node.SetMode("hit", 1, 0, 0)
 		if n.addr = node.Addr(0); n.zone == "b" {
 			zoneB = append(zoneB, node)
 		}
--- a/internal/emulator/absence_check.go
+++ b/internal/emulator/absence_check.go
@@ -8,24 +8,24 @@
 type absenceCheck struct {
 	*findings
 	processes    *processHistory
-	scenario     *Day
+	scenario     *Scenario
 	keys         map[string]string        // by request
 	firstWritten map[string]time.Duration // by key
 	maxStaleness time.Duration            // the longest for which a key was reported missing after it was written
 }
 
-func (a *absenceCheck) observeWrite(e Seen) {
-	if _, ok := a.firstWritten[a.keys[e.ID]]; !ok {
-		a.firstWritten[a.keys[e.ID]] = e.At
+func (a *absenceCheck) observeWrite(e Event) {
+	if _, ok := a.firstWritten[a.keys[e.RequestID]]; !ok {
+		a.firstWritten[a.keys[e.RequestID]] = e.At
 	}
 }
 
 // observeAbsent checks an answer that there is no such key to a request that was asked at a moment.
-func (a *absenceCheck) observeAbsent(e Seen, askedAt time.Duration) {
-	key, limit := a.keys[e.ID], a.scenario.maxAbsentStaleness()
+func (a *absenceCheck) observeAbsent(e Event, askedAt time.Duration) {
+	key, limit := a.keys[e.RequestID], a.scenario.maxAbsentStaleness()
 	written, ok := a.firstWritten[key]
-	if !ok && hashedFloat("missing", key) >= a.scenario.Missing.Part {
-		a.violate(FreshAbsenceRule, e, "key %s of request %s was always there, and is called missing", key, e.ID)
+	if !ok && hashedFloat("missing", key) >= a.scenario.NegativeCache.AbsentPart {
+		a.violate(FreshAbsenceRule, e, "key %s of request %s was always there, and is called missing", key, e.RequestID)
 		return
 	}
 	staleness := askedAt - written
@@ -34,6 +34,6 @@
 	}
 	a.maxStaleness = max(a.maxStaleness, staleness)
 	if staleness > limit && !a.processes.wasPaused(e.Proxy, written, e.At) {
-		a.violate(FreshAbsenceRule, e, "key %s of request %s is called missing %v after it was written, over %v", key, e.ID, staleness, limit)
+		a.violate(FreshAbsenceRule, e, "key %s of request %s is called missing %v after it was written, over %v", key, e.RequestID, staleness, limit)
 	}
 }
--- a/internal/emulator/backends.go
+++ b/internal/emulator/backends.go
@@ -7,7 +7,7 @@
 
 // startBackends starts the origin, the caches and the proxies' discovery agents, which know the whole list.
 func (r *runner) startBackends() error {
-	d := r.plan.Day
+	d := r.plan.Scenario
 	var err error
 	if r.origin, err = r.startNode("origin", true, time.Time{}); err != nil {
 		return err
@@ -35,11 +35,11 @@
 
 // warmKeys returns the keys that caches have at the start.
 func (r *runner) warmKeys() map[string]bool {
-	keys := r.plan.Day.Keys
+	keys := r.plan.Scenario.Keys
 	warm := map[string]bool{}
 	for k := range keys.Count {
 		name := keyName(uint64(k))
-		if hashedFloat("warm", name) < keys.Warm && !r.cluster.isAbsent(name) {
+		if hashedFloat("warm", name) < keys.CachedPart && !r.cluster.isAbsent(name) {
 			warm[name] = true
 		}
 	}
@@ -53,11 +53,11 @@
 	if err != nil {
 		return err
 	}
-	rows := []Row{r.endpointRow(r.origin, proxy, statusActive)}
+	rows := []Endpoint{r.endpointRow(r.origin, proxy, statusActive)}
 	for _, n := range r.nodes {
 		rows = append(rows, r.endpointRow(n, proxy, statusActive))
 	}
-	d.Say(rows...)
+	d.Publish(rows...)
 	r.discoveries, r.discoveryAddresses = append(r.discoveries, d), append(r.discoveryAddresses, address)
 	return nil
 }
@@ -65,7 +65,7 @@
 // startNode starts a cache or the origin. A cache that starts during the scenario, at startedAt, does so in slow start; at the
 // zero time it is warm.
 func (r *runner) startNode(name string, origin bool, startedAt time.Time) (*Node, error) {
-	d := r.plan.Day
+	d := r.plan.Scenario
 	n, err := NewNode("127.0.0.1", name, origin, d.Proxies, r.log)
 	if err != nil {
 		return nil, err
@@ -75,7 +75,7 @@
 		n.work = newWorkQueue(d.Origin, 0, 1)
 		return n, nil
 	}
-	n.work = newWorkQueue(d.Fleet.Server, seconds(d.Fleet.Cold), d.Fleet.ColdFrom)
+	n.work = newWorkQueue(d.Fleet.NodeCapacity, seconds(d.Fleet.SlowStartS), d.Fleet.InitialSpeed)
 	r.recordNodeStart(n, startedAt)
 	r.cluster.assignZone(name)
 	return n, nil
@@ -97,19 +97,19 @@
 		return
 	}
 	r.cluster.resetCache(n.Name, nil)
-	r.log.Record(Seen{What: Began, Proxy: -1, Node: n.Name, Figure: n.work.commandsPerSecond()})
+	r.log.Record(Event{Kind: SlowStartBegan, Proxy: -1, Node: n.Name, Figure: n.work.commandsPerSecond()})
 }
 
 // endpointRow returns a node's row as a proxy's discovery agent reports it.
-func (r *runner) endpointRow(n *Node, proxy int, status string) Row {
-	row := Row{Name: n.Name, Address: n.Addr(proxy), Kind: "cache", Status: status}
+func (r *runner) endpointRow(n *Node, proxy int, status string) Endpoint {
+	row := Endpoint{Name: n.Name, Address: n.Addr(proxy), Kind: "cache", Status: status}
 	if n.Origin {
 		row.Kind = "origin"
 		return row
 	}
 	row.Zone = r.cluster.zoneOf(n.Name)
 	if started := n.work.started(); !started.IsZero() {
-		row.Since = started.UnixMilli()
+		row.StartedAtMS = started.UnixMilli()
 	}
 	return row
 }
@@ -117,7 +117,7 @@
 // publish has every discovery agent report a node's status.
 func (r *runner) publish(n *Node, status string) {
 	for i, d := range r.discoveries {
-		d.Say(r.endpointRow(n, i, status))
+		d.Publish(r.endpointRow(n, i, status))
 	}
 }
 
--- a/internal/emulator/background_load.go
+++ b/internal/emulator/background_load.go
@@ -10,13 +10,13 @@
 	"time"
 )
 
-// Together is the load that all proxies together put on nodes and discovery besides requests.
-type Together struct {
-	Trials  float64 // commands a second that a silent node received, from silenceGrace after it fell silent on
-	Watches float64 // mean number of open discovery watches
-	Calls   float64 // discovery watches opened a second
-	Conns   float64 // mean number of connections open at a cache
-	Most    int     // greatest number of connections open at one cache
+// BackgroundLoad is the load that all proxies together put on nodes and discovery besides requests.
+type BackgroundLoad struct {
+	HealthChecksPerSecond  float64 // commands a second that a silent node received, from silenceGrace after it fell silent on
+	MeanOpenWatches        float64 // mean number of open discovery watches
+	WatchesOpenedPerSecond float64 // discovery watches opened a second
+	MeanConnsPerNode       float64 // mean number of connections open at a cache
+	MaxConnsPerNode        int     // greatest number of connections open at one cache
 }
 
 // silenceGrace is how long proxies have to eject a silent node before its commands are counted as health checks.
@@ -44,12 +44,12 @@
 
 // writeDutyConfig writes a proxy's duties file.
 func (r *runner) writeDutyConfig(m *managedProxy) error {
-	t := r.plan.Day.Turns
+	t := r.plan.Scenario.Duties
 	if !t.On {
 		return nil
 	}
 	m.config.DutiesFile = filepath.Join(m.config.Dir, "turns.toml")
-	return os.WriteFile(m.config.DutiesFile, fmt.Appendf(nil, "watchers = %d\nkeepers = %d\n", t.Watchers, t.Keepers), 0o600)
+	return os.WriteFile(m.config.DutiesFile, fmt.Appendf(nil, "watchers = %d\nkeepers = %d\n", t.Watchers, t.Owners), 0o600)
 }
 
 // recordSilence records for how long a node was silent.
@@ -78,14 +78,14 @@
 		r.mu.Unlock()
 		sum := 0
 		for _, n := range nodes {
-			open := n.Open()
+			open := n.OpenConns()
 			sum += open
 			b.maxConns = max(b.maxConns, open)
 		}
 		b.samples++
 		b.connsPerNode += float64(sum) / float64(len(nodes))
 		for _, d := range r.discoveries {
-			b.watches += int(d.Watches.Load())
+			b.watches += int(d.OpenWatches.Load())
 		}
 	}
 	b.watchCalls += r.discoveryCalls()
@@ -94,25 +94,25 @@
 // discoveryCalls returns how many watches have been opened at all discovery agents.
 func (r *runner) discoveryCalls() (sum int64) {
 	for _, d := range r.discoveries {
-		sum += d.Calls.Load()
+		sum += d.WatchesOpened.Load()
 	}
 	return sum
 }
 
 // summarizeBackgroundLoad calculates the load from the samples and the recorded events.
-func (r *runner) summarizeBackgroundLoad(events []Seen) (load Together) {
+func (r *runner) summarizeBackgroundLoad(events []Event) (load BackgroundLoad) {
 	b := &r.backgroundLoad
 	for _, e := range events {
-		if span, ok := b.silentSpans[e.Node]; ok && e.What == Took && span.contains(e.At) {
-			load.Trials++
+		if span, ok := b.silentSpans[e.Node]; ok && e.Kind == AttemptReceived && span.contains(e.At) {
+			load.HealthChecksPerSecond++
 		}
 	}
 	if b.silentTime > 0 {
-		load.Trials /= b.silentTime.Seconds()
+		load.HealthChecksPerSecond /= b.silentTime.Seconds()
 	}
 	if b.samples > 0 {
-		load.Watches, load.Conns = float64(b.watches)/float64(b.samples), b.connsPerNode/float64(b.samples)
-		load.Calls, load.Most = float64(b.watchCalls)/time.Since(b.began).Seconds(), b.maxConns
+		load.MeanOpenWatches, load.MeanConnsPerNode = float64(b.watches)/float64(b.samples), b.connsPerNode/float64(b.samples)
+		load.WatchesOpenedPerSecond, load.MaxConnsPerNode = float64(b.watchCalls)/time.Since(b.began).Seconds(), b.maxConns
 	}
 	return load
 }
--- a/internal/emulator/cluster.go
+++ b/internal/emulator/cluster.go
@@ -13,7 +13,7 @@
 // called concurrently, those whose name ends in Locked with mu held.
 type cluster struct {
 	log       *EventLog
-	scenario  *Day
+	scenario  *Scenario
 	valueSize int      // bytes
 	network   *network // nil: nothing stands between processes
 
@@ -27,9 +27,9 @@
 	written  map[string]bool            // keys that were written
 }
 
-func newCluster(scenario *Day, log *EventLog) *cluster {
+func newCluster(scenario *Scenario, log *EventLog) *cluster {
 	return &cluster{
-		log: log, valueSize: scenario.Keys.Size, scenario: scenario, zones: map[string]string{},
+		log: log, valueSize: scenario.Keys.ValueBytes, scenario: scenario, zones: map[string]string{},
 		cached: map[string]map[string]bool{}, missedBy: map[string][]string{}, lastRun: map[string]time.Time{},
 		routes: map[string]Route{}, proxyOf: map[string]int{}, written: map[string]bool{},
 	}
@@ -66,7 +66,7 @@
 	crossZone := c.zones[n.Name] != zones[proxy%len(zones)]
 	c.mu.Unlock()
 	if crossZone {
-		time.Sleep(millis(c.scenario.Fleet.Cross))
+		time.Sleep(millis(c.scenario.Fleet.CrossZoneMS))
 	}
 }
 
@@ -114,7 +114,7 @@
 		return nil
 	}
 	if c.isAbsentLocked(r.key) {
-		c.log.Record(Seen{What: Lacked, ID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.key})
+		c.log.Record(Event{Kind: KeyAbsent, RequestID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.key})
 		return errNoSuchKey
 	}
 	for _, name := range c.missedBy[r.id] {
@@ -127,12 +127,12 @@
 }
 
 func (c *cluster) writeLocked(n *Node, r originRequest) {
-	window := millis(c.routes[r.id].Dedup)
+	window := millis(c.routes[r.id].DedupMS)
 	if at, ok := c.lastRun[r.idempotencyKey]; r.idempotencyKey == "" || !ok || time.Since(at) >= window {
 		if r.idempotencyKey != "" {
 			c.lastRun[r.idempotencyKey] = time.Now()
 		}
-		c.log.Record(Seen{What: Ran, ID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.idempotencyKey})
+		c.log.Record(Event{Kind: WriteExecuted, RequestID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.idempotencyKey})
 	}
 	c.written[r.key] = true
 	for _, keys := range c.cached {
@@ -148,7 +148,7 @@
 }
 
 func (c *cluster) isAbsentLocked(key string) bool {
-	part := c.scenario.Missing.Part
+	part := c.scenario.NegativeCache.AbsentPart
 	return part > 0 && !c.written[key] && hashedFloat("missing", key) < part
 }
 
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -19,29 +19,29 @@
 	statusLeft    = "left"
 )
 
-// Row is an endpoint as one proxy's discovery agent reports it.
-type Row struct {
+// Endpoint is an endpoint as one proxy's discovery agent reports it.
+type Endpoint struct {
 	Name, Address, Zone, Kind, Status string
-	Since                             int64 // start of the endpoint in Unix milliseconds, 0: not known
+	StartedAtMS                       int64 // start of the endpoint in Unix milliseconds, 0: not known
 }
 
 // String returns the endpoint in the JSON of the discovery protocol.
-func (r Row) String() string {
+func (r Endpoint) String() string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":%q,"type":%q,"group":1,"status":%q,"weight":1,"since_ms":%d}`,
-		r.Name, r.Address, r.Zone, r.Kind, r.Status, r.Since)
+		r.Name, r.Address, r.Zone, r.Kind, r.Status, r.StartedAtMS)
 }
 
-// Mood is how discovery treats watches.
-type Mood string
+// DiscoveryMode is how discovery treats watches.
+type DiscoveryMode string
 
 // Modes of discovery.
 const (
-	discoveryServes  Mood = ""
-	discoverySilent  Mood = "silent"  // watches stay open and are sent nothing, for good
-	discoveryDown    Mood = "down"    // watches are sent nothing until the mode changes
-	discoveryCut     Mood = "cut"     // connections are closed
-	discoveryGarbled Mood = "garbled" // malformed data is sent and connections are closed
-	discoveryFull    Mood = "full"    // watches are refused
+	discoveryServes  DiscoveryMode = ""
+	discoverySilent  DiscoveryMode = "silent"  // watches stay open and are sent nothing, for good
+	discoveryDown    DiscoveryMode = "down"    // watches are sent nothing until the mode changes
+	discoveryCut     DiscoveryMode = "cut"     // connections are closed
+	discoveryGarbled DiscoveryMode = "garbled" // malformed data is sent and connections are closed
+	discoveryFull    DiscoveryMode = "full"    // watches are refused
 )
 
 // keepaliveInterval is how often an open watch is sent an empty line.
@@ -49,19 +49,19 @@
 
 // Discovery is a stand-in for the service discovery agent on one proxy's machine. Its methods may be called concurrently.
 type Discovery struct {
-	Proxy   int
-	Calls   atomic.Int64 // watches that were opened
-	Watches atomic.Int64 // watches that are open
-	log     *EventLog
-	network *network // nil: the proxy reaches it directly
-	serving sync.WaitGroup
+	Proxy         int
+	WatchesOpened atomic.Int64 // watches that were opened
+	OpenWatches   atomic.Int64 // watches that are open
+	log           *EventLog
+	network       *network // nil: the proxy reaches it directly
+	serving       sync.WaitGroup
 
 	mu              sync.Mutex
-	versions        [][]Row // changes by version, of which the first is the whole list
-	mode            Mood
+	versions        [][]Endpoint // changes by version, of which the first is the whole list
+	mode            DiscoveryMode
 	silencedWatches int // how often the watches that were open have been silenced
 	withholding     bool
-	withheld        [][]Row       // changes that are not published yet
+	withheld        [][]Endpoint  // changes that are not published yet
 	changed         chan struct{} // closed at each change of what stands above
 	conns           []net.Conn
 	servers         []*http.Server
@@ -106,8 +106,8 @@
 	d.serving.Wait()
 }
 
-// Say publishes changes as one version; the first call gives the whole list.
-func (d *Discovery) Say(rows ...Row) {
+// Publish publishes changes as one version; the first call gives the whole list.
+func (d *Discovery) Publish(rows ...Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.withholding {
@@ -117,7 +117,7 @@
 	d.publishLocked(rows)
 }
 
-func (d *Discovery) publishLocked(rows []Row) {
+func (d *Discovery) publishLocked(rows []Endpoint) {
 	d.versions = append(d.versions, rows)
 	if d.log != nil && len(d.versions) > 1 {
 		time.AfterFunc(deliveryDeadline, func() { d.assumeDelivered(rows) })
@@ -132,7 +132,7 @@
 }
 
 // assumeDelivered records what counts as delivered by now, whether or not it was, unless a later version has replaced it.
-func (d *Discovery) assumeDelivered(rows []Row) {
+func (d *Discovery) assumeDelivered(rows []Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	current := d.currentRows()
@@ -144,8 +144,8 @@
 }
 
 // currentRows returns the latest row of each endpoint by name.
-func (d *Discovery) currentRows() map[string]Row {
-	current := map[string]Row{}
+func (d *Discovery) currentRows() map[string]Endpoint {
+	current := map[string]Endpoint{}
 	for _, rows := range d.versions {
 		for _, row := range rows {
 			current[row.Name] = row
@@ -155,8 +155,8 @@
 }
 
 // recordDelivered records that its proxy knows a row, or counts as knowing it.
-func (d *Discovery) recordDelivered(row Row) {
-	d.log.Record(Seen{What: Told, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
+func (d *Discovery) recordDelivered(row Endpoint) {
+	d.log.Record(Event{Kind: StatusDelivered, Proxy: d.Proxy, Node: row.Name, Note: row.Status})
 }
 
 // recordKnownAtStart records which endpoints are not active as a proxy process starts: this counts as delivered from that
@@ -192,8 +192,8 @@
 	}
 }
 
-// Feel changes the mode; "cut" and "garbled" close all connections.
-func (d *Discovery) Feel(mode Mood) {
+// SetMode changes the mode; "cut" and "garbled" close all connections.
+func (d *Discovery) SetMode(mode DiscoveryMode) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.mode = mode
@@ -206,8 +206,8 @@
 	d.notifyLocked()
 }
 
-// Mood returns the current mode.
-func (d *Discovery) Mood() Mood {
+// Mode returns the current mode.
+func (d *Discovery) Mode() DiscoveryMode {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.mode
@@ -225,9 +225,9 @@
 
 func (d *Discovery) serveWatch(response http.ResponseWriter, request *http.Request) {
 	since, _ := strconv.Atoi(request.URL.Query().Get("since")) // none or malformed: from the beginning
-	d.Calls.Add(1)
-	d.Watches.Add(1)
-	defer d.Watches.Add(-1)
+	d.WatchesOpened.Add(1)
+	d.OpenWatches.Add(1)
+	defer d.OpenWatches.Add(-1)
 	d.mu.Lock()
 	w := &watch{discovery: d, response: response, request: request, silenced: d.silencedWatches, next: max(since-1, 0)}
 	d.mu.Unlock()
@@ -271,7 +271,7 @@
 }
 
 // state returns the mode that holds for the watch, a channel that is closed at the next change, and the versions to send.
-func (w *watch) state() (mode Mood, changed <-chan struct{}, versions [][]Row) {
+func (w *watch) state() (mode DiscoveryMode, changed <-chan struct{}, versions [][]Endpoint) {
 	d := w.discovery
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -283,7 +283,7 @@
 }
 
 // send writes versions and a keep-alive line. A failed write cancels the request's context, which is looked at afterwards.
-func (w *watch) send(versions [][]Row) {
+func (w *watch) send(versions [][]Endpoint) {
 	for _, rows := range versions {
 		w.next++
 		endpoints := make([]string, len(rows))
--- a/internal/emulator/drain_check.go
+++ b/internal/emulator/drain_check.go
@@ -11,7 +11,7 @@
 	since     map[proxyNode]time.Duration // when a proxy was notified of a drain that lasts
 }
 
-func (d *drainCheck) observeDelivery(e Seen) {
+func (d *drainCheck) observeDelivery(e Event) {
 	node := proxyNode{e.Proxy, e.Node}
 	if e.Note == statusActive {
 		delete(d.since, node)
@@ -20,7 +20,7 @@
 	}
 }
 
-func (d *drainCheck) observeArrival(e Seen) {
+func (d *drainCheck) observeArrival(e Event) {
 	since, draining := d.since[proxyNode{e.Proxy, e.Node}]
 	if !draining {
 		return
@@ -32,6 +32,6 @@
 		}
 	}
 	if e.At > since+drainGrace+timingSlack {
-		d.violate(DrainRule, e, "node %s took request %s from proxy %d %v after that was told", e.Node, e.ID, e.Proxy, e.At-since)
+		d.violate(DrainRule, e, "node %s took request %s from proxy %d %v after that was told", e.Node, e.RequestID, e.Proxy, e.At-since)
 	}
 }
--- a/internal/emulator/eventlog.go
+++ b/internal/emulator/eventlog.go
@@ -11,19 +11,19 @@
 
 // Kinds of events.
 const (
-	Asked    EventKind = "asked"    // a client has written a whole request
-	Answered EventKind = "answered" // a client has a final answer: Note is the outcome, Made the request that its value was made for
-	Closed   EventKind = "closed"   // a connection ended during a request
-	Went     EventKind = "went"     // a client left before the answer
-	Took     EventKind = "took"     // a node has received a whole attempt
-	Ran      EventKind = "ran"      // the origin carried out a write, whose idempotency key is Note
-	Lacked   EventKind = "lacked"   // the origin has no key Note, and answered so
-	Told     EventKind = "told"     // discovery delivered an endpoint's status, Note, to a proxy
-	Began    EventKind = "began"    // a node begins its slow start: Figure is its full capacity in commands a second
-	Ended    EventKind = "ended"    // a proxy process ended: Note is how
-	Shared   EventKind = "shared"   // a proxy reports Figure as its quota, the part of the fleet's limits, and Note as its rows of nodes
-	Paused   EventKind = "paused"   // a proxy process was stopped by a signal, or continued: Note is pauseBegins or pauseEnds
-	Late     EventKind = "late"     // the load generator sent a request Figure milliseconds too late
+	RequestSent      EventKind = "asked"    // a client has written a whole request
+	AnswerReceived   EventKind = "answered" // a client has a final answer: Note is the outcome, Made the request that its value was made for
+	ConnectionClosed EventKind = "closed"   // a connection ended during a request
+	ClientLeft       EventKind = "went"     // a client left before the answer
+	AttemptReceived  EventKind = "took"     // a node has received a whole attempt
+	WriteExecuted    EventKind = "ran"      // the origin carried out a write, whose idempotency key is Note
+	KeyAbsent        EventKind = "lacked"   // the origin has no key Note, and answered so
+	StatusDelivered  EventKind = "told"     // discovery delivered an endpoint's status, Note, to a proxy
+	SlowStartBegan   EventKind = "began"    // a node begins its slow start: Figure is its full capacity in commands a second
+	ProcessEnded     EventKind = "ended"    // a proxy process ended: Note is how
+	QuotaReported    EventKind = "shared"   // a proxy reports Figure as its quota, the part of the fleet's limits, and Note as its rows of nodes
+	ProcessPaused    EventKind = "paused"   // a proxy process was stopped by a signal, or continued: Note is pauseBegins or pauseEnds
+	SentLate         EventKind = "late"     // the load generator sent a request Figure milliseconds too late
 )
 
 // Notes of Ended events.
@@ -42,17 +42,17 @@
 // noteReused is a Closed event's note where the connection had served a request before.
 const noteReused = "reused"
 
-// Seen is a recorded event.
-type Seen struct {
-	At             time.Duration // from the event log's start
-	What           EventKind
-	ID             string // of the request
-	Proxy          int    // -1: none
-	Node           string
-	Note           string
-	Made           string
-	Figure         float64
-	Bytes, Packets int64 // of gossip, since the proxy process began
+// Event is a recorded event.
+type Event struct {
+	At                         time.Duration // from the event log's start
+	Kind                       EventKind
+	RequestID                  string // of the request
+	Proxy                      int    // -1: none
+	Node                       string
+	Note                       string
+	MadeFor                    string
+	Figure                     float64
+	GossipBytes, GossipPackets int64 // of gossip, since the proxy process began
 }
 
 // EventLog collects the events of a run. Its methods may be called concurrently, and Record on nil.
@@ -60,14 +60,14 @@
 	start time.Time
 
 	mu     sync.Mutex
-	events []Seen
+	events []Event
 }
 
 // NewEventLog returns an empty log that starts now.
 func NewEventLog() *EventLog { return &EventLog{start: time.Now()} }
 
 // Record adds an event and sets its time.
-func (l *EventLog) Record(event Seen) {
+func (l *EventLog) Record(event Event) {
 	if l == nil {
 		return
 	}
@@ -78,17 +78,17 @@
 }
 
 // All returns a copy of the events, in order.
-func (l *EventLog) All() []Seen {
+func (l *EventLog) All() []Event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Clone(l.events)
 }
 
 // eventsOfRequest returns the events of one request.
-func eventsOfRequest(events []Seen, id string) []Seen {
-	var related []Seen
+func eventsOfRequest(events []Event, id string) []Event {
+	var related []Event
 	for _, e := range events {
-		if e.ID == id {
+		if e.RequestID == id {
 			related = append(related, e)
 		}
 	}
--- a/internal/emulator/fake_proxy_test.go
+++ b/internal/emulator/fake_proxy_test.go
@@ -28,7 +28,7 @@
 }
 
 // startFake starts a fake proxy, which counts its connections where a counter is given.
-func startFake(answer func(id string, number int) fakeAnswer, conns *atomic.Int64) emulator.Start {
+func startFake(answer func(id string, number int) fakeAnswer, conns *atomic.Int64) emulator.StartFunc {
 	return func(config emulator.ProxyConfig) (emulator.Proxy, error) {
 		listener, err := net.Listen("tcp", config.Listen)
 		if err != nil {
@@ -112,9 +112,9 @@
 			text := scenarioWith("length_s = 2.0", "length_s = 1.0", "rate = 150.0", "rate = 40.0")
 			r := play(t, text, startFake(c.answer, nil))
 			if got := countViolations(r); c.rule == "" && len(got) > 0 || c.rule != "" && (got[c.rule] == 0 || len(got) > 1) {
-				t.Errorf("%v, not %q", r.Breaches, c.rule)
+				t.Errorf("%v, not %q", r.Violations, c.rule)
 			}
-			if c.rule != "" && len(r.Breaches[0].Events) == 0 {
+			if c.rule != "" && len(r.Violations[0].Events) == 0 {
 				t.Error("no events of the request")
 			}
 		})
@@ -156,7 +156,7 @@
 		asked.Add(1)
 		return fakeAnswer{text: validValue(id)}
 	}, &conns))
-	if conns.Load() < 40 || conns.Load() > 50 || len(r.Breaches) > 0 || asked.Load() < 60 {
-		t.Errorf("%d connections, %d asked, %v", conns.Load(), asked.Load(), r.Breaches)
+	if conns.Load() < 40 || conns.Load() > 50 || len(r.Violations) > 0 || asked.Load() < 60 {
+		t.Errorf("%d connections, %d asked, %v", conns.Load(), asked.Load(), r.Violations)
 	}
 }
--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -54,20 +54,20 @@
 	if completedPart(r) < 0.8 {
 		t.Errorf("%d asked, %v", len(r.Plan.Requests), countOutcomes(r))
 	}
-	last, paused, leastQuota := map[int]emulator.Seen{}, 0, 1.0
-	for _, e := range r.Seen {
-		switch e.What {
-		case emulator.Shared:
+	last, paused, leastQuota := map[int]emulator.Event{}, 0, 1.0
+	for _, e := range r.Events {
+		switch e.Kind {
+		case emulator.QuotaReported:
 			last[e.Proxy] = e
 			leastQuota = min(leastQuota, e.Figure)
-		case emulator.Paused:
+		case emulator.ProcessPaused:
 			paused++
 		}
 	}
 	sum := 0.0
 	for i, e := range last {
-		if e.Note != last[0].Note || e.Note == "" || e.Made != "false" {
-			t.Errorf("n%d holds %q, behind %s at %v; n0 %q at %v", i, e.Note, e.Made, e.At, last[0].Note, last[0].At)
+		if e.Note != last[0].Note || e.Note == "" || e.MadeFor != "false" {
+			t.Errorf("n%d holds %q, behind %s at %v; n0 %q at %v", i, e.Note, e.MadeFor, e.At, last[0].Note, last[0].At)
 		}
 		sum += e.Figure
 	}
@@ -92,11 +92,11 @@
 		`kind = "zone-grey"; at_s = 13.0; for_s = 5.0; zone = "a"; times = 10.0; part = 0.2`,
 	)
 	r := playWithoutViolation(t, text, program(t))
-	if len(r.Zones) != 3 || r.Convicted > 0 {
-		t.Fatalf("%+v; %d verdicts that no fault explains", r.Zones, r.Convicted)
+	if len(r.ZoneFaults) != 3 || r.FalseVerdicts > 0 {
+		t.Fatalf("%+v; %d verdicts that no fault explains", r.ZoneFaults, r.FalseVerdicts)
 	}
-	for i, z := range r.Zones {
-		left := z.Kept == 0 && z.Last < 3*time.Second && z.Back > 0
+	for i, z := range r.ZoneFaults {
+		left := z.NeverLeft == 0 && z.LastLeft < 3*time.Second && z.Returned > 0
 		if left != (i < 2) {
 			t.Errorf("%+v", z)
 		}
@@ -117,10 +117,10 @@
 		`kind = "zone-cut"; at_s = 4.5; for_s = 4.0; zone = "b"`,
 	)
 	r := playWithoutViolation(t, text, program(t))
-	if r.Hasty > 0 || len(r.Zones) != 2 {
-		t.Fatalf("%+v; %d passed by that no fault explains", r.Zones, r.Hasty)
+	if r.FalsePositives > 0 || len(r.ZoneFaults) != 2 {
+		t.Fatalf("%+v; %d passed by that no fault explains", r.ZoneFaults, r.FalsePositives)
 	}
-	if busy, cut := r.Zones[0], r.Zones[1]; busy.First > 0 || cut.First == 0 {
+	if busy, cut := r.ZoneFaults[0], r.ZoneFaults[1]; busy.FirstLeft > 0 || cut.FirstLeft == 0 {
 		t.Errorf("busy: %+v; cut off: %+v", busy, cut)
 	}
 }
@@ -169,10 +169,10 @@
 	if completedPart(r) < 0.85 {
 		t.Errorf("%d asked, %v", len(r.Plan.Requests), countOutcomes(r))
 	}
-	if r.Together.Watches > 0.75*alone.Together.Watches || alone.Together.Watches < 6 || r.Together.Watches < 1 {
-		t.Errorf("watches open at a time: %.1f, and %.1f where each watches", r.Together.Watches, alone.Together.Watches)
+	if r.BackgroundLoad.MeanOpenWatches > 0.75*alone.BackgroundLoad.MeanOpenWatches || alone.BackgroundLoad.MeanOpenWatches < 6 || r.BackgroundLoad.MeanOpenWatches < 1 {
+		t.Errorf("watches open at a time: %.1f, and %.1f where each watches", r.BackgroundLoad.MeanOpenWatches, alone.BackgroundLoad.MeanOpenWatches)
 	}
-	t.Logf("with shared duties %+v, each for itself %+v", r.Together, alone.Together)
+	t.Logf("with shared duties %+v, each for itself %+v", r.BackgroundLoad, alone.BackgroundLoad)
 }
 
 // Processes with a negative cache, with some partitioned, datagrams lost, one paused, one killed and one restarted while keys are
@@ -193,10 +193,10 @@
 	if completedPart(r) < 0.85 {
 		t.Errorf("%d asked, %v", len(r.Plan.Requests), countOutcomes(r))
 	}
-	if r.AbsentSaid < 20 || r.AbsentAsked > 0.95*r.AbsentSaid {
-		t.Errorf("clients hear of %.1f missing keys a second, the origin is asked for %.1f", r.AbsentSaid, r.AbsentAsked)
+	if r.AbsentAnswersPerSecond < 20 || r.AbsentLookupsPerSecond > 0.95*r.AbsentAnswersPerSecond {
+		t.Errorf("clients hear of %.1f missing keys a second, the origin is asked for %.1f", r.AbsentAnswersPerSecond, r.AbsentLookupsPerSecond)
 	}
-	t.Logf("%.1f said, %.1f asked, %v after the write at most", r.AbsentSaid, r.AbsentAsked, r.Stale)
+	t.Logf("%.1f said, %.1f asked, %v after the write at most", r.AbsentAnswersPerSecond, r.AbsentLookupsPerSecond, r.MaxAbsentStaleness)
 }
 
 // Four of six proxies are killed while discovery refuses most watches. With their state files they serve as before; without they
@@ -210,8 +210,8 @@
 		`kind = "mass-kill"; at_s = 4.0; for_s = 0.5; nodes = 4; spread_s = 0.5`,
 	)
 	stateful, stateless := playBoth(t, text, "state = true", "state = false")
-	with, without := stateful.Returns[0], stateless.Returns[0]
-	if with.Killed != 4 || with.Full+time.Second > without.Full || with.Full > 0 && without.Full > 0 && with.Between <= without.Between {
+	with, without := stateful.Recoveries[0], stateless.Recoveries[0]
+	if with.Killed != 4 || with.Recovered+time.Second > without.Recovered || with.Recovered > 0 && without.Recovered > 0 && with.InTimeUntilRecovered <= without.InTimeUntilRecovered {
 		t.Errorf("with state files %+v, without %+v", with, without)
 	}
 }
--- a/internal/emulator/gossip.go
+++ b/internal/emulator/gossip.go
@@ -61,7 +61,7 @@
 
 // writeGossipConfigs writes each proxy's gossip file, with other proxies as seeds.
 func (r *runner) writeGossipConfigs() error {
-	peers := r.plan.Day.Peers
+	peers := r.plan.Scenario.Gossip
 	for i, own := range r.relays {
 		var seeds []string
 		for k, other := range r.relays {
@@ -71,11 +71,11 @@
 		}
 		text := fmt.Sprintf("cluster = \"day\"\nlisten = %q\nadvertise = %q\nseeds = [%s]\n",
 			own.targetAddress, own.listenAddress, strings.Join(seeds, ", "))
-		if peers.Hold > 0 {
-			text += fmt.Sprintf("hold_s = %v\n", peers.Hold)
+		if peers.HoldDownS > 0 {
+			text += fmt.Sprintf("hold_s = %v\n", peers.HoldDownS)
 		}
-		if peers.Floor > 0 {
-			text += fmt.Sprintf("floor = %v\n", peers.Floor)
+		if peers.QuotaFloor > 0 {
+			text += fmt.Sprintf("floor = %v\n", peers.QuotaFloor)
 		}
 		if err := os.WriteFile(r.proxies[i].config.GossipFile, []byte(text), 0o600); err != nil {
 			return err
@@ -116,22 +116,22 @@
 
 // parseGossipStatus reads a proxy's answer about its peers into a Shared event; Made is whether the proxy is catching up. It
 // reports whether the answer could be read.
-func parseGossipStatus(text string) (event Seen, ok bool) {
-	event.What = Shared
+func parseGossipStatus(text string) (event Event, ok bool) {
+	event.Kind = QuotaReported
 	for line := range strings.SplitSeq(text, "\n") {
 		if _, rest, found := strings.Cut(line, "; behind "); found {
 			var behind, quota string
 			if _, err := fmt.Sscanf(rest, "%s share %s", &behind, &quota); err != nil {
 				return event, false
 			}
-			event.Made = strings.TrimSuffix(behind, ",")
+			event.MadeFor = strings.TrimSuffix(behind, ",")
 			figure, err := strconv.ParseFloat(quota, 64)
 			event.Figure, ok = figure, err == nil
 		}
 		if strings.HasPrefix(line, "packets ") {
 			var streams, in, out int64
-			if _, err := fmt.Sscanf(line, "packets %d streams %d bytes-in %d bytes-out %d", &event.Packets, &streams, &in, &out); err == nil {
-				event.Bytes = in + out
+			if _, err := fmt.Sscanf(line, "packets %d streams %d bytes-in %d bytes-out %d", &event.GossipPackets, &streams, &in, &out); err == nil {
+				event.GossipBytes = in + out
 			}
 		}
 		if rows, found := strings.CutPrefix(line, "rows node "); found {
@@ -162,7 +162,7 @@
 		// the other proxies' discovery agents count this version too, and hold it back
 		for i, d := range r.discoveries {
 			d.setWithholding(i != proxy)
-			d.Say(r.endpointRow(n, i, statusActive))
+			d.Publish(r.endpointRow(n, i, statusActive))
 		}
 		r.mu.Lock()
 		r.announcements = append(r.announcements, announcement{n.Name, proxy, time.Now()})
@@ -185,7 +185,7 @@
 	proxy := (k*7 + 3) % len(r.discoveries)
 	for step := range r.discoveries {
 		proxy = (proxy + step) % len(r.discoveries)
-		if r.load.available[proxy].Load() && r.discoveries[proxy].Mood() == discoveryServes {
+		if r.load.available[proxy].Load() && r.discoveries[proxy].Mode() == discoveryServes {
 			break
 		}
 	}
--- a/internal/emulator/gossip_report.go
+++ b/internal/emulator/gossip_report.go
@@ -8,15 +8,15 @@
 
 // measureGossip reads from the proxies' logs when each learnt of announced nodes and caught up, and calculates the traffic.
 func (r *runner) measureGossip(report *Report) {
-	if !r.plan.Day.Peers.Talk {
+	if !r.plan.Scenario.Gossip.On {
 		return
 	}
 	learntAt := r.readGossipLogs(report)
 	for _, a := range r.announcements {
 		r.measureAnnouncement(report, a, learntAt[a.node])
 	}
-	slices.Sort(report.Whispers)
-	slices.Sort(report.CatchUps)
+	slices.Sort(report.PropagationTimes)
+	slices.Sort(report.CatchUpTimes)
 	measureGossipTraffic(report)
 }
 
@@ -29,7 +29,7 @@
 		case line.Msg == messageStarted || strings.HasPrefix(line.Msg, messageStalled):
 			begun[proxy] = line.At
 		case strings.HasPrefix(line.Msg, messageCaughtUp) && begun[proxy] > 0:
-			report.CatchUps = append(report.CatchUps, seconds(line.At-begun[proxy]))
+			report.CatchUpTimes = append(report.CatchUpTimes, seconds(line.At-begun[proxy]))
 			begun[proxy] = 0
 		case line.Msg == messageNewRow:
 			if learntAt[line.Peer] == nil {
@@ -47,13 +47,13 @@
 func (r *runner) measureAnnouncement(report *Report, a announcement, learntAt map[int]float64) {
 	for i := range r.proxies {
 		at, ok := learntAt[i]
-		if r.wasPaused(report.Seen, i, a.at, at) {
+		if r.wasPaused(report.Events, i, a.at, at) {
 			continue // it could receive nothing
 		}
 		if ok && i != a.proxy {
-			report.Whispers = append(report.Whispers, seconds(at-float64(a.at.UnixMicro())/1e6))
+			report.PropagationTimes = append(report.PropagationTimes, seconds(at-float64(a.at.UnixMicro())/1e6))
 		} else if !ok {
-			report.Unheard++
+			report.NeverPropagated++
 		}
 	}
 }
@@ -61,29 +61,29 @@
 // measureGossipTraffic calculates the mean traffic of a proxy from successive status reports of the same process.
 func measureGossipTraffic(report *Report) {
 	var bytes, packets, elapsed float64
-	latest := map[int]Seen{}
-	for _, e := range report.Seen {
-		if e.What != Shared {
+	latest := map[int]Event{}
+	for _, e := range report.Events {
+		if e.Kind != QuotaReported {
 			continue
 		}
-		if before, ok := latest[e.Proxy]; ok && e.Bytes >= before.Bytes { // else a new process counts anew
-			bytes += float64(e.Bytes - before.Bytes)
-			packets += float64(e.Packets - before.Packets)
+		if before, ok := latest[e.Proxy]; ok && e.GossipBytes >= before.GossipBytes { // else a new process counts anew
+			bytes += float64(e.GossipBytes - before.GossipBytes)
+			packets += float64(e.GossipPackets - before.GossipPackets)
 			elapsed += (e.At - before.At).Seconds()
 		}
 		latest[e.Proxy] = e
 	}
 	if elapsed > 0 {
-		report.PeerBytes, report.PeerPackets = bytes/elapsed, packets/elapsed
+		report.GossipBytesPerSecond, report.GossipPacketsPerSecond = bytes/elapsed, packets/elapsed
 	}
 }
 
 // wasPaused reports whether a proxy was paused between a moment and another, which is a log's in Unix seconds.
-func (r *runner) wasPaused(events []Seen, proxy int, from time.Time, to float64) bool {
+func (r *runner) wasPaused(events []Event, proxy int, from time.Time, to float64) bool {
 	begin, pausedAt := from.Sub(r.log.start), time.Duration(-1)
 	end := seconds(to - float64(r.log.start.UnixMicro())/1e6)
 	for _, e := range events {
-		if e.What != Paused || e.Proxy != proxy {
+		if e.Kind != ProcessPaused || e.Proxy != proxy {
 			continue
 		}
 		if e.Note != pauseEnds {
--- a/internal/emulator/helpers_test.go
+++ b/internal/emulator/helpers_test.go
@@ -47,13 +47,13 @@
 }
 
 // program builds the proxy, and returns how it is started as a process.
-func program(t *testing.T) emulator.Start {
+func program(t *testing.T) emulator.StartFunc {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "woodproxy")
 	if text, err := exec.Command("go", "build", "-o", file, "woodproxy/cmd/woodproxy").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, text)
 	}
-	return emulator.Program(file, "serve")
+	return emulator.StartProgram(file, "serve")
 }
 
 // calmScenario is a scenario without faults, from which tests make theirs.
@@ -83,9 +83,9 @@
 	return scenario
 }
 
-func parseScenario(t *testing.T, text string) *emulator.Day {
+func parseScenario(t *testing.T, text string) *emulator.Scenario {
 	t.Helper()
-	d, err := emulator.ParseDay([]byte(text))
+	d, err := emulator.ParseScenario([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,10 +93,10 @@
 }
 
 // play plays a scenario under seed 1.
-func play(t *testing.T, text string, start emulator.Start) *emulator.Report {
+func play(t *testing.T, text string, start emulator.StartFunc) *emulator.Report {
 	t.Helper()
 	options := emulator.Options{Start: start, Dir: t.TempDir()}
-	r, err := emulator.Play(t.Context(), parseScenario(t, text).Draw(1), options)
+	r, err := emulator.Run(t.Context(), parseScenario(t, text).NewPlan(1), options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -104,10 +104,10 @@
 }
 
 // playWithoutViolation plays a scenario in which no rule may be broken.
-func playWithoutViolation(t *testing.T, text string, start emulator.Start) *emulator.Report {
+func playWithoutViolation(t *testing.T, text string, start emulator.StartFunc) *emulator.Report {
 	t.Helper()
 	r := play(t, text, start)
-	for _, v := range r.Breaches {
+	for _, v := range r.Violations {
 		t.Error(v)
 	}
 	return r
@@ -147,7 +147,7 @@
 // countViolations counts violations by rule.
 func countViolations(r *emulator.Report) map[emulator.Rule]int {
 	counts := map[emulator.Rule]int{}
-	for _, v := range r.Breaches {
+	for _, v := range r.Violations {
 		counts[v.Rule]++
 	}
 	return counts
--- a/internal/emulator/inject.go
+++ b/internal/emulator/inject.go
@@ -58,20 +58,20 @@
 }
 
 // nodeModes holds the mode that nodes are in while a fault of the given kind lasts.
-var nodeModes = map[string]Habit{
+var nodeModes = map[string]NodeMode{
 	"silent": modeSilent, "failing": modeFails, "reset": modeCuts, "garbled": modeGarbled, "halves": modeHalves,
 }
 
 // discoveryModes holds the mode that discovery is in while a fault of the given kind lasts.
-var discoveryModes = map[string]Mood{"deaf": discoverySilent, "refusing": discoveryFull}
+var discoveryModes = map[string]DiscoveryMode{"deaf": discoverySilent, "refusing": discoveryFull}
 
 // injectFault waits until a fault event is due, counted from the scenario's start, and injects it.
 func (r *runner) injectFault(ctx context.Context, event FaultEvent, start time.Time) {
-	beginsAt := start.Add(seconds(event.At))
+	beginsAt := start.Add(seconds(event.AtS))
 	if !sleep(ctx, time.Until(beginsAt)) {
 		return
 	}
-	duration := seconds(event.For)
+	duration := seconds(event.DurationS)
 	injectors[event.Kind](r, ctx, activeFault{FaultEvent: event, duration: duration, endsAt: beginsAt.Add(duration)})
 }
 
@@ -93,11 +93,11 @@
 	}
 	targets, began := r.targetNodes(fault.FaultEvent), time.Now()
 	for _, n := range targets {
-		n.Set(nodeModes[fault.Kind], part, 0, 0)
+		n.SetMode(nodeModes[fault.Kind], part, 0, 0)
 	}
 	sleep(ctx, fault.duration)
 	for _, n := range targets {
-		n.Set(modeServe, 1, 0, 0)
+		n.SetMode(modeServe, 1, 0, 0)
 		if fault.Kind == "silent" {
 			r.recordSilence(n, began, time.Now())
 		}
@@ -115,7 +115,7 @@
 // slowDown multiplies the service time of nodes while the fault lasts.
 func slowDown(ctx context.Context, nodes []*Node, fault activeFault) {
 	for _, n := range nodes {
-		n.work.setSlowdown(fault.Times)
+		n.work.setSlowdown(fault.Slowdown)
 	}
 	sleep(ctx, fault.duration)
 	for _, n := range nodes {
@@ -139,7 +139,7 @@
 func (r *runner) injectNodeReplacements(ctx context.Context, fault activeFault) {
 	for k, old := range r.targetNodes(fault.FaultEvent) {
 		r.publish(old, statusLeaving)
-		if !sleep(ctx, max(millis(fault.Leave), minProxyDowntime)) {
+		if !sleep(ctx, max(millis(fault.LeaveMS), minProxyDowntime)) {
 			return
 		}
 		r.publish(old, statusLeft)
@@ -195,11 +195,11 @@
 
 func (r *runner) injectDiscoveryMode(ctx context.Context, fault activeFault) {
 	for _, i := range fault.Targets {
-		r.discoveries[i].Feel(discoveryModes[fault.Kind])
+		r.discoveries[i].SetMode(discoveryModes[fault.Kind])
 	}
 	sleep(ctx, fault.duration)
 	for _, i := range fault.Targets {
-		r.discoveries[i].Feel(discoveryServes)
+		r.discoveries[i].SetMode(discoveryServes)
 	}
 }
 
@@ -220,7 +220,7 @@
 }
 
 func (r *runner) injectSingleAnnouncements(ctx context.Context, fault activeFault) {
-	r.announceToOne(ctx, fault.Nodes, fault.duration)
+	r.announceToOne(ctx, fault.Count, fault.duration)
 }
 
 func (r *runner) injectProxyPause(ctx context.Context, fault activeFault) {
@@ -228,7 +228,7 @@
 }
 
 func (r *runner) injectProxyKills(ctx context.Context, fault activeFault) {
-	r.killProxies(ctx, fault.Targets, max(fault.duration, minProxyDowntime), seconds(fault.Spread), func() {})
+	r.killProxies(ctx, fault.Targets, max(fault.duration, minProxyDowntime), seconds(fault.SpreadS), func() {})
 }
 
 // injectProxyRestarts kills proxies ("kill") or ends them gracefully ("restart"), one after the other, and starts each again.
@@ -264,9 +264,9 @@
 	during, cancel := context.WithTimeout(ctx, fault.duration)
 	defer cancel()
 	var clients sync.WaitGroup
-	for i := range fault.Nodes {
+	for i := range fault.Count {
 		clients.Go(func() {
-			readSlowly(during, r.load.addresses[i%len(r.load.addresses)], fmt.Sprint("slow", i), r.plan.Day.Routes[0])
+			readSlowly(during, r.load.addresses[i%len(r.load.addresses)], fmt.Sprint("slow", i), r.plan.Scenario.Routes[0])
 		})
 	}
 	clients.Wait()
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -47,25 +47,25 @@
 	At     time.Duration
 	ID     string // of the request; "" where it is not one's
 	Text   string
-	Events []Seen // the request's
+	Events []Event // the request's
 }
 
 // String returns the violation and its events on a line each.
 func (v Violation) String() string {
 	s := fmt.Sprintf("%s: %.3f s: %s", v.Rule, v.At.Seconds(), v.Text)
 	for _, e := range v.Events {
-		s += fmt.Sprintf("\n    %.4f s %s proxy %d %s %s", e.At.Seconds(), e.What, e.Proxy, e.Node, e.Note)
+		s += fmt.Sprintf("\n    %.4f s %s proxy %d %s %s", e.At.Seconds(), e.Kind, e.Proxy, e.Node, e.Note)
 	}
 	return s
 }
 
 // CheckInvariants returns the violations in a scenario's events, ordered by time.
-func CheckInvariants(scenario *Day, requests []Request, events []Seen) []Violation {
+func CheckInvariants(scenario *Scenario, requests []Request, events []Event) []Violation {
 	return checkInvariants(scenario, requests, events).violations
 }
 
 // checkInvariants checks events and returns the checker with its findings and measurements.
-func checkInvariants(scenario *Day, requests []Request, events []Seen) *checker {
+func checkInvariants(scenario *Scenario, requests []Request, events []Event) *checker {
 	c := newChecker(scenario, requests, newProcessHistory(events))
 	for _, e := range events {
 		c.observe(e)
@@ -83,8 +83,8 @@
 // findings collects violations.
 type findings struct{ violations []Violation }
 
-func (f *findings) violate(rule Rule, event Seen, format string, args ...any) {
-	f.violations = append(f.violations, Violation{Rule: rule, At: event.At, ID: event.ID, Text: fmt.Sprintf(format, args...)})
+func (f *findings) violate(rule Rule, event Event, format string, args ...any) {
+	f.violations = append(f.violations, Violation{Rule: rule, At: event.At, ID: event.RequestID, Text: fmt.Sprintf(format, args...)})
 }
 
 // proxyNode is a node as one proxy knows it.
@@ -104,7 +104,7 @@
 	quota     quotaCheck
 }
 
-func newChecker(scenario *Day, requests []Request, processes *processHistory) *checker {
+func newChecker(scenario *Scenario, requests []Request, processes *processHistory) *checker {
 	routes, keys := map[string]Route{}, map[string]string{}
 	for _, request := range requests {
 		routes[request.ID], keys[request.ID] = scenario.Routes[request.Route], request.Key
@@ -113,45 +113,45 @@
 	return &checker{
 		findings: found,
 		answers: answerCheck{
-			findings: found, processes: processes, routes: routes, lastAsked: map[string]Seen{}, count: map[string]int{},
+			findings: found, processes: processes, routes: routes, lastAsked: map[string]Event{}, count: map[string]int{},
 			abandoned: map[string]bool{},
 		},
 		absence: absenceCheck{findings: found, processes: processes, scenario: scenario, keys: keys, firstWritten: map[string]time.Duration{}},
 		effects: effectCheck{findings: found, runs: map[string]int{}},
 		drains:  drainCheck{findings: found, processes: processes, since: map[proxyNode]time.Duration{}},
 		slowStart: slowStartCheck{
-			findings: found, fleet: scenario.Fleet, begins: map[string]Seen{}, arrivals: map[string][]arrival{},
+			findings: found, fleet: scenario.Fleet, begins: map[string]Event{}, arrivals: map[string][]arrival{},
 			startKnown: map[proxyNode]bool{}, overloaded: map[string]bool{},
 		},
-		quota: quotaCheck{findings: found, reports: map[int][]Seen{}},
+		quota: quotaCheck{findings: found, reports: map[int][]Event{}},
 	}
 }
 
-func (c *checker) observe(e Seen) {
+func (c *checker) observe(e Event) {
 	c.answers.last = e.At
-	switch e.What {
-	case Asked:
+	switch e.Kind {
+	case RequestSent:
 		c.answers.observeAsked(e)
-	case Answered:
+	case AnswerReceived:
 		c.observeAnswer(e)
-	case Went:
-		c.answers.abandoned[e.ID] = true
-	case Closed:
+	case ClientLeft:
+		c.answers.abandoned[e.RequestID] = true
+	case ConnectionClosed:
 		c.answers.observeClosed(e)
-	case Took:
+	case AttemptReceived:
 		c.drains.observeArrival(e)
 		c.slowStart.observeArrival(e)
-	case Ran:
+	case WriteExecuted:
 		c.absence.observeWrite(e)
 		c.effects.observeWrite(e)
-	case Told:
+	case StatusDelivered:
 		c.drains.observeDelivery(e)
 		c.slowStart.observeDelivery(e)
-	case Began:
+	case SlowStartBegan:
 		c.slowStart.observeBegin(e)
-	case Shared:
+	case QuotaReported:
 		c.quota.observeReport(e)
-	case Ended:
+	case ProcessEnded:
 		delete(c.quota.reports, e.Proxy)
 		if e.Note == endCrashed {
 			c.violate(CrashRule, e, "proxy %d crashed", e.Proxy)
@@ -159,15 +159,15 @@
 	}
 }
 
-func (c *checker) observeAnswer(e Seen) {
+func (c *checker) observeAnswer(e Event) {
 	if !c.answers.observeAnswer(e) {
 		return
 	}
 	completed := e.Note == string(Completed)
 	switch {
 	case completed && e.Node == noSuchKey:
-		c.absence.observeAbsent(e, c.answers.lastAsked[e.ID].At)
-	case completed && e.Made != e.ID:
-		c.violate(OwnValueRule, e, "request %s was answered with a value made for %q", e.ID, e.Made)
+		c.absence.observeAbsent(e, c.answers.lastAsked[e.RequestID].At)
+	case completed && e.MadeFor != e.RequestID:
+		c.violate(OwnValueRule, e, "request %s was answered with a value made for %q", e.RequestID, e.MadeFor)
 	}
 }
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -9,38 +9,48 @@
 )
 
 // event returns an event of the first proxy at a number of milliseconds.
-func event(atMS int, what emulator.EventKind, id, node, note string) emulator.Seen {
-	return emulator.Seen{At: time.Duration(atMS) * time.Millisecond, What: what, ID: id, Node: node, Note: note, Made: id, Proxy: 0}
+func event(atMS int, what emulator.EventKind, id, node, note string) emulator.Event {
+	return emulator.Event{At: time.Duration(atMS) * time.Millisecond, Kind: what, RequestID: id, Node: node, Note: note, MadeFor: id, Proxy: 0}
 }
 
 // Shorter forms of event, for the read "a", the write "w" and the caches c1 and c2.
 
-func asked(atMS int) emulator.Seen { return event(atMS, emulator.Asked, "a", "", "") }
+func asked(atMS int) emulator.Event { return event(atMS, emulator.RequestSent, "a", "", "") }
 
-func answered(atMS int, note string) emulator.Seen {
-	return event(atMS, emulator.Answered, "a", "", note)
+func answered(atMS int, note string) emulator.Event {
+	return event(atMS, emulator.AnswerReceived, "a", "", note)
 }
 
-func absent(atMS int) emulator.Seen { return event(atMS, emulator.Answered, "a", "none", "completed") }
+func absent(atMS int) emulator.Event {
+	return event(atMS, emulator.AnswerReceived, "a", "none", "completed")
+}
 
-func ended(atMS int, note string) emulator.Seen { return event(atMS, emulator.Ended, "", "", note) }
+func ended(atMS int, note string) emulator.Event {
+	return event(atMS, emulator.ProcessEnded, "", "", note)
+}
 
-func paused(atMS int, note string) emulator.Seen { return event(atMS, emulator.Paused, "", "", note) }
+func paused(atMS int, note string) emulator.Event {
+	return event(atMS, emulator.ProcessPaused, "", "", note)
+}
 
-func took(atMS int, node string) emulator.Seen { return event(atMS, emulator.Took, "", node, "") }
+func took(atMS int, node string) emulator.Event {
+	return event(atMS, emulator.AttemptReceived, "", node, "")
+}
 
-func ran(atMS int, key string) emulator.Seen { return event(atMS, emulator.Ran, "w", "o", key) }
+func ran(atMS int, key string) emulator.Event {
+	return event(atMS, emulator.WriteExecuted, "w", "o", key)
+}
 
-func told(atMS int, node, status string) emulator.Seen {
-	return event(atMS, emulator.Told, "", node, status)
+func told(atMS int, node, status string) emulator.Event {
+	return event(atMS, emulator.StatusDelivered, "", node, status)
 }
 
 // closed is the end of the read's connection at 9 ms.
-func closed(note string) emulator.Seen { return event(9, emulator.Closed, "a", "", note) }
+func closed(note string) emulator.Event { return event(9, emulator.ConnectionClosed, "a", "", note) }
 
 // slowStart is a node's slow start at 0, and how many commands it receives one a millisecond.
-func slowStart(commands, fromMS int, before ...emulator.Seen) []emulator.Seen {
-	trace := append([]emulator.Seen{{At: 0, What: emulator.Began, Node: "c9", Proxy: -1, Figure: 10}}, before...)
+func slowStart(commands, fromMS int, before ...emulator.Event) []emulator.Event {
+	trace := append([]emulator.Event{{At: 0, Kind: emulator.SlowStartBegan, Node: "c9", Proxy: -1, Figure: 10}}, before...)
 	for i := range commands {
 		trace = append(trace, took(fromMS+i, "c9"))
 	}
@@ -49,49 +59,49 @@
 
 type ruleCase struct {
 	name  string
-	trace []emulator.Seen
+	trace []emulator.Event
 	rule  emulator.Rule // "": none is broken
 }
 
 var answerCases = []ruleCase{
-	{"answered", []emulator.Seen{asked(0), answered(9, "completed")}, ""},
-	{"never answered", []emulator.Seen{asked(0), took(1100, "c1")}, emulator.FinalAnswerRule},
-	{"not yet answered", []emulator.Seen{asked(0), took(1000, "c1")}, ""},
-	{"client left", []emulator.Seen{asked(0), event(9, emulator.Went, "a", "", ""), took(1100, "c1")}, ""},
-	{"closed", []emulator.Seen{asked(0), closed("")}, emulator.FinalAnswerRule},
-	{"closed when reused", []emulator.Seen{asked(0), closed("reused"), asked(10), answered(19, "shed")}, ""},
-	{"closed after a kill", []emulator.Seen{asked(0), ended(9, "killed"), closed("")}, ""},
-	{"closed after a graceful end", []emulator.Seen{asked(0), ended(9, "stopped"), closed("")}, emulator.FinalAnswerRule},
-	{"closed before a kill", []emulator.Seen{asked(0), closed(""), ended(10, "killed")}, ""},
-	{"closed before a graceful end", []emulator.Seen{asked(0), closed(""), ended(10, "stopped")}, emulator.FinalAnswerRule},
-	{"answered late", []emulator.Seen{asked(0), answered(1051, "shed")}, emulator.FinalAnswerRule},
-	{"answered twice", []emulator.Seen{asked(0), answered(9, "shed"), answered(10, "shed")}, emulator.FinalAnswerRule},
-	{"never asked", []emulator.Seen{answered(9, "shed")}, emulator.FinalAnswerRule},
-	{"absent soon after the write", []emulator.Seen{ran(1, "k1"), asked(100), absent(109)}, ""},
-	{"absent long after the write", []emulator.Seen{ran(1, "k1"), asked(9000), absent(9009)}, emulator.FreshAbsenceRule},
-	{"absent, and always there", []emulator.Seen{asked(0), absent(9)}, emulator.FreshAbsenceRule},
-	{"crashed", []emulator.Seen{ended(0, "crashed")}, emulator.CrashRule},
+	{"answered", []emulator.Event{asked(0), answered(9, "completed")}, ""},
+	{"never answered", []emulator.Event{asked(0), took(1100, "c1")}, emulator.FinalAnswerRule},
+	{"not yet answered", []emulator.Event{asked(0), took(1000, "c1")}, ""},
+	{"client left", []emulator.Event{asked(0), event(9, emulator.ClientLeft, "a", "", ""), took(1100, "c1")}, ""},
+	{"closed", []emulator.Event{asked(0), closed("")}, emulator.FinalAnswerRule},
+	{"closed when reused", []emulator.Event{asked(0), closed("reused"), asked(10), answered(19, "shed")}, ""},
+	{"closed after a kill", []emulator.Event{asked(0), ended(9, "killed"), closed("")}, ""},
+	{"closed after a graceful end", []emulator.Event{asked(0), ended(9, "stopped"), closed("")}, emulator.FinalAnswerRule},
+	{"closed before a kill", []emulator.Event{asked(0), closed(""), ended(10, "killed")}, ""},
+	{"closed before a graceful end", []emulator.Event{asked(0), closed(""), ended(10, "stopped")}, emulator.FinalAnswerRule},
+	{"answered late", []emulator.Event{asked(0), answered(1051, "shed")}, emulator.FinalAnswerRule},
+	{"answered twice", []emulator.Event{asked(0), answered(9, "shed"), answered(10, "shed")}, emulator.FinalAnswerRule},
+	{"never asked", []emulator.Event{answered(9, "shed")}, emulator.FinalAnswerRule},
+	{"absent soon after the write", []emulator.Event{ran(1, "k1"), asked(100), absent(109)}, ""},
+	{"absent long after the write", []emulator.Event{ran(1, "k1"), asked(9000), absent(9009)}, emulator.FreshAbsenceRule},
+	{"absent, and always there", []emulator.Event{asked(0), absent(9)}, emulator.FreshAbsenceRule},
+	{"crashed", []emulator.Event{ended(0, "crashed")}, emulator.CrashRule},
 }
 
 var nodeCases = []ruleCase{
-	{"two writes", []emulator.Seen{ran(1, "k1"), ran(2, "k2")}, ""},
-	{"a write twice", []emulator.Seen{ran(1, "k1"), ran(2, "k1")}, emulator.SingleEffectRule},
-	{"a write without key twice", []emulator.Seen{ran(1, ""), ran(2, "")}, emulator.SingleEffectRule},
-	{"drained", []emulator.Seen{told(0, "c1", "leaving"), took(349, "c1"), took(360, "c2")}, ""},
+	{"two writes", []emulator.Event{ran(1, "k1"), ran(2, "k2")}, ""},
+	{"a write twice", []emulator.Event{ran(1, "k1"), ran(2, "k1")}, emulator.SingleEffectRule},
+	{"a write without key twice", []emulator.Event{ran(1, ""), ran(2, "")}, emulator.SingleEffectRule},
+	{"drained", []emulator.Event{told(0, "c1", "leaving"), took(349, "c1"), took(360, "c2")}, ""},
 	{
 		"sent to a draining node",
-		[]emulator.Seen{told(0, "c1", "leaving"), told(200, "c1", "left"), took(360, "c1")},
+		[]emulator.Event{told(0, "c1", "leaving"), told(200, "c1", "left"), took(360, "c1")},
 		emulator.DrainRule,
 	},
-	{"drained and back", []emulator.Seen{told(0, "c1", "leaving"), told(200, "c1", "active"), took(600, "c1")}, ""},
+	{"drained and back", []emulator.Event{told(0, "c1", "leaving"), told(200, "c1", "active"), took(600, "c1")}, ""},
 	{
 		"drained during a pause",
-		[]emulator.Seen{paused(0, "stands"), told(9, "c1", "leaving"), paused(900, "goes on"), took(1100, "c1")},
+		[]emulator.Event{paused(0, "stands"), told(9, "c1", "leaving"), paused(900, "goes on"), took(1100, "c1")},
 		"",
 	},
 	{
 		"drained after a pause",
-		[]emulator.Seen{paused(0, "stands"), paused(9, "goes on"), told(10, "c1", "leaving"), took(400, "c1")},
+		[]emulator.Event{paused(0, "stands"), paused(9, "goes on"), told(10, "c1", "leaving"), took(400, "c1")},
 		emulator.DrainRule,
 	},
 	{"slow start", slowStart(12, 0), ""},
--- a/internal/emulator/link_faults.go
+++ b/internal/emulator/link_faults.go
@@ -30,12 +30,12 @@
 	mayAffect := func(name string) bool {
 		return name == "" || strings.HasPrefix(name, "n") || event.Zone != "" && strings.HasPrefix(name, "c")
 	}
-	fault := linkFault{lossRate: 1, resetStreams: event.Reset}
+	fault := linkFault{lossRate: 1, resetStreams: event.ResetStreams}
 	switch event.Kind {
 	case "one-way":
 		fault.affects = func(from, to string) bool { return affected[from] && !affected[to] && mayAffect(to) }
 	case "link":
-		fault.lossRate, fault.duplicateRate, fault.maxDelay = event.Part, min(event.Part, 1-event.Part)/3, millis(event.Slow)
+		fault.lossRate, fault.duplicateRate, fault.maxDelay = event.Part, min(event.Part, 1-event.Part)/3, millis(event.MaxDelayMS)
 		fault.affects = func(from, to string) bool {
 			return matchesAny(event.From, from) && matchesAny(event.To, to) ||
 				!event.OneWay && matchesAny(event.To, from) && matchesAny(event.From, to)
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -18,12 +18,12 @@
 
 // Outcomes of requests.
 const (
-	Completed Outcome = "completed" // answered with success, in time or not
-	Shed      Outcome = "shed"      // answered as rejected by load shedding
-	Errored   Outcome = "errored"   // answered with another error
-	Lost      Outcome = "lost"      // not answered
-	Left      Outcome = "left"      // the client left before the answer
-	Refused   Outcome = "refused"   // no proxy accepted a connection
+	Completed         Outcome = "completed" // answered with success, in time or not
+	Rejected          Outcome = "shed"      // answered as rejected by load shedding
+	Failed            Outcome = "errored"   // answered with another error
+	Unanswered        Outcome = "lost"      // not answered
+	Abandoned         Outcome = "left"      // the client left before the answer
+	ConnectionRefused Outcome = "refused"   // no proxy accepted a connection
 )
 
 // Result is the outcome of one request. Both times count from when the request was scheduled.
@@ -65,7 +65,7 @@
 }
 
 func newLoadGenerator(plan *Plan, log *EventLog, c *cluster) *loadGenerator {
-	return &loadGenerator{plan: plan, log: log, cluster: c, idle: make([][]*clientConn, plan.Day.Proxies)}
+	return &loadGenerator{plan: plan, log: log, cluster: c, idle: make([][]*clientConn, plan.Scenario.Proxies)}
 }
 
 // addProxy adds the next proxy, which is not available yet.
@@ -91,7 +91,7 @@
 }
 
 // requestFacts are the facts that a client states of a request, but for its idempotency key.
-func (r Route) requestFacts() string { return fmt.Sprintf("c=%s,t=all,d=%d", r.Name, int(r.Overall)) }
+func (r Route) requestFacts() string { return fmt.Sprintf("c=%s,t=all,d=%d", r.Name, int(r.TimeoutMS)) }
 
 // run sends the requests, until all are sent or the context ends.
 func (g *loadGenerator) run(ctx context.Context, start time.Time) {
@@ -108,7 +108,7 @@
 // openHeldConns opens the connections that clients hold throughout the scenario.
 func (g *loadGenerator) openHeldConns() error {
 	for proxy := range g.addresses {
-		for range g.plan.Day.Load.Connections {
+		for range g.plan.Scenario.Load.Connections {
 			conn, err := g.dial(proxy)
 			if err != nil {
 				return err
@@ -130,7 +130,7 @@
 	if _, err := c.Write(encodeCommand("PING")); err != nil {
 		return err
 	}
-	_, _, err := Answer(c.reader)
+	_, _, err := ReadElement(c.reader)
 	return err
 }
 
@@ -150,7 +150,7 @@
 func (g *loadGenerator) sendOne(request Request, scheduledAt time.Time) {
 	sendDelay := time.Since(scheduledAt)
 	if sendDelay > lateSendThreshold {
-		g.log.Record(Seen{What: Late, ID: request.ID, Proxy: -1, Figure: float64(sendDelay) / 1e6})
+		g.log.Record(Event{Kind: SentLate, RequestID: request.ID, Proxy: -1, Figure: float64(sendDelay) / 1e6})
 	}
 	outcome := g.perform(request)
 	g.mu.Lock()
@@ -178,7 +178,7 @@
 				time.Sleep(dialRetryDelay)
 				continue
 			}
-			return Refused
+			return ConnectionRefused
 		}
 		outcome, err := g.exchange(conn, request)
 		if err == nil || !conn.reused {
@@ -203,7 +203,7 @@
 			return conn, nil
 		}
 		if err == nil {
-			g.log.Record(Seen{What: Answered, ID: conn.lastRequestID, Proxy: proxy, Note: noteUnexpectedReply})
+			g.log.Record(Event{Kind: AnswerReceived, RequestID: conn.lastRequestID, Proxy: proxy, Note: noteUnexpectedReply})
 		}
 		_ = conn.Close() // it has ended or is out of step
 	}
@@ -219,7 +219,7 @@
 	if len(idle) == 0 {
 		return nil
 	}
-	if g.plan.Day.Load.Connections > 0 {
+	if g.plan.Scenario.Load.Connections > 0 {
 		g.idle[proxy] = idle[1:]
 		return idle[0]
 	}
@@ -232,15 +232,15 @@
 // exchange sends a request on a connection and returns its outcome. The error is errConnClosed where the connection ended before
 // the answer began.
 func (g *loadGenerator) exchange(conn *clientConn, request Request) (Outcome, error) {
-	route := g.plan.Day.Routes[request.Route]
-	timeout := millis(route.Overall) + clientGrace
+	route := g.plan.Scenario.Routes[request.Route]
+	timeout := millis(route.TimeoutMS) + clientGrace
 	if request.LeavesAfter > 0 {
 		timeout = request.LeavesAfter
 	}
 	conn.lastRequestID = request.ID
 	err := conn.SetDeadline(time.Now().Add(timeout))
 	g.cluster.recordProxy(request.ID, conn.proxy)
-	g.log.Record(Seen{What: Asked, ID: request.ID, Proxy: conn.proxy})
+	g.log.Record(Event{Kind: RequestSent, RequestID: request.ID, Proxy: conn.proxy})
 	if err == nil {
 		_, err = conn.Write(route.encode(request))
 	}
@@ -253,12 +253,12 @@
 	err = conn.SetDeadline(time.Now().Add(longAnswerTimeout))
 	var head, body string
 	if err == nil {
-		head, body, err = Answer(conn.reader)
+		head, body, err = ReadElement(conn.reader)
 	}
 	if err != nil {
 		_ = conn.Close() // it has failed
-		g.log.Record(Seen{What: Closed, ID: request.ID, Proxy: conn.proxy, Note: noteInAnswer})
-		return Lost, nil
+		g.log.Record(Event{Kind: ConnectionClosed, RequestID: request.ID, Proxy: conn.proxy, Note: noteInAnswer})
+		return Unanswered, nil
 	}
 	return g.answered(conn, request, head, body), nil
 }
@@ -269,7 +269,7 @@
 	if !r.Write {
 		return encodeCommand("KV.GET", request.Key, request.ID, facts)
 	}
-	if r.Dedup > 0 {
+	if r.DedupMS > 0 {
 		facts += ",k=w" + request.ID
 	}
 	return encodeCommand("KV.SET", request.Key, request.ID, facts, writtenValue)
@@ -283,27 +283,27 @@
 		if conn.reused {
 			note = noteReused
 		}
-		g.log.Record(Seen{What: Closed, ID: request.ID, Proxy: conn.proxy, Note: note})
-		return Lost, errConnClosed
+		g.log.Record(Event{Kind: ConnectionClosed, RequestID: request.ID, Proxy: conn.proxy, Note: note})
+		return Unanswered, errConnClosed
 	}
 	if request.LeavesAfter > 0 {
-		g.log.Record(Seen{What: Went, ID: request.ID, Proxy: conn.proxy})
-		return Left, nil
+		g.log.Record(Event{Kind: ClientLeft, RequestID: request.ID, Proxy: conn.proxy})
+		return Abandoned, nil
 	}
-	return Lost, nil
+	return Unanswered, nil
 }
 
 // answered records an answer and puts the connection among the idle ones.
 func (g *loadGenerator) answered(conn *clientConn, request Request, head, body string) Outcome {
-	event, outcome := Seen{What: Answered, ID: request.ID, Proxy: conn.proxy}, Errored
+	event, outcome := Event{Kind: AnswerReceived, RequestID: request.ID, Proxy: conn.proxy}, Failed
 	switch {
 	case head[0] == '$':
 		outcome = Completed
-		if _, event.Made = parseValue(body); head == nullBulk {
+		if _, event.MadeFor = parseValue(body); head == nullBulk {
 			event.Node = noSuchKey
 		}
 	case head == "-BUSY" || strings.HasPrefix(head, "-BUSY "):
-		outcome = Shed
+		outcome = Rejected
 	}
 	event.Note = string(outcome)
 	g.log.Record(event)
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -13,28 +13,28 @@
 	"time"
 )
 
-// Habit is how a node answers commands.
-type Habit string
+// NodeMode is how a node answers commands.
+type NodeMode string
 
 // Modes of nodes. Those without a remark are for caches and the origin.
 const (
-	modeServe   Habit = ""        // by its capacity and the keys that it has
-	modeHit     Habit = "hit"     // a value, whatever the key
-	modeMiss    Habit = "miss"    // a cache: a miss
-	modeAbsent  Habit = "absent"  // the origin: there is no such key
-	modeBusy    Habit = "busy"    // rejected as overloaded
-	modeFails   Habit = "fails"   // a server error
-	modeSilent  Habit = "silent"  // no answer
-	modeGarbled Habit = "garbled" // a malformed answer
-	modeCuts    Habit = "cuts"    // the connection is closed without an answer
-	modeHalves  Habit = "halves"  // a cache: the connection is closed in the middle of the answer
-	modeOnce    Habit = "once"    // a cache: the connection is closed after each answer
-	modeTwice   Habit = "twice"   // a cache: each command is answered twice
-	modeEndless Habit = "endless" // a cache: a value without its line end
-	modeDrips   Habit = "drips"   // a cache: the second half of the answer comes after the delay
-	modeChunked Habit = "chunked" // the origin: an answer in chunks
-	modeNowhere Habit = "nowhere" // connections are refused
-	modeHolds   Habit = "holds"   // no answer until the mode changes, and then as the new mode says
+	modeServe   NodeMode = ""        // by its capacity and the keys that it has
+	modeHit     NodeMode = "hit"     // a value, whatever the key
+	modeMiss    NodeMode = "miss"    // a cache: a miss
+	modeAbsent  NodeMode = "absent"  // the origin: there is no such key
+	modeBusy    NodeMode = "busy"    // rejected as overloaded
+	modeFails   NodeMode = "fails"   // a server error
+	modeSilent  NodeMode = "silent"  // no answer
+	modeGarbled NodeMode = "garbled" // a malformed answer
+	modeCuts    NodeMode = "cuts"    // the connection is closed without an answer
+	modeHalves  NodeMode = "halves"  // a cache: the connection is closed in the middle of the answer
+	modeOnce    NodeMode = "once"    // a cache: the connection is closed after each answer
+	modeTwice   NodeMode = "twice"   // a cache: each command is answered twice
+	modeEndless NodeMode = "endless" // a cache: a value without its line end
+	modeDrips   NodeMode = "drips"   // a cache: the second half of the answer comes after the delay
+	modeChunked NodeMode = "chunked" // the origin: an answer in chunks
+	modeNowhere NodeMode = "nowhere" // connections are refused
+	modeHolds   NodeMode = "holds"   // no answer until the mode changes, and then as the new mode says
 )
 
 // writtenValueByte is the only byte of the values that clients write.
@@ -43,16 +43,16 @@
 // Node is a stand-in for a cache (RESP2) or the origin (HTTP/1.1). It has an address for each proxy, so that it is known which
 // proxy sent a command. Its methods may be called concurrently, Restart only on a stopped node.
 type Node struct {
-	Name   string
-	Origin bool
-	Taken  atomic.Int64 // commands that were received whole
+	Name     string
+	Origin   bool
+	Received atomic.Int64 // commands that were received whole
 
 	listeners []net.Listener // by proxy
 	addresses []string       // by proxy
 	work      *workQueue     // nil: unlimited capacity
 
 	mu           sync.Mutex
-	mode         Habit
+	mode         NodeMode
 	modeChanged  chan struct{} // closed when the mode changes
 	affectedPart float64       // of the commands that the mode holds for; the others are served
 	delay        time.Duration
@@ -80,8 +80,8 @@
 	return n, nil
 }
 
-// Open returns how many connections are open.
-func (n *Node) Open() int {
+// OpenConns returns how many connections are open.
+func (n *Node) OpenConns() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return len(n.conns)
@@ -90,8 +90,8 @@
 // Addr returns the node's address for a proxy.
 func (n *Node) Addr(proxy int) string { return n.addresses[proxy] }
 
-// Set changes the mode for a part of the commands, with the mode's delay and size of values in bytes.
-func (n *Node) Set(mode Habit, part float64, delay time.Duration, size int) {
+// SetMode changes the mode for a part of the commands, with the mode's delay and size of values in bytes.
+func (n *Node) SetMode(mode NodeMode, part float64, delay time.Duration, size int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.mode, n.affectedPart, n.delay, n.valueSize = mode, part, delay, size
@@ -212,14 +212,14 @@
 
 // commandMode is how one command is answered.
 type commandMode struct {
-	mode  Habit
+	mode  NodeMode
 	delay time.Duration
 	value string
 }
 
 // nextMode counts a command and returns how it is answered; it returns once the command is no longer held.
 func (n *Node) nextMode(id string) commandMode {
-	n.Taken.Add(1)
+	n.Received.Add(1)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for n.mode == modeHolds && !n.stopped {
@@ -243,7 +243,7 @@
 	}
 	key, id, facts := words[1], words[2], words[3]
 	proxy = n.cluster.proxyFor(id, proxy)
-	n.cluster.log.Record(Seen{What: Took, ID: id, Proxy: proxy, Node: n.Name, Note: idempotencyKeyOf(facts)})
+	n.cluster.log.Record(Event{Kind: AttemptReceived, RequestID: id, Proxy: proxy, Node: n.Name, Note: idempotencyKeyOf(facts)})
 	command := n.nextMode(id)
 	if command.mode == modeServe {
 		cached, err := n.cluster.lookUp(n, proxy, id, key)
@@ -316,7 +316,7 @@
 	if fetch.write && strings.Trim(string(body), writtenValueByte) != "" {
 		return errConnectionEnds // the value is not what clients write
 	}
-	n.cluster.log.Record(Seen{What: Took, ID: id, Proxy: fetch.proxy, Node: n.Name, Note: fetch.idempotencyKey})
+	n.cluster.log.Record(Event{Kind: AttemptReceived, RequestID: id, Proxy: fetch.proxy, Node: n.Name, Note: fetch.idempotencyKey})
 	command := n.nextMode(id)
 	if command.mode != modeServe {
 		time.Sleep(command.delay)
--- a/internal/emulator/null_proxy.go
+++ b/internal/emulator/null_proxy.go
@@ -7,9 +7,9 @@
 	"net"
 )
 
-// Null serves in place of a proxy until the context ends: it answers every request at once, without a backend. It is the
+// ServeNull serves in place of a proxy until the context ends: it answers every request at once, without a backend. It is the
 // baseline of measurements. The error is that of listening.
-func Null(ctx context.Context, addr string) error {
+func ServeNull(ctx context.Context, addr string) error {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
--- a/internal/emulator/plan.go
+++ b/internal/emulator/plan.go
@@ -22,33 +22,33 @@
 
 // FaultEvent is a fault and its targets.
 type FaultEvent struct {
-	Trouble
+	Fault
 	Targets []int // indexes of nodes or proxies
 }
 
 // Plan is a scenario whose random choices are made.
 type Plan struct {
-	Day      *Day
+	Scenario *Scenario
 	Seed     uint64
 	Requests []Request // by time
-	Blows    []FaultEvent
+	Faults   []FaultEvent
 }
 
-// Draw makes a scenario's random choices by a seed; the same seed gives the same plan.
-func (d *Day) Draw(seed uint64) *Plan {
-	return &Plan{Day: d, Seed: seed, Requests: d.drawRequests(seed), Blows: d.drawFaults(seed)}
+// NewPlan makes a scenario's random choices by a seed; the same seed gives the same plan.
+func (d *Scenario) NewPlan(seed uint64) *Plan {
+	return &Plan{Scenario: d, Seed: seed, Requests: d.drawRequests(seed), Faults: d.drawFaults(seed)}
 }
 
 // drawRequests draws Poisson arrivals at the highest rate, and thins them to the rate of each moment.
-func (d *Day) drawRequests(seed uint64) (requests []Request) {
+func (d *Scenario) drawRequests(seed uint64) (requests []Request) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	zipf := rand.NewZipf(rand.New(rand.NewPCG(seed, 2)), d.Keys.Zipf, 8, uint64(d.Keys.Count-1))
 	gaps := distuv.Exponential{Rate: 1, Src: rand.NewPCG(seed, 3)}
 	highest := d.Load.Rate
 	for _, s := range d.Load.Steps {
-		highest = math.Max(highest, d.Load.Rate*s.Times)
+		highest = math.Max(highest, d.Load.Rate*s.Factor)
 	}
-	for at := gaps.Rand() / highest; at < d.Length; at += gaps.Rand() / highest {
+	for at := gaps.Rand() / highest; at < d.LengthS; at += gaps.Rand() / highest {
 		if random.Float64()*highest > d.rateAt(at) {
 			continue
 		}
@@ -56,24 +56,24 @@
 			At: seconds(at), ID: fmt.Sprintf("%08x%08x", uint32(seed), len(requests)), Key: keyName(zipf.Uint64()),
 			Route: d.pickRoute(random.Float64()), Proxy: random.IntN(d.Proxies),
 		}
-		if random.Float64() < d.Load.Impatient {
-			r.LeavesAfter = millis(d.Routes[r.Route].Overall / 4)
+		if random.Float64() < d.Load.LeavingPart {
+			r.LeavesAfter = millis(d.Routes[r.Route].TimeoutMS / 4)
 		}
 		requests = append(requests, r)
 	}
 	return requests
 }
 
-func (d *Day) drawFaults(seed uint64) (events []FaultEvent) {
+func (d *Scenario) drawFaults(seed uint64) (events []FaultEvent) {
 	random := rand.New(rand.NewPCG(seed, 4))
-	for _, fault := range d.Trouble {
-		events = append(events, FaultEvent{Trouble: fault, Targets: d.drawTargets(fault, random)})
+	for _, fault := range d.Faults {
+		events = append(events, FaultEvent{Fault: fault, Targets: d.drawTargets(fault, random)})
 	}
 	return events
 }
 
 // drawTargets draws the nodes or proxies that a fault affects. A zone's fault has the zone's proxies as its targets.
-func (d *Day) drawTargets(fault Trouble, random *rand.Rand) (targets []int) {
+func (d *Scenario) drawTargets(fault Fault, random *rand.Rand) (targets []int) {
 	candidates := d.Fleet.Nodes
 	if proxyFaults[fault.Kind] {
 		candidates = d.Proxies
@@ -86,30 +86,30 @@
 			}
 		}
 		return targets
-	case faultKinds[fault.Kind].some && fault.Nodes == 0:
+	case faultKinds[fault.Kind].some && fault.Count == 0:
 		return random.Perm(candidates)
 	case slices.Contains([]string{"slow-clients", "whisper", "link"}, fault.Kind): // they have none
 		return nil
 	default:
-		return random.Perm(candidates)[:min(fault.Nodes, candidates)]
+		return random.Perm(candidates)[:min(fault.Count, candidates)]
 	}
 }
 
 func keyName(n uint64) string { return fmt.Sprintf("k%d", n) }
 
 // rateAt returns the rate at a time in seconds.
-func (d *Day) rateAt(at float64) float64 {
+func (d *Scenario) rateAt(at float64) float64 {
 	times := 1.0
 	for _, s := range d.Load.Steps {
-		if at >= s.At {
-			times = s.Times
+		if at >= s.AtS {
+			times = s.Factor
 		}
 	}
 	return d.Load.Rate * times
 }
 
 // pickRoute returns the index of the route at a point in [0, 1) of the shares put end to end.
-func (d *Day) pickRoute(point float64) int {
+func (d *Scenario) pickRoute(point float64) int {
 	for i, r := range d.Routes {
 		if point -= r.Share; point < 0 {
 			return i
--- a/internal/emulator/process_group_test.go
+++ b/internal/emulator/process_group_test.go
@@ -16,14 +16,14 @@
 // processGroup is proxy processes that a test starts itself and that gossip, on IP addresses of their own.
 type processGroup struct {
 	t         *testing.T
-	start     emulator.Start
+	start     emulator.StartFunc
 	dir       string
 	ipPrefix  string
 	discovery string // its address
 }
 
 // newProcessGroup returns a group on a network of 127.0.0.0/8 whose discovery reports the given endpoints.
-func newProcessGroup(t *testing.T, network int, rows ...emulator.Row) *processGroup {
+func newProcessGroup(t *testing.T, network int, rows ...emulator.Endpoint) *processGroup {
 	t.Helper()
 	d := emulator.NewDiscovery(0, nil)
 	_, address, err := d.Listen("127.0.0.1")
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Close)
-	d.Say(rows...)
+	d.Publish(rows...)
 	return &processGroup{t, program(t), t.TempDir(), fmt.Sprintf("127.%d.%d.", network, os.Getpid()%250), address}
 }
 
@@ -126,6 +126,6 @@
 }
 
 // cacheRow returns an active cache that nothing listens for.
-func cacheRow(name, zone string) emulator.Row {
-	return emulator.Row{Name: name, Address: "127.0.0.1:1", Kind: "cache", Status: "active", Zone: zone}
+func cacheRow(name, zone string) emulator.Endpoint {
+	return emulator.Endpoint{Name: name, Address: "127.0.0.1:1", Kind: "cache", Status: "active", Zone: zone}
 }
--- a/internal/emulator/process_history.go
+++ b/internal/emulator/process_history.go
@@ -12,13 +12,13 @@
 }
 
 // newProcessHistory collects the history before the events are checked, since connections are seen to end before their process is.
-func newProcessHistory(events []Seen) *processHistory {
+func newProcessHistory(events []Event) *processHistory {
 	h := &processHistory{kills: map[int][]time.Duration{}, pauses: map[int][]time.Duration{}}
 	for _, e := range events {
 		switch {
-		case e.What == Paused:
+		case e.Kind == ProcessPaused:
 			h.pauses[e.Proxy] = append(h.pauses[e.Proxy], e.At)
-		case e.What == Ended && e.Note == endKilled:
+		case e.Kind == ProcessEnded && e.Note == endKilled:
 			h.kills[e.Proxy] = append(h.kills[e.Proxy], e.At)
 		}
 	}
--- a/internal/emulator/proxies.go
+++ b/internal/emulator/proxies.go
@@ -44,8 +44,8 @@
 	Done() <-chan error // closed, or sent to, once it has ended
 }
 
-// Start starts a proxy: a process or, in tests, one in the same process.
-type Start func(s ProxyConfig) (Proxy, error)
+// StartFunc starts a proxy: a process or, in tests, one in the same process.
+type StartFunc func(s ProxyConfig) (Proxy, error)
 
 // managedProxy is a proxy whose processes the runner starts and ends.
 type managedProxy struct {
@@ -59,7 +59,7 @@
 // startProxies configures all proxies and starts them. Where they gossip, it waits until they have found each other and each has
 // its whole quota.
 func (r *runner) startProxies(ctx context.Context) error {
-	d := r.plan.Day
+	d := r.plan.Scenario
 	r.load = newLoadGenerator(r.plan, r.log, r.cluster)
 	if err := r.configureProxies(); err != nil {
 		return err
@@ -79,7 +79,7 @@
 	if starts.Wait(); failed.Load() != nil {
 		return *failed.Load()
 	}
-	if d.Peers.Talk && !sleep(ctx, gossipSettleTime+time.Duration(d.Proxies)*gossipSettleTimePerProxy) {
+	if d.Gossip.On && !sleep(ctx, gossipSettleTime+time.Duration(d.Proxies)*gossipSettleTimePerProxy) {
 		return ctx.Err()
 	}
 	return nil
@@ -88,10 +88,10 @@
 // configureProxies chooses the proxies' addresses and writes their files. All ports are held until each proxy has one: a port that
 // is free again may be the next proxy's, and two proxies that share one are each given a part of the other's clients.
 func (r *runner) configureProxies() error {
-	if r.plan.Day.Peers.Talk {
+	if r.plan.Scenario.Gossip.On {
 		r.addressPrefix, r.proxyByIP = nextAddressPrefix(), map[string]string{}
 	}
-	for i := range r.plan.Day.Proxies {
+	for i := range r.plan.Scenario.Proxies {
 		listener, err := net.Listen("tcp", r.options.IP+":0")
 		if err != nil {
 			return err
@@ -134,8 +134,8 @@
 
 // configureFeatures writes the files of what a proxy does besides routing.
 func (r *runner) configureFeatures(i int, m *managedProxy) error {
-	d := r.plan.Day
-	if d.Peers.Talk {
+	d := r.plan.Scenario
+	if d.Gossip.On {
 		if err := r.setUpGossip(i, m); err != nil {
 			return err
 		}
@@ -152,7 +152,7 @@
 			return err
 		}
 	}
-	if d.Missing.On {
+	if d.NegativeCache.On {
 		m.config.NegativeCacheFile = filepath.Join(m.config.Dir, "missing.toml")
 		return os.WriteFile(m.config.NegativeCacheFile, []byte("entries = 4096\n"), 0o600)
 	}
@@ -161,7 +161,7 @@
 
 // configFileContent returns what a proxy's configuration file holds.
 func (r *runner) configFileContent(i int, config ProxyConfig) map[string]any {
-	limits := r.plan.Day.Limits
+	limits := r.plan.Scenario.Limits
 	file := map[string]any{
 		"name": config.Name, "listen": config.Listen, "discovery": config.Discovery,
 		"seed": fmt.Sprintf("%016x", r.plan.Seed*1000003+uint64(i)), "known": nil, "settings": r.proxySettings(i),
@@ -175,15 +175,15 @@
 
 // proxySettings returns the platform's settings for a proxy, with the overrides laid over them.
 func (r *runner) proxySettings(i int) map[string]any {
-	d := r.plan.Day
+	d := r.plan.Scenario
 	settings := map[string]any{
 		"replicas-of-me": d.Proxies, "me": i, "tick": 5, "shapes": []string{"cache", "origin"},
 		"limits": map[string]any{
 			"max-upstream-tries": 4, "may-cancel": true, "conn-idle": 15000, "connect-timeout": 250,
-			"retry-after": true, "max-retry-after": 1000, "parallel-tries": d.Limits.Parallel,
+			"retry-after": true, "max-retry-after": 1000, "parallel-tries": d.Limits.Hedging,
 		},
 		"rules": map[string]any{
-			"cold": d.Fleet.Cold * 1000, "fall": float64(overloadWindow.Milliseconds()), "cold-from": d.Fleet.ColdFrom,
+			"cold": d.Fleet.SlowStartS * 1000, "fall": float64(overloadWindow.Milliseconds()), "cold-from": d.Fleet.InitialSpeed,
 			"fall-multiple": overloadMultiple,
 		},
 		"family-info": map[string]any{"mode": "aside", "origin-kind": 1}, "routes": routeSettings(d.Routes),
@@ -202,12 +202,12 @@
 	var all []any
 	for _, route := range routes {
 		settings := map[string]any{
-			"name": route.Name, "latency-objective": route.Objective, "overall-timeout": route.Overall, "value": route.Value,
+			"name": route.Name, "latency-objective": route.ObjectiveMS, "overall-timeout": route.TimeoutMS, "value": route.Weight,
 			"effect": "pure",
 		}
 		switch {
-		case route.Write && route.Dedup > 0:
-			settings["effect"], settings["group"], settings["dedup-window"] = "token", "all", route.Dedup
+		case route.Write && route.DedupMS > 0:
+			settings["effect"], settings["group"], settings["dedup-window"] = "token", "all", route.DedupMS
 		case route.Write:
 			settings["effect"] = "side_effect"
 		}
--- a/internal/emulator/proxy_faults.go
+++ b/internal/emulator/proxy_faults.go
@@ -11,13 +11,13 @@
 func (r *runner) pauseProxies(ctx context.Context, proxies []int, duration time.Duration) {
 	for _, i := range proxies {
 		r.currentProcess(i).Signal(syscall.SIGSTOP)
-		r.log.Record(Seen{What: Paused, Proxy: i, Note: pauseBegins})
+		r.log.Record(Event{Kind: ProcessPaused, Proxy: i, Note: pauseBegins})
 		r.load.available[i].Store(false)
 	}
 	sleep(ctx, duration)
 	for _, i := range proxies {
 		process := r.currentProcess(i)
-		r.log.Record(Seen{What: Paused, Proxy: i, Note: pauseEnds})
+		r.log.Record(Event{Kind: ProcessPaused, Proxy: i, Note: pauseEnds})
 		process.Signal(syscall.SIGCONT)
 		r.load.available[i].Store(true)
 	}
@@ -58,7 +58,7 @@
 func (r *runner) loseZone(ctx context.Context, event FaultEvent, duration time.Duration) {
 	nodes, affected := r.nodesInZone(event.Zone), r.affectedNames(event)
 	heal := func() {}
-	if event.Dead {
+	if event.Refuses {
 		for _, n := range nodes {
 			n.Stop()
 		}
@@ -68,14 +68,14 @@
 		}})
 	}
 	r.zoneFaultBegins(event)
-	r.killProxies(ctx, event.Targets, duration, seconds(event.Spread), func() {
+	r.killProxies(ctx, event.Targets, duration, seconds(event.SpreadS), func() {
 		heal()
 		r.zoneFaultEnds(event)
 		for _, n := range nodes {
-			if event.Dead && n.Restart() != nil {
+			if event.Refuses && n.Restart() != nil {
 				return
 			}
-			if event.Dead || event.Cold {
+			if event.Refuses || event.LosesData {
 				r.recordNodeStart(n, time.Now())
 				r.publish(n, statusActive)
 			}
--- a/internal/emulator/proxy_process.go
+++ b/internal/emulator/proxy_process.go
@@ -75,7 +75,7 @@
 	if note == "" {
 		note = endCrashed
 	}
-	r.log.Record(Seen{What: Ended, Proxy: i, Note: note})
+	r.log.Record(Event{Kind: ProcessEnded, Proxy: i, Note: note})
 }
 
 // awaitReady waits until a process answers clients, and lets them be sent to it.
@@ -144,9 +144,9 @@
 	<-process.ended
 }
 
-// Program returns a Start that runs a program with its arguments for each proxy and appends its output to the file "log" in the
+// StartProgram returns a Start that runs a program with its arguments for each proxy and appends its output to the file "log" in the
 // proxy's directory.
-func Program(words ...string) Start {
+func StartProgram(words ...string) StartFunc {
 	return func(s ProxyConfig) (Proxy, error) {
 		log, err := os.OpenFile(filepath.Join(s.Dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
--- a/internal/emulator/quota_check.go
+++ b/internal/emulator/quota_check.go
@@ -10,13 +10,13 @@
 // quotaCheck checks QuotaRule.
 type quotaCheck struct {
 	*findings
-	reports  map[int][]Seen // by proxy that runs, of the last quotaWindow
-	exceeded bool           // one violation is enough
+	reports  map[int][]Event // by proxy that runs, of the last quotaWindow
+	exceeded bool            // one violation is enough
 }
 
 // observeReport adds up the least quota that each proxy reported within the window: proxies are polled one after the other, and a
 // quota that shrinks makes room for another that grows.
-func (q *quotaCheck) observeReport(e Seen) {
+func (q *quotaCheck) observeReport(e Event) {
 	recent := append(q.reports[e.Proxy], e) //nolint:gocritic // stored below
 	for recent[0].At < e.At-quotaWindow {
 		recent = recent[1:]
@@ -32,6 +32,6 @@
 	}
 	if sum > maxQuotaSum && !q.exceeded {
 		q.exceeded = true
-		q.violate(QuotaRule, Seen{At: e.At}, "%d proxies say that they may use %.3f of the fleet's limits", len(q.reports), sum)
+		q.violate(QuotaRule, Event{At: e.At}, "%d proxies say that they may use %.3f of the fleet's limits", len(q.reports), sum)
 	}
 }
--- a/internal/emulator/resp.go
+++ b/internal/emulator/resp.go
@@ -23,8 +23,8 @@
 	errConnectionEnds = errors.New("the connection ends with the answer")
 )
 
-// Answer reads one element of RESP2: its opening line without the line end and, of a bulk string, its content.
-func Answer(r *bufio.Reader) (head, body string, err error) {
+// ReadElement reads one element of RESP2: its opening line without the line end and, of a bulk string, its content.
+func ReadElement(r *bufio.Reader) (head, body string, err error) {
 	if head, err = r.ReadString('\n'); err != nil {
 		return "", "", err
 	}
@@ -66,7 +66,7 @@
 	}
 	words := make([]string, max(count, minCommandWords))
 	for i := range count {
-		if _, words[i], err = Answer(r); err != nil {
+		if _, words[i], err = ReadElement(r); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -12,7 +12,7 @@
 
 // Options tell how a scenario is played.
 type Options struct {
-	Start     Start
+	Start     StartFunc
 	Dir       string         // for files and logs, which are kept
 	IP        string         // loopback address of the proxies, 127.0.0.1 where it is empty
 	Overrides map[string]any // proxy settings by path, whose steps are separated by dots
@@ -49,14 +49,14 @@
 	zoneFaults    []zoneFault
 }
 
-// Play plays a plan and returns what came of it. Whatever happens, no proxy process is left when it returns; where the context
+// Run plays a plan and returns what came of it. Whatever happens, no proxy process is left when it returns; where the context
 // ended before the scenario did, its files are removed as well.
-func Play(ctx context.Context, plan *Plan, options Options) (*Report, error) {
+func Run(ctx context.Context, plan *Plan, options Options) (*Report, error) {
 	if options.IP == "" {
 		options.IP = "127.0.0.1"
 	}
 	log := NewEventLog()
-	r := &runner{plan: plan, options: options, log: log, cluster: newCluster(plan.Day, log), network: newNetwork(plan.Seed)}
+	r := &runner{plan: plan, options: options, log: log, cluster: newCluster(plan.Scenario, log), network: newNetwork(plan.Seed)}
 	r.cluster.network = r.network
 	defer func() {
 		r.stop()
@@ -78,7 +78,7 @@
 
 // start starts the backends, the proxies and the connections that clients hold.
 func (r *runner) start(ctx context.Context) error {
-	if err := r.plan.Day.checkDescriptors(); err != nil {
+	if err := r.plan.Scenario.checkDescriptors(); err != nil {
 		return err
 	}
 	if err := r.startBackends(); err != nil {
@@ -96,17 +96,17 @@
 	scenarioCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var background sync.WaitGroup
-	for _, event := range r.plan.Blows {
+	for _, event := range r.plan.Faults {
 		background.Go(func() { r.injectFault(scenarioCtx, event, start) })
 	}
 	background.Go(func() { r.sampleBackgroundLoad(scenarioCtx) })
-	if r.plan.Day.Peers.Talk {
+	if r.plan.Scenario.Gossip.On {
 		background.Go(func() { r.pollGossipStatus(scenarioCtx) })
 	}
 	r.load.run(ctx, start)
 	r.load.close()
 	if ctx.Err() == nil {
-		sleep(ctx, time.Until(start.Add(seconds(r.plan.Day.Length))))
+		sleep(ctx, time.Until(start.Add(seconds(r.plan.Scenario.LengthS))))
 	}
 	cancel()
 	background.Wait()
@@ -117,7 +117,7 @@
 
 // checkDescriptors returns an error unless enough file descriptors may be open: a client's connection takes one in this process,
 // and one in its proxy.
-func (d *Day) checkDescriptors() error {
+func (d *Scenario) checkDescriptors() error {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return err
--- a/internal/emulator/run_test.go
+++ b/internal/emulator/run_test.go
@@ -40,8 +40,8 @@
 			t.Parallel()
 			r := playWithoutViolation(t, text, startInProcess)
 			outcomes := countOutcomes(r)
-			if len(r.Results) != len(r.Plan.Requests) || completedPart(r) < least || outcomes[emulator.Lost] > 0 || r.BadMute > 0 {
-				t.Errorf("%d asked, %v, %d bad clients without an end", len(r.Plan.Requests), outcomes, r.BadMute)
+			if len(r.Results) != len(r.Plan.Requests) || completedPart(r) < least || outcomes[emulator.Unanswered] > 0 || r.UnansweredMalformed > 0 {
+				t.Errorf("%d asked, %v, %d bad clients without an end", len(r.Plan.Requests), outcomes, r.UnansweredMalformed)
 			}
 		})
 	}
@@ -56,7 +56,7 @@
 		if err != nil {
 			return nil, err
 		}
-		script, err := emulator.Program("/bin/sh", "-c", "echo it dies; sleep 0.5; exit 3")(config)
+		script, err := emulator.StartProgram("/bin/sh", "-c", "echo it dies; sleep 0.5; exit 3")(config)
 		if err == nil {
 			go func() { // the two are one: it serves until its process has ended
 				awaitEnd(script)
@@ -65,8 +65,8 @@
 		}
 		return p, err
 	}
-	plan := parseScenario(t, strings.Replace(calmScenario, "proxies = 2", "proxies = 1", 1)).Draw(1)
-	r, err := emulator.Play(t.Context(), plan, emulator.Options{Dir: dir, Start: crashing})
+	plan := parseScenario(t, strings.Replace(calmScenario, "proxies = 2", "proxies = 1", 1)).NewPlan(1)
+	r, err := emulator.Run(t.Context(), plan, emulator.Options{Dir: dir, Start: crashing})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,8 +76,8 @@
 	if text, err := os.ReadFile(filepath.Join(dir, "proxy0", "log")); err != nil || string(text) != "it dies\n" {
 		t.Errorf("log %q: %v", text, err)
 	}
-	failing := emulator.Options{Dir: t.TempDir(), Start: emulator.Program("/bin/false")}
-	_, err = emulator.Play(t.Context(), parseScenario(t, calmScenario).Draw(1), failing)
+	failing := emulator.Options{Dir: t.TempDir(), Start: emulator.StartProgram("/bin/false")}
+	_, err = emulator.Run(t.Context(), parseScenario(t, calmScenario).NewPlan(1), failing)
 	if err == nil || !strings.Contains(err.Error(), "ended at its start") {
 		t.Error(err)
 	}
@@ -101,8 +101,8 @@
 	dir := filepath.Join(t.TempDir(), "day")
 	began := time.Now()
 	time.AfterFunc(time.Second, cancel)
-	plan := parseScenario(t, strings.Replace(calmScenario, "length_s = 2.0", "length_s = 60.0", 1)).Draw(1)
-	_, err := emulator.Play(ctx, plan, emulator.Options{Dir: dir, Start: counted})
+	plan := parseScenario(t, strings.Replace(calmScenario, "length_s = 2.0", "length_s = 60.0", 1)).NewPlan(1)
+	_, err := emulator.Run(ctx, plan, emulator.Options{Dir: dir, Start: counted})
 	if !errors.Is(err, context.Canceled) || time.Since(began) > 8*time.Second {
 		t.Errorf("%v after %v", err, time.Since(began))
 	}
@@ -122,7 +122,7 @@
 	scenario := parseScenario(t, strings.Replace(calmScenario, "rate = 150.0", "rate = 1.0, connections = 20000", 1))
 	scenario.Proxies = 1 << 16
 	dir := filepath.Join(t.TempDir(), "day")
-	_, err := emulator.Play(t.Context(), scenario.Draw(1), emulator.Options{Dir: dir, Start: startInProcess})
+	_, err := emulator.Run(t.Context(), scenario.NewPlan(1), emulator.Options{Dir: dir, Start: startInProcess})
 	if err == nil || !strings.Contains(err.Error(), "load.connections") {
 		t.Error(err)
 	}
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -8,29 +8,29 @@
 	"woodproxy/internal/configfile"
 )
 
-// Day is a scenario as its TOML file describes it. Times whose key ends in _s are seconds, in _ms milliseconds.
-type Day struct {
-	Name    string    `toml:"name"`
-	Length  float64   `toml:"length_s"`
-	Proxies int       `toml:"proxies"`
-	Fleet   Fleet     `toml:"fleet"`
-	Origin  Server    `toml:"origin"`
-	Keys    Keys      `toml:"keys"`
-	Load    Load      `toml:"load"`
-	Routes  []Route   `toml:"route"`
-	Trouble []Trouble `toml:"trouble"`
-	Limits  Limits    `toml:"limits"`
-	Peers   Peers     `toml:"peers"`
-	Zones   Zones     `toml:"zones"`
-	Turns   Turns     `toml:"turns"`
-	Missing Missing   `toml:"missing"`
-	State   bool      `toml:"state"` // proxies keep a state file across restarts
-}
-
-// Missing configures keys that the origin lacks until they are written, and the proxies' negative cache.
-type Missing struct {
-	Part float64 `toml:"part"` // of all keys, 0 to 1
-	On   bool    `toml:"on"`   // proxies have a negative cache
+// Scenario is a scenario as its TOML file describes it. Times whose key ends in _s are seconds, in _ms milliseconds.
+type Scenario struct {
+	Name          string                `toml:"name"`
+	LengthS       float64               `toml:"length_s"`
+	Proxies       int                   `toml:"proxies"`
+	Fleet         Fleet                 `toml:"fleet"`
+	Origin        NodeCapacity          `toml:"origin"`
+	Keys          Keys                  `toml:"keys"`
+	Load          Load                  `toml:"load"`
+	Routes        []Route               `toml:"route"`
+	Faults        []Fault               `toml:"trouble"`
+	Limits        Limits                `toml:"limits"`
+	Gossip        GossipSettings        `toml:"peers"`
+	ZoneHealth    ZoneHealthSettings    `toml:"zones"`
+	Duties        DutySettings          `toml:"turns"`
+	NegativeCache NegativeCacheSettings `toml:"missing"`
+	State         bool                  `toml:"state"` // proxies keep a state file across restarts
+}
+
+// NegativeCacheSettings configures keys that the origin lacks until they are written, and the proxies' negative cache.
+type NegativeCacheSettings struct {
+	AbsentPart float64 `toml:"part"` // of all keys, 0 to 1
+	On         bool    `toml:"on"`   // proxies have a negative cache
 }
 
 // How the proxies decide that a whole zone is unhealthy, besides "" where they do not.
@@ -40,57 +40,57 @@
 	zonesJudgedByOperators = "told"  // by operators, who learn of a fault at once
 )
 
-// Zones configures the proxies' zone health.
-type Zones struct {
-	Judged  string              `toml:"judged"`
-	Regions map[string][]string `toml:"regions"` // names of zones by region
+// ZoneHealthSettings configures the proxies' zone health.
+type ZoneHealthSettings struct {
+	Decision string              `toml:"judged"`
+	Regions  map[string][]string `toml:"regions"` // names of zones by region
 }
 
-// Peers configures the gossip between proxies.
-type Peers struct {
-	Talk  bool    `toml:"talk"`
-	Hold  float64 `toml:"hold_s"` // hold-down time, 0: the proxies' default
-	Floor float64 `toml:"floor"`  // quota floor, 0: the proxies' default
+// GossipSettings configures the gossip between proxies.
+type GossipSettings struct {
+	On         bool    `toml:"talk"`
+	HoldDownS  float64 `toml:"hold_s"` // hold-down time, 0: the proxies' default
+	QuotaFloor float64 `toml:"floor"`  // quota floor, 0: the proxies' default
 }
 
-// Turns configures the duties, such as health checks and discovery watches, that gossiping proxies share out among themselves.
-type Turns struct {
+// DutySettings configures the duties, such as health checks and discovery watches, that gossiping proxies share out among themselves.
+type DutySettings struct {
 	On       bool `toml:"on"`
 	Watchers int  `toml:"watchers"` // proxies that watch discovery
-	Keepers  int  `toml:"keepers"`  // proxies that keep idle connections to a node
+	Owners   int  `toml:"keepers"`  // proxies that keep idle connections to a node
 }
 
-// Server is the capacity of a node.
-type Server struct {
-	Cores   int     `toml:"cores"`
-	Service float64 `toml:"service_ms"` // mean of the exponentially distributed service time
-	Queue   int     `toml:"queue"`      // commands that may wait beyond those in service
-	Thrash  float64 `toml:"thrash"`     // part by which each waiting command slows the others
+// NodeCapacity is the capacity of a node.
+type NodeCapacity struct {
+	Cores     int     `toml:"cores"`
+	ServiceMS float64 `toml:"service_ms"` // mean of the exponentially distributed service time
+	Queue     int     `toml:"queue"`      // commands that may wait beyond those in service
+	Thrash    float64 `toml:"thrash"`     // part by which each waiting command slows the others
 }
 
 // Fleet is the caches.
 type Fleet struct {
-	Nodes    int      `toml:"nodes"`
-	Zones    []string `toml:"zones"`     // dealt out to nodes and proxies in turn
-	Cross    float64  `toml:"cross_ms"`  // additional delay between zones
-	Cold     float64  `toml:"cold_s"`    // duration of a node's slow start
-	ColdFrom float64  `toml:"cold_from"` // part of its speed that a node starts with
-	Server
+	Nodes        int      `toml:"nodes"`
+	Zones        []string `toml:"zones"`     // dealt out to nodes and proxies in turn
+	CrossZoneMS  float64  `toml:"cross_ms"`  // additional delay between zones
+	SlowStartS   float64  `toml:"cold_s"`    // duration of a node's slow start
+	InitialSpeed float64  `toml:"cold_from"` // part of its speed that a node starts with
+	NodeCapacity
 }
 
 // Keys is the key space.
 type Keys struct {
-	Count int     `toml:"count"`
-	Zipf  float64 `toml:"zipf"` // exponent of the popularity's distribution
-	Warm  float64 `toml:"warm"` // part of the keys that each cache has at the start
-	Size  int     `toml:"size"` // of values, in bytes
+	Count      int     `toml:"count"`
+	Zipf       float64 `toml:"zipf"` // exponent of the popularity's distribution
+	CachedPart float64 `toml:"warm"` // part of the keys that each cache has at the start
+	ValueBytes int     `toml:"size"` // of values, in bytes
 }
 
 // Load is the clients' load.
 type Load struct {
-	Rate      float64 `toml:"rate"` // requests a second, of all clients
-	Steps     []Step  `toml:"steps"`
-	Impatient float64 `toml:"impatient"` // part of the requests whose client leaves before the answer may come
+	Rate        float64 `toml:"rate"` // requests a second, of all clients
+	Steps       []Step  `toml:"steps"`
+	LeavingPart float64 `toml:"impatient"` // part of the requests whose client leaves before the answer may come
 	// Connections is how many clients of each proxy hold a connection throughout and use them in turn; 0: connections are made
 	// as they are needed.
 	Connections int `toml:"connections"`
@@ -98,19 +98,19 @@
 
 // Step multiplies the rate from a time on.
 type Step struct {
-	At    float64 `toml:"at_s"`
-	Times float64 `toml:"times"`
+	AtS    float64 `toml:"at_s"`
+	Factor float64 `toml:"times"`
 }
 
 // Route is a class of requests.
 type Route struct {
-	Name      string  `toml:"name"`
-	Share     float64 `toml:"share"` // of the requests; the shares of all routes add up to 1
-	Objective float64 `toml:"objective_ms"`
-	Overall   float64 `toml:"overall_ms"` // overall timeout
-	Value     float64 `toml:"value"`      // priority weight
-	Write     bool    `toml:"write"`
-	Dedup     float64 `toml:"dedup_ms"` // for how long the origin drops repeats of an idempotency key, 0: it does not
+	Name        string  `toml:"name"`
+	Share       float64 `toml:"share"` // of the requests; the shares of all routes add up to 1
+	ObjectiveMS float64 `toml:"objective_ms"`
+	TimeoutMS   float64 `toml:"overall_ms"` // overall timeout
+	Weight      float64 `toml:"value"`      // priority weight
+	Write       bool    `toml:"write"`
+	DedupMS     float64 `toml:"dedup_ms"` // for how long the origin drops repeats of an idempotency key, 0: it does not
 }
 
 // Limits bind each proxy.
@@ -118,38 +118,38 @@
 	Cores    float64 `toml:"cores"`
 	MemoryMB int     `toml:"memory_mb"`
 	Sockets  int     `toml:"sockets"`
-	Parallel bool    `toml:"parallel"` // hedged attempts are allowed
+	Hedging  bool    `toml:"parallel"` // hedged attempts are allowed
 }
 
-// Trouble is a fault that lasts for a time. Which figures a fault takes depends on its kind.
-type Trouble struct {
-	Kind  string  `toml:"kind"`
-	At    float64 `toml:"at_s"`
-	For   float64 `toml:"for_s"`
-	Nodes int     `toml:"nodes"` // number of nodes, proxies or clients
-	Times float64 `toml:"times"` // factor by which nodes are slower
-	Part  float64 `toml:"part"`  // of commands or packets that are affected, 0 to 1
-	Rate  float64 `toml:"rate"`  // events a second
-	Leave float64 `toml:"leave_ms"`
+// Fault is a fault that lasts for a time. Which figures a fault takes depends on its kind.
+type Fault struct {
+	Kind      string  `toml:"kind"`
+	AtS       float64 `toml:"at_s"`
+	DurationS float64 `toml:"for_s"`
+	Count     int     `toml:"nodes"` // number of nodes, proxies or clients
+	Slowdown  float64 `toml:"times"` // factor by which nodes are slower
+	Part      float64 `toml:"part"`  // of commands or packets that are affected, 0 to 1
+	Rate      float64 `toml:"rate"`  // events a second
+	LeaveMS   float64 `toml:"leave_ms"`
 
 	// Of faults that affect many processes.
 
-	Zone   string  `toml:"zone"`
-	Spread float64 `toml:"spread_s"` // over which killed proxies start again
-	Reset  bool    `toml:"reset"`    // streams over a severed link are reset when it heals, else they go on
-	Dead   bool    `toml:"dead"`     // a lost zone refuses connections as dead processes do, else it is silent as lost machines are
-	Cold   bool    `toml:"cold"`     // nodes of a lost zone come back empty
+	Zone         string  `toml:"zone"`
+	SpreadS      float64 `toml:"spread_s"` // over which killed proxies start again
+	ResetStreams bool    `toml:"reset"`    // streams over a severed link are reset when it heals, else they go on
+	Refuses      bool    `toml:"dead"`     // a lost zone refuses connections as dead processes do, else it is silent as lost machines are
+	LosesData    bool    `toml:"cold"`     // nodes of a lost zone come back empty
 
 	// Of link faults: patterns of process names, as path.Match reads them.
 
-	From   []string `toml:"from"`
-	To     []string `toml:"to"`
-	OneWay bool     `toml:"one_way"`
-	Slow   float64  `toml:"slow_ms"`
+	From       []string `toml:"from"`
+	To         []string `toml:"to"`
+	OneWay     bool     `toml:"one_way"`
+	MaxDelayMS float64  `toml:"slow_ms"`
 }
 
-// NeedsTalk reports whether a fault has an effect only where proxies gossip.
-func (t Trouble) NeedsTalk() bool {
+// NeedsGossip reports whether a fault has an effect only where proxies gossip.
+func (t Fault) NeedsGossip() bool {
 	return t.Kind == "part" || t.Kind == "one-way" || t.Kind == "lossy" || t.Kind == "whisper"
 }
 
@@ -201,22 +201,22 @@
 	"deaf": true, "stale": true, "refusing": true, "hush": true, "agent-ahead": true,
 }
 
-// ReadDay reads and checks a scenario file. An error is one line that names the file, and the line or key.
-func ReadDay(file string) (*Day, error) {
+// ReadScenario reads and checks a scenario file. An error is one line that names the file, and the line or key.
+func ReadScenario(file string) (*Scenario, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, fmt.Errorf("day: %w", err)
 	}
-	d, err := ParseDay(text)
+	d, err := ParseScenario(text)
 	if err != nil {
 		return nil, fmt.Errorf("day: %s: %w", file, err)
 	}
 	return d, nil
 }
 
-// ParseDay decodes and checks a scenario.
-func ParseDay(text []byte) (*Day, error) {
-	d := &Day{Limits: Limits{Cores: 1, MemoryMB: 128, Sockets: 1024}}
+// ParseScenario decodes and checks a scenario.
+func ParseScenario(text []byte) (*Scenario, error) {
+	d := &Scenario{Limits: Limits{Cores: 1, MemoryMB: 128, Sockets: 1024}}
 	if err := configfile.TOML(text, d); err != nil {
 		return nil, err
 	}
--- a/internal/emulator/scenario_check.go
+++ b/internal/emulator/scenario_check.go
@@ -11,12 +11,12 @@
 
 // scenarioChecker checks a scenario key by key and keeps the first error.
 type scenarioChecker struct {
-	scenario *Day
+	scenario *Scenario
 	err      error
 }
 
 // Check returns the first error of a scenario; it names the key.
-func (d *Day) Check() error {
+func (d *Scenario) Check() error {
 	if d.Name == "" {
 		return errors.New("name: missing")
 	}
@@ -26,7 +26,7 @@
 	c.checkServers()
 	c.checkLoadSteps()
 	c.checkRoutes()
-	for i, fault := range d.Trouble {
+	for i, fault := range d.Faults {
 		c.checkFault(fmt.Sprintf("trouble[%d].", i), fault)
 	}
 	return c.err
@@ -55,35 +55,35 @@
 
 func (c *scenarioChecker) checkFleetAndLoad() {
 	d := c.scenario
-	c.inRange("length_s", d.Length, 0.5, 3600)
+	c.inRange("length_s", d.LengthS, 0.5, 3600)
 	c.inRange("proxies", float64(d.Proxies), 1, 64)
 	c.inRange("fleet.nodes", float64(d.Fleet.Nodes), 1, 200)
-	c.inRange("fleet.cross_ms", d.Fleet.Cross, 0, 1000)
-	c.inRange("fleet.cold_s", d.Fleet.Cold, 0, 600)
-	c.inRange("fleet.cold_from", d.Fleet.ColdFrom, 0.01, 1)
+	c.inRange("fleet.cross_ms", d.Fleet.CrossZoneMS, 0, 1000)
+	c.inRange("fleet.cold_s", d.Fleet.SlowStartS, 0, 600)
+	c.inRange("fleet.cold_from", d.Fleet.InitialSpeed, 0.01, 1)
 	c.inRange("keys.count", float64(d.Keys.Count), 1, 1e6)
 	c.inRange("keys.zipf", d.Keys.Zipf, 1.001, 5)
-	c.inRange("keys.warm", d.Keys.Warm, 0, 1)
-	c.inRange("keys.size", float64(d.Keys.Size), 0, 4<<20)
+	c.inRange("keys.warm", d.Keys.CachedPart, 0, 1)
+	c.inRange("keys.size", float64(d.Keys.ValueBytes), 0, 4<<20)
 	c.inRange("load.rate", d.Load.Rate, 0.1, 20000)
-	c.inRange("load.impatient", d.Load.Impatient, 0, 1)
+	c.inRange("load.impatient", d.Load.LeavingPart, 0, 1)
 	c.inRange("load.connections", float64(d.Load.Connections), 0, 20000)
 }
 
 // checkFeatures checks what proxies do together, for which they need gossip, and the limits of each.
 func (c *scenarioChecker) checkFeatures() {
-	d, mode := c.scenario, c.scenario.Zones.Judged
+	d, mode := c.scenario, c.scenario.ZoneHealth.Decision
 	known := mode == "" || mode == zonesJudgedAlone || mode == zonesJudgedByFleet || mode == zonesJudgedByOperators
 	c.require(known && (mode == "" || len(d.Fleet.Zones) >= 2), "zones.judged: %q: not alone, fleet or told, or there are no zones", mode)
-	c.require(d.Peers.Talk || mode != zonesJudgedByFleet && mode != zonesJudgedByOperators,
+	c.require(d.Gossip.On || mode != zonesJudgedByFleet && mode != zonesJudgedByOperators,
 		"zones.judged: %s: proxies do not talk (peers.talk)", mode)
-	c.require(d.Peers.Talk || !d.Turns.On, "turns.on: proxies do not talk (peers.talk)")
-	c.require(d.Peers.Talk || !d.Missing.On || d.Proxies <= 1, "missing.on: proxies do not talk (peers.talk)")
-	c.inRange("missing.part", d.Missing.Part, 0, 1)
-	c.inRange("turns.watchers", float64(d.Turns.Watchers), 0, 64)
-	c.inRange("turns.keepers", float64(d.Turns.Keepers), 0, 64)
-	c.inRange("peers.hold_s", d.Peers.Hold, 0, 600)
-	c.inRange("peers.floor", d.Peers.Floor, 0, 1)
+	c.require(d.Gossip.On || !d.Duties.On, "turns.on: proxies do not talk (peers.talk)")
+	c.require(d.Gossip.On || !d.NegativeCache.On || d.Proxies <= 1, "missing.on: proxies do not talk (peers.talk)")
+	c.inRange("missing.part", d.NegativeCache.AbsentPart, 0, 1)
+	c.inRange("turns.watchers", float64(d.Duties.Watchers), 0, 64)
+	c.inRange("turns.keepers", float64(d.Duties.Owners), 0, 64)
+	c.inRange("peers.hold_s", d.Gossip.HoldDownS, 0, 600)
+	c.inRange("peers.floor", d.Gossip.QuotaFloor, 0, 1)
 	c.inRange("limits.cores", d.Limits.Cores, 0.01, 64)
 	c.inRange("limits.memory_mb", float64(d.Limits.MemoryMB), 8, 1<<16)
 	c.inRange("limits.sockets", float64(d.Limits.Sockets), 64, 1<<20)
@@ -92,10 +92,10 @@
 func (c *scenarioChecker) checkServers() {
 	for _, s := range []struct {
 		key string
-		Server
-	}{{"fleet", c.scenario.Fleet.Server}, {"origin", c.scenario.Origin}} {
+		NodeCapacity
+	}{{"fleet", c.scenario.Fleet.NodeCapacity}, {"origin", c.scenario.Origin}} {
 		c.inRange(s.key+".cores", float64(s.Cores), 1, 1024)
-		c.inRange(s.key+".service_ms", s.Service, 0.01, 60000)
+		c.inRange(s.key+".service_ms", s.ServiceMS, 0.01, 60000)
 		c.inRange(s.key+".queue", float64(s.Queue), 0, 1e6)
 		c.inRange(s.key+".thrash", s.Thrash, 0, 10)
 	}
@@ -104,9 +104,9 @@
 func (c *scenarioChecker) checkLoadSteps() {
 	steps := c.scenario.Load.Steps
 	for i, s := range steps {
-		c.inRange(fmt.Sprintf("load.steps[%d].at_s", i), s.At, 0, c.scenario.Length)
-		c.inRange(fmt.Sprintf("load.steps[%d].times", i), s.Times, 0, 100)
-		c.require(i == 0 || s.At > steps[i-1].At, "load.steps[%d].at_s: not after the one before", i)
+		c.inRange(fmt.Sprintf("load.steps[%d].at_s", i), s.AtS, 0, c.scenario.LengthS)
+		c.inRange(fmt.Sprintf("load.steps[%d].times", i), s.Factor, 0, 100)
+		c.require(i == 0 || s.AtS > steps[i-1].AtS, "load.steps[%d].at_s: not after the one before", i)
 	}
 }
 
@@ -117,11 +117,11 @@
 	for i, route := range routes {
 		key := fmt.Sprintf("route[%d].", i)
 		c.inRange(key+"share", route.Share, 0, 1)
-		c.inRange(key+"overall_ms", route.Overall, 10, 60000)
-		c.inRange(key+"objective_ms", route.Objective, 10, route.Overall)
-		c.inRange(key+"value", route.Value, 0, 1e6)
-		c.inRange(key+"dedup_ms", route.Dedup, 0, 600000)
-		c.require(route.Dedup <= 0 || route.Write, "%sdedup_ms: a read needs none", key)
+		c.inRange(key+"overall_ms", route.TimeoutMS, 10, 60000)
+		c.inRange(key+"objective_ms", route.ObjectiveMS, 10, route.TimeoutMS)
+		c.inRange(key+"value", route.Weight, 0, 1e6)
+		c.inRange(key+"dedup_ms", route.DedupMS, 0, 600000)
+		c.require(route.DedupMS <= 0 || route.Write, "%sdedup_ms: a read needs none", key)
 		c.require(route.Name != "" && !names[route.Name], "%sname: missing or doubled", key)
 		sum, names[route.Name] = sum+route.Share, true
 	}
@@ -129,20 +129,20 @@
 }
 
 // checkFault checks one fault, whose keys begin with a prefix.
-func (c *scenarioChecker) checkFault(prefix string, fault Trouble) {
+func (c *scenarioChecker) checkFault(prefix string, fault Fault) {
 	d := c.scenario
 	needs, ok := faultKinds[fault.Kind]
 	c.require(ok, "%skind: %q: unknown", prefix, fault.Kind)
-	c.inRange(prefix+"at_s", fault.At, 0, d.Length)
-	c.inRange(prefix+"for_s", fault.For, 0, d.Length-fault.At)
+	c.inRange(prefix+"at_s", fault.AtS, 0, d.LengthS)
+	c.inRange(prefix+"for_s", fault.DurationS, 0, d.LengthS-fault.AtS)
 	c.checkFaultFigures(prefix, fault)
-	c.inRange(prefix+"leave_ms", fault.Leave, 0, 60000)
-	c.inRange(prefix+"slow_ms", fault.Slow, 0, 10000)
+	c.inRange(prefix+"leave_ms", fault.LeaveMS, 0, 60000)
+	c.inRange(prefix+"slow_ms", fault.MaxDelayMS, 0, 10000)
 	c.checkFaultLinks(prefix, fault)
-	c.inRange(prefix+"spread_s", fault.Spread, 0, d.Length)
+	c.inRange(prefix+"spread_s", fault.SpreadS, 0, d.LengthS)
 	c.require(needs.zone == (fault.Zone != ""), "%szone: missing, or %s takes none", prefix, fault.Kind)
 	c.require(!needs.zone || slices.Contains(d.Fleet.Zones, fault.Zone), "%szone: %q: none of fleet.zones", prefix, fault.Zone)
-	c.require(d.Peers.Talk || !fault.NeedsTalk(), "%skind: %s: proxies do not talk (peers.talk)", prefix, fault.Kind)
+	c.require(d.Gossip.On || !fault.NeedsGossip(), "%skind: %s: proxies do not talk (peers.talk)", prefix, fault.Kind)
 }
 
 // maxTargets returns how many targets a fault may have.
@@ -158,7 +158,7 @@
 }
 
 // checkFaultFigures checks that a fault has the figures that its kind needs, and no others.
-func (c *scenarioChecker) checkFaultFigures(prefix string, fault Trouble) {
+func (c *scenarioChecker) checkFaultFigures(prefix string, fault Fault) {
 	needs := faultKinds[fault.Kind]
 	for _, figure := range []struct {
 		key              string
@@ -166,8 +166,8 @@
 		needed, optional bool
 		low, high        float64
 	}{
-		{key: "nodes", v: float64(fault.Nodes), needed: needs.nodes, optional: needs.some, low: 1, high: float64(c.maxTargets(fault.Kind))},
-		{key: "times", v: fault.Times, needed: needs.times, low: 1, high: 1000},
+		{key: "nodes", v: float64(fault.Count), needed: needs.nodes, optional: needs.some, low: 1, high: float64(c.maxTargets(fault.Kind))},
+		{key: "times", v: fault.Slowdown, needed: needs.times, low: 1, high: 1000},
 		{key: "part", v: fault.Part, needed: needs.part, low: minFaultPart[fault.Kind], high: 1},
 		{key: "rate", v: fault.Rate, needed: needs.rate, low: 0.1, high: 1000},
 	} {
@@ -180,7 +180,7 @@
 }
 
 // checkFaultLinks checks the patterns of process names between which a fault of kind link lies.
-func (c *scenarioChecker) checkFaultLinks(prefix string, fault Trouble) {
+func (c *scenarioChecker) checkFaultLinks(prefix string, fault Fault) {
 	named := len(fault.From) > 0 && len(fault.To) > 0
 	c.require((fault.Kind == "link") == named, "%sfrom, to: missing, or %s takes none", prefix, fault.Kind)
 	for _, pattern := range slices.Concat(fault.From, fault.To) {
--- a/internal/emulator/scenario_test.go
+++ b/internal/emulator/scenario_test.go
@@ -47,13 +47,13 @@
 			if err := os.WriteFile(file, []byte(changedScenario(t, change)), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			_, err := emulator.ReadDay(file)
+			_, err := emulator.ReadScenario(file)
 			if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), file) || strings.Contains(err.Error(), "\n") {
 				t.Errorf("%s: %v", change, err)
 			}
 		})
 	}
-	if _, err := emulator.ReadDay(file + "x"); err == nil {
+	if _, err := emulator.ReadScenario(file + "x"); err == nil {
 		t.Error("a missing scenario file is no error")
 	}
 }
--- a/internal/emulator/slow_start_check.go
+++ b/internal/emulator/slow_start_check.go
@@ -15,14 +15,14 @@
 type slowStartCheck struct {
 	*findings
 	fleet      Fleet
-	begins     map[string]Seen      // by node, its latest slow start
+	begins     map[string]Event     // by node, its latest slow start
 	arrivals   map[string][]arrival // by node, of the last overloadWindow
 	startKnown map[proxyNode]bool   // a proxy was notified of a node's latest start
 	overloaded map[string]bool      // nodes whose further load tells nothing
 	peak       float64              // greatest load, as a part of what overloads
 }
 
-func (s *slowStartCheck) observeBegin(e Seen) {
+func (s *slowStartCheck) observeBegin(e Event) {
 	s.begins[e.Node] = e
 	s.arrivals[e.Node] = nil
 	for known := range s.startKnown {
@@ -32,7 +32,7 @@
 	}
 }
 
-func (s *slowStartCheck) observeDelivery(e Seen) {
+func (s *slowStartCheck) observeDelivery(e Event) {
 	if e.Note == statusActive {
 		s.startKnown[proxyNode{e.Proxy, e.Node}] = true
 	}
@@ -40,9 +40,9 @@
 
 // observeArrival counts an overload as a violation where more than two thirds of the commands came from proxies that knew of the
 // node's start.
-func (s *slowStartCheck) observeArrival(e Seen) {
+func (s *slowStartCheck) observeArrival(e Event) {
 	begin, starting := s.begins[e.Node]
-	if !starting || s.overloaded[e.Node] || e.At > begin.At+seconds(s.fleet.Cold) {
+	if !starting || s.overloaded[e.Node] || e.At > begin.At+seconds(s.fleet.SlowStartS) {
 		return
 	}
 	recent := append(s.arrivals[e.Node], arrival{e.At, s.startKnown[proxyNode{e.Proxy, e.Node}]}) //nolint:gocritic // stored below
@@ -63,7 +63,7 @@
 		}
 	}
 	if 3*informed > 2*len(recent) {
-		s.violate(SlowStartRule, Seen{At: e.At},
+		s.violate(SlowStartRule, Event{At: e.At},
 			"node %s, cold for %v, took %d commands in %v, %d of them from proxies that knew; %.0f are allowed",
 			e.Node, e.At-begin.At, len(recent), overloadWindow, informed, limit)
 	}
@@ -71,8 +71,8 @@
 
 // limit returns how many commands within overloadWindow a node bears at an age, by its full capacity in commands a second.
 func (s *slowStartCheck) limit(age time.Duration, commandsPerSecond float64) float64 {
-	speed := s.fleet.ColdFrom
-	if slowStart := seconds(s.fleet.Cold); slowStart > 0 {
+	speed := s.fleet.InitialSpeed
+	if slowStart := seconds(s.fleet.SlowStartS); slowStart > 0 {
 		speed += (1 - speed) * float64(age) / float64(slowStart)
 	}
 	mean := overloadMultiple * speed * commandsPerSecond * overloadWindow.Seconds()
--- a/internal/emulator/work_queue.go
+++ b/internal/emulator/work_queue.go
@@ -15,7 +15,7 @@
 // workQueue is a node's capacity: commands beyond its queue are rejected, and each that waits makes all slower. A node that starts
 // anew is slow at first. Its methods may be called concurrently.
 type workQueue struct {
-	Server
+	NodeCapacity
 	slowStart    time.Duration
 	initialSpeed float64 // part of the full speed at the beginning of the slow start
 	waiting      atomic.Int64
@@ -26,9 +26,9 @@
 	startedAt time.Time // begin of the slow start; zero: there is none
 }
 
-func newWorkQueue(server Server, slowStart time.Duration, initialSpeed float64) *workQueue {
+func newWorkQueue(server NodeCapacity, slowStart time.Duration, initialSpeed float64) *workQueue {
 	return &workQueue{
-		Server: server, slowStart: slowStart, initialSpeed: initialSpeed, slowdown: 1, cores: make(chan struct{}, server.Cores),
+		NodeCapacity: server, slowStart: slowStart, initialSpeed: initialSpeed, slowdown: 1, cores: make(chan struct{}, server.Cores),
 	}
 }
 
@@ -54,7 +54,7 @@
 }
 
 // commandsPerSecond returns the full capacity.
-func (q *workQueue) commandsPerSecond() float64 { return float64(q.Cores) * 1000 / q.Service }
+func (q *workQueue) commandsPerSecond() float64 { return float64(q.Cores) * 1000 / q.ServiceMS }
 
 // speed returns the present part of the full speed.
 func (q *workQueue) speed() float64 {
@@ -77,7 +77,7 @@
 	defer q.waiting.Add(-1)
 	q.cores <- struct{}{}
 	defer func() { <-q.cores }()
-	serviceMS := -math.Log(1-hashedFloat(id, node, "work")) * q.Service / q.speed()
+	serviceMS := -math.Log(1-hashedFloat(id, node, "work")) * q.ServiceMS / q.speed()
 	serviceMS *= 1 + q.Thrash*float64(max(q.waiting.Load()-int64(q.Cores), 0))
 	time.Sleep(millis(serviceMS))
 	return nil
--- a/internal/emulator/zone_faults.go
+++ b/internal/emulator/zone_faults.go
@@ -24,13 +24,13 @@
 
 // ZoneFaultResult is the outcome of a zone fault. Times count from the fault's begin, or where stated from its end.
 type ZoneFaultResult struct {
-	Zone        string
-	At, For     time.Duration // begin, from the event log's start, and duration
-	First, Last time.Duration // until the first and the last proxy outside the zone had left it; 0: none had
-	Kept        int           // proxies outside the zone that never left it
-	Back        time.Duration // from the fault's end until the last proxy served all of its keys there; 0: it was not seen
-	WorthAt     float64       // part of the requests' value that was earned in the first five seconds of the fault
-	WorthBack   float64       // the same in the ten seconds after its end
+	Zone                string
+	At, Duration        time.Duration // begin, from the event log's start, and duration
+	FirstLeft, LastLeft time.Duration // until the first and the last proxy outside the zone had left it; 0: none had
+	NeverLeft           int           // proxies outside the zone that never left it
+	Returned            time.Duration // from the fault's end until the last proxy served all of its keys there; 0: it was not seen
+	ValueDuring         float64       // part of the requests' value that was earned in the first five seconds of the fault
+	ValueAfter          float64       // the same in the ten seconds after its end
 }
 
 // zoneFault is a fault of a whole zone, by the wall clock.
@@ -48,13 +48,13 @@
 
 // writeZoneConfig writes a proxy's zone health file.
 func (r *runner) writeZoneConfig(m *managedProxy) error {
-	zones := r.plan.Day.Zones
-	if zones.Judged == "" {
+	zones := r.plan.Scenario.ZoneHealth
+	if zones.Decision == "" {
 		return nil
 	}
 	m.config.ZoneHealthFile = filepath.Join(m.config.Dir, "zones.toml")
 	text := ""
-	switch zones.Judged {
+	switch zones.Decision {
 	case zonesJudgedByOperators:
 		text = "alone = false\ntogether = false\n"
 	case zonesJudgedAlone:
@@ -98,7 +98,7 @@
 
 // orderZone gives the operators' order for a zone to every proxy outside it, where operators judge zones.
 func (r *runner) orderZone(event FaultEvent, order string) {
-	if r.plan.Day.Zones.Judged != zonesJudgedByOperators || event.Kind == "zone-grey" {
+	if r.plan.Scenario.ZoneHealth.Decision != zonesJudgedByOperators || event.Kind == "zone-grey" {
 		return
 	}
 	var calls sync.WaitGroup
@@ -126,14 +126,14 @@
 				n.work.setSlowdown(slowdown)
 			}
 			if errorPart > 0 {
-				n.Set(modeFails, errorPart, 0, 0)
+				n.SetMode(modeFails, errorPart, 0, 0)
 			} else {
-				n.Set(modeServe, 1, 0, 0)
+				n.SetMode(modeServe, 1, 0, 0)
 			}
 		}
 	}
 	r.zoneFaultBegins(event)
-	set(event.Times, event.Part)
+	set(event.Slowdown, event.Part)
 	sleep(ctx, duration)
 	set(1, 0)
 	r.zoneFaultEnds(event)
@@ -164,19 +164,19 @@
 		r.countFalsePositive(report, proxy, zone, verdict, at)
 	})
 	for _, fault := range r.zoneFaults {
-		report.Zones = append(report.Zones, r.zoneFaultResult(fault, shifts))
+		report.ZoneFaults = append(report.ZoneFaults, r.zoneFaultResult(fault, shifts))
 	}
 }
 
 // countFalsePositive counts a verdict on a zone that no fault explains.
 func (r *runner) countFalsePositive(report *Report, proxy int, zone, verdict string, at time.Time) {
 	if strings.HasPrefix(verdict, verdictStandalone) && !r.hasCause(proxy, zone, at) {
-		report.Hasty++
+		report.FalsePositives++
 	}
 	evacuated := strings.HasPrefix(verdict, verdictLeaving) ||
 		strings.HasPrefix(verdict, verdictOut) && strings.Contains(verdict, verdictFromIn)
 	if evacuated && !slices.ContainsFunc(r.zoneFaults, func(f zoneFault) bool { return f.zone == zone && f.explains(at) }) {
-		report.Convicted++
+		report.FalseVerdicts++
 	}
 }
 
@@ -185,9 +185,9 @@
 	result := ZoneFaultResult{Zone: fault.zone, At: fault.from.Sub(r.log.start)}
 	to := fault.to
 	if to.IsZero() {
-		to = r.log.start.Add(seconds(r.plan.Day.Length))
+		to = r.log.start.Add(seconds(r.plan.Scenario.LengthS))
 	}
-	result.For = to.Sub(fault.from)
+	result.Duration = to.Sub(fault.from)
 	left, served := map[int]bool{}, map[int]float64{}
 	for _, shift := range shifts {
 		if shift.zone != fault.zone || fault.proxiesInside[shift.proxy] || shift.at.Before(fault.from) {
@@ -196,26 +196,26 @@
 		if shift.served == 0 && !left[shift.proxy] && shift.at.Before(to) {
 			left[shift.proxy] = true
 			elapsed := shift.at.Sub(fault.from)
-			if result.First == 0 || elapsed < result.First {
-				result.First = elapsed
+			if result.FirstLeft == 0 || elapsed < result.FirstLeft {
+				result.FirstLeft = elapsed
 			}
-			result.Last = max(result.Last, elapsed)
+			result.LastLeft = max(result.LastLeft, elapsed)
 		}
 		if served[shift.proxy] = shift.served; shift.served == 1 && shift.at.After(to) {
-			result.Back = max(result.Back, shift.at.Sub(to))
+			result.Returned = max(result.Returned, shift.at.Sub(to))
 		}
 	}
 	for i := range r.proxies {
 		if !fault.proxiesInside[i] && !left[i] {
-			result.Kept++
+			result.NeverLeft++
 		}
 		if part, ok := served[i]; ok && part < 1 {
-			result.Back = 0 // this proxy has not returned wholly
+			result.Returned = 0 // this proxy has not returned wholly
 		}
 	}
 	start := r.load.start
-	result.WorthAt = r.earnedValuePart(fault.from.Sub(start), fault.from.Add(valueSpanDuring).Sub(start))
-	result.WorthBack = r.earnedValuePart(to.Sub(start), to.Add(valueSpanAfter).Sub(start))
+	result.ValueDuring = r.earnedValuePart(fault.from.Sub(start), fault.from.Add(valueSpanDuring).Sub(start))
+	result.ValueAfter = r.earnedValuePart(to.Sub(start), to.Add(valueSpanAfter).Sub(start))
 	return result
 }
 
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -23,7 +23,7 @@
 	Rounds        int       `toml:"rounds"` // 1 to 1000, 1 where the file states none
 	Variants      []Variant `toml:"variant"`
 
-	scenarios []*emulator.Day // one for each file
+	scenarios []*emulator.Scenario // one for each file
 }
 
 // IsExperiment reports whether a file looks like an experiment, as opposed to a scenario. It is false for a file that
@@ -99,7 +99,7 @@
 // readScenarios reads the scenarios and checks each as each variant would run it.
 func (e *Experiment) readScenarios(dir string) error {
 	for _, file := range e.ScenarioFiles {
-		scenario, err := emulator.ReadDay(filepath.Join(dir, file))
+		scenario, err := emulator.ReadScenario(filepath.Join(dir, file))
 		if err != nil {
 			return err
 		}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -206,18 +206,18 @@
 // Outcomes are fractions of the requests that clients waited for, value counts only within the objective, and latency is
 // from the scheduled time.
 func TestSummarize(t *testing.T) {
-	scenario, err := emulator.ParseDay([]byte(scenarioFile))
+	scenario, err := emulator.ParseScenario([]byte(scenarioFile))
 	if err != nil {
 		t.Fatal(err)
 	}
 	report := &emulator.Report{
-		Plan: &emulator.Plan{Day: scenario},
-		Seen: []emulator.Seen{{What: emulator.Took}, {What: emulator.Took}, {What: emulator.Asked}},
+		Plan:   &emulator.Plan{Scenario: scenario},
+		Events: []emulator.Event{{Kind: emulator.AttemptReceived}, {Kind: emulator.AttemptReceived}, {Kind: emulator.RequestSent}},
 	}
 	for _, result := range []struct {
 		outcome   emulator.Outcome
 		latencyMS int
-	}{{emulator.Completed, 50}, {emulator.Completed, 150}, {emulator.Shed, 1}, {emulator.Lost, 700}, {emulator.Left, 9}} {
+	}{{emulator.Completed, 50}, {emulator.Completed, 150}, {emulator.Rejected, 1}, {emulator.Unanswered, 700}, {emulator.Abandoned, 9}} {
 		report.Results = append(report.Results,
 			emulator.Result{Outcome: result.outcome, Latency: time.Duration(result.latencyMS) * time.Millisecond})
 	}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -58,7 +58,7 @@
 			Variant:  e.Variants[run.Variant].Name,
 			Seed:     run.Seed,
 			Round:    run.Round,
-			Valid:    report.Ran,
+			Valid:    report.OnTime,
 			Metrics:  summary.metrics(),
 		}
 		table.Rows = append(table.Rows, row)
@@ -83,13 +83,13 @@
 		if err := CreateEmptyDir(dir); err != nil {
 			return nil, err
 		}
-		plan := variant.apply(e.scenarios[run.Scenario]).Draw(run.Seed)
-		options := emulator.Options{Start: emulator.Program(program...), Dir: dir, Overrides: variant.Settings}
+		plan := variant.apply(e.scenarios[run.Scenario]).NewPlan(run.Seed)
+		options := emulator.Options{Start: emulator.StartProgram(program...), Dir: dir, Overrides: variant.Settings}
 		var err error
-		if report, err = emulator.Play(ctx, plan, options); err != nil {
+		if report, err = emulator.Run(ctx, plan, options); err != nil {
 			return nil, err
 		}
-		if report.Ran {
+		if report.OnTime {
 			break
 		}
 	}
--- a/internal/experiment/summary.go
+++ b/internal/experiment/summary.go
@@ -28,10 +28,10 @@
 	UnansweredBadClients int     // clients that broke the protocol and were sent neither an error nor a close
 	Gossip               GossipSummary
 	Zones                ZoneSummary
-	SlowStartPeak        float64            // the most load of a node in slow start, as a fraction of what overloads it
-	Fleet                emulator.Together  // load of the proxy fleet on nodes and discovery
-	FullServiceSeconds   float64            // from the last kill until service was back to 95% of that before; the maximum
-	NegativeCache        NegativeCacheStats // lookups of keys that the origin lacks
+	SlowStartPeak        float64                 // the most load of a node in slow start, as a fraction of what overloads it
+	Fleet                emulator.BackgroundLoad // load of the proxy fleet on nodes and discovery
+	FullServiceSeconds   float64                 // from the last kill until service was back to 95% of that before; the maximum
+	NegativeCache        NegativeCacheStats      // lookups of keys that the origin lacks
 }
 
 // OutcomeFractions are fractions of the requests whose clients waited for the answer.
@@ -82,27 +82,27 @@
 func Summarize(report *emulator.Report) Summary {
 	summary := Summary{
 		Requests:             len(report.Results),
-		CPUMicrosPerRequest:  report.CPU,
-		LoadDelayMS:          report.LateMS,
-		Violations:           len(report.Breaches),
-		UnansweredBadClients: report.BadMute,
+		CPUMicrosPerRequest:  report.CPUMicrosPerRequest,
+		LoadDelayMS:          report.MaxLatenessMS,
+		Violations:           len(report.Violations),
+		UnansweredBadClients: report.UnansweredMalformed,
 		Gossip:               summarizeGossip(report),
 		Zones:                summarizeZones(report),
-		SlowStartPeak:        report.ColdPeak,
-		Fleet:                report.Together,
+		SlowStartPeak:        report.SlowStartPeak,
+		Fleet:                report.BackgroundLoad,
 		NegativeCache: NegativeCacheStats{
-			OriginMissesPerSecond: report.AbsentAsked,
-			ClientMissesPerSecond: report.AbsentSaid,
-			StaleMS:               report.Stale.Seconds() * 1000,
+			OriginMissesPerSecond: report.AbsentLookupsPerSecond,
+			ClientMissesPerSecond: report.AbsentAnswersPerSecond,
+			StaleMS:               report.MaxAbsentStaleness.Seconds() * 1000,
 		},
 	}
 	summary.addResults(report)
-	for _, restart := range report.Returns {
-		summary.FullServiceSeconds = max(summary.FullServiceSeconds, restart.Full.Seconds())
+	for _, restart := range report.Recoveries {
+		summary.FullServiceSeconds = max(summary.FullServiceSeconds, restart.Recovered.Seconds())
 	}
 	attempts := 0.0
-	for _, event := range report.Seen {
-		if event.What == emulator.Took {
+	for _, event := range report.Events {
+		if event.Kind == emulator.AttemptReceived {
 			attempts++
 		}
 	}
@@ -117,28 +117,28 @@
 	waited, earned, total := 0.0, 0.0, 0.0
 	outcomes := &s.Outcomes
 	for _, result := range report.Results {
-		route := report.Plan.Day.Routes[result.Request.Route]
-		if result.Outcome == emulator.Left {
+		route := report.Plan.Scenario.Routes[result.Request.Route]
+		if result.Outcome == emulator.Abandoned {
 			continue
 		}
 		waited++
-		total += route.Value
+		total += route.Weight
 		switch result.Outcome {
 		case emulator.Completed:
 			outcomes.Completed++
 			// The only error is a value beyond the histogram's range, which no overall timeout reaches.
 			_ = histogram.RecordValue(max(result.Latency.Microseconds(), minLatencyMicros))
-			if result.Latency.Seconds()*1000 <= route.Objective {
+			if result.Latency.Seconds()*1000 <= route.ObjectiveMS {
 				outcomes.InTime++
-				earned += route.Value
+				earned += route.Weight
 			}
-		case emulator.Shed:
+		case emulator.Rejected:
 			outcomes.Shed++
-		case emulator.Errored:
+		case emulator.Failed:
 			outcomes.Errored++
-		case emulator.Lost:
+		case emulator.Unanswered:
 			outcomes.Lost++
-		case emulator.Refused:
+		case emulator.ConnectionRefused:
 			outcomes.Refused++
 		}
 	}
@@ -161,13 +161,13 @@
 
 func summarizeGossip(report *emulator.Report) GossipSummary {
 	return GossipSummary{
-		PropagationP50MS: quantileMS(report.Whispers, 0.5),
-		PropagationP99MS: quantileMS(report.Whispers, 0.99),
-		NeverReached:     report.Unheard,
-		CatchUpP50MS:     quantileMS(report.CatchUps, 0.5),
-		CatchUpMaxMS:     quantileMS(report.CatchUps, 1),
-		BytesPerSecond:   report.PeerBytes,
-		PacketsPerSecond: report.PeerPackets,
+		PropagationP50MS: quantileMS(report.PropagationTimes, 0.5),
+		PropagationP99MS: quantileMS(report.PropagationTimes, 0.99),
+		NeverReached:     report.NeverPropagated,
+		CatchUpP50MS:     quantileMS(report.CatchUpTimes, 0.5),
+		CatchUpMaxMS:     quantileMS(report.CatchUpTimes, 1),
+		BytesPerSecond:   report.GossipBytesPerSecond,
+		PacketsPerSecond: report.GossipPacketsPerSecond,
 	}
 }
 
@@ -181,15 +181,15 @@
 }
 
 func summarizeZones(report *emulator.Report) ZoneSummary {
-	summary := ZoneSummary{FalseVerdicts: report.Convicted}
-	zones := float64(len(report.Zones))
-	for _, zone := range report.Zones {
-		summary.FirstEvacuationMS = max(summary.FirstEvacuationMS, zone.First.Seconds()*1000)
-		summary.LastEvacuationMS = max(summary.LastEvacuationMS, zone.Last.Seconds()*1000)
-		summary.RecoveryMS = max(summary.RecoveryMS, zone.Back.Seconds()*1000)
-		summary.ValueDuringFault += zone.WorthAt / zones
-		summary.ValueAfterFault += zone.WorthBack / zones
-		summary.NeverEvacuated += zone.Kept
+	summary := ZoneSummary{FalseVerdicts: report.FalseVerdicts}
+	zones := float64(len(report.ZoneFaults))
+	for _, zone := range report.ZoneFaults {
+		summary.FirstEvacuationMS = max(summary.FirstEvacuationMS, zone.FirstLeft.Seconds()*1000)
+		summary.LastEvacuationMS = max(summary.LastEvacuationMS, zone.LastLeft.Seconds()*1000)
+		summary.RecoveryMS = max(summary.RecoveryMS, zone.Returned.Seconds()*1000)
+		summary.ValueDuringFault += zone.ValueDuring / zones
+		summary.ValueAfterFault += zone.ValueAfter / zones
+		summary.NeverEvacuated += zone.NeverLeft
 	}
 	return summary
 }
--- a/internal/experiment/variant.go
+++ b/internal/experiment/variant.go
@@ -25,21 +25,21 @@
 }
 
 // apply returns a copy of the scenario with the changes of the variant.
-func (v Variant) apply(scenario *emulator.Day) *emulator.Day {
+func (v Variant) apply(scenario *emulator.Scenario) *emulator.Scenario {
 	changed := *scenario
 	overrideIfPositive(&changed.Load.Rate, v.RequestRate)
 	overrideIfPositive(&changed.Proxies, v.Proxies)
 	overrideIfPositive(&changed.Keys.Zipf, v.ZipfExponent)
 	overrideIfPositive(&changed.Limits.Cores, v.CoresPerProxy)
 	overrideIfPositive(&changed.Load.Connections, v.Connections)
-	overrideIfSet(&changed.Zones.Judged, v.ZoneHealth)
+	overrideIfSet(&changed.ZoneHealth.Decision, v.ZoneHealth)
 	overrideIfSet(&changed.State, v.Snapshots)
-	overrideIfSet(&changed.Missing.On, v.NegativeCache)
-	overrideIfSet(&changed.Turns.On, v.Duties)
-	overrideIfSet(&changed.Peers.Talk, v.Gossip)
+	overrideIfSet(&changed.NegativeCache.On, v.NegativeCache)
+	overrideIfSet(&changed.Duties.On, v.Duties)
+	overrideIfSet(&changed.Gossip.On, v.Gossip)
 	if v.Gossip != nil && !*v.Gossip {
 		// A fault of the links between proxies has nothing to act on without gossip.
-		changed.Trouble = slices.DeleteFunc(slices.Clone(changed.Trouble), emulator.Trouble.NeedsTalk)
+		changed.Faults = slices.DeleteFunc(slices.Clone(changed.Faults), emulator.Fault.NeedsGossip)
 	}
 	return &changed
 }
--- a/internal/server/client_test.go
+++ b/internal/server/client_test.go
@@ -59,7 +59,7 @@
 	if _, err := conn.Write(encodeCommand("INFO")); err != nil {
 		return "", err
 	}
-	_, text, err := emulator.Answer(bufio.NewReader(conn))
+	_, text, err := emulator.ReadElement(bufio.NewReader(conn))
 	return text, err
 }
 
@@ -110,7 +110,7 @@
 	if err := c.conn.SetDeadline(time.Now().Add(scriptClientTimeout)); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
-	times := max(int(testscript.Num(options["times"])), 1)
+	times := max(int(testscript.ParseNumber(options["times"])), 1)
 	switch words[0] {
 	case "get", "set":
 		return c.request(words[0], words[1], times, options)
@@ -150,7 +150,7 @@
 		words := []string{"KV.GET", fmt.Sprint(key, i), fmt.Sprint(c.name, c.sent), "c=read,t=x,d=" + timeoutMS}
 		if verb == "set" {
 			words[0], words[3] = "KV.SET", "c=put,t=x,d="+timeoutMS+",k=mark"
-			words = append(words, strings.Repeat("v", int(testscript.Num(options["size"]))))
+			words = append(words, strings.Repeat("v", int(testscript.ParseNumber(options["size"]))))
 		}
 		if err := c.write(words...); err != nil {
 			return err
@@ -168,11 +168,11 @@
 func (c *scriptClient) expect(want string, options map[string]string) error {
 	switch want {
 	case "begun":
-		return c.expectBegun(time.Duration(testscript.Num(options["within"])) * time.Millisecond)
+		return c.expectBegun(time.Duration(testscript.ParseNumber(options["within"])) * time.Millisecond)
 	case "nothing":
 		return c.expectNothing()
 	}
-	head, body, err := emulator.Answer(c.in)
+	head, body, err := emulator.ReadElement(c.in)
 	if want == "closed" {
 		if err == nil {
 			return fmt.Errorf("came %q", head)
--- a/internal/server/drain_test.go
+++ b/internal/server/drain_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	in := bufio.NewReader(conn)
 	for i := 0; ; i++ {
-		head, body, err := emulator.Answer(in)
+		head, body, err := emulator.ReadElement(in)
 		if err != nil {
 			return
 		}
@@ -63,5 +63,5 @@
 	if answers.Load() < 100 {
 		t.Errorf("%d answers", answers.Load())
 	}
-	h.End()
+	h.Finish()
 }
--- a/internal/server/harness_test.go
+++ b/internal/server/harness_test.go
@@ -97,7 +97,7 @@
 func (h *proxyHarness) play(line int, lines ...string) {
 	h.t.Helper()
 	for i, words := range lines {
-		h.Step(line+i+1, strings.Fields(words))
+		h.RunStep(line+i+1, strings.Fields(words))
 	}
 }
 
@@ -106,8 +106,8 @@
 	h.t.Errorf("line %d: %s", h.line, fmt.Sprintf(format, args...))
 }
 
-// End stops the proxy after the last line of a script.
-func (h *proxyHarness) End() {
+// Finish stops the proxy after the last line of a script.
+func (h *proxyHarness) Finish() {
 	h.t.Helper()
 	for _, conn := range h.idleCallers {
 		_ = conn.Close() // the proxy may have closed it
@@ -136,17 +136,17 @@
 		h.t.Cleanup(node.Stop)
 		h.nodes[name] = node
 	}
-	delay := time.Duration(testscript.Num(options["slow"])) * time.Millisecond
-	node.Set(emulator.Habit(mode), 1, delay, int(testscript.Num(options["size"])))
+	delay := time.Duration(testscript.ParseNumber(options["slow"])) * time.Millisecond
+	node.SetMode(emulator.NodeMode(mode), 1, delay, int(testscript.ParseNumber(options["size"])))
 }
 
 // endpoint returns an entry of the endpoint list for NAME or NAME:STATUS.
-func (h *proxyHarness) endpoint(word string) emulator.Row {
+func (h *proxyHarness) endpoint(word string) emulator.Endpoint {
 	name, status, _ := strings.Cut(word, ":")
 	if status == "" {
 		status = "active"
 	}
-	row := emulator.Row{Name: name, Address: h.ip + ":1", Zone: "a", Kind: "std", Status: status}
+	row := emulator.Endpoint{Name: name, Address: h.ip + ":1", Zone: "a", Kind: "std", Status: status}
 	if name[0] == 'o' {
 		row.Kind = "origin"
 	}
@@ -158,11 +158,11 @@
 
 // publishEndpoints has discovery send endpoints.
 func (h *proxyHarness) publishEndpoints(words []string) {
-	var rows []emulator.Row
+	var rows []emulator.Endpoint
 	for _, word := range words {
 		rows = append(rows, h.endpoint(word))
 	}
-	h.discovery.Say(rows...)
+	h.discovery.Publish(rows...)
 }
 
 // startDiscovery has discovery listen at a new address.
@@ -219,7 +219,7 @@
 	if !waitForListener(h.clientAddress) {
 		h.t.Fatal("the proxy does not listen")
 	}
-	if h.discovery.Mood() == "" { // until the list has come, or the first request would find no node
+	if h.discovery.Mode() == "" { // until the list has come, or the first request would find no node
 		h.call("GET", "/control/ready", "200", "")
 	}
 }
@@ -301,7 +301,7 @@
 	}
 	request := "\x00\x01 what\r\n\r\n"
 	if body != "garbage" {
-		n := int(testscript.Num(body))
+		n := int(testscript.ParseNumber(body))
 		request = fmt.Sprintf("%s %s HTTP/1.1\r\nHost: here\r\nContent-Length: %d\r\n\r\n%s",
 			method, path, n, strings.Repeat("x", n))
 	}
@@ -336,9 +336,9 @@
 	var info string
 	for range maxPolls {
 		if node := h.nodes[figure]; node != nil {
-			got = int(node.Taken.Load())
+			got = int(node.Received.Load())
 		} else if figure == "calls" {
-			got = int(h.discovery.Calls.Load())
+			got = int(h.discovery.WatchesOpened.Load())
 		} else if conn, err := net.Dial("tcp", h.clientAddress); err == nil {
 			info, err = readInfo(conn)
 			value, ok := counterValue(info, figure)
@@ -348,7 +348,7 @@
 			}
 			got = value
 		}
-		if testscript.Holds(got, operator, want) {
+		if testscript.Compare(got, operator, want) {
 			return
 		}
 		time.Sleep(pollInterval)
@@ -360,5 +360,5 @@
 func counterValue(info, name string) (value int, ok bool) {
 	_, after, ok := strings.Cut("\n"+info, "\n"+name+" ")
 	line, _, _ := strings.Cut(after, "\n")
-	return int(testscript.Num(line)), ok
+	return int(testscript.ParseNumber(line)), ok
 }
--- a/internal/server/hotrestart_test.go
+++ b/internal/server/hotrestart_test.go
@@ -84,7 +84,7 @@
 func (c *restartClient) request(id string, totals *restartTotals) bool {
 	totals.sent.Add(1)
 	_, _ = c.conn.Write(encodeGet("k", id, defaultTimeoutMS)) // where it fails there is no answer
-	head, body, err := emulator.Answer(c.in)
+	head, body, err := emulator.ReadElement(c.in)
 	switch {
 	case err != nil:
 		totals.unanswered.Add(1)
@@ -122,7 +122,7 @@
 	if sent, unanswered := totals.sent.Load(), totals.unanswered.Load(); sent < 300 || unanswered > sent/50 {
 		t.Errorf("%d sent, %d of them without an answer", sent, unanswered)
 	}
-	h.End()
+	h.Finish()
 }
 
 // The successor has the endpoint list that its predecessor had, though discovery does not respond and the list in the
@@ -135,7 +135,7 @@
 		"list c2:leaving", "pause 100", "discovery cut", "discovery silent",
 		"replace", "b get k times=5", "b gets value from=c1 times=5", "expect c2 = 0",
 	)
-	h.End()
+	h.Finish()
 }
 
 // Where a process inherits the listener, tells that it serves and dies, the first process accepts clients again.
@@ -156,7 +156,7 @@
 	}
 	successor.Disconnect()
 	h.play(19, "a gets pong", "a get k", "a gets value", "replace", "b get k", "b gets value")
-	h.End()
+	h.Finish()
 }
 
 // A process whose hot-restart socket can't be made is replaced all the same: both listen.
@@ -166,7 +166,7 @@
 	h.hotRestartDir = t.TempDir()
 	writeFile(t, filepath.Join(h.hotRestartDir, "woodproxy"), "")
 	h.play(9, "replace", "a get k", "a gets value")
-	h.End()
+	h.Finish()
 }
 
 // An endpoint list that can't be read is not inherited; the process starts without it.
@@ -197,7 +197,7 @@
 				t.Fatal(err)
 			}
 			h.play(19, "a get k", "a gets value")
-			h.End()
+			h.Finish()
 			predecessor.Close()
 		})
 	}
--- a/internal/server/overload_test.go
+++ b/internal/server/overload_test.go
@@ -22,7 +22,7 @@
 	if _, err := conn.Write(encodeGet("k", id, defaultTimeoutMS)); err != nil {
 		return "", err
 	}
-	_, body, err := emulator.Answer(in)
+	_, body, err := emulator.ReadElement(in)
 	return body, err
 }
 
@@ -142,7 +142,7 @@
 	if served, late := load.served.Load(), load.late.Load(); served < 500 || late > 0 {
 		t.Errorf("%d served, %d of them late", served, late)
 	}
-	h.End()
+	h.Finish()
 }
 
 const longValueBytes = 4 << 20
@@ -206,5 +206,5 @@
 	h.play(8, "node c1 hit", "a get k", "a gets value")
 	clients.Wait()
 	h.play(11, "expect Passing = 0")
-	h.End()
+	h.Finish()
 }
--- a/internal/server/script_test.go
+++ b/internal/server/script_test.go
@@ -40,7 +40,7 @@
 //
 // Modes of nodes and of discovery are the emulator's.
 func TestScenarios(t *testing.T) {
-	testscript.Play(t, "scenarios/*.txt", func(t *testing.T) testscript.Stage {
+	testscript.RunFiles(t, "scenarios/*.txt", func(t *testing.T) testscript.Runner {
 		t.Parallel()
 		return newHarness(t)
 	})
@@ -57,7 +57,7 @@
 	},
 	"list": func(h *proxyHarness, words []string, _ map[string]string) { h.publishEndpoints(words[1:]) },
 	"discovery": func(h *proxyHarness, words []string, _ map[string]string) {
-		h.discovery.Feel(emulator.Mood(strings.Replace(words[1], "up", "", 1)))
+		h.discovery.SetMode(emulator.DiscoveryMode(strings.Replace(words[1], "up", "", 1)))
 	},
 	"start":  func(h *proxyHarness, _ []string, options map[string]string) { h.start(options["known"]) },
 	"reload": func(h *proxyHarness, words []string, _ map[string]string) { h.reload(words[1]) },
@@ -71,22 +71,22 @@
 		h.call(words[1], words[2], words[3], options["with"])
 	},
 	"ringers": func(h *proxyHarness, words []string, _ map[string]string) {
-		h.openIdleCalls(int(testscript.Num(words[1])))
+		h.openIdleCalls(int(testscript.ParseNumber(words[1])))
 	},
 	"settings": func(h *proxyHarness, words []string, _ map[string]string) { h.replaceSettings(words[1], words[2]) },
 	"watch":    func(h *proxyHarness, words []string, _ map[string]string) { h.shadow = words[1] },
 	"pause": func(_ *proxyHarness, words []string, _ map[string]string) {
-		time.Sleep(time.Duration(testscript.Num(words[1])) * time.Millisecond)
+		time.Sleep(time.Duration(testscript.ParseNumber(words[1])) * time.Millisecond)
 	},
 	"expect": func(h *proxyHarness, words []string, _ map[string]string) {
-		h.expect(words[1], words[2], int(testscript.Num(words[3])))
+		h.expect(words[1], words[2], int(testscript.ParseNumber(words[3])))
 	},
 	"stop": func(h *proxyHarness, _ []string, _ map[string]string) { h.signals <- syscall.SIGTERM },
 	"crowd": func(h *proxyHarness, words []string, options map[string]string) {
-		h.addIdleClients(int(testscript.Num(words[1])), int(testscript.Num(options["from"])))
+		h.addIdleClients(int(testscript.ParseNumber(words[1])), int(testscript.ParseNumber(options["from"])))
 	},
 	"mutes": func(h *proxyHarness, words []string, _ map[string]string) {
-		for i := range int(testscript.Num(words[1])) {
+		for i := range int(testscript.ParseNumber(words[1])) {
 			h.playClient([]string{fmt.Sprint("mute", i), "raw"})
 		}
 	},
@@ -98,12 +98,12 @@
 	"stopped": func(h *proxyHarness, _ []string, _ map[string]string) { h.expectStopped() },
 }
 
-// Step plays one line of a script.
-func (h *proxyHarness) Step(line int, words []string) {
+// RunStep plays one line of a script.
+func (h *proxyHarness) RunStep(line int, words []string) {
 	h.t.Helper()
 	h.line = line
 	if command := scriptCommands[words[0]]; command != nil {
-		command(h, words, testscript.Words(words[1:]))
+		command(h, words, testscript.ParseArguments(words[1:]))
 		return
 	}
 	h.playClient(words)
@@ -122,7 +122,7 @@
 		client = &scriptClient{conn: conn, in: bufio.NewReader(conn), name: words[0]}
 		h.clients[words[0]] = client
 	}
-	if err := client.step(words[1:], testscript.Words(words[1:])); err != nil {
+	if err := client.step(words[1:], testscript.ParseArguments(words[1:])); err != nil {
 		h.fail("%v", err)
 	}
 }
--- a/internal/server/shutdown_test.go
+++ b/internal/server/shutdown_test.go
@@ -38,7 +38,7 @@
 	}()
 	in, answers := bufio.NewReader(conn), 0
 	for {
-		if _, _, err := emulator.Answer(in); err != nil {
+		if _, _, err := emulator.ReadElement(in); err != nil {
 			break // the connection ends behind a whole answer
 		}
 		answers++
@@ -50,7 +50,7 @@
 		t.Errorf("ended after %v: %v", time.Since(began), err)
 	}
 	h.signals = nil
-	h.End()
+	h.Finish()
 }
 
 // However long clients wait at most, connections are closed step by step and all requests are answered before the
--- a/internal/testscript/script.go
+++ b/internal/testscript/script.go
@@ -10,17 +10,17 @@
 // commentMark begins a line that is a comment.
 const commentMark = "#"
 
-// Stage runs the steps of one script. It holds the test that it belongs to and reports failures there.
-type Stage interface {
-	// Step runs one line of the script: its number from 1, and its words, of which there is at least one.
-	Step(line int, w []string)
-	// End is called once, after the last line.
-	End()
+// Runner runs the steps of one script. It holds the test that it belongs to and reports failures there.
+type Runner interface {
+	// RunStep runs one line of the script: its number from 1, and its words, of which there is at least one.
+	RunStep(line int, w []string)
+	// Finish is called once, after the last line.
+	Finish()
 }
 
-// Play runs each file that matches the pattern (see filepath.Glob) as a subtest named after the file, on a stage of its
+// RunFiles runs each file that matches the pattern (see filepath.Glob) as a subtest named after the file, on a stage of its
 // own that newStage returns. It fails the test if no file matches or a file cannot be read.
-func Play(t *testing.T, pattern string, newStage func(t *testing.T) Stage) {
+func RunFiles(t *testing.T, pattern string, newStage func(t *testing.T) Runner) {
 	t.Helper()
 	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
@@ -38,11 +38,11 @@
 }
 
 // run runs the lines of a script. Empty lines and comments are skipped, and counted in the line numbers.
-func run(script string, stage Stage) {
+func run(script string, stage Runner) {
 	for i, line := range strings.Split(script, "\n") {
 		if words := strings.Fields(line); len(words) > 0 && !strings.HasPrefix(words[0], commentMark) {
-			stage.Step(i+1, words)
+			stage.RunStep(i+1, words)
 		}
 	}
-	stage.End()
+	stage.Finish()
 }
--- a/internal/testscript/script_test.go
+++ b/internal/testscript/script_test.go
@@ -12,8 +12,8 @@
 	finished int
 }
 
-func (r *recorder) Step(line int, w []string) { r.steps = append(r.steps, fmt.Sprint(line, w)) }
-func (r *recorder) End()                      { r.finished++ }
+func (r *recorder) RunStep(line int, w []string) { r.steps = append(r.steps, fmt.Sprint(line, w)) }
+func (r *recorder) Finish()                      { r.finished++ }
 
 // Steps have their line numbers in the file; comments and empty lines are skipped, and the end is reported once.
 func TestRunSkipsCommentsAndEmptyLines(t *testing.T) {
@@ -25,7 +25,7 @@
 }
 
 func TestWordsMapsBareWordsToOne(t *testing.T) {
-	got := Words([]string{"a=2", "b", "c=", "d=x=y"})
+	got := ParseArguments([]string{"a=2", "b", "c=", "d=x=y"})
 	if want := map[string]string{"a": "2", "b": "1", "c": "", "d": "x=y"}; !reflect.DeepEqual(got, want) {
 		t.Errorf("%v, want %v", got, want)
 	}
@@ -33,7 +33,7 @@
 
 func TestNum(t *testing.T) {
 	for word, want := range map[string]float64{"": 0, "0": 0, "12": 12, "0.5": 0.5, "-3": -3} {
-		if got := Num(word); got != want {
+		if got := ParseNumber(word); got != want {
 			t.Errorf("%q is %v, want %v", word, got, want)
 		}
 	}
@@ -49,7 +49,7 @@
 		{">=", false, true, true},
 	} {
 		t.Run(test.op, func(t *testing.T) {
-			got := []bool{Holds(1, test.op, 2), Holds(2, test.op, 2), Holds(3, test.op, 2)}
+			got := []bool{Compare(1, test.op, 2), Compare(2, test.op, 2), Compare(3, test.op, 2)}
 			if want := []bool{test.less, test.equal, test.higher}; !reflect.DeepEqual(got, want) {
 				t.Errorf("%v, want %v", got, want)
 			}
@@ -60,8 +60,8 @@
 // An error in a script ends the test run, so that it cannot pass for a result.
 func TestBadWordsPanic(t *testing.T) {
 	for name, call := range map[string]func(){
-		"number":   func() { Num("many") },
-		"relation": func() { Holds(1, "<", 2) },
+		"number":   func() { ParseNumber("many") },
+		"relation": func() { Compare(1, "<", 2) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			defer func() {
--- a/internal/testscript/words.go
+++ b/internal/testscript/words.go
@@ -9,9 +9,9 @@
 // presentValue is the value of a word that stands without one.
 const presentValue = "1"
 
-// Words returns the values of key=value words by key; a word without a value has the value "1". Of words with the same
+// ParseArguments returns the values of key=value words by key; a word without a value has the value "1". Of words with the same
 // key, the last counts.
-func Words(w []string) map[string]string {
+func ParseArguments(w []string) map[string]string {
 	values := make(map[string]string, len(w))
 	for _, word := range w {
 		key, value, ok := strings.Cut(word, "=")
@@ -23,9 +23,9 @@
 	return values
 }
 
-// Num returns the number that a word states; an empty word, as of a key that is not there, is 0. It panics on any other
+// ParseNumber returns the number that a word states; an empty word, as of a key that is not there, is 0. It panics on any other
 // text, since that is an error in the script and not in what is tested.
-func Num(s string) float64 {
+func ParseNumber(s string) float64 {
 	if s == "" {
 		return 0
 	}
@@ -36,9 +36,9 @@
 	return number
 }
 
-// Holds reports whether got stands in the relation op ("=", "<=" or ">=") to want. It panics on any other relation,
+// Compare reports whether got stands in the relation op ("=", "<=" or ">=") to want. It panics on any other relation,
 // since that is an error in the script and not in what is tested.
-func Holds(got int, op string, want int) bool {
+func Compare(got int, op string, want int) bool {
 	switch op {
 	case "=":
 		return got == want
--- a/zonehealth/scenario_test.go
+++ b/zonehealth/scenario_test.go
@@ -40,7 +40,7 @@
 //	> log WORDS                          a log text contains them
 //	> wrong ORDER... : WORDS             the check of an override returns a text with these words, or nothing
 func TestScenarios(t *testing.T) {
-	testscript.Play(t, "scenarios/*.txt", func(t *testing.T) testscript.Stage {
+	testscript.RunFiles(t, "scenarios/*.txt", func(t *testing.T) testscript.Runner {
 		return &scenario{
 			t: t, settings: scenarioSettings(), exclusions: map[int]zonehealth.Decision{}, reports: map[string]zonehealth.Voice{},
 		}
@@ -96,10 +96,10 @@
 	"order": (*scenario).setOverride,
 }
 
-// Step plays one line.
-func (s *scenario) Step(line int, words []string) {
+// RunStep plays one line.
+func (s *scenario) RunStep(line int, words []string) {
 	s.line = line
-	options := testscript.Words(words[1:])
+	options := testscript.ParseArguments(words[1:])
 	switch words[0] {
 	case "terms":
 		s.changeSettings(options)
@@ -116,8 +116,8 @@
 	}
 }
 
-// End is called after the last line.
-func (s *scenario) End() {}
+// Finish is called after the last line.
+func (s *scenario) Finish() {}
 
 func (s *scenario) changeSettings(options map[string]string) {
 	for key, value := range options {
@@ -256,7 +256,7 @@
 
 // newReport returns the report of a line, without nodes.
 func newReport(vote zonehealth.Word, options map[string]string) zonehealth.Voice {
-	number := func(key string) float32 { return float32(testscript.Num(options[key])) }
+	number := func(key string) float32 { return float32(testscript.ParseNumber(options[key])) }
 	report := zonehealth.Voice{
 		Word: vote, InTime: number("fine"), AnsweredLate: number("late"), Lost: number("lost"), OriginLateShare: number("origin"),
 		Plan: parseVerdict(options["plan"]),
@@ -268,13 +268,13 @@
 		report.Stand = *verdict
 	}
 	if inFlight, capacity, found := strings.Cut(options["load"], "/"); found {
-		report.InFlight, report.Capacity = float32(testscript.Num(inFlight)), float32(testscript.Num(capacity))
+		report.InFlight, report.Capacity = float32(testscript.ParseNumber(inFlight)), float32(testscript.ParseNumber(capacity))
 	}
 	return report
 }
 
 func (s *scenario) setLoad(words []string, _ map[string]string) {
-	s.controller.Load(testscript.Num(words[0]), testscript.Num(words[1]))
+	s.controller.Load(testscript.ParseNumber(words[0]), testscript.ParseNumber(words[1]))
 }
 
 func (s *scenario) setOverride(words []string, options map[string]string) {
@@ -354,11 +354,11 @@
 		"kept": float64(len(status.Stand.RetainedNodes)), "barred": float64(s.excludedNodes(status.Name)),
 	}
 	matches := status.Stand.State.String() == words[1] && status.Alone == (options["alone"] != "")
-	want := testscript.Words(words[2:])
+	want := testscript.ParseArguments(words[2:])
 	delete(want, "alone")
 	for key, value := range want {
 		number, known := got[key]
-		matches = matches && known && math.Abs(number-testscript.Num(value)) <= 0.001
+		matches = matches && known && math.Abs(number-testscript.ParseNumber(value)) <= 0.001
 	}
 	if !matches {
 		s.fail("zone %s: %v %v, standalone %v, want %v; log texts %q", status.Name, status.Stand.State, got, status.Alone, words, s.logs)
@@ -411,6 +411,8 @@
 	return strings.Split(word, ",")
 }
 
-func integer(word string) int { return int(testscript.Num(word)) }
+func integer(word string) int { return int(testscript.ParseNumber(word)) }
 
-func milliseconds(word string) zonehealth.Time { return zonehealth.Time(testscript.Num(word) * 10) }
+func milliseconds(word string) zonehealth.Time {
+	return zonehealth.Time(testscript.ParseNumber(word) * 10)
+}
