--- a/cmd/woodproxy/cli_golden_test.go
+++ b/cmd/woodproxy/cli_golden_test.go
@@ -10,6 +10,8 @@
 	"regexp"
 	"strings"
 	"testing"
+
+	"woodproxy/internal/goldentest"
 )
 
 // buildPrograms builds all programs of the module into a directory of the test's own.
@@ -134,7 +136,7 @@
 }
 
 func testProxyHelp(t *testing.T, programs string) {
-	checkGolden(t, "woodproxy_help.golden", outputs(t, programs, t.TempDir(), proxyHelp))
+	goldentest.Text(t, "woodproxy_help.golden", outputs(t, programs, t.TempDir(), proxyHelp))
 }
 
 // testProxyCommands pins exit codes, error lines and what check prints.
@@ -197,7 +199,7 @@
 	all = append(all,
 		command{program: "woodproxy", args: []string{"check", "--config=good.json"}, environment: []string{"GW_PEERS=peers.toml", "GW_TURNS=bad.toml"}},
 		command{program: "woodproxy", args: []string{"check", "--config=good.json"}, environment: []string{"GW_PEERS=peers.toml", "GW_PEERS_LISTEN=nowhere"}})
-	checkGolden(t, "woodproxy_commands.golden", outputs(t, programs, dir, all))
+	goldentest.Text(t, "woodproxy_commands.golden", outputs(t, programs, dir, all))
 }
 
 var versionLine = regexp.MustCompile(`\Awoodproxy \S+ go\S+\n\z`)
@@ -240,7 +242,7 @@
 func testLab(t *testing.T, programs string) {
 	dir := t.TempDir()
 	writeFile(t, dir, "bad.toml", "unknown_key = 1\n")
-	checkGolden(t, "emulator.golden", outputs(t, programs, dir, labCommands))
+	goldentest.Text(t, "emulator.golden", outputs(t, programs, dir, labCommands))
 }
 
 // testSimulatorHost pins the exit code and the one line that names line, message and field of malformed input.
@@ -265,5 +267,5 @@
 		all[i].dir = dir
 		fmt.Fprintf(&text, "input %q\n%s", all[i].input, all[i].output(t, programs))
 	}
-	checkGolden(t, "simhost.golden", text.String())
+	goldentest.Text(t, "simhost.golden", text.String())
 }
--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/duties"
 	"woodproxy/internal/emulator"
 	"woodproxy/internal/gossip"
@@ -363,7 +365,7 @@
 		}
 		return !strings.Contains(r.body, "behind true")
 	})
-	checkGolden(t, "process_peers.golden", shown.masked(maskNumbers))
+	goldentest.Text(t, "process_peers.golden", shown.masked(maskNumbers))
 	if got := maskNumbers(p.run(t, "peers", p.management)); got != maskNumbers(shown.body) {
 		t.Errorf("the subcommand prints %q", got)
 	}
@@ -405,7 +407,7 @@
 	zone("held", "zone c ", "ordered hold")
 	peer.speak(replica.KindZoneReport, "c", &zonehealth.Report{Zone: "b", Vote: zonehealth.VoteUnhealthy, UnansweredRun: 3, Unanswered: 3})
 	zone("spoken against", "zone c ", "against: beta")
-	checkGolden(t, "process_zones.golden", all.String())
+	goldentest.Text(t, "process_zones.golden", all.String())
 }
 
 // askSteadily has a client ask for one key after the other until the test ends.
@@ -491,9 +493,9 @@
 	for _, target := range []string{"/control/turns", "/control/recovery", "/control/missing"} {
 		fmt.Fprintf(&all, "=== GET %s\n%s", target, p.call(t, "GET", target, "").masked(maskValues))
 	}
-	checkGolden(t, "process_figures.golden", all.String())
-	checkGolden(t, "process_metrics.golden", p.call(t, "GET", "/metrics", "").masked(maskSamples))
-	checkGolden(t, "process_counters.golden", maskNumbers(p.run(t, "counters", p.clients)))
+	goldentest.Text(t, "process_figures.golden", all.String())
+	goldentest.Text(t, "process_metrics.golden", p.call(t, "GET", "/metrics", "").masked(maskSamples))
+	goldentest.Text(t, "process_counters.golden", maskNumbers(p.run(t, "counters", p.clients)))
 }
 
 // manyNodes is an inventory of more nodes than one may have.
@@ -534,7 +536,7 @@
 		fmt.Fprintf(&all, "=== %s\n%s", c.name, p.call(t, "POST", "/control/moves/plan", c.inventory))
 	}
 	fmt.Fprintf(&all, "=== busy\n%s", busyPlan(t, p))
-	checkGolden(t, "process_plans.golden", all.String())
+	goldentest.Text(t, "process_plans.golden", all.String())
 }
 
 // busyPlan has one call send its inventory only in part, and makes others until one is told so.
@@ -592,7 +594,7 @@
 		fmt.Fprintf(&all, "=== %s %s\n%s", c.method, c.target, p.call(t, c.method, c.target, ""))
 	}
 	fmt.Fprintf(&all, "=== GET /metrics\n%s", p.call(t, "GET", "/metrics", "").masked(maskSamples))
-	checkGolden(t, "process_without_parts.golden", all.String())
+	goldentest.Text(t, "process_without_parts.golden", all.String())
 	for _, subcommand := range []string{"peers", "zones"} {
 		text, err := exec.Command(p.program, subcommand, p.management).CombinedOutput()
 		if want := "woodproxy: no file of " + subcommand + " is named\n"; err == nil || string(text) != want {
--- a/duties/wire_golden_test.go
+++ b/duties/wire_golden_test.go
@@ -3,17 +3,19 @@
 import (
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/duties"
 )
 
 // TestGoldenReport pins the encoding of the body of reports on probes and of heartbeats.
 func TestGoldenReport(t *testing.T) {
-	checkGolden(t, "said.golden", []goldenCase{
-		{name: "said-full", full: true, value: &duties.Report{Round: 70000, Outcome: duties.ProbeSucceeded, ValidFor: 25000}},
-		{name: "trial-begins", value: &duties.Report{Round: 3, Outcome: duties.ProbeStarted}},
-		{name: "trial-fails", value: &duties.Report{Round: 3, Outcome: duties.ProbeFailed}},
-		{name: "beat", value: &duties.Report{ValidFor: 25000}},
-		{name: "said-empty", value: &duties.Report{}},
+	goldentest.Msgpack(t, "said.golden", []goldentest.Value{
+		{Name: "said-full", Full: true, Value: &duties.Report{Round: 70000, Outcome: duties.ProbeSucceeded, ValidFor: 25000}},
+		{Name: "trial-begins", Value: &duties.Report{Round: 3, Outcome: duties.ProbeStarted}},
+		{Name: "trial-fails", Value: &duties.Report{Round: 3, Outcome: duties.ProbeFailed}},
+		{Name: "beat", Value: &duties.Report{ValidFor: 25000}},
+		{Name: "said-empty", Value: &duties.Report{}},
 	})
 }
 
--- a/internal/gossip/config_golden_test.go
+++ b/internal/gossip/config_golden_test.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"woodproxy/internal/goldentest"
 )
 
 // readPeers reads a peers file with the given text. The text of errors does not depend on the directory.
@@ -21,7 +23,7 @@
 	}
 	config, err := ReadConfig(file, listen)
 	if err != nil {
-		return nil, errors.New(stableError(err, dir))
+		return nil, errors.New(goldentest.StableError(err, dir))
 	}
 	return config, nil
 }
@@ -50,20 +52,20 @@
 }
 
 func TestPeersFileEveryKey(t *testing.T) {
-	every := readTestdata(t, "peers_every_key.toml")
-	checkGolden(t, "peers_every_key.golden", describePeers(t, every, ""))
-	checkGolden(t, "peers_every_key_left_out.golden",
-		leaveOutEachLine(every, func(text string) string { return describePeers(t, text, "") }))
+	every := goldentest.Read(t, "peers_every_key.toml")
+	goldentest.Text(t, "peers_every_key.golden", describePeers(t, every, ""))
+	goldentest.Text(t, "peers_every_key_left_out.golden",
+		goldentest.LeaveOutEachLine(every, func(text string) string { return describePeers(t, text, "") }))
 }
 
 func TestPeersFileDefaults(t *testing.T) {
-	checkGolden(t, "peers_defaults.golden", describePeers(t, readTestdata(t, "peers_required_keys.toml"), ""))
+	goldentest.Text(t, "peers_defaults.golden", describePeers(t, goldentest.Read(t, "peers_required_keys.toml"), ""))
 }
 
 // The listen address of the caller overrides the one in the file.
 func TestPeersFileListenOverride(t *testing.T) {
-	required := readTestdata(t, "peers_required_keys.toml")
-	checkGolden(t, "peers_listen_override.golden", describePeers(t, required, "127.0.0.9:7009"))
+	required := goldentest.Read(t, "peers_required_keys.toml")
+	goldentest.Text(t, "peers_listen_override.golden", describePeers(t, required, "127.0.0.9:7009"))
 }
 
 func TestPeersFileDeployed(t *testing.T) {
@@ -71,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	checkGolden(t, "peers_deployed.golden", describePeers(t, string(text), ""))
+	goldentest.Text(t, "peers_deployed.golden", describePeers(t, string(text), ""))
 }
 
 // invalidPeersFiles are made from the file with every key by one replacement each.
@@ -182,7 +184,7 @@
 }
 
 func TestPeersFileInvalid(t *testing.T) {
-	every := readTestdata(t, "peers_every_key.toml")
+	every := goldentest.Read(t, "peers_every_key.toml")
 	for _, test := range invalidPeersFiles {
 		t.Run(test.name, func(t *testing.T) {
 			text := strings.Replace(every, test.from, test.to, 1)
@@ -219,7 +221,7 @@
 	}
 	t.Cleanup(func() { closeListener(t, udp) })
 	for _, address := range []net.Addr{tcp.Addr(), udp.LocalAddr()} {
-		config, err := readPeers(t, readTestdata(t, "peers_required_keys.toml"), address.String())
+		config, err := readPeers(t, goldentest.Read(t, "peers_required_keys.toml"), address.String())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gossip/frames_golden_test.go
+++ b/internal/gossip/frames_golden_test.go
@@ -6,12 +6,13 @@
 	"io"
 	"log"
 	"net"
-	"path/filepath"
 	"regexp"
 	"sync"
 	"testing"
 	"time"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/internal/wire"
 	"woodproxy/replica"
 
@@ -146,9 +147,9 @@
 // goldenMessage returns the bytes of one case of the golden file of messages.
 func goldenMessage(t *testing.T, name string) string {
 	t.Helper()
-	for _, e := range readGolden(t, filepath.Join("testdata", "messages.golden")) {
-		if e.name == name {
-			return string(e.encoded)
+	for _, e := range goldentest.ReadEncodings(t, "messages.golden") {
+		if e.Name == name {
+			return string(e.Encoded)
 		}
 	}
 	t.Fatalf("no golden message %q", name)
--- a/internal/gossip/message_golden_test.go
+++ b/internal/gossip/message_golden_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/replica"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -75,11 +77,11 @@
 // TestGossipMessageEncoding pins the encoding of each type of message, and that the golden bytes decode to its values.
 func TestGossipMessageEncoding(t *testing.T) {
 	cases := messageCases()
-	var encodings []encoding
+	var encodings []goldentest.Encoding
 	for i := range cases {
-		encodings = append(encodings, encoding{cases[i].name, encodeGossip(&cases[i].message)})
+		encodings = append(encodings, goldentest.Encoding{Name: cases[i].name, Encoded: encodeGossip(&cases[i].message)})
 	}
-	for i, golden := range compareGolden(t, "messages.golden", encodings) {
+	for i, golden := range goldentest.Encodings(t, "messages.golden", encodings) {
 		t.Run(cases[i].name, func(t *testing.T) {
 			want := cases[i].message
 			want.Version = wireVersion
--- a/internal/hotrestart/message_golden_test.go
+++ b/internal/hotrestart/message_golden_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/internal/wire"
 )
 
@@ -45,8 +47,8 @@
 		}
 		fmt.Fprintf(&names, "%s: %s %v\n", listen, entries[0].Name(), info.Mode())
 	}
-	checkGolden(t, "socket_names.golden", names.String())
-	if line := testListen + ": " + goldenSocket + " "; !strings.HasPrefix(readTestdata(t, "socket_names.golden"), line) {
+	goldentest.Text(t, "socket_names.golden", names.String())
+	if line := testListen + ": " + goldenSocket + " "; !strings.HasPrefix(goldentest.Read(t, "socket_names.golden"), line) {
 		t.Errorf("the golden file does not begin with %q", line)
 	}
 }
@@ -62,7 +64,7 @@
 	if predecessor.err != nil {
 		t.Fatal(predecessor.err)
 	}
-	checkGolden(t, "hello.golden", predecessor.hello)
+	goldentest.Text(t, "hello.golden", predecessor.hello)
 }
 
 // The predecessor answers a hello with one line, which carries the listener, and writes nothing more.
@@ -78,9 +80,9 @@
 			dir, listener := t.TempDir(), tcpListener(t)
 			_, counts := openServer(t, dir, testListen, listener, c.list)
 			conn := dialRaw(t, dir)
-			send(t, conn, readTestdata(t, "hello.golden"))
+			send(t, conn, goldentest.Read(t, "hello.golden"))
 			offer, received := receiveRawOffer(t, conn)
-			checkGolden(t, c.golden, offer)
+			goldentest.Text(t, c.golden, offer)
 			if received.Addr().String() != listener.Addr().String() {
 				t.Errorf("a listener at %v, want %v", received.Addr(), listener.Addr())
 			}
@@ -105,7 +107,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			dir, listener := t.TempDir(), tcpListener(t)
-			seen := serveRaw(listenRaw(t, dir), readTestdata(t, c.golden), listener)
+			seen := serveRaw(listenRaw(t, dir), goldentest.Read(t, c.golden), listener)
 			predecessor := takeOver(t, dir)
 			if predecessor.Listener.Addr().String() != listener.Addr().String() {
 				t.Errorf("a listener at %v, want %v", predecessor.Listener.Addr(), listener.Addr())
@@ -121,10 +123,10 @@
 			if raw.err != nil {
 				t.Fatal(raw.err)
 			}
-			if hello := readTestdata(t, "hello.golden"); raw.hello != hello {
+			if hello := goldentest.Read(t, "hello.golden"); raw.hello != hello {
 				t.Errorf("hello %q, want %q", raw.hello, hello)
 			}
-			checkGolden(t, "serving.golden", raw.rest)
+			goldentest.Text(t, "serving.golden", raw.rest)
 		})
 	}
 }
@@ -142,10 +144,10 @@
 	dir := t.TempDir()
 	_, counts := openServer(t, dir, testListen, tcpListener(t), []byte(nullList))
 	conn := dialRaw(t, dir)
-	send(t, conn, readTestdata(t, "hello.golden"))
+	send(t, conn, goldentest.Read(t, "hello.golden"))
 	receiveRawOffer(t, conn)
 	expectCounts(t, counts, successorCounts{holding: 1})
-	send(t, conn, readTestdata(t, "serving.golden"))
+	send(t, conn, goldentest.Read(t, "serving.golden"))
 	expectCounts(t, counts, successorCounts{holding: 1, serving: 1})
 	closeWrite(t, conn)
 	if rest, err := io.ReadAll(conn); err != nil || len(rest) > 0 {
@@ -163,7 +165,7 @@
 		err  error
 	}
 	answered := make(chan accepted, 1)
-	offer := readTestdata(t, "offer_null_list.golden")
+	offer := goldentest.Read(t, "offer_null_list.golden")
 	go func() {
 		conn, _, _, err := acceptRaw(socket)
 		if err == nil {
@@ -198,14 +200,14 @@
 		dir := t.TempDir()
 		openServer(t, dir, testListen, tcpListener(t), goldenList())
 		conn := dialRaw(t, dir)
-		send(t, conn, addUnknownKey(readTestdata(t, "hello.golden")))
-		if offer, _ := receiveRawOffer(t, conn); offer != readTestdata(t, "offer_list.golden") {
+		send(t, conn, addUnknownKey(goldentest.Read(t, "hello.golden")))
+		if offer, _ := receiveRawOffer(t, conn); offer != goldentest.Read(t, "offer_list.golden") {
 			t.Errorf("answered with %q", offer)
 		}
 	})
 	t.Run("offer", func(t *testing.T) {
 		dir := t.TempDir()
-		seen := serveRaw(listenRaw(t, dir), addUnknownKey(readTestdata(t, "offer_null_list.golden")), tcpListener(t))
+		seen := serveRaw(listenRaw(t, dir), addUnknownKey(goldentest.Read(t, "offer_null_list.golden")), tcpListener(t))
 		takeOver(t, dir).Disconnect()
 		if raw := <-seen; raw.err != nil {
 			t.Error(raw.err)
@@ -237,7 +239,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			conn := dialRaw(t, dir)
-			send(t, conn, replaceOnce(t, readTestdata(t, "hello.golden"), c.from, c.to))
+			send(t, conn, replaceOnce(t, goldentest.Read(t, "hello.golden"), c.from, c.to))
 			if answer, err := io.ReadAll(conn); err != nil || len(answer) > 0 {
 				t.Errorf("answered with %q: %v", answer, err)
 			}
@@ -255,7 +257,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			dir := t.TempDir()
-			offer := replaceOnce(t, readTestdata(t, "offer_null_list.golden"), c.from, c.to)
+			offer := replaceOnce(t, goldentest.Read(t, "offer_null_list.golden"), c.from, c.to)
 			seen := serveRaw(listenRaw(t, dir), offer, tcpListener(t))
 			_, err := TakeOver(dir, testListen)
 			if err == nil || errors.Is(err, ErrNoPredecessor) || !strings.Contains(err.Error(), c.version) || !strings.Contains(err.Error(), c.listen) {
--- a/internal/server/api_golden_test.go
+++ b/internal/server/api_golden_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/internal/admin"
 	"woodproxy/internal/server"
 	"woodproxy/rebalance"
@@ -225,7 +227,7 @@
 	fmt.Fprintf(&all, "=== malformed head\n--- response\n%s\n", roundTrip(t, addr, "\x00\x01 what\r\n\r\n"))
 	longHead := "GET /control/ready HTTP/1.1\r\nHost: proxy\r\nX-Long: " + strings.Repeat("x", 16<<10) + "\r\n\r\n"
 	fmt.Fprintf(&all, "=== oversize head\n--- response\n%s\n", roundTrip(t, addr, longHead))
-	checkGolden(t, "control_api.golden", all.String())
+	goldentest.Text(t, "control_api.golden", all.String())
 }
 
 // planError is an error of a plan, and the JSON object that operators get for it.
--- a/internal/server/config_golden_test.go
+++ b/internal/server/config_golden_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/internal/server"
 	"woodproxy/internal/settings"
 )
@@ -40,7 +42,7 @@
 	overrides.NegativeCacheFile = write("missing.toml", files.missing)
 	config, err := server.Read(write("config.json", files.config), overrides)
 	if err != nil {
-		return nil, errors.New(stableError(err, dir))
+		return nil, errors.New(goldentest.StableError(err, dir))
 	}
 	return config, nil
 }
@@ -95,30 +97,30 @@
 }
 
 func TestConfigEveryKey(t *testing.T) {
-	every := readTestdata(t, "config_every_key.json")
+	every := goldentest.Read(t, "config_every_key.json")
 	describe := func(text string) string { return describeConfig(t, configFiles{config: text}, server.Config{}) }
-	checkGolden(t, "config_every_key.golden", describe(every))
-	checkGolden(t, "config_every_key_left_out.golden", leaveOutEachKey(every, describe))
+	goldentest.Text(t, "config_every_key.golden", describe(every))
+	goldentest.Text(t, "config_every_key_left_out.golden", goldentest.LeaveOutEachKey(every, describe))
 }
 
 func TestConfigDefaults(t *testing.T) {
-	required := readTestdata(t, "config_required_keys.json")
-	checkGolden(t, "config_defaults.golden", describeConfig(t, configFiles{config: required}, server.Config{}))
+	required := goldentest.Read(t, "config_required_keys.json")
+	goldentest.Text(t, "config_defaults.golden", describeConfig(t, configFiles{config: required}, server.Config{}))
 }
 
 // What is given beside the file goes before what it says.
 func TestConfigOverrides(t *testing.T) {
-	files := configFiles{config: readTestdata(t, "config_every_key.json")}
+	files := configFiles{config: goldentest.Read(t, "config_every_key.json")}
 	overrides := server.Config{
 		Name: "proxy-32", Listen: "127.0.0.41:1", Discovery: "127.0.0.42:2", Management: "127.0.0.43:3",
 	}
 	base := describeConfig(t, files, server.Config{})
-	checkGolden(t, "config_overrides.golden", changedLines(describeConfig(t, files, overrides), base))
+	goldentest.Text(t, "config_overrides.golden", goldentest.ChangedLines(describeConfig(t, files, overrides), base))
 }
 
 // What changes in the configuration when a value is null, stands twice or is not known, or a file of peers is named.
 func TestConfigVariants(t *testing.T) {
-	every := readTestdata(t, "config_every_key.json")
+	every := goldentest.Read(t, "config_every_key.json")
 	base := describeConfig(t, configFiles{config: every}, server.Config{})
 	var report strings.Builder
 	for _, change := range []struct{ from, to string }{
@@ -134,12 +136,12 @@
 	} {
 		text := replaceIn(t, every, change.from, change.to)
 		fmt.Fprintf(&report, "%s instead of %s:\n%s", change.to, change.from,
-			changedLines(describeConfig(t, configFiles{config: text}, server.Config{}), base))
+			goldentest.ChangedLines(describeConfig(t, configFiles{config: text}, server.Config{}), base))
 	}
 	text := replaceIn(t, every, `"tick":7.3`, `"tick":7.3,"me":6`)
-	files := configFiles{config: text, peers: readTestdata(t, "peers.toml")}
-	fmt.Fprintf(&report, "\"me\":6 with a file of peers:\n%s", changedLines(describeConfig(t, files, server.Config{}), base))
-	checkGolden(t, "config_variants.golden", report.String())
+	files := configFiles{config: text, peers: goldentest.Read(t, "peers.toml")}
+	fmt.Fprintf(&report, "\"me\":6 with a file of peers:\n%s", goldentest.ChangedLines(describeConfig(t, files, server.Config{}), base))
+	goldentest.Text(t, "config_variants.golden", report.String())
 }
 
 // replaceIn replaces the first occurrence of a part that has to be there.
@@ -163,7 +165,7 @@
 }
 
 func TestConfigBadInputs(t *testing.T) {
-	every := readTestdata(t, "config_every_key.json")
+	every := goldentest.Read(t, "config_every_key.json")
 	for _, c := range []badInput{
 		{every, "{", "configuration: config.json: not a JSON object"},
 		{every, "[]", "configuration: config.json: not a JSON object"},
--- a/internal/server/figures_golden_test.go
+++ b/internal/server/figures_golden_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/duties"
 	"woodproxy/internal/proxy"
 	"woodproxy/negativecache"
@@ -73,7 +75,7 @@
 		fill(t, reflect.ValueOf(c.value).Elem(), &count)
 		fmt.Fprintf(&all, "filled: %s\n", encode(t, c.value))
 	}
-	checkGolden(t, "figures.golden", all.String())
+	goldentest.Text(t, "figures.golden", all.String())
 }
 
 // fullInventory has every key that an inventory may have.
@@ -114,7 +116,7 @@
 // The counters have the names that they have today, in their order: INFO, the log and the metrics show them.
 func TestCounterNamesGolden(t *testing.T) {
 	counters := &proxy.Counters{}
-	checkGolden(t, "counters.golden", counters.String())
+	goldentest.Text(t, "counters.golden", counters.String())
 	var listed strings.Builder
 	counters.Each(func(name string, value int64) { fmt.Fprintf(&listed, "%s %d\n", name, value) })
 	if listed.String() != counters.String() {
@@ -137,5 +139,5 @@
 			t.Errorf("order %v is not read by its own name", w)
 		}
 	}
-	checkGolden(t, "state_words.golden", all.String())
+	goldentest.Text(t, "state_words.golden", all.String())
 }
--- a/internal/server/toml_golden_test.go
+++ b/internal/server/toml_golden_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/duties"
 	"woodproxy/internal/server"
 	"woodproxy/negativecache"
@@ -30,7 +32,7 @@
 var zonesTOML = tomlFile{
 	name: "zones",
 	files: func(t *testing.T, text string) configFiles {
-		return configFiles{config: readTestdata(t, "config_for_toml_files.json"), zones: text}
+		return configFiles{config: goldentest.Read(t, "config_for_toml_files.json"), zones: text}
 	},
 	describe: func(config *server.Config, line func(label string, v any)) {
 		z := config.ZoneHealth
@@ -58,7 +60,7 @@
 	name: "turns",
 	files: func(t *testing.T, text string) configFiles {
 		return configFiles{
-			config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), turns: text,
+			config: goldentest.Read(t, "config_for_toml_files.json"), peers: goldentest.Read(t, "peers.toml"), turns: text,
 		}
 	},
 	describe: func(config *server.Config, line func(label string, v any)) {
@@ -77,7 +79,7 @@
 var movesTOML = tomlFile{
 	name: "moves",
 	files: func(t *testing.T, text string) configFiles {
-		return configFiles{config: readTestdata(t, "config_for_toml_files.json"), moves: text}
+		return configFiles{config: goldentest.Read(t, "config_for_toml_files.json"), moves: text}
 	},
 	describe: func(config *server.Config, line func(label string, v any)) {
 		line("slack", config.Rebalance.Slack)
@@ -90,7 +92,7 @@
 	name: "missing",
 	files: func(t *testing.T, text string) configFiles {
 		return configFiles{
-			config: readTestdata(t, "config_for_toml_files.json"), peers: readTestdata(t, "peers.toml"), missing: text,
+			config: goldentest.Read(t, "config_for_toml_files.json"), peers: goldentest.Read(t, "peers.toml"), missing: text,
 		}
 	},
 	describe: func(config *server.Config, line func(label string, v any)) {
@@ -120,17 +122,17 @@
 func TestTOMLFilesEveryKey(t *testing.T) {
 	for _, f := range tomlFiles {
 		t.Run(f.name, func(t *testing.T) {
-			every := readTestdata(t, f.name+"_every_key.toml")
-			checkGolden(t, f.name+"_every_key.golden", f.read(t, every))
-			checkGolden(t, f.name+"_every_key_left_out.golden",
-				leaveOutEachLine(every, func(text string) string { return f.read(t, text) }))
+			every := goldentest.Read(t, f.name+"_every_key.toml")
+			goldentest.Text(t, f.name+"_every_key.golden", f.read(t, every))
+			goldentest.Text(t, f.name+"_every_key_left_out.golden",
+				goldentest.LeaveOutEachLine(every, func(text string) string { return f.read(t, text) }))
 		})
 	}
 }
 
 func TestTOMLFilesDefaults(t *testing.T) {
 	for _, f := range tomlFiles {
-		t.Run(f.name, func(t *testing.T) { checkGolden(t, f.name+"_defaults.golden", f.read(t, noKeys)) })
+		t.Run(f.name, func(t *testing.T) { goldentest.Text(t, f.name+"_defaults.golden", f.read(t, noKeys)) })
 	}
 }
 
@@ -142,14 +144,14 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			checkGolden(t, f.name+"_deployed.golden", f.read(t, string(text)))
+			goldentest.Text(t, f.name+"_deployed.golden", f.read(t, string(text)))
 		})
 	}
 }
 
 // The settings' locality goes before the zone that the file of zones names.
 func TestZonesFileLocality(t *testing.T) {
-	files := zonesTOML.files(t, readTestdata(t, "zones_every_key.toml"))
+	files := zonesTOML.files(t, goldentest.Read(t, "zones_every_key.toml"))
 	files.config = replaceIn(t, files.config, `"tick":5`, `"tick":5,"locality":"north"`)
 	config, err := readConfig(t, files, server.Config{})
 	if err != nil {
@@ -165,7 +167,7 @@
 
 func (f *tomlFile) expectErrors(t *testing.T, cases []badInput) {
 	t.Helper()
-	every := readTestdata(t, f.name+"_every_key.toml")
+	every := goldentest.Read(t, f.name+"_every_key.toml")
 	for _, c := range cases {
 		t.Run(c.want, func(t *testing.T) {
 			_, err := readConfig(t, f.files(t, replaceIn(t, every, c.from, c.to)), server.Config{})
@@ -305,7 +307,7 @@
 
 // A file of peers that is wrong, or whose address another listener has, is an error of the configuration.
 func TestPeersFileOfConfigBadInputs(t *testing.T) {
-	config, peers := readTestdata(t, "config_every_key.json"), readTestdata(t, "peers.toml")
+	config, peers := goldentest.Read(t, "config_every_key.json"), goldentest.Read(t, "peers.toml")
 	for _, address := range []string{"127.0.0.31:6431", "127.0.0.32:6432", "127.0.0.33:6433"} {
 		t.Run(address, func(t *testing.T) {
 			files := configFiles{config: config, peers: replaceIn(t, peers, "127.0.0.3:7001", address)}
--- a/internal/settings/settings_golden_test.go
+++ b/internal/settings/settings_golden_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/balancer"
 
 	"github.com/valyala/fastjson"
@@ -122,23 +124,23 @@
 }
 
 func TestEveryKeyIsRead(t *testing.T) {
-	checkGolden(t, "settings_every_key.golden", describeSettings(readTestdata(t, "settings_every_key.json")))
+	goldentest.Text(t, "settings_every_key.golden", describeSettings(goldentest.Read(t, "settings_every_key.json")))
 }
 
 func TestDefaultsOfAbsentKeys(t *testing.T) {
-	checkGolden(t, "settings_defaults.golden", describeSettings(readTestdata(t, "settings_required_keys.json")))
+	goldentest.Text(t, "settings_defaults.golden", describeSettings(goldentest.Read(t, "settings_required_keys.json")))
 }
 
 // Each key alone determines the value of its name, and a required key that is absent is reported by its name.
 func TestEachKeyLeftOut(t *testing.T) {
 	for _, name := range []string{"settings_every_key", "settings_required_keys"} {
-		checkGolden(t, name+"_left_out.golden", leaveOutEachKey(readTestdata(t, name+".json"), describeSettings))
+		goldentest.Text(t, name+"_left_out.golden", goldentest.LeaveOutEachKey(goldentest.Read(t, name+".json"), describeSettings))
 	}
 }
 
 // What changes in the settings when a value takes another of its permitted words, is null, or is given twice.
 func TestVariantsOfValues(t *testing.T) {
-	every := readTestdata(t, "settings_every_key.json")
+	every := goldentest.Read(t, "settings_every_key.json")
 	var report strings.Builder
 	for _, change := range []struct{ from, to string }{
 		{`"membership-mode": "ask"`, `"membership-mode": "push"`},
@@ -164,14 +166,14 @@
 		if text == every {
 			t.Errorf("%s is not in the file", change.from)
 		}
-		changed := changedLines(describeSettings(text), describeSettings(every))
+		changed := goldentest.ChangedLines(describeSettings(text), describeSettings(every))
 		fmt.Fprintf(&report, "%s instead of %s:\n%s", change.to, change.from, changed)
 	}
-	checkGolden(t, "settings_variants.golden", report.String())
+	goldentest.Text(t, "settings_variants.golden", report.String())
 }
 
 func TestBadSettingsNameTheValue(t *testing.T) {
-	every := readTestdata(t, "settings_every_key.json")
+	every := goldentest.Read(t, "settings_every_key.json")
 	for _, c := range []struct{ from, to, want string }{
 		{`"replicas-of-me": 7`, `"replicas-of-me": 0`, "setup replicas-of-me: out of its range"},
 		{`"replicas-of-me": 7`, `"replicas-of-me": 7.5`, "setup replicas-of-me: out of its range"},
--- a/internal/simadapter/malformed_golden_test.go
+++ b/internal/simadapter/malformed_golden_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/internal/simadapter"
 )
 
@@ -168,7 +170,7 @@
 		}
 		record(change[0]+" -> "+change[1], oneBatch(strings.Replace(validBoot, validSetup, changed, 1)))
 	}
-	compareGolden(t, "malformed.golden", table.Bytes())
+	goldentest.Text(t, "malformed.golden", table.String())
 }
 
 // rejectedOrders are rejected with a Retry-After that is drawn from the instance's salt.
@@ -237,5 +239,5 @@
 		}
 		fmt.Fprintf(&table, "# %s\n%s", c.name, blankLogTexts(output.Bytes()))
 	}
-	compareGolden(t, "lenient.golden", table.Bytes())
+	goldentest.Text(t, "lenient.golden", table.String())
 }
--- a/internal/simadapter/retry_group_golden_test.go
+++ b/internal/simadapter/retry_group_golden_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/internal/simadapter"
 )
 
@@ -39,5 +41,5 @@
 		}
 		fmt.Fprintf(&table, "# %s\n%s", group, blankLogTexts(output.Bytes()))
 	}
-	compareGolden(t, "repeat_groups.golden", table.Bytes())
+	goldentest.Text(t, "repeat_groups.golden", table.String())
 }
--- a/internal/simadapter/session_golden_test.go
+++ b/internal/simadapter/session_golden_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/internal/simadapter"
 )
 
@@ -27,8 +29,8 @@
 		shape := &sessionShapes[i]
 		t.Run(shape.name, func(t *testing.T) {
 			input, output := generateSession(t, shape)
-			compareGolden(t, outputFile(shape), blankLogTexts(output))
-			compareGolden(t, inputFile(shape), input)
+			goldentest.Text(t, outputFile(shape), string(blankLogTexts(output)))
+			goldentest.Text(t, inputFile(shape), string(input))
 		})
 	}
 }
@@ -38,12 +40,12 @@
 	for i := range sessionShapes {
 		shape := &sessionShapes[i]
 		t.Run(shape.name, func(t *testing.T) {
-			input := readGolden(t, filepath.Join("testdata", inputFile(shape)))
+			input := []byte(goldentest.Read(t, inputFile(shape)))
 			var output bytes.Buffer
 			if err := simadapter.Serve(bytes.NewReader(input), &output); err != nil {
 				t.Fatal(err)
 			}
-			compareGolden(t, outputFile(shape), blankLogTexts(output.Bytes()))
+			goldentest.Text(t, outputFile(shape), string(blankLogTexts(output.Bytes())))
 		})
 	}
 }
@@ -53,8 +55,8 @@
 func TestSessionCoverage(t *testing.T) {
 	var inputs, outputs strings.Builder
 	for i := range sessionShapes {
-		inputs.Write(readGolden(t, filepath.Join("testdata", inputFile(&sessionShapes[i]))))
-		outputs.Write(readGolden(t, filepath.Join("testdata", outputFile(&sessionShapes[i]))))
+		inputs.Write([]byte(goldentest.Read(t, inputFile(&sessionShapes[i]))))
+		outputs.Write([]byte(goldentest.Read(t, outputFile(&sessionShapes[i]))))
 	}
 	for _, kind := range []string{
 		"mark", "go", "register", "boot", "fleet", "order", "started", "client-left",
@@ -110,7 +112,7 @@
 			if err != nil {
 				t.Fatalf("%s: %v", shape.name, err)
 			}
-			want := readGolden(t, filepath.Join("testdata", outputFile(shape)))
+			want := []byte(goldentest.Read(t, outputFile(shape)))
 			if !bytes.Equal(blankLogTexts(output), want) {
 				t.Errorf("%s: the command's output differs from the recorded one", shape.name)
 			}
--- a/internal/snapshot/format_golden_test.go
+++ b/internal/snapshot/format_golden_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/internal/snapshot"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,11 +58,11 @@
 // back.
 func TestStateFileMatchesGolden(t *testing.T) {
 	cases := goldenCases()
-	var encodings []encoding
+	var encodings []goldentest.Encoding
 	for _, test := range cases {
-		encodings = append(encodings, encoding{test.name, saveToFile(t, test.snapshot)})
+		encodings = append(encodings, goldentest.Encoding{Name: test.name, Encoded: saveToFile(t, test.snapshot)})
 	}
-	for i, golden := range compareGolden(t, "state.golden", encodings) {
+	for i, golden := range goldentest.Encodings(t, "state.golden", encodings) {
 		t.Run(cases[i].name, func(t *testing.T) {
 			got, err := loadFromFile(t, golden)
 			if got == nil || err != nil {
@@ -191,7 +193,7 @@
 // goldenFile returns the golden state file of the full snapshot.
 func goldenFile(t *testing.T) []byte {
 	t.Helper()
-	return readGolden(t, filepath.Join("testdata", "state.golden"))[0].encoded
+	return goldentest.ReadEncodings(t, "state.golden")[0].Encoded
 }
 
 // changed returns a copy of a file with the byte at offset replaced.
--- a/internal/wire/endpoint_golden_test.go
+++ b/internal/wire/endpoint_golden_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/internal/wire"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -11,12 +13,12 @@
 // TestEndpointEncodingGolden pins the encoding of an endpoint, which is the body of a replicated row and part of the state
 // file. The keys are given by tags, so that the fields may be renamed in Go.
 func TestEndpointEncodingGolden(t *testing.T) {
-	checkGolden(t, "targets.golden", []goldenCase{
-		{name: "target-full", full: true, value: &wire.Endpoint{
+	goldentest.Msgpack(t, "targets.golden", []goldentest.Value{
+		{Name: "target-full", Full: true, Value: &wire.Endpoint{
 			Name: "node-1", Address: "192.0.2.1:11211", Zone: "zone-1", Kind: "cache", Cell: 3,
 			Ready: true, Departed: true, Weight: 1.5, StartedAtUnixMilli: 1700000000000,
 		}},
-		{name: "target-empty", value: &wire.Endpoint{}},
+		{Name: "target-empty", Value: &wire.Endpoint{}},
 	})
 }
 
--- a/internal/wire/protocol_golden_test.go
+++ b/internal/wire/protocol_golden_test.go
@@ -6,49 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"io/fs"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/balancer"
 	"woodproxy/internal/wire"
 
 	"github.com/valyala/fastjson"
 )
 
-// compareGoldenText compares got with a file in testdata, or rewrites that file where -update is given.
-func compareGoldenText(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.MkdirAll("testdata", 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	content, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		t.Fatalf("golden file %s is missing; run the test with -update to record it", path)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-	gotLines, wantLines := strings.Split(got, "\n"), strings.Split(string(content), "\n")
-	for i := range min(len(gotLines), len(wantLines)) {
-		if gotLines[i] != wantLines[i] {
-			t.Errorf("%s:%d differs\ngot  %s\nwant %s", path, i+1, gotLines[i], wantLines[i])
-		}
-	}
-	if len(gotLines) != len(wantLines) {
-		t.Errorf("%s: got %d lines, want %d", path, len(gotLines), len(wantLines))
-	}
-}
-
 // golden collects lines of "what = result", with bytes quoted.
 type golden struct{ strings.Builder }
 
@@ -159,7 +127,7 @@
 	g.value("longest value read whole", "%d", wire.MaxBufferedValue)
 	g.value("longest answer", "%d", wire.MaxResponseValue)
 	g.value("longest write", "%d", wire.MaxRequestValue)
-	compareGoldenText(t, "requests.golden", g.String())
+	goldentest.Text(t, "requests.golden", g.String())
 }
 
 // TestCommandParseGolden pins what is read of clients' commands, and the text for each malformed one.
@@ -193,7 +161,7 @@
 		g.value(shorten(text), "took %d: name %q, key %q, id %q, facts %q, value of %d; is KV.GET %v, is KV.SET %v", n,
 			c.Name, c.Key, c.ID, c.Facts, c.ValueLength, c.Is("KV.GET"), c.Is("KV.SET"))
 	}
-	compareGoldenText(t, "commands.golden", g.String())
+	goldentest.Text(t, "commands.golden", g.String())
 }
 
 // TestFactsParseGolden pins what is read of a command's facts, and the text for each malformed list.
@@ -220,7 +188,7 @@
 		}
 		g.value(fmt.Sprintf("%q", word), "%s", text)
 	}
-	compareGoldenText(t, "facts.golden", g.String())
+	goldentest.Text(t, "facts.golden", g.String())
 }
 
 // describeResponse reads one response completely and describes all that is known of it.
@@ -291,7 +259,7 @@
 		}
 		g.value(fmt.Sprintf("%q", text), "%q, null %v", b, b == nil)
 	}
-	compareGoldenText(t, "cache_answers.golden", g.String())
+	goldentest.Text(t, "cache_answers.golden", g.String())
 }
 
 // TestOriginAnswerGolden pins how each answer of the origin is read, by its status and headers.
@@ -338,7 +306,7 @@
 	} {
 		record(text)
 	}
-	compareGoldenText(t, "origin_answers.golden", g.String())
+	goldentest.Text(t, "origin_answers.golden", g.String())
 }
 
 // TestEndpointListWriteGolden pins the endpoint list as it is written, and what is read back of it.
@@ -376,7 +344,7 @@
 		g.bytes(c.name, text)
 		g.value(c.name+", read back", "%s", describeEndpointList(string(text[1:])))
 	}
-	compareGoldenText(t, "targets_written.golden", g.String())
+	goldentest.Text(t, "targets_written.golden", g.String())
 }
 
 // describeEndpointList parses a list and describes its endpoints, or the error.
@@ -446,7 +414,7 @@
 		}
 		g.value(change[0]+" -> "+change[1], "%s", describeEndpointList(changed))
 	}
-	compareGoldenText(t, "targets_parsed.golden", g.String())
+	goldentest.Text(t, "targets_parsed.golden", g.String())
 }
 
 // TestDiscoveryWatchGolden pins how the answer to a request for a watch is read.
@@ -464,7 +432,7 @@
 	} {
 		g.value(shorten(text), "%s", describeWatch(text))
 	}
-	compareGoldenText(t, "watch.golden", g.String())
+	goldentest.Text(t, "watch.golden", g.String())
 }
 
 // describeWatch reads a watch to its end and lists its objects, and the error that ends it.
@@ -491,5 +459,5 @@
 	}
 	g.value("incomplete", "%v", wire.ErrIncomplete)
 	g.value("protocol error", "%v", wire.ErrProtocol)
-	compareGoldenText(t, "attempt_errors.golden", g.String())
+	goldentest.Text(t, "attempt_errors.golden", g.String())
 }
--- a/negativecache/wire_golden_test.go
+++ b/negativecache/wire_golden_test.go
@@ -3,18 +3,20 @@
 import (
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/negativecache"
 )
 
 // Reports are the bodies of the gossip rows of written and of absent keys.
 func TestReportEncodingGolden(t *testing.T) {
-	checkGolden(t, "words.golden", []goldenCase{
-		{name: "word-full", full: true, value: &negativecache.KeyReport{
+	goldentest.Msgpack(t, "words.golden", []goldentest.Value{
+		{Name: "word-full", Full: true, Value: &negativecache.KeyReport{
 			Sequence: 70000, Hashes: []uint64{0xf1f2f3f4f5f6f7f8, 1, 0x0102030405060708},
 		}},
-		{name: "word-without-sequence", value: &negativecache.KeyReport{Hashes: []uint64{9}}},
-		{name: "word-without-hashes", value: &negativecache.KeyReport{Sequence: 3, Hashes: []uint64{}}},
-		{name: "word-empty", value: &negativecache.KeyReport{}},
+		{Name: "word-without-sequence", Value: &negativecache.KeyReport{Hashes: []uint64{9}}},
+		{Name: "word-without-hashes", Value: &negativecache.KeyReport{Sequence: 3, Hashes: []uint64{}}},
+		{Name: "word-empty", Value: &negativecache.KeyReport{}},
 	})
 }
 
--- a/replica/row.go
+++ b/replica/row.go
@@ -89,6 +89,7 @@
 
 // RowVersion says which version of a row a peer has stored.
 type RowVersion struct {
-	_msgpack           struct{} `msgpack:",as_array"` //nolint:unused // msgpack reads the tag of the field with this name
-	RowID, VersionHash uint64   // hashes of the row's identity and of its version
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // msgpack reads the tag of the field with this name
+	RowID       uint64   `msgpack:"ID"`        // hash of the row's identity
+	VersionHash uint64   `msgpack:"Copy"`      // hash of the row's version
 }
--- a/replica/wire_golden_test.go
+++ b/replica/wire_golden_test.go
@@ -4,26 +4,28 @@
 	"fmt"
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/replica"
 )
 
 // TestGoldenRows pins the encoding of a row, of the body of a heartbeat and of the row versions in replies to digests.
 func TestGoldenRows(t *testing.T) {
-	checkGolden(t, "rows.golden", []goldenCase{
-		{name: "row-full", full: true, value: &replica.Row{
+	goldentest.Msgpack(t, "rows.golden", []goldentest.Value{
+		{Name: "row-full", Full: true, Value: &replica.Row{
 			Kind: replica.KindEndpoint, Key: "node-1", Writer: "proxy-a", Epoch: 1700000000000,
 			Rank: replica.EndpointRemoved, Sequence: 70000, Age: 15000, TTL: 36000000, Body: []byte{0x81, 0xa1, 'z', 0x01},
 		}},
-		{name: "row-empty", value: &replica.Row{Kind: replica.KindDeparture, Key: "proxy-b", Epoch: 7}},
-		{name: "row-negative-epoch", value: &replica.Row{Kind: replica.KindHealthObservation, Key: "node-2", Epoch: -1}},
-		{name: "head", full: true, value: &replica.RowVersion{RowID: 0x0102030405060708, VersionHash: 0xf1f2f3f4f5f6f7f8}},
-		{name: "head-zero", value: &replica.RowVersion{}},
-		{name: "pulse-full", full: true, value: &replica.Heartbeat{
+		{Name: "row-empty", Value: &replica.Row{Kind: replica.KindDeparture, Key: "proxy-b", Epoch: 7}},
+		{Name: "row-negative-epoch", Value: &replica.Row{Kind: replica.KindHealthObservation, Key: "node-2", Epoch: -1}},
+		{Name: "head", Full: true, Value: &replica.RowVersion{RowID: 0x0102030405060708, VersionHash: 0xf1f2f3f4f5f6f7f8}},
+		{Name: "head-zero", Value: &replica.RowVersion{}},
+		{Name: "pulse-full", Full: true, Value: &replica.Heartbeat{
 			Address: "192.0.2.1:7946", Zone: "zone-1", Demand: 1234.5,
 			ViewHash: 0xfedcba9876543210, CatchingUp: true, BaseQuota: 0.25, WritesSent: 4321, HasSuccessor: true,
 			Leases: []replica.QuotaLease{{Borrower: "proxy-b", Share: 0.125, HeartbeatSequence: 17}, {Borrower: "proxy-c", Share: 0.0625, HeartbeatSequence: 70000}},
 		}},
-		{name: "pulse-empty", value: &replica.Heartbeat{}},
+		{Name: "pulse-empty", Value: &replica.Heartbeat{}},
 	})
 }
 
--- a/zonehealth/wire_golden_test.go
+++ b/zonehealth/wire_golden_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"woodproxy/internal/goldentest"
+
 	"woodproxy/zonehealth"
 )
 
@@ -10,17 +12,17 @@
 // cases are those of the golden file.
 func TestGoldenReports(t *testing.T) {
 	verdict := zonehealth.Verdict{Epoch: 70000, State: zonehealth.PartlyEvacuated, Step: 3, Flaps: 2, RetainedNodes: []uint32{0x01020304, 5}}
-	checkGolden(t, "voices.golden", []goldenCase{
-		{name: "voice-full", full: true, value: &zonehealth.Report{
+	goldentest.Msgpack(t, "voices.golden", []goldentest.Value{
+		{Name: "voice-full", Full: true, Value: &zonehealth.Report{
 			Zone: "zone-1", Vote: zonehealth.VoteUnhealthy, LastAnswerAge: 4500, UnansweredRun: 6,
 			UnhealthyNodes: []uint32{0xa1a2a3a4, 7}, HealthyNodes: []uint32{0xb1b2b3b4}, InTime: 1.5, AnsweredLate: 2.5, Unanswered: 3.5,
 			OriginLateShare: 0.25, InFlight: 10.5, Capacity: 20.5, Verdict: verdict,
 			Proposal: &zonehealth.Verdict{Epoch: 70001, State: zonehealth.Evacuated, Step: 1, Flaps: 4, RetainedNodes: []uint32{9}},
 		}},
-		{name: "voice-empty", value: &zonehealth.Report{}},
-		{name: "voice-with-empty-plan", value: &zonehealth.Report{Zone: "zone-2", Vote: zonehealth.VoteHealthy, Proposal: &zonehealth.Verdict{}}},
-		{name: "stand-full", full: true, value: &verdict},
-		{name: "stand-empty", value: &zonehealth.Verdict{}},
+		{Name: "voice-empty", Value: &zonehealth.Report{}},
+		{Name: "voice-with-empty-plan", Value: &zonehealth.Report{Zone: "zone-2", Vote: zonehealth.VoteHealthy, Proposal: &zonehealth.Verdict{}}},
+		{Name: "stand-full", Full: true, Value: &verdict},
+		{Name: "stand-empty", Value: &zonehealth.Verdict{}},
 	})
 }
 
