--- a/balancer/scenario_test.go
+++ b/balancer/scenario_test.go
@@ -34,7 +34,7 @@
 //	> log TEXT | no-log TEXT
 //	> count ACT [ENDPOINT] OP N          how many came of one line
 //
-// ENDPOINT is a name, $X (bound at its first use, no cache twice) or any. Wake decisions are left out, and logs
+// ENDPOINT is a name, $X (bound at its first use, no cache twice) or any. SetTimer decisions are left out, and logs
 // unless they are asked for.
 func TestScenarios(t *testing.T) {
 	testscript.RunFiles(t, "scenarios/*.txt", func(t *testing.T) testscript.Runner {
--- a/balancer/types.go
+++ b/balancer/types.go
@@ -9,7 +9,7 @@
 const (
 	// Retriable requests may be carried out any number of times.
 	Retriable Effect = iota
-	// Deduped requests are carried out once by the endpoints of one Group within the route's Window.
+	// Deduped requests are carried out once by the endpoints of one Group within the route's DedupWindow.
 	Deduped
 	// NonRetriable requests may be sent again only if no attempt can have run.
 	NonRetriable
@@ -141,14 +141,14 @@
 	Log
 )
 
-// Decision is one thing for the caller to do. Which fields are set depends on Act.
+// Decision is one thing for the caller to do. Which fields are set depends on Action.
 type Decision struct {
 	Action   Action
 	Request  int    // Send, Cancel, Shed, Error: index of the request
-	Endpoint int    // Send, Tell: index of the endpoint
+	Endpoint int    // Send, NotifyPeer: index of the endpoint
 	Attempt  int    // Cancel: number of the attempt, the first is 0
-	After    Time   // Send: timeout of the attempt; Shed: Retry-After, 0 is none; Wake: from now
-	Peer     int    // Tell: number of the peer
+	After    Time   // Send: timeout of the attempt; Shed: Retry-After, 0 is none; SetTimer: from now
+	Peer     int    // NotifyPeer: number of the peer
 	Text     string // Log
-	Responds bool   // Tell: the endpoint responds again, otherwise it stopped responding
+	Responds bool   // NotifyPeer: the endpoint responds again, otherwise it stopped responding
 }
--- a/internal/emulator/absent_keys.go
+++ b/internal/emulator/absent_keys.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// noSuchKey is an Answered event's node where the answer was that there is no such key.
+// noSuchKey is an AnswerReceived event's node where the answer was that there is no such key.
 const noSuchKey = "none"
 
 // maxAbsentStaleness is the longest for which a key may be reported missing after it was written: until the writer's latest
--- a/internal/emulator/background_load.go
+++ b/internal/emulator/background_load.go
@@ -27,7 +27,7 @@
 
 func (s timeSpan) contains(at time.Duration) bool { return at >= s.from && at <= s.to }
 
-// backgroundSamples is what a Together is calculated from.
+// backgroundSamples is what a BackgroundLoad is calculated from.
 type backgroundSamples struct {
 	// Written by sampleBackgroundLoad alone and read after it has returned.
 	samples      int
--- a/internal/emulator/eventlog.go
+++ b/internal/emulator/eventlog.go
@@ -12,7 +12,7 @@
 // Kinds of events.
 const (
 	RequestSent      EventKind = "asked"    // a client has written a whole request
-	AnswerReceived   EventKind = "answered" // a client has a final answer: Note is the outcome, Made the request that its value was made for
+	AnswerReceived   EventKind = "answered" // a client has a final answer: Note is the outcome, MadeFor the request that its value was made for
 	ConnectionClosed EventKind = "closed"   // a connection ended during a request
 	ClientLeft       EventKind = "went"     // a client left before the answer
 	AttemptReceived  EventKind = "took"     // a node has received a whole attempt
@@ -26,20 +26,20 @@
 	SentLate         EventKind = "late"     // the load generator sent a request Figure milliseconds too late
 )
 
-// Notes of Ended events.
+// Notes of ProcessEnded events.
 const (
 	endKilled  = "killed"
 	endStopped = "stopped" // told to end, it shut down gracefully
 	endCrashed = "crashed"
 )
 
-// Notes of Paused events.
+// Notes of ProcessPaused events.
 const (
 	pauseBegins = "stands"
 	pauseEnds   = "goes on"
 )
 
-// noteReused is a Closed event's note where the connection had served a request before.
+// noteReused is a ConnectionClosed event's note where the connection had served a request before.
 const noteReused = "reused"
 
 // Event is a recorded event.
--- a/internal/emulator/gossip.go
+++ b/internal/emulator/gossip.go
@@ -114,7 +114,7 @@
 	}
 }
 
-// parseGossipStatus reads a proxy's answer about its peers into a Shared event; Made is whether the proxy is catching up. It
+// parseGossipStatus reads a proxy's answer about its peers into a QuotaReported event; MadeFor is whether the proxy is catching up. It
 // reports whether the answer could be read.
 func parseGossipStatus(text string) (event Event, ok bool) {
 	event.Kind = QuotaReported
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -45,8 +45,8 @@
 	dialRetryDelay      = 20 * time.Millisecond
 	clientBufferSize    = 2 << 10
 	writtenValue        = "vvvvvvvv"
-	noteInAnswer        = "amid the answer" // Closed: in the middle of an answer
-	noteUnexpectedReply = "again"           // Answered: without another request
+	noteInAnswer        = "amid the answer" // ConnectionClosed: in the middle of an answer
+	noteUnexpectedReply = "again"           // AnswerReceived: without another request
 )
 
 // loadGenerator sends the plan's requests at their times, whatever has become of earlier ones (open loop).
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -60,7 +60,7 @@
 }
 
 // NewListener returns a listener that accepts clients on ln for router. memoryMB, in MiB, bounds the requests and values
-// that are held. It accepts none before Allow and Run are called.
+// that are held. It accepts none before SetLimits and Run are called.
 func NewListener(ln deadlineListener, router *Router, memoryMB int, counters *Counters, log *zap.Logger) *Listener {
 	l := &Listener{
 		ln: ln, router: router, counters: counters, log: log,
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -16,7 +16,7 @@
 	// maxRequestsInFlight is how many requests may be held at most, whatever the memory; it bounds mailboxes.
 	maxRequestsInFlight = 1024
 	routerMailboxSize   = 4 * maxRequestsInFlight
-	// targetsTimeout is how long Targets waits for a busy router.
+	// targetsTimeout is how long Endpoints waits for a busy router.
 	targetsTimeout = 300 * time.Millisecond
 	// unarmed is the first period of a timer that is reset before anything depends on it.
 	unarmed = time.Hour
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -65,7 +65,7 @@
 }
 
 // Read reads and checks the configuration file and all files that overrides names. Name, Listen, Discovery and
-// Management of overrides replace what the file says; Own, Shared, StateDir and the names of the other files come
+// Management of overrides replace what the file says; LimitRuntime, HotRestartDir, StateDir and the names of the other files come
 // from overrides alone. An error is one line that names the file or key at fault.
 func Read(file string, overrides Config) (*Config, error) {
 	document, err := parseConfigFile(file)
--- a/internal/server/doc.go
+++ b/internal/server/doc.go
@@ -1,7 +1,7 @@
 // Package server assembles one proxy process: it reads the configuration, starts the parts of the proxy, applies
 // configuration reloads and shuts the process down.
 //
-// Read turns the configuration file and the files named beside it into a Place. Serve runs a proxy from it until a
+// Read turns the configuration file and the files named beside it into a Config. Serve runs a proxy from it until a
 // signal arrives. Both are called by the command line, from one goroutine each.
 //
 // The files, by concern:
--- a/rebalance/plan.go
+++ b/rebalance/plan.go
@@ -24,10 +24,10 @@
 // plan, the error is one of this package's types:
 //
 //   - [*InventoryError]: the inventory is invalid;
-//   - [*ShardError]: no node may store a shard;
-//   - [*RoomError]: the shards exceed the capacity of nodes;
+//   - [*ShardPlacementError]: no node may store a shard;
+//   - [*CapacityError]: the shards exceed the capacity of nodes;
 //   - [*BalanceError]: loads can't be balanced within the slack;
-//   - [*StuckError]: no order of migrations leads to the placement.
+//   - [*ScheduleError]: no order of migrations leads to the placement.
 func NewPlan(inventory *Inventory, settings Settings) (*Plan, error) {
 	p, err := newProblem(inventory, settings)
 	if err != nil {
--- a/replica/decision.go
+++ b/replica/decision.go
@@ -16,7 +16,7 @@
 	ActionReplyInSync                 // reply to the peer that both are in sync
 	ActionProbe                       // connect to Address, and report it if the connection to that peer's incarnation is refused
 	ActionRowChanged                  // another proxy has changed the row (Rows has one); the peer is the one that sent it
-	ActionSetQuotaShare               // use Share of the fleet's limits from now on
+	ActionSetQuotaShare               // use QuotaShare of the fleet's limits from now on
 	ActionLog                         // log Text
 )
 
--- a/zonehealth/attempts.go
+++ b/zonehealth/attempts.go
@@ -9,7 +9,7 @@
 	}
 }
 
-// AttemptFinished reports the outcome of an attempt that was reported by Sent, and the time since then. Decisions that follow
+// AttemptFinished reports the outcome of an attempt that was reported by AttemptSent, and the time since then. Decisions that follow
 // from it are returned by the next Tick.
 func (c *Controller) AttemptFinished(now Time, index int, outcome Outcome, elapsed Time) {
 	n := c.node(index)
