Member states stand once, as replica.MemberState; a method that tests alone used is gone

The states of a proxy were spelled out as texts in replica, gossip, server and simnet, which compared each its own; a renamed one would have been missed silently. No change of behaviour.

--- a/cmd/woodproxy/check.go
+++ b/cmd/woodproxy/check.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"woodproxy/internal/server"
+	"woodproxy/negativecache"
 )
 
 // checkCommand is `woodproxy check`.
@@ -53,7 +54,7 @@
 		fmt.Printf("%s: good; what this proxy knows is kept there\n", c.State)
 	}
 	if missing := config.NegativeCache; missing != nil {
-		seconds := float64(missing.TTL) / 1e4
+		seconds := float64(missing.TTL) / float64(negativecache.Second)
 		fmt.Printf("%s: good; room for %d keys, each for %v s\n", c.Missing, missing.Entries, seconds)
 	}
 	if moves := config.Rebalance; moves != nil {
--- a/internal/gossip/joiner.go
+++ b/internal/gossip/joiner.go
@@ -16,7 +16,6 @@
 	joinInterval     = time.Second
 	maxJoinAddresses = 3  // of one attempt, while this proxy has no peers
 	joinRotation     = 10 // iterations of the event loop after which attempts start at the next address
-	departedState    = "gone"
 )
 
 // joiner joins the cluster and later rejoins proxies that memberlist has lost or never met: without that a network
@@ -76,7 +75,7 @@
 		// A proxy that others gossip about may still be unknown to memberlist: a process that restarts gets the
 		// gossip that is sent to its predecessor's address, and could answer nobody.
 		proxy := &proxies[i]
-		if proxy.State != departedState && isReachable(proxy.Address) && known.add(proxy.Address) {
+		if proxy.State != replica.MemberDeparted && isReachable(proxy.Address) && known.add(proxy.Address) {
 			missing = append(missing, proxy.Address)
 		}
 	}
--- a/internal/server/gossip.go
+++ b/internal/server/gossip.go
@@ -162,15 +162,9 @@
 	g.zoneHealth.updateMembers(members, catchingUp)
 }
 
-// The states of replica.Member.
-const (
-	memberAlive    = "here"
-	memberDeparted = "gone"
-)
-
-func isAlive(member *replica.Member) bool { return member.State == memberAlive }
+func isAlive(member *replica.Member) bool { return member.State == replica.MemberLive }
 
-func hasDeparted(member *replica.Member) bool { return member.State == memberDeparted }
+func hasDeparted(member *replica.Member) bool { return member.State == replica.MemberDeparted }
 
 // kindNames are the names of row kinds in the answer to GET /control/peers.
 var kindNames = map[replica.Kind]string{
--- a/internal/simnet/zonedfleet.go
+++ b/internal/simnet/zonedfleet.go
@@ -158,8 +158,8 @@
 		peers = append(peers, zonehealth.Proxy{
 			Name:      member.Name,
 			Zone:      member.Zone,
-			Reachable: member.State == "here",
-			Departed:  member.State == "gone",
+			Reachable: member.State == replica.MemberLive,
+			Departed:  member.State == replica.MemberDeparted,
 		})
 	}
 	health.SetFleet(z.clock(), peers, store.CatchingUp())
--- a/replica/helpers_test.go
+++ b/replica/helpers_test.go
@@ -28,9 +28,9 @@
 
 // endpointRow returns the stored row of an endpoint.
 func (s *Store) endpointRow(key string) (found Row, stored bool) {
-	s.ForEach(KindEndpoint, func(row Row) {
+	s.rows.forEach(KindEndpoint, func(row *storedRow) {
 		if row.Key == key {
-			found, stored = row, true
+			found, stored = row.aged(s.now), true
 		}
 	})
 	return found, stored
--- a/replica/members.go
+++ b/replica/members.go
@@ -22,20 +22,26 @@
 	probeInterval = Second
 )
 
-// The states of a proxy as the operators' calls name them.
+// MemberState is the state of a proxy, under the name that the operators' calls show.
+type MemberState string
+
 const (
-	stateLive     = "here"
-	stateDeparted = "gone"
-	stateSilent   = "silent"
-	stateUnknown  = "unknown"
+	// MemberLive is a proxy whose heartbeats arrive.
+	MemberLive MemberState = "here"
+	// MemberDeparted is a proxy whose process is known to have ended.
+	MemberDeparted MemberState = "gone"
+	// MemberSilent is a proxy without recent heartbeats, whose process is not known to have ended.
+	MemberSilent MemberState = "silent"
+	// MemberUnknown is a proxy of which there is neither a heartbeat nor a departure record yet.
+	MemberUnknown MemberState = "unknown"
 )
 
 // Member describes a proxy to operators and to other packages.
 type Member struct {
 	Name         string
 	Incarnation  int64
-	State        string // "here" (live), "silent", "gone" (departed) or "unknown" (no heartbeat or departure record yet)
-	HeartbeatAge Time   // since its latest heartbeat was written
+	State        MemberState
+	HeartbeatAge Time // since its latest heartbeat was written
 	Heartbeat
 }
 
@@ -205,7 +211,7 @@
 	all := make([]Member, 0, len(m.all))
 	for _, other := range m.all {
 		entry := Member{
-			Name: other.name, Incarnation: other.incarnation, State: m.stateName(other, now), Heartbeat: other.report,
+			Name: other.name, Incarnation: other.incarnation, State: m.stateOf(other, now), Heartbeat: other.report,
 		}
 		if other.heartbeat != nil {
 			entry.HeartbeatAge = now - other.heartbeat.writtenAt
@@ -215,16 +221,16 @@
 	return all
 }
 
-// stateName is the state of a proxy as the operators' calls name it.
-func (m *membership) stateName(other *member, now Time) string {
+// stateOf returns the state of a proxy at an instant.
+func (m *membership) stateOf(other *member, now Time) MemberState {
 	switch {
 	case m.live(other, now):
-		return stateLive
+		return MemberLive
 	case other.departed || m.incarnationEnded(other):
-		return stateDeparted
+		return MemberDeparted
 	case other.heartbeat != nil || other.incarnation > 0:
-		return stateSilent
+		return MemberSilent
 	default:
-		return stateUnknown
+		return MemberUnknown
 	}
 }
--- a/replica/store.go
+++ b/replica/store.go
@@ -83,11 +83,6 @@
 // Members lists all known proxies by name, this one included.
 func (s *Store) Members() []Member { return s.members.list(s.now) }
 
-// ForEach calls f with each stored row of a kind, in the same order every time. f must not write rows.
-func (s *Store) ForEach(kind Kind, f func(Row)) {
-	s.rows.forEach(kind, func(row *storedRow) { f(row.aged(s.now)) })
-}
-
 // SetDemand sets the demand of this proxy's clients in requests a second. It should be smoothed over some seconds, so that
 // chance moves no quota.
 func (s *Store) SetDemand(perSecond float64) { s.quota.demand = perSecond }
