One place permits each step of the data path, and a checker beside it counts what broke

Cause: whether an attempt may begin, a connection be reused or closed, a watch be opened or the process exit was asked in roundTrip, upstream_host, client_conn, client_write, drain and endpoint_list, each in its own words.

Change: internal/lifecycle has typed states, one table of a request's transitions, and one question for each step, whose no is a typed reason; the data path asks at the last moment before the system call. internal/invariant checks the same promises on what has happened, by times and counts of its own, and shares no code with it. Behaviour is meant to be the same but for two things: an attempt whose time is over before its first byte ends as not sent, where it was blamed on the server before, and an upstream connection is looked at once before it is reused, where it was twice.

--- /dev/null
+++ b/internal/invariant/checker_test.go
@@ -0,0 +1,96 @@
+package invariant_test
+
+import (
+	"testing"
+	"time"
+
+	"woodproxy/internal/invariant"
+)
+
+// Each invariant is counted and reported when it is broken, and not a moment before.
+func TestEachInvariantFires(t *testing.T) {
+	at := time.Unix(1000, 0)
+	start := func(change func(*invariant.AttemptStart)) func(*invariant.Checker) {
+		return func(c *invariant.Checker) {
+			a := &invariant.AttemptStart{RequestID: []byte("id"), At: at}
+			change(a)
+			c.AttemptStarted(a)
+		}
+	}
+	for _, test := range []struct {
+		invariant     invariant.Invariant
+		breaks, keeps func(*invariant.Checker)
+	}{
+		{
+			invariant.NoAttemptAfterEnd,
+			start(func(a *invariant.AttemptStart) { a.RequestEnded = at.Add(-invariant.MaxLateStart - 1) }),
+			start(func(a *invariant.AttemptStart) { a.RequestEnded = at.Add(-invariant.MaxLateStart) }),
+		},
+		{
+			invariant.NoAttemptToDraining,
+			start(func(a *invariant.AttemptStart) { a.EndpointDraining = at.Add(-invariant.MaxDrainDelay - 1) }),
+			start(func(a *invariant.AttemptStart) { a.EndpointDraining = at.Add(-invariant.MaxDrainDelay) }),
+		},
+		{
+			invariant.RetryInDedupWindow,
+			start(func(a *invariant.AttemptStart) { a.DedupWindowEnd = at.Add(-invariant.MaxDeadlineExcess - 1) }),
+			start(func(a *invariant.AttemptStart) { a.DedupWindowEnd = at }),
+		},
+		{
+			invariant.ToldDeadlineHolds,
+			start(func(a *invariant.AttemptStart) {
+				a.ClientUntil, a.ToldUntil = at, at.Add(invariant.MaxDeadlineExcess+1)
+			}),
+			start(func(a *invariant.AttemptStart) { a.ClientUntil, a.ToldUntil = at, at }),
+		},
+		{
+			invariant.OneFinalReply,
+			func(c *invariant.Checker) { c.ReplyDecided([]byte("id"), 2) },
+			func(c *invariant.Checker) { c.ReplyDecided([]byte("id"), 1) },
+		},
+		{
+			invariant.NoUnansweredClose,
+			func(c *invariant.Checker) { c.ClientConnClosed([][]byte{[]byte("id")}, false, "idle") },
+			func(c *invariant.Checker) {
+				c.ClientConnClosed([][]byte{[]byte("id")}, true, "client gone")
+				c.ClientConnClosed(nil, false, "idle")
+			},
+		},
+		{
+			invariant.AttemptsBounded,
+			func(c *invariant.Checker) { c.AttemptDecided([]byte("id"), 5, 4, 1, true) },
+			func(c *invariant.Checker) { c.AttemptDecided([]byte("id"), 4, 4, 2, true) },
+		},
+		{
+			invariant.AttemptsBounded,
+			func(c *invariant.Checker) { c.AttemptDecided([]byte("id"), 2, 4, 2, false) },
+			func(c *invariant.Checker) { c.AttemptDecided([]byte("id"), 2, 4, 1, false) },
+		},
+	} {
+		t.Run(test.invariant.String(), func(t *testing.T) {
+			var reported []invariant.Violation
+			checker := invariant.NewChecker(func(v invariant.Violation) { reported = append(reported, v) })
+			test.keeps(checker)
+			if checker.Total() != 0 || len(reported) != 0 {
+				t.Fatalf("kept, and reported: %v", reported)
+			}
+			test.breaks(checker)
+			if checker.Count(test.invariant) != 1 || checker.Total() != 1 || len(reported) != 1 ||
+				reported[0].Invariant != test.invariant || reported[0].RequestID != "id" {
+				t.Errorf("%d of %d violations, reported %v", checker.Count(test.invariant), checker.Total(), reported)
+			}
+		})
+	}
+}
+
+// Without a checker nothing is checked.
+func TestNilChecker(t *testing.T) {
+	var checker *invariant.Checker
+	checker.ReplyDecided([]byte("id"), 2)
+	checker.AttemptDecided([]byte("id"), 9, 1, 2, false)
+	checker.AttemptStarted(&invariant.AttemptStart{})
+	checker.ClientConnClosed([][]byte{[]byte("id")}, false, "")
+	if checker.Total() != 0 {
+		t.Error("counted")
+	}
+}
--- /dev/null
+++ b/internal/lifecycle/orders_test.go
@@ -0,0 +1,258 @@
+package lifecycle_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"woodproxy/internal/invariant"
+	"woodproxy/internal/lifecycle"
+)
+
+// step is an event in the life of one request with two attempts.
+type step int
+
+const (
+	firstBegins step = iota
+	firstAnswers
+	secondBegins
+	secondAnswers
+	clientLeaves
+	endpointDrains
+	windowCloses
+	numSteps
+)
+
+// stepInterval is longer than any delay that the invariants allow.
+const stepInterval = time.Second
+
+// model plays one order of events. Where obeys is not set it begins attempts, and decides replies, without asking.
+type model struct {
+	obeys    bool
+	checker  *invariant.Checker
+	now      time.Time
+	request  lifecycle.Request
+	ended    time.Time
+	draining time.Time
+	window   time.Time // when the deduplication window closes; zero: it is open
+	begun    [2]bool
+	replies  int
+}
+
+func (m *model) take(s step) {
+	m.now = m.now.Add(stepInterval)
+	switch s {
+	case firstBegins, secondBegins:
+		m.begin(int(s) / 2)
+	case firstAnswers, secondAnswers:
+		if m.begun[int(s)/2] {
+			m.reply()
+		}
+	case clientLeaves:
+		m.end(lifecycle.ClientLeft)
+	case endpointDrains:
+		m.draining = m.now
+	case windowCloses:
+		m.window = m.now
+	}
+}
+
+func (m *model) begin(attempt int) {
+	isRetry := m.begun[1-attempt]
+	conditions := lifecycle.AttemptConditions{
+		Request: m.request.State(), EndpointReady: m.draining.IsZero(), Now: m.now, Deadline: m.now.Add(stepInterval),
+	}
+	if isRetry {
+		conditions.DedupWindowEnd = m.window
+	}
+	if m.obeys && !conditions.MayBegin().Permitted() {
+		return
+	}
+	m.begun[attempt] = true
+	m.checker.AttemptStarted(&invariant.AttemptStart{
+		At: m.now, RequestEnded: m.ended, EndpointDraining: m.draining, DedupWindowEnd: conditions.DedupWindowEnd,
+	})
+}
+
+func (m *model) reply() {
+	if m.obeys && m.request.Finished() {
+		return
+	}
+	m.replies++
+	m.checker.ReplyDecided(nil, m.replies)
+	m.end(lifecycle.ReplyDecided)
+}
+
+func (m *model) end(event lifecycle.RequestEvent) {
+	if m.ended.IsZero() {
+		m.ended = m.now
+	}
+	_ = m.request.Apply(event) // a second reply is what the checker counts
+}
+
+// permute calls f with each order of the steps from k on.
+func permute(steps []step, k int, f func([]step)) {
+	if k == len(steps) {
+		f(steps)
+		return
+	}
+	for i := k; i < len(steps); i++ {
+		steps[k], steps[i] = steps[i], steps[k]
+		permute(steps, k+1, f)
+		steps[k], steps[i] = steps[i], steps[k]
+	}
+}
+
+// playAll plays every order of every set of steps, and returns the checker and the number of orders.
+func playAll(t *testing.T, obeys bool) (checker *invariant.Checker, orders int) {
+	t.Helper()
+	failed := 0
+	for set := range 1 << numSteps {
+		var steps []step
+		for s := range numSteps {
+			if set&(1<<s) != 0 {
+				steps = append(steps, s)
+			}
+		}
+		permute(steps, 0, func(order []step) {
+			orders++
+			checker = invariant.NewChecker(nil)
+			m := &model{obeys: obeys, checker: checker, now: time.Unix(1000, 0)}
+			for _, s := range order {
+				m.take(s)
+			}
+			if checker.Total() > 0 {
+				failed++
+				if obeys {
+					t.Fatalf("order %v breaks an invariant", order)
+				}
+			}
+		})
+	}
+	if !obeys && failed == 0 {
+		t.Error("no order breaks an invariant where nobody asks: the checker sees nothing")
+	}
+	return checker, orders
+}
+
+// In no order of up to seven events is an invariant broken by whoever asks before each step, and in some by who does
+// not.
+func TestAllOrders(t *testing.T) {
+	_, orders := playAll(t, true)
+	if orders < 13000 {
+		t.Errorf("only %d orders were played", orders)
+	}
+	playAll(t, false)
+}
+
+// Each of the conditions refuses by itself, with its own reason.
+func TestRefusals(t *testing.T) {
+	now := time.Unix(1000, 0)
+	good := lifecycle.AttemptConditions{EndpointReady: true, Now: now, Deadline: now.Add(time.Second)}
+	with := func(change func(*lifecycle.AttemptConditions)) lifecycle.AttemptConditions {
+		c := good
+		change(&c)
+		return c
+	}
+	for _, test := range []struct {
+		conditions lifecycle.AttemptConditions
+		want       lifecycle.Refusal
+	}{
+		{good, lifecycle.Permitted},
+		{with(func(c *lifecycle.AttemptConditions) { c.Cancelled = true }), lifecycle.AttemptCancelled},
+		{with(func(c *lifecycle.AttemptConditions) { c.Request = lifecycle.RequestReplied }), lifecycle.RequestAnswered},
+		{with(func(c *lifecycle.AttemptConditions) { c.Request = lifecycle.RequestAbandoned }), lifecycle.ClientGone},
+		{with(func(c *lifecycle.AttemptConditions) { c.EndpointReady = false }), lifecycle.EndpointNotReady},
+		{with(func(c *lifecycle.AttemptConditions) { c.DedupWindowEnd = now }), lifecycle.DedupWindowClosed},
+		{with(func(c *lifecycle.AttemptConditions) { c.DedupWindowEnd = now.Add(1) }), lifecycle.Permitted},
+		{with(func(c *lifecycle.AttemptConditions) { c.Deadline = now }), lifecycle.DeadlineExceeded},
+	} {
+		if got := test.conditions.MayBegin(); got != test.want {
+			t.Errorf("%+v: %v, want %v", test.conditions, got, test.want)
+		}
+	}
+	late := good
+	if got := late.MayComplete(now.Add(-lifecycle.MaxWriteDelay - 1)); got != lifecycle.DeadlineOutdated {
+		t.Errorf("written for too long: %v", got)
+	}
+	if got := late.MayComplete(now.Add(-lifecycle.MaxWriteDelay)); got != lifecycle.Permitted {
+		t.Errorf("written in time: %v", got)
+	}
+}
+
+// A request's second final reply is refused in every state that has one, and a client may leave at any time.
+func TestRequestTransitions(t *testing.T) {
+	for _, test := range []struct {
+		events []lifecycle.RequestEvent
+		want   lifecycle.RequestState
+		fails  bool
+	}{
+		{nil, lifecycle.RequestPending, false},
+		{[]lifecycle.RequestEvent{lifecycle.ReplyDecided}, lifecycle.RequestReplied, false},
+		{[]lifecycle.RequestEvent{lifecycle.ReplyDecided, lifecycle.ClientLeft}, lifecycle.RequestReplied, false},
+		{[]lifecycle.RequestEvent{lifecycle.ReplyDecided, lifecycle.ReplyDecided}, lifecycle.RequestReplied, true},
+		{[]lifecycle.RequestEvent{lifecycle.ClientLeft}, lifecycle.RequestAbandoned, false},
+		{[]lifecycle.RequestEvent{lifecycle.ClientLeft, lifecycle.ReplyDecided}, lifecycle.RequestAbandoned, false},
+		{[]lifecycle.RequestEvent{lifecycle.ClientLeft, lifecycle.ClientLeft}, lifecycle.RequestAbandoned, false},
+	} {
+		var request lifecycle.Request
+		var err error
+		for _, event := range test.events {
+			err = request.Apply(event)
+		}
+		if request.State() != test.want || (err != nil) != test.fails {
+			t.Errorf("%v: %v, %v", test.events, request.State(), err)
+		}
+	}
+}
+
+// Every order of conditions on a client connection: it is closed only where nothing is lost by that.
+func TestClientConnConditions(t *testing.T) {
+	for bits := range 1 << 7 {
+		bit := func(i int) bool { return bits&(1<<i) != 0 }
+		c := lifecycle.ClientConnConditions{
+			Phase: lifecycle.ClosePhase(bits & 3), PendingReplies: bits >> 2 & 1, MaxPending: 1,
+			AnsweredRequest: bit(3), CommandPartial: bit(4), InputUnread: bit(5),
+		}
+		loses := c.PendingReplies > 0 || c.CommandPartial || c.InputUnread
+		if c.MayClose().Permitted() && (loses || c.Phase == lifecycle.PhaseOpen) {
+			t.Errorf("%+v: may be closed", c)
+		}
+		if c.MayCloseUnread().Permitted() && (c.PendingReplies > 0 || c.Phase != lifecycle.PhaseStopReading) {
+			t.Errorf("%+v: may be closed unread", c)
+		}
+		if c.MayExpire().Permitted() && (c.InputUnread || c.PendingReplies > 0 && !c.CommandPartial) {
+			t.Errorf("%+v: may expire", c)
+		}
+		if c.MayRead().Permitted() == (c.Phase == lifecycle.PhaseStopReading || c.PendingReplies > 0) {
+			t.Errorf("%+v: may read: %v", c, c.MayRead())
+		}
+	}
+}
+
+// The other questions have few conditions, and each of them decides.
+func TestOtherQuestions(t *testing.T) {
+	type question interface{ fmt.Stringer }
+	for _, test := range []struct{ got, want question }{
+		{(&lifecycle.UpstreamConnConditions{ResponseComplete: true}).MayReuse(), lifecycle.Permitted},
+		{(&lifecycle.UpstreamConnConditions{}).MayReuse(), lifecycle.ResponseIncomplete},
+		{(&lifecycle.UpstreamConnConditions{ResponseComplete: true, UnexpectedInput: true}).MayReuse(), lifecycle.UnexpectedInput},
+		{(&lifecycle.UpstreamConnConditions{ResponseComplete: true, ClosedByPeer: true}).MayReuse(), lifecycle.ConnectionClosed},
+		{(&lifecycle.WatchConditions{}).MayOpen(), lifecycle.Permitted},
+		{(&lifecycle.WatchConditions{Open: true}).MayOpen(), lifecycle.WatchOpen},
+		{(&lifecycle.WatchConditions{Delegated: true}).MayOpen(), lifecycle.WatchDelegated},
+		{(&lifecycle.ExitConditions{}).MayExit(), lifecycle.Permitted},
+		{(&lifecycle.ExitConditions{Accepting: true}).MayExit(), lifecycle.ConnectionsOpen},
+		{(&lifecycle.ExitConditions{OpenConnections: 1}).MayExit(), lifecycle.ConnectionsOpen},
+		{(&lifecycle.ExitConditions{OpenConnections: 1, DeadlineExceeded: true}).MayExit(), lifecycle.Permitted},
+	} {
+		if test.got != test.want {
+			t.Errorf("%v, want %v", test.got, test.want)
+		}
+	}
+	for r := range lifecycle.NumRefusals {
+		if lifecycle.Refusal(r).String() == "" {
+			t.Errorf("refusal %d has no text", r)
+		}
+	}
+}
--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"woodproxy/internal/lifecycle"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
@@ -39,22 +40,24 @@
 	upload          *request  // a write whose value is being read, or nil
 	uploadRead      int       // bytes of that value and its line end so far
 	uploadDeadline  time.Time // until which each further byte extends the command's time
+	writeFailed     bool      // a reply could not be written, by which the client can't get any
 
 	mu              sync.Mutex
 	pending         []*request // in the order of their commands
-	requestedPhase  closePhase
-	seenPhase       closePhase // the phase that the connection's goroutine has acted on
-	hadCommand      bool       // at least one command was queued for a reply
-	hadRequest      bool       // and at least one of them was proxied
-	answeredRequest bool       // a proxied request was answered since the phase was last looked at
-	closed          bool       // no reply can be written any more
-	midCommand      bool       // a command has been read in part
+	requestedPhase  lifecycle.ClosePhase
+	seenPhase       lifecycle.ClosePhase // the phase that the connection's goroutine has acted on
+	hadCommand      bool                 // at least one command was queued for a reply
+	hadRequest      bool                 // and at least one of them was proxied
+	answeredRequest bool                 // a proxied request was answered since the phase was last looked at
+	closed          bool                 // no reply can be written any more
+	midCommand      bool                 // a command has been read in part
 	lastActive      time.Time
 	replyReady      chan struct{} // of capacity 1: the first pending request may have become ready
 }
 
 var (
 	errClosing        = errors.New("connection closing between commands")
+	errIdle           = errors.New("no command for the idle timeout")
 	errNoFirstCommand = errors.New("no first command in time")
 	errClientGone     = errors.New("client has closed the connection")
 	// errPartialCommand is told to the client: its text is part of the protocol.
@@ -63,8 +66,13 @@
 
 // run serves the connection until it ends, and then gives up what it still owes.
 func (c *clientConn) run() {
-	runRecovered(c.listener.log, c.listener.counters, func() { c.finishServing(c.serve()) })
-	c.release()
+	reason := closedByPanic
+	runRecovered(c.listener.log, c.listener.counters, func() {
+		err := c.serve()
+		reason = closeReasonOf(err)
+		c.finishServing(err)
+	})
+	c.release(reason)
 }
 
 // serve reads commands and writes replies until the connection has to end, and returns why.
@@ -84,10 +92,11 @@
 
 // awaitInput waits until there are more bytes to parse or more replies to write.
 func (c *clientConn) awaitInput() error {
+	conditions := c.conditions()
 	switch {
-	case c.seenPhase == phaseStopReading && !c.hasPending():
+	case conditions.MayCloseUnread().Permitted():
 		return errClosing
-	case c.seenPhase == phaseStopReading, c.pendingFull(): // to read on would overflow the buffer
+	case !conditions.MayRead().Permitted():
 		return c.awaitReply()
 	}
 	err := c.fillBuffer()
@@ -105,21 +114,22 @@
 		c.listener.log.Warn("client connection closed on bad input",
 			zap.Error(reason), zap.Stringer("from", c.conn.RemoteAddr()))
 		c.closeWithError(reason)
-	case errors.Is(reason, errClosing) && c.hadCommand, errors.Is(reason, errNoFirstCommand):
+	case errors.Is(reason, errClosing) && c.hadCommand, errors.Is(reason, errIdle), errors.Is(reason, errNoFirstCommand):
 		c.linger() // a request that arrives just now goes unread, and the client retries it elsewhere
 	}
 }
 
 // release closes the connection and gives up all requests that are still pending.
-func (c *clientConn) release() {
+func (c *clientConn) release(reason closeReason) {
 	_ = c.conn.Close() // nothing more is written or read; the client sees a failure as a reset
 	c.mu.Lock()
 	pending := c.pending
 	c.pending, c.closed = nil, true
 	c.mu.Unlock()
 	router := c.listener.router
+	c.recordClose(reason, pending)
 	for _, req := range pending {
-		req.finished.Store(true)
+		router.endRequest(req, lifecycle.ClientLeft)
 		req.release(c.listener)
 		router.mailbox.post(func() { router.clientGone(req) })
 	}
@@ -140,9 +150,11 @@
 	req.setReply([]byte("-ERR "+reason.Error()+"\r\n"), nil)
 	for c.hasPending() {
 		if err := c.flush(); err != nil && !errors.Is(err, errClosing) {
+			c.writeFailed = true
 			return
 		}
 		if c.hasPending() && c.awaitReply() != nil {
+			c.writeFailed = true
 			return
 		}
 	}
@@ -153,7 +165,7 @@
 // resets it, and the client may lose the last reply with that.
 func (c *clientConn) linger() {
 	c.mu.Lock()
-	c.requestedPhase = phaseStopReading // so that no goroutine interrupts it any more
+	c.requestedPhase = lifecycle.PhaseStopReading // so that no goroutine interrupts it any more
 	c.mu.Unlock()
 	half, ok := c.conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
@@ -181,7 +193,7 @@
 	case !c.receivedCommand:
 		return readLimit{c.acceptedAt.Add(firstCommandTimeout), errNoFirstCommand}
 	}
-	return readLimit{c.lastActive.Add(clientIdleTimeout), errClosing}
+	return readLimit{c.lastActive.Add(clientIdleTimeout), errIdle}
 }
 
 // deadlineError returns why the connection has to end if its time is up, and nil if the reading was interrupted for
@@ -220,6 +232,15 @@
 	}
 }
 
+// conditions returns what decides on the connection's next step, with the phase that its goroutine has acted on.
+func (c *clientConn) conditions() lifecycle.ClientConnConditions {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conditions := c.conditionsLocked()
+	conditions.Phase = c.seenPhase
+	return conditions
+}
+
 func (c *clientConn) hasPending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/client_conn_test.go
+++ b/internal/proxy/client_conn_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"woodproxy/balancer"
+	"woodproxy/internal/lifecycle"
 	"woodproxy/internal/wire"
 )
 
@@ -97,7 +98,7 @@
 			p.dialer.block(p.router.hosts[0].endpoint.Address)
 			send(p.t, client, getCommand("pending", longWaitMS))
 			p.eventually("no connection is made", func() bool { return p.router.counters.Dials.Load() == 1 })
-			p.listener.requestPhaseAll(phaseStopReading)
+			p.listener.requestPhaseAll(lifecycle.PhaseStopReading)
 			send(p.t, client, getCommand("unread", longWaitMS))
 			return 1
 		}},
@@ -208,7 +209,7 @@
 	release := p.dialer.block(cache.addr)
 	send(t, client, commands.String())
 	p.eventually("not read", func() bool { return p.router.counters.Exchanges.Load() == maxPending })
-	p.listener.requestPhaseAll(phaseStopReading)
+	p.listener.requestPhaseAll(lifecycle.PhaseStopReading)
 	release()
 	go func() {
 		for cmd := range cache.commands {
@@ -252,7 +253,7 @@
 // A request arrives between a connection's last look for bytes and its close, whatever closes it: the client sees an
 // end and no reset, so that it loses no reply, and nothing of the request is sent to an upstream.
 func TestRequestDuringConnCloseSeesNoReset(t *testing.T) {
-	requestPhase := func(phase closePhase) func(*testProxy) {
+	requestPhase := func(phase lifecycle.ClosePhase) func(*testProxy) {
 		return func(p *testProxy) { p.listener.requestPhaseAll(phase) }
 	}
 	for _, test := range []struct {
@@ -260,9 +261,9 @@
 		end        func(p *testProxy)
 		afterReply bool // the connection closes after one more reply
 	}{
-		{"close after reply", requestPhase(phaseCloseAfterReply), true},
-		{"close when idle", requestPhase(phaseCloseWhenIdle), false},
-		{"stop reading", requestPhase(phaseStopReading), false},
+		{"close after reply", requestPhase(lifecycle.PhaseCloseAfterReply), true},
+		{"close when idle", requestPhase(lifecycle.PhaseCloseWhenIdle), false},
+		{"stop reading", requestPhase(lifecycle.PhaseStopReading), false},
 		{"evicted", func(p *testProxy) {
 			p.eventually("not idle", func() bool {
 				p.listener.SetLimits(1, 0)
--- a/internal/proxy/client_read.go
+++ b/internal/proxy/client_read.go
@@ -206,6 +206,7 @@
 		return
 	}
 	req.receivedAt = router.clock.Now()
+	req.clientUntil = time.Now().Add(time.Duration(req.waitMS) * time.Millisecond)
 	if router.negativeCache.lookUp(req) {
 		req.reply(router.counters, replyNotFound, nil, 0)
 		return
--- a/internal/proxy/close_phase.go
+++ b/internal/proxy/client_state.go
@@ -1,15 +1,9 @@
 package proxy
 
-import "time"
+import (
+	"time"
 
-// closePhase is how far a client connection is on its way to being closed. A connection only moves to later phases.
-type closePhase uint8
-
-const (
-	phaseOpen            closePhase = iota
-	phaseCloseAfterReply            // closed right after its next reply, so that no request can cross the close
-	phaseCloseWhenIdle              // closed once no reply is pending
-	phaseStopReading                // reads no further command; closed once no reply is pending
+	"woodproxy/internal/lifecycle"
 )
 
 // connState is a snapshot of a client connection, from which the listener chooses what to close.
@@ -29,20 +23,20 @@
 	defer c.mu.Unlock()
 	idle := len(c.pending) == 0
 	// A connection that is to close between commands and has read a part of one can still be cut off.
-	cuttable := c.midCommand && c.requestedPhase < phaseStopReading
+	cuttable := c.midCommand && c.requestedPhase < lifecycle.PhaseStopReading
 	return connState{
 		lastActive: c.lastActive,
 		idle:       idle,
 		hadCommand: c.hadCommand,
 		hadRequest: c.hadRequest,
 		midCommand: c.midCommand,
-		closable:   idle && (c.requestedPhase < phaseCloseWhenIdle || cuttable),
-		closing:    c.requestedPhase >= phaseCloseWhenIdle && !c.midCommand || c.requestedPhase == phaseStopReading,
+		closable:   idle && (c.requestedPhase < lifecycle.PhaseCloseWhenIdle || cuttable),
+		closing:    c.requestedPhase >= lifecycle.PhaseCloseWhenIdle && !c.midCommand || c.requestedPhase == lifecycle.PhaseStopReading,
 	}
 }
 
 // requestPhase moves the connection to a closing phase, unless it is as far already. Any goroutine may call it.
-func (c *clientConn) requestPhase(phase closePhase) {
+func (c *clientConn) requestPhase(phase lifecycle.ClosePhase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if phase <= c.requestedPhase {
@@ -62,12 +56,12 @@
 	}
 }
 
-// closeDueLocked reports whether the requested phase calls for closing the connection now. The caller holds c.mu and
-// is the connection's goroutine.
-func (c *clientConn) closeDueLocked() bool {
-	if len(c.pending) > 0 || c.upload != nil || c.reader.Buffered() > 0 {
-		return false
+// conditionsLocked returns what decides whether the connection may be closed or read from. The caller holds c.mu and is
+// the connection's goroutine, and looks for unread input itself where that matters.
+func (c *clientConn) conditionsLocked() lifecycle.ClientConnConditions {
+	return lifecycle.ClientConnConditions{
+		Phase: c.requestedPhase, PendingReplies: len(c.pending), MaxPending: maxPending,
+		AnsweredRequest: c.answeredRequest,
+		CommandPartial:  c.upload != nil || c.reader.Buffered() > 0,
 	}
-	// Only the reply to a proxied request counts as the next one: PING is how clients ask for the state of the proxy.
-	return c.requestedPhase >= phaseCloseWhenIdle || c.requestedPhase == phaseCloseAfterReply && c.answeredRequest
 }
--- a/internal/proxy/client_write.go
+++ b/internal/proxy/client_write.go
@@ -4,6 +4,8 @@
 	"net"
 	"slices"
 	"time"
+
+	"woodproxy/internal/lifecycle"
 )
 
 var crlf = []byte("\r\n")
@@ -20,12 +22,22 @@
 		}
 		c.removeWritten(ready)
 	}
-	if c.updatePhase() && !hasUnread(c.conn) { // else another request has arrived meanwhile and is answered first
+	if c.mayCloseBetweenCommands() {
 		return errClosing
 	}
 	return nil
 }
 
+// mayCloseBetweenCommands takes over the phase that was requested, and reports whether the connection is to close now.
+func (c *clientConn) mayCloseBetweenCommands() bool {
+	conditions := c.updatePhase()
+	if !conditions.MayClose().Permitted() {
+		return false
+	}
+	conditions.InputUnread = hasUnread(c.conn) // another request may have arrived meanwhile, and is answered first
+	return conditions.MayClose().Permitted()
+}
+
 // readyReplies returns the requests whose replies are next, up to and including the first that is a stream.
 func (c *clientConn) readyReplies() []*request {
 	c.mu.Lock()
@@ -97,12 +109,12 @@
 	}
 }
 
-// updatePhase takes over the phase that was requested, and reports whether the connection is to close now.
-func (c *clientConn) updatePhase() (closeNow bool) {
+// updatePhase takes over the phase that was requested, and returns the conditions as of then.
+func (c *clientConn) updatePhase() lifecycle.ClientConnConditions {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	closeNow = c.closeDueLocked()
+	conditions := c.conditionsLocked()
 	c.midCommand = c.upload != nil || c.discardBytes > 0 || c.reader.Buffered() > 0
 	c.lastActive, c.seenPhase, c.answeredRequest = time.Now(), c.requestedPhase, false
-	return closeNow
+	return conditions
 }
--- a/internal/proxy/clock.go
+++ b/internal/proxy/clock.go
@@ -22,6 +22,22 @@
 	return balancer.Time((c.base.UnixMicro() + time.Since(c.base).Microseconds()) / 100)
 }
 
+// Elapsed returns the monotonic time since the clock's start.
+func (c Clock) Elapsed() time.Duration { return time.Since(c.base) }
+
+// instantOf converts nanoseconds since the clock's start, as Elapsed counts them; 0 is the zero time.
+func (c Clock) instantOf(elapsed int64) time.Time {
+	if elapsed == 0 {
+		return time.Time{}
+	}
+	return c.base.Add(time.Duration(elapsed))
+}
+
+// Instant converts the balancer's time to an instant that is compared by the monotonic clock.
+func (c Clock) Instant(t balancer.Time) time.Time {
+	return c.base.Add(duration(t) - time.Duration(c.base.UnixMicro()/100)*tickDuration)
+}
+
 // duration converts a span of the balancer's time.
 func duration(t balancer.Time) time.Duration { return time.Duration(t) * tickDuration }
 
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"woodproxy/balancer"
+	"woodproxy/internal/invariant"
+	"woodproxy/internal/lifecycle"
 )
 
 // Counters count what the proxy takes in, sends and answers since its start. Each is printed and exported under the
@@ -51,6 +53,10 @@
 	ZonesPassed atomic.Int64 // zones that were evacuated on this proxy's own evidence alone
 	ZonesHasty  atomic.Int64 // and those of them that answered the first health checks: false positives
 
+	Refusals   [lifecycle.NumRefusals]atomic.Int64 // attempts that were refused at the last moment, by reason
+	Closes     [numCloseReasons]atomic.Int64       // client connections that ended, by reason
+	Invariants *invariant.Checker                  // nil: nothing is checked
+
 	// Where a shadow balancer would have decided the same, and where it would have
 	WatchSame    atomic.Int64
 	WatchNode    atomic.Int64 // sent to another host
--- a/internal/proxy/decisions.go
+++ b/internal/proxy/decisions.go
@@ -70,6 +70,8 @@
 	}
 	h.inFlight++
 	r.counters.Tries.Add(1)
+	config := &r.settings.Balancer
+	r.counters.Invariants.AttemptDecided(s.request.id, len(s.attempts), config.MaxAttempts, s.inFlight, config.ParallelAttempts)
 	r.zoneAttemptSent(attempt.host)
 	r.dutyAttemptSent(attempt.host)
 	return h.mailbox.tryPost(func() { h.send(attempt) })
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"woodproxy/internal/lifecycle"
+
 	"go.uber.org/zap"
 )
 
@@ -50,7 +52,7 @@
 	l.log.Info("in service", zap.Int("connections", len(l.conns)))
 	l.drainTimer.Stop()
 	if !l.stopping {
-		l.phase = phaseOpen
+		l.phase = lifecycle.PhaseOpen
 	}
 	return true
 }
@@ -63,7 +65,7 @@
 		return // the drain has ended meanwhile
 	}
 	if l.drainStep++; l.drainStep == closeAfterReplyStep {
-		l.phase = max(l.phase, phaseCloseAfterReply)
+		l.phase = max(l.phase, lifecycle.PhaseCloseAfterReply)
 	}
 	now := time.Now()
 	for c := range l.conns {
@@ -77,18 +79,18 @@
 
 // drainPhase returns the phase that the current step of the drain asks of a connection. One that only polls the proxy's
 // state (by PING) is left open as long as it does.
-func (l *Listener) drainPhase(c *clientConn, now time.Time) closePhase {
+func (l *Listener) drainPhase(c *clientConn, now time.Time) lifecycle.ClosePhase {
 	s := c.state()
 	recentlyActive := now.Sub(s.lastActive) < recentActivity
 	switch {
 	case l.drainStep >= stopReadingStep && s.hadRequest && now.Sub(c.acceptedAt) >= minAgeToStopReading:
-		return phaseStopReading
+		return lifecycle.PhaseStopReading
 	case l.drainStep == closeIdleStep && s.hadRequest, l.drainStep >= closeIdleStep && s.idle && !recentlyActive:
-		return phaseCloseWhenIdle
+		return lifecycle.PhaseCloseWhenIdle
 	case l.drainStep >= closeAfterReplyStep:
-		return phaseCloseAfterReply
+		return lifecycle.PhaseCloseAfterReply
 	}
-	return phaseOpen
+	return lifecycle.PhaseOpen
 }
 
 // Close accepts no further client, closes the connections by the schedule, and returns when all have ended or at the
@@ -102,11 +104,11 @@
 	l.mu.Unlock()
 	for _, step := range [...]struct {
 		after time.Duration
-		phase closePhase
+		phase lifecycle.ClosePhase
 	}{
-		{schedule.CloseAfterReply, phaseCloseAfterReply},
-		{schedule.CloseIdle, phaseCloseWhenIdle},
-		{schedule.StopReading, phaseStopReading},
+		{schedule.CloseAfterReply, lifecycle.PhaseCloseAfterReply},
+		{schedule.CloseIdle, lifecycle.PhaseCloseWhenIdle},
+		{schedule.StopReading, lifecycle.PhaseStopReading},
 	} {
 		timer := time.AfterFunc(time.Until(began.Add(step.after)), func() { l.requestPhaseAll(step.phase) })
 		defer timer.Stop()
@@ -123,13 +125,19 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.conns) > 0 && time.Now().Before(until) {
+	for !l.mayExitLocked(until) {
 		l.connsChanged.Wait()
 	}
 }
 
+// mayExitLocked reports whether the process may exit, which it has to at the given time. The caller holds l.mu.
+func (l *Listener) mayExitLocked(until time.Time) bool {
+	conditions := lifecycle.ExitConditions{OpenConnections: len(l.conns), DeadlineExceeded: !time.Now().Before(until)}
+	return conditions.MayExit().Permitted()
+}
+
 // requestPhaseAll moves all connections, and those that are still to be accepted, to a closing phase for good.
-func (l *Listener) requestPhaseAll(phase closePhase) {
+func (l *Listener) requestPhaseAll(phase lifecycle.ClosePhase) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stopping, l.phase = true, max(l.phase, phase)
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"woodproxy/internal/lifecycle"
 	"woodproxy/internal/wire"
 
 	"github.com/valyala/fastjson"
@@ -116,7 +117,8 @@
 
 // startWatch opens a watch, unless one is open or other proxies have the duty to watch.
 func (l *EndpointList) startWatch() {
-	if l.current != nil || l.delegated {
+	conditions := lifecycle.WatchConditions{Open: l.current != nil, Delegated: l.delegated}
+	if !conditions.MayOpen().Permitted() {
 		return
 	}
 	watch := &endpointWatch{list: l, addr: l.addr, fromIndex: l.index, firstByteTimeout: l.randomFirstByteTimeout()}
--- a/internal/proxy/eviction.go
+++ b/internal/proxy/eviction.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"woodproxy/internal/lifecycle"
+)
 
 const (
 	// idleGrace is how long a client may be inactive before it counts as one that asks for nothing.
@@ -26,21 +30,21 @@
 var evictionRules = [...]struct {
 	class       evictionClass
 	minInactive time.Duration
-	phase       closePhase
+	phase       lifecycle.ClosePhase
 }{
-	{classSilent, partialGrace, phaseCloseWhenIdle},
-	{classIdle, idleGrace, phaseCloseWhenIdle},
-	{classMidCommand, partialGrace, phaseStopReading},
-	{classMidCommand, idleGrace, phaseStopReading},
-	{classIdle, 0, phaseCloseWhenIdle},
-	{classSilent, 0, phaseCloseWhenIdle},
-	{classMidCommand, 0, phaseStopReading},
+	{classSilent, partialGrace, lifecycle.PhaseCloseWhenIdle},
+	{classIdle, idleGrace, lifecycle.PhaseCloseWhenIdle},
+	{classMidCommand, partialGrace, lifecycle.PhaseStopReading},
+	{classMidCommand, idleGrace, lifecycle.PhaseStopReading},
+	{classIdle, 0, lifecycle.PhaseCloseWhenIdle},
+	{classSilent, 0, lifecycle.PhaseCloseWhenIdle},
+	{classMidCommand, 0, lifecycle.PhaseStopReading},
 }
 
 // eviction is a connection that is to be closed, and how.
 type eviction struct {
 	conn  *clientConn
-	phase closePhase
+	phase lifecycle.ClosePhase
 }
 
 // evictionCandidate is the closable connection of a class that has been inactive longest.
@@ -95,7 +99,7 @@
 	}
 	idle := &census.candidates[classIdle]
 	if idle.conn != nil && census.served >= l.maxServedConns && idle.inactive(now) >= idleGrace {
-		return eviction{idle.conn, phaseCloseWhenIdle}
+		return eviction{idle.conn, lifecycle.PhaseCloseWhenIdle}
 	}
 	if census.staying < nearLimit(l.maxConns) {
 		return eviction{}
--- a/internal/proxy/host_index.go
+++ b/internal/proxy/host_index.go
@@ -22,7 +22,7 @@
 	if update.whole {
 		for _, h := range r.hosts {
 			if h != nil {
-				h.ready.Store(false)
+				h.setReady(false)
 				h.markDeparted(now)
 			}
 		}
@@ -88,13 +88,23 @@
 	if target.Address != "" {
 		h.addr.Store(&target.Address)
 	}
-	h.ready.Store(target.Ready)
+	h.setReady(target.Ready)
 	h.departedAt = 0
 	if target.Departed {
 		h.markDeparted(now)
 	}
 }
 
+// setReady notes whether the host takes requests, and since when it does not.
+func (h *upstreamHost) setReady(ready bool) {
+	if ready {
+		h.notReadySince.Store(0)
+	} else {
+		h.notReadySince.CompareAndSwap(0, int64(h.router.clock.Elapsed()))
+	}
+	h.ready.Store(ready)
+}
+
 // listing returns what the balancer is told of a host.
 func (r *Router) listing(h *upstreamHost) balancer.Endpoint {
 	target := &h.endpoint
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"woodproxy/balancer"
+	"woodproxy/internal/lifecycle"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
@@ -47,12 +48,12 @@
 
 	mu             sync.Mutex
 	maxConns       int
-	maxServedConns int        // how many of them may be left open to clients that have been served
-	paused         bool       // another process accepts connections
-	closed         bool       // no further connection is accepted
-	soleOwner      bool       // no other process has the listener; set before closed
-	stopping       bool       // the proxy stops, and drains for good
-	phase          closePhase // of connections that are accepted from now on
+	maxServedConns int                  // how many of them may be left open to clients that have been served
+	paused         bool                 // another process accepts connections
+	closed         bool                 // no further connection is accepted
+	soleOwner      bool                 // no other process has the listener; set before closed
+	stopping       bool                 // the proxy stops, and drains for good
+	phase          lifecycle.ClosePhase // of connections that are accepted from now on
 	drainTimer     *time.Timer
 	drainStep      int                      // steps of the drain that have been taken
 	conns          map[*clientConn]struct{} // connections remove themselves as they end
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"woodproxy/balancer"
+	"woodproxy/internal/invariant"
 	"woodproxy/internal/settings"
 	"woodproxy/internal/wire"
 )
@@ -238,8 +239,9 @@
 	for _, route := range config.Balancer.Routes {
 		config.LongestTimeout = max(config.LongestTimeout, route.Timeout)
 	}
+	checker := invariant.NewChecker(func(v invariant.Violation) { t.Errorf("invariant violated: %v", v) })
 	p := &testProxy{
-		t: t, router: NewRouter(config, 1, NewClock(), sockets, &Counters{}, zap.NewNop()),
+		t: t, router: NewRouter(config, 1, NewClock(), sockets, &Counters{Invariants: checker}, zap.NewNop()),
 		dialer: &blockingDialer{blocked: map[string]chan struct{}{}},
 	}
 	p.router.dialer = p.dialer
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -3,8 +3,10 @@
 import (
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"woodproxy/balancer"
+	"woodproxy/internal/lifecycle"
 	"woodproxy/internal/wire"
 )
 
@@ -31,10 +33,13 @@
 	valueBytes           int           // of the value and of the reply's body, as counted in the value memory
 	admitted             bool          // counts as held until its reply is written or its client has gone
 	receivedAt           balancer.Time // when its last byte was read
+	clientUntil          time.Time     // until when the client waits; zero: not known
 
-	slot     int         // index of its request slot; only the router's goroutine looks at this and hasSlot
-	hasSlot  bool        // it has been handed to the balancer
-	finished atomic.Bool // it has its final reply or its client has gone: no further attempt may begin
+	slot    int  // index of its request slot; only the router's goroutine looks at this and hasSlot
+	hasSlot bool // it has been handed to the balancer
+
+	life    lifecycle.Request // says whether a further attempt may begin
+	endedAt atomic.Int64      // when it had its final reply or its client left, in nanoseconds of the router's clock; 0: neither
 
 	// The reply, guarded by conn.mu.
 	ready  bool
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -4,6 +4,9 @@
 	"hash/fnv"
 
 	"woodproxy/balancer"
+	"woodproxy/internal/lifecycle"
+
+	"go.uber.org/zap"
 )
 
 // requestSlot holds a request from its arrival until it has its final reply and no attempt of it is in flight. Its
@@ -97,7 +100,7 @@
 	r.counters.Left.Add(1)
 	now := r.clock.Now()
 	decisions := r.decide(now, func(b *balancer.Balancer) []balancer.Decision { return b.ClientGone(now, req.slot) })
-	r.markFinished(s)
+	r.markFinished(s, lifecycle.ClientLeft)
 	r.execute(decisions)
 	r.releaseSlot(req.slot)
 }
@@ -105,7 +108,7 @@
 // reply gives a request its final reply, unless it has one. retryAfter is told to clients whose request is shed.
 func (r *Router) reply(slot int, kind finalReply, value []byte, retryAfter balancer.Time) {
 	if s := &r.slots[slot]; !s.finished {
-		r.markFinished(s)
+		r.markFinished(s, lifecycle.ReplyDecided)
 		roundedUp := retryAfter + ticksPerMillisecond - 1
 		s.request.reply(r.counters, kind, value, milliseconds(roundedUp))
 	}
@@ -113,9 +116,9 @@
 
 // markFinished notes that a request needs nothing more. Attempts that are in flight and not yet written must not be
 // written: they may wait for a connection that comes up late, and cancelling may not be allowed.
-func (r *Router) markFinished(s *requestSlot) {
+func (r *Router) markFinished(s *requestSlot, event lifecycle.RequestEvent) {
 	s.finished = true
-	s.request.finished.Store(true)
+	r.endRequest(s.request, event)
 	if s.inFlight == 0 {
 		return
 	}
@@ -126,6 +129,15 @@
 	}
 }
 
+// endRequest notes that nothing more may be begun for a request. Any goroutine may call it.
+func (r *Router) endRequest(req *request, event lifecycle.RequestEvent) {
+	req.endedAt.CompareAndSwap(0, int64(r.clock.Elapsed()))
+	if err := req.life.Apply(event); err != nil {
+		r.counters.Invariants.ReplyDecided(req.id, 2)
+		r.log.Error("request state", zap.Error(err), zap.ByteString("id", req.id))
+	}
+}
+
 // attemptFinished takes how an attempt ended.
 func (r *Router) attemptFinished(attempt *attempt, result attemptResult) {
 	s := &r.slots[attempt.slot]
@@ -165,7 +177,7 @@
 		r.reply(attempt.slot, replyNotFound, nil, 0)
 		r.negativeCache.recordMiss(attempt)
 	case wanted && result.stream != nil:
-		r.markFinished(s)
+		r.markFinished(s, lifecycle.ReplyDecided)
 		s.request.replyStream(r.counters, result.stream)
 	case wanted:
 		r.reply(attempt.slot, replyCompleted, result.value, 0)
--- a/internal/proxy/socket_peek.go
+++ b/internal/proxy/socket_peek.go
@@ -33,17 +33,31 @@
 	return n, err
 }
 
-// hasUnread reports whether bytes have arrived that were not read.
-func hasUnread(conn net.Conn) bool {
-	n, _ := peek(conn) // an error means that nothing has arrived
-	return n > 0
+// inputState is what there is to read on a connection.
+type inputState uint8
+
+const (
+	inputNone   inputState = iota // nothing has arrived
+	inputUnread                   // bytes have arrived that were not read
+	inputEnded                    // the other side has closed the connection, with nothing left to read
+)
+
+// peekState returns what there is to read on a connection.
+func peekState(conn net.Conn) inputState {
+	switch n, err := peek(conn); {
+	case n > 0:
+		return inputUnread
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		return inputNone
+	}
+	return inputEnded
 }
 
+// hasUnread reports whether bytes have arrived that were not read.
+func hasUnread(conn net.Conn) bool { return peekState(conn) == inputUnread }
+
 // closedByPeer reports whether the other side has closed the connection, with nothing left to read.
-func closedByPeer(conn net.Conn) bool {
-	n, err := peek(conn)
-	return n <= 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
-}
+func closedByPeer(conn net.Conn) bool { return peekState(conn) == inputEnded }
 
 // hungUpByPeer reports whether the other side has closed the connection, be there bytes left to read or not.
 func hungUpByPeer(conn net.Conn) bool {
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -30,6 +30,7 @@
 	reader  *bufio.Reader
 	header  []byte      // reused from request to request
 	buffers net.Buffers // reused too
+	toldMS  int         // how long the upstream was told that the attempt waits, in milliseconds
 
 	mu            sync.Mutex // guards what follows, by which other goroutines interrupt this one
 	conn          net.Conn
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -31,8 +31,9 @@
 
 	// Set by the router's goroutine, and read by any.
 	addr          atomic.Pointer[string]
-	ready         atomic.Bool // listed, and not draining
-	closeIdleSoon atomic.Bool // another proxy has the duty to keep idle connections to it
+	ready         atomic.Bool  // listed, and not draining
+	notReadySince atomic.Int64 // in nanoseconds of the router's clock; 0: it is ready, or never was
+	closeIdleSoon atomic.Bool  // another proxy has the duty to keep idle connections to it
 
 	// Only the router's goroutine looks at these.
 	ejected    bool          // as was last reported to the duties
@@ -87,7 +88,7 @@
 
 // send hands an attempt to an idle connection or opens one; for want of sockets the attempt is queued.
 func (h *upstreamHost) send(attempt *attempt) {
-	if attempt.request.finished.Load() {
+	if attempt.request.life.Finished() {
 		h.reportNotSent(attempt)
 		return
 	}
@@ -210,7 +211,7 @@
 	for len(h.queue) > 0 {
 		next := h.queue[0]
 		h.queue = slices.Delete(h.queue, 0, 1)
-		abandoned := next.cancelled.Load() || next.request.finished.Load()
+		abandoned := next.cancelled.Load() || next.request.life.Finished()
 		if !abandoned && h.ready.Load() && h.router.clock.Now() < next.sentAt+next.timeout {
 			return next
 		}
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"woodproxy/balancer"
+	"woodproxy/internal/invariant"
+	"woodproxy/internal/lifecycle"
 	"woodproxy/internal/wire"
 )
 
@@ -32,32 +34,74 @@
 	if err := u.conn.SetDeadline(until); err != nil {
 		return u.failure(attempt, &wire.AttemptError{Progress: wire.Writing, Err: err})
 	}
-	switch {
-	case attempt.cancelled.Load(): // before the deadline above was set
-		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Cancelled}}
-	case reused && u.isStale(): // nothing was sent yet
+	if reused && !u.mayReuse() { // nothing was sent yet
 		u.discardConn()
 		return u.roundTrip(attempt)
-	case attempt.request.finished.Load(): // while it waited for this connection, which the next attempt may have
-		return notSent(true)
-	case attempt.startBefore > 0 && router.clock.Now() >= attempt.startBefore:
-		return notSent(true)
-	case !u.host.ready.Load(): // it drains or has departed since it was chosen; nothing new goes there
-		return notSent(false)
+	}
+	conditions := u.conditions(attempt, until)
+	if refusal := conditions.MayBegin(); !refusal.Permitted() {
+		return u.refused(refusal)
 	}
 	if err := u.writeRequest(attempt); err != nil {
-		if attempt.request.finished.Load() {
+		if attempt.request.life.Finished() {
 			return notSent(false)
 		}
 		return u.failure(attempt, &wire.AttemptError{Progress: wire.Writing, Err: err})
 	}
+	u.checkStarted(attempt)
 	return u.readResponse(attempt, until)
 }
 
+// conditions returns what decides whether an attempt may be written now.
+func (u *upstreamConn) conditions(attempt *attempt, until time.Time) lifecycle.AttemptConditions {
+	return lifecycle.AttemptConditions{
+		Request: attempt.request.life.State(), Cancelled: attempt.cancelled.Load(), EndpointReady: u.host.ready.Load(),
+		Now: time.Now(), Deadline: until, DedupWindowEnd: u.host.router.dedupWindowEnd(attempt),
+	}
+}
+
+// dedupWindowEnd returns until when an attempt may begin, the zero time if it is the first that may run.
+func (r *Router) dedupWindowEnd(attempt *attempt) time.Time {
+	if attempt.startBefore == 0 {
+		return time.Time{}
+	}
+	return r.clock.Instant(attempt.startBefore)
+}
+
+// refused returns the result of an attempt that was not begun. The next attempt may have the connection, unless it was
+// interrupted or its host takes no more.
+func (u *upstreamConn) refused(refusal lifecycle.Refusal) roundTripResult {
+	u.host.router.counters.Refusals[refusal].Add(1)
+	switch refusal {
+	case lifecycle.AttemptCancelled:
+		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Cancelled}}
+	case lifecycle.EndpointNotReady:
+		return notSent(false)
+	}
+	return notSent(true)
+}
+
 func notSent(reusable bool) roundTripResult {
 	return roundTripResult{attemptResult: attemptResult{outcome: balancer.NotSent}, reusable: reusable}
 }
 
+// checkStarted has the invariants checked of an attempt that was written whole.
+func (u *upstreamConn) checkStarted(attempt *attempt) {
+	router := u.host.router
+	checker := router.counters.Invariants
+	if checker == nil {
+		return
+	}
+	checker.AttemptStarted(&invariant.AttemptStart{
+		RequestID: attempt.request.id, At: time.Now(),
+		RequestEnded:     router.clock.instantOf(attempt.request.endedAt.Load()),
+		EndpointDraining: router.clock.instantOf(u.host.notReadySince.Load()),
+		DedupWindowEnd:   router.dedupWindowEnd(attempt),
+		ToldUntil:        time.Now().Add(time.Duration(u.toldMS) * time.Millisecond),
+		ClientUntil:      attempt.request.clientUntil,
+	})
+}
+
 func connectFailure(attempt *attempt, err error) roundTripResult {
 	outcome := balancer.ConnectFailed
 	if attempt.cancelled.Load() {
@@ -118,15 +162,19 @@
 	return nil
 }
 
-// isStale reports whether there is something to read, or the end of the stream, on a connection that carries no
-// request. Bytes behind a good response may arrive once the next attempt is assigned, whose deadline hides them from
-// awaitAttempt.
-func (u *upstreamConn) isStale() bool {
-	if u.reader.Buffered() > 0 || hasUnread(u.conn) {
+// mayReuse reports whether a connection that carries no request may carry another: there is nothing to read on it, and
+// it has not ended. Bytes behind a good response may arrive once the next attempt is assigned, whose deadline hides them
+// from awaitAttempt.
+func (u *upstreamConn) mayReuse() bool {
+	input := peekState(u.conn)
+	conditions := lifecycle.UpstreamConnConditions{
+		ResponseComplete: true, UnexpectedInput: u.reader.Buffered() > 0 || input == inputUnread, ClosedByPeer: input == inputEnded,
+	}
+	refusal := conditions.MayReuse()
+	if refusal == lifecycle.UnexpectedInput {
 		u.reportBadBytes(fmt.Errorf("%w: unasked for", wire.ErrProtocol))
-		return true
 	}
-	return closedByPeer(u.conn)
+	return refusal.Permitted()
 }
 
 // discardConn closes the connection so that the next attempt dials anew.
@@ -143,7 +191,7 @@
 	u.mu.Lock()
 	u.writing = attempt
 	var err error
-	if attempt.request.finished.Load() {
+	if attempt.request.life.Finished() {
 		err = u.conn.SetWriteDeadline(pastDeadline)
 	}
 	u.mu.Unlock()
@@ -165,8 +213,8 @@
 	if req.value != nil {
 		size = len(req.value)
 	}
-	remainingMS := milliseconds(attempt.sentAt + attempt.timeout - h.router.clock.Now())
-	facts := wire.AppendFacts(nil, req.facts, max(remainingMS, 1))
+	u.toldMS = max(milliseconds(attempt.sentAt+attempt.timeout-h.router.clock.Now()), 1)
+	facts := wire.AppendFacts(nil, req.facts, u.toldMS)
 	if h.isOrigin {
 		u.header = wire.AppendOriginRequest(u.header[:0], u.addr, req.key, req.id, facts, size)
 	} else {
