Failing tests: a dial that fails on this machine is blamed on the cache

upstreamConn.roundTrip reports every failed dial as ConnectFailed, which balancer.learnFailure ejects the cache for, and zonehealth counts as a refused connection.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -78,6 +79,13 @@
 	net.Dialer
 	mu      sync.Mutex
 	blocked map[string]chan struct{} // by address; closed when connections there may come up
+	failing atomic.Pointer[error]    // nil: connections come up; else what each dial returns
+	dials   atomic.Int64
+}
+
+// localError is the error of a dial whose system call fails for a reason of this machine.
+func localError(call string, errno syscall.Errno) error {
+	return &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError(call, errno)}
 }
 
 func (d *blockingDialer) block(addr string) (release func()) {
@@ -98,6 +106,10 @@
 	d.mu.Lock()
 	released := d.blocked[addr]
 	d.mu.Unlock()
+	d.dials.Add(1)
+	if err := d.failing.Load(); err != nil {
+		return nil, *err
+	}
 	if released != nil {
 		<-released
 	}
