A dial that fails on this machine is tried again and blamed on no server

Cause: connectFailure reported every error as ConnectFailed. A zone's connect probe that fails so reports nothing. Refused connections, time-outs and unreachable hosts are the server's as before. LocalErrors counts them by call and error.

--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -57,6 +57,8 @@
 	Closes     [numCloseReasons]atomic.Int64       // client connections that ended, by reason
 	Invariants *invariant.Checker                  // nil: nothing is checked
 
+	LocalErrors LocalErrorCounter // system calls that failed for a reason of this machine
+
 	// Where a shadow balancer would have decided the same, and where it would have
 	WatchSame    atomic.Int64
 	WatchNode    atomic.Int64 // sent to another host
--- a/internal/proxy/local_error_test.go
+++ b/internal/proxy/local_error_test.go
@@ -86,3 +86,11 @@
 		})
 	}
 }
+
+// Errors of a server, and none, are not taken for those of this machine.
+func TestIsLocalError(t *testing.T) {
+	if !isLocalError(localError("socket", syscall.ENFILE)) || isLocalError(localError("connect", syscall.ECONNREFUSED)) ||
+		isLocalError(nil) {
+		t.Error("misjudged")
+	}
+}
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -101,11 +101,13 @@
 // probe opens the connection, reports whether that succeeded, and keeps it for attempts to come.
 func (u *upstreamConn) probe() {
 	h, router := u.host, u.host.router
-	err := error(&wire.AttemptError{})
+	err := error(&wire.AttemptError{}) // stands after a panic
 	runRecovered(h.log, router.counters, func() {
 		err = u.dial(&attempt{}, time.Now().Add(duration(router.zones.latencyLimit)))
 	})
-	router.mailbox.post(func() { router.zoneConnectFinished(h.index, err == nil) })
+	if !isLocalError(err) { // which says nothing of the server
+		router.mailbox.post(func() { router.zoneConnectFinished(h.index, err == nil) })
+	}
 	if err != nil {
 		h.mailbox.post(func() { h.connClosed(u) })
 		return
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -104,8 +104,11 @@
 
 func connectFailure(attempt *attempt, err error) roundTripResult {
 	outcome := balancer.ConnectFailed
-	if attempt.cancelled.Load() {
+	switch {
+	case attempt.cancelled.Load():
 		outcome = balancer.Cancelled
+	case isLocalError(err): // which says nothing of the server
+		outcome = balancer.NotSent
 	}
 	return roundTripResult{attemptResult: attemptResult{outcome: outcome}, err: err}
 }
@@ -131,7 +134,7 @@
 
 // connect dials, and reports to the zone controller that a cache accepts connections.
 func (u *upstreamConn) connect(attempt *attempt, until time.Time) error {
-	if err := u.dial(attempt, until); err != nil {
+	if err := u.dialWithRetry(attempt, until); err != nil {
 		return err
 	}
 	if router, h := u.host.router, u.host; router.zones != nil && !h.isOrigin {
