Slow start is timed from when a start is seen, by the monotonic clock

Cause: host_index.go handed since_ms, a wall time of another machine, to the balancer as an instant of this process's clock, and took the greater of two starts for the later one.

Change: a start that is told after discovery's first message happens now (startTime), whatever the two wall clocks say; any other since_ms that discovery tells of a known server is a restart, also an earlier one, but not 0, and not an older one that a peer tells. Of starts before this process only the wall clock tells; one in its future is taken for now. Zone health gets the same instants. Passed over: to believe since_ms where it lies between this process's start and now, since a clock that is five seconds ahead passes that and ends a slow start five seconds early.

The price: a server that starts while discovery is silent has its slow start from when it is told.

--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -40,9 +40,10 @@
 	previous      *endpointWatch // of the address before, until the current one has received something
 	failures      int            // watches in a row that received nothing
 	lastError     string         // of the last watch, so that a series of equal errors is one line in the log
-	receivedFirst bool
-	firstMessage  chan struct{} // closed when discovery has said something
-	latestIndex   atomic.Int64  // the latest that discovery or another proxy has told of; written by this goroutine
+	receivedFirst bool           // anything, be it an empty line
+	receivedEvent bool           // a list or a change
+	firstMessage  chan struct{}  // closed when discovery has said something
+	latestIndex   atomic.Int64   // the latest that discovery or another proxy has told of; written by this goroutine
 }
 
 // endpointEvent is a message of discovery: the list at an index, or what has changed since the index before.
@@ -209,9 +210,9 @@
 		}
 		targets = l.peerEndpoints.merge(event.index, event.whole, targets)
 	}
-	l.router.mailbox.post(func() {
-		l.router.updateEndpoints(endpointUpdate{whole: event.whole, targets: targets})
-	})
+	update := endpointUpdate{whole: event.whole, catchUp: !l.receivedEvent, targets: targets}
+	l.receivedEvent = true
+	l.router.mailbox.post(func() { l.router.updateEndpoints(update) })
 }
 
 // recordIndex notes an index that discovery or another proxy has told of.
--- a/internal/proxy/host_index.go
+++ b/internal/proxy/host_index.go
@@ -11,6 +11,7 @@
 type endpointUpdate struct {
 	whole   bool // hosts that it does not name have departed
 	initial bool // it is the list that this proxy had before its start, so that no host counts as new
+	catchUp bool // it is discovery's first message: what it tells may have happened before this process started
 	targets []wire.Endpoint
 }
 
@@ -29,7 +30,7 @@
 	}
 	listings := make([]balancer.Endpoint, 0, len(update.targets))
 	for _, target := range update.targets {
-		if h := r.updateHost(target, initial, now); h != nil {
+		if h := r.updateHost(target, initial, update.catchUp, now); h != nil {
 			listings = append(listings, r.listing(h))
 		}
 	}
@@ -41,10 +42,14 @@
 }
 
 // updateHost takes a host's line of the endpoint list. It returns nil for a host that has departed and was never known.
-func (r *Router) updateHost(target wire.Endpoint, initial bool, now balancer.Time) *upstreamHost {
+func (r *Router) updateHost(target wire.Endpoint, initial, catchUp bool, now balancer.Time) *upstreamHost {
 	if index, known := r.hostIndex[target.Name]; known {
 		h := r.hosts[index]
-		target.StartedAtUnixMilli = max(target.StartedAtUnixMilli, h.endpoint.StartedAtUnixMilli)
+		if h.restartedBy(target) {
+			h.startedAt = startTime(target, catchUp, now)
+		} else {
+			target.StartedAtUnixMilli = h.endpoint.StartedAtUnixMilli
+		}
 		if (target.Address == "" || target.FromPeer) && h.endpoint.Address != "" {
 			target.Address = h.endpoint.Address
 		}
@@ -59,10 +64,38 @@
 		// The balancer takes it to have just started, and so do the proxies that learn of it from this one.
 		target.StartedAtUnixMilli = int64(now / ticksPerMillisecond)
 	}
+	h.startedAt = startTime(target, initial || catchUp, now)
 	h.setEndpoint(target, now)
 	return h
 }
 
+// restartedBy reports whether a line of the endpoint list tells of a start after the one that is known. Discovery tells
+// changes in order, and a server whose wall clock was set back starts earlier by that than before; what peers tell may
+// be old. No start, 0, is what discovery says of one that was long ago.
+func (h *upstreamHost) restartedBy(target wire.Endpoint) bool {
+	known := h.endpoint.StartedAtUnixMilli
+	switch {
+	case target.StartedAtUnixMilli == 0 || target.StartedAtUnixMilli == known:
+		return false
+	case target.FromPeer:
+		return target.StartedAtUnixMilli > known
+	}
+	return true
+}
+
+// startTime returns when a host started, by this process's clock; 0 is long ago. A start that is seen happens now, be
+// it told late: to compare the wall clocks of two machines would have a slow start be over before it began, or last as
+// long as they differ. Of starts before this process nothing but the wall clock tells.
+func startTime(target wire.Endpoint, beforeThisProcess bool, now balancer.Time) balancer.Time {
+	switch {
+	case target.StartedAtUnixMilli == 0:
+		return 0
+	case beforeThisProcess:
+		return min(balancer.Time(target.StartedAtUnixMilli)*ticksPerMillisecond, now)
+	}
+	return now
+}
+
 // addHost gives a new host an index, and starts its goroutine.
 func (r *Router) addHost(target wire.Endpoint) *upstreamHost {
 	index := len(r.hosts)
@@ -114,7 +147,7 @@
 	}
 	return balancer.Endpoint{
 		Index: h.index, Name: target.Name, Origin: r.isOrigin(*target), Ready: target.Ready,
-		StartedAt: balancer.Time(target.StartedAtUnixMilli) * ticksPerMillisecond, Weight: target.Weight, Zone: zone, Cell: target.Cell,
+		StartedAt: h.startedAt, Weight: target.Weight, Zone: zone, Cell: target.Cell,
 	}
 }
 
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -37,7 +37,8 @@
 
 	// Only the router's goroutine looks at these.
 	ejected    bool          // as was last reported to the duties
-	endpoint   wire.Endpoint // as listed; for a new host Since is when it was first seen
+	endpoint   wire.Endpoint // as listed; a new host without a start has the time at which it was first seen
+	startedAt  balancer.Time // its latest start by this process's clock; 0: long ago
 	departedAt balancer.Time // when it left the endpoint list; 0: it is listed
 	inFlight   int           // attempts
 
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -78,7 +78,7 @@
 		if h != nil && h.isServing() {
 			nodes = append(nodes, zonehealth.Node{
 				Index: index, Name: h.name, Zone: h.endpoint.Zone,
-				StartedAt: zonehealth.Time(h.endpoint.StartedAtUnixMilli) * ticksPerMillisecond,
+				StartedAt: zonehealth.Time(h.startedAt),
 			})
 		}
 	}
