--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -16,12 +16,9 @@
 )
 
 const (
-	maxPending              = 64                      // commands of one connection that may be without a reply
-	firstCommandTimeout     = 2500 * time.Millisecond // from accepting a client to the end of its first command
-	commandTimeout          = 2500 * time.Millisecond // from a command's first byte to its last
-	clientIdleTimeout       = 20 * time.Second        // without any command
-	clientWriteTimeout      = stallTimeout            // for a client to accept one part of a reply
-	lingerTimeout           = 200 * time.Millisecond  // for bytes that a client still sends after the last reply
+	maxPending              = 64                     // commands of one connection that may be without a reply
+	clientWriteTimeout      = stallTimeout           // for a client to accept one part of a reply
+	lingerTimeout           = 200 * time.Millisecond // for bytes that a client still sends after the last reply
 	lingerMaxBytes          = 256 << 10
 	hangupPollInterval      = 40 * time.Millisecond // between checks for a hang-up while nothing is read
 	minUploadBytesPerSecond = 128 << 10             // slower uploads of long values are not waited for
@@ -55,6 +52,17 @@
 	replyReady      chan struct{} // of capacity 1: the first pending request may have become ready
 }
 
+// clientTimeouts are the times that a client has for its commands.
+type clientTimeouts struct {
+	firstCommand time.Duration // from accepting it to the first byte of its first command
+	command      time.Duration // from a command's first byte to its last
+	idle         time.Duration // without any command
+}
+
+var defaultClientTimeouts = clientTimeouts{
+	firstCommand: 2500 * time.Millisecond, command: 2500 * time.Millisecond, idle: 20 * time.Second,
+}
+
 var (
 	errClosing        = errors.New("connection closing between commands")
 	errIdle           = errors.New("no command for the idle timeout")
@@ -185,15 +193,16 @@
 
 // readLimit returns how long the next bytes may take. A client may be silent without limit while replies are pending.
 func (c *clientConn) readLimit(hasPending bool) readLimit {
+	timeouts := &c.listener.timeouts
 	switch {
 	case !c.partialSince.IsZero():
-		return readLimit{c.partialSince.Add(commandTimeout), errPartialCommand}
+		return readLimit{c.partialSince.Add(timeouts.command), errPartialCommand}
 	case hasPending:
 		return readLimit{}
 	case !c.receivedCommand:
-		return readLimit{c.acceptedAt.Add(firstCommandTimeout), errNoFirstCommand}
+		return readLimit{c.acceptedAt.Add(timeouts.firstCommand), errNoFirstCommand}
 	}
-	return readLimit{c.lastActive.Add(clientIdleTimeout), errIdle}
+	return readLimit{c.lastActive.Add(timeouts.idle), errIdle}
 }
 
 // deadlineError returns why the connection has to end if its time is up, and nil if the reading was interrupted for
--- a/internal/proxy/client_read.go
+++ b/internal/proxy/client_read.go
@@ -145,7 +145,7 @@
 	req.valueBytes = length
 	c.listener.router.valueMemory.acquire(req.valueBytes)
 	transfer := time.Duration(length) * time.Second / minUploadBytesPerSecond
-	c.uploadDeadline = time.Now().Add(commandTimeout + transfer)
+	c.uploadDeadline = time.Now().Add(c.listener.timeouts.command + transfer)
 }
 
 // finishUpload submits the write whose value is being read. It returns wire.ErrShort if a part is still to come.
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -38,6 +38,7 @@
 	router             *Router
 	counters           *Counters
 	log                *zap.Logger
+	timeouts           clientTimeouts
 	retryAfterMS       int           // told to clients whose request finds no capacity, in milliseconds; 0: nothing
 	ready              chan struct{} // closed when clients are served
 	acceptDone         chan struct{} // closed when Run has ended, with all accepted connections in conns
@@ -65,7 +66,7 @@
 func NewListener(ln deadlineListener, router *Router, memoryMB int, counters *Counters, log *zap.Logger) *Listener {
 	l := &Listener{
 		ln: ln, router: router, counters: counters, log: log,
-		ready: make(chan struct{}), acceptDone: make(chan struct{}), conns: map[*clientConn]struct{}{},
+		timeouts: defaultClientTimeouts, ready: make(chan struct{}), acceptDone: make(chan struct{}), conns: map[*clientConn]struct{}{},
 	}
 	l.SetMemory(memoryMB)
 	l.connsChanged = sync.NewCond(&l.mu)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -335,31 +336,60 @@
 	accepted     chan struct{} // nil: does not stop there
 	proceed      chan struct{}
 	beforeClose  func()       // called once for each connection, before its sending or itself is closed
-	failuresLeft atomic.Int64 // how often Accept still fails for want of file descriptors
+	atDeadline   func()       // called once for each connection, as a read's deadline passes
+	failuresLeft atomic.Int64 // how often Accept still fails for failure, or want of file descriptors where that is 0
+	failure      syscall.Errno
+	onFailure    func()       // called at each of them, if it is set
+	readsAtEnd   atomic.Int64 // bytes that were read of connections whose sending was closed
 }
 
 func (l *steppedListener) Accept() (net.Conn, error) {
 	if l.failuresLeft.Add(-1) >= 0 {
-		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+		if l.onFailure != nil {
+			l.onFailure()
+		}
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", cmp.Or(l.failure, syscall.EMFILE))}
 	}
 	conn, err := l.TCPListener.Accept()
 	if err == nil && l.accepted != nil {
 		l.accepted <- struct{}{}
 		<-l.proceed
 	}
-	if err == nil && l.beforeClose != nil {
-		return &steppedConn{TCPConn: conn.(*net.TCPConn), beforeClose: sync.OnceFunc(l.beforeClose)}, nil
+	if err != nil || l.beforeClose == nil && l.atDeadline == nil {
+		return conn, err
+	}
+	stepped := &steppedConn{TCPConn: conn.(*net.TCPConn), readsAtEnd: &l.readsAtEnd, beforeClose: func() {}, atDeadline: func() {}}
+	if l.beforeClose != nil {
+		stepped.beforeClose = sync.OnceFunc(l.beforeClose)
 	}
-	return conn, err
+	if l.atDeadline != nil {
+		stepped.atDeadline = sync.OnceFunc(l.atDeadline)
+	}
+	return stepped, nil
 }
 
 type steppedConn struct {
 	*net.TCPConn
 	beforeClose func()
+	atDeadline  func()
+	sendingEnds atomic.Bool
+	readsAtEnd  *atomic.Int64
+}
+
+func (c *steppedConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.atDeadline()
+	}
+	if c.sendingEnds.Load() {
+		c.readsAtEnd.Add(int64(n))
+	}
+	return n, err
 }
 
 func (c *steppedConn) CloseWrite() error {
 	c.beforeClose()
+	c.sendingEnds.Store(true)
 	return c.TCPConn.CloseWrite()
 }
 
