What has arrived by a client's deadline is answered; accept errors at the end; queued time counts

For the first one of a connection the kernel tells how long ago its bytes came (TCP_INFO), so that the time in the listener's queue counts in the deadline that is told and in what is waited for.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -20,6 +20,7 @@
 	clientWriteTimeout      = stallTimeout           // for a client to accept one part of a reply
 	lingerTimeout           = 200 * time.Millisecond // for bytes that a client still sends after the last reply
 	lingerMaxBytes          = 256 << 10
+	finalReadTimeout        = 10 * time.Millisecond // for bytes that have arrived already
 	hangupPollInterval      = 40 * time.Millisecond // between checks for a hang-up while nothing is read
 	minUploadBytesPerSecond = 128 << 10             // slower uploads of long values are not waited for
 )
@@ -32,8 +33,10 @@
 	reader          *bufio.Reader
 	acceptedAt      time.Time
 	receivedCommand bool      // at least one whole command has been read
+	submitted       bool      // at least one request was handed to the router
 	discardBytes    int       // bytes still to come of a value that was not admitted
 	partialSince    time.Time // when the first byte of a command that is read in part came; zero: none is
+	finalRead       bool      // the time for this command is over, and what has arrived by then is read
 	upload          *request  // a write whose value is being read, or nil
 	uploadRead      int       // bytes of that value and its line end so far
 	uploadDeadline  time.Time // until which each further byte extends the command's time
@@ -206,14 +209,31 @@
 }
 
 // deadlineError returns why the connection has to end if its time is up, and nil if the reading was interrupted for
-// another reason.
+// another reason. What has arrived by then came in time and is read first, once for each command: one that drips on has
+// its time all the same.
 func (c *clientConn) deadlineError() error {
+	limit := c.passedLimit()
+	if limit.err == nil {
+		return nil
+	}
+	conditions := c.conditions()
+	conditions.CommandPartial = !c.partialSince.IsZero()
+	conditions.InputUnread = !c.finalRead && hasUnread(c.conn)
+	if conditions.MayExpire().Permitted() {
+		return limit.err
+	}
+	c.finalRead = true
+	return nil
+}
+
+// passedLimit returns the limit that has passed; one without an error if none has.
+func (c *clientConn) passedLimit() readLimit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if limit := c.readLimit(len(c.pending) > 0); limit.err != nil && !time.Now().Before(limit.at) {
-		return limit.err
+		return limit
 	}
-	return nil
+	return readLimit{}
 }
 
 // awaitReply waits until the next reply may be ready. Nothing is read meanwhile, so a hang-up is looked for: requests
--- a/internal/proxy/client_read.go
+++ b/internal/proxy/client_read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"woodproxy/balancer"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
@@ -40,7 +41,11 @@
 	if interrupted {
 		return nil
 	}
-	return c.conn.SetReadDeadline(c.readLimit(len(c.pending) > 0).at)
+	limit := c.readLimit(len(c.pending) > 0).at
+	if c.finalRead { // which ends at once, be it that the bytes are there
+		limit = time.Now().Add(finalReadTimeout)
+	}
+	return c.conn.SetReadDeadline(limit)
 }
 
 // readUpload reads more of a value straight into its request.
@@ -93,7 +98,7 @@
 	}
 	c.receivedCommand = true
 	if cmd.ValueLength < 0 {
-		c.partialSince = time.Time{}
+		c.markWhole()
 		if req != nil {
 			c.submit(req)
 		}
@@ -106,10 +111,13 @@
 // markPartial notes that a command has been read in part.
 func (c *clientConn) markPartial() {
 	if c.partialSince.IsZero() {
-		c.partialSince = time.Now()
+		c.partialSince, c.finalRead = time.Now(), false
 	}
 }
 
+// markWhole notes that a command has been read to its end.
+func (c *clientConn) markWhole() { c.partialSince, c.finalRead = time.Time{}, false }
+
 // discardValue drops the buffered part of a value that was not admitted. It returns wire.ErrShort if more is to come.
 func (c *clientConn) discardValue() error {
 	if c.discardBytes == 0 {
@@ -123,7 +131,7 @@
 		c.markPartial()
 		return wire.ErrIncomplete
 	}
-	c.partialSince = time.Time{}
+	c.markWhole()
 	return nil
 }
 
@@ -159,7 +167,8 @@
 	if string(req.value[n:c.uploadRead]) != string(crlf) {
 		return wire.ErrProtocol
 	}
-	req.value, c.upload, c.partialSince = req.value[:n:n], nil, time.Time{}
+	req.value, c.upload = req.value[:n:n], nil
+	c.markWhole()
 	c.submit(req)
 	return nil
 }
@@ -196,6 +205,16 @@
 	req.reply(c.listener.counters, replyShed, nil, c.listener.retryAfterMS)
 }
 
+// queuedTime returns how long ago the last byte of a command has come that is read just now, where that can be long: the
+// first command of a connection may have waited with it in the listener's queue.
+func (c *clientConn) queuedTime() time.Duration {
+	if c.submitted {
+		return 0
+	}
+	c.submitted = true
+	return sinceLastInput(c.conn)
+}
+
 // submit hands a request that has been read whole to the router, unless the proxy can answer it by itself.
 func (c *clientConn) submit(req *request) {
 	router := c.listener.router
@@ -205,8 +224,9 @@
 		req.setReply([]byte("-ERR bad facts\r\n"), nil)
 		return
 	}
-	req.receivedAt = router.clock.Now()
-	req.clientUntil = time.Now().Add(time.Duration(req.waitMS) * time.Millisecond)
+	waited := c.queuedTime()
+	req.receivedAt = router.clock.Now() - balancer.Time(waited/tickDuration)
+	req.clientUntil = time.Now().Add(time.Duration(req.waitMS)*time.Millisecond - waited)
 	if router.negativeCache.lookUp(req) {
 		req.reply(router.counters, replyNotFound, nil, 0)
 		return
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -98,7 +98,7 @@
 func (l *Listener) Close(until time.Time, soleOwner bool, schedule DrainSchedule) {
 	began := time.Now()
 	l.mu.Lock()
-	l.closed, l.soleOwner = true, soleOwner
+	l.closed, l.soleOwner, l.backlogUntil = true, soleOwner, began.Add(schedule.StopReading)
 	l.setAcceptDeadline(pastDeadline) // a connection that is accepted just now is still served
 	l.connsChanged.Broadcast()
 	l.mu.Unlock()
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -53,6 +53,7 @@
 	paused         bool                 // another process accepts connections
 	closed         bool                 // no further connection is accepted
 	soleOwner      bool                 // no other process has the listener; set before closed
+	backlogUntil   time.Time            // until when clients in the queue are accepted; set before closed
 	stopping       bool                 // the proxy stops, and drains for good
 	phase          lifecycle.ClosePhase // of connections that are accepted from now on
 	drainTimer     *time.Timer
@@ -142,6 +143,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return false
 		default: // for want of file descriptors, as a rule: clients in the queue are accepted once there are some
+			l.counters.LocalErrors.count(err)
 			if text := errorText(err); text != lastError {
 				l.log.Warn("accept failed", zap.Error(err))
 				lastError = text
@@ -152,24 +154,30 @@
 	return true
 }
 
-// acceptBacklog accepts the clients that wait in the queue, which would be reset with the listener.
+// acceptBacklog accepts the clients that wait in the queue, which would be reset with the listener. Where accepting
+// fails they are still there, and it is tried again for as long as commands of theirs would be read.
 func (l *Listener) acceptBacklog() {
 	for l.canAcceptBacklog() {
 		if l.ln.SetDeadline(time.Now().Add(finalAcceptTimeout)) != nil {
 			return
 		}
 		conn, err := l.ln.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			l.accept(conn)
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed): // the queue is empty, or gone
 			return
+		default:
+			l.counters.LocalErrors.count(err)
+			time.Sleep(acceptRetryDelay)
 		}
-		l.accept(conn)
 	}
 }
 
 func (l *Listener) canAcceptBacklog() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.soleOwner && len(l.conns) < l.maxConns
+	return l.soleOwner && len(l.conns) < l.maxConns && time.Now().Before(l.backlogUntil)
 }
 
 // accept begins to serve a connection. Its goroutine ends by remove, for which Close waits.
--- a/internal/proxy/socket_peek.go
+++ b/internal/proxy/socket_peek.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -53,6 +54,24 @@
 	return inputEnded
 }
 
+// maxInputAge is the greatest age of input that is believed: a connection without any input reports nonsense.
+const maxInputAge = time.Minute
+
+// sinceLastInput returns how long ago the kernel received the last bytes on a connection, 0 where it does not tell.
+func sinceLastInput(conn net.Conn) time.Duration {
+	age := time.Duration(0)
+	control(conn, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	if age > maxInputAge {
+		return 0
+	}
+	return age
+}
+
 // hasUnread reports whether bytes have arrived that were not read.
 func hasUnread(conn net.Conn) bool { return peekState(conn) == inputUnread }
 
