Failing tests: a request that crosses a close is read, and gets no answer

A request that has been read and whose connection ends without an answer is lost; one that was not read is the client's to send again.

--- a/internal/proxy/client_conn_test.go
+++ b/internal/proxy/client_conn_test.go
@@ -239,12 +239,19 @@
 func newCrossingRequest(t *testing.T, nodes ...*fakeNode) (*testProxy, net.Conn) {
 	t.Helper()
 	crossing := make(chan net.Conn, 1)
-	p := newSteppedTestProxy(t, &steppedListener{beforeClose: func() {
+	step := &steppedListener{}
+	t.Cleanup(func() {
+		if n := step.readsAtEnd.Load(); n > 0 {
+			t.Errorf("%d bytes of a request that gets no answer were read", n)
+		}
+	})
+	step.beforeClose = func() {
 		if _, err := io.WriteString(<-crossing, getCommand("crosses", longWaitMS)); err != nil {
 			t.Error(err)
 		}
 		time.Sleep(20 * time.Millisecond) // so that it has arrived
-	}}, 10, defaultSettings, nodes...)
+	}
+	p := newSteppedTestProxy(t, step, 10, defaultSettings, nodes...)
 	client := p.dial()
 	crossing <- client
 	return p, client
