Nothing is read of a client's connection once its sending has ended

Cause: linger closed the sending side and then read and dropped up to 256 KiB, so that no unread byte would turn the close into a reset: a request that crossed the close was read, and got no answer.

Change: endUnread waits for the client to close its side without reading (up to 0.2 s as before; longer, 6 s at most, while unread bytes are there and a reply is still on its way, which a reset would cut off: SIOCOUTQ tells). Where the system does not tell, the bytes are taken off as before. Behind an error reply to bad input what still arrives is discarded as before.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -16,10 +15,8 @@
 )
 
 const (
-	maxPending              = 64                     // commands of one connection that may be without a reply
-	clientWriteTimeout      = stallTimeout           // for a client to accept one part of a reply
-	lingerTimeout           = 200 * time.Millisecond // for bytes that a client still sends after the last reply
-	lingerMaxBytes          = 256 << 10
+	maxPending              = 64                    // commands of one connection that may be without a reply
+	clientWriteTimeout      = stallTimeout          // for a client to accept one part of a reply
 	finalReadTimeout        = 10 * time.Millisecond // for bytes that have arrived already
 	hangupPollInterval      = 40 * time.Millisecond // between checks for a hang-up while nothing is read
 	minUploadBytesPerSecond = 128 << 10             // slower uploads of long values are not waited for
@@ -126,7 +123,7 @@
 			zap.Error(reason), zap.Stringer("from", c.conn.RemoteAddr()))
 		c.closeWithError(reason)
 	case errors.Is(reason, errClosing) && c.hadCommand, errors.Is(reason, errIdle), errors.Is(reason, errNoFirstCommand):
-		c.linger() // a request that arrives just now goes unread, and the client retries it elsewhere
+		c.endUnread() // a request that arrives just now goes unread, and the client retries it elsewhere
 	}
 }
 
@@ -169,23 +166,7 @@
 			return
 		}
 	}
-	c.linger()
-}
-
-// linger closes the sending side and discards what still arrives for a moment: closing a connection with unread bytes
-// resets it, and the client may lose the last reply with that.
-func (c *clientConn) linger() {
-	c.mu.Lock()
-	c.requestedPhase = lifecycle.PhaseStopReading // so that no goroutine interrupts it any more
-	c.mu.Unlock()
-	half, ok := c.conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	if c.conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
-		return // without a deadline the client could hold the connection for ever
-	}
-	_, _ = io.CopyN(io.Discard, c.conn, lingerMaxBytes) // ends by the deadline or the client's close, both as intended
+	c.endDiscarding()
 }
 
 // readLimit is until when more bytes are waited for (zero: without limit), and the error if none have come by then.
--- a/internal/proxy/client_deadline_test.go
+++ b/internal/proxy/client_deadline_test.go
@@ -1,12 +1,16 @@
 package proxy
 
 import (
+	"fmt"
+	"io"
+	"strings"
 	"bufio"
 	"net"
 	"syscall"
 	"testing"
 	"time"
 
+	"woodproxy/internal/lifecycle"
 	"woodproxy/internal/wire"
 )
 
@@ -142,3 +146,27 @@
 		t.Errorf("%q: %v", received.facts, err)
 	}
 }
+
+// A connection is closed behind a long reply while a further request crosses: the client, which reads late, gets all of the
+// reply. A close over the unread request would reset the connection, and the reply with it.
+func TestSlowClientGetsReplyDespiteCrossingRequest(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p, client := newCrossingRequest(t, cache, origin)
+	if err := client.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	send(t, client, getCommand("long", longWaitMS))
+	const size = serverWriteBuffer * 3 / 4
+	value := strings.Repeat("v", size)
+	received := cache.next(t)
+	go func() { // a failure is seen by what the client lacks
+		_, _ = fmt.Fprintf(received.conn, "*1\r\n$%d\r\n%s\r\n", size, value)
+	}()
+	p.eventually("no reply", func() bool { return p.router.counters.Completed.Load() == 1 })
+	p.listener.requestPhaseAll(lifecycle.PhaseCloseWhenIdle)
+	time.Sleep(3 * lingerTimeout)
+	got, err := io.ReadAll(client)
+	if want := len(fmt.Sprintf("$%d\r\n", size)) + size + len(crlf); len(got) != want || err != nil {
+		t.Errorf("%d of %d bytes, %v", len(got), want, err)
+	}
+}
--- a/internal/proxy/lifecycle_use_test.go
+++ b/internal/proxy/lifecycle_use_test.go
@@ -18,7 +18,7 @@
 var askingFunctions = map[string]string{
 	"writeReplies": "the final replies that Request.Apply has taken",
 	"writeStream":  "the same, a value in chunks",
-	"linger":       "ClientConnConditions: MayClose, MayCloseUnread or MayExpire",
+	"closeSending": "ClientConnConditions: MayClose, MayCloseUnread or MayExpire",
 	"release":      "the end of serve, for one of the reasons of closeReason",
 	"writeRequest": "AttemptConditions.MayBegin",
 	"closeConn":    "an upstream connection that UpstreamConnConditions does not permit to be reused",
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -358,6 +358,9 @@
 	if err != nil || l.beforeClose == nil && l.atDeadline == nil {
 		return conn, err
 	}
+	if err := conn.(*net.TCPConn).SetWriteBuffer(serverWriteBuffer); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
 	stepped := &steppedConn{TCPConn: conn.(*net.TCPConn), readsAtEnd: &l.readsAtEnd, beforeClose: func() {}, atDeadline: func() {}}
 	if l.beforeClose != nil {
 		stepped.beforeClose = sync.OnceFunc(l.beforeClose)
@@ -368,6 +371,9 @@
 	return stepped, nil
 }
 
+// serverWriteBuffer is how much, in bytes, of a reply the proxy's machine takes where its client reads nothing.
+const serverWriteBuffer = 200 << 10
+
 type steppedConn struct {
 	*net.TCPConn
 	beforeClose func()
--- a/internal/proxy/socket_peek.go
+++ b/internal/proxy/socket_peek.go
@@ -72,6 +72,17 @@
 	return age
 }
 
+// unsentBytes returns how many bytes that were written the peer's machine has not taken yet, and false where the system
+// does not tell.
+func unsentBytes(conn net.Conn) (n int, known bool) {
+	control(conn, func(fd int) {
+		var err error
+		n, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		known = err == nil
+	})
+	return n, known
+}
+
 // hasUnread reports whether bytes have arrived that were not read.
 func hasUnread(conn net.Conn) bool { return peekState(conn) == inputUnread }
 
