--- a/recovery/tracker_test.go
+++ b/recovery/tracker_test.go
@@ -94,3 +94,19 @@
 		tracker.Tick(now)
 	}
 }
+
+// What one call returned is the caller's, and stands when the next has returned.
+func TestStageChangesStayAfterNextCall(t *testing.T) {
+	settings := DefaultSettings(true)
+	tracker := New(0, settings, "", 0)
+	now := Time(0).Add(settings.StandaloneLimit)
+	first := tracker.Tick(now)
+	if len(first) != 1 {
+		t.Fatalf("%+v, want one change", first)
+	}
+	text := first[0].Text
+	second := tracker.UpdatePeers(now, 1, false)
+	if len(second) != 1 || second[0].Text == text || first[0].Text != text {
+		t.Errorf("%+v and then %+v, where the first was %q", first, second, text)
+	}
+}
