zonehealth: a peer's flaps alone make no verdict later, and judging is bounded

Cause: agreedVerdict took a peer's "in service" of the same epoch for later by its flaps, which flapsExpired had just set back here: followPeers and clearFlaps went on by turns without end, each with a log line. Now such a verdict is not followed (differsInFlapsAlone). A hundred rules a zone and tick is the bound for any other pair that undoes itself, and is logged.

--- a/zonehealth/consensus.go
+++ b/zonehealth/consensus.go
@@ -26,7 +26,7 @@
 	if n := c.requiredVotes(z.outsideZone.reachable); len(latest) >= n && latest[n-1].compare(agreed) > 0 {
 		agreed = latest[n-1]
 	}
-	if agreed == nil || agreed.compare(&z.verdict) <= 0 {
+	if agreed == nil || agreed.compare(&z.verdict) <= 0 || agreed.differsInFlapsAlone(&z.verdict) {
 		return nil
 	}
 	return agreed
--- a/zonehealth/rules.go
+++ b/zonehealth/rules.go
@@ -33,12 +33,19 @@
 	{(*Controller).rampStepDone, (*Controller).stepForward},
 }
 
+// maxRuleApplications bounds the judgement of a zone in one tick. It takes a few; two rules that undo each other would
+// go on for ever.
+const maxRuleApplications = 100
+
 // judge applies rules to a zone until none applies, one without an action does, or a verdict is proposed.
 func (c *Controller) judge(z *zone) {
 	z.proposal = nil
-	for again := true; again; {
-		again = c.applyFirstRule(z)
+	for range maxRuleApplications {
+		if !c.applyFirstRule(z) {
+			return
+		}
 	}
+	c.log("zone %s: judging does not come to an end, and goes on with the next tick", z.name)
 }
 
 // applyFirstRule reports whether it has changed something that the rules have to be gone through again for.
