recovery: the changes that a call returns are the caller's

Cause: Tracker used the memory of what it had returned for the next call, and the server's tick appends three calls' changes: two in one tick logged one line twice and lost the other. Each call makes its own list now; there are a few in a process's life.

--- a/recovery/tracker.go
+++ b/recovery/tracker.go
@@ -23,7 +23,7 @@
 	answers      answerCounts
 
 	figures Status
-	changes []StageChange // of the call in progress; its memory is used again by the next call
+	changes []StageChange // of the call in progress
 }
 
 // New returns a tracker in its first stage, StageStandalone. For operators it also takes what became of the stored
@@ -40,16 +40,14 @@
 	}
 }
 
-// EndpointListReceived reports that discovery or a peer has sent an endpoint list or a change of one. The result is valid until the
-// next call.
+// EndpointListReceived reports that discovery or a peer has sent an endpoint list or a change of one.
 func (t *Tracker) EndpointListReceived(now Time) []StageChange {
 	t.begin(now)
 	t.listReceived = true
 	return t.advance()
 }
 
-// UpdatePeers reports how many peers are alive, and whether replication is still catching up with them. The result is valid
-// until the next call.
+// UpdatePeers reports how many peers are alive, and whether replication is still catching up with them.
 func (t *Tracker) UpdatePeers(now Time, alive int, catchingUp bool) []StageChange {
 	t.begin(now)
 	t.peerSeen = t.peerSeen || alive > 0
@@ -66,7 +64,7 @@
 }
 
 // Tick reports the time, about ten times a second. A longer gap than Settings.PauseThreshold means that the process was
-// paused: recovery starts again. The result is valid until the next call.
+// paused: recovery starts again.
 func (t *Tracker) Tick(now Time) []StageChange {
 	t.begin(now)
 	if gap := t.now.Sub(t.lastTick); gap > t.settings.PauseThreshold {
@@ -90,7 +88,7 @@
 // begin starts a call: time never runs backwards, and the changes of the previous call are dropped.
 func (t *Tracker) begin(now Time) {
 	t.now = max(now, t.now)
-	t.changes = t.changes[:0]
+	t.changes = nil // what was returned is the caller's
 }
 
 // advance takes transitions until none applies, and returns all changes of this call. It ends since no transition leads
