Bodies of peers and the state file are measured before they are decoded

Cause: the msgpack library allocates as many elements as a list announces before it reads the first (its limit is not in force: it compares a flag with 1). internal/rowcodec walks over the lengths first and refuses what goes beyond the end, or nests deeper than 16; all eight places that decode go through it, message.go among them, whose comment already said so.

--- a/internal/gossip/endpoints.go
+++ b/internal/gossip/endpoints.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 
+	"woodproxy/internal/rowcodec"
+
 	"woodproxy/internal/wire"
 	"woodproxy/replica"
 
@@ -51,7 +53,7 @@
 func decodeEndpoint(row *replica.Row) (wire.Endpoint, error) {
 	endpoint := wire.Endpoint{Name: row.Key}
 	if len(row.Body) > 0 {
-		if err := msgpack.Unmarshal(row.Body, &endpoint); err != nil {
+		if err := rowcodec.Decode(row.Body, &endpoint); err != nil {
 			return wire.Endpoint{}, fmt.Errorf("decoding endpoint %q: %w", row.Key, err)
 		}
 		if endpoint.Name != row.Key || endpoint.Ready && endpoint.Address == "" {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 
+	"woodproxy/internal/rowcodec"
+
 	"woodproxy/replica"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -50,7 +52,7 @@
 		return nil, fmt.Errorf("%w: %d bytes", errMalformedMessage, len(encoded))
 	}
 	m := &message{}
-	if err := msgpack.Unmarshal(encoded, m); err != nil {
+	if err := rowcodec.Decode(encoded, m); err != nil {
 		return nil, fmt.Errorf("%w: %w", errMalformedMessage, err)
 	}
 	if err := m.validate(); err != nil {
--- a/internal/proxy/client_deadline_test.go
+++ b/internal/proxy/client_deadline_test.go
@@ -1,11 +1,11 @@
 package proxy
 
 import (
+	"bufio"
 	"fmt"
 	"io"
-	"strings"
-	"bufio"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
--- a/internal/server/duties.go
+++ b/internal/server/duties.go
@@ -3,9 +3,8 @@
 import (
 	"woodproxy/duties"
 	"woodproxy/internal/proxy"
+	"woodproxy/internal/rowcodec"
 	"woodproxy/replica"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // dutiesAdapter exchanges the messages of the duties module with the other proxies. Its receiving methods accept a nil
@@ -26,7 +25,7 @@
 // receive passes on a message of another proxy; one that can't be decoded is dropped.
 func (d *dutiesAdapter) receive(row *replica.Row) {
 	var message duties.Report
-	if d == nil || msgpack.Unmarshal(row.Body, &message) != nil {
+	if d == nil || rowcodec.Decode(row.Body, &message) != nil {
 		return
 	}
 	for kind, rowKind := range dutyRowKinds {
--- a/internal/server/negativecache.go
+++ b/internal/server/negativecache.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 
+	"woodproxy/internal/rowcodec"
+
 	"woodproxy/internal/proxy"
 	"woodproxy/negativecache"
 	"woodproxy/replica"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // negativeCacheAdapter exchanges write notices and misses at the origin with the other proxies. Its receiving methods
@@ -31,7 +31,7 @@
 // receive passes on a row of another proxy; one that can't be decoded is dropped.
 func (n *negativeCacheAdapter) receive(row *replica.Row) {
 	var message negativecache.KeyReport
-	if n == nil || msgpack.Unmarshal(row.Body, &message) != nil {
+	if n == nil || rowcodec.Decode(row.Body, &message) != nil {
 		return
 	}
 	if row.Kind == replica.KindWrittenKeys {
--- a/internal/server/zonehealth.go
+++ b/internal/server/zonehealth.go
@@ -6,11 +6,12 @@
 	"slices"
 	"strings"
 
+	"woodproxy/internal/rowcodec"
+
 	"woodproxy/internal/proxy"
 	"woodproxy/replica"
 	"woodproxy/zonehealth"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 )
 
@@ -46,7 +47,7 @@
 // receiveReport passes on another proxy's report; one that can't be decoded is dropped.
 func (z *zoneHealthAdapter) receiveReport(row *replica.Row) {
 	var report zonehealth.Report
-	if !z.cooperates() || msgpack.Unmarshal(row.Body, &report) != nil {
+	if !z.cooperates() || rowcodec.Decode(row.Body, &report) != nil {
 		return
 	}
 	z.router.ReceiveZoneVote(row.Writer, row.Key, report, zonehealth.Time(row.Age), zonehealth.Time(row.TTL))
--- a/internal/simnet/zonedfleet.go
+++ b/internal/simnet/zonedfleet.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 
+	"woodproxy/internal/rowcodec"
+
 	"woodproxy/replica"
 	"woodproxy/zonehealth"
 
@@ -91,7 +93,7 @@
 		return
 	}
 	var report zonehealth.Report
-	if msgpack.Unmarshal(row.Body, &report) != nil {
+	if rowcodec.Decode(row.Body, &report) != nil {
 		return // as the proxy does, which ignores what it cannot read
 	}
 	age, ttl := zonehealth.Time(row.Age), zonehealth.Time(row.TTL)
--- a/internal/snapshot/format.go
+++ b/internal/snapshot/format.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"fmt"
 
+	"woodproxy/internal/rowcodec"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -42,7 +44,7 @@
 		return nil, err
 	}
 	var snapshot Snapshot
-	if err := msgpack.Unmarshal(file[bodyOffset:], &snapshot); err != nil {
+	if err := rowcodec.Decode(file[bodyOffset:], &snapshot); err != nil {
 		return nil, unreadable(err)
 	}
 	return &snapshot, nil
--- a/replica/heartbeat.go
+++ b/replica/heartbeat.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/vmihailenco/msgpack/v5"
+
+	"woodproxy/internal/rowcodec"
 )
 
 const (
@@ -117,7 +119,7 @@
 		return
 	}
 	var report Heartbeat
-	if err := msgpack.Unmarshal(heartbeat.Body, &report); err != nil || !report.valid() {
+	if err := rowcodec.Decode(heartbeat.Body, &report); err != nil || !report.valid() {
 		s.RejectedRows++
 		return
 	}
