--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -40,11 +40,12 @@
 		counters:  s.counters,
 		log:       s.log,
 		clock:     proxy.NewClock(),
-		writer: &snapshotWriter{
-			store: s.config.StateStore, config: s.config, gossip: s.gossip, router: s.router, endpoints: s.endpoints, log: s.log,
-		},
-		quit:  make(chan struct{}),
-		ended: make(chan struct{}),
+		writer:    &snapshotWriter{config: s.config, gossip: s.gossip, router: s.router, endpoints: s.endpoints, log: s.log},
+		quit:      make(chan struct{}),
+		ended:     make(chan struct{}),
+	}
+	if s.config.StateStore != nil {
+		tracker.writer.save = s.config.StateStore.Save
 	}
 	terms := recovery.DefaultSettings(s.config.Gossip != nil)
 	tracker.instance = recovery.New(tracker.now(), terms, restored.outcome, restored.drained)
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -17,7 +17,7 @@
 
 // snapshotWriter stores the endpoint list and the addresses of peers for the next start. It is used by one goroutine.
 type snapshotWriter struct {
-	store     *snapshot.Store // nil: no state is stored
+	save      func(*snapshot.Snapshot) error // nil: no state is stored
 	config    *Config
 	gossip    *gossipAdapter
 	router    *proxy.Router
@@ -32,7 +32,7 @@
 // saveIfDue writes a snapshot once an interval, where it differs from the last one. A failed write is tried again each
 // interval and logged once.
 func (w *snapshotWriter) saveIfDue() {
-	if w.store == nil || time.Since(w.lastAttempt) < snapshotInterval {
+	if w.save == nil || time.Since(w.lastAttempt) < snapshotInterval {
 		return
 	}
 	w.lastAttempt = time.Now()
@@ -40,11 +40,16 @@
 	if current == nil {
 		return
 	}
+	w.write(current)
+}
+
+// write saves a snapshot that differs from the last one.
+func (w *snapshotWriter) write(current *snapshot.Snapshot) {
 	digest := snapshotDigest(current)
 	if digest == w.savedDigest {
 		return
 	}
-	err := w.store.Save(current)
+	err := w.save(current)
 	if err == nil {
 		w.savedDigest = digest
 	} else if !w.failing {
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -16,19 +16,30 @@
 
 // Store is the state directory of one proxy.
 type Store struct {
-	dir       string
-	owner     string // the name of this proxy
+	dir   string
+	owner string // the name of this proxy
+	disk  disk
+}
+
+// disk is what the store does with files, which tests have fail.
+type disk struct {
+	probe     func(dir string) error // creates and removes a file
+	readFile  func(path string) ([]byte, error)
 	writeFile func(path string, data []byte) error
 }
 
+var realDisk = disk{probe: createAndRemove, readFile: readFile, writeFile: replaceFile}
+
 // Open returns the store in a directory, on behalf of the proxy named owner. It fails with a [DirError] if the
 // directory does not exist or can't be written, and with an [OwnerError] if another proxy's state file is in it. A
 // state file that can't be read is no error here: Load reports it.
-func Open(dir, owner string) (*Store, error) {
-	if err := checkWritable(dir); err != nil {
+func Open(dir, owner string) (*Store, error) { return openOn(realDisk, dir, owner) }
+
+func openOn(disk disk, dir, owner string) (*Store, error) {
+	if err := disk.checkWritable(dir); err != nil {
 		return nil, &DirError{Dir: dir, Err: err}
 	}
-	store := &Store{dir: dir, owner: owner, writeFile: replaceFile}
+	store := &Store{dir: dir, owner: owner, disk: disk}
 	if previous, err := store.Load(); err == nil && previous != nil && previous.Owner != owner {
 		return nil, &OwnerError{Dir: dir, Owner: previous.Owner, Proxy: owner}
 	}
@@ -37,7 +48,7 @@
 
 // checkWritable creates a file in a directory and removes it again, since permission bits don't tell about read-only
 // mounts.
-func checkWritable(dir string) error {
+func (d disk) checkWritable(dir string) error {
 	info, err := os.Stat(dir)
 	if err != nil {
 		return err
@@ -45,6 +56,10 @@
 	if !info.IsDir() {
 		return errNotDirectory
 	}
+	return d.probe(dir)
+}
+
+func createAndRemove(dir string) error {
 	probe, err := os.CreateTemp(dir, probePattern)
 	if err != nil {
 		return err
@@ -56,19 +71,24 @@
 
 // Load returns the stored snapshot, or nil without an error if there is no state file. Every error is a [CorruptError].
 func (s *Store) Load() (*Snapshot, error) {
-	file, err := os.Open(s.path())
+	data, err := s.disk.readFile(s.path())
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
 		return nil, unreadable(err)
 	}
-	defer func() { _ = file.Close() }() // it was only read
-	data, err := io.ReadAll(io.LimitReader(file, maxFileLength+1))
+	return decode(data)
+}
+
+// readFile returns what a file holds, of one that is too long a little more than it may.
+func readFile(path string) ([]byte, error) {
+	file, err := os.Open(path)
 	if err != nil {
-		return nil, unreadable(err)
+		return nil, err
 	}
-	return decode(data)
+	defer func() { _ = file.Close() }() // it was only read
+	return io.ReadAll(io.LimitReader(file, maxFileLength+1))
 }
 
 // Save replaces the state file by one with the given snapshot, whose Owner it sets to this proxy. When it returns, the
@@ -79,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.writeFile(s.path(), data); err != nil {
+	if err := s.disk.writeFile(s.path(), data); err != nil {
 		return fmt.Errorf("write state file: %w", err)
 	}
 	return nil
--- a/internal/snapshot/store_test.go
+++ b/internal/snapshot/store_test.go
@@ -66,7 +66,7 @@
 	later := testSnapshot()
 	later.EndpointListIndex = 42
 	for written := range len(valid) {
-		store.writeFile = func(_ string, data []byte) error {
+		store.disk.writeFile = func(_ string, data []byte) error {
 			writeTestFile(t, filepath.Join(dir, fileName+".new-1"), data[:min(written, len(data))])
 			return errors.New("no space left")
 		}
