A state folder whose disk fails for a while ends no start and loses no file

Refuted: fsync that fails once and then succeeds on the same pages does no harm, since each write goes to a new file and one that failed is removed.

--- a/internal/snapshot/errors.go
+++ b/internal/snapshot/errors.go
@@ -32,7 +32,17 @@
 	return fmt.Sprintf("state: %s: it is %q's, and this proxy is %q; give each its own", e.Dir, e.Owner, e.Proxy)
 }
 
-// CorruptError reports a state file that can't be read, or that does not hold what was written. Its text also says what
+// ReadError reports a state file that could not be read, for a reason that may pass. The file stays where it is.
+type ReadError struct{ Err error }
+
+func (e *ReadError) Error() string {
+	return fmt.Sprintf("the state file can't be read now: %v; start-up continues without it", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ReadError) Unwrap() error { return e.Err }
+
+// CorruptError reports a state file that does not hold what was written. Its text also says what
 // start-up does about it: the caller moves the file out of the way and starts without it.
 type CorruptError struct {
 	Reason string
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -6,12 +6,16 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
 )
 
 const (
 	fileName         = "woodproxy.state"
 	unreadableSuffix = ".unreadable"
 	probePattern     = fileName + ".try-*"
+	newPattern       = fileName + ".new-*"
 )
 
 // Store is the state directory of one proxy.
@@ -36,9 +40,10 @@
 func Open(dir, owner string) (*Store, error) { return openOn(realDisk, dir, owner) }
 
 func openOn(disk disk, dir, owner string) (*Store, error) {
-	if err := disk.checkWritable(dir); err != nil {
+	if err := disk.checkWritable(dir); err != nil && !isTemporary(err) {
 		return nil, &DirError{Dir: dir, Err: err}
 	}
+	removeLeftovers(dir)
 	store := &Store{dir: dir, owner: owner, disk: disk}
 	if previous, err := store.Load(); err == nil && previous != nil && previous.Owner != owner {
 		return nil, &OwnerError{Dir: dir, Owner: previous.Owner, Proxy: owner}
@@ -69,14 +74,43 @@
 	return nil
 }
 
-// Load returns the stored snapshot, or nil without an error if there is no state file. Every error is a [CorruptError].
+// temporaryErrnos are the errors of a disk that is full or fails, and of a machine that lacks something, for a while.
+var temporaryErrnos = []syscall.Errno{
+	syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.ENFILE, syscall.EMFILE, syscall.ENOMEM, syscall.EINTR, syscall.EAGAIN,
+}
+
+// isTemporary reports whether an error of the disk may pass by itself.
+func isTemporary(err error) bool {
+	return slices.ContainsFunc(temporaryErrnos, func(errno syscall.Errno) bool { return errors.Is(err, errno) })
+}
+
+// leftoverAge is from when on a temporary file is one that a killed process has left: no write takes as long. The clock
+// may have been set back since, so that its time may also lie in the future.
+const leftoverAge = time.Minute
+
+// removeLeftovers removes temporary files that killed processes have left. What can't be removed is left to the next
+// start.
+func removeLeftovers(dir string) {
+	for _, pattern := range [...]string{probePattern, newPattern} {
+		names, _ := filepath.Glob(filepath.Join(dir, pattern)) // fails only on a malformed pattern
+		for _, name := range names {
+			info, err := os.Stat(name)
+			if err == nil && time.Since(info.ModTime()).Abs() > leftoverAge {
+				_ = os.Remove(name)
+			}
+		}
+	}
+}
+
+// Load returns the stored snapshot, or nil without an error if there is no state file. An error is a [CorruptError] if
+// the file holds something else than was written, and a [ReadError] if it could not be read.
 func (s *Store) Load() (*Snapshot, error) {
 	data, err := s.disk.readFile(s.path())
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
-		return nil, unreadable(err)
+		return nil, &ReadError{Err: err}
 	}
 	return decode(data)
 }
@@ -92,7 +126,8 @@
 }
 
 // Save replaces the state file by one with the given snapshot, whose Owner it sets to this proxy. When it returns, the
-// new file is on the disk. If it fails, the previous file is unchanged.
+// new file is on the disk. If it fails, the file is the previous one or the new one, complete in either case, and Save is
+// to be called again.
 func (s *Store) Save(snapshot *Snapshot) error {
 	snapshot.Owner = s.owner
 	data, err := encode(snapshot)
