--- a/internal/server/restore.go
+++ b/internal/server/restore.go
@@ -23,6 +23,7 @@
 const (
 	restoredNothing      = "nothing"
 	restoredUnreadable   = "unreadable, and put aside"
+	restoredLater        = "not to be read at the start"
 	restoredOtherCluster = "another fleet's"
 )
 
@@ -43,12 +44,17 @@
 	}
 	stored, err := config.StateStore.Load()
 	var torn *snapshot.CorruptError
-	if errors.As(err, &torn) {
+	switch {
+	case errors.As(err, &torn):
 		log.Warn("state: " + torn.Error())
+		moveAside(config.StateStore, log)
 		configured.outcome = restoredUnreadable
-		return configured, config.StateStore.Quarantine()
-	}
-	if stored == nil {
+		return configured, nil
+	case err != nil:
+		log.Warn("state: " + err.Error())
+		configured.outcome = restoredLater
+		return configured, nil
+	case stored == nil:
 		configured.outcome = restoredNothing
 		return configured, nil
 	}
@@ -61,12 +67,20 @@
 	storedList, err := parseEndpoints(stored.EndpointList)
 	if err != nil {
 		log.Warn("state: stored endpoint list is unreadable, state file moved aside", zap.Error(err))
+		moveAside(config.StateStore, log)
 		configured.outcome = restoredUnreadable
-		return configured, config.StateStore.Quarantine()
+		return configured, nil
 	}
 	return chooseEndpoints(config, stored, storedList, log)
 }
 
+// moveAside keeps a state file that is of no use for operators. Where that fails the next snapshot replaces it.
+func moveAside(store *snapshot.Store, log *zap.Logger) {
+	if err := store.Quarantine(); err != nil {
+		log.Warn("state: the file can't be moved aside, and is replaced by the next snapshot", zap.Error(err))
+	}
+}
+
 // chooseEndpoints decides between the stored and the configured endpoint list.
 func chooseEndpoints(
 	config *Config, stored *snapshot.Snapshot, storedList *endpointList, log *zap.Logger,
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"woodproxy/internal/proxy"
@@ -25,8 +26,10 @@
 	log       *zap.Logger
 
 	lastAttempt time.Time
-	savedDigest uint64 // of the last snapshot that was written
-	failing     bool   // the last write failed and was logged
+	saving      atomic.Bool   // a write is under way
+	savedDigest atomic.Uint64 // of the last snapshot that was written
+	failures    atomic.Int64  // writes that failed
+	failing     bool          // the last write failed and was logged; used by the write that is under way
 }
 
 // saveIfDue writes a snapshot once an interval, where it differs from the last one. A failed write is tried again each
@@ -43,19 +46,27 @@
 	w.write(current)
 }
 
-// write saves a snapshot that differs from the last one.
+// write begins to save a snapshot that differs from the last one. It does not wait for the disk, and does nothing while
+// that is still busy with the one before.
 func (w *snapshotWriter) write(current *snapshot.Snapshot) {
 	digest := snapshotDigest(current)
-	if digest == w.savedDigest {
+	if digest == w.savedDigest.Load() || !w.saving.CompareAndSwap(false, true) {
 		return
 	}
-	err := w.save(current)
-	if err == nil {
-		w.savedDigest = digest
-	} else if !w.failing {
-		w.log.Error("state: snapshot not saved; check that the disk has space and works", zap.Error(err))
-	}
-	w.failing = err != nil
+	go func() { // ends as the disk answers; a process that exits before leaves the file before
+		defer w.saving.Store(false)
+		err := w.save(current)
+		if err == nil {
+			w.savedDigest.Store(digest)
+			w.failing = false
+			return
+		}
+		w.failures.Add(1)
+		if !w.failing {
+			w.log.Error("state: snapshot not saved; check that the disk has space and works", zap.Error(err))
+		}
+		w.failing = true
+	}()
 }
 
 // take returns the current snapshot; nil if there is no endpoint list yet, or the router is too busy to return it.
