Signals of one kind take no other's place, and a stop waits for no reading of the file

Cause: cmd/woodproxy put all signals on one channel of four, which signal.Notify drops from when it is full, and the server read its file, and waited for the first list, on the goroutine that took them.

Change: server.Signals has a channel for each kind, on which one that waits stands for all that come meanwhile; the file is read on a goroutine of its own, once more if it was asked for meanwhile; clients are let in by another, so that a stop in the first second begins the drain at once and not up to a second later, which its times do not allow for.

--- a/cmd/woodproxy/serve.go
+++ b/cmd/woodproxy/serve.go
@@ -11,9 +11,6 @@
 	"go.uber.org/zap"
 )
 
-// pendingSignals is how many signals may wait while the server is busy with one.
-const pendingSignals = 4
-
 // serveCommand is `woodproxy serve`.
 type serveCommand struct{ configOptions }
 
@@ -27,7 +24,17 @@
 	if err != nil {
 		return fmt.Errorf("create the logger: %w", err)
 	}
-	signals := make(chan os.Signal, pendingSignals)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	return server.Serve(config, c.reread, logger, signals)
+	return server.Serve(config, c.reread, logger, server.Signals{
+		Stop:        notified(syscall.SIGTERM, syscall.SIGINT),
+		Reload:      notified(syscall.SIGHUP),
+		LogCounters: notified(syscall.SIGUSR1),
+	})
+}
+
+// notified returns a channel on which the process is told of signals. One that waits there stands for all that come
+// meanwhile, and none takes the place of another kind.
+func notified(kinds ...os.Signal) <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, kinds...)
+	return signals
 }
--- a/internal/emulator/helpers_test.go
+++ b/internal/emulator/helpers_test.go
@@ -34,7 +34,7 @@
 	}
 	p := inProcessProxy{make(chan os.Signal, 4), make(chan error, 1)}
 	go func() {
-		p.done <- server.Serve(place, read, zap.NewNop(), p.signals)
+		p.done <- server.Serve(place, read, zap.NewNop(), server.Signals{Stop: p.signals})
 		close(p.done)
 	}()
 	return p, nil
--- a/internal/server/harness_test.go
+++ b/internal/server/harness_test.go
@@ -61,7 +61,8 @@
 	hotRestartDir string
 	idleCallers   []net.Conn // connections to the admin address that finish no call
 
-	signals chan os.Signal // nil: the proxy was stopped
+	signals chan os.Signal // to stop; nil: the proxy was stopped
+	reloads chan os.Signal
 	ended   chan error
 }
 
@@ -81,6 +82,7 @@
 		settings:  settingsJSON,
 		shadow:    "null",
 		signals:   make(chan os.Signal, 1),
+		reloads:   make(chan os.Signal, 1),
 		ended:     make(chan error, 1),
 	}
 }
@@ -235,9 +237,9 @@
 		h.t.Fatal(err)
 	}
 	log := zaptest.NewLogger(h.t, zaptest.Level(zap.ErrorLevel))
-	go func(ended chan<- error, signals <-chan os.Signal) {
+	go func(ended chan<- error, signals Signals) {
 		ended <- Serve(config, read, log, signals)
-	}(h.ended, h.signals)
+	}(h.ended, Signals{Stop: h.signals, Reload: h.reloads})
 }
 
 // reload writes the configuration, or half of it, and has the proxy read it.
@@ -251,14 +253,14 @@
 		text = text[:len(text)/2]
 	}
 	writeFile(h.t, h.configFile, text)
-	h.signals <- syscall.SIGHUP
+	h.reloads <- syscall.SIGHUP
 }
 
 // replace runs a successor and stops the proxy once that one is ready.
 func (h *proxyHarness) replace() {
 	h.t.Helper()
 	ended, signals := h.ended, h.signals
-	h.ended, h.signals = make(chan error, 1), make(chan os.Signal, 1)
+	h.ended, h.signals, h.reloads = make(chan error, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
 	h.adminAddress = unusedAddress(h.t, h.ip)
 	h.run()
 	waitForListener(h.adminAddress) // the call tells if there is none
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -1,36 +1,60 @@
 package server
 
 import (
-	"os"
 	"reflect"
-	"syscall"
 
 	"woodproxy/internal/proxy"
 
 	"go.uber.org/zap"
 )
 
-// handleSignals handles signals until one tells the proxy to stop, and returns the configuration in effect then.
-func (s *server) handleSignals(reread func() (*Config, error), signals <-chan os.Signal) *Config {
+// rereadResult is what came of reading the configuration anew.
+type rereadResult struct {
+	config *Config
+	err    error
+}
+
+// handleSignals handles signals until one tells the proxy to stop, and returns the configuration in effect then. The
+// file is read on a goroutine of its own, one at a time: its disk may hang, and the proxy is to stop all the same.
+func (s *server) handleSignals(reread func() (*Config, error), signals Signals) *Config {
 	current := s.config
+	reading, again := false, false
+	results := make(chan rereadResult, 1)
+	read := func() {
+		config, err := reread()
+		results <- rereadResult{config, err}
+	}
 	for {
-		switch <-signals {
-		case syscall.SIGUSR1:
+		select {
+		case <-signals.Stop:
+			return current
+		case <-signals.LogCounters:
 			s.log.Info("counters", counterFields(s.counters)...)
-		case syscall.SIGHUP:
-			config, err := reread()
-			if err != nil {
-				s.log.Error("configuration reload failed; the previous configuration stays in effect", zap.Error(err))
-				continue
+		case <-signals.Reload:
+			if again = reading; !reading { // what is being read may have changed since
+				reading = true
+				go read()
+			}
+		case result := <-results:
+			current = s.takeReread(current, result)
+			if reading = again; again {
+				again = false
+				go read()
 			}
-			s.reload(current, config)
-			current = config
-		default:
-			return current
 		}
 	}
 }
 
+// takeReread applies a configuration that was read anew, unless it is bad, and returns the one in effect.
+func (s *server) takeReread(current *Config, result rereadResult) *Config {
+	if result.err != nil {
+		s.log.Error("configuration reload failed; the previous configuration stays in effect", zap.Error(result.err))
+		return current
+	}
+	s.reload(current, result.config)
+	return result.config
+}
+
 // reload applies what can change while the proxy runs: the address of discovery, cores and memory. All else is reset
 // to the current values, and a warning says so.
 func (s *server) reload(current, config *Config) {
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -40,10 +40,18 @@
 	inheritedList bool // the endpoint list is the predecessor's, and as current as it can be
 }
 
-// Serve runs the proxy until a signal tells it to stop, and returns once clients were drained. SIGUSR1 logs the
-// counters; SIGHUP applies the configuration that reread returns, and one that is bad is logged and changes nothing;
-// any other signal stops the proxy. An error means that the proxy could not start.
-func Serve(config *Config, reread func() (*Config, error), log *zap.Logger, signals <-chan os.Signal) error {
+// Signals are the signals to the process, each kind on a channel of its own: none has to wait for another. A channel
+// may be nil.
+type Signals struct {
+	Stop        <-chan os.Signal // drain clients and exit
+	Reload      <-chan os.Signal // apply the configuration anew
+	LogCounters <-chan os.Signal
+}
+
+// Serve runs the proxy until a signal tells it to stop, and returns once clients were drained. A reload applies the
+// configuration that reread returns; one that is bad is logged and changes nothing. An error means that the proxy could
+// not start.
+func Serve(config *Config, reread func() (*Config, error), log *zap.Logger, signals Signals) error {
 	s, err := newServer(config, log)
 	if err != nil {
 		return err
@@ -53,11 +61,7 @@
 	if s.recovery != nil {
 		defer s.recovery.stop()
 	}
-	s.awaitEndpoints()
-	s.clientListener.Open()
-	if s.predecessor != nil {
-		go s.awaitPredecessorExit(s.predecessor) // ends with the process: the predecessor may run for longer
-	}
+	go s.openForClients() // the process may be told to stop meanwhile
 	latest := s.handleSignals(reread, signals)
 	s.shutDown(latest)
 	return nil
@@ -216,6 +220,16 @@
 		zap.Int("sockets", s.config.Sockets), zap.Bool("replaces", s.predecessor != nil))
 }
 
+// openForClients opens the proxy for clients once it has an endpoint list, and then waits for the end of the process
+// that this one replaces, which may run for longer than this one.
+func (s *server) openForClients() {
+	s.awaitEndpoints()
+	s.clientListener.Open()
+	if s.predecessor != nil {
+		s.awaitPredecessorExit(s.predecessor)
+	}
+}
+
 // awaitEndpoints waits for discovery's endpoint list. An inherited one is as current, so that there is no wait.
 func (s *server) awaitEndpoints() {
 	wait := discoveryWait
