Typed reasons, request traces, and counts of what on call lacked

- balancer.Reason says why an attempt is sent (first, cache_miss, retry, hedge) or a request rejected (seven reasons); refusals of the last moment, reasons why client connections ended, failed system calls by call and errno, broken invariants, steps of the wall clock and failed writes of state are counted, with the same words in logs and metrics.
- A command that drips on past its time after a last look had no end where each byte came within 10 ms: the last reading has one instant now.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -33,7 +33,8 @@
 	if a.Outcome.mayHaveRun() && !request.mayHaveRun {
 		request.mayHaveRun, request.firstRunAt, request.firstRunEndpoint = true, request.sentAt, a.Endpoint
 	}
-	if a.Outcome == CacheMiss {
+	request.missed = a.Outcome == CacheMiss
+	if request.missed {
 		request.needsOrigin = true
 	}
 	request.wasReset = a.Outcome == Reset
@@ -50,23 +51,23 @@
 }
 
 // sendAttempt sends the current request to an endpoint, with a timeout of the time that is worth waiting.
-func (b *Balancer) sendAttempt(to int) {
+func (b *Balancer) sendAttempt(to int, reason Reason) {
 	request := b.current
 	b.recordSent(request, to)
 	timeout := max(min(request.giveUpAt, request.deadline-b.tick)-b.now, b.tick)
-	b.emit(Decision{Action: Send, Request: b.currentIndex, Endpoint: to, After: timeout})
+	b.emit(Decision{Action: Send, Request: b.currentIndex, Endpoint: to, After: timeout, Reason: reason})
 	b.awaitAttempt()
 }
 
 // reject answers at once: with a rejection where trying again is harmless, else with an error.
-func (b *Balancer) reject() {
+func (b *Balancer) reject(reason Reason) {
 	request := b.current
 	route := &b.routes[request.Route]
 	harmless := route.Effect == Retriable || route.Effect == Deduped && route.Group == GroupAll
 	if !harmless && (request.mayHaveRun || request.inFlight > 0) {
-		b.emit(Decision{Action: Error, Request: b.currentIndex})
+		b.emit(Decision{Action: Error, Request: b.currentIndex, Reason: reason})
 	} else {
-		b.emit(Decision{Action: Shed, Request: b.currentIndex, After: b.retryAfter()})
+		b.emit(Decision{Action: Shed, Request: b.currentIndex, After: b.retryAfter(), Reason: reason})
 	}
 	for attempt := request.attempt; attempt > request.attempt-request.inFlight && b.mayCancel; attempt-- {
 		b.emit(Decision{Action: Cancel, Request: b.currentIndex, Attempt: attempt})
--- a/balancer/hedging.go
+++ b/balancer/hedging.go
@@ -27,7 +27,7 @@
 
 func (b *Balancer) hedge() {
 	b.retryBudget--
-	b.sendAttempt(b.leastLoadedOrigin())
+	b.sendAttempt(b.leastLoadedOrigin(), ReasonHedge)
 }
 
 // hedgeAt is when nearly all responses have come, or sooner where the origin's would come too late after
--- a/balancer/origin.go
+++ b/balancer/origin.go
@@ -103,11 +103,11 @@
 func (b *Balancer) sendToOrigin() {
 	origin := b.leastLoadedOrigin()
 	if origin == noEndpoint {
-		b.reject()
+		b.reject(ReasonNoOrigin)
 		return
 	}
 	b.leadFetch()
 	// let it finish: a late answer still fills the cache, and a cancelled attempt would cost the origin as much
 	b.current.giveUpAt = b.current.deadline - b.tick
-	b.sendAttempt(origin)
+	b.sendAttempt(origin, b.current.attemptReason())
 }
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -28,6 +28,7 @@
 	sentAt           Time
 	triedEndpoints   []int
 	wasReset         bool // the connection of its latest attempt was reset
+	missed           bool // its latest attempt was a cache miss
 	evacuated        bool // its latest attempt was cancelled since the zone is evacuated
 	mayHaveRun       bool // some attempt may have been carried out
 	firstRunAt       Time // when the first such attempt was sent
--- a/balancer/types.go
+++ b/balancer/types.go
@@ -151,4 +151,5 @@
 	Peer     int    // NotifyPeer: number of the peer
 	Text     string // Log
 	Responds bool   // NotifyPeer: the endpoint responds again, otherwise it stopped responding
+	Reason   Reason // Send, Shed, Error
 }
--- a/cmd/woodproxy/serve.go
+++ b/cmd/woodproxy/serve.go
@@ -12,7 +12,26 @@
 )
 
 // serveCommand is `woodproxy serve`.
-type serveCommand struct{ configOptions }
+type serveCommand struct {
+	configOptions
+	LogLevel string `env:"GW_LOG_LEVEL" default:"info" enum:"debug,info,warn,error" help:"debug: with what became of every request."`
+}
+
+// newLogger returns the logger of JSON lines on standard error, from a level on.
+func newLogger(level string) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	if err := config.Level.UnmarshalText([]byte(level)); err != nil {
+		return nil, fmt.Errorf("create the logger: %w", err)
+	}
+	if level == "debug" {
+		config.Sampling = nil // which would drop lines of the same text
+	}
+	logger, err := config.Build()
+	if err != nil {
+		return nil, fmt.Errorf("create the logger: %w", err)
+	}
+	return logger, nil
+}
 
 // Run serves clients until a signal stops the process.
 func (c *serveCommand) Run() error {
@@ -20,9 +39,9 @@
 	if err != nil {
 		return err
 	}
-	logger, err := zap.NewProduction()
+	logger, err := newLogger(c.LogLevel)
 	if err != nil {
-		return fmt.Errorf("create the logger: %w", err)
+		return err
 	}
 	return server.Serve(config, c.reread, logger, server.Signals{
 		Stop:        notified(syscall.SIGTERM, syscall.SIGINT),
--- a/internal/invariant/checker_test.go
+++ b/internal/invariant/checker_test.go
@@ -7,8 +7,14 @@
 	"woodproxy/internal/invariant"
 )
 
-// Each invariant is counted and reported when it is broken, and not a moment before.
-func TestEachInvariantFires(t *testing.T) {
+// breakCase breaks an invariant once, and keeps it just so.
+type breakCase struct {
+	invariant     invariant.Invariant
+	breaks, keeps func(*invariant.Checker)
+}
+
+// breakCases has a case for each invariant, or more.
+func breakCases() []breakCase {
 	at := time.Unix(1000, 0)
 	start := func(change func(*invariant.AttemptStart)) func(*invariant.Checker) {
 		return func(c *invariant.Checker) {
@@ -17,10 +23,7 @@
 			c.AttemptStarted(a)
 		}
 	}
-	for _, test := range []struct {
-		invariant     invariant.Invariant
-		breaks, keeps func(*invariant.Checker)
-	}{
+	return []breakCase{
 		{
 			invariant.NoAttemptAfterEnd,
 			start(func(a *invariant.AttemptStart) { a.RequestEnded = at.Add(-invariant.MaxLateStart - 1) }),
@@ -66,7 +69,12 @@
 			func(c *invariant.Checker) { c.AttemptDecided([]byte("id"), 2, 4, 2, false) },
 			func(c *invariant.Checker) { c.AttemptDecided([]byte("id"), 2, 4, 1, false) },
 		},
-	} {
+	}
+}
+
+// Each invariant is counted and reported when it is broken, and not a moment before.
+func TestEachInvariantFires(t *testing.T) {
+	for _, test := range breakCases() {
 		t.Run(test.invariant.String(), func(t *testing.T) {
 			var reported []invariant.Violation
 			checker := invariant.NewChecker(func(v invariant.Violation) { reported = append(reported, v) })
--- a/internal/lifecycle/orders_test.go
+++ b/internal/lifecycle/orders_test.go
@@ -103,8 +103,8 @@
 	}
 }
 
-// playAll plays every order of every set of steps, and returns the checker and the number of orders.
-func playAll(t *testing.T, obeys bool) (checker *invariant.Checker, orders int) {
+// playAll plays every order of every set of steps, and returns the number of orders.
+func playAll(t *testing.T, obeys bool) (orders int) {
 	t.Helper()
 	failed := 0
 	for set := range 1 << numSteps {
@@ -116,7 +116,7 @@
 		}
 		permute(steps, 0, func(order []step) {
 			orders++
-			checker = invariant.NewChecker(nil)
+			checker := invariant.NewChecker(nil)
 			m := &model{obeys: obeys, checker: checker, now: time.Unix(1000, 0)}
 			for _, s := range order {
 				m.take(s)
@@ -132,14 +132,13 @@
 	if !obeys && failed == 0 {
 		t.Error("no order breaks an invariant where nobody asks: the checker sees nothing")
 	}
-	return checker, orders
+	return orders
 }
 
 // In no order of up to seven events is an invariant broken by whoever asks before each step, and in some by who does
 // not.
 func TestAllOrders(t *testing.T) {
-	_, orders := playAll(t, true)
-	if orders < 13000 {
+	if orders := playAll(t, true); orders < 13000 {
 		t.Errorf("only %d orders were played", orders)
 	}
 	playAll(t, false)
--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -33,7 +33,7 @@
 	submitted       bool      // at least one request was handed to the router
 	discardBytes    int       // bytes still to come of a value that was not admitted
 	partialSince    time.Time // when the first byte of a command that is read in part came; zero: none is
-	finalRead       bool      // the time for this command is over, and what has arrived by then is read
+	finalReadUntil  time.Time // the time for this command is over, and what has arrived is read until then; zero: it is not
 	upload          *request  // a write whose value is being read, or nil
 	uploadRead      int       // bytes of that value and its line end so far
 	uploadDeadline  time.Time // until which each further byte extends the command's time
@@ -199,11 +199,11 @@
 	}
 	conditions := c.conditions()
 	conditions.CommandPartial = !c.partialSince.IsZero()
-	conditions.InputUnread = !c.finalRead && hasUnread(c.conn)
+	conditions.InputUnread = c.finalReadUntil.IsZero() && hasUnread(c.conn)
 	if conditions.MayExpire().Permitted() {
 		return limit.err
 	}
-	c.finalRead = true
+	c.finalReadUntil = time.Now().Add(finalReadTimeout)
 	return nil
 }
 
--- a/internal/proxy/client_read.go
+++ b/internal/proxy/client_read.go
@@ -42,8 +42,8 @@
 		return nil
 	}
 	limit := c.readLimit(len(c.pending) > 0).at
-	if c.finalRead { // which ends at once, be it that the bytes are there
-		limit = time.Now().Add(finalReadTimeout)
+	if !c.finalReadUntil.IsZero() && limit.Before(c.finalReadUntil) {
+		limit = c.finalReadUntil
 	}
 	return c.conn.SetReadDeadline(limit)
 }
@@ -111,12 +111,12 @@
 // markPartial notes that a command has been read in part.
 func (c *clientConn) markPartial() {
 	if c.partialSince.IsZero() {
-		c.partialSince, c.finalRead = time.Now(), false
+		c.partialSince, c.finalReadUntil = time.Now(), time.Time{}
 	}
 }
 
 // markWhole notes that a command has been read to its end.
-func (c *clientConn) markWhole() { c.partialSince, c.finalRead = time.Time{}, false }
+func (c *clientConn) markWhole() { c.partialSince, c.finalReadUntil = time.Time{}, time.Time{} }
 
 // discardValue drops the buffered part of a value that was not admitted. It returns wire.ErrShort if more is to come.
 func (c *clientConn) discardValue() error {
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -53,12 +53,19 @@
 	ZonesPassed atomic.Int64 // zones that were evacuated on this proxy's own evidence alone
 	ZonesHasty  atomic.Int64 // and those of them that answered the first health checks: false positives
 
-	Refusals   [lifecycle.NumRefusals]atomic.Int64 // attempts that were refused at the last moment, by reason
-	Closes     [numCloseReasons]atomic.Int64       // client connections that ended, by reason
-	Invariants *invariant.Checker                  // nil: nothing is checked
+	Reasons       [balancer.NumReasons]atomic.Int64   // attempts, by why they are sent
+	Rejections    [balancer.NumReasons]atomic.Int64   // final replies that the request was shed or has failed, by reason
+	Refusals      [lifecycle.NumRefusals]atomic.Int64 // attempts that were refused at the last moment, by reason
+	TracesOmitted atomic.Int64                        // requests whose trace was not logged, since there are too many
+
+	Closes     [numCloseReasons]atomic.Int64 // client connections that ended, by reason
+	Invariants *invariant.Checker            // nil: nothing is checked
 
 	LocalErrors LocalErrorCounter // system calls that failed for a reason of this machine
 
+	WallClockSteps     atomic.Int64 // times that the wall clock was seen to step
+	StateWriteFailures atomic.Int64 // writes of the state file that failed
+
 	// Where a shadow balancer would have decided the same, and where it would have
 	WatchSame    atomic.Int64
 	WatchNode    atomic.Int64 // sent to another host
--- a/internal/proxy/decisions.go
+++ b/internal/proxy/decisions.go
@@ -14,9 +14,9 @@
 		case balancer.Cancel:
 			r.cancelAttempt(d)
 		case balancer.Shed:
-			r.reply(d.Request, replyShed, nil, d.After)
+			r.reject(d, replyShed)
 		case balancer.Error:
-			r.reply(d.Request, replyError, nil, 0)
+			r.reject(d, replyError)
 		case balancer.SetTimer:
 			r.wakeAt = r.clock.Now() + d.After
 			r.wakeTimer.Reset(duration(d.After))
@@ -48,6 +48,8 @@
 // newAttempt returns the attempt that the balancer has decided on.
 func (r *Router) newAttempt(d *balancer.Decision) *attempt {
 	s := &r.slots[d.Request]
+	r.counters.Reasons[d.Reason].Add(1)
+	s.trace.add(traceEvent{at: r.clock.Now(), kind: traceSent, host: d.Endpoint, reason: d.Reason})
 	next := &attempt{request: s.request, slot: d.Request, host: d.Endpoint, sentAt: r.clock.Now(), timeout: d.After}
 	if s.firstSentAt > 0 {
 		route := &r.settings.Balancer.Routes[r.settings.Routes[s.request.route]]
@@ -81,6 +83,7 @@
 func (r *Router) cancelAttempt(d *balancer.Decision) {
 	attempt := r.slots[d.Request].attempts[d.Attempt]
 	r.counters.Cancelled.Add(1)
+	r.slots[d.Request].trace.add(traceEvent{at: r.clock.Now(), kind: traceCancelled, host: attempt.host})
 	h := r.hosts[attempt.host]
 	h.mailbox.tryPost(func() { h.cancel(attempt) })
 }
--- a/internal/proxy/endpoint_start_test.go
+++ b/internal/proxy/endpoint_start_test.go
@@ -9,9 +9,9 @@
 	"woodproxy/internal/wire"
 )
 
-// startOf returns when the balancer is told that an endpoint started.
-func startOf(r *Router, name string) balancer.Time {
-	return r.listing(r.hosts[r.hostIndex[name]]).StartedAt
+// startOf returns when the balancer is told that the endpoint "new" started.
+func startOf(r *Router) balancer.Time {
+	return r.listing(r.hosts[r.hostIndex["new"]]).StartedAt
 }
 
 // notifyStart tells a router of an endpoint that started at a wall-clock time.
@@ -45,12 +45,12 @@
 			r := newRouterWithList()
 			now := r.clock.Now()
 			notifyStart(r, "new", time.Now().Add(skew))
-			if at := startOf(r, "new"); at < now-tolerance || at > r.clock.Now() {
+			if at := startOf(r); at < now-tolerance || at > r.clock.Now() {
 				t.Errorf("a new endpoint starts %v from now", duration(at-now))
 			}
-			first := startOf(r, "new")
+			first := startOf(r)
 			notifyStart(r, "new", time.Now().Add(skew+time.Second))
-			if at := startOf(r, "new"); at < first || at > r.clock.Now() {
+			if at := startOf(r); at < first || at > r.clock.Now() {
 				t.Errorf("one that restarts starts %v from now", duration(at-now))
 			}
 		})
@@ -61,10 +61,10 @@
 func TestRestartAfterClockWasSetBack(t *testing.T) {
 	r := newRouterWithList()
 	notifyStart(r, "new", time.Now())
-	first := startOf(r, "new")
+	first := startOf(r)
 	time.Sleep(2 * time.Millisecond)
 	notifyStart(r, "new", time.Now().Add(-time.Hour))
-	if second := startOf(r, "new"); second <= first {
+	if second := startOf(r); second <= first {
 		t.Errorf("started at %d, and before at %d", second, first)
 	}
 }
@@ -74,12 +74,12 @@
 	r := newRouterWithList()
 	at := time.Now()
 	notifyStart(r, "new", at)
-	first := startOf(r, "new")
+	first := startOf(r)
 	time.Sleep(2 * time.Millisecond)
 	notifyStart(r, "new", at)
 	notifyStart(r, "new", time.Time{})
 	notifyStart(r, "new", at)
-	if again := startOf(r, "new"); again != first {
+	if again := startOf(r); again != first {
 		t.Errorf("started at %d, and before at %d", again, first)
 	}
 }
@@ -91,7 +91,7 @@
 		r.updateEndpoints(endpointUpdate{whole: true, initial: true, targets: []wire.Endpoint{
 			{Name: "new", Address: "127.0.0.1:1", Ready: true, Weight: 1, StartedAtUnixMilli: time.Now().Add(-age).UnixMilli()},
 		}})
-		got := duration(r.clock.Now() - startOf(r, "new"))
+		got := duration(r.clock.Now() - startOf(r))
 		if want := max(age, 0); got < want || got > want+time.Second {
 			t.Errorf("age %v, want %v", got, want)
 		}
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -17,6 +17,7 @@
 	inFlight    int           // of the attempts
 	finished    bool          // the request has its final reply, or its client has gone
 	firstSentAt balancer.Time // of the first attempt that the upstream may have carried out; 0: there is none
+	trace       requestTrace
 }
 
 // handleRequest takes a request that was read whole.
@@ -35,6 +36,7 @@
 	slot := r.acquireSlot(req)
 	now := r.clock.Now()
 	exchange := r.describe(req, route, now)
+	r.slots[slot].trace.add(traceEvent{at: req.receivedAt, kind: traceReceived})
 	r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.Arrive(now, slot, exchange) })
 }
 
@@ -82,6 +84,7 @@
 	if !s.finished || s.inFlight > 0 || s.request == nil {
 		return
 	}
+	r.logTrace(s)
 	delete(r.openIDs, string(s.request.id))
 	clear(s.attempts) // or the slot would hold the request's value until its next use
 	*s = requestSlot{attempts: s.attempts[:0]}
@@ -99,12 +102,27 @@
 	}
 	r.counters.Left.Add(1)
 	now := r.clock.Now()
+	s.trace.add(traceEvent{at: now, kind: traceClientGone})
 	decisions := r.decide(now, func(b *balancer.Balancer) []balancer.Decision { return b.ClientGone(now, req.slot) })
 	r.markFinished(s, lifecycle.ClientLeft)
 	r.execute(decisions)
 	r.releaseSlot(req.slot)
 }
 
+// replyTraces are the transitions that the final replies are.
+var replyTraces = map[finalReply]traceKind{
+	replyCompleted: traceCompleted, replyNotFound: traceCompleted, replyShed: traceShed, replyError: traceFailed,
+}
+
+// reject gives a request the final reply that a decision says, unless it has one.
+func (r *Router) reject(d *balancer.Decision, kind finalReply) {
+	r.counters.Rejections[d.Reason].Add(1)
+	s := &r.slots[d.Request]
+	s.trace.add(traceEvent{at: r.clock.Now(), kind: replyTraces[kind], reason: d.Reason})
+	s.trace.abnormal = s.trace.abnormal || kind == replyError
+	r.reply(d.Request, kind, nil, d.After)
+}
+
 // reply gives a request its final reply, unless it has one. retryAfter is told to clients whose request is shed.
 func (r *Router) reply(slot int, kind finalReply, value []byte, retryAfter balancer.Time) {
 	if s := &r.slots[slot]; !s.finished {
@@ -142,6 +160,7 @@
 func (r *Router) attemptFinished(attempt *attempt, result attemptResult) {
 	s := &r.slots[attempt.slot]
 	s.inFlight--
+	s.trace.recordEnd(r.clock.Now(), attempt.host, result.outcome)
 	r.hosts[attempt.host].inFlight--
 	r.counters.Ends[result.outcome].Add(1)
 	if s.firstSentAt == 0 && mayHaveRun(result.outcome) {
@@ -171,6 +190,9 @@
 // deliver replies to the client with a completed attempt's value. Values that no client waits for are dropped.
 func (r *Router) deliver(attempt *attempt, result attemptResult) {
 	s := &r.slots[attempt.slot]
+	if result.outcome == balancer.Completed && !s.finished {
+		s.trace.add(traceEvent{at: r.clock.Now(), kind: traceCompleted})
+	}
 	wanted := result.outcome == balancer.Completed && !s.finished
 	switch {
 	case wanted && attempt.notFound:
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -10,6 +10,7 @@
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -50,6 +51,8 @@
 	valueMemory  *budget // bytes of values that are held
 	streamMemory *budget // bytes of streams' buffers
 
+	traceLimiter *rate.Limiter
+
 	// Parts that may be missing.
 	endpoints     *EndpointList
 	shadow        *shadowBalancer
@@ -75,7 +78,7 @@
 		wakeTimer: time.NewTimer(unarmed), openIDs: map[string]struct{}{}, hostIndex: map[string]int{},
 		dialer:  &net.Dialer{Timeout: duration(config.Balancer.ConnectTimeout), KeepAlive: -1},
 		sockets: newBudget(sockets, &counters.UpstreamOpen), valueMemory: newBudget(0, &counters.Bytes),
-		streamMemory: newBudget(0, &counters.Passing),
+		streamMemory: newBudget(0, &counters.Passing), traceLimiter: newTraceLimiter(),
 	}
 }
 
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime"
 	"strings"
 	"unicode"
 
@@ -12,6 +13,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -53,6 +55,7 @@
 			sink.counter(snakeCase(name), help, value)
 		}
 	})
+	sink.byReason(m.counters)
 	if m.gossip.duties != nil {
 		sink.duties(m.gossip.duties.actor.Stats())
 	}
@@ -83,6 +86,24 @@
 	s <- prometheus.MustNewConstMetric(prometheus.NewDesc(metricPrefix+name, help, nil, nil), kind, value)
 }
 
+// byReason sends what is counted by reason, invariant, or system call.
+func (s metricSink) byReason(counters *proxy.Counters) {
+	counters.EachReason(func(c proxy.ReasonCount) {
+		desc := prometheus.NewDesc(metricPrefix+c.Metric+"_total", c.Help, []string{c.Label}, nil)
+		s <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(c.Count), c.Value)
+	})
+	failed := prometheus.NewDesc(metricPrefix+"local_errors_total", "System calls that failed for a reason of this machine.",
+		[]string{"call", "errno"}, nil)
+	counters.LocalErrors.Each(func(kind proxy.SystemCallError, count int64) {
+		name := unix.ErrnoName(kind.Errno)
+		s <- prometheus.MustNewConstMetric(failed, prometheus.CounterValue, float64(count), kind.Call, name)
+	})
+	s.counter("wall_clock_steps", "Times that the wall clock was seen to step.", counters.WallClockSteps.Load())
+	s.counter("state_write_failures", "Writes of the state file that failed.", counters.StateWriteFailures.Load())
+	s.counter("traces_omitted", "Requests whose trace was not logged, since there were too many.", counters.TracesOmitted.Load())
+	s.gauge("goroutines", "Goroutines of the process.", float64(runtime.NumGoroutine()))
+}
+
 func (s metricSink) duties(figures duties.Statistics) {
 	s.gauge("turns_here", "Proxies that duties are dealt out to.", float64(figures.Alive))
 	s.gauge("turns_watchers", "Proxies that said lately that their watch of discovery lives.", float64(figures.Watchers))
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -46,6 +46,7 @@
 	}
 	if s.config.StateStore != nil {
 		tracker.writer.save = s.config.StateStore.Save
+		tracker.writer.failures = &s.counters.StateWriteFailures
 	}
 	terms := recovery.DefaultSettings(s.config.Gossip != nil)
 	tracker.instance = recovery.New(tracker.now(), terms, restored.outcome, restored.drained)
--- a/internal/server/restore_test.go
+++ b/internal/server/restore_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,7 +39,7 @@
 func TestHangingDiskHoldsUpNothing(t *testing.T) {
 	writing, release := make(chan struct{}), make(chan struct{})
 	defer close(release)
-	writer := &snapshotWriter{log: zap.NewNop()}
+	writer := &snapshotWriter{log: zap.NewNop(), failures: &atomic.Int64{}}
 	writer.save = func(*snapshot.Snapshot) error {
 		close(writing)
 		<-release
--- a/internal/server/signals_test.go
+++ b/internal/server/signals_test.go
@@ -20,7 +20,7 @@
 		readings.Add(1)
 		begun <- struct{}{}
 		<-release
-		return nil, errors.New("a bad file")
+		return &Config{}, errors.New("a bad file")
 	}
 	s := &server{config: &Config{Name: "as at the start"}, log: zap.NewNop()}
 	ended := make(chan *Config, 1)
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -28,7 +28,7 @@
 	lastAttempt time.Time
 	saving      atomic.Bool   // a write is under way
 	savedDigest atomic.Uint64 // of the last snapshot that was written
-	failures    atomic.Int64  // writes that failed
+	failures    *atomic.Int64 // counts writes that failed
 	failing     bool          // the last write failed and was logged; used by the write that is under way
 }
 
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -37,6 +38,9 @@
 	resources      *resourceBudget
 	successors     *hotrestart.Server
 
+	ctx    context.Context // ends with Serve
+	cancel context.CancelFunc
+
 	inheritedList bool // the endpoint list is the predecessor's, and as current as it can be
 }
 
@@ -57,6 +61,7 @@
 		return err
 	}
 	defer s.closeAdmin()
+	defer s.cancel()
 	s.run()
 	if s.recovery != nil {
 		defer s.recovery.stop()
@@ -74,8 +79,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{config: config, log: log, predecessor: predecessor, counters: &proxy.Counters{}}
+	s := &server{config: config, log: log, predecessor: predecessor, counters: &proxy.Counters{Invariants: newInvariantChecker(log)}}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if err := s.build(listener); err != nil {
+		s.cancel()
 		s.closeAdmin()
 		_ = listener.Close() // the first error is the one to report
 		if predecessor != nil {
@@ -216,6 +223,7 @@
 		go s.recovery.run()
 	}
 	go s.clientListener.Run()
+	go watchWallClock(s.ctx, s.counters, s.log)
 	s.log.Info("started", zap.String("name", s.config.Name), zap.String("listen", s.config.Listen),
 		zap.Int("sockets", s.config.Sockets), zap.Bool("replaces", s.predecessor != nil))
 }
