Emulator: faults of the machine, of reloads and hot restarts, and six more rules

New faults: system calls that fail or come short and wall clocks that step (with a proxy built by faultbuild), SIGHUPs in rows with a bad file and a moved discovery, hot restarts, connections that are reset or closed after each answer, discovery that is cut or malformed, clients that send 40 requests at once and go, requests written byte by byte.

New rules, each fired by a trace and kept by one just inside: no attempt over 0.1 s after the client left or had its answer; no deadline told over 0.15 s beyond the client's; ready within 10 s; bad clients told; nothing held at the end (requests, values, streams, goroutines, violations, panics by the proxies' metrics); no "invariant violated" or "panic" in any log.

--- a/internal/emulator/bad_clients.go
+++ b/internal/emulator/bad_clients.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"time"
 )
 
@@ -72,3 +73,40 @@
 		time.Sleep(slowReadInterval)
 	}
 }
+
+const (
+	burstRequests = 40
+	maxBurstStay  = 30 * time.Millisecond
+)
+
+// sendBurst is a client that sends many requests at once and leaves a moment later, without reading.
+func (r *runner) sendBurst(proxy, number int) {
+	conn, err := net.DialTimeout("tcp", r.load.addresses[proxy], dialTimeout)
+	if err != nil {
+		return
+	}
+	route := r.plan.Scenario.Routes[0]
+	var commands []byte
+	ids := make([]string, burstRequests)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("burst%d-%d-%d", proxy, number, i)
+		r.cluster.recordProxy(ids[i], proxy)
+		commands = append(commands, encodeCommand("KV.GET", keyName(uint64(i)), ids[i], route.requestFacts())...)
+	}
+	_, _ = conn.Write(commands) // it leaves in any case
+	time.Sleep(maxBurstStay * time.Duration(number%4) / 4)
+	_ = conn.Close() // nothing more is expected of it
+	for _, id := range ids {
+		r.log.Record(Event{Kind: ClientLeft, RequestID: id, Proxy: proxy})
+	}
+}
+
+// injectBursts has clients come that send many requests at once and go.
+func (r *runner) injectBursts(ctx context.Context, fault activeFault) {
+	var clients sync.WaitGroup
+	for i := 0; time.Now().Before(fault.endsAt) && ctx.Err() == nil; i++ {
+		clients.Go(func() { r.sendBurst(i%len(r.load.addresses), i) })
+		sleep(ctx, seconds(1/fault.Rate))
+	}
+	clients.Wait()
+}
--- a/internal/emulator/eventlog.go
+++ b/internal/emulator/eventlog.go
@@ -23,14 +23,19 @@
 	ProcessEnded     EventKind = "ended"    // a proxy process ended: Note is how
 	QuotaReported    EventKind = "shared"   // a proxy reports Figure as its quota, the part of the fleet's limits, and Note as its rows of nodes
 	ProcessPaused    EventKind = "paused"   // a proxy process was stopped by a signal, or continued: Note is pauseBegins or pauseEnds
+	ProcessLate      EventKind = "unready"  // a proxy process did not serve in time
+	CounterReported  EventKind = "counted"  // a proxy reports Figure as its counter Note
+	LogReported      EventKind = "logged"   // a proxy's log has Figure lines Note
+	BadClientIgnored EventKind = "ignored"  // a bad client was neither told nor closed on in time
 	SentLate         EventKind = "late"     // the load generator sent a request Figure milliseconds too late
 )
 
 // Notes of ProcessEnded events.
 const (
-	endKilled  = "killed"
-	endStopped = "stopped" // told to end, it shut down gracefully
-	endCrashed = "crashed"
+	endKilled   = "killed"
+	endReplaced = "replaced" // a successor has taken over
+	endStopped  = "stopped"  // told to end, it shut down gracefully
+	endCrashed  = "crashed"
 )
 
 // Notes of ProcessPaused events.
--- a/internal/emulator/inject.go
+++ b/internal/emulator/inject.go
@@ -55,15 +55,33 @@
 	"restart":      (*runner).injectProxyRestarts,
 	"bad-clients":  (*runner).injectMalformedRequests,
 	"slow-clients": (*runner).injectSlowReaders,
+	"bursts":       (*runner).injectBursts,
+	"closes":       (*runner).injectNodeMode,
+	"conn-resets":  (*runner).injectConnResets,
+	"garbled-list": (*runner).injectDiscoveryMode,
+	"cut-watch":    (*runner).injectDiscoveryMode,
+	"reload":       (*runner).injectReloads,
+	"hot-restart":  (*runner).injectHotRestarts,
+	"fail-socket":  (*runner).injectMachineFault,
+	"fail-connect": (*runner).injectMachineFault,
+	"fail-accept":  (*runner).injectMachineFault,
+	"break-conns":  (*runner).injectMachineFault,
+	"interrupt":    (*runner).injectMachineFault,
+	"short-read":   (*runner).injectMachineFault,
+	"short-write":  (*runner).injectMachineFault,
+	"fail-disk":    (*runner).injectMachineFault,
+	"fail-sync":    (*runner).injectMachineFault,
+	"clock-step":   (*runner).injectClockStep,
 }
 
 // nodeModes holds the mode that nodes are in while a fault of the given kind lasts.
 var nodeModes = map[string]NodeMode{
 	"silent": modeSilent, "failing": modeFails, "reset": modeCuts, "garbled": modeGarbled, "halves": modeHalves,
+	"closes": modeCloses,
 }
 
 // discoveryModes holds the mode that discovery is in while a fault of the given kind lasts.
-var discoveryModes = map[string]DiscoveryMode{"deaf": discoverySilent, "refusing": discoveryFull}
+var discoveryModes = map[string]DiscoveryMode{"deaf": discoverySilent, "refusing": discoveryFull, "garbled-list": discoveryGarbled, "cut-watch": discoveryCut}
 
 // injectFault waits until a fault event is due, counted from the scenario's start, and injects it.
 func (r *runner) injectFault(ctx context.Context, event FaultEvent, start time.Time) {
@@ -251,8 +269,10 @@
 	var clients sync.WaitGroup
 	for i := 0; time.Now().Before(fault.endsAt) && ctx.Err() == nil; i++ {
 		clients.Go(func() {
-			if !sendMalformed(r.load.addresses[i%len(r.load.addresses)], i) {
+			proxy := i % len(r.load.addresses)
+			if !sendMalformed(r.load.addresses[proxy], i) {
 				r.unansweredBadClients.Add(1)
+				r.log.Record(Event{Kind: BadClientIgnored, Proxy: proxy, Note: malformedRequests[i%len(malformedRequests)]})
 			}
 		})
 		sleep(ctx, seconds(1/fault.Rate))
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -26,6 +26,18 @@
 	CrashRule Rule = "no crash"
 	// FreshAbsenceRule: no key that exists is reported missing for longer than maxAbsentStaleness after it was written.
 	FreshAbsenceRule Rule = "no key missing past its time"
+	// LateAttemptRule: no attempt begins over lateAttemptGrace after its request's client left or had its answer.
+	LateAttemptRule Rule = "no attempt after the end"
+	// ToldDeadlineRule: no attempt is told a deadline over toldDeadlineSlack beyond its client's.
+	ToldDeadlineRule Rule = "deadlines told hold"
+	// ReadyRule: a proxy process serves readyTimeout after its start.
+	ReadyRule Rule = "ready in time"
+	// BadClientRule: a client that sends what is no command, or a part of one, is told or closed on in time.
+	BadClientRule Rule = "bad clients told"
+	// InvariantRule: no proxy logs a broken invariant of its own, or a panic.
+	InvariantRule Rule = "proxies' own invariants"
+	// ResidueRule: a proxy whose clients have all gone holds nothing of them.
+	ResidueRule Rule = "nothing left behind"
 	// QuotaRule: the quotas that running proxies report add up to at most the fleet's limits.
 	QuotaRule Rule = "shares kept"
 )
@@ -97,6 +109,8 @@
 type checker struct {
 	*findings
 	answers   answerCheck
+	attempts  attemptCheck
+	process   processCheck
 	absence   absenceCheck
 	effects   effectCheck
 	drains    drainCheck
@@ -116,6 +130,11 @@
 			findings: found, processes: processes, routes: routes, lastAsked: map[string]Event{}, count: map[string]int{},
 			abandoned: map[string]bool{},
 		},
+		attempts: attemptCheck{
+			findings: found, processes: processes, routes: routes, asked: map[string]time.Duration{}, ended: map[string]time.Duration{},
+			delayed: scenario.delaysLinks(),
+		},
+		process: processCheck{findings: found, processes: processes, nodes: scenario.Fleet.Nodes},
 		absence: absenceCheck{findings: found, processes: processes, scenario: scenario, keys: keys, firstWritten: map[string]time.Duration{}},
 		effects: effectCheck{findings: found, runs: map[string]int{}},
 		drains:  drainCheck{findings: found, processes: processes, since: map[proxyNode]time.Duration{}},
@@ -132,13 +151,16 @@
 	switch e.Kind {
 	case RequestSent:
 		c.answers.observeAsked(e)
+		c.attempts.observeAsked(e)
 	case AnswerReceived:
 		c.observeAnswer(e)
 	case ClientLeft:
 		c.answers.abandoned[e.RequestID] = true
+		c.attempts.observeEnd(e)
 	case ConnectionClosed:
 		c.answers.observeClosed(e)
 	case AttemptReceived:
+		c.attempts.observeArrival(e)
 		c.drains.observeArrival(e)
 		c.slowStart.observeArrival(e)
 	case WriteExecuted:
@@ -149,6 +171,8 @@
 		c.slowStart.observeDelivery(e)
 	case SlowStartBegan:
 		c.slowStart.observeBegin(e)
+	case ProcessLate, CounterReported, LogReported, BadClientIgnored:
+		c.process.observe(e)
 	case QuotaReported:
 		c.quota.observeReport(e)
 	case ProcessEnded:
@@ -160,6 +184,7 @@
 }
 
 func (c *checker) observeAnswer(e Event) {
+	c.attempts.observeEnd(e)
 	if !c.answers.observeAnswer(e) {
 		return
 	}
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -240,9 +240,14 @@
 	conn.lastRequestID = request.ID
 	err := conn.SetDeadline(time.Now().Add(timeout))
 	g.cluster.recordProxy(request.ID, conn.proxy)
+	command := route.encode(request)
+	if request.Dripped && err == nil { // its time counts from its last byte
+		err = conn.drip(command[:len(command)-1])
+		command = command[len(command)-1:]
+	}
 	g.log.Record(Event{Kind: RequestSent, RequestID: request.ID, Proxy: conn.proxy})
 	if err == nil {
-		_, err = conn.Write(route.encode(request))
+		_, err = conn.Write(command)
 	}
 	if err == nil {
 		_, err = conn.reader.Peek(1)
@@ -263,6 +268,16 @@
 	return g.answered(conn, request, head, body), nil
 }
 
+// drip writes byte by byte.
+func (c *clientConn) drip(text []byte) error {
+	for i := range text {
+		if _, err := c.Write(text[i : i+1]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // encode returns the command of a request.
 func (r Route) encode(request Request) []byte {
 	facts := r.requestFacts()
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -34,6 +34,7 @@
 	modeDrips   NodeMode = "drips"   // a cache: the second half of the answer comes after the delay
 	modeChunked NodeMode = "chunked" // the origin: an answer in chunks
 	modeNowhere NodeMode = "nowhere" // connections are refused
+	modeCloses  NodeMode = "closes"  // a cache: served as usual, and the connection is closed after each answer
 	modeHolds   NodeMode = "holds"   // no answer until the mode changes, and then as the new mode says
 )
 
@@ -243,9 +244,12 @@
 	}
 	key, id, facts := words[1], words[2], words[3]
 	proxy = n.cluster.proxyFor(id, proxy)
-	n.cluster.log.Record(Event{Kind: AttemptReceived, RequestID: id, Proxy: proxy, Node: n.Name, Note: idempotencyKeyOf(facts)})
+	n.cluster.log.Record(Event{
+		Kind: AttemptReceived, RequestID: id, Proxy: proxy, Node: n.Name, Note: idempotencyKeyOf(facts), Figure: waitOf(facts),
+	})
 	command := n.nextMode(id)
-	if command.mode == modeServe {
+	closes := command.mode == modeCloses
+	if command.mode == modeServe || closes {
 		cached, err := n.cluster.lookUp(n, proxy, id, key)
 		switch {
 		case err != nil:
@@ -258,7 +262,22 @@
 	} else if command.mode != modeDrips {
 		time.Sleep(command.delay)
 	}
-	return command.writeRESP(c)
+	if err := command.writeRESP(c); err != nil || !closes {
+		return err
+	}
+	return errConnectionEnds
+}
+
+// resetConns resets all open connections, as a network does that has forgotten them.
+func (n *Node) resetConns() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only on a connection that has ended
+		}
+		_ = c.Close() // its own goroutine may have closed it
+	}
 }
 
 // writeRESP writes a cache's answer; an error ends the connection.
@@ -316,7 +335,10 @@
 	if fetch.write && strings.Trim(string(body), writtenValueByte) != "" {
 		return errConnectionEnds // the value is not what clients write
 	}
-	n.cluster.log.Record(Event{Kind: AttemptReceived, RequestID: id, Proxy: fetch.proxy, Node: n.Name, Note: fetch.idempotencyKey})
+	n.cluster.log.Record(Event{
+		Kind: AttemptReceived, RequestID: id, Proxy: fetch.proxy, Node: n.Name, Note: fetch.idempotencyKey,
+		Figure: waitOf(request.Header.Get("X-Facts")),
+	})
 	command := n.nextMode(id)
 	if command.mode != modeServe {
 		time.Sleep(command.delay)
--- a/internal/emulator/plan.go
+++ b/internal/emulator/plan.go
@@ -18,6 +18,7 @@
 	Route       int           // index of the scenario's route
 	Proxy       int           // index of the proxy that it is sent to
 	LeavesAfter time.Duration // the client leaves so long after sending it; 0: it waits
+	Dripped     bool          // it is written byte by byte
 }
 
 // FaultEvent is a fault and its targets.
@@ -59,6 +60,9 @@
 		if random.Float64() < d.Load.LeavingPart {
 			r.LeavesAfter = millis(d.Routes[r.Route].TimeoutMS / 4)
 		}
+		if d.Load.DrippedPart > 0 {
+			r.Dripped = random.Float64() < d.Load.DrippedPart
+		}
 		requests = append(requests, r)
 	}
 	return requests
@@ -88,7 +92,7 @@
 		return targets
 	case faultKinds[fault.Kind].some && fault.Count == 0:
 		return random.Perm(candidates)
-	case slices.Contains([]string{"slow-clients", "whisper", "link"}, fault.Kind): // they have none
+	case slices.Contains([]string{"slow-clients", "whisper", "link", "bursts"}, fault.Kind): // they have none
 		return nil
 	default:
 		return random.Perm(candidates)[:min(fault.Count, candidates)]
--- /dev/null
+++ b/internal/emulator/process_check.go
@@ -0,0 +1,33 @@
+package emulator
+
+// processCheck checks the rules on proxy processes that they report themselves, or that are seen from outside.
+type processCheck struct {
+	*findings
+	processes *processHistory
+	nodes     int // caches
+}
+
+// maxGoroutines is how many goroutines a proxy may have at the end of a scenario, whose clients have gone: for itself,
+// and for each node and its idle connections.
+func (p *processCheck) maxGoroutines() float64 { return 100 + 8*float64(p.nodes) }
+
+func (p *processCheck) observe(e Event) {
+	switch e.Kind {
+	case ProcessLate:
+		p.violate(ReadyRule, e, "proxy %d does not serve %v after its start", e.Proxy, readyTimeout)
+	case LogReported:
+		p.violate(InvariantRule, e, "proxy %d has logged %q %.0f times", e.Proxy, e.Note, e.Figure)
+	case BadClientIgnored:
+		if !p.processes.wasPaused(e.Proxy, e.At-malformedTimeout, e.At) && !p.processes.wasKilled(e.Proxy, e.At-malformedTimeout-killWindow, e.At+killWindow) {
+			p.violate(BadClientRule, e, "proxy %d neither told a bad client nor closed on it: %s", e.Proxy, e.Note)
+		}
+	case CounterReported:
+		limit := 0.0
+		if e.Note == counterGoroutines {
+			limit = p.maxGoroutines()
+		}
+		if e.Figure > limit {
+			p.violate(ResidueRule, e, "proxy %d: %s is %.0f at the end, over %.0f", e.Proxy, e.Note, e.Figure, limit)
+		}
+	}
+}
--- a/internal/emulator/proxies.go
+++ b/internal/emulator/proxies.go
@@ -35,6 +35,7 @@
 	DutiesFile        string
 	ZoneHealthFile    string
 	Dir               string // for its log and temporary files
+	FaultPage         string // by which its system calls are made to fail
 }
 
 // Proxy is a running proxy.
@@ -64,6 +65,9 @@
 	if err := r.configureProxies(); err != nil {
 		return err
 	}
+	if err := r.createFaultPages(); err != nil {
+		return err
+	}
 	var starts sync.WaitGroup
 	var failed atomic.Pointer[error]
 	tokens := make(chan struct{}, parallelStarts)
@@ -140,6 +144,13 @@
 			return err
 		}
 	}
+	if d.Admin && m.config.AdminAddress == "" {
+		address, err := freePort("127.0.0.1")
+		if err != nil {
+			return err
+		}
+		m.config.AdminAddress = address
+	}
 	if err := r.writeZoneConfig(m); err != nil {
 		return err
 	}
--- a/internal/emulator/proxy_process.go
+++ b/internal/emulator/proxy_process.go
@@ -8,10 +8,13 @@
 	"os/exec"
 	"path/filepath"
 	"time"
+
+	"woodproxy/internal/faultbuild"
 )
 
 const (
-	readinessAttempts = 500
+	// readyTimeout is how long a proxy may take from its start until it answers clients.
+	readyTimeout      = 10 * time.Second
 	readinessInterval = 10 * time.Millisecond
 	// gracefulEndTimeout is how long a proxy may take to end before it is killed.
 	gracefulEndTimeout = 6 * time.Second
@@ -60,7 +63,12 @@
 	m := r.proxies[i]
 	<-process.Done() //nolint:errcheck // the exit status tells nothing that endNote does not
 	close(process.exited)
-	r.load.available[i].Store(false)
+	m.mu.Lock()
+	replaced := process.endNote == endReplaced
+	m.mu.Unlock()
+	if !replaced {
+		r.load.available[i].Store(false)
+	}
 	if r.relays != nil && !r.network.isCutOff(proxyName(i)) { // over a severed link nobody learns of a refusal
 		r.relays[i].refuse()
 	}
@@ -69,7 +77,7 @@
 	}
 	m.mu.Lock()
 	note := process.endNote
-	m.running = false
+	m.running = m.running && replaced
 	m.mu.Unlock()
 	close(process.ended)
 	if note == "" {
@@ -81,7 +89,7 @@
 // awaitReady waits until a process answers clients, and lets them be sent to it.
 func (r *runner) awaitReady(ctx context.Context, i int, process *incarnation) error {
 	config := r.proxies[i].config
-	for range readinessAttempts {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); {
 		if answersPing(config.Listen) {
 			r.load.available[i].Store(true)
 			return nil
@@ -95,6 +103,7 @@
 			return ctx.Err()
 		}
 	}
+	r.log.Record(Event{Kind: ProcessLate, Proxy: i})
 	return fmt.Errorf("proxy %d does not serve", i)
 }
 
@@ -176,6 +185,9 @@
 		"GW_CONFIG=" + s.ConfigFile, "GW_NAME=" + s.Name, "GW_LISTEN=" + s.Listen, "GW_DISCOVERY=" + s.Discovery,
 		"TMPDIR=" + filepath.Join(s.Dir, "tmp"),
 	}
+	if s.FaultPage != "" {
+		env = append(env, faultbuild.EnvironmentVariable+"="+s.FaultPage)
+	}
 	for _, optional := range []struct{ name, file string }{
 		{"GW_PEERS", s.GossipFile},
 		{"GW_STATE", s.StateDir},
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -40,6 +40,7 @@
 
 // buildReport calculates the report once the scenario has ended.
 func (r *runner) buildReport() *Report {
+	r.reportLogs()
 	events := r.log.All()
 	report := &Report{Plan: r.plan, Results: r.load.results, Events: events, UnansweredMalformed: int(r.unansweredBadClients.Load())}
 	checked := checkInvariants(r.plan.Scenario, r.plan.Requests, events)
--- a/internal/emulator/resp.go
+++ b/internal/emulator/resp.go
@@ -94,3 +94,14 @@
 	}
 	return ""
 }
+
+// waitOf returns for how long an attempt's facts say that the proxy waits, in milliseconds; 0 where they do not.
+func waitOf(facts string) float64 {
+	for fact := range strings.SplitSeq(facts, ",") {
+		if text, ok := strings.CutPrefix(fact, "d="); ok {
+			wait, _ := strconv.ParseFloat(text, 64) // 0 where it is no number
+			return wait
+		}
+	}
+	return 0
+}
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"woodproxy/internal/faultbuild"
 )
 
 // Options tell how a scenario is played.
@@ -16,6 +18,8 @@
 	Dir       string         // for files and logs, which are kept
 	IP        string         // loopback address of the proxies, 127.0.0.1 where it is empty
 	Overrides map[string]any // proxy settings by path, whose steps are separated by dots
+
+	FaultPages bool // the proxies were built by faultbuild, and each has a page of faults
 }
 
 // runner plays one scenario.
@@ -41,6 +45,7 @@
 
 	unansweredBadClients atomic.Int64
 	backgroundLoad       backgroundSamples
+	faultPages           []*faultbuild.Page // by proxy; none where proxies have none
 
 	mu            sync.Mutex
 	nodes         []*Node // the caches; the length is fixed but for announceToOne
@@ -60,6 +65,7 @@
 	r.cluster.network = r.network
 	defer func() {
 		r.stop()
+		r.closeFaultPages()
 		if ctx.Err() != nil {
 			_ = os.RemoveAll(options.Dir) // the context's error is what the caller gets
 		}
@@ -68,6 +74,7 @@
 		return nil, err
 	}
 	r.play(ctx)
+	r.reportResidue(ctx)
 	r.stop()
 	r.processWatchers.Wait()
 	if ctx.Err() != nil {
--- a/internal/emulator/scenario_check.go
+++ b/internal/emulator/scenario_check.go
@@ -67,6 +67,7 @@
 	c.inRange("keys.size", float64(d.Keys.ValueBytes), 0, 4<<20)
 	c.inRange("load.rate", d.Load.Rate, 0.1, 20000)
 	c.inRange("load.impatient", d.Load.LeavingPart, 0, 1)
+	c.inRange("load.dripped", d.Load.DrippedPart, 0, 1)
 	c.inRange("load.connections", float64(d.Load.Connections), 0, 20000)
 }
 
@@ -137,6 +138,7 @@
 	c.inRange(prefix+"for_s", fault.DurationS, 0, d.LengthS-fault.AtS)
 	c.checkFaultFigures(prefix, fault)
 	c.inRange(prefix+"leave_ms", fault.LeaveMS, 0, 60000)
+	c.inRange(prefix+"variant", float64(fault.Variant), 0, 100)
 	c.inRange(prefix+"slow_ms", fault.MaxDelayMS, 0, 10000)
 	c.checkFaultLinks(prefix, fault)
 	c.inRange(prefix+"spread_s", fault.SpreadS, 0, d.LengthS)
@@ -170,6 +172,7 @@
 		{key: "times", v: fault.Slowdown, needed: needs.times, low: 1, high: 1000},
 		{key: "part", v: fault.Part, needed: needs.part, low: minFaultPart[fault.Kind], high: 1},
 		{key: "rate", v: fault.Rate, needed: needs.rate, low: 0.1, high: 1000},
+		{key: "step_s", v: fault.StepS, needed: needs.step, low: -7200, high: 7200},
 	} {
 		if figure.needed || figure.optional && figure.v != 0 {
 			c.inRange(prefix+figure.key, figure.v, figure.low, figure.high)
