--- a/internal/proxy/socket_peek.go
+++ b/internal/proxy/socket_peek.go
@@ -45,7 +45,12 @@
 
 // peekState returns what there is to read on a connection.
 func peekState(conn net.Conn) inputState {
-	switch n, err := peek(conn); {
+	return inputOf(peek(conn))
+}
+
+// inputOf returns what a look at a connection's input tells.
+func inputOf(n int, err error) inputState {
+	switch {
 	case n > 0:
 		return inputUnread
 	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
