--- a/cmd/emulator/main.go
+++ b/cmd/emulator/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -16,15 +17,28 @@
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "emulator:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
+// exitCode returns 1 for a violation and for what goes wrong, 2 for bad usage, 3 where the machine had no time.
+func exitCode(err error) int {
+	var usage usageError
+	switch {
+	case errors.As(err, &usage):
+		return 2
+	case errors.Is(err, errMachineLate):
+		return 3
+	}
+	return 1
+}
+
 // run parses the command line and runs its command until it ends or the process is interrupted.
 func run() error {
 	var commands struct {
 		Check      checkCommand      `cmd:"" help:"Say whether days or experiments are good."`
 		Play       playCommand       `cmd:"" help:"Play a day and check the rules."`
+		Soak       soakCommand       `cmd:"" help:"Play drawn scenarios with overlapping faults, and judge them by invariants."`
 		Experiment experimentCommand `cmd:"" help:"Play days x seeds x variants and keep a table."`
 		Compare    compareCommand    `cmd:"" help:"Say by how much variants differ."`
 		Null       nullCommand       `cmd:"" help:"Answer every request at once, to measure what the load itself costs."`
--- a/internal/emulator/gossip.go
+++ b/internal/emulator/gossip.go
@@ -36,11 +36,11 @@
 // setUpGossip chooses where a proxy's peers reach it: at a relay, which has an IP address of its own, as the proxy has.
 func (r *runner) setUpGossip(i int, m *managedProxy) error {
 	proxyIP, relayIP := fmt.Sprint(r.addressPrefix, i+1), fmt.Sprint(r.addressPrefix, i+101)
-	listen, err := freePort(proxyIP)
+	listen, err := r.reservePort(proxyIP)
 	if err != nil {
 		return err
 	}
-	advertised, err := freePort(relayIP)
+	advertised, err := r.reservePort(relayIP)
 	if err != nil {
 		return err
 	}
@@ -51,7 +51,7 @@
 	}
 	r.relays = append(r.relays, peerRelay)
 	for m.config.AdminAddress = listen; m.config.AdminAddress == listen; {
-		if m.config.AdminAddress, err = freePort(proxyIP); err != nil {
+		if m.config.AdminAddress, err = r.reservePort(proxyIP); err != nil {
 			return err
 		}
 	}
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -136,7 +136,7 @@
 		},
 		process: processCheck{findings: found, processes: processes, nodes: scenario.Fleet.Nodes},
 		absence: absenceCheck{findings: found, processes: processes, scenario: scenario, keys: keys, firstWritten: map[string]time.Duration{}},
-		effects: effectCheck{findings: found, runs: map[string]int{}},
+		effects: effectCheck{findings: found, processes: processes, runs: map[string]int{}, killed: map[string]int{}},
 		drains:  drainCheck{findings: found, processes: processes, since: map[proxyNode]time.Duration{}},
 		slowStart: slowStartCheck{
 			findings: found, fleet: scenario.Fleet, begins: map[string]Event{}, arrivals: map[string][]arrival{},
@@ -159,6 +159,7 @@
 		c.attempts.observeEnd(e)
 	case ConnectionClosed:
 		c.answers.observeClosed(e)
+		c.effects.observeClosed(e)
 	case AttemptReceived:
 		c.attempts.observeArrival(e)
 		c.drains.observeArrival(e)
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -146,6 +146,23 @@
 	{"told what is left and the slack", []emulator.Event{asked(0), toldMS(500, 700), answered(600, "completed")}, ""},
 }
 
+// effect returns that the origin carried out the write "a", which has no idempotency key.
+func effect(atMS int) emulator.Event { return event(atMS, emulator.WriteExecuted, "a", "origin", "") }
+
+// closedReused returns that the connection ended on which the request was sent, and which had served others before.
+func closedReused(atMS int) emulator.Event {
+	return event(atMS, emulator.ConnectionClosed, "a", "", "reused")
+}
+
+var effectCases = []ruleCase{
+	{"asked again where its proxy was killed", []emulator.Event{
+		asked(0), closedReused(20), ended(21, "killed"), effect(25), asked(30), effect(40), answered(50, "completed"),
+	}, ""},
+	{"asked again where its proxy lives", []emulator.Event{
+		asked(0), effect(10), closedReused(20), asked(30), effect(40), answered(50, "completed"),
+	}, emulator.SingleEffectRule},
+}
+
 var processCases = []ruleCase{
 	{"not ready", []emulator.Event{event(2000, emulator.ProcessLate, "", "", "")}, emulator.ReadyRule},
 	{"violation logged", []emulator.Event{reported(emulator.LogReported, "invariant violated", 1)}, emulator.InvariantRule},
@@ -163,7 +180,7 @@
 func TestRulesFire(t *testing.T) {
 	scenario := parseScenario(t, calmScenario)
 	requests := []emulator.Request{{ID: "a"}, {ID: "w", Route: 1}}
-	for _, c := range slices.Concat(answerCases, nodeCases, attemptCases, processCases) {
+	for _, c := range slices.Concat(answerCases, nodeCases, attemptCases, effectCases, processCases) {
 		t.Run(c.name, func(t *testing.T) {
 			found := emulator.CheckInvariants(scenario, requests, c.trace)
 			if c.rule == "" && len(found) > 0 || c.rule != "" && (len(found) != 1 || found[0].Rule != c.rule) {
--- a/internal/emulator/machine_faults.go
+++ b/internal/emulator/machine_faults.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// injectOriginResets resets the origin's connections, again and again while the fault lasts.
+func (r *runner) injectOriginResets(ctx context.Context, fault activeFault) {
+	const interval = 30 * time.Millisecond
+	for time.Now().Before(fault.endsAt) && sleep(ctx, interval) {
+		r.origin.resetConns()
+	}
+}
+
 // injectConnResets resets the open connections of nodes, again and again while the fault lasts.
 func (r *runner) injectConnResets(ctx context.Context, fault activeFault) {
 	const rounds = 3
--- a/internal/emulator/proxies.go
+++ b/internal/emulator/proxies.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -89,25 +88,41 @@
 	return nil
 }
 
-// configureProxies chooses the proxies' addresses and writes their files. All ports are held until each proxy has one: a port that
-// is free again may be the next proxy's, and two proxies that share one are each given a part of the other's clients.
+// configureProxies chooses the proxies' addresses and writes their files.
 func (r *runner) configureProxies() error {
 	if r.plan.Scenario.Gossip.On {
 		r.addressPrefix, r.proxyByIP = nextAddressPrefix(), map[string]string{}
 	}
 	for i := range r.plan.Scenario.Proxies {
-		listener, err := net.Listen("tcp", r.options.IP+":0")
+		address, err := r.reservePort(r.options.IP)
 		if err != nil {
 			return err
 		}
-		defer func() { _ = listener.Close() }() // it accepted nothing; a port still in use shows as its proxy starts
-		if err := r.configureProxy(i, listener.Addr().String()); err != nil {
+		if err := r.configureProxy(i, address); err != nil {
 			return err
 		}
 	}
 	return r.writeGossipConfigs()
 }
 
+// reservePort returns an address with a free port that this run has given to nobody yet: one that is free again may be the
+// next one's, and of two processes that share it either fails to start or each gets a part of the other's clients.
+func (r *runner) reservePort(ip string) (string, error) {
+	for {
+		address, err := freePort(ip)
+		if err != nil {
+			return "", err
+		}
+		r.mu.Lock()
+		taken := r.reserved[address]
+		r.reserved[address] = true
+		r.mu.Unlock()
+		if !taken {
+			return address, nil
+		}
+	}
+}
+
 // configureProxy writes the files of one proxy.
 func (r *runner) configureProxy(i int, address string) error {
 	dir, err := filepath.Abs(filepath.Join(r.options.Dir, fmt.Sprintf("proxy%d", i)))
@@ -145,7 +160,7 @@
 		}
 	}
 	if d.Admin && m.config.AdminAddress == "" {
-		address, err := freePort("127.0.0.1")
+		address, err := r.reservePort(r.options.IP)
 		if err != nil {
 			return err
 		}
--- a/internal/emulator/proxy_process.go
+++ b/internal/emulator/proxy_process.go
@@ -36,12 +36,13 @@
 	m.mu.Lock()
 	alreadyRunning := m.running
 	m.running = true
+	config := m.config
 	m.mu.Unlock()
 	if alreadyRunning {
 		return nil
 	}
 	r.discoveries[i].recordKnownAtStart()
-	process, err := r.options.Start(m.config)
+	process, err := r.options.Start(config)
 	if err != nil {
 		return err
 	}
@@ -96,7 +97,7 @@
 		}
 		select {
 		case <-process.exited:
-			return fmt.Errorf("proxy %d ended at its start; its log is in %s", i, config.Dir)
+			return &StartError{CrashRule, fmt.Sprintf("proxy %d ended at its start; its log is in %s", i, config.Dir)}
 		default:
 		}
 		if !sleep(ctx, readinessInterval) {
@@ -104,9 +105,17 @@
 		}
 	}
 	r.log.Record(Event{Kind: ProcessLate, Proxy: i})
-	return fmt.Errorf("proxy %d does not serve", i)
+	return &StartError{ReadyRule, fmt.Sprintf("proxy %d does not serve", i)}
 }
 
+// StartError reports a proxy that does not come up, with the rule that this breaks.
+type StartError struct {
+	Rule Rule
+	Text string
+}
+
+func (e *StartError) Error() string { return e.Text }
+
 // answersPing reports whether a proxy answers a ping at an address.
 func answersPing(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
--- a/internal/emulator/reload_faults.go
+++ b/internal/emulator/reload_faults.go
@@ -29,10 +29,10 @@
 	if err != nil {
 		return
 	}
-	r.mu.Lock()
+	m.mu.Lock()
 	m.config.Discovery = address
 	text, err := json.Marshal(r.configFileContent(i, m.config))
-	r.mu.Unlock()
+	m.mu.Unlock()
 	if err != nil {
 		return
 	}
@@ -91,7 +91,7 @@
 		return true
 	}
 	config := m.config
-	address, err := freePort("127.0.0.1")
+	address, err := r.reservePort(r.options.IP)
 	if err != nil {
 		return false
 	}
@@ -103,7 +103,9 @@
 	}
 	successor := &incarnation{Proxy: process, exited: make(chan struct{}), ended: make(chan struct{})}
 	if !r.awaitAdminReady(ctx, address, readyTimeout) {
-		r.log.Record(Event{Kind: ProcessLate, Proxy: i})
+		if ctx.Err() == nil {
+			r.log.Record(Event{Kind: ProcessLate, Proxy: i})
+		}
 		process.Kill()
 		<-process.Done() //nolint:errcheck // it was killed
 		return false
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -16,7 +16,7 @@
 type Options struct {
 	Start     StartFunc
 	Dir       string         // for files and logs, which are kept
-	IP        string         // loopback address of the proxies, 127.0.0.1 where it is empty
+	IP        string         // loopback address of the proxies, one of the run's own where it is empty
 	Overrides map[string]any // proxy settings by path, whose steps are separated by dots
 
 	FaultPages bool // the proxies were built by faultbuild, and each has a page of faults
@@ -52,16 +52,17 @@
 	nextNode      int     // number of the next cache
 	announcements []announcement
 	zoneFaults    []zoneFault
+	reserved      map[string]bool // addresses that were given to a process
 }
 
 // Run plays a plan and returns what came of it. Whatever happens, no proxy process is left when it returns; where the context
 // ended before the scenario did, its files are removed as well.
 func Run(ctx context.Context, plan *Plan, options Options) (*Report, error) {
-	if options.IP == "" {
-		options.IP = "127.0.0.1"
+	if options.IP == "" { // an address of the run's own: no outgoing connection of the machine takes a port there
+		options.IP = nextAddressPrefix() + "250"
 	}
 	log := NewEventLog()
-	r := &runner{plan: plan, options: options, log: log, cluster: newCluster(plan.Scenario, log), network: newNetwork(plan.Seed)}
+	r := &runner{plan: plan, options: options, log: log, cluster: newCluster(plan.Scenario, log), network: newNetwork(plan.Seed), reserved: map[string]bool{}}
 	r.cluster.network = r.network
 	defer func() {
 		r.stop()
--- a/internal/faultbuild/build.go
+++ b/internal/faultbuild/build.go
@@ -68,24 +68,11 @@
 	return f.write(filepath.Join(source, hookFile), hookSource)
 }
 
-// patch applies patches to files under a root, those of one file one after the other.
+// patch writes the patched files under a root.
 func (f *patchedFiles) patch(root string, patches []Patch) error {
-	contents := map[string]string{}
-	for i := range patches {
-		p := &patches[i]
-		content, ok := contents[p.File]
-		if !ok {
-			read, err := os.ReadFile(filepath.Join(root, p.File))
-			if err != nil {
-				return fmt.Errorf("faultbuild: %w", err)
-			}
-			content = string(read)
-		}
-		patched, err := p.apply(content)
-		if err != nil {
-			return err
-		}
-		contents[p.File] = patched
+	contents, err := patchContents(root, patches)
+	if err != nil {
+		return err
 	}
 	for file, content := range contents {
 		if err := f.write(filepath.Join(root, file), content); err != nil {
@@ -116,3 +103,32 @@
 	}
 	return file, nil
 }
+
+// CheckPatches returns a PatchError unless patches match the files of a module.
+func CheckPatches(module string, patches []Patch) error {
+	_, err := patchContents(module, patches)
+	return err
+}
+
+// patchContents returns the patched contents of files under a root, by file. Patches of one file are applied one after
+// the other.
+func patchContents(root string, patches []Patch) (map[string]string, error) {
+	contents := map[string]string{}
+	for i := range patches {
+		p := &patches[i]
+		content, ok := contents[p.File]
+		if !ok {
+			read, err := os.ReadFile(filepath.Join(root, p.File))
+			if err != nil {
+				return nil, fmt.Errorf("faultbuild: %w", err)
+			}
+			content = string(read)
+		}
+		patched, err := p.apply(content)
+		if err != nil {
+			return nil, err
+		}
+		contents[p.File] = patched
+	}
+	return contents, nil
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -41,6 +41,8 @@
 	life    lifecycle.Request // says whether a further attempt may begin
 	endedAt atomic.Int64      // when it had its final reply or its client left, in nanoseconds of the router's clock; 0: neither
 
+	writeTime atomic.Int64 // the longest that an attempt's value took to be written in part, in nanoseconds
+
 	// The reply, guarded by conn.mu.
 	ready  bool
 	header []byte
--- a/internal/proxy/socket_peek.go
+++ b/internal/proxy/socket_peek.go
@@ -55,6 +55,8 @@
 		return inputUnread
 	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
 		return inputNone
+	case errors.Is(err, syscall.ENOMEM), errors.Is(err, syscall.ENOBUFS): // the next read or write will tell
+		return inputNone
 	}
 	return inputEnded
 }
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -31,6 +31,9 @@
 	header  []byte      // reused from request to request
 	buffers net.Buffers // reused too
 	toldMS  int         // how long the upstream was told that the attempt waits, in milliseconds
+	// writeReserve is for how long the request's writing is expected to take: what was told is so much less than what
+	// was left.
+	writeReserve time.Duration
 
 	mu            sync.Mutex // guards what follows, by which other goroutines interrupt this one
 	conn          net.Conn
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -42,7 +42,10 @@
 	if refusal := conditions.MayBegin(); !refusal.Permitted() {
 		return u.refused(refusal)
 	}
-	if err := u.writeRequest(attempt); err != nil {
+	if refusal, err := u.writeRequest(attempt, until); !refusal.Permitted() {
+		u.host.router.counters.Refusals[refusal].Add(1)
+		return notSent(false) // a part of it was written, which no upstream begins
+	} else if err != nil {
 		if attempt.request.life.Finished() {
 			return notSent(false)
 		}
@@ -188,26 +191,6 @@
 	u.conn = nil
 }
 
-// writeRequest writes a request, its header and value gathered into one write.
-func (u *upstreamConn) writeRequest(attempt *attempt) error {
-	u.encodeRequest(attempt)
-	u.mu.Lock()
-	u.writing = attempt
-	var err error
-	if attempt.request.life.Finished() {
-		err = u.conn.SetWriteDeadline(pastDeadline)
-	}
-	u.mu.Unlock()
-	if err == nil {
-		buffers := u.buffers // WriteTo consumes the slice that it is called on
-		_, err = buffers.WriteTo(u.conn)
-	}
-	u.mu.Lock()
-	u.writing = nil
-	u.mu.Unlock()
-	return err
-}
-
 // encodeRequest sets the buffers that are to be written for an attempt. Caches and the origin alike are told how long
 // this attempt waits, and not what the client has said at first.
 func (u *upstreamConn) encodeRequest(attempt *attempt) {
@@ -216,7 +199,9 @@
 	if req.value != nil {
 		size = len(req.value)
 	}
-	u.toldMS = max(milliseconds(attempt.sentAt+attempt.timeout-h.router.clock.Now()), 1)
+	left := duration(attempt.sentAt + attempt.timeout - h.router.clock.Now())
+	u.writeReserve = req.writeReserve(left, size)
+	u.toldMS = max(int((left-u.writeReserve)/time.Millisecond), 1)
 	facts := wire.AppendFacts(nil, req.facts, u.toldMS)
 	if h.isOrigin {
 		u.header = wire.AppendOriginRequest(u.header[:0], u.addr, req.key, req.id, facts, size)
