--- a/cmd/emulator/soak.go
+++ b/cmd/emulator/soak.go
@@ -108,6 +108,9 @@
 		if err != nil {
 			return usageError{err}
 		}
+		if plant != nil && plant.Scenario != nil {
+			plant.Scenario(scenario)
+		}
 		outcome, err := player.Play(ctx, scenario, seed)
 		if err != nil {
 			return err
--- a/internal/emulator/bad_clients.go
+++ b/internal/emulator/bad_clients.go
@@ -89,7 +89,7 @@
 	var commands []byte
 	ids := make([]string, burstRequests)
 	for i := range ids {
-		ids[i] = fmt.Sprintf("burst%d-%d-%d", proxy, number, i)
+		ids[i] = fmt.Sprintf("burst%d-%d-%d", r.bursts.Add(1), proxy, i)
 		r.cluster.recordProxy(ids[i], proxy)
 		commands = append(commands, encodeCommand("KV.GET", keyName(uint64(i)), ids[i], route.requestFacts())...)
 	}
--- a/internal/emulator/cluster.go
+++ b/internal/emulator/cluster.go
@@ -21,7 +21,7 @@
 	zones    map[string]string          // by node
 	cached   map[string]map[string]bool // by node, the keys that it has
 	missedBy map[string][]string        // by request, the caches that missed until the origin answers
-	lastRun  map[string]time.Time       // by idempotency key, when the origin last carried it out
+	lastRun  map[string]time.Time       // by idempotency key, when what the origin last carried out had come
 	routes   map[string]Route           // by request
 	proxyOf  map[string]int             // by request, the proxy that a client sent it to last
 	written  map[string]bool            // keys that were written
@@ -95,10 +95,12 @@
 	key            string
 	idempotencyKey string // "": none
 	write          bool
+	receivedAt     time.Time // to its last byte
 }
 
 // fetch does the origin's work on a request. A value that is read is cached from then on by the caches that missed; one that is
-// written is cached nowhere. A write's repeat is dropped within the deduplication window of its idempotency key. An error is
+// written is cached nowhere. A write's repeat is dropped if it came within the deduplication window of its idempotency key, which
+// counts from when the other came, however long either waits for its turn. An error is
 // errQueueFull or errNoSuchKey.
 func (c *cluster) fetch(n *Node, r originRequest) error {
 	if n.work == nil {
@@ -128,9 +130,9 @@
 
 func (c *cluster) writeLocked(n *Node, r originRequest) {
 	window := millis(c.routes[r.id].DedupMS)
-	if at, ok := c.lastRun[r.idempotencyKey]; r.idempotencyKey == "" || !ok || time.Since(at) >= window {
+	if at, ok := c.lastRun[r.idempotencyKey]; r.idempotencyKey == "" || !ok || r.receivedAt.Sub(at).Abs() >= window+timingSlack {
 		if r.idempotencyKey != "" {
-			c.lastRun[r.idempotencyKey] = time.Now()
+			c.lastRun[r.idempotencyKey] = r.receivedAt
 		}
 		c.log.Record(Event{Kind: WriteExecuted, RequestID: r.id, Proxy: r.proxy, Node: n.Name, Note: r.idempotencyKey})
 	}
--- a/internal/emulator/drain_check.go
+++ b/internal/emulator/drain_check.go
@@ -9,6 +9,7 @@
 	*findings
 	processes *processHistory
 	since     map[proxyNode]time.Duration // when a proxy was notified of a drain that lasts
+	grace     time.Duration
 }
 
 func (d *drainCheck) observeDelivery(e Event) {
@@ -27,11 +28,11 @@
 	}
 	p := d.processes.pauses[e.Proxy]
 	for i := 0; i+1 < len(p); i += 2 { // what is delivered to a paused process it reads when it continues
-		if since >= p[i]-drainGrace && since <= p[i+1] {
+		if since >= p[i]-d.grace && since <= p[i+1] {
 			since = max(since, p[i+1])
 		}
 	}
-	if e.At > since+drainGrace+timingSlack {
+	if e.At > since+d.grace+timingSlack {
 		d.violate(DrainRule, e, "node %s took request %s from proxy %d %v after that was told", e.Node, e.RequestID, e.Proxy, e.At-since)
 	}
 }
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -55,6 +55,7 @@
 	log       *EventLog
 	cluster   *cluster
 	available []*atomic.Bool // by proxy: clients are sent to it
+	draining  []*atomic.Bool // by proxy: it was told to end, and clients go on using the connections that they have
 	addresses []string       // by proxy
 	inFlight  sync.WaitGroup
 	start     time.Time // of the scenario
@@ -70,7 +71,8 @@
 
 // addProxy adds the next proxy, which is not available yet.
 func (g *loadGenerator) addProxy(address string) {
-	g.available, g.addresses = append(g.available, &atomic.Bool{}), append(g.addresses, address)
+	g.available, g.draining = append(g.available, &atomic.Bool{}), append(g.draining, &atomic.Bool{})
+	g.addresses = append(g.addresses, address)
 }
 
 // clientConn is a client's connection.
@@ -172,7 +174,11 @@
 // request was on its way, and elsewhere where no connection was accepted.
 func (g *loadGenerator) perform(request Request) Outcome {
 	for attempt := 1; ; attempt++ {
-		conn, err := g.takeConn(g.pickProxy(request), attempt == 1)
+		conn := g.takeDraining(request.Proxy, attempt == 1)
+		var err error
+		if conn == nil {
+			conn, err = g.takeConn(g.pickProxy(request), attempt == 1)
+		}
 		if err != nil {
 			if attempt < dialAttempts {
 				time.Sleep(dialRetryDelay)
@@ -187,12 +193,31 @@
 	}
 }
 
+// takeDraining returns an idle connection to a proxy that was told to end, nil where there is none: clients use those that
+// they have for as long as they stay open.
+func (g *loadGenerator) takeDraining(proxy int, mayReuse bool) *clientConn {
+	if !mayReuse || !g.draining[proxy].Load() {
+		return nil
+	}
+	return g.takeUsable(proxy)
+}
+
 // takeConn returns a connection to a proxy, an idle one where it may and there is one.
 func (g *loadGenerator) takeConn(proxy int, mayReuse bool) (*clientConn, error) {
-	for mayReuse {
+	if mayReuse {
+		if conn := g.takeUsable(proxy); conn != nil {
+			return conn, nil
+		}
+	}
+	return g.dial(proxy)
+}
+
+// takeUsable returns an idle connection to a proxy that has not ended, nil where there is none.
+func (g *loadGenerator) takeUsable(proxy int) *clientConn {
+	for {
 		conn := g.takeIdle(proxy)
 		if conn == nil {
-			break
+			return nil
 		}
 		err := conn.SetReadDeadline(time.Now().Add(idleProbeTimeout))
 		if err == nil {
@@ -200,14 +225,13 @@
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			conn.reused = true
-			return conn, nil
+			return conn
 		}
 		if err == nil {
 			g.log.Record(Event{Kind: AnswerReceived, RequestID: conn.lastRequestID, Proxy: proxy, Note: noteUnexpectedReply})
 		}
 		_ = conn.Close() // it has ended or is out of step
 	}
-	return g.dial(proxy)
 }
 
 // takeIdle removes and returns an idle connection, nil where there is none: held connections are used in turn, others the latest
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -331,6 +331,7 @@
 	fetch := originRequest{
 		id: id, proxy: n.cluster.proxyFor(id, proxy), key: strings.TrimPrefix(request.URL.Path, "/"),
 		idempotencyKey: idempotencyKeyOf(request.Header.Get("X-Facts")), write: request.Method == http.MethodPut,
+		receivedAt: time.Now(),
 	}
 	if fetch.write && strings.Trim(string(body), writtenValueByte) != "" {
 		return errConnectionEnds // the value is not what clients write
--- a/internal/emulator/proxy_process.go
+++ b/internal/emulator/proxy_process.go
@@ -147,11 +147,14 @@
 	if process == nil {
 		return
 	}
-	r.load.available[i].Store(false) // the clients' balancer learns of it at once
 	if signal == nil {
+		r.load.available[i].Store(false) // the clients' balancer learns of it at once
 		process.Kill()
 	} else {
+		r.load.draining[i].Store(true)
+		defer r.load.draining[i].Store(false)
 		process.Signal(signal)
+		time.AfterFunc(newConnsAfterSignal, func() { r.stopNewConns(i, process) })
 	}
 	select {
 	case <-process.exited:
@@ -162,6 +165,19 @@
 	<-process.ended
 }
 
+// newConnsAfterSignal is for how long new connections go on coming to a proxy that was told to end.
+const newConnsAfterSignal = 300 * time.Millisecond
+
+// stopNewConns has no new connections made to a proxy, unless another process serves there by now.
+func (r *runner) stopNewConns(i int, process *incarnation) {
+	m := r.proxies[i]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.current == process {
+		r.load.available[i].Store(false)
+	}
+}
+
 // StartProgram returns a Start that runs a program with its arguments for each proxy and appends its output to the file "log" in the
 // proxy's directory.
 func StartProgram(words ...string) StartFunc {
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -44,6 +44,7 @@
 	relays        []*relay          // by proxy; none where they do not gossip
 
 	unansweredBadClients atomic.Int64
+	bursts               atomic.Int64 // numbers the requests of clients that send many at once
 	backgroundLoad       backgroundSamples
 	faultPages           []*faultbuild.Page // by proxy; none where proxies have none
 
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -159,6 +159,15 @@
 	return slices.ContainsFunc(d.Faults, func(fault Fault) bool { return linkFaultKinds[fault.Kind] })
 }
 
+// drainGrace is from when on a draining node receives nothing, after its proxy was notified.
+func (d *Scenario) drainGrace() time.Duration {
+	breaks := slices.ContainsFunc(d.Faults, func(fault Fault) bool { return fault.Kind == "break-conns" })
+	if breaks {
+		return drainGraceBroken
+	}
+	return drainGrace
+}
+
 // linkFaultKinds are the kinds of faults that lie on links.
 var linkFaultKinds = map[string]bool{
 	"part": true, "one-way": true, "lossy": true, "zone-cut": true, "zone-lost": true, "zone-grey": true, "link": true,
