--- a/balancer/events.go
+++ b/balancer/events.go
@@ -26,17 +26,17 @@
 	return b.settle()
 }
 
-// UpdateEndpoints takes the endpoint list: all of it, or only the endpoints that changed. The first list is complete.
-func (b *Balancer) UpdateEndpoints(now Time, complete, first bool, endpoints []Endpoint) []Decision {
+// UpdateEndpoints takes the endpoint list or a change of it.
+func (b *Balancer) UpdateEndpoints(now Time, update EndpointUpdate) []Decision {
 	b.begin(now)
-	if complete {
-		b.removeUnlisted(endpoints)
+	if update.Complete {
+		b.removeUnlisted(update.Endpoints)
 	}
-	for i := range endpoints {
-		b.updateEndpoint(endpoints[i], first)
+	for i := range update.Endpoints {
+		b.updateEndpoint(update.Endpoints[i], update.First)
 	}
 	b.rebuildRing()
-	if b.pollsList && first {
+	if b.pollsList && update.First {
 		b.pollList()
 	}
 	return b.settle()
--- a/balancer/scenario_events_test.go
+++ b/balancer/scenario_events_test.go
@@ -67,7 +67,7 @@
 		}
 		endpoints = append(endpoints, endpoint)
 	}
-	p.record(p.balancer.UpdateEndpoints(now, complete, first, endpoints))
+	p.record(p.balancer.UpdateEndpoints(now, balancer.EndpointUpdate{Complete: complete, First: first, Endpoints: endpoints}))
 }
 
 // endpointIndex returns the index of an endpoint. A new one has the index of its predecessor, or the next
--- a/balancer/types.go
+++ b/balancer/types.go
@@ -77,6 +77,13 @@
 	Cell      int
 }
 
+// EndpointUpdate is the endpoint list, or what has changed of it.
+type EndpointUpdate struct {
+	Complete  bool // endpoints that it does not name are gone
+	First     bool // it is the first list, which is complete: none of its endpoints has just started
+	Endpoints []Endpoint
+}
+
 // Request is a client request as it arrives.
 type Request struct {
 	Route, Tenant    int // Tenant -1: none
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -71,7 +71,7 @@
 	}
 	router.mailbox.post(func() {
 		router.endpoints = l
-		router.updateEndpoints(endpointUpdate{whole: true, initial: true, targets: targets})
+		router.updateEndpoints(endpointUpdate{whole: true, origin: listKnownAtStart, targets: targets})
 	})
 	return l, nil
 }
@@ -210,8 +210,10 @@
 		}
 		targets = l.peerEndpoints.merge(event.index, event.whole, targets)
 	}
-	update := endpointUpdate{whole: event.whole, catchUp: !l.receivedEvent, targets: targets}
-	l.receivedEvent = true
+	update := endpointUpdate{whole: event.whole, targets: targets}
+	if !l.receivedEvent {
+		l.receivedEvent, update.origin = true, listFirstMessage
+	}
 	l.router.mailbox.post(func() { l.router.updateEndpoints(update) })
 }
 
--- a/internal/proxy/host_index.go
+++ b/internal/proxy/host_index.go
@@ -7,18 +7,28 @@
 	"go.uber.org/zap"
 )
 
+// listOrigin is what an endpoint list, or a change of it, tells of when its hosts started.
+type listOrigin uint8
+
+const (
+	listChange       listOrigin = iota // starts that it tells of happen now
+	listFirstMessage                   // discovery's first: starts may have been before this process's
+	listKnownAtStart                   // the list that this process started with: no host counts as new
+)
+
 // endpointUpdate is a change of the endpoint list.
 type endpointUpdate struct {
 	whole   bool // hosts that it does not name have departed
-	initial bool // it is the list that this proxy had before its start, so that no host counts as new
-	catchUp bool // it is discovery's first message: what it tells may have happened before this process started
+	origin  listOrigin
 	targets []wire.Endpoint
 }
 
 // updateEndpoints takes a change of the endpoint list.
 func (r *Router) updateEndpoints(update endpointUpdate) {
 	now := r.clock.Now()
-	initial := update.initial || len(r.hosts) == 0 // where none is known, nothing shows which are new
+	if len(r.hosts) == 0 { // where none is known, nothing shows which are new
+		update.origin = listKnownAtStart
+	}
 	r.removeDeparted(now)
 	if update.whole {
 		for _, h := range r.hosts {
@@ -30,23 +40,23 @@
 	}
 	listings := make([]balancer.Endpoint, 0, len(update.targets))
 	for _, target := range update.targets {
-		if h := r.updateHost(target, initial, update.catchUp, now); h != nil {
+		if h := r.updateHost(target, update.origin, now); h != nil {
 			listings = append(listings, r.listing(h))
 		}
 	}
 	r.apply(now, func(b *balancer.Balancer) []balancer.Decision {
-		return b.UpdateEndpoints(now, update.whole, initial, listings)
+		return b.UpdateEndpoints(now, balancer.EndpointUpdate{Complete: update.whole, First: update.origin == listKnownAtStart, Endpoints: listings})
 	})
 	r.updateZoneNodes()
 	r.updateDutyNodes()
 }
 
 // updateHost takes a host's line of the endpoint list. It returns nil for a host that has departed and was never known.
-func (r *Router) updateHost(target wire.Endpoint, initial, catchUp bool, now balancer.Time) *upstreamHost {
+func (r *Router) updateHost(target wire.Endpoint, origin listOrigin, now balancer.Time) *upstreamHost {
 	if index, known := r.hostIndex[target.Name]; known {
 		h := r.hosts[index]
 		if h.restartedBy(target) {
-			h.startedAt = startTime(target, catchUp, now)
+			h.startedAt = startTime(target, origin, now)
 		} else {
 			target.StartedAtUnixMilli = h.endpoint.StartedAtUnixMilli
 		}
@@ -60,11 +70,11 @@
 		return nil
 	}
 	h := r.addHost(target)
-	if !initial && target.StartedAtUnixMilli == 0 {
+	if origin != listKnownAtStart && target.StartedAtUnixMilli == 0 {
 		// The balancer takes it to have just started, and so do the proxies that learn of it from this one.
 		target.StartedAtUnixMilli = int64(now / ticksPerMillisecond)
 	}
-	h.startedAt = startTime(target, initial || catchUp, now)
+	h.startedAt = startTime(target, origin, now)
 	h.setEndpoint(target, now)
 	return h
 }
@@ -86,11 +96,11 @@
 // startTime returns when a host started, by this process's clock; 0 is long ago. A start that is seen happens now, be
 // it told late: to compare the wall clocks of two machines would have a slow start be over before it began, or last as
 // long as they differ. Of starts before this process nothing but the wall clock tells.
-func startTime(target wire.Endpoint, beforeThisProcess bool, now balancer.Time) balancer.Time {
+func startTime(target wire.Endpoint, origin listOrigin, now balancer.Time) balancer.Time {
 	switch {
 	case target.StartedAtUnixMilli == 0:
 		return 0
-	case beforeThisProcess:
+	case origin != listChange:
 		return min(balancer.Time(target.StartedAtUnixMilli)*ticksPerMillisecond, now)
 	}
 	return now
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -268,7 +268,7 @@
 	p.listener = NewListener(step, p.router, 64, p.router.counters, zap.NewNop())
 	p.listener.SetLimits(100, 100)
 	p.listener.Open()
-	update := endpointUpdate{whole: true, initial: true, targets: targetsOf(nodes)}
+	update := endpointUpdate{whole: true, origin: listKnownAtStart, targets: targetsOf(nodes)}
 	p.router.mailbox.post(func() { p.router.updateEndpoints(update) })
 	go p.router.Run()
 	go p.listener.Run()
--- a/internal/proxy/router_test.go
+++ b/internal/proxy/router_test.go
@@ -59,7 +59,7 @@
 	target := func(i int) wire.Endpoint {
 		return wire.Endpoint{Name: fmt.Sprint("c", i), Address: "127.0.0.1:1", Ready: true}
 	}
-	router.updateEndpoints(endpointUpdate{whole: true, initial: true, targets: []wire.Endpoint{target(0), target(1)}})
+	router.updateEndpoints(endpointUpdate{whole: true, origin: listKnownAtStart, targets: []wire.Endpoint{target(0), target(1)}})
 	before := runtime.NumGoroutine()
 	for i := 2; i < 60; i++ {
 		gone := target(i - 2)
--- a/internal/proxy/shadow_test.go
+++ b/internal/proxy/shadow_test.go
@@ -82,7 +82,7 @@
 		listings = append(listings, balancer.Endpoint{Index: i, Name: name, Origin: name == "o", Ready: true, Weight: 1})
 	}
 	s.apply(0, s.router.decide(0, func(b *balancer.Balancer) []balancer.Decision {
-		return b.UpdateEndpoints(0, true, true, listings)
+		return b.UpdateEndpoints(0, balancer.EndpointUpdate{Complete: true, First: true, Endpoints: listings})
 	}))
 }
 
--- a/internal/simadapter/endpointlist.go
+++ b/internal/simadapter/endpointlist.go
@@ -109,7 +109,7 @@
 	}
 	warm := mode == modeSaved || !in.hasList // the first list has the endpoints that were there before the instance
 	in.hasList = true
-	return in.balancer.UpdateEndpoints(a.now, mode != modeIncremental, warm, list)
+	return in.balancer.UpdateEndpoints(a.now, balancer.EndpointUpdate{Complete: mode != modeIncremental, First: warm, Endpoints: list})
 }
 
 // listing translates an endpoint to the balancer's indices.
