--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -30,13 +30,18 @@
 			log.Warn("listener not inherited from predecessor", zap.Error(err))
 		}
 	}
-	listener, err := listenReusingPort(config.Listen)
+	listener, err := listenPersistently(config.Listen, listenReusingPort)
 	if err != nil {
 		return nil, nil, fmt.Errorf("configuration: listen: %w", err)
 	}
 	return listener, nil, nil
 }
 
+// listenPersistently listens at an address.
+func listenPersistently(address string, listen func(string) (*net.TCPListener, error)) (*net.TCPListener, error) {
+	return listen(address)
+}
+
 func listenReusingPort(address string) (*net.TCPListener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
 		return conn.Control(func(fd uintptr) {
