--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net"
 	"syscall"
+	"time"
 
 	"woodproxy/internal/hotrestart"
+	"woodproxy/internal/systemerror"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
@@ -37,9 +39,30 @@
 	return listener, nil, nil
 }
 
+// How long a start goes on that fails for want of something on this machine, and how often it is tried again. A process
+// is to serve 10 s after its start.
+const (
+	startRetryTime  = 7 * time.Second
+	startRetryDelay = 20 * time.Millisecond
+)
+
+// retryStart calls a function until it succeeds, fails for a reason that does not pass by itself, or time is up.
+func retryStart(call func() error) error {
+	for end := time.Now().Add(startRetryTime); ; time.Sleep(startRetryDelay) {
+		err := call()
+		if err == nil || !systemerror.IsTransient(err) || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
 // listenPersistently listens at an address.
-func listenPersistently(address string, listen func(string) (*net.TCPListener, error)) (*net.TCPListener, error) {
-	return listen(address)
+func listenPersistently(address string, listen func(string) (*net.TCPListener, error)) (listener *net.TCPListener, err error) {
+	err = retryStart(func() error {
+		listener, err = listen(address)
+		return err
+	})
+	return listener, err
 }
 
 func listenReusingPort(address string) (*net.TCPListener, error) {
@@ -101,7 +124,7 @@
 	}
 	s.resources.update(func(b *resourceBudget) { b.hasPredecessor = false })
 	s.log.Info("predecessor process has exited")
-	if err := s.gossip.start(); err != nil {
+	if err := retryStart(s.gossip.start); err != nil {
 		s.log.Error("gossip not started", zap.Error(err))
 	}
 }
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -121,7 +121,7 @@
 	}
 	s.resources.update(func(b *resourceBudget) { b.hasPredecessor = s.predecessor != nil })
 	if s.predecessor == nil { // else the gossip address is free once that process has exited
-		if err := s.gossip.start(); err != nil {
+		if err := retryStart(s.gossip.start); err != nil {
 			return err
 		}
 	}
@@ -200,7 +200,11 @@
 	if s.config.Management == "" {
 		return nil
 	}
-	adminServer, err := admin.Listen(s.config.Management, s.admin)
+	var adminServer *admin.Server
+	err := retryStart(func() (err error) {
+		adminServer, err = admin.Listen(s.config.Management, s.admin)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("configuration: management: %w", err)
 	}
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -6,9 +6,9 @@
 	"io"
 	"os"
 	"path/filepath"
-	"slices"
-	"syscall"
 	"time"
+
+	"woodproxy/internal/systemerror"
 )
 
 const (
@@ -40,7 +40,7 @@
 func Open(dir, owner string) (*Store, error) { return openOn(realDisk, dir, owner) }
 
 func openOn(disk disk, dir, owner string) (*Store, error) {
-	if err := disk.checkWritable(dir); err != nil && !isTemporary(err) {
+	if err := disk.checkWritable(dir); err != nil && !systemerror.IsTransient(err) {
 		return nil, &DirError{Dir: dir, Err: err}
 	}
 	removeLeftovers(dir)
@@ -74,16 +74,6 @@
 	return nil
 }
 
-// temporaryErrnos are the errors of a disk that is full or fails, and of a machine that lacks something, for a while.
-var temporaryErrnos = []syscall.Errno{
-	syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.ENFILE, syscall.EMFILE, syscall.ENOMEM, syscall.EINTR, syscall.EAGAIN,
-}
-
-// isTemporary reports whether an error of the disk may pass by itself.
-func isTemporary(err error) bool {
-	return slices.ContainsFunc(temporaryErrnos, func(errno syscall.Errno) bool { return errors.Is(err, errno) })
-}
-
 // leftoverAge is from when on a temporary file is one that a killed process has left: no write takes as long. The clock
 // may have been set back since, so that its time may also lie in the future.
 const leftoverAge = time.Minute
