Hot restart: an error of accept does not end the taking over of listeners for good

The same mistake as at the management address: the goroutine ended at the first error.

Left: gossip's start, since memberlist hands on the text of an error and not the error.

--- a/internal/hotrestart/socket.go
+++ b/internal/hotrestart/socket.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"time"
 )
 
 // errSocketClosed reports that the process stops and is not to be replaced any more.
@@ -66,14 +67,26 @@
 	return nil
 }
 
-// accept handles connections until the listener is closed.
-func (s *restartSocket) accept(listener *net.UnixListener) {
+// unixAcceptor accepts connections, as net.UnixListener does.
+type unixAcceptor interface {
+	AcceptUnix() (*net.UnixConn, error)
+}
+
+// acceptRetryDelay is how long it takes until accepting is tried again that has failed.
+const acceptRetryDelay = 5 * time.Millisecond
+
+// accept handles connections until the listener is closed. Any other error passes: a successor may still come.
+func (s *restartSocket) accept(listener unixAcceptor) {
 	for {
 		conn, err := listener.AcceptUnix()
-		if err != nil {
+		switch {
+		case err == nil:
+			go s.handle(conn)
+		case errors.Is(err, net.ErrClosed):
 			return
+		default:
+			time.Sleep(acceptRetryDelay)
 		}
-		go s.handle(conn)
 	}
 }
 
