--- a/internal/proxy/upstream_write.go
+++ b/internal/proxy/upstream_write.go
@@ -16,8 +16,9 @@
 	heldBack     = 2 // bytes
 	// expectedWriteRate is how fast long values are taken, in bytes a second, unless it has shown that they are not.
 	expectedWriteRate = 512 << 10
-	// maxReservePart is the part of what is left that is reserved for the writing at most.
-	maxReservePart = 3
+	// Parts of what is left that are reserved for the writing at most: by what is expected, and by what was seen.
+	maxExpectedPart = 1.0 / 3
+	maxReservePart  = 2.0 / 3
 )
 
 // writeReserve is for how long the writing of an attempt may take, beyond lifecycle.MaxWriteDelay, when so much is left
@@ -26,8 +27,9 @@
 	if size < heldBackFrom {
 		return 0
 	}
-	expected := min(time.Duration(size)*time.Second/expectedWriteRate, left/maxReservePart)
-	return max(min(expected, left), min(time.Duration(r.writeTime.Load())*5/4, left))
+	expected := min(time.Duration(size)*time.Second/expectedWriteRate, time.Duration(float64(left)*maxExpectedPart))
+	seen := time.Duration(r.writeTime.Load()) * 5 / 4
+	return min(max(expected, seen), time.Duration(float64(left)*maxReservePart))
 }
 
 // writeRequest writes a request, its header and value gathered into one write. The end of a long one is held back until
