--- a/cmd/emulator/soak.go
+++ b/cmd/emulator/soak.go
@@ -26,6 +26,7 @@
 	Schedule   string   `help:"Play this scenario file, as a find has written it, in place of drawn ones."`
 	Module     string   `default:"." help:"Root of the program's sources, from which the proxy is built." type:"existingdir"`
 	Dir        string   `default:"found/soak" help:"Where logs are kept; it must not exist or be empty."`
+	Keep       bool     `help:"Keep the logs of clean scenarios too."`
 	Shrink     bool     `default:"true" negatable:"" help:"Look for the fewest faults that show a violation."`
 }
 
@@ -68,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	return c.playAll(ctx, &soak.Soak{Program: program, Dir: c.Dir, Out: os.Stdout}, plant)
+	return c.playAll(ctx, &soak.Soak{Program: program, Dir: c.Dir, Keep: c.Keep, Out: os.Stdout}, plant)
 }
 
 // check checks the flags and returns the mistake that is to be planted, nil for none.
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -160,15 +160,23 @@
 }
 
 // recordKnownAtStart records which endpoints are not active as a proxy process starts: this counts as delivered from that
-// process's first moment, whether or not a watch is open.
+// process's first moment, whether or not a watch is open, unless the agent says nothing then: it counts a little later.
 func (d *Discovery) recordKnownAtStart() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var inactive []Endpoint
 	for _, row := range d.currentRows() {
 		if row.Status != statusActive {
-			d.recordDelivered(row)
+			inactive = append(inactive, row)
 		}
 	}
+	if d.mode != discoveryServes {
+		time.AfterFunc(deliveryDeadline, func() { d.assumeDelivered(inactive) })
+		return
+	}
+	for _, row := range inactive {
+		d.recordDelivered(row)
+	}
 }
 
 // silenceOpenWatches has the open watches stay open and be sent nothing; later ones are served.
--- a/internal/emulator/proxy_process.go
+++ b/internal/emulator/proxy_process.go
@@ -140,7 +140,7 @@
 	m := r.proxies[i]
 	m.mu.Lock()
 	process := m.current
-	if process != nil && process.endNote == "" {
+	if process != nil && (process.endNote == "" || signal == nil) { // a kill ends what a signal has begun
 		process.endNote = note
 	}
 	m.mu.Unlock()
--- a/internal/emulator/reload_faults.go
+++ b/internal/emulator/reload_faults.go
@@ -112,7 +112,9 @@
 	}
 	m.mu.Lock()
 	m.current, m.config.AdminAddress = successor, address
-	old.endNote = endReplaced
+	if old.endNote == "" {
+		old.endNote = endReplaced
+	}
 	m.mu.Unlock()
 	r.processWatchers.Go(func() { r.watchProcess(i, successor) })
 	old.Signal(syscall.SIGTERM)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -38,7 +38,8 @@
 // Soak plays scenarios.
 type Soak struct {
 	Program string // the proxy, built with faults
-	Dir     string // for files and logs; those of clean scenarios are removed
+	Dir     string // for files and logs; those of clean scenarios are removed, unless they are kept
+	Keep    bool
 	Out     io.Writer
 }
 
@@ -108,7 +109,9 @@
 		outcome.Verdict = Violated
 	default:
 		outcome.Verdict = Clean
-		err = os.RemoveAll(dir)
+		if !s.Keep {
+			err = os.RemoveAll(dir)
+		}
 	}
 	return outcome, err
 }
