--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -131,16 +131,17 @@
 	return e
 }
 
-func left(atMS int) emulator.Event { return event(atMS, emulator.ClientLeft, "a", "", "") }
+// left is the leaving of the read's client at 100 ms.
+func left() emulator.Event { return event(100, emulator.ClientLeft, "a", "", "") }
 
 var attemptCases = []ruleCase{
-	{"attempt after the client left", []emulator.Event{asked(0), left(100), attempt(260, "c1")}, emulator.LateAttemptRule},
-	{"attempt as the client left", []emulator.Event{asked(0), left(100), attempt(240, "c1")}, ""},
+	{"attempt after the client left", []emulator.Event{asked(0), left(), attempt(260, "c1")}, emulator.LateAttemptRule},
+	{"attempt as the client left", []emulator.Event{asked(0), left(), attempt(240, "c1")}, ""},
 	{"attempt after the answer", []emulator.Event{asked(0), answered(100, "completed"), attempt(260, "c1")}, emulator.LateAttemptRule},
 	{"hedged attempt as the answer came", []emulator.Event{asked(0), attempt(10, "c1"), answered(100, "completed"), attempt(240, "c2")}, ""},
-	{"attempt of a request that is asked again", []emulator.Event{asked(0), left(100), asked(250), attempt(260, "c1"), answered(300, "completed")}, ""},
+	{"attempt of a request that is asked again", []emulator.Event{asked(0), left(), asked(250), attempt(260, "c1"), answered(300, "completed")}, ""},
 	{"attempt of a paused proxy", []emulator.Event{
-		asked(0), left(100), paused(110, "stands"), paused(400, "goes on"), attempt(410, "c1"),
+		asked(0), left(), paused(110, "stands"), paused(400, "goes on"), attempt(410, "c1"),
 	}, ""},
 	{"told more than is left", []emulator.Event{asked(0), toldMS(500, 701), answered(600, "completed")}, emulator.ToldDeadlineRule},
 	{"told what is left and the slack", []emulator.Event{asked(0), toldMS(500, 700), answered(600, "completed")}, ""},
