--- a/internal/proxy/client_deadline_test.go
+++ b/internal/proxy/client_deadline_test.go
@@ -15,9 +15,9 @@
 )
 
 // shortTimeouts are times that a client has for its commands, short enough for a test.
-func shortTimeouts() clientTimeouts {
+func shortTimeouts() *clientTimeouts {
 	const short = 150 * time.Millisecond
-	return clientTimeouts{firstCommand: short, command: short, idle: short}
+	return &clientTimeouts{firstCommand: short, command: short, idle: short}
 }
 
 // Bytes of a client arrive in the very moment in which its time is over, for its first command, for the rest of one, or
@@ -36,7 +36,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			cache, origin := newCache(t), newOrigin(t)
 			clients := make(chan net.Conn, 1)
-			p := newSteppedTestProxy(t, &steppedListener{atDeadline: func() {
+			p := newSteppedTestProxy(t, &steppedListener{timeouts: shortTimeouts(), atDeadline: func() {
 				select {
 				case client := <-clients:
 					if _, err := client.Write([]byte(test.after)); err != nil {
@@ -46,7 +46,6 @@
 				default: // interrupted by a reply
 				}
 			}}, 10, defaultSettings, cache, origin)
-			p.listener.timeouts = shortTimeouts()
 			client := p.dial()
 			reader := bufio.NewReader(client)
 			send(t, client, test.before)
@@ -75,8 +74,7 @@
 // A client that goes on sending a little of one command has its time all the same.
 func TestDrippedCommandHasItsTime(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
-	p := newTestProxy(t, 10, defaultSettings, cache, origin)
-	p.listener.timeouts = shortTimeouts()
+	p := newSteppedTestProxy(t, &steppedListener{timeouts: shortTimeouts()}, 10, defaultSettings, cache, origin)
 	client, began := p.dial(), time.Now()
 	for _, b := range []byte(setCommand("dripped", longPut, "value of some length that drips on for longer than it may")) {
 		if _, err := client.Write([]byte{b}); err != nil {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -270,6 +270,9 @@
 	p.ln = ln.(*net.TCPListener)
 	step.TCPListener = p.ln
 	p.listener = NewListener(step, p.router, 64, p.router.counters, zap.NewNop())
+	if step.timeouts != nil {
+		p.listener.timeouts = *step.timeouts
+	}
 	p.listener.SetLimits(100, 100)
 	p.listener.Open()
 	update := endpointUpdate{whole: true, origin: listKnownAtStart, targets: targetsOf(nodes)}
@@ -336,6 +339,7 @@
 // steppedListener is a listener that stops between two steps when told: between having accepted a connection and
 // returning it, and between a connection's last look for bytes and its end.
 type steppedListener struct {
+	timeouts *clientTimeouts // nil: as usual
 	*net.TCPListener
 	accepted     chan struct{} // nil: does not stop there
 	proceed      chan struct{}
