--- a/internal/proxy/client_deadline_test.go
+++ b/internal/proxy/client_deadline_test.go
@@ -101,28 +101,8 @@
 		syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH,
 	} {
 		t.Run(errno.Error(), func(t *testing.T) {
-			cache, origin := newCache(t), newOrigin(t)
-			step := &steppedListener{accepted: make(chan struct{}, 100), proceed: make(chan struct{}), failure: errno}
-			p := newSteppedTestProxy(t, step, 10, defaultSettings, cache, origin)
-			var clients []net.Conn
-			for range 3 {
-				client := p.dial()
-				send(t, client, getCommand("id"+client.LocalAddr().String(), longWaitMS))
-				clients = append(clients, client)
-			}
-			<-step.accepted
-			go p.listener.Close(time.Now().Add(5*time.Second), true, testDrain)
-			p.awaitClosing()
-			step.failuresLeft.Store(10)
-			close(step.proceed)
-			for range clients {
-				cache.next(t).replyValue(t)
-			}
-			for _, client := range clients {
-				if line, err := bufio.NewReader(client).ReadString('\n'); line != "$5\r\n" {
-					t.Errorf("%q, %v", line, err)
-				}
-			}
+			step := &steppedListener{failure: errno}
+			checkBacklogIsServed(t, step, func() { step.failuresLeft.Store(10) })
 		})
 	}
 }
--- a/internal/proxy/listener_test.go
+++ b/internal/proxy/listener_test.go
@@ -51,10 +51,12 @@
 	<-closed
 }
 
-// Clients wait in the listener's queue when it closes: all are accepted and answered.
-func TestBacklogIsServedDuringClose(t *testing.T) {
+// checkBacklogIsServed has clients wait in the listener's queue as it closes, and fails unless all are answered. atClose is
+// called before the first of them is accepted.
+func checkBacklogIsServed(t *testing.T, step *steppedListener, atClose func()) {
+	t.Helper()
 	cache, origin := newCache(t), newOrigin(t)
-	step := &steppedListener{accepted: make(chan struct{}, 100), proceed: make(chan struct{})}
+	step.accepted, step.proceed = make(chan struct{}, 100), make(chan struct{})
 	p := newSteppedTestProxy(t, step, 10, defaultSettings, cache, origin)
 	var clients []net.Conn
 	for i := range 5 {
@@ -65,7 +67,7 @@
 	<-step.accepted
 	go p.listener.Close(time.Now().Add(5*time.Second), true, testDrain)
 	p.awaitClosing()
-	time.Sleep(50 * time.Millisecond)
+	atClose()
 	close(step.proceed)
 	for range clients {
 		cache.next(t).replyValue(t)
@@ -77,6 +79,11 @@
 	}
 }
 
+// Clients wait in the listener's queue when it closes: all are accepted and answered.
+func TestBacklogIsServedDuringClose(t *testing.T) {
+	checkBacklogIsServed(t, &steppedListener{}, func() { time.Sleep(50 * time.Millisecond) })
+}
+
 // No file descriptor is left for a while, and accepting fails: who waited is accepted once there is one.
 func TestAcceptRecoversFromErrors(t *testing.T) {
 	cache, origin := newCache(t), newOrigin(t)
