One loop outlasts errors of accept, for operators' calls and for hot restart

connlimit.go and socket.go each had it, with a delay of its own. systemerror.AcceptPersistently serves both; the clients' listener keeps its own, which also knows deadlines and limits.

--- a/internal/admin/connlimit.go
+++ b/internal/admin/connlimit.go
@@ -1,11 +1,11 @@
 package admin
 
 import (
-	"errors"
 	"net"
 	"slices"
 	"sync"
-	"time"
+
+	"woodproxy/internal/systemerror"
 )
 
 // connLimiter is a listener that bounds the number of open connections. A connection above the limit evicts the oldest, so that
@@ -26,7 +26,8 @@
 
 // Accept waits for the next connection and closes the oldest one where there are too many with it.
 func (l *connLimiter) Accept() (net.Conn, error) {
-	accepted, err := l.acceptPersistently()
+	// On an error net/http would end its service for good.
+	accepted, err := systemerror.AcceptPersistently(l.Listener.Accept)
 	if err != nil {
 		return nil, err
 	}
@@ -37,21 +38,6 @@
 	return conn, nil
 }
 
-// acceptRetryDelay is how long it takes until accepting is tried again that has failed.
-const acceptRetryDelay = 5 * time.Millisecond
-
-// acceptPersistently waits for the next connection, and fails only if the listener is closed: net/http would end its
-// service for good on others.
-func (l *connLimiter) acceptPersistently() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err == nil || errors.Is(err, net.ErrClosed) {
-			return conn, err
-		}
-		time.Sleep(acceptRetryDelay)
-	}
-}
-
 // add counts the connection as open. It returns the connection that has to be closed for it, or nil.
 func (l *connLimiter) add(conn *limitedConn) (evicted *limitedConn) {
 	l.mu.Lock()
--- a/internal/hotrestart/socket.go
+++ b/internal/hotrestart/socket.go
@@ -8,7 +8,8 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"time"
+
+	"woodproxy/internal/systemerror"
 )
 
 // errSocketClosed reports that the process stops and is not to be replaced any more.
@@ -72,21 +73,14 @@
 	AcceptUnix() (*net.UnixConn, error)
 }
 
-// acceptRetryDelay is how long it takes until accepting is tried again that has failed.
-const acceptRetryDelay = 5 * time.Millisecond
-
 // accept handles connections until the listener is closed. Any other error passes: a successor may still come.
 func (s *restartSocket) accept(listener unixAcceptor) {
 	for {
-		conn, err := listener.AcceptUnix()
-		switch {
-		case err == nil:
-			go s.handle(conn)
-		case errors.Is(err, net.ErrClosed):
+		conn, err := systemerror.AcceptPersistently(listener.AcceptUnix)
+		if err != nil {
 			return
-		default:
-			time.Sleep(acceptRetryDelay)
 		}
+		go s.handle(conn)
 	}
 }
 
--- a/internal/systemerror/transient.go
+++ b/internal/systemerror/transient.go
@@ -1,4 +1,4 @@
-// Package systemerror tells errors of system calls apart that may pass by themselves.
+// Package systemerror tells errors of system calls apart that may pass by themselves, and outlasts those of accept.
 package systemerror
 
 import (
