Proxy: one look at the clock for an attempt's begin and end, and nothing that is never used

- newAttempt and attemptFinished read the clock for the trace and once more for the balancer; checkStarted read it twice.
Each reads it once now.
The latency of an attempt counts to the arrival of its result, some microseconds before its delivery to the client.
- request.clientUntil was kept beside what it follows from; it is derived where it is checked.
- Gone: Reason.IsAttempt, which nobody called; a map of replies of which two of four entries were never looked up; the part of excusesPending that its caller had returned on before.

--- a/balancer/reason.go
+++ b/balancer/reason.go
@@ -53,9 +53,6 @@
 // String returns the reason in logs and metrics.
 func (r Reason) String() string { return reasonNames[r%numReasons] }
 
-// IsAttempt reports whether it is a reason to send an attempt.
-func (r Reason) IsAttempt() bool { return r >= ReasonFirst && r <= ReasonHedge }
-
 // attemptReason is why the current request is sent to an endpoint that it has not waited for.
 func (r *requestState) attemptReason() Reason {
 	switch {
--- a/internal/proxy/client_read.go
+++ b/internal/proxy/client_read.go
@@ -224,9 +224,7 @@
 		req.setReply([]byte("-ERR bad facts\r\n"), nil)
 		return
 	}
-	waited := c.queuedTime()
-	req.receivedAt = router.clock.Now() - balancer.Time(waited/tickDuration)
-	req.clientUntil = time.Now().Add(time.Duration(req.waitMS)*time.Millisecond - waited)
+	req.receivedAt = router.clock.Now() - balancer.Time(c.queuedTime()/tickDuration)
 	if router.negativeCache.lookUp(req) {
 		req.reply(router.counters, replyNotFound, nil, 0)
 		return
--- a/internal/proxy/close_reason.go
+++ b/internal/proxy/close_reason.go
@@ -57,10 +57,6 @@
 	return closedByClient
 }
 
-// excusesPending reports whether requests without a reply may end with the connection: nobody waits for them, or the
-// client sees that the value was cut off.
-func (r closeReason) excusesPending() bool { return r == closedByClient || r == closedStreamBroken }
-
 // recordClose counts why the connection has ended, and checks that no request is left without a reply by that.
 func (c *clientConn) recordClose(reason closeReason, pending []*request) {
 	counters := c.listener.counters
@@ -74,7 +70,8 @@
 	if len(unanswered) == 0 || reason == closedByClient {
 		return
 	}
-	counters.Invariants.ClientConnClosed(unanswered, reason.excusesPending() || c.writeFailed, reason.String())
+	cutOff := reason == closedStreamBroken || c.writeFailed // which the client sees
+	counters.Invariants.ClientConnClosed(unanswered, cutOff, reason.String())
 	c.listener.log.Warn("client connection closed with requests unanswered",
 		zap.Stringer("reason", reason), zap.ByteStrings("ids", unanswered))
 }
--- a/internal/proxy/decisions.go
+++ b/internal/proxy/decisions.go
@@ -48,9 +48,10 @@
 // newAttempt returns the attempt that the balancer has decided on.
 func (r *Router) newAttempt(d *balancer.Decision) *attempt {
 	s := &r.slots[d.Request]
+	now := r.clock.Now()
 	r.counters.Reasons[d.Reason].Add(1)
-	s.trace.add(traceEvent{at: r.clock.Now(), kind: traceSent, host: d.Endpoint, reason: d.Reason})
-	next := &attempt{request: s.request, slot: d.Request, host: d.Endpoint, sentAt: r.clock.Now(), timeout: d.After}
+	s.trace.add(traceEvent{at: now, kind: traceSent, host: d.Endpoint, reason: d.Reason})
+	next := &attempt{request: s.request, slot: d.Request, host: d.Endpoint, sentAt: now, timeout: d.After}
 	if s.firstSentAt > 0 {
 		route := &r.settings.Balancer.Routes[r.settings.Routes[s.request.route]]
 		if route.Effect == balancer.Deduped {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -33,7 +33,6 @@
 	valueBytes           int           // of the value and of the reply's body, as counted in the value memory
 	admitted             bool          // counts as held until its reply is written or its client has gone
 	receivedAt           balancer.Time // when its last byte was read
-	clientUntil          time.Time     // until when the client waits; zero: not known
 
 	slot    int  // index of its request slot; only the router's goroutine looks at this and hasSlot
 	hasSlot bool // it has been handed to the balancer
@@ -88,6 +87,14 @@
 	return nil
 }
 
+// clientUntil returns until when the client waits, the zero time where that is not known.
+func (r *request) clientUntil(clock Clock) time.Time {
+	if r.receivedAt == 0 {
+		return time.Time{}
+	}
+	return clock.Instant(r.receivedAt).Add(time.Duration(r.waitMS) * time.Millisecond)
+}
+
 // reply sets the final reply. A completed request carries the value as the upstream sent it; retryAfterMS, in
 // milliseconds, is told to clients whose request is shed, unless it is 0.
 func (r *request) reply(counters *Counters, kind finalReply, value []byte, retryAfterMS int) {
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -109,17 +109,14 @@
 	r.releaseSlot(req.slot)
 }
 
-// replyTraces are the transitions that the final replies are.
-var replyTraces = map[finalReply]traceKind{
-	replyCompleted: traceCompleted, replyNotFound: traceCompleted, replyShed: traceShed, replyError: traceFailed,
-}
-
 // reject gives a request the final reply that a decision says, unless it has one.
 func (r *Router) reject(d *balancer.Decision, kind finalReply) {
 	r.counters.Rejections[d.Reason].Add(1)
-	s := &r.slots[d.Request]
-	s.trace.add(traceEvent{at: r.clock.Now(), kind: replyTraces[kind], reason: d.Reason})
-	s.trace.abnormal = s.trace.abnormal || kind == replyError
+	s, event := &r.slots[d.Request], traceShed
+	if kind == replyError {
+		event, s.trace.abnormal = traceFailed, true
+	}
+	s.trace.add(traceEvent{at: r.clock.Now(), kind: event, reason: d.Reason})
 	r.reply(d.Request, kind, nil, d.After)
 }
 
@@ -160,14 +157,17 @@
 func (r *Router) attemptFinished(attempt *attempt, result attemptResult) {
 	s := &r.slots[attempt.slot]
 	s.inFlight--
-	s.trace.recordEnd(r.clock.Now(), attempt.host, result.outcome)
+	now := r.clock.Now()
+	s.trace.recordEnd(now, attempt.host, result.outcome)
+	if result.outcome == balancer.Completed && !s.finished {
+		s.trace.add(traceEvent{at: now, kind: traceCompleted})
+	}
 	r.hosts[attempt.host].inFlight--
 	r.counters.Ends[result.outcome].Add(1)
 	if s.firstSentAt == 0 && mayHaveRun(result.outcome) {
 		s.firstSentAt = attempt.sentAt
 	}
 	r.deliver(attempt, result)
-	now := r.clock.Now()
 	answer := balancer.AttemptResult{
 		Request: attempt.slot, Endpoint: attempt.host, Outcome: result.outcome, Latency: now - attempt.sentAt, Answered: s.finished,
 	}
@@ -190,9 +190,6 @@
 // deliver replies to the client with a completed attempt's value. Values that no client waits for are dropped.
 func (r *Router) deliver(attempt *attempt, result attemptResult) {
 	s := &r.slots[attempt.slot]
-	if result.outcome == balancer.Completed && !s.finished {
-		s.trace.add(traceEvent{at: r.clock.Now(), kind: traceCompleted})
-	}
 	wanted := result.outcome == balancer.Completed && !s.finished
 	switch {
 	case wanted && attempt.notFound:
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -95,13 +95,14 @@
 	if checker == nil {
 		return
 	}
+	now := time.Now()
 	checker.AttemptStarted(&invariant.AttemptStart{
-		RequestID: attempt.request.id, At: time.Now(),
+		RequestID: attempt.request.id, At: now,
 		RequestEnded:     router.clock.instantOf(attempt.request.endedAt.Load()),
 		EndpointDraining: router.clock.instantOf(u.host.notReadySince.Load()),
 		DedupWindowEnd:   router.dedupWindowEnd(attempt),
-		ToldUntil:        time.Now().Add(time.Duration(u.toldMS) * time.Millisecond),
-		ClientUntil:      attempt.request.clientUntil,
+		ToldUntil:        now.Add(time.Duration(u.toldMS) * time.Millisecond),
+		ClientUntil:      attempt.request.clientUntil(router.clock),
 	})
 }
 
