--- a/internal/emulator/cluster.go
+++ b/internal/emulator/cluster.go
@@ -131,6 +131,23 @@
 	receivedAt     time.Time // of the last byte
 }
 
+// recordRead records that a node served a read that must not be executed twice.
+func (c *cluster) recordRead(n *Node, proxy int, id string) {
+	c.mu.Lock()
+	unsafe := c.routes[id].Unsafe
+	c.mu.Unlock()
+	if unsafe {
+		c.log.Record(Event{Kind: ReadExecuted, RequestID: id, Proxy: proxy, Node: n.Name})
+	}
+}
+
+// recordRefusal records that a node answers an attempt without executing it, if the mode of the response says so.
+func (c *cluster) recordRefusal(n *Node, proxy int, id string, mode NodeMode) {
+	if mode == modeBusy || mode == modeMiss {
+		c.log.Record(Event{Kind: AttemptRefused, RequestID: id, Proxy: proxy, Node: n.Name, Note: string(mode)})
+	}
+}
+
 // fetch processes a request at the origin. A read inserts the key into the caches that missed; a write invalidates the key
 // in all caches. A repeated write is not executed if it was received within the deduplication window of its idempotency key.
 // The window starts when the executed write was received, regardless of how long either write is queued. The error is
--- a/internal/emulator/eventlog.go
+++ b/internal/emulator/eventlog.go
@@ -16,7 +16,10 @@
 	ConnectionClosed EventKind = "connection closed"  // a connection was closed during a request
 	ClientLeft       EventKind = "client left"        // a client left before it received a reply
 	AttemptReceived  EventKind = "attempt received"   // a node has received a complete attempt
+	AttemptRefused   EventKind = "attempt refused"    // a node answers that it did not execute an attempt: Note is its mode
 	WriteExecuted    EventKind = "write executed"     // the origin executed a write, whose idempotency key is Note
+	ReadExecuted     EventKind = "read executed"      // a node served a read that must not be executed twice
+	SurplusSent      EventKind = "surplus response"   // a node sent a response of kind Note that no request asked for: Figure is the time in milliseconds since the response before it ended, RequestID the request of that one
 	KeyAbsent        EventKind = "key absent"         // the origin replied that it lacks the key Note
 	StatusDelivered  EventKind = "status delivered"   // discovery delivered an endpoint's status, Note, to a proxy
 	SlowStartBegan   EventKind = "slow start began"   // a node begins its slow start: Figure is its full capacity per second
--- a/internal/emulator/inject.go
+++ b/internal/emulator/inject.go
@@ -61,6 +61,8 @@
 	"closes":        (*runner).injectNodeMode,
 	"conn-resets":   (*runner).injectConnResets,
 	"origin-resets": (*runner).injectOriginResets,
+	"origin-busy":   (*runner).injectBusyOrigin,
+	"surplus":       (*runner).injectSurplusResponses,
 	"garbled-list":  (*runner).injectDiscoveryMode,
 	"cut-watch":     (*runner).injectDiscoveryMode,
 	"reload":        (*runner).injectReloads,
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -18,6 +18,12 @@
 	OwnValueRule Rule = "value of its own request"
 	// SingleEffectRule requires that a write is executed once.
 	SingleEffectRule Rule = "no duplicate effect"
+	// ResendRule requires that a request that must not be executed twice is not sent again while an earlier attempt may run or
+	// has run.
+	ResendRule Rule = "no second attempt of what may have run"
+	// RefusedEffectRule requires that a request that must not be executed twice is not rejected as not executed if it was
+	// executed.
+	RefusedEffectRule Rule = "no refusal of what ran"
 	// DrainRule requires that a draining node receives nothing once drainGrace has passed since its proxy was notified.
 	DrainRule Rule = "drains observed"
 	// SlowStartRule requires that a node in slow start is not overloaded.
@@ -149,8 +155,11 @@
 		},
 		process: processCheck{findings: found, processes: processes, nodes: scenario.Fleet.Nodes},
 		absence: absenceCheck{findings: found, processes: processes, scenario: scenario, keys: keys, firstWritten: map[string]time.Duration{}},
-		effects: effectCheck{findings: found, processes: processes, executions: map[string]int{}, kills: map[string]int{}},
-		drains:  drainCheck{findings: found, processes: processes, drainingSince: map[proxyNode]time.Duration{}, grace: scenario.drainGrace()},
+		effects: effectCheck{
+			findings: found, processes: processes, routes: routes, executions: map[string]int{}, kills: map[string]int{},
+			open: map[string]int{}, rejected: map[string]bool{},
+		},
+		drains: drainCheck{findings: found, processes: processes, drainingSince: map[proxyNode]time.Duration{}, grace: scenario.drainGrace()},
 		slowStart: slowStartCheck{
 			findings: found, fleet: scenario.Fleet, starts: map[string]Event{}, arrivals: map[string][]arrival{},
 			startKnown: map[proxyNode]bool{}, overloaded: map[string]bool{},
@@ -164,6 +173,7 @@
 	switch e.Kind {
 	case RequestSent:
 		c.replies.observeRequest(e)
+		c.effects.observeRequest(e)
 		c.attempts.observeRequest(e)
 	case ReplyReceived:
 		c.observeReply(e)
@@ -178,9 +188,14 @@
 		c.attempts.observeArrival(e)
 		c.drains.observeArrival(e)
 		c.slowStart.observeArrival(e)
+		c.effects.observeArrival(e)
+	case AttemptRefused:
+		c.effects.observeRefusal(e)
+	case ReadExecuted:
+		c.effects.observeExecution(e)
 	case WriteExecuted:
 		c.absence.observeWrite(e)
-		c.effects.observeWrite(e)
+		c.effects.observeExecution(e)
 	case StatusDelivered:
 		c.drains.observeDelivery(e)
 		c.slowStart.observeDelivery(e)
@@ -203,6 +218,7 @@
 	if !c.replies.observeReply(e) {
 		return
 	}
+	c.effects.observeReply(e)
 	completed := e.Note == string(Completed)
 	switch {
 	case completed && e.Node == noSuchKey:
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -167,6 +167,38 @@
 	{"write sent again although its proxy runs", []emulator.Event{
 		requestSent(0), writeOfRead(10), reusedConnectionClosed(20), requestSent(30), writeOfRead(40), replyReceived(50, "completed"),
 	}, emulator.SingleEffectRule},
+	{"unsafe write sent again behind a refusal", []emulator.Event{
+		unsafeSent(0), unsafeReceived(5), unsafeRefused(10), unsafeReceived(15), unsafeExecuted(20), unsafeReply(25, "completed"),
+	}, ""},
+	{"unsafe write sent again before it was refused", []emulator.Event{
+		unsafeSent(0), unsafeReceived(5), unsafeReceived(8), unsafeRefused(10), unsafeRefused(15), unsafeReply(25, "shed"),
+	}, emulator.ResendRule},
+	{"unsafe write sent again by its client", []emulator.Event{
+		unsafeSent(0), unsafeReceived(5), unsafeRefused(6), event(7, emulator.ConnectionClosed, "u", "", "reused"), unsafeSent(8), unsafeReceived(9), unsafeReply(25, "errored"),
+	}, ""},
+	{"unsafe write executed and failed", []emulator.Event{unsafeSent(0), unsafeReceived(5), unsafeExecuted(10), unsafeReply(25, "errored")}, ""},
+	{"unsafe write executed and refused", []emulator.Event{unsafeSent(0), unsafeReceived(5), unsafeExecuted(10), unsafeReply(25, "shed")}, emulator.RefusedEffectRule},
+	{"unsafe write refused and executed", []emulator.Event{unsafeSent(0), unsafeReceived(5), unsafeReply(10, "shed"), unsafeExecuted(25)}, emulator.RefusedEffectRule},
+}
+
+// Shorthands of event for the write "u", whose repeats nodes do not drop.
+
+func unsafeSent(atMS int) emulator.Event { return event(atMS, emulator.RequestSent, "u", "", "") }
+
+func unsafeReceived(atMS int) emulator.Event {
+	return event(atMS, emulator.AttemptReceived, "u", "origin", "")
+}
+
+func unsafeRefused(atMS int) emulator.Event {
+	return event(atMS, emulator.AttemptRefused, "u", "origin", "busy")
+}
+
+func unsafeExecuted(atMS int) emulator.Event {
+	return event(atMS, emulator.WriteExecuted, "u", "origin", "")
+}
+
+func unsafeReply(atMS int, note string) emulator.Event {
+	return event(atMS, emulator.ReplyReceived, "u", "", note)
 }
 
 var processCases = []ruleCase{
@@ -207,7 +239,8 @@
 // beside it, and the similar traces without the fault must violate none.
 func TestRulesFire(t *testing.T) {
 	scenario := parseScenario(t, calmScenario)
-	requests := []emulator.Request{{ID: "a"}, {ID: "w", Route: 1}}
+	scenario.Routes = append(scenario.Routes, emulator.Route{Name: "once", TimeoutMS: 1000, Write: true})
+	requests := []emulator.Request{{ID: "a"}, {ID: "w", Route: 1}, {ID: "u", Route: 2}}
 	for _, c := range slices.Concat(replyCases, nodeCases, attemptCases, effectCases, processCases) {
 		t.Run(c.name, func(t *testing.T) {
 			found := emulator.CheckInvariants(scenario, requests, c.trace)
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -55,10 +55,11 @@
 
 	mu               sync.Mutex
 	mode             NodeMode
-	modeChanged      chan struct{} // closed and replaced when the mode changes
-	affectedFraction float64       // fraction of the commands to which the mode applies; the others are served
-	delay            time.Duration // of responses in modes other than modeServe
-	valueSize        int           // bytes
+	modeChanged      chan struct{}     // closed and replaced when the mode changes
+	affectedFraction float64           // fraction of the commands to which the mode applies; the others are served
+	delay            time.Duration     // of responses in modes other than modeServe
+	valueSize        int               // bytes
+	surplus          *surplusResponses // nil: none
 	conns            map[net.Conn]struct{}
 	stopped          bool
 	cluster          *cluster
@@ -208,11 +209,12 @@
 	if n.Origin {
 		respond = n.serveFetch
 	}
-	reader := bufio.NewReader(c)
+	reader, conn := bufio.NewReader(c), &nodeConn{Conn: c}
 	for {
-		if err := respond(c, reader, proxy); err != nil {
+		if err := respond(conn, reader, proxy); err != nil {
 			return
 		}
+		n.scheduleSurplus(conn, proxy)
 	}
 }
 
@@ -242,13 +244,14 @@
 }
 
 // serveCommand reads one command at a cache and responds to it. An error ends the connection.
-func (n *Node) serveCommand(c net.Conn, r *bufio.Reader, proxy int) error {
+func (n *Node) serveCommand(c *nodeConn, r *bufio.Reader, proxy int) error {
 	words, err := ReadCommand(r)
 	if err != nil {
 		n.cluster.checkReadable(n, proxy, err)
 		return err
 	}
 	key, id, facts := words[1], words[2], words[3]
+	c.beginRequest(id)
 	proxy = n.cluster.proxyFor(id, proxy)
 	n.cluster.checkSent(n, proxy, id, clientCommand{words[0], key, facts, words[4]})
 	n.cluster.log.Record(Event{
@@ -263,12 +266,14 @@
 			command.mode = modeBusy
 		case cached:
 			command.mode, command.value = modeHit, value(n.Name, id, n.cluster.valueSize)
+			n.cluster.recordRead(n, proxy, id)
 		default:
 			command.mode = modeMiss
 		}
 	} else if command.mode != modeDelaysHalf {
 		time.Sleep(command.delay)
 	}
+	n.cluster.recordRefusal(n, proxy, id, command.mode)
 	if err := command.writeRESP(c); err != nil || !closes {
 		return err
 	}
@@ -325,7 +330,7 @@
 }
 
 // serveFetch reads one request at the origin and responds to it. An error ends the connection.
-func (n *Node) serveFetch(c net.Conn, r *bufio.Reader, proxy int) error {
+func (n *Node) serveFetch(c *nodeConn, r *bufio.Reader, proxy int) error {
 	request, err := http.ReadRequest(r)
 	if err != nil {
 		n.cluster.checkReadable(n, proxy, err)
@@ -336,6 +341,7 @@
 		return err
 	}
 	id := request.Header.Get("X-Correlation-Id")
+	c.beginRequest(id)
 	fetch := originRequest{
 		id: id, proxy: n.cluster.proxyFor(id, proxy), key: strings.TrimPrefix(request.URL.Path, "/"),
 		idempotencyKey: idempotencyKeyOf(request.Header.Get("X-Facts")), write: request.Method == http.MethodPut,
@@ -356,6 +362,7 @@
 	command := n.nextMode(id)
 	if command.mode != modeServe {
 		time.Sleep(command.delay)
+		n.cluster.recordRefusal(n, fetch.proxy, id, command.mode)
 		return command.writeHTTP(c)
 	}
 	switch err := n.cluster.fetch(n, fetch); {
@@ -365,7 +372,9 @@
 		command.mode = modeBusy
 	default:
 		command.mode, command.value = modeHit, value(n.Name, id, n.cluster.valueSize)
+		n.cluster.recordRead(n, fetch.proxy, id)
 	}
+	n.cluster.recordRefusal(n, fetch.proxy, id, command.mode)
 	return command.writeHTTP(c)
 }
 
--- a/internal/emulator/proxies.go
+++ b/internal/emulator/proxies.go
@@ -239,7 +239,7 @@
 		switch {
 		case route.Write && route.DedupMS > 0:
 			settings["effect"], settings["group"], settings["dedup-window"] = "token", "all", route.DedupMS
-		case route.Write:
+		case route.Write, route.Unsafe:
 			settings["effect"] = "side_effect"
 		}
 		all = append(all, settings)
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -116,6 +116,7 @@
 	TimeoutMS   float64 `toml:"overall_ms"` // overall timeout
 	Weight      float64 `toml:"value"`      // priority weight
 	Write       bool    `toml:"write"`
+	Unsafe      bool    `toml:"unsafe"`   // a read that must not be executed twice
 	DedupMS     float64 `toml:"dedup_ms"` // time for which the origin drops repeats of an idempotency key; 0: it drops none
 }
 
@@ -153,7 +154,12 @@
 	From       []string `toml:"from"`
 	To         []string `toml:"to"`
 	OneWay     bool     `toml:"one_way"`
-	MaxDelayMS float64  `toml:"slow_ms"`
+	MaxDelayMS float64  `toml:"slow_ms"` // of packets over a link, or of surplus responses
+
+	// Parameters of surplus responses.
+
+	Surplus    string  `toml:"surplus"`  // kind of response
+	MinDelayMS float64 `toml:"least_ms"` // least delay
 }
 
 // delaysLinks reports whether a fault may delay traffic between processes.
@@ -183,7 +189,7 @@
 
 // faultParameters is the set of parameters that a kind of fault takes.
 type faultParameters struct {
-	nodes, times, part, rate, zone, step bool
+	nodes, times, part, rate, zone, step, surplus bool
 
 	some bool // nodes is optional; without it all candidates are targets
 }
@@ -223,6 +229,8 @@
 	"closes":        {nodes: true, part: true},
 	"conn-resets":   {nodes: true},
 	"origin-resets": {},
+	"origin-busy":   {part: true},
+	"surplus":       {some: true, part: true, surplus: true},
 	"garbled-list":  {some: true},
 	"cut-watch":     {some: true},
 	"reload":        {nodes: true},
@@ -241,7 +249,7 @@
 
 // minFaultFraction is the minimum of Fault.Fraction for kinds of faults that have no effect at 0. The kind link is not among
 // them, since it may delay traffic without loss.
-var minFaultFraction = map[string]float64{"failing": 0.001, "reset": 0.001, "garbled": 0.001, "halves": 0.001, "lossy": 0.001}
+var minFaultFraction = map[string]float64{"failing": 0.001, "reset": 0.001, "garbled": 0.001, "halves": 0.001, "lossy": 0.001, "origin-busy": 0.001, "surplus": 0.001}
 
 // proxyFaults are the kinds of faults whose targets are proxies or their discovery agents instead of nodes.
 var proxyFaults = map[string]bool{
--- a/internal/emulator/scenario_check.go
+++ b/internal/emulator/scenario_check.go
@@ -127,6 +127,7 @@
 		c.inRange(key+"value", route.Weight, 0, 1e6)
 		c.inRange(key+"dedup_ms", route.DedupMS, 0, 600000)
 		c.require(route.DedupMS <= 0 || route.Write, "%sdedup_ms: a read takes none", key)
+		c.require(!route.Unsafe || !route.Write, "%sunsafe: a write without dedup_ms is unsafe without it", key)
 		c.require(route.Name != "" && !names[route.Name], "%sname: missing or duplicate", key)
 		sum, names[route.Name] = sum+route.Share, true
 	}
@@ -144,6 +145,9 @@
 	c.inRange(prefix+"leave_ms", fault.LeaveMS, 0, 60000)
 	c.inRange(prefix+"variant", float64(fault.Variant), 0, 100)
 	c.inRange(prefix+"slow_ms", fault.MaxDelayMS, 0, 10000)
+	c.inRange(prefix+"least_ms", fault.MinDelayMS, 0, fault.MaxDelayMS)
+	c.require(needs.surplus == isSurplusKind(fault.Surplus) && (needs.surplus || fault.Surplus == ""),
+		"%ssurplus: %q: not a kind of surplus response, or %s takes none", prefix, fault.Surplus, fault.Kind)
 	c.checkFaultLinks(prefix, fault)
 	c.inRange(prefix+"spread_s", fault.SpreadS, 0, d.LengthS)
 	c.require(needs.zone == (fault.Zone != ""), "%szone: missing, or %s takes none", prefix, fault.Kind)
