--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -29,4 +29,11 @@
 	outcome balancer.Outcome
 	value   []byte // its bytes are counted in the value memory
 	stream  *stream
+	conn    connUse // connection that carried the attempt
+}
+
+// connUse says on which connection an attempt was written. The zero value means on none.
+type connUse struct {
+	id     uint64 // number of the connection in the process
+	served int    // number of responses that had been read on the connection before
 }
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -47,8 +47,11 @@
 
 	BadClient atomic.Int64 // client connections that were closed on bad input
 	BadPeer   atomic.Int64 // connections to hosts and discovery that were closed on bad input
-	Drains    atomic.Int64 // calls that took the proxy out of service
-	Panics    atomic.Int64 // recovered panics
+	Surplus   surplusCounters
+	// SurplusDelay is the histogram of the time from the end of the last response on a connection to a surplus response.
+	SurplusDelay DelayHistogram
+	Drains       atomic.Int64 // calls that took the proxy out of service
+	Panics       atomic.Int64 // recovered panics
 
 	ZonesPassed atomic.Int64 // zones that were evacuated on the evidence of this proxy alone
 	ZonesHasty  atomic.Int64 // those among ZonesPassed that responded to the first health checks: false positives
--- a/internal/proxy/reason_counters.go
+++ b/internal/proxy/reason_counters.go
@@ -34,6 +34,11 @@
 	eachNonZero(c.Closes[:], func(i int, count int64) {
 		f(ReasonCount{"client_connections_closed", "Client connections that ended, by reason.", "reason", closeReason(i).String(), count})
 	})
+	eachNonZero(c.Surplus[:], func(i int, count int64) {
+		f(ReasonCount{
+			"surplus_responses", "Responses of hosts that no request asked for, by when they were detected.", "phase", surplusPhase(i).String(), count,
+		})
+	})
 	for i := range invariant.Invariant(invariant.NumInvariants) {
 		f(ReasonCount{"invariant_violations", "Invariant violations, by invariant.", "invariant", i.String(), c.Invariants.Count(i)})
 	}
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -160,7 +160,7 @@
 	s := &r.slots[attempt.slot]
 	s.inFlight--
 	now := r.clock.Now()
-	s.trace.recordEnd(now, attempt.host, result.outcome)
+	s.trace.recordEnd(now, attempt.host, result)
 	if result.outcome == balancer.Completed && !s.finished {
 		s.trace.add(traceEvent{at: now, kind: traceCompleted})
 	}
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"woodproxy/balancer"
@@ -50,7 +51,8 @@
 	departedHosts []*upstreamHost // hosts that keep their index until no request can refer to it; some may be listed again
 	updateCount   int             // number of updates of the endpoint list
 
-	dialer       dialer // for upstream connections
+	dialer       dialer        // for upstream connections
+	connIDs      atomic.Uint64 // number of the latest upstream connection
 	sockets      *budget
 	valueMemory  *budget // bytes of held values
 	streamMemory *budget // bytes of stream buffers
--- a/internal/proxy/socket_peek.go
+++ b/internal/proxy/socket_peek.go
@@ -33,6 +33,18 @@
 	return n, err
 }
 
+// peekBytes returns at most n bytes of the input on a connection without consuming them. It does not block.
+func peekBytes(conn net.Conn, n int) []byte {
+	b, count := make([]byte, n), 0
+	control(conn, func(fd int) {
+		var err error
+		if count, _, err = syscall.Recvfrom(fd, b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err != nil {
+			count = 0
+		}
+	})
+	return b[:count]
+}
+
 // inputState is the state of a connection's input.
 type inputState uint8
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -87,7 +87,9 @@
 	}
 	s := newStream(response.ValueLength)
 	attempt.streaming = true
-	router.mailbox.post(func() { router.attemptFinished(attempt, attemptResult{outcome: balancer.Completed, stream: s}) })
+	router.mailbox.post(func() {
+		router.attemptFinished(attempt, attemptResult{outcome: balancer.Completed, stream: s, conn: u.use})
+	})
 	s.err = u.readChunks(s, response)
 	close(s.filled)
 	return s.err
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"strconv"
 
 	"woodproxy/balancer"
@@ -42,6 +43,7 @@
 	host    int // index of the attempt's host
 	reason  balancer.Reason
 	outcome balancer.Outcome // for traceEnded
+	conn    connUse          // for traceEnded
 }
 
 // requestTrace is the history of a request. Only the router's goroutine uses it.
@@ -70,9 +72,9 @@
 func newTraceLimiter() *rate.Limiter { return rate.NewLimiter(tracesPerSec, traceBurst) }
 
 // recordEnd records the end of an attempt. An attempt that timed out or was reset makes the request abnormal.
-func (t *requestTrace) recordEnd(at balancer.Time, host int, outcome balancer.Outcome) {
-	t.add(traceEvent{at: at, kind: traceEnded, host: host, outcome: outcome})
-	t.abnormal = t.abnormal || outcome == balancer.TimedOut || outcome == balancer.Reset
+func (t *requestTrace) recordEnd(at balancer.Time, host int, result attemptResult) {
+	t.add(traceEvent{at: at, kind: traceEnded, host: host, outcome: result.outcome, conn: result.conn})
+	t.abnormal = t.abnormal || result.outcome == balancer.TimedOut || result.outcome == balancer.Reset
 }
 
 // logTrace logs the trace of a request in one line: at info level if the request is abnormal and the rate limit permits,
@@ -105,7 +107,7 @@
 	case traceSent:
 		text += " " + r.hostName(e.host) + " " + e.reason.String()
 	case traceEnded:
-		text += " " + r.hostName(e.host) + " " + outcomeNames[e.outcome]
+		text += " " + r.hostName(e.host) + " " + outcomeNames[e.outcome] + e.conn.String()
 	case traceCancelled:
 		text += " " + r.hostName(e.host)
 	case traceShed, traceFailed:
@@ -114,6 +116,18 @@
 	return text
 }
 
+// String returns the connection as the end of the text of a trace event: its number and how many responses it had carried
+// before, or that it was fresh.
+func (c connUse) String() string {
+	switch {
+	case c.id == 0:
+		return ""
+	case c.served == 0:
+		return fmt.Sprintf(" connection %d fresh", c.id)
+	}
+	return fmt.Sprintf(" connection %d after %d", c.id, c.served)
+}
+
 // hostName returns the name of a host, or its index if the host has departed.
 func (r *Router) hostName(index int) string {
 	if h := r.hosts[index]; h != nil {
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -26,12 +25,18 @@
 // upstreamConn is one connection to a host and its goroutine, which is the only one to read from and write to the
 // connection. The goroutine ends with a call to the host's connClosed.
 type upstreamConn struct {
+	id         uint64 // number of the connection in the process
 	host       *upstreamHost
 	addr       string
 	reader     *bufio.Reader
 	header     []byte      // reused for each request
 	buffers    net.Buffers // reused for each request
 	sentWaitMS int         // wait in milliseconds that was sent to the upstream with the attempt
+	// The responses that were read on the connection.
+	served         int       // number of complete responses
+	lastRequestID  []byte    // ID of the request of the latest one
+	lastResponseAt time.Time // end of the latest one
+	use            connUse   // of the current attempt; zero before it is written
 	// writeReserve is the part of the attempt's remaining time that is reserved for writing the request. The wait that
 	// is sent to the upstream is shorter than the remaining time by this reserve.
 	writeReserve time.Duration
@@ -125,7 +130,9 @@
 func (u *upstreamConn) runAttempt(attempt *attempt) bool {
 	h := u.host
 	result := roundTripResult{attemptResult: attemptResult{outcome: balancer.Reset}} // the result if the call panics
+	u.use = connUse{}
 	runRecovered(h.router.log, h.router.counters, func() { result = u.roundTrip(attempt) })
+	result.conn = u.use
 	if errors.Is(result.err, wire.ErrProtocol) {
 		u.reportBadBytes(result.err)
 	}
@@ -158,16 +165,22 @@
 	if next, ready := u.beginIdle(); ready {
 		return next
 	}
-	unexpected, err := u.reader.Peek(1)
+	_, err := u.reader.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return u.takeAssigned()
 	}
-	if len(unexpected) > 0 {
-		u.reportBadBytes(fmt.Errorf("%w: unexpected input: %q", wire.ErrProtocol, unexpected))
+	if u.reader.Buffered() > 0 {
+		u.reportSurplus(surplusResponse{phase: surplusIdle, prefix: u.bufferedPrefix()})
 	}
 	return nil // unexpected input, or the upstream has closed the connection
 }
 
+// bufferedPrefix returns the first bytes that have been read from the connection and not consumed.
+func (u *upstreamConn) bufferedPrefix() []byte {
+	prefix, _ := u.reader.Peek(min(u.reader.Buffered(), maxSurplusPrefix)) // never fails: the bytes are buffered
+	return prefix
+}
+
 // beginIdle sets the deadline at which the idle connection closes. It returns ready if there is nothing to wait for:
 // next is then the attempt that is already assigned, or nil if the connection must be closed.
 func (u *upstreamConn) beginIdle() (next *attempt, ready bool) {
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -135,7 +135,7 @@
 func (h *upstreamHost) newConn(addr string) *upstreamConn {
 	h.openConns.Add(1)
 	h.router.counters.Dials.Add(1)
-	return &upstreamConn{host: h, addr: addr}
+	return &upstreamConn{id: h.router.connIDs.Add(1), host: h, addr: addr}
 }
 
 // enqueue queues an attempt until a socket is available, and makes all hosts close their idle connections.
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"os"
 	"time"
 
@@ -34,7 +33,7 @@
 	if err := u.conn.SetDeadline(until); err != nil {
 		return u.failure(attempt, &wire.AttemptError{Progress: wire.Writing, Err: err})
 	}
-	if reused && !u.mayReuse() { // nothing of the attempt has been sent yet
+	if reused && !u.mayReuse(attempt) { // nothing of the attempt has been sent yet
 		u.discardConn()
 		return u.roundTrip(attempt)
 	}
@@ -42,6 +41,7 @@
 	if refusal := conditions.MayBegin(); !refusal.Permitted() {
 		return u.refused(refusal)
 	}
+	u.use = connUse{id: u.id, served: u.served}
 	if refusal, err := u.writeRequest(attempt, until); !refusal.Permitted() {
 		u.host.router.counters.Refusals[refusal].Add(1)
 		return notSent(false) // upstreams do not execute a partly written request
@@ -172,14 +172,18 @@
 // mayReuse reports whether a connection without a request in progress may carry another: there is no input to read, and
 // the peer has not closed it. Bytes after a complete response may arrive once the next attempt is assigned; awaitAttempt
 // misses them, since the assignment sets a past deadline.
-func (u *upstreamConn) mayReuse() bool {
+func (u *upstreamConn) mayReuse(attempt *attempt) bool {
 	input := peekState(u.conn)
 	conditions := lifecycle.UpstreamConnConditions{
 		ResponseComplete: true, UnexpectedInput: u.reader.Buffered() > 0 || input == inputUnread, ClosedByPeer: input == inputEnded,
 	}
 	refusal := conditions.MayReuse()
 	if refusal == lifecycle.UnexpectedInput {
-		u.reportBadBytes(fmt.Errorf("%w: unexpected input", wire.ErrProtocol))
+		prefix := u.bufferedPrefix()
+		if len(prefix) == 0 {
+			prefix = peekBytes(u.conn, maxSurplusPrefix)
+		}
+		u.reportSurplus(surplusResponse{phase: surplusBeforeWrite, prefix: prefix, next: attempt.request.id})
 	}
 	return refusal.Permitted()
 }
@@ -189,7 +193,8 @@
 	u.closeConn()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.conn = nil
+	u.conn, u.id = nil, u.host.router.connIDs.Add(1)
+	u.served, u.lastRequestID, u.lastResponseAt = 0, nil, time.Time{}
 }
 
 // encodeRequest sets the buffers to be written for an attempt. Both caches and the origin receive the wait of this
@@ -230,10 +235,7 @@
 	}
 	if response.NotFound && u.host.router.negativeCache != nil && attempt.request.value == nil {
 		attempt.notFound = true
-		return roundTripResult{
-			attemptResult: attemptResult{outcome: balancer.Completed},
-			reusable:      response.Reusable && u.reader.Buffered() == 0,
-		}
+		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Completed}, reusable: u.responseEnded(attempt, &response)}
 	}
 	var value []byte
 	if response.Outcome == balancer.Completed {
@@ -241,11 +243,24 @@
 			return u.failure(attempt, err)
 		}
 	}
-	if n := u.reader.Buffered(); response.Reusable && n > 0 { // the extra bytes would be taken for the next response
-		u.reportBadBytes(fmt.Errorf("%w: %d unexpected bytes", wire.ErrProtocol, n))
-		response.Reusable = false
+	return roundTripResult{
+		attemptResult: attemptResult{outcome: response.Outcome, value: value}, reusable: u.responseEnded(attempt, &response),
+	}
+}
+
+// responseEnded records the end of a complete response, and returns whether the connection can carry another attempt. Bytes
+// behind the response would be taken for the next one.
+func (u *upstreamConn) responseEnded(attempt *attempt, response *wire.Response) (reusable bool) {
+	u.served++
+	u.lastRequestID, u.lastResponseAt = attempt.request.id, time.Now()
+	if !response.Reusable {
+		return false
+	}
+	if u.reader.Buffered() > 0 {
+		u.reportSurplus(surplusResponse{phase: surplusBehindResponse, prefix: u.bufferedPrefix()})
+		return false
 	}
-	return roundTripResult{attemptResult: attemptResult{outcome: response.Outcome, value: value}, reusable: response.Reusable}
+	return true
 }
 
 // readValue reads the value of a completed attempt. It returns the complete value if it is already buffered, or if it is
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -99,6 +99,10 @@
 		name := unix.ErrnoName(kind.Errno)
 		s <- prometheus.MustNewConstMetric(failed, prometheus.CounterValue, float64(count), kind.Call, name)
 	})
+	count, sum, upTo := counters.SurplusDelay.Cumulative()
+	delay := prometheus.NewDesc(metricPrefix+"surplus_response_delay_seconds",
+		"Time from the end of the last response on a connection to a surplus response.", nil, nil)
+	s <- prometheus.MustNewConstHistogram(delay, count, sum, upTo)
 	s.counter("wall_clock_steps", "Detected steps of the wall clock.", counters.WallClockSteps.Load())
 	s.counter("state_write_failures", "Writes of the state file that failed.", counters.StateWriteFailures.Load())
 	s.counter("traces_omitted", "Requests whose trace was not logged because of the rate limit.", counters.TracesOmitted.Load())
