proxy: an upstream connection rests 60 ms behind a response before it is used again

Callers saw values of other requests, writes run twice and refusals of what ran. A connection was used again at once; the look at its socket before the write shows what had come by then, and what comes between that look and the response was taken for the response. Neither protocol's response names its request.

A connection now carries another attempt only 60 ms after its last response ended (lifecycle.ResponseRest): what comes up to 50 ms late is read while it is idle and ends it. Of the rested ones the one used last is taken, so that the others fall idle and are closed.

--- a/internal/lifecycle/connection.go
+++ b/internal/lifecycle/connection.go
@@ -79,26 +79,6 @@
 	return Permitted
 }
 
-// UpstreamConnConditions holds the conditions under which an upstream connection may be reused for another attempt.
-type UpstreamConnConditions struct {
-	ResponseComplete bool // the last response was read completely, and the connection stays open after it
-	UnexpectedInput  bool // bytes were received that belong to no response
-	ClosedByPeer     bool // the upstream has closed the connection
-}
-
-// MayReuse decides whether the connection may be reused for another attempt.
-func (c *UpstreamConnConditions) MayReuse() Refusal {
-	switch {
-	case c.UnexpectedInput:
-		return UnexpectedInput
-	case c.ClosedByPeer:
-		return ConnectionClosed
-	case !c.ResponseComplete:
-		return ResponseIncomplete
-	}
-	return Permitted
-}
-
 // WatchConditions holds the conditions under which a discovery watch may be opened.
 type WatchConditions struct {
 	Open      bool // a watch is already open
--- a/internal/lifecycle/orders_test.go
+++ b/internal/lifecycle/orders_test.go
@@ -235,10 +235,12 @@
 func TestOtherDecisions(t *testing.T) {
 	type decision interface{ fmt.Stringer }
 	for _, test := range []struct{ got, want decision }{
-		{(&lifecycle.UpstreamConnConditions{ResponseComplete: true}).MayReuse(), lifecycle.Permitted},
-		{(&lifecycle.UpstreamConnConditions{}).MayReuse(), lifecycle.ResponseIncomplete},
-		{(&lifecycle.UpstreamConnConditions{ResponseComplete: true, UnexpectedInput: true}).MayReuse(), lifecycle.UnexpectedInput},
-		{(&lifecycle.UpstreamConnConditions{ResponseComplete: true, ClosedByPeer: true}).MayReuse(), lifecycle.ConnectionClosed},
+		{(&lifecycle.UpstreamConnConditions{}).MayReuse(), lifecycle.Permitted},
+		{(&lifecycle.UpstreamConnConditions{ResponsePending: true}).MayReuse(), lifecycle.ResponseIncomplete},
+		{(&lifecycle.UpstreamConnConditions{UnexpectedInput: true}).MayReuse(), lifecycle.UnexpectedInput},
+		{(&lifecycle.UpstreamConnConditions{ClosedByUpstream: true}).MayReuse(), lifecycle.ConnectionClosed},
+		{(&lifecycle.UpstreamConnConditions{Served: 1, SinceResponse: lifecycle.ResponseRest - 1}).MayReuse(), lifecycle.ResponseRecent},
+		{(&lifecycle.UpstreamConnConditions{Served: 1, SinceResponse: lifecycle.ResponseRest}).MayReuse(), lifecycle.Permitted},
 		{(&lifecycle.WatchConditions{}).MayOpen(), lifecycle.Permitted},
 		{(&lifecycle.WatchConditions{Open: true}).MayOpen(), lifecycle.WatchOpen},
 		{(&lifecycle.WatchConditions{Delegated: true}).MayOpen(), lifecycle.WatchDelegated},
--- a/internal/lifecycle/refusal.go
+++ b/internal/lifecycle/refusal.go
@@ -16,6 +16,7 @@
 	UnexpectedInput            // bytes were received that belong to no response
 	ConnectionClosed           // the peer has closed the connection
 	ResponseIncomplete         // the response has not been read completely, or the connection closes after it
+	ResponseRecent             // the last response on the connection ended less than ResponseRest ago
 	RepliesPending             // requests on the connection have no reply yet
 	CommandIncomplete          // a command has been read only in part
 	InputUnread                // bytes have been received that were not read
@@ -41,6 +42,7 @@
 	UnexpectedInput:    "unexpected_input",
 	ConnectionClosed:   "connection_closed",
 	ResponseIncomplete: "response_incomplete",
+	ResponseRecent:     "response_recent",
 	RepliesPending:     "replies_pending",
 	CommandIncomplete:  "command_incomplete",
 	InputUnread:        "input_unread",
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -116,12 +116,18 @@
 	go attempt.conn.run(attempt)
 }
 
-// takeIdleConn removes and returns the most recently used idle connection to an address, or nil. It closes the idle
-// connections to other, former addresses of the host that it finds on the way.
+// takeIdleConn removes and returns the most recently used of the idle connections to an address that may be reused, or nil.
+// It closes the idle connections to other, former addresses of the host that it finds on the way.
 func (h *upstreamHost) takeIdleConn(addr string) *upstreamConn {
-	for n := len(h.idleConns); n > 0; n = len(h.idleConns) {
-		conn := h.idleConns[n-1]
-		h.idleConns = h.idleConns[:n-1]
+	now := time.Now()
+	for i := len(h.idleConns) - 1; i >= 0; i-- {
+		conn := h.idleConns[i]
+		conditions := conn.reuseConditions(now)
+		mayReuse := conditions.MayReuse().Permitted()
+		if conn.addr == addr && !mayReuse {
+			continue
+		}
+		h.idleConns = slices.Delete(h.idleConns, i, i+1)
 		if conn.addr == addr {
 			return conn
 		}
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -169,14 +169,14 @@
 	return nil
 }
 
-// mayReuse reports whether a connection without a request in progress may carry another: there is no input to read, and
-// the peer has not closed it. Bytes after a complete response may arrive once the next attempt is assigned; awaitAttempt
-// misses them, since the assignment sets a past deadline.
+// mayReuse reports whether a connection without a request in progress may carry another: it has rested, there is no input
+// to read, and the upstream has not closed it. Bytes after a complete response may arrive once the next attempt is assigned;
+// awaitAttempt misses them, since the assignment sets a past deadline.
 func (u *upstreamConn) mayReuse(attempt *attempt) bool {
 	input := peekState(u.conn)
-	conditions := lifecycle.UpstreamConnConditions{
-		ResponseComplete: true, UnexpectedInput: u.reader.Buffered() > 0 || input == inputUnread, ClosedByPeer: input == inputEnded,
-	}
+	conditions := u.reuseConditions(time.Now())
+	conditions.UnexpectedInput = u.reader.Buffered() > 0 || input == inputUnread
+	conditions.ClosedByUpstream = input == inputEnded
 	refusal := conditions.MayReuse()
 	if refusal == lifecycle.UnexpectedInput {
 		prefix := u.bufferedPrefix()
@@ -188,6 +188,12 @@
 	return refusal.Permitted()
 }
 
+// reuseConditions returns the conditions under which an idle connection may be reused, apart from its input. The host's
+// goroutine may call it as well while the connection is idle.
+func (u *upstreamConn) reuseConditions(now time.Time) lifecycle.UpstreamConnConditions {
+	return lifecycle.UpstreamConnConditions{Served: u.served, SinceResponse: now.Sub(u.lastResponseAt)}
+}
+
 // discardConn closes the connection so that the next attempt dials anew.
 func (u *upstreamConn) discardConn() {
 	u.closeConn()
