proxy: a host that sent a surplus response is distrusted on all its connections for a minute

Callers still saw values of other requests where the surplus response came later than a connection rests: the connection on which one was noticed was closed, and the others to the same server were believed on.

For lifecycle.DistrustPeriod after a surplus response each connection to that server carries one request. Its idle connections that carried one are closed at once; a response that is in flight on such a connection is taken for nobody's: the attempt counts as reset, may have run, and is retried where the settings allow it.

That it is not proven: the first late response of a server may still be believed for a write.

TestSurplusResponseDistrustsOtherConnections fails without the call of distrust.

--- a/internal/lifecycle/refusal.go
+++ b/internal/lifecycle/refusal.go
@@ -17,6 +17,7 @@
 	ConnectionClosed           // the peer has closed the connection
 	ResponseIncomplete         // the response has not been read completely, or the connection closes after it
 	ResponseRecent             // the last response on the connection ended less than ResponseRest ago
+	HostDistrusted             // the host has sent a surplus response within DistrustPeriod
 	RepliesPending             // requests on the connection have no reply yet
 	CommandIncomplete          // a command has been read only in part
 	InputUnread                // bytes have been received that were not read
@@ -43,6 +44,7 @@
 	ConnectionClosed:   "connection_closed",
 	ResponseIncomplete: "response_incomplete",
 	ResponseRecent:     "response_recent",
+	HostDistrusted:     "host_distrusted",
 	RepliesPending:     "replies_pending",
 	CommandIncomplete:  "command_incomplete",
 	InputUnread:        "input_unread",
--- a/internal/lifecycle/upstream.go
+++ b/internal/lifecycle/upstream.go
@@ -8,10 +8,15 @@
 // the network's jitter.
 const ResponseRest = 60 * time.Millisecond
 
+// DistrustPeriod is the time after a surplus response of a host for which each connection to the host carries one request.
+// It is longer than lulls between bursts of traffic, in which a host that still sends surplus responses shows none.
+const DistrustPeriod = time.Minute
+
 // UpstreamConnConditions holds the conditions under which an upstream connection may carry an attempt.
 type UpstreamConnConditions struct {
 	Served           int           // number of responses that were read on the connection
 	SinceResponse    time.Duration // time since the last of them ended
+	HostDistrusted   bool          // the host has sent a surplus response within DistrustPeriod
 	ResponsePending  bool          // the last response was not read completely, or the connection closes after it
 	UnexpectedInput  bool          // bytes were received that belong to no response
 	ClosedByUpstream bool          // the upstream has closed the connection
@@ -26,8 +31,26 @@
 		return ConnectionClosed
 	case c.ResponsePending:
 		return ResponseIncomplete
+	case c.Served > 0 && c.HostDistrusted:
+		return HostDistrusted
 	case c.Served > 0 && c.SinceResponse < ResponseRest:
 		return ResponseRecent
 	}
 	return Permitted
 }
+
+// ResponseConditions holds the conditions under which a response is attributed to the request that was written last on its
+// connection.
+type ResponseConditions struct {
+	Served         int  // number of responses that were read on the connection before
+	HostDistrusted bool // the host has sent a surplus response within DistrustPeriod
+}
+
+// MayAttribute decides whether the response may be attributed to the request. Only the first response on a connection
+// certainly belongs to its request; a later one is presumed to, until the host is seen to send surplus responses.
+func (c *ResponseConditions) MayAttribute() Refusal {
+	if c.Served > 0 && c.HostDistrusted {
+		return HostDistrusted
+	}
+	return Permitted
+}
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -49,9 +49,11 @@
 	BadPeer   atomic.Int64 // connections to hosts and discovery that were closed on bad input
 	Surplus   surplusCounters
 	// SurplusDelay is the histogram of the time from the end of the last response on a connection to a surplus response.
-	SurplusDelay DelayHistogram
-	Drains       atomic.Int64 // calls that took the proxy out of service
-	Panics       atomic.Int64 // recovered panics
+	SurplusDelay    DelayHistogram
+	HostsDistrusted atomic.Int64 // times that a host became distrusted after a surplus response
+	Unattributed    atomic.Int64 // responses on used connections of distrusted hosts, which were taken for no request's
+	Drains          atomic.Int64 // calls that took the proxy out of service
+	Panics          atomic.Int64 // recovered panics
 
 	ZonesPassed atomic.Int64 // zones that were evacuated on the evidence of this proxy alone
 	ZonesHasty  atomic.Int64 // those among ZonesPassed that responded to the first health checks: false positives
--- /dev/null
+++ b/internal/proxy/host_distrust.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"errors"
+	"slices"
+
+	"woodproxy/balancer"
+	"woodproxy/internal/lifecycle"
+)
+
+// errHostDistrusted ends an attempt whose response may belong to another request.
+var errHostDistrusted = errors.New("response on a used connection of a host that sends surplus responses")
+
+// distrust records that the host has sent a surplus response. For lifecycle.DistrustPeriod each connection to it carries one
+// request, and responses on connections that have carried another are not attributed to a request. Any goroutine may call it.
+func (h *upstreamHost) distrust() {
+	until := int64(h.router.clock.Elapsed() + lifecycle.DistrustPeriod)
+	if before := h.distrustedUntil.Swap(until); before == 0 {
+		h.router.counters.HostsDistrusted.Add(1)
+	}
+	h.post(h.closeUsedConns)
+}
+
+// isDistrusted reports whether the host has sent a surplus response within lifecycle.DistrustPeriod. Any goroutine may call
+// it.
+func (h *upstreamHost) isDistrusted() bool {
+	until := h.distrustedUntil.Load()
+	if until == 0 {
+		return false
+	}
+	if int64(h.router.clock.Elapsed()) < until {
+		return true
+	}
+	h.distrustedUntil.CompareAndSwap(until, 0)
+	return false
+}
+
+// closeUsedConns closes the idle connections that have carried a request. It runs on the host's goroutine.
+func (h *upstreamHost) closeUsedConns() {
+	h.idleConns = slices.DeleteFunc(h.idleConns, func(conn *upstreamConn) bool {
+		if conn.served > 0 {
+			conn.close()
+		}
+		return conn.served > 0
+	})
+}
+
+// mayAttribute decides whether the response that is being read may be attributed to the connection's attempt.
+func (u *upstreamConn) mayAttribute() bool {
+	conditions := lifecycle.ResponseConditions{Served: u.served, HostDistrusted: u.host.isDistrusted()}
+	return conditions.MayAttribute().Permitted()
+}
+
+// unattributed returns the result of an attempt whose response may belong to another request: the attempt may have run, and
+// the connection is closed.
+func (u *upstreamConn) unattributed() roundTripResult {
+	u.host.router.counters.Unattributed.Add(1)
+	return roundTripResult{attemptResult: attemptResult{outcome: balancer.Reset}, err: errHostDistrusted}
+}
--- a/internal/proxy/surplus_response.go
+++ b/internal/proxy/surplus_response.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"woodproxy/internal/lifecycle"
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
@@ -36,7 +37,7 @@
 	next   []byte // ID of the request that the connection was to carry next; nil: none
 }
 
-// reportSurplus counts and logs a surplus response. The connection must be closed after it.
+// reportSurplus counts and logs a surplus response and distrusts its host. The connection must be closed after it.
 func (u *upstreamConn) reportSurplus(surplus surplusResponse) {
 	counters, delay := u.host.router.counters, time.Duration(0)
 	if u.served > 0 && surplus.phase != surplusBehindResponse {
@@ -45,11 +46,12 @@
 	counters.BadPeer.Add(1)
 	counters.Surplus[surplus.phase].Add(1)
 	counters.SurplusDelay.observe(delay)
-	u.host.log().Warn("surplus response, upstream connection closed",
+	u.host.distrust()
+	u.host.log().Warn("surplus response, upstream connection closed and host distrusted",
 		zap.Uint64("connection", u.id), zap.Stringer("phase", surplus.phase),
 		zap.Stringer("kind", wire.ClassifyResponse(surplus.prefix, u.host.isOrigin)), zap.Int("served", u.served),
 		zap.ByteString("previous", u.lastRequestID), zap.ByteString("next", surplus.next),
-		zap.Float64("delay_ms", float64(delay)/float64(time.Millisecond)))
+		zap.Float64("delay_ms", float64(delay)/float64(time.Millisecond)), zap.Duration("distrusted_for", lifecycle.DistrustPeriod))
 }
 
 // delayBuckets are the upper bounds of the buckets of a DelayHistogram.
--- a/internal/proxy/surplus_response_test.go
+++ b/internal/proxy/surplus_response_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"testing"
+	"time"
 
 	"woodproxy/balancer"
+	"woodproxy/internal/lifecycle"
 )
 
 // respValue returns a cache's response with a value.
@@ -51,3 +54,60 @@
 		t.Errorf("got %q for the second request, want its own value", got)
 	}
 }
+
+// Guards against belief in the other connections of a server that has sent a surplus response: none that has carried a
+// request is used again, and the response to an attempt that is in flight there is taken for nobody's.
+func TestSurplusResponseDistrustsOtherConnections(t *testing.T) {
+	cache, other := newCache(t), newCache(t)
+	p := newTestProxy(t, 10, func(*balancer.Settings) {}, cache, other, newOrigin(t))
+	probe := p.dial()
+	send(t, probe, getCommand("owner", 5000))
+	select {
+	case received := <-cache.commands:
+		received.sendValue(t)
+	case received := <-other.commands:
+		received.sendValue(t)
+		cache, other = other, cache
+	}
+	readReply(t, bufio.NewReader(probe))
+	clients := []net.Conn{p.dial(), p.dial()}
+	var used []net.Conn
+	for i, client := range clients {
+		send(t, client, getCommand(fmt.Sprint("first", i), 5000))
+		used = append(used, cache.next(t).conn)
+	}
+	for i, client := range clients {
+		send(t, used[i], respValue("one"))
+		readReply(t, bufio.NewReader(client))
+	}
+	time.Sleep(lifecycle.ResponseRest + 10*time.Millisecond)
+	send(t, clients[0], getCommand("in-flight", 5000))
+	inFlight := cache.next(t)
+	idle := used[0]
+	if inFlight.conn == idle {
+		idle = used[1]
+	}
+	send(t, idle, respValue("one"))
+	p.eventually("the server is not distrusted", func() bool { return p.router.counters.HostsDistrusted.Load() == 1 })
+	send(t, inFlight.conn, respValue("wrong"))
+	again := other.next(t)
+	send(t, again.conn, respValue("two"))
+	if got := readReply(t, bufio.NewReader(clients[0])); again.id != "in-flight" || got != "two" {
+		t.Errorf("got %q for request %s, want the value of the retry", got, again.id)
+	}
+	var last net.Conn
+	for _, id := range []string{"third", "fourth"} {
+		send(t, clients[1], getCommand(id, 5000))
+		next := cache.next(t)
+		if next.conn == last || next.conn == idle || next.conn == inFlight.conn {
+			t.Error("a connection of a distrusted server was used again")
+		}
+		last = next.conn
+		send(t, last, respValue("three"))
+		readReply(t, bufio.NewReader(clients[1]))
+		time.Sleep(lifecycle.ResponseRest + 10*time.Millisecond)
+	}
+	if got := p.router.counters.Unattributed.Load(); got != 1 {
+		t.Errorf("%d responses were taken for nobody's, want 1", got)
+	}
+}
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -36,6 +36,10 @@
 	notReadySince atomic.Int64 // in nanoseconds of the router's clock; 0: the host is ready, or never was
 	closeIdleSoon atomic.Bool  // other proxies have the duty to keep idle connections to the host
 
+	// distrustedUntil is the time until which the host is distrusted, in nanoseconds of the router's clock; 0: it is not.
+	// Any goroutine may set it.
+	distrustedUntil atomic.Int64
+
 	// Set by the host's goroutine, read by any.
 	openConns atomic.Int32 // includes connections that are being dialed
 
@@ -206,7 +210,7 @@
 
 // connIdle adds a connection to the idle ones, and sends the next queued attempt.
 func (h *upstreamHost) connIdle(conn *upstreamConn) {
-	if h.stopping {
+	if h.stopping || conn.served > 0 && h.isDistrusted() {
 		conn.close()
 		return
 	}
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -191,7 +191,9 @@
 // reuseConditions returns the conditions under which an idle connection may be reused, apart from its input. The host's
 // goroutine may call it as well while the connection is idle.
 func (u *upstreamConn) reuseConditions(now time.Time) lifecycle.UpstreamConnConditions {
-	return lifecycle.UpstreamConnConditions{Served: u.served, SinceResponse: now.Sub(u.lastResponseAt)}
+	return lifecycle.UpstreamConnConditions{
+		Served: u.served, SinceResponse: now.Sub(u.lastResponseAt), HostDistrusted: u.host.isDistrusted(),
+	}
 }
 
 // discardConn closes the connection so that the next attempt dials anew.
@@ -239,6 +241,9 @@
 	if err != nil {
 		return u.failure(attempt, err)
 	}
+	if !u.mayAttribute() {
+		return u.unattributed()
+	}
 	if response.NotFound && u.host.router.negativeCache != nil && attempt.request.value == nil {
 		attempt.notFound = true
 		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Completed}, reusable: u.responseEnded(attempt, &response)}
@@ -259,14 +264,11 @@
 func (u *upstreamConn) responseEnded(attempt *attempt, response *wire.Response) (reusable bool) {
 	u.served++
 	u.lastRequestID, u.lastResponseAt = attempt.request.id, time.Now()
-	if !response.Reusable {
-		return false
-	}
-	if u.reader.Buffered() > 0 {
+	if response.Reusable && u.reader.Buffered() > 0 {
 		u.reportSurplus(surplusResponse{phase: surplusBehindResponse, prefix: u.bufferedPrefix()})
 		return false
 	}
-	return true
+	return response.Reusable && !u.host.isDistrusted()
 }
 
 // readValue reads the value of a completed attempt. It returns the complete value if it is already buffered, or if it is
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -103,6 +103,9 @@
 	delay := prometheus.NewDesc(metricPrefix+"surplus_response_delay_seconds",
 		"Time from the end of the last response on a connection to a surplus response.", nil, nil)
 	s <- prometheus.MustNewConstHistogram(delay, count, sum, upTo)
+	s.counter("hosts_distrusted", "Times that a host became distrusted after a surplus response.", counters.HostsDistrusted.Load())
+	s.counter("responses_unattributed", "Responses on used connections of distrusted hosts, which were taken for no request's.",
+		counters.Unattributed.Load())
 	s.counter("wall_clock_steps", "Detected steps of the wall clock.", counters.WallClockSteps.Load())
 	s.counter("state_write_failures", "Writes of the state file that failed.", counters.StateWriteFailures.Load())
 	s.counter("traces_omitted", "Requests whose trace was not logged because of the rate limit.", counters.TracesOmitted.Load())
