proxy: a refusal on a used connection does not confirm that an unsafe request did not run

A write that must not run twice was sent again, or refused as if it had not run, on the word of a refusal that belonged to another request: by a surplus response that came later than any rest. Reads that must not run twice went to the origin on the word of another request's miss.

On a connection that has carried another request, a rejection or a miss no longer says that such a request did not run (lifecycle.MayConfirmNotExecuted). The balancer keeps the outcome for what it says of the server and counts the attempt as one that may have run: no second attempt, and an error in place of a refusal; where duplicates are dropped it is sent again within the window, at no charge to the retry budget.

Package invariant checks both by itself: connection_rested, response_attributed.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -30,7 +30,8 @@
 		request.resumePreviousAttempt() // the hedged attempt has ended; the first one is still in flight
 	}
 	b.recordOutcome(request, endpoint, a)
-	if a.Outcome.mayHaveRun() && !request.mayHaveRun {
+	request.unconfirmed = a.Unconfirmed
+	if (a.Outcome.mayHaveRun() || a.Unconfirmed) && !request.mayHaveRun {
 		request.mayHaveRun, request.firstRunAt, request.firstRunEndpoint = true, request.sentAt, a.Endpoint
 	}
 	request.missed = a.Outcome == CacheMiss
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -29,6 +29,7 @@
 	sentAt           Time // time at which an attempt was last sent
 	triedEndpoints   []int
 	wasReset         bool // the connection of its latest attempt was reset
+	unconfirmed      bool // that its latest attempt was not executed is unconfirmed
 	missed           bool // its latest attempt was a cache miss
 	evacuated        bool // its latest attempt was canceled because the zone is evacuated
 	mayHaveRun       bool // some attempt may have been executed
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -13,14 +13,14 @@
 func (b *Balancer) attemptsExhausted() bool { return b.current.attempts >= b.maxAttempts }
 
 // retryForbidden reports whether the current request may have been executed and must not be retried, or
-// whether the retry budget is exhausted. The budget does not apply after connection resets: when servers
-// close many idle connections, each reset costs no more than the next attempt.
+// whether the retry budget is exhausted. The budget does not apply after connection resets and rejections:
+// when servers close many idle connections, each reset costs no more than the next attempt.
 func (b *Balancer) retryForbidden() bool {
 	request := b.current
 	if !request.mayHaveRun {
 		return false
 	}
-	if b.retryBudget < 1 && !request.wasReset && !request.evacuated {
+	if b.retryBudget < 1 && request.chargesRetry() {
 		return true
 	}
 	route := &b.routes[request.Route]
@@ -30,12 +30,15 @@
 
 // chargeRetry charges the budget for the attempt being sent if it is a retry to which the budget applies.
 func (b *Balancer) chargeRetry(request *requestState) {
-	if request.mayHaveRun && !request.wasReset && !request.evacuated {
+	if request.mayHaveRun && request.chargesRetry() {
 		b.retryBudget--
 	}
 	request.evacuated = false
 }
 
+// chargesRetry reports whether the retry budget applies to a retry after the latest attempt.
+func (r *requestState) chargesRetry() bool { return !r.wasReset && !r.evacuated && !r.unconfirmed }
+
 func (r *retryBudget) refill() { *r = min(*r+retriesPerAdmission, maxRetryBudget) }
 
 // inDedupGroup reports whether an endpoint may receive the current request: if the request is deduped and may
--- a/balancer/scenario_events_test.go
+++ b/balancer/scenario_events_test.go
@@ -148,6 +148,7 @@
 		r.record(r.balancer.AttemptFinished(now, balancer.AttemptResult{
 			Request: request, Endpoint: endpoint, Outcome: outcome,
 			Latency: milliseconds(options["latency"]), Replied: options["answered"] != "",
+			Unconfirmed: options["unconfirmed"] != "",
 		}))
 	}
 }
--- a/balancer/types.go
+++ b/balancer/types.go
@@ -124,6 +124,9 @@
 	Outcome           Outcome
 	Latency           Time // since the attempt was sent
 	Replied           bool // the request has its final reply, through this attempt or from earlier
+	// Unconfirmed means that the outcome says that the attempt was not executed, but that the response may belong to another
+	// request, so that the attempt may have been executed.
+	Unconfirmed bool
 }
 
 // Action is the operation that a Decision requests from the caller.
--- a/internal/invariant/checker.go
+++ b/internal/invariant/checker.go
@@ -33,6 +33,11 @@
 	// AttemptsBounded: no request has more attempts than the settings permit, or parallel attempts if the settings forbid
 	// them.
 	AttemptsBounded
+	// ConnectionRested: no attempt is written within MinResponseRest of the last response on its connection.
+	ConnectionRested
+	// ResponseAttributed: no response on a used connection is believed of a host that is known to send surplus responses, or
+	// that a request that must not be executed twice was not executed.
+	ResponseAttributed
 	numInvariants
 )
 
@@ -47,6 +52,8 @@
 	OneFinalReply:       "one_final_reply",
 	NoUnansweredClose:   "no_unanswered_close",
 	AttemptsBounded:     "attempts_bounded",
+	ConnectionRested:    "connection_rested",
+	ResponseAttributed:  "response_attributed",
 }
 
 // String returns the invariant's name in logs and metrics.
@@ -62,6 +69,7 @@
 	MaxLateStart      = 100 * time.Millisecond
 	MaxDrainDelay     = 300 * time.Millisecond
 	MaxDeadlineExcess = 150 * time.Millisecond
+	MinResponseRest   = 50 * time.Millisecond // the time by which a surplus response may be late and must harm nobody
 )
 
 // Violation describes one violation of an invariant.
@@ -113,12 +121,13 @@
 // AttemptStart describes an attempt whose last byte was written.
 type AttemptStart struct {
 	RequestID        []byte
-	At               time.Time // time at which the last byte was written
-	RequestEnded     time.Time // time at which the final reply was decided or the client left; zero: neither
-	EndpointDraining time.Time // time since which the endpoint is known to be draining or departed; zero: neither
-	DedupWindowEnd   time.Time // end of the deduplication window; zero: no earlier attempt may have run
-	SentDeadline     time.Time // At plus the wait that was sent to the upstream
-	ClientDeadline   time.Time // end of the client's wait; zero: without limit
+	At               time.Time     // time at which the last byte was written
+	RequestEnded     time.Time     // time at which the final reply was decided or the client left; zero: neither
+	EndpointDraining time.Time     // time since which the endpoint is known to be draining or departed; zero: neither
+	DedupWindowEnd   time.Time     // end of the deduplication window; zero: no earlier attempt may have run
+	SentDeadline     time.Time     // At plus the wait that was sent to the upstream
+	ClientDeadline   time.Time     // end of the client's wait; zero: without limit
+	ConnectionRest   time.Duration // time from the last response on the connection to the first byte of the attempt; 0: it is the first attempt
 }
 
 // AttemptStarted checks an attempt that was written completely.
@@ -138,6 +147,29 @@
 	if excess := a.SentDeadline.Sub(a.ClientDeadline); !a.ClientDeadline.IsZero() && excess > MaxDeadlineExcess {
 		c.violate(ToldDeadlineHolds, a.RequestID, "sent with a deadline %v after the client's", excess)
 	}
+	if a.ConnectionRest != 0 && a.ConnectionRest < MinResponseRest {
+		c.violate(ConnectionRested, a.RequestID, "written %v after the last response on its connection", a.ConnectionRest)
+	}
+}
+
+// BelievedResponse describes a response that was taken for the response to a request.
+type BelievedResponse struct {
+	RequestID      []byte
+	Used           bool // the connection had carried another request before
+	HostDistrusted bool // the host is known to send surplus responses
+	NotExecuted    bool // it was taken to say that the request was not executed
+	Repeatable     bool // the request may be executed more than once
+}
+
+// ResponseBelieved checks a response that was taken for the response to a request.
+func (c *Checker) ResponseBelieved(r *BelievedResponse) {
+	switch {
+	case c == nil || !r.Used:
+	case r.HostDistrusted:
+		c.violate(ResponseAttributed, r.RequestID, "believed on a used connection of a distrusted host")
+	case r.NotExecuted && !r.Repeatable:
+		c.violate(ResponseAttributed, r.RequestID, "taken as not executed on a used connection")
+	}
 }
 
 // AttemptDecided checks the attempts of a request when the balancer starts another one. attempts and inFlight include the
--- a/internal/invariant/checker_test.go
+++ b/internal/invariant/checker_test.go
@@ -1,6 +1,7 @@
 package invariant_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -13,16 +14,48 @@
 	violates, holds func(*invariant.Checker)
 }
 
-// violationCases returns at least one case for each invariant.
-func violationCases() []violationCase {
-	at := time.Unix(1000, 0)
-	start := func(change func(*invariant.AttemptStart)) func(*invariant.Checker) {
-		return func(c *invariant.Checker) {
-			a := &invariant.AttemptStart{RequestID: []byte("id"), At: at}
-			change(a)
-			c.AttemptStarted(a)
-		}
+// believed returns a call that reports a response to the request "id" as believed.
+func believed(response invariant.BelievedResponse) func(*invariant.Checker) {
+	response.RequestID = []byte("id")
+	return func(c *invariant.Checker) { c.ResponseBelieved(&response) }
+}
+
+// startedAt is the time of the attempts that start reports.
+var startedAt = time.Unix(1000, 0)
+
+// start returns a call that reports an attempt as started, after change.
+func start(change func(*invariant.AttemptStart)) func(*invariant.Checker) {
+	return func(c *invariant.Checker) {
+		a := &invariant.AttemptStart{RequestID: []byte("id"), At: startedAt}
+		change(a)
+		c.AttemptStarted(a)
 	}
+}
+
+// connectionCases returns at least one case for each invariant of upstream connections.
+func connectionCases() []violationCase {
+	return []violationCase{
+		{
+			invariant.ConnectionRested,
+			start(func(a *invariant.AttemptStart) { a.ConnectionRest = invariant.MinResponseRest - 1 }),
+			start(func(a *invariant.AttemptStart) { a.ConnectionRest = invariant.MinResponseRest }),
+		},
+		{
+			invariant.ResponseAttributed,
+			believed(invariant.BelievedResponse{Used: true, HostDistrusted: true, Repeatable: true}),
+			believed(invariant.BelievedResponse{HostDistrusted: true, NotExecuted: true}),
+		},
+		{
+			invariant.ResponseAttributed,
+			believed(invariant.BelievedResponse{Used: true, NotExecuted: true}),
+			believed(invariant.BelievedResponse{Used: true, NotExecuted: true, Repeatable: true}),
+		},
+	}
+}
+
+// violationCases returns at least one case for each of the other invariants.
+func violationCases() []violationCase {
+	at := startedAt
 	return []violationCase{
 		{
 			invariant.NoAttemptAfterEnd,
@@ -74,7 +107,7 @@
 
 // Each violation is counted and reported, and calls that barely satisfy the invariant are not.
 func TestEachInvariantFires(t *testing.T) {
-	for _, test := range violationCases() {
+	for _, test := range slices.Concat(violationCases(), connectionCases()) {
 		t.Run(test.invariant.String(), func(t *testing.T) {
 			var reported []invariant.Violation
 			checker := invariant.NewChecker(func(v invariant.Violation) { reported = append(reported, v) })
@@ -98,6 +131,7 @@
 	checker.AttemptDecided([]byte("id"), 9, 1, 2, false)
 	checker.AttemptStarted(&invariant.AttemptStart{})
 	checker.ClientConnClosed([][]byte{[]byte("id")}, false, "")
+	checker.ResponseBelieved(&invariant.BelievedResponse{Used: true, NotExecuted: true})
 	if checker.Total() != 0 {
 		t.Error("a nil checker counted a violation")
 	}
--- a/internal/lifecycle/refusal.go
+++ b/internal/lifecycle/refusal.go
@@ -18,6 +18,7 @@
 	ResponseIncomplete         // the response has not been read completely, or the connection closes after it
 	ResponseRecent             // the last response on the connection ended less than ResponseRest ago
 	HostDistrusted             // the host has sent a surplus response within DistrustPeriod
+	ResponseUncertain          // the response may belong to an earlier request on the connection
 	RepliesPending             // requests on the connection have no reply yet
 	CommandIncomplete          // a command has been read only in part
 	InputUnread                // bytes have been received that were not read
@@ -45,6 +46,7 @@
 	ResponseIncomplete: "response_incomplete",
 	ResponseRecent:     "response_recent",
 	HostDistrusted:     "host_distrusted",
+	ResponseUncertain:  "response_uncertain",
 	RepliesPending:     "replies_pending",
 	CommandIncomplete:  "command_incomplete",
 	InputUnread:        "input_unread",
--- a/internal/lifecycle/upstream.go
+++ b/internal/lifecycle/upstream.go
@@ -44,6 +44,7 @@
 type ResponseConditions struct {
 	Served         int  // number of responses that were read on the connection before
 	HostDistrusted bool // the host has sent a surplus response within DistrustPeriod
+	Repeatable     bool // the request may be executed more than once
 }
 
 // MayAttribute decides whether the response may be attributed to the request. Only the first response on a connection
@@ -54,3 +55,13 @@
 	}
 	return Permitted
 }
+
+// MayConfirmNotExecuted decides whether a response that says that its request was not executed, as a rejection or a cache
+// miss does, may be taken to say so. If not, the request may have been executed: the response may be a surplus one that came
+// later than ResponseRest, and the request may be running. A request that may be executed more than once loses nothing by it.
+func (c *ResponseConditions) MayConfirmNotExecuted() Refusal {
+	if c.Served > 0 && !c.Repeatable {
+		return ResponseUncertain
+	}
+	return c.MayAttribute()
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -14,8 +14,9 @@
 	slot        int // index of the request's slot
 	host        int // index of the host
 	sentAt      balancer.Time
-	timeout     balancer.Time // counted from sentAt
-	startBefore balancer.Time // latest time at which the attempt may be written; 0: no limit
+	timeout     balancer.Time   // counted from sentAt
+	startBefore balancer.Time   // latest time at which the attempt may be written; 0: no limit
+	effect      balancer.Effect // of executing the request more than once
 	cancelled   atomic.Bool
 	fetchToken  negativecache.FetchToken // token of a fetch from the origin
 	notFound    bool                     // the origin has responded that the key is absent
@@ -30,6 +31,9 @@
 	value   []byte // its bytes are counted in the value memory
 	stream  *stream
 	conn    connUse // connection that carried the attempt
+	// unconfirmed means that the outcome says that the attempt was not executed, and that the response may belong to another
+	// request.
+	unconfirmed bool
 }
 
 // connUse says on which connection an attempt was written. The zero value means on none.
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -51,6 +51,7 @@
 	// SurplusDelay is the histogram of the time from the end of the last response on a connection to a surplus response.
 	SurplusDelay    DelayHistogram
 	HostsDistrusted atomic.Int64 // times that a host became distrusted after a surplus response
+	Unconfirmed     atomic.Int64 // rejections and misses on used connections that were taken for attempts that may have run
 	Unattributed    atomic.Int64 // responses on used connections of distrusted hosts, which were taken for no request's
 	Drains          atomic.Int64 // calls that took the proxy out of service
 	Panics          atomic.Int64 // recovered panics
--- a/internal/proxy/decisions.go
+++ b/internal/proxy/decisions.go
@@ -51,12 +51,12 @@
 	now := r.clock.Now()
 	r.counters.Reasons[d.Reason].Add(1)
 	s.trace.add(traceEvent{at: now, kind: traceSent, host: d.Endpoint, reason: d.Reason})
-	next := &attempt{request: s.request, slot: d.Request, host: d.Endpoint, sentAt: now, timeout: d.After}
-	if s.firstSentAt > 0 {
-		route := &r.settings.Balancer.Routes[r.settings.Routes[s.request.route]]
-		if route.Effect == balancer.Deduped {
-			next.startBefore = s.firstSentAt + route.DedupWindow // a later retry would be executed a second time
-		}
+	route := &r.settings.Balancer.Routes[r.settings.Routes[s.request.route]]
+	next := &attempt{
+		request: s.request, slot: d.Request, host: d.Endpoint, sentAt: now, timeout: d.After, effect: route.Effect,
+	}
+	if s.firstSentAt > 0 && route.Effect == balancer.Deduped {
+		next.startBefore = s.firstSentAt + route.DedupWindow // a later retry would be executed a second time
 	}
 	return next
 }
--- a/internal/proxy/host_distrust.go
+++ b/internal/proxy/host_distrust.go
@@ -45,10 +45,19 @@
 	})
 }
 
-// mayAttribute decides whether the response that is being read may be attributed to the connection's attempt.
-func (u *upstreamConn) mayAttribute() bool {
-	conditions := lifecycle.ResponseConditions{Served: u.served, HostDistrusted: u.host.isDistrusted()}
-	return conditions.MayAttribute().Permitted()
+// responseConditions returns the conditions under which the response that is being read is attributed to the connection's
+// attempt.
+func (u *upstreamConn) responseConditions(attempt *attempt) lifecycle.ResponseConditions {
+	return lifecycle.ResponseConditions{Served: u.served, HostDistrusted: u.host.isDistrusted(), Repeatable: attempt.effect == balancer.Retriable}
+}
+
+// isUnconfirmed reports whether a response that says that its attempt was not executed may not be taken to say so.
+func (u *upstreamConn) isUnconfirmed(conditions *lifecycle.ResponseConditions) bool {
+	if conditions.MayConfirmNotExecuted().Permitted() {
+		return false
+	}
+	u.host.router.counters.Unconfirmed.Add(1)
+	return true
 }
 
 // unattributed returns the result of an attempt whose response may belong to another request: the attempt may have run, and
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -166,12 +166,13 @@
 	}
 	r.hosts[attempt.host].inFlight--
 	r.counters.Ends[result.outcome].Add(1)
-	if s.firstSentAt == 0 && mayHaveRun(result.outcome) {
+	if s.firstSentAt == 0 && (mayHaveRun(result.outcome) || result.unconfirmed) {
 		s.firstSentAt = attempt.sentAt
 	}
 	r.deliver(attempt, result)
 	balancerResult := balancer.AttemptResult{
 		Request: attempt.slot, Endpoint: attempt.host, Outcome: result.outcome, Latency: now - attempt.sentAt, Replied: s.finished,
+		Unconfirmed: result.unconfirmed,
 	}
 	r.zoneAttemptFinished(attempt.host, result.outcome, balancerResult.Latency)
 	wasEjected := r.balancer.IsEjected(attempt.host)
--- a/internal/proxy/surplus_response_test.go
+++ b/internal/proxy/surplus_response_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,21 +56,29 @@
 	}
 }
 
+// orderByOwner returns the cache that owns the key of getCommand, which it answers one request, and then the other one.
+func orderByOwner(t *testing.T, p *testProxy, a, b *fakeNode) (owner, other *fakeNode) {
+	t.Helper()
+	client := p.dial()
+	send(t, client, getCommand("owner", 5000))
+	owner, other = a, b
+	select {
+	case received := <-a.commands:
+		received.sendValue(t)
+	case received := <-b.commands:
+		received.sendValue(t)
+		owner, other = b, a
+	}
+	readReply(t, bufio.NewReader(client))
+	return owner, other
+}
+
 // Guards against belief in the other connections of a server that has sent a surplus response: none that has carried a
 // request is used again, and the response to an attempt that is in flight there is taken for nobody's.
 func TestSurplusResponseDistrustsOtherConnections(t *testing.T) {
 	cache, other := newCache(t), newCache(t)
 	p := newTestProxy(t, 10, func(*balancer.Settings) {}, cache, other, newOrigin(t))
-	probe := p.dial()
-	send(t, probe, getCommand("owner", 5000))
-	select {
-	case received := <-cache.commands:
-		received.sendValue(t)
-	case received := <-other.commands:
-		received.sendValue(t)
-		cache, other = other, cache
-	}
-	readReply(t, bufio.NewReader(probe))
+	cache, other = orderByOwner(t, p, cache, other)
 	clients := []net.Conn{p.dial(), p.dial()}
 	var used []net.Conn
 	for i, client := range clients {
@@ -111,3 +120,51 @@
 		t.Errorf("%d responses were taken for nobody's, want 1", got)
 	}
 }
+
+// rejectedResponse is a response of the origin that it did not process the request.
+const rejectedResponse = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// Guards against a late surplus rejection that is taken for the response to a write that runs: on a connection that has
+// carried another request a rejection does not confirm that a write that must not be executed twice was not executed. It is
+// not sent again, and its client gets an error and no promise. On a fresh connection the rejection is believed.
+func TestRejectionOnUsedConnectionConfirmsNothing(t *testing.T) {
+	const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+	for _, test := range []struct {
+		name   string
+		effect balancer.Effect
+		used   bool
+		again  bool   // the write is sent again
+		reply  string // prefix of the reply if it is not sent again
+	}{
+		{"must not be executed twice, used", balancer.NonRetriable, true, false, "-ERR"},
+		{"must not be executed twice, fresh", balancer.NonRetriable, false, true, ""},
+		{"may be executed twice, used", balancer.Retriable, true, true, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			origin := newOrigin(t)
+			p := newTestProxy(t, 10, func(config *balancer.Settings) { config.Routes[1].Effect = test.effect }, newCache(t), origin)
+			client := p.dial()
+			reader := bufio.NewReader(client)
+			if test.used {
+				send(t, client, setCommand("first", longPut, "v"))
+				send(t, origin.next(t).conn, okResponse)
+				readReply(t, reader)
+				time.Sleep(lifecycle.ResponseRest + 10*time.Millisecond)
+			}
+			send(t, client, setCommand("write", longPut, "v"))
+			send(t, origin.next(t).conn, rejectedResponse)
+			if test.again {
+				if again := origin.next(t); again.id != "write" {
+					t.Errorf("request %s was sent, want the write again", again.id)
+				}
+				return
+			}
+			if got := readReply(t, reader); !strings.HasPrefix(got, test.reply) {
+				t.Errorf("got reply %q, want %q", got, test.reply)
+			}
+			if len(origin.commands) > 0 || p.router.counters.Unconfirmed.Load() != 1 {
+				t.Errorf("sent again %d times, %d responses unconfirmed, want none and one", len(origin.commands), p.router.counters.Unconfirmed.Load())
+			}
+		})
+	}
+}
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -38,12 +38,13 @@
 
 // traceEvent is one state transition of a request or of one of its attempts.
 type traceEvent struct {
-	at      balancer.Time
-	kind    traceKind
-	host    int // index of the attempt's host
-	reason  balancer.Reason
-	outcome balancer.Outcome // for traceEnded
-	conn    connUse          // for traceEnded
+	at          balancer.Time
+	kind        traceKind
+	host        int // index of the attempt's host
+	reason      balancer.Reason
+	outcome     balancer.Outcome // for traceEnded
+	conn        connUse          // for traceEnded
+	unconfirmed bool             // for traceEnded: the attempt may have run, whatever the outcome says
 }
 
 // requestTrace is the history of a request. Only the router's goroutine uses it.
@@ -73,7 +74,7 @@
 
 // recordEnd records the end of an attempt. An attempt that timed out or was reset makes the request abnormal.
 func (t *requestTrace) recordEnd(at balancer.Time, host int, result attemptResult) {
-	t.add(traceEvent{at: at, kind: traceEnded, host: host, outcome: result.outcome, conn: result.conn})
+	t.add(traceEvent{at: at, kind: traceEnded, host: host, outcome: result.outcome, conn: result.conn, unconfirmed: result.unconfirmed})
 	t.abnormal = t.abnormal || result.outcome == balancer.TimedOut || result.outcome == balancer.Reset
 }
 
@@ -108,6 +109,9 @@
 		text += " " + r.hostName(e.host) + " " + e.reason.String()
 	case traceEnded:
 		text += " " + r.hostName(e.host) + " " + outcomeNames[e.outcome] + e.conn.String()
+		if e.unconfirmed {
+			text += " unconfirmed"
+		}
 	case traceCancelled:
 		text += " " + r.hostName(e.host)
 	case traceShed, traceFailed:
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -33,10 +33,11 @@
 	buffers    net.Buffers // reused for each request
 	sentWaitMS int         // wait in milliseconds that was sent to the upstream with the attempt
 	// The responses that were read on the connection.
-	served         int       // number of complete responses
-	lastRequestID  []byte    // ID of the request of the latest one
-	lastResponseAt time.Time // end of the latest one
-	use            connUse   // of the current attempt; zero before it is written
+	served         int           // number of complete responses
+	lastRequestID  []byte        // ID of the request of the latest one
+	lastResponseAt time.Time     // end of the latest one
+	restedFor      time.Duration // time that the connection had rested when the current attempt was written; 0: it is the first
+	use            connUse       // of the current attempt; zero before it is written
 	// writeReserve is the part of the attempt's remaining time that is reserved for writing the request. The wait that
 	// is sent to the upstream is shorter than the remaining time by this reserve.
 	writeReserve time.Duration
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -9,6 +9,7 @@
 	"woodproxy/internal/wire"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -40,6 +41,10 @@
 	// Any goroutine may set it.
 	distrustedUntil atomic.Int64
 
+	// lastRejection is the time of the latest response that rejected an attempt as overloaded, in nanoseconds of the router's
+	// clock; 0: never. Any goroutine may set it.
+	lastRejection atomic.Int64
+
 	// Set by the host's goroutine, read by any.
 	openConns atomic.Int32 // includes connections that are being dialed
 
@@ -57,6 +62,7 @@
 	idleConns      []*upstreamConn // ordered by last use, the most recent one last
 	queue          []*attempt      // attempts that wait for a socket
 	retryScheduled bool            // a call of sendQueued is scheduled
+	freshConns     *rate.Limiter   // limits fresh connections for attempts that rarely need one; nil: none was needed yet
 }
 
 func newUpstreamHost(router *Router, index int, name string, isOrigin bool) *upstreamHost {
@@ -107,7 +113,7 @@
 		return
 	}
 	addr := *h.addr.Load()
-	if conn := h.takeIdleConn(addr); conn != nil {
+	if conn := h.takeIdleConn(addr, h.needsFreshConn(attempt)); conn != nil {
 		attempt.conn = conn
 		conn.assign(attempt)
 		return
@@ -120,26 +126,6 @@
 	go attempt.conn.run(attempt)
 }
 
-// takeIdleConn removes and returns the most recently used of the idle connections to an address that may be reused, or nil.
-// It closes the idle connections to other, former addresses of the host that it finds on the way.
-func (h *upstreamHost) takeIdleConn(addr string) *upstreamConn {
-	now := time.Now()
-	for i := len(h.idleConns) - 1; i >= 0; i-- {
-		conn := h.idleConns[i]
-		conditions := conn.reuseConditions(now)
-		mayReuse := conditions.MayReuse().Permitted()
-		if conn.addr == addr && !mayReuse {
-			continue
-		}
-		h.idleConns = slices.Delete(h.idleConns, i, i+1)
-		if conn.addr == addr {
-			return conn
-		}
-		conn.close()
-	}
-	return nil
-}
-
 // newConn returns a new connection, for which the caller has acquired a socket. The caller starts its goroutine, which
 // ends with a call to connClosed.
 func (h *upstreamHost) newConn(addr string) *upstreamConn {
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -42,6 +42,9 @@
 		return u.refused(refusal)
 	}
 	u.use = connUse{id: u.id, served: u.served}
+	if u.restedFor = 0; u.served > 0 {
+		u.restedFor = time.Since(u.lastResponseAt)
+	}
 	if refusal, err := u.writeRequest(attempt, until); !refusal.Permitted() {
 		u.host.router.counters.Refusals[refusal].Add(1)
 		return notSent(false) // upstreams do not execute a partly written request
@@ -103,6 +106,7 @@
 		DedupWindowEnd:   router.dedupWindowEnd(attempt),
 		SentDeadline:     now.Add(time.Duration(u.sentWaitMS) * time.Millisecond),
 		ClientDeadline:   attempt.request.clientDeadline(router.clock),
+		ConnectionRest:   u.restedFor,
 	})
 }
 
@@ -241,7 +245,8 @@
 	if err != nil {
 		return u.failure(attempt, err)
 	}
-	if !u.mayAttribute() {
+	conditions := u.responseConditions(attempt)
+	if !conditions.MayAttribute().Permitted() {
 		return u.unattributed()
 	}
 	if response.NotFound && u.host.router.negativeCache != nil && attempt.request.value == nil {
@@ -254,9 +259,17 @@
 			return u.failure(attempt, err)
 		}
 	}
-	return roundTripResult{
-		attemptResult: attemptResult{outcome: response.Outcome, value: value}, reusable: u.responseEnded(attempt, &response),
+	if response.Outcome == balancer.Overloaded {
+		u.host.lastRejection.Store(int64(u.host.router.clock.Elapsed()))
 	}
+	notExecuted := response.Outcome == balancer.Overloaded || response.Outcome == balancer.CacheMiss
+	unconfirmed := notExecuted && u.isUnconfirmed(&conditions)
+	u.host.router.counters.Invariants.ResponseBelieved(&invariant.BelievedResponse{
+		RequestID: attempt.request.id, Used: u.use.served > 0, HostDistrusted: conditions.HostDistrusted,
+		NotExecuted: notExecuted && !unconfirmed, Repeatable: attempt.effect == balancer.Retriable,
+	})
+	result := attemptResult{outcome: response.Outcome, value: value, unconfirmed: unconfirmed}
+	return roundTripResult{attemptResult: result, reusable: u.responseEnded(attempt, &response)}
 }
 
 // responseEnded records the end of a complete response, and returns whether the connection can carry another attempt. Bytes
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -104,6 +104,8 @@
 		"Time from the end of the last response on a connection to a surplus response.", nil, nil)
 	s <- prometheus.MustNewConstHistogram(delay, count, sum, upTo)
 	s.counter("hosts_distrusted", "Times that a host became distrusted after a surplus response.", counters.HostsDistrusted.Load())
+	s.counter("responses_unconfirmed", "Rejections and misses on used connections that were taken for attempts that may have run.",
+		counters.Unconfirmed.Load())
 	s.counter("responses_unattributed", "Responses on used connections of distrusted hosts, which were taken for no request's.",
 		counters.Unattributed.Load())
 	s.counter("wall_clock_steps", "Detected steps of the wall clock.", counters.WallClockSteps.Load())
