wire: a connection is not used again behind a response whose HTTP framing is unclear

A connection to the origin stayed in use although its server had said that it closes it, or although headers contradict each other about where the response ends. The next request then met the end of the connection, or bytes of the response before.

- Connection takes several words and several lines; close wins over keep-alive.
- A length beside a transfer encoding, and a transfer encoding in HTTP/1.0, end the connection (RFC 9112, 6.3), and so do 204 and 304 that announce a body.
- Two transfer encodings, a length of '-0', a status of four digits and 101 are protocol errors.
- A space before the colon no longer hides a header.

Not a fault by its test: an empty line before the status line, a truncated chunk and 1xx ahead were handled.

--- a/internal/wire/httphead.go
+++ b/internal/wire/httphead.go
@@ -20,7 +20,10 @@
 	status      int
 	length      int // length of the body in bytes, or unknownLength
 	chunked     bool
-	closes      bool // the server closes the connection after the response
+	closes      bool // the connection ends with the response, or must not be used after it
+	version0    bool // the response is of HTTP/1.0, in which connections close unless the server says otherwise
+	closeOption bool // the Connection header has the option close
+	keepAlive   bool // the Connection header has the option keep-alive
 	unprocessed bool // the origin states that it did not process the request
 }
 
@@ -31,15 +34,28 @@
 		switch {
 		case err != nil:
 			return httpHead{}, err
+		case h.status == 101:
+			return httpHead{}, protocolError("a protocol that was not asked for")
 		case h.status < 200:
 			continue
-		case h.status == 204 || h.status == 304: // these have no body, regardless of their headers
-			h.length, h.chunked = 0, false
 		}
+		h.finish()
 		return h, nil
 	}
 }
 
+// finish decides, once all headers are read, where the body ends and whether the connection may be used after it. It must
+// not be if headers contradict each other, since the server may then send bytes that its headers do not announce (RFC 9112,
+// section 6.3).
+func (h *httpHead) finish() {
+	contradicts := h.chunked && (h.length >= 0 || h.version0)
+	if h.status == 204 || h.status == 304 { // these have no body, regardless of their headers
+		contradicts = h.chunked || h.length > 0
+		h.length, h.chunked = 0, false
+	}
+	h.closes = contradicts || h.closeOption || h.version0 && !h.keepAlive
+}
+
 // readOneHTTPHead parses one head, which may be that of an interim response.
 func readOneHTTPHead(r *bufio.Reader) (httpHead, error) {
 	line, err := r.ReadSlice('\n')
@@ -65,22 +81,22 @@
 		if !ok {
 			return httpHead{}, protocolError("an HTTP header without a colon")
 		}
-		if err = h.setHeader(name, bytes.TrimSpace(value)); err != nil {
+		if err = h.setHeader(bytes.TrimRight(name, " \t"), bytes.TrimSpace(value)); err != nil {
 			return httpHead{}, err
 		}
 	}
 }
 
-// parseStatusLine parses an HTTP/1 status line. A server of HTTP/1.0 closes the connection by default.
+// parseStatusLine parses an HTTP/1 status line.
 func parseStatusLine(line []byte) (httpHead, error) {
 	if len(line) < minStatusLine || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[8] != ' ' {
 		return httpHead{}, protocolError("not an HTTP/1 status line")
 	}
 	status, ok := parseDecimal(line[9:12])
-	if !ok || status < 100 {
+	if !ok || status < 100 || line[12] != ' ' && line[12] != '\r' && line[12] != '\n' {
 		return httpHead{}, protocolError("a malformed HTTP status")
 	}
-	return httpHead{status: status, length: unknownLength, closes: line[7] == '0'}, nil
+	return httpHead{status: status, length: unknownLength, version0: line[7] == '0'}, nil
 }
 
 // httpLineError returns a protocol error if a line was longer than the reader's buffer, and other errors unchanged.
@@ -97,20 +113,30 @@
 	switch {
 	case is("Content-Length"):
 		length, ok := parseDecimal(value)
-		if !ok || length < 0 || h.length >= 0 && h.length != length {
+		if !ok || value[0] == '-' || h.length >= 0 && h.length != length {
 			return protocolError("a malformed Content-Length")
 		}
 		h.length = length
 	case is("Transfer-Encoding"):
-		if !bytes.EqualFold(value, []byte("chunked")) {
+		if h.chunked || !bytes.EqualFold(value, []byte("chunked")) {
 			return protocolError("a transfer encoding other than chunked")
 		}
 		h.chunked = true
 	case is("Connection"):
-		keepAlive := bytes.EqualFold(value, []byte("keep-alive"))
-		h.closes = bytes.EqualFold(value, []byte("close")) || h.closes && !keepAlive
+		h.setConnectionOptions(value)
 	case is("X-Unprocessed"):
 		h.unprocessed = string(value) == "1"
 	}
 	return nil
 }
+
+// setConnectionOptions records the options of a Connection header, a list separated by commas.
+func (h *httpHead) setConnectionOptions(list []byte) {
+	for len(list) > 0 {
+		option, rest, _ := bytes.Cut(list, []byte(","))
+		option = bytes.TrimSpace(option)
+		h.closeOption = h.closeOption || bytes.EqualFold(option, []byte("close"))
+		h.keepAlive = h.keepAlive || bytes.EqualFold(option, []byte("keep-alive"))
+		list = rest
+	}
+}
