proxy: a response before the last byte of a long write ends the write

A server that answers a long write before it has all of it, or that still answers the request before, had its answer served as the write's receipt, and the write went on to run.

The last two bytes of a write over 64 KiB are held back until the rest is written. Now the socket is looked at then: with a response there the rest is not written, so that the write does not run, and the connection is closed. Shorter requests go out in one write and have no such moment.

TestResponseBeforeLastByteIsNotBelieved failed before: reply 'early', and the write had come whole.

--- a/internal/lifecycle/attempt.go
+++ b/internal/lifecycle/attempt.go
@@ -9,12 +9,13 @@
 // AttemptConditions holds the conditions under which an attempt may begin, as of the moment before its first byte is
 // written.
 type AttemptConditions struct {
-	Request        RequestState
-	Canceled       bool // the balancer has canceled the attempt
-	EndpointReady  bool // the endpoint is in the endpoint list and is not draining
-	Now            time.Time
-	Deadline       time.Time // deadline of the attempt
-	DedupWindowEnd time.Time // time until which upstreams drop duplicates; zero: no earlier attempt may have run
+	Request          RequestState
+	Canceled         bool // the balancer has canceled the attempt
+	EndpointReady    bool // the endpoint is in the endpoint list and is not draining
+	Now              time.Time
+	Deadline         time.Time // deadline of the attempt
+	ResponseReceived bool      // a response was received before the attempt's last byte was written
+	DedupWindowEnd   time.Time // time until which upstreams drop duplicates; zero: no earlier attempt may have run
 }
 
 // MayBegin decides whether an attempt may be written. The attempt may be the first, a retry or a hedged attempt.
@@ -40,6 +41,9 @@
 	if refusal := c.MayBegin(); refusal != Permitted {
 		return refusal
 	}
+	if c.ResponseReceived { // an early rejection, or the response to an earlier request
+		return UnexpectedInput
+	}
 	if c.Now.Sub(began) > MaxWriteDelay {
 		return DeadlineOutdated
 	}
--- a/internal/lifecycle/orders_test.go
+++ b/internal/lifecycle/orders_test.go
@@ -175,6 +175,11 @@
 	if got := late.MayComplete(now.Add(-lifecycle.MaxWriteDelay - 1)); got != lifecycle.DeadlineOutdated {
 		t.Errorf("after a write that took too long: got %v", got)
 	}
+	early := good
+	early.ResponseReceived = true
+	if got := early.MayComplete(now); got != lifecycle.UnexpectedInput {
+		t.Errorf("after a response before the last byte: got %v", got)
+	}
 	if got := late.MayComplete(now.Add(-lifecycle.MaxWriteDelay)); got != lifecycle.Permitted {
 		t.Errorf("after a write within MaxWriteDelay: got %v", got)
 	}
--- a/internal/proxy/surplus_response_test.go
+++ b/internal/proxy/surplus_response_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,3 +170,31 @@
 		})
 	}
 }
+
+// Guards against a response that comes before the last byte of its request and is taken for the response to it: the origin
+// answers a long write when it has received half of it. The rest must not follow, so that the write is not executed, and the
+// client must not get the early value.
+func TestResponseBeforeLastByteIsNotBelieved(t *testing.T) {
+	const length = 300 << 10
+	var completed atomic.Int64
+	origin := &fakeNode{addr: listen(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.CopyN(io.Discard, request.Body, length/2); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly") // a failure shows in the reply
+		if n, _ := io.Copy(io.Discard, request.Body); n == length-length/2 {
+			completed.Add(1)
+		}
+	})}
+	p := newTestProxy(t, 10, func(config *balancer.Settings) { config.Routes[1].Effect = balancer.NonRetriable }, newCache(t), origin)
+	client := p.dial()
+	send(t, client, setCommand("long", longPut, strings.Repeat("v", length)))
+	if got := readReply(t, bufio.NewReader(client)); strings.Contains(got, "early") || completed.Load() > 0 {
+		t.Errorf("got reply %q, %d writes received completely, want neither the early value nor a complete write", got, completed.Load())
+	}
+}
--- a/internal/proxy/upstream_write.go
+++ b/internal/proxy/upstream_write.go
@@ -61,6 +61,7 @@
 	tail := u.holdBack(&buffers)
 	if _, err = buffers.WriteTo(u.conn); err == nil && tail != nil {
 		conditions := u.conditions(attempt, until)
+		conditions.ResponseReceived = peekState(u.conn) == inputUnread
 		if refusal := conditions.MayComplete(began.Add(u.writeReserve)); !refusal.Permitted() {
 			attempt.request.recordWriteTime(time.Since(began))
 			return refusal, nil
