proxy: a request waits for a connection that rests rather than opening a new one

A request now waits for the next resting connection that no other waits for, 60 ms at most and once. One whose new connection is still being opened moves to a connection that has rested by then.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -17,6 +17,7 @@
 	timeout     balancer.Time   // counted from sentAt
 	startBefore balancer.Time   // latest time at which the attempt may be written; 0: no limit
 	effect      balancer.Effect // of executing the request more than once
+	hasWaited   bool            // it has waited for a connection that rested; accessed only by the host's goroutine
 	cancelled   atomic.Bool
 	fetchToken  negativecache.FetchToken // token of a fetch from the origin
 	notFound    bool                     // the origin has responded that the key is absent
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -46,6 +46,8 @@
 	conn          net.Conn
 	cancelDial    context.CancelFunc // set while the connection is dialed
 	assigned      *attempt           // next attempt of the connection
+	dialEnded     bool               // the first dial has ended
+	attemptMoved  bool               // the attempt that the connection was dialed for was moved to another one
 	writing       *attempt           // attempt that is being written
 	closeWhenIdle bool
 }
@@ -134,6 +136,9 @@
 	u.use = connUse{}
 	runRecovered(h.router.log, h.router.counters, func() { result = u.roundTrip(attempt) })
 	result.conn = u.use
+	if result.moved {
+		return u.endMoved(result.err)
+	}
 	if errors.Is(result.err, wire.ErrProtocol) {
 		u.reportBadBytes(result.err)
 	}
@@ -148,6 +153,15 @@
 	return result.reusable
 }
 
+// endMoved reports to the host that the connection, which was dialed for an attempt that has been moved to another one, is
+// idle. It returns false if the dial has failed.
+func (u *upstreamConn) endMoved(err error) (established bool) {
+	if err == nil {
+		u.host.post(func() { u.host.connIdle(u) })
+	}
+	return err == nil
+}
+
 // closeConn closes the connection, if it was ever open.
 func (u *upstreamConn) closeConn() {
 	if u.conn != nil {
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -61,8 +61,9 @@
 	stopping       bool            // connections close after the attempt that they carry
 	idleConns      []*upstreamConn // ordered by last use, the most recent one last
 	queue          []*attempt      // attempts that wait for a socket
-	retryScheduled bool            // a call of sendQueued is scheduled
-	freshConns     *rate.Limiter   // limits fresh connections for attempts that rarely need one; nil: none was needed yet
+	rests          restQueue
+	retryScheduled bool          // a call of sendQueued is scheduled
+	freshConns     *rate.Limiter // limits fresh connections for attempts that rarely need one; nil: none was needed yet
 }
 
 func newUpstreamHost(router *Router, index int, name string, isOrigin bool) *upstreamHost {
@@ -106,23 +107,32 @@
 	h.closeIdleConns()
 }
 
-// send assigns an attempt to an idle connection or opens a new one. If no socket is available, the attempt is queued.
+// send assigns an attempt to an idle connection, lets it wait for one that rests, or opens a new one. If no socket is available, the attempt is queued.
 func (h *upstreamHost) send(attempt *attempt) {
 	if attempt.request.life.Finished() {
 		h.reportNotSent(attempt)
 		return
 	}
-	addr := *h.addr.Load()
-	if conn := h.takeIdleConn(addr, h.needsFreshConn(attempt)); conn != nil {
+	addr, freshOnly := *h.addr.Load(), h.needsFreshConn(attempt)
+	if conn := h.takeIdleConn(addr, freshOnly); conn != nil {
+		if !freshOnly {
+			attempt = h.firstInLine(attempt)
+		}
 		attempt.conn = conn
 		conn.assign(attempt)
 		return
 	}
+	if !freshOnly && h.waitForRest(attempt) {
+		return
+	}
 	if !h.router.sockets.tryAcquire(1) {
 		h.enqueue(attempt)
 		return
 	}
 	attempt.conn = h.newConn(addr)
+	if !freshOnly {
+		h.recordDialing(attempt)
+	}
 	go attempt.conn.run(attempt)
 }
 
@@ -186,6 +196,7 @@
 // attemptFinished handles the result of a connection's attempt. A reusable connection becomes idle.
 func (h *upstreamHost) attemptFinished(conn *upstreamConn, attempt *attempt, result attemptResult, reusable bool) {
 	attempt.conn = nil
+	h.forgetDialing(attempt)
 	if !attempt.streaming {
 		h.router.mailbox.post(func() { h.router.attemptFinished(attempt, result) })
 	}
@@ -202,6 +213,7 @@
 	}
 	h.idleConns = append(h.idleConns, conn)
 	h.sendNext()
+	h.scheduleMove()
 }
 
 // connClosed handles the end of a connection. An attempt that was assigned to it but not begun is sent on another one.
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -18,6 +18,7 @@
 	attemptResult
 	reusable bool  // the connection can carry another attempt
 	err      error // error that prevented a complete response, or nil
+	moved    bool  // the attempt was moved to another connection while this one was dialed
 }
 
 // roundTrip executes one attempt: it connects if necessary, writes the request and reads the response.
@@ -26,7 +27,11 @@
 	until := time.Now().Add(duration(attempt.sentAt + attempt.timeout - router.clock.Now()))
 	reused := u.conn != nil
 	if !reused {
-		if err := u.connect(attempt, until); err != nil {
+		err := u.connect(attempt, until)
+		if u.endDial() {
+			return roundTripResult{moved: true, err: err}
+		}
+		if err != nil {
 			return connectFailure(attempt, err)
 		}
 	}
