proxy: a prompt surplus response distrusts its server for a second, a late one for a minute

What came within ResponseRest is followed by one second of distrust, what came later by the minute as before: the late ones are those that may deceive. The longer of two periods counts.

--- a/internal/lifecycle/orders_test.go
+++ b/internal/lifecycle/orders_test.go
@@ -267,6 +267,9 @@
 			t.Errorf("got %v, want %v", test.got, test.want)
 		}
 	}
+	if prompt, late := lifecycle.DistrustPeriod(lifecycle.ResponseRest), lifecycle.DistrustPeriod(lifecycle.ResponseRest+1); prompt != lifecycle.PromptDistrustPeriod || late != lifecycle.LateDistrustPeriod {
+		t.Errorf("distrusted for %v after a prompt surplus response and for %v after a late one", prompt, late)
+	}
 	for r := range lifecycle.NumRefusals {
 		if lifecycle.Refusal(r).String() == "" {
 			t.Errorf("refusal %d has no text", r)
--- a/internal/lifecycle/refusal.go
+++ b/internal/lifecycle/refusal.go
@@ -17,7 +17,7 @@
 	ConnectionClosed           // the peer has closed the connection
 	ResponseIncomplete         // the response has not been read completely, or the connection closes after it
 	ResponseRecent             // the last response on the connection ended less than ResponseRest ago
-	HostDistrusted             // the host has sent a surplus response within DistrustPeriod
+	HostDistrusted             // the host has sent a surplus response and DistrustPeriod is not over
 	ResponseUncertain          // the response may belong to an earlier request on the connection
 	RepliesPending             // requests on the connection have no reply yet
 	CommandIncomplete          // a command has been read only in part
--- a/internal/lifecycle/upstream.go
+++ b/internal/lifecycle/upstream.go
@@ -8,15 +8,29 @@
 // the network's jitter.
 const ResponseRest = 60 * time.Millisecond
 
-// DistrustPeriod is the time after a surplus response of a host for which each connection to the host carries one request.
-// It is longer than lulls between bursts of traffic, in which a host that still sends surplus responses shows none.
-const DistrustPeriod = time.Minute
+// Times after a surplus response of a host for which each connection to the host carries one request. They are longer than
+// lulls between bursts of traffic, in which a host that still sends surplus responses shows none.
+const (
+	// PromptDistrustPeriod follows a surplus response that came within ResponseRest. The next one like it harms nobody either.
+	PromptDistrustPeriod = time.Second
+	// LateDistrustPeriod follows a later one.
+	LateDistrustPeriod = time.Minute
+)
+
+// DistrustPeriod returns the time for which a host is distrusted after a surplus response that came the given time after the
+// last response on its connection.
+func DistrustPeriod(delay time.Duration) time.Duration {
+	if delay <= ResponseRest {
+		return PromptDistrustPeriod
+	}
+	return LateDistrustPeriod
+}
 
 // UpstreamConnConditions holds the conditions under which an upstream connection may carry an attempt.
 type UpstreamConnConditions struct {
 	Served           int           // number of responses that were read on the connection
 	SinceResponse    time.Duration // time since the last of them ended
-	HostDistrusted   bool          // the host has sent a surplus response within DistrustPeriod
+	HostDistrusted   bool          // the host has sent a surplus response and DistrustPeriod is not over
 	ResponsePending  bool          // the last response was not read completely, or the connection closes after it
 	UnexpectedInput  bool          // bytes were received that belong to no response
 	ClosedByUpstream bool          // the upstream has closed the connection
@@ -43,7 +57,7 @@
 // connection.
 type ResponseConditions struct {
 	Served         int  // number of responses that were read on the connection before
-	HostDistrusted bool // the host has sent a surplus response within DistrustPeriod
+	HostDistrusted bool // the host has sent a surplus response and DistrustPeriod is not over
 	Repeatable     bool // the request may be executed more than once
 }
 
--- a/internal/proxy/host_distrust.go
+++ b/internal/proxy/host_distrust.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"woodproxy/balancer"
 	"woodproxy/internal/lifecycle"
@@ -11,17 +12,23 @@
 // errHostDistrusted ends an attempt whose response may belong to another request.
 var errHostDistrusted = errors.New("response on a used connection of a host that sends surplus responses")
 
-// distrust records that the host has sent a surplus response. For lifecycle.DistrustPeriod each connection to it carries one
-// request, and responses on connections that have carried another are not attributed to a request. Any goroutine may call it.
-func (h *upstreamHost) distrust() {
-	until := int64(h.router.clock.Elapsed() + lifecycle.DistrustPeriod)
-	if before := h.distrustedUntil.Swap(until); before == 0 {
-		h.router.counters.HostsDistrusted.Add(1)
+// distrust records that the host has sent a surplus response. For a period each connection to it carries one request, and
+// responses on connections that have carried another are not attributed to a request. Any goroutine may call it.
+func (h *upstreamHost) distrust(period time.Duration) {
+	until := int64(h.router.clock.Elapsed() + period)
+	for before := h.distrustedUntil.Load(); before < until; before = h.distrustedUntil.Load() {
+		if !h.distrustedUntil.CompareAndSwap(before, until) {
+			continue
+		}
+		if before == 0 {
+			h.router.counters.HostsDistrusted.Add(1)
+		}
+		break
 	}
 	h.post(h.closeUsedConns)
 }
 
-// isDistrusted reports whether the host has sent a surplus response within lifecycle.DistrustPeriod. Any goroutine may call
+// isDistrusted reports whether the host has sent a surplus response and is distrusted for it still. Any goroutine may call
 // it.
 func (h *upstreamHost) isDistrusted() bool {
 	until := h.distrustedUntil.Load()
--- a/internal/proxy/surplus_response.go
+++ b/internal/proxy/surplus_response.go
@@ -46,12 +46,13 @@
 	counters.BadPeer.Add(1)
 	counters.Surplus[surplus.phase].Add(1)
 	counters.SurplusDelay.observe(delay)
-	u.host.distrust()
+	period := lifecycle.DistrustPeriod(delay)
+	u.host.distrust(period)
 	u.host.log().Warn("surplus response, upstream connection closed and host distrusted",
 		zap.Uint64("connection", u.id), zap.Stringer("phase", surplus.phase),
 		zap.Stringer("kind", wire.ClassifyResponse(surplus.prefix, u.host.isOrigin)), zap.Int("served", u.served),
 		zap.ByteString("previous", u.lastRequestID), zap.ByteString("next", surplus.next),
-		zap.Float64("delay_ms", float64(delay)/float64(time.Millisecond)), zap.Duration("distrusted_for", lifecycle.DistrustPeriod))
+		zap.Float64("delay_ms", float64(delay)/float64(time.Millisecond)), zap.Duration("distrusted_for", period))
 }
 
 // delayBuckets are the upper bounds of the buckets of a DelayHistogram.
