proxy: an absent key reported on a used connection is kept only if no surplus response follows

A surplus 404 that was taken for the response to another read put that read's key into the negative cache, and from there into that of each peer: one wrong response spread to every client of the key until it was written.

On a fresh connection the key is recorded at once as before. On a used one it is recorded half a second later, unless the origin has sent a surplus response by then, as it does where the 404 was one: the true response comes behind it. One client may still get the wrong reply; nothing spreads.

--- a/internal/proxy/negative_cache.go
+++ b/internal/proxy/negative_cache.go
@@ -14,6 +14,8 @@
 const (
 	negativeCacheTick        = 25 * time.Millisecond
 	negativeCacheMailboxSize = 1024
+	// missConfirmation is the time after which an absent key is recorded that was reported on a used connection.
+	missConfirmation = 500 * time.Millisecond
 	// maxWriteHashes is the maximum number of hashes that are recorded from one write message.
 	maxWriteHashes = 1024
 )
@@ -135,8 +137,23 @@
 	}
 }
 
-// recordMiss handles a response from the origin that the key is absent.
-func (n *NegativeCache) recordMiss(attempt *attempt) {
+// recordMiss handles a response from the origin that the key is absent. On a connection that had carried another request the
+// response may be a surplus one, in which case the true response follows and the origin becomes distrusted: the key is then
+// not recorded, so that one such response does not spread to other requests and proxies.
+func (n *NegativeCache) recordMiss(attempt *attempt, conn connUse, origin *upstreamHost) {
+	if conn.served == 0 {
+		n.postMiss(attempt)
+		return
+	}
+	time.AfterFunc(missConfirmation, func() {
+		if !origin.isDistrusted() {
+			n.postMiss(attempt)
+		}
+	})
+}
+
+// postMiss records that the key of an attempt is absent at the origin.
+func (n *NegativeCache) postMiss(attempt *attempt) {
 	hash, token := xxhash.Sum64(attempt.request.key), attempt.fetchToken
 	tenant, ok := n.settings.Tenants[attempt.request.tenant]
 	if !ok {
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -197,7 +197,7 @@
 	switch {
 	case wanted && attempt.notFound:
 		r.reply(attempt.slot, replyNotFound, nil, 0)
-		r.negativeCache.recordMiss(attempt)
+		r.negativeCache.recordMiss(attempt, result.conn, r.hosts[attempt.host])
 	case wanted && result.stream != nil:
 		r.markFinished(s, lifecycle.ReplyDecided)
 		s.request.replyStream(r.counters, result.stream)
