proxy: a request waits for a resting connection only where responses take longer than the wait

Where servers answer within milliseconds, a request that waited up to 60 ms for a connection was overtaken by its own hedged copy at the origin, and took many times as long as one on a new connection: the script 'copy' of internal/server got five copies for one.

A request waits if the rest of the next connection is shorter than the mean time of the server's responses, else it opens a connection.

--- a/internal/proxy/idle_conns.go
+++ b/internal/proxy/idle_conns.go
@@ -64,6 +64,15 @@
 	return conn
 }
 
+// recordResponseTime updates the mean time from an attempt to its response. Any goroutine may call it.
+func (h *upstreamHost) recordResponseTime(took time.Duration) {
+	mean := h.responseTime.Load()
+	if mean == 0 {
+		mean = int64(took)
+	}
+	h.responseTime.Store(mean + (int64(took)-mean)/8)
+}
+
 // closeConnsToOthers closes the idle connections to other addresses than the given one.
 func (h *upstreamHost) closeConnsToOthers(addr string) {
 	h.idleConns = slices.DeleteFunc(h.idleConns, func(conn *upstreamConn) bool {
--- a/internal/proxy/rest_queue.go
+++ b/internal/proxy/rest_queue.go
@@ -15,14 +15,15 @@
 	moving  bool       // a call of moveDialing is scheduled
 }
 
-// waitForRest makes an attempt wait for a connection that rests and that no other attempt waits for. A new connection would
-// cost the server a handshake, and often takes as long. It returns false if there is none. An attempt waits at most once.
+// waitForRest makes an attempt wait for a connection that rests and that no other attempt waits for, if that takes less time
+// than a response does: a new connection would cost the server a handshake, and takes about as long. It returns false if there
+// is no such connection. An attempt waits at most once.
 func (h *upstreamHost) waitForRest(attempt *attempt) bool {
 	if attempt.hasWaited {
 		return false
 	}
 	remaining, ok := h.remainingRest(len(h.rests.waiting))
-	if !ok {
+	if !ok || remaining > time.Duration(h.responseTime.Load()) {
 		return false
 	}
 	attempt.hasWaited = true
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -46,7 +46,8 @@
 	lastRejection atomic.Int64
 
 	// Set by the host's goroutine, read by any.
-	openConns atomic.Int32 // includes connections that are being dialed
+	responseTime atomic.Int64 // mean time from an attempt to its response, in nanoseconds; set by the goroutines of connections
+	openConns    atomic.Int32 // includes connections that are being dialed
 
 	// Accessed only by the router's goroutine.
 	ejected       bool          // state last reported to the duties
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -246,10 +246,12 @@
 	if u.host.isOrigin {
 		read = wire.ReadOriginResponse
 	}
+	writtenAt := time.Now()
 	response, err := read(u.reader)
 	if err != nil {
 		return u.failure(attempt, err)
 	}
+	u.host.recordResponseTime(time.Since(writtenAt))
 	conditions := u.responseConditions(attempt)
 	if !conditions.MayAttribute().Permitted() {
 		return u.unattributed()
