proxy: input soon behind a response that may itself have been a surplus one distrusts its server for longer

A late surplus response that was taken for a request's is followed by the true response to that request, within milliseconds: it counted as a prompt surplus response, which was followed by one second of distrust only.

Only behind the first response on a connection does the delay show that a surplus response was prompt (1 s). Behind a later one the server is distrusted for 10 s, and behind one that came later than the rest for a minute.

--- a/internal/lifecycle/orders_test.go
+++ b/internal/lifecycle/orders_test.go
@@ -255,6 +255,9 @@
 		{(&lifecycle.ResponseConditions{Served: 1}).MayConfirmNotExecuted(), lifecycle.ResponseUncertain},
 		{(&lifecycle.ResponseConditions{Served: 1, Repeatable: true, HostDistrusted: true}).MayConfirmNotExecuted(), lifecycle.HostDistrusted},
 		{(&lifecycle.ResponseConditions{HostDistrusted: true}).MayConfirmNotExecuted(), lifecycle.Permitted},
+		{(&lifecycle.SurplusConditions{Served: 1, SinceResponse: lifecycle.ResponseRest}).DistrustPeriod(), lifecycle.PromptDistrustPeriod},
+		{(&lifecycle.SurplusConditions{Served: 1, SinceResponse: lifecycle.ResponseRest + 1}).DistrustPeriod(), lifecycle.LateDistrustPeriod},
+		{(&lifecycle.SurplusConditions{Served: 2}).DistrustPeriod(), lifecycle.DistrustPeriod},
 		{(&lifecycle.WatchConditions{}).MayOpen(), lifecycle.Permitted},
 		{(&lifecycle.WatchConditions{Open: true}).MayOpen(), lifecycle.WatchOpen},
 		{(&lifecycle.WatchConditions{Delegated: true}).MayOpen(), lifecycle.WatchDelegated},
@@ -267,9 +270,6 @@
 			t.Errorf("got %v, want %v", test.got, test.want)
 		}
 	}
-	if prompt, late := lifecycle.DistrustPeriod(lifecycle.ResponseRest), lifecycle.DistrustPeriod(lifecycle.ResponseRest+1); prompt != lifecycle.PromptDistrustPeriod || late != lifecycle.LateDistrustPeriod {
-		t.Errorf("distrusted for %v after a prompt surplus response and for %v after a late one", prompt, late)
-	}
 	for r := range lifecycle.NumRefusals {
 		if lifecycle.Refusal(r).String() == "" {
 			t.Errorf("refusal %d has no text", r)
--- a/internal/lifecycle/upstream.go
+++ b/internal/lifecycle/upstream.go
@@ -11,19 +11,31 @@
 // Times after a surplus response of a host for which each connection to the host carries one request. They are longer than
 // lulls between bursts of traffic, in which a host that still sends surplus responses shows none.
 const (
-	// PromptDistrustPeriod follows a surplus response that came within ResponseRest. The next one like it harms nobody either.
+	// PromptDistrustPeriod follows one that certainly came within ResponseRest: the next one like it harms nobody.
 	PromptDistrustPeriod = time.Second
-	// LateDistrustPeriod follows a later one.
+	// DistrustPeriod follows one that came soon behind a response that may itself have been a surplus one.
+	DistrustPeriod = 10 * time.Second
+	// LateDistrustPeriod follows one that came later than ResponseRest.
 	LateDistrustPeriod = time.Minute
 )
 
-// DistrustPeriod returns the time for which a host is distrusted after a surplus response that came the given time after the
-// last response on its connection.
-func DistrustPeriod(delay time.Duration) time.Duration {
-	if delay <= ResponseRest {
-		return PromptDistrustPeriod
+// SurplusConditions describes a surplus response.
+type SurplusConditions struct {
+	Served        int           // number of responses that were read on its connection before
+	SinceResponse time.Duration // time since the last of them ended
+}
+
+// DistrustPeriod returns the time for which the host is distrusted. The surplus response certainly came within ResponseRest
+// only behind the first response on its connection. Behind a later one it may also be the true response to a request for which
+// a late surplus response was taken.
+func (c *SurplusConditions) DistrustPeriod() time.Duration {
+	switch {
+	case c.SinceResponse > ResponseRest:
+		return LateDistrustPeriod
+	case c.Served > 1:
+		return DistrustPeriod
 	}
-	return LateDistrustPeriod
+	return PromptDistrustPeriod
 }
 
 // UpstreamConnConditions holds the conditions under which an upstream connection may carry an attempt.
--- a/internal/proxy/surplus_response.go
+++ b/internal/proxy/surplus_response.go
@@ -46,7 +46,8 @@
 	counters.BadPeer.Add(1)
 	counters.Surplus[surplus.phase].Add(1)
 	counters.SurplusDelay.observe(delay)
-	period := lifecycle.DistrustPeriod(delay)
+	conditions := lifecycle.SurplusConditions{Served: u.served, SinceResponse: delay}
+	period := conditions.DistrustPeriod()
 	u.host.distrust(period)
 	u.host.log().Warn("surplus response, upstream connection closed and host distrusted",
 		zap.Uint64("connection", u.id), zap.Stringer("phase", surplus.phase),
