proxy: a response with more input behind it on a used connection is not believed

What was left over of the true response closed the connection, and the value was served all the same.

On a connection that has carried another request, input behind a response now says that it is not certain which of them is whose: the attempt counts as reset and may have run. A long value of the origin that streams breaks off before its last byte. On a fresh connection the first response is its own, and is believed as before.

--- a/internal/proxy/host_distrust.go
+++ b/internal/proxy/host_distrust.go
@@ -9,8 +9,11 @@
 	"woodproxy/internal/lifecycle"
 )
 
-// errHostDistrusted ends an attempt whose response may belong to another request.
-var errHostDistrusted = errors.New("response on a used connection of a host that sends surplus responses")
+// Errors that end an attempt whose response may belong to another request.
+var (
+	errHostDistrusted      = errors.New("response on a used connection of a host that sends surplus responses")
+	errInputBehindResponse = errors.New("more input behind a response on a used connection")
+)
 
 // distrust records that the host has sent a surplus response. For a period each connection to it carries one request, and
 // responses on connections that have carried another are not attributed to a request. Any goroutine may call it.
@@ -69,7 +72,7 @@
 
 // unattributed returns the result of an attempt whose response may belong to another request: the attempt may have run, and
 // the connection is closed.
-func (u *upstreamConn) unattributed() roundTripResult {
+func (u *upstreamConn) unattributed(reason error) roundTripResult {
 	u.host.router.counters.Unattributed.Add(1)
-	return roundTripResult{attemptResult: attemptResult{outcome: balancer.Reset}, err: errHostDistrusted}
+	return roundTripResult{attemptResult: attemptResult{outcome: balancer.Reset}, err: reason}
 }
--- a/internal/proxy/surplus_response.go
+++ b/internal/proxy/surplus_response.go
@@ -56,6 +56,18 @@
 		zap.Float64("delay_ms", float64(delay)/float64(time.Millisecond)), zap.Duration("distrusted_for", period))
 }
 
+// hasInput reports whether bytes have arrived that were not consumed.
+func (u *upstreamConn) hasInput() bool { return u.reader.Buffered() > 0 || hasUnread(u.conn) }
+
+// inputPrefix returns the first bytes that have arrived and were not consumed.
+func (u *upstreamConn) inputPrefix() []byte {
+	if n := u.reader.Buffered(); n > 0 {
+		prefix, _ := u.reader.Peek(min(n, maxSurplusPrefix)) // never fails: the bytes are buffered
+		return prefix
+	}
+	return peekBytes(u.conn, maxSurplusPrefix)
+}
+
 // delayBuckets are the upper bounds of the buckets of a DelayHistogram.
 var delayBuckets = [...]time.Duration{
 	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
--- a/internal/proxy/surplus_response_test.go
+++ b/internal/proxy/surplus_response_test.go
@@ -195,6 +195,29 @@
 	}
 }
 
+// Guards against a value that begins with half of a late surplus response and goes on with the true one: HTTP marks the end of
+// a value by its length alone. What is left over behind the value tells that it is neither.
+func TestHalfSurplusResponseIsNotCompletedByTheNext(t *testing.T) {
+	origin := newOrigin(t)
+	p := newTestProxy(t, 10, func(config *balancer.Settings) { config.Routes[1].Effect = balancer.NonRetriable }, newCache(t), origin)
+	client := p.dial()
+	reader := bufio.NewReader(client)
+	response := "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n" + strings.Repeat("a", 400)
+	send(t, client, setCommand("first", longPut, "v"))
+	conn := origin.next(t).conn
+	send(t, conn, response)
+	readReply(t, reader)
+	time.Sleep(lifecycle.ResponseRest + 10*time.Millisecond)
+	send(t, client, setCommand("second", longPut, "v"))
+	if second := origin.next(t); second.conn != conn {
+		t.Fatal("the second write came on another connection")
+	}
+	send(t, conn, response[:len(response)-200]+strings.ReplaceAll(response, "a", "b"))
+	if got := readReply(t, reader); !strings.HasPrefix(got, "-ERR") {
+		t.Errorf("got %d bytes %.300q, want an error", len(got), got)
+	}
+}
+
 // Guards against a response that comes before the last byte of its request and is taken for the response to it: the origin
 // answers a long write when it has received half of it. The rest must not follow, so that the write is not executed, and the
 // client must not get the early value.
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -185,17 +185,11 @@
 		return u.takeAssigned()
 	}
 	if u.reader.Buffered() > 0 {
-		u.reportSurplus(surplusResponse{phase: surplusIdle, prefix: u.bufferedPrefix()})
+		u.reportSurplus(surplusResponse{phase: surplusIdle, prefix: u.inputPrefix()})
 	}
 	return nil // unexpected input, or the upstream has closed the connection
 }
 
-// bufferedPrefix returns the first bytes that have been read from the connection and not consumed.
-func (u *upstreamConn) bufferedPrefix() []byte {
-	prefix, _ := u.reader.Peek(min(u.reader.Buffered(), maxSurplusPrefix)) // never fails: the bytes are buffered
-	return prefix
-}
-
 // beginIdle sets the deadline at which the idle connection closes. It returns ready if there is nothing to wait for:
 // next is then the attempt that is already assigned, or nil if the connection must be closed.
 func (u *upstreamConn) beginIdle() (next *attempt, ready bool) {
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -188,11 +188,7 @@
 	conditions.ClosedByUpstream = input == inputEnded
 	refusal := conditions.MayReuse()
 	if refusal == lifecycle.UnexpectedInput {
-		prefix := u.bufferedPrefix()
-		if len(prefix) == 0 {
-			prefix = peekBytes(u.conn, maxSurplusPrefix)
-		}
-		u.reportSurplus(surplusResponse{phase: surplusBeforeWrite, prefix: prefix, next: attempt.request.id})
+		u.reportSurplus(surplusResponse{phase: surplusBeforeWrite, prefix: u.inputPrefix(), next: attempt.request.id})
 	}
 	return refusal.Permitted()
 }
@@ -254,11 +250,7 @@
 	u.host.recordResponseTime(time.Since(writtenAt))
 	conditions := u.responseConditions(attempt)
 	if !conditions.MayAttribute().Permitted() {
-		return u.unattributed()
-	}
-	if response.NotFound && u.host.router.negativeCache != nil && attempt.request.value == nil {
-		attempt.notFound = true
-		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Completed}, reusable: u.responseEnded(attempt, &response)}
+		return u.unattributed(errHostDistrusted)
 	}
 	var value []byte
 	if response.Outcome == balancer.Completed {
@@ -266,6 +258,15 @@
 			return u.failure(attempt, err)
 		}
 	}
+	if u.served > 0 && !attempt.streaming && u.hasInput() {
+		u.host.router.valueMemory.release(len(value))
+		u.reportSurplus(surplusResponse{phase: surplusBehindResponse, prefix: u.inputPrefix(), next: attempt.request.id})
+		return u.unattributed(errInputBehindResponse)
+	}
+	if response.NotFound && u.host.router.negativeCache != nil && attempt.request.value == nil {
+		attempt.notFound = true
+		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Completed}, reusable: u.responseEnded(attempt, &response)}
+	}
 	if response.Outcome == balancer.Overloaded {
 		u.host.lastRejection.Store(int64(u.host.router.clock.Elapsed()))
 	}
@@ -285,7 +286,7 @@
 	u.served++
 	u.lastRequestID, u.lastResponseAt = attempt.request.id, time.Now()
 	if response.Reusable && u.reader.Buffered() > 0 {
-		u.reportSurplus(surplusResponse{phase: surplusBehindResponse, prefix: u.bufferedPrefix()})
+		u.reportSurplus(surplusResponse{phase: surplusBehindResponse, prefix: u.inputPrefix()})
 		return false
 	}
 	return response.Reusable && !u.host.isDistrusted()
