--- a/internal/proxy/surplus_response_test.go
+++ b/internal/proxy/surplus_response_test.go
@@ -13,6 +13,9 @@
 
 	"woodproxy/balancer"
 	"woodproxy/internal/lifecycle"
+	"woodproxy/negativecache"
+
+	"go.uber.org/zap"
 )
 
 // respValue returns a cache's response with a value.
@@ -245,3 +248,49 @@
 		t.Errorf("got reply %q, %d writes received completely, want neither the early value nor a complete write", got, completed.Load())
 	}
 }
+
+// Guards against one misattributed response that spreads: an absent key that was reported on a used connection is not
+// recorded if the origin sends a surplus response behind it. Without one it is, and on a fresh connection it is at once.
+func TestAbsentKeyOfSurplusResponseIsNotRecorded(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		served         int
+		surplusFollows bool
+		recordedAtOnce bool
+		recordedAtLast bool
+	}{
+		{name: "fresh connection", recordedAtOnce: true, recordedAtLast: true},
+		{name: "used connection", served: 3, recordedAtLast: true},
+		{name: "used connection, surplus response behind", served: 3, surplusFollows: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			router := newTestRouter()
+			cache := NewNegativeCache(negativecache.Settings{
+				ProxyName: "n1", Entries: 100, TTL: 60 * negativecache.Second, ReportGrace: negativecache.Second, MaxNewKeysPerSecond: 100,
+			}, router, nil, zap.NewNop())
+			go cache.Run()
+			isAbsent := func(req *request) bool { // the cache serves for a moment behind each list of members
+				cache.SetMembers([]negativecache.Proxy{{Name: "n1", Reachable: true}}, 1, false)
+				time.Sleep(4 * negativeCacheTick)
+				return cache.lookUp(req)
+			}
+			origin := newUpstreamHost(router, 0, "o1", true)
+			req := &request{key: []byte("k")}
+			read := &attempt{request: req}
+			isAbsent(req)
+			cache.beginFetch(read)
+			cache.recordMiss(read, connUse{id: 1, served: test.served}, origin)
+			if test.surplusFollows {
+				origin.distrust(lifecycle.PromptDistrustPeriod)
+			}
+			if got := isAbsent(req); got != test.recordedAtOnce {
+				t.Errorf("recorded at once: %v, want %v", got, test.recordedAtOnce)
+			}
+			time.Sleep(missConfirmation)
+			if got := isAbsent(req); got != test.recordedAtLast {
+				t.Errorf("recorded in the end: %v, want %v", got, test.recordedAtLast)
+			}
+		})
+	}
+}
