emulator, soak: surplus responses are drawn, late ones may deceive once, three plants

Half of the drawn scenarios have servers that send surplus responses, of each kind, up to 45 ms or up to 2 s late, and a class of reads that must not run twice. A prompt one must deceive nobody; a late one can't be told from the response to the next request, so each proxy process may pass on one value of each server to another request: values name their server now. Draws of other faults do not change (a random source of its own).

--- a/internal/emulator/eventlog.go
+++ b/internal/emulator/eventlog.go
@@ -12,7 +12,7 @@
 // Kinds of events.
 const (
 	RequestSent      EventKind = "request sent"       // a client has written a complete request
-	ReplyReceived    EventKind = "reply received"     // a client received a final reply: Note is the outcome, MadeFor is set
+	ReplyReceived    EventKind = "reply received"     // a client received a final reply: Note is the outcome, Node made its value for the request MadeFor
 	ConnectionClosed EventKind = "connection closed"  // a connection was closed during a request
 	ClientLeft       EventKind = "client left"        // a client left before it received a reply
 	AttemptReceived  EventKind = "attempt received"   // a node has received a complete attempt
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -201,6 +201,35 @@
 	return event(atMS, emulator.ReplyReceived, "u", "", note)
 }
 
+// foreignValue returns a reply to the read "a" with a value that the node made for another request.
+func foreignValue(atMS int) emulator.Event {
+	e := event(atMS, emulator.ReplyReceived, "a", "c1", "completed")
+	e.MadeFor = "b"
+	return e
+}
+
+// Each proxy process may be deceived once by each node that sends late surplus responses, and never by prompt ones.
+func TestLateSurplusResponseDeceivesOnce(t *testing.T) {
+	requests := []emulator.Request{{ID: "a"}, {ID: "w"}}
+	second := foreignValue(30)
+	second.RequestID = "w"
+	trace := []emulator.Event{requestSent(0), foreignValue(9), event(20, emulator.RequestSent, "w", "", ""), second}
+	for _, test := range []struct {
+		delay string
+		trace []emulator.Event
+		want  int
+	}{
+		{"45.0", trace, 2},
+		{"51.0", trace, 1},
+		{"51.0", slices.Insert(slices.Clone(trace), 2, processEnded(15, "stopped")), 0},
+	} {
+		scenario := parseScenario(t, withFaults(calmScenario, `kind = "surplus"; at_s = 0.0; for_s = 1.0; surplus = "copy"; part = 0.1; slow_ms = `+test.delay))
+		if found := emulator.CheckInvariants(scenario, requests, test.trace); len(found) != test.want || test.want > 0 && found[0].Rule != emulator.OwnValueRule {
+			t.Errorf("%s ms: got %v, want %d violations", test.delay, found, test.want)
+		}
+	}
+}
+
 var processCases = []ruleCase{
 	{"not ready", []emulator.Event{event(2000, emulator.ProcessNotReady, "", "", "")}, emulator.ReadyRule},
 	{"invariant violation logged", []emulator.Event{reportedByProxy(emulator.LogReported, "invariant violated", 1)}, emulator.InvariantRule},
--- a/internal/emulator/lateness.go
+++ b/internal/emulator/lateness.go
@@ -14,7 +14,7 @@
 var endOfRunRules = []Rule{InvariantRule, ResidueRule}
 
 // timingIndependentRules are the rules that an overloaded machine does not break.
-var timingIndependentRules = []Rule{MemoryRule, DescriptorRule, CrashRule, InventedRule, OwnValueRule}
+var timingIndependentRules = []Rule{MemoryRule, DescriptorRule, CrashRule, InventedRule, OwnValueRule, ResendRule, RefusedEffectRule}
 
 // Unexcused returns the violations that an overloaded machine does not explain: no send was late between the first event of
 // the request and the violation, or within lateSendMargin of either. A violation of endOfRunRules is excused by any late
@@ -60,6 +60,8 @@
 	"pause":       {Kind: ProcessPaused, Note: pauseBegins},
 	"cold":        {Kind: SlowStartBegan},
 	"replace":     {Kind: SlowStartBegan},
+	"surplus":     {Kind: SurplusSent},
+	"origin-busy": {Kind: AttemptRefused, Note: string(modeBusy)},
 }
 
 // IdleFaults returns the sorted kinds of those faults of the scenario that had no effect according to the events. Only the
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -356,7 +356,7 @@
 	switch {
 	case head[0] == '$':
 		outcome = Completed
-		if _, event.MadeFor = parseValue(body); head == nullBulk {
+		if event.Node, event.MadeFor = parseValue(body); head == nullBulk {
 			event.Node = noSuchKey
 		}
 	case head == "-BUSY" || strings.HasPrefix(head, "-BUSY "):
--- a/internal/emulator/surplus_response.go
+++ b/internal/emulator/surplus_response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -26,9 +27,16 @@
 }
 
 // isSurplusKind reports whether there is a surplus response of the kind.
-func isSurplusKind(kind string) bool {
-	_, fixed := surplusTexts[kind]
-	return fixed || kind == surplusCopy || kind == surplusHalf
+func isSurplusKind(kind string) bool { return slices.Contains(SurplusKinds(), kind) }
+
+// SurplusKinds returns the kinds of surplus responses in alphabetical order.
+func SurplusKinds() []string {
+	kinds := []string{surplusCopy, surplusHalf}
+	for kind := range surplusTexts {
+		kinds = append(kinds, kind)
+	}
+	slices.Sort(kinds)
+	return kinds
 }
 
 // surplusResponses describes the surplus responses that a node sends.
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -115,7 +115,7 @@
 
 // Kinds returns the kinds of faults that can be drawn, in alphabetical order.
 func Kinds() []string {
-	kinds := []string{kindCrowd}
+	kinds := []string{kindCrowd, kindSurplus}
 	for _, d := range faultDraws {
 		kinds = append(kinds, d.kind)
 	}
@@ -155,9 +155,43 @@
 	if len(options.Kinds) == 0 || slices.Contains(options.Kinds, kindCrowd) {
 		d.drawCrowd(seed)
 	}
+	if len(options.Kinds) == 0 || slices.Contains(options.Kinds, kindSurplus) {
+		d.drawSurplus(seed)
+	}
 	return d.scenario
 }
 
+// kindSurplus is a kind of fault that is drawn from a random source of its own, as kindCrowd is.
+const kindSurplus = "surplus"
+
+// Delays of surplus responses in milliseconds: prompt ones must harm nobody, late ones deceive a proxy once for each server.
+const (
+	maxPromptDelayMS = 45
+	maxLateDelayMS   = 2000
+)
+
+// drawSurplus adds surplus responses to one scenario in two, and a class of reads that must not be executed twice.
+func (d *drawer) drawSurplus(seed uint64) {
+	random, s := rand.New(rand.NewPCG(seed, 54)), d.scenario
+	if random.IntN(2) > 0 {
+		return
+	}
+	at := firstFault + random.Float64()*max(s.LengthS-faultFreeEnd-minDuration-firstFault, 0)
+	fault := emulator.Fault{
+		Kind: kindSurplus, AtS: at, DurationS: min(maxDuration, s.LengthS-faultFreeEnd-at),
+		Surplus: emulator.SurplusKinds()[random.IntN(len(emulator.SurplusKinds()))], Fraction: 0.05 + 0.35*random.Float64(), MaxDelayMS: maxPromptDelayMS,
+	}
+	if random.IntN(3) == 0 {
+		fault.MaxDelayMS = maxLateDelayMS
+	}
+	s.Faults = append(s.Faults, fault)
+	const unsafeShare = 0.05
+	s.Routes[0].Share -= unsafeShare
+	unsafe := s.Routes[0]
+	unsafe.Name, unsafe.Share, unsafe.Unsafe = "take", unsafeShare, true
+	s.Routes = append(s.Routes, unsafe)
+}
+
 // kindCrowd is a kind of fault that is drawn from a random source of its own, so that it does not change the sequence of
 // the other draws.
 const kindCrowd = "crowd"
--- a/internal/soak/plants.go
+++ b/internal/soak/plants.go
@@ -34,6 +34,23 @@
 	openForClients = "	s.awaitEndpoints()\n	s.clientListener.Open()\n"
 )
 
+const lifecycleFile = "internal/lifecycle/upstream.go"
+
+// surplusScenario returns a change of a scenario after which its servers follow a fraction of their responses by surplus ones of
+// one kind, and the origin takes long, so that many requests wait for their responses when these come.
+func surplusScenario(kind string, fraction, minDelayMS, maxDelayMS float64) func(*emulator.Scenario) {
+	return func(s *emulator.Scenario) {
+		s.Fleet.Nodes, s.Fleet.Cores, s.Load.Rate, s.Load.Steps = 4, 4, 400, nil
+		s.Origin = emulator.NodeCapacity{Cores: 32, ServiceMS: 30, Queue: 200}
+		s.Faults = []emulator.Fault{{
+			Kind: "surplus", DurationS: s.LengthS, Surplus: kind, Fraction: fraction, MinDelayMS: minDelayMS, MaxDelayMS: maxDelayMS,
+		}}
+		for i, share := range []float64{0.5, 0.1, 0.4} { // reads, writes whose duplicates are dropped, writes that must not run twice
+			s.Routes[i].Share = share
+		}
+	}
+}
+
 // Plants are the bugs that can be built into the proxy.
 var Plants = []Plant{
 	{"late-attempt", emulator.LateAttemptRule, []faultbuild.Patch{
@@ -86,6 +103,16 @@
 	{"invented", emulator.InventedRule, []faultbuild.Patch{
 		{File: roundTripFile, Old: "		u.header = wire.AppendCommand(u.header[:0], req.name, req.key, req.id, facts, size)", New: "		key := req.key\n		if req.id[len(req.id)-1] == '7' {\n			key = []byte(string(req.key) + \"x\")\n		}\n		u.header = wire.AppendCommand(u.header[:0], req.name, key, req.id, facts, size)"},
 	}, nil, nil},
+	{"no-rest", emulator.OwnValueRule, []faultbuild.Patch{
+		{File: lifecycleFile, Old: "	case c.Served > 0 && c.SinceResponse < ResponseRest:", New: "	case c.Served > 0 && c.SinceResponse < 0:"},
+	}, []string{"surplus"}, surplusScenario("copy", 0.3, 2, 30)},
+	{"no-distrust", emulator.OwnValueRule, []faultbuild.Patch{
+		{File: "internal/proxy/host_distrust.go", Old: "	if int64(h.router.clock.Elapsed()) < until {\n		return true", New: "	if int64(h.router.clock.Elapsed()) < until {\n		return false"},
+	}, []string{"surplus"}, surplusScenario("copy", 0.5, 60, 150)},
+	{"refusal-believed", emulator.ResendRule, []faultbuild.Patch{
+		{File: lifecycleFile, Old: "	if c.Served > 0 && !c.Repeatable {", New: "	if c.Served > 0 && !c.Repeatable && c.HostDistrusted {"},
+		{File: "internal/proxy/host_distrust.go", Old: "	if int64(h.router.clock.Elapsed()) < until {\n		return true", New: "	if int64(h.router.clock.Elapsed()) < until {\n		return false"},
+	}, []string{"surplus"}, surplusScenario("refusal", 0.8, 61, 100)},
 	{"crash", emulator.CrashRule, []faultbuild.Patch{
 		{File: slotFile, Old: "	slot := r.acquireSlot(req)", New: "	if len(req.id) > 1 && string(req.id[len(req.id)-2:]) == \"77\" {\n		go func() { panic(\"planted\") }()\n	}\n	slot := r.acquireSlot(req)"},
 	}, nil, nil},
