proxy: rested connections are used in turn; known failure: a chain behind a late surplus response

The connection used last had rested least. Of those that were idle for less than two seconds the one that rested longest is taken now, so that a late surplus response, or the true response behind one that was taken for another's, is more often read while its connection is idle. Those idle for longer still fall out of use.

--- a/internal/proxy/idle_conns.go
+++ b/internal/proxy/idle_conns.go
@@ -37,31 +37,38 @@
 	return h.freshConns.Allow()
 }
 
-// takeIdleConn removes and returns an idle connection to an address, or nil if none may be used. It is the most recently used
-// one that has rested, so that the others become idle long enough to be closed, or else a fresh one. With freshOnly it is a
-// fresh one in any case. takeIdleConn closes idle connections to other, former addresses of the host.
+// turnInterval is the time that a connection may have been idle to be used in turn. One that has been idle for longer is used
+// only if there is no other, so that connections that are not needed become idle long enough to be closed.
+const turnInterval = 2 * time.Second
+
+// takeIdleConn removes and returns an idle connection to an address, or nil if none may be used. Connections that have rested
+// are used in turn, so that each rests for as long as the traffic permits, and before fresh ones. With freshOnly it is a fresh
+// one in any case. takeIdleConn closes idle connections to other, former addresses of the host.
 func (h *upstreamHost) takeIdleConn(addr string, freshOnly bool) *upstreamConn {
 	h.closeConnsToOthers(addr)
-	now, chosen := time.Now(), -1
-	for i, conn := range slices.Backward(h.idleConns) {
-		isFresh := conn.served == 0
+	now, inTurn, lastUsed, fresh := time.Now(), -1, -1, -1
+	for i, conn := range h.idleConns { // ordered by last use
 		conditions := conn.reuseConditions(now)
-		if freshOnly && !isFresh || !conditions.MayReuse().Permitted() {
-			continue
-		}
-		if chosen < 0 || !isFresh {
-			chosen = i
-		}
-		if !isFresh {
-			break
+		switch {
+		case !conditions.MayReuse().Permitted():
+		case conn.served == 0:
+			fresh = i
+		case freshOnly:
+		default:
+			if inTurn < 0 && conditions.SinceResponse < turnInterval {
+				inTurn = i
+			}
+			lastUsed = i
 		}
 	}
-	if chosen < 0 {
-		return nil
+	for _, i := range [...]int{inTurn, lastUsed, fresh} {
+		if i >= 0 {
+			conn := h.idleConns[i]
+			h.idleConns = slices.Delete(h.idleConns, i, i+1)
+			return conn
+		}
 	}
-	conn := h.idleConns[chosen]
-	h.idleConns = slices.Delete(h.idleConns, chosen, chosen+1)
-	return conn
+	return nil
 }
 
 // recordResponseTime updates the mean time from an attempt to its response. Any goroutine may call it.
