proxy: three seconds of ambiguous distrust, waits of two responses, fewer looks at the socket

The look at the socket behind each response cost a system call; it stays for responses that do not fit into the read buffer.

--- a/internal/lifecycle/upstream.go
+++ b/internal/lifecycle/upstream.go
@@ -14,7 +14,7 @@
 	// PromptDistrustPeriod follows one that certainly came within ResponseRest: the next one like it harms nobody.
 	PromptDistrustPeriod = time.Second
 	// DistrustPeriod follows one that came soon behind a response that may itself have been a surplus one.
-	DistrustPeriod = 10 * time.Second
+	DistrustPeriod = 3 * time.Second
 	// LateDistrustPeriod follows one that came later than ResponseRest.
 	LateDistrustPeriod = time.Minute
 )
--- a/internal/proxy/rest_queue.go
+++ b/internal/proxy/rest_queue.go
@@ -7,6 +7,9 @@
 	"woodproxy/internal/lifecycle"
 )
 
+// maxWaitInResponses is the longest wait for a connection that rests, in multiples of the host's mean time to a response.
+const maxWaitInResponses = 2
+
 // restQueue holds the attempts at a host that could be carried by a connection that still rests. Only the host's goroutine
 // uses it.
 type restQueue struct {
@@ -15,15 +18,15 @@
 	moving  bool       // a call of moveDialing is scheduled
 }
 
-// waitForRest makes an attempt wait for a connection that rests and that no other attempt waits for, if that takes less time
-// than a response does: a new connection would cost the server a handshake, and takes about as long. It returns false if there
-// is no such connection. An attempt waits at most once.
+// waitForRest makes an attempt wait for a connection that rests and that no other attempt waits for, if that is short beside a
+// response: a new connection would cost the server a handshake, and takes about as long. It returns false if there is no such
+// connection. An attempt waits at most once.
 func (h *upstreamHost) waitForRest(attempt *attempt) bool {
 	if attempt.hasWaited {
 		return false
 	}
 	remaining, ok := h.remainingRest(len(h.rests.waiting))
-	if !ok || remaining > time.Duration(h.responseTime.Load()) {
+	if !ok || remaining > maxWaitInResponses*time.Duration(h.responseTime.Load()) {
 		return false
 	}
 	attempt.hasWaited = true
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -144,7 +144,7 @@
 	if err := response.ReadValueEnd(u.reader); err != nil {
 		return err
 	}
-	if u.host.isOrigin && u.served > 0 && u.hasInput() { // a value of the origin is the end of its response
+	if u.host.isOrigin && u.served > 0 && u.hasInputBehind(response) { // a value of the origin is the end of its response
 		return &wire.AttemptError{Progress: wire.Reading, Err: errInputBehindResponse}
 	}
 	chunk = append(chunk, crlf...)
--- a/internal/proxy/surplus_response.go
+++ b/internal/proxy/surplus_response.go
@@ -56,8 +56,11 @@
 		zap.Float64("delay_ms", float64(delay)/float64(time.Millisecond)), zap.Duration("distrusted_for", period))
 }
 
-// hasInput reports whether bytes have arrived that were not consumed.
-func (u *upstreamConn) hasInput() bool { return u.reader.Buffered() > 0 || hasUnread(u.conn) }
+// hasInputBehind reports whether bytes have arrived behind a response. What arrives with a short response is in the buffer, so
+// that the socket is looked at behind a long one only.
+func (u *upstreamConn) hasInputBehind(response *wire.Response) bool {
+	return u.reader.Buffered() > 0 || response.ValueLength >= upstreamReadBuffer/2 && hasUnread(u.conn)
+}
 
 // inputPrefix returns the first bytes that have arrived and were not consumed.
 func (u *upstreamConn) inputPrefix() []byte {
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -258,7 +258,7 @@
 			return u.failure(attempt, err)
 		}
 	}
-	if u.served > 0 && !attempt.streaming && u.hasInput() {
+	if u.served > 0 && !attempt.streaming && u.hasInputBehind(&response) {
 		u.host.router.valueMemory.release(len(value))
 		u.reportSurplus(surplusResponse{phase: surplusBehindResponse, prefix: u.inputPrefix(), next: attempt.request.id})
 		return u.unattributed(errInputBehindResponse)
