proxy, emulator: one way to close selected idle connections, no field that is not read

The connections to former addresses and those that have carried a request were closed by the same loop twice. nodeConn counted its responses and nobody asked. Behaviour is the same; internal/proxy, internal/emulator TestSurplus and the linter pass.

--- a/internal/emulator/surplus_response.go
+++ b/internal/emulator/surplus_response.go
@@ -60,7 +60,6 @@
 	response   []byte     // the latest response
 	requestID  string     // of the request that the latest response was made for
 	ended      time.Time  // end of the latest response
-	responses  int        // number of responses to requests
 	requestOut bool       // a request has been received and has no response yet
 }
 
@@ -77,7 +76,6 @@
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(response)
 	c.response, c.ended, c.requestOut = append(c.response[:0], response...), time.Now(), false
-	c.responses++
 	return n, err
 }
 
--- a/internal/proxy/host_distrust.go
+++ b/internal/proxy/host_distrust.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"woodproxy/balancer"
@@ -47,12 +46,7 @@
 
 // closeUsedConns closes the idle connections that have carried a request. It runs on the host's goroutine.
 func (h *upstreamHost) closeUsedConns() {
-	h.idleConns = slices.DeleteFunc(h.idleConns, func(conn *upstreamConn) bool {
-		if conn.served > 0 {
-			conn.close()
-		}
-		return conn.served > 0
-	})
+	h.closeIdleConnsIf(func(conn *upstreamConn) bool { return conn.served > 0 })
 }
 
 // responseConditions returns the conditions under which the response that is being read is attributed to the connection's
--- a/internal/proxy/idle_conns.go
+++ b/internal/proxy/idle_conns.go
@@ -45,7 +45,7 @@
 // are used in turn, so that each rests for as long as the traffic permits, and before fresh ones. With freshOnly it is a fresh
 // one in any case. takeIdleConn closes idle connections to other, former addresses of the host.
 func (h *upstreamHost) takeIdleConn(addr string, freshOnly bool) *upstreamConn {
-	h.closeConnsToOthers(addr)
+	h.closeIdleConnsIf(func(conn *upstreamConn) bool { return conn.addr != addr })
 	now, inTurn, lastUsed, fresh := time.Now(), -1, -1, -1
 	for i, conn := range h.idleConns { // ordered by last use
 		conditions := conn.reuseConditions(now)
@@ -80,12 +80,13 @@
 	h.responseTime.Store(mean + (int64(took)-mean)/8)
 }
 
-// closeConnsToOthers closes the idle connections to other addresses than the given one.
-func (h *upstreamHost) closeConnsToOthers(addr string) {
+// closeIdleConnsIf closes the idle connections that a condition selects.
+func (h *upstreamHost) closeIdleConnsIf(selected func(*upstreamConn) bool) {
 	h.idleConns = slices.DeleteFunc(h.idleConns, func(conn *upstreamConn) bool {
-		if conn.addr != addr {
+		closes := selected(conn)
+		if closes {
 			conn.close()
 		}
-		return conn.addr != addr
+		return closes
 	})
 }
