--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -69,6 +69,8 @@
 func (r *rig) newID() string { return fmt.Sprintf("%016x", r.nextID.Add(1)) }
 
 // encode returns a command. A nil value is a read.
+func newReader(conn net.Conn) *bufio.Reader { return bufio.NewReader(conn) }
+
 func encode(key, id, facts string, value []byte) []byte {
 	words := [][]byte{[]byte("KV.GET"), []byte(key), []byte(id), []byte(facts)}
 	if value != nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,6 +19,7 @@
 	"noise":    runNoise,
 	"slowlist": runSlowList,
 	"replaced": runReplaced,
+	"crowd":    runCrowd,
 }
 
 // longestRun is the time after which a case has no verdict.
