--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -15,11 +15,12 @@
 )
 
 var cases = map[string]func(r *rig) error{
-	"length":   runLength,
-	"noise":    runNoise,
-	"slowlist": runSlowList,
-	"replaced": runReplaced,
-	"crowd":    runCrowd,
+	"length":     runLength,
+	"noise":      runNoise,
+	"slowlist":   runSlowList,
+	"staleagent": runStaleAgent,
+	"replaced":   runReplaced,
+	"crowd":      runCrowd,
 }
 
 // longestRun is the time after which a case has no verdict.
