--- a/review/rig/nodes.go
+++ b/review/rig/nodes.go
@@ -106,6 +106,7 @@
 		n.mu.Lock()
 		n.taken++
 		n.mu.Unlock()
+		n.rig.note("node %s: took %s %s %s %s", n.name, c.name, c.key, c.id, c.facts)
 		a := n.handle(n, c)
 		for _, part := range a.parts {
 			if _, err := conn.Write(part); err != nil {
