wire: only a bulk string is a cache's value; a simple string or integer there is an error

Cause: readElementLength returned simpleElement (-2) for a line that begins with "+" or ":", meant for the elements behind the value, which are skipped. readCacheArray used the same function for the value and made an empty body of it, outcome Completed.

The fix: the value is read by readBulkLength, which accepts a bulk string or null and nothing else; skipElement alone, for the elements behind the value, accepts one-line elements. Noise is now a failed attempt that may have run, counted (BadPeer) and logged with the first bytes of what could not be read, which no log line told before.

`woodproxy counters` reads its reply by the same function and no longer takes "+..." for an empty text.

--- a/internal/wire/cacheresponse.go
+++ b/internal/wire/cacheresponse.go
@@ -40,22 +40,19 @@
 	return Response{Outcome: balancer.ServerError, Reusable: true}, nil
 }
 
-// readCacheArray parses the line that opens the array and reads the first line of the value, which is the first element.
-// If the value is null, the response is a cache miss and is read completely.
+// readCacheArray parses the line that opens the array and reads the first line of the value, which is the first element and
+// must be a bulk string. If it is null, the response is a cache miss and is read completely.
 func readCacheArray(r *bufio.Reader, line []byte) (Response, error) {
 	elements, ok := parseDecimal(line[1:])
 	if !ok || elements < 1 || elements > maxElements {
 		return Response{}, protocolError("an array length out of range")
 	}
-	length, err := readElementLength(r, MaxResponseValue)
+	length, err := readBulkLength(r, MaxResponseValue)
 	if err != nil {
 		return Response{}, err
 	}
 	resp := Response{Outcome: balancer.Completed, ValueLength: length, Reusable: true, trailing: elements - 1, bulk: true}
-	switch {
-	case length == simpleElement:
-		resp.body = []byte{}
-	case length < 0:
+	if length == nullLength {
 		resp.Outcome, resp.ValueLength = balancer.CacheMiss, 0
 		return resp, resp.SkipTrailing(r)
 	}
--- a/internal/wire/resp.go
+++ b/internal/wire/resp.go
@@ -17,11 +17,8 @@
 // maxDigits is the maximum number of digits of a number, which keeps it within 32 bits.
 const maxDigits = 9
 
-// Values returned by readElementLength for elements that are not a bulk string.
-const (
-	nullElement   = -1 // a null bulk string
-	simpleElement = -2 // an integer or a simple string, which consists of one line
-)
+// nullLength is the length in the first line of a null bulk string.
+const nullLength = -1
 
 // startsWithLineEnd reports whether b, which must have at least two bytes, starts with a line end.
 func startsWithLineEnd(b []byte) bool { return b[0] == '\r' && b[1] == '\n' }
@@ -78,41 +75,59 @@
 	return append(b, lineEnd...)
 }
 
-// ReadBulkString reads one element and returns the value of a bulk string of at most [MaxResponseValue] bytes. The value
-// is nil for a null bulk string, and empty for an integer or a simple string.
-func ReadBulkString(r *bufio.Reader) ([]byte, error) { return readElement(r, MaxResponseValue) }
-
-// readElement reads one element. Its value may have at most maxLength bytes.
-func readElement(r *bufio.Reader, maxLength int) ([]byte, error) {
-	length, err := readElementLength(r, maxLength)
-	switch {
-	case err != nil:
+// ReadBulkString reads a bulk string of at most [MaxResponseValue] bytes. It returns nil for a null bulk string. Anything
+// else, such as a simple string or an integer, is an error that wraps [ErrProtocol].
+func ReadBulkString(r *bufio.Reader) ([]byte, error) {
+	length, err := readBulkLength(r, MaxResponseValue)
+	if err != nil || length == nullLength {
 		return nil, err
-	case length == simpleElement:
-		return []byte{}, nil
-	case length < 0:
-		return nil, nil
 	}
 	return readBulkValue(r, length)
 }
 
-// readElementLength reads the first line of an element. It returns the length in bytes of the bulk string that follows,
-// nullElement or simpleElement.
-func readElementLength(r *bufio.Reader, maxLength int) (int, error) {
+// readBulkLength reads the first line of a bulk string of at most maxLength bytes. It returns the length, or nullLength.
+func readBulkLength(r *bufio.Reader, maxLength int) (int, error) {
 	line, err := readLine(r)
 	if err != nil {
 		return 0, err
 	}
-	if line[0] == ':' || line[0] == '+' {
-		return simpleElement, nil
-	}
+	return parseBulkLength(line, maxLength)
+}
+
+// parseBulkLength parses the first line of a bulk string, without its line end.
+func parseBulkLength(line []byte, maxLength int) (int, error) {
 	length, ok := parseDecimal(line[1:])
-	if line[0] != '$' || !ok || length < nullElement || length > maxLength {
-		return 0, protocolError("an element that is no bulk string of a fitting length")
+	if line[0] != '$' || !ok || length < nullLength || length > maxLength {
+		return 0, protocolError("an element that is no bulk string of a fitting length: " + quotePrefix(line))
 	}
 	return length, nil
 }
 
+// maxQuotedBytes is the maximum number of bytes of malformed input that an error quotes.
+const maxQuotedBytes = 16
+
+// quotePrefix quotes the first bytes of malformed input for an error's text.
+func quotePrefix(input []byte) string {
+	return strconv.Quote(string(input[:min(len(input), maxQuotedBytes)]))
+}
+
+// skipElement reads and discards a bulk string of at most maxLength bytes, a null bulk string, an integer or a simple string.
+func skipElement(r *bufio.Reader, maxLength int) error {
+	line, err := readLine(r)
+	if err != nil {
+		return err
+	}
+	if line[0] == ':' || line[0] == '+' {
+		return nil // consists of this line
+	}
+	length, err := parseBulkLength(line, maxLength)
+	if err != nil || length == nullLength {
+		return err
+	}
+	_, err = readBulkValue(r, length)
+	return err
+}
+
 // readBulkValue reads the value of a bulk string and its line end. It returns the value without the line end.
 func readBulkValue(r *bufio.Reader, length int) ([]byte, error) {
 	b, err := readExactly(r, length+len(lineEnd))
--- a/internal/wire/response.go
+++ b/internal/wire/response.go
@@ -59,7 +59,7 @@
 // SkipTrailing reads and discards the elements after the value. Errors are of type [*AttemptError].
 func (resp *Response) SkipTrailing(r *bufio.Reader) error {
 	for ; resp.trailing > 0; resp.trailing-- {
-		if _, err := readElement(r, MaxBufferedValue); err != nil {
+		if err := skipElement(r, MaxBufferedValue); err != nil {
 			return &AttemptError{Reading, err}
 		}
 	}
