wire: a cache's response is an array of exactly the three elements that the protocol has

The reader took arrays of one to eight elements, and behind the value anything that begins with "+" or ":". So noise of another length than three, which happened to begin with a bulk string, was a value, or a miss ("no effect") if it began with null.

Now the array has three elements, and how the read went is a bulk string or null.

Responses of one element in the stand-ins of the tests, and in the emulator's modes endless and drips, were not in the protocol's form; they have three now, and the same checks hold on them.

--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -313,13 +313,13 @@
 	case modeGarbled:
 		_, err = io.WriteString(w, "?!\r\n")
 	case modeEndless:
-		_, err = fmt.Fprintf(w, "*1\r\n$%d\r\n%s..", len(v), v)
+		_, err = fmt.Fprintf(w, "*3\r\n$%d\r\n%s..", len(v), v)
 	case modeDelaysHalf:
-		if _, err = fmt.Fprintf(w, "*1\r\n$%d\r\n%s", len(v), v[:len(v)/2]); err != nil {
+		if _, err = fmt.Fprintf(w, "*3\r\n$%d\r\n%s", len(v), v[:len(v)/2]); err != nil {
 			return err
 		}
 		time.Sleep(m.delay)
-		_, err = io.WriteString(w, v[len(v)/2:]+"\r\n")
+		_, err = io.WriteString(w, v[len(v)/2:]+"\r\n$3\r\nhit\r\n$-1\r\n")
 	case modeTruncates:
 		_, _ = fmt.Fprintf(w, "*3\r\n$%d\r\n%s", len(v), v[:len(v)/2]) // the connection is closed in any case
 		return errConnectionEnds
--- a/internal/proxy/client_conn_test.go
+++ b/internal/proxy/client_conn_test.go
@@ -106,7 +106,7 @@
 		{"stalled stream", func(p *testProxy, client net.Conn, cache *fakeNode) int64 {
 			send(p.t, client, getCommand("long", longWaitMS))
 			part := strings.Repeat("v", wire.MaxBufferedValue)
-			send(p.t, cache.next(p.t).conn, fmt.Sprintf("*1\r\n$%d\r\n%s", 4*wire.MaxBufferedValue, part))
+			send(p.t, cache.next(p.t).conn, fmt.Sprintf("*3\r\n$%d\r\n%s", 4*wire.MaxBufferedValue, part))
 			if _, err := io.CopyN(io.Discard, client, wire.MaxBufferedValue/2); err != nil {
 				p.t.Fatal(err)
 			}
@@ -189,7 +189,7 @@
 	}
 	send(t, client, getCommand("long", longWaitMS))
 	value := strings.Repeat("v", wire.MaxResponseValue)
-	send(t, cache.next(t).conn, fmt.Sprintf("*1\r\n$%d\r\n%s\r\n", wire.MaxResponseValue, value))
+	send(t, cache.next(t).conn, respValue(value))
 	p.dialer.block(cache.addr)
 	send(t, client, getCommand("behind", longWaitMS))
 	p.eventually("no reply is written", func() bool { return hasUnread(client) })
@@ -218,7 +218,7 @@
 	release()
 	go func() {
 		for cmd := range cache.commands {
-			_, _ = io.WriteString(cmd.conn, "*1\r\n$5\r\nvalue\r\n") // a failure is detected by the missing reply
+			_, _ = io.WriteString(cmd.conn, respValue("value")) // a failure is detected by the missing reply
 		}
 	}()
 	reader, replies := bufio.NewReader(client), 0
--- a/internal/proxy/client_deadline_test.go
+++ b/internal/proxy/client_deadline_test.go
@@ -139,7 +139,7 @@
 	value := strings.Repeat("v", size)
 	received := cache.next(t)
 	go func() { // a failure is detected by the bytes that the client does not receive
-		_, _ = fmt.Fprintf(received.conn, "*1\r\n$%d\r\n%s\r\n", size, value)
+		_, _ = io.WriteString(received.conn, respValue(value))
 	}()
 	p.eventually("the reply is not completed", func() bool { return p.router.counters.Completed.Load() == 1 })
 	p.listener.requestPhaseAll(lifecycle.PhaseCloseWhenIdle)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -129,6 +129,14 @@
 	return conn, nil
 }
 
+// respDetails are the elements behind the value in a cache's response: how the read went, and no load report.
+const respDetails = "$3\r\nhit\r\n$-1\r\n"
+
+// respValue returns a cache's response with a value.
+func respValue(value string) string {
+	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n%s", len(value), value, respDetails)
+}
+
 // receivedCommand is a command that a node has received.
 type receivedCommand struct {
 	id, facts string
@@ -138,7 +146,7 @@
 // sendValue sends a response with the value "value" in the protocol of a cache.
 func (c receivedCommand) sendValue(t *testing.T) {
 	t.Helper()
-	send(t, c.conn, "*1\r\n$5\r\nvalue\r\n")
+	send(t, c.conn, respValue("value"))
 }
 
 // fakeNode is a node that passes received commands to the test, and sends no responses by itself.
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -20,7 +20,7 @@
 	const length = 1 << 20
 	var written atomic.Int64
 	go func() {
-		if _, err := fmt.Fprintf(far, "*1\r\n$%d\r\n", length); err != nil {
+		if _, err := fmt.Fprintf(far, "*3\r\n$%d\r\n", length); err != nil {
 			return
 		}
 		for n := 0; n < length; n += 1 << 10 {
@@ -29,7 +29,7 @@
 			}
 			written.Add(1 << 10)
 		}
-		_, _ = io.WriteString(far, "\r\n") // not reached unless the test fails
+		_, _ = io.WriteString(far, "\r\n"+respDetails) // not reached unless the test fails
 	}()
 	upstream := newTestConn(newTestRouter(), near)
 	response, err := wire.ReadCacheResponse(upstream.reader)
--- a/internal/proxy/surplus_response_test.go
+++ b/internal/proxy/surplus_response_test.go
@@ -18,9 +18,6 @@
 	"go.uber.org/zap"
 )
 
-// respValue returns a cache's response with a value.
-func respValue(value string) string { return fmt.Sprintf("*1\r\n$%d\r\n%s\r\n", len(value), value) }
-
 // readReply reads the value of a reply to a client.
 func readReply(t *testing.T, reader *bufio.Reader) string {
 	t.Helper()
--- a/internal/proxy/upstream_conn_test.go
+++ b/internal/proxy/upstream_conn_test.go
@@ -27,7 +27,7 @@
 			return // the test fails by the missing response
 		}
 		// A failure shows in the missing response as well.
-		_, _ = io.WriteString(far, "*1\r\n$3\r\none\r\n*1\r\n$3\r\ntwo\r\n")
+		_, _ = io.WriteString(far, respValue("one")+respValue("two"))
 	}()
 	upstream := newTestConn(router, near)
 	got := upstream.roundTrip(newTestAttempt(router))
@@ -193,7 +193,7 @@
 	received := cache.next(t)
 	const lateMS = 300
 	time.Sleep(lateMS * time.Millisecond)
-	send(t, received.conn, "*1\r\n$-1\r\n")
+	send(t, received.conn, "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n")
 	received = origin.next(t)
 	facts, err := wire.ParseFacts([]byte(received.facts))
 	if err != nil || facts.WaitMilliseconds > 5000-lateMS || facts.WaitMilliseconds < 1000 || string(facts.Tenant) != "x" ||
--- a/internal/wire/cacheresponse.go
+++ b/internal/wire/cacheresponse.go
@@ -7,8 +7,9 @@
 	"woodproxy/balancer"
 )
 
-// maxElements is the maximum number of elements in the array of a cache's response, including the value.
-const maxElements = 8
+// responseElements is the number of elements in the array of a cache's response: the value, how the read went and the load
+// report.
+const responseElements = 3
 
 // ReadCacheResponse reads the response of a cache to one attempt up to its value. Only a response whose outcome is
 // [balancer.Completed] has a value and elements after it. Errors are of type [*AttemptError].
@@ -44,14 +45,14 @@
 // must be a bulk string. If it is null, the response is a cache miss and is read completely.
 func readCacheArray(r *bufio.Reader, line []byte) (Response, error) {
 	elements, ok := parseDecimal(line[1:])
-	if !ok || elements < 1 || elements > maxElements {
-		return Response{}, protocolError("an array length out of range")
+	if !ok || elements != responseElements {
+		return Response{}, protocolError("an array that has not three elements: " + quotePrefix(line))
 	}
 	length, err := readBulkLength(r, MaxResponseValue)
 	if err != nil {
 		return Response{}, err
 	}
-	resp := Response{Outcome: balancer.Completed, ValueLength: length, Reusable: true, trailing: elements - 1, bulk: true}
+	resp := Response{Outcome: balancer.Completed, ValueLength: length, Reusable: true, trailing: true, bulk: true}
 	if length == nullLength {
 		resp.Outcome, resp.ValueLength = balancer.CacheMiss, 0
 		return resp, resp.SkipTrailing(r)
--- a/internal/wire/protocol_golden_test.go
+++ b/internal/wire/protocol_golden_test.go
@@ -226,21 +226,21 @@
 func TestCacheResponseGolden(t *testing.T) {
 	var g golden
 	for _, text := range []string{
-		"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$7\r\nqueue=3\r\n+next", "*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", "*1\r\n$1\r\nv\r\n",
-		"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", "*1\r\n$-1\r\n", "*1\r\n+OK\r\n", "*2\r\n:7\r\n+fine\r\n",
-		"*8\r\n$1\r\nv\r\n" + strings.Repeat("$1\r\nx\r\n", 7), "*2\r\n$1\r\nv\r\n:3\r\n",
-		"*1\r\n$70000\r\n" + strings.Repeat("v", 70000) + "\r\n",
+		"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$7\r\nqueue=3\r\n+next", "*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", "*1\r\n$1\r\nv\r\n",
+		"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n", "*1\r\n$-1\r\n", "*3\r\n+OK\r\n", "*3\r\n:7\r\n+fine\r\n",
+		"*8\r\n$1\r\nv\r\n" + strings.Repeat("$1\r\nx\r\n", 7), "*3\r\n$1\r\nv\r\n:3\r\n$-1\r\n", "*3\r\n$1\r\nv\r\n$3\r\nhit\r\n:3\r\n", "*3\r\n$1\r\nv\r\n$-1\r\n+queue=3\r\n",
+		"*3\r\n$70000\r\n" + strings.Repeat("v", 70000) + "\r\n$-1\r\n$-1\r\n",
 		"-BUSY\r\n", "-BUSY too many\r\n", "-BUSYBODY\r\n", "-ERR failed\r\n", "-busy\r\n", "-MOVED 1\r\n",
-		"", "*", "*1\r\n", "*1\r\n$1\r\n", "*1\r\n$1\r\nv", "*2\r\n$1\r\nv\r\n", "*2\r\n$-1\r\n", "-ERR", "-SYNTAX what\r\n",
-		"+OK\r\n", "\r\n\r\n", ":1\r\n", "$1\r\nv\r\n", "*0\r\n", "*9\r\n", "*x\r\n", "*-1\r\n", "*1\r\n$4194305\r\n", "*1\r\n$-2\r\n",
-		"*1\r\n$1\r\nvxx", "*1\r\n*1\r\n", "*2\r\n$1\r\nv\r\n$65537\r\n", "*2\r\n$1\r\nv\r\n-ERR\r\n", "*1\n$1\r\n",
+		"", "*", "*3\r\n", "*3\r\n$1\r\n", "*3\r\n$1\r\nv", "*3\r\n$1\r\nv\r\n", "*3\r\n$1\r\nv\r\n$-1\r\n", "*3\r\n$-1\r\n", "-ERR", "-SYNTAX what\r\n",
+		"+OK\r\n", "\r\n\r\n", ":1\r\n", "$1\r\nv\r\n", "*0\r\n", "*9\r\n", "*x\r\n", "*-1\r\n", "*3\r\n$4194305\r\n", "*3\r\n$-2\r\n",
+		"*3\r\n$1\r\nvxx", "*3\r\n*1\r\n", "*3\r\n$1\r\nv\r\n$65537\r\n", "*3\r\n$1\r\nv\r\n-ERR\r\n", "*3\n$1\r\n",
 		"*" + strings.Repeat("1", 5000),
 	} {
 		g.value(shorten(text), "%s", describeResponse(wire.ReadCacheResponse, text))
 	}
 	g.section("end after a value read in parts")
 	for _, end := range []string{"\r\n", "\n\n", "\r", ""} {
-		r := bufio.NewReader(strings.NewReader("*1\r\n$1\r\nv" + end))
+		r := bufio.NewReader(strings.NewReader("*3\r\n$1\r\nv" + end))
 		a, err := wire.ReadCacheResponse(r)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/wire/resp.go
+++ b/internal/wire/resp.go
@@ -91,11 +91,6 @@
 	if err != nil {
 		return 0, err
 	}
-	return parseBulkLength(line, maxLength)
-}
-
-// parseBulkLength parses the first line of a bulk string, without its line end.
-func parseBulkLength(line []byte, maxLength int) (int, error) {
 	length, ok := parseDecimal(line[1:])
 	if line[0] != '$' || !ok || length < nullLength || length > maxLength {
 		return 0, protocolError("an element that is no bulk string of a fitting length: " + quotePrefix(line))
@@ -113,14 +108,20 @@
 
 // skipElement reads and discards a bulk string of at most maxLength bytes, a null bulk string, an integer or a simple string.
 func skipElement(r *bufio.Reader, maxLength int) error {
-	line, err := readLine(r)
+	first, err := r.Peek(1)
 	if err != nil {
 		return err
 	}
-	if line[0] == ':' || line[0] == '+' {
-		return nil // consists of this line
+	if first[0] == ':' || first[0] == '+' {
+		_, err = readLine(r)
+		return err
 	}
-	length, err := parseBulkLength(line, maxLength)
+	return skipBulkString(r, maxLength)
+}
+
+// skipBulkString reads and discards a bulk string of at most maxLength bytes, or a null bulk string.
+func skipBulkString(r *bufio.Reader, maxLength int) error {
+	length, err := readBulkLength(r, maxLength)
 	if err != nil || length == nullLength {
 		return err
 	}
--- a/internal/wire/response.go
+++ b/internal/wire/response.go
@@ -15,7 +15,7 @@
 	ValueLength int    // length of the value in bytes
 	NotFound    bool   // the origin does not have the key; callers that do not handle this treat it as a fault
 	Reusable    bool   // the connection may be reused for another attempt
-	trailing    int    // number of unread elements after the value
+	trailing    bool   // the elements after the value are unread
 	bulk        bool   // the value is a bulk string, which ends with a line end
 	body        []byte // the value if it was read together with the head, else nil
 }
@@ -56,12 +56,19 @@
 	return nil
 }
 
-// SkipTrailing reads and discards the elements after the value. Errors are of type [*AttemptError].
+// SkipTrailing reads and discards the elements after the value: how the read went, a bulk string or null, and the load
+// report, which may be unreadable as such. Errors are of type [*AttemptError].
 func (resp *Response) SkipTrailing(r *bufio.Reader) error {
-	for ; resp.trailing > 0; resp.trailing-- {
-		if err := skipElement(r, MaxBufferedValue); err != nil {
-			return &AttemptError{Reading, err}
-		}
+	if !resp.trailing {
+		return nil
+	}
+	resp.trailing = false
+	err := skipBulkString(r, MaxBufferedValue)
+	if err == nil {
+		err = skipElement(r, MaxBufferedValue)
+	}
+	if err != nil {
+		return &AttemptError{Reading, err}
 	}
 	return nil
 }
--- a/internal/wire/two_responses_test.go
+++ b/internal/wire/two_responses_test.go
@@ -17,7 +17,7 @@
 	encode func(value string) string
 }{
 	{false, func(v string) string { return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(v), v) }},
-	{false, func(v string) string { return fmt.Sprintf("*1\r\n$%d\r\n%s\r\n", len(v), v) }},
+	{false, func(v string) string { return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n:7\r\n", len(v), v) }},
 	{true, func(v string) string {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(v), v)
 	}},
