proxy: the limit on a host's queued calls counts those that its goroutine has taken

Cause: the queue's goroutine takes all queued calls at once and executes them; tryPost compared the limit with those not taken yet. Where the goroutine starts late it takes the busy call with all behind it, the queue looks empty, and a host with 3,000 attempts that wait is given as many again.

Now posted calls count until their execution has ended. Test with a fixed order: proxy.TestTakenCallsCountAgainstLimit, red before.

--- a/internal/proxy/call_queue.go
+++ b/internal/proxy/call_queue.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // maxSpareCalls is the maximum capacity, in calls, of the buffer that an idle queue retains for reuse.
 const maxSpareCalls = 4
@@ -14,6 +17,8 @@
 	mu      sync.Mutex
 	calls   []func() // not yet executed
 	running bool     // a goroutine is executing calls
+
+	pending atomic.Int64 // posted calls whose execution has not ended, those that the goroutine has taken included
 }
 
 // post adds a call. It does not block and never drops a call.
@@ -23,11 +28,11 @@
 	q.addLocked(call)
 }
 
-// tryPost adds a call unless limit calls are already queued, and reports whether it did.
-func (q *callQueue) tryPost(call func(), limit int) bool {
+// tryPost adds a call unless limit calls are already pending, and reports whether it did.
+func (q *callQueue) tryPost(call func(), limit int64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.calls) >= limit {
+	if q.pending.Load() >= limit {
 		return false
 	}
 	q.addLocked(call)
@@ -36,6 +41,7 @@
 
 // addLocked adds a call and starts the goroutine if none is running. The caller holds q.mu.
 func (q *callQueue) addLocked(call func()) {
+	q.pending.Add(1)
 	q.calls = append(q.calls, call)
 	if !q.running {
 		q.running = true
@@ -49,6 +55,7 @@
 	for calls := q.take(done); len(calls) > 0; calls = q.take(done) {
 		for _, call := range calls {
 			q.execute(call)
+			q.pending.Add(-1)
 		}
 		clear(calls) // otherwise the buffer would keep the values alive that the calls refer to
 		done = calls[:0]
--- a/internal/proxy/call_queue_test.go
+++ b/internal/proxy/call_queue_test.go
@@ -57,6 +57,31 @@
 	}
 }
 
+// Guards against a limit on queued attempts that does not count the calls which the queue's goroutine has taken but not yet
+// executed: with a slow call at their head any number of attempts was accepted.
+func TestTakenCallsCountAgainstLimit(t *testing.T) {
+	const limit = 10
+	busy := make(chan struct{})
+	taken, done := make(chan struct{}), make(chan struct{})
+	queue := callQueue{execute: func(call func()) { call() }}
+	queue.post(func() { close(taken); <-busy })
+	<-taken
+	for range limit - 1 {
+		queue.post(func() {})
+	}
+	if queue.tryPost(func() {}, limit) {
+		t.Errorf("tryPost accepts a call beyond %d pending ones", limit)
+	}
+	close(busy)
+	queue.post(func() { close(done) })
+	<-done
+	executed := make(chan struct{})
+	if !queue.tryPost(func() { close(executed) }, limit) {
+		t.Fatal("tryPost refuses a call although none is pending")
+	}
+	<-executed
+}
+
 // Calls from many goroutines are executed one at a time, and none is lost while the queue's goroutine ends and restarts.
 // Afterwards neither a goroutine nor a large buffer remains.
 func TestCallQueueGoroutineRunsOnlyWithCalls(t *testing.T) {
