wire: a number with a sign is no length, deadline or null: "-0" was read as 0, "$-01" as null

One parser of numbers served lengths, which have no sign, and the null bulk string, which is "$-1" and nothing else. So a cache's "$-0" was an empty value, "$-01" a miss ("no effect"); a client's value of "$-0" bytes was a write of an empty value, and a deadline of "-0" or "-0.5" was 0.

Numbers have no sign now, and null is compared with the one line that it is.

Tests, red before: two rows each of wire.TestBadAnswers, wire.TestParseCommandRejectsMalformed and wire.TestFactsAreParsedAndForwarded (got error nil, want a protocol error).

--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -85,7 +85,7 @@
 			return c, 0, err
 		}
 		if position == valueArgument && count == writeArguments && c.Is(setCommand) {
-			if length < 0 || length > MaxRequestValue {
+			if length > MaxRequestValue {
 				return c, 0, protocolError("a value of " + strconv.Itoa(length) + " bytes")
 			}
 			c.ValueLength = length
@@ -107,7 +107,7 @@
 // parseArgument parses an argument of the given length and its line end at b[at:]. It returns the position after the
 // line end. The error is [ErrIncomplete] or wraps [ErrProtocol].
 func parseArgument(b []byte, at, length int) (argument []byte, next int, err error) {
-	if length < 0 || length > maxArgumentLength {
+	if length > maxArgumentLength {
 		return nil, 0, protocolError("a word of " + strconv.Itoa(length) + " bytes")
 	}
 	end := at + length
--- a/internal/wire/command_test.go
+++ b/internal/wire/command_test.go
@@ -44,6 +44,8 @@
 		{"letter in a number", "*1x\r\n"},
 		{"number that does not end", "*99999999999999999999"},
 		{"integer as a word", "*1\r\n:4\r\n"},
+		{"word of length -0", "*4\r\n$6\r\nKV.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$-0\r\n\r\n"},
+		{"value of length -0", "*5\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nf\r\n$-0\r\n"},
 		{"null word", "*1\r\n$-1\r\n"},
 		{"word too long", "*1\r\n$1025\r\n"},
 		{"word without line end", "*1\r\n$4\r\nPINGxx"},
--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -31,7 +31,7 @@
 			f.Retry = string(value) == "1"
 		case "d":
 			milliseconds, _, _ := bytes.Cut(value, []byte(".")) // rounded down
-			if f.WaitMilliseconds, ok = parseDecimal(milliseconds); !ok || f.WaitMilliseconds < 0 {
+			if f.WaitMilliseconds, ok = parseDecimal(milliseconds); !ok {
 				return f, protocolError("a malformed d")
 			}
 		}
--- a/internal/wire/facts_test.go
+++ b/internal/wire/facts_test.go
@@ -24,6 +24,8 @@
 		{"no route", "d=5"},
 		{"empty wait", "c=x,d="},
 		{"negative wait", "c=x,d=-5"},
+		{"negative zero", "c=x,d=-0"},
+		{"negative fraction", "c=x,d=-0.5"},
 		{"letter in the wait", "c=x,d=5x"},
 		{"fact without a value", "c=x,d=5,odd"},
 	} {
--- a/internal/wire/httphead.go
+++ b/internal/wire/httphead.go
@@ -113,7 +113,7 @@
 	switch {
 	case is("Content-Length"):
 		length, ok := parseDecimal(value)
-		if !ok || value[0] == '-' || h.length >= 0 && h.length != length {
+		if !ok || h.length >= 0 && h.length != length {
 			return protocolError("a malformed Content-Length")
 		}
 		h.length = length
--- a/internal/wire/resp.go
+++ b/internal/wire/resp.go
@@ -17,8 +17,11 @@
 // maxDigits is the maximum number of digits of a number, which keeps it within 32 bits.
 const maxDigits = 9
 
-// nullLength is the length in the first line of a null bulk string.
-const nullLength = -1
+// nullLength is the length of a null bulk string, whose only line is nullLine.
+const (
+	nullLength = -1
+	nullLine   = "$-1"
+)
 
 // startsWithLineEnd reports whether b, which must have at least two bytes, starts with a line end.
 func startsWithLineEnd(b []byte) bool { return b[0] == '\r' && b[1] == '\n' }
@@ -48,12 +51,8 @@
 	return length, at + end + 1, nil
 }
 
-// parseDecimal parses a decimal number, which may be negative. Unlike strconv, which needs a string, it does not allocate.
+// parseDecimal parses a decimal number without a sign. Unlike strconv, which needs a string, it does not allocate.
 func parseDecimal(digits []byte) (number int, ok bool) {
-	negative := len(digits) > 0 && digits[0] == '-'
-	if negative {
-		digits = digits[1:]
-	}
 	if len(digits) < 1 || len(digits) > maxDigits {
 		return 0, false
 	}
@@ -63,9 +62,6 @@
 		}
 		number = number*10 + int(digit-'0')
 	}
-	if negative {
-		number = -number
-	}
 	return number, true
 }
 
@@ -91,8 +87,11 @@
 	if err != nil {
 		return 0, err
 	}
+	if string(line) == nullLine {
+		return nullLength, nil
+	}
 	length, ok := parseDecimal(line[1:])
-	if line[0] != '$' || !ok || length < nullLength || length > maxLength {
+	if line[0] != '$' || !ok || length > maxLength {
 		return 0, protocolError("an element that is no bulk string of a fitting length: " + quotePrefix(line))
 	}
 	return length, nil
--- a/internal/wire/response_test.go
+++ b/internal/wire/response_test.go
@@ -145,6 +145,8 @@
 		{"cache: nested array", "*3\r\n*1\r\n"},
 		{"cache: simple string as the value", "*3\r\n+OK\r\n$3\r\nhit\r\n$-1\r\n"},
 		{"cache: integer as the value", "*3\r\n:7\r\n$3\r\nhit\r\n$-1\r\n"},
+		{"cache: length with a sign", "*3\r\n$-0\r\n\r\n$3\r\nhit\r\n$-1\r\n"},
+		{"cache: null with another length than -1", "*3\r\n$-01\r\n$4\r\nmiss\r\n$-1\r\n"},
 		{"cache: error as the value", "*3\r\n-ERR\r\n$3\r\nhit\r\n$-1\r\n"},
 		{"cache: syntax error in the command", "-SYNTAX what\r\n"},
 		{"cache: line longer than the read buffer", "*" + strings.Repeat("1", 5000)},
