wire: a deadline whose fraction is no number is an error: "d=480.x" was served as 480

What stood behind the point of "d" was cut off unread.

Now a fraction is one digit or more. Whole milliseconds and fractions of any length are taken as before.

--- a/internal/wire/facts.go
+++ b/internal/wire/facts.go
@@ -30,8 +30,7 @@
 		case "r":
 			f.Retry = string(value) == "1"
 		case "d":
-			milliseconds, _, _ := bytes.Cut(value, []byte(".")) // rounded down
-			if f.WaitMilliseconds, ok = parseDecimal(milliseconds); !ok {
+			if f.WaitMilliseconds, ok = parseWait(value); !ok {
 				return f, protocolError("a malformed d")
 			}
 		}
@@ -42,6 +41,18 @@
 	return f, nil
 }
 
+// parseWait parses a number of milliseconds, which may have a fraction, and rounds it down.
+func parseWait(text []byte) (milliseconds int, ok bool) {
+	whole, fraction, hasFraction := bytes.Cut(text, []byte("."))
+	if hasFraction && (len(fraction) == 0 || bytes.ContainsFunc(fraction, isNoDigit)) {
+		return 0, false
+	}
+	return parseDecimal(whole)
+}
+
+// isNoDigit reports whether a character is not a decimal digit.
+func isNoDigit(char rune) bool { return char < '0' || char > '9' }
+
 // CheckPrintable returns an error that wraps [ErrProtocol] if any of the texts contains a control character. Control
 // characters would allow a client to inject HTTP headers into requests to the origin.
 func CheckPrintable(texts ...[]byte) error {
--- a/internal/wire/facts_test.go
+++ b/internal/wire/facts_test.go
@@ -18,6 +18,9 @@
 	if f, err := ParseFacts([]byte("d=12.75,c=x")); err != nil || f.WaitMilliseconds != 12 {
 		t.Errorf("got %+v, error %v, want a wait of 12 ms", f, err)
 	}
+	if f, err := ParseFacts([]byte("d=480.123456789012,c=x")); err != nil || f.WaitMilliseconds != 480 {
+		t.Errorf("got %+v, error %v, want a wait of 480 ms", f, err)
+	}
 	for _, test := range []struct{ name, list string }{
 		{"empty list", ""},
 		{"no wait", "c=x"},
@@ -27,6 +30,10 @@
 		{"negative zero", "c=x,d=-0"},
 		{"negative fraction", "c=x,d=-0.5"},
 		{"letter in the wait", "c=x,d=5x"},
+		{"letter behind the point", "c=x,d=480.x"},
+		{"nothing behind the point", "c=x,d=480."},
+		{"two points", "c=x,d=480.5.5"},
+		{"exponent", "c=x,d=4.8e2"},
 		{"fact without a value", "c=x,d=5,odd"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
