proxy: the last byte of a streamed value waits for the whole response, not for the value's line end alone

Values over 64 KiB are streamed; the last byte was held back until the line end of the value, and the two elements behind it were read after the client had everything. Where the announced length is too small and the value has a line end at that place, a client was served the truncated value as a complete one; a short value in the same response was refused.

Now the elements behind the value are read before the last byte goes out, by the same code as for short values. A client of a response that ends in noise gets all but the last byte and a close, which it can tell.

Test, red before: proxy.TestStreamedValueIsCompletedByItsResponse (three of five cases: 131,083 of 131,083 bytes, want an incomplete value).

--- a/internal/proxy/malformed_response_test.go
+++ b/internal/proxy/malformed_response_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
 
 	"woodproxy/balancer"
 	"woodproxy/internal/lifecycle"
+	"woodproxy/internal/wire"
 )
 
 // malformedValues are responses of a cache that have something else than a bulk string in the place of the value.
@@ -58,3 +60,34 @@
 		return p.router.counters.Bytes.Load() == 0
 	})
 }
+
+// Guards against a streamed value that is completed before the rest of its response is read: where the announced length is too
+// small and the value has a line end there, the client got the truncated value as a complete one.
+func TestStreamedValueIsCompletedByItsResponse(t *testing.T) {
+	const length = 2 * wire.MaxBufferedValue
+	value := strings.Repeat("v", length)
+	for _, test := range []struct {
+		name, behind string // what follows the value and its line end
+		complete     bool
+	}{
+		{"complete response", respDetails, true},
+		{"load report that cannot be read", "$3\r\nhit\r\n+?\r\n", true},
+		{"rest of a longer value", "vvvv\r\n" + respDetails, false},
+		{"noise", "\x07~\x07~\r\n$-1\r\n", false},
+		{"line that does not end", strings.Repeat("~", 1<<14), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			cache := newCache(t)
+			p := newTestProxy(t, 10, defaultSettings, cache, newOrigin(t))
+			client := p.dial()
+			send(t, client, getCommand("long", 5000))
+			send(t, cache.next(t).conn, fmt.Sprintf("*3\r\n$%d\r\n%s\r\n%s", length, value, test.behind))
+			want := fmt.Sprintf("$%d\r\n%s\r\n", length, value)
+			got := make([]byte, len(want))
+			n, err := io.ReadFull(client, got)
+			if complete := n == len(want); complete != test.complete {
+				t.Errorf("got %d of %d bytes, error %v, want complete %v", n, len(want), err, test.complete)
+			}
+		})
+	}
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -72,7 +72,7 @@
 
 // streamValue streams a value to the client. For the balancer the attempt completes with the first byte, after which
 // there is no retry: a value that breaks off later closes the client's connection. The last byte is held back until the
-// upstream has ended the value according to the protocol, so that the client detects a wrong length as well.
+// upstream has ended its response according to the protocol, so that the client detects a wrong length as well.
 func (u *upstreamConn) streamValue(attempt *attempt, response *wire.Response, until time.Time) error {
 	router := u.host.router
 	for !router.streamMemory.tryAcquire(streamBufferBytes) { // meanwhile the value stays in the socket
@@ -126,7 +126,7 @@
 }
 
 // finishStream passes the last chunk to the client: all but its last byte at once, and the last byte with the line end
-// once the upstream has ended the value correctly.
+// once the upstream has ended its response correctly.
 func (u *upstreamConn) finishStream(s *stream, response *wire.Response, chunk []byte) error {
 	if n := len(chunk); n > 1 {
 		s.filled <- chunk[:n-1]
@@ -144,6 +144,9 @@
 	if err := response.ReadValueEnd(u.reader); err != nil {
 		return err
 	}
+	if err := response.SkipTrailing(u.reader); err != nil {
+		return err
+	}
 	if u.host.isOrigin && u.served > 0 && u.hasInputBehind(response) { // a value of the origin is the end of its response
 		return &wire.AttemptError{Progress: wire.Reading, Err: errInputBehindResponse}
 	}
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -302,10 +302,7 @@
 		memory.acquire(response.ValueLength)
 	case response.ValueLength <= wire.MaxBufferedValue && memory.tryAcquire(response.ValueLength):
 	default:
-		if err := u.streamValue(attempt, response, until); err != nil {
-			return nil, err
-		}
-		return nil, response.SkipTrailing(u.reader)
+		return nil, u.streamValue(attempt, response, until)
 	}
 	value, err := response.ReadValue(u.reader)
 	if err == nil {
