wire: a cache's error confirms that nothing ran only in the form of the protocol, and must be text

Any line that begins with "-BUSY " was a rejection, which promises that the request was not executed, so a request that must not run twice could be sent again or refused on the word of noise. Any other noise behind "-" was a server error after which the connection was used on, although a spoilt answer leaves it of no use.

Now "-BUSY" alone or with a number of milliseconds is a rejection, the two forms that the protocol page has; "-BUSY" with other words is an error that may have run. A line with control characters, or not in UTF-8, is a protocol error: the connection is closed, counted and logged with the first bytes.

--- a/internal/wire/cacheresponse.go
+++ b/internal/wire/cacheresponse.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"unicode/utf8"
 
 	"woodproxy/balancer"
 )
@@ -33,7 +34,9 @@
 // parseCacheError maps an error response to an outcome.
 func parseCacheError(line []byte) (Response, error) {
 	switch {
-	case bytes.Equal(line, []byte("-BUSY")), bytes.HasPrefix(line, []byte("-BUSY ")):
+	case CheckPrintable(line) != nil || !utf8.Valid(line):
+		return Response{}, protocolError("an error that is no text: " + quotePrefix(line))
+	case isRejection(line):
 		return Response{Outcome: balancer.Overloaded, Reusable: true}, nil
 	case bytes.HasPrefix(line, []byte("-SYNTAX")):
 		return Response{}, protocolError("our command is not understood")
@@ -41,6 +44,17 @@
 	return Response{Outcome: balancer.ServerError, Reusable: true}, nil
 }
 
+// isRejection reports whether an error response states that the request was not executed: "-BUSY", alone or with a number of
+// milliseconds. An error that merely begins so states nothing.
+func isRejection(line []byte) bool {
+	rest, busy := bytes.CutPrefix(line, []byte("-BUSY"))
+	if !busy || len(rest) == 0 {
+		return busy
+	}
+	_, isNumber := parseDecimal(rest[1:])
+	return rest[0] == ' ' && isNumber
+}
+
 // readCacheArray parses the line that opens the array and reads the first line of the value, which is the first element and
 // must be a bulk string. If it is null, the response is a cache miss and is read completely.
 func readCacheArray(r *bufio.Reader, line []byte) (Response, error) {
