wire: HTTP that is not in the protocol's grammar is no value: chunk lines, trailers, header names, status lines

Lines of a chunked body could end in LF alone or in any number of CRs, trailers could be any bytes, a header's name could be empty or noise, the minor version could be any character and the reason of a status any bytes.

Now lines of a chunked body end in CRLF, a chunk size has no white space before it, trailers are header lines, a name is a token (RFC 9110, 5.6.2; white space before the colon and folded lines are passed over as before), the version ends in a digit and the reason has no control characters. Header values may be any bytes: a load report that can't be read is part of a good answer. Lines of the head may end in LF alone, as RFC 9112 allows. Discovery's watch is read by the same code.

Tests, red before: eleven rows of wire.TestUnclearHTTPFraming (got a value, want a protocol error).

--- a/internal/wire/chunkedreader.go
+++ b/internal/wire/chunkedreader.go
@@ -50,7 +50,7 @@
 		return err
 	}
 	size, _, _ := bytes.Cut(line, []byte(";"))
-	length, err := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, chunkSizeBits)
+	length, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, chunkSizeBits)
 	if err != nil {
 		return protocolError("a malformed chunk size")
 	}
@@ -68,15 +68,22 @@
 		if err != nil || len(line) == 0 {
 			return err
 		}
+		if _, _, err = parseHeaderLine(line); err != nil {
+			return err
+		}
 	}
 }
 
-// readLine reads a line and returns it without its line end. The end of the input is io.ErrUnexpectedEOF, because the
+// readLine reads a line and returns it without its line end, CRLF. The end of the input is io.ErrUnexpectedEOF, because the
 // body is not complete.
 func (c *chunkedReader) readLine() ([]byte, error) {
 	line, err := c.in.ReadSlice('\n')
 	if err != nil {
 		return nil, httpLineError(unexpectedEOF(err))
 	}
-	return bytes.TrimRight(line, lineEnd), nil
+	content, ended := bytes.CutSuffix(line, []byte(lineEnd))
+	if !ended {
+		return nil, protocolError("a line of a chunked body that does not end in CRLF")
+	}
+	return content, nil
 }
--- a/internal/wire/httpframing_test.go
+++ b/internal/wire/httpframing_test.go
@@ -30,6 +30,8 @@
 	{"304 with a transfer encoding", "HTTP/1.1 304 No\r\nTransfer-Encoding: chunked\r\n\r\n", balancer.ServerError, "", false},
 	{"204 without a body", "HTTP/1.1 204 No\r\n\r\n", balancer.ServerError, "", true},
 	{"space before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nv", balancer.Completed, "v", true},
+	{"load report that cannot be read", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Backend-Load: \x07~\xff\r\n\r\nv", balancer.Completed, "v", true},
+	{"lines that end in LF alone", "HTTP/1.1 200 OK\nContent-Length: 1\n\nv", balancer.Completed, "v", true},
 	{"folded line is no header", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Long: a\r\n Connection: close\r\n\r\nv", balancer.Completed, "v", true},
 }
 
@@ -61,6 +63,17 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\nv\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0x1\r\nv\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nvv\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\nv\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\r\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n 1\r\nv\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\r\n0\r\n\x07~\x07~\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\r\n0\r\nT\x07: 1\r\n\r\n",
+		"HTTP/1.x 200 OK\r\nContent-Length: 1\r\n\r\nv",
+		"HTTP/1.1 200 \x07~\x07~\r\nContent-Length: 1\r\n\r\nv",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\x07~: 1\r\n\r\nv",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n: 1\r\n\r\nv",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\ntwo words: 1\r\n\r\nv",
 	} {
 		if outcome, value, reusable, err := readAnyResponse(text); !errors.Is(err, ErrProtocol) {
 			t.Errorf("%q: got outcome %d, value %q, reusable %v, error %v, want a protocol error", text, outcome, value, reusable, err)
--- a/internal/wire/httphead.go
+++ b/internal/wire/httphead.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"strings"
 )
 
 // maxHead is the maximum length in bytes of the head of an HTTP response.
@@ -77,25 +78,55 @@
 		if len(line) == 0 {
 			return h, nil
 		}
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok {
-			return httpHead{}, protocolError("an HTTP header without a colon")
+		name, value, err := parseHeaderLine(line)
+		if err == nil {
+			err = h.setHeader(name, value)
 		}
-		if err = h.setHeader(bytes.TrimRight(name, " \t"), bytes.TrimSpace(value)); err != nil {
+		if err != nil {
 			return httpHead{}, err
 		}
 	}
 }
 
+// parseHeaderLine parses a header line without its line end. The name of a folded line, which continues the value of the line
+// before it, begins with the white space of that line. The value may be any bytes.
+func parseHeaderLine(line []byte) (name, value []byte, err error) {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok {
+		return nil, nil, protocolError("an HTTP header without a colon: " + quotePrefix(line))
+	}
+	name = bytes.TrimRight(name, " \t")
+	folded := line[0] == ' ' || line[0] == '\t'
+	if !folded && (len(name) == 0 || bytes.ContainsFunc(name, isNoTokenChar)) {
+		return nil, nil, protocolError("an HTTP header without a name: " + quotePrefix(line))
+	}
+	return name, bytes.TrimSpace(value), nil
+}
+
+// isControlChar reports whether a character may not stand in the reason of a status line.
+func isControlChar(char rune) bool { return char < ' ' && char != '\t' || char == 0x7f }
+
+// isNoTokenChar reports whether a character may not stand in the name of a header (RFC 9110, section 5.6.2).
+func isNoTokenChar(char rune) bool {
+	switch {
+	case char >= '0' && char <= '9', char >= 'a' && char <= 'z', char >= 'A' && char <= 'Z':
+		return false
+	}
+	return !strings.ContainsRune("!#$%&'*+-.^_`|~", char)
+}
+
 // parseStatusLine parses an HTTP/1 status line.
 func parseStatusLine(line []byte) (httpHead, error) {
-	if len(line) < minStatusLine || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[8] != ' ' {
+	if len(line) < minStatusLine || !bytes.HasPrefix(line, []byte("HTTP/1.")) || isNoDigit(rune(line[7])) || line[8] != ' ' {
 		return httpHead{}, protocolError("not an HTTP/1 status line")
 	}
 	status, ok := parseDecimal(line[9:12])
 	if !ok || status < 100 || line[12] != ' ' && line[12] != '\r' && line[12] != '\n' {
 		return httpHead{}, protocolError("a malformed HTTP status")
 	}
+	if bytes.ContainsFunc(bytes.TrimRight(line[12:], lineEnd), isControlChar) {
+		return httpHead{}, protocolError("an HTTP status line that is no text: " + quotePrefix(line))
+	}
 	return httpHead{status: status, length: unknownLength, version0: line[7] == '0'}, nil
 }
 
