--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -25,7 +25,7 @@
 	modeBusy           NodeMode = "busy"    // reject as overloaded
 	modeFails          NodeMode = "fails"   // respond with a server error
 	modeSilent         NodeMode = "silent"  // no response
-	modeGarbled        NodeMode = "garbled" // send a malformed response
+	modeGarbled        NodeMode = "garbled" // send a malformed response, of a form that depends on the request
 	modeDisconnects    NodeMode = "cuts"    // close the connection without a response
 	modeTruncates      NodeMode = "halves"  // cache: close the connection in the middle of the response
 	modeHitThenClose   NodeMode = "once"    // cache: respond with a hit and close the connection
@@ -223,6 +223,7 @@
 	mode  NodeMode
 	delay time.Duration
 	value string
+	id    string // of the request
 }
 
 // nextMode counts a command and returns the mode of its response. It waits while commands are held.
@@ -240,7 +241,7 @@
 	if n.affectedFraction < 1 && hashedFloat(id, n.Name) >= n.affectedFraction {
 		mode = modeServe
 	}
-	return commandMode{mode: mode, delay: n.delay, value: value(n.Name, id, n.valueSize)}
+	return commandMode{mode: mode, delay: n.delay, value: value(n.Name, id, n.valueSize), id: id}
 }
 
 // serveCommand reads one command at a cache and responds to it. An error ends the connection.
@@ -295,7 +296,7 @@
 // writeRESP writes the response of a cache. An error ends the connection.
 func (m commandMode) writeRESP(w io.Writer) (err error) {
 	v := m.value
-	hit := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(v), v)
+	hit := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n%s", len(v), v, cacheDetails)
 	switch m.mode {
 	case modeHit:
 		_, err = io.WriteString(w, hit)
@@ -311,7 +312,7 @@
 	case modeFails:
 		_, err = io.WriteString(w, "-ERR failed\r\n")
 	case modeGarbled:
-		_, err = io.WriteString(w, "?!\r\n")
+		_, err = io.WriteString(w, malformedResponse(malformedCacheResponses, m.id, v))
 	case modeEndless:
 		_, err = fmt.Fprintf(w, "*3\r\n$%d\r\n%s..", len(v), v)
 	case modeDelaysHalf:
@@ -319,7 +320,7 @@
 			return err
 		}
 		time.Sleep(m.delay)
-		_, err = io.WriteString(w, v[len(v)/2:]+"\r\n$3\r\nhit\r\n$-1\r\n")
+		_, err = io.WriteString(w, v[len(v)/2:]+"\r\n"+cacheDetails)
 	case modeTruncates:
 		_, _ = fmt.Fprintf(w, "*3\r\n$%d\r\n%s", len(v), v[:len(v)/2]) // the connection is closed in any case
 		return errConnectionEnds
@@ -394,8 +395,7 @@
 		_, err = io.WriteString(w, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
 	case modeSilent:
 	case modeGarbled:
-		_, _ = io.WriteString(w, "SMTP 1\r\n\r\n") // the connection is closed in any case
-		return errConnectionEnds
+		_, err = io.WriteString(w, malformedResponse(malformedOriginResponses, m.id, v))
 	default:
 		return errConnectionEnds
 	}
--- a/internal/soak/plants.go
+++ b/internal/soak/plants.go
@@ -34,6 +34,11 @@
 	openForClients = "	s.awaitEndpoints()\n	s.clientListener.Open()\n"
 )
 
+// garbledCaches has all caches send malformed responses to half of the requests.
+func garbledCaches(s *emulator.Scenario) {
+	s.Faults = []emulator.Fault{{Kind: "garbled", DurationS: s.LengthS, Count: s.Fleet.Nodes, Fraction: 0.5}}
+}
+
 const lifecycleFile = "internal/lifecycle/upstream.go"
 
 // surplusScenario returns a change of a scenario after which its servers follow a fraction of their responses by surplus ones of
@@ -76,6 +81,9 @@
 	{"other-value", emulator.OwnValueRule, []faultbuild.Patch{
 		{File: slotFile, Old: "		r.reply(attempt.slot, replyCompleted, result.value, 0)", New: "		if len(result.value) > 12 {\n			result.value[len(result.value)-1-len(result.value)%7] ^= 1\n		}\n		r.reply(attempt.slot, replyCompleted, result.value, 0)"},
 	}, nil, nil},
+	{"malformed-value", emulator.OwnValueRule, []faultbuild.Patch{
+		{File: "internal/wire/cacheresponse.go", Old: "	length, err := readBulkLength(r, MaxResponseValue)\n	if err != nil {\n		return Response{}, err", New: "	length, err := readBulkLength(r, MaxResponseValue)\n	if err != nil {\n		return Response{Reusable: true, trailing: true, body: []byte{}}, nil"},
+	}, []string{"garbled"}, garbledCaches},
 	{"not-ready", emulator.ReadyRule, []faultbuild.Patch{
 		{File: "internal/server/start.go", Old: "	s.awaitEndpoints()\n	s.clientListener.Open()", New: "	s.awaitEndpoints()\n	if s.config.Discovery != \"\" {\n		time.Sleep(12 * time.Second)\n	}\n	s.clientListener.Open()"},
 	}, nil, nil},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -137,7 +137,7 @@
 // rules on memory, on descriptors, on a process that hangs and on commands that no client has sent. The other plants are
 // run with emulator soak --plant.
 func TestPlantsAreFound(t *testing.T) {
-	expectPlantsFound(t, "told-deadline", "other-value", "memory", "descriptors", "hung", "invented")
+	expectPlantsFound(t, "told-deadline", "other-value", "memory", "descriptors", "hung", "invented", "malformed-value")
 }
 
 // Bugs that let a surplus response pass for that to another request are found: no rest between requests, no distrust, and a
