--- a/internal/emulator/relay.go
+++ b/internal/emulator/relay.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -203,15 +205,23 @@
 	}
 }
 
+// Range of the ports that freePort returns. It is below the one from which the system takes ports for connections, so that no
+// connection has the port by the time a process listens there.
+const (
+	minFreePort = 10_000
+	maxFreePort = 32_000
+)
+
 // freePort returns an address at an IP address with a port that is free for both TCP and UDP.
 func freePort(ip string) (string, error) {
 	const attempts = 50
 	for range attempts {
-		listener, err := net.Listen("tcp", ip+":0")
+		port := minFreePort + rand.IntN(maxFreePort-minFreePort)
+		address := net.JoinHostPort(ip, strconv.Itoa(port))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", err
+			continue
 		}
-		address := listener.Addr().String()
 		packets, udpErr := net.ListenPacket("udp", address)
 		if err := listener.Close(); err != nil {
 			return "", err
--- a/internal/gossip/config_golden_test.go
+++ b/internal/gossip/config_golden_test.go
@@ -215,10 +215,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { closeListener(t, tcp) })
-	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	udp := listenPacketOnly(t)
 	t.Cleanup(func() { closeListener(t, udp) })
 	for _, address := range []net.Addr{tcp.Addr(), udp.LocalAddr()} {
 		config, err := readPeers(t, goldentest.Read(t, "peers_required_keys.toml"), address.String())
@@ -232,6 +229,25 @@
 	}
 }
 
+// listenPacketOnly listens at a UDP port whose number is free for TCP.
+func listenPacketOnly(t *testing.T) net.PacketConn {
+	t.Helper()
+	const attempts = 50
+	for range attempts {
+		tcp, err := net.Listen("tcp", "127.0.0.1:0") // which proves that no connection in TIME_WAIT has the port
+		if err != nil {
+			t.Fatal(err)
+		}
+		udp, err := net.ListenPacket("udp", tcp.Addr().String())
+		closeListener(t, tcp)
+		if err == nil {
+			return udp
+		}
+	}
+	t.Fatal("no port is free for both TCP and UDP")
+	return nil
+}
+
 func closeListener(t *testing.T, listener io.Closer) {
 	t.Helper()
 	if err := listener.Close(); err != nil {
