faultbuild: the fault-injecting proxy builds on arm64 as on x86-64

The patches named the system call file of x86-64, so that on arm64 the hooks met the originals: "socket redeclared in this block". TestFaultsOfRunningProcess, the soak and its plants failed there on. The file follows the machine now; all patched texts stand in both files of the toolchain. internal/faultbuild, internal/soak and internal/emulator pass on arm64.

--- a/internal/faultbuild/patch.go
+++ b/internal/faultbuild/patch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 )
 
@@ -32,7 +33,7 @@
 }
 
 const (
-	systemCallFile = "syscall/zsyscall_linux_amd64.go"
+	systemCallFile = "syscall/zsyscall_linux_" + runtime.GOARCH + ".go"
 	hookFile       = "syscall/zz_injected_faults.go" // added to package syscall, with the content of hookSource
 )
 
