--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -93,10 +93,16 @@
 // startProxy starts the proxy alpha with the flags that features returns, in which PEERS is replaced by the proxy's
 // address for gossip. Nothing listens at the address of discovery.
 func startProxy(t *testing.T, program, known string, features func(dir string) []string) *proxyProcess {
+	t.Helper()
+	return startConfiguredProxy(t, program, strings.Replace(cliConfig, `"seed"`, `"known":`+known+`,"seed"`, 1), features)
+}
+
+// startConfiguredProxy is startProxy with the text of the configuration.
+func startConfiguredProxy(t *testing.T, program, config string, features func(dir string) []string) *proxyProcess {
 	t.Helper()
 	dir := t.TempDir()
 	p := &proxyProcess{program: program, log: &bytes.Buffer{}, clients: freeAddress(t), management: freeAddress(t), peers: freeAddress(t)}
-	writeFile(t, dir, "config.json", strings.Replace(cliConfig, `"seed"`, `"known":`+known+`,"seed"`, 1))
+	writeFile(t, dir, "config.json", config)
 	args := []string{"serve", "--config=config.json", "--listen=" + p.clients, "--management=" + p.management}
 	for _, flag := range features(dir) {
 		args = append(args, strings.ReplaceAll(flag, "PEERS", p.peers))
