--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -53,8 +53,11 @@
 	HostsDistrusted atomic.Int64 // times that a host became distrusted after a surplus response
 	Unconfirmed     atomic.Int64 // rejections and misses on used connections that were taken for attempts that may have run
 	Unattributed    atomic.Int64 // responses on used connections of distrusted hosts, which were taken for no request's
-	Drains          atomic.Int64 // calls that took the proxy out of service
-	Panics          atomic.Int64 // recovered panics
+	ResponsesCutOff atomic.Int64 // responses that the proxy gave up after it had read a part of them
+	// QueueDelay is the histogram of the time from the last byte of a request to its handling by the router.
+	QueueDelay DelayHistogram
+	Drains     atomic.Int64 // calls that took the proxy out of service
+	Panics     atomic.Int64 // recovered panics
 
 	ZonesPassed atomic.Int64 // zones that were evacuated on the evidence of this proxy alone
 	ZonesHasty  atomic.Int64 // those among ZonesPassed that responded to the first health checks: false positives
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -35,6 +35,7 @@
 	}
 	slot := r.acquireSlot(req)
 	now := r.clock.Now()
+	r.counters.QueueDelay.observe(duration(now - req.receivedAt))
 	balancerRequest := r.describe(req, route, now)
 	r.slots[slot].trace.add(traceEvent{at: req.receivedAt, kind: traceReceived})
 	r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.Arrive(now, slot, balancerRequest) })
@@ -155,6 +156,11 @@
 	}
 }
 
+// responseStarted records that the head of the response to an attempt has been read and the value is still to come.
+func (r *Router) responseStarted(attempt *attempt, _ bool) {
+	r.slots[attempt.slot].trace.add(traceEvent{at: r.clock.Now(), kind: traceResponding, host: attempt.host})
+}
+
 // attemptFinished handles the result of an attempt.
 func (r *Router) attemptFinished(attempt *attempt, result attemptResult) {
 	s := &r.slots[attempt.slot]
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -82,6 +82,9 @@
 		time.Sleep(capacityPollInterval)
 	}
 	defer router.streamMemory.release(streamBufferBytes)
+	if u.reader.Buffered() == 0 {
+		u.reportStarted(attempt, true)
+	}
 	if _, err := u.reader.Peek(1); err != nil { // up to here the request can be retried
 		return &wire.AttemptError{Progress: wire.Reading, Err: err}
 	}
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -21,9 +21,10 @@
 type traceKind uint8
 
 const (
-	traceReceived traceKind = iota
-	traceSent               // an attempt was passed to its host
-	traceEnded              // an attempt has ended
+	traceReceived   traceKind = iota
+	traceSent                 // an attempt was passed to its host
+	traceResponding           // the head of the response to an attempt has been read, and the value is still to come
+	traceEnded                // an attempt has ended
 	traceCancelled
 	traceCompleted // the final reply carries the upstream's response
 	traceShed
@@ -33,7 +34,7 @@
 )
 
 var traceKindNames = [numTraceKinds]string{
-	"received", "sent", "ended", "cancelled", "completed", "shed", "failed", "client_gone",
+	"received", "sent", "responding", "ended", "cancelled", "completed", "shed", "failed", "client_gone",
 }
 
 // traceEvent is one state transition of a request or of one of its attempts.
@@ -112,7 +113,7 @@
 		if e.unconfirmed {
 			text += " unconfirmed"
 		}
-	case traceCancelled:
+	case traceCancelled, traceResponding:
 		text += " " + r.hostName(e.host)
 	case traceShed, traceFailed:
 		text += " " + e.reason.String()
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -131,6 +131,9 @@
 func (u *upstreamConn) failure(attempt *attempt, err error) roundTripResult {
 	var attemptErr *wire.AttemptError
 	mayHaveRun := errors.As(err, &attemptErr) && attemptErr.MayHaveRun()
+	if mayHaveRun && attemptErr.Progress == wire.Reading && errors.Is(err, os.ErrDeadlineExceeded) {
+		u.host.router.counters.ResponsesCutOff.Add(1)
+	}
 	outcome := balancer.Reset
 	switch {
 	case attempt.cancelled.Load():
@@ -292,14 +295,13 @@
 	return response.Reusable && !u.host.isDistrusted()
 }
 
-// readValue reads the value of a completed attempt. It returns the complete value if it is already buffered, or if it is
+// readValue reads the value of a completed attempt. It returns the complete value if its length is not known, or if it is
 // short and there is value memory for it. Otherwise it streams the value as the reply to the client, and returns nil.
 func (u *upstreamConn) readValue(attempt *attempt, response *wire.Response, until time.Time) ([]byte, error) {
 	memory := u.host.router.valueMemory
-	_, alreadyRead := response.BufferedValue()
 	switch {
-	case alreadyRead:
-		memory.acquire(response.ValueLength)
+	case response.LengthUnknown():
+		return u.readUnknownLength(attempt, response)
 	case response.ValueLength <= wire.MaxBufferedValue && memory.tryAcquire(response.ValueLength):
 	default:
 		return nil, u.streamValue(attempt, response, until)
@@ -314,3 +316,21 @@
 	}
 	return value, nil
 }
+
+// readUnknownLength reads a value whose length is not announced. It is buffered completely, because the reply to the client
+// begins with the length.
+func (u *upstreamConn) readUnknownLength(attempt *attempt, response *wire.Response) ([]byte, error) {
+	u.reportStarted(attempt, false)
+	value, err := response.ReadValue(u.reader)
+	if err != nil {
+		return nil, err
+	}
+	u.host.router.valueMemory.acquire(len(value))
+	return value, nil
+}
+
+// reportStarted reports to the router that the head of a response has been read and its value is still to come.
+func (u *upstreamConn) reportStarted(attempt *attempt, deliverable bool) {
+	router := u.host.router
+	router.mailbox.post(func() { router.responseStarted(attempt, deliverable) })
+}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -99,10 +99,10 @@
 		name := unix.ErrnoName(kind.Errno)
 		s <- prometheus.MustNewConstMetric(failed, prometheus.CounterValue, float64(count), kind.Call, name)
 	})
-	count, sum, upTo := counters.SurplusDelay.Cumulative()
-	delay := prometheus.NewDesc(metricPrefix+"surplus_response_delay_seconds",
-		"Time from the end of the last response on a connection to a surplus response.", nil, nil)
-	s <- prometheus.MustNewConstHistogram(delay, count, sum, upTo)
+	s.delays("surplus_response_delay_seconds", "Time from the end of the last response on a connection to a surplus response.",
+		&counters.SurplusDelay)
+	s.delays("request_queue_delay_seconds", "Time from the last byte of a request to its handling.", &counters.QueueDelay)
+	s.counter("responses_cut_off", "Responses that the proxy gave up after it had read a part of them.", counters.ResponsesCutOff.Load())
 	s.counter("hosts_distrusted", "Times that a host became distrusted after a surplus response.", counters.HostsDistrusted.Load())
 	s.counter("responses_unconfirmed", "Rejections and misses on used connections that were taken for attempts that may have run.",
 		counters.Unconfirmed.Load())
@@ -114,6 +114,11 @@
 	s.gauge("goroutines", "Goroutines of the process.", float64(runtime.NumGoroutine()))
 }
 
+func (s metricSink) delays(name, help string, histogram *proxy.DelayHistogram) {
+	count, sum, upTo := histogram.Cumulative()
+	s <- prometheus.MustNewConstHistogram(prometheus.NewDesc(metricPrefix+name, help, nil, nil), count, sum, upTo)
+}
+
 func (s metricSink) duties(stats duties.Stats) {
 	s.gauge("turns_here", "Proxies to which duties are assigned.", float64(stats.Alive))
 	s.gauge("turns_watchers", "Proxies with a valid watch lease.", float64(stats.Watchers))
--- a/internal/wire/origin.go
+++ b/internal/wire/origin.go
@@ -43,30 +43,33 @@
 	return b
 }
 
-// ReadOriginResponse reads the response of the origin to one attempt up to its value, or including its value if the
-// length is not announced. Errors are of type [*AttemptError].
+// ReadOriginResponse reads the response of the origin to one attempt up to its value. Errors are of type [*AttemptError].
 func ReadOriginResponse(r *bufio.Reader) (Response, error) {
 	return readResponse(r, parseOriginResponse)
 }
 
-// parseOriginResponse parses a response up to its value, or including its value if the length is not announced. If the
-// outcome is not [balancer.Completed], the body is read and discarded.
+// parseOriginResponse parses a response up to its value. If the outcome is not [balancer.Completed], the body is read and
+// discarded.
 func parseOriginResponse(r *bufio.Reader) (Response, error) {
 	h, err := readHTTPHead(r)
 	if err != nil {
 		return Response{}, err
 	}
-	resp := Response{Outcome: h.outcome(), ValueLength: h.length, NotFound: h.status == 404}
+	lengthUnknown := h.chunked || h.length < 0
+	if lengthUnknown && !h.chunked {
+		h.closes = true // the value ends with the connection
+	}
+	resp := Response{Outcome: h.outcome(), ValueLength: h.length, NotFound: h.status == 404, Reusable: !h.closes}
 	switch {
-	case h.chunked || h.length < 0:
-		resp.body, err = h.readBody(r)
-		resp.ValueLength = len(resp.body)
+	case lengthUnknown && resp.Outcome == balancer.Completed:
+		resp.unread = &h
+	case lengthUnknown:
+		_, err = h.readBody(r)
 	case h.length > MaxResponseValue:
 		err = protocolError("a body of " + strconv.Itoa(h.length) + " bytes")
 	case resp.Outcome != balancer.Completed:
 		_, err = readExactly(r, h.length)
 	}
-	resp.Reusable = !h.closes
 	return resp, err
 }
 
@@ -86,8 +89,6 @@
 	var in io.Reader = r
 	if h.chunked {
 		in = &chunkedReader{in: r}
-	} else {
-		h.closes = true
 	}
 	body, err := io.ReadAll(io.LimitReader(in, maxUnknownLength+1))
 	if err == nil && len(body) > maxUnknownLength {
--- a/internal/wire/response.go
+++ b/internal/wire/response.go
@@ -7,27 +7,26 @@
 )
 
 // Response is the response of a cache or of the origin to one attempt. It is read in steps: [ReadCacheResponse] or
-// [ReadOriginResponse] reads up to the value. Then either [Response.ReadValue] reads the value, or the caller reads the
-// value in parts and then calls [Response.ReadValueEnd]. Finally, [Response.SkipTrailing] reads the elements after the
-// value.
+// [ReadOriginResponse] reads up to the value. Then either [Response.ReadValue] reads the value, or, if its length is
+// known, the caller reads the value in parts and then calls [Response.ReadValueEnd]. Finally, [Response.SkipTrailing]
+// reads the elements after the value.
 type Response struct {
 	Outcome     balancer.Outcome
-	ValueLength int    // length of the value in bytes
-	NotFound    bool   // the origin does not have the key; callers that do not handle this treat it as a fault
-	Reusable    bool   // the connection may be reused for another attempt
-	trailing    bool   // the elements after the value are unread
-	bulk        bool   // the value is a bulk string, which ends with a line end
-	body        []byte // the value if it was read together with the head, else nil
+	ValueLength int       // length of the value in bytes; unknown before ReadValue if LengthUnknown
+	NotFound    bool      // the origin does not have the key; callers that do not handle this treat it as a fault
+	Reusable    bool      // the connection may be reused for another attempt
+	trailing    bool      // the elements after the value are unread
+	bulk        bool      // the value is a bulk string, which ends with a line end
+	unread      *httpHead // head of the value that is still to be read, if its length is not announced, else nil
 }
 
-// BufferedValue returns the value and true if the value was read together with the head, because its length was not
-// announced. Otherwise it returns nil and false.
-func (resp *Response) BufferedValue() ([]byte, bool) { return resp.body, resp.body != nil }
+// LengthUnknown reports whether the length of the value is not announced. Such a value is read by [Response.ReadValue].
+func (resp *Response) LengthUnknown() bool { return resp.unread != nil }
 
 // ReadValue reads the value and its line end, if it has one, into memory. Errors are of type [*AttemptError].
 func (resp *Response) ReadValue(r *bufio.Reader) ([]byte, error) {
-	if resp.body != nil {
-		return resp.body, nil
+	if resp.unread != nil {
+		return resp.readUnknownLength(r)
 	}
 	read := readExactly
 	if resp.bulk {
@@ -40,6 +39,16 @@
 	return value, nil
 }
 
+// readUnknownLength reads a value whose length is not announced.
+func (resp *Response) readUnknownLength(r *bufio.Reader) ([]byte, error) {
+	value, err := resp.unread.readBody(r)
+	if err != nil {
+		return nil, &AttemptError{Reading, err}
+	}
+	resp.ValueLength = len(value)
+	return value, nil
+}
+
 // ReadValueEnd reads the line end, if there is one, after a value that the caller has read in parts. Errors are of type
 // [*AttemptError].
 func (resp *Response) ReadValueEnd(r *bufio.Reader) error {
