balancer, proxy: a long value is not cut off between the head of its response and its first byte

What callers saw: reads of long values were answered -BUSY at the latency objective (739 ms of 1.5 s in the evidence) while a server that had sent the head of its response was still to write the value. Cause: for the decisions a response began with the first byte of its value. Between the head and that byte the attempt looked like one of a silent server, so the request was rejected and its attempts were cancelled. The class: progress that the connection sees and the decisions do not. Change: the connection reports the head (ResponseStarted). When the request is out of time, the balancer delivers the response that began first and cancels the other attempt. Until then hedges and retries go on as before, so that a response that breaks off or never comes is still replaced; beginning the reply with the head at once was passed over, since nothing could replace such a response. A value without a length can't be delivered early: its request waits up to the client's deadline. A server that has sent a head does not count as silent.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,6 +9,7 @@
 	request, route := &b.requests[index], &b.routes[e.Route]
 	*request = requestState{
 		Request: e, live: true, unadmitted: true, heapIndex: -1, endpoint: -1, firstRunEndpoint: -1,
+		respondingFrom: noEndpoint,
 		triedEndpoints: request.triedEndpoints[:0],
 	}
 	request.deadline = now + e.RemainingTimeout
@@ -26,6 +27,9 @@
 	b.begin(now)
 	request, endpoint := &b.requests[a.Request], &b.endpoints[a.Endpoint]
 	b.recordEnded(request, endpoint)
+	if a.Endpoint == request.respondingFrom {
+		request.respondingFrom, request.streaming = noEndpoint, false
+	}
 	if request.inFlight == 1 && a.Endpoint == request.endpoint {
 		request.resumePreviousAttempt() // the hedged attempt has ended; the first one is still in flight
 	}
--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -60,3 +60,47 @@
 	b.setDeadline(b.currentIndex, checkAt)
 	b.releaseCurrent()
 }
+
+// ResponseStarted reports that an endpoint has sent the head of its response to an attempt in flight, and still has to send
+// the value. If the response is deliverable, which means that the reply to the client can begin before the value is
+// complete, the request is not rejected when its time is up: the response is delivered instead. Otherwise the request
+// waits for the value until its client's timeout.
+func (b *Balancer) ResponseStarted(now Time, index, from int, deliverable bool) []Decision {
+	b.begin(now)
+	endpoint := &b.endpoints[from]
+	endpoint.silentSince, endpoint.lastResponseAt = now, now
+	request := &b.requests[index]
+	switch {
+	case !request.live || request.streaming || !request.isInFlightAt(from): // no further decision
+	case !deliverable:
+		request.giveUpAt = request.deadline - b.tick
+	case request.respondingFrom == noEndpoint:
+		request.respondingFrom = from
+	}
+	return b.applyRules()
+}
+
+// mustDeliver reports whether the current request is out of time while an endpoint is sending its response. Until then
+// other attempts may respond, and a response that breaks off can be replaced.
+func (b *Balancer) mustDeliver() bool {
+	return b.current.respondingFrom != noEndpoint && b.isPastDeadline()
+}
+
+// deliver begins the reply with the response that an endpoint is sending, and cancels the other attempt if there is one and
+// the settings allow that. If the response breaks off before the reply has begun, the request is decided on again.
+func (b *Balancer) deliver() {
+	request := b.current
+	attempt := request.attempt
+	if request.endpoint != request.respondingFrom {
+		attempt-- // the first attempt is responding, and the latest one is a hedged attempt
+	}
+	b.emit(Decision{Action: Deliver, Request: b.currentIndex, Attempt: attempt})
+	for other := request.attempt; other > request.attempt-request.inFlight && b.mayCancel; other-- {
+		if other != attempt {
+			b.emit(Decision{Action: Cancel, Request: b.currentIndex, Attempt: other})
+		}
+	}
+	request.streaming = true
+	b.clearDeadline(b.currentIndex)
+	b.releaseCurrent()
+}
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -28,6 +28,7 @@
 	previousEndpoint int  // endpoint of the attempt before the latest one
 	sentAt           Time // time at which an attempt was last sent
 	triedEndpoints   []int
+	respondingFrom   int  // endpoint that has sent the head of a deliverable response, noEndpoint: none
 	wasReset         bool // the connection of its latest attempt was reset
 	unconfirmed      bool // that its latest attempt was not executed is unconfirmed
 	missed           bool // its latest attempt was a cache miss
@@ -42,6 +43,11 @@
 	r.endpoint, r.attempt = r.previousEndpoint, r.attempt-1
 }
 
+// isInFlightAt reports whether an attempt is in flight at an endpoint.
+func (r *requestState) isInFlightAt(endpoint int) bool {
+	return r.inFlight > 0 && r.endpoint == endpoint || r.inFlight > 1 && r.previousEndpoint == endpoint
+}
+
 // finish discards the state of a request except for its attempts in flight.
 func (b *Balancer) finish(index int) {
 	request := &b.requests[index]
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -9,6 +9,7 @@
 	{selecting, (*Balancer).isPollDue, (*Balancer).pollList},
 	// The request is finished, out of time, or waits for an attempt in flight.
 	{deciding, (*Balancer).isRepliedOrStreaming, (*Balancer).releaseCurrent},
+	{deciding, (*Balancer).mustDeliver, (*Balancer).deliver},
 	{deciding, (*Balancer).isPastDeadline, rejectFor(ReasonDeadline)},
 	{deciding, (*Balancer).mustEvacuate, (*Balancer).cancelForEvacuation},
 	{deciding, (*Balancer).isAwaitingOutlier, (*Balancer).ejectOutlier},
--- a/balancer/scenario_expect_test.go
+++ b/balancer/scenario_expect_test.go
@@ -17,6 +17,8 @@
 			r.recordf("send %d %s", d.Request, r.endpointNames[d.Endpoint])
 		case balancer.Cancel:
 			r.recordf("cancel %d", d.Request)
+		case balancer.Deliver:
+			r.recordf("deliver %d %d", d.Request, d.Attempt)
 		case balancer.Shed:
 			r.recordf("reject %d", d.Request)
 			if r.settings.RetryAfter && (d.After <= 0 || d.After > r.settings.MaxRetryAfter) {
--- a/balancer/types.go
+++ b/balancer/types.go
@@ -137,6 +137,8 @@
 	Send Action = iota
 	// Cancel cancels an attempt in flight.
 	Cancel
+	// Deliver begins the reply to the request with the response that an attempt in flight is receiving.
+	Deliver
 	// Shed rejects the request; a retry by the client is safe.
 	Shed
 	// Error fails the request, which may have been executed.
@@ -154,9 +156,9 @@
 // Decision is one operation for the caller to carry out. Action determines which of the other fields are set.
 type Decision struct {
 	Action   Action
-	Request  int    // Send, Cancel, Shed, Error: index of the request
+	Request  int    // Send, Cancel, Deliver, Shed, Error: index of the request
 	Endpoint int    // Send, NotifyPeer: index of the endpoint
-	Attempt  int    // Cancel: number of the attempt, from 0
+	Attempt  int    // Cancel, Deliver: number of the attempt, from 0
 	After    Time   // Send: timeout of the attempt; Shed: Retry-After, 0: none; SetTimer: delay from now
 	Peer     int    // NotifyPeer: number of the peer
 	Text     string // Log
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -19,6 +19,7 @@
 	effect      balancer.Effect // of executing the request more than once
 	hasWaited   bool            // it has waited for a connection that rested; accessed only by the host's goroutine
 	cancelled   atomic.Bool
+	deliver     atomic.Bool              // the reply begins with the head of this attempt's response
 	fetchToken  negativecache.FetchToken // token of a fetch from the origin
 	notFound    bool                     // the origin has responded that the key is absent
 	streaming   bool                     // the value is being streamed; the router already counts the attempt as completed
--- a/internal/proxy/decisions.go
+++ b/internal/proxy/decisions.go
@@ -13,6 +13,8 @@
 			}
 		case balancer.Cancel:
 			r.cancelAttempt(d)
+		case balancer.Deliver:
+			r.deliverAttempt(d)
 		case balancer.Shed:
 			r.reject(d, replyShed)
 		case balancer.Error:
@@ -88,3 +90,11 @@
 	h := r.hosts[attempt.host]
 	h.post(func() { h.cancel(attempt) })
 }
+
+// deliverAttempt makes the attempt's host begin the reply with the response that it is receiving.
+func (r *Router) deliverAttempt(d *balancer.Decision) {
+	attempt := r.slots[d.Request].attempts[d.Attempt]
+	r.slots[d.Request].trace.add(traceEvent{at: r.clock.Now(), kind: traceDelivered, host: attempt.host})
+	h := r.hosts[attempt.host]
+	h.post(func() { h.deliver(attempt) })
+}
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -156,9 +156,14 @@
 	}
 }
 
-// responseStarted records that the head of the response to an attempt has been read and the value is still to come.
-func (r *Router) responseStarted(attempt *attempt, _ bool) {
-	r.slots[attempt.slot].trace.add(traceEvent{at: r.clock.Now(), kind: traceResponding, host: attempt.host})
+// responseStarted handles the head of the response to an attempt whose value is still to come. If it is deliverable, the
+// reply can begin before the value is complete.
+func (r *Router) responseStarted(attempt *attempt, deliverable bool) {
+	now := r.clock.Now()
+	r.slots[attempt.slot].trace.add(traceEvent{at: now, kind: traceResponding, host: attempt.host})
+	r.apply(now, func(b *balancer.Balancer) []balancer.Decision {
+		return b.ResponseStarted(now, attempt.slot, attempt.host, deliverable)
+	})
 }
 
 // attemptFinished handles the result of an attempt.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -70,8 +70,8 @@
 	return nil
 }
 
-// streamValue streams a value to the client. For the balancer the attempt completes with the first byte, after which
-// there is no retry: a value that breaks off later closes the client's connection. The last byte is held back until the
+// streamValue streams a value to the client. For the balancer the attempt completes with the first byte, or when the request
+// is out of time and the reply begins without a byte. After that there is no retry: a value that breaks off later closes the client's connection. The last byte is held back until the
 // upstream has ended its response according to the protocol, so that the client detects a wrong length as well.
 func (u *upstreamConn) streamValue(attempt *attempt, response *wire.Response, until time.Time) error {
 	router := u.host.router
@@ -82,10 +82,7 @@
 		time.Sleep(capacityPollInterval)
 	}
 	defer router.streamMemory.release(streamBufferBytes)
-	if u.reader.Buffered() == 0 {
-		u.reportStarted(attempt, true)
-	}
-	if _, err := u.reader.Peek(1); err != nil { // up to here the request can be retried
+	if err := u.awaitValue(attempt, until); err != nil { // up to here the request can be retried
 		return &wire.AttemptError{Progress: wire.Reading, Err: err}
 	}
 	s := newStream(response.ValueLength)
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -24,6 +24,7 @@
 	traceReceived   traceKind = iota
 	traceSent                 // an attempt was passed to its host
 	traceResponding           // the head of the response to an attempt has been read, and the value is still to come
+	traceDelivered            // the reply begins with the head of an attempt's response, since the request is out of time
 	traceEnded                // an attempt has ended
 	traceCancelled
 	traceCompleted // the final reply carries the upstream's response
@@ -34,7 +35,7 @@
 )
 
 var traceKindNames = [numTraceKinds]string{
-	"received", "sent", "responding", "ended", "cancelled", "completed", "shed", "failed", "client_gone",
+	"received", "sent", "responding", "delivered", "ended", "cancelled", "completed", "shed", "failed", "client_gone",
 }
 
 // traceEvent is one state transition of a request or of one of its attempts.
@@ -113,7 +114,7 @@
 		if e.unconfirmed {
 			text += " unconfirmed"
 		}
-	case traceCancelled, traceResponding:
+	case traceCancelled, traceResponding, traceDelivered:
 		text += " " + r.hostName(e.host)
 	case traceShed, traceFailed:
 		text += " " + e.reason.String()
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -49,6 +49,7 @@
 	dialEnded     bool               // the first dial has ended
 	attemptMoved  bool               // the attempt that the connection was dialed for was moved to another one
 	writing       *attempt           // attempt that is being written
+	awaitingValue *attempt           // attempt that waits for the first byte of its value
 	closeWhenIdle bool
 }
 
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -186,6 +186,14 @@
 	}
 }
 
+// deliver begins the reply with the response that an attempt is receiving. It does nothing if the attempt has ended.
+func (h *upstreamHost) deliver(attempt *attempt) {
+	attempt.deliver.Store(true)
+	if attempt.conn != nil {
+		attempt.conn.wakeValueWait(attempt)
+	}
+}
+
 // cancel cancels an attempt, whether it is queued, being dialed, being written or waiting for its response.
 func (h *upstreamHost) cancel(attempt *attempt) {
 	attempt.cancelled.Store(true)
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -301,7 +301,7 @@
 	memory := u.host.router.valueMemory
 	switch {
 	case response.LengthUnknown():
-		return u.readUnknownLength(attempt, response)
+		return u.readUnknownLength(attempt, response, until)
 	case response.ValueLength <= wire.MaxBufferedValue && memory.tryAcquire(response.ValueLength):
 	default:
 		return nil, u.streamValue(attempt, response, until)
@@ -318,9 +318,12 @@
 }
 
 // readUnknownLength reads a value whose length is not announced. It is buffered completely, because the reply to the client
-// begins with the length.
-func (u *upstreamConn) readUnknownLength(attempt *attempt, response *wire.Response) ([]byte, error) {
+// begins with the length. It is read until the client's deadline, or until the attempt is canceled.
+func (u *upstreamConn) readUnknownLength(attempt *attempt, response *wire.Response, until time.Time) ([]byte, error) {
 	u.reportStarted(attempt, false)
+	if err := u.extendRead(attempt, until); err != nil {
+		return nil, &wire.AttemptError{Progress: wire.Reading, Err: err}
+	}
 	value, err := response.ReadValue(u.reader)
 	if err != nil {
 		return nil, err
@@ -334,3 +337,14 @@
 	router := u.host.router
 	router.mailbox.post(func() { router.responseStarted(attempt, deliverable) })
 }
+
+// extendRead lets the reading of a response go on until the client's deadline, if that is after the attempt's own time.
+func (u *upstreamConn) extendRead(attempt *attempt, until time.Time) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	deadline := attempt.request.clientDeadline(u.host.router.clock)
+	if attempt.cancelled.Load() || !deadline.After(until) {
+		return nil
+	}
+	return u.conn.SetReadDeadline(deadline)
+}
--- /dev/null
+++ b/internal/proxy/value_wait_test.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"woodproxy/balancer"
+	"woodproxy/internal/wire"
+)
+
+const longValueHead = wire.MaxBufferedValue + 1 // bytes; announced by the tests below
+
+// shortObjective sets the latency objective to 300 ms.
+func shortObjective(config *balancer.Settings) {
+	for i := range config.Routes {
+		config.Routes[i].Objective = 300 * ticksPerMillisecond
+	}
+	config.MayCancel = true
+}
+
+// A response that breaks off between its head and its value, before the request is out of time, is replaced by that of
+// another attempt.
+func TestResponseWithoutValueIsReplaced(t *testing.T) {
+	owner, other, origin := newCache(t), newCache(t), newOrigin(t)
+	p := newTestProxy(t, 10, shortObjective, owner, other, origin)
+	client := p.dial()
+	send(t, client, getCommand("id1", longWaitMS))
+	var first receivedCommand
+	select {
+	case first = <-owner.commands:
+	case first = <-other.commands:
+		other = owner
+	case <-time.After(time.Second):
+		t.Fatal("no cache received the command")
+	}
+	send(t, first.conn, fmt.Sprintf("*3\r\n$%d\r\n", longValueHead))
+	time.Sleep(100 * time.Millisecond)
+	resetOnClose(t, first.conn)
+	closeConn(t, first.conn)
+	other.next(t).sendValue(t)
+	if line, err := bufio.NewReader(client).ReadString('\n'); line != "$5\r\n" {
+		t.Errorf("got %q, error %v, want the value of the second attempt", line, err)
+	}
+}
+
+// A response that breaks off after its head was delivered ends the client's connection, so that the client can tell that
+// its reply is not complete.
+func TestDeliveredResponseWithoutValueEndsConnection(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 10, shortObjective, cache, origin)
+	client := p.dial()
+	send(t, client, getCommand("id1", longWaitMS))
+	command := cache.next(t)
+	send(t, command.conn, fmt.Sprintf("*3\r\n$%d\r\n", longValueHead))
+	reader := bufio.NewReader(client)
+	if line, err := reader.ReadString('\n'); line != fmt.Sprintf("$%d\r\n", longValueHead) {
+		t.Fatalf("got %q, error %v, want the head of the value", line, err)
+	}
+	closeConn(t, command.conn)
+	if rest, err := io.ReadAll(reader); len(rest) > 0 {
+		t.Errorf("got %d more bytes, error %v, want the end of the connection", len(rest), err)
+	}
+	p.eventually("the stream is not counted as broken", func() bool { return p.router.counters.Broken.Load() == 1 })
+}
+
+// A client that leaves while its value is awaited ends the attempt.
+func TestDepartedClientEndsValueWait(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 10, shortObjective, cache, origin)
+	client := p.dial()
+	send(t, client, getCommand("id1", longWaitMS))
+	command := cache.next(t)
+	send(t, command.conn, fmt.Sprintf("*3\r\n$%d\r\n", longValueHead))
+	closeConn(t, client)
+	p.eventually("the attempt is still in flight", func() bool {
+		return p.router.counters.Passing.Load() == 0 && p.router.counters.UpstreamOpen.Load() == 0
+	})
+}
