proxy: the reading of a long value lets others run in between

Related to the floods: a client that sends long values at full speed finds the next bytes there each time, and was read until the scheduler preempted its goroutine.

--- a/internal/proxy/client_read.go
+++ b/internal/proxy/client_read.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"runtime"
 	"time"
 
 	"woodproxy/balancer"
@@ -17,11 +18,17 @@
 	commandSet = "KV.SET"
 )
 
+// uploadReadBytes is the maximum number of bytes of a value that are read at once, so that others are served in between.
+const uploadReadBytes = 64 << 10
+
 // fillBuffer waits until more bytes have been read, or until it is interrupted.
 func (c *clientConn) fillBuffer() error {
 	if err := c.extendReadDeadline(); err != nil {
 		return err
 	}
+	if c.upload != nil || c.discardBytes > 0 {
+		runtime.Gosched() // the rest of a long value is often there already, so that the read would not wait
+	}
 	if c.upload != nil {
 		return c.readUpload()
 	}
@@ -51,7 +58,7 @@
 // readUpload reads more of a value directly into its request.
 func (c *clientConn) readUpload() error {
 	value := c.upload.value
-	n, err := c.reader.Read(value[c.uploadRead:cap(value)])
+	n, err := c.reader.Read(value[c.uploadRead:min(c.uploadRead+uploadReadBytes, cap(value))])
 	c.uploadRead += n
 	if now := time.Now(); n > 0 && cap(value) > wire.MaxBufferedValue+len(crlf) && now.Before(c.uploadDeadline) {
 		c.partialSince = now // a long value may take longer while it makes progress
