proxy: a client that sends commands at full speed does not hold up others

What callers saw: while clients sent commands at full speed (new classes, bad deadlines, PING, INFO, unknown commands, reads), replies to others came after their deadlines. Cause: a connection whose next command is always there never waits, so that its goroutine keeps the thread until the scheduler preempts it after 10 ms; each of the six does so in turn, and a request of another client takes several turns. The class: work at the pace of a client, with nothing that makes it wait. Evidence: PING alone does the same harm, though it reaches neither the router nor the log (which excludes the mailbox, the log and tables of names); memory stays at 21 to 32 MiB; the process is idle but for these connections. Change: commandPacer. A class that does not exist is found out before the router. Yielding behind each batch alone was passed over: the flood would still take half of the processor.

--- a/cmd/woodproxy/crowd_test.go
+++ b/cmd/woodproxy/crowd_test.go
@@ -27,7 +27,7 @@
 // crowds are the ways in which each client of a crowd uses its connection until the end.
 var crowds = map[string]func(conn net.Conn, client int){
 	"slow writers": func(conn net.Conn, client int) {
-		command := encodeWrite("k", fmt.Sprint("w", client), 60<<10)
+		command := encodeWrite(fmt.Sprint("w", client), 60<<10)
 		for len(command) > 0 {
 			n := min(len(command), 2000)
 			if _, err := conn.Write(command[:n]); err != nil {
@@ -38,12 +38,12 @@
 		}
 	},
 	"half of a large request": func(conn net.Conn, client int) {
-		command := encodeWrite("k", fmt.Sprint("h", client), crowdValueLength)
+		command := encodeWrite(fmt.Sprint("h", client), crowdValueLength)
 		_, _ = conn.Write(command[:len(command)/2])
 		_, _ = io.Copy(io.Discard, conn)
 	},
 	"half of a request of 64 KiB": func(conn net.Conn, client int) {
-		command := encodeWrite("k", fmt.Sprint("h", client), 64<<10)
+		command := encodeWrite(fmt.Sprint("h", client), 64<<10)
 		_, _ = conn.Write(command[:len(command)-100])
 		_, _ = io.Copy(io.Discard, conn)
 	},
@@ -99,9 +99,9 @@
 	},
 }
 
-// encodeWrite returns a command that writes a value of the given length.
-func encodeWrite(key, id string, length int) []byte {
-	command := wire.AppendCommand(nil, []byte("KV.SET"), []byte(key), []byte(id), []byte("c=put,t=x,d=1200,k=k"+id), length)
+// encodeWrite returns a command that writes a value of the given length to the key k.
+func encodeWrite(id string, length int) []byte {
+	command := wire.AppendCommand(nil, []byte("KV.SET"), []byte("k"), []byte(id), []byte("c=put,t=x,d=1200,k=k"+id), length)
 	return append(append(command, strings.Repeat("v", length)...), "\r\n"...)
 }
 
--- a/cmd/woodproxy/standins_test.go
+++ b/cmd/woodproxy/standins_test.go
@@ -175,6 +175,17 @@
 	return &testClient{conn, bufio.NewReader(conn)}
 }
 
+// redial replaces the connection by a new one to the same address.
+func (c *testClient) redial() error {
+	conn, err := net.DialTimeout("tcp", c.RemoteAddr().String(), time.Second)
+	if err != nil {
+		return err
+	}
+	_ = c.Close() // the proxy may have closed it
+	c.Conn, c.reader = conn, bufio.NewReader(conn)
+	return nil
+}
+
 // replyTimeout is the time for which clients of tests wait for a reply.
 const replyTimeout = 15 * time.Second
 
--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -38,6 +38,8 @@
 	uploadRead      int       // bytes read so far of that value and its line end
 	uploadDeadline  time.Time // until then, each read of a long value restarts the command timeout
 	writeFailed     bool      // a reply could not be written, so the client can't receive any other
+	pacer           commandPacer
+	pauseLogged     bool // the first pause has been logged
 
 	mu              sync.Mutex
 	pending         []*request           // requests without a written reply, in the order of their commands
@@ -107,6 +109,9 @@
 	case !conditions.MayRead().Permitted():
 		return c.awaitReply()
 	}
+	if pause := c.pacer.pause(time.Now()); pause > 0 {
+		return c.awaitResume(pause)
+	}
 	err := c.fillBuffer()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return c.deadlineError()
@@ -223,6 +228,27 @@
 // requests of a client that has closed its connection must not be sent to an upstream.
 func (c *clientConn) awaitReply() error { return c.awaitEvent(c.replyReady) }
 
+// awaitResume waits until the connection may be read again, or until the next reply may be ready. The commands of a client
+// that has closed its connection meanwhile are not read.
+func (c *clientConn) awaitResume(pause time.Duration) error {
+	if c.listener.counters.ReadsPaused.Add(1); !c.pauseLogged {
+		c.pauseLogged = true
+		c.listener.log.Warn("client sends commands at too high a rate; its connection is read more slowly",
+			zap.Stringer("from", c.conn.RemoteAddr()))
+	}
+	resume := time.NewTimer(pause)
+	defer resume.Stop()
+	select {
+	case <-c.replyReady:
+		return nil
+	case <-resume.C:
+	}
+	if hungUpByPeer(c.conn) {
+		return errClientGone
+	}
+	return nil
+}
+
 // awaitEvent waits for an event, and returns errClientGone if the client hangs up first.
 func (c *clientConn) awaitEvent(events <-chan struct{}) error {
 	select {
--- a/internal/proxy/client_read.go
+++ b/internal/proxy/client_read.go
@@ -66,9 +66,10 @@
 	return err
 }
 
-// readCommands processes the completely read commands until the maximum number of commands is pending.
+// readCommands processes the completely read commands until the maximum number of commands is pending, or until the
+// connection must not be read for a while.
 func (c *clientConn) readCommands() error {
-	for !c.pendingFull() {
+	for !c.pendingFull() && c.pacer.pause(time.Now()) == 0 {
 		err := c.readNext()
 		if errors.Is(err, wire.ErrIncomplete) {
 			return nil
@@ -99,6 +100,7 @@
 		}
 		return err
 	}
+	c.pacer.commandRead(time.Now())
 	req := c.beginCommand(&cmd)
 	if _, err := c.reader.Discard(n); err != nil {
 		return err
@@ -203,7 +205,11 @@
 	if cmd.Is("PING") && c.awaitEvent(c.listener.ready) != nil {
 		return // the client has closed its connection, as the next read reports
 	}
-	req.setReply(c.listener.controlReply(cmd))
+	header, body, known := c.listener.controlReply(cmd)
+	if !known {
+		c.pacer.commandRejected(time.Now())
+	}
+	req.setReply(header, body)
 }
 
 // shedRequest rejects a request for which there is no capacity.
@@ -231,9 +237,15 @@
 	c.enqueue(req)
 	if err := req.parseFacts(); err != nil {
 		c.listener.log.Warn("invalid request facts", zap.Error(err), zap.ByteString("facts", req.facts))
+		c.pacer.commandRejected(time.Now())
 		req.setReply([]byte("-ERR bad facts\r\n"), nil)
 		return
 	}
+	if _, known := router.settings.Routes[req.route]; !known {
+		c.pacer.commandRejected(time.Now())
+		req.reply(router.counters, replyError, nil, 0)
+		return
+	}
 	req.receivedAt = router.clock.Now() - balancer.Time(c.queuedTime()/tickDuration)
 	if router.negativeCache.lookUp(req) {
 		req.reply(router.counters, replyNotFound, nil, 0)
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -192,7 +192,7 @@
 	now := time.Now()
 	c := &clientConn{
 		listener: l, conn: conn, reader: bufio.NewReaderSize(conn, clientReadBuffer),
-		replyReady: make(chan struct{}, 1), acceptedAt: now, lastActive: now,
+		replyReady: make(chan struct{}, 1), acceptedAt: now, lastActive: now, pacer: newCommandPacer(),
 	}
 	l.counters.Clients.Add(1)
 	l.counters.ClientsOpen.Add(1)
@@ -278,21 +278,21 @@
 	l.connsChanged.Broadcast()
 }
 
-// controlReply returns the reply to a command that is not proxied.
-func (l *Listener) controlReply(cmd *wire.Command) (header, body []byte) {
+// controlReply returns the reply to a command that is not proxied, and whether the command is known.
+func (l *Listener) controlReply(cmd *wire.Command) (header, body []byte, known bool) {
 	switch {
 	case cmd.Is("PING"):
 		if l.outOfService.Load() {
-			return []byte("-ERR out of service\r\n"), nil
+			return []byte("-ERR out of service\r\n"), nil, true
 		}
-		return []byte("+PONG\r\n"), nil
+		return []byte("+PONG\r\n"), nil, true
 	case cmd.Is("CLIENT"), cmd.Is("SELECT"):
-		return []byte("+OK\r\n"), nil
+		return []byte("+OK\r\n"), nil, true
 	case cmd.Is("INFO"):
 		body = []byte(l.counters.String())
-		return wire.AppendLength(nil, '$', len(body)), body
+		return wire.AppendLength(nil, '$', len(body)), body, true
 	}
-	return []byte("-ERR unknown command\r\n"), nil
+	return []byte("-ERR unknown command\r\n"), nil, false
 }
 
 // milliseconds converts a balancer time, in tenths of a millisecond, to milliseconds and rounds down.
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -20,13 +20,9 @@
 	trace       requestTrace
 }
 
-// handleRequest handles a request that was read completely.
+// handleRequest handles a request of a known route that was read completely.
 func (r *Router) handleRequest(req *request) {
-	route, ok := r.settings.Routes[req.route]
-	if !ok {
-		req.reply(r.counters, replyError, nil, 0)
-		return
-	}
+	route := r.settings.Routes[req.route]
 	if _, taken := r.openIDs[string(req.id)]; taken {
 		// Upstreams would mistake the request for the open one with the same id, or reject it one after the other.
 		r.counters.Taken.Add(1)
