proxy: the id of a request that may have run does not run again after its client has left

What callers saw: a request that must not run twice ran a second time when the same id came again, 0.2 s or more after its client had closed its connection. Cause: an id counted as taken while its request held a slot. The slot of a request whose client has left ends with the cancellation of its attempts, although the server may still run it. The class: what is forgotten with its owner while its effect goes on. A repeat is answered -ERR and counted in Taken.

--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -23,20 +23,28 @@
 // handleRequest handles a request of a known route that was read completely.
 func (r *Router) handleRequest(req *request) {
 	route := r.settings.Routes[req.route]
-	if _, taken := r.openIDs[string(req.id)]; taken {
-		// Upstreams would mistake the request for the open one with the same id, or reject it one after the other.
+	now := r.clock.Now()
+	if r.isRepeated(req, route, now) {
 		r.counters.Taken.Add(1)
 		req.reply(r.counters, replyError, nil, 0)
 		return
 	}
 	slot := r.acquireSlot(req)
-	now := r.clock.Now()
 	r.counters.QueueDelay.observe(duration(now - req.receivedAt))
 	balancerRequest := r.describe(req, route, now)
 	r.slots[slot].trace.add(traceEvent{at: req.receivedAt, kind: traceReceived})
 	r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.Arrive(now, slot, balancerRequest) })
 }
 
+// isRepeated reports whether the id of a request is that of an open one, for which upstreams would mistake the request, or
+// that of one that must not run twice and may have run.
+func (r *Router) isRepeated(req *request, route int, now balancer.Time) bool {
+	if _, open := r.openIDs[string(req.id)]; open {
+		return true
+	}
+	return r.settings.Balancer.Routes[route].Effect != balancer.Retriable && r.executed.contains(keyHash(req.id), now)
+}
+
 // describe returns the balancer's description of a request.
 func (r *Router) describe(req *request, route int, now balancer.Time) balancer.Request {
 	tenant, ok := r.settings.Tenants[req.tenant]
@@ -55,6 +63,7 @@
 	}
 }
 
+// keyHash returns the hash of a key or of an id.
 func keyHash(key []byte) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write(key) // never fails, by the hash package's contract
@@ -82,12 +91,21 @@
 		return
 	}
 	r.logTrace(s)
+	r.recordExecuted(s)
 	delete(r.openIDs, string(s.request.id))
 	clear(s.attempts) // otherwise the slot would retain the request's value until its next use
 	*s = requestSlot{attempts: s.attempts[:0]}
 	r.freeSlots = append(r.freeSlots, slot)
 }
 
+// recordExecuted remembers the id of a request that must not run twice, if an upstream may have run it.
+func (r *Router) recordExecuted(s *requestSlot) {
+	route := r.settings.Routes[s.request.route]
+	if s.firstSentAt != 0 && r.settings.Balancer.Routes[route].Effect != balancer.Retriable {
+		r.executed.add(keyHash(s.request.id), r.clock.Now())
+	}
+}
+
 // clientGone handles the departure of a pending request's client.
 func (r *Router) clientGone(req *request) {
 	if !req.hasSlot {
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -44,6 +44,7 @@
 	slots     []requestSlot // grows to the maximum number of concurrent requests
 	freeSlots []int
 	openIDs   map[string]struct{} // ids of the requests that have a slot
+	executed  executedIDs
 
 	hosts         []*upstreamHost // by the balancer's index; nil if the index is free
 	freeHosts     []int           // indices of nil hosts
