proxy: an attempt looks at its client's connection right before it is written

What callers saw: requests of a client that had closed its connection while the process was held up were forwarded when it went on. Cause: that a client has left is noticed by the goroutine of its connection, when it reads to the end of what the client has sent or every 40 ms; requests that are read before that are forwarded meanwhile. Change: the connection to the server polls the client's connection before the first byte of an attempt and before the last bytes of a long one, which costs a system call each. One poll tells the state of a connection; the second look at its input is only taken if the poll fails.

--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -95,6 +95,9 @@
 	return clock.Instant(r.receivedAt).Add(time.Duration(r.waitMS) * time.Millisecond)
 }
 
+// clientHasLeft reports whether the request's client has closed its connection, even if bytes of it are still unread.
+func (r *request) clientHasLeft() bool { return r.conn != nil && hungUpByPeer(r.conn.conn) }
+
 // reply sets the final reply. value is the upstream's value for a completed request. If the request is shed,
 // retryAfterMS is sent to the client as Retry-After, in milliseconds, unless it is 0.
 func (r *request) reply(counters *Counters, kind finalReply, value []byte, retryAfterMS int) {
--- a/internal/proxy/socket_peek.go
+++ b/internal/proxy/socket_peek.go
@@ -109,11 +109,11 @@
 
 // hungUpByPeer reports whether the peer has closed the connection, even if there are bytes left to read.
 func hungUpByPeer(conn net.Conn) bool {
-	hungUp := false
+	hungUp, known := false, false
 	control(conn, func(fd int) {
 		descriptors := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(descriptors, 0)
-		hungUp = err == nil && n > 0
+		hungUp, known = err == nil && n > 0, err == nil
 	})
-	return hungUp || closedByPeer(conn)
+	return hungUp || !known && closedByPeer(conn)
 }
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -63,8 +63,12 @@
 	return u.readResponse(attempt, until)
 }
 
-// conditions returns the conditions that determine whether an attempt may be written now.
+// conditions returns the conditions that determine whether an attempt may be written now. The client's connection is looked
+// at, since its own goroutine may not have noticed yet that the client has left.
 func (u *upstreamConn) conditions(attempt *attempt, until time.Time) lifecycle.AttemptConditions {
+	if attempt.request.clientHasLeft() {
+		u.host.router.endRequest(attempt.request, lifecycle.ClientLeft)
+	}
 	return lifecycle.AttemptConditions{
 		Request: attempt.request.life.State(), Canceled: attempt.cancelled.Load(), EndpointReady: u.host.ready.Load(),
 		Now: time.Now(), Deadline: until, DedupWindowEnd: u.host.router.dedupWindowEnd(attempt),
