proxy: an endpoint that is listed at the address of another one supersedes it

The picture: a new process comes up at the address of one that has gone and is taken for the old one. Here it showed between the listing of the new server and the report that the old one is gone (seconds): requests for the old name's keys were sent to the address of both, where they reached the new process, as if it were warm. It got them beside its own share in slow start, and repeats that only the old process would have dropped. Cause: hosts are kept by name, and nothing compared their addresses. Change: the latest host that discovery lists at an address owns it; the one before accepts no requests until its entry names another address or start, or the owner leaves. Lists from which a process starts and reports from peers do not say which came later and change nothing. Passed over: dropping the old host at once, since discovery may list it again.

--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -54,6 +54,7 @@
 	Unconfirmed     atomic.Int64 // rejections and misses on used connections that were taken for attempts that may have run
 	Unattributed    atomic.Int64 // responses on used connections of distrusted hosts, which were taken for no request's
 	ResponsesCutOff atomic.Int64 // responses that the proxy gave up after it had read a part of them
+	HostsSuperseded atomic.Int64 // hosts that were superseded by another one at their address
 	ReadsPaused     atomic.Int64 // pauses in the reading of client connections whose commands come at too high a rate
 	// QueueDelay is the histogram of the time from the last byte of a request to its handling by the router.
 	QueueDelay DelayHistogram
--- a/internal/proxy/host_index.go
+++ b/internal/proxy/host_index.go
@@ -117,6 +117,11 @@
 
 // hostsChanged updates the balancer and the zone health with hosts whose entries have changed.
 func (r *Router) hostsChanged(now balancer.Time, changed []*upstreamHost, first bool) {
+	for _, h := range r.takeAffected() {
+		if !slices.Contains(changed, h) {
+			changed = append(changed, h)
+		}
+	}
 	listings := make([]balancer.Endpoint, 0, len(changed))
 	for _, h := range changed {
 		listings = append(listings, r.listing(h))
@@ -133,6 +138,7 @@
 		return
 	}
 	h.departedAt = now
+	r.releaseAddress(h)
 	if !h.awaitsRemoval {
 		h.awaitsRemoval = true
 		r.departedHosts = append(r.departedHosts, h)
@@ -154,6 +160,7 @@
 		endpoint.StartedAtUnixMilli = int64(now / ticksPerMillisecond)
 	}
 	h.startedAt = startTime(endpoint, source, now)
+	r.updateAddressOwner(h, endpoint, h.claimsAddress(endpoint, source, true))
 	r.setEndpoint(h, endpoint, now)
 	return h, true
 }
@@ -161,6 +168,7 @@
 func (r *Router) updateKnownHost(
 	h *upstreamHost, endpoint wire.Endpoint, source listSource, now balancer.Time,
 ) (*upstreamHost, bool) {
+	claims := h.claimsAddress(endpoint, source, false)
 	if h.restartedBy(endpoint) {
 		h.startedAt = startTime(endpoint, source, now)
 	} else {
@@ -172,6 +180,7 @@
 	if endpoint == h.endpoint && endpoint.Departed == (h.departedAt != 0) {
 		return h, false
 	}
+	r.updateAddressOwner(h, endpoint, claims)
 	r.setEndpoint(h, endpoint, now)
 	return h, true
 }
@@ -231,7 +240,7 @@
 		address := endpoint.Address
 		h.addr.Store(&address)
 	}
-	h.setReady(endpoint.Ready)
+	h.setReady(h.acceptsRequests())
 	if !endpoint.Departed {
 		h.departedAt = 0
 	} else {
@@ -257,7 +266,7 @@
 		zone = -1
 	}
 	return balancer.Endpoint{
-		Index: h.index, Name: endpoint.Name, Origin: r.isOrigin(*endpoint), Ready: endpoint.Ready,
+		Index: h.index, Name: endpoint.Name, Origin: r.isOrigin(*endpoint), Ready: h.acceptsRequests(),
 		StartedAt: h.startedAt, Weight: endpoint.Weight, Zone: zone, Cell: endpoint.Cell,
 	}
 }
@@ -276,6 +285,7 @@
 		}
 		delete(r.hostIndex, h.name)
 		r.hosts[h.index] = nil
+		h.supersedes = nil
 		r.freeHosts = append(r.freeHosts, h.index)
 		if h.openConns.Load() > 0 {
 			h.post(h.stop)
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -46,11 +46,13 @@
 	openIDs   map[string]struct{} // ids of the requests that have a slot
 	executed  executedIDs
 
-	hosts         []*upstreamHost // by the balancer's index; nil if the index is free
-	freeHosts     []int           // indices of nil hosts
-	hostIndex     map[string]int  // index by name
-	departedHosts []*upstreamHost // hosts that keep their index until no request can refer to it; some may be listed again
-	updateCount   int             // number of updates of the endpoint list
+	hosts         []*upstreamHost          // by the balancer's index; nil if the index is free
+	freeHosts     []int                    // indices of nil hosts
+	hostIndex     map[string]int           // index by name
+	departedHosts []*upstreamHost          // hosts that keep their index until no request can refer to it; some may be listed again
+	updateCount   int                      // number of updates of the endpoint list
+	addressOwners map[string]*upstreamHost // the host that is listed at an address, or the latest one, by address
+	affectedHosts []*upstreamHost          // superseded or returned to service by the current update of the endpoint list
 
 	dialer       dialer        // for upstream connections
 	connIDs      atomic.Uint64 // number of the latest upstream connection
@@ -82,7 +84,7 @@
 	return &Router{
 		mailbox: make(mailbox, routerMailboxSize), balancer: balancer.New(clock.Now(), config.Balancer, seed),
 		settings: config, clock: clock, counters: counters, log: log,
-		wakeTimer: time.NewTimer(unarmed), openIDs: map[string]struct{}{}, hostIndex: map[string]int{},
+		wakeTimer: time.NewTimer(unarmed), openIDs: map[string]struct{}{}, hostIndex: map[string]int{}, addressOwners: map[string]*upstreamHost{},
 		dialer:  &net.Dialer{Timeout: duration(config.Balancer.ConnectTimeout), KeepAlive: -1},
 		sockets: newBudget(sockets, &counters.UpstreamOpen), valueMemory: newBudget(0, &counters.Bytes),
 		streamMemory: newBudget(0, &counters.Passing), traceLimiter: newTraceLimiter(),
--- a/internal/proxy/upstream_host.go
+++ b/internal/proxy/upstream_host.go
@@ -56,6 +56,8 @@
 	departedAt    balancer.Time // time at which the host left the endpoint list; 0: it is listed
 	inFlight      int           // number of attempts in flight
 	awaitsRemoval bool          // the host is in the router's departedHosts
+	superseded    bool          // another host is listed at its address
+	supersedes    *upstreamHost // the host that was superseded by this one; nil: none
 	lastUpdate    int           // number of the latest update of the endpoint list that contained the host
 
 	// Accessed only by the host's goroutine.
@@ -90,7 +92,9 @@
 
 // isServing reports whether the host is a cache that is listed and accepts requests. It must be called on the router's
 // goroutine.
-func (h *upstreamHost) isServing() bool { return !h.isOrigin && h.endpoint.Ready && h.departedAt == 0 }
+func (h *upstreamHost) isServing() bool {
+	return !h.isOrigin && h.acceptsRequests() && h.departedAt == 0
+}
 
 // releaseIdleConns makes the host's goroutine close all idle connections, if the host has any connections. Any goroutine
 // may call it.
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -110,6 +110,7 @@
 		counters.Unattributed.Load())
 	s.counter("client_reads_paused", "Pauses in the reading of client connections whose commands come at too high a rate.",
 		counters.ReadsPaused.Load())
+	s.counter("hosts_superseded", "Hosts that were superseded by another one at their address.", counters.HostsSuperseded.Load())
 	s.counter("wall_clock_steps", "Detected steps of the wall clock.", counters.WallClockSteps.Load())
 	s.counter("state_write_failures", "Writes of the state file that failed.", counters.StateWriteFailures.Load())
 	s.counter("traces_omitted", "Requests whose trace was not logged because of the rate limit.", counters.TracesOmitted.Load())
