--- a/cmd/woodproxy/departedclient_test.go
+++ b/cmd/woodproxy/departedclient_test.go
@@ -130,3 +130,52 @@
 		}
 	}
 }
+
+// The same ID must not run a second time at the other process of a hot restart, whichever of the two has received it first.
+func TestRepeatedIDDoesNotRunAtBothProcessesOfHotRestart(t *testing.T) {
+	program := filepath.Join(buildPrograms(t), "woodproxy")
+	received := &receivedCommands{}
+	cache := startCache(t, func(conn net.Conn, command serverCommand) {
+		received.record(command)
+		time.Sleep(300 * time.Millisecond)
+		writeAll(conn, cacheHead(5), "value", cacheTail)
+	})
+	origin := startOrigin(t, func(conn net.Conn, _ serverCommand) { writeAll(conn, originHead(5), "value") })
+	predecessor := startConfiguredProxy(t, program, unsafeConfig(cache, origin), noFeatures)
+	predecessor.awaitReady(t)
+	var atPredecessor []*testClient // connections that the predecessor has accepted
+	for range 5 {
+		client := dialProxy(t, predecessor.clients)
+		if reply := client.roundTrip([]byte("*1\r\n$4\r\nPING\r\n")); reply.head != "+PONG" {
+			t.Fatal(reply)
+		}
+		atPredecessor = append(atPredecessor, client)
+	}
+	sendAndLeave := func(client *testClient, id string) {
+		t.Helper()
+		if _, err := client.Write(encodeRead("k", id, "take", readTimeout)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		_ = client.Close()
+	}
+	repeat := func(client *testClient, id string) {
+		t.Helper()
+		time.Sleep(50 * time.Millisecond)
+		reply := client.roundTrip(encodeRead("k", id, "take", readTimeout))
+		if n := received.count(id); n != 1 {
+			t.Errorf("%s: got %q, and the request ran %d times, want once", id, reply.head, n)
+		}
+	}
+	sendAndLeave(atPredecessor[0], "before the successor")
+	successor := predecessor.startSuccessor(t)
+	repeat(dialProxy(t, successor.clients), "before the successor")
+	sendAndLeave(atPredecessor[1], "at the predecessor")
+	repeat(dialProxy(t, successor.clients), "at the predecessor")
+	sendAndLeave(dialProxy(t, successor.clients), "at the successor")
+	repeat(atPredecessor[2], "at the successor")
+	if _, err := atPredecessor[3].Write(encodeRead("k", "still open", "take", readTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	repeat(dialProxy(t, successor.clients), "still open")
+}
--- a/cmd/woodproxy/process_golden_test.go
+++ b/cmd/woodproxy/process_golden_test.go
@@ -103,11 +103,27 @@
 	dir := t.TempDir()
 	p := &proxyProcess{program: program, log: &bytes.Buffer{}, clients: freeAddress(t), management: freeAddress(t), peers: freeAddress(t)}
 	writeFile(t, dir, "config.json", config)
+	p.start(t, dir, features)
+	return p
+}
+
+// startSuccessor starts a second process of the proxy, which takes over the listener of the first one.
+func (p *proxyProcess) startSuccessor(t *testing.T) *proxyProcess {
+	t.Helper()
+	successor := &proxyProcess{program: p.program, log: &bytes.Buffer{}, clients: p.clients, management: freeAddress(t), peers: p.peers}
+	successor.start(t, p.command.Dir, noFeatures)
+	successor.awaitReady(t)
+	return successor
+}
+
+// start starts the process in a directory that contains its configuration.
+func (p *proxyProcess) start(t *testing.T, dir string, features func(dir string) []string) {
+	t.Helper()
 	args := []string{"serve", "--config=config.json", "--listen=" + p.clients, "--management=" + p.management}
 	for _, flag := range features(dir) {
 		args = append(args, strings.ReplaceAll(flag, "PEERS", p.peers))
 	}
-	p.command = exec.Command(program, args...)
+	p.command = exec.Command(p.program, args...)
 	p.command.Dir, p.command.Env, p.command.Stderr = dir, []string{"TMPDIR=" + dir}, p.log
 	if err := p.command.Start(); err != nil {
 		t.Fatal(err)
@@ -119,7 +135,6 @@
 			t.Logf("the proxy's log:\n%s", p.log)
 		}
 	})
-	return p
 }
 
 func freeAddress(t *testing.T) string {
