hotrestart, proxy: an id that must not run twice does not run at both processes of a replacement

What callers saw: during a replacement a request that must not run twice ran at each process when its id came again at the other one. Cause: the ids of open and of run requests are known to one process only. Change: the two processes tell each other the hashes of such ids over the connection that they keep anyway, before the first attempt; a new successor is sent those of the last minute and the open ones. Sending never blocks, so nothing waits for the other process, and an id that comes again within the moment that the message takes can still run twice. Hello and offer have one more key, "executed", by which a process says that it reads these lines; versions without it are sent none, since they would take a line for the other's end. Passed over: a table in a shared file, which would make requests wait for a disk.

--- a/internal/hotrestart/helpers_test.go
+++ b/internal/hotrestart/helpers_test.go
@@ -47,6 +47,7 @@
 	counts := make(chan successorCounts, 16)
 	server := NewServer(dir, listen, listener, func() []byte { return list },
 		func(holding, serving int) { counts <- successorCounts{holding, serving} },
+		ExecutedExchange{Received: func(uint64) {}, Recent: func(func(uint64)) {}},
 		zaptest.NewLogger(t, zaptest.Level(zap.ErrorLevel)))
 	if err := server.Open(); err != nil {
 		t.Fatal(err)
@@ -93,7 +94,7 @@
 func waitInBackground(predecessor *Predecessor) <-chan struct{} {
 	exited := make(chan struct{})
 	go func() {
-		predecessor.WaitForExit()
+		predecessor.WaitForExit(func(uint64) {})
 		close(exited)
 	}()
 	return exited
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -12,8 +12,9 @@
 	messageTimeout  = 500 * time.Millisecond // for the next message from the other process
 	maxHelloBytes   = 4 << 10
 	maxOfferBytes   = 1 << 20 // length of an incomplete offer above which reading stops
-	servingMessage  = "serving\n"
-	noList          = "null" // JSON value of an offer without an endpoint list
+	servingMessage  = "serving"
+	executedMessage = "executed" // precedes the hash of an id in hexadecimal
+	noList          = "null"     // JSON value of an offer without an endpoint list
 )
 
 var (
@@ -25,18 +26,19 @@
 
 // hello is the first message, sent by the successor.
 type hello struct {
-	Version int    `json:"woodproxy_handover"`
-	Listen  string `json:"listen"` // address that clients connect to
+	Version     int    `json:"woodproxy_handover"`
+	Listen      string `json:"listen"`             // address that clients connect to
+	ReadsHashes bool   `json:"executed,omitempty"` // the sender reads executed messages; older versions do not
 }
 
 // newHello returns the hello for the given listen address in this version of the protocol.
 func newHello(listen string) hello {
-	return hello{Version: protocolVersion, Listen: listen}
+	return hello{Version: protocolVersion, Listen: listen, ReadsHashes: true}
 }
 
 // check returns errMismatch unless the message is of this protocol version and for the given listen address.
 func (h hello) check(listen string) error {
-	if h != newHello(listen) {
+	if h.Version != protocolVersion || h.Listen != listen {
 		return fmt.Errorf("%w: version %d for %s", errMismatch, h.Version, h.Listen)
 	}
 	return nil
@@ -57,31 +59,31 @@
 	return append(line, '\n'), nil
 }
 
-// decodeOffer returns the endpoint list of an offer, or nil if the offer has none. It fails if the offer is malformed, and
-// with errMismatch if it is of another protocol version or for another listen address.
-func decodeOffer(line []byte, listen string) (list []byte, err error) {
+// decodeOffer returns an offer. Its endpoint list is nil if it has none. It fails if the offer is malformed, and with
+// errMismatch if it is of another protocol version or for another listen address.
+func decodeOffer(line []byte, listen string) (offer, error) {
 	var o offer
 	if err := json.Unmarshal(line, &o); err != nil {
-		return nil, fmt.Errorf("decode offer: %w", err)
+		return offer{}, fmt.Errorf("decode offer: %w", err)
 	}
 	if err := o.check(listen); err != nil {
-		return nil, fmt.Errorf("offer: %w", err)
+		return offer{}, fmt.Errorf("offer: %w", err)
 	}
 	if string(o.EndpointList) == noList {
-		return nil, nil
+		o.EndpointList = nil
 	}
-	return o.EndpointList, nil
+	return o, nil
 }
 
-// decodeHello returns an error if a hello is malformed, and errMismatch if it is of another protocol version or for another
-// listen address.
-func decodeHello(line []byte, listen string) error {
+// decodeHello returns a hello. It fails if the hello is malformed, and with errMismatch if it is of another protocol version
+// or for another listen address.
+func decodeHello(line []byte, listen string) (hello, error) {
 	var h hello
 	if err := json.Unmarshal(line, &h); err != nil {
-		return fmt.Errorf("decode hello: %w", err)
+		return hello{}, fmt.Errorf("decode hello: %w", err)
 	}
 	if err := h.check(listen); err != nil {
-		return fmt.Errorf("hello: %w", err)
+		return hello{}, fmt.Errorf("hello: %w", err)
 	}
-	return nil
+	return h, nil
 }
--- a/internal/hotrestart/predecessor.go
+++ b/internal/hotrestart/predecessor.go
@@ -25,6 +25,8 @@
 	Listener     *net.TCPListener // client listener, shared with the predecessor; the caller closes it
 	EndpointList []byte           // list of the predecessor in the JSON form of the discovery service; nil if it has none
 	conn         *net.UnixConn
+	rest         []byte          // bytes that were read behind the offer
+	sender       *executedSender // nil: the predecessor does not read executed messages
 }
 
 // TakeOver connects to the process that serves the address listen and takes its listener and endpoint list. The directory
@@ -73,71 +75,86 @@
 	if err := json.NewEncoder(conn).Encode(newHello(listen)); err != nil { // Encode ends the line
 		return nil, fmt.Errorf("send hello: %w", err)
 	}
-	listener, list, err := receiveOffer(conn, listen)
+	predecessor, err := receiveOffer(conn, listen)
 	if err != nil {
 		return nil, err
 	}
 	if err := conn.SetDeadline(time.Time{}); err != nil {
-		_ = listener.Close() // a duplicate of the predecessor's
+		_ = predecessor.Listener.Close() // a duplicate of the predecessor's
 		return nil, fmt.Errorf("clear deadline: %w", err)
 	}
-	return &Predecessor{Listener: listener, EndpointList: list, conn: conn}, nil
+	return predecessor, nil
 }
 
-// receiveOffer reads the offer and returns its listener and endpoint list. The caller has to close the listener.
-func receiveOffer(conn *net.UnixConn, listen string) (listener *net.TCPListener, list []byte, err error) {
+// receiveOffer reads the offer. The caller has to close the listener.
+func receiveOffer(conn *net.UnixConn, listen string) (*Predecessor, error) {
 	buffer := make([]byte, readBufferBytes)
 	n, listener, err := receiveWithListener(conn, buffer)
 	if err != nil {
-		return nil, nil, fmt.Errorf("receive offer: %w", err)
+		return nil, fmt.Errorf("receive offer: %w", err)
 	}
-	list, err = receiveEndpointList(conn, buffer, n, listen)
+	o, rest, err := receiveOfferLine(conn, buffer, n, listen)
 	if err != nil {
 		_ = listener.Close() // a duplicate of the predecessor's
-		return nil, nil, err
+		return nil, err
 	}
-	return listener, list, nil
+	p := &Predecessor{Listener: listener, EndpointList: o.EndpointList, conn: conn, rest: rest}
+	if o.ReadsHashes {
+		p.sender = newExecutedSender(conn)
+	}
+	return p, nil
 }
 
-// receiveEndpointList reads the rest of an offer whose first n bytes are in the buffer, and returns its endpoint list, or
-// nil if it has none. It fails with errTooLong if the line has not ended after maxOfferBytes.
-func receiveEndpointList(conn *net.UnixConn, buffer []byte, n int, listen string) ([]byte, error) {
-	line := bytes.Clone(buffer[:n])
-	for !bytes.HasSuffix(line, []byte("\n")) {
-		if len(line) > maxOfferBytes {
-			return nil, fmt.Errorf("receive offer: %w: more than %d bytes", errTooLong, maxOfferBytes)
+// receiveOfferLine reads the rest of an offer whose first n bytes are in the buffer, and returns it with the bytes that have
+// been read behind it. It fails with errTooLong if the line has not ended after maxOfferBytes.
+func receiveOfferLine(conn *net.UnixConn, buffer []byte, n int, listen string) (o offer, rest []byte, err error) {
+	received := bytes.Clone(buffer[:n])
+	for {
+		if line, rest, ended := bytes.Cut(received, []byte("\n")); ended {
+			o, err := decodeOffer(line, listen)
+			return o, rest, err
+		}
+		if len(received) > maxOfferBytes {
+			return offer{}, nil, fmt.Errorf("receive offer: %w: more than %d bytes", errTooLong, maxOfferBytes)
 		}
 		n, err := conn.Read(buffer)
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return nil, fmt.Errorf("receive offer: %w", err)
+			return offer{}, nil, fmt.Errorf("receive offer: %w", err)
 		}
-		line = append(line, buffer[:n]...)
+		received = append(received, buffer[:n]...)
 	}
-	return decodeOffer(line, listen)
 }
 
 // NotifyServing notifies the predecessor that this process accepts clients, so that the predecessor can stop accepting them.
 func (p *Predecessor) NotifyServing() error {
-	_, err := io.WriteString(p.conn, servingMessage)
+	if err := p.conn.SetWriteDeadline(time.Now().Add(messageTimeout)); err != nil {
+		return err
+	}
+	_, err := io.WriteString(p.conn, servingMessage+"\n")
 	return err
 }
 
-// WaitForExit blocks until the predecessor exits or [Predecessor.Disconnect] is called, and closes the connection.
-func (p *Predecessor) WaitForExit() {
-	waitForEnd(p.conn)
-	_ = p.conn.Close() // the other process has exited, so a failed close loses nothing
+// SendExecuted sends the hash of the id of a request that must not run twice to the predecessor. It does not block.
+func (p *Predecessor) SendExecuted(hash uint64) {
+	if p.sender != nil {
+		p.sender.send(hash)
+	}
+}
+
+// WaitForExit blocks until the predecessor exits or [Predecessor.Disconnect] is called, and closes the connection. Meanwhile
+// it calls executed for each hash that the predecessor sends.
+func (p *Predecessor) WaitForExit(executed func(hash uint64)) {
+	newMessageReader(io.MultiReader(bytes.NewReader(p.rest), p.conn), executed).awaitEnd()
+	p.Disconnect() // the other process has exited, so a failed close loses nothing
 }
 
 // Disconnect closes the connection. The predecessor goes on as if this process had exited.
 func (p *Predecessor) Disconnect() {
+	if p.sender != nil {
+		p.sender.close()
+	}
 	_ = p.conn.Close() // the kernel closes it when the process exits, at the latest
 }
-
-// waitForEnd blocks until the connection ends. The other process sends no further message, so the first read to return marks
-// the end.
-func waitForEnd(conn net.Conn) {
-	_, _ = conn.Read(make([]byte, 1)) // any result means that the connection has ended
-}
--- a/internal/hotrestart/server.go
+++ b/internal/hotrestart/server.go
@@ -23,6 +23,8 @@
 	log          *zap.Logger
 	socket       restartSocket
 	successors   successors
+	exchange     ExecutedExchange
+	senders      executedSenders
 }
 
 // NewServer returns a server that accepts successors once [Server.Open] is called. The directory dir is the one that the
@@ -31,8 +33,13 @@
 // The server calls list for each successor; list returns the endpoint list as JSON, or "null" or nil if there is none. It
 // calls notify at each change of the number of successors, with the number of processes that hold the listener and the
 // number of those that accept clients. Calls of notify don't overlap. notify must not call methods of the server.
-func NewServer(dir, listen string, ln *net.TCPListener, list func() []byte, notify func(holding, serving int), log *zap.Logger) *Server {
-	s := &Server{listen: listen, listener: ln, endpointList: list, log: log, successors: successors{notify: notify}}
+func NewServer(
+	dir, listen string, ln *net.TCPListener, list func() []byte, notify func(holding, serving int), exchange ExecutedExchange,
+	log *zap.Logger,
+) *Server {
+	s := &Server{
+		listen: listen, listener: ln, endpointList: list, log: log, successors: successors{notify: notify}, exchange: exchange,
+	}
 	s.socket = restartSocket{dir: dir, listen: listen, handle: s.serveSuccessor}
 	return s
 }
@@ -44,16 +51,24 @@
 // serveSuccessor serves the connection of one successor from its hello until the successor exits.
 func (s *Server) serveSuccessor(conn *net.UnixConn) {
 	defer func() { _ = conn.Close() }() // all messages were exchanged, or the error is logged
-	if err := s.sendOffer(conn); err != nil {
+	successor, err := s.sendOffer(conn)
+	if err != nil {
 		s.log.Warn("listener not passed to successor", zap.Error(err))
 		return
 	}
 	s.log.Info("listener passed to successor")
+	if successor.ReadsHashes {
+		sender := newExecutedSender(conn)
+		defer sender.close()
+		defer s.senders.add(sender)()
+		s.exchange.Recent(sender.send)
+	}
+	messages := newMessageReader(conn, s.exchange.Received)
 	s.successors.add(1, 0)
-	if awaitServing(conn) {
+	if awaitServing(conn, messages) {
 		s.log.Info("successor is serving")
 		s.successors.add(0, 1)
-		waitForEnd(conn)
+		messages.awaitEnd()
 		s.successors.add(-1, -1)
 	} else {
 		s.successors.add(-1, 0)
@@ -74,41 +89,45 @@
 	}
 }
 
-// sendOffer reads the hello of a successor and replies with the offer.
-func (s *Server) sendOffer(conn *net.UnixConn) error {
+// sendOffer reads the hello of a successor, replies with the offer and returns the hello.
+func (s *Server) sendOffer(conn *net.UnixConn) (hello, error) {
 	if err := checkPeerUser(conn); err != nil {
-		return err
+		return hello{}, err
 	}
 	if err := conn.SetDeadline(time.Now().Add(messageTimeout)); err != nil {
-		return fmt.Errorf("set deadline: %w", err)
+		return hello{}, fmt.Errorf("set deadline: %w", err)
 	}
 	line, err := bufio.NewReaderSize(conn, maxHelloBytes).ReadSlice('\n')
 	if err != nil {
-		return fmt.Errorf("receive hello: %w", err)
+		return hello{}, fmt.Errorf("receive hello: %w", err)
 	}
-	if err := decodeHello(line, s.listen); err != nil {
-		return err
+	successor, err := decodeHello(line, s.listen)
+	if err != nil {
+		return hello{}, err
 	}
 	message, err := encodeOffer(s.listen, s.endpointList())
 	if err != nil {
-		return err
+		return hello{}, err
 	}
 	if err := sendWithListener(conn, message, s.listener); err != nil {
-		return fmt.Errorf("send offer: %w", err)
+		return hello{}, fmt.Errorf("send offer: %w", err)
 	}
-	return nil
+	return successor, nil
 }
 
 // awaitServing waits without a deadline for the serving message of a successor. It returns false if the connection ends
 // before the message or another message arrives.
-func awaitServing(conn *net.UnixConn) bool {
-	if err := conn.SetDeadline(time.Time{}); err != nil {
+func awaitServing(conn *net.UnixConn, messages *messageReader) bool {
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
 		return false
 	}
-	message, err := bufio.NewReaderSize(conn, len(servingMessage)).ReadString('\n')
+	message, err := messages.next()
 	return err == nil && message == servingMessage
 }
 
+// SendExecuted sends the hash of the id of a request that must not run twice to all successors. It does not block.
+func (s *Server) SendExecuted(hash uint64) { s.senders.send(hash) }
+
 // SuccessorCount returns the number of connected successors that hold the listener.
 func (s *Server) SuccessorCount() int { return s.successors.count() }
 
--- a/internal/proxy/decisions.go
+++ b/internal/proxy/decisions.go
@@ -67,6 +67,7 @@
 func (r *Router) sendAttempt(attempt *attempt) bool {
 	s, h := &r.slots[attempt.slot], r.hosts[attempt.host]
 	s.attempts = append(s.attempts, attempt)
+	r.announceExecuted(s)
 	if h.isOrigin {
 		r.negativeCache.beginFetch(attempt)
 	}
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -24,7 +24,7 @@
 func (r *Router) handleRequest(req *request) {
 	route := r.settings.Routes[req.route]
 	now := r.clock.Now()
-	if r.isRepeated(req, route, now) {
+	if r.isRepeated(req, now) {
 		r.counters.Taken.Add(1)
 		req.reply(r.counters, replyError, nil, 0)
 		return
@@ -36,15 +36,6 @@
 	r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.Arrive(now, slot, balancerRequest) })
 }
 
-// isRepeated reports whether the id of a request is that of an open one, for which upstreams would mistake the request, or
-// that of one that must not run twice and may have run.
-func (r *Router) isRepeated(req *request, route int, now balancer.Time) bool {
-	if _, open := r.openIDs[string(req.id)]; open {
-		return true
-	}
-	return r.settings.Balancer.Routes[route].Effect != balancer.Retriable && r.executed.contains(keyHash(req.id), now)
-}
-
 // describe returns the balancer's description of a request.
 func (r *Router) describe(req *request, route int, now balancer.Time) balancer.Request {
 	tenant, ok := r.settings.Tenants[req.tenant]
@@ -98,14 +89,6 @@
 	r.freeSlots = append(r.freeSlots, slot)
 }
 
-// recordExecuted remembers the id of a request that must not run twice, if an upstream may have run it.
-func (r *Router) recordExecuted(s *requestSlot) {
-	route := r.settings.Routes[s.request.route]
-	if s.firstSentAt != 0 && r.settings.Balancer.Routes[route].Effect != balancer.Retriable {
-		r.executed.add(keyHash(s.request.id), r.clock.Now())
-	}
-}
-
 // clientGone handles the departure of a pending request's client.
 func (r *Router) clientGone(req *request) {
 	if !req.hasSlot {
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -63,12 +63,13 @@
 	traceLimiter *rate.Limiter
 
 	// Optional parts; nil if absent.
-	endpoints     *EndpointList
-	shadow        *shadowBalancer
-	zones         *zoneController
-	negativeCache *NegativeCache
-	duties        *Duties
-	notifyPeers   func(node string, responds bool)
+	endpoints      *EndpointList
+	shadow         *shadowBalancer
+	zones          *zoneController
+	negativeCache  *NegativeCache
+	duties         *Duties
+	notifyPeers    func(node string, responds bool)
+	notifyExecuted func(hash uint64) // notifies the other process of a hot restart
 }
 
 // dialer opens connections. It is implemented by net.Dialer.
--- a/internal/server/hotrestart_test.go
+++ b/internal/server/hotrestart_test.go
@@ -191,7 +191,7 @@
 			}
 			encodeList := func() []byte { return []byte(list) }
 			predecessor := hotrestart.NewServer(h.hotRestartDir, h.clientAddress, listener.(*net.TCPListener), encodeList,
-				func(int, int) {}, zap.NewNop())
+				func(int, int) {}, hotrestart.ExecutedExchange{Received: func(uint64) {}, Recent: func(func(uint64)) {}}, zap.NewNop())
 			if err := predecessor.Open(); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -88,7 +88,8 @@
 		s.resources.update(func(b *resourceBudget) { b.hasSuccessor = successors > 0 })
 		s.clientListener.Pause(serving > 0)
 	}
-	offer := hotrestart.NewServer(s.config.HotRestartDir, s.config.Listen, listener, s.encodeEndpoints, onChange, s.log)
+	exchange := hotrestart.ExecutedExchange{Received: s.router.AddExecuted, Recent: s.router.EachExecuted}
+	offer := hotrestart.NewServer(s.config.HotRestartDir, s.config.Listen, listener, s.encodeEndpoints, onChange, exchange, s.log)
 	if s.config.HotRestartDir != "" {
 		if err := offer.Open(); err != nil {
 			s.log.Warn("hot-restart socket not opened; the listener can't be handed over", zap.Error(err))
@@ -97,6 +98,25 @@
 	return offer
 }
 
+// exchangeExecuted makes this process and its predecessor and successors tell each other the ids of requests that must not
+// run twice, so that a request that comes again at another process is not sent again.
+func (s *server) exchangeExecuted() {
+	s.router.SetExecutedNotifier(func(hash uint64) {
+		s.successors.SendExecuted(hash)
+		if s.predecessor != nil {
+			s.predecessor.SendExecuted(hash)
+		}
+	})
+	if s.predecessor == nil {
+		return
+	}
+	s.predecessorExited = make(chan struct{})
+	go func() { // until the predecessor exits
+		s.predecessor.WaitForExit(s.router.AddExecuted)
+		close(s.predecessorExited)
+	}()
+}
+
 // encodeEndpoints returns the current endpoint list in the format of discovery, or null if there is none.
 func (s *server) encodeEndpoints() []byte {
 	if endpoints := s.router.Endpoints(); endpoints != nil {
@@ -122,9 +142,10 @@
 // awaitPredecessorExit notifies the predecessor that this process serves clients and waits until the predecessor has
 // exited. It then takes over the complete resource budget and starts gossip on the address that has become free.
 func (s *server) awaitPredecessorExit(predecessor *hotrestart.Predecessor) {
-	if err := predecessor.NotifyServing(); err == nil { // otherwise the predecessor has exited
-		predecessor.WaitForExit()
+	if err := predecessor.NotifyServing(); err != nil {
+		predecessor.Disconnect() // the predecessor has exited
 	}
+	<-s.predecessorExited
 	s.resources.update(func(b *resourceBudget) { b.hasPredecessor = false })
 	s.log.Info("predecessor process has exited")
 	if err := retryStart(s.gossip.start); err != nil {
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -25,17 +25,18 @@
 	config *Config // configuration at the start; reloads do not change it
 	log    *zap.Logger
 
-	predecessor    *hotrestart.Predecessor // nil: there is no predecessor
-	counters       *proxy.Counters
-	router         *proxy.Router
-	endpoints      *proxy.EndpointList
-	gossip         *gossipAdapter
-	clientListener *proxy.Listener
-	admin          *adminService
-	adminServer    *admin.Server    // nil: no admin API
-	recovery       *recoveryTracker // nil: recovery is not tracked
-	resources      *resourceBudget
-	successors     *hotrestart.Server
+	predecessor       *hotrestart.Predecessor // nil: there is no predecessor
+	predecessorExited chan struct{}           // closed when the predecessor has exited; nil: there is none
+	counters          *proxy.Counters
+	router            *proxy.Router
+	endpoints         *proxy.EndpointList
+	gossip            *gossipAdapter
+	clientListener    *proxy.Listener
+	admin             *adminService
+	adminServer       *admin.Server    // nil: no admin API
+	recovery          *recoveryTracker // nil: recovery is not tracked
+	resources         *resourceBudget
+	successors        *hotrestart.Server
 
 	ctx    context.Context // canceled when Serve returns
 	cancel context.CancelFunc
@@ -125,6 +126,7 @@
 		}
 	}
 	s.successors = s.offerListener(listener)
+	s.exchangeExecuted()
 	return nil
 }
 
