emulator, soak: late values and floods, a rule on responses that are cut off, a plant

A node records when a proxy closes the connection on which it writes; the new rule is broken where the request was rejected or failed. Of values over 64 KiB the first byte is timed, as the protocol has it.

--- a/internal/emulator/bad_clients.go
+++ b/internal/emulator/bad_clients.go
@@ -117,3 +117,32 @@
 	}
 	clients.Wait()
 }
+
+// floodBatch is the number of commands that a flooding client writes at once.
+const floodBatch = 50
+
+// sendFlood emulates a client that sends commands of ever new classes and PINGs at full speed and discards the replies, until
+// the context ends.
+func sendFlood(ctx context.Context, address string, client int) {
+	for number := 0; ctx.Err() == nil; {
+		conn, err := net.DialTimeout("tcp", address, dialTimeout)
+		if err != nil {
+			sleep(ctx, dialRetryDelay)
+			continue
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // closing it twice fails
+		go func() { _, _ = io.Copy(io.Discard, conn) }()            // ends with the connection
+		for err == nil {
+			var batch []byte
+			for range floodBatch {
+				id := fmt.Sprintf("flood%d-%d", client, number)
+				batch = append(batch, encodeCommand(commandRead, "k", id, fmt.Sprintf("c=%s,t=all,d=500", id))...)
+				batch = append(batch, encodeCommand("PING")...)
+				number++
+			}
+			_, err = conn.Write(batch)
+		}
+		stop()
+		_ = conn.Close() // the write has failed
+	}
+}
--- a/internal/emulator/eventlog.go
+++ b/internal/emulator/eventlog.go
@@ -12,10 +12,11 @@
 // Kinds of events.
 const (
 	RequestSent      EventKind = "request sent"       // a client has written a complete request
-	ReplyReceived    EventKind = "reply received"     // a client received a final reply: Note is the outcome, Node made its value for the request MadeFor
+	ReplyReceived    EventKind = "reply received"     // a client received a final reply: Note is the outcome, Node made its value for the request MadeFor, Figure is the time in milliseconds since its first byte if the value is long
 	ConnectionClosed EventKind = "connection closed"  // a connection was closed during a request
 	ClientLeft       EventKind = "client left"        // a client left before it received a reply
 	AttemptReceived  EventKind = "attempt received"   // a node has received a complete attempt
+	ResponseCutOff   EventKind = "response cut off"   // a proxy closed the connection on which a node was writing the response to an attempt
 	AttemptRefused   EventKind = "attempt refused"    // a node answers that it did not execute an attempt: Note is its mode
 	WriteExecuted    EventKind = "write executed"     // the origin executed a write, whose idempotency key is Note
 	ReadExecuted     EventKind = "read executed"      // a node served a read that must not be executed twice
--- a/internal/emulator/inject.go
+++ b/internal/emulator/inject.go
@@ -57,6 +57,8 @@
 	"bad-clients":   (*runner).injectMalformedRequests,
 	"slow-clients":  (*runner).injectSlowReaders,
 	"bursts":        (*runner).injectBursts,
+	"flood":         (*runner).injectFlood,
+	"late-values":   (*runner).injectLateValues,
 	"crowd":         (*runner).injectCrowd,
 	"closes":        (*runner).injectNodeMode,
 	"conn-resets":   (*runner).injectConnResets,
@@ -129,6 +131,18 @@
 	}
 }
 
+// injectLateValues makes nodes send long values whose first byte comes fault.MaxDelayMS after the head.
+func (r *runner) injectLateValues(ctx context.Context, fault activeFault) {
+	targets := r.targetNodes(fault.FaultEvent)
+	for _, n := range targets {
+		n.SetMode(modeLateValue, fault.Fraction, millis(fault.MaxDelayMS), lateValueBytes)
+	}
+	sleep(ctx, fault.duration)
+	for _, n := range targets {
+		n.SetMode(modeServe, 1, 0, 0)
+	}
+}
+
 func (r *runner) injectSlowNodes(ctx context.Context, fault activeFault) {
 	slowDown(ctx, r.targetNodes(fault.FaultEvent), fault)
 }
@@ -349,3 +363,14 @@
 	}
 	clients.Wait()
 }
+
+// injectFlood runs fault.Count clients that send commands at full speed, for the duration of the fault.
+func (r *runner) injectFlood(ctx context.Context, fault activeFault) {
+	during, cancel := context.WithTimeout(ctx, fault.duration)
+	defer cancel()
+	var clients sync.WaitGroup
+	for i := range fault.Count {
+		clients.Go(func() { sendFlood(during, r.load.addresses[i%len(r.load.addresses)], i) })
+	}
+	clients.Wait()
+}
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -14,6 +14,8 @@
 const (
 	// FinalReplyRule requires that each accepted request receives one reply before its overall timeout, and nothing after it.
 	FinalReplyRule Rule = "one final reply"
+	// CutOffRule requires that a proxy does not reject a request while a node is sending the response to it.
+	CutOffRule Rule = "no response cut off"
 	// OwnValueRule requires that the value in a reply was made for the request of the reply.
 	OwnValueRule Rule = "value of its own request"
 	// SingleEffectRule requires that a write is executed once.
@@ -102,6 +104,7 @@
 		c.observe(e)
 	}
 	c.replies.checkUnanswered()
+	c.cutOffs.checkAll()
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
 	for i, v := range c.violations {
 		if v.ID != "" {
@@ -128,6 +131,7 @@
 type checker struct {
 	*findings
 	replies   replyCheck
+	cutOffs   cutOffCheck
 	ownValues ownValueCheck
 	attempts  attemptCheck
 	process   processCheck
@@ -150,6 +154,7 @@
 			findings: found, processes: processes, routes: routes, lastSent: map[string]Event{}, replyCount: map[string]int{},
 			abandoned: map[string]bool{}, forwarded: map[string]bool{},
 		},
+		cutOffs:   cutOffCheck{findings: found, breaksConns: scenario.breaksConns(), outcomes: map[string]string{}},
 		ownValues: ownValueCheck{findings: found, lateSurplus: scenario.sendsLateSurplus(), foreign: map[proxyNode]bool{}},
 		attempts: attemptCheck{
 			findings: found, processes: processes, routes: routes, sentAt: map[string]time.Duration{}, endedAt: map[string]time.Duration{},
@@ -191,6 +196,8 @@
 		c.drains.observeArrival(e)
 		c.slowStart.observeArrival(e)
 		c.effects.observeArrival(e)
+	case ResponseCutOff:
+		c.cutOffs.cutOff = append(c.cutOffs.cutOff, e)
 	case AttemptRefused:
 		c.effects.observeRefusal(e)
 	case ReadExecuted:
@@ -226,6 +233,7 @@
 		return
 	}
 	c.effects.observeReply(e)
+	c.cutOffs.observeReply(e)
 	completed := e.Note == string(Completed)
 	switch {
 	case completed && e.Node == noSuchKey:
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -282,7 +282,8 @@
 	if err != nil {
 		return g.recordNoReply(conn, request, err)
 	}
-	err = conn.SetDeadline(time.Now().Add(longReplyTimeout))
+	firstByteAt := time.Now()
+	err = conn.SetDeadline(firstByteAt.Add(longReplyTimeout))
 	var head, body string
 	if err == nil {
 		head, body, err = ReadElement(conn.reader)
@@ -292,7 +293,11 @@
 		g.log.Record(Event{Kind: ConnectionClosed, RequestID: request.ID, Proxy: conn.proxy, Note: noteDuringReply})
 		return Unanswered, nil
 	}
-	return g.recordReply(conn, request, head, body), nil
+	sinceFirstByte := time.Duration(0)
+	if len(body) > maxTimedWhole {
+		sinceFirstByte = time.Since(firstByteAt)
+	}
+	return g.recordReply(conn, request, head, body, sinceFirstByte), nil
 }
 
 // drip writes text one byte at a time.
@@ -350,9 +355,12 @@
 	return Unanswered, nil
 }
 
+// maxTimedWhole is the length in bytes of the longest value whose last byte is timed. Of longer values the first byte is.
+const maxTimedWhole = 64 << 10
+
 // recordReply records a reply, returns the connection to the idle ones, and returns the outcome.
-func (g *loadGenerator) recordReply(conn *clientConn, request Request, head, body string) Outcome {
-	event, outcome := Event{Kind: ReplyReceived, RequestID: request.ID, Proxy: conn.proxy}, Failed
+func (g *loadGenerator) recordReply(conn *clientConn, request Request, head, body string, sinceFirstByte time.Duration) Outcome {
+	event, outcome := Event{Kind: ReplyReceived, RequestID: request.ID, Proxy: conn.proxy, Figure: float64(sinceFirstByte) / 1e6}, Failed
 	switch {
 	case head[0] == '$':
 		outcome = Completed
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -30,6 +30,7 @@
 	modeChunked        NodeMode = "chunked" // origin: respond with chunked encoding
 	modeRefuses        NodeMode = "nowhere" // refuse connections
 	modeServeThenClose NodeMode = "closes"  // cache: serve as usual and close the connection after each response
+	modeLateValue      NodeMode = "late"    // cache: send the head of a long value, and the value after the delay
 	modeHolds          NodeMode = "holds"   // hold commands until the mode changes, then respond in the new mode
 )
 
--- a/internal/emulator/node_cache.go
+++ b/internal/emulator/node_cache.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
+	"net"
+	"slices"
 	"time"
 )
 
@@ -34,16 +37,47 @@
 		default:
 			command.mode = modeMiss
 		}
-	} else if command.mode != modeDelaysHalf {
+	} else if command.mode != modeDelaysHalf && command.mode != modeLateValue {
 		time.Sleep(command.delay)
 	}
 	n.cluster.recordRefusal(n, proxy, id, command.mode)
-	if err := command.writeRESP(c); err != nil || !closes {
+	if command.mode == modeLateValue {
+		n.cluster.recordRead(n, proxy, id)
+	}
+	err = command.writeRESP(c)
+	if command.mode == modeLateValue && err != nil && !errors.Is(err, net.ErrClosed) { // this node has not closed it
+		n.cluster.log.Record(Event{Kind: ResponseCutOff, RequestID: id, Proxy: proxy, Node: n.Name})
+	}
+	if err != nil || !closes {
 		return err
 	}
 	return errConnectionEnds
 }
 
+// Lengths in bytes of a late value and of the parts in which it is written. Between two parts the end of the connection can
+// be noticed.
+const (
+	lateValueBytes = 100_000
+	lateValuePart  = 20_000
+	latePartPause  = 2 * time.Millisecond
+)
+
+// writeLate writes a response whose value comes after the delay.
+func (m commandMode) writeLate(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "*3\r\n$%d\r\n", len(m.value)); err != nil {
+		return err
+	}
+	time.Sleep(m.delay)
+	for part := range slices.Chunk([]byte(m.value), lateValuePart) {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+		time.Sleep(latePartPause)
+	}
+	_, err := io.WriteString(w, "\r\n"+cacheDetails)
+	return err
+}
+
 // writeRESP writes the response of a cache. An error ends the connection.
 func (m commandMode) writeRESP(w io.Writer) (err error) {
 	v := m.value
@@ -72,6 +106,8 @@
 		}
 		time.Sleep(m.delay)
 		_, err = io.WriteString(w, v[len(v)/2:]+"\r\n"+cacheDetails)
+	case modeLateValue:
+		err = m.writeLate(w)
 	case modeTruncates:
 		_, _ = fmt.Fprintf(w, "*3\r\n$%d\r\n%s", len(v), v[:len(v)/2]) // the connection is closed in any case
 		return errConnectionEnds
--- a/internal/emulator/plan.go
+++ b/internal/emulator/plan.go
@@ -92,7 +92,7 @@
 		return targets
 	case faultKinds[fault.Kind].some && fault.Count == 0:
 		return random.Perm(candidates)
-	case slices.Contains([]string{"slow-clients", "whisper", "link", "bursts", "origin-resets", "origin-busy"}, fault.Kind): // no targets
+	case slices.Contains([]string{"slow-clients", "flood", "whisper", "link", "bursts", "origin-resets", "origin-busy"}, fault.Kind): // no targets
 		return nil
 	default:
 		return random.Perm(candidates)[:min(fault.Count, candidates)]
--- a/internal/emulator/reply_check.go
+++ b/internal/emulator/reply_check.go
@@ -47,7 +47,7 @@
 		return false
 	}
 	limit := millis(a.routes[e.RequestID].TimeoutMS) + timingSlack
-	if elapsed := e.At - sent.At; elapsed > limit && !a.processes.wasPaused(e.Proxy, sent.At, e.At) {
+	if elapsed := e.At - millis(e.Figure) - sent.At; elapsed > limit && !a.processes.wasPaused(e.Proxy, sent.At, e.At) {
 		a.violate(FinalReplyRule, e, "request %s received its reply after %v, limit %v", e.RequestID, elapsed, limit)
 	}
 	return true
--- a/internal/emulator/resource_usage.go
+++ b/internal/emulator/resource_usage.go
@@ -53,7 +53,7 @@
 	scaled.Fleet.ServiceMS *= factor
 	scaled.Faults = nil
 	for _, fault := range d.Faults {
-		if !proxyFaults[fault.Kind] && fault.Kind != "slow-clients" && fault.Kind != "whisper" {
+		if !proxyFaults[fault.Kind] && fault.Kind != "slow-clients" && fault.Kind != "flood" && fault.Kind != "whisper" {
 			fault.Count = int(float64(fault.Count) * factor)
 		}
 		scaled.Faults = append(scaled.Faults, fault)
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -115,7 +115,7 @@
 
 // Kinds returns the kinds of faults that can be drawn, in alphabetical order.
 func Kinds() []string {
-	kinds := []string{kindCrowd, kindSurplus}
+	kinds := []string{kindCrowd, kindSurplus, kindLateValues, kindFlood}
 	for _, d := range faultDraws {
 		kinds = append(kinds, d.kind)
 	}
@@ -158,9 +158,53 @@
 	if len(options.Kinds) == 0 || slices.Contains(options.Kinds, kindSurplus) {
 		d.drawSurplus(seed)
 	}
+	if len(options.Kinds) == 0 || slices.Contains(options.Kinds, kindLateValues) {
+		d.drawLateValues(seed)
+	}
+	if len(options.Kinds) == 0 || slices.Contains(options.Kinds, kindFlood) {
+		d.drawFlood(seed)
+	}
 	return d.scenario
 }
 
+// Kinds of faults that are drawn from random sources of their own, as kindCrowd is.
+const (
+	kindLateValues = "late-values"
+	kindFlood      = "flood"
+)
+
+// drawTime draws the time of a fault that is drawn from a random source of its own.
+func (d *drawer) drawTime(random *rand.Rand) (atS, durationS float64) {
+	atS = firstFault + random.Float64()*max(d.scenario.LengthS-faultFreeEnd-minDuration-firstFault, 0)
+	return atS, min(maxDuration, d.scenario.LengthS-faultFreeEnd-atS)
+}
+
+// drawLateValues has some caches of one scenario in three send long values later than their heads.
+func (d *drawer) drawLateValues(seed uint64) {
+	random, s := rand.New(rand.NewPCG(seed, 55)), d.scenario
+	if random.IntN(3) > 0 {
+		return
+	}
+	const minDelayMS, maxDelayMS = 100, 1500
+	fault := emulator.Fault{
+		Kind: kindLateValues, Count: 1 + random.IntN(min(4, s.Fleet.Nodes)), Fraction: 0.05 + 0.25*random.Float64(),
+		MaxDelayMS: minDelayMS + random.Float64()*(maxDelayMS-minDelayMS),
+	}
+	fault.AtS, fault.DurationS = d.drawTime(random)
+	s.Faults = append(s.Faults, fault)
+}
+
+// drawFlood has some clients of one scenario in four send commands at full speed.
+func (d *drawer) drawFlood(seed uint64) {
+	random, s := rand.New(rand.NewPCG(seed, 56)), d.scenario
+	if random.IntN(4) > 0 {
+		return
+	}
+	fault := emulator.Fault{Kind: kindFlood, Count: 1 + random.IntN(6)}
+	fault.AtS, fault.DurationS = d.drawTime(random)
+	s.Faults = append(s.Faults, fault)
+}
+
 // kindSurplus is a kind of fault that is drawn from a random source of its own, as kindCrowd is.
 const kindSurplus = "surplus"
 
@@ -176,9 +220,9 @@
 	if random.IntN(2) > 0 {
 		return
 	}
-	at := firstFault + random.Float64()*max(s.LengthS-faultFreeEnd-minDuration-firstFault, 0)
+	at, duration := d.drawTime(random)
 	fault := emulator.Fault{
-		Kind: kindSurplus, AtS: at, DurationS: min(maxDuration, s.LengthS-faultFreeEnd-at),
+		Kind: kindSurplus, AtS: at, DurationS: duration,
 		Surplus: emulator.SurplusKinds()[random.IntN(len(emulator.SurplusKinds()))], Fraction: 0.05 + 0.35*random.Float64(), MaxDelayMS: maxPromptDelayMS,
 	}
 	if random.IntN(3) == 0 {
@@ -202,10 +246,8 @@
 	if random.IntN(4) > 0 {
 		return
 	}
-	at := firstFault + random.Float64()*max(s.LengthS-faultFreeEnd-minDuration-firstFault, 0)
-	s.Faults = append(s.Faults, emulator.Fault{
-		Kind: kindCrowd, AtS: at, DurationS: min(maxDuration, s.LengthS-faultFreeEnd-at), Count: 1 + random.IntN(2),
-	})
+	at, duration := d.drawTime(random)
+	s.Faults = append(s.Faults, emulator.Fault{Kind: kindCrowd, AtS: at, DurationS: duration, Count: 1 + random.IntN(2)})
 }
 
 func (d *drawer) drawFleet() {
--- a/internal/soak/plants.go
+++ b/internal/soak/plants.go
@@ -56,6 +56,11 @@
 	}
 }
 
+// lateValuesScenario has all caches send a fifth of their responses as long values that come after the latency objective.
+func lateValuesScenario(s *emulator.Scenario) {
+	s.Faults = []emulator.Fault{{Kind: "late-values", DurationS: s.LengthS, Count: s.Fleet.Nodes, Fraction: 0.2, MaxDelayMS: 1200}}
+}
+
 // Plants are the bugs that can be built into the proxy.
 var Plants = []Plant{
 	{"late-attempt", emulator.LateAttemptRule, []faultbuild.Patch{
@@ -70,7 +75,7 @@
 	}, []string{"restart", "silent"}, nil},
 	{"drain-ignored", emulator.DrainRule, []faultbuild.Patch{
 		{File: "internal/proxy/host_index.go", Old: "	h.ready.Store(ready)", New: "	h.ready.Store(ready || h.departedAt == 0)"},
-		{File: "internal/proxy/host_index.go", Old: "Ready: endpoint.Ready,", New: "Ready: true,"},
+		{File: "internal/proxy/host_index.go", Old: "Ready: h.acceptsRequests(),", New: "Ready: true,"},
 	}, []string{"replace"}, nil},
 	{"second-effect", emulator.SingleEffectRule, []faultbuild.Patch{
 		{File: "balancer/retry.go", Old: "	return route.Effect != Retriable && !isDropped", New: "	return isDropped && false"},
@@ -121,6 +126,9 @@
 		{File: lifecycleFile, Old: "	if c.Served > 0 && !c.Repeatable {", New: "	if c.Served > 0 && !c.Repeatable && c.HostDistrusted {"},
 		{File: "internal/proxy/host_distrust.go", Old: "	if int64(h.router.clock.Elapsed()) < until {\n		return true", New: "	if int64(h.router.clock.Elapsed()) < until {\n		return false"},
 	}, []string{"surplus"}, surplusScenario("refusal", 0.8, 61, 100)},
+	{"cut-off", emulator.CutOffRule, []faultbuild.Patch{
+		{File: "balancer/deadline.go", Old: "	return b.current.respondingFrom != noEndpoint && b.isPastDeadline()", New: "	return false"},
+	}, []string{"late-values"}, lateValuesScenario},
 	{"crash", emulator.CrashRule, []faultbuild.Patch{
 		{File: slotFile, Old: "	slot := r.acquireSlot(req)", New: "	if len(req.id) > 1 && string(req.id[len(req.id)-2:]) == \"77\" {\n		go func() { panic(\"planted\") }()\n	}\n	slot := r.acquireSlot(req)"},
 	}, nil, nil},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -151,6 +151,11 @@
 	expectPlantsFound(t, "malformed-value")
 }
 
+// A balancer that rejects a request while its response is being sent is found.
+func TestCutOffPlantIsFound(t *testing.T) {
+	expectPlantsFound(t, "cut-off")
+}
+
 // expectPlantsFound runs a proxy with each plant and fails the test if the plant's rule is not violated.
 func expectPlantsFound(t *testing.T, names ...string) {
 	t.Helper()
