emulator: a kill during a long reply that began in time excuses it, wherever the kill falls

The trace shows proxy 0 killed (its log starts anew, without a stop) 1.0 to 1.2 s after the requests, as it passed on late values; the check excused a kill only up to the request's own deadline. The end of a connection during a reply carries the time since the reply's first byte now, and the kill excuses the reply only if that byte was in time.

--- a/internal/emulator/eventlog.go
+++ b/internal/emulator/eventlog.go
@@ -13,7 +13,7 @@
 const (
 	RequestSent      EventKind = "request sent"       // a client has written a complete request
 	ReplyReceived    EventKind = "reply received"     // a client received a final reply: Note is the outcome, Node made its value for the request MadeFor, Figure is the time in milliseconds since its first byte if the value is long
-	ConnectionClosed EventKind = "connection closed"  // a connection was closed during a request
+	ConnectionClosed EventKind = "connection closed"  // a connection was closed during a request: Figure is the time in milliseconds since the first byte of its reply, if it had begun
 	ClientLeft       EventKind = "client left"        // a client left before it received a reply
 	AttemptReceived  EventKind = "attempt received"   // a node has received a complete attempt
 	ResponseCutOff   EventKind = "response cut off"   // a proxy closed the connection on which a node was writing the response to an attempt
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -21,6 +21,12 @@
 	return event(atMS, emulator.ReplyReceived, "a", "", note)
 }
 
+// sinceFirstByte returns an event at the end of a reply whose first byte came the given time before.
+func sinceFirstByte(e emulator.Event, ms float64) emulator.Event {
+	e.Figure = ms
+	return e
+}
+
 func absentReply(atMS int) emulator.Event {
 	return event(atMS, emulator.ReplyReceived, "a", "none", "completed")
 }
@@ -77,6 +83,22 @@
 	{"closed after a graceful shutdown", []emulator.Event{requestSent(0), processEnded(9, "stopped"), connectionClosed("")}, emulator.FinalReplyRule},
 	{"closed before a kill", []emulator.Event{requestSent(0), connectionClosed(""), processEnded(10, "killed")}, ""},
 	{"closed before a graceful shutdown", []emulator.Event{requestSent(0), connectionClosed(""), processEnded(10, "stopped")}, emulator.FinalReplyRule},
+	{"long reply begun in time", []emulator.Event{requestSent(0), sinceFirstByte(replyReceived(2000, "completed"), 951)}, ""},
+	{"long reply begun late", []emulator.Event{requestSent(0), sinceFirstByte(replyReceived(2000, "completed"), 949)}, emulator.FinalReplyRule},
+	{"killed during a long reply", []emulator.Event{
+		requestSent(0), processEnded(3000, "killed"), sinceFirstByte(event(3000, emulator.ConnectionClosed, "a", "", "during the reply"), 2500),
+	}, ""},
+	{"killed during a long reply begun late", []emulator.Event{
+		requestSent(0), processEnded(3000, "killed"), sinceFirstByte(event(3000, emulator.ConnectionClosed, "a", "", "during the reply"), 500),
+	}, emulator.FinalReplyRule},
+	{"closed during a long reply", []emulator.Event{
+		requestSent(0), sinceFirstByte(event(3000, emulator.ConnectionClosed, "a", "", "during the reply"), 2500),
+	}, emulator.FinalReplyRule},
+	{"response cut off, shed", []emulator.Event{requestSent(0), replyReceived(9, "shed"), event(10, emulator.ResponseCutOff, "a", "c1", "")}, emulator.CutOffRule},
+	{"response cut off, errored", []emulator.Event{requestSent(0), event(8, emulator.ResponseCutOff, "a", "c1", ""), replyReceived(9, "errored")}, emulator.CutOffRule},
+	{"response cut off, client left", []emulator.Event{
+		requestSent(0), event(9, emulator.ClientLeft, "a", "", ""), event(10, emulator.ResponseCutOff, "a", "c1", ""),
+	}, ""},
 	{"late reply", []emulator.Event{requestSent(0), replyReceived(1051, "shed")}, emulator.FinalReplyRule},
 	{"two replies", []emulator.Event{requestSent(0), replyReceived(9, "shed"), replyReceived(10, "shed")}, emulator.FinalReplyRule},
 	{"reply without a request", []emulator.Event{replyReceived(9, "shed")}, emulator.FinalReplyRule},
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -290,7 +290,10 @@
 	}
 	if err != nil {
 		_ = conn.Close() // the connection has failed
-		g.log.Record(Event{Kind: ConnectionClosed, RequestID: request.ID, Proxy: conn.proxy, Note: noteDuringReply})
+		g.log.Record(Event{
+			Kind: ConnectionClosed, RequestID: request.ID, Proxy: conn.proxy, Note: noteDuringReply,
+			Figure: float64(time.Since(firstByteAt)) / 1e6,
+		})
 		return Unanswered, nil
 	}
 	sinceFirstByte := time.Duration(0)
--- a/internal/emulator/reply_check.go
+++ b/internal/emulator/reply_check.go
@@ -24,7 +24,11 @@
 // observeConnectionClosed checks that a connection was not closed under a request. It reports at most one violation for each
 // request.
 func (a *replyCheck) observeConnectionClosed(e Event) {
-	if a.abandoned[e.RequestID] || a.replyCount[e.RequestID] > 0 || e.Note == noteReused || a.processes.wasKilled(e.Proxy, e.At-killWindow, e.At+killWindow) {
+	if a.abandoned[e.RequestID] || a.replyCount[e.RequestID] > 0 || e.Note == noteReused {
+		return
+	}
+	if a.processes.wasKilled(e.Proxy, e.At-killWindow, e.At+killWindow) {
+		a.abandoned[e.RequestID] = e.Note == noteDuringReply && a.beganInTime(e)
 		return
 	}
 	a.abandoned[e.RequestID] = true
@@ -34,6 +38,12 @@
 	a.violate(FinalReplyRule, e, "proxy %d closed the connection before it replied to request %s", e.Proxy, e.RequestID)
 }
 
+// beganInTime reports whether the first byte of the reply that ends with the event came before the request's timeout.
+func (a *replyCheck) beganInTime(e Event) bool {
+	limit := millis(a.routes[e.RequestID].TimeoutMS) + timingSlack
+	return e.At-millis(e.Figure)-a.lastSent[e.RequestID].At <= limit
+}
+
 // observeReply checks that a reply is the only one to its request and arrives in time. It reports whether the reply is the
 // first one to a request that was sent.
 func (a *replyCheck) observeReply(e Event) bool {
@@ -46,9 +56,9 @@
 		a.violate(FinalReplyRule, e, "request %s received a reply but was never sent", e.RequestID)
 		return false
 	}
-	limit := millis(a.routes[e.RequestID].TimeoutMS) + timingSlack
-	if elapsed := e.At - millis(e.Figure) - sent.At; elapsed > limit && !a.processes.wasPaused(e.Proxy, sent.At, e.At) {
-		a.violate(FinalReplyRule, e, "request %s received its reply after %v, limit %v", e.RequestID, elapsed, limit)
+	if !a.beganInTime(e) && !a.processes.wasPaused(e.Proxy, sent.At, e.At) {
+		a.violate(FinalReplyRule, e, "request %s received its reply after %v, limit %v", e.RequestID, e.At-millis(e.Figure)-sent.At,
+			millis(a.routes[e.RequestID].TimeoutMS)+timingSlack)
 	}
 	return true
 }
