proxy, balancer: the time behind other commands counts in the deadline that servers are told

Cause: for all but a connection's first request the time of arrival was the time of reading. Change: inputClock. It notes how much input was there when reading stopped and when it went on; a command that was there is taken to have arrived no later than the note before it. The balancer is told how long a request has waited, so that a shorter remaining timeout is not mistaken for a client's retry.

--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -15,26 +15,27 @@
 	return route
 }
 
-// elapsedAtClient returns the time since the client first sent the request, estimated from the remaining
-// timeout. First attempts of a route arrive with the same remaining timeout, within two ticks. A request with
-// another remaining timeout is taken for a retry by the client: its overall timeout and latency objective
+// elapsedAtClient returns the time since the client first sent the request, estimated from the timeout with which
+// the request arrived, which is the remaining one plus the time that the request has waited since. First attempts of a route arrive with the same timeout, within two ticks. A request with
+// another timeout is taken for a retry by the client: its overall timeout and latency objective
 // have been running since the first attempt.
 func elapsedAtClient(route *routeState, e *Request, tick Time) Time {
-	difference := e.RemainingTimeout - route.firstAttemptTimeout
+	timeout := e.RemainingTimeout + e.Waited
+	difference := timeout - route.firstAttemptTimeout
 	isUsual := max(difference, -difference) <= 2*tick
 	switch {
 	case isUsual && e.ClientRetry:
 	case isUsual:
 		route.timeoutVotes = min(route.timeoutVotes+1, maxTimeoutVotes)
 	case e.ClientRetry:
-		return max(route.Timeout-e.RemainingTimeout, 0)
+		return max(route.Timeout-timeout, 0) + e.Waited
 	case route.timeoutVotes > 0:
 		route.timeoutVotes--
-		return max(route.Timeout-e.RemainingTimeout, 0)
+		return max(route.Timeout-timeout, 0) + e.Waited
 	default:
-		route.firstAttemptTimeout, route.timeoutVotes = e.RemainingTimeout, 1
+		route.firstAttemptTimeout, route.timeoutVotes = timeout, 1
 	}
-	return 0
+	return e.Waited
 }
 
 // isPastDeadline reports whether a response would arrive too late to be useful, or after the overall timeout.
--- a/balancer/scenario_events_test.go
+++ b/balancer/scenario_events_test.go
@@ -113,6 +113,9 @@
 	if options["remaining"] != "" {
 		e.RemainingTimeout = milliseconds(options["remaining"])
 	}
+	if options["waited"] != "" {
+		e.Waited = milliseconds(options["waited"])
+	}
 	if options["tenant"] != "" {
 		e.Tenant = integer(options["tenant"])
 	}
--- a/balancer/types.go
+++ b/balancer/types.go
@@ -91,6 +91,7 @@
 	HasKey           bool // Key is set; a request without a key may go to any cache
 	Write            bool
 	RemainingTimeout Time // time until the client's timeout
+	Waited           Time // time for which the request has waited at the proxy, by which RemainingTimeout is shorter
 	ClientRetry      bool // the client marks the request as its own retry
 }
 
--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -39,6 +39,7 @@
 	uploadDeadline  time.Time // until then, each read of a long value restarts the command timeout
 	writeFailed     bool      // a reply could not be written, so the client can't receive any other
 	pacer           commandPacer
+	input           inputClock
 	pauseLogged     bool // the first pause has been logged
 
 	mu              sync.Mutex
--- a/internal/proxy/client_read.go
+++ b/internal/proxy/client_read.go
@@ -29,6 +29,10 @@
 	if c.upload != nil || c.discardBytes > 0 {
 		runtime.Gosched() // the rest of a long value is often there already, so that the read would not wait
 	}
+	if now := time.Now(); c.input.hasGap(now) {
+		c.input.gapEnded(now, c.reader.Buffered(), unreadBytes(c.conn))
+	}
+	defer func() { c.input.readEnded(time.Now()) }()
 	if c.upload != nil {
 		return c.readUpload()
 	}
@@ -60,6 +64,7 @@
 	value := c.upload.value
 	n, err := c.reader.Read(value[c.uploadRead:min(c.uploadRead+uploadReadBytes, cap(value))])
 	c.uploadRead += n
+	c.input.consume(n)
 	if now := time.Now(); n > 0 && cap(value) > wire.MaxBufferedValue+len(crlf) && now.Before(c.uploadDeadline) {
 		c.partialSince = now // a long value may take longer while it makes progress
 	}
@@ -105,6 +110,7 @@
 	if _, err := c.reader.Discard(n); err != nil {
 		return err
 	}
+	c.input.consume(n)
 	c.receivedCommand = true
 	if cmd.ValueLength < 0 {
 		c.markComplete()
@@ -137,6 +143,7 @@
 	if err != nil {
 		return err
 	}
+	c.input.consume(n)
 	if c.discardBytes -= n; c.discardBytes > 0 {
 		c.markPartial()
 		return wire.ErrIncomplete
@@ -220,12 +227,11 @@
 	req.reply(c.listener.counters, replyShed, nil, c.listener.retryAfterMS)
 }
 
-// queuedTime returns the time since the last byte of the current command arrived, if this is the connection's first
-// request: it may have waited together with the connection in the listener's queue. It returns 0 for later requests,
-// which are read soon after they arrive.
+// queuedTime returns the time since the last byte of the current command arrived. The connection's first request may have
+// waited together with the connection in the listener's queue, later ones while the connection was not read.
 func (c *clientConn) queuedTime() time.Duration {
 	if c.submitted {
-		return 0
+		return time.Since(c.input.arrival())
 	}
 	c.submitted = true
 	return sinceLastInput(c.conn)
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -44,13 +44,14 @@
 	}
 	// A request is held no longer than its route's timeout, and not beyond the end of the process.
 	wait := min(balancer.Time(req.waitMS)*ticksPerMillisecond, r.settings.Balancer.Routes[route].Timeout)
-	wait -= now - req.receivedAt
+	waited := now - req.receivedAt
+	wait -= waited
 	if r.shutdownAt != 0 {
 		wait = min(wait, r.shutdownAt-now)
 	}
 	return balancer.Request{
 		Route: route, Tenant: tenant, Key: keyHash(req.key), HasKey: true,
-		Write: req.value != nil, ClientRetry: req.isRetry, RemainingTimeout: wait,
+		Write: req.value != nil, ClientRetry: req.isRetry, RemainingTimeout: wait, Waited: waited,
 	}
 }
 
--- a/internal/proxy/socket_peek.go
+++ b/internal/proxy/socket_peek.go
@@ -90,6 +90,16 @@
 	return age
 }
 
+// unreadBytes returns the number of bytes that have arrived and have not been read, or 0 if the system does not report it.
+func unreadBytes(conn net.Conn) (n int) {
+	control(conn, func(fd int) {
+		if count, err := unix.IoctlGetInt(fd, unix.SIOCINQ); err == nil {
+			n = count
+		}
+	})
+	return n
+}
+
 // unsentBytes returns the number of written bytes that the peer's machine has not acknowledged yet. known is false if the
 // system does not report it.
 func unsentBytes(conn net.Conn) (n int, known bool) {
