--- a/internal/emulator/eventlog.go
+++ b/internal/emulator/eventlog.go
@@ -17,6 +17,7 @@
 	ClientLeft       EventKind = "client left"        // a client left before it received a reply
 	AttemptReceived  EventKind = "attempt received"   // a node has received a complete attempt
 	ResponseCutOff   EventKind = "response cut off"   // a proxy closed the connection on which a node was writing the response to an attempt
+	ResponseBroken   EventKind = "response broken"    // a node's own connection ended while it was writing the response to an attempt
 	AttemptRefused   EventKind = "attempt refused"    // a node answers that it did not execute an attempt: Note is its mode
 	WriteExecuted    EventKind = "write executed"     // the origin executed a write, whose idempotency key is Note
 	ReadExecuted     EventKind = "read executed"      // a node served a read that must not be executed twice
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -104,6 +104,7 @@
 		c.observe(e)
 	}
 	c.replies.checkUnanswered()
+	c.replies.checkEndedAmidReply()
 	c.cutOffs.checkAll()
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
 	for i, v := range c.violations {
@@ -152,7 +153,7 @@
 		findings: found,
 		replies: replyCheck{
 			findings: found, processes: processes, routes: routes, lastSent: map[string]Event{}, replyCount: map[string]int{},
-			abandoned: map[string]bool{}, forwarded: map[string]bool{},
+			abandoned: map[string]bool{}, forwarded: map[string]bool{}, broken: map[string]bool{}, breaksConns: scenario.breaksConns(),
 		},
 		cutOffs:   cutOffCheck{findings: found, breaksConns: scenario.breaksConns(), outcomes: map[string]string{}},
 		ownValues: ownValueCheck{findings: found, lateSurplus: scenario.sendsLateSurplus(), foreign: map[proxyNode]bool{}},
@@ -196,8 +197,8 @@
 		c.drains.observeArrival(e)
 		c.slowStart.observeArrival(e)
 		c.effects.observeArrival(e)
-	case ResponseCutOff:
-		c.cutOffs.cutOff = append(c.cutOffs.cutOff, e)
+	case ResponseBroken, ResponseCutOff:
+		c.observeBreak(e)
 	case AttemptRefused:
 		c.effects.observeRefusal(e)
 	case ReadExecuted:
@@ -219,6 +220,15 @@
 	}
 }
 
+// observeBreak records that the response to a request broke off.
+func (c *checker) observeBreak(e Event) {
+	if e.Kind == ResponseBroken {
+		c.replies.broken[e.RequestID] = true
+	} else {
+		c.cutOffs.cutOff = append(c.cutOffs.cutOff, e)
+	}
+}
+
 func (c *checker) observeProcessEnd(e Event) {
 	delete(c.quota.reports, e.Proxy)
 	c.ownValues.observeProcessEnd(e.Proxy)
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -94,6 +94,14 @@
 	{"closed during a long reply", []emulator.Event{
 		requestSent(0), sinceFirstByte(event(3000, emulator.ConnectionClosed, "a", "", "during the reply"), 2500),
 	}, emulator.FinalReplyRule},
+	{"response broken off during a long reply", []emulator.Event{
+		requestSent(0), sinceFirstByte(event(3000, emulator.ConnectionClosed, "a", "", "during the reply"), 2500),
+		event(3100, emulator.ResponseBroken, "a", "c1", ""),
+	}, ""},
+	{"response broken off during a long reply begun late", []emulator.Event{
+		requestSent(0), sinceFirstByte(event(3000, emulator.ConnectionClosed, "a", "", "during the reply"), 500),
+		event(3100, emulator.ResponseBroken, "a", "c1", ""),
+	}, emulator.FinalReplyRule},
 	{"response cut off, shed", []emulator.Event{requestSent(0), replyReceived(9, "shed"), event(10, emulator.ResponseCutOff, "a", "c1", "")}, emulator.CutOffRule},
 	{"response cut off, errored", []emulator.Event{requestSent(0), event(8, emulator.ResponseCutOff, "a", "c1", ""), replyReceived(9, "errored")}, emulator.CutOffRule},
 	{"response cut off, client left", []emulator.Event{
--- a/internal/emulator/node_cache.go
+++ b/internal/emulator/node_cache.go
@@ -45,8 +45,8 @@
 		n.cluster.recordRead(n, proxy, id)
 	}
 	err = command.writeRESP(c)
-	if command.mode == modeLateValue && err != nil && !errors.Is(err, net.ErrClosed) { // this node has not closed it
-		n.cluster.log.Record(Event{Kind: ResponseCutOff, RequestID: id, Proxy: proxy, Node: n.Name})
+	if command.mode == modeLateValue && err != nil {
+		n.recordBreak(proxy, id, err)
 	}
 	if err != nil || !closes {
 		return err
@@ -54,6 +54,15 @@
 	return errConnectionEnds
 }
 
+// recordBreak records that a response broke off with an error, by this node's own close or by the proxy's.
+func (n *Node) recordBreak(proxy int, id string, err error) {
+	kind := ResponseCutOff
+	if errors.Is(err, net.ErrClosed) {
+		kind = ResponseBroken
+	}
+	n.cluster.log.Record(Event{Kind: kind, RequestID: id, Proxy: proxy, Node: n.Name})
+}
+
 // Lengths in bytes of a late value and of the parts in which it is written. Between two parts the end of the connection can
 // be noticed.
 const (
--- a/internal/emulator/reply_check.go
+++ b/internal/emulator/reply_check.go
@@ -14,6 +14,9 @@
 	abandoned   map[string]bool  // requests whose client left, or whose connection was closed and that were not sent again
 	forwarded   map[string]bool  // requests of which an upstream received an attempt
 	lastEventAt time.Duration    // time of the latest event
+	breaksConns bool             // a fault breaks the proxies' own connections
+	broken      map[string]bool  // requests whose response was broken off by the node
+	endedAmid   []Event          // closed connections amid replies that began in time
 }
 
 func (a *replyCheck) observeRequest(e Event) {
@@ -32,6 +35,10 @@
 		return
 	}
 	a.abandoned[e.RequestID] = true
+	if e.Note == noteDuringReply && a.beganInTime(e) {
+		a.endedAmid = append(a.endedAmid, e)
+		return
+	}
 	if !a.forwarded[e.RequestID] && a.processes.wasCrowded(e.Proxy, e.At, e.At) {
 		return // the proxy had not read the request
 	}
@@ -63,6 +70,16 @@
 	return true
 }
 
+// checkEndedAmidReply reports, after the last event, the replies that ended early although neither the node nor a fault had
+// broken their response off. A proxy can't finish a reply whose response breaks off, and its client can tell.
+func (a *replyCheck) checkEndedAmidReply() {
+	for _, e := range a.endedAmid {
+		if !a.broken[e.RequestID] && !a.breaksConns {
+			a.violate(FinalReplyRule, e, "proxy %d closed the connection amid its reply to request %s", e.Proxy, e.RequestID)
+		}
+	}
+}
+
 // checkUnanswered reports, after the last event, the requests whose timeout passed without a reply.
 func (a *replyCheck) checkUnanswered() {
 	for id, e := range a.lastSent {
