proxy: files for accepting, for a client connection's waits, for opening and for reading server connections

Functions are moved as they were; the declarations before and after are the same lines. Two set-ups of tests that stood twice stand once.

--- a/cmd/woodproxy/departedclient_test.go
+++ b/cmd/woodproxy/departedclient_test.go
@@ -103,16 +103,23 @@
 	}
 }
 
-// A request whose client has left may still run. The same ID must not run a second time.
-func TestRepeatedIDOfDepartedClientDoesNotRunTwice(t *testing.T) {
-	program := filepath.Join(buildPrograms(t), "woodproxy")
-	received := &receivedCommands{}
-	cache := startCache(t, func(conn net.Conn, command serverCommand) {
+// startSlowServers starts a cache that takes 300 ms for a command and records it, and an origin.
+func startSlowServers(t *testing.T) (cache, origin *scriptedServer, received *receivedCommands) {
+	t.Helper()
+	received = &receivedCommands{}
+	cache = startCache(t, func(conn net.Conn, command serverCommand) {
 		received.record(command)
 		time.Sleep(300 * time.Millisecond)
 		writeAll(conn, cacheHead(5), "value", cacheTail)
 	})
-	origin := startOrigin(t, func(conn net.Conn, _ serverCommand) { writeAll(conn, originHead(5), "value") })
+	origin = startOrigin(t, func(conn net.Conn, _ serverCommand) { writeAll(conn, originHead(5), "value") })
+	return cache, origin, received
+}
+
+// A request whose client has left may still run. The same ID must not run a second time.
+func TestRepeatedIDOfDepartedClientDoesNotRunTwice(t *testing.T) {
+	program := filepath.Join(buildPrograms(t), "woodproxy")
+	cache, origin, received := startSlowServers(t)
 	p := startConfiguredProxy(t, program, unsafeConfig(cache, origin), noFeatures)
 	p.awaitReady(t)
 	for i, pause := range []time.Duration{0, 30 * time.Millisecond, 200 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second} {
@@ -134,13 +141,7 @@
 // The same ID must not run a second time at the other process of a hot restart, whichever of the two has received it first.
 func TestRepeatedIDDoesNotRunAtBothProcessesOfHotRestart(t *testing.T) {
 	program := filepath.Join(buildPrograms(t), "woodproxy")
-	received := &receivedCommands{}
-	cache := startCache(t, func(conn net.Conn, command serverCommand) {
-		received.record(command)
-		time.Sleep(300 * time.Millisecond)
-		writeAll(conn, cacheHead(5), "value", cacheTail)
-	})
-	origin := startOrigin(t, func(conn net.Conn, _ serverCommand) { writeAll(conn, originHead(5), "value") })
+	cache, origin, received := startSlowServers(t)
 	predecessor := startConfiguredProxy(t, program, unsafeConfig(cache, origin), noFeatures)
 	predecessor.awaitReady(t)
 	var atPredecessor []*testClient // connections that the predecessor has accepted
--- a/internal/proxy/upstream_roundtrip.go
+++ b/internal/proxy/upstream_roundtrip.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"bufio"
-	"context"
 	"errors"
 	"os"
 	"time"
@@ -119,17 +117,6 @@
 	})
 }
 
-func connectFailure(attempt *attempt, err error) roundTripResult {
-	outcome := balancer.ConnectFailed
-	switch {
-	case attempt.cancelled.Load():
-		outcome = balancer.Canceled
-	case isLocalError(err): // a local error is no evidence about the server
-		outcome = balancer.NotSent
-	}
-	return roundTripResult{attemptResult: attemptResult{outcome: outcome}, err: err}
-}
-
 // failure returns the result of an attempt that ended without a complete response. The outcome depends on the progress
 // of the attempt.
 func (u *upstreamConn) failure(attempt *attempt, err error) roundTripResult {
@@ -152,71 +139,6 @@
 	return roundTripResult{attemptResult: attemptResult{outcome: outcome}, err: err}
 }
 
-// connect opens the connection and, for a cache, reports the success to the zone controller.
-func (u *upstreamConn) connect(attempt *attempt, until time.Time) error {
-	if err := u.dialWithRetry(attempt, until); err != nil {
-		return err
-	}
-	if router, h := u.host.router, u.host; router.zones != nil && !h.isOrigin {
-		router.mailbox.post(func() { router.zoneConnectFinished(h.index, true) })
-	}
-	return nil
-}
-
-// dial opens the connection. It fails if the attempt is canceled first, or if the connection is not open by the time until.
-func (u *upstreamConn) dial(attempt *attempt, until time.Time) error {
-	ctx, cancel := context.WithDeadline(context.Background(), until)
-	defer cancel()
-	u.mu.Lock()
-	u.cancelDial = cancel
-	u.mu.Unlock()
-	if attempt.cancelled.Load() { // the attempt was canceled before cancelDial was set
-		cancel()
-	}
-	conn, err := u.host.router.dialer.DialContext(ctx, "tcp", u.addr)
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.cancelDial = nil
-	if err != nil {
-		return &wire.AttemptError{Progress: wire.Dialing, Err: err}
-	}
-	u.conn = conn
-	u.reader = bufio.NewReaderSize(conn, upstreamReadBuffer)
-	return nil
-}
-
-// mayReuse reports whether a connection without a request in progress may carry another: it has rested, there is no input
-// to read, and the upstream has not closed it. Bytes after a complete response may arrive once the next attempt is assigned;
-// awaitAttempt misses them, since the assignment sets a past deadline.
-func (u *upstreamConn) mayReuse(attempt *attempt) bool {
-	input := peekState(u.conn)
-	conditions := u.reuseConditions(time.Now())
-	conditions.UnexpectedInput = u.reader.Buffered() > 0 || input == inputUnread
-	conditions.ClosedByUpstream = input == inputEnded
-	refusal := conditions.MayReuse()
-	if refusal == lifecycle.UnexpectedInput {
-		u.reportSurplus(surplusResponse{phase: surplusBeforeWrite, prefix: u.inputPrefix(), next: attempt.request.id})
-	}
-	return refusal.Permitted()
-}
-
-// reuseConditions returns the conditions under which an idle connection may be reused, apart from its input. The host's
-// goroutine may call it as well while the connection is idle.
-func (u *upstreamConn) reuseConditions(now time.Time) lifecycle.UpstreamConnConditions {
-	return lifecycle.UpstreamConnConditions{
-		Served: u.served, SinceResponse: now.Sub(u.lastResponseAt), HostDistrusted: u.host.isDistrusted(),
-	}
-}
-
-// discardConn closes the connection so that the next attempt dials anew.
-func (u *upstreamConn) discardConn() {
-	u.closeConn()
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.conn, u.id = nil, u.host.router.connIDs.Add(1)
-	u.served, u.lastRequestID, u.lastResponseAt = 0, nil, time.Time{}
-}
-
 // encodeRequest sets the buffers to be written for an attempt. Both caches and the origin receive the wait of this
 // attempt, rather than the wait that the client originally sent.
 func (u *upstreamConn) encodeRequest(attempt *attempt) {
@@ -242,113 +164,3 @@
 		u.buffers = append(u.buffers, crlf)
 	}
 }
-
-// readResponse reads the response to an attempt that was written completely.
-func (u *upstreamConn) readResponse(attempt *attempt, until time.Time) roundTripResult {
-	read := wire.ReadCacheResponse
-	if u.host.isOrigin {
-		read = wire.ReadOriginResponse
-	}
-	writtenAt := time.Now()
-	response, err := read(u.reader)
-	if err != nil {
-		return u.failure(attempt, err)
-	}
-	u.host.recordResponseTime(time.Since(writtenAt))
-	conditions := u.responseConditions(attempt)
-	if !conditions.MayAttribute().Permitted() {
-		return u.unattributed(errHostDistrusted)
-	}
-	var value []byte
-	if response.Outcome == balancer.Completed {
-		if value, err = u.readValue(attempt, &response, until); err != nil {
-			return u.failure(attempt, err)
-		}
-	}
-	if u.served > 0 && !attempt.streaming && u.hasInputBehind(&response) {
-		u.host.router.valueMemory.release(len(value))
-		u.reportSurplus(surplusResponse{phase: surplusBehindResponse, prefix: u.inputPrefix(), next: attempt.request.id})
-		return u.unattributed(errInputBehindResponse)
-	}
-	if response.NotFound && u.host.router.negativeCache != nil && attempt.request.value == nil {
-		attempt.notFound = true
-		return roundTripResult{attemptResult: attemptResult{outcome: balancer.Completed}, reusable: u.responseEnded(attempt, &response)}
-	}
-	if response.Outcome == balancer.Overloaded {
-		u.host.lastRejection.Store(int64(u.host.router.clock.Elapsed()))
-	}
-	notExecuted := response.Outcome == balancer.Overloaded || response.Outcome == balancer.CacheMiss
-	unconfirmed := notExecuted && u.isUnconfirmed(&conditions)
-	u.host.router.counters.Invariants.ResponseBelieved(&invariant.BelievedResponse{
-		RequestID: attempt.request.id, Used: u.use.served > 0, HostDistrusted: conditions.HostDistrusted,
-		NotExecuted: notExecuted && !unconfirmed, Repeatable: attempt.effect == balancer.Retriable,
-	})
-	result := attemptResult{outcome: response.Outcome, value: value, unconfirmed: unconfirmed}
-	return roundTripResult{attemptResult: result, reusable: u.responseEnded(attempt, &response)}
-}
-
-// responseEnded records the end of a complete response, and returns whether the connection can carry another attempt. Bytes
-// behind the response would be taken for the next one.
-func (u *upstreamConn) responseEnded(attempt *attempt, response *wire.Response) (reusable bool) {
-	u.served++
-	u.lastRequestID, u.lastResponseAt = attempt.request.id, time.Now()
-	if response.Reusable && u.reader.Buffered() > 0 {
-		u.reportSurplus(surplusResponse{phase: surplusBehindResponse, prefix: u.inputPrefix()})
-		return false
-	}
-	return response.Reusable && !u.host.isDistrusted()
-}
-
-// readValue reads the value of a completed attempt. It returns the complete value if its length is not known, or if it is
-// short and there is value memory for it. Otherwise it streams the value as the reply to the client, and returns nil.
-func (u *upstreamConn) readValue(attempt *attempt, response *wire.Response, until time.Time) ([]byte, error) {
-	memory := u.host.router.valueMemory
-	switch {
-	case response.LengthUnknown():
-		return u.readUnknownLength(attempt, response, until)
-	case response.ValueLength <= wire.MaxBufferedValue && memory.tryAcquire(response.ValueLength):
-	default:
-		return nil, u.streamValue(attempt, response, until)
-	}
-	value, err := response.ReadValue(u.reader)
-	if err == nil {
-		err = response.SkipTrailing(u.reader)
-	}
-	if err != nil {
-		memory.release(response.ValueLength)
-		return nil, err
-	}
-	return value, nil
-}
-
-// readUnknownLength reads a value whose length is not announced. It is buffered completely, because the reply to the client
-// begins with the length. It is read until the client's deadline, or until the attempt is canceled.
-func (u *upstreamConn) readUnknownLength(attempt *attempt, response *wire.Response, until time.Time) ([]byte, error) {
-	u.reportStarted(attempt, false)
-	if err := u.extendRead(attempt, until); err != nil {
-		return nil, &wire.AttemptError{Progress: wire.Reading, Err: err}
-	}
-	value, err := response.ReadValue(u.reader)
-	if err != nil {
-		return nil, err
-	}
-	u.host.router.valueMemory.acquire(len(value))
-	return value, nil
-}
-
-// reportStarted reports to the router that the head of a response has been read and its value is still to come.
-func (u *upstreamConn) reportStarted(attempt *attempt, deliverable bool) {
-	router := u.host.router
-	router.mailbox.post(func() { router.responseStarted(attempt, deliverable) })
-}
-
-// extendRead lets the reading of a response go on until the client's deadline, if that is after the attempt's own time.
-func (u *upstreamConn) extendRead(attempt *attempt, until time.Time) error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	deadline := attempt.request.clientDeadline(u.host.router.clock)
-	if attempt.cancelled.Load() || !deadline.After(until) {
-		return nil
-	}
-	return u.conn.SetReadDeadline(deadline)
-}
--- a/internal/proxy/value_wait_test.go
+++ b/internal/proxy/value_wait_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -21,6 +22,18 @@
 	config.MayCancel = true
 }
 
+// sendHeadOfLongValue has a cache send the head of a long value to the request of a client, and nothing of the value.
+func sendHeadOfLongValue(t *testing.T) (p *testProxy, client net.Conn, command receivedCommand) {
+	t.Helper()
+	cache, origin := newCache(t), newOrigin(t)
+	p = newTestProxy(t, 10, shortObjective, cache, origin)
+	client = p.dial()
+	send(t, client, getCommand("id1", longWaitMS))
+	command = cache.next(t)
+	send(t, command.conn, fmt.Sprintf("*3\r\n$%d\r\n", longValueHead))
+	return p, client, command
+}
+
 // A response that breaks off between its head and its value, before the request is out of time, is replaced by that of
 // another attempt.
 func TestResponseWithoutValueIsReplaced(t *testing.T) {
@@ -49,12 +62,7 @@
 // A response that breaks off after its head was delivered ends the client's connection, so that the client can tell that
 // its reply is not complete.
 func TestDeliveredResponseWithoutValueEndsConnection(t *testing.T) {
-	cache, origin := newCache(t), newOrigin(t)
-	p := newTestProxy(t, 10, shortObjective, cache, origin)
-	client := p.dial()
-	send(t, client, getCommand("id1", longWaitMS))
-	command := cache.next(t)
-	send(t, command.conn, fmt.Sprintf("*3\r\n$%d\r\n", longValueHead))
+	p, client, command := sendHeadOfLongValue(t)
 	reader := bufio.NewReader(client)
 	if line, err := reader.ReadString('\n'); line != fmt.Sprintf("$%d\r\n", longValueHead) {
 		t.Fatalf("got %q, error %v, want the head of the value", line, err)
@@ -68,12 +76,7 @@
 
 // A client that leaves while its value is awaited ends the attempt.
 func TestDepartedClientEndsValueWait(t *testing.T) {
-	cache, origin := newCache(t), newOrigin(t)
-	p := newTestProxy(t, 10, shortObjective, cache, origin)
-	client := p.dial()
-	send(t, client, getCommand("id1", longWaitMS))
-	command := cache.next(t)
-	send(t, command.conn, fmt.Sprintf("*3\r\n$%d\r\n", longValueHead))
+	p, client, _ := sendHeadOfLongValue(t)
 	closeConn(t, client)
 	p.eventually("the attempt is still in flight", func() bool {
 		return p.router.counters.Passing.Load() == 0 && p.router.counters.UpstreamOpen.Load() == 0
