emulator: no process is told to reload as it starts, and none starts from a truncated file

With the exit status printed: "signal: hangup", milliseconds after the start of a process that another fault had killed 0.5 s before.

--- a/internal/emulator/inject.go
+++ b/internal/emulator/inject.go
@@ -293,11 +293,8 @@
 
 // sendExtraSignals makes a proxy reload its configuration and log its counters several times in a row.
 func (r *runner) sendExtraSignals(i int) {
-	m := r.proxies[i]
-	m.mu.Lock()
-	process, running := m.current, m.running
-	m.mu.Unlock()
-	if process == nil || !running {
+	process := r.proxies[i].reloadable()
+	if process == nil {
 		return
 	}
 	if _, isProcess := process.Proxy.(interface{ PID() int }); !isProcess {
--- a/internal/emulator/proxies.go
+++ b/internal/emulator/proxies.go
@@ -55,6 +55,9 @@
 	current *incarnation
 	running bool // a process is running or being started
 
+	// starting is held while a process starts, and while its configuration file is being replaced.
+	starting sync.Mutex
+
 	crowds          atomic.Int32 // number of present crowds of idle clients, which occupy descriptors
 	peakMemoryMB    float64
 	peakDescriptors int
--- a/internal/emulator/proxy_process.go
+++ b/internal/emulator/proxy_process.go
@@ -31,6 +31,36 @@
 	endNote string        // reason for the end, "" for a crash; guarded by managedProxy.mu
 	exited  chan struct{} // closed once the process has ended
 	ended   chan struct{} // closed once the end has been processed and another process may be started
+
+	startedAt time.Time
+	ready     bool // it has replied to a ping; guarded by managedProxy.mu
+}
+
+// newIncarnation returns the record of a process that was just started.
+func newIncarnation(process Proxy) *incarnation {
+	return &incarnation{Proxy: process, exited: make(chan struct{}), ended: make(chan struct{}), startedAt: time.Now()}
+}
+
+// minReloadAge is the time after the start of a process before which it is not told to reload its configuration. A process
+// that has not yet set up the handling of signals is ended by them; the operators' documentation sends none so early.
+const minReloadAge = time.Second
+
+// reloadable returns the current process of a proxy if it may be told to reload its configuration, otherwise nil.
+func (m *managedProxy) reloadable() *incarnation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	process := m.current
+	if process == nil || !m.running || !process.ready || time.Since(process.startedAt) < minReloadAge {
+		return nil
+	}
+	return process
+}
+
+// markReady records that a process has replied to a ping.
+func (m *managedProxy) markReady(process *incarnation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	process.ready = true
 }
 
 // startProxy starts a proxy and waits until it serves. It does nothing if a process of the proxy is already running: two
@@ -45,6 +75,8 @@
 	if alreadyRunning {
 		return nil
 	}
+	m.starting.Lock()
+	defer m.starting.Unlock()
 	r.discoveries[i].recordKnownAtStart()
 	process, err := r.options.Start(config)
 	if err != nil {
@@ -55,7 +87,7 @@
 			return err
 		}
 	}
-	started := &incarnation{Proxy: process, exited: make(chan struct{}), ended: make(chan struct{})}
+	started := newIncarnation(process)
 	m.mu.Lock()
 	m.current = started
 	m.mu.Unlock()
@@ -64,6 +96,7 @@
 	if err := r.awaitReady(ctx, i, started); err != nil {
 		return err
 	}
+	m.markReady(started)
 	r.processWatchers.Go(func() { r.watchForHang(i, started) })
 	return nil
 }
--- a/internal/emulator/reload_faults.go
+++ b/internal/emulator/reload_faults.go
@@ -38,16 +38,43 @@
 	if err != nil {
 		return
 	}
-	for _, content := range [][]byte{text[:len(text)/2], text, text} {
+	process := awaitReloadable(ctx, m)
+	if process == nil {
+		return
+	}
+	if m.sendReloads(ctx, process, [][]byte{text[:len(text)/2], text, text}) {
+		r.closeOldServers(ctx, d, server)
+	}
+}
+
+// sendReloads replaces the configuration file and sends SIGHUP, for each content. No process is started meanwhile: it would
+// end at a truncated file. It returns false if the context ends or a file can't be written.
+func (m *managedProxy) sendReloads(ctx context.Context, process *incarnation, contents [][]byte) bool {
+	m.starting.Lock()
+	defer m.starting.Unlock()
+	for _, content := range contents {
 		if replaceFile(m.config.ConfigFile, content) != nil {
-			return
+			return false
 		}
-		r.currentProcess(i).Signal(syscall.SIGHUP)
+		process.Signal(syscall.SIGHUP)
 		if !sleep(ctx, signalSpacing) {
-			return
+			return false
+		}
+	}
+	return true
+}
+
+// awaitReloadable waits until a proxy may be told to reload its configuration, and returns its process. It returns nil if the
+// context ends first. Another fault may be restarting the proxy.
+func awaitReloadable(ctx context.Context, m *managedProxy) *incarnation {
+	for {
+		if process := m.reloadable(); process != nil {
+			return process
+		}
+		if !sleep(ctx, readinessInterval) {
+			return nil
 		}
 	}
-	r.closeOldServers(ctx, d, server)
 }
 
 // closeOldServers closes all servers of a discovery agent except the current one, after reloadGrace.
@@ -99,23 +126,13 @@
 		return false
 	}
 	config.AdminAddress = address
-	r.discoveries[i].recordKnownAtStart()
-	process, err := r.options.Start(config)
-	if err != nil {
-		return false
-	}
-	successor := &incarnation{Proxy: process, exited: make(chan struct{}), ended: make(chan struct{})}
-	if !r.awaitAdminReady(ctx, address, readyTimeout) {
-		if ctx.Err() == nil {
-			r.log.Record(Event{Kind: ProcessNotReady, Proxy: i})
-		}
-		process.Kill()
-		<-process.Done() //nolint:errcheck // the process was killed
+	successor := r.startSuccessor(ctx, i, config)
+	if successor == nil {
 		return false
 	}
 	if !m.adoptSuccessor(old, successor, address) {
-		process.Kill()
-		<-process.Done() //nolint:errcheck // the process was killed
+		successor.Kill()
+		<-successor.Done() //nolint:errcheck // the process was killed
 		return true
 	}
 	r.processWatchers.Go(func() { r.watchProcess(i, successor) })
@@ -128,6 +145,28 @@
 	return true
 }
 
+// startSuccessor starts a second process of a proxy. It returns nil if the process does not become ready.
+func (r *runner) startSuccessor(ctx context.Context, i int, config ProxyConfig) *incarnation {
+	m := r.proxies[i]
+	m.starting.Lock()
+	defer m.starting.Unlock()
+	r.discoveries[i].recordKnownAtStart()
+	process, err := r.options.Start(config)
+	if err != nil {
+		return nil
+	}
+	successor := newIncarnation(process)
+	if r.awaitAdminReady(ctx, config.AdminAddress, readyTimeout) {
+		return successor
+	}
+	if ctx.Err() == nil {
+		r.log.Record(Event{Kind: ProcessNotReady, Proxy: i})
+	}
+	process.Kill()
+	<-process.Done() //nolint:errcheck // the process was killed
+	return nil
+}
+
 // adoptSuccessor makes the successor the current process of the proxy and reports whether it did. It refuses if the
 // predecessor has ended, has been signaled to end or has been replaced meanwhile, because another process may be starting in
 // that case.
@@ -142,7 +181,7 @@
 	if m.current != old || old.endNote != "" {
 		return false
 	}
-	m.current, m.config.AdminAddress, old.endNote = successor, address, endReplaced
+	m.current, m.config.AdminAddress, old.endNote, successor.ready = successor, address, endReplaced, true
 	return true
 }
 
