emulator: late values are one response beside surplus ones; a cut by a killed proxy is no violation

A late value was written in parts, and the rig's own surplus response was written between two of them, which no fault means. A cut between the arrival of the attempt and the node's notice of it is excused if that proxy was killed then, and only then; two new rows.

--- a/internal/emulator/cut_off_check.go
+++ b/internal/emulator/cut_off_check.go
@@ -1,11 +1,32 @@
 package emulator
 
+import "time"
+
 // cutOffCheck checks CutOffRule.
 type cutOffCheck struct {
 	*findings
-	breaksConns bool              // a fault breaks the proxies' own connections
-	cutOff      []Event           // responses whose connection a proxy closed
-	outcomes    map[string]string // outcome of the final reply, by request
+	breaksConns bool // a fault breaks the proxies' own connections
+	processes   *processHistory
+	cutOff      []Event                          // responses whose connection a proxy closed
+	arrivals    map[arrivedAttempt]time.Duration // times of the latest attempts
+	outcomes    map[string]string                // outcome of the final reply, by request
+}
+
+func newCutOffCheck(found *findings, processes *processHistory, scenario *Scenario) cutOffCheck {
+	return cutOffCheck{
+		findings: found, processes: processes, breaksConns: scenario.breaksConns(), arrivals: map[arrivedAttempt]time.Duration{},
+		outcomes: map[string]string{},
+	}
+}
+
+// arrivedAttempt identifies an attempt that a node has received.
+type arrivedAttempt struct {
+	id   string
+	node proxyNode
+}
+
+func (c *cutOffCheck) observeArrival(e Event) {
+	c.arrivals[arrivedAttempt{e.RequestID, proxyNode{e.Proxy, e.Node}}] = e.At
 }
 
 func (c *cutOffCheck) observeReply(e Event) { c.outcomes[e.RequestID] = e.Note }
@@ -17,6 +38,10 @@
 		return
 	}
 	for _, e := range c.cutOff {
+		arrivedAt := c.arrivals[arrivedAttempt{e.RequestID, proxyNode{e.Proxy, e.Node}}]
+		if c.processes.wasKilled(e.Proxy, arrivedAt, e.At) {
+			continue // the client sends the request again elsewhere, where it may be rejected
+		}
 		if outcome := c.outcomes[e.RequestID]; outcome == string(Rejected) || outcome == string(Failed) {
 			c.violate(CutOffRule, e, "proxy %d cut off the response of %s to request %s, which was %s", e.Proxy, e.Node, e.RequestID, outcome)
 		}
--- a/internal/emulator/invariants.go
+++ b/internal/emulator/invariants.go
@@ -155,7 +155,7 @@
 			findings: found, processes: processes, routes: routes, lastSent: map[string]Event{}, replyCount: map[string]int{},
 			abandoned: map[string]bool{}, forwarded: map[string]bool{}, broken: map[string]bool{}, breaksConns: scenario.breaksConns(),
 		},
-		cutOffs:   cutOffCheck{findings: found, breaksConns: scenario.breaksConns(), outcomes: map[string]string{}},
+		cutOffs:   newCutOffCheck(found, processes, scenario),
 		ownValues: ownValueCheck{findings: found, lateSurplus: scenario.sendsLateSurplus(), foreign: map[proxyNode]bool{}},
 		attempts: attemptCheck{
 			findings: found, processes: processes, routes: routes, sentAt: map[string]time.Duration{}, endedAt: map[string]time.Duration{},
@@ -192,11 +192,7 @@
 		c.replies.observeConnectionClosed(e)
 		c.effects.observeConnectionClosed(e)
 	case AttemptReceived:
-		c.replies.forwarded[e.RequestID] = true
-		c.attempts.observeArrival(e)
-		c.drains.observeArrival(e)
-		c.slowStart.observeArrival(e)
-		c.effects.observeArrival(e)
+		c.observeArrival(e)
 	case ResponseBroken, ResponseCutOff:
 		c.observeBreak(e)
 	case AttemptRefused:
@@ -220,6 +216,16 @@
 	}
 }
 
+// observeArrival records that a node has received an attempt.
+func (c *checker) observeArrival(e Event) {
+	c.replies.forwarded[e.RequestID] = true
+	c.cutOffs.observeArrival(e)
+	c.attempts.observeArrival(e)
+	c.drains.observeArrival(e)
+	c.slowStart.observeArrival(e)
+	c.effects.observeArrival(e)
+}
+
 // observeBreak records that the response to a request broke off.
 func (c *checker) observeBreak(e Event) {
 	if e.Kind == ResponseBroken {
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -104,6 +104,16 @@
 	}, emulator.FinalReplyRule},
 	{"response cut off, shed", []emulator.Event{requestSent(0), replyReceived(9, "shed"), event(10, emulator.ResponseCutOff, "a", "c1", "")}, emulator.CutOffRule},
 	{"response cut off, errored", []emulator.Event{requestSent(0), event(8, emulator.ResponseCutOff, "a", "c1", ""), replyReceived(9, "errored")}, emulator.CutOffRule},
+	{"response cut off by a kill, shed elsewhere", []emulator.Event{
+		requestSent(0), event(1, emulator.AttemptReceived, "a", "c1", ""), processEnded(5, "killed"), connectionClosed("reused"),
+		{At: 10 * time.Millisecond, Kind: emulator.RequestSent, RequestID: "a", Proxy: 1},
+		{At: 11 * time.Millisecond, Kind: emulator.ReplyReceived, RequestID: "a", Proxy: 1, Note: "shed"},
+		event(500, emulator.ResponseCutOff, "a", "c1", ""),
+	}, ""},
+	{"response cut off after a kill and a restart, shed", []emulator.Event{
+		processEnded(0, "killed"), requestSent(2000), event(2001, emulator.AttemptReceived, "a", "c1", ""), replyReceived(2009, "shed"),
+		event(2010, emulator.ResponseCutOff, "a", "c1", ""),
+	}, emulator.CutOffRule},
 	{"response cut off, client left", []emulator.Event{
 		requestSent(0), event(9, emulator.ClientLeft, "a", "", ""), event(10, emulator.ResponseCutOff, "a", "c1", ""),
 	}, ""},
--- a/internal/emulator/node_cache.go
+++ b/internal/emulator/node_cache.go
@@ -44,9 +44,12 @@
 	if command.mode == modeLateValue {
 		n.cluster.recordRead(n, proxy, id)
 	}
-	err = command.writeRESP(c)
-	if command.mode == modeLateValue && err != nil {
-		n.recordBreak(proxy, id, err)
+	if command.mode == modeLateValue {
+		if err = c.writeLate(command.value, command.delay); err != nil {
+			n.recordBreak(proxy, id, err)
+		}
+	} else {
+		err = command.writeRESP(c)
 	}
 	if err != nil || !closes {
 		return err
@@ -71,20 +74,26 @@
 	latePartPause  = 2 * time.Millisecond
 )
 
-// writeLate writes a response whose value comes after the delay.
-func (m commandMode) writeLate(w io.Writer) error {
-	if _, err := fmt.Fprintf(w, "*3\r\n$%d\r\n", len(m.value)); err != nil {
+// writeLate writes a response whose value comes after the delay. No surplus response is written meanwhile.
+func (c *nodeConn) writeLate(value string, delay time.Duration) error {
+	head, tail := fmt.Sprintf("*3\r\n$%d\r\n", len(value)), "\r\n"+cacheDetails
+	c.setInParts(true)
+	defer c.setInParts(false)
+	if _, err := io.WriteString(c.Conn, head); err != nil {
 		return err
 	}
-	time.Sleep(m.delay)
-	for part := range slices.Chunk([]byte(m.value), lateValuePart) {
-		if _, err := w.Write(part); err != nil {
+	time.Sleep(delay)
+	for part := range slices.Chunk([]byte(value), lateValuePart) {
+		if _, err := c.Conn.Write(part); err != nil {
 			return err
 		}
 		time.Sleep(latePartPause)
 	}
-	_, err := io.WriteString(w, "\r\n"+cacheDetails)
-	return err
+	if _, err := io.WriteString(c.Conn, tail); err != nil {
+		return err
+	}
+	c.recordResponse([]byte(head + value + tail))
+	return nil
 }
 
 // writeRESP writes the response of a cache. An error ends the connection.
@@ -115,8 +124,6 @@
 		}
 		time.Sleep(m.delay)
 		_, err = io.WriteString(w, v[len(v)/2:]+"\r\n"+cacheDetails)
-	case modeLateValue:
-		err = m.writeLate(w)
 	case modeTruncates:
 		_, _ = fmt.Fprintf(w, "*3\r\n$%d\r\n%s", len(v), v[:len(v)/2]) // the connection is closed in any case
 		return errConnectionEnds
--- a/internal/emulator/surplus_response.go
+++ b/internal/emulator/surplus_response.go
@@ -52,7 +52,7 @@
 const surplusTimerSlack = 5 * time.Millisecond
 
 // nodeConn is a connection to a node that remembers the latest response on it, so that surplus responses can follow. Each
-// response to a request is written by one call of Write.
+// response to a request is written by one call of Write, or in parts by writeLate.
 type nodeConn struct {
 	net.Conn
 
@@ -61,6 +61,21 @@
 	requestID  string     // of the request that the latest response was made for
 	ended      time.Time  // end of the latest response
 	requestOut bool       // a request has been received and has no response yet
+	inParts    bool       // a response is being written in parts
+}
+
+// setInParts records whether a response is being written in parts, between which no other one may be written.
+func (c *nodeConn) setInParts(inParts bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inParts = inParts
+}
+
+// recordResponse records the end of a response that was written in parts.
+func (c *nodeConn) recordResponse(response []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.response, c.ended, c.requestOut = response, time.Now(), false
 }
 
 // beginRequest records that a request has been received.
@@ -129,7 +144,7 @@
 func (c *nodeConn) writeSurplus(response []byte, kind string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if kind == surplusUnasked && c.requestOut {
+	if c.inParts || kind == surplusUnasked && c.requestOut {
 		return false
 	}
 	_, err := c.Conn.Write(response)
