--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -15,10 +15,10 @@
 	return route
 }
 
-// elapsedAtClient returns the time since the client first sent the request, estimated from the timeout with which
-// the request arrived, which is the remaining one plus the time that the request has waited since. First attempts of a route arrive with the same timeout, within two ticks. A request with
-// another timeout is taken for a retry by the client: its overall timeout and latency objective
-// have been running since the first attempt.
+// elapsedAtClient returns the time since the client first sent the request, estimated from the timeout with
+// which the request arrived: the remaining one plus the time that it has waited since. First attempts of a
+// route arrive with the same timeout, within two ticks. A request with another timeout is taken for a retry by
+// the client: its overall timeout and latency objective have been running since the first attempt.
 func elapsedAtClient(route *routeState, e *Request, tick Time) Time {
 	timeout := e.RemainingTimeout + e.Waited
 	difference := timeout - route.firstAttemptTimeout
@@ -62,10 +62,10 @@
 	b.releaseCurrent()
 }
 
-// ResponseStarted reports that an endpoint has sent the head of its response to an attempt in flight, and still has to send
-// the value. If the response is deliverable, which means that the reply to the client can begin before the value is
-// complete, the request is not rejected when its time is up: the response is delivered instead. Otherwise the request
-// waits for the value until its client's timeout.
+// ResponseStarted reports that an endpoint has sent the head of its response to an attempt in flight, and
+// still has to send the value. If the response is deliverable, which means that the reply to the client can
+// begin before the value is complete, the request is not rejected when its time is up: the response is
+// delivered instead. Otherwise the request waits for the value until its client's timeout.
 func (b *Balancer) ResponseStarted(now Time, index, from int, deliverable bool) []Decision {
 	b.begin(now)
 	endpoint := &b.endpoints[from]
@@ -81,14 +81,15 @@
 	return b.applyRules()
 }
 
-// mustDeliver reports whether the current request is out of time while an endpoint is sending its response. Until then
-// other attempts may respond, and a response that breaks off can be replaced.
+// mustDeliver reports whether the current request is out of time while an endpoint is sending its response.
+// Until then other attempts may respond, and a response that breaks off can be replaced.
 func (b *Balancer) mustDeliver() bool {
 	return b.current.respondingFrom != noEndpoint && b.isPastDeadline()
 }
 
-// deliver begins the reply with the response that an endpoint is sending, and cancels the other attempt if there is one and
-// the settings allow that. If the response breaks off before the reply has begun, the request is decided on again.
+// deliver begins the reply with the response that an endpoint is sending, and cancels the other attempt if
+// there is one and the settings allow that. If the response breaks off before the reply has begun, the request
+// is decided on again.
 func (b *Balancer) deliver() {
 	request := b.current
 	attempt := request.attempt
--- a/internal/soak/plants.go
+++ b/internal/soak/plants.go
@@ -87,7 +87,7 @@
 		{File: slotFile, Old: "		r.reply(attempt.slot, replyCompleted, result.value, 0)", New: "		if len(result.value) > 12 {\n			result.value[len(result.value)-1-len(result.value)%7] ^= 1\n		}\n		r.reply(attempt.slot, replyCompleted, result.value, 0)"},
 	}, nil, nil},
 	{"malformed-value", emulator.OwnValueRule, []faultbuild.Patch{
-		{File: "internal/wire/cacheresponse.go", Old: "	length, err := readBulkLength(r, MaxResponseValue)\n	if err != nil {\n		return Response{}, err", New: "	length, err := readBulkLength(r, MaxResponseValue)\n	if err != nil {\n		return Response{Reusable: true, trailing: true, body: []byte{}}, nil"},
+		{File: "internal/wire/cacheresponse.go", Old: "	length, err := readBulkLength(r, MaxResponseValue)\n	if err != nil {\n		return Response{}, err", New: "	length, err := readBulkLength(r, MaxResponseValue)\n	if err != nil {\n		return Response{Reusable: true, trailing: true}, nil"},
 	}, []string{"garbled"}, garbledCaches},
 	{"not-ready", emulator.ReadyRule, []faultbuild.Patch{
 		{File: "internal/server/start.go", Old: "	s.awaitEndpoints()\n	s.clientListener.Open()", New: "	s.awaitEndpoints()\n	if s.config.Discovery != \"\" {\n		time.Sleep(12 * time.Second)\n	}\n	s.clientListener.Open()"},
