--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -17,8 +17,8 @@
 
 // elapsedAtClient returns the time since the client first sent the request, estimated from the timeout with
 // which the request arrived: the remaining one plus the time that it has waited since. First attempts of a
-// route arrive with the same timeout, within two ticks. A request with another timeout is taken for a retry by
-// the client: its overall timeout and latency objective have been running since the first attempt.
+// route arrive with the same timeout, within two ticks. A request with another timeout is taken for a retry
+// by the client: its overall timeout and latency objective have been running since the first attempt.
 func elapsedAtClient(route *routeState, e *Request, tick Time) Time {
 	timeout := e.RemainingTimeout + e.Waited
 	difference := timeout - route.firstAttemptTimeout
@@ -88,8 +88,8 @@
 }
 
 // deliver begins the reply with the response that an endpoint is sending, and cancels the other attempt if
-// there is one and the settings allow that. If the response breaks off before the reply has begun, the request
-// is decided on again.
+// there is one and the settings allow that. If the response breaks off before the reply has begun, the
+// request is decided on again.
 func (b *Balancer) deliver() {
 	request := b.current
 	attempt := request.attempt
