--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -76,13 +76,25 @@
 	} else {
 		b.emit(Decision{Action: Shed, Request: b.currentIndex, After: b.retryAfter(), Reason: reason})
 	}
-	for attempt := request.attempt; attempt > request.attempt-request.inFlight && b.mayCancel; attempt-- {
-		b.emit(Decision{Action: Cancel, Request: b.currentIndex, Attempt: attempt})
-	}
+	b.cancelAttemptsExcept(noAttempt)
 	b.finish(b.currentIndex)
 	b.releaseCurrent()
 }
 
+// noAttempt is not the number of any attempt.
+const noAttempt = -1
+
+// cancelAttemptsExcept cancels the current request's attempts in flight except for one, if the settings allow
+// that.
+func (b *Balancer) cancelAttemptsExcept(kept int) {
+	request := b.current
+	for attempt := request.attempt; attempt > request.attempt-request.inFlight && b.mayCancel; attempt-- {
+		if attempt != kept {
+			b.emit(Decision{Action: Cancel, Request: b.currentIndex, Attempt: attempt})
+		}
+	}
+}
+
 // retryAfter returns a random Retry-After between half of maxRetryAfter and all of it, so that the retries of
 // rejected clients are spread over time. It returns 0 if no Retry-After is sent.
 func (b *Balancer) retryAfter() Time {
--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -97,11 +97,7 @@
 		attempt-- // the first attempt is responding, and the latest one is a hedged attempt
 	}
 	b.emit(Decision{Action: Deliver, Request: b.currentIndex, Attempt: attempt})
-	for other := request.attempt; other > request.attempt-request.inFlight && b.mayCancel; other-- {
-		if other != attempt {
-			b.emit(Decision{Action: Cancel, Request: b.currentIndex, Attempt: other})
-		}
-	}
+	b.cancelAttemptsExcept(attempt)
 	request.streaming = true
 	b.clearDeadline(b.currentIndex)
 	b.releaseCurrent()
--- a/cmd/woodproxy/manyservers_test.go
+++ b/cmd/woodproxy/manyservers_test.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"net"
-	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -117,21 +115,11 @@
 // peakMemoryMB returns the peak resident memory of the process, in MiB.
 func (p *fleetProxy) peakMemoryMB(t *testing.T) float64 {
 	t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	peak, err := peakMemoryMB(p.command.Process.Pid)
 	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(text)) {
-		if rest, found := strings.CutPrefix(line, "VmHWM:"); found {
-			kilobytes, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(rest), " kB"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			return float64(kilobytes) / 1024
-		}
+		t.Fatalf("no peak memory of the process, it may have exited: %v", err)
 	}
-	t.Fatal("no VmHWM in the status of the process: it has exited")
-	return 0
+	return peak
 }
 
 // A proxy with thousands of servers in its endpoint list was killed for its memory before it served clients. Its peak
--- a/internal/hotrestart/doc.go
+++ b/internal/hotrestart/doc.go
@@ -12,9 +12,8 @@
 // The connection then stays open while both processes run. Where the hello and the offer both have the key "executed", each
 // process sends the other one a line "executed HASH" for each request that must not run twice, before it sends the request to
 // a server: HASH is the hash of the request's id, in 16 hexadecimal digits. A new successor is sent those of the last minute.
-// The lines may come before and after "serving".
-// Each process detects the exit of the other by the end of the
-// connection, which the kernel also closes for a process that was killed.
+// The lines may come before and after "serving". Each process detects the exit of the other by the end of the connection,
+// which the kernel also closes for a process that was killed.
 //
 // The two processes may run different versions of the program, so the messages must not change without a new protocol
 // version. Unknown keys are skipped. A message that is malformed, late, of another protocol version, for another address or
--- a/internal/hotrestart/predecessor.go
+++ b/internal/hotrestart/predecessor.go
@@ -26,7 +26,8 @@
 	EndpointList []byte           // list of the predecessor in the JSON form of the discovery service; nil if it has none
 	conn         *net.UnixConn
 	rest         []byte          // bytes that were read behind the offer
-	sender       *executedSender // nil: the predecessor does not read executed messages
+	readsHashes  bool            // the predecessor reads executed messages
+	sender       *executedSender // nil: the predecessor does not read them
 }
 
 // TakeOver connects to the process that serves the address listen and takes its listener and endpoint list. The directory
@@ -83,6 +84,9 @@
 		_ = predecessor.Listener.Close() // a duplicate of the predecessor's
 		return nil, fmt.Errorf("clear deadline: %w", err)
 	}
+	if predecessor.readsHashes {
+		predecessor.sender = newExecutedSender(conn)
+	}
 	return predecessor, nil
 }
 
@@ -98,11 +102,7 @@
 		_ = listener.Close() // a duplicate of the predecessor's
 		return nil, err
 	}
-	p := &Predecessor{Listener: listener, EndpointList: o.EndpointList, conn: conn, rest: rest}
-	if o.ReadsHashes {
-		p.sender = newExecutedSender(conn)
-	}
-	return p, nil
+	return &Predecessor{Listener: listener, EndpointList: o.EndpointList, conn: conn, rest: rest, readsHashes: o.ReadsHashes}, nil
 }
 
 // receiveOfferLine reads the rest of an offer whose first n bytes are in the buffer, and returns it with the bytes that have
--- a/internal/proxy/address_owner.go
+++ b/internal/proxy/address_owner.go
@@ -68,7 +68,7 @@
 	}
 	r.addressOwners[h.endpoint.Address] = previous
 	previous.superseded = false
-	previous.setReady(previous.endpoint.Ready)
+	previous.setReady(previous.acceptsRequests())
 	r.affectedHosts = append(r.affectedHosts, previous)
 }
 
