--- a/review/rig-2/lostvalue.go
+++ b/review/rig-2/lostvalue.go
@@ -51,11 +51,11 @@
 
 	var uploads sync.WaitGroup
 	if r.trouble {
-		// Writers that take two seconds for their values: two of 4 MiB, 150 of 64 KiB.
-		for i := range 152 {
-			size := 64 << 10
+		// Writers that take two seconds for their values: two of 3 MiB, 200 of 60,000 bytes.
+		for i := range 202 {
+			size := 60000
 			if i < 2 {
-				size = 4 << 20
+				size = 3 << 20
 			}
 			if i == 2 {
 				time.Sleep(50 * time.Millisecond)
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -58,6 +59,12 @@
 		r.note("the case did not end within %v", limit)
 		r.end(exitNotRun)
 	})
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		r.note("stopped by %v", <-stopped)
+		r.end(exitNotRun)
+	}()
 	r.note("disruption: %v", r.trouble)
 	return r
 }
