--- a/review/rig-2/lostvalue.go
+++ b/review/rig-2/lostvalue.go
@@ -17,7 +17,7 @@
 	answerCache := func(conn net.Conn, c command) error {
 		switch {
 		case strings.HasPrefix(c.key, "empty"):
-			time.Sleep(400 * time.Millisecond)
+			time.Sleep(550 * time.Millisecond)
 			_, err := conn.Write(hit(nil))
 			return err
 		default:
