proxy: a written value stays counted until no attempt refers to it

Cause: the bytes of a write were returned to the budget of values when its client had gone, while its attempt at the origin went on and kept the value, so that the next long write was admitted on memory in use.

Change: the value's memory is a reservation with several holders (the client connection, the router from the submission to the release of the slot, a streamed reply, the dial of an attempt that was moved to another connection); the last one returns it. Related: an attempt still in flight also kept the body of a reply that was written and counted no more; the reply is removed with the release, under the lock that guards it (release read the stream without it, beside a router that could be setting it).

One test's literals follow the fields' new type.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -163,7 +163,7 @@
 	}
 	req := &request{conn: c}
 	c.enqueue(req)
-	req.setReply([]byte("-ERR "+reason.Error()+"\r\n"), nil)
+	req.setReply(clientReply{header: []byte("-ERR " + reason.Error() + "\r\n")})
 	for c.hasPending() {
 		if err := c.flush(); err != nil && !errors.Is(err, errClosing) {
 			c.writeFailed = true
--- a/internal/proxy/client_read.go
+++ b/internal/proxy/client_read.go
@@ -167,8 +167,7 @@
 		return
 	}
 	req.value, c.upload, c.uploadRead = make([]byte, 0, withLineEnd), req, 0
-	req.valueBytes = length
-	c.listener.router.valueMemory.acquire(req.valueBytes)
+	req.valueMemory = c.listener.router.valueMemory.reserve(length)
 	transfer := time.Duration(length) * time.Second / minUploadBytesPerSecond
 	c.uploadDeadline = time.Now().Add(c.listener.timeouts.command + transfer)
 }
@@ -212,11 +211,11 @@
 	if cmd.Is("PING") && c.awaitEvent(c.listener.ready) != nil {
 		return // the client has closed its connection, as the next read reports
 	}
-	header, body, known := c.listener.controlReply(cmd)
+	reply, known := c.listener.controlReply(cmd)
 	if !known {
 		c.pacer.commandRejected(time.Now())
 	}
-	req.setReply(header, body)
+	req.setReply(reply)
 }
 
 // shedRequest rejects a request for which there is no capacity.
@@ -244,7 +243,7 @@
 	if err := req.parseFacts(); err != nil {
 		c.listener.log.Warn("invalid request facts", zap.Error(err), zap.ByteString("facts", req.facts))
 		c.pacer.commandRejected(time.Now())
-		req.setReply([]byte("-ERR bad facts\r\n"), nil)
+		req.setReply(clientReply{header: []byte("-ERR bad facts\r\n")})
 		return
 	}
 	if _, known := router.settings.Routes[req.route]; !known {
@@ -257,5 +256,6 @@
 		req.reply(router.counters, replyNotFound, nil, 0)
 		return
 	}
+	req.valueMemory.retain() // by the router, until it releases the request's slot
 	router.mailbox.post(func() { router.handleRequest(req) })
 }
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -153,20 +153,20 @@
 }
 
 // controlReply returns the reply to a command that is not proxied, and whether the command is known.
-func (l *Listener) controlReply(cmd *wire.Command) (header, body []byte, known bool) {
+func (l *Listener) controlReply(cmd *wire.Command) (reply clientReply, known bool) {
 	switch {
 	case cmd.Is("PING"):
 		if l.outOfService.Load() {
-			return []byte("-ERR out of service\r\n"), nil, true
+			return clientReply{header: []byte("-ERR out of service\r\n")}, true
 		}
-		return []byte("+PONG\r\n"), nil, true
+		return clientReply{header: []byte("+PONG\r\n")}, true
 	case cmd.Is("CLIENT"), cmd.Is("SELECT"):
-		return []byte("+OK\r\n"), nil, true
+		return clientReply{header: []byte("+OK\r\n")}, true
 	case cmd.Is("INFO"):
-		body = []byte(l.counters.String())
-		return wire.AppendLength(nil, '$', len(body)), body, true
+		body := []byte(l.counters.String())
+		return clientReply{header: wire.AppendLength(nil, '$', len(body)), body: body}, true
 	}
-	return []byte("-ERR unknown command\r\n"), nil, false
+	return clientReply{header: []byte("-ERR unknown command\r\n")}, false
 }
 
 // milliseconds converts a balancer time, in tenths of a millisecond, to milliseconds and rounds down.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -30,7 +30,7 @@
 	route, tenant        string
 	waitMS               int           // the client's wait in milliseconds
 	isRetry              bool          // the client has sent the same request before
-	valueBytes           int           // bytes of the value and the reply's body that are counted in the value memory
+	valueMemory          *reservation  // memory of the value; held by the client connection, the router and attempts that refer to it
 	admitted             bool          // the request counts as held until its reply is written or its client has gone
 	receivedAt           balancer.Time // time at which the last byte was read
 
@@ -42,8 +42,13 @@
 
 	longestWrite atomic.Int64 // longest time spent writing an attempt whose writing was then broken off, in nanoseconds
 
-	// The reply, guarded by conn.mu.
-	ready  bool
+	// Guarded by conn.mu.
+	ready       bool // the reply is set
+	clientReply      // removed when the request is released
+}
+
+// clientReply is the reply to a command.
+type clientReply struct {
 	header []byte
 	body   []byte
 	stream *stream // replaces the body if the value is streamed
@@ -104,21 +109,21 @@
 	switch kind {
 	case replyCompleted:
 		counters.Completed.Add(1)
-		r.setReply(wire.AppendLength(nil, '$', len(value)), value)
+		r.setReply(clientReply{header: wire.AppendLength(nil, '$', len(value)), body: value})
 	case replyNotFound:
 		counters.Completed.Add(1)
 		counters.Absent.Add(1)
-		r.setReply(nullReply, nil)
+		r.setReply(clientReply{header: nullReply})
 	case replyShed:
 		counters.Shed.Add(1)
 		header := busyReply
 		if retryAfterMS > 0 {
 			header = append(strconv.AppendInt([]byte("-BUSY "), int64(retryAfterMS), 10), crlf...)
 		}
-		r.setReply(header, nil)
+		r.setReply(clientReply{header: header})
 	case replyError:
 		counters.Errored.Add(1)
-		r.setReply(upstreamErrorReply, nil)
+		r.setReply(clientReply{header: upstreamErrorReply})
 	}
 }
 
@@ -126,40 +131,48 @@
 func (r *request) replyStream(counters *Counters, s *stream) {
 	counters.Completed.Add(1)
 	counters.Flows.Add(1)
-	r.stream = s
-	r.setReply(wire.AppendLength(nil, '$', s.length), nil)
+	r.setReply(clientReply{header: wire.AppendLength(nil, '$', s.length), stream: s})
 }
 
 // setReply stores the reply, and interrupts the client connection if this reply is the next to be written. The bytes of
 // the body are already counted in the value memory, and are released with the request. Any goroutine may call it.
-func (r *request) setReply(header, body []byte) {
+func (r *request) setReply(reply clientReply) {
 	c := r.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		if r.stream != nil {
-			r.stream.abandon()
+		if reply.stream != nil {
+			reply.stream.abandon()
 		}
-		c.listener.router.valueMemory.release(len(body))
+		c.listener.router.valueMemory.release(len(reply.body))
 		return
 	}
-	r.header, r.body, r.ready = header, body, true
-	if r.admitted { // release frees the bytes of admitted requests only
-		r.valueBytes += len(body)
-	}
+	r.clientReply, r.ready = reply, true
 	if len(c.pending) > 0 && c.pending[0] == r {
 		c.interruptLocked()
 	}
 }
 
-// release frees the resources of a request once its reply is written or its client has gone.
+// release frees the resources of a request once its reply is written or its client has gone. Attempts that are still in
+// flight keep its value, which stays counted until they have ended, but not its reply.
 func (r *request) release(listener *Listener) {
-	if r.stream != nil {
-		r.stream.abandon()
+	reply := r.takeReply()
+	if reply.stream != nil {
+		reply.stream.abandon()
 	}
 	if r.admitted {
 		r.admitted = false
 		listener.counters.Held.Add(-1)
-		listener.router.valueMemory.release(r.valueBytes)
+		listener.router.valueMemory.release(len(reply.body))
+		r.valueMemory.release()
 	}
 }
+
+// takeReply removes the reply and returns it.
+func (r *request) takeReply() clientReply {
+	r.conn.mu.Lock()
+	defer r.conn.mu.Unlock()
+	reply := r.clientReply
+	r.clientReply = clientReply{}
+	return reply
+}
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -26,6 +26,7 @@
 	now := r.clock.Now()
 	if r.isRepeated(req, now) {
 		r.counters.Taken.Add(1)
+		req.valueMemory.release()
 		req.reply(r.counters, replyError, nil, 0)
 		return
 	}
@@ -85,6 +86,7 @@
 	r.logTrace(s)
 	r.recordExecuted(s)
 	delete(r.openIDs, string(s.request.id))
+	s.request.valueMemory.release()
 	clear(s.attempts) // otherwise the slot would retain the request's value until its next use
 	*s = requestSlot{attempts: s.attempts[:0]}
 	r.freeSlots = append(r.freeSlots, slot)
--- a/internal/proxy/rest_queue.go
+++ b/internal/proxy/rest_queue.go
@@ -106,7 +106,11 @@
 			break
 		}
 		h.rests.dialing = slices.Delete(h.rests.dialing, 0, 1)
+		// The dial refers to the attempt, and so to its request's value, until it ends.
+		value := next.request.valueMemory
+		value.retain()
 		if !next.conn.moveAttempt() { // the connection was established just now
+			value.release()
 			h.connIdle(conn)
 			continue
 		}
--- a/internal/proxy/router_test.go
+++ b/internal/proxy/router_test.go
@@ -45,7 +45,7 @@
 	c := &clientConn{
 		listener: &Listener{counters: router.counters, router: router}, conn: near, reader: bufio.NewReader(near),
 	}
-	c.pending = []*request{{ready: true, header: crlf}, {conn: c}}
+	c.pending = []*request{{conn: c, ready: true, clientReply: clientReply{header: crlf}}, {conn: c}}
 	pending := c.pending
 	if err := c.flush(); err != nil || len(c.pending) != 1 || pending[1] != nil {
 		t.Errorf("a connection retains a request whose reply is written: %v", err)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -87,6 +87,8 @@
 	}
 	s := newStream(response.ValueLength)
 	attempt.streaming = true
+	attempt.request.valueMemory.retain() // the router's part ends with the result, which is reported before the stream ends
+	defer attempt.request.valueMemory.release()
 	router.mailbox.post(func() {
 		router.attemptFinished(attempt, attemptResult{outcome: balancer.Completed, stream: s, conn: u.use})
 	})
--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -138,6 +138,7 @@
 	runRecovered(h.router.log, h.router.counters, func() { result = u.roundTrip(attempt) })
 	result.conn = u.use
 	if result.moved {
+		attempt.request.valueMemory.release()
 		return u.endMoved(result.err)
 	}
 	if errors.Is(result.err, wire.ErrProtocol) {
