wire: bodies and elements that nobody needs are discarded without a buffer

What callers would have seen: the process killed for its memory while the origin answers with long error pages.

Cause: the body of a response that completes nothing (an error page of up to 4 MiB, or of up to 1 MiB without a length) was read whole into memory that no budget counts, and then dropped; as many at once as the origin's limit on attempts, up to 256.

The elements behind a cache's value (up to 64 KiB each) go the same way.

--- a/internal/wire/origin.go
+++ b/internal/wire/origin.go
@@ -12,6 +12,8 @@
 // completely, because the reply to the client begins with its length.
 const maxUnknownLength = 1 << 20
 
+var errBodyTooLong = protocolError("a body that does not end")
+
 // AppendOriginRequest appends the head of the HTTP request for an attempt at the origin. value is the length in bytes of
 // the value that follows as the body of a write, or -1 for a read.
 func AppendOriginRequest(b []byte, host string, key, id, facts []byte, value int) []byte {
@@ -64,11 +66,11 @@
 	case lengthUnknown && resp.Outcome == balancer.Completed:
 		resp.unread = &h
 	case lengthUnknown:
-		_, err = h.readBody(r)
+		err = h.discardBody(r)
 	case h.length > MaxResponseValue:
 		err = protocolError("a body of " + strconv.Itoa(h.length) + " bytes")
 	case resp.Outcome != balancer.Completed:
-		_, err = readExactly(r, h.length)
+		err = discardExactly(r, h.length)
 	}
 	return resp, err
 }
@@ -86,13 +88,27 @@
 
 // readBody reads a body whose length is not announced: a chunked body, or all bytes up to the end of the connection.
 func (h *httpHead) readBody(r *bufio.Reader) ([]byte, error) {
+	body, err := io.ReadAll(h.body(r))
+	if err == nil && len(body) > maxUnknownLength {
+		err = errBodyTooLong
+	}
+	return body, err
+}
+
+// discardBody reads such a body without keeping it in memory.
+func (h *httpHead) discardBody(r *bufio.Reader) error {
+	n, err := io.Copy(io.Discard, h.body(r))
+	if err == nil && n > maxUnknownLength {
+		err = errBodyTooLong
+	}
+	return err
+}
+
+// body returns a reader of a body whose length is not announced, up to the first byte beyond the maximum length.
+func (h *httpHead) body(r *bufio.Reader) io.Reader {
 	var in io.Reader = r
 	if h.chunked {
 		in = &chunkedReader{in: r}
 	}
-	body, err := io.ReadAll(io.LimitReader(in, maxUnknownLength+1))
-	if err == nil && len(body) > maxUnknownLength {
-		err = protocolError("a body that does not end")
-	}
-	return body, err
+	return io.LimitReader(in, maxUnknownLength+1)
 }
--- a/internal/wire/resp.go
+++ b/internal/wire/resp.go
@@ -124,7 +124,18 @@
 	if err != nil || length == nullLength {
 		return err
 	}
-	_, err = readBulkValue(r, length)
+	if err := discardExactly(r, length); err != nil {
+		return err
+	}
+	return readBulkEnd(r)
+}
+
+// readBulkEnd reads the line end of a bulk string.
+func readBulkEnd(r *bufio.Reader) error {
+	end, err := readExactly(r, len(lineEnd))
+	if err == nil && !startsWithLineEnd(end) {
+		err = elementEndError()
+	}
 	return err
 }
 
@@ -159,6 +170,12 @@
 	return b, nil
 }
 
+// discardExactly reads and discards n bytes.
+func discardExactly(r *bufio.Reader, n int) error {
+	_, err := r.Discard(n)
+	return unexpectedEOF(err)
+}
+
 // unexpectedEOF returns io.ErrUnexpectedEOF for io.EOF, because the input must not end within a message, and other errors
 // unchanged.
 func unexpectedEOF(err error) error {
--- a/internal/wire/response.go
+++ b/internal/wire/response.go
@@ -55,11 +55,7 @@
 	if !resp.bulk {
 		return nil
 	}
-	end, err := readExactly(r, len(lineEnd))
-	if err == nil && !startsWithLineEnd(end) {
-		err = elementEndError()
-	}
-	if err != nil {
+	if err := readBulkEnd(r); err != nil {
 		return &AttemptError{Reading, err}
 	}
 	return nil
