proxy: an empty value needs no memory and is never streamed

An empty value of the origin, to a read or a write, was not answered before the request's deadline.

Cause: acquiring nothing from an overdrawn budget failed, so that the value was streamed. A stream passes the line end on with its last byte, which an empty value does not have; and it begins when a first byte has come, which behind an empty body of the origin never does.

Change: there is always room for nothing.

--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -15,8 +15,9 @@
 	return b
 }
 
-// tryAcquire takes n from the budget and reports whether it succeeded. If less than n is available, it takes nothing.
-func (b *budget) tryAcquire(n int) bool { return b.tryAcquireLeaving(0, n) }
+// tryAcquire takes n from the budget and reports whether it succeeded. If less than n is available, it takes nothing. There is
+// always room for nothing, even while use exceeds the budget.
+func (b *budget) tryAcquire(n int) bool { return n == 0 || b.tryAcquireLeaving(0, n) }
 
 // tryAcquireLeaving takes n from the budget if at least rest is available afterwards, and reports whether it succeeded.
 func (b *budget) tryAcquireLeaving(rest, n int) bool {
--- a/internal/proxy/upstream_response.go
+++ b/internal/proxy/upstream_response.go
@@ -65,7 +65,8 @@
 }
 
 // readValue reads the value of a completed attempt. It returns the complete value if its length is not known, or if it is
-// short and there is value memory for it. Otherwise it streams the value as the reply to the client, and returns nil.
+// short and there is value memory for it, which an empty value does not need. Otherwise it streams the value as the reply to the
+// client, and returns nil.
 func (u *upstreamConn) readValue(attempt *attempt, response *wire.Response, until time.Time) ([]byte, error) {
 	memory := u.host.router.valueMemory
 	switch {
--- a/internal/proxy/value_memory_test.go
+++ b/internal/proxy/value_memory_test.go
@@ -120,6 +120,30 @@
 	}
 }
 
+// A value whose length is not announced is not read before there is memory for it, and is counted while it is read.
+func TestUnknownLengthIsCountedWhileItIsRead(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 10, defaultSettings, cache, origin)
+	counters := p.router.counters
+	client := p.dial()
+	send(t, client, getCommand("id1", longWaitMS))
+	send(t, cache.next(t).conn, "*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n")
+	received := origin.next(t)
+	available := int(p.router.valueMemory.available.Load())
+	p.router.valueMemory.acquire(available)
+	value := strings.Repeat("v", 3*wire.MaxBufferedValue)
+	send(t, received.conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", len(value), value))
+	time.Sleep(5 * capacityPollInterval)
+	if n := int(counters.Bytes.Load()); n != available {
+		t.Errorf("got %d bytes counted without memory for the value, want %d", n, available)
+	}
+	p.router.valueMemory.release(available)
+	p.eventually("the value is not counted", func() bool { return int(counters.Bytes.Load()) >= len(value) })
+	send(t, received.conn, "\r\n0\r\n\r\n")
+	expectReply(t, client, fmt.Sprintf("$%d\r\n%s\r\n", len(value), value))
+	p.eventually("the value is counted after its reply", func() bool { return counters.Bytes.Load() == 0 })
+}
+
 // expectReply reads a reply, or the beginning of one, and fails the test if it is not the given text.
 func expectReply(t *testing.T, client net.Conn, want string) {
 	t.Helper()
