balancer: an attempt that is resumed has its own number

Cause: when a hedged attempt ended, the first one became the latest again under the number before the latest. That holds behind the first hedge only: behind the second, attempt 0 was taken for 1, which had ended. The order to begin the reply went to it and did nothing, while the request counted as streaming and had no deadline any more. Related, of the same number: cancellations at the deadline, behind another attempt's response and at an evacuation went to ended attempts, so that the first one stayed in flight.

Change: the number of the previous attempt is kept beside its endpoint, and what orders something asks for the numbers in flight.

--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -30,7 +30,8 @@
 	endpoint.inFlight++
 	*b.inFlightAt(endpoint)++
 	request.inFlight++
-	request.attempt, request.previousEndpoint = request.attempts, request.endpoint
+	request.previousEndpoint, request.previousAttempt = request.endpoint, request.attempt
+	request.attempt = request.attempts
 	request.attempts++
 	request.endpoint, request.sentAt = to, b.now
 	request.triedEndpoints = append(request.triedEndpoints, to)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -88,8 +88,8 @@
 // that.
 func (b *Balancer) cancelAttemptsExcept(kept int) {
 	request := b.current
-	for attempt := request.attempt; attempt > request.attempt-request.inFlight && b.mayCancel; attempt-- {
-		if attempt != kept {
+	for _, attempt := range request.attemptsInFlight() {
+		if attempt != kept && b.mayCancel {
 			b.emit(Decision{Action: Cancel, Request: b.currentIndex, Attempt: attempt})
 		}
 	}
--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -72,7 +72,7 @@
 	endpoint.silentSince, endpoint.lastResponseAt = now, now
 	request := &b.requests[index]
 	switch {
-	case !request.live || request.streaming || !request.isInFlightAt(from): // no further decision
+	case !request.live || request.streaming || request.attemptInFlightAt(from) == noAttempt: // no further decision
 	case !deliverable:
 		request.giveUpAt = request.deadline - b.tick
 	case request.respondingFrom == noEndpoint:
@@ -92,10 +92,7 @@
 // request is decided on again.
 func (b *Balancer) deliver() {
 	request := b.current
-	attempt := request.attempt
-	if request.endpoint != request.respondingFrom {
-		attempt-- // the first attempt is responding, and the latest one is a hedged attempt
-	}
+	attempt := request.attemptInFlightAt(request.respondingFrom)
 	b.emit(Decision{Action: Deliver, Request: b.currentIndex, Attempt: attempt})
 	b.cancelAttemptsExcept(attempt)
 	request.streaming = true
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -25,7 +25,8 @@
 	inFlight         int  // number of its attempts in flight
 	endpoint         int  // endpoint of the latest attempt, in flight or ended
 	attempt          int  // number of the latest attempt, from 0
-	previousEndpoint int  // endpoint of the attempt before the latest one
+	previousEndpoint int  // endpoint of the attempt before the latest one, in flight or ended
+	previousAttempt  int  // number of the attempt before the latest one
 	sentAt           Time // time at which an attempt was last sent
 	triedEndpoints   []int
 	respondingFrom   int  // endpoint that has sent the head of a deliverable response, noEndpoint: none
@@ -38,14 +39,26 @@
 	firstRunEndpoint int  // endpoint of the first such attempt
 }
 
-// resumePreviousAttempt makes the previous attempt the latest one again.
+// resumePreviousAttempt makes the previous attempt the latest one again, which has ended. The numbers of the two need not be
+// consecutive: the attempt that is resumed may be hedged several times.
 func (r *requestState) resumePreviousAttempt() {
-	r.endpoint, r.attempt = r.previousEndpoint, r.attempt-1
+	r.endpoint, r.attempt = r.previousEndpoint, r.previousAttempt
 }
 
-// isInFlightAt reports whether an attempt is in flight at an endpoint.
-func (r *requestState) isInFlightAt(endpoint int) bool {
-	return r.inFlight > 0 && r.endpoint == endpoint || r.inFlight > 1 && r.previousEndpoint == endpoint
+// attemptsInFlight returns the numbers of the attempts in flight, at most two, the latest one first.
+func (r *requestState) attemptsInFlight() []int {
+	return []int{r.attempt, r.previousAttempt}[:r.inFlight]
+}
+
+// attemptInFlightAt returns the number of the attempt in flight at an endpoint, or noAttempt.
+func (r *requestState) attemptInFlightAt(endpoint int) int {
+	switch {
+	case r.inFlight > 0 && r.endpoint == endpoint:
+		return r.attempt
+	case r.inFlight > 1 && r.previousEndpoint == endpoint:
+		return r.previousAttempt
+	}
+	return noAttempt
 }
 
 // finish discards the state of a request except for its attempts in flight.
--- a/balancer/scenario_events_test.go
+++ b/balancer/scenario_events_test.go
@@ -119,6 +119,7 @@
 	if options["tenant"] != "" {
 		e.Tenant = integer(options["tenant"])
 	}
+	delete(r.attempts, request)
 	r.record(r.balancer.Arrive(now, request, e))
 }
 
@@ -133,9 +134,9 @@
 			r.fail("decisions %q, want one attempt for each request", r.decisions)
 		}
 		for request := requests.from; request <= requests.to; request++ {
-			r.record(r.balancer.AttemptFinished(now+latency, balancer.AttemptResult{
+			r.attemptFinished(now+latency, balancer.AttemptResult{
 				Request: request, Endpoint: r.lastSent[request].Endpoint, Latency: latency, Replied: true,
-			}))
+			})
 		}
 		now, r.decisions = now+milliseconds(options["every"]), nil
 	}
@@ -152,10 +153,10 @@
 		if options["at"] != "" {
 			endpoint = r.endpoints[r.resolve(options["at"])]
 		}
-		r.record(r.balancer.AttemptFinished(now, balancer.AttemptResult{
+		r.attemptFinished(now, balancer.AttemptResult{
 			Request: request, Endpoint: endpoint, Outcome: outcome,
 			Latency: milliseconds(options["latency"]), Replied: options["answered"] != "",
 			Unconfirmed: options["unconfirmed"] != "",
-		}))
+		})
 	}
 }
--- a/balancer/scenario_expect_test.go
+++ b/balancer/scenario_expect_test.go
@@ -14,10 +14,13 @@
 		switch d.Action {
 		case balancer.Send:
 			r.lastSent[d.Request] = d
+			r.attempts[d.Request] = append(r.attempts[d.Request], scenarioAttempt{endpoint: d.Endpoint})
 			r.recordf("send %d %s", d.Request, r.endpointNames[d.Endpoint])
 		case balancer.Cancel:
+			r.checkInFlight(d)
 			r.recordf("cancel %d", d.Request)
 		case balancer.Deliver:
+			r.checkInFlight(d)
 			r.recordf("deliver %d %d", d.Request, d.Attempt)
 		case balancer.Shed:
 			r.recordf("reject %d", d.Request)
@@ -40,6 +43,26 @@
 	}
 }
 
+// checkInFlight fails unless a decision is about an attempt in flight.
+func (r *scenarioRunner) checkInFlight(d balancer.Decision) {
+	attempts := r.attempts[d.Request]
+	if d.Attempt < 0 || d.Attempt >= len(attempts) || attempts[d.Attempt].ended {
+		r.fail("got a decision about attempt %d of request %d, which is not in flight: %v", d.Attempt, d.Request, attempts)
+	}
+}
+
+// attemptFinished reports the end of an attempt to the balancer.
+func (r *scenarioRunner) attemptFinished(now balancer.Time, result balancer.AttemptResult) {
+	attempts := r.attempts[result.Request]
+	for i := range attempts {
+		if attempt := &attempts[i]; attempt.endpoint == result.Endpoint && !attempt.ended {
+			attempt.ended = true
+			break
+		}
+	}
+	r.record(r.balancer.AttemptFinished(now, result))
+}
+
 func (r *scenarioRunner) recordf(format string, args ...any) {
 	r.decisions = append(r.decisions, fmt.Sprintf(format, args...))
 }
--- a/balancer/scenario_test.go
+++ b/balancer/scenario_test.go
@@ -38,12 +38,13 @@
 //	> count ACTION [ENDPOINT] OP N       number of decisions of one kind from one line
 //
 // ENDPOINT is a name, any, or a variable $X, which is bound at its first use; no two variables are bound to the same
-// cache. SetTimer decisions are omitted. Log lines are compared only by log and no-log.
+// cache. SetTimer decisions are omitted. Log lines are compared only by log and no-log. In all scenarios a decision to cancel an
+// attempt or to deliver its response must be about an attempt in flight.
 func TestScenarios(t *testing.T) {
 	testscript.RunFiles(t, "scenarios/*.txt", func(t *testing.T) testscript.Runner {
 		return &scenarioRunner{
 			t: t, routes: map[string]int{}, endpoints: map[string]int{}, bound: map[string]string{},
-			lastSent: map[int]balancer.Decision{}, settings: balancer.Settings{
+			lastSent: map[int]balancer.Decision{}, attempts: map[int][]scenarioAttempt{}, settings: balancer.Settings{
 				Proxies: 1, MaxAttempts: 5, Tick: 50, SlowStart: 100000,
 				SlowStartOverloadWindow: 30000, SlowStartInitialFraction: 0.25, SlowStartOverloadMultiple: 3, CacheAside: true,
 			},
@@ -62,11 +63,18 @@
 	endpointNames []string                  // by index
 	bound         map[string]string         // endpoint names by variable
 	lastSent      map[int]balancer.Decision // by request
+	attempts      map[int][]scenarioAttempt // by request
 	decisions     []string                  // of the last line, as text in the form of scenario lines
 	logs          []string                  // of the last line
 	counted       bool                      // the decisions of the last line were counted
 }
 
+// scenarioAttempt is an attempt of a request that has arrived.
+type scenarioAttempt struct {
+	endpoint int
+	ended    bool
+}
+
 // RunStep runs one line of the scenario.
 func (r *scenarioRunner) RunStep(line int, words []string) {
 	r.line = line
