invariant: no decision is about an attempt that has ended

With the number of the fix undone TestReplyBeginsInTimeBehindRejectedHedges fails: "a decision about attempt 1, which has ended", and no reply in 5 s.

--- a/internal/invariant/checker.go
+++ b/internal/invariant/checker.go
@@ -38,6 +38,9 @@
 	// ResponseAttributed: no response on a used connection is believed of a host that is known to send surplus responses, or
 	// that a request that must not be executed twice was not executed.
 	ResponseAttributed
+	// DecisionOnLiveAttempt: no decision to cancel an attempt, or to begin the reply with its response, is about an attempt that
+	// has ended.
+	DecisionOnLiveAttempt
 	numInvariants
 )
 
@@ -45,15 +48,16 @@
 const NumInvariants = int(numInvariants)
 
 var names = [numInvariants]string{
-	NoAttemptAfterEnd:   "no_attempt_after_end",
-	NoAttemptToDraining: "no_attempt_to_draining",
-	RetryInDedupWindow:  "retry_in_dedup_window",
-	ToldDeadlineHolds:   "told_deadline_holds",
-	OneFinalReply:       "one_final_reply",
-	NoUnansweredClose:   "no_unanswered_close",
-	AttemptsBounded:     "attempts_bounded",
-	ConnectionRested:    "connection_rested",
-	ResponseAttributed:  "response_attributed",
+	NoAttemptAfterEnd:     "no_attempt_after_end",
+	NoAttemptToDraining:   "no_attempt_to_draining",
+	RetryInDedupWindow:    "retry_in_dedup_window",
+	ToldDeadlineHolds:     "told_deadline_holds",
+	OneFinalReply:         "one_final_reply",
+	NoUnansweredClose:     "no_unanswered_close",
+	AttemptsBounded:       "attempts_bounded",
+	ConnectionRested:      "connection_rested",
+	ResponseAttributed:    "response_attributed",
+	DecisionOnLiveAttempt: "decision_on_live_attempt",
 }
 
 // String returns the invariant's name in logs and metrics.
@@ -187,6 +191,13 @@
 	}
 }
 
+// AttemptDecision checks a decision of the balancer about an attempt that was sent. ended reports whether the attempt has ended.
+func (c *Checker) AttemptDecision(id []byte, attempt int, ended bool) {
+	if c != nil && ended {
+		c.violate(DecisionOnLiveAttempt, id, "a decision about attempt %d, which has ended", attempt)
+	}
+}
+
 // ReplyDecided checks a final reply. replies is the number of final replies of the request, including this one.
 func (c *Checker) ReplyDecided(id []byte, replies int) {
 	if c != nil && replies > 1 {
--- a/internal/invariant/checker_test.go
+++ b/internal/invariant/checker_test.go
@@ -53,10 +53,16 @@
 	}
 }
 
+// decision returns a call that reports a decision about an attempt.
+func decision(ended bool) func(*invariant.Checker) {
+	return func(c *invariant.Checker) { c.AttemptDecision([]byte("id"), 1, ended) }
+}
+
 // violationCases returns at least one case for each of the other invariants.
 func violationCases() []violationCase {
 	at := startedAt
 	return []violationCase{
+		{invariant.DecisionOnLiveAttempt, decision(true), decision(false)},
 		{
 			invariant.NoAttemptAfterEnd,
 			start(func(a *invariant.AttemptStart) { a.RequestEnded = at.Add(-invariant.MaxLateStart - 1) }),
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -22,6 +22,7 @@
 	deliver     atomic.Bool              // the reply begins with the head of this attempt's response
 	fetchToken  negativecache.FetchToken // token of a fetch from the origin
 	notFound    bool                     // the origin has responded that the key is absent
+	ended       bool                     // the router has its result; accessed only by the router's goroutine
 	streaming   bool                     // the value is being streamed; the router already counts the attempt as completed
 	conn        *upstreamConn            // connection that carries the attempt, or nil; accessed only by the host's goroutine
 }
--- a/internal/proxy/decisions.go
+++ b/internal/proxy/decisions.go
@@ -83,9 +83,17 @@
 	return h.tryPost(func() { h.send(attempt) })
 }
 
+// decidedAttempt returns the attempt that a decision is about.
+func (r *Router) decidedAttempt(d *balancer.Decision) *attempt {
+	s := &r.slots[d.Request]
+	attempt := s.attempts[d.Attempt]
+	r.counters.Invariants.AttemptDecision(s.request.id, d.Attempt, attempt.ended)
+	return attempt
+}
+
 // cancelAttempt makes the attempt's host cancel it. If the host's mailbox is full, the attempt ends by its timeout.
 func (r *Router) cancelAttempt(d *balancer.Decision) {
-	attempt := r.slots[d.Request].attempts[d.Attempt]
+	attempt := r.decidedAttempt(d)
 	r.counters.Cancelled.Add(1)
 	r.slots[d.Request].trace.add(traceEvent{at: r.clock.Now(), kind: traceCancelled, host: attempt.host})
 	h := r.hosts[attempt.host]
@@ -94,7 +102,7 @@
 
 // deliverAttempt makes the attempt's host begin the reply with the response that it is receiving.
 func (r *Router) deliverAttempt(d *balancer.Decision) {
-	attempt := r.slots[d.Request].attempts[d.Attempt]
+	attempt := r.decidedAttempt(d)
 	r.slots[d.Request].trace.add(traceEvent{at: r.clock.Now(), kind: traceDelivered, host: attempt.host})
 	h := r.hosts[attempt.host]
 	h.post(func() { h.deliver(attempt) })
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -170,6 +170,7 @@
 func (r *Router) attemptFinished(attempt *attempt, result attemptResult) {
 	s := &r.slots[attempt.slot]
 	s.inFlight--
+	attempt.ended = true
 	now := r.clock.Now()
 	s.trace.recordEnd(now, attempt.host, result)
 	if result.outcome == balancer.Completed && !s.finished {
--- a/internal/proxy/value_wait_test.go
+++ b/internal/proxy/value_wait_test.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// Guards against an order to begin the reply that goes to a hedged attempt that has ended: the origin rejects two of them while
+// the cache is between the head and the value of its response, and the reply begins with that head.
+func TestReplyBeginsInTimeBehindRejectedHedges(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 10, func(config *balancer.Settings) {
+		config.MayCancel, config.ParallelAttempts = true, true
+		config.Routes[0].Objective = 600 * ticksPerMillisecond
+		config.Routes[1].Objective, config.Routes[1].Timeout = 1000, 2000 // an attempt is late after 0.1 s
+	}, cache, origin)
+	client := p.dial()
+	send(t, client, getCommand("id1", longWaitMS))
+	send(t, cache.next(t).conn, fmt.Sprintf("*3\r\n$%d\r\n", longValueHead))
+	for range 2 {
+		send(t, origin.next(t).conn, "HTTP/1.1 503 Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+	expectReply(t, client, fmt.Sprintf("$%d\r\n", longValueHead))
+}
+
 // A response that breaks off after its head was delivered ends the client's connection, so that the client can tell that
 // its reply is not complete.
 func TestDeliveredResponseWithoutValueEndsConnection(t *testing.T) {
