balancer: one limit for a request's time, outcomes by kind of endpoint, shorter comments

- giveUpAt never lies behind a tick before the deadline (Arrive, sendToOrigin, ResponseStarted and CapDeadlines keep it so): four places took the minimum of the two once more.
- admit rejects itself in place of a flag, a predicate and a rule.
- What an outcome says of the origin and of the caches stands in a function each; lastGoodLimit is set, not moved by the whole difference; a response is recorded in one place.
- Counts of the ring: one function adds and removes.
- exceedsBoundedLoad: a count that is never negative needs no lower bound.
- Reasons have their comments on their lines; comments say what, and why only where a reader would wonder.

--- a/balancer/admission.go
+++ b/balancer/admission.go
@@ -12,8 +12,8 @@
 	reductionRate       = 0.8 // capacityReduction is this divided by the responses per second
 )
 
-// admit rejects the current request at random under overload. The probability falls with the priority weight,
-// which follows from the route's value and is reduced for requests over the tenant's quota.
+// admit rejects the current request at random under overload, with a probability that falls with the route's
+// priority weight, which is reduced over the tenant's quota.
 func (b *Balancer) admit() {
 	request := b.current
 	request.unadmitted = false
@@ -23,11 +23,12 @@
 	}
 	load := float64(b.caches.inFlight) / b.admission.capacity
 	b.logOverload(load)
-	request.rejected = load > rejectionThreshold &&
-		b.random.draw() < rejectionSlope*(load-rejectionThreshold)*(rejectionWeightSpan-weight)
-	if !request.rejected {
-		b.retryBudget.refill()
+	if load > rejectionThreshold &&
+		b.random.draw() < rejectionSlope*(load-rejectionThreshold)*(rejectionWeightSpan-weight) {
+		b.reject(ReasonOverload)
+		return
 	}
+	b.retryBudget.refill()
 }
 
 // increase raises the capacity after a response in time, if more than half of the capacity is in use.
@@ -37,17 +38,15 @@
 	}
 }
 
-// reduceCapacity lowers the capacity after an overload signal, but not below one attempt in flight per cache,
-// summed over all proxies.
+// reduceCapacity lowers the capacity, but not below one attempt per cache, summed over all proxies.
 func (b *Balancer) reduceCapacity() {
 	used := min(b.admission.capacity, 4*float64(b.caches.inFlight)+8)
 	b.admission.capacity = max(used*(1-b.capacityReduction()), minCapacity, float64(b.ring.caches)*b.quotaShare)
 }
 
-// capacityReduction returns the fraction of the capacity that one overload signal removes. The lower the
-// response rate, the larger the fraction; otherwise a burst would be over before a proxy with little traffic
-// reduces its capacity. This applies only if peers send notifications of silent endpoints. Without them each
-// proxy has to detect every hung endpoint itself, and these failures would dominate its few responses.
+// capacityReduction returns the fraction of the capacity that one overload signal removes. It grows as the
+// response rate falls, so that a proxy with little traffic reduces its capacity within a burst, unless no
+// peers report silent endpoints, whose time-outs would then dominate its few responses.
 func (b *Balancer) capacityReduction() float64 {
 	if b.peerCount == 0 {
 		return minReduction
--- a/balancer/attempt.go
+++ b/balancer/attempt.go
@@ -3,10 +3,9 @@
 // finishedAttempt is a finished attempt with the observations derived from its outcome.
 type finishedAttempt struct {
 	AttemptResult
-	request   *requestState
-	endpoint  *endpointState
-	responded bool // the endpoint sent a response of any kind
-	late      bool // timed out, or completed, missed or was canceled after 3/4 of the latency budget
+	request  *requestState
+	endpoint *endpointState
+	late     bool // timed out, or completed, missed or was canceled after 3/4 of the latency budget
 	// failedProbe means that an ejected endpoint did not respond, which is no sign of load on the others.
 	failedProbe bool
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,8 +9,7 @@
 	request, route := &b.requests[index], &b.routes[e.Route]
 	*request = requestState{
 		Request: e, live: true, unadmitted: true, heapIndex: -1, endpoint: -1, firstRunEndpoint: -1,
-		respondingFrom: noEndpoint,
-		triedEndpoints: request.triedEndpoints[:0],
+		respondingFrom: noEndpoint, triedEndpoints: request.triedEndpoints[:0],
 	}
 	request.deadline = now + e.RemainingTimeout
 	request.giveUpAt = now + route.giveUpAfter - elapsedAtClient(route, &e, b.tick)
@@ -38,29 +37,24 @@
 	if (a.Outcome.mayHaveRun() || a.Unconfirmed) && !request.mayHaveRun {
 		request.mayHaveRun, request.firstRunAt, request.firstRunEndpoint = true, request.sentAt, a.Endpoint
 	}
-	request.missed = a.Outcome == CacheMiss
-	if request.missed {
-		request.needsOrigin = true
-	}
-	request.wasReset = a.Outcome == Reset
+	request.missed, request.wasReset = a.Outcome == CacheMiss, a.Outcome == Reset
+	request.needsOrigin = request.needsOrigin || request.missed
 	if request.leadsFetch && endpoint.Origin {
 		b.completeFetch(request)
 	}
-	if a.Replied && request.live {
+	if request.live && a.Replied {
 		b.finish(a.Request)
-	}
-	if request.live {
+	} else if request.live {
 		b.pending = append(b.pending, a.Request)
 	}
 	return b.applyRules()
 }
 
 // sendAttempt sends the current request to an endpoint. The attempt times out when a response is no longer
-// useful, and a tick before the request's deadline at the latest, but not in less than a tick.
+// useful, but not in less than a tick.
 func (b *Balancer) sendAttempt(to int, reason Reason) {
-	request := b.current
-	b.recordSent(request, to)
-	timeout := max(min(request.giveUpAt, request.deadline-b.tick)-b.now, b.tick)
+	b.recordSent(b.current, to)
+	timeout := max(b.current.giveUpAt-b.now, b.tick)
 	b.emit(Decision{Action: Send, Request: b.currentIndex, Endpoint: to, After: timeout, Reason: reason})
 	b.awaitAttempt()
 }
@@ -84,11 +78,9 @@
 // noAttempt is not the number of any attempt.
 const noAttempt = -1
 
-// cancelAttemptsExcept cancels the current request's attempts in flight except for one, if the settings allow
-// that.
+// cancelAttemptsExcept cancels the current request's attempts in flight but one, if the settings allow that.
 func (b *Balancer) cancelAttemptsExcept(kept int) {
-	request := b.current
-	for _, attempt := range request.attemptsInFlight() {
+	for _, attempt := range b.current.attemptsInFlight() {
 		if attempt != kept && b.mayCancel {
 			b.emit(Decision{Action: Cancel, Request: b.currentIndex, Attempt: attempt})
 		}
--- a/balancer/coalescing.go
+++ b/balancer/coalescing.go
@@ -2,8 +2,7 @@
 
 import "slices"
 
-// mayFollow reports whether the current request can wait for the fetch of another one: it is a read of a key
-// that another request of this proxy is fetching. A request waits only once.
+// mayFollow reports whether the current request can wait, once, for another request's fetch of the same key.
 func (b *Balancer) mayFollow() bool {
 	request := b.current
 	if !request.HasKey || request.Write || request.hasFollowed || request.queued {
@@ -13,13 +12,12 @@
 	return isFetched && leader != b.currentIndex
 }
 
-// follow makes the current request wait for the other request's fetch, for at most half of the remaining
-// time.
+// follow makes the current request wait for the other one's fetch, for half of the remaining time at most.
 func (b *Balancer) follow() {
 	request := b.current
 	request.hasFollowed, request.following = true, true
 	b.coalescing.followers[request.Key] = append(b.coalescing.followers[request.Key], b.currentIndex)
-	b.setDeadline(b.currentIndex, min(b.now+(request.giveUpAt-b.now)/2, request.deadline-b.tick))
+	b.setDeadline(b.currentIndex, b.now+(request.giveUpAt-b.now)/2)
 	b.releaseCurrent()
 }
 
--- a/balancer/current.go
+++ b/balancer/current.go
@@ -14,8 +14,6 @@
 
 func (b *Balancer) isUnadmitted() bool { return b.current.unadmitted }
 
-func (b *Balancer) isRejected() bool { return b.current.rejected }
-
 func (b *Balancer) lacksOrigin() bool { return b.current.needsOrigin && len(b.origins) == 0 }
 
 func (b *Balancer) isPollDue() bool { return b.pollAt <= b.now }
--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -3,8 +3,8 @@
 // maxTimeoutVotes limits how long a client timeout that is no longer in use is remembered.
 const maxTimeoutVotes = 1000
 
-// newRouteState derives the time for which a response is useful: up to the latency objective, or up to the
-// overall timeout if late responses have a value.
+// newRouteState derives the time for which a response is useful: the latency objective or, if late responses
+// have a value, the overall timeout.
 func newRouteState(r *Route, tick Time, highestValue float64, punctual bool) routeState {
 	route := routeState{Route: *r, priorityWeight: r.Value / max(highestValue, 1e-9)}
 	route.latencyBudget = r.Objective - 2*tick
@@ -15,10 +15,9 @@
 	return route
 }
 
-// elapsedAtClient returns the time since the client first sent the request, estimated from the timeout with
-// which the request arrived: the remaining one plus the time that it has waited since. First attempts of a
-// route arrive with the same timeout, within two ticks. A request with another timeout is taken for a retry
-// by the client: its overall timeout and latency objective have been running since the first attempt.
+// elapsedAtClient returns the time since the client first sent the request. First attempts of a route arrive
+// with the same timeout, within two ticks. A request with another one is taken for a retry by the client, whose
+// overall timeout and latency objective have been running since the first attempt.
 func elapsedAtClient(route *routeState, e *Request, tick Time) Time {
 	timeout := e.RemainingTimeout + e.Waited
 	difference := timeout - route.firstAttemptTimeout
@@ -38,18 +37,15 @@
 	return e.Waited
 }
 
-// isPastDeadline reports whether a response would arrive too late to be useful, or after the overall timeout.
-func (b *Balancer) isPastDeadline() bool {
-	return b.now >= min(b.current.giveUpAt, b.current.deadline-b.tick)
-}
+// isPastDeadline reports whether a response would arrive too late to be useful.
+func (b *Balancer) isPastDeadline() bool { return b.now >= b.current.giveUpAt }
 
 // awaitAttempt postpones the current request until the response to its attempt in flight is no longer useful
-// or, at a cache, until it may be hedged or is overdue.
+// or, at a cache, until it may be hedged, then until it is overdue, and again later.
 func (b *Balancer) awaitAttempt() {
 	request := b.current
-	checkAt := min(request.giveUpAt, request.deadline-b.tick)
+	checkAt := request.giveUpAt
 	if !b.endpoints[request.endpoint].Origin {
-		// check first for hedging, then whether the attempt is overdue; recheck later if both times have passed
 		overdue := b.responseBound(overdueDeviations)
 		for _, at := range [...]Time{b.hedgeAt(request), request.sentAt + overdue, b.now + overdue} {
 			if at > b.now {
@@ -62,10 +58,9 @@
 	b.releaseCurrent()
 }
 
-// ResponseStarted reports that an endpoint has sent the head of its response to an attempt in flight, and
-// still has to send the value. If the response is deliverable, which means that the reply to the client can
-// begin before the value is complete, the request is not rejected when its time is up: the response is
-// delivered instead. Otherwise the request waits for the value until its client's timeout.
+// ResponseStarted reports that an endpoint has sent the head of its response to an attempt in flight, but not
+// the value. If the response is deliverable, so that the reply can begin before the value is complete, it is
+// delivered when the request's time is up. Otherwise the request waits for it until its client's timeout.
 func (b *Balancer) ResponseStarted(now Time, index, from int, deliverable bool) []Decision {
 	b.begin(now)
 	endpoint := &b.endpoints[from]
@@ -82,20 +77,17 @@
 }
 
 // mustDeliver reports whether the current request is out of time while an endpoint is sending its response.
-// Until then other attempts may respond, and a response that breaks off can be replaced.
 func (b *Balancer) mustDeliver() bool {
 	return b.current.respondingFrom != noEndpoint && b.isPastDeadline()
 }
 
-// deliver begins the reply with the response that an endpoint is sending, and cancels the other attempt if
-// there is one and the settings allow that. If the response breaks off before the reply has begun, the
-// request is decided on again.
+// deliver begins the reply with the response that an endpoint is sending, and cancels any other attempt. If the
+// response breaks off before the reply has begun, the request is decided on again.
 func (b *Balancer) deliver() {
-	request := b.current
-	attempt := request.attemptInFlightAt(request.respondingFrom)
+	attempt := b.current.attemptInFlightAt(b.current.respondingFrom)
 	b.emit(Decision{Action: Deliver, Request: b.currentIndex, Attempt: attempt})
 	b.cancelAttemptsExcept(attempt)
-	request.streaming = true
+	b.current.streaming = true
 	b.clearDeadline(b.currentIndex)
 	b.releaseCurrent()
 }
--- a/balancer/ejection.go
+++ b/balancer/ejection.go
@@ -8,7 +8,7 @@
 }
 
 // isAwaitingOutlier reports whether the current request waits for a cache that is overdue while another cache
-// has responded since: the cache accepts requests without processing them, or is unreachable.
+// has responded since: it accepts requests without processing them, or is unreachable.
 func (b *Balancer) isAwaitingOutlier() bool {
 	request := b.current
 	if request.inFlight == 0 {
@@ -27,8 +27,7 @@
 	return endpoint.silentSince <= sentAt && b.now-sentAt >= b.responseBound(overdueDeviations)
 }
 
-// delayNextProbe delays the next probe of an ejected endpoint by the probe interval; it is called when an
-// attempt is sent there.
+// delayNextProbe delays an ejected endpoint's next probe by the probe interval, when one is sent.
 func (e *endpointState) delayNextProbe(now Time) {
 	if e.ejected {
 		e.probeAt = now + e.probeInterval
@@ -37,15 +36,14 @@
 
 func (b *Balancer) ejectOutlier() { b.eject(&b.endpoints[b.current.endpoint]) }
 
-// isUnavailable reports whether an endpoint is ejected and either its next probe is not due or an attempt is
-// in flight there.
+// isUnavailable reports whether an endpoint is ejected, and its next probe is not due or one is in flight.
 func (b *Balancer) isUnavailable(endpoint *endpointState) bool {
 	return endpoint.ejected && (b.now < endpoint.probeAt || endpoint.inFlight > 0)
 }
 
 // eject restricts an endpoint to probes until it responds. The probe interval doubles with each failure, up
-// to four times the shortest one. The shortest interval is no less than the mean time between two responses
-// of a cache to this proxy: with a shorter interval each attempt at the endpoint would be a probe.
+// to four times the shortest one, which is at least the mean time between two responses of a cache to this
+// proxy: with a shorter interval each attempt at the endpoint would be a probe.
 func (b *Balancer) eject(endpoint *endpointState) {
 	shortest := max(b.noResponseTimeout, b.responseInterval())
 	endpoint.probeInterval = min(max(2*endpoint.probeInterval, shortest), 4*shortest)
--- a/balancer/evacuation.go
+++ b/balancer/evacuation.go
@@ -1,8 +1,7 @@
 package balancer
 
-// SetExclusion keeps a fraction of the keys, 0 to 1, away from an endpoint whose zone is evacuated. The keys
-// are the same at every proxy. The capacity is reduced to that of the remaining endpoints. If cancel is set,
-// attempts in flight at the endpoint are canceled.
+// SetExclusion keeps a fraction of the keys, 0 to 1, the same at every proxy, away from an endpoint whose zone
+// is evacuated. If cancel is set, attempts in flight at the endpoint are canceled.
 func (b *Balancer) SetExclusion(now Time, index int, fraction float64, cancel bool) []Decision {
 	b.begin(now)
 	endpoint := &b.endpoints[index]
@@ -24,9 +23,8 @@
 		float64(mixHash(mixHash(b.current.Key))>>40) < endpoint.excludedFraction*(1<<24)
 }
 
-// mustEvacuate reports whether the current request's attempt in flight must be canceled because its zone is
-// evacuated, or because it is overdue in a zone that returns to service. The route must allow sending it
-// elsewhere: endpoints outside the group of a deduped request would execute a duplicate.
+// mustEvacuate reports whether the current request's attempt in flight must be canceled, because its zone is
+// evacuated or it is overdue in a zone that returns to service, and may be sent to any other endpoint.
 func (b *Balancer) mustEvacuate() bool {
 	request := b.current
 	if request.inFlight == 0 || request.evacuated || !b.mayCancel {
@@ -38,8 +36,7 @@
 	return endpoint.evacuating && mayResend && (b.isExcluded(endpoint) || b.isOverdue(endpoint))
 }
 
-// cancelForEvacuation cancels the current request's attempt, once per attempt. The cancellation is no sign of
-// overload, so the retry budget does not apply to the retry.
+// cancelForEvacuation cancels the current request's attempt, once. The retry budget does not apply to the retry.
 func (b *Balancer) cancelForEvacuation() {
 	b.current.evacuated = true
 	b.emit(Decision{Action: Cancel, Request: b.currentIndex, Attempt: b.current.attempt})
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -7,10 +7,9 @@
 	suspicionStep    = 0.4 // fraction of the distance to certainty that a peer's report adds to the suspicion
 )
 
-// PeerReport reports that a peer has observed an endpoint to be silent or to respond again. Reports may be
-// late, lost or wrong. A report of silence raises the suspicion by a step, unless this proxy has received a
-// recent response, and the suspicion decays over time. A report of a response resets the suspicion. Origins
-// and unknown indices are ignored.
+// PeerReport reports that a peer has observed an endpoint to be silent or to respond again, which may be late,
+// lost or wrong. Silence raises the suspicion by a step, unless this proxy has received a recent response; a
+// response resets it. Origins and unknown indices are ignored.
 func (b *Balancer) PeerReport(now Time, index int, responds bool) []Decision {
 	b.begin(now)
 	if index >= 0 && index < len(b.endpoints) && !b.endpoints[index].Origin {
@@ -27,15 +26,14 @@
 	return b.applyRules()
 }
 
-// suspicion returns the probability that an endpoint is silent according to the reports of peers. The
-// endpoint is skipped with this probability, which halves in twelve times the no-response timeout.
+// suspicion returns the probability that an endpoint is silent according to the reports of peers, with which it
+// is skipped. It halves in twelve times the no-response timeout.
 func (b *Balancer) suspicion(endpoint *endpointState) float64 {
 	return endpoint.suspicion * math.Exp2(-float64(b.now-endpoint.suspicionAt)/float64(12*b.noResponseTimeout))
 }
 
 // notifyPeers notifies some peers that an endpoint has stopped responding or responds again, unless a report
-// on it was sent or received shortly before. The number of receivers is limited because each notification has
-// a cost. Receivers do not forward a report; each proxy reports only what it has observed itself.
+// on it was sent or received shortly before. Receivers do not forward it.
 func (b *Balancer) notifyPeers(endpoint *endpointState, responds bool) {
 	if b.peerCount == 0 || b.now-endpoint.gossipAt < b.noResponseTimeout/2 {
 		return
--- a/balancer/origin.go
+++ b/balancer/origin.go
@@ -6,8 +6,8 @@
 // initialOriginLimit returns this proxy's part of sixteen attempts over all proxies, from one to four.
 func initialOriginLimit(quotaShare float64) float64 { return min(4, max(16*quotaShare, 1)) }
 
-// setBounds sets the lower bound of the limit to this proxy's part of eight attempts over all proxies, at
-// most one, and the low-water mark to half of the initial limit.
+// setBounds sets the lower bound of the limit to this proxy's part of eight attempts over all proxies, at most
+// one, and the low-water mark to half of the initial limit.
 func (o *originLimiter) setBounds(quotaShare float64) {
 	o.floor, o.lowWater = min(1, 8*quotaShare), initialOriginLimit(quotaShare)/2
 }
@@ -22,10 +22,9 @@
 // expectedLatency returns the mean latency of the origin's responses.
 func (o *originLimiter) expectedLatency() Time { return Time(o.latency.value) }
 
-// observeResponse records the latency of a response. The weight of a response grows with the time since the
-// previous one: with many proxies each one sends to the origin only once in a second or two, and would
-// otherwise detect an overload when it is over. A response that is not late raises the limit to at least half
-// of the last good limit, since the timeouts before it were caused by the network path to the origin.
+// observeResponse records the latency of a response, whose weight grows with the time since the previous one.
+// One that is not late raises the limit to at least half of the last good limit: the timeouts before it were
+// caused by the network path to the origin.
 func (o *originLimiter) observeResponse(now, latency Time) {
 	o.latency.observe(now, float64(latency), 1.0/16, 4*second)
 	if latency <= 2*o.objective {
@@ -49,12 +48,10 @@
 	if o.limit <= 1 {
 		factor = 0.4 // with pauses between attempts there are few outcomes to adapt to
 	}
-	o.limit = max(o.limit*factor, o.floor)
-	o.reducedAt = now
+	o.limit, o.reducedAt = max(o.limit*factor, o.floor), now
 }
 
-// pace sets the pause after an attempt if the limit is below one: with many proxies, even one attempt of each
-// at a time exceeds the capacity of a loaded origin.
+// pace sets the pause after an attempt if the limit is below one.
 func (o *originLimiter) pace(now Time) {
 	if o.limit < 1 {
 		o.nextAttemptAt = now + Time((1/o.limit-1)*float64(o.objective))
@@ -85,12 +82,12 @@
 	}
 	b.originQueue.push(priority, b.currentIndex)
 	b.leadFetch()
-	b.setDeadline(b.currentIndex, min(request.giveUpAt, request.deadline-b.tick))
+	b.setDeadline(b.currentIndex, request.giveUpAt)
 	b.releaseCurrent()
 }
 
-// leastLoadedOrigin returns the origin with the fewest of this proxy's attempts in flight, or noEndpoint if
-// the current request may not be sent to any.
+// leastLoadedOrigin returns the origin with the fewest attempts in flight that may serve the current request,
+// or noEndpoint.
 func (b *Balancer) leastLoadedOrigin() int {
 	best := noEndpoint
 	for _, index := range b.origins {
@@ -109,8 +106,7 @@
 		return
 	}
 	b.leadFetch()
-	// keep the attempt until the deadline: a late response still fills the cache, and canceling saves the origin
-	// no work
+	// the attempt goes on until the deadline: a late response still fills the cache
 	b.current.giveUpAt = b.current.deadline - b.tick
 	b.sendAttempt(origin, b.current.attemptReason())
 }
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -12,39 +12,45 @@
 func (b *Balancer) recordOutcome(request *requestState, endpoint *endpointState, a AttemptResult) {
 	unanswered := a.Outcome == TimedOut || a.Outcome == Canceled
 	attempt := finishedAttempt{AttemptResult: a, request: request, endpoint: endpoint}
-	attempt.responded = a.Outcome.isResponse()
 	attempt.failedProbe = unanswered && endpoint.ejected
 	tookLong := a.Latency > b.routes[request.Route].latencyBudget*3/4
 	// an attempt that was canceled because its time was up is as late as one whose own timeout expired first
 	attempt.late = a.Outcome == TimedOut ||
 		tookLong && (a.Outcome == Completed || a.Outcome == CacheMiss || a.Outcome == Canceled)
 	endpoint.overloads.observe(b.now, indicator(a.Outcome == Overloaded), 1.0/8, 3*second)
-	b.recordLatency(&attempt)
-	b.adaptLimits(&attempt)
-	b.recordOriginLimit(&attempt)
-	b.recordResponse(&attempt)
-	b.recordErrors(&attempt)
+	if endpoint.Origin {
+		b.adaptOriginLimit(&attempt)
+	} else if !request.needsOrigin && !attempt.failedProbe {
+		b.adaptCapacity(&attempt)
+	}
+	b.logConstrained()
+	if a.Outcome.isResponse() {
+		b.recordResponse(&attempt)
+	}
 	b.ejectOnFailure(&attempt)
 }
 
-func (b *Balancer) recordLatency(attempt *finishedAttempt) {
-	switch {
-	case attempt.endpoint.Origin && attempt.Outcome == Completed:
+// adaptOriginLimit adapts the origin's limit to the outcome of an attempt there.
+func (b *Balancer) adaptOriginLimit(attempt *finishedAttempt) {
+	completed := attempt.Outcome == Completed
+	if completed {
 		b.origin.observeResponse(b.now, attempt.Latency)
-	case !attempt.endpoint.Origin && !attempt.request.needsOrigin && !attempt.failedProbe:
-		b.caches.lateRate.observe(b.now, indicator(attempt.late), 1.0/64, 10*second)
 	}
+	if completed && attempt.Latency <= b.origin.objective {
+		b.origin.increase()
+	} else if b.isOriginOverload(attempt) {
+		b.origin.reduce(b.now)
+	}
+	if completed {
+		b.origin.lastGoodLimit = b.origin.limit
+	}
+	b.origin.pace(b.now)
 }
 
-// adaptLimits adapts the origin's limit and the caches' capacity. Only the first matching case applies.
-func (b *Balancer) adaptLimits(attempt *finishedAttempt) {
+// adaptCapacity adapts the caches' capacity and mean latencies to the outcome of an attempt at one of them.
+func (b *Balancer) adaptCapacity(attempt *finishedAttempt) {
+	b.caches.lateRate.observe(b.now, indicator(attempt.late), 1.0/64, 10*second)
 	switch {
-	case attempt.endpoint.Origin && attempt.Outcome == Completed && attempt.Latency <= b.origin.objective:
-		b.origin.increase()
-	case attempt.endpoint.Origin && b.isOriginOverload(attempt):
-		b.origin.reduce(b.now)
-	case attempt.endpoint.Origin || attempt.request.needsOrigin || attempt.failedProbe:
-		// no sign of overload of the caches
 	case attempt.late || attempt.Outcome == ServerError && b.caches.errorRate > overloadErrorRate ||
 		attempt.Outcome == Overloaded && attempt.request.attempts >= overloadAttempts:
 		b.observeEndpointLatency(attempt.endpoint, max(attempt.Latency, b.noResponseTimeout/2), 0.5)
@@ -58,53 +64,39 @@
 	}
 }
 
-// isOriginOverload reports whether an outcome shows that the origin is overloaded. A single slow response
-// among fast ones is due to the work of that request, especially of a write. A single missing response while
-// others arrive is due to a fault of its connection.
+// isOriginOverload reports whether an outcome shows that the origin is overloaded. A single slow response among
+// fast ones is due to the work of its request, and a single missing one to a fault of its connection.
 func (b *Balancer) isOriginOverload(attempt *finishedAttempt) bool {
 	return attempt.Outcome == Overloaded || attempt.Latency > 2*b.origin.objective &&
 		(b.origin.latency.value > float64(b.origin.objective) ||
 			attempt.Outcome != Completed && attempt.endpoint.silentSince <= attempt.request.sentAt)
 }
 
-// isCacheOverload reports whether a late or failed outcome shows an overload of all caches. Late responses of
-// a few endpoints among fast ones do not, since requests skip these endpoints. A late rate above
-// overloadLateRate does. It is checked separately, as it may be high at a low mean latency: late attempts,
-// many of them without a response, do not enter that mean. It is not used without notifications from peers,
-// since resets and hung endpoints, which each proxy then must detect itself, may raise it above the bound.
+// isCacheOverload reports whether a late or failed outcome shows an overload of all caches. Late responses of a
+// few endpoints do not, since requests skip these. A high late rate does, even at a low mean latency, which
+// late attempts do not enter, but not without notifications from peers: hung endpoints may raise it then.
 func (b *Balancer) isCacheOverload(attempt *finishedAttempt) bool {
 	return attempt.Outcome == Overloaded || attempt.Outcome == ServerError ||
 		attempt.endpoint.latency.value < 2*b.caches.meanLatency ||
 		b.peerCount > 0 && b.caches.lateRate.value > overloadLateRate
 }
 
-func (b *Balancer) recordOriginLimit(attempt *finishedAttempt) {
-	if attempt.endpoint.Origin {
-		if attempt.Outcome == Completed {
-			b.origin.lastGoodLimit += b.origin.limit - b.origin.lastGoodLimit
-		}
-		b.origin.pace(b.now)
-	}
-	b.logConstrained()
-}
-
+// recordResponse records that an endpoint has sent a response of any kind.
 func (b *Balancer) recordResponse(attempt *finishedAttempt) {
-	if !attempt.responded {
-		return
+	endpoint := attempt.endpoint
+	endpoint.silentSince, endpoint.lastResponseAt = b.now, b.now
+	if endpoint.suspicion > 0 {
+		endpoint.suspicion = 0
+		b.notifyPeers(endpoint, true)
 	}
-	attempt.endpoint.silentSince, attempt.endpoint.lastResponseAt = b.now, b.now
-	if attempt.endpoint.suspicion > 0 {
-		attempt.endpoint.suspicion = 0
-		b.notifyPeers(attempt.endpoint, true)
+	if !endpoint.Origin {
+		b.recordErrors(attempt)
 	}
 }
 
 // recordErrors updates the error rates by a cache's response. A cache that fails many of its requests while
 // the others do not is ejected. An ejected cache that responds without an error is returned to service.
 func (b *Balancer) recordErrors(attempt *finishedAttempt) {
-	if !attempt.responded || attempt.endpoint.Origin {
-		return
-	}
 	endpoint, isError := attempt.endpoint, attempt.Outcome == ServerError
 	b.caches.lastResponseAt = b.now
 	if attempt.Outcome != Overloaded {
--- a/balancer/reason.go
+++ b/balancer/reason.go
@@ -1,36 +1,22 @@
 package balancer
 
-// Reason is the reason for which an attempt is sent or a request is rejected. Logs and metrics use the same
-// text for it.
+// Reason is the reason why an attempt is sent or a request is rejected. Logs and metrics use the same text.
 type Reason uint8
 
 // Reasons of decisions.
 const (
-	// ReasonNone is the reason of decisions that have none.
-	ReasonNone Reason = iota
-	// ReasonFirst is a request's first attempt.
-	ReasonFirst
-	// ReasonCacheMiss is an attempt at the origin after a cache miss.
-	ReasonCacheMiss
-	// ReasonRetry is an attempt after a failed one.
-	ReasonRetry
-	// ReasonHedge is a second attempt in parallel with a late one.
-	ReasonHedge
-	// ReasonDeadline rejects a request whose response would be too late.
-	ReasonDeadline
-	// ReasonAttemptsExhausted rejects a request that has used its maximum number of attempts.
-	ReasonAttemptsExhausted
-	// ReasonRetryForbidden rejects a request that may have been executed and must not be retried, or for which
-	// the retry budget is exhausted.
-	ReasonRetryForbidden
-	// ReasonOverload rejects a request because the caches are overloaded.
-	ReasonOverload
-	// ReasonNoOrigin rejects a request because no origin may serve it.
-	ReasonNoOrigin
-	// ReasonOriginQueue rejects a request that would wait too long for the origin.
-	ReasonOriginQueue
-	// ReasonNoEndpoint rejects a request that may be sent to no endpoint.
-	ReasonNoEndpoint
+	ReasonNone              Reason = iota // of decisions that have none
+	ReasonFirst                           // a request's first attempt
+	ReasonCacheMiss                       // an attempt at the origin after a cache miss
+	ReasonRetry                           // an attempt after a failed one
+	ReasonHedge                           // a second attempt in parallel with a late one
+	ReasonDeadline                        // a rejection: the response would be too late
+	ReasonAttemptsExhausted               // a rejection: the maximum number of attempts was used
+	ReasonRetryForbidden                  // a rejection: it may have run, or the retry budget is exhausted
+	ReasonOverload                        // a rejection: the caches are overloaded
+	ReasonNoOrigin                        // a rejection: no origin may serve the request
+	ReasonOriginQueue                     // a rejection: the wait for the origin would be too long
+	ReasonNoEndpoint                      // a rejection: the request may be sent to no endpoint
 	numReasons
 )
 
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -7,10 +7,9 @@
 	live        bool // the client still waits for a reply
 	streaming   bool // the reply has begun
 	unadmitted  bool // admission control has not decided on it yet
-	rejected    bool // admission control has rejected it
 	overQuota   bool // it exceeds the quota of its tenant
 	deadline    Time // latest time of the final reply
-	giveUpAt    Time // time after which a response has no value
+	giveUpAt    Time // time after which a response has no value, a tick before deadline at the latest
 	objectiveAt Time // time after which a response misses the latency objective
 	nextCheckAt Time // time of its next check, as last set by setDeadline
 	heapIndex   int  // index in deadlineHeap, -1: none
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -1,7 +1,6 @@
 package balancer
 
-// retryBudget limits retries and hedged attempts to a fraction of the admitted requests, since more retries
-// would prolong the overload that causes failures.
+// retryBudget limits retries and hedged attempts to a fraction of the admitted requests.
 type retryBudget float64
 
 const (
@@ -13,8 +12,7 @@
 func (b *Balancer) attemptsExhausted() bool { return b.current.attempts >= b.maxAttempts }
 
 // retryForbidden reports whether the current request may have been executed and must not be retried, or
-// whether the retry budget is exhausted. The budget does not apply after connection resets and rejections:
-// when servers close many idle connections, each reset costs no more than the next attempt.
+// whether the retry budget is exhausted.
 func (b *Balancer) retryForbidden() bool {
 	request := b.current
 	if !request.mayHaveRun {
@@ -36,13 +34,14 @@
 	request.evacuated = false
 }
 
-// chargesRetry reports whether the retry budget applies to a retry after the latest attempt.
+// chargesRetry reports whether the retry budget applies to a retry after the latest attempt. It does not where
+// the failure is no sign of load.
 func (r *requestState) chargesRetry() bool { return !r.wasReset && !r.evacuated && !r.unconfirmed }
 
 func (r *retryBudget) refill() { *r = min(*r+retriesPerAdmission, maxRetryBudget) }
 
-// inDedupGroup reports whether an endpoint may receive the current request: if the request is deduped and may
-// have been executed, only an endpoint of the same group drops the duplicate.
+// inDedupGroup reports whether an endpoint may receive the current request: if that is deduped and may have
+// been executed, only an endpoint of the same group drops the duplicate.
 func (b *Balancer) inDedupGroup(index int) bool {
 	request := b.current
 	route := &b.routes[request.Route]
--- a/balancer/ring.go
+++ b/balancer/ring.go
@@ -6,17 +6,14 @@
 )
 
 const (
-	ringPointsPerEndpoint = 160 // for an endpoint of the reference weight; set by the design
-	// multiple of the mean number of this proxy's attempts in flight per cache; set by the design
-	boundedLoadFactor = 2.0
-
+	ringPointsPerEndpoint = 160 // for an endpoint of the reference weight
+	boundedLoadFactor     = 2.0 // multiple of the mean number of this proxy's attempts in flight per cache
 	// special values of Balancer.candidate, which otherwise is the index of an endpoint
 	notSearched = -1
 	noEndpoint  = -2
 )
 
-// findCandidate walks the ring clockwise from the key's position to the first cache that can serve the
-// current request.
+// findCandidate walks the ring clockwise from the key to the first cache that can serve the current request.
 func (b *Balancer) findCandidate() {
 	b.candidate = noEndpoint
 	if b.ring.size == 0 {
@@ -84,20 +81,18 @@
 
 // exceedsBoundedLoad reports whether an endpoint has too many of this proxy's attempts in flight.
 func (b *Balancer) exceedsBoundedLoad(endpoint *endpointState) bool {
-	bound := max(boundedLoadFactor*float64(b.caches.inFlight)/float64(b.ring.caches)+1, 1)
+	bound := boundedLoadFactor*float64(b.caches.inFlight)/float64(b.ring.caches) + 1
 	return endpoint.inFlight >= 2 && float64(endpoint.inFlight) > bound
 }
 
-// overloadedOwnerFractionFor returns the fraction of a request's remaining time above which the latency of
-// the key's owner is too high. A key that is sent to the next cache instead is a miss there, so the fraction
-// grows with the cost of a fetch.
+// overloadedOwnerFractionFor returns the fraction of a request's remaining time above which the latency of the
+// key's owner is too high. It grows with the cost of a fetch, since the key is a miss at the next cache.
 func overloadedOwnerFractionFor(fetchCost float64) float64 { return min(0.3+fetchCost, 0.5) }
 
 // isOverloadedOwner reports whether the recent latency of an endpoint takes too much of the current request's
-// remaining time. The next endpoint clockwise then serves the request if its latency is below half of that.
+// remaining time, and less suffices for one that this proxy rarely sends to. The next endpoint clockwise then
+// serves the request if its latency is below half of that.
 func (b *Balancer) isOverloadedOwner(endpoint *endpointState) bool {
-	// the fraction is lower for an endpoint that this proxy rarely sends to, but not so low that keys leave it
-	// by chance
 	rarity := observationWeight(0, b.responseInterval(), 10*second)
 	fraction := max(b.overloadedOwnerFraction-0.15*rarity, 0.3)
 	remaining := float64(min(b.current.giveUpAt, b.current.objectiveAt) - b.now)
@@ -106,9 +101,8 @@
 }
 
 // isLikelyOverloaded returns true at random for an endpoint that rejected more than a third of this proxy's
-// latest attempts as overloaded, and always for one that rejected nearly all. A hot key thus spreads
-// clockwise over as many endpoints as it needs, without a failed attempt at each of them. The fraction decays
-// with time, so that the endpoint is tried again.
+// latest attempts as overloaded, and always for one that rejected nearly all, so that a hot key spreads
+// clockwise without a failed attempt at each endpoint. The fraction decays with time.
 func (b *Balancer) isLikelyOverloaded(endpoint *endpointState) bool {
 	if endpoint.overloads.value < 0.35 {
 		return false
--- a/balancer/ringmembers.go
+++ b/balancer/ringmembers.go
@@ -16,8 +16,8 @@
 	return ringPointsPerEndpoint
 }
 
-// setReferenceWeight sets the reference weight, once, to the power of two nearest to the mean weight.
-// Rounding gives the same value at every proxy even if their endpoint lists differ.
+// setReferenceWeight sets the reference weight, once, to the power of two nearest to the mean weight, which is
+// the same at every proxy even if their endpoint lists differ.
 func (b *Balancer) setReferenceWeight() {
 	sum, caches := 0.0, 0.0
 	for i := range b.endpoints {
@@ -53,24 +53,23 @@
 
 // countCache updates the ring's counts for an endpoint with the given number of points and excluded fraction.
 func (b *Balancer) countCache(endpoint *endpointState, points int) {
-	r := &b.ring
-	if endpoint.points > 0 {
-		r.caches--
-		r.servingCaches -= 1 - endpoint.countedExclusion
-		if endpoint.countedExclusion > 0 {
-			r.excluded--
-		}
-	}
+	b.ring.count(endpoint, -1)
 	endpoint.points, endpoint.countedExclusion = points, endpoint.excludedFraction
-	if points > 0 {
-		r.caches++
-		r.servingCaches += 1 - endpoint.excludedFraction
-		if endpoint.excludedFraction > 0 {
-			r.excluded++
-		}
+	b.ring.count(endpoint, 1)
+	if b.ring.excluded == 0 {
+		b.ring.servingCaches = float64(b.ring.caches) // no rounding errors of the fractions remain
+	}
+}
+
+// count adds an endpoint to the counts, if it has points, or removes it if sign is negative.
+func (r *ring) count(endpoint *endpointState, sign int) {
+	if endpoint.points == 0 {
+		return
 	}
-	if r.excluded == 0 {
-		r.servingCaches = float64(r.caches) // no rounding errors of the fractions remain
+	r.caches += sign
+	r.servingCaches += float64(sign) * (1 - endpoint.countedExclusion)
+	if endpoint.countedExclusion > 0 {
+		r.excluded += sign
 	}
 }
 
--- a/balancer/rules.go
+++ b/balancer/rules.go
@@ -20,7 +20,6 @@
 	{deciding, (*Balancer).retryForbidden, rejectFor(ReasonRetryForbidden)},
 	// Under overload requests are rejected at random, those with a low priority weight more often.
 	{deciding, (*Balancer).isUnadmitted, (*Balancer).admit},
-	{deciding, (*Balancer).isRejected, rejectFor(ReasonOverload)},
 	// Coalescing: other reads of a key that is being fetched wait for the fetch, then are sent to the cache.
 	{deciding, (*Balancer).mayFollow, (*Balancer).follow},
 	// Cache misses and writes are sent to the origin, within its concurrency limit.
@@ -31,8 +30,7 @@
 	// All other requests are sent to the caches on the ring.
 	{deciding, (*Balancer).isNotSearched, (*Balancer).findCandidate},
 	{deciding, (*Balancer).hasCandidate, (*Balancer).sendToCandidate},
-	// The origin serves a request for which no cache is available: none is on the ring, or all are in slow
-	// start.
+	// The origin serves a request for which no cache is available, on the ring or out of slow start.
 	{deciding, (*Balancer).mayBypassCaches, (*Balancer).bypassCaches},
 	{deciding, func(*Balancer) bool { return true }, rejectFor(ReasonNoEndpoint)},
 }
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -1,8 +1,7 @@
 package balancer
 
-// slowStartLimited reports whether an endpoint in slow start must not be sent another attempt: it has as many
-// in flight as its responses so far allow, or this proxy has used up its part of the slow-start budget. It
-// consumes that budget.
+// slowStartLimited reports whether an endpoint in slow start must not be sent another attempt: it has as many in
+// flight as its responses allow, or this proxy has used up its part of the budget, which the call consumes.
 func (b *Balancer) slowStartLimited(endpoint *endpointState) bool {
 	age := b.now - endpoint.StartedAt
 	if endpoint.StartedAt == 0 || age >= b.slowStart.period {
@@ -14,25 +13,21 @@
 	b.refillSlowStartBudget(endpoint, age)
 	consumed := min(endpoint.slowStartBudget, 1)
 	endpoint.slowStartBudget -= consumed
-	// a budget of less than one attempt allows an attempt with that probability
-	return b.random.draw() >= consumed
+	return b.random.draw() >= consumed // less than one attempt allows one with that probability
 }
 
-// refillSlowStartBudget adds the budget for the time since the latest update. The rate is this proxy's part
-// of the load that all proxies may send without overloading the endpoint. The endpoint's capacity is assumed
-// to be no more than the rate at which a warm endpoint responds to this proxy.
+// refillSlowStartBudget adds the budget for the time since the latest update. The rate is this proxy's part of
+// the load that all may send to the endpoint, whose capacity is taken to be the rate of a warm one's responses.
 func (b *Balancer) refillSlowStartBudget(endpoint *endpointState, age Time) {
 	c := &b.slowStart
 	fraction := c.initialFraction + (1-c.initialFraction)*float64(max(age, 0))/float64(c.period)
 	warmRate := b.cacheResponseRate() / float64(max(b.ring.caches, 1))
-	// an endpoint that serves one request at a time completes one per mean latency; no endpoint has a lower
-	// capacity
+	// no endpoint has a lower capacity than one that serves one request at a time
 	minRate := b.quotaShare * fraction * float64(second) / max(b.caches.meanLatency, 1)
 	rate := max(0.5*c.overloadMultiple*fraction*warmRate, minRate)
 	endpoint.slowStartBudget += rate * float64(b.now-endpoint.budgetUpdatedAt) / float64(second)
 	endpoint.budgetUpdatedAt = b.now
-	// all proxies may spend their saved budgets at once, so the budget is limited to what the window allows; one
-	// attempt from each of many proxies would be too much
+	// all proxies may spend their saved budgets at once, so these are limited to what the window allows
 	window := rate * float64(c.overloadWindow) / float64(second)
 	endpoint.slowStartBudget = min(endpoint.slowStartBudget, 1.5*window, 1+window/4)
 }
