--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -23,16 +23,15 @@
 	difference := timeout - route.firstAttemptTimeout
 	isUsual := max(difference, -difference) <= 2*tick
 	switch {
-	case isUsual && e.ClientRetry:
-	case isUsual:
+	case isUsual && !e.ClientRetry:
 		route.timeoutVotes = min(route.timeoutVotes+1, maxTimeoutVotes)
-	case e.ClientRetry:
-		return max(route.Timeout-timeout, 0) + e.Waited
-	case route.timeoutVotes > 0:
-		route.timeoutVotes--
-		return max(route.Timeout-timeout, 0) + e.Waited
-	default:
+	case !isUsual && !e.ClientRetry && route.timeoutVotes == 0:
 		route.firstAttemptTimeout, route.timeoutVotes = timeout, 1
+	case !isUsual:
+		if !e.ClientRetry {
+			route.timeoutVotes--
+		}
+		return max(route.Timeout-timeout, 0) + e.Waited
 	}
 	return e.Waited
 }
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -14,16 +14,10 @@
 // retryForbidden reports whether the current request may have been executed and must not be retried, or
 // whether the retry budget is exhausted.
 func (b *Balancer) retryForbidden() bool {
-	request := b.current
-	if !request.mayHaveRun {
-		return false
-	}
-	if b.retryBudget < 1 && request.chargesRetry() {
-		return true
-	}
-	route := &b.routes[request.Route]
+	request, route := b.current, &b.routes[b.current.Route]
+	overBudget := b.retryBudget < 1 && request.chargesRetry()
 	isDropped := route.Effect == Deduped && b.now < request.firstRunAt+route.DedupWindow
-	return route.Effect != Retriable && !isDropped
+	return request.mayHaveRun && (overBudget || route.Effect != Retriable && !isDropped)
 }
 
 // chargeRetry charges the budget for the attempt being sent if it is a retry to which the budget applies.
@@ -43,8 +37,7 @@
 // inDedupGroup reports whether an endpoint may receive the current request: if that is deduped and may have
 // been executed, only an endpoint of the same group drops the duplicate.
 func (b *Balancer) inDedupGroup(index int) bool {
-	request := b.current
-	route := &b.routes[request.Route]
+	request, route := b.current, &b.routes[b.current.Route]
 	if !request.mayHaveRun || route.Effect != Deduped {
 		return true
 	}
