--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -16,8 +16,8 @@
 }
 
 // elapsedAtClient returns the time since the client first sent the request. First attempts of a route arrive
-// with the same timeout, within two ticks. A request with another one is taken for a retry by the client, whose
-// overall timeout and latency objective have been running since the first attempt.
+// with the same timeout, within two ticks. A request with another one is taken for a retry by the client,
+// whose overall timeout and latency objective have been running since the first attempt.
 func elapsedAtClient(route *routeState, e *Request, tick Time) Time {
 	timeout := e.RemainingTimeout + e.Waited
 	difference := timeout - route.firstAttemptTimeout
@@ -66,7 +66,7 @@
 	endpoint.silentSince, endpoint.lastResponseAt = now, now
 	request := &b.requests[index]
 	switch {
-	case !request.live || request.streaming || request.attemptInFlightAt(from) == noAttempt: // no further decision
+	case !request.live || request.streaming || request.attemptInFlightAt(from) == noAttempt:
 	case !deliverable:
 		request.giveUpAt = request.deadline - b.tick
 	case request.respondingFrom == noEndpoint:
@@ -80,8 +80,8 @@
 	return b.current.respondingFrom != noEndpoint && b.isPastDeadline()
 }
 
-// deliver begins the reply with the response that an endpoint is sending, and cancels any other attempt. If the
-// response breaks off before the reply has begun, the request is decided on again.
+// deliver begins the reply with the response that an endpoint is sending, and cancels any other attempt. If
+// the response breaks off before the reply has begun, the request is decided on again.
 func (b *Balancer) deliver() {
 	attempt := b.current.attemptInFlightAt(b.current.respondingFrom)
 	b.emit(Decision{Action: Deliver, Request: b.currentIndex, Attempt: attempt})
--- a/balancer/evacuation.go
+++ b/balancer/evacuation.go
@@ -1,7 +1,7 @@
 package balancer
 
-// SetExclusion keeps a fraction of the keys, 0 to 1, the same at every proxy, away from an endpoint whose zone
-// is evacuated. If cancel is set, attempts in flight at the endpoint are canceled.
+// SetExclusion keeps a fraction of the keys, 0 to 1, the same at every proxy, away from an endpoint whose
+// zone is evacuated. If cancel is set, attempts in flight at the endpoint are canceled.
 func (b *Balancer) SetExclusion(now Time, index int, fraction float64, cancel bool) []Decision {
 	b.begin(now)
 	endpoint := &b.endpoints[index]
@@ -36,7 +36,7 @@
 	return endpoint.evacuating && mayResend && (b.isExcluded(endpoint) || b.isOverdue(endpoint))
 }
 
-// cancelForEvacuation cancels the current request's attempt, once. The retry budget does not apply to the retry.
+// cancelForEvacuation cancels the current request's attempt, once. Its retry is not charged to the budget.
 func (b *Balancer) cancelForEvacuation() {
 	b.current.evacuated = true
 	b.emit(Decision{Action: Cancel, Request: b.currentIndex, Attempt: b.current.attempt})
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -7,9 +7,9 @@
 	suspicionStep    = 0.4 // fraction of the distance to certainty that a peer's report adds to the suspicion
 )
 
-// PeerReport reports that a peer has observed an endpoint to be silent or to respond again, which may be late,
-// lost or wrong. Silence raises the suspicion by a step, unless this proxy has received a recent response; a
-// response resets it. Origins and unknown indices are ignored.
+// PeerReport reports that a peer has observed an endpoint to be silent or to respond again, which may be
+// late, lost or wrong. Silence raises the suspicion by a step, unless this proxy has received a recent
+// response; a response resets it. Origins and unknown indices are ignored.
 func (b *Balancer) PeerReport(now Time, index int, responds bool) []Decision {
 	b.begin(now)
 	if index >= 0 && index < len(b.endpoints) && !b.endpoints[index].Origin {
@@ -26,8 +26,8 @@
 	return b.applyRules()
 }
 
-// suspicion returns the probability that an endpoint is silent according to the reports of peers, with which it
-// is skipped. It halves in twelve times the no-response timeout.
+// suspicion returns the probability that an endpoint is silent according to the reports of peers, with which
+// it is skipped. It halves in twelve times the no-response timeout.
 func (b *Balancer) suspicion(endpoint *endpointState) float64 {
 	return endpoint.suspicion * math.Exp2(-float64(b.now-endpoint.suspicionAt)/float64(12*b.noResponseTimeout))
 }
--- a/balancer/origin.go
+++ b/balancer/origin.go
@@ -6,8 +6,8 @@
 // initialOriginLimit returns this proxy's part of sixteen attempts over all proxies, from one to four.
 func initialOriginLimit(quotaShare float64) float64 { return min(4, max(16*quotaShare, 1)) }
 
-// setBounds sets the lower bound of the limit to this proxy's part of eight attempts over all proxies, at most
-// one, and the low-water mark to half of the initial limit.
+// setBounds sets the lower bound of the limit to this proxy's part of eight attempts over all proxies, at
+// most one, and the low-water mark to half of the initial limit.
 func (o *originLimiter) setBounds(quotaShare float64) {
 	o.floor, o.lowWater = min(1, 8*quotaShare), initialOriginLimit(quotaShare)/2
 }
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -64,16 +64,16 @@
 	}
 }
 
-// isOriginOverload reports whether an outcome shows that the origin is overloaded. A single slow response among
-// fast ones is due to the work of its request, and a single missing one to a fault of its connection.
+// isOriginOverload reports whether an outcome shows that the origin is overloaded. A single slow response
+// among fast ones is due to the work of its request, and a single missing one to a fault of its connection.
 func (b *Balancer) isOriginOverload(attempt *finishedAttempt) bool {
 	return attempt.Outcome == Overloaded || attempt.Latency > 2*b.origin.objective &&
 		(b.origin.latency.value > float64(b.origin.objective) ||
 			attempt.Outcome != Completed && attempt.endpoint.silentSince <= attempt.request.sentAt)
 }
 
-// isCacheOverload reports whether a late or failed outcome shows an overload of all caches. Late responses of a
-// few endpoints do not, since requests skip these. A high late rate does, even at a low mean latency, which
+// isCacheOverload reports whether a late or failed outcome shows an overload of all caches. Late responses of
+// a few endpoints do not, since requests skip these. A high late rate does, even at a low mean latency, which
 // late attempts do not enter, but not without notifications from peers: hung endpoints may raise it then.
 func (b *Balancer) isCacheOverload(attempt *finishedAttempt) bool {
 	return attempt.Outcome == Overloaded || attempt.Outcome == ServerError ||
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -28,8 +28,8 @@
 	request.evacuated = false
 }
 
-// chargesRetry reports whether the retry budget applies to a retry after the latest attempt. It does not where
-// the failure is no sign of load.
+// chargesRetry reports whether the retry budget applies to a retry after the latest attempt. It does not
+// where the failure is no sign of load.
 func (r *requestState) chargesRetry() bool { return !r.wasReset && !r.evacuated && !r.unconfirmed }
 
 func (r *retryBudget) refill() { *r = min(*r+retriesPerAdmission, maxRetryBudget) }
--- a/balancer/ring.go
+++ b/balancer/ring.go
@@ -85,8 +85,8 @@
 	return endpoint.inFlight >= 2 && float64(endpoint.inFlight) > bound
 }
 
-// overloadedOwnerFractionFor returns the fraction of a request's remaining time above which the latency of the
-// key's owner is too high. It grows with the cost of a fetch, since the key is a miss at the next cache.
+// overloadedOwnerFractionFor returns the fraction of a request's remaining time above which the latency of
+// the key's owner is too high. It grows with the cost of a fetch, since the key is a miss at the next cache.
 func overloadedOwnerFractionFor(fetchCost float64) float64 { return min(0.3+fetchCost, 0.5) }
 
 // isOverloadedOwner reports whether the recent latency of an endpoint takes too much of the current request's
--- a/balancer/ringmembers.go
+++ b/balancer/ringmembers.go
@@ -16,8 +16,8 @@
 	return ringPointsPerEndpoint
 }
 
-// setReferenceWeight sets the reference weight, once, to the power of two nearest to the mean weight, which is
-// the same at every proxy even if their endpoint lists differ.
+// setReferenceWeight sets the reference weight, once, to the power of two nearest to the mean weight, which
+// is the same at every proxy even if their endpoint lists differ.
 func (b *Balancer) setReferenceWeight() {
 	sum, caches := 0.0, 0.0
 	for i := range b.endpoints {
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -1,7 +1,7 @@
 package balancer
 
-// slowStartLimited reports whether an endpoint in slow start must not be sent another attempt: it has as many in
-// flight as its responses allow, or this proxy has used up its part of the budget, which the call consumes.
+// slowStartLimited reports whether an endpoint in slow start must not be sent another attempt: it has as many
+// in flight as its responses allow, or this proxy has used up its part of the budget, which it consumes.
 func (b *Balancer) slowStartLimited(endpoint *endpointState) bool {
 	age := b.now - endpoint.StartedAt
 	if endpoint.StartedAt == 0 || age >= b.slowStart.period {
@@ -16,8 +16,8 @@
 	return b.random.draw() >= consumed // less than one attempt allows one with that probability
 }
 
-// refillSlowStartBudget adds the budget for the time since the latest update. The rate is this proxy's part of
-// the load that all may send to the endpoint, whose capacity is taken to be the rate of a warm one's responses.
+// refillSlowStartBudget adds the budget for the time since the latest update. The rate is this proxy's part
+// of the load that all may send to the endpoint, whose capacity is taken to be a warm one's response rate.
 func (b *Balancer) refillSlowStartBudget(endpoint *endpointState, age Time) {
 	c := &b.slowStart
 	fraction := c.initialFraction + (1-c.initialFraction)*float64(max(age, 0))/float64(c.period)
