soak: plants and roadmap follow the balancer's shorter form

The plants late-answer and second-effect name lines that's predecessors changed; their patches do the same to the new lines. TestPlantsMatchSources was red since.

--- a/internal/soak/plants.go
+++ b/internal/soak/plants.go
@@ -78,7 +78,7 @@
 		{File: "internal/proxy/host_index.go", Old: "Ready: h.acceptsRequests(),", New: "Ready: true,"},
 	}, []string{"replace"}, nil},
 	{"second-effect", emulator.SingleEffectRule, []faultbuild.Patch{
-		{File: "balancer/retry.go", Old: "	return route.Effect != Retriable && !isDropped", New: "	return isDropped && false"},
+		{File: "balancer/retry.go", Old: "route.Effect != Retriable && !isDropped)", New: "isDropped && false)"},
 	}, []string{"origin-resets"}, nil},
 	{"slow-start", emulator.SlowStartRule, []faultbuild.Patch{
 		{File: "balancer/slowstart.go", Old: "	if endpoint.StartedAt == 0 || age >= b.slowStart.period {", New: "	if age >= 0 || age < 0 {"},
@@ -102,7 +102,7 @@
 		{File: slotFile, Old: "	s.finished = true\n	r.endRequest(s.request, event)", New: "	s.finished = true\n	r.endRequest(s.request, event)\n	if len(s.request.id) > 0 && s.request.id[len(s.request.id)-1] == '7' {\n		r.endRequest(s.request, event)\n	}"},
 	}, nil, nil},
 	{"late-answer", emulator.FinalReplyRule, []faultbuild.Patch{
-		{File: "balancer/deadline.go", Old: "	return b.now >= min(b.current.giveUpAt, b.current.deadline-b.tick)", New: "	return b.now >= min(b.current.giveUpAt, b.current.deadline-b.tick)+6000"},
+		{File: "balancer/deadline.go", Old: "return b.now >= b.current.giveUpAt }", New: "return b.now >= b.current.giveUpAt+6000 }"},
 	}, []string{"silent"}, nil},
 	{"memory", emulator.MemoryRule, []faultbuild.Patch{
 		{File: startFile, Old: openForClients, New: openForClients + "	go func() {\n		leak := make([]byte, 256<<20)\n		for i := range leak {\n			leak[i] = 1\n		}\n		time.Sleep(time.Hour)\n		println(leak[0])\n	}()\n"},
