--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -68,9 +68,10 @@
 	return nil
 }
 
-// streamValue streams a value that is not empty to the client. For the balancer the attempt completes with the first byte, or when the request
-// is out of time and the reply begins without a byte. After that there is no retry: a value that breaks off later closes the client's connection. The last byte is held back until the
-// upstream has ended its response according to the protocol, so that the client detects a wrong length as well.
+// streamValue streams a value that is not empty to the client. For the balancer the attempt completes with the first byte, or
+// when the request is out of time and the reply begins without a byte. After that there is no retry: a value that breaks off
+// later closes the client's connection. The last byte is sent only when the upstream has ended its response according to the
+// protocol, so that the client detects a wrong length as well.
 func (u *upstreamConn) streamValue(attempt *attempt, response *wire.Response, until time.Time) error {
 	router := u.host.router
 	acquire := func() bool { return router.streamMemory.tryAcquire(streamBufferBytes) }
@@ -93,7 +94,8 @@
 	return s.err
 }
 
-// readChunks reads a value, which is not empty, into the stream. It returns an error if the value breaks off or the stream is abandoned.
+// readChunks reads a value that is not empty into the stream. It returns an error if the value breaks off or the stream is
+// abandoned.
 func (u *upstreamConn) readChunks(s *stream, response *wire.Response) error {
 	for remaining := response.ValueLength; remaining > 0; {
 		chunk, err := s.nextEmpty()
--- a/internal/proxy/value_memory.go
+++ b/internal/proxy/value_memory.go
@@ -28,10 +28,10 @@
 }
 
 // awaitMemory waits until memory is acquired for the value of a response, which stays in the socket meanwhile. It fails with
-// errNoMemory at the given time, or if the attempt is canceled.
+// errNoMemory at the given time, or if the attempt is canceled or nobody waits for its value any more.
 func awaitMemory(attempt *attempt, until time.Time, tryAcquire func() bool) error {
 	for !tryAcquire() {
-		if attempt.cancelled.Load() || time.Now().After(until) {
+		if attempt.cancelled.Load() || attempt.request.life.Finished() || time.Now().After(until) {
 			return errNoMemory
 		}
 		time.Sleep(capacityPollInterval)
--- a/internal/proxy/value_memory_test.go
+++ b/internal/proxy/value_memory_test.go
@@ -144,6 +144,23 @@
 	p.eventually("the value is counted after its reply", func() bool { return counters.Bytes.Load() == 0 })
 }
 
+// A value for which there is no memory must not be waited for once its client has left: the wait holds memory and a connection.
+func TestDepartedClientEndsWaitForMemory(t *testing.T) {
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 10, defaultSettings, cache, origin)
+	client := p.dial()
+	send(t, client, getCommand("id1", longWaitMS))
+	received := cache.next(t)
+	p.router.streamMemory.acquire(int(p.router.streamMemory.available.Load()))
+	send(t, received.conn, fmt.Sprintf("*3\r\n$%d\r\nv", wire.MaxBufferedValue+1))
+	time.Sleep(5 * capacityPollInterval)
+	if n := p.router.counters.UpstreamOpen.Load(); n != 1 {
+		t.Errorf("got %d connections while the client waits, want 1", n)
+	}
+	closeConn(t, client)
+	p.eventually("the attempt is still in flight", func() bool { return p.router.counters.UpstreamOpen.Load() == 0 })
+}
+
 // expectReply reads a reply, or the beginning of one, and fails the test if it is not the given text.
 func expectReply(t *testing.T, client net.Conn, want string) {
 	t.Helper()
