wire: a value without a length is returned in a buffer of its size

Seen by reading once more, not shown on processes: the buffer of such a value grows by four, and the bytes beyond the value are returned to the budget while the value keeps the buffer, so that a value of 70 KB held 256 KB and was counted as 70. The value is copied where over a quarter of it would be unused.

Red before: TestUnknownLengthIsReadInGrantedMemory, four lengths in each framing (up to 786,944 bytes unused).

--- a/internal/wire/origin.go
+++ b/internal/wire/origin.go
@@ -106,7 +106,15 @@
 		size = larger
 		body, err = readAppended(body, in, size)
 	}
-	return body, err
+	return shrunk(body), err
+}
+
+// shrunk returns the content of a buffer, in a smaller one if much of it is unused.
+func shrunk(body []byte) []byte {
+	if cap(body)-len(body) > len(body)/unknownLengthGrowth {
+		return bytes.Clone(body)
+	}
+	return body
 }
 
 // readAppended returns a buffer with the content of body and the input behind it, up to a total size in bytes.
--- a/internal/wire/unknownlength_test.go
+++ b/internal/wire/unknownlength_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -50,6 +51,9 @@
 			if string(value) != body || err != nil {
 				t.Errorf("%s, %d bytes: got %d bytes, error %v", name, length, len(value), err)
 			}
+			if unused := cap(value) - len(value); value == nil || unused > length/2+bytes.MinRead {
+				t.Errorf("%s, %d bytes: got a buffer with %d bytes unused", name, length, unused)
+			}
 			if granted := MaxBufferedValue + grown; length > granted || grown > 0 && length*unknownLengthGrowth < granted {
 				t.Errorf("%s, %d bytes: got %d bytes granted", name, length, granted)
 			}
