proxy, tests: a close after a reply is requested once the reply is recorded

Traced: the test asked for the close when its client had read the first reply; where the connection's goroutine had written but not yet looked at its phase, that reply was the next one, and the connection closed before the second request was sent, which the test waits for at the cache.

--- a/internal/proxy/client_conn_test.go
+++ b/internal/proxy/client_conn_test.go
@@ -298,6 +298,7 @@
 				if _, err := reader.Discard(len("$5\r\nvalue\r\n")); err != nil {
 					t.Fatal(err)
 				}
+				p.eventually("the first reply is not recorded", p.repliesRecorded)
 			}
 			test.end(p)
 			if test.afterReply {
@@ -314,6 +315,22 @@
 	}
 }
 
+// repliesRecorded reports whether each client connection has recorded the replies that it has written. Until then a close that
+// is requested after a reply takes a written one for the next.
+func (p *testProxy) repliesRecorded() bool {
+	p.listener.mu.Lock()
+	defer p.listener.mu.Unlock()
+	for c := range p.listener.conns {
+		c.mu.Lock()
+		recorded := len(c.pending) == 0 && !c.answeredRequest
+		c.mu.Unlock()
+		if !recorded {
+			return false
+		}
+	}
+	return true
+}
+
 // As in TestRequestDuringConnCloseSeesNoReset, for the first request of a connection that is closed because it has sent
 // none in time.
 func TestFirstRequestDuringTimeoutSeesNoReset(t *testing.T) {
