duties: owners of the last subjects are below capacity

Cause: proxies that are alone in their zones are taken for each subject until they are at capacity. When fewer proxies than owners are below capacity, the last subjects went to the least loaded proxy, over its capacity. Such an assignment is never needed: the remaining subjects can get distinct owners as long as the sum over the proxies of min(free capacity, remaining subjects) is at least what they need. Each proxy that could own all remaining subjects and is left out takes one off that sum, so once no further one may be left out, only these are selected. The search by zone limit becomes one pass, the least loaded proxy is no longer needed.

--- a/duties/owners.go
+++ b/duties/owners.go
@@ -24,8 +24,8 @@
 
 // assignOwners returns the owners of each subject, as indexes into the membership: count proxies, or all if there are
 // fewer. It selects the first proxies in the subject's order, from as many zones as possible, and skips proxies at
-// capacity. Subjects are assigned in the order of their hashes. No load exceeds the mean by more than a quarter, rounded
-// up, unless no proxy below capacity remains for the last subjects.
+// capacity and those that would leave too little capacity for the remaining subjects. Subjects are assigned in the order
+// of their hashes. No load exceeds the mean by more than a quarter, rounded up.
 func (m *membership) assignOwners(subjects []uint64, count int) [][]int32 {
 	proxies := len(m.hashes)
 	count = min(count, proxies)
@@ -38,28 +38,40 @@
 		order[i] = i
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(subjects[a], subjects[b]) })
-	a := newOwnerAssignment(m, capacity(float64(count)*float64(len(subjects))/float64(proxies)))
+	a := newOwnerAssignment(m, len(subjects), count)
 	for _, i := range order {
-		owners[i] = a.assign(subjects[i], count)
+		owners[i] = a.assign(subjects[i])
 	}
 	return owners
 }
 
-// ownerAssignment is the state of one call of assignOwners. All slices except zoneOwners have one element for each
+// ownerAssignment is the state of one call of assignOwners. The slices except zoneOwners have one element for each
 // proxy, in the order of the membership.
+//
+// As the owners of a subject are distinct, a proxy can take at most the smaller of its free capacity and the number of
+// remaining subjects. The remaining subjects can get all their owners as long as the sum of these is at least the number
+// of ownerships they need, that is, surplus is not negative.
 type ownerAssignment struct {
+	count       int      // owners of a subject
 	capacity    int      // maximum load of a proxy
+	remaining   int      // subjects without owners, including the current one
+	surplus     int      // ownerships that the proxies can take beyond those that the remaining subjects need
 	loads       []int    // number of subjects that each proxy owns so far
 	mixedHashes []uint64 // results of mix for the hashes of the proxy names
 	zones       []int    // zone numbers
 	zoneOwners  []int    // number of owners of the current subject in each zone
 }
 
-func newOwnerAssignment(m *membership, capacity int) *ownerAssignment {
+func newOwnerAssignment(m *membership, subjects, count int) *ownerAssignment {
+	proxies := len(m.hashes)
+	limit := capacity(float64(count) * float64(subjects) / float64(proxies))
 	a := &ownerAssignment{
-		capacity:    capacity,
-		loads:       make([]int, len(m.hashes)),
-		mixedHashes: make([]uint64, len(m.hashes)),
+		count:       count,
+		capacity:    limit,
+		remaining:   subjects,
+		surplus:     proxies*min(limit, subjects) - count*subjects,
+		loads:       make([]int, proxies),
+		mixedHashes: make([]uint64, proxies),
 		zones:       m.zones,
 		zoneOwners:  make([]int, m.zoneCount),
 	}
@@ -69,62 +81,55 @@
 	return a
 }
 
-// noProxy is returned in place of a proxy's index if no proxy was found.
-const noProxy = -1
-
-// assign selects the owners of one subject. There must be at least count proxies.
-func (a *ownerAssignment) assign(subject uint64, count int) []int32 {
+// assign selects the owners of one subject. Each uncapped proxy that is left out reduces the surplus by one, so that
+// once the surplus allows no further one, only uncapped proxies are selected.
+func (a *ownerAssignment) assign(subject uint64) []int32 {
 	var owners []int32
 	clear(a.zoneOwners)
-	zoneLimit := 0 // zones with more owners of the subject are skipped
-	for len(owners) < count {
-		c := a.firstCandidate(subject, owners, zoneLimit)
-		if c.proxy == noProxy && c.otherZones {
-			zoneLimit++
-			continue
+	uncapped := a.countUncapped()
+	for len(owners) < a.count {
+		onlyUncapped := uncapped-a.surplus >= a.count-len(owners)
+		p := a.firstCandidate(subject, owners, onlyUncapped)
+		if a.isUncapped(p) {
+			uncapped--
 		}
-		if c.proxy == noProxy {
-			c.proxy = a.leastLoaded(owners)
-		}
-		owners = append(owners, int32(c.proxy))
-		a.loads[c.proxy]++
-		a.zoneOwners[a.zones[c.proxy]]++
+		owners = append(owners, int32(p))
+		a.loads[p]++
+		a.zoneOwners[a.zones[p]]++
 	}
+	a.surplus -= uncapped
+	a.remaining--
 	return owners
 }
 
-// candidate is the result of a search for the next owner.
-type candidate struct {
-	proxy      int  // index, or noProxy
-	otherZones bool // whether some proxy is below capacity, although its zone may have been skipped
+// isUncapped reports whether a proxy could own all remaining subjects.
+func (a *ownerAssignment) isUncapped(p int) bool { return a.capacity-a.loads[p] >= a.remaining }
+
+func (a *ownerAssignment) countUncapped() int {
+	count := 0
+	for p := range a.loads {
+		if a.isUncapped(p) {
+			count++
+		}
+	}
+	return count
 }
 
-// firstCandidate returns the proxy with the highest score for a subject among the proxies that are below capacity, not
-// yet owners, and in a zone with at most zoneLimit owners.
-func (a *ownerAssignment) firstCandidate(subject uint64, owners []int32, zoneLimit int) candidate {
-	found, highest := candidate{proxy: noProxy}, uint64(0)
-	for i, mixed := range a.mixedHashes {
-		if a.loads[i] >= a.capacity || slices.Contains(owners, int32(i)) {
+// firstCandidate returns the next owner of a subject: among the proxies below capacity, or only the uncapped ones, that
+// are not yet owners, those whose zones have the fewest owners, and of these the one with the highest score.
+func (a *ownerAssignment) firstCandidate(subject uint64, owners []int32, onlyUncapped bool) int {
+	found, zoneOwners, highest := 0, math.MaxInt, uint64(0)
+	for p, mixed := range a.mixedHashes {
+		if a.loads[p] >= a.capacity || onlyUncapped && !a.isUncapped(p) || slices.Contains(owners, int32(p)) {
 			continue
 		}
-		found.otherZones = true
-		if a.zoneOwners[a.zones[i]] > zoneLimit {
+		inZone := a.zoneOwners[a.zones[p]]
+		if inZone > zoneOwners {
 			continue
 		}
-		if s := mix(subject ^ mixed); found.proxy == noProxy || s > highest {
-			found.proxy, highest = i, s
+		if s := mix(subject ^ mixed); inZone < zoneOwners || s > highest {
+			found, zoneOwners, highest = p, inZone, s
 		}
 	}
 	return found
 }
-
-// leastLoaded returns the proxy with the lowest load among those that are not yet owners, even if it is at capacity.
-func (a *ownerAssignment) leastLoaded(owners []int32) int {
-	least := noProxy
-	for i, load := range a.loads {
-		if !slices.Contains(owners, int32(i)) && (least == noProxy || load < a.loads[least]) {
-			least = i
-		}
-	}
-	return least
-}
--- a/duties/owners_test.go
+++ b/duties/owners_test.go
@@ -85,6 +85,25 @@
 	})
 }
 
+// A proxy alone in its zone owns a part of each subject until it is at capacity. If the proxies below capacity are then
+// fewer than the owners of the last subjects, one of them gets more than its capacity. Guards against this at all sizes
+// of small fleets.
+func TestOwnersOfLastSubjectsAreBelowCapacity(t *testing.T) {
+	for proxies := 2; proxies <= 12; proxies++ {
+		for zones := 1; zones <= 6; zones++ {
+			m := newMembership(makeMembers(proxies, zones))
+			for ownerCount := 1; ownerCount <= 6; ownerCount++ {
+				for subjects := 1; subjects <= 40; subjects++ {
+					assignment := m.assignOwners(makeSubjects(subjects), ownerCount)
+					if fault := findAssignmentFault(m, assignment, ownerCount); fault != "" {
+						t.Errorf("%d zones, %d owners: %s", zones, ownerCount, fault)
+					}
+				}
+			}
+		}
+	}
+}
+
 // findAssignmentFault finds loads above the limit: with plain rendezvous hashing the first proxies in the order own a
 // subject regardless of their loads.
 func TestUnboundedLoadsAreFound(t *testing.T) {
