emulator: pauses of one proxy that overlap leave no gap between them

Trace: proxy 1 is paused by two faults, from 5.162 s and from 5.473 s, both to 6.400 s. The requests were sent at 5.544 s and 5.561 s and their clients gave up before 6.4 s, while the process was stopped; it logs nothing between 5.4 s and 6.4 s. The check paired the times as they came, begin with begin and end with end, and so took the time between the second begin and the first end for served. The proxy is not at fault.

A pause lasts from the first SIGSTOP to the first SIGCONT now, as for the process: the check excuses this time and, unlike before, nothing after the first SIGCONT. Two cases of TestRulesFire, both red before: no reply while both pauses last (allowed), no reply after the end of the first (a violation that was not found).

The report on gossip had its own search for pauses; it uses the same.

--- a/internal/emulator/gossip_report.go
+++ b/internal/emulator/gossip_report.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 )
 
 // measureGossip adds to the report the propagation times of announced nodes and the catch-up times, both from the logs of
@@ -47,9 +46,10 @@
 // measureAnnouncement adds to the report the times that the other proxies took to receive an announced node. receivedAt
 // holds, by proxy, the time in Unix seconds at which the node was received.
 func (r *runner) measureAnnouncement(report *Report, a announcement, receivedAt map[int]float64) {
+	processes := newProcessHistory(report.Events)
 	for i := range r.proxies {
 		at, ok := receivedAt[i]
-		if r.wasPaused(report.Events, i, a.at, at) {
+		if processes.wasPaused(i, a.at.Sub(r.log.start), r.sinceStart(at)) {
 			continue // a paused proxy can't receive anything
 		}
 		if ok && i != a.proxy {
@@ -79,21 +79,3 @@
 		report.GossipBytesPerSecond, report.GossipPacketsPerSecond = bytes/elapsed, packets/elapsed
 	}
 }
-
-// wasPaused reports whether a pause of a proxy overlaps the span between from and to, where to is a log time in Unix
-// seconds.
-func (r *runner) wasPaused(events []Event, proxy int, from time.Time, to float64) bool {
-	begin, pausedAt := from.Sub(r.log.start), time.Duration(-1)
-	end := seconds(to - float64(r.log.start.UnixMicro())/1e6)
-	for _, e := range events {
-		if e.Kind != ProcessPaused || e.Proxy != proxy {
-			continue
-		}
-		if e.Note != pauseEnds {
-			pausedAt = e.At
-		} else if pausedAt <= end && e.At >= begin {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -76,6 +76,12 @@
 	{"reply", []emulator.Event{requestSent(0), replyReceived(9, "completed")}, ""},
 	{"no reply", []emulator.Event{requestSent(0), commandReceived(1100, "c1")}, emulator.FinalReplyRule},
 	{"no reply yet", []emulator.Event{requestSent(0), commandReceived(1000, "c1")}, ""},
+	{"no reply during overlapping pauses", []emulator.Event{
+		processPaused(0, "begins"), processPaused(10, "begins"), requestSent(20), processPaused(1500, "ends"), processPaused(1500, "ends"),
+	}, ""},
+	{"no reply after the first of two overlapping pauses", []emulator.Event{
+		processPaused(0, "begins"), processPaused(10, "begins"), processPaused(20, "ends"), requestSent(30), processPaused(1500, "ends"),
+	}, emulator.FinalReplyRule},
 	{"client left", []emulator.Event{requestSent(0), event(9, emulator.ClientLeft, "a", "", ""), commandReceived(1100, "c1")}, ""},
 	{"closed", []emulator.Event{requestSent(0), connectionClosed("")}, emulator.FinalReplyRule},
 	{"closed when reused", []emulator.Event{requestSent(0), connectionClosed("reused"), requestSent(10), replyReceived(19, "shed")}, ""},
--- a/internal/emulator/process_history.go
+++ b/internal/emulator/process_history.go
@@ -21,7 +21,7 @@
 	for _, e := range events {
 		switch {
 		case e.Kind == ProcessPaused:
-			h.pauses[e.Proxy] = append(h.pauses[e.Proxy], e.At)
+			h.observePause(e)
 		case e.Kind == LogReported && e.Note == noteExcused:
 			h.excused[e.Proxy] += e.Figure
 		case e.Kind == CrowdChanged:
@@ -33,6 +33,15 @@
 	return h
 }
 
+// observePause records the start or the end of a pause. Pauses of the same proxy may overlap: a SIGSTOP does not affect a
+// stopped process, and the first SIGCONT continues it.
+func (h *processHistory) observePause(e Event) {
+	wasPaused := len(h.pauses[e.Proxy])%2 == 1
+	if ends := e.Note == pauseEnds; ends == wasPaused {
+		h.pauses[e.Proxy] = append(h.pauses[e.Proxy], e.At)
+	}
+}
+
 // observeCrowd records the times at which the first crowd arrives at a proxy and the last one leaves. It updates the number
 // of present crowds.
 func (h *processHistory) observeCrowd(e Event, crowds map[int]int) {
--- a/internal/emulator/residue.go
+++ b/internal/emulator/residue.go
@@ -124,6 +124,11 @@
 
 // isExcusedByPause reports whether a line logs a violation of sentDeadlineInvariant that a pause of the proxy explains.
 func (r *runner) isExcusedByPause(proxy int, line *logLine, processes *processHistory) bool {
-	at := time.Duration((line.At - float64(r.log.start.UnixNano())/1e9) * float64(time.Second))
+	at := r.sinceStart(line.At)
 	return line.Invariant == sentDeadlineInvariant && processes.wasPaused(proxy, at-pauseSlack, at)
 }
+
+// sinceStart converts the time of a log line, in Unix seconds, to the time since the start of the event log.
+func (r *runner) sinceStart(logTime float64) time.Duration {
+	return seconds(logTime - float64(r.log.start.UnixNano())/1e9)
+}
