--- a/internal/proxy/value_wait_test.go
+++ b/internal/proxy/value_wait_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,3 +101,36 @@
 		return p.router.counters.Passing.Load() == 0 && p.router.counters.UpstreamOpen.Load() == 0
 	})
 }
+
+// sendHeadWhileStopping has a cache send the head of a long value, and nothing of the value, to a proxy that stops.
+func sendHeadWhileStopping(t *testing.T, remaining time.Duration) (client net.Conn, command receivedCommand) {
+	t.Helper()
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 10, shortObjective, cache, origin)
+	client = p.dial()
+	p.router.FinishWithin(remaining)
+	send(t, client, getCommand("id1", longWaitMS))
+	command = cache.next(t)
+	send(t, command.conn, fmt.Sprintf("*3\r\n$%d\r\n", longValueHead))
+	return client, command
+}
+
+// Guards against a reply that the end of the process cuts off: a proxy that stops begins no reply with the head of a
+// response whose value has not come, and rejects the request in time.
+func TestStoppingProxyBeginsNoReplyWithoutValue(t *testing.T) {
+	client, _ := sendHeadWhileStopping(t, 600*time.Millisecond)
+	if err := client.SetDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if line, err := bufio.NewReader(client).ReadString('\n'); !strings.HasPrefix(line, "-BUSY") {
+		t.Errorf("got %q, error %v, want -BUSY", line, err)
+	}
+}
+
+// A value that comes after the latency objective, while the proxy stops, is delivered.
+func TestStoppingProxyDeliversLateValue(t *testing.T) {
+	client, command := sendHeadWhileStopping(t, 2*time.Second)
+	time.Sleep(500 * time.Millisecond)
+	send(t, command.conn, "v")
+	expectReply(t, client, fmt.Sprintf("$%d\r\n", longValueHead))
+}
