emulator: a response that comes after the end of its process is not cut off

Trace of one: request sent 12.316 s, head sent at once, shed 12.895 s, the process ends by itself at 12.9 s, 1.1 s after its SIGTERM; the node writes the value at 13.470 s, fails, and notes a response cut off. The process had ended. It could neither read that value nor pass it on; it rejected the request in time, which is what its client can use.

The rule passes over a response whose process ended, by any cause, between the attempt and the time at which the node noticed, where it passed over kills only. A node that is writing notices at once, so that what a process cuts off before it ends is found as before: a case of TestRulesFire for each side.

--- a/internal/emulator/cut_off_check.go
+++ b/internal/emulator/cut_off_check.go
@@ -39,8 +39,8 @@
 	}
 	for _, e := range c.cutOff {
 		arrivedAt := c.arrivals[arrivedAttempt{e.RequestID, proxyNode{e.Proxy, e.Node}}]
-		if c.processes.wasKilled(e.Proxy, arrivedAt, e.At) {
-			continue // the client sends the request again elsewhere, where it may be rejected
+		if c.processes.ended(e.Proxy, arrivedAt, e.At) {
+			continue // the node was still to write when the process ended
 		}
 		if outcome := c.outcomes[e.RequestID]; outcome == string(Rejected) || outcome == string(Failed) {
 			c.violate(CutOffRule, e, "proxy %d cut off the response of %s to request %s, which was %s", e.Proxy, e.Node, e.RequestID, outcome)
--- a/internal/emulator/invariants_test.go
+++ b/internal/emulator/invariants_test.go
@@ -120,6 +120,14 @@
 		processEnded(0, "killed"), requestSent(2000), event(2001, emulator.AttemptReceived, "a", "c1", ""), replyReceived(2009, "shed"),
 		event(2010, emulator.ResponseCutOff, "a", "c1", ""),
 	}, emulator.CutOffRule},
+	{"response cut off by a graceful shutdown, shed before", []emulator.Event{
+		requestSent(0), event(1, emulator.AttemptReceived, "a", "c1", ""), replyReceived(9, "shed"), processEnded(20, "stopped"),
+		event(30, emulator.ResponseCutOff, "a", "c1", ""),
+	}, ""},
+	{"response cut off before a graceful shutdown, shed", []emulator.Event{
+		requestSent(0), event(1, emulator.AttemptReceived, "a", "c1", ""), replyReceived(9, "shed"),
+		event(10, emulator.ResponseCutOff, "a", "c1", ""), processEnded(20, "stopped"),
+	}, emulator.CutOffRule},
 	{"response cut off, client left", []emulator.Event{
 		requestSent(0), event(9, emulator.ClientLeft, "a", "", ""), event(10, emulator.ResponseCutOff, "a", "c1", ""),
 	}, ""},
--- a/internal/emulator/process_history.go
+++ b/internal/emulator/process_history.go
@@ -9,6 +9,7 @@
 type processHistory struct {
 	excused map[int]float64         // by proxy, the number of violations in its log that a pause explains
 	crowds  map[int][]time.Duration // by proxy, alternating starts and ends
+	ends    map[int][]time.Duration // by proxy, of any cause
 	kills   map[int][]time.Duration // by proxy; graceful ends are left out, since a draining process must still reply
 	pauses  map[int][]time.Duration // by proxy, alternating starts and ends
 }
@@ -16,7 +17,10 @@
 // newProcessHistory collects the history from all events. This happens before events are checked, because the end of a
 // connection is recorded before the end of its process.
 func newProcessHistory(events []Event) *processHistory {
-	h := &processHistory{excused: map[int]float64{}, crowds: map[int][]time.Duration{}, kills: map[int][]time.Duration{}, pauses: map[int][]time.Duration{}}
+	h := &processHistory{
+		excused: map[int]float64{}, crowds: map[int][]time.Duration{}, ends: map[int][]time.Duration{}, kills: map[int][]time.Duration{},
+		pauses: map[int][]time.Duration{},
+	}
 	crowds := map[int]int{} // by proxy, the number of present crowds
 	for _, e := range events {
 		switch {
@@ -26,8 +30,11 @@
 			h.excused[e.Proxy] += e.Figure
 		case e.Kind == CrowdChanged:
 			h.observeCrowd(e, crowds)
-		case e.Kind == ProcessEnded && e.Note == endKilled:
-			h.kills[e.Proxy] = append(h.kills[e.Proxy], e.At)
+		case e.Kind == ProcessEnded:
+			h.ends[e.Proxy] = append(h.ends[e.Proxy], e.At)
+			if e.Note == endKilled {
+				h.kills[e.Proxy] = append(h.kills[e.Proxy], e.At)
+			}
 		}
 	}
 	return h
@@ -79,5 +86,14 @@
 
 // wasKilled reports whether a proxy was killed within a span. A kill loses everything that the process held.
 func (h *processHistory) wasKilled(proxy int, from, to time.Duration) bool {
-	return slices.ContainsFunc(h.kills[proxy], func(at time.Duration) bool { return at >= from && at <= to })
+	return containsWithin(h.kills[proxy], from, to)
+}
+
+// ended reports whether a process of a proxy ended within a span, by a kill, a signal or a crash.
+func (h *processHistory) ended(proxy int, from, to time.Duration) bool {
+	return containsWithin(h.ends[proxy], from, to)
+}
+
+func containsWithin(times []time.Duration, from, to time.Duration) bool {
+	return slices.ContainsFunc(times, func(at time.Duration) bool { return at >= from && at <= to })
 }
