balancer: no reply begins without its value at the end of the process

Stop (before: CapDeadlines) keeps the time at which the process stops. A reply waits for its value where that time is the request's deadline, also if the head came before; all others begin as ever.

--- a/balancer/deadline.go
+++ b/balancer/deadline.go
@@ -59,7 +59,7 @@
 
 // ResponseStarted reports that an endpoint has sent the head of its response to an attempt in flight, but not
 // the value. If the response is deliverable, so that the reply can begin before the value is complete, it is
-// delivered when the request's time is up. Otherwise the request waits for it until its client's timeout.
+// delivered when the request's time is up. Otherwise, or if the process stops then, it is awaited.
 func (b *Balancer) ResponseStarted(now Time, index, from int, deliverable bool) []Decision {
 	b.begin(now)
 	endpoint := &b.endpoints[from]
@@ -67,7 +67,7 @@
 	request := &b.requests[index]
 	switch {
 	case !request.live || request.streaming || request.attemptInFlightAt(from) == noAttempt:
-	case !deliverable:
+	case !deliverable || request.deadline >= b.stopsAt:
 		request.giveUpAt = request.deadline - b.tick
 	case request.respondingFrom == noEndpoint:
 		request.respondingFrom = from
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -76,16 +76,22 @@
 	return b.applyRules()
 }
 
-// CapDeadlines limits all deadlines to the given time, at which the process stops.
-func (b *Balancer) CapDeadlines(now, until Time) []Decision {
+// Stop reports that the process stops at the given time, which limits all deadlines. The reply to a request whose
+// deadline it limits does not begin without the value, which may come after the end of the process.
+func (b *Balancer) Stop(now, until Time) []Decision {
 	b.begin(now)
+	b.stopsAt = until
 	for i := range b.requests {
 		request := &b.requests[i]
-		if request.live && request.heapIndex >= 0 && request.deadline > until {
-			request.deadline = until
-			request.giveUpAt = min(request.giveUpAt, until-b.tick)
-			b.setDeadline(i, min(request.nextCheckAt, request.giveUpAt))
+		if !request.live || request.heapIndex < 0 || request.deadline <= until {
+			continue
 		}
+		request.deadline = until
+		if request.respondingFrom != noEndpoint {
+			request.respondingFrom, request.giveUpAt = noEndpoint, until
+		}
+		request.giveUpAt = min(request.giveUpAt, until-b.tick)
+		b.setDeadline(i, min(request.nextCheckAt, request.giveUpAt))
 	}
 	return b.applyRules()
 }
--- a/balancer/instance.go
+++ b/balancer/instance.go
@@ -34,6 +34,7 @@
 
 	timerAt Time // time for which the timer is set
 	pollAt  Time // time of the next poll of the endpoint list
+	stopsAt Time // time at which the process stops
 }
 
 // never is a time that is never reached.
@@ -56,6 +57,7 @@
 		retryBudget: initialRetryBudget,
 		timerAt:     never,
 		pollAt:      never,
+		stopsAt:     never,
 	}
 	highestValue := 0.0
 	for i := range settings.Routes {
--- a/balancer/scenario_events_test.go
+++ b/balancer/scenario_events_test.go
@@ -45,6 +45,9 @@
 		deliverable := len(args) < 3 || args[2] != "undeliverable"
 		r.record(r.balancer.ResponseStarted(now, integer(args[0]), r.endpoints[r.resolve(args[1])], deliverable))
 	},
+	"stop": func(r *scenarioRunner, now balancer.Time, args []string) {
+		r.record(r.balancer.Stop(now, milliseconds(args[0])))
+	},
 	"wake":        func(r *scenarioRunner, now balancer.Time, _ []string) { r.record(r.balancer.TimerFired(now)) },
 	"list-failed": func(r *scenarioRunner, now balancer.Time, _ []string) { r.record(r.balancer.EndpointListFailed(now)) },
 }
--- a/balancer/scenario_test.go
+++ b/balancer/scenario_test.go
@@ -30,6 +30,7 @@
 //	MS exclude ENDPOINT FRACTION [cancel]
 //	                                     the zone is evacuated; cancel: attempts in flight are canceled
 //	MS delay-probe ENDPOINT MS           the next probe is not sent before the given time
+//	MS stop MS                           the process stops at the given time
 //	MS quota-share FRACTION              fraction of all proxies' traffic that this proxy may send
 //	> send REQUEST ENDPOINT | notify PEER ENDPOINT silent|responds | cancel REQUEST
 //	> reject REQUEST | error REQUEST | poll
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -157,11 +157,9 @@
 }
 
 // responseStarted handles the head of the response to an attempt whose value is still to come. If it is deliverable, the
-// reply can begin before the value is complete. A proxy that stops begins no reply without a value, because the process may
-// end before the value comes.
+// reply can begin before the value is complete.
 func (r *Router) responseStarted(attempt *attempt, deliverable bool) {
 	now := r.clock.Now()
-	deliverable = deliverable && r.shutdownAt == 0
 	r.slots[attempt.slot].trace.add(traceEvent{at: now, kind: traceResponding, host: attempt.host})
 	r.apply(now, func(b *balancer.Balancer) []balancer.Decision {
 		return b.ResponseStarted(now, attempt.slot, attempt.host, deliverable)
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -138,7 +138,7 @@
 	r.mailbox.post(func() {
 		r.shutdownAt = shutdownAt
 		now := r.clock.Now()
-		r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.CapDeadlines(now, shutdownAt) })
+		r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.Stop(now, shutdownAt) })
 	})
 }
 
