replica: a process that has announced its end uses no borrowed quota

Cause: without a successor a stopping process closes its gossip agent half a second after SIGTERM and serves its clients for up to 1.4 s, more with long timeouts. The agent's ticks end, so leases that expire meanwhile stay in its share, and their lenders use them again.

AnnounceDeparture drops what was borrowed and sets the share at once; it does not change from then on. The status is updated with it.

--- a/internal/gossip/agent.go
+++ b/internal/gossip/agent.go
@@ -183,6 +183,7 @@
 	announced := make(chan struct{})
 	a.mailbox.post(func() {
 		a.apply(a.store.AnnounceDeparture(a.now()))
+		a.updateStatus()
 		close(announced)
 	})
 	select {
--- a/replica/quota.go
+++ b/replica/quota.go
@@ -63,6 +63,7 @@
 //   - A proxy leases up to half of its share to proxies whose clients demand more. A lease expires without a message, at
 //     the borrower no later than at the lender. Until then the lender does not use the leased part. While its leases
 //     exceed its share, its heartbeats acknowledge no incarnation, so that no other proxy confirms its quota.
+//   - A process that has announced its end uses no leases from others: its share changes no more while it still serves.
 type quota struct {
 	settings   *Settings
 	members    *membership
@@ -72,6 +73,7 @@
 	startedAt  Time
 	demand     float64          // requests per second from this proxy's clients
 	confirmed  bool             // whether all proxies that have not departed have acknowledged this incarnation
+	departing  bool             // whether this process has announced its end
 	share      float64          // last share that was returned to the caller in a decision
 	leasedOut  []lease          // leases to other proxies; removed as they expire
 	leasedIn   map[string]lease // leases from other proxies by lender; removed as they expire
@@ -99,6 +101,9 @@
 		return q.base()
 	}
 	share := max(q.base()-q.leasedOutShare(now), 0)
+	if q.departing {
+		return share
+	}
 	for _, lender := range q.members.all { // in a fixed order, since the rounding of the sum depends on it
 		leased, ok := q.leasedIn[lender.name]
 		if !ok {
--- a/replica/quota_test.go
+++ b/replica/quota_test.go
@@ -82,6 +82,35 @@
 	}
 }
 
+// TestDepartingBorrowerReturnsLeases checks that leased quota is not used twice when the borrower announces its departure:
+// its share no longer changes from then on, while it still serves requests and its leases expire at the lenders.
+func TestDepartingBorrowerReturnsLeases(t *testing.T) {
+	f := &fleet{names: []string{"a", "b", "c"}, replicas: map[string]*Store{}}
+	for i, name := range f.names {
+		f.replicas[name] = newReplica(name, 3)
+		f.replicas[name].SetDemand([]float64{0, 0, 50}[i])
+	}
+	f.advance(15*Second, nil)
+	borrower := f.replicas["c"]
+	if share := borrower.QuotaShare(); share < 0.6 {
+		t.Fatalf("got share %.3f with leases by demand, want at least 0.6", share)
+	}
+	for _, name := range f.names {
+		f.replicas[name].SetDemand(50)
+	}
+	f.advance(3*Second, nil)
+	set := withAction(borrower.AnnounceDeparture(f.now), ActionSetQuotaShare)
+	if len(set) != 1 || set[0].Share != borrower.QuotaShare() {
+		t.Errorf("got decisions %v on the share, want one with share %.3f", set, borrower.QuotaShare())
+	}
+	f.names = f.names[:2] // the agent of the borrower is closed, and calls Tick no more
+	f.advance(3*Second, func() {
+		if total := f.totalShare(); total > 1+1e-9 {
+			t.Fatalf("at %d: sum of the shares is %.3f, want at most 1", f.now, total)
+		}
+	})
+}
+
 // restartedReplica returns a replica with incarnation 2 that has already caught up.
 func restartedReplica(name string, proxies int, now Time) *Store {
 	restarted := newReplica(name, proxies)
--- a/replica/store.go
+++ b/replica/store.go
@@ -95,7 +95,8 @@
 func (s *Store) SetYielded(yielded bool) { s.yielded = yielded }
 
 // AnnounceDeparture announces the end of this process by a departure record. If the proxy has yielded to a successor, it
-// sends a last heartbeat with HasSuccessor instead.
+// sends a last heartbeat with HasSuccessor instead. The process uses no leases from then on, because they may expire after
+// the last Tick.
 func (s *Store) AnnounceDeparture(now Time) []Decision {
 	s.begin(now)
 	if s.yielded {
@@ -104,6 +105,10 @@
 		s.yielded = true
 		s.writeDeparture(s.settings.Name, s.settings.Incarnation)
 	}
+	s.quota.departing = true
+	if s.shareChanged() {
+		s.updateShare()
+	}
 	return s.out.decisions
 }
 
