proxy: requests that arrive while the proxy stops are no clients' retries

Cause: the router told the balancer the time until the end of the process as the time that the client waits. First attempts of a route come with the same time; a shorter one is a retry, whose objective has been running since the first attempt. So the later a request arrived in the stop, the sooner it was rejected: at the end at once, with time left. Such requests also counted against the time that is usual.

The router passes on what the client waits; the balancer, which knows when the process stops, limits the deadline itself.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -11,7 +11,7 @@
 		Request: e, live: true, unadmitted: true, heapIndex: -1, endpoint: -1, firstRunEndpoint: -1,
 		respondingFrom: noEndpoint, triedEndpoints: request.triedEndpoints[:0],
 	}
-	request.deadline = now + e.RemainingTimeout
+	request.deadline = min(now+e.RemainingTimeout, b.stopsAt)
 	request.giveUpAt = now + route.giveUpAfter - elapsedAtClient(route, &e, b.tick)
 	request.objectiveAt = request.giveUpAt - route.giveUpAfter + route.latencyBudget
 	request.giveUpAt = min(request.giveUpAt, request.deadline-b.tick)
--- a/internal/proxy/request_slot.go
+++ b/internal/proxy/request_slot.go
@@ -43,13 +43,10 @@
 	if !ok {
 		tenant = -1
 	}
-	// A request is held no longer than its route's timeout, and not beyond the end of the process.
+	// A request is held no longer than its route's timeout.
 	wait := min(balancer.Time(req.waitMS)*ticksPerMillisecond, r.settings.Balancer.Routes[route].Timeout)
 	waited := now - req.receivedAt
 	wait -= waited
-	if r.shutdownAt != 0 {
-		wait = min(wait, r.shutdownAt-now)
-	}
 	return balancer.Request{
 		Route: route, Tenant: tenant, Key: keyHash(req.key), HasKey: true,
 		Write: req.value != nil, ClientRetry: req.isRetry, RemainingTimeout: wait, Waited: waited,
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -37,9 +37,8 @@
 	counters *Counters
 	log      *zap.Logger
 
-	wakeTimer  *time.Timer
-	wakeAt     balancer.Time // time at which the balancer's timer fires; 0: no timer is set
-	shutdownAt balancer.Time // time at which the process ends; 0: not known
+	wakeTimer *time.Timer
+	wakeAt    balancer.Time // time at which the balancer's timer fires; 0: no timer is set
 
 	slots     []requestSlot // grows to the maximum number of concurrent requests
 	freeSlots []int
@@ -136,7 +135,6 @@
 func (r *Router) FinishWithin(remaining time.Duration) {
 	shutdownAt := r.clock.Now() + balancer.Time(remaining/tickDuration)
 	r.mailbox.post(func() {
-		r.shutdownAt = shutdownAt
 		now := r.clock.Now()
 		r.apply(now, func(b *balancer.Balancer) []balancer.Decision { return b.Stop(now, shutdownAt) })
 	})
--- a/internal/proxy/router_test.go
+++ b/internal/proxy/router_test.go
@@ -104,3 +104,23 @@
 		t.Errorf("got reply %q, error %v, want -BUSY", line, err)
 	}
 }
+
+// Guards against taking the time that is left until the process ends for that of a client's retry: the latency objective of
+// a request that arrives while the proxy stops would be nearly over, and the request rejected before its response.
+func TestRequestWhileStoppingIsNoRetry(t *testing.T) {
+	const timeoutMS = 1000
+	cache, origin := newCache(t), newOrigin(t)
+	p := newTestProxy(t, 10, func(config *balancer.Settings) {
+		config.Routes[0].Objective, config.Routes[0].Timeout = 700*ticksPerMillisecond, timeoutMS*ticksPerMillisecond
+	}, cache, origin)
+	client := p.dial()
+	send(t, client, getCommand("before", timeoutMS))
+	cache.next(t).sendValue(t)
+	expectReply(t, client, "$5\r\nvalue\r\n")
+	p.router.FinishWithin(500 * time.Millisecond)
+	send(t, client, getCommand("after", timeoutMS))
+	command := cache.next(t)
+	time.Sleep(300 * time.Millisecond)
+	command.sendValue(t)
+	expectReply(t, client, "$5\r\nvalue\r\n")
+}
