--- a/internal/proxy/client_conn_test.go
+++ b/internal/proxy/client_conn_test.go
@@ -48,7 +48,7 @@
 	client := p.dial()
 	send(t, client, getCommand("hedged", longWaitMS))
 	hedge := origin.next(t)
-	send(t, hedge.conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue")
+	send(t, hedge.conn, originValue("value"))
 	if line, err := bufio.NewReader(client).ReadString('\n'); line != "$5\r\n" {
 		t.Fatalf("got reply line %q, error %v; want a value of 5 bytes", line, err)
 	}
--- a/internal/proxy/client_deadline_test.go
+++ b/internal/proxy/client_deadline_test.go
@@ -60,7 +60,7 @@
 			case cmd := <-cache.commands:
 				cmd.sendValue(t)
 			case cmd := <-origin.commands:
-				send(t, cmd.conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue")
+				send(t, cmd.conn, originValue("value"))
 			case <-time.After(3 * time.Second):
 				t.Fatal("the request is not sent to an upstream")
 			}
--- a/internal/proxy/empty_value_test.go
+++ b/internal/proxy/empty_value_test.go
@@ -6,11 +6,6 @@
 	"testing"
 )
 
-// originValue returns the origin's response with a value.
-func originValue(value string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(value), value)
-}
-
 // Guards against the reply to an empty value without its line end, whose client takes the next reply's bytes for it: while the
 // values in memory exceed their budget, an empty value needs no memory and is not streamed. The shortest values are.
 func TestShortestValuesAreWholeWhileMemoryIsOverdrawn(t *testing.T) {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -132,6 +132,11 @@
 // respDetails are the elements behind the value in a cache's response: how the read went, and no load report.
 const respDetails = "$3\r\nhit\r\n$-1\r\n"
 
+// originValue returns the origin's response with a value.
+func originValue(value string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(value), value)
+}
+
 // respValue returns a cache's response with a value.
 func respValue(value string) string {
 	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n%s", len(value), value, respDetails)
--- a/internal/proxy/slow_write_test.go
+++ b/internal/proxy/slow_write_test.go
@@ -80,7 +80,7 @@
 				return
 			}
 			received <- completeRequest{time.Duration(facts.WaitMilliseconds) * time.Millisecond, time.Now()}
-			if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue"); err != nil {
+			if _, err := io.WriteString(conn, originValue("value")); err != nil {
 				return
 			}
 		}
--- a/internal/proxy/surplus_response_test.go
+++ b/internal/proxy/surplus_response_test.go
@@ -155,7 +155,6 @@
 // carried another request a rejection does not confirm that a write that must not be executed twice was not executed. It is
 // not sent again, and its client gets an error and no promise. On a fresh connection the rejection is believed.
 func TestRejectionOnUsedConnectionConfirmsNothing(t *testing.T) {
-	const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
 	for _, test := range []struct {
 		name   string
 		effect balancer.Effect
@@ -174,7 +173,7 @@
 			reader := bufio.NewReader(client)
 			if test.used {
 				send(t, client, setCommand("first", longPut, "v"))
-				send(t, origin.next(t).conn, okResponse)
+				send(t, origin.next(t).conn, originValue("one"))
 				readReply(t, reader)
 				time.Sleep(lifecycle.ResponseRest + 10*time.Millisecond)
 			}
@@ -203,7 +202,7 @@
 	p := newTestProxy(t, 10, func(config *balancer.Settings) { config.Routes[1].Effect = balancer.NonRetriable }, newCache(t), origin)
 	client := p.dial()
 	reader := bufio.NewReader(client)
-	response := "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n" + strings.Repeat("a", 400)
+	response := originValue(strings.Repeat("a", 400))
 	send(t, client, setCommand("first", longPut, "v"))
 	conn := origin.next(t).conn
 	send(t, conn, response)
@@ -269,7 +268,7 @@
 		if _, err := io.CopyN(io.Discard, request.Body, length/2); err != nil {
 			return
 		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly") // a failure shows in the reply
+		_, _ = io.WriteString(conn, originValue("early")) // a failure shows in the reply
 		if n, _ := io.Copy(io.Discard, request.Body); n == length-length/2 {
 			completed.Add(1)
 		}
--- a/internal/proxy/value_memory_test.go
+++ b/internal/proxy/value_memory_test.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	longWrite  = 4 << 20 // length in bytes of the values that the tests below write
-	okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-	okReply    = "$2\r\nok\r\n"
+	longWrite = 4 << 20 // length in bytes of the values that the tests below write
+	okReply   = "$2\r\nok\r\n"
 )
 
 // writeLongValue sends a long write on a new client connection, and returns when the origin has received it.
@@ -46,7 +45,7 @@
 	send(t, third, setCommand("id2", longPut, strings.Repeat("v", longWrite)))
 	expectReply(t, third, "-BUSY\r\n")
 	for _, attempt := range attempts {
-		send(t, attempt.conn, okResponse)
+		send(t, attempt.conn, originValue("ok"))
 	}
 	p.eventually("values are counted after their attempts", func() bool { return counters.Bytes.Load() == 0 })
 }
@@ -77,7 +76,7 @@
 	counters := p.router.counters
 	client := p.dial()
 	send(t, client, setCommand("id0", longPut, "v"))
-	send(t, origin.next(t).conn, okResponse)
+	send(t, origin.next(t).conn, originValue("ok"))
 	expectReply(t, client, okReply)
 	release := p.dialer.block(origin.addr) // until then the first connection rests
 	defer release()
@@ -86,7 +85,7 @@
 	if n := p.dialer.dials.Load(); n != 2 {
 		t.Fatalf("got %d dials, want one that has ended and one that is blocked", n)
 	}
-	send(t, received.conn, okResponse)
+	send(t, received.conn, originValue("ok"))
 	expectReply(t, client, okReply)
 	p.eventually("the request is not released", func() bool { return counters.Held.Load() == 0 })
 	if n := counters.Bytes.Load(); n != longWrite {
@@ -106,7 +105,7 @@
 	client := p.dial()
 	send(t, client, getCommand("hedged", longWaitMS))
 	cache.next(t) // the first attempt gets no response
-	send(t, origin.next(t).conn, okResponse)
+	send(t, origin.next(t).conn, originValue("ok"))
 	expectReply(t, client, okReply)
 	p.eventually("the request is not released", func() bool { return p.router.counters.Held.Load() == 0 })
 	held := make(chan *request)
