--- a/balancer/coalescing.go
+++ b/balancer/coalescing.go
@@ -5,11 +5,9 @@
 // mayFollow reports whether the current request can wait, once, for another request's fetch of the same key.
 func (b *Balancer) mayFollow() bool {
 	request := b.current
-	if !request.HasKey || request.Write || request.hasFollowed || request.queued {
-		return false
-	}
 	leader, isFetched := b.coalescing.leaders[request.Key]
-	return isFetched && leader != b.currentIndex
+	return request.HasKey && !request.Write && !request.hasFollowed && !request.queued &&
+		isFetched && leader != b.currentIndex
 }
 
 // follow makes the current request wait for the other one's fetch, for half of the remaining time at most.
--- a/balancer/gossip.go
+++ b/balancer/gossip.go
@@ -18,9 +18,8 @@
 		if responds {
 			endpoint.suspicion = 0
 		} else if now-endpoint.lastResponseAt > b.noResponseTimeout {
-			endpoint.suspicion = b.suspicion(endpoint)
-			endpoint.suspicion += (1 - endpoint.suspicion) * suspicionStep
-			endpoint.suspicionAt = now
+			current := b.suspicion(endpoint)
+			endpoint.suspicion, endpoint.suspicionAt = current+(1-current)*suspicionStep, now
 		}
 	}
 	return b.applyRules()
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -10,9 +10,8 @@
 
 // recordOutcome updates the statistics of the endpoint and the caches or the origin, and adapts their limits.
 func (b *Balancer) recordOutcome(request *requestState, endpoint *endpointState, a AttemptResult) {
-	unanswered := a.Outcome == TimedOut || a.Outcome == Canceled
 	attempt := finishedAttempt{AttemptResult: a, request: request, endpoint: endpoint}
-	attempt.failedProbe = unanswered && endpoint.ejected
+	attempt.failedProbe = endpoint.ejected && (a.Outcome == TimedOut || a.Outcome == Canceled)
 	tookLong := a.Latency > b.routes[request.Route].latencyBudget*3/4
 	// an attempt that was canceled because its time was up is as late as one whose own timeout expired first
 	attempt.late = a.Outcome == TimedOut ||
