--- a/balancer/events.go
+++ b/balancer/events.go
@@ -76,8 +76,9 @@
 	return b.applyRules()
 }
 
-// Stop reports that the process stops at the given time, which limits all deadlines, also of later requests. The reply to a request whose
-// deadline it limits does not begin without the value, which may come after the end of the process.
+// Stop reports that the process stops at the given time, which limits all deadlines, also of later requests.
+// The reply to a request whose deadline it limits does not begin without the value, which may come after the
+// end of the process.
 func (b *Balancer) Stop(now, until Time) []Decision {
 	b.begin(now)
 	b.stopsAt = until
