emulator: discovery can answer watches late

The fault "late-answers" has discovery agents answer the watches that are requested while it lasts slow_ms later. Until now an agent answered at once or not at all, so that no play had a slow one.

--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -63,6 +63,7 @@
 	current      map[string]Endpoint // the latest row of each endpoint, by name
 	mode         DiscoveryMode
 	silenceCount int           // number of calls of silenceOpenWatches
+	answerDelay  time.Duration // time from the request of a watch to the beginning of its response
 	withholding  bool          // published changes are held back
 	withheld     [][]Endpoint  // changes that are held back
 	changed      chan struct{} // closed and replaced at each change of the fields above
@@ -158,8 +159,8 @@
 }
 
 // recordKnownAtStart records the endpoints that are not active when a proxy process starts. Their status counts as delivered
-// from the start of the process, whether or not a watch is open. If the agent does not serve watches at that time, the
-// status counts as delivered after deliveryDeadline instead.
+// from the start of the process, whether or not a watch is open. If the agent does not serve watches at that time, or
+// serves them late, the status counts as delivered after deliveryDeadline instead.
 func (d *Discovery) recordKnownAtStart() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -169,7 +170,7 @@
 			inactive = append(inactive, row)
 		}
 	}
-	if d.mode != discoveryServes {
+	if d.mode != discoveryServes || d.answerDelay > 0 {
 		time.AfterFunc(deliveryDeadline, func() { d.assumeDelivered(inactive) })
 		return
 	}
@@ -186,6 +187,13 @@
 	d.notifyLocked()
 }
 
+// SetAnswerDelay sets the time after which the watches are answered that are requested from now on.
+func (d *Discovery) SetAnswerDelay(delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answerDelay = delay
+}
+
 // setWithholding starts or stops holding back changes. Stopping publishes the changes held back so far.
 func (d *Discovery) setWithholding(on bool) {
 	d.mu.Lock()
@@ -238,7 +246,11 @@
 	defer d.OpenWatches.Add(-1)
 	d.mu.Lock()
 	w := &watch{discovery: d, response: response, request: request, silenceCount: d.silenceCount, next: max(since-1, 0)}
+	delay := d.answerDelay
 	d.mu.Unlock()
+	if !sleep(request.Context(), delay) {
+		return
+	}
 	for w.step() {
 	}
 }
--- a/internal/emulator/inject.go
+++ b/internal/emulator/inject.go
@@ -39,6 +39,7 @@
 	"replace":       (*runner).injectNodeReplacements,
 	"stale":         (*runner).injectStaleDiscovery,
 	"hush":          (*runner).injectSilencedWatches,
+	"late-answers":  (*runner).injectLateAnswers,
 	"agent-ahead":   (*runner).injectAgentAhead,
 	"deaf":          (*runner).injectDiscoveryMode,
 	"refusing":      (*runner).injectDiscoveryMode,
@@ -208,6 +209,17 @@
 	}
 }
 
+// injectLateAnswers makes discovery agents answer the watches that are requested during the fault fault.MaxDelayMS later.
+func (r *runner) injectLateAnswers(ctx context.Context, fault activeFault) {
+	for _, i := range fault.Targets {
+		r.discoveries[i].SetAnswerDelay(millis(fault.MaxDelayMS))
+	}
+	sleep(ctx, fault.duration)
+	for _, i := range fault.Targets {
+		r.discoveries[i].SetAnswerDelay(0)
+	}
+}
+
 func (r *runner) injectSilencedWatches(_ context.Context, fault activeFault) {
 	for _, i := range fault.Targets {
 		r.discoveries[i].silenceOpenWatches()
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -154,7 +154,7 @@
 	From       []string `toml:"from"`
 	To         []string `toml:"to"`
 	OneWay     bool     `toml:"one_way"`
-	MaxDelayMS float64  `toml:"slow_ms"` // of packets over a link, of surplus responses, or of late values
+	MaxDelayMS float64  `toml:"slow_ms"` // of packets over a link, of surplus responses, of late values, or of discovery's answers
 
 	// Parameters of surplus responses.
 
@@ -211,6 +211,7 @@
 	"stale":         {some: true},
 	"deaf":          {some: true},
 	"hush":          {some: true},
+	"late-answers":  {some: true},
 	"agent-ahead":   {nodes: true},
 	"refusing":      {some: true},
 	"origin-slow":   {times: true},
@@ -260,7 +261,7 @@
 // proxyFaults are the kinds of faults whose targets are proxies or their discovery agents instead of nodes.
 var proxyFaults = map[string]bool{
 	"kill": true, "restart": true, "crowd": true, "part": true, "one-way": true, "pause": true, "mass-kill": true,
-	"deaf": true, "stale": true, "refusing": true, "hush": true, "agent-ahead": true, "garbled-list": true, "cut-watch": true,
+	"deaf": true, "stale": true, "refusing": true, "hush": true, "late-answers": true, "agent-ahead": true, "garbled-list": true, "cut-watch": true,
 	"reload": true, "hot-restart": true, "fail-socket": true, "fail-connect": true, "fail-accept": true, "break-conns": true,
 	"interrupt": true, "short-read": true, "short-write": true, "fail-disk": true, "fail-sync": true, "clock-step": true,
 }
