proxy: a discovery that answers late is heard

What callers saw: with a discovery that answers each call after 2 s, no list ever arrived.

Cause: endpointWatch.open closed a watch that had no first byte within 0.9 to 1.5 s (2 to 2.5 s when polled), and watchEnded requested another one with the same limit. Nothing was kept of the first request, so that a discovery slower than the limit was never heard. Connecting had a limit of the same kind, 1 s. A longer limit is no way out: a request can be lost as well, and then it must be repeated within the 6 s (4 s after SIGHUP) after which a change counts as told.

Evidence: the counters Watches and Lists stayed at 0, the log had one "i/o timeout" and no other line, which a silent discovery gives as well. The stand-in's record tells them apart: it answers each call, on a connection that is closed. New counters WatchesLate and WatchesAbandoned, and log lines for the first late watch and a late answer, tell them apart in the proxy.

Change: a watch that is not answered in time stays open, and another one is requested beside it, after the same times as before. The first one that is answered ends the others. At most four are open: the oldest for 6 s, doubled up to 24 s while that is not enough, the others for three intervals (lifecycle.LateWatches). A watch that has sent a list, a change or a heartbeat ends when it falls silent, as before.

--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -137,6 +137,9 @@
 		broken bool
 	}{
 		{"hush", []string{`kind = "hush"; at_s = 0.5; for_s = 0.0`, replaced}, false},
+		{"late-answers", []string{
+			`kind = "late-answers"; at_s = 0.4; for_s = 9.0; slow_ms = 2000.0`, `kind = "hush"; at_s = 0.5; for_s = 0.0`, replaced,
+		}, false},
 		{"deaf", []string{`kind = "deaf"; at_s = 0.5; for_s = 9.0`, replaced}, true},
 		{"agent-ahead", []string{`kind = "agent-ahead"; at_s = 1.0; for_s = 3.0; nodes = 1`}, false},
 	} {
--- a/internal/lifecycle/connection.go
+++ b/internal/lifecycle/connection.go
@@ -79,23 +79,6 @@
 	return Permitted
 }
 
-// WatchConditions holds the conditions under which a discovery watch may be opened.
-type WatchConditions struct {
-	Open      bool // a watch is already open
-	Delegated bool // other proxies have the duty to watch
-}
-
-// MayOpen decides whether a watch may be opened.
-func (c *WatchConditions) MayOpen() Refusal {
-	switch {
-	case c.Open:
-		return WatchOpen
-	case c.Delegated:
-		return WatchDelegated
-	}
-	return Permitted
-}
-
 // ExitConditions holds the conditions under which the process may exit after it was requested to stop.
 type ExitConditions struct {
 	Accepting        bool // the listener may still accept a connection
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -40,10 +40,13 @@
 	Dials        atomic.Int64 // dialed connections to hosts
 	UpstreamOpen atomic.Int64 // currently open connections to hosts
 
-	Lists      atomic.Int64 // endpoint lists and list changes from discovery
-	Watches    atomic.Int64 // watches to which discovery has responded
-	PeerLists  atomic.Int64 // endpoint list changes from other proxies
-	PeerSights atomic.Int64 // reports from other proxies on whether a host responds
+	Lists   atomic.Int64 // endpoint lists and list changes from discovery
+	Watches atomic.Int64 // watches to which discovery has responded
+	// WatchesLate counts the watches that had no response in time and were kept open beside another one.
+	WatchesLate      atomic.Int64
+	WatchesAbandoned atomic.Int64 // late watches that were closed because too many were open
+	PeerLists        atomic.Int64 // endpoint list changes from other proxies
+	PeerSights       atomic.Int64 // reports from other proxies on whether a host responds
 
 	BadClient atomic.Int64 // client connections that were closed on bad input
 	BadPeer   atomic.Int64 // connections to hosts and discovery that were closed on bad input
@@ -120,6 +123,8 @@
 		{"UpstreamOpen", &c.UpstreamOpen},
 		{"Lists", &c.Lists},
 		{"Watches", &c.Watches},
+		{"WatchesLate", &c.WatchesLate},
+		{"WatchesAbandoned", &c.WatchesAbandoned},
 		{"BadClient", &c.BadClient},
 		{"BadPeer", &c.BadPeer},
 		{"Taken", &c.Taken},
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,8 +35,10 @@
 	duties        *Duties        // nil: every proxy watches discovery itself
 	delegated     bool           // other proxies have the duty to watch
 
-	index         int64          // index of the latest list or change of the current watch
-	current       *endpointWatch // nil: none is open
+	index         int64            // index of the latest list or change of the current watch
+	current       *endpointWatch   // nil: none is open
+	late          []*endpointWatch // watches that discovery has not answered in time, the oldest first
+	lateWatches   lifecycle.LateWatches
 	previous      *endpointWatch // watch of the previous address, until the current watch has received something
 	failures      int            // consecutive watches that received nothing
 	lastError     string         // error of the last watch; a series of equal errors is logged once
@@ -99,21 +102,35 @@
 	l.addr, l.lastError = addr, ""
 	l.index = 0 // the two addresses may number their versions differently
 	if l.previous == nil {
-		l.previous = l.current
-	} else if l.current != nil { // it has received nothing yet
-		l.current.cancel()
+		l.previous = l.oldestWatch()
 	}
-	l.current = nil
+	for _, watch := range append(l.late, l.current) {
+		if watch != nil && watch != l.previous {
+			watch.cancel()
+		}
+	}
+	l.current, l.late = nil, nil
+	l.lateWatches.Reset()
 	l.startWatch()
 }
 
-// startWatch opens a watch, unless one is open or other proxies have the duty to watch.
+// oldestWatch returns the watch that has been answered or, if there is none, has been open for the longest time, or nil.
+func (l *EndpointList) oldestWatch() *endpointWatch {
+	if len(l.late) > 0 && (l.current == nil || !l.current.answered) {
+		return l.late[0]
+	}
+	return l.current
+}
+
+// startWatch opens a watch, unless one is open that is not late, or other proxies have the duty to watch.
 func (l *EndpointList) startWatch() {
 	conditions := lifecycle.WatchConditions{Open: l.current != nil, Delegated: l.delegated}
 	if !conditions.MayOpen().Permitted() {
 		return
 	}
-	watch := &endpointWatch{list: l, addr: l.addr, fromIndex: l.index, firstByteTimeout: l.randomFirstByteTimeout()}
+	watch := &endpointWatch{
+		list: l, addr: l.addr, fromIndex: l.index, requestedAt: time.Now(), answerTimeout: l.randomAnswerTimeout(),
+	}
 	watch.ctx, watch.cancel = context.WithCancel(context.Background())
 	l.current = watch
 	go func() {
@@ -124,14 +141,13 @@
 	}()
 }
 
-// randomFirstByteTimeout returns a random first-byte timeout. The randomness spreads the reconnects of proxies whose
-// watches may all have fallen silent at once.
-func (l *EndpointList) randomFirstByteTimeout() time.Duration {
-	timeout := pushFirstByteTimeout*3/4 + time.Duration(l.random.Int64N(int64(pushFirstByteTimeout)/2))
+// randomAnswerTimeout returns a random time after which an unanswered watch is late. The randomness spreads the requests
+// of proxies whose watches may all have fallen silent at once.
+func (l *EndpointList) randomAnswerTimeout() time.Duration {
 	if l.polls() {
-		timeout = pollFirstByteTimeout + time.Duration(l.random.Int64N(int64(pollFirstByteTimeout)/4))
+		return pollAnswerTimeout + time.Duration(l.random.Int64N(int64(pollAnswerTimeout)/4))
 	}
-	return timeout
+	return pushAnswerTimeout*3/4 + time.Duration(l.random.Int64N(int64(pushAnswerTimeout)/2))
 }
 
 // watchEnded handles the end of a watch. If discovery is watched continuously, another watch is opened after a backoff;
@@ -140,6 +156,9 @@
 	if watch == l.previous {
 		l.previous = nil
 	}
+	if i := slices.Index(l.late, watch); i >= 0 {
+		l.late = slices.Delete(l.late, i, i+1)
+	}
 	if watch != l.current {
 		return
 	}
@@ -149,11 +168,10 @@
 		l.index = 0 // requests the complete list, since the events of this watch can't be trusted
 		l.counters.BadPeer.Add(1)
 	}
-	if text := errorText(err); text != l.lastError {
+	if l.isNewError(errorText(err)) {
 		l.log.Warn("endpoint watch ended", zap.Error(err), zap.Int64("index", l.index))
-		l.lastError = text
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errDiscoveryDial) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		l.startWatch() // one more request does not overload a silent discovery, unlike one that rejects requests
 		return
 	}
@@ -164,6 +182,13 @@
 	time.AfterFunc(l.nextBackoff(), func() { l.mailbox.post(l.startWatch) })
 }
 
+// isNewError reports whether an error differs from the last one, and records it.
+func (l *EndpointList) isNewError(text string) bool {
+	isNew := text != l.lastError
+	l.lastError = text
+	return isNew
+}
+
 // nextBackoff returns the backoff before the next watch is opened. It is random and grows with each failure, so that
 // proxies whose watches all end at once, or that all start at once, do not overload a discovery that rejects them.
 func (l *EndpointList) nextBackoff() time.Duration {
@@ -186,10 +211,10 @@
 
 // handleEvent passes a list or change that a watch has received to the router and to the other proxies.
 func (l *EndpointList) handleEvent(watch *endpointWatch, event *wire.EndpointList) {
-	switch watch {
-	case l.current:
+	switch {
+	case l.makeCurrent(watch):
 		l.index = event.Index
-	case l.previous:
+	case watch == l.previous:
 	default:
 		return // the watch was canceled
 	}
@@ -262,24 +287,6 @@
 	}
 }
 
-// handleActivity records that a watch has received something, possibly only a heartbeat. The first input on the current
-// watch ends the watch of the previous address.
-func (l *EndpointList) handleActivity(watch *endpointWatch) {
-	if watch != l.current {
-		return
-	}
-	l.lastError, l.failures = "", 0
-	l.reportWatching(true)
-	if l.previous != nil {
-		l.previous.cancel()
-		l.previous = nil
-	}
-	if !l.receivedFirst {
-		l.receivedFirst = true
-		close(l.firstMessage)
-	}
-}
-
 // setWatching starts or ends this proxy's duty to watch discovery. When the duty ends, the endpoints that this proxy's
 // discovery has reported are cleared, because from then on they are no more recent than the reports of other proxies.
 func (l *EndpointList) setWatching(on bool) {
@@ -288,12 +295,12 @@
 		l.startWatch()
 		return
 	}
-	for _, watch := range []*endpointWatch{l.current, l.previous} {
+	for _, watch := range append(l.late, l.current, l.previous) {
 		if watch != nil {
 			watch.cancel()
 		}
 	}
-	l.current, l.previous = nil, nil
+	l.current, l.late, l.previous = nil, nil, nil
 	l.reportWatching(false)
 	if l.peerEndpoints != nil {
 		clear(l.peerEndpoints.local)
--- a/internal/proxy/endpoint_list_test.go
+++ b/internal/proxy/endpoint_list_test.go
@@ -42,11 +42,16 @@
 // startList starts an endpoint list that polls or watches a discovery which handles connections with serve.
 func startList(t *testing.T, polls bool, serve func(net.Conn)) (*testProxy, *EndpointList) {
 	t.Helper()
-	addr := listen(t, serve)
+	return startListAt(t, polls, listen(t, serve), 1)
+}
+
+// startListAt starts an endpoint list that polls or watches the discovery at an address.
+func startListAt(t *testing.T, polls bool, addr string, seed uint64) (*testProxy, *EndpointList) {
+	t.Helper()
 	p := newTestProxy(t, 10, func(config *balancer.Settings) {
 		config.PollsList, config.PollInterval = polls, 100000
 	}, newCache(t), newOrigin(t))
-	list := NewEndpointList(addr, nil, p.router, 1, p.router.counters, zap.NewNop())
+	list := NewEndpointList(addr, nil, p.router, seed, p.router.counters, zap.NewNop())
 	go list.Run()
 	return p, list
 }
@@ -55,12 +60,12 @@
 // time for a third one within the time in which the proxy is expected to apply missed events.
 func TestSilentWatchIsRestartedAtOnce(t *testing.T) {
 	for _, test := range []struct {
-		name             string
-		polls            bool
-		firstByteTimeout time.Duration
+		name          string
+		polls         bool
+		answerTimeout time.Duration
 	}{
-		{"watched", false, pushFirstByteTimeout},
-		{"polled", true, pollFirstByteTimeout},
+		{"watched", false, pushAnswerTimeout},
+		{"polled", true, pollAnswerTimeout},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			calls := make(chan struct{}, 10)
@@ -77,28 +82,32 @@
 				}
 			}
 			// Two watches were silent, each until its first-byte timeout, since neither had received anything.
-			if took := time.Since(began); took > 2*test.firstByteTimeout*5/4+500*time.Millisecond {
+			if took := time.Since(began); took > 2*test.answerTimeout*5/4+500*time.Millisecond {
 				t.Errorf("polled %v: the third watch was opened after %v, want the first-byte timeouts of two", test.polls, took)
 			}
 		})
 	}
 }
 
+// A response to a watch: its header, and the complete list of index 3 as the first chunk.
+const (
+	watchHeader = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	watchEvent  = "9c\r\n" + `{"index":3,"snapshot":true,"endpoints":[{"name":"c9","address":"127.0.0.1:1","zone":"a",` +
+		`"type":"std","group":1,"status":"active","weight":1,"since_ms":0}]}` + "\n\r\n"
+)
+
 // A list that arrives in pieces with a long pause, or, when polled, a long time after the request, is still accepted. If
 // the proxy gave up, the list would count as sent although the proxy lacks it, and the next request would find discovery
 // even busier.
 func TestSlowEndpointListIsAccepted(t *testing.T) {
-	const header = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	const event = `{"index":3,"snapshot":true,"endpoints":[{"name":"c9","address":"127.0.0.1:1","zone":"a",` +
-		`"type":"std","group":1,"status":"active","weight":1,"since_ms":0}]}` + "\n"
-	const late = pushFirstByteTimeout*5/4 + 200*time.Millisecond // longer than the first-byte timeout for an agent
-	response := header + fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	const late = pushAnswerTimeout*5/4 + 200*time.Millisecond // longer than the first-byte timeout for an agent
+	response := watchHeader + watchEvent
 	for _, test := range []struct {
 		name       string
 		polls      bool
 		firstBytes int // number of bytes that are sent at once
 	}{
-		{"watched, in pieces", false, len(header) + 20},
+		{"watched, in pieces", false, len(watchHeader) + 20},
 		{"polled, late", true, 0},
 		{"polled, in pieces", true, 10},
 	} {
--- a/internal/server/script_test.go
+++ b/internal/server/script_test.go
@@ -21,10 +21,10 @@
 //	watch JSON                               sets the settings of the shadow balancer; before start
 //	node NAME MODE [slow=MS] [size=N]        starts a cache or (o1) the origin, or changes its mode
 //	list NAME[:leaving|:left] ...            makes discovery send an endpoint list: a complete one first, then changes
-//	discovery up|silent|down|cut|garbled|full
+//	discovery up|silent|down|cut|garbled|full [slow=MS]
 //	                                         sets the mode of discovery. After down, watches continue when it is up again;
 //	                                         after silent, watches opened meanwhile stay silent; full rejects watches; cut
-//	                                         ends the open watches
+//	                                         ends the open watches. Watches that are opened later are answered after MS
 //	reload moved|bad                         writes a configuration file and sends SIGHUP: discovery has moved, or the file
 //	                                         is incomplete
 //	old gone                                 ends the watches at the old address of discovery
@@ -63,7 +63,8 @@
 		h.setNode(words[1], words[2], options)
 	},
 	"list": func(h *proxyHarness, words []string, _ map[string]string) { h.publishEndpoints(words[1:]) },
-	"discovery": func(h *proxyHarness, words []string, _ map[string]string) {
+	"discovery": func(h *proxyHarness, words []string, options map[string]string) {
+		h.discovery.SetAnswerDelay(time.Duration(testscript.ParseNumber(options["slow"])) * time.Millisecond)
 		h.discovery.SetMode(emulator.DiscoveryMode(strings.Replace(words[1], "up", "", 1)))
 	},
 	"start":  func(h *proxyHarness, _ []string, options map[string]string) { h.start(options["known"]) },
