--- a/internal/lifecycle/watch.go
+++ b/internal/lifecycle/watch.go
@@ -22,34 +22,34 @@
 // Limits of the watches that discovery has not answered in time.
 const (
 	maxLateWatches = 3
-	// minWatchPatience is the time within which the proxy is expected to apply a change, after which a response is late.
-	minWatchPatience = 6 * time.Second
-	maxWatchPatience = 24 * time.Second
+	// minOldestTimeout is the time within which the proxy is expected to apply a change, after which a response is late.
+	minOldestTimeout = 6 * time.Second
+	maxOldestTimeout = 24 * time.Second
 )
 
 // LateWatches decides which of the watches stay open that discovery has not answered in time. The watches belong to one
 // discovery and are ordered by the time at which they were requested.
 //
-// A slow discovery answers only a request that is kept open. A request that was lost, on the other hand, or that was sent
-// during an outage, may never be answered. Therefore the oldest watch is kept for the patience, which doubles whenever
-// that was not enough, and each other one until maxLateWatches newer ones are open.
+// A slow discovery answers only a request that stays open. A request that was lost, on the other hand, or that was sent
+// during an outage, may never be answered. Therefore the oldest watch has a long timeout, which doubles each time it has
+// passed, and each other watch stays open until maxLateWatches newer ones are late.
 type LateWatches struct {
-	patience time.Duration // 0: minWatchPatience
+	oldestTimeout time.Duration // 0: minOldestTimeout
 }
 
-// Excess returns the position of the watch that must be given up, or -1 if all may stay open. The oldest watch has the
+// Excess returns the position of the watch that must be closed, or -1 if all may stay open. The oldest watch has the
 // position 0 and the given age.
 func (l *LateWatches) Excess(count int, oldestAge time.Duration) int {
 	if count <= maxLateWatches {
 		return -1
 	}
-	patience := max(l.patience, minWatchPatience)
-	if oldestAge < patience {
+	timeout := max(l.oldestTimeout, minOldestTimeout)
+	if oldestAge < timeout {
 		return 1
 	}
-	l.patience = min(2*patience, maxWatchPatience)
+	l.oldestTimeout = min(2*timeout, maxOldestTimeout)
 	return 0
 }
 
-// Reset restores the initial patience, because discovery has answered or is another one.
-func (l *LateWatches) Reset() { l.patience = 0 }
+// Reset restores the initial timeout, because discovery has answered or is another one.
+func (l *LateWatches) Reset() { l.oldestTimeout = 0 }
--- a/internal/lifecycle/watch_test.go
+++ b/internal/lifecycle/watch_test.go
@@ -7,8 +7,8 @@
 	"woodproxy/internal/lifecycle"
 )
 
-// The oldest late watch is kept until a response to it would come too late, and then for twice as long. Meanwhile the next
-// ones are given up, so that a response to a recent request is always possible.
+// The oldest late watch stays open until a response to it would come too late, and the next oldest one for twice as long.
+// Meanwhile others are closed, so that a recent request is always open.
 func TestOldestLateWatchIsKeptForLonger(t *testing.T) {
 	var watches lifecycle.LateWatches
 	for _, step := range []struct {
@@ -24,7 +24,7 @@
 		{4, 12 * time.Second, 0},
 		{4, 23 * time.Second, 1},
 		{4, 24 * time.Second, 0},
-		{4, 24 * time.Second, 0}, // the patience does not grow any more
+		{4, 24 * time.Second, 0}, // the timeout does not grow any more
 	} {
 		if got := watches.Excess(step.count, step.oldestAge); got != step.want {
 			t.Errorf("%d watches, the oldest %v old: got excess %d, want %d", step.count, step.oldestAge, got, step.want)
