--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -234,52 +234,6 @@
 	l.updateRouter(update)
 }
 
-// updateRouter passes a change of the list to the router in parts and waits until it is applied. Requests that arrive
-// meanwhile wait for one part at most.
-func (l *EndpointList) updateRouter(update endpointUpdate) {
-	r, isFirst := l.router, false
-	l.callRouter(func() {
-		if isFirst = len(r.hosts) == 0; isFirst {
-			r.updateEndpoints(update)
-			return
-		}
-		r.beginUpdate()
-	})
-	if isFirst {
-		return
-	}
-	for remaining := update.endpoints; len(remaining) > 0; {
-		batch := remaining
-		remaining = nil // ends the loop if the call panics
-		l.callRouter(func() { remaining = r.updateSomeHosts(batch, update.source) })
-	}
-	if update.complete {
-		l.departUnlisted()
-	}
-	l.callRouter(r.updateDutyNodes)
-}
-
-// departUnlisted makes the router mark the hosts as departed that are not in the complete list it has just applied.
-func (l *EndpointList) departUnlisted() {
-	var remaining []*upstreamHost
-	l.callRouter(func() { remaining = l.router.unlistedHosts() })
-	for len(remaining) > 0 {
-		batch := remaining
-		remaining = nil // ends the loop if the call panics
-		l.callRouter(func() { remaining = l.router.departSomeHosts(batch) })
-	}
-}
-
-// callRouter executes a call on the router's goroutine and waits until it returns.
-func (l *EndpointList) callRouter(call func()) {
-	done := make(chan struct{})
-	l.router.mailbox.post(func() {
-		defer close(done)
-		call()
-	})
-	<-done
-}
-
 // recordIndex records an index that discovery or another proxy has reported, if it is the latest.
 func (l *EndpointList) recordIndex(index int64) {
 	if index > l.latestIndex.Load() {
--- a/internal/proxy/host_index.go
+++ b/internal/proxy/host_index.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"woodproxy/balancer"
 	"woodproxy/internal/wire"
@@ -20,13 +19,6 @@
 	listKnownAtStart                   // the list that this process started with: no host counts as new
 )
 
-// The router applies a long list in steps of maxHostsPerStep hosts, and returns to its other calls once the steps have
-// taken listCallTime, so that requests do not wait for a complete list.
-const (
-	maxHostsPerStep = 4
-	listCallTime    = 200 * time.Microsecond
-)
-
 // endpointUpdate is a change of the endpoint list.
 type endpointUpdate struct {
 	complete  bool // a complete list: hosts that are not in it have departed
@@ -47,24 +39,13 @@
 	r.updateDutyNodes()
 }
 
-// beginUpdate starts a change of the endpoint list. It is followed by calls of updateHosts or updateSomeHosts and, for a
-// complete list, of departHosts or departSomeHosts.
+// beginUpdate starts a change of the endpoint list. It is followed by calls of updateHosts and, for a complete list, of
+// departHosts.
 func (r *Router) beginUpdate() {
 	r.removeDeparted(r.clock.Now())
 	r.updateCount++
 }
 
-// updateSomeHosts applies as many entries of the endpoint list as it can in about listCallTime, and returns the remaining
-// ones.
-func (r *Router) updateSomeHosts(endpoints []wire.Endpoint, source listSource) (remaining []wire.Endpoint) {
-	for start := time.Now(); len(endpoints) > 0 && time.Since(start) < listCallTime; {
-		step := min(len(endpoints), maxHostsPerStep)
-		r.updateHosts(endpoints[:step], source)
-		endpoints = endpoints[step:]
-	}
-	return endpoints
-}
-
 // updateHosts applies entries of the endpoint list. Entries that are equal to the current ones change nothing.
 func (r *Router) updateHosts(endpoints []wire.Endpoint, source listSource) {
 	now := r.clock.Now()
@@ -94,16 +75,6 @@
 	return unlisted
 }
 
-// departSomeHosts marks as many hosts as departed as it can in about listCallTime, and returns the remaining ones.
-func (r *Router) departSomeHosts(unlisted []*upstreamHost) (remaining []*upstreamHost) {
-	for start := time.Now(); len(unlisted) > 0 && time.Since(start) < listCallTime; {
-		step := min(len(unlisted), maxHostsPerStep)
-		r.departHosts(unlisted[:step])
-		unlisted = unlisted[step:]
-	}
-	return unlisted
-}
-
 // departHosts marks hosts as departed.
 func (r *Router) departHosts(unlisted []*upstreamHost) {
 	now := r.clock.Now()
