--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -115,7 +115,7 @@
 
 // Kinds returns the kinds of faults that can be drawn, in alphabetical order.
 func Kinds() []string {
-	kinds := []string{kindCrowd, kindSurplus, kindLateValues, kindFlood}
+	kinds := []string{kindCrowd, kindSurplus, kindLateValues, kindFlood, kindLateAnswers}
 	for _, d := range faultDraws {
 		kinds = append(kinds, d.kind)
 	}
@@ -164,13 +164,17 @@
 	if len(options.Kinds) == 0 || slices.Contains(options.Kinds, kindFlood) {
 		d.drawFlood(seed)
 	}
+	if len(options.Kinds) == 0 || slices.Contains(options.Kinds, kindLateAnswers) {
+		d.drawLateAnswers(seed)
+	}
 	return d.scenario
 }
 
 // Kinds of faults that are drawn from random sources of their own, as kindCrowd is.
 const (
-	kindLateValues = "late-values"
-	kindFlood      = "flood"
+	kindLateValues  = "late-values"
+	kindFlood       = "flood"
+	kindLateAnswers = "late-answers"
 )
 
 // drawTime draws the time of a fault that is drawn from a random source of its own.
@@ -205,6 +209,18 @@
 	s.Faults = append(s.Faults, fault)
 }
 
+// drawLateAnswers has discovery answer watches late in one scenario in four.
+func (d *drawer) drawLateAnswers(seed uint64) {
+	random, s := rand.New(rand.NewPCG(seed, 57)), d.scenario
+	if random.IntN(4) > 0 {
+		return
+	}
+	const minDelayMS, maxDelayMS = 500, 2000
+	fault := emulator.Fault{Kind: kindLateAnswers, MaxDelayMS: minDelayMS + random.Float64()*(maxDelayMS-minDelayMS)}
+	fault.AtS, fault.DurationS = d.drawTime(random)
+	s.Faults = append(s.Faults, fault)
+}
+
 // kindSurplus is a kind of fault that is drawn from a random source of its own, as kindCrowd is.
 const kindSurplus = "surplus"
 
