proxy: late watches give way where discovery serves few at a time

What was seen, in trials with twelve proxies and a stand-in of discovery that is silent for 8 s and serves twelve watches in all: with the change before, watches that were requested in the silence kept all places. Where others are rejected (503), no proxy heard discovery in the 17 s after it (372 requests), polled or not; where others wait, all heard it 7.8 s after.

Cause: late watches were closed only when a further one became late. A rejected one never does, and the timeout of the oldest one doubled.

Change: the oldest late watch has a deadline of its own, shortly before the missed changes count as notified: a change that comes later is of no use in time, and another watch can take the place. The next oldest has 2.8 s from then on. Where discovery rejects a watch, late ones that have had 2.8 s are closed and the next one is requested at once.

proxy.TestLostWatchesGiveWay plays both with one place; where others are rejected it fails before this commit.

--- a/internal/lifecycle/watch.go
+++ b/internal/lifecycle/watch.go
@@ -22,34 +22,30 @@
 // Limits of the watches that discovery has not answered in time.
 const (
 	maxLateWatches = 3
-	// minOldestTimeout is the time within which the proxy is expected to apply a change, after which a response is late.
-	minOldestTimeout = 6 * time.Second
-	maxOldestTimeout = 24 * time.Second
+	// rejectedWatchAge is the age from which a late watch is closed if discovery rejects a newer one, since discovery may
+	// limit the number of watches.
+	rejectedWatchAge = 2800 * time.Millisecond
 )
 
-// LateWatches decides which of the watches stay open that discovery has not answered in time. The watches belong to one
-// discovery and are ordered by the time at which they were requested.
-//
-// A slow discovery answers only a request that stays open. A request that was lost, on the other hand, or that was sent
-// during an outage, may never be answered. Therefore the oldest watch has a long timeout, which doubles each time it has
-// passed, and each other watch stays open until maxLateWatches newer ones are late.
-type LateWatches struct {
-	oldestTimeout time.Duration // 0: minOldestTimeout
+// LateWatchConditions holds the conditions under which a watch may stay open that discovery has not answered in time. A
+// slow discovery answers only a request that stays open. A request that was lost, on the other hand, or that was sent
+// during an outage, may never be answered, and may take the place of another one.
+type LateWatchConditions struct {
+	Position      int           // among the late watches, by the times of their requests; 0: the oldest
+	Count         int           // number of late watches
+	Age           time.Duration // time since its request
+	Overdue       bool          // the deadline of the oldest late watch has passed
+	NewerRejected bool          // discovery has rejected a newer watch
 }
 
-// Excess returns the position of the watch that must be closed, or -1 if all may stay open. The oldest watch has the
-// position 0 and the given age.
-func (l *LateWatches) Excess(count int, oldestAge time.Duration) int {
-	if count <= maxLateWatches {
-		return -1
-	}
-	timeout := max(l.oldestTimeout, minOldestTimeout)
-	if oldestAge < timeout {
-		return 1
+// MayStayOpen decides whether the watch may stay open. The oldest one stays until its deadline, and each other one until
+// maxLateWatches newer ones are late.
+func (c *LateWatchConditions) MayStayOpen() bool {
+	switch {
+	case c.NewerRejected && c.Age >= rejectedWatchAge:
+		return false
+	case c.Position == 0:
+		return !c.Overdue
 	}
-	l.oldestTimeout = min(2*timeout, maxOldestTimeout)
-	return 0
+	return c.Position > 1 || c.Count <= maxLateWatches
 }
-
-// Reset restores the initial timeout, because discovery has answered or is another one.
-func (l *LateWatches) Reset() { l.oldestTimeout = 0 }
--- a/internal/lifecycle/watch_test.go
+++ b/internal/lifecycle/watch_test.go
@@ -7,31 +7,25 @@
 	"woodproxy/internal/lifecycle"
 )
 
-// The oldest late watch stays open until a response to it would come too late, and the next oldest one for twice as long.
-// Meanwhile others are closed, so that a recent request is always open.
-func TestOldestLateWatchIsKeptForLonger(t *testing.T) {
-	var watches lifecycle.LateWatches
-	for _, step := range []struct {
-		count     int
-		oldestAge time.Duration
-		want      int
+// The oldest late watch stays open until its deadline, because discovery may be slow. Others are closed when too many are
+// open, and all that had time for an answer when discovery rejects a newer one.
+func TestLateWatchesStayOpen(t *testing.T) {
+	for _, test := range []struct {
+		conditions lifecycle.LateWatchConditions
+		want       bool
 	}{
-		{1, time.Minute, -1},
-		{3, time.Minute, -1},
-		{4, 5 * time.Second, 1},
-		{4, 6 * time.Second, 0},
-		{4, 6 * time.Second, 1},
-		{4, 12 * time.Second, 0},
-		{4, 23 * time.Second, 1},
-		{4, 24 * time.Second, 0},
-		{4, 24 * time.Second, 0}, // the timeout does not grow any more
+		{lifecycle.LateWatchConditions{Count: 1, Age: time.Minute}, true},
+		{lifecycle.LateWatchConditions{Count: 4, Age: time.Minute}, true},
+		{lifecycle.LateWatchConditions{Count: 1, Overdue: true}, false},
+		{lifecycle.LateWatchConditions{Count: 1, Age: 2700 * time.Millisecond, NewerRejected: true}, true},
+		{lifecycle.LateWatchConditions{Count: 1, Age: 2800 * time.Millisecond, NewerRejected: true}, false},
+		{lifecycle.LateWatchConditions{Position: 1, Count: 3, Overdue: true}, true},
+		{lifecycle.LateWatchConditions{Position: 1, Count: 4}, false},
+		{lifecycle.LateWatchConditions{Position: 2, Count: 4}, true},
+		{lifecycle.LateWatchConditions{Position: 2, Count: 3, Age: time.Minute, NewerRejected: true}, false},
 	} {
-		if got := watches.Excess(step.count, step.oldestAge); got != step.want {
-			t.Errorf("%d watches, the oldest %v old: got excess %d, want %d", step.count, step.oldestAge, got, step.want)
+		if got := test.conditions.MayStayOpen(); got != test.want {
+			t.Errorf("%+v: got %v, want %v", test.conditions, got, test.want)
 		}
 	}
-	watches.Reset()
-	if got := watches.Excess(4, 6*time.Second); got != 0 {
-		t.Errorf("after the reset: got excess %d, want 0", got)
-	}
 }
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -38,14 +38,15 @@
 	index         int64            // index of the latest list or change of the current watch
 	current       *endpointWatch   // nil: none is open
 	late          []*endpointWatch // watches that discovery has not answered in time, the oldest first
-	lateWatches   lifecycle.LateWatches
-	previous      *endpointWatch // watch of the previous address, until the current watch has received something
-	failures      int            // consecutive watches that received nothing
-	lastError     string         // error of the last watch; a series of equal errors is logged once
-	receivedFirst bool           // a watch has received something, possibly only a heartbeat
-	receivedEvent bool           // a watch has received a list or a change
-	firstMessage  chan struct{}  // closed when discovery has sent something
-	latestIndex   atomic.Int64   // latest index reported by discovery or another proxy; written by this goroutine
+	lateDeadline  time.Time        // the oldest late watch is closed at this time
+	notifiedAt    time.Time        // the changes that were missed since the last watch are expected to be applied by then
+	previous      *endpointWatch   // watch of the previous address, until the current watch has received something
+	failures      int              // consecutive watches that received nothing
+	lastError     string           // error of the last watch; a series of equal errors is logged once
+	receivedFirst bool             // a watch has received something, possibly only a heartbeat
+	receivedEvent bool             // a watch has received a list or a change
+	firstMessage  chan struct{}    // closed when discovery has sent something
+	latestIndex   atomic.Int64     // latest index reported by discovery or another proxy; written by this goroutine
 }
 
 // NewEndpointList returns the endpoint list that watches discovery at an address. initial is the list that was known
@@ -77,6 +78,7 @@
 
 // Run executes posted calls until the process ends.
 func (l *EndpointList) Run() {
+	l.notifiedAt = time.Now().Add(notificationTime)
 	if !l.polls() {
 		l.startWatch()
 	}
@@ -110,7 +112,7 @@
 		}
 	}
 	l.current, l.late = nil, nil
-	l.lateWatches.Reset()
+	l.notifiedAt = time.Now().Add(notificationTimeAfterReload)
 	l.startWatch()
 }
 
@@ -171,10 +173,18 @@
 	if l.isNewError(errorText(err)) {
 		l.log.Warn("endpoint watch ended", zap.Error(err), zap.Int64("index", l.index))
 	}
+	if watch.active {
+		l.notifiedAt = time.Now().Add(notificationTime)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		l.notifiedAt = time.Now().Add(notificationTime - watchSilenceTimeout)
 		l.startWatch() // one more request does not overload a silent discovery, unlike one that rejects requests
 		return
 	}
+	if l.closeLateWatches(true) {
+		l.startWatch()
+		return
+	}
 	if l.polls() {
 		l.router.mailbox.post(l.router.pollFailed)
 		return
--- a/internal/proxy/endpoint_watch.go
+++ b/internal/proxy/endpoint_watch.go
@@ -13,8 +13,8 @@
 	"woodproxy/internal/wire"
 )
 
-// Timeouts and backoffs of watches. The proxy is expected to apply the events that a silent watch missed within six
-// seconds from the start of the silence, whether or not they arrived, and within four seconds after SIGHUP. An open watch
+// Timeouts and backoffs of watches. The proxy is expected to apply the events that a silent watch missed within
+// notificationTime from the start of the silence, whether or not they arrived, and of SIGHUP in less. An open watch
 // that falls silent is considered broken and is replaced at once. If the new watch is not answered in time, another one is
 // requested beside it, and the first one that is answered stays: discovery may be slow, in which case only a request that
 // is kept is ever answered, or the request may have been lost. The timeouts are short enough that after a silent watch and
@@ -22,6 +22,10 @@
 // discovery, so a recent request is always open that discovery can answer as soon as it recovers, and there is no backoff
 // between watches that are not answered.
 const (
+	notificationTime            = 6 * time.Second
+	notificationTimeAfterReload = 4 * time.Second
+	// notificationMargin is the time that a newer watch has to be answered in when the oldest late one is closed.
+	notificationMargin = 200 * time.Millisecond
 	// watchSilenceTimeout is the silence after which a watch that discovery has begun to answer is considered broken.
 	// Discovery sends something every two seconds.
 	watchSilenceTimeout = 3 * time.Second
@@ -45,7 +49,11 @@
 	answerTimeout time.Duration
 	ctx           context.Context
 	cancel        context.CancelFunc
-	answered      bool // the header of the response has been received; used by the list's goroutine
+
+	// Used by the list's goroutine.
+
+	answered bool // the header of the response has been received
+	active   bool // a list, change or heartbeat has been received
 }
 
 // run reads events until the connection ends, and returns the error that ended it. The list is informed when the watch is
--- a/internal/proxy/late_watches.go
+++ b/internal/proxy/late_watches.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"woodproxy/internal/lifecycle"
+
 	"go.uber.org/zap"
 )
 
@@ -21,14 +23,54 @@
 			zap.Duration("silent", time.Since(watch.requestedAt)), zap.Int64("index", l.index))
 	}
 	l.late = append(l.late, watch)
-	if excess := l.lateWatches.Excess(len(l.late), time.Since(l.late[0].requestedAt)); excess >= 0 {
-		l.counters.WatchesAbandoned.Add(1)
-		l.late[excess].cancel()
-		l.late = slices.Delete(l.late, excess, excess+1)
+	if len(l.late) == 1 {
+		l.setLateDeadline(l.notifiedAt)
 	}
+	l.closeLateWatches(false)
 	l.startWatch()
 }
 
+// setLateDeadline sets the time at which the oldest late watch is closed: shortly before the given time or, if that has
+// passed, before notificationTime from now. It may be the only one that discovery serves, and may be lost.
+func (l *EndpointList) setLateDeadline(notifiedAt time.Time) {
+	now := time.Now()
+	l.lateDeadline = notifiedAt.Add(-notificationMargin)
+	if !l.lateDeadline.After(now) {
+		l.lateDeadline = now.Add(notificationTime - notificationMargin)
+	}
+	time.AfterFunc(l.lateDeadline.Sub(now), func() {
+		l.mailbox.post(func() {
+			if l.closeLateWatches(false) {
+				l.startWatch()
+			}
+		})
+	})
+}
+
+// closeLateWatches closes the late watches that may not stay open, and reports whether there were any.
+func (l *EndpointList) closeLateWatches(newerRejected bool) bool {
+	now, count := time.Now(), len(l.late)
+	if count == 0 {
+		return false
+	}
+	oldest, kept := l.late[0], make([]*endpointWatch, 0, count)
+	for i, watch := range l.late {
+		conditions := lifecycle.LateWatchConditions{
+			Position: i, Count: count, Age: now.Sub(watch.requestedAt), Overdue: !now.Before(l.lateDeadline), NewerRejected: newerRejected,
+		}
+		if conditions.MayStayOpen() {
+			kept = append(kept, watch)
+			continue
+		}
+		l.counters.WatchesAbandoned.Add(1)
+		watch.cancel()
+	}
+	if l.late = kept; len(kept) > 0 && kept[0] != oldest {
+		l.setLateDeadline(now.Add(notificationTime - watchSilenceTimeout)) // it has had about as much time already
+	}
+	return len(kept) < count
+}
+
 // handleAnswer handles that discovery has begun to answer a watch. The other unanswered watches are no longer needed,
 // and their answers would cost discovery and this process as much again.
 func (l *EndpointList) handleAnswer(watch *endpointWatch) {
@@ -71,7 +113,7 @@
 		other.cancel()
 	}
 	l.late = nil
-	l.lateWatches.Reset()
+	watch.active = true
 	l.lastError, l.failures = "", 0
 	l.reportWatching(true)
 	if l.previous != nil {
--- a/internal/proxy/late_watches_test.go
+++ b/internal/proxy/late_watches_test.go
@@ -146,3 +146,33 @@
 		awaitList(t, list, 6*time.Second)
 	}
 }
+
+// A discovery that serves one watch at a time is heard after an outage, within the time after which the proxy counts as
+// notified, although watches that were requested in the outage are never answered.
+func TestLostWatchesGiveWay(t *testing.T) {
+	const outage, notified = 4 * time.Second, 6 * time.Second
+	for name, rejects := range map[string]bool{"others wait": false, "others are rejected": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			up := time.Now().Add(outage)
+			place := make(chan struct{}, 1)
+			_, list := startList(t, false, func(conn net.Conn) {
+				select {
+				case place <- struct{}{}:
+				default:
+					if rejects {
+						_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n") // a failure shows in the list
+						return
+					}
+					place <- struct{}{}
+				}
+				if time.Now().After(up) {
+					_, _ = io.WriteString(conn, watchHeader+watchEvent)
+				}
+				_, _ = io.Copy(io.Discard, conn) // until the proxy closes the connection
+				<-place
+			})
+			awaitList(t, list, outage+notified)
+		})
+	}
+}
