--- a/internal/proxy/late_watches.go
+++ b/internal/proxy/late_watches.go
@@ -53,22 +53,22 @@
 	if count == 0 {
 		return false
 	}
-	oldest, kept := l.late[0], make([]*endpointWatch, 0, count)
+	oldest, remaining := l.late[0], make([]*endpointWatch, 0, count)
 	for i, watch := range l.late {
 		conditions := lifecycle.LateWatchConditions{
 			Position: i, Count: count, Age: now.Sub(watch.requestedAt), Overdue: !now.Before(l.lateDeadline), NewerRejected: newerRejected,
 		}
 		if conditions.MayStayOpen() {
-			kept = append(kept, watch)
+			remaining = append(remaining, watch)
 			continue
 		}
 		l.counters.WatchesAbandoned.Add(1)
 		watch.cancel()
 	}
-	if l.late = kept; len(kept) > 0 && kept[0] != oldest {
+	if l.late = remaining; len(remaining) > 0 && remaining[0] != oldest {
 		l.setLateDeadline(now.Add(notificationTime - watchSilenceTimeout)) // it has had about as much time already
 	}
-	return len(kept) < count
+	return len(remaining) < count
 }
 
 // handleAnswer handles that discovery has begun to answer a watch. The other unanswered watches are no longer needed,
