soak, tests: a plant that is not found is reported with the machine's overload

Violations in moments in which the machine was overloaded are excused; the message now tells whether that was so.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -173,7 +173,8 @@
 				t.Fatal(err)
 			}
 			if !slices.Contains(outcome.Rules(), plant.Rule) {
-				t.Errorf("got violations of %v, want %q among them", outcome.Rules(), plant.Rule)
+				t.Errorf("got violations of %v, want %q among them; the machine was overloaded for %.0f%% of the time",
+					outcome.Rules(), plant.Rule, 100*outcome.OverloadedFraction)
 			}
 		})
 	}
