--- a/internal/lifecycle/watch.go
+++ b/internal/lifecycle/watch.go
@@ -38,8 +38,8 @@
 	NewerRejected bool          // discovery has rejected a newer watch
 }
 
-// MayStayOpen decides whether the watch may stay open. The oldest one stays until its deadline, and each other one until
-// maxLateWatches newer ones are late.
+// MayStayOpen decides whether the watch may stay open. The oldest one stays until its deadline. While more than
+// maxLateWatches are late, the second oldest one is closed.
 func (c *LateWatchConditions) MayStayOpen() bool {
 	switch {
 	case c.NewerRejected && c.Age >= rejectedWatchAge:
